Set up the build, the core types and the state chart compiler

Cause: the project starts empty. Change: TypeScript, Airbnb lint rules with prettier, mocha; read-only domain types with tagged unions, ports of outside systems, and a compiler that checks state chart files against the names in the code and turns them into lookup tables. Conclusion: chart tests pass; a chart file that names an unknown state, event or action is refused at start.

--- /dev/null
+++ b/packages/ports/src/index.ts
@@ -0,0 +1,6 @@
+export * from './command';
+export * from './object';
+export * from './store';
+export * from './table';
+export * from './upstream';
+export * from './worker';
--- /dev/null
+++ b/packages/ports/src/store.ts
@@ -0,0 +1,42 @@
+import type { CommitResult, ReadResult, Transaction } from './table';
+
+/** The part of an entry's core that a store access belongs to. */
+export type StoreOrigin = 'requests' | 'batch' | 'tickets' | 'workers' | 'admin';
+
+/** An access to the table service that a core asks its shell for. */
+export type StoreEffect =
+  | {
+      readonly kind: 'commit';
+      readonly origin: StoreOrigin;
+      readonly callId: string;
+      readonly transaction: Transaction;
+    }
+  | {
+      readonly kind: 'read';
+      readonly origin: StoreOrigin;
+      readonly callId: string;
+      readonly keys: readonly string[];
+    }
+  | {
+      readonly kind: 'scan';
+      readonly origin: StoreOrigin;
+      readonly callId: string;
+      readonly prefix: string;
+      readonly afterKey: string;
+      readonly limit: number;
+    };
+
+/** How an access ended. */
+export type StoreEvent =
+  | {
+      readonly kind: 'commitDone';
+      readonly origin: StoreOrigin;
+      readonly callId: string;
+      readonly result: CommitResult;
+    }
+  | {
+      readonly kind: 'readDone';
+      readonly origin: StoreOrigin;
+      readonly callId: string;
+      readonly result: ReadResult;
+    };
--- /dev/null
+++ b/packages/types/src/admin.ts
@@ -0,0 +1,75 @@
+import type { Job, TaskId, TaskRow } from './job';
+import type { AgentProfile } from './place';
+import type { Resources } from './resources';
+import type { Change, Configuration, Ticket } from './ticket';
+
+/** A job as a caller submits it; the entry adds the id and the time. */
+export type Submission = Omit<Job, 'jobId' | 'submittedAtMs' | 'cancelled'>;
+
+/** A command or a question of an operator, a team or a caller about batch work and configuration. */
+export type AdminCommand =
+  | {
+      readonly kind: 'applyTicket';
+      readonly author: string;
+      readonly number: number;
+      readonly changes: readonly Change[];
+    }
+  | { readonly kind: 'listTickets'; readonly afterNumber: number; readonly limit: number }
+  | { readonly kind: 'showTicket'; readonly number: number }
+  | { readonly kind: 'whereTicket'; readonly number: number }
+  | { readonly kind: 'showConfiguration' }
+  | { readonly kind: 'submitJob'; readonly submission: Submission }
+  | { readonly kind: 'showJob'; readonly team: string; readonly jobId: string }
+  | { readonly kind: 'cancelJob'; readonly team: string; readonly jobId: string }
+  | {
+      readonly kind: 'listJobs';
+      readonly team: string;
+      readonly afterJobId: string;
+      readonly limit: number;
+    }
+  | { readonly kind: 'listUpstreams' }
+  | { readonly kind: 'listWorkers' };
+
+/** Where a ticket number is in force. */
+export interface InForce {
+  readonly process: 'entry' | 'agent';
+  readonly id: string;
+  readonly domain: string;
+  readonly number: number;
+}
+
+/** An upstream as an entry sees it. */
+export interface UpstreamStatus {
+  readonly agentId: string;
+  readonly service: string;
+  readonly domain: string;
+  readonly health: string;
+  readonly inFlight: number;
+  readonly limit: number;
+  readonly latencyMs: number;
+}
+
+/** A worker as an entry sees it. */
+export interface WorkerStatus {
+  readonly profile: AgentProfile;
+  readonly free: Resources;
+  readonly health: string;
+  readonly ticketInForce: number;
+}
+
+/** A job with its tasks. */
+export interface JobStatus {
+  readonly job: Job;
+  readonly tasks: readonly { readonly id: TaskId; readonly row: TaskRow }[];
+}
+
+/** What an administration command answers. */
+export type AdminReply =
+  | { readonly kind: 'ticket'; readonly ticket: Ticket }
+  | { readonly kind: 'tickets'; readonly tickets: readonly Ticket[] }
+  | { readonly kind: 'where'; readonly processes: readonly InForce[] }
+  | { readonly kind: 'configuration'; readonly configuration: Configuration }
+  | { readonly kind: 'job'; readonly status: JobStatus }
+  | { readonly kind: 'jobs'; readonly jobs: readonly Job[] }
+  | { readonly kind: 'upstreams'; readonly upstreams: readonly UpstreamStatus[] }
+  | { readonly kind: 'workers'; readonly workers: readonly WorkerStatus[] };
--- /dev/null
+++ b/packages/types/src/step.ts
@@ -0,0 +1,41 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+
+/** The time and the randomness that a decision may use. */
+export interface Instant {
+  /** Monotonic time of the process. */
+  readonly nowMs: number;
+  /** One uniform number in [0, 1). */
+  readonly random: number;
+}
+
+/** The outcome of a decision: the next state, and what the shell has to do. */
+export interface Step<State, Effect> {
+  readonly state: State;
+  readonly effects: readonly Effect[];
+}
+
+/** A pure decision function of a core. */
+export type Decide<State, Event, Effect> = (
+  state: State,
+  event: Event,
+  instant: Instant,
+) => Step<State, Effect>;
+
+/** A step that changes nothing. */
+export function unchanged<State>(state: State): Step<State, never> {
+  return { state, effects: [] };
+}
+
+/** Makes the type checker reject a switch that misses a variant. */
+export function assertNever(value: never): never {
+  throw new TypeError(`unexpected variant: ${JSON.stringify(value)}`);
+}
+
+const SEED_RANGE = 0x7fff_ffff;
+
+/** Derives `count` numbers in [0, 1) from one, so that a decision can draw more than once. */
+export function draws(random: number, count: number): readonly number[] {
+  const generator = xoroshiro128plus(Math.floor(random * SEED_RANGE));
+  return Array.from({ length: count }, () => uniformFloat64(generator));
+}
