Serve a caller's request end to end over real sockets

Cause: every later part builds on one working path. Change: wire frames with cbor-x, socket and connection actors, admission at the agent, request life cycle and routing at the entry, HTTP front end with RFC 9457 problems, and an upstream stand-in that computes springs.

--- /dev/null
+++ b/packages/actors/src/core.ts
@@ -0,0 +1,40 @@
+import { performance } from 'node:perf_hooks';
+import { dispatch, spawn } from 'nact';
+import type { ActorSystemRef, Ref } from 'nact';
+import type { Decide } from '@bronzeyoke/types';
+
+/** What a core actor needs beside its decisions. */
+export interface CoreOptions<State, Event, Effect> {
+  readonly name: string;
+  readonly initial: State;
+  readonly decide: Decide<State, Event, Effect>;
+  /** Carries out one effect; must not block. */
+  readonly perform: (effect: Effect, self: Ref<Event>) => void;
+  /** Told of an error that escaped the decision; the state stays as it was before the event. */
+  readonly onError: (error: unknown, event: Event) => void;
+}
+
+/** Starts the actor that owns the state of a core and applies one event after the other. */
+export function spawnCore<State, Event, Effect>(
+  system: ActorSystemRef,
+  options: CoreOptions<State, Event, Effect>,
+): Ref<Event> {
+  const { name, initial, decide, perform, onError } = options;
+  const handle = (state: State, event: Event, context: { readonly self: Ref<Event> }): State => {
+    try {
+      const step = decide(state, event, { nowMs: performance.now(), random: Math.random() });
+      step.effects.forEach((effect) => perform(effect, context.self));
+      return step.state;
+    } catch (error) {
+      onError(error, event);
+      return state;
+    }
+  };
+  const actor: Ref<Event> = spawn(system, handle, name, { initialState: initial });
+  return actor;
+}
+
+/** Delivers an event to an actor after a delay. Pending deliveries do not keep the process alive. */
+export function dispatchAfter<Event>(target: Ref<Event>, event: Event, delayMs: number): void {
+  setTimeout(() => dispatch(target, event), Math.max(0, delayMs)).unref();
+}
--- /dev/null
+++ b/packages/agent/src/index.ts
@@ -0,0 +1,4 @@
+export * from './core';
+export * from './start';
+export * from './types';
+export * from './upstream';
--- /dev/null
+++ b/packages/agent/src/start.ts
@@ -0,0 +1,129 @@
+import { randomUUID } from 'node:crypto';
+import { dispatch, start, stop } from 'nact';
+import type { Ref } from 'nact';
+import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
+import type { Attempt } from '@bronzeyoke/admission';
+import type { Address, DialCommand, LinkEvent } from '@bronzeyoke/link';
+import { spawnDial } from '@bronzeyoke/link';
+import type { UpstreamPort } from '@bronzeyoke/ports';
+import type { AgentProfile } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import type { EntryMessage } from '@bronzeyoke/wire';
+import { decodeEntryMessage } from '@bronzeyoke/wire';
+import { createAgent, stepAgent } from './core';
+import type { AgentEffect, AgentEvent } from './types';
+
+/** What an agent is started with. */
+export interface AgentOptions {
+  readonly profile: Omit<AgentProfile, 'agentId'>;
+  readonly entries: readonly Address[];
+  readonly upstream: UpstreamPort;
+  readonly onError: (error: unknown) => void;
+}
+
+/** A running agent. */
+export interface RunningAgent {
+  readonly agentId: string;
+  /** Begins a planned stop. */
+  readonly stop: () => void;
+  /** Ends when the planned stop is complete. */
+  readonly stopped: Promise<void>;
+}
+
+function toEvent(event: LinkEvent<EntryMessage>): AgentEvent | undefined {
+  switch (event.kind) {
+    case 'opened':
+      return { kind: 'linkOpened', linkId: event.linkId };
+    case 'closed':
+      return { kind: 'linkClosed', linkId: event.linkId };
+    case 'received':
+      return event;
+    case 'skipped':
+      return undefined;
+    default:
+      return assertNever(event);
+  }
+}
+
+async function callUpstream(
+  upstream: UpstreamPort,
+  attempt: Attempt,
+  timeoutMs: number,
+): Promise<AgentEvent> {
+  const { attemptId, method, path, headers, body } = attempt;
+  const result = await upstream.call({ method, path, headers, body, timeoutMs });
+  switch (result.kind) {
+    case 'answered':
+      return { kind: 'upstreamAnswered', attemptId, answer: result.answer };
+    case 'notReached':
+      return { kind: 'upstreamNotReached', attemptId };
+    case 'lost':
+      return { kind: 'upstreamLost', attemptId, reason: result.reason };
+    default:
+      return assertNever(result);
+  }
+}
+
+/** Starts an agent: connects to the entries, announces itself and serves requests. */
+export function startAgent(options: AgentOptions): RunningAgent {
+  const system = start();
+  const profile = { ...options.profile, agentId: randomUUID() };
+  const links = new Map<string, Ref<DialCommand>>();
+  let resolveStopped = (): void => undefined;
+  const stopped = new Promise<void>((resolve) => {
+    resolveStopped = resolve;
+  });
+
+  const exit = (): void => {
+    links.forEach((link) => dispatch(link, { kind: 'close' }));
+    setImmediate(() => {
+      stop(system);
+      resolveStopped();
+    });
+  };
+
+  const perform = (effect: AgentEffect, self: Ref<AgentEvent>): void => {
+    switch (effect.kind) {
+      case 'send': {
+        const link = links.get(effect.linkId);
+        if (link !== undefined) dispatch(link, { kind: 'send', message: effect.message });
+        return;
+      }
+      case 'callUpstream':
+        callUpstream(options.upstream, effect.attempt, effect.timeoutMs)
+          .then((event) => dispatch(self, event))
+          .catch(options.onError);
+        return;
+      case 'wake':
+        dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
+        return;
+      case 'exit':
+        exit();
+        return;
+      default:
+        assertNever(effect);
+    }
+  };
+
+  const core = spawnCore(system, {
+    name: 'agent',
+    initial: createAgent(profile),
+    decide: stepAgent,
+    perform,
+    onError: options.onError,
+  });
+  options.entries.forEach((address) => {
+    const linkId = `${address.host}:${address.port}`;
+    const link = spawnDial<EntryMessage>(system, address, {
+      linkId,
+      decode: decodeEntryMessage,
+      report: (linkEvent) => {
+        const event = toEvent(linkEvent);
+        if (event !== undefined) dispatch(core, event);
+      },
+    });
+    links.set(linkId, link);
+  });
+  dispatch(core, { kind: 'started' });
+  return { agentId: profile.agentId, stop: () => dispatch(core, { kind: 'stop' }), stopped };
+}
--- /dev/null
+++ b/packages/agent/src/types.ts
@@ -0,0 +1,47 @@
+import type { AdmissionState, Attempt } from '@bronzeyoke/admission';
+import type { RoleState } from '@bronzeyoke/lifecycle';
+import type { AgentProfile, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
+import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
+
+/** Timers of an agent. */
+export type AgentTimer =
+  | { readonly kind: 'attemptExpiry'; readonly attemptId: string }
+  | { readonly kind: 'beat' }
+  | { readonly kind: 'stopLimit' };
+
+/** State of an agent. */
+export interface AgentState {
+  readonly profile: AgentProfile;
+  readonly role: RoleState;
+  readonly incarnation: number;
+  readonly links: readonly string[];
+  readonly beatIntervalMs: number;
+  readonly admission: AdmissionState;
+}
+
+/** What happens to an agent. */
+export type AgentEvent =
+  | { readonly kind: 'started' }
+  | { readonly kind: 'linkOpened'; readonly linkId: string }
+  | { readonly kind: 'linkClosed'; readonly linkId: string }
+  | { readonly kind: 'received'; readonly linkId: string; readonly message: EntryMessage }
+  | {
+      readonly kind: 'upstreamAnswered';
+      readonly attemptId: string;
+      readonly answer: UpstreamAnswer;
+    }
+  | { readonly kind: 'upstreamNotReached'; readonly attemptId: string }
+  | {
+      readonly kind: 'upstreamLost';
+      readonly attemptId: string;
+      readonly reason: UnknownReason;
+    }
+  | { readonly kind: 'timer'; readonly timer: AgentTimer }
+  | { readonly kind: 'stop' };
+
+/** What the shell of an agent has to do. */
+export type AgentEffect =
+  | { readonly kind: 'send'; readonly linkId: string; readonly message: AgentMessage }
+  | { readonly kind: 'callUpstream'; readonly attempt: Attempt; readonly timeoutMs: number }
+  | { readonly kind: 'wake'; readonly timer: AgentTimer; readonly afterMs: number }
+  | { readonly kind: 'exit' };
--- /dev/null
+++ b/packages/agent/src/upstream.ts
@@ -0,0 +1,93 @@
+import { Agent, request as httpRequest } from 'node:http';
+import type { IncomingMessage } from 'node:http';
+import type { CallResult, UpstreamCall, UpstreamPort } from '@bronzeyoke/ports';
+import type { Headers } from '@bronzeyoke/types';
+import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
+
+/** Where the upstream listens, and how many connections it takes. */
+export interface UpstreamAddress {
+  readonly host: string;
+  readonly port: number;
+  readonly connections: number;
+}
+
+const HOP_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'keep-alive',
+  'transfer-encoding',
+  'te',
+  'trailer',
+  'upgrade',
+  'proxy-authorization',
+  'proxy-authenticate',
+]);
+
+function headersOf(message: IncomingMessage): Headers {
+  return Object.fromEntries(
+    Object.entries(message.headers).flatMap(([name, value]) => {
+      if (value === undefined || HOP_HEADERS.has(name)) return [];
+      return [[name, Array.isArray(value) ? value.join(', ') : value]];
+    }),
+  );
+}
+
+function readAnswer(message: IncomingMessage, finish: (result: CallResult) => void): void {
+  const chunks: Buffer[] = [];
+  let lengthBytes = 0;
+  message.on('data', (chunk: Buffer) => {
+    lengthBytes += chunk.length;
+    chunks.push(chunk);
+    if (lengthBytes > MAX_BODY_BYTES) message.destroy();
+  });
+  message.on('close', () => {
+    // `complete` is false when the body was cut short: such an answer is never passed on.
+    const isWhole = message.complete && lengthBytes <= MAX_BODY_BYTES;
+    finish(
+      isWhole
+        ? {
+            kind: 'answered',
+            answer: {
+              status: message.statusCode ?? 502,
+              headers: headersOf(message),
+              body: Buffer.concat(chunks),
+            },
+          }
+        : { kind: 'lost', reason: 'upstreamFailed' },
+    );
+  });
+}
+
+/** Calls the upstream over HTTP. Node's client is used here because undici needs 10 MB more memory. */
+export function createHttpUpstream(address: UpstreamAddress): UpstreamPort {
+  const pool = new Agent({ keepAlive: true, maxSockets: address.connections });
+  const call = (wanted: UpstreamCall): Promise<CallResult> =>
+    new Promise((resolve) => {
+      let isConnected = false;
+      const outgoing = httpRequest({
+        host: address.host,
+        port: address.port,
+        method: wanted.method,
+        path: wanted.path,
+        headers: { ...wanted.headers, 'content-length': String(wanted.body.length) },
+        agent: pool,
+      });
+      const deadline = setTimeout(() => outgoing.destroy(), wanted.timeoutMs);
+      const finish = (result: CallResult): void => {
+        clearTimeout(deadline);
+        resolve(result);
+      };
+      outgoing.on('socket', (socket) => {
+        isConnected = !socket.connecting;
+        if (isConnected) return;
+        socket.once('connect', () => {
+          isConnected = true;
+        });
+      });
+      outgoing.on('response', (message) => readAnswer(message, finish));
+      outgoing.on('error', () =>
+        finish(isConnected ? { kind: 'lost', reason: 'upstreamFailed' } : { kind: 'notReached' }),
+      );
+      outgoing.end(wanted.body);
+    });
+  return { call };
+}
--- /dev/null
+++ b/packages/entry/src/index.ts
@@ -0,0 +1,5 @@
+export * from './core';
+export * from './http';
+export * from './problem';
+export * from './start';
+export * from './types';
--- /dev/null
+++ b/packages/entry/src/start.ts
@@ -0,0 +1,141 @@
+import { randomUUID } from 'node:crypto';
+import { once } from 'node:events';
+import { createServer } from 'node:net';
+import type { AddressInfo, Server } from 'node:net';
+import { dispatch, start, stop } from 'nact';
+import type { Ref } from 'nact';
+import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
+import type { LinkCommand, LinkEvent } from '@bronzeyoke/link';
+import { spawnLink } from '@bronzeyoke/link';
+import type { Failure } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import type { AgentMessage } from '@bronzeyoke/wire';
+import { decodeAgentMessage } from '@bronzeyoke/wire';
+import { createEntry, stepEntry } from './core';
+import { spawnFront } from './http';
+import type { EntryEffect, EntryEvent } from './types';
+
+/** What an entry is started with. Port 0 takes any free port. */
+export interface EntryOptions {
+  readonly domain: string;
+  readonly host: string;
+  readonly callerPort: number;
+  readonly agentPort: number;
+  readonly onError: (error: unknown) => void;
+  readonly onFailure: (failure: Failure) => void;
+}
+
+/** A running entry. */
+export interface RunningEntry {
+  readonly entryId: string;
+  readonly callerPort: number;
+  readonly agentPort: number;
+  /** Begins a planned stop. */
+  readonly stop: () => void;
+  /** Ends when the planned stop is complete. */
+  readonly stopped: Promise<void>;
+}
+
+async function listen(server: Server, host: string, port: number): Promise<number> {
+  server.listen(port, host);
+  await once(server, 'listening');
+  return (server.address() as AddressInfo).port;
+}
+
+/** Starts an entry: listens for callers and for agents. */
+export async function startEntry(options: EntryOptions): Promise<RunningEntry> {
+  const system = start();
+  const entryId = randomUUID();
+  const links = new Map<string, Ref<LinkCommand>>();
+  let resolveStopped = (): void => undefined;
+  const stopped = new Promise<void>((resolve) => {
+    resolveStopped = resolve;
+  });
+  const agentServer = createServer();
+
+  const front = spawnFront(system, options.onFailure);
+
+  const exit = (): void => {
+    dispatch(front.actor, { kind: 'close' });
+    agentServer.close();
+    front.server.once('close', () => {
+      links.forEach((link) => dispatch(link, { kind: 'close' }));
+      setImmediate(() => {
+        stop(system);
+        resolveStopped();
+      });
+    });
+  };
+
+  const perform = (effect: EntryEffect, self: Ref<EntryEvent>): void => {
+    switch (effect.kind) {
+      case 'send': {
+        const link = links.get(effect.linkId);
+        if (link !== undefined) dispatch(link, { kind: 'send', message: effect.message });
+        return;
+      }
+      case 'closeLink': {
+        const link = links.get(effect.linkId);
+        if (link !== undefined) dispatch(link, { kind: 'close' });
+        return;
+      }
+      case 'reply':
+        dispatch(front.actor, effect);
+        return;
+      case 'storeIntent':
+        dispatch(self, { kind: 'intentFailed', requestId: effect.intent.requestId });
+        return;
+      case 'wake':
+        dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
+        return;
+      case 'exit':
+        exit();
+        return;
+      default:
+        assertNever(effect);
+    }
+  };
+
+  const core: Ref<EntryEvent> = spawnCore(system, {
+    name: 'entry',
+    initial: createEntry(entryId, options.domain),
+    decide: stepEntry,
+    perform,
+    onError: options.onError,
+  });
+
+  const toCore = (event: EntryEvent): void => dispatch(core, event);
+  dispatch(front.actor, {
+    kind: 'attach',
+    arrived: (request) => toCore({ kind: 'arrived', request }),
+  });
+
+  const report = (event: LinkEvent<AgentMessage>): void => {
+    switch (event.kind) {
+      case 'opened':
+        toCore({ kind: 'linkOpened', linkId: event.linkId });
+        return;
+      case 'received':
+        toCore(event);
+        return;
+      case 'skipped':
+        return;
+      case 'closed':
+        links.delete(event.linkId);
+        if (event.failure !== undefined) options.onFailure(event.failure);
+        toCore({ kind: 'linkClosed', linkId: event.linkId });
+        return;
+      default:
+        assertNever(event);
+    }
+  };
+
+  agentServer.on('connection', (socket) => {
+    const linkId = randomUUID();
+    const link = spawnLink(system, { linkId, socket, decode: decodeAgentMessage, report });
+    links.set(linkId, link);
+  });
+  const agentPort = await listen(agentServer, options.host, options.agentPort);
+  const callerPort = await listen(front.server, options.host, options.callerPort);
+  return { entryId, callerPort, agentPort, stop: () => toCore({ kind: 'stop' }), stopped };
+}
--- /dev/null
+++ b/packages/entry/test/path.test.ts
@@ -0,0 +1,119 @@
+import { expect } from 'chai';
+import { request } from 'undici';
+import { createHttpUpstream, startAgent } from '@bronzeyoke/agent';
+import type { RunningAgent } from '@bronzeyoke/agent';
+import type { RunningEntry } from '@bronzeyoke/entry';
+import { startEntry } from '@bronzeyoke/entry';
+import type { StandinUpstream } from '@bronzeyoke/standins';
+import { NO_UPSTREAM_FAULTS, calculateSpring, startUpstream } from '@bronzeyoke/standins';
+
+const HOST = '127.0.0.1';
+
+interface Path {
+  readonly entry: RunningEntry;
+  readonly agent: RunningAgent;
+  readonly upstream: StandinUpstream;
+}
+
+function rethrow(error: unknown): never {
+  throw error;
+}
+
+async function startPath(): Promise<Path> {
+  const upstream = await startUpstream(HOST, 0);
+  const entry = await startEntry({
+    domain: 'hobart',
+    host: HOST,
+    callerPort: 0,
+    agentPort: 0,
+    onError: rethrow,
+    onFailure: () => undefined,
+  });
+  const agent = startAgent({
+    profile: {
+      worker: 'w1',
+      domain: 'hobart',
+      region: 'tasmania',
+      rack: 'r1',
+      service: 'quoter',
+      slots: 8,
+      connections: 64,
+      total: { processorsMilli: 64_000, memoryMb: 250_000, accelerators: 0 },
+    },
+    entries: [{ host: HOST, port: entry.agentPort }],
+    upstream: createHttpUpstream({ host: HOST, port: upstream.port, connections: 64 }),
+    onError: rethrow,
+  });
+  return { entry, agent, upstream };
+}
+
+async function stopPath(path: Path): Promise<void> {
+  path.agent.stop();
+  await path.agent.stopped;
+  path.entry.stop();
+  await path.entry.stopped;
+  await path.upstream.close();
+}
+
+const spring = {
+  springKind: 'compression',
+  wireDiameterMm: 2,
+  coilDiameterMm: 20,
+  activeTurns: 8,
+  material: 'musicWire',
+  travelMm: 10,
+} as const;
+
+async function check(path: Path, body: object, headers: Readonly<Record<string, string>> = {}) {
+  const response = await request(
+    `http://${HOST}:${path.entry.callerPort}/v1/services/quoter/price`,
+    { method: 'POST', body: JSON.stringify(body), headers },
+  );
+  return { status: response.statusCode, body: await response.body.json() };
+}
+
+async function untilServed(path: Path): Promise<void> {
+  const answer = await check(path, spring);
+  if (answer.status === 200) return;
+  await new Promise((resolve) => {
+    setTimeout(resolve, 20);
+  });
+  await untilServed(path);
+}
+
+it('path: a quick check is answered whole over real sockets', async () => {
+  const path = await startPath();
+  await untilServed(path);
+  const answers = await Promise.all(
+    Array.from({ length: 50 }, (_, index) => check(path, { ...spring, travelMm: index })),
+  );
+  answers.forEach((answer, index) => {
+    expect(answer.status).to.equal(200);
+    expect(answer.body).to.deep.equal(calculateSpring({ ...spring, travelMm: index }));
+  });
+  await stopPath(path);
+});
+
+// A body that is cut in the middle must never look like an answer.
+it('path: a cut answer becomes outcome unknown', async () => {
+  const path = await startPath();
+  await untilServed(path);
+  path.upstream.setFaults({ ...NO_UPSTREAM_FAULTS, cutsAnswers: true });
+  const answer = await check(path, spring);
+  expect(answer.status).to.equal(504);
+  expect(answer.body).to.include({ type: 'urn:bronzeyoke:problem:outcome-unknown' });
+  await stopPath(path);
+});
+
+it('path: a planned stop of the agent lets a request in progress finish', async () => {
+  const path = await startPath();
+  await untilServed(path);
+  path.upstream.setFaults({ ...NO_UPSTREAM_FAULTS, delayMs: 200 });
+  const pending = check(path, spring);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  path.agent.stop();
+  expect((await pending).status).to.equal(200);
+  await stopPath(path);
+});
--- /dev/null
+++ b/packages/link/src/dial.ts
@@ -0,0 +1,128 @@
+import { connect } from 'node:net';
+import type { Socket } from 'node:net';
+import type { ActorSystemRef, Ref } from 'nact';
+import { dispatch, spawn } from 'nact';
+import type { ActionOf, StateOf } from '@bronzeyoke/chart';
+import { advance, compileChart } from '@bronzeyoke/chart';
+import { assertNever } from '@bronzeyoke/types';
+import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
+import chartFile from '../charts/connection.json';
+import type { LinkCommand, LinkEvent, LinkOptions } from './socket';
+import { spawnLink } from './socket';
+
+const FIRST_RETRY_MS = 100;
+const MAX_RETRY_MS = 5_000;
+const CONNECT_TIMEOUT_MS = 2_000;
+
+const chart = compileChart(chartFile, {
+  states: ['connecting', 'open', 'waiting', 'stopped'],
+  events: ['connected', 'failed', 'lost', 'retry', 'send', 'replace', 'close'],
+  actions: ['connect', 'startLink', 'scheduleRetry', 'forward', 'closeLink', 'discardSocket'],
+});
+
+/** Where to connect. Peers are named by IP number. */
+export interface Address {
+  readonly host: string;
+  readonly port: number;
+}
+
+/** What a dialled connection accepts from its owner. `replace` drops the socket and connects anew. */
+export type DialCommand =
+  | { readonly kind: 'send'; readonly message: AgentMessage | EntryMessage }
+  | { readonly kind: 'replace' }
+  | { readonly kind: 'close' };
+
+type DialMessage =
+  | DialCommand
+  | { readonly kind: 'connected'; readonly socket: Socket }
+  | { readonly kind: 'failed' }
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'retry' };
+
+interface DialState {
+  readonly phase: StateOf<typeof chart>;
+  readonly retryMs: number;
+  readonly link?: Ref<LinkCommand>;
+}
+
+function openSocket(address: Address, self: Ref<DialMessage>): void {
+  const socket = connect({ host: address.host, port: address.port });
+  const giveUp = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
+  const failed = (): void => {
+    clearTimeout(giveUp);
+    dispatch(self, { kind: 'failed' });
+  };
+  socket.on('error', () => socket.destroy());
+  socket.once('close', failed);
+  socket.once('connect', () => {
+    clearTimeout(giveUp);
+    socket.removeListener('close', failed);
+    dispatch(self, { kind: 'connected', socket });
+  });
+}
+
+/** Starts the actor that keeps one connection to a peer, with retry delays that double to a limit. */
+export function spawnDial<Message extends AgentMessage | EntryMessage>(
+  system: ActorSystemRef,
+  address: Address,
+  options: Omit<LinkOptions<Message>, 'socket'>,
+): Ref<DialCommand> {
+  const startLink = (socket: Socket, self: Ref<DialMessage>): Ref<LinkCommand> =>
+    spawnLink(system, {
+      ...options,
+      socket,
+      report: (event: LinkEvent<Message>) => {
+        if (event.kind === 'closed') dispatch(self, { kind: 'lost' });
+        options.report(event);
+      },
+    });
+
+  const act = (
+    state: DialState,
+    action: ActionOf<typeof chart>,
+    message: DialMessage,
+    self: Ref<DialMessage>,
+  ): DialState => {
+    switch (action) {
+      case 'connect':
+        openSocket(address, self);
+        return state;
+      case 'startLink':
+        return message.kind === 'connected'
+          ? { ...state, retryMs: FIRST_RETRY_MS, link: startLink(message.socket, self) }
+          : state;
+      case 'scheduleRetry':
+        setTimeout(() => dispatch(self, { kind: 'retry' }), state.retryMs).unref();
+        return { phase: state.phase, retryMs: Math.min(state.retryMs * 2, MAX_RETRY_MS) };
+      case 'forward':
+        if (state.link !== undefined && message.kind === 'send') dispatch(state.link, message);
+        return state;
+      case 'closeLink':
+        if (state.link !== undefined) dispatch(state.link, { kind: 'close' });
+        return state;
+      case 'discardSocket':
+        if (message.kind === 'connected') message.socket.destroy();
+        return state;
+      default:
+        return assertNever(action);
+    }
+  };
+
+  const handle = (
+    state: DialState,
+    message: DialMessage,
+    context: { readonly self: Ref<DialMessage> },
+  ): DialState => {
+    const next = advance(chart, state.phase, message.kind);
+    return next.actions.reduce<DialState>(
+      (current, action) => act(current, action, message, context.self),
+      { ...state, phase: next.state },
+    );
+  };
+
+  const actor: Ref<DialMessage> = spawn(system, handle, undefined, {
+    initialState: { phase: chart.initial, retryMs: FIRST_RETRY_MS },
+  });
+  openSocket(address, actor);
+  return actor;
+}
--- /dev/null
+++ b/packages/link/src/index.ts
@@ -0,0 +1,2 @@
+export * from './dial';
+export * from './socket';
--- /dev/null
+++ b/packages/link/src/socket.ts
@@ -0,0 +1,110 @@
+import type { Socket } from 'node:net';
+import { dispatch, spawn, stop } from 'nact';
+import type { ActorSystemRef, Ref } from 'nact';
+import type { Failure, Result } from '@bronzeyoke/types';
+import type { AgentMessage, EntryMessage, FrameBuffer, Received } from '@bronzeyoke/wire';
+import { EMPTY_FRAME_BUFFER, encodeFrame, splitFrames } from '@bronzeyoke/wire';
+
+/** Unsent bytes after which a peer that does not read is cut off. */
+const MAX_UNSENT_BYTES = 16 * 1_048_576;
+
+type Incoming = AgentMessage | EntryMessage;
+
+/** What a link reports to its owner. */
+export type LinkEvent<Message> =
+  | { readonly kind: 'opened'; readonly linkId: string }
+  | { readonly kind: 'received'; readonly linkId: string; readonly message: Message }
+  | { readonly kind: 'skipped'; readonly linkId: string; readonly messageKind: string }
+  | { readonly kind: 'closed'; readonly linkId: string; readonly failure?: Failure };
+
+/** What a link accepts from its owner. */
+export type LinkCommand =
+  | { readonly kind: 'send'; readonly message: AgentMessage | EntryMessage }
+  | { readonly kind: 'close' };
+
+type LinkMessage =
+  | LinkCommand
+  | { readonly kind: 'bytes'; readonly chunk: Buffer }
+  | { readonly kind: 'ended'; readonly failure?: Failure };
+
+/** What a link is made of. */
+export interface LinkOptions<Message extends Incoming> {
+  readonly linkId: string;
+  readonly socket: Socket;
+  readonly decode: (payload: Uint8Array) => Result<Received<Message>>;
+  readonly report: (event: LinkEvent<Message>) => void;
+}
+
+interface LinkState {
+  readonly buffered: FrameBuffer;
+  readonly open: boolean;
+}
+
+/** Starts the actor that owns one socket: it frames, checks and passes on messages both ways. */
+export function spawnLink<Message extends Incoming>(
+  system: ActorSystemRef,
+  options: LinkOptions<Message>,
+): Ref<LinkCommand> {
+  const { linkId, socket, decode, report } = options;
+
+  const end = (state: LinkState, self: Ref<LinkMessage>, failure?: Failure): LinkState => {
+    if (!state.open) return state;
+    socket.destroy();
+    report({ kind: 'closed', linkId, ...(failure === undefined ? {} : { failure }) });
+    stop(self);
+    return { ...state, open: false };
+  };
+
+  const receive = (state: LinkState, chunk: Buffer, self: Ref<LinkMessage>): LinkState => {
+    const split = splitFrames(state.buffered, chunk);
+    if (!split.ok) return end(state, self, split.failure);
+    const decoded = split.value.payloads.map(decode);
+    const firstBad = decoded.findIndex((result) => !result.ok);
+    const usable = firstBad === -1 ? decoded : decoded.slice(0, firstBad);
+    usable.forEach((result) => {
+      if (!result.ok) return;
+      if (result.value.kind === 'skipped') {
+        report({ kind: 'skipped', linkId, messageKind: result.value.messageKind });
+      } else {
+        report({ kind: 'received', linkId, message: result.value.message });
+      }
+    });
+    const bad = decoded[firstBad];
+    if (bad !== undefined && !bad.ok) return end(state, self, bad.failure);
+    return { ...state, buffered: split.value.rest };
+  };
+
+  const handle = (
+    state: LinkState,
+    message: LinkMessage,
+    context: { readonly self: Ref<LinkMessage> },
+  ): LinkState => {
+    if (!state.open) return state;
+    switch (message.kind) {
+      case 'send':
+        socket.write(encodeFrame(message.message));
+        return socket.writableLength > MAX_UNSENT_BYTES
+          ? end(state, context.self, { kind: 'unreachable', what: linkId })
+          : state;
+      case 'bytes':
+        return receive(state, message.chunk, context.self);
+      case 'ended':
+        return end(state, context.self, message.failure);
+      case 'close':
+        socket.end();
+        return end(state, context.self);
+    }
+  };
+
+  const actor: Ref<LinkMessage> = spawn(system, handle, undefined, {
+    initialState: { buffered: EMPTY_FRAME_BUFFER, open: true },
+  });
+  socket.setNoDelay(true);
+  socket.on('data', (chunk: Buffer) => dispatch(actor, { kind: 'bytes', chunk }));
+  socket.on('error', () =>
+    dispatch(actor, { kind: 'ended', failure: { kind: 'unreachable', what: linkId } }),
+  );
+  socket.on('close', () => dispatch(actor, { kind: 'ended' }));
+  report({ kind: 'opened', linkId });
+  return actor;
+}
--- /dev/null
+++ b/packages/membership/src/state.ts
@@ -0,0 +1,78 @@
+import { Map } from 'immutable';
+import type { AgentProfile, Resources } from '@bronzeyoke/types';
+
+/** What an entry knows of an agent that announced itself. */
+export interface AgentView {
+  readonly profile: AgentProfile;
+  readonly linkId: string;
+  readonly isLeaving: boolean;
+  readonly free: Resources;
+  readonly heardAtMs: number;
+  readonly ticketInForce: number;
+}
+
+/** The agents that an entry knows, by agent id. */
+export interface MembershipState {
+  readonly agents: Map<string, AgentView>;
+  readonly byLink: Map<string, string>;
+}
+
+/** No agents. */
+export const NO_MEMBERS: MembershipState = { agents: Map(), byLink: Map() };
+
+const BEAT_BYTES = 100;
+const BEAT_BUDGET_BYTES_PER_S = 1_500;
+const MIN_BEAT_MS = 1_000;
+const MAX_BEAT_MS = 30_000;
+
+/** How often each agent sends a heartbeat, so that all of them stay within the control budget. */
+export function beatIntervalMs(agentCount: number): number {
+  const fair = ((agentCount * BEAT_BYTES) / BEAT_BUDGET_BYTES_PER_S) * 1_000;
+  return Math.min(MAX_BEAT_MS, Math.max(MIN_BEAT_MS, fair));
+}
+
+/** Adds an agent that announced itself over a link; a link holds one agent. */
+export function addAgent(
+  state: MembershipState,
+  linkId: string,
+  profile: AgentProfile,
+  nowMs: number,
+): MembershipState {
+  const view: AgentView = {
+    profile,
+    linkId,
+    isLeaving: false,
+    free: profile.total,
+    heardAtMs: nowMs,
+    ticketInForce: 0,
+  };
+  return {
+    agents: state.agents.set(profile.agentId, view),
+    byLink: state.byLink.set(linkId, profile.agentId),
+  };
+}
+
+/** The agent at the other end of a link. */
+export function agentOf(state: MembershipState, linkId: string): AgentView | undefined {
+  const agentId = state.byLink.get(linkId);
+  return agentId === undefined ? undefined : state.agents.get(agentId);
+}
+
+/** Changes what is known of an agent. */
+export function updateAgent(
+  state: MembershipState,
+  agentId: string,
+  update: (view: AgentView) => AgentView,
+): MembershipState {
+  const view = state.agents.get(agentId);
+  return view === undefined ? state : { ...state, agents: state.agents.set(agentId, update(view)) };
+}
+
+/** Drops a link, and its agent unless that one has come back over another link. */
+export function removeLink(state: MembershipState, linkId: string): MembershipState {
+  const agent = agentOf(state, linkId);
+  const byLink = state.byLink.delete(linkId);
+  return agent?.linkId === linkId
+    ? { agents: state.agents.delete(agent.profile.agentId), byLink }
+    : { ...state, byLink };
+}
--- /dev/null
+++ b/packages/requests/src/chart.ts
@@ -0,0 +1,36 @@
+import type { ActionOf, StateOf } from '@bronzeyoke/chart';
+import { compileChart } from '@bronzeyoke/chart';
+import chartFile from '../charts/request.json';
+
+/** Life of a caller's request at the entry. */
+export const requestChart = compileChart(chartFile, {
+  states: ['new', 'queued', 'recording', 'dispatched', 'collecting', 'ended'],
+  events: [
+    'enqueue',
+    'dispatch',
+    'record',
+    'intentStored',
+    'intentFound',
+    'answer',
+    'retry',
+    'collect',
+    'refuse',
+    'giveUp',
+    'expire',
+  ],
+  actions: [
+    'sendAttempt',
+    'sendCollect',
+    'cancelAttempts',
+    'storeIntent',
+    'replyAnswer',
+    'replyNotRun',
+    'replyUnknown',
+  ],
+});
+
+/** States of a request. */
+export type RequestState = StateOf<typeof requestChart>;
+
+/** Actions of the chart. */
+export type RequestAction = ActionOf<typeof requestChart>;
--- /dev/null
+++ b/packages/requests/src/index.ts
@@ -0,0 +1,3 @@
+export * from './chart';
+export * from './step';
+export * from './types';
--- /dev/null
+++ b/packages/standins/src/index.ts
@@ -0,0 +1,2 @@
+export * from './spring';
+export * from './upstream';
--- /dev/null
+++ b/packages/standins/src/upstream.ts
@@ -0,0 +1,104 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { z } from 'zod';
+import { SHEAR_MODULUS_MPA, calculateSpring } from './spring';
+
+const materials = Object.keys(SHEAR_MODULUS_MPA) as (keyof typeof SHEAR_MODULUS_MPA)[];
+const positive = z.number().positive().max(1e6);
+
+const springSchema = z.strictObject({
+  springKind: z.enum(['compression', 'torsion']),
+  wireDiameterMm: positive,
+  coilDiameterMm: positive,
+  activeTurns: positive,
+  material: z.enum(materials),
+  travelMm: z.number().min(0).max(1e6).default(0),
+});
+
+/** How the stand-in misbehaves. It can be changed while the stand-in runs. */
+export interface UpstreamFaults {
+  readonly delayMs: number;
+  /** Cuts the body of an answer in the middle. */
+  readonly cutsAnswers: boolean;
+  /** Takes requests and never answers. */
+  readonly isSilent: boolean;
+}
+
+/** An upstream that behaves. */
+export const NO_UPSTREAM_FAULTS: UpstreamFaults = {
+  delayMs: 0,
+  cutsAnswers: false,
+  isSilent: false,
+};
+
+/** A running stand-in of an upstream. */
+export interface StandinUpstream {
+  readonly port: number;
+  readonly setFaults: (faults: UpstreamFaults) => void;
+  /** How often each idempotency key ran. */
+  readonly runsByKey: () => ReadonlyMap<string, number>;
+  readonly close: () => Promise<void>;
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+  const chunks = await request.toArray();
+  return Buffer.concat(chunks as Buffer[]).toString('utf8');
+}
+
+function answerTo(text: string): { readonly status: number; readonly body: string } {
+  try {
+    const parsed = springSchema.safeParse(JSON.parse(text));
+    return parsed.success
+      ? { status: 200, body: JSON.stringify(calculateSpring(parsed.data)) }
+      : { status: 422, body: JSON.stringify({ problem: z.prettifyError(parsed.error) }) };
+  } catch {
+    return { status: 400, body: JSON.stringify({ problem: 'not JSON' }) };
+  }
+}
+
+/** Starts a stand-in of the quoter: it computes the rate and the load of a spring. */
+export async function startUpstream(host: string, port: number): Promise<StandinUpstream> {
+  let faults = NO_UPSTREAM_FAULTS;
+  const runs = new Map<string, number>();
+
+  const respond = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const text = await readText(request);
+    const key = request.headers['idempotency-key'];
+    if (typeof key === 'string') runs.set(key, (runs.get(key) ?? 0) + 1);
+    if (faults.isSilent) return;
+    const { status, body } = answerTo(text);
+    const send = (): void => {
+      response.writeHead(status, {
+        'content-type': 'application/json',
+        'content-length': Buffer.byteLength(body),
+      });
+      if (faults.cutsAnswers) {
+        response.write(body.slice(0, body.length / 2), () => response.destroy());
+      } else {
+        response.end(body);
+      }
+    };
+    if (faults.delayMs > 0) setTimeout(send, faults.delayMs);
+    else send();
+  };
+
+  const server = createServer((request, response) => {
+    respond(request, response).catch(() => response.destroy());
+  });
+  server.listen(port, host);
+  await once(server, 'listening');
+  return {
+    port: (server.address() as AddressInfo).port,
+    setFaults: (next) => {
+      faults = next;
+    },
+    runsByKey: () => runs,
+    close: async () => {
+      server.close();
+      server.closeAllConnections();
+      await once(server, 'close');
+    },
+  };
+}
--- /dev/null
+++ b/packages/wire/src/index.ts
@@ -0,0 +1,3 @@
+export * from './frame';
+export * from './message';
+export * from './schema';
--- /dev/null
+++ b/packages/wire/src/message.ts
@@ -0,0 +1,141 @@
+import type {
+  AgentProfile,
+  Configuration,
+  Headers,
+  NotRunReason,
+  Resources,
+  SlowDown,
+  TaskId,
+  TaskSpec,
+  UnknownReason,
+} from '@bronzeyoke/types';
+
+/** Version of the protocol between entries and agents. Peers with another major version are refused. */
+export const PROTOCOL_VERSION = 1;
+
+/** Why an agent turned an offer down. */
+export type DeclineReason = 'noRoom' | 'domainOut' | 'draining' | 'notRegistered' | 'tooLate';
+
+/** What became of a task on a worker. */
+export type TaskReport =
+  | { readonly kind: 'started' }
+  | { readonly kind: 'checkpointed'; readonly checkpointRef: string }
+  | {
+      readonly kind: 'finished';
+      readonly resultRef: string;
+      readonly runMs: number;
+      readonly peak: Resources;
+    }
+  | { readonly kind: 'failed'; readonly checkpointRef?: string; readonly peak: Resources }
+  | { readonly kind: 'evicted'; readonly checkpointRef?: string }
+  | { readonly kind: 'notStarted' }
+  | { readonly kind: 'stopped' };
+
+/** What an agent tells an entry. */
+export type AgentMessage =
+  | {
+      readonly kind: 'hello';
+      readonly version: number;
+      readonly profile: AgentProfile;
+      readonly incarnation: number;
+    }
+  | {
+      readonly kind: 'beat';
+      readonly free: Resources;
+      readonly slotsInUse: number;
+      readonly slowDowns: readonly SlowDown[];
+    }
+  | { readonly kind: 'draining' }
+  | {
+      readonly kind: 'answer';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly status: number;
+      readonly headers: Headers;
+      readonly body: Uint8Array;
+      readonly slotsInUse: number;
+    }
+  | {
+      readonly kind: 'notRun';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly reason: NotRunReason;
+    }
+  | {
+      readonly kind: 'outcomeUnknown';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly reason: UnknownReason;
+    }
+  | { readonly kind: 'unknownRequest'; readonly requestId: string; readonly attemptId: string }
+  | { readonly kind: 'progress'; readonly requestId: string; readonly attemptId: string }
+  | { readonly kind: 'accepted'; readonly offerId: string; readonly free: Resources }
+  | {
+      readonly kind: 'declined';
+      readonly offerId: string;
+      readonly reason: DeclineReason;
+      readonly free: Resources;
+    }
+  | {
+      readonly kind: 'taskReport';
+      readonly id: TaskId;
+      readonly epoch: number;
+      readonly report: TaskReport;
+    }
+  | {
+      readonly kind: 'registerWorker';
+      readonly worker: string;
+      readonly agentId: string;
+      readonly token: string;
+    }
+  | {
+      readonly kind: 'renewWorker';
+      readonly worker: string;
+      readonly incarnation: number;
+      readonly token: string;
+    }
+  | { readonly kind: 'inForce'; readonly number: number }
+  | { readonly kind: 'pong'; readonly sequence: number };
+
+/** What an entry tells an agent. */
+export type EntryMessage =
+  | {
+      readonly kind: 'welcome';
+      readonly version: number;
+      readonly entryId: string;
+      readonly beatIntervalMs: number;
+    }
+  | {
+      readonly kind: 'request';
+      readonly requestId: string;
+      readonly attemptId: string;
+      readonly idempotencyKey?: string | undefined;
+      readonly method: string;
+      readonly path: string;
+      readonly headers: Headers;
+      readonly body: Uint8Array;
+      readonly timeoutMs: number;
+      readonly traceparent?: string | undefined;
+    }
+  | { readonly kind: 'cancelRequest'; readonly requestId: string; readonly attemptId: string }
+  | { readonly kind: 'collect'; readonly requestId: string; readonly attemptId: string }
+  | {
+      readonly kind: 'offer';
+      readonly offerId: string;
+      readonly epoch: number;
+      readonly task: TaskSpec;
+    }
+  | { readonly kind: 'claimed'; readonly offerId: string }
+  | { readonly kind: 'claimFailed'; readonly offerId: string }
+  | {
+      readonly kind: 'stopTask';
+      readonly id: TaskId;
+      readonly epoch: number;
+      readonly mode: 'cancel' | 'evict';
+    }
+  | { readonly kind: 'recorded'; readonly id: TaskId; readonly epoch: number }
+  | { readonly kind: 'workerRegistered'; readonly token: string; readonly incarnation: number }
+  | { readonly kind: 'workerRenewed'; readonly token: string }
+  | { readonly kind: 'workerFenced'; readonly incarnation: number }
+  | { readonly kind: 'config'; readonly configuration: Configuration }
+  | { readonly kind: 'ping'; readonly sequence: number };
