Carry out store accesses of an entry's core on a table port

The entry's core had no way to reach the table service, so nothing could be recorded. Store accesses are now effects; an actor carries them out within a budget of 60 transactions and 300 reads a second, lease renewals first, and reports how they ended. A transaction whose reply was lost is settled by sending it again: its conditions keep it from taking effect twice, and the rows of the conflict show what the first attempt wrote.

The rows of the table stand-in are a pure model, shared by the HTTP server and the tests in virtual time. The entry gets a first event, started, that carries the offset to wall-clock time, and administration commands.

--- /dev/null
+++ b/packages/adapters/src/table.ts
@@ -0,0 +1,85 @@
+import { Pool } from 'undici';
+import { z } from 'zod';
+import type { ReadResult, TablePort } from '@bronzeyoke/ports';
+
+const CALL_TIMEOUT_MS = 2_000;
+
+const rows = z.array(z.object({ key: z.string(), version: z.int().min(1), value: z.unknown() }));
+const readSchema = z.object({ kind: z.literal('rows'), rows });
+const commitSchema = z.object({ kind: z.enum(['committed', 'conflict']), rows });
+
+/** Errors of undici and of the system that prove that the request was not sent. */
+const NOT_SENT: ReadonlySet<string> = new Set([
+  'ECONNREFUSED',
+  'EHOSTUNREACH',
+  'ENETUNREACH',
+  'UND_ERR_CONNECT_TIMEOUT',
+]);
+
+/** Where the table service listens. */
+export interface TableOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly connections: number;
+}
+
+/** A table port with connections to close. */
+export interface HttpTable extends TablePort {
+  readonly close: () => Promise<void>;
+}
+
+type Reply =
+  | { readonly kind: 'body'; readonly body: unknown }
+  | { readonly kind: 'refused' }
+  | { readonly kind: 'lost' };
+
+function errorCode(error: unknown): string {
+  if (typeof error !== 'object' || error === null || !('code' in error)) return '';
+  return typeof error.code === 'string' ? error.code : '';
+}
+
+/** Creates the adapter that reaches the table service over HTTP with JSON bodies. */
+export function createHttpTable(options: TableOptions): HttpTable {
+  const pool = new Pool(`http://${options.host}:${options.port}`, {
+    connections: options.connections,
+    headersTimeout: CALL_TIMEOUT_MS,
+    bodyTimeout: CALL_TIMEOUT_MS,
+    connectTimeout: CALL_TIMEOUT_MS,
+  });
+
+  const call = async (path: string, body: unknown): Promise<Reply> => {
+    try {
+      const response = await pool.request({
+        path,
+        method: 'POST',
+        headers: { 'content-type': 'application/json' },
+        body: JSON.stringify(body),
+      });
+      if (response.statusCode !== 200) {
+        await response.body.dump();
+        return { kind: response.statusCode === 503 ? 'refused' : 'lost' };
+      }
+      return { kind: 'body', body: await response.body.json() };
+    } catch (error) {
+      return { kind: NOT_SENT.has(errorCode(error)) ? 'refused' : 'lost' };
+    }
+  };
+
+  const read = async (path: string, body: unknown): Promise<ReadResult> => {
+    const reply = await call(path, body);
+    const parsed = readSchema.safeParse(reply.kind === 'body' ? reply.body : undefined);
+    return parsed.success ? parsed.data : { kind: 'unavailable' };
+  };
+
+  return {
+    read: (keys) => read('/read', { keys }),
+    scan: (prefix, afterKey, limit) => read('/scan', { prefix, afterKey, limit }),
+    commit: async (transaction) => {
+      const reply = await call('/commit', transaction);
+      if (reply.kind === 'refused') return { kind: 'unavailable' };
+      const parsed = commitSchema.safeParse(reply.kind === 'body' ? reply.body : undefined);
+      return parsed.success ? parsed.data : { kind: 'unknown' };
+    },
+    close: () => pool.close(),
+  };
+}
--- /dev/null
+++ b/packages/adapters/test/table.test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import { createHttpTable } from '@bronzeyoke/adapters';
+import { settle } from '@bronzeyoke/ports';
+import { NO_TABLE_FAULTS, startTable } from '@bronzeyoke/standins';
+
+const HOST = '127.0.0.1';
+const transaction = {
+  conditions: [{ key: 'a/1', version: 0 }],
+  writes: [{ kind: 'put', key: 'a/1', value: { token: 't1' } }],
+} as const;
+
+// Without the repeat, a lost reply would look like a write by somebody else.
+it('table: a lost reply is settled by sending the transaction again', async () => {
+  const standin = await startTable(HOST, 0);
+  const table = createHttpTable({ host: HOST, port: standin.port, connections: 2 });
+  standin.setFaults({ ...NO_TABLE_FAULTS, losesReplies: true });
+  const lost = await table.commit(transaction);
+  expect(settle(transaction, false, lost)).to.deep.equal({ kind: 'repeat' });
+  standin.setFaults(NO_TABLE_FAULTS);
+  const again = await table.commit(transaction);
+  expect(again.kind).to.equal('conflict');
+  expect(settle(transaction, true, again).kind).to.equal('committed');
+  expect(settle(transaction, false, again).kind).to.equal('conflict');
+  await table.close();
+  await standin.close();
+});
+
+// A refusal reported as unknown would hold up claims that were never sent.
+it('table: a table that is down or closed is unavailable, not unknown', async () => {
+  const standin = await startTable(HOST, 0);
+  const table = createHttpTable({ host: HOST, port: standin.port, connections: 2 });
+  standin.setFaults({ ...NO_TABLE_FAULTS, isDown: true });
+  expect(await table.commit(transaction)).to.deep.equal({ kind: 'unavailable' });
+  expect(await table.read(['a/1'])).to.deep.equal({ kind: 'unavailable' });
+  await table.close();
+  await standin.close();
+  const unconnected = createHttpTable({ host: HOST, port: standin.port, connections: 2 });
+  expect(await unconnected.commit(transaction)).to.deep.equal({ kind: 'unavailable' });
+  await unconnected.close();
+});
+
+it('table: scans return rows in key order', async () => {
+  const standin = await startTable(HOST, 0);
+  const table = createHttpTable({ host: HOST, port: standin.port, connections: 2 });
+  await table.commit({
+    conditions: [],
+    writes: ['a/2', 'a/1', 'b/1'].map((key) => ({ kind: 'put', key, value: key })),
+  });
+  const scanned = await table.scan('a/', '', 10);
+  expect(scanned.kind === 'rows' && scanned.rows.map((row) => row.value)).to.deep.equal([
+    'a/1',
+    'a/2',
+  ]);
+  await table.close();
+  await standin.close();
+});
--- /dev/null
+++ b/packages/entry/src/budget.ts
@@ -0,0 +1,116 @@
+import type { StoreEffect } from '@bronzeyoke/ports';
+import type { Instant, Step } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+
+const MAX_IN_FLIGHT = 32;
+const MAX_WAITING = 5_000;
+// The table service takes several hundred writes and 2,000 reads a second for all entries together.
+const TRANSACTIONS_PER_S = 60;
+const READS_PER_S = 300;
+const BURST_S = 0.25;
+
+/** Accesses that wait for the table service, and what may be sent now. */
+export interface BudgetState {
+  readonly renewals: readonly StoreEffect[];
+  readonly transactions: readonly StoreEffect[];
+  readonly reads: readonly StoreEffect[];
+  readonly inFlight: number;
+  readonly transactionTokens: number;
+  readonly readTokens: number;
+  readonly refilledAtMs: number;
+}
+
+/** What happens to the accesses of an entry. */
+export type BudgetEvent =
+  | { readonly kind: 'access'; readonly access: StoreEffect }
+  | { readonly kind: 'ended' }
+  | { readonly kind: 'refill' };
+
+/** What to do with an access. A refused one is reported as unavailable. */
+export type BudgetEffect =
+  | { readonly kind: 'call'; readonly access: StoreEffect }
+  | { readonly kind: 'refuse'; readonly access: StoreEffect }
+  | { readonly kind: 'wake'; readonly afterMs: number };
+
+/** No accesses yet. */
+export const INITIAL_BUDGET: BudgetState = {
+  renewals: [],
+  transactions: [],
+  reads: [],
+  inFlight: 0,
+  transactionTokens: TRANSACTIONS_PER_S * BURST_S,
+  readTokens: READS_PER_S * BURST_S,
+  refilledAtMs: 0,
+};
+
+function refill(state: BudgetState, nowMs: number): BudgetState {
+  const elapsedS = Math.max(0, nowMs - state.refilledAtMs) / 1_000;
+  const grow = (tokens: number, perS: number) => Math.min(perS * BURST_S, tokens + elapsedS * perS);
+  return {
+    ...state,
+    transactionTokens: grow(state.transactionTokens, TRANSACTIONS_PER_S),
+    readTokens: grow(state.readTokens, READS_PER_S),
+    refilledAtMs: nowMs,
+  };
+}
+
+function waiting(state: BudgetState): number {
+  return state.renewals.length + state.transactions.length + state.reads.length;
+}
+
+function enqueue(state: BudgetState, access: StoreEffect): BudgetState {
+  if (access.kind !== 'commit') return { ...state, reads: [...state.reads, access] };
+  return access.isRenewal === true
+    ? { ...state, renewals: [...state.renewals, access] }
+    : { ...state, transactions: [...state.transactions, access] };
+}
+
+function release(state: BudgetState): Step<BudgetState, BudgetEffect> {
+  const room = Math.max(0, MAX_IN_FLIGHT - state.inFlight);
+  const mayWrite = Math.min(room, Math.floor(state.transactionTokens));
+  const renewals = state.renewals.slice(0, mayWrite);
+  const transactions = state.transactions.slice(0, mayWrite - renewals.length);
+  const written = renewals.length + transactions.length;
+  const reads = state.reads.slice(0, Math.min(room - written, Math.floor(state.readTokens)));
+  const next = {
+    ...state,
+    renewals: state.renewals.slice(renewals.length),
+    transactions: state.transactions.slice(transactions.length),
+    reads: state.reads.slice(reads.length),
+    inFlight: state.inFlight + written + reads.length,
+    transactionTokens: state.transactionTokens - written,
+    readTokens: state.readTokens - reads.length,
+  };
+  const calls = [...renewals, ...transactions, ...reads].map(
+    (access) => ({ kind: 'call', access }) as const,
+  );
+  // With room left, only missing tokens can hold an access back.
+  const isShort = waiting(next) > 0 && next.inFlight < MAX_IN_FLIGHT;
+  return {
+    state: next,
+    effects: isShort
+      ? [...calls, { kind: 'wake', afterMs: Math.ceil(1_000 / TRANSACTIONS_PER_S) }]
+      : calls,
+  };
+}
+
+/** Decides which accesses are sent: renewals first, within the budget of the entry. */
+export function stepBudget(
+  state: BudgetState,
+  event: BudgetEvent,
+  instant: Instant,
+): Step<BudgetState, BudgetEffect> {
+  const filled = refill(state, instant.nowMs);
+  switch (event.kind) {
+    case 'access':
+      return waiting(filled) >= MAX_WAITING
+        ? { state: filled, effects: [{ kind: 'refuse', access: event.access }] }
+        : release(enqueue(filled, event.access));
+    case 'ended':
+      return release({ ...filled, inFlight: filled.inFlight - 1 });
+    case 'refill':
+      return release(filled);
+    default:
+      return assertNever(event);
+  }
+}
--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -12,7 +12,7 @@
 import type { RequestsEffect, RequestsEvent } from '@bronzeyoke/requests';
 import { createRequests, isIdle, stepRequests } from '@bronzeyoke/requests';
 import type { AgentProfile, Instant, Step } from '@bronzeyoke/types';
-import { EMPTY_CONFIGURATION, assertNever, unchanged } from '@bronzeyoke/types';
+import { EMPTY_CONFIGURATION, assertNever, fail, unchanged } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
 import type { EntryEffect, EntryEvent, EntryState, EntryTimer } from './types';
@@ -27,6 +27,7 @@
     configuration: EMPTY_CONFIGURATION,
     membership: NO_MEMBERS,
     requests: createRequests(domain),
+    wallOffsetMs: 0,
   };
 }
 
@@ -184,6 +185,16 @@
 
 function decide(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
   switch (event.kind) {
+    case 'started':
+      return unchanged({ ...state, wallOffsetMs: event.wallOffsetMs });
+    case 'commitDone':
+    case 'readDone':
+      return unchanged(state);
+    case 'admin': {
+      const { callId } = event;
+      const failure = { kind: 'storeUnavailable' } as const;
+      return { state, effects: [{ kind: 'adminReply', callId, result: fail(failure) }] };
+    }
     case 'linkOpened':
       return unchanged(state);
     case 'linkClosed':
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -2,17 +2,20 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
 import type { AddressInfo, Server } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import { dispatch, start, stop } from 'nact';
 import type { Ref } from 'nact';
 import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
 import type { LinkCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnLink } from '@bronzeyoke/link';
-import type { Failure } from '@bronzeyoke/types';
+import type { TablePort } from '@bronzeyoke/ports';
+import type { AdminCommand, AdminReply, Failure, Result } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { decodeAgentMessage } from '@bronzeyoke/wire';
 import { createEntry, stepEntry } from './core';
 import { spawnFront } from './http';
+import { NO_TABLE, spawnStore } from './store';
 import type { EntryEffect, EntryEvent } from './types';
 
 /** What an entry is started with. Port 0 takes any free port. */
@@ -21,6 +24,8 @@
   readonly host: string;
   readonly callerPort: number;
   readonly agentPort: number;
+  /** Without a table an entry only routes idempotent requests. */
+  readonly table?: TablePort;
   readonly onError: (error: unknown) => void;
   readonly onFailure: (failure: Failure) => void;
 }
@@ -30,6 +35,8 @@
   readonly entryId: string;
   readonly callerPort: number;
   readonly agentPort: number;
+  /** Carries out an administration command; the reply comes once. */
+  readonly administer: (command: AdminCommand) => Promise<Result<AdminReply>>;
   /** Begins a planned stop. */
   readonly stop: () => void;
   /** Ends when the planned stop is complete. */
@@ -53,6 +60,8 @@
   });
   const agentServer = createServer();
 
+  const replies = new Map<string, (result: Result<AdminReply>) => void>();
+
   const front = spawnFront(system, options.onFailure);
 
   const exit = (): void => {
@@ -67,6 +76,14 @@
     });
   };
 
+  let toCore: (event: EntryEvent) => void = () => undefined;
+  const store = spawnStore(
+    system,
+    options.table ?? NO_TABLE,
+    (event) => toCore(event),
+    options.onError,
+  );
+
   const perform = (effect: EntryEffect, self: Ref<EntryEvent>): void => {
     switch (effect.kind) {
       case 'send': {
@@ -79,6 +96,17 @@
         if (link !== undefined) dispatch(link, { kind: 'close' });
         return;
       }
+      case 'commit':
+      case 'read':
+      case 'scan':
+        dispatch(store, { kind: 'access', access: effect });
+        return;
+      case 'adminReply': {
+        const { callId, result } = effect;
+        replies.get(callId)?.(result);
+        replies.delete(callId);
+        return;
+      }
       case 'reply':
         dispatch(front.actor, effect);
         return;
@@ -104,7 +132,8 @@
     onError: options.onError,
   });
 
-  const toCore = (event: EntryEvent): void => dispatch(core, event);
+  toCore = (event) => dispatch(core, event);
+  toCore({ kind: 'started', wallOffsetMs: performance.timeOrigin });
   dispatch(front.actor, {
     kind: 'attach',
     arrived: (request) => toCore({ kind: 'arrived', request }),
@@ -137,5 +166,19 @@
   });
   const agentPort = await listen(agentServer, options.host, options.agentPort);
   const callerPort = await listen(front.server, options.host, options.callerPort);
-  return { entryId, callerPort, agentPort, stop: () => toCore({ kind: 'stop' }), stopped };
+  const administer = (command: AdminCommand): Promise<Result<AdminReply>> =>
+    new Promise((resolve) => {
+      const callId = randomUUID();
+      replies.set(callId, resolve);
+      toCore({ kind: 'admin', callId, command });
+    });
+
+  return {
+    entryId,
+    callerPort,
+    agentPort,
+    administer,
+    stop: () => toCore({ kind: 'stop' }),
+    stopped,
+  };
 }
--- a/packages/ports/src/store.ts
+++ b/packages/ports/src/store.ts
@@ -10,6 +10,8 @@
       readonly origin: StoreOrigin;
       readonly callId: string;
       readonly transaction: Transaction;
+      /** Renewals of leases are sent before all other transactions. */
+      readonly isRenewal?: true;
     }
   | {
       readonly kind: 'read';
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,4 @@
+export * from './rows';
 export * from './spring';
+export * from './table';
 export * from './upstream';
