Let the owner of a shard ask agents about claimed tasks

An owner that takes a shard over finds rows that say claimed and cannot tell whether the task was started: the claimed message may have been lost with the old owner. Offering it again could start it twice, evicting it costs every running task a checkpoint at each change of owner. The message askTask makes the agent repeat its last report.

--- a/packages/agent/src/core.ts
+++ b/packages/agent/src/core.ts
@@ -139,6 +139,7 @@
     case 'claimed':
     case 'claimFailed':
     case 'stopTask':
+    case 'askTask':
     case 'recorded':
     case 'workerRegistered':
     case 'workerRenewed':
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -133,6 +133,12 @@
       readonly epoch: number;
       readonly mode: 'cancel' | 'evict';
     }
+  /**
+   * Asks what became of a claimed task, after its owner changed. The agent repeats its last report
+   * of the task. For a task and epoch that it does not hold it answers `notStarted`, and never
+   * starts them from then on.
+   */
+  | { readonly kind: 'askTask'; readonly id: TaskId; readonly epoch: number }
   | { readonly kind: 'recorded'; readonly id: TaskId; readonly epoch: number }
   | { readonly kind: 'workerRegistered'; readonly token: string; readonly incarnation: number }
   | { readonly kind: 'workerRenewed'; readonly token: string }
--- a/packages/wire/src/schema.ts
+++ b/packages/wire/src/schema.ts
@@ -155,6 +155,7 @@
     epoch: counter,
     mode: z.enum(['cancel', 'evict']),
   }),
+  z.object({ kind: z.literal('askTask'), id: taskId, epoch: counter }),
   z.object({ kind: z.literal('recorded'), id: taskId, epoch: counter }),
   z.object({ kind: z.literal('workerRegistered'), token: id, incarnation: counter }),
   z.object({ kind: z.literal('workerRenewed'), token: id }),
