Check, accept and load change tickets

A ticket is checked before anything is written and accepted by one transaction that moves the head row by one. The loser of a race gets a typed conflict with the current number. A lost reply is settled by sending the transaction again for up to ten seconds. An entry reads the head once a second and loads the configuration by scans between two reads of the head, so that a ticket accepted meanwhile starts the scans again.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,3 +1,4 @@
+export * from './access';
 export * from './rows';
 export * from './spring';
 export * from './table';
--- /dev/null
+++ b/packages/tickets/src/rows.ts
@@ -0,0 +1,77 @@
+import { z } from 'zod';
+import type { Row, Transaction } from '@bronzeyoke/ports';
+import type { Change, Ticket } from '@bronzeyoke/types';
+import { changeKey } from '@bronzeyoke/types';
+
+/** Key of the row that holds the highest accepted number. */
+export const HEAD_KEY = 'ticket/head';
+
+/** Prefixes of the rows that make up the configuration. */
+export const STATE_PREFIXES = ['domain/', 'service/', 'team/', 'watcher/'] as const;
+
+/** Key of the row of a ticket. */
+export function ticketRowKey(number: number): string {
+  return `ticket/${number}`;
+}
+
+/** A ticket on its way to the table. The token tells its rows from those of another ticket. */
+export interface PlannedTicket {
+  readonly ticket: Ticket;
+  readonly token: string;
+  readonly acceptedAtMs: number;
+}
+
+/** The transaction that accepts a ticket: it moves the head by one and writes all new states. */
+export function planTicket(planned: PlannedTicket, headVersion: number): Transaction {
+  const { ticket, token, acceptedAtMs } = planned;
+  const ticketKey = ticketRowKey(ticket.number);
+  return {
+    conditions: [
+      { key: HEAD_KEY, version: headVersion },
+      { key: ticketKey, version: 0 },
+    ],
+    writes: [
+      { kind: 'put', key: HEAD_KEY, value: { number: ticket.number, token } },
+      { kind: 'put', key: ticketKey, value: { ...ticket, acceptedAtMs, token } },
+      ...ticket.changes.map((change) => ({
+        kind: 'put' as const,
+        key: changeKey(change),
+        value: { ticket: ticket.number, state: change },
+      })),
+    ],
+  };
+}
+
+const headSchema = z.object({ number: z.int().min(0) });
+const stateSchema = z.object({ ticket: z.int(), state: z.looseObject({ kind: z.string() }) });
+const ticketSchema = z.object({
+  number: z.int(),
+  author: z.string(),
+  changes: z.array(z.looseObject({ kind: z.string() })),
+});
+
+/** The head as a row says; without a row no ticket was accepted yet. */
+export function headOf(rows: readonly Row[]): {
+  readonly number: number;
+  readonly version: number;
+} {
+  const row = rows.find((candidate) => candidate.key === HEAD_KEY);
+  const parsed = headSchema.safeParse(row?.value);
+  return row !== undefined && parsed.success
+    ? { number: parsed.data.number, version: row.version }
+    : { number: 0, version: row?.version ?? 0 };
+}
+
+/** The state that a configuration row holds. Only checked changes are ever written. */
+export function stateOf(row: Row): Change | undefined {
+  const parsed = stateSchema.safeParse(row.value);
+  return parsed.success ? (parsed.data.state as unknown as Change) : undefined;
+}
+
+/** The ticket that a row holds. */
+export function ticketOf(row: Row): Ticket | undefined {
+  const parsed = ticketSchema.safeParse(row.value);
+  if (!parsed.success) return undefined;
+  const { number, author, changes } = parsed.data;
+  return { number, author, changes: changes as unknown as readonly Change[] };
+}
--- /dev/null
+++ b/packages/tickets/src/step.ts
@@ -0,0 +1,342 @@
+import { Map } from 'immutable';
+import { accepts, advance } from '@bronzeyoke/chart';
+import type { CommitResult, ReadResult, StoreEffect } from '@bronzeyoke/ports';
+import { settle } from '@bronzeyoke/ports';
+import type { AdminReply, Failure, Instant, Step } from '@bronzeyoke/types';
+import { EMPTY_CONFIGURATION, assertNever, fail, succeed, unchanged } from '@bronzeyoke/types';
+import type { TicketAction } from './chart';
+import { ticketChart } from './chart';
+import { checkTicket } from './check';
+import type { LoadStep } from './load';
+import { beginLoad, continueLoad } from './load';
+import { HEAD_KEY, headOf, planTicket, ticketOf, ticketRowKey } from './rows';
+import type {
+  Application,
+  Purpose,
+  TicketCommand,
+  TicketsEffect,
+  TicketsEvent,
+  TicketsState,
+} from './types';
+
+const POLL_MS = 1_000;
+const REPEAT_MS = 250;
+/** How long a ticket whose reply was lost is sent again before the operator is told so. */
+const GIVE_UP_MS = 10_000;
+const MAX_LISTED = 100;
+
+type TicketsStep = Step<TicketsState, TicketsEffect>;
+
+type ChartEvent =
+  | { readonly kind: 'fits' | 'fail' | 'committed' | 'lost' | 'repeat' | 'giveUp' }
+  | { readonly kind: 'stale'; readonly currentNumber: number };
+
+/** The tickets of an entry before it has read the table. */
+export function createTickets(entryId: string): TicketsState {
+  return {
+    entryId,
+    callCount: 0,
+    wallOffsetMs: 0,
+    configuration: EMPTY_CONFIGURATION,
+    versions: Map(),
+    load: { kind: 'idle' },
+    calls: Map(),
+    applications: Map(),
+  };
+}
+
+type Access =
+  | { readonly kind: 'read'; readonly keys: readonly string[] }
+  | {
+      readonly kind: 'scan';
+      readonly prefix: string;
+      readonly afterKey: string;
+      readonly limit: number;
+    }
+  | Pick<Extract<StoreEffect, { kind: 'commit' }>, 'kind' | 'transaction'>;
+
+function call(state: TicketsState, purpose: Purpose, access: Access): TicketsStep {
+  const callId = `tickets-${state.callCount}`;
+  return {
+    state: {
+      ...state,
+      callCount: state.callCount + 1,
+      calls: state.calls.set(callId, purpose),
+    },
+    effects: [{ ...access, origin: 'tickets', callId }],
+  };
+}
+
+function reply(state: TicketsState, callId: string, value: AdminReply): TicketsStep {
+  return { state, effects: [{ kind: 'adminReply', callId, result: succeed(value) }] };
+}
+
+function refuse(state: TicketsState, callId: string, failure: Failure): TicketsStep {
+  return { state, effects: [{ kind: 'adminReply', callId, result: fail(failure) }] };
+}
+
+function applyLoad(state: TicketsState, step: LoadStep): TicketsStep {
+  switch (step.kind) {
+    case 'wait':
+      return unchanged({ ...state, load: step.load });
+    case 'read':
+      return call(
+        { ...state, load: step.load },
+        { kind: 'load' },
+        { kind: 'read', keys: step.keys },
+      );
+    case 'scan': {
+      const { load, ...access } = step;
+      return call({ ...state, load }, { kind: 'load' }, access);
+    }
+    case 'loaded': {
+      const { configuration, versions } = step;
+      const next: TicketsState = { ...state, load: { kind: 'idle' } };
+      if (configuration.number <= state.configuration.number) return unchanged(next);
+      return {
+        state: { ...next, configuration, versions },
+        effects: [{ kind: 'spread', configuration }],
+      };
+    }
+    default:
+      return assertNever(step);
+  }
+}
+
+function startLoad(state: TicketsState): TicketsStep {
+  return state.load.kind === 'idle' ? applyLoad(state, beginLoad()) : unchanged(state);
+}
+
+function perform(
+  state: TicketsState,
+  callId: string,
+  application: Application,
+  action: TicketAction,
+  event: ChartEvent,
+): TicketsStep {
+  const { planned, transaction } = application;
+  switch (action) {
+    case 'commit':
+      return transaction === undefined
+        ? unchanged(state)
+        : call(state, { kind: 'apply', callId }, { kind: 'commit', transaction });
+    case 'replyTicket':
+      return reply(state, callId, { kind: 'ticket', ticket: planned.ticket });
+    case 'replyConflict':
+      return refuse(state, callId, {
+        kind: 'conflict',
+        what: ticketRowKey(planned.ticket.number),
+        currentNumber: event.kind === 'stale' ? event.currentNumber : 0,
+      });
+    case 'replyUnavailable':
+      return refuse(state, callId, { kind: 'storeUnavailable' });
+    case 'replyUnknown':
+      return refuse(state, callId, { kind: 'storeUnknown', claimToken: planned.token });
+    case 'repeatLater':
+      return {
+        state,
+        effects: [{ kind: 'wake', timer: { kind: 'repeat', callId }, afterMs: REPEAT_MS }],
+      };
+    case 'load':
+      return startLoad(state);
+    default:
+      return assertNever(action);
+  }
+}
+
+function advanceTicket(
+  state: TicketsState,
+  callId: string,
+  application: Application,
+  event: ChartEvent,
+): TicketsStep {
+  if (!accepts(ticketChart, application.phase, event.kind)) return unchanged(state);
+  const next = advance(ticketChart, application.phase, event.kind);
+  const moved = { ...application, phase: next.state };
+  const applications =
+    next.state === 'ended'
+      ? state.applications.delete(callId)
+      : state.applications.set(callId, moved);
+  return next.actions.reduce<TicketsStep>(
+    (done, action) => {
+      const step = perform(done.state, callId, moved, action, event);
+      return { state: step.state, effects: [...done.effects, ...step.effects] };
+    },
+    { state: { ...state, applications }, effects: [] },
+  );
+}
+
+function applyTicket(
+  state: TicketsState,
+  callId: string,
+  command: Extract<TicketCommand, { kind: 'applyTicket' }>,
+  instant: Instant,
+): TicketsStep {
+  const { author, number, changes } = command;
+  const checked = checkTicket(state.configuration, author, number, changes);
+  if (!checked.ok) return refuse(state, callId, checked.failure);
+  const application: Application = {
+    phase: ticketChart.initial,
+    planned: {
+      ticket: { number, author, changes },
+      token: `${state.entryId}-${state.callCount}`,
+      acceptedAtMs: Math.round(state.wallOffsetMs + instant.nowMs),
+    },
+    startedAtMs: instant.nowMs,
+  };
+  const applications = state.applications.set(callId, application);
+  return call(
+    { ...state, applications },
+    { kind: 'apply', callId },
+    { kind: 'read', keys: [HEAD_KEY] },
+  );
+}
+
+function onCommand(
+  state: TicketsState,
+  callId: string,
+  command: TicketCommand,
+  instant: Instant,
+): TicketsStep {
+  switch (command.kind) {
+    case 'applyTicket':
+      return applyTicket(state, callId, command, instant);
+    case 'showTicket': {
+      const { number } = command;
+      const keys = [ticketRowKey(number)];
+      return call(state, { kind: 'show', callId, number }, { kind: 'read', keys });
+    }
+    case 'listTickets': {
+      const count = Math.max(0, Math.min(MAX_LISTED, command.limit));
+      const keys = Array.from({ length: count }, (_, index) =>
+        ticketRowKey(command.afterNumber + index + 1),
+      );
+      return call(state, { kind: 'list', callId }, { kind: 'read', keys });
+    }
+    case 'showConfiguration':
+      return reply(state, callId, {
+        kind: 'configuration',
+        configuration: state.configuration,
+      });
+    default:
+      return assertNever(command);
+  }
+}
+
+function headRead(state: TicketsState, callId: string, result: ReadResult): TicketsStep {
+  const application = state.applications.get(callId);
+  if (application === undefined) return unchanged(state);
+  if (result.kind === 'unavailable') {
+    return advanceTicket(state, callId, application, { kind: 'fail' });
+  }
+  const head = headOf(result.rows);
+  if (application.planned.ticket.number !== head.number + 1) {
+    const stale = { kind: 'stale', currentNumber: head.number } as const;
+    return advanceTicket(state, callId, application, stale);
+  }
+  const transaction = planTicket(application.planned, head.version);
+  return advanceTicket(state, callId, { ...application, transaction }, { kind: 'fits' });
+}
+
+function committed(state: TicketsState, callId: string, result: CommitResult): TicketsStep {
+  const application = state.applications.get(callId);
+  if (application?.transaction === undefined) return unchanged(state);
+  const wasLost = application.phase === 'settling';
+  const settled = settle(application.transaction, wasLost, result);
+  switch (settled.kind) {
+    case 'committed':
+      return advanceTicket(state, callId, application, { kind: 'committed' });
+    case 'conflict': {
+      const currentNumber = headOf(settled.rows).number;
+      return advanceTicket(state, callId, application, { kind: 'stale', currentNumber });
+    }
+    case 'unavailable':
+      return advanceTicket(state, callId, application, { kind: 'fail' });
+    case 'repeat':
+      return advanceTicket(state, callId, application, { kind: 'lost' });
+    default:
+      return assertNever(settled);
+  }
+}
+
+function onRead(state: TicketsState, purpose: Purpose, result: ReadResult): TicketsStep {
+  switch (purpose.kind) {
+    case 'load':
+      return applyLoad(state, continueLoad(state.load, state.configuration.number, result));
+    case 'apply':
+      return headRead(state, purpose.callId, result);
+    case 'show':
+    case 'list': {
+      const { callId } = purpose;
+      if (result.kind === 'unavailable') {
+        return refuse(state, callId, { kind: 'storeUnavailable' });
+      }
+      const tickets = result.rows.flatMap((row) => ticketOf(row) ?? []);
+      if (purpose.kind === 'list') return reply(state, callId, { kind: 'tickets', tickets });
+      const [ticket] = tickets;
+      return ticket === undefined
+        ? refuse(state, callId, { kind: 'notFound', what: ticketRowKey(purpose.number) })
+        : reply(state, callId, { kind: 'ticket', ticket });
+    }
+    default:
+      return assertNever(purpose);
+  }
+}
+
+function onTimer(
+  state: TicketsState,
+  event: Extract<TicketsEvent, { kind: 'timer' }>,
+  instant: Instant,
+): TicketsStep {
+  const { timer } = event;
+  switch (timer.kind) {
+    case 'poll': {
+      const step = startLoad(state);
+      return {
+        state: step.state,
+        effects: [...step.effects, { kind: 'wake', timer: { kind: 'poll' }, afterMs: POLL_MS }],
+      };
+    }
+    case 'repeat': {
+      const application = state.applications.get(timer.callId);
+      if (application === undefined) return unchanged(state);
+      const isLate = instant.nowMs - application.startedAtMs > GIVE_UP_MS;
+      const kind = isLate ? 'giveUp' : 'repeat';
+      return advanceTicket(state, timer.callId, application, { kind });
+    }
+    default:
+      return assertNever(timer);
+  }
+}
+
+/** Decides about tickets. */
+export function stepTickets(
+  state: TicketsState,
+  event: TicketsEvent,
+  instant: Instant,
+): TicketsStep {
+  switch (event.kind) {
+    case 'started':
+      return onTimer(
+        { ...state, wallOffsetMs: event.wallOffsetMs },
+        { kind: 'timer', timer: { kind: 'poll' } },
+        instant,
+      );
+    case 'command':
+      return onCommand(state, event.callId, event.command, instant);
+    case 'timer':
+      return onTimer(state, event, instant);
+    case 'commitDone':
+    case 'readDone': {
+      const purpose = state.calls.get(event.callId);
+      if (purpose === undefined) return unchanged(state);
+      const ended = { ...state, calls: state.calls.delete(event.callId) };
+      if (event.kind === 'readDone') return onRead(ended, purpose, event.result);
+      return purpose.kind === 'apply'
+        ? committed(ended, purpose.callId, event.result)
+        : unchanged(ended);
+    }
+    default:
+      return assertNever(event);
+  }
+}
