Register workers, renew their leases and answer ticket commands

A registration that loses a race reads again and takes the next incarnation; one whose reply was lost is sent again and recognised by its token.

Group commit moves into a package of its own: parts that wait are packed into few transactions, a conflict is charged only to the parts whose conditions fail, and the others go again.

--- a/packages/adapters/test/table.test.ts
+++ b/packages/adapters/test/table.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { createHttpTable } from '@bronzeyoke/adapters';
-import { settle } from '@bronzeyoke/ports';
+import { settle } from '@bronzeyoke/commits';
 import { NO_TABLE_FAULTS, startTable } from '@bronzeyoke/standins';
 
 const HOST = '127.0.0.1';
--- /dev/null
+++ b/packages/commits/src/group.ts
@@ -0,0 +1,234 @@
+import { Map } from 'immutable';
+import type {
+  CommitResult,
+  Condition,
+  Row,
+  StoreEffect,
+  StoreOrigin,
+  Transaction,
+  Write,
+} from '@bronzeyoke/ports';
+import { MAX_TRANSACTION_ROWS } from '@bronzeyoke/ports';
+import { assertNever } from '@bronzeyoke/types';
+import { settle } from './settle';
+
+// Three transactions for each tick of 50 ms are the 60 a second that an entry may spend.
+const MAX_PER_FLUSH = 3;
+const REPEAT_MS = 250;
+const BACK_OFF_MS = 500;
+
+/** Conditions and writes that take effect together. Parts of one transaction share its fate. */
+export interface Part {
+  readonly partId: string;
+  readonly conditions: readonly Condition[];
+  readonly writes: readonly Write[];
+  /** Travels in a transaction of its own. */
+  readonly isSolo?: true;
+}
+
+/** A transaction whose result is not known yet. */
+export interface Flight {
+  readonly parts: readonly Part[];
+  readonly transaction: Transaction;
+  readonly wasLost: boolean;
+  /** When to send it again, after its reply was lost. */
+  readonly repeatAtMs?: number;
+}
+
+/** Parts on their way to the table. */
+export interface GroupState {
+  readonly origin: StoreOrigin;
+  readonly callCount: number;
+  readonly waiting: readonly Part[];
+  readonly flights: Map<string, Flight>;
+  /** Nothing is sent before this time, after the table was unavailable. */
+  readonly backOffUntilMs: number;
+}
+
+/** How a part ended. The rows are those of the whole transaction. */
+export type PartOutcome =
+  | { readonly kind: 'committed'; readonly part: Part; readonly rows: readonly Row[] }
+  | {
+      readonly kind: 'conflict';
+      readonly part: Part;
+      /** Conditions that do not hold, with the rows as they are. */
+      readonly failed: readonly Condition[];
+      readonly rows: readonly Row[];
+    }
+  | { readonly kind: 'unavailable'; readonly part: Part };
+
+/** What a group does next. */
+export interface GroupStep {
+  readonly state: GroupState;
+  readonly effects: readonly StoreEffect[];
+  readonly outcomes: readonly PartOutcome[];
+}
+
+/** No parts yet. */
+export function createGroup(origin: StoreOrigin): GroupState {
+  return { origin, callCount: 0, waiting: [], flights: Map(), backOffUntilMs: 0 };
+}
+
+/** Adds a part that the next flush sends. */
+export function addPart(state: GroupState, part: Part): GroupState {
+  return { ...state, waiting: [...state.waiting, part] };
+}
+
+/** Whether the table was unavailable a moment ago. */
+export function isBackingOff(state: GroupState, nowMs: number): boolean {
+  return nowMs < state.backOffUntilMs;
+}
+
+/** Whether nothing is waiting or in flight. */
+export function isGroupIdle(state: GroupState): boolean {
+  return state.waiting.length === 0 && state.flights.isEmpty();
+}
+
+interface Packed {
+  readonly conditions: Map<string, Condition>;
+  readonly writes: Map<string, Write>;
+  readonly parts: readonly Part[];
+}
+
+const EMPTY_PACK: Packed = { conditions: Map(), writes: Map(), parts: [] };
+
+function pack(packed: Packed, part: Part): Packed | undefined {
+  const [first] = packed.parts;
+  if (first !== undefined && (part.isSolo === true || first.isSolo === true)) return undefined;
+  const disagrees = part.conditions.some(
+    ({ key, version }) => (packed.conditions.get(key)?.version ?? version) !== version,
+  );
+  if (disagrees || part.writes.some((write) => packed.writes.has(write.key))) return undefined;
+  const conditions = packed.conditions.merge(
+    Map(part.conditions.map((condition) => [condition.key, condition])),
+  );
+  const writes = packed.writes.merge(Map(part.writes.map((write) => [write.key, write])));
+  const extra = [...writes.keys()].filter((key) => !conditions.has(key)).length;
+  return first !== undefined && conditions.size + extra > MAX_TRANSACTION_ROWS
+    ? undefined
+    : { conditions, writes, parts: [...packed.parts, part] };
+}
+
+function packNext(parts: readonly Part[]): { readonly packed: Packed; readonly rest: Part[] } {
+  const rest: Part[] = [];
+  const packed = parts.reduce((done, part) => {
+    const next = pack(done, part);
+    if (next === undefined) rest.push(part);
+    return next ?? done;
+  }, EMPTY_PACK);
+  return { packed, rest };
+}
+
+function send(state: GroupState, flight: Flight): GroupStep {
+  const callId = `${state.origin}-group-${state.callCount}`;
+  return {
+    state: {
+      ...state,
+      callCount: state.callCount + 1,
+      flights: state.flights.set(callId, flight),
+    },
+    effects: [{ kind: 'commit', origin: state.origin, callId, transaction: flight.transaction }],
+    outcomes: [],
+  };
+}
+
+function sendPacked(step: GroupStep): GroupStep {
+  const { packed, rest } = packNext(step.state.waiting);
+  if (packed.parts.length === 0) return step;
+  const next = send(
+    { ...step.state, waiting: rest },
+    {
+      parts: packed.parts,
+      transaction: {
+        conditions: [...packed.conditions.values()],
+        writes: [...packed.writes.values()],
+      },
+      wasLost: false,
+    },
+  );
+  return { ...next, effects: [...step.effects, ...next.effects] };
+}
+
+/** Sends what waits, in few transactions, and repeats those whose reply was lost. */
+export function flushGroup(state: GroupState, nowMs: number): GroupStep {
+  const due = state.flights.filter(
+    (flight) => flight.repeatAtMs !== undefined && flight.repeatAtMs <= nowMs,
+  );
+  const repeated = [...due.values()].reduce<GroupStep>(
+    (done, { parts, transaction }) => {
+      const next = send(done.state, { parts, transaction, wasLost: true });
+      return { ...next, effects: [...done.effects, ...next.effects] };
+    },
+    {
+      state: { ...state, flights: state.flights.deleteAll(due.keys()) },
+      effects: [],
+      outcomes: [],
+    },
+  );
+  if (isBackingOff(state, nowMs)) return repeated;
+  return Array.from({ length: MAX_PER_FLUSH }).reduce<GroupStep>(sendPacked, repeated);
+}
+
+function outcomesOfConflict(
+  flight: Flight,
+  rows: readonly Row[],
+): { readonly outcomes: readonly PartOutcome[]; readonly again: readonly Part[] } {
+  const versions = Map(rows.map((row) => [row.key, row.version]));
+  const judged = flight.parts.map((part) => ({
+    part,
+    failed: part.conditions.filter(({ key, version }) => (versions.get(key) ?? 0) !== version),
+  }));
+  return {
+    outcomes: judged.flatMap(({ part, failed }) =>
+      failed.length === 0 ? [] : [{ kind: 'conflict' as const, part, failed, rows }],
+    ),
+    again: judged.flatMap(({ part, failed }) => (failed.length === 0 ? [part] : [])),
+  };
+}
+
+/**
+ * Takes the result of a transaction. After a conflict the parts whose conditions hold go again
+ * without the others.
+ */
+export function settleGroup(
+  state: GroupState,
+  callId: string,
+  result: CommitResult,
+  nowMs: number,
+): GroupStep {
+  const flight = state.flights.get(callId);
+  if (flight === undefined) return { state, effects: [], outcomes: [] };
+  const ended = { ...state, flights: state.flights.delete(callId) };
+  const settled = settle(flight.transaction, flight.wasLost, result);
+  switch (settled.kind) {
+    case 'committed': {
+      const { rows } = settled;
+      const outcomes = flight.parts.map((part) => ({ kind: 'committed', part, rows }) as const);
+      return { state: ended, effects: [], outcomes };
+    }
+    case 'conflict': {
+      const { outcomes, again } = outcomesOfConflict(flight, settled.rows);
+      return {
+        state: { ...ended, waiting: [...again, ...ended.waiting] },
+        effects: [],
+        outcomes,
+      };
+    }
+    case 'unavailable':
+      return {
+        state: { ...ended, backOffUntilMs: nowMs + BACK_OFF_MS },
+        effects: [],
+        outcomes: flight.parts.map((part) => ({ kind: 'unavailable', part }) as const),
+      };
+    case 'repeat': {
+      const waiting = { ...flight, wasLost: true, repeatAtMs: nowMs + REPEAT_MS };
+      return {
+        state: { ...ended, flights: ended.flights.set(callId, waiting) },
+        effects: [],
+        outcomes: [],
+      };
+    }
+    default:
+      return assertNever(settled);
+  }
+}
--- /dev/null
+++ b/packages/commits/src/index.ts
@@ -0,0 +1,2 @@
+export * from './group';
+export * from './settle';
--- a/packages/ports/src/settle.ts
+++ b/packages/commits/src/settle.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
 import { assertNever } from '@bronzeyoke/types';
-import type { CommitResult, Row, Transaction } from './table';
+import type { CommitResult, Row, Transaction } from '@bronzeyoke/ports';
 
 /** What a writer knows after a result, also when earlier results of the same transaction were lost. */
 export type Settled =
--- /dev/null
+++ b/packages/entry/src/admin.ts
@@ -0,0 +1,63 @@
+import type { AdminCommand, AdminReply, InForce, Instant, Result, Step } from '@bronzeyoke/types';
+import { assertNever, fail, succeed } from '@bronzeyoke/types';
+import { tickets } from './control';
+import { upstreamStatuses, workerStatuses } from './status';
+import type { EntryEffect, EntryState } from './types';
+
+type EntryStep = Step<EntryState, EntryEffect>;
+
+function reply(state: EntryState, callId: string, result: Result<AdminReply>): EntryStep {
+  return { state, effects: [{ kind: 'adminReply', callId, result }] };
+}
+
+/** Where a number is in force: this entry, and the agents that have confirmed it. */
+function inForce(state: EntryState): readonly InForce[] {
+  const own: InForce = {
+    process: 'entry',
+    id: state.entryId,
+    domain: state.domain,
+    number: state.tickets.configuration.number,
+  };
+  const agents = [...state.membership.agents.values()].map(
+    ({ profile, ticketInForce }): InForce => ({
+      process: 'agent',
+      id: profile.agentId,
+      domain: profile.domain,
+      number: ticketInForce,
+    }),
+  );
+  return [own, ...agents];
+}
+
+/** Carries out an administration command. */
+export function administer(
+  state: EntryState,
+  callId: string,
+  command: AdminCommand,
+  instant: Instant,
+): EntryStep {
+  switch (command.kind) {
+    case 'applyTicket':
+    case 'listTickets':
+    case 'showTicket':
+    case 'showConfiguration':
+      return tickets(state, { kind: 'command', callId, command }, instant);
+    case 'whereTicket':
+      return reply(state, callId, succeed({ kind: 'where', processes: inForce(state) }));
+    case 'submitJob':
+    case 'showJob':
+    case 'cancelJob':
+    case 'listJobs':
+      return reply(state, callId, fail({ kind: 'storeUnavailable' }));
+    case 'listUpstreams':
+      return reply(
+        state,
+        callId,
+        succeed({ kind: 'upstreams', upstreams: upstreamStatuses(state) }),
+      );
+    case 'listWorkers':
+      return reply(state, callId, succeed({ kind: 'workers', workers: workerStatuses(state) }));
+    default:
+      return assertNever(command);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/control.ts
@@ -0,0 +1,131 @@
+import type { StoreEvent } from '@bronzeyoke/ports';
+import type { TicketsEffect, TicketsEvent } from '@bronzeyoke/tickets';
+import { stepTickets } from '@bronzeyoke/tickets';
+import type { Instant, Step } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { EntryMessage } from '@bronzeyoke/wire';
+import type { WorkersEffect, WorkersEvent } from '@bronzeyoke/workers';
+import { stepWorkers } from '@bronzeyoke/workers';
+import type { EntryEffect, EntryState } from './types';
+
+const CHECK_WORKERS_MS = 1_000;
+
+type EntryStep = Step<EntryState, EntryEffect>;
+
+/** Steps that follow each other, with all of their effects. */
+export function sequence(
+  state: EntryState,
+  steps: readonly ((from: EntryState) => EntryStep)[],
+): EntryStep {
+  return steps.reduce<EntryStep>(
+    (done, step) => {
+      const next = step(done.state);
+      return { state: next.state, effects: [...done.effects, ...next.effects] };
+    },
+    { state, effects: [] },
+  );
+}
+
+/** Sends a message to an agent that is connected. */
+export function sendTo(
+  state: EntryState,
+  agentId: string,
+  message: EntryMessage,
+): readonly EntryEffect[] {
+  const agent = state.membership.agents.get(agentId);
+  return agent === undefined ? [] : [{ kind: 'send', linkId: agent.linkId, message }];
+}
+
+function fromTickets(state: EntryState, effect: TicketsEffect): readonly EntryEffect[] {
+  switch (effect.kind) {
+    case 'wake': {
+      const { timer, afterMs } = effect;
+      return [{ kind: 'wake', timer: { kind: 'tickets', timer }, afterMs }];
+    }
+    case 'spread':
+      return [...state.membership.agents.values()].map(({ linkId }) => ({
+        kind: 'send',
+        linkId,
+        message: { kind: 'config', configuration: effect.configuration },
+      }));
+    case 'commit':
+    case 'read':
+    case 'scan':
+    case 'adminReply':
+      return [effect];
+    default:
+      return assertNever(effect);
+  }
+}
+
+/** Lets the tickets decide. */
+export function tickets(state: EntryState, event: TicketsEvent, instant: Instant): EntryStep {
+  const step = stepTickets(state.tickets, event, instant);
+  return {
+    state: { ...state, tickets: step.state },
+    effects: step.effects.flatMap((effect) => fromTickets(state, effect)),
+  };
+}
+
+function fromWorkers(state: EntryState, effect: WorkersEffect): readonly EntryEffect[] {
+  switch (effect.kind) {
+    case 'wake': {
+      const { timer, afterMs } = effect;
+      return [{ kind: 'wake', timer: { kind: 'workers', timer }, afterMs }];
+    }
+    case 'send':
+      return sendTo(state, effect.agentId, effect.message);
+    case 'commit':
+    case 'read':
+    case 'scan':
+      return [effect];
+    default:
+      return assertNever(effect);
+  }
+}
+
+/** Lets the registrations and leases of workers decide. */
+export function workers(state: EntryState, event: WorkersEvent, instant: Instant): EntryStep {
+  const step = stepWorkers(state.workers, event, instant);
+  return {
+    state: { ...state, workers: step.state },
+    effects: step.effects.flatMap((effect) => fromWorkers(state, effect)),
+  };
+}
+
+/** Looks up the rows of connected workers that are not known to be registered. */
+export function checkWorkers(state: EntryState, instant: Instant): EntryStep {
+  const names = [...state.membership.agents.values()].map(({ profile }) => profile.worker);
+  const step = workers(state, { kind: 'check', workers: names }, instant);
+  return {
+    state: step.state,
+    effects: [
+      ...step.effects,
+      { kind: 'wake', timer: { kind: 'checkWorkers' }, afterMs: CHECK_WORKERS_MS },
+    ],
+  };
+}
+
+/** Starts everything that the entry does by itself. */
+export function startControl(state: EntryState, wallOffsetMs: number, instant: Instant): EntryStep {
+  return sequence({ ...state, wallOffsetMs }, [
+    (from) => tickets(from, { kind: 'started', wallOffsetMs }, instant),
+    (from) => checkWorkers(from, instant),
+  ]);
+}
+
+/** Passes the end of a store access to the part that asked for it. */
+export function onStoreEvent(state: EntryState, event: StoreEvent, instant: Instant): EntryStep {
+  switch (event.origin) {
+    case 'tickets':
+      return tickets(state, event, instant);
+    case 'workers':
+      return workers(state, event, instant);
+    case 'requests':
+    case 'batch':
+    case 'admin':
+      return unchanged(state);
+    default:
+      return assertNever(event.origin);
+  }
+}
--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -11,10 +11,14 @@
 } from '@bronzeyoke/membership';
 import type { RequestsEffect, RequestsEvent } from '@bronzeyoke/requests';
 import { createRequests, isIdle, stepRequests } from '@bronzeyoke/requests';
-import type { AgentProfile, Instant, Step } from '@bronzeyoke/types';
-import { EMPTY_CONFIGURATION, assertNever, fail, unchanged } from '@bronzeyoke/types';
+import { createTickets } from '@bronzeyoke/tickets';
+import type { Instant, Step } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
+import { createWorkers } from '@bronzeyoke/workers';
+import { administer } from './admin';
+import { checkWorkers, onStoreEvent, startControl, tickets, workers } from './control';
 import type { EntryEffect, EntryEvent, EntryState, EntryTimer } from './types';
 
 type EntryStep = Step<EntryState, EntryEffect>;
@@ -24,7 +28,9 @@
   return {
     entryId,
     role: roleChart.initial,
-    configuration: EMPTY_CONFIGURATION,
+    domain,
+    tickets: createTickets(entryId),
+    workers: createWorkers(),
     membership: NO_MEMBERS,
     requests: createRequests(domain),
     wallOffsetMs: 0,
@@ -80,10 +86,10 @@
 function hello(
   state: EntryState,
   linkId: string,
-  version: number,
-  profile: AgentProfile,
+  message: Extract<AgentMessage, { readonly kind: 'hello' }>,
   instant: Instant,
 ): EntryStep {
+  const { version, profile, incarnation } = message;
   if (version !== PROTOCOL_VERSION) return { state, effects: [{ kind: 'closeLink', linkId }] };
   const membership = addAgent(state.membership, linkId, profile, instant.nowMs);
   const { agentId, service, domain, slots, connections } = profile;
@@ -95,12 +101,19 @@
     entryId: state.entryId,
     beatIntervalMs: beatIntervalMs(membership.agents.size),
   } as const;
+  const { worker } = profile;
+  const announced = workers(step.state, { kind: 'announced', worker, incarnation }, instant);
   return {
-    state: step.state,
+    state: announced.state,
     effects: [
       { kind: 'send', linkId, message: welcome },
-      { kind: 'send', linkId, message: { kind: 'config', configuration: state.configuration } },
+      {
+        kind: 'send',
+        linkId,
+        message: { kind: 'config', configuration: state.tickets.configuration },
+      },
       ...step.effects,
+      ...announced.effects,
     ],
   };
 }
@@ -120,7 +133,7 @@
   instant: Instant,
 ): EntryStep {
   if (message.kind === 'hello') {
-    return hello(state, linkId, message.version, message.profile, instant);
+    return hello(state, linkId, message, instant);
   }
   const agent = agentOf(state.membership, linkId);
   // An agent has to announce itself before anything else.
@@ -164,9 +177,18 @@
     case 'accepted':
     case 'declined':
     case 'taskReport':
-    case 'registerWorker':
-    case 'renewWorker':
       return unchanged(heard);
+    case 'registerWorker': {
+      const { worker, token } = message;
+      // An agent speaks for its own worker only.
+      if (worker !== agent.profile.worker) return unchanged(heard);
+      return workers(heard, { kind: 'register', agentId, worker, token }, instant);
+    }
+    case 'renewWorker': {
+      const { worker, incarnation, token } = message;
+      if (worker !== agent.profile.worker) return unchanged(heard);
+      return workers(heard, { kind: 'renew', agentId, worker, incarnation, token }, instant);
+    }
     default:
       return assertNever(message);
   }
@@ -178,6 +200,12 @@
       return requests(state, { kind: 'expire', requestId: timer.requestId }, instant);
     case 'stopLimit':
       return changeRole(state, 'limit');
+    case 'checkWorkers':
+      return checkWorkers(state, instant);
+    case 'tickets':
+      return tickets(state, { kind: 'timer', timer: timer.timer }, instant);
+    case 'workers':
+      return workers(state, { kind: 'timer', timer: timer.timer }, instant);
     default:
       return assertNever(timer);
   }
@@ -186,15 +214,12 @@
 function decide(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
   switch (event.kind) {
     case 'started':
-      return unchanged({ ...state, wallOffsetMs: event.wallOffsetMs });
+      return startControl(state, event.wallOffsetMs, instant);
     case 'commitDone':
     case 'readDone':
-      return unchanged(state);
-    case 'admin': {
-      const { callId } = event;
-      const failure = { kind: 'storeUnavailable' } as const;
-      return { state, effects: [{ kind: 'adminReply', callId, result: fail(failure) }] };
-    }
+      return onStoreEvent(state, event, instant);
+    case 'admin':
+      return administer(state, event.callId, event.command, instant);
     case 'linkOpened':
       return unchanged(state);
     case 'linkClosed':
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admin';
 export * from './budget';
 export * from './core';
 export * from './http';
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -2,25 +2,26 @@
 import type { MembershipState } from '@bronzeyoke/membership';
 import type { StoreEffect, StoreEvent } from '@bronzeyoke/ports';
 import type { Intent, RequestsState } from '@bronzeyoke/requests';
-import type {
-  AdminCommand,
-  AdminReply,
-  CallerRequest,
-  Configuration,
-  Outcome,
-  Result,
-} from '@bronzeyoke/types';
+import type { AdminCommand, AdminReply, CallerRequest, Outcome, Result } from '@bronzeyoke/types';
+import type { TicketsState, TicketsTimer } from '@bronzeyoke/tickets';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
+import type { WorkersState, WorkersTimer } from '@bronzeyoke/workers';
 
 /** Timers of an entry. */
 export type EntryTimer =
-  { readonly kind: 'requestExpiry'; readonly requestId: string } | { readonly kind: 'stopLimit' };
+  | { readonly kind: 'requestExpiry'; readonly requestId: string }
+  | { readonly kind: 'stopLimit' }
+  | { readonly kind: 'checkWorkers' }
+  | { readonly kind: 'tickets'; readonly timer: TicketsTimer }
+  | { readonly kind: 'workers'; readonly timer: WorkersTimer };
 
 /** State of an entry. */
 export interface EntryState {
   readonly entryId: string;
   readonly role: RoleState;
-  readonly configuration: Configuration;
+  readonly domain: string;
+  readonly tickets: TicketsState;
+  readonly workers: WorkersState;
   readonly membership: MembershipState;
   readonly requests: RequestsState;
   readonly wallOffsetMs: number;
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,6 +1,5 @@
 export * from './command';
 export * from './object';
-export * from './settle';
 export * from './store';
 export * from './table';
 export * from './upstream';
--- a/packages/tickets/src/step.ts
+++ b/packages/tickets/src/step.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { accepts, advance } from '@bronzeyoke/chart';
 import type { CommitResult, ReadResult, StoreEffect } from '@bronzeyoke/ports';
-import { settle } from '@bronzeyoke/ports';
+import { settle } from '@bronzeyoke/commits';
 import type { AdminReply, Failure, Instant, Step } from '@bronzeyoke/types';
 import { EMPTY_CONFIGURATION, assertNever, fail, succeed, unchanged } from '@bronzeyoke/types';
 import type { TicketAction } from './chart';
--- a/packages/tickets/test/tickets.test.ts
+++ b/packages/tickets/test/tickets.test.ts
@@ -17,7 +17,11 @@
   }[];
 }
 
-interface Pending { readonly entry: number; readonly effect: TicketsEffect; readonly atMs: number }
+interface Pending {
+  readonly entry: number;
+  readonly effect: TicketsEffect;
+  readonly atMs: number;
+}
 
 const out = (name: string): Change => ({ kind: 'domain', name, state: 'out' });
 
--- /dev/null
+++ b/packages/workers/src/call.ts
@@ -0,0 +1,41 @@
+import { Map } from 'immutable';
+import type { Row, Transaction } from '@bronzeyoke/ports';
+import type { Step } from '@bronzeyoke/types';
+import { WORKER_PREFIX, workerRowOf } from './rows';
+import type { WorkersEffect, WorkersPurpose, WorkersState } from './types';
+
+/** An access to the table without its origin and call id. */
+export type Access =
+  | { readonly kind: 'read'; readonly keys: readonly string[] }
+  | { readonly kind: 'commit'; readonly transaction: Transaction };
+
+/** Sends an access and remembers what it is for. */
+export function call(
+  state: WorkersState,
+  purpose: WorkersPurpose,
+  access: Access,
+): Step<WorkersState, WorkersEffect> {
+  const callId = `workers-${state.callCount}`;
+  const isRenewal = access.kind === 'commit' ? ({ isRenewal: true } as const) : {};
+  return {
+    state: {
+      ...state,
+      callCount: state.callCount + 1,
+      calls: state.calls.set(callId, purpose),
+    },
+    effects: [{ ...access, ...isRenewal, origin: 'workers', callId }],
+  };
+}
+
+/** Remembers rows of workers, unless a later version is known. */
+export function seeRows(state: WorkersState, rows: readonly Row[], nowMs: number): WorkersState {
+  const newer = rows.filter(
+    (row) =>
+      row.key.startsWith(WORKER_PREFIX) &&
+      row.version >= (state.rows.get(row.key.slice(WORKER_PREFIX.length))?.version ?? 0),
+  );
+  const entries = Map(
+    newer.map((row) => [row.key.slice(WORKER_PREFIX.length), workerRowOf(row, nowMs)]),
+  );
+  return { ...state, rows: state.rows.merge(entries) };
+}
--- /dev/null
+++ b/packages/workers/src/index.ts
@@ -0,0 +1,3 @@
+export * from './rows';
+export * from './step';
+export * from './types';
--- /dev/null
+++ b/packages/workers/src/register.ts
@@ -0,0 +1,136 @@
+import { settle } from '@bronzeyoke/commits';
+import type { CommitResult, ReadResult, Row, Transaction } from '@bronzeyoke/ports';
+import type { Instant, Step } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { call, seeRows } from './call';
+import { leaseKey, workerKey, workerRowOf, workerValue } from './rows';
+import type { Registration, WorkersEffect, WorkersState } from './types';
+
+const RETRY_MS = 500;
+/** The agent asks again under a new token when it hears nothing for this long. */
+const GIVE_UP_MS = 30_000;
+
+type WorkersStep = Step<WorkersState, WorkersEffect>;
+
+function read(state: WorkersState, registration: Registration): WorkersStep {
+  const { worker, token } = registration;
+  const registrations = state.registrations.set(token, registration);
+  const keys = [workerKey(worker), leaseKey(worker)];
+  return call({ ...state, registrations }, { kind: 'register', token }, { kind: 'read', keys });
+}
+
+/** Begins a registration; one that is under way already goes on. */
+export function register(
+  state: WorkersState,
+  request: Pick<Registration, 'agentId' | 'worker' | 'token'>,
+  instant: Instant,
+): WorkersStep {
+  if (state.registrations.has(request.token)) return unchanged(state);
+  return read(state, {
+    ...request,
+    askedAtMs: instant.nowMs,
+    incarnation: 0,
+    wasLost: false,
+  });
+}
+
+function end(state: WorkersState, registration: Registration, incarnation: number): WorkersStep {
+  const { token, agentId } = registration;
+  return {
+    state: { ...state, registrations: state.registrations.delete(token) },
+    effects: [{ kind: 'send', agentId, message: { kind: 'workerRegistered', token, incarnation } }],
+  };
+}
+
+function retryLater(state: WorkersState, registration: Registration): WorkersStep {
+  const { token } = registration;
+  return {
+    state: { ...state, registrations: state.registrations.set(token, registration) },
+    effects: [{ kind: 'wake', timer: { kind: 'register', token }, afterMs: RETRY_MS }],
+  };
+}
+
+function plan(registration: Registration, incarnation: number, rows: readonly Row[]): Transaction {
+  const { worker, agentId, token } = registration;
+  const versionOf = (key: string) => rows.find((row) => row.key === key)?.version ?? 0;
+  const keys = [workerKey(worker), leaseKey(worker)] as const;
+  return {
+    conditions: keys.map((key) => ({ key, version: versionOf(key) })),
+    writes: [
+      { kind: 'put', key: keys[0], value: workerValue(incarnation, agentId, false, token) },
+      { kind: 'put', key: keys[1], value: { incarnation, renewalToken: token } },
+    ],
+  };
+}
+
+/** Goes on with a registration when the rows of its worker were read. */
+export function registrationRead(
+  state: WorkersState,
+  token: string,
+  result: ReadResult,
+  instant: Instant,
+): WorkersStep {
+  const registration = state.registrations.get(token);
+  if (registration === undefined) return unchanged(state);
+  if (result.kind === 'unavailable') return retryLater(state, registration);
+  const row = result.rows.find((candidate) => candidate.key === workerKey(registration.worker));
+  const current = workerRowOf(row, instant.nowMs);
+  const seen = seeRows(state, result.rows, instant.nowMs);
+  // The agent repeats a registration over another entry with the same token.
+  if (current.token === token && !current.isFenced) {
+    return end(seen, registration, current.incarnation);
+  }
+  const incarnation = current.incarnation + 1;
+  const transaction = plan(registration, incarnation, result.rows);
+  const planned = { ...registration, incarnation, transaction };
+  return call(
+    { ...seen, registrations: seen.registrations.set(token, planned) },
+    { kind: 'register', token },
+    { kind: 'commit', transaction },
+  );
+}
+
+/** Ends a registration, or goes on after a conflict or a lost reply. */
+export function registrationCommitted(
+  state: WorkersState,
+  token: string,
+  result: CommitResult,
+  instant: Instant,
+): WorkersStep {
+  const registration = state.registrations.get(token);
+  if (registration?.transaction === undefined) return unchanged(state);
+  const settled = settle(registration.transaction, registration.wasLost, result);
+  switch (settled.kind) {
+    case 'committed':
+      return end(
+        seeRows(state, settled.rows, instant.nowMs),
+        registration,
+        registration.incarnation,
+      );
+    case 'conflict':
+      return read(state, { ...registration, wasLost: false });
+    case 'unavailable':
+      return retryLater(state, registration);
+    case 'repeat':
+      return retryLater(state, { ...registration, wasLost: true });
+    default:
+      return assertNever(settled);
+  }
+}
+
+/** Tries a registration again after the table was unavailable or a reply was lost. */
+export function retryRegistration(
+  state: WorkersState,
+  token: string,
+  instant: Instant,
+): WorkersStep {
+  const registration = state.registrations.get(token);
+  if (registration === undefined) return unchanged(state);
+  if (instant.nowMs - registration.askedAtMs > GIVE_UP_MS) {
+    return unchanged({ ...state, registrations: state.registrations.delete(token) });
+  }
+  const { transaction, wasLost } = registration;
+  return wasLost && transaction !== undefined
+    ? call(state, { kind: 'register', token }, { kind: 'commit', transaction })
+    : read(state, registration);
+}
--- /dev/null
+++ b/packages/workers/src/rows.ts
@@ -0,0 +1,46 @@
+import { z } from 'zod';
+import type { Row } from '@bronzeyoke/ports';
+import type { WorkerRow } from './types';
+
+/** Prefix of the rows of workers. */
+export const WORKER_PREFIX = 'worker/';
+
+/** Key of the row that holds the incarnation of a worker. */
+export function workerKey(worker: string): string {
+  return `${WORKER_PREFIX}${worker}`;
+}
+
+/** Key of the row that each renewal writes. */
+export function leaseKey(worker: string): string {
+  return `workerlease/${worker}`;
+}
+
+const schema = z.object({
+  incarnation: z.int().min(0),
+  agentId: z.string(),
+  fenced: z.boolean(),
+  token: z.string(),
+});
+
+/** Value of the row of a worker. The token tells one write of the row from another. */
+export function workerValue(
+  incarnation: number,
+  agentId: string,
+  fenced: boolean,
+  token: string,
+): z.infer<typeof schema> {
+  return { incarnation, agentId, fenced, token };
+}
+
+/** The row of a worker, or what stands for an absent one. */
+export function workerRowOf(row: Row | undefined, seenAtMs: number): WorkerRow {
+  const parsed = schema.safeParse(row?.value);
+  return {
+    version: row?.version ?? 0,
+    incarnation: parsed.data?.incarnation ?? 0,
+    agentId: parsed.data?.agentId ?? '',
+    isFenced: parsed.data?.fenced ?? true,
+    token: parsed.data?.token ?? '',
+    seenAtMs,
+  };
+}
--- /dev/null
+++ b/packages/workers/test/workers.test.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { AccessFault, TableState } from '@bronzeyoke/standins';
+import { EMPTY_TABLE, accessRows, commitRows, readRows } from '@bronzeyoke/standins';
+import type { EntryMessage } from '@bronzeyoke/wire';
+import type { WorkersEvent, WorkersState } from '@bronzeyoke/workers';
+import { createWorkers, stepWorkers, workerRowOf } from '@bronzeyoke/workers';
+
+interface World {
+  readonly table: TableState;
+  readonly state: WorkersState;
+  readonly sent: readonly EntryMessage[];
+  readonly commits: number;
+}
+
+const START: World = { table: EMPTY_TABLE, state: createWorkers(), sent: [], commits: 0 };
+
+/** Applies events at time 0 and carries out everything that follows from them. */
+function run(
+  from: World,
+  events: readonly WorkersEvent[],
+  faults: readonly AccessFault[] = [],
+): World {
+  let world = from;
+  let accessCount = 0;
+  let due = events.map((event) => ({ event, atMs: 0 }));
+  const next = (): void => {
+    const [{ event, atMs }, ...rest] = due as [(typeof due)[0], ...typeof due];
+    const step = stepWorkers(world.state, event, { nowMs: atMs, random: 0 });
+    world = { ...world, state: step.state };
+    due = rest;
+    step.effects.forEach((effect) => {
+      if (effect.kind === 'send') world = { ...world, sent: [...world.sent, effect.message] };
+      else if (effect.kind === 'wake') {
+        const timer = { kind: 'timer', timer: effect.timer } as const;
+        due = [...due, { event: timer, atMs: atMs + effect.afterMs }];
+      } else {
+        const access = accessRows(world.table, effect, faults[accessCount] ?? 'none');
+        accessCount += 1;
+        const commits = world.commits + (effect.kind === 'commit' ? 1 : 0);
+        world = { ...world, table: access.state, commits };
+        due = [...due, { event: access.event, atMs: atMs + 2 }];
+      }
+    });
+    due = [...due].sort((left, right) => left.atMs - right.atMs);
+  };
+  while (due.length > 0) next();
+  return world;
+}
+
+function register(index: number, token = `t${index}`): WorkersEvent {
+  return { kind: 'register', agentId: `a${index}`, worker: `w${index}`, token };
+}
+
+function renew(index: number, incarnation: number): WorkersEvent {
+  const token = `r${index}`;
+  return { kind: 'renew', agentId: `a${index}`, worker: `w${index}`, incarnation, token };
+}
+
+// Two agents with one incarnation would both start tasks on the worker.
+it('workers: each registration gets an incarnation of its own, also with lost replies', () => {
+  const faultLists = fc.array(fc.constantFrom<AccessFault>('none', 'lost', 'down'), {
+    maxLength: 15,
+  });
+  fc.assert(
+    fc.property(faultLists, fc.integer({ min: 1, max: 4 }), (faults, count) => {
+      const events = Array.from({ length: count }, (_, index) => register(1, `token${index}`));
+      const world = run(START, events, faults);
+      const granted = world.sent.flatMap((message) =>
+        message.kind === 'workerRegistered' ? [message.incarnation] : [],
+      );
+      expect(granted.length).to.equal(count);
+      expect(new Set(granted).size).to.equal(count);
+      const row = workerRowOf(readRows(world.table, ['worker/w1'])[0], 0);
+      expect(row.incarnation).to.equal(Math.max(...granted));
+    }),
+    { seed: 41, numRuns: 200 },
+  );
+});
+
+// One transaction for each renewal would take the whole budget at 630 workers.
+it('workers: 200 renewals take 5 transactions', () => {
+  const indices = Array.from({ length: 200 }, (_, index) => index);
+  const registered = run(
+    START,
+    indices.map((index) => register(index)),
+  );
+  const renewed = run(
+    registered,
+    indices.map((index) => renew(index, 1)),
+  );
+  expect(renewed.commits - registered.commits).to.equal(5);
+  const acknowledged = renewed.sent.filter((message) => message.kind === 'workerRenewed');
+  expect(acknowledged.length).to.equal(200);
+});
+
+// An agent whose tasks were taken over must not renew them.
+it('workers: a fenced agent is told so, the others in its transaction are renewed', () => {
+  const registered = run(START, [register(1), register(2)]);
+  const value = { incarnation: 1, agentId: 'a1', fenced: true, token: 'f' };
+  const fenced = commitRows(registered.table, {
+    conditions: [],
+    writes: [{ kind: 'put', key: 'worker/w1', value }],
+  });
+  const world = run({ ...registered, table: fenced.state, sent: [] }, [renew(1, 1), renew(2, 1)]);
+  expect(world.sent).to.deep.equal([
+    { kind: 'workerFenced', incarnation: 1 },
+    { kind: 'workerRenewed', token: 'r2' },
+  ]);
+});
