--- /dev/null
+++ b/packages/batch/src/agents.ts
@@ -0,0 +1,196 @@
+import { accepts } from '@bronzeyoke/chart';
+import type { AgentProfile, Resources, SlowDown } from '@bronzeyoke/types';
+import {
+  NO_RESOURCES,
+  addResources,
+  isDomainIn,
+  subtractResources,
+  unchanged,
+} from '@bronzeyoke/types';
+import { taskChart } from './chart';
+import { moveTask } from './move';
+import { endProbe } from './quarantine';
+import { sequence } from './records';
+import type { BatchState, BatchStep, Candidate, Context, TaskRecord } from './types';
+
+/** A message about a task that had no visible effect for this long is sent again. */
+const REPEAT_MS = 5_000;
+
+function onWorker(state: BatchState, worker: string): readonly string[] {
+  return [...(state.byWorker.get(worker) ?? [])];
+}
+
+/** Adds an agent, and asks it about the tasks that its worker should run. */
+export function agentUp(
+  state: BatchState,
+  agentId: string,
+  profile: AgentProfile,
+  context: Context,
+): BatchStep {
+  const known = state.candidates.get(agentId);
+  const candidate: Candidate = {
+    agentId,
+    profile,
+    // Until its first heartbeat the agent declines what does not fit, and tells what is free.
+    free: known?.free ?? profile.total,
+    slowDowns: known?.slowDowns ?? [],
+    isLeaving: false,
+  };
+  const added = {
+    ...state,
+    candidates: state.candidates.set(agentId, candidate),
+    agentOf: state.agentOf.set(profile.worker, agentId),
+  };
+  return sequence(
+    added,
+    onWorker(added, profile.worker).map((key) => (from) => moveTask(from, key, 'ask', {}, context)),
+  );
+}
+
+/** Removes an agent whose connection closed. Its tasks stay claimed until its lease runs out. */
+export function agentDown(state: BatchState, agentId: string, context: Context): BatchStep {
+  const candidate = state.candidates.get(agentId);
+  if (candidate === undefined) return unchanged(state);
+  const { worker } = candidate.profile;
+  const left = {
+    ...state,
+    candidates: state.candidates.delete(agentId),
+    agentOf: state.agentOf.get(worker) === agentId ? state.agentOf.delete(worker) : state.agentOf,
+  };
+  const offered = [...state.offers.values()].filter((key) => {
+    const task = state.tasks.get(key);
+    return task?.phase === 'offered' && task.claim?.worker === worker;
+  });
+  return sequence(
+    left,
+    offered.map((key) => (from) => moveTask(from, key, 'decline', {}, context)),
+  );
+}
+
+function updateCandidate(
+  state: BatchState,
+  agentId: string,
+  update: Partial<Pick<Candidate, 'free' | 'slowDowns' | 'isLeaving'>>,
+): BatchState {
+  const candidate = state.candidates.get(agentId);
+  return candidate === undefined
+    ? state
+    : {
+        ...state,
+        isDirty: true,
+        candidates: state.candidates.set(agentId, { ...candidate, ...update }),
+      };
+}
+
+/** No more offers for an agent that is leaving. */
+export function agentLeaving(state: BatchState, agentId: string): BatchStep {
+  return unchanged(updateCandidate(state, agentId, { isLeaving: true }));
+}
+
+/** What is on offer to a worker and not in the figures of its agent yet. */
+function offeredTo(state: BatchState, worker: string): Resources {
+  return [...state.offers.values()].reduce((sum, key) => {
+    const task = state.tasks.get(key);
+    return task?.phase === 'offered' && task.claim?.worker === worker
+      ? addResources(sum, task.claim.reserved)
+      : sum;
+  }, NO_RESOURCES);
+}
+
+function setFree(state: BatchState, agentId: string, free: Resources): BatchState {
+  const worker = state.candidates.get(agentId)?.profile.worker ?? '';
+  const left = subtractResources(free, offeredTo(state, worker));
+  return updateCandidate(state, agentId, { free: left });
+}
+
+/** Takes the figures of a heartbeat. */
+export function onBeat(
+  state: BatchState,
+  agentId: string,
+  free: Resources,
+  slowDowns: readonly SlowDown[],
+): BatchStep {
+  const known = state.candidates.get(agentId)?.slowDowns ?? [];
+  const isNamed = (old: SlowDown) =>
+    slowDowns.some((next) => next.service === old.service && next.workKind === old.workKind);
+  // Heartbeats carry only the slow-downs that changed.
+  const merged = [...known.filter((old) => !isNamed(old)), ...slowDowns];
+  const updated = updateCandidate(state, agentId, { slowDowns: merged });
+  return unchanged(setFree(updated, agentId, free));
+}
+
+/** Takes the answer to an offer. */
+export function onAnswer(
+  state: BatchState,
+  agentId: string,
+  offerId: string,
+  isAccepted: boolean,
+  free: Resources,
+  context: Context,
+): BatchStep {
+  const key = state.offers.get(offerId);
+  const task = key === undefined ? undefined : state.tasks.get(key);
+  const claim = task?.claim;
+  if (key === undefined || task?.phase !== 'offered' || claim?.offerId !== offerId) {
+    const isClaiming = task?.phase === 'claiming' && claim?.offerId === offerId;
+    // The owner gave the offer up, so the agent may give back what it reserved.
+    return isAccepted && !isClaiming
+      ? { state, effects: [{ kind: 'send', agentId, message: { kind: 'claimFailed', offerId } }] }
+      : unchanged(state);
+  }
+  const health = state.health.get(claim.worker);
+  const probed =
+    isAccepted || health === undefined
+      ? state
+      : { ...state, health: state.health.set(claim.worker, endProbe(health)) };
+  const step = isAccepted
+    ? moveTask(probed, key, 'accept', { claim: { ...claim, acceptedAtMs: context.nowMs } }, context)
+    : moveTask(probed, key, 'decline', {}, context);
+  return { state: setFree(step.state, agentId, free), effects: step.effects };
+}
+
+function domainOf(state: BatchState, task: TaskRecord): string {
+  const agentId = state.agentOf.get(task.claim?.worker ?? '') ?? '';
+  return state.candidates.get(agentId)?.profile.domain ?? task.claim?.domain ?? '';
+}
+
+/** Evicts what runs in domains that are out. */
+export function evictOut(state: BatchState, context: Context): BatchStep {
+  const { configuration } = context.world;
+  const out = configuration.entries.filter(
+    (entry) => entry.kind === 'domain' && entry.state === 'out',
+  );
+  if (out.length === 0) return unchanged(state);
+  const due = [...state.byWorker.values()]
+    .flatMap((tasks) => [...tasks])
+    .filter((key) => {
+      const task = state.tasks.get(key);
+      return (
+        task !== undefined &&
+        accepts(taskChart, task.phase, 'evict') &&
+        !isDomainIn(configuration, domainOf(state, task))
+      );
+    });
+  return sequence(
+    state,
+    due.map((key) => (from) => moveTask(from, key, 'evict', {}, context)),
+  );
+}
+
+/** Repeats messages about tasks that have shown no effect, for example after a lost connection. */
+export function repeatMessages(state: BatchState, context: Context): BatchStep {
+  const due = [...state.byWorker.values()]
+    .flatMap((tasks) => [...tasks])
+    .filter((key) => {
+      const task = state.tasks.get(key);
+      return (
+        task !== undefined &&
+        task.phase !== 'running' &&
+        context.nowMs - task.phaseSinceMs >= REPEAT_MS
+      );
+    });
+  return sequence(
+    state,
+    due.map((key) => (from) => moveTask(from, key, 'ask', {}, context)),
+  );
+}
--- /dev/null
+++ b/packages/batch/src/call.ts
@@ -0,0 +1,26 @@
+import type { Transaction } from '@bronzeyoke/ports';
+import type { BatchState, BatchStep, CallPurpose } from './types';
+
+/** An access to the table without its origin and call id. */
+export type Access =
+  | { readonly kind: 'read'; readonly keys: readonly string[] }
+  | {
+      readonly kind: 'scan';
+      readonly prefix: string;
+      readonly afterKey: string;
+      readonly limit: number;
+    }
+  | { readonly kind: 'commit'; readonly transaction: Transaction; readonly isRenewal: true };
+
+/** Sends an access and remembers what it is for. */
+export function call(state: BatchState, purpose: CallPurpose, access: Access): BatchStep {
+  const callId = `batch-${state.idCount}`;
+  return {
+    state: {
+      ...state,
+      idCount: state.idCount + 1,
+      calls: state.calls.set(callId, purpose),
+    },
+    effects: [{ ...access, origin: 'batch', callId }],
+  };
+}
--- /dev/null
+++ b/packages/batch/src/inbox.ts
@@ -0,0 +1,97 @@
+import type { ReadResult, Row } from '@bronzeyoke/ports';
+import { unchanged } from '@bronzeyoke/types';
+import { call } from './call';
+import { jobOf, keys } from './keys';
+import { addJob } from './load';
+import { addPurpose } from './move';
+import { newJob, sequence } from './records';
+import { shardsIn } from './shard';
+import type { BatchState, BatchStep, Context } from './types';
+
+/** Jobs taken over in one go; their rows and the inbox rows fit into one read each. */
+const PAGE_ROWS = 100;
+
+function setReading(state: BatchState, shard: number, isInboxRead: boolean): BatchState {
+  const view = state.shards.get(shard);
+  return view === undefined
+    ? state
+    : { ...state, shards: state.shards.set(shard, { ...view, isInboxRead }) };
+}
+
+function scanInbox(state: BatchState, shard: number): BatchStep {
+  return call(
+    setReading(state, shard, true),
+    { kind: 'inbox', shard },
+    { kind: 'scan', prefix: `inbox/${shard}/`, afterKey: '', limit: PAGE_ROWS },
+  );
+}
+
+/** Looks for new and cancelled jobs in the shards that this entry owns. */
+export function readInboxes(state: BatchState): BatchStep {
+  return sequence(
+    state,
+    shardsIn(state, ['owned'])
+      .filter((view) => !view.isInboxRead)
+      .map(
+        ({ shard }) =>
+          (from) =>
+            scanInbox(from, shard),
+      ),
+  );
+}
+
+function jobIdOf(row: Row): string {
+  return row.key.split('/')[2] ?? '';
+}
+
+/** Reads the jobs that an inbox names. */
+export function inboxRead(state: BatchState, shard: number, result: ReadResult): BatchStep {
+  const isOwned = state.shards.get(shard)?.phase === 'owned';
+  if (!isOwned || result.kind === 'unavailable' || result.rows.length === 0) {
+    return unchanged(setReading(state, shard, false));
+  }
+  return call(
+    state,
+    { kind: 'inboxJobs', shard, inbox: result.rows },
+    { kind: 'read', keys: result.rows.map((row) => keys.job(shard, jobIdOf(row))) },
+  );
+}
+
+/** Takes over the jobs of an inbox, and deletes the rows that named them. */
+export function inboxJobsRead(
+  state: BatchState,
+  shard: number,
+  inbox: readonly Row[],
+  result: ReadResult,
+  context: Context,
+): BatchStep {
+  const view = state.shards.get(shard);
+  const ended = setReading(state, shard, false);
+  if (view?.phase !== 'owned' || result.kind === 'unavailable') return unchanged(ended);
+  const step = sequence(
+    ended,
+    result.rows.map((row) => (from) => {
+      const job = jobOf(row);
+      return job === undefined
+        ? unchanged(from)
+        : addJob(from, newJob(job, shard, row.key, row.version, context.nowMs), new Map(), context);
+    }),
+  );
+  // A cancellation that arrived meanwhile has changed the row of the inbox, and the row stays.
+  const cleaned = inbox.reduce(
+    (from, row) =>
+      addPurpose(
+        from,
+        { kind: 'clean' },
+        {
+          conditions: [
+            { key: keys.shard(shard), version: view.version },
+            { key: row.key, version: row.version },
+          ],
+          writes: [{ kind: 'delete', key: row.key }],
+        },
+      ).state,
+    step.state,
+  );
+  return { state: cleaned, effects: step.effects };
+}
--- /dev/null
+++ b/packages/batch/src/learn.ts
@@ -0,0 +1,104 @@
+import { Map } from 'immutable';
+import type { Resources } from '@bronzeyoke/types';
+
+const MAX_SAMPLES = 64;
+/** Fewer samples than these leave the declared value in force. */
+const MIN_RUNS = 3;
+const MIN_PEAKS = 8;
+
+/** Run times of a team's work of one kind. */
+export interface RunStats {
+  readonly samples: readonly number[];
+  readonly p50Ms: number;
+  readonly p90Ms: number;
+}
+
+/** Highest use of tasks of one kind. */
+export interface SizeStats {
+  readonly samples: readonly Resources[];
+  readonly p95: Resources;
+}
+
+/** What an owner has learned of run times and sizes. It starts anew when a shard changes owner. */
+export interface LearnState {
+  readonly runs: Map<string, RunStats>;
+  readonly sizes: Map<string, SizeStats>;
+}
+
+/** Nothing learned yet. */
+export const NOTHING_LEARNED: LearnState = { runs: Map(), sizes: Map() };
+
+/** The value below which the given share of the samples lies. */
+export function quantile(samples: readonly number[], share: number): number {
+  const sorted = [...samples].sort((left, right) => left - right);
+  const index = Math.min(sorted.length - 1, Math.ceil(sorted.length * share) - 1);
+  return sorted[Math.max(0, index)] ?? 0;
+}
+
+function latest<Sample>(samples: readonly Sample[], sample: Sample): readonly Sample[] {
+  return [...samples, sample].slice(-MAX_SAMPLES);
+}
+
+/** Learns from a task that finished. */
+export function learnRun(
+  state: LearnState,
+  team: string,
+  workKind: string,
+  runMs: number,
+): LearnState {
+  const name = `${team}/${workKind}`;
+  const samples = latest(state.runs.get(name)?.samples ?? [], runMs);
+  const stats = { samples, p50Ms: quantile(samples, 0.5), p90Ms: quantile(samples, 0.9) };
+  return { ...state, runs: state.runs.set(name, stats) };
+}
+
+/** Learns from what a task used at most. */
+export function learnPeak(state: LearnState, workKind: string, peak: Resources): LearnState {
+  const samples = latest(state.sizes.get(workKind)?.samples ?? [], peak);
+  const p95Of = (pick: (sample: Resources) => number) => quantile(samples.map(pick), 0.95);
+  const p95 = {
+    processorsMilli: Math.ceil(p95Of((sample) => sample.processorsMilli)),
+    memoryMb: Math.ceil(p95Of((sample) => sample.memoryMb)),
+    accelerators: Math.ceil(p95Of((sample) => sample.accelerators)),
+  };
+  return { ...state, sizes: state.sizes.set(workKind, { samples, p95 }) };
+}
+
+/** Expected run times; the declared one counts only until enough tasks have finished. */
+export function runTimes(
+  state: LearnState,
+  team: string,
+  workKind: string,
+  declaredMs: number,
+): { readonly p50Ms: number; readonly p90Ms: number } {
+  const stats = state.runs.get(`${team}/${workKind}`);
+  return stats !== undefined && stats.samples.length >= MIN_RUNS
+    ? stats
+    : { p50Ms: declaredMs, p90Ms: declaredMs };
+}
+
+/** Whether any task of a kind has finished anywhere. */
+export function hasSucceeded(state: LearnState, team: string, workKind: string): boolean {
+  return state.runs.has(`${team}/${workKind}`);
+}
+
+/** What to reserve for a task. */
+export function sizeOf(
+  state: LearnState,
+  workKind: string,
+  declared: Resources,
+  floor: Resources | undefined,
+): Resources {
+  const stats = state.sizes.get(workKind);
+  const learned =
+    stats !== undefined && stats.samples.length >= MIN_PEAKS
+      ? { ...stats.p95, accelerators: Math.max(stats.p95.accelerators, declared.accelerators) }
+      : declared;
+  return floor === undefined
+    ? learned
+    : {
+        processorsMilli: Math.max(learned.processorsMilli, floor.processorsMilli),
+        memoryMb: Math.max(learned.memoryMb, floor.memoryMb),
+        accelerators: Math.max(learned.accelerators, floor.accelerators),
+      };
+}
--- /dev/null
+++ b/packages/batch/src/lease.ts
@@ -0,0 +1,142 @@
+import type { PartOutcome } from '@bronzeyoke/commits';
+import type { ReadResult } from '@bronzeyoke/ports';
+import { unchanged } from '@bronzeyoke/types';
+import { leaseKey, workerKey, workerRowOf, workerValue } from '@bronzeyoke/workers';
+import { call } from './call';
+import { addPurpose, moveTask } from './move';
+import { isOnWorker, sequence } from './records';
+import type { BatchState, BatchStep, Context, PartPurpose, Sighting } from './types';
+
+/** Lease of a worker and a margin: after this long without a renewal the worker runs nothing. */
+export const WORKER_TAKEOVER_MS = 32_000;
+const WORKERS_PER_READ = 50;
+
+type FencePurpose = Extract<PartPurpose, { readonly kind: 'fence' }>;
+
+/** Reads the lease rows of all workers that hold tasks of the shards of this entry. */
+export function watchLeases(state: BatchState, context: Context): BatchStep {
+  const workers = [...state.byWorker.keys()];
+  const known = {
+    ...state,
+    leases: state.leases.filter((_, worker) => state.byWorker.has(worker)),
+  };
+  const groups = Array.from({ length: Math.ceil(workers.length / WORKERS_PER_READ) }, (_, index) =>
+    workers.slice(index * WORKERS_PER_READ, (index + 1) * WORKERS_PER_READ),
+  );
+  return sequence(
+    known,
+    groups.map(
+      (group) => (from) =>
+        call(
+          from,
+          { kind: 'leases', workers: group, sentAtMs: context.nowMs },
+          {
+            kind: 'read',
+            keys: group.flatMap((worker) => [workerKey(worker), leaseKey(worker)]),
+          },
+        ),
+    ),
+  );
+}
+
+/** Gives back the tasks that a worker held under claims that can no longer run. */
+function releaseTasks(
+  state: BatchState,
+  worker: string,
+  isDead: (offerId: string, committedAtMs: number) => boolean,
+  context: Context,
+): BatchStep {
+  const dead = [...(state.byWorker.get(worker) ?? [])].filter((key) => {
+    const task = state.tasks.get(key);
+    return (
+      task?.claim !== undefined &&
+      isOnWorker(task) &&
+      isDead(task.claim.offerId, task.claim.committedAtMs)
+    );
+  });
+  return sequence(
+    state,
+    dead.map((key) => (from) => {
+      const task = from.tasks.get(key);
+      if (task === undefined) return unchanged(from);
+      const { reportedBy, ...rest } = task;
+      const silent = { ...from, tasks: from.tasks.set(key, rest) };
+      return moveTask(silent, key, 'release', {}, context);
+    }),
+  );
+}
+
+function fence(
+  state: BatchState,
+  worker: string,
+  rows: Extract<ReadResult, { kind: 'rows' }>['rows'],
+  context: Context,
+): BatchStep {
+  const row = rows.find((candidate) => candidate.key === workerKey(worker));
+  const lease = rows.find((candidate) => candidate.key === leaseKey(worker));
+  const current = workerRowOf(row, context.nowMs);
+  const token = `${state.entryId}-${state.idCount}`;
+  const offerIds = [...(state.byWorker.get(worker) ?? [])].flatMap(
+    (key) => state.tasks.get(key)?.claim?.offerId ?? [],
+  );
+  const value = workerValue(current.incarnation, current.agentId, true, token);
+  const added = addPurpose(
+    state,
+    { kind: 'fence', worker, offerIds },
+    {
+      isSolo: true,
+      conditions: [
+        { key: workerKey(worker), version: row?.version ?? 0 },
+        { key: leaseKey(worker), version: lease?.version ?? 0 },
+      ],
+      writes: [{ kind: 'put', key: workerKey(worker), value }],
+    },
+  );
+  return unchanged({ ...added.state, leases: added.state.leases.delete(worker) });
+}
+
+/** Compares the leases with what was seen before, and takes over from workers that fell silent. */
+export function leasesRead(
+  state: BatchState,
+  workers: readonly string[],
+  sentAtMs: number,
+  result: ReadResult,
+  context: Context,
+): BatchStep {
+  if (result.kind === 'unavailable') return unchanged(state);
+  const { rows } = result;
+  return sequence(
+    state,
+    workers.map((worker) => (from) => {
+      if (!from.byWorker.has(worker)) return unchanged(from);
+      const row = rows.find((candidate) => candidate.key === workerKey(worker));
+      // A claim that was in the table before the row was read cannot run beyond a fence.
+      if (row !== undefined && workerRowOf(row, 0).isFenced) {
+        return releaseTasks(from, worker, (_, committedAtMs) => committedAtMs < sentAtMs, context);
+      }
+      const version = rows.find((candidate) => candidate.key === leaseKey(worker))?.version ?? 0;
+      const seen = from.leases.get(worker);
+      if (seen === undefined || seen.version !== version) {
+        const sighting: Sighting = { version, sinceMs: context.nowMs };
+        return unchanged({ ...from, leases: from.leases.set(worker, sighting) });
+      }
+      return sentAtMs - seen.sinceMs >= WORKER_TAKEOVER_MS
+        ? fence(from, worker, rows, context)
+        : unchanged(from);
+    }),
+  );
+}
+
+/** Ends a fence: the tasks of the worker go back, if nobody renewed its lease meanwhile. */
+export function fenced(
+  state: BatchState,
+  purpose: FencePurpose,
+  outcome: PartOutcome,
+  context: Context,
+): BatchStep {
+  if (outcome.kind !== 'committed') return unchanged(state);
+  const { worker, offerIds } = purpose;
+  const rows = outcome.rows.filter((row) => row.key === workerKey(worker));
+  const step = releaseTasks(state, worker, (offerId) => offerIds.includes(offerId), context);
+  return { state: step.state, effects: [{ kind: 'workerRows', rows }, ...step.effects] };
+}
--- /dev/null
+++ b/packages/batch/src/load.ts
@@ -0,0 +1,209 @@
+import { advance } from '@bronzeyoke/chart';
+import type { ReadResult, Row } from '@bronzeyoke/ports';
+import type { Job } from '@bronzeyoke/types';
+import { taskKey, unchanged } from '@bronzeyoke/types';
+import { call } from './call';
+import { shardChart } from './chart';
+import { jobOf, keys, taskIdOf, taskRowOf } from './keys';
+import { cancelIfDue, moveTask } from './move';
+import { newJob, putTask, sequence } from './records';
+import { sizeOf } from './learn';
+import { areWatchersKnown, watchersOf } from './watcher';
+import type {
+  BatchState,
+  BatchStep,
+  Claim,
+  Context,
+  JobRecord,
+  LoadProgress,
+  ShardView,
+  TaskRecord,
+} from './types';
+
+const PAGE_ROWS = 500;
+
+function readPage(state: BatchState, shard: number, load: LoadProgress): BatchStep {
+  const view = state.shards.get(shard);
+  if (view === undefined) return unchanged(state);
+  const shards = state.shards.set(shard, { ...view, load: { ...load, isReading: true } });
+  const prefix = load.stage === 'jobs' ? `job/${shard}/` : `task/${shard}/`;
+  return call(
+    { ...state, shards },
+    { kind: 'load', shard, version: view.version },
+    { kind: 'scan', prefix, afterKey: load.afterKey, limit: PAGE_ROWS },
+  );
+}
+
+/** Begins to read the rows of a shard that this entry has just taken. */
+export function beginLoad(state: BatchState, shard: number): BatchStep {
+  const load = { stage: 'jobs', afterKey: '', jobs: [], tasks: [], isReading: false } as const;
+  return readPage(state, shard, load);
+}
+
+/** Goes on with loads that stopped because the table was unavailable. */
+export function resumeLoads(state: BatchState): BatchStep {
+  const stopped = [...state.shards.values()].flatMap(({ shard, load }) =>
+    load !== undefined && !load.isReading ? [{ shard, load }] : [],
+  );
+  return sequence(
+    state,
+    stopped.map(
+      ({ shard, load }) =>
+        (from) =>
+          readPage(from, shard, load),
+    ),
+  );
+}
+
+function claimOf(
+  state: BatchState,
+  job: Job,
+  worker: string,
+  offerId: string,
+  nowMs: number,
+): Claim {
+  const reserved = sizeOf(state.learned, job.workKind, job.declared, undefined);
+  const times = { offeredAtMs: nowMs, acceptedAtMs: nowMs, committedAtMs: nowMs };
+  const agentId = state.agentOf.get(worker) ?? '';
+  const domain = state.candidates.get(agentId)?.profile.domain ?? '';
+  return { offerId, worker, domain, reserved, ...times };
+}
+
+/** A task as its row says. A claimed one has to be asked about: it may or may not have started. */
+export function taskFrom(
+  state: BatchState,
+  job: JobRecord,
+  index: number,
+  row: Row | undefined,
+  nowMs: number,
+): TaskRecord {
+  const id = { jobId: job.job.jobId, index };
+  const value = taskRowOf(row);
+  const base: TaskRecord = {
+    key: taskKey(id),
+    id,
+    shard: job.shard,
+    phase: 'pending',
+    phaseSinceMs: nowMs,
+    epoch: value?.epoch ?? 0,
+    rowVersion: row?.version ?? 0,
+    failedOn: [],
+    failures: 0,
+    notBeforeMs: 0,
+  };
+  if (value === undefined) return base;
+  const { state: saved } = value;
+  const checkpoint =
+    'checkpointRef' in saved && saved.checkpointRef !== undefined
+      ? { checkpointRef: saved.checkpointRef }
+      : {};
+  return saved.kind === 'claimed'
+    ? {
+        ...base,
+        ...checkpoint,
+        phase: 'asked',
+        claim: claimOf(state, job.job, saved.worker, saved.claimToken, nowMs),
+      }
+    : {
+        ...base,
+        ...checkpoint,
+        phase: saved.kind,
+        ...(saved.kind === 'parked' ? { parkReason: saved.reason } : {}),
+      };
+}
+
+/** Adds a job with all of its tasks, or only what has changed of a known one. */
+export function addJob(
+  state: BatchState,
+  record: JobRecord,
+  rows: ReadonlyMap<string, Row>,
+  context: Context,
+): BatchStep {
+  const known = state.jobs.get(record.job.jobId);
+  const { job, version } = record;
+  const count = Math.max(job.taskCount, known?.taskTotal ?? 0);
+  const merged = { ...(known ?? record), job, version, taskTotal: count };
+  const stored = { ...state, isDirty: true, jobs: state.jobs.set(job.jobId, merged) };
+  const indices = Array.from({ length: count }, (_, index) => index);
+  const filled = indices.reduce((from, index) => {
+    if (from.tasks.has(taskKey({ jobId: job.jobId, index }))) return from;
+    const row = rows.get(keys.task(record.shard, { jobId: job.jobId, index }));
+    return putTask(from, taskFrom(from, merged, index, row, context.nowMs), context.nowMs);
+  }, stored);
+  const isShrunk = job.cancelled || count > job.taskCount;
+  return sequence(
+    filled,
+    isShrunk
+      ? indices.map(
+          (index) => (from) => cancelIfDue(from, taskKey({ jobId: job.jobId, index }), context),
+        )
+      : [],
+  );
+}
+
+/** Leaves a load to be resumed at the next poll, from the last page that was read. */
+function stopLoad(state: BatchState, view: ShardView, load: LoadProgress): BatchState {
+  const stopped = { ...view, load: { ...load, isReading: false } };
+  return { ...state, shards: state.shards.set(view.shard, stopped) };
+}
+
+function finishLoad(
+  state: BatchState,
+  shard: number,
+  load: LoadProgress,
+  context: Context,
+): BatchStep {
+  const view = state.shards.get(shard);
+  if (view === undefined) return unchanged(state);
+  const { load: done, ...rest } = view;
+  const { state: phase } = advance(shardChart, view.phase, 'loaded');
+  const owned = { ...state, shards: state.shards.set(shard, { ...rest, phase }) };
+  const rows = new Map(load.tasks.map((row) => [row.key, row]));
+  const jobs = load.jobs.flatMap((row) => {
+    const job = jobOf(row);
+    return job === undefined ? [] : [newJob(job, shard, row.key, row.version, context.nowMs)];
+  });
+  const jobIds = new Set(jobs.map((record) => record.job.jobId));
+  // Watchers have task rows without a job row; they make sense only with the configuration.
+  const orphans = load.tasks.filter((row) => !jobIds.has(taskIdOf(row.key)?.jobId ?? ''));
+  if (!areWatchersKnown(orphans, context)) return unchanged(stopLoad(state, view, load));
+  const step = sequence(owned, [
+    ...jobs.map((record) => (from: BatchState) => addJob(from, record, rows, context)),
+    ...watchersOf(shard, orphans, context).map(
+      (record) => (from: BatchState) => addJob(from, record, rows, context),
+    ),
+  ]);
+  const asked = [...step.state.tasks.values()].filter(
+    (task) => task.shard === shard && task.phase === 'asked',
+  );
+  const asks = sequence(
+    step.state,
+    asked.map((task) => (from) => moveTask(from, task.key, 'ask', {}, context)),
+  );
+  return { state: asks.state, effects: [...step.effects, ...asks.effects] };
+}
+
+/** Goes on with a load when a page was read. */
+export function pageRead(
+  state: BatchState,
+  shard: number,
+  version: number,
+  result: ReadResult,
+  context: Context,
+): BatchStep {
+  const view = state.shards.get(shard);
+  if (view?.load === undefined || view.version !== version) return unchanged(state);
+  const { load } = view;
+  if (result.kind === 'unavailable') return unchanged(stopLoad(state, view, load));
+  const last = result.rows.at(-1);
+  const read: LoadProgress =
+    load.stage === 'jobs'
+      ? { ...load, jobs: [...load.jobs, ...result.rows] }
+      : { ...load, tasks: [...load.tasks, ...result.rows] };
+  if (last !== undefined && result.rows.length === PAGE_ROWS) {
+    return readPage(state, shard, { ...read, afterKey: last.key });
+  }
+  return load.stage === 'jobs'
+    ? readPage(state, shard, { ...read, stage: 'tasks', afterKey: '' })
+    : finishLoad(state, shard, { ...read, afterKey: last?.key ?? load.afterKey }, context);
+}
--- /dev/null
+++ b/packages/batch/src/offer.ts
@@ -0,0 +1,276 @@
+import { isBackingOff } from '@bronzeyoke/commits';
+import type { ParkReason, Resources } from '@bronzeyoke/types';
+import {
+  NO_RESOURCES,
+  addResources,
+  dominantShare,
+  draws,
+  fitsIn,
+  subtractResources,
+  taskKey,
+  unchanged,
+} from '@bronzeyoke/types';
+import { sizeOf } from './learn';
+import { moveTask } from './move';
+import type { Rank } from './order';
+import { compareRanks, rankOf } from './order';
+import { choosePlace, rackOf } from './place';
+import { preempt } from './preempt';
+import { HEALTHY, mayOffer, startProbe } from './quarantine';
+import { isWithinQuota, quotaOf } from './quota';
+import { isOnWorker, sequence, usageOf } from './records';
+import type { BatchState, BatchStep, Candidate, Context, JobRecord, TaskRecord } from './types';
+
+/** Offers that one tick may send. */
+const OFFERS_PER_TICK = 32;
+/** Offers and claims under way, so that a slow table does not tie up the fleet. */
+const MAX_OPEN_OFFERS = 256;
+/** Ages and slack change by themselves, so the order is looked at again after this time. */
+const RESCHEDULE_MS = 500;
+/** Agents need this long after a start to announce themselves. */
+const SETTLE_MS = 60_000;
+
+/** Larger jobs spread over the racks by themselves, and counting their tasks takes time. */
+const MAX_SPREAD = 200;
+
+/** What no longer needs a look in this tick. */
+interface Blocked {
+  readonly jobs: ReadonlySet<string>;
+  readonly sizes: readonly Resources[];
+}
+
+interface Choice {
+  readonly record: JobRecord;
+  readonly task: TaskRecord;
+  readonly reserved: Resources;
+  readonly rank: Rank;
+}
+
+/** Everything that the known workers have, as the measure of dominant shares. */
+export function fleetTotal(state: BatchState): Resources {
+  return [...state.candidates.values()].reduce(
+    (sum, candidate) => addResources(sum, candidate.profile.total),
+    NO_RESOURCES,
+  );
+}
+
+function nextTask(state: BatchState, record: JobRecord, nowMs: number): TaskRecord | undefined {
+  const ready = record.pending.find((index) => {
+    const task = state.tasks.get(taskKey({ jobId: record.job.jobId, index }));
+    return task !== undefined && task.notBeforeMs <= nowMs;
+  });
+  return ready === undefined
+    ? undefined
+    : state.tasks.get(taskKey({ jobId: record.job.jobId, index: ready }));
+}
+
+function openJobs(state: BatchState): readonly string[] {
+  return [...state.jobs.values()]
+    .filter(
+      ({ job, pending, shard }) =>
+        !pending.isEmpty() && !job.cancelled && state.shards.get(shard)?.phase === 'owned',
+    )
+    .map(({ job }) => job.jobId);
+}
+
+function choices(
+  state: BatchState,
+  jobIds: readonly string[],
+  blocked: Blocked,
+  total: Resources,
+  { nowMs }: Context,
+): readonly Choice[] {
+  const wallMs = state.wallOffsetMs + nowMs;
+  return jobIds.flatMap((jobId) => {
+    const record = state.jobs.get(jobId);
+    if (record === undefined || record.pending.isEmpty() || blocked.jobs.has(jobId)) return [];
+    const { job } = record;
+    const task = nextTask(state, record, nowMs);
+    if (task === undefined) return [];
+    const reserved = sizeOf(state.learned, job.workKind, job.declared, task.floor);
+    const share = dominantShare(usageOf(state, job.team), total);
+    const waitedMs = nowMs - record.waitingSinceMs;
+    return [{ record, task, reserved, rank: rankOf(job, state.learned, wallMs, waitedMs, share) }];
+  });
+}
+
+function racksOf(state: BatchState, record: JobRecord): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  if (record.taskTotal < 2 || record.taskTotal > MAX_SPREAD) return counts;
+  Array.from({ length: record.taskTotal }, (_, index) =>
+    state.tasks.get(taskKey({ jobId: record.job.jobId, index })),
+  ).forEach((task) => {
+    if (task?.claim === undefined) return;
+    if (!isOnWorker(task) && task.phase !== 'offered' && task.phase !== 'claiming') return;
+    const candidate = state.candidates.get(state.agentOf.get(task.claim.worker) ?? '');
+    if (candidate === undefined) return;
+    counts.set(rackOf(candidate), (counts.get(rackOf(candidate)) ?? 0) + 1);
+  });
+  return counts;
+}
+
+function mayTake(state: BatchState, { world, nowMs }: Context): (candidate: Candidate) => boolean {
+  return ({ profile }) =>
+    world.workers.get(profile.worker)?.isFenced === false &&
+    mayOffer(state.health.get(profile.worker) ?? HEALTHY, nowMs);
+}
+
+function sendOffer(
+  state: BatchState,
+  choice: Choice,
+  candidate: Candidate,
+  context: Context,
+): BatchStep {
+  const { task, reserved } = choice;
+  const { worker, domain } = candidate.profile;
+  const offerId = `${state.entryId}-${state.idCount}`;
+  const health = state.health.get(worker);
+  const claim = {
+    offerId,
+    worker,
+    domain,
+    reserved,
+    offeredAtMs: context.nowMs,
+    acceptedAtMs: 0,
+    committedAtMs: 0,
+  };
+  const free = subtractResources(candidate.free, reserved);
+  return moveTask(
+    {
+      ...state,
+      idCount: state.idCount + 1,
+      offers: state.offers.set(offerId, task.key),
+      candidates: state.candidates.set(candidate.agentId, { ...candidate, free }),
+      health: health === undefined ? state.health : state.health.set(worker, startProbe(health)),
+    },
+    task.key,
+    'offer',
+    { claim },
+    context,
+  );
+}
+
+/** Why a task can never be placed as things are. */
+function parkReasonOf(
+  state: BatchState,
+  choice: Choice,
+  quota: Resources | undefined,
+  context: Context,
+): ParkReason | undefined {
+  const { reserved, record } = choice;
+  const { team } = record.job;
+  if (quota !== undefined && !fitsIn(reserved, quota)) return { kind: 'overQuota', team };
+  const isSettled = context.nowMs - state.startedAtMs > SETTLE_MS && !state.candidates.isEmpty();
+  const fitsSomewhere = state.candidates.some(({ profile }) => fitsIn(reserved, profile.total));
+  return isSettled && !fitsSomewhere ? { kind: 'tooLarge', wanted: reserved } : undefined;
+}
+
+interface Progress {
+  readonly jobIds: readonly string[];
+  readonly step: BatchStep;
+  readonly blocked: Blocked;
+  readonly isDone: boolean;
+}
+
+function blockJob(blocked: Blocked, jobId: string, size?: Resources): Blocked {
+  return {
+    jobs: new Set([...blocked.jobs, jobId]),
+    sizes: size === undefined ? blocked.sizes : [...blocked.sizes, size],
+  };
+}
+
+function place(
+  state: BatchState,
+  choice: Choice,
+  blocked: Blocked,
+  random: number,
+  context: Context,
+): { readonly step: BatchStep; readonly blocked: Blocked } {
+  const { record, task, reserved } = choice;
+  const { job } = record;
+  const quota = quotaOf(context.world.configuration, job.team);
+  const parkReason = parkReasonOf(state, choice, quota, context);
+  if (parkReason !== undefined) {
+    return { step: moveTask(state, task.key, 'park', { parkReason }, context), blocked };
+  }
+  const isShort = blocked.sizes.some((size) => fitsIn(size, reserved));
+  const isOver = !isWithinQuota(quota, usageOf(state, job.team), reserved);
+  if (isOver || (isShort && job.urgency === 'normal')) {
+    return { step: unchanged(state), blocked: blockJob(blocked, job.jobId) };
+  }
+  const wanted = {
+    workKind: job.workKind,
+    reserved,
+    avoid: task.failedOn,
+    racks: racksOf(state, record),
+  };
+  const candidate = choosePlace(
+    [...state.candidates.values()],
+    wanted,
+    context.world.configuration,
+    mayTake(state, context),
+    random,
+  );
+  if (candidate !== undefined) {
+    return { step: sendOffer(state, choice, candidate, context), blocked };
+  }
+  const step = job.urgency === 'urgent' ? preempt(state, record, reserved, context) : undefined;
+  // A task that avoids workers says nothing about the room for others.
+  const size = task.failedOn.length === 0 ? reserved : undefined;
+  return { step: step ?? unchanged(state), blocked: blockJob(blocked, job.jobId, size) };
+}
+
+function placeNext(progress: Progress, random: number, total: Resources, context: Context) {
+  if (progress.isDone) return progress;
+  const { state, effects } = progress.step;
+  const open = choices(state, progress.jobIds, progress.blocked, total, context);
+  const best = open.reduce<Choice | undefined>(
+    (first, choice) =>
+      first === undefined || compareRanks(choice.rank, first.rank) < 0 ? choice : first,
+    undefined,
+  );
+  if (best === undefined || state.offers.size >= MAX_OPEN_OFFERS) {
+    return { ...progress, isDone: true };
+  }
+  const { step, blocked } = place(state, best, progress.blocked, random, context);
+  return {
+    ...progress,
+    step: { state: step.state, effects: [...effects, ...step.effects] },
+    blocked,
+  };
+}
+
+/** Sends offers for the tasks that come first, while there is room. */
+export function schedule(state: BatchState, context: Context): BatchStep {
+  const { nowMs } = context;
+  const isDue = state.isDirty || nowMs - state.scheduledAtMs >= RESCHEDULE_MS;
+  // Without the table no claim can be committed, so an offer would only hold resources.
+  if (!isDue || state.isDraining || isBackingOff(state.group, nowMs)) return unchanged(state);
+  const first: Progress = {
+    jobIds: openJobs(state),
+    step: unchanged({ ...state, isDirty: false, scheduledAtMs: nowMs }),
+    blocked: { jobs: new Set(), sizes: [] },
+    isDone: false,
+  };
+  const total = fleetTotal(state);
+  const done = draws(context.random, OFFERS_PER_TICK).reduce<Progress>(
+    (progress, random) => placeNext(progress, random, total, context),
+    first,
+  );
+  // More may fit than one tick may offer.
+  return done.isDone
+    ? done.step
+    : { state: { ...done.step.state, isDirty: true }, effects: done.step.effects };
+}
+
+/** Takes back offers that no agent has answered. */
+export function expireOffers(state: BatchState, limitMs: number, context: Context): BatchStep {
+  const late = [...state.offers.values()].filter((key) => {
+    const task = state.tasks.get(key);
+    return task?.phase === 'offered' && context.nowMs - (task.claim?.offeredAtMs ?? 0) > limitMs;
+  });
+  return sequence(
+    state,
+    late.map((key) => (from) => moveTask(from, key, 'decline', {}, context)),
+  );
+}
--- /dev/null
+++ b/packages/batch/src/order.ts
@@ -0,0 +1,53 @@
+import type { Job } from '@bronzeyoke/types';
+import type { LearnState } from './learn';
+import { runTimes } from './learn';
+
+/** Slack of work without a deadline. */
+const OPEN_SLACK_MS = 3_600_000;
+/** A job that waits looks this much closer to its deadline for each millisecond. */
+const AGEING = 4;
+/** Jobs whose slack falls into one step are equal, and the share of their team decides. */
+const SLACK_STEP_MS = 5_000;
+
+/** Place of a job in the order; a smaller one is served first. */
+export interface Rank {
+  readonly isUrgent: boolean;
+  readonly slackStep: number;
+  readonly share: number;
+  readonly submittedAtMs: number;
+}
+
+/** Time that a job can still wait: until its deadline, less the run time to expect. */
+export function slackMs(job: Job, learned: LearnState, wallMs: number): number {
+  if (job.role === 'watcher') return 0;
+  if (job.deadlineAtMs === undefined) return OPEN_SLACK_MS;
+  const leftMs = job.deadlineAtMs - wallMs;
+  const { p50Ms, p90Ms } = runTimes(learned, job.team, job.workKind, job.declaredRunMs);
+  // A task that will most likely miss its deadline must not make others miss theirs.
+  return leftMs < p50Ms ? OPEN_SLACK_MS : leftMs - p90Ms;
+}
+
+/** Ranks a job by urgency, slack, waiting time and the dominant share of its team. */
+export function rankOf(
+  job: Job,
+  learned: LearnState,
+  wallMs: number,
+  waitedMs: number,
+  share: number,
+): Rank {
+  const aged = slackMs(job, learned, wallMs) - AGEING * waitedMs;
+  return {
+    isUrgent: job.urgency === 'urgent',
+    slackStep: Math.floor(aged / SLACK_STEP_MS),
+    share,
+    submittedAtMs: job.submittedAtMs,
+  };
+}
+
+/** Orders ranks, the first to serve in front. */
+export function compareRanks(left: Rank, right: Rank): number {
+  if (left.isUrgent !== right.isUrgent) return left.isUrgent ? -1 : 1;
+  if (left.slackStep !== right.slackStep) return left.slackStep - right.slackStep;
+  if (left.share !== right.share) return left.share - right.share;
+  return left.submittedAtMs - right.submittedAtMs;
+}
--- /dev/null
+++ b/packages/batch/src/records.ts
@@ -0,0 +1,170 @@
+import { Set } from 'immutable';
+import type { Job, Resources } from '@bronzeyoke/types';
+import { NO_RESOURCES, addResources, subtractResources } from '@bronzeyoke/types';
+import type { TaskPhase } from './chart';
+import type { BatchState, BatchStep, JobRecord, TaskRecord } from './types';
+
+const HOLDING: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
+  'offered',
+  'claiming',
+  'claimed',
+  'asked',
+  'running',
+  'evicting',
+  'stopping',
+]);
+const ON_WORKER: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
+  'claimed',
+  'asked',
+  'running',
+  'evicting',
+  'stopping',
+]);
+const ENDED: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
+  'finished',
+  'cancelled',
+  'parked',
+]);
+
+/** Steps that follow each other, with all of their effects. */
+export function sequence(
+  state: BatchState,
+  steps: readonly ((from: BatchState) => BatchStep)[],
+): BatchStep {
+  return steps.reduce<BatchStep>(
+    (done, step) => {
+      const next = step(done.state);
+      return next.effects.length === 0
+        ? { state: next.state, effects: done.effects }
+        : { state: next.state, effects: [...done.effects, ...next.effects] };
+    },
+    { state, effects: [] },
+  );
+}
+
+/** Whether the row of the task says that it may run on a worker. */
+export function isOnWorker(task: TaskRecord): boolean {
+  return ON_WORKER.has(task.phase);
+}
+
+/** Whether nothing more happens to the task by itself. */
+export function isEnded(task: TaskRecord): boolean {
+  return ENDED.has(task.phase);
+}
+
+/** What a team has reserved. */
+export function usageOf(state: BatchState, team: string): Resources {
+  return state.usage.get(team) ?? NO_RESOURCES;
+}
+
+function heldBy(task: TaskRecord | undefined): Resources {
+  return task !== undefined && HOLDING.has(task.phase)
+    ? (task.claim?.reserved ?? NO_RESOURCES)
+    : NO_RESOURCES;
+}
+
+function placeOf(task: TaskRecord | undefined): string | undefined {
+  return task !== undefined && isOnWorker(task) ? task.claim?.worker : undefined;
+}
+
+function withUsage(
+  state: BatchState,
+  team: string,
+  before: TaskRecord | undefined,
+  after: TaskRecord | undefined,
+): BatchState {
+  const gone = heldBy(before);
+  const added = heldBy(after);
+  if (gone === added) return state;
+  const used = addResources(subtractResources(usageOf(state, team), gone), added);
+  return { ...state, usage: state.usage.set(team, used) };
+}
+
+function withPlace(
+  state: BatchState,
+  key: string,
+  before: string | undefined,
+  after: string | undefined,
+): BatchState {
+  if (before === after) return state;
+  const left =
+    before === undefined
+      ? state.byWorker
+      : state.byWorker.update(before, Set<string>(), (tasks) => tasks.delete(key));
+  const byWorker =
+    after === undefined ? left : left.update(after, Set<string>(), (tasks) => tasks.add(key));
+  return {
+    ...state,
+    byWorker:
+      before !== undefined && byWorker.get(before)?.isEmpty() === true
+        ? byWorker.delete(before)
+        : byWorker,
+  };
+}
+
+function withJob(
+  state: BatchState,
+  job: JobRecord,
+  before: TaskRecord | undefined,
+  after: TaskRecord,
+  nowMs: number,
+): BatchState {
+  const { index } = after.id;
+  const pending = after.phase === 'pending' ? job.pending.add(index) : job.pending.delete(index);
+  const wasEnded = before !== undefined && isEnded(before) ? 1 : 0;
+  const endedCount = job.endedCount - wasEnded + (isEnded(after) ? 1 : 0);
+  if (pending === job.pending && endedCount === job.endedCount) return state;
+  const { endedAtMs, ...rest } = job;
+  const isComplete = endedCount >= job.job.taskCount;
+  const next: JobRecord = {
+    ...rest,
+    pending,
+    endedCount,
+    ...(isComplete ? { endedAtMs: endedAtMs ?? nowMs } : {}),
+  };
+  return { ...state, jobs: state.jobs.set(job.job.jobId, next) };
+}
+
+/** Stores a task, and keeps the sums and indices that follow from it. */
+export function putTask(state: BatchState, task: TaskRecord, nowMs: number): BatchState {
+  const before = state.tasks.get(task.key);
+  const job = state.jobs.get(task.id.jobId);
+  const stored = { ...state, tasks: state.tasks.set(task.key, task) };
+  if (job === undefined) return stored;
+  const used = withUsage(stored, job.job.team, before, task);
+  const placed = withPlace(used, task.key, placeOf(before), placeOf(task));
+  return withJob(placed, job, before, task, nowMs);
+}
+
+/** Forgets a job with its tasks. */
+export function dropJob(state: BatchState, jobId: string): BatchState {
+  const job = state.jobs.get(jobId);
+  if (job === undefined) return state;
+  const tasks = Array.from({ length: job.taskTotal }, (_, index) =>
+    state.tasks.get(`${jobId}/${index}`),
+  ).flatMap((task) => task ?? []);
+  const emptied = tasks.reduce((done, task) => {
+    const used = withUsage(done, job.job.team, task, undefined);
+    return withPlace(used, task.key, placeOf(task), undefined);
+  }, state);
+  const offerIds = tasks.flatMap((task) => task.claim?.offerId ?? []);
+  return {
+    ...emptied,
+    jobs: emptied.jobs.delete(jobId),
+    tasks: emptied.tasks.deleteAll(tasks.map((task) => task.key)),
+    offers: emptied.offers.deleteAll(offerIds),
+  };
+}
+
+/** A job of a row, before its tasks are known. */
+export function newJob(
+  job: Job,
+  shard: number,
+  conditionKey: string,
+  version: number,
+  nowMs: number,
+): JobRecord {
+  const counts = { taskTotal: job.taskCount, endedCount: 0 };
+  const pending = Set<number>();
+  return { job, shard, conditionKey, version, ...counts, pending, waitingSinceMs: nowMs };
+}
--- /dev/null
+++ b/packages/batch/src/report.ts
@@ -0,0 +1,193 @@
+import type { Resources, TaskId } from '@bronzeyoke/types';
+import { addResources, assertNever, fitsIn, taskKey, unchanged } from '@bronzeyoke/types';
+import type { TaskReport } from '@bronzeyoke/wire';
+import { shardOfJob } from './keys';
+import { hasSucceeded, learnPeak, learnRun } from './learn';
+import type { TaskPatch } from './move';
+import { moveTask } from './move';
+import { HEALTHY, countFailure, endProbe } from './quarantine';
+import { isEnded, isOnWorker } from './records';
+import type { BatchState, BatchStep, Context, JobRecord, TaskRecord } from './types';
+
+const MAX_WORKERS_FAILED = 3;
+/** Bound for fleets with fewer than three workers. */
+const MAX_FAILURES = 6;
+const FIRST_RESTART_MS = 1_000;
+const MAX_RESTART_MS = 60_000;
+const GROWTH = 1.25;
+
+function recorded(state: BatchState, agentId: string, id: TaskId, epoch: number): BatchStep {
+  return {
+    state,
+    effects: [{ kind: 'send', agentId, message: { kind: 'recorded', id, epoch } }],
+  };
+}
+
+function stop(state: BatchState, agentId: string, id: TaskId, epoch: number): BatchStep {
+  const message = { kind: 'stopTask', id, epoch, mode: 'cancel' } as const;
+  return { state, effects: [{ kind: 'send', agentId, message }] };
+}
+
+/** A report that tells of a task on its worker, not of its end. */
+function isAlive(report: TaskReport): boolean {
+  return report.kind === 'started' || report.kind === 'checkpointed';
+}
+
+/** Adds what the task held to what its agent has free, until the agent tells its own figure. */
+function freeUp(state: BatchState, task: TaskRecord): BatchState {
+  if (task.claim === undefined) return state;
+  const agentId = state.agentOf.get(task.claim.worker) ?? '';
+  const candidate = state.candidates.get(agentId);
+  if (candidate === undefined) return state;
+  const free = addResources(candidate.free, task.claim.reserved);
+  return { ...state, candidates: state.candidates.set(agentId, { ...candidate, free }) };
+}
+
+function finished(
+  state: BatchState,
+  task: TaskRecord,
+  job: JobRecord,
+  report: Extract<TaskReport, { readonly kind: 'finished' }>,
+): BatchState {
+  const { team, workKind } = job.job;
+  const learned = learnPeak(
+    learnRun(state.learned, team, workKind, report.runMs),
+    workKind,
+    report.peak,
+  );
+  const worker = task.claim?.worker;
+  const health = worker === undefined ? state.health : state.health.delete(worker);
+  return { ...state, learned, health };
+}
+
+function restartDelayMs(failures: number): number {
+  return Math.min(MAX_RESTART_MS, FIRST_RESTART_MS * 2 ** Math.min(10, failures - 1));
+}
+
+function grown(peak: Resources): Resources {
+  return {
+    processorsMilli: Math.ceil(peak.processorsMilli * GROWTH),
+    memoryMb: Math.ceil(peak.memoryMb * GROWTH),
+    accelerators: peak.accelerators,
+  };
+}
+
+function failed(
+  state: BatchState,
+  task: TaskRecord,
+  job: JobRecord,
+  report: Extract<TaskReport, { readonly kind: 'failed' }>,
+  patch: TaskPatch,
+  context: Context,
+): BatchStep {
+  const { worker = '', reserved } = task.claim ?? {};
+  // A task that outgrew its reservation did not fail; it needs a larger one.
+  if (reserved !== undefined && !fitsIn(report.peak, reserved)) {
+    const learned = learnPeak(state.learned, job.job.workKind, report.peak);
+    const floor = grown(report.peak);
+    return moveTask({ ...state, learned }, task.key, 'release', { ...patch, floor }, context);
+  }
+  const { team, workKind, role } = job.job;
+  const succeedsElsewhere = hasSucceeded(state.learned, team, workKind);
+  const health = countFailure(
+    state.health.get(worker) ?? HEALTHY,
+    { workKind, succeedsElsewhere },
+    context.nowMs,
+  );
+  const seen = { ...state, health: state.health.set(worker, health) };
+  const failures = task.failures + 1;
+  const failedOn = [...new Set([...task.failedOn, worker])];
+  // Failures on workers that fail everything say nothing about the task.
+  const counted = failedOn.filter((name) => seen.health.get(name)?.quarantine === undefined);
+  const isHopeless = counted.length >= MAX_WORKERS_FAILED || failures >= MAX_FAILURES;
+  const next = { ...patch, failures, failedOn };
+  if (role === 'batch' && isHopeless) {
+    const parkReason = { kind: 'failsEverywhere', failures } as const;
+    return moveTask(seen, task.key, 'park', { ...next, parkReason }, context);
+  }
+  const isWatcher = role === 'watcher';
+  const notBeforeMs = isWatcher ? context.nowMs + restartDelayMs(failures) : 0;
+  // With as many failures as workers to avoid, a watcher starts over.
+  const avoid = isWatcher && failedOn.length >= MAX_WORKERS_FAILED ? [] : failedOn;
+  return moveTask(seen, task.key, 'release', { ...next, failedOn: avoid, notBeforeMs }, context);
+}
+
+function apply(
+  state: BatchState,
+  task: TaskRecord,
+  job: JobRecord,
+  agentId: string,
+  report: TaskReport,
+  context: Context,
+): BatchStep {
+  const ref =
+    'checkpointRef' in report && report.checkpointRef !== undefined
+      ? { checkpointRef: report.checkpointRef }
+      : {};
+  const patch: TaskPatch = { reportedBy: agentId, ...ref };
+  switch (report.kind) {
+    case 'started':
+      return moveTask(state, task.key, 'start', {}, context);
+    case 'checkpointed':
+      return unchanged({ ...state, tasks: state.tasks.set(task.key, { ...task, ...ref }) });
+    case 'finished': {
+      const learned = finished(freeUp(state, task), task, job, report);
+      // A watcher never finishes by itself; one that does is started again.
+      if (job.job.role === 'watcher') {
+        const notBeforeMs = context.nowMs + restartDelayMs(task.failures + 1);
+        const failures = task.failures + 1;
+        const again = { ...patch, failures, notBeforeMs };
+        return moveTask(learned, task.key, 'release', again, context);
+      }
+      const { resultRef } = report;
+      return moveTask(learned, task.key, 'finish', { ...patch, resultRef }, context);
+    }
+    case 'failed':
+      return failed(freeUp(state, task), task, job, report, patch, context);
+    case 'evicted':
+    case 'notStarted':
+    case 'stopped': {
+      const { worker = '' } = task.claim ?? {};
+      const health = state.health.get(worker);
+      const freed = freeUp(state, task);
+      const probed =
+        health === undefined
+          ? freed
+          : { ...freed, health: freed.health.set(worker, endProbe(health)) };
+      return moveTask(probed, task.key, 'release', patch, context);
+    }
+    default:
+      return assertNever(report);
+  }
+}
+
+/** Takes the report of an agent. Reports are repeated until they are recorded, and may be late. */
+export function onReport(
+  state: BatchState,
+  agentId: string,
+  id: TaskId,
+  epoch: number,
+  report: TaskReport,
+  context: Context,
+): BatchStep {
+  const shard = state.shards.get(shardOfJob(id.jobId));
+  // The owner of the shard answers; until a new owner has loaded it, the agent repeats.
+  if (shard?.phase !== 'owned') return unchanged(state);
+  const task = state.tasks.get(taskKey(id));
+  const job = state.jobs.get(id.jobId);
+  if (task === undefined || job === undefined || epoch < task.epoch) {
+    return isAlive(report) ? stop(state, agentId, id, epoch) : recorded(state, agentId, id, epoch);
+  }
+  if (epoch > task.epoch) return unchanged(state);
+  if (isOnWorker(task)) {
+    const worker = state.candidates.get(agentId)?.profile.worker;
+    return worker === task.claim?.worker
+      ? apply(state, task, job, agentId, report, context)
+      : unchanged(state);
+  }
+  if (task.phase === 'pending' || isEnded(task)) {
+    return isAlive(report) ? stop(state, agentId, id, epoch) : recorded(state, agentId, id, epoch);
+  }
+  // A transaction about this epoch is under way; its end answers the repeated report.
+  return unchanged(state);
+}
--- /dev/null
+++ b/packages/batch/src/shard.ts
@@ -0,0 +1,351 @@
+import { accepts, advance } from '@bronzeyoke/chart';
+import type { PartOutcome } from '@bronzeyoke/commits';
+import type { CommitResult, ReadResult, Row } from '@bronzeyoke/ports';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { z } from 'zod';
+import { call } from './call';
+import type { ShardAction, ShardEvent } from './chart';
+import { shardChart } from './chart';
+import { SHARD_COUNT, keys } from './keys';
+import { beginLoad } from './load';
+import { addPurpose, moveTask } from './move';
+import { dropJob, sequence } from './records';
+import type { BatchState, BatchStep, Context, ShardView, Sighting } from './types';
+
+/** Lease of a shard and a margin. */
+const SHARD_TAKEOVER_MS = 12_000;
+/** Rows of entries that are long gone are deleted. */
+const FORGET_ENTRY_MS = 60_000;
+const ROSTER_PREFIX = 'entry/';
+const MAX_ENTRIES = 200;
+
+const ALL_SHARDS = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
+
+const ownerSchema = z.object({ ownerEntryId: z.string(), ownerEpoch: z.int() });
+
+/** The shards before the table was read. */
+export function initialShards(): readonly ShardView[] {
+  return ALL_SHARDS.map((shard) => ({
+    shard,
+    phase: shardChart.initial,
+    ownerEntryId: '',
+    ownerEpoch: 0,
+    version: 0,
+    lease: { version: 0, sinceMs: 0 },
+    isInboxRead: false,
+  }));
+}
+
+/** Shards in one of the phases. */
+export function shardsIn(
+  state: BatchState,
+  phases: readonly ShardView['phase'][],
+): readonly ShardView[] {
+  return [...state.shards.values()].filter((view) => phases.includes(view.phase));
+}
+
+function drop(state: BatchState, shard: number, context: Context): BatchStep {
+  const tasks = [...state.tasks.values()].filter((task) => task.shard === shard);
+  const step = sequence(
+    state,
+    tasks.map((task) => (from) => moveTask(from, task.key, 'drop', {}, context)),
+  );
+  const jobs = [...step.state.jobs.values()].filter((job) => job.shard === shard);
+  const dropped = jobs.reduce((from, job) => dropJob(from, job.job.jobId), step.state);
+  return { state: dropped, effects: step.effects };
+}
+
+function perform(
+  state: BatchState,
+  view: ShardView,
+  action: ShardAction,
+  context: Context,
+): BatchStep {
+  const { shard } = view;
+  switch (action) {
+    case 'commitTake': {
+      const ownerEpoch = view.ownerEpoch + 1;
+      const renewalToken = `${state.entryId}-${state.idCount}`;
+      const added = addPurpose(
+        state,
+        { kind: 'take', shard },
+        {
+          conditions: [
+            { key: keys.shard(shard), version: view.version },
+            { key: keys.shardLease(shard), version: view.lease.version },
+          ],
+          writes: [
+            {
+              kind: 'put',
+              key: keys.shard(shard),
+              value: { ownerEntryId: state.entryId, ownerEpoch },
+            },
+            { kind: 'put', key: keys.shardLease(shard), value: { ownerEpoch, renewalToken } },
+          ],
+        },
+      );
+      const { partId } = added;
+      return unchanged({
+        ...added.state,
+        shards: added.state.shards.set(shard, { ...view, ownerEpoch, partId }),
+      });
+    }
+    case 'commitRelease': {
+      const added = addPurpose(
+        state,
+        { kind: 'giveBack', shard },
+        {
+          conditions: [{ key: keys.shard(shard), version: view.version }],
+          writes: [
+            {
+              kind: 'put',
+              key: keys.shard(shard),
+              value: { ownerEntryId: '', ownerEpoch: view.ownerEpoch },
+            },
+          ],
+        },
+      );
+      const { partId } = added;
+      return unchanged({
+        ...added.state,
+        shards: added.state.shards.set(shard, { ...view, partId }),
+      });
+    }
+    case 'load':
+      return beginLoad(state, shard);
+    case 'drop':
+      return drop(state, shard, context);
+    default:
+      return assertNever(action);
+  }
+}
+
+/** Applies an event of the chart to a shard. */
+export function moveShard(
+  state: BatchState,
+  shard: number,
+  event: ShardEvent,
+  patch: Partial<Pick<ShardView, 'version' | 'ownerEntryId' | 'ownerEpoch'>>,
+  context: Context,
+): BatchStep {
+  const view = state.shards.get(shard);
+  if (view === undefined || !accepts(shardChart, view.phase, event)) return unchanged(state);
+  const next = advance(shardChart, view.phase, event);
+  const { partId, load, ...rest } = view;
+  const moved: ShardView = { ...rest, ...patch, phase: next.state, isInboxRead: false };
+  return sequence(
+    { ...state, shards: state.shards.set(shard, moved) },
+    next.actions.map((action) => (from) => perform(from, moved, action, context)),
+  );
+}
+
+/** A transaction proved that another entry owns the shard. */
+export function shardLost(state: BatchState, shard: number, context: Context): BatchStep {
+  return moveShard(state, shard, 'lose', { ownerEntryId: '' }, context);
+}
+
+/** Ends a takeover. */
+export function shardTaken(
+  state: BatchState,
+  shard: number,
+  outcome: PartOutcome,
+  context: Context,
+): BatchStep {
+  const view = state.shards.get(shard);
+  if (view?.partId !== outcome.part.partId) return unchanged(state);
+  if (outcome.kind !== 'committed') return moveShard(state, shard, 'refused', {}, context);
+  const version = outcome.rows.find((row) => row.key === keys.shard(shard))?.version ?? 0;
+  const patch = { version, ownerEntryId: state.entryId };
+  return moveShard(state, shard, 'taken', patch, context);
+}
+
+/** Ends the return of a shard. After a failure its lease runs out. */
+export function shardReleased(
+  state: BatchState,
+  shard: number,
+  outcome: PartOutcome,
+  context: Context,
+): BatchStep {
+  const view = state.shards.get(shard);
+  if (view?.partId !== outcome.part.partId) return unchanged(state);
+  return moveShard(
+    state,
+    shard,
+    outcome.kind === 'committed' ? 'released' : 'refused',
+    {},
+    context,
+  );
+}
+
+/** Reads who lives and who owns what, and renews what this entry owns. */
+export function survey(state: BatchState, context: Context): BatchStep {
+  const owned = shardsIn(state, ['loading', 'owned']);
+  const token = `${state.entryId}-${state.idCount}`;
+  const { number } = context.world.configuration;
+  return sequence(state, [
+    (from) =>
+      call(
+        from,
+        { kind: 'roster' },
+        { kind: 'scan', prefix: ROSTER_PREFIX, afterKey: '', limit: MAX_ENTRIES },
+      ),
+    (from) =>
+      call(
+        from,
+        { kind: 'shards' },
+        { kind: 'read', keys: ALL_SHARDS.flatMap((k) => [keys.shard(k), keys.shardLease(k)]) },
+      ),
+    (from) =>
+      from.isDraining
+        ? unchanged(from)
+        : call(
+            from,
+            { kind: 'renew', shards: owned.map((view) => view.shard) },
+            {
+              kind: 'commit',
+              isRenewal: true,
+              transaction: {
+                conditions: owned.map(({ shard, version }) => ({
+                  key: keys.shard(shard),
+                  version,
+                })),
+                writes: [
+                  {
+                    kind: 'put',
+                    key: keys.entry(from.entryId),
+                    value: { domain: from.domain, number, token },
+                  },
+                  ...owned.map(({ shard, ownerEpoch }) => ({
+                    kind: 'put' as const,
+                    key: keys.shardLease(shard),
+                    value: { ownerEpoch, renewalToken: token },
+                  })),
+                ],
+              },
+            },
+          ),
+  ]);
+}
+
+function sight(seen: Sighting | undefined, version: number, nowMs: number): Sighting {
+  return seen !== undefined && seen.version === version ? seen : { version, sinceMs: nowMs };
+}
+
+/** Takes note of the entries that live, and deletes the rows of those long gone. */
+export function rosterRead(state: BatchState, result: ReadResult, context: Context): BatchStep {
+  if (result.kind === 'unavailable') return unchanged(state);
+  const roster = state.roster.withMutations((draft) => {
+    const present = new Set(result.rows.map((row) => row.key));
+    state.roster.forEach((_, key) => {
+      if (!present.has(key)) draft.delete(key);
+    });
+    result.rows.forEach((row) =>
+      draft.set(row.key, sight(draft.get(row.key), row.version, context.nowMs)),
+    );
+  });
+  const gone = [...roster].filter(
+    ([, sighting]) => context.nowMs - sighting.sinceMs > FORGET_ENTRY_MS,
+  );
+  const cleaned = gone.reduce(
+    (from, [key, sighting]) =>
+      addPurpose(
+        { ...from, roster: from.roster.delete(key) },
+        { kind: 'clean' },
+        {
+          conditions: [{ key, version: sighting.version }],
+          writes: [{ kind: 'delete', key }],
+        },
+      ).state,
+    { ...state, roster, isRosterKnown: true },
+  );
+  return unchanged(cleaned);
+}
+
+/** How many shards each entry should own. */
+export function fairShare(state: BatchState, nowMs: number): number {
+  const others = [...state.roster].filter(
+    ([key, sighting]) =>
+      key !== keys.entry(state.entryId) && nowMs - sighting.sinceMs <= SHARD_TAKEOVER_MS,
+  );
+  return Math.ceil(SHARD_COUNT / (others.length + 1));
+}
+
+function sightShard(view: ShardView, rows: readonly Row[], nowMs: number): ShardView {
+  const row = rows.find((candidate) => candidate.key === keys.shard(view.shard));
+  const lease = rows.find((candidate) => candidate.key === keys.shardLease(view.shard));
+  const owner = ownerSchema.safeParse(row?.value).data ?? { ownerEntryId: '', ownerEpoch: 0 };
+  return {
+    ...view,
+    ...owner,
+    version: row?.version ?? 0,
+    lease: sight(view.lease, lease?.version ?? 0, nowMs),
+  };
+}
+
+/** Takes shards that are free or whose lease ran out, and gives back what is over the fair share. */
+export function shardsRead(state: BatchState, result: ReadResult, context: Context): BatchStep {
+  if (result.kind === 'unavailable') return unchanged(state);
+  const { nowMs } = context;
+  // The view of a shard with a transaction under way belongs to that transaction.
+  const shards = state.shards.map((view) =>
+    view.phase === 'watching' ? sightShard(view, result.rows, nowMs) : view,
+  );
+  const seen = { ...state, shards };
+  if (state.isDraining || !state.isRosterKnown) return unchanged(seen);
+  const fair = fairShare(seen, nowMs);
+  const held = shardsIn(seen, ['taking', 'loading', 'owned']);
+  const free = shardsIn(seen, ['watching']).filter(
+    (view) => view.ownerEntryId === '' || nowMs - view.lease.sinceMs >= SHARD_TAKEOVER_MS,
+  );
+  const taken = free.slice(0, Math.max(0, fair - held.length));
+  const surplus = shardsIn(seen, ['owned']).slice(0, Math.max(0, held.length - fair));
+  return sequence(seen, [
+    ...taken.map(
+      ({ shard }) =>
+        (from: BatchState) =>
+          moveShard(from, shard, 'take', {}, context),
+    ),
+    ...surplus.map(
+      ({ shard }) =>
+        (from: BatchState) =>
+          moveShard(from, shard, 'release', {}, context),
+    ),
+  ]);
+}
+
+/** A renewal that met a conflict shows which shards have another owner. */
+export function renewed(
+  state: BatchState,
+  shards: readonly number[],
+  result: CommitResult,
+  context: Context,
+): BatchStep {
+  if (result.kind !== 'conflict') return unchanged(state);
+  const versions = new Map(result.rows.map((row) => [row.key, row.version]));
+  const lost = shards.filter((shard) => {
+    const view = state.shards.get(shard);
+    return view !== undefined && (versions.get(keys.shard(shard)) ?? 0) > view.version;
+  });
+  return sequence(
+    state,
+    lost.map((shard) => (from) => shardLost(from, shard, context)),
+  );
+}
+
+/** Gives everything back before a planned stop. */
+export function drainShards(state: BatchState, context: Context): BatchStep {
+  const key = keys.entry(state.entryId);
+  const left = addPurpose(
+    { ...state, isDraining: true },
+    { kind: 'clean' },
+    { conditions: [], writes: [{ kind: 'delete', key }] },
+  ).state;
+  return sequence(
+    left,
+    shardsIn(left, ['loading', 'owned']).map(
+      ({ shard }) =>
+        (from) =>
+          moveShard(from, shard, 'release', {}, context),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/batch/src/watcher.ts
@@ -0,0 +1,71 @@
+import type { Row } from '@bronzeyoke/ports';
+import type { Change, Job, WatcherState } from '@bronzeyoke/types';
+import { shardOfTeam, taskIdOf } from './keys';
+import { newJob } from './records';
+import type { Context, JobRecord } from './types';
+
+const MARK = '-watcher-';
+
+/** The job that stands for a watcher in a shard. */
+export function watcherJobId(shard: number, name: string): string {
+  return `${shard}${MARK}${name}`;
+}
+
+function watcherNameOf(jobId: string): string {
+  return jobId.slice(jobId.indexOf(MARK) + MARK.length);
+}
+
+function isWatcher(entry: Change): entry is WatcherState {
+  return entry.kind === 'watcher';
+}
+
+function namesOf(rows: readonly Row[]): ReadonlySet<string> {
+  return new Set(rows.map((row) => watcherNameOf(taskIdOf(row.key)?.jobId ?? '')));
+}
+
+/** A watcher whose team belongs to another shard has no instances in this one. */
+function recordOf(watcher: WatcherState, shard: number, context: Context): JobRecord {
+  const key = `watcher/${watcher.name}`;
+  const job: Job = {
+    jobId: watcherJobId(shard, watcher.name),
+    team: watcher.team,
+    key: watcher.name,
+    workKind: watcher.workKind,
+    role: 'watcher',
+    declared: watcher.reserved,
+    declaredRunMs: 0,
+    submittedAtMs: 0,
+    urgency: 'normal',
+    taskCount: shardOfTeam(watcher.team) === shard ? watcher.instances : 0,
+    payload: watcher.payload,
+    cancelled: false,
+  };
+  return newJob(job, shard, key, context.world.versions.get(key) ?? 0, context.nowMs);
+}
+
+/** Whether the configuration names the watchers of all task rows without a job. */
+export function areWatchersKnown(orphans: readonly Row[], context: Context): boolean {
+  const known = new Set(
+    context.world.configuration.entries.filter(isWatcher).map((watcher) => watcher.name),
+  );
+  return [...namesOf(orphans)].every((name) => known.has(name));
+}
+
+/** Records of the watchers that belong to a shard or have rows there. */
+export function watchersOf(
+  shard: number,
+  orphans: readonly Row[],
+  context: Context,
+  isHeld: (jobId: string) => boolean = () => false,
+): readonly JobRecord[] {
+  const names = namesOf(orphans);
+  return context.world.configuration.entries
+    .filter(isWatcher)
+    .filter(
+      (watcher) =>
+        shardOfTeam(watcher.team) === shard ||
+        names.has(watcher.name) ||
+        isHeld(watcherJobId(shard, watcher.name)),
+    )
+    .map((watcher) => recordOf(watcher, shard, context));
+}
--- a/packages/entry/src/admin.ts
+++ b/packages/entry/src/admin.ts
@@ -1,6 +1,6 @@
 import type { AdminCommand, AdminReply, InForce, Instant, Result, Step } from '@bronzeyoke/types';
-import { assertNever, fail, succeed } from '@bronzeyoke/types';
-import { tickets } from './control';
+import { assertNever, succeed } from '@bronzeyoke/types';
+import { batch, tickets } from './control';
 import { upstreamStatuses, workerStatuses } from './status';
 import type { EntryEffect, EntryState } from './types';
 
@@ -48,7 +48,7 @@
     case 'showJob':
     case 'cancelJob':
     case 'listJobs':
-      return reply(state, callId, fail({ kind: 'storeUnavailable' }));
+      return batch(state, { kind: 'command', callId, command }, instant);
     case 'listUpstreams':
       return reply(
         state,
--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -1,3 +1,5 @@
+import type { BatchEffect, BatchEvent } from '@bronzeyoke/batch';
+import { stepBatch } from '@bronzeyoke/batch';
 import type { StoreEvent } from '@bronzeyoke/ports';
 import type { TicketsEffect, TicketsEvent } from '@bronzeyoke/tickets';
 import { stepTickets } from '@bronzeyoke/tickets';
@@ -36,61 +38,96 @@
   return agent === undefined ? [] : [{ kind: 'send', linkId: agent.linkId, message }];
 }
 
-function fromTickets(state: EntryState, effect: TicketsEffect): readonly EntryEffect[] {
+function fromWorkers(state: EntryState, effect: WorkersEffect): readonly EntryEffect[] {
   switch (effect.kind) {
     case 'wake': {
       const { timer, afterMs } = effect;
-      return [{ kind: 'wake', timer: { kind: 'tickets', timer }, afterMs }];
+      return [{ kind: 'wake', timer: { kind: 'workers', timer }, afterMs }];
     }
-    case 'spread':
-      return [...state.membership.agents.values()].map(({ linkId }) => ({
-        kind: 'send',
-        linkId,
-        message: { kind: 'config', configuration: effect.configuration },
-      }));
+    case 'send':
+      return sendTo(state, effect.agentId, effect.message);
     case 'commit':
     case 'read':
     case 'scan':
-    case 'adminReply':
       return [effect];
     default:
       return assertNever(effect);
   }
 }
 
-/** Lets the tickets decide. */
-export function tickets(state: EntryState, event: TicketsEvent, instant: Instant): EntryStep {
-  const step = stepTickets(state.tickets, event, instant);
+/** Lets the registrations and leases of workers decide. */
+export function workers(state: EntryState, event: WorkersEvent, instant: Instant): EntryStep {
+  const step = stepWorkers(state.workers, event, instant);
   return {
-    state: { ...state, tickets: step.state },
-    effects: step.effects.flatMap((effect) => fromTickets(state, effect)),
+    state: { ...state, workers: step.state },
+    effects: step.effects.flatMap((effect) => fromWorkers(state, effect)),
   };
 }
 
-function fromWorkers(state: EntryState, effect: WorkersEffect): readonly EntryEffect[] {
+function fromBatch(state: EntryState, effect: BatchEffect, instant: Instant): EntryStep {
   switch (effect.kind) {
     case 'wake': {
       const { timer, afterMs } = effect;
-      return [{ kind: 'wake', timer: { kind: 'workers', timer }, afterMs }];
+      return { state, effects: [{ kind: 'wake', timer: { kind: 'batch', timer }, afterMs }] };
     }
     case 'send':
-      return sendTo(state, effect.agentId, effect.message);
+      return { state, effects: sendTo(state, effect.agentId, effect.message) };
+    case 'workerRows':
+      return workers(state, { kind: 'rowsSeen', rows: effect.rows }, instant);
     case 'commit':
     case 'read':
     case 'scan':
-      return [effect];
+    case 'adminReply':
+      return { state, effects: [effect] };
     default:
       return assertNever(effect);
   }
 }
 
-/** Lets the registrations and leases of workers decide. */
-export function workers(state: EntryState, event: WorkersEvent, instant: Instant): EntryStep {
-  const step = stepWorkers(state.workers, event, instant);
-  return {
-    state: { ...state, workers: step.state },
-    effects: step.effects.flatMap((effect) => fromWorkers(state, effect)),
+/** Lets batch work decide. */
+export function batch(state: EntryState, event: BatchEvent, instant: Instant): EntryStep {
+  const world = {
+    configuration: state.tickets.configuration,
+    versions: state.tickets.versions,
+    workers: state.workers.rows,
   };
+  const step = stepBatch(state.batch, event, world, instant);
+  return sequence(
+    { ...state, batch: step.state },
+    step.effects.map((effect) => (from) => fromBatch(from, effect, instant)),
+  );
+}
+
+function fromTickets(state: EntryState, effect: TicketsEffect): readonly EntryEffect[] {
+  switch (effect.kind) {
+    case 'wake': {
+      const { timer, afterMs } = effect;
+      return [{ kind: 'wake', timer: { kind: 'tickets', timer }, afterMs }];
+    }
+    case 'spread':
+      return [...state.membership.agents.values()].map(({ linkId }) => ({
+        kind: 'send',
+        linkId,
+        message: { kind: 'config', configuration: effect.configuration },
+      }));
+    case 'commit':
+    case 'read':
+    case 'scan':
+    case 'adminReply':
+      return [effect];
+    default:
+      return assertNever(effect);
+  }
+}
+
+/** Lets the tickets decide. */
+export function tickets(state: EntryState, event: TicketsEvent, instant: Instant): EntryStep {
+  const step = stepTickets(state.tickets, event, instant);
+  const next = { ...state, tickets: step.state };
+  const effects = step.effects.flatMap((effect) => fromTickets(state, effect));
+  if (next.tickets.configuration === state.tickets.configuration) return { state: next, effects };
+  const configured = batch(next, { kind: 'configured' }, instant);
+  return { state: configured.state, effects: [...effects, ...configured.effects] };
 }
 
 /** Looks up the rows of connected workers that are not known to be registered. */
@@ -111,6 +148,7 @@
   return sequence({ ...state, wallOffsetMs }, [
     (from) => tickets(from, { kind: 'started', wallOffsetMs }, instant),
     (from) => checkWorkers(from, instant),
+    (from) => batch(from, { kind: 'started', wallOffsetMs }, instant),
   ]);
 }
 
@@ -121,8 +159,9 @@
       return tickets(state, event, instant);
     case 'workers':
       return workers(state, event, instant);
-    case 'requests':
     case 'batch':
+      return batch(state, event, instant);
+    case 'requests':
     case 'admin':
       return unchanged(state);
     default:
--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -1,3 +1,4 @@
+import { createBatch, isBatchIdle } from '@bronzeyoke/batch';
 import { advance } from '@bronzeyoke/chart';
 import type { RoleAction } from '@bronzeyoke/lifecycle';
 import { STOP_LIMIT_MS, roleChart } from '@bronzeyoke/lifecycle';
@@ -18,7 +19,15 @@
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
 import { createWorkers } from '@bronzeyoke/workers';
 import { administer } from './admin';
-import { checkWorkers, onStoreEvent, startControl, tickets, workers } from './control';
+import {
+  batch,
+  checkWorkers,
+  onStoreEvent,
+  sequence,
+  startControl,
+  tickets,
+  workers,
+} from './control';
 import type { EntryEffect, EntryEvent, EntryState, EntryTimer } from './types';
 
 type EntryStep = Step<EntryState, EntryEffect>;
@@ -31,6 +40,7 @@
     domain,
     tickets: createTickets(entryId),
     workers: createWorkers(),
+    batch: createBatch(entryId, domain),
     membership: NO_MEMBERS,
     requests: createRequests(domain),
     wallOffsetMs: 0,
@@ -102,7 +112,10 @@
     beatIntervalMs: beatIntervalMs(membership.agents.size),
   } as const;
   const { worker } = profile;
-  const announced = workers(step.state, { kind: 'announced', worker, incarnation }, instant);
+  const announced = sequence(step.state, [
+    (from) => workers(from, { kind: 'announced', worker, incarnation }, instant),
+    (from) => batch(from, { kind: 'agentUp', agentId, profile }, instant),
+  ]);
   return {
     state: announced.state,
     effects: [
@@ -121,9 +134,12 @@
 function linkClosed(state: EntryState, linkId: string, instant: Instant): EntryStep {
   const agent = agentOf(state.membership, linkId);
   const left = { ...state, membership: removeLink(state.membership, linkId) };
-  return agent?.linkId === linkId
-    ? requests(left, { kind: 'upstreamDown', agentId: agent.profile.agentId }, instant)
-    : unchanged(left);
+  if (agent?.linkId !== linkId) return unchanged(left);
+  const { agentId } = agent.profile;
+  return sequence(left, [
+    (from) => requests(from, { kind: 'upstreamDown', agentId }, instant),
+    (from) => batch(from, { kind: 'agentDown', agentId }, instant),
+  ]);
 }
 
 function onMessage(
@@ -157,11 +173,10 @@
       return requests(heard, { ...message, kind: 'notRun', reason: 'cancelled' }, instant);
     case 'draining': {
       const leaving = updateAgent(membership, agentId, (view) => ({ ...view, isLeaving: true }));
-      return requests(
-        { ...heard, membership: leaving },
-        { kind: 'upstreamLeaving', agentId },
-        instant,
-      );
+      return sequence({ ...heard, membership: leaving }, [
+        (from) => requests(from, { kind: 'upstreamLeaving', agentId }, instant),
+        (from) => batch(from, { kind: 'agentLeaving', agentId }, instant),
+      ]);
     }
     case 'inForce':
       return unchanged({
@@ -171,13 +186,27 @@
           ticketInForce: message.number,
         })),
       });
-    case 'beat':
     case 'progress':
     case 'pong':
-    case 'accepted':
-    case 'declined':
-    case 'taskReport':
       return unchanged(heard);
+    case 'beat': {
+      const { free, slowDowns } = message;
+      const fresh = updateAgent(membership, agentId, (view) => ({ ...view, free }));
+      return batch(
+        { ...heard, membership: fresh },
+        { kind: 'beat', agentId, free, slowDowns },
+        instant,
+      );
+    }
+    case 'accepted':
+    case 'declined': {
+      const { kind, offerId, free } = message;
+      return batch(heard, { kind, agentId, offerId, free }, instant);
+    }
+    case 'taskReport': {
+      const { id, epoch, report } = message;
+      return batch(heard, { kind: 'report', agentId, id, epoch, report }, instant);
+    }
     case 'registerWorker': {
       const { worker, token } = message;
       // An agent speaks for its own worker only.
@@ -202,6 +231,8 @@
       return changeRole(state, 'limit');
     case 'checkWorkers':
       return checkWorkers(state, instant);
+    case 'batch':
+      return batch(state, { kind: 'timer', timer: timer.timer }, instant);
     case 'tickets':
       return tickets(state, { kind: 'timer', timer: timer.timer }, instant);
     case 'workers':
@@ -234,7 +265,10 @@
     case 'timer':
       return onTimer(state, event.timer, instant);
     case 'stop': {
-      const drained = requests(state, { kind: 'drain' }, instant);
+      const drained = sequence(state, [
+        (from) => requests(from, { kind: 'drain' }, instant),
+        (from) => batch(from, { kind: 'drain' }, instant),
+      ]);
       const changed = changeRole(drained.state, 'stop');
       return { state: changed.state, effects: [...drained.effects, ...changed.effects] };
     }
@@ -247,6 +281,8 @@
 export function stepEntry(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
   const step = decide(state, event, instant);
   if (step.state.role !== 'draining' || !isIdle(step.state.requests)) return step;
+  // Shards that are given back are taken by others at once instead of after their lease.
+  if (!isBatchIdle(step.state.batch)) return step;
   const stopped = changeRole(step.state, 'idle');
   return { state: stopped.state, effects: [...step.effects, ...stopped.effects] };
 }
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -1,3 +1,4 @@
+import type { BatchState, BatchTimer } from '@bronzeyoke/batch';
 import type { RoleState } from '@bronzeyoke/lifecycle';
 import type { MembershipState } from '@bronzeyoke/membership';
 import type { StoreEffect, StoreEvent } from '@bronzeyoke/ports';
@@ -12,6 +13,7 @@
   | { readonly kind: 'requestExpiry'; readonly requestId: string }
   | { readonly kind: 'stopLimit' }
   | { readonly kind: 'checkWorkers' }
+  | { readonly kind: 'batch'; readonly timer: BatchTimer }
   | { readonly kind: 'tickets'; readonly timer: TicketsTimer }
   | { readonly kind: 'workers'; readonly timer: WorkersTimer };
 
@@ -22,6 +24,7 @@
   readonly domain: string;
   readonly tickets: TicketsState;
   readonly workers: WorkersState;
+  readonly batch: BatchState;
   readonly membership: MembershipState;
   readonly requests: RequestsState;
   readonly wallOffsetMs: number;
