Keep the cost of a frame in many small chunks linear

Cause: a peer that sends a frame byte by byte made the link copy its list of chunks at every byte; the test with 200,000 bytes ran 8 minutes before it was stopped. Conclusion: hostile chunking costs linear time.

--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -1,4 +1,5 @@
 import { Encoder } from 'cbor-x';
+import { List } from 'immutable';
 import type { Result } from '@bronzeyoke/types';
 import { fail, succeed } from '@bronzeyoke/types';
 import type { z } from 'zod';
@@ -74,12 +75,12 @@
 
 /** Bytes of an unfinished frame. */
 export interface FrameBuffer {
-  readonly chunks: readonly Buffer[];
+  readonly chunks: List<Buffer>;
   readonly lengthBytes: number;
 }
 
 /** No bytes received yet. */
-export const EMPTY_FRAME_BUFFER: FrameBuffer = { chunks: [], lengthBytes: 0 };
+export const EMPTY_FRAME_BUFFER: FrameBuffer = { chunks: List(), lengthBytes: 0 };
 
 /** Payloads that a chunk completed, and what is left over. */
 export interface SplitFrames {
@@ -90,16 +91,16 @@
 /** Splits a byte stream into payloads. A length over the limit is a failure: the stream is lost. */
 export function splitFrames(buffered: FrameBuffer, chunk: Buffer): Result<SplitFrames> {
   const lengthBytes = buffered.lengthBytes + chunk.length;
-  const first = buffered.chunks[0] ?? chunk;
+  const first = buffered.chunks.first() ?? chunk;
   // Joining only when the head is complete keeps a large frame in small chunks linear.
   if (first.length >= LENGTH_BYTES) {
     const wanted = first.readUInt32BE(0);
     if (wanted > MAX_FRAME_BYTES) return fail({ kind: 'tooLarge', limitBytes: MAX_FRAME_BYTES });
     if (lengthBytes < LENGTH_BYTES + wanted) {
-      return succeed({ payloads: [], rest: { chunks: [...buffered.chunks, chunk], lengthBytes } });
+      return succeed({ payloads: [], rest: { chunks: buffered.chunks.push(chunk), lengthBytes } });
     }
   }
-  const joined = buffered.chunks.length === 0 ? chunk : Buffer.concat([...buffered.chunks, chunk]);
+  const joined = buffered.chunks.isEmpty() ? chunk : Buffer.concat([...buffered.chunks, chunk]);
   const payloads: Buffer[] = [];
   let offset = 0;
   while (joined.length - offset >= LENGTH_BYTES) {
@@ -113,6 +114,7 @@
   const left = joined.subarray(offset);
   return succeed({
     payloads,
-    rest: left.length === 0 ? EMPTY_FRAME_BUFFER : { chunks: [left], lengthBytes: left.length },
+    rest:
+      left.length === 0 ? EMPTY_FRAME_BUFFER : { chunks: List([left]), lengthBytes: left.length },
   });
 }
