--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,5 @@
+export * from './access';
+export * from './rows';
 export * from './spring';
+export * from './table';
 export * from './upstream';
