Model a worker with explicit time

Cause: the agent's core, the fuzzer and the tests over sockets need one worker that behaves the same. `RunningTask` gains the task as it was started, because a new agent cannot commit its resources in the ledger without them.

--- a/packages/ports/src/worker.ts
+++ b/packages/ports/src/worker.ts
@@ -4,6 +4,8 @@
 export interface RunningTask {
   readonly id: TaskId;
   readonly epoch: number;
+  /** As it was started, so that a new agent can commit its resources again. */
+  readonly task: TaskSpec;
 }
 
 /** What the worker reports of a task, some time after it was so. */
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -1,2 +1,4 @@
+export * from './machine';
 export * from './spring';
 export * from './upstream';
+export * from './worker';
