--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -1,20 +1,21 @@
 import { advance } from '@bronzeyoke/chart';
 import type { RoleAction } from '@bronzeyoke/lifecycle';
 import { STOP_LIMIT_MS, roleChart } from '@bronzeyoke/lifecycle';
-import {
-  NO_MEMBERS,
-  addAgent,
-  agentOf,
-  beatIntervalMs,
-  removeLink,
-  updateAgent,
-} from '@bronzeyoke/membership';
-import type { RequestsEffect, RequestsEvent } from '@bronzeyoke/requests';
-import { createRequests, isIdle, stepRequests } from '@bronzeyoke/requests';
+import { NO_MEMBERS, addAgent, agentOf, beatIntervalMs, updateAgent } from '@bronzeyoke/membership';
+import { createRequests, isIdle } from '@bronzeyoke/requests';
 import type { AgentProfile, Instant, Step } from '@bronzeyoke/types';
 import { EMPTY_CONFIGURATION, assertNever, unchanged } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
+import {
+  applyDomains,
+  checkLink,
+  dropLink,
+  endAttempt,
+  noteHeard,
+  runRequests,
+  sweepMembers,
+} from './requests';
 import type { EntryEffect, EntryEvent, EntryState, EntryTimer } from './types';
 
 type EntryStep = Step<EntryState, EntryEffect>;
@@ -30,34 +31,6 @@
   };
 }
 
-function fromRequests(state: EntryState, effect: RequestsEffect): readonly EntryEffect[] {
-  switch (effect.kind) {
-    case 'send': {
-      const agent = state.membership.agents.get(effect.agentId);
-      return agent === undefined
-        ? []
-        : [{ kind: 'send', linkId: agent.linkId, message: effect.message }];
-    }
-    case 'reply':
-    case 'storeIntent':
-      return [effect];
-    case 'expireLater': {
-      const { requestId, afterMs } = effect;
-      return [{ kind: 'wake', timer: { kind: 'requestExpiry', requestId }, afterMs }];
-    }
-    default:
-      return assertNever(effect);
-  }
-}
-
-function requests(state: EntryState, event: RequestsEvent, instant: Instant): EntryStep {
-  const step = stepRequests(state.requests, event, instant);
-  return {
-    state: { ...state, requests: step.state },
-    effects: step.effects.flatMap((effect) => fromRequests(state, effect)),
-  };
-}
-
 function roleEffects(action: RoleAction): readonly EntryEffect[] {
   switch (action) {
     case 'announce':
@@ -84,19 +57,29 @@
   instant: Instant,
 ): EntryStep {
   if (version !== PROTOCOL_VERSION) return { state, effects: [{ kind: 'closeLink', linkId }] };
+  const known = state.membership.agents.get(profile.agentId);
   const membership = addAgent(state.membership, linkId, profile, instant.nowMs);
   const { agentId, service, domain, slots, connections } = profile;
   const upstream = { agentId, service, domain, slots, connections };
-  const step = requests({ ...state, membership }, { kind: 'upstreamUp', upstream }, instant);
+  const step = runRequests({ ...state, membership }, { kind: 'upstreamUp', upstream }, instant);
   const welcome = {
     kind: 'welcome',
     version: PROTOCOL_VERSION,
     entryId: state.entryId,
     beatIntervalMs: beatIntervalMs(membership.agents.size),
   } as const;
+  const replaced: readonly EntryEffect[] =
+    known === undefined || known.linkId === linkId
+      ? []
+      : [{ kind: 'closeLink', linkId: known.linkId }];
+  const sweep: readonly EntryEffect[] = state.membership.isSwept
+    ? []
+    : [{ kind: 'wake', timer: { kind: 'memberSweep' }, afterMs: welcome.beatIntervalMs }];
   return {
     state: step.state,
     effects: [
+      ...replaced,
+      ...sweep,
       { kind: 'send', linkId, message: welcome },
       { kind: 'send', linkId, message: { kind: 'config', configuration: state.configuration } },
       ...step.effects,
@@ -104,46 +87,23 @@
   };
 }
 
-function linkClosed(state: EntryState, linkId: string, instant: Instant): EntryStep {
-  const agent = agentOf(state.membership, linkId);
-  const left = { ...state, membership: removeLink(state.membership, linkId) };
-  return agent?.linkId === linkId
-    ? requests(left, { kind: 'upstreamDown', agentId: agent.profile.agentId }, instant)
-    : unchanged(left);
-}
-
-function onMessage(
-  state: EntryState,
+function onAgentMessage(
+  heard: EntryState,
   linkId: string,
-  message: AgentMessage,
+  agentId: string,
+  message: Exclude<AgentMessage, { readonly kind: 'hello' }>,
   instant: Instant,
 ): EntryStep {
-  if (message.kind === 'hello') {
-    return hello(state, linkId, message.version, message.profile, instant);
-  }
-  const agent = agentOf(state.membership, linkId);
-  // An agent has to announce itself before anything else.
-  if (agent === undefined) return { state, effects: [{ kind: 'closeLink', linkId }] };
-  const { agentId } = agent.profile;
-  const membership = updateAgent(state.membership, agentId, (view) => ({
-    ...view,
-    heardAtMs: instant.nowMs,
-  }));
-  const heard = { ...state, membership };
+  const { membership } = heard;
   switch (message.kind) {
-    case 'answer': {
-      const { requestId, attemptId, status, headers, body } = message;
-      const answer = { status, headers, body };
-      return requests(heard, { kind: 'answered', requestId, attemptId, answer }, instant);
-    }
+    case 'answer':
     case 'notRun':
     case 'outcomeUnknown':
-      return requests(heard, message, instant);
     case 'unknownRequest':
-      return requests(heard, { ...message, kind: 'notRun', reason: 'cancelled' }, instant);
+      return endAttempt(heard, agentId, message, instant);
     case 'draining': {
       const leaving = updateAgent(membership, agentId, (view) => ({ ...view, isLeaving: true }));
-      return requests(
+      return runRequests(
         { ...heard, membership: leaving },
         { kind: 'upstreamLeaving', agentId },
         instant,
@@ -158,6 +118,11 @@
         })),
       });
     case 'beat':
+      // Lets the agent see that this connection still carries what the entry sends.
+      return {
+        state: heard,
+        effects: [{ kind: 'send', linkId, message: { kind: 'ping', sequence: 0 } }],
+      };
     case 'progress':
     case 'pong':
     case 'accepted':
@@ -171,10 +136,35 @@
   }
 }
 
+function onMessage(
+  state: EntryState,
+  linkId: string,
+  message: AgentMessage,
+  instant: Instant,
+): EntryStep {
+  if (message.kind === 'hello') {
+    return hello(state, linkId, message.version, message.profile, instant);
+  }
+  const agent = agentOf(state.membership, linkId);
+  // An agent has to announce itself before anything else.
+  if (agent === undefined) return { state, effects: [{ kind: 'closeLink', linkId }] };
+  const { agentId } = agent.profile;
+  const heard = noteHeard(state, linkId, agentId, message, instant);
+  const step = onAgentMessage(heard.state, linkId, agentId, message, instant);
+  return { state: step.state, effects: [...heard.effects, ...step.effects] };
+}
+
 function onTimer(state: EntryState, timer: EntryTimer, instant: Instant): EntryStep {
   switch (timer.kind) {
     case 'requestExpiry':
-      return requests(state, { kind: 'expire', requestId: timer.requestId }, instant);
+    case 'requestHedge':
+    case 'agentReturn':
+    case 'upstreamProbe':
+      return runRequests(state, { kind: 'timer', timer }, instant);
+    case 'linkCheck':
+      return checkLink(state, timer.linkId, timer.sequence, instant);
+    case 'memberSweep':
+      return sweepMembers(state, instant);
     case 'stopLimit':
       return changeRole(state, 'limit');
     default:
@@ -187,18 +177,17 @@
     case 'linkOpened':
       return unchanged(state);
     case 'linkClosed':
-      return linkClosed(state, event.linkId, instant);
+      return dropLink(state, event.linkId, instant);
     case 'received':
       return onMessage(state, event.linkId, event.message, instant);
     case 'arrived':
-    case 'intentStored':
-    case 'intentFound':
-    case 'intentFailed':
-      return requests(state, event, instant);
+    case 'commitDone':
+    case 'readDone':
+      return runRequests(state, event, instant);
     case 'timer':
       return onTimer(state, event.timer, instant);
     case 'stop': {
-      const drained = requests(state, { kind: 'drain' }, instant);
+      const drained = runRequests(state, { kind: 'drain' }, instant);
       const changed = changeRole(drained.state, 'stop');
       return { state: changed.state, effects: [...drained.effects, ...changed.effects] };
     }
@@ -209,7 +198,7 @@
 
 /** Decides for an entry. */
 export function stepEntry(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
-  const step = decide(state, event, instant);
+  const step = applyDomains(decide(state, event, instant), state.configuration, instant);
   if (step.state.role !== 'draining' || !isIdle(step.state.requests)) return step;
   const stopped = changeRole(step.state, 'idle');
   return { state: stopped.state, effects: [...step.effects, ...stopped.effects] };
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -135,6 +135,7 @@
       return;
     case 'notRun':
     case 'unknown':
+    case 'keyReused':
       sendProblem(response, outcomeProblem(outcome));
       return;
     default:
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -22,6 +22,13 @@
       return problem('not-run', 503, 'The request was not run', outcome.reason);
     case 'unknown':
       return problem('outcome-unknown', 504, 'The request may have run', outcome.reason);
+    case 'keyReused':
+      return problem(
+        'key-reused',
+        422,
+        'The request was not run',
+        'the idempotency key belongs to a request with another content',
+      );
     default:
       return assertNever(outcome);
   }
--- /dev/null
+++ b/packages/entry/src/requests.ts
@@ -0,0 +1,232 @@
+import type { AgentView, WatchEffect, WatchEvent } from '@bronzeyoke/membership';
+import {
+  agentOf,
+  beatIntervalMs,
+  missingAgents,
+  removeLink,
+  stepWatch,
+  updateAgent,
+} from '@bronzeyoke/membership';
+import type { RequestsEffect, RequestsEvent } from '@bronzeyoke/requests';
+import { stepRequests } from '@bronzeyoke/requests';
+import { inFlightAt } from '@bronzeyoke/routing';
+import type { Configuration, Instant, Step } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { AgentMessage } from '@bronzeyoke/wire';
+import type { EntryEffect, EntryState } from './types';
+
+type EntryStep = Step<EntryState, EntryEffect>;
+
+/** Messages of an agent that end an attempt. */
+export type AttemptMessage = Extract<
+  AgentMessage,
+  { readonly kind: 'answer' | 'notRun' | 'outcomeUnknown' | 'unknownRequest' }
+>;
+
+function then(step: EntryStep, decide: (state: EntryState) => EntryStep): EntryStep {
+  const next = decide(step.state);
+  return { state: next.state, effects: [...step.effects, ...next.effects] };
+}
+
+function watchEffects(agent: AgentView, effect: WatchEffect): readonly EntryEffect[] {
+  const { linkId } = agent;
+  switch (effect.kind) {
+    case 'checkLater': {
+      const { sequence, afterMs } = effect;
+      return [{ kind: 'wake', timer: { kind: 'linkCheck', linkId, sequence }, afterMs }];
+    }
+    case 'ping':
+      return [{ kind: 'send', linkId, message: { kind: 'ping', sequence: effect.sequence } }];
+    case 'close':
+      return [{ kind: 'closeLink', linkId }];
+    case 'trust':
+      return [];
+    default:
+      return assertNever(effect);
+  }
+}
+
+function fromRequests(state: EntryState, effect: RequestsEffect): readonly EntryEffect[] {
+  if (effect.kind !== 'send') return [effect];
+  const agent = state.membership.agents.get(effect.agentId);
+  return agent === undefined
+    ? []
+    : [{ kind: 'send', linkId: agent.linkId, message: effect.message }];
+}
+
+function watchSent(step: EntryStep, sent: readonly RequestsEffect[], instant: Instant): EntryStep {
+  return sent.reduce<EntryStep>((current, effect) => {
+    if (effect.kind !== 'send' || effect.message.kind === 'cancelRequest') return current;
+    const agent = current.state.membership.agents.get(effect.agentId);
+    if (agent?.watch.phase !== 'quiet') return current;
+    const watched = stepWatch(agent.watch, { kind: 'sent' }, instant.nowMs);
+    const membership = updateAgent(current.state.membership, effect.agentId, (view) => ({
+      ...view,
+      watch: watched.state,
+    }));
+    return {
+      state: { ...current.state, membership },
+      effects: [...current.effects, ...watched.effects.flatMap((one) => watchEffects(agent, one))],
+    };
+  }, step);
+}
+
+/** Lets the requests decide, and turns their effects into those of the entry. */
+export function runRequests(state: EntryState, event: RequestsEvent, instant: Instant): EntryStep {
+  const step = stepRequests(state.requests, event, instant);
+  const next = { ...state, requests: step.state };
+  const effects = step.effects.flatMap((effect) => fromRequests(state, effect));
+  return watchSent({ state: next, effects }, step.effects, instant);
+}
+
+/** A link is gone, and with it its agent unless that one has come back over another link. */
+export function dropLink(state: EntryState, linkId: string, instant: Instant): EntryStep {
+  const agent = agentOf(state.membership, linkId);
+  const left = { ...state, membership: removeLink(state.membership, linkId) };
+  return agent?.linkId === linkId
+    ? runRequests(left, { kind: 'upstreamDown', agentId: agent.profile.agentId }, instant)
+    : unchanged(left);
+}
+
+function runWatch(
+  state: EntryState,
+  agent: AgentView,
+  event: WatchEvent,
+  instant: Instant,
+): EntryStep {
+  const { agentId } = agent.profile;
+  const watched = stepWatch(agent.watch, event, instant.nowMs);
+  const membership = updateAgent(state.membership, agentId, (view) => ({
+    ...view,
+    watch: watched.state,
+  }));
+  const step: EntryStep = {
+    state: { ...state, membership },
+    effects: watched.effects.flatMap((effect) => watchEffects(agent, effect)),
+  };
+  return watched.effects.reduce<EntryStep>((current, effect) => {
+    switch (effect.kind) {
+      case 'ping':
+      case 'trust': {
+        const isSuspect = effect.kind === 'ping';
+        return then(current, (next) =>
+          runRequests(next, { kind: 'upstreamSuspect', agentId, isSuspect }, instant),
+        );
+      }
+      case 'close':
+        return then(current, (next) => dropLink(next, agent.linkId, instant));
+      case 'checkLater':
+        return current;
+      default:
+        return assertNever(effect);
+    }
+  }, step);
+}
+
+/** Whether a message shows that what the entry sends arrives; the others come unasked. */
+function isReply(message: AgentMessage): boolean {
+  switch (message.kind) {
+    case 'answer':
+    case 'notRun':
+    case 'outcomeUnknown':
+    case 'unknownRequest':
+    case 'progress':
+    case 'accepted':
+    case 'declined':
+    case 'inForce':
+    case 'pong':
+      return true;
+    case 'hello':
+    case 'beat':
+    case 'draining':
+    case 'taskReport':
+    case 'registerWorker':
+    case 'renewWorker':
+      return false;
+    default:
+      return assertNever(message);
+  }
+}
+
+/** Notes that an agent was heard of, and whether its connection carries what the entry sends. */
+export function noteHeard(
+  state: EntryState,
+  linkId: string,
+  agentId: string,
+  message: AgentMessage,
+  instant: Instant,
+): EntryStep {
+  const membership = updateAgent(state.membership, agentId, (view) => ({
+    ...view,
+    heardAtMs: instant.nowMs,
+  }));
+  const heard = { ...state, membership };
+  const agent = membership.agents.get(agentId);
+  return agent?.linkId === linkId && isReply(message)
+    ? runWatch(heard, agent, { kind: 'replied' }, instant)
+    : unchanged(heard);
+}
+
+/** Checks whether the agent at the other end of a link has made progress. */
+export function checkLink(
+  state: EntryState,
+  linkId: string,
+  sequence: number,
+  instant: Instant,
+): EntryStep {
+  const agent = agentOf(state.membership, linkId);
+  if (agent?.linkId !== linkId) return unchanged(state);
+  const isBusy = inFlightAt(state.requests.routing, agent.profile.agentId) > 0;
+  return runWatch(state, agent, { kind: 'check', sequence, isBusy }, instant);
+}
+
+/** Pings the agents whose beats are missing, and looks again after the next beat interval. */
+export function sweepMembers(state: EntryState, instant: Instant): EntryStep {
+  const { membership } = state;
+  const afterMs = beatIntervalMs(membership.agents.size);
+  return missingAgents(membership, instant.nowMs).reduce<EntryStep>(
+    (step, agent) =>
+      then(step, (current) => runWatch(current, agent, { kind: 'beatsMissed' }, instant)),
+    { state, effects: [{ kind: 'wake', timer: { kind: 'memberSweep' }, afterMs }] },
+  );
+}
+
+/** Ends an attempt as its agent says. */
+export function endAttempt(
+  state: EntryState,
+  agentId: string,
+  message: AttemptMessage,
+  instant: Instant,
+): EntryStep {
+  const { requestId, attemptId } = message;
+  const event = { kind: 'attemptEnded', agentId, requestId, attemptId } as const;
+  switch (message.kind) {
+    case 'answer': {
+      const { status, headers, body } = message;
+      const result = { kind: 'answered', answer: { status, headers, body } } as const;
+      return runRequests(state, { ...event, result }, instant);
+    }
+    case 'notRun': {
+      const { reason } = message;
+      return runRequests(state, { ...event, result: { kind: 'notRun', reason } }, instant);
+    }
+    case 'outcomeUnknown': {
+      const { reason } = message;
+      return runRequests(state, { ...event, result: { kind: 'outcomeUnknown', reason } }, instant);
+    }
+    case 'unknownRequest':
+      return runRequests(state, { ...event, result: { kind: 'neverArrived' } }, instant);
+    default:
+      return assertNever(message);
+  }
+}
+
+/** Tells routing which failure domains are out, after the configuration changed. */
+export function applyDomains(step: EntryStep, before: Configuration, instant: Instant): EntryStep {
+  const { configuration } = step.state;
+  if (configuration === before) return step;
+  const outDomains = configuration.entries
+    .filter((entry) => entry.kind === 'domain' && entry.state === 'out')
+    .map((entry) => entry.name);
+  return then(step, (state) => runRequests(state, { kind: 'domains', outDomains }, instant));
+}
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -82,9 +82,17 @@
       case 'reply':
         dispatch(front.actor, effect);
         return;
-      case 'storeIntent':
-        dispatch(self, { kind: 'intentFailed', requestId: effect.intent.requestId });
+      case 'commit': {
+        const { origin, callId } = effect;
+        dispatch(self, { kind: 'commitDone', origin, callId, result: { kind: 'unavailable' } });
         return;
+      }
+      case 'read':
+      case 'scan': {
+        const { origin, callId } = effect;
+        dispatch(self, { kind: 'readDone', origin, callId, result: { kind: 'unavailable' } });
+        return;
+      }
       case 'wake':
         dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
         return;
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -1,12 +1,16 @@
 import type { RoleState } from '@bronzeyoke/lifecycle';
 import type { MembershipState } from '@bronzeyoke/membership';
-import type { Intent, RequestsState } from '@bronzeyoke/requests';
+import type { StoreEffect, StoreEvent } from '@bronzeyoke/ports';
+import type { RequestsState, RequestsTimer } from '@bronzeyoke/requests';
 import type { CallerRequest, Configuration, Outcome } from '@bronzeyoke/types';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
 
 /** Timers of an entry. */
 export type EntryTimer =
-  { readonly kind: 'requestExpiry'; readonly requestId: string } | { readonly kind: 'stopLimit' };
+  | RequestsTimer
+  | { readonly kind: 'linkCheck'; readonly linkId: string; readonly sequence: number }
+  | { readonly kind: 'memberSweep' }
+  | { readonly kind: 'stopLimit' };
 
 /** State of an entry. */
 export interface EntryState {
@@ -23,9 +27,7 @@
   | { readonly kind: 'linkClosed'; readonly linkId: string }
   | { readonly kind: 'received'; readonly linkId: string; readonly message: AgentMessage }
   | { readonly kind: 'arrived'; readonly request: CallerRequest }
-  | { readonly kind: 'intentStored'; readonly requestId: string }
-  | { readonly kind: 'intentFound'; readonly requestId: string; readonly intent: Intent }
-  | { readonly kind: 'intentFailed'; readonly requestId: string }
+  | StoreEvent
   | { readonly kind: 'timer'; readonly timer: EntryTimer }
   | { readonly kind: 'stop' };
 
@@ -34,6 +36,6 @@
   | { readonly kind: 'send'; readonly linkId: string; readonly message: EntryMessage }
   | { readonly kind: 'closeLink'; readonly linkId: string }
   | { readonly kind: 'reply'; readonly requestId: string; readonly outcome: Outcome }
-  | { readonly kind: 'storeIntent'; readonly key: string; readonly intent: Intent }
+  | StoreEffect
   | { readonly kind: 'wake'; readonly timer: EntryTimer; readonly afterMs: number }
   | { readonly kind: 'exit' };
--- a/packages/membership/src/index.ts
+++ b/packages/membership/src/index.ts
@@ -1,1 +1,2 @@
 export * from './state';
+export * from './watch';
--- a/packages/membership/src/state.ts
+++ b/packages/membership/src/state.ts
@@ -1,5 +1,7 @@
 import { Map } from 'immutable';
 import type { AgentProfile, Resources } from '@bronzeyoke/types';
+import type { LinkWatch } from './watch';
+import { NEW_WATCH } from './watch';
 
 /** What an entry knows of an agent that announced itself. */
 export interface AgentView {
@@ -9,16 +11,19 @@
   readonly free: Resources;
   readonly heardAtMs: number;
   readonly ticketInForce: number;
+  readonly watch: LinkWatch;
 }
 
 /** The agents that an entry knows, by agent id. */
 export interface MembershipState {
   readonly agents: Map<string, AgentView>;
   readonly byLink: Map<string, string>;
+  /** Whether the timer that looks for missing beats runs; it starts with the first agent. */
+  readonly isSwept: boolean;
 }
 
 /** No agents. */
-export const NO_MEMBERS: MembershipState = { agents: Map(), byLink: Map() };
+export const NO_MEMBERS: MembershipState = { agents: Map(), byLink: Map(), isSwept: false };
 
 const BEAT_BYTES = 100;
 const BEAT_BUDGET_BYTES_PER_S = 1_500;
@@ -31,6 +36,18 @@
   return Math.min(MAX_BEAT_MS, Math.max(MIN_BEAT_MS, fair));
 }
 
+/** Heartbeats that may be missing before an agent is pinged. */
+const MISSED_BEATS = 3;
+
+/** Agents that have not been heard of for too long. */
+export function missingAgents(state: MembershipState, nowMs: number): readonly AgentView[] {
+  const limitMs = MISSED_BEATS * beatIntervalMs(state.agents.size);
+  return state.agents
+    .valueSeq()
+    .filter((view) => nowMs - view.heardAtMs > limitMs)
+    .toArray();
+}
+
 /** Adds an agent that announced itself over a link; a link holds one agent. */
 export function addAgent(
   state: MembershipState,
@@ -45,10 +62,12 @@
     free: profile.total,
     heardAtMs: nowMs,
     ticketInForce: 0,
+    watch: NEW_WATCH,
   };
   return {
     agents: state.agents.set(profile.agentId, view),
     byLink: state.byLink.set(linkId, profile.agentId),
+    isSwept: true,
   };
 }
 
@@ -73,6 +92,6 @@
   const agent = agentOf(state, linkId);
   const byLink = state.byLink.delete(linkId);
   return agent?.linkId === linkId
-    ? { agents: state.agents.delete(agent.profile.agentId), byLink }
+    ? { ...state, agents: state.agents.delete(agent.profile.agentId), byLink }
     : { ...state, byLink };
 }
--- /dev/null
+++ b/packages/requests/src/intent.ts
@@ -0,0 +1,113 @@
+import { createHash } from 'node:crypto';
+import { z } from 'zod';
+import type { CommitResult, ReadResult, Row, Transaction } from '@bronzeyoke/ports';
+import type { CallerRequest } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import type { Attempt, Intent, IntentRow } from './types';
+
+/** Commits of one intent, the first one included, before the request is refused. */
+const MAX_COMMITS = 3;
+
+const rowSchema = z.object({
+  requestId: z.string(),
+  attemptId: z.string(),
+  agentId: z.string(),
+  fingerprint: z.string(),
+});
+
+/** What the result of a store access says of the intent. */
+export type Settlement =
+  /** The row names the planned attempt. */
+  | { readonly kind: 'own'; readonly version: number }
+  /** The row names an attempt that another request planned. */
+  | { readonly kind: 'other'; readonly row: IntentRow; readonly version: number }
+  /** The key belongs to a request with another content. */
+  | { readonly kind: 'reused' }
+  | { readonly kind: 'unreadable' }
+  /** Not known yet: the row has to be read. */
+  | { readonly kind: 'readBack' }
+  /** The commit has not taken effect; the same commit again is harmless if it does so later. */
+  | { readonly kind: 'recommit' }
+  | { readonly kind: 'unavailable' };
+
+/** Key of the row of a non-idempotent request. */
+export function intentKey(idempotencyKey: string): string {
+  return `request/${idempotencyKey}`;
+}
+
+/** Identifies what a request asks for, without the headers, which differ between repeats. */
+export function fingerprintOf(request: CallerRequest): string {
+  const head = JSON.stringify([request.service, request.method, request.path]);
+  return createHash('sha256').update(head).update('\n').update(request.body).digest('hex');
+}
+
+/** What is known of the row of a request that has just arrived. */
+export function newIntent(request: CallerRequest): Intent | undefined {
+  return request.idempotencyKey === undefined
+    ? undefined
+    : {
+        key: intentKey(request.idempotencyKey),
+        fingerprint: fingerprintOf(request),
+        version: 0,
+        callId: '',
+        callCount: 0,
+        committedAtMs: 0,
+        commitCount: 0,
+      };
+}
+
+/** The transaction that makes the planned attempt the only one that may run. */
+export function intentTransaction(intent: Intent, planned: Attempt): Transaction {
+  const { key, version, fingerprint } = intent;
+  const { requestId, attemptId, agentId } = planned;
+  const value: IntentRow = { requestId, attemptId, agentId, fingerprint };
+  return { conditions: [{ key, version }], writes: [{ kind: 'put', key, value }] };
+}
+
+function settleRow(intent: Intent, planned: Attempt, row: Row | undefined): Settlement {
+  const isUnchanged = (row?.version ?? 0) === intent.version;
+  if (row === undefined || isUnchanged) {
+    return intent.commitCount < MAX_COMMITS ? { kind: 'recommit' } : { kind: 'unavailable' };
+  }
+  const parsed = rowSchema.safeParse(row.value);
+  if (!parsed.success) return { kind: 'unreadable' };
+  if (parsed.data.attemptId === planned.attemptId) return { kind: 'own', version: row.version };
+  if (parsed.data.fingerprint !== intent.fingerprint) return { kind: 'reused' };
+  return { kind: 'other', row: parsed.data, version: row.version };
+}
+
+/** What a commit of an intent says. */
+export function settleCommit(intent: Intent, planned: Attempt, result: CommitResult): Settlement {
+  switch (result.kind) {
+    case 'committed': {
+      const row = result.rows.find((candidate) => candidate.key === intent.key);
+      return row === undefined ? { kind: 'readBack' } : { kind: 'own', version: row.version };
+    }
+    case 'conflict': {
+      const row = result.rows.find((candidate) => candidate.key === intent.key);
+      return row === undefined ? { kind: 'readBack' } : settleRow(intent, planned, row);
+    }
+    case 'unavailable':
+      return { kind: 'unavailable' };
+    case 'unknown':
+      return { kind: 'readBack' };
+    default:
+      return assertNever(result);
+  }
+}
+
+/** What the row says when it is read back. */
+export function settleRead(intent: Intent, planned: Attempt, result: ReadResult): Settlement {
+  switch (result.kind) {
+    case 'rows':
+      return settleRow(
+        intent,
+        planned,
+        result.rows.find((candidate) => candidate.key === intent.key),
+      );
+    case 'unavailable':
+      return { kind: 'unavailable' };
+    default:
+      return assertNever(result);
+  }
+}
--- /dev/null
+++ b/packages/requests/src/records.ts
@@ -0,0 +1,114 @@
+import type { AttemptEnd, RoutingEffect } from '@bronzeyoke/routing';
+import { EMPTY_QUEUE, addToQueue, countEnded, countSent } from '@bronzeyoke/routing';
+import { unchanged } from '@bronzeyoke/types';
+import type {
+  Attempt,
+  RequestRecord,
+  RequestsEffect,
+  RequestsState,
+  RequestsStep,
+  ServiceQueue,
+} from './types';
+
+/** Runs the next decision on the outcome of the last one. */
+export function chain(
+  step: RequestsStep,
+  decide: (state: RequestsState) => RequestsStep,
+): RequestsStep {
+  const next = decide(step.state);
+  return { state: next.state, effects: [...step.effects, ...next.effects] };
+}
+
+function held(record: RequestRecord | undefined): readonly Attempt[] {
+  if (record === undefined) return [];
+  return record.planned === undefined ? record.attempts : [...record.attempts, record.planned];
+}
+
+function isFound(record: RequestRecord, attempt: Attempt): boolean {
+  return attempt.requestId !== record.request.requestId;
+}
+
+function fromRouting(effect: RoutingEffect): RequestsEffect {
+  const { agentId, afterMs } = effect;
+  return { kind: 'wake', timer: { kind: 'upstreamProbe', agentId }, afterMs };
+}
+
+function queueWith(
+  queue: ServiceQueue | undefined,
+  before: RequestRecord | undefined,
+  after: RequestRecord | undefined,
+): ServiceQueue {
+  const { byDeadline, waitingCount } = queue ?? { byDeadline: EMPTY_QUEUE, waitingCount: 0 };
+  if (after?.phase === 'queued') {
+    const { requestId } = after.request;
+    const item = { requestId, deadlineAtMs: after.deadlineAtMs };
+    return { byDeadline: addToQueue(byDeadline, item), waitingCount: waitingCount + 1 };
+  }
+  const left = waitingCount - Number(before?.phase === 'queued');
+  return { byDeadline: left === 0 ? EMPTY_QUEUE : byDeadline, waitingCount: left };
+}
+
+function withQueue(
+  state: RequestsState,
+  before: RequestRecord | undefined,
+  after: RequestRecord | undefined,
+): RequestsState {
+  const service = (after ?? before)?.request.service;
+  const wasQueued = before?.phase === 'queued';
+  if (service === undefined || wasQueued === (after?.phase === 'queued')) return state;
+  const queue = queueWith(state.queues.get(service), before, after);
+  const queues =
+    queue.waitingCount === 0 ? state.queues.delete(service) : state.queues.set(service, queue);
+  return { ...state, queues };
+}
+
+function addCollector(state: RequestsState, requestId: string, attempt: Attempt): RequestsState {
+  const known = state.collectors.get(attempt.attemptId) ?? [];
+  const collectors = state.collectors.set(attempt.attemptId, [...known, requestId]);
+  return { ...state, collectors };
+}
+
+function dropCollector(state: RequestsState, requestId: string, attempt: Attempt): RequestsState {
+  const left = (state.collectors.get(attempt.attemptId) ?? []).filter((id) => id !== requestId);
+  const collectors =
+    left.length === 0
+      ? state.collectors.delete(attempt.attemptId)
+      : state.collectors.set(attempt.attemptId, left);
+  return { ...state, collectors };
+}
+
+/**
+ * Replaces a record; every change of a record goes through here. Counts the attempts that it gained
+ * or lost at their upstreams, so that the counts always match the records.
+ */
+export function replaceRecord(
+  state: RequestsState,
+  before: RequestRecord | undefined,
+  after: RequestRecord | undefined,
+  endOf: (attempt: Attempt) => AttemptEnd,
+  nowMs: number,
+): RequestsStep {
+  const record = after ?? before;
+  if (record === undefined) return unchanged(state);
+  const { requestId } = record.request;
+  const had = held(before);
+  const has = held(after);
+  const ended = had.filter((one) => !has.some((other) => other.attemptId === one.attemptId));
+  const added = has.filter((one) => !had.some((other) => other.attemptId === one.attemptId));
+  const records =
+    after === undefined ? state.records.delete(requestId) : state.records.set(requestId, after);
+  const stored = withQueue({ ...state, records }, before, after);
+  const withAdded = added.reduce<RequestsState>((current, attempt) => {
+    const counted = { ...current, routing: countSent(current.routing, attempt.agentId) };
+    return isFound(record, attempt) ? addCollector(counted, requestId, attempt) : counted;
+  }, stored);
+  return ended.reduce<RequestsStep>((step, attempt) => {
+    const end: AttemptEnd = attempt.isMeasured ? endOf(attempt) : { kind: 'released' };
+    const routed = countEnded(step.state.routing, attempt.agentId, end, nowMs);
+    const next = { ...step.state, routing: routed.state };
+    return {
+      state: isFound(record, attempt) ? dropCollector(next, requestId, attempt) : next,
+      effects: [...step.effects, ...routed.effects.map(fromRouting)],
+    };
+  }, unchanged(withAdded));
+}
--- a/packages/requests/src/step.ts
+++ b/packages/requests/src/step.ts
@@ -1,55 +1,40 @@
-import { Map, OrderedMap } from 'immutable';
-import { advance } from '@bronzeyoke/chart';
+import { Map } from 'immutable';
+import type { StoreEvent } from '@bronzeyoke/ports';
 import {
-  addUpstream,
+  allowProbe,
   chooseUpstream,
-  countEnded,
-  countSent,
   createRouting,
-  hasUpstream,
+  earnRetry,
+  isUsable,
   markLeaving,
-  removeUpstream,
-  totalSlots,
+  setOutDomains,
+  setPool,
+  setPresence,
 } from '@bronzeyoke/routing';
-import type {
-  CallerRequest,
-  Instant,
-  NotRunReason,
-  Step,
-  UnknownReason,
-  UpstreamAnswer,
-} from '@bronzeyoke/types';
-import { assertNever, draws, unchanged } from '@bronzeyoke/types';
-import type { RequestAction } from './chart';
+import type { CallerRequest, Instant } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { endAttempt, waitingFor } from './attempt';
 import { requestChart } from './chart';
+import type { Settlement } from './intent';
+import { newIntent, settleCommit, settleRead } from './intent';
+import { dispatchQueued, finish, place, takeRetry } from './place';
+import { chain } from './records';
+import { apply } from './transition';
 import type {
-  Intent,
   RequestRecord,
   RequestsEffect,
   RequestsEvent,
   RequestsState,
-  SentAttempt,
+  RequestsStep,
+  RequestsTimer,
 } from './types';
+import { agentReturnOver, awaitAgent, upstreamDown, upstreamUp } from './upstream';
 
-/** Requests that may wait for each slot of a service before new ones are refused. */
-const QUEUE_PER_SLOT = 8;
-
-/** Attempts of one request, the first one included. */
-const MAX_ATTEMPTS = 3;
-
-type RequestsStep = Step<RequestsState, RequestsEffect>;
-
-type ChartEvent =
-  | { readonly kind: 'enqueue' }
-  | { readonly kind: 'dispatch'; readonly agentId: string }
-  | { readonly kind: 'record'; readonly agentId: string }
-  | { readonly kind: 'intentStored' }
-  | { readonly kind: 'intentFound'; readonly intent: Intent }
-  | { readonly kind: 'answer'; readonly answer: UpstreamAnswer }
-  | { readonly kind: 'retry' }
-  | { readonly kind: 'refuse'; readonly reason: NotRunReason }
-  | { readonly kind: 'giveUp'; readonly reason: UnknownReason }
-  | { readonly kind: 'expire' };
+/**
+ * Oldest intent after which an attempt is still sent. Agents remember for a minute which attempts
+ * they have refused, so an attempt must not be sent long after its row could be read by others.
+ */
+const INTENT_FRESH_MS = 5_000;
 
 /** The state before the first request. */
 export function createRequests(homeDomain: string): RequestsState {
@@ -57,7 +42,9 @@
     routing: createRouting(homeDomain),
     isDraining: false,
     records: Map(),
-    queue: OrderedMap(),
+    queues: Map(),
+    collectors: Map(),
+    lostAtMs: Map(),
   };
 }
 
@@ -66,251 +53,132 @@
   return state.records.isEmpty();
 }
 
-function newAttempt(record: RequestRecord, agentId: string, nowMs: number): RequestRecord {
-  const attemptId = `${record.request.requestId}.${record.attemptCount + 1}`;
-  const attempt: SentAttempt = { attemptId, agentId, sentAtMs: nowMs };
-  return {
-    ...record,
-    attemptCount: record.attemptCount + 1,
-    attempts: [...record.attempts, attempt],
-    intent: { requestId: record.request.requestId, attemptId, agentId },
-  };
-}
-
-function amend(record: RequestRecord, event: ChartEvent, nowMs: number): RequestRecord {
-  switch (event.kind) {
-    case 'dispatch':
-    case 'record':
-      return newAttempt(record, event.agentId, nowMs);
-    case 'intentFound':
-      return { ...record, intent: event.intent, attempts: [] };
-    case 'enqueue':
-    case 'intentStored':
-    case 'answer':
-    case 'retry':
-    case 'refuse':
-    case 'giveUp':
-    case 'expire':
-      return record;
-    default:
-      return assertNever(event);
-  }
-}
-
-function effectsOf(
-  record: RequestRecord,
-  event: ChartEvent,
-  action: RequestAction,
-  instant: Instant,
-): readonly RequestsEffect[] {
-  const { request, intent } = record;
-  const { requestId } = request;
-  switch (action) {
-    case 'sendAttempt': {
-      const attempt = record.attempts.at(-1);
-      if (attempt === undefined) return [];
-      const message = {
-        kind: 'request',
-        requestId,
-        attemptId: attempt.attemptId,
-        idempotencyKey: request.idempotencyKey,
-        method: request.method,
-        path: request.path,
-        headers: request.headers,
-        body: request.body,
-        timeoutMs: Math.max(1, record.deadlineAtMs - instant.nowMs),
-        traceparent: request.traceparent,
-      } as const;
-      return [{ kind: 'send', agentId: attempt.agentId, message }];
-    }
-    case 'sendCollect':
-      return intent === undefined
-        ? []
-        : [{ kind: 'send', agentId: intent.agentId, message: { ...intent, kind: 'collect' } }];
-    case 'cancelAttempts':
-      return record.attempts.map(({ agentId, attemptId }) => ({
-        kind: 'send',
-        agentId,
-        message: { kind: 'cancelRequest', requestId, attemptId },
-      }));
-    case 'storeIntent':
-      return intent === undefined || request.idempotencyKey === undefined
-        ? []
-        : [{ kind: 'storeIntent', key: request.idempotencyKey, intent }];
-    case 'replyAnswer':
-      return event.kind === 'answer'
-        ? [{ kind: 'reply', requestId, outcome: { kind: 'answered', answer: event.answer } }]
-        : [];
-    case 'replyNotRun': {
-      const reason = event.kind === 'refuse' ? event.reason : 'deadlineExpired';
-      return [{ kind: 'reply', requestId, outcome: { kind: 'notRun', reason } }];
-    }
-    case 'replyUnknown': {
-      const reason = event.kind === 'giveUp' ? event.reason : 'deadlineExpired';
-      return [{ kind: 'reply', requestId, outcome: { kind: 'unknown', reason } }];
-    }
-    default:
-      return assertNever(action);
-  }
-}
-
-function apply(
-  state: RequestsState,
-  record: RequestRecord,
-  event: ChartEvent,
-  instant: Instant,
-): RequestsStep {
-  const next = advance(requestChart, record.phase, event.kind);
-  if (next.state === record.phase && next.actions.length === 0) return unchanged(state);
-  const { requestId } = record.request;
-  const amended = { ...amend(record, event, instant.nowMs), phase: next.state };
-  const queue =
-    next.state === 'queued' ? state.queue.set(requestId, true) : state.queue.delete(requestId);
-  const records =
-    next.state === 'ended'
-      ? state.records.delete(requestId)
-      : state.records.set(requestId, amended);
-  const isSent = event.kind === 'dispatch' || event.kind === 'record';
-  const sentRouting = isSent ? countSent(state.routing, event.agentId) : state.routing;
-  // A request that ends releases the upstreams of the attempts that it still had.
-  const routing =
-    next.state === 'ended'
-      ? record.attempts.reduce(
-          (current, attempt) => countEnded(current, attempt.agentId, undefined),
-          sentRouting,
-        )
-      : sentRouting;
-  return {
-    state: { ...state, records, queue, routing },
-    effects: next.actions.flatMap((action) => effectsOf(amended, event, action, instant)),
-  };
-}
-
-function place(state: RequestsState, record: RequestRecord, instant: Instant): RequestsStep {
-  const { request } = record;
-  const agentId = chooseUpstream(state.routing, request.service, [], instant.random);
-  if (agentId !== undefined) {
-    const kind = request.idempotencyKey === undefined ? 'dispatch' : 'record';
-    return apply(state, record, { kind, agentId }, instant);
-  }
-  const isFull = state.queue.size >= QUEUE_PER_SLOT * totalSlots(state.routing, request.service);
-  if (!hasUpstream(state.routing, request.service)) {
-    return apply(state, record, { kind: 'refuse', reason: 'noUpstream' }, instant);
-  }
-  return isFull
-    ? apply(state, record, { kind: 'refuse', reason: 'overloaded' }, instant)
-    : apply(state, record, { kind: 'enqueue' }, instant);
-}
-
 function arrived(state: RequestsState, request: CallerRequest, instant: Instant): RequestsStep {
+  const { requestId, service, timeoutMs } = request;
+  const intent = newIntent(request);
   const record: RequestRecord = {
     request,
     phase: requestChart.initial,
-    arrivedAtMs: instant.nowMs,
-    deadlineAtMs: instant.nowMs + request.timeoutMs,
-    attemptCount: 0,
+    deadlineAtMs: instant.nowMs + timeoutMs,
+    plannedCount: 0,
+    sentCount: 0,
     attempts: [],
+    mayHaveRun: false,
+    triedAgentIds: [],
+    ...(intent === undefined ? {} : { intent }),
   };
-  const placed = state.isDraining
-    ? apply(state, record, { kind: 'refuse', reason: 'draining' }, instant)
-    : place(state, record, instant);
+  if (state.isDraining) return finish(state, record, 'draining', instant);
+  const pool = state.routing.pools.get(service);
+  // A service without upstreams gets no pool, so that made-up names take no memory.
+  const routing =
+    pool === undefined ? state.routing : setPool(state.routing, service, earnRetry(pool));
+  const placed = place({ ...state, routing }, record, instant);
   const expiry: RequestsEffect = {
-    kind: 'expireLater',
-    requestId: request.requestId,
-    afterMs: request.timeoutMs,
+    kind: 'wake',
+    timer: { kind: 'requestExpiry', requestId },
+    afterMs: timeoutMs,
   };
-  return placed.state.records.has(request.requestId)
+  return placed.state.records.has(requestId)
     ? { ...placed, effects: [...placed.effects, expiry] }
     : placed;
 }
 
-/** Takes an ended attempt off the record and its upstream. Late and crossed ones are not found. */
-function takeAttempt(
-  state: RequestsState,
-  requestId: string,
-  attemptId: string,
-  latencyFrom: number | undefined,
-): { readonly state: RequestsState; readonly record: RequestRecord } | undefined {
+function expire(state: RequestsState, requestId: string, instant: Instant): RequestsStep {
   const record = state.records.get(requestId);
-  if (record === undefined) return undefined;
-  const attempt = record.attempts.find((candidate) => candidate.attemptId === attemptId);
-  if (attempt === undefined) {
-    const isCollected = record.phase === 'collecting' && record.intent?.attemptId === attemptId;
-    return isCollected ? { state, record } : undefined;
-  }
-  const latencyMs = latencyFrom === undefined ? undefined : latencyFrom - attempt.sentAtMs;
-  const attempts = record.attempts.filter((candidate) => candidate !== attempt);
-  const left = { ...record, attempts };
-  return {
-    state: {
-      ...state,
-      routing: countEnded(state.routing, attempt.agentId, latencyMs),
-      records: state.records.set(requestId, left),
-    },
-    record: left,
-  };
+  return record === undefined
+    ? unchanged(state)
+    : finish(state, record, 'deadlineExpired', instant);
 }
 
-function attemptNotRun(
+function hedge(state: RequestsState, requestId: string, instant: Instant): RequestsStep {
+  const record = state.records.get(requestId);
+  const isWaiting = record?.phase === 'dispatched' && record.sentCount === 1;
+  if (record === undefined || !isWaiting || record.intent !== undefined) return unchanged(state);
+  const { service } = record.request;
+  const { random } = instant;
+  const agentId = chooseUpstream(state.routing, service, record.triedAgentIds, random);
+  const paid = agentId === undefined ? undefined : takeRetry(state, record);
+  return agentId === undefined || paid === undefined
+    ? unchanged(state)
+    : apply(paid, record, { kind: 'hedge', agentId }, instant);
+}
+
+/** The row names the planned attempt: it may be sent, unless too much has changed meanwhile. */
+function intentOwned(
   state: RequestsState,
-  requestId: string,
-  attemptId: string,
-  reason: NotRunReason,
+  record: RequestRecord,
+  version: number,
   instant: Instant,
 ): RequestsStep {
-  const taken = takeAttempt(state, requestId, attemptId, undefined);
-  if (taken === undefined) return unchanged(state);
-  const { record } = taken;
-  // A non-idempotent request would need its intent moved to the next attempt.
-  const mayRetry =
-    record.attemptCount < MAX_ATTEMPTS && record.request.idempotencyKey === undefined;
-  const event: ChartEvent = mayRetry ? { kind: 'retry' } : { kind: 'refuse', reason };
-  return apply(taken.state, record, event, instant);
+  const { intent, planned } = record;
+  if (intent === undefined || planned === undefined) return unchanged(state);
+  if (record.deadlineAtMs <= instant.nowMs) {
+    return finish(state, record, 'deadlineExpired', instant);
+  }
+  const isFresh = instant.nowMs - intent.committedAtMs <= INTENT_FRESH_MS;
+  const maySend = isFresh && isUsable(state.routing, planned.agentId);
+  return apply(state, record, { kind: maySend ? 'stored' : 'requeue', version }, instant);
 }
 
-function attemptUnknown(
+function settle(
   state: RequestsState,
-  requestId: string,
-  attemptId: string,
-  reason: UnknownReason,
+  record: RequestRecord,
+  settlement: Settlement,
   instant: Instant,
 ): RequestsStep {
-  const taken = takeAttempt(state, requestId, attemptId, undefined);
-  if (taken === undefined) return unchanged(state);
-  const { record } = taken;
-  const mayRetry =
-    record.attemptCount < MAX_ATTEMPTS && record.request.idempotencyKey === undefined;
-  const event: ChartEvent = mayRetry ? { kind: 'retry' } : { kind: 'giveUp', reason };
-  return apply(taken.state, record, event, instant);
-}
-
-function upstreamDown(state: RequestsState, agentId: string, instant: Instant): RequestsStep {
-  const routing = removeUpstream(state.routing, agentId);
-  const lost = state.records
-    .valueSeq()
-    .flatMap(({ request, attempts }) =>
-      attempts
-        .filter((attempt) => attempt.agentId === agentId)
-        .map(({ attemptId }) => ({ requestId: request.requestId, attemptId })),
-    )
-    .toArray();
-  return lost.reduce<RequestsStep>(
-    (step, { requestId, attemptId }) => {
-      const next = attemptUnknown(step.state, requestId, attemptId, 'connectionLost', instant);
-      return { state: next.state, effects: [...step.effects, ...next.effects] };
-    },
-    { state: { ...state, routing }, effects: [] },
-  );
+  switch (settlement.kind) {
+    case 'own':
+      return intentOwned(state, record, settlement.version, instant);
+    case 'other': {
+      const { row, version } = settlement;
+      const found = apply(state, record, { kind: 'found', row, version }, instant);
+      const isPresent = state.routing.upstreams.get(row.agentId)?.presence === 'present';
+      return isPresent
+        ? found
+        : chain(found, (current) => awaitAgent(current, row.agentId, instant.nowMs));
+    }
+    case 'reused':
+    case 'recommit':
+    case 'readBack':
+      return apply(state, record, settlement, instant);
+    case 'unreadable':
+      return apply(state, record, { kind: 'giveUp', reason: 'recordUnreadable' }, instant);
+    case 'unavailable':
+      return finish(state, record, 'storeUnavailable', instant);
+    default:
+      return assertNever(settlement);
+  }
 }
 
-function withRecord(
-  state: RequestsState,
-  requestId: string,
-  event: ChartEvent,
-  instant: Instant,
-): RequestsStep {
+function onStore(state: RequestsState, event: StoreEvent, instant: Instant): RequestsStep {
+  const requestId = event.callId.slice(0, event.callId.lastIndexOf('#'));
   const record = state.records.get(requestId);
-  return record === undefined ? unchanged(state) : apply(state, record, event, instant);
+  const { intent, planned } = record ?? {};
+  // A late result of an access that is no longer awaited changes nothing.
+  if (record === undefined || intent === undefined || planned === undefined) {
+    return unchanged(state);
+  }
+  if (intent.callId !== event.callId) return unchanged(state);
+  const settlement =
+    event.kind === 'commitDone'
+      ? settleCommit(intent, planned, event.result)
+      : settleRead(intent, planned, event.result);
+  return settle(state, record, settlement, instant);
+}
+
+function onTimer(state: RequestsState, timer: RequestsTimer, instant: Instant): RequestsStep {
+  switch (timer.kind) {
+    case 'requestExpiry':
+      return expire(state, timer.requestId, instant);
+    case 'requestHedge':
+      return hedge(state, timer.requestId, instant);
+    case 'agentReturn':
+      return agentReturnOver(state, timer.agentId, instant);
+    case 'upstreamProbe':
+      return unchanged({ ...state, routing: allowProbe(state.routing, timer.agentId) });
+    default:
+      return assertNever(timer);
+  }
 }
 
 function decide(state: RequestsState, event: RequestsEvent, instant: Instant): RequestsStep {
@@ -318,39 +186,28 @@
     case 'arrived':
       return arrived(state, event.request, instant);
     case 'upstreamUp':
-      return unchanged({ ...state, routing: addUpstream(state.routing, event.upstream) });
+      return upstreamUp(state, event.upstream, instant);
     case 'upstreamLeaving':
       return unchanged({ ...state, routing: markLeaving(state.routing, event.agentId) });
+    case 'upstreamSuspect': {
+      const presence = event.isSuspect ? 'suspect' : 'present';
+      return unchanged({ ...state, routing: setPresence(state.routing, event.agentId, presence) });
+    }
     case 'upstreamDown':
       return upstreamDown(state, event.agentId, instant);
-    case 'answered': {
-      const taken = takeAttempt(state, event.requestId, event.attemptId, instant.nowMs);
-      return taken === undefined
-        ? unchanged(state)
-        : apply(taken.state, taken.record, { kind: 'answer', answer: event.answer }, instant);
-    }
-    case 'notRun':
-      return attemptNotRun(state, event.requestId, event.attemptId, event.reason, instant);
-    case 'outcomeUnknown':
-      return attemptUnknown(state, event.requestId, event.attemptId, event.reason, instant);
-    case 'intentStored':
-      return withRecord(state, event.requestId, { kind: 'intentStored' }, instant);
-    case 'intentFound':
-      return withRecord(
-        state,
-        event.requestId,
-        { kind: 'intentFound', intent: event.intent },
-        instant,
+    case 'domains':
+      return unchanged({ ...state, routing: setOutDomains(state.routing, event.outDomains) });
+    case 'attemptEnded':
+      return waitingFor(state, event.agentId, event.requestId, event.attemptId).reduce(
+        (step, { record, attempt }) =>
+          chain(step, (current) => endAttempt(current, record, attempt, event.result, instant)),
+        unchanged(state) as RequestsStep,
       );
-    case 'intentFailed':
-      return withRecord(
-        state,
-        event.requestId,
-        { kind: 'refuse', reason: 'storeUnavailable' },
-        instant,
-      );
-    case 'expire':
-      return withRecord(state, event.requestId, { kind: 'expire' }, instant);
+    case 'commitDone':
+    case 'readDone':
+      return onStore(state, event, instant);
+    case 'timer':
+      return onTimer(state, event.timer, instant);
     case 'drain':
       return unchanged({ ...state, isDraining: true });
     default:
@@ -358,24 +215,11 @@
   }
 }
 
-function dispatchQueued(step: RequestsStep, instant: Instant): RequestsStep {
-  const requestId = step.state.queue.keySeq().first();
-  const record = requestId === undefined ? undefined : step.state.records.get(requestId);
-  if (record === undefined) return step;
-  const placed = place(step.state, record, instant);
-  if (placed.state.queue.size >= step.state.queue.size) return step;
-  const [random = 0] = draws(instant.random, 1);
-  return dispatchQueued(
-    { state: placed.state, effects: [...step.effects, ...placed.effects] },
-    { ...instant, random },
-  );
-}
-
 /** Decides what happens to callers' requests at an entry. */
 export function stepRequests(
   state: RequestsState,
   event: RequestsEvent,
   instant: Instant,
 ): RequestsStep {
-  return dispatchQueued(decide(state, event, instant), instant);
+  return chain(decide(state, event, instant), (current) => dispatchQueued(current, instant));
 }
--- /dev/null
+++ b/packages/requests/src/transition.ts
@@ -0,0 +1,211 @@
+import { advance } from '@bronzeyoke/chart';
+import type { AttemptEnd } from '@bronzeyoke/routing';
+import type { Instant } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { RequestAction } from './chart';
+import { requestChart } from './chart';
+import { intentTransaction } from './intent';
+import { replaceRecord } from './records';
+import type {
+  Attempt,
+  ChartEvent,
+  Intent,
+  RequestRecord,
+  RequestsEffect,
+  RequestsState,
+  RequestsStep,
+} from './types';
+
+function plan(record: RequestRecord, agentId: string): Attempt {
+  const { requestId } = record.request;
+  const attemptId = `${requestId}.${record.plannedCount + 1}`;
+  return { attemptId, requestId, agentId, sentAtMs: 0, isMeasured: false };
+}
+
+function send(record: RequestRecord, planned: Attempt, nowMs: number): RequestRecord {
+  const attempt = { ...planned, sentAtMs: nowMs, isMeasured: true };
+  return {
+    ...record,
+    sentCount: record.sentCount + 1,
+    attempts: [...record.attempts, attempt],
+    triedAgentIds: [...record.triedAgentIds, planned.agentId],
+  };
+}
+
+function withVersion(intent: Intent | undefined, version: number): Partial<RequestRecord> {
+  return intent === undefined ? {} : { intent: { ...intent, version } };
+}
+
+function nextCall(record: RequestRecord, change: Partial<Intent>): RequestRecord {
+  const { intent } = record;
+  if (intent === undefined) return record;
+  const callCount = intent.callCount + 1;
+  const callId = `${record.request.requestId}#${callCount}`;
+  return { ...record, intent: { ...intent, ...change, callCount, callId } };
+}
+
+function amend(record: RequestRecord, event: ChartEvent, nowMs: number): RequestRecord {
+  const { planned, ...unplanned } = record;
+  switch (event.kind) {
+    case 'dispatch':
+    case 'hedge': {
+      const attempt = plan(record, event.agentId);
+      return send({ ...unplanned, plannedCount: record.plannedCount + 1 }, attempt, nowMs);
+    }
+    case 'record': {
+      const attempt = plan(record, event.agentId);
+      const next = { ...record, plannedCount: record.plannedCount + 1, planned: attempt };
+      return nextCall(next, { committedAtMs: nowMs, commitCount: 1 });
+    }
+    case 'stored': {
+      const stored = { ...unplanned, ...withVersion(record.intent, event.version) };
+      return planned === undefined ? stored : send(stored, planned, nowMs);
+    }
+    case 'recommit':
+      return nextCall(record, { commitCount: (record.intent?.commitCount ?? 0) + 1 });
+    case 'readBack':
+      return nextCall(record, {});
+    case 'requeue':
+      return { ...unplanned, ...withVersion(record.intent, event.version) };
+    case 'found': {
+      const { requestId, attemptId, agentId } = event.row;
+      const attempt = { requestId, attemptId, agentId, sentAtMs: nowMs, isMeasured: false };
+      const found = { ...unplanned, ...withVersion(record.intent, event.version) };
+      return { ...found, attempts: [attempt] };
+    }
+    case 'enqueue':
+    case 'reused':
+    case 'answer':
+    case 'retry':
+    case 'lose':
+    case 'collect':
+    case 'refuse':
+    case 'giveUp':
+      return record;
+    default:
+      return assertNever(event);
+  }
+}
+
+function collects(record: RequestRecord, agentId: string): readonly RequestsEffect[] {
+  return record.attempts
+    .filter((attempt) => attempt.agentId === agentId)
+    .map(({ requestId, attemptId }) => ({
+      kind: 'send',
+      agentId,
+      message: { kind: 'collect', requestId, attemptId },
+    }));
+}
+
+function commitEffects(record: RequestRecord): readonly RequestsEffect[] {
+  const { intent, planned } = record;
+  if (intent === undefined || planned === undefined) return [];
+  const transaction = intentTransaction(intent, planned);
+  return [{ kind: 'commit', origin: 'requests', callId: intent.callId, transaction }];
+}
+
+function sendEffects(record: RequestRecord, instant: Instant): readonly RequestsEffect[] {
+  const attempt = record.attempts.at(-1);
+  if (attempt === undefined) return [];
+  const { requestId, idempotencyKey, method, path, headers, body, traceparent } = record.request;
+  const { attemptId, agentId } = attempt;
+  const timeoutMs = Math.max(1, record.deadlineAtMs - instant.nowMs);
+  const message = {
+    kind: 'request',
+    requestId,
+    attemptId,
+    idempotencyKey,
+    method,
+    path,
+    headers,
+    body,
+    timeoutMs,
+    traceparent,
+  } as const;
+  return [{ kind: 'send', agentId, message }];
+}
+
+function effectsOf(
+  record: RequestRecord,
+  event: ChartEvent,
+  action: RequestAction,
+  instant: Instant,
+): readonly RequestsEffect[] {
+  const { requestId } = record.request;
+  switch (action) {
+    case 'sendAttempt':
+      return sendEffects(record, instant);
+    case 'sendCollect': {
+      const agentId = event.kind === 'collect' ? event.agentId : record.attempts.at(-1)?.agentId;
+      return agentId === undefined ? [] : collects(record, agentId);
+    }
+    case 'cancelAttempts':
+      // An attempt of another request is not ours to cancel.
+      return record.attempts
+        .filter((attempt) => attempt.requestId === requestId)
+        .map(({ agentId, attemptId }) => ({
+          kind: 'send',
+          agentId,
+          message: { kind: 'cancelRequest', requestId, attemptId },
+        }));
+    case 'commitIntent':
+      return commitEffects(record);
+    case 'readIntent':
+      return record.intent === undefined
+        ? []
+        : [
+            {
+              kind: 'read',
+              origin: 'requests',
+              callId: record.intent.callId,
+              keys: [record.intent.key],
+            },
+          ];
+    case 'replyAnswer':
+      return event.kind === 'answer'
+        ? [{ kind: 'reply', requestId, outcome: { kind: 'answered', answer: event.answer } }]
+        : [];
+    case 'replyNotRun': {
+      const reason = event.kind === 'refuse' ? event.reason : 'deadlineExpired';
+      return [{ kind: 'reply', requestId, outcome: { kind: 'notRun', reason } }];
+    }
+    case 'replyUnknown': {
+      const reason = event.kind === 'giveUp' ? event.reason : 'deadlineExpired';
+      return [{ kind: 'reply', requestId, outcome: { kind: 'unknown', reason } }];
+    }
+    case 'replyKeyReused':
+      return [{ kind: 'reply', requestId, outcome: { kind: 'keyReused' } }];
+    default:
+      return assertNever(action);
+  }
+}
+
+/** How the attempts that a request still has when it ends concern their upstreams. */
+function endOf(event: ChartEvent, attempt: Attempt, nowMs: number): AttemptEnd {
+  return event.kind === 'giveUp' && event.reason === 'deadlineExpired'
+    ? { kind: 'timedOut' }
+    : { kind: 'abandoned', elapsedMs: nowMs - attempt.sentAtMs };
+}
+
+/** Applies an event of the chart to a request. */
+export function apply(
+  state: RequestsState,
+  record: RequestRecord,
+  event: ChartEvent,
+  instant: Instant,
+): RequestsStep {
+  const next = advance(requestChart, record.phase, event.kind);
+  if (next.state === record.phase && next.actions.length === 0) return unchanged(state);
+  const amended = { ...amend(record, event, instant.nowMs), phase: next.state };
+  const known = state.records.get(record.request.requestId);
+  const after = next.state === 'ended' ? undefined : amended;
+  const replaced = replaceRecord(
+    state,
+    known,
+    after,
+    (attempt) => endOf(event, attempt, instant.nowMs),
+    instant.nowMs,
+  );
+  const effects = next.actions.flatMap((action) => effectsOf(amended, event, action, instant));
+  return { state: replaced.state, effects: [...effects, ...replaced.effects] };
+}
--- /dev/null
+++ b/packages/routing/src/attempt.ts
@@ -0,0 +1,167 @@
+import { advance } from '@bronzeyoke/chart';
+import type { Step } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { HealthAction } from './chart';
+import { healthChart } from './chart';
+import { adaptLimit, learnLatency } from './limit';
+import { FIRST_PROBE_MS, inFlightAt, poolOf, replaceUpstream, setPool } from './state';
+import type { AttemptEnd, Pool, RoutingEffect, RoutingState, UpstreamView } from './types';
+
+const MAX_PROBE_MS = 30_000;
+const MAX_FAILURES_IN_ROW = 5;
+const LATENCY_OUTLIER = 4;
+
+/** Samples of an upstream before its latency is compared with that of the others. */
+const MIN_OUTLIER_SAMPLES = 10;
+
+/** Latencies from which the quantiles of a service are computed. */
+const WINDOW = 64;
+
+type RoutingStep = Step<RoutingState, RoutingEffect>;
+type HealthEvent = 'eject' | 'due' | 'send' | 'pass' | 'fail' | 'release';
+
+function act(view: UpstreamView, action: HealthAction): UpstreamView {
+  switch (action) {
+    case 'scheduleProbe':
+      return view;
+    case 'doubleDelay':
+      return { ...view, probeDelayMs: Math.min(MAX_PROBE_MS, view.probeDelayMs * 2) };
+    case 'resetDelay':
+      return { ...view, probeDelayMs: FIRST_PROBE_MS, failuresInRow: 0 };
+    default:
+      return assertNever(action);
+  }
+}
+
+function changeHealth(state: RoutingState, view: UpstreamView, event: HealthEvent): RoutingStep {
+  const next = advance(healthChart, view.health, event);
+  if (next.state === view.health) return unchanged(state);
+  const changed = next.actions.reduce(act, { ...view, health: next.state });
+  const probe: RoutingEffect = {
+    kind: 'probeLater',
+    agentId: view.info.agentId,
+    afterMs: changed.probeDelayMs,
+  };
+  return {
+    state: replaceUpstream(state, changed),
+    effects: next.actions.includes('scheduleProbe') ? [probe] : [],
+  };
+}
+
+/** Lets an ejected upstream have one request, once its delay is over. */
+export function allowProbe(state: RoutingState, agentId: string): RoutingState {
+  const view = state.upstreams.get(agentId);
+  return view === undefined ? state : changeHealth(state, view, 'due').state;
+}
+
+/** Counts an attempt that was planned or sent. */
+export function countSent(state: RoutingState, agentId: string): RoutingState {
+  const counted = {
+    ...state,
+    inFlight: state.inFlight.set(agentId, inFlightAt(state, agentId) + 1),
+  };
+  const view = state.upstreams.get(agentId);
+  if (view === undefined) return counted;
+  const { vacantId, ...pool } = poolOf(state, view.info.service);
+  const claimed = vacantId === undefined ? counted : setPool(counted, view.info.service, pool);
+  return changeHealth(claimed, view, 'send').state;
+}
+
+function isFailure(end: AttemptEnd): boolean {
+  return (
+    end.kind === 'failed' || end.kind === 'timedOut' || (end.kind === 'answered' && end.isFailure)
+  );
+}
+
+function learn(known: UpstreamView, end: AttemptEnd): UpstreamView {
+  // A probe starts the average anew: the old one would eject the upstream again at once.
+  const view = known.health === 'probing' ? { ...known, sampleCount: 0 } : known;
+  switch (end.kind) {
+    case 'answered':
+      // Failures are fast; counting their latency would draw requests to the upstream.
+      return end.isFailure ? view : learnLatency({ ...view, failuresInRow: 0 }, end.latencyMs);
+    case 'abandoned':
+      // The latency is at least this long; without it a slow upstream would look fast.
+      return end.elapsedMs > view.latencyMs ? learnLatency(view, end.elapsedMs) : view;
+    case 'failed':
+    case 'timedOut':
+    case 'refused':
+    case 'released':
+      return view;
+    default:
+      return assertNever(end);
+  }
+}
+
+function medianOf(state: RoutingState, pool: Pool): number | undefined {
+  const averages = pool.members
+    .flatMap((agentId) => state.upstreams.get(agentId) ?? [])
+    .filter((view) => view.sampleCount >= MIN_OUTLIER_SAMPLES)
+    .map((view) => view.latencyMs)
+    .sort((one, other) => one - other);
+  return averages[Math.floor((averages.length - 1) / 2)];
+}
+
+function learnPool(state: RoutingState, service: string, latencyMs: number): RoutingState {
+  const pool = poolOf(state, service);
+  const window = [...pool.window, latencyMs];
+  if (window.length < WINDOW) return setPool(state, service, { ...pool, window });
+  const sorted = [...window].sort((one, other) => one - other);
+  const p95Ms = sorted[Math.floor(WINDOW * 0.95)] ?? latencyMs;
+  const medianMs = medianOf(state, pool);
+  return setPool(state, service, {
+    ...pool,
+    window: [],
+    p95Ms,
+    ...(medianMs === undefined ? {} : { medianMs }),
+  });
+}
+
+/** The latency that an end adds to those of its service. */
+function poolSample(pool: Pool, end: AttemptEnd): number | undefined {
+  if (end.kind === 'answered') return end.isFailure ? undefined : end.latencyMs;
+  // An attempt that lost against its hedge belongs to the slowest; without it the limit would fall.
+  const isTail = end.kind === 'abandoned' && end.elapsedMs > (pool.p95Ms ?? Infinity);
+  return isTail ? end.elapsedMs : undefined;
+}
+
+function healthEvent(view: UpstreamView, pool: Pool, end: AttemptEnd): HealthEvent | undefined {
+  const slowMs = LATENCY_OUTLIER * (pool.medianMs ?? Infinity);
+  if (view.health === 'probing') {
+    if (end.kind === 'released') return 'release';
+    const isFast = end.kind === 'answered' && !end.isFailure && end.latencyMs <= slowMs;
+    return isFast ? 'pass' : 'fail';
+  }
+  const isSlow = view.sampleCount >= MIN_OUTLIER_SAMPLES && view.latencyMs > slowMs;
+  const isOutlier = isSlow || view.failuresInRow >= MAX_FAILURES_IN_ROW;
+  // At most half are ejected: when most look bad, the cause is elsewhere.
+  const isAllowed = (pool.ejectedCount + 1) * 2 <= pool.members.length;
+  return isOutlier && isAllowed ? 'eject' : undefined;
+}
+
+/** Counts an attempt that ended and learns from it. */
+export function countEnded(
+  state: RoutingState,
+  agentId: string,
+  end: AttemptEnd,
+  nowMs: number,
+): RoutingStep {
+  const open = inFlightAt(state, agentId);
+  const inFlight =
+    open <= 1 ? state.inFlight.delete(agentId) : state.inFlight.set(agentId, open - 1);
+  const view = state.upstreams.get(agentId);
+  if (view === undefined) return unchanged({ ...state, inFlight });
+  const { service } = view.info;
+  const failuresInRow = view.failuresInRow + Number(isFailure(end));
+  const learned = adaptLimit(learn({ ...view, failuresInRow }, end), end, open, nowMs);
+  const counted = { ...state, inFlight, upstreams: state.upstreams.set(agentId, learned) };
+  const pool = poolOf(counted, service);
+  const opened =
+    pool.isFull && open - 1 < Math.floor(learned.limit)
+      ? setPool(counted, service, { ...pool, isFull: false, vacantId: agentId })
+      : counted;
+  const sampleMs = poolSample(pool, end);
+  const sampled = sampleMs === undefined ? opened : learnPool(opened, service, sampleMs);
+  const event = healthEvent(learned, poolOf(sampled, service), end);
+  return event === undefined ? unchanged(sampled) : changeHealth(sampled, learned, event);
+}
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -1,50 +1,92 @@
 import { draws } from '@bronzeyoke/types';
-import type { RoutingState, UpstreamView } from './state';
+import { inFlightAt, isCandidate, poolOf } from './state';
+import type { RoutingState } from './types';
 
-function score(view: UpstreamView): number {
-  return ((view.inFlight + 1) / Math.max(1, view.info.slots)) * view.latencyMs;
+/** Two choices are drawn this often before all candidates are looked at. */
+const TRIES = 2;
+
+/** Candidates that are looked at for a free slot; a full search is made only for any room at all. */
+const SLOT_SEARCH = 16;
+
+function score(state: RoutingState, agentId: string): number {
+  const view = state.upstreams.get(agentId);
+  if (view === undefined) return Infinity;
+  return ((inFlightAt(state, agentId) + 1) / Math.max(1, view.info.slots)) * view.latencyMs;
 }
 
-function pick(candidates: readonly UpstreamView[], random: number): UpstreamView | undefined {
-  const sampled = draws(random, 2).flatMap(
-    (draw) => candidates[Math.floor(draw * candidates.length)] ?? [],
-  );
-  return sampled.reduce<UpstreamView | undefined>(
-    (best, view) => (best === undefined || score(view) < score(best) ? view : best),
-    undefined,
-  );
+type HasRoom = (agentId: string) => boolean;
+
+function better(
+  state: RoutingState,
+  one: string | undefined,
+  other: string | undefined,
+): string | undefined {
+  if (one === undefined) return other;
+  if (other === undefined) return one;
+  return score(state, other) < score(state, one) ? other : one;
 }
 
-/** The upstream for the next attempt: the better of two, from the home domain while it has room. */
+function pick(
+  state: RoutingState,
+  candidates: readonly string[],
+  hasRoom: HasRoom,
+  numbers: readonly number[],
+  searchLimit: number,
+): string | undefined {
+  const at = (number: number): string | undefined => {
+    const agentId = candidates[Math.floor(number * candidates.length)];
+    return agentId !== undefined && hasRoom(agentId) ? agentId : undefined;
+  };
+  // A plain loop: this is the hot path of candidate sampling, without a list per decision.
+  for (let index = 0; index < TRIES; index += 1) {
+    const found = better(state, at(numbers[index * 2] ?? 0), at(numbers[index * 2 + 1] ?? 0));
+    if (found !== undefined) return found;
+  }
+  const start = Math.floor((numbers[0] ?? 0) * candidates.length);
+  for (let index = 0; index < Math.min(searchLimit, candidates.length); index += 1) {
+    const agentId = candidates[(start + index) % candidates.length];
+    if (agentId !== undefined && hasRoom(agentId)) return agentId;
+  }
+  return undefined;
+}
+
+/** The upstream for the next attempt, or nothing when none has room. */
 export function chooseUpstream(
   state: RoutingState,
   service: string,
   excluded: readonly string[],
   random: number,
 ): string | undefined {
-  const usable = state.upstreams
-    .valueSeq()
-    .filter(
-      (view) =>
-        view.info.service === service &&
-        !view.isLeaving &&
-        view.inFlight < view.info.slots &&
-        !excluded.includes(view.info.agentId),
-    )
-    .toArray();
-  const nearby = usable.filter((view) => view.info.domain === state.homeDomain);
-  return pick(nearby.length > 0 ? nearby : usable, random)?.info.agentId;
+  const pool = poolOf(state, service);
+  const probed = pool.ready.find((agentId) => !excluded.includes(agentId));
+  if (probed !== undefined) return probed;
+  if (pool.isFull) return undefined;
+  const hasRoom: HasRoom = (agentId) => {
+    const view = state.upstreams.get(agentId);
+    return (
+      view !== undefined &&
+      inFlightAt(state, agentId) < Math.floor(view.limit) &&
+      !excluded.includes(agentId)
+    );
+  };
+  const hasSlot: HasRoom = (agentId) =>
+    hasRoom(agentId) &&
+    inFlightAt(state, agentId) < (state.upstreams.get(agentId)?.info.slots ?? 0);
+  const { vacantId } = pool;
+  const vacant = vacantId === undefined ? undefined : state.upstreams.get(vacantId);
+  if (vacantId !== undefined && vacant !== undefined && isCandidate(state, vacant)) {
+    if (hasRoom(vacantId)) return vacantId;
+  }
+  const numbers = draws(random, TRIES * 2);
+  return (
+    pick(state, pool.home, hasSlot, numbers, SLOT_SEARCH) ??
+    pick(state, pool.away, hasSlot, numbers, SLOT_SEARCH) ??
+    pick(state, pool.home, hasRoom, numbers, Infinity) ??
+    pick(state, pool.away, hasRoom, numbers, Infinity)
+  );
 }
 
-/** Whether any upstream of a service is known, with room or without. */
+/** Whether a service has an upstream that takes new work now or may do so again soon. */
 export function hasUpstream(state: RoutingState, service: string): boolean {
-  return state.upstreams.some((view) => view.info.service === service && !view.isLeaving);
-}
-
-/** Slots of all upstreams of a service. */
-export function totalSlots(state: RoutingState, service: string): number {
-  return state.upstreams
-    .valueSeq()
-    .filter((view) => view.info.service === service && !view.isLeaving)
-    .reduce((sum, view) => sum + view.info.slots, 0);
+  return poolOf(state, service).slots > 0;
 }
--- /dev/null
+++ b/packages/routing/src/limit.ts
@@ -0,0 +1,46 @@
+import type { AttemptEnd, UpstreamView } from './types';
+
+/** Weight of the newest latency in the moving average. */
+const LATENCY_WEIGHT = 0.2;
+
+/** Factor by which the latency floor drifts upwards with each sample, so that it follows a change. */
+const FLOOR_DRIFT = 1.002;
+
+const LIMIT_DECREASE = 0.9;
+const LATENCY_RISE = 2;
+
+/** Samples before the latency is compared with its floor; the first ones include connecting. */
+const MIN_SAMPLES = 10;
+
+/** Counts one latency. */
+export function learnLatency(view: UpstreamView, latencyMs: number): UpstreamView {
+  const average =
+    view.sampleCount === 0
+      ? latencyMs
+      : view.latencyMs + LATENCY_WEIGHT * (latencyMs - view.latencyMs);
+  const floorMs = view.sampleCount === 0 ? average : Math.min(average, view.floorMs * FLOOR_DRIFT);
+  return { ...view, latencyMs: average, floorMs, sampleCount: view.sampleCount + 1 };
+}
+
+function lower(view: UpstreamView, nowMs: number): UpstreamView {
+  // Answers of one burst tell of the same overload, so they lower the limit once.
+  if (nowMs - view.limitLoweredAtMs < view.latencyMs) return view;
+  const limit = Math.max(1, view.limit * LIMIT_DECREASE);
+  return { ...view, limit, limitLoweredAtMs: nowMs };
+}
+
+/** Adapts the concurrency limit to the end of an attempt, while `inFlight` attempts were open. */
+export function adaptLimit(
+  view: UpstreamView,
+  end: AttemptEnd,
+  inFlight: number,
+  nowMs: number,
+): UpstreamView {
+  const isSlow = view.sampleCount > MIN_SAMPLES && view.latencyMs > LATENCY_RISE * view.floorMs;
+  if (end.kind === 'timedOut' || end.kind === 'refused') return lower(view, nowMs);
+  if (end.kind !== 'answered') return view;
+  if (isSlow) return lower(view, nowMs);
+  if (end.isFailure || inFlight < Math.floor(view.limit)) return view;
+  const { slots, connections } = view.info;
+  return { ...view, limit: Math.min(Math.max(1, slots + connections), view.limit + 1) };
+}
--- a/packages/routing/src/state.ts
+++ b/packages/routing/src/state.ts
@@ -1,37 +1,99 @@
 import { Map } from 'immutable';
+import { RETRY_BURST } from './budget';
+import { healthChart } from './chart';
+import type { Pool, Presence, RoutingState, UpstreamInfo, UpstreamView } from './types';
 
-/** An upstream as its agent announced it. */
-export interface UpstreamInfo {
-  readonly agentId: string;
-  readonly service: string;
-  readonly domain: string;
-  readonly slots: number;
-  readonly connections: number;
+/** Latency assumed of an upstream that has not answered yet; low, so that it gets a share soon. */
+const FIRST_LATENCY_MS = 1;
+
+/** Delay before the first probe of an ejected upstream. */
+export const FIRST_PROBE_MS = 1_000;
+
+const EMPTY_POOL: Pool = {
+  members: [],
+  home: [],
+  away: [],
+  ready: [],
+  slots: 0,
+  ejectedCount: 0,
+  isFull: false,
+  window: [],
+  retryTokens: RETRY_BURST,
+};
+
+/** The state before the first upstream announced itself. */
+export function createRouting(homeDomain: string): RoutingState {
+  return { homeDomain, outDomains: [], upstreams: Map(), inFlight: Map(), pools: Map() };
 }
 
-/** What an entry knows of an upstream. */
-export interface UpstreamView {
-  readonly info: UpstreamInfo;
-  readonly isLeaving: boolean;
-  readonly inFlight: number;
-  readonly latencyMs: number;
+/** The upstreams of a service. */
+export function poolOf(state: RoutingState, service: string): Pool {
+  return state.pools.get(service) ?? EMPTY_POOL;
 }
 
-/** What an entry knows of all upstreams. */
-export interface RoutingState {
-  readonly homeDomain: string;
-  readonly upstreams: Map<string, UpstreamView>;
+/** Attempts at an agent that have not ended. */
+export function inFlightAt(state: RoutingState, agentId: string): number {
+  return state.inFlight.get(agentId) ?? 0;
 }
 
-/** Latency assumed of an upstream that has not answered yet; low, so that it gets a share soon. */
-const FIRST_LATENCY_MS = 1;
+/** Changes the upstreams of a service. */
+export function setPool(state: RoutingState, service: string, pool: Pool): RoutingState {
+  return { ...state, pools: state.pools.set(service, pool) };
+}
 
-/** Weight of the newest latency in the moving average. */
-const LATENCY_WEIGHT = 0.2;
+function isReachable(state: RoutingState, view: UpstreamView): boolean {
+  return (
+    view.presence === 'present' && !view.isLeaving && !state.outDomains.includes(view.info.domain)
+  );
+}
 
-/** The state before the first upstream announced itself. */
-export function createRouting(homeDomain: string): RoutingState {
-  return { homeDomain, upstreams: Map() };
+/** Whether an upstream takes ordinary requests while it has room. */
+export function isCandidate(state: RoutingState, view: UpstreamView): boolean {
+  return view.health === 'healthy' && isReachable(state, view);
+}
+
+/** Whether an attempt may be sent to an upstream now, whatever its health. */
+export function isUsable(state: RoutingState, agentId: string): boolean {
+  const view = state.upstreams.get(agentId);
+  return view !== undefined && isReachable(state, view);
+}
+
+/** Notes that no candidate of a service has room. */
+export function markFull(state: RoutingState, service: string): RoutingState {
+  const { vacantId, ...pool } = poolOf(state, service);
+  return setPool(state, service, { ...pool, isFull: true });
+}
+
+/** Computes the candidates of a service anew, after one of its upstreams changed. */
+export function refreshPool(
+  state: RoutingState,
+  service: string,
+  members: readonly string[] = poolOf(state, service).members,
+): RoutingState {
+  const views = members.flatMap((agentId) => state.upstreams.get(agentId) ?? []);
+  const reachable = views.filter((view) => isReachable(state, view));
+  const idsOf = (chosen: readonly UpstreamView[]): readonly string[] =>
+    chosen.map((view) => view.info.agentId);
+  const healthy = reachable.filter((view) => isCandidate(state, view));
+  const { vacantId, ...pool } = poolOf(state, service);
+  return setPool(state, service, {
+    ...pool,
+    members: idsOf(views),
+    home: idsOf(healthy.filter((view) => view.info.domain === state.homeDomain)),
+    away: idsOf(healthy.filter((view) => view.info.domain !== state.homeDomain)),
+    ready: idsOf(reachable.filter((view) => view.health === 'ready')),
+    slots: views
+      .filter((view) => !view.isLeaving && !state.outDomains.includes(view.info.domain))
+      .reduce((sum, view) => sum + view.info.slots, 0),
+    ejectedCount: views.filter((view) => view.health !== 'healthy').length,
+    isFull: false,
+  });
+}
+
+/** Replaces what is known of an upstream and refreshes its pool. */
+export function replaceUpstream(state: RoutingState, view: UpstreamView): RoutingState {
+  const { agentId, service } = view.info;
+  return refreshPool({ ...state, upstreams: state.upstreams.set(agentId, view) }, service);
 }
 
 function change(
@@ -40,21 +102,37 @@
   update: (view: UpstreamView) => UpstreamView,
 ): RoutingState {
   const view = state.upstreams.get(agentId);
-  return view === undefined
-    ? state
-    : { ...state, upstreams: state.upstreams.set(agentId, update(view)) };
+  return view === undefined ? state : replaceUpstream(state, update(view));
 }
 
 /** Adds an upstream, or renews what is known of it. */
 export function addUpstream(state: RoutingState, info: UpstreamInfo): RoutingState {
   const known = state.upstreams.get(info.agentId);
+  const { agentId, service } = info;
   const view: UpstreamView = {
-    info,
+    presence: 'present',
     isLeaving: false,
-    inFlight: known?.inFlight ?? 0,
-    latencyMs: known?.latencyMs ?? FIRST_LATENCY_MS,
+    health: healthChart.initial,
+    probeDelayMs: FIRST_PROBE_MS,
+    failuresInRow: 0,
+    latencyMs: FIRST_LATENCY_MS,
+    sampleCount: 0,
+    floorMs: FIRST_LATENCY_MS,
+    limit: Math.max(1, info.slots),
+    limitLoweredAtMs: 0,
+    ...(known?.info.service === service ? { ...known, isLeaving: false, presence: 'present' } : {}),
+    info,
   };
-  return { ...state, upstreams: state.upstreams.set(info.agentId, view) };
+  const { members } = poolOf(state, service);
+  const left =
+    known === undefined || known.info.service === service
+      ? state
+      : refreshPool({ ...state, upstreams: state.upstreams.delete(agentId) }, known.info.service);
+  return refreshPool(
+    { ...left, upstreams: left.upstreams.set(agentId, view) },
+    service,
+    members.includes(agentId) ? members : [...members, agentId],
+  );
 }
 
 /** Stops new work for an upstream that is leaving. */
@@ -62,28 +140,31 @@
   return change(state, agentId, (view) => ({ ...view, isLeaving: true }));
 }
 
-/** Drops an upstream that is gone. */
-export function removeUpstream(state: RoutingState, agentId: string): RoutingState {
-  return { ...state, upstreams: state.upstreams.delete(agentId) };
+/** Notes the state of the connection to an agent. */
+export function setPresence(
+  state: RoutingState,
+  agentId: string,
+  presence: Presence,
+): RoutingState {
+  return state.upstreams.get(agentId)?.presence === presence
+    ? state
+    : change(state, agentId, (view) => ({ ...view, presence }));
 }
 
-/** Counts an attempt that was sent. */
-export function countSent(state: RoutingState, agentId: string): RoutingState {
-  return change(state, agentId, (view) => ({ ...view, inFlight: view.inFlight + 1 }));
+/** Drops an upstream that is gone. */
+export function removeUpstream(state: RoutingState, agentId: string): RoutingState {
+  const view = state.upstreams.get(agentId);
+  return view === undefined
+    ? state
+    : refreshPool({ ...state, upstreams: state.upstreams.delete(agentId) }, view.info.service);
 }
 
-/** Counts an attempt that ended; only an answer says something of the latency. */
-export function countEnded(
-  state: RoutingState,
-  agentId: string,
-  latencyMs: number | undefined,
-): RoutingState {
-  return change(state, agentId, (view) => ({
-    ...view,
-    inFlight: Math.max(0, view.inFlight - 1),
-    latencyMs:
-      latencyMs === undefined
-        ? view.latencyMs
-        : view.latencyMs + LATENCY_WEIGHT * (latencyMs - view.latencyMs),
-  }));
+/** Applies the failure domains that operators have taken out. */
+export function setOutDomains(state: RoutingState, outDomains: readonly string[]): RoutingState {
+  return state.pools
+    .keySeq()
+    .reduce<RoutingState>((current, service) => refreshPool(current, service), {
+      ...state,
+      outDomains,
+    });
 }
--- a/packages/types/src/failure.ts
+++ b/packages/types/src/failure.ts
@@ -10,7 +10,7 @@
 
 /** Why nobody can tell whether a request ran. */
 export type UnknownReason =
-  'connectionLost' | 'agentRestarted' | 'deadlineExpired' | 'upstreamFailed';
+  'connectionLost' | 'agentRestarted' | 'deadlineExpired' | 'upstreamFailed' | 'recordUnreadable';
 
 /** Every way in which an operation can fail. */
 export type Failure =
--- a/packages/types/src/request.ts
+++ b/packages/types/src/request.ts
@@ -25,8 +25,12 @@
   readonly body: Uint8Array;
 }
 
-/** The three ways in which a request can end. */
+/**
+ * The three ways in which a request can end, and the refusal of a key that belongs to a request with
+ * another content; such a request was not run.
+ */
 export type Outcome =
   | { readonly kind: 'answered'; readonly answer: UpstreamAnswer }
   | { readonly kind: 'notRun'; readonly reason: NotRunReason }
-  | { readonly kind: 'unknown'; readonly reason: UnknownReason };
+  | { readonly kind: 'unknown'; readonly reason: UnknownReason }
+  | { readonly kind: 'keyReused' };
