--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -1,16 +1,17 @@
+import { inFlightAt } from '@bronzeyoke/routing';
 import type { UpstreamStatus, WorkerStatus } from '@bronzeyoke/types';
 import type { EntryState } from './types';
 
 /** The upstreams as this entry sees them. */
 export function upstreamStatuses(state: EntryState): readonly UpstreamStatus[] {
   return [...state.requests.routing.upstreams.values()].map(
-    ({ info, isLeaving, inFlight, latencyMs }) => ({
+    ({ info, isLeaving, health, latencyMs, limit }) => ({
       agentId: info.agentId,
       service: info.service,
       domain: info.domain,
-      health: isLeaving ? 'leaving' : 'serving',
-      inFlight,
-      limit: info.slots + info.connections,
+      health: isLeaving ? 'leaving' : health,
+      inFlight: inFlightAt(state.requests.routing, info.agentId),
+      limit,
       latencyMs,
     }),
   );
