--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -8,6 +8,7 @@
 import type { EntryMessage } from '@bronzeyoke/wire';
 import type { WorkersEffect, WorkersEvent } from '@bronzeyoke/workers';
 import { stepWorkers } from '@bronzeyoke/workers';
+import { runRequests } from './requests';
 import type { EntryEffect, EntryState } from './types';
 
 const CHECK_WORKERS_MS = 1_000;
@@ -130,6 +131,22 @@
   return { state: configured.state, effects: [...effects, ...configured.effects] };
 }
 
+/** Tells batch work which agents are gone, after their connections closed. */
+export function applyMembers(
+  step: EntryStep,
+  before: EntryState['membership'],
+  instant: Instant,
+): EntryStep {
+  const { agents } = step.state.membership;
+  if (agents.size >= before.agents.size) return step;
+  const gone = [...before.agents.keys()].filter((agentId) => !agents.has(agentId));
+  const left = sequence(
+    step.state,
+    gone.map((agentId) => (from) => batch(from, { kind: 'agentDown', agentId }, instant)),
+  );
+  return { state: left.state, effects: [...step.effects, ...left.effects] };
+}
+
 /** Looks up the rows of connected workers that are not known to be registered. */
 export function checkWorkers(state: EntryState, instant: Instant): EntryStep {
   const names = [...state.membership.agents.values()].map(({ profile }) => profile.worker);
@@ -159,9 +176,10 @@
       return tickets(state, event, instant);
     case 'workers':
       return workers(state, event, instant);
+    case 'requests':
+      return runRequests(state, event, instant);
     case 'batch':
       return batch(state, event, instant);
-    case 'requests':
     case 'admin':
       return unchanged(state);
     default:
