--- /dev/null
+++ b/packages/requests/test/requests.test.ts
@@ -0,0 +1,171 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { CallerRequest } from '@bronzeyoke/types';
+import { RETRY_BURST, RETRY_SHARE } from '@bronzeyoke/routing';
+import type { Seen, World } from './world';
+import { createWorld } from './world';
+
+const SEED = 20_240_611;
+const RUNS = 150;
+
+type Command =
+  | {
+      readonly kind: 'arrive';
+      readonly entry: number;
+      readonly key: number;
+      readonly timeoutMs: number;
+    }
+  | {
+      readonly kind: 'drop';
+      readonly entry: number;
+      readonly agent: number;
+      readonly awayMs: number;
+    }
+  | { readonly kind: 'replace'; readonly agent: number }
+  | { readonly kind: 'leave'; readonly agent: number }
+  | { readonly kind: 'advance'; readonly ms: number };
+
+const entry = fc.nat({ max: 1 });
+const agent = fc.nat({ max: 3 });
+// Keys above 5 stand for idempotent requests.
+const arrive = fc.record({
+  kind: fc.constant('arrive' as const),
+  entry,
+  key: fc.nat({ max: 11 }),
+  timeoutMs: fc.constantFrom(50, 400, 4_000, 20_000),
+});
+const command: fc.Arbitrary<Command> = fc.oneof(
+  { weight: 8, arbitrary: arrive },
+  {
+    weight: 5,
+    arbitrary: fc.record({
+      kind: fc.constant('advance' as const),
+      ms: fc.constantFrom(1, 15, 60, 300),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant('drop' as const),
+      entry,
+      agent,
+      awayMs: fc.constantFrom(0, 100, 700, 9_000),
+    }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('replace' as const), agent }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('leave' as const), agent }) },
+);
+
+function requestOf(index: number, key: number, timeoutMs: number): CallerRequest {
+  const requestId = `r${index}`;
+  const base = { requestId, service: 'quoter', method: 'POST', path: '/price', headers: {} };
+  return key > 5
+    ? { ...base, timeoutMs, body: Buffer.from(requestId) }
+    : { ...base, timeoutMs, body: Buffer.from(`key${key}`), idempotencyKey: `key${key}` };
+}
+
+function perform(world: World, one: Command, index: number): void {
+  switch (one.kind) {
+    case 'arrive':
+      world.arrive(one.entry, requestOf(index, one.key, one.timeoutMs));
+      return;
+    case 'drop':
+      world.dropLink(one.entry, one.agent, one.awayMs);
+      return;
+    case 'replace':
+      world.replaceAgent(one.agent);
+      return;
+    case 'leave':
+      world.leave(one.agent);
+      return;
+    default:
+      world.advance(one.ms);
+  }
+}
+
+function play(seed: number, commands: readonly Command[]): World {
+  const world = createWorld(seed, 4, 0.25);
+  world.advance(100);
+  commands.forEach((one, index) => perform(world, one, index));
+  world.advance(60_000);
+  return world;
+}
+
+function ofKind<Kind extends Seen['kind']>(
+  world: World,
+  kind: Kind,
+): readonly Extract<Seen, { readonly kind: Kind }>[] {
+  return world.seen.filter(
+    (one): one is Extract<Seen, { readonly kind: Kind }> => one.kind === kind,
+  );
+}
+
+function check(name: string, holds: (world: World, commands: readonly Command[]) => void): void {
+  it(name, () => {
+    fc.assert(
+      fc.property(
+        fc.integer(),
+        fc.array(command, { maxLength: 60, size: 'max' }),
+        (seed, commands) => {
+          holds(play(seed, commands), commands);
+        },
+      ),
+      { seed: SEED, numRuns: RUNS },
+    );
+  });
+}
+
+// A doubled quote confuses a buyer, so one key may start at most one run, whatever is lost.
+check('requests: a key starts at most one run', (world) => {
+  const keys = ofKind(world, 'run').flatMap(({ key }) => key ?? []);
+  expect(new Set(keys).size).to.equal(keys.length);
+});
+
+check('requests: each request gets one reply and its own answer', (world, commands) => {
+  const replies = ofKind(world, 'reply');
+  const arrived = commands.filter((one) => one.kind === 'arrive').length;
+  expect(replies).to.have.length(arrived);
+  replies.forEach(({ request, outcome }) => {
+    if (outcome.kind === 'answered') expect(outcome.answer.body).to.deep.equal(request.body);
+  });
+});
+
+// A caller repeats what was not run, so a false refusal doubles the work.
+check('requests: a request that was refused as not run never ran', (world) => {
+  const ran = new Set(ofKind(world, 'run').map(({ requestId }) => requestId));
+  const refused = ofKind(world, 'reply').filter(({ outcome }) => outcome.kind === 'notRun');
+  refused.forEach(({ request }) => expect(ran.has(request.requestId)).to.equal(false));
+});
+
+check('requests: counts match the records and return to zero', (world) => {
+  expect(ofKind(world, 'wrong')).to.deep.equal([]);
+  world.entries.forEach((state) => {
+    expect(state.records.size).to.equal(0);
+    expect(state.queues.size).to.equal(0);
+    expect(state.collectors.size).to.equal(0);
+    expect(state.routing.inFlight.size).to.equal(0);
+  });
+});
+
+// Under constant failures every request would like three attempts.
+it('requests: retries stay within the budget when most attempts fail', () => {
+  const world = createWorld(SEED, 4, 0.9);
+  world.advance(100);
+  Array.from({ length: 600 }, (_, index) => index).forEach((index) => {
+    world.arrive(0, requestOf(index, 6, 4_000));
+    world.advance(50);
+  });
+  world.advance(60_000);
+  const sent = ofKind(world, 'sent');
+  const extra = sent.length - new Set(sent.map(({ requestId }) => requestId)).size;
+  expect(extra).to.be.within(RETRY_BURST, RETRY_BURST + RETRY_SHARE * 600);
+});
+
+check('requests: retries and hedges stay within the budget', (world, commands) => {
+  [0, 1].forEach((index) => {
+    const sent = ofKind(world, 'sent').filter((one) => one.entry === index);
+    const extra = sent.length - new Set(sent.map(({ requestId }) => requestId)).size;
+    const arrived = commands.filter((one) => one.kind === 'arrive' && one.entry === index).length;
+    expect(extra).to.be.at.most(RETRY_BURST + RETRY_SHARE * arrived);
+  });
+});
