--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -1,12 +1,17 @@
 import { advance } from '@bronzeyoke/chart';
 import type { RoleAction } from '@bronzeyoke/lifecycle';
 import { STOP_LIMIT_MS, roleChart } from '@bronzeyoke/lifecycle';
+import type { AgentView } from '@bronzeyoke/membership';
 import { NO_MEMBERS, addAgent, agentOf, beatIntervalMs, updateAgent } from '@bronzeyoke/membership';
 import { createRequests, isIdle } from '@bronzeyoke/requests';
-import type { AgentProfile, Instant, Step } from '@bronzeyoke/types';
-import { EMPTY_CONFIGURATION, assertNever, unchanged } from '@bronzeyoke/types';
+import { createTickets } from '@bronzeyoke/tickets';
+import type { Instant, Step } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
+import { createWorkers } from '@bronzeyoke/workers';
+import { administer } from './admin';
+import { checkWorkers, onStoreEvent, startControl, tickets, workers } from './control';
 import {
   applyDomains,
   checkLink,
@@ -25,9 +30,12 @@
   return {
     entryId,
     role: roleChart.initial,
-    configuration: EMPTY_CONFIGURATION,
+    domain,
+    tickets: createTickets(entryId),
+    workers: createWorkers(),
     membership: NO_MEMBERS,
     requests: createRequests(domain),
+    wallOffsetMs: 0,
   };
 }
 
@@ -52,10 +60,10 @@
 function hello(
   state: EntryState,
   linkId: string,
-  version: number,
-  profile: AgentProfile,
+  message: Extract<AgentMessage, { readonly kind: 'hello' }>,
   instant: Instant,
 ): EntryStep {
+  const { version, profile, incarnation } = message;
   if (version !== PROTOCOL_VERSION) return { state, effects: [{ kind: 'closeLink', linkId }] };
   const known = state.membership.agents.get(profile.agentId);
   const membership = addAgent(state.membership, linkId, profile, instant.nowMs);
@@ -75,14 +83,21 @@
   const sweep: readonly EntryEffect[] = state.membership.isSwept
     ? []
     : [{ kind: 'wake', timer: { kind: 'memberSweep' }, afterMs: welcome.beatIntervalMs }];
+  const { worker } = profile;
+  const announced = workers(step.state, { kind: 'announced', worker, incarnation }, instant);
   return {
-    state: step.state,
+    state: announced.state,
     effects: [
       ...replaced,
       ...sweep,
       { kind: 'send', linkId, message: welcome },
-      { kind: 'send', linkId, message: { kind: 'config', configuration: state.configuration } },
+      {
+        kind: 'send',
+        linkId,
+        message: { kind: 'config', configuration: state.tickets.configuration },
+      },
       ...step.effects,
+      ...announced.effects,
     ],
   };
 }
@@ -90,11 +105,12 @@
 function onAgentMessage(
   heard: EntryState,
   linkId: string,
-  agentId: string,
+  agent: AgentView,
   message: Exclude<AgentMessage, { readonly kind: 'hello' }>,
   instant: Instant,
 ): EntryStep {
   const { membership } = heard;
+  const { agentId } = agent.profile;
   switch (message.kind) {
     case 'answer':
     case 'notRun':
@@ -128,9 +144,18 @@
     case 'accepted':
     case 'declined':
     case 'taskReport':
-    case 'registerWorker':
-    case 'renewWorker':
       return unchanged(heard);
+    case 'registerWorker': {
+      const { worker, token } = message;
+      // An agent speaks for its own worker only.
+      if (worker !== agent.profile.worker) return unchanged(heard);
+      return workers(heard, { kind: 'register', agentId, worker, token }, instant);
+    }
+    case 'renewWorker': {
+      const { worker, incarnation, token } = message;
+      if (worker !== agent.profile.worker) return unchanged(heard);
+      return workers(heard, { kind: 'renew', agentId, worker, incarnation, token }, instant);
+    }
     default:
       return assertNever(message);
   }
@@ -143,14 +168,14 @@
   instant: Instant,
 ): EntryStep {
   if (message.kind === 'hello') {
-    return hello(state, linkId, message.version, message.profile, instant);
+    return hello(state, linkId, message, instant);
   }
   const agent = agentOf(state.membership, linkId);
   // An agent has to announce itself before anything else.
   if (agent === undefined) return { state, effects: [{ kind: 'closeLink', linkId }] };
   const { agentId } = agent.profile;
   const heard = noteHeard(state, linkId, agentId, message, instant);
-  const step = onAgentMessage(heard.state, linkId, agentId, message, instant);
+  const step = onAgentMessage(heard.state, linkId, agent, message, instant);
   return { state: step.state, effects: [...heard.effects, ...step.effects] };
 }
 
@@ -167,6 +192,12 @@
       return sweepMembers(state, instant);
     case 'stopLimit':
       return changeRole(state, 'limit');
+    case 'checkWorkers':
+      return checkWorkers(state, instant);
+    case 'tickets':
+      return tickets(state, { kind: 'timer', timer: timer.timer }, instant);
+    case 'workers':
+      return workers(state, { kind: 'timer', timer: timer.timer }, instant);
     default:
       return assertNever(timer);
   }
@@ -174,6 +205,13 @@
 
 function decide(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
   switch (event.kind) {
+    case 'started':
+      return startControl(state, event.wallOffsetMs, instant);
+    case 'commitDone':
+    case 'readDone':
+      return onStoreEvent(state, event, instant);
+    case 'admin':
+      return administer(state, event.callId, event.command, instant);
     case 'linkOpened':
       return unchanged(state);
     case 'linkClosed':
@@ -181,8 +219,6 @@
     case 'received':
       return onMessage(state, event.linkId, event.message, instant);
     case 'arrived':
-    case 'commitDone':
-    case 'readDone':
       return runRequests(state, event, instant);
     case 'timer':
       return onTimer(state, event.timer, instant);
@@ -198,7 +234,7 @@
 
 /** Decides for an entry. */
 export function stepEntry(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
-  const step = applyDomains(decide(state, event, instant), state.configuration, instant);
+  const step = applyDomains(decide(state, event, instant), state.tickets.configuration, instant);
   if (step.state.role !== 'draining' || !isIdle(step.state.requests)) return step;
   const stopped = changeRole(step.state, 'idle');
   return { state: stopped.state, effects: [...step.effects, ...stopped.effects] };
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -223,7 +223,7 @@
 
 /** Tells routing which failure domains are out, after the configuration changed. */
 export function applyDomains(step: EntryStep, before: Configuration, instant: Instant): EntryStep {
-  const { configuration } = step.state;
+  const { configuration } = step.state.tickets;
   if (configuration === before) return step;
   const outDomains = configuration.entries
     .filter((entry) => entry.kind === 'domain' && entry.state === 'out')
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -2,40 +2,56 @@
 import type { MembershipState } from '@bronzeyoke/membership';
 import type { StoreEffect, StoreEvent } from '@bronzeyoke/ports';
 import type { RequestsState, RequestsTimer } from '@bronzeyoke/requests';
-import type { CallerRequest, Configuration, Outcome } from '@bronzeyoke/types';
+import type { AdminCommand, AdminReply, CallerRequest, Outcome, Result } from '@bronzeyoke/types';
+import type { TicketsState, TicketsTimer } from '@bronzeyoke/tickets';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
+import type { WorkersState, WorkersTimer } from '@bronzeyoke/workers';
 
 /** Timers of an entry. */
 export type EntryTimer =
   | RequestsTimer
   | { readonly kind: 'linkCheck'; readonly linkId: string; readonly sequence: number }
   | { readonly kind: 'memberSweep' }
-  | { readonly kind: 'stopLimit' };
+  | { readonly kind: 'stopLimit' }
+  | { readonly kind: 'checkWorkers' }
+  | { readonly kind: 'tickets'; readonly timer: TicketsTimer }
+  | { readonly kind: 'workers'; readonly timer: WorkersTimer };
 
 /** State of an entry. */
 export interface EntryState {
   readonly entryId: string;
   readonly role: RoleState;
-  readonly configuration: Configuration;
+  readonly domain: string;
+  readonly tickets: TicketsState;
+  readonly workers: WorkersState;
   readonly membership: MembershipState;
   readonly requests: RequestsState;
+  readonly wallOffsetMs: number;
 }
 
 /** What happens to an entry. */
 export type EntryEvent =
+  /** First event of an entry. The offset is the wall-clock time at monotonic time 0. */
+  | { readonly kind: 'started'; readonly wallOffsetMs: number }
+  | StoreEvent
+  | { readonly kind: 'admin'; readonly callId: string; readonly command: AdminCommand }
   | { readonly kind: 'linkOpened'; readonly linkId: string }
   | { readonly kind: 'linkClosed'; readonly linkId: string }
   | { readonly kind: 'received'; readonly linkId: string; readonly message: AgentMessage }
   | { readonly kind: 'arrived'; readonly request: CallerRequest }
-  | StoreEvent
   | { readonly kind: 'timer'; readonly timer: EntryTimer }
   | { readonly kind: 'stop' };
 
 /** What the shell of an entry has to do. */
 export type EntryEffect =
+  | StoreEffect
+  | {
+      readonly kind: 'adminReply';
+      readonly callId: string;
+      readonly result: Result<AdminReply>;
+    }
   | { readonly kind: 'send'; readonly linkId: string; readonly message: EntryMessage }
   | { readonly kind: 'closeLink'; readonly linkId: string }
   | { readonly kind: 'reply'; readonly requestId: string; readonly outcome: Outcome }
-  | StoreEffect
   | { readonly kind: 'wake'; readonly timer: EntryTimer; readonly afterMs: number }
   | { readonly kind: 'exit' };
