Keep the concurrency limit at the slots when answers are only slow

Cause: the limit fell whenever the average latency passed twice its floor; with a floor of 0.3 ms on loopback, noise took the limit from 64 to 1 and requests then waited in the entry's queue. Change: timeouts and refusals lower the limit down to 1, slow answers alone only down to the slots, because requests of one service differ in their service time. Conclusion: the limit no longer refuses the capacity that an upstream declared.

--- a/packages/routing/src/limit.ts
+++ b/packages/routing/src/limit.ts
@@ -22,10 +22,10 @@
   return { ...view, latencyMs: average, floorMs, sampleCount: view.sampleCount + 1 };
 }
 
-function lower(view: UpstreamView, nowMs: number): UpstreamView {
+function lower(view: UpstreamView, leastLimit: number, nowMs: number): UpstreamView {
   // Answers of one burst tell of the same overload, so they lower the limit once.
   if (nowMs - view.limitLoweredAtMs < view.latencyMs) return view;
-  const limit = Math.max(1, view.limit * LIMIT_DECREASE);
+  const limit = Math.max(Math.min(leastLimit, view.limit), view.limit * LIMIT_DECREASE);
   return { ...view, limit, limitLoweredAtMs: nowMs };
 }
 
@@ -37,9 +37,11 @@
   nowMs: number,
 ): UpstreamView {
   const isSlow = view.sampleCount > MIN_SAMPLES && view.latencyMs > LATENCY_RISE * view.floorMs;
-  if (end.kind === 'timedOut' || end.kind === 'refused') return lower(view, nowMs);
+  if (end.kind === 'timedOut' || end.kind === 'refused') return lower(view, 1, nowMs);
   if (end.kind !== 'answered') return view;
-  if (isSlow) return lower(view, nowMs);
+  // Requests differ in their service time, so slow answers alone do not show that the slots are too
+  // many; they only take back what the limit allows beyond the slots, where requests queue.
+  if (isSlow && view.limit > view.info.slots) return lower(view, view.info.slots, nowMs);
   if (end.isFailure || inFlight < Math.floor(view.limit)) return view;
   const { slots, connections } = view.info;
   return { ...view, limit: Math.min(Math.max(1, slots + connections), view.limit + 1) };
