Let an actor handle all waiting messages in one turn of the event loop

Cause: nact starts each message in its own setImmediate, so an entry that needs three messages for a request served at most a third of a request per turn of the event loop.

--- a/packages/actors/src/core.ts
+++ b/packages/actors/src/core.ts
@@ -1,7 +1,8 @@
 import { performance } from 'node:perf_hooks';
-import { dispatch, spawn } from 'nact';
-import type { ActorSystemRef, Ref } from 'nact';
+import type { ActorSystemRef } from 'nact';
 import type { Decide } from '@bronzeyoke/types';
+import type { Context, Ref } from './actor';
+import { dispatch, spawn } from './actor';
 
 /** What a core actor needs beside its decisions. */
 export interface CoreOptions<State, Event, Effect> {
@@ -20,7 +21,7 @@
   options: CoreOptions<State, Event, Effect>,
 ): Ref<Event> {
   const { name, initial, decide, perform, onError } = options;
-  const handle = (state: State, event: Event, context: { readonly self: Ref<Event> }): State => {
+  const handle = (state: State, event: Event, context: Context<Event>): State => {
     try {
       const step = decide(state, event, { nowMs: performance.now(), random: Math.random() });
       step.effects.forEach((effect) => perform(effect, context.self));
@@ -30,8 +31,7 @@
       return state;
     }
   };
-  const actor: Ref<Event> = spawn(system, handle, name, { initialState: initial });
-  return actor;
+  return spawn(system, handle, name, { initialState: initial });
 }
 
 /** Delivers an event to an actor after a delay. Pending deliveries do not keep the process alive. */
--- a/packages/actors/src/index.ts
+++ b/packages/actors/src/index.ts
@@ -1,1 +1,2 @@
+export * from './actor';
 export * from './core';
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto';
-import { dispatch, start, stop } from 'nact';
-import type { Ref } from 'nact';
-import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
+import { start, stop } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
 import type { Attempt } from '@bronzeyoke/admission';
 import type { Address, DialCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnDial } from '@bronzeyoke/link';
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -1,8 +1,9 @@
 import { randomUUID } from 'node:crypto';
 import { createServer } from 'node:http';
 import type { IncomingMessage, Server, ServerResponse } from 'node:http';
-import { dispatch, spawn } from 'nact';
-import type { ActorSystemRef, Ref } from 'nact';
+import type { ActorSystemRef } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, spawn } from '@bronzeyoke/actors';
 import type { CallerRequest, Failure, Headers, Outcome, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
 import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
--- a/packages/entry/src/store.ts
+++ b/packages/entry/src/store.ts
@@ -1,6 +1,6 @@
-import { dispatch } from 'nact';
-import type { ActorSystemRef, Ref } from 'nact';
-import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
+import type { ActorSystemRef } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
 import type { StoreEffect, StoreEvent, TablePort } from '@bronzeyoke/ports';
 import { assertNever } from '@bronzeyoke/types';
 import type { BudgetEffect, BudgetEvent } from './budget';
--- a/packages/link/src/dial.ts
+++ b/packages/link/src/dial.ts
@@ -1,7 +1,8 @@
 import { connect } from 'node:net';
 import type { Socket } from 'node:net';
-import type { ActorSystemRef, Ref } from 'nact';
-import { dispatch, spawn } from 'nact';
+import type { ActorSystemRef } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, spawn } from '@bronzeyoke/actors';
 import type { ActionOf, StateOf } from '@bronzeyoke/chart';
 import { advance, compileChart } from '@bronzeyoke/chart';
 import { assertNever } from '@bronzeyoke/types';
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -1,6 +1,7 @@
 import type { Socket } from 'node:net';
-import { dispatch, spawn, stop } from 'nact';
-import type { ActorSystemRef, Ref } from 'nact';
+import type { ActorSystemRef } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, spawn } from '@bronzeyoke/actors';
 import type { Failure, Result } from '@bronzeyoke/types';
 import type { AgentMessage, EntryMessage, FrameBuffer, Received } from '@bronzeyoke/wire';
 import { EMPTY_FRAME_BUFFER, encodeFrame, splitFrames } from '@bronzeyoke/wire';
@@ -51,7 +52,7 @@
     if (!state.open) return state;
     socket.destroy();
     report({ kind: 'closed', linkId, ...(failure === undefined ? {} : { failure }) });
-    stop(self);
+    self.stop();
     return { ...state, open: false };
   };
 
@@ -74,6 +75,15 @@
     return { ...state, buffered: split.value.rest };
   };
 
+  // Messages of one turn of the event loop leave in one system call.
+  const write = (message: AgentMessage | EntryMessage): void => {
+    if (socket.writableCorked === 0) {
+      socket.cork();
+      process.nextTick(() => socket.uncork());
+    }
+    socket.write(encodeFrame(message));
+  };
+
   const handle = (
     state: LinkState,
     message: LinkMessage,
@@ -82,7 +92,7 @@
     if (!state.open) return state;
     switch (message.kind) {
       case 'send':
-        socket.write(encodeFrame(message.message));
+        write(message.message);
         return socket.writableLength > MAX_UNSENT_BYTES
           ? end(state, context.self, { kind: 'unreachable', what: linkId })
           : state;
