Test routing and the watch over connections, and keep decisions cheap when busy

A decision searched all 630 upstreams when most slots were taken, and upstreams that were ejected could become the only ones left when others went away.

Upstreams where an attempt has just ended are remembered and tried before a search. Ejected upstreams are taken back when they are more than half of those left.

--- a/packages/routing/src/attempt.ts
+++ b/packages/routing/src/attempt.ts
@@ -17,6 +17,9 @@
 /** Latencies from which the quantiles of a service are computed. */
 const WINDOW = 64;
 
+/** Upstreams with room that are remembered, so that a busy pool need not be searched. */
+const MAX_RECENT = 8;
+
 type RoutingStep = Step<RoutingState, RoutingEffect>;
 type HealthEvent = 'eject' | 'due' | 'send' | 'pass' | 'fail' | 'release';
 
@@ -62,9 +65,7 @@
   };
   const view = state.upstreams.get(agentId);
   if (view === undefined) return counted;
-  const { vacantId, ...pool } = poolOf(state, view.info.service);
-  const claimed = vacantId === undefined ? counted : setPool(counted, view.info.service, pool);
-  return changeHealth(claimed, view, 'send').state;
+  return changeHealth(counted, view, 'send').state;
 }
 
 function isFailure(end: AttemptEnd): boolean {
@@ -135,10 +136,16 @@
   const isSlow = view.sampleCount >= MIN_OUTLIER_SAMPLES && view.latencyMs > slowMs;
   const isOutlier = isSlow || view.failuresInRow >= MAX_FAILURES_IN_ROW;
   // At most half are ejected: when most look bad, the cause is elsewhere.
-  const isAllowed = (pool.ejectedCount + 1) * 2 <= pool.members.length;
+  const isAllowed = (pool.ejectedCount + 1) * 2 <= pool.wantedCount;
   return isOutlier && isAllowed ? 'eject' : undefined;
 }
 
+function noteRoom(state: RoutingState, service: string, agentId: string): RoutingState {
+  const pool = poolOf(state, service);
+  const others = pool.recentIds.filter((id) => id !== agentId).slice(0, MAX_RECENT - 1);
+  return setPool(state, service, { ...pool, isFull: false, recentIds: [agentId, ...others] });
+}
+
 /** Counts an attempt that ended and learns from it. */
 export function countEnded(
   state: RoutingState,
@@ -157,9 +164,7 @@
   const counted = { ...state, inFlight, upstreams: state.upstreams.set(agentId, learned) };
   const pool = poolOf(counted, service);
   const opened =
-    pool.isFull && open - 1 < Math.floor(learned.limit)
-      ? setPool(counted, service, { ...pool, isFull: false, vacantId: agentId })
-      : counted;
+    open - 1 < Math.floor(learned.limit) ? noteRoom(counted, service, agentId) : counted;
   const sampleMs = poolSample(pool, end);
   const sampled = sampleMs === undefined ? opened : learnPool(opened, service, sampleMs);
   const event = healthEvent(learned, poolOf(sampled, service), end);
--- a/packages/routing/src/chart.ts
+++ b/packages/routing/src/chart.ts
@@ -5,7 +5,7 @@
 /** Health of an upstream as an entry sees it. */
 export const healthChart = compileChart(chartFile, {
   states: ['healthy', 'ejected', 'ready', 'probing'],
-  events: ['eject', 'due', 'send', 'pass', 'fail', 'release'],
+  events: ['eject', 'due', 'send', 'pass', 'fail', 'release', 'restore'],
   actions: ['scheduleProbe', 'doubleDelay', 'resetDelay'],
 });
 
--- a/packages/routing/src/choose.ts
+++ b/packages/routing/src/choose.ts
@@ -2,54 +2,75 @@
 import { inFlightAt, isCandidate, poolOf } from './state';
 import type { RoutingState } from './types';
 
-/** Two choices are drawn this often before all candidates are looked at. */
+/** Two choices are drawn this often before other ways to find room are tried. */
 const TRIES = 2;
 
-/** Candidates that are looked at for a free slot; a full search is made only for any room at all. */
+/** Largest list that is searched for a free slot; in longer ones the draws are enough. */
 const SLOT_SEARCH = 16;
 
-function score(state: RoutingState, agentId: string): number {
-  const view = state.upstreams.get(agentId);
-  if (view === undefined) return Infinity;
-  return ((inFlightAt(state, agentId) + 1) / Math.max(1, view.info.slots)) * view.latencyMs;
-}
+/** What an upstream needs to be chosen: a free slot, or at least room within its limit. */
+type Need = 'slot' | 'room';
 
-type HasRoom = (agentId: string) => boolean;
+/** Rates an upstream; lower is better, and nothing means that it has no room. */
+type Rate = (agentId: string, need: Need) => number | undefined;
 
-function better(
-  state: RoutingState,
-  one: string | undefined,
-  other: string | undefined,
-): string | undefined {
-  if (one === undefined) return other;
-  if (other === undefined) return one;
-  return score(state, other) < score(state, one) ? other : one;
+function rater(state: RoutingState, excluded: readonly string[]): Rate {
+  return (agentId, need) => {
+    const view = state.upstreams.get(agentId);
+    if (view === undefined || excluded.includes(agentId)) return undefined;
+    const inFlight = inFlightAt(state, agentId);
+    const { slots } = view.info;
+    if (inFlight >= Math.floor(view.limit) || (need === 'slot' && inFlight >= slots)) {
+      return undefined;
+    }
+    return ((inFlight + 1) / Math.max(1, slots)) * view.latencyMs;
+  };
 }
 
-function pick(
-  state: RoutingState,
+/** The better of two drawn candidates. A plain loop: this is the hot path of routing. */
+function drawTwo(
   candidates: readonly string[],
-  hasRoom: HasRoom,
+  rate: Rate,
+  need: Need,
   numbers: readonly number[],
-  searchLimit: number,
 ): string | undefined {
-  const at = (number: number): string | undefined => {
-    const agentId = candidates[Math.floor(number * candidates.length)];
-    return agentId !== undefined && hasRoom(agentId) ? agentId : undefined;
-  };
-  // A plain loop: this is the hot path of candidate sampling, without a list per decision.
-  for (let index = 0; index < TRIES; index += 1) {
-    const found = better(state, at(numbers[index * 2] ?? 0), at(numbers[index * 2 + 1] ?? 0));
-    if (found !== undefined) return found;
-  }
-  const start = Math.floor((numbers[0] ?? 0) * candidates.length);
-  for (let index = 0; index < Math.min(searchLimit, candidates.length); index += 1) {
-    const agentId = candidates[(start + index) % candidates.length];
-    if (agentId !== undefined && hasRoom(agentId)) return agentId;
+  for (let index = 0; index < TRIES * 2; index += 2) {
+    const one = candidates[Math.floor((numbers[index] ?? 0) * candidates.length)];
+    const other = candidates[Math.floor((numbers[index + 1] ?? 0) * candidates.length)];
+    const oneRate = one === undefined ? undefined : rate(one, need);
+    const otherRate = other === undefined ? undefined : rate(other, need);
+    if (oneRate !== undefined && (otherRate === undefined || oneRate <= otherRate)) return one;
+    if (otherRate !== undefined) return other;
   }
   return undefined;
 }
 
+/** The first candidate with room from a drawn place on. */
+function search(
+  candidates: readonly string[],
+  rate: Rate,
+  need: Need,
+  number: number,
+): string | undefined {
+  const start = Math.floor(number * candidates.length);
+  const fits = (agentId: string): boolean => rate(agentId, need) !== undefined;
+  return (
+    candidates.find((agentId, index) => index >= start && fits(agentId)) ??
+    candidates.find((agentId, index) => index < start && fits(agentId))
+  );
+}
+
+function findSlot(
+  candidates: readonly string[],
+  rate: Rate,
+  numbers: readonly number[],
+): string | undefined {
+  const drawn = drawTwo(candidates, rate, 'slot', numbers);
+  return drawn === undefined && candidates.length <= SLOT_SEARCH
+    ? search(candidates, rate, 'slot', numbers[0] ?? 0)
+    : drawn;
+}
+
 /** The upstream for the next attempt, or nothing when none has room. */
 export function chooseUpstream(
   state: RoutingState,
@@ -57,32 +78,23 @@
   excluded: readonly string[],
   random: number,
 ): string | undefined {
-  const pool = poolOf(state, service);
-  const probed = pool.ready.find((agentId) => !excluded.includes(agentId));
+  const { ready, isFull, home, away, recentIds } = poolOf(state, service);
+  const probed = ready.find((agentId) => !excluded.includes(agentId));
   if (probed !== undefined) return probed;
-  if (pool.isFull) return undefined;
-  const hasRoom: HasRoom = (agentId) => {
+  if (isFull) return undefined;
+  const rate = rater(state, excluded);
+  const numbers = draws(random, TRIES * 2);
+  const [first = 0] = numbers;
+  const fitsRecent = (agentId: string): boolean => {
     const view = state.upstreams.get(agentId);
-    return (
-      view !== undefined &&
-      inFlightAt(state, agentId) < Math.floor(view.limit) &&
-      !excluded.includes(agentId)
-    );
+    return view !== undefined && isCandidate(state, view) && rate(agentId, 'room') !== undefined;
   };
-  const hasSlot: HasRoom = (agentId) =>
-    hasRoom(agentId) &&
-    inFlightAt(state, agentId) < (state.upstreams.get(agentId)?.info.slots ?? 0);
-  const { vacantId } = pool;
-  const vacant = vacantId === undefined ? undefined : state.upstreams.get(vacantId);
-  if (vacantId !== undefined && vacant !== undefined && isCandidate(state, vacant)) {
-    if (hasRoom(vacantId)) return vacantId;
-  }
-  const numbers = draws(random, TRIES * 2);
   return (
-    pick(state, pool.home, hasSlot, numbers, SLOT_SEARCH) ??
-    pick(state, pool.away, hasSlot, numbers, SLOT_SEARCH) ??
-    pick(state, pool.home, hasRoom, numbers, Infinity) ??
-    pick(state, pool.away, hasRoom, numbers, Infinity)
+    findSlot(home, rate, numbers) ??
+    findSlot(away, rate, numbers) ??
+    recentIds.find(fitsRecent) ??
+    search(home, rate, 'room', first) ??
+    search(away, rate, 'room', first)
   );
 }
 
--- a/packages/routing/src/state.ts
+++ b/packages/routing/src/state.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import { advance } from '@bronzeyoke/chart';
 import { RETRY_BURST } from './budget';
 import { healthChart } from './chart';
 import type { Pool, Presence, RoutingState, UpstreamInfo, UpstreamView } from './types';
@@ -15,8 +16,10 @@
   away: [],
   ready: [],
   slots: 0,
+  wantedCount: 0,
   ejectedCount: 0,
   isFull: false,
+  recentIds: [],
   window: [],
   retryTokens: RETRY_BURST,
 };
@@ -60,32 +63,55 @@
 
 /** Notes that no candidate of a service has room. */
 export function markFull(state: RoutingState, service: string): RoutingState {
-  const { vacantId, ...pool } = poolOf(state, service);
-  return setPool(state, service, { ...pool, isFull: true });
+  return setPool(state, service, { ...poolOf(state, service), isFull: true });
+}
+
+function isWanted(state: RoutingState, view: UpstreamView): boolean {
+  return !view.isLeaving && !state.outDomains.includes(view.info.domain);
+}
+
+function restore(view: UpstreamView): UpstreamView {
+  const { state: health } = advance(healthChart, view.health, 'restore');
+  return { ...view, health, probeDelayMs: FIRST_PROBE_MS, failuresInRow: 0 };
+}
+
+/** Takes back the fastest ejected upstreams when more than half of those that are left are ejected. */
+function withinHalf(state: RoutingState, members: readonly string[]): RoutingState {
+  const wanted = members
+    .flatMap((agentId) => state.upstreams.get(agentId) ?? [])
+    .filter((view) => isWanted(state, view));
+  const ejected = wanted.filter((view) => view.health !== 'healthy');
+  const excess = ejected.length - Math.floor(wanted.length / 2);
+  if (excess <= 0) return state;
+  const fastest = [...ejected].sort((one, other) => one.latencyMs - other.latencyMs);
+  const upstreams = fastest
+    .slice(0, excess)
+    .reduce((all, view) => all.set(view.info.agentId, restore(view)), state.upstreams);
+  return { ...state, upstreams };
 }
 
 /** Computes the candidates of a service anew, after one of its upstreams changed. */
 export function refreshPool(
-  state: RoutingState,
+  before: RoutingState,
   service: string,
-  members: readonly string[] = poolOf(state, service).members,
+  members: readonly string[] = poolOf(before, service).members,
 ): RoutingState {
+  const state = withinHalf(before, members);
   const views = members.flatMap((agentId) => state.upstreams.get(agentId) ?? []);
-  const reachable = views.filter((view) => isReachable(state, view));
+  const wanted = views.filter((view) => isWanted(state, view));
+  const reachable = wanted.filter((view) => isReachable(state, view));
   const idsOf = (chosen: readonly UpstreamView[]): readonly string[] =>
     chosen.map((view) => view.info.agentId);
   const healthy = reachable.filter((view) => isCandidate(state, view));
-  const { vacantId, ...pool } = poolOf(state, service);
   return setPool(state, service, {
-    ...pool,
+    ...poolOf(state, service),
     members: idsOf(views),
     home: idsOf(healthy.filter((view) => view.info.domain === state.homeDomain)),
     away: idsOf(healthy.filter((view) => view.info.domain !== state.homeDomain)),
     ready: idsOf(reachable.filter((view) => view.health === 'ready')),
-    slots: views
-      .filter((view) => !view.isLeaving && !state.outDomains.includes(view.info.domain))
-      .reduce((sum, view) => sum + view.info.slots, 0),
-    ejectedCount: views.filter((view) => view.health !== 'healthy').length,
+    slots: wanted.reduce((sum, view) => sum + view.info.slots, 0),
+    wantedCount: wanted.length,
+    ejectedCount: wanted.filter((view) => view.health !== 'healthy').length,
     isFull: false,
   });
 }
--- a/packages/routing/src/types.ts
+++ b/packages/routing/src/types.ts
@@ -41,11 +41,13 @@
   /** Ejected upstreams that are due for a probe. */
   readonly ready: readonly string[];
   readonly slots: number;
+  /** Members that are neither leaving nor in a failure domain that is out. */
+  readonly wantedCount: number;
   readonly ejectedCount: number;
   /** Set when no candidate had room; cleared when an attempt ends or a candidate is added. */
   readonly isFull: boolean;
-  /** The upstream where room appeared in a full pool. */
-  readonly vacantId?: string;
+  /** Upstreams where an attempt ended last, newest first; they are likely to have room. */
+  readonly recentIds: readonly string[];
   /** Latencies since the quantiles were last computed. */
   readonly window: readonly number[];
   readonly p95Ms?: number;
--- /dev/null
+++ b/packages/routing/test/routing.test.ts
@@ -0,0 +1,242 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import type { AttemptEnd, RoutingEffect, RoutingState, UpstreamInfo } from '@bronzeyoke/routing';
+import {
+  EMPTY_QUEUE,
+  RETRY_BURST,
+  addToQueue,
+  addUpstream,
+  allowProbe,
+  chooseUpstream,
+  countEnded,
+  countSent,
+  createRouting,
+  dropFirst,
+  earnRetry,
+  firstInQueue,
+  inFlightAt,
+  markFull,
+  markLeaving,
+  poolOf,
+  removeUpstream,
+  setOutDomains,
+  setPresence,
+  spendRetry,
+} from '@bronzeyoke/routing';
+
+const SEED = 20_240_612;
+
+function info(agentId: string, change: Partial<UpstreamInfo> = {}): UpstreamInfo {
+  return { agentId, service: 'quoter', domain: 'hobart', slots: 2, connections: 4, ...change };
+}
+
+function routing(infos: readonly UpstreamInfo[]): RoutingState {
+  return infos.reduce(addUpstream, createRouting('hobart'));
+}
+
+function times<Value>(count: number, start: Value, change: (value: Value) => Value): Value {
+  return Array.from({ length: count }).reduce<Value>((value) => change(value), start);
+}
+
+function exchange(state: RoutingState, agentId: string, end: AttemptEnd, nowMs = 0): RoutingState {
+  return countEnded(countSent(state, agentId), agentId, end, nowMs).state;
+}
+
+const ok = (latencyMs: number): AttemptEnd => ({ kind: 'answered', latencyMs, isFailure: false });
+const FAILED: AttemptEnd = { kind: 'failed' };
+
+type Op = readonly [kind: number, agent: number, value: number];
+
+/** Applies random changes, sending only where the choice says, and checks after each of them. */
+function play(ops: readonly Op[], check: (state: RoutingState, chosen?: string) => void): void {
+  const names = ['a', 'b', 'c', 'd'];
+  const domains = ['hobart', 'burnie'];
+  const first = routing(names.map((id, index) => info(id, { domain: domains[index % 2] ?? '' })));
+  const ends: readonly AttemptEnd[] = [
+    ok(1),
+    ok(50),
+    FAILED,
+    { kind: 'timedOut' },
+    { kind: 'refused' },
+    { kind: 'released' },
+    { kind: 'abandoned', elapsedMs: 40 },
+    { kind: 'answered', latencyMs: 1, isFailure: true },
+  ];
+  ops.reduce<RoutingState>((state, [kind, agent, value], index) => {
+    const id = names[agent % names.length] ?? '';
+    const apply = (): RoutingState => {
+      switch (kind) {
+        case 0:
+          return markLeaving(state, id);
+        case 1:
+          return addUpstream(state, info(id, { domain: domains[agent % 2] ?? '' }));
+        case 2:
+          return setPresence(state, id, value % 2 === 0 ? 'present' : 'suspect');
+        case 3:
+          return setOutDomains(state, value % 3 === 0 ? [domains[agent % 2] ?? ''] : []);
+        case 4:
+          return removeUpstream(state, id);
+        case 5:
+          return allowProbe(state, id);
+        case 6:
+          return markFull(state, 'quoter');
+        default:
+          return state;
+      }
+    };
+    const changed = apply();
+    const isEnd = kind > 10 && inFlightAt(changed, id) > 0;
+    const end = ends[value % ends.length] ?? FAILED;
+    const next = isEnd ? countEnded(changed, id, end, index * 10).state : changed;
+    const chosen = chooseUpstream(next, 'quoter', [], value / 100);
+    check(next, chosen);
+    return chosen === undefined || kind > 13 ? next : countSent(next, chosen);
+  }, first);
+}
+
+const ops = fc.array(fc.tuple(fc.nat(18), fc.nat(3), fc.nat(99)), { maxLength: 120, size: 'max' });
+
+function property(name: string, check: (state: RoutingState, chosen?: string) => void): void {
+  it(name, () => {
+    fc.assert(
+      fc.property(ops, (list) => play(list, check)),
+      { seed: SEED, numRuns: 200 },
+    );
+  });
+}
+
+// Work sent to a leaving, ejected, silent or switched-off upstream is cut off or wasted.
+property('routing: never chooses an upstream that takes no work', (state, chosen) => {
+  const view = chosen === undefined ? undefined : state.upstreams.get(chosen);
+  if (chosen === undefined) return;
+  expect(view).to.include({ isLeaving: false, presence: 'present' });
+  expect(view?.health).to.be.oneOf(['healthy', 'ready']);
+  expect(state.outDomains).to.not.include(view?.info.domain);
+  const isWithin = inFlightAt(state, chosen) < Math.floor(view?.limit ?? 0);
+  expect(isWithin || view?.health === 'ready').to.equal(true);
+});
+
+property('routing: limits stay between one and slots and connections', (state) => {
+  state.upstreams.forEach(({ limit, info: { slots, connections } }) => {
+    expect(limit).to.be.within(1, slots + connections);
+  });
+  state.inFlight.forEach((count) => expect(count).to.be.greaterThan(0));
+});
+
+// When most upstreams look bad the cause is elsewhere, and ejecting them adds an outage.
+property('routing: at most half of the upstreams are ejected', (state) => {
+  const { members } = poolOf(state, 'quoter');
+  const wanted = members
+    .flatMap((id) => state.upstreams.get(id) ?? [])
+    .filter(({ isLeaving, info: { domain } }) => !isLeaving && !state.outDomains.includes(domain));
+  const ejected = wanted.filter(({ health }) => health !== 'healthy');
+  expect(ejected.length).to.be.at.most(Math.floor(wanted.length / 2));
+});
+
+it('routing: never ejects more than half', () => {
+  const names = ['a', 'b', 'c', 'd', 'e'];
+  const failing = names.reduce<RoutingState>(
+    (state, id) => times(9, state, (current) => exchange(current, id, FAILED)),
+    routing(names.map((id) => info(id))),
+  );
+  expect(poolOf(failing, 'quoter').ejectedCount).to.equal(2);
+});
+
+it('routing: the home domain is used while it has a free slot', () => {
+  const start = routing([info('near'), info('far', { domain: 'burnie' })]);
+  const choose = (state: RoutingState) => chooseUpstream(state, 'quoter', [], 0.7);
+  expect(choose(start)).to.equal('near');
+  const full = countSent(countSent(start, 'near'), 'near');
+  expect(choose(full)).to.equal('far');
+  expect(choose(setOutDomains(start, ['hobart']))).to.equal('far');
+});
+
+// One upstream that answers ten times slower must not get the same share as the others.
+it('routing: the better of two choices gets most requests', () => {
+  const names = ['a', 'b', 'c'];
+  const start = names.reduce<RoutingState>(
+    (state, id) => exchange(state, id, ok(id === 'c' ? 30 : 10)),
+    routing(names.map((id) => info(id, { slots: 8 }))),
+  );
+  const generator = xoroshiro128plus(SEED);
+  const chosen = Array.from({ length: 900 }, () =>
+    chooseUpstream(start, 'quoter', [], uniformFloat64(generator)),
+  );
+  const slow = chosen.filter((id) => id === 'c').length;
+  expect(slow).to.be.below(900 / 6);
+  expect(chosen.filter((id) => id === 'a').length).to.be.above(300);
+});
+
+it('routing: an ejected upstream gets one probe, with delays that double to a limit', () => {
+  const start = routing(['a', 'b', 'c'].map((id) => info(id)));
+  const failing = times(4, start, (state) => exchange(state, 'a', FAILED));
+  const eject = countEnded(countSent(failing, 'a'), 'a', FAILED, 0);
+  const delays: number[] = [];
+  const probe = (effects: readonly RoutingEffect[], state: RoutingState): RoutingState => {
+    delays.push(...effects.map(({ afterMs }) => afterMs));
+    const ready = allowProbe(state, 'a');
+    expect(chooseUpstream(ready, 'quoter', [], 0.5)).to.equal('a');
+    const sent = countSent(ready, 'a');
+    expect(poolOf(sent, 'quoter').ready).to.deep.equal([]);
+    if (delays.length === 7) return countEnded(sent, 'a', ok(1), 0).state;
+    const failed = countEnded(sent, 'a', FAILED, 0);
+    return probe(failed.effects, failed.state);
+  };
+  const healed = probe(eject.effects, eject.state);
+  expect(delays).to.deep.equal([1_000, 2_000, 4_000, 8_000, 16_000, 30_000, 30_000]);
+  expect(healed.upstreams.get('a')?.health).to.equal('healthy');
+});
+
+it('routing: an upstream four times slower than the median is ejected', () => {
+  const names = ['a', 'b', 'c', 'd'];
+  const run = times(80, routing(names.map((id) => info(id))), (state) =>
+    names.reduce((current, id) => exchange(current, id, ok(id === 'd' ? 50 : 10)), state),
+  );
+  expect(run.upstreams.get('d')?.health).to.equal('ejected');
+  expect(poolOf(run, 'quoter').ejectedCount).to.equal(1);
+});
+
+it('routing: the limit falls when the latency doubles and grows again near the limit', () => {
+  const warm = times(20, routing([info('a')]), (state) => exchange(state, 'a', ok(10)));
+  const slow = Array.from({ length: 20 }, (_, index) => index).reduce(
+    (state, index) => exchange(state, 'a', ok(40), index * 100),
+    warm,
+  );
+  const limit = slow.upstreams.get('a')?.limit ?? 0;
+  expect(limit).to.be.below(warm.upstreams.get('a')?.limit ?? 0);
+  const busy = times(
+    2,
+    times(40, slow, (state) => exchange(state, 'a', ok(10), 5_000)),
+    (state) => countSent(state, 'a'),
+  );
+  const grown = countEnded(busy, 'a', ok(10), 9_000).state;
+  expect(grown.upstreams.get('a')?.limit).to.be.above(limit);
+});
+
+it('routing: the budget holds a burst and a tenth of the requests', () => {
+  const spend = (pool: ReturnType<typeof poolOf>) => spendRetry(pool) ?? pool;
+  const empty = times(RETRY_BURST + 5, poolOf(routing([]), 'quoter'), spend);
+  expect(spendRetry(empty)).to.equal(undefined);
+  expect(spendRetry(times(9, empty, earnRetry))).to.equal(undefined);
+  expect(spendRetry(times(11, empty, earnRetry))).to.not.equal(undefined);
+});
+
+it('routing: the queue gives the earliest deadline first', () => {
+  fc.assert(
+    fc.property(fc.array(fc.nat(50), { maxLength: 200, size: 'max' }), (deadlines) => {
+      const filled = deadlines.reduce(
+        (queue, deadlineAtMs, index) => addToQueue(queue, { requestId: `r${index}`, deadlineAtMs }),
+        EMPTY_QUEUE,
+      );
+      const taken: number[] = [];
+      deadlines.reduce((queue) => {
+        taken.push(firstInQueue(queue)?.deadlineAtMs ?? -1);
+        return dropFirst(queue);
+      }, filled);
+      expect(taken).to.deep.equal([...deadlines].sort((one, other) => one - other));
+    }),
+    { seed: SEED, numRuns: 100 },
+  );
+});
