Decide for offers, claims and the worker lease

A lost reply of the worker is resolved by its list of running tasks and its notices, never by assumption. A lease that ran out is renewed first, so the reply tells whether another agent took over; that agent is left the running tasks. An owner in doubt about a claim sends `stopTask`; an agent that is sure that nothing runs reports the eviction.

--- /dev/null
+++ b/packages/tasks/src/chart.ts
@@ -0,0 +1,101 @@
+import type { ActionOf, StateOf } from '@bronzeyoke/chart';
+import { compileChart } from '@bronzeyoke/chart';
+import leaseFile from '../charts/lease.json';
+import taskFile from '../charts/task.json';
+
+/** Life of a task at the agent. */
+export const taskChart = compileChart(taskFile, {
+  states: [
+    'offered',
+    'reserved',
+    'claimed',
+    'starting',
+    'running',
+    'checkpointing',
+    'stopping',
+    'finished',
+    'failed',
+    'released',
+  ],
+  events: [
+    'accept',
+    'decline',
+    'drop',
+    'claim',
+    'start',
+    'started',
+    'notStarted',
+    'evict',
+    'saved',
+    'notSaved',
+    'stop',
+    'stopped',
+    'finish',
+    'fail',
+    'expire',
+    'gone',
+  ],
+  actions: [
+    'tellAccepted',
+    'tellDeclined',
+    'keepEpoch',
+    'release',
+    'startAtWorker',
+    'checkpointAtWorker',
+    'stopAtWorker',
+    'reportStarted',
+    'reportNotStarted',
+    'reportEnd',
+    'reportStopped',
+  ],
+});
+
+/** States of a task. */
+export type TaskPhase = StateOf<typeof taskChart>;
+
+/** Actions of the task chart. */
+export type TaskAction = ActionOf<typeof taskChart>;
+
+/** Life of the lease of the worker. */
+export const leaseChart = compileChart(leaseFile, {
+  states: [
+    'unregistered',
+    'registering',
+    'attaching',
+    'held',
+    'ending',
+    'lost',
+    'disputed',
+    'fenced',
+  ],
+  events: [
+    'register',
+    'registered',
+    'attach',
+    'attached',
+    'renew',
+    'renewed',
+    'low',
+    'expired',
+    'lapsed',
+    'superseded',
+    'settled',
+  ],
+  actions: [
+    'sendRegister',
+    'sendRenew',
+    'attachWorker',
+    'adoptTasks',
+    'renewTasks',
+    'evictTasks',
+    'stopTasks',
+    'declineOffers',
+    'exit',
+  ],
+});
+
+/** States of the lease. */
+export type LeasePhase = StateOf<typeof leaseChart>;
+
+/** Actions of the lease chart. */
+export type LeaseAction = ActionOf<typeof leaseChart>;
--- /dev/null
+++ b/packages/tasks/src/lease.ts
@@ -0,0 +1,272 @@
+import { OrderedMap } from 'immutable';
+import { advance } from '@bronzeyoke/chart';
+import type { Instant } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { callWorker, isCalling, chain, chainEach } from './call';
+import type { LeaseAction } from './chart';
+import { leaseChart } from './chart';
+import { stopAll, stopTask, taskLeaseMs } from './life';
+import {
+  DISPUTE_MS,
+  EVICT_LEAD_MS,
+  LAST_REPORTS_MS,
+  LEASE_MARGIN_MS,
+  LEASE_MS,
+  MAX_RETRY_MS,
+  RENEW_INTERVAL_MS,
+  RENEW_RETRY_MS,
+} from './limits';
+import type { Lease, LeaseRequest, TaskRecord, TasksState, TasksStep } from './types';
+
+type LeaseEvent =
+  | 'register'
+  | 'registered'
+  | 'attach'
+  | 'attached'
+  | 'renew'
+  | 'renewed'
+  | 'low'
+  | 'expired'
+  | 'lapsed'
+  | 'superseded'
+  | 'settled';
+
+const TOKEN_RADIX = 36;
+const TOKEN_RANGE = 2 ** 48;
+
+/** The lease of an agent that has not registered yet. */
+export const NO_LEASE: Lease = {
+  phase: leaseChart.initial,
+  incarnation: 0,
+  untilMs: 0,
+  requests: OrderedMap(),
+  lastSentAtMs: -Infinity,
+  tries: 0,
+};
+
+/** Whether offers can be accepted. A lease that is about to end is no base for new work. */
+export function isLeaseHeld({ lease }: TasksState): boolean {
+  return lease.phase === 'held';
+}
+
+/**
+ * The link that worked last, or the next one when a reply is missing: one entry may be cut off from
+ * the store. The first one is drawn, so that agents spread over the entries.
+ */
+function chooseLink(links: readonly string[], lease: Lease, random: number): string | undefined {
+  const last = links.findIndex((linkId) => linkId === lease.lastLinkId);
+  return last === -1
+    ? links[Math.floor(random * links.length)]
+    : links[(last + Number(lease.tries > 0)) % links.length];
+}
+
+function sendRequest(
+  state: TasksState,
+  kind: LeaseRequest['kind'],
+  { nowMs, random }: Instant,
+): TasksStep {
+  const { lease, profile, links } = state;
+  const { worker, agentId } = profile;
+  const { incarnation } = lease;
+  // Replies that come later than a lease lasts say nothing any more.
+  const recent = lease.requests.filter(({ sentAtMs }) => nowMs - sentAtMs < LEASE_MS);
+  const random36 = Math.floor(random * TOKEN_RANGE).toString(TOKEN_RADIX);
+  const token = `${agentId}/${state.callCount}/${random36}`;
+  const linkId = chooseLink(links, lease, random);
+  if (linkId === undefined) return unchanged(state);
+  const message =
+    kind === 'register'
+      ? ({ kind: 'registerWorker', worker, agentId, token } as const)
+      : ({ kind: 'renewWorker', worker, incarnation, token } as const);
+  return {
+    state: {
+      ...state,
+      callCount: state.callCount + 1,
+      lease: {
+        ...lease,
+        requests: recent.set(token, { kind, sentAtMs: nowMs, incarnation }),
+        lastSentAtMs: nowMs,
+        lastLinkId: linkId,
+        tries: lease.tries + 1,
+      },
+    },
+    effects: [{ kind: 'send', linkId, message }],
+  };
+}
+
+function mayRun({ phase }: TaskRecord): boolean {
+  return phase === 'starting' || phase === 'running' || phase === 'checkpointing';
+}
+
+/** Renews the tasks at the worker for what is left of the worker lease. */
+export function renewTasks(state: TasksState, nowMs: number): TasksStep {
+  const leaseMs = taskLeaseMs(state, nowMs);
+  const running = state.records.filter(mayRun);
+  if (running.isEmpty() || leaseMs <= 0 || isCalling(state, 'renew')) return unchanged(state);
+  const ids = running
+    .valueSeq()
+    .map(({ task }) => task.id)
+    .toArray();
+  return callWorker(state, { kind: 'renew' }, { kind: 'renew', ids, leaseMs }, nowMs);
+}
+
+function perform(state: TasksState, action: LeaseAction, instant: Instant): TasksStep {
+  const { nowMs } = instant;
+  switch (action) {
+    case 'sendRegister':
+      return sendRequest(state, 'register', instant);
+    case 'sendRenew':
+      return sendRequest(state, 'renew', instant);
+    case 'attachWorker':
+      return callWorker(state, { kind: 'attach' }, { kind: 'attach' }, nowMs);
+    case 'adoptTasks':
+    case 'renewTasks':
+      return renewTasks(state, nowMs);
+    case 'evictTasks':
+      return stopAll(state, 'evict', 'notRegistered', nowMs);
+    case 'stopTasks':
+      return stopAll(state, 'fence', 'notRegistered', nowMs);
+    case 'declineOffers':
+      return chainEach(
+        unchanged(state),
+        state.records.filter(({ phase }) => phase === 'reserved').keys(),
+        (current, key) => stopTask(current, key, 'fence', 'notRegistered', nowMs),
+      );
+    case 'exit': {
+      const { worker } = state.profile;
+      const incarnation = state.lease.dispute?.incarnation ?? state.lease.incarnation;
+      return {
+        state,
+        effects: [{ kind: 'exit', failure: { kind: 'fenced', worker, incarnation } }],
+      };
+    }
+    default:
+      return assertNever(action);
+  }
+}
+
+/** Tells the lease's chart of an event and carries out the actions that it names. */
+export function applyLease(state: TasksState, event: LeaseEvent, instant: Instant): TasksStep {
+  const next = advance(leaseChart, state.lease.phase, event);
+  const startsAnew = next.state === 'registering' && next.state !== state.lease.phase;
+  const tries = startsAnew ? 0 : state.lease.tries;
+  const base = { ...state, lease: { ...state.lease, phase: next.state, tries } };
+  return chainEach(unchanged(base), next.actions, (current, action) =>
+    perform(current, action, instant),
+  );
+}
+
+function withoutRequest(state: TasksState, token: string): TasksState {
+  const requests = state.lease.requests.delete(token);
+  return { ...state, lease: { ...state.lease, requests } };
+}
+
+/** A registration took effect. Of several of our own, the one with the highest incarnation counts. */
+export function onRegistered(
+  state: TasksState,
+  token: string,
+  incarnation: number,
+  instant: Instant,
+): TasksStep {
+  const request = state.lease.requests.get(token);
+  if (request === undefined || request.kind !== 'register') return unchanged(state);
+  const answered = withoutRequest(state, token);
+  const isOld =
+    incarnation <= state.lease.incarnation ||
+    incarnation < (state.lease.dispute?.incarnation ?? 0) ||
+    request.sentAtMs + LEASE_MS - LEASE_MARGIN_MS <= instant.nowMs;
+  if (isOld) return unchanged(answered);
+  const { dispute: settled, ...lease } = answered.lease;
+  const untilMs = request.sentAtMs + LEASE_MS;
+  const registered = { ...answered, lease: { ...lease, incarnation, untilMs, tries: 0 } };
+  return applyLease(registered, 'registered', instant);
+}
+
+/** A renewal took effect; it counts from before it was sent, in whatever order replies arrive. */
+export function onRenewed(state: TasksState, token: string, instant: Instant): TasksStep {
+  const request = state.lease.requests.get(token);
+  if (request === undefined || request.kind !== 'renew') return unchanged(state);
+  const answered = withoutRequest(state, token);
+  const { lease } = answered;
+  const untilMs = Math.max(lease.untilMs, request.sentAtMs + LEASE_MS);
+  if (request.incarnation !== lease.incarnation || untilMs === lease.untilMs) {
+    return unchanged(answered);
+  }
+  return applyLease({ ...answered, lease: { ...lease, untilMs, tries: 0 } }, 'renewed', instant);
+}
+
+/**
+ * The worker's row or the worker itself names another incarnation. The same one means that an owner
+ * fenced this agent because its lease ran out: it stops everything and registers again. A higher one
+ * means that somebody registered later. That is this agent itself if one of its registrations is
+ * still without a reply; otherwise another agent took over, and this one has to exit. Running tasks
+ * are left to that agent, which adopts them; if it does not, they stop with their leases.
+ */
+export function onFenced(state: TasksState, incarnation: number, instant: Instant): TasksStep {
+  const { lease } = state;
+  // An agent that never registered has nothing that could be fenced.
+  const isStale = lease.incarnation === 0 || incarnation < lease.incarnation;
+  if (isStale || lease.phase === 'fenced') return unchanged(state);
+  if (incarnation === lease.incarnation) return applyLease(state, 'lapsed', instant);
+  const known = lease.dispute;
+  const isNews = known === undefined || incarnation > known.incarnation;
+  const untilMs = known?.untilMs ?? instant.nowMs + DISPUTE_MS;
+  const dispute = isNews ? { incarnation, untilMs } : known;
+  const disputed = applyLease({ ...state, lease: { ...lease, dispute } }, 'superseded', instant);
+  const mayBeOurs = lease.requests.some(({ kind }) => kind === 'register');
+  return mayBeOurs || !state.reports.isEmpty()
+    ? disputed
+    : chain(disputed, (current) => applyLease(current, 'settled', instant));
+}
+
+function retryMs(lease: Lease): number {
+  const doubled = RENEW_RETRY_MS * 2 ** Math.max(0, lease.tries - 1);
+  return Math.min(doubled, MAX_RETRY_MS);
+}
+
+function whenDue(state: TasksState, event: 'register' | 'renew', instant: Instant): TasksStep {
+  const { lease } = state;
+  const isAnswered = event === 'renew' && lease.tries === 0;
+  const waitMs = isAnswered ? RENEW_INTERVAL_MS : retryMs(lease);
+  return instant.nowMs - lease.lastSentAtMs >= waitMs
+    ? applyLease(state, event, instant)
+    : unchanged(state);
+}
+
+/**
+ * What the passing of time means for the lease. A lease that ran out is first renewed, not registered
+ * anew: the reply tells whether this agent was fenced, and whether another one took its place.
+ */
+export function tickLease(state: TasksState, instant: Instant): TasksStep {
+  const { lease } = state;
+  const { nowMs } = instant;
+  const leftMs = lease.untilMs - LEASE_MARGIN_MS - nowMs;
+  switch (lease.phase) {
+    case 'unregistered':
+    case 'registering':
+      return whenDue(state, 'register', instant);
+    case 'attaching':
+      if (leftMs <= 0) return applyLease(state, 'expired', instant);
+      return chain(whenDue(state, 'renew', instant), (current) =>
+        isCalling(current, 'attach') ? unchanged(current) : applyLease(current, 'attach', instant),
+      );
+    case 'held':
+      if (leftMs <= 0) return applyLease(state, 'expired', instant);
+      return chain(whenDue(state, 'renew', instant), (current) =>
+        leftMs <= EVICT_LEAD_MS ? applyLease(current, 'low', instant) : unchanged(current),
+      );
+    case 'ending':
+      return leftMs <= 0 ? applyLease(state, 'expired', instant) : whenDue(state, 'renew', instant);
+    case 'lost':
+      return whenDue(state, 'renew', instant);
+    case 'disputed': {
+      const { dispute } = lease;
+      const limitMs = (dispute?.untilMs ?? 0) + (state.reports.isEmpty() ? 0 : LAST_REPORTS_MS);
+      return nowMs >= limitMs ? applyLease(state, 'settled', instant) : unchanged(state);
+    }
+    case 'fenced':
+      return unchanged(state);
+    default:
+      return assertNever(lease.phase);
+  }
+}
--- /dev/null
+++ b/packages/tasks/src/life.ts
@@ -0,0 +1,252 @@
+import type { OrderedMap } from 'immutable';
+import { advance } from '@bronzeyoke/chart';
+import { freeResources, release } from '@bronzeyoke/ledger';
+import type { TaskEnd } from '@bronzeyoke/ports';
+import { assertNever, taskKey, unchanged } from '@bronzeyoke/types';
+import type { TaskReport } from '@bronzeyoke/wire';
+import { callWorker, chain, chainEach } from './call';
+import type { TaskAction } from './chart';
+import { taskChart } from './chart';
+import {
+  CHECKPOINT_RETRY_MS,
+  CLAIM_LIMIT_MS,
+  LEASE_MARGIN_MS,
+  MAX_REMEMBERED,
+  STOP_RETRY_MS,
+} from './limits';
+import { keepReport, tellReport } from './report';
+import type { StopMode, TaskEvent, TaskRecord, TasksState, TasksStep } from './types';
+
+/** How long the worker may run tasks from now on. */
+export function taskLeaseMs(state: TasksState, nowMs: number): number {
+  return Math.max(0, state.lease.untilMs - LEASE_MARGIN_MS - nowMs);
+}
+
+/** Adds to a list of recent things and drops the oldest when it is full. */
+export function remember<Value>(
+  known: OrderedMap<string, Value>,
+  key: string,
+  value: Value,
+): OrderedMap<string, Value> {
+  const grown = known.delete(key).set(key, value);
+  return grown.size > MAX_REMEMBERED ? grown.skip(1) : grown;
+}
+
+function amend(record: TaskRecord, event: TaskEvent, nowMs: number): TaskRecord {
+  switch (event.kind) {
+    case 'saved':
+      return { ...record, checkpointRef: event.checkpointRef, retryAtMs: nowMs + STOP_RETRY_MS };
+    case 'notSaved':
+      return { ...record, retryAtMs: nowMs + CHECKPOINT_RETRY_MS };
+    case 'stop':
+      return { ...record, retryAtMs: nowMs + STOP_RETRY_MS };
+    case 'started':
+      return { ...record, runningSinceMs: nowMs };
+    case 'accept':
+    case 'decline':
+    case 'drop':
+    case 'claim':
+    case 'start':
+    case 'notStarted':
+    case 'evict':
+    case 'stopped':
+    case 'gone':
+    case 'finish':
+    case 'fail':
+    case 'expire':
+      return record;
+    default:
+      return assertNever(event);
+  }
+}
+
+function checkpointPart(record: TaskRecord): { readonly checkpointRef?: string } {
+  const checkpointRef = record.checkpointRef ?? record.task.checkpointRef;
+  return checkpointRef === undefined ? {} : { checkpointRef };
+}
+
+/** The report of a task that ended on its own, with the last checkpoint if the worker names none. */
+export function reportOfEnd(end: TaskEnd, record?: TaskRecord): TaskReport {
+  const known = record === undefined ? {} : checkpointPart(record);
+  switch (end.kind) {
+    case 'finished':
+      return end;
+    case 'failed':
+      return { ...known, ...end };
+    case 'leaseExpired': {
+      const { checkpointRef } = end;
+      return {
+        kind: 'evicted',
+        ...(checkpointRef === undefined ? known : { checkpointRef }),
+      };
+    }
+    default:
+      return assertNever(end);
+  }
+}
+
+function perform(
+  state: TasksState,
+  record: TaskRecord,
+  action: TaskAction,
+  event: TaskEvent,
+  nowMs: number,
+): TasksStep {
+  const { task, epoch, offerId, linkId } = record;
+  const { id } = task;
+  const key = taskKey(id);
+  const free = freeResources(state.ledger);
+  switch (action) {
+    case 'tellAccepted':
+      return offerId === undefined || linkId === undefined
+        ? unchanged(state)
+        : {
+            state,
+            effects: [{ kind: 'send', linkId, message: { kind: 'accepted', offerId, free } }],
+          };
+    case 'tellDeclined': {
+      if (offerId === undefined || linkId === undefined) return unchanged(state);
+      const reason = event.kind === 'decline' ? event.reason : 'tooLate';
+      const message = { kind: 'declined', offerId, reason, free } as const;
+      return { state, effects: [{ kind: 'send', linkId, message }] };
+    }
+    case 'keepEpoch':
+      return unchanged({ ...state, epochs: remember(state.epochs, key, epoch) });
+    case 'release':
+      return unchanged({ ...state, ledger: release(state.ledger, key) });
+    case 'startAtWorker': {
+      const leaseMs = taskLeaseMs(state, nowMs);
+      const startWithinMs = record.acceptedAtMs + CLAIM_LIMIT_MS - nowMs;
+      const command = { task, epoch, leaseMs, startWithinMs };
+      return callWorker(state, { kind: 'start', key }, { kind: 'start', command }, nowMs);
+    }
+    case 'checkpointAtWorker':
+      return callWorker(state, { kind: 'checkpoint', key }, { kind: 'checkpoint', id }, nowMs);
+    case 'stopAtWorker':
+      return callWorker(state, { kind: 'stop', key }, { kind: 'stop', id }, nowMs);
+    case 'reportStarted':
+      return tellReport(state, linkId, id, epoch, { kind: 'started' });
+    case 'reportNotStarted':
+      return keepReport(state, linkId, id, epoch, { kind: 'notStarted' }, nowMs);
+    case 'reportEnd':
+      return 'end' in event
+        ? keepReport(state, linkId, id, epoch, reportOfEnd(event.end, record), nowMs)
+        : unchanged(state);
+    case 'reportStopped': {
+      const report: TaskReport =
+        record.stopMode === 'cancel'
+          ? { kind: 'stopped' }
+          : { kind: 'evicted', ...checkpointPart(record) };
+      return keepReport(state, linkId, id, epoch, report, nowMs);
+    }
+    default:
+      return assertNever(action);
+  }
+}
+
+const UNCLAIMED: ReadonlySet<string> = new Set(['offered', 'reserved']);
+
+function isOver(record: TaskRecord): boolean {
+  const { phase } = record;
+  return phase === 'released' || phase === 'finished' || phase === 'failed';
+}
+
+function store(state: TasksState, before: TaskRecord, after: TaskRecord): TasksState {
+  const key = taskKey(after.task.id);
+  if (!isOver(after)) return { ...state, records: state.records.set(key, after) };
+  const records = state.records.delete(key);
+  const { offerId, epoch } = after;
+  // An offer that was declined at once leaves nothing behind: the record was never stored.
+  if (offerId === undefined || before.phase === 'offered') return { ...state, records };
+  const past = { id: after.task.id, epoch, wasClaimed: !UNCLAIMED.has(before.phase) };
+  return { ...state, records, pastOffers: remember(state.pastOffers, offerId, past) };
+}
+
+/** Tells a task's chart of an event and carries out the actions that it names. */
+export function applyTask(
+  state: TasksState,
+  record: TaskRecord,
+  event: TaskEvent,
+  nowMs: number,
+): TasksStep {
+  const next = advance(taskChart, record.phase, event.kind);
+  if (next.actions.length === 0 && next.state === record.phase) return unchanged(state);
+  const amended = { ...amend(record, event, nowMs), phase: next.state };
+  // The record is stored first, so that actions see the state that they belong to.
+  const stored = store(state, record, amended);
+  return chainEach(unchanged(stored), next.actions, (current, action) =>
+    perform(current, amended, action, event, nowMs),
+  );
+}
+
+/** The same for a task named by its key; an unknown task changes nothing. */
+export function applyKey(
+  state: TasksState,
+  key: string,
+  event: TaskEvent,
+  nowMs: number,
+): TasksStep {
+  const record = state.records.get(key);
+  return record === undefined ? unchanged(state) : applyTask(state, record, event, nowMs);
+}
+
+const STOP_STRENGTH: Readonly<Record<StopMode, number>> = { evict: 0, fence: 1, cancel: 2 };
+
+function stronger(known: StopMode | undefined, mode: StopMode): StopMode {
+  return known === undefined || STOP_STRENGTH[mode] > STOP_STRENGTH[known] ? mode : known;
+}
+
+/** Makes a task stop in the way that its phase allows; a weaker way never replaces a stronger one. */
+export function stopTask(
+  state: TasksState,
+  key: string,
+  mode: StopMode,
+  reason: 'domainOut' | 'draining' | 'notRegistered' | 'tooLate',
+  nowMs: number,
+): TasksStep {
+  const record = state.records.get(key);
+  if (record === undefined) return unchanged(state);
+  const marked = { ...record, stopMode: stronger(record.stopMode, mode) };
+  const base = { ...state, records: state.records.set(key, marked) };
+  const atOnce = marked.stopMode !== 'evict';
+  switch (record.phase) {
+    case 'reserved':
+      return applyTask(base, marked, { kind: 'decline', reason }, nowMs);
+    case 'running':
+      return applyTask(base, marked, { kind: atOnce ? 'stop' : 'evict' }, nowMs);
+    case 'checkpointing':
+      return atOnce ? applyTask(base, marked, { kind: 'stop' }, nowMs) : unchanged(base);
+    // A start without a reply is stopped when it is known whether the worker runs the task.
+    case 'claimed':
+    case 'starting':
+    case 'stopping':
+      return unchanged(base);
+    case 'offered':
+    case 'finished':
+    case 'failed':
+    case 'released':
+      return unchanged(state);
+    default:
+      return assertNever(record.phase);
+  }
+}
+
+/** Makes all tasks stop. */
+export function stopAll(
+  state: TasksState,
+  mode: StopMode,
+  reason: 'domainOut' | 'draining' | 'notRegistered',
+  nowMs: number,
+): TasksStep {
+  return chainEach(unchanged(state), state.records.keys(), (current, key) =>
+    stopTask(current, key, mode, reason, nowMs),
+  );
+}
+
+/** The worker runs a task; a stop that was wanted meanwhile follows. */
+export function markStarted(state: TasksState, key: string, nowMs: number): TasksStep {
+  return chain(applyKey(state, key, { kind: 'started' }, nowMs), (current) => {
+    const mode = current.records.get(key)?.stopMode;
+    return mode === undefined ? unchanged(current) : stopTask(current, key, mode, 'tooLate', nowMs);
+  });
+}
--- /dev/null
+++ b/packages/tasks/src/reply.ts
@@ -0,0 +1,164 @@
+import type { WorkerEvent, WorkerReply, WorkerResult } from '@bronzeyoke/ports';
+import type { Instant } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { chain } from './call';
+import { applyLease, onFenced } from './lease';
+import { applyKey, markStarted } from './life';
+import { endMissing, onListing, onNotices } from './listing';
+import type { CallPurpose, TasksState, TasksStep, WorkerCall } from './types';
+
+function askAgain(state: TasksState): TasksStep {
+  return unchanged({ ...state, needsListing: true });
+}
+
+function onAttach(
+  state: TasksState,
+  call: WorkerCall,
+  result: Extract<WorkerReply, { readonly kind: 'attach' }>['result'],
+  instant: Instant,
+): TasksStep {
+  if (result.kind !== 'done') return unchanged(state);
+  const listed = onListing(state, result.value, call.sentAtMs, instant.nowMs);
+  return call.incarnation === state.lease.incarnation
+    ? chain(listed, (current) => applyLease(current, 'attached', instant))
+    : listed;
+}
+
+function onStart(
+  state: TasksState,
+  key: string,
+  result: WorkerResult<void>,
+  nowMs: number,
+): TasksStep {
+  switch (result.kind) {
+    case 'done':
+      return markStarted(state, key, nowMs);
+    case 'refused':
+      // An older copy runs, or this start took effect twice: only the worker's list tells.
+      return result.problem === 'alreadyRunning'
+        ? askAgain(state)
+        : applyKey(state, key, { kind: 'notStarted' }, nowMs);
+    case 'fenced':
+      return applyKey(state, key, { kind: 'notStarted' }, nowMs);
+    case 'unavailable':
+      return askAgain(state);
+    default:
+      return assertNever(result);
+  }
+}
+
+function onCheckpoint(
+  state: TasksState,
+  key: string,
+  result: WorkerResult<string>,
+  nowMs: number,
+): TasksStep {
+  if (result.kind === 'done') {
+    return applyKey(state, key, { kind: 'saved', checkpointRef: result.value }, nowMs);
+  }
+  const kept = applyKey(state, key, { kind: 'notSaved' }, nowMs);
+  return result.kind === 'refused' ? chain(kept, askAgain) : kept;
+}
+
+function onStop(
+  state: TasksState,
+  key: string,
+  result: WorkerResult<void>,
+  nowMs: number,
+): TasksStep {
+  switch (result.kind) {
+    case 'done':
+      return applyKey(state, key, { kind: 'stopped' }, nowMs);
+    // The task may have finished just before; its notice has to be read first.
+    case 'refused':
+      return askAgain(state);
+    case 'fenced':
+    case 'unavailable':
+      return unchanged(state);
+    default:
+      return assertNever(result);
+  }
+}
+
+function onPurpose(
+  state: TasksState,
+  call: WorkerCall,
+  reply: WorkerReply,
+  instant: Instant,
+): TasksStep {
+  const { purpose } = call;
+  const { nowMs } = instant;
+  switch (purpose.kind) {
+    case 'attach':
+      return reply.kind === 'attach'
+        ? onAttach(state, call, reply.result, instant)
+        : unchanged(state);
+    case 'renew': {
+      if (reply.kind !== 'renew') return unchanged(state);
+      const isRenewed = reply.result.kind === 'done' || reply.result.kind === 'refused';
+      const renewed = isRenewed ? { ...state, renewedAtMs: call.sentAtMs } : state;
+      return reply.result.kind === 'refused' ? askAgain(renewed) : unchanged(renewed);
+    }
+    case 'notices':
+      return reply.kind === 'notices' && reply.result.kind === 'done'
+        ? endMissing(state, call.sentAtMs, nowMs)
+        : askAgain(state);
+    case 'start':
+      return reply.kind === 'start'
+        ? onStart(state, purpose.key, reply.result, nowMs)
+        : unchanged(state);
+    case 'checkpoint':
+      return reply.kind === 'checkpoint'
+        ? onCheckpoint(state, purpose.key, reply.result, nowMs)
+        : unchanged(state);
+    case 'stop':
+      return reply.kind === 'stop'
+        ? onStop(state, purpose.key, reply.result, nowMs)
+        : unchanged(state);
+    default:
+      return assertNever(purpose);
+  }
+}
+
+/**
+ * A command ended. A reply to a command that was given up is ignored, because what it did shows in
+ * the next listing; only notices count at any time, because the worker tells them once.
+ */
+export function onWorkerDone(state: TasksState, event: WorkerEvent, instant: Instant): TasksStep {
+  const { callId, reply } = event;
+  const call = state.calls.get(callId);
+  const told =
+    reply.kind === 'notices' && reply.result.kind === 'done'
+      ? onNotices(state, reply.result.value, instant.nowMs)
+      : unchanged(state);
+  if (call === undefined) return told;
+  const closed = chain(told, (current) =>
+    unchanged({ ...current, calls: current.calls.delete(callId) }),
+  );
+  const { result } = reply;
+  const done = chain(closed, (current) => onPurpose(current, call, reply, instant));
+  return result.kind === 'fenced'
+    ? chain(done, (current) => onFenced(current, result.incarnation, instant))
+    : done;
+}
+
+function unavailable(purpose: CallPurpose): WorkerReply {
+  return { kind: purpose.kind, result: { kind: 'unavailable' } };
+}
+
+/** Gives up commands without a reply. */
+export function giveUpCalls(state: TasksState, timeoutMs: number, instant: Instant): TasksStep {
+  return state.calls
+    .filter(({ sentAtMs }) => instant.nowMs - sentAtMs >= timeoutMs)
+    .reduce<TasksStep>(
+      (step, { purpose }, callId) =>
+        chain(step, (current) =>
+          onWorkerDone(
+            current,
+            { kind: 'workerDone', callId, reply: unavailable(purpose) },
+            instant,
+          ),
+        ),
+      unchanged(state),
+    );
+}
--- /dev/null
+++ b/packages/tasks/src/report.ts
@@ -0,0 +1,76 @@
+import { taskKey } from '@bronzeyoke/types';
+import type { TaskId } from '@bronzeyoke/types';
+import type { TaskReport } from '@bronzeyoke/wire';
+import { MAX_REPORTS, REPEATS_PER_TICK, REPORT_REPEAT_MS } from './limits';
+import type { PendingReport, TasksEffect, TasksState, TasksStep } from './types';
+
+function reportKey(id: TaskId, epoch: number): string {
+  return `${taskKey(id)}@${epoch}`;
+}
+
+function sendTo(links: readonly string[], pending: PendingReport): readonly TasksEffect[] {
+  const { id, epoch, report } = pending;
+  return links.map((linkId) => ({
+    kind: 'send',
+    linkId,
+    message: { kind: 'taskReport', id, epoch, report },
+  }));
+}
+
+/** Tells an entry what changed, once; nothing depends on it. */
+export function tellReport(
+  state: TasksState,
+  linkId: string | undefined,
+  id: TaskId,
+  epoch: number,
+  report: TaskReport,
+): TasksStep {
+  const isOpen = linkId !== undefined && state.links.includes(linkId);
+  const links = isOpen ? [linkId] : state.links;
+  return { state, effects: sendTo(links, { id, epoch, report, sentAtMs: 0 }) };
+}
+
+/** Reports how a task ended, and keeps the report until an entry has recorded it. */
+export function keepReport(
+  state: TasksState,
+  linkId: string | undefined,
+  id: TaskId,
+  epoch: number,
+  report: TaskReport,
+  nowMs: number,
+): TasksStep {
+  const told = tellReport(state, linkId, id, epoch, report);
+  const reports = state.reports.set(reportKey(id, epoch), { id, epoch, report, sentAtMs: nowMs });
+  return { state: { ...state, reports }, effects: told.effects };
+}
+
+/** Whether the end of a run is reported already and waits to be recorded. */
+export function hasReport(state: TasksState, id: TaskId, epoch: number): boolean {
+  return state.reports.has(reportKey(id, epoch));
+}
+
+/** An entry recorded a report; a confirmation of another epoch changes nothing. */
+export function confirmReport(state: TasksState, id: TaskId, epoch: number): TasksState {
+  return { ...state, reports: state.reports.delete(reportKey(id, epoch)) };
+}
+
+/** Repeats the reports that wait longest, over every open link: the owner may have changed. */
+export function repeatReports(state: TasksState, nowMs: number): TasksStep {
+  if (state.links.length === 0) return { state, effects: [] };
+  const due = state.reports
+    .filter(({ sentAtMs }) => nowMs - sentAtMs >= REPORT_REPEAT_MS)
+    .take(REPEATS_PER_TICK);
+  const sent = due.map((pending) => ({ ...pending, sentAtMs: nowMs }));
+  return {
+    state: { ...state, reports: state.reports.deleteAll(due.keys()).merge(sent) },
+    effects: due
+      .valueSeq()
+      .flatMap((pending) => sendTo(state.links, pending))
+      .toArray(),
+  };
+}
+
+/** Whether one more task could end without room for its report. */
+export function isReportListFull(state: TasksState): boolean {
+  return state.reports.size + state.records.size >= MAX_REPORTS;
+}
--- /dev/null
+++ b/packages/tasks/src/step.ts
@@ -0,0 +1,251 @@
+import { Map, OrderedMap } from 'immutable';
+import { createLedger, setService, shortfall } from '@bronzeyoke/ledger';
+import type { AgentProfile, Configuration, Instant, TaskId } from '@bronzeyoke/types';
+import {
+  EMPTY_CONFIGURATION,
+  NO_RESOURCES,
+  addResources,
+  assertNever,
+  fitsIn,
+  taskKey,
+  unchanged,
+} from '@bronzeyoke/types';
+import { callWorker, isCalling, chain, chainEach } from './call';
+import {
+  NO_LEASE,
+  isLeaseHeld,
+  onFenced,
+  onRegistered,
+  onRenewed,
+  renewTasks,
+  tickLease,
+} from './lease';
+import { applyTask, remember, stopAll, stopTask } from './life';
+import { CALL_TIMEOUT_MS, IDLE_NOTICES_MS, RENEW_INTERVAL_MS, TICK_MS } from './limits';
+import { expireOffers, mayRunHere, onClaimFailed, onClaimed, onOffer } from './offer';
+import { confirmReport, hasReport, keepReport, repeatReports } from './report';
+import { giveUpCalls, onWorkerDone } from './reply';
+import type { TaskMessage, TaskRecord, TasksEvent, TasksState, TasksStep } from './types';
+
+/** Batch work at an agent before its first connection. */
+export function createTasks(profile: AgentProfile): TasksState {
+  return {
+    profile,
+    links: [],
+    configuration: EMPTY_CONFIGURATION,
+    isDraining: false,
+    ledger: createLedger(profile.total),
+    lease: NO_LEASE,
+    records: Map(),
+    epochs: OrderedMap(),
+    pastOffers: OrderedMap(),
+    reports: OrderedMap(),
+    calls: Map(),
+    callCount: 0,
+    needsListing: false,
+    noticesAtMs: 0,
+    renewedAtMs: 0,
+  };
+}
+
+/** Whether a planned stop can go ahead: no task is left, and every report is recorded. */
+export function isTasksIdle(state: TasksState): boolean {
+  return state.records.isEmpty() && state.reports.isEmpty();
+}
+
+/** Tasks that nobody can say are stopped; their reservations stay. */
+export function possiblyRunning(state: TasksState): readonly TaskId[] {
+  return state.records
+    .valueSeq()
+    .filter(({ phase }) => phase === 'starting' || phase === 'stopping')
+    .map(({ task }) => task.id)
+    .toArray();
+}
+
+/** Evicts one task after the other, the youngest first, until the service has its part. */
+function makeRoomForService(state: TasksState, nowMs: number): TasksStep {
+  const lacking = shortfall(state.ledger);
+  const leaving = state.records
+    .valueSeq()
+    .filter(({ stopMode }) => stopMode !== undefined)
+    .reduce((sum, { task }) => addResources(sum, task.reserved), NO_RESOURCES);
+  if (fitsIn(lacking, leaving)) return unchanged(state);
+  const last = state.records
+    .valueSeq()
+    .filter(({ phase, stopMode }) => phase === 'running' && stopMode === undefined)
+    // Watchers go last: they are meant to run without an end.
+    .maxBy(({ task, acceptedAtMs }) => (task.role === 'batch' ? acceptedAtMs : -Infinity));
+  return last === undefined
+    ? unchanged(state)
+    : chain(stopTask(state, taskKey(last.task.id), 'evict', 'tooLate', nowMs), (current) =>
+        makeRoomForService(current, nowMs),
+      );
+}
+
+function onConfig(
+  state: TasksState,
+  linkId: string,
+  configuration: Configuration,
+  nowMs: number,
+): TasksStep {
+  const isNewer = configuration.number > state.configuration.number;
+  const inForce = isNewer ? configuration : state.configuration;
+  const service = inForce.entries.find(
+    (entry) => entry.kind === 'service' && entry.name === state.profile.service,
+  );
+  const reserved = service?.kind === 'service' ? service.reserved : NO_RESOURCES;
+  const applied: TasksState = isNewer
+    ? { ...state, configuration, ledger: setService(state.ledger, reserved) }
+    : state;
+  const told: TasksStep = {
+    state: applied,
+    effects: [{ kind: 'send', linkId, message: { kind: 'inForce', number: inForce.number } }],
+  };
+  if (!isNewer) return told;
+  return chain(told, (current) =>
+    mayRunHere(current)
+      ? makeRoomForService(current, nowMs)
+      : stopAll(current, 'evict', 'domainOut', nowMs),
+  );
+}
+
+function onStopTask(
+  state: TasksState,
+  linkId: string,
+  message: Extract<TaskMessage, { readonly kind: 'stopTask' }>,
+  nowMs: number,
+): TasksStep {
+  const { id, epoch, mode } = message;
+  const key = taskKey(id);
+  const record = state.records.get(key);
+  if (record !== undefined) {
+    // A stop for an older epoch is about a run that is over.
+    return epoch < record.epoch ? unchanged(state) : stopTask(state, key, mode, 'tooLate', nowMs);
+  }
+  // An owner that is in doubt about a claim, after a restart of the agent, learns that nothing runs.
+  // Only an agent that knows what its worker runs can say so; its later offers need a higher epoch.
+  const isSure = isLeaseHeld(state) && !state.needsListing;
+  if (!isSure || hasReport(state, id, epoch)) return unchanged(state);
+  const known = Math.max(epoch, state.epochs.get(key) ?? 0);
+  const closed = { ...state, epochs: remember(state.epochs, key, known) };
+  return keepReport(
+    closed,
+    linkId,
+    id,
+    epoch,
+    { kind: mode === 'cancel' ? 'stopped' : 'evicted' },
+    nowMs,
+  );
+}
+
+function onMessage(
+  state: TasksState,
+  linkId: string,
+  message: TaskMessage,
+  instant: Instant,
+): TasksStep {
+  const { nowMs } = instant;
+  switch (message.kind) {
+    case 'offer':
+      return onOffer(state, linkId, message, nowMs);
+    case 'claimed':
+      return onClaimed(state, linkId, message.offerId, nowMs);
+    case 'claimFailed':
+      return onClaimFailed(state, message.offerId, nowMs);
+    case 'stopTask':
+      return onStopTask(state, linkId, message, nowMs);
+    case 'recorded':
+      return unchanged(confirmReport(state, message.id, message.epoch));
+    case 'workerRegistered':
+      return onRegistered(state, message.token, message.incarnation, instant);
+    case 'workerRenewed':
+      return onRenewed(state, message.token, instant);
+    case 'workerFenced':
+      return onFenced(state, message.incarnation, instant);
+    case 'config':
+      return onConfig(state, linkId, message.configuration, nowMs);
+    default:
+      return assertNever(message);
+  }
+}
+
+function retryRecord(state: TasksState, record: TaskRecord, nowMs: number): TasksStep {
+  const isDue = record.retryAtMs !== undefined && record.retryAtMs <= nowMs;
+  const key = taskKey(record.task.id);
+  if (!isDue || record.stopMode === undefined) return unchanged(state);
+  if (record.phase === 'running') return stopTask(state, key, record.stopMode, 'tooLate', nowMs);
+  return record.phase === 'stopping' && !isCalling(state, 'stop', key)
+    ? applyTask(state, record, { kind: 'stop' }, nowMs)
+    : unchanged(state);
+}
+
+function pollNotices(state: TasksState, nowMs: number): TasksStep {
+  const { phase } = state.lease;
+  const isAttached = phase === 'held' || phase === 'ending' || phase === 'lost';
+  const isBusy = state.records.some((record) => record.phase !== 'reserved');
+  const waitMs = isBusy ? TICK_MS : IDLE_NOTICES_MS;
+  // Tasks of a lost lease have to be confirmed as stopped while a new one is sought. An agent that
+  // another one replaced takes no notices: they are for its successor.
+  const isMine = isAttached || (isBusy && phase === 'registering');
+  const isDue = isMine && nowMs - state.noticesAtMs >= waitMs;
+  return isDue && !isCalling(state, 'notices')
+    ? callWorker({ ...state, noticesAtMs: nowMs }, { kind: 'notices' }, { kind: 'notices' }, nowMs)
+    : unchanged(state);
+}
+
+function askForListing(state: TasksState, nowMs: number): TasksStep {
+  const isWanted = state.needsListing && !isCalling(state, 'attach');
+  return isWanted && state.lease.incarnation > 0
+    ? callWorker(state, { kind: 'attach' }, { kind: 'attach' }, nowMs)
+    : unchanged(state);
+}
+
+function renewAgain(state: TasksState, nowMs: number): TasksStep {
+  const isDue = state.lease.phase === 'held' && nowMs - state.renewedAtMs > RENEW_INTERVAL_MS;
+  return isDue ? renewTasks(state, nowMs) : unchanged(state);
+}
+
+function tick(state: TasksState, instant: Instant): TasksStep {
+  const { nowMs } = instant;
+  return [
+    (current: TasksState) => giveUpCalls(current, CALL_TIMEOUT_MS, instant),
+    (current: TasksState) => expireOffers(current, nowMs),
+    (current: TasksState) => tickLease(current, instant),
+    (current: TasksState) =>
+      chainEach(unchanged(current), current.records.values(), (before, record) =>
+        retryRecord(before, record, nowMs),
+      ),
+    (current: TasksState) => askForListing(current, nowMs),
+    (current: TasksState) => pollNotices(current, nowMs),
+    (current: TasksState) => renewAgain(current, nowMs),
+    (current: TasksState) => repeatReports(current, nowMs),
+  ].reduce<TasksStep>(chain, unchanged(state));
+}
+
+function linkOpened(state: TasksState, linkId: string, instant: Instant): TasksStep {
+  const links = [...state.links.filter((link) => link !== linkId), linkId];
+  const opened = { ...state, links };
+  return state.links.length === 0 ? tickLease(opened, instant) : unchanged(opened);
+}
+
+/** Decides for batch work at an agent. */
+export function stepTasks(state: TasksState, event: TasksEvent, instant: Instant): TasksStep {
+  switch (event.kind) {
+    case 'linkOpened':
+      return linkOpened(state, event.linkId, instant);
+    case 'linkClosed':
+      return unchanged({ ...state, links: state.links.filter((link) => link !== event.linkId) });
+    case 'received':
+      return onMessage(state, event.linkId, event.message, instant);
+    case 'workerDone':
+      return onWorkerDone(state, event, instant);
+    case 'tick':
+      return tick(state, instant);
+    case 'drain':
+      return stopAll({ ...state, isDraining: true }, 'evict', 'draining', instant.nowMs);
+    case 'evict':
+      return stopTask(state, taskKey(event.id), 'evict', 'tooLate', instant.nowMs);
+    default:
+      return assertNever(event);
+  }
+}
