Run batch tasks at the agent over an HTTP worker

Cause: the agent only served requests. Change: the agent core composes admission and tasks, in one file for each concern; hello is sent again with a new incarnation; beats carry what the ledger has free; a planned stop waits for evictions to be recorded; an agent that another one replaced finishes its requests and exits with the failure `fenced`. The HTTP worker adapter checks every reply and counts anything else as unavailable. The worker stand-in serves the model over HTTP.

--- a/packages/adapters/src/index.ts
+++ b/packages/adapters/src/index.ts
@@ -1,1 +1,2 @@
 export * from './table';
+export * from './worker';
--- /dev/null
+++ b/packages/adapters/src/worker.ts
@@ -0,0 +1,125 @@
+import { Agent, request as httpRequest } from 'node:http';
+import type {
+  RunningTask,
+  UsageSample,
+  WorkerNotice,
+  WorkerPort,
+  WorkerResult,
+} from '@bronzeyoke/ports';
+import { z } from 'zod';
+
+/** Where the worker listens. */
+export interface WorkerAddress {
+  readonly host: string;
+  readonly port: number;
+  /** A command without a reply after this time counts as unavailable. */
+  readonly timeoutMs?: number;
+}
+
+// Below the time after which the core gives a command up, so that the core hears of it first-hand.
+const DEFAULT_TIMEOUT_MS = 2_500;
+const CONNECTIONS = 4;
+const MAX_REPLY_BYTES = 4 * 1_048_576;
+
+const amount = z.number().min(0).max(1e9);
+const id = z.object({ jobId: z.string().min(1).max(200), index: z.int().min(0) });
+const resources = z.object({ processorsMilli: amount, memoryMb: amount, accelerators: amount });
+const ref = z.string().min(1).max(200);
+const name = z.string().min(1).max(200);
+
+const task = z.object({
+  id,
+  team: name,
+  workKind: name,
+  role: z.enum(['batch', 'watcher']),
+  reserved: resources,
+  payload: z.string().max(65_536),
+  checkpointRef: ref.exactOptional(),
+});
+const running = z.array(z.object({ id, epoch: z.int().min(0), task }));
+const usage = z.array(
+  z.object({ id, workKind: name, used: resources, lagMs: z.number().min(0).max(1e9) }),
+);
+const end = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('finished'), resultRef: ref, runMs: amount, peak: resources }),
+  z.object({ kind: z.literal('failed'), checkpointRef: ref.exactOptional(), peak: resources }),
+  z.object({ kind: z.literal('leaseExpired'), checkpointRef: ref.exactOptional() }),
+]);
+const notices = z.array(z.object({ kind: z.literal('ended'), id, epoch: z.int().min(0), end }));
+const nothing = z.undefined();
+
+function resultSchema<Value>(value: z.ZodType<Value>) {
+  return z.discriminatedUnion('kind', [
+    z.object({ kind: z.literal('done'), value }),
+    z.object({ kind: z.literal('fenced'), incarnation: z.int().min(0) }),
+    z.object({
+      kind: z.literal('refused'),
+      problem: z.enum(['unknownTask', 'tooLate', 'alreadyRunning', 'noRoom']),
+    }),
+    z.object({ kind: z.literal('unavailable') }),
+  ]);
+}
+
+/** Gives commands to a worker over HTTP. Whatever is not a well-formed reply counts as unavailable. */
+export function createHttpWorker(address: WorkerAddress): WorkerPort {
+  const { host, port, timeoutMs = DEFAULT_TIMEOUT_MS } = address;
+  const pool = new Agent({ keepAlive: true, maxSockets: CONNECTIONS });
+
+  const post = (path: string, text: string): Promise<string | undefined> =>
+    new Promise((resolve) => {
+      const headers = {
+        'content-type': 'application/json',
+        'content-length': String(Buffer.byteLength(text)),
+      };
+      const outgoing = httpRequest({ host, port, path, method: 'POST', headers, agent: pool });
+      const deadline = setTimeout(() => outgoing.destroy(), timeoutMs);
+      const finish = (reply?: string): void => {
+        clearTimeout(deadline);
+        resolve(reply);
+      };
+      outgoing.on('error', () => finish());
+      outgoing.on('response', (message) => {
+        const chunks: Buffer[] = [];
+        message.on('data', (chunk: Buffer) => {
+          chunks.push(chunk);
+          const lengthBytes = chunks.reduce((sum, part) => sum + part.length, 0);
+          if (lengthBytes > MAX_REPLY_BYTES) message.destroy();
+        });
+        message.on('error', () => finish());
+        message.on('close', () => {
+          const isWhole = message.complete && message.statusCode === 200;
+          finish(isWhole ? Buffer.concat(chunks).toString('utf8') : undefined);
+        });
+      });
+      outgoing.end(text);
+    });
+
+  const command = async <Value>(
+    kind: string,
+    value: z.ZodType<Value>,
+    incarnation: number,
+    fields: object = {},
+  ): Promise<WorkerResult<Value>> => {
+    const text = await post(`/v1/${kind}`, JSON.stringify({ incarnation, ...fields }));
+    if (text === undefined) return { kind: 'unavailable' };
+    try {
+      const parsed = resultSchema(value).safeParse(JSON.parse(text));
+      return parsed.success ? (parsed.data) : { kind: 'unavailable' };
+    } catch {
+      return { kind: 'unavailable' };
+    }
+  };
+
+  return {
+    attach: (incarnation) => command<readonly RunningTask[]>('attach', running, incarnation),
+    start: (incarnation, start) => command<void>('start', nothing, incarnation, { command: start }),
+    renew: (incarnation, ids, leaseMs) =>
+      command<void>('renew', nothing, incarnation, { ids, leaseMs }),
+    checkpoint: (incarnation, taskId) => command('checkpoint', ref, incarnation, { id: taskId }),
+    throttle: (incarnation, taskId, share) =>
+      command<void>('throttle', nothing, incarnation, { id: taskId, share }),
+    stop: (incarnation, taskId) => command<void>('stop', nothing, incarnation, { id: taskId }),
+    usage: (incarnation) => command<readonly UsageSample[]>('usage', usage, incarnation),
+    notices: (incarnation) => command<readonly WorkerNotice[]>('notices', notices, incarnation),
+  };
+}
--- a/packages/agent/src/core.ts
+++ b/packages/agent/src/core.ts
@@ -1,100 +1,57 @@
-import type { AdmissionEffect, AdmissionEvent } from '@bronzeyoke/admission';
-import { createAdmission, isIdle, stepAdmission } from '@bronzeyoke/admission';
-import { advance } from '@bronzeyoke/chart';
-import type { RoleAction } from '@bronzeyoke/lifecycle';
-import { STOP_LIMIT_MS, roleChart } from '@bronzeyoke/lifecycle';
-import type { AgentProfile, Instant, Step } from '@bronzeyoke/types';
+import { createAdmission } from '@bronzeyoke/admission';
+import { freeResources } from '@bronzeyoke/ledger';
+import { roleChart } from '@bronzeyoke/lifecycle';
+import { TICK_MS, createTasks } from '@bronzeyoke/tasks';
+import type { AgentProfile, Instant } from '@bronzeyoke/types';
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
-import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
-import type { AgentEffect, AgentEvent, AgentState, AgentTimer } from './types';
+import { helloOf, work } from './batch';
+import { chain, toAll } from './chain';
+import { changeRole, drain, stopWhenIdle } from './role';
+import { serve } from './serve';
+import type { AgentEffect, AgentEvent, AgentState, AgentStep, AgentTimer } from './types';
 
 const FIRST_BEAT_INTERVAL_MS = 1_000;
 
-type AgentStep = Step<AgentState, AgentEffect>;
-
 /** The state of an agent before its first connection. */
 export function createAgent(profile: AgentProfile): AgentState {
   return {
     profile,
     role: roleChart.initial,
-    incarnation: 0,
     links: [],
     beatIntervalMs: FIRST_BEAT_INTERVAL_MS,
     admission: createAdmission(profile.slots, profile.connections),
+    tasks: createTasks(profile),
   };
 }
 
-function fromAdmission(effect: AdmissionEffect): AgentEffect {
-  switch (effect.kind) {
-    case 'send':
-    case 'callUpstream':
-      return effect;
-    case 'expireLater':
-      return {
-        kind: 'wake',
-        timer: { kind: 'attemptExpiry', attemptId: effect.attemptId },
-        afterMs: effect.afterMs,
-      };
-    default:
-      return assertNever(effect);
-  }
-}
-
-function admission(state: AgentState, event: AdmissionEvent, instant: Instant): AgentStep {
-  const step = stepAdmission(state.admission, event, instant);
-  return { state: { ...state, admission: step.state }, effects: step.effects.map(fromAdmission) };
-}
-
 function beat(state: AgentState): AgentStep {
-  const message = {
+  const sent = toAll(state, {
     kind: 'beat',
-    free: state.profile.total,
+    free: freeResources(state.tasks.ledger),
     slotsInUse: state.admission.runningCount,
     slowDowns: [],
-  } as const;
+  });
   return {
     state,
-    effects: [
-      ...state.links.map((linkId) => ({ kind: 'send', linkId, message }) as const),
-      { kind: 'wake', timer: { kind: 'beat' }, afterMs: state.beatIntervalMs },
-    ],
-  };
-}
-
-function roleEffects(state: AgentState, action: RoleAction): readonly AgentEffect[] {
-  switch (action) {
-    case 'announce':
-      return state.links.map((linkId) => ({ kind: 'send', linkId, message: { kind: 'draining' } }));
-    case 'startLimit':
-      return [{ kind: 'wake', timer: { kind: 'stopLimit' }, afterMs: STOP_LIMIT_MS }];
-    case 'exit':
-      return [{ kind: 'exit' }];
-    default:
-      return assertNever(action);
-  }
-}
-
-function changeRole(state: AgentState, event: 'stop' | 'idle' | 'limit'): AgentStep {
-  const next = advance(roleChart, state.role, event);
-  return {
-    state: { ...state, role: next.state },
-    effects: next.actions.flatMap((action) => roleEffects(state, action)),
+    effects: [...sent, { kind: 'wake', timer: { kind: 'beat' }, afterMs: state.beatIntervalMs }],
   };
 }
 
-function stopRole(state: AgentState, instant: Instant): AgentStep {
-  const drained = admission(state, { kind: 'drain' }, instant);
-  const changed = changeRole(drained.state, 'stop');
-  return { state: changed.state, effects: [...drained.effects, ...changed.effects] };
+function tickTasks(state: AgentState, instant: Instant): AgentStep {
+  const again: AgentEffect = { kind: 'wake', timer: { kind: 'tasks' }, afterMs: TICK_MS };
+  const ticked = work(state, { kind: 'tick' }, instant);
+  return { state: ticked.state, effects: [...ticked.effects, again] };
 }
 
 function onTimer(state: AgentState, timer: AgentTimer, instant: Instant): AgentStep {
   switch (timer.kind) {
     case 'attemptExpiry':
-      return admission(state, { kind: 'expire', attemptId: timer.attemptId }, instant);
+      return serve(state, { kind: 'expire', attemptId: timer.attemptId }, instant);
     case 'beat':
       return beat(state);
+    case 'tasks':
+      return tickTasks(state, instant);
     case 'stopLimit':
       return changeRole(state, 'limit');
     default:
@@ -113,28 +70,18 @@
       return unchanged({ ...state, beatIntervalMs: message.beatIntervalMs });
     case 'request': {
       const { kind, ...attempt } = message;
-      return admission(state, { kind, linkId, attempt }, instant);
+      return serve(state, { kind, linkId, attempt }, instant);
     }
     case 'collect':
-      return admission(state, { ...message, linkId }, instant);
+      return serve(state, { ...message, linkId }, instant);
     case 'cancelRequest':
-      return admission(state, { kind: 'cancel', attemptId: message.attemptId }, instant);
+      return serve(state, { kind: 'cancel', attemptId: message.attemptId }, instant);
     case 'ping':
       return {
         state,
         effects: [{ kind: 'send', linkId, message: { kind: 'pong', sequence: message.sequence } }],
       };
     case 'config':
-      return {
-        state,
-        effects: [
-          {
-            kind: 'send',
-            linkId,
-            message: { kind: 'inForce', number: message.configuration.number },
-          },
-        ],
-      };
     case 'offer':
     case 'claimed':
     case 'claimFailed':
@@ -144,46 +91,51 @@
     case 'workerRegistered':
     case 'workerRenewed':
     case 'workerFenced':
-      return unchanged(state);
+      return work(state, { kind: 'received', linkId, message }, instant);
     default:
       return assertNever(message);
   }
 }
 
-function linkOpened(state: AgentState, linkId: string): AgentStep {
-  const { profile, incarnation } = state;
-  const hello = { kind: 'hello', version: PROTOCOL_VERSION, profile, incarnation } as const;
+function linkOpened(state: AgentState, linkId: string, instant: Instant): AgentStep {
+  const links = [...state.links.filter((link) => link !== linkId), linkId];
+  const hello: AgentEffect = { kind: 'send', linkId, message: helloOf(state) };
   const leaving: readonly AgentEffect[] =
     state.role === 'serving' ? [] : [{ kind: 'send', linkId, message: { kind: 'draining' } }];
-  return {
-    state: { ...state, links: [...state.links.filter((link) => link !== linkId), linkId] },
-    effects: [{ kind: 'send', linkId, message: hello }, ...leaving],
-  };
+  return chain({ state: { ...state, links }, effects: [hello, ...leaving] }, (current) =>
+    work(current, { kind: 'linkOpened', linkId }, instant),
+  );
+}
+
+function linkClosed(state: AgentState, linkId: string, instant: Instant): AgentStep {
+  const links = state.links.filter((link) => link !== linkId);
+  return chain(serve({ ...state, links }, { kind: 'linkClosed', linkId }, instant), (current) =>
+    work(current, { kind: 'linkClosed', linkId }, instant),
+  );
 }
 
 function decide(state: AgentState, event: AgentEvent, instant: Instant): AgentStep {
   switch (event.kind) {
     case 'started':
-      return beat(state);
+      return chain(beat(state), (current) => tickTasks(current, instant));
     case 'linkOpened':
-      return linkOpened(state, event.linkId);
-    case 'linkClosed': {
-      const { linkId } = event;
-      const links = state.links.filter((link) => link !== linkId);
-      return admission({ ...state, links }, { kind: 'linkClosed', linkId }, instant);
-    }
+      return linkOpened(state, event.linkId, instant);
+    case 'linkClosed':
+      return linkClosed(state, event.linkId, instant);
     case 'received':
       return onMessage(state, event.linkId, event.message, instant);
     case 'upstreamAnswered':
-      return admission(state, { ...event, kind: 'answered' }, instant);
+      return serve(state, { ...event, kind: 'answered' }, instant);
     case 'upstreamNotReached':
-      return admission(state, { ...event, kind: 'notReached' }, instant);
+      return serve(state, { ...event, kind: 'notReached' }, instant);
     case 'upstreamLost':
-      return admission(state, { ...event, kind: 'lost' }, instant);
+      return serve(state, { ...event, kind: 'lost' }, instant);
+    case 'workerDone':
+      return work(state, event, instant);
     case 'timer':
       return onTimer(state, event.timer, instant);
     case 'stop':
-      return stopRole(state, instant);
+      return chain(drain(state, instant), (current) => work(current, { kind: 'drain' }, instant));
     default:
       return assertNever(event);
   }
@@ -191,8 +143,5 @@
 
 /** Decides for an agent. */
 export function stepAgent(state: AgentState, event: AgentEvent, instant: Instant): AgentStep {
-  const step = decide(state, event, instant);
-  if (step.state.role !== 'draining' || !isIdle(step.state.admission)) return step;
-  const stopped = changeRole(step.state, 'idle');
-  return { state: stopped.state, effects: [...step.effects, ...stopped.effects] };
+  return chain(decide(state, event, instant), stopWhenIdle);
 }
--- /dev/null
+++ b/packages/agent/src/role.ts
@@ -0,0 +1,51 @@
+import { isIdle } from '@bronzeyoke/admission';
+import { advance } from '@bronzeyoke/chart';
+import type { RoleAction } from '@bronzeyoke/lifecycle';
+import { STOP_LIMIT_MS, roleChart } from '@bronzeyoke/lifecycle';
+import { isTasksIdle } from '@bronzeyoke/tasks';
+import type { Failure, Instant } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { chain, toAll } from './chain';
+import { serve } from './serve';
+import type { AgentEffect, AgentState, AgentStep } from './types';
+
+function effectsOf(state: AgentState, action: RoleAction): readonly AgentEffect[] {
+  switch (action) {
+    case 'announce':
+      return toAll(state, { kind: 'draining' });
+    case 'startLimit':
+      return [{ kind: 'wake', timer: { kind: 'stopLimit' }, afterMs: STOP_LIMIT_MS }];
+    case 'exit':
+      return [{ kind: 'exit', ...(state.failure === undefined ? {} : { failure: state.failure }) }];
+    default:
+      return assertNever(action);
+  }
+}
+
+/** Tells the chart of the role of an event and carries out the actions that it names. */
+export function changeRole(state: AgentState, event: 'stop' | 'idle' | 'limit'): AgentStep {
+  const next = advance(roleChart, state.role, event);
+  const changed = { ...state, role: next.state };
+  return {
+    state: changed,
+    effects: next.actions.flatMap((action) => effectsOf(changed, action)),
+  };
+}
+
+/** Begins to stop: requests in progress are finished, new ones are refused as not run. */
+export function drain(state: AgentState, instant: Instant): AgentStep {
+  return chain(serve(state, { kind: 'drain' }, instant), (current) => changeRole(current, 'stop'));
+}
+
+/** Stops because another agent took over. Its tasks are left to that agent, requests are finished. */
+export function failRole(state: AgentState, failure: Failure, instant: Instant): AgentStep {
+  return drain({ ...state, failure }, instant);
+}
+
+/** Ends a stop when nothing is left to do. */
+export function stopWhenIdle(state: AgentState): AgentStep {
+  const isDone = state.failure !== undefined || isTasksIdle(state.tasks);
+  return state.role === 'draining' && isIdle(state.admission) && isDone
+    ? changeRole(state, 'idle')
+    : unchanged(state);
+}
--- /dev/null
+++ b/packages/agent/src/serve.ts
@@ -0,0 +1,27 @@
+import type { AdmissionEffect, AdmissionEvent } from '@bronzeyoke/admission';
+import { stepAdmission } from '@bronzeyoke/admission';
+import type { Instant } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import type { AgentEffect, AgentState, AgentStep } from './types';
+
+function fromAdmission(effect: AdmissionEffect): AgentEffect {
+  switch (effect.kind) {
+    case 'send':
+    case 'callUpstream':
+      return effect;
+    case 'expireLater':
+      return {
+        kind: 'wake',
+        timer: { kind: 'attemptExpiry', attemptId: effect.attemptId },
+        afterMs: effect.afterMs,
+      };
+    default:
+      return assertNever(effect);
+  }
+}
+
+/** Lets admission decide, and passes on what it wants done. */
+export function serve(state: AgentState, event: AdmissionEvent, instant: Instant): AgentStep {
+  const step = stepAdmission(state.admission, event, instant);
+  return { state: { ...state, admission: step.state }, effects: step.effects.map(fromAdmission) };
+}
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -5,19 +5,22 @@
 import type { Attempt } from '@bronzeyoke/admission';
 import type { Address, DialCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnDial } from '@bronzeyoke/link';
-import type { UpstreamPort } from '@bronzeyoke/ports';
-import type { AgentProfile } from '@bronzeyoke/types';
+import type { UpstreamPort, WorkerPort } from '@bronzeyoke/ports';
+import type { AgentProfile, Failure } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import { decodeEntryMessage } from '@bronzeyoke/wire';
 import { createAgent, stepAgent } from './core';
 import type { AgentEffect, AgentEvent } from './types';
+import { callWorker } from './worker';
 
 /** What an agent is started with. */
 export interface AgentOptions {
   readonly profile: Omit<AgentProfile, 'agentId'>;
   readonly entries: readonly Address[];
   readonly upstream: UpstreamPort;
+  /** An agent without a worker serves requests only. */
+  readonly worker?: WorkerPort;
   readonly onError: (error: unknown) => void;
 }
 
@@ -26,8 +29,8 @@
   readonly agentId: string;
   /** Begins a planned stop. */
   readonly stop: () => void;
-  /** Ends when the planned stop is complete. */
-  readonly stopped: Promise<void>;
+  /** Ends when the agent has stopped, with the failure if it was not as planned. */
+  readonly stopped: Promise<Failure | undefined>;
 }
 
 function toEvent(event: LinkEvent<EntryMessage>): AgentEvent | undefined {
@@ -69,16 +72,16 @@
   const system = start();
   const profile = { ...options.profile, agentId: randomUUID() };
   const links = new Map<string, Ref<DialCommand>>();
-  let resolveStopped = (): void => undefined;
-  const stopped = new Promise<void>((resolve) => {
+  let resolveStopped = (_failure?: Failure): void => undefined;
+  const stopped = new Promise<Failure | undefined>((resolve) => {
     resolveStopped = resolve;
   });
 
-  const exit = (): void => {
+  const exit = (failure?: Failure): void => {
     links.forEach((link) => dispatch(link, { kind: 'close' }));
     setImmediate(() => {
       stop(system);
-      resolveStopped();
+      resolveStopped(failure);
     });
   };
 
@@ -94,11 +97,16 @@
           .then((event) => dispatch(self, event))
           .catch(options.onError);
         return;
+      case 'worker':
+        callWorker(options.worker, effect)
+          .then((event) => dispatch(self, event))
+          .catch(options.onError);
+        return;
       case 'wake':
         dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
         return;
       case 'exit':
-        exit();
+        exit(effect.failure);
         return;
       default:
         assertNever(effect);
--- a/packages/agent/src/types.ts
+++ b/packages/agent/src/types.ts
@@ -1,22 +1,27 @@
 import type { AdmissionState, Attempt } from '@bronzeyoke/admission';
 import type { RoleState } from '@bronzeyoke/lifecycle';
-import type { AgentProfile, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
+import type { WorkerEffect, WorkerEvent } from '@bronzeyoke/ports';
+import type { TasksState } from '@bronzeyoke/tasks';
+import type { AgentProfile, Failure, Step, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
 
 /** Timers of an agent. */
 export type AgentTimer =
   | { readonly kind: 'attemptExpiry'; readonly attemptId: string }
   | { readonly kind: 'beat' }
+  | { readonly kind: 'tasks' }
   | { readonly kind: 'stopLimit' };
 
 /** State of an agent. */
 export interface AgentState {
   readonly profile: AgentProfile;
   readonly role: RoleState;
-  readonly incarnation: number;
   readonly links: readonly string[];
   readonly beatIntervalMs: number;
   readonly admission: AdmissionState;
+  readonly tasks: TasksState;
+  /** Why the agent stops, if not as planned. */
+  readonly failure?: Failure;
 }
 
 /** What happens to an agent. */
@@ -36,6 +41,7 @@
       readonly attemptId: string;
       readonly reason: UnknownReason;
     }
+  | WorkerEvent
   | { readonly kind: 'timer'; readonly timer: AgentTimer }
   | { readonly kind: 'stop' };
 
@@ -43,5 +49,9 @@
 export type AgentEffect =
   | { readonly kind: 'send'; readonly linkId: string; readonly message: AgentMessage }
   | { readonly kind: 'callUpstream'; readonly attempt: Attempt; readonly timeoutMs: number }
+  | WorkerEffect
   | { readonly kind: 'wake'; readonly timer: AgentTimer; readonly afterMs: number }
-  | { readonly kind: 'exit' };
+  | { readonly kind: 'exit'; readonly failure?: Failure };
+
+/** A step of an agent. */
+export type AgentStep = Step<AgentState, AgentEffect>;
--- /dev/null
+++ b/packages/standins/src/host.ts
@@ -0,0 +1,112 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { performance } from 'node:perf_hooks';
+import type { WorkerCommand } from '@bronzeyoke/ports';
+import { z } from 'zod';
+import type { WorkerFaults } from './machine';
+import type { WorkerInput, WorkerOutput, WorkerState } from './worker';
+import { nextWorkerAtMs, stepWorker } from './worker';
+
+const id = z.object({ jobId: z.string(), index: z.int() });
+const task = z.looseObject({ id, workKind: z.string(), payload: z.string() });
+const commandSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.enum(['attach', 'usage', 'notices']) }),
+  z.object({ kind: z.enum(['checkpoint', 'stop']), id }),
+  z.object({ kind: z.literal('renew'), ids: z.array(id), leaseMs: z.number() }),
+  z.object({ kind: z.literal('throttle'), id, share: z.number().min(0).max(1) }),
+  z.object({
+    kind: z.literal('start'),
+    command: z.object({
+      task,
+      epoch: z.int(),
+      leaseMs: z.number(),
+      startWithinMs: z.number(),
+    }),
+  }),
+]);
+const headSchema = z.looseObject({ incarnation: z.int().min(0) });
+
+/** A running stand-in of a worker. */
+export interface StandinWorker {
+  readonly port: number;
+  readonly setFaults: (faults: WorkerFaults) => void;
+  readonly state: () => WorkerState;
+  /** What an oracle may look at: starts and ends of tasks, and replies. */
+  readonly seen: () => readonly WorkerOutput[];
+  readonly close: () => Promise<void>;
+}
+
+async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks = await request.toArray();
+  return JSON.parse(Buffer.concat(chunks as Buffer[]).toString('utf8'));
+}
+
+/** Serves a modelled worker over HTTP: `POST /v1/<command>` with the incarnation and the fields. */
+export async function startWorker(
+  host: string,
+  port: number,
+  initial: WorkerState,
+): Promise<StandinWorker> {
+  let state = initial;
+  let callCount = 0;
+  let timer: NodeJS.Timeout | undefined;
+  const seen: WorkerOutput[] = [];
+  const responses = new Map<string, ServerResponse>();
+
+  const respond = (output: WorkerOutput): void => {
+    seen.push(output);
+    if (output.kind !== 'reply') return;
+    const response = responses.get(output.callId);
+    responses.delete(output.callId);
+    const { result } = output.reply;
+    const status = result.kind === 'unavailable' ? 503 : 200;
+    response?.writeHead(status, { 'content-type': 'application/json' });
+    response?.end(JSON.stringify(result));
+  };
+
+  const step = (input: WorkerInput): void => {
+    const nowMs = performance.now();
+    const done = stepWorker(state, input, nowMs);
+    state = done.state;
+    done.effects.forEach(respond);
+    clearTimeout(timer);
+    const nextAtMs = nextWorkerAtMs(state);
+    if (nextAtMs < Infinity) {
+      timer = setTimeout(() => step({ kind: 'pass' }), Math.ceil(nextAtMs - nowMs));
+    }
+  };
+
+  const accept = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+    const body = await readJson(request);
+    const { incarnation, ...fields } = headSchema.parse(body);
+    const kind = request.url?.split('/').at(-1);
+    const command = commandSchema.parse({ ...fields, kind }) as WorkerCommand;
+    callCount += 1;
+    const callId = String(callCount);
+    responses.set(callId, response);
+    step({ kind: 'command', callId, incarnation, command });
+  };
+
+  const server = createServer((request, response) => {
+    accept(request, response).catch(() => {
+      response.writeHead(400);
+      response.end();
+    });
+  });
+  server.listen(port, host);
+  await once(server, 'listening');
+  return {
+    port: (server.address() as AddressInfo).port,
+    setFaults: (faults) => step({ kind: 'faults', faults }),
+    state: () => state,
+    seen: () => seen,
+    close: async () => {
+      clearTimeout(timer);
+      server.close();
+      server.closeAllConnections();
+      await once(server, 'close');
+    },
+  };
+}
