--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -6,6 +6,7 @@
 import type { EntryMessage } from '@bronzeyoke/wire';
 import type { WorkersEffect, WorkersEvent } from '@bronzeyoke/workers';
 import { stepWorkers } from '@bronzeyoke/workers';
+import { runRequests } from './requests';
 import type { EntryEffect, EntryState } from './types';
 
 const CHECK_WORKERS_MS = 1_000;
@@ -122,6 +123,7 @@
     case 'workers':
       return workers(state, event, instant);
     case 'requests':
+      return runRequests(state, event, instant);
     case 'batch':
     case 'admin':
       return unchanged(state);
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -110,9 +110,6 @@
       case 'reply':
         dispatch(front.actor, effect);
         return;
-      case 'storeIntent':
-        dispatch(self, { kind: 'intentFailed', requestId: effect.intent.requestId });
-        return;
       case 'wake':
         dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
         return;
