--- a/packages/adapters/src/worker.ts
+++ b/packages/adapters/src/worker.ts
@@ -104,7 +104,7 @@
     if (text === undefined) return { kind: 'unavailable' };
     try {
       const parsed = resultSchema(value).safeParse(JSON.parse(text));
-      return parsed.success ? (parsed.data) : { kind: 'unavailable' };
+      return parsed.success ? parsed.data : { kind: 'unavailable' };
     } catch {
       return { kind: 'unavailable' };
     }
