--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -87,11 +87,6 @@
     entryId: state.entryId,
     beatIntervalMs: beatIntervalMs(membership.agents.size),
   } as const;
-  const { worker } = profile;
-  const announced = sequence(step.state, [
-    (from) => workers(from, { kind: 'announced', worker, incarnation }, instant),
-    (from) => batch(from, { kind: 'agentUp', agentId, profile }, instant),
-  ]);
   const replaced: readonly EntryEffect[] =
     known === undefined || known.linkId === linkId
       ? []
@@ -99,6 +94,11 @@
   const sweep: readonly EntryEffect[] = state.membership.isSwept
     ? []
     : [{ kind: 'wake', timer: { kind: 'memberSweep' }, afterMs: welcome.beatIntervalMs }];
+  const { worker } = profile;
+  const announced = sequence(step.state, [
+    (from) => workers(from, { kind: 'announced', worker, incarnation }, instant),
+    (from) => batch(from, { kind: 'agentUp', agentId, profile }, instant),
+  ]);
   return {
     state: announced.state,
     effects: [
