Let agents make room for urgent work

The offer of urgent work now asks the agent to make room. The agent evicts the tasks that can wait longest, answers makingRoom and keeps the room for the repeated offer.

--- a/packages/batch/src/agents.ts
+++ b/packages/batch/src/agents.ts
@@ -7,7 +7,9 @@
   subtractResources,
   unchanged,
 } from '@bronzeyoke/types';
+import type { DeclineReason } from '@bronzeyoke/wire';
 import { taskChart } from './chart';
+import type { TaskPatch } from './move';
 import { moveTask } from './move';
 import { endProbe } from './quarantine';
 import { sequence } from './records';
@@ -15,6 +17,9 @@
 
 /** A message about a task that had no visible effect for this long is sent again. */
 const REPEAT_MS = 5_000;
+/** An agent keeps the room that it makes for urgent work for 8 s. */
+const PROMISE_MS = 7_000;
+const PROMISE_RETRY_MS = 300;
 
 function onWorker(state: BatchState, worker: string): readonly string[] {
   return [...(state.byWorker.get(worker) ?? [])];
@@ -119,15 +124,25 @@
   return unchanged(setFree(updated, agentId, free));
 }
 
+function afterDecline(agentId: string, reason: DeclineReason, { nowMs }: Context): TaskPatch {
+  return reason === 'makingRoom'
+    ? {
+        promise: { agentId, untilMs: nowMs + PROMISE_MS },
+        notBeforeMs: nowMs + PROMISE_RETRY_MS,
+      }
+    : {};
+}
+
 /** Takes the answer to an offer. */
 export function onAnswer(
   state: BatchState,
   agentId: string,
   offerId: string,
-  isAccepted: boolean,
+  reason: DeclineReason | undefined,
   free: Resources,
   context: Context,
 ): BatchStep {
+  const isAccepted = reason === undefined;
   const key = state.offers.get(offerId);
   const task = key === undefined ? undefined : state.tasks.get(key);
   const claim = task?.claim;
@@ -145,7 +160,7 @@
       : { ...state, health: state.health.set(claim.worker, endProbe(health)) };
   const step = isAccepted
     ? moveTask(probed, key, 'accept', { claim: { ...claim, acceptedAtMs: context.nowMs } }, context)
-    : moveTask(probed, key, 'decline', {}, context);
+    : moveTask(probed, key, 'decline', afterDecline(agentId, reason, context), context);
   return { state: setFree(step.state, agentId, free), effects: step.effects };
 }
 
--- a/packages/batch/src/move.ts
+++ b/packages/batch/src/move.ts
@@ -8,6 +8,7 @@
 import type { TaskAction, TaskEvent } from './chart';
 import { taskChart } from './chart';
 import { keys } from './keys';
+import { slackMs } from './order';
 import { putTask, sequence } from './records';
 import type { BatchState, BatchStep, Context, JobRecord, PartPurpose, TaskRecord } from './types';
 
@@ -27,9 +28,13 @@
     | 'floor'
     | 'notBeforeMs'
     | 'evictedAtMs'
+    | 'promise'
   >
 >;
 
+/** A task is evicted for urgent work at most once in this time. */
+const EVICTION_PAUSE_MS = 600_000;
+
 const UNKNOWN_REASON: ParkReason = { kind: 'failsEverywhere', failures: 0 };
 
 function checkpointOf(task: TaskRecord): { readonly checkpointRef?: string } {
@@ -44,6 +49,20 @@
   return { id: task.id, team, workKind, role, reserved, payload, ...checkpointOf(task) };
 }
 
+/** Whether an offer may evict others, and how long its own task could wait. */
+function offerTerms(
+  state: BatchState,
+  task: TaskRecord,
+  { job }: JobRecord,
+  nowMs: number,
+): { readonly preempts?: true; readonly spareMs?: number } {
+  if (job.urgency === 'urgent') return { preempts: true };
+  const isTired = nowMs - (task.evictedAtMs ?? -EVICTION_PAUSE_MS) < EVICTION_PAUSE_MS;
+  return job.role === 'watcher' || isTired
+    ? {}
+    : { spareMs: slackMs(job, state.learned, state.wallOffsetMs + nowMs) };
+}
+
 /** Sends a message to the agent of a worker, if it is connected. */
 export function sendToWorker(
   state: BatchState,
@@ -150,13 +169,14 @@
     case 'sendOffer': {
       const job = state.jobs.get(id.jobId);
       const spec = job === undefined ? undefined : specOf(task, job);
-      return claim === undefined || spec === undefined
+      return claim === undefined || job === undefined || spec === undefined
         ? unchanged(state)
         : sendToWorker(state, claim.worker, {
             kind: 'offer',
             offerId: claim.offerId,
             epoch: epoch + 1,
             task: spec,
+            ...offerTerms(state, task, job, context.nowMs),
           });
     }
     case 'sendClaimed':
--- a/packages/batch/src/offer.ts
+++ b/packages/batch/src/offer.ts
@@ -14,8 +14,8 @@
 import { moveTask } from './move';
 import type { Rank } from './order';
 import { compareRanks, rankOf } from './order';
-import { choosePlace, rackOf } from './place';
-import { preempt } from './preempt';
+import type { Wanted } from './place';
+import { choosePlace, chooseToEvict, rackOf } from './place';
 import { HEALTHY, mayOffer, startProbe } from './quarantine';
 import { isWithinQuota, quotaOf } from './quota';
 import { isOnWorker, sequence, usageOf } from './records';
@@ -150,6 +150,31 @@
   );
 }
 
+/** The agent that makes room for an urgent task already, or one that is asked to. */
+function askForRoom(
+  state: BatchState,
+  task: TaskRecord,
+  wanted: Wanted,
+  random: number,
+  context: Context,
+): Candidate | undefined {
+  const { promise } = task;
+  const promised =
+    promise !== undefined && promise.untilMs > context.nowMs
+      ? state.candidates.get(promise.agentId)
+      : undefined;
+  return (
+    promised ??
+    chooseToEvict(
+      [...state.candidates.values()],
+      wanted,
+      context.world.configuration,
+      mayTake(state, context),
+      random,
+    )
+  );
+}
+
 /** Why a task can never be placed as things are. */
 function parkReasonOf(
   state: BatchState,
@@ -214,10 +239,12 @@
   if (candidate !== undefined) {
     return { step: sendOffer(state, choice, candidate, context), blocked };
   }
-  const step = job.urgency === 'urgent' ? preempt(state, record, reserved, context) : undefined;
+  const asked =
+    job.urgency === 'urgent' ? askForRoom(state, task, wanted, random, context) : undefined;
+  if (asked !== undefined) return { step: sendOffer(state, choice, asked, context), blocked };
   // A task that avoids workers says nothing about the room for others.
   const size = task.failedOn.length === 0 ? reserved : undefined;
-  return { step: step ?? unchanged(state), blocked: blockJob(blocked, job.jobId, size) };
+  return { step: unchanged(state), blocked: blockJob(blocked, job.jobId, size) };
 }
 
 function placeNext(progress: Progress, random: number, total: Resources, context: Context) {
--- a/packages/batch/src/place.ts
+++ b/packages/batch/src/place.ts
@@ -28,10 +28,11 @@
   wanted: Wanted,
   configuration: Configuration,
   mayTake: MayTake,
+  room: (candidate: Candidate) => Resources,
 ): boolean {
   return (
     !candidate.isLeaving &&
-    fitsIn(wanted.reserved, candidate.free) &&
+    fitsIn(wanted.reserved, room(candidate)) &&
     isDomainIn(configuration, candidate.profile.domain) &&
     !wanted.avoid.includes(candidate.profile.worker) &&
     mayTake(candidate)
@@ -61,7 +62,9 @@
     (draw) => candidates[Math.floor(draw * candidates.length)] ?? [],
   );
   const fit = (list: readonly Candidate[]) =>
-    list.filter((candidate) => isEligible(candidate, wanted, configuration, mayTake));
+    list.filter((candidate) =>
+      isEligible(candidate, wanted, configuration, mayTake, ({ free }) => free),
+    );
   const few = fit(sampled);
   const usable = few.length > 0 ? few : fit(candidates);
   return usable.reduce<Candidate | undefined>(
@@ -70,3 +73,17 @@
     undefined,
   );
 }
+
+/** Any agent whose worker would have room for urgent work if others were evicted. */
+export function chooseToEvict(
+  candidates: readonly Candidate[],
+  wanted: Wanted,
+  configuration: Configuration,
+  mayTake: MayTake,
+  random: number,
+): Candidate | undefined {
+  const usable = candidates.filter((candidate) =>
+    isEligible(candidate, wanted, configuration, mayTake, ({ profile }) => profile.total),
+  );
+  return usable[Math.floor(random * usable.length)];
+}
--- a/packages/batch/src/report.ts
+++ b/packages/batch/src/report.ts
@@ -149,12 +149,13 @@
     case 'stopped': {
       const { worker = '' } = task.claim ?? {};
       const health = state.health.get(worker);
+      const evicted = report.kind === 'evicted' ? { evictedAtMs: context.nowMs } : {};
       const freed = freeUp(state, task);
       const probed =
         health === undefined
           ? freed
           : { ...freed, health: freed.health.set(worker, endProbe(health)) };
-      return moveTask(probed, task.key, 'release', patch, context);
+      return moveTask(probed, task.key, 'release', { ...patch, ...evicted }, context);
     }
     default:
       return assertNever(report);
--- a/packages/batch/src/step.ts
+++ b/packages/batch/src/step.ts
@@ -248,8 +248,8 @@
       return onBeat(state, event.agentId, event.free, event.slowDowns);
     case 'accepted':
     case 'declined': {
-      const { agentId, offerId, free } = event;
-      return onAnswer(state, agentId, offerId, event.kind === 'accepted', free, context);
+      const reason = event.kind === 'declined' ? event.reason : undefined;
+      return onAnswer(state, event.agentId, event.offerId, reason, event.free, context);
     }
     case 'report':
       return onReport(state, event.agentId, event.id, event.epoch, event.report, context);
--- a/packages/batch/src/types.ts
+++ b/packages/batch/src/types.ts
@@ -14,7 +14,7 @@
   Step,
   TaskId,
 } from '@bronzeyoke/types';
-import type { EntryMessage, TaskReport } from '@bronzeyoke/wire';
+import type { DeclineReason, EntryMessage, TaskReport } from '@bronzeyoke/wire';
 import type { WorkerRow } from '@bronzeyoke/workers';
 import type { ShardPhase, TaskPhase } from './chart';
 import type { LearnState } from './learn';
@@ -63,6 +63,8 @@
   readonly floor?: Resources;
   readonly notBeforeMs: number;
   readonly evictedAtMs?: number;
+  /** The agent that makes room for the task, and how long it keeps it. */
+  readonly promise?: { readonly agentId: string; readonly untilMs: number };
 }
 
 /** A job of a shard that this entry owns. */
@@ -213,11 +215,18 @@
       readonly slowDowns: readonly SlowDown[];
     }
   | {
-      readonly kind: 'accepted' | 'declined';
+      readonly kind: 'accepted';
       readonly agentId: string;
       readonly offerId: string;
       readonly free: Resources;
     }
+  | {
+      readonly kind: 'declined';
+      readonly agentId: string;
+      readonly offerId: string;
+      readonly reason: DeclineReason;
+      readonly free: Resources;
+    }
   | {
       readonly kind: 'report';
       readonly agentId: string;
--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -162,10 +162,8 @@
       };
     }
     case 'accepted':
-    case 'declined': {
-      const { kind, offerId, free } = message;
-      return batch(heard, { kind, agentId, offerId, free }, instant);
-    }
+    case 'declined':
+      return batch(heard, { ...message, agentId }, instant);
     case 'taskReport': {
       const { id, epoch, report } = message;
       return batch(heard, { kind: 'report', agentId, id, epoch, report }, instant);
--- a/packages/entry/test/batch.test.ts
+++ b/packages/entry/test/batch.test.ts
@@ -147,11 +147,11 @@
 });
 
 it('batch: urgent work starts within 8.4 s in a full fleet', () => {
-  const world = new World({ seed: 6, entries: 1, workers: 4, runMs: () => 600_000 });
+  const world = new World({ seed: 6, entries: 2, workers: 4, runMs: () => 600_000 });
   world.runUntil(10_000);
   submit(world, 0, 'a', submission('k', 100, { deadlineAtMs: 9_000_000 }));
   world.runUntil(40_000);
-  submit(world, 0, 'u', submission('urgent', 3, { team: 'certs', urgency: 'urgent' }));
+  submit(world, 1, 'u', submission('urgent', 3, { team: 'certs', urgency: 'urgent' }));
   world.runUntil(48_400);
   const { jobId } = statusOf(world, 'u').job;
   expect(world.runs.filter((run) => run.key.startsWith(jobId)).length).to.equal(3);
--- a/packages/entry/test/world.ts
+++ b/packages/entry/test/world.ts
@@ -39,6 +39,7 @@
   readonly epoch: number;
   readonly offerId: string;
   readonly acceptedAtMs: number;
+  readonly spareMs: number;
   readonly phase: 'reserved' | 'running' | 'ended';
   readonly report?: TaskReport;
 }
@@ -49,6 +50,7 @@
   readonly domain: string;
   incarnation: number;
   isDead: boolean;
+  heldFor?: string | undefined;
   total: Resources;
   readonly tasks: Map<string, FakeTask>;
 }
@@ -303,6 +305,19 @@
     this.after(runMs, () => this.finish(agent, key, epoch, end));
   }
 
+  /** Evicts the task that can wait longest, which takes a second, and keeps its room. */
+  private makeRoom(agent: FakeAgent, key: string): boolean {
+    if (agent.heldFor === key) return true;
+    const [victim] = [...agent.tasks]
+      .filter(([, task]) => task.phase === 'running' && task.spareMs > -Infinity)
+      .sort(([, left], [, right]) => right.spareMs - left.spareMs);
+    if (victim === undefined) return false;
+    Object.assign(agent, { heldFor: key });
+    const [name, task] = victim;
+    this.after(1_000, () => this.finish(agent, name, task.epoch, { kind: 'evicted' }));
+    return true;
+  }
+
   private receive(agent: FakeAgent, entry: number, message: EntryMessage): void {
     if (agent.isDead) return;
     const { tasks } = agent;
@@ -314,13 +329,17 @@
         const { offerId, task: spec, epoch } = message;
         const key = taskKey(spec.id);
         const left = subtractResources(freeOf(agent), spec.reserved);
-        if (left.processorsMilli < 0 || left.memoryMb < 0 || tasks.has(key)) {
-          const free = freeOf(agent);
-          this.tell(agent, entry, { kind: 'declined', offerId, reason: 'noRoom', free });
+        const isHeld = agent.heldFor !== undefined && agent.heldFor !== key;
+        if (left.processorsMilli < 0 || left.memoryMb < 0 || tasks.has(key) || isHeld) {
+          const isMade = message.preempts === true && !isHeld && this.makeRoom(agent, key);
+          const reason = isMade ? 'makingRoom' : 'noRoom';
+          this.tell(agent, entry, { kind: 'declined', offerId, reason, free: freeOf(agent) });
           return;
         }
+        if (agent.heldFor === key) Object.assign(agent, { heldFor: undefined });
         const acceptedAtMs = this.nowMs;
-        tasks.set(key, { spec, epoch, offerId, acceptedAtMs, phase: 'reserved' });
+        const { spareMs = -Infinity } = message;
+        tasks.set(key, { spec, epoch, offerId, acceptedAtMs, spareMs, phase: 'reserved' });
         this.tell(agent, entry, { kind: 'accepted', offerId, free: freeOf(agent) });
         this.after(2_000, () => {
           const task = tasks.get(key);
--- a/packages/tasks/src/limits.ts
+++ b/packages/tasks/src/limits.ts
@@ -1,6 +1,9 @@
 /** A claim that arrives later than this after the offer was accepted is void (P4). */
 export const CLAIM_LIMIT_MS = 2_000;
 
+/** How long room is kept for urgent work; its owner repeats the offer meanwhile. */
+export const HOLD_MS = 8_000;
+
 /** Length of the worker lease. */
 export const LEASE_MS = 30_000;
 
--- a/packages/tasks/src/offer.ts
+++ b/packages/tasks/src/offer.ts
@@ -1,13 +1,14 @@
 import { freeResources, reserve } from '@bronzeyoke/ledger';
 import type { TaskSpec } from '@bronzeyoke/types';
 import { isDomainIn, taskKey, unchanged } from '@bronzeyoke/types';
-import type { DeclineReason } from '@bronzeyoke/wire';
+import type { DeclineReason, EntryMessage } from '@bronzeyoke/wire';
 import { chain } from './call';
 import { taskChart } from './chart';
 import { isLeaseHeld } from './lease';
 import { applyKey, applyTask } from './life';
 import { CLAIM_LIMIT_MS } from './limits';
 import { isReportListFull, keepReport } from './report';
+import { hasRoom, makeRoom } from './room';
 import type { TaskRecord, TasksState, TasksStep } from './types';
 
 /** Whether the newest configuration lets tasks run in this agent's failure domain. */
@@ -34,7 +35,10 @@
 export function onOffer(
   state: TasksState,
   linkId: string,
-  offer: { readonly offerId: string; readonly epoch: number; readonly task: TaskSpec },
+  offer: Pick<
+    Extract<EntryMessage, { readonly kind: 'offer' }>,
+    'offerId' | 'epoch' | 'task' | 'preempts' | 'spareMs'
+  >,
   nowMs: number,
 ): TasksStep {
   const { offerId, epoch, task } = offer;
@@ -53,12 +57,24 @@
     offerId,
     linkId,
     acceptedAtMs: nowMs,
+    ...(offer.spareMs === undefined ? {} : { spareMs: offer.spareMs }),
   };
   const reason = refusal(state, offerId, epoch, task);
   if (reason !== undefined) return applyTask(state, record, { kind: 'decline', reason }, nowMs);
-  const reserved = reserve(state.ledger, key, task.reserved);
-  if (!reserved.ok) return applyTask(state, record, { kind: 'decline', reason: 'noRoom' }, nowMs);
-  return applyTask({ ...state, ledger: reserved.value }, record, { kind: 'accept' }, nowMs);
+  const reserved = hasRoom(state, key, task.reserved, nowMs)
+    ? reserve(state.ledger, key, task.reserved)
+    : undefined;
+  if (reserved?.ok === true) {
+    const { holds } = state;
+    const granted = { ...state, ledger: reserved.value, holds: holds.delete(key) };
+    return applyTask(granted, record, { kind: 'accept' }, nowMs);
+  }
+  const made = offer.preempts === true ? makeRoom(state, key, task.reserved, nowMs) : undefined;
+  return made === undefined
+    ? applyTask(state, record, { kind: 'decline', reason: 'noRoom' }, nowMs)
+    : chain(made, (current) =>
+        applyTask(current, record, { kind: 'decline', reason: 'makingRoom' }, nowMs),
+      );
 }
 
 function findOffer(state: TasksState, offerId: string): TaskRecord | undefined {
--- a/packages/tasks/src/step.ts
+++ b/packages/tasks/src/step.ts
@@ -30,6 +30,7 @@
     ledger: createLedger(profile.total),
     lease: NO_LEASE,
     records: Map(),
+    holds: Map(),
     epochs: OrderedMap(),
     pastOffers: OrderedMap(),
     reports: OrderedMap(),
--- a/packages/tasks/src/types.ts
+++ b/packages/tasks/src/types.ts
@@ -5,6 +5,7 @@
   AgentProfile,
   Configuration,
   Failure,
+  Resources,
   Step,
   TaskId,
   TaskSpec,
@@ -33,6 +34,14 @@
   readonly retryAtMs?: number;
   /** When the worker was found not to run it; its end may still be in a notice. */
   readonly missingSinceMs?: number;
+  /** How long the task could wait when it was offered; without, it is not evicted for urgent work. */
+  readonly spareMs?: number;
+}
+
+/** Room that is kept for urgent work while others are evicted for it. */
+export interface Hold {
+  readonly reserved: Resources;
+  readonly untilMs: number;
 }
 
 /** An offer that is over. Copies of its messages may still arrive. */
@@ -96,6 +105,7 @@
   readonly ledger: Ledger;
   readonly lease: Lease;
   readonly records: Map<string, TaskRecord>;
+  readonly holds: Map<string, Hold>;
   /** Highest epoch claimed of recent tasks. */
   readonly epochs: OrderedMap<string, number>;
   readonly pastOffers: OrderedMap<string, PastOffer>;
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -14,7 +14,14 @@
 export const PROTOCOL_VERSION = 1;
 
 /** Why an agent turned an offer down. */
-export type DeclineReason = 'noRoom' | 'domainOut' | 'draining' | 'notRegistered' | 'tooLate';
+export type DeclineReason =
+  | 'noRoom'
+  /** Tasks are being evicted for this one; the agent keeps the room for a repeated offer. */
+  | 'makingRoom'
+  | 'domainOut'
+  | 'draining'
+  | 'notRegistered'
+  | 'tooLate';
 
 /** What became of a task on a worker. */
 export type TaskReport =
@@ -124,6 +131,10 @@
       readonly offerId: string;
       readonly epoch: number;
       readonly task: TaskSpec;
+      /** Urgent work, for which the agent may evict others. */
+      readonly preempts?: boolean | undefined;
+      /** How long the task can wait; one without may not be evicted for urgent work. */
+      readonly spareMs?: number | undefined;
     }
   | { readonly kind: 'claimed'; readonly offerId: string }
   | { readonly kind: 'claimFailed'; readonly offerId: string }
--- a/packages/wire/src/schema.ts
+++ b/packages/wire/src/schema.ts
@@ -94,7 +94,7 @@
   z.object({
     kind: z.literal('declined'),
     offerId: id,
-    reason: z.enum(['noRoom', 'domainOut', 'draining', 'notRegistered', 'tooLate']),
+    reason: z.enum(['noRoom', 'makingRoom', 'domainOut', 'draining', 'notRegistered', 'tooLate']),
     free: resources,
   }),
   z.object({ kind: z.literal('taskReport'), id: taskId, epoch: counter, report }),
@@ -146,7 +146,14 @@
   }),
   z.object({ kind: z.literal('cancelRequest'), ...attempt }),
   z.object({ kind: z.literal('collect'), ...attempt }),
-  z.object({ kind: z.literal('offer'), offerId: id, epoch: counter, task }),
+  z.object({
+    kind: z.literal('offer'),
+    offerId: id,
+    epoch: counter,
+    task,
+    preempts: z.boolean().optional(),
+    spareMs: z.number().optional(),
+  }),
   z.object({ kind: z.literal('claimed'), offerId: id }),
   z.object({ kind: z.literal('claimFailed'), offerId: id }),
   z.object({
