Read settings as JSON with comments and list every fault

Cause: the programs had no settings, only options passed by tests. Change: packages/settings holds one zod schema per program, a reader that lists all faults with file, line, column and field, and a generator for docs/settings.md, which a test holds equal to the schemas.

--- /dev/null
+++ b/packages/settings/src/cli.ts
@@ -0,0 +1,21 @@
+import { z } from 'zod';
+import { durationMs, peerAddress } from './fields';
+
+/** Settings of the command line `bronzeyoke`. */
+export const cliSettings = z.strictObject({
+  entries: z
+    .array(peerAddress)
+    .min(1)
+    .max(64)
+    .describe('addresses for callers of the entries, tried in order'),
+  tokenFile: z
+    .string()
+    .min(1)
+    .max(4_096)
+    .optional()
+    .describe('file with the bearer token; `BRONZEYOKE_TOKEN` goes before it'),
+  timeoutMs: durationMs(600_000).default(10_000).describe('time limit of one request'),
+});
+
+/** Settings of the command line, with defaults filled in. */
+export type CliSettings = z.infer<typeof cliSettings>;
--- /dev/null
+++ b/packages/settings/src/entry.ts
@@ -0,0 +1,63 @@
+import { z } from 'zod';
+import { durationMs, listenAddress, logLevel, metricsAddress, name, peerAddress } from './fields';
+
+const tokenSchema = z
+  .strictObject({
+    name: name.describe('recorded as the author of tickets'),
+    sha256: z
+      .string()
+      .regex(/^[0-9a-f]{64}$/, 'not a SHA-256 hash in 64 lower-case hexadecimal digits')
+      .describe('SHA-256 hash of the bearer token'),
+    role: z.enum(['caller', 'team', 'operator']).describe('what the token may do'),
+    team: name.optional().describe('team of the token; required for the role `team`'),
+    ratePerSecond: z
+      .number()
+      .positive()
+      .max(10_000)
+      .default(50)
+      .describe('administration requests a second, on average'),
+    burst: z.int().min(1).max(100_000).default(100).describe('administration requests at once'),
+  })
+  .refine((token) => (token.role === 'team') === (token.team !== undefined), {
+    path: ['team'],
+    message: 'required for the role "team", and for no other',
+  });
+
+/** Settings of `bronzeyoke-entry`. */
+export const entrySettings = z.strictObject({
+  domain: name.describe('failure domain that this entry runs in'),
+  callers: listenAddress.describe('address for callers and for the administration API'),
+  agents: listenAddress.describe('address for agents'),
+  metrics: metricsAddress,
+  table: peerAddress.optional().describe('address of the table service; without it no batch work'),
+  tableTimeoutMs: durationMs(60_000)
+    .default(2_000)
+    .describe('time after which a call of the table service counts as lost'),
+  tokens: z
+    .array(tokenSchema)
+    .max(10_000)
+    .default([])
+    .describe('bearer tokens of the administration API'),
+  tracing: z
+    .strictObject({
+      endpoint: z
+        .url({ protocol: /^https?$/ })
+        .optional()
+        .describe('URL that takes spans as OTLP/HTTP JSON; without it nothing is traced'),
+      sampleRatio: z
+        .number()
+        .min(0)
+        .max(1)
+        .default(0.01)
+        .describe('share of the requests without a `traceparent` that are traced'),
+    })
+    .prefault({})
+    .describe('distributed tracing'),
+  logLevel,
+});
+
+/** Settings of an entry, with defaults filled in. */
+export type EntrySettings = z.infer<typeof entrySettings>;
+
+/** A bearer token as the settings hold it. */
+export type TokenSettings = EntrySettings['tokens'][number];
--- /dev/null
+++ b/packages/settings/src/index.ts
@@ -0,0 +1,7 @@
+export * from './agent';
+export * from './cli';
+export * from './entry';
+export * from './fault';
+export * from './fields';
+export * from './page';
+export * from './read';
--- /dev/null
+++ b/packages/settings/test/settings.test.ts
@@ -0,0 +1,78 @@
+import { readFile } from 'node:fs/promises';
+import { expect } from 'chai';
+import { agentSettings, describeFault, entrySettings, readSettings, settingsPage } from '../src';
+
+function faultsOf(text: string): readonly string[] {
+  const result = readSettings(entrySettings, 'entry.jsonc', text);
+  return result.ok ? [] : result.failure.map(describeFault);
+}
+
+const GOOD = `{
+  // Comments are allowed.
+  "domain": "hobart",
+  "callers": { "host": "127.0.0.1", "port": 0 },
+  "agents": { "host": "127.0.0.1", "port": 0 },
+}`;
+
+it('settings: a file with comments gets its defaults', () => {
+  const result = readSettings(entrySettings, 'entry.jsonc', GOOD);
+  expect(result).to.deep.include({ ok: true });
+  if (result.ok) expect(result.value.tracing).to.deep.equal({ sampleRatio: 0.01 });
+});
+
+it('settings: every fault is listed, not only the first', () => {
+  const text = `{
+  "domian": "hobart",
+  "callers": { "host": "localhost", "port": -1 },
+  "agents": { "host": "127.0.0.1", "port": 70000 },
+  "tableTimeoutMs": "2s",
+  "tracing": { "sampleRatio": 1e999 },
+  "tracing": {}
+}`;
+  expect(faultsOf(text)).to.deep.equal([
+    'entry.jsonc:1:1: domain: missing string',
+    'entry.jsonc:2:3: domian: unknown field',
+    'entry.jsonc:3:24: callers.host: not an IP number',
+    'entry.jsonc:3:45: callers.port: negative',
+    'entry.jsonc:4:44: agents.port: too large: the maximum is 65535',
+    'entry.jsonc:5:21: tableTimeoutMs: expected number, found string (unit: milliseconds)',
+    'entry.jsonc:7:3: tracing: given more than once',
+  ]);
+});
+
+it('settings: a missing address is named with its field', () => {
+  expect(faultsOf('{"domain": "hobart", "agents": {"host": "127.0.0.1"}}')).to.deep.equal([
+    'entry.jsonc:1:1: callers: missing object',
+    'entry.jsonc:1:32: agents.port: missing number',
+  ]);
+});
+
+it('settings: NaN and a number beyond the range of doubles are faults', () => {
+  const broken = (value: string): string => GOOD.replace('"port": 0', `"port": ${value}`);
+  expect(faultsOf(broken('NaN'))[0]).to.match(/^entry\.jsonc:4:\d+: callers\.port: not valid JSON/);
+  expect(faultsOf(broken('1e999'))).to.deep.equal(['entry.jsonc:4:45: callers.port: too large']);
+});
+
+it('settings: a large or deeply nested file is refused before it is parsed', () => {
+  expect(faultsOf(' '.repeat(1_048_577))).to.deep.equal([
+    'entry.jsonc:1:1: larger than 1048576 bytes',
+  ]);
+  expect(faultsOf('['.repeat(100_000))).to.deep.equal(['entry.jsonc:1:33: nested deeper than 32']);
+});
+
+it('settings: a field named like an object prototype is unknown', () => {
+  const result = readSettings(agentSettings, 'a', '{"__proto__": {"worker": "w"}}');
+  const fields = result.ok ? [] : result.failure.map((fault) => fault.field);
+  expect(fields).to.include('__proto__').and.to.include('worker');
+});
+
+it('settings: a token of a team without a team is a fault', () => {
+  const token = `{"name": "a", "sha256": "${'0'.repeat(64)}", "role": "team"}`;
+  const text = GOOD.replace('"domain"', `"tokens": [${token}], "domain"`);
+  expect(faultsOf(text)[0]).to.contain('tokens[0].team: required for the role "team"');
+});
+
+it('settings: the page of settings equals the schemas', async () => {
+  const page = await readFile(new URL('../../../docs/settings.md', import.meta.url), 'utf8');
+  expect(page).to.equal(settingsPage());
+});
--- /dev/null
+++ b/tools/settings-page.ts
@@ -0,0 +1,5 @@
+import { writeFile } from 'node:fs/promises';
+import { fileURLToPath } from 'node:url';
+import { settingsPage } from '@bronzeyoke/settings';
+
+await writeFile(fileURLToPath(new URL('../docs/settings.md', import.meta.url)), settingsPage());
