Add counters, histograms, logs and trace export

Cause: nothing of the processes' state could be seen from outside. Conclusion: the programs can be observed once they use it.

--- /dev/null
+++ b/packages/telemetry/src/index.ts
@@ -0,0 +1,5 @@
+export * from './context';
+export * from './log';
+export * from './metrics';
+export * from './server';
+export * from './tracer';
--- /dev/null
+++ b/packages/telemetry/src/metrics.ts
@@ -0,0 +1,131 @@
+import { build } from 'hdr-histogram-js';
+import type { Histogram } from 'hdr-histogram-js';
+
+/** Labels of a series. */
+export type Labels = Readonly<Record<string, string>>;
+
+/** What a metric is for. */
+export interface MetricDefinition {
+  readonly kind: 'counter' | 'summary' | 'gauge';
+  readonly help: string;
+}
+
+/** Definitions by name. */
+export type MetricDefinitions = Readonly<Record<string, MetricDefinition>>;
+
+/** A value that is read when metrics are asked for. */
+export interface GaugeValue<Name extends string> {
+  readonly name: Name;
+  readonly labels: Labels;
+  readonly value: number;
+}
+
+/** Counters and histograms of a process. */
+export interface Metrics<Name extends string> {
+  readonly count: (name: Name, labels?: Labels, by?: number) => void;
+  /** Records a duration; it is exported in seconds. */
+  readonly observe: (name: Name, labels: Labels, durationMs: number) => void;
+  readonly valueOf: (name: Name, labels?: Labels) => number;
+  /** Prometheus text format, version 0.0.4. */
+  readonly text: (gauges: readonly GaugeValue<Name>[]) => string;
+}
+
+/** Series of one metric after which further labels are counted together; callers can choose names. */
+const MAX_SERIES = 1_000;
+const OTHER_LABELS = '{other="true"}';
+const MAX_DURATION_MICROS = 600_000_000;
+const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+const MICROS_PER_SECOND = 1e6;
+
+interface Summary {
+  readonly histogram: Histogram;
+  readonly sumSeconds: number;
+}
+
+function escapeLabel(value: string): string {
+  return value.replaceAll('\\', '\\\\').replaceAll('"', '\\"').replaceAll('\n', '\\n');
+}
+
+function labelText(labels: Labels): string {
+  const parts = Object.keys(labels)
+    .toSorted()
+    .map((key) => `${key}="${escapeLabel(labels[key] ?? '')}"`);
+  return parts.length === 0 ? '' : `{${parts.join(',')}}`;
+}
+
+function withLabel(labels: string, extra: string): string {
+  return labels === '' ? `{${extra}}` : `${labels.slice(0, -1)},${extra}}`;
+}
+
+function seriesKey<Value>(series: ReadonlyMap<string, Value>, labels: Labels): string {
+  const key = labelText(labels);
+  return series.has(key) || series.size < MAX_SERIES ? key : OTHER_LABELS;
+}
+
+function summaryLines(name: string, labels: string, summary: Summary): readonly string[] {
+  const { histogram, sumSeconds } = summary;
+  const quantiles = QUANTILES.map((quantile) => {
+    const seconds = histogram.getValueAtPercentile(quantile * 100) / MICROS_PER_SECOND;
+    return `${name}${withLabel(labels, `quantile="${quantile}"`)} ${seconds}`;
+  });
+  return [
+    ...quantiles,
+    `${name}_sum${labels} ${sumSeconds}`,
+    `${name}_count${labels} ${histogram.totalCount}`,
+  ];
+}
+
+/** Makes the metrics of a process. Recording changes counters in place, because it is on hot paths. */
+export function createMetrics<Name extends string>(
+  definitions: Readonly<Record<Name, MetricDefinition>>,
+): Metrics<Name> {
+  const names = Object.keys(definitions) as Name[];
+  const counters = new Map(names.map((name) => [name, new Map<string, number>()]));
+  const summaries = new Map(names.map((name) => [name, new Map<string, Summary>()]));
+
+  const lines = (name: Name, gauges: readonly GaugeValue<Name>[]): readonly string[] => {
+    const { kind, help } = definitions[name];
+    const counted = [...(counters.get(name) ?? [])].map(([key, value]) => `${name}${key} ${value}`);
+    const summed = [...(summaries.get(name) ?? [])].flatMap(([key, summary]) =>
+      summaryLines(name, key, summary),
+    );
+    const read = gauges
+      .filter((gauge) => gauge.name === name)
+      .map((gauge) => `${name}${labelText(gauge.labels)} ${gauge.value}`);
+    const values = [...counted, ...summed, ...read];
+    // A counter that never moved is shown as 0, so that an alarm can tell it from a missing one.
+    const shown = kind === 'counter' && values.length === 0 ? [`${name} 0`] : values;
+    return [`# HELP ${name} ${help}`, `# TYPE ${name} ${kind}`, ...shown];
+  };
+
+  return {
+    count: (name, labels = {}, by = 1) => {
+      const series = counters.get(name);
+      if (series === undefined) return;
+      const key = seriesKey(series, labels);
+      series.set(key, (series.get(key) ?? 0) + by);
+    },
+    observe: (name, labels, durationMs) => {
+      const series = summaries.get(name);
+      if (series === undefined) return;
+      const key = seriesKey(series, labels);
+      const known = series.get(key) ?? {
+        histogram: build({
+          lowestDiscernibleValue: 1,
+          highestTrackableValue: MAX_DURATION_MICROS,
+          numberOfSignificantValueDigits: 2,
+          bitBucketSize: 32,
+        }),
+        sumSeconds: 0,
+      };
+      const micros = Math.min(MAX_DURATION_MICROS, Math.max(1, Math.round(durationMs * 1_000)));
+      known.histogram.recordValue(micros);
+      series.set(key, {
+        histogram: known.histogram,
+        sumSeconds: known.sumSeconds + micros / MICROS_PER_SECOND,
+      });
+    },
+    valueOf: (name, labels = {}) => counters.get(name)?.get(labelText(labels)) ?? 0,
+    text: (gauges) => `${names.flatMap((name) => lines(name, gauges)).join('\n')}\n`,
+  };
+}
