--- a/packages/agent/src/index.ts
+++ b/packages/agent/src/index.ts
@@ -1,4 +1,5 @@
 export * from './core';
+export * from './monitor';
 export * from './start';
 export * from './types';
 export * from './upstream';
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from 'node:crypto';
+import { performance } from 'node:perf_hooks';
 import { dispatch, start, stop } from 'nact';
 import type { Ref } from 'nact';
 import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
@@ -6,11 +7,12 @@
 import type { Address, DialCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnDial } from '@bronzeyoke/link';
 import type { UpstreamPort } from '@bronzeyoke/ports';
-import type { AgentProfile } from '@bronzeyoke/types';
+import type { AgentProfile, UpstreamAnswer } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import { decodeEntryMessage } from '@bronzeyoke/wire';
 import { createAgent, stepAgent } from './core';
+import type { AgentObserver } from './monitor';
 import type { AgentEffect, AgentEvent } from './types';
 
 /** What an agent is started with. */
@@ -19,6 +21,8 @@
   readonly entries: readonly Address[];
   readonly upstream: UpstreamPort;
   readonly onError: (error: unknown) => void;
+  /** Told of each step of the core. */
+  readonly observe?: AgentObserver;
 }
 
 /** A running agent. */
@@ -45,16 +49,36 @@
   }
 }
 
+function isSampled(traceparent: string | undefined): boolean {
+  return traceparent?.endsWith('-01') ?? false;
+}
+
+/** Adds the time of the hop to the upstream, which the entry makes a span of. */
+function withTiming(answer: UpstreamAnswer, durationMs: number): UpstreamAnswer {
+  const own = `bronzeyoke-upstream;dur=${durationMs.toFixed(3)}`;
+  const given = answer.headers['server-timing'];
+  const timing = given === undefined ? own : `${own}, ${given}`;
+  return { ...answer, headers: { ...answer.headers, 'server-timing': timing } };
+}
+
 async function callUpstream(
   upstream: UpstreamPort,
   attempt: Attempt,
   timeoutMs: number,
 ): Promise<AgentEvent> {
-  const { attemptId, method, path, headers, body } = attempt;
+  const { attemptId, method, path, body, traceparent } = attempt;
+  const headers = traceparent === undefined ? attempt.headers : { ...attempt.headers, traceparent };
+  const startedAtMs = performance.now();
   const result = await upstream.call({ method, path, headers, body, timeoutMs });
   switch (result.kind) {
     case 'answered':
-      return { kind: 'upstreamAnswered', attemptId, answer: result.answer };
+      return {
+        kind: 'upstreamAnswered',
+        attemptId,
+        answer: isSampled(traceparent)
+          ? withTiming(result.answer, performance.now() - startedAtMs)
+          : result.answer,
+      };
     case 'notReached':
       return { kind: 'upstreamNotReached', attemptId };
     case 'lost':
@@ -108,7 +132,11 @@
   const core = spawnCore(system, {
     name: 'agent',
     initial: createAgent(profile),
-    decide: stepAgent,
+    decide: (state, event, instant) => {
+      const step = stepAgent(state, event, instant);
+      options.observe?.(state, event, step);
+      return step;
+    },
     perform,
     onError: options.onError,
   });
--- /dev/null
+++ b/packages/cli/src/main.ts
@@ -0,0 +1,3 @@
+import { version } from '../../../package.json';
+
+process.stdout.write(`${version}\n`);
--- /dev/null
+++ b/packages/entry/src/admin.ts
@@ -0,0 +1,232 @@
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import { performance } from 'node:perf_hooks';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { Map } from 'immutable';
+import { dispatch, spawn } from 'nact';
+import type { ActorSystemRef, Ref } from 'nact';
+import type { AdminCommand, AdminReply, Failure, Result } from '@bronzeyoke/types';
+import { assertNever, fail, succeed } from '@bronzeyoke/types';
+import type { Principal, TokenEntry } from './auth';
+import { authorize, createAuthenticator } from './auth';
+import { readBody, sendProblem } from './http';
+import type { Bucket } from './limits';
+import { takeToken } from './limits';
+import { failureProblem } from './problem';
+import type { AdminCall, AdminResponse } from './routes';
+import { isJobDone, toAdminCall, toAdminResponse } from './routes';
+
+/** Requests of the administration API in progress; waits for jobs hold one each. */
+const MAX_IN_PROGRESS = 256;
+const WAIT_POLL_MS = 500;
+const BUSY_RETRY_MS = 1_000;
+
+/** What the administration API is made of. */
+export interface AdminOptions {
+  readonly tokens: readonly TokenEntry[];
+  /** Whether calls of services need a token too. */
+  readonly needsCallerToken: boolean;
+  readonly entryId: string;
+  readonly domain: string;
+  readonly administer: (command: AdminCommand) => Promise<Result<AdminReply>>;
+  /** Counts every accepted and refused request. */
+  readonly count: (kind: string, result: 'accepted' | Failure['kind']) => void;
+}
+
+/** Takes requests of the administration API from the front end. */
+export interface AdminFront {
+  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  /** Whether calls of services need a token, which is then not passed on. */
+  readonly needsCallerToken: boolean;
+  /** Why a call of a service is refused, if it is. */
+  readonly refuseCaller: (authorization: string | undefined) => Failure | undefined;
+}
+
+type AdminMessage =
+  | {
+      readonly kind: 'incoming';
+      readonly request: IncomingMessage;
+      readonly response: ServerResponse;
+    }
+  | {
+      readonly kind: 'finished';
+      readonly response: ServerResponse;
+      readonly commandKind: string;
+      readonly result: Result<AdminResponse>;
+    };
+
+interface AdminState {
+  readonly buckets: Map<string, Bucket>;
+  readonly inProgress: number;
+}
+
+function commandKindOf(call: AdminCall): string {
+  return call.kind === 'command' ? call.command.kind : call.kind;
+}
+
+function sendFailure(response: ServerResponse, failure: Failure): void {
+  if (failure.kind === 'unauthorized') response.setHeader('www-authenticate', 'Bearer');
+  if (failure.kind === 'rateLimited') {
+    response.setHeader('retry-after', String(Math.ceil(failure.retryAfterMs / 1_000)));
+  }
+  sendProblem(response, failureProblem(failure));
+}
+
+function sendResult(response: ServerResponse, result: Result<AdminResponse>): void {
+  if (!result.ok) {
+    sendFailure(response, result.failure);
+    return;
+  }
+  response.writeHead(result.value.status, { 'content-type': 'application/json' });
+  response.end(`${JSON.stringify(result.value.body)}\n`);
+}
+
+/** Starts the actor that owns the limits of tokens and the requests in progress. */
+export function spawnAdmin(system: ActorSystemRef, options: AdminOptions): AdminFront {
+  const { administer, count, entryId, domain } = options;
+  const authenticate = createAuthenticator(options.tokens);
+
+  const status = async (call: AdminCall): Promise<Result<AdminResponse>> => {
+    const [configuration, upstreams, workers] = await Promise.all([
+      administer({ kind: 'showConfiguration' }),
+      administer({ kind: 'listUpstreams' }),
+      administer({ kind: 'listWorkers' }),
+    ]);
+    if (!configuration.ok) return configuration;
+    if (!upstreams.ok) return upstreams;
+    if (!workers.ok) return workers;
+    const bodies = [upstreams.value, workers.value].map(
+      (reply) => toAdminResponse(call, reply).body,
+    );
+    const body = {
+      entryId,
+      domain,
+      uptimeMs: Math.round(performance.now()),
+      configuration: toAdminResponse(call, configuration.value).body,
+      ...(bodies[0] as object),
+      ...(bodies[1] as object),
+    };
+    return succeed({ status: 200, body });
+  };
+
+  const waitJob = async (
+    call: Extract<AdminCall, { readonly kind: 'waitJob' }>,
+    untilMs: number,
+  ): Promise<Result<AdminResponse>> => {
+    const reply = await administer(call.command);
+    if (!reply.ok) return reply;
+    const isDone = reply.value.kind === 'job' && isJobDone(reply.value.status);
+    if (isDone || performance.now() + WAIT_POLL_MS > untilMs) {
+      return succeed(toAdminResponse(call, reply.value));
+    }
+    await sleep(WAIT_POLL_MS);
+    return waitJob(call, untilMs);
+  };
+
+  const carryOut = async (call: AdminCall): Promise<Result<AdminResponse>> => {
+    switch (call.kind) {
+      case 'command': {
+        const reply = await administer(call.command);
+        return reply.ok ? succeed(toAdminResponse(call, reply.value)) : reply;
+      }
+      case 'waitJob':
+        return waitJob(call, performance.now() + call.timeoutMs);
+      case 'status':
+        return status(call);
+      default:
+        return assertNever(call);
+    }
+  };
+
+  const allowed = (principal: Principal, call: AdminCall): Result<unknown> => {
+    const command =
+      call.kind === 'status' ? ({ kind: 'showConfiguration' } as const) : call.command;
+    return authorize(principal, command);
+  };
+
+  const serve = async (
+    principal: Principal,
+    request: IncomingMessage,
+    response: ServerResponse,
+    self: Ref<AdminMessage>,
+  ): Promise<void> => {
+    const finish = (commandKind: string, result: Result<AdminResponse>): void =>
+      dispatch(self, { kind: 'finished', response, commandKind, result });
+    const body = await readBody(request);
+    if (!body.ok) return finish('none', body);
+    const call = toAdminCall(
+      {
+        method: request.method ?? '',
+        url: request.url ?? '',
+        body: Buffer.from(body.value).toString('utf8'),
+      },
+      principal,
+    );
+    if (!call.ok) return finish('none', call);
+    const commandKind = commandKindOf(call.value);
+    const permission = allowed(principal, call.value);
+    return finish(commandKind, permission.ok ? await carryOut(call.value) : permission);
+  };
+
+  const admit = (
+    state: AdminState,
+    request: IncomingMessage,
+  ): { readonly state: AdminState; readonly result: Result<Principal> } => {
+    const principal = authenticate(request.headers.authorization);
+    if (!principal.ok) return { state, result: principal };
+    const { name, limit } = principal.value;
+    const { bucket, retryAfterMs } = takeToken(state.buckets.get(name), limit, performance.now());
+    const next = { ...state, buckets: state.buckets.set(name, bucket) };
+    if (retryAfterMs !== undefined) {
+      return { state: next, result: fail({ kind: 'rateLimited', retryAfterMs }) };
+    }
+    return state.inProgress >= MAX_IN_PROGRESS
+      ? { state: next, result: fail({ kind: 'rateLimited', retryAfterMs: BUSY_RETRY_MS }) }
+      : { state: { ...next, inProgress: state.inProgress + 1 }, result: principal };
+  };
+
+  const handle = (
+    state: AdminState,
+    message: AdminMessage,
+    context: { readonly self: Ref<AdminMessage> },
+  ): AdminState => {
+    switch (message.kind) {
+      case 'incoming': {
+        const { request, response } = message;
+        const admitted = admit(state, request);
+        if (!admitted.result.ok) {
+          request.resume();
+          count('none', admitted.result.failure.kind);
+          sendFailure(response, admitted.result.failure);
+          return admitted.state;
+        }
+        serve(admitted.result.value, request, response, context.self).catch(() => {
+          const failure = { kind: 'outcomeUnknown', reason: 'connectionLost' } as const;
+          const result = fail(failure);
+          dispatch(context.self, { kind: 'finished', response, commandKind: 'none', result });
+        });
+        return admitted.state;
+      }
+      case 'finished': {
+        const { result, response, commandKind } = message;
+        count(commandKind, result.ok ? 'accepted' : result.failure.kind);
+        sendResult(response, result);
+        return { ...state, inProgress: state.inProgress - 1 };
+      }
+      default:
+        return assertNever(message);
+    }
+  };
+
+  const actor: Ref<AdminMessage> = spawn(system, handle, 'admin', {
+    initialState: { buckets: Map<string, Bucket>(), inProgress: 0 },
+  });
+  return {
+    needsCallerToken: options.needsCallerToken,
+    handle: (request, response) => dispatch(actor, { kind: 'incoming', request, response }),
+    refuseCaller: (authorization) => {
+      if (!options.needsCallerToken) return undefined;
+      const principal = authenticate(authorization);
+      return principal.ok ? undefined : principal.failure;
+    },
+  };
+}
--- /dev/null
+++ b/packages/entry/src/auth.ts
@@ -0,0 +1,88 @@
+import { createHash, timingSafeEqual } from 'node:crypto';
+import type { AdminCommand, Result } from '@bronzeyoke/types';
+import { assertNever, fail, succeed } from '@bronzeyoke/types';
+import type { BucketLimit } from './limits';
+
+/** Who makes a request, as the token says. */
+export type Principal =
+  | { readonly role: 'caller'; readonly name: string; readonly limit: BucketLimit }
+  | {
+      readonly role: 'team';
+      readonly name: string;
+      readonly team: string;
+      readonly limit: BucketLimit;
+    }
+  | { readonly role: 'operator'; readonly name: string; readonly limit: BucketLimit };
+
+/** A bearer token as the settings hold it. */
+export interface TokenEntry {
+  readonly name: string;
+  readonly sha256: string;
+  readonly role: Principal['role'];
+  readonly team?: string | undefined;
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+const BEARER = /^Bearer ([\x21-\x7e]{1,512})$/i;
+
+function principalOf(token: TokenEntry): Principal {
+  const { name, role, team = '', ratePerSecond, burst } = token;
+  const limit = { ratePerSecond, burst };
+  switch (role) {
+    case 'caller':
+    case 'operator':
+      return { role, name, limit };
+    case 'team':
+      return { role, name, team, limit };
+    default:
+      return assertNever(role);
+  }
+}
+
+/** Makes a function that finds who a request comes from. */
+export function createAuthenticator(
+  tokens: readonly TokenEntry[],
+): (authorization: string | undefined) => Result<Principal> {
+  const known = tokens.map((token) => ({
+    hash: Buffer.from(token.sha256, 'hex'),
+    principal: principalOf(token),
+  }));
+  return (authorization) => {
+    const token = BEARER.exec(authorization ?? '')?.[1];
+    if (token === undefined) return fail({ kind: 'unauthorized' });
+    const hash = createHash('sha256').update(token).digest();
+    // All tokens are compared, so that the time does not tell which one is close.
+    const matching = known.filter((entry) => timingSafeEqual(entry.hash, hash));
+    const [match] = matching;
+    return match === undefined ? fail({ kind: 'unauthorized' }) : succeed(match.principal);
+  };
+}
+
+/** Whether someone may give a command. A team may give commands about its own jobs only. */
+export function authorize(principal: Principal, command: AdminCommand): Result<AdminCommand> {
+  const forbidden = fail({ kind: 'forbidden', role: principal.role } as const);
+  if (principal.role === 'operator') return succeed(command);
+  switch (command.kind) {
+    case 'applyTicket':
+    case 'listTickets':
+    case 'showTicket':
+    case 'whereTicket':
+    case 'showConfiguration':
+    case 'listUpstreams':
+    case 'listWorkers':
+      return forbidden;
+    case 'submitJob':
+      return principal.role === 'team' && principal.team === command.submission.team
+        ? succeed(command)
+        : forbidden;
+    case 'showJob':
+    case 'cancelJob':
+    case 'listJobs':
+      return principal.role === 'team' && principal.team === command.team
+        ? succeed(command)
+        : forbidden;
+    default:
+      return assertNever(command);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/body.ts
@@ -0,0 +1,111 @@
+import type { Change, Result, Submission } from '@bronzeyoke/types';
+import { fail, succeed } from '@bronzeyoke/types';
+import { z } from 'zod';
+
+const MAX_CHANGES = 1_000;
+const MAX_TEXT_CHARS = 65_536;
+const MAX_RUN_MS = 366 * 24 * 3_600_000;
+const MAX_TASKS = 100_000;
+/** The end of the year 9999, so that a time in nanoseconds is refused. */
+const MAX_TIME_MS = 253_402_300_799_000;
+
+const name = z
+  .string()
+  .max(64)
+  .regex(/^[A-Za-z0-9_-]+$/, 'only letters, digits, "-" and "_"');
+const key = z
+  .string()
+  .max(128)
+  .regex(/^[A-Za-z0-9_.:-]+$/, 'only letters, digits, "_", ".", ":" and "-"');
+const payload = z.string().max(MAX_TEXT_CHARS);
+const resources = z.strictObject({
+  processorsMilli: z.int().min(0).max(1_000_000_000),
+  memoryMb: z.int().min(0).max(1_000_000_000),
+  accelerators: z.int().min(0).max(1_000_000),
+});
+
+const change = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('domain'), name, state: z.enum(['in', 'out']) }),
+  z.strictObject({
+    kind: z.literal('service'),
+    name,
+    reserved: resources,
+    targetLatencyMs: z.number().positive().max(600_000),
+    defaultTimeoutMs: z.int().min(1).max(600_000),
+  }),
+  z.strictObject({ kind: z.literal('team'), name, quota: resources }),
+  z.strictObject({
+    kind: z.literal('watcher'),
+    name,
+    team: name,
+    workKind: name,
+    reserved: resources,
+    payload,
+    instances: z.int().min(0).max(10_000),
+  }),
+]);
+
+const ticketBody = z.strictObject({
+  number: z.int().min(1).max(Number.MAX_SAFE_INTEGER),
+  changes: z.array(change).min(1).max(MAX_CHANGES),
+});
+
+const jobBody = z
+  .strictObject({
+    team: name,
+    key,
+    workKind: name,
+    role: z.enum(['batch', 'watcher']).default('batch'),
+    declared: resources,
+    declaredRunMs: z.int().min(1).max(MAX_RUN_MS),
+    deadlineAtMs: z.int().min(0).max(MAX_TIME_MS).optional(),
+    urgency: z.enum(['urgent', 'normal']).default('normal'),
+    taskCount: z.int().min(1).max(MAX_TASKS).default(1),
+    payload: payload.default(''),
+  })
+  .refine((job) => (job.role === 'batch') === (job.deadlineAtMs !== undefined), {
+    path: ['deadlineAtMs'],
+    message: 'required for batch, and not allowed for a watcher',
+  });
+
+function pathOf(issue: z.core.$ZodIssue): string {
+  const keys = issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
+  const path = [...issue.path, ...keys].map(String).join('.');
+  return path === '' ? 'body' : path;
+}
+
+function parse<Schema extends z.ZodType>(schema: Schema, text: string): Result<z.infer<Schema>> {
+  const json = ((): Result<unknown> => {
+    try {
+      return succeed(JSON.parse(text));
+    } catch {
+      return fail({ kind: 'invalid', field: 'body', problem: 'not JSON' });
+    }
+  })();
+  if (!json.ok) return json;
+  const parsed = schema.safeParse(json.value);
+  if (parsed.success) return succeed(parsed.data);
+  const [issue] = parsed.error.issues;
+  return issue === undefined
+    ? fail({ kind: 'invalid', field: 'body', problem: 'not accepted' })
+    : fail({
+        kind: 'invalid',
+        field: pathOf(issue).slice(0, 256),
+        problem: issue.message.slice(0, 256),
+      });
+}
+
+/** Reads the body of a ticket. */
+export function parseTicket(
+  text: string,
+): Result<{ readonly number: number; readonly changes: readonly Change[] }> {
+  return parse(ticketBody, text);
+}
+
+/** Reads the body of a job. */
+export function parseJob(text: string): Result<Submission> {
+  const parsed = parse(jobBody, text);
+  if (!parsed.ok) return parsed;
+  const { deadlineAtMs, ...job } = parsed.value;
+  return succeed({ ...job, ...(deadlineAtMs === undefined ? {} : { deadlineAtMs }) });
+}
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -6,8 +6,10 @@
 import type { CallerRequest, Failure, Headers, Outcome, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
 import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
+import type { AdminFront } from './admin';
 import type { Problem } from './problem';
 import { failureProblem, outcomeProblem } from './problem';
+import { isAdminPath } from './routes';
 
 const SERVICE_PATH = /^\/v1\/services\/([A-Za-z0-9_-]{1,64})(\/.*)$/;
 const DEFAULT_TIMEOUT_MS = 10_000;
@@ -31,7 +33,11 @@
 
 /** What the front end accepts. Requests go to the attached target. */
 export type FrontCommand =
-  | { readonly kind: 'attach'; readonly arrived: (request: CallerRequest) => void }
+  | {
+      readonly kind: 'attach';
+      readonly arrived: (request: CallerRequest) => void;
+      readonly admin?: AdminFront;
+    }
   | { readonly kind: 'reply'; readonly requestId: string; readonly outcome: Outcome }
   | { readonly kind: 'close' };
 
@@ -51,6 +57,7 @@
 interface FrontState {
   readonly waiting: ReadonlyMap<string, ServerResponse>;
   readonly arrived: (request: CallerRequest) => void;
+  readonly admin?: AdminFront;
 }
 
 function headersOf(request: IncomingMessage): Headers {
@@ -62,7 +69,8 @@
   );
 }
 
-function readBody(request: IncomingMessage): Promise<Result<Uint8Array>> {
+/** Reads a body up to the limit; a longer one is read to its end and refused. */
+export function readBody(request: IncomingMessage): Promise<Result<Uint8Array>> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let lengthBytes = 0;
@@ -92,7 +100,10 @@
     : fail({ kind: 'invalid', field: 'bronzeyoke-timeout-ms', problem: 'not in 1..600000' });
 }
 
-async function parse(request: IncomingMessage): Promise<Result<CallerRequest>> {
+async function parse(
+  request: IncomingMessage,
+  dropsToken: boolean,
+): Promise<Result<CallerRequest>> {
   const body = await readBody(request);
   if (!body.ok) return body;
   const match = SERVICE_PATH.exec(request.url ?? '');
@@ -100,7 +111,9 @@
   if (service === undefined || path === undefined) {
     return fail({ kind: 'notFound', what: request.url ?? '' });
   }
-  const headers = headersOf(request);
+  const { authorization, ...others } = headersOf(request);
+  const headers: Headers =
+    authorization === undefined || dropsToken ? others : { ...others, authorization };
   const timeoutMs = timeoutOf(headers['bronzeyoke-timeout-ms']);
   if (!timeoutMs.ok) return timeoutMs;
   const idempotencyKey = headers['idempotency-key'];
@@ -118,7 +131,8 @@
   });
 }
 
-function sendProblem(response: ServerResponse, problem: Problem): void {
+/** Answers with a problem document. */
+export function sendProblem(response: ServerResponse, problem: Problem): void {
   response.writeHead(problem.status, { 'content-type': 'application/problem+json' });
   response.end(JSON.stringify(problem));
 }
@@ -163,10 +177,25 @@
   ): FrontState => {
     switch (message.kind) {
       case 'attach':
-        return { ...state, arrived: message.arrived };
+        return {
+          ...state,
+          arrived: message.arrived,
+          ...(message.admin === undefined ? {} : { admin: message.admin }),
+        };
       case 'incoming': {
-        const { response } = message;
-        parse(message.request)
+        const { request, response } = message;
+        if (state.admin !== undefined && isAdminPath(request.url)) {
+          state.admin.handle(request, response);
+          return state;
+        }
+        const refusal = state.admin?.refuseCaller(request.headers.authorization);
+        if (refusal !== undefined) {
+          count(refusal);
+          request.resume();
+          sendProblem(response, failureProblem(refusal));
+          return state;
+        }
+        parse(request, state.admin?.needsCallerToken === true)
           .then((result) => dispatch(context.self, { kind: 'parsed', response, result }))
           .catch(() => response.destroy());
         return state;
@@ -201,6 +230,23 @@
   const actor: Ref<FrontMessage> = spawn(system, handle, 'front', {
     initialState: { waiting: new Map(), arrived: () => undefined },
   });
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
+    const failure: Failure = isTooLarge
+      ? { kind: 'tooLarge', limitBytes: MAX_HEADER_BYTES }
+      : { kind: 'invalid', field: 'head', problem: error.code ?? 'malformed' };
+    count(failure);
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    const text = JSON.stringify(failureProblem(failure));
+    const statusLine = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
+    socket.end(
+      `HTTP/1.1 ${statusLine}\r\nconnection: close\r\ncontent-type: application/problem+json\r\n` +
+        `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
+    );
+  });
   server.on('request', (request, response) =>
     dispatch(actor, { kind: 'incoming', request, response }),
   );
--- /dev/null
+++ b/packages/entry/src/main.ts
@@ -0,0 +1,81 @@
+import { createHttpTable } from '@bronzeyoke/adapters';
+import type { EntrySettings } from '@bronzeyoke/settings';
+import { entrySettings, startProgram } from '@bronzeyoke/settings';
+import { createLog, createTracer, startMetricsServer } from '@bronzeyoke/telemetry';
+import { version } from '../../../package.json';
+import { createEntryMonitor } from './monitor';
+import { startEntry } from './start';
+import { createEntryTracing } from './tracing';
+
+const NAME = 'bronzeyoke-entry';
+
+function printError(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
+
+async function run(settings: EntrySettings): Promise<void> {
+  const { callers, agents, domain, tracing, needsCallerToken, tokens } = settings;
+  const log = createLog(NAME, settings.logLevel);
+  const monitor = createEntryMonitor(log);
+  const { endpoint, sampleRatio } = tracing;
+  const tracer =
+    endpoint === undefined
+      ? undefined
+      : await createTracer({ endpoint, serviceName: NAME, instanceId: domain });
+  const table =
+    settings.table === undefined
+      ? undefined
+      : createHttpTable({ ...settings.table, connections: settings.tableConnections });
+  const entry = await startEntry({
+    domain,
+    host: callers.host,
+    callerPort: callers.port,
+    agentHost: agents.host,
+    agentPort: agents.port,
+    ...(table === undefined ? {} : { table }),
+    onError: monitor.onError,
+    onFailure: monitor.onFailure,
+    observe: monitor.observe,
+    admin: {
+      tokens,
+      needsCallerToken,
+      count: (kind, result) => monitor.metrics.count('bronzeyoke_admin_total', { kind, result }),
+    },
+    ...(tracer === undefined
+      ? {}
+      : { tracing: createEntryTracing(tracer, sampleRatio, Math.random) }),
+  });
+  const metrics =
+    settings.metrics === undefined
+      ? undefined
+      : await startMetricsServer(settings.metrics, monitor);
+  process.once('SIGTERM', entry.stop);
+  process.once('SIGINT', entry.stop);
+  const { entryId, callerPort, agentPort } = entry;
+  const metricsPort = metrics?.port ?? 0;
+  const fields = { entryId, domain, callerPort, agentPort, metricsPort };
+  log({ level: 'info', message: 'serving', fields });
+  await entry.stopped;
+  metrics?.close();
+  await tracer?.close();
+  await table?.close();
+  log({ level: 'info', message: 'handed over', fields: { ...monitor.handOver() } });
+}
+
+const started = await startProgram(entrySettings, {
+  name: NAME,
+  version,
+  argv: process.argv.slice(2),
+  print: (line) => process.stdout.write(`${line}\n`),
+  printError,
+});
+if (started.kind === 'end') {
+  process.exitCode = started.exitCode;
+} else {
+  await run(started.settings).catch((error: unknown) => {
+    printError(`${NAME}: ${error instanceof Error ? error.message : String(error)}`);
+    // A part that started already would keep the process alive.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(1);
+  });
+}
--- /dev/null
+++ b/packages/entry/src/monitor.ts
@@ -0,0 +1,173 @@
+import { performance } from 'node:perf_hooks';
+import type { Failure, Outcome, Step } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import type { GaugeValue, Log, Metrics } from '@bronzeyoke/telemetry';
+import { createHistogram, createMetrics } from '@bronzeyoke/telemetry';
+import type { EntryEffect, EntryEvent, EntryState } from './types';
+
+/** Metrics of an entry. */
+export const ENTRY_METRICS = {
+  bronzeyoke_requests_total: { kind: 'counter', help: 'Ended requests by service and outcome.' },
+  bronzeyoke_request_seconds: { kind: 'summary', help: 'Time from arrival to the end.' },
+  bronzeyoke_failures_total: { kind: 'counter', help: 'Refused input and lost links by kind.' },
+  bronzeyoke_errors_total: { kind: 'counter', help: 'Faults of the program itself.' },
+  bronzeyoke_messages_received_total: { kind: 'counter', help: 'Messages from agents by kind.' },
+  bronzeyoke_messages_sent_total: { kind: 'counter', help: 'Messages to agents by kind.' },
+  bronzeyoke_store_accesses_total: {
+    kind: 'counter',
+    help: 'Table accesses by origin and result.',
+  },
+  bronzeyoke_admin_total: { kind: 'counter', help: 'Administration commands by kind and result.' },
+  bronzeyoke_agents: { kind: 'gauge', help: 'Agents that are connected.' },
+  bronzeyoke_agents_leaving: { kind: 'gauge', help: 'Connected agents that are draining.' },
+  bronzeyoke_requests_in_progress: { kind: 'gauge', help: 'Requests that have not ended.' },
+  bronzeyoke_requests_queued: { kind: 'gauge', help: 'Requests that wait for an upstream.' },
+  bronzeyoke_ticket_number: { kind: 'gauge', help: 'Number of the ticket in force.' },
+} as const;
+
+/** Name of a metric of an entry. */
+export type EntryMetric = keyof typeof ENTRY_METRICS;
+
+/** What a planned stop handed over. */
+export interface EntryHandOver {
+  readonly requestsFinished: number;
+  readonly requestsRefused: number;
+  readonly requestsUnknown: number;
+  readonly agentsReleased: number;
+}
+
+/** Called after each step of the core. */
+export type EntryObserver = (
+  before: EntryState,
+  event: EntryEvent,
+  step: Step<EntryState, EntryEffect>,
+) => void;
+
+/** Derives metrics and log lines from the steps of the core, so that the core knows of neither. */
+export interface EntryMonitor {
+  readonly metrics: Metrics<EntryMetric>;
+  readonly observe: EntryObserver;
+  readonly onFailure: (failure: Failure) => void;
+  readonly onError: (error: unknown) => void;
+  readonly text: () => string;
+  readonly notReady: () => string | undefined;
+  readonly handOver: () => EntryHandOver;
+}
+
+const NOTHING_HANDED_OVER: EntryHandOver = {
+  requestsFinished: 0,
+  requestsRefused: 0,
+  requestsUnknown: 0,
+  agentsReleased: 0,
+};
+
+function addOutcome(total: EntryHandOver, outcome: Outcome): EntryHandOver {
+  switch (outcome.kind) {
+    case 'answered':
+      return { ...total, requestsFinished: total.requestsFinished + 1 };
+    case 'notRun':
+      return { ...total, requestsRefused: total.requestsRefused + 1 };
+    case 'unknown':
+      return { ...total, requestsUnknown: total.requestsUnknown + 1 };
+    default:
+      return assertNever(outcome);
+  }
+}
+
+function gaugesOf(state: EntryState): readonly GaugeValue<EntryMetric>[] {
+  const { agents } = state.membership;
+  const gauge = (name: EntryMetric, value: number) => ({ name, labels: {}, value });
+  return [
+    gauge('bronzeyoke_agents', agents.size),
+    gauge(
+      'bronzeyoke_agents_leaving',
+      agents.count((agent) => agent.isLeaving),
+    ),
+    gauge('bronzeyoke_requests_in_progress', state.requests.records.size),
+    gauge('bronzeyoke_requests_queued', state.requests.queue.size),
+    gauge('bronzeyoke_ticket_number', state.configuration.number),
+  ];
+}
+
+/** Starts to monitor an entry. */
+export function createEntryMonitor(log: Log): EntryMonitor {
+  const metrics = createMetrics(ENTRY_METRICS, createHistogram);
+  let latest: EntryState | undefined;
+  let isStoreLost = false;
+  let handOver = NOTHING_HANDED_OVER;
+
+  const info = (message: string, fields: Readonly<Record<string, string | number>>): void =>
+    log({ level: 'info', message, fields });
+
+  const countEvent = (event: EntryEvent): void => {
+    if (event.kind === 'received') {
+      metrics.count('bronzeyoke_messages_received_total', { kind: event.message.kind });
+    }
+    if (event.kind !== 'commitDone' && event.kind !== 'readDone') return;
+    const { origin, result } = event;
+    metrics.count('bronzeyoke_store_accesses_total', { origin, result: result.kind });
+    const isLost = result.kind === 'unavailable';
+    if (isLost && !isStoreLost) log({ level: 'warn', message: 'store lost', fields: {} });
+    if (!isLost && isStoreLost) log({ level: 'info', message: 'store back', fields: {} });
+    isStoreLost = isLost;
+  };
+
+  const countReply = (before: EntryState, requestId: string, outcome: Outcome): void => {
+    const record = before.requests.records.get(requestId);
+    // A request that ends in the step in which it arrives was never recorded.
+    const service = record?.request.service ?? 'refused';
+    const result = outcome.kind === 'answered' ? 'answered' : `${outcome.kind}:${outcome.reason}`;
+    metrics.count('bronzeyoke_requests_total', { service, result });
+    if (record !== undefined) {
+      const durationMs = performance.now() - record.arrivedAtMs;
+      metrics.observe('bronzeyoke_request_seconds', { service }, durationMs);
+    }
+    if (before.role === 'draining') handOver = addOutcome(handOver, outcome);
+  };
+
+  const logChanges = (before: EntryState, after: EntryState): void => {
+    if (before.role !== after.role) {
+      info('role changed', { from: before.role, to: after.role });
+      if (after.role === 'stopped') {
+        handOver = { ...handOver, agentsReleased: after.membership.agents.size };
+      }
+    }
+    if (before.configuration.number !== after.configuration.number) {
+      info('ticket in force', { number: after.configuration.number });
+    }
+    if (before.membership.byLink === after.membership.byLink) return;
+    const known = before.membership.byLink;
+    const now = after.membership.byLink;
+    now.forEach((agentId, linkId) => {
+      const worker = after.membership.agents.get(agentId)?.profile.worker ?? '';
+      if (!known.has(linkId)) info('link opened', { agentId, worker });
+    });
+    known.forEach((agentId, linkId) => {
+      if (!now.has(linkId)) info('link closed', { agentId });
+    });
+  };
+
+  return {
+    metrics,
+    observe: (before, event, step) => {
+      latest = step.state;
+      countEvent(event);
+      step.effects.forEach((effect) => {
+        if (effect.kind === 'reply') countReply(before, effect.requestId, effect.outcome);
+        if (effect.kind === 'send') {
+          metrics.count('bronzeyoke_messages_sent_total', { kind: effect.message.kind });
+        }
+      });
+      if (before !== step.state) logChanges(before, step.state);
+    },
+    onFailure: (failure) => metrics.count('bronzeyoke_failures_total', { kind: failure.kind }),
+    onError: (error) => {
+      metrics.count('bronzeyoke_errors_total');
+      const detail = error instanceof Error ? (error.stack ?? error.message) : String(error);
+      log({ level: 'error', message: 'fault of the program', fields: { detail } });
+    },
+    text: () => metrics.text(latest === undefined ? [] : gaugesOf(latest)),
+    notReady: () => (latest?.role === 'serving' ? undefined : (latest?.role ?? 'starting')),
+    handOver: () => handOver,
+  };
+}
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -7,6 +7,10 @@
   readonly title: string;
   readonly status: number;
   readonly detail: string;
+  /** Of a conflict: the number of the ticket in force. */
+  readonly currentNumber?: number;
+  /** Of a refusal by a limit: when to try again. */
+  readonly retryAfterMs?: number;
 }
 
 const TYPE_BASE = 'urn:bronzeyoke:problem';
@@ -39,13 +43,19 @@
     case 'notFound':
       return problem('not-found', 404, 'Not found', failure.what);
     case 'conflict':
-      return problem('conflict', 409, 'Conflict', `${failure.what}: ${failure.currentNumber}`);
+      return {
+        ...problem('conflict', 409, 'Conflict', `${failure.what}: ${failure.currentNumber}`),
+        currentNumber: failure.currentNumber,
+      };
     case 'unauthorized':
       return problem('unauthorized', 401, 'Unauthorized', 'a valid bearer token is required');
     case 'forbidden':
       return problem('forbidden', 403, 'Forbidden', `role ${failure.role} may not do this`);
     case 'rateLimited':
-      return problem('rate-limited', 429, 'Too many requests', `${failure.retryAfterMs} ms`);
+      return {
+        ...problem('rate-limited', 429, 'Too many requests', `${failure.retryAfterMs} ms`),
+        retryAfterMs: failure.retryAfterMs,
+      };
     case 'tooLarge':
       return problem('too-large', 413, 'Too large', `limit is ${failure.limitBytes} bytes`);
     case 'malformedFrame':
--- /dev/null
+++ b/packages/entry/src/routes.ts
@@ -0,0 +1,206 @@
+import type { AdminCommand, AdminReply, JobStatus, Result } from '@bronzeyoke/types';
+import { assertNever, fail, succeed } from '@bronzeyoke/types';
+import type { Principal } from './auth';
+import { parseJob, parseTicket } from './body';
+
+/** A request for the administration API, free of HTTP objects. */
+export interface AdminRequest {
+  readonly method: string;
+  readonly url: string;
+  readonly body: string;
+}
+
+/** What a request asks for. A wait and a status are made of several commands. */
+export type AdminCall =
+  | { readonly kind: 'command'; readonly command: AdminCommand }
+  | {
+      readonly kind: 'waitJob';
+      readonly command: Extract<AdminCommand, { readonly kind: 'showJob' }>;
+      readonly timeoutMs: number;
+    }
+  | { readonly kind: 'status' };
+
+/** A response of the administration API. */
+export interface AdminResponse {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+const MAX_PAGE = 200;
+const DEFAULT_PAGE = 50;
+/** Shorter than the limit of a planned stop, which waits for requests in progress. */
+const MAX_WAIT_MS = 10_000;
+const NAME = /^[A-Za-z0-9_-]{1,64}$/;
+
+type Query = Readonly<Record<string, string>>;
+
+function wholeNumber(
+  query: Query,
+  field: string,
+  fallback: number,
+  range: readonly [min: number, max: number],
+): Result<number> {
+  const text = query[field];
+  if (text === undefined) return succeed(fallback);
+  const value = Number(text);
+  const [min, max] = range;
+  const isValid = /^\d{1,16}$/.test(text) && Number.isSafeInteger(value);
+  return isValid && value >= min && value <= max
+    ? succeed(value)
+    : fail({ kind: 'invalid', field, problem: `not a whole number in ${min}..${max}` });
+}
+
+function teamOf(query: Query, principal: Principal): Result<string> {
+  const own = principal.role === 'team' ? principal.team : undefined;
+  const team = query.team ?? own;
+  return team !== undefined && NAME.test(team)
+    ? succeed(team)
+    : fail({ kind: 'invalid', field: 'team', problem: 'a team is required' });
+}
+
+function command(value: AdminCommand): Result<AdminCall> {
+  return succeed({ kind: 'command', command: value });
+}
+
+function ticketCall(
+  request: AdminRequest,
+  parts: readonly string[],
+  query: Query,
+  principal: Principal,
+): Result<AdminCall> | undefined {
+  const [numberText, action, ...rest] = parts;
+  if (numberText === undefined && request.method === 'POST') {
+    const ticket = parseTicket(request.body);
+    return ticket.ok
+      ? command({ kind: 'applyTicket', author: principal.name, ...ticket.value })
+      : ticket;
+  }
+  if (request.method !== 'GET' || rest.length > 0) return undefined;
+  if (numberText === undefined) {
+    const afterNumber = wholeNumber(query, 'after', 0, [0, Number.MAX_SAFE_INTEGER]);
+    if (!afterNumber.ok) return afterNumber;
+    const limit = wholeNumber(query, 'limit', DEFAULT_PAGE, [1, MAX_PAGE]);
+    if (!limit.ok) return limit;
+    return command({ kind: 'listTickets', afterNumber: afterNumber.value, limit: limit.value });
+  }
+  const number = wholeNumber({ number: numberText }, 'number', 0, [1, Number.MAX_SAFE_INTEGER]);
+  if (!number.ok) return number;
+  if (action === undefined) return command({ kind: 'showTicket', number: number.value });
+  return action === 'where' ? command({ kind: 'whereTicket', number: number.value }) : undefined;
+}
+
+function jobCall(
+  request: AdminRequest,
+  parts: readonly string[],
+  query: Query,
+  principal: Principal,
+): Result<AdminCall> | undefined {
+  const [jobId, action, ...rest] = parts;
+  if (rest.length > 0) return undefined;
+  if (jobId === undefined && request.method === 'POST') {
+    const submission = parseJob(request.body);
+    return submission.ok
+      ? command({ kind: 'submitJob', submission: submission.value })
+      : submission;
+  }
+  const team = teamOf(query, principal);
+  if (!team.ok) return team;
+  if (jobId === undefined) {
+    if (request.method !== 'GET') return undefined;
+    const limit = wholeNumber(query, 'limit', DEFAULT_PAGE, [1, MAX_PAGE]);
+    if (!limit.ok) return limit;
+    const afterJobId = query.after ?? '';
+    if (afterJobId !== '' && !NAME.test(afterJobId)) {
+      return fail({ kind: 'invalid', field: 'after', problem: 'not a job id' });
+    }
+    return command({ kind: 'listJobs', team: team.value, afterJobId, limit: limit.value });
+  }
+  if (!NAME.test(jobId)) return fail({ kind: 'invalid', field: 'jobId', problem: 'not a job id' });
+  const show = { kind: 'showJob', team: team.value, jobId } as const;
+  switch (`${request.method} ${action ?? ''}`) {
+    case 'GET ':
+      return command(show);
+    case 'GET wait': {
+      const timeoutMs = wholeNumber(query, 'timeoutMs', MAX_WAIT_MS, [0, MAX_WAIT_MS]);
+      return timeoutMs.ok
+        ? succeed({ kind: 'waitJob', command: show, timeoutMs: timeoutMs.value })
+        : timeoutMs;
+    }
+    case 'POST cancel':
+      return command({ kind: 'cancelJob', team: team.value, jobId });
+    default:
+      return undefined;
+  }
+}
+
+function plainCall(request: AdminRequest, parts: readonly string[]): Result<AdminCall> | undefined {
+  switch (`${request.method} ${parts.join('/')}`) {
+    case 'GET configuration':
+      return command({ kind: 'showConfiguration' });
+    case 'GET upstreams':
+      return command({ kind: 'listUpstreams' });
+    case 'GET workers':
+      return command({ kind: 'listWorkers' });
+    case 'GET status':
+      return succeed({ kind: 'status' });
+    default:
+      return undefined;
+  }
+}
+
+/** Whether a URL belongs to the administration API. */
+export function isAdminPath(url: string | undefined): boolean {
+  return /^\/v1\/(admin|jobs)(\/|\?|$)/.test(url ?? '');
+}
+
+/** Finds what a request asks for. */
+export function toAdminCall(request: AdminRequest, principal: Principal): Result<AdminCall> {
+  const [path = '', search = ''] = request.url.split('?', 2);
+  const query = Object.fromEntries(new URLSearchParams(search));
+  const [, , area, ...parts] = path.split('/');
+  const missing = fail({
+    kind: 'notFound',
+    what: `${request.method} ${path}`.slice(0, 256),
+  } as const);
+  if (area === 'jobs') return jobCall(request, parts, query, principal) ?? missing;
+  const [first, ...rest] = parts;
+  const found =
+    first === 'tickets' ? ticketCall(request, rest, query, principal) : plainCall(request, parts);
+  return found ?? missing;
+}
+
+/** Whether no task of a job can change any more. */
+export function isJobDone(status: JobStatus): boolean {
+  const ended = status.tasks.filter(
+    ({ row }) => row.state.kind !== 'pending' && row.state.kind !== 'claimed',
+  );
+  return ended.length >= status.job.taskCount;
+}
+
+/** The response for a reply. */
+export function toAdminResponse(call: AdminCall, reply: AdminReply): AdminResponse {
+  const isCreated =
+    call.kind === 'command' &&
+    (call.command.kind === 'applyTicket' || call.command.kind === 'submitJob');
+  const status = isCreated ? 201 : 200;
+  switch (reply.kind) {
+    case 'ticket':
+      return { status, body: reply.ticket };
+    case 'tickets':
+      return { status, body: { tickets: reply.tickets } };
+    case 'where':
+      return { status, body: { processes: reply.processes } };
+    case 'configuration':
+      return { status, body: reply.configuration };
+    case 'job':
+      return { status, body: { ...reply.status, isDone: isJobDone(reply.status) } };
+    case 'jobs':
+      return { status, body: { jobs: reply.jobs } };
+    case 'upstreams':
+      return { status, body: { upstreams: reply.upstreams } };
+    case 'workers':
+      return { status, body: { workers: reply.workers } };
+    default:
+      return assertNever(reply);
+  }
+}
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -13,9 +13,13 @@
 import { assertNever } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { decodeAgentMessage } from '@bronzeyoke/wire';
+import type { AdminOptions } from './admin';
+import { spawnAdmin } from './admin';
 import { createEntry, stepEntry } from './core';
 import { spawnFront } from './http';
+import type { EntryObserver } from './monitor';
 import { NO_TABLE, spawnStore } from './store';
+import type { EntryTracing } from './tracing';
 import type { EntryEffect, EntryEvent } from './types';
 
 /** What an entry is started with. Port 0 takes any free port. */
@@ -23,20 +27,29 @@
   readonly domain: string;
   readonly host: string;
   readonly callerPort: number;
+  /** Address for agents, if it is not `host`. */
+  readonly agentHost?: string;
   readonly agentPort: number;
   /** Without a table an entry only routes idempotent requests. */
   readonly table?: TablePort;
   readonly onError: (error: unknown) => void;
   readonly onFailure: (failure: Failure) => void;
+  /** Told of each step of the core. */
+  readonly observe?: EntryObserver;
+  readonly tracing?: EntryTracing;
+  /** Without it there is no administration API over HTTP. */
+  readonly admin?: Pick<AdminOptions, 'tokens' | 'needsCallerToken' | 'count'>;
 }
 
+/** Carries out an administration command; the reply comes once. */
+export type Administer = (command: AdminCommand) => Promise<Result<AdminReply>>;
+
 /** A running entry. */
 export interface RunningEntry {
   readonly entryId: string;
   readonly callerPort: number;
   readonly agentPort: number;
-  /** Carries out an administration command; the reply comes once. */
-  readonly administer: (command: AdminCommand) => Promise<Result<AdminReply>>;
+  readonly administer: Administer;
   /** Begins a planned stop. */
   readonly stop: () => void;
   /** Ends when the planned stop is complete. */
@@ -51,6 +64,7 @@
 
 /** Starts an entry: listens for callers and for agents. */
 export async function startEntry(options: EntryOptions): Promise<RunningEntry> {
+  const { domain, observe, tracing } = options;
   const system = start();
   const entryId = randomUUID();
   const links = new Map<string, Ref<LinkCommand>>();
@@ -88,7 +102,11 @@
     switch (effect.kind) {
       case 'send': {
         const link = links.get(effect.linkId);
-        if (link !== undefined) dispatch(link, { kind: 'send', message: effect.message });
+        if (link !== undefined)
+          dispatch(link, {
+            kind: 'send',
+            message: tracing?.sending(effect.message) ?? effect.message,
+          });
         return;
       }
       case 'closeLink': {
@@ -108,6 +126,7 @@
         return;
       }
       case 'reply':
+        tracing?.replied(effect.requestId, effect.outcome);
         dispatch(front.actor, effect);
         return;
       case 'storeIntent':
@@ -124,19 +143,36 @@
     }
   };
 
+  const decide: typeof stepEntry = (state, event, instant) => {
+    const step = stepEntry(state, event, instant);
+    observe?.(state, event, step);
+    return step;
+  };
+
   const core: Ref<EntryEvent> = spawnCore(system, {
     name: 'entry',
-    initial: createEntry(entryId, options.domain),
-    decide: stepEntry,
+    initial: createEntry(entryId, domain),
+    decide,
     perform,
     onError: options.onError,
   });
 
   toCore = (event) => dispatch(core, event);
   toCore({ kind: 'started', wallOffsetMs: performance.timeOrigin });
+  const administer: Administer = (command) =>
+    new Promise((resolve) => {
+      const callId = randomUUID();
+      replies.set(callId, resolve);
+      toCore({ kind: 'admin', callId, command });
+    });
+
   dispatch(front.actor, {
     kind: 'attach',
-    arrived: (request) => toCore({ kind: 'arrived', request }),
+    arrived: (request) =>
+      toCore({ kind: 'arrived', request: tracing?.arrived(request) ?? request }),
+    ...(options.admin === undefined
+      ? {}
+      : { admin: spawnAdmin(system, { ...options.admin, administer, entryId, domain }) }),
   });
 
   const report = (event: LinkEvent<AgentMessage>): void => {
@@ -145,6 +181,7 @@
         toCore({ kind: 'linkOpened', linkId: event.linkId });
         return;
       case 'received':
+        tracing?.received(event.message);
         toCore(event);
         return;
       case 'skipped':
@@ -164,15 +201,8 @@
     const link = spawnLink(system, { linkId, socket, decode: decodeAgentMessage, report });
     links.set(linkId, link);
   });
-  const agentPort = await listen(agentServer, options.host, options.agentPort);
+  const agentPort = await listen(agentServer, options.agentHost ?? options.host, options.agentPort);
   const callerPort = await listen(front.server, options.host, options.callerPort);
-  const administer = (command: AdminCommand): Promise<Result<AdminReply>> =>
-    new Promise((resolve) => {
-      const callId = randomUUID();
-      replies.set(callId, resolve);
-      toCore({ kind: 'admin', callId, command });
-    });
-
   return {
     entryId,
     callerPort,
--- a/packages/settings/src/entry.ts
+++ b/packages/settings/src/entry.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod';
-import { durationMs, listenAddress, logLevel, metricsAddress, name, peerAddress } from './fields';
+import { listenAddress, logLevel, metricsAddress, name, peerAddress } from './fields';
 
 const tokenSchema = z
   .strictObject({
@@ -30,12 +30,19 @@
   agents: listenAddress.describe('address for agents'),
   metrics: metricsAddress,
   table: peerAddress.optional().describe('address of the table service; without it no batch work'),
-  tableTimeoutMs: durationMs(60_000)
-    .default(2_000)
-    .describe('time after which a call of the table service counts as lost'),
+  tableConnections: z
+    .int()
+    .min(1)
+    .max(256)
+    .default(16)
+    .describe('connections to the table service'),
+  needsCallerToken: z
+    .boolean()
+    .default(false)
+    .describe('whether calls of services need a bearer token'),
   tokens: z
     .array(tokenSchema)
-    .max(10_000)
+    .max(1_000)
     .default([])
     .describe('bearer tokens of the administration API'),
   tracing: z
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -4,4 +4,5 @@
 export * from './fault';
 export * from './fields';
 export * from './page';
+export * from './program';
 export * from './read';
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -25,7 +25,7 @@
   "domian": "hobart",
   "callers": { "host": "localhost", "port": -1 },
   "agents": { "host": "127.0.0.1", "port": 70000 },
-  "tableTimeoutMs": "2s",
+  "tableConnections": "16",
   "tracing": { "sampleRatio": 1e999 },
   "tracing": {}
 }`;
@@ -35,7 +35,7 @@
     'entry.jsonc:3:24: callers.host: not an IP number',
     'entry.jsonc:3:45: callers.port: negative',
     'entry.jsonc:4:44: agents.port: too large: the maximum is 65535',
-    'entry.jsonc:5:21: tableTimeoutMs: expected number, found string (unit: milliseconds)',
+    'entry.jsonc:5:23: tableConnections: expected number, found string',
     'entry.jsonc:7:3: tracing: given more than once',
   ]);
 });
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,5 @@
 export * from './context';
+export * from './histogram';
 export * from './log';
 export * from './metrics';
 export * from './server';
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -1,5 +1,5 @@
-import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
+import { MAX_DURATION_MICROS } from './limits';
 
 /** Labels of a series. */
 export type Labels = Readonly<Record<string, string>>;
@@ -33,7 +33,6 @@
 /** Series of one metric after which further labels are counted together; callers can choose names. */
 const MAX_SERIES = 1_000;
 const OTHER_LABELS = '{other="true"}';
-const MAX_DURATION_MICROS = 600_000_000;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 const MICROS_PER_SECOND = 1e6;
 
@@ -75,9 +74,13 @@
   ];
 }
 
-/** Makes the metrics of a process. Recording changes counters in place, because it is on hot paths. */
+/**
+ * Makes the metrics of a process. A process without summaries gives no histograms, so that the
+ * library is not loaded. Recording changes counters in place, because it is on hot paths.
+ */
 export function createMetrics<Name extends string>(
   definitions: Readonly<Record<Name, MetricDefinition>>,
+  createHistogram?: () => Histogram,
 ): Metrics<Name> {
   const names = Object.keys(definitions) as Name[];
   const counters = new Map(names.map((name) => [name, new Map<string, number>()]));
@@ -107,15 +110,10 @@
     },
     observe: (name, labels, durationMs) => {
       const series = summaries.get(name);
-      if (series === undefined) return;
+      if (series === undefined || createHistogram === undefined) return;
       const key = seriesKey(series, labels);
       const known = series.get(key) ?? {
-        histogram: build({
-          lowestDiscernibleValue: 1,
-          highestTrackableValue: MAX_DURATION_MICROS,
-          numberOfSignificantValueDigits: 2,
-          bitBucketSize: 32,
-        }),
+        histogram: createHistogram(),
         sumSeconds: 0,
       };
       const micros = Math.min(MAX_DURATION_MICROS, Math.max(1, Math.round(durationMs * 1_000)));
--- a/packages/telemetry/test/telemetry.test.ts
+++ b/packages/telemetry/test/telemetry.test.ts
@@ -4,18 +4,20 @@
 import { expect } from 'chai';
 import {
   childContext,
+  createHistogram,
   createMetrics,
   createTracer,
   formatTraceparent,
   parseTraceparent,
 } from '../src';
 
-const metricsOf = () =>
-  createMetrics({
-    requests_total: { kind: 'counter', help: 'Requests.' },
-    duration_seconds: { kind: 'summary', help: 'Durations.' },
-    agents: { kind: 'gauge', help: 'Agents.' },
-  });
+const DEFINITIONS = {
+  requests_total: { kind: 'counter', help: 'Requests.' },
+  duration_seconds: { kind: 'summary', help: 'Durations.' },
+  agents: { kind: 'gauge', help: 'Agents.' },
+} as const;
+
+const metricsOf = () => createMetrics(DEFINITIONS, createHistogram);
 
 it('metrics: text has types, escaped labels and gauges', () => {
   const metrics = metricsOf();
