--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -6,7 +6,7 @@
 import type { CallerRequest, Failure, Headers, Outcome, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
 import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
-import type { AdminFront } from './admin';
+import type { AdminFront } from './api';
 import type { Problem } from './problem';
 import { failureProblem, outcomeProblem } from './problem';
 import { isAdminPath } from './routes';
@@ -149,6 +149,7 @@
       return;
     case 'notRun':
     case 'unknown':
+    case 'keyReused':
       sendProblem(response, outcomeProblem(outcome));
       return;
     default:
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admin';
+export * from './api';
 export * from './auth';
 export * from './body';
 export * from './budget';
--- a/packages/entry/src/monitor.ts
+++ b/packages/entry/src/monitor.ts
@@ -18,6 +18,7 @@
     help: 'Table accesses by origin and result.',
   },
   bronzeyoke_admin_total: { kind: 'counter', help: 'Administration commands by kind and result.' },
+  bronzeyoke_ejections_total: { kind: 'counter', help: 'Upstreams ejected after failures.' },
   bronzeyoke_agents: { kind: 'gauge', help: 'Agents that are connected.' },
   bronzeyoke_agents_leaving: { kind: 'gauge', help: 'Connected agents that are draining.' },
   bronzeyoke_requests_in_progress: { kind: 'gauge', help: 'Requests that have not ended.' },
@@ -66,6 +67,7 @@
     case 'answered':
       return { ...total, requestsFinished: total.requestsFinished + 1 };
     case 'notRun':
+    case 'keyReused':
       return { ...total, requestsRefused: total.requestsRefused + 1 };
     case 'unknown':
       return { ...total, requestsUnknown: total.requestsUnknown + 1 };
@@ -84,8 +86,11 @@
       agents.count((agent) => agent.isLeaving),
     ),
     gauge('bronzeyoke_requests_in_progress', state.requests.records.size),
-    gauge('bronzeyoke_requests_queued', state.requests.queue.size),
-    gauge('bronzeyoke_ticket_number', state.configuration.number),
+    gauge(
+      'bronzeyoke_requests_queued',
+      state.requests.queues.reduce((sum, queue) => sum + queue.waitingCount, 0),
+    ),
+    gauge('bronzeyoke_ticket_number', state.tickets.configuration.number),
   ];
 }
 
@@ -116,15 +121,36 @@
     const record = before.requests.records.get(requestId);
     // A request that ends in the step in which it arrives was never recorded.
     const service = record?.request.service ?? 'refused';
-    const result = outcome.kind === 'answered' ? 'answered' : `${outcome.kind}:${outcome.reason}`;
+    const result = 'reason' in outcome ? `${outcome.kind}:${outcome.reason}` : outcome.kind;
     metrics.count('bronzeyoke_requests_total', { service, result });
     if (record !== undefined) {
-      const durationMs = performance.now() - record.arrivedAtMs;
+      const durationMs = performance.now() - record.deadlineAtMs + record.request.timeoutMs;
       metrics.observe('bronzeyoke_request_seconds', { service }, durationMs);
     }
     if (before.role === 'draining') handOver = addOutcome(handOver, outcome);
   };
 
+  const noteHealth = (before: EntryState, event: EntryEvent, after: EntryState): void => {
+    if (event.kind !== 'received') return;
+    const agentId = after.membership.byLink.get(event.linkId) ?? '';
+    const from = before.requests.routing.upstreams.get(agentId)?.health;
+    const to = after.requests.routing.upstreams.get(agentId)?.health;
+    if (from !== undefined && from !== to && to === 'healthy')
+      info('upstream restored', { agentId });
+  };
+
+  const noteEffect = (before: EntryState, effect: EntryEffect): void => {
+    if (effect.kind === 'reply') countReply(before, effect.requestId, effect.outcome);
+    if (effect.kind === 'send') {
+      metrics.count('bronzeyoke_messages_sent_total', { kind: effect.message.kind });
+    }
+    if (effect.kind === 'wake' && effect.timer.kind === 'upstreamProbe') {
+      const { agentId } = effect.timer;
+      metrics.count('bronzeyoke_ejections_total');
+      info('upstream ejected', { agentId, probeAfterMs: effect.afterMs });
+    }
+  };
+
   const logChanges = (before: EntryState, after: EntryState): void => {
     if (before.role !== after.role) {
       info('role changed', { from: before.role, to: after.role });
@@ -132,8 +158,8 @@
         handOver = { ...handOver, agentsReleased: after.membership.agents.size };
       }
     }
-    if (before.configuration.number !== after.configuration.number) {
-      info('ticket in force', { number: after.configuration.number });
+    if (before.tickets.configuration.number !== after.tickets.configuration.number) {
+      info('ticket in force', { number: after.tickets.configuration.number });
     }
     if (before.membership.byLink === after.membership.byLink) return;
     const known = before.membership.byLink;
@@ -152,12 +178,8 @@
     observe: (before, event, step) => {
       latest = step.state;
       countEvent(event);
-      step.effects.forEach((effect) => {
-        if (effect.kind === 'reply') countReply(before, effect.requestId, effect.outcome);
-        if (effect.kind === 'send') {
-          metrics.count('bronzeyoke_messages_sent_total', { kind: effect.message.kind });
-        }
-      });
+      step.effects.forEach((effect) => noteEffect(before, effect));
+      noteHealth(before, event, step.state);
       if (before !== step.state) logChanges(before, step.state);
     },
     onFailure: (failure) => metrics.count('bronzeyoke_failures_total', { kind: failure.kind }),
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -13,8 +13,8 @@
 import { assertNever } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { decodeAgentMessage } from '@bronzeyoke/wire';
-import type { AdminOptions } from './admin';
-import { spawnAdmin } from './admin';
+import type { AdminOptions } from './api';
+import { spawnAdmin } from './api';
 import { createEntry, stepEntry } from './core';
 import { spawnFront } from './http';
 import type { EntryObserver } from './monitor';
@@ -129,9 +129,6 @@
         tracing?.replied(effect.requestId, effect.outcome);
         dispatch(front.actor, effect);
         return;
-      case 'storeIntent':
-        dispatch(self, { kind: 'intentFailed', requestId: effect.intent.requestId });
-        return;
       case 'wake':
         dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
         return;
