--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -9,7 +9,8 @@
 /** The end of the year 9999, so that a time in nanoseconds is refused. */
 const MAX_TIME_MS = 253_402_300_799_000;
 
-const name = z
+/** Name of a worker, a domain, a service, a team or a token. */
+export const name = z
   .string()
   .max(64)
   .regex(/^[A-Za-z0-9_-]+$/, 'only letters, digits, "-" and "_"');
@@ -18,13 +19,15 @@
   .max(128)
   .regex(/^[A-Za-z0-9_.:-]+$/, 'only letters, digits, "_", ".", ":" and "-"');
 const payload = z.string().max(MAX_TEXT_CHARS);
-const resources = z.strictObject({
+/** What a worker has, or what a task declares. */
+export const resources = z.strictObject({
   processorsMilli: z.int().min(0).max(1_000_000_000),
   memoryMb: z.int().min(0).max(1_000_000_000),
   accelerators: z.int().min(0).max(1_000_000),
 });
 
-const change = z.discriminatedUnion('kind', [
+/** The whole new state of one thing that a ticket touches. */
+export const change = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('domain'), name, state: z.enum(['in', 'out']) }),
   z.strictObject({
     kind: z.literal('service'),
@@ -45,12 +48,14 @@
   }),
 ]);
 
-const ticketBody = z.strictObject({
+/** Body of a new ticket. */
+export const ticketBody = z.strictObject({
   number: z.int().min(1).max(Number.MAX_SAFE_INTEGER),
   changes: z.array(change).min(1).max(MAX_CHANGES),
 });
 
-const jobBody = z
+/** Body of a new job. */
+export const jobBody = z
   .strictObject({
     team: name,
     key,
