Learn which work slows a service down, and throttle or evict it

Cause: interference depends on the pair of service and kind of work and shows only in lagging samples. Change: `interference` judges windows of 500 ms by the mean service time over a baseline learned without batch work, matches usage with the window of its own time, shares the error among the kinds that ran by how little is known of them, and steps one kind at a time to 50%, 20% and eviction, after 3 bad windows that follow the effect of the last step; 10 good windows restore a step, and twice as many after a restore that did harm. Watchers are never evicted. `penalty` is for placement. Conclusion: it can be wired into the agent.

--- /dev/null
+++ b/packages/interference/src/chart.ts
@@ -0,0 +1,23 @@
+import type { ActionOf, StateOf } from '@bronzeyoke/chart';
+import { compileChart } from '@bronzeyoke/chart';
+import chartFile from '../charts/throttle.json';
+
+/** Steps against a kind of work that slows the service down. */
+export const throttleChart = compileChart(chartFile, {
+  states: ['full', 'half', 'fifth'],
+  events: ['bad', 'good'],
+  actions: ['evictTask'],
+});
+
+/** Steps of the chart. */
+export type ThrottleStep = StateOf<typeof throttleChart>;
+
+/** Actions of the chart. */
+export type ThrottleAction = ActionOf<typeof throttleChart>;
+
+/** Share of its processors that a task gets at each step. */
+export const SHARE_OF_STEP: Readonly<Record<ThrottleStep, number>> = {
+  full: 1,
+  half: 0.5,
+  fifth: 0.2,
+};
--- /dev/null
+++ b/packages/interference/src/index.ts
@@ -0,0 +1,4 @@
+export * from './chart';
+export { forgetTold, penalty, takeChanged } from './learn';
+export * from './step';
+export * from './types';
--- /dev/null
+++ b/packages/interference/test/interference.test.ts
@@ -0,0 +1,210 @@
+import { expect } from 'chai';
+import type {
+  InterferenceEffect,
+  InterferenceEvent,
+  InterferenceState,
+  Neighbour,
+} from '@bronzeyoke/interference';
+import {
+  WINDOW_MS,
+  createInterference,
+  penalty,
+  stepInterference,
+  takeChanged,
+} from '@bronzeyoke/interference';
+import type { UsageSample, WorkerReply } from '@bronzeyoke/ports';
+import { taskKey, draws } from '@bronzeyoke/types';
+
+const LAG_MS = 1_000;
+const BASE_MS = 10;
+
+interface Bench {
+  readonly nowMs: number;
+  readonly state: InterferenceState;
+  readonly neighbours: readonly Neighbour[];
+  readonly shares: ReadonlyMap<string, number>;
+  readonly usage: readonly { readonly atMs: number; readonly samples: readonly UsageSample[] }[];
+  readonly steps: readonly {
+    readonly atMs: number;
+    readonly workKind: string;
+    readonly share: number;
+  }[];
+  readonly evicted: readonly { readonly atMs: number; readonly key: string }[];
+  readonly answers: boolean;
+}
+
+/** True slow-down of the service beyond 1 while a kind runs with its full share. */
+type Harm = Readonly<Record<string, number>>;
+
+function neighbour(jobId: string, workKind: string): Neighbour {
+  return { id: { jobId, index: 0 }, workKind, role: 'batch', processorsMilli: 1_000 };
+}
+
+function createBench(neighbours: readonly Neighbour[] = []): Bench {
+  return {
+    nowMs: 0,
+    state: createInterference('quoter'),
+    neighbours,
+    shares: new Map(),
+    usage: [],
+    steps: [],
+    evicted: [],
+    answers: true,
+  };
+}
+
+interface Performed {
+  readonly bench: Bench;
+  readonly events: readonly InterferenceEvent[];
+}
+
+function perform({ bench, events }: Performed, effect: InterferenceEffect): Performed {
+  const { nowMs } = bench;
+  if (effect.kind === 'evict') {
+    const key = taskKey(effect.id);
+    const evicted = [...bench.evicted, { atMs: nowMs, key }];
+    const neighbours = bench.neighbours.filter(({ id }) => taskKey(id) !== key);
+    return { bench: { ...bench, evicted, neighbours }, events };
+  }
+  const { command, callId } = effect;
+  const done = (reply: WorkerReply): readonly InterferenceEvent[] =>
+    bench.answers ? [...events, { kind: 'workerDone', callId, reply }] : events;
+  if (command.kind === 'throttle') {
+    const key = taskKey(command.id);
+    const workKind = bench.neighbours.find(({ id }) => taskKey(id) === key)?.workKind ?? '';
+    const { share } = command;
+    const shares = new Map([...bench.shares, [key, share]]);
+    const steps = [...bench.steps, { atMs: nowMs, workKind, share }];
+    const result = { kind: 'done', value: undefined } as const;
+    return { bench: { ...bench, shares, steps }, events: done({ kind: 'throttle', result }) };
+  }
+  const value = bench.usage.findLast(({ atMs }) => atMs <= nowMs - LAG_MS)?.samples ?? [];
+  return { bench, events: done({ kind: 'usage', result: { kind: 'done', value } }) };
+}
+
+function run({ bench, events }: Performed): Bench {
+  const [event, ...rest] = events;
+  if (event === undefined) return bench;
+  const step = stepInterference(bench.state, event, { nowMs: bench.nowMs, random: 0.5 });
+  const stepped = { bench: { ...bench, state: step.state }, events: rest };
+  return run(step.effects.reduce(perform, stepped));
+}
+
+function give(bench: Bench, event: InterferenceEvent): Bench {
+  return run({ bench, events: [event] });
+}
+
+function shareOf(bench: Bench, { id }: Neighbour): number {
+  return bench.shares.get(taskKey(id)) ?? 1;
+}
+
+function passWindow(bench: Bench, harm: Harm): Bench {
+  const present = new Map(
+    bench.neighbours.map((task) => [task.workKind, shareOf(bench, task)] as const),
+  );
+  const excess = [...present].reduce((sum, [kind, share]) => sum + (harm[kind] ?? 0) * share, 0);
+  const noise = draws((bench.nowMs % 9_973) / 9_973, 20);
+  const served = noise.reduce(
+    (current, part) =>
+      give(current, { kind: 'served', serviceMs: BASE_MS * (1 + excess) * (0.9 + 0.2 * part) }),
+    bench,
+  );
+  const nowMs = bench.nowMs + WINDOW_MS;
+  const samples = bench.neighbours.map((task) => ({
+    id: task.id,
+    workKind: task.workKind,
+    used: { processorsMilli: 1_000 * shareOf(bench, task), memoryMb: 0, accelerators: 0 },
+    lagMs: LAG_MS,
+  }));
+  const usage = [...bench.usage, { atMs: nowMs, samples }].slice(-10);
+  const { neighbours } = bench;
+  return give({ ...served, nowMs, usage }, { kind: 'window', incarnation: 1, neighbours });
+}
+
+function pass(bench: Bench, harm: Harm, windows: number): Bench {
+  return Array.from({ length: windows }).reduce<Bench>(
+    (current) => passWindow(current, harm),
+    bench,
+  );
+}
+
+/** A bench that knows its baseline, with tasks that then start. */
+function beside(neighbours: readonly Neighbour[]): Bench {
+  return { ...pass(createBench(), {}, 20), neighbours };
+}
+
+it('interference: a kind that does no harm is left alone', () => {
+  const quiet = pass(beside([neighbour('a', 'render')]), { render: 0.02 }, 400);
+  expect(quiet.steps).to.deep.equal([]);
+});
+
+it('interference: a harmful kind is throttled after 3 bad windows, and further if need be', () => {
+  const first = pass(beside([neighbour('a', 'render')]), { render: 1 }, 2);
+  expect(first.steps).to.deep.equal([]);
+  const { steps, evicted } = pass(first, { render: 1 }, 12);
+  expect(steps.map(({ share }) => share)).to.deep.equal([0.5, 0.2]);
+  expect((steps[1]?.atMs ?? 0) - (steps[0]?.atMs ?? 0)).to.be.at.least(3 * WINDOW_MS);
+  expect(evicted).to.have.length(1);
+});
+
+// Two kinds that always start together look alike until one has run without the other.
+it('interference: the harmful kind is told from the harmless one beside it', () => {
+  const harm = { render: 0.6, copy: 0 };
+  const both = [neighbour('a', 'render'), neighbour('b', 'copy')];
+  const copyOnly = pass(beside([neighbour('b', 'copy')]), harm, 40);
+  const learned = pass({ ...copyOnly, neighbours: both }, harm, 6);
+  expect(learned.steps.map(({ workKind }) => workKind)).to.include('render');
+  expect(learned.steps.map(({ workKind }) => workKind)).to.not.include('copy');
+});
+
+it('interference: a throttled kind is restored after 10 good windows', () => {
+  const throttled = pass(beside([neighbour('a', 'render')]), { render: 0.3 }, 4);
+  expect(throttled.steps.map(({ share }) => share)).to.deep.equal([0.5]);
+  const early = pass(throttled, {}, 9);
+  expect(early.steps).to.have.length(1);
+  expect(pass(early, {}, 4).steps.map(({ share }) => share)).to.deep.equal([0.5, 1]);
+});
+
+// Restoring at a fixed pace would slow the service down every few seconds for ever.
+it('interference: a lasting harm is not restored again and again', () => {
+  const { steps } = pass(beside([neighbour('a', 'render')]), { render: 0.3 }, 1_200);
+  const restores = steps.filter(({ share }) => share === 1).length;
+  expect(restores).to.be.at.most(12);
+});
+
+it('interference: a task is evicted at most once in 10 minutes', () => {
+  const task = neighbour('a', 'render');
+  const cycle = (bench: Bench): Bench => pass({ ...bench, neighbours: [task] }, { render: 5 }, 60);
+  const { evicted } = Array.from({ length: 30 }).reduce<Bench>(cycle, beside([task]));
+  expect(evicted.length).to.be.within(2, 3);
+  const gaps = evicted.slice(1).map(({ atMs }, index) => atMs - (evicted[index]?.atMs ?? 0));
+  expect(Math.min(...gaps)).to.be.at.least(600_000);
+});
+
+it('interference: watchers are throttled and never evicted', () => {
+  const watcher = { ...neighbour('a', 'stock'), role: 'watcher' as const };
+  const { steps, evicted } = pass(beside([watcher]), { stock: 5 }, 100);
+  expect(steps.map(({ share }) => share)).to.deep.equal([0.5, 0.2]);
+  expect(evicted).to.deep.equal([]);
+});
+
+// A command whose reply was lost may have taken effect; assuming either would leave a wrong share.
+it('interference: a throttle without a reply is repeated', () => {
+  const silent = pass(
+    { ...beside([neighbour('a', 'render')]), answers: false },
+    { render: 0.3 },
+    20,
+  );
+  expect(silent.steps.length).to.be.within(2, 4);
+  const healed = pass({ ...silent, answers: true }, {}, 40);
+  expect(healed.shares.get('a/0')).to.equal(1);
+});
+
+it('interference: the slow-down is learned, told once, and penalises placement', () => {
+  const learned = pass(beside([neighbour('a', 'render')]), { render: 0.1 }, 300);
+  const { state, slowDowns } = takeChanged(learned.state);
+  expect(slowDowns).to.have.length(1);
+  expect(penalty(slowDowns, 'quoter', 'render')).to.be.within(0.05, 0.15);
+  expect(penalty(slowDowns, 'certdesk', 'render')).to.equal(0);
+  expect(takeChanged(state).slowDowns).to.deep.equal([]);
+});
