Remember at the agent which non-idempotent requests ran

Cause: at-most-once had four faults at the agent. A second attempt of the same key ran beside the first one. An answer pushed out by 512 others made a collect answer "never seen", which is the proof on which an entry runs the request again. A flood of refusals pushed out the marks of attempts that must never run. Ended attempts kept their bodies, which no bound counted. Periodic progress messages are not added, because a ping on the same connection shows the same.

--- /dev/null
+++ b/packages/admission/src/retain.ts
@@ -0,0 +1,85 @@
+import { bar, hold, remember } from './memory';
+import type { AdmissionState, AttemptRecord } from './types';
+
+/** How long an ended attempt can be collected over another connection. */
+export const ANSWER_RETENTION_MS = 60_000;
+
+/** Most ended attempts that are kept. */
+export const MAX_ENDED = 512;
+
+/** Most refused attempts that are kept. */
+export const MAX_REFUSED = 1_024;
+
+/** Most bytes of answers that are kept. */
+export const MAX_ENDED_BYTES = 4 * 1_048_576;
+
+/** Phases in which nothing more happens to an attempt. */
+export const ENDED_PHASES: ReadonlySet<string> = new Set(['answered', 'lost', 'refused']);
+
+const NO_BODY = new Uint8Array(0);
+
+function forgetEnded(state: AdmissionState, nowMs: number): AdmissionState {
+  const oldest = state.ended.entrySeq().first();
+  if (oldest === undefined) return state;
+  const [attemptId, endedAtMs] = oldest;
+  const isOver =
+    state.ended.size > MAX_ENDED ||
+    state.endedBytes > MAX_ENDED_BYTES ||
+    nowMs - endedAtMs > ANSWER_RETENTION_MS;
+  if (!isOver) return state;
+  const bytes = state.records.get(attemptId)?.answer?.body.length ?? 0;
+  return forgetEnded(
+    {
+      ...state,
+      records: state.records.delete(attemptId),
+      ended: state.ended.delete(attemptId),
+      endedBytes: state.endedBytes - bytes,
+    },
+    nowMs,
+  );
+}
+
+function forgetRefused(state: AdmissionState, nowMs: number): AdmissionState {
+  const oldest = state.refused.entrySeq().first();
+  if (oldest === undefined) return state;
+  const [attemptId, refusedAtMs] = oldest;
+  const isOver = state.refused.size > MAX_REFUSED || nowMs - refusedAtMs > ANSWER_RETENTION_MS;
+  if (!isOver) return state;
+  const records = state.records.delete(attemptId);
+  return forgetRefused({ ...state, records, refused: state.refused.delete(attemptId) }, nowMs);
+}
+
+/** Keeps an ended attempt for a while, without what was needed only to run it. */
+export function retain(
+  state: AdmissionState,
+  record: AttemptRecord,
+  nowMs: number,
+): AdmissionState {
+  const { attempt, phase } = record;
+  const { attemptId, idempotencyKey } = attempt;
+  const kept = { ...record, attempt: { ...attempt, headers: {}, body: NO_BODY }, waiters: [] };
+  const records = state.records.set(attemptId, kept);
+  if (phase === 'refused') {
+    const memory =
+      idempotencyKey === undefined
+        ? state.memory
+        : bar(state.memory, idempotencyKey, attemptId, nowMs);
+    const refused = state.refused.set(attemptId, nowMs);
+    return forgetRefused({ ...state, records, refused, memory }, nowMs);
+  }
+  const endedBytes = state.endedBytes + (record.answer?.body.length ?? 0);
+  const ended = state.ended.set(attemptId, nowMs);
+  return forgetEnded({ ...state, records, ended, endedBytes }, nowMs);
+}
+
+/** Notes that a non-idempotent attempt waits or runs, before anything is sent to the upstream. */
+export function note(state: AdmissionState, record: AttemptRecord, nowMs: number): AdmissionState {
+  const { attemptId, idempotencyKey: key } = record.attempt;
+  if (key === undefined || (record.phase !== 'queued' && record.phase !== 'running')) return state;
+  const held = hold(state.memory, key, attemptId);
+  const memory =
+    record.phase === 'running'
+      ? remember(held, attemptId, { kind: 'ran', atMs: nowMs, key })
+      : held;
+  return { ...state, memory };
+}
--- a/packages/admission/src/step.ts
+++ b/packages/admission/src/step.ts
@@ -1,37 +1,24 @@
 import { Map, OrderedMap } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
-import type { Instant, NotRunReason, Step, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
+import type { Instant, Step } from '@bronzeyoke/types';
 import { assertNever, unchanged } from '@bronzeyoke/types';
-import type { AttemptAction } from './chart';
+import type { AgentMessage } from '@bronzeyoke/wire';
 import { attemptChart } from './chart';
+import { NO_MEMORY, bar, remember } from './memory';
+import { ENDED_PHASES, note, retain } from './retain';
+import type { ChartEvent } from './tell';
+import { amend, effectsOf, withWaiter } from './tell';
 import type {
   AdmissionEffect,
   AdmissionEvent,
   AdmissionState,
   Attempt,
   AttemptRecord,
+  Waiter,
 } from './types';
 
-/** How long an ended attempt can be collected over another connection. */
-export const ANSWER_RETENTION_MS = 60_000;
-
-/** Most ended attempts that are kept. */
-export const MAX_ENDED = 512;
-
-/** Most bytes of answers that are kept. */
-export const MAX_ENDED_BYTES = 4 * 1_048_576;
-
 type AdmissionStep = Step<AdmissionState, AdmissionEffect>;
 
-type ChartEvent =
-  | { readonly kind: 'admit' }
-  | { readonly kind: 'enqueue' }
-  | { readonly kind: 'refuse'; readonly reason: NotRunReason }
-  | { readonly kind: 'answer'; readonly answer: UpstreamAnswer }
-  | { readonly kind: 'notReached' }
-  | { readonly kind: 'lose'; readonly reason: UnknownReason }
-  | { readonly kind: 'collect'; readonly linkId: string };
-
 /** The state before the first request. */
 export function createAdmission(slots: number, connections: number): AdmissionState {
   return {
@@ -43,6 +30,8 @@
     runningCount: 0,
     ended: OrderedMap(),
     endedBytes: 0,
+    refused: OrderedMap(),
+    memory: NO_MEMORY,
   };
 }
 
@@ -51,130 +40,28 @@
   return state.runningCount === 0 && state.queue.isEmpty();
 }
 
-function amend(record: AttemptRecord, event: ChartEvent): AttemptRecord {
-  switch (event.kind) {
-    case 'answer':
-      return { ...record, answer: event.answer };
-    case 'refuse':
-      return { ...record, notRunReason: event.reason };
-    case 'notReached':
-      return { ...record, notRunReason: 'noUpstream' };
-    case 'lose':
-      return { ...record, unknownReason: event.reason };
-    case 'collect':
-      return record.waiters.includes(event.linkId)
-        ? record
-        : { ...record, waiters: [...record.waiters, event.linkId] };
-    case 'admit':
-    case 'enqueue':
-      return record;
-    default:
-      return assertNever(event);
-  }
-}
-
-function effectsOf(
-  state: AdmissionState,
-  record: AttemptRecord,
-  action: AttemptAction,
-  instant: Instant,
-): readonly AdmissionEffect[] {
-  const { attempt, waiters } = record;
-  const { requestId, attemptId } = attempt;
-  switch (action) {
-    case 'callUpstream':
-      return [
-        {
-          kind: 'callUpstream',
-          attempt,
-          timeoutMs: Math.max(1, record.deadlineAtMs - instant.nowMs),
-        },
-      ];
-    case 'tellAnswer': {
-      const { answer } = record;
-      if (answer === undefined) return [];
-      const slotsInUse = state.runningCount;
-      return waiters.map((linkId) => ({
-        kind: 'send',
-        linkId,
-        message: { kind: 'answer', requestId, attemptId, ...answer, slotsInUse },
-      }));
-    }
-    case 'tellNotRun': {
-      const reason = record.notRunReason ?? 'overloaded';
-      return waiters.map((linkId) => ({
-        kind: 'send',
-        linkId,
-        message: { kind: 'notRun', requestId, attemptId, reason },
-      }));
-    }
-    case 'tellUnknown': {
-      const reason = record.unknownReason ?? 'upstreamFailed';
-      return waiters.map((linkId) => ({
-        kind: 'send',
-        linkId,
-        message: { kind: 'outcomeUnknown', requestId, attemptId, reason },
-      }));
-    }
-    case 'addWaiter':
-      return [];
-    default:
-      return assertNever(action);
-  }
-}
-
-const ENDED_PHASES: ReadonlySet<string> = new Set(['answered', 'lost', 'refused']);
-
-function forgetOld(state: AdmissionState, nowMs: number): AdmissionState {
-  const oldest = state.ended.entrySeq().first();
-  if (oldest === undefined) return state;
-  const [attemptId, endedAtMs] = oldest;
-  const isOver =
-    state.ended.size > MAX_ENDED ||
-    state.endedBytes > MAX_ENDED_BYTES ||
-    nowMs - endedAtMs > ANSWER_RETENTION_MS;
-  if (!isOver) return state;
-  const bytes = state.records.get(attemptId)?.answer?.body.length ?? 0;
-  return forgetOld(
-    {
-      ...state,
-      records: state.records.delete(attemptId),
-      ended: state.ended.delete(attemptId),
-      endedBytes: state.endedBytes - bytes,
-    },
-    nowMs,
-  );
-}
-
-function retain(state: AdmissionState, record: AttemptRecord, nowMs: number): AdmissionState {
-  const { attemptId } = record.attempt;
-  const withEnded = {
-    ...state,
-    ended: state.ended.set(attemptId, nowMs),
-    endedBytes: state.endedBytes + (record.answer?.body.length ?? 0),
-  };
-  return forgetOld(withEnded, nowMs);
-}
-
 function apply(
   state: AdmissionState,
   record: AttemptRecord,
   event: ChartEvent,
   instant: Instant,
 ): AdmissionStep {
+  const { nowMs } = instant;
   const next = advance(attemptChart, record.phase, event.kind);
   if (next.actions.length === 0 && next.state === record.phase) return unchanged(state);
   const { attemptId } = record.attempt;
-  const amended = { ...amend(record, event), phase: next.state };
+  const changed = { ...amend(record, event, nowMs), phase: next.state };
+  const amended = next.actions.includes('addWaiter') ? withWaiter(changed, event) : changed;
   const runningCount =
     state.runningCount + Number(next.state === 'running') - Number(record.phase === 'running');
   const queue =
     next.state === 'queued' ? state.queue.set(attemptId, true) : state.queue.delete(attemptId);
   const base = { ...state, runningCount, queue, records: state.records.set(attemptId, amended) };
-  const hasEnded = ENDED_PHASES.has(next.state) && !ENDED_PHASES.has(record.phase);
+  const hasMoved = next.state !== record.phase;
+  const noted = hasMoved ? note(base, amended, nowMs) : base;
   return {
-    state: hasEnded ? retain(base, amended, instant.nowMs) : base,
-    effects: next.actions.flatMap((action) => effectsOf(base, amended, action, instant)),
+    state: hasMoved && ENDED_PHASES.has(next.state) ? retain(noted, amended, nowMs) : noted,
+    effects: next.actions.flatMap((action) => effectsOf(base, amended, action, event, nowMs)),
   };
 }
 
@@ -204,61 +91,97 @@
   return open < state.connections ? { kind: 'enqueue' } : { kind: 'refuse', reason: 'overloaded' };
 }
 
+function tell(state: AdmissionState, waiter: Waiter, message: AgentMessage): AdmissionStep {
+  return { state, effects: [{ kind: 'send', linkId: waiter.linkId, message }] };
+}
+
+/** Answers for an attempt that is known, by its own record or by that of the one it joined. */
+function recall(
+  state: AdmissionState,
+  waiter: Waiter,
+  attemptId: string,
+  instant: Instant,
+): AdmissionStep | undefined {
+  const record = state.records.get(attemptId);
+  if (record !== undefined) return apply(state, record, { kind: 'collect', waiter }, instant);
+  const known = state.memory.past.get(attemptId);
+  const { requestId } = waiter;
+  const ids = { requestId, attemptId: waiter.attemptId };
+  switch (known?.kind) {
+    case undefined:
+      return undefined;
+    case 'ran':
+      // The answer is no longer kept, and running the request again is out of the question.
+      return tell(state, waiter, { kind: 'outcomeUnknown', ...ids, reason: 'connectionLost' });
+    case 'barred':
+      return tell(state, waiter, { kind: 'notRun', ...ids, reason: 'cancelled' });
+    case 'joined':
+      return (
+        recall(state, waiter, known.attemptId, instant) ??
+        tell(state, waiter, { kind: 'outcomeUnknown', ...ids, reason: 'connectionLost' })
+      );
+    default:
+      return assertNever(known);
+  }
+}
+
+/** Lets an attempt wait for another one of the same key that waits, runs or ran. */
+function joinHolder(
+  state: AdmissionState,
+  waiter: Waiter,
+  attempt: Attempt,
+  instant: Instant,
+): AdmissionStep | undefined {
+  const { idempotencyKey: key, attemptId } = attempt;
+  const holder = key === undefined ? undefined : state.memory.holders.get(key);
+  if (holder === undefined || holder === attemptId) return undefined;
+  const joined = { kind: 'joined', atMs: instant.nowMs, attemptId: holder } as const;
+  const memory = remember(state.memory, attemptId, joined);
+  return recall({ ...state, memory }, waiter, holder, instant);
+}
+
 function request(
   state: AdmissionState,
   linkId: string,
   attempt: Attempt,
   instant: Instant,
 ): AdmissionStep {
-  const known = state.records.get(attempt.attemptId);
-  if (known !== undefined) return apply(state, known, { kind: 'collect', linkId }, instant);
+  const { requestId, attemptId } = attempt;
+  const waiter = { linkId, requestId, attemptId };
+  const known =
+    recall(state, waiter, attemptId, instant) ?? joinHolder(state, waiter, attempt, instant);
+  if (known !== undefined) return known;
   const record: AttemptRecord = {
     attempt,
     phase: attemptChart.initial,
     deadlineAtMs: instant.nowMs + attempt.timeoutMs,
-    waiters: [linkId],
+    waiters: [waiter],
   };
   const step = apply(state, record, firstEvent(state), instant);
-  const isQueued = step.state.queue.has(attempt.attemptId);
+  const isQueued = step.state.queue.has(attemptId);
   const expiry: AdmissionEffect = {
     kind: 'expireLater',
-    attemptId: attempt.attemptId,
+    attemptId,
     afterMs: attempt.timeoutMs,
   };
   return isQueued ? { ...step, effects: [...step.effects, expiry] } : step;
 }
 
 /**
- * Remembers an attempt that never arrived as refused, so that a copy which is still on its way
- * cannot run after the entry was told that it did not.
+ * Answers a collect. An attempt that never arrived is barred, so that a copy which is still on its
+ * way cannot run after the entry was told that it did not. If the memory had to drop attempts early,
+ * nothing is said about those that it does not know.
  */
-function refuseFromNowOn(
-  state: AdmissionState,
-  requestId: string,
-  attemptId: string,
-  linkId: string,
-  instant: Instant,
-): AdmissionStep {
-  const record: AttemptRecord = {
-    attempt: {
-      requestId,
-      attemptId,
-      method: '',
-      path: '',
-      headers: {},
-      body: new Uint8Array(0),
-      timeoutMs: 0,
-    },
-    phase: 'refused',
-    deadlineAtMs: instant.nowMs,
-    waiters: [],
-    notRunReason: 'cancelled',
-  };
-  const records = state.records.set(attemptId, record);
-  return {
-    state: retain({ ...state, records }, record, instant.nowMs),
-    effects: [{ kind: 'send', linkId, message: { kind: 'unknownRequest', requestId, attemptId } }],
-  };
+function collect(state: AdmissionState, waiter: Waiter, instant: Instant): AdmissionStep {
+  const { requestId, attemptId } = waiter;
+  const known = recall(state, waiter, attemptId, instant);
+  if (known !== undefined) return known;
+  if (instant.nowMs < state.memory.unsureUntilMs) {
+    const reason = 'connectionLost';
+    return tell(state, waiter, { kind: 'outcomeUnknown', requestId, attemptId, reason });
+  }
+  const memory = bar(state.memory, undefined, attemptId, instant.nowMs);
+  return tell({ ...state, memory }, waiter, { kind: 'unknownRequest', requestId, attemptId });
 }
 
 function withRecord(
@@ -273,8 +196,8 @@
 
 function removeWaiter(state: AdmissionState, linkId: string): AdmissionState {
   const records = state.records.map((record) =>
-    record.waiters.includes(linkId)
-      ? { ...record, waiters: record.waiters.filter((waiter) => waiter !== linkId) }
+    record.waiters.some((waiter) => waiter.linkId === linkId)
+      ? { ...record, waiters: record.waiters.filter((waiter) => waiter.linkId !== linkId) }
       : record,
   );
   return { ...state, records };
@@ -286,9 +209,7 @@
       return request(state, event.linkId, event.attempt, instant);
     case 'collect': {
       const { linkId, requestId, attemptId } = event;
-      return state.records.has(attemptId)
-        ? withRecord(state, attemptId, { kind: 'collect', linkId }, instant)
-        : refuseFromNowOn(state, requestId, attemptId, linkId, instant);
+      return collect(state, { linkId, requestId, attemptId }, instant);
     }
     case 'cancel':
       return withRecord(state, event.attemptId, { kind: 'refuse', reason: 'cancelled' }, instant);
--- /dev/null
+++ b/packages/admission/src/tell.ts
@@ -0,0 +1,111 @@
+import type { NotRunReason, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import type { AgentMessage } from '@bronzeyoke/wire';
+import type { AttemptAction } from './chart';
+import type { AdmissionEffect, AdmissionState, AttemptRecord, Waiter } from './types';
+
+/** What the decision code tells the chart of an attempt. */
+export type ChartEvent =
+  | { readonly kind: 'admit' }
+  | { readonly kind: 'enqueue' }
+  | { readonly kind: 'refuse'; readonly reason: NotRunReason }
+  | { readonly kind: 'answer'; readonly answer: UpstreamAnswer }
+  | { readonly kind: 'notReached' }
+  | { readonly kind: 'lose'; readonly reason: UnknownReason }
+  | { readonly kind: 'collect'; readonly waiter: Waiter };
+
+function isSame(left: Waiter, right: Waiter): boolean {
+  return left.linkId === right.linkId && left.attemptId === right.attemptId;
+}
+
+/** What an event adds to the record of an attempt. */
+export function amend(record: AttemptRecord, event: ChartEvent, nowMs: number): AttemptRecord {
+  switch (event.kind) {
+    case 'answer':
+      return { ...record, answer: event.answer };
+    case 'refuse':
+      return { ...record, notRunReason: event.reason };
+    case 'notReached':
+      return { ...record, notRunReason: 'noUpstream' };
+    case 'lose':
+      return { ...record, unknownReason: event.reason };
+    case 'admit':
+      return { ...record, startedAtMs: nowMs };
+    case 'collect':
+    case 'enqueue':
+      return record;
+    default:
+      return assertNever(event);
+  }
+}
+
+function messageFor(
+  { requestId, attemptId }: Waiter,
+  record: AttemptRecord,
+  action: 'tellAnswer' | 'tellNotRun' | 'tellUnknown' | 'tellProgress',
+  slotsInUse: number,
+): readonly AgentMessage[] {
+  switch (action) {
+    case 'tellAnswer': {
+      const { answer } = record;
+      return answer === undefined
+        ? []
+        : [{ kind: 'answer', requestId, attemptId, ...answer, slotsInUse }];
+    }
+    case 'tellNotRun': {
+      const reason = record.notRunReason ?? 'overloaded';
+      return [{ kind: 'notRun', requestId, attemptId, reason }];
+    }
+    case 'tellUnknown': {
+      const reason = record.unknownReason ?? 'upstreamFailed';
+      return [{ kind: 'outcomeUnknown', requestId, attemptId, reason }];
+    }
+    case 'tellProgress':
+      return [{ kind: 'progress', requestId, attemptId }];
+    default:
+      return assertNever(action);
+  }
+}
+
+/** What an action of the chart means for the shell. */
+export function effectsOf(
+  state: AdmissionState,
+  record: AttemptRecord,
+  action: AttemptAction,
+  event: ChartEvent,
+  nowMs: number,
+): readonly AdmissionEffect[] {
+  switch (action) {
+    case 'callUpstream': {
+      const { attempt, deadlineAtMs } = record;
+      return [{ kind: 'callUpstream', attempt, timeoutMs: Math.max(1, deadlineAtMs - nowMs) }];
+    }
+    case 'tellAnswer':
+    case 'tellNotRun':
+    case 'tellUnknown':
+    case 'tellProgress': {
+      // A collect concerns only the one who asked; the others hear when the attempt ends.
+      const listeners = event.kind === 'collect' ? [event.waiter] : record.waiters;
+      return listeners.flatMap((waiter) =>
+        messageFor(waiter, record, action, state.runningCount).map((message) => ({
+          kind: 'send' as const,
+          linkId: waiter.linkId,
+          message,
+        })),
+      );
+    }
+    case 'addWaiter':
+      return [];
+    default:
+      return assertNever(action);
+  }
+}
+
+/** Adds who asked to those who hear of the end. */
+export function withWaiter(record: AttemptRecord, event: ChartEvent): AttemptRecord {
+  if (event.kind !== 'collect') return record;
+  const { waiter } = event;
+  return record.waiters.some((known) => isSame(known, waiter))
+    ? record
+    : { ...record, waiters: [...record.waiters, waiter] };
+}
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -16,18 +16,45 @@
   readonly traceparent?: string | undefined;
 }
 
-/** What the agent remembers of an attempt. */
+/** Who wants to hear how an attempt ends, and under which ids. */
+export interface Waiter {
+  readonly linkId: string;
+  readonly requestId: string;
+  readonly attemptId: string;
+}
+
+/** What the agent remembers of an attempt. Its body and headers are dropped when it has ended. */
 export interface AttemptRecord {
   readonly attempt: Attempt;
   readonly phase: AttemptState;
   readonly deadlineAtMs: number;
-  /** Links that want to hear how the attempt ends. */
-  readonly waiters: readonly string[];
+  readonly waiters: readonly Waiter[];
+  /** When it was given to the upstream. */
+  readonly startedAtMs?: number;
   readonly answer?: UpstreamAnswer;
   readonly notRunReason?: NotRunReason;
   readonly unknownReason?: UnknownReason;
 }
 
+/**
+ * What is remembered for longer than answers, so that a non-idempotent request runs at most once:
+ * attempts that ran, attempts that are never to run, and attempts that joined another one of the same
+ * key.
+ */
+export type PastAttempt =
+  | { readonly kind: 'ran'; readonly atMs: number; readonly key: string }
+  | { readonly kind: 'barred'; readonly atMs: number }
+  | { readonly kind: 'joined'; readonly atMs: number; readonly attemptId: string };
+
+/** Memory of non-idempotent attempts. */
+export interface Memory {
+  readonly past: OrderedMap<string, PastAttempt>;
+  /** The attempt that holds a key: it waits, runs or ran. */
+  readonly holders: Map<string, string>;
+  /** Until then an attempt that is not remembered may have run all the same. */
+  readonly unsureUntilMs: number;
+}
+
 /** State of the requests at one upstream. */
 export interface AdmissionState {
   readonly slots: number;
@@ -40,6 +67,9 @@
   /** Ended attempts in the order of their end, for bounded retention. */
   readonly ended: OrderedMap<string, number>;
   readonly endedBytes: number;
+  /** Attempts that did not run, in the order of their refusal. A flood of them costs no answers. */
+  readonly refused: OrderedMap<string, number>;
+  readonly memory: Memory;
 }
 
 /** What happens to the requests at one upstream. */
