Watch interference at the agent

Cause: the agent measured nothing of its service. Change: the agent core times attempts at the upstream, ends a window with each tick, passes throttles and evictions on, and puts changed slow-downs on beats; a new link makes the next beats name all of them again.

--- a/packages/agent/src/core.ts
+++ b/packages/agent/src/core.ts
@@ -1,4 +1,5 @@
 import { createAdmission } from '@bronzeyoke/admission';
+import { INTERFERENCE_PREFIX, createInterference } from '@bronzeyoke/interference';
 import { freeResources } from '@bronzeyoke/ledger';
 import { roleChart } from '@bronzeyoke/lifecycle';
 import { TICK_MS, createTasks } from '@bronzeyoke/tasks';
@@ -10,6 +11,7 @@
 import { changeRole, drain, stopWhenIdle } from './role';
 import { serve } from './serve';
 import type { AgentEffect, AgentEvent, AgentState, AgentStep, AgentTimer } from './types';
+import { takeSlowDowns, tellAgain, watch, watchAttempt, watchWindow } from './watch';
 
 const FIRST_BEAT_INTERVAL_MS = 1_000;
 
@@ -22,15 +24,19 @@
     beatIntervalMs: FIRST_BEAT_INTERVAL_MS,
     admission: createAdmission(profile.slots, profile.connections),
     tasks: createTasks(profile),
+    interference: createInterference(profile.service),
   };
 }
 
-function beat(state: AgentState): AgentStep {
+function beat(before: AgentState): AgentStep {
+  // Without a link nobody is told, so the changes are kept for the next beat.
+  const { state, slowDowns } =
+    before.links.length === 0 ? { state: before, slowDowns: [] } : takeSlowDowns(before);
   const sent = toAll(state, {
     kind: 'beat',
     free: freeResources(state.tasks.ledger),
     slotsInUse: state.admission.runningCount,
-    slowDowns: [],
+    slowDowns,
   });
   return {
     state,
@@ -40,7 +46,9 @@
 
 function tickTasks(state: AgentState, instant: Instant): AgentStep {
   const again: AgentEffect = { kind: 'wake', timer: { kind: 'tasks' }, afterMs: TICK_MS };
-  const ticked = work(state, { kind: 'tick' }, instant);
+  const ticked = chain(work(state, { kind: 'tick' }, instant), (current) =>
+    watchWindow(current, instant),
+  );
   return { state: ticked.state, effects: [...ticked.effects, again] };
 }
 
@@ -102,7 +110,8 @@
   const hello: AgentEffect = { kind: 'send', linkId, message: helloOf(state) };
   const leaving: readonly AgentEffect[] =
     state.role === 'serving' ? [] : [{ kind: 'send', linkId, message: { kind: 'draining' } }];
-  return chain({ state: { ...state, links }, effects: [hello, ...leaving] }, (current) =>
+  const opened = tellAgain({ ...state, links });
+  return chain({ state: opened, effects: [hello, ...leaving] }, (current) =>
     work(current, { kind: 'linkOpened', linkId }, instant),
   );
 }
@@ -125,13 +134,19 @@
     case 'received':
       return onMessage(state, event.linkId, event.message, instant);
     case 'upstreamAnswered':
-      return serve(state, { ...event, kind: 'answered' }, instant);
+      return chain(watchAttempt(state, event.attemptId, instant), (current) =>
+        serve(current, { ...event, kind: 'answered' }, instant),
+      );
     case 'upstreamNotReached':
       return serve(state, { ...event, kind: 'notReached' }, instant);
     case 'upstreamLost':
-      return serve(state, { ...event, kind: 'lost' }, instant);
+      return chain(watchAttempt(state, event.attemptId, instant), (current) =>
+        serve(current, { ...event, kind: 'lost' }, instant),
+      );
     case 'workerDone':
-      return work(state, event, instant);
+      return event.callId.startsWith(INTERFERENCE_PREFIX)
+        ? watch(state, event, instant)
+        : work(state, event, instant);
     case 'timer':
       return onTimer(state, event.timer, instant);
     case 'stop':
--- a/packages/agent/src/types.ts
+++ b/packages/agent/src/types.ts
@@ -1,4 +1,5 @@
 import type { AdmissionState, Attempt } from '@bronzeyoke/admission';
+import type { InterferenceState } from '@bronzeyoke/interference';
 import type { RoleState } from '@bronzeyoke/lifecycle';
 import type { WorkerEffect, WorkerEvent } from '@bronzeyoke/ports';
 import type { TasksState } from '@bronzeyoke/tasks';
@@ -20,6 +21,7 @@
   readonly beatIntervalMs: number;
   readonly admission: AdmissionState;
   readonly tasks: TasksState;
+  readonly interference: InterferenceState;
   /** Why the agent stops, if not as planned. */
   readonly failure?: Failure;
 }
