Test silent links through the entry, and refuse fields that agents refuse

A caller's request with an idempotency key over 200 characters, or another field over the limits of the frame schema, made the agent close its connection to the entry and cut off other callers.

The entry checks the same limits before it accepts a request. The tests drive stepEntry through a silent link, a redial and missing beats.

Conclusion: the front end refuses such requests with a typed 400.

--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -12,6 +12,13 @@
 const SERVICE_PATH = /^\/v1\/services\/([A-Za-z0-9_-]{1,64})(\/.*)$/;
 const DEFAULT_TIMEOUT_MS = 10_000;
 const MAX_TIMEOUT_MS = 600_000;
+
+// Agents refuse a frame with longer fields and close the connection, which would hit other callers.
+const MAX_KEY_CHARS = 200;
+const MAX_PATH_CHARS = 8_192;
+const MAX_HEADERS = 128;
+const MAX_HEADER_NAME_CHARS = 256;
+const MAX_TRACEPARENT_CHARS = 100;
 const HEAD_TIMEOUT_MS = 10_000;
 const MAX_HEADER_BYTES = 16_384;
 
@@ -92,6 +99,24 @@
     : fail({ kind: 'invalid', field: 'bronzeyoke-timeout-ms', problem: 'not in 1..600000' });
 }
 
+/** Refuses a request with a field that is longer than an agent takes. */
+function withinLimits(request: CallerRequest): Result<CallerRequest> {
+  const { idempotencyKey, path, headers, traceparent } = request;
+  const isKeyValid = idempotencyKey === undefined || idempotencyKey.length > 0;
+  const names = Object.keys(headers);
+  const areNamesShort = names.every((name) => name.length <= MAX_HEADER_NAME_CHARS);
+  const checks: readonly (readonly [string, boolean])[] = [
+    ['idempotency-key', isKeyValid && (idempotencyKey ?? '').length <= MAX_KEY_CHARS],
+    ['path', path.length <= MAX_PATH_CHARS],
+    ['headers', areNamesShort && names.length <= MAX_HEADERS],
+    ['traceparent', (traceparent ?? '').length <= MAX_TRACEPARENT_CHARS],
+  ];
+  const bad = checks.find(([, isValid]) => !isValid);
+  return bad === undefined
+    ? succeed(request)
+    : fail({ kind: 'invalid', field: bad[0], problem: 'empty or too long' });
+}
+
 async function parse(request: IncomingMessage): Promise<Result<CallerRequest>> {
   const body = await readBody(request);
   if (!body.ok) return body;
@@ -105,7 +130,7 @@
   if (!timeoutMs.ok) return timeoutMs;
   const idempotencyKey = headers['idempotency-key'];
   const { traceparent } = headers;
-  return succeed({
+  return withinLimits({
     requestId: randomUUID(),
     service,
     method: request.method ?? 'GET',
--- a/packages/entry/test/path.test.ts
+++ b/packages/entry/test/path.test.ts
@@ -105,6 +105,18 @@
   await stopPath(path);
 });
 
+// An agent closes its connection on a field over its limits, which would cut off other callers.
+it('path: fields that agents refuse are refused at the entry', async () => {
+  const path = await startPath();
+  await untilServed(path);
+  const long = await check(path, spring, { 'idempotency-key': 'k'.repeat(201) });
+  expect(long.status).to.equal(400);
+  const name = await check(path, spring, { [`x-${'n'.repeat(300)}`]: '1' });
+  expect(name.status).to.equal(400);
+  expect((await check(path, spring)).status).to.equal(200);
+  await stopPath(path);
+});
+
 it('path: a planned stop of the agent lets a request in progress finish', async () => {
   const path = await startPath();
   await untilServed(path);
--- /dev/null
+++ b/packages/entry/test/requests.test.ts
@@ -0,0 +1,96 @@
+import { expect } from 'chai';
+import type { EntryEffect, EntryEvent, EntryState } from '@bronzeyoke/entry';
+import { createEntry, stepEntry } from '@bronzeyoke/entry';
+import { inFlightAt } from '@bronzeyoke/routing';
+import type { AgentMessage } from '@bronzeyoke/wire';
+import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
+
+interface Run {
+  readonly state: EntryState;
+  readonly effects: readonly EntryEffect[];
+}
+
+const TOTAL = { processorsMilli: 64_000, memoryMb: 250_000, accelerators: 0 };
+const START: Run = { state: createEntry('e1', 'hobart'), effects: [] };
+
+function after(run: Run, event: EntryEvent, nowMs = 0): Run {
+  return stepEntry(run.state, event, { nowMs, random: 0.1 });
+}
+
+function received(linkId: string, message: AgentMessage): EntryEvent {
+  return { kind: 'received', linkId, message };
+}
+
+function hello(linkId: string, agentId: string): EntryEvent {
+  const place = { worker: `w-${agentId}`, domain: 'hobart', region: 'tasmania', rack: 'r1' };
+  const profile = { agentId, ...place, service: 'quoter', slots: 8, connections: 64, total: TOTAL };
+  return received(linkId, { kind: 'hello', version: PROTOCOL_VERSION, profile, incarnation: 0 });
+}
+
+function arrived(requestId: string): EntryEvent {
+  const path = { service: 'quoter', method: 'POST', path: '/price', headers: {} };
+  const body = Buffer.from('spring');
+  return { kind: 'arrived', request: { requestId, ...path, body, timeoutMs: 20_000 } };
+}
+
+function sent(run: Run): readonly string[] {
+  return run.effects.flatMap((effect) =>
+    effect.kind === 'send' ? `${effect.linkId} ${effect.message.kind}` : [],
+  );
+}
+
+/** Fires the check of a link that the last step asked for. */
+function checked(run: Run, nowMs: number): Run {
+  const timers = run.effects.flatMap((effect) =>
+    effect.kind === 'wake' && effect.timer.kind === 'linkCheck' ? effect.timer : [],
+  );
+  expect(timers).to.have.length(1);
+  return timers.reduce((current, timer) => after(current, { kind: 'timer', timer }, nowMs), run);
+}
+
+const alone = after(START, hello('l1', 'a'));
+
+// Open connections can go silent for ever while new ones work.
+it('entry: a silent link is closed and its request collected over the next one', () => {
+  const busy = after(alone, arrived('r'));
+  expect(sent(busy)).to.deep.equal(['l1 request']);
+  const pinged = checked(busy, 250);
+  expect(sent(pinged)).to.deep.equal(['l1 ping']);
+  const closed = checked(pinged, 1_250);
+  expect(closed.effects).to.deep.include({ kind: 'closeLink', linkId: 'l1' });
+  const back = after(closed, hello('l2', 'a'), 1_400);
+  expect(sent(back)).to.include('l2 collect');
+  const answer = { status: 200, headers: {}, body: Buffer.from('1'), slotsInUse: 0 };
+  const ids = { requestId: 'r', attemptId: 'r.1' };
+  const done = after(back, received('l2', { kind: 'answer', ...ids, ...answer }), 1_500);
+  expect(done.effects.map(({ kind }) => kind)).to.include('reply');
+  expect(inFlightAt(done.state.requests.routing, 'a')).to.equal(0);
+});
+
+it('entry: nothing is sent to an agent that was pinged until it replies', () => {
+  const pinged = checked(after(alone, arrived('r')), 250);
+  const waiting = after(pinged, arrived('s'), 260);
+  expect(sent(waiting)).to.deep.equal([]);
+  const beat = { kind: 'beat', free: TOTAL, slotsInUse: 0, slowDowns: [] } as const;
+  // A beat says nothing of whether requests arrive.
+  expect(sent(after(waiting, received('l1', beat), 265))).to.deep.equal(['l1 ping']);
+  const trusted = after(waiting, received('l1', { kind: 'pong', sequence: 2 }), 270);
+  expect(sent(trusted)).to.deep.equal(['l1 request']);
+});
+
+// Otherwise the answer to what is in flight goes to a connection that nobody reads.
+it('entry: an agent that dials again has its old link closed and its attempts collected', () => {
+  const busy = after(alone, arrived('r'));
+  const again = after(busy, hello('l2', 'a'), 100);
+  expect(again.effects).to.deep.include({ kind: 'closeLink', linkId: 'l1' });
+  expect(sent(again)).to.include('l2 collect');
+  const dropped = after(again, { kind: 'linkClosed', linkId: 'l1' }, 110);
+  expect(dropped.state.membership.agents.get('a')?.linkId).to.equal('l2');
+  expect(inFlightAt(dropped.state.requests.routing, 'a')).to.equal(1);
+});
+
+it('entry: agents whose beats are missing are pinged', () => {
+  const sweep = { kind: 'timer', timer: { kind: 'memberSweep' } } as const;
+  expect(sent(after(alone, sweep, 2_000))).to.deep.equal([]);
+  expect(sent(after(alone, sweep, 3_001))).to.deep.equal(['l1 ping']);
+});
