--- /dev/null
+++ b/tools/demo/fleet.ts
@@ -0,0 +1,113 @@
+import { createHttpUpstream, startAgent } from '@bronzeyoke/agent';
+import type { RunningAgent } from '@bronzeyoke/agent';
+import type { HttpTable } from '@bronzeyoke/adapters';
+import { createHttpTable, createHttpWorker } from '@bronzeyoke/adapters';
+import type { RunningEntry } from '@bronzeyoke/entry';
+import { startEntry } from '@bronzeyoke/entry';
+import type { StandinTable, StandinUpstream, StandinWorker } from '@bronzeyoke/standins';
+import {
+  createWorker,
+  startTable,
+  startUpstream,
+  startWorker,
+  truthFromPayload,
+} from '@bronzeyoke/standins';
+import type { Site } from './sites';
+
+/** All parts of the demonstration listen here. */
+export const HOST = '127.0.0.1';
+
+const ENTRY_COUNT = 2;
+const TABLE_CONNECTIONS = 8;
+
+/** One worker with what runs beside it. */
+export interface Place {
+  readonly name: string;
+  readonly domain: string;
+  readonly worker: StandinWorker;
+  readonly upstream: StandinUpstream;
+  readonly agent: RunningAgent;
+}
+
+/** A running deployment. */
+export interface Fleet {
+  readonly site: Site;
+  readonly table: StandinTable;
+  readonly clients: readonly HttpTable[];
+  readonly entries: readonly RunningEntry[];
+  readonly places: readonly Place[];
+}
+
+function printError(error: unknown): void {
+  process.stderr.write(`${error instanceof Error ? (error.stack ?? '') : String(error)}\n`);
+}
+
+async function startPlace(
+  site: Site,
+  index: number,
+  entries: readonly RunningEntry[],
+): Promise<Place> {
+  const domain = site.domains[index % site.domains.length] ?? '';
+  const name = `w${String(index + 1).padStart(2, '0')}`;
+  const upstream = await startUpstream(HOST, 0);
+  const worker = await startWorker(HOST, 0, createWorker(site.worker, truthFromPayload));
+  const agent = startAgent({
+    profile: {
+      worker: name,
+      domain,
+      region: site.region,
+      rack: `rack-${Math.floor(index / site.workersPerRack) + 1}`,
+      service: site.service,
+      slots: site.slots,
+      connections: site.connections,
+      total: site.worker,
+    },
+    entries: entries.map(({ agentPort }) => ({ host: HOST, port: agentPort })),
+    upstream: createHttpUpstream({
+      host: HOST,
+      port: upstream.port,
+      connections: site.connections,
+    }),
+    worker: createHttpWorker({ host: HOST, port: worker.port }),
+    onError: printError,
+  });
+  return { name, domain, worker, upstream, agent };
+}
+
+/** Starts a deployment with embedded stand-ins for the platform, the workers and the upstreams. */
+export async function startFleet(site: Site): Promise<Fleet> {
+  const table = await startTable(HOST, 0);
+  const clients = Array.from({ length: ENTRY_COUNT }, () =>
+    createHttpTable({ host: HOST, port: table.port, connections: TABLE_CONNECTIONS }),
+  );
+  const entries = await Promise.all(
+    clients.map((client, index) =>
+      startEntry({
+        domain: site.domains[index] ?? '',
+        host: HOST,
+        callerPort: 0,
+        agentPort: 0,
+        table: client,
+        onError: printError,
+        onFailure: () => undefined,
+      }),
+    ),
+  );
+  const places = await Promise.all(
+    Array.from({ length: site.workerCount }, (_, index) => startPlace(site, index, entries)),
+  );
+  return { site, table, clients, entries, places };
+}
+
+/** Stops a deployment: agents first, so that they can hand their tasks over. */
+export async function stopFleet(fleet: Fleet): Promise<void> {
+  fleet.places.forEach(({ agent }) => agent.stop());
+  await Promise.all(fleet.places.map(({ agent }) => agent.stopped));
+  fleet.entries.forEach((entry) => entry.stop());
+  await Promise.all(fleet.entries.map((entry) => entry.stopped));
+  await Promise.all(fleet.clients.map((client) => client.close()));
+  await Promise.all(
+    fleet.places.flatMap(({ worker, upstream }) => [worker.close(), upstream.close()]),
+  );
+  await fleet.table.close();
+}
