Commit the intents of a few milliseconds in one transaction

Each non-idempotent request took a transaction of its own, while an entry may spend 60 transactions a second on the store.

Intents wait up to 10 ms and share a transaction of up to 100 rows; at most four are on their way. After a conflict the parts whose conditions hold go again without the others, and a lost response is read back for each part.

Conclusion: the store budget no longer bounds the rate of such requests one by one; the rate that results was not measured.

--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -184,6 +184,7 @@
     case 'requestExpiry':
     case 'requestHedge':
     case 'agentReturn':
+    case 'intentFlush':
     case 'upstreamProbe':
       return runRequests(state, { kind: 'timer', timer }, instant);
     case 'linkCheck':
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -1,4 +1,5 @@
 export * from './chart';
+export * from './group';
 export * from './intent';
 export * from './step';
 export * from './types';
--- a/packages/requests/src/step.ts
+++ b/packages/requests/src/step.ts
@@ -15,6 +15,8 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { endAttempt, waitingFor } from './attempt';
 import { requestChart } from './chart';
+import type { IntentPart } from './group';
+import { GROUP_MS, NO_GROUPS, flushIntents, settleIntents } from './group';
 import type { Settlement } from './intent';
 import { newIntent, settleCommit, settleRead } from './intent';
 import { dispatchQueued, finish, place, takeRetry } from './place';
@@ -45,6 +47,7 @@
     queues: Map(),
     collectors: Map(),
     lostAtMs: Map(),
+    groups: NO_GROUPS,
   };
 }
 
@@ -166,6 +169,46 @@
   return settle(state, record, settlement, instant);
 }
 
+function onCommit(
+  state: RequestsState,
+  event: Extract<StoreEvent, { readonly kind: 'commitDone' }>,
+  instant: Instant,
+): RequestsStep {
+  const { groups, results } = settleIntents(state.groups, event.callId, event.result);
+  return results.reduce<RequestsStep>(
+    (step, part) => chain(step, (current) => onStore(current, { ...event, ...part }, instant)),
+    unchanged({ ...state, groups }),
+  );
+}
+
+/** Puts commits of intents aside, so that those of the next few milliseconds go together. */
+function groupCommits(step: RequestsStep): RequestsStep {
+  const commits = step.effects.filter((effect): effect is IntentPart => effect.kind === 'commit');
+  const { groups } = step.state;
+  const waiting = commits.length === 0 ? groups.waiting : [...groups.waiting, ...commits];
+  if (waiting.length === 0) return step;
+  const others = step.effects.filter((effect) => effect.kind !== 'commit');
+  const flushLater: RequestsEffect = {
+    kind: 'wake',
+    timer: { kind: 'intentFlush' },
+    afterMs: GROUP_MS,
+  };
+  return {
+    state: { ...step.state, groups: { ...groups, waiting, isFlushScheduled: true } },
+    effects: groups.isFlushScheduled ? others : [...others, flushLater],
+  };
+}
+
+/** Sends the commits that wait; those of requests that have ended meanwhile are dropped. */
+function flush(state: RequestsState): RequestsStep {
+  const awaited = (part: IntentPart): boolean => {
+    const requestId = part.callId.slice(0, part.callId.lastIndexOf('#'));
+    return state.records.get(requestId)?.intent?.callId === part.callId;
+  };
+  const { groups, effects } = flushIntents(state.groups, awaited);
+  return { state: { ...state, groups }, effects };
+}
+
 function onTimer(state: RequestsState, timer: RequestsTimer, instant: Instant): RequestsStep {
   switch (timer.kind) {
     case 'requestExpiry':
@@ -174,6 +217,8 @@
       return hedge(state, timer.requestId, instant);
     case 'agentReturn':
       return agentReturnOver(state, timer.agentId, instant);
+    case 'intentFlush':
+      return unchanged(state);
     case 'upstreamProbe':
       return unchanged({ ...state, routing: allowProbe(state.routing, timer.agentId) });
     default:
@@ -204,6 +249,7 @@
         unchanged(state) as RequestsStep,
       );
     case 'commitDone':
+      return onCommit(state, event, instant);
     case 'readDone':
       return onStore(state, event, instant);
     case 'timer':
@@ -221,5 +267,8 @@
   event: RequestsEvent,
   instant: Instant,
 ): RequestsStep {
-  return chain(decide(state, event, instant), (current) => dispatchQueued(current, instant));
+  const step = chain(decide(state, event, instant), (current) => dispatchQueued(current, instant));
+  const grouped = groupCommits(step);
+  const isFlush = event.kind === 'timer' && event.timer.kind === 'intentFlush';
+  return isFlush ? chain(grouped, flush) : grouped;
 }
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -11,6 +11,7 @@
 } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import type { RequestState } from './chart';
+import type { IntentGroups } from './group';
 
 /** An attempt at an agent that has not ended. */
 export interface Attempt {
@@ -81,6 +82,7 @@
   readonly collectors: Map<string, readonly string[]>;
   /** Agents that are awaited back, with the time at which they were missed. */
   readonly lostAtMs: Map<string, number>;
+  readonly groups: IntentGroups;
 }
 
 /** Timers of requests and routing. */
@@ -88,6 +90,7 @@
   | { readonly kind: 'requestExpiry'; readonly requestId: string }
   | { readonly kind: 'requestHedge'; readonly requestId: string }
   | { readonly kind: 'agentReturn'; readonly agentId: string }
+  | { readonly kind: 'intentFlush' }
   | { readonly kind: 'upstreamProbe'; readonly agentId: string };
 
 /** How an attempt ended at its agent. */
