--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -1,24 +1,31 @@
 import { randomUUID } from 'node:crypto';
-import { dispatch, start, stop } from 'nact';
-import type { Ref } from 'nact';
-import { dispatchAfter, spawnCore } from '@bronzeyoke/actors';
+import { performance } from 'node:perf_hooks';
+import { start, stop } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
 import type { Attempt } from '@bronzeyoke/admission';
 import type { Address, DialCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnDial } from '@bronzeyoke/link';
-import type { UpstreamPort } from '@bronzeyoke/ports';
-import type { AgentProfile } from '@bronzeyoke/types';
+import type { UpstreamPort, WorkerPort } from '@bronzeyoke/ports';
+import type { AgentProfile, Failure, UpstreamAnswer } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import { decodeEntryMessage } from '@bronzeyoke/wire';
 import { createAgent, stepAgent } from './core';
+import type { AgentObserver } from './monitor';
 import type { AgentEffect, AgentEvent } from './types';
+import { callWorker } from './worker';
 
 /** What an agent is started with. */
 export interface AgentOptions {
   readonly profile: Omit<AgentProfile, 'agentId'>;
   readonly entries: readonly Address[];
   readonly upstream: UpstreamPort;
+  /** An agent without a worker serves requests only. */
+  readonly worker?: WorkerPort;
   readonly onError: (error: unknown) => void;
+  /** Told of each step of the core. */
+  readonly observe?: AgentObserver;
 }
 
 /** A running agent. */
@@ -26,8 +33,8 @@
   readonly agentId: string;
   /** Begins a planned stop. */
   readonly stop: () => void;
-  /** Ends when the planned stop is complete. */
-  readonly stopped: Promise<void>;
+  /** Ends when the agent has stopped, with the failure if it was not as planned. */
+  readonly stopped: Promise<Failure | undefined>;
 }
 
 function toEvent(event: LinkEvent<EntryMessage>): AgentEvent | undefined {
@@ -45,16 +52,36 @@
   }
 }
 
+function isSampled(traceparent: string | undefined): boolean {
+  return traceparent?.endsWith('-01') ?? false;
+}
+
+/** Adds the time of the hop to the upstream, which the entry makes a span of. */
+function withTiming(answer: UpstreamAnswer, durationMs: number): UpstreamAnswer {
+  const own = `bronzeyoke-upstream;dur=${durationMs.toFixed(3)}`;
+  const given = answer.headers['server-timing'];
+  const timing = given === undefined ? own : `${own}, ${given}`;
+  return { ...answer, headers: { ...answer.headers, 'server-timing': timing } };
+}
+
 async function callUpstream(
   upstream: UpstreamPort,
   attempt: Attempt,
   timeoutMs: number,
 ): Promise<AgentEvent> {
-  const { attemptId, method, path, headers, body } = attempt;
+  const { attemptId, method, path, body, traceparent } = attempt;
+  const headers = traceparent === undefined ? attempt.headers : { ...attempt.headers, traceparent };
+  const startedAtMs = performance.now();
   const result = await upstream.call({ method, path, headers, body, timeoutMs });
   switch (result.kind) {
     case 'answered':
-      return { kind: 'upstreamAnswered', attemptId, answer: result.answer };
+      return {
+        kind: 'upstreamAnswered',
+        attemptId,
+        answer: isSampled(traceparent)
+          ? withTiming(result.answer, performance.now() - startedAtMs)
+          : result.answer,
+      };
     case 'notReached':
       return { kind: 'upstreamNotReached', attemptId };
     case 'lost':
@@ -69,16 +96,16 @@
   const system = start();
   const profile = { ...options.profile, agentId: randomUUID() };
   const links = new Map<string, Ref<DialCommand>>();
-  let resolveStopped = (): void => undefined;
-  const stopped = new Promise<void>((resolve) => {
+  let resolveStopped = (_failure?: Failure): void => undefined;
+  const stopped = new Promise<Failure | undefined>((resolve) => {
     resolveStopped = resolve;
   });
 
-  const exit = (): void => {
+  const exit = (failure?: Failure): void => {
     links.forEach((link) => dispatch(link, { kind: 'close' }));
     setImmediate(() => {
       stop(system);
-      resolveStopped();
+      resolveStopped(failure);
     });
   };
 
@@ -94,11 +121,16 @@
           .then((event) => dispatch(self, event))
           .catch(options.onError);
         return;
+      case 'worker':
+        callWorker(options.worker, effect)
+          .then((event) => dispatch(self, event))
+          .catch(options.onError);
+        return;
       case 'wake':
         dispatchAfter(self, { kind: 'timer', timer: effect.timer }, effect.afterMs);
         return;
       case 'exit':
-        exit();
+        exit(effect.failure);
         return;
       default:
         assertNever(effect);
@@ -108,7 +140,11 @@
   const core = spawnCore(system, {
     name: 'agent',
     initial: createAgent(profile),
-    decide: stepAgent,
+    decide: (state, event, instant) => {
+      const step = stepAgent(state, event, instant);
+      options.observe?.(state, event, step);
+      return step;
+    },
     perform,
     onError: options.onError,
   });
