Take an agent's word that an attempt never arrived for ten minutes only

An agent forgets attempts after 15 minutes. A repeat of a key after that found the row, was told that the attempt never arrived, and started a second run.

The row carries the wall-clock time at which its attempt was planned. Beyond ten minutes, or when the time lies more than a minute ahead, the outcome is unknown.

Conclusion: wall clocks of entries have to agree within a few minutes; with a greater difference the earlier gap remains.

--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -163,6 +163,7 @@
 /** Starts everything that the entry does by itself. */
 export function startControl(state: EntryState, wallOffsetMs: number, instant: Instant): EntryStep {
   return sequence({ ...state, wallOffsetMs }, [
+    (from) => runRequests(from, { kind: 'started', wallOffsetMs }, instant),
     (from) => tickets(from, { kind: 'started', wallOffsetMs }, instant),
     (from) => checkWorkers(from, instant),
     (from) => batch(from, { kind: 'started', wallOffsetMs }, instant),
--- a/packages/requests/src/attempt.ts
+++ b/packages/requests/src/attempt.ts
@@ -8,6 +8,29 @@
 
 const SERVER_ERROR = 500;
 
+/**
+ * Oldest attempt of which an agent's word is taken that it never arrived. Agents remember attempts
+ * for 15 minutes; the rest allows for wall clocks of entries that differ.
+ */
+const PROOF_LIMIT_MS = 600_000;
+
+/** How far the wall clock of the entry that planned an attempt may be ahead. */
+const CLOCK_AHEAD_MS = 60_000;
+
+/** An agent that may have forgotten an attempt does not prove that it never arrived. */
+function judged(
+  state: RequestsState,
+  attempt: Attempt,
+  result: AttemptResult,
+  nowMs: number,
+): AttemptResult {
+  const ageMs = state.wallOffsetMs + nowMs - attempt.plannedAtWallMs;
+  const isProof = ageMs >= -CLOCK_AHEAD_MS && ageMs <= PROOF_LIMIT_MS;
+  return result.kind === 'neverArrived' && !isProof
+    ? { kind: 'outcomeUnknown', reason: 'connectionLost' }
+    : result;
+}
+
 function refusalEnd(reason: NotRunReason): AttemptEnd {
   switch (reason) {
     case 'overloaded':
@@ -107,9 +130,10 @@
   state: RequestsState,
   record: RequestRecord,
   attempt: Attempt,
-  result: AttemptResult,
+  told: AttemptResult,
   instant: Instant,
 ): RequestsStep {
+  const result = judged(state, attempt, told, instant.nowMs);
   const left: RequestRecord = {
     ...record,
     attempts: record.attempts.filter((candidate) => candidate !== attempt),
--- a/packages/requests/src/intent.ts
+++ b/packages/requests/src/intent.ts
@@ -13,6 +13,7 @@
   attemptId: z.string(),
   agentId: z.string(),
   fingerprint: z.string(),
+  plannedAtWallMs: z.number(),
 });
 
 /** What the result of a store access says of the intent. */
@@ -59,8 +60,8 @@
 /** The transaction that makes the planned attempt the only one that may run. */
 export function intentTransaction(intent: Intent, planned: Attempt): Transaction {
   const { key, version, fingerprint } = intent;
-  const { requestId, attemptId, agentId } = planned;
-  const value: IntentRow = { requestId, attemptId, agentId, fingerprint };
+  const { requestId, attemptId, agentId, plannedAtWallMs } = planned;
+  const value: IntentRow = { requestId, attemptId, agentId, fingerprint, plannedAtWallMs };
   return { conditions: [{ key, version }], writes: [{ kind: 'put', key, value }] };
 }
 
--- a/packages/requests/src/step.ts
+++ b/packages/requests/src/step.ts
@@ -33,8 +33,8 @@
 import { agentReturnOver, awaitAgent, upstreamDown, upstreamUp } from './upstream';
 
 /**
- * Oldest intent after which an attempt is still sent. Agents remember for a minute which attempts
- * they have refused, so an attempt must not be sent long after its row could be read by others.
+ * Oldest intent after which an attempt is still sent. Agents remember for a bounded time which
+ * attempts they have refused, so none must be sent long after others could read its row.
  */
 const INTENT_FRESH_MS = 5_000;
 
@@ -48,6 +48,7 @@
     collectors: Map(),
     lostAtMs: Map(),
     groups: NO_GROUPS,
+    wallOffsetMs: 0,
   };
 }
 
@@ -228,6 +229,8 @@
 
 function decide(state: RequestsState, event: RequestsEvent, instant: Instant): RequestsStep {
   switch (event.kind) {
+    case 'started':
+      return unchanged({ ...state, wallOffsetMs: event.wallOffsetMs });
     case 'arrived':
       return arrived(state, event.request, instant);
     case 'upstreamUp':
--- a/packages/requests/src/transition.ts
+++ b/packages/requests/src/transition.ts
@@ -16,10 +16,10 @@
   RequestsStep,
 } from './types';
 
-function plan(record: RequestRecord, agentId: string): Attempt {
+function plan(record: RequestRecord, agentId: string, plannedAtWallMs: number): Attempt {
   const { requestId } = record.request;
   const attemptId = `${requestId}.${record.plannedCount + 1}`;
-  return { attemptId, requestId, agentId, sentAtMs: 0, isMeasured: false };
+  return { attemptId, requestId, agentId, sentAtMs: 0, plannedAtWallMs, isMeasured: false };
 }
 
 function send(record: RequestRecord, planned: Attempt, nowMs: number): RequestRecord {
@@ -44,16 +44,21 @@
   return { ...record, intent: { ...intent, ...change, callCount, callId } };
 }
 
-function amend(record: RequestRecord, event: ChartEvent, nowMs: number): RequestRecord {
+function amend(
+  record: RequestRecord,
+  event: ChartEvent,
+  nowMs: number,
+  wallMs: number,
+): RequestRecord {
   const { planned, ...unplanned } = record;
   switch (event.kind) {
     case 'dispatch':
     case 'hedge': {
-      const attempt = plan(record, event.agentId);
+      const attempt = plan(record, event.agentId, wallMs);
       return send({ ...unplanned, plannedCount: record.plannedCount + 1 }, attempt, nowMs);
     }
     case 'record': {
-      const attempt = plan(record, event.agentId);
+      const attempt = plan(record, event.agentId, wallMs);
       const next = { ...record, plannedCount: record.plannedCount + 1, planned: attempt };
       return nextCall(next, { committedAtMs: nowMs, commitCount: 1 });
     }
@@ -68,8 +73,9 @@
     case 'requeue':
       return { ...unplanned, ...withVersion(record.intent, event.version) };
     case 'found': {
-      const { requestId, attemptId, agentId } = event.row;
-      const attempt = { requestId, attemptId, agentId, sentAtMs: nowMs, isMeasured: false };
+      const { requestId, attemptId, agentId, plannedAtWallMs } = event.row;
+      const ids = { requestId, attemptId, agentId, plannedAtWallMs };
+      const attempt = { ...ids, sentAtMs: nowMs, isMeasured: false };
       const found = { ...unplanned, ...withVersion(record.intent, event.version) };
       return { ...found, attempts: [attempt] };
     }
@@ -196,7 +202,8 @@
 ): RequestsStep {
   const next = advance(requestChart, record.phase, event.kind);
   if (next.state === record.phase && next.actions.length === 0) return unchanged(state);
-  const amended = { ...amend(record, event, instant.nowMs), phase: next.state };
+  const wallMs = state.wallOffsetMs + instant.nowMs;
+  const amended = { ...amend(record, event, instant.nowMs, wallMs), phase: next.state };
   const known = state.records.get(record.request.requestId);
   const after = next.state === 'ended' ? undefined : amended;
   const replaced = replaceRecord(
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -20,6 +20,8 @@
   readonly requestId: string;
   readonly agentId: string;
   readonly sentAtMs: number;
+  /** Wall-clock time at which an entry planned it. */
+  readonly plannedAtWallMs: number;
   /** Whether its latency says something of the upstream: sent from here, over one connection. */
   readonly isMeasured: boolean;
 }
@@ -30,6 +32,7 @@
   readonly attemptId: string;
   readonly agentId: string;
   readonly fingerprint: string;
+  readonly plannedAtWallMs: number;
 }
 
 /** What the entry knows of the row of a non-idempotent request. */
@@ -83,6 +86,8 @@
   /** Agents that are awaited back, with the time at which they were missed. */
   readonly lostAtMs: Map<string, number>;
   readonly groups: IntentGroups;
+  /** Wall-clock time at monotonic time 0. */
+  readonly wallOffsetMs: number;
 }
 
 /** Timers of requests and routing. */
@@ -102,6 +107,7 @@
 
 /** What happens to requests and upstreams at an entry. */
 export type RequestsEvent =
+  | { readonly kind: 'started'; readonly wallOffsetMs: number }
   | { readonly kind: 'arrived'; readonly request: CallerRequest }
   | { readonly kind: 'upstreamUp'; readonly upstream: UpstreamInfo }
   | { readonly kind: 'upstreamLeaving'; readonly agentId: string }
--- a/packages/requests/test/step.test.ts
+++ b/packages/requests/test/step.test.ts
@@ -53,7 +53,13 @@
 const origin = 'requests';
 const FLUSH: RequestsEvent = { kind: 'timer', timer: { kind: 'intentFlush' } };
 const KEYED = { idempotencyKey: 'k' };
-const ROW = { requestId: 'other', attemptId: 'other.1', agentId: 'a', fingerprint: '' };
+const ROW = {
+  requestId: 'other',
+  attemptId: 'other.1',
+  agentId: 'a',
+  fingerprint: '',
+  plannedAtWallMs: 0,
+};
 
 function sentTo(run: Run): readonly string[] {
   return run.effects.flatMap((effect) =>
@@ -118,6 +124,22 @@
   expect(sentTo(proven)).to.deep.equal([]);
 });
 
+// An agent forgets attempts after 15 minutes; its word on an older one would start a second run.
+it('requests: an old row is not moved on the word of its agent', () => {
+  const begun = afterAll(START, [up('a'), up('b'), arrived('r', KEYED), FLUSH]);
+  const value = { ...ROW, fingerprint: fingerprintIn(begun), plannedAtWallMs: -700_000 };
+  const result = { kind: 'conflict', rows: [{ key: 'request/k', version: 4, value }] } as const;
+  const found = after(begun, { kind: 'commitDone', origin, callId: 'intents#1', result });
+  const told = after(found, {
+    kind: 'attemptEnded',
+    agentId: 'a',
+    requestId: 'other',
+    attemptId: 'other.1',
+    result: { kind: 'neverArrived' },
+  });
+  expect(outcomes(told)).to.deep.equal(['r unknown']);
+});
+
 // The agent in the row may have run the request, so its absence proves nothing.
 it('requests: a repeat whose agent is not known ends as unknown', () => {
   const begun = afterAll(START, [up('b'), arrived('r', KEYED), FLUSH]);
