--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -11,6 +11,7 @@
 } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import type { RequestState } from './chart';
+import type { IntentGroups } from './group';
 
 /** An attempt at an agent that has not ended. */
 export interface Attempt {
@@ -19,6 +20,8 @@
   readonly requestId: string;
   readonly agentId: string;
   readonly sentAtMs: number;
+  /** Wall-clock time at which an entry planned it. */
+  readonly plannedAtWallMs: number;
   /** Whether its latency says something of the upstream: sent from here, over one connection. */
   readonly isMeasured: boolean;
 }
@@ -29,6 +32,7 @@
   readonly attemptId: string;
   readonly agentId: string;
   readonly fingerprint: string;
+  readonly plannedAtWallMs: number;
 }
 
 /** What the entry knows of the row of a non-idempotent request. */
@@ -81,6 +85,9 @@
   readonly collectors: Map<string, readonly string[]>;
   /** Agents that are awaited back, with the time at which they were missed. */
   readonly lostAtMs: Map<string, number>;
+  readonly groups: IntentGroups;
+  /** Wall-clock time at monotonic time 0. */
+  readonly wallOffsetMs: number;
 }
 
 /** Timers of requests and routing. */
@@ -88,6 +95,7 @@
   | { readonly kind: 'requestExpiry'; readonly requestId: string }
   | { readonly kind: 'requestHedge'; readonly requestId: string }
   | { readonly kind: 'agentReturn'; readonly agentId: string }
+  | { readonly kind: 'intentFlush' }
   | { readonly kind: 'upstreamProbe'; readonly agentId: string };
 
 /** How an attempt ended at its agent. */
@@ -99,6 +107,7 @@
 
 /** What happens to requests and upstreams at an entry. */
 export type RequestsEvent =
+  | { readonly kind: 'started'; readonly wallOffsetMs: number }
   | { readonly kind: 'arrived'; readonly request: CallerRequest }
   | { readonly kind: 'upstreamUp'; readonly upstream: UpstreamInfo }
   | { readonly kind: 'upstreamLeaving'; readonly agentId: string }
