Add the operators' command line

Cause: operators could change the state only by writing HTTP requests. A change whose answer was lost is never sent to another entry; for a ticket the outcome is read back. Conclusion: a domain can be taken out with one command that ends when every process has the ticket in force.

--- /dev/null
+++ b/packages/cli/src/answers.ts
@@ -0,0 +1,108 @@
+import { z } from 'zod';
+
+/** Answers of the administration API. Unknown fields are ignored, so that entries may be newer. */
+
+const change = z.looseObject({ kind: z.string(), name: z.string() });
+
+export const ticketSchema = z.looseObject({
+  number: z.number(),
+  author: z.string(),
+  changes: z.array(change),
+});
+
+export const ticketsSchema = z.looseObject({ tickets: z.array(ticketSchema) });
+
+export const configurationSchema = z.looseObject({ number: z.number(), entries: z.array(change) });
+
+export const whereSchema = z.looseObject({
+  processes: z.array(
+    z.looseObject({
+      process: z.string(),
+      id: z.string(),
+      domain: z.string(),
+      number: z.number(),
+    }),
+  ),
+});
+
+export const upstreamsSchema = z.looseObject({
+  upstreams: z.array(
+    z.looseObject({
+      agentId: z.string(),
+      service: z.string(),
+      domain: z.string(),
+      health: z.string(),
+      inFlight: z.number(),
+      limit: z.number(),
+      latencyMs: z.number(),
+    }),
+  ),
+});
+
+const resources = z.looseObject({
+  processorsMilli: z.number(),
+  memoryMb: z.number(),
+  accelerators: z.number(),
+});
+
+export const workersSchema = z.looseObject({
+  workers: z.array(
+    z.looseObject({
+      profile: z.looseObject({
+        worker: z.string(),
+        domain: z.string(),
+        rack: z.string(),
+        service: z.string(),
+        total: resources,
+      }),
+      free: resources,
+      health: z.string(),
+      ticketInForce: z.number(),
+    }),
+  ),
+});
+
+export const statusSchema = z.looseObject({
+  entryId: z.string(),
+  domain: z.string(),
+  uptimeMs: z.number(),
+  configuration: configurationSchema,
+  ...upstreamsSchema.shape,
+  ...workersSchema.shape,
+});
+
+const job = z.looseObject({
+  jobId: z.string(),
+  team: z.string(),
+  key: z.string(),
+  workKind: z.string(),
+  urgency: z.string(),
+  taskCount: z.number(),
+  cancelled: z.boolean(),
+  deadlineAtMs: z.number().optional(),
+});
+
+export const jobsSchema = z.looseObject({ jobs: z.array(job) });
+
+export const jobStatusSchema = z.looseObject({
+  job,
+  tasks: z.array(
+    z.looseObject({
+      id: z.looseObject({ index: z.number() }),
+      row: z.looseObject({ epoch: z.number(), state: z.looseObject({ kind: z.string() }) }),
+    }),
+  ),
+  isDone: z.boolean(),
+});
+
+/** A ticket as the API shows it. */
+export type TicketAnswer = z.infer<typeof ticketSchema>;
+
+/** A job with its tasks as the API shows it. */
+export type JobAnswer = z.infer<typeof jobStatusSchema>;
+
+/** A job as the API lists it. */
+export type JobLine = z.infer<typeof job>;
+
+/** Processes and the numbers in force there. */
+export type WhereAnswer = z.infer<typeof whereSchema>;
--- /dev/null
+++ b/packages/cli/src/change.ts
@@ -0,0 +1,55 @@
+import { isDeepStrictEqual } from 'node:util';
+import { Option } from 'clipanion';
+import type { TicketAnswer } from './answers';
+import { configurationSchema, ticketSchema } from './answers';
+import { BaseCommand, wholeNumber } from './base';
+import type { Client } from './client';
+import { CliError } from './error';
+import { describeSpread, isEverywhere, waitEverywhere } from './where';
+
+/** Commands that change the configuration. */
+export abstract class ChangeCommand extends BaseCommand {
+  noWait = Option.Boolean('--no-wait', false, { description: 'end when the ticket is accepted' });
+
+  timeoutMs = Option.String('--timeout-ms', '60000', {
+    description: 'longest wait until the ticket is in force everywhere',
+  });
+
+  /** Applies a ticket; when the answer is lost, reads back whether it was accepted. */
+  async apply(client: Client, number: number, changes: unknown): Promise<TicketAnswer> {
+    try {
+      const body = { number, changes };
+      return await this.ask(client, ticketSchema, {
+        method: 'POST',
+        path: '/v1/admin/tickets',
+        body,
+      });
+    } catch (error) {
+      const isUnknown = error instanceof CliError && error.fault.kind === 'unknownOutcome';
+      if (!isUnknown) throw error;
+      const shown = await client.call({ method: 'GET', path: `/v1/admin/tickets/${number}` });
+      const ticket = shown.ok ? ticketSchema.safeParse(shown.value) : undefined;
+      if (ticket?.success === true && isDeepStrictEqual(ticket.data.changes, changes)) {
+        return ticket.data;
+      }
+      throw error;
+    }
+  }
+
+  async nextNumber(client: Client): Promise<number> {
+    const path = '/v1/admin/configuration';
+    return (await this.ask(client, configurationSchema, { method: 'GET', path })).number + 1;
+  }
+
+  async finish(client: Client, ticket: TicketAnswer): Promise<number> {
+    const { number } = ticket;
+    if (!this.json) this.context.stdout.write(`ticket ${number} is accepted\n`);
+    if (this.noWait) return this.print(ticket, '');
+    const untilMs = Date.now() + wholeNumber('--timeout-ms', this.timeoutMs);
+    const spread = await waitEverywhere(client, number, untilMs, (text) => this.progress(text));
+    if (!isEverywhere(spread, number)) {
+      throw new CliError({ kind: 'timedOut', waitedFor: describeSpread(spread, number) });
+    }
+    return this.print({ ticket, ...spread }, `ticket ${number} is in force everywhere\n`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/check.ts
@@ -0,0 +1,41 @@
+import { Command, Option } from 'clipanion';
+import {
+  agentSettings,
+  cliSettings,
+  describeFault,
+  entrySettings,
+  readSettingsFile,
+} from '@bronzeyoke/settings';
+import { BaseCommand } from './base';
+import { CliError } from './error';
+
+const SCHEMAS = { entry: entrySettings, agent: agentSettings, cli: cliSettings } as const;
+
+/** `settings check` */
+export class SettingsCheck extends BaseCommand {
+  static override paths = [['settings', 'check']];
+
+  static override usage = Command.Usage({
+    category: 'State',
+    description: 'list every fault of a settings file',
+    details: 'Exit code 2 means that there are faults. Nothing is started and nothing is asked.',
+    examples: [['Check the settings of an entry', 'bronzeyoke settings check entry e1.jsonc']],
+  });
+
+  program = Option.String({ required: true, name: 'entry|agent|cli' });
+
+  file = Option.String({ required: true });
+
+  async run(): Promise<number> {
+    const { program, file } = this;
+    if (program !== 'entry' && program !== 'agent' && program !== 'cli') {
+      const problems = [`${program}: the program must be entry, agent or cli`];
+      throw new CliError({ kind: 'settings', problems });
+    }
+    const result = await readSettingsFile(SCHEMAS[program], file);
+    if (!result.ok) {
+      throw new CliError({ kind: 'settings', problems: result.failure.map(describeFault) });
+    }
+    return this.print({ file, faults: [] }, `${file}: no faults\n`);
+  }
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+export * from './fault';
+export * from './run';
+export * from './table';
--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -1,3 +1,4 @@
 import { version } from '../../../package.json';
+import { runCli } from './run';
 
-process.stdout.write(`${version}\n`);
+process.exitCode = await runCli(version, process.argv.slice(2));
--- /dev/null
+++ b/packages/cli/src/progress.ts
@@ -0,0 +1,21 @@
+import type { JobAnswer } from './answers';
+
+/** Tasks by the kind of their state; tasks that are not listed are pending. */
+export function countTasks(status: JobAnswer): Readonly<Record<string, number>> {
+  const counts = status.tasks.reduce<Readonly<Record<string, number>>>((sums, { row }) => {
+    const { kind } = row.state;
+    return { ...sums, [kind]: (sums[kind] ?? 0) + 1 };
+  }, {});
+  const unlisted = status.job.taskCount - status.tasks.length;
+  return unlisted <= 0 ? counts : { ...counts, pending: (counts.pending ?? 0) + unlisted };
+}
+
+/** One line about a job. */
+export function jobText(status: JobAnswer): string {
+  const { job, isDone } = status;
+  const tasks = Object.entries(countTasks(status))
+    .map(([kind, count]) => `${count} ${kind}`)
+    .join(', ');
+  const state = job.cancelled ? 'cancelled' : 'open';
+  return `job ${job.jobId} of team ${job.team} (${isDone ? 'done' : state}): ${tasks}\n`;
+}
--- /dev/null
+++ b/packages/cli/src/run.ts
@@ -0,0 +1,50 @@
+import { Builtins, Cli } from 'clipanion';
+import type { BaseContext } from 'clipanion';
+import { TicketApply } from './apply';
+import { JobCancel } from './cancel';
+import { SettingsCheck } from './check';
+import { DomainChange } from './domain';
+import { JobShow } from './job';
+import { JobList } from './jobs';
+import { TicketWhere } from './spread';
+import { Status } from './status';
+import { JobSubmit } from './submit';
+import { TicketShow } from './ticket';
+import { TicketList } from './tickets';
+import { UpstreamList } from './upstreams';
+import { JobWait } from './wait';
+import { WorkerList } from './workers';
+
+const COMMANDS = [
+  DomainChange,
+  JobCancel,
+  JobList,
+  JobShow,
+  JobSubmit,
+  JobWait,
+  SettingsCheck,
+  Status,
+  TicketApply,
+  TicketList,
+  TicketShow,
+  TicketWhere,
+  UpstreamList,
+  WorkerList,
+  Builtins.HelpCommand,
+  Builtins.VersionCommand,
+];
+
+/** Runs the command line and gives the exit code. */
+export async function runCli(
+  version: string,
+  argv: readonly string[],
+  context: Partial<BaseContext> = {},
+): Promise<number> {
+  const cli = new Cli({
+    binaryLabel: 'bronzeyoke',
+    binaryName: 'bronzeyoke',
+    binaryVersion: version,
+  });
+  COMMANDS.forEach((command) => cli.register(command));
+  return cli.run([...argv], context);
+}
--- /dev/null
+++ b/packages/cli/src/status.ts
@@ -0,0 +1,41 @@
+import { Command } from 'clipanion';
+import { statusSchema } from './answers';
+import { BaseCommand } from './base';
+
+function countBy<Item>(items: readonly Item[], key: (item: Item) => string): string {
+  const counts = items.reduce<Readonly<Record<string, number>>>(
+    (sums, item) => ({ ...sums, [key(item)]: (sums[key(item)] ?? 0) + 1 }),
+    {},
+  );
+  const parts = Object.entries(counts).map(([name, count]) => `${count} ${name}`);
+  return parts.length === 0 ? 'none' : parts.join(', ');
+}
+
+/** `status` */
+export class Status extends BaseCommand {
+  static override paths = [['status']];
+
+  static override usage = Command.Usage({
+    category: 'State',
+    description: 'show the state of the first entry that answers',
+    examples: [['Show the state', 'bronzeyoke status']],
+  });
+
+  async run(): Promise<number> {
+    const path = '/v1/admin/status';
+    const answer = await this.ask(await this.client(), statusSchema, { method: 'GET', path });
+    const { entryId, domain, uptimeMs, configuration, upstreams, workers } = answer;
+    const out = configuration.entries.filter(
+      (entry) => entry.kind === 'domain' && entry.state === 'out',
+    );
+    const lines = [
+      ['entry', `${entryId} in ${domain}, up ${Math.round(uptimeMs / 1_000)} s`],
+      ['ticket', configuration.number],
+      ['domains out', out.map((entry) => entry.name).join(', ') || 'none'],
+      ['upstreams', countBy(upstreams, (upstream) => upstream.health)],
+      ['workers', countBy(workers, (worker) => worker.health)],
+    ];
+    const text = lines.map(([name = '', value = '']) => `${String(name).padEnd(12)}${value}\n`);
+    return this.print(answer, text.join(''));
+  }
+}
