--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -44,6 +44,7 @@
     binaryLabel: 'bronzeyoke',
     binaryName: 'bronzeyoke',
     binaryVersion: version,
+    enableColors: context.stdout === undefined && process.stdout.isTTY,
   });
   COMMANDS.forEach((command) => cli.register(command));
   return cli.run([...argv], context);
