--- /dev/null
+++ b/tools/test/process.test.ts
@@ -0,0 +1,213 @@
+import { spawn } from 'node:child_process';
+import type { ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdir, mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { fileURLToPath } from 'node:url';
+import { expect } from 'chai';
+import { parse } from 'jsonc-parser';
+import { request } from 'undici';
+import { calculateSpring } from '@bronzeyoke/standins';
+import { buildPrograms } from '../bundle';
+
+const root = fileURLToPath(new URL('../..', import.meta.url));
+const HOST = '127.0.0.1';
+const LIMIT_MS = 60_000;
+const SPRING = {
+  springKind: 'compression',
+  wireDiameterMm: 2,
+  coilDiameterMm: 20,
+  activeTurns: 8,
+  material: 'musicWire',
+  travelMm: 10,
+} as const;
+
+type Fields = Readonly<Record<string, unknown>>;
+
+/** A process that the test started. */
+interface Program {
+  readonly child: ChildProcess;
+  /** Lines of JSON that it has printed so far. */
+  readonly lines: readonly Fields[];
+  readonly exited: Promise<number | null>;
+}
+
+function startProgram(args: readonly string[]): Program {
+  const child = spawn(process.execPath, [...args], {
+    cwd: root,
+    env: { ...process.env, BRONZEYOKE_TOKEN: 'example-operator' },
+    stdio: ['ignore', 'pipe', 'pipe'],
+  });
+  const lines: Fields[] = [];
+  createInterface({ input: child.stdout }).on('line', (line) => lines.push(JSON.parse(line)));
+  createInterface({ input: child.stderr }).on('line', (line) => lines.push({ stderr: line }));
+  const exited = once(child, 'close').then(([code]) => code as number | null);
+  return { child, lines, exited };
+}
+
+async function until<Value>(
+  what: string,
+  probe: () => Promise<Value | undefined> | Value | undefined,
+  leftMs = LIMIT_MS,
+): Promise<Value> {
+  const found = await probe();
+  if (found !== undefined) return found;
+  if (leftMs <= 0) throw new Error(`time limit passed while waiting for ${what}`);
+  await new Promise((resolve) => {
+    setTimeout(resolve, 50);
+  });
+  return until(what, probe, leftMs - 50);
+}
+
+function lineWith(program: Program, key: string, value: unknown): Promise<Fields> {
+  return until(`${key} ${String(value)}`, () =>
+    program.lines.find((line) => (value === undefined ? key in line : line[key] === value)),
+  );
+}
+
+/** An example with other addresses: entries take free ports, the rest is known by then. */
+async function example(name: string, changes: Fields): Promise<string> {
+  const text = await readFile(join(root, 'examples', name), 'utf8');
+  return JSON.stringify({ ...(parse(text) as Fields), ...changes });
+}
+
+function at(port: unknown): Fields {
+  return { host: HOST, port };
+}
+
+/** Whether a quick check got the whole right answer; undefined when it was refused or cut off. */
+async function check(port: unknown): Promise<true | undefined> {
+  try {
+    const response = await request(`http://${HOST}:${String(port)}/v1/services/quoter/check`, {
+      method: 'POST',
+      body: JSON.stringify(SPRING),
+      headers: { connection: 'close' },
+    });
+    const body: unknown = await response.body.json();
+    if (response.statusCode !== 200) return undefined;
+    expect(body).to.deep.equal(calculateSpring(SPRING));
+    return true;
+  } catch (error) {
+    if (error instanceof Error && error.name === 'AssertionError') throw error;
+    return undefined;
+  }
+}
+
+/** Starts programs from a folder of bundles. */
+interface Bench {
+  readonly folder: string;
+  readonly run: (args: readonly string[]) => Program;
+}
+
+/** Gives a test a folder of bundles, and ends all programs that it started. */
+async function withBundles(use: (bench: Bench) => Promise<void>): Promise<void> {
+  // Below the checkout, so that parts of the bundles that stay outside are found.
+  await mkdir(join(root, '.cache'), { recursive: true });
+  const folder = await mkdtemp(join(root, '.cache', 'process-'));
+  const programs: Program[] = [];
+  try {
+    await buildPrograms(folder);
+    await use({
+      folder,
+      run: (args) => {
+        const program = startProgram(args);
+        programs.push(program);
+        return program;
+      },
+    });
+  } finally {
+    programs.forEach(({ child }) => child.kill('SIGKILL'));
+    await Promise.all(programs.map(({ exited }) => exited));
+    await rm(folder, { recursive: true });
+  }
+}
+
+async function deploy({ folder, run }: Bench): Promise<{
+  readonly entries: readonly Program[];
+  readonly agents: readonly Program[];
+  readonly ports: readonly unknown[];
+  readonly bronzeyoke: (args: readonly string[]) => Program;
+}> {
+  const start = async (name: string, file: string, changes: Fields): Promise<Program> => {
+    const path = join(folder, file);
+    await writeFile(path, await example(file, changes));
+    return run([join(folder, `${name}.mjs`), path]);
+  };
+  const kinds = ['table:0', 'upstream:0', 'upstream:0', 'worker:0', 'worker:0'];
+  const standins = run(['--import', 'tsx', 'packages/standins/src/main.ts', ...kinds]);
+  const { ports } = await lineWith(standins, 'ports', undefined);
+  const [table, ...others] = ports as readonly number[];
+  const free = at(0);
+  const entries = await Promise.all(
+    ['entry-hobart.jsonc', 'entry-launceston.jsonc'].map((file) =>
+      start('bronzeyoke-entry', file, {
+        callers: free,
+        agents: free,
+        metrics: free,
+        table: at(table),
+      }),
+    ),
+  );
+  const serving = await Promise.all(entries.map((entry) => lineWith(entry, 'msg', 'serving')));
+  const agents = await Promise.all(
+    ['hobart', 'launceston'].map((domain, index) =>
+      start('bronzeyoke-agent', `agent-${domain}.jsonc`, {
+        entries: serving.map((line) => at(line.agentPort)),
+        upstream: { service: 'quoter', address: at(others[index]), slots: 8, connections: 64 },
+        workerService: at(others[index + 2]),
+        metrics: free,
+      }),
+    ),
+  );
+  const callerPorts = serving.map((line) => line.callerPort);
+  const settings = join(folder, 'bronzeyoke.jsonc');
+  await writeFile(settings, JSON.stringify({ entries: callerPorts.map(at) }));
+  const bronzeyoke = (args: readonly string[]): Program =>
+    run([join(folder, 'bronzeyoke.mjs'), ...args, '--settings', settings, '--json']);
+  return { entries, agents, ports: callerPorts, bronzeyoke };
+}
+
+it('process: callers go on through the other entry when one is killed', async function test() {
+  this.timeout(2 * LIMIT_MS);
+  await withBundles(async (bench) => {
+    const { entries, agents, ports, bronzeyoke } = await deploy(bench);
+    const [first, second] = entries;
+    await until('the first entry', () => check(ports[0]));
+    await until('the second entry', () => check(ports[1]));
+    const out = bronzeyoke(['domain', 'out', 'burnie']);
+    expect(await out.exited).to.equal(0);
+
+    first?.child.kill('SIGKILL');
+    await first?.exited;
+    expect(await check(ports[0])).to.equal(undefined);
+    const answers = await Promise.all(Array.from({ length: 40 }, () => check(ports[1])));
+    expect(answers).to.deep.equal(answers.map(() => true));
+    const list = bronzeyoke(['upstream', 'list']);
+    expect(await list.exited).to.equal(0);
+
+    // The agents wait to reconnect to the first entry and must not have ended.
+    expect(agents.map(({ child }) => child.exitCode)).to.deep.equal([null, null]);
+    agents.forEach(({ child }) => child.kill('SIGTERM'));
+    expect(await Promise.all(agents.map(({ exited }) => exited))).to.deep.equal([0, 0]);
+    second?.child.kill('SIGTERM');
+    expect(await second?.exited).to.equal(0);
+    await Promise.all(
+      [...agents, ...entries.slice(1)].map((program) => lineWith(program, 'msg', 'handed over')),
+    );
+  });
+});
+
+it('process: a faulty settings file gives messages and exit code 2, no stack trace', async () => {
+  await withBundles(async ({ folder, run }) => {
+    const path = join(folder, 'faulty.jsonc');
+    await writeFile(path, '{"domain": "a b", "agent": 1}');
+    const runs = ['bronzeyoke-entry', 'bronzeyoke-agent'].map((name) =>
+      run([join(folder, `${name}.mjs`), path]),
+    );
+    expect(await Promise.all(runs.map(({ exited }) => exited))).to.deep.equal([2, 2]);
+    const text = runs.flatMap(({ lines }) => lines.map((line) => String(line.stderr)));
+    expect(text.filter((line) => !line.startsWith(`${path}:1:`))).to.deep.equal([]);
+    expect(text.join('\n')).to.contain('agent: unknown field');
+  });
+});
