--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,3 +1,4 @@
+import { createHttpWorker } from '@bronzeyoke/adapters';
 import type { AgentSettings } from '@bronzeyoke/settings';
 import { agentSettings, startProgram } from '@bronzeyoke/settings';
 import { createLog, startMetricsServer } from '@bronzeyoke/telemetry';
@@ -28,6 +29,9 @@
     profile: { worker, domain, region, rack, service, slots, connections, total },
     entries,
     upstream: createHttpUpstream({ ...upstream.address, connections }),
+    ...(settings.workerService === undefined
+      ? {}
+      : { worker: createHttpWorker(settings.workerService) }),
     onError: monitor.onError,
     observe: monitor.observe,
   });
@@ -35,10 +39,13 @@
   process.once('SIGINT', agent.stop);
   const fields = { agentId: agent.agentId, worker, domain, metricsPort: metrics?.port ?? 0 };
   log({ level: 'info', message: 'serving', fields });
-  await agent.stopped;
+  const failure = await agent.stopped;
   clearInterval(keepAlive);
   metrics?.close();
   log({ level: 'info', message: 'handed over', fields: { ...monitor.handOver() } });
+  if (failure === undefined) return;
+  log({ level: 'error', message: 'stopped by a failure', fields: { failure: failure.kind } });
+  process.exitCode = 1;
 }
 
 const started = await startProgram(agentSettings, {
