Connect the agent program to its worker

Cause: the program ignored the address of the worker in its settings and ended with 0 when another agent had replaced it. Change: `workerService` makes the HTTP worker adapter; a typed failure is logged and sets the exit code.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,3 +1,4 @@
+import { createHttpWorker } from '@bronzeyoke/adapters';
 import type { AgentSettings } from '@bronzeyoke/settings';
 import { agentSettings, startProgram } from '@bronzeyoke/settings';
 import { createLog, startMetricsServer } from '@bronzeyoke/telemetry';
@@ -14,7 +15,7 @@
 }
 
 async function run(settings: AgentSettings): Promise<void> {
-  const { worker, domain, region, rack, total, entries, upstream } = settings;
+  const { worker, domain, region, rack, total, entries, upstream, workerService } = settings;
   const { service, slots, connections } = upstream;
   const log = createLog(NAME, settings.logLevel);
   const monitor = createAgentMonitor(log);
@@ -28,6 +29,7 @@
     profile: { worker, domain, region, rack, service, slots, connections, total },
     entries,
     upstream: createHttpUpstream({ ...upstream.address, connections }),
+    ...(workerService === undefined ? {} : { worker: createHttpWorker(workerService) }),
     onError: monitor.onError,
     observe: monitor.observe,
   });
@@ -35,10 +37,14 @@
   process.once('SIGINT', agent.stop);
   const fields = { agentId: agent.agentId, worker, domain, metricsPort: metrics?.port ?? 0 };
   log({ level: 'info', message: 'serving', fields });
-  await agent.stopped;
+  const failure = await agent.stopped;
   clearInterval(keepAlive);
   metrics?.close();
   log({ level: 'info', message: 'handed over', fields: { ...monitor.handOver() } });
+  if (failure !== undefined) {
+    log({ level: 'error', message: 'stopped by a failure', fields: { ...failure } });
+    process.exitCode = 1;
+  }
 }
 
 const started = await startProgram(agentSettings, {
