--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -15,7 +15,7 @@
 }
 
 async function run(settings: AgentSettings): Promise<void> {
-  const { worker, domain, region, rack, total, entries, upstream } = settings;
+  const { worker, domain, region, rack, total, entries, upstream, workerService } = settings;
   const { service, slots, connections } = upstream;
   const log = createLog(NAME, settings.logLevel);
   const monitor = createAgentMonitor(log);
@@ -29,9 +29,7 @@
     profile: { worker, domain, region, rack, service, slots, connections, total },
     entries,
     upstream: createHttpUpstream({ ...upstream.address, connections }),
-    ...(settings.workerService === undefined
-      ? {}
-      : { worker: createHttpWorker(settings.workerService) }),
+    ...(workerService === undefined ? {} : { worker: createHttpWorker(workerService) }),
     onError: monitor.onError,
     observe: monitor.observe,
   });
@@ -43,9 +41,10 @@
   clearInterval(keepAlive);
   metrics?.close();
   log({ level: 'info', message: 'handed over', fields: { ...monitor.handOver() } });
-  if (failure === undefined) return;
-  log({ level: 'error', message: 'stopped by a failure', fields: { failure: failure.kind } });
-  process.exitCode = 1;
+  if (failure !== undefined) {
+    log({ level: 'error', message: 'stopped by a failure', fields: { ...failure } });
+    process.exitCode = 1;
+  }
 }
 
 const started = await startProgram(agentSettings, {
