List the numbers in force at all entries, and test a paused owner

whereTicket listed only the entry that was asked.

A new test pauses one of two entries for 25 s while the other takes its shards over, with lost replies (fast-check seed 53): no task runs twice and all finish.

--- a/packages/batch/src/shard.ts
+++ b/packages/batch/src/shard.ts
@@ -21,6 +21,7 @@
 
 const ALL_SHARDS = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
 
+const entrySchema = z.object({ domain: z.string(), number: z.int() });
 const ownerSchema = z.object({ ownerEntryId: z.string(), ownerEpoch: z.int() });
 
 /** The shards before the table was read. */
@@ -239,9 +240,11 @@
     state.roster.forEach((_, key) => {
       if (!present.has(key)) draft.delete(key);
     });
-    result.rows.forEach((row) =>
-      draft.set(row.key, sight(draft.get(row.key), row.version, context.nowMs)),
-    );
+    result.rows.forEach((row) => {
+      const { domain = '', number = 0 } = entrySchema.safeParse(row.value).data ?? {};
+      const sighting = sight(draft.get(row.key), row.version, context.nowMs);
+      draft.set(row.key, { ...sighting, domain, number });
+    });
   });
   const gone = [...roster].filter(
     ([, sighting]) => context.nowMs - sighting.sinceMs > FORGET_ENTRY_MS,
@@ -261,13 +264,21 @@
   return unchanged(cleaned);
 }
 
+/** The other entries that have renewed their rows lately, with the number in force there. */
+export function otherEntries(
+  state: BatchState,
+  nowMs: number,
+): readonly { readonly entryId: string; readonly domain: string; readonly number: number }[] {
+  return [...state.roster].flatMap(([key, { sinceMs, domain, number }]) =>
+    key !== keys.entry(state.entryId) && nowMs - sinceMs <= SHARD_TAKEOVER_MS
+      ? [{ entryId: key.slice(ROSTER_PREFIX.length), domain, number }]
+      : [],
+  );
+}
+
 /** How many shards each entry should own. */
 export function fairShare(state: BatchState, nowMs: number): number {
-  const others = [...state.roster].filter(
-    ([key, sighting]) =>
-      key !== keys.entry(state.entryId) && nowMs - sighting.sinceMs <= SHARD_TAKEOVER_MS,
-  );
-  return Math.ceil(SHARD_COUNT / (others.length + 1));
+  return Math.ceil(SHARD_COUNT / (otherEntries(state, nowMs).length + 1));
 }
 
 function sightShard(view: ShardView, rows: readonly Row[], nowMs: number): ShardView {
--- a/packages/batch/src/types.ts
+++ b/packages/batch/src/types.ts
@@ -89,6 +89,12 @@
   readonly sinceMs: number;
 }
 
+/** An entry that announced itself in the table, and the ticket number in force there. */
+export interface EntrySighting extends Sighting {
+  readonly domain: string;
+  readonly number: number;
+}
+
 /** Progress of loading a shard. */
 export interface LoadProgress {
   readonly stage: 'jobs' | 'tasks';
@@ -174,7 +180,7 @@
   readonly parts: Map<string, PartPurpose>;
   readonly calls: Map<string, CallPurpose>;
   readonly shards: Map<number, ShardView>;
-  readonly roster: Map<string, Sighting>;
+  readonly roster: Map<string, EntrySighting>;
   readonly isRosterKnown: boolean;
   readonly jobs: Map<string, JobRecord>;
   readonly tasks: Map<string, TaskRecord>;
--- a/packages/batch/test/decisions.test.ts
+++ b/packages/batch/test/decisions.test.ts
@@ -213,7 +213,7 @@
 it('shard: live entries share the shards, and silent ones stop counting', () => {
   const alone = createBatch('e0', 'hobart');
   expect(fairShare(alone, 0)).to.equal(16);
-  const seen = { version: 1, sinceMs: 0 };
+  const seen = { version: 1, sinceMs: 0, domain: 'hobart', number: 0 };
   const roster = alone.roster.set('entry/e0', seen).set('entry/e1', seen).set('entry/e2', seen);
   expect(fairShare({ ...alone, roster }, 12_000)).to.equal(6);
   expect(fairShare({ ...alone, roster }, 12_001)).to.equal(16);
--- a/packages/entry/src/admin.ts
+++ b/packages/entry/src/admin.ts
@@ -1,3 +1,4 @@
+import { otherEntries } from '@bronzeyoke/batch';
 import type { AdminCommand, AdminReply, InForce, Instant, Result, Step } from '@bronzeyoke/types';
 import { assertNever, succeed } from '@bronzeyoke/types';
 import { batch, tickets } from './control';
@@ -10,8 +11,8 @@
   return { state, effects: [{ kind: 'adminReply', callId, result }] };
 }
 
-/** Where a number is in force: this entry, and the agents that have confirmed it. */
-function inForce(state: EntryState): readonly InForce[] {
+/** Where which number is in force: at all live entries, and at the agents as they confirmed. */
+function inForce(state: EntryState, nowMs: number): readonly InForce[] {
   const own: InForce = {
     process: 'entry',
     id: state.entryId,
@@ -26,7 +27,13 @@
       number: ticketInForce,
     }),
   );
-  return [own, ...agents];
+  const others = otherEntries(state.batch, nowMs).map(({ entryId, domain, number }): InForce => ({
+    process: 'entry',
+    id: entryId,
+    domain,
+    number,
+  }));
+  return [own, ...others, ...agents];
 }
 
 /** Carries out an administration command. */
@@ -43,7 +50,11 @@
     case 'showConfiguration':
       return tickets(state, { kind: 'command', callId, command }, instant);
     case 'whereTicket':
-      return reply(state, callId, succeed({ kind: 'where', processes: inForce(state) }));
+      return reply(
+        state,
+        callId,
+        succeed({ kind: 'where', processes: inForce(state, instant.nowMs) }),
+      );
     case 'submitJob':
     case 'showJob':
     case 'cancelJob':
--- a/packages/entry/test/batch.test.ts
+++ b/packages/entry/test/batch.test.ts
@@ -105,6 +105,28 @@
   );
 });
 
+// A paused owner goes on with commits of a shard that another entry has taken and changed.
+it('batch: an owner that is paused while its shard is taken over starts nothing twice', () => {
+  fc.assert(
+    fc.property(fc.nat(1_000_000), fc.integer({ min: 0, max: 2_000 }), (seed, waitMs) => {
+      const faults = { untilMs: 40_000, lost: 0.2, down: 0 };
+      const world = new World({ seed, entries: 2, workers: 3, runMs: () => 2_500, faults });
+      world.runUntil(6_000);
+      submit(world, 0, 'a', submission('k', 60));
+      submit(world, 0, 'b', submission('k', 60, { team: 'certs' }));
+      world.runUntil(9_000 + waitMs);
+      world.pauseEntry(seed % 2, 25_000);
+      world.runUntil(130_000);
+      submit(world, 1, 'c', submission('k', 60));
+      world.runUntil(135_000);
+      const { tasks } = show(world, 1, 'quotes', statusOf(world, 'c').job.jobId);
+      expect(tasks.every((task) => task.row.state.kind === 'finished')).to.equal(true);
+      expect(faultsOf(world)).to.deep.equal([]);
+    }),
+    { seed: 53, numRuns: 6 },
+  );
+});
+
 it('batch: a cancelled job stops, and its claims in flight do not start', () => {
   fc.assert(
     fc.property(fc.nat(1_000_000), fc.integer({ min: 0, max: 3_000 }), (seed, waitMs) => {
@@ -137,6 +159,11 @@
   world.administer(1, 't', ticket);
   world.runUntil(80_000);
   expect(world.replies.get('t')?.ok).to.equal(true);
+  world.administer(0, 'where', { kind: 'whereTicket', number: 1 });
+  const where = world.replies.get('where');
+  const processes = where?.ok === true && where.value.kind === 'where' ? where.value.processes : [];
+  const entries = processes.filter((process) => process.process === 'entry');
+  expect(entries.map(({ id, number }) => `${id}@${number}`)).to.deep.equal(['e0@1', 'e1@1']);
   const inBurnie = world.runs.filter((run) => ['w1', 'w3'].includes(run.worker));
   expect(inBurnie.length).to.be.above(0);
   expect(inBurnie.filter((run) => run.fromMs > 17_000)).to.deep.equal([]);
--- a/packages/entry/test/world.ts
+++ b/packages/entry/test/world.ts
@@ -85,6 +85,8 @@
 
   private readonly entries: (EntryState | undefined)[];
 
+  private readonly pausedUntilMs = new Map<number, number>();
+
   private readonly generator;
 
   private queue: { readonly atMs: number; readonly order: number; readonly run: () => void }[] = [];
@@ -155,6 +157,11 @@
     );
   }
 
+  /** Stops an entry for a while; what happens to it meanwhile happens when it goes on. */
+  pauseEntry(entry: number, forMs: number): void {
+    this.pausedUntilMs.set(entry, this.nowMs + forMs);
+  }
+
   /** The core of an entry, for checks of its state. */
   entry(index: number): EntryState | undefined {
     return this.entries[index];
@@ -191,6 +198,11 @@
   private step(entry: number, event: EntryEvent): void {
     const state = this.entries[entry];
     if (state === undefined) return;
+    const pausedMs = (this.pausedUntilMs.get(entry) ?? 0) - this.nowMs;
+    if (pausedMs > 0) {
+      this.after(pausedMs, () => this.step(entry, event));
+      return;
+    }
     const step = stepEntry(state, event, { nowMs: this.nowMs, random: this.random() });
     this.entries[entry] = step.state;
     step.effects.forEach((effect) => this.perform(entry, state.entryId, effect));
