Log shards that an entry gains and loses

Cause: a move of a shard could be seen in the table service only. Change: the entry's monitor logs a shard that becomes owned or stops being owned.

--- a/packages/entry/src/monitor.ts
+++ b/packages/entry/src/monitor.ts
@@ -151,6 +151,15 @@
     }
   };
 
+  const logShards = (before: EntryState, after: EntryState): void => {
+    after.batch.shards.forEach((view, shard) => {
+      const isOwned = view.phase === 'owned';
+      const wasOwned = before.batch.shards.get(shard)?.phase === 'owned';
+      if (isOwned && !wasOwned) info('shard gained', { shard, ownerEpoch: view.ownerEpoch });
+      if (!isOwned && wasOwned) info('shard lost', { shard, phase: view.phase });
+    });
+  };
+
   const logChanges = (before: EntryState, after: EntryState): void => {
     if (before.role !== after.role) {
       info('role changed', { from: before.role, to: after.role });
@@ -161,6 +170,7 @@
     if (before.tickets.configuration.number !== after.tickets.configuration.number) {
       info('ticket in force', { number: after.tickets.configuration.number });
     }
+    if (before.batch.shards !== after.batch.shards) logShards(before, after);
     if (before.membership.byLink === after.membership.byLink) return;
     const known = before.membership.byLink;
     const now = after.membership.byLink;
