Fuzz callers' requests in virtual time against an oracle

The cores are pure, so several entries and agents can run in one process with a virtual clock. The harness adds an agenda with a deterministic order, connections that can be delayed, reordered, duplicated, cut one way or silenced, upstreams with faults, callers and operators.

--- /dev/null
+++ b/packages/harness/src/command.ts
@@ -0,0 +1,207 @@
+import { assertNever } from '@bronzeyoke/types';
+import { ask } from './caller';
+import { breakConnection } from './network';
+import { bootAgent, bootEntry, killProcess } from './process';
+import type { Connection, Mischief, Process, UpstreamMode, World } from './world';
+import { deliver, observe, siteName, updateProcess } from './world';
+
+/** What callers, operators and faults do to a world. Numbers choose among what exists at the time. */
+export type Command =
+  | { readonly kind: 'wait'; readonly durationMs: number }
+  | { readonly kind: 'ask'; readonly entry: number; readonly timeoutMs: number }
+  | {
+      readonly kind: 'askKeyed';
+      readonly entry: number;
+      readonly key: number;
+      readonly timeoutMs: number;
+    }
+  | { readonly kind: 'kill'; readonly role: Process['kind']; readonly which: number }
+  | { readonly kind: 'stop'; readonly role: Process['kind']; readonly which: number }
+  /** Starts a process at a site, also when one still runs there. */
+  | { readonly kind: 'boot'; readonly role: Process['kind']; readonly which: number }
+  | {
+      readonly kind: 'pause';
+      readonly role: Process['kind'];
+      readonly which: number;
+      readonly durationMs: number;
+    }
+  | {
+      readonly kind: 'jumpClock';
+      readonly role: Process['kind'];
+      readonly which: number;
+      readonly aheadMs: number;
+    }
+  | { readonly kind: 'breakLink'; readonly which: number }
+  | { readonly kind: 'silence'; readonly which: number }
+  | { readonly kind: 'mistreat'; readonly which: number; readonly mischief: Mischief }
+  | {
+      readonly kind: 'cut';
+      readonly agent: number;
+      readonly entry: number;
+      readonly direction: 'toEntry' | 'toAgent';
+    }
+  | { readonly kind: 'upstream'; readonly which: number; readonly mode: UpstreamMode }
+  | { readonly kind: 'heal' };
+
+function nth<Item>(items: readonly Item[], index: number): Item | undefined {
+  return items[index % Math.max(1, items.length)];
+}
+
+function processesOf(world: World, role: Process['kind']): readonly Process[] {
+  return world.processes
+    .valueSeq()
+    .filter(({ kind }) => kind === role)
+    .toArray();
+}
+
+function withProcess(
+  world: World,
+  role: Process['kind'],
+  which: number,
+  update: (process: Process) => World,
+): World {
+  const process = nth(processesOf(world, role), which);
+  return process === undefined ? world : update(process);
+}
+
+function withConnection(
+  world: World,
+  which: number,
+  update: (connection: Connection) => World,
+): World {
+  const connection = nth(world.connections.valueSeq().toArray(), which);
+  return connection === undefined ? world : update(connection);
+}
+
+function change(world: World, connection: Connection, part: Partial<Connection>): World {
+  const changed = { ...connection, ...part };
+  return { ...world, connections: world.connections.set(connection.connectionId, changed) };
+}
+
+function boot(world: World, role: Process['kind'], which: number): World {
+  switch (role) {
+    case 'entry': {
+      const site = nth(world.deployment.entries, which);
+      return site === undefined ? world : bootEntry(world, site);
+    }
+    case 'agent': {
+      const site = nth(world.deployment.workers, which);
+      return site === undefined ? world : bootAgent(world, site);
+    }
+    default:
+      return assertNever(role);
+  }
+}
+
+function stop(world: World, process: Process): World {
+  const { processId } = process;
+  const event = { kind: 'stop' } as const;
+  switch (process.kind) {
+    case 'entry':
+      return deliver(world, processId, { kind: 'entryEvent', event }, 0);
+    case 'agent':
+      return deliver(world, processId, { kind: 'agentEvent', event }, 0);
+    default:
+      return assertNever(process);
+  }
+}
+
+/** Bytes that a cut swallowed are lost to their connection, so it breaks when the cut heals. */
+function heal(world: World): World {
+  const isHurt = (connection: Connection): boolean => {
+    const agent = world.processes.get(connection.agentId);
+    const name = agent === undefined ? '' : siteName(agent);
+    const { entrySite } = connection;
+    return world.cuts.has(`${name}>${entrySite}`) || world.cuts.has(`${entrySite}>${name}`);
+  };
+  const broken = world.connections.valueSeq().filter(isHurt).reduce(breakConnection, world);
+  const healed: World = {
+    ...broken,
+    cuts: broken.cuts.clear(),
+    connections: broken.connections.map((connection) => ({ ...connection, mischief: 'none' })),
+    upstreams: broken.upstreams.map((upstream) => ({ ...upstream, mode: 'healthy' })),
+  };
+  const isManned = (name: string): boolean =>
+    healed.processes.some((process) => siteName(process) === name);
+  const withEntries = healed.deployment.entries
+    .filter(({ name }) => !isManned(name))
+    .reduce(bootEntry, healed);
+  return healed.deployment.workers
+    .filter(({ worker }) => !isManned(worker))
+    .reduce(bootAgent, withEntries);
+}
+
+/** Whether a command is a fault; planned stops and starts are not. */
+function isFault(command: Command): boolean {
+  return !['wait', 'ask', 'askKeyed', 'stop', 'heal'].includes(command.kind);
+}
+
+function act(world: World, command: Command): World {
+  switch (command.kind) {
+    case 'wait':
+      return world;
+    case 'ask':
+      return withProcess(world, 'entry', command.entry, ({ processId }) =>
+        ask(world, processId, undefined, command.timeoutMs),
+      );
+    case 'askKeyed':
+      return withProcess(world, 'entry', command.entry, ({ processId }) =>
+        ask(world, processId, `k${command.key}`, command.timeoutMs),
+      );
+    case 'kill':
+      return withProcess(world, command.role, command.which, ({ processId }) =>
+        killProcess(world, processId),
+      );
+    case 'stop':
+      return withProcess(world, command.role, command.which, (process) => stop(world, process));
+    case 'boot':
+      return boot(world, command.role, command.which);
+    case 'pause': {
+      const pausedUntilMs = world.nowMs + command.durationMs;
+      return withProcess(world, command.role, command.which, ({ processId }) =>
+        updateProcess(world, processId, (process) => ({ ...process, pausedUntilMs })),
+      );
+    }
+    case 'jumpClock':
+      return withProcess(world, command.role, command.which, ({ processId }) =>
+        updateProcess(world, processId, (process) => ({
+          ...process,
+          clockAheadMs: process.clockAheadMs + command.aheadMs,
+        })),
+      );
+    case 'breakLink':
+      return withConnection(world, command.which, (connection) =>
+        breakConnection(world, connection),
+      );
+    case 'silence':
+      return withConnection(world, command.which, (connection) =>
+        change(world, connection, { isSilent: true }),
+      );
+    case 'mistreat':
+      return withConnection(world, command.which, (connection) =>
+        change(world, connection, { mischief: command.mischief }),
+      );
+    case 'cut': {
+      const agent = nth(world.deployment.workers, command.agent)?.worker ?? '';
+      const entry = nth(world.deployment.entries, command.entry)?.name ?? '';
+      const cut = command.direction === 'toEntry' ? `${agent}>${entry}` : `${entry}>${agent}`;
+      return { ...world, cuts: world.cuts.set(cut, true) };
+    }
+    case 'upstream': {
+      const worker = nth(world.deployment.workers, command.which)?.worker ?? '';
+      const upstream = world.upstreams.get(worker);
+      if (upstream === undefined) return world;
+      const upstreams = world.upstreams.set(worker, { ...upstream, mode: command.mode });
+      return { ...world, upstreams };
+    }
+    case 'heal':
+      return heal(world);
+    default:
+      return assertNever(command);
+  }
+}
+
+/** Applies a command. The oracle is told of a fault, because it judges stops strictly without one. */
+export function applyCommand(world: World, command: Command): World {
+  return act(isFault(command) ? observe(world, { kind: 'disturbed' }) : world, command);
+}
--- /dev/null
+++ b/packages/harness/src/process.ts
@@ -0,0 +1,213 @@
+import type { AgentEffect, AgentEvent } from '@bronzeyoke/agent';
+import { createAgent } from '@bronzeyoke/agent';
+import type { EntryEffect, EntryEvent } from '@bronzeyoke/entry';
+import { createEntry } from '@bronzeyoke/entry';
+import { assertNever } from '@bronzeyoke/types';
+import { breakConnection, closeFrom, connectionTo, dial, sendOver } from './network';
+import type { EntrySite, WorkerSite } from './site';
+import { callUpstream } from './upstream';
+import type { AgentProcess, EntryProcess, Process, ProcessEvent, Waiting, World } from './world';
+import { chances, deliver, observe, schedule, updateProcess } from './world';
+
+const CALLER_JITTER_MS = 0.3;
+
+function addProcess(world: World, process: Process): World {
+  return {
+    ...world,
+    sequence: world.sequence + 1,
+    processes: world.processes.set(process.processId, process),
+  };
+}
+
+/** Starts an entry at a site. Each start makes a new id. */
+export function bootEntry(world: World, site: EntrySite): World {
+  const processId = `${site.name}.${world.sequence}`;
+  const state = createEntry(processId, site.domain);
+  return addProcess(world, {
+    kind: 'entry',
+    processId,
+    site,
+    state,
+    pausedUntilMs: 0,
+    clockAheadMs: 0,
+  });
+}
+
+/** Starts an agent beside a worker; it dials every entry. */
+export function bootAgent(world: World, site: WorkerSite): World {
+  const processId = `${site.worker}.${world.sequence}`;
+  const state = createAgent({ ...site, agentId: processId });
+  const added = addProcess(world, {
+    kind: 'agent',
+    processId,
+    site,
+    state,
+    pausedUntilMs: 0,
+    clockAheadMs: 0,
+  });
+  const started = deliver(added, processId, { kind: 'agentEvent', event: { kind: 'started' } }, 0);
+  return world.deployment.entries.reduce(
+    (current, entry) => dial(current, processId, entry.name, 0),
+    started,
+  );
+}
+
+function connectionsOf(world: World, processId: string) {
+  return world.connections
+    .valueSeq()
+    .filter(({ agentId, entryId }) => agentId === processId || entryId === processId)
+    .toArray();
+}
+
+function dropCallers(world: World, entryId: string): World {
+  const isCut = (waiting: Waiting): boolean =>
+    waiting.entryId === entryId && ['arrived', 'accepted'].includes(waiting.phase);
+  const cut = world.waiting.filter(isCut).keySeq();
+  return cut.reduce<World>(
+    (current, requestId) =>
+      schedule(current, world.deployment.callerDelayMs, {
+        kind: 'reply',
+        requestId,
+        entryId,
+        end: { kind: 'cut' },
+      }),
+    world,
+  );
+}
+
+function remove(world: World, processId: string): World {
+  return { ...world, processes: world.processes.delete(processId) };
+}
+
+/** Ends a process without warning: its connections break, and its callers are cut off. */
+export function killProcess(world: World, processId: string): World {
+  const broken = connectionsOf(world, processId).reduce(breakConnection, world);
+  return remove(dropCallers(broken, processId), processId);
+}
+
+/** Requests in progress at a process, as callers and upstreams see them. */
+function callsInProgress(world: World, process: Process): number {
+  const isOwn = (processId: string): boolean => processId === process.processId;
+  switch (process.kind) {
+    case 'entry':
+      return world.waiting.count(({ entryId, phase }) => phase === 'accepted' && isOwn(entryId));
+    case 'agent':
+      return world.upstreams.get(process.site.worker)?.calls.count(isOwn) ?? 0;
+    default:
+      return assertNever(process);
+  }
+}
+
+function exitProcess(world: World, process: Process): World {
+  const { processId } = process;
+  const cutCalls = callsInProgress(world, process);
+  const seen = observe(world, { kind: 'exited', processId, cutCalls });
+  const closed = connectionsOf(seen, processId).reduce(
+    (current, connection) => closeFrom(current, process.kind, connection),
+    seen,
+  );
+  return remove(dropCallers(closed, processId), processId);
+}
+
+function mark(world: World, requestId: string, phase: Waiting['phase']): World {
+  const waiting = world.waiting.get(requestId);
+  return waiting === undefined
+    ? world
+    : { ...world, waiting: world.waiting.set(requestId, { ...waiting, phase }) };
+}
+
+function performEntry(world: World, process: EntryProcess, effect: EntryEffect): World {
+  const { processId } = process;
+  const tell = (event: EntryEvent, afterMs: number): World =>
+    deliver(world, processId, { kind: 'entryEvent', event }, afterMs);
+  switch (effect.kind) {
+    case 'send':
+      return sendOver(world, effect.linkId, { kind: 'toAgent', message: effect.message });
+    case 'closeLink': {
+      const connection = world.connections.get(effect.linkId);
+      return connection === undefined ? world : closeFrom(world, 'entry', connection);
+    }
+    case 'reply': {
+      const { requestId, outcome } = effect;
+      const [jitter = 0] = chances(world, world.sequence, 1);
+      const afterMs = world.deployment.callerDelayMs + jitter * CALLER_JITTER_MS;
+      return schedule(mark(world, requestId, 'replied'), afterMs, {
+        kind: 'reply',
+        requestId,
+        entryId: processId,
+        end: outcome,
+      });
+    }
+    case 'storeIntent':
+      return tell({ kind: 'intentFailed', requestId: effect.intent.requestId }, 0);
+    case 'wake':
+      return tell({ kind: 'timer', timer: effect.timer }, effect.afterMs);
+    case 'exit':
+      return exitProcess(world, process);
+    default:
+      return assertNever(effect);
+  }
+}
+
+function performAgent(world: World, process: AgentProcess, effect: AgentEffect): World {
+  const { processId } = process;
+  const tell = (event: AgentEvent, afterMs: number): World =>
+    deliver(world, processId, { kind: 'agentEvent', event }, afterMs);
+  switch (effect.kind) {
+    case 'send': {
+      const connection = connectionTo(world, processId, effect.linkId);
+      const payload = { kind: 'toEntry', message: effect.message } as const;
+      return connection === undefined ? world : sendOver(world, connection.connectionId, payload);
+    }
+    case 'callUpstream':
+      return callUpstream(world, process, effect.attempt, effect.timeoutMs);
+    case 'wake':
+      return tell({ kind: 'timer', timer: effect.timer }, effect.afterMs);
+    case 'exit':
+      return exitProcess(world, process);
+    default:
+      return assertNever(effect);
+  }
+}
+
+function decide(world: World, process: Process, event: ProcessEvent): World {
+  const instant = { nowMs: world.nowMs + process.clockAheadMs, random: world.random };
+  const { processId } = process;
+  switch (process.kind) {
+    case 'entry': {
+      if (event.kind !== 'entryEvent') return world;
+      const step = world.decisions.entry(process.state, event.event, instant);
+      const stepped = updateProcess(world, processId, () => ({ ...process, state: step.state }));
+      return step.effects.reduce(
+        (current, effect) => performEntry(current, process, effect),
+        stepped,
+      );
+    }
+    case 'agent': {
+      if (event.kind !== 'agentEvent') return world;
+      const step = world.decisions.agent(process.state, event.event, instant);
+      const stepped = updateProcess(world, processId, () => ({ ...process, state: step.state }));
+      return step.effects.reduce(
+        (current, effect) => performAgent(current, process, effect),
+        stepped,
+      );
+    }
+    default:
+      return assertNever(process);
+  }
+}
+
+/** Lets a process decide on an event. A paused process takes it when it goes on. */
+export function handleEvent(world: World, processId: string, event: ProcessEvent): World {
+  const process = world.processes.get(processId);
+  if (process === undefined) return world;
+  if (process.pausedUntilMs > world.nowMs) {
+    return deliver(world, processId, event, process.pausedUntilMs - world.nowMs);
+  }
+  // A paused process learns of its planned stop, and can keep to it, only when it goes on.
+  const seen =
+    event.event.kind === 'stop' ? observe(world, { kind: 'stopping', processId }) : world;
+  const accepted =
+    event.event.kind === 'arrived' ? mark(seen, event.event.request.requestId, 'accepted') : seen;
+  return decide({ ...accepted, steps: seen.steps + 1 }, process, event);
+}
--- /dev/null
+++ b/packages/harness/src/simulate.ts
@@ -0,0 +1,116 @@
+import { List, Map, OrderedMap } from 'immutable';
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
+import { stepAgent } from '@bronzeyoke/agent';
+import { stepEntry } from '@bronzeyoke/entry';
+import { assertNever } from '@bronzeyoke/types';
+import { pop } from './agenda';
+import { arriveAtEntry, endRequest, offerLoad } from './caller';
+import { arrive, dial } from './network';
+import { NEW_ORACLE } from './oracle';
+import { bootAgent, bootEntry, handleEvent } from './process';
+import type { Deployment } from './site';
+import { endCall } from './upstream';
+import type { Decisions, Happening, Switches, World } from './world';
+import { observe } from './world';
+
+/** What a run is made of. */
+export interface WorldOptions {
+  readonly deployment: Deployment;
+  readonly isJudged: boolean;
+  readonly decisions: Decisions;
+  readonly switches: Switches;
+}
+
+/** The decisions of the product, unchanged. */
+export const PRODUCT_DECISIONS: Decisions = { entry: stepEntry, agent: stepAgent };
+
+/** Fakes that keep to their contracts. */
+export const HONEST: Switches = { crossesAnswers: false };
+
+/** A world with one entry and one agent at every site, at time 0. */
+export function createWorld(options: WorldOptions): World {
+  const { deployment } = options;
+  const empty: World = {
+    ...options,
+    nowMs: 0,
+    random: 0,
+    sequence: 1,
+    agenda: undefined,
+    processes: Map(),
+    connections: Map(),
+    dialled: Map(),
+    upstreams: Map(
+      deployment.workers.map(({ worker }) => [worker, { mode: 'healthy', calls: Map() }]),
+    ),
+    waiting: OrderedMap(),
+    cuts: Map(),
+    oracle: NEW_ORACLE,
+    steps: 0,
+    tally: { endings: List(), runs: 0 },
+  };
+  const withEntries = deployment.entries.reduce(bootEntry, empty);
+  return deployment.workers.reduce((world, site) => {
+    const { worker, domain, total } = site;
+    return bootAgent(observe(world, { kind: 'workerAdded', worker, domain, total }), site);
+  }, withEntries);
+}
+
+function happen(world: World, item: Happening): World {
+  switch (item.kind) {
+    case 'deliver':
+      return handleEvent(world, item.processId, item.event);
+    case 'arrive':
+      return arrive(world, item.connectionId, item.payload);
+    case 'dial':
+      return dial(world, item.agentId, item.entrySite, item.retryMs);
+    case 'upstreamEnd':
+      return endCall(world, item.worker, item.callId, item.event);
+    case 'reply':
+      return endRequest(world, item.requestId, item.end);
+    case 'callerArrives':
+      return arriveAtEntry(world, item.request);
+    case 'offerLoad':
+      return offerLoad(world, item.load);
+    default:
+      return assertNever(item);
+  }
+}
+
+/** Lets the earliest happening take place. */
+export function stepWorld(world: World, random: number): World {
+  const { agenda } = world;
+  if (agenda === undefined) return world;
+  const { atMs, item } = agenda.due;
+  return happen(
+    { ...world, nowMs: Math.max(world.nowMs, atMs), random, agenda: pop(agenda) },
+    item,
+  );
+}
+
+/** Owns a world and its random numbers. */
+export interface Simulation {
+  readonly world: () => World;
+  readonly change: (update: (world: World) => World) => void;
+  /** Lets virtual time pass. */
+  readonly runFor: (durationMs: number) => void;
+}
+
+/** Starts a run. The same options and seed give the same run. */
+export function simulate(options: WorldOptions, seed: number): Simulation {
+  const generator = xoroshiro128plus(seed);
+  let current = createWorld({ ...options });
+  return {
+    world: () => current,
+    change: (update) => {
+      current = update({ ...current, random: uniformFloat64(generator) });
+    },
+    runFor: (durationMs) => {
+      const untilMs = current.nowMs + durationMs;
+      while (current.agenda !== undefined && current.agenda.due.atMs <= untilMs) {
+        current = stepWorld(current, uniformFloat64(generator));
+      }
+      current = { ...current, nowMs: untilMs };
+    },
+  };
+}
--- /dev/null
+++ b/packages/harness/src/upstream.ts
@@ -0,0 +1,125 @@
+import type { Attempt } from '@bronzeyoke/admission';
+import type { AgentEvent } from '@bronzeyoke/agent';
+import type { CallerRequest } from '@bronzeyoke/types';
+import { assertNever, draws } from '@bronzeyoke/types';
+import { answerTo, bodyOf } from './body';
+import type { AgentProcess, World } from './world';
+import { deliver, observe, schedule } from './world';
+
+const SLOW_FACTOR = 10;
+const FAILING_AFTER_MS = 0.5;
+const NOT_REACHED_AFTER_MS = 0.1;
+
+/** Header by which the upstream tells submissions apart that share an idempotency key. */
+export const SUBMISSION_HEADER = 'x-submission';
+
+function spread(requestId: string): number {
+  // The golden ratio spreads consecutive numbers evenly over [0, 1).
+  return (Number(requestId.slice(1)) * 0.618_033_988_749_895) % 1;
+}
+
+/** Time that a request needs at a healthy upstream. The same request needs the same everywhere. */
+export function serviceMs(world: World, requestId: string): number {
+  const [one = 0.5, two = 0.5] = draws(spread(requestId), 2);
+  const normal = Math.sqrt(-2 * Math.log(1 - one)) * Math.cos(2 * Math.PI * two);
+  return world.deployment.serviceMedianMs * Math.exp(normal * world.deployment.serviceSpread);
+}
+
+function endLater(
+  world: World,
+  worker: string,
+  attemptId: string,
+  event: AgentEvent,
+  afterMs: number,
+): World {
+  return schedule(world, afterMs, { kind: 'upstreamEnd', worker, callId: attemptId, event });
+}
+
+/** Calls the upstream beside an agent. */
+export function callUpstream(
+  world: World,
+  agent: AgentProcess,
+  attempt: Attempt,
+  timeoutMs: number,
+): World {
+  const { worker } = agent.site;
+  const { attemptId } = attempt;
+  const requestId = attempt.headers[SUBMISSION_HEADER] ?? '';
+  const upstream = world.upstreams.get(worker);
+  if (upstream === undefined || upstream.mode === 'unreachable') {
+    const event = { kind: 'upstreamNotReached', attemptId } as const;
+    return deliver(world, agent.processId, { kind: 'agentEvent', event }, NOT_REACHED_AFTER_MS);
+  }
+  const seen = observe(world, {
+    kind: 'ran',
+    requestId,
+    key: attempt.idempotencyKey,
+    agentId: agent.processId,
+  });
+  const calls = upstream.calls.set(attemptId, agent.processId);
+  const busy = {
+    ...seen,
+    tally: { ...seen.tally, runs: seen.tally.runs + 1 },
+    upstreams: seen.upstreams.set(worker, { ...upstream, calls }),
+  };
+  const lost = { kind: 'upstreamLost', attemptId } as const;
+  const neededMs = serviceMs(world, requestId) * (upstream.mode === 'slow' ? SLOW_FACTOR : 1);
+  switch (upstream.mode) {
+    case 'failing':
+      return endLater(
+        busy,
+        worker,
+        attemptId,
+        { ...lost, reason: 'upstreamFailed' },
+        FAILING_AFTER_MS,
+      );
+    case 'silent':
+      return endLater(busy, worker, attemptId, { ...lost, reason: 'deadlineExpired' }, timeoutMs);
+    case 'healthy':
+    case 'slow': {
+      if (neededMs > timeoutMs) {
+        return endLater(busy, worker, attemptId, { ...lost, reason: 'deadlineExpired' }, timeoutMs);
+      }
+      const body = world.switches.crossesAnswers ? bodyOf('another request') : attempt.body;
+      const answer = answerTo(body);
+      return endLater(
+        busy,
+        worker,
+        attemptId,
+        { kind: 'upstreamAnswered', attemptId, answer },
+        neededMs,
+      );
+    }
+    default:
+      return assertNever(upstream.mode);
+  }
+}
+
+/** Ends a call at the upstream; the agent hears of it if it still runs. */
+export function endCall(world: World, worker: string, callId: string, event: AgentEvent): World {
+  const upstream = world.upstreams.get(worker);
+  const agentId = upstream?.calls.get(callId);
+  if (upstream === undefined || agentId === undefined) return world;
+  const calls = upstream.calls.delete(callId);
+  const upstreams = world.upstreams.set(worker, { ...upstream, calls });
+  return deliver({ ...world, upstreams }, agentId, { kind: 'agentEvent', event }, 0);
+}
+
+/** A caller's request. Repeats of a key have the same body. */
+export function requestOf(
+  world: World,
+  requestId: string,
+  key: string | undefined,
+  timeoutMs: number,
+): CallerRequest {
+  return {
+    requestId,
+    service: world.deployment.service,
+    method: 'POST',
+    path: '/price',
+    headers: { [SUBMISSION_HEADER]: requestId },
+    body: bodyOf(key ?? requestId),
+    timeoutMs,
+    ...(key === undefined ? {} : { idempotencyKey: key }),
+  };
+}
--- /dev/null
+++ b/packages/harness/src/witness.ts
@@ -0,0 +1,146 @@
+import { Map } from 'immutable';
+import type { Row } from '@bronzeyoke/ports';
+import { NO_RESOURCES, addResources, fitsIn, taskKey } from '@bronzeyoke/types';
+import { z } from 'zod';
+import type { Observation } from './observation';
+import type { OracleState, SeenTask } from './oracle';
+import { expectThat } from './oracle';
+
+/** P4: no task starts in a domain later than this after it was taken out. */
+export const DOMAIN_BOUND_MS = 5_000;
+
+/** P10: an accepted configuration is in force everywhere after this time. */
+export const FORCE_BOUND_MS = 13_000;
+
+const NEW_TASK: SeenTask = { runningOn: Map(), startedEpoch: 0, isOver: false };
+
+type Started = Extract<Observation, { readonly kind: 'taskStarted' }>;
+type Ended = Extract<Observation, { readonly kind: 'taskEnded' }>;
+
+/** A worker started a task: P1, P2, P3 and P4. */
+export function judgeTaskStarted(state: OracleState, seen: Started, atMs: number): OracleState {
+  const { worker, id, epoch } = seen;
+  const name = taskKey(id);
+  const task = state.tasks.get(name, NEW_TASK);
+  const others = task.runningOn.delete(worker);
+  const host = state.workers.get(worker);
+  const reserved = (host?.reserved ?? Map()).set(name, seen.reserved);
+  const used = reserved.reduce((sum, amount) => addResources(sum, amount), NO_RESOURCES);
+  const outForMs = atMs - state.domainsOutSince.get(host?.domain ?? '', atMs);
+  const next: OracleState = {
+    ...state,
+    workers: host === undefined ? state.workers : state.workers.set(worker, { ...host, reserved }),
+    tasks: state.tasks.set(name, {
+      ...task,
+      startedEpoch: Math.max(task.startedEpoch, epoch),
+      runningOn: task.runningOn.set(worker, epoch),
+    }),
+  };
+  const checks = [
+    ['P1', host !== undefined && fitsIn(used, host.total), `${worker} is overcommitted`],
+    ['P2', others.isEmpty(), `${name} runs on ${worker} and ${others.keySeq().join()}`],
+    ['P3', epoch > task.startedEpoch, `${name} started again at epoch ${epoch}`],
+    ['P3', !task.isOver, `${name} started after its end was recorded`],
+    ['P3', seen.checkpointRef === task.rowRef, `${name} resumed from the wrong checkpoint`],
+    ['P4', outForMs <= DOMAIN_BOUND_MS, `${name} started in ${host?.domain ?? ''}, which is out`],
+  ] as const;
+  return checks.reduce(
+    (current, [promise, holds, what]) => expectThat(current, holds, promise, atMs, () => what),
+    next,
+  );
+}
+
+/** A task stopped running on a worker, for whatever reason. */
+export function judgeTaskEnded(state: OracleState, seen: Ended): OracleState {
+  const name = taskKey(seen.id);
+  const task = state.tasks.get(name, NEW_TASK);
+  const host = state.workers.get(seen.worker);
+  return {
+    ...state,
+    tasks: state.tasks.set(name, { ...task, runningOn: task.runningOn.delete(seen.worker) }),
+    workers:
+      host === undefined
+        ? state.workers
+        : state.workers.set(seen.worker, { ...host, reserved: host.reserved.delete(name) }),
+  };
+}
+
+const headSchema = z.object({ number: z.number() });
+const domainSchema = z.object({ state: z.enum(['in', 'out']) });
+const taskSchema = z.object({
+  epoch: z.number(),
+  state: z.object({ kind: z.string(), checkpointRef: z.string().optional() }),
+});
+
+function judgeHead(state: OracleState, value: unknown, atMs: number): OracleState {
+  const { number } = headSchema.parse(value);
+  const next = {
+    ...state,
+    headNumber: number,
+    acceptedAt: state.acceptedAt.set(number, atMs),
+  };
+  const isNext = number === state.headNumber + 1;
+  return expectThat(next, isNext, 'P10', atMs, () => `head ${state.headNumber} became ${number}`);
+}
+
+function judgeTicket(state: OracleState, row: Row, atMs: number): OracleState {
+  const text = JSON.stringify(row.value);
+  const before = state.ticketTexts.get(row.key);
+  const next = { ...state, ticketTexts: state.ticketTexts.set(row.key, text) };
+  return expectThat(next, before === undefined, 'P10', atMs, () => `${row.key} was written twice`);
+}
+
+function judgeDomain(state: OracleState, name: string, value: unknown, atMs: number): OracleState {
+  const isOut = domainSchema.parse(value).state === 'out';
+  const since = state.domainsOutSince.get(name, atMs);
+  return {
+    ...state,
+    domainsOutSince: isOut
+      ? state.domainsOutSince.set(name, since)
+      : state.domainsOutSince.delete(name),
+  };
+}
+
+function judgeTask(state: OracleState, key: string, value: unknown, atMs: number): OracleState {
+  const row = taskSchema.parse(value);
+  const name = key.split('/').slice(2).join('/');
+  const task = state.tasks.get(name, NEW_TASK);
+  const isOver = row.state.kind === 'finished' || row.state.kind === 'cancelled';
+  const rowRef = row.state.checkpointRef;
+  const next = { ...state, tasks: state.tasks.set(name, { ...task, isOver, rowRef }) };
+  return expectThat(next, !task.isOver, 'P3', atMs, () => `${name} changed after its end`);
+}
+
+/** The table committed a row: P3 and P10. */
+export function judgeRow(state: OracleState, row: Row, atMs: number): OracleState {
+  const [table = '', name = ''] = row.key.split('/');
+  if (row.key === 'ticket/head') return judgeHead(state, row.value, atMs);
+  if (table === 'ticket') return judgeTicket(state, row, atMs);
+  if (table === 'domain') return judgeDomain(state, name, row.value, atMs);
+  if (table === 'task') return judgeTask(state, row.key, row.value, atMs);
+  return state;
+}
+
+/** An operator saw a configuration at a process: P10. */
+export function judgeConfigurationShown(
+  state: OracleState,
+  processId: string,
+  number: number,
+  atMs: number,
+): OracleState {
+  const before = state.shownNumbers.get(processId, 0);
+  const due = state.acceptedAt
+    .filter((acceptedMs) => state.isCalm && atMs - acceptedMs > FORCE_BOUND_MS)
+    .keySeq()
+    .max();
+  const next = { ...state, shownNumbers: state.shownNumbers.set(processId, number) };
+  const checks = [
+    [number >= before, `${processId} went back from ${before} to ${number}`],
+    [number >= (due ?? 0), `${processId} shows ${number}, but ${due ?? 0} is due`],
+    [number <= state.headNumber, `${processId} shows ${number}, which was not accepted`],
+  ] as const;
+  return checks.reduce(
+    (current, [holds, what]) => expectThat(current, holds, 'P10', atMs, () => what),
+    next,
+  );
+}
--- /dev/null
+++ b/packages/harness/test/agenda.test.ts
@@ -0,0 +1,26 @@
+import { expect } from 'chai';
+import type { Heap } from '@bronzeyoke/harness';
+import { pop, push } from '@bronzeyoke/harness';
+import fc from 'fast-check';
+
+function drain(heap: Heap<number>, taken: readonly number[] = []): readonly number[] {
+  return heap === undefined ? taken : drain(pop(heap), [...taken, heap.due.item]);
+}
+
+// An agenda that swaps equal times would make a seed give different runs after a harmless change.
+it('agenda: takes items by time and, at equal times, in the order of their addition', () => {
+  fc.assert(
+    fc.property(fc.array(fc.nat({ max: 20 }), { maxLength: 100 }), (times) => {
+      const heap = times.reduce<Heap<number>>(
+        (current, atMs, sequence) => push(current, { atMs, sequence, item: sequence }),
+        undefined,
+      );
+      const expected = times
+        .map((atMs, sequence) => ({ atMs, sequence }))
+        .toSorted((one, other) => one.atMs - other.atMs || one.sequence - other.sequence)
+        .map(({ sequence }) => sequence);
+      expect(drain(heap)).to.deep.equal(expected);
+    }),
+    { seed: 7, numRuns: 100 },
+  );
+});
