--- a/packages/harness/src/command.ts
+++ b/packages/harness/src/command.ts
@@ -1,6 +1,7 @@
 import { assertNever } from '@bronzeyoke/types';
 import { ask } from './caller';
 import { breakConnection } from './network';
+import { giveCommand } from './operator';
 import { bootAgent, bootEntry, killProcess } from './process';
 import type { Connection, Mischief, Process, UpstreamMode, World } from './world';
 import { deliver, observe, siteName, updateProcess } from './world';
@@ -41,6 +42,15 @@
       readonly direction: 'toEntry' | 'toAgent';
     }
   | { readonly kind: 'upstream'; readonly which: number; readonly mode: UpstreamMode }
+  | { readonly kind: 'store'; readonly fault: 'none' | 'down' | 'slow' | 'losesReplies' }
+  /** An operator takes a domain out or in; two of these at once race for a number. */
+  | {
+      readonly kind: 'ticket';
+      readonly entry: number;
+      readonly domain: number;
+      readonly state: 'in' | 'out';
+    }
+  | { readonly kind: 'showConfiguration'; readonly entry: number }
   | { readonly kind: 'heal' };
 
 function nth<Item>(items: readonly Item[], index: number): Item | undefined {
@@ -106,6 +116,10 @@
   }
 }
 
+function domainsOf(world: World): readonly string[] {
+  return [...new Set(world.deployment.workers.map(({ domain }) => domain))];
+}
+
 /** Bytes that a cut swallowed are lost to their connection, so it breaks when the cut heals. */
 function heal(world: World): World {
   const isHurt = (connection: Connection): boolean => {
@@ -118,6 +132,7 @@
   const healed: World = {
     ...broken,
     cuts: broken.cuts.clear(),
+    store: { ...broken.store, isDown: false, isSlow: false, losesReplies: false },
     connections: broken.connections.map((connection) => ({ ...connection, mischief: 'none' })),
     upstreams: broken.upstreams.map((upstream) => ({ ...upstream, mode: 'healthy' })),
   };
@@ -131,9 +146,19 @@
     .reduce(bootAgent, withEntries);
 }
 
+const CALM_KINDS: ReadonlySet<Command['kind']> = new Set([
+  'wait',
+  'ask',
+  'askKeyed',
+  'stop',
+  'ticket',
+  'showConfiguration',
+  'heal',
+]);
+
 /** Whether a command is a fault; planned stops and starts are not. */
 function isFault(command: Command): boolean {
-  return !['wait', 'ask', 'askKeyed', 'stop', 'heal'].includes(command.kind);
+  return !CALM_KINDS.has(command.kind);
 }
 
 function act(world: World, command: Command): World {
@@ -194,6 +219,32 @@
       const upstreams = world.upstreams.set(worker, { ...upstream, mode: command.mode });
       return { ...world, upstreams };
     }
+    case 'store': {
+      const { fault } = command;
+      const store = {
+        ...world.store,
+        isDown: fault === 'down',
+        isSlow: fault === 'slow',
+        losesReplies: fault === 'losesReplies',
+      };
+      return { ...world, store };
+    }
+    case 'ticket': {
+      const name = nth(domainsOf(world), command.domain) ?? '';
+      const change = { kind: 'domain', name, state: command.state } as const;
+      return withProcess(world, 'entry', command.entry, ({ processId }) =>
+        giveCommand(world, processId, {
+          kind: 'applyTicket',
+          author: 'operator',
+          number: world.office.headNumber + 1,
+          changes: [change],
+        }),
+      );
+    }
+    case 'showConfiguration':
+      return withProcess(world, 'entry', command.entry, ({ processId }) =>
+        giveCommand(world, processId, { kind: 'showConfiguration' }),
+      );
     case 'heal':
       return heal(world);
     default:
--- a/packages/harness/src/fuzz.ts
+++ b/packages/harness/src/fuzz.ts
@@ -54,6 +54,13 @@
   fc.record({ kind: fc.constant('ask' as const), entry: which, timeoutMs }),
   fc.record({ kind: fc.constant('askKeyed' as const), entry: which, key: which, timeoutMs }),
   fc.record({ kind: fc.constant('stop' as const), role, which }),
+  fc.record({
+    kind: fc.constant('ticket' as const),
+    entry: which,
+    domain: fc.nat({ max: 3 }),
+    state: fc.constantFrom('in' as const, 'out'),
+  }),
+  fc.record({ kind: fc.constant('showConfiguration' as const), entry: which }),
   fc.record({
     kind: fc.constant('wait' as const),
     durationMs: fc.constantFrom(1, 10, 100, 1_000, 10_000),
@@ -95,6 +102,10 @@
     which,
     mode: fc.constantFrom('healthy' as const, 'slow', 'failing', 'silent', 'unreachable'),
   }),
+  fc.record({
+    kind: fc.constant('store' as const),
+    fault: fc.constantFrom('none' as const, 'down', 'slow', 'losesReplies'),
+  }),
   fc.constant<Command>({ kind: 'heal' }),
 ];
 
--- a/packages/harness/src/process.ts
+++ b/packages/harness/src/process.ts
@@ -1,16 +1,21 @@
 import type { AgentEffect, AgentEvent } from '@bronzeyoke/agent';
 import { createAgent } from '@bronzeyoke/agent';
 import type { EntryEffect, EntryEvent } from '@bronzeyoke/entry';
-import { createEntry } from '@bronzeyoke/entry';
+import { INITIAL_BUDGET, createEntry } from '@bronzeyoke/entry';
 import { assertNever } from '@bronzeyoke/types';
 import { breakConnection, closeFrom, connectionTo, dial, sendOver } from './network';
+import { hear } from './operator';
 import type { EntrySite, WorkerSite } from './site';
+import { changeBudget } from './store';
 import { callUpstream } from './upstream';
 import type { AgentProcess, EntryProcess, Process, ProcessEvent, Waiting, World } from './world';
 import { chances, deliver, observe, schedule, updateProcess } from './world';
 
 const CALLER_JITTER_MS = 0.3;
 
+/** Wall-clock time at virtual time 0. */
+export const WALL_OFFSET_MS = 1_800_000_000_000;
+
 function addProcess(world: World, process: Process): World {
   return {
     ...world,
@@ -23,14 +28,17 @@
 export function bootEntry(world: World, site: EntrySite): World {
   const processId = `${site.name}.${world.sequence}`;
   const state = createEntry(processId, site.domain);
-  return addProcess(world, {
+  const added = addProcess(world, {
     kind: 'entry',
     processId,
     site,
     state,
+    budget: INITIAL_BUDGET,
     pausedUntilMs: 0,
     clockAheadMs: 0,
   });
+  const event = { kind: 'started', wallOffsetMs: WALL_OFFSET_MS } as const;
+  return deliver(added, processId, { kind: 'entryEvent', event }, 0);
 }
 
 /** Starts an agent beside a worker; it dials every entry. */
@@ -140,6 +148,12 @@
     }
     case 'storeIntent':
       return tell({ kind: 'intentFailed', requestId: effect.intent.requestId }, 0);
+    case 'commit':
+    case 'read':
+    case 'scan':
+      return changeBudget(world, processId, { kind: 'access', access: effect });
+    case 'adminReply':
+      return hear(world, processId, effect.result);
     case 'wake':
       return tell({ kind: 'timer', timer: effect.timer }, effect.afterMs);
     case 'exit':
--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -3,6 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { stepAgent } from '@bronzeyoke/agent';
 import { stepEntry } from '@bronzeyoke/entry';
+import { EMPTY_TABLE } from '@bronzeyoke/standins';
 import { assertNever } from '@bronzeyoke/types';
 import { pop } from './agenda';
 import { arriveAtEntry, endRequest, offerLoad } from './caller';
@@ -10,6 +11,7 @@
 import { NEW_ORACLE } from './oracle';
 import { bootAgent, bootEntry, handleEvent } from './process';
 import type { Deployment } from './site';
+import { callStore, changeBudget } from './store';
 import { endCall } from './upstream';
 import type { Decisions, Happening, Switches, World } from './world';
 import { observe } from './world';
@@ -43,6 +45,16 @@
     upstreams: Map(
       deployment.workers.map(({ worker }) => [worker, { mode: 'healthy', calls: Map() }]),
     ),
+    store: {
+      rows: EMPTY_TABLE,
+      isDown: false,
+      isSlow: false,
+      losesReplies: false,
+      transactions: 0,
+      rowsWritten: 0,
+      reads: 0,
+    },
+    office: { headNumber: 0, jobs: Map() },
     waiting: OrderedMap(),
     cuts: Map(),
     oracle: NEW_ORACLE,
@@ -68,6 +80,10 @@
       return endCall(world, item.worker, item.callId, item.event);
     case 'reply':
       return endRequest(world, item.requestId, item.end);
+    case 'storeCall':
+      return callStore(world, item.processId, item.access);
+    case 'budget':
+      return changeBudget(world, item.processId, item.event);
     case 'callerArrives':
       return arriveAtEntry(world, item.request);
     case 'offerLoad':
--- a/packages/harness/src/witness.ts
+++ b/packages/harness/src/witness.ts
@@ -66,7 +66,7 @@
 }
 
 const headSchema = z.object({ number: z.number() });
-const domainSchema = z.object({ state: z.enum(['in', 'out']) });
+const domainSchema = z.object({ state: z.object({ state: z.enum(['in', 'out']) }) });
 const taskSchema = z.object({
   epoch: z.number(),
   state: z.object({ kind: z.string(), checkpointRef: z.string().optional() }),
@@ -91,7 +91,7 @@
 }
 
 function judgeDomain(state: OracleState, name: string, value: unknown, atMs: number): OracleState {
-  const isOut = domainSchema.parse(value).state === 'out';
+  const isOut = domainSchema.parse(value).state.state === 'out';
   const since = state.domainsOutSince.get(name, atMs);
   return {
     ...state,
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -1,6 +1,14 @@
 import type { List, Map, OrderedMap } from 'immutable';
 import type { AgentEvent, AgentState, stepAgent } from '@bronzeyoke/agent';
-import type { EntryEvent, EntryState, stepEntry } from '@bronzeyoke/entry';
+import type {
+  BudgetEvent,
+  BudgetState,
+  EntryEvent,
+  EntryState,
+  stepEntry,
+} from '@bronzeyoke/entry';
+import type { StoreEffect } from '@bronzeyoke/ports';
+import type { TableState } from '@bronzeyoke/standins';
 import type { CallerRequest } from '@bronzeyoke/types';
 import { draws } from '@bronzeyoke/types';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
@@ -24,6 +32,7 @@
   readonly kind: 'entry';
   readonly site: EntrySite;
   readonly state: EntryState;
+  readonly budget: BudgetState;
 }
 
 /** A running agent. */
@@ -71,6 +80,25 @@
 /** How an upstream behaves. */
 export type UpstreamMode = 'healthy' | 'slow' | 'failing' | 'silent' | 'unreachable';
 
+/** The table service with its faults, and what it was used for. */
+export interface Store {
+  readonly rows: TableState;
+  readonly isDown: boolean;
+  readonly isSlow: boolean;
+  /** Transactions take effect, but their results do not arrive. */
+  readonly losesReplies: boolean;
+  readonly transactions: number;
+  readonly rowsWritten: number;
+  readonly reads: number;
+}
+
+/** What operators and teams were told. */
+export interface Office {
+  readonly headNumber: number;
+  /** Team of each accepted job. */
+  readonly jobs: Map<string, string>;
+}
+
 /** The upstream beside a worker. */
 export interface Upstream {
   readonly mode: UpstreamMode;
@@ -108,6 +136,8 @@
       readonly entryId: string;
       readonly end: CallerEnd;
     }
+  | { readonly kind: 'storeCall'; readonly processId: string; readonly access: StoreEffect }
+  | { readonly kind: 'budget'; readonly processId: string; readonly event: BudgetEvent }
   | { readonly kind: 'callerArrives'; readonly request: CallerRequest }
   | { readonly kind: 'offerLoad'; readonly load: Load };
 
@@ -159,6 +189,8 @@
   /** The latest connection of an agent to the entry at a site, by `agent>site`. */
   readonly dialled: Map<string, string>;
   readonly upstreams: Map<string, Upstream>;
+  readonly store: Store;
+  readonly office: Office;
   readonly waiting: OrderedMap<string, Waiting>;
   /** One-way cuts, as `from>to` with names of sites. */
   readonly cuts: Map<string, true>;
