--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -1,26 +1,29 @@
 import type { RoleState } from '@bronzeyoke/lifecycle';
 import type { MembershipState } from '@bronzeyoke/membership';
 import type { StoreEffect, StoreEvent } from '@bronzeyoke/ports';
-import type { Intent, RequestsState } from '@bronzeyoke/requests';
-import type {
-  AdminCommand,
-  AdminReply,
-  CallerRequest,
-  Configuration,
-  Outcome,
-  Result,
-} from '@bronzeyoke/types';
+import type { RequestsState, RequestsTimer } from '@bronzeyoke/requests';
+import type { AdminCommand, AdminReply, CallerRequest, Outcome, Result } from '@bronzeyoke/types';
+import type { TicketsState, TicketsTimer } from '@bronzeyoke/tickets';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
+import type { WorkersState, WorkersTimer } from '@bronzeyoke/workers';
 
 /** Timers of an entry. */
 export type EntryTimer =
-  { readonly kind: 'requestExpiry'; readonly requestId: string } | { readonly kind: 'stopLimit' };
+  | RequestsTimer
+  | { readonly kind: 'linkCheck'; readonly linkId: string; readonly sequence: number }
+  | { readonly kind: 'memberSweep' }
+  | { readonly kind: 'stopLimit' }
+  | { readonly kind: 'checkWorkers' }
+  | { readonly kind: 'tickets'; readonly timer: TicketsTimer }
+  | { readonly kind: 'workers'; readonly timer: WorkersTimer };
 
 /** State of an entry. */
 export interface EntryState {
   readonly entryId: string;
   readonly role: RoleState;
-  readonly configuration: Configuration;
+  readonly domain: string;
+  readonly tickets: TicketsState;
+  readonly workers: WorkersState;
   readonly membership: MembershipState;
   readonly requests: RequestsState;
   readonly wallOffsetMs: number;
@@ -36,9 +39,6 @@
   | { readonly kind: 'linkClosed'; readonly linkId: string }
   | { readonly kind: 'received'; readonly linkId: string; readonly message: AgentMessage }
   | { readonly kind: 'arrived'; readonly request: CallerRequest }
-  | { readonly kind: 'intentStored'; readonly requestId: string }
-  | { readonly kind: 'intentFound'; readonly requestId: string; readonly intent: Intent }
-  | { readonly kind: 'intentFailed'; readonly requestId: string }
   | { readonly kind: 'timer'; readonly timer: EntryTimer }
   | { readonly kind: 'stop' };
 
@@ -53,6 +53,5 @@
   | { readonly kind: 'send'; readonly linkId: string; readonly message: EntryMessage }
   | { readonly kind: 'closeLink'; readonly linkId: string }
   | { readonly kind: 'reply'; readonly requestId: string; readonly outcome: Outcome }
-  | { readonly kind: 'storeIntent'; readonly key: string; readonly intent: Intent }
   | { readonly kind: 'wake'; readonly timer: EntryTimer; readonly afterMs: number }
   | { readonly kind: 'exit' };
--- a/packages/harness/src/command.ts
+++ b/packages/harness/src/command.ts
@@ -231,13 +231,13 @@
     }
     case 'ticket': {
       const name = nth(domainsOf(world), command.domain) ?? '';
-      const change = { kind: 'domain', name, state: command.state } as const;
+      const state = { kind: 'domain', name, state: command.state } as const;
       return withProcess(world, 'entry', command.entry, ({ processId }) =>
         giveCommand(world, processId, {
           kind: 'applyTicket',
           author: 'operator',
           number: world.office.headNumber + 1,
-          changes: [change],
+          changes: [state],
         }),
       );
     }
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -14,4 +14,5 @@
 export * from './store';
 export * from './upstream';
 export * from './witness';
+export * from './worker';
 export * from './world';
--- a/packages/harness/src/oracle.ts
+++ b/packages/harness/src/oracle.ts
@@ -5,8 +5,9 @@
 import type { CallerEnd, Observation } from './observation';
 import { judgeConfigurationShown, judgeRow, judgeTaskEnded, judgeTaskStarted } from './witness';
 
-/** The promises of the design page. */
-export type PromiseId = 'P1' | 'P2' | 'P3' | 'P4' | 'P5' | 'P6' | 'P7' | 'P8' | 'P9' | 'P10';
+/** The promises of the design page, and `idle`: a process that has nothing to do does not spin. */
+export type PromiseId =
+  'P1' | 'P2' | 'P3' | 'P4' | 'P5' | 'P6' | 'P7' | 'P8' | 'P9' | 'P10' | 'idle';
 
 /** A promise that was broken. */
 export interface Violation {
@@ -124,6 +125,8 @@
       const isStopAtFault = state.isCalm && end.reason !== 'deadlineExpired';
       return expectThat(once, !isStopAtFault, 'P9', atMs, () => `${requestId}: ${end.reason}`);
     }
+    case 'keyReused':
+      return blame(once, 'P5', atMs, `${requestId} was taken for another request`);
     case 'cut':
       return expectThat(once, !state.isCalm, 'P9', atMs, () => `${requestId} was cut off`);
     default:
--- a/packages/harness/src/process.ts
+++ b/packages/harness/src/process.ts
@@ -8,10 +8,13 @@
 import type { EntrySite, WorkerSite } from './site';
 import { changeBudget } from './store';
 import { callUpstream } from './upstream';
+import { commandWorker } from './worker';
 import type { AgentProcess, EntryProcess, Process, ProcessEvent, Waiting, World } from './world';
 import { chances, deliver, observe, schedule, updateProcess } from './world';
 
 const CALLER_JITTER_MS = 0.3;
+// As Node.js does: without it, a timer of a rounding error's length spins in virtual time.
+const MIN_TIMER_MS = 1;
 
 /** Wall-clock time at virtual time 0. */
 export const WALL_OFFSET_MS = 1_800_000_000_000;
@@ -146,8 +149,6 @@
         end: outcome,
       });
     }
-    case 'storeIntent':
-      return tell({ kind: 'intentFailed', requestId: effect.intent.requestId }, 0);
     case 'commit':
     case 'read':
     case 'scan':
@@ -155,7 +156,7 @@
     case 'adminReply':
       return hear(world, processId, effect.result);
     case 'wake':
-      return tell({ kind: 'timer', timer: effect.timer }, effect.afterMs);
+      return tell({ kind: 'timer', timer: effect.timer }, Math.max(MIN_TIMER_MS, effect.afterMs));
     case 'exit':
       return exitProcess(world, process);
     default:
@@ -175,10 +176,15 @@
     }
     case 'callUpstream':
       return callUpstream(world, process, effect.attempt, effect.timeoutMs);
+    case 'worker':
+      return commandWorker(world, process, effect);
     case 'wake':
-      return tell({ kind: 'timer', timer: effect.timer }, effect.afterMs);
+      return tell({ kind: 'timer', timer: effect.timer }, Math.max(MIN_TIMER_MS, effect.afterMs));
     case 'exit':
-      return exitProcess(world, process);
+      // An agent that was replaced at its worker ends without a planned stop.
+      return effect.failure === undefined
+        ? exitProcess(world, process)
+        : killProcess(world, processId);
     default:
       return assertNever(effect);
   }
--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -3,16 +3,17 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { stepAgent } from '@bronzeyoke/agent';
 import { stepEntry } from '@bronzeyoke/entry';
-import { EMPTY_TABLE } from '@bronzeyoke/standins';
+import { EMPTY_TABLE, createWorker } from '@bronzeyoke/standins';
 import { assertNever } from '@bronzeyoke/types';
 import { pop } from './agenda';
 import { arriveAtEntry, endRequest, offerLoad } from './caller';
 import { arrive, dial } from './network';
-import { NEW_ORACLE } from './oracle';
+import { NEW_ORACLE, blame } from './oracle';
 import { bootAgent, bootEntry, handleEvent } from './process';
 import type { Deployment } from './site';
 import { callStore, changeBudget } from './store';
 import { endCall } from './upstream';
+import { changeWorker, truthOf } from './worker';
 import type { Decisions, Happening, Switches, World } from './world';
 import { observe } from './world';
 
@@ -45,6 +46,9 @@
     upstreams: Map(
       deployment.workers.map(({ worker }) => [worker, { mode: 'healthy', calls: Map() }]),
     ),
+    workers: Map(
+      deployment.workers.map(({ worker, total }) => [worker, createWorker(total, truthOf)]),
+    ),
     store: {
       rows: EMPTY_TABLE,
       isDown: false,
@@ -80,6 +84,8 @@
       return endCall(world, item.worker, item.callId, item.event);
     case 'reply':
       return endRequest(world, item.requestId, item.end);
+    case 'workerStep':
+      return changeWorker(world, item.worker, item.input);
     case 'storeCall':
       return callStore(world, item.processId, item.access);
     case 'budget':
@@ -104,6 +110,9 @@
   );
 }
 
+// The small worlds of the fuzzer take under 20,000 happenings in the longest command.
+const MAX_HAPPENINGS = 50_000;
+
 /** Owns a world and its random numbers. */
 export interface Simulation {
   readonly world: () => World;
@@ -123,10 +132,16 @@
     },
     runFor: (durationMs) => {
       const untilMs = current.nowMs + durationMs;
-      while (current.agenda !== undefined && current.agenda.due.atMs <= untilMs) {
+      let left = options.isJudged ? MAX_HAPPENINGS : Infinity;
+      while (left > 0 && current.agenda !== undefined && current.agenda.due.atMs <= untilMs) {
         current = stepWorld(current, uniformFloat64(generator));
+        left -= 1;
+      }
+      if (left === 0) {
+        const what = `busy with ${JSON.stringify(current.agenda?.due.item).slice(0, 300)}`;
+        current = { ...current, oracle: blame(current.oracle, 'idle', current.nowMs, what) };
       }
-      current = { ...current, nowMs: untilMs };
+      current = { ...current, nowMs: Math.max(current.nowMs, untilMs) };
     },
   };
 }
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -8,7 +8,7 @@
   stepEntry,
 } from '@bronzeyoke/entry';
 import type { StoreEffect } from '@bronzeyoke/ports';
-import type { TableState } from '@bronzeyoke/standins';
+import type { TableState, WorkerInput, WorkerState } from '@bronzeyoke/standins';
 import type { CallerRequest } from '@bronzeyoke/types';
 import { draws } from '@bronzeyoke/types';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
@@ -136,6 +136,7 @@
       readonly entryId: string;
       readonly end: CallerEnd;
     }
+  | { readonly kind: 'workerStep'; readonly worker: string; readonly input: WorkerInput }
   | { readonly kind: 'storeCall'; readonly processId: string; readonly access: StoreEffect }
   | { readonly kind: 'budget'; readonly processId: string; readonly event: BudgetEvent }
   | { readonly kind: 'callerArrives'; readonly request: CallerRequest }
@@ -189,6 +190,7 @@
   /** The latest connection of an agent to the entry at a site, by `agent>site`. */
   readonly dialled: Map<string, string>;
   readonly upstreams: Map<string, Upstream>;
+  readonly workers: Map<string, WorkerState>;
   readonly store: Store;
   readonly office: Office;
   readonly waiting: OrderedMap<string, Waiting>;
