--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -76,8 +76,6 @@
     entryId: state.entryId,
     beatIntervalMs: beatIntervalMs(membership.agents.size),
   } as const;
-  const { worker } = profile;
-  const announced = workers(step.state, { kind: 'announced', worker, incarnation }, instant);
   const replaced: readonly EntryEffect[] =
     known === undefined || known.linkId === linkId
       ? []
@@ -85,6 +83,8 @@
   const sweep: readonly EntryEffect[] = state.membership.isSwept
     ? []
     : [{ kind: 'wake', timer: { kind: 'memberSweep' }, afterMs: welcome.beatIntervalMs }];
+  const { worker } = profile;
+  const announced = workers(step.state, { kind: 'announced', worker, incarnation }, instant);
   return {
     state: announced.state,
     effects: [
--- a/packages/entry/src/status.ts
+++ b/packages/entry/src/status.ts
@@ -1,20 +1,26 @@
 import { inFlightAt } from '@bronzeyoke/routing';
+import type { UpstreamView } from '@bronzeyoke/routing';
 import type { UpstreamStatus, WorkerStatus } from '@bronzeyoke/types';
 import type { EntryState } from './types';
 
+function healthOf(view: UpstreamView): string {
+  if (view.isLeaving) return 'leaving';
+  if (view.presence !== 'present') return view.presence;
+  return view.health === 'healthy' ? 'serving' : view.health;
+}
+
 /** The upstreams as this entry sees them. */
 export function upstreamStatuses(state: EntryState): readonly UpstreamStatus[] {
-  return [...state.requests.routing.upstreams.values()].map(
-    ({ info, isLeaving, health, latencyMs, limit }) => ({
-      agentId: info.agentId,
-      service: info.service,
-      domain: info.domain,
-      health: isLeaving ? 'leaving' : health,
-      inFlight: inFlightAt(state.requests.routing, info.agentId),
-      limit,
-      latencyMs,
-    }),
-  );
+  const { routing } = state.requests;
+  return [...routing.upstreams.values()].map((view) => ({
+    agentId: view.info.agentId,
+    service: view.info.service,
+    domain: view.info.domain,
+    health: healthOf(view),
+    inFlight: inFlightAt(routing, view.info.agentId),
+    limit: Math.floor(view.limit),
+    latencyMs: view.latencyMs,
+  }));
 }
 
 /** The workers as this entry sees them. */
