--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -1,3 +1,4 @@
+import { createBatch, isBatchIdle } from '@bronzeyoke/batch';
 import { advance } from '@bronzeyoke/chart';
 import type { RoleAction } from '@bronzeyoke/lifecycle';
 import { STOP_LIMIT_MS, roleChart } from '@bronzeyoke/lifecycle';
@@ -11,7 +12,16 @@
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
 import { createWorkers } from '@bronzeyoke/workers';
 import { administer } from './admin';
-import { checkWorkers, onStoreEvent, startControl, tickets, workers } from './control';
+import {
+  applyMembers,
+  batch,
+  checkWorkers,
+  onStoreEvent,
+  sequence,
+  startControl,
+  tickets,
+  workers,
+} from './control';
 import {
   applyDomains,
   checkLink,
@@ -33,6 +43,7 @@
     domain,
     tickets: createTickets(entryId),
     workers: createWorkers(),
+    batch: createBatch(entryId, domain),
     membership: NO_MEMBERS,
     requests: createRequests(domain),
     wallOffsetMs: 0,
@@ -84,7 +95,10 @@
     ? []
     : [{ kind: 'wake', timer: { kind: 'memberSweep' }, afterMs: welcome.beatIntervalMs }];
   const { worker } = profile;
-  const announced = workers(step.state, { kind: 'announced', worker, incarnation }, instant);
+  const announced = sequence(step.state, [
+    (from) => workers(from, { kind: 'announced', worker, incarnation }, instant),
+    (from) => batch(from, { kind: 'agentUp', agentId, profile }, instant),
+  ]);
   return {
     state: announced.state,
     effects: [
@@ -119,11 +133,10 @@
       return endAttempt(heard, agentId, message, instant);
     case 'draining': {
       const leaving = updateAgent(membership, agentId, (view) => ({ ...view, isLeaving: true }));
-      return runRequests(
-        { ...heard, membership: leaving },
-        { kind: 'upstreamLeaving', agentId },
-        instant,
-      );
+      return sequence({ ...heard, membership: leaving }, [
+        (from) => runRequests(from, { kind: 'upstreamLeaving', agentId }, instant),
+        (from) => batch(from, { kind: 'agentLeaving', agentId }, instant),
+      ]);
     }
     case 'inForce':
       return unchanged({
@@ -133,18 +146,30 @@
           ticketInForce: message.number,
         })),
       });
-    case 'beat':
+    case 'progress':
+    case 'pong':
+      return unchanged(heard);
+    case 'beat': {
+      const { free, slowDowns } = message;
+      const fresh = updateAgent(membership, agentId, (view) => ({ ...view, free }));
+      const beat = { kind: 'beat', agentId, free, slowDowns } as const;
+      const step = batch({ ...heard, membership: fresh }, beat, instant);
       // Lets the agent see that this connection still carries what the entry sends.
+      const ping = { kind: 'ping', sequence: 0 } as const;
       return {
-        state: heard,
-        effects: [{ kind: 'send', linkId, message: { kind: 'ping', sequence: 0 } }],
+        state: step.state,
+        effects: [{ kind: 'send', linkId, message: ping }, ...step.effects],
       };
-    case 'progress':
-    case 'pong':
+    }
     case 'accepted':
-    case 'declined':
-    case 'taskReport':
-      return unchanged(heard);
+    case 'declined': {
+      const { kind, offerId, free } = message;
+      return batch(heard, { kind, agentId, offerId, free }, instant);
+    }
+    case 'taskReport': {
+      const { id, epoch, report } = message;
+      return batch(heard, { kind: 'report', agentId, id, epoch, report }, instant);
+    }
     case 'registerWorker': {
       const { worker, token } = message;
       // An agent speaks for its own worker only.
@@ -194,6 +219,8 @@
       return changeRole(state, 'limit');
     case 'checkWorkers':
       return checkWorkers(state, instant);
+    case 'batch':
+      return batch(state, { kind: 'timer', timer: timer.timer }, instant);
     case 'tickets':
       return tickets(state, { kind: 'timer', timer: timer.timer }, instant);
     case 'workers':
@@ -223,7 +250,10 @@
     case 'timer':
       return onTimer(state, event.timer, instant);
     case 'stop': {
-      const drained = runRequests(state, { kind: 'drain' }, instant);
+      const drained = sequence(state, [
+        (from) => runRequests(from, { kind: 'drain' }, instant),
+        (from) => batch(from, { kind: 'drain' }, instant),
+      ]);
       const changed = changeRole(drained.state, 'stop');
       return { state: changed.state, effects: [...drained.effects, ...changed.effects] };
     }
@@ -234,8 +264,11 @@
 
 /** Decides for an entry. */
 export function stepEntry(state: EntryState, event: EntryEvent, instant: Instant): EntryStep {
-  const step = applyDomains(decide(state, event, instant), state.tickets.configuration, instant);
+  const decided = applyMembers(decide(state, event, instant), state.membership, instant);
+  const step = applyDomains(decided, state.tickets.configuration, instant);
   if (step.state.role !== 'draining' || !isIdle(step.state.requests)) return step;
+  // Shards that are given back are taken by others at once instead of after their lease.
+  if (!isBatchIdle(step.state.batch)) return step;
   const stopped = changeRole(step.state, 'idle');
   return { state: stopped.state, effects: [...step.effects, ...stopped.effects] };
 }
--- a/packages/harness/src/command.ts
+++ b/packages/harness/src/command.ts
@@ -1,8 +1,12 @@
+import type { WorkerFaults } from '@bronzeyoke/standins';
+import { NO_WORKER_FAULTS } from '@bronzeyoke/standins';
+import type { Resources, Submission } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import { ask } from './caller';
 import { breakConnection } from './network';
 import { giveCommand } from './operator';
-import { bootAgent, bootEntry, killProcess } from './process';
+import { WALL_OFFSET_MS, bootAgent, bootEntry, killProcess } from './process';
+import { changeWorker, payloadOf } from './worker';
 import type { Connection, Mischief, Process, UpstreamMode, World } from './world';
 import { deliver, observe, siteName, updateProcess } from './world';
 
@@ -50,6 +54,26 @@
       readonly domain: number;
       readonly state: 'in' | 'out';
     }
+  | {
+      readonly kind: 'submit';
+      readonly entry: number;
+      readonly team: number;
+      readonly key: number;
+      readonly taskCount: number;
+      readonly declaredMilli: number;
+      readonly usedMilli: number;
+      readonly runMs: number;
+      readonly isUrgent: boolean;
+      readonly fails: boolean;
+    }
+  | { readonly kind: 'cancelJob'; readonly entry: number; readonly which: number }
+  /** A wave: every job that is known is cancelled. */
+  | { readonly kind: 'cancelAll'; readonly entry: number }
+  | {
+      readonly kind: 'worker';
+      readonly which: number;
+      readonly fault: 'none' | 'slow' | 'down' | 'losesReplies' | 'failsEveryTask';
+    }
   | { readonly kind: 'showConfiguration'; readonly entry: number }
   | { readonly kind: 'heal' };
 
@@ -136,22 +160,68 @@
     connections: broken.connections.map((connection) => ({ ...connection, mischief: 'none' })),
     upstreams: broken.upstreams.map((upstream) => ({ ...upstream, mode: 'healthy' })),
   };
+  const repaired = healed.deployment.workers.reduce(
+    (current, { worker }) =>
+      changeWorker(current, worker, { kind: 'faults', faults: NO_WORKER_FAULTS }),
+    healed,
+  );
   const isManned = (name: string): boolean =>
     healed.processes.some((process) => siteName(process) === name);
   const withEntries = healed.deployment.entries
     .filter(({ name }) => !isManned(name))
-    .reduce(bootEntry, healed);
+    .reduce(bootEntry, repaired);
   return healed.deployment.workers
     .filter(({ worker }) => !isManned(worker))
     .reduce(bootAgent, withEntries);
 }
 
+const SLOW_WORKER_MS = 1_500;
+// Right for some of the drawn run times and far off for the others.
+const DECLARED_RUN_MS = 1_000;
+const DEADLINE_MS = 60_000;
+
+function faultsOf(fault: Extract<Command, { readonly kind: 'worker' }>['fault']): WorkerFaults {
+  return {
+    ...NO_WORKER_FAULTS,
+    delayMs: fault === 'slow' ? SLOW_WORKER_MS : 0,
+    isUnavailable: fault === 'down',
+    losesReplies: fault === 'losesReplies',
+    failsEveryTask: fault === 'failsEveryTask',
+  };
+}
+
+function amountOf(processorsMilli: number): Resources {
+  return { processorsMilli, memoryMb: processorsMilli, accelerators: 0 };
+}
+
+function submissionOf(
+  world: World,
+  command: Extract<Command, { readonly kind: 'submit' }>,
+): Submission {
+  const { runMs, fails } = command;
+  return {
+    team: `t${command.team}`,
+    key: `j${command.key}`,
+    workKind: 'curve',
+    role: 'batch',
+    declared: amountOf(command.declaredMilli),
+    declaredRunMs: DECLARED_RUN_MS,
+    deadlineAtMs: WALL_OFFSET_MS + world.nowMs + DEADLINE_MS,
+    urgency: command.isUrgent ? 'urgent' : 'normal',
+    taskCount: command.taskCount,
+    payload: payloadOf({ runMs, fails, used: amountOf(command.usedMilli) }),
+  };
+}
+
 const CALM_KINDS: ReadonlySet<Command['kind']> = new Set([
   'wait',
   'ask',
   'askKeyed',
   'stop',
   'ticket',
+  'submit',
+  'cancelJob',
+  'cancelAll',
   'showConfiguration',
   'heal',
 ]);
@@ -241,6 +311,33 @@
         }),
       );
     }
+    case 'submit':
+      return withProcess(world, 'entry', command.entry, ({ processId }) =>
+        giveCommand(world, processId, {
+          kind: 'submitJob',
+          submission: submissionOf(world, command),
+        }),
+      );
+    case 'cancelJob': {
+      const job = nth(world.office.jobs.entrySeq().toArray(), command.which);
+      if (job === undefined) return world;
+      const [jobId, team] = job;
+      return withProcess(world, 'entry', command.entry, ({ processId }) =>
+        giveCommand(world, processId, { kind: 'cancelJob', jobId, team }),
+      );
+    }
+    case 'cancelAll':
+      return world.office.jobs.reduce(
+        (current, team, jobId) =>
+          withProcess(current, 'entry', command.entry, ({ processId }) =>
+            giveCommand(current, processId, { kind: 'cancelJob', jobId, team }),
+          ),
+        world,
+      );
+    case 'worker': {
+      const worker = nth(world.deployment.workers, command.which)?.worker ?? '';
+      return changeWorker(world, worker, { kind: 'faults', faults: faultsOf(command.fault) });
+    }
     case 'showConfiguration':
       return withProcess(world, 'entry', command.entry, ({ processId }) =>
         giveCommand(world, processId, { kind: 'showConfiguration' }),
--- a/packages/harness/src/oracle.ts
+++ b/packages/harness/src/oracle.ts
@@ -139,9 +139,10 @@
   run: Extract<Observation, { readonly kind: 'ran' }>,
   atMs: number,
 ): OracleState {
-  const { requestId, key, agentId } = run;
+  const { requestId, agentId } = run;
   const request = state.requests.get(requestId);
   if (request === undefined) return blame(state, 'P5', atMs, `run of unasked ${requestId}`);
+  const { key } = request;
   const isRefused = request.end?.kind === 'notRun' || request.end?.kind === 'refused';
   const runs = key === undefined ? 0 : state.runsByKey.get(key, 0) + 1;
   const seen = {
--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -4,6 +4,7 @@
 import { stepAgent } from '@bronzeyoke/agent';
 import { stepEntry } from '@bronzeyoke/entry';
 import { EMPTY_TABLE, createWorker } from '@bronzeyoke/standins';
+import type { Resources } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import { pop } from './agenda';
 import { arriveAtEntry, endRequest, offerLoad } from './caller';
@@ -29,11 +30,25 @@
 export const PRODUCT_DECISIONS: Decisions = { entry: stepEntry, agent: stepAgent };
 
 /** Fakes that keep to their contracts. */
-export const HONEST: Switches = { crossesAnswers: false };
+export const HONEST: Switches = {
+  crossesAnswers: false,
+  overstatesTotals: false,
+};
+
+const OVERSTATED = 4;
+
+function multiply(total: Resources, factor: number): Resources {
+  return {
+    processorsMilli: total.processorsMilli * factor,
+    memoryMb: total.memoryMb * factor,
+    accelerators: total.accelerators * factor,
+  };
+}
 
 /** A world with one entry and one agent at every site, at time 0. */
 export function createWorld(options: WorldOptions): World {
   const { deployment } = options;
+  const factor = options.switches.overstatesTotals ? OVERSTATED : 1;
   const empty: World = {
     ...options,
     nowMs: 0,
@@ -47,7 +62,10 @@
       deployment.workers.map(({ worker }) => [worker, { mode: 'healthy', calls: Map() }]),
     ),
     workers: Map(
-      deployment.workers.map(({ worker, total }) => [worker, createWorker(total, truthOf)]),
+      deployment.workers.map(({ worker, total }) => [
+        worker,
+        createWorker(multiply(total, factor), truthOf),
+      ]),
     ),
     store: {
       rows: EMPTY_TABLE,
@@ -68,7 +86,10 @@
   const withEntries = deployment.entries.reduce(bootEntry, empty);
   return deployment.workers.reduce((world, site) => {
     const { worker, domain, total } = site;
-    return bootAgent(observe(world, { kind: 'workerAdded', worker, domain, total }), site);
+    return bootAgent(observe(world, { kind: 'workerAdded', worker, domain, total }), {
+      ...site,
+      total: multiply(total, factor),
+    });
   }, withEntries);
 }
 
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -157,8 +157,10 @@
 
 /** Faults planted in the fakes themselves, to check that the oracle sees them. */
 export interface Switches {
-  /** The upstream's answers to the last two requests are swapped. */
+  /** Upstreams answer as if to another request. */
   readonly crossesAnswers: boolean;
+  /** Agents and workers believe in four times the resources that there are. */
+  readonly overstatesTotals: boolean;
 }
 
 /** One ended request, for the benchmark. */
