--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -61,6 +61,7 @@
     upstreams: Map(
       deployment.workers.map(({ worker }) => [worker, { mode: 'healthy', calls: Map() }]),
     ),
+    passAtMs: Map(),
     workers: Map(
       deployment.workers.map(({ worker, total }) => [
         worker,
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -193,6 +193,8 @@
   readonly dialled: Map<string, string>;
   readonly upstreams: Map<string, Upstream>;
   readonly workers: Map<string, WorkerState>;
+  /** When the next pass of each worker is scheduled. */
+  readonly passAtMs: Map<string, number>;
   readonly store: Store;
   readonly office: Office;
   readonly waiting: OrderedMap<string, Waiting>;
