Keep the benchmark's latencies in a persistent list

Cause: the simulation appended to an array that its type called read-only. Change: a persistent list. Conclusion: the read-only types of the benchmark are true again.

--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -33,7 +33,7 @@
 }
 
 function row(name: string, result: Outcome): string {
-  const sorted = result.latenciesMs.toSorted((one, other) => one - other);
+  const sorted = result.latenciesMs.toArray().toSorted((one, other) => one - other);
   const total = result.answered + result.failed + result.refused;
   const cell = (value: number, digits = 1): string => value.toFixed(digits).padStart(9);
   return [
@@ -50,7 +50,7 @@
 
 function p99(result: Outcome): number {
   return percentile(
-    result.latenciesMs.toSorted((one, other) => one - other),
+    result.latenciesMs.toArray().toSorted((one, other) => one - other),
     0.99,
   );
 }
--- a/tools/bench/sim.ts
+++ b/tools/bench/sim.ts
@@ -74,7 +74,7 @@
 
 /** What a run showed. */
 export interface Outcome {
-  readonly latenciesMs: readonly number[];
+  readonly latenciesMs: List<number>;
   readonly offered: number;
   readonly answered: number;
   readonly failed: number;
@@ -146,8 +146,8 @@
   if (load.arrivedAtMs < scenario.countFromMs) return run;
   if (!ok) return { ...run, refused: run.refused + 1 };
   if (status !== 200) return { ...run, failed: run.failed + 1 };
-  (run.latenciesMs as number[]).push(nowMs - load.arrivedAtMs);
-  return { ...run, answered: run.answered + 1 };
+  const latenciesMs = run.latenciesMs.push(nowMs - load.arrivedAtMs);
+  return { ...run, latenciesMs, answered: run.answered + 1 };
 }
 
 /** Runs a scenario with a router in virtual time. */
@@ -251,7 +251,14 @@
       sequence: 0,
       agenda: undefined,
       servers: Map(),
-      outcome: { latenciesMs: [], offered: 0, answered: 0, failed: 0, refused: 0, attempts: 0 },
+      outcome: {
+        latenciesMs: List<number>(),
+        offered: 0,
+        answered: 0,
+        failed: 0,
+        refused: 0,
+        attempts: 0,
+      },
     },
     0,
     0,
