Share the start of programs and the reading of JSON bodies

Cause: the entry and the agent each had the same code from settings to exit code, and two stand-ins the same body reader. Change: runProgram in packages/settings and readJson in packages/standins; behaviour is unchanged. Checked: type check, linter on the changed packages, formatter, npm run build, and the process, settings and adapter tests (13 passed); the whole test run was not repeated. Conclusion: one copy of each.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,6 +1,6 @@
 import { createHttpWorker } from '@bronzeyoke/adapters';
 import type { AgentSettings } from '@bronzeyoke/settings';
-import { agentSettings, startProgram } from '@bronzeyoke/settings';
+import { agentSettings, runProgram } from '@bronzeyoke/settings';
 import { createLog, startMetricsServer } from '@bronzeyoke/telemetry';
 import { version } from '../../../package.json';
 import { createAgentMonitor } from './monitor';
@@ -10,10 +10,6 @@
 const NAME = 'bronzeyoke-agent';
 const KEEP_ALIVE_MS = 3_600_000;
 
-function printError(line: string): void {
-  process.stderr.write(`${line}\n`);
-}
-
 async function run(settings: AgentSettings): Promise<void> {
   const { worker, domain, region, rack, total, entries, upstream, workerService } = settings;
   const { service, slots, connections } = upstream;
@@ -47,20 +43,4 @@
   }
 }
 
-const started = await startProgram(agentSettings, {
-  name: NAME,
-  version,
-  argv: process.argv.slice(2),
-  print: (line) => process.stdout.write(`${line}\n`),
-  printError,
-});
-if (started.kind === 'end') {
-  process.exitCode = started.exitCode;
-} else {
-  await run(started.settings).catch((error: unknown) => {
-    printError(`${NAME}: ${error instanceof Error ? error.message : String(error)}`);
-    // A part that started already would keep the process alive.
-    // eslint-disable-next-line n/no-process-exit
-    process.exit(1);
-  });
-}
+await runProgram(agentSettings, NAME, version, run);
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,6 +1,6 @@
 import { createHttpTable } from '@bronzeyoke/adapters';
 import type { EntrySettings } from '@bronzeyoke/settings';
-import { entrySettings, startProgram } from '@bronzeyoke/settings';
+import { entrySettings, runProgram } from '@bronzeyoke/settings';
 import { createLog, createTracer, startMetricsServer } from '@bronzeyoke/telemetry';
 import { version } from '../../../package.json';
 import { createEntryMonitor } from './monitor';
@@ -9,10 +9,6 @@
 
 const NAME = 'bronzeyoke-entry';
 
-function printError(line: string): void {
-  process.stderr.write(`${line}\n`);
-}
-
 async function run(settings: EntrySettings): Promise<void> {
   const { callers, agents, domain, tracing, needsCallerToken, tokens } = settings;
   const log = createLog(NAME, settings.logLevel);
@@ -62,20 +58,4 @@
   log({ level: 'info', message: 'handed over', fields: { ...monitor.handOver() } });
 }
 
-const started = await startProgram(entrySettings, {
-  name: NAME,
-  version,
-  argv: process.argv.slice(2),
-  print: (line) => process.stdout.write(`${line}\n`),
-  printError,
-});
-if (started.kind === 'end') {
-  process.exitCode = started.exitCode;
-} else {
-  await run(started.settings).catch((error: unknown) => {
-    printError(`${NAME}: ${error instanceof Error ? error.message : String(error)}`);
-    // A part that started already would keep the process alive.
-    // eslint-disable-next-line n/no-process-exit
-    process.exit(1);
-  });
-}
+await runProgram(entrySettings, NAME, version, run);
--- a/packages/settings/src/program.ts
+++ b/packages/settings/src/program.ts
@@ -65,3 +65,32 @@
   settings.failure.map(describeFault).forEach(program.printError);
   return { kind: 'end', exitCode: EXIT_SETTINGS };
 }
+
+/** Starts a program with its settings. It ends with exit code 1 when `run` fails. */
+export async function runProgram<Schema extends z.ZodType>(
+  schema: Schema,
+  name: string,
+  version: string,
+  run: (settings: z.infer<Schema>) => Promise<void>,
+): Promise<void> {
+  const printError = (line: string): void => {
+    process.stderr.write(`${line}\n`);
+  };
+  const started = await startProgram(schema, {
+    name,
+    version,
+    argv: process.argv.slice(2),
+    print: (line) => process.stdout.write(`${line}\n`),
+    printError,
+  });
+  if (started.kind === 'end') {
+    process.exitCode = started.exitCode;
+    return;
+  }
+  await run(started.settings).catch((error: unknown) => {
+    printError(`${name}: ${error instanceof Error ? error.message : String(error)}`);
+    // A part that started already would keep the process alive.
+    // eslint-disable-next-line n/no-process-exit
+    process.exit(1);
+  });
+}
--- /dev/null
+++ b/packages/standins/src/body.ts
@@ -0,0 +1,7 @@
+import type { IncomingMessage } from 'node:http';
+
+/** Reads a JSON body; what is not JSON is an exception. */
+export async function readJson(request: IncomingMessage): Promise<unknown> {
+  const chunks = await request.toArray();
+  return JSON.parse(Buffer.concat(chunks as Buffer[]).toString('utf8'));
+}
--- a/packages/standins/src/host.ts
+++ b/packages/standins/src/host.ts
@@ -5,6 +5,7 @@
 import { performance } from 'node:perf_hooks';
 import type { WorkerCommand } from '@bronzeyoke/ports';
 import { z } from 'zod';
+import { readJson } from './body';
 import type { WorkerFaults } from './machine';
 import type { WorkerInput, WorkerOutput, WorkerState } from './worker';
 import { nextWorkerAtMs, stepWorker } from './worker';
@@ -38,11 +39,6 @@
   readonly close: () => Promise<void>;
 }
 
-async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks = await request.toArray();
-  return JSON.parse(Buffer.concat(chunks as Buffer[]).toString('utf8'));
-}
-
 /** Serves a modelled worker over HTTP: `POST /v1/<command>` with the incarnation and the fields. */
 export async function startWorker(
   host: string,
--- a/packages/standins/src/table.ts
+++ b/packages/standins/src/table.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { z } from 'zod';
+import { readJson } from './body';
 import type { TableState } from './rows';
 import { EMPTY_TABLE, commitRows, readRows, scanRows } from './rows';
 
@@ -52,11 +53,6 @@
   readonly close: () => Promise<void>;
 }
 
-async function readJson(request: IncomingMessage): Promise<unknown> {
-  const chunks = await request.toArray();
-  return JSON.parse(Buffer.concat(chunks as Buffer[]).toString('utf8'));
-}
-
 /** Starts a stand-in of the table service over HTTP, with its rows in memory. */
 export async function startTable(host: string, port: number): Promise<StandinTable> {
   let faults = NO_TABLE_FAULTS;
