--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**'] },
+  { ignores: ['target/**', 'dist/**', 'node_modules/**'] },
   plugins.stylistic,
   plugins.importX,
   plugins.node,
--- /dev/null
+++ b/packages/follow/src/follow.ts
@@ -0,0 +1,82 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { RowChange, RowStorePort, StoredRow } from '@bronzeyoke/ports';
+import { assertNever } from '@bronzeyoke/types';
+
+/** What a follower of a table is told. */
+export type TableNews =
+  | { readonly kind: 'all'; readonly rows: readonly StoredRow[] }
+  | { readonly kind: 'changes'; readonly changes: readonly RowChange[] }
+  /** The store answered, or did not. */
+  | { readonly kind: 'answered' }
+  | { readonly kind: 'unanswered' };
+
+/** What to follow. */
+export interface FollowOptions {
+  readonly table: string;
+  readonly partition: string;
+  /** How long one call waits for changes. */
+  readonly waitMs: number;
+  readonly report: (news: TableNews) => void;
+}
+
+/** A running follower. */
+export interface Follower {
+  readonly stop: () => void;
+}
+
+const RETRY_MS = 150;
+
+/**
+ * Follows a table: reads it whole, then its changes. When the store has dropped the history, the table
+ * is read whole again. Nothing is reported after `stop`.
+ */
+export function followTable(store: RowStorePort, options: FollowOptions): Follower {
+  const { table, partition, waitMs, report } = options;
+  const state = { isStopped: false };
+  const tell = (news: TableNews): void => {
+    if (!state.isStopped) report(news);
+  };
+
+  const readAll = async (): Promise<number | undefined> => {
+    const result = await store.range({ table, partition });
+    if (result.kind === 'unavailable') return undefined;
+    tell({ kind: 'all', rows: result.rows });
+    return result.version;
+  };
+
+  const readChanges = async (version: number): Promise<number | undefined | 'retry'> => {
+    const result = await store.feed(table, version, waitMs);
+    switch (result.kind) {
+      case 'changes':
+        tell({ kind: 'answered' });
+        if (result.changes.length > 0) tell({ kind: 'changes', changes: result.changes });
+        return Math.max(version, result.version);
+      case 'historyLost':
+        return undefined;
+      case 'unavailable':
+        return 'retry';
+      default:
+        return assertNever(result);
+    }
+  };
+
+  const run = async (version: number | undefined): Promise<void> => {
+    if (state.isStopped) return;
+    const next = version === undefined ? await readAll() : await readChanges(version);
+    if (next === undefined || next === 'retry') {
+      if (next === 'retry' || version === undefined) {
+        tell({ kind: 'unanswered' });
+        await sleep(RETRY_MS, undefined, { ref: false });
+      }
+    }
+    // Not awaited, so that the calls of a long life do not form a chain.
+    void run(next === 'retry' ? version : next);
+  };
+
+  void run(undefined);
+  return {
+    stop: () => {
+      state.isStopped = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/hosts/src/index.ts
@@ -0,0 +1,2 @@
+export * from './controller';
+export * from './runner';
--- /dev/null
+++ b/packages/hosts/src/runner.ts
@@ -0,0 +1,153 @@
+import * as nact from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
+import { followTable } from '@bronzeyoke/follow';
+import type { DialCommand } from '@bronzeyoke/link';
+import { spawnDial } from '@bronzeyoke/link';
+import type { RowStorePort, StoredRow, WorkerCallPort, WorkerReport } from '@bronzeyoke/ports';
+import type { EntryAddress, RunnerEffect, RunnerEvent, RunnerSettings } from '@bronzeyoke/runner';
+import { createRunner, stepRunner } from '@bronzeyoke/runner';
+import { decodeLeader, LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
+import type { EventFields, EventName } from '@bronzeyoke/telemetry';
+import { assertNever } from '@bronzeyoke/types';
+import { decodeLeaderMessage } from '@bronzeyoke/wire';
+
+/** What an agent needs beside its settings. */
+export interface RunnerOptions {
+  readonly settings: RunnerSettings;
+  readonly store: RowStorePort;
+  readonly worker: WorkerCallPort;
+  readonly log: (event: EventName, fields: EventFields) => void;
+  readonly onError: (error: unknown) => void;
+}
+
+/** A running agent. */
+export interface Runner {
+  readonly heartbeat: (report: WorkerReport) => void;
+  readonly workerLeft: (id: string) => void;
+  readonly stop: () => void;
+}
+
+const TICK_MS = 100;
+const MAX_RETRY_MS = 400;
+
+/** Agents are many: their feed of the leader's row waits long. */
+const FEED_WAIT_MS = 10_000;
+
+/** Time after which a hold that is not due yet may be. */
+const HOLD_CHECK_MS = 45;
+
+/** Starts the actors of an agent: its core, the connection to the leader, the feed of its row. */
+export function startRunner(options: RunnerOptions): Runner {
+  const { settings, store, worker, log, onError } = options;
+  const system = nact.start();
+  const connection: { dial?: Ref<DialCommand>; number: number } = { number: 0 };
+
+  const connect = (address: EntryAddress, self: Ref<RunnerEvent>): void => {
+    if (connection.dial !== undefined) dispatch(connection.dial, { kind: 'close' });
+    connection.number += 1;
+    const { number } = connection;
+    const isCurrent = (): boolean => connection.number === number;
+    connection.dial = spawnDial(system, address, {
+      linkId: `leader-${number}`,
+      maxRetryMs: MAX_RETRY_MS,
+      decode: decodeLeaderMessage,
+      report: (event) => {
+        if (!isCurrent()) return;
+        switch (event.kind) {
+          case 'opened':
+            dispatch(self, { kind: 'linkOpened' });
+            return;
+          case 'received':
+            dispatch(self, { kind: 'received', message: event.message });
+            return;
+          case 'skipped':
+            log('malformed', { what: 'message', messageKind: event.messageKind });
+            return;
+          case 'closed':
+            dispatch(self, { kind: 'linkClosed' });
+            return;
+          default:
+            assertNever(event);
+        }
+      },
+    });
+  };
+
+  const perform = (effect: RunnerEffect, self: Ref<RunnerEvent>): void => {
+    switch (effect.kind) {
+      case 'connect':
+        connect(effect.address, self);
+        return;
+      case 'send':
+        if (connection.dial !== undefined) {
+          dispatch(connection.dial, { kind: 'send', message: effect.message });
+        }
+        return;
+      case 'call': {
+        const { callId, call, timeoutMs } = effect;
+        worker
+          .call(effect.worker, call, timeoutMs)
+          .then((result) => {
+            dispatch(self, { kind: 'callDone', callId, result });
+            if (call.kind === 'hold') dispatchAfter(self, { kind: 'tick' }, HOLD_CHECK_MS);
+          })
+          .catch(onError);
+        return;
+      }
+      case 'log':
+        log(effect.event, effect.fields);
+        return;
+      default:
+        assertNever(effect);
+    }
+  };
+
+  const core = spawnCore<ReturnType<typeof createRunner>, RunnerEvent, RunnerEffect>(system, {
+    name: 'runner',
+    initial: createRunner(settings),
+    decide: stepRunner,
+    perform,
+    onError,
+  });
+
+  const tellLeader = (row: StoredRow | undefined): void => {
+    const leader = decodeLeader(row);
+    if (leader === undefined) return;
+    const { term, host, port } = leader;
+    dispatch(core, { kind: 'leader', term, address: { host, port } });
+  };
+
+  const feed = followTable(store, {
+    table: TABLES.leader,
+    partition: PARTITION,
+    waitMs: FEED_WAIT_MS,
+    report: (news) => {
+      switch (news.kind) {
+        case 'all':
+          tellLeader(news.rows.find(({ key }) => key === LEADER_KEY.key));
+          return;
+        case 'changes':
+          news.changes.forEach((change) => {
+            if (change.kind === 'put') tellLeader(change);
+          });
+          return;
+        case 'answered':
+        case 'unanswered':
+          return;
+        default:
+          assertNever(news);
+      }
+    },
+  });
+  const ticker = setInterval(() => dispatch(core, { kind: 'tick' }), TICK_MS);
+
+  return {
+    heartbeat: (report) => dispatch(core, { kind: 'heartbeat', report }),
+    workerLeft: (id) => dispatch(core, { kind: 'workerLeft', id }),
+    stop: () => {
+      feed.stop();
+      clearInterval(ticker);
+    },
+  };
+}
--- /dev/null
+++ b/packages/intake/src/index.ts
@@ -0,0 +1,3 @@
+export * from './select';
+export * from './step';
+export * from './types';
--- /dev/null
+++ b/packages/intake/src/submit.ts
@@ -0,0 +1,192 @@
+import { advance } from '@bronzeyoke/chart';
+import type { RowCommitResult } from '@bronzeyoke/ports';
+import { jobKey, progressKey } from '@bronzeyoke/scheduler';
+import { logEffect } from '@bronzeyoke/telemetry';
+import { assertNever } from '@bronzeyoke/types';
+import type { IntakeEffect, IntakeReply, IntakeState, IntakeStep, Submission } from './types';
+import { submissionChart } from './types';
+
+/** Jobs in one transaction: two conditions and a write for each, of the 100 that it may name. */
+const MAX_JOBS = 30;
+const MAX_FLIGHTS = 2;
+const RETRY_MS = 80;
+
+/** Submissions that may wait; more are refused at once. */
+const MAX_WAITING = 500;
+
+/** How long a submission that the store refuses is tried before the caller is told to come back. */
+const REFUSE_AFTER_MS = 400;
+
+/** Time left for the answer's way back to the caller. */
+const REPLY_MARGIN_MS = 150;
+const COME_BACK_MS = 1_000;
+
+type SubmissionEvent = 'sent' | 'stored' | 'conflict' | 'unavailable' | 'unknown' | 'expired';
+
+function replyTo(submission: Submission, reply: IntakeReply): readonly IntakeEffect[] {
+  return submission.callIds.map((callId) => ({ kind: 'reply', callId, reply }) as const);
+}
+
+function move(
+  state: IntakeState,
+  jobId: string,
+  event: SubmissionEvent,
+  nowMs: number,
+): IntakeStep {
+  const submission = state.submissions.get(jobId);
+  if (submission === undefined) return { state, effects: [] };
+  const next = advance(submissionChart, submission.phase, event);
+  const retryAtMs = event === 'sent' ? submission.retryAtMs : nowMs + RETRY_MS;
+  const { job } = submission;
+  const effects = next.actions.flatMap((action): readonly IntakeEffect[] => {
+    switch (action) {
+      case 'accept':
+        return [
+          ...replyTo(submission, { kind: 'accepted' }),
+          logEffect('jobAccepted', { job: jobId, queue: job.policy.queue }),
+        ];
+      case 'refuse':
+        return [
+          ...replyTo(submission, { kind: 'notAccepted', retryAfterMs: COME_BACK_MS }),
+          logEffect('jobRefused', { job: jobId, reason: 'storeUnavailable' }),
+        ];
+      case 'leaveOpen':
+        return [
+          ...replyTo(submission, { kind: 'unknown' }),
+          logEffect('jobUnanswered', { job: jobId, reason: 'storeAnswerLost' }),
+        ];
+      default:
+        return assertNever(action);
+    }
+  });
+  const submissions =
+    next.state === 'over'
+      ? state.submissions.delete(jobId)
+      : state.submissions.set(jobId, { ...submission, phase: next.state, retryAtMs });
+  return { state: { ...state, submissions }, effects };
+}
+
+function moveAll(
+  state: IntakeState,
+  jobIds: readonly string[],
+  eventOf: (jobId: string) => SubmissionEvent,
+  nowMs: number,
+): IntakeStep {
+  return jobIds.reduce<IntakeStep>(
+    (step, jobId) => {
+      const next = move(step.state, jobId, eventOf(jobId), nowMs);
+      return { state: next.state, effects: [...step.effects, ...next.effects] };
+    },
+    { state, effects: [] },
+  );
+}
+
+function isIdle({ phase }: Submission): boolean {
+  return phase === 'waiting' || phase === 'doubtful';
+}
+
+/** Sends what waits, many jobs in one transaction, each conditional on being new. */
+export function sendSubmissions(state: IntakeState, nowMs: number): IntakeStep {
+  if (state.flights.size >= MAX_FLIGHTS) return { state, effects: [] };
+  const due = state.submissions.filter(
+    (submission) => isIdle(submission) && submission.retryAtMs <= nowMs,
+  );
+  const jobs = due.valueSeq().take(MAX_JOBS).toArray();
+  if (jobs.length === 0) return { state, effects: [] };
+  const jobIds = jobs.map(({ job }) => job.jobId);
+  const callId = `submit-${state.calls}`;
+  const transaction = {
+    conditions: jobIds.flatMap((jobId) => [
+      { ...jobKey(jobId), version: 0 },
+      { ...progressKey(jobId), version: 0 },
+    ]),
+    writes: jobs.map(({ job }) => ({ kind: 'put', ...jobKey(job.jobId), value: job }) as const),
+  };
+  const sent = moveAll(state, jobIds, () => 'sent', nowMs).state;
+  return {
+    state: { ...sent, calls: state.calls + 1, flights: sent.flights.set(callId, jobIds) },
+    effects: [{ kind: 'commit', callId, transaction }],
+  };
+}
+
+/** Takes in how a transaction of submissions ended. A job that is stored already is accepted. */
+export function onSubmitted(
+  state: IntakeState,
+  callId: string,
+  result: RowCommitResult,
+  nowMs: number,
+): IntakeStep {
+  const jobIds = state.flights.get(callId);
+  if (jobIds === undefined) return { state, effects: [] };
+  const landed = { ...state, flights: state.flights.delete(callId) };
+  switch (result.kind) {
+    case 'committed':
+      return moveAll(landed, jobIds, () => 'stored', nowMs);
+    case 'conflict': {
+      const stored = new Set(
+        result.rows.filter(({ version }) => version > 0).map(({ key }) => key),
+      );
+      const step = moveAll(
+        landed,
+        jobIds,
+        (jobId) =>
+          stored.has(jobKey(jobId).key) || stored.has(progressKey(jobId).key)
+            ? 'stored'
+            : 'conflict',
+        nowMs - RETRY_MS,
+      );
+      return step;
+    }
+    case 'unavailable':
+      return moveAll(landed, jobIds, () => 'unavailable', nowMs);
+    case 'unknown':
+      return moveAll(landed, jobIds, () => 'unknown', nowMs);
+    default:
+      return assertNever(result);
+  }
+}
+
+/** Ends submissions whose time is over. */
+export function expireSubmissions(state: IntakeState, nowMs: number): IntakeStep {
+  const expired = state.submissions
+    .filter((submission) => isIdle(submission) && nowMs >= submission.giveUpAtMs)
+    .keySeq()
+    .toArray();
+  return moveAll(state, expired, () => 'expired', nowMs);
+}
+
+/** Takes a job in. A repeat of a job that is on its way waits for the same outcome. */
+export function submit(
+  state: IntakeState,
+  event: { readonly callId: string; readonly job: Submission['job']; readonly timeoutMs: number },
+  nowMs: number,
+): IntakeStep {
+  const { callId, job, timeoutMs } = event;
+  const known = state.submissions.get(job.jobId);
+  if (known !== undefined) {
+    const joined = { ...known, callIds: [...known.callIds, callId] };
+    return { state: { ...state, submissions: state.submissions.set(job.jobId, joined) }, effects: [] };
+  }
+  if (state.submissions.size >= MAX_WAITING) {
+    const reply = { kind: 'notAccepted', retryAfterMs: COME_BACK_MS } as const;
+    return {
+      state,
+      effects: [
+        { kind: 'reply', callId, reply },
+        logEffect('jobRefused', { job: job.jobId, reason: 'overloaded' }),
+      ],
+    };
+  }
+  const waitMs = Math.max(0, Math.min(REFUSE_AFTER_MS, timeoutMs - REPLY_MARGIN_MS));
+  const submission: Submission = {
+    job,
+    phase: submissionChart.initial,
+    callIds: [callId],
+    giveUpAtMs: nowMs + waitMs,
+    retryAtMs: nowMs,
+  };
+  return {
+    state: { ...state, submissions: state.submissions.set(job.jobId, submission) },
+    effects: [],
+  };
+}
--- /dev/null
+++ b/packages/intake/src/types.ts
@@ -0,0 +1,93 @@
+import type { Map } from 'immutable';
+import type { StateOf } from '@bronzeyoke/chart';
+import { compileChart } from '@bronzeyoke/chart';
+import type {
+  RowCommitResult,
+  RowRange,
+  RowRangeResult,
+  RowTransaction,
+} from '@bronzeyoke/ports';
+import type { LogEffect } from '@bronzeyoke/telemetry';
+import type { JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
+import chartFile from '../charts/submission.json';
+
+/** Chart of a submission. Once a write may have been done, it is never refused as not accepted. */
+export const submissionChart = compileChart(chartFile, {
+  states: ['waiting', 'sending', 'doubtful', 'resending', 'over'],
+  events: ['sent', 'stored', 'conflict', 'unavailable', 'unknown', 'expired'],
+  actions: ['accept', 'refuse', 'leaveOpen'],
+});
+
+/** A job on its way into the store, with all callers that wait for it. */
+export interface Submission {
+  readonly job: WorkflowJob;
+  readonly phase: StateOf<typeof submissionChart>;
+  readonly callIds: readonly string[];
+  readonly giveUpAtMs: number;
+  readonly retryAtMs: number;
+}
+
+/** What a caller asked, and how far the answer is. */
+export type Inquiry =
+  | { readonly kind: 'cancel'; readonly jobId: string; readonly giveUpAtMs: number; readonly stage: 'find' | 'write' | 'outcome'; readonly retryAtMs: number }
+  | { readonly kind: 'status'; readonly jobId: string; readonly giveUpAtMs: number; readonly stage: 'progress' | 'job' | 'outcome'; readonly retryAtMs: number }
+  | { readonly kind: 'pending'; readonly queue: string; readonly giveUpAtMs: number; readonly retryAtMs: number };
+
+/** State of an entry's intake of jobs. */
+export interface IntakeState {
+  readonly submissions: Map<string, Submission>;
+  readonly inquiries: Map<string, Inquiry>;
+  /** Transactions under way, with the jobs in them. */
+  readonly flights: Map<string, readonly string[]>;
+  readonly calls: number;
+}
+
+/** A definite answer for a caller. */
+export type IntakeReply =
+  | { readonly kind: 'accepted' }
+  /** The job was not stored and never runs. */
+  | { readonly kind: 'notAccepted'; readonly retryAfterMs: number }
+  /** Nobody can tell whether the job was stored. */
+  | { readonly kind: 'unknown' }
+  | { readonly kind: 'cancelled' }
+  | { readonly kind: 'absent' }
+  | { readonly kind: 'status'; readonly status: JobStatus }
+  | { readonly kind: 'pending'; readonly count: number }
+  | { readonly kind: 'unavailable'; readonly retryAfterMs: number };
+
+/** What the intake reacts to. */
+export type IntakeEvent =
+  | {
+      readonly kind: 'submit';
+      readonly callId: string;
+      readonly job: WorkflowJob;
+      readonly timeoutMs: number;
+    }
+  | {
+      readonly kind: 'cancel' | 'status';
+      readonly callId: string;
+      readonly jobId: string;
+      readonly timeoutMs: number;
+    }
+  | {
+      readonly kind: 'pending';
+      readonly callId: string;
+      readonly queue: string;
+      readonly timeoutMs: number;
+    }
+  | { readonly kind: 'commitDone'; readonly callId: string; readonly result: RowCommitResult }
+  | { readonly kind: 'rangeDone'; readonly callId: string; readonly result: RowRangeResult }
+  | { readonly kind: 'tick' };
+
+/** What the intake asks its shell for. */
+export type IntakeEffect =
+  | { readonly kind: 'commit'; readonly callId: string; readonly transaction: RowTransaction }
+  | { readonly kind: 'range'; readonly callId: string; readonly range: RowRange }
+  | { readonly kind: 'reply'; readonly callId: string; readonly reply: IntakeReply }
+  | LogEffect;
+
+/** State and effects of a part of a step. */
+export interface IntakeStep {
+  readonly state: IntakeState;
+  readonly effects: readonly IntakeEffect[];
+}
--- /dev/null
+++ b/packages/interference/src/pairs.ts
@@ -0,0 +1,81 @@
+import { Map } from 'immutable';
+
+/** Evidence about one pair of images: positive for harm, negative against it. */
+export type PairBook = Map<string, number>;
+
+/** Nothing is known yet. */
+export const EMPTY_PAIRS: PairBook = Map();
+
+/** Share of its latency target from which a serving task counts as harmed. */
+export const HARMED_RATIO = 0.9;
+
+/** Share of its latency target up to which a serving task counts as undisturbed. */
+const CALM_RATIO = 0.7;
+
+/** Evidence of one calm observation against each pair, and of one harmful one, shared by suspects. */
+const CALM_WEIGHT = -1;
+const HARM_WEIGHT = 2;
+
+/** Evidence from which a pair is judged. */
+const HARMFUL_FROM = 1.5;
+const HARMLESS_FROM = -3;
+
+/** Evidence never grows beyond this, so that a pair whose behaviour shifts is judged anew. */
+const MAX_EVIDENCE = 6;
+
+/** One observation of a serving task's tail latency and of the images that filled beside it. */
+export interface PairObservation {
+  readonly servingImage: string;
+  /** Tail latency over target. */
+  readonly ratio: number;
+  readonly fillImages: readonly string[];
+}
+
+/** Key of a pair of images. */
+export function pairKey(servingImage: string, fillImage: string): string {
+  return `${servingImage}|${fillImage}`;
+}
+
+/** What the evidence says of a pair. */
+export function judgePair(
+  book: PairBook,
+  servingImage: string,
+  fillImage: string,
+): 'harmless' | 'harmful' | 'unknown' {
+  const evidence = book.get(pairKey(servingImage, fillImage), 0);
+  if (evidence >= HARMFUL_FROM) return 'harmful';
+  return evidence <= HARMLESS_FROM ? 'harmless' : 'unknown';
+}
+
+function addEvidence(book: PairBook, key: string, weight: number): PairBook {
+  const next = book.get(key, 0) + weight;
+  return book.set(key, Math.min(MAX_EVIDENCE, Math.max(-MAX_EVIDENCE, next)));
+}
+
+/** Images that may have caused the harm: those that are not known to be harmless, else all. */
+export function suspectsOf(book: PairBook, observation: PairObservation): readonly string[] {
+  const { servingImage, fillImages } = observation;
+  const images = [...new Set(fillImages)];
+  const harmful = images.filter((image) => judgePair(book, servingImage, image) === 'harmful');
+  if (harmful.length > 0) return harmful;
+  const unproven = images.filter((image) => judgePair(book, servingImage, image) !== 'harmless');
+  return unproven.length > 0 ? unproven : images;
+}
+
+/** Learns from one observation. */
+export function observePairs(book: PairBook, observation: PairObservation): PairBook {
+  const { servingImage, ratio, fillImages } = observation;
+  if (fillImages.length === 0) return book;
+  if (ratio <= CALM_RATIO) {
+    return [...new Set(fillImages)].reduce(
+      (known, image) => addEvidence(known, pairKey(servingImage, image), CALM_WEIGHT),
+      book,
+    );
+  }
+  if (ratio < HARMED_RATIO) return book;
+  const suspects = suspectsOf(book, observation);
+  return suspects.reduce(
+    (known, image) => addEvidence(known, pairKey(servingImage, image), HARM_WEIGHT / suspects.length),
+    book,
+  );
+}
--- a/packages/link/src/dial.ts
+++ b/packages/link/src/dial.ts
@@ -6,7 +6,7 @@
 import type { ActionOf, StateOf } from '@bronzeyoke/chart';
 import { advance, compileChart } from '@bronzeyoke/chart';
 import { assertNever } from '@bronzeyoke/types';
-import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
+import type { Tagged } from '@bronzeyoke/wire';
 import chartFile from '../charts/connection.json';
 import type { LinkCommand, LinkEvent, LinkOptions } from './socket';
 import { spawnLink } from './socket';
@@ -29,7 +29,7 @@
 
 /** What a dialled connection accepts from its owner. `replace` drops the socket and connects anew. */
 export type DialCommand =
-  | { readonly kind: 'send'; readonly message: AgentMessage | EntryMessage }
+  | { readonly kind: 'send'; readonly message: Tagged }
   | { readonly kind: 'replace' }
   | { readonly kind: 'close' };
 
@@ -63,11 +63,12 @@
 }
 
 /** Starts the actor that keeps one connection to a peer, with retry delays that double to a limit. */
-export function spawnDial<Message extends AgentMessage | EntryMessage>(
+export function spawnDial<Message extends Tagged>(
   system: ActorSystemRef,
   address: Address,
-  options: Omit<LinkOptions<Message>, 'socket'>,
+  options: Omit<LinkOptions<Message>, 'socket'> & { readonly maxRetryMs?: number },
 ): Ref<DialCommand> {
+  const { maxRetryMs = MAX_RETRY_MS } = options;
   const startLink = (socket: Socket, self: Ref<DialMessage>): Ref<LinkCommand> =>
     spawnLink(system, {
       ...options,
@@ -94,7 +95,7 @@
           : state;
       case 'scheduleRetry':
         setTimeout(() => dispatch(self, { kind: 'retry' }), state.retryMs).unref();
-        return { phase: state.phase, retryMs: Math.min(state.retryMs * 2, MAX_RETRY_MS) };
+        return { phase: state.phase, retryMs: Math.min(state.retryMs * 2, maxRetryMs) };
       case 'forward':
         if (state.link !== undefined && message.kind === 'send') dispatch(state.link, message);
         return state;
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -3,14 +3,12 @@
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, spawn } from '@bronzeyoke/actors';
 import type { Failure, Result } from '@bronzeyoke/types';
-import type { AgentMessage, EntryMessage, FrameBuffer, Received } from '@bronzeyoke/wire';
+import type { FrameBuffer, Received, Tagged } from '@bronzeyoke/wire';
 import { EMPTY_FRAME_BUFFER, encodeFrame, splitFrames } from '@bronzeyoke/wire';
 
 /** Unsent bytes after which a peer that does not read is cut off. */
 const MAX_UNSENT_BYTES = 16 * 1_048_576;
 
-type Incoming = AgentMessage | EntryMessage;
-
 /** What a link reports to its owner. */
 export type LinkEvent<Message> =
   | { readonly kind: 'opened'; readonly linkId: string }
@@ -20,7 +18,7 @@
 
 /** What a link accepts from its owner. */
 export type LinkCommand =
-  | { readonly kind: 'send'; readonly message: AgentMessage | EntryMessage }
+  | { readonly kind: 'send'; readonly message: Tagged }
   | { readonly kind: 'close' };
 
 type LinkMessage =
@@ -29,7 +27,7 @@
   | { readonly kind: 'ended'; readonly failure?: Failure };
 
 /** What a link is made of. */
-export interface LinkOptions<Message extends Incoming> {
+export interface LinkOptions<Message extends Tagged> {
   readonly linkId: string;
   readonly socket: Socket;
   readonly decode: (payload: Uint8Array) => Result<Received<Message>>;
@@ -42,7 +40,7 @@
 }
 
 /** Starts the actor that owns one socket: it frames, checks and passes on messages both ways. */
-export function spawnLink<Message extends Incoming>(
+export function spawnLink<Message extends Tagged>(
   system: ActorSystemRef,
   options: LinkOptions<Message>,
 ): Ref<LinkCommand> {
@@ -76,7 +74,7 @@
   };
 
   // Messages of one turn of the event loop leave in one system call.
-  const write = (message: AgentMessage | EntryMessage): void => {
+  const write = (message: Tagged): void => {
     if (socket.writableCorked === 0) {
       socket.cork();
       process.nextTick(() => socket.uncork());
--- /dev/null
+++ b/packages/placement/src/choose.ts
@@ -0,0 +1,134 @@
+import type { Stage } from '@bronzeyoke/workflow';
+import type { Judge, WorkerLoad } from './types';
+
+/** Unproven pairs of images that one worker may try at a time. */
+const MAX_TRIALS = 1;
+
+/** A worker on which a task may be placed, with its rank; the lowest is the best. */
+interface Candidate {
+  readonly load: WorkerLoad;
+  readonly rank: readonly number[];
+}
+
+function compareRanks(left: readonly number[], right: readonly number[]): number {
+  const index = left.findIndex((value, position) => value !== right[position]);
+  return index === -1 ? 0 : (left[index] ?? 0) - (right[index] ?? 0);
+}
+
+function freeMilli(load: WorkerLoad): number {
+  return load.capacity.processorsMilli - load.reserved.processorsMilli;
+}
+
+/** Whether a task fits into what a worker has left. */
+export function hasRoom(stage: Stage, load: WorkerLoad): boolean {
+  const { needs } = stage;
+  const fitsElsewise =
+    needs.memoryMb <= load.capacity.memoryMb - load.reserved.memoryMb &&
+    needs.accelerators <= load.capacity.accelerators - load.reserved.accelerators;
+  const leftMilli = freeMilli(load) - (stage.fillsIdle ? load.fillMilli : 0);
+  return fitsElsewise && needs.processorsMilli <= leftMilli;
+}
+
+/** Whether a task could run on an empty worker of this kind. */
+export function couldRun(stage: Stage, load: WorkerLoad): boolean {
+  const { needs, requiredLabel } = stage;
+  return (
+    needs.processorsMilli <= load.capacity.processorsMilli &&
+    needs.memoryMb <= load.capacity.memoryMb &&
+    needs.accelerators <= load.capacity.accelerators &&
+    (requiredLabel === undefined || load.labels.includes(requiredLabel))
+  );
+}
+
+function farFromData(stage: Stage, load: WorkerLoad): number {
+  return stage.dataRack === undefined || stage.dataRack === load.rack ? 0 : 1;
+}
+
+function fillRank(stage: Stage, load: WorkerLoad, judge: Judge): readonly number[] | undefined {
+  const { image } = stage;
+  const verdicts = load.servingImages.map((serving) =>
+    image === undefined ? 'unknown' : judge(serving, image),
+  );
+  if (verdicts.includes('harmful')) return undefined;
+  const isTrial = verdicts.includes('unknown');
+  const trials = new Set(
+    load.fillImages.filter((fill) =>
+      load.servingImages.some((serving) => judge(serving, fill) === 'unknown'),
+    ),
+  );
+  const joinsTrial = image !== undefined && trials.has(image);
+  if (isTrial && !joinsTrial && trials.size >= MAX_TRIALS) return undefined;
+  const beside = load.servingImages.length > 0 ? 1 : 0;
+  return [Number(isTrial), farFromData(stage, load), beside, load.fillMilli - freeMilli(load)];
+}
+
+function servingRank(stage: Stage, load: WorkerLoad): readonly number[] {
+  const isAlone = load.servingImages.length === 0 ? 1 : 0;
+  // Packs serving tasks, so that other workers stay free of them.
+  return [farFromData(stage, load), isAlone, load.fillMilli > 0 ? 1 : 0, freeMilli(load)];
+}
+
+function plainRank(stage: Stage, load: WorkerLoad): readonly number[] {
+  const isAlone = load.servingImages.length === 0 ? 1 : 0;
+  return [farFromData(stage, load), isAlone, -freeMilli(load)];
+}
+
+function rankOf(stage: Stage, load: WorkerLoad, judge: Judge): readonly number[] | undefined {
+  if (stage.fillsIdle) return fillRank(stage, load, judge);
+  return stage.latencyTargetMs === undefined ? plainRank(stage, load) : servingRank(stage, load);
+}
+
+/** What restricts the choice for one task. */
+export interface Restriction {
+  /** Tasks of the same stage and occurrence on a worker. */
+  readonly siblingsOn: (workerKey: string) => number;
+  /** Worker to avoid while there are others. */
+  readonly avoid?: string;
+}
+
+/** The best worker for a task; undefined when none can take it now. */
+export function chooseWorker(
+  stage: Stage,
+  loads: readonly WorkerLoad[],
+  judge: Judge,
+  restriction: Restriction,
+): WorkerLoad | undefined {
+  const most = stage.maxPerWorker ?? Infinity;
+  const candidates = loads.flatMap<Candidate>((load) => {
+    if (!couldRun(stage, load) || !hasRoom(stage, load)) return [];
+    if (restriction.siblingsOn(load.workerKey) >= most) return [];
+    const rank = rankOf(stage, load, judge);
+    if (rank === undefined) return [];
+    return [{ load, rank: [load.workerKey === restriction.avoid ? 1 : 0, ...rank] }];
+  });
+  return candidates.reduce<Candidate | undefined>(
+    (best, candidate) =>
+      best === undefined || compareRanks(candidate.rank, best.rank) < 0 ? candidate : best,
+    undefined,
+  )?.load;
+}
+
+/** A worker's load with one more task of a stage. */
+export function withTask(load: WorkerLoad, stage: Stage): WorkerLoad {
+  const { needs, image } = stage;
+  const { reserved } = load;
+  const images = image === undefined ? [] : [image];
+  const base = {
+    ...load,
+    reserved: {
+      processorsMilli: reserved.processorsMilli + (stage.fillsIdle ? 0 : needs.processorsMilli),
+      memoryMb: reserved.memoryMb + needs.memoryMb,
+      accelerators: reserved.accelerators + needs.accelerators,
+    },
+  };
+  if (stage.fillsIdle) {
+    return {
+      ...base,
+      fillMilli: load.fillMilli + needs.processorsMilli,
+      fillImages: [...load.fillImages, ...images],
+    };
+  }
+  return stage.latencyTargetMs === undefined
+    ? base
+    : { ...base, servingImages: [...load.servingImages, ...images] };
+}
--- /dev/null
+++ b/packages/placement/src/index.ts
@@ -0,0 +1,2 @@
+export * from './choose';
+export * from './types';
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,5 +1,7 @@
 export * from './command';
 export * from './object';
+export * from './rows';
+export * from './runner';
 export * from './store';
 export * from './table';
 export * from './upstream';
--- /dev/null
+++ b/packages/runner/src/calls.ts
@@ -0,0 +1,226 @@
+import { advance } from '@bronzeyoke/chart';
+import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import { logEffect } from '@bronzeyoke/telemetry';
+import { assertNever } from '@bronzeyoke/types';
+import type { RunnerMessage } from '@bronzeyoke/wire';
+import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
+import { orderChart } from './types';
+
+const ORDER_TIMEOUT_MS = 700;
+
+/** How long a hold waits for an end, and how long it may take beyond that. */
+const HOLD_WAIT_MS = 300;
+const HOLD_GRACE_MS = 700;
+
+/** Pause between two holds that do not wait, and after a failed one. */
+const HOLD_PAUSE_MS = 40;
+const HOLD_RETRY_MS = 120;
+
+/** Calls in a row at which nothing has to listen before the worker counts as gone. */
+const ABSENCES = 2;
+
+/** Step beyond a token that the worker refused, because another agent's is not known. */
+const TOKEN_STEP = 1_000_000;
+
+/** Key of a run. */
+export function orderKey(run: { readonly task: string; readonly attempt: number }): string {
+  return `${run.task}#${run.attempt}`;
+}
+
+/** A step without effects. */
+export function stay(state: RunnerState): RunnerStep {
+  return { state, effects: [] };
+}
+
+/** Sends a message to the leader, if there is a connection. */
+export function tell(state: RunnerState, message: RunnerMessage): readonly RunnerEffect[] {
+  return state.isLinked ? [{ kind: 'send', message }] : [];
+}
+
+/** What the leader is told of the worker; nothing before the worker has answered once. */
+export function reportEffects(state: RunnerState): readonly RunnerEffect[] {
+  const { worker, settings, term, lastOrder } = state;
+  if (worker?.clockMs === undefined) return [];
+  const { workerKey, report, clockMs, running, ended, pending } = worker;
+  return tell(state, {
+    kind: 'report',
+    agentId: settings.agentId,
+    term,
+    workerKey,
+    worker: report,
+    clockMs,
+    running,
+    ended,
+    pending: pending.valueSeq().map(({ run }) => run).toArray(),
+    lastOrder,
+  });
+}
+
+/** Calls the worker. */
+export function callWorker(state: RunnerState, worker: WorkerState, call: WorkerCall): RunnerStep {
+  const callId = `${call.kind}-${state.calls}`;
+  const { workerKey, report } = worker;
+  return {
+    state: {
+      ...state,
+      calls: state.calls + 1,
+      orders: state.orders.set(callId, { workerKey, call }),
+    },
+    effects: [{ kind: 'call', callId, worker: report, call, timeoutMs: ORDER_TIMEOUT_MS }],
+  };
+}
+
+/** Looks at the worker, prolongs its lease and acknowledges ends, when the next look is due. */
+export function holdIfDue(state: RunnerState, nowMs: number): RunnerStep {
+  const { worker, holdCallId, token } = state;
+  if (worker === undefined || holdCallId !== undefined || nowMs < state.holdAtMs) return stay(state);
+  const isSettling = worker.pending.some(({ phase }) => phase === 'settling');
+  const waitMs = isSettling || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
+  const callId = `hold-${state.calls}`;
+  const call: WorkerCall = {
+    kind: 'hold',
+    fencingToken: token,
+    ackSequence: worker.ackSequence,
+    ...(worker.leaseUntilClockMs === undefined
+      ? {}
+      : { leaseUntilClockMs: worker.leaseUntilClockMs }),
+    waitMs,
+  };
+  return {
+    state: { ...state, calls: state.calls + 1, holds: state.holds + 1, holdCallId: callId },
+    effects: [
+      { kind: 'call', callId, worker: worker.report, call, timeoutMs: waitMs + HOLD_GRACE_MS },
+    ],
+  };
+}
+
+/** The worker is gone, and with it all that it ran. */
+export function forgetWorker(state: RunnerState, reason: string): RunnerStep {
+  const { worker, holdCallId: _hold, ...rest } = state;
+  if (worker === undefined) return stay(state);
+  const { workerKey } = worker;
+  return {
+    state: { ...rest, goneKeys: [...state.goneKeys, workerKey].slice(-8) },
+    effects: [
+      ...tell(state, { kind: 'workerGone', workerKey }),
+      logEffect('workerGone', { worker: workerKey, reason }),
+    ],
+  };
+}
+
+function settled(
+  worker: WorkerState,
+  holdNumber: number,
+): WorkerState['pending'] {
+  return worker.pending.filterNot(
+    ({ phase, afterHold }) => phase === 'settling' && holdNumber > afterHold,
+  );
+}
+
+function onHold(
+  state: RunnerState,
+  worker: WorkerState,
+  result: WorkerCallResult,
+  nowMs: number,
+): RunnerStep {
+  const { holdCallId: _done, ...idle } = state;
+  switch (result.kind) {
+    case 'done': {
+      if (result.bornAtMs !== undefined && result.bornAtMs !== worker.report.bornAtMs) {
+        return forgetWorker(idle, 'anotherLife');
+      }
+      const next: WorkerState = {
+        ...worker,
+        clockMs: Math.max(worker.clockMs ?? 0, result.clockMs),
+        running: result.running ?? [],
+        ended: result.ended ?? [],
+        pending: settled(worker, state.holds),
+        absences: 0,
+      };
+      const known = { ...idle, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
+      return { state: known, effects: reportEffects(known) };
+    }
+    case 'refused':
+      return stay({
+        ...idle,
+        token: result.reason === 'fenced' ? state.token + TOKEN_STEP : state.token,
+        holdAtMs: nowMs + HOLD_RETRY_MS,
+      });
+    case 'otherWorker':
+      return forgetWorker(idle, 'otherWorker');
+    case 'notListening': {
+      const absences = worker.absences + 1;
+      if (absences >= ABSENCES) return forgetWorker(idle, 'notListening');
+      return stay({ ...idle, worker: { ...worker, absences }, holdAtMs: nowMs + HOLD_RETRY_MS });
+    }
+    case 'lost':
+      return stay({ ...idle, holdAtMs: nowMs + HOLD_RETRY_MS });
+    default:
+      return assertNever(result);
+  }
+}
+
+function onStart(
+  state: RunnerState,
+  worker: WorkerState,
+  call: Extract<WorkerCall, { kind: 'start' }>,
+  result: WorkerCallResult,
+): RunnerStep {
+  const run = { task: call.task, attempt: call.attempt };
+  const key = orderKey(run);
+  const order = worker.pending.get(key);
+  if (order === undefined) return stay(state);
+  const event = result.kind === 'done' || result.kind === 'refused' ? result.kind : 'lost';
+  const next = advance(orderChart, order.phase, event);
+  const token = next.actions.includes('raiseToken') ? state.token + 1 : state.token;
+  if (result.kind === 'refused') {
+    const { reason } = result;
+    const left = { ...worker, pending: worker.pending.delete(key) };
+    return {
+      state: { ...state, worker: left, token: reason === 'fenced' ? token + TOKEN_STEP : token },
+      effects: tell(state, { kind: 'refused', workerKey: worker.workerKey, run, reason }),
+    };
+  }
+  const pending = worker.pending.set(key, { ...order, phase: next.state, afterHold: state.holds });
+  return {
+    state: { ...state, token, worker: { ...worker, pending } },
+    effects:
+      event === 'lost'
+        ? [logEffect('orderLost', { ...run, worker: worker.workerKey, call: result.kind })]
+        : [],
+  };
+}
+
+/** Takes in how a call to the worker ended. */
+export function onCallDone(
+  state: RunnerState,
+  callId: string,
+  result: WorkerCallResult,
+  nowMs: number,
+): RunnerStep {
+  const { worker } = state;
+  if (callId === state.holdCallId) {
+    return worker === undefined ? stay(state) : onHold(state, worker, result, nowMs);
+  }
+  const order = state.orders.get(callId);
+  if (order === undefined) return stay(state);
+  const rest = { ...state, orders: state.orders.delete(callId) };
+  if (worker?.workerKey !== order.workerKey) return stay(rest);
+  const { call } = order;
+  switch (call.kind) {
+    case 'start':
+      return onStart(rest, worker, call, result);
+    case 'stop':
+    case 'pace': {
+      // The leader repeats what has no effect; the token keeps a lost order from acting late.
+      const isLost = result.kind === 'lost' || result.kind === 'notListening';
+      const isFenced = result.kind === 'refused' && result.reason === 'fenced';
+      const raise = (isLost ? 1 : 0) + (isFenced ? TOKEN_STEP : 0);
+      return stay({ ...rest, token: state.token + raise });
+    }
+    case 'hold':
+      return stay(rest);
+    default:
+      return assertNever(call);
+  }
+}
--- /dev/null
+++ b/packages/runner/src/index.ts
@@ -0,0 +1,2 @@
+export * from './step';
+export * from './types';
--- /dev/null
+++ b/packages/scheduler/src/flush.ts
@@ -0,0 +1,272 @@
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
+import { assertNever } from '@bronzeyoke/types';
+import { encodeProgress, parseTaskName, slotKey, taskOf } from '@bronzeyoke/workflow';
+import { holdsLease, moveLeadership } from './lead';
+import {
+  cancelKey,
+  COUNTS_KEY,
+  decodeLeader,
+  decodeLease,
+  jobKey,
+  LEADER_KEY,
+  LEASE_KEY,
+  PAIRS_KEY,
+  progressKey,
+} from './rows';
+import { chain, EMPTY_BATCH, stay, tellWorker, withEffects } from './state';
+import type { AfterCommit, Flight, SchedulerState, SchedulerStep } from './types';
+import { runRef } from './types';
+
+/** Jobs in one transaction; each may take three rows of the 100 that a transaction may name. */
+const MAX_JOBS = 25;
+const MAX_EXPIRED = 20;
+
+/** Outcomes are kept for longer than callers are promised. */
+const KEEP_FACTOR = 1.5;
+const REPEAT_MS = 60;
+const COUNTS_MS = 500;
+const PAIRS_MS = 1_000;
+
+function jobWrites(state: SchedulerState, jobId: string): readonly RowWrite[] {
+  const open = state.jobs.get(jobId);
+  if (open === undefined) return [];
+  const put = { kind: 'put', ...progressKey(jobId), value: encodeProgress(open.progress) } as const;
+  if (open.progress.outcome === undefined) return [put];
+  const cancel = open.isCancelled ? [{ kind: 'delete', ...cancelKey(jobId) } as const] : [];
+  return [put, { kind: 'delete', ...jobKey(jobId) }, ...cancel];
+}
+
+/** Jobs of each queue of which no task was started yet. Repeated jobs are not counted. */
+export function pendingCounts(state: SchedulerState): Readonly<Record<string, number>> {
+  const waiting = state.jobs
+    .valueSeq()
+    .filter(({ job, progress }) => job.schedule === undefined && progress.tasks.size === 0)
+    .countBy(({ job }) => job.policy.queue);
+  return Object.fromEntries(waiting);
+}
+
+function expiredJobs(state: SchedulerState, wallMs: number): readonly string[] {
+  const keepMs = state.settings.times.statusMs * KEEP_FACTOR;
+  const expired = state.ended.filter((endedAtMs) => wallMs - endedAtMs > keepMs);
+  return expired.keySeq().take(MAX_EXPIRED).toArray();
+}
+
+function noteWrites(
+  state: SchedulerState,
+  nowMs: number,
+  wallMs: number,
+): { readonly state: SchedulerState; readonly writes: readonly RowWrite[] } {
+  if (state.phase !== 'leading') return { state, writes: [] };
+  const counts = pendingCounts(state);
+  const text = JSON.stringify(counts);
+  const writesCounts = text !== state.pendingCounts && nowMs - state.countsAtMs >= COUNTS_MS;
+  const expired = expiredJobs(state, wallMs);
+  const writesPairs = state.arePairsDirty && nowMs - state.pairsSavedAtMs >= PAIRS_MS;
+  const next = {
+    ...state,
+    ended: state.ended.deleteAll(expired),
+    ...(writesCounts ? { pendingCounts: text, countsAtMs: nowMs } : {}),
+    ...(writesPairs ? { pairsSavedAtMs: nowMs, arePairsDirty: false } : {}),
+  };
+  const writes: readonly RowWrite[] = [
+    ...expired.map((jobId) => ({ kind: 'delete', ...progressKey(jobId) }) as const),
+    ...(writesCounts ? [{ kind: 'put', ...COUNTS_KEY, value: counts } as const] : []),
+    ...(writesPairs ? [{ kind: 'put', ...PAIRS_KEY, value: state.pairs.toObject() } as const] : []),
+  ];
+  return { state: next, writes };
+}
+
+/**
+ * Sends the next transaction when none is under way. Each one renews the lease and is conditional on
+ * the lease row as the last one left it, so one that is carried out late changes nothing.
+ */
+export function flush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  if (!holdsLease(state) || state.flight !== undefined) return stay(state);
+  const { queued } = state;
+  const hasRows = queued.jobIds.size > 0 || queued.after.length > 0;
+  if (!hasRows && nowMs < state.renewAtMs) return stay(state);
+  const jobIds = [...queued.jobIds].slice(0, MAX_JOBS);
+  const rest = [...queued.jobIds].slice(MAX_JOBS);
+  // What follows a row that has to wait waits with it.
+  const after = rest.length === 0 ? queued.after : [];
+  const noted = noteWrites(state, nowMs, wallMs);
+  const leaseNumber = state.leaseNumber + 1;
+  const lease = { entryId: state.settings.entryId, number: leaseNumber, isReleased: false };
+  const transaction = {
+    conditions: [
+      { ...LEADER_KEY, version: state.leaderVersion },
+      { ...LEASE_KEY, version: state.leaseVersion },
+    ],
+    writes: [
+      { kind: 'put', ...LEASE_KEY, value: lease } as const,
+      ...jobIds.flatMap((jobId) => jobWrites(state, jobId)),
+      ...noted.writes,
+    ],
+  };
+  const callId = `flush-${state.calls}`;
+  const flight: Flight = {
+    callId,
+    transaction,
+    leaseNumber,
+    sentAtMs: nowMs,
+    firstSentAtMs: nowMs,
+    after,
+    endedJobs: jobIds.filter((jobId) => state.jobs.get(jobId)?.progress.outcome !== undefined),
+    wasUnknown: false,
+  };
+  const left = rest.length === 0 ? EMPTY_BATCH : { jobIds: new Set(rest), after: queued.after };
+  return withEffects(
+    {
+      ...noted.state,
+      calls: state.calls + 1,
+      flight,
+      queued: left,
+      renewAtMs: nowMs + state.settings.times.renewMs,
+    },
+    [{ kind: 'commit', callId, transaction }],
+  );
+}
+
+function startOrder(state: SchedulerState, task: string, attempt: number, nowMs: number): SchedulerStep {
+  const ref = parseTaskName(task);
+  const run = state.runs.get(task);
+  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
+  if (ref === undefined || run === undefined || open === undefined) return stay(state);
+  const { workerKey } = run;
+  const slot = taskOf(open.progress, slotKey(ref.occurrence, ref.stage, ref.index));
+  const worker = state.workers.get(workerKey);
+  const link = worker?.linkId === undefined ? undefined : state.links.get(worker.linkId);
+  const isCurrent = run.attempt === attempt && slot.phase === 'claimed' && !open.isCancelled;
+  if (!isCurrent || worker?.linkId === undefined || link === undefined) return stay(state);
+  const order = link.orders + 1;
+  const { checkpoint } = slot;
+  return withEffects(
+    {
+      ...state,
+      links: state.links.set(worker.linkId, { ...link, orders: order }),
+      runs: state.runs.set(task, { ...run, order, isOrdered: true }),
+    },
+    [
+      {
+        kind: 'send',
+        linkId: worker.linkId,
+        message: {
+          kind: 'start',
+          workerKey,
+          order,
+          run: runRef(task, attempt),
+          payload: open.job.payload,
+          ...(checkpoint === undefined ? {} : { checkpoint }),
+          validMs: state.settings.times.startValidMs,
+        },
+      },
+      logEffect('taskPlaced', {
+        job: ref.jobId,
+        task,
+        attempt,
+        worker: workerKey,
+        storedAfterMs: Math.round(nowMs - run.claimedAtMs),
+      }),
+    ],
+  );
+}
+
+function performAfter(state: SchedulerState, action: AfterCommit, nowMs: number): SchedulerStep {
+  switch (action.kind) {
+    case 'start':
+      return startOrder(state, action.task, action.attempt, nowMs);
+    case 'acknowledge': {
+      const { workerKey, sequence } = action;
+      return withEffects(
+        state,
+        tellWorker(state, workerKey, { kind: 'acknowledge', workerKey, sequence }),
+      );
+    }
+    default:
+      return assertNever(action);
+  }
+}
+
+function committed(
+  state: SchedulerState,
+  flight: Flight,
+  version: number,
+  sentAtMs: number,
+  nowMs: number,
+): SchedulerStep {
+  const { flight: _flight, ...rest } = state;
+  const stored: SchedulerState = {
+    ...rest,
+    leaseVersion: version,
+    leaseNumber: flight.leaseNumber,
+    mayGrantUntilMs: Math.max(state.mayGrantUntilMs, sentAtMs + state.settings.times.rightMs),
+    jobs: state.jobs.deleteAll(flight.endedJobs),
+    ended: flight.endedJobs.reduce(
+      (ended, jobId) => ended.set(jobId, state.jobs.get(jobId)?.progress.endedAtMs ?? 0),
+      state.ended,
+    ),
+  };
+  return chain(
+    stored,
+    flight.after.map((action) => (current: SchedulerState) => performAfter(current, action, nowMs)),
+  );
+}
+
+function repeatLater(state: SchedulerState, flight: Flight, nowMs: number, wasUnknown: boolean) {
+  return stay({
+    ...state,
+    flight: { ...flight, wasUnknown: flight.wasUnknown || wasUnknown, repeatAtMs: nowMs + REPEAT_MS },
+  });
+}
+
+/** Ends a transaction of the leader. */
+export function onFlight(
+  state: SchedulerState,
+  callId: string,
+  result: RowCommitResult,
+  nowMs: number,
+): SchedulerStep {
+  const { flight } = state;
+  if (flight?.callId !== callId) return stay(state);
+  switch (result.kind) {
+    case 'committed':
+      return committed(state, flight, result.version, flight.sentAtMs, nowMs);
+    case 'unavailable':
+      return repeatLater(state, flight, nowMs, false);
+    case 'unknown':
+      return repeatLater(state, flight, nowMs, true);
+    case 'conflict': {
+      const leaderRow = result.rows.find(({ table }) => table === LEADER_KEY.table);
+      const leaseRow = result.rows.find(({ table }) => table === LEASE_KEY.table);
+      const lease = decodeLease(leaseRow);
+      const isOurs =
+        decodeLeader(leaderRow)?.term === state.leader?.term &&
+        lease?.entryId === state.settings.entryId &&
+        leaseRow !== undefined;
+      if (isOurs && lease.number === flight.leaseNumber) {
+        // An earlier sending of the same transaction was carried out.
+        return committed(state, flight, leaseRow.version, flight.firstSentAtMs, nowMs);
+      }
+      const step = moveLeadership(state, 'deposed');
+      return withEffects(step.state, [
+        ...step.effects,
+        logEffect('leaderLost', { term: state.leader?.term ?? 0, lease: lease?.number ?? 0 }),
+      ]);
+    }
+    default:
+      return assertNever(result);
+  }
+}
+
+/** Sends an unsettled transaction again, unchanged. */
+export function repeatFlight(state: SchedulerState, nowMs: number): SchedulerStep {
+  const { flight } = state;
+  if (flight?.repeatAtMs === undefined || nowMs < flight.repeatAtMs) return stay(state);
+  const { repeatAtMs: _due, ...rest } = flight;
+  const callId = `flush-${state.calls}`;
+  return withEffects(
+    { ...state, calls: state.calls + 1, flight: { ...rest, callId, sentAtMs: nowMs } },
+    [{ kind: 'commit', callId, transaction: flight.transaction }],
+  );
+}
--- /dev/null
+++ b/packages/scheduler/src/index.ts
@@ -0,0 +1,6 @@
+export * from './flush';
+export * from './rows';
+export * from './state';
+export * from './step';
+export * from './times';
+export * from './types';
--- /dev/null
+++ b/packages/scheduler/src/jobs.ts
@@ -0,0 +1,232 @@
+import { Map } from 'immutable';
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
+import type { JobOutcome, JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import {
+  assignedSlots,
+  decodeJob,
+  decodeProgress,
+  NOT_BEGUN,
+  parseTaskName,
+  statusOf,
+} from '@bronzeyoke/workflow';
+import { z } from 'zod';
+import { CALLS, moveLeadership } from './lead';
+import { PAIRS_KEY, readJobKey } from './rows';
+import { chain, putJob, stay, tellWorker, withEffects } from './state';
+import type { GhostRun, OpenJob, RunView, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import { runRef } from './types';
+
+const pairsSchema = z.record(z.string(), z.number());
+
+function ghostsOf(open: OpenJob, runs: readonly (readonly [string, RunView])[]): readonly GhostRun[] {
+  return runs.flatMap(([task, run]) => {
+    const stage = open.job.stages[parseTaskName(task)?.stage ?? -1];
+    if (!run.isOrdered || stage === undefined) return [];
+    const { workerKey, attempt, order } = run;
+    return [{ task, workerKey, attempt, order, stage }];
+  });
+}
+
+/** Ends a job. What still runs of it is stopped, and counts until the worker no longer lists it. */
+export function endJob(
+  state: SchedulerState,
+  jobId: string,
+  outcome: JobOutcome,
+  wallMs: number,
+): SchedulerStep {
+  const open = state.jobs.get(jobId);
+  if (open === undefined || open.progress.outcome !== undefined) return stay(state);
+  const assigned = assignedSlots(open.progress).flatMap(([slot]) => {
+    const task = `${jobId}.${slot}`;
+    const run = state.runs.get(task);
+    return run === undefined ? [] : [[task, run] as const];
+  });
+  const ghosts = ghostsOf(open, assigned);
+  const ended = { ...open, progress: { ...open.progress, outcome, endedAtMs: wallMs } };
+  const next = putJob(
+    {
+      ...state,
+      runs: state.runs.deleteAll(assigned.map(([task]) => task)),
+      ghosts: ghosts.reduce((all, ghost) => all.set(ghost.task, ghost), state.ghosts),
+    },
+    jobId,
+    ended,
+  );
+  const stops = ghosts.flatMap(({ task, workerKey, attempt }) =>
+    tellWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
+  );
+  const ageMs = Math.round(wallMs - open.job.acceptedAtMs);
+  return withEffects(next, [
+    ...stops,
+    logEffect('jobEnded', { job: jobId, outcome, queue: open.job.policy.queue, ageMs }),
+  ]);
+}
+
+function addJob(state: SchedulerState, job: WorkflowJob, progress: JobProgress): SchedulerStep {
+  const { jobId } = job;
+  if (state.jobs.has(jobId) || state.ended.has(jobId)) return stay(state);
+  const open: OpenJob = { job, progress, isCancelled: false };
+  const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
+  return withEffects(
+    { ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true },
+    [logEffect('jobSeen', fields)],
+  );
+}
+
+function cancelJob(state: SchedulerState, jobId: string, wallMs: number): SchedulerStep {
+  const open = state.jobs.get(jobId);
+  if (open === undefined || open.isCancelled) return stay(state);
+  const cancelled = { ...state, jobs: state.jobs.set(jobId, { ...open, isCancelled: true }) };
+  return endJob(cancelled, jobId, 'cancelled', wallMs);
+}
+
+function applyJobRow(
+  state: SchedulerState,
+  row: StoredRow,
+  progressOf: (jobId: string) => JobProgress,
+  wallMs: number,
+): SchedulerStep {
+  const read = readJobKey(row.key);
+  switch (read.kind) {
+    case 'job': {
+      const job = decodeJob(row.value);
+      if (job === undefined) {
+        return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
+      }
+      return addJob(state, job, progressOf(read.jobId));
+    }
+    case 'cancel':
+      return cancelJob(state, read.jobId, wallMs);
+    case 'other':
+      return stay(state);
+  }
+}
+
+function applyJobRows(
+  state: SchedulerState,
+  rows: readonly StoredRow[],
+  progressOf: (jobId: string) => JobProgress,
+  wallMs: number,
+): SchedulerStep {
+  // A cancellation sorts before the definition of its job.
+  const [cancels, others] = [
+    rows.filter(({ key }) => readJobKey(key).kind === 'cancel'),
+    rows.filter(({ key }) => readJobKey(key).kind !== 'cancel'),
+  ];
+  return chain(
+    state,
+    [...others, ...cancels].map(
+      (row) => (current: SchedulerState) => applyJobRow(current, row, progressOf, wallMs),
+    ),
+  );
+}
+
+/** Views of the runs that the stored progress names. They may or may not have been ordered. */
+function adoptRuns(state: SchedulerState, nowMs: number): SchedulerState {
+  const { times } = state.settings;
+  const waitMs = (state.wasReleased ? 0 : times.rightMs) + times.grantMs + times.marginMs;
+  const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
+    assignedSlots(progress).map(([slot, task]) => {
+      const run: RunView = {
+        workerKey: task.workerKey ?? '',
+        attempt: task.attempt,
+        order: 0,
+        isOrdered: true,
+        claimedAtMs: nowMs,
+        percent: 0,
+        percentAtMs: nowMs,
+        load: 0,
+        isListed: false,
+        listedAtMs: nowMs,
+        pace: 100,
+        pacedAtMs: nowMs,
+      };
+      return [`${job.jobId}.${slot}`, run] as const;
+    }),
+  );
+  const keys = new Set(runs.map(([, run]) => run.workerKey));
+  const workers = [...keys].map((workerKey) => [
+    workerKey,
+    {
+      workerKey,
+      clockMs: -1,
+      expiresAtMs: nowMs + waitMs,
+      handledSequence: 0,
+      failedJobs: [],
+      quarantinedUntilMs: 0,
+    },
+  ] as const);
+  return { ...state, runs: Map(runs), workers: Map(workers).merge(state.workers) };
+}
+
+function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  const { progress, jobRows, pairs } = state.loading;
+  if (state.phase !== 'loading') return stay(state);
+  if (progress === undefined || jobRows === undefined || pairs === undefined) return stay(state);
+  const ended = progress.filter(({ outcome }) => outcome !== undefined);
+  const cleared: SchedulerState = {
+    ...state,
+    loading: {},
+    ended: ended.map(({ endedAtMs }) => endedAtMs ?? wallMs),
+  };
+  return chain(cleared, [
+    (current) =>
+      applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NOT_BEGUN, wallMs),
+    (current) => stay(adoptRuns(current, nowMs)),
+    (current) => moveLeadership(current, 'loaded'),
+  ]);
+}
+
+/** Takes in rows of the job table, read whole or changed. */
+export function onJobRows(
+  state: SchedulerState,
+  event: { readonly isFull: boolean; readonly rows: readonly StoredRow[]; readonly wallMs: number },
+  nowMs: number,
+): SchedulerStep {
+  const { rows, isFull, wallMs } = event;
+  if (state.phase === 'leading') return applyJobRows(state, rows, () => NOT_BEGUN, wallMs);
+  if (state.phase !== 'loading') return stay(state);
+  const known = state.loading.jobRows;
+  if (known === undefined && !isFull) return stay(state);
+  const loading = { ...state.loading, jobRows: [...(known ?? []), ...rows] };
+  return beginIfLoaded({ ...state, loading }, nowMs, wallMs);
+}
+
+function readProgress(rows: readonly StoredRow[]): {
+  readonly progress: Map<string, JobProgress>;
+  readonly effects: readonly SchedulerEffect[];
+} {
+  const decoded = rows.map((row) => [row.key, decodeProgress(row.value)] as const);
+  const good = decoded.flatMap(([key, value]) => (value === undefined ? [] : [[key, value] as const]));
+  const bad = decoded.filter(([, value]) => value === undefined);
+  return {
+    progress: Map(good),
+    effects: bad.map(([key]) => logEffect('malformed', { what: 'progress', key })),
+  };
+}
+
+/** Takes in what a new leader reads of the store. */
+export function onLoaded(
+  state: SchedulerState,
+  callId: string,
+  result: RowRangeResult,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  if (state.phase !== 'loading' || result.kind === 'unavailable') return stay(state);
+  if (callId === CALLS.notes) {
+    const row = result.rows.find(({ key }) => key === PAIRS_KEY.key);
+    const parsed = pairsSchema.safeParse(row?.value ?? {});
+    const pairs = parsed.success ? Map(parsed.data) : state.pairs;
+    const loading = { ...state.loading, pairs: true as const };
+    return beginIfLoaded({ ...state, pairs, loading }, nowMs, wallMs);
+  }
+  const { progress, effects } = readProgress(result.rows);
+  const step = beginIfLoaded(
+    { ...state, loading: { ...state.loading, progress } },
+    nowMs,
+    wallMs,
+  );
+  return withEffects(step.state, [...effects, ...step.effects]);
+}
--- /dev/null
+++ b/packages/scheduler/src/lead.ts
@@ -0,0 +1,228 @@
+import { advance } from '@bronzeyoke/chart';
+import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { Instant } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
+import { NOT_LEADING, stay, withEffects } from './state';
+import type { Leader, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import { leadershipChart } from './types';
+
+const POLL_MS = 300;
+
+/** Spreads the claims of several entries that find the lease vacant. */
+const CLAIM_SPREAD_MS = 200;
+
+/** Calls by which a leader reads and claims. */
+export const CALLS = { claim: 'claim', poll: 'poll', progress: 'progress', notes: 'notes' } as const;
+
+type LeadershipEvent = 'vacant' | 'won' | 'lost' | 'loaded' | 'deposed' | 'stop';
+
+function ownLeader(state: SchedulerState): Leader {
+  const { entryId, host, port } = state.settings;
+  return { entryId, host, port, term: (state.leader?.term ?? 0) + 1 };
+}
+
+function claim({ state, effects }: SchedulerStep): SchedulerStep {
+  const leader = ownLeader(state);
+  const { entryId } = leader;
+  const transaction = {
+    conditions: [
+      { ...LEADER_KEY, version: state.leaderVersion },
+      { ...LEASE_KEY, version: state.leaseVersion },
+    ],
+    writes: [
+      { kind: 'put', ...LEADER_KEY, value: leader },
+      { kind: 'put', ...LEASE_KEY, value: { entryId, number: 1, isReleased: false } },
+    ],
+  } as const;
+  return withEffects(state, [...effects, { kind: 'commit', callId: CALLS.claim, transaction }]);
+}
+
+/** What a new leader reads. */
+export function loadEffects(state: SchedulerState): readonly SchedulerEffect[] {
+  const { loading } = state;
+  const progress = {
+    kind: 'range',
+    callId: CALLS.progress,
+    range: { table: TABLES.progress, partition: PARTITION },
+  } as const;
+  const notes = {
+    kind: 'range',
+    callId: CALLS.notes,
+    range: { table: TABLES.notes, partition: PARTITION },
+  } as const;
+  return [
+    ...(loading.progress === undefined ? [progress] : []),
+    ...(loading.pairs === undefined ? [notes] : []),
+  ];
+}
+
+function load({ state, effects }: SchedulerStep): SchedulerStep {
+  return withEffects(state, [
+    ...effects,
+    ...loadEffects(state),
+    { kind: 'followJobs', isOn: true },
+  ]);
+}
+
+function reset({ state, effects }: SchedulerStep): SchedulerStep {
+  const { flight: _flight, leaseSeenAtMs: _seen, pollCallId: _poll, ...rest } = state;
+  return withEffects({ ...rest, ...NOT_LEADING, mayGrantUntilMs: 0 }, [
+    ...effects,
+    { kind: 'followJobs', isOn: false },
+  ]);
+}
+
+/** Gives the lease up, so that another entry takes over at once. A transaction under way may win. */
+function resign({ state, effects }: SchedulerStep): SchedulerStep {
+  const { entryId } = state.settings;
+  const number = state.leaseNumber + 1;
+  const transaction = {
+    conditions: [
+      { ...LEADER_KEY, version: state.leaderVersion },
+      { ...LEASE_KEY, version: state.leaseVersion },
+    ],
+    writes: [{ kind: 'put', ...LEASE_KEY, value: { entryId, number, isReleased: true } }],
+  } as const;
+  return withEffects({ ...state, mayGrantUntilMs: 0 }, [
+    ...effects,
+    { kind: 'commit', callId: 'resign', transaction },
+    { kind: 'followJobs', isOn: false },
+  ]);
+}
+
+/** Moves along the leadership chart and carries out its actions. */
+export function moveLeadership(state: SchedulerState, event: LeadershipEvent): SchedulerStep {
+  const next = advance(leadershipChart, state.phase, event);
+  return next.actions.reduce<SchedulerStep>(
+    (step, action) => {
+      switch (action) {
+        case 'claim':
+          return claim(step);
+        case 'load':
+          return load(step);
+        case 'begin':
+          return step;
+        case 'reset':
+          return reset(step);
+        case 'resign':
+          return resign(step);
+        default:
+          return assertNever(action);
+      }
+    },
+    stay({ ...state, phase: next.state }),
+  );
+}
+
+/** Whether this entry holds the lease, though it may still read what it needs. */
+export function holdsLease(state: SchedulerState): boolean {
+  return state.phase === 'loading' || state.phase === 'leading';
+}
+
+/** Reads the lease from time to time while another entry leads. */
+export function pollLease(state: SchedulerState, nowMs: number): SchedulerStep {
+  const isDue = nowMs >= state.pollAtMs && state.pollCallId === undefined;
+  if (state.phase !== 'following' || !isDue) return stay(state);
+  const callId = CALLS.poll;
+  const range = { table: TABLES.lease, partition: PARTITION };
+  return withEffects({ ...state, pollCallId: callId, pollAtMs: nowMs + POLL_MS }, [
+    { kind: 'range', callId, range },
+  ]);
+}
+
+/** Takes the lease over when it was released, or was not renewed for long enough. */
+export function onPoll(
+  state: SchedulerState,
+  result: RowRangeResult,
+  { nowMs, random }: Instant,
+): SchedulerStep {
+  const { pollCallId: _done, ...polled } = state;
+  if (state.phase !== 'following') return stay(polled);
+  if (result.kind === 'unavailable') {
+    // Unseen renewals are no proof that there were none.
+    const { leaseSeenAtMs: _seen, ...rest } = polled;
+    return stay(rest);
+  }
+  const row = result.rows.find(({ key }) => key === LEASE_KEY.key);
+  const version = row?.version ?? 0;
+  const isUnchanged = version === state.leaseVersion && state.leaseSeenAtMs !== undefined;
+  const sinceMs = isUnchanged ? state.leaseSeenAtMs : nowMs;
+  const seen = { ...polled, leaseVersion: version, leaseSeenAtMs: sinceMs };
+  if (state.leaderVersion < 0) return stay(seen);
+  const lease = decodeLease(row);
+  const isFree = row === undefined || lease?.isReleased === true;
+  const waitMs = state.settings.times.takeoverAfterMs + random * CLAIM_SPREAD_MS;
+  if (!isFree && nowMs - sinceMs < waitMs) return stay(seen);
+  const step = moveLeadership({ ...seen, wasReleased: isFree }, 'vacant');
+  return withEffects({ ...step.state, claimedAtMs: nowMs }, step.effects);
+}
+
+function won(
+  state: SchedulerState,
+  versions: { readonly leader: number; readonly lease: number },
+): SchedulerStep {
+  const before = state.leader;
+  const leader = ownLeader(state);
+  const { times } = state.settings;
+  const step = moveLeadership(
+    {
+      ...state,
+      leader,
+      leaderVersion: versions.leader,
+      leaseVersion: versions.lease,
+      leaseNumber: 1,
+      mayGrantUntilMs: state.claimedAtMs + times.rightMs,
+      renewAtMs: state.claimedAtMs + times.renewMs,
+    },
+    'won',
+  );
+  const tell: readonly SchedulerEffect[] =
+    before === undefined || before.entryId === leader.entryId
+      ? []
+      : [{ kind: 'tellEntry', host: before.host, port: before.port, leader }];
+  const fields = { term: leader.term, before: before?.entryId ?? '' };
+  return withEffects(step.state, [...step.effects, ...tell, logEffect('leaderClaimed', fields)]);
+}
+
+/** Ends a claim. A claim whose answer was lost counts as lost; its lease then lapses unused. */
+export function onClaim(state: SchedulerState, result: RowCommitResult): SchedulerStep {
+  if (state.phase !== 'claiming') return stay(state);
+  switch (result.kind) {
+    case 'committed':
+      return won(state, { leader: result.version, lease: result.version });
+    case 'conflict':
+    case 'unavailable':
+    case 'unknown':
+      return moveLeadership(state, 'lost');
+    default:
+      return assertNever(result);
+  }
+}
+
+/** Learns from the leader's row who leads. A higher term than its own ends a leader's term. */
+export function onLeaderRow(state: SchedulerState, row: StoredRow | undefined): SchedulerStep {
+  const leader = decodeLeader(row);
+  const version = row?.version ?? 0;
+  if (version < state.leaderVersion) return stay(state);
+  return onLeader({ ...state, leaderVersion: holdsLease(state) ? state.leaderVersion : version }, leader);
+}
+
+/** Learns who leads, from the store or from another entry. */
+export function onLeader(state: SchedulerState, leader: Leader | undefined): SchedulerStep {
+  if (leader === undefined || leader.term <= (state.leader?.term ?? 0)) return stay(state);
+  const { entryId, term } = leader;
+  const isDeposed = holdsLease(state);
+  const step = isDeposed ? moveLeadership(state, 'deposed') : stay(state);
+  const fields = { leader: entryId, term, deposed: isDeposed };
+  const links = [...step.state.links.keys()];
+  const { host, port } = leader;
+  return withEffects({ ...step.state, leader }, [
+    ...step.effects,
+    logEffect('leaderSeen', fields),
+    ...links.map(
+      (linkId) => ({ kind: 'send', linkId, message: { kind: 'leader', term, host, port } }) as const,
+    ),
+  ]);
+}
--- /dev/null
+++ b/packages/scheduler/src/place.ts
@@ -0,0 +1,233 @@
+import { Map } from 'immutable';
+import { judgePair } from '@bronzeyoke/interference';
+import type { WorkerLoad } from '@bronzeyoke/placement';
+import { chooseWorker, couldRun, withTask } from '@bronzeyoke/placement';
+import { NO_RESOURCES } from '@bronzeyoke/types';
+import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
+import {
+  chainMs,
+  isStageDone,
+  moveRun,
+  objectiveAtMs,
+  parseTaskName,
+  readyStages,
+  remainingWork,
+  taskOf,
+  withTasks,
+} from '@bronzeyoke/workflow';
+import { afterCommit, putJob } from './state';
+import type { OpenJob, RunView, SchedulerState } from './types';
+
+/** A stage of a job that has tasks to place, with what decides its turn. */
+interface Turn {
+  readonly jobId: string;
+  readonly ready: ReadyStage;
+  readonly priority: number;
+  readonly isLate: boolean;
+  readonly workLeft: number;
+}
+
+/** Time that placing and starting a task takes, for the estimate of what can still be in time. */
+const START_MS = 100;
+
+function stageOf(state: SchedulerState, task: string): Stage | undefined {
+  const ref = parseTaskName(task);
+  if (ref === undefined) return undefined;
+  return state.jobs.get(ref.jobId)?.job.stages[ref.stage];
+}
+
+/** What runs on each usable worker of a service. */
+export function workerLoads(state: SchedulerState, nowMs: number): Map<string, WorkerLoad> {
+  const usable = state.workers.filter(
+    ({ report, linkId, quarantinedUntilMs }) =>
+      report !== undefined &&
+      linkId !== undefined &&
+      !report.isDraining &&
+      !state.domainsOut.has(report.domain) &&
+      nowMs >= quarantinedUntilMs,
+  );
+  const empty = Map(
+    usable.valueSeq().flatMap(({ workerKey, report }): readonly [string, WorkerLoad][] => {
+      if (report === undefined) return [];
+      const { domain, rack, labels, capacity } = report;
+      return [
+        [
+          workerKey,
+          {
+            workerKey,
+            domain,
+            rack,
+            labels,
+            capacity,
+            reserved: NO_RESOURCES,
+            fillMilli: 0,
+            servingImages: [],
+            fillImages: [],
+          },
+        ],
+      ];
+    }),
+  );
+  const running = state.runs
+    .entrySeq()
+    .map(([task, run]) => ({ workerKey: run.workerKey, stage: stageOf(state, task) }));
+  const ghosts = state.ghosts.valueSeq().map(({ workerKey, stage }) => ({ workerKey, stage }));
+  return empty.withMutations((loads) => {
+    running.concat(ghosts).forEach(({ workerKey, stage }) => {
+      const load = loads.get(workerKey);
+      if (load !== undefined && stage !== undefined) loads.set(workerKey, withTask(load, stage));
+    });
+  });
+}
+
+function turnsOf(state: SchedulerState, wallMs: number): readonly Turn[] {
+  const turns = state.jobs.valueSeq().flatMap(({ job, progress, isCancelled }): readonly Turn[] => {
+    if (isCancelled || job.policy.needsAdvice) return [];
+    const { jobId } = job;
+    const ready = readyStages(job, progress, wallMs);
+    if (ready.length === 0) return [];
+    const leftMs = chainMs(job, (number, stage) =>
+      isStageDone(job, progress, 0, number) ? 0 : stage.estimateMs,
+    );
+    const isLate = wallMs + leftMs + START_MS > objectiveAtMs(job);
+    const workLeft = remainingWork(job, progress);
+    return ready.map((stage) => ({
+      jobId,
+      ready: stage,
+      priority: job.policy.priority,
+      isLate,
+      workLeft,
+    }));
+  });
+  return turns
+    .sort(
+      (left, right) =>
+        left.priority - right.priority ||
+        Number(left.isLate) - Number(right.isLate) ||
+        left.workLeft - right.workLeft,
+    )
+    .toArray();
+}
+
+function claimSlot(
+  state: SchedulerState,
+  open: OpenJob,
+  slot: string,
+  workerKey: string,
+  attempt: number,
+  nowMs: number,
+): SchedulerState {
+  const { jobId } = open.job;
+  const task = taskOf(open.progress, slot);
+  const claimed = { ...moveRun(task, 'claim'), attempt, workerKey };
+  const name = `${jobId}.${slot}`;
+  const run: RunView = {
+    workerKey,
+    attempt,
+    order: 0,
+    isOrdered: false,
+    claimedAtMs: nowMs,
+    percent: 0,
+    percentAtMs: nowMs,
+    load: 0,
+    isListed: false,
+    listedAtMs: nowMs,
+    pace: 100,
+    pacedAtMs: nowMs,
+  };
+  const next = putJob(state, jobId, {
+    ...open,
+    progress: withTasks(open.progress, [[slot, claimed]]),
+  });
+  return afterCommit(
+    { ...next, runs: next.runs.set(name, run), backOff: next.backOff.delete(name) },
+    { kind: 'start', task: name, attempt },
+  );
+}
+
+/** State of one pass over all that waits. */
+interface Pass {
+  readonly state: SchedulerState;
+  readonly loads: Map<string, WorkerLoad>;
+}
+
+function siblingCounter(open: OpenJob, ready: ReadyStage): (workerKey: string) => number {
+  const prefix = `${ready.occurrence}.${ready.number}.`;
+  const counts = [...open.progress.tasks].reduce((known, [slot, { workerKey }]) => {
+    if (workerKey === undefined || !slot.startsWith(prefix)) return known;
+    return known.set(workerKey, (known.get(workerKey) ?? 0) + 1);
+  }, new globalThis.Map<string, number>());
+  return (workerKey) => counts.get(workerKey) ?? 0;
+}
+
+function placeSlot(pass: Pass, jobId: string, ready: ReadyStage, slot: string, attempt: number, nowMs: number): Pass | undefined {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined) return undefined;
+  const task = taskOf(open.progress, slot);
+  const { service } = open.job.policy;
+  const current = pass.state.config?.queues.find(({ queue }) => queue === open.job.policy.queue);
+  const wanted = current?.service ?? service;
+  const candidates = pass.loads
+    .valueSeq()
+    .filter(({ workerKey }) => pass.state.workers.get(workerKey)?.report?.service === wanted)
+    .toArray();
+  const chosen = chooseWorker(
+    ready.stage,
+    candidates,
+    (serving, fill) => judgePair(pass.state.pairs, serving, fill),
+    {
+      siblingsOn: siblingCounter(open, ready),
+      ...(task.failedOn === undefined ? {} : { avoid: task.failedOn }),
+    },
+  );
+  if (chosen === undefined) return undefined;
+  return {
+    state: claimSlot(pass.state, open, slot, chosen.workerKey, attempt, nowMs),
+    loads: pass.loads.set(chosen.workerKey, withTask(chosen, ready.stage)),
+  };
+}
+
+/** Places all members of a gang, or none. They share one attempt. */
+function placeGang(pass: Pass, { jobId, ready }: Turn, nowMs: number): Pass {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined || ready.slots.length < ready.stage.taskCount) return pass;
+  const attempt = 1 + Math.max(...ready.slots.map((slot) => taskOf(open.progress, slot).attempt));
+  const placed = ready.slots.reduce<Pass | undefined>(
+    (current, slot) =>
+      current === undefined
+        ? undefined
+        : placeSlot(current, jobId, ready, slot, attempt, nowMs),
+    pass,
+  );
+  return placed ?? pass;
+}
+
+function placeTurn(pass: Pass, turn: Turn, nowMs: number): Pass {
+  const { jobId, ready } = turn;
+  if (!pass.loads.some((load) => couldRun(ready.stage, load))) return pass;
+  if (ready.stage.isGang) return placeGang(pass, turn, nowMs);
+  const isBackingOff = (slot: string): boolean =>
+    (pass.state.backOff.get(`${jobId}.${slot}`) ?? 0) > nowMs;
+  const slots = ready.slots.filter((slot) => !isBackingOff(slot));
+  // Tasks of a stage are alike: when one finds no worker, the next finds none either.
+  return slots.reduce<{ readonly pass: Pass; readonly isFull: boolean }>(
+    (current, slot) => {
+      if (current.isFull) return current;
+      const open = current.pass.state.jobs.get(jobId);
+      const attempt = 1 + (open === undefined ? 0 : taskOf(open.progress, slot).attempt);
+      const placed = placeSlot(current.pass, jobId, ready, slot, attempt, nowMs);
+      return placed === undefined
+        ? { ...current, isFull: true }
+        : { pass: placed, isFull: false };
+    },
+    { pass, isFull: false },
+  ).pass;
+}
+
+/** Places what waits and fits. The claims are stored before any start order is sent. */
+export function placeWaiting(state: SchedulerState, nowMs: number, wallMs: number): SchedulerState {
+  const turns = turnsOf(state, wallMs);
+  const pass: Pass = { state, loads: workerLoads(state, nowMs) };
+  const placed = turns.reduce((current, turn) => placeTurn(current, turn, nowMs), pass);
+  return { ...placed.state, needsPlacement: false };
+}
--- /dev/null
+++ b/packages/scheduler/src/release.ts
@@ -0,0 +1,177 @@
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { RunEnd } from '@bronzeyoke/workflow';
+import {
+  canMove,
+  isComplete,
+  moveRun,
+  parseTaskName,
+  slotKey,
+  stageSlots,
+  taskOf,
+  withTasks,
+} from '@bronzeyoke/workflow';
+import { endJob } from './jobs';
+import { chain, putJob, stay, withEffects } from './state';
+import type { SchedulerState, SchedulerStep } from './types';
+
+/** Delay before a task that a worker refused or lost is placed again. */
+const BACK_OFF_MS = 150;
+const FAILURE_BACK_OFF_MS = 200;
+
+/** Why a run is over although its worker did not list an end. */
+export type ReleaseReason = 'workerGone' | 'leaseExpired' | 'neverStarted' | 'refused';
+
+/** Gives a task back for placement. Its worker surely does not run it, and never will. */
+export function releaseRun(
+  state: SchedulerState,
+  task: string,
+  reason: ReleaseReason,
+  nowMs: number,
+): SchedulerStep {
+  const ref = parseTaskName(task);
+  const run = state.runs.get(task);
+  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
+  if (ref === undefined || run === undefined || open === undefined) return stay(state);
+  const slot = slotKey(ref.occurrence, ref.stage, ref.index);
+  const { workerKey: _worker, ...known } = taskOf(open.progress, slot);
+  const released = moveRun(known, 'release');
+  const next = putJob(
+    {
+      ...state,
+      runs: state.runs.delete(task),
+      backOff: reason === 'refused' ? state.backOff.set(task, nowMs + BACK_OFF_MS) : state.backOff,
+    },
+    ref.jobId,
+    { ...open, progress: withTasks(open.progress, [[slot, released]]) },
+  );
+  const { workerKey, attempt } = run;
+  return withEffects(next, [
+    logEffect('taskReleased', { job: ref.jobId, task, attempt, worker: workerKey, reason }),
+  ]);
+}
+
+/** Gives back all tasks of a worker that is gone, and forgets the worker. */
+export function releaseWorker(
+  state: SchedulerState,
+  workerKey: string,
+  reason: 'workerGone' | 'leaseExpired',
+  nowMs: number,
+): SchedulerStep {
+  const tasks = state.runs.filter((run) => run.workerKey === workerKey).keySeq().toArray();
+  const forgotten: SchedulerState = {
+    ...state,
+    workers: state.workers.delete(workerKey),
+    ghosts: state.ghosts.filter((ghost) => ghost.workerKey !== workerKey),
+  };
+  const step = chain(
+    forgotten,
+    tasks.map(
+      (task) => (current: SchedulerState) => releaseRun(current, task, reason, nowMs),
+    ),
+  );
+  return withEffects(step.state, [
+    logEffect('workerGone', { worker: workerKey, reason, runs: tasks.length }),
+    ...step.effects,
+  ]);
+}
+
+/** An end that a worker listed. */
+export interface EndedRun {
+  readonly workerKey: string;
+  readonly task: string;
+  readonly attempt: number;
+  readonly end: RunEnd;
+  readonly checkpoint: string;
+}
+
+function noteOutcome(state: SchedulerState, ended: EndedRun, jobId: string): SchedulerState {
+  const view = state.workers.get(ended.workerKey);
+  if (view === undefined) return state;
+  switch (ended.end) {
+    case 'done':
+      return {
+        ...state,
+        workers: state.workers.set(ended.workerKey, { ...view, failedJobs: [] }),
+      };
+    case 'failed':
+      return {
+        ...state,
+        workers: state.workers.set(ended.workerKey, {
+          ...view,
+          failedJobs: [...new Set([...view.failedJobs, jobId])],
+        }),
+      };
+    case 'stopped':
+    case 'expired':
+    case 'gangBroken':
+    case 'gangIncomplete':
+      return state;
+  }
+}
+
+/** Takes an end that a worker listed into the job's progress. An end of an older run is ignored. */
+export function applyEnd(
+  state: SchedulerState,
+  ended: EndedRun,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  const ref = parseTaskName(ended.task);
+  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
+  if (ref === undefined || open === undefined) return stay(state);
+  const stage = open.job.stages[ref.stage];
+  const slot = slotKey(ref.occurrence, ref.stage, ref.index);
+  const task = taskOf(open.progress, slot);
+  const isCurrent =
+    task.attempt === ended.attempt &&
+    task.workerKey === ended.workerKey &&
+    open.progress.outcome === undefined &&
+    stage !== undefined &&
+    canMove(task, ended.end === 'done' ? 'done' : 'release');
+  if (!isCurrent) return stay(state);
+  const { job } = open;
+  const fields = {
+    job: ref.jobId,
+    task: ended.task,
+    attempt: ended.attempt,
+    worker: ended.workerKey,
+    end: ended.end,
+  };
+  const noted = noteOutcome(state, ended, ref.jobId);
+  const { workerKey: _worker, ...rest } = task;
+  const keepsCheckpoint = stage.savesCheckpoints && ended.checkpoint !== '';
+  const moved = {
+    ...moveRun(rest, ended.end === 'done' ? 'done' : 'release'),
+    ...(keepsCheckpoint ? { checkpoint: ended.checkpoint } : {}),
+    ...(ended.end === 'failed' ? { failures: task.failures + 1, failedOn: ended.workerKey } : {}),
+  };
+  // One end of a gang stands for all of its members.
+  const others =
+    stage.isGang && ended.end === 'done'
+      ? stageSlots(stage, ref.occurrence, ref.stage).filter((other) => other !== slot)
+      : [];
+  const changed = [
+    [slot, moved] as const,
+    ...others.map((other) => [other, moveRun(taskOf(open.progress, other), 'done')] as const),
+  ];
+  const progress = withTasks(open.progress, changed);
+  const gone = [ended.task, ...others.map((other) => `${ref.jobId}.${other}`)];
+  const backOff =
+    ended.end === 'failed'
+      ? noted.backOff.set(ended.task, nowMs + FAILURE_BACK_OFF_MS)
+      : noted.backOff;
+  const next = putJob({ ...noted, runs: noted.runs.deleteAll(gone), backOff }, ref.jobId, {
+    ...open,
+    progress,
+  });
+  const log = logEffect('taskEnded', fields);
+  const isHopeless =
+    !stage.isLasting && ended.end === 'failed' && moved.failures >= job.policy.maxAttempts;
+  if (isHopeless) {
+    const step = endJob(next, ref.jobId, 'failed', wallMs);
+    return withEffects(step.state, [log, ...step.effects]);
+  }
+  if (!isComplete(job, progress)) return withEffects(next, [log]);
+  const step = endJob(next, ref.jobId, 'complete', wallMs);
+  return withEffects(step.state, [log, ...step.effects]);
+}
--- /dev/null
+++ b/packages/scheduler/src/report.ts
@@ -0,0 +1,261 @@
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { ListedRun } from '@bronzeyoke/ports';
+import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
+import { canMove, moveRun, parseTaskName, slotKey, taskOf, withTasks } from '@bronzeyoke/workflow';
+import { applyEnd, releaseRun, releaseWorker } from './release';
+import { afterCommit, chain, stay, tellWorker, withEffects } from './state';
+import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
+import { runRef } from './types';
+
+type Report = Extract<RunnerMessage, { kind: 'report' }>;
+
+/** Part of a grant that a worker's clock counts, which may be 2% slow. */
+const CLOCK_SHARE = 0.98;
+
+/** Time after which a stop order without effect is sent again. */
+const STOP_REPEAT_MS = 600;
+
+function runKey({ task, attempt }: RunRef): string {
+  return `${task}#${attempt}`;
+}
+
+/**
+ * Takes the worker's state in, and grants a lease from a clock value that it has not been granted for.
+ * Its end is counted from when the value arrived here, which is later than when the worker read it.
+ */
+function takeWorker(
+  state: SchedulerState,
+  linkId: string,
+  report: Report,
+  nowMs: number,
+): SchedulerStep {
+  const { workerKey, worker, clockMs } = report;
+  const { times } = state.settings;
+  const known = state.workers.get(workerKey);
+  const isNewClock = clockMs > (known?.clockMs ?? -1);
+  const mayGrant = isNewClock && nowMs < state.mayGrantUntilMs;
+  const expiresAtMs = nowMs + times.grantMs + times.marginMs;
+  const view: WorkerView = {
+    workerKey,
+    report: worker,
+    linkId,
+    clockMs: mayGrant ? clockMs : (known?.clockMs ?? -1),
+    expiresAtMs: mayGrant || known === undefined ? expiresAtMs : known.expiresAtMs,
+    handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
+    failedJobs: known?.failedJobs ?? [],
+    quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
+  };
+  const leaseUntilClockMs = Math.floor(clockMs + times.grantMs * CLOCK_SHARE);
+  const grant: readonly SchedulerEffect[] = mayGrant
+    ? [{ kind: 'send', linkId, message: { kind: 'grant', workerKey, leaseUntilClockMs } }]
+    : [];
+  const { id, service, domain, isDraining } = worker;
+  const isChanged = known?.report === undefined || known.report.isDraining !== isDraining;
+  const fields = { worker: workerKey, id, service, domain, agent: report.agentId };
+  const log = isChanged ? [logEffect(isDraining ? 'workerDraining' : 'workerSeen', fields)] : [];
+  return withEffects(
+    {
+      ...state,
+      workers: state.workers.set(workerKey, view),
+      needsPlacement: state.needsPlacement || isChanged,
+    },
+    [...grant, ...log],
+  );
+}
+
+/** A later life at the same address, or under the same id, proves that an earlier one is over. */
+function endEarlierLives(state: SchedulerState, report: Report, nowMs: number): SchedulerStep {
+  const { id, address, bornAtMs } = report.worker;
+  const earlier = state.workers.filter(({ workerKey, report: other }) => {
+    if (workerKey === report.workerKey) return false;
+    const isSamePlace =
+      other === undefined
+        ? workerKey.startsWith(`${id}@`)
+        : other.id === id || other.address === address;
+    const born = Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
+    return isSamePlace && born < bornAtMs;
+  });
+  return chain(
+    state,
+    [...earlier.keys()].map(
+      (workerKey) => (current: SchedulerState) =>
+        releaseWorker(current, workerKey, 'workerGone', nowMs),
+    ),
+  );
+}
+
+function takeEnds(
+  state: SchedulerState,
+  report: Report,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  const { workerKey } = report;
+  const view = state.workers.get(workerKey);
+  const fresh = report.ended.filter(({ sequence }) => sequence > (view?.handledSequence ?? 0));
+  const last = fresh.at(-1);
+  if (view === undefined || last === undefined) return stay(state);
+  const step = chain(
+    state,
+    fresh.map(
+      (ended) => (current: SchedulerState) =>
+        applyEnd(current, { ...ended, workerKey }, nowMs, wallMs),
+    ),
+  );
+  const handled = step.state.workers.get(workerKey) ?? view;
+  const noted: SchedulerState = {
+    ...step.state,
+    workers: step.state.workers.set(workerKey, { ...handled, handledSequence: last.sequence }),
+    needsPlacement: true,
+  };
+  const { sequence } = last;
+  return withEffects(
+    afterCommit(noted, { kind: 'acknowledge', workerKey, sequence }),
+    step.effects,
+  );
+}
+
+function listedRun(known: RunView, listed: ListedRun, nowMs: number): RunView {
+  const hasMoved = listed.percent !== known.percent || !known.isListed;
+  return {
+    ...known,
+    isListed: true,
+    listedAtMs: known.isListed ? known.listedAtMs : nowMs,
+    percent: listed.percent,
+    percentAtMs: hasMoved ? nowMs : known.percentAtMs,
+    load: listed.load,
+  };
+}
+
+/** Updates a run that is listed as running; one that is not wanted is stopped. */
+function takeListed(
+  state: SchedulerState,
+  workerKey: string,
+  listed: ListedRun,
+  nowMs: number,
+): SchedulerStep {
+  const { task, attempt, checkpoint } = listed;
+  const run = state.runs.get(task);
+  const ref = parseTaskName(task);
+  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
+  const isWanted = run?.attempt === attempt && run.workerKey === workerKey;
+  if (run === undefined || ref === undefined || open === undefined || !isWanted) {
+    return withEffects(state, [
+      ...tellWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
+      logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
+    ]);
+  }
+  const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
+  const view = listedRun(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
+  const runs = state.runs.set(task, view);
+  const stops = isStopDue
+    ? tellWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) })
+    : [];
+  const slot = slotKey(ref.occurrence, ref.stage, ref.index);
+  const known = taskOf(open.progress, slot);
+  const isNew = canMove(known, 'started');
+  const savesNow =
+    checkpoint !== '' &&
+    checkpoint !== known.checkpoint &&
+    open.job.stages[ref.stage]?.savesCheckpoints === true;
+  if (!isNew && !savesNow) return withEffects({ ...state, runs }, stops);
+  const moved = { ...moveRun(known, 'started'), ...(savesNow ? { checkpoint } : {}) };
+  const progress = withTasks(open.progress, [[slot, moved]]);
+  // Kept in memory: the row is written with the next change that has to last.
+  const jobs = state.jobs.set(ref.jobId, { ...open, progress });
+  const startedAfterMs = Math.round(nowMs - run.claimedAtMs);
+  const fields = { job: ref.jobId, task, attempt, worker: workerKey, startedAfterMs };
+  return withEffects({ ...state, jobs, runs }, [
+    ...stops,
+    ...(isNew ? [logEffect('taskStarted', fields)] : []),
+  ]);
+}
+
+/** Gives back runs that the agent would know by now if they had started. */
+function releaseMissing(state: SchedulerState, report: Report, nowMs: number): SchedulerStep {
+  const { workerKey } = report;
+  const known = new Set(
+    [...report.running, ...report.pending, ...report.ended].map((run) => runKey(run)),
+  );
+  const isMissing = (run: { readonly attempt: number; readonly order: number }, task: string) =>
+    run.order <= report.lastOrder && !known.has(runKey({ task, attempt: run.attempt }));
+  const missing = state.runs
+    .filter((run, task) => run.workerKey === workerKey && run.isOrdered && isMissing(run, task))
+    .keySeq()
+    .toArray();
+  const ghosts = state.ghosts.filterNot(
+    (ghost) => ghost.workerKey === workerKey && isMissing(ghost, ghost.task),
+  );
+  return chain(
+    { ...state, ghosts },
+    missing.map(
+      (task) => (current: SchedulerState) => releaseRun(current, task, 'neverStarted', nowMs),
+    ),
+  );
+}
+
+/** Runs of a worker whose connection was replaced count as ordered before the new one. */
+function rebaseOrders(state: SchedulerState, report: Report, linkId: string): SchedulerState {
+  const known = state.workers.get(report.workerKey);
+  if (known?.linkId === linkId) return state;
+  const isHere = (run: { readonly workerKey: string }): boolean =>
+    run.workerKey === report.workerKey;
+  return {
+    ...state,
+    runs: state.runs.map((run) => (isHere(run) ? { ...run, order: 0 } : run)),
+    ghosts: state.ghosts.map((ghost) => (isHere(ghost) ? { ...ghost, order: 0 } : ghost)),
+  };
+}
+
+/** Takes in what an agent reports of its worker. */
+export function onReport(
+  state: SchedulerState,
+  linkId: string,
+  report: Report,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  const { workerKey } = report;
+  const newer = state.workers.some(
+    ({ report: other, workerKey: otherKey }) =>
+      otherKey !== workerKey &&
+      other?.address === report.worker.address &&
+      other.bornAtMs > report.worker.bornAtMs,
+  );
+  if (newer) return stay(state);
+  return chain(rebaseOrders(state, report, linkId), [
+    (current) => takeWorker(current, linkId, report, nowMs),
+    (current) => endEarlierLives(current, report, nowMs),
+    (current) => takeEnds(current, report, nowMs, wallMs),
+    ...report.running.map(
+      (listed) => (current: SchedulerState) => takeListed(current, workerKey, listed, nowMs),
+    ),
+    (current) => releaseMissing(current, report, nowMs),
+  ]);
+}
+
+/** A refusal proves that the run did not start, and will not. */
+export function onRefused(
+  state: SchedulerState,
+  message: Extract<RunnerMessage, { kind: 'refused' }>,
+  nowMs: number,
+): SchedulerStep {
+  const { task, attempt } = message.run;
+  const run = state.runs.get(task);
+  const log = logEffect('orderRefused', {
+    task,
+    attempt,
+    worker: message.workerKey,
+    reason: message.reason,
+  });
+  if (run?.attempt !== attempt || run.workerKey !== message.workerKey) {
+    const ghost = state.ghosts.get(task);
+    const isGhost = ghost?.attempt === attempt;
+    return withEffects(
+      isGhost ? { ...state, ghosts: state.ghosts.delete(task) } : state,
+      [log],
+    );
+  }
+  const step = releaseRun(state, task, 'refused', nowMs);
+  return withEffects(step.state, [log, ...step.effects]);
+}
--- /dev/null
+++ b/packages/scheduler/src/rows.ts
@@ -0,0 +1,82 @@
+import type { RowKey, StoredRow } from '@bronzeyoke/ports';
+import { z } from 'zod';
+import type { Leader } from './types';
+
+/** All rows that change together lie in one partition, because a transaction spans only one. */
+export const PARTITION = 'main';
+
+/** Tables of the scheduler. */
+export const TABLES = {
+  /** Definitions of open jobs, and cancellations. */
+  jobs: 'job',
+  /** Progress and outcome of jobs. */
+  progress: 'progress',
+  leader: 'leader',
+  /** Lease of the leader; every transaction of the leader writes it. */
+  lease: 'lease',
+  /** Counts of queued jobs, and what was learned of pairs of images. */
+  notes: 'notes',
+} as const;
+
+/** Keys of single rows. */
+export const LEADER_KEY: RowKey = { table: TABLES.leader, partition: PARTITION, key: 'leader' };
+export const LEASE_KEY: RowKey = { table: TABLES.lease, partition: PARTITION, key: 'lease' };
+export const PAIRS_KEY: RowKey = { table: TABLES.notes, partition: PARTITION, key: 'pairs' };
+export const COUNTS_KEY: RowKey = { table: TABLES.notes, partition: PARTITION, key: 'counts' };
+
+const JOB_SUFFIX = '/job';
+const CANCEL_SUFFIX = '/cancel';
+
+/** Row of a job's definition. */
+export function jobKey(jobId: string): RowKey {
+  return { table: TABLES.jobs, partition: PARTITION, key: `${jobId}${JOB_SUFFIX}` };
+}
+
+/** Row that says that a job was cancelled. */
+export function cancelKey(jobId: string): RowKey {
+  return { table: TABLES.jobs, partition: PARTITION, key: `${jobId}${CANCEL_SUFFIX}` };
+}
+
+/** Row of a job's progress. */
+export function progressKey(jobId: string): RowKey {
+  return { table: TABLES.progress, partition: PARTITION, key: jobId };
+}
+
+/** What a row of the job table is. */
+export type JobRow =
+  | { readonly kind: 'job'; readonly jobId: string }
+  | { readonly kind: 'cancel'; readonly jobId: string }
+  | { readonly kind: 'other' };
+
+/** Reads the key of a row of the job table. */
+export function readJobKey(key: string): JobRow {
+  if (key.endsWith(JOB_SUFFIX)) return { kind: 'job', jobId: key.slice(0, -JOB_SUFFIX.length) };
+  if (key.endsWith(CANCEL_SUFFIX)) {
+    return { kind: 'cancel', jobId: key.slice(0, -CANCEL_SUFFIX.length) };
+  }
+  return { kind: 'other' };
+}
+
+const leaderSchema = z.object({
+  entryId: z.string(),
+  host: z.string(),
+  port: z.int(),
+  term: z.int(),
+});
+
+const leaseSchema = z.object({ entryId: z.string(), number: z.int(), isReleased: z.boolean() });
+
+/** Lease of the leader. */
+export type LeaseValue = z.infer<typeof leaseSchema>;
+
+/** Reads the leader's row. */
+export function decodeLeader(row: StoredRow | undefined): Leader | undefined {
+  const parsed = leaderSchema.safeParse(row?.value);
+  return parsed.success ? parsed.data : undefined;
+}
+
+/** Reads the lease row. */
+export function decodeLease(row: StoredRow | undefined): LeaseValue | undefined {
+  const parsed = leaseSchema.safeParse(row?.value);
+  return parsed.success ? parsed.data : undefined;
+}
--- /dev/null
+++ b/packages/scheduler/src/step.ts
@@ -0,0 +1,143 @@
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { Instant } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
+import { flush, onFlight, repeatFlight } from './flush';
+import { onJobRows, onLoaded } from './jobs';
+import { CALLS, loadEffects, moveLeadership, onClaim, onLeader, onLeaderRow, onPoll, pollLease } from './lead';
+import { paceWorker } from './pace';
+import { placeWaiting } from './place';
+import { releaseWorker } from './release';
+import { onRefused, onReport } from './report';
+import { chain, stay, withEffects } from './state';
+import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
+
+/** How often a new leader repeats reads that the store did not answer. */
+const RELOAD_MS = 300;
+
+function expireWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
+  if (state.phase !== 'leading') return stay(state);
+  const expired = state.workers.filter(({ expiresAtMs }) => nowMs >= expiresAtMs);
+  return chain(
+    state,
+    [...expired.keys()].map(
+      (workerKey) => (current: SchedulerState) =>
+        releaseWorker(current, workerKey, 'leaseExpired', nowMs),
+    ),
+  );
+}
+
+function reload(state: SchedulerState, nowMs: number): SchedulerStep {
+  if (state.phase !== 'loading' || nowMs < state.pollAtMs) return stay(state);
+  return withEffects({ ...state, pollAtMs: nowMs + RELOAD_MS }, loadEffects(state));
+}
+
+/** Places what waits unless a transaction is under way, and stores what changed. */
+function settle(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  const isReady = state.phase === 'leading' && state.flight === undefined && state.needsPlacement;
+  return flush(isReady ? placeWaiting(state, nowMs, wallMs) : state, nowMs, wallMs);
+}
+
+function onTick(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  const hasDue = state.backOff.some((untilMs) => untilMs <= nowMs);
+  const woken: SchedulerState = hasDue
+    ? {
+        ...state,
+        backOff: state.backOff.filter((untilMs) => untilMs > nowMs),
+        needsPlacement: true,
+      }
+    : state;
+  return chain(woken, [
+    (current) => pollLease(current, nowMs),
+    (current) => reload(current, nowMs),
+    (current) => repeatFlight(current, nowMs),
+    (current) => expireWorkers(current, nowMs),
+    (current) => settle(current, nowMs, wallMs),
+  ]);
+}
+
+function leaderMessage(state: SchedulerState, linkId: string): SchedulerStep {
+  const { leader } = state;
+  if (leader === undefined) return stay(state);
+  const { term, host, port } = leader;
+  return withEffects(state, [
+    { kind: 'send', linkId, message: { kind: 'leader', term, host, port } },
+  ]);
+}
+
+/** Decides what a scheduler does with an event. */
+export function stepScheduler(
+  state: SchedulerState,
+  event: SchedulerEvent,
+  instant: Instant,
+): SchedulerStep {
+  const { nowMs } = instant;
+  switch (event.kind) {
+    case 'tick':
+      return onTick(state, nowMs, event.wallMs);
+    case 'configChanged':
+      return stay({ ...state, config: event.config, needsPlacement: true });
+    case 'domainsOut':
+      return withEffects({ ...state, domainsOut: event.domains, needsPlacement: true }, [
+        logEffect('domainsOut', { domains: [...event.domains].join(',') }),
+      ]);
+    case 'leaderRow':
+      return onLeaderRow(state, event.row);
+    case 'jobRows':
+      return chain(state, [
+        (current) => onJobRows(current, event, nowMs),
+        (current) => settle(current, nowMs, event.wallMs),
+      ]);
+    case 'commitDone':
+      if (event.callId === CALLS.claim) return onClaim(state, event.result);
+      return chain(state, [
+        (current) => onFlight(current, event.callId, event.result, nowMs),
+        (current) => settle(current, nowMs, event.wallMs),
+      ]);
+    case 'rangeDone':
+      return event.callId === CALLS.poll
+        ? onPoll(state, event.result, instant)
+        : onLoaded(state, event.callId, event.result, nowMs, event.wallMs);
+    case 'linkOpened':
+      return leaderMessage(
+        { ...state, links: state.links.set(event.linkId, { orders: 0 }) },
+        event.linkId,
+      );
+    case 'linkClosed': {
+      const workers = state.workers.map((worker) => {
+        const { linkId, ...rest } = worker;
+        return linkId === event.linkId ? rest : worker;
+      });
+      return stay({ ...state, workers, links: state.links.delete(event.linkId) });
+    }
+    case 'received': {
+      const { linkId, message, wallMs } = event;
+      if (message.kind === 'leaderChanged') return onLeader(state, message);
+      if (state.phase !== 'leading') return stay(state);
+      switch (message.kind) {
+        case 'report':
+          if (message.term > (state.leader?.term ?? 0)) return stay(state);
+          return chain(state, [
+            (current) => onReport(current, linkId, message, nowMs, wallMs),
+            (current) => paceWorker(current, message.workerKey, nowMs),
+            (current) => settle(current, nowMs, wallMs),
+          ]);
+        case 'refused':
+          return chain(state, [
+            (current) => onRefused(current, message, nowMs),
+            (current) => settle(current, nowMs, wallMs),
+          ]);
+        case 'workerGone':
+          return chain(state, [
+            (current) => releaseWorker(current, message.workerKey, 'workerGone', nowMs),
+            (current) => settle(current, nowMs, wallMs),
+          ]);
+        default:
+          return assertNever(message);
+      }
+    }
+    case 'stop':
+      return moveLeadership(state, 'stop');
+    default:
+      return assertNever(event);
+  }
+}
--- /dev/null
+++ b/packages/scheduler/src/times.ts
@@ -0,0 +1,58 @@
+/** Times of a deployment from which those of the scheduler are derived. */
+export interface Bounds {
+  /** Longest lease that a worker accepts. */
+  readonly maxLeaseMs: number;
+  /** Time after which another holder may act on a matter. */
+  readonly holderLeaseMs: number;
+  /** Time that a worker takes at most to stop a task. */
+  readonly stopMs: number;
+  /** How long a gang waits for its members. */
+  readonly gangWaitMs: number;
+  /** How long ended jobs are shown. */
+  readonly statusMs: number;
+  /** Work between two checkpoints. */
+  readonly checkpointMs: number;
+}
+
+/** Times of the scheduler, in ms. */
+export interface SchedulerTimes {
+  /** Between two writes of the leader's lease row. */
+  readonly renewMs: number;
+  /** A lease row that stays unchanged for so long may be taken over. */
+  readonly takeoverAfterMs: number;
+  /** How long a leader without the store goes on granting leases to agents. */
+  readonly rightMs: number;
+  /** Length of the lease that an agent is granted for its worker. */
+  readonly grantMs: number;
+  /** Margin for clocks that run at different rates. */
+  readonly marginMs: number;
+  /** A start order is void after this time. */
+  readonly startValidMs: number;
+  readonly statusMs: number;
+  readonly checkpointMs: number;
+}
+
+/** Longest grant: a lost machine's tasks are restarted after it. */
+const MAX_GRANT_MS = 5_000;
+const MAX_RIGHT_MS = 6_000;
+const RENEWALS_BEFORE_TAKEOVER = 4.5;
+const START_VALID_MS = 1_500;
+/** Workers' clocks may be 2% slow; the rest is for rounding and timers. */
+const MARGIN_SHARE = 0.03;
+const MARGIN_MS = 150;
+
+/** Derives the times of the scheduler. */
+export function timesOf(bounds: Bounds): SchedulerTimes {
+  const takeoverAfterMs = Math.min(1_800, bounds.holderLeaseMs * 0.6);
+  const grantMs = Math.min(MAX_GRANT_MS, bounds.maxLeaseMs / 2);
+  return {
+    renewMs: takeoverAfterMs / RENEWALS_BEFORE_TAKEOVER,
+    takeoverAfterMs,
+    rightMs: Math.min(MAX_RIGHT_MS, bounds.maxLeaseMs * 0.6),
+    grantMs,
+    marginMs: grantMs * MARGIN_SHARE + MARGIN_MS,
+    startValidMs: START_VALID_MS,
+    statusMs: bounds.statusMs,
+    checkpointMs: bounds.checkpointMs,
+  };
+}
--- /dev/null
+++ b/packages/scheduler/src/types.ts
@@ -0,0 +1,223 @@
+import type { Map } from 'immutable';
+import type { StateOf } from '@bronzeyoke/chart';
+import { compileChart } from '@bronzeyoke/chart';
+import type { PairBook } from '@bronzeyoke/interference';
+import type {
+  RowCommitResult,
+  RowRange,
+  RowRangeResult,
+  RowTransaction,
+  StoredRow,
+  WorkerReport,
+} from '@bronzeyoke/ports';
+import type { LogEffect } from '@bronzeyoke/telemetry';
+import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
+import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
+import chartFile from '../charts/leadership.json';
+import type { SchedulerTimes } from './times';
+
+/** Chart of an entry's leadership. */
+export const leadershipChart = compileChart(chartFile, {
+  states: ['following', 'claiming', 'loading', 'leading', 'stopped'],
+  events: ['vacant', 'won', 'lost', 'loaded', 'deposed', 'stop'],
+  actions: ['claim', 'load', 'begin', 'reset', 'resign'],
+});
+
+/** Whether this entry leads. */
+export type LeadershipPhase = StateOf<typeof leadershipChart>;
+
+/** The entry that places tasks, as its row says. The term rises with every change of leader. */
+export interface Leader {
+  readonly entryId: string;
+  readonly host: string;
+  readonly port: number;
+  readonly term: number;
+}
+
+/** What does not change while the process runs. */
+export interface SchedulerSettings {
+  readonly entryId: string;
+  readonly host: string;
+  readonly port: number;
+  readonly times: SchedulerTimes;
+}
+
+/** A job that has not ended, with its progress. */
+export interface OpenJob {
+  readonly job: WorkflowJob;
+  readonly progress: JobProgress;
+  readonly isCancelled: boolean;
+}
+
+/** What the leader remembers of a run beyond its row. */
+export interface RunView {
+  readonly workerKey: string;
+  readonly attempt: number;
+  /** Number of the start order on the worker's connection; 0 when it was given elsewhere. */
+  readonly order: number;
+  readonly isOrdered: boolean;
+  readonly claimedAtMs: number;
+  readonly percent: number;
+  readonly percentAtMs: number;
+  readonly load: number;
+  readonly isListed: boolean;
+  readonly listedAtMs: number;
+  /** Share at which the task may work. */
+  readonly pace: number;
+  readonly pacedAtMs: number;
+  readonly stopSentAtMs?: number;
+}
+
+/** A run whose job has ended, until the worker no longer lists it. */
+export interface GhostRun {
+  readonly task: string;
+  readonly workerKey: string;
+  readonly attempt: number;
+  readonly order: number;
+  readonly stage: Stage;
+}
+
+/** One life of a worker, as the leader knows it. */
+export interface WorkerView {
+  readonly workerKey: string;
+  /** Absent until its agent has reported to this leader. */
+  readonly report?: WorkerReport;
+  readonly linkId?: string;
+  readonly clockMs: number;
+  /** After this time nothing can run there any more, unless it reports before. */
+  readonly expiresAtMs: number;
+  /** Highest listed end that was taken into the jobs' progress. */
+  readonly handledSequence: number;
+  /** Recent ends as failed without a success in between, by job. */
+  readonly failedJobs: readonly string[];
+  readonly quarantinedUntilMs: number;
+}
+
+/** What is done once the rows of a batch are stored. */
+export type AfterCommit =
+  | { readonly kind: 'start'; readonly task: string; readonly attempt: number }
+  | { readonly kind: 'acknowledge'; readonly workerKey: string; readonly sequence: number };
+
+/** Rows that wait for a transaction, with what follows. */
+export interface Batch {
+  readonly jobIds: ReadonlySet<string>;
+  readonly after: readonly AfterCommit[];
+}
+
+/** A transaction under way. */
+export interface Flight {
+  readonly callId: string;
+  readonly transaction: RowTransaction;
+  readonly leaseNumber: number;
+  readonly sentAtMs: number;
+  readonly firstSentAtMs: number;
+  readonly after: readonly AfterCommit[];
+  readonly endedJobs: readonly string[];
+  /** Time at which an unsettled transaction is sent again. */
+  readonly repeatAtMs?: number;
+  readonly wasUnknown: boolean;
+}
+
+/** What of the store a leader still has to read. */
+export interface Loading {
+  readonly progress?: Map<string, JobProgress>;
+  readonly jobRows?: readonly StoredRow[];
+  readonly pairs?: true;
+}
+
+/** State of the scheduler in one entry. */
+export interface SchedulerState {
+  readonly settings: SchedulerSettings;
+  readonly phase: LeadershipPhase;
+  readonly calls: number;
+  readonly leader?: Leader;
+  readonly leaderVersion: number;
+  readonly leaseVersion: number;
+  readonly leaseNumber: number;
+  /** Since when the lease row was seen unchanged, with all reads in between answered. */
+  readonly leaseSeenAtMs?: number;
+  readonly pollCallId?: string;
+  readonly pollAtMs: number;
+  readonly claimedAtMs: number;
+  /** Whether the leader before gave its lease up; it then grants nothing any more. */
+  readonly wasReleased: boolean;
+  /** While this time has not passed, agents may be granted leases. */
+  readonly mayGrantUntilMs: number;
+  readonly loading: Loading;
+  readonly config?: FleetConfig;
+  readonly domainsOut: ReadonlySet<string>;
+  readonly jobs: Map<string, OpenJob>;
+  /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
+  readonly ended: Map<string, number>;
+  readonly workers: Map<string, WorkerView>;
+  readonly runs: Map<string, RunView>;
+  readonly ghosts: Map<string, GhostRun>;
+  /** Tasks that wait before their next placement, until a time. */
+  readonly backOff: Map<string, number>;
+  readonly links: Map<string, { readonly agentId?: string; readonly orders: number }>;
+  readonly pairs: PairBook;
+  readonly pairsSavedAtMs: number;
+  readonly arePairsDirty: boolean;
+  readonly queued: Batch;
+  readonly flight?: Flight;
+  readonly needsPlacement: boolean;
+  readonly pendingCounts: string;
+  readonly countsAtMs: number;
+  readonly renewAtMs: number;
+}
+
+/** What the scheduler reacts to. */
+export type SchedulerEvent =
+  | { readonly kind: 'tick'; readonly wallMs: number }
+  | { readonly kind: 'configChanged'; readonly config: FleetConfig }
+  | { readonly kind: 'domainsOut'; readonly domains: ReadonlySet<string> }
+  | { readonly kind: 'leaderRow'; readonly row: StoredRow | undefined }
+  | {
+      readonly kind: 'jobRows';
+      readonly isFull: boolean;
+      readonly rows: readonly StoredRow[];
+      readonly wallMs: number;
+    }
+  | {
+      readonly kind: 'commitDone';
+      readonly callId: string;
+      readonly result: RowCommitResult;
+      readonly wallMs: number;
+    }
+  | {
+      readonly kind: 'rangeDone';
+      readonly callId: string;
+      readonly result: RowRangeResult;
+      readonly wallMs: number;
+    }
+  | { readonly kind: 'linkOpened'; readonly linkId: string }
+  | {
+      readonly kind: 'received';
+      readonly linkId: string;
+      readonly message: RunnerMessage;
+      readonly wallMs: number;
+    }
+  | { readonly kind: 'linkClosed'; readonly linkId: string }
+  | { readonly kind: 'stop' };
+
+/** What the scheduler asks its shell for. */
+export type SchedulerEffect =
+  | { readonly kind: 'commit'; readonly callId: string; readonly transaction: RowTransaction }
+  | { readonly kind: 'range'; readonly callId: string; readonly range: RowRange }
+  /** Starts or ends the feed of jobs. */
+  | { readonly kind: 'followJobs'; readonly isOn: boolean }
+  | { readonly kind: 'send'; readonly linkId: string; readonly message: LeaderMessage }
+  /** Tells the entry that led before that it no longer does. */
+  | { readonly kind: 'tellEntry'; readonly host: string; readonly port: number; readonly leader: Leader }
+  | LogEffect;
+
+/** State and effects of a part of a step. */
+export interface SchedulerStep {
+  readonly state: SchedulerState;
+  readonly effects: readonly SchedulerEffect[];
+}
+
+/** Names a run for a message. */
+export function runRef(task: string, attempt: number): RunRef {
+  return { task, attempt };
+}
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,4 +1,6 @@
 export * from './context';
+export * from './eventlog';
+export * from './events';
 export * from './histogram';
 export * from './log';
 export * from './metrics';
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -17,8 +17,13 @@
 // Records and shared structures would tie frames to the state of one connection.
 const codec = new Encoder({ useRecords: false, mapsAsObjects: true, variableMapSize: true });
 
+/** A message of any protocol between processes. */
+export interface Tagged {
+  readonly kind: string;
+}
+
 /** Encodes a message with its length in front. */
-export function encodeFrame(message: AgentMessage | EntryMessage): Buffer {
+export function encodeFrame<Message extends Tagged>(message: Message): Buffer {
   const payload = codec.encode(message);
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
   frame.writeUInt32BE(payload.length, 0);
@@ -31,7 +36,8 @@
   | { readonly kind: 'message'; readonly message: Message }
   | { readonly kind: 'skipped'; readonly messageKind: string };
 
-function decodePayload<Message>(
+/** Decodes a payload against the schema of its protocol. */
+export function decodePayload<Message>(
   payload: Uint8Array,
   schema: z.ZodType,
   kinds: ReadonlySet<string>,
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,4 @@
 export * from './frame';
 export * from './message';
 export * from './schema';
+export * from './runner';
--- /dev/null
+++ b/packages/workflow/src/index.ts
@@ -0,0 +1,4 @@
+export * from './job';
+export * from './rows';
+export * from './run';
+export * from './types';
--- /dev/null
+++ b/packages/workflow/src/job.ts
@@ -0,0 +1,162 @@
+import type { JobOutcome, JobStatus, Stage, TaskRef, WorkflowJob } from './types';
+import type { TaskProgress } from './run';
+import { isAssigned, UNTOUCHED } from './run';
+
+/** Progress of a job. Tasks that were never claimed have no entry. */
+export interface JobProgress {
+  readonly tasks: ReadonlyMap<string, TaskProgress>;
+  readonly outcome?: JobOutcome;
+  /** Wall-clock time of the outcome. */
+  readonly endedAtMs?: number;
+}
+
+/** No task was claimed yet. */
+export const NOT_BEGUN: JobProgress = { tasks: new Map() };
+
+/** Key of a task within its job. */
+export function slotKey(occurrence: number, stage: number, index: number): string {
+  return `${occurrence}.${stage}.${index}`;
+}
+
+/** Name of a task for workers and logs. */
+export function taskName(ref: TaskRef): string {
+  return `${ref.jobId}.${slotKey(ref.occurrence, ref.stage, ref.index)}`;
+}
+
+/** Reads a task's name back. */
+export function parseTaskName(name: string): TaskRef | undefined {
+  const [jobId, ...numbers] = name.split('.');
+  const [occurrence, stage, index] = numbers.map(Number);
+  const isWhole = [occurrence, stage, index].every((part) => Number.isSafeInteger(part));
+  if (jobId === undefined || jobId === '' || numbers.length !== 3 || !isWhole) return undefined;
+  return { jobId, occurrence: occurrence ?? 0, stage: stage ?? 0, index: index ?? 0 };
+}
+
+/** Progress of one task. */
+export function taskOf(progress: JobProgress, slot: string): TaskProgress {
+  return progress.tasks.get(slot) ?? UNTOUCHED;
+}
+
+/** Replaces the progress of some tasks. */
+export function withTasks(
+  progress: JobProgress,
+  changed: readonly (readonly [string, TaskProgress])[],
+): JobProgress {
+  return { ...progress, tasks: new Map([...progress.tasks, ...changed]) };
+}
+
+/** Slots of a stage in one occurrence. */
+export function stageSlots(stage: Stage, occurrence: number, number: number): readonly string[] {
+  return Array.from({ length: stage.taskCount }, (_, index) => slotKey(occurrence, number, index));
+}
+
+/** Whether all tasks of a stage are done. */
+export function isStageDone(
+  job: WorkflowJob,
+  progress: JobProgress,
+  occurrence: number,
+  number: number,
+): boolean {
+  const stage = job.stages[number];
+  if (stage === undefined) return true;
+  return stageSlots(stage, occurrence, number).every(
+    (slot) => taskOf(progress, slot).phase === 'done',
+  );
+}
+
+/** How often the stages of a job run. */
+export function occurrencesOf(job: WorkflowJob): number {
+  return job.schedule?.occurrences ?? 1;
+}
+
+/** Occurrences whose time has come. */
+export function dueOccurrences(job: WorkflowJob, wallMs: number): readonly number[] {
+  const { schedule } = job;
+  if (schedule === undefined) return [0];
+  const { firstAtMs, periodMs, occurrences } = schedule;
+  const passed = Math.floor((wallMs - firstAtMs) / Math.max(1, periodMs)) + 1;
+  return Array.from({ length: Math.max(0, Math.min(occurrences, passed)) }, (_, index) => index);
+}
+
+/** A stage whose turn has come, with the slots that wait for a worker. */
+export interface ReadyStage {
+  readonly occurrence: number;
+  readonly number: number;
+  readonly stage: Stage;
+  readonly slots: readonly string[];
+}
+
+/** Stages that may start now and have waiting tasks. */
+export function readyStages(
+  job: WorkflowJob,
+  progress: JobProgress,
+  wallMs: number,
+): readonly ReadyStage[] {
+  if (progress.outcome !== undefined) return [];
+  return dueOccurrences(job, wallMs).flatMap((occurrence) =>
+    job.stages.flatMap((stage, number) => {
+      const slots = stageSlots(stage, occurrence, number).filter(
+        (slot) => taskOf(progress, slot).phase === 'waiting',
+      );
+      const mayStart =
+        slots.length > 0 &&
+        stage.dependsOn.every((earlier) => isStageDone(job, progress, occurrence, earlier));
+      return mayStart ? [{ occurrence, number, stage, slots }] : [];
+    }),
+  );
+}
+
+/** Whether every task of every occurrence is done. */
+export function isComplete(job: WorkflowJob, progress: JobProgress): boolean {
+  return Array.from({ length: occurrencesOf(job) }, (_, index) => index).every((occurrence) =>
+    job.stages.every((_, number) => isStageDone(job, progress, occurrence, number)),
+  );
+}
+
+/** What callers are told of a job. */
+export function statusOf(progress: JobProgress): JobStatus {
+  if (progress.outcome !== undefined) return progress.outcome;
+  return [...progress.tasks.values()].some((task) => task.attempt > 0) ? 'active' : 'queued';
+}
+
+/** Longest chain of declared work, from the start of the given stages to the end of the job. */
+export function chainMs(
+  job: WorkflowJob,
+  remainingOf: (number: number, stage: Stage) => number,
+): number {
+  const ends = job.stages.reduce<readonly number[]>((known, stage, number) => {
+    const start = Math.max(0, ...stage.dependsOn.map((earlier) => known[earlier] ?? 0));
+    return [...known, start + remainingOf(number, stage)];
+  }, []);
+  return Math.max(0, ...ends);
+}
+
+/** Declared length of the whole job's longest chain of work. */
+export function declaredChainMs(job: WorkflowJob): number {
+  return chainMs(job, (_, stage) => stage.estimateMs);
+}
+
+/** Wall-clock time by which a caller wants the job complete. */
+export function objectiveAtMs(job: WorkflowJob): number {
+  const { slackFactor, targetDurationMs } = job.policy;
+  return job.acceptedAtMs + slackFactor * declaredChainMs(job) + targetDurationMs;
+}
+
+/** Declared processor time that is not done yet, in core-milliseconds. */
+export function remainingWork(job: WorkflowJob, progress: JobProgress): number {
+  const doneOf = [...progress.tasks].reduce((counts, [slot, task]) => {
+    const number = Number(slot.split('.')[1]);
+    return task.phase === 'done' ? counts.set(number, (counts.get(number) ?? 0) + 1) : counts;
+  }, new Map<number, number>());
+  return job.stages.reduce((sum, stage, number) => {
+    const left = stage.taskCount * occurrencesOf(job) - (doneOf.get(number) ?? 0);
+    return sum + (left * stage.needs.processorsMilli * stage.estimateMs) / 1_000;
+  }, 0);
+}
+
+/** Slots that occupy a worker, with their tasks. */
+export function assignedSlots(
+  progress: JobProgress,
+): readonly (readonly [string, TaskProgress])[] {
+  return [...progress.tasks].filter(([, task]) => isAssigned(task));
+}
--- /dev/null
+++ b/packages/workflow/src/run.ts
@@ -0,0 +1,46 @@
+import type { StateOf } from '@bronzeyoke/chart';
+import { accepts, advance, compileChart } from '@bronzeyoke/chart';
+import chartFile from '../charts/run.json';
+
+const chart = compileChart(chartFile, {
+  states: ['waiting', 'claimed', 'running', 'stopping', 'done'],
+  events: ['claim', 'started', 'done', 'release', 'stop'],
+  actions: [],
+});
+
+/** Phase of a task's current run. */
+export type RunPhase = StateOf<typeof chart>;
+
+/** What happens to a run. */
+export type RunEvent = 'claim' | 'started' | 'done' | 'release' | 'stop';
+
+/** Progress of one task. The attempt numbers its runs and rises with every claim. */
+export interface TaskProgress {
+  readonly phase: RunPhase;
+  readonly attempt: number;
+  /** Runs that ended as failed. */
+  readonly failures: number;
+  /** Worker of the current run. */
+  readonly workerKey?: string;
+  readonly checkpoint?: string;
+  /** Worker on which the last run failed; the next run avoids it. */
+  readonly failedOn?: string;
+}
+
+/** A task that was never claimed. */
+export const UNTOUCHED: TaskProgress = { phase: 'waiting', attempt: 0, failures: 0 };
+
+/** Moves a run to its next phase; an event that its phase does not handle changes nothing. */
+export function moveRun(task: TaskProgress, event: RunEvent): TaskProgress {
+  return { ...task, phase: advance(chart, task.phase, event).state };
+}
+
+/** Whether the phase of a run handles an event. */
+export function canMove(task: TaskProgress, event: RunEvent): boolean {
+  return accepts(chart, task.phase, event);
+}
+
+/** Whether the task occupies a worker. */
+export function isAssigned(task: TaskProgress): boolean {
+  return task.phase === 'claimed' || task.phase === 'running' || task.phase === 'stopping';
+}
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -19,6 +19,7 @@
     source: 'packages/cli/src/main.ts',
     banned: ['nact', 'bunyan', '@opentelemetry'],
   },
+  { name: 'bronzeyoke-node', source: 'platform/main.ts', banned: ['clipanion', '@opentelemetry'] },
 ] as const;
 
 // Bundled CommonJS packages call `require` for parts of Node.js, which an ES module does not have.
