Index runs by worker, and call other programs with Node's client

Cause: a report was compared with every run of the fleet (2.0 ms each at 374 runs), and undici's start-up and memory were the largest part of a small process. Change: runs are kept by task and by worker; unchanged rows of a report cost nothing; the platform's client uses node:http.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -14,6 +14,7 @@
   PAIRS_KEY,
   progressKey,
 } from './rows';
+import { putRun } from './runs';
 import { chain, EMPTY_BATCH, stay, tellWorker, withEffects } from './state';
 import type { AfterCommit, Flight, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
@@ -130,7 +131,7 @@
 
 function startOrder(state: SchedulerState, task: string, attempt: number, nowMs: number): SchedulerStep {
   const ref = parseTaskName(task);
-  const run = state.runs.get(task);
+  const run = state.runs.byTask.get(task);
   const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
   if (ref === undefined || run === undefined || open === undefined) return stay(state);
   const { workerKey } = run;
@@ -145,7 +146,7 @@
     {
       ...state,
       links: state.links.set(worker.linkId, { ...link, orders: order }),
-      runs: state.runs.set(task, { ...run, order, isOrdered: true }),
+      runs: putRun(state.runs, task, { ...run, order, isOrdered: true }),
     },
     [
       {
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -7,25 +7,28 @@
   decodeJob,
   decodeProgress,
   NOT_BEGUN,
-  parseTaskName,
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { CALLS, moveLeadership } from './lead';
 import { PAIRS_KEY, readJobKey } from './rows';
+import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chain, putJob, stay, tellWorker, withEffects } from './state';
 import type { GhostRun, OpenJob, RunView, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
 const pairsSchema = z.record(z.string(), z.number());
 
-function ghostsOf(open: OpenJob, runs: readonly (readonly [string, RunView])[]): readonly GhostRun[] {
-  return runs.flatMap(([task, run]) => {
-    const stage = open.job.stages[parseTaskName(task)?.stage ?? -1];
-    if (!run.isOrdered || stage === undefined) return [];
-    const { workerKey, attempt, order } = run;
-    return [{ task, workerKey, attempt, order, stage }];
-  });
+function ghostsOf(runs: readonly (readonly [string, RunView])[]): readonly GhostRun[] {
+  return runs
+    .filter(([, run]) => run.isOrdered)
+    .map(([task, { workerKey, attempt, order, stage }]) => ({
+      task,
+      workerKey,
+      attempt,
+      order,
+      stage,
+    }));
 }
 
 /** Ends a job. What still runs of it is stopped, and counts until the worker no longer lists it. */
@@ -39,15 +42,15 @@
   if (open === undefined || open.progress.outcome !== undefined) return stay(state);
   const assigned = assignedSlots(open.progress).flatMap(([slot]) => {
     const task = `${jobId}.${slot}`;
-    const run = state.runs.get(task);
+    const run = state.runs.byTask.get(task);
     return run === undefined ? [] : [[task, run] as const];
   });
-  const ghosts = ghostsOf(open, assigned);
+  const ghosts = ghostsOf(assigned);
   const ended = { ...open, progress: { ...open.progress, outcome, endedAtMs: wallMs } };
   const next = putJob(
     {
       ...state,
-      runs: state.runs.deleteAll(assigned.map(([task]) => task)),
+      runs: dropRuns(state.runs, assigned.map(([task]) => task)),
       ghosts: ghosts.reduce((all, ghost) => all.set(ghost.task, ghost), state.ghosts),
     },
     jobId,
@@ -127,8 +130,13 @@
   const { times } = state.settings;
   const waitMs = (state.wasReleased ? 0 : times.rightMs) + times.grantMs + times.marginMs;
   const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
-    assignedSlots(progress).map(([slot, task]) => {
+    assignedSlots(progress).flatMap(([slot, task]): readonly (readonly [string, RunView])[] => {
+      const stage = job.stages[Number(slot.split('.')[1])];
+      if (stage === undefined) return [];
       const run: RunView = {
+        jobId: job.jobId,
+        slot,
+        stage,
         workerKey: task.workerKey ?? '',
         attempt: task.attempt,
         order: 0,
@@ -142,7 +150,7 @@
         pace: 100,
         pacedAtMs: nowMs,
       };
-      return [`${job.jobId}.${slot}`, run] as const;
+      return [[`${job.jobId}.${slot}`, run]];
     }),
   );
   const keys = new Set(runs.map(([, run]) => run.workerKey));
@@ -157,7 +165,10 @@
       quarantinedUntilMs: 0,
     },
   ] as const);
-  return { ...state, runs: Map(runs), workers: Map(workers).merge(state.workers) };
+  return {
+    ...state,
+    runs: runs.reduce((table, [task, run]) => putRun(table, task, run), NO_RUNS),
+    workers: Map(workers).merge(state.workers) };
 }
 
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -1,8 +1,9 @@
 import type { PairObservation } from '@bronzeyoke/interference';
 import { HARMED_RATIO, judgePair, observePairs, suspectsOf } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { moveRun, parseTaskName, slotKey, taskOf, withTasks } from '@bronzeyoke/workflow';
+import { moveRun, taskOf, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
+import { putRun, runsOn } from './runs';
 import { chain, stay, tellWorker, withEffects } from './state';
 import type { RunView, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
@@ -20,15 +21,9 @@
 }
 
 function listedOn(state: SchedulerState, workerKey: string): readonly Listed[] {
-  return state.runs
-    .entrySeq()
-    .flatMap(([task, run]): readonly Listed[] => {
-      const ref = parseTaskName(task);
-      const stage = ref === undefined ? undefined : state.jobs.get(ref.jobId)?.job.stages[ref.stage];
-      const isHere = run.workerKey === workerKey && run.isListed;
-      return isHere && stage !== undefined ? [{ task, run, stage }] : [];
-    })
-    .toArray();
+  return [...runsOn(state.runs, workerKey)]
+    .filter(([, run]) => run.isListed)
+    .map(([task, run]) => ({ task, run, stage: run.stage }));
 }
 
 function setPace(
@@ -41,7 +36,7 @@
   const { workerKey, attempt } = run;
   const ref = runRef(task, attempt);
   return withEffects(
-    { ...state, runs: state.runs.set(task, { ...run, pace: percent, pacedAtMs: nowMs }) },
+    { ...state, runs: putRun(state.runs, task, { ...run, pace: percent, pacedAtMs: nowMs }) },
     [
       ...tellWorker(state, workerKey, { kind: 'pace', workerKey, run: ref, percent }),
       logEffect('taskPaced', { task, attempt, worker: workerKey, percent, reason }),
@@ -56,30 +51,29 @@
   reason: string,
   nowMs: number,
 ): SchedulerStep {
-  const ref = parseTaskName(task);
-  const run = state.runs.get(task);
-  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
-  if (ref === undefined || run === undefined || open === undefined) return stay(state);
+  const run = state.runs.byTask.get(task);
+  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
+  if (run === undefined || open === undefined) return stay(state);
   if (run.stopSentAtMs !== undefined) return stay(state);
-  const slot = slotKey(ref.occurrence, ref.stage, ref.index);
+  const { slot, jobId } = run;
   const stopping = moveRun(taskOf(open.progress, slot), 'stop');
   const progress = withTasks(open.progress, [[slot, stopping]]);
   const { workerKey, attempt } = run;
   return withEffects(
     {
       ...state,
-      jobs: state.jobs.set(ref.jobId, { ...open, progress }),
-      runs: state.runs.set(task, { ...run, stopSentAtMs: nowMs }),
+      jobs: state.jobs.set(jobId, { ...open, progress }),
+      runs: putRun(state.runs, task, { ...run, stopSentAtMs: nowMs }),
     },
     [
       ...tellWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
-      logEffect('taskStopped', { job: ref.jobId, task, attempt, worker: workerKey, reason }),
+      logEffect('taskStopped', { job: jobId, task, attempt, worker: workerKey, reason }),
     ],
   );
 }
 
-function observe(listed: readonly Listed[], serving: Listed, nowMs: number): PairObservation {
-  const { image, latencyTargetMs } = serving.stage;
+/** Images that have filled for long enough to show in the loads of now. */
+function settledFills(listed: readonly Listed[], nowMs: number): readonly string[] {
   const working = listed.filter(
     ({ stage, run }) =>
       stage.fillsIdle &&
@@ -87,10 +81,14 @@
       run.stopSentAtMs === undefined &&
       nowMs - Math.max(run.listedAtMs, run.pacedAtMs) >= SETTLE_MS,
   );
+  return [...new Set(working.flatMap(({ stage }) => stage.image ?? []))];
+}
+
+function observe({ stage, run }: Listed, fillImages: readonly string[]): PairObservation {
   return {
-    servingImage: image ?? '',
-    ratio: serving.run.load / Math.max(1, latencyTargetMs ?? 1),
-    fillImages: working.flatMap(({ stage }) => (stage.image === undefined ? [] : [stage.image])),
+    servingImage: stage.image ?? '',
+    ratio: run.load / Math.max(1, stage.latencyTargetMs ?? 1),
+    fillImages,
   };
 }
 
@@ -99,7 +97,8 @@
   const listed = listedOn(state, workerKey);
   const serving = listed.filter(({ stage }) => stage.latencyTargetMs !== undefined);
   if (serving.length === 0) return stay(state);
-  const observations = serving.map((task) => observe(listed, task, nowMs));
+  const settled = settledFills(listed, nowMs);
+  const observations = serving.map((task) => observe(task, settled));
   const pairs = observations.reduce(observePairs, state.pairs);
   const learned = { ...state, pairs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs };
   const harmed = observations.filter(({ ratio }) => ratio >= HARMED_RATIO);
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -9,12 +9,12 @@
   isStageDone,
   moveRun,
   objectiveAtMs,
-  parseTaskName,
   readyStages,
   remainingWork,
   taskOf,
   withTasks,
 } from '@bronzeyoke/workflow';
+import { putRun } from './runs';
 import { afterCommit, putJob } from './state';
 import type { OpenJob, RunView, SchedulerState } from './types';
 
@@ -30,12 +30,6 @@
 /** Time that placing and starting a task takes, for the estimate of what can still be in time. */
 const START_MS = 100;
 
-function stageOf(state: SchedulerState, task: string): Stage | undefined {
-  const ref = parseTaskName(task);
-  if (ref === undefined) return undefined;
-  return state.jobs.get(ref.jobId)?.job.stages[ref.stage];
-}
-
 /** What runs on each usable worker of a service. */
 export function workerLoads(state: SchedulerState, nowMs: number): Map<string, WorkerLoad> {
   const usable = state.workers.filter(
@@ -68,14 +62,11 @@
       ];
     }),
   );
-  const running = state.runs
-    .entrySeq()
-    .map(([task, run]) => ({ workerKey: run.workerKey, stage: stageOf(state, task) }));
-  const ghosts = state.ghosts.valueSeq().map(({ workerKey, stage }) => ({ workerKey, stage }));
+  const runs = state.runs.byTask.valueSeq();
   return empty.withMutations((loads) => {
-    running.concat(ghosts).forEach(({ workerKey, stage }) => {
+    [...runs, ...state.ghosts.values()].forEach(({ workerKey, stage }) => {
       const load = loads.get(workerKey);
-      if (load !== undefined && stage !== undefined) loads.set(workerKey, withTask(load, stage));
+      if (load !== undefined) loads.set(workerKey, withTask(load, stage));
     });
   });
 }
@@ -113,6 +104,7 @@
   state: SchedulerState,
   open: OpenJob,
   slot: string,
+  stage: Stage,
   workerKey: string,
   attempt: number,
   nowMs: number,
@@ -122,6 +114,9 @@
   const claimed = { ...moveRun(task, 'claim'), attempt, workerKey };
   const name = `${jobId}.${slot}`;
   const run: RunView = {
+    jobId,
+    slot,
+    stage,
     workerKey,
     attempt,
     order: 0,
@@ -140,7 +135,7 @@
     progress: withTasks(open.progress, [[slot, claimed]]),
   });
   return afterCommit(
-    { ...next, runs: next.runs.set(name, run), backOff: next.backOff.delete(name) },
+    { ...next, runs: putRun(next.runs, name, run), backOff: next.backOff.delete(name) },
     { kind: 'start', task: name, attempt },
   );
 }
@@ -182,7 +177,7 @@
   );
   if (chosen === undefined) return undefined;
   return {
-    state: claimSlot(pass.state, open, slot, chosen.workerKey, attempt, nowMs),
+    state: claimSlot(pass.state, open, slot, ready.stage, chosen.workerKey, attempt, nowMs),
     loads: pass.loads.set(chosen.workerKey, withTask(chosen, ready.stage)),
   };
 }
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -11,6 +11,7 @@
   withTasks,
 } from '@bronzeyoke/workflow';
 import { endJob } from './jobs';
+import { dropRun, dropRuns, runsOn } from './runs';
 import { chain, putJob, stay, withEffects } from './state';
 import type { SchedulerState, SchedulerStep } from './types';
 
@@ -29,7 +30,7 @@
   nowMs: number,
 ): SchedulerStep {
   const ref = parseTaskName(task);
-  const run = state.runs.get(task);
+  const run = state.runs.byTask.get(task);
   const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
   if (ref === undefined || run === undefined || open === undefined) return stay(state);
   const slot = slotKey(ref.occurrence, ref.stage, ref.index);
@@ -38,7 +39,7 @@
   const next = putJob(
     {
       ...state,
-      runs: state.runs.delete(task),
+      runs: dropRun(state.runs, task),
       backOff: reason === 'refused' ? state.backOff.set(task, nowMs + BACK_OFF_MS) : state.backOff,
     },
     ref.jobId,
@@ -57,7 +58,7 @@
   reason: 'workerGone' | 'leaseExpired',
   nowMs: number,
 ): SchedulerStep {
-  const tasks = state.runs.filter((run) => run.workerKey === workerKey).keySeq().toArray();
+  const tasks = [...runsOn(state.runs, workerKey).keys()];
   const forgotten: SchedulerState = {
     ...state,
     workers: state.workers.delete(workerKey),
@@ -160,7 +161,7 @@
     ended.end === 'failed'
       ? noted.backOff.set(ended.task, nowMs + FAILURE_BACK_OFF_MS)
       : noted.backOff;
-  const next = putJob({ ...noted, runs: noted.runs.deleteAll(gone), backOff }, ref.jobId, {
+  const next = putJob({ ...noted, runs: dropRuns(noted.runs, gone), backOff }, ref.jobId, {
     ...open,
     progress,
   });
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,8 +1,9 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
-import { canMove, moveRun, parseTaskName, slotKey, taskOf, withTasks } from '@bronzeyoke/workflow';
+import { canMove, moveRun, taskOf, withTasks } from '@bronzeyoke/workflow';
 import { applyEnd, releaseRun, releaseWorker } from './release';
+import { putRun, runsOn } from './runs';
 import { afterCommit, chain, stay, tellWorker, withEffects } from './state';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
 import { runRef } from './types';
@@ -116,6 +117,9 @@
 }
 
 function listedRun(known: RunView, listed: ListedRun, nowMs: number): RunView {
+  const isSame =
+    known.isListed && known.percent === listed.percent && known.load === listed.load;
+  if (isSame) return known;
   const hasMoved = listed.percent !== known.percent || !known.isListed;
   return {
     ...known,
@@ -135,11 +139,10 @@
   nowMs: number,
 ): SchedulerStep {
   const { task, attempt, checkpoint } = listed;
-  const run = state.runs.get(task);
-  const ref = parseTaskName(task);
-  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
+  const run = state.runs.byTask.get(task);
+  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
   const isWanted = run?.attempt === attempt && run.workerKey === workerKey;
-  if (run === undefined || ref === undefined || open === undefined || !isWanted) {
+  if (run === undefined || open === undefined || !isWanted) {
     return withEffects(state, [
       ...tellWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
       logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
@@ -147,24 +150,24 @@
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = listedRun(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
-  const runs = state.runs.set(task, view);
+  const runs = view === run ? state.runs : putRun(state.runs, task, view);
   const stops = isStopDue
     ? tellWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) })
     : [];
-  const slot = slotKey(ref.occurrence, ref.stage, ref.index);
+  const { slot, jobId } = run;
   const known = taskOf(open.progress, slot);
   const isNew = canMove(known, 'started');
   const savesNow =
     checkpoint !== '' &&
     checkpoint !== known.checkpoint &&
-    open.job.stages[ref.stage]?.savesCheckpoints === true;
+    run.stage.savesCheckpoints;
   if (!isNew && !savesNow) return withEffects({ ...state, runs }, stops);
   const moved = { ...moveRun(known, 'started'), ...(savesNow ? { checkpoint } : {}) };
   const progress = withTasks(open.progress, [[slot, moved]]);
   // Kept in memory: the row is written with the next change that has to last.
-  const jobs = state.jobs.set(ref.jobId, { ...open, progress });
+  const jobs = state.jobs.set(jobId, { ...open, progress });
   const startedAfterMs = Math.round(nowMs - run.claimedAtMs);
-  const fields = { job: ref.jobId, task, attempt, worker: workerKey, startedAfterMs };
+  const fields = { job: jobId, task, attempt, worker: workerKey, startedAfterMs };
   return withEffects({ ...state, jobs, runs }, [
     ...stops,
     ...(isNew ? [logEffect('taskStarted', fields)] : []),
@@ -179,10 +182,9 @@
   );
   const isMissing = (run: { readonly attempt: number; readonly order: number }, task: string) =>
     run.order <= report.lastOrder && !known.has(runKey({ task, attempt: run.attempt }));
-  const missing = state.runs
-    .filter((run, task) => run.workerKey === workerKey && run.isOrdered && isMissing(run, task))
-    .keySeq()
-    .toArray();
+  const missing = [...runsOn(state.runs, workerKey)]
+    .filter(([task, run]) => run.isOrdered && isMissing(run, task))
+    .map(([task]) => task);
   const ghosts = state.ghosts.filterNot(
     (ghost) => ghost.workerKey === workerKey && isMissing(ghost, ghost.task),
   );
@@ -202,7 +204,10 @@
     run.workerKey === report.workerKey;
   return {
     ...state,
-    runs: state.runs.map((run) => (isHere(run) ? { ...run, order: 0 } : run)),
+    runs: [...runsOn(state.runs, report.workerKey)].reduce(
+      (table, [task, run]) => putRun(table, task, { ...run, order: 0 }),
+      state.runs,
+    ),
     ghosts: state.ghosts.map((ghost) => (isHere(ghost) ? { ...ghost, order: 0 } : ghost)),
   };
 }
@@ -241,7 +246,7 @@
   nowMs: number,
 ): SchedulerStep {
   const { task, attempt } = message.run;
-  const run = state.runs.get(task);
+  const run = state.runs.byTask.get(task);
   const log = logEffect('orderRefused', {
     task,
     attempt,
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,6 +1,7 @@
 import { Map } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
+import { NO_RUNS } from './runs';
 import type {
   AfterCommit,
   Batch,
@@ -21,7 +22,7 @@
   jobs: Map<string, never>(),
   ended: Map<string, never>(),
   workers: Map<string, never>(),
-  runs: Map<string, never>(),
+  runs: NO_RUNS,
   ghosts: Map<string, never>(),
   backOff: Map<string, never>(),
   queued: EMPTY_BATCH,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -14,6 +14,7 @@
 import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { RunTable } from './runs';
 import type { SchedulerTimes } from './times';
 
 /** Chart of an entry's leadership. */
@@ -51,6 +52,10 @@
 
 /** What the leader remembers of a run beyond its row. */
 export interface RunView {
+  readonly jobId: string;
+  /** Key of the task within its job. */
+  readonly slot: string;
+  readonly stage: Stage;
   readonly workerKey: string;
   readonly attempt: number;
   /** Number of the start order on the worker's connection; 0 when it was given elsewhere. */
@@ -150,7 +155,7 @@
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
-  readonly runs: Map<string, RunView>;
+  readonly runs: RunTable;
   readonly ghosts: Map<string, GhostRun>;
   /** Tasks that wait before their next placement, until a time. */
   readonly backOff: Map<string, number>;
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -19,7 +19,11 @@
     source: 'packages/cli/src/main.ts',
     banned: ['nact', 'bunyan', '@opentelemetry'],
   },
-  { name: 'bronzeyoke-node', source: 'platform/main.ts', banned: ['clipanion', '@opentelemetry'] },
+  {
+    name: 'bronzeyoke-node',
+    source: 'platform/main.ts',
+    banned: ['clipanion', 'undici', '@opentelemetry', 'hdr-histogram-js'],
+  },
 ] as const;
 
 // Bundled CommonJS packages call `require` for parts of Node.js, which an ES module does not have.
