--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -12,7 +12,12 @@
 import type { LinkCommand } from '@bronzeyoke/link';
 import { spawnDial, spawnLink } from '@bronzeyoke/link';
 import type { RowStorePort } from '@bronzeyoke/ports';
-import type { SchedulerEffect, SchedulerEvent, SchedulerSettings } from '@bronzeyoke/scheduler';
+import type {
+  SchedulerEffect,
+  SchedulerEvent,
+  SchedulerSettings,
+  SchedulerTimes,
+} from '@bronzeyoke/scheduler';
 import {
   createScheduler,
   LEADER_KEY,
@@ -44,6 +49,8 @@
   /** Takes a configuration; one that is not newer than the known one is ignored. */
   readonly setConfig: (config: FleetConfig) => void;
   readonly config: () => FleetConfig | undefined;
+  /** Takes times that were derived anew from changed settings. */
+  readonly setTimes: (times: SchedulerTimes) => void;
   readonly setDomainsOut: (domains: ReadonlySet<string>) => void;
   /** Time since the store last answered. */
   readonly storeSilentMs: () => number;
@@ -301,6 +308,7 @@
       dispatch(scheduler, { kind: 'configChanged', config });
     },
     config: () => memory.config,
+    setTimes: (times) => dispatch(scheduler, { kind: 'timesChanged', times }),
     setDomainsOut: (domains) => dispatch(scheduler, { kind: 'domainsOut', domains }),
     storeSilentMs: () => performance.now() - memory.storeAnsweredAtMs,
     stop: () => {
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -76,6 +76,8 @@
       return onTick(state, nowMs, event.wallMs);
     case 'configChanged':
       return stay({ ...state, config: event.config, needsPlacement: true });
+    case 'timesChanged':
+      return stay({ ...state, settings: { ...state.settings, times: event.times } });
     case 'domainsOut':
       return withEffects({ ...state, domainsOut: event.domains, needsPlacement: true }, [
         logEffect('domainsOut', { domains: [...event.domains].join(',') }),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -175,6 +175,7 @@
 export type SchedulerEvent =
   | { readonly kind: 'tick'; readonly wallMs: number }
   | { readonly kind: 'configChanged'; readonly config: FleetConfig }
+  | { readonly kind: 'timesChanged'; readonly times: SchedulerTimes }
   | { readonly kind: 'domainsOut'; readonly domains: ReadonlySet<string> }
   | { readonly kind: 'leaderRow'; readonly row: StoredRow | undefined }
   | {
