Simulate the new cores in virtual time under faults

Change: packages/fleet runs three schedulers and four agents with their workers over a model of the row store; entries, agents and workers are killed, frozen and cut off, the store is down, loses answers, writes late and forgets, orders come late. A start is judged by what the workers saw.

--- /dev/null
+++ b/packages/fleet/src/fault.ts
@@ -0,0 +1,55 @@
+import { dropHistory } from '@bronzeyoke/standins';
+import { assertNever } from '@bronzeyoke/types';
+import { bootAgent, bootEntry, bootWorker } from './process';
+import type { Fleet, FleetFault } from './world';
+
+/** Lets a fault begin. */
+export function strike(fleet: Fleet, fault: FleetFault): Fleet {
+  switch (fault.kind) {
+    case 'killEntry':
+      return { ...fleet, entries: fleet.entries.delete(fault.site) };
+    case 'killAgent':
+      return { ...fleet, agents: fleet.agents.delete(fault.site) };
+    case 'crashWorker':
+      return { ...fleet, workers: fleet.workers.delete(fault.site) };
+    case 'freeze': {
+      const untilMs = fleet.nowMs + fault.forMs;
+      return { ...fleet, frozenUntilMs: fleet.frozenUntilMs.set(fault.site, untilMs) };
+    }
+    case 'storeForgets':
+      return { ...fleet, store: dropHistory(fleet.store) };
+    case 'cutStore':
+    case 'cutLink':
+    case 'storeDown':
+    case 'storeLosesAnswers':
+    case 'storeWritesLate':
+    case 'ordersLate':
+      return { ...fleet, active: fleet.active.add(fault) };
+    default:
+      return assertNever(fault);
+  }
+}
+
+/** Lets a fault end. */
+export function heal(fleet: Fleet, fault: FleetFault): Fleet {
+  switch (fault.kind) {
+    case 'killEntry':
+      return fleet.entries.has(fault.site) ? fleet : bootEntry(fleet, fault.site);
+    case 'killAgent':
+      return fleet.agents.has(fault.site) ? fleet : bootAgent(fleet, fault.site);
+    case 'crashWorker':
+      return fleet.workers.has(fault.site) ? fleet : bootWorker(fleet, fault.site);
+    case 'freeze':
+    case 'storeForgets':
+      return fleet;
+    case 'cutStore':
+    case 'cutLink':
+    case 'storeDown':
+    case 'storeLosesAnswers':
+    case 'storeWritesLate':
+    case 'ordersLate':
+      return { ...fleet, active: fleet.active.delete(fault) };
+    default:
+      return assertNever(fault);
+  }
+}
--- /dev/null
+++ b/packages/fleet/src/index.ts
@@ -0,0 +1,3 @@
+export { FLEET_TIMES } from './process';
+export * from './run';
+export * from './world';
--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -17,6 +17,7 @@
   /** How long one call waits for changes. */
   readonly waitMs: number;
   readonly report: (news: TableNews) => void;
+  readonly onError: (error: unknown) => void;
 }
 
 /** A running follower. */
@@ -31,7 +32,7 @@
  * is read whole again. Nothing is reported after `stop`.
  */
 export function followTable(store: RowStorePort, options: FollowOptions): Follower {
-  const { table, partition, waitMs, report } = options;
+  const { table, partition, waitMs, report, onError } = options;
   const state = { isStopped: false };
   const tell = (news: TableNews): void => {
     if (!state.isStopped) report(news);
@@ -60,20 +61,22 @@
     }
   };
 
-  const run = async (version: number | undefined): Promise<void> => {
-    if (state.isStopped) return;
+  const step = async (version: number | undefined): Promise<number | undefined> => {
     const next = version === undefined ? await readAll() : await readChanges(version);
-    if (next === undefined || next === 'retry') {
-      if (next === 'retry' || version === undefined) {
-        tell({ kind: 'unanswered' });
-        await sleep(RETRY_MS, undefined, { ref: false });
-      }
+    if (next === 'retry' || (next === undefined && version === undefined)) {
+      tell({ kind: 'unanswered' });
+      await sleep(RETRY_MS, undefined, { ref: false });
     }
-    // Not awaited, so that the calls of a long life do not form a chain.
-    void run(next === 'retry' ? version : next);
+    return next === 'retry' ? version : next;
+  };
+
+  // Each call schedules the next, so that the calls of a long life do not form a chain of promises.
+  const run = (version: number | undefined): void => {
+    if (state.isStopped) return;
+    step(version).then(run, onError);
   };
 
-  void run(undefined);
+  run(undefined);
   return {
     stop: () => {
       state.isStopped = true;
--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -145,12 +145,15 @@
           table: TABLES.jobs,
           partition: PARTITION,
           waitMs: FEED_WAIT_MS,
+          onError,
           report: (news) => {
             const wallMs = Date.now();
             if (news.kind === 'all') {
               dispatch(self, { kind: 'jobRows', isFull: true, rows: news.rows, wallMs });
             } else if (news.kind === 'changes') {
-              const rows = news.changes.flatMap((change) => (change.kind === 'put' ? [change] : []));
+              const rows = news.changes.flatMap((change) =>
+                change.kind === 'put' ? [change] : [],
+              );
               dispatch(self, { kind: 'jobRows', isFull: false, rows, wallMs });
             }
           },
@@ -254,6 +257,7 @@
     table: TABLES.leader,
     partition: PARTITION,
     waitMs: FEED_WAIT_MS,
+    onError,
     report: (news) => {
       switch (news.kind) {
         case 'all':
@@ -293,14 +297,10 @@
   };
 
   return {
-    submit: (job, timeoutMs) =>
-      ask((callId) => ({ kind: 'submit', callId, job, timeoutMs })),
-    cancel: (jobId, timeoutMs) =>
-      ask((callId) => ({ kind: 'cancel', callId, jobId, timeoutMs })),
-    status: (jobId, timeoutMs) =>
-      ask((callId) => ({ kind: 'status', callId, jobId, timeoutMs })),
-    pending: (queue, timeoutMs) =>
-      ask((callId) => ({ kind: 'pending', callId, queue, timeoutMs })),
+    submit: (job, timeoutMs) => ask((callId) => ({ kind: 'submit', callId, job, timeoutMs })),
+    cancel: (jobId, timeoutMs) => ask((callId) => ({ kind: 'cancel', callId, jobId, timeoutMs })),
+    status: (jobId, timeoutMs) => ask((callId) => ({ kind: 'status', callId, jobId, timeoutMs })),
+    pending: (queue, timeoutMs) => ask((callId) => ({ kind: 'pending', callId, queue, timeoutMs })),
     setConfig: (config) => {
       if (config.version <= (memory.config?.version ?? -Infinity)) return;
       memory.config = config;
--- a/packages/hosts/src/runner.ts
+++ b/packages/hosts/src/runner.ts
@@ -122,6 +122,7 @@
     table: TABLES.leader,
     partition: PARTITION,
     waitMs: FEED_WAIT_MS,
+    onError,
     report: (news) => {
       switch (news.kind) {
         case 'all':
--- a/packages/intake/src/inquire.ts
+++ b/packages/intake/src/inquire.ts
@@ -1,11 +1,5 @@
 import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
-import {
-  cancelKey,
-  COUNTS_KEY,
-  jobKey,
-  PARTITION,
-  TABLES,
-} from '@bronzeyoke/scheduler';
+import { cancelKey, COUNTS_KEY, jobKey, PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
 import { decodeProgress, statusOf } from '@bronzeyoke/workflow';
@@ -88,8 +82,18 @@
 export function inquire(
   state: IntakeState,
   event:
-    | { readonly kind: 'cancel' | 'status'; readonly callId: string; readonly jobId: string; readonly timeoutMs: number }
-    | { readonly kind: 'pending'; readonly callId: string; readonly queue: string; readonly timeoutMs: number },
+    | {
+        readonly kind: 'cancel' | 'status';
+        readonly callId: string;
+        readonly jobId: string;
+        readonly timeoutMs: number;
+      }
+    | {
+        readonly kind: 'pending';
+        readonly callId: string;
+        readonly queue: string;
+        readonly timeoutMs: number;
+      },
   nowMs: number,
 ): IntakeStep {
   const { callId } = event;
@@ -99,9 +103,19 @@
   };
   switch (event.kind) {
     case 'cancel':
-      return proceed(state, callId, { kind: 'cancel', jobId: event.jobId, stage: 'find', ...times });
+      return proceed(state, callId, {
+        kind: 'cancel',
+        jobId: event.jobId,
+        stage: 'find',
+        ...times,
+      });
     case 'status':
-      return proceed(state, callId, { kind: 'status', jobId: event.jobId, stage: 'progress', ...times });
+      return proceed(state, callId, {
+        kind: 'status',
+        jobId: event.jobId,
+        stage: 'progress',
+        ...times,
+      });
     case 'pending':
       return proceed(state, callId, { kind: 'pending', queue: event.queue, ...times });
     default:
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -165,7 +165,10 @@
   const known = state.submissions.get(job.jobId);
   if (known !== undefined) {
     const joined = { ...known, callIds: [...known.callIds, callId] };
-    return { state: { ...state, submissions: state.submissions.set(job.jobId, joined) }, effects: [] };
+    return {
+      state: { ...state, submissions: state.submissions.set(job.jobId, joined) },
+      effects: [],
+    };
   }
   if (state.submissions.size >= MAX_WAITING) {
     const reply = { kind: 'notAccepted', retryAfterMs: COME_BACK_MS } as const;
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -1,12 +1,7 @@
 import type { Map } from 'immutable';
 import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
-import type {
-  RowCommitResult,
-  RowRange,
-  RowRangeResult,
-  RowTransaction,
-} from '@bronzeyoke/ports';
+import type { RowCommitResult, RowRange, RowRangeResult, RowTransaction } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
 import chartFile from '../charts/submission.json';
@@ -29,9 +24,26 @@
 
 /** What a caller asked, and how far the answer is. */
 export type Inquiry =
-  | { readonly kind: 'cancel'; readonly jobId: string; readonly giveUpAtMs: number; readonly stage: 'find' | 'write' | 'outcome'; readonly retryAtMs: number }
-  | { readonly kind: 'status'; readonly jobId: string; readonly giveUpAtMs: number; readonly stage: 'progress' | 'job' | 'outcome'; readonly retryAtMs: number }
-  | { readonly kind: 'pending'; readonly queue: string; readonly giveUpAtMs: number; readonly retryAtMs: number };
+  | {
+      readonly kind: 'cancel';
+      readonly jobId: string;
+      readonly giveUpAtMs: number;
+      readonly stage: 'find' | 'write' | 'outcome';
+      readonly retryAtMs: number;
+    }
+  | {
+      readonly kind: 'status';
+      readonly jobId: string;
+      readonly giveUpAtMs: number;
+      readonly stage: 'progress' | 'job' | 'outcome';
+      readonly retryAtMs: number;
+    }
+  | {
+      readonly kind: 'pending';
+      readonly queue: string;
+      readonly giveUpAtMs: number;
+      readonly retryAtMs: number;
+    };
 
 /** State of an entry's intake of jobs. */
 export interface IntakeState {
--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -75,7 +75,8 @@
   if (ratio < HARMED_RATIO) return book;
   const suspects = suspectsOf(book, observation);
   return suspects.reduce(
-    (known, image) => addEvidence(known, pairKey(servingImage, image), HARM_WEIGHT / suspects.length),
+    (known, image) =>
+      addEvidence(known, pairKey(servingImage, image), HARM_WEIGHT / suspects.length),
     book,
   );
 }
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -18,8 +18,7 @@
 
 /** What a link accepts from its owner. */
 export type LinkCommand =
-  | { readonly kind: 'send'; readonly message: Tagged }
-  | { readonly kind: 'close' };
+  { readonly kind: 'send'; readonly message: Tagged } | { readonly kind: 'close' };
 
 type LinkMessage =
   | LinkCommand
--- a/packages/ports/src/rows.ts
+++ b/packages/ports/src/rows.ts
@@ -67,9 +67,5 @@
   /** Reads a whole range, over as many calls as it takes. */
   readonly range: (range: RowRange) => Promise<RowRangeResult>;
   /** Waits up to `waitMs` for changes after a version. */
-  readonly feed: (
-    table: string,
-    afterVersion: number,
-    waitMs: number,
-  ) => Promise<RowFeedResult>;
+  readonly feed: (table: string, afterVersion: number, waitMs: number) => Promise<RowFeedResult>;
 }
--- a/packages/ports/src/runner.ts
+++ b/packages/ports/src/runner.ts
@@ -70,7 +70,8 @@
     };
 
 /** Why a worker refused an order. */
-export type OrderRefusal = 'fenced' | 'superseded' | 'tooLate' | 'noRoom' | 'ticket' | 'invalid' | 'busy';
+export type OrderRefusal =
+  'fenced' | 'superseded' | 'tooLate' | 'noRoom' | 'ticket' | 'invalid' | 'busy';
 
 /** How a call ended. After `lost` the worker may have done it, or may do it later. */
 export type WorkerCallResult =
@@ -90,5 +91,9 @@
 
 /** The worker beside an agent. */
 export interface WorkerCallPort {
-  readonly call: (worker: WorkerReport, call: WorkerCall, timeoutMs: number) => Promise<WorkerCallResult>;
+  readonly call: (
+    worker: WorkerReport,
+    call: WorkerCall,
+    timeoutMs: number,
+  ) => Promise<WorkerCallResult>;
 }
--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -1,7 +1,7 @@
 import { advance } from '@bronzeyoke/chart';
 import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, without } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { orderChart } from './types';
@@ -51,7 +51,10 @@
     clockMs,
     running,
     ended,
-    pending: pending.valueSeq().map(({ run }) => run).toArray(),
+    pending: pending
+      .valueSeq()
+      .map(({ run }) => run)
+      .toArray(),
     lastOrder,
   });
 }
@@ -73,7 +76,8 @@
 /** Looks at the worker, prolongs its lease and acknowledges ends, when the next look is due. */
 export function holdIfDue(state: RunnerState, nowMs: number): RunnerStep {
   const { worker, holdCallId, token } = state;
-  if (worker === undefined || holdCallId !== undefined || nowMs < state.holdAtMs) return stay(state);
+  if (worker === undefined || holdCallId !== undefined || nowMs < state.holdAtMs)
+    return stay(state);
   const isSettling = worker.pending.some(({ phase }) => phase === 'settling');
   const waitMs = isSettling || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
   const callId = `hold-${state.calls}`;
@@ -96,7 +100,8 @@
 
 /** The worker is gone, and with it all that it ran. */
 export function forgetWorker(state: RunnerState, reason: string): RunnerStep {
-  const { worker, holdCallId: _hold, ...rest } = state;
+  const { worker } = state;
+  const rest = without(state, 'worker', 'holdCallId');
   if (worker === undefined) return stay(state);
   const { workerKey } = worker;
   return {
@@ -108,10 +113,7 @@
   };
 }
 
-function settled(
-  worker: WorkerState,
-  holdNumber: number,
-): WorkerState['pending'] {
+function settled(worker: WorkerState, holdNumber: number): WorkerState['pending'] {
   return worker.pending.filterNot(
     ({ phase, afterHold }) => phase === 'settling' && holdNumber > afterHold,
   );
@@ -123,7 +125,7 @@
   result: WorkerCallResult,
   nowMs: number,
 ): RunnerStep {
-  const { holdCallId: _done, ...idle } = state;
+  const idle = without(state, 'holdCallId');
   switch (result.kind) {
     case 'done': {
       if (result.bornAtMs !== undefined && result.bornAtMs !== worker.report.bornAtMs) {
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -61,7 +61,8 @@
 function onHeartbeat(state: RunnerState, report: WorkerReport, nowMs: number): RunnerStep {
   const { worker } = state;
   const workerKey = workerKeyOf(report);
-  if (state.goneKeys.includes(workerKey) || report.bornAtMs < state.lastBornAtMs) return stay(state);
+  if (state.goneKeys.includes(workerKey) || report.bornAtMs < state.lastBornAtMs)
+    return stay(state);
   if (worker?.workerKey === workerKey) {
     if (report.sequence <= worker.report.sequence) return stay(state);
     const hasChanged = report.isDraining !== worker.report.isDraining;
@@ -109,7 +110,10 @@
 /** Tries the leader and the seeds in turn while nobody answers. */
 function reconnect(state: RunnerState, nowMs: number): RunnerStep {
   if (nowMs - state.progressAtMs < SILENCE_MS) return stay(state);
-  const addresses = [...(state.leader === undefined ? [] : [state.leader]), ...state.settings.seeds];
+  const addresses = [
+    ...(state.leader === undefined ? [] : [state.leader]),
+    ...state.settings.seeds,
+  ];
   const address = addresses[state.targets % Math.max(1, addresses.length)];
   if (address === undefined) return stay(state);
   const step = connectTo({ ...state, targets: state.targets + 1 }, address, nowMs);
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -1,6 +1,6 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, without } from '@bronzeyoke/types';
 import { encodeProgress, parseTaskName, slotKey, taskOf } from '@bronzeyoke/workflow';
 import { holdsLease, moveLeadership } from './lead';
 import {
@@ -129,7 +129,12 @@
   );
 }
 
-function startOrder(state: SchedulerState, task: string, attempt: number, nowMs: number): SchedulerStep {
+function startOrder(
+  state: SchedulerState,
+  task: string,
+  attempt: number,
+  nowMs: number,
+): SchedulerStep {
   const ref = parseTaskName(task);
   const run = state.runs.byTask.get(task);
   const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
@@ -196,7 +201,7 @@
   sentAtMs: number,
   nowMs: number,
 ): SchedulerStep {
-  const { flight: _flight, ...rest } = state;
+  const rest = without(state, 'flight');
   const stored: SchedulerState = {
     ...rest,
     leaseVersion: version,
@@ -217,7 +222,11 @@
 function repeatLater(state: SchedulerState, flight: Flight, nowMs: number, wasUnknown: boolean) {
   return stay({
     ...state,
-    flight: { ...flight, wasUnknown: flight.wasUnknown || wasUnknown, repeatAtMs: nowMs + REPEAT_MS },
+    flight: {
+      ...flight,
+      wasUnknown: flight.wasUnknown || wasUnknown,
+      repeatAtMs: nowMs + REPEAT_MS,
+    },
   });
 }
 
@@ -264,7 +273,7 @@
 export function repeatFlight(state: SchedulerState, nowMs: number): SchedulerStep {
   const { flight } = state;
   if (flight?.repeatAtMs === undefined || nowMs < flight.repeatAtMs) return stay(state);
-  const { repeatAtMs: _due, ...rest } = flight;
+  const rest = without(flight, 'repeatAtMs');
   const callId = `flush-${state.calls}`;
   return withEffects(
     { ...state, calls: state.calls + 1, flight: { ...rest, callId, sentAtMs: nowMs } },
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -14,7 +14,14 @@
 import { PAIRS_KEY, readJobKey } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chain, putJob, stay, tellWorker, withEffects } from './state';
-import type { GhostRun, OpenJob, RunView, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import type {
+  GhostRun,
+  OpenJob,
+  RunView,
+  SchedulerEffect,
+  SchedulerState,
+  SchedulerStep,
+} from './types';
 import { runRef } from './types';
 
 const pairsSchema = z.record(z.string(), z.number());
@@ -50,7 +57,10 @@
   const next = putJob(
     {
       ...state,
-      runs: dropRuns(state.runs, assigned.map(([task]) => task)),
+      runs: dropRuns(
+        state.runs,
+        assigned.map(([task]) => task),
+      ),
       ghosts: ghosts.reduce((all, ghost) => all.set(ghost.task, ghost), state.ghosts),
     },
     jobId,
@@ -71,10 +81,9 @@
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return stay(state);
   const open: OpenJob = { job, progress, isCancelled: false };
   const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
-  return withEffects(
-    { ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true },
-    [logEffect('jobSeen', fields)],
-  );
+  return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
+    logEffect('jobSeen', fields),
+  ]);
 }
 
 function cancelJob(state: SchedulerState, jobId: string, wallMs: number): SchedulerStep {
@@ -154,21 +163,25 @@
     }),
   );
   const keys = new Set(runs.map(([, run]) => run.workerKey));
-  const workers = [...keys].map((workerKey) => [
-    workerKey,
-    {
-      workerKey,
-      clockMs: -1,
-      expiresAtMs: nowMs + waitMs,
-      handledSequence: 0,
-      failedJobs: [],
-      quarantinedUntilMs: 0,
-    },
-  ] as const);
+  const workers = [...keys].map(
+    (workerKey) =>
+      [
+        workerKey,
+        {
+          workerKey,
+          clockMs: -1,
+          expiresAtMs: nowMs + waitMs,
+          handledSequence: 0,
+          failedJobs: [],
+          quarantinedUntilMs: 0,
+        },
+      ] as const,
+  );
   return {
     ...state,
     runs: runs.reduce((table, [task, run]) => putRun(table, task, run), NO_RUNS),
-    workers: Map(workers).merge(state.workers) };
+    workers: Map(workers).merge(state.workers),
+  };
 }
 
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
@@ -209,7 +222,9 @@
   readonly effects: readonly SchedulerEffect[];
 } {
   const decoded = rows.map((row) => [row.key, decodeProgress(row.value)] as const);
-  const good = decoded.flatMap(([key, value]) => (value === undefined ? [] : [[key, value] as const]));
+  const good = decoded.flatMap(([key, value]) =>
+    value === undefined ? [] : [[key, value] as const],
+  );
   const bad = decoded.filter(([, value]) => value === undefined);
   return {
     progress: Map(good),
@@ -234,10 +249,6 @@
     return beginIfLoaded({ ...state, pairs, loading }, nowMs, wallMs);
   }
   const { progress, effects } = readProgress(result.rows);
-  const step = beginIfLoaded(
-    { ...state, loading: { ...state.loading, progress } },
-    nowMs,
-    wallMs,
-  );
+  const step = beginIfLoaded({ ...state, loading: { ...state.loading, progress } }, nowMs, wallMs);
   return withEffects(step.state, [...effects, ...step.effects]);
 }
--- a/packages/scheduler/src/lead.ts
+++ b/packages/scheduler/src/lead.ts
@@ -2,7 +2,7 @@
 import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { Instant } from '@bronzeyoke/types';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, without } from '@bronzeyoke/types';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
 import { NOT_LEADING, stay, withEffects } from './state';
 import type { Leader, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
@@ -14,7 +14,12 @@
 const CLAIM_SPREAD_MS = 200;
 
 /** Calls by which a leader reads and claims. */
-export const CALLS = { claim: 'claim', poll: 'poll', progress: 'progress', notes: 'notes' } as const;
+export const CALLS = {
+  claim: 'claim',
+  poll: 'poll',
+  progress: 'progress',
+  notes: 'notes',
+} as const;
 
 type LeadershipEvent = 'vacant' | 'won' | 'lost' | 'loaded' | 'deposed' | 'stop';
 
@@ -67,7 +72,7 @@
 }
 
 function reset({ state, effects }: SchedulerStep): SchedulerStep {
-  const { flight: _flight, leaseSeenAtMs: _seen, pollCallId: _poll, ...rest } = state;
+  const rest = without(state, 'flight', 'leaseSeenAtMs', 'pollCallId');
   return withEffects({ ...rest, ...NOT_LEADING, mayGrantUntilMs: 0 }, [
     ...effects,
     { kind: 'followJobs', isOn: false },
@@ -138,12 +143,11 @@
   result: RowRangeResult,
   { nowMs, random }: Instant,
 ): SchedulerStep {
-  const { pollCallId: _done, ...polled } = state;
+  const polled = without(state, 'pollCallId');
   if (state.phase !== 'following') return stay(polled);
   if (result.kind === 'unavailable') {
     // Unseen renewals are no proof that there were none.
-    const { leaseSeenAtMs: _seen, ...rest } = polled;
-    return stay(rest);
+    return stay(without(polled, 'leaseSeenAtMs'));
   }
   const row = result.rows.find(({ key }) => key === LEASE_KEY.key);
   const version = row?.version ?? 0;
@@ -201,14 +205,6 @@
   }
 }
 
-/** Learns from the leader's row who leads. A higher term than its own ends a leader's term. */
-export function onLeaderRow(state: SchedulerState, row: StoredRow | undefined): SchedulerStep {
-  const leader = decodeLeader(row);
-  const version = row?.version ?? 0;
-  if (version < state.leaderVersion) return stay(state);
-  return onLeader({ ...state, leaderVersion: holdsLease(state) ? state.leaderVersion : version }, leader);
-}
-
 /** Learns who leads, from the store or from another entry. */
 export function onLeader(state: SchedulerState, leader: Leader | undefined): SchedulerStep {
   if (leader === undefined || leader.term <= (state.leader?.term ?? 0)) return stay(state);
@@ -222,7 +218,19 @@
     ...step.effects,
     logEffect('leaderSeen', fields),
     ...links.map(
-      (linkId) => ({ kind: 'send', linkId, message: { kind: 'leader', term, host, port } }) as const,
+      (linkId) =>
+        ({ kind: 'send', linkId, message: { kind: 'leader', term, host, port } }) as const,
     ),
   ]);
 }
+
+/** Learns from the leader's row who leads. A higher term than its own ends a leader's term. */
+export function onLeaderRow(state: SchedulerState, row: StoredRow | undefined): SchedulerStep {
+  const leader = decodeLeader(row);
+  const version = row?.version ?? 0;
+  if (version < state.leaderVersion) return stay(state);
+  return onLeader(
+    { ...state, leaderVersion: holdsLease(state) ? state.leaderVersion : version },
+    leader,
+  );
+}
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -110,9 +110,7 @@
       run.pace > 0 && stage.image !== undefined ? [stage.image] : [],
     );
     const culprits = new Set(
-      harmed.flatMap((observation) =>
-        suspectsOf(pairs, { ...observation, fillImages: beside }),
-      ),
+      harmed.flatMap((observation) => suspectsOf(pairs, { ...observation, fillImages: beside })),
     );
     const paced = fills.filter(
       ({ stage, run }) => run.pace > 0 && (stage.image === undefined || culprits.has(stage.image)),
@@ -129,9 +127,11 @@
     );
   const [first] = waiting.filter((task) => !isHarmful(task));
   return chain(learned, [
-    ...waiting
-      .filter(isHarmful)
-      .map(({ task }) => (current: SchedulerState) => stopRun(current, task, 'harm', nowMs)),
+    ...waiting.filter(isHarmful).map(
+      ({ task }) =>
+        (current: SchedulerState) =>
+          stopRun(current, task, 'harm', nowMs),
+    ),
     ...(first === undefined
       ? []
       : [(current: SchedulerState) => setPace(current, first, 100, 'calm', nowMs)]),
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -155,7 +155,14 @@
   return (workerKey) => counts.get(workerKey) ?? 0;
 }
 
-function placeSlot(pass: Pass, jobId: string, ready: ReadyStage, slot: string, attempt: number, nowMs: number): Pass | undefined {
+function placeSlot(
+  pass: Pass,
+  jobId: string,
+  ready: ReadyStage,
+  slot: string,
+  attempt: number,
+  nowMs: number,
+): Pass | undefined {
   const open = pass.state.jobs.get(jobId);
   if (open === undefined) return undefined;
   const task = taskOf(open.progress, slot);
@@ -189,9 +196,7 @@
   const attempt = 1 + Math.max(...ready.slots.map((slot) => taskOf(open.progress, slot).attempt));
   const placed = ready.slots.reduce<Pass | undefined>(
     (current, slot) =>
-      current === undefined
-        ? undefined
-        : placeSlot(current, jobId, ready, slot, attempt, nowMs),
+      current === undefined ? undefined : placeSlot(current, jobId, ready, slot, attempt, nowMs),
     pass,
   );
   return placed ?? pass;
@@ -211,9 +216,7 @@
       const open = current.pass.state.jobs.get(jobId);
       const attempt = 1 + (open === undefined ? 0 : taskOf(open.progress, slot).attempt);
       const placed = placeSlot(current.pass, jobId, ready, slot, attempt, nowMs);
-      return placed === undefined
-        ? { ...current, isFull: true }
-        : { pass: placed, isFull: false };
+      return placed === undefined ? { ...current, isFull: true } : { pass: placed, isFull: false };
     },
     { pass, isFull: false },
   ).pass;
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -1,4 +1,5 @@
 import { logEffect } from '@bronzeyoke/telemetry';
+import { without } from '@bronzeyoke/types';
 import type { RunEnd } from '@bronzeyoke/workflow';
 import {
   canMove,
@@ -34,7 +35,7 @@
   const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
   if (ref === undefined || run === undefined || open === undefined) return stay(state);
   const slot = slotKey(ref.occurrence, ref.stage, ref.index);
-  const { workerKey: _worker, ...known } = taskOf(open.progress, slot);
+  const known = without(taskOf(open.progress, slot), 'workerKey');
   const released = moveRun(known, 'release');
   const next = putJob(
     {
@@ -66,9 +67,7 @@
   };
   const step = chain(
     forgotten,
-    tasks.map(
-      (task) => (current: SchedulerState) => releaseRun(current, task, reason, nowMs),
-    ),
+    tasks.map((task) => (current: SchedulerState) => releaseRun(current, task, reason, nowMs)),
   );
   return withEffects(step.state, [
     logEffect('workerGone', { worker: workerKey, reason, runs: tasks.length }),
@@ -139,7 +138,7 @@
     end: ended.end,
   };
   const noted = noteOutcome(state, ended, ref.jobId);
-  const { workerKey: _worker, ...rest } = task;
+  const rest = without(task, 'workerKey');
   const keepsCheckpoint = stage.savesCheckpoints && ended.checkpoint !== '';
   const moved = {
     ...moveRun(rest, ended.end === 'done' ? 'done' : 'release'),
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -117,8 +117,7 @@
 }
 
 function listedRun(known: RunView, listed: ListedRun, nowMs: number): RunView {
-  const isSame =
-    known.isListed && known.percent === listed.percent && known.load === listed.load;
+  const isSame = known.isListed && known.percent === listed.percent && known.load === listed.load;
   if (isSame) return known;
   const hasMoved = listed.percent !== known.percent || !known.isListed;
   return {
@@ -158,9 +157,7 @@
   const known = taskOf(open.progress, slot);
   const isNew = canMove(known, 'started');
   const savesNow =
-    checkpoint !== '' &&
-    checkpoint !== known.checkpoint &&
-    run.stage.savesCheckpoints;
+    checkpoint !== '' && checkpoint !== known.checkpoint && run.stage.savesCheckpoints;
   if (!isNew && !savesNow) return withEffects({ ...state, runs }, stops);
   const moved = { ...moveRun(known, 'started'), ...(savesNow ? { checkpoint } : {}) };
   const progress = withTasks(open.progress, [[slot, moved]]);
@@ -256,10 +253,7 @@
   if (run?.attempt !== attempt || run.workerKey !== message.workerKey) {
     const ghost = state.ghosts.get(task);
     const isGhost = ghost?.attempt === attempt;
-    return withEffects(
-      isGhost ? { ...state, ghosts: state.ghosts.delete(task) } : state,
-      [log],
-    );
+    return withEffects(isGhost ? { ...state, ghosts: state.ghosts.delete(task) } : state, [log]);
   }
   const step = releaseRun(state, task, 'refused', nowMs);
   return withEffects(step.state, [log, ...step.effects]);
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -34,7 +34,8 @@
 /** Adds or replaces the run of a task. */
 export function putRun(table: RunTable, task: string, run: RunView): RunTable {
   const known = table.byTask.get(task);
-  const rest = known === undefined || known.workerKey === run.workerKey ? table : dropRun(table, task);
+  const rest =
+    known === undefined || known.workerKey === run.workerKey ? table : dropRun(table, task);
   return {
     byTask: rest.byTask.set(task, run),
     byWorker: rest.byWorker.set(run.workerKey, runsOn(rest, run.workerKey).set(task, run)),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -3,7 +3,16 @@
 import { assertNever } from '@bronzeyoke/types';
 import { flush, onFlight, repeatFlight } from './flush';
 import { onJobRows, onLoaded } from './jobs';
-import { CALLS, loadEffects, moveLeadership, onClaim, onLeader, onLeaderRow, onPoll, pollLease } from './lead';
+import {
+  CALLS,
+  loadEffects,
+  moveLeadership,
+  onClaim,
+  onLeader,
+  onLeaderRow,
+  onPoll,
+  pollLease,
+} from './lead';
 import { paceWorker } from './pace';
 import { placeWaiting } from './place';
 import { releaseWorker } from './release';
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -214,7 +214,12 @@
   | { readonly kind: 'followJobs'; readonly isOn: boolean }
   | { readonly kind: 'send'; readonly linkId: string; readonly message: LeaderMessage }
   /** Tells the entry that led before that it no longer does. */
-  | { readonly kind: 'tellEntry'; readonly host: string; readonly port: number; readonly leader: Leader }
+  | {
+      readonly kind: 'tellEntry';
+      readonly host: string;
+      readonly port: number;
+      readonly leader: Leader;
+    }
   | LogEffect;
 
 /** State and effects of a part of a step. */
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -7,3 +7,5 @@
 export * from './truth';
 export * from './upstream';
 export * from './worker';
+export * from './rowstore';
+export * from './taskworker';
--- /dev/null
+++ b/packages/standins/src/taskworker.ts
@@ -0,0 +1,126 @@
+import { List, Map } from 'immutable';
+import type { ListedEnd, WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import { assertNever } from '@bronzeyoke/types';
+import type { RunEnd } from '@bronzeyoke/workflow';
+
+/** A run on a stand-in of the platform's worker. */
+export interface WorkerRun {
+  readonly task: string;
+  readonly attempt: number;
+  readonly startedAtMs: number;
+  readonly endsAtMs: number;
+}
+
+/** One life of a stand-in of the platform's worker. */
+export interface TaskWorkerState {
+  readonly bornAtMs: number;
+  readonly fencingToken: number;
+  readonly runs: Map<string, WorkerRun>;
+  readonly ends: List<ListedEnd>;
+  readonly lastEnd: number;
+  readonly leaseUntilMs: number;
+  /** Highest attempt that was stopped or has ended here, by task. */
+  readonly closed: Map<string, number>;
+}
+
+/** A worker that has just started. */
+export function createTaskWorker(bornAtMs: number): TaskWorkerState {
+  return {
+    bornAtMs,
+    fencingToken: 0,
+    runs: Map(),
+    ends: List(),
+    lastEnd: 0,
+    leaseUntilMs: 0,
+    closed: Map(),
+  };
+}
+
+function endRun(state: TaskWorkerState, run: WorkerRun, end: RunEnd): TaskWorkerState {
+  const { task, attempt } = run;
+  const sequence = state.lastEnd + 1;
+  return {
+    ...state,
+    runs: state.runs.delete(task),
+    ends: state.ends.push({ sequence, task, attempt, end, checkpoint: '' }),
+    lastEnd: sequence,
+    closed: state.closed.set(task, Math.max(attempt, state.closed.get(task, 0))),
+  };
+}
+
+/** Lets time pass: runs end when their work is done, and all when the lease has expired. */
+export function passWorkerTime(state: TaskWorkerState, clockMs: number): TaskWorkerState {
+  const untilMs = Math.min(clockMs, state.leaseUntilMs);
+  const done = state.runs
+    .filter(({ endsAtMs }) => endsAtMs <= untilMs)
+    .sortBy(({ endsAtMs }) => endsAtMs);
+  const worked = done.reduce((known, run) => endRun(known, run, 'done'), state);
+  if (clockMs < state.leaseUntilMs) return worked;
+  return worked.runs.reduce((known, run) => endRun(known, run, 'expired'), worked);
+}
+
+/** What a call does to a worker. `started` names the run that it began. */
+export interface WorkerCallStep {
+  readonly state: TaskWorkerState;
+  readonly result: WorkerCallResult;
+  readonly started?: WorkerRun;
+}
+
+/** Carries out a call. A start works for `workMs`. */
+export function callTaskWorker(
+  before: TaskWorkerState,
+  call: WorkerCall,
+  clockMs: number,
+  workMs: number,
+): WorkerCallStep {
+  const state = passWorkerTime(before, clockMs);
+  const { bornAtMs } = state;
+  const answered = { kind: 'done', clockMs, bornAtMs } as const;
+  const refuse = (reason: 'fenced' | 'superseded' | 'tooLate'): WorkerCallStep => ({
+    state,
+    result: { kind: 'refused', reason, clockMs },
+  });
+  if (call.fencingToken < state.fencingToken) return refuse('fenced');
+  const fenced = { ...state, fencingToken: call.fencingToken };
+  switch (call.kind) {
+    case 'start': {
+      const { task, attempt, leaseUntilClockMs } = call;
+      const leased = { ...fenced, leaseUntilMs: Math.max(fenced.leaseUntilMs, leaseUntilClockMs) };
+      if (clockMs >= leased.leaseUntilMs) return refuse('tooLate');
+      const known = leased.runs.get(task);
+      if (known?.attempt === attempt) return { state: leased, result: answered };
+      if (attempt <= leased.closed.get(task, 0) || known !== undefined) return refuse('superseded');
+      const run = { task, attempt, startedAtMs: clockMs, endsAtMs: clockMs + workMs };
+      return {
+        state: { ...leased, runs: leased.runs.set(task, run) },
+        result: answered,
+        started: run,
+      };
+    }
+    case 'stop': {
+      const { task, attempt } = call;
+      const run = fenced.runs.get(task);
+      const stopped =
+        run !== undefined && run.attempt <= attempt ? endRun(fenced, run, 'stopped') : fenced;
+      const closed = stopped.closed.set(task, Math.max(attempt, stopped.closed.get(task, 0)));
+      return { state: { ...stopped, closed }, result: answered };
+    }
+    case 'pace':
+      return { state: fenced, result: answered };
+    case 'hold': {
+      const { ackSequence, leaseUntilClockMs = 0 } = call;
+      const next = {
+        ...fenced,
+        leaseUntilMs: Math.max(fenced.leaseUntilMs, leaseUntilClockMs),
+        ends: fenced.ends.filter(({ sequence }) => sequence > ackSequence),
+      };
+      const running = next.runs
+        .valueSeq()
+        .map(({ task, attempt }) => ({ task, attempt, checkpoint: '', percent: 50, load: 0 }))
+        .toArray();
+      return { state: next, result: { ...answered, running, ended: next.ends.toArray() } };
+    }
+    default:
+      return assertNever(call);
+  }
+}
--- a/packages/types/src/step.ts
+++ b/packages/types/src/step.ts
@@ -39,3 +39,12 @@
   const generator = xoroshiro128plus(Math.floor(random * SEED_RANGE));
   return Array.from({ length: count }, () => uniformFloat64(generator));
 }
+
+/** A copy of a value without some of its fields. */
+export function without<Value extends object, Key extends keyof Value>(
+  value: Value,
+  ...keys: readonly Key[]
+): Omit<Value, Key> {
+  const left = Object.entries(value).filter(([key]) => !keys.some((other) => other === key));
+  return Object.fromEntries(left) as Omit<Value, Key>;
+}
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -155,8 +155,6 @@
 }
 
 /** Slots that occupy a worker, with their tasks. */
-export function assignedSlots(
-  progress: JobProgress,
-): readonly (readonly [string, TaskProgress])[] {
+export function assignedSlots(progress: JobProgress): readonly (readonly [string, TaskProgress])[] {
   return [...progress.tasks].filter(([, task]) => isAssigned(task));
 }
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -81,5 +81,8 @@
   const parsed = progress.safeParse(value);
   if (!parsed.success) return undefined;
   const { tasks, ...rest } = parsed.data;
-  return { ...rest, tasks: new Map(Object.entries(tasks) as [string, TaskProgress][]) } as JobProgress;
+  return {
+    ...rest,
+    tasks: new Map(Object.entries(tasks) as [string, TaskProgress][]),
+  } as JobProgress;
 }
