Try suspects alone before a pair of images is judged harmful

Change: only a single suspect is condemned; several share a little evidence, are held back and go on one by one; a run of a pair judged harmful is stopped at once and placed elsewhere.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -12,10 +12,14 @@
 /** Share of its latency target up to which a serving task counts as undisturbed. */
 const CALM_RATIO = 0.7;
 
-/** Evidence of one calm observation against each pair, and of one harmful one, shared by suspects. */
+/** Evidence of one calm observation against each pair, and of one harmful one with one suspect. */
 const CALM_WEIGHT = -1;
 const HARM_WEIGHT = 2;
 
+/** Several suspects share this much, which never decides: each is tried alone before it is judged. */
+const SHARED_WEIGHT = 0.3;
+const SHARED_LIMIT = 1;
+
 /** Evidence from which a pair is judged. */
 const HARMFUL_FROM = 1.5;
 const HARMLESS_FROM = -3;
@@ -74,9 +78,12 @@
   }
   if (ratio < HARMED_RATIO) return book;
   const suspects = suspectsOf(book, observation);
-  return suspects.reduce(
-    (known, image) =>
-      addEvidence(known, pairKey(servingImage, image), HARM_WEIGHT / suspects.length),
-    book,
-  );
+  const [only, ...others] = suspects;
+  if (only !== undefined && others.length === 0) {
+    return addEvidence(book, pairKey(servingImage, only), HARM_WEIGHT);
+  }
+  return suspects
+    .map((image) => pairKey(servingImage, image))
+    .filter((key) => book.get(key, 0) < SHARED_LIMIT)
+    .reduce((known, key) => addEvidence(known, key, SHARED_WEIGHT), book);
 }
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -12,7 +12,7 @@
 const SETTLE_MS = 700;
 
 /** How long the serving tasks of a worker have to be calm before a paced task works again. */
-const CALM_MS = 1_500;
+const CALM_MS = 800;
 
 interface Listed {
   readonly task: string;
@@ -101,6 +101,10 @@
   const observations = serving.map((task) => observe(task, settled));
   const pairs = observations.reduce(observePairs, state.pairs);
   const learned = { ...state, pairs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs };
+  const isHarmful = ({ stage }: Listed): boolean =>
+    serving.some(
+      (other) => judgePair(pairs, other.stage.image ?? '', stage.image ?? '') === 'harmful',
+    );
   const harmed = observations.filter(({ ratio }) => ratio >= HARMED_RATIO);
   const fills = listed.filter(
     ({ stage, run }) => stage.fillsIdle && run.stopSentAtMs === undefined,
@@ -117,14 +121,17 @@
     );
     return chain(
       learned,
-      paced.map((task) => (current: SchedulerState) => setPace(current, task, 0, 'harm', nowMs)),
+      paced.map(
+        (task) => (current: SchedulerState) =>
+          chain(current, [
+            (before) => setPace(before, task, 0, 'harm', nowMs),
+            (before) =>
+              isHarmful(task) ? stopRun(before, task.task, 'harm', nowMs) : stay(before),
+          ]),
+      ),
     );
   }
   const waiting = fills.filter(({ run }) => run.pace === 0 && nowMs - run.pacedAtMs >= CALM_MS);
-  const isHarmful = ({ stage }: Listed): boolean =>
-    serving.some(
-      (other) => judgePair(pairs, other.stage.image ?? '', stage.image ?? '') === 'harmful',
-    );
   const [first] = waiting.filter((task) => !isHarmful(task));
   return chain(learned, [
     ...waiting.filter(isHarmful).map(
