Doubt harmless pairs after lasting harm; count queued jobs afresh

Change: after 0.7 s all are held back and their pairs are tried again one by one; a job counts as queued until one of its tasks is known to have run, and counts carry a time after which the open jobs are read instead.

--- a/packages/intake/src/inquire.ts
+++ b/packages/intake/src/inquire.ts
@@ -2,10 +2,16 @@
 import { cancelKey, COUNTS_KEY, jobKey, PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
-import { decodeProgress, statusOf } from '@bronzeyoke/workflow';
+import { z } from 'zod';
+import { decodeJob, decodeProgress, statusOf } from '@bronzeyoke/workflow';
 import type { Inquiry, IntakeEffect, IntakeReply, IntakeState, IntakeStep } from './types';
 
 const RETRY_MS = 100;
+
+/** Counts older than this are replaced by a look at the open jobs. */
+const FRESH_MS = 2_000;
+
+const countsSchema = z.object({ atMs: z.number(), queues: z.record(z.string(), z.number()) });
 const COME_BACK_MS = 1_000;
 const REPLY_MARGIN_MS = 200;
 
@@ -35,8 +41,8 @@
 function ask(callId: string, inquiry: Inquiry): IntakeEffect {
   switch (inquiry.kind) {
     case 'pending': {
-      const range = { table: TABLES.notes, partition: PARTITION };
-      return { kind: 'range', callId, range };
+      const table = inquiry.stage === 'counts' ? TABLES.notes : TABLES.jobs;
+      return { kind: 'range', callId, range: { table, partition: PARTITION } };
     }
     case 'cancel':
       return {
@@ -117,12 +123,22 @@
         ...times,
       });
     case 'pending':
-      return proceed(state, callId, { kind: 'pending', queue: event.queue, ...times });
+      return proceed(state, callId, {
+        kind: 'pending',
+        queue: event.queue,
+        stage: 'counts',
+        ...times,
+      });
     default:
       return assertNever(event);
   }
 }
 
+/** Open jobs of a queue, whether or not a task of them has run: more may wait than do, never fewer. */
+function countJobs(rows: readonly StoredRow[], queue: string): number {
+  return rows.filter(({ value }) => decodeJob(value)?.policy.queue === queue).length;
+}
+
 function statusIn(rows: readonly StoredRow[]): IntakeReply | undefined {
   const [row] = rows;
   const progress = row === undefined ? undefined : decodeProgress(row.value);
@@ -134,13 +150,20 @@
   callId: string,
   inquiry: Inquiry,
   rows: readonly StoredRow[],
+  wallMs: number,
 ): IntakeStep {
   switch (inquiry.kind) {
     case 'pending': {
+      if (inquiry.stage === 'scan') {
+        const count = countJobs(rows, inquiry.queue);
+        return finish(state, callId, { kind: 'pending', count });
+      }
       const row = rows.find(({ key }) => key === COUNTS_KEY.key);
-      const counts = (row?.value ?? {}) as Readonly<Record<string, unknown>>;
-      const count = Number(counts[inquiry.queue] ?? 0);
-      return finish(state, callId, { kind: 'pending', count });
+      const counts = countsSchema.safeParse(row?.value);
+      const isFresh = counts.success && Math.abs(wallMs - counts.data.atMs) <= FRESH_MS;
+      return isFresh
+        ? finish(state, callId, { kind: 'pending', count: counts.data.queues[inquiry.queue] ?? 0 })
+        : proceed(state, callId, { ...inquiry, stage: 'scan' });
     }
     case 'status': {
       const { jobId } = inquiry;
@@ -190,12 +213,13 @@
   callId: string,
   result: RowRangeResult,
   nowMs: number,
+  wallMs: number,
 ): IntakeStep {
   const inquiry = state.inquiries.get(callId);
   if (inquiry === undefined) return { state, effects: [] };
   return result.kind === 'unavailable'
     ? later(state, callId, inquiry, nowMs)
-    : onRows(state, callId, inquiry, result.rows);
+    : onRows(state, callId, inquiry, result.rows, wallMs);
 }
 
 /** Takes in how the writing of a cancellation ended. */
--- a/packages/intake/src/step.ts
+++ b/packages/intake/src/step.ts
@@ -28,7 +28,7 @@
         ? onSubmitted(state, event.callId, event.result, nowMs)
         : onCancelWritten(state, event.callId, event.result, nowMs);
     case 'rangeDone':
-      return onInquiryRows(state, event.callId, event.result, nowMs);
+      return onInquiryRows(state, event.callId, event.result, nowMs, event.wallMs);
     case 'tick':
       return retryInquiries(state, nowMs);
     default:
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -41,6 +41,7 @@
   | {
       readonly kind: 'pending';
       readonly queue: string;
+      readonly stage: 'counts' | 'scan';
       readonly giveUpAtMs: number;
       readonly retryAtMs: number;
     };
@@ -88,7 +89,12 @@
       readonly timeoutMs: number;
     }
   | { readonly kind: 'commitDone'; readonly callId: string; readonly result: RowCommitResult }
-  | { readonly kind: 'rangeDone'; readonly callId: string; readonly result: RowRangeResult }
+  | {
+      readonly kind: 'rangeDone';
+      readonly callId: string;
+      readonly result: RowRangeResult;
+      readonly wallMs: number;
+    }
   | { readonly kind: 'tick' };
 
 /** What the intake asks its shell for. */
--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -24,6 +24,9 @@
 const HARMFUL_FROM = 1.5;
 const HARMLESS_FROM = -3;
 
+/** Evidence of a pair that was judged harmless and is doubted. */
+const DOUBTED = -1;
+
 /** Evidence never grows beyond this, so that a pair whose behaviour shifts is judged anew. */
 const MAX_EVIDENCE = 6;
 
@@ -56,14 +59,20 @@
   return book.set(key, Math.min(MAX_EVIDENCE, Math.max(-MAX_EVIDENCE, next)));
 }
 
-/** Images that may have caused the harm: those that are not known to be harmless, else all. */
+/** Images that may have caused the harm: those known to be harmful, else those not known to be harmless. */
 export function suspectsOf(book: PairBook, observation: PairObservation): readonly string[] {
   const { servingImage, fillImages } = observation;
   const images = [...new Set(fillImages)];
   const harmful = images.filter((image) => judgePair(book, servingImage, image) === 'harmful');
   if (harmful.length > 0) return harmful;
-  const unproven = images.filter((image) => judgePair(book, servingImage, image) !== 'harmless');
-  return unproven.length > 0 ? unproven : images;
+  return images.filter((image) => judgePair(book, servingImage, image) === 'unknown');
+}
+
+/** Harm beside images that were all judged harmless: each has to be tried again. */
+function doubtAll(book: PairBook, { servingImage, fillImages }: PairObservation): PairBook {
+  return fillImages
+    .map((image) => pairKey(servingImage, image))
+    .reduce((known, key) => known.set(key, Math.max(known.get(key, 0), DOUBTED)), book);
 }
 
 /** Learns from one observation. */
@@ -82,6 +91,7 @@
   if (only !== undefined && others.length === 0) {
     return addEvidence(book, pairKey(servingImage, only), HARM_WEIGHT);
   }
+  if (suspects.length === 0) return doubtAll(book, observation);
   return suspects
     .map((image) => pairKey(servingImage, image))
     .filter((key) => book.get(key, 0) < SHARED_LIMIT)
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -1,6 +1,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
 import { assertNever, without } from '@bronzeyoke/types';
+import type { JobProgress } from '@bronzeyoke/workflow';
 import { encodeProgress, parseTaskName, slotKey, taskOf } from '@bronzeyoke/workflow';
 import { holdsLease, moveLeadership } from './lead';
 import {
@@ -27,6 +28,9 @@
 const KEEP_FACTOR = 1.5;
 const REPEAT_MS = 60;
 const COUNTS_MS = 500;
+
+/** Unchanged counts are written again, so that a reader can tell that they are fresh. */
+const COUNTS_REPEAT_MS = 1_000;
 const PAIRS_MS = 1_000;
 
 function jobWrites(state: SchedulerState, jobId: string): readonly RowWrite[] {
@@ -38,11 +42,17 @@
   return [put, { kind: 'delete', ...jobKey(jobId) }, ...cancel];
 }
 
-/** Jobs of each queue of which no task was started yet. Repeated jobs are not counted. */
+function hasBegun({ tasks }: JobProgress): boolean {
+  return [...tasks.values()].some(
+    ({ phase, failures }) => phase === 'running' || phase === 'done' || failures > 0,
+  );
+}
+
+/** Jobs of each queue of which no task is known to have run. Repeated jobs are not counted. */
 export function pendingCounts(state: SchedulerState): Readonly<Record<string, number>> {
   const waiting = state.jobs
     .valueSeq()
-    .filter(({ job, progress }) => job.schedule === undefined && progress.tasks.size === 0)
+    .filter(({ job, progress }) => job.schedule === undefined && !hasBegun(progress))
     .countBy(({ job }) => job.policy.queue);
   return Object.fromEntries(waiting);
 }
@@ -61,7 +71,9 @@
   if (state.phase !== 'leading') return { state, writes: [] };
   const counts = pendingCounts(state);
   const text = JSON.stringify(counts);
-  const writesCounts = text !== state.pendingCounts && nowMs - state.countsAtMs >= COUNTS_MS;
+  const sinceMs = nowMs - state.countsAtMs;
+  const isChanged = text !== state.pendingCounts;
+  const writesCounts = sinceMs >= (isChanged ? COUNTS_MS : COUNTS_REPEAT_MS);
   const expired = expiredJobs(state, wallMs);
   const writesPairs = state.arePairsDirty && nowMs - state.pairsSavedAtMs >= PAIRS_MS;
   const next = {
@@ -72,7 +84,9 @@
   };
   const writes: readonly RowWrite[] = [
     ...expired.map((jobId) => ({ kind: 'delete', ...progressKey(jobId) }) as const),
-    ...(writesCounts ? [{ kind: 'put', ...COUNTS_KEY, value: counts } as const] : []),
+    ...(writesCounts
+      ? [{ kind: 'put', ...COUNTS_KEY, value: { atMs: wallMs, queues: counts } } as const]
+      : []),
     ...(writesPairs ? [{ kind: 'put', ...PAIRS_KEY, value: state.pairs.toObject() } as const] : []),
   ];
   return { state: next, writes };
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -11,6 +11,9 @@
 /** Loads are figures for the last half second, so a change shows only after that. */
 const SETTLE_MS = 700;
 
+/** Harm that lasts so long is ended whatever its cause. */
+const LONG_HARM_MS = 700;
+
 /** How long the serving tasks of a worker have to be calm before a paced task works again. */
 const CALM_MS = 800;
 
@@ -113,9 +116,14 @@
     const beside = fills.flatMap(({ stage, run }) =>
       run.pace > 0 && stage.image !== undefined ? [stage.image] : [],
     );
-    const culprits = new Set(
-      harmed.flatMap((observation) => suspectsOf(pairs, { ...observation, fillImages: beside })),
+    const suspects = harmed.flatMap((observation) =>
+      suspectsOf(pairs, { ...observation, fillImages: beside }),
+    );
+    const isLong = serving.some(
+      ({ run }) => run.harmedSinceMs !== undefined && nowMs - run.harmedSinceMs >= LONG_HARM_MS,
     );
+    // Harm without a suspect is mostly the serving task's own load, unless it lasts.
+    const culprits = new Set(isLong ? beside : suspects);
     const paced = fills.filter(
       ({ stage, run }) => run.pace > 0 && (stage.image === undefined || culprits.has(stage.image)),
     );
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,4 +1,6 @@
+import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
+import { without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { canMove, moveRun, taskOf, withTasks } from '@bronzeyoke/workflow';
@@ -120,8 +122,11 @@
   const isSame = known.isListed && known.percent === listed.percent && known.load === listed.load;
   if (isSame) return known;
   const hasMoved = listed.percent !== known.percent || !known.isListed;
+  const target = known.stage.latencyTargetMs;
+  const isHarmed = target !== undefined && listed.load >= target * HARMED_RATIO;
   return {
-    ...known,
+    ...(isHarmed ? known : without(known, 'harmedSinceMs')),
+    ...(isHarmed ? { harmedSinceMs: known.harmedSinceMs ?? nowMs } : {}),
     isListed: true,
     listedAtMs: known.isListed ? known.listedAtMs : nowMs,
     percent: listed.percent,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -67,6 +67,8 @@
   readonly load: number;
   readonly isListed: boolean;
   readonly listedAtMs: number;
+  /** Since when a serving task has been over the share of its target that counts as harmed. */
+  readonly harmedSinceMs?: number;
   /** Share at which the task may work. */
   readonly pace: number;
   readonly pacedAtMs: number;
