Let filling tasks take idle parts of what they ask for; log judged pairs

Change: a filling task may start where 0.6 of its processors are idle, after all places with room; a pair that is judged otherwise leaves a line.

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -4,6 +4,9 @@
 /** Unproven pairs of images that one worker may try at a time. */
 const MAX_TRIALS = 1;
 
+/** Share of what it asks for that a filling task has to find idle; it works at that speed. */
+const MIN_FILL_SHARE = 0.6;
+
 /** A worker on which a task may be placed, with its rank; the lowest is the best. */
 interface Candidate {
   readonly load: WorkerLoad;
@@ -25,8 +28,9 @@
   const fitsElsewise =
     needs.memoryMb <= load.capacity.memoryMb - load.reserved.memoryMb &&
     needs.accelerators <= load.capacity.accelerators - load.reserved.accelerators;
-  const leftMilli = freeMilli(load) - (stage.fillsIdle ? load.fillMilli : 0);
-  return fitsElsewise && needs.processorsMilli <= leftMilli;
+  if (!stage.fillsIdle) return fitsElsewise && needs.processorsMilli <= freeMilli(load);
+  const leftMilli = freeMilli(load) - load.fillMilli;
+  return fitsElsewise && needs.processorsMilli * MIN_FILL_SHARE <= leftMilli;
 }
 
 /** Whether a task could run on an empty worker of this kind. */
@@ -59,7 +63,14 @@
   const joinsTrial = image !== undefined && trials.has(image);
   if (isTrial && !joinsTrial && trials.size >= MAX_TRIALS) return undefined;
   const beside = load.servingImages.length > 0 ? 1 : 0;
-  return [Number(isTrial), farFromData(stage, load), beside, load.fillMilli - freeMilli(load)];
+  const isSlow = stage.needs.processorsMilli > freeMilli(load) - load.fillMilli;
+  return [
+    Number(isSlow),
+    Number(isTrial),
+    farFromData(stage, load),
+    beside,
+    load.fillMilli - freeMilli(load),
+  ];
 }
 
 function servingRank(stage: Stage, load: WorkerLoad): readonly number[] {
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -1,11 +1,11 @@
-import type { PairObservation } from '@bronzeyoke/interference';
+import type { PairBook, PairObservation } from '@bronzeyoke/interference';
 import { HARMED_RATIO, judgePair, observePairs, suspectsOf } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { moveRun, taskOf, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
 import { putRun, runsOn } from './runs';
-import { chain, stay, tellWorker, withEffects } from './state';
-import type { RunView, SchedulerState, SchedulerStep } from './types';
+import { chain, chainAfter, stay, tellWorker, withEffects } from './state';
+import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
 /** Loads are figures for the last half second, so a change shows only after that. */
@@ -42,7 +42,14 @@
     { ...state, runs: putRun(state.runs, task, { ...run, pace: percent, pacedAtMs: nowMs }) },
     [
       ...tellWorker(state, workerKey, { kind: 'pace', workerKey, run: ref, percent }),
-      logEffect('taskPaced', { task, attempt, worker: workerKey, percent, reason }),
+      logEffect('taskPaced', {
+        task,
+        attempt,
+        worker: workerKey,
+        image: run.stage.image ?? '',
+        percent,
+        reason,
+      }),
     ],
   );
 }
@@ -95,6 +102,23 @@
   };
 }
 
+/** Log lines for pairs that are judged otherwise than before. */
+function judgements(
+  before: PairBook,
+  after: PairBook,
+  observations: readonly PairObservation[],
+): readonly SchedulerEffect[] {
+  if (before === after) return [];
+  return observations.flatMap(({ servingImage, fillImages, ratio }) =>
+    fillImages
+      .map((fill) => ({ fill, verdict: judgePair(after, servingImage, fill) }))
+      .filter(({ fill, verdict }) => verdict !== judgePair(before, servingImage, fill))
+      .map(({ fill, verdict }) =>
+        logEffect('pairLearned', { serving: servingImage, fill, verdict, ratio }),
+      ),
+  );
+}
+
 /** Holds the tasks back that disturb a serving task, and lets them go on or elsewhere once it is calm. */
 export function paceWorker(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
   const listed = listedOn(state, workerKey);
@@ -103,7 +127,10 @@
   const settled = settledFills(listed, nowMs);
   const observations = serving.map((task) => observe(task, settled));
   const pairs = observations.reduce(observePairs, state.pairs);
-  const learned = { ...state, pairs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs };
+  const learned = withEffects(
+    { ...state, pairs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs },
+    judgements(state.pairs, pairs, observations),
+  );
   const isHarmful = ({ stage }: Listed): boolean =>
     serving.some(
       (other) => judgePair(pairs, other.stage.image ?? '', stage.image ?? '') === 'harmful',
@@ -127,7 +154,7 @@
     const paced = fills.filter(
       ({ stage, run }) => run.pace > 0 && (stage.image === undefined || culprits.has(stage.image)),
     );
-    return chain(
+    return chainAfter(
       learned,
       paced.map(
         (task) => (current: SchedulerState) =>
@@ -141,7 +168,7 @@
   }
   const waiting = fills.filter(({ run }) => run.pace === 0 && nowMs - run.pacedAtMs >= CALM_MS);
   const [first] = waiting.filter((task) => !isHarmful(task));
-  return chain(learned, [
+  return chainAfter(learned, [
     ...waiting.filter(isHarmful).map(
       ({ task }) =>
         (current: SchedulerState) =>
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -59,15 +59,23 @@
   return { state, effects: [] };
 }
 
-/** Applies decisions one after the other. */
-export function chain(
-  state: SchedulerState,
+/** Applies decisions after a step. */
+export function chainAfter(
+  first: SchedulerStep,
   decisions: readonly ((state: SchedulerState) => SchedulerStep)[],
 ): SchedulerStep {
   return decisions.reduce<SchedulerStep>((step, decide) => {
     const next = decide(step.state);
     return { state: next.state, effects: [...step.effects, ...next.effects] };
-  }, stay(state));
+  }, first);
+}
+
+/** Applies decisions one after the other. */
+export function chain(
+  state: SchedulerState,
+  decisions: readonly ((state: SchedulerState) => SchedulerStep)[],
+): SchedulerStep {
+  return chainAfter(stay(state), decisions);
 }
 
 /** Adds effects to a state. */
