Move stalled tasks, set failing workers aside, refuse at once while the store is silent

Change: a task without progress for 2.5 s is moved and avoids its worker; three failed jobs without a success set a worker aside for 3 s; an entry that has not heard of the store for 1 s refuses a new job at once with a time to come back.

--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -297,7 +297,10 @@
   };
 
   return {
-    submit: (job, timeoutMs) => ask((callId) => ({ kind: 'submit', callId, job, timeoutMs })),
+    submit: (job, timeoutMs) => {
+      const silentMs = performance.now() - memory.storeAnsweredAtMs;
+      return ask((callId) => ({ kind: 'submit', callId, job, timeoutMs, silentMs }));
+    },
     cancel: (jobId, timeoutMs) => ask((callId) => ({ kind: 'cancel', callId, jobId, timeoutMs })),
     status: (jobId, timeoutMs) => ask((callId) => ({ kind: 'status', callId, jobId, timeoutMs })),
     pending: (queue, timeoutMs) => ask((callId) => ({ kind: 'pending', callId, queue, timeoutMs })),
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -3,7 +3,14 @@
 import { jobKey, progressKey } from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
-import type { IntakeEffect, IntakeReply, IntakeState, IntakeStep, Submission } from './types';
+import type {
+  IntakeEffect,
+  IntakeEvent,
+  IntakeReply,
+  IntakeState,
+  IntakeStep,
+  Submission,
+} from './types';
 import { submissionChart } from './types';
 
 /** Jobs in one transaction: two conditions and a write for each, of the 100 that it may name. */
@@ -21,6 +28,9 @@
 const REPLY_MARGIN_MS = 150;
 const COME_BACK_MS = 1_000;
 
+/** A store that is silent for longer gets no new job, so that a refusal is certain and at once. */
+const STORE_SILENT_MS = 1_000;
+
 type SubmissionEvent = 'sent' | 'stored' | 'conflict' | 'unavailable' | 'unknown' | 'expired';
 
 function replyTo(submission: Submission, reply: IntakeReply): readonly IntakeEffect[] {
@@ -158,10 +168,10 @@
 /** Takes a job in. A repeat of a job that is on its way waits for the same outcome. */
 export function submit(
   state: IntakeState,
-  event: { readonly callId: string; readonly job: Submission['job']; readonly timeoutMs: number },
+  event: Extract<IntakeEvent, { kind: 'submit' }>,
   nowMs: number,
 ): IntakeStep {
-  const { callId, job, timeoutMs } = event;
+  const { callId, job, timeoutMs, silentMs } = event;
   const known = state.submissions.get(job.jobId);
   if (known !== undefined) {
     const joined = { ...known, callIds: [...known.callIds, callId] };
@@ -170,13 +180,18 @@
       effects: [],
     };
   }
-  if (state.submissions.size >= MAX_WAITING) {
+  const isStoreSilent = silentMs > STORE_SILENT_MS;
+  if (isStoreSilent || state.submissions.size >= MAX_WAITING) {
     const reply = { kind: 'notAccepted', retryAfterMs: COME_BACK_MS } as const;
     return {
       state,
       effects: [
         { kind: 'reply', callId, reply },
-        logEffect('jobRefused', { job: job.jobId, reason: 'overloaded' }),
+        logEffect('jobRefused', {
+          job: job.jobId,
+          reason: isStoreSilent ? 'storeSilent' : 'overloaded',
+          silentMs: Math.round(silentMs),
+        }),
       ],
     };
   }
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -75,6 +75,8 @@
       readonly callId: string;
       readonly job: WorkflowJob;
       readonly timeoutMs: number;
+      /** Time since the store last answered this process. */
+      readonly silentMs: number;
     }
   | {
       readonly kind: 'cancel' | 'status';
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -84,28 +84,56 @@
   readonly checkpoint: string;
 }
 
-function noteOutcome(state: SchedulerState, ended: EndedRun, jobId: string): SchedulerState {
+/** Different jobs that have to fail on a worker, without a success in between, to set it aside. */
+const QUARANTINE_JOBS = 3;
+const QUARANTINE_MS = 3_000;
+
+/** Counts a failure against a worker. One that fails whatever it runs gets no tasks for a while. */
+export function blameWorker(
+  state: SchedulerState,
+  workerKey: string,
+  jobId: string,
+  nowMs: number,
+): SchedulerStep {
+  const view = state.workers.get(workerKey);
+  if (view === undefined) return stay(state);
+  const failedJobs = [...new Set([...view.failedJobs, jobId])];
+  const isBad = failedJobs.length >= QUARANTINE_JOBS;
+  // One further failure after the quarantine renews it.
+  const blamed = isBad
+    ? {
+        ...view,
+        failedJobs: failedJobs.slice(1 - QUARANTINE_JOBS),
+        quarantinedUntilMs: nowMs + QUARANTINE_MS,
+      }
+    : { ...view, failedJobs };
+  return withEffects(
+    { ...state, workers: state.workers.set(workerKey, blamed) },
+    isBad ? [logEffect('workerQuarantined', { worker: workerKey, forMs: QUARANTINE_MS })] : [],
+  );
+}
+
+function noteOutcome(
+  state: SchedulerState,
+  ended: EndedRun,
+  jobId: string,
+  nowMs: number,
+): SchedulerStep {
   const view = state.workers.get(ended.workerKey);
-  if (view === undefined) return state;
+  if (view === undefined) return stay(state);
   switch (ended.end) {
     case 'done':
-      return {
+      return stay({
         ...state,
         workers: state.workers.set(ended.workerKey, { ...view, failedJobs: [] }),
-      };
+      });
     case 'failed':
-      return {
-        ...state,
-        workers: state.workers.set(ended.workerKey, {
-          ...view,
-          failedJobs: [...new Set([...view.failedJobs, jobId])],
-        }),
-      };
+      return blameWorker(state, ended.workerKey, jobId, nowMs);
     case 'stopped':
     case 'expired':
     case 'gangBroken':
     case 'gangIncomplete':
-      return state;
+      return stay(state);
   }
 }
 
@@ -137,7 +165,7 @@
     worker: ended.workerKey,
     end: ended.end,
   };
-  const noted = noteOutcome(state, ended, ref.jobId);
+  const { state: noted, effects } = noteOutcome(state, ended, ref.jobId, nowMs);
   const rest = without(task, 'workerKey');
   const keepsCheckpoint = stage.savesCheckpoints && ended.checkpoint !== '';
   const moved = {
@@ -164,14 +192,14 @@
     ...open,
     progress,
   });
-  const log = logEffect('taskEnded', fields);
+  const log = [logEffect('taskEnded', fields), ...effects];
   const isHopeless =
     !stage.isLasting && ended.end === 'failed' && moved.failures >= job.policy.maxAttempts;
   if (isHopeless) {
     const step = endJob(next, ref.jobId, 'failed', wallMs);
-    return withEffects(step.state, [log, ...step.effects]);
+    return withEffects(step.state, [...log, ...step.effects]);
   }
-  if (!isComplete(job, progress)) return withEffects(next, [log]);
+  if (!isComplete(job, progress)) return withEffects(next, log);
   const step = endJob(next, ref.jobId, 'complete', wallMs);
-  return withEffects(step.state, [log, ...step.effects]);
+  return withEffects(step.state, [...log, ...step.effects]);
 }
--- /dev/null
+++ b/packages/scheduler/src/stall.ts
@@ -0,0 +1,45 @@
+import { taskOf, withTasks } from '@bronzeyoke/workflow';
+import { stopRun } from './pace';
+import { blameWorker } from './release';
+import { runsOn } from './runs';
+import { chain, stay } from './state';
+import type { RunView, SchedulerState, SchedulerStep } from './types';
+
+/** A task that works and makes no progress for so long is moved. */
+const STALL_MS = 2_500;
+
+function isStalled(run: RunView, nowMs: number): boolean {
+  return (
+    run.isListed &&
+    !run.stage.isLasting &&
+    run.pace > 0 &&
+    run.stopSentAtMs === undefined &&
+    nowMs - Math.max(run.percentAtMs, run.pacedAtMs) >= STALL_MS
+  );
+}
+
+/** Makes the next run of a task avoid the worker of this one. */
+function avoidWorker(state: SchedulerState, run: RunView): SchedulerState {
+  const open = state.jobs.get(run.jobId);
+  if (open === undefined) return state;
+  const task = { ...taskOf(open.progress, run.slot), failedOn: run.workerKey };
+  const progress = withTasks(open.progress, [[run.slot, task]]);
+  return { ...state, jobs: state.jobs.set(run.jobId, { ...open, progress }) };
+}
+
+/** Moves the tasks of a worker that stand still, and counts them against the worker. */
+export function moveStalled(
+  state: SchedulerState,
+  workerKey: string,
+  nowMs: number,
+): SchedulerStep {
+  const stalled = [...runsOn(state.runs, workerKey)].filter(([, run]) => isStalled(run, nowMs));
+  return chain(
+    state,
+    stalled.flatMap(([task, run]) => [
+      (current: SchedulerState) => stay(avoidWorker(current, run)),
+      (current: SchedulerState) => stopRun(current, task, 'stalled', nowMs),
+      (current: SchedulerState) => blameWorker(current, workerKey, run.jobId, nowMs),
+    ]),
+  );
+}
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -17,6 +17,7 @@
 import { placeWaiting } from './place';
 import { releaseWorker } from './release';
 import { onRefused, onReport } from './report';
+import { moveStalled } from './stall';
 import { chain, stay, withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
@@ -130,6 +131,7 @@
           return chain(state, [
             (current) => onReport(current, linkId, message, nowMs, wallMs),
             (current) => paceWorker(current, message.workerKey, nowMs),
+            (current) => moveStalled(current, message.workerKey, nowMs),
             (current) => settle(current, nowMs, wallMs),
           ]);
         case 'refused':
