Name workers that left to a new leader, and count late successes

Change: an agent names workers that are gone on each new connection, and a leader that still reads the store keeps the names; a success counts while no newer run is claimed. The simulated worker reports progress, since a constant one looks stalled.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -196,7 +196,10 @@
       return onLeader(state, event.term, event.address, nowMs);
     case 'linkOpened': {
       const linked = { ...state, isLinked: true, lastOrder: 0, progressAtMs: nowMs };
-      return { state: linked, effects: reportEffects(linked) };
+      const gone = state.goneKeys.flatMap((workerKey) =>
+        tell(linked, { kind: 'workerGone', workerKey }),
+      );
+      return { state: linked, effects: [...gone, ...reportEffects(linked)] };
     }
     case 'linkClosed':
       return stay({ ...state, isLinked: false });
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -171,3 +171,18 @@
   const silent = give(leased(), { kind: 'tick' }, 1_600);
   expect(silent.effects.some(({ kind }) => kind === 'connect')).to.equal(true);
 });
+
+// Guards against tasks that wait for a lease because their worker left while there was no leader.
+it('agent: a worker that left is named again on a new connection', () => {
+  const alone = give(leased(), { kind: 'linkClosed' });
+  const left = give(alone, { kind: 'workerLeft', id: 'i-1' });
+  const linked = give(left, { kind: 'linkOpened' });
+  expect(
+    linked.effects.some(
+      (effect) =>
+        effect.kind === 'send' &&
+        effect.message.kind === 'workerGone' &&
+        effect.message.workerKey === KEY,
+    ),
+  ).to.equal(true);
+});
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -135,7 +135,11 @@
 }
 
 /** Views of the runs that the stored progress names. They may or may not have been ordered. */
-function adoptRuns(state: SchedulerState, nowMs: number): SchedulerState {
+function adoptRuns(
+  state: SchedulerState,
+  goneKeys: readonly string[],
+  nowMs: number,
+): SchedulerState {
   const { times } = state.settings;
   const waitMs = (state.wasReleased ? 0 : times.rightMs) + times.grantMs + times.marginMs;
   const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
@@ -170,7 +174,7 @@
         {
           workerKey,
           clockMs: -1,
-          expiresAtMs: nowMs + waitMs,
+          expiresAtMs: goneKeys.includes(workerKey) ? nowMs : nowMs + waitMs,
           handledSequence: 0,
           failedJobs: [],
           quarantinedUntilMs: 0,
@@ -185,7 +189,7 @@
 }
 
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const { progress, jobRows, pairs } = state.loading;
+  const { progress, jobRows, pairs, goneKeys = [] } = state.loading;
   if (state.phase !== 'loading') return stay(state);
   if (progress === undefined || jobRows === undefined || pairs === undefined) return stay(state);
   const ended = progress.filter(({ outcome }) => outcome !== undefined);
@@ -197,7 +201,7 @@
   return chain(cleared, [
     (current) =>
       applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NOT_BEGUN, wallMs),
-    (current) => stay(adoptRuns(current, nowMs)),
+    (current) => stay(adoptRuns(current, goneKeys, nowMs)),
     (current) => moveLeadership(current, 'loaded'),
   ]);
 }
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -60,6 +60,7 @@
   nowMs: number,
 ): SchedulerStep {
   const tasks = [...runsOn(state.runs, workerKey).keys()];
+  if (tasks.length === 0 && !state.workers.has(workerKey)) return stay(state);
   const forgotten: SchedulerState = {
     ...state,
     workers: state.workers.delete(workerKey),
@@ -150,9 +151,11 @@
   const stage = open.job.stages[ref.stage];
   const slot = slotKey(ref.occurrence, ref.stage, ref.index);
   const task = taskOf(open.progress, slot);
+  // A success also counts when the run was given up meanwhile and no other has been claimed.
+  const isGivenUp = task.phase === 'waiting' && ended.end === 'done';
   const isCurrent =
     task.attempt === ended.attempt &&
-    task.workerKey === ended.workerKey &&
+    (task.workerKey === ended.workerKey || isGivenUp) &&
     open.progress.outcome === undefined &&
     stage !== undefined &&
     canMove(task, ended.end === 'done' ? 'done' : 'release');
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -41,6 +41,12 @@
   return withEffects({ ...state, pollAtMs: nowMs + RELOAD_MS }, loadEffects(state));
 }
 
+/** Keeps the name of a worker that is gone until the runs are known. */
+function noteGone(state: SchedulerState, workerKey: string): SchedulerState {
+  const goneKeys = [...(state.loading.goneKeys ?? []), workerKey];
+  return { ...state, loading: { ...state.loading, goneKeys } };
+}
+
 /** Places what waits unless a transaction is under way, and stores what changed. */
 function settle(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const isReady = state.phase === 'leading' && state.flight === undefined && state.needsPlacement;
@@ -124,6 +130,9 @@
     case 'received': {
       const { linkId, message, wallMs } = event;
       if (message.kind === 'leaderChanged') return onLeader(state, message);
+      if (state.phase === 'loading' && message.kind === 'workerGone') {
+        return stay(noteGone(state, message.workerKey));
+      }
       if (state.phase !== 'leading') return stay(state);
       switch (message.kind) {
         case 'report':
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -130,6 +130,8 @@
   readonly progress?: Map<string, JobProgress>;
   readonly jobRows?: readonly StoredRow[];
   readonly pairs?: true;
+  /** Workers that agents have named as gone meanwhile. */
+  readonly goneKeys?: readonly string[];
 }
 
 /** State of the scheduler in one entry. */
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -268,3 +268,60 @@
   const harmed = report(wait(calm, 1_000), 'w1', { running: runs(200), lastOrder: 2 });
   expect(sent(harmed, 'pace')).to.have.length(1);
 });
+
+// Guards against tasks that wait for a lease because their worker left while a new leader was reading.
+it('hears of a worker that is gone while it still reads the store', () => {
+  const wallMs = WALL_MS;
+  const empty = { kind: 'rows', rows: [], version: 11 } as const;
+  const polled = wait(follower(), 400);
+  const claiming = give(polled, { kind: 'rangeDone', callId: 'poll', result: empty, wallMs });
+  const won = give(claiming, {
+    kind: 'commitDone',
+    callId: 'claim',
+    result: { kind: 'committed', version: 11 },
+    wallMs,
+  });
+  const workerKey = keyOf('w1');
+  const told = give(give(won, { kind: 'linkOpened', linkId: 'l' }), {
+    kind: 'received',
+    linkId: 'l',
+    message: { kind: 'workerGone', workerKey },
+    wallMs,
+  });
+  const task = { phase: 'running', attempt: 1, failures: 0, workerKey };
+  const row = { table: 'progress', partition: 'main', key: 'job1', version: 9 };
+  const result = {
+    kind: 'rows',
+    rows: [{ ...row, value: { tasks: { '0.0.0': task } } }],
+    version: 11,
+  } as const;
+  const read = give(give(told, { kind: 'rangeDone', callId: 'progress', result, wallMs }), {
+    kind: 'rangeDone',
+    callId: 'notes',
+    result: empty,
+    wallMs,
+  });
+  const rows = [
+    {
+      table: 'job',
+      partition: 'main',
+      key: 'job1/job',
+      version: 8,
+      value: jobOf('job1', [stageOf(1)]),
+    },
+  ];
+  const begun = give(read, { kind: 'jobRows', isFull: true, rows, wallMs });
+  expect(begun.state.phase).to.equal('leading');
+  expect(phaseOf(wait(begun, 50))).to.equal('waiting');
+});
+
+// Guards against work that is done again although its success is known before its next claim.
+it('takes the success of a run whose lease was thought to be over', () => {
+  const away = wait(running(), TIMES.grantMs + TIMES.marginMs + 10);
+  expect(phaseOf(away)).to.equal('waiting');
+  const back = report(away, 'w1', {
+    ended: [{ sequence: 1, task: TASK, attempt: 1, end: 'done', checkpoint: '' }],
+    lastOrder: 1,
+  });
+  expect(commitAll(back).state.ended.has('job1')).to.equal(true);
+});
--- a/packages/standins/src/taskworker.ts
+++ b/packages/standins/src/taskworker.ts
@@ -116,7 +116,10 @@
       };
       const running = next.runs
         .valueSeq()
-        .map(({ task, attempt }) => ({ task, attempt, checkpoint: '', percent: 50, load: 0 }))
+        .map(({ task, attempt, startedAtMs, endsAtMs }) => {
+          const percent = Math.floor((100 * (clockMs - startedAtMs)) / (endsAtMs - startedAtMs));
+          return { task, attempt, checkpoint: '', percent, load: 0 };
+        })
         .toArray();
       return { state: next, result: { ...answered, running, ended: next.ends.toArray() } };
     }
