Run overdue batch at a low pace where it can do little harm

Change: a job past twice its objective of which nothing runs gets one task beside a task that it harms, at 10% of its pace; it is held back like others when the tail rises.

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -48,12 +48,18 @@
   return stage.dataRack === undefined || stage.dataRack === load.rack ? 0 : 1;
 }
 
-function fillRank(stage: Stage, load: WorkerLoad, judge: Judge): readonly number[] | undefined {
+function fillRank(
+  stage: Stage,
+  load: WorkerLoad,
+  judge: Judge,
+  isLastResort: boolean,
+): readonly number[] | undefined {
   const { image } = stage;
   const verdicts = load.servingImages.map((serving) =>
     image === undefined ? 'unknown' : judge(serving, image),
   );
-  if (verdicts.includes('harmful')) return undefined;
+  const harms = verdicts.filter((verdict) => verdict === 'harmful').length;
+  if (harms > 0 && !isLastResort) return undefined;
   const isTrial = verdicts.includes('unknown');
   const trials = new Set(
     load.fillImages.filter((fill) =>
@@ -61,10 +67,11 @@
     ),
   );
   const joinsTrial = image !== undefined && trials.has(image);
-  if (isTrial && !joinsTrial && trials.size >= MAX_TRIALS) return undefined;
+  if (isTrial && !joinsTrial && trials.size >= MAX_TRIALS && !isLastResort) return undefined;
   const beside = load.servingImages.length > 0 ? 1 : 0;
   const isSlow = stage.needs.processorsMilli > freeMilli(load) - load.fillMilli;
   return [
+    harms,
     Number(isSlow),
     Number(isTrial),
     farFromData(stage, load),
@@ -84,8 +91,13 @@
   return [farFromData(stage, load), isAlone, -freeMilli(load)];
 }
 
-function rankOf(stage: Stage, load: WorkerLoad, judge: Judge): readonly number[] | undefined {
-  if (stage.fillsIdle) return fillRank(stage, load, judge);
+function rankOf(
+  stage: Stage,
+  load: WorkerLoad,
+  judge: Judge,
+  isLastResort: boolean,
+): readonly number[] | undefined {
+  if (stage.fillsIdle) return fillRank(stage, load, judge, isLastResort);
   return stage.latencyTargetMs === undefined ? plainRank(stage, load) : servingRank(stage, load);
 }
 
@@ -93,6 +105,8 @@
 export interface Restriction {
   /** Tasks of the same stage and occurrence on a worker. */
   readonly siblingsOn: (workerKey: string) => number;
+  /** Whether a place beside a task that it harms is better than none; it then works at a low pace. */
+  readonly isLastResort?: boolean;
   /** Worker to avoid while there are others. */
   readonly avoid?: string;
 }
@@ -108,7 +122,7 @@
   const candidates = loads.flatMap<Candidate>((load) => {
     if (!couldRun(stage, load) || !hasRoom(stage, load)) return [];
     if (restriction.siblingsOn(load.workerKey) >= most) return [];
-    const rank = rankOf(stage, load, judge);
+    const rank = rankOf(stage, load, judge, restriction.isLastResort ?? false);
     if (rank === undefined) return [];
     return [{ load, rank: [load.workerKey === restriction.avoid ? 1 : 0, ...rank] }];
   });
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -160,6 +160,7 @@
         load: 0,
         isListed: false,
         listedAtMs: nowMs,
+        isLastResort: false,
         pace: 100,
         pacedAtMs: nowMs,
       };
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -11,6 +11,9 @@
 /** Loads are figures for the last half second, so a change shows only after that. */
 const SETTLE_MS = 700;
 
+/** Share at which a task works that was placed beside one that it harms. */
+const LAST_RESORT_PERCENT = 10;
+
 /** Harm that lasts so long is ended whatever its cause. */
 const LONG_HARM_MS = 700;
 
@@ -124,6 +127,16 @@
   const listed = listedOn(state, workerKey);
   const serving = listed.filter(({ stage }) => stage.latencyTargetMs !== undefined);
   if (serving.length === 0) return stay(state);
+  const unpaced = listed.filter(({ run }) => run.isLastResort && run.pace > LAST_RESORT_PERCENT);
+  if (unpaced.length > 0) {
+    return chain(
+      state,
+      unpaced.map(
+        (task) => (current: SchedulerState) =>
+          setPace(current, task, LAST_RESORT_PERCENT, 'lastResort', nowMs),
+      ),
+    );
+  }
   const settled = settledFills(listed, nowMs);
   const observations = serving.map((task) => observe(task, settled));
   const pairs = observations.reduce(observePairs, state.pairs);
@@ -161,21 +174,34 @@
           chain(current, [
             (before) => setPace(before, task, 0, 'harm', nowMs),
             (before) =>
-              isHarmful(task) ? stopRun(before, task.task, 'harm', nowMs) : stay(before),
+              isHarmful(task) && !task.run.isLastResort
+                ? stopRun(before, task.task, 'harm', nowMs)
+                : stay(before),
           ]),
       ),
     );
   }
   const waiting = fills.filter(({ run }) => run.pace === 0 && nowMs - run.pacedAtMs >= CALM_MS);
-  const [first] = waiting.filter((task) => !isHarmful(task));
+  const [first] = waiting.filter((task) => task.run.isLastResort || !isHarmful(task));
   return chainAfter(learned, [
-    ...waiting.filter(isHarmful).map(
-      ({ task }) =>
-        (current: SchedulerState) =>
-          stopRun(current, task, 'harm', nowMs),
-    ),
+    ...waiting
+      .filter((task) => isHarmful(task) && !task.run.isLastResort)
+      .map(
+        ({ task }) =>
+          (current: SchedulerState) =>
+            stopRun(current, task, 'harm', nowMs),
+      ),
     ...(first === undefined
       ? []
-      : [(current: SchedulerState) => setPace(current, first, 100, 'calm', nowMs)]),
+      : [
+          (current: SchedulerState) =>
+            setPace(
+              current,
+              first,
+              first.run.isLastResort ? LAST_RESORT_PERCENT : 100,
+              'calm',
+              nowMs,
+            ),
+        ]),
   ]);
 }
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -5,6 +5,7 @@
 import { NO_RESOURCES } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
 import {
+  assignedSlots,
   chainMs,
   isStageDone,
   moveRun,
@@ -24,12 +25,17 @@
   readonly ready: ReadyStage;
   readonly priority: number;
   readonly isLate: boolean;
+  /** Long past its objective. */
+  readonly isOverdue: boolean;
   readonly workLeft: number;
 }
 
 /** Time that placing and starting a task takes, for the estimate of what can still be in time. */
 const START_MS = 100;
 
+/** A job is overdue after this many times the duration of its objective. */
+const OVERDUE_FACTOR = 2;
+
 /** What runs on each usable worker of a service. */
 export function workerLoads(state: SchedulerState, nowMs: number): Map<string, WorkerLoad> {
   const usable = state.workers.filter(
@@ -81,12 +87,15 @@
       isStageDone(job, progress, 0, number) ? 0 : stage.estimateMs,
     );
     const isLate = wallMs + leftMs + START_MS > objectiveAtMs(job);
+    const objectiveMs = objectiveAtMs(job) - job.acceptedAtMs;
+    const isOverdue = wallMs - job.acceptedAtMs > objectiveMs * OVERDUE_FACTOR;
     const workLeft = remainingWork(job, progress);
     return ready.map((stage) => ({
       jobId,
       ready: stage,
       priority: job.policy.priority,
       isLate,
+      isOverdue,
       workLeft,
     }));
   });
@@ -107,6 +116,7 @@
   stage: Stage,
   workerKey: string,
   attempt: number,
+  isLastResort: boolean,
   nowMs: number,
 ): SchedulerState {
   const { jobId } = open.job;
@@ -127,6 +137,7 @@
     load: 0,
     isListed: false,
     listedAtMs: nowMs,
+    isLastResort,
     pace: 100,
     pacedAtMs: nowMs,
   };
@@ -162,6 +173,7 @@
   slot: string,
   attempt: number,
   nowMs: number,
+  isLastResort = false,
 ): Pass | undefined {
   const open = pass.state.jobs.get(jobId);
   if (open === undefined) return undefined;
@@ -179,12 +191,22 @@
     (serving, fill) => judgePair(pass.state.pairs, serving, fill),
     {
       siblingsOn: siblingCounter(open, ready),
+      isLastResort,
       ...(task.failedOn === undefined ? {} : { avoid: task.failedOn }),
     },
   );
   if (chosen === undefined) return undefined;
   return {
-    state: claimSlot(pass.state, open, slot, ready.stage, chosen.workerKey, attempt, nowMs),
+    state: claimSlot(
+      pass.state,
+      open,
+      slot,
+      ready.stage,
+      chosen.workerKey,
+      attempt,
+      isLastResort,
+      nowMs,
+    ),
     loads: pass.loads.set(chosen.workerKey, withTask(chosen, ready.stage)),
   };
 }
@@ -202,6 +224,16 @@
   return placed ?? pass;
 }
 
+/** Starts one task of an overdue job that runs nowhere beside a task that it harms, at a low pace. */
+function placeLastResort(pass: Pass, turn: Turn, slot: string, nowMs: number): Pass {
+  const { jobId, ready } = turn;
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined || !ready.stage.fillsIdle) return pass;
+  if (assignedSlots(open.progress).length > 0) return pass;
+  const attempt = 1 + taskOf(open.progress, slot).attempt;
+  return placeSlot(pass, jobId, ready, slot, attempt, nowMs, true) ?? pass;
+}
+
 function placeTurn(pass: Pass, turn: Turn, nowMs: number): Pass {
   const { jobId, ready } = turn;
   if (!pass.loads.some((load) => couldRun(ready.stage, load))) return pass;
@@ -210,16 +242,19 @@
     (pass.state.backOff.get(`${jobId}.${slot}`) ?? 0) > nowMs;
   const slots = ready.slots.filter((slot) => !isBackingOff(slot));
   // Tasks of a stage are alike: when one finds no worker, the next finds none either.
-  return slots.reduce<{ readonly pass: Pass; readonly isFull: boolean }>(
+  const placed = slots.reduce<{ readonly pass: Pass; readonly isFull: boolean }>(
     (current, slot) => {
       if (current.isFull) return current;
       const open = current.pass.state.jobs.get(jobId);
       const attempt = 1 + (open === undefined ? 0 : taskOf(open.progress, slot).attempt);
-      const placed = placeSlot(current.pass, jobId, ready, slot, attempt, nowMs);
-      return placed === undefined ? { ...current, isFull: true } : { pass: placed, isFull: false };
+      const next = placeSlot(current.pass, jobId, ready, slot, attempt, nowMs);
+      return next === undefined ? { ...current, isFull: true } : { pass: next, isFull: false };
     },
     { pass, isFull: false },
   ).pass;
+  const [first] = slots;
+  const hasNothing = placed === pass && first !== undefined;
+  return hasNothing && turn.isOverdue ? placeLastResort(pass, turn, first, nowMs) : placed;
 }
 
 /** Places what waits and fits. The claims are stored before any start order is sent. */
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -69,6 +69,8 @@
   readonly listedAtMs: number;
   /** Since when a serving task has been over the share of its target that counts as harmed. */
   readonly harmedSinceMs?: number;
+  /** Placed beside a task that it harms, because there was no other place; works at a low pace. */
+  readonly isLastResort: boolean;
   /** Share at which the task may work. */
   readonly pace: number;
   readonly pacedAtMs: number;
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -325,3 +325,23 @@
   });
   expect(commitAll(back).state.ended.has('job1')).to.equal(true);
 });
+
+// Guards against an overdue job that never runs because its tasks would disturb every worker.
+it('runs an overdue job at a low pace beside a task that it harms, when there is no other place', () => {
+  const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
+  const filling = stageOf(2, { fillsIdle: true, image: 'f', estimateMs: 10 });
+  const served = commitAll(submit(report(leader(), 'w1'), jobOf('job1', [serving])));
+  const judged = { ...served, state: { ...served.state, pairs: served.state.pairs.set('s|f', 6) } };
+  const inTime = jobOf('job2', [{ ...filling, estimateMs: 5_000 }]);
+  const early = commitAll(submit(judged, inTime));
+  expect(sent(early, 'start')).to.have.length(1);
+  const late = { ...judged, nowMs: 5_000 };
+  const alone = [listed(TASK, 1, { load: 10 })];
+  const placed = commitAll(
+    submit(report(late, 'w1', { running: alone, lastOrder: 1 }), jobOf('job2', [filling])),
+  );
+  expect(sent(placed, 'start')).to.have.length(2);
+  const both = [...alone, listed('job2.0.0.0', 1)];
+  const paced = report(wait(placed, 300), 'w1', { running: both, lastOrder: 2 });
+  expect(sent(paced, 'pace')).to.have.length(1);
+});
