Remove times and settings that nothing uses

Cause: a read-through found the validity of start orders, three bounds and an event that no decision uses. Change: removed from the messages, the times, the settings and the templates. Conclusion: behaviour is unchanged.

--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -24,10 +24,7 @@
 export const FLEET_TIMES = timesOf({
   maxLeaseMs: 10_000,
   holderLeaseMs: 3_000,
-  stopMs: 900,
-  gangWaitMs: 3_000,
   statusMs: 120_000,
-  checkpointMs: 1_000,
 });
 
 /** Starts an entry; its id is new in each life. */
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -67,7 +67,6 @@
     order: 1,
     run: { task: TASK, attempt: 1 },
     payload: 'work',
-    validMs: 1_000,
   } as const;
   return give(lab, { kind: 'received', message });
 }
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -178,7 +178,6 @@
           run: runRef(task, attempt),
           payload: open.job.payload,
           ...(checkpoint === undefined ? {} : { checkpoint }),
-          validMs: state.settings.times.startValidMs,
         },
       },
       logEffect('taskPlaced', {
--- a/packages/scheduler/src/times.ts
+++ b/packages/scheduler/src/times.ts
@@ -4,14 +4,8 @@
   readonly maxLeaseMs: number;
   /** Time after which another holder may act on a matter. */
   readonly holderLeaseMs: number;
-  /** Time that a worker takes at most to stop a task. */
-  readonly stopMs: number;
-  /** How long a gang waits for its members. */
-  readonly gangWaitMs: number;
   /** How long ended jobs are shown. */
   readonly statusMs: number;
-  /** Work between two checkpoints. */
-  readonly checkpointMs: number;
 }
 
 /** Times of the scheduler, in ms. */
@@ -26,17 +20,13 @@
   readonly grantMs: number;
   /** Margin for clocks that run at different rates. */
   readonly marginMs: number;
-  /** A start order is void after this time. */
-  readonly startValidMs: number;
   readonly statusMs: number;
-  readonly checkpointMs: number;
 }
 
 /** Longest grant: a lost machine's tasks are restarted after it. */
 const MAX_GRANT_MS = 5_000;
 const MAX_RIGHT_MS = 6_000;
 const RENEWALS_BEFORE_TAKEOVER = 4.5;
-const START_VALID_MS = 1_500;
 /** Workers' clocks may be 2% slow; the rest is for rounding and timers. */
 const MARGIN_SHARE = 0.03;
 const MARGIN_MS = 150;
@@ -51,8 +41,6 @@
     rightMs: Math.min(MAX_RIGHT_MS, bounds.maxLeaseMs * 0.6),
     grantMs,
     marginMs: grantMs * MARGIN_SHARE + MARGIN_MS,
-    startValidMs: START_VALID_MS,
     statusMs: bounds.statusMs,
-    checkpointMs: bounds.checkpointMs,
   };
 }
--- a/packages/scheduler/test/lab.ts
+++ b/packages/scheduler/test/lab.ts
@@ -13,10 +13,7 @@
 export const TIMES: SchedulerTimes = timesOf({
   maxLeaseMs: 10_000,
   holderLeaseMs: 3_000,
-  stopMs: 900,
-  gangWaitMs: 3_000,
   statusMs: 120_000,
-  checkpointMs: 1_000,
 });
 
 /** A scheduler with all effects so far. */
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -30,8 +30,7 @@
   | 'workerQuarantined'
   | 'pairLearned'
   | 'configApplied'
-  | 'domainsOut'
-  | 'upkeepOrdered';
+  | 'domainsOut';
 
 /** Fields of a log line. Ids of requests are `job` and `task` on every process. */
 export type EventFields = Readonly<Record<string, string | number | boolean>>;
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -67,8 +67,6 @@
       readonly payload: string;
       readonly checkpoint?: string;
       readonly ticket?: string;
-      /** The agent drops the order when it cannot pass it on within this time. */
-      readonly validMs: number;
     }
   | { readonly kind: 'stop'; readonly workerKey: string; readonly run: RunRef }
   | {
@@ -155,7 +153,6 @@
     payload: z.string(),
     checkpoint: z.string().optional(),
     ticket: z.string().optional(),
-    validMs: z.number(),
   }),
   z.object({ kind: z.literal('stop'), workerKey, run }),
   z.object({ kind: z.literal('pace'), workerKey, run, percent: z.number() }),
