Load histograms without a dynamic import

Cause: the dynamic import in packages/telemetry made the bundler initialise the histogram module lazily for every program, and the entry bundle then had no histogram: recording threw, agents' messages were dropped and every request got noUpstream.

--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,7 +3,6 @@
 export * from './eventmetrics';
 export * from './events';
 export * from './histogram';
-export * from './lazy';
 export * from './log';
 export * from './metrics';
 export * from './server';
