Let filling tasks use what serving tasks reserve and leave idle

Cause: a filling task needed 0.6 of its processors beyond all reservations. Serving tasks use little of what they reserve.

Now the first filling task tries a worker, and further ones may ask for up to four times what the ones there were last seen to use.

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -7,6 +7,12 @@
 /** Share of what it asks for that a filling task has to find idle; it works at that speed. */
 const MIN_FILL_SHARE = 0.6;
 
+/**
+ * Filling tasks may ask for this many times what they were last seen to use. Reservations are not
+ * what serving tasks use, so a worker that is fully reserved may still have much to give.
+ */
+const FILL_GROWTH = 4;
+
 /** A worker on which a task may be placed, with its rank; the lowest is the best. */
 interface Candidate {
   readonly load: WorkerLoad;
@@ -22,7 +28,12 @@
   return load.capacity.processorsMilli - load.reserved.processorsMilli;
 }
 
-/** Whether a task fits into what a worker has left. */
+/** Whether the use of the filling tasks here shows that one more finds idle processors. */
+function showsIdle(stage: Stage, load: WorkerLoad): boolean {
+  return load.fillMilli + stage.needs.processorsMilli <= load.fillUsedMilli * FILL_GROWTH;
+}
+
+/** Whether a task fits into what a worker has left. A first filling task finds out what is idle. */
 export function hasRoom(stage: Stage, load: WorkerLoad): boolean {
   const { needs } = stage;
   const fitsElsewise =
@@ -30,7 +41,8 @@
     needs.accelerators <= load.capacity.accelerators - load.reserved.accelerators;
   if (!stage.fillsIdle) return fitsElsewise && needs.processorsMilli <= freeMilli(load);
   const leftMilli = freeMilli(load) - load.fillMilli;
-  return fitsElsewise && needs.processorsMilli * MIN_FILL_SHARE <= leftMilli;
+  const isLikelyIdle = needs.processorsMilli * MIN_FILL_SHARE <= leftMilli;
+  return fitsElsewise && (isLikelyIdle || load.fillMilli === 0 || showsIdle(stage, load));
 }
 
 /** Whether a task could run on an empty worker of this kind. */
@@ -69,7 +81,8 @@
   const joinsTrial = image !== undefined && trials.has(image);
   if (isTrial && !joinsTrial && trials.size >= MAX_TRIALS && !isLastResort) return undefined;
   const beside = load.servingImages.length > 0 ? 1 : 0;
-  const isSlow = stage.needs.processorsMilli > freeMilli(load) - load.fillMilli;
+  const isSlow =
+    stage.needs.processorsMilli > freeMilli(load) - load.fillMilli && !showsIdle(stage, load);
   return [
     harms,
     Number(isSlow),
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -11,6 +11,8 @@
   readonly reserved: Resources;
   /** Processors that tasks filling idle capacity ask for. */
   readonly fillMilli: number;
+  /** Processors that these tasks were last seen to use. */
+  readonly fillUsedMilli: number;
   /** Images of tasks with a latency target. */
   readonly servingImages: readonly string[];
   /** Images of tasks that fill idle capacity. */
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -61,6 +61,7 @@
             capacity,
             reserved: NO_RESOURCES,
             fillMilli: 0,
+            fillUsedMilli: 0,
             servingImages: [],
             fillImages: [],
           },
@@ -70,9 +71,13 @@
   );
   const runs = state.runs.byTask.valueSeq();
   return empty.withMutations((loads) => {
-    [...runs, ...state.ghosts.values()].forEach(({ workerKey, stage }) => {
+    [...runs, ...state.ghosts.values()].forEach((run) => {
+      const { workerKey, stage } = run;
       const load = loads.get(workerKey);
-      if (load !== undefined) loads.set(workerKey, withTask(load, stage));
+      if (load === undefined) return;
+      const usedMilli = stage.fillsIdle && 'load' in run ? run.load : 0;
+      const { fillUsedMilli, ...taken } = withTask(load, stage);
+      loads.set(workerKey, { ...taken, fillUsedMilli: fillUsedMilli + usedMilli });
     });
   });
 }
