Learn of images how much of a serving task's headroom they take

Cause: a pair of images was judged by counting calm and harmed samples.

Now each pair has an estimate of the load that an image brings per share of the worker, by a Kalman filter without covariances, and each serving image one of its own load. What fills is judged by the sum over all that fills. Serving tasks of one image are kept together, so that workers have fewer images that a fill must get on with.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -1,99 +1,165 @@
 import { Map } from 'immutable';
 
-/** Evidence about one pair of images: positive for harm, negative against it. */
-export type PairBook = Map<string, number>;
+/** Estimate of how much of a serving task's headroom one image takes, per share of the worker. */
+export interface Influence {
+  readonly mean: number;
+  readonly variance: number;
+}
+
+/** What is known of pairs of a serving and a filling image. */
+export type PairBook = Map<string, Influence>;
 
 /** Nothing is known yet. */
 export const EMPTY_PAIRS: PairBook = Map();
 
+/** How a serving image gets on with what fills beside it. */
+export type Verdict = 'harmless' | 'harmful' | 'unknown';
+
+/** An image that fills, with the share of the worker's processors that it uses. */
+export interface FillShare {
+  readonly image: string;
+  readonly share: number;
+}
+
 /** Share of its latency target from which a serving task counts as harmed. */
 export const HARMED_RATIO = 0.9;
 
-/** Share of its latency target up to which a serving task counts as undisturbed. */
-const CALM_RATIO = 0.7;
+/** Tail latency of an idle serving task, as a share of its target. */
+const IDLE_RATIO = 0.28;
+
+/** Load of a serving task, between 0 and 1, that fills may bring it to. Its own load comes on top in peaks. */
+const MAX_LOAD = 0.5;
 
-/** Evidence of one calm observation against each pair, and of one harmful one with one suspect. */
-const CALM_WEIGHT = -1;
-const HARM_WEIGHT = 2;
+/** Load by fills of which the cause is looked for among them. */
+const MIN_HARM_LOAD = 0.08;
 
-/** Several suspects share this much, which never decides: each is tried alone before it is judged. */
-const SHARED_WEIGHT = 0.3;
-const SHARED_LIMIT = 1;
+/** Standard deviation of a predicted load from which fills count as unproven. */
+const UNPROVEN_DEVIATION = 0.15;
 
-/** Evidence from which a pair is judged. */
-const HARMFUL_FROM = 1.5;
-const HARMLESS_FROM = -3;
+/** Before the first observation. */
+const UNKNOWN_PAIR: Influence = { mean: 0, variance: 9 };
+const UNKNOWN_BASE: Influence = { mean: 0.3, variance: 0.02 };
 
-/** Evidence of a pair that was judged harmless and is doubted. */
-const DOUBTED = -1;
+/** Variance of a load observed, mostly by the serving task's own ups and downs. */
+const NOISE_VARIANCE = 0.06;
 
-/** Evidence never grows beyond this, so that a pair whose behaviour shifts is judged anew. */
-const MAX_EVIDENCE = 6;
+/** Behaviour drifts, so that no estimate becomes certain. */
+const MIN_VARIANCE = 0.01;
+const MIN_BASE_VARIANCE = 0.0001;
 
-/** One observation of a serving task's tail latency and of the images that filled beside it. */
+/** One observation of a serving task's tail latency and of what filled beside it. */
 export interface PairObservation {
   readonly servingImage: string;
   /** Tail latency over target. */
   readonly ratio: number;
-  readonly fillImages: readonly string[];
+  readonly fills: readonly FillShare[];
 }
 
-/** Key of a pair of images. */
-export function pairKey(servingImage: string, fillImage: string): string {
+/** Key of a pair of images; without a filling image, of the serving image alone. */
+export function pairKey(servingImage: string, fillImage = ''): string {
   return `${servingImage}|${fillImage}`;
 }
 
-/** What the evidence says of a pair. */
-export function judgePair(
-  book: PairBook,
-  servingImage: string,
-  fillImage: string,
-): 'harmless' | 'harmful' | 'unknown' {
-  const evidence = book.get(pairKey(servingImage, fillImage), 0);
-  if (evidence >= HARMFUL_FROM) return 'harmful';
-  return evidence <= HARMLESS_FROM ? 'harmless' : 'unknown';
+function baseOf(book: PairBook, servingImage: string): Influence {
+  return book.get(pairKey(servingImage), UNKNOWN_BASE);
 }
 
-function addEvidence(book: PairBook, key: string, weight: number): PairBook {
-  const next = book.get(key, 0) + weight;
-  return book.set(key, Math.min(MAX_EVIDENCE, Math.max(-MAX_EVIDENCE, next)));
+function influenceOf(book: PairBook, servingImage: string, fillImage: string): Influence {
+  return book.get(pairKey(servingImage, fillImage), UNKNOWN_PAIR);
 }
 
-/** Images that may have caused the harm: those known to be harmful, else those not known to be harmless. */
-export function suspectsOf(book: PairBook, observation: PairObservation): readonly string[] {
-  const { servingImage, fillImages } = observation;
-  const images = [...new Set(fillImages)];
-  const harmful = images.filter((image) => judgePair(book, servingImage, image) === 'harmful');
-  if (harmful.length > 0) return harmful;
-  return images.filter((image) => judgePair(book, servingImage, image) === 'unknown');
+/** Adds the shares of equal images up. */
+export function mergeFills(fills: readonly FillShare[]): readonly FillShare[] {
+  const shares = fills.reduce(
+    (known, { image, share }) => known.update(image, 0, (sum) => sum + share),
+    Map<string, number>(),
+  );
+  return [...shares].map(([image, share]) => ({ image, share }));
 }
 
-/** Harm beside images that were all judged harmless: each has to be tried again. */
-function doubtAll(book: PairBook, { servingImage, fillImages }: PairObservation): PairBook {
-  return fillImages
-    .map((image) => pairKey(servingImage, image))
-    .reduce((known, key) => known.set(key, Math.max(known.get(key, 0), DOUBTED)), book);
+/** Load that fills bring to a serving image, as far as it is known. */
+function harmLoad(book: PairBook, servingImage: string, fills: readonly FillShare[]): number {
+  return fills.reduce(
+    (sum, { image, share }) => sum + influenceOf(book, servingImage, image).mean * share,
+    0,
+  );
+}
+
+/** What is known of a serving image beside fills of these shares. */
+export function judgeFills(
+  book: PairBook,
+  servingImage: string,
+  fills: readonly FillShare[],
+): Verdict {
+  const load = baseOf(book, servingImage).mean + harmLoad(book, servingImage, fills);
+  if (load > MAX_LOAD) return 'harmful';
+  const variance = fills.reduce(
+    (sum, { image, share }) => sum + influenceOf(book, servingImage, image).variance * share ** 2,
+    0,
+  );
+  return variance > UNPROVEN_DEVIATION ** 2 ? 'unknown' : 'harmless';
+}
+
+/**
+ * Images to hold back so that a harmed serving task recovers: those that take most of its headroom
+ * first, else those that nothing is known of. None when fills are not the likely cause.
+ */
+export function suspectsOf(
+  book: PairBook,
+  { servingImage, fills }: Pick<PairObservation, 'servingImage' | 'fills'>,
+): readonly string[] {
+  const merged = mergeFills(fills);
+  const loads = merged
+    .map(({ image, share }) => ({
+      image,
+      load: influenceOf(book, servingImage, image).mean * share,
+    }))
+    .sort((left, right) => right.load - left.load);
+  const excess = Math.max(
+    MIN_HARM_LOAD,
+    baseOf(book, servingImage).mean + harmLoad(book, servingImage, merged) - MAX_LOAD,
+  );
+  const chosen = loads.reduce<{ readonly images: readonly string[]; readonly left: number }>(
+    (picked, { image, load }) =>
+      picked.left <= 0 || load <= 0
+        ? picked
+        : { images: [...picked.images, image], left: picked.left - load },
+    { images: [], left: excess },
+  );
+  if (chosen.left <= 0) return chosen.images;
+  return merged
+    .filter((fill) => judgeFills(book, servingImage, [fill]) === 'unknown')
+    .map(({ image }) => image);
 }
 
-/** Learns from one observation. */
+/** Learns from one observation: a Kalman filter that keeps the variances and no covariances. */
 export function observePairs(book: PairBook, observation: PairObservation): PairBook {
-  const { servingImage, ratio, fillImages } = observation;
-  if (fillImages.length === 0) return book;
-  if (ratio <= CALM_RATIO) {
-    return [...new Set(fillImages)].reduce(
-      (known, image) => addEvidence(known, pairKey(servingImage, image), CALM_WEIGHT),
-      book,
-    );
-  }
-  if (ratio < HARMED_RATIO) return book;
-  const suspects = suspectsOf(book, observation);
-  const [only, ...others] = suspects;
-  if (only !== undefined && others.length === 0) {
-    return addEvidence(book, pairKey(servingImage, only), HARM_WEIGHT);
-  }
-  if (suspects.length === 0) return doubtAll(book, observation);
-  return suspects
-    .map((image) => pairKey(servingImage, image))
-    .filter((key) => book.get(key, 0) < SHARED_LIMIT)
-    .reduce((known, key) => addEvidence(known, key, SHARED_WEIGHT), book);
+  const { servingImage, ratio } = observation;
+  if (ratio <= 0) return book;
+  const fills = mergeFills(observation.fills).filter(({ share }) => share > 0);
+  const base = baseOf(book, servingImage);
+  const observed = Math.max(0, 1 - IDLE_RATIO / ratio);
+  const error = observed - base.mean - harmLoad(book, servingImage, fills);
+  // A tail that is far over the target tells that the load is high, not how high.
+  const isSaturated = observed > 1 - IDLE_RATIO / 3;
+  if (isSaturated && error < 0) return book;
+  const variance = fills.reduce(
+    (sum, { image, share }) => sum + influenceOf(book, servingImage, image).variance * share ** 2,
+    base.variance + NOISE_VARIANCE,
+  );
+  const learn = ({ mean, variance: before }: Influence, weight: number, least: number) => {
+    const gain = (before * weight) / variance;
+    return {
+      mean: Math.max(0, mean + gain * error),
+      variance: Math.max(least, before * (1 - gain * weight)),
+    };
+  };
+  return fills.reduce(
+    (known, { image, share }) =>
+      known.set(
+        pairKey(servingImage, image),
+        learn(influenceOf(book, servingImage, image), share, MIN_VARIANCE),
+      ),
+    book.set(pairKey(servingImage), learn(base, 1, MIN_BASE_VARIANCE)),
+  );
 }
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -1,3 +1,5 @@
+import type { FillShare } from '@bronzeyoke/interference';
+import { mergeFills } from '@bronzeyoke/interference';
 import type { Stage } from '@bronzeyoke/workflow';
 import type { Judge, WorkerLoad } from './types';
 
@@ -60,26 +62,34 @@
   return stage.dataRack === undefined || stage.dataRack === load.rack ? 0 : 1;
 }
 
+function fillsOf(stage: Stage, load: WorkerLoad): readonly FillShare[] {
+  const { image, needs } = stage;
+  const share = needs.processorsMilli / Math.max(1, load.capacity.processorsMilli);
+  return stage.fillsIdle && image !== undefined ? [{ image, share }] : [];
+}
+
+/** Images that fill here though it is not known what they do to a serving image beside them. */
+function trialsOn(load: WorkerLoad, judge: Judge): readonly string[] {
+  return load.fills
+    .filter((fill) => load.servingImages.some((serving) => judge(serving, [fill]) === 'unknown'))
+    .map(({ image }) => image);
+}
+
 function fillRank(
   stage: Stage,
   load: WorkerLoad,
   judge: Judge,
   isLastResort: boolean,
 ): readonly number[] | undefined {
-  const { image } = stage;
-  const verdicts = load.servingImages.map((serving) =>
-    image === undefined ? 'unknown' : judge(serving, image),
-  );
+  const own = fillsOf(stage, load);
+  const fills = mergeFills([...load.fills, ...own]);
+  const verdicts = load.servingImages.map((serving) => judge(serving, fills));
   const harms = verdicts.filter((verdict) => verdict === 'harmful').length;
   if (harms > 0 && !isLastResort) return undefined;
-  const isTrial = verdicts.includes('unknown');
-  const trials = new Set(
-    load.fillImages.filter((fill) =>
-      load.servingImages.some((serving) => judge(serving, fill) === 'unknown'),
-    ),
-  );
-  const joinsTrial = image !== undefined && trials.has(image);
-  if (isTrial && !joinsTrial && trials.size >= MAX_TRIALS && !isLastResort) return undefined;
+  const isTrial = load.servingImages.some((serving) => judge(serving, own) === 'unknown');
+  const trials = isTrial && !isLastResort ? trialsOn(load, judge) : [];
+  const joinsTrial = own.some(({ image }) => trials.includes(image));
+  if (!joinsTrial && trials.length >= MAX_TRIALS) return undefined;
   const beside = load.servingImages.length > 0 ? 1 : 0;
   const isSlow =
     stage.needs.processorsMilli > freeMilli(load) - load.fillMilli && !showsIdle(stage, load);
@@ -95,8 +105,10 @@
 
 function servingRank(stage: Stage, load: WorkerLoad): readonly number[] {
   const isAlone = load.servingImages.length === 0 ? 1 : 0;
-  // Packs serving tasks, so that other workers stay free of them.
-  return [farFromData(stage, load), isAlone, load.fillMilli > 0 ? 1 : 0, freeMilli(load)];
+  const isNewImage = stage.image === undefined || !load.servingImages.includes(stage.image) ? 1 : 0;
+  const isBesideFills = load.fillMilli > 0 ? 1 : 0;
+  // The fewer serving images a worker has, the more images can fill it.
+  return [farFromData(stage, load), isNewImage, isAlone, isBesideFills, freeMilli(load)];
 }
 
 function plainRank(stage: Stage, load: WorkerLoad): readonly number[] {
@@ -149,8 +161,7 @@
 /** A worker's load with one more task of a stage. */
 export function withTask(load: WorkerLoad, stage: Stage): WorkerLoad {
   const { needs, image } = stage;
-  const { reserved } = load;
-  const images = image === undefined ? [] : [image];
+  const { reserved, servingImages } = load;
   const base = {
     ...load,
     reserved: {
@@ -163,10 +174,9 @@
     return {
       ...base,
       fillMilli: load.fillMilli + needs.processorsMilli,
-      fillImages: [...load.fillImages, ...images],
+      fills: mergeFills([...load.fills, ...fillsOf(stage, load)]),
     };
   }
-  return stage.latencyTargetMs === undefined
-    ? base
-    : { ...base, servingImages: [...load.servingImages, ...images] };
+  if (stage.latencyTargetMs === undefined || image === undefined) return base;
+  return { ...base, servingImages: [...new Set([...servingImages, image])] };
 }
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -1,3 +1,4 @@
+import type { FillShare, Verdict } from '@bronzeyoke/interference';
 import type { Resources } from '@bronzeyoke/types';
 
 /** What runs on a worker, and what it can take. */
@@ -13,14 +14,11 @@
   readonly fillMilli: number;
   /** Processors that these tasks were last seen to use. */
   readonly fillUsedMilli: number;
-  /** Images of tasks with a latency target. */
+  /** Different images of tasks with a latency target. */
   readonly servingImages: readonly string[];
-  /** Images of tasks that fill idle capacity. */
-  readonly fillImages: readonly string[];
+  /** Images of tasks that fill idle capacity, with the share of the worker that they ask for. */
+  readonly fills: readonly FillShare[];
 }
 
-/** How a pair of a serving and a filling image gets on. */
-export type Verdict = 'harmless' | 'harmful' | 'unknown';
-
-/** Looks up what is known of a pair of images. */
-export type Judge = (servingImage: string, fillImage: string) => Verdict;
+/** Looks up what is known of a serving image beside fills. */
+export type Judge = (servingImage: string, fills: readonly FillShare[]) => Verdict;
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -1,8 +1,11 @@
 import { expect } from 'chai';
-import type { WorkerLoad } from '@bronzeyoke/placement';
-import { hasRoom } from '@bronzeyoke/placement';
+import type { Judge, WorkerLoad } from '@bronzeyoke/placement';
+import { chooseWorker, hasRoom, withTask } from '@bronzeyoke/placement';
 import type { Stage } from '@bronzeyoke/workflow';
 
+const FREE = { siblingsOn: () => 0 };
+const NO_HARM: Judge = () => 'harmless';
+
 function stageOf(changes: Partial<Stage>): Stage {
   return {
     taskCount: 1,
@@ -30,12 +33,13 @@
     fillMilli: 0,
     fillUsedMilli: 0,
     servingImages: [],
-    fillImages: [],
+    fills: [],
     ...changes,
   };
 }
 
 const fill = stageOf({ fillsIdle: true, image: 'f' });
+const serving = stageOf({ isLasting: true, image: 's', latencyTargetMs: 100 });
 const FULL = { processorsMilli: 8_000, memoryMb: 0, accelerators: 0 };
 
 // Guards against processors that stay idle because serving tasks have reserved and do not use them.
@@ -50,3 +54,30 @@
   const load = loadOf('w1', { reserved: FULL, fillMilli: 4_000, fillUsedMilli: 1_000 });
   expect(hasRoom(fill, load)).to.equal(false);
 });
+
+// Guards against workers with so many serving images that no image can fill any of them.
+it('placement: serving tasks of one image go to the same worker', () => {
+  const loads = [
+    loadOf('w1', { servingImages: ['t'], reserved: { ...FULL, processorsMilli: 6_000 } }),
+    loadOf('w2', { servingImages: ['s'], reserved: { ...FULL, processorsMilli: 1_000 } }),
+  ];
+  expect(chooseWorker(serving, loads, NO_HARM, FREE)?.workerKey).to.equal('w2');
+});
+
+// Guards against tasks that are placed where they disturb what serves.
+it('placement: filling tasks avoid serving images that they harm', () => {
+  const loads = [loadOf('w1', { servingImages: ['s'] }), loadOf('w2', { servingImages: ['t'] })];
+  const judge: Judge = (image) => (image === 's' ? 'harmful' : 'harmless');
+  expect(chooseWorker(fill, loads, judge, FREE)?.workerKey).to.equal('w2');
+  expect(chooseWorker(fill, loads.slice(0, 1), judge, FREE)).to.equal(undefined);
+});
+
+// Guards against two unproven images on one worker, of which neither can be told to be the cause.
+it('placement: a worker tries one unproven image at a time', () => {
+  const judge: Judge = (_, fills) =>
+    fills.some(({ image }) => image !== 'known') ? 'unknown' : 'harmless';
+  const trying = withTask(loadOf('w1', { servingImages: ['s'] }), { ...fill, image: 'g' });
+  expect(chooseWorker(fill, [trying], judge, FREE)).to.equal(undefined);
+  expect(chooseWorker({ ...fill, image: 'g' }, [trying], judge, FREE)).to.equal(trying);
+  expect(chooseWorker({ ...fill, image: 'known' }, [trying], judge, FREE)).to.equal(trying);
+});
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -24,7 +24,7 @@
 } from './types';
 import { runRef } from './types';
 
-const pairsSchema = z.record(z.string(), z.number());
+const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
 function ghostsOf(runs: readonly (readonly [string, RunView])[]): readonly GhostRun[] {
   return runs
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -1,5 +1,11 @@
-import type { PairBook, PairObservation } from '@bronzeyoke/interference';
-import { HARMED_RATIO, judgePair, observePairs, suspectsOf } from '@bronzeyoke/interference';
+import type { FillShare, PairBook, PairObservation } from '@bronzeyoke/interference';
+import {
+  HARMED_RATIO,
+  judgeFills,
+  mergeFills,
+  observePairs,
+  suspectsOf,
+} from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { moveRun, taskOf, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
@@ -8,9 +14,6 @@
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
-/** Loads are figures for the last half second, so a change shows only after that. */
-const SETTLE_MS = 700;
-
 /** Share at which a task works that was placed beside one that it harms. */
 const LAST_RESORT_PERCENT = 10;
 
@@ -85,23 +88,27 @@
   );
 }
 
-/** Images that have filled for long enough to show in the loads of now. */
-function settledFills(listed: readonly Listed[], nowMs: number): readonly string[] {
-  const working = listed.filter(
-    ({ stage, run }) =>
-      stage.fillsIdle &&
-      run.pace > 0 &&
-      run.stopSentAtMs === undefined &&
-      nowMs - Math.max(run.listedAtMs, run.pacedAtMs) >= SETTLE_MS,
-  );
-  return [...new Set(working.flatMap(({ stage }) => stage.image ?? []))];
+/** Share of the worker that a filling task uses at a pace. */
+function fillOf({ stage, run }: Listed, capacityMilli: number, pace = run.pace): FillShare[] {
+  const share = (stage.needs.processorsMilli * pace) / 100 / capacityMilli;
+  return stage.image === undefined || pace === 0 ? [] : [{ image: stage.image, share }];
 }
 
-function observe({ stage, run }: Listed, fillImages: readonly string[]): PairObservation {
+/** A serving task's tail latency and what filled beside it, both over the last half second. */
+function observe(
+  { stage, run }: Listed,
+  fills: readonly Listed[],
+  capacityMilli: number,
+): PairObservation {
   return {
     servingImage: stage.image ?? '',
     ratio: run.load / Math.max(1, stage.latencyTargetMs ?? 1),
-    fillImages,
+    fills: mergeFills(
+      fills.map((fill) => ({
+        image: fill.stage.image ?? '',
+        share: fill.run.load / capacityMilli,
+      })),
+    ),
   };
 }
 
@@ -111,22 +118,101 @@
   after: PairBook,
   observations: readonly PairObservation[],
 ): readonly SchedulerEffect[] {
-  if (before === after) return [];
-  return observations.flatMap(({ servingImage, fillImages, ratio }) =>
-    fillImages
-      .map((fill) => ({ fill, verdict: judgePair(after, servingImage, fill) }))
-      .filter(({ fill, verdict }) => verdict !== judgePair(before, servingImage, fill))
-      .map(({ fill, verdict }) =>
-        logEffect('pairLearned', { serving: servingImage, fill, verdict, ratio }),
+  return observations.flatMap(({ servingImage, fills, ratio }) =>
+    fills
+      .map((fill) => ({ fill, verdict: judgeFills(after, servingImage, [fill]) }))
+      .filter(({ fill, verdict }) => verdict !== judgeFills(before, servingImage, [fill]))
+      .map(({ fill: { image, share }, verdict }) =>
+        logEffect('pairLearned', { serving: servingImage, fill: image, share, verdict, ratio }),
       ),
   );
 }
 
+/** What the pacing of one worker is decided on. */
+interface Surroundings {
+  readonly serving: readonly Listed[];
+  readonly fills: readonly Listed[];
+  readonly capacityMilli: number;
+  readonly pairs: PairBook;
+  readonly nowMs: number;
+}
+
+function isHarmful({ serving, pairs }: Surroundings, fills: readonly FillShare[]): boolean {
+  return serving.some(({ stage }) => judgeFills(pairs, stage.image ?? '', fills) === 'harmful');
+}
+
+function harmsAlone(around: Surroundings, task: Listed): boolean {
+  return !task.run.isLastResort && isHarmful(around, fillOf(task, around.capacityMilli, 100));
+}
+
+/** Holds the likely causes of harm back, and moves those that harm by themselves. */
+function holdBack(
+  step: SchedulerStep,
+  around: Surroundings,
+  harmed: readonly PairObservation[],
+): SchedulerStep {
+  const { serving, fills, capacityMilli, pairs, nowMs } = around;
+  const beside = fills.flatMap((task) => fillOf(task, capacityMilli));
+  const isLong = serving.some(
+    ({ run }) => run.harmedSinceMs !== undefined && nowMs - run.harmedSinceMs >= LONG_HARM_MS,
+  );
+  // Harm without a suspect is mostly the serving task's own load, unless it lasts.
+  const culprits = new Set(
+    isLong
+      ? beside.map(({ image }) => image)
+      : harmed.flatMap(({ servingImage }) => suspectsOf(pairs, { servingImage, fills: beside })),
+  );
+  const paced = fills.filter(
+    ({ stage, run }) => run.pace > 0 && (stage.image === undefined || culprits.has(stage.image)),
+  );
+  return chainAfter(
+    step,
+    paced.map(
+      (task) => (current: SchedulerState) =>
+        chain(current, [
+          (before) => setPace(before, task, 0, 'harm', nowMs),
+          (before) =>
+            harmsAlone(around, task) ? stopRun(before, task.task, 'harm', nowMs) : stay(before),
+        ]),
+    ),
+  );
+}
+
+/** Lets one held task go on if it fits beside the others, and moves those that harm by themselves. */
+function letGoOn(step: SchedulerStep, around: Surroundings): SchedulerStep {
+  const { fills, capacityMilli, nowMs } = around;
+  const waiting = fills.filter(({ run }) => run.pace === 0 && nowMs - run.pacedAtMs >= CALM_MS);
+  const beside = fills.flatMap((task) => fillOf(task, capacityMilli));
+  const next = waiting.find(
+    (task) =>
+      task.run.isLastResort ||
+      !isHarmful(around, mergeFills([...beside, ...fillOf(task, capacityMilli, 100)])),
+  );
+  return chainAfter(step, [
+    ...waiting
+      .filter((task) => harmsAlone(around, task))
+      .map(
+        ({ task }) =>
+          (current: SchedulerState) =>
+            stopRun(current, task, 'harm', nowMs),
+      ),
+    ...(next === undefined
+      ? []
+      : [
+          (current: SchedulerState) => {
+            const percent = next.run.isLastResort ? LAST_RESORT_PERCENT : 100;
+            return setPace(current, next, percent, 'calm', nowMs);
+          },
+        ]),
+  ]);
+}
+
 /** Holds the tasks back that disturb a serving task, and lets them go on or elsewhere once it is calm. */
 export function paceWorker(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
   const listed = listedOn(state, workerKey);
   const serving = listed.filter(({ stage }) => stage.latencyTargetMs !== undefined);
-  if (serving.length === 0) return stay(state);
+  const capacity = state.workers.get(workerKey)?.report?.capacity;
+  if (serving.length === 0 || capacity === undefined) return stay(state);
   const unpaced = listed.filter(({ run }) => run.isLastResort && run.pace > LAST_RESORT_PERCENT);
   if (unpaced.length > 0) {
     return chain(
@@ -137,71 +223,16 @@
       ),
     );
   }
-  const settled = settledFills(listed, nowMs);
-  const observations = serving.map((task) => observe(task, settled));
+  const capacityMilli = Math.max(1, capacity.processorsMilli);
+  const filling = listed.filter(({ stage }) => stage.fillsIdle);
+  const observations = serving.map((task) => observe(task, filling, capacityMilli));
   const pairs = observations.reduce(observePairs, state.pairs);
   const learned = withEffects(
     { ...state, pairs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs },
     judgements(state.pairs, pairs, observations),
   );
-  const isHarmful = ({ stage }: Listed): boolean =>
-    serving.some(
-      (other) => judgePair(pairs, other.stage.image ?? '', stage.image ?? '') === 'harmful',
-    );
+  const fills = filling.filter(({ run }) => run.stopSentAtMs === undefined);
+  const around = { serving, fills, capacityMilli, pairs, nowMs };
   const harmed = observations.filter(({ ratio }) => ratio >= HARMED_RATIO);
-  const fills = listed.filter(
-    ({ stage, run }) => stage.fillsIdle && run.stopSentAtMs === undefined,
-  );
-  if (harmed.length > 0) {
-    const beside = fills.flatMap(({ stage, run }) =>
-      run.pace > 0 && stage.image !== undefined ? [stage.image] : [],
-    );
-    const suspects = harmed.flatMap((observation) =>
-      suspectsOf(pairs, { ...observation, fillImages: beside }),
-    );
-    const isLong = serving.some(
-      ({ run }) => run.harmedSinceMs !== undefined && nowMs - run.harmedSinceMs >= LONG_HARM_MS,
-    );
-    // Harm without a suspect is mostly the serving task's own load, unless it lasts.
-    const culprits = new Set(isLong ? beside : suspects);
-    const paced = fills.filter(
-      ({ stage, run }) => run.pace > 0 && (stage.image === undefined || culprits.has(stage.image)),
-    );
-    return chainAfter(
-      learned,
-      paced.map(
-        (task) => (current: SchedulerState) =>
-          chain(current, [
-            (before) => setPace(before, task, 0, 'harm', nowMs),
-            (before) =>
-              isHarmful(task) && !task.run.isLastResort
-                ? stopRun(before, task.task, 'harm', nowMs)
-                : stay(before),
-          ]),
-      ),
-    );
-  }
-  const waiting = fills.filter(({ run }) => run.pace === 0 && nowMs - run.pacedAtMs >= CALM_MS);
-  const [first] = waiting.filter((task) => task.run.isLastResort || !isHarmful(task));
-  return chainAfter(learned, [
-    ...waiting
-      .filter((task) => isHarmful(task) && !task.run.isLastResort)
-      .map(
-        ({ task }) =>
-          (current: SchedulerState) =>
-            stopRun(current, task, 'harm', nowMs),
-      ),
-    ...(first === undefined
-      ? []
-      : [
-          (current: SchedulerState) =>
-            setPace(
-              current,
-              first,
-              first.run.isLastResort ? LAST_RESORT_PERCENT : 100,
-              'calm',
-              nowMs,
-            ),
-        ]),
-  ]);
+  return harmed.length > 0 ? holdBack(learned, around, harmed) : letGoOn(learned, around);
 }
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -1,5 +1,5 @@
 import { Map } from 'immutable';
-import { judgePair } from '@bronzeyoke/interference';
+import { judgeFills } from '@bronzeyoke/interference';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import { chooseWorker, couldRun, withTask } from '@bronzeyoke/placement';
 import { NO_RESOURCES } from '@bronzeyoke/types';
@@ -63,7 +63,7 @@
             fillMilli: 0,
             fillUsedMilli: 0,
             servingImages: [],
-            fillImages: [],
+            fills: [],
           },
         ],
       ];
@@ -193,7 +193,7 @@
   const chosen = chooseWorker(
     ready.stage,
     candidates,
-    (serving, fill) => judgePair(pass.state.pairs, serving, fill),
+    (serving, fills) => judgeFills(pass.state.pairs, serving, fills),
     {
       siblingsOn: siblingCounter(open, ready),
       isLastResort,
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -331,7 +331,11 @@
   const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
   const filling = stageOf(2, { fillsIdle: true, image: 'f', estimateMs: 10 });
   const served = commitAll(submit(report(leader(), 'w1'), jobOf('job1', [serving])));
-  const judged = { ...served, state: { ...served.state, pairs: served.state.pairs.set('s|f', 6) } };
+  const harm = { mean: 6, variance: 0.05 };
+  const judged = {
+    ...served,
+    state: { ...served.state, pairs: served.state.pairs.set('s|f', harm) },
+  };
   const inTime = jobOf('job2', [{ ...filling, estimateMs: 5_000 }]);
   const early = commitAll(submit(judged, inTime));
   expect(sent(early, 'start')).to.have.length(1);
