Move held tasks that save checkpoints when they fit beside the others no more

A held task went on only when it fitted beside what filled the worker by then, and others were placed there meanwhile. A stop writes a checkpoint, so such a task loses nothing by being placed elsewhere.

--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -183,14 +183,16 @@
   const { fills, capacityMilli, nowMs } = around;
   const waiting = fills.filter(({ run }) => run.pace === 0 && nowMs - run.pacedAtMs >= CALM_MS);
   const beside = fills.flatMap((task) => fillOf(task, capacityMilli));
-  const next = waiting.find(
-    (task) =>
-      task.run.isLastResort ||
-      !isHarmful(around, mergeFills([...beside, ...fillOf(task, capacityMilli, 100)])),
-  );
+  const fits = (task: Listed): boolean =>
+    !isHarmful(around, mergeFills([...beside, ...fillOf(task, capacityMilli, 100)]));
+  const next = waiting.find((task) => task.run.isLastResort || fits(task));
   return chainAfter(step, [
     ...waiting
-      .filter((task) => harmsAlone(around, task))
+      .filter(
+        (task) =>
+          harmsAlone(around, task) ||
+          (task.stage.savesCheckpoints && !task.run.isLastResort && !fits(task)),
+      )
       .map(
         ({ task }) =>
           (current: SchedulerState) =>
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -349,3 +349,27 @@
   const paced = report(wait(placed, 300), 'w1', { running: both, lastOrder: 2 });
   expect(sent(paced, 'pace')).to.have.length(1);
 });
+
+// Guards against a held task that waits on its worker while others of its image find a place elsewhere.
+it('moves a held task that fits beside the others no more', () => {
+  const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
+  const filling = stageOf(2, { fillsIdle: true, image: 'f', savesCheckpoints: true });
+  const placed = commitAll(
+    submit(submit(report(leader(), 'w1'), jobOf('job1', [serving])), jobOf('job2', [filling])),
+  );
+  const pairs = placed.state.pairs
+    .set('s|', { mean: 0.3, variance: 0.0001 })
+    .set('s|f', { mean: 0.6, variance: 0.01 });
+  const judged = { ...placed, state: { ...placed.state, pairs } };
+  const told = (load: number) => ({
+    running: [listed(TASK, 1, { load }), listed('job2.0.0.0', 1), listed('job2.0.0.1', 1)],
+    lastOrder: 3,
+  });
+  const harmed = report(wait(judged, 300), 'w1', told(200));
+  expect(sent(harmed, 'pace')).to.have.length(2);
+  const calm = report(wait(harmed, 1_000), 'w1', told(40));
+  expect(sent(calm, 'pace')).to.have.length(3);
+  expect(sent(calm, 'stop')).to.have.length(0);
+  const later = report(wait(calm, 300), 'w1', told(40));
+  expect(sent(later, 'stop')).to.have.length(1);
+});
