Ignore reports on replaced connections, and give urgent tasks the memory of fills

When a cut between two domains healed, agents reported on new connections, and the network then delivered reports that it had held up on the old ones. Such a report names an order number of the old connection and none of the new runs, so the leader took these as never started and placed their tasks again. A task now has less urgent filling tasks stopped when only their memory keeps it out.

Ruled out: late orders (no order was without an answer) and quarantine.

--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -175,6 +175,7 @@
         {
           workerKey,
           clockMs: -1,
+          linkNumber: -1,
           expiresAtMs: goneKeys.includes(workerKey) ? nowMs : nowMs + waitMs,
           handledSequence: 0,
           failedJobs: [],
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -15,9 +15,11 @@
   taskOf,
   withTasks,
 } from '@bronzeyoke/workflow';
+import { stopRun } from './pace';
+import { fillsToStop, loadsWithoutFills } from './preempt';
 import { putRun } from './runs';
-import { afterCommit, putJob } from './state';
-import type { OpenJob, RunView, SchedulerState } from './types';
+import { afterCommit, chain, putJob } from './state';
+import type { OpenJob, RunView, SchedulerState, SchedulerStep } from './types';
 
 /** A stage of a job that has tasks to place, with what decides its turn. */
 interface Turn {
@@ -160,6 +162,8 @@
 interface Pass {
   readonly state: SchedulerState;
   readonly loads: Map<string, WorkerLoad>;
+  /** Filling tasks that make room for more urgent ones. */
+  readonly stops: ReadonlySet<string>;
 }
 
 function siblingCounter(open: OpenJob, ready: ReadyStage): (workerKey: string) => number {
@@ -171,6 +175,34 @@
   return (workerKey) => counts.get(workerKey) ?? 0;
 }
 
+function chooseFor(
+  pass: Pass,
+  open: OpenJob,
+  ready: ReadyStage,
+  slot: string,
+  loads: Map<string, WorkerLoad>,
+  isLastResort: boolean,
+): WorkerLoad | undefined {
+  const { state } = pass;
+  const { service, queue } = open.job.policy;
+  const current = state.config?.queues.find((other) => other.queue === queue);
+  const wanted = current?.service ?? service;
+  const { failedOn } = taskOf(open.progress, slot);
+  return chooseWorker(
+    ready.stage,
+    loads
+      .valueSeq()
+      .filter(({ workerKey }) => state.workers.get(workerKey)?.report?.service === wanted)
+      .toArray(),
+    (serving, fills) => judgeFills(state.pairs, serving, fills),
+    {
+      siblingsOn: siblingCounter(open, ready),
+      isLastResort,
+      ...(failedOn === undefined ? {} : { avoid: failedOn }),
+    },
+  );
+}
+
 function placeSlot(
   pass: Pass,
   jobId: string,
@@ -182,26 +214,10 @@
 ): Pass | undefined {
   const open = pass.state.jobs.get(jobId);
   if (open === undefined) return undefined;
-  const task = taskOf(open.progress, slot);
-  const { service } = open.job.policy;
-  const current = pass.state.config?.queues.find(({ queue }) => queue === open.job.policy.queue);
-  const wanted = current?.service ?? service;
-  const candidates = pass.loads
-    .valueSeq()
-    .filter(({ workerKey }) => pass.state.workers.get(workerKey)?.report?.service === wanted)
-    .toArray();
-  const chosen = chooseWorker(
-    ready.stage,
-    candidates,
-    (serving, fills) => judgeFills(pass.state.pairs, serving, fills),
-    {
-      siblingsOn: siblingCounter(open, ready),
-      isLastResort,
-      ...(task.failedOn === undefined ? {} : { avoid: task.failedOn }),
-    },
-  );
+  const chosen = chooseFor(pass, open, ready, slot, pass.loads, isLastResort);
   if (chosen === undefined) return undefined;
   return {
+    ...pass,
     state: claimSlot(
       pass.state,
       open,
@@ -216,6 +232,27 @@
   };
 }
 
+/**
+ * Keeps a place for a task that only the memory of less urgent filling tasks keeps out, and notes
+ * which of them to stop. The task is placed by the pass after their ends.
+ */
+function makeRoom(pass: Pass, turn: Turn, slot: string): Pass {
+  const { ready, priority } = turn;
+  const open = pass.state.jobs.get(turn.jobId);
+  if (open === undefined) return pass;
+  const emptied = loadsWithoutFills(pass.state, pass.loads, priority);
+  const chosen = chooseFor(pass, open, ready, slot, emptied, false);
+  const load = chosen === undefined ? undefined : pass.loads.get(chosen.workerKey);
+  if (load === undefined) return pass;
+  const kept = withTask(load, ready.stage);
+  const stops = fillsToStop(pass.state, kept, priority, pass.stops);
+  return {
+    ...pass,
+    loads: pass.loads.set(load.workerKey, kept),
+    stops: new Set([...pass.stops, ...stops]),
+  };
+}
+
 /** Places all members of a gang, or none. They share one attempt. */
 function placeGang(pass: Pass, { jobId, ready }: Turn, nowMs: number): Pass {
   const open = pass.state.jobs.get(jobId);
@@ -247,25 +284,33 @@
     (pass.state.backOff.get(`${jobId}.${slot}`) ?? 0) > nowMs;
   const slots = ready.slots.filter((slot) => !isBackingOff(slot));
   // Tasks of a stage are alike: when one finds no worker, the next finds none either.
-  const placed = slots.reduce<{ readonly pass: Pass; readonly isFull: boolean }>(
+  const placed = slots.reduce<{ readonly pass: Pass; readonly left: readonly string[] }>(
     (current, slot) => {
-      if (current.isFull) return current;
+      if (current.left.length > 0) return { ...current, left: [...current.left, slot] };
       const open = current.pass.state.jobs.get(jobId);
       const attempt = 1 + (open === undefined ? 0 : taskOf(open.progress, slot).attempt);
       const next = placeSlot(current.pass, jobId, ready, slot, attempt, nowMs);
-      return next === undefined ? { ...current, isFull: true } : { pass: next, isFull: false };
+      return next === undefined ? { ...current, left: [slot] } : { pass: next, left: [] };
     },
-    { pass, isFull: false },
-  ).pass;
+    { pass, left: [] },
+  );
+  if (!ready.stage.fillsIdle) {
+    return placed.left.reduce((current, slot) => makeRoom(current, turn, slot), placed.pass);
+  }
   const [first] = slots;
-  const hasNothing = placed === pass && first !== undefined;
-  return hasNothing && turn.isOverdue ? placeLastResort(pass, turn, first, nowMs) : placed;
+  const hasNothing = placed.pass === pass && first !== undefined;
+  return hasNothing && turn.isOverdue ? placeLastResort(pass, turn, first, nowMs) : placed.pass;
 }
 
 /** Places what waits and fits. The claims are stored before any start order is sent. */
-export function placeWaiting(state: SchedulerState, nowMs: number, wallMs: number): SchedulerState {
+export function placeWaiting(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const turns = turnsOf(state, wallMs);
-  const pass: Pass = { state, loads: workerLoads(state, nowMs) };
+  const pass: Pass = { state, loads: workerLoads(state, nowMs), stops: new Set() };
   const placed = turns.reduce((current, turn) => placeTurn(current, turn, nowMs), pass);
-  return { ...placed.state, needsPlacement: false };
+  return chain(
+    { ...placed.state, needsPlacement: false },
+    [...placed.stops].map(
+      (task) => (current: SchedulerState) => stopRun(current, task, 'preempted', nowMs),
+    ),
+  );
 }
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -42,6 +42,7 @@
     workerKey,
     report: worker,
     linkId,
+    linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: mayGrant ? clockMs : (known?.clockMs ?? -1),
     expiresAtMs: mayGrant || known === undefined ? expiresAtMs : known.expiresAtMs,
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
@@ -214,6 +215,15 @@
   };
 }
 
+/**
+ * Whether an agent has reported on a newer connection. A network that was cut delivers what it held
+ * up on the old one, which names neither the orders nor the runs of since then.
+ */
+function isOvertaken(state: SchedulerState, workerKey: string, linkId: string): boolean {
+  const newest = state.workers.get(workerKey)?.linkNumber ?? -1;
+  return (state.links.get(linkId)?.number ?? -1) < newest;
+}
+
 /** Takes in what an agent reports of its worker. */
 export function onReport(
   state: SchedulerState,
@@ -230,6 +240,10 @@
       other.bornAtMs > report.worker.bornAtMs,
   );
   if (newer) return stay(state);
+  if (isOvertaken(state, workerKey, linkId)) {
+    const fields = { worker: workerKey, agent: report.agentId, reason: 'overtaken' };
+    return withEffects(state, [logEffect('reportIgnored', fields)]);
+  }
   return chain(rebaseOrders(state, report, linkId), [
     (current) => takeWorker(current, linkId, report, nowMs),
     (current) => endEarlierLives(current, report, nowMs),
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -46,6 +46,7 @@
     mayGrantUntilMs: 0,
     domainsOut: new Set(),
     links: Map(),
+    linksOpened: 0,
     pairs: EMPTY_PAIRS,
     pairsSavedAtMs: 0,
     arePairsDirty: false,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -18,7 +18,7 @@
 import { releaseWorker } from './release';
 import { onRefused, onReport } from './report';
 import { moveStalled } from './stall';
-import { chain, stay, withEffects } from './state';
+import { chain, chainAfter, stay, withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
 /** How often a new leader repeats reads that the store did not answer. */
@@ -50,7 +50,8 @@
 /** Places what waits unless a transaction is under way, and stores what changed. */
 function settle(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const isReady = state.phase === 'leading' && state.flight === undefined && state.needsPlacement;
-  return flush(isReady ? placeWaiting(state, nowMs, wallMs) : state, nowMs, wallMs);
+  const placed = isReady ? placeWaiting(state, nowMs, wallMs) : stay(state);
+  return chainAfter(placed, [(current) => flush(current, nowMs, wallMs)]);
 }
 
 function onTick(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
@@ -117,7 +118,11 @@
         : onLoaded(state, event.callId, event.result, nowMs, event.wallMs);
     case 'linkOpened':
       return leaderMessage(
-        { ...state, links: state.links.set(event.linkId, { orders: 0 }) },
+        {
+          ...state,
+          linksOpened: state.linksOpened + 1,
+          links: state.links.set(event.linkId, { orders: 0, number: state.linksOpened }),
+        },
         event.linkId,
       );
     case 'linkClosed': {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -86,12 +86,22 @@
   readonly stage: Stage;
 }
 
+/** A connection of an agent. */
+export interface LinkView {
+  /** Number of the last order that was sent. */
+  readonly orders: number;
+  /** Rises with every connection that is opened. */
+  readonly number: number;
+}
+
 /** One life of a worker, as the leader knows it. */
 export interface WorkerView {
   readonly workerKey: string;
   /** Absent until its agent has reported to this leader. */
   readonly report?: WorkerReport;
   readonly linkId?: string;
+  /** Number of the newest connection that its agent reported on. */
+  readonly linkNumber: number;
   readonly clockMs: number;
   /** After this time nothing can run there any more, unless it reports before. */
   readonly expiresAtMs: number;
@@ -165,7 +175,8 @@
   readonly ghosts: Map<string, GhostRun>;
   /** Tasks that wait before their next placement, until a time. */
   readonly backOff: Map<string, number>;
-  readonly links: Map<string, { readonly agentId?: string; readonly orders: number }>;
+  readonly links: Map<string, LinkView>;
+  readonly linksOpened: number;
   readonly pairs: PairBook;
   readonly pairsSavedAtMs: number;
   readonly arePairsDirty: boolean;
--- a/packages/scheduler/test/lab.ts
+++ b/packages/scheduler/test/lab.ts
@@ -150,6 +150,8 @@
   readonly clockMs?: number;
   readonly bornAtMs?: number;
   readonly domain?: string;
+  /** Connection that the report comes on. */
+  readonly link?: string;
 }
 
 /** Key of the worker of a site. */
@@ -184,7 +186,7 @@
     pending: told.pending ?? [],
     lastOrder: told.lastOrder ?? 0,
   };
-  const linkId = `link-${site}`;
+  const linkId = told.link ?? `link-${site}`;
   const opened = lab.state.links.has(linkId) ? lab : give(lab, { kind: 'linkOpened', linkId });
   return give(opened, { kind: 'received', linkId, message, wallMs: WALL_MS + lab.nowMs });
 }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -21,6 +21,7 @@
   | 'taskPaced'
   | 'orderRefused'
   | 'orderLost'
+  | 'reportIgnored'
   | 'leaderClaimed'
   | 'leaderSeen'
   | 'leaderLost'
