Add a soak of the real programs as separate processes

An oracle without product code checks what callers and workers saw.

Not covered yet: connections between agents and entries, clock steps, and runs of hundreds of processes.

--- /dev/null
+++ b/soak/main.ts
@@ -0,0 +1,46 @@
+import { mkdir, rm } from 'node:fs/promises';
+import { join, resolve } from 'node:path';
+import { parseArgs } from 'node:util';
+import { buildPrograms } from '../tools/bundle';
+import { runSoak } from './run';
+
+const { values } = parseArgs({
+  options: {
+    seed: { type: 'string', default: '1' },
+    seconds: { type: 'string', default: '20' },
+    entries: { type: 'string', default: '3' },
+    workers: { type: 'string', default: '4' },
+    callers: { type: 'string', default: '6' },
+    out: { type: 'string', default: '.cache/soak' },
+  },
+});
+
+const seed = Number(values.seed);
+const out = resolve(values.out);
+const folder = join(out, `seed-${seed}`);
+const programs = join(out, `programs-${process.pid}`);
+await rm(folder, { recursive: true, force: true });
+await mkdir(folder, { recursive: true });
+await buildPrograms(programs);
+const { breaches, faults, sights } = await runSoak({
+  seed,
+  forMs: Number(values.seconds) * 1_000,
+  size: { entries: Number(values.entries), workers: Number(values.workers) },
+  callers: Number(values.callers),
+  bundle: join(programs, 'bronzeyoke-node.mjs'),
+  folder,
+});
+await rm(programs, { recursive: true, force: true });
+const accepted = sights.filter(({ kind }) => kind === 'accepted').length;
+const runs = sights.filter(({ kind }) => kind === 'started').length;
+process.stdout.write(
+  `seed ${seed}: ${faults.length} faults, ${accepted} jobs accepted, ${runs} runs, ` +
+    `${breaches.length} broken promises\n`,
+);
+if (breaches.length > 0) {
+  breaches.forEach(({ promise, atMs, what }) => {
+    process.stdout.write(`${promise} at ${atMs} ms: ${what}\n`);
+  });
+  process.stdout.write(`timeline and logs are in ${folder}\n`);
+  process.exitCode = 1;
+}
--- /dev/null
+++ b/soak/test/soak.test.ts
@@ -0,0 +1,101 @@
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { expect } from 'chai';
+import { buildPrograms } from '../../tools/bundle';
+import { judge } from '../oracle';
+import { planFaults } from '../plan';
+import { runSoak } from '../run';
+import type { Sight } from '../types';
+
+const SEED = 7;
+const FAULTS_MS = 6_000;
+const END_MS = 60_000;
+
+const JOB = '5c0e7a21d94b36f8';
+
+function run(task: string, fromMs: number, untilMs: number, end = 'done', worker = 'w-1'): Sight[] {
+  const ref = { worker, task: `${JOB}.${task}`, attempt: 1 };
+  return [
+    { kind: 'started', atMs: fromMs, ...ref },
+    { kind: 'ended', atMs: untilMs, ...ref, end },
+  ];
+}
+
+const submitted: Sight = { kind: 'submitted', atMs: 0, job: JOB, stages: [1, 1] };
+const accepted: Sight = { kind: 'accepted', atMs: 10, job: JOB };
+const shown = (status: string, atMs = 900): Sight => ({ kind: 'shown', atMs, job: JOB, status });
+const good = [...run('0.0.0', 100, 300), ...run('0.1.0', 400, 600)];
+
+function promises(...sights: readonly Sight[]): readonly string[] {
+  return judge(sights, END_MS).map(({ promise }) => promise);
+}
+
+// Guards against an oracle that finds fault with a run in which all promises are kept.
+it('soak: a job that is served breaks no promise', () => {
+  expect(promises(submitted, accepted, ...good, shown('complete'))).to.deep.equal([]);
+});
+
+// Guards against an oracle that misses a job that is forgotten, gone or given up.
+it('soak: the oracle finds a lost job', () => {
+  expect(promises(submitted, accepted, ...good)).to.deep.equal(['LOST']);
+  expect(promises(submitted, accepted, shown('gone', 9_000))).to.deep.equal(['LOST']);
+  expect(promises(submitted, accepted, shown('failed'))).to.deep.equal(['LOST']);
+});
+
+// Guards against an oracle that misses two runs of one task, or one after its job was complete.
+it('soak: the oracle finds a task that runs twice', () => {
+  const both = run('0.0.0', 200, 350, 'stopped', 'w-2');
+  const after = run('0.0.0', 2_000, 2_100, 'done', 'w-2');
+  const served = [submitted, accepted, ...good, shown('complete')];
+  expect(promises(...served, ...both)).to.deep.equal(['TWICE']);
+  expect(promises(...served, ...after)).to.deep.equal(['TWICE']);
+});
+
+// Guards against an oracle that misses a task that starts before the stage that it needs.
+it('soak: the oracle finds a task that starts too early', () => {
+  const early = [...run('0.0.0', 100, 300), ...run('0.1.0', 200, 400)];
+  expect(promises(submitted, accepted, ...early, shown('complete'))).to.deep.equal(['ORDER']);
+});
+
+// Guards against an oracle that misses a refused job that runs.
+it('soak: the oracle finds a refused job that runs', () => {
+  const refused: Sight = { kind: 'refused', atMs: 20, job: JOB };
+  expect(promises(submitted, refused, ...run('0.0.0', 100, 200))).to.deep.equal(['REFUSED']);
+});
+
+// Guards against an oracle that misses a job that is shown as complete too early.
+it('soak: the oracle finds a job that is complete too early', () => {
+  expect(promises(submitted, accepted, ...good, shown('complete', 500))).to.include('MIXED');
+});
+
+// Guards against an oracle that misses work that nobody asked for, or that was cancelled.
+it('soak: the oracle finds work that nobody wants', () => {
+  expect(promises(...run('0.0.0', 100, 200))).to.deep.equal(['UNASKED']);
+  const [started] = run('0.0.0', 100, 200);
+  const cancel: Sight = { kind: 'cancelSent', atMs: 150, job: JOB };
+  const left = [submitted, accepted, cancel, shown('cancelled'), ...(started ? [started] : [])];
+  expect(promises(...left)).to.deep.equal(['UNASKED']);
+});
+
+// Guards against a plan that cannot be repeated from its seed.
+it('soak: a seed gives the same faults each time', () => {
+  expect(planFaults(SEED, FAULTS_MS)).to.deep.equal(planFaults(SEED, FAULTS_MS));
+  expect(planFaults(SEED, FAULTS_MS)).not.to.deep.equal(planFaults(SEED + 1, FAULTS_MS));
+});
+
+// Guards against a promise that the real programs break under faults.
+it('soak: the programs keep their promises under faults', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'bronzeyoke-soak-'));
+  await buildPrograms(join(folder, 'programs'));
+  const { breaches, sights } = await runSoak({
+    seed: SEED,
+    forMs: FAULTS_MS,
+    size: { entries: 2, workers: 2 },
+    callers: 3,
+    bundle: join(folder, 'programs', 'bronzeyoke-node.mjs'),
+    folder,
+  });
+  expect(sights.some(({ kind }) => kind === 'accepted')).to.equal(true);
+  expect(breaches, folder).to.deep.equal([]);
+});
--- /dev/null
+++ b/soak/types.ts
@@ -0,0 +1,80 @@
+/** How a proxy treats the bytes that pass it. */
+export type LinkMode =
+  | { readonly kind: 'pass' }
+  | { readonly kind: 'delay'; readonly byMs: number }
+  /** Nothing arrives in either direction, and nothing is reset. */
+  | { readonly kind: 'silent' }
+  /** Answers do not arrive. */
+  | { readonly kind: 'oneWay' }
+  /** Connections are reset, new ones too. */
+  | { readonly kind: 'reset' };
+
+/** A fault that the soak injects. Programs, links and workers are chosen by index, modulo their number. */
+export type Fault =
+  | { readonly kind: 'kill'; readonly program: number; readonly forMs: number }
+  | { readonly kind: 'killAll'; readonly forMs: number }
+  | { readonly kind: 'terminate'; readonly program: number; readonly forMs: number }
+  | { readonly kind: 'pause'; readonly program: number; readonly forMs: number }
+  | { readonly kind: 'reload'; readonly program: number }
+  | {
+      readonly kind: 'link';
+      readonly link: number;
+      readonly mode: LinkMode;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'storeDown'; readonly forMs: number }
+  | { readonly kind: 'storeSlow'; readonly byMs: number; readonly forMs: number }
+  | { readonly kind: 'storeLosesAnswers'; readonly forMs: number }
+  | { readonly kind: 'storeForgets' }
+  | { readonly kind: 'workerCrash'; readonly worker: number }
+  | { readonly kind: 'ordersLate'; readonly worker: number; readonly forMs: number }
+  | { readonly kind: 'configure' };
+
+/** A fault and its time from the start of the faults. */
+export interface Planned {
+  readonly atMs: number;
+  readonly fault: Fault;
+}
+
+/** What callers and workers see. Times are in ms of one clock. */
+export type Sight =
+  | {
+      readonly kind: 'submitted';
+      readonly atMs: number;
+      readonly job: string;
+      /** Number of tasks of each stage; a stage depends on the one before. */
+      readonly stages: readonly number[];
+    }
+  | { readonly kind: 'accepted'; readonly atMs: number; readonly job: string }
+  | { readonly kind: 'refused'; readonly atMs: number; readonly job: string }
+  | { readonly kind: 'unknown'; readonly atMs: number; readonly job: string }
+  | { readonly kind: 'cancelSent'; readonly atMs: number; readonly job: string }
+  | {
+      readonly kind: 'shown';
+      readonly atMs: number;
+      readonly job: string;
+      /** State as answered; `gone` when no such job is known. */
+      readonly status: string;
+    }
+  | {
+      readonly kind: 'started';
+      readonly atMs: number;
+      readonly worker: string;
+      readonly task: string;
+      readonly attempt: number;
+    }
+  | {
+      readonly kind: 'ended';
+      readonly atMs: number;
+      readonly worker: string;
+      readonly task: string;
+      readonly attempt: number;
+      readonly end: string;
+    };
+
+/** A promise that was broken. */
+export interface Breach {
+  readonly promise: 'LOST' | 'TWICE' | 'ORDER' | 'REFUSED' | 'MIXED' | 'UNASKED';
+  readonly atMs: number;
+  readonly what: string;
+}
