Give back claims whose agent is gone when they are stored

Cause, from the lines: three lasting tasks were released and never placed again. They had been claimed on a worker whose connection closed before the claim was stored; no order was sent, and nothing gave the claim back while the worker's lease went on. Besides, an agent's return on a new connection did not start a placement pass. Both are mended, with a test that failed first.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -15,6 +15,7 @@
   PAIRS_KEY,
   progressKey,
 } from './rows';
+import { releaseRun } from './release';
 import { putRun } from './runs';
 import { chain, EMPTY_BATCH, stay, tellWorker, withEffects } from './state';
 import type { AfterCommit, Flight, SchedulerState, SchedulerStep } from './types';
@@ -158,7 +159,10 @@
   const worker = state.workers.get(workerKey);
   const link = worker?.linkId === undefined ? undefined : state.links.get(worker.linkId);
   const isCurrent = run.attempt === attempt && slot.phase === 'claimed' && !open.isCancelled;
-  if (!isCurrent || worker?.linkId === undefined || link === undefined) return stay(state);
+  if (!isCurrent) return stay(state);
+  if (worker?.linkId === undefined || link === undefined) {
+    return releaseRun(state, task, 'notOrdered', nowMs);
+  }
   const order = link.orders + 1;
   const { checkpoint } = slot;
   return withEffects(
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -21,7 +21,13 @@
 const FAILURE_BACK_OFF_MS = 200;
 
 /** Why a run is over although its worker did not list an end. */
-export type ReleaseReason = 'workerGone' | 'leaseExpired' | 'neverStarted' | 'refused';
+export type ReleaseReason =
+  | 'workerGone'
+  | 'leaseExpired'
+  | 'neverStarted'
+  /** The agent's connection was gone when the claim had been stored. */
+  | 'notOrdered'
+  | 'refused';
 
 /** Gives a task back for placement. Its worker surely does not run it, and never will. */
 export function releaseRun(
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -61,7 +61,7 @@
     {
       ...state,
       workers: state.workers.set(workerKey, view),
-      needsPlacement: state.needsPlacement || isChanged,
+      needsPlacement: state.needsPlacement || isChanged || known.linkId === undefined,
     },
     [...grant, ...log],
   );
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -324,3 +324,12 @@
   const late = report(wait(started, 100), 'w1', { lastOrder: 9, link: 'link-w1' });
   expect(phaseOf(late)).to.equal('running');
 });
+
+// Guards against a claim that is never ordered because its agent was away when it was stored.
+it('gives a claim back whose agent is gone when it is stored', () => {
+  const claimed = submit(report(leader(), 'w1'), jobOf('job1', [stageOf(1)]));
+  const away = commitAll(give(claimed, { kind: 'linkClosed', linkId: 'link-w1' }));
+  expect(sent(away, 'start')).to.have.length(0);
+  const back = commitAll(report(wait(away, 300), 'w1', { link: 'link-new' }));
+  expect(sent(back, 'start')).to.have.length(1);
+});
