Learn nothing of pairs from filling tasks without an image

A filling task without an image was observed under the empty name, which is the key of the serving image's own load, so that its observation replaced that estimate. Found on reading the change again; the test failed first. Filling tasks on the users' sites name an image.

--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -89,7 +89,11 @@
 }
 
 /** Share of the worker that a filling task uses at a pace. */
-function fillOf({ stage, run }: Listed, capacityMilli: number, pace = run.pace): FillShare[] {
+function fillOf(
+  { stage, run }: Listed,
+  capacityMilli: number,
+  pace = run.pace,
+): readonly FillShare[] {
   const share = (stage.needs.processorsMilli * pace) / 100 / capacityMilli;
   return stage.image === undefined || pace === 0 ? [] : [{ image: stage.image, share }];
 }
@@ -104,10 +108,11 @@
     servingImage: stage.image ?? '',
     ratio: run.load / Math.max(1, stage.latencyTargetMs ?? 1),
     fills: mergeFills(
-      fills.map((fill) => ({
-        image: fill.stage.image ?? '',
-        share: fill.run.load / capacityMilli,
-      })),
+      fills.flatMap((fill) =>
+        fill.stage.image === undefined
+          ? []
+          : [{ image: fill.stage.image, share: fill.run.load / capacityMilli }],
+      ),
     ),
   };
 }
--- a/packages/scheduler/test/fills.test.ts
+++ b/packages/scheduler/test/fills.test.ts
@@ -86,3 +86,19 @@
   const freed = commitAll(report(wait(asked, 300), 'w1', { running: left, ended, lastOrder: 2 }));
   expect(sent(freed, 'start').length - sent(asked, 'start').length).to.equal(2);
 });
+
+// Guards against a filling task without an image that counts as the serving image's own load.
+it('learns nothing of pairs from filling tasks without an image', () => {
+  const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
+  const placed = commitAll(
+    submit(
+      submit(report(leader(), 'w1'), jobOf('job1', [serving])),
+      jobOf('job2', [stageOf(1, { fillsIdle: true })]),
+    ),
+  );
+  const alone = [listed(TASK, 1, { load: 90 })];
+  const both = [...alone, listed('job2.0.0.0', 1, { load: 1_000 })];
+  const without = report(wait(placed, 300), 'w1', { running: alone, lastOrder: 2 });
+  const beside = report(wait(placed, 300), 'w1', { running: both, lastOrder: 2 });
+  expect(beside.state.pairs.toJS()).to.deep.equal(without.state.pairs.toJS());
+});
