Compute the loads without fills once a stage, and merge fills once

Making room computed the loads of all workers without their filling tasks for each task that found no place, in every placement pass, and went on after the first that found none though tasks of a stage are alike. Fills of one image were added up by the caller and again by the learner, once more for each harmed task. Decisions stay as they were.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -52,6 +52,7 @@
   readonly servingImage: string;
   /** Tail latency over target. */
   readonly ratio: number;
+  /** One entry for each image. */
   readonly fills: readonly FillShare[];
 }
 
@@ -85,7 +86,7 @@
   );
 }
 
-/** What is known of a serving image beside fills of these shares. */
+/** What is known of a serving image beside fills, with one entry for each image. */
 export function judgeFills(
   book: PairBook,
   servingImage: string,
@@ -108,8 +109,7 @@
   book: PairBook,
   { servingImage, fills }: Pick<PairObservation, 'servingImage' | 'fills'>,
 ): readonly string[] {
-  const merged = mergeFills(fills);
-  const loads = merged
+  const loads = fills
     .map(({ image, share }) => ({
       image,
       load: influenceOf(book, servingImage, image).mean * share,
@@ -117,7 +117,7 @@
     .sort((left, right) => right.load - left.load);
   const excess = Math.max(
     MIN_HARM_LOAD,
-    baseOf(book, servingImage).mean + harmLoad(book, servingImage, merged) - MAX_LOAD,
+    baseOf(book, servingImage).mean + harmLoad(book, servingImage, fills) - MAX_LOAD,
   );
   const chosen = loads.reduce<{ readonly images: readonly string[]; readonly left: number }>(
     (picked, { image, load }) =>
@@ -127,7 +127,7 @@
     { images: [], left: excess },
   );
   if (chosen.left <= 0) return chosen.images;
-  return merged
+  return fills
     .filter((fill) => judgeFills(book, servingImage, [fill]) === 'unknown')
     .map(({ image }) => image);
 }
@@ -136,7 +136,7 @@
 export function observePairs(book: PairBook, observation: PairObservation): PairBook {
   const { servingImage, ratio } = observation;
   if (ratio <= 0) return book;
-  const fills = mergeFills(observation.fills).filter(({ share }) => share > 0);
+  const fills = observation.fills.filter(({ share }) => share > 0);
   const base = baseOf(book, servingImage);
   const observed = Math.max(0, 1 - IDLE_RATIO / ratio);
   const error = observed - base.mean - harmLoad(book, servingImage, fills);
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -157,7 +157,7 @@
   harmed: readonly PairObservation[],
 ): SchedulerStep {
   const { serving, fills, capacityMilli, pairs, nowMs } = around;
-  const beside = fills.flatMap((task) => fillOf(task, capacityMilli));
+  const beside = mergeFills(fills.flatMap((task) => fillOf(task, capacityMilli)));
   const isLong = serving.some(
     ({ run }) => run.harmedSinceMs !== undefined && nowMs - run.harmedSinceMs >= LONG_HARM_MS,
   );
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -233,24 +233,38 @@
 }
 
 /**
- * Keeps a place for a task that only the memory of less urgent filling tasks keeps out, and notes
- * which of them to stop. The task is placed by the pass after their ends.
+ * Keeps places for tasks that only the memory of less urgent filling tasks keeps out, and notes which
+ * of these to stop. The tasks are placed by the pass after their ends.
  */
-function makeRoom(pass: Pass, turn: Turn, slot: string): Pass {
-  const { ready, priority } = turn;
-  const open = pass.state.jobs.get(turn.jobId);
-  if (open === undefined) return pass;
+function makeRoom(pass: Pass, { jobId, ready, priority }: Turn, slots: readonly string[]): Pass {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined || slots.length === 0) return pass;
   const emptied = loadsWithoutFills(pass.state, pass.loads, priority);
-  const chosen = chooseFor(pass, open, ready, slot, emptied, false);
-  const load = chosen === undefined ? undefined : pass.loads.get(chosen.workerKey);
-  if (load === undefined) return pass;
-  const kept = withTask(load, ready.stage);
-  const stops = fillsToStop(pass.state, kept, priority, pass.stops);
-  return {
-    ...pass,
-    loads: pass.loads.set(load.workerKey, kept),
-    stops: new Set([...pass.stops, ...stops]),
-  };
+  return slots.reduce<{
+    readonly pass: Pass;
+    readonly emptied: Pass['loads'];
+    readonly isFull: boolean;
+  }>(
+    (current, slot) => {
+      if (current.isFull) return current;
+      const chosen = chooseFor(current.pass, open, ready, slot, current.emptied, false);
+      const load = chosen === undefined ? undefined : current.pass.loads.get(chosen.workerKey);
+      if (chosen === undefined || load === undefined) return { ...current, isFull: true };
+      const { workerKey } = chosen;
+      const kept = withTask(load, ready.stage);
+      const stops = fillsToStop(pass.state, kept, priority, current.pass.stops);
+      return {
+        pass: {
+          ...current.pass,
+          loads: current.pass.loads.set(workerKey, kept),
+          stops: new Set([...current.pass.stops, ...stops]),
+        },
+        emptied: current.emptied.set(workerKey, withTask(chosen, ready.stage)),
+        isFull: false,
+      };
+    },
+    { pass, emptied, isFull: false },
+  ).pass;
 }
 
 /** Places all members of a gang, or none. They share one attempt. */
@@ -294,9 +308,7 @@
     },
     { pass, left: [] },
   );
-  if (!ready.stage.fillsIdle) {
-    return placed.left.reduce((current, slot) => makeRoom(current, turn, slot), placed.pass);
-  }
+  if (!ready.stage.fillsIdle) return makeRoom(placed.pass, turn, placed.left);
   const [first] = slots;
   const hasNothing = placed.pass === pass && first !== undefined;
   return hasNothing && turn.isOverdue ? placeLastResort(pass, turn, first, nowMs) : placed.pass;
