Share the store calls of cores, and the feed of the leader's row

The kinds of a finished store access stood in the scheduler's, the intake's and the shell's types, the question of a caller twice in the intake, and the reading of the leader's row in both shells. Ports now define StoreCall and StoreDone, and followLeader serves both shells. The intake's test events carry the time that the shell has always sent; assertions are unchanged.

--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -3,14 +3,9 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import type { Heap } from '@bronzeyoke/harness';
 import { push } from '@bronzeyoke/harness';
-import type { WorkerCall, WorkerReport } from '@bronzeyoke/ports';
+import type { StoreCall, WorkerCall, WorkerReport } from '@bronzeyoke/ports';
 import type { RunnerEvent, RunnerState } from '@bronzeyoke/runner';
-import type {
-  SchedulerEffect,
-  SchedulerEvent,
-  SchedulerState,
-  SchedulerTimes,
-} from '@bronzeyoke/scheduler';
+import type { SchedulerEvent, SchedulerState, SchedulerTimes } from '@bronzeyoke/scheduler';
 import type { RowStoreState, TaskWorkerState } from '@bronzeyoke/standins';
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 
@@ -69,7 +64,7 @@
       readonly kind: 'storeCall';
       readonly site: string;
       readonly life: number;
-      readonly call: Extract<SchedulerEffect, { kind: 'commit' | 'range' }>;
+      readonly call: StoreCall;
       readonly isLate: boolean;
     }
   | {
--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -18,17 +18,12 @@
   SchedulerSettings,
   SchedulerTimes,
 } from '@bronzeyoke/scheduler';
-import {
-  createScheduler,
-  LEADER_KEY,
-  PARTITION,
-  stepScheduler,
-  TABLES,
-} from '@bronzeyoke/scheduler';
+import { createScheduler, PARTITION, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import type { EventFields, EventName } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
 import { decodeLeaderMessage, decodeRunnerMessage } from '@bronzeyoke/wire';
 import type { FleetConfig, WorkflowJob } from '@bronzeyoke/workflow';
+import { followLeader } from './leader';
 import { performStoreCall } from './store';
 
 /** What an entry needs beside its settings. */
@@ -253,33 +248,11 @@
   server.listen(settings.port, settings.host);
   await once(server, 'listening');
 
-  const leaderFeed = followTable(store, {
-    table: TABLES.leader,
-    partition: PARTITION,
+  const leaderFeed = followLeader(store, {
     waitMs: FEED_WAIT_MS,
+    onRow: (row) => dispatch(scheduler, { kind: 'leaderRow', row }),
+    onAnswer: noteStore,
     onError,
-    report: (news) => {
-      switch (news.kind) {
-        case 'all':
-          noteStore(true);
-          dispatch(scheduler, {
-            kind: 'leaderRow',
-            row: news.rows.find(({ key }) => key === LEADER_KEY.key),
-          });
-          return;
-        case 'changes':
-          news.changes.forEach((change) => {
-            if (change.kind === 'put') dispatch(scheduler, { kind: 'leaderRow', row: change });
-          });
-          return;
-        case 'answered':
-        case 'unanswered':
-          noteStore(news.kind === 'answered');
-          return;
-        default:
-          assertNever(news);
-      }
-    },
   });
 
   const ticker = setInterval(() => {
--- /dev/null
+++ b/packages/hosts/src/leader.ts
@@ -0,0 +1,44 @@
+import type { Follower } from '@bronzeyoke/follow';
+import { followTable } from '@bronzeyoke/follow';
+import type { RowStorePort, StoredRow } from '@bronzeyoke/ports';
+import { LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
+import { assertNever } from '@bronzeyoke/types';
+
+/** What a follower of the leader's row is told, and how long one call waits. */
+export interface LeaderFeedOptions {
+  readonly waitMs: number;
+  readonly onRow: (row: StoredRow | undefined) => void;
+  /** Told after each call whether the store answered. */
+  readonly onAnswer?: (isAnswered: boolean) => void;
+  readonly onError: (error: unknown) => void;
+}
+
+/** Follows the row that names the leader. */
+export function followLeader(store: RowStorePort, options: LeaderFeedOptions): Follower {
+  const { waitMs, onRow, onAnswer = () => undefined, onError } = options;
+  return followTable(store, {
+    table: TABLES.leader,
+    partition: PARTITION,
+    waitMs,
+    onError,
+    report: (news) => {
+      switch (news.kind) {
+        case 'all':
+          onAnswer(true);
+          onRow(news.rows.find(({ key }) => key === LEADER_KEY.key));
+          return;
+        case 'changes':
+          news.changes.forEach((change) => {
+            if (change.kind === 'put') onRow(change);
+          });
+          return;
+        case 'answered':
+        case 'unanswered':
+          onAnswer(news.kind === 'answered');
+          return;
+        default:
+          assertNever(news);
+      }
+    },
+  });
+}
--- a/packages/hosts/src/runner.ts
+++ b/packages/hosts/src/runner.ts
@@ -1,16 +1,16 @@
 import * as nact from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
-import { followTable } from '@bronzeyoke/follow';
 import type { DialCommand } from '@bronzeyoke/link';
 import { spawnDial } from '@bronzeyoke/link';
 import type { RowStorePort, StoredRow, WorkerCallPort, WorkerReport } from '@bronzeyoke/ports';
 import type { EntryAddress, RunnerEffect, RunnerEvent, RunnerSettings } from '@bronzeyoke/runner';
 import { createRunner, stepRunner } from '@bronzeyoke/runner';
-import { decodeLeader, LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
+import { decodeLeader } from '@bronzeyoke/scheduler';
 import type { EventFields, EventName } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
 import { decodeLeaderMessage } from '@bronzeyoke/wire';
+import { followLeader } from './leader';
 
 /** What an agent needs beside its settings. */
 export interface RunnerOptions {
@@ -118,29 +118,7 @@
     dispatch(core, { kind: 'leader', term, address: { host, port } });
   };
 
-  const feed = followTable(store, {
-    table: TABLES.leader,
-    partition: PARTITION,
-    waitMs: FEED_WAIT_MS,
-    onError,
-    report: (news) => {
-      switch (news.kind) {
-        case 'all':
-          tellLeader(news.rows.find(({ key }) => key === LEADER_KEY.key));
-          return;
-        case 'changes':
-          news.changes.forEach((change) => {
-            if (change.kind === 'put') tellLeader(change);
-          });
-          return;
-        case 'answered':
-        case 'unanswered':
-          return;
-        default:
-          assertNever(news);
-      }
-    },
-  });
+  const feed = followLeader(store, { waitMs: FEED_WAIT_MS, onRow: tellLeader, onError });
   const ticker = setInterval(() => dispatch(core, { kind: 'tick' }), TICK_MS);
 
   return {
--- a/packages/hosts/src/store.ts
+++ b/packages/hosts/src/store.ts
@@ -1,30 +1,4 @@
-import type {
-  RowCommitResult,
-  RowRange,
-  RowRangeResult,
-  RowStorePort,
-  RowTransaction,
-} from '@bronzeyoke/ports';
-
-/** A store access that a core asks for. */
-export type StoreCall =
-  | { readonly kind: 'commit'; readonly callId: string; readonly transaction: RowTransaction }
-  | { readonly kind: 'range'; readonly callId: string; readonly range: RowRange };
-
-/** How a store access ended. */
-export type StoreDone =
-  | {
-      readonly kind: 'commitDone';
-      readonly callId: string;
-      readonly result: RowCommitResult;
-      readonly wallMs: number;
-    }
-  | {
-      readonly kind: 'rangeDone';
-      readonly callId: string;
-      readonly result: RowRangeResult;
-      readonly wallMs: number;
-    };
+import type { RowStorePort, StoreCall, StoreDone } from '@bronzeyoke/ports';
 
 /** Carries out a store access and reports how it ended. */
 export async function performStoreCall(
--- a/packages/intake/src/inquire.ts
+++ b/packages/intake/src/inquire.ts
@@ -4,7 +4,14 @@
 import { assertNever } from '@bronzeyoke/types';
 import { z } from 'zod';
 import { decodeJob, decodeProgress, statusOf } from '@bronzeyoke/workflow';
-import type { Inquiry, IntakeEffect, IntakeReply, IntakeState, IntakeStep } from './types';
+import type {
+  Inquiry,
+  IntakeEffect,
+  IntakeEvent,
+  IntakeReply,
+  IntakeState,
+  IntakeStep,
+} from './types';
 
 const RETRY_MS = 100;
 
@@ -87,19 +94,7 @@
 /** Starts to answer a question of a caller. */
 export function inquire(
   state: IntakeState,
-  event:
-    | {
-        readonly kind: 'cancel' | 'status';
-        readonly callId: string;
-        readonly jobId: string;
-        readonly timeoutMs: number;
-      }
-    | {
-        readonly kind: 'pending';
-        readonly callId: string;
-        readonly queue: string;
-        readonly timeoutMs: number;
-      },
+  event: Extract<IntakeEvent, { kind: 'cancel' | 'status' | 'pending' }>,
   nowMs: number,
 ): IntakeStep {
   const { callId } = event;
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -1,7 +1,7 @@
 import type { Map } from 'immutable';
 import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
-import type { RowCommitResult, RowRange, RowRangeResult, RowTransaction } from '@bronzeyoke/ports';
+import type { StoreCall, StoreDone } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
 import chartFile from '../charts/submission.json';
@@ -90,19 +90,12 @@
       readonly queue: string;
       readonly timeoutMs: number;
     }
-  | { readonly kind: 'commitDone'; readonly callId: string; readonly result: RowCommitResult }
-  | {
-      readonly kind: 'rangeDone';
-      readonly callId: string;
-      readonly result: RowRangeResult;
-      readonly wallMs: number;
-    }
+  | StoreDone
   | { readonly kind: 'tick' };
 
 /** What the intake asks its shell for. */
 export type IntakeEffect =
-  | { readonly kind: 'commit'; readonly callId: string; readonly transaction: RowTransaction }
-  | { readonly kind: 'range'; readonly callId: string; readonly range: RowRange }
+  | StoreCall
   | { readonly kind: 'reply'; readonly callId: string; readonly reply: IntakeReply }
   | LogEffect;
 
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -39,7 +39,7 @@
 }
 
 function finish(lab: Lab, callId: string, result: RowCommitResult): Lab {
-  return give(lab, { kind: 'commitDone', callId, result });
+  return give(lab, { kind: 'commitDone', callId, result, wallMs: 0 });
 }
 
 function replies(lab: Lab): readonly string[] {
--- a/packages/ports/src/rows.ts
+++ b/packages/ports/src/rows.ts
@@ -69,3 +69,23 @@
   /** Waits up to `waitMs` for changes after a version. */
   readonly feed: (table: string, afterVersion: number, waitMs: number) => Promise<RowFeedResult>;
 }
+
+/** A store access that a core asks for. */
+export type StoreCall =
+  | { readonly kind: 'commit'; readonly callId: string; readonly transaction: RowTransaction }
+  | { readonly kind: 'range'; readonly callId: string; readonly range: RowRange };
+
+/** How a store access ended. */
+export type StoreDone =
+  | {
+      readonly kind: 'commitDone';
+      readonly callId: string;
+      readonly result: RowCommitResult;
+      readonly wallMs: number;
+    }
+  | {
+      readonly kind: 'rangeDone';
+      readonly callId: string;
+      readonly result: RowRangeResult;
+      readonly wallMs: number;
+    };
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -3,10 +3,9 @@
 import { compileChart } from '@bronzeyoke/chart';
 import type { PairBook } from '@bronzeyoke/interference';
 import type {
-  RowCommitResult,
-  RowRange,
-  RowRangeResult,
   RowTransaction,
+  StoreCall,
+  StoreDone,
   StoredRow,
   WorkerReport,
 } from '@bronzeyoke/ports';
@@ -201,18 +200,7 @@
       readonly rows: readonly StoredRow[];
       readonly wallMs: number;
     }
-  | {
-      readonly kind: 'commitDone';
-      readonly callId: string;
-      readonly result: RowCommitResult;
-      readonly wallMs: number;
-    }
-  | {
-      readonly kind: 'rangeDone';
-      readonly callId: string;
-      readonly result: RowRangeResult;
-      readonly wallMs: number;
-    }
+  | StoreDone
   | { readonly kind: 'linkOpened'; readonly linkId: string }
   | {
       readonly kind: 'received';
@@ -225,8 +213,7 @@
 
 /** What the scheduler asks its shell for. */
 export type SchedulerEffect =
-  | { readonly kind: 'commit'; readonly callId: string; readonly transaction: RowTransaction }
-  | { readonly kind: 'range'; readonly callId: string; readonly range: RowRange }
+  | StoreCall
   /** Starts or ends the feed of jobs. */
   | { readonly kind: 'followJobs'; readonly isOn: boolean }
   | { readonly kind: 'send'; readonly linkId: string; readonly message: LeaderMessage }
