--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -1,27 +1,11 @@
 import { expect } from 'chai';
 import type { Judge, WorkerLoad } from '@bronzeyoke/placement';
 import { chooseWorker, hasRoom, withTask } from '@bronzeyoke/placement';
-import type { Stage } from '@bronzeyoke/workflow';
+import { stageOf } from '../../scheduler/test/lab';
 
 const FREE = { siblingsOn: () => 0 };
 const NO_HARM: Judge = () => 'harmless';
 
-function stageOf(changes: Partial<Stage>): Stage {
-  return {
-    taskCount: 1,
-    needs: { processorsMilli: 1_000, memoryMb: 100, accelerators: 0 },
-    estimateMs: 1_000,
-    dependsOn: [],
-    savesCheckpoints: false,
-    isGang: false,
-    prefersOneRack: false,
-    allowsCopies: false,
-    isLasting: false,
-    fillsIdle: false,
-    ...changes,
-  };
-}
-
 function loadOf(workerKey: string, changes: Partial<WorkerLoad> = {}): WorkerLoad {
   return {
     workerKey,
@@ -38,8 +22,8 @@
   };
 }
 
-const fill = stageOf({ fillsIdle: true, image: 'f' });
-const serving = stageOf({ isLasting: true, image: 's', latencyTargetMs: 100 });
+const fill = stageOf(1, { fillsIdle: true, image: 'f' });
+const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
 const FULL = { processorsMilli: 8_000, memoryMb: 0, accelerators: 0 };
 
 // Guards against processors that stay idle because serving tasks have reserved and do not use them.
--- a/packages/scheduler/src/times.ts
+++ b/packages/scheduler/src/times.ts
@@ -26,6 +26,14 @@
 /** Longest grant: a lost machine's tasks are restarted after it. */
 const MAX_GRANT_MS = 5_000;
 const MAX_RIGHT_MS = 6_000;
+const MAX_TAKEOVER_MS = 1_800;
+
+/** Part of the time after which another holder may act that a silent leader is given. */
+const TAKEOVER_SHARE = 0.6;
+
+/** Parts of the longest lease that a worker accepts. */
+const GRANT_SHARE = 0.5;
+const RIGHT_SHARE = 0.6;
 const RENEWALS_BEFORE_TAKEOVER = 4.5;
 /** Workers' clocks may be 2% slow; the rest is for rounding and timers. */
 const MARGIN_SHARE = 0.03;
@@ -33,12 +41,12 @@
 
 /** Derives the times of the scheduler. */
 export function timesOf(bounds: Bounds): SchedulerTimes {
-  const takeoverAfterMs = Math.min(1_800, bounds.holderLeaseMs * 0.6);
-  const grantMs = Math.min(MAX_GRANT_MS, bounds.maxLeaseMs / 2);
+  const takeoverAfterMs = Math.min(MAX_TAKEOVER_MS, bounds.holderLeaseMs * TAKEOVER_SHARE);
+  const grantMs = Math.min(MAX_GRANT_MS, bounds.maxLeaseMs * GRANT_SHARE);
   return {
     renewMs: takeoverAfterMs / RENEWALS_BEFORE_TAKEOVER,
     takeoverAfterMs,
-    rightMs: Math.min(MAX_RIGHT_MS, bounds.maxLeaseMs * 0.6),
+    rightMs: Math.min(MAX_RIGHT_MS, bounds.maxLeaseMs * RIGHT_SHARE),
     grantMs,
     marginMs: grantMs * MARGIN_SHARE + MARGIN_MS,
     statusMs: bounds.statusMs,
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -54,10 +54,15 @@
   ]);
 }
 
+/** The number in [0, 1) that a seed stands for. */
+export function randomOf(seed: number): number {
+  return (seed % SEED_RANGE) / SEED_RANGE;
+}
+
 /** Faults of a run, in order. They come in series and overlap. */
 export function planFaults(seed: number, forMs: number): readonly Planned[] {
   const most = Math.ceil(forMs / MIN_GAP_MS);
-  const numbers = draws((seed % SEED_RANGE) / SEED_RANGE, most * DRAWS);
+  const numbers = draws(randomOf(seed), most * DRAWS);
   const planned = Array.from({ length: most }, (_, index) =>
     numbers.slice(index * DRAWS, (index + 1) * DRAWS),
   );
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -6,7 +6,7 @@
 import type { PlatformFaults } from '../platform/test/standin';
 import { runCaller } from './caller';
 import { judge } from './oracle';
-import { planFaults } from './plan';
+import { planFaults, randomOf } from './plan';
 import type { Program } from './program';
 import type { Site, SiteSize } from './site';
 import { configOf, startSite } from './site';
@@ -19,7 +19,6 @@
 const CALM_MS = 15_000;
 const ORDER_DELAY_MS = 2_000;
 const RESTART_CHECK_MS = 50;
-const SEED_RANGE = 2_147_483_647;
 const NO_FAULTS: PlatformFaults = { isStoreDown: false, losesAnswers: false };
 
 /** What a soak runs. */
@@ -130,7 +129,7 @@
   const faults = planFaults(seed, forMs);
   const phase = { isCalm: false, isOver: false };
   await sleep(START_MS);
-  const callers = draws((seed % SEED_RANGE) / SEED_RANGE, options.callers).map((random) =>
+  const callers = draws(randomOf(seed), options.callers).map((random) =>
     runCaller(random, {
       fronts: site.fronts,
       see,
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -1,7 +1,5 @@
-import { once } from 'node:events';
-import { createServer } from 'node:net';
-import type { AddressInfo } from 'node:net';
 import { request } from 'undici';
+import { freePort } from '../platform/test/port';
 import type { StandinPlatform } from '../platform/test/standin';
 import { startPlatform } from '../platform/test/standin';
 import type { Program } from './program';
@@ -33,16 +31,6 @@
   readonly close: () => void;
 }
 
-async function freePort(): Promise<number> {
-  const server = createServer();
-  server.listen(0, CONTROL);
-  await once(server, 'listening');
-  const { port } = server.address() as AddressInfo;
-  server.close();
-  await once(server, 'close');
-  return port;
-}
-
 /** The operators' configuration of a version. */
 export function configOf(version: number): object {
   const route = {
@@ -101,10 +89,8 @@
 ): Promise<Site> {
   const store = await startPlatform();
   store.put('op', 'config', configOf(1));
-  const agentPorts = await Promise.all(Array.from({ length: size.entries }, freePort));
-  const [agentPort = 0] = agentPorts;
   const common = {
-    agentPort,
+    agentPort: await freePort(),
     graceS: 4,
     maxLeaseMs: 10_000,
     holderLeaseMs: 3_000,
