--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -2,7 +2,7 @@
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
 import { assertNever, without } from '@bronzeyoke/types';
 import type { JobProgress } from '@bronzeyoke/workflow';
-import { encodeProgress, parseTaskName, slotKey, taskOf } from '@bronzeyoke/workflow';
+import { encodeProgress, taskOf } from '@bronzeyoke/workflow';
 import { holdsLease, moveLeadership } from './lead';
 import {
   cancelKey,
@@ -150,12 +150,11 @@
   attempt: number,
   nowMs: number,
 ): SchedulerStep {
-  const ref = parseTaskName(task);
   const run = state.runs.byTask.get(task);
-  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
-  if (ref === undefined || run === undefined || open === undefined) return stay(state);
-  const { workerKey } = run;
-  const slot = taskOf(open.progress, slotKey(ref.occurrence, ref.stage, ref.index));
+  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
+  if (run === undefined || open === undefined) return stay(state);
+  const { workerKey, jobId } = run;
+  const slot = taskOf(open.progress, run.slot);
   const worker = state.workers.get(workerKey);
   const link = worker?.linkId === undefined ? undefined : state.links.get(worker.linkId);
   const isCurrent = run.attempt === attempt && slot.phase === 'claimed' && !open.isCancelled;
@@ -185,7 +184,7 @@
         },
       },
       logEffect('taskPlaced', {
-        job: ref.jobId,
+        job: jobId,
         task,
         attempt,
         worker: workerKey,
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -36,11 +36,10 @@
   reason: ReleaseReason,
   nowMs: number,
 ): SchedulerStep {
-  const ref = parseTaskName(task);
   const run = state.runs.byTask.get(task);
-  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
-  if (ref === undefined || run === undefined || open === undefined) return stay(state);
-  const slot = slotKey(ref.occurrence, ref.stage, ref.index);
+  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
+  if (run === undefined || open === undefined) return stay(state);
+  const { workerKey, attempt, jobId, slot } = run;
   const known = without(taskOf(open.progress, slot), 'workerKey');
   const released = moveRun(known, 'release');
   const next = putJob(
@@ -49,12 +48,11 @@
       runs: dropRun(state.runs, task),
       backOff: reason === 'refused' ? state.backOff.set(task, nowMs + BACK_OFF_MS) : state.backOff,
     },
-    ref.jobId,
+    jobId,
     { ...open, progress: withTasks(open.progress, [[slot, released]]) },
   );
-  const { workerKey, attempt } = run;
   return withEffects(next, [
-    logEffect('taskReleased', { job: ref.jobId, task, attempt, worker: workerKey, reason }),
+    logEffect('taskReleased', { job: jobId, task, attempt, worker: workerKey, reason }),
   ]);
 }
 
