--- a/packages/ports/src/rows.ts
+++ b/packages/ports/src/rows.ts
@@ -47,7 +47,13 @@
 
 /** Consistent snapshot of rows. `version` is the latest version of the store at that time. */
 export type RowRangeResult =
-  | { readonly kind: 'rows'; readonly rows: readonly StoredRow[]; readonly version: number }
+  | {
+      readonly kind: 'rows';
+      readonly rows: readonly StoredRow[];
+      readonly version: number;
+      /** Steady clock of the store when it replied; all readers see the same clock. */
+      readonly clockMs: number;
+    }
   | { readonly kind: 'unavailable' };
 
 /** Change of a row in a feed. */
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -82,7 +82,7 @@
   const claiming = dispatch(polled, {
     kind: 'rangeDone',
     callId: 'poll',
-    result: { kind: 'rows', rows: [], version: 10 },
+    result: { kind: 'rows', rows: [], version: 10, clockMs: 400 },
     wallMs,
   });
   const won = dispatch(claiming, {
@@ -91,7 +91,7 @@
     result: { kind: 'committed', version: 11 },
     wallMs,
   });
-  const empty = { kind: 'rows', rows: [], version: 11 } as const;
+  const empty = { kind: 'rows', rows: [], version: 11, clockMs: 500 } as const;
   const read = ['progress', 'notes'].reduce(
     (current, callId) => dispatch(current, { kind: 'rangeDone', callId, result: empty, wallMs }),
     { ...won, version: 11 },
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -119,7 +119,7 @@
     version: 10,
     value: { entryId: 'entry-2', number: 4, isReleased: false },
   };
-  const rows = { kind: 'rows', rows: [row], version: 10 } as const;
+  const rows = { kind: 'rows', rows: [row], version: 10, clockMs: 0 } as const;
   const poll = (
     fixture: Fixture,
     result: typeof rows | { readonly kind: 'unavailable' },
@@ -277,7 +277,7 @@
 // Guards against tasks that wait for a lease because their worker left while a new leader was loading.
 it('handles a worker that leaves while the leader is loading', () => {
   const wallMs = WALL_MS;
-  const empty = { kind: 'rows', rows: [], version: 11 } as const;
+  const empty = { kind: 'rows', rows: [], version: 11, clockMs: 0 } as const;
   const polled = advance(createFollower(), 400);
   const claiming = dispatch(polled, { kind: 'rangeDone', callId: 'poll', result: empty, wallMs });
   const won = dispatch(claiming, {
@@ -299,6 +299,7 @@
     kind: 'rows',
     rows: [{ ...row, value: { tasks: { '0.0.0': task } } }],
     version: 11,
+    clockMs: 0,
   } as const;
   const read = dispatch(
     dispatch(informed, { kind: 'rangeDone', callId: 'progress', result, wallMs }),
--- a/packages/standins/src/rowstore.ts
+++ b/packages/standins/src/rowstore.ts
@@ -62,8 +62,8 @@
   };
 }
 
-/** Reads the current rows of a key range. */
-export function readRange(state: RowStoreState, range: RowRange): RowRangeResult {
+/** Reads the current rows of a key range at a time of the store's clock. */
+export function readRange(state: RowStoreState, range: RowRange, clockMs: number): RowRangeResult {
   const { table, partition, fromKey = '', untilKey } = range;
   const rows = state.rows
     .valueSeq()
@@ -76,7 +76,7 @@
     )
     .sortBy(({ key }) => key)
     .toArray();
-  return { kind: 'rows', rows, version: state.version };
+  return { kind: 'rows', rows, version: state.version, clockMs };
 }
 
 /** Returns the changes of a table after a version. */
