--- /dev/null
+++ b/packages/scheduler/test/leadership.test.ts
@@ -0,0 +1,242 @@
+import { expect } from 'chai';
+import type { StoredRow } from '@bronzeyoke/ports';
+import type { Leader } from '@bronzeyoke/scheduler';
+import { LEADER_KEY, LEASE_KEY } from '@bronzeyoke/scheduler';
+import type { Fixture } from './fixture';
+import {
+  advance,
+  createFollower,
+  createLeader,
+  dispatch,
+  inFlight,
+  jobOf,
+  report,
+  stageOf,
+  submit,
+  TIMES,
+  WALL_MS,
+  workerKeyFor,
+} from './fixture';
+
+const wallMs = WALL_MS;
+const OWN = { entryId: 'entry-1', host: 'h1', port: 1, term: 1 };
+const OTHER = { entryId: 'entry-2', host: 'h2', port: 1, term: 1 };
+const CLAIM_VERSION = 11;
+
+function leaderRow(leader: Leader, version: number): StoredRow {
+  return { ...LEADER_KEY, version, value: leader };
+}
+
+function leaseRow(value: Readonly<Record<string, unknown>>, version: number): StoredRow {
+  return { ...LEASE_KEY, version, value };
+}
+
+/** Delivers the reply to a poll of the lease at a time of the store's clock. */
+function poll(fixture: Fixture, row: StoredRow | undefined, clockMs: number): Fixture {
+  const rows = row === undefined ? [] : [row];
+  const result = { kind: 'rows', rows, version: row?.version ?? 10, clockMs } as const;
+  return dispatch(advance(fixture, 400), { kind: 'rangeDone', callId: 'poll', result, wallMs });
+}
+
+function settleClaim(
+  fixture: Fixture,
+  result: Extract<Parameters<typeof dispatch>[1], { kind: 'commitDone' }>['result'],
+): Fixture {
+  return dispatch(fixture, { kind: 'commitDone', callId: 'claim', result, wallMs });
+}
+
+function commitsOf(fixture: Fixture) {
+  return fixture.effects.flatMap((effect) => (effect.kind === 'commit' ? [effect] : []));
+}
+
+/** Returns an entry that has sent its claim of a lease that nobody held. */
+function claiming(): Fixture {
+  return poll(createFollower(), undefined, 400);
+}
+
+// Guards against two leaders with one term: the feed may deliver the row of a claim before its reply.
+it('leads under the term of its claim when the feed comes first', () => {
+  const seen = dispatch(claiming(), { kind: 'leaderRow', row: leaderRow(OWN, CLAIM_VERSION) });
+  const won = settleClaim(seen, { kind: 'committed', version: CLAIM_VERSION });
+  expect(won.state.phase).to.equal('loading');
+  expect(won.state.leader).to.deep.equal(OWN);
+});
+
+// Guards against a leader that a successor with the next term does not depose.
+it('is deposed by the next term after its row came before the reply', () => {
+  const seen = dispatch(claiming(), { kind: 'leaderRow', row: leaderRow(OWN, CLAIM_VERSION) });
+  const won = settleClaim(seen, { kind: 'committed', version: CLAIM_VERSION });
+  const next = { ...OTHER, term: OWN.term + 1 };
+  const deposed = dispatch(won, { kind: 'leaderRow', row: leaderRow(next, 20) });
+  expect(deposed.state.phase).to.equal('following');
+  expect(deposed.state.leader).to.deep.equal(next);
+});
+
+// Guards against a lease that nobody uses: the claim took effect, and only its reply was lost.
+it('leads after a claim whose reply was lost', () => {
+  const lost = settleClaim(claiming(), { kind: 'unknown' });
+  const again = advance(lost, 300);
+  const claims = commitsOf(again).filter(({ callId }) => callId === 'claim');
+  expect(claims).to.have.length(2);
+  expect(claims[1]?.transaction).to.deep.equal(claims[0]?.transaction);
+  const lease = claims[0]?.transaction.writes.find(({ table }) => table === LEASE_KEY.table);
+  const value = lease?.kind === 'put' ? (lease.value as Readonly<Record<string, unknown>>) : {};
+  const rows = [leaderRow(OWN, CLAIM_VERSION), leaseRow(value, CLAIM_VERSION)];
+  const won = settleClaim(again, { kind: 'conflict', rows });
+  expect(won.state.phase).to.equal('loading');
+  expect(won.state.leaseVersion).to.equal(CLAIM_VERSION);
+});
+
+// Guards against an entry that regards the claim of another one as its own.
+it('follows after a lost reply when another entry has claimed', () => {
+  const lost = advance(settleClaim(claiming(), { kind: 'unknown' }), 300);
+  const rows = [leaderRow(OTHER, 12), leaseRow({ entryId: 'entry-2', number: 1 }, 12)];
+  expect(settleClaim(lost, { kind: 'conflict', rows }).state.phase).to.equal('following');
+});
+
+function releaseOf(fixture: Fixture) {
+  return commitsOf(fixture).find(({ transaction }) =>
+    transaction.writes.some(
+      (write) =>
+        write.kind === 'put' &&
+        write.table === LEASE_KEY.table &&
+        (write.value as { readonly isReleased?: boolean }).isReleased === true,
+    ),
+  );
+}
+
+// Guards against a successor that waits for a lease that its holder meant to release: a transaction in
+// flight changes the version that the release depends on.
+it('releases its lease after a transaction in flight', () => {
+  const busy = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
+  const { callId } = inFlight(busy);
+  const stopped = dispatch(busy, { kind: 'stop' });
+  const settled = dispatch(stopped, {
+    kind: 'commitDone',
+    callId,
+    result: { kind: 'committed', version: 77 },
+    wallMs,
+  });
+  const release = releaseOf(settled);
+  const condition = release?.transaction.conditions.find(({ table }) => table === LEASE_KEY.table);
+  expect(condition?.version).to.equal(77);
+});
+
+// Guards against a release that is lost with its reply, so that the successor waits.
+it('sends the release again until the store replies', () => {
+  const stopped = dispatch(createLeader(), { kind: 'stop' });
+  const release = releaseOf(stopped);
+  expect(release).to.not.equal(undefined);
+  const lost = dispatch(stopped, {
+    kind: 'commitDone',
+    callId: release?.callId ?? '',
+    result: { kind: 'unavailable' },
+    wallMs,
+  });
+  expect(commitsOf(advance(lost, 100)).length).to.be.greaterThan(commitsOf(lost).length);
+});
+
+// Guards against a lease that a stopping entry claims and then leaves unreleased.
+it('releases a lease that it wins while it stops', () => {
+  const stopped = dispatch(claiming(), { kind: 'stop' });
+  expect(
+    releaseOf(settleClaim(stopped, { kind: 'committed', version: CLAIM_VERSION })),
+  ).to.not.equal(undefined);
+});
+
+const LEASE_END_MS = TIMES.grantWindowMs + TIMES.agentLeaseMs + TIMES.marginMs;
+
+/** Lets an entry take over an unreleased lease row, and load one lasting task of worker w1. */
+function takeOver(lease: StoredRow, startClockMs: number): Fixture {
+  const polled = Array.from({ length: 6 }).reduce<Fixture>(
+    (fixture, _, index) => poll(fixture, lease, startClockMs + index * 400),
+    createFollower(),
+  );
+  expect(polled.state.phase).to.equal('claiming');
+  const won = settleClaim(polled, { kind: 'committed', version: 30 });
+  const workerKey = workerKeyFor('w1');
+  const task = { phase: 'running', attempt: 1, failures: 0, workerKey };
+  const progress = { table: 'progress', partition: 'main', key: 'job1', version: 9 };
+  const job = { table: 'job', partition: 'main', key: 'job1/job', version: 8 };
+  const replies = [
+    { callId: 'progress', rows: [{ ...progress, value: { tasks: { '0.0.0': task } } }] },
+    { callId: 'notes', rows: [] },
+  ];
+  const read = replies.reduce<Fixture>(
+    (fixture, { callId, rows }) =>
+      dispatch(fixture, {
+        kind: 'rangeDone',
+        callId,
+        result: { kind: 'rows', rows, version: 30, clockMs: startClockMs + 2_400 },
+        wallMs,
+      }),
+    won,
+  );
+  const definition = jobOf('job1', [stageOf(1, { isLasting: true })]);
+  return dispatch(read, {
+    kind: 'jobRows',
+    isFull: true,
+    rows: [{ ...job, value: definition }],
+    wallMs,
+  });
+}
+
+/** Returns the time from now to the release of the task, in steps of a tick. */
+function releasedAfterMs(fixture: Fixture): number {
+  const stepMs = 50;
+  const steps = Array.from({ length: 400 }).findIndex((_, index) =>
+    advance(fixture, index * stepMs).state.runs.byTask.isEmpty(),
+  );
+  return steps * stepMs;
+}
+
+const LOADING_LEASE = {
+  entryId: 'entry-2',
+  number: 3,
+  isReleased: false,
+  leases: { lastMs: 0, earlierEndAtMs: 20_000, awaited: {} },
+};
+
+// Guards against a wait that starts with each new leader although the time before its claim counts: the
+// store's clock tells since when the lease row is unchanged.
+it('counts the wait for silent workers from the last renewal', () => {
+  const lease = { entryId: 'entry-2', number: 9, isReleased: false };
+  const granting = { ...lease, leases: { lastMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} } };
+  const leader = takeOver(leaseRow(granting, 10), 50_000);
+  expect(releasedAfterMs(leader)).to.be.at.most(LEASE_END_MS - 2_000 + 50);
+  expect(releasedAfterMs(leader)).to.be.at.least(LEASE_END_MS - 2_400);
+});
+
+// Guards against a wait that starts anew after a leader that granted no lease.
+it('goes on with the wait of a leader that granted nothing', () => {
+  const leader = takeOver(leaseRow(LOADING_LEASE, 10), 18_000);
+  expect(releasedAfterMs(leader)).to.be.at.most(100);
+});
+
+// Guards against a wait that starts anew for a worker that the last leader never heard of.
+it('goes on with the wait for a worker that stayed silent', () => {
+  const awaited = { [workerKeyFor('w1')]: 53_000 };
+  const leases = { lastMs: LEASE_END_MS, earlierEndAtMs: 53_000, awaited };
+  const leader = takeOver(leaseRow({ ...LOADING_LEASE, leases }, 10), 50_000);
+  expect(releasedAfterMs(leader)).to.be.within(900, 1_100);
+});
+
+// Guards against a second run of a task: a row of an earlier build does not tell what was granted.
+it('waits for the longest lease after a row of an earlier build', () => {
+  const lease = { entryId: 'entry-2', number: 9, isReleased: false };
+  const leader = takeOver(leaseRow(lease, 10), 50_000);
+  expect(releasedAfterMs(leader)).to.be.at.least(LEASE_END_MS - 2_400);
+});
+
+// Guards against a lease that is granted before the store knows that its holder may grant it: the next
+// leader would not wait for it.
+it('grants no lease to an awaited worker before the row says so', () => {
+  const lease = { entryId: 'entry-2', number: 9, isReleased: false };
+  const leases = { lastMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} };
+  const leader = takeOver(leaseRow({ ...lease, leases }, 10), 50_000);
+  const reported = report(advance(leader, 50), 'w1');
+  const grants = reported.effects.filter(
+    (effect) => effect.kind === 'send' && effect.message.kind === 'grant',
+  );
+  expect(grants).to.have.length(0);
+});
