Keep terms, claims, releases and waits intact across leaders

The lease row now says until when leases of earlier leaders last on the store's clock, and which workers the holder has not heard of. A holder grants leases only once its row says so, and to an awaited worker only once the row no longer names it.

--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -255,10 +255,10 @@
     onError,
   });
 
-  const ticker = setInterval(() => {
+  setInterval(() => {
     dispatch(scheduler, { kind: 'tick', wallMs: Date.now() });
     dispatch(intake, { kind: 'tick' });
-  }, TICK_MS);
+  }, TICK_MS).unref();
 
   const callIntake = (eventOf: (callId: string) => IntakeEvent): Promise<IntakeReply> => {
     state.callCount += 1;
@@ -290,10 +290,10 @@
     setTimes: (times) => dispatch(scheduler, { kind: 'timesChanged', times }),
     setDomainsOut: (domains) => dispatch(scheduler, { kind: 'domainsOut', domains }),
     storeSilentMs: () => performance.now() - state.storeAnsweredAtMs,
+    // Ticks go on, because the release of the lease may have to be sent again.
     stop: () => {
       dispatch(scheduler, { kind: 'stop' });
       leaderFeed.stop();
-      clearInterval(ticker);
       server.close();
     },
   };
--- /dev/null
+++ b/packages/scheduler/src/claim.ts
@@ -0,0 +1,178 @@
+import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
+import { logEffect } from '@bronzeyoke/telemetry';
+import type { StepInputs } from '@bronzeyoke/types';
+import { assertNever, without } from '@bronzeyoke/types';
+import { advanceLeadership, CALLS } from './leadership';
+import { earlierLeasesOf } from './leases';
+import type { LeaseValue } from './rows';
+import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
+import { unchanged, withEffects } from './state';
+import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from './types';
+
+const POLL_MS = 300;
+
+/** Longest random delay that spreads the claims of several entries. */
+const CLAIM_SPREAD_MS = 200;
+
+/** After a longer gap without a reply, the leader gets the whole time again to renew its lease. */
+const MAX_POLL_GAP_MS = 1_000;
+
+const CLAIM_RETRY_MS = 150;
+
+/** A row that cannot be decoded counts as held. */
+const UNREADABLE_LEASE: LeaseValue = { entryId: '', number: 0, isReleased: false };
+
+/** Reads the lease periodically while this entry follows. */
+export function pollLease(state: SchedulerState, nowMs: number): SchedulerStep {
+  const isDue = nowMs >= state.nextReadAtMs && state.pollCallId === undefined;
+  if (state.phase !== 'following' || !isDue) return unchanged(state);
+  const callId = CALLS.poll;
+  const range = { table: TABLES.lease, partition: PARTITION };
+  return withEffects(
+    { ...state, pollCallId: callId, pollSentAtMs: nowMs, nextReadAtMs: nowMs + POLL_MS },
+    [{ kind: 'range', callId, range }],
+  );
+}
+
+function seeLease(
+  state: SchedulerState,
+  row: StoredRow | undefined,
+  clockMs: number,
+  nowMs: number,
+): SeenLease {
+  const { seenLease, pollSentAtMs } = state;
+  const version = row?.version ?? 0;
+  const known = seenLease?.version === version ? seenLease : undefined;
+  const hasGap = known === undefined || pollSentAtMs - known.polledAtMs > MAX_POLL_GAP_MS;
+  return {
+    version,
+    ...(row === undefined ? {} : { value: decodeLease(row) ?? UNREADABLE_LEASE }),
+    sinceClockMs: known?.sinceClockMs ?? clockMs,
+    sinceMs: hasGap ? nowMs : known.sinceMs,
+    polledAtMs: nowMs,
+  };
+}
+
+function createClaim(state: SchedulerState, lease: SeenLease, nowMs: number): Claim {
+  const { settings, leader: previous, leaderVersion } = state;
+  const { entryId, host, port, times } = settings;
+  const leader = { entryId, host, port, term: (previous?.term ?? 0) + 1 };
+  const earlierLeases = earlierLeasesOf(lease, times);
+  const { endAtMs, awaited } = earlierLeases;
+  const grants = { lastEndMs: 0, earlierEndAtMs: endAtMs, awaited: awaited.toObject() };
+  const value: LeaseValue = { entryId, number: 1, isReleased: false, grants };
+  return {
+    leader,
+    ...(previous === undefined ? {} : { previous }),
+    transaction: {
+      conditions: [
+        { ...LEADER_KEY, version: leaderVersion },
+        { ...LEASE_KEY, version: lease.version },
+      ],
+      writes: [
+        { kind: 'put', ...LEADER_KEY, value: leader },
+        { kind: 'put', ...LEASE_KEY, value },
+      ],
+    },
+    earlierLeases,
+    sentAtMs: nowMs,
+    wasUnknown: false,
+  };
+}
+
+/** Claims the lease when it was released, or was not renewed for long enough. */
+export function onPoll(
+  state: SchedulerState,
+  result: RowRangeResult,
+  { nowMs, random }: StepInputs,
+): SchedulerStep {
+  const polled = without(state, 'pollCallId');
+  if (state.phase !== 'following' || result.kind === 'unavailable') return unchanged(polled);
+  const row = result.rows.find(({ key }) => key === LEASE_KEY.key);
+  const lease = seeLease(state, row, result.clockMs, nowMs);
+  const storeClock = { localMs: nowMs, storeMs: result.clockMs };
+  const seen = { ...polled, seenLease: lease, storeClock };
+  if (state.leaderVersion < 0) return unchanged(seen);
+  const isFree = lease.value === undefined || lease.value.isReleased;
+  const waitMs = state.settings.times.takeoverAfterMs + random * CLAIM_SPREAD_MS;
+  if (!isFree && nowMs - lease.sinceMs < waitMs) return unchanged(seen);
+  return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
+}
+
+function onClaimWon(
+  state: SchedulerState,
+  claim: Claim,
+  versions: { readonly leader: number; readonly lease: number },
+): SchedulerStep {
+  const { leader, previous, earlierLeases, sentAtMs } = claim;
+  const { awaited } = earlierLeases;
+  const step = advanceLeadership(
+    {
+      ...without(state, 'claim', 'seenLease'),
+      leader,
+      leaderVersion: versions.leader,
+      leaseVersion: versions.lease,
+      leaseNumber: 1,
+      earlierLeases,
+      awaited,
+      storedAwaited: new Set(awaited.keys()),
+      renewAtMs: sentAtMs + state.settings.times.renewMs,
+    },
+    'claimWon',
+  );
+  const notify: readonly SchedulerEffect[] =
+    previous === undefined || previous.entryId === leader.entryId
+      ? []
+      : [{ kind: 'notifyEntry', host: previous.host, port: previous.port, leader }];
+  const fields = { term: leader.term, before: previous?.entryId ?? '' };
+  return withEffects(step.state, [...step.effects, ...notify, logEffect('leaderClaimed', fields)]);
+}
+
+function retryLater(state: SchedulerState, claim: Claim, nowMs: number): SchedulerStep {
+  const retryAtMs = nowMs + CLAIM_RETRY_MS;
+  return unchanged({ ...state, claim: { ...claim, wasUnknown: true, retryAtMs } });
+}
+
+/** Handles the result of a claim. One without a reply may have taken effect, and is sent again. */
+export function onClaimResult(
+  state: SchedulerState,
+  result: RowCommitResult,
+  nowMs: number,
+): SchedulerStep {
+  const { claim, phase } = state;
+  if (claim === undefined || (phase !== 'claiming' && phase !== 'withdrawing')) {
+    return unchanged(state);
+  }
+  switch (result.kind) {
+    case 'committed':
+      return onClaimWon(state, claim, { leader: result.version, lease: result.version });
+    case 'unknown':
+      return retryLater(state, claim, nowMs);
+    case 'unavailable':
+      return claim.wasUnknown
+        ? retryLater(state, claim, nowMs)
+        : advanceLeadership(state, 'claimLost');
+    case 'conflict': {
+      const leaderRow = result.rows.find(({ table }) => table === LEADER_KEY.table);
+      const leaseRow = result.rows.find(({ table }) => table === LEASE_KEY.table);
+      const holder = decodeLeader(leaderRow);
+      const isOurs = holder?.entryId === claim.leader.entryId && holder.term === claim.leader.term;
+      if (!isOurs || leaderRow === undefined || leaseRow === undefined) {
+        return advanceLeadership(state, 'claimLost');
+      }
+      // An earlier attempt at the same claim took effect.
+      return onClaimWon(state, claim, { leader: leaderRow.version, lease: leaseRow.version });
+    }
+    default:
+      return assertNever(result);
+  }
+}
+
+/** Sends an unsettled claim again, unchanged. */
+export function retryClaim(state: SchedulerState, nowMs: number): SchedulerStep {
+  const { claim } = state;
+  if (claim?.retryAtMs === undefined || nowMs < claim.retryAtMs) return unchanged(state);
+  return withEffects({ ...state, claim: without(claim, 'retryAtMs') }, [
+    { kind: 'commit', callId: CALLS.claimLease, transaction: claim.transaction },
+  ]);
+}
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -3,7 +3,8 @@
 import { assertNever, without } from '@bronzeyoke/types';
 import type { JobProgress } from '@bronzeyoke/workflow';
 import { encodeProgress, taskProgress } from '@bronzeyoke/workflow';
-import { advanceLeadership, holdsLease } from './leadership';
+import { advanceLeadership, onLeaderRow } from './leadership';
+import { describeGrants } from './leases';
 import {
   cancelKey,
   COUNTS_KEY,
@@ -17,7 +18,14 @@
 } from './rows';
 import { releaseRun } from './release';
 import { putRun } from './runs';
-import { chainAll, NO_PENDING_WRITES, sendToWorker, unchanged, withEffects } from './state';
+import {
+  chainAfter,
+  chainAll,
+  NO_PENDING_WRITES,
+  sendToWorker,
+  unchanged,
+  withEffects,
+} from './state';
 import type { InFlightTransaction, PostCommitAction, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
@@ -93,57 +101,83 @@
   return { state: next, writes };
 }
 
+/** Parts of a transaction beside the lease row, and what follows it. */
+interface TransactionParts {
+  readonly isReleased: boolean;
+  readonly writes: readonly RowWrite[];
+  readonly postCommit: readonly PostCommitAction[];
+  readonly endedJobs: readonly string[];
+}
+
 /**
- * Sends the next transaction when none is in flight. Each one renews the lease and requires the
- * version of the lease row that the previous one wrote, so a delayed transaction has no effect.
+ * Sends a transaction that renews or releases the lease. It requires the version of the lease row that
+ * the previous one wrote, so a delayed transaction has no effect.
  */
-export function flush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  if (!holdsLease(state) || state.inFlight !== undefined) return unchanged(state);
-  const { pendingWrites } = state;
-  const hasRows = pendingWrites.jobIds.size > 0 || pendingWrites.postCommit.length > 0;
-  if (!hasRows && nowMs < state.renewAtMs) return unchanged(state);
-  const jobIds = [...pendingWrites.jobIds].slice(0, MAX_JOBS);
-  const rest = [...pendingWrites.jobIds].slice(MAX_JOBS);
-  // The actions may depend on rows that are left over, so they wait for the last of them.
-  const postCommit = rest.length === 0 ? pendingWrites.postCommit : [];
-  const maintenance = maintenanceWrites(state, nowMs, wallMs);
-  const leaseNumber = state.leaseNumber + 1;
-  const lease = { entryId: state.settings.entryId, number: leaseNumber, isReleased: false };
+function sendTransaction(
+  state: SchedulerState,
+  { isReleased, writes, postCommit, endedJobs }: TransactionParts,
+  nowMs: number,
+): SchedulerStep {
+  const { entryId } = state.settings;
+  const grants = describeGrants(state);
+  const lease = { entryId, number: state.leaseNumber + 1, isReleased, grants };
   const transaction = {
     conditions: [
       { ...LEADER_KEY, version: state.leaderVersion },
       { ...LEASE_KEY, version: state.leaseVersion },
     ],
-    writes: [
-      { kind: 'put', ...LEASE_KEY, value: lease } as const,
-      ...jobIds.flatMap((jobId) => jobWrites(state, jobId)),
-      ...maintenance.writes,
-    ],
+    writes: [{ kind: 'put', ...LEASE_KEY, value: lease } as const, ...writes],
   };
   const callId = `flush-${state.callCount}`;
   const inFlight: InFlightTransaction = {
     callId,
     transaction,
-    leaseNumber,
+    lease,
     sentAtMs: nowMs,
     firstSentAtMs: nowMs,
     postCommit,
-    endedJobs: jobIds.filter((jobId) => state.jobs.get(jobId)?.progress.outcome !== undefined),
+    endedJobs,
     wasUnknown: false,
   };
+  const renewAtMs = nowMs + state.settings.times.renewMs;
+  return withEffects({ ...state, callCount: state.callCount + 1, inFlight, renewAtMs }, [
+    { kind: 'commit', callId, transaction },
+  ]);
+}
+
+/** Releases the lease of a leader that stops, so that another entry takes over at once. */
+export function releaseLease(state: SchedulerState, nowMs: number): SchedulerStep {
+  if (state.phase !== 'releasing' || state.inFlight !== undefined) return unchanged(state);
+  const parts = { isReleased: true, writes: [], postCommit: [], endedJobs: [] };
+  return sendTransaction(state, parts, nowMs);
+}
+
+/** Sends the next transaction with pending rows, or a renewal, when none is in flight. */
+export function flush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  const isActive = state.phase === 'loading' || state.phase === 'leading';
+  if (!isActive || state.inFlight !== undefined) return unchanged(state);
+  const { pendingWrites } = state;
+  const hasRows = pendingWrites.jobIds.size > 0 || pendingWrites.postCommit.length > 0;
+  if (!hasRows && nowMs < state.renewAtMs) return unchanged(state);
+  const jobIds = [...pendingWrites.jobIds].slice(0, MAX_JOBS);
+  const rest = [...pendingWrites.jobIds].slice(MAX_JOBS);
+  // The actions may depend on rows that are left over, so they wait for the last of them.
+  const postCommit = rest.length === 0 ? pendingWrites.postCommit : [];
+  const maintenance = maintenanceWrites(state, nowMs, wallMs);
   const remaining =
     rest.length === 0
       ? NO_PENDING_WRITES
       : { jobIds: new Set(rest), postCommit: pendingWrites.postCommit };
-  return withEffects(
+  const isEnded = (jobId: string): boolean => state.jobs.get(jobId)?.progress.outcome !== undefined;
+  return sendTransaction(
+    { ...maintenance.state, pendingWrites: remaining },
     {
-      ...maintenance.state,
-      callCount: state.callCount + 1,
-      inFlight,
-      pendingWrites: remaining,
-      renewAtMs: nowMs + state.settings.times.renewMs,
+      isReleased: false,
+      writes: [...jobIds.flatMap((jobId) => jobWrites(state, jobId)), ...maintenance.writes],
+      postCommit,
+      endedJobs: jobIds.filter(isEnded),
     },
-    [{ kind: 'commit', callId, transaction }],
+    nowMs,
   );
 }
 
@@ -225,13 +259,19 @@
   nowMs: number,
 ): SchedulerStep {
   const rest = without(state, 'inFlight');
+  const { lease, endedJobs } = inFlight;
+  if (lease.isReleased) return advanceLeadership(rest, 'released');
+  const isGranting = (lease.grants?.lastEndMs ?? 0) > 0;
+  const grantUntilMs = isGranting ? sentAtMs + state.settings.times.grantWindowMs : 0;
   const stored: SchedulerState = {
     ...rest,
     leaseVersion: version,
-    leaseNumber: inFlight.leaseNumber,
-    mayGrantUntilMs: Math.max(state.mayGrantUntilMs, sentAtMs + state.settings.times.grantWindowMs),
-    jobs: state.jobs.deleteAll(inFlight.endedJobs),
-    ended: inFlight.endedJobs.reduce(
+    leaseNumber: lease.number,
+    isGranting,
+    storedAwaited: new Set(Object.keys(lease.grants?.awaited ?? {})),
+    mayGrantUntilMs: Math.max(state.mayGrantUntilMs, grantUntilMs),
+    jobs: state.jobs.deleteAll(endedJobs),
+    ended: endedJobs.reduce(
       (ended, jobId) => ended.set(jobId, state.jobs.get(jobId)?.progress.endedAtMs ?? 0),
       state.ended,
     ),
@@ -284,14 +324,15 @@
         decodeLeader(leaderRow)?.term === state.leader?.term &&
         lease?.entryId === state.settings.entryId &&
         leaseRow !== undefined;
-      if (isOurs && lease.number === inFlight.leaseNumber) {
+      if (isOurs && lease.number === inFlight.lease.number) {
         // An earlier attempt at the same transaction took effect.
         return applyCommit(state, inFlight, leaseRow.version, inFlight.firstSentAtMs, nowMs);
       }
-      const step = advanceLeadership(state, 'deposed');
-      return withEffects(step.state, [
-        ...step.effects,
-        logEffect('leaderLost', { term: state.leader?.term ?? 0, lease: lease?.number ?? 0 }),
+      const fields = { term: state.leader?.term ?? 0, lease: lease?.number ?? 0 };
+      return chainAfter(advanceLeadership(state, 'deposed'), [
+        (current) => withEffects(current, [logEffect('leaderLost', fields)]),
+        (current) =>
+          leaderRow === undefined ? unchanged(current) : onLeaderRow(current, leaderRow),
       ]);
     }
     default:
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -11,6 +11,7 @@
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { advanceLeadership, CALLS } from './leadership';
+import { leaseEndAtMs, toLocalMs } from './leases';
 import { PAIRS_KEY, parseJobKey } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chainAll, putJob, sendToWorker, unchanged, withEffects } from './state';
@@ -140,9 +141,7 @@
   goneWorkerKeys: readonly string[],
   nowMs: number,
 ): SchedulerState {
-  const { times } = state.settings;
-  const waitMs =
-    (state.wasLeaseReleased ? 0 : times.grantWindowMs) + times.agentLeaseMs + times.marginMs;
+  const isGone = (workerKey: string): boolean => goneWorkerKeys.includes(workerKey);
   const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
     assignedSlots(progress).flatMap(([slot, task]): readonly (readonly [string, RunView])[] => {
       const stage = job.stages[Number(slot.split('.')[1])];
@@ -169,6 +168,8 @@
     }),
   );
   const keys = new Set(runs.map(([, run]) => run.workerKey));
+  const leaseEndOf = (workerKey: string): number => leaseEndAtMs(state.earlierLeases, workerKey);
+  const silent = [...keys].filter((workerKey) => !isGone(workerKey));
   const workers = [...keys].map(
     (workerKey) =>
       [
@@ -177,7 +178,7 @@
           workerKey,
           clockMs: -1,
           linkNumber: -1,
-          expiresAtMs: goneWorkerKeys.includes(workerKey) ? nowMs : nowMs + waitMs,
+          expiresAtMs: isGone(workerKey) ? nowMs : toLocalMs(state, leaseEndOf(workerKey)),
           handledSequence: 0,
           failedJobs: [],
           quarantinedUntilMs: 0,
@@ -188,6 +189,7 @@
     ...state,
     runs: runs.reduce((table, [task, run]) => putRun(table, task, run), NO_RUNS),
     workers: Map(workers).merge(state.workers),
+    awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
 }
 
@@ -201,6 +203,8 @@
     ...state,
     loading: {},
     ended: ended.map(({ endedAtMs }) => endedAtMs ?? wallMs),
+    // Workers may be granted leases once the lease row says so.
+    renewAtMs: nowMs,
   };
   return chainAll(loaded, [
     (current) =>
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -1,18 +1,12 @@
 import { advance } from '@bronzeyoke/chart';
-import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
+import type { StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, without } from '@bronzeyoke/types';
-import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
+import { decodeLeader, PARTITION, TABLES } from './rows';
 import { EMPTY_LEADER_STATE, unchanged, withEffects } from './state';
 import type { Leader, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
 
-const POLL_MS = 300;
-
-/** Longest random delay that spreads the claims of several entries. */
-const CLAIM_SPREAD_MS = 200;
-
 /** Ids of the store calls that poll and claim the lease and load the state. */
 export const CALLS = {
   claimLease: 'claim',
@@ -21,26 +15,13 @@
   notes: 'notes',
 } as const;
 
-type LeadershipEvent = 'leaseFree' | 'claimWon' | 'claimLost' | 'loaded' | 'deposed' | 'stop';
+type LeadershipEvent =
+  'leaseFree' | 'claimWon' | 'claimLost' | 'loaded' | 'deposed' | 'stop' | 'released';
 
-function nextLeader(state: SchedulerState): Leader {
-  const { entryId, host, port } = state.settings;
-  return { entryId, host, port, term: (state.leader?.term ?? 0) + 1 };
-}
-
-function claim({ state, effects }: SchedulerStep): SchedulerStep {
-  const leader = nextLeader(state);
-  const { entryId } = leader;
-  const transaction = {
-    conditions: [
-      { ...LEADER_KEY, version: state.leaderVersion },
-      { ...LEASE_KEY, version: state.leaseVersion },
-    ],
-    writes: [
-      { kind: 'put', ...LEADER_KEY, value: leader },
-      { kind: 'put', ...LEASE_KEY, value: { entryId, number: 1, isReleased: false } },
-    ],
-  } as const;
+function sendClaim({ state, effects }: SchedulerStep): SchedulerStep {
+  const { claim } = state;
+  if (claim === undefined) return { state, effects };
+  const { transaction } = claim;
   return withEffects(state, [
     ...effects,
     { kind: 'commit', callId: CALLS.claimLease, transaction },
@@ -75,30 +56,17 @@
 }
 
 function resetLeaderState({ state, effects }: SchedulerStep): SchedulerStep {
-  const rest = without(state, 'inFlight', 'leaseUnchangedSinceMs', 'pollCallId');
-  return withEffects({ ...rest, ...EMPTY_LEADER_STATE, mayGrantUntilMs: 0 }, [
+  const rest = without(state, 'inFlight', 'claim', 'pollCallId');
+  return withEffects({ ...rest, ...EMPTY_LEADER_STATE }, [
     ...effects,
     { kind: 'followJobs', isOn: false },
   ]);
 }
 
-/**
- * Releases the lease so that another entry takes over at once. A transaction in flight may be applied
- * first; the release then fails.
- */
-function releaseLease({ state, effects }: SchedulerStep): SchedulerStep {
-  const { entryId } = state.settings;
-  const number = state.leaseNumber + 1;
-  const transaction = {
-    conditions: [
-      { ...LEADER_KEY, version: state.leaderVersion },
-      { ...LEASE_KEY, version: state.leaseVersion },
-    ],
-    writes: [{ kind: 'put', ...LEASE_KEY, value: { entryId, number, isReleased: true } }],
-  } as const;
+/** Ends the leader's work. The lease is released once no transaction is in flight. */
+function resign({ state, effects }: SchedulerStep): SchedulerStep {
   return withEffects({ ...state, mayGrantUntilMs: 0 }, [
     ...effects,
-    { kind: 'commit', callId: 'release', transaction },
     { kind: 'followJobs', isOn: false },
   ]);
 }
@@ -110,15 +78,15 @@
     (step, action) => {
       switch (action) {
         case 'claim':
-          return claim(step);
+          return sendClaim(step);
         case 'load':
           return startLoad(step);
         case 'begin':
           return step;
         case 'reset':
           return resetLeaderState(step);
-        case 'releaseLease':
-          return releaseLease(step);
+        case 'resign':
+          return resign(step);
         default:
           return assertNever(action);
       }
@@ -127,88 +95,9 @@
   );
 }
 
-/** Returns whether this entry holds the lease; it may still be loading its state. */
-export function holdsLease(state: SchedulerState): boolean {
-  return state.phase === 'loading' || state.phase === 'leading';
-}
-
-/** Reads the lease periodically while this entry follows. */
-export function pollLease(state: SchedulerState, nowMs: number): SchedulerStep {
-  const isDue = nowMs >= state.nextReadAtMs && state.pollCallId === undefined;
-  if (state.phase !== 'following' || !isDue) return unchanged(state);
-  const callId = CALLS.poll;
-  const range = { table: TABLES.lease, partition: PARTITION };
-  return withEffects({ ...state, pollCallId: callId, nextReadAtMs: nowMs + POLL_MS }, [
-    { kind: 'range', callId, range },
-  ]);
-}
-
-/** Claims the lease when it was released, or was not renewed for long enough. */
-export function onPoll(
-  state: SchedulerState,
-  result: RowRangeResult,
-  { nowMs, random }: StepInputs,
-): SchedulerStep {
-  const polled = without(state, 'pollCallId');
-  if (state.phase !== 'following') return unchanged(polled);
-  if (result.kind === 'unavailable') {
-    // The lease may have been renewed while the store did not reply.
-    return unchanged(without(polled, 'leaseUnchangedSinceMs'));
-  }
-  const row = result.rows.find(({ key }) => key === LEASE_KEY.key);
-  const version = row?.version ?? 0;
-  const isUnchanged = version === state.leaseVersion && state.leaseUnchangedSinceMs !== undefined;
-  const sinceMs = isUnchanged ? state.leaseUnchangedSinceMs : nowMs;
-  const seen = { ...polled, leaseVersion: version, leaseUnchangedSinceMs: sinceMs };
-  if (state.leaderVersion < 0) return unchanged(seen);
-  const lease = decodeLease(row);
-  const isFree = row === undefined || lease?.isReleased === true;
-  const waitMs = state.settings.times.takeoverAfterMs + random * CLAIM_SPREAD_MS;
-  if (!isFree && nowMs - sinceMs < waitMs) return unchanged(seen);
-  const step = advanceLeadership({ ...seen, wasLeaseReleased: isFree }, 'leaseFree');
-  return withEffects({ ...step.state, claimedAtMs: nowMs }, step.effects);
-}
-
-function onClaimWon(
-  state: SchedulerState,
-  versions: { readonly leader: number; readonly lease: number },
-): SchedulerStep {
-  const previous = state.leader;
-  const leader = nextLeader(state);
-  const { times } = state.settings;
-  const step = advanceLeadership(
-    {
-      ...state,
-      leader,
-      leaderVersion: versions.leader,
-      leaseVersion: versions.lease,
-      leaseNumber: 1,
-      mayGrantUntilMs: state.claimedAtMs + times.grantWindowMs,
-      renewAtMs: state.claimedAtMs + times.renewMs,
-    },
-    'claimWon',
-  );
-  const notify: readonly SchedulerEffect[] =
-    previous === undefined || previous.entryId === leader.entryId
-      ? []
-      : [{ kind: 'notifyEntry', host: previous.host, port: previous.port, leader }];
-  const fields = { term: leader.term, before: previous?.entryId ?? '' };
-  return withEffects(step.state, [...step.effects, ...notify, logEffect('leaderClaimed', fields)]);
-}
-
-/** Handles the result of a claim. Without a reply it counts as lost; its lease expires unused. */
-export function onClaimResult(state: SchedulerState, result: RowCommitResult): SchedulerStep {
-  if (state.phase !== 'claiming') return unchanged(state);
-  switch (result.kind) {
-    case 'committed':
-      return onClaimWon(state, { leader: result.version, lease: result.version });
-    case 'conflict':
-    case 'unavailable':
-    case 'unknown':
-      return advanceLeadership(state, 'claimLost');
-    default:
-      return assertNever(result);
-  }
+/** Returns whether this entry holds the lease. It may still be loading its state, or be stopping. */
+export function holdsLease({ phase }: SchedulerState): boolean {
+  return phase === 'loading' || phase === 'leading' || phase === 'releasing';
 }
 
 /** Updates the leader from the store or from a message of another entry. */
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -69,6 +69,7 @@
   const removed: SchedulerState = {
     ...state,
     workers: state.workers.delete(workerKey),
+    awaited: state.awaited.delete(workerKey),
     orphans: state.orphans.filter((orphan) => orphan.workerKey !== workerKey),
   };
   const step = chainAll(
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -36,7 +36,8 @@
   const { times } = state.settings;
   const known = state.workers.get(workerKey);
   const isNewClock = clockMs > (known?.clockMs ?? -1);
-  const mayGrant = isNewClock && nowMs < state.mayGrantUntilMs;
+  const isAwaited = state.storedAwaited.has(workerKey);
+  const mayGrant = isNewClock && !isAwaited && nowMs < state.mayGrantUntilMs;
   const expiresAtMs = nowMs + times.agentLeaseMs + times.marginMs;
   const view: WorkerView = {
     workerKey,
@@ -61,6 +62,8 @@
     {
       ...state,
       workers: state.workers.set(workerKey, view),
+      awaited: state.awaited.delete(workerKey),
+      renewAtMs: isAwaited ? nowMs : state.renewAtMs,
       needsPlacement: state.needsPlacement || isChanged || known.linkId === undefined,
     },
     [...grant, ...log],
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -64,7 +64,24 @@
   term: z.int(),
 });
 
-const leaseSchema = z.object({ entryId: z.string(), number: z.int(), isReleased: z.boolean() });
+const grantsSchema = z.object({
+  /** Longest time from the write of the row to the end of its holder's leases; 0 if it granted none. */
+  lastEndMs: z.number(),
+  /** Time on the store's clock at which the leases of earlier holders have ended. */
+  earlierEndAtMs: z.number(),
+  /** The same for workers that have not reported to the holder, which grants them nothing. */
+  awaited: z.record(z.string(), z.number()),
+});
+
+const leaseSchema = z.object({
+  entryId: z.string(),
+  number: z.int(),
+  isReleased: z.boolean(),
+  grants: grantsSchema.optional(),
+});
+
+/** Leases of workers that the holder of the lease row and earlier ones may have granted. */
+export type LeaseGrants = z.infer<typeof grantsSchema>;
 
 /** Value of the lease row. */
 export type LeaseValue = z.infer<typeof leaseSchema>;
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,6 +1,7 @@
 import { Map } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
+import { NO_EARLIER_LEASES } from './leases';
 import { NO_RUNS } from './runs';
 import type {
   OpenJob,
@@ -29,6 +30,11 @@
   needsPlacement: false,
   writtenCounts: '',
   countsWrittenAtMs: 0,
+  earlierLeases: NO_EARLIER_LEASES,
+  awaited: Map<string, never>(),
+  storedAwaited: new Set<string>(),
+  isGranting: false,
+  mayGrantUntilMs: 0,
 } as const;
 
 /** Returns the state of a scheduler before its first read of the store. */
@@ -41,9 +47,8 @@
     leaseVersion: -1,
     leaseNumber: 0,
     nextReadAtMs: 0,
-    claimedAtMs: 0,
-    wasLeaseReleased: false,
-    mayGrantUntilMs: 0,
+    pollSentAtMs: 0,
+    storeClock: { localMs: 0, storeMs: 0 },
     domainsOut: new Set(),
     links: Map(),
     linksOpened: 0,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -1,18 +1,10 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
-import { flush, onCommitResult, retryTransaction } from './flush';
+import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
+import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
 import { onJobRows, onLoaded } from './jobs';
-import {
-  advanceLeadership,
-  CALLS,
-  loadEffects,
-  onClaimResult,
-  onLeader,
-  onLeaderRow,
-  onPoll,
-  pollLease,
-} from './leadership';
+import { advanceLeadership, CALLS, loadEffects, onLeader, onLeaderRow } from './leadership';
 import { paceWorker } from './pace';
 import { placeTasks } from './place';
 import { releaseWorker } from './release';
@@ -51,7 +43,10 @@
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const isReady = state.phase === 'leading' && state.inFlight === undefined && state.needsPlacement;
   const placed = isReady ? placeTasks(state, nowMs, wallMs) : unchanged(state);
-  return chainAfter(placed, [(current) => flush(current, nowMs, wallMs)]);
+  return chainAfter(placed, [
+    (current) => flush(current, nowMs, wallMs),
+    (current) => releaseLease(current, nowMs),
+  ]);
 }
 
 function onTick(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
@@ -65,6 +60,7 @@
     : state;
   return chainAll(updated, [
     (current) => pollLease(current, nowMs),
+    (current) => retryClaim(current, nowMs),
     (current) => reload(current, nowMs),
     (current) => retryTransaction(current, nowMs),
     (current) => expireWorkers(current, nowMs),
@@ -107,9 +103,11 @@
         (current) => placeAndFlush(current, nowMs, event.wallMs),
       ]);
     case 'commitDone':
-      if (event.callId === CALLS.claimLease) return onClaimResult(state, event.result);
       return chainAll(state, [
-        (current) => onCommitResult(current, event.callId, event.result, nowMs),
+        (current) =>
+          event.callId === CALLS.claimLease
+            ? onClaimResult(current, event.result, nowMs)
+            : onCommitResult(current, event.callId, event.result, nowMs),
         (current) => placeAndFlush(current, nowMs, event.wallMs),
       ]);
     case 'rangeDone':
@@ -163,7 +161,9 @@
       }
     }
     case 'stop':
-      return advanceLeadership(state, 'stop');
+      return chainAfter(advanceLeadership(state, 'stop'), [
+        (current) => releaseLease(current, nowMs),
+      ]);
     default:
       return assertNever(event);
   }
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -13,14 +13,15 @@
 import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { LeaseValue } from './rows';
 import type { RunTable } from './runs';
 import type { SchedulerTimes } from './times';
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
-  states: ['following', 'claiming', 'loading', 'leading', 'stopped'],
-  events: ['leaseFree', 'claimWon', 'claimLost', 'loaded', 'deposed', 'stop'],
-  actions: ['claim', 'load', 'begin', 'reset', 'releaseLease'],
+  states: ['following', 'claiming', 'withdrawing', 'loading', 'leading', 'releasing', 'stopped'],
+  events: ['leaseFree', 'claimWon', 'claimLost', 'loaded', 'deposed', 'stop', 'released'],
+  actions: ['claim', 'load', 'begin', 'reset', 'resign'],
 });
 
 /** State of the leadership chart. */
@@ -122,11 +123,49 @@
   readonly postCommit: readonly PostCommitAction[];
 }
 
+/** The lease row as this entry last read it. */
+export interface SeenLease {
+  readonly version: number;
+  /** Absent when there is no row. */
+  readonly value?: LeaseValue;
+  /** Time of the first read of this version on the store's clock. */
+  readonly sinceClockMs: number;
+  /** Time since which polls without a long gap have found this version. */
+  readonly sinceMs: number;
+  readonly polledAtMs: number;
+}
+
+/** Ends of the leases that earlier leaders may have granted, on the store's clock. */
+export interface EarlierLeases {
+  /** End for every worker that is not in `awaited`. */
+  readonly endAtMs: number;
+  readonly awaited: Map<string, number>;
+}
+
+/** The same moment on this process's clock and on the store's. */
+export interface StoreClock {
+  readonly localMs: number;
+  readonly storeMs: number;
+}
+
+/** A claim of the lease that was sent and is not settled. */
+export interface Claim {
+  readonly leader: Leader;
+  /** Leader before the claim. */
+  readonly previous?: Leader;
+  readonly transaction: RowTransaction;
+  readonly earlierLeases: EarlierLeases;
+  readonly sentAtMs: number;
+  /** An attempt without a reply may have taken effect. */
+  readonly wasUnknown: boolean;
+  readonly retryAtMs?: number;
+}
+
 /** A transaction that was sent and is not settled. */
 export interface InFlightTransaction {
   readonly callId: string;
   readonly transaction: RowTransaction;
-  readonly leaseNumber: number;
+  readonly lease: LeaseValue;
   readonly sentAtMs: number;
   readonly firstSentAtMs: number;
   readonly postCommit: readonly PostCommitAction[];
@@ -154,13 +193,19 @@
   readonly leaderVersion: number;
   readonly leaseVersion: number;
   readonly leaseNumber: number;
-  /** Time since which every read of the lease row got a reply and found it unchanged. */
-  readonly leaseUnchangedSinceMs?: number;
+  readonly seenLease?: SeenLease;
+  readonly storeClock: StoreClock;
   readonly pollCallId?: string;
+  readonly pollSentAtMs: number;
   readonly nextReadAtMs: number;
-  readonly claimedAtMs: number;
-  /** Whether the previous leader released its lease; it then grants no more leases to agents. */
-  readonly wasLeaseReleased: boolean;
+  readonly claim?: Claim;
+  readonly earlierLeases: EarlierLeases;
+  /** Workers that have not reported to this leader, with the end of their leases. */
+  readonly awaited: Map<string, number>;
+  /** Awaited workers in the stored lease row. Leases are granted only to others. */
+  readonly storedAwaited: ReadonlySet<string>;
+  /** Whether the stored lease row says that this leader grants leases. */
+  readonly isGranting: boolean;
   /** Time until which agents may be granted leases. */
   readonly mayGrantUntilMs: number;
   readonly loading: LoadState;
--- a/packages/scheduler/test/leadership.test.ts
+++ b/packages/scheduler/test/leadership.test.ts
@@ -1,16 +1,18 @@
 import { expect } from 'chai';
 import type { StoredRow } from '@bronzeyoke/ports';
-import type { Leader } from '@bronzeyoke/scheduler';
+import type { Leader, LeaseValue } from '@bronzeyoke/scheduler';
 import { LEADER_KEY, LEASE_KEY } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
 import {
   advance,
+  commitAll,
   createFollower,
   createLeader,
   dispatch,
   inFlight,
   jobOf,
   report,
+  sentMessages,
   stageOf,
   submit,
   TIMES,
@@ -94,6 +96,19 @@
   expect(settleClaim(lost, { kind: 'conflict', rows }).state.phase).to.equal('following');
 });
 
+// Guards against a takeover time that starts anew because a busy store refused the claim.
+it('claims again at the next poll after the store refused a claim', () => {
+  const lease = leaseRow({ entryId: 'entry-2', number: 9, isReleased: false }, 10);
+  const claimed = Array.from({ length: 6 }).reduce<Fixture>(
+    (fixture, _, index) => poll(fixture, lease, 50_000 + index * 400),
+    createFollower(),
+  );
+  expect(claimed.state.phase).to.equal('claiming');
+  const refused = settleClaim(claimed, { kind: 'unavailable' });
+  expect(refused.state.phase).to.equal('following');
+  expect(poll(refused, lease, 52_400).state.phase).to.equal('claiming');
+});
+
 function releaseOf(fixture: Fixture) {
   return commitsOf(fixture).find(({ transaction }) =>
     transaction.writes.some(
@@ -194,14 +209,17 @@
   entryId: 'entry-2',
   number: 3,
   isReleased: false,
-  leases: { lastMs: 0, earlierEndAtMs: 20_000, awaited: {} },
+  grants: { lastEndMs: 0, earlierEndAtMs: 20_000, awaited: {} },
 };
 
 // Guards against a wait that starts with each new leader although the time before its claim counts: the
 // store's clock tells since when the lease row is unchanged.
 it('counts the wait for silent workers from the last renewal', () => {
   const lease = { entryId: 'entry-2', number: 9, isReleased: false };
-  const granting = { ...lease, leases: { lastMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} } };
+  const granting = {
+    ...lease,
+    grants: { lastEndMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} },
+  };
   const leader = takeOver(leaseRow(granting, 10), 50_000);
   expect(releasedAfterMs(leader)).to.be.at.most(LEASE_END_MS - 2_000 + 50);
   expect(releasedAfterMs(leader)).to.be.at.least(LEASE_END_MS - 2_400);
@@ -216,8 +234,8 @@
 // Guards against a wait that starts anew for a worker that the last leader never heard of.
 it('goes on with the wait for a worker that stayed silent', () => {
   const awaited = { [workerKeyFor('w1')]: 53_000 };
-  const leases = { lastMs: LEASE_END_MS, earlierEndAtMs: 53_000, awaited };
-  const leader = takeOver(leaseRow({ ...LOADING_LEASE, leases }, 10), 50_000);
+  const grants = { lastEndMs: LEASE_END_MS, earlierEndAtMs: 53_000, awaited };
+  const leader = takeOver(leaseRow({ ...LOADING_LEASE, grants }, 10), 50_000);
   expect(releasedAfterMs(leader)).to.be.within(900, 1_100);
 });
 
@@ -228,15 +246,37 @@
   expect(releasedAfterMs(leader)).to.be.at.least(LEASE_END_MS - 2_400);
 });
 
+function grantsOf(fixture: Fixture): number {
+  return sentMessages(fixture, 'grant').length;
+}
+
+/** Takes over from a leader that granted leases until then. */
+function takeOverGranting(): Fixture {
+  const lease = { entryId: 'entry-2', number: 9, isReleased: false };
+  const granted = { lastEndMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} };
+  return takeOver(leaseRow({ ...lease, grants: granted }, 10), 50_000);
+}
+
 // Guards against a lease that is granted before the store knows that its holder may grant it: the next
 // leader would not wait for it.
 it('grants no lease to an awaited worker before the row says so', () => {
-  const lease = { entryId: 'entry-2', number: 9, isReleased: false };
-  const leases = { lastMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} };
-  const leader = takeOver(leaseRow({ ...lease, leases }, 10), 50_000);
-  const reported = report(advance(leader, 50), 'w1');
-  const grants = reported.effects.filter(
-    (effect) => effect.kind === 'send' && effect.message.kind === 'grant',
-  );
-  expect(grants).to.have.length(0);
+  const reported = report(advance(takeOverGranting(), 50), 'w1');
+  expect(grantsOf(reported)).to.equal(0);
+});
+
+// Guards against a worker that loses its tasks because it stays awaited after its report.
+it('grants a lease once the row no longer names the worker as awaited', () => {
+  const begun = commitAll(takeOverGranting());
+  const reported = report(advance(begun, 50), 'w1');
+  expect(grantsOf(reported)).to.equal(0);
+  const struck = commitAll(advance(reported, 50));
+  expect(grantsOf(report(advance(struck, 300), 'w1'))).to.equal(1);
+});
+
+// Guards against a successor that waits anew although the leader that releases knows better.
+it('names the workers that it still awaits when it releases its lease', () => {
+  const stopped = dispatch(commitAll(takeOverGranting()), { kind: 'stop' });
+  const write = releaseOf(stopped)?.transaction.writes[0];
+  const value = write?.kind === 'put' ? (write.value as LeaseValue) : undefined;
+  expect(value?.grants?.awaited).to.deep.equal({ [workerKeyFor('w1')]: 50_000 + LEASE_END_MS });
 });
