--- a/packages/scheduler/test/leadership.test.ts
+++ b/packages/scheduler/test/leadership.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { StoredRow } from '@bronzeyoke/ports';
 import type { Leader, LeaseValue } from '@bronzeyoke/scheduler';
-import { LEADER_KEY, LEASE_KEY } from '@bronzeyoke/scheduler';
+import { deriveTimes, LEADER_KEY, LEASE_KEY } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
 import {
   advance,
@@ -280,3 +280,19 @@
   const value = write?.kind === 'put' ? (write.value as LeaseValue) : undefined;
   expect(value?.grants?.awaited).to.deep.equal({ [workerKeyFor('w1')]: 50_000 + LEASE_END_MS });
 });
+
+/** Time for which a lasting task may be away after its last run while nothing fails. */
+const MAX_AWAY_MS = 9_000;
+
+/** Polls, the claim, the load, the commit of the next run and its start, which follow the wait. */
+const RESTART_MS = 650;
+
+// Guards against lasting tasks that stay away longer than promised when their worker and the leader fail
+// together: the wait for the leases of the last leader must leave time for the restart.
+it('waits for silent workers no longer than the promise for lasting tasks', () => {
+  [3_000, 6_000, 10_000, 20_000, 60_000].forEach((maxLeaseMs) => {
+    const times = deriveTimes({ maxLeaseMs, holderLeaseMs: 3_000, statusMs: 120_000 });
+    const waitMs = times.grantWindowMs + times.agentLeaseMs + times.marginMs;
+    expect(waitMs + RESTART_MS, `${maxLeaseMs}`).to.be.at.most(MAX_AWAY_MS);
+  });
+});
