Give a leader more time to renew while the store is slow

The leadership moved on every two seconds while the store was slow: claims at 37.40, 43.33, 45.41, 47.37 and 49.34 s, each by an entry whose polls still came through. An unchanged lease row was taken over after 1.8 s however long a transaction took. The time now grows with the duration of the poll, by 1.5 s at most, so that a leader that is really gone is still replaced before the leases of agents end. The new test fails without the change.

--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -17,6 +17,9 @@
 /** After a longer gap without a reply, the leader gets the whole time again to renew its lease. */
 const MAX_POLL_GAP_MS = 1_000;
 
+/** Multiple of a poll's duration that a renewal may take while the store is slow, and its limit. */
+const SLOW_RENEWAL_FACTOR = 6;
+const MAX_SLOW_RENEWAL_MS = 1_500;
 const CLAIM_RETRY_MS = 150;
 
 /** A row that cannot be decoded counts as held. */
@@ -94,7 +97,9 @@
   const seen = { ...polled, seenLease: lease, storeClock };
   if (state.leaderVersion < 0) return unchanged(seen);
   const isFree = lease.value === undefined || lease.value.isReleased;
-  const waitMs = state.settings.times.takeoverAfterMs + random * CLAIM_SPREAD_MS;
+  const pollMs = nowMs - state.pollSentAtMs;
+  const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
+  const waitMs = state.settings.times.takeoverAfterMs + slowMs + random * CLAIM_SPREAD_MS;
   if (!isFree && nowMs - lease.sinceMs < waitMs) return unchanged(seen);
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
 }
--- a/packages/scheduler/test/leadership.test.ts
+++ b/packages/scheduler/test/leadership.test.ts
@@ -109,6 +109,23 @@
   expect(poll(refused, lease, 52_400).state.phase).to.equal('claiming');
 });
 
+// Guards against a leadership that moves on every two seconds while the store is slow: renewals then
+// take longer than the time after which an unchanged lease is taken over.
+it('gives a leader more time to renew while polls are slow', () => {
+  const lease = leaseRow({ entryId: 'entry-2', number: 9, isReleased: false }, 10);
+  const slowPolls = Array.from({ length: 5 }).reduce<Fixture>((fixture, _, index) => {
+    const sent = advance(fixture, 300);
+    const clockMs = 50_000 + index * 550;
+    const result = { kind: 'rows', rows: [lease], version: 10, clockMs } as const;
+    const replied = { ...sent, nowMs: sent.nowMs + 250 };
+    return dispatch(replied, { kind: 'rangeDone', callId: 'poll', result, wallMs });
+  }, createFollower());
+  expect(slowPolls.state.phase).to.equal('following');
+  expect(
+    poll(poll(poll(slowPolls, lease, 53_150), lease, 53_550), lease, 53_950).state.phase,
+  ).to.equal('claiming');
+});
+
 function releaseOf(fixture: Fixture) {
   return commitsOf(fixture).find(({ transaction }) =>
     transaction.writes.some(
