Release adopted runs when a later instance reports at their address

After a loss of power workers return under other ids at the same addresses. A new leader knows the earlier instances only from the stored claims, which named a worker by id and start time, so their tasks waited for the longest lease of the leader before. A claim now stores the worker's address, and an instance that was born later at that address releases the tasks. One that was not born later releases nothing, as its report may be a delayed one. Rows without the address load as before, and older builds ignore the field.

--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -10,6 +10,7 @@
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
+import { earlierInstances } from './instances';
 import { advanceLeadership, CALLS } from './leadership';
 import { PAIRS_KEY, parseJobKey } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
@@ -21,6 +22,7 @@
   SchedulerEffect,
   SchedulerState,
   SchedulerStep,
+  WorkerView,
 } from './types';
 import { runRef } from './types';
 
@@ -134,6 +136,43 @@
   );
 }
 
+/** Returns the addresses that the claims of each worker name. */
+function claimedAddresses(state: SchedulerState): Map<string, ReadonlySet<string>> {
+  const claims = state.jobs
+    .valueSeq()
+    .flatMap(({ progress }) => assignedSlots(progress).map(([, task]) => task));
+  return claims.reduce(
+    (known, { workerKey = '', workerAddress: address }) =>
+      address === undefined
+        ? known
+        : known.set(workerKey, new Set([...known.get(workerKey, []), address])),
+    Map<string, ReadonlySet<string>>(),
+  );
+}
+
+/** Adds the addresses in the claims, and expires the workers that a known report proves to have ended. */
+function withClaimedAddresses(
+  workers: Map<string, WorkerView>,
+  state: SchedulerState,
+  nowMs: number,
+): Map<string, WorkerView> {
+  const addresses = claimedAddresses(state);
+  const located = workers.map((view): WorkerView => {
+    const [address, other] = addresses.get(view.workerKey, []);
+    // Claims that name different addresses do not show which one the worker has left.
+    return address === undefined || other !== undefined
+      ? view
+      : { ...view, claimedAddress: address };
+  });
+  const ended = state.workers
+    .valueSeq()
+    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(located, report)));
+  return ended.reduce(
+    (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
+    located,
+  );
+}
+
 /** Adds the runs in the stored progress. Their start orders may or may not have been sent. */
 function adoptRuns(
   state: SchedulerState,
@@ -187,7 +226,7 @@
   return {
     ...state,
     runs: runs.reduce((table, [task, run]) => putRun(table, task, run), NO_RUNS),
-    workers: Map(workers).merge(state.workers),
+    workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
   };
 }
 
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -2,7 +2,7 @@
 import { classifyFills } from '@bronzeyoke/interference';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import { chooseWorker, fitsEmptyWorker, withTask } from '@bronzeyoke/placement';
-import { NO_RESOURCES } from '@bronzeyoke/types';
+import { NO_RESOURCES, without } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
 import {
   advanceRun,
@@ -130,7 +130,13 @@
 ): SchedulerState {
   const { jobId } = open.job;
   const task = taskProgress(open.progress, slot);
-  const claimed = { ...advanceRun(task, 'claim'), attempt, workerKey };
+  const address = state.workers.get(workerKey)?.report?.address;
+  const claimed = {
+    ...without(advanceRun(task, 'claim'), 'workerAddress'),
+    attempt,
+    workerKey,
+    ...(address === undefined ? {} : { workerAddress: address }),
+  };
   const name = `${jobId}.${slot}`;
   const run: RunView = {
     jobId,
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -40,7 +40,7 @@
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
   if (run === undefined || open === undefined) return unchanged(state);
   const { workerKey, attempt, jobId, slot } = run;
-  const known = without(taskProgress(open.progress, slot), 'workerKey');
+  const known = without(taskProgress(open.progress, slot), 'workerKey', 'workerAddress');
   const released = advanceRun(known, 'release');
   const next = putJob(
     {
@@ -176,7 +176,7 @@
     end: ended.end,
   };
   const { state: recorded, effects } = recordEnd(state, ended, ref.jobId, nowMs);
-  const rest = without(task, 'workerKey');
+  const rest = without(task, 'workerKey', 'workerAddress');
   const keepsCheckpoint = stage.savesCheckpoints && ended.checkpoint !== '';
   const moved = {
     ...advanceRun(rest, ended.end === 'done' ? 'done' : 'release'),
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -4,6 +4,7 @@
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
+import { earlierInstances } from './instances';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
 import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
@@ -67,28 +68,15 @@
   );
 }
 
-/**
- * Releases earlier instances of a worker. A later one at the same address or under the same id proves
- * that they have ended.
- */
+/** Releases the earlier instances of a worker that the report proves to have ended. */
 function releaseEarlierInstances(
   state: SchedulerState,
   report: Report,
   nowMs: number,
 ): SchedulerStep {
-  const { id, address, bornAtMs } = report.worker;
-  const earlier = state.workers.filter(({ workerKey, report: other }) => {
-    if (workerKey === report.workerKey) return false;
-    const isSameWorker =
-      other === undefined
-        ? workerKey.startsWith(`${id}@`)
-        : other.id === id || other.address === address;
-    const born = Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
-    return isSameWorker && born < bornAtMs;
-  });
   return chainAll(
     state,
-    [...earlier.keys()].map(
+    earlierInstances(state.workers, report.worker).map(
       (workerKey) => (current: SchedulerState) =>
         releaseWorker(current, workerKey, 'workerGone', nowMs),
     ),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -98,6 +98,8 @@
   readonly workerKey: string;
   /** Absent until its agent has reported to this leader. */
   readonly report?: WorkerReport;
+  /** Address in the claims of the leader before, until the agent has reported. */
+  readonly claimedAddress?: string;
   readonly linkId?: string;
   /** Number of the newest connection that its agent reported on. */
   readonly linkNumber: number;
--- /dev/null
+++ b/packages/scheduler/test/adopt.test.ts
@@ -0,0 +1,116 @@
+import { expect } from 'chai';
+import { progressKey } from '@bronzeyoke/scheduler';
+import type { TaskProgress } from '@bronzeyoke/workflow';
+import { decodeProgress } from '@bronzeyoke/workflow';
+import type { Fixture } from './fixture';
+import {
+  advance,
+  commitAll,
+  createLeader,
+  createLoading,
+  inFlight,
+  jobOf,
+  load,
+  report,
+  stageOf,
+  submit,
+  TIMES,
+  workerKeyFor,
+} from './fixture';
+
+const SLOT = '0.0.0';
+
+/** Returns the stored progress of a task that runs on the worker at a site. */
+function storedRun(site: string, changes: Partial<TaskProgress> = {}): TaskProgress {
+  return {
+    phase: 'running',
+    attempt: 1,
+    failures: 0,
+    workerKey: workerKeyFor(site, 500),
+    workerAddress: `${site}:1`,
+    ...changes,
+  };
+}
+
+/** Returns a new leader that took over the only task of a job from a silent worker. */
+function adopted(task: TaskProgress): Fixture {
+  const loaded = load(createLoading(), [jobOf('job1', [stageOf(1)])], { job1: { [SLOT]: task } });
+  return commitAll(loaded);
+}
+
+function taskOf(fixture: Fixture): TaskProgress | undefined {
+  return fixture.state.jobs.get('job1')?.progress.tasks.get(SLOT);
+}
+
+// Guards against tasks that wait for the longest lease after a loss of power, when workers return under other ids.
+it('releases an adopted run when a later instance reports at its address', () => {
+  const back = report(adopted(storedRun('w1')), 'w2', { bornAtMs: 900, address: 'w1:1' });
+  expect(taskOf(back)?.workerKey).to.equal(workerKeyFor('w2', 900));
+  expect(taskOf(back)?.attempt).to.equal(2);
+});
+
+// Guards against a second run of a task after a late report of an instance that ended before its worker began.
+it('keeps an adopted run when an earlier instance reports at its address', () => {
+  const ids = [400, 500].map((bornAtMs) =>
+    report(adopted(storedRun('w1')), 'w2', { bornAtMs, address: 'w1:1' }),
+  );
+  expect(ids.map((late) => taskOf(late)?.workerKey)).to.deep.equal([
+    workerKeyFor('w1', 500),
+    workerKeyFor('w1', 500),
+  ]);
+});
+
+// Guards against a second run of a task whose worker is merely silent.
+it('keeps an adopted run when a later instance reports at another address', () => {
+  const other = report(adopted(storedRun('w1')), 'w2', { bornAtMs: 900 });
+  expect(taskOf(other)?.workerKey).to.equal(workerKeyFor('w1', 500));
+});
+
+// Guards against a proof from an address that only a part of the claims names.
+it('keeps adopted runs whose claims name different addresses', () => {
+  const tasks = { [SLOT]: storedRun('w1'), '0.0.1': storedRun('w1', { workerAddress: 'w3:1' }) };
+  const loaded = commitAll(load(createLoading(), [jobOf('job1', [stageOf(2)])], { job1: tasks }));
+  const later = report(loaded, 'w2', { bornAtMs: 900, address: 'w1:1' });
+  expect(taskOf(later)?.workerKey).to.equal(workerKeyFor('w1', 500));
+});
+
+// Guards against a wait for the lease of a run whose successor at the address reported before the load ended.
+it('releases an adopted run when a later instance was known before the load ended', () => {
+  const known = report(createLeader(), 'w2', { bornAtMs: 900, address: 'w1:1' });
+  const loading = createLoading();
+  const { workers, links } = known.state;
+  const state = { ...loading.state, workers, links };
+  const loaded = load({ ...loading, state }, [jobOf('job1', [stageOf(1)])], {
+    job1: { [SLOT]: storedRun('w1') },
+  });
+  expect(taskOf(commitAll(advance(commitAll(loaded), 50)))?.workerKey).to.equal(
+    workerKeyFor('w2', 900),
+  );
+});
+
+// Guards against a claim without the address that a new leader needs.
+it('stores the address of the worker with the claim and removes it with the worker', () => {
+  const claimed = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
+  const row = inFlight(claimed).transaction.writes.find(
+    ({ table, key }) => table === progressKey('job1').table && key === 'job1',
+  );
+  const value = row?.kind === 'put' ? decodeProgress(row.value) : undefined;
+  expect(value?.tasks.get(SLOT)?.workerAddress).to.equal('w1:1');
+  const placed = commitAll(claimed);
+  const failed = report(advance(placed, 100), 'w1', {
+    ended: [{ sequence: 1, task: 'job1.0.0.0', attempt: 1, end: 'failed', checkpoint: '' }],
+    lastOrder: 1,
+  });
+  expect(taskOf(failed)).to.not.have.any.keys('workerKey', 'workerAddress');
+  const silent = advance(placed, TIMES.agentLeaseMs + TIMES.marginMs + 10);
+  expect(taskOf(silent)).to.not.have.any.keys('workerKey', 'workerAddress');
+});
+
+// Guards against rows of one build that the other build cannot read during an update.
+it('reads rows without the address and rows with fields of a later build', () => {
+  const task = { phase: 'running', attempt: 1, failures: 0, workerKey: workerKeyFor('w1') };
+  const old = decodeProgress({ tasks: { [SLOT]: task } });
+  const later = decodeProgress({ tasks: { [SLOT]: { ...task, laterField: 'x' } } });
+  expect(old?.tasks.get(SLOT)).to.deep.equal(task);
+  expect(later?.tasks.get(SLOT)).to.deep.equal(task);
+});
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -5,9 +5,16 @@
   SchedulerState,
   SchedulerTimes,
 } from '@bronzeyoke/scheduler';
-import { createScheduler, deriveTimes, jobKey, stepScheduler } from '@bronzeyoke/scheduler';
+import {
+  createScheduler,
+  deriveTimes,
+  jobKey,
+  progressKey,
+  stepScheduler,
+} from '@bronzeyoke/scheduler';
+import type { EventFields } from '@bronzeyoke/telemetry';
 import type { RunnerMessage } from '@bronzeyoke/wire';
-import type { Stage, WorkflowJob } from '@bronzeyoke/workflow';
+import type { Stage, TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
 
 /** Times derived from those of a typical deployment. */
 export const TIMES: SchedulerTimes = deriveTimes({
@@ -99,6 +106,55 @@
   return commitAll(dispatch(read, { kind: 'jobRows', isFull: true, rows: [], wallMs }));
 }
 
+/** Returns a scheduler that has won its claim and has read nothing yet. */
+export function createLoading(): Fixture {
+  const wallMs = WALL_MS + 1_000;
+  const claiming = dispatch(advance(createFollower(), 400), {
+    kind: 'rangeDone',
+    callId: 'poll',
+    result: { kind: 'rows', rows: [], version: 10 },
+    wallMs,
+  });
+  const result = { kind: 'committed', version: 11 } as const;
+  return dispatch(
+    { ...claiming, version: 11 },
+    { kind: 'commitDone', callId: 'claim', result, wallMs },
+  );
+}
+
+/** Delivers the reads of a new leader: open jobs, and the stored tasks of some of them. */
+export function load(
+  fixture: Fixture,
+  jobs: readonly WorkflowJob[],
+  tasksByJob: Readonly<Record<string, Readonly<Record<string, TaskProgress>>>>,
+): Fixture {
+  const wallMs = WALL_MS + fixture.nowMs;
+  const { version } = fixture;
+  const progress = Object.entries(tasksByJob).map(([jobId, tasks]) => ({
+    ...progressKey(jobId),
+    version,
+    value: { tasks },
+  }));
+  const read = dispatch(
+    dispatch(fixture, {
+      kind: 'rangeDone',
+      callId: 'progress',
+      result: { kind: 'rows', rows: progress, version },
+      wallMs,
+    }),
+    { kind: 'rangeDone', callId: 'notes', result: { kind: 'rows', rows: [], version }, wallMs },
+  );
+  const rows = jobs.map((job) => ({ ...jobKey(job.jobId), version, value: job }));
+  return dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs });
+}
+
+/** Returns the fields of the logged events of a kind. */
+export function loggedFields(fixture: Fixture, event: string): readonly EventFields[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'log' && effect.event === event ? [effect.fields] : [],
+  );
+}
+
 /** Returns a stage of small tasks. */
 export function stageOf(taskCount: number, changes: Partial<Stage> = {}): Stage {
   return {
@@ -155,6 +211,7 @@
   readonly clockMs?: number;
   readonly bornAtMs?: number;
   readonly domain?: string;
+  readonly address?: string;
   /** Connection that the report comes on. */
   readonly link?: string;
 }
@@ -166,7 +223,7 @@
 
 /** Delivers a report of the agent at a site. */
 export function report(fixture: Fixture, site: string, fields: ReportFields = {}): Fixture {
-  const { bornAtMs = 5, domain = 'north' } = fields;
+  const { bornAtMs = 5, domain = 'north', address = `${site}:1` } = fields;
   const message: RunnerMessage = {
     kind: 'report',
     agentId: `agent-${site}`,
@@ -174,7 +231,7 @@
     workerKey: workerKeyFor(site, bornAtMs),
     worker: {
       id: site,
-      address: `${site}:1`,
+      address,
       bornAtMs,
       service: 'quoter',
       domain,
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -52,6 +52,7 @@
   attempt: z.int(),
   failures: z.int(),
   workerKey: z.string().optional(),
+  workerAddress: z.string().optional(),
   checkpoint: z.string().optional(),
   failedOn: z.string().optional(),
 });
--- a/packages/workflow/src/run.ts
+++ b/packages/workflow/src/run.ts
@@ -22,6 +22,8 @@
   readonly failures: number;
   /** Worker of the current run. */
   readonly workerKey?: string;
+  /** Address of that worker; absent in claims of builds that did not store it. */
+  readonly workerAddress?: string;
   readonly checkpoint?: string;
   /** Worker on which the last run failed; the next run avoids it. */
   readonly failedOn?: string;
