Limit the repeats of stop orders for unwanted runs

Each report that lists a run which no job wants sent a stop order and logged taskStopped, so five reports within a millisecond gave five lines for each run. These lines push others out of the last 24 KB that are collected. The order now leaves at once and is repeated, and logged, after STOP_REPEAT_MS at the earliest. The times are kept with the worker, for the runs that it lists.

--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,3 +1,4 @@
+import { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { without } from '@bronzeyoke/types';
@@ -38,6 +39,7 @@
   const known = state.workers.get(workerKey);
   const isNewClock = clockMs > (known?.clockMs ?? -1);
   const mayGrant = isNewClock && nowMs < state.mayGrantUntilMs;
+  const listed = new Set(report.running.map((run) => runKey(run)));
   const expiresAtMs = nowMs + times.agentLeaseMs + times.marginMs;
   const view: WorkerView = {
     workerKey,
@@ -49,6 +51,9 @@
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
+    ...(known?.unwantedStops === undefined
+      ? {}
+      : { unwantedStops: known.unwantedStops.filter((_, key) => listed.has(key)) }),
   };
   const leaseUntilClockMs = Math.floor(clockMs + times.agentLeaseMs * CLOCK_SHARE);
   const grant: readonly SchedulerEffect[] = mayGrant
@@ -131,6 +136,29 @@
   };
 }
 
+/** Stops a run that no job wants. The order is repeated while the worker goes on listing the run. */
+function stopUnwanted(
+  state: SchedulerState,
+  workerKey: string,
+  run: RunRef,
+  nowMs: number,
+): SchedulerStep {
+  const view = state.workers.get(workerKey);
+  const key = runKey(run);
+  const sentAtMs = view?.unwantedStops?.get(key);
+  const isRecent = sentAtMs !== undefined && nowMs - sentAtMs <= STOP_REPEAT_MS;
+  if (view === undefined || isRecent) return unchanged(state);
+  const unwantedStops = (view.unwantedStops ?? Map<string, number>()).set(key, nowMs);
+  const { task, attempt } = run;
+  return withEffects(
+    { ...state, workers: state.workers.set(workerKey, { ...view, unwantedStops }) },
+    [
+      ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run }),
+      logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
+    ],
+  );
+}
+
 /** Updates a run that a worker lists as running, or stops one that is not wanted. */
 function updateListed(
   state: SchedulerState,
@@ -143,10 +171,7 @@
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
   const isWanted = run?.attempt === attempt && run.workerKey === workerKey;
   if (run === undefined || open === undefined || !isWanted) {
-    return withEffects(state, [
-      ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
-      logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
-    ]);
+    return stopUnwanted(state, workerKey, runRef(task, attempt), nowMs);
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -111,6 +111,8 @@
   /** Jobs that failed here since the last success. */
   readonly failedJobs: readonly string[];
   readonly quarantinedUntilMs: number;
+  /** Time of the last stop order of each unwanted run that the worker lists. */
+  readonly unwantedStops?: Map<string, number>;
 }
 
 /** An action that follows once the pending rows are stored. */
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -10,8 +10,11 @@
   createLoading,
   inFlight,
   jobOf,
+  listedRun,
   load,
+  loggedFields,
   report,
+  sentMessages,
   stageOf,
   submit,
   TIMES,
@@ -114,3 +117,31 @@
   expect(old?.tasks.get(SLOT)).to.deep.equal(task);
   expect(later?.tasks.get(SLOT)).to.deep.equal(task);
 });
+
+// Guards against stop orders and log lines of one run with every report, which push other lines out of the kept log.
+it('repeats and logs the stop of an unwanted run only after a delay', () => {
+  const running = [listedRun('job9.0.0.0', 1), listedRun('job9.0.0.1', 1)];
+  const first = report(createLeader(), 'w1', { running });
+  expect(sentMessages(first, 'stop')).to.have.length(2);
+  const burst = Array.from({ length: 5 }).reduce<Fixture>(
+    (fixture) => report(fixture, 'w1', { running }),
+    first,
+  );
+  expect(sentMessages(burst, 'stop')).to.have.length(2);
+  expect(loggedFields(burst, 'taskStopped')).to.have.length(2);
+  const early = report(advance(commitAll(burst), 500), 'w1', { running });
+  expect(sentMessages(early, 'stop')).to.have.length(2);
+  const late = report(advance(commitAll(early), 200), 'w1', { running });
+  expect(sentMessages(late, 'stop')).to.have.length(4);
+  expect(loggedFields(late, 'taskStopped')).to.have.length(4);
+});
+
+// Guards against a run that is listed again and not stopped at once, and against entries that are never removed.
+it('forgets the stop of an unwanted run that is no longer listed', () => {
+  const running = [listedRun('job9.0.0.0', 1)];
+  const stopped = report(createLeader(), 'w1', { running });
+  expect(stopped.state.workers.get(workerKeyFor('w1'))?.unwantedStops?.size).to.equal(1);
+  const gone = report(stopped, 'w1');
+  expect(gone.state.workers.get(workerKeyFor('w1'))?.unwantedStops?.size ?? 0).to.equal(0);
+  expect(sentMessages(report(gone, 'w1', { running }), 'stop')).to.have.length(2);
+});
