Set adopted filling tasks to a known pace

A new leader took every run over as unpaused. A task that the leader before had paused made no progress and counted as stalled, and as a failure of its worker. Neither the rows nor the worker's list of runs hold the pace, so the new leader orders full pace at the first listing of each filling task that it takes over, unless it pauses or stops the task in the same step. The order is repeated up to three times while the task neither progresses nor uses processors; the time until it counts as stalled runs from the first order. No line is logged for each task.

--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -12,6 +12,7 @@
 import { z } from 'zod';
 import { earlierInstances } from './instances';
 import { advanceLeadership, CALLS } from './leadership';
+import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chainAll, putJob, sendToWorker, unchanged, withEffects } from './state';
@@ -203,6 +204,7 @@
         isLastResort: false,
         pace: 100,
         pacedAtMs: nowMs,
+        ...inheritedPaceOf(stage, nowMs),
       };
       return [[`${job.jobId}.${slot}`, run]];
     }),
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -7,11 +7,18 @@
   updatePairs,
 } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
+import { without } from '@bronzeyoke/types';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
 import { putRun, runsOn } from './runs';
 import { chainAll, chainAfter, sendToWorker, unchanged, withEffects } from './state';
-import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import type {
+  InheritedPace,
+  RunView,
+  SchedulerEffect,
+  SchedulerState,
+  SchedulerStep,
+} from './types';
 import { runRef } from './types';
 
 /** Pace of a task that was placed beside one that it harms. */
@@ -23,6 +30,12 @@
 /** Shortest pause of a task before it may resume beside unharmed serving tasks. */
 const MIN_PAUSE_MS = 800;
 
+/** Time after which a pace order to an adopted run is sent again if it has no effect. */
+const PACE_REPEAT_MS = 600;
+
+/** Pace orders to one adopted run. All are sent before it can count as stalled. */
+const MAX_INHERITED_ORDERS = 4;
+
 interface ListedTask {
   readonly task: string;
   readonly run: RunView;
@@ -44,20 +57,18 @@
 ): SchedulerStep {
   const { workerKey, attempt } = run;
   const ref = runRef(task, attempt);
-  return withEffects(
-    { ...state, runs: putRun(state.runs, task, { ...run, pace: percent, pacedAtMs: nowMs }) },
-    [
-      ...sendToWorker(state, workerKey, { kind: 'pace', workerKey, run: ref, percent }),
-      logEffect('taskPaced', {
-        task,
-        attempt,
-        worker: workerKey,
-        image: run.stage.image ?? '',
-        percent,
-        reason,
-      }),
-    ],
-  );
+  const paced = { ...without(run, 'inheritedPace'), pace: percent, pacedAtMs: nowMs };
+  return withEffects({ ...state, runs: putRun(state.runs, task, paced) }, [
+    ...sendToWorker(state, workerKey, { kind: 'pace', workerKey, run: ref, percent }),
+    logEffect('taskPaced', {
+      task,
+      attempt,
+      worker: workerKey,
+      image: run.stage.image ?? '',
+      percent,
+      reason,
+    }),
+  ]);
 }
 
 /** Stops a run so that its task is placed elsewhere once the worker lists the end. */
@@ -221,8 +232,69 @@
   ]);
 }
 
-/** Pauses tasks that harm a serving task, and resumes or moves them once the harm has ended. */
-export function paceWorker(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
+/** Returns the pace orders that an adopted run needs; none unless the leader before may have paced it. */
+export function inheritedPaceOf(
+  stage: Stage,
+  nowMs: number,
+): { readonly inheritedPace?: InheritedPace } {
+  return stage.fillsIdle
+    ? { inheritedPace: { dueAtMs: nowMs, ordersLeft: MAX_INHERITED_ORDERS } }
+    : {};
+}
+
+/**
+ * Sends an adopted run the full pace that this leader assumes. The order is repeated while the run
+ * neither progresses nor uses processors, because a run that stays paused would count as stalled and as
+ * a failure of its worker. A lost order to a run at a low pace is not repeated: the run progresses, and
+ * its load is known from the list.
+ */
+function resetInheritedPace(
+  state: SchedulerState,
+  { task, run }: ListedTask,
+  nowMs: number,
+): SchedulerStep {
+  const { inheritedPace, workerKey, attempt } = run;
+  if (inheritedPace === undefined || nowMs < inheritedPace.dueAtMs) return unchanged(state);
+  const { ordersLeft } = inheritedPace;
+  const isFirst = ordersLeft === MAX_INHERITED_ORDERS;
+  const hasEffect = !isFirst && (run.load > 0 || run.percentAtMs > run.listedAtMs);
+  if (hasEffect || ordersLeft === 0) {
+    const known = without(run, 'inheritedPace');
+    return unchanged({ ...state, runs: putRun(state.runs, task, known) });
+  }
+  const ordered: RunView = {
+    ...run,
+    // The time without progress counts from the first order; repeats must not extend it.
+    pacedAtMs: isFirst ? nowMs : run.pacedAtMs,
+    inheritedPace: { dueAtMs: nowMs + PACE_REPEAT_MS, ordersLeft: ordersLeft - 1 },
+  };
+  // Not logged: a new leader sends one for each filling task, and the lines would push out others.
+  return withEffects(
+    { ...state, runs: putRun(state.runs, task, ordered) },
+    sendToWorker(state, workerKey, {
+      kind: 'pace',
+      workerKey,
+      run: runRef(task, attempt),
+      percent: run.pace,
+    }),
+  );
+}
+
+/** Resets the pace of adopted runs that no other decision has paced or stopped. */
+function resetInheritedPaces(
+  state: SchedulerState,
+  workerKey: string,
+  nowMs: number,
+): SchedulerStep {
+  return chainAll(
+    state,
+    listedTasks(state, workerKey)
+      .filter(({ run }) => run.stopSentAtMs === undefined)
+      .map((listed) => (current: SchedulerState) => resetInheritedPace(current, listed, nowMs)),
+  );
+}
+
+function paceBesideServing(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
   const listed = listedTasks(state, workerKey);
   const serving = listed.filter(({ stage }) => stage.latencyTargetMs !== undefined);
   const capacity = state.workers.get(workerKey)?.report?.capacity;
@@ -252,3 +324,14 @@
     ? pauseSuspects(updated, context, harmed)
     : resumePaused(updated, context);
 }
+
+/**
+ * Pauses tasks that harm a serving task, and resumes or moves them once the harm has ended. A report
+ * leads to at most one pace order for a run, since the worker may carry out two in either order.
+ */
+export function paceWorker(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
+  return chainAll(state, [
+    (current) => paceBesideServing(current, workerKey, nowMs),
+    (current) => resetInheritedPaces(current, workerKey, nowMs),
+  ]);
+}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -49,6 +49,15 @@
   readonly isCancelled: boolean;
 }
 
+/**
+ * Pace orders that remain for a run of the leader before. That leader may have paced it, which
+ * neither the rows nor the worker's list of runs shows.
+ */
+export interface InheritedPace {
+  readonly dueAtMs: number;
+  readonly ordersLeft: number;
+}
+
 /** The leader's in-memory state of a run. */
 export interface RunView {
   readonly jobId: string;
@@ -73,6 +82,7 @@
   /** Limit in percent of the processors that the task needs; 0 pauses it. */
   readonly pace: number;
   readonly pacedAtMs: number;
+  readonly inheritedPace?: InheritedPace;
   readonly stopSentAtMs?: number;
 }
 
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
+import type { ListedRun } from '@bronzeyoke/ports';
 import { progressKey } from '@bronzeyoke/scheduler';
-import type { TaskProgress } from '@bronzeyoke/workflow';
+import type { Stage, TaskProgress } from '@bronzeyoke/workflow';
 import { decodeProgress } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
@@ -145,3 +146,76 @@
   expect(gone.state.workers.get(workerKeyFor('w1'))?.unwantedStops?.size ?? 0).to.equal(0);
   expect(sentMessages(report(gone, 'w1', { running }), 'stop')).to.have.length(2);
 });
+
+const FILLING = stageOf(1, { fillsIdle: true, image: 'f' });
+
+/** Returns a new leader that took over a filling task on w1, which the leader before may have paused. */
+function adoptedFill(changes: Partial<Stage> = {}): Fixture {
+  const job = jobOf('job1', [{ ...FILLING, ...changes }]);
+  return commitAll(load(createLoading(), [job], { job1: { [SLOT]: storedRun('w1') } }));
+}
+
+/** Delivers a report of w1 that lists the adopted task, some time later. */
+function listAdopted(fixture: Fixture, afterMs: number, changes: Partial<ListedRun> = {}): Fixture {
+  const running = [listedRun('job1.0.0.0', 1, changes)];
+  return report(advance(commitAll(fixture), afterMs), 'w1', { running, bornAtMs: 500 });
+}
+
+function sentPaces(fixture: Fixture): readonly number[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'pace' ? [effect.message.percent] : [],
+  );
+}
+
+// Guards against a task that the leader before paused, which then counts as stalled and as a failure of its worker.
+it('sets an adopted filling task to full pace at its first listing', () => {
+  const listed = listAdopted(adoptedFill(), 1_000);
+  expect(sentPaces(listed)).to.deep.equal([100]);
+  const inTime = listAdopted(listAdopted(listed, 2_000), 400);
+  expect(sentMessages(inTime, 'stop')).to.have.length(0);
+  const resumed = listAdopted(listAdopted(listed, 2_000, { percent: 11 }), 2_000, { percent: 12 });
+  expect(sentMessages(resumed, 'stop')).to.have.length(0);
+  expect(sentPaces(resumed)).to.deep.equal([100]);
+});
+
+// Guards against a lost order that leaves an adopted task paused until it counts as stalled.
+it('repeats the pace of an adopted task without effect, a few times', () => {
+  const lost = Array.from({ length: 8 }).reduce<Fixture>(
+    (fixture) => listAdopted(fixture, 300),
+    adoptedFill(),
+  );
+  expect(sentPaces(lost)).to.deep.equal([100, 100, 100, 100]);
+  expect(sentMessages(lost, 'stop')).to.have.length(0);
+  const stalled = listAdopted(lost, 500);
+  expect(sentMessages(stalled, 'stop')).to.have.length(1);
+  expect(sentPaces(stalled)).to.have.length(4);
+});
+
+// Guards against needless orders to adopted tasks that run.
+it('repeats no pace of an adopted task that uses processors', () => {
+  const used = listAdopted(listAdopted(adoptedFill(), 300), 700, { load: 400 });
+  expect(sentPaces(listAdopted(used, 700))).to.deep.equal([100]);
+});
+
+// Guards against pace orders to tasks that no leader paces, and to those that this leader started.
+it('sends no pace to an adopted task that fills no idle room, or to a task of its own', () => {
+  expect(sentPaces(listAdopted(adoptedFill({ fillsIdle: false }), 300))).to.deep.equal([]);
+  const placed = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [FILLING])));
+  const running = [listedRun('job1.0.0.0', 1)];
+  const own = report(advance(placed, 300), 'w1', { running, lastOrder: 1 });
+  expect(sentPaces(own)).to.deep.equal([]);
+});
+
+// Guards against two orders at once, which the worker may carry out in either order.
+it('sends only the pause to an adopted filling task beside a harmed task', () => {
+  const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
+  const loaded = load(createLoading(), [jobOf('job1', [FILLING]), jobOf('job2', [serving])], {
+    job1: { [SLOT]: storedRun('w1') },
+    job2: { [SLOT]: storedRun('w1') },
+  });
+  const running = [listedRun('job1.0.0.0', 1), listedRun('job2.0.0.0', 1, { load: 200 })];
+  const harmed = report(advance(commitAll(loaded), 300), 'w1', { running, bornAtMs: 500 });
+  expect(sentPaces(harmed)).to.deep.equal([0]);
+  const later = report(advance(commitAll(harmed), 700), 'w1', { running, bornAtMs: 500 });
+  expect(sentPaces(later)).to.deep.equal([0]);
+});
