Log the end of a new leader's load and the workers that it waits for

The logs did not tell why tasks waited after a change of leader. leaderLoaded gives the term, the jobs and runs taken over, the number of workers that have not reported, the longest wait and the time since the claim was sent. workersAwaited names up to ten of these workers in key order; it is left out when there are none. Without the change both new tests find no line.

--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -29,6 +29,9 @@
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
+/** Worker keys in one log line. */
+const MAX_LOGGED_WORKERS = 10;
+
 function orphansOf(runs: readonly (readonly [string, RunView])[]): readonly OrphanRun[] {
   return runs
     .filter(([, run]) => run.isOrdered)
@@ -232,6 +235,26 @@
   };
 }
 
+/** Logs what a new leader has loaded, and until when it waits for which workers. */
+function logLoaded(state: SchedulerState, nowMs: number): SchedulerStep {
+  const awaited = state.workers.filter(
+    ({ report, expiresAtMs }) => report === undefined && expiresAtMs > nowMs,
+  );
+  const waits = awaited.valueSeq().map(({ expiresAtMs }) => expiresAtMs - nowMs);
+  const waitMs = Math.round(waits.max() ?? 0);
+  const keys = awaited.keySeq().sort().take(MAX_LOGGED_WORKERS).join(',');
+  const loaded = logEffect('leaderLoaded', {
+    term: state.leader?.term ?? 0,
+    jobs: state.jobs.size,
+    runs: state.runs.byTask.size,
+    workers: awaited.size,
+    waitMs,
+    sinceClaimMs: Math.round(nowMs - state.claimedAtMs),
+  });
+  const workers = logEffect('workersAwaited', { count: awaited.size, waitMs, workers: keys });
+  return withEffects(state, awaited.size === 0 ? [loaded] : [loaded, workers]);
+}
+
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { progress, jobRows, pairs, goneWorkerKeys = [] } = state.loading;
   if (state.phase !== 'loading') return unchanged(state);
@@ -248,6 +271,7 @@
       applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_PROGRESS, wallMs),
     (current) => unchanged(adoptRuns(current, goneWorkerKeys, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
+    (current) => logLoaded(current, nowMs),
   ]);
 }
 
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -9,6 +9,7 @@
   commitAll,
   createLeader,
   createLoading,
+  dispatch,
   inFlight,
   jobOf,
   listedRun,
@@ -19,6 +20,7 @@
   stageOf,
   submit,
   TIMES,
+  WALL_MS,
   workerKeyFor,
 } from './fixture';
 
@@ -219,3 +221,36 @@
   const later = report(advance(commitAll(harmed), 700), 'w1', { running, bornAtMs: 500 });
   expect(sentPaces(later)).to.deep.equal([0]);
 });
+
+// Guards against a change of leader whose logs do not tell how long tasks wait for which workers.
+it('logs the end of the load and the workers that it waits for', () => {
+  const sites = Array.from({ length: 12 }, (_, index) => `w${index}`);
+  const tasks = Object.fromEntries(sites.map((site, index) => [`0.0.${index}`, storedRun(site)]));
+  const gone = workerKeyFor('w11', 500);
+  const loading = dispatch(dispatch(createLoading(), { kind: 'linkOpened', linkId: 'l' }), {
+    kind: 'received',
+    linkId: 'l',
+    message: { kind: 'workerGone', workerKey: gone },
+    wallMs: WALL_MS,
+  });
+  const jobs = [jobOf('job1', [stageOf(12)]), jobOf('job2', [stageOf(1)])];
+  const loaded = load({ ...loading, nowMs: loading.nowMs + 70 }, jobs, { job1: tasks });
+  const { times } = loaded.state.settings;
+  const waitMs = Math.round(times.agentLeaseMs + times.marginMs);
+  expect(loggedFields(loaded, 'leaderLoaded')).to.deep.equal([
+    { term: 1, jobs: 2, runs: 12, workers: 11, waitMs, sinceClaimMs: 70 },
+  ]);
+  const [awaited, ...more] = loggedFields(loaded, 'workersAwaited');
+  expect(more).to.have.length(0);
+  expect(awaited).to.include({ count: 11, waitMs });
+  const keys = ['w0', 'w1', 'w10', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8'];
+  expect(awaited?.workers).to.equal(keys.map((site) => workerKeyFor(site, 500)).join(','));
+});
+
+// Guards against a line about workers when a new leader waits for none.
+it('logs no workers when it waits for none', () => {
+  const loaded = createLeader();
+  expect(loggedFields(loaded, 'leaderLoaded')).to.have.length(1);
+  expect(loggedFields(loaded, 'leaderLoaded')[0]).to.include({ jobs: 0, workers: 0, waitMs: 0 });
+  expect(loggedFields(loaded, 'workersAwaited')).to.have.length(0);
+});
