--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -121,6 +121,7 @@
       earlierLeases,
       awaited,
       storedAwaited: new Set(awaited.keys()),
+      claimedAtMs: sentAtMs,
       renewAtMs: sentAtMs + state.settings.times.renewMs,
     },
     'claimWon',
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -10,8 +10,10 @@
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
+import { earlierInstances } from './instances';
 import { advanceLeadership, CALLS } from './leadership';
 import { leaseEndAtMs, toLocalMs } from './leases';
+import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chainAll, putJob, sendToWorker, unchanged, withEffects } from './state';
@@ -22,11 +24,15 @@
   SchedulerEffect,
   SchedulerState,
   SchedulerStep,
+  WorkerView,
 } from './types';
 import { runRef } from './types';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
+/** Worker keys in one log line. */
+const MAX_LOGGED_WORKERS = 10;
+
 function orphansOf(runs: readonly (readonly [string, RunView])[]): readonly OrphanRun[] {
   return runs
     .filter(([, run]) => run.isOrdered)
@@ -135,6 +141,43 @@
   );
 }
 
+/** Returns the addresses that the claims of each worker name. */
+function claimedAddresses(state: SchedulerState): Map<string, ReadonlySet<string>> {
+  const claims = state.jobs
+    .valueSeq()
+    .flatMap(({ progress }) => assignedSlots(progress).map(([, task]) => task));
+  return claims.reduce(
+    (known, { workerKey = '', workerAddress: address }) =>
+      address === undefined
+        ? known
+        : known.set(workerKey, new Set([...known.get(workerKey, []), address])),
+    Map<string, ReadonlySet<string>>(),
+  );
+}
+
+/** Adds the addresses in the claims, and expires the workers that a known report proves to have ended. */
+function withClaimedAddresses(
+  workers: Map<string, WorkerView>,
+  state: SchedulerState,
+  nowMs: number,
+): Map<string, WorkerView> {
+  const addresses = claimedAddresses(state);
+  const located = workers.map((view): WorkerView => {
+    const [address, other] = addresses.get(view.workerKey, []);
+    // Claims that name different addresses do not show which one the worker has left.
+    return address === undefined || other !== undefined
+      ? view
+      : { ...view, claimedAddress: address };
+  });
+  const ended = state.workers
+    .valueSeq()
+    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(located, report)));
+  return ended.reduce(
+    (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
+    located,
+  );
+}
+
 /** Adds the runs in the stored progress. Their start orders may or may not have been sent. */
 function adoptRuns(
   state: SchedulerState,
@@ -163,6 +206,7 @@
         isLastResort: false,
         pace: 100,
         pacedAtMs: nowMs,
+        ...inheritedPaceOf(stage, nowMs),
       };
       return [[`${job.jobId}.${slot}`, run]];
     }),
@@ -188,11 +232,31 @@
   return {
     ...state,
     runs: runs.reduce((table, [task, run]) => putRun(table, task, run), NO_RUNS),
-    workers: Map(workers).merge(state.workers),
+    workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
 }
 
+/** Logs what a new leader has loaded, and until when it waits for which workers. */
+function logLoaded(state: SchedulerState, nowMs: number): SchedulerStep {
+  const awaited = state.workers.filter(
+    ({ report, expiresAtMs }) => report === undefined && expiresAtMs > nowMs,
+  );
+  const waits = awaited.valueSeq().map(({ expiresAtMs }) => expiresAtMs - nowMs);
+  const waitMs = Math.round(waits.max() ?? 0);
+  const keys = awaited.keySeq().sort().take(MAX_LOGGED_WORKERS).join(',');
+  const loaded = logEffect('leaderLoaded', {
+    term: state.leader?.term ?? 0,
+    jobs: state.jobs.size,
+    runs: state.runs.byTask.size,
+    workers: awaited.size,
+    waitMs,
+    sinceClaimMs: Math.round(nowMs - state.claimedAtMs),
+  });
+  const workers = logEffect('workersAwaited', { count: awaited.size, waitMs, workers: keys });
+  return withEffects(state, awaited.size === 0 ? [loaded] : [loaded, workers]);
+}
+
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { progress, jobRows, pairs, goneWorkerKeys = [] } = state.loading;
   if (state.phase !== 'loading') return unchanged(state);
@@ -211,6 +275,7 @@
       applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_PROGRESS, wallMs),
     (current) => unchanged(adoptRuns(current, goneWorkerKeys, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
+    (current) => logLoaded(current, nowMs),
   ]);
 }
 
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,9 +1,11 @@
+import { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
+import { earlierInstances } from './instances';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
 import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
@@ -38,6 +40,7 @@
   const isNewClock = clockMs > (known?.clockMs ?? -1);
   const isAwaited = state.storedAwaited.has(workerKey);
   const mayGrant = isNewClock && !isAwaited && nowMs < state.mayGrantUntilMs;
+  const listed = new Set(report.running.map((run) => runKey(run)));
   const expiresAtMs = nowMs + times.agentLeaseMs + times.marginMs;
   const view: WorkerView = {
     workerKey,
@@ -49,6 +52,9 @@
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
+    ...(known?.unwantedStops === undefined
+      ? {}
+      : { unwantedStops: known.unwantedStops.filter((_, key) => listed.has(key)) }),
   };
   const leaseUntilClockMs = Math.floor(clockMs + times.agentLeaseMs * CLOCK_SHARE);
   const grant: readonly SchedulerEffect[] = mayGrant
@@ -70,28 +76,15 @@
   );
 }
 
-/**
- * Releases earlier instances of a worker. A later one at the same address or under the same id proves
- * that they have ended.
- */
+/** Releases the earlier instances of a worker that the report proves to have ended. */
 function releaseEarlierInstances(
   state: SchedulerState,
   report: Report,
   nowMs: number,
 ): SchedulerStep {
-  const { id, address, bornAtMs } = report.worker;
-  const earlier = state.workers.filter(({ workerKey, report: other }) => {
-    if (workerKey === report.workerKey) return false;
-    const isSameWorker =
-      other === undefined
-        ? workerKey.startsWith(`${id}@`)
-        : other.id === id || other.address === address;
-    const born = Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
-    return isSameWorker && born < bornAtMs;
-  });
   return chainAll(
     state,
-    [...earlier.keys()].map(
+    earlierInstances(state.workers, report.worker).map(
       (workerKey) => (current: SchedulerState) =>
         releaseWorker(current, workerKey, 'workerGone', nowMs),
     ),
@@ -146,6 +139,29 @@
   };
 }
 
+/** Stops a run that no job wants. The order is repeated while the worker goes on listing the run. */
+function stopUnwanted(
+  state: SchedulerState,
+  workerKey: string,
+  run: RunRef,
+  nowMs: number,
+): SchedulerStep {
+  const view = state.workers.get(workerKey);
+  const key = runKey(run);
+  const sentAtMs = view?.unwantedStops?.get(key);
+  const isRecent = sentAtMs !== undefined && nowMs - sentAtMs <= STOP_REPEAT_MS;
+  if (view === undefined || isRecent) return unchanged(state);
+  const unwantedStops = (view.unwantedStops ?? Map<string, number>()).set(key, nowMs);
+  const { task, attempt } = run;
+  return withEffects(
+    { ...state, workers: state.workers.set(workerKey, { ...view, unwantedStops }) },
+    [
+      ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run }),
+      logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
+    ],
+  );
+}
+
 /** Updates a run that a worker lists as running, or stops one that is not wanted. */
 function updateListed(
   state: SchedulerState,
@@ -158,10 +174,7 @@
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
   const isWanted = run?.attempt === attempt && run.workerKey === workerKey;
   if (run === undefined || open === undefined || !isWanted) {
-    return withEffects(state, [
-      ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
-      logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
-    ]);
+    return stopUnwanted(state, workerKey, runRef(task, attempt), nowMs);
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -48,6 +48,7 @@
     leaseNumber: 0,
     nextReadAtMs: 0,
     pollSentAtMs: 0,
+    claimedAtMs: 0,
     storeClock: { localMs: 0, storeMs: 0 },
     domainsOut: new Set(),
     links: Map(),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -50,6 +50,15 @@
   readonly isCancelled: boolean;
 }
 
+/**
+ * Pace orders that remain for a run of the leader before. That leader may have paced it, which
+ * neither the rows nor the worker's list of runs shows.
+ */
+export interface InheritedPace {
+  readonly dueAtMs: number;
+  readonly ordersLeft: number;
+}
+
 /** The leader's in-memory state of a run. */
 export interface RunView {
   readonly jobId: string;
@@ -74,6 +83,7 @@
   /** Limit in percent of the processors that the task needs; 0 pauses it. */
   readonly pace: number;
   readonly pacedAtMs: number;
+  readonly inheritedPace?: InheritedPace;
   readonly stopSentAtMs?: number;
 }
 
@@ -99,6 +109,8 @@
   readonly workerKey: string;
   /** Absent until its agent has reported to this leader. */
   readonly report?: WorkerReport;
+  /** Address in the claims of the leader before, until the agent has reported. */
+  readonly claimedAddress?: string;
   readonly linkId?: string;
   /** Number of the newest connection that its agent reported on. */
   readonly linkNumber: number;
@@ -110,6 +122,8 @@
   /** Jobs that failed here since the last success. */
   readonly failedJobs: readonly string[];
   readonly quarantinedUntilMs: number;
+  /** Time of the last stop order of each unwanted run that the worker lists. */
+  readonly unwantedStops?: Map<string, number>;
 }
 
 /** An action that follows once the pending rows are stored. */
@@ -199,6 +213,7 @@
   readonly pollSentAtMs: number;
   readonly nextReadAtMs: number;
   readonly claim?: Claim;
+  readonly claimedAtMs: number;
   readonly earlierLeases: EarlierLeases;
   /** Workers that have not reported to this leader, with the end of their leases. */
   readonly awaited: Map<string, number>;
