Repeat only failed reads of a new leader, from the page that failed

A new leader sent the reads of its tables again every 300 ms while the first ones were still running: 7 reads of the progress table in 2 s without a reply. Each started from the first page, and results of an earlier load counted as current.

Each table now has at most one call running. A page that failed is read again 300 ms after the failure, and the pages before it are kept: after a claim no other entry can write these tables, and the new leader writes no progress before it has loaded. Call ids are new for each page. The port reads one page when a range names the rows it may have.

--- a/packages/ports/src/rows.ts
+++ b/packages/ports/src/rows.ts
@@ -37,17 +37,30 @@
   | { readonly kind: 'unavailable' }
   | { readonly kind: 'unknown' };
 
+/** Most rows that the store returns in one call. A page may have fewer, because its size is limited. */
+export const MAX_PAGE_ROWS = 500;
+
 /** A range of keys in a table and partition. `fromKey` is inclusive, `untilKey` is exclusive. */
 export interface RowRange {
   readonly table: string;
   readonly partition: string;
   readonly fromKey?: string;
   readonly untilKey?: string;
+  /** Reads one page of at most this many rows. If absent, the whole range is read. */
+  readonly maxRows?: number;
 }
 
-/** Consistent snapshot of rows. `version` is the latest version of the store at that time. */
+/**
+ * Rows of a range. A page is a consistent snapshot, and `version` is the latest version of the store at
+ * that time. `nextKey` is the key from which the range continues after this page.
+ */
 export type RowRangeResult =
-  | { readonly kind: 'rows'; readonly rows: readonly StoredRow[]; readonly version: number }
+  | {
+      readonly kind: 'rows';
+      readonly rows: readonly StoredRow[];
+      readonly version: number;
+      readonly nextKey?: string;
+    }
   | { readonly kind: 'unavailable' };
 
 /** Change of a row in a feed. */
@@ -64,7 +77,7 @@
 /** The platform's transactional row store. */
 export interface RowStorePort {
   readonly commit: (transaction: RowTransaction) => Promise<RowCommitResult>;
-  /** Reads a whole range, in as many calls as necessary. */
+  /** Reads a page of a range, or all of it in as many calls as necessary. */
   readonly range: (range: RowRange) => Promise<RowRangeResult>;
   /** Waits up to `waitMs` for changes after a version. */
   readonly feed: (table: string, afterVersion: number, waitMs: number) => Promise<RowFeedResult>;
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -10,18 +10,12 @@
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
-import { advanceLeadership, CALLS } from './leadership';
-import { PAIRS_KEY, parseJobKey } from './rows';
+import { advanceLeadership } from './leadership';
+import { advanceRead, areReadsDone, readTable } from './load';
+import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chainAll, putJob, sendToWorker, unchanged, withEffects } from './state';
-import type {
-  OpenJob,
-  OrphanRun,
-  RunView,
-  SchedulerEffect,
-  SchedulerState,
-  SchedulerStep,
-} from './types';
+import type { OpenJob, OrphanRun, RunView, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
@@ -192,10 +186,9 @@
 }
 
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const { progress, jobRows, pairs, goneWorkerKeys = [] } = state.loading;
+  const { progress = Map<string, JobProgress>(), jobRows, goneWorkerKeys = [] } = state.loading;
   if (state.phase !== 'loading') return unchanged(state);
-  if (progress === undefined || jobRows === undefined || pairs === undefined)
-    return unchanged(state);
+  if (jobRows === undefined || !areReadsDone(state)) return unchanged(state);
   const ended = progress.filter(({ outcome }) => outcome !== undefined);
   const loaded: SchedulerState = {
     ...state,
@@ -225,22 +218,26 @@
   return beginIfLoaded({ ...state, loading }, nowMs, wallMs);
 }
 
-function readProgress(rows: readonly StoredRow[]): {
-  readonly progress: Map<string, JobProgress>;
-  readonly effects: readonly SchedulerEffect[];
-} {
+function applyProgress(state: SchedulerState, rows: readonly StoredRow[]): SchedulerStep {
   const decoded = rows.map((row) => [row.key, decodeProgress(row.value)] as const);
   const decodable = decoded.flatMap(([key, value]) =>
     value === undefined ? [] : [[key, value] as const],
   );
   const malformed = decoded.filter(([, value]) => value === undefined);
-  return {
-    progress: Map(decodable),
-    effects: malformed.map(([key]) => logEffect('malformed', { what: 'progress', key })),
-  };
+  const progress = (state.loading.progress ?? Map<string, JobProgress>()).merge(Map(decodable));
+  return withEffects(
+    { ...state, loading: { ...state.loading, progress } },
+    malformed.map(([key]) => logEffect('malformed', { what: 'progress', key })),
+  );
+}
+
+function applyNotes(state: SchedulerState, rows: readonly StoredRow[]): SchedulerStep {
+  const row = rows.find(({ key }) => key === PAIRS_KEY.key);
+  const parsed = pairsSchema.safeParse(row?.value);
+  return unchanged(parsed.success ? { ...state, pairs: Map(parsed.data) } : state);
 }
 
-/** Applies the result of a read by a new leader. */
+/** Applies a page that a new leader has read. */
 export function onLoaded(
   state: SchedulerState,
   callId: string,
@@ -248,15 +245,13 @@
   nowMs: number,
   wallMs: number,
 ): SchedulerStep {
-  if (state.phase !== 'loading' || result.kind === 'unavailable') return unchanged(state);
-  if (callId === CALLS.notes) {
-    const row = result.rows.find(({ key }) => key === PAIRS_KEY.key);
-    const parsed = pairsSchema.safeParse(row?.value ?? {});
-    const pairs = parsed.success ? Map(parsed.data) : state.pairs;
-    const loading = { ...state.loading, pairs: true as const };
-    return beginIfLoaded({ ...state, pairs, loading }, nowMs, wallMs);
-  }
-  const { progress, effects } = readProgress(result.rows);
-  const step = beginIfLoaded({ ...state, loading: { ...state.loading, progress } }, nowMs, wallMs);
-  return withEffects(step.state, [...effects, ...step.effects]);
+  const table = readTable(state, callId);
+  if (state.phase !== 'loading' || table === undefined) return unchanged(state);
+  const rows = result.kind === 'rows' ? result.rows : [];
+  return chainAll(state, [
+    (current) =>
+      table === TABLES.progress ? applyProgress(current, rows) : applyNotes(current, rows),
+    (current) => advanceRead(current, table, result, nowMs),
+    (current) => beginIfLoaded(current, nowMs, wallMs),
+  ]);
 }
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -3,6 +3,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, without } from '@bronzeyoke/types';
+import { startReads } from './load';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
 import { EMPTY_LEADER_STATE, unchanged, withEffects } from './state';
 import type { Leader, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
@@ -13,12 +14,10 @@
 /** Longest random delay that spreads the claims of several entries. */
 const CLAIM_SPREAD_MS = 200;
 
-/** Ids of the store calls that poll and claim the lease and load the state. */
+/** Ids of the store calls that poll and claim the lease. */
 export const CALLS = {
   claimLease: 'claim',
   poll: 'poll',
-  progress: 'progress',
-  notes: 'notes',
 } as const;
 
 type LeadershipEvent = 'leaseFree' | 'claimWon' | 'claimLost' | 'loaded' | 'deposed' | 'stop';
@@ -47,29 +46,11 @@
   ]);
 }
 
-/** Returns the reads that a new leader still needs. */
-export function loadEffects(state: SchedulerState): readonly SchedulerEffect[] {
-  const { loading } = state;
-  const progress = {
-    kind: 'range',
-    callId: CALLS.progress,
-    range: { table: TABLES.progress, partition: PARTITION },
-  } as const;
-  const notes = {
-    kind: 'range',
-    callId: CALLS.notes,
-    range: { table: TABLES.notes, partition: PARTITION },
-  } as const;
-  return [
-    ...(loading.progress === undefined ? [progress] : []),
-    ...(loading.pairs === undefined ? [notes] : []),
-  ];
-}
-
 function startLoad({ state, effects }: SchedulerStep): SchedulerStep {
-  return withEffects(state, [
+  const reads = startReads(state);
+  return withEffects(reads.state, [
     ...effects,
-    ...loadEffects(state),
+    ...reads.effects,
     { kind: 'followJobs', isOn: true },
   ]);
 }
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -18,6 +18,12 @@
   notes: 'notes',
 } as const;
 
+/**
+ * Rows of the progress table on one page. A row with seven running tasks takes 1.3 KB in Base64, and
+ * 260 KB arrive within the timeout of a store call even over a quarter of a 10 Mbit/s link.
+ */
+export const PROGRESS_PAGE_ROWS = 200;
+
 /** Keys of single rows. */
 export const LEADER_KEY: RowKey = { table: TABLES.leader, partition: PARTITION, key: 'leader' };
 export const LEASE_KEY: RowKey = { table: TABLES.lease, partition: PARTITION, key: 'lease' };
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -6,13 +6,13 @@
 import {
   advanceLeadership,
   CALLS,
-  loadEffects,
   onClaimResult,
   onLeader,
   onLeaderRow,
   onPoll,
   pollLease,
 } from './leadership';
+import { retryReads } from './load';
 import { paceWorker } from './pace';
 import { placeTasks } from './place';
 import { releaseWorker } from './release';
@@ -21,9 +21,6 @@
 import { chainAll, chainAfter, unchanged, withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
-/** Interval at which a new leader repeats reads that the store did not reply to. */
-const RELOAD_MS = 300;
-
 function expireWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
   if (state.phase !== 'leading') return unchanged(state);
   const expired = state.workers.filter(({ expiresAtMs }) => nowMs >= expiresAtMs);
@@ -36,11 +33,6 @@
   );
 }
 
-function reload(state: SchedulerState, nowMs: number): SchedulerStep {
-  if (state.phase !== 'loading' || nowMs < state.nextReadAtMs) return unchanged(state);
-  return withEffects({ ...state, nextReadAtMs: nowMs + RELOAD_MS }, loadEffects(state));
-}
-
 /** Records a worker that is gone until the runs are loaded. */
 function recordGoneWorker(state: SchedulerState, workerKey: string): SchedulerState {
   const goneWorkerKeys = [...(state.loading.goneWorkerKeys ?? []), workerKey];
@@ -65,7 +57,7 @@
     : state;
   return chainAll(updated, [
     (current) => pollLease(current, nowMs),
-    (current) => reload(current, nowMs),
+    (current) => retryReads(current, nowMs),
     (current) => retryTransaction(current, nowMs),
     (current) => expireWorkers(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -136,11 +136,18 @@
   readonly wasUnknown: boolean;
 }
 
+/** Read of a table by a new leader, page by page. `fromKey` is empty on the first page. */
+export type TableRead =
+  | { readonly kind: 'running'; readonly callId: string; readonly fromKey: string }
+  | { readonly kind: 'failed'; readonly retryAtMs: number; readonly fromKey: string }
+  | { readonly kind: 'done' };
+
 /** Parts of the store that a new leader has read so far. */
 export interface LoadState {
+  readonly reads?: Map<string, TableRead>;
+  /** Progress on the pages read so far. */
   readonly progress?: Map<string, JobProgress>;
   readonly jobRows?: readonly StoredRow[];
-  readonly pairs?: true;
   /** Workers that agents reported as gone during the reads. */
   readonly goneWorkerKeys?: readonly string[];
 }
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -1,11 +1,11 @@
-import type { ListedEnd, ListedRun, RowTransaction } from '@bronzeyoke/ports';
+import type { ListedEnd, ListedRun, RowTransaction, StoredRow } from '@bronzeyoke/ports';
 import type {
   SchedulerEffect,
   SchedulerEvent,
   SchedulerState,
   SchedulerTimes,
 } from '@bronzeyoke/scheduler';
-import { createScheduler, deriveTimes, jobKey, stepScheduler } from '@bronzeyoke/scheduler';
+import { createScheduler, deriveTimes, jobKey, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import type { Stage, WorkflowJob } from '@bronzeyoke/workflow';
 
@@ -75,10 +75,10 @@
   return dispatch(fixture, { kind: 'leaderRow', row: undefined });
 }
 
-/** Returns a scheduler that leads, with an empty store. */
-export function createLeader(): Fixture {
+/** Returns a scheduler that has claimed the free lease and reads the store. */
+export function createLoading(follower: Fixture = createFollower()): Fixture {
   const wallMs = WALL_MS + 1_000;
-  const polled = advance(createFollower(), 400);
+  const polled = advance(follower, 400);
   const claiming = dispatch(polled, {
     kind: 'rangeDone',
     callId: 'poll',
@@ -91,11 +91,29 @@
     result: { kind: 'committed', version: 11 },
     wallMs,
   });
-  const empty = { kind: 'rows', rows: [], version: 11 } as const;
-  const read = ['progress', 'notes'].reduce(
-    (current, callId) => dispatch(current, { kind: 'rangeDone', callId, result: empty, wallMs }),
-    { ...won, version: 11 },
+  return { ...won, version: 11 };
+}
+
+/** Answers the reads of a new leader: one page of progress, and no notes. */
+export function answerReads(
+  fixture: Fixture,
+  progressRows: readonly StoredRow[],
+  wallMs: number,
+): Fixture {
+  const reads = fixture.effects.flatMap((effect) =>
+    effect.kind === 'range' && effect.callId !== 'poll' ? [effect] : [],
   );
+  return reads.reduce((current, { callId, range }) => {
+    const rows = range.table === TABLES.progress ? progressRows : [];
+    const result = { kind: 'rows', rows, version: 11 } as const;
+    return dispatch(current, { kind: 'rangeDone', callId, result, wallMs });
+  }, fixture);
+}
+
+/** Returns a scheduler that leads, with an empty store. */
+export function createLeader(): Fixture {
+  const wallMs = WALL_MS + 1_000;
+  const read = answerReads(createLoading(), [], wallMs);
   return commitAll(dispatch(read, { kind: 'jobRows', isFull: true, rows: [], wallMs }));
 }
 
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -3,6 +3,7 @@
 import type { Fixture } from './fixture';
 import {
   advance,
+  answerReads,
   commit,
   commitAll,
   dispatch,
@@ -10,6 +11,7 @@
   inFlight,
   jobOf,
   createLeader,
+  createLoading,
   listedRun,
   report,
   sentMessages,
@@ -277,17 +279,8 @@
 // Guards against tasks that wait for a lease because their worker left while a new leader was loading.
 it('handles a worker that leaves while the leader is loading', () => {
   const wallMs = WALL_MS;
-  const empty = { kind: 'rows', rows: [], version: 11 } as const;
-  const polled = advance(createFollower(), 400);
-  const claiming = dispatch(polled, { kind: 'rangeDone', callId: 'poll', result: empty, wallMs });
-  const won = dispatch(claiming, {
-    kind: 'commitDone',
-    callId: 'claim',
-    result: { kind: 'committed', version: 11 },
-    wallMs,
-  });
   const workerKey = workerKeyFor('w1');
-  const informed = dispatch(dispatch(won, { kind: 'linkOpened', linkId: 'l' }), {
+  const informed = dispatch(dispatch(createLoading(), { kind: 'linkOpened', linkId: 'l' }), {
     kind: 'received',
     linkId: 'l',
     message: { kind: 'workerGone', workerKey },
@@ -295,20 +288,8 @@
   });
   const task = { phase: 'running', attempt: 1, failures: 0, workerKey };
   const row = { table: 'progress', partition: 'main', key: 'job1', version: 9 };
-  const result = {
-    kind: 'rows',
-    rows: [{ ...row, value: { tasks: { '0.0.0': task } } }],
-    version: 11,
-  } as const;
-  const read = dispatch(
-    dispatch(informed, { kind: 'rangeDone', callId: 'progress', result, wallMs }),
-    {
-      kind: 'rangeDone',
-      callId: 'notes',
-      result: empty,
-      wallMs,
-    },
-  );
+  const progressRows = [{ ...row, value: { tasks: { '0.0.0': task } } }];
+  const read = answerReads(informed, progressRows, wallMs);
   const rows = [
     {
       table: 'job',
--- a/packages/standins/src/rowstore.ts
+++ b/packages/standins/src/rowstore.ts
@@ -62,9 +62,9 @@
   };
 }
 
-/** Reads the current rows of a key range. */
+/** Reads the current rows of a key range, or its first page. */
 export function readRange(state: RowStoreState, range: RowRange): RowRangeResult {
-  const { table, partition, fromKey = '', untilKey } = range;
+  const { table, partition, fromKey = '', untilKey, maxRows = Infinity } = range;
   const rows = state.rows
     .valueSeq()
     .filter(
@@ -76,7 +76,11 @@
     )
     .sortBy(({ key }) => key)
     .toArray();
-  return { kind: 'rows', rows, version: state.version };
+  const { version } = state;
+  const next = rows[maxRows];
+  return next === undefined
+    ? { kind: 'rows', rows, version }
+    : { kind: 'rows', rows: rows.slice(0, maxRows), version, nextKey: next.key };
 }
 
 /** Returns the changes of a table after a version. */
