Read the job table in pages that arrive within the timeout of a call

The full read of a followed table was one request to the adapter, which read pages of up to 500 rows or 1 MB and started again when one failed. With a store that takes 240 ms a call and a quarter of a 10 Mbit/s link, 60 definitions with payloads of 4 KB were not read within 10 s, because their page did not arrive within 1.2 s.

The follower reads page by page and repeats only the page that failed. Changes are followed from the lowest version of the pages, so that rows written between two pages are reported. The job table has 30 rows on a page.

--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { RowChange, RowStorePort, StoredRow } from '@bronzeyoke/ports';
+import { MAX_PAGE_ROWS } from '@bronzeyoke/ports';
 import { assertNever } from '@bronzeyoke/types';
 
 /** Update that a follower of a table reports. */
@@ -14,6 +15,8 @@
 export interface FollowerOptions {
   readonly table: string;
   readonly partition: string;
+  /** Rows on one page of a full read; as many as the store returns if absent. */
+  readonly pageRows?: number;
   /** Longest time for which one call waits for changes. */
   readonly waitMs: number;
   readonly report: (update: TableUpdate) => void;
@@ -25,58 +28,86 @@
   readonly stop: () => void;
 }
 
+/** Rows read so far, or the version up to which all changes were reported. */
+type Position =
+  | {
+      readonly kind: 'reading';
+      readonly rows: readonly StoredRow[];
+      /** Lowest version of the pages read; infinite before the first one. */
+      readonly version: number;
+      readonly fromKey?: string;
+    }
+  | { readonly kind: 'following'; readonly version: number };
+
+/** Next position; none when the store did not answer. */
+type NextPosition = Position | undefined;
+
+const START: Position = { kind: 'reading', rows: [], version: Infinity };
+
 const RETRY_DELAY_MS = 150;
 
 /**
- * Follows a table: reads all of its rows, then its changes. When the store has dropped the history, all
- * rows are read again. Nothing is reported after `stop`.
+ * Follows a table: reads all of its rows page by page, then its changes. A page that failed is read again
+ * without those before it. Changes are read from the version of the first page, so a row that changed
+ * while the pages were read is reported again. When the store has dropped the history, all rows are
+ * read again. Nothing is reported after `stop`.
  */
 export function followTable(store: RowStorePort, options: FollowerOptions): Follower {
-  const { table, partition, waitMs, report, onError } = options;
+  const { table, partition, pageRows = MAX_PAGE_ROWS, waitMs, report, onError } = options;
   const state = { isStopped: false };
   const emit = (update: TableUpdate): void => {
     if (!state.isStopped) report(update);
   };
 
-  const readAll = async (): Promise<number | undefined> => {
-    const result = await store.range({ table, partition });
+  const readPage = async (
+    position: Extract<Position, { kind: 'reading' }>,
+  ): Promise<NextPosition> => {
+    const { fromKey } = position;
+    const from = fromKey === undefined ? {} : { fromKey };
+    const result = await store.range({ table, partition, maxRows: pageRows, ...from });
     if (result.kind === 'unavailable') return undefined;
-    emit({ kind: 'snapshot', rows: result.rows });
-    return result.version;
+    const rows = [...position.rows, ...result.rows];
+    const version = Math.min(position.version, result.version);
+    if (result.nextKey !== undefined) {
+      emit({ kind: 'answered' });
+      return { kind: 'reading', rows, version, fromKey: result.nextKey };
+    }
+    emit({ kind: 'snapshot', rows });
+    return { kind: 'following', version };
   };
 
-  const readChanges = async (version: number): Promise<number | undefined | 'retry'> => {
+  const readChanges = async (version: number): Promise<NextPosition> => {
     const result = await store.feed(table, version, waitMs);
     switch (result.kind) {
       case 'changes':
         emit({ kind: 'answered' });
         if (result.changes.length > 0) emit({ kind: 'changes', changes: result.changes });
-        return Math.max(version, result.version);
+        return { kind: 'following', version: Math.max(version, result.version) };
       case 'historyLost':
-        return undefined;
+        return START;
       case 'unavailable':
-        return 'retry';
+        return undefined;
       default:
         return assertNever(result);
     }
   };
 
-  const step = async (version: number | undefined): Promise<number | undefined> => {
-    const next = version === undefined ? await readAll() : await readChanges(version);
-    if (next === 'retry' || (next === undefined && version === undefined)) {
-      emit({ kind: 'unanswered' });
-      await sleep(RETRY_DELAY_MS, undefined, { ref: false });
-    }
-    return next === 'retry' ? version : next;
+  const step = async (position: Position): Promise<Position> => {
+    const next =
+      position.kind === 'reading' ? await readPage(position) : await readChanges(position.version);
+    if (next !== undefined) return next;
+    emit({ kind: 'unanswered' });
+    await sleep(RETRY_DELAY_MS, undefined, { ref: false });
+    return position;
   };
 
   // A step does not await the next one, so that a long run does not build up a chain of promises.
-  const run = (version: number | undefined): void => {
+  const run = (position: Position): void => {
     if (state.isStopped) return;
-    step(version).then(run, onError);
+    step(position).then(run, onError);
   };
 
-  run(undefined);
+  run(START);
   return {
     stop: () => {
       state.isStopped = true;
--- /dev/null
+++ b/packages/follow/test/follow.test.ts
@@ -0,0 +1,105 @@
+import { setTimeout as sleep } from 'node:timers/promises';
+import { expect } from 'chai';
+import type { TableUpdate } from '@bronzeyoke/follow';
+import { followTable } from '@bronzeyoke/follow';
+import type { RowRange, RowStorePort } from '@bronzeyoke/ports';
+import type { RowStoreState } from '@bronzeyoke/standins';
+import { commitRow, EMPTY_ROW_STORE, readFeed, readRange } from '@bronzeyoke/standins';
+
+const TABLE = { table: 't', partition: 'p' };
+const CALL_MS = 2;
+const WAIT_MS = 10;
+const CHECK_MS = 10;
+const MAX_CHECKS = 300;
+
+function put(state: RowStoreState, key: string, value: string): RowStoreState {
+  const write = { kind: 'put', ...TABLE, key, value } as const;
+  return commitRow(state, { conditions: [], writes: [write] }).state;
+}
+
+function storeOf(keys: readonly string[]): RowStoreState {
+  return keys.reduce((state, key) => put(state, key, 'first'), EMPTY_ROW_STORE);
+}
+
+/** Store whose reads of a page may fail, and that changes before some of them. */
+function fakeStore(
+  initial: RowStoreState,
+  onRange: (call: number, state: RowStoreState) => RowStoreState | 'unavailable',
+): { readonly store: RowStorePort; readonly ranges: () => readonly RowRange[] } {
+  const current: { state: RowStoreState; ranges: readonly RowRange[] } = {
+    state: initial,
+    ranges: [],
+  };
+  const store: RowStorePort = {
+    commit: () => Promise.resolve({ kind: 'unavailable' }),
+    range: async (range) => {
+      await sleep(CALL_MS);
+      current.ranges = [...current.ranges, range];
+      const next = onRange(current.ranges.length, current.state);
+      if (next === 'unavailable') return { kind: 'unavailable' };
+      current.state = next;
+      return readRange(next, range);
+    },
+    feed: async (table, afterVersion) => {
+      await sleep(CALL_MS);
+      return readFeed(current.state, table, afterVersion);
+    },
+  };
+  return { store, ranges: () => current.ranges };
+}
+
+/** Follows the table until a test holds for the updates. */
+async function follow(
+  store: RowStorePort,
+  isDone: (updates: readonly TableUpdate[]) => boolean,
+): Promise<readonly TableUpdate[]> {
+  const updates: TableUpdate[] = [];
+  const follower = followTable(store, {
+    ...TABLE,
+    waitMs: WAIT_MS,
+    pageRows: 2,
+    report: (update) => updates.push(update),
+    onError: (error) => {
+      throw error;
+    },
+  });
+  const wait = async (checksLeft: number): Promise<void> => {
+    if (checksLeft === 0 || isDone(updates)) return;
+    await sleep(CHECK_MS);
+    await wait(checksLeft - 1);
+  };
+  await wait(MAX_CHECKS);
+  follower.stop();
+  return updates;
+}
+
+function hasSnapshot(updates: readonly TableUpdate[]): boolean {
+  return updates.some(({ kind }) => kind === 'snapshot');
+}
+
+function snapshotKeys(updates: readonly TableUpdate[]): readonly string[] {
+  return updates.flatMap((update) =>
+    update.kind === 'snapshot' ? update.rows.map(({ key }) => key) : [],
+  );
+}
+
+// Guards against a store that refuses a share of the calls, so that a long read never ends.
+it('continues a full read from the page that failed', async () => {
+  const { store, ranges } = fakeStore(storeOf(['a', 'b', 'c', 'd', 'e']), (call, state) =>
+    call % 2 === 0 ? 'unavailable' : state,
+  );
+  const updates = await follow(store, hasSnapshot);
+  expect(snapshotKeys(updates)).to.deep.equal(['a', 'b', 'c', 'd', 'e']);
+  expect(ranges().map(({ fromKey }) => fromKey)).to.deep.equal([undefined, 'c', 'c', 'e', 'e']);
+});
+
+// Guards against rows that are written behind the last page read and are missed.
+it('reports changes that were made between two pages', async () => {
+  const { store } = fakeStore(storeOf(['b', 'c', 'd']), (call, state) =>
+    call === 2 ? put(put(state, 'a', 'added'), 'd', 'changed') : state,
+  );
+  const updates = await follow(store, (list) => list.some(({ kind }) => kind === 'changes'));
+  expect(snapshotKeys(updates)).to.deep.equal(['b', 'c', 'd']);
+  const changed = updates.flatMap((update) => (update.kind === 'changes' ? update.changes : []));
+  expect(changed.map(({ key }) => key)).to.deep.equal(['a', 'd']);
+});
--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -18,7 +18,13 @@
   SchedulerSettings,
   SchedulerTimes,
 } from '@bronzeyoke/scheduler';
-import { createScheduler, PARTITION, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
+import {
+  createScheduler,
+  JOB_PAGE_ROWS,
+  PARTITION,
+  stepScheduler,
+  TABLES,
+} from '@bronzeyoke/scheduler';
 import type { EventFields, EventName } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
 import { decodeLeaderMessage, decodeRunnerMessage } from '@bronzeyoke/wire';
@@ -139,6 +145,7 @@
       ? followTable(store, {
           table: TABLES.jobs,
           partition: PARTITION,
+          pageRows: JOB_PAGE_ROWS,
           waitMs: FEED_WAIT_MS,
           onError,
           report: (update) => {
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -24,6 +24,9 @@
  */
 export const PROGRESS_PAGE_ROWS = 200;
 
+/** Rows of the job table on one page, for the same reason. A row takes 7 KB with a payload of 4 KB. */
+export const JOB_PAGE_ROWS = 30;
+
 /** Keys of single rows. */
 export const LEADER_KEY: RowKey = { table: TABLES.leader, partition: PARTITION, key: 'leader' };
 export const LEASE_KEY: RowKey = { table: TABLES.lease, partition: PARTITION, key: 'lease' };
