--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -30,6 +30,8 @@
 import { decodeLeaderMessage, decodeRunnerMessage } from '@bronzeyoke/wire';
 import type { FleetConfig, WorkflowJob } from '@bronzeyoke/workflow';
 import { followLeader } from './leader';
+import type { Reachability } from './reachability';
+import { REACHABLE, updateReachability } from './reachability';
 import { performStoreCall } from './store';
 
 /** Settings of an entry and the ports that it uses. */
@@ -71,7 +73,7 @@
   callCount: number;
   linkCount: number;
   storeAnsweredAtMs: number;
-  isStoreUnavailable: boolean;
+  storeReachability: Reachability;
   config?: FleetConfig;
 }
 
@@ -85,14 +87,15 @@
     callCount: 0,
     linkCount: 0,
     storeAnsweredAtMs: performance.now(),
-    isStoreUnavailable: false,
+    storeReachability: REACHABLE,
   };
 
   const recordStoreResult = (isAnswered: boolean): void => {
-    if (isAnswered) state.storeAnsweredAtMs = performance.now();
-    if (isAnswered === !state.isStoreUnavailable) return;
-    state.isStoreUnavailable = !isAnswered;
-    log(isAnswered ? 'dependencyRegained' : 'dependencyLost', { what: 'store' });
+    const nowMs = performance.now();
+    if (isAnswered) state.storeAnsweredAtMs = nowMs;
+    const next = updateReachability(state.storeReachability, 'store', isAnswered, nowMs);
+    state.storeReachability = next.state;
+    next.logs.forEach(({ event, fields }) => log(event, fields));
   };
 
   const trackedStore: RowStorePort = {
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,2 +1,3 @@
 export * from './controller';
+export * from './reachability';
 export * from './runner';
