--- a/packages/ports/src/rows.ts
+++ b/packages/ports/src/rows.ts
@@ -37,15 +37,23 @@
   | { readonly kind: 'unavailable' }
   | { readonly kind: 'unknown' };
 
+/** Most rows that the store returns in one call. A page may have fewer, because its size is limited. */
+export const MAX_PAGE_ROWS = 500;
+
 /** A range of keys in a table and partition. `fromKey` is inclusive, `untilKey` is exclusive. */
 export interface RowRange {
   readonly table: string;
   readonly partition: string;
   readonly fromKey?: string;
   readonly untilKey?: string;
+  /** Reads one page of at most this many rows. If absent, the whole range is read. */
+  readonly maxRows?: number;
 }
 
-/** Consistent snapshot of rows. `version` is the latest version of the store at that time. */
+/**
+ * Rows of a range. A page is a consistent snapshot, and `version` is the latest version of the store at
+ * that time. `nextKey` is the key from which the range continues after this page.
+ */
 export type RowRangeResult =
   | {
       readonly kind: 'rows';
@@ -53,6 +61,7 @@
       readonly version: number;
       /** Steady clock of the store when it replied; all readers see the same clock. */
       readonly clockMs: number;
+      readonly nextKey?: string;
     }
   | { readonly kind: 'unavailable' };
 
@@ -70,7 +79,7 @@
 /** The platform's transactional row store. */
 export interface RowStorePort {
   readonly commit: (transaction: RowTransaction) => Promise<RowCommitResult>;
-  /** Reads a whole range, in as many calls as necessary. */
+  /** Reads a page of a range, or all of it in as many calls as necessary. */
   readonly range: (range: RowRange) => Promise<RowRangeResult>;
   /** Waits up to `waitMs` for changes after a version. */
   readonly feed: (table: string, afterVersion: number, waitMs: number) => Promise<RowFeedResult>;
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -2,17 +2,16 @@
 import type { StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, without } from '@bronzeyoke/types';
-import { decodeLeader, PARTITION, TABLES } from './rows';
+import { startReads } from './load';
+import { decodeLeader } from './rows';
 import { EMPTY_LEADER_STATE, unchanged, withEffects } from './state';
-import type { Leader, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import type { Leader, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
 
-/** Ids of the store calls that poll and claim the lease and load the state. */
+/** Ids of the store calls that poll and claim the lease. */
 export const CALLS = {
   claimLease: 'claim',
   poll: 'poll',
-  progress: 'progress',
-  notes: 'notes',
 } as const;
 
 type LeadershipEvent =
@@ -28,29 +27,11 @@
   ]);
 }
 
-/** Returns the reads that a new leader still needs. */
-export function loadEffects(state: SchedulerState): readonly SchedulerEffect[] {
-  const { loading } = state;
-  const progress = {
-    kind: 'range',
-    callId: CALLS.progress,
-    range: { table: TABLES.progress, partition: PARTITION },
-  } as const;
-  const notes = {
-    kind: 'range',
-    callId: CALLS.notes,
-    range: { table: TABLES.notes, partition: PARTITION },
-  } as const;
-  return [
-    ...(loading.progress === undefined ? [progress] : []),
-    ...(loading.pairs === undefined ? [notes] : []),
-  ];
-}
-
 function startLoad({ state, effects }: SchedulerStep): SchedulerStep {
-  return withEffects(state, [
+  const reads = startReads(state);
+  return withEffects(reads.state, [
     ...effects,
-    ...loadEffects(state),
+    ...reads.effects,
     { kind: 'followJobs', isOn: true },
   ]);
 }
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -8,7 +8,7 @@
   advance,
   commitAll,
   createLeader,
-  createLoading,
+  createSuccessor,
   dispatch,
   inFlight,
   jobOf,
@@ -40,7 +40,7 @@
 
 /** Returns a new leader that took over the only task of a job from a silent worker. */
 function adopted(task: TaskProgress): Fixture {
-  const loaded = load(createLoading(), [jobOf('job1', [stageOf(1)])], { job1: { [SLOT]: task } });
+  const loaded = load(createSuccessor(), [jobOf('job1', [stageOf(1)])], { job1: { [SLOT]: task } });
   return commitAll(loaded);
 }
 
@@ -75,7 +75,7 @@
 // Guards against a proof from an address that only a part of the claims names.
 it('keeps adopted runs whose claims name different addresses', () => {
   const tasks = { [SLOT]: storedRun('w1'), '0.0.1': storedRun('w1', { workerAddress: 'w3:1' }) };
-  const loaded = commitAll(load(createLoading(), [jobOf('job1', [stageOf(2)])], { job1: tasks }));
+  const loaded = commitAll(load(createSuccessor(), [jobOf('job1', [stageOf(2)])], { job1: tasks }));
   const later = report(loaded, 'w2', { bornAtMs: 900, address: 'w1:1' });
   expect(taskOf(later)?.workerKey).to.equal(workerKeyFor('w1', 500));
 });
@@ -83,7 +83,7 @@
 // Guards against a wait for the lease of a run whose successor at the address reported before the load ended.
 it('releases an adopted run when a later instance was known before the load ended', () => {
   const known = report(createLeader(), 'w2', { bornAtMs: 900, address: 'w1:1' });
-  const loading = createLoading();
+  const loading = createSuccessor();
   const { workers, links } = known.state;
   const state = { ...loading.state, workers, links };
   const loaded = load({ ...loading, state }, [jobOf('job1', [stageOf(1)])], {
@@ -154,7 +154,7 @@
 /** Returns a new leader that took over a filling task on w1, which the leader before may have paused. */
 function adoptedFill(changes: Partial<Stage> = {}): Fixture {
   const job = jobOf('job1', [{ ...FILLING, ...changes }]);
-  return commitAll(load(createLoading(), [job], { job1: { [SLOT]: storedRun('w1') } }));
+  return commitAll(load(createSuccessor(), [job], { job1: { [SLOT]: storedRun('w1') } }));
 }
 
 /** Delivers a report of w1 that lists the adopted task, some time later. */
@@ -211,7 +211,7 @@
 // Guards against two orders at once, which the worker may carry out in either order.
 it('sends only the pause to an adopted filling task beside a harmed task', () => {
   const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
-  const loaded = load(createLoading(), [jobOf('job1', [FILLING]), jobOf('job2', [serving])], {
+  const loaded = load(createSuccessor(), [jobOf('job1', [FILLING]), jobOf('job2', [serving])], {
     job1: { [SLOT]: storedRun('w1') },
     job2: { [SLOT]: storedRun('w1') },
   });
@@ -227,7 +227,7 @@
   const sites = Array.from({ length: 12 }, (_, index) => `w${index}`);
   const tasks = Object.fromEntries(sites.map((site, index) => [`0.0.${index}`, storedRun(site)]));
   const gone = workerKeyFor('w11', 500);
-  const loading = dispatch(dispatch(createLoading(), { kind: 'linkOpened', linkId: 'l' }), {
+  const loading = dispatch(dispatch(createSuccessor(), { kind: 'linkOpened', linkId: 'l' }), {
     kind: 'received',
     linkId: 'l',
     message: { kind: 'workerGone', workerKey: gone },
@@ -245,7 +245,7 @@
   const [awaited, ...more] = loggedFields(loaded, 'workersAwaited');
   expect(more).to.have.length(0);
   expect(awaited).to.include({ count: 11, waitMs });
-  const keys = ['w0', 'w1', 'w10', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8'];
+  const keys = ['w0', 'w10', 'w1', 'w2', 'w3', 'w4', 'w5', 'w6', 'w7', 'w8'];
   expect(awaited?.workers).to.equal(keys.map((site) => workerKeyFor(site, 500)).join(','));
 });
 
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -1,4 +1,4 @@
-import type { ListedEnd, ListedRun, RowTransaction } from '@bronzeyoke/ports';
+import type { ListedEnd, ListedRun, RowTransaction, StoredRow } from '@bronzeyoke/ports';
 import type {
   SchedulerEffect,
   SchedulerEvent,
@@ -12,6 +12,7 @@
   LEASE_KEY,
   progressKey,
   stepScheduler,
+  TABLES,
 } from '@bronzeyoke/scheduler';
 import type { EventFields } from '@bronzeyoke/telemetry';
 import type { RunnerMessage } from '@bronzeyoke/wire';
@@ -83,14 +84,16 @@
   return dispatch(fixture, { kind: 'leaderRow', row: undefined });
 }
 
-/** Returns a scheduler that leads, with an empty store. */
-export function createLeader(): Fixture {
+/** Returns a scheduler that has claimed a lease, free unless a row is given, and reads the store. */
+export function createLoading(
+  follower: Fixture = createFollower(),
+  rows: readonly StoredRow[] = [],
+): Fixture {
   const wallMs = WALL_MS + 1_000;
-  const polled = advance(createFollower(), 400);
-  const claiming = dispatch(polled, {
+  const claiming = dispatch(advance(follower, 400), {
     kind: 'rangeDone',
     callId: 'poll',
-    result: { kind: 'rows', rows: [], version: 10, clockMs: 400 },
+    result: { kind: 'rows', rows, version: 10, clockMs: 400 },
     wallMs,
   });
   const won = dispatch(claiming, {
@@ -99,30 +102,36 @@
     result: { kind: 'committed', version: 11 },
     wallMs,
   });
-  const empty = { kind: 'rows', rows: [], version: 11, clockMs: 500 } as const;
-  const read = ['progress', 'notes'].reduce(
-    (current, callId) => dispatch(current, { kind: 'rangeDone', callId, result: empty, wallMs }),
-    { ...won, version: 11 },
-  );
-  return commitAll(dispatch(read, { kind: 'jobRows', isFull: true, rows: [], wallMs }));
+  return { ...won, version: 11 };
 }
 
-/** Returns a scheduler that has won its claim after a release, and has read nothing yet. */
-export function createLoading(): Fixture {
-  const wallMs = WALL_MS + 1_000;
+/** Returns a scheduler that has claimed the lease that another entry released, and reads the store. */
+export function createSuccessor(): Fixture {
   const value = { entryId: 'entry-0', number: 3, isReleased: true };
-  const rows = [{ ...LEASE_KEY, version: 10, value }];
-  const claiming = dispatch(advance(createFollower(), 400), {
-    kind: 'rangeDone',
-    callId: 'poll',
-    result: { kind: 'rows', rows, version: 10, clockMs: 400 },
-    wallMs,
-  });
-  const result = { kind: 'committed', version: 11 } as const;
-  return dispatch(
-    { ...claiming, version: 11 },
-    { kind: 'commitDone', callId: 'claim', result, wallMs },
+  return createLoading(createFollower(), [{ ...LEASE_KEY, version: 10, value }]);
+}
+
+/** Answers the reads of a new leader: one page of progress, and no notes. */
+export function answerReads(
+  fixture: Fixture,
+  progressRows: readonly StoredRow[],
+  wallMs: number,
+): Fixture {
+  const reads = fixture.effects.flatMap((effect) =>
+    effect.kind === 'range' && effect.callId !== 'poll' ? [effect] : [],
   );
+  return reads.reduce((current, { callId, range }) => {
+    const rows = range.table === TABLES.progress ? progressRows : [];
+    const result = { kind: 'rows', rows, version: 11, clockMs: 500 } as const;
+    return dispatch(current, { kind: 'rangeDone', callId, result, wallMs });
+  }, fixture);
+}
+
+/** Returns a scheduler that leads, with an empty store. */
+export function createLeader(): Fixture {
+  const wallMs = WALL_MS + 1_000;
+  const read = answerReads(createLoading(), [], wallMs);
+  return commitAll(dispatch(read, { kind: 'jobRows', isFull: true, rows: [], wallMs }));
 }
 
 /** Delivers the reads of a new leader: open jobs, and the stored tasks of some of them. */
@@ -138,20 +147,7 @@
     version,
     value: { tasks },
   }));
-  const read = dispatch(
-    dispatch(fixture, {
-      kind: 'rangeDone',
-      callId: 'progress',
-      result: { kind: 'rows', rows: progress, version, clockMs: 500 },
-      wallMs,
-    }),
-    {
-      kind: 'rangeDone',
-      callId: 'notes',
-      result: { kind: 'rows', rows: [], version, clockMs: 500 },
-      wallMs,
-    },
-  );
+  const read = answerReads(fixture, progress, wallMs);
   const rows = jobs.map((job) => ({ ...jobKey(job.jobId), version, value: job }));
   return dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs });
 }
--- a/packages/scheduler/test/leadership.test.ts
+++ b/packages/scheduler/test/leadership.test.ts
@@ -5,6 +5,7 @@
 import type { Fixture } from './fixture';
 import {
   advance,
+  answerReads,
   commitAll,
   createFollower,
   createLeader,
@@ -190,20 +191,8 @@
   const task = { phase: 'running', attempt: 1, failures: 0, workerKey };
   const progress = { table: 'progress', partition: 'main', key: 'job1', version: 9 };
   const job = { table: 'job', partition: 'main', key: 'job1/job', version: 8 };
-  const replies = [
-    { callId: 'progress', rows: [{ ...progress, value: { tasks: { '0.0.0': task } } }] },
-    { callId: 'notes', rows: [] },
-  ];
-  const read = replies.reduce<Fixture>(
-    (fixture, { callId, rows }) =>
-      dispatch(fixture, {
-        kind: 'rangeDone',
-        callId,
-        result: { kind: 'rows', rows, version: 30, clockMs: startClockMs + 2_400 },
-        wallMs,
-      }),
-    won,
-  );
+  const rows = [{ ...progress, value: { tasks: { '0.0.0': task } } }];
+  const read = answerReads(won, rows, wallMs);
   const definition = jobOf('job1', [stageOf(1, { isLasting: true })]);
   return dispatch(read, {
     kind: 'jobRows',
