Simulate takeovers with several schedulers and agents

No model had several schedulers, agents and one store with a feed, so the order of the feed and the reply to a claim was never tried. The simulation runs the pure cores in virtual time with a store that can be slow, refuse calls and lose replies.

--- /dev/null
+++ b/packages/scheduler/test/simulation.ts
@@ -0,0 +1,346 @@
+import type { RowTransaction } from '@bronzeyoke/ports';
+import { decodeLeader, decodeLease, jobKey, progressKey, TABLES } from '@bronzeyoke/scheduler';
+import { rowId } from '@bronzeyoke/standins';
+import type { LeaderMessage } from '@bronzeyoke/wire';
+import type { Stage } from '@bronzeyoke/workflow';
+import { decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
+import { jobOf, stageOf, WALL_MS } from './fixture';
+import { createClock } from './simclock';
+import type { ClaimRow, LastRun, Violation } from './siminvariants';
+import {
+  isHolder,
+  lastingViolations,
+  rowViolations,
+  runViolations,
+  termViolations,
+} from './siminvariants';
+import type { AgentNode, EntryNode, World } from './simnodes';
+import { createAgent, createEntry } from './simnodes';
+import type { PlannedLoss, SimStore, StoreConditions } from './simstore';
+import { CALM_STORE, commitKindOf, createStore } from './simstore';
+import type { SimWorker } from './simworker';
+import { createWorker } from './simworker';
+
+/** Time between the stop of an entry and the end of its process. */
+const GRACE_MS = 2_500;
+
+/** Workers' clocks may be this much slow or fast. */
+const CLOCK_ERROR = 0.02;
+
+/** Several entries, machines with an agent and a worker, and a store, in virtual time. */
+export interface Simulation {
+  readonly now: () => number;
+  readonly random: () => number;
+  readonly violations: () => readonly Violation[];
+  /** Log lines of the leadership and of the faults, with the time since the start. */
+  readonly trace: () => readonly string[];
+  readonly claims: () => readonly ClaimRow[];
+  /** Index of the entry that leads, by the phase of its newest term. */
+  readonly leader: () => number;
+  readonly isLeading: (entry: number) => boolean;
+  readonly hasTransaction: (entry: number) => boolean;
+  readonly runningOn: (machine: number) => number;
+  readonly advance: (ms: number) => void;
+  readonly advanceUntil: (holds: () => boolean, limitMs: number) => boolean;
+  /** Stores a job with lasting tasks, or with short ones. */
+  readonly submit: (kind: 'lasting' | 'short', taskCount: number) => void;
+  /** Changes the store for all callers or for one. Anything but the order of feed and reply disturbs. */
+  readonly setStore: (changes: Partial<StoreConditions>, caller?: string) => void;
+  /** Ends all store trouble. */
+  readonly calmStore: () => void;
+  readonly setOrder: (changes: Pick<StoreConditions, 'replyDelayMs' | 'feedDelayMs'>) => void;
+  readonly loseReply: (loss: PlannedLoss) => void;
+  readonly stopEntry: (entry: number, awayMs: number) => void;
+  readonly killEntry: (entry: number, awayMs: number) => void;
+  readonly freezeEntry: (entry: number, forMs: number) => void;
+  readonly cutEntry: (entry: number, forMs: number) => void;
+  readonly drainWorker: (machine: number) => void;
+  readonly leaveWorker: (machine: number) => void;
+  readonly stopAgent: (machine: number) => void;
+  readonly killMachine: (machine: number) => void;
+  readonly losePower: (awayMs: number) => void;
+}
+
+interface Machine {
+  readonly agent: AgentNode;
+  readonly worker: SimWorker;
+}
+
+/** Creates a simulation with its entries and machines running. */
+export function createSimulation(seed: number, entryCount = 5, machineCount = 5): Simulation {
+  const clock = createClock(seed);
+  const startMs = clock.now();
+  const hosts = Array.from({ length: entryCount }, (_, index) => `h${index}`);
+  const found = new Map<string, Violation>();
+  const trace: string[] = [];
+  const lastRuns = new Map<string, number>();
+  const storedClaims = new Set<string>();
+  const known: {
+    claims: readonly ClaimRow[];
+    jobs: number;
+    calmSinceMs: number;
+    generation: number;
+  } = { claims: [], jobs: 0, calmSinceMs: startMs, generation: 0 };
+  const disturbances = new Set<string>();
+  const entries: EntryNode[] = [];
+  const machines: Machine[] = [];
+
+  const log = (who: string, text: string): void => {
+    trace.push(`${((clock.now() - startMs) / 1_000).toFixed(3)} ${who} ${text}`);
+  };
+  const record = (violation: Violation): void => {
+    const key = JSON.stringify(violation);
+    if (found.has(key)) return;
+    found.set(key, violation);
+    log('VIOLATION', key);
+  };
+  const disturb = (what: string): void => {
+    disturbances.add(what);
+    log('fault', what);
+  };
+  const calm = (what: string): void => {
+    disturbances.delete(what);
+    known.calmSinceMs = clock.now();
+    log('fault ends', what);
+  };
+  const disturbOnce = (what: string): void => {
+    disturb(what);
+    calm(what);
+  };
+
+  const recordProgress = ({ writes }: RowTransaction): void =>
+    writes.forEach((write) => {
+      if (write.kind !== 'put' || write.table !== TABLES.progress) return;
+      decodeProgress(write.value)?.tasks.forEach(({ workerKey, attempt }, slot) => {
+        if (workerKey !== undefined) {
+          storedClaims.add(`${write.key}.${slot}#${attempt}@${workerKey}`);
+        }
+      });
+    });
+
+  const onApplied = (caller: string, transaction: RowTransaction, version: number): void => {
+    const kind = commitKindOf(transaction);
+    recordProgress(transaction);
+    if (kind === 'other') return;
+    const write = transaction.writes.find(({ table }) => table === TABLES.leader);
+    if (write?.kind === 'put') {
+      const leader = decodeLeader({ ...write, version });
+      if (leader === undefined) return;
+      const { entryId, term } = leader;
+      known.claims = [...known.claims, { version, entryId, term }];
+      log('store', `claim of ${entryId} term ${term}`);
+      rowViolations(known.claims).forEach(record);
+      return;
+    }
+    const put = transaction.writes.find(({ table }) => table === TABLES.lease);
+    const writer = put?.kind === 'put' ? decodeLease({ ...put, version })?.entryId : undefined;
+    const owner = known.claims.at(-1)?.entryId ?? '';
+    if (kind === 'release') log('store', `release of ${caller}`);
+    if (writer !== owner) record({ kind: 'foreignCommit', entry: writer ?? caller, owner });
+  };
+
+  const store: SimStore = createStore(clock, onApplied);
+
+  const isStillStored = (task: string, attempt: number, workerKey: string): boolean => {
+    const ref = parseTaskName(task);
+    const row = store.state().rows.get(rowId(progressKey(ref?.jobId ?? '')));
+    const slot = task.slice((ref?.jobId ?? '').length + 1);
+    const stored = decodeProgress(row?.value)?.tasks.get(slot);
+    return stored?.workerKey === workerKey && stored.attempt === attempt;
+  };
+
+  const onSend = ({ name }: EntryNode, message: LeaderMessage): void => {
+    if (message.kind === 'start') {
+      const { task, attempt } = message.run;
+      const run = `${task}#${attempt}@${message.workerKey}`;
+      if (!storedClaims.has(run)) record({ kind: 'unclaimedStart', entry: name, run });
+    }
+    if (message.kind !== 'acknowledge') return;
+    const { workerKey, sequence } = message;
+    const worker = machines.find((machine) => machine.worker.key === workerKey)?.worker;
+    worker?.state().ends.forEach(({ task, attempt, sequence: number }) => {
+      if (number > sequence || !isStillStored(task, attempt, workerKey)) return;
+      record({ kind: 'unstoredEnd', entry: name, run: `${task}#${attempt}@${workerKey}` });
+    });
+  };
+
+  const world: World = {
+    clock,
+    store,
+    seeds: hosts,
+    entryAt: (host) => entries[hosts.indexOf(host)],
+    log,
+    onSend,
+  };
+
+  const startEntry = (index: number): void => {
+    known.generation += 1;
+    const host = hosts[index] ?? '';
+    entries[index] = createEntry(world, host, `${host}-${known.generation}`);
+  };
+  const startMachine = (index: number): void => {
+    const name = `m${index}`;
+    const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
+    const worker = createWorker(clock, name, WALL_MS + clock.now(), rate);
+    machines[index] = { worker, agent: createAgent(world, name, () => worker) };
+  };
+  hosts.forEach((_, index) => startEntry(index));
+  Array.from({ length: machineCount }, (_, index) => startMachine(index));
+
+  const holderStates = () => entries.filter((entry) => entry.isUp()).map((entry) => entry.state());
+
+  const observe = (): void => {
+    machines.forEach(({ worker }) => worker.update());
+    const workers = machines.map(({ worker }) => worker);
+    const live = workers.filter((worker) => worker.isUp());
+    live.forEach((worker) =>
+      worker.state().runs.forEach((_, task) => {
+        if (lastRuns.has(task)) lastRuns.set(task, clock.now());
+      }),
+    );
+    const runs: readonly LastRun[] = [...lastRuns].map(([task, atMs]) => ({ task, atMs }));
+    const hasRoom = machines.some(
+      ({ agent, worker }) =>
+        agent.isUp() && worker.isUp() && !worker.isDraining() && worker.state().runs.size < 4,
+    );
+    const calmSinceMs = disturbances.size > 0 ? clock.now() : known.calmSinceMs;
+    [
+      ...termViolations(holderStates(), known.claims),
+      ...runViolations(workers),
+      ...lastingViolations(runs, clock.now(), calmSinceMs, hasRoom),
+    ].forEach(record);
+  };
+
+  const advance = (ms: number): void => clock.advance(ms, observe);
+  const advanceUntil = (holds: () => boolean, limitMs: number): boolean => {
+    const untilMs = clock.now() + limitMs;
+    while (!holds() && clock.now() < untilMs) advance(1);
+    return holds();
+  };
+  const isLeading = (index: number): boolean => {
+    const entry = entries[index];
+    return entry?.isUp() === true && entry.state().phase === 'leading';
+  };
+
+  const killMachine = (index: number): void => {
+    machines[index]?.worker.end();
+    machines[index]?.agent.kill();
+  };
+
+  return {
+    now: () => clock.now() - startMs,
+    random: clock.random,
+    violations: () => [...found.values()],
+    trace: () => trace,
+    claims: () => known.claims,
+    leader: () => {
+      const owner = known.claims.at(-1)?.entryId;
+      return entries.findIndex(
+        (entry) => entry.name === owner && entry.isUp() && isHolder(entry.state()),
+      );
+    },
+    isLeading,
+    hasTransaction: (index) => entries[index]?.state().inFlight !== undefined,
+    runningOn: (index) => machines[index]?.worker.state().runs.size ?? 0,
+    advance,
+    advanceUntil,
+    submit: (kind, taskCount) => {
+      known.jobs += 1;
+      const jobId = `${kind}${known.jobs}`;
+      const changes: Partial<Stage> =
+        kind === 'lasting' ? { isLasting: true, maxPerWorker: 2 } : {};
+      const value = {
+        ...jobOf(jobId, [stageOf(taskCount, changes)]),
+        acceptedAtMs: WALL_MS + clock.now(),
+      };
+      store.put({ conditions: [], writes: [{ kind: 'put', ...jobKey(jobId), value }] });
+      if (kind === 'short') return;
+      Array.from({ length: taskCount }, (_, index) =>
+        lastRuns.set(`${jobId}.0.0.${index}`, clock.now()),
+      );
+    },
+    setStore: (changes, caller) => {
+      disturb(`store ${caller ?? ''}`);
+      store.setConditions(changes, caller);
+    },
+    calmStore: () => {
+      [...hosts, ...machines.map((_, index) => `m${index}`)].forEach((caller) =>
+        store.setConditions(CALM_STORE, caller),
+      );
+      store.setConditions(CALM_STORE);
+      [...disturbances].filter((what) => what.startsWith('store')).forEach(calm);
+    },
+    setOrder: (changes) => store.setConditions(changes),
+    loseReply: (loss) => {
+      disturbOnce(`reply lost ${JSON.stringify(loss)}`);
+      store.planLoss(loss);
+    },
+    stopEntry: (index, awayMs) => {
+      const entry = entries[index];
+      if (entry?.accepts() !== true) return;
+      log('plan', `stop ${entry.name}`);
+      entry.stop();
+      clock.schedule(GRACE_MS, entry.kill);
+      clock.schedule(GRACE_MS + awayMs, () => startEntry(index));
+    },
+    killEntry: (index, awayMs) => {
+      const entry = entries[index];
+      if (entry?.accepts() !== true) return;
+      disturbOnce(`kill ${entry.name}`);
+      entry.kill();
+      clock.schedule(awayMs, () => startEntry(index));
+    },
+    freezeEntry: (index, forMs) => {
+      const entry = entries[index];
+      const what = `freeze ${entry?.name}`;
+      if (entry?.accepts() !== true || disturbances.has(what)) return;
+      disturb(what);
+      entry.setFrozen(true);
+      clock.schedule(forMs, () => {
+        entry.setFrozen(false);
+        calm(what);
+      });
+    },
+    cutEntry: (index, forMs) => {
+      const host = hosts[index] ?? '';
+      const what = `cut ${host}`;
+      if (disturbances.has(what)) return;
+      disturb(what);
+      store.setConditions({ isSilent: true }, host);
+      clock.schedule(forMs, () => {
+        store.setConditions({ isSilent: false }, host);
+        calm(what);
+      });
+    },
+    drainWorker: (index) => {
+      log('plan', `drain m${index}`);
+      machines[index]?.worker.drain();
+      machines[index]?.agent.heartbeat();
+    },
+    leaveWorker: (index) => {
+      log('plan', `leave m${index}`);
+      const machine = machines[index];
+      const id = machine?.worker.report().id ?? '';
+      machine?.worker.end();
+      machine?.agent.dispatch({ kind: 'workerLeft', id });
+    },
+    stopAgent: (index) => {
+      log('plan', `stop agent m${index}`);
+      machines[index]?.agent.kill();
+    },
+    killMachine: (index) => {
+      disturbOnce(`kill m${index}`);
+      killMachine(index);
+    },
+    losePower: (awayMs) => {
+      disturb('power');
+      entries.forEach((entry) => entry.kill());
+      machines.forEach((_, index) => killMachine(index));
+      clock.schedule(awayMs, () => {
+        hosts.forEach((_, index) => startEntry(index));
+        machines.forEach((_, index) => startMachine(index));
+        calm('power');
+      });
+    },
+  };
+}
--- /dev/null
+++ b/packages/scheduler/test/simworker.ts
@@ -0,0 +1,105 @@
+import type { WorkerCall, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
+import { workerKeyOf } from '@bronzeyoke/ports';
+import type { TaskWorkerState } from '@bronzeyoke/standins';
+import { advanceTaskWorker, callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
+import type { Clock } from './simclock';
+
+/** Duration of a run of a task that lasts. */
+const LASTING_MS = 1e9;
+const SHORT_MS = 700;
+
+/** A worker process of a simulation. */
+export interface SimWorker {
+  readonly key: string;
+  readonly state: () => TaskWorkerState;
+  readonly report: () => WorkerReport;
+  readonly isUp: () => boolean;
+  readonly isDraining: () => boolean;
+  readonly drain: () => void;
+  /** Ends the process with all of its runs. */
+  readonly end: () => void;
+  readonly call: (call: WorkerCall, reply: (result: WorkerCallResult) => void) => void;
+  /** Ends runs that are due, and replies to the hold that waits for them. */
+  readonly update: () => void;
+}
+
+/** Creates a worker whose clock has the given rate. */
+export function createWorker(
+  clock: Clock,
+  address: string,
+  bornAtMs: number,
+  rate: number,
+): SimWorker {
+  const id = `${address}-${bornAtMs}`;
+  const startMs = clock.now();
+  const clockMs = (): number => 500 + Math.floor((clock.now() - startMs) * rate);
+  const known: {
+    state: TaskWorkerState;
+    sequence: number;
+    isUp: boolean;
+    isDraining: boolean;
+    wake?: (() => void) | undefined;
+  } = { state: createTaskWorker(bornAtMs), sequence: 0, isUp: true, isDraining: false };
+  const key = workerKeyOf({ id, bornAtMs });
+
+  const run = (call: WorkerCall): WorkerCallResult => {
+    const workMs = 'task' in call && call.task.startsWith('lasting') ? LASTING_MS : SHORT_MS;
+    const step = callTaskWorker(known.state, call, clockMs(), workMs);
+    known.state = step.state;
+    return step.result;
+  };
+
+  const call: SimWorker['call'] = (order, reply) => {
+    const result = run(order);
+    const hasEnds = result.kind === 'done' && (result.ended?.length ?? 0) > 0;
+    if (order.kind !== 'hold' || result.kind !== 'done' || hasEnds || order.waitMs === 0) {
+      reply(result);
+      return;
+    }
+    const wake = (): void => {
+      if (known.wake !== wake) return;
+      known.wake = undefined;
+      if (!known.isUp) reply({ kind: 'lost' });
+      else reply(run({ ...order, fencingToken: known.state.fencingToken }));
+    };
+    known.wake = wake;
+    clock.schedule(order.waitMs, wake);
+  };
+
+  return {
+    key,
+    state: () => known.state,
+    isUp: () => known.isUp,
+    isDraining: () => known.isDraining,
+    report: () => {
+      known.sequence += 1;
+      return {
+        id,
+        address,
+        bornAtMs,
+        service: 'quoter',
+        domain: 'north',
+        version: 'v1',
+        isDraining: known.isDraining,
+        capacity: { processorsMilli: 4_000, memoryMb: 8_000, accelerators: 0 },
+        labels: ['a'],
+        rack: 'r1',
+        sequence: known.sequence,
+      };
+    },
+    drain: () => {
+      known.isDraining = true;
+    },
+    end: () => {
+      known.isUp = false;
+      known.wake?.();
+    },
+    call,
+    update: () => {
+      if (!known.isUp) return;
+      const before = known.state.lastEndSequence;
+      known.state = advanceTaskWorker(known.state, clockMs());
+      if (known.state.lastEndSequence !== before) known.wake?.();
+    },
+  };
+}
