--- /dev/null
+++ b/packages/scheduler/test/simnodes.ts
@@ -0,0 +1,63 @@
+import type { StoredRow } from '@bronzeyoke/ports';
+import type { RunnerEvent, RunnerState } from '@bronzeyoke/runner';
+import type { SchedulerEvent, SchedulerState, SchedulerTimes } from '@bronzeyoke/scheduler';
+import { LEADER_KEY } from '@bronzeyoke/scheduler';
+import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
+import type { Clock, Span } from './simclock';
+import type { SimStore } from './simstore';
+
+/** Duration of a message between two processes. */
+export const HOP_MS: Span = [1, 3];
+
+/** Port at which every entry accepts agents. */
+export const PORT = 1;
+
+/** Parts of the simulation that its processes use, and the observers of what they do. */
+export interface World {
+  readonly clock: Clock;
+  readonly store: SimStore;
+  readonly entryAt: (host: string) => EntryNode | undefined;
+  readonly seeds: readonly string[];
+  readonly times: SchedulerTimes;
+  readonly log: (who: string, text: string) => void;
+  readonly onSend: (entry: EntryNode, message: LeaderMessage) => void;
+}
+
+/** A connection between an agent and an entry. Messages arrive in order. */
+export interface Link {
+  readonly linkId: string;
+  readonly toAgent: (message: LeaderMessage) => void;
+  readonly toEntry: (message: RunnerMessage) => void;
+  /** Closes the connection; only the ends that are up learn of it. */
+  readonly close: () => void;
+}
+
+/** Process of an entry. */
+export interface EntryNode {
+  readonly name: string;
+  readonly host: string;
+  readonly state: () => SchedulerState;
+  readonly isUp: () => boolean;
+  readonly accepts: () => boolean;
+  readonly dispatch: (event: SchedulerEvent) => void;
+  readonly addLink: (link: Link) => void;
+  readonly stop: () => void;
+  readonly kill: () => void;
+  readonly setFrozen: (isFrozen: boolean) => void;
+}
+
+/** Process of an agent. */
+export interface AgentNode {
+  readonly state: () => RunnerState;
+  readonly isUp: () => boolean;
+  readonly dispatch: (event: RunnerEvent) => void;
+  readonly heartbeat: () => void;
+  readonly kill: () => void;
+  /** Cuts the agent off from all entries, but neither from its worker nor from the store. */
+  readonly setCut: (isCut: boolean) => void;
+}
+
+/** Returns the leader's row of a full read. */
+export function leaderRowOf(rows: readonly StoredRow[]): StoredRow | undefined {
+  return rows.find(({ key }) => key === LEADER_KEY.key);
+}
