Name silent workers in the lease row, and count times from its write

A machine that died at 6.0 s had its lasting tasks back only at 17 s when the leader was killed at 9.0 s: the second leader counted the longest lease from the last renewal, although the first one knew how long the worker had been silent. The row now names workers without a report for 1.5 s with the rest of their lease, and they get no new one until the row changes. Times in the row count from its write, so that the store's clock is not needed and clocks that drift over a long leadership do no harm.

--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -54,7 +54,7 @@
   if (call.kind === 'range') {
     const result = isUnreachable
       ? ({ kind: 'unavailable' } as const)
-      : readRange(fleet.store, call.range, fleet.nowMs);
+      : readRange(fleet.store, call.range);
     return reply(fleet, { kind: 'rangeDone', callId, result, wallMs });
   }
   if (isUnreachable) {
@@ -229,7 +229,7 @@
   if (feed.kind === 'changes') {
     return { isFull: false, rows: putRows(feed.changes), version: feed.version };
   }
-  const range = readRange(fleet.store, { table, partition: PARTITION }, fleet.nowMs);
+  const range = readRange(fleet.store, { table, partition: PARTITION });
   const rows = range.kind === 'rows' ? range.rows : [];
   return { isFull: true, rows, version: fleet.store.version };
 }
--- a/packages/follow/test/follow.test.ts
+++ b/packages/follow/test/follow.test.ts
@@ -38,7 +38,7 @@
       const next = onRange(current.ranges.length, current.state);
       if (next === 'unavailable') return { kind: 'unavailable' };
       current.state = next;
-      return readRange(next, range, 0);
+      return readRange(next, range);
     },
     feed: async (table, afterVersion) => {
       await sleep(CALL_MS);
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -100,7 +100,7 @@
     jobId: 'job1',
     timeoutMs: 3_000,
   });
-  const emptyRange = { kind: 'rows', rows: [], version: 9, clockMs: 0 } as const;
+  const emptyRange = { kind: 'rows', rows: [], version: 9 } as const;
   const answer = (
     fixture: Fixture,
     result: Parameters<typeof dispatch>[1] & { kind: 'rangeDone' },
@@ -118,7 +118,7 @@
   const found = dispatch(readTwice, {
     kind: 'rangeDone',
     callId: 'c1',
-    result: { kind: 'rows', rows: [row], version: 9, clockMs: 0 },
+    result: { kind: 'rows', rows: [row], version: 9 },
     wallMs: 0,
   });
   expect(found.effects[0]).to.deep.equal({
@@ -141,7 +141,7 @@
   const outdated = dispatch(queried, {
     kind: 'rangeDone',
     callId: 'c1',
-    result: { kind: 'rows', rows: [row], version: 3, clockMs: 0 },
+    result: { kind: 'rows', rows: [row], version: 3 },
     wallMs: 9_000,
   });
   expect(replies(outdated)).to.deep.equal([]);
--- a/packages/ports/src/rows.ts
+++ b/packages/ports/src/rows.ts
@@ -59,8 +59,6 @@
       readonly kind: 'rows';
       readonly rows: readonly StoredRow[];
       readonly version: number;
-      /** Steady clock of the store when it replied; all readers see the same clock. */
-      readonly clockMs: number;
       readonly nextKey?: string;
     }
   | { readonly kind: 'unavailable' };
--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -3,7 +3,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
-import { earlierLeasesOf } from './leases';
+import { describeGrants, earlierLeasesOf } from './leases';
 import type { LeaseValue } from './rows';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
 import { unchanged, withEffects } from './state';
@@ -37,12 +37,7 @@
   );
 }
 
-function seeLease(
-  state: SchedulerState,
-  row: StoredRow | undefined,
-  clockMs: number,
-  nowMs: number,
-): SeenLease {
+function seeLease(state: SchedulerState, row: StoredRow | undefined, nowMs: number): SeenLease {
   const { seenLease, pollSentAtMs } = state;
   const version = row?.version ?? 0;
   const known = seenLease?.version === version ? seenLease : undefined;
@@ -50,7 +45,7 @@
   return {
     version,
     ...(row === undefined ? {} : { value: decodeLease(row) ?? UNREADABLE_LEASE }),
-    sinceClockMs: known?.sinceClockMs ?? clockMs,
+    firstSeenAtMs: known?.firstSeenAtMs ?? nowMs,
     sinceMs: hasGap ? nowMs : known.sinceMs,
     polledAtMs: nowMs,
   };
@@ -61,8 +56,8 @@
   const { entryId, host, port, times } = settings;
   const leader = { entryId, host, port, term: (previous?.term ?? 0) + 1 };
   const earlierLeases = earlierLeasesOf(lease, times);
-  const { endAtMs, awaited } = earlierLeases;
-  const grants = { lastEndMs: 0, earlierEndAtMs: endAtMs, awaited: awaited.toObject() };
+  const { awaited } = earlierLeases;
+  const grants = describeGrants({ ...state, earlierLeases, awaited }, nowMs);
   const value: LeaseValue = { entryId, number: 1, isReleased: false, grants };
   return {
     leader,
@@ -92,9 +87,8 @@
   const polled = without(state, 'pollCallId');
   if (state.phase !== 'following' || result.kind === 'unavailable') return unchanged(polled);
   const row = result.rows.find(({ key }) => key === LEASE_KEY.key);
-  const lease = seeLease(state, row, result.clockMs, nowMs);
-  const storeClock = { localMs: nowMs, storeMs: result.clockMs };
-  const seen = { ...polled, seenLease: lease, storeClock };
+  const lease = seeLease(state, row, nowMs);
+  const seen = { ...polled, seenLease: lease };
   if (state.leaderVersion < 0) return unchanged(seen);
   const isFree = lease.value === undefined || lease.value.isReleased;
   const pollMs = nowMs - state.pollSentAtMs;
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -119,7 +119,7 @@
   nowMs: number,
 ): SchedulerStep {
   const { entryId } = state.settings;
-  const grants = describeGrants(state);
+  const grants = describeGrants(state, nowMs);
   const lease = { entryId, number: state.leaseNumber + 1, isReleased, grants };
   const transaction = {
     conditions: [
@@ -268,7 +268,7 @@
     leaseVersion: version,
     leaseNumber: lease.number,
     isGranting,
-    storedAwaited: new Set(Object.keys(lease.grants?.awaited ?? {})),
+    storedAwaited: new Set(Object.keys(lease.grants?.awaitedEndMs ?? {})),
     mayGrantUntilMs: Math.max(state.mayGrantUntilMs, grantUntilMs),
     jobs: state.jobs.deleteAll(endedJobs),
     ended: endedJobs.reduce(
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -12,7 +12,7 @@
 import { z } from 'zod';
 import { earlierInstances } from './instances';
 import { advanceLeadership } from './leadership';
-import { leaseEndAtMs, toLocalMs } from './leases';
+import { leaseEndAtMs } from './leases';
 import { advanceRead, areReadsDone, readTable } from './load';
 import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
@@ -222,7 +222,7 @@
           workerKey,
           clockMs: -1,
           linkNumber: -1,
-          expiresAtMs: isGone(workerKey) ? nowMs : toLocalMs(state, leaseEndOf(workerKey)),
+          expiresAtMs: isGone(workerKey) ? nowMs : leaseEndOf(workerKey),
           handledSequence: 0,
           failedJobs: [],
           quarantinedUntilMs: 0,
--- a/packages/scheduler/src/leases.ts
+++ b/packages/scheduler/src/leases.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import { assertNever } from '@bronzeyoke/types';
 import type { LeaseGrants, LeaseValue } from './rows';
 import type { SchedulerTimes } from './times';
 import type { EarlierLeases, SchedulerState, SeenLease } from './types';
@@ -6,6 +7,9 @@
 /** Grant window of builds whose lease row does not describe the leases that its holder grants. */
 const UNDESCRIBED_GRANT_WINDOW_MS = 6_000;
 
+/** A worker whose last report is older than this counts as silent. */
+const SILENT_AFTER_MS = 1_500;
+
 /** No earlier leader has granted a lease. */
 export const NO_EARLIER_LEASES: EarlierLeases = { endAtMs: 0, awaited: Map() };
 
@@ -14,8 +18,7 @@
   return agentLeaseMs + marginMs;
 }
 
-/** Returns the longest time from a write of the lease row to the end of leases granted under it. */
-export function lastLeaseEndMs(times: SchedulerTimes): number {
+function lastLeaseEndMs(times: SchedulerTimes): number {
   return times.grantWindowMs + leaseEndMs(times);
 }
 
@@ -23,37 +26,46 @@
   return (isReleased ? 0 : UNDESCRIBED_GRANT_WINDOW_MS) + leaseEndMs(times);
 }
 
-/** Returns when the leases of the holder of a lease row, and of those before it, have ended. */
+/**
+ * Returns when the leases of the holder of a lease row, and of those before it, have ended. The row
+ * counts from its write, which precedes the first read of its version.
+ */
 export function earlierLeasesOf(
-  { value, sinceClockMs }: SeenLease,
+  { value, firstSeenAtMs }: SeenLease,
   times: SchedulerTimes,
 ): EarlierLeases {
   if (value === undefined) return NO_EARLIER_LEASES;
   const { grants } = value;
   if (grants === undefined) {
-    return { endAtMs: sinceClockMs + undescribedEndMs(value, times), awaited: Map() };
+    return { endAtMs: firstSeenAtMs + undescribedEndMs(value, times), awaited: Map() };
   }
-  const ownEndAtMs = grants.lastEndMs === 0 ? 0 : sinceClockMs + grants.lastEndMs;
   return {
-    endAtMs: Math.max(grants.earlierEndAtMs, ownEndAtMs),
-    awaited: Map(grants.awaited),
+    endAtMs: firstSeenAtMs + Math.max(grants.earlierEndMs, grants.lastEndMs),
+    awaited: Map(grants.awaitedEndMs).map((endMs) => firstSeenAtMs + endMs),
   };
 }
 
-/** Returns when the leases of a worker have ended, on the store's clock. */
+/** Returns when the leases of a worker have ended. */
 export function leaseEndAtMs({ awaited, endAtMs }: EarlierLeases, workerKey: string): number {
   return awaited.get(workerKey, endAtMs);
 }
 
-/** Converts a time on the store's clock to this process's clock. */
-export function toLocalMs({ storeClock }: SchedulerState, storeMs: number): number {
-  return storeMs - storeClock.storeMs + storeClock.localMs;
+/** Returns the workers that get no lease until the lease row no longer names them. */
+function awaitedWorkers(state: SchedulerState, nowMs: number): Map<string, number> {
+  const silent = state.workers.filter(
+    ({ reportedAtMs }) => reportedAtMs !== undefined && nowMs - reportedAtMs > SILENT_AFTER_MS,
+  );
+  return silent.map(({ expiresAtMs }) => expiresAtMs).merge(state.awaited);
 }
 
 /** Returns what the lease row says about the leases that workers may still hold. */
-export function describeGrants(state: SchedulerState): LeaseGrants {
-  const { phase, settings, earlierLeases, awaited, isGranting } = state;
-  const earlier = { earlierEndAtMs: earlierLeases.endAtMs, awaited: awaited.toObject() };
+export function describeGrants(state: SchedulerState, nowMs: number): LeaseGrants {
+  const { phase, settings, earlierLeases, isGranting } = state;
+  const endMs = (endAtMs: number): number => Math.max(0, Math.ceil(endAtMs - nowMs));
+  const earlier = {
+    earlierEndMs: endMs(earlierLeases.endAtMs),
+    awaitedEndMs: awaitedWorkers(state, nowMs).map(endMs).toObject(),
+  };
   switch (phase) {
     case 'leading':
       return { ...earlier, lastEndMs: lastLeaseEndMs(settings.times) };
@@ -65,5 +77,16 @@
     case 'loading':
     case 'stopped':
       return { ...earlier, lastEndMs: 0 };
+    default:
+      return assertNever(phase);
   }
 }
+
+/**
+ * Returns whether a worker may get no lease yet: the lease row, or the one that is being written, names
+ * it as awaited, so that a later leader would not wait for a new lease.
+ */
+export function isAwaited(state: SchedulerState, workerKey: string): boolean {
+  const pending = state.inFlight?.lease.grants?.awaitedEndMs ?? {};
+  return state.storedAwaited.has(workerKey) || workerKey in pending;
+}
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -6,6 +6,7 @@
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { earlierInstances } from './instances';
+import { isAwaited } from './leases';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
 import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
@@ -38,13 +39,14 @@
   const { times } = state.settings;
   const known = state.workers.get(workerKey);
   const isNewClock = clockMs > (known?.clockMs ?? -1);
-  const isAwaited = state.storedAwaited.has(workerKey);
-  const mayGrant = isNewClock && !isAwaited && nowMs < state.mayGrantUntilMs;
+  const mustWait = isAwaited(state, workerKey);
+  const mayGrant = isNewClock && !mustWait && nowMs < state.mayGrantUntilMs;
   const listed = new Set(report.running.map((run) => runKey(run)));
   const expiresAtMs = nowMs + times.agentLeaseMs + times.marginMs;
   const view: WorkerView = {
     workerKey,
     report: worker,
+    reportedAtMs: nowMs,
     linkId,
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: mayGrant ? clockMs : (known?.clockMs ?? -1),
@@ -69,7 +71,7 @@
       ...state,
       workers: state.workers.set(workerKey, view),
       awaited: state.awaited.delete(workerKey),
-      renewAtMs: isAwaited ? nowMs : state.renewAtMs,
+      renewAtMs: mustWait ? nowMs : state.renewAtMs,
       needsPlacement: state.needsPlacement || isChanged || known.linkId === undefined,
     },
     [...grant, ...log],
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -79,10 +79,10 @@
 const grantsSchema = z.object({
   /** Longest time from the write of the row to the end of its holder's leases; 0 if it granted none. */
   lastEndMs: z.number(),
-  /** Time on the store's clock at which the leases of earlier holders have ended. */
-  earlierEndAtMs: z.number(),
-  /** The same for workers that have not reported to the holder, which grants them nothing. */
-  awaited: z.record(z.string(), z.number()),
+  /** The same for the leases of earlier holders. */
+  earlierEndMs: z.number(),
+  /** The same for each worker that has not reported to the holder lately, and gets no lease of it. */
+  awaitedEndMs: z.record(z.string(), z.number()),
 });
 
 const leaseSchema = z.object({
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -49,7 +49,6 @@
     nextReadAtMs: 0,
     pollSentAtMs: 0,
     claimedAtMs: 0,
-    storeClock: { localMs: 0, storeMs: 0 },
     domainsOut: new Set(),
     links: Map(),
     linksOpened: 0,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -111,6 +111,7 @@
   readonly report?: WorkerReport;
   /** Address in the claims of the leader before, until the agent has reported. */
   readonly claimedAddress?: string;
+  readonly reportedAtMs?: number;
   readonly linkId?: string;
   /** Number of the newest connection that its agent reported on. */
   readonly linkNumber: number;
@@ -142,26 +143,19 @@
   readonly version: number;
   /** Absent when there is no row. */
   readonly value?: LeaseValue;
-  /** Time of the first read of this version on the store's clock. */
-  readonly sinceClockMs: number;
+  readonly firstSeenAtMs: number;
   /** Time since which polls without a long gap have found this version. */
   readonly sinceMs: number;
   readonly polledAtMs: number;
 }
 
-/** Ends of the leases that earlier leaders may have granted, on the store's clock. */
+/** Ends of the leases that earlier leaders may have granted. */
 export interface EarlierLeases {
   /** End for every worker that is not in `awaited`. */
   readonly endAtMs: number;
   readonly awaited: Map<string, number>;
 }
 
-/** The same moment on this process's clock and on the store's. */
-export interface StoreClock {
-  readonly localMs: number;
-  readonly storeMs: number;
-}
-
 /** A claim of the lease that was sent and is not settled. */
 export interface Claim {
   readonly leader: Leader;
@@ -215,7 +209,6 @@
   readonly leaseVersion: number;
   readonly leaseNumber: number;
   readonly seenLease?: SeenLease;
-  readonly storeClock: StoreClock;
   readonly pollCallId?: string;
   readonly pollSentAtMs: number;
   readonly nextReadAtMs: number;
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -93,7 +93,7 @@
   const claiming = dispatch(advance(follower, 400), {
     kind: 'rangeDone',
     callId: 'poll',
-    result: { kind: 'rows', rows, version: 10, clockMs: 400 },
+    result: { kind: 'rows', rows, version: 10 },
     wallMs,
   });
   const won = dispatch(claiming, {
@@ -122,7 +122,7 @@
   );
   return reads.reduce((current, { callId, range }) => {
     const rows = range.table === TABLES.progress ? progressRows : [];
-    const result = { kind: 'rows', rows, version: 11, clockMs: 500 } as const;
+    const result = { kind: 'rows', rows, version: 11 } as const;
     return dispatch(current, { kind: 'rangeDone', callId, result, wallMs });
   }, fixture);
 }
--- a/packages/scheduler/test/leadership.test.ts
+++ b/packages/scheduler/test/leadership.test.ts
@@ -34,10 +34,10 @@
   return { ...LEASE_KEY, version, value };
 }
 
-/** Delivers the reply to a poll of the lease at a time of the store's clock. */
-function poll(fixture: Fixture, row: StoredRow | undefined, clockMs: number): Fixture {
+/** Delivers the reply to a poll of the lease. */
+function poll(fixture: Fixture, row: StoredRow | undefined): Fixture {
   const rows = row === undefined ? [] : [row];
-  const result = { kind: 'rows', rows, version: row?.version ?? 10, clockMs } as const;
+  const result = { kind: 'rows', rows, version: row?.version ?? 10 } as const;
   return dispatch(advance(fixture, 400), { kind: 'rangeDone', callId: 'poll', result, wallMs });
 }
 
@@ -54,7 +54,7 @@
 
 /** Returns an entry that has sent its claim of a lease that nobody held. */
 function claiming(): Fixture {
-  return poll(createFollower(), undefined, 400);
+  return poll(createFollower(), undefined);
 }
 
 // Guards against two leaders with one term: the feed may deliver the row of a claim before its reply.
@@ -101,30 +101,27 @@
 it('claims again at the next poll after the store refused a claim', () => {
   const lease = leaseRow({ entryId: 'entry-2', number: 9, isReleased: false }, 10);
   const claimed = Array.from({ length: 6 }).reduce<Fixture>(
-    (fixture, _, index) => poll(fixture, lease, 50_000 + index * 400),
+    (fixture) => poll(fixture, lease),
     createFollower(),
   );
   expect(claimed.state.phase).to.equal('claiming');
   const refused = settleClaim(claimed, { kind: 'unavailable' });
   expect(refused.state.phase).to.equal('following');
-  expect(poll(refused, lease, 52_400).state.phase).to.equal('claiming');
+  expect(poll(refused, lease).state.phase).to.equal('claiming');
 });
 
 // Guards against a leadership that moves on every two seconds while the store is slow: renewals then
 // take longer than the time after which an unchanged lease is taken over.
 it('gives a leader more time to renew while polls are slow', () => {
   const lease = leaseRow({ entryId: 'entry-2', number: 9, isReleased: false }, 10);
-  const slowPolls = Array.from({ length: 5 }).reduce<Fixture>((fixture, _, index) => {
+  const slowPolls = Array.from({ length: 5 }).reduce<Fixture>((fixture) => {
     const sent = advance(fixture, 300);
-    const clockMs = 50_000 + index * 550;
-    const result = { kind: 'rows', rows: [lease], version: 10, clockMs } as const;
+    const result = { kind: 'rows', rows: [lease], version: 10 } as const;
     const replied = { ...sent, nowMs: sent.nowMs + 250 };
     return dispatch(replied, { kind: 'rangeDone', callId: 'poll', result, wallMs });
   }, createFollower());
   expect(slowPolls.state.phase).to.equal('following');
-  expect(
-    poll(poll(poll(slowPolls, lease, 53_150), lease, 53_550), lease, 53_950).state.phase,
-  ).to.equal('claiming');
+  expect(poll(poll(poll(slowPolls, lease), lease), lease).state.phase).to.equal('claiming');
 });
 
 function releaseOf(fixture: Fixture) {
@@ -180,9 +177,9 @@
 const LEASE_END_MS = TIMES.grantWindowMs + TIMES.agentLeaseMs + TIMES.marginMs;
 
 /** Lets an entry take over an unreleased lease row, and load one lasting task of worker w1. */
-function takeOver(lease: StoredRow, startClockMs: number): Fixture {
+function takeOver(lease: StoredRow): Fixture {
   const polled = Array.from({ length: 6 }).reduce<Fixture>(
-    (fixture, _, index) => poll(fixture, lease, startClockMs + index * 400),
+    (fixture) => poll(fixture, lease),
     createFollower(),
   );
   expect(polled.state.phase).to.equal('claiming');
@@ -215,40 +212,39 @@
   entryId: 'entry-2',
   number: 3,
   isReleased: false,
-  grants: { lastEndMs: 0, earlierEndAtMs: 20_000, awaited: {} },
+  grants: { lastEndMs: 0, earlierEndMs: 2_000, awaitedEndMs: {} },
 };
 
-// Guards against a wait that starts with each new leader although the time before its claim counts: the
-// store's clock tells since when the lease row is unchanged.
+// Guards against a wait that starts with each new leader although the time before its claim counts.
 it('counts the wait for silent workers from the last renewal', () => {
   const lease = { entryId: 'entry-2', number: 9, isReleased: false };
   const granting = {
     ...lease,
-    grants: { lastEndMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} },
+    grants: { lastEndMs: LEASE_END_MS, earlierEndMs: 0, awaitedEndMs: {} },
   };
-  const leader = takeOver(leaseRow(granting, 10), 50_000);
+  const leader = takeOver(leaseRow(granting, 10));
   expect(releasedAfterMs(leader)).to.be.at.most(LEASE_END_MS - 2_000 + 50);
   expect(releasedAfterMs(leader)).to.be.at.least(LEASE_END_MS - 2_400);
 });
 
 // Guards against a wait that starts anew after a leader that granted no lease.
 it('goes on with the wait of a leader that granted nothing', () => {
-  const leader = takeOver(leaseRow(LOADING_LEASE, 10), 18_000);
+  const leader = takeOver(leaseRow(LOADING_LEASE, 10));
   expect(releasedAfterMs(leader)).to.be.at.most(100);
 });
 
 // Guards against a wait that starts anew for a worker that the last leader never heard of.
 it('goes on with the wait for a worker that stayed silent', () => {
-  const awaited = { [workerKeyFor('w1')]: 53_000 };
-  const grants = { lastEndMs: LEASE_END_MS, earlierEndAtMs: 53_000, awaited };
-  const leader = takeOver(leaseRow({ ...LOADING_LEASE, grants }, 10), 50_000);
+  const awaitedEndMs = { [workerKeyFor('w1')]: 3_000 };
+  const grants = { lastEndMs: LEASE_END_MS, earlierEndMs: 3_000, awaitedEndMs };
+  const leader = takeOver(leaseRow({ ...LOADING_LEASE, grants }, 10));
   expect(releasedAfterMs(leader)).to.be.within(900, 1_100);
 });
 
 // Guards against a second run of a task: a row of an earlier build does not tell what was granted.
 it('waits for the longest lease after a row of an earlier build', () => {
   const lease = { entryId: 'entry-2', number: 9, isReleased: false };
-  const leader = takeOver(leaseRow(lease, 10), 50_000);
+  const leader = takeOver(leaseRow(lease, 10));
   expect(releasedAfterMs(leader)).to.be.at.least(LEASE_END_MS - 2_400);
 });
 
@@ -259,8 +255,8 @@
 /** Takes over from a leader that granted leases until then. */
 function takeOverGranting(): Fixture {
   const lease = { entryId: 'entry-2', number: 9, isReleased: false };
-  const granted = { lastEndMs: LEASE_END_MS, earlierEndAtMs: 0, awaited: {} };
-  return takeOver(leaseRow({ ...lease, grants: granted }, 10), 50_000);
+  const granted = { lastEndMs: LEASE_END_MS, earlierEndMs: 0, awaitedEndMs: {} };
+  return takeOver(leaseRow({ ...lease, grants: granted }, 10));
 }
 
 // Guards against a lease that is granted before the store knows that its holder may grant it: the next
@@ -284,7 +280,30 @@
   const stopped = dispatch(commitAll(takeOverGranting()), { kind: 'stop' });
   const write = releaseOf(stopped)?.transaction.writes[0];
   const value = write?.kind === 'put' ? (write.value as LeaseValue) : undefined;
-  expect(value?.grants?.awaited).to.deep.equal({ [workerKeyFor('w1')]: 50_000 + LEASE_END_MS });
+  const endMs = value?.grants?.awaitedEndMs[workerKeyFor('w1')];
+  expect(endMs).to.be.within(LEASE_END_MS - 2_400, LEASE_END_MS - 1_800);
+});
+
+// Guards against a successor that waits anew for a worker that was silent before the leader failed.
+it('names a worker that has gone silent, and grants it no lease until the row changes', () => {
+  const silent = commitAll(advance(report(createLeader(), 'w1'), 2_000));
+  const written = commitsOf(silent).at(-1)?.transaction.writes[0];
+  const value = written?.kind === 'put' ? (written.value as LeaseValue) : undefined;
+  const leftMs = TIMES.agentLeaseMs + TIMES.marginMs - 2_000;
+  expect(value?.grants?.awaitedEndMs).to.deep.equal({ [workerKeyFor('w1')]: leftMs });
+  const granted = grantsOf(silent);
+  const reported = report(silent, 'w1', { clockMs: silent.nowMs });
+  expect(grantsOf(reported)).to.equal(granted);
+  const struck = commitAll(advance(reported, 50));
+  expect(grantsOf(report(advance(struck, 300), 'w1'))).to.equal(granted + 1);
+});
+
+// Guards against a lease that is granted while the row that calls the worker silent is being written.
+it('grants a silent worker no lease while the row that names it is in flight', () => {
+  const writing = advance(report(createLeader(), 'w1'), 2_000);
+  expect(writing.state.inFlight).to.not.equal(undefined);
+  const granted = grantsOf(writing);
+  expect(grantsOf(report(writing, 'w1'))).to.equal(granted);
 });
 
 /** Time for which a lasting task may be away after its last run while nothing fails. */
--- a/packages/scheduler/test/load.test.ts
+++ b/packages/scheduler/test/load.test.ts
@@ -38,11 +38,11 @@
 /** Page of one row, with the key from which more rows follow. */
 function page(jobId: string, nextKey?: string): RowRangeResult {
   const more = nextKey === undefined ? {} : { nextKey };
-  return { kind: 'rows', rows: [endedRow(jobId)], version: 11, clockMs: 500, ...more };
+  return { kind: 'rows', rows: [endedRow(jobId)], version: 11, ...more };
 }
 
 function answerOthers(fixture: Fixture): Fixture {
-  const empty = { kind: 'rows', rows: [], version: 11, clockMs: 500 } as const;
+  const empty = { kind: 'rows', rows: [], version: 11 } as const;
   const read = answer(fixture, TABLES.notes, empty);
   return dispatch(read, { kind: 'jobRows', isFull: true, rows: [], wallMs: WALL_MS });
 }
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -121,7 +121,7 @@
     version: 10,
     value: { entryId: 'entry-2', number: 4, isReleased: false },
   };
-  const rows = { kind: 'rows', rows: [row], version: 10, clockMs: 0 } as const;
+  const rows = { kind: 'rows', rows: [row], version: 10 } as const;
   const poll = (
     fixture: Fixture,
     result: typeof rows | { readonly kind: 'unavailable' },
--- a/packages/scheduler/test/simstore.ts
+++ b/packages/scheduler/test/simstore.ts
@@ -195,16 +195,12 @@
   const range: SimStore['range'] = (caller, wanted, reply) => {
     const isLarge = LARGE_TABLES.includes(wanted.table);
     const { table, partition } = wanted;
-    const whole = readRange(known.rows, { table, partition }, clock.now());
+    const whole = readRange(known.rows, { table, partition });
     const rowCount = whole.kind === 'rows' ? whole.rows.length : 0;
     const pages = isLarge ? conditionsOf(caller).pages : 1;
     const maxRows = Math.max(1, Math.ceil(rowCount / pages));
     readPage(caller, isLarge, (isAnswered) =>
-      reply(
-        isAnswered
-          ? readRange(known.rows, { ...wanted, maxRows }, clock.now())
-          : { kind: 'unavailable' },
-      ),
+      reply(isAnswered ? readRange(known.rows, { ...wanted, maxRows }) : { kind: 'unavailable' }),
     );
   };
 
@@ -241,23 +237,28 @@
     const emit = (update: TableUpdate): void => {
       if (!state.isStopped) report(update);
     };
-    const readAll = (before: readonly StoredRow[], lowest: number, fromKey?: string): void => {
+    const readAll = (
+      before: readonly StoredRow[],
+      lowest: number,
+      done: (version: number) => void,
+      fromKey?: string,
+    ): void => {
       const from = fromKey === undefined ? {} : { fromKey };
       range(caller, { table, partition: PARTITION, ...from }, (result) => {
         if (state.isStopped) return;
         if (result.kind === 'unavailable') {
           emit({ kind: 'unanswered' });
-          clock.schedule(FEED_RETRY_MS, () => readAll(before, lowest, fromKey));
+          clock.schedule(FEED_RETRY_MS, () => readAll(before, lowest, done, fromKey));
           return;
         }
         const rows = [...before, ...result.rows];
         const version = Math.min(lowest, result.version);
         if (result.nextKey !== undefined) {
-          readAll(rows, version, result.nextKey);
+          readAll(rows, version, done, result.nextKey);
           return;
         }
         emit({ kind: 'snapshot', rows });
-        run(version);
+        done(version);
       });
     };
     const run = (version: number | undefined): void => {
@@ -267,7 +268,7 @@
         clock.schedule(FEED_RETRY_MS, () => run(version));
       };
       if (version === undefined) {
-        readAll([], Infinity);
+        readAll([], Infinity, run);
         return;
       }
       feed(caller, table, version, waitMs, (result) => {
--- a/packages/standins/src/rowstore.ts
+++ b/packages/standins/src/rowstore.ts
@@ -62,8 +62,8 @@
   };
 }
 
-/** Reads the rows of a key range, or its first page, at a time of the store's clock. */
-export function readRange(state: RowStoreState, range: RowRange, clockMs: number): RowRangeResult {
+/** Reads the current rows of a key range, or its first page. */
+export function readRange(state: RowStoreState, range: RowRange): RowRangeResult {
   const { table, partition, fromKey = '', untilKey, maxRows = Infinity } = range;
   const rows = state.rows
     .valueSeq()
@@ -79,8 +79,8 @@
   const { version } = state;
   const next = rows[maxRows];
   return next === undefined
-    ? { kind: 'rows', rows, version, clockMs }
-    : { kind: 'rows', rows: rows.slice(0, maxRows), version, clockMs, nextKey: next.key };
+    ? { kind: 'rows', rows, version }
+    : { kind: 'rows', rows: rows.slice(0, maxRows), version, nextKey: next.key };
 }
 
 /** Returns the changes of a table after a version. */
