Let a stopping agent settle gone workers and ends

An agent kept the knowledge that its worker is gone in memory and told it once to each leader it connected to. When it was stopped while no leader was at work, the next leader waited for the longest lease (11.3 s) before it placed the worker's tasks elsewhere. Ends that no leader had acknowledged were lost in the same way.

The leader now confirms workerGone with the new message goneRecorded after a transaction that follows the release, also when it had nothing to release, and after a load for workers that left meanwhile. The agent repeats workerGone every second until then.

13 new tests failed before the change and pass with it. The test of a worker that leaves during a load moved to gone.test.ts, with the same checks.

--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -176,6 +176,8 @@
         event: { kind: 'callDone', callId, result: { kind: 'lost' } },
       });
     }
+    // No fault stops an agent as planned.
+    case 'settled':
     case 'log':
       return fleet;
     default:
--- a/packages/hosts/src/runner.ts
+++ b/packages/hosts/src/runner.ts
@@ -25,7 +25,11 @@
 export interface Runner {
   readonly heartbeat: (report: WorkerReport) => void;
   readonly workerLeft: (id: string) => void;
-  readonly stop: () => void;
+  /**
+   * Starts a planned stop. The promise resolves when the agent has settled what it knows, after
+   * `withinMs` at the latest.
+   */
+  readonly stop: (withinMs: number) => Promise<void>;
 }
 
 const TICK_MS = 100;
@@ -41,6 +45,7 @@
 export function startRunner(options: RunnerOptions): Runner {
   const { settings, store, worker, log, onError } = options;
   const system = nact.start();
+  const stopping: { onSettled: () => void } = { onSettled: () => undefined };
   const connection: { dialer?: Ref<DialerCommand>; generation: number } = { generation: 0 };
 
   const connect = (address: EntryAddress, self: Ref<RunnerEvent>): void => {
@@ -95,6 +100,9 @@
           .catch(onError);
         return;
       }
+      case 'settled':
+        stopping.onSettled();
+        return;
       case 'log':
         log(effect.event, effect.fields);
         return;
@@ -124,7 +132,11 @@
   return {
     heartbeat: (report) => dispatch(core, { kind: 'heartbeat', report }),
     workerLeft: (id) => dispatch(core, { kind: 'workerLeft', id }),
-    stop: () => {
+    stop: async (withinMs) => {
+      await new Promise<void>((resolve) => {
+        stopping.onSettled = resolve;
+        dispatch(core, { kind: 'stop', withinMs });
+      });
       feed.stop();
       clearInterval(ticker);
     },
--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -19,6 +19,12 @@
 /** Consecutive refused connections after which the worker counts as gone. */
 const MAX_REFUSED_CONNECTIONS = 2;
 
+/** Ended instances whose late heartbeats are ignored. */
+const MAX_GONE_KEYS = 8;
+
+/** Without a leader, only the first of many short-lived instances may still have tasks. */
+const MAX_UNRECORDED_KEYS = 64;
+
 /** Increment after the worker refused a token, because the token of the other agent is unknown. */
 const TOKEN_STEP = 1_000_000;
 
@@ -39,7 +45,7 @@
 
 /** Returns the report of the worker to the leader, or none before the worker's first reply. */
 export function reportEffects(state: RunnerState): readonly RunnerEffect[] {
-  const { worker, settings, term, lastOrder } = state;
+  const { worker, settings, phase, term, lastOrder } = state;
   if (worker?.clockMs === undefined) return [];
   const { workerKey, report, clockMs, running, ended, pending } = worker;
   return sendToLeader(state, {
@@ -47,7 +53,8 @@
     agentId: settings.agentId,
     term,
     workerKey,
-    worker: report,
+    // The leader places nothing on a worker whose agent is about to exit.
+    worker: phase === 'running' ? report : { ...report, isDraining: true },
     clockMs,
     running,
     ended,
@@ -110,7 +117,11 @@
   if (worker === undefined) return unchanged(state);
   const { workerKey } = worker;
   return {
-    state: { ...rest, goneKeys: [...state.goneKeys, workerKey].slice(-8) },
+    state: {
+      ...rest,
+      goneKeys: [...state.goneKeys, workerKey].slice(-MAX_GONE_KEYS),
+      unrecordedKeys: [...state.unrecordedKeys, workerKey].slice(0, MAX_UNRECORDED_KEYS),
+    },
     effects: [
       ...sendToLeader(state, { kind: 'workerGone', workerKey }),
       logEffect('workerGone', { worker: workerKey, reason }),
--- /dev/null
+++ b/packages/runner/src/settle.ts
@@ -0,0 +1,99 @@
+import type { ActionOf } from '@bronzeyoke/chart';
+import { advance } from '@bronzeyoke/chart';
+import { logEffect } from '@bronzeyoke/telemetry';
+import { assertNever } from '@bronzeyoke/types';
+import { reportEffects, sendToLeader, unchanged } from './calls';
+import type { RunnerEffect, RunnerState, RunnerStep } from './types';
+import { agentChart } from './types';
+
+/** Interval at which a gone worker is reported again until the leader has recorded it. */
+const GONE_REPEAT_MS = 1_000;
+
+/** Returns the messages about all gone workers that no leader has recorded. */
+export function goneEffects(state: RunnerState): readonly RunnerEffect[] {
+  return state.unrecordedKeys.flatMap((workerKey) =>
+    sendToLeader(state, { kind: 'workerGone', workerKey }),
+  );
+}
+
+/** Reports gone workers again that no leader has recorded yet. */
+export function repeatGone(state: RunnerState, nowMs: number): RunnerStep {
+  const isWaiting = state.isLinked && state.unrecordedKeys.length > 0;
+  if (isWaiting && nowMs - state.goneSentAtMs < GONE_REPEAT_MS) return unchanged(state);
+  return { state: { ...state, goneSentAtMs: nowMs }, effects: goneEffects(state) };
+}
+
+/** Handles a leader's confirmation that it has stored the release of a gone worker's tasks. */
+export function onGoneRecorded(state: RunnerState, workerKey: string): RunnerStep {
+  const unrecordedKeys = state.unrecordedKeys.filter((key) => key !== workerKey);
+  return unchanged({ ...state, unrecordedKeys });
+}
+
+/** Returns whether the worker listed ends before the stop that no leader has acknowledged. */
+function hasOpenEnds({ worker, stopping }: RunnerState): boolean {
+  return (
+    worker !== undefined &&
+    stopping !== undefined &&
+    worker.workerKey === stopping.workerKey &&
+    worker.ackSequence < stopping.endSequence
+  );
+}
+
+function isSettled(state: RunnerState): boolean {
+  return state.unrecordedKeys.length === 0 && !hasOpenEnds(state);
+}
+
+function performAction(
+  state: RunnerState,
+  action: ActionOf<typeof agentChart>,
+): readonly RunnerEffect[] {
+  const fields = {
+    goneWorkers: state.unrecordedKeys.join(','),
+    hasOpenEnds: hasOpenEnds(state),
+  };
+  switch (action) {
+    case 'logSettling':
+      return [logEffect('settling', fields)];
+    case 'logUnsettled':
+      return [logEffect('unsettled', fields)];
+    case 'report':
+      return reportEffects(state);
+    case 'exit':
+      return [{ kind: 'settled' }];
+    default:
+      return assertNever(action);
+  }
+}
+
+function advanceAgent(
+  state: RunnerState,
+  event: 'stop' | 'stopIdle' | 'settled' | 'deadline',
+): RunnerStep {
+  const { state: phase, actions } = advance(agentChart, state.phase, event);
+  const next = { ...state, phase };
+  return { state: next, effects: actions.flatMap((action) => performAction(next, action)) };
+}
+
+/** Starts a planned stop. It waits for what the agent knows now, not for later ends of runs. */
+export function onStop(state: RunnerState, withinMs: number, nowMs: number): RunnerStep {
+  if (state.phase !== 'running') return unchanged(state);
+  const { worker } = state;
+  const sequences = worker?.ended.map(({ sequence }) => sequence) ?? [];
+  const stopping = {
+    deadlineAtMs: nowMs + withinMs,
+    workerKey: worker?.workerKey,
+    endSequence: Math.max(0, ...sequences),
+  };
+  const updated = { ...state, stopping };
+  return advanceAgent(updated, isSettled(updated) ? 'stopIdle' : 'stop');
+}
+
+/** Ends a planned stop when everything is settled or its time is over. */
+export function settleIfDue(step: RunnerStep, nowMs: number): RunnerStep {
+  const { state, effects } = step;
+  if (state.phase !== 'settling') return step;
+  const isLate = nowMs >= (state.stopping?.deadlineAtMs ?? 0);
+  if (!isSettled(state) && !isLate) return step;
+  const end = advanceAgent(state, isSettled(state) ? 'settled' : 'deadline');
+  return { state: end.state, effects: [...effects, ...end.effects] };
+}
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -15,6 +15,7 @@
   unchanged,
   sendToLeader,
 } from './calls';
+import { goneEffects, onGoneRecorded, onStop, repeatGone, settleIfDue } from './settle';
 import type {
   EntryAddress,
   RunnerEvent,
@@ -23,6 +24,7 @@
   RunnerStep,
   WorkerState,
 } from './types';
+import { agentChart } from './types';
 
 /** Time without a reply from the leader after which the connection is replaced. */
 const LEADER_TIMEOUT_MS = 1_500;
@@ -31,10 +33,13 @@
 export function createRunner(settings: RunnerSettings): RunnerState {
   return {
     settings,
+    phase: agentChart.initial,
     token: settings.firstToken,
     callCount: 0,
     lastBornAtMs: 0,
     goneKeys: [],
+    unrecordedKeys: [],
+    goneSentAtMs: 0,
     holdCount: 0,
     holdAtMs: 0,
     term: 0,
@@ -135,7 +140,7 @@
     effects: sendToLeader(state, { kind: 'refused', workerKey, run, reason }),
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
-  if (worker.report.isDraining) return refuse('draining');
+  if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
   if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterHold: Infinity };
   const pending = worker.pending.set(orderKey(run), order);
@@ -168,6 +173,8 @@
       const ackSequence = Math.max(worker.ackSequence, message.sequence);
       return unchanged({ ...current, worker: { ...worker, ackSequence } });
     }
+    case 'goneRecorded':
+      return onGoneRecorded(current, message.workerKey);
     case 'stop':
     case 'pace': {
       if (worker?.workerKey !== message.workerKey) return unchanged(current);
@@ -188,8 +195,11 @@
 
 function handleEvent(state: RunnerState, event: RunnerEvent, nowMs: number): RunnerStep {
   switch (event.kind) {
-    case 'tick':
-      return reconnectIfSilent(state, nowMs);
+    case 'tick': {
+      const repeated = repeatGone(state, nowMs);
+      const step = reconnectIfSilent(repeated.state, nowMs);
+      return { state: step.state, effects: [...repeated.effects, ...step.effects] };
+    }
     case 'heartbeat':
       return onHeartbeat(state, event.report, nowMs);
     case 'workerLeft':
@@ -197,11 +207,14 @@
     case 'leader':
       return onLeader(state, event.term, event.address, nowMs);
     case 'linkOpened': {
-      const linked = { ...state, isLinked: true, lastOrder: 0, progressAtMs: nowMs };
-      const gone = state.goneKeys.flatMap((workerKey) =>
-        sendToLeader(linked, { kind: 'workerGone', workerKey }),
-      );
-      return { state: linked, effects: [...gone, ...reportEffects(linked)] };
+      const linked = {
+        ...state,
+        isLinked: true,
+        lastOrder: 0,
+        progressAtMs: nowMs,
+        goneSentAtMs: nowMs,
+      };
+      return { state: linked, effects: [...goneEffects(linked), ...reportEffects(linked)] };
     }
     case 'linkClosed':
       return unchanged({ ...state, isLinked: false });
@@ -209,18 +222,20 @@
       return onMessage(state, event.message, nowMs);
     case 'callDone':
       return onCallDone(state, event.callId, event.result, nowMs);
+    case 'stop':
+      return onStop(state, event.withinMs, nowMs);
     default:
       return assertNever(event);
   }
 }
 
-/** Applies an event to the agent and sends a hold if one is due. */
+/** Applies an event to the agent, ends a stop that is settled, and sends a hold if one is due. */
 export function stepRunner(
   state: RunnerState,
   event: RunnerEvent,
   { nowMs }: StepInputs,
 ): RunnerStep {
-  const step = handleEvent(state, event, nowMs);
+  const step = settleIfDue(handleEvent(state, event, nowMs), nowMs);
   const hold = holdIfDue(step.state, nowMs);
   return { state: hold.state, effects: [...step.effects, ...hold.effects] };
 }
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -10,15 +10,31 @@
 } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
-import chartFile from '../charts/order.json';
+import agentChartFile from '../charts/agent.json';
+import orderChartFile from '../charts/order.json';
 
 /** State chart of a start order. A list that the worker makes after the start settles the order. */
-export const orderChart = compileChart(chartFile, {
+export const orderChart = compileChart(orderChartFile, {
   states: ['calling', 'settling', 'settled'],
   events: ['done', 'refused', 'lost', 'listed'],
   actions: ['raiseToken'],
 });
 
+/** State chart of an agent's process, from its start to the end of a planned stop. */
+export const agentChart = compileChart(agentChartFile, {
+  states: ['running', 'settling', 'settled'],
+  events: ['stop', 'stopIdle', 'settled', 'deadline'],
+  actions: ['logSettling', 'logUnsettled', 'report', 'exit'],
+});
+
+/** What a planned stop waits for, beside gone workers that no leader has recorded. */
+export interface StopState {
+  readonly deadlineAtMs: number;
+  readonly workerKey: string | undefined;
+  /** Highest sequence of an end that the worker listed before the stop. */
+  readonly endSequence: number;
+}
+
 /** A start order that is not settled yet. */
 export interface PendingOrder {
   readonly run: RunRef;
@@ -60,12 +76,18 @@
 /** State of an agent. */
 export interface RunnerState {
   readonly settings: RunnerSettings;
+  readonly phase: StateOf<typeof agentChart>;
+  /** Present after the request to stop. */
+  readonly stopping?: StopState;
   readonly token: number;
   readonly callCount: number;
   readonly worker?: WorkerState;
   /** Start of the newest instance; heartbeats of older ones and of `goneKeys` are ignored. */
   readonly lastBornAtMs: number;
   readonly goneKeys: readonly string[];
+  /** Gone workers without a confirmation that a leader has stored the release of their tasks. */
+  readonly unrecordedKeys: readonly string[];
+  readonly goneSentAtMs: number;
   readonly holdCount: number;
   readonly holdCallId?: string;
   readonly holdAtMs: number;
@@ -90,7 +112,9 @@
   | { readonly kind: 'linkOpened' }
   | { readonly kind: 'linkClosed' }
   | { readonly kind: 'received'; readonly message: LeaderMessage }
-  | { readonly kind: 'callDone'; readonly callId: string; readonly result: WorkerCallResult };
+  | { readonly kind: 'callDone'; readonly callId: string; readonly result: WorkerCallResult }
+  /** Requests a planned stop, which ends after `withinMs` at the latest. */
+  | { readonly kind: 'stop'; readonly withinMs: number };
 
 /** Effects that the shell of an agent performs. */
 export type RunnerEffect =
@@ -103,6 +127,8 @@
       readonly call: WorkerCall;
       readonly timeoutMs: number;
     }
+  /** A planned stop is done. */
+  | { readonly kind: 'settled' }
   | LogEffect;
 
 /** State and effects after a step or a part of it. */
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -191,3 +191,139 @@
     ),
   ).to.equal(true);
 });
+
+/** Returns an agent whose worker left while no leader was connected. */
+function createLeft(): Fixture {
+  const alone = dispatch(createLeased(), { kind: 'linkClosed' });
+  return dispatch(alone, { kind: 'workerLeft', id: 'i-1' });
+}
+
+function goneKeysOf(fixture: Fixture): readonly string[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'workerGone'
+      ? [effect.message.workerKey]
+      : [],
+  );
+}
+
+function confirmGone(fixture: Fixture): Fixture {
+  return dispatch(fixture, {
+    kind: 'received',
+    message: { kind: 'goneRecorded', workerKey: KEY },
+  });
+}
+
+function stop(fixture: Fixture): Fixture {
+  return dispatch(fixture, { kind: 'stop', withinMs: 5_000 });
+}
+
+function isSettled(fixture: Fixture): boolean {
+  return fixture.effects.some(({ kind }) => kind === 'settled');
+}
+
+function logsOf(fixture: Fixture): readonly string[] {
+  return fixture.effects.flatMap((effect) => (effect.kind === 'log' ? [effect.event] : []));
+}
+
+/** Returns an agent whose worker lists an end that no leader has acknowledged. */
+function createEnded(): Fixture {
+  const due = dispatch(createLeased(), { kind: 'tick' }, 60);
+  const end = { sequence: 3, task: TASK, attempt: 1, end: 'expired', checkpoint: '' } as const;
+  return answerHold(due, { ended: [end] });
+}
+
+function acknowledge(fixture: Fixture, sequence: number): Fixture {
+  const message = { kind: 'acknowledge', workerKey: KEY, sequence } as const;
+  return dispatch(fixture, { kind: 'received', message });
+}
+
+// Guards against a gone worker that the leader never learns of because one message was lost, and
+// against messages about it that never end.
+it('agent: a gone worker is reported every second until the leader has recorded it', () => {
+  const linked = dispatch(createLeft(), { kind: 'linkOpened' });
+  expect(goneKeysOf(linked)).to.deep.equal([KEY]);
+  const early = dispatch(linked, { kind: 'tick' }, 500);
+  expect(goneKeysOf(early)).to.deep.equal([]);
+  const repeated = dispatch(early, { kind: 'tick' }, 600);
+  expect(goneKeysOf(repeated)).to.deep.equal([KEY]);
+  const confirmed = confirmGone(repeated);
+  expect(goneKeysOf(dispatch(confirmed, { kind: 'tick' }, 1_100))).to.deep.equal([]);
+  const again = dispatch(dispatch(confirmed, { kind: 'linkClosed' }), { kind: 'linkOpened' });
+  expect(goneKeysOf(again)).to.deep.equal([]);
+});
+
+// Guards against a late heartbeat that restores an instance once the leader has recorded its end.
+it('agent: a heartbeat of a recorded gone worker is ignored', () => {
+  const confirmed = confirmGone(dispatch(createLeft(), { kind: 'linkOpened' }));
+  const late = dispatch(confirmed, { kind: 'heartbeat', report: { ...REPORT, sequence: 9 } });
+  expect(late.state.worker).to.equal(undefined);
+});
+
+// Guards against a planned stop of an agent that takes longer than needed.
+it('agent: a stop with nothing to settle ends at once', () => {
+  const stopped = stop(createLeased());
+  expect(isSettled(stopped)).to.equal(true);
+  expect(logsOf(stopped)).to.deep.equal([]);
+});
+
+// Guards against tasks that wait for the longest lease because the agent of a worker that left was
+// stopped before it reached a leader.
+it('agent: a stop waits until the leader has recorded a gone worker', () => {
+  const stopped = stop(createLeft());
+  expect(isSettled(stopped)).to.equal(false);
+  expect(logsOf(stopped)).to.include('settling');
+  const linked = dispatch(stopped, { kind: 'linkOpened' }, 2_000);
+  expect(goneKeysOf(linked)).to.deep.equal([KEY]);
+  expect(isSettled(linked)).to.equal(false);
+  const confirmed = confirmGone(linked);
+  expect(isSettled(confirmed)).to.equal(true);
+  expect(logsOf(confirmed)).to.not.include('unsettled');
+});
+
+// Guards against a task that ended without a leader and is restarted late because the agent of its
+// worker was stopped before the next leader came.
+it('agent: a stop waits until the ends that it knows are acknowledged', () => {
+  const stopped = stop(createEnded());
+  expect(isSettled(stopped)).to.equal(false);
+  expect(isSettled(acknowledge(stopped, 2))).to.equal(false);
+  expect(isSettled(acknowledge(stopped, 3))).to.equal(true);
+  expect(isSettled(stop(acknowledge(createEnded(), 3)))).to.equal(true);
+});
+
+// Guards against an agent beside a busy worker that never stops because some run has always ended.
+it('agent: a stop does not wait for later ends', () => {
+  const stopped = dispatch(stop(createEnded()), { kind: 'tick' }, 60);
+  const end = { sequence: 4, task: 'job2.0.0.0', attempt: 1, end: 'done', checkpoint: '' } as const;
+  expect(isSettled(acknowledge(answerHold(stopped, { ended: [end] }), 3))).to.equal(true);
+});
+
+// Guards against a stop that waits for acknowledgements of a worker that is gone itself.
+it('agent: a stop waits for the record of a worker that leaves meanwhile', () => {
+  const left = dispatch(stop(createEnded()), { kind: 'workerLeft', id: 'i-1' });
+  expect(isSettled(left)).to.equal(false);
+  expect(isSettled(confirmGone(left))).to.equal(true);
+});
+
+// Guards against an agent that the platform has to kill because no leader comes, or because the
+// leader is of an older version and never confirms.
+it('agent: a stop ends at its deadline', () => {
+  const stopped = dispatch(stop(createLeft()), { kind: 'linkOpened' });
+  const before = dispatch(stopped, { kind: 'tick' }, 4_900);
+  expect(isSettled(before)).to.equal(false);
+  const late = dispatch(before, { kind: 'tick' }, 100);
+  expect(isSettled(late)).to.equal(true);
+  expect(logsOf(late)).to.include('unsettled');
+});
+
+// Guards against work that a stopping agent starts and then leaves alone, and against a leader that
+// goes on offering it.
+it('agent: a stopping agent starts nothing and reports its worker as draining', () => {
+  const stopped = stop(createEnded());
+  expect(reportsOf(stopped)[0]?.worker.isDraining).to.equal(true);
+  const ordered = order(stopped);
+  expect(callIdOf(ordered, 'start')).to.equal('none');
+  const reasons = ordered.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'refused' ? [effect.message.reason] : [],
+  );
+  expect(reasons).to.deep.equal(['draining']);
+});
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -212,6 +212,11 @@
         sendToWorker(state, workerKey, { kind: 'acknowledge', workerKey, sequence }),
       );
     }
+    case 'confirmGone': {
+      const { linkId, workerKey } = action;
+      const message = { kind: 'goneRecorded', workerKey } as const;
+      return withEffects(state, [{ kind: 'send', linkId, message }]);
+    }
     default:
       return assertNever(action);
   }
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -18,8 +18,8 @@
 import { releaseWorker } from './release';
 import { onOrderRefused, onReport } from './report';
 import { stopStalledRuns } from './stall';
-import { chainAll, chainAfter, unchanged, withEffects } from './state';
-import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
+import { addPostCommitAction, chainAll, chainAfter, unchanged, withEffects } from './state';
+import type { GoneReport, SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
 /** Interval at which a new leader repeats reads that the store did not reply to. */
 const RELOAD_MS = 300;
@@ -41,10 +41,51 @@
   return withEffects({ ...state, nextReadAtMs: nowMs + RELOAD_MS }, loadEffects(state));
 }
 
+function isSameReport(left: GoneReport, right: GoneReport): boolean {
+  return left.linkId === right.linkId && left.workerKey === right.workerKey;
+}
+
 /** Records a worker that is gone until the runs are loaded. */
-function recordGoneWorker(state: SchedulerState, workerKey: string): SchedulerState {
-  const goneWorkerKeys = [...(state.loading.goneWorkerKeys ?? []), workerKey];
-  return { ...state, loading: { ...state.loading, goneWorkerKeys } };
+function recordGoneWorker(state: SchedulerState, report: GoneReport): SchedulerState {
+  const { goneReports = [] } = state.loading;
+  if (goneReports.some((other) => isSameReport(other, report))) return state;
+  const reports = [...goneReports, report];
+  const goneWorkerKeys = reports.map(({ workerKey }) => workerKey);
+  return { ...state, loading: { ...state.loading, goneReports: reports, goneWorkerKeys } };
+}
+
+/**
+ * Releases the tasks of a worker that is gone, and confirms it after the next transaction, also when
+ * there is nothing to release: only a successful transaction shows that this entry still leads.
+ */
+function onWorkerGone(state: SchedulerState, report: GoneReport, nowMs: number): SchedulerStep {
+  const { linkId, workerKey } = report;
+  const { state: released, effects } = releaseWorker(state, workerKey, 'workerGone', nowMs);
+  // Agents repeat the message, and a transaction may take long.
+  const isPending = released.pendingWrites.postCommit.some(
+    (action) => action.kind === 'confirmGone' && isSameReport(action, report),
+  );
+  return withEffects(
+    isPending
+      ? released
+      : addPostCommitAction(released, { kind: 'confirmGone', linkId, workerKey }),
+    effects,
+  );
+}
+
+/** Handles the workers that were reported as gone during a load that a step has finished. */
+function handleGoneReports(
+  before: SchedulerState,
+  step: SchedulerStep,
+  nowMs: number,
+): SchedulerStep {
+  if (before.phase !== 'loading' || step.state.phase !== 'leading') return step;
+  return chainAfter(
+    step,
+    (before.loading.goneReports ?? []).map(
+      (report) => (current: SchedulerState) => onWorkerGone(current, report, nowMs),
+    ),
+  );
 }
 
 /** Places waiting tasks unless a transaction is in flight, and sends the pending writes. */
@@ -102,8 +143,7 @@
     case 'leaderRow':
       return onLeaderRow(state, event.row);
     case 'jobRows':
-      return chainAll(state, [
-        (current) => onJobRows(current, event, nowMs),
+      return chainAfter(handleGoneReports(state, onJobRows(state, event, nowMs), nowMs), [
         (current) => placeAndFlush(current, nowMs, event.wallMs),
       ]);
     case 'commitDone':
@@ -115,7 +155,11 @@
     case 'rangeDone':
       return event.callId === CALLS.poll
         ? onPoll(state, event.result, inputs)
-        : onLoaded(state, event.callId, event.result, nowMs, event.wallMs);
+        : handleGoneReports(
+            state,
+            onLoaded(state, event.callId, event.result, nowMs, event.wallMs),
+            nowMs,
+          );
     case 'linkOpened':
       return announceLeader(
         {
@@ -136,7 +180,7 @@
       const { linkId, message, wallMs } = event;
       if (message.kind === 'leaderChanged') return onLeader(state, message);
       if (state.phase === 'loading' && message.kind === 'workerGone') {
-        return unchanged(recordGoneWorker(state, message.workerKey));
+        return unchanged(recordGoneWorker(state, { linkId, workerKey: message.workerKey }));
       }
       if (state.phase !== 'leading') return unchanged(state);
       switch (message.kind) {
@@ -155,7 +199,7 @@
           ]);
         case 'workerGone':
           return chainAll(state, [
-            (current) => releaseWorker(current, message.workerKey, 'workerGone', nowMs),
+            (current) => onWorkerGone(current, { linkId, workerKey: message.workerKey }, nowMs),
             (current) => placeAndFlush(current, nowMs, wallMs),
           ]);
         default:
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -114,7 +114,9 @@
 /** An action that follows once the pending rows are stored. */
 export type PostCommitAction =
   | { readonly kind: 'start'; readonly task: string; readonly attempt: number }
-  | { readonly kind: 'acknowledge'; readonly workerKey: string; readonly sequence: number };
+  | { readonly kind: 'acknowledge'; readonly workerKey: string; readonly sequence: number }
+  /** Confirms to an agent that its worker is gone and that no stored row assigns it a task. */
+  | { readonly kind: 'confirmGone'; readonly linkId: string; readonly workerKey: string };
 
 /** Jobs whose rows wait for a transaction, and the actions that follow it. */
 export interface PendingWrites {
@@ -136,6 +138,12 @@
   readonly wasUnknown: boolean;
 }
 
+/** An agent's message that a worker is gone. */
+export interface GoneReport {
+  readonly linkId: string;
+  readonly workerKey: string;
+}
+
 /** Parts of the store that a new leader has read so far. */
 export interface LoadState {
   readonly progress?: Map<string, JobProgress>;
@@ -143,6 +151,8 @@
   readonly pairs?: true;
   /** Workers that agents reported as gone during the reads. */
   readonly goneWorkerKeys?: readonly string[];
+  /** The same reports with their connections, for the confirmation after the load. */
+  readonly goneReports?: readonly GoneReport[];
 }
 
 /** State of the scheduler in one entry. */
--- /dev/null
+++ b/packages/scheduler/test/gone.test.ts
@@ -0,0 +1,133 @@
+import { expect } from 'chai';
+import type { Fixture } from './fixture';
+import {
+  advance,
+  commit,
+  commitAll,
+  createFollower,
+  createLeader,
+  dispatch,
+  inFlight,
+  jobOf,
+  listedRun,
+  report,
+  sentMessages,
+  stageOf,
+  submit,
+  TIMES,
+  WALL_MS,
+  workerKeyFor,
+} from './fixture';
+
+const TASK = 'job1.0.0.0';
+
+/** Returns a leader with one worker that runs the only task of a job. */
+function running(): Fixture {
+  const placed = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)])));
+  return report(advance(placed, 100), 'w1', { running: [listedRun(TASK, 1)], lastOrder: 1 });
+}
+
+function phaseOf(fixture: Fixture): string | undefined {
+  return fixture.state.jobs.get('job1')?.progress.tasks.get('0.0.0')?.phase;
+}
+
+/** Returns a leader to which an agent reported its worker as gone before the load was done. */
+function loadWithGoneWorker(): Fixture {
+  const wallMs = WALL_MS;
+  const empty = { kind: 'rows', rows: [], version: 11 } as const;
+  const polled = advance(createFollower(), 400);
+  const claiming = dispatch(polled, { kind: 'rangeDone', callId: 'poll', result: empty, wallMs });
+  const won = dispatch(claiming, {
+    kind: 'commitDone',
+    callId: 'claim',
+    result: { kind: 'committed', version: 11 },
+    wallMs,
+  });
+  const workerKey = workerKeyFor('w1');
+  const informed = dispatch(dispatch(won, { kind: 'linkOpened', linkId: 'link-w1' }), {
+    kind: 'received',
+    linkId: 'link-w1',
+    message: { kind: 'workerGone', workerKey },
+    wallMs,
+  });
+  const task = { phase: 'running', attempt: 1, failures: 0, workerKey };
+  const row = { table: 'progress', partition: 'main', key: 'job1', version: 9 };
+  const result = {
+    kind: 'rows',
+    rows: [{ ...row, value: { tasks: { '0.0.0': task } } }],
+    version: 11,
+  } as const;
+  const read = dispatch(
+    dispatch(informed, { kind: 'rangeDone', callId: 'progress', result, wallMs }),
+    {
+      kind: 'rangeDone',
+      callId: 'notes',
+      result: empty,
+      wallMs,
+    },
+  );
+  const rows = [
+    {
+      table: 'job',
+      partition: 'main',
+      key: 'job1/job',
+      version: 8,
+      value: jobOf('job1', [stageOf(1)]),
+    },
+  ];
+  return dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs });
+}
+
+// Guards against tasks that wait for a lease because their worker left while a new leader was loading.
+it('handles a worker that leaves while the leader is loading', () => {
+  const begun = loadWithGoneWorker();
+  expect(begun.state.phase).to.equal('leading');
+  expect(phaseOf(advance(begun, 50))).to.equal('waiting');
+});
+
+// Guards against an agent that stops before a new leader has stored what it was told while it loaded.
+it('confirms a worker that left while the leader was loading after the release is stored', () => {
+  const begun = advance(loadWithGoneWorker(), 50);
+  expect(phaseOf(begun)).to.equal('waiting');
+  expect(sentMessages(begun, 'goneRecorded')).to.have.length(0);
+  const writes = inFlight(begun).transaction.writes.filter(({ table }) => table === 'progress');
+  expect(writes).to.have.length(1);
+  expect(sentMessages(commit(begun), 'goneRecorded')).to.have.length(1);
+});
+
+function reportGone(fixture: Fixture, site: string): Fixture {
+  const message = { kind: 'workerGone', workerKey: workerKeyFor(site) } as const;
+  const wallMs = WALL_MS + fixture.nowMs;
+  return dispatch(fixture, { kind: 'received', linkId: `link-${site}`, message, wallMs });
+}
+
+// Guards against an agent that stops before it is stored that the tasks of its worker wait again.
+it('confirms a gone worker once its tasks are stored as released', () => {
+  const gone = reportGone(running(), 'w1');
+  expect(phaseOf(gone)).to.equal('waiting');
+  expect(sentMessages(gone, 'goneRecorded')).to.have.length(0);
+  const stored = commit(gone);
+  expect(sentMessages(stored, 'goneRecorded')).to.deep.equal([
+    {
+      kind: 'send',
+      linkId: 'link-w1',
+      message: { kind: 'goneRecorded', workerKey: workerKeyFor('w1') },
+    },
+  ]);
+});
+
+// Guards against an agent that waits until its deadline because the leader had nothing to release,
+// and against a confirmation by a leader that has been replaced without knowing it.
+it('confirms a gone worker that it does not know, after a transaction', () => {
+  const linked = dispatch(createLeader(), { kind: 'linkOpened', linkId: 'link-w9' });
+  const gone = reportGone(linked, 'w9');
+  expect(sentMessages(gone, 'goneRecorded')).to.have.length(0);
+  expect(sentMessages(commit(gone), 'goneRecorded')).to.have.length(1);
+});
+
+// Guards against a queue of confirmations that grows with each repeat while the store is down.
+it('confirms a repeated message about a gone worker once', () => {
+  const busy = advance(running(), TIMES.renewMs);
+  const gone = reportGone(reportGone(busy, 'w1'), 'w1');
+  expect(sentMessages(commitAll(gone), 'goneRecorded')).to.have.length(1);
+});
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -274,55 +274,6 @@
   expect(sentMessages(later, 'start')).to.have.length(3);
 });
 
-// Guards against tasks that wait for a lease because their worker left while a new leader was loading.
-it('handles a worker that leaves while the leader is loading', () => {
-  const wallMs = WALL_MS;
-  const empty = { kind: 'rows', rows: [], version: 11 } as const;
-  const polled = advance(createFollower(), 400);
-  const claiming = dispatch(polled, { kind: 'rangeDone', callId: 'poll', result: empty, wallMs });
-  const won = dispatch(claiming, {
-    kind: 'commitDone',
-    callId: 'claim',
-    result: { kind: 'committed', version: 11 },
-    wallMs,
-  });
-  const workerKey = workerKeyFor('w1');
-  const informed = dispatch(dispatch(won, { kind: 'linkOpened', linkId: 'l' }), {
-    kind: 'received',
-    linkId: 'l',
-    message: { kind: 'workerGone', workerKey },
-    wallMs,
-  });
-  const task = { phase: 'running', attempt: 1, failures: 0, workerKey };
-  const row = { table: 'progress', partition: 'main', key: 'job1', version: 9 };
-  const result = {
-    kind: 'rows',
-    rows: [{ ...row, value: { tasks: { '0.0.0': task } } }],
-    version: 11,
-  } as const;
-  const read = dispatch(
-    dispatch(informed, { kind: 'rangeDone', callId: 'progress', result, wallMs }),
-    {
-      kind: 'rangeDone',
-      callId: 'notes',
-      result: empty,
-      wallMs,
-    },
-  );
-  const rows = [
-    {
-      table: 'job',
-      partition: 'main',
-      key: 'job1/job',
-      version: 8,
-      value: jobOf('job1', [stageOf(1)]),
-    },
-  ];
-  const begun = dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs });
-  expect(begun.state.phase).to.equal('leading');
-  expect(phaseOf(advance(begun, 50))).to.equal('waiting');
-});
-
 // Guards against work that is done again although its success is reported before the next claim.
 it('accepts the success of a run after its lease has expired', () => {
   const expired = advance(running(), TIMES.agentLeaseMs + TIMES.marginMs + 10);
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -2,6 +2,8 @@
 export type EventName =
   | 'start'
   | 'stop'
+  | 'settling'
+  | 'unsettled'
   | 'reload'
   | 'dependencyLost'
   | 'dependencyRegained'
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -79,7 +79,9 @@
       readonly kind: 'acknowledge';
       readonly workerKey: string;
       readonly sequence: number;
-    };
+    }
+  /** Confirms `workerGone`: no stored row assigns a task to that worker any more. */
+  | { readonly kind: 'goneRecorded'; readonly workerKey: string };
 
 const run = z.object({ task: z.string(), attempt: z.int() });
 const workerKey = z.string();
@@ -157,6 +159,7 @@
   z.object({ kind: z.literal('stop'), workerKey, run }),
   z.object({ kind: z.literal('pace'), workerKey, run, percent: z.number() }),
   z.object({ kind: z.literal('acknowledge'), workerKey, sequence: z.int() }),
+  z.object({ kind: z.literal('goneRecorded'), workerKey }),
 ]);
 
 const runnerKinds = new Set(runnerSchema.options.map((option) => option.shape.kind.value));
