--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -52,6 +52,8 @@
   readonly isUp: () => boolean;
   readonly dispatch: (event: RunnerEvent) => void;
   readonly heartbeat: () => void;
+  /** Requests a planned stop. */
+  readonly stop: () => void;
   readonly kill: () => void;
   /** Cuts the agent off from all entries, but neither from its worker nor from the store. */
   readonly setCut: (isCut: boolean) => void;
