Keep the token and the lease of a refused start in the worker's stand-in

callTaskWorker dropped the fencing token and the lease of a start that it refused as superseded or too late. A worker keeps the highest token that it has seen and a lease extends also with a refused start, so the stand-in accepted calls of an older agent and ended runs too early.

A refusal now returns the state with the token and the lease applied; a fenced call still changes nothing.

--- a/packages/standins/src/taskworker.ts
+++ b/packages/standins/src/taskworker.ts
@@ -69,7 +69,10 @@
   readonly started?: WorkerRun;
 }
 
-/** Executes a call. A run that it starts takes `workMs`. */
+/**
+ * Executes a call. A run that it starts takes `workMs`. The token and the lease of a call that is not
+ * fenced take effect even if the worker refuses the order itself.
+ */
 export function callTaskWorker(
   initial: TaskWorkerState,
   call: WorkerCall,
@@ -79,21 +82,21 @@
   const state = advanceTaskWorker(initial, clockMs);
   const { bornAtMs } = state;
   const done = { kind: 'done', clockMs, bornAtMs } as const;
-  const refuse = (reason: 'fenced' | 'superseded' | 'tooLate'): WorkerCallStep => ({
-    state,
-    result: { kind: 'refused', reason, clockMs },
-  });
-  if (call.fencingToken < state.fencingToken) return refuse('fenced');
+  const refuse = (
+    after: TaskWorkerState,
+    reason: 'fenced' | 'superseded' | 'tooLate',
+  ): WorkerCallStep => ({ state: after, result: { kind: 'refused', reason, clockMs } });
+  if (call.fencingToken < state.fencingToken) return refuse(state, 'fenced');
   const fenced = { ...state, fencingToken: call.fencingToken };
   switch (call.kind) {
     case 'start': {
       const { task, attempt, leaseUntilClockMs } = call;
       const leased = { ...fenced, leaseUntilMs: Math.max(fenced.leaseUntilMs, leaseUntilClockMs) };
-      if (clockMs >= leased.leaseUntilMs) return refuse('tooLate');
+      if (clockMs >= leased.leaseUntilMs) return refuse(leased, 'tooLate');
       const existing = leased.runs.get(task);
       if (existing?.attempt === attempt) return { state: leased, result: done };
       if (attempt <= leased.closedAttempts.get(task, 0) || existing !== undefined)
-        return refuse('superseded');
+        return refuse(leased, 'superseded');
       const run = { task, attempt, startedAtMs: clockMs, endsAtMs: clockMs + workMs };
       return {
         state: { ...leased, runs: leased.runs.set(task, run) },
