--- a/packages/admission/src/effects.ts
+++ b/packages/admission/src/effects.ts
@@ -5,7 +5,7 @@
 import type { AdmissionEffect, AdmissionState, AttemptRecord, Waiter } from './types';
 
 /** Events of the chart of an attempt. */
-export type ChartEvent =
+export type AttemptChartEvent =
   | { readonly kind: 'admit' }
   | { readonly kind: 'enqueue' }
   | { readonly kind: 'refuse'; readonly reason: NotRunReason }
@@ -21,7 +21,7 @@
 /** Returns the record of an attempt with the data of an event. */
 export function updateRecord(
   record: AttemptRecord,
-  event: ChartEvent,
+  event: AttemptChartEvent,
   nowMs: number,
 ): AttemptRecord {
   switch (event.kind) {
@@ -76,7 +76,7 @@
   state: AdmissionState,
   record: AttemptRecord,
   action: AttemptAction,
-  event: ChartEvent,
+  event: AttemptChartEvent,
   nowMs: number,
 ): readonly AdmissionEffect[] {
   switch (action) {
@@ -106,7 +106,7 @@
 }
 
 /** Adds the sender of a collect to the waiters of the attempt. */
-export function addWaiter(record: AttemptRecord, event: ChartEvent): AttemptRecord {
+export function addWaiter(record: AttemptRecord, event: AttemptChartEvent): AttemptRecord {
   if (event.kind !== 'collect') return record;
   const { waiter } = event;
   return record.waiters.some((other) => isSameWaiter(other, waiter))
--- a/packages/admission/src/step.ts
+++ b/packages/admission/src/step.ts
@@ -6,13 +6,13 @@
 import { attemptChart } from './chart';
 import { EMPTY_HISTORY, blockAttempt, recordAttempt } from './history';
 import { ENDED_PHASES, recordKeyUse, retainEnded } from './retain';
-import type { ChartEvent } from './effects';
+import type { AttemptChartEvent } from './effects';
 import { updateRecord, effectsOf, addWaiter } from './effects';
 import type {
   AdmissionEffect,
   AdmissionEvent,
   AdmissionState,
-  Attempt,
+  ReceivedAttempt,
   AttemptRecord,
   Waiter,
 } from './types';
@@ -43,7 +43,7 @@
 function advanceAttempt(
   state: AdmissionState,
   record: AttemptRecord,
-  event: ChartEvent,
+  event: AttemptChartEvent,
   inputs: StepInputs,
 ): AdmissionStep {
   const { nowMs } = inputs;
@@ -85,7 +85,7 @@
   );
 }
 
-function firstEvent(state: AdmissionState): ChartEvent {
+function firstEvent(state: AdmissionState): AttemptChartEvent {
   if (state.draining) return { kind: 'refuse', reason: 'draining' };
   if (state.runningCount < state.slots) return { kind: 'admit' };
   const open = state.runningCount + state.queue.size;
@@ -131,7 +131,7 @@
 function joinHolder(
   state: AdmissionState,
   waiter: Waiter,
-  attempt: Attempt,
+  attempt: ReceivedAttempt,
   inputs: StepInputs,
 ): AdmissionStep | undefined {
   const { idempotencyKey: key, attemptId } = attempt;
@@ -145,7 +145,7 @@
 function onRequest(
   state: AdmissionState,
   linkId: string,
-  attempt: Attempt,
+  attempt: ReceivedAttempt,
   inputs: StepInputs,
 ): AdmissionStep {
   const { requestId, attemptId } = attempt;
@@ -189,7 +189,7 @@
 function applyToRecord(
   state: AdmissionState,
   attemptId: string,
-  event: ChartEvent,
+  event: AttemptChartEvent,
   inputs: StepInputs,
 ): AdmissionStep {
   const record = state.records.get(attemptId);
--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -4,7 +4,7 @@
 import type { AttemptState } from './chart';
 
 /** An attempt of a request as received from an entry. */
-export interface Attempt {
+export interface ReceivedAttempt {
   readonly requestId: string;
   readonly attemptId: string;
   readonly idempotencyKey?: string | undefined;
@@ -25,7 +25,7 @@
 
 /** Record of an attempt at the agent. Its body and headers are dropped when it has ended. */
 export interface AttemptRecord {
-  readonly attempt: Attempt;
+  readonly attempt: ReceivedAttempt;
   readonly phase: AttemptState;
   readonly deadlineAtMs: number;
   readonly waiters: readonly Waiter[];
@@ -73,7 +73,7 @@
 
 /** Events of the requests at one upstream. */
 export type AdmissionEvent =
-  | { readonly kind: 'request'; readonly linkId: string; readonly attempt: Attempt }
+  | { readonly kind: 'request'; readonly linkId: string; readonly attempt: ReceivedAttempt }
   | {
       readonly kind: 'collect';
       readonly linkId: string;
@@ -91,5 +91,5 @@
 /** Effects of the requests, for the shell to perform. */
 export type AdmissionEffect =
   | { readonly kind: 'send'; readonly linkId: string; readonly message: AgentMessage }
-  | { readonly kind: 'callUpstream'; readonly attempt: Attempt; readonly timeoutMs: number }
+  | { readonly kind: 'callUpstream'; readonly attempt: ReceivedAttempt; readonly timeoutMs: number }
   | { readonly kind: 'expireLater'; readonly attemptId: string; readonly afterMs: number };
--- a/packages/admission/test/admission.test.ts
+++ b/packages/admission/test/admission.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import type { AdmissionEvent, AdmissionState, Attempt } from '@bronzeyoke/admission';
+import type { AdmissionEvent, AdmissionState, ReceivedAttempt } from '@bronzeyoke/admission';
 import {
   MAX_HISTORY_ATTEMPTS,
   HISTORY_RETENTION_MS,
@@ -12,7 +12,7 @@
 
 const answer = { status: 200, headers: {}, body: new Uint8Array(10) };
 
-function attempt(attemptId: string, idempotencyKey?: string): Attempt {
+function attempt(attemptId: string, idempotencyKey?: string): ReceivedAttempt {
   const key = idempotencyKey === undefined ? {} : { idempotencyKey };
   const body = new Uint8Array(100);
   const head = { method: 'POST', path: '/', headers: {}, timeoutMs: 5_000 };
@@ -49,7 +49,7 @@
   );
 }
 
-function request(fixture: Fixture, newAttempt: Attempt, linkId = 'l1'): Fixture {
+function request(fixture: Fixture, newAttempt: ReceivedAttempt, linkId = 'l1'): Fixture {
   return dispatch(fixture, { kind: 'request', linkId, attempt: newAttempt });
 }
 
--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -3,7 +3,7 @@
 import { start, stop } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
-import type { Attempt } from '@bronzeyoke/admission';
+import type { ReceivedAttempt } from '@bronzeyoke/admission';
 import type { Address, DialerCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnDialer } from '@bronzeyoke/link';
 import type { UpstreamPort, WorkerPort } from '@bronzeyoke/ports';
@@ -14,7 +14,7 @@
 import { createAgent, stepAgent } from './core';
 import type { AgentObserver } from './monitor';
 import type { AgentEffect, AgentEvent } from './types';
-import { callWorker } from './worker';
+import { performWorkerEffect } from './worker';
 
 /** Options of `startAgent`. */
 export interface AgentOptions {
@@ -66,7 +66,7 @@
 
 async function callUpstream(
   upstream: UpstreamPort,
-  attempt: Attempt,
+  attempt: ReceivedAttempt,
   timeoutMs: number,
 ): Promise<AgentEvent> {
   const { attemptId, method, path, body, traceparent } = attempt;
@@ -122,7 +122,7 @@
           .catch(options.onError);
         return;
       case 'worker':
-        callWorker(options.worker, effect)
+        performWorkerEffect(options.worker, effect)
           .then((event) => dispatch(self, event))
           .catch(options.onError);
         return;
--- a/packages/agent/src/types.ts
+++ b/packages/agent/src/types.ts
@@ -1,4 +1,4 @@
-import type { AdmissionState, Attempt } from '@bronzeyoke/admission';
+import type { AdmissionState, ReceivedAttempt } from '@bronzeyoke/admission';
 import type { InterferenceState } from '@bronzeyoke/interference';
 import type { LifecycleState } from '@bronzeyoke/lifecycle';
 import type { WorkerEffect, WorkerEvent } from '@bronzeyoke/ports';
@@ -50,7 +50,7 @@
 /** Effects of an agent, for its shell to perform. */
 export type AgentEffect =
   | { readonly kind: 'send'; readonly linkId: string; readonly message: AgentMessage }
-  | { readonly kind: 'callUpstream'; readonly attempt: Attempt; readonly timeoutMs: number }
+  | { readonly kind: 'callUpstream'; readonly attempt: ReceivedAttempt; readonly timeoutMs: number }
   | WorkerEffect
   | { readonly kind: 'wake'; readonly timer: AgentTimer; readonly afterMs: number }
   | { readonly kind: 'exit'; readonly failure?: Failure };
--- a/packages/agent/src/worker.ts
+++ b/packages/agent/src/worker.ts
@@ -36,7 +36,7 @@
 }
 
 /** Sends a command to the worker. Without a worker the reply is `unavailable`. */
-export async function callWorker(
+export async function performWorkerEffect(
   port: WorkerPort | undefined,
   { callId, incarnation, command }: WorkerEffect,
 ): Promise<WorkerEvent> {
--- a/packages/agent/test/worker.test.ts
+++ b/packages/agent/test/worker.test.ts
@@ -8,7 +8,7 @@
 import type { StandinWorker } from '@bronzeyoke/standins';
 import {
   NO_WORKER_FAULTS,
-  createWorker,
+  createWorkerModel,
   startWorker,
   behaviourFromPayload,
 } from '@bronzeyoke/standins';
@@ -106,7 +106,7 @@
 }
 
 function newWorker(): Promise<StandinWorker> {
-  return startWorker(HOST, 0, createWorker(total, behaviourFromPayload, 50));
+  return startWorker(HOST, 0, createWorkerModel(total, behaviourFromPayload, 50));
 }
 
 function waitForHello(entry: FakeEntry, incarnation: number): Promise<true> {
--- a/packages/batch/src/agents.ts
+++ b/packages/batch/src/agents.ts
@@ -15,7 +15,7 @@
 import { advanceTask } from './transition';
 import { endProbe } from './quarantine';
 import { chainAll } from './records';
-import type { BatchState, BatchStep, Candidate, Context, TaskRecord } from './types';
+import type { BatchState, BatchStep, Candidate, BatchContext, TaskRecord } from './types';
 
 /** A message about a task that had no visible effect for this long is repeated. */
 const REPEAT_MS = 5_000;
@@ -34,7 +34,7 @@
   state: BatchState,
   agentId: string,
   profile: AgentProfile,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const known = state.candidates.get(agentId);
   const candidate: Candidate = {
@@ -61,7 +61,7 @@
 }
 
 /** Removes an agent whose connection closed. Its tasks stay claimed until the lease expires. */
-export function onAgentDown(state: BatchState, agentId: string, context: Context): BatchStep {
+export function onAgentDown(state: BatchState, agentId: string, context: BatchContext): BatchStep {
   const candidate = state.candidates.get(agentId);
   if (candidate === undefined) return unchanged(state);
   const { worker } = candidate.profile;
@@ -135,7 +135,11 @@
   return unchanged(setFree(updated, agentId, free));
 }
 
-function patchAfterDecline(agentId: string, reason: DeclineReason, { nowMs }: Context): TaskPatch {
+function patchAfterDecline(
+  agentId: string,
+  reason: DeclineReason,
+  { nowMs }: BatchContext,
+): TaskPatch {
   return reason === 'makingRoom'
     ? {
         capacityHold: { agentId, untilMs: nowMs + CAPACITY_HOLD_MS },
@@ -177,7 +181,7 @@
   offerId: string,
   reason: DeclineReason | undefined,
   free: Resources,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const isAccepted = reason === undefined;
   const key = state.offers.get(offerId);
@@ -220,7 +224,7 @@
 }
 
 /** Evicts tasks that run in domains that are out. */
-export function evictFromOutDomains(state: BatchState, context: Context): BatchStep {
+export function evictFromOutDomains(state: BatchState, context: BatchContext): BatchStep {
   const { configuration } = context.inputs;
   const out = configuration.entries.filter(
     (entry) => entry.kind === 'domain' && entry.state === 'out',
@@ -243,7 +247,7 @@
 }
 
 /** Repeats messages about tasks that had no visible effect, for example after a lost connection. */
-export function repeatMessages(state: BatchState, context: Context): BatchStep {
+export function repeatMessages(state: BatchState, context: BatchContext): BatchStep {
   const due = [...state.byWorker.values()]
     .flatMap((tasks) => [...tasks])
     .filter((key) => {
--- a/packages/batch/src/call.ts
+++ b/packages/batch/src/call.ts
@@ -1,8 +1,8 @@
 import type { Transaction } from '@bronzeyoke/ports';
-import type { BatchState, BatchStep, CallPurpose } from './types';
+import type { BatchState, BatchStep, BatchPurpose } from './types';
 
 /** An access to the table without its origin and call id. */
-export type StoreAccess =
+export type BatchAccess =
   | { readonly kind: 'read'; readonly keys: readonly string[] }
   | {
       readonly kind: 'scan';
@@ -15,8 +15,8 @@
 /** Starts a table access and records its purpose. */
 export function sendAccess(
   state: BatchState,
-  purpose: CallPurpose,
-  access: StoreAccess,
+  purpose: BatchPurpose,
+  access: BatchAccess,
 ): BatchStep {
   const callId = `batch-${state.idCount}`;
   return {
--- a/packages/batch/src/command.ts
+++ b/packages/batch/src/command.ts
@@ -1,13 +1,20 @@
 import type { PartOutcome } from '@bronzeyoke/commits';
 import type { ReadResult, Row } from '@bronzeyoke/ports';
-import type { AdminReply, Failure, Job, JobStatus, Submission, TaskRow } from '@bronzeyoke/types';
+import type { AdminReply, Failure, Job, JobDetails, Submission, TaskRow } from '@bronzeyoke/types';
 import { assertNever, fail, succeed, unchanged } from '@bronzeyoke/types';
 import { z } from 'zod';
 import { sendAccess } from './call';
 import { checkSubmission } from './check';
 import { jobOf, keys, shardOfJob, shardOfTeam, taskRowOf } from './keys';
 import { queuePart } from './transition';
-import type { BatchState, BatchStep, CallPurpose, Context, JobCommand, PartPurpose } from './types';
+import type {
+  BatchState,
+  BatchStep,
+  BatchPurpose,
+  BatchContext,
+  JobCommand,
+  PartPurpose,
+} from './types';
 
 const PAGE_ROWS = 500;
 const MAX_LISTED = 500;
@@ -28,7 +35,7 @@
   state: BatchState,
   callId: string,
   submission: Submission,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const fault = checkSubmission(submission);
   if (fault !== undefined) return refuse(state, callId, fault);
@@ -82,7 +89,7 @@
   state: BatchState,
   callId: string,
   command: JobCommand,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   switch (command.kind) {
     case 'submitJob':
@@ -158,7 +165,7 @@
 
 const ABSENT_TASK_ROW: TaskRow = { epoch: 0, state: { kind: 'pending' } };
 
-function statusOf(job: Job, rows: readonly Row[]): JobStatus {
+function statusOf(job: Job, rows: readonly Row[]): JobDetails {
   const byKey = new Map(rows.map((row) => [row.key, taskRowOf(row)]));
   const shard = shardOfJob(job.jobId);
   const tasks = Array.from({ length: job.taskCount }, (_, index) => {
@@ -172,7 +179,7 @@
 }
 
 type CommandCall = Extract<
-  CallPurpose,
+  BatchPurpose,
   { readonly kind: 'existingJob' | 'cancelRead' | 'showRead' | 'showTasks' | 'list' }
 >;
 
--- a/packages/batch/src/inbox.ts
+++ b/packages/batch/src/inbox.ts
@@ -6,7 +6,7 @@
 import { queuePart } from './transition';
 import { createJobRecord, chainAll } from './records';
 import { shardsIn } from './shard';
-import type { BatchState, BatchStep, Context } from './types';
+import type { BatchState, BatchStep, BatchContext } from './types';
 
 /** Jobs per page; their rows and the inbox rows fit into one read each. */
 const PAGE_ROWS = 100;
@@ -63,7 +63,7 @@
   shard: number,
   inbox: readonly Row[],
   result: ReadResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   const ended = setReading(state, shard, false);
--- a/packages/batch/src/lease.ts
+++ b/packages/batch/src/lease.ts
@@ -5,7 +5,7 @@
 import { sendAccess } from './call';
 import { queuePart, advanceTask } from './transition';
 import { isOnWorker, chainAll } from './records';
-import type { BatchState, BatchStep, Context, PartPurpose, ObservedVersion } from './types';
+import type { BatchState, BatchStep, BatchContext, PartPurpose, ObservedVersion } from './types';
 
 /** Worker lease plus a margin: without a renewal for this long the worker runs no tasks. */
 export const WORKER_TAKEOVER_MS = 32_000;
@@ -14,7 +14,7 @@
 type FencePurpose = Extract<PartPurpose, { readonly kind: 'fence' }>;
 
 /** Reads the lease rows of all workers that hold tasks of the shards of this entry. */
-export function readLeases(state: BatchState, context: Context): BatchStep {
+export function readLeases(state: BatchState, context: BatchContext): BatchStep {
   const workers = [...state.byWorker.keys()];
   const pruned = {
     ...state,
@@ -44,7 +44,7 @@
   state: BatchState,
   worker: string,
   isRevoked: (offerId: string, committedAtMs: number) => boolean,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const released = [...(state.byWorker.get(worker) ?? [])].filter((key) => {
     const task = state.tasks.get(key);
@@ -70,7 +70,7 @@
   state: BatchState,
   worker: string,
   rows: Extract<ReadResult, { kind: 'rows' }>['rows'],
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const row = rows.find((candidate) => candidate.key === workerKey(worker));
   const lease = rows.find((candidate) => candidate.key === leaseKey(worker));
@@ -101,7 +101,7 @@
   workers: readonly string[],
   sentAtMs: number,
   result: ReadResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   if (result.kind === 'unavailable') return unchanged(state);
   const { rows } = result;
@@ -132,7 +132,7 @@
   state: BatchState,
   purpose: FencePurpose,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   if (outcome.kind !== 'committed') return unchanged(state);
   const { worker, offerIds } = purpose;
--- a/packages/batch/src/load.ts
+++ b/packages/batch/src/load.ts
@@ -13,7 +13,7 @@
   BatchState,
   BatchStep,
   Claim,
-  Context,
+  BatchContext,
   JobRecord,
   LoadProgress,
   ShardView,
@@ -117,7 +117,7 @@
   state: BatchState,
   record: JobRecord,
   rows: ReadonlyMap<string, Row>,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const known = state.jobs.get(record.job.jobId);
   const { job, version } = record;
@@ -152,7 +152,7 @@
   state: BatchState,
   shard: number,
   load: LoadProgress,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view === undefined) return unchanged(state);
@@ -192,7 +192,7 @@
   shard: number,
   version: number,
   result: ReadResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view?.load === undefined || view.version !== version) return unchanged(state);
--- a/packages/batch/src/offer.ts
+++ b/packages/batch/src/offer.ts
@@ -19,7 +19,14 @@
 import { HEALTHY, mayOffer, startProbe } from './quarantine';
 import { isWithinQuota, quotaOf } from './quota';
 import { isOnWorker, chainAll, usageOf } from './records';
-import type { BatchState, BatchStep, Candidate, Context, JobRecord, TaskRecord } from './types';
+import type {
+  BatchState,
+  BatchStep,
+  Candidate,
+  BatchContext,
+  JobRecord,
+  TaskRecord,
+} from './types';
 
 /** Maximum number of offers per tick. */
 const OFFERS_PER_TICK = 32;
@@ -80,7 +87,7 @@
   jobIds: readonly string[],
   blocked: Blocked,
   total: Resources,
-  { nowMs }: Context,
+  { nowMs }: BatchContext,
 ): readonly Choice[] {
   const wallMs = state.wallOffsetMs + nowMs;
   return jobIds.flatMap((jobId) => {
@@ -113,7 +120,7 @@
 
 function acceptsOffers(
   state: BatchState,
-  { inputs, nowMs }: Context,
+  { inputs, nowMs }: BatchContext,
 ): (candidate: Candidate) => boolean {
   return ({ profile, noOffersUntilMs }) =>
     noOffersUntilMs <= nowMs &&
@@ -125,7 +132,7 @@
   state: BatchState,
   choice: Choice,
   candidate: Candidate,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const { task, reserved } = choice;
   const { worker, domain } = candidate.profile;
@@ -162,7 +169,7 @@
   task: TaskRecord,
   request: PlacementRequest,
   random: number,
-  context: Context,
+  context: BatchContext,
 ): Candidate | undefined {
   const { capacityHold } = task;
   const holder =
@@ -188,7 +195,7 @@
   state: BatchState,
   choice: Choice,
   quota: Resources | undefined,
-  context: Context,
+  context: BatchContext,
 ): ParkReason | undefined {
   const { reserved, record } = choice;
   const { team } = record.job;
@@ -218,7 +225,7 @@
   choice: Choice,
   blocked: Blocked,
   random: number,
-  context: Context,
+  context: BatchContext,
 ): { readonly step: BatchStep; readonly blocked: Blocked } {
   const { record, task, reserved } = choice;
   const { job } = record;
@@ -264,7 +271,7 @@
   return { step: unchanged(state), blocked: blockJob(blocked, job.jobId, size) };
 }
 
-function placeNext(progress: Progress, random: number, total: Resources, context: Context) {
+function placeNext(progress: Progress, random: number, total: Resources, context: BatchContext) {
   if (progress.isDone) return progress;
   const { state, effects } = progress.step;
   const open = listChoices(state, progress.jobIds, progress.blocked, total, context);
@@ -285,7 +292,7 @@
 }
 
 /** Sends offers for the tasks of the first ranks while there is room. */
-export function scheduleTasks(state: BatchState, context: Context): BatchStep {
+export function scheduleTasks(state: BatchState, context: BatchContext): BatchStep {
   const { nowMs } = context;
   const isDue = state.needsScheduling || nowMs - state.scheduledAtMs >= RESCHEDULE_INTERVAL_MS;
   // Without the table no claim can be committed, so an offer would only hold resources.
@@ -308,7 +315,7 @@
 }
 
 /** Withdraws offers that got no reply. */
-export function expireOffers(state: BatchState, limitMs: number, context: Context): BatchStep {
+export function expireOffers(state: BatchState, limitMs: number, context: BatchContext): BatchStep {
   const expired = [...state.offers.values()].filter((key) => {
     const task = state.tasks.get(key);
     return task?.phase === 'offered' && context.nowMs - (task.claim?.offeredAtMs ?? 0) > limitMs;
--- a/packages/batch/src/outcome.ts
+++ b/packages/batch/src/outcome.ts
@@ -10,7 +10,7 @@
 import { cancelIfUnwanted, advanceTask } from './transition';
 import { putTask, chainAll } from './records';
 import { loseShard, onReleaseOutcome, onTakeOutcome } from './shard';
-import type { BatchState, BatchStep, Context, PartPurpose, TaskRecord } from './types';
+import type { BatchState, BatchStep, BatchContext, PartPurpose, TaskRecord } from './types';
 
 /** Time after which an agent drops an accepted offer that was not claimed. */
 export const OFFER_EXPIRY_MS = 2_000;
@@ -27,7 +27,7 @@
   task: TaskRecord,
   purpose: TaskPurpose,
   rows: readonly Row[],
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const rowVersion = versionOf(rows, keys.task(task.shard, task.id));
   if (purpose.change !== 'claim') {
@@ -59,7 +59,7 @@
   state: BatchState,
   task: TaskRecord,
   row: Row | undefined,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const value = taskRowOf(row) ?? { epoch: 0, state: { kind: 'pending' as const } };
   const { partId, ...rest } = task;
@@ -91,7 +91,7 @@
   task: TaskRecord,
   purpose: TaskPurpose,
   outcome: Conflict,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const rowKey = keys.task(task.shard, task.id);
   const row = outcome.rows.find((candidate) => candidate.key === rowKey);
@@ -127,7 +127,7 @@
   state: BatchState,
   purpose: TaskPurpose,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const task = state.tasks.get(purpose.key);
   // The shard may have been lost and taken again meanwhile.
@@ -157,7 +157,7 @@
 export function onPartOutcome(
   state: BatchState,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const purpose = state.parts.get(outcome.part.partId);
   if (purpose === undefined) return unchanged(state);
--- a/packages/batch/src/report.ts
+++ b/packages/batch/src/report.ts
@@ -7,7 +7,7 @@
 import { advanceTask } from './transition';
 import { HEALTHY, countFailure, endProbe } from './quarantine';
 import { isEnded, isOnWorker } from './records';
-import type { BatchState, BatchStep, Context, JobRecord, TaskRecord } from './types';
+import type { BatchState, BatchStep, BatchContext, JobRecord, TaskRecord } from './types';
 
 const MAX_FAILED_WORKERS = 3;
 /** Bound for fleets with fewer than three workers. */
@@ -78,7 +78,7 @@
   job: JobRecord,
   report: Extract<TaskReport, { readonly kind: 'failed' }>,
   patch: TaskPatch,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const { worker = '', reserved } = task.claim ?? {};
   // A task that exceeded its reservation did not fail; it needs a larger one.
@@ -124,7 +124,7 @@
   job: JobRecord,
   agentId: string,
   report: TaskReport,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const ref =
     'checkpointRef' in report && report.checkpointRef !== undefined
@@ -175,7 +175,7 @@
   id: TaskId,
   epoch: number,
   report: TaskReport,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const shard = state.shards.get(shardOfJob(id.jobId));
   // Only the owner of the shard answers. Until a new owner has loaded it, the agent repeats.
--- a/packages/batch/src/retire.ts
+++ b/packages/batch/src/retire.ts
@@ -3,7 +3,7 @@
 import { keys } from './keys';
 import { queuePart } from './transition';
 import { dropJob } from './records';
-import type { BatchState, Context, JobRecord } from './types';
+import type { BatchState, BatchContext, JobRecord } from './types';
 
 /** Retention of ended jobs, so that a caller can look them up and repeat their key. */
 const RETENTION_MS = 3 * 86_400_000;
@@ -45,7 +45,7 @@
 }
 
 /** Deletes the rows of ended jobs that exceed the retention time or the maximum number. */
-export function retireJobs(state: BatchState, context: Context): BatchState {
+export function retireJobs(state: BatchState, context: BatchContext): BatchState {
   const ended = [...state.jobs.values()]
     .filter(isRetirable)
     .sort((left, right) => (left.endedAtMs ?? 0) - (right.endedAtMs ?? 0));
--- a/packages/batch/src/shard.ts
+++ b/packages/batch/src/shard.ts
@@ -10,7 +10,7 @@
 import { startLoad } from './load';
 import { queuePart, advanceTask } from './transition';
 import { dropJob, chainAll } from './records';
-import type { BatchState, BatchStep, Context, ShardView, ObservedVersion } from './types';
+import type { BatchState, BatchStep, BatchContext, ShardView, ObservedVersion } from './types';
 
 /** Shard lease plus a margin. */
 const SHARD_TAKEOVER_MS = 12_000;
@@ -45,7 +45,7 @@
   return [...state.shards.values()].filter((view) => phases.includes(view.phase));
 }
 
-function dropShard(state: BatchState, shard: number, context: Context): BatchStep {
+function dropShard(state: BatchState, shard: number, context: BatchContext): BatchStep {
   const tasks = [...state.tasks.values()].filter((task) => task.shard === shard);
   const step = chainAll(
     state,
@@ -60,7 +60,7 @@
   state: BatchState,
   view: ShardView,
   action: ShardAction,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const { shard } = view;
   switch (action) {
@@ -127,7 +127,7 @@
   shard: number,
   event: ShardEvent,
   patch: Partial<Pick<ShardView, 'version' | 'ownerEntryId' | 'ownerEpoch'>>,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view === undefined || !accepts(shardChart, view.phase, event)) return unchanged(state);
@@ -141,7 +141,7 @@
 }
 
 /** Drops a shard after a transaction showed that another entry owns it. */
-export function loseShard(state: BatchState, shard: number, context: Context): BatchStep {
+export function loseShard(state: BatchState, shard: number, context: BatchContext): BatchStep {
   return advanceShard(state, shard, 'lose', { ownerEntryId: '' }, context);
 }
 
@@ -150,7 +150,7 @@
   state: BatchState,
   shard: number,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view?.partId !== outcome.part.partId) return unchanged(state);
@@ -169,7 +169,7 @@
   state: BatchState,
   shard: number,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view?.partId !== outcome.part.partId) return unchanged(state);
@@ -183,7 +183,7 @@
 }
 
 /** Reads the rows of entries and shards, and renews the leases of this entry. */
-export function refreshOwnership(state: BatchState, context: Context): BatchStep {
+export function refreshOwnership(state: BatchState, context: BatchContext): BatchStep {
   const owned = shardsIn(state, ['loading', 'owned']);
   const token = `${state.entryId}-${state.idCount}`;
   const { number } = context.inputs.configuration;
@@ -244,7 +244,11 @@
 }
 
 /** Updates the known entries, and deletes the rows of those that stopped renewing. */
-export function onEntriesRead(state: BatchState, result: ReadResult, context: Context): BatchStep {
+export function onEntriesRead(
+  state: BatchState,
+  result: ReadResult,
+  context: BatchContext,
+): BatchStep {
   if (result.kind === 'unavailable') return unchanged(state);
   const entryRows = state.entryRows.withMutations((draft) => {
     const present = new Set(result.rows.map((row) => row.key));
@@ -305,7 +309,11 @@
 }
 
 /** Takes shards that are free or whose lease expired, and releases those over the fair share. */
-export function onShardsRead(state: BatchState, result: ReadResult, context: Context): BatchStep {
+export function onShardsRead(
+  state: BatchState,
+  result: ReadResult,
+  context: BatchContext,
+): BatchStep {
   if (result.kind === 'unavailable') return unchanged(state);
   const { nowMs } = context;
   // The view of a shard with a transaction in progress is updated by its outcome.
@@ -340,7 +348,7 @@
   state: BatchState,
   shards: readonly number[],
   result: CommitResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   if (result.kind !== 'conflict') return unchanged(state);
   const versions = new Map(result.rows.map((row) => [row.key, row.version]));
@@ -355,7 +363,7 @@
 }
 
 /** Releases all shards before a planned stop. */
-export function drainShards(state: BatchState, context: Context): BatchStep {
+export function drainShards(state: BatchState, context: BatchContext): BatchStep {
   const key = keys.entry(state.entryId);
   const withoutEntry = queuePart(
     { ...state, isDraining: true },
--- a/packages/batch/src/step.ts
+++ b/packages/batch/src/step.ts
@@ -38,8 +38,8 @@
   BatchState,
   BatchStep,
   BatchTimer,
-  CallPurpose,
-  Context,
+  BatchPurpose,
+  BatchContext,
   BatchInputs,
 } from './types';
 import { watchersOf } from './watcher';
@@ -89,12 +89,12 @@
   );
 }
 
-function flush(state: BatchState, context: Context): BatchStep {
+function flush(state: BatchState, context: BatchContext): BatchStep {
   const step = flushGroup(state.group, context.nowMs);
   return { state: { ...state, group: step.state }, effects: step.effects };
 }
 
-function onTick(state: BatchState, context: Context): BatchStep {
+function onTick(state: BatchState, context: BatchContext): BatchStep {
   return chainAll(state, [
     (from) => expireOffers(from, OFFER_EXPIRY_MS, context),
     (from) => scheduleTasks(from, context),
@@ -107,7 +107,7 @@
 }
 
 /** Requeues parked tasks that fit now, and cancelled watcher instances that are wanted again. */
-function requeueTasks(state: BatchState, context: Context): BatchStep {
+function requeueTasks(state: BatchState, context: BatchContext): BatchStep {
   const requeued = state.tasks.filter((task) => {
     const job = state.jobs.get(task.id.jobId)?.job;
     if (job === undefined) return false;
@@ -128,7 +128,7 @@
   );
 }
 
-function onConfigured(state: BatchState, context: Context): BatchStep {
+function onConfigured(state: BatchState, context: BatchContext): BatchStep {
   const owned = shardsIn(state, ['owned']);
   const records = owned.flatMap(({ shard }) =>
     watchersOf(shard, [], context, (jobId) => state.jobs.has(jobId)),
@@ -142,7 +142,7 @@
   ]);
 }
 
-function onPoll(state: BatchState, context: Context): BatchStep {
+function onPoll(state: BatchState, context: BatchContext): BatchStep {
   const count = state.pollCount;
   const isDue = (every: number) => count % every === 0;
   const always: readonly ((from: BatchState) => BatchStep)[] = [
@@ -170,7 +170,7 @@
   ]);
 }
 
-function onTimer(state: BatchState, timer: BatchTimer, context: Context): BatchStep {
+function onTimer(state: BatchState, timer: BatchTimer, context: BatchContext): BatchStep {
   switch (timer.kind) {
     case 'tick':
       return onTick(state, context);
@@ -183,9 +183,9 @@
 
 function onReadResult(
   state: BatchState,
-  purpose: CallPurpose,
+  purpose: BatchPurpose,
   result: ReadResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   switch (purpose.kind) {
     case 'entries':
@@ -217,7 +217,7 @@
   state: BatchState,
   callId: string,
   result: CommitResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const purpose = state.calls.get(callId);
   if (purpose?.kind === 'renew') {
@@ -231,7 +231,7 @@
   );
 }
 
-function handleEvent(state: BatchState, event: BatchEvent, context: Context): BatchStep {
+function handleEvent(state: BatchState, event: BatchEvent, context: BatchContext): BatchStep {
   switch (event.kind) {
     case 'started':
       return chainAll({ ...state, wallOffsetMs: event.wallOffsetMs, startedAtMs: context.nowMs }, [
--- a/packages/batch/src/transition.ts
+++ b/packages/batch/src/transition.ts
@@ -10,7 +10,14 @@
 import { keys } from './keys';
 import { slackMs } from './order';
 import { putTask, chainAll } from './records';
-import type { BatchState, BatchStep, Context, JobRecord, PartPurpose, TaskRecord } from './types';
+import type {
+  BatchState,
+  BatchStep,
+  BatchContext,
+  JobRecord,
+  PartPurpose,
+  TaskRecord,
+} from './types';
 
 /** Fields of a task that an event changes besides its phase. */
 export type TaskPatch = Partial<
@@ -121,7 +128,7 @@
 function claimConditions(
   task: TaskRecord,
   job: JobRecord,
-  { inputs }: Context,
+  { inputs }: BatchContext,
 ): readonly Condition[] {
   if (task.claim === undefined) return [];
   const { worker, domain } = task.claim;
@@ -137,7 +144,7 @@
   state: BatchState,
   task: TaskRecord,
   change: Change,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const shard = state.shards.get(task.shard);
   const job = state.jobs.get(task.id.jobId);
@@ -163,7 +170,7 @@
   state: BatchState,
   task: TaskRecord,
   action: TaskAction,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const { id, epoch, claim } = task;
   switch (action) {
@@ -236,7 +243,7 @@
   key: string,
   event: TaskEvent,
   patch: TaskPatch,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const task = state.tasks.get(key);
   if (task === undefined || !accepts(taskChart, task.phase, event)) return unchanged(state);
@@ -256,7 +263,7 @@
 }
 
 /** Cancels a task whose job is cancelled or has fewer tasks now. */
-export function cancelIfUnwanted(state: BatchState, key: string, context: Context): BatchStep {
+export function cancelIfUnwanted(state: BatchState, key: string, context: BatchContext): BatchStep {
   const task = state.tasks.get(key);
   const job = task === undefined ? undefined : state.jobs.get(task.id.jobId);
   if (task === undefined || job === undefined) return unchanged(state);
--- a/packages/batch/src/types.ts
+++ b/packages/batch/src/types.ts
@@ -146,7 +146,7 @@
   | { readonly kind: 'cleanUp' };
 
 /** Purpose of a table access outside of the group commit. */
-export type CallPurpose =
+export type BatchPurpose =
   | { readonly kind: 'entries' }
   | { readonly kind: 'shards' }
   | { readonly kind: 'renew'; readonly shards: readonly number[] }
@@ -182,7 +182,7 @@
   readonly pollCount: number;
   readonly group: GroupState;
   readonly parts: Map<string, PartPurpose>;
-  readonly calls: Map<string, CallPurpose>;
+  readonly calls: Map<string, BatchPurpose>;
   readonly shards: Map<number, ShardView>;
   readonly entryRows: Map<string, ObservedEntry>;
   readonly areEntriesKnown: boolean;
@@ -262,7 +262,7 @@
 export type BatchStep = Step<BatchState, BatchEffect>;
 
 /** Inputs of a decision besides the state. */
-export interface Context {
+export interface BatchContext {
   readonly inputs: BatchInputs;
   readonly nowMs: number;
   readonly random: number;
--- a/packages/batch/src/watcher.ts
+++ b/packages/batch/src/watcher.ts
@@ -2,7 +2,7 @@
 import type { ConfigChange, Job, WatcherState } from '@bronzeyoke/types';
 import { shardOfTeam, taskIdOf } from './keys';
 import { createJobRecord } from './records';
-import type { Context, JobRecord } from './types';
+import type { BatchContext, JobRecord } from './types';
 
 const ID_MARKER = '-watcher-';
 
@@ -24,7 +24,7 @@
 }
 
 /** Builds the job of a watcher; it has no instances if the team belongs to another shard. */
-function watcherRecord(watcher: WatcherState, shard: number, context: Context): JobRecord {
+function watcherRecord(watcher: WatcherState, shard: number, context: BatchContext): JobRecord {
   const key = `watcher/${watcher.name}`;
   const job: Job = {
     jobId: watcherJobId(shard, watcher.name),
@@ -44,7 +44,7 @@
 }
 
 /** Returns whether the configuration contains the watchers of all task rows without a job. */
-export function areWatchersKnown(orphans: readonly Row[], context: Context): boolean {
+export function areWatchersKnown(orphans: readonly Row[], context: BatchContext): boolean {
   const known = new Set(
     context.inputs.configuration.entries.filter(isWatcher).map((watcher) => watcher.name),
   );
@@ -55,7 +55,7 @@
 export function watchersOf(
   shard: number,
   orphans: readonly Row[],
-  context: Context,
+  context: BatchContext,
   hasJob: (jobId: string) => boolean = () => false,
 ): readonly JobRecord[] {
   const names = namesOf(orphans);
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -21,7 +21,7 @@
 });
 
 /** Address of an entry. */
-export type EntryAddress = CliSettings['entries'][number];
+export type EntryEndpoint = CliSettings['entries'][number];
 
 /** A request to an entry. */
 export interface CliRequest {
@@ -32,17 +32,17 @@
 
 /** Client of the entries in the settings. */
 export interface Client {
-  readonly entries: readonly EntryAddress[];
+  readonly entries: readonly EntryEndpoint[];
   /** Calls the entries in order until one of them handles the request. */
   readonly call: (cliRequest: CliRequest) => Promise<Result<unknown, CliFault>>;
   /** Calls one entry. */
   readonly callEntry: (
-    entry: EntryAddress,
+    entry: EntryEndpoint,
     cliRequest: CliRequest,
   ) => Promise<Result<unknown, CliFault>>;
 }
 
-function formatAddress(entry: EntryAddress): string {
+function formatAddress(entry: EntryEndpoint): string {
   return `${entry.host}:${entry.port}`;
 }
 
--- a/packages/cli/src/processes.ts
+++ b/packages/cli/src/processes.ts
@@ -2,11 +2,11 @@
 import { BaseCommand, parseWholeNumber } from './base';
 import { EXIT_CODES } from './fault';
 import { formatTable } from './table';
-import type { Process, Rollout } from './rollout';
+import type { ProcessRollout, Rollout } from './rollout';
 import { fetchRollout, describeRollout, isInForceEverywhere } from './rollout';
 
 function formatRollout(rollout: Rollout): string {
-  return formatTable<Process>(
+  return formatTable<ProcessRollout>(
     [
       { title: 'PROCESS', cell: (process) => process.process },
       { title: 'ID', cell: (process) => process.id },
--- a/packages/cli/src/rollout.ts
+++ b/packages/cli/src/rollout.ts
@@ -6,11 +6,11 @@
 const POLL_MS = 250;
 
 /** Process and the number of the ticket in force there. */
-export type Process = WhereAnswer['processes'][number];
+export type ProcessRollout = WhereAnswer['processes'][number];
 
 /** Numbers in force at the processes, as reported by all entries of the settings. */
 export interface Rollout {
-  readonly processes: readonly Process[];
+  readonly processes: readonly ProcessRollout[];
   /** Entries that did not answer, so that their numbers are unknown. */
   readonly silent: readonly string[];
 }
--- a/packages/commits/src/group.ts
+++ b/packages/commits/src/group.ts
@@ -27,7 +27,7 @@
 }
 
 /** A transaction whose result is not known yet. */
-export interface InFlightTransaction {
+export interface GroupTransaction {
   readonly parts: readonly Part[];
   readonly transaction: Transaction;
   readonly wasReplyLost: boolean;
@@ -40,7 +40,7 @@
   readonly origin: StoreOrigin;
   readonly callCount: number;
   readonly waiting: readonly Part[];
-  readonly inFlight: Map<string, InFlightTransaction>;
+  readonly inFlight: Map<string, GroupTransaction>;
   /** Nothing is sent before this time, after the table was unavailable. */
   readonly backOffUntilMs: number;
 }
@@ -119,7 +119,7 @@
   return { packed, rest };
 }
 
-function send(state: GroupState, inFlight: InFlightTransaction): GroupStep {
+function send(state: GroupState, inFlight: GroupTransaction): GroupStep {
   const callId = `${state.origin}-group-${state.callCount}`;
   return {
     state: {
@@ -170,7 +170,7 @@
 }
 
 function splitConflict(
-  inFlight: InFlightTransaction,
+  inFlight: GroupTransaction,
   rows: readonly Row[],
 ): { readonly outcomes: readonly PartOutcome[]; readonly retried: readonly Part[] } {
   const versions = Map(rows.map((row) => [row.key, row.version]));
--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -32,7 +32,7 @@
   applyOutDomains,
   checkLink,
   dropLink,
-  endAttempt,
+  handleAttemptResult,
   recordMessage,
   handleRequests,
   pingOverdueAgents,
@@ -139,7 +139,7 @@
     case 'notRun':
     case 'outcomeUnknown':
     case 'unknownRequest':
-      return endAttempt(state, agentId, message, inputs);
+      return handleAttemptResult(state, agentId, message, inputs);
     case 'draining': {
       const leaving = updateAgent(membership, agentId, (view) => ({ ...view, isLeaving: true }));
       return chainAll({ ...state, membership: leaving }, [
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -203,7 +203,7 @@
 }
 
 /** Ends an attempt with the result that its agent reports. */
-export function endAttempt(
+export function handleAttemptResult(
   state: EntryState,
   agentId: string,
   message: AttemptResultMessage,
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -1,4 +1,4 @@
-import type { AdminCommand, AdminReply, JobStatus, Result } from '@bronzeyoke/types';
+import type { AdminCommand, AdminReply, JobDetails, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
 import type { Principal } from './auth';
 import { parseJob, parseTicket } from './body';
@@ -32,10 +32,10 @@
 const MAX_WAIT_MS = 10_000;
 const NAME_PATTERN = /^[A-Za-z0-9_-]{1,64}$/;
 
-type Query = Readonly<Record<string, string>>;
+type QueryParameters = Readonly<Record<string, string>>;
 
 function parseInteger(
-  query: Query,
+  query: QueryParameters,
   field: string,
   fallback: number,
   range: readonly [min: number, max: number],
@@ -50,7 +50,7 @@
     : fail({ kind: 'invalid', field, problem: `not a whole number in ${min}..${max}` });
 }
 
-function teamOf(query: Query, principal: Principal): Result<string> {
+function teamOf(query: QueryParameters, principal: Principal): Result<string> {
   const own = principal.role === 'team' ? principal.team : undefined;
   const team = query.team ?? own;
   return team !== undefined && NAME_PATTERN.test(team)
@@ -65,7 +65,7 @@
 function ticketCall(
   request: AdminRequest,
   parts: readonly string[],
-  query: Query,
+  query: QueryParameters,
   principal: Principal,
 ): Result<AdminCall> | undefined {
   const [numberText, action, ...rest] = parts;
@@ -94,7 +94,7 @@
 function jobCall(
   request: AdminRequest,
   parts: readonly string[],
-  query: Query,
+  query: QueryParameters,
   principal: Principal,
 ): Result<AdminCall> | undefined {
   const [jobId, action, ...rest] = parts;
@@ -173,7 +173,7 @@
 }
 
 /** Returns whether all tasks of a job have ended. */
-export function isJobDone(status: JobStatus): boolean {
+export function isJobDone(status: JobDetails): boolean {
   const ended = status.tasks.filter(
     ({ row }) => row.state.kind !== 'pending' && row.state.kind !== 'claimed',
   );
--- a/packages/entry/test/batch.test.ts
+++ b/packages/entry/test/batch.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import type { JobStatus, Submission } from '@bronzeyoke/types';
-import { Simulation } from './simulation';
+import type { JobDetails, Submission } from '@bronzeyoke/types';
+import { EntrySimulation } from './simulation';
 
 const size = { processorsMilli: 1_000, memoryMb: 1_000, accelerators: 0 };
 
@@ -21,17 +21,17 @@
   };
 }
 
-function submit(simulation: Simulation, entry: number, callId: string, job: Submission): void {
+function submit(simulation: EntrySimulation, entry: number, callId: string, job: Submission): void {
   simulation.administer(entry, callId, { kind: 'submitJob', submission: job });
 }
 
-function statusOf(simulation: Simulation, callId: string): JobStatus {
+function statusOf(simulation: EntrySimulation, callId: string): JobDetails {
   const reply = simulation.replies.get(callId);
   if (reply?.ok !== true || reply.value.kind !== 'job') throw new Error(`no job in ${callId}`);
   return reply.value.status;
 }
 
-function show(simulation: Simulation, entry: number, team: string, jobId: string): JobStatus {
+function show(simulation: EntrySimulation, entry: number, team: string, jobId: string): JobDetails {
   const callId = `show-${simulation.nowMs}`;
   simulation.administer(entry, callId, { kind: 'showJob', team, jobId });
   simulation.runUntil(simulation.nowMs + 1_000);
@@ -39,14 +39,14 @@
 }
 
 /** Cancels a job, and repeats the command while the table is unavailable. */
-function cancel(simulation: Simulation, callId: string, jobId: string): void {
+function cancel(simulation: EntrySimulation, callId: string, jobId: string): void {
   simulation.administer(1, callId, { kind: 'cancelJob', team: 'quotes', jobId });
   simulation.runUntil(simulation.nowMs + 5_000);
   if (simulation.replies.get(callId)?.ok !== true) cancel(simulation, `${callId}x`, jobId);
 }
 
 /** Returns tasks that ran in two places at once or finished twice; watchers may finish again. */
-function faultsOf(simulation: Simulation, mayFinishAgain = false): readonly string[] {
+function faultsOf(simulation: EntrySimulation, mayFinishAgain = false): readonly string[] {
   return simulation.runs.flatMap((run, index) =>
     simulation.runs.slice(index + 1).flatMap((other) => {
       if (other.key !== run.key) return [];
@@ -58,7 +58,7 @@
 }
 
 it('batch: a job is claimed, started and finished once', () => {
-  const simulation = new Simulation({ seed: 1, entries: 2, workers: 4, runMs: () => 1_000 });
+  const simulation = new EntrySimulation({ seed: 1, entries: 2, workers: 4, runMs: () => 1_000 });
   simulation.runUntil(10_000);
   submit(simulation, 0, 'a', submission('k', 50));
   simulation.runUntil(30_000);
@@ -71,7 +71,7 @@
 
 // A caller that repeats its submission must not get a second job.
 it('batch: the same team and key is one job', () => {
-  const simulation = new Simulation({ seed: 2, entries: 2, workers: 1, runMs: () => 100 });
+  const simulation = new EntrySimulation({ seed: 2, entries: 2, workers: 1, runMs: () => 100 });
   simulation.runUntil(5_000);
   submit(simulation, 0, 'a', submission('k', 1));
   submit(simulation, 1, 'b', submission('k', 1));
@@ -85,7 +85,7 @@
   fc.assert(
     fc.property(fc.nat(1_000_000), fc.double({ min: 0, max: 0.4, noNaN: true }), (seed, lost) => {
       const faults = { untilMs: 60_000, lost, down: 0.1 };
-      const simulation = new Simulation({
+      const simulation = new EntrySimulation({
         seed,
         entries: 2,
         workers: 4,
@@ -116,7 +116,7 @@
   fc.assert(
     fc.property(fc.nat(1_000_000), fc.integer({ min: 0, max: 2_000 }), (seed, waitMs) => {
       const faults = { untilMs: 40_000, lost: 0.2, down: 0 };
-      const simulation = new Simulation({
+      const simulation = new EntrySimulation({
         seed,
         entries: 2,
         workers: 3,
@@ -143,7 +143,7 @@
   fc.assert(
     fc.property(fc.nat(1_000_000), fc.integer({ min: 0, max: 3_000 }), (seed, waitMs) => {
       const faults = { untilMs: 60_000, lost: 0.2, down: 0 };
-      const simulation = new Simulation({
+      const simulation = new EntrySimulation({
         seed,
         entries: 2,
         workers: 2,
@@ -168,7 +168,7 @@
 
 // P4: work in a domain that was taken out would be lost with it.
 it('batch: nothing starts in a domain after it was taken out, and its tasks resume elsewhere', () => {
-  const simulation = new Simulation({ seed: 5, entries: 2, workers: 4, runMs: () => 20_000 });
+  const simulation = new EntrySimulation({ seed: 5, entries: 2, workers: 4, runMs: () => 20_000 });
   simulation.runUntil(10_000);
   submit(simulation, 0, 'a', submission('k', 16));
   simulation.runUntil(15_000);
@@ -192,7 +192,7 @@
 });
 
 it('batch: urgent work starts within 8.4 s in a full fleet', () => {
-  const simulation = new Simulation({ seed: 6, entries: 2, workers: 4, runMs: () => 600_000 });
+  const simulation = new EntrySimulation({ seed: 6, entries: 2, workers: 4, runMs: () => 600_000 });
   simulation.runUntil(10_000);
   submit(simulation, 0, 'a', submission('k', 100, { deadlineAtMs: 9_000_000 }));
   simulation.runUntil(40_000);
@@ -204,7 +204,7 @@
 });
 
 it('batch: a quota caps what a team runs, and a task over the whole quota is parked', () => {
-  const simulation = new Simulation({ seed: 7, entries: 1, workers: 4, runMs: () => 5_000 });
+  const simulation = new EntrySimulation({ seed: 7, entries: 1, workers: 4, runMs: () => 5_000 });
   const quota = { processorsMilli: 3_000, memoryMb: 90_000, accelerators: 0 };
   const changes = [{ kind: 'team', name: 'quotes', quota }] as const;
   simulation.administer(0, 't', { kind: 'applyTicket', author: 'ops', number: 1, changes });
@@ -230,7 +230,7 @@
 
 // Otherwise one bad worker could fail every task of the queue.
 it('batch: a worker that fails every task is quarantined, and a job that fails everywhere is parked', () => {
-  const simulation = new Simulation({
+  const simulation = new EntrySimulation({
     seed: 8,
     entries: 1,
     workers: 4,
@@ -251,7 +251,7 @@
 });
 
 it('batch: a watcher is restarted when it ends, and stopped when its instances are removed', () => {
-  const simulation = new Simulation({ seed: 9, entries: 2, workers: 2, runMs: () => 10_000 });
+  const simulation = new EntrySimulation({ seed: 9, entries: 2, workers: 2, runMs: () => 10_000 });
   const identity = { kind: 'watcher', name: 'wire', team: 'stock', workKind: 'watch' } as const;
   const watcher = { ...identity, reserved: size, payload: '' };
   const apply = (number: number, instances: number) =>
@@ -274,7 +274,7 @@
 
 // The table handles several hundred writes a second, and a peak has 230 starts a second.
 it('batch: a task of a large job costs at most 2.2 row writes and 0.1 transactions', () => {
-  const simulation = new Simulation({ seed: 10, entries: 3, workers: 40, runMs: () => 2_000 });
+  const simulation = new EntrySimulation({ seed: 10, entries: 3, workers: 40, runMs: () => 2_000 });
   simulation.runUntil(20_000);
   const countsAt20s = { ...simulation.counts };
   simulation.runUntil(40_000);
@@ -295,7 +295,7 @@
 // An agent that declined was offered the same work again at once, 750 times a second in a fuzz run.
 (['notRegistered', 'noRoom'] as const).forEach((declineReason) => {
   it(`batch: agents that decline with ${declineReason} get no new offer at once`, () => {
-    const simulation = new Simulation({
+    const simulation = new EntrySimulation({
       seed: 1,
       entries: 1,
       workers: 4,
--- a/packages/entry/test/simulation.ts
+++ b/packages/entry/test/simulation.ts
@@ -42,7 +42,7 @@
 }
 
 /** Simulates entries with their real cores, fake agents and an in-memory table in virtual time. */
-export class Simulation {
+export class EntrySimulation {
   nowMs = 0;
 
   table: TableState = EMPTY_TABLE;
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -21,7 +21,7 @@
 import { endFault, startFault } from './fault';
 import { makeJob } from './job';
 import { bootAgent, bootEntry, INTERVALS, stepAgentProcess, stepEntryProcess } from './process';
-import type { Violation, Fleet, FleetEvent } from './world';
+import type { FleetViolation, Fleet, FleetEvent } from './world';
 import { drawStepUniform, isActive, schedule, workerReport, WALL_START_MS } from './world';
 
 const NETWORK_MS = 2;
@@ -79,7 +79,7 @@
 }
 
 /** Returns the violations by a start of a task at a worker. */
-function checkStart(fleet: Fleet, task: string, site: string): readonly Violation[] {
+function checkStart(fleet: Fleet, task: string, site: string): readonly FleetViolation[] {
   const atMs = fleet.nowMs;
   const jobId = parseTaskName(task)?.jobId ?? '';
   const row = fleet.store.rows.get([TABLES.progress, PARTITION, jobId].join('\u0001'));
@@ -215,13 +215,13 @@
   return changes.flatMap((change) => (change.kind === 'put' ? [change] : []));
 }
 
-interface TableUpdate {
+interface RowUpdate {
   readonly isFull: boolean;
   readonly rows: readonly StoredRow[];
   readonly version: number;
 }
 
-function readTable(fleet: Fleet, table: string, version: number | undefined): TableUpdate {
+function readTable(fleet: Fleet, table: string, version: number | undefined): RowUpdate {
   const feed =
     version === undefined
       ? ({ kind: 'historyLost' } as const)
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -10,7 +10,7 @@
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 
 /** A scheduler process. Each start gets another `bootId`. */
-export interface EntryProcess {
+export interface FleetEntry {
   readonly site: string;
   readonly bootId: number;
   readonly state: SchedulerState;
@@ -20,7 +20,7 @@
 }
 
 /** An agent process beside a worker. */
-export interface AgentProcess {
+export interface FleetAgent {
   readonly site: string;
   readonly bootId: number;
   readonly state: RunnerState;
@@ -112,7 +112,7 @@
  * A violated invariant at the workers: two runs of a task at a time, a run after an acknowledged
  * success, or a run after the end of the job.
  */
-export interface Violation {
+export interface FleetViolation {
   readonly kind: 'concurrentRun' | 'runAfterSuccess' | 'runAfterJobEnd';
   readonly task: string;
   readonly atMs: number;
@@ -126,8 +126,8 @@
   readonly nowMs: number;
   readonly sequence: number;
   readonly eventQueue: Heap<FleetEvent>;
-  readonly entries: Map<string, EntryProcess>;
-  readonly agents: Map<string, AgentProcess>;
+  readonly entries: Map<string, FleetEntry>;
+  readonly agents: Map<string, FleetAgent>;
   readonly workers: Map<string, FleetWorker>;
   readonly links: Map<string, FleetLink>;
   readonly bootCount: number;
@@ -136,7 +136,7 @@
   readonly frozenUntilMs: Map<string, number>;
   /** Tasks whose success was acknowledged to a worker. */
   readonly acknowledgedTasks: Set<string>;
-  readonly violations: readonly Violation[];
+  readonly violations: readonly FleetViolation[];
   readonly starts: number;
   readonly steps: number;
 }
--- a/packages/harness/src/command.ts
+++ b/packages/harness/src/command.ts
@@ -6,7 +6,7 @@
 import { breakConnection } from './network';
 import { sendAdminCommand } from './operator';
 import { WALL_OFFSET_MS, bootAgent, bootEntry, killProcess } from './process';
-import { applyWorkerInput, encodePayload } from './worker';
+import { applyWorkerInput, encodeBehaviour } from './worker';
 import type { Connection, MessageFault, Process, UpstreamMode, World } from './world';
 import { deliver, observe, siteName, updateProcess } from './world';
 
@@ -212,7 +212,7 @@
     deadlineAtMs: WALL_OFFSET_MS + world.nowMs + DEADLINE_MS,
     urgency: command.isUrgent ? 'urgent' : 'normal',
     taskCount: command.taskCount,
-    payload: encodePayload({ runMs, fails, used: amountOf(command.usedMilli) }),
+    payload: encodeBehaviour({ runMs, fails, used: amountOf(command.usedMilli) }),
   };
 }
 
--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -3,7 +3,7 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { stepAgent } from '@bronzeyoke/agent';
 import { stepEntry } from '@bronzeyoke/entry';
-import { EMPTY_TABLE, createWorker } from '@bronzeyoke/standins';
+import { EMPTY_TABLE, createWorkerModel } from '@bronzeyoke/standins';
 import type { Resources } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import { pop } from './heap';
@@ -14,7 +14,7 @@
 import type { Deployment } from './site';
 import { callStore, applyBudgetEvent } from './store';
 import { endCall } from './upstream';
-import { applyWorkerInput, decodePayload } from './worker';
+import { applyWorkerInput, decodeBehaviour } from './worker';
 import type { Decisions, SimulationEvent, StandinBugs, World } from './world';
 import { observe } from './world';
 
@@ -65,7 +65,7 @@
     workers: Map(
       deployment.workers.map(({ worker, total }) => [
         worker,
-        createWorker(multiply(total, factor), decodePayload),
+        createWorkerModel(multiply(total, factor), decodeBehaviour),
       ]),
     ),
     store: {
--- a/packages/harness/src/upstream.ts
+++ b/packages/harness/src/upstream.ts
@@ -1,4 +1,4 @@
-import type { Attempt } from '@bronzeyoke/admission';
+import type { ReceivedAttempt } from '@bronzeyoke/admission';
 import type { AgentEvent } from '@bronzeyoke/agent';
 import type { CallerRequest } from '@bronzeyoke/types';
 import { assertNever, drawUniforms } from '@bronzeyoke/types';
@@ -39,7 +39,7 @@
 export function callUpstream(
   world: World,
   agent: AgentProcess,
-  attempt: Attempt,
+  attempt: ReceivedAttempt,
   timeoutMs: number,
 ): World {
   const { worker } = agent.site;
--- a/packages/harness/src/worker.ts
+++ b/packages/harness/src/worker.ts
@@ -20,12 +20,12 @@
 });
 
 /** Encodes the actual behaviour of a task as its payload, which the system never reads. */
-export function encodePayload(behaviour: TaskBehaviour): string {
+export function encodeBehaviour(behaviour: TaskBehaviour): string {
   return JSON.stringify(behaviour);
 }
 
 /** Decodes the actual behaviour of a task from its payload. */
-export function decodePayload(task: TaskSpec): TaskBehaviour {
+export function decodeBehaviour(task: TaskSpec): TaskBehaviour {
   return behaviourSchema.parse(JSON.parse(task.payload));
 }
 
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -8,7 +8,7 @@
   stepEntry,
 } from '@bronzeyoke/entry';
 import type { StoreEffect } from '@bronzeyoke/ports';
-import type { TableState, WorkerInput, WorkerState } from '@bronzeyoke/standins';
+import type { TableState, WorkerInput, WorkerModel } from '@bronzeyoke/standins';
 import type { CallerRequest } from '@bronzeyoke/types';
 import { drawUniforms } from '@bronzeyoke/types';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
@@ -192,7 +192,7 @@
   /** The latest connection of an agent to the entry at a site, by `agent>site`. */
   readonly latestConnections: Map<string, string>;
   readonly upstreams: Map<string, Upstream>;
-  readonly workers: Map<string, WorkerState>;
+  readonly workers: Map<string, WorkerModel>;
   /** Time of the next advance of each worker. */
   readonly advanceAtMs: Map<string, number>;
   readonly store: Store;
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -9,7 +9,7 @@
   IntakeReply,
   IntakeState,
   IntakeStep,
-  Submission,
+  PendingSubmission,
 } from './types';
 import { submissionChart } from './types';
 
@@ -33,7 +33,7 @@
 
 type SubmissionEvent = 'sent' | 'stored' | 'conflict' | 'unavailable' | 'unknown' | 'expired';
 
-function replyTo(submission: Submission, reply: IntakeReply): readonly IntakeEffect[] {
+function replyTo(submission: PendingSubmission, reply: IntakeReply): readonly IntakeEffect[] {
   return submission.callIds.map((callId) => ({ kind: 'reply', callId, reply }) as const);
 }
 
@@ -91,7 +91,7 @@
   );
 }
 
-function isReadyToSend({ phase }: Submission): boolean {
+function isReadyToSend({ phase }: PendingSubmission): boolean {
   return phase === 'waiting' || phase === 'uncertain';
 }
 
@@ -196,7 +196,7 @@
     };
   }
   const retryMs = Math.max(0, Math.min(SUBMIT_TIMEOUT_MS, timeoutMs - REPLY_MARGIN_MS));
-  const submission: Submission = {
+  const submission: PendingSubmission = {
     job,
     phase: submissionChart.initial,
     callIds: [callId],
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -14,7 +14,7 @@
 });
 
 /** A job that is being stored, with all calls that wait for the outcome. */
-export interface Submission {
+export interface PendingSubmission {
   readonly job: WorkflowJob;
   readonly phase: StateOf<typeof submissionChart>;
   readonly callIds: readonly string[];
@@ -48,7 +48,7 @@
 
 /** State of the part of an entry that accepts, cancels and looks up jobs. */
 export interface IntakeState {
-  readonly submissions: Map<string, Submission>;
+  readonly submissions: Map<string, PendingSubmission>;
   readonly queries: Map<string, Query>;
   /** Jobs of each transaction without a result yet, by call id. */
   readonly inFlight: Map<string, readonly string[]>;
--- a/packages/requests/src/transition.ts
+++ b/packages/requests/src/transition.ts
@@ -8,7 +8,7 @@
 import { replaceRecord } from './records';
 import type {
   Attempt,
-  ChartEvent,
+  RequestChartEvent,
   Intent,
   RequestRecord,
   RequestsEffect,
@@ -46,7 +46,7 @@
 
 function updateRecord(
   record: RequestRecord,
-  event: ChartEvent,
+  event: RequestChartEvent,
   nowMs: number,
   wallMs: number,
 ): RequestRecord {
@@ -137,7 +137,7 @@
 
 function effectsOf(
   record: RequestRecord,
-  event: ChartEvent,
+  event: RequestChartEvent,
   action: RequestAction,
   inputs: StepInputs,
 ): readonly RequestsEffect[] {
@@ -191,7 +191,7 @@
 }
 
 /** Returns how an attempt that is still open ends for its upstream when the request ends. */
-function endOf(event: ChartEvent, attempt: Attempt, nowMs: number): AttemptEnd {
+function endOf(event: RequestChartEvent, attempt: Attempt, nowMs: number): AttemptEnd {
   return event.kind === 'giveUp' && event.reason === 'deadlineExpired'
     ? { kind: 'timedOut' }
     : { kind: 'abandoned', elapsedMs: nowMs - attempt.sentAtMs };
@@ -201,7 +201,7 @@
 export function advanceRequest(
   state: RequestsState,
   record: RequestRecord,
-  event: ChartEvent,
+  event: RequestChartEvent,
   inputs: StepInputs,
 ): RequestsStep {
   const next = advance(requestChart, record.phase, event.kind);
--- a/packages/requests/src/types.ts
+++ b/packages/requests/src/types.ts
@@ -136,7 +136,7 @@
 export type RequestsStep = Step<RequestsState, RequestsEffect>;
 
 /** An event of the request chart, with the data for its actions. */
-export type ChartEvent =
+export type RequestChartEvent =
   | { readonly kind: 'enqueue' }
   | { readonly kind: 'dispatch'; readonly agentId: string }
   | { readonly kind: 'record'; readonly agentId: string }
--- a/packages/requests/test/requests.test.ts
+++ b/packages/requests/test/requests.test.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check';
 import type { CallerRequest } from '@bronzeyoke/types';
 import { RETRY_BURST, RETRY_SHARE } from '@bronzeyoke/routing';
-import type { Observation, Simulation } from './simulation';
+import type { RequestsObservation, RequestsSimulation } from './simulation';
 import { createSimulation } from './simulation';
 
 const SEED = 20_240_611;
@@ -64,7 +64,7 @@
     : { ...base, timeoutMs, body: Buffer.from(`key${key}`), idempotencyKey: `key${key}` };
 }
 
-function runCommand(simulation: Simulation, one: Command, index: number): void {
+function runCommand(simulation: RequestsSimulation, one: Command, index: number): void {
   switch (one.kind) {
     case 'arrive':
       simulation.arrive(one.entry, requestOf(index, one.key, one.timeoutMs));
@@ -83,7 +83,7 @@
   }
 }
 
-function runCommands(seed: number, commands: readonly Command[]): Simulation {
+function runCommands(seed: number, commands: readonly Command[]): RequestsSimulation {
   const simulation = createSimulation(seed, 4, 0.25);
   simulation.advance(100);
   commands.forEach((one, index) => runCommand(simulation, one, index));
@@ -91,18 +91,18 @@
   return simulation;
 }
 
-function ofKind<Kind extends Observation['kind']>(
-  simulation: Simulation,
+function ofKind<Kind extends RequestsObservation['kind']>(
+  simulation: RequestsSimulation,
   kind: Kind,
-): readonly Extract<Observation, { readonly kind: Kind }>[] {
+): readonly Extract<RequestsObservation, { readonly kind: Kind }>[] {
   return simulation.observations.filter(
-    (one): one is Extract<Observation, { readonly kind: Kind }> => one.kind === kind,
+    (one): one is Extract<RequestsObservation, { readonly kind: Kind }> => one.kind === kind,
   );
 }
 
 function check(
   name: string,
-  holds: (simulation: Simulation, commands: readonly Command[]) => void,
+  holds: (simulation: RequestsSimulation, commands: readonly Command[]) => void,
 ): void {
   it(name, () => {
     fc.assert(
--- a/packages/requests/test/simulation.ts
+++ b/packages/requests/test/simulation.ts
@@ -11,15 +11,15 @@
 type Result = Extract<RequestsEvent, { readonly kind: 'attemptEnded' }>['result'];
 
 /** An observation at a caller or an upstream, or a violated invariant. */
-export type Observation =
+export type RequestsObservation =
   | { readonly kind: 'run'; readonly requestId: string; readonly key: string | undefined }
   | { readonly kind: 'reply'; readonly request: CallerRequest; readonly outcome: Outcome }
   | { readonly kind: 'sent'; readonly entry: number; readonly requestId: string }
   | { readonly kind: 'violation'; readonly problem: string };
 
 /** A simulation of two entries, several agents and a store in virtual time, with seeded faults. */
-export interface Simulation {
-  readonly observations: Observation[];
+export interface RequestsSimulation {
+  readonly observations: RequestsObservation[];
   readonly entries: RequestsState[];
   readonly arrive: (entry: number, request: CallerRequest) => void;
   readonly dropLink: (entry: number, agent: number, awayMs: number) => void;
@@ -36,7 +36,11 @@
 const ENTRIES = 2;
 
 /** Creates a simulation; `faultShare` is the share of store accesses and attempts that fail. */
-export function createSimulation(seed: number, agentCount: number, faultShare: number): Simulation {
+export function createSimulation(
+  seed: number,
+  agentCount: number,
+  faultShare: number,
+): RequestsSimulation {
   const generator = xoroshiro128plus(seed);
   const random = (): number => uniformFloat64(generator);
   const below = (limit: number): number => Math.floor(random() * limit);
@@ -52,7 +56,7 @@
     sequence += 1;
     timers.push({ atMs: nowMs + afterMs, sequence, callback });
   };
-  const observations: Observation[] = [];
+  const observations: RequestsObservation[] = [];
   // Effects are queued here until the step that returned them has ended.
   let outbox: { readonly entry: number; readonly effect: RequestsEffect }[] = [];
   const entries = Array.from({ length: ENTRIES }, () => createRequests('hobart'));
--- a/packages/standins/src/host.ts
+++ b/packages/standins/src/host.ts
@@ -7,7 +7,7 @@
 import { z } from 'zod';
 import { readJson } from './body';
 import type { WorkerFaults } from './machine';
-import type { WorkerInput, WorkerOutput, WorkerState } from './worker';
+import type { WorkerInput, WorkerOutput, WorkerModel } from './worker';
 import { nextWorkerAtMs, stepWorker } from './worker';
 
 const id = z.object({ jobId: z.string(), index: z.int() });
@@ -33,7 +33,7 @@
 export interface StandinWorker {
   readonly port: number;
   readonly setFaults: (faults: WorkerFaults) => void;
-  readonly state: () => WorkerState;
+  readonly state: () => WorkerModel;
   /** Outputs so far, for test oracles: starts and ends of tasks, and replies. */
   readonly outputs: () => readonly WorkerOutput[];
   readonly close: () => Promise<void>;
@@ -46,7 +46,7 @@
 export async function startWorker(
   host: string,
   port: number,
-  initial: WorkerState,
+  initial: WorkerModel,
 ): Promise<StandinWorker> {
   let state = initial;
   let callCount = 0;
--- a/packages/standins/src/machine.ts
+++ b/packages/standins/src/machine.ts
@@ -167,7 +167,7 @@
  * Returns whether another task fits beside the others. A worker does not count the resources of
  * its service.
  */
-export function hasRoom(machine: Machine, task: TaskSpec): boolean {
+export function fitsOnMachine(machine: Machine, task: TaskSpec): boolean {
   return fitsIn(addResources(sumReserved(machine), task.reserved), machine.total);
 }
 
@@ -236,7 +236,7 @@
 }
 
 /** Stops a task; no notice is queued. */
-export function stopTask(machine: Machine, task: MachineTask, nowMs: number): Machine {
+export function stopMachineTask(machine: Machine, task: MachineTask, nowMs: number): Machine {
   return removeTask(machine, task, nowMs);
 }
 
--- a/packages/standins/src/main.ts
+++ b/packages/standins/src/main.ts
@@ -2,7 +2,7 @@
 import { startTable } from './table';
 import { behaviourFromPayload } from './behaviour';
 import { startUpstream } from './upstream';
-import { createWorker } from './worker';
+import { createWorkerModel } from './worker';
 
 /**
  * Runs stand-ins in one process until SIGTERM or SIGINT: `main.ts table:7400 upstream:7451
@@ -26,7 +26,7 @@
     case 'upstream':
       return startUpstream(HOST, port);
     case 'worker':
-      return startWorker(HOST, port, createWorker(WORKER_RESOURCES, behaviourFromPayload));
+      return startWorker(HOST, port, createWorkerModel(WORKER_RESOURCES, behaviourFromPayload));
     default:
       throw new TypeError(`${argument}: not table:<port>, upstream:<port> or worker:<port>`);
   }
--- a/packages/standins/src/worker.ts
+++ b/packages/standins/src/worker.ts
@@ -7,14 +7,14 @@
   updateTask,
   checkpointTask,
   createMachine,
-  hasRoom,
+  fitsOnMachine,
   laggedUsage,
   nextEndAtMs,
   advanceMachine,
   listRunning,
   setSpeed,
   startTask,
-  stopTask,
+  stopMachineTask,
   throttleTask,
 } from './machine';
 
@@ -28,7 +28,7 @@
 }
 
 /** State of a modelled worker. */
-export interface WorkerState {
+export interface WorkerModel {
   readonly machine: Machine;
   /** The highest incarnation seen. */
   readonly incarnation: number;
@@ -67,14 +67,14 @@
       readonly end: TaskEnd | { readonly kind: 'stopped' };
     };
 
-type WorkerStep = Step<WorkerState, WorkerOutput>;
+type WorkerStep = Step<WorkerModel, WorkerOutput>;
 
 /** Creates a worker without tasks. `behaviourOf` gives the actual behaviour of a task. */
-export function createWorker(
+export function createWorkerModel(
   total: Resources,
   behaviourOf: (task: TaskSpec) => TaskBehaviour,
   usageLagMs = 1_000,
-): WorkerState {
+): WorkerModel {
   return {
     machine: createMachine(total, usageLagMs),
     incarnation: 0,
@@ -91,17 +91,17 @@
   return { kind: command.kind, result };
 }
 
-type CommandOutcome = Step<WorkerState, WorkerOutput> & { readonly reply: WorkerReply };
+type CommandOutcome = Step<WorkerModel, WorkerOutput> & { readonly reply: WorkerReply };
 
 const UNKNOWN_TASK = { kind: 'refused', problem: 'unknownTask' } as const;
 const DONE = { kind: 'done', value: undefined } as const;
 
-function createOutcome(state: WorkerState, machine: Machine, reply: WorkerReply): CommandOutcome {
+function createOutcome(state: WorkerModel, machine: Machine, reply: WorkerReply): CommandOutcome {
   return { state: { ...state, machine }, effects: [], reply };
 }
 
 function executeStart(
-  state: WorkerState,
+  state: WorkerModel,
   { command, incarnation, arrivedAtMs }: PendingCommand,
   start: Extract<WorkerCommand, { readonly kind: 'start' }>,
   nowMs: number,
@@ -112,7 +112,7 @@
     createOutcome(state, machine, { kind: start.kind, result: { kind: 'refused', problem } });
   if (command.kind !== 'start' || nowMs - arrivedAtMs >= startWithinMs) return refuse('tooLate');
   if (machine.tasks.has(taskKey(task.id))) return refuse('alreadyRunning');
-  if (!hasRoom(machine, task)) return refuse('noRoom');
+  if (!fitsOnMachine(machine, task)) return refuse('noRoom');
   const behaviour = state.behaviourOf(task);
   const withRunMs = { ...behaviour, runMs: task.role === 'watcher' ? Infinity : behaviour.runMs };
   const actual = { ...withRunMs, fails: behaviour.fails || state.faults.failsEveryTask };
@@ -134,7 +134,7 @@
 }
 
 function executeTaskCommand(
-  state: WorkerState,
+  state: WorkerModel,
   command: Extract<WorkerCommand, { readonly kind: 'checkpoint' | 'throttle' | 'stop' }>,
   task: MachineTask,
   nowMs: number,
@@ -156,7 +156,7 @@
     }
     case 'stop':
       return {
-        state: { ...state, machine: stopTask(machine, task, nowMs) },
+        state: { ...state, machine: stopMachineTask(machine, task, nowMs) },
         effects: [
           {
             kind: 'taskEnded',
@@ -174,7 +174,7 @@
 }
 
 function executeCommand(
-  state: WorkerState,
+  state: WorkerModel,
   pending: PendingCommand,
   nowMs: number,
 ): CommandOutcome {
@@ -238,7 +238,7 @@
       };
 }
 
-function advanceTo(state: WorkerState, nowMs: number): WorkerStep {
+function advanceTo(state: WorkerModel, nowMs: number): WorkerStep {
   const { machine, ended } = advanceMachine(state.machine, nowMs);
   return {
     state: { ...state, machine },
@@ -253,7 +253,7 @@
 }
 
 /** Advances time and executes the commands that are due, each at its own time. */
-function executeDue(state: WorkerState, nowMs: number): WorkerStep {
+function executeDue(state: WorkerModel, nowMs: number): WorkerStep {
   const due = state.pending
     .filter((pending) => pending.dueAtMs <= nowMs)
     .toSorted((left, right) => left.dueAtMs - right.dueAtMs);
@@ -271,7 +271,7 @@
 }
 
 /** Returns the time of the worker's next step if no command arrives, or Infinity. */
-export function nextWorkerAtMs(state: WorkerState): number {
+export function nextWorkerAtMs(state: WorkerModel): number {
   return state.pending.reduce(
     (soonest, { dueAtMs }) => Math.min(soonest, dueAtMs),
     nextEndAtMs(state.machine),
@@ -279,7 +279,7 @@
 }
 
 /** Steps a modelled worker at an explicit time. Call it again at `nextWorkerAtMs`. */
-export function stepWorker(state: WorkerState, input: WorkerInput, nowMs: number): WorkerStep {
+export function stepWorker(state: WorkerModel, input: WorkerInput, nowMs: number): WorkerStep {
   const advanced = executeDue(state, nowMs);
   switch (input.kind) {
     case 'advance':
--- a/packages/standins/test/worker.test.ts
+++ b/packages/standins/test/worker.test.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai';
 import type { WorkerCommand } from '@bronzeyoke/ports';
 import type { TaskSpec } from '@bronzeyoke/types';
-import type { WorkerOutput, WorkerState } from '@bronzeyoke/standins';
+import type { WorkerOutput, WorkerModel } from '@bronzeyoke/standins';
 import {
   NO_WORKER_FAULTS,
-  createWorker,
+  createWorkerModel,
   nextWorkerAtMs,
   checkpointedWorkMs,
   stepWorker,
@@ -22,7 +22,7 @@
   payload: '',
 };
 
-function sendCommand(state: WorkerState, command: WorkerCommand, nowMs: number, incarnation = 1) {
+function sendCommand(state: WorkerModel, command: WorkerCommand, nowMs: number, incarnation = 1) {
   return stepWorker(state, { kind: 'command', callId: 'c', incarnation, command }, nowMs);
 }
 
@@ -35,7 +35,7 @@
 }
 
 const createIdleWorker = () =>
-  createWorker(total, () => ({ runMs: 10_000, used: reserved, fails: false }), 1_000);
+  createWorkerModel(total, () => ({ runMs: 10_000, used: reserved, fails: false }), 1_000);
 
 it('worker model: a checkpoint keeps the work done and a later start resumes it', () => {
   const running = sendCommand(createIdleWorker(), start(60_000), 0).state;
--- a/packages/tasks/src/call.ts
+++ b/packages/tasks/src/call.ts
@@ -1,5 +1,5 @@
 import type { WorkerCommand } from '@bronzeyoke/ports';
-import type { CallPurpose, TasksState, TasksStep } from './types';
+import type { WorkerCallPurpose, TasksState, TasksStep } from './types';
 
 /** Prefix of the ids of calls that this package makes. */
 export const CALL_PREFIX = 'tasks/';
@@ -7,7 +7,7 @@
 /** Sends a command to the worker and records its purpose. */
 export function callWorker(
   state: TasksState,
-  purpose: CallPurpose,
+  purpose: WorkerCallPurpose,
   command: WorkerCommand,
   nowMs: number,
 ): TasksStep {
@@ -24,7 +24,11 @@
 }
 
 /** Returns whether a call of a kind still awaits its reply. */
-export function isCallPending(state: TasksState, kind: CallPurpose['kind'], key?: string): boolean {
+export function isCallPending(
+  state: TasksState,
+  kind: WorkerCallPurpose['kind'],
+  key?: string,
+): boolean {
   return state.calls.some(
     ({ purpose }) =>
       purpose.kind === kind && (key === undefined || !('key' in purpose) || purpose.key === key),
--- a/packages/tasks/src/chart.ts
+++ b/packages/tasks/src/chart.ts
@@ -4,7 +4,7 @@
 import taskFile from '../charts/task.json';
 
 /** State chart of a task at the agent. */
-export const taskChart = compileChart(taskFile, {
+export const agentTaskChart = compileChart(taskFile, {
   states: [
     'offered',
     'reserved',
@@ -51,10 +51,10 @@
 });
 
 /** States of a task. */
-export type TaskPhase = StateOf<typeof taskChart>;
+export type AgentTaskPhase = StateOf<typeof agentTaskChart>;
 
 /** Actions of the task chart. */
-export type TaskAction = ActionOf<typeof taskChart>;
+export type AgentTaskAction = ActionOf<typeof agentTaskChart>;
 
 /** State chart of the worker's lease. */
 export const leaseChart = compileChart(leaseFile, {
--- a/packages/tasks/src/lease.ts
+++ b/packages/tasks/src/lease.ts
@@ -17,7 +17,7 @@
   RENEW_RETRY_MS,
   TOKEN_REUSE_MS,
 } from './limits';
-import type { Lease, LeaseRequest, TaskRecord, TasksState, TasksStep } from './types';
+import type { Lease, LeaseRequest, AgentTaskRecord, TasksState, TasksStep } from './types';
 
 type LeaseEvent =
   | 'register'
@@ -102,7 +102,7 @@
   };
 }
 
-function mayRun({ phase }: TaskRecord): boolean {
+function mayRun({ phase }: AgentTaskRecord): boolean {
   return phase === 'starting' || phase === 'running' || phase === 'checkpointing';
 }
 
--- a/packages/tasks/src/listing.ts
+++ b/packages/tasks/src/listing.ts
@@ -6,7 +6,7 @@
 import { CLAIM_LIMIT_MS, START_SETTLE_MS } from './limits';
 import { mayRunHere } from './offer';
 import { queueReport, sendReport } from './report';
-import type { TaskEvent, TaskRecord, TasksState, TasksStep } from './types';
+import type { AgentTaskEvent, AgentTaskRecord, TasksState, TasksStep } from './types';
 
 /** Adopts a task that the worker runs and this process did not start. */
 function adoptTask(state: TasksState, listed: RunningTask, nowMs: number): TasksStep {
@@ -14,7 +14,7 @@
   const key = taskKey(id);
   const reserved = adopt(state.ledger, key, task.reserved);
   const isOutdated = epoch < (state.epochs.get(key) ?? -1);
-  const record: TaskRecord = {
+  const record: AgentTaskRecord = {
     task,
     epoch,
     phase: 'running',
@@ -38,7 +38,11 @@
 }
 
 /** Returns whether a listing requested at that time would include a start without a reply. */
-function hasStartSettled(state: TasksState, record: TaskRecord, requestedAtMs: number): boolean {
+function hasStartSettled(
+  state: TasksState,
+  record: AgentTaskRecord,
+  requestedAtMs: number,
+): boolean {
   const boundAtMs = record.acceptedAtMs + CLAIM_LIMIT_MS + START_SETTLE_MS;
   return requestedAtMs >= boundAtMs && !isCallPending(state, 'start', taskKey(record.task.id));
 }
@@ -46,7 +50,7 @@
 /** Handles a listed task of another epoch than its record. The newer one cannot start beside it. */
 function onOtherEpoch(
   state: TasksState,
-  record: TaskRecord,
+  record: AgentTaskRecord,
   listed: RunningTask,
   requestedAtMs: number,
   nowMs: number,
@@ -54,7 +58,9 @@
   const key = taskKey(listed.id);
   const isStuck = record.phase === 'starting' && hasStartSettled(state, record, requestedAtMs);
   if (record.phase !== 'reserved' && !isStuck) return unchanged(state);
-  const event: TaskEvent = isStuck ? { kind: 'notStarted' } : { kind: 'decline', reason: 'noRoom' };
+  const event: AgentTaskEvent = isStuck
+    ? { kind: 'notStarted' }
+    : { kind: 'decline', reason: 'noRoom' };
   return chain(advanceTask(state, record, event, nowMs), (current) =>
     chain(adoptTask(current, listed, nowMs), (adopted) =>
       stopTask(adopted, key, 'fence', 'tooLate', nowMs),
@@ -83,7 +89,7 @@
 /** Handles a recorded task that the worker does not list. */
 function onUnlisted(
   state: TasksState,
-  record: TaskRecord,
+  record: AgentTaskRecord,
   requestedAtMs: number,
   nowMs: number,
 ): TasksStep {
--- a/packages/tasks/src/offer.ts
+++ b/packages/tasks/src/offer.ts
@@ -3,13 +3,13 @@
 import { isDomainIn, taskKey, unchanged } from '@bronzeyoke/types';
 import type { DeclineReason, EntryMessage } from '@bronzeyoke/wire';
 import { chain } from './call';
-import { taskChart } from './chart';
+import { agentTaskChart } from './chart';
 import { isLeaseHeld } from './lease';
 import { advanceTaskByKey, advanceTask } from './task';
 import { CLAIM_LIMIT_MS } from './limits';
 import { isReportListFull, queueReport } from './report';
-import { hasRoom, preemptFor } from './preempt';
-import type { TaskRecord, TasksState, TasksStep } from './types';
+import { fitsBesideHolds, preemptFor } from './preempt';
+import type { AgentTaskRecord, TasksState, TasksStep } from './types';
 
 /** Returns whether the newest configuration allows tasks in this agent's failure domain. */
 export function mayRunHere({ configuration, profile }: TasksState): boolean {
@@ -50,10 +50,10 @@
       ? advanceTask(state, { ...existing, linkId }, { kind: 'accept' }, nowMs)
       : unchanged(state);
   }
-  const record: TaskRecord = {
+  const record: AgentTaskRecord = {
     task,
     epoch,
-    phase: taskChart.initial,
+    phase: agentTaskChart.initial,
     offerId,
     linkId,
     acceptedAtMs: nowMs,
@@ -61,7 +61,7 @@
   };
   const reason = declineReason(state, offerId, epoch, task);
   if (reason !== undefined) return advanceTask(state, record, { kind: 'decline', reason }, nowMs);
-  const reserved = hasRoom(state, key, task.reserved, nowMs)
+  const reserved = fitsBesideHolds(state, key, task.reserved, nowMs)
     ? reserve(state.ledger, key, task.reserved)
     : undefined;
   if (reserved?.ok === true) {
@@ -78,11 +78,11 @@
       );
 }
 
-function findOffer(state: TasksState, offerId: string): TaskRecord | undefined {
+function findOffer(state: TasksState, offerId: string): AgentTaskRecord | undefined {
   return state.records.find((record) => record.offerId === offerId);
 }
 
-function isTooLate(record: TaskRecord, nowMs: number): boolean {
+function isTooLate(record: AgentTaskRecord, nowMs: number): boolean {
   return nowMs - record.acceptedAtMs >= CLAIM_LIMIT_MS;
 }
 
--- a/packages/tasks/src/preempt.ts
+++ b/packages/tasks/src/preempt.ts
@@ -4,7 +4,7 @@
 import { chainEach } from './call';
 import { stopTask } from './task';
 import { CAPACITY_HOLD_MS } from './limits';
-import type { TaskRecord, TasksState, TasksStep } from './types';
+import type { AgentTaskRecord, TasksState, TasksStep } from './types';
 
 function sumOtherHolds(state: TasksState, key: string, nowMs: number): Resources {
   return state.holds
@@ -13,7 +13,7 @@
 }
 
 /** Returns whether a task fits beside the capacity held for urgent work. */
-export function hasRoom(
+export function fitsBesideHolds(
   state: TasksState,
   key: string,
   requested: Resources,
@@ -23,7 +23,7 @@
   return fitsIn(needed, freeResources(state.ledger));
 }
 
-function isStopping({ phase }: TaskRecord): boolean {
+function isStopping({ phase }: AgentTaskRecord): boolean {
   return phase === 'checkpointing' || phase === 'stopping';
 }
 
--- a/packages/tasks/src/reply.ts
+++ b/packages/tasks/src/reply.ts
@@ -5,7 +5,7 @@
 import { advanceLease, onFenced } from './lease';
 import { advanceTaskByKey, markStarted } from './task';
 import { endMissing, onListing, onNotices } from './listing';
-import type { CallPurpose, TasksState, TasksStep, WorkerCall } from './types';
+import type { WorkerCallPurpose, TasksState, TasksStep, PendingWorkerCall } from './types';
 
 function requestListing(state: TasksState): TasksStep {
   return unchanged({ ...state, needsListing: true });
@@ -13,7 +13,7 @@
 
 function onAttach(
   state: TasksState,
-  call: WorkerCall,
+  call: PendingWorkerCall,
   result: Extract<WorkerReply, { readonly kind: 'attach' }>['result'],
   inputs: StepInputs,
 ): TasksStep {
@@ -82,7 +82,7 @@
 
 function onReply(
   state: TasksState,
-  call: WorkerCall,
+  call: PendingWorkerCall,
   reply: WorkerReply,
   inputs: StepInputs,
 ): TasksStep {
@@ -142,7 +142,7 @@
     : done;
 }
 
-function unavailableReply(purpose: CallPurpose): WorkerReply {
+function unavailableReply(purpose: WorkerCallPurpose): WorkerReply {
   return { kind: purpose.kind, result: { kind: 'unavailable' } };
 }
 
--- a/packages/tasks/src/step.ts
+++ b/packages/tasks/src/step.ts
@@ -18,7 +18,7 @@
 import { expireOffers, mayRunHere, onClaimFailed, onClaimed, onOffer } from './offer';
 import { confirmReport, repeatReports } from './report';
 import { expireCalls, onWorkerDone } from './reply';
-import type { TaskMessage, TaskRecord, TasksEvent, TasksState, TasksStep } from './types';
+import type { TaskMessage, AgentTaskRecord, TasksEvent, TasksState, TasksStep } from './types';
 
 /** Creates the state of batch work at an agent before its first connection. */
 export function createTasks(profile: AgentProfile): TasksState {
@@ -153,7 +153,7 @@
   }
 }
 
-function retryStop(state: TasksState, record: TaskRecord, nowMs: number): TasksStep {
+function retryStop(state: TasksState, record: AgentTaskRecord, nowMs: number): TasksStep {
   const isDue = record.retryAtMs !== undefined && record.retryAtMs <= nowMs;
   const key = taskKey(record.task.id);
   if (!isDue || record.stopMode === undefined) return unchanged(state);
--- a/packages/tasks/src/task.ts
+++ b/packages/tasks/src/task.ts
@@ -5,8 +5,8 @@
 import { assertNever, taskKey, unchanged } from '@bronzeyoke/types';
 import type { TaskReport } from '@bronzeyoke/wire';
 import { callWorker, chain, chainEach } from './call';
-import type { TaskAction } from './chart';
-import { taskChart } from './chart';
+import type { AgentTaskAction } from './chart';
+import { agentTaskChart } from './chart';
 import {
   CHECKPOINT_RETRY_MS,
   CLAIM_LIMIT_MS,
@@ -15,7 +15,7 @@
   STOP_RETRY_MS,
 } from './limits';
 import { queueReport, sendReport } from './report';
-import type { StopMode, TaskEvent, TaskRecord, TasksState, TasksStep } from './types';
+import type { StopMode, AgentTaskEvent, AgentTaskRecord, TasksState, TasksStep } from './types';
 
 /** Returns how much longer the worker may run tasks. */
 export function taskLeaseMs(state: TasksState, nowMs: number): number {
@@ -32,7 +32,11 @@
   return grown.size > MAX_RECENT ? grown.skip(1) : grown;
 }
 
-function updateRecord(record: TaskRecord, event: TaskEvent, nowMs: number): TaskRecord {
+function updateRecord(
+  record: AgentTaskRecord,
+  event: AgentTaskEvent,
+  nowMs: number,
+): AgentTaskRecord {
   switch (event.kind) {
     case 'saved':
       return { ...record, checkpointRef: event.checkpointRef, retryAtMs: nowMs + STOP_RETRY_MS };
@@ -60,13 +64,13 @@
   }
 }
 
-function lastCheckpoint(record: TaskRecord): { readonly checkpointRef?: string } {
+function lastCheckpoint(record: AgentTaskRecord): { readonly checkpointRef?: string } {
   const checkpointRef = record.checkpointRef ?? record.task.checkpointRef;
   return checkpointRef === undefined ? {} : { checkpointRef };
 }
 
 /** Returns the report of a task that ended on its own; its last checkpoint fills in a missing one. */
-export function endReport(end: TaskEnd, record?: TaskRecord): TaskReport {
+export function endReport(end: TaskEnd, record?: AgentTaskRecord): TaskReport {
   const fallback = record === undefined ? {} : lastCheckpoint(record);
   switch (end.kind) {
     case 'finished':
@@ -87,9 +91,9 @@
 
 function performAction(
   state: TasksState,
-  record: TaskRecord,
-  action: TaskAction,
-  event: TaskEvent,
+  record: AgentTaskRecord,
+  action: AgentTaskAction,
+  event: AgentTaskEvent,
   nowMs: number,
 ): TasksStep {
   const { task, epoch, offerId, linkId } = record;
@@ -146,12 +150,16 @@
 
 const UNCLAIMED: ReadonlySet<string> = new Set(['offered', 'reserved']);
 
-function isOver(record: TaskRecord): boolean {
+function isOver(record: AgentTaskRecord): boolean {
   const { phase } = record;
   return phase === 'released' || phase === 'finished' || phase === 'failed';
 }
 
-function storeRecord(state: TasksState, before: TaskRecord, after: TaskRecord): TasksState {
+function storeRecord(
+  state: TasksState,
+  before: AgentTaskRecord,
+  after: AgentTaskRecord,
+): TasksState {
   const key = taskKey(after.task.id);
   if (!isOver(after)) return { ...state, records: state.records.set(key, after) };
   const records = state.records.delete(key);
@@ -165,11 +173,11 @@
 /** Applies an event to the task chart and runs the resulting actions. */
 export function advanceTask(
   state: TasksState,
-  record: TaskRecord,
-  event: TaskEvent,
+  record: AgentTaskRecord,
+  event: AgentTaskEvent,
   nowMs: number,
 ): TasksStep {
-  const next = advance(taskChart, record.phase, event.kind);
+  const next = advance(agentTaskChart, record.phase, event.kind);
   if (next.actions.length === 0 && next.state === record.phase) return unchanged(state);
   const amended = { ...updateRecord(record, event, nowMs), phase: next.state };
   // The record is stored first, so that the actions see the new state.
@@ -183,7 +191,7 @@
 export function advanceTaskByKey(
   state: TasksState,
   key: string,
-  event: TaskEvent,
+  event: AgentTaskEvent,
   nowMs: number,
 ): TasksStep {
   const record = state.records.get(key);
--- a/packages/tasks/src/types.ts
+++ b/packages/tasks/src/types.ts
@@ -11,16 +11,16 @@
   TaskSpec,
 } from '@bronzeyoke/types';
 import type { AgentMessage, DeclineReason, EntryMessage, TaskReport } from '@bronzeyoke/wire';
-import type { LeasePhase, TaskPhase } from './chart';
+import type { LeasePhase, AgentTaskPhase } from './chart';
 
 /** How a task stops: after a checkpoint, for good, or at once because the lease is lost. */
 export type StopMode = 'evict' | 'cancel' | 'fence';
 
 /** A task at the agent, from its offer until the worker no longer runs it. */
-export interface TaskRecord {
+export interface AgentTaskRecord {
   readonly task: TaskSpec;
   readonly epoch: number;
-  readonly phase: TaskPhase;
+  readonly phase: AgentTaskPhase;
   /** Absent for a task that was adopted. */
   readonly offerId?: string;
   /** The link that made the offer. */
@@ -61,15 +61,15 @@
 }
 
 /** Purpose of a call to the worker. */
-export type CallPurpose =
+export type WorkerCallPurpose =
   | { readonly kind: 'attach' }
   | { readonly kind: 'renew' }
   | { readonly kind: 'notices' }
   | { readonly kind: 'start' | 'checkpoint' | 'stop'; readonly key: string };
 
 /** A call to the worker that awaits its reply. */
-export interface WorkerCall {
-  readonly purpose: CallPurpose;
+export interface PendingWorkerCall {
+  readonly purpose: WorkerCallPurpose;
   readonly incarnation: number;
   readonly sentAtMs: number;
 }
@@ -104,13 +104,13 @@
   readonly isDraining: boolean;
   readonly ledger: Ledger;
   readonly lease: Lease;
-  readonly records: Map<string, TaskRecord>;
+  readonly records: Map<string, AgentTaskRecord>;
   readonly holds: Map<string, CapacityHold>;
   /** Highest claimed epoch of each recent task. */
   readonly epochs: OrderedMap<string, number>;
   readonly pastOffers: OrderedMap<string, PastOffer>;
   readonly reports: OrderedMap<string, PendingReport>;
-  readonly calls: Map<string, WorkerCall>;
+  readonly calls: Map<string, PendingWorkerCall>;
   readonly callCount: number;
   /** Whether to request a list of running tasks from the worker. */
   readonly needsListing: boolean;
@@ -157,7 +157,7 @@
 export type TasksStep = Step<TasksState, TasksEffect>;
 
 /** Events of the task chart, with the data that its actions use. */
-export type TaskEvent =
+export type AgentTaskEvent =
   | {
       readonly kind:
         | 'accept'
--- a/packages/tasks/test/fixture.ts
+++ b/packages/tasks/test/fixture.ts
@@ -1,5 +1,10 @@
-import type { WorkerFaults, WorkerOutput, WorkerState } from '@bronzeyoke/standins';
-import { NO_WORKER_FAULTS, createWorker, nextWorkerAtMs, stepWorker } from '@bronzeyoke/standins';
+import type { WorkerFaults, WorkerOutput, WorkerModel } from '@bronzeyoke/standins';
+import {
+  NO_WORKER_FAULTS,
+  createWorkerModel,
+  nextWorkerAtMs,
+  stepWorker,
+} from '@bronzeyoke/standins';
 import type { TaskMessage, TasksEffect, TasksEvent, TasksState } from '@bronzeyoke/tasks';
 import { TICK_MS, createTasks, stepTasks } from '@bronzeyoke/tasks';
 import type { AgentProfile, TaskSpec } from '@bronzeyoke/types';
@@ -34,7 +39,7 @@
 export interface Fixture {
   readonly nowMs: number;
   readonly agent: TasksState;
-  readonly worker: WorkerState;
+  readonly worker: WorkerModel;
   readonly nextTickMs: number;
   readonly sent: readonly {
     readonly atMs: number;
@@ -52,7 +57,7 @@
   return {
     nowMs: 0,
     agent: createTasks(profile),
-    worker: createWorker(profile.total, () => ({ runMs, used, fails: false })),
+    worker: createWorkerModel(profile.total, () => ({ runMs, used, fails: false })),
     nextTickMs: TICK_MS,
     sent: [],
     outputs: [],
--- a/packages/tickets/src/check.ts
+++ b/packages/tickets/src/check.ts
@@ -13,7 +13,7 @@
 const MAX_TIME_MS = 86_400_000;
 const NAME = /^[A-Za-z0-9_-]{1,64}$/;
 
-interface Problem {
+interface ChangeProblem {
   readonly field: string;
   readonly problem: string;
 }
@@ -22,23 +22,23 @@
   return Number.isFinite(value) && value >= 0 && value <= max;
 }
 
-function resourceProblems(field: string, resources: Resources): readonly Problem[] {
+function resourceProblems(field: string, resources: Resources): readonly ChangeProblem[] {
   return Object.entries(resources)
     .filter(([, value]) => !isAmount(value, MAX_RESOURCE))
     .map(([name]) => ({ field: `${field}.${name}`, problem: `not in 0..${MAX_RESOURCE}` }));
 }
 
-function nameProblems(field: string, name: string): readonly Problem[] {
+function nameProblems(field: string, name: string): readonly ChangeProblem[] {
   return NAME.test(name) ? [] : [{ field, problem: 'not 1 to 64 letters, digits, _ or -' }];
 }
 
-function timeProblems(field: string, value: number): readonly Problem[] {
+function timeProblems(field: string, value: number): readonly ChangeProblem[] {
   return isAmount(value, MAX_TIME_MS) && value > 0
     ? []
     : [{ field, problem: 'not a time of up to a day' }];
 }
 
-function changeProblems(change: ConfigChange): readonly Problem[] {
+function changeProblems(change: ConfigChange): readonly ChangeProblem[] {
   const field = changeKey(change);
   switch (change.kind) {
     case 'domain':
@@ -94,7 +94,7 @@
   const after = applyChanges(configuration, number, changes);
   const chars = JSON.stringify(after).length;
   const isTooLarge = after.entries.length > MAX_ENTRIES || chars > MAX_CONFIGURATION_CHARS;
-  const problems: readonly Problem[] = [
+  const problems: readonly ChangeProblem[] = [
     ...(Number.isSafeInteger(number) && number > 0
       ? []
       : [{ field: 'number', problem: 'not a positive whole number' }]),
--- a/packages/tickets/src/load.ts
+++ b/packages/tickets/src/load.ts
@@ -3,17 +3,17 @@
 import type { Configuration } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import { HEAD_KEY, STATE_PREFIXES, headOf, stateOf } from './rows';
-import type { LoadState } from './types';
+import type { ConfigurationLoad } from './types';
 
 const PAGE_ROWS = 500;
 
 /** Next step of loading the configuration. */
 export type LoadStep =
-  | { readonly kind: 'wait'; readonly load: LoadState }
-  | { readonly kind: 'read'; readonly load: LoadState; readonly keys: readonly string[] }
+  | { readonly kind: 'wait'; readonly load: ConfigurationLoad }
+  | { readonly kind: 'read'; readonly load: ConfigurationLoad; readonly keys: readonly string[] }
   | {
       readonly kind: 'scan';
-      readonly load: LoadState;
+      readonly load: ConfigurationLoad;
       readonly prefix: string;
       readonly afterKey: string;
       readonly limit: number;
@@ -24,7 +24,7 @@
       readonly versions: Map<string, number>;
     };
 
-const IDLE: LoadState = { kind: 'idle' };
+const IDLE: ConfigurationLoad = { kind: 'idle' };
 
 /** Starts to check for a newer configuration. */
 export function beginLoad(): LoadStep {
@@ -61,7 +61,11 @@
  * Continues a load. The scans are valid only if the head is the same before and after them; otherwise
  * a ticket was accepted in between and they start again.
  */
-export function continueLoad(load: LoadState, currentNumber: number, result: ReadResult): LoadStep {
+export function continueLoad(
+  load: ConfigurationLoad,
+  currentNumber: number,
+  result: ReadResult,
+): LoadStep {
   if (result.kind === 'unavailable') return { kind: 'wait', load: IDLE };
   switch (load.kind) {
     case 'idle':
--- a/packages/tickets/src/step.ts
+++ b/packages/tickets/src/step.ts
@@ -27,7 +27,7 @@
 
 type TicketsStep = Step<TicketsState, TicketsEffect>;
 
-type ChartEvent =
+type TicketChartEvent =
   | { readonly kind: 'headMatches' | 'fail' | 'committed' | 'replyLost' | 'retry' | 'giveUp' }
   | { readonly kind: 'stale'; readonly currentNumber: number };
 
@@ -45,7 +45,7 @@
   };
 }
 
-type StoreAccess =
+type TicketsAccess =
   | { readonly kind: 'read'; readonly keys: readonly string[] }
   | {
       readonly kind: 'scan';
@@ -58,7 +58,7 @@
 function sendAccess(
   state: TicketsState,
   purpose: TicketsPurpose,
-  access: StoreAccess,
+  access: TicketsAccess,
 ): TicketsStep {
   const callId = `tickets-${state.callCount}`;
   return {
@@ -116,7 +116,7 @@
   callId: string,
   application: TicketApplication,
   action: TicketAction,
-  event: ChartEvent,
+  event: TicketChartEvent,
 ): TicketsStep {
   const { planned, transaction } = application;
   switch (action) {
@@ -152,7 +152,7 @@
   state: TicketsState,
   callId: string,
   application: TicketApplication,
-  event: ChartEvent,
+  event: TicketChartEvent,
 ): TicketsStep {
   if (!accepts(ticketChart, application.phase, event.kind)) return unchanged(state);
   const next = advance(ticketChart, application.phase, event.kind);
--- a/packages/tickets/src/types.ts
+++ b/packages/tickets/src/types.ts
@@ -21,7 +21,7 @@
 }
 
 /** Progress of loading a configuration by scans between two reads of the head. */
-export type LoadState =
+export type ConfigurationLoad =
   | { readonly kind: 'idle' }
   | { readonly kind: 'head' }
   | {
@@ -47,7 +47,7 @@
   readonly configuration: Configuration;
   /** Versions of the configuration rows, by key, for conditions of claims. */
   readonly versions: Map<string, number>;
-  readonly load: LoadState;
+  readonly load: ConfigurationLoad;
   readonly calls: Map<string, TicketsPurpose>;
   readonly applications: Map<string, TicketApplication>;
 }
--- a/packages/types/src/admin.ts
+++ b/packages/types/src/admin.ts
@@ -58,7 +58,7 @@
 }
 
 /** A job with the rows of its tasks. */
-export interface JobStatus {
+export interface JobDetails {
   readonly job: Job;
   readonly tasks: readonly { readonly id: TaskId; readonly row: TaskRow }[];
 }
@@ -69,7 +69,7 @@
   | { readonly kind: 'tickets'; readonly tickets: readonly Ticket[] }
   | { readonly kind: 'where'; readonly processes: readonly TicketInForce[] }
   | { readonly kind: 'configuration'; readonly configuration: Configuration }
-  | { readonly kind: 'job'; readonly status: JobStatus }
+  | { readonly kind: 'job'; readonly status: JobDetails }
   | { readonly kind: 'jobs'; readonly jobs: readonly Job[] }
   | { readonly kind: 'upstreams'; readonly upstreams: readonly UpstreamStatus[] }
   | { readonly kind: 'workers'; readonly workers: readonly WorkerStatus[] };
--- a/packages/workers/src/call.ts
+++ b/packages/workers/src/call.ts
@@ -5,7 +5,7 @@
 import type { WorkersEffect, WorkersPurpose, WorkersState } from './types';
 
 /** A table access without its origin and call id. */
-export type StoreAccess =
+export type WorkersAccess =
   | { readonly kind: 'read'; readonly keys: readonly string[] }
   | { readonly kind: 'commit'; readonly transaction: Transaction };
 
@@ -13,7 +13,7 @@
 export function sendAccess(
   state: WorkersState,
   purpose: WorkersPurpose,
-  access: StoreAccess,
+  access: WorkersAccess,
 ): Step<WorkersState, WorkersEffect> {
   const callId = `workers-${state.callCount}`;
   const isRenewal = access.kind === 'commit' ? ({ isRenewal: true } as const) : {};
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { drawUniforms } from '@bronzeyoke/types';
 import { Agent, request } from 'undici';
-import type { Observation } from './types';
+import type { SoakObservation } from './types';
 
 const CALL_TIMEOUT_MS = 3_000;
 const RETRY_DELAY_MS = 150;
@@ -18,7 +18,7 @@
 export interface CallerOptions {
   /** Addresses of the entries. */
   readonly entryAddresses: readonly string[];
-  readonly observe: (sight: Observation) => void;
+  readonly observe: (sight: SoakObservation) => void;
   readonly nowMs: () => number;
   readonly isOver: () => boolean;
   /** Whether the faults are over; no new jobs are submitted then. */
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -1,9 +1,9 @@
-import type { Violation, Observation } from './types';
+import type { PromiseViolation, SoakObservation } from './types';
 
 /** Time from its acknowledgement until all entries know an accepted job. */
 const VISIBILITY_DELAY_MS = 3_000;
 
-type ObservationOf<Kind extends Observation['kind']> = Extract<Observation, { kind: Kind }>;
+type ObservationOf<Kind extends SoakObservation['kind']> = Extract<SoakObservation, { kind: Kind }>;
 
 interface Run {
   readonly task: string;
@@ -14,8 +14,8 @@
   readonly end: string;
 }
 
-function ofKind<Kind extends Observation['kind']>(
-  observations: readonly Observation[],
+function ofKind<Kind extends SoakObservation['kind']>(
+  observations: readonly SoakObservation[],
   kind: Kind,
 ): ObservationOf<Kind>[] {
   return observations.filter(
@@ -46,7 +46,7 @@
   return `${observation.worker} ${observation.task}#${observation.attempt}`;
 }
 
-function runsOf(observations: readonly Observation[]): readonly Run[] {
+function runsOf(observations: readonly SoakObservation[]): readonly Run[] {
   const ends = new Map(ofKind(observations, 'ended').map((ended) => [runKey(ended), ended]));
   return ofKind(observations, 'started').map((started) => {
     const ended = ends.get(runKey(started));
@@ -60,10 +60,10 @@
 function findDuplicateRuns(
   runs: readonly Run[],
   completeAtMs: ReadonlyMap<string, number>,
-): Violation[] {
+): PromiseViolation[] {
   const overlaps = [...groupBy(runs, ({ task }) => task).values()].flatMap((runsOfTask) => {
     const ordered = [...runsOfTask].sort((left, right) => left.fromMs - right.fromMs);
-    return ordered.flatMap((run, index): Violation[] => {
+    return ordered.flatMap((run, index): PromiseViolation[] => {
       const previous = ordered[index - 1];
       if (previous === undefined || previous.untilMs <= run.fromMs) return [];
       const what = `${run.task} runs on ${previous.worker} and on ${run.worker}`;
@@ -72,7 +72,7 @@
   });
   const afterCompletion = runs
     .filter(({ task, fromMs }) => fromMs > (completeAtMs.get(jobOf(task)) ?? Infinity))
-    .map(({ task, fromMs }): Violation => ({
+    .map(({ task, fromMs }): PromiseViolation => ({
       promise: 'TWICE',
       atMs: fromMs,
       what: `${task} starts after its job was complete`,
@@ -84,10 +84,10 @@
 function findEarlyStarts(
   runs: readonly Run[],
   stagesOf: ReadonlyMap<string, readonly number[]>,
-): Violation[] {
+): PromiseViolation[] {
   const succeeded = runs.filter(({ end }) => end === 'done');
   const byJob = groupBy(succeeded, ({ task }) => jobOf(task));
-  return runs.flatMap(({ task, fromMs }): Violation[] => {
+  return runs.flatMap(({ task, fromMs }): PromiseViolation[] => {
     const stage = stageOf(task);
     const expected = stagesOf.get(jobOf(task))?.[stage - 1] ?? 0;
     const done = new Set(
@@ -103,9 +103,9 @@
 /** Finds runs of unknown jobs, and runs that go on after their job was cancelled. */
 function findUnwantedRuns(
   runs: readonly Run[],
-  observations: readonly Observation[],
+  observations: readonly SoakObservation[],
   endMs: number,
-): Violation[] {
+): PromiseViolation[] {
   const submitted = new Set(ofKind(observations, 'submitted').map(({ job }) => job));
   const cancelled = new Set(ofKind(observations, 'cancelSent').map(({ job }) => job));
   const shown = new Set(
@@ -113,7 +113,7 @@
       .filter(({ status }) => status === 'cancelled')
       .map(({ job }) => job),
   );
-  return runs.flatMap(({ task, fromMs, untilMs }): Violation[] => {
+  return runs.flatMap(({ task, fromMs, untilMs }): PromiseViolation[] => {
     const job = jobOf(task);
     if (!submitted.has(job)) {
       return [{ promise: 'UNASKED', atMs: fromMs, what: `${task} belongs to no job` }];
@@ -126,13 +126,16 @@
 }
 
 /** Finds runs of jobs whose every submission was refused. */
-function findRefusedRuns(runs: readonly Run[], observations: readonly Observation[]): Violation[] {
+function findRefusedRuns(
+  runs: readonly Run[],
+  observations: readonly SoakObservation[],
+): PromiseViolation[] {
   const started = new Map(runs.map(({ task, fromMs }) => [jobOf(task), fromMs]));
   const possiblyAccepted = new Set(
     [...ofKind(observations, 'accepted'), ...ofKind(observations, 'unknown')].map(({ job }) => job),
   );
   const refused = new Set(ofKind(observations, 'refused').map(({ job }) => job));
-  return [...refused].flatMap((job): Violation[] => {
+  return [...refused].flatMap((job): PromiseViolation[] => {
     const atMs = started.get(job);
     if (possiblyAccepted.has(job) || atMs === undefined) return [];
     return [{ promise: 'REFUSED', atMs, what: `${job} runs though it was refused` }];
@@ -140,13 +143,13 @@
 }
 
 /** Finds accepted jobs that are gone, failed, cancelled without a request, or not complete. */
-function findLostJobs(observations: readonly Observation[], endMs: number): Violation[] {
+function findLostJobs(observations: readonly SoakObservation[], endMs: number): PromiseViolation[] {
   const accepted = new Map(ofKind(observations, 'accepted').map(({ job, atMs }) => [job, atMs]));
   const cancelled = new Set(ofKind(observations, 'cancelSent').map(({ job }) => job));
   const shown = ofKind(observations, 'shown');
   const expected = [...accepted.keys()].filter((job) => !cancelled.has(job));
   const byJob = groupBy(shown, ({ job }) => job);
-  return expected.flatMap((job): Violation[] => {
+  return expected.flatMap((job): PromiseViolation[] => {
     const answers = byJob.get(job) ?? [];
     const visibleAtMs = (accepted.get(job) ?? 0) + VISIBILITY_DELAY_MS;
     const gone = answers.find(({ status, atMs }) => status === 'gone' && atMs > visibleAtMs);
@@ -166,12 +169,12 @@
   runs: readonly Run[],
   completeAtMs: ReadonlyMap<string, number>,
   stagesOf: ReadonlyMap<string, readonly number[]>,
-): Violation[] {
+): PromiseViolation[] {
   const done = groupBy(
     runs.filter(({ end }) => end === 'done'),
     ({ task }) => jobOf(task),
   );
-  return [...completeAtMs].flatMap(([job, atMs]): Violation[] => {
+  return [...completeAtMs].flatMap(([job, atMs]): PromiseViolation[] => {
     const tasks = new Set(
       (done.get(job) ?? []).filter(({ untilMs }) => untilMs <= atMs).map(({ task }) => task),
     );
@@ -187,9 +190,9 @@
  * Checks the observations of callers and workers until `endMs`, the end of the time without faults.
  */
 export function findViolations(
-  observations: readonly Observation[],
+  observations: readonly SoakObservation[],
   endMs: number,
-): readonly Violation[] {
+): readonly PromiseViolation[] {
   const runs = runsOf(observations);
   const stagesOf = new Map(
     ofKind(observations, 'submitted').map(({ job, stages }) => [job, stages]),
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -8,9 +8,9 @@
 import { findViolations } from './oracle';
 import { planFaults, seedToUniform } from './plan';
 import type { Program } from './program';
-import type { Site, SiteSize } from './site';
+import type { SoakSite, SiteSize } from './site';
 import { createConfig, startSite } from './site';
-import type { Violation, Fault, PlannedFault, Observation } from './types';
+import type { PromiseViolation, Fault, PlannedFault, SoakObservation } from './types';
 
 /** Time for the programs to start before callers and faults begin. */
 const STARTUP_MS = 3_000;
@@ -35,9 +35,9 @@
 
 /** Result of a soak run. */
 export interface SoakReport {
-  readonly violations: readonly Violation[];
+  readonly violations: readonly PromiseViolation[];
   readonly faults: readonly PlannedFault[];
-  readonly observations: readonly Observation[];
+  readonly observations: readonly SoakObservation[];
 }
 
 function elementAt<Value>(values: readonly Value[], index: number): Value {
@@ -61,7 +61,7 @@
 }
 
 /** Injects a fault and resolves when it is over. */
-async function inject(site: Site, fault: Fault): Promise<void> {
+async function inject(site: SoakSite, fault: Fault): Promise<void> {
   const { programs, store } = site;
   const withStoreFaults = async (faults: Partial<PlatformFaults>, forMs: number): Promise<void> => {
     store.setFaults({ ...NO_FAULTS, ...faults });
@@ -128,8 +128,8 @@
   const { seed, forMs, size, folder } = options;
   const startedMs = performance.now();
   const nowMs = (): number => Math.round(performance.now() - startedMs);
-  const observations: Observation[] = [];
-  const observe = (observation: Observation): void => {
+  const observations: SoakObservation[] = [];
+  const observe = (observation: SoakObservation): void => {
     observations.push(observation);
   };
   const site = await startSite(options.bundle, folder, size, observe, nowMs);
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -6,7 +6,7 @@
 import { createProgram } from './program';
 import type { Proxy } from './proxy';
 import { startProxy } from './proxy';
-import type { Observation } from './types';
+import type { SoakObservation } from './types';
 
 const WORK_MS = 250;
 const HEARTBEAT_INTERVAL_MS = 400;
@@ -21,7 +21,7 @@
 }
 
 /** Programs, stand-ins and links of a soak run. */
-export interface Site {
+export interface SoakSite {
   readonly store: StandinPlatform;
   readonly workers: readonly SoakWorker[];
   readonly programs: readonly Program[];
@@ -88,9 +88,9 @@
   bundle: string,
   folder: string,
   size: SiteSize,
-  observe: (observation: Observation) => void,
+  observe: (observation: SoakObservation) => void,
   nowMs: () => number,
-): Promise<Site> {
+): Promise<SoakSite> {
   const store = await startPlatform();
   store.put('op', 'config', createConfig(1));
   const common = {
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -6,7 +6,7 @@
 import { findViolations } from '../oracle';
 import { planFaults } from '../plan';
 import { runSoak } from '../run';
-import type { Observation } from '../types';
+import type { SoakObservation } from '../types';
 
 const SEED = 7;
 const FAULTS_MS = 6_000;
@@ -20,7 +20,7 @@
   untilMs: number,
   end = 'done',
   worker = 'w-1',
-): Observation[] {
+): SoakObservation[] {
   const ref = { worker, task: `${JOB}.${task}`, attempt: 1 };
   return [
     { kind: 'started', atMs: fromMs, ...ref },
@@ -28,9 +28,9 @@
   ];
 }
 
-const submitted: Observation = { kind: 'submitted', atMs: 0, job: JOB, stages: [1, 1] };
-const accepted: Observation = { kind: 'accepted', atMs: 10, job: JOB };
-const shown = (status: string, atMs = 900): Observation => ({
+const submitted: SoakObservation = { kind: 'submitted', atMs: 0, job: JOB, stages: [1, 1] };
+const accepted: SoakObservation = { kind: 'accepted', atMs: 10, job: JOB };
+const shown = (status: string, atMs = 900): SoakObservation => ({
   kind: 'shown',
   atMs,
   job: JOB,
@@ -38,7 +38,7 @@
 });
 const successfulRuns = [...run('0.0.0', 100, 300), ...run('0.1.0', 400, 600)];
 
-function violatedPromises(...observations: readonly Observation[]): readonly string[] {
+function violatedPromises(...observations: readonly SoakObservation[]): readonly string[] {
   return findViolations(observations, END_MS).map(({ promise }) => promise);
 }
 
@@ -75,7 +75,7 @@
 
 // Guards against an oracle that misses a refused job that runs.
 it('soak: the oracle finds a refused job that runs', () => {
-  const refused: Observation = { kind: 'refused', atMs: 20, job: JOB };
+  const refused: SoakObservation = { kind: 'refused', atMs: 20, job: JOB };
   expect(violatedPromises(submitted, refused, ...run('0.0.0', 100, 200))).to.deep.equal([
     'REFUSED',
   ]);
@@ -92,7 +92,7 @@
 it('soak: the oracle finds runs of unknown and cancelled jobs', () => {
   expect(violatedPromises(...run('0.0.0', 100, 200))).to.deep.equal(['UNASKED']);
   const [started] = run('0.0.0', 100, 200);
-  const cancel: Observation = { kind: 'cancelSent', atMs: 150, job: JOB };
+  const cancel: SoakObservation = { kind: 'cancelSent', atMs: 150, job: JOB };
   const left = [submitted, accepted, cancel, shown('cancelled'), ...(started ? [started] : [])];
   expect(violatedPromises(...left)).to.deep.equal(['UNASKED']);
 });
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -37,7 +37,7 @@
 }
 
 /** An observation of a caller or a worker. Times are in ms of one clock. */
-export type Observation =
+export type SoakObservation =
   | {
       readonly kind: 'submitted';
       readonly atMs: number;
@@ -73,7 +73,7 @@
     };
 
 /** A violation of a promise to callers. */
-export interface Violation {
+export interface PromiseViolation {
   readonly promise: 'LOST' | 'TWICE' | 'ORDER' | 'REFUSED' | 'MIXED' | 'UNASKED';
   readonly atMs: number;
   readonly what: string;
--- a/tools/bench/sim.ts
+++ b/tools/bench/sim.ts
@@ -48,7 +48,7 @@
   | { readonly kind: 'wake'; readonly timer: Timer; readonly afterMs: number };
 
 /** An attempt that has ended, with its status. */
-export interface AttemptEnd {
+export interface EndedAttempt {
   readonly upstream: number;
   readonly attemptId: string;
   readonly arrival: Arrival;
@@ -58,7 +58,7 @@
 /** Events that a router handles. */
 export type RouterEvent<Timer> =
   | { readonly kind: 'arrived'; readonly arrival: Arrival }
-  | { readonly kind: 'ended'; readonly end: AttemptEnd }
+  | { readonly kind: 'ended'; readonly end: EndedAttempt }
   | { readonly kind: 'timer'; readonly timer: Timer };
 
 /** A router under test, as a pure function from state and event to state and effects. */
@@ -84,13 +84,13 @@
 
 interface Server {
   readonly running: number;
-  readonly queue: List<AttemptEnd>;
+  readonly queue: List<EndedAttempt>;
 }
 
 type AgendaItem<Timer> =
   | { readonly kind: 'router'; readonly event: RouterEvent<Timer> }
-  | { readonly kind: 'attemptArrived'; readonly end: AttemptEnd }
-  | { readonly kind: 'attemptFinished'; readonly end: AttemptEnd };
+  | { readonly kind: 'attemptArrived'; readonly end: EndedAttempt }
+  | { readonly kind: 'attemptFinished'; readonly end: EndedAttempt };
 
 interface SimulationRun<State, Timer> {
   readonly state: State;
@@ -112,7 +112,7 @@
   return upstream % DOMAIN_COUNT === 0 ? NEAR_TRIP_MS : farMs;
 }
 
-function serviceMs(scenario: Scenario, end: AttemptEnd): number {
+function serviceMs(scenario: Scenario, end: EndedAttempt): number {
   const behaviour = scenario.upstreams[end.upstream] ?? 'healthy';
   switch (behaviour) {
     case 'healthy':
@@ -202,7 +202,7 @@
 
   const startService = (
     run: SimulationRun<State, Timer>,
-    end: AttemptEnd,
+    end: EndedAttempt,
     server: Server,
   ): SimulationRun<State, Timer> => {
     const servers = run.servers.set(end.upstream, { ...server, running: server.running + 1 });
--- a/tools/capacity/child.ts
+++ b/tools/capacity/child.ts
@@ -11,7 +11,7 @@
 const KB_BYTES = 1_024;
 
 /** Role of a child process in the capacity measurement. */
-export type ChildRole =
+export type CapacityRole =
   | { readonly kind: 'table' }
   | { readonly kind: 'entry'; readonly tablePort: number }
   | {
@@ -33,7 +33,7 @@
 }
 
 /** Message of a child process to the measurement. */
-export type ChildReport =
+export type CapacityReport =
   | { readonly kind: 'ready'; readonly port: number }
   | { readonly kind: 'usage'; readonly usage: Usage };
 
@@ -109,7 +109,7 @@
   );
 }
 
-async function run(role: ChildRole): Promise<number> {
+async function run(role: CapacityRole): Promise<number> {
   switch (role.kind) {
     case 'table': {
       const table = await startTable(HOST, 0);
@@ -137,8 +137,8 @@
   }
 }
 
-process.on('message', (message: ChildRole | 'usage') => {
-  const reply: Promise<ChildReport> =
+process.on('message', (message: CapacityRole | 'usage') => {
+  const reply: Promise<CapacityReport> =
     message === 'usage'
       ? measureUsage().then((value) => ({ kind: 'usage', usage: value }))
       : run(message).then((port) => ({ kind: 'ready', port }));
--- a/tools/capacity/main.ts
+++ b/tools/capacity/main.ts
@@ -4,7 +4,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
-import type { ChildRole, ChildReport, Usage } from './child';
+import type { CapacityRole, CapacityReport, Usage } from './child';
 
 const AGENTS_PER_PROCESS = 50;
 const SETTLE_MS = 8_000;
@@ -31,18 +31,18 @@
   readonly table: Usage;
 }
 
-async function startChild(role: ChildRole): Promise<Child> {
+async function startChild(role: CapacityRole): Promise<Child> {
   const child = fork(fileURLToPath(new URL('./child.ts', import.meta.url)), {
     execArgv: ['--import', 'tsx'],
   });
   child.send(role);
-  const [report] = (await once(child, 'message')) as [ChildReport];
+  const [report] = (await once(child, 'message')) as [CapacityReport];
   return { process: child, port: report.kind === 'ready' ? report.port : 0 };
 }
 
 async function readUsage(child: Child): Promise<Usage> {
   child.process.send('usage');
-  const [report] = (await once(child.process, 'message')) as [ChildReport];
+  const [report] = (await once(child.process, 'message')) as [CapacityReport];
   if (report.kind !== 'usage')
     throw new TypeError('unexpected message of a child process: expected its usage');
   return report.usage;
--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -6,13 +6,13 @@
 import { startEntry } from '@bronzeyoke/entry';
 import type { StandinTable, StandinUpstream, StandinWorker } from '@bronzeyoke/standins';
 import {
-  createWorker,
+  createWorkerModel,
   startTable,
   startUpstream,
   startWorker,
   behaviourFromPayload,
 } from '@bronzeyoke/standins';
-import type { Site } from './sites';
+import type { DemoSite } from './sites';
 
 /** Address on which all parts of the demonstration listen. */
 export const HOST = '127.0.0.1';
@@ -21,7 +21,7 @@
 const TABLE_CONNECTIONS = 8;
 
 /** A worker: its stand-ins for the worker service and the upstream, and its agent. */
-export interface FleetWorker {
+export interface DemoWorker {
   readonly name: string;
   readonly domain: string;
   readonly workerService: StandinWorker;
@@ -30,12 +30,12 @@
 }
 
 /** A running deployment. */
-export interface Fleet {
-  readonly site: Site;
+export interface DemoFleet {
+  readonly site: DemoSite;
   readonly table: StandinTable;
   readonly clients: readonly HttpTable[];
   readonly entries: readonly RunningEntry[];
-  readonly workers: readonly FleetWorker[];
+  readonly workers: readonly DemoWorker[];
 }
 
 function printError(error: unknown): void {
@@ -43,14 +43,18 @@
 }
 
 async function startFleetWorker(
-  site: Site,
+  site: DemoSite,
   index: number,
   entries: readonly RunningEntry[],
-): Promise<FleetWorker> {
+): Promise<DemoWorker> {
   const domain = site.domains[index % site.domains.length] ?? '';
   const name = `w${String(index + 1).padStart(2, '0')}`;
   const upstream = await startUpstream(HOST, 0);
-  const workerService = await startWorker(HOST, 0, createWorker(site.worker, behaviourFromPayload));
+  const workerService = await startWorker(
+    HOST,
+    0,
+    createWorkerModel(site.worker, behaviourFromPayload),
+  );
   const agent = startAgent({
     profile: {
       worker: name,
@@ -75,7 +79,7 @@
 }
 
 /** Starts a deployment with embedded stand-ins for the platform, the workers and the upstreams. */
-export async function startFleet(site: Site): Promise<Fleet> {
+export async function startFleet(site: DemoSite): Promise<DemoFleet> {
   const table = await startTable(HOST, 0);
   const clients = Array.from({ length: ENTRY_COUNT }, () =>
     createHttpTable({ host: HOST, port: table.port, connections: TABLE_CONNECTIONS }),
@@ -100,7 +104,7 @@
 }
 
 /** Stops a deployment: agents first, so that they can hand their tasks over. */
-export async function stopFleet(fleet: Fleet): Promise<void> {
+export async function stopFleet(fleet: DemoFleet): Promise<void> {
   fleet.workers.forEach(({ agent }) => agent.stop());
   await Promise.all(fleet.workers.map(({ agent }) => agent.stopped));
   fleet.entries.forEach((entry) => entry.stop());
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -8,10 +8,10 @@
 import { Pool } from 'undici';
 import { calculateSpring } from '@bronzeyoke/standins';
 import type { AdminCommand, AdminReply, ConfigChange } from '@bronzeyoke/types';
-import type { Fleet } from './fleet';
+import type { DemoFleet } from './fleet';
 import { HOST, startFleet, stopFleet } from './fleet';
 import type { CallerCounts, OutWindow } from './report';
-import { countTasks, printProgress } from './report';
+import { countTaskRuns, printProgress } from './report';
 import { CO_OP, KESTREL } from './sites';
 
 const { values } = parseArgs({
@@ -56,7 +56,11 @@
   return poll();
 }
 
-async function administer(fleet: Fleet, entry: number, command: AdminCommand): Promise<AdminReply> {
+async function administer(
+  fleet: DemoFleet,
+  entry: number,
+  command: AdminCommand,
+): Promise<AdminReply> {
   const result = await fleet.entries[entry]?.administer(command);
   if (result?.ok !== true) throw new Error(`${command.kind}: ${JSON.stringify(result?.failure)}`);
   return result.value;
@@ -99,7 +103,7 @@
   await callLoop(pool, isOver);
 }
 
-async function submitJobs(fleet: Fleet): Promise<readonly string[]> {
+async function submitJobs(fleet: DemoFleet): Promise<readonly string[]> {
   const submissions = Array.from({ length: jobCount }, (_, index) => {
     const runMs = uniformInt(generator, 500, 6_000);
     return {
@@ -126,7 +130,7 @@
   }, Promise.resolve([]));
 }
 
-async function applyTicket(fleet: Fleet, changes: readonly ConfigChange[]): Promise<number> {
+async function applyTicket(fleet: DemoFleet, changes: readonly ConfigChange[]): Promise<number> {
   const current = await administer(fleet, 0, { kind: 'showConfiguration' });
   const number = current.kind === 'configuration' ? current.configuration.number + 1 : 1;
   await administer(fleet, 0, { kind: 'applyTicket', author: 'demo', number, changes });
@@ -152,7 +156,7 @@
   return isEverywhere ? tookMs : Infinity;
 }
 
-async function countFinishedJobs(fleet: Fleet, ids: readonly string[]): Promise<number> {
+async function countFinishedJobs(fleet: DemoFleet, ids: readonly string[]): Promise<number> {
   const states = await Promise.all(
     ids.map((jobId) => administer(fleet, 0, { kind: 'showJob', team: site.team, jobId })),
   );
@@ -164,7 +168,7 @@
   ).length;
 }
 
-async function run(fleet: Fleet): Promise<boolean> {
+async function run(fleet: DemoFleet): Promise<boolean> {
   const pools = fleet.entries.map(
     ({ callerPort }) => new Pool(`http://${HOST}:${callerPort}`, { connections: CALLER_COUNT }),
   );
@@ -197,7 +201,7 @@
   isOver = true;
   await callers;
   await Promise.all(pools.map((pool) => pool.close()));
-  const tasks = countTasks(fleet, outWindow);
+  const tasks = countTaskRuns(fleet, outWindow);
   const atMs = (percentile: number): string =>
     (histogram.getValueAtPercentile(percentile) / 1_000).toFixed(2);
   const rows: readonly (readonly [string, string | number])[] = [
--- a/tools/demo/report.ts
+++ b/tools/demo/report.ts
@@ -1,7 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import type { WorkerOutput } from '@bronzeyoke/standins';
 import { taskKey } from '@bronzeyoke/types';
-import type { Fleet } from './fleet';
+import type { DemoFleet } from './fleet';
 
 /** Promise P4: no start in a failure domain later than this after it was taken out. */
 const START_BOUND_MS = 5_000;
@@ -35,7 +35,7 @@
 
 type TaskEvent = Exclude<WorkerOutput, { readonly kind: 'reply' }> & { readonly domain: string };
 
-function listTaskEvents(fleet: Fleet): readonly TaskEvent[] {
+function listTaskEvents(fleet: DemoFleet): readonly TaskEvent[] {
   return fleet.workers
     .flatMap(({ domain, workerService }) =>
       workerService
@@ -66,7 +66,7 @@
 }
 
 /** Counts the starts and ends of tasks in the outputs of the workers. */
-export function countTasks(fleet: Fleet, outWindow: OutWindow | undefined): TaskCounts {
+export function countTaskRuns(fleet: DemoFleet, outWindow: OutWindow | undefined): TaskCounts {
   const events = listTaskEvents(fleet);
   const starts = events.filter((event) => event.kind === 'taskStarted');
   const finished = events
--- a/tools/demo/sites.ts
+++ b/tools/demo/sites.ts
@@ -1,7 +1,7 @@
 import type { Resources } from '@bronzeyoke/types';
 
 /** A user's deployment as the demonstration runs it. */
-export interface Site {
+export interface DemoSite {
   readonly name: string;
   readonly region: string;
   readonly domains: readonly string[];
@@ -18,7 +18,7 @@
 }
 
 /** Derwent Coil Makers Co-operative. */
-export const CO_OP: Site = {
+export const CO_OP: DemoSite = {
   name: 'co-op',
   region: 'tasmania',
   domains: ['hobart', 'launceston', 'devonport', 'burnie'],
@@ -34,7 +34,7 @@
 };
 
 /** Kestrel Coulee Software. */
-export const KESTREL: Site = {
+export const KESTREL: DemoSite = {
   ...CO_OP,
   name: 'kestrel',
   region: 'prairies',
--- a/tools/load/child.ts
+++ b/tools/load/child.ts
@@ -7,18 +7,18 @@
 const SLOTS = 64;
 
 /** Role of a child process in the load test. */
-export type ChildRole =
+export type LoadRole =
   | { readonly kind: 'upstream' }
   | { readonly kind: 'passthrough'; readonly targetPort: number }
   | { readonly kind: 'entry' }
   | { readonly kind: 'agent'; readonly agentPort: number; readonly upstreamPort: number };
 
 /** Message of a child process: the ports that it listens on, or its processor time so far. */
-export type ChildReport =
+export type LoadReport =
   | { readonly kind: 'ready'; readonly port: number; readonly agentPort: number }
   | { readonly kind: 'used'; readonly processorMs: number };
 
-function report(value: ChildReport): void {
+function report(value: LoadReport): void {
   process.send?.(value);
 }
 
@@ -26,7 +26,7 @@
   process.stderr.write(`${String(error)}\n`);
 }
 
-async function run(role: ChildRole): Promise<void> {
+async function run(role: LoadRole): Promise<void> {
   switch (role.kind) {
     case 'upstream': {
       const { port } = await startUpstream(HOST, 0);
@@ -72,7 +72,7 @@
   }
 }
 
-process.on('message', (message: ChildRole | 'used') => {
+process.on('message', (message: LoadRole | 'used') => {
   if (message === 'used') {
     const { user, system } = process.cpuUsage();
     report({ kind: 'used', processorMs: (user + system) / 1_000 });
--- a/tools/load/main.ts
+++ b/tools/load/main.ts
@@ -8,7 +8,7 @@
 import type { Histogram } from 'hdr-histogram-js';
 import { Pool } from 'undici';
 import { calculateSpring } from '@bronzeyoke/standins';
-import type { ChildRole, ChildReport } from './child';
+import type { LoadRole, LoadReport } from './child';
 
 const HOST = '127.0.0.1';
 const MICROS_PER_MS = 1_000;
@@ -57,12 +57,12 @@
   readonly processorMicrosPerRequest: number;
 }
 
-async function startChild(role: ChildRole): Promise<Child> {
+async function startChild(role: LoadRole): Promise<Child> {
   const child = fork(fileURLToPath(new URL('./child.ts', import.meta.url)), {
     execArgv: ['--import', 'tsx'],
   });
   child.send(role);
-  const [message] = (await once(child, 'message')) as [ChildReport];
+  const [message] = (await once(child, 'message')) as [LoadReport];
   if (message.kind !== 'ready')
     throw new TypeError('unexpected message of a child process: expected its ports');
   return { process: child, port: message.port, agentPort: message.agentPort };
@@ -72,7 +72,7 @@
   const used = await Promise.all(
     children.map(async (child) => {
       child.process.send('used');
-      const [message] = (await once(child.process, 'message')) as [ChildReport];
+      const [message] = (await once(child.process, 'message')) as [LoadReport];
       return message.kind === 'used' ? message.processorMs : 0;
     }),
   );
