Use one chain, chainAll and chainEach for the steps of all cores

Seven packages had their own copy of the function that applies a decision to the state of a step and appends its effects. They now use the ones in types, next to Step.

--- a/packages/agent/src/interference.ts
+++ b/packages/agent/src/interference.ts
@@ -1,9 +1,8 @@
 import type { InterferenceEffect, InterferenceEvent, Neighbour } from '@bronzeyoke/interference';
 import { resetSentFactors, stepInterference, takeChangedSlowDowns } from '@bronzeyoke/interference';
 import type { StepInputs, SlowDown } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
 import { handleTasks } from './tasks';
-import { chain } from './chain';
 import type { AgentState, AgentStep } from './types';
 
 const RUNNING_PHASES: ReadonlySet<string> = new Set(['running', 'checkpointing', 'stopping']);
--- a/packages/agent/src/lifecycle.ts
+++ b/packages/agent/src/lifecycle.ts
@@ -4,8 +4,8 @@
 import { DRAIN_TIMEOUT_MS, lifecycleChart } from '@bronzeyoke/lifecycle';
 import { isTasksIdle } from '@bronzeyoke/tasks';
 import type { Failure, StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
-import { chain, broadcast } from './chain';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
+import { broadcast } from './broadcast';
 import { handleAdmission } from './admission';
 import type { AgentEffect, AgentState, AgentStep } from './types';
 
--- a/packages/agent/src/tasks.ts
+++ b/packages/agent/src/tasks.ts
@@ -1,10 +1,10 @@
 import type { TasksEffect, TasksEvent } from '@bronzeyoke/tasks';
 import { stepTasks } from '@bronzeyoke/tasks';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
-import { chain, broadcast } from './chain';
+import { broadcast } from './broadcast';
 import { drainAfterFailure } from './lifecycle';
 import type { AgentState, AgentStep } from './types';
 
--- a/packages/batch/src/agents.ts
+++ b/packages/batch/src/agents.ts
@@ -8,13 +8,13 @@
   isDomainIn,
   subtractResources,
   unchanged,
+  chainAll,
 } from '@bronzeyoke/types';
 import type { DeclineReason } from '@bronzeyoke/wire';
 import { taskChart } from './chart';
 import type { TaskPatch } from './transition';
 import { advanceTask } from './transition';
 import { endProbe } from './quarantine';
-import { chainAll } from './records';
 import type { BatchState, BatchStep, Candidate, BatchContext, TaskRecord } from './types';
 
 /** A message about a task that had no visible effect for this long is repeated. */
--- a/packages/batch/src/inbox.ts
+++ b/packages/batch/src/inbox.ts
@@ -1,10 +1,10 @@
 import type { ReadResult, Row } from '@bronzeyoke/ports';
-import { unchanged } from '@bronzeyoke/types';
+import { unchanged, chainAll } from '@bronzeyoke/types';
 import { sendAccess } from './call';
 import { jobOf, keys } from './keys';
 import { addJob } from './load';
 import { queuePart } from './transition';
-import { createJobRecord, chainAll } from './records';
+import { createJobRecord } from './records';
 import { shardsIn } from './shard';
 import type { BatchState, BatchStep, BatchContext } from './types';
 
--- a/packages/batch/src/lease.ts
+++ b/packages/batch/src/lease.ts
@@ -1,10 +1,10 @@
 import type { PartOutcome } from '@bronzeyoke/commits';
 import type { ReadResult } from '@bronzeyoke/ports';
-import { unchanged } from '@bronzeyoke/types';
+import { unchanged, chainAll } from '@bronzeyoke/types';
 import { leaseKey, workerKey, workerRowOf, workerValue } from '@bronzeyoke/workers';
 import { sendAccess } from './call';
 import { queuePart, advanceTask } from './transition';
-import { isOnWorker, chainAll } from './records';
+import { isOnWorker } from './records';
 import type { BatchState, BatchStep, BatchContext, PartPurpose, ObservedVersion } from './types';
 
 /** Worker lease plus a margin: without a renewal for this long the worker runs no tasks. */
--- a/packages/batch/src/load.ts
+++ b/packages/batch/src/load.ts
@@ -1,12 +1,12 @@
 import { advance } from '@bronzeyoke/chart';
 import type { ReadResult, Row } from '@bronzeyoke/ports';
 import type { Job } from '@bronzeyoke/types';
-import { taskKey, unchanged } from '@bronzeyoke/types';
+import { taskKey, unchanged, chainAll } from '@bronzeyoke/types';
 import { sendAccess } from './call';
 import { shardChart } from './chart';
 import { jobOf, keys, taskIdOf, taskRowOf } from './keys';
 import { cancelIfUnwanted, advanceTask } from './transition';
-import { createJobRecord, putTask, chainAll } from './records';
+import { createJobRecord, putTask } from './records';
 import { reservationOf } from './learn';
 import { areWatchersKnown, watchersOf } from './watcher';
 import type {
--- a/packages/batch/src/offer.ts
+++ b/packages/batch/src/offer.ts
@@ -9,6 +9,7 @@
   subtractResources,
   taskKey,
   unchanged,
+  chainAll,
 } from '@bronzeyoke/types';
 import { reservationOf } from './learn';
 import { advanceTask } from './transition';
@@ -18,7 +19,7 @@
 import { chooseAgent, choosePreemption, rackOf } from './place';
 import { HEALTHY, mayOffer, startProbe } from './quarantine';
 import { isWithinQuota, quotaOf } from './quota';
-import { isOnWorker, chainAll, usageOf } from './records';
+import { isOnWorker, usageOf } from './records';
 import type {
   BatchState,
   BatchStep,
--- a/packages/batch/src/outcome.ts
+++ b/packages/batch/src/outcome.ts
@@ -1,14 +1,14 @@
 import type { PartOutcome } from '@bronzeyoke/commits';
 import { addPart } from '@bronzeyoke/commits';
 import type { Row } from '@bronzeyoke/ports';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import { WORKER_PREFIX } from '@bronzeyoke/workers';
 import type { TaskEvent } from './chart';
 import { onCommandOutcome } from './command';
 import { jobOf, keys, taskRowOf } from './keys';
 import { onFenceOutcome } from './lease';
 import { cancelIfUnwanted, advanceTask } from './transition';
-import { putTask, chainAll } from './records';
+import { putTask } from './records';
 import { loseShard, onReleaseOutcome, onTakeOutcome } from './shard';
 import type { BatchState, BatchStep, BatchContext, PartPurpose, TaskRecord } from './types';
 
--- a/packages/batch/src/records.ts
+++ b/packages/batch/src/records.ts
@@ -2,7 +2,7 @@
 import type { Job, Resources } from '@bronzeyoke/types';
 import { NO_RESOURCES, addResources, subtractResources } from '@bronzeyoke/types';
 import type { TaskPhase } from './chart';
-import type { BatchState, BatchStep, JobRecord, TaskRecord } from './types';
+import type { BatchState, JobRecord, TaskRecord } from './types';
 
 const RESERVING_PHASES: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
   'offered',
@@ -26,22 +26,6 @@
   'parked',
 ]);
 
-/** Runs steps one after the other and collects their effects. */
-export function chainAll(
-  state: BatchState,
-  steps: readonly ((from: BatchState) => BatchStep)[],
-): BatchStep {
-  return steps.reduce<BatchStep>(
-    (done, step) => {
-      const next = step(done.state);
-      return next.effects.length === 0
-        ? { state: next.state, effects: done.effects }
-        : { state: next.state, effects: [...done.effects, ...next.effects] };
-    },
-    { state, effects: [] },
-  );
-}
-
 /** Returns whether the task may run on a worker according to its row. */
 export function isOnWorker(task: TaskRecord): boolean {
   return ON_WORKER_PHASES.has(task.phase);
--- a/packages/batch/src/shard.ts
+++ b/packages/batch/src/shard.ts
@@ -1,7 +1,7 @@
 import { accepts, advance } from '@bronzeyoke/chart';
 import type { PartOutcome } from '@bronzeyoke/commits';
 import type { CommitResult, ReadResult, Row } from '@bronzeyoke/ports';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import { z } from 'zod';
 import { sendAccess } from './call';
 import type { ShardAction, ShardEvent } from './chart';
@@ -9,7 +9,7 @@
 import { SHARD_COUNT, keys } from './keys';
 import { startLoad } from './load';
 import { queuePart, advanceTask } from './transition';
-import { dropJob, chainAll } from './records';
+import { dropJob } from './records';
 import type { BatchState, BatchStep, BatchContext, ShardView, ObservedVersion } from './types';
 
 /** Shard lease plus a margin. */
--- a/packages/batch/src/step.ts
+++ b/packages/batch/src/step.ts
@@ -2,7 +2,7 @@
 import { createGroup, flushGroup, isGroupIdle, applyCommitResult } from '@bronzeyoke/commits';
 import type { CommitResult, ReadResult } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged, fitsIn } from '@bronzeyoke/types';
+import { assertNever, unchanged, fitsIn, chainAll } from '@bronzeyoke/types';
 import {
   onAgentDown,
   onAgentLeaving,
@@ -21,7 +21,6 @@
 import { expireOffers, scheduleTasks } from './offer';
 import { OFFER_EXPIRY_MS, onPartOutcome } from './outcome';
 import { quotaOf } from './quota';
-import { chainAll } from './records';
 import { onReport } from './report';
 import { retireJobs } from './retire';
 import {
@@ -35,6 +34,7 @@
 } from './shard';
 import type {
   BatchEvent,
+  BatchEffect,
   BatchState,
   BatchStep,
   BatchTimer,
@@ -133,7 +133,7 @@
   const records = owned.flatMap(({ shard }) =>
     watchersOf(shard, [], context, (jobId) => state.jobs.has(jobId)),
   );
-  return chainAll({ ...state, needsScheduling: true }, [
+  return chainAll<BatchState, BatchEffect>({ ...state, needsScheduling: true }, [
     ...records.map(
       (record) => (from: BatchState) => addJob(from, record, new globalThis.Map(), context),
     ),
--- a/packages/batch/src/transition.ts
+++ b/packages/batch/src/transition.ts
@@ -2,14 +2,14 @@
 import { addPart } from '@bronzeyoke/commits';
 import type { Condition } from '@bronzeyoke/ports';
 import type { ParkReason, TaskRow, TaskSpec } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import { workerKey } from '@bronzeyoke/workers';
 import type { TaskAction, TaskEvent } from './chart';
 import { taskChart } from './chart';
 import { keys } from './keys';
 import { slackMs } from './order';
-import { putTask, chainAll } from './records';
+import { putTask } from './records';
 import type {
   BatchState,
   BatchStep,
--- a/packages/entry/src/admin.ts
+++ b/packages/entry/src/admin.ts
@@ -5,14 +5,11 @@
   TicketInForce,
   StepInputs,
   Result,
-  Step,
 } from '@bronzeyoke/types';
 import { assertNever, succeed } from '@bronzeyoke/types';
 import { handleBatch, handleTickets } from './control';
 import { upstreamStatuses, workerStatuses } from './status';
-import type { EntryEffect, EntryState } from './types';
-
-type EntryStep = Step<EntryState, EntryEffect>;
+import type { EntryState, EntryStep } from './types';
 
 function reply(state: EntryState, callId: string, result: Result<AdminReply>): EntryStep {
   return { state, effects: [{ kind: 'adminReply', callId, result }] };
--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -3,32 +3,16 @@
 import type { StoreEvent } from '@bronzeyoke/ports';
 import type { TicketsEffect, TicketsEvent } from '@bronzeyoke/tickets';
 import { stepTickets } from '@bronzeyoke/tickets';
-import type { StepInputs, Step } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { StepInputs } from '@bronzeyoke/types';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import type { WorkersEffect, WorkersEvent } from '@bronzeyoke/workers';
 import { stepWorkers } from '@bronzeyoke/workers';
 import { handleRequests } from './requests';
-import type { EntryEffect, EntryState } from './types';
+import type { EntryEffect, EntryState, EntryStep } from './types';
 
 const WORKER_CHECK_INTERVAL_MS = 1_000;
 
-type EntryStep = Step<EntryState, EntryEffect>;
-
-/** Runs steps one after the other and collects their effects. */
-export function chainAll(
-  state: EntryState,
-  steps: readonly ((from: EntryState) => EntryStep)[],
-): EntryStep {
-  return steps.reduce<EntryStep>(
-    (done, step) => {
-      const next = step(done.state);
-      return { state: next.state, effects: [...done.effects, ...next.effects] };
-    },
-    { state, effects: [] },
-  );
-}
-
 /** Returns the effect that sends a message to an agent, or none if it is not connected. */
 export function sendToAgent(
   state: EntryState,
--- a/packages/entry/src/core.ts
+++ b/packages/entry/src/core.ts
@@ -12,8 +12,8 @@
 } from '@bronzeyoke/membership';
 import { createRequests, isRequestsIdle } from '@bronzeyoke/requests';
 import { createTickets } from '@bronzeyoke/tickets';
-import type { StepInputs, Step } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { StepInputs } from '@bronzeyoke/types';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
 import { PROTOCOL_VERSION } from '@bronzeyoke/wire';
 import { createWorkers } from '@bronzeyoke/workers';
@@ -23,7 +23,6 @@
   handleBatch,
   checkWorkers,
   onStoreEvent,
-  chainAll,
   startComponents,
   handleTickets,
   handleWorkers,
@@ -37,9 +36,7 @@
   handleRequests,
   pingOverdueAgents,
 } from './requests';
-import type { EntryEffect, EntryEvent, EntryState, EntryTimer } from './types';
-
-type EntryStep = Step<EntryState, EntryEffect>;
+import type { EntryEffect, EntryEvent, EntryState, EntryTimer, EntryStep } from './types';
 
 /** Creates the state of an entry before the first agent connects. */
 export function createEntry(entryId: string, domain: string): EntryState {
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -10,12 +10,10 @@
 import type { RequestsEffect, RequestsEvent } from '@bronzeyoke/requests';
 import { stepRequests } from '@bronzeyoke/requests';
 import { inFlightAt } from '@bronzeyoke/routing';
-import type { Configuration, StepInputs, Step } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { Configuration, StepInputs } from '@bronzeyoke/types';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
-import type { EntryEffect, EntryState } from './types';
-
-type EntryStep = Step<EntryState, EntryEffect>;
+import type { EntryEffect, EntryState, EntryStep } from './types';
 
 /** Messages of an agent that end an attempt. */
 export type AttemptResultMessage = Extract<
@@ -23,11 +21,6 @@
   { readonly kind: 'answer' | 'notRun' | 'outcomeUnknown' | 'unknownRequest' }
 >;
 
-function chain(step: EntryStep, decide: (state: EntryState) => EntryStep): EntryStep {
-  const next = decide(step.state);
-  return { state: next.state, effects: [...step.effects, ...next.effects] };
-}
-
 function livenessEffects(agent: AgentView, effect: LivenessEffect): readonly EntryEffect[] {
   const { linkId } = agent;
   switch (effect.kind) {
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -3,7 +3,14 @@
 import type { MembershipState } from '@bronzeyoke/membership';
 import type { StoreEffect, StoreEvent } from '@bronzeyoke/ports';
 import type { RequestsState, RequestsTimer } from '@bronzeyoke/requests';
-import type { AdminCommand, AdminReply, CallerRequest, Outcome, Result } from '@bronzeyoke/types';
+import type {
+  AdminCommand,
+  AdminReply,
+  CallerRequest,
+  Outcome,
+  Result,
+  Step,
+} from '@bronzeyoke/types';
 import type { TicketsState, TicketsTimer } from '@bronzeyoke/tickets';
 import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
 import type { WorkersState, WorkersTimer } from '@bronzeyoke/workers';
@@ -58,3 +65,6 @@
   | { readonly kind: 'reply'; readonly requestId: string; readonly outcome: Outcome }
   | { readonly kind: 'wake'; readonly timer: EntryTimer; readonly afterMs: number }
   | { readonly kind: 'exit' };
+
+/** A step of an entry. */
+export type EntryStep = Step<EntryState, EntryEffect>;
--- a/packages/interference/src/step.ts
+++ b/packages/interference/src/step.ts
@@ -2,7 +2,7 @@
 import { accepts, advance } from '@bronzeyoke/chart';
 import type { WorkerEvent } from '@bronzeyoke/ports';
 import type { StepInputs, Step } from '@bronzeyoke/types';
-import { assertNever, taskKey, unchanged } from '@bronzeyoke/types';
+import { assertNever, taskKey, unchanged, chain } from '@bronzeyoke/types';
 import { LEVEL_SHARES, throttleChart } from './chart';
 import { INITIAL_KIND, learnUsage, learnWindow } from './learn';
 import type {
@@ -233,14 +233,6 @@
   };
 }
 
-function chain(
-  step: InterferenceStep,
-  next: (state: InterferenceState) => InterferenceStep,
-): InterferenceStep {
-  const after = next(step.state);
-  return { state: after.state, effects: [...step.effects, ...after.effects] };
-}
-
 /** Sets the share of every task to that of its kind, including tasks that started meanwhile. */
 function setShares(
   state: InterferenceState,
--- a/packages/requests/src/attempt.ts
+++ b/packages/requests/src/attempt.ts
@@ -1,8 +1,8 @@
 import type { AttemptEnd } from '@bronzeyoke/routing';
 import type { StepInputs, NotRunReason, UnknownReason } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
 import { endUnanswered, reserveRetry } from './dispatch';
-import { chain, replaceRecord } from './records';
+import { replaceRecord } from './records';
 import { advanceRequest } from './transition';
 import type { Attempt, AttemptResult, RequestRecord, RequestsState, RequestsStep } from './types';
 
--- a/packages/requests/src/dispatch.ts
+++ b/packages/requests/src/dispatch.ts
@@ -9,8 +9,7 @@
   withdrawRetry,
 } from '@bronzeyoke/routing';
 import type { StepInputs, NotRunReason } from '@bronzeyoke/types';
-import { drawUniforms, unchanged } from '@bronzeyoke/types';
-import { chain } from './records';
+import { drawUniforms, unchanged, chain } from '@bronzeyoke/types';
 import { advanceRequest } from './transition';
 import type { RequestRecord, RequestsEffect, RequestsState, RequestsStep } from './types';
 
--- a/packages/requests/src/records.ts
+++ b/packages/requests/src/records.ts
@@ -10,15 +10,6 @@
   ServiceQueue,
 } from './types';
 
-/** Applies `decide` to the state of a step and appends its effects. */
-export function chain(
-  step: RequestsStep,
-  decide: (state: RequestsState) => RequestsStep,
-): RequestsStep {
-  const next = decide(step.state);
-  return { state: next.state, effects: [...step.effects, ...next.effects] };
-}
-
 function unendedAttempts(record: RequestRecord | undefined): readonly Attempt[] {
   if (record === undefined) return [];
   return record.planned === undefined ? record.attempts : [...record.attempts, record.planned];
--- a/packages/requests/src/step.ts
+++ b/packages/requests/src/step.ts
@@ -13,7 +13,7 @@
   setPresence,
 } from '@bronzeyoke/routing';
 import type { CallerRequest, StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
 import { endAttempt, recordsAwaiting } from './attempt';
 import { requestChart } from './chart';
 import type { IntentCommit } from './group';
@@ -21,7 +21,6 @@
 import type { IntentResult } from './intent';
 import { newIntent, interpretCommit, interpretRead } from './intent';
 import { dispatchQueued, endUnanswered, dispatchOrQueue, reserveRetry } from './dispatch';
-import { chain } from './records';
 import { advanceRequest } from './transition';
 import type {
   RequestRecord,
--- a/packages/requests/src/upstream.ts
+++ b/packages/requests/src/upstream.ts
@@ -1,10 +1,10 @@
 import type { UpstreamInfo } from '@bronzeyoke/routing';
 import { addUpstream, inFlightAt, removeUpstream, setPresence } from '@bronzeyoke/routing';
 import type { StepInputs } from '@bronzeyoke/types';
-import { unchanged } from '@bronzeyoke/types';
+import { unchanged, chain } from '@bronzeyoke/types';
 import { endAttempt } from './attempt';
 import { reserveRetry } from './dispatch';
-import { chain, replaceRecord } from './records';
+import { replaceRecord } from './records';
 import { advanceRequest } from './transition';
 import type { RequestRecord, RequestsEffect, RequestsState, RequestsStep } from './types';
 
--- a/packages/tasks/src/call.ts
+++ b/packages/tasks/src/call.ts
@@ -34,18 +34,3 @@
       purpose.kind === kind && (key === undefined || !('key' in purpose) || purpose.key === key),
   );
 }
-
-/** Applies another decision to a step's state and appends its effects. */
-export function chain(step: TasksStep, next: (state: TasksState) => TasksStep): TasksStep {
-  const after = next(step.state);
-  return { state: after.state, effects: [...step.effects, ...after.effects] };
-}
-
-/** Applies a decision for each item in turn. */
-export function chainEach<Item>(
-  step: TasksStep,
-  items: Iterable<Item>,
-  next: (state: TasksState, item: Item) => TasksStep,
-): TasksStep {
-  return [...items].reduce((current, item) => chain(current, (state) => next(state, item)), step);
-}
--- a/packages/tasks/src/lease.ts
+++ b/packages/tasks/src/lease.ts
@@ -1,8 +1,8 @@
 import { OrderedMap } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
-import { callWorker, isCallPending, chain, chainEach } from './call';
+import { assertNever, unchanged, chain, chainEach } from '@bronzeyoke/types';
+import { callWorker, isCallPending } from './call';
 import type { LeaseAction } from './chart';
 import { leaseChart } from './chart';
 import { stopAll, stopTask, taskLeaseMs } from './task';
--- a/packages/tasks/src/listing.ts
+++ b/packages/tasks/src/listing.ts
@@ -1,7 +1,7 @@
 import { adopt } from '@bronzeyoke/ledger';
 import type { RunningTask, WorkerNotice } from '@bronzeyoke/ports';
-import { assertNever, taskKey, unchanged } from '@bronzeyoke/types';
-import { isCallPending, chain, chainEach } from './call';
+import { assertNever, taskKey, unchanged, chain, chainEach } from '@bronzeyoke/types';
+import { isCallPending } from './call';
 import { advanceTaskByKey, advanceTask, markStarted, addRecent, endReport, stopTask } from './task';
 import { CLAIM_LIMIT_MS, START_SETTLE_MS } from './limits';
 import { mayRunHere } from './offer';
--- a/packages/tasks/src/offer.ts
+++ b/packages/tasks/src/offer.ts
@@ -1,8 +1,7 @@
 import { freeResources, reserve } from '@bronzeyoke/ledger';
 import type { TaskSpec } from '@bronzeyoke/types';
-import { isDomainIn, taskKey, unchanged } from '@bronzeyoke/types';
+import { isDomainIn, taskKey, unchanged, chain } from '@bronzeyoke/types';
 import type { DeclineReason, EntryMessage } from '@bronzeyoke/wire';
-import { chain } from './call';
 import { agentTaskChart } from './chart';
 import { isLeaseHeld } from './lease';
 import { advanceTaskByKey, advanceTask } from './task';
--- a/packages/tasks/src/preempt.ts
+++ b/packages/tasks/src/preempt.ts
@@ -1,7 +1,13 @@
 import { freeResources } from '@bronzeyoke/ledger';
 import type { Resources } from '@bronzeyoke/types';
-import { NO_RESOURCES, addResources, fitsIn, taskKey, unchanged } from '@bronzeyoke/types';
-import { chainEach } from './call';
+import {
+  NO_RESOURCES,
+  addResources,
+  fitsIn,
+  taskKey,
+  unchanged,
+  chainEach,
+} from '@bronzeyoke/types';
 import { stopTask } from './task';
 import { CAPACITY_HOLD_MS } from './limits';
 import type { AgentTaskRecord, TasksState, TasksStep } from './types';
--- a/packages/tasks/src/query.ts
+++ b/packages/tasks/src/query.ts
@@ -1,7 +1,6 @@
 import type { TaskId } from '@bronzeyoke/types';
-import { assertNever, taskKey, unchanged } from '@bronzeyoke/types';
+import { assertNever, taskKey, unchanged, chain } from '@bronzeyoke/types';
 import type { TaskReport } from '@bronzeyoke/wire';
-import { chain } from './call';
 import { isLeaseHeld } from './lease';
 import { advanceTask, addRecent } from './task';
 import { queueReport, repeatReport, sendReport } from './report';
--- a/packages/tasks/src/reply.ts
+++ b/packages/tasks/src/reply.ts
@@ -1,7 +1,6 @@
 import type { WorkerEvent, WorkerReply, WorkerResult } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
-import { chain } from './call';
+import { assertNever, unchanged, chain } from '@bronzeyoke/types';
 import { advanceLease, onFenced } from './lease';
 import { advanceTaskByKey, markStarted } from './task';
 import { endMissing, onListing, onNotices } from './listing';
--- a/packages/tasks/src/step.ts
+++ b/packages/tasks/src/step.ts
@@ -9,8 +9,10 @@
   fitsIn,
   taskKey,
   unchanged,
+  chain,
+  chainEach,
 } from '@bronzeyoke/types';
-import { callWorker, isCallPending, chain, chainEach } from './call';
+import { callWorker, isCallPending } from './call';
 import { NO_LEASE, onFenced, onRegistered, onRenewed, renewTasks, tickLease } from './lease';
 import { advanceTask, stopAll, stopTask } from './task';
 import { CALL_TIMEOUT_MS, IDLE_POLL_MS, RENEW_INTERVAL_MS, TICK_MS } from './limits';
--- a/packages/tasks/src/task.ts
+++ b/packages/tasks/src/task.ts
@@ -2,9 +2,9 @@
 import { advance } from '@bronzeyoke/chart';
 import { freeResources, release } from '@bronzeyoke/ledger';
 import type { TaskEnd } from '@bronzeyoke/ports';
-import { assertNever, taskKey, unchanged } from '@bronzeyoke/types';
+import { assertNever, taskKey, unchanged, chain, chainEach } from '@bronzeyoke/types';
 import type { TaskReport } from '@bronzeyoke/wire';
-import { callWorker, chain, chainEach } from './call';
+import { callWorker } from './call';
 import type { AgentTaskAction } from './chart';
 import { agentTaskChart } from './chart';
 import {
--- a/packages/types/src/step.ts
+++ b/packages/types/src/step.ts
@@ -27,6 +27,34 @@
   return { state, effects: [] };
 }
 
+/** Applies a decision to the state of a step and appends its effects. */
+export function chain<State, Effect>(
+  step: Step<State, Effect>,
+  decide: (state: State) => Step<State, Effect>,
+): Step<State, Effect> {
+  const next = decide(step.state);
+  return next.effects.length === 0
+    ? { state: next.state, effects: step.effects }
+    : { state: next.state, effects: [...step.effects, ...next.effects] };
+}
+
+/** Applies decisions in order to a state and collects their effects. */
+export function chainAll<State, Effect>(
+  state: State,
+  decisions: readonly ((state: State) => Step<State, Effect>)[],
+): Step<State, Effect> {
+  return decisions.reduce<Step<State, Effect>>(chain, { state, effects: [] });
+}
+
+/** Applies a decision for each item in turn and collects the effects. */
+export function chainEach<State, Effect, Item>(
+  step: Step<State, Effect>,
+  items: Iterable<Item>,
+  decide: (state: State, item: Item) => Step<State, Effect>,
+): Step<State, Effect> {
+  return [...items].reduce((current, item) => chain(current, (state) => decide(state, item)), step);
+}
+
 /** Throws on a value that no variant covers. The compiler rejects a switch that misses a variant. */
 export function assertNever(value: never): never {
   throw new TypeError(`unexpected variant: ${JSON.stringify(value)}`);
--- a/packages/workers/src/register.ts
+++ b/packages/workers/src/register.ts
@@ -1,17 +1,15 @@
 import { resolveCommit } from '@bronzeyoke/commits';
 import type { CommitResult, ReadResult, Row, Transaction } from '@bronzeyoke/ports';
-import type { StepInputs, Step } from '@bronzeyoke/types';
+import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { sendAccess, cacheRows } from './call';
 import { leaseKey, workerKey, workerRowOf, workerValue } from './rows';
-import type { Registration, WorkersEffect, WorkersState } from './types';
+import type { Registration, WorkersState, WorkersStep } from './types';
 
 const RETRY_DELAY_MS = 500;
 /** Timeout of a registration. An agent without a reply in this time retries with a new token. */
 const REGISTRATION_TIMEOUT_MS = 30_000;
 
-type WorkersStep = Step<WorkersState, WorkersEffect>;
-
 function startRead(state: WorkersState, registration: Registration): WorkersStep {
   const { worker, token } = registration;
   const registrations = state.registrations.set(token, registration);
--- a/packages/workers/src/step.ts
+++ b/packages/workers/src/step.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import type { CommitResult } from '@bronzeyoke/ports';
-import type { StepInputs, Step } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { StepInputs } from '@bronzeyoke/types';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import { sendAccess, cacheRows } from './call';
 import {
   startRegistration,
@@ -17,6 +17,7 @@
   WorkersEvent,
   WorkersPurpose,
   WorkersState,
+  WorkersStep,
 } from './types';
 
 // A longer delay would use up the lease of 30 s for little gain: 63 renewals a second at 630 workers
@@ -29,8 +30,6 @@
 /** Timeout of a renewal. An agent without a reply sends a new one. */
 const RENEWAL_TIMEOUT_MS = 10_000;
 
-type WorkersStep = Step<WorkersState, WorkersEffect>;
-
 /** Creates the state before any agent registered. */
 export function createWorkers(): WorkersState {
   return {
@@ -54,16 +53,6 @@
   return row.seenAtMs < renewal.requestedAtMs ? 'lookUp' : 'fenced';
 }
 
-function chainAll(state: WorkersState, steps: readonly ((from: WorkersState) => WorkersStep)[]) {
-  return steps.reduce<WorkersStep>(
-    (done, step) => {
-      const next = step(done.state);
-      return { state: next.state, effects: [...done.effects, ...next.effects] };
-    },
-    { state, effects: [] },
-  );
-}
-
 function chunks<Item>(items: readonly Item[], size: number): readonly (readonly Item[])[] {
   return Array.from({ length: Math.ceil(items.length / size) }, (_, index) =>
     items.slice(index * size, (index + 1) * size),
--- a/packages/workers/src/types.ts
+++ b/packages/workers/src/types.ts
@@ -1,5 +1,6 @@
 import type { Map } from 'immutable';
 import type { Row, StoreEffect, StoreEvent, Transaction } from '@bronzeyoke/ports';
+import type { Step } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 
 /** Contents of the row of a worker. Its version is the fencing token of claims. */
@@ -83,3 +84,6 @@
   | StoreEffect
   | { readonly kind: 'send'; readonly agentId: string; readonly message: EntryMessage }
   | { readonly kind: 'wake'; readonly timer: WorkersTimer; readonly afterMs: number };
+
+/** A step of registrations and renewals. */
+export type WorkersStep = Step<WorkersState, WorkersEffect>;
