--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -1,3 +1,4 @@
+import { nameSchema } from '@bronzeyoke/settings';
 import type { ConfigChange, Result, Submission } from '@bronzeyoke/types';
 import { fail, succeed } from '@bronzeyoke/types';
 import { z } from 'zod';
@@ -9,11 +10,6 @@
 /** End of the year 9999, so that a time in nanoseconds is refused. */
 const MAX_TIME_MS = 253_402_300_799_000;
 
-/** Schema of the name of a worker, a domain, a service, a team or a token. */
-export const nameSchema = z
-  .string()
-  .max(64)
-  .regex(/^[A-Za-z0-9_-]+$/, 'only letters, digits, "-" and "_"');
 const keySchema = z
   .string()
   .max(128)
--- a/packages/entry/src/openapi.ts
+++ b/packages/entry/src/openapi.ts
@@ -1,5 +1,6 @@
+import { nameSchema } from '@bronzeyoke/settings';
 import { z } from 'zod';
-import { changeSchema, jobBodySchema, nameSchema, resourcesSchema, ticketBodySchema } from './body';
+import { changeSchema, jobBodySchema, resourcesSchema, ticketBodySchema } from './body';
 
 /** Problem types by HTTP status. */
 const PROBLEMS: Readonly<Record<string, string>> = {
