--- a/packages/harness/src/caller.ts
+++ b/packages/harness/src/caller.ts
@@ -1,8 +1,8 @@
 import type { CallerRequest } from '@bronzeyoke/types';
 import type { CallerEnd } from './observation';
 import { createRequest } from './upstream';
-import type { Load, World } from './world';
-import { drawStepUniforms, deliver, observe, schedule } from './world';
+import type { World } from './world';
+import { deliver, observe, schedule } from './world';
 
 /** Sends a caller's request to an entry. */
 export function sendRequest(
@@ -19,7 +19,6 @@
   const request = createRequest(observed, requestId, key, timeoutMs);
   const pendingRequests = observed.pendingRequests.set(requestId, {
     entryId,
-    sentAtMs: world.nowMs,
     phase: 'onTheWay',
   });
   const { callerDelayMs } = world.deployment;
@@ -50,29 +49,5 @@
   const pending = world.pendingRequests.get(requestId);
   const observed = observe(world, { kind: 'replied', requestId, end });
   if (pending === undefined) return observed;
-  const { sentAtMs } = pending;
-  const ended = { requestId, sentAtMs, endedAtMs: world.nowMs, end };
-  const endedRequests = world.usesOracle
-    ? observed.loadStats.endedRequests
-    : observed.loadStats.endedRequests.push(ended);
-  return {
-    ...observed,
-    pendingRequests: observed.pendingRequests.delete(requestId),
-    loadStats: { ...observed.loadStats, endedRequests },
-  };
-}
-
-/** Sends one request of a load to a random entry, and the next one after an exponential gap. */
-export function offerLoad(world: World, load: Load): World {
-  if (world.nowMs >= load.untilMs) return world;
-  const [gap = 0.5, choice = 0] = drawStepUniforms(world, 7, 2);
-  const entries = world.processes
-    .valueSeq()
-    .filter(({ kind }) => kind === 'entry')
-    .toArray();
-  const entry = entries[Math.floor(choice * entries.length)];
-  const sent =
-    entry === undefined ? world : sendRequest(world, entry.processId, undefined, load.timeoutMs);
-  const gapMs = (-Math.log(1 - gap) * 1_000) / load.perSecond;
-  return schedule(sent, gapMs, { kind: 'offerLoad', load });
+  return { ...observed, pendingRequests: observed.pendingRequests.delete(requestId) };
 }
--- a/packages/harness/src/fuzz.ts
+++ b/packages/harness/src/fuzz.ts
@@ -170,7 +170,6 @@
       const simulation = simulate(
         {
           deployment: derwent(ENTRIES, WORKERS),
-          usesOracle: true,
           decisions: PRODUCT_DECISIONS,
           standinBugs: NO_STANDIN_BUGS,
           ...options.world,
--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -1,4 +1,4 @@
-import { List, Map, OrderedMap } from 'immutable';
+import { Map, OrderedMap } from 'immutable';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { stepAgent } from '@bronzeyoke/agent';
@@ -7,7 +7,7 @@
 import type { Resources } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import { pop } from './heap';
-import { deliverRequest, endRequest, offerLoad } from './caller';
+import { deliverRequest, endRequest } from './caller';
 import { deliverPayload, dial } from './network';
 import { EMPTY_ORACLE, recordViolation } from './oracle';
 import { bootAgent, bootEntry, handleEvent } from './process';
@@ -21,7 +21,6 @@
 /** Configuration of a run. */
 export interface WorldOptions {
   readonly deployment: Deployment;
-  readonly usesOracle: boolean;
   readonly decisions: Decisions;
   readonly standinBugs: StandinBugs;
 }
@@ -46,7 +45,7 @@
 }
 
 /** Creates a world at time 0, with one entry or agent at every site. */
-export function createWorld(options: WorldOptions): World {
+function createWorld(options: WorldOptions): World {
   const { deployment } = options;
   const factor = options.standinBugs.overstatesTotals ? OVERSTATEMENT_FACTOR : 1;
   const empty: World = {
@@ -73,16 +72,12 @@
       isDown: false,
       isSlow: false,
       losesReplies: false,
-      transactions: 0,
-      rowsWritten: 0,
-      reads: 0,
     },
     operatorView: { headNumber: 0, jobs: Map() },
     pendingRequests: OrderedMap(),
     cuts: Map(),
     oracle: EMPTY_ORACLE,
     steps: 0,
-    loadStats: { endedRequests: List(), runs: 0 },
   };
   const withEntries = deployment.entries.reduce(bootEntry, empty);
   return deployment.workers.reduce((world, site) => {
@@ -114,15 +109,13 @@
       return applyBudgetEvent(world, item.processId, item.event);
     case 'requestArrives':
       return deliverRequest(world, item.request);
-    case 'offerLoad':
-      return offerLoad(world, item.load);
     default:
       return assertNever(item);
   }
 }
 
 /** Takes the earliest event from the queue and handles it. */
-export function stepWorld(world: World, random: number): World {
+function stepWorld(world: World, random: number): World {
   const { eventQueue } = world;
   if (eventQueue === undefined) return world;
   const { atMs, item } = eventQueue.first;
@@ -154,7 +147,7 @@
     },
     runFor: (durationMs) => {
       const untilMs = current.nowMs + durationMs;
-      let left = options.usesOracle ? MAX_EVENTS : Infinity;
+      let left = MAX_EVENTS;
       while (
         left > 0 &&
         current.eventQueue !== undefined &&
--- a/packages/harness/src/store.ts
+++ b/packages/harness/src/store.ts
@@ -69,21 +69,12 @@
   const done = accessRows(before, access, fault);
   const hasCommitted = done.state.lastVersion > before.lastVersion;
   const writes = access.kind === 'commit' && hasCommitted ? access.transaction.writes : [];
-  const counted: World = {
-    ...world,
-    store: {
-      ...world.store,
-      rows: done.state,
-      transactions: world.store.transactions + Number(access.kind === 'commit'),
-      rowsWritten: world.store.rowsWritten + writes.length,
-      reads: world.store.reads + Number(access.kind !== 'commit'),
-    },
-  };
+  const stored: World = { ...world, store: { ...world.store, rows: done.state } };
   const rows = readRows(
     done.state,
     writes.map(({ key }) => key),
   );
-  const observed = rows.length === 0 ? counted : observe(counted, { kind: 'committed', rows });
+  const observed = rows.length === 0 ? stored : observe(stored, { kind: 'committed', rows });
   const afterMs = fault === 'lost' ? LOST_AFTER_MS : TRIP_MS;
   const notified = deliverToEntry(observed, processId, done.event, afterMs);
   return schedule(notified, afterMs, { kind: 'budget', processId, event: { kind: 'ended' } });
--- a/packages/harness/src/upstream.ts
+++ b/packages/harness/src/upstream.ts
@@ -11,7 +11,7 @@
 const NOT_REACHED_AFTER_MS = 0.1;
 
 /** Header that distinguishes submissions with the same idempotency key at the upstream. */
-export const SUBMISSION_HEADER = 'x-submission';
+const SUBMISSION_HEADER = 'x-submission';
 
 function spreadOf(requestId: string): number {
   // The golden ratio spreads consecutive numbers evenly over [0, 1).
@@ -19,7 +19,7 @@
 }
 
 /** Returns the service time of a request, which is the same at every healthy upstream. */
-export function serviceMs(world: World, requestId: string): number {
+function serviceMs(world: World, requestId: string): number {
   const [one = 0.5, two = 0.5] = drawUniforms(spreadOf(requestId), 2);
   const normal = Math.sqrt(-2 * Math.log(1 - one)) * Math.cos(2 * Math.PI * two);
   return world.deployment.serviceMedianMs * Math.exp(normal * world.deployment.serviceSpread);
@@ -58,7 +58,6 @@
   const calls = upstream.calls.set(attemptId, agent.processId);
   const started = {
     ...observed,
-    loadStats: { ...observed.loadStats, runs: observed.loadStats.runs + 1 },
     upstreams: observed.upstreams.set(worker, { ...upstream, calls }),
   };
   const lost = { kind: 'upstreamLost', attemptId } as const;
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -1,4 +1,4 @@
-import type { List, Map, OrderedMap } from 'immutable';
+import type { Map, OrderedMap } from 'immutable';
 import type { AgentEvent, AgentState, stepAgent } from '@bronzeyoke/agent';
 import type {
   BudgetEvent,
@@ -80,16 +80,13 @@
 /** Behaviour of an upstream. */
 export type UpstreamMode = 'healthy' | 'slow' | 'failing' | 'silent' | 'unreachable';
 
-/** The table service with its faults and its numbers of accesses. */
+/** The table service with its faults. */
 export interface Store {
   readonly rows: TableState;
   readonly isDown: boolean;
   readonly isSlow: boolean;
   /** Transactions take effect, but their results do not arrive. */
   readonly losesReplies: boolean;
-  readonly transactions: number;
-  readonly rowsWritten: number;
-  readonly reads: number;
 }
 
 /** State of the system as operators and teams know it from replies. */
@@ -109,7 +106,6 @@
 /** A request that has not ended for its caller. */
 export interface PendingRequest {
   readonly entryId: string;
-  readonly sentAtMs: number;
   /** `arrived` is in the entry's backlog; `accepted` is delivered to its core. */
   readonly phase: 'onTheWay' | 'arrived' | 'accepted' | 'replied';
 }
@@ -139,15 +135,7 @@
   | { readonly kind: 'workerStep'; readonly worker: string; readonly input: WorkerInput }
   | { readonly kind: 'storeCall'; readonly processId: string; readonly access: StoreEffect }
   | { readonly kind: 'budget'; readonly processId: string; readonly event: BudgetEvent }
-  | { readonly kind: 'requestArrives'; readonly request: CallerRequest }
-  | { readonly kind: 'offerLoad'; readonly load: Load };
-
-/** A stream of idempotent requests at a fixed mean rate. */
-export interface Load {
-  readonly perSecond: number;
-  readonly untilMs: number;
-  readonly timeoutMs: number;
-}
+  | { readonly kind: 'requestArrives'; readonly request: CallerRequest };
 
 /** The step functions under test. A test injects a bug by wrapping one of them. */
 export interface Decisions {
@@ -163,20 +151,6 @@
   readonly overstatesTotals: boolean;
 }
 
-/** An ended request, for the benchmark. */
-export interface EndedRequest {
-  readonly requestId: string;
-  readonly sentAtMs: number;
-  readonly endedAtMs: number;
-  readonly end: CallerEnd;
-}
-
-/** Statistics of the benchmark. */
-export interface LoadStats {
-  readonly endedRequests: List<EndedRequest>;
-  readonly runs: number;
-}
-
 /** State of a simulation: processes, connections and stand-ins. */
 export interface World {
   readonly deployment: Deployment;
@@ -200,12 +174,9 @@
   readonly pendingRequests: OrderedMap<string, PendingRequest>;
   /** One-way cuts, as `from>to` with names of sites. */
   readonly cuts: Map<string, true>;
-  /** False in the benchmark, because the state of the oracle only grows. */
-  readonly usesOracle: boolean;
   readonly oracle: OracleState;
   /** Number of events that cores have handled. */
   readonly steps: number;
-  readonly loadStats: LoadStats;
 }
 
 /** Adds an event to the queue. */
@@ -217,9 +188,7 @@
 
 /** Passes an observation to the oracle. */
 export function observe(world: World, observation: Observation): World {
-  return world.usesOracle
-    ? { ...world, oracle: checkObservation(world.oracle, observation, world.nowMs) }
-    : world;
+  return { ...world, oracle: checkObservation(world.oracle, observation, world.nowMs) };
 }
 
 /** Derives numbers in [0, 1) for this step. Each use in a step needs its own `salt`. */
