Remove unused exports

The object store port and three other types had no user, and 41 functions and constants were exported although only their own file uses them.

--- a/packages/admission/src/retain.ts
+++ b/packages/admission/src/retain.ts
@@ -2,16 +2,16 @@
 import type { AdmissionState, AttemptRecord } from './types';
 
 /** Time for which an ended attempt can be collected over another connection. */
-export const ANSWER_RETENTION_MS = 60_000;
+const ANSWER_RETENTION_MS = 60_000;
 
 /** Maximum ended attempts that are kept. */
-export const MAX_ENDED = 512;
+const MAX_ENDED = 512;
 
 /** Maximum refused attempts that are kept. */
-export const MAX_REFUSED = 1_024;
+const MAX_REFUSED = 1_024;
 
 /** Maximum bytes of answer bodies that are kept. */
-export const MAX_ENDED_BYTES = 4 * 1_048_576;
+const MAX_ENDED_BYTES = 4 * 1_048_576;
 
 /** Final phases of an attempt. */
 export const ENDED_PHASES: ReadonlySet<string> = new Set(['answered', 'lost', 'refused']);
--- a/packages/agent/src/monitor.ts
+++ b/packages/agent/src/monitor.ts
@@ -4,7 +4,7 @@
 import type { AgentEffect, AgentEvent, AgentState } from './types';
 
 /** Metrics of an agent. */
-export const AGENT_METRICS = {
+const AGENT_METRICS = {
   bronzeyoke_agent_attempts_total: { kind: 'counter', help: 'Attempts by result.' },
   bronzeyoke_agent_errors_total: { kind: 'counter', help: 'Faults of the program itself.' },
   bronzeyoke_agent_messages_received_total: { kind: 'counter', help: 'Messages by kind.' },
--- a/packages/batch/src/learn.ts
+++ b/packages/batch/src/learn.ts
@@ -29,7 +29,7 @@
 export const NOTHING_LEARNED: LearnState = { runs: Map(), sizes: Map() };
 
 /** Returns the quantile of the samples by the nearest-rank method, or 0 without samples. */
-export function quantile(samples: readonly number[], share: number): number {
+function quantile(samples: readonly number[], share: number): number {
   const sorted = [...samples].sort((left, right) => left - right);
   const index = Math.min(sorted.length - 1, Math.ceil(sorted.length * share) - 1);
   return sorted[Math.max(0, index)] ?? 0;
--- a/packages/batch/src/lease.ts
+++ b/packages/batch/src/lease.ts
@@ -8,7 +8,7 @@
 import type { BatchState, BatchStep, BatchContext, PartPurpose, ObservedVersion } from './types';
 
 /** Worker lease plus a margin: without a renewal for this long the worker runs no tasks. */
-export const WORKER_TAKEOVER_MS = 32_000;
+const WORKER_TAKEOVER_MS = 32_000;
 const WORKERS_PER_READ = 50;
 
 type FencePurpose = Extract<PartPurpose, { readonly kind: 'fence' }>;
--- a/packages/batch/src/load.ts
+++ b/packages/batch/src/load.ts
@@ -70,7 +70,7 @@
 }
 
 /** Builds a task from its row. A claimed one is unconfirmed: it may or may not have started. */
-export function taskFromRow(
+function taskFromRow(
   state: BatchState,
   job: JobRecord,
   index: number,
--- a/packages/batch/src/offer.ts
+++ b/packages/batch/src/offer.ts
@@ -57,7 +57,7 @@
 }
 
 /** Sums the resources of all known workers, the base of dominant shares. */
-export function fleetTotal(state: BatchState): Resources {
+function fleetTotal(state: BatchState): Resources {
   return [...state.candidates.values()].reduce(
     (sum, candidate) => addResources(sum, candidate.profile.total),
     NO_RESOURCES,
--- a/packages/batch/src/place.ts
+++ b/packages/batch/src/place.ts
@@ -40,7 +40,7 @@
 }
 
 /** Returns the cost of a candidate: slow-down of its service, tasks of the job in its rack, fill. */
-export function costOf(candidate: Candidate, request: PlacementRequest): number {
+function costOf(candidate: Candidate, request: PlacementRequest): number {
   const slowDown = candidate.slowDowns.find(
     (known) => known.workKind === request.workKind && known.service === candidate.profile.service,
   );
--- a/packages/batch/src/transition.ts
+++ b/packages/batch/src/transition.ts
@@ -72,7 +72,7 @@
 }
 
 /** Sends a message to the agent of a worker, if it is connected. */
-export function sendToWorker(
+function sendToWorker(
   state: BatchState,
   worker: string | undefined,
   message: EntryMessage,
--- a/packages/batch/src/watcher.ts
+++ b/packages/batch/src/watcher.ts
@@ -7,7 +7,7 @@
 const ID_MARKER = '-watcher-';
 
 /** Returns the id of the job that represents a watcher in a shard. */
-export function watcherJobId(shard: number, name: string): string {
+function watcherJobId(shard: number, name: string): string {
   return `${shard}${ID_MARKER}${name}`;
 }
 
--- a/packages/cli/src/base.ts
+++ b/packages/cli/src/base.ts
@@ -14,7 +14,7 @@
 const DEFAULT_SETTINGS = 'bronzeyoke.jsonc';
 
 /** Returns the value of a result, or ends the command with its fault. */
-export function unwrap<Value>(result: Result<Value, CliFault>): Value {
+function unwrap<Value>(result: Result<Value, CliFault>): Value {
   if (!result.ok) throw new CliError(result.failure);
   return result.value;
 }
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -19,7 +19,7 @@
 const COMMON_FIELDS = new Set(['name', 'hostname', 'pid', 'level', 'time', 'msg', 'v']);
 
 /** Parses a log line. Text before its first brace is skipped. */
-export function parseLogLine(text: string): LogLine | undefined {
+function parseLogLine(text: string): LogLine | undefined {
   const start = text.indexOf('{');
   if (start === -1) return undefined;
   try {
@@ -31,13 +31,13 @@
 }
 
 /** Returns whether a line is about a job, or about one of its tasks. */
-export function matchesId(line: LogLine, id: string): boolean {
+function matchesId(line: LogLine, id: string): boolean {
   const { job = '', task = '' } = line;
   return job === id || task === id || task.startsWith(`${id}.`);
 }
 
 /** Formats a log line: time, host, event, and its other fields. */
-export function formatLogLine(line: LogLine): string {
+function formatLogLine(line: LogLine): string {
   const fields = Object.entries(line)
     .filter(([key]) => !COMMON_FIELDS.has(key))
     .map(([key, value]) => `${key}=${String(value)}`);
--- a/packages/entry/src/control.ts
+++ b/packages/entry/src/control.ts
@@ -14,7 +14,7 @@
 const WORKER_CHECK_INTERVAL_MS = 1_000;
 
 /** Returns the effect that sends a message to an agent, or none if it is not connected. */
-export function sendToAgent(
+function sendToAgent(
   state: EntryState,
   agentId: string,
   message: EntryMessage,
--- a/packages/entry/src/monitor.ts
+++ b/packages/entry/src/monitor.ts
@@ -6,7 +6,7 @@
 import type { EntryEffect, EntryEvent, EntryState } from './types';
 
 /** Metrics of an entry. */
-export const ENTRY_METRICS = {
+const ENTRY_METRICS = {
   bronzeyoke_requests_total: { kind: 'counter', help: 'Ended requests by service and outcome.' },
   bronzeyoke_request_seconds: { kind: 'summary', help: 'Time from arrival to the end.' },
   bronzeyoke_failures_total: { kind: 'counter', help: 'Refused input and lost links by kind.' },
--- a/packages/entry/src/store.ts
+++ b/packages/entry/src/store.ts
@@ -14,7 +14,7 @@
 };
 
 /** Carries out one access through a table port. */
-export async function callTable(table: TablePort, access: StoreEffect): Promise<StoreEvent> {
+async function callTable(table: TablePort, access: StoreEffect): Promise<StoreEvent> {
   const { origin, callId } = access;
   switch (access.kind) {
     case 'commit': {
@@ -35,7 +35,7 @@
 }
 
 /** Returns the event for an access that was not sent. */
-export function unavailableEvent(access: StoreEffect): StoreEvent {
+function unavailableEvent(access: StoreEffect): StoreEvent {
   const { origin, callId } = access;
   const result = { kind: 'unavailable' } as const;
   return access.kind === 'commit'
--- a/packages/entry/src/tracing.ts
+++ b/packages/entry/src/tracing.ts
@@ -30,7 +30,7 @@
 const UPSTREAM_TIMING = /(?:^|,\s*)bronzeyoke-upstream;dur=([0-9.]{1,12})/;
 
 /** Returns the time that the agent measured at its upstream, from the Server-Timing header. */
-export function parseUpstreamMs(headers: Headers): number | undefined {
+function parseUpstreamMs(headers: Headers): number | undefined {
   const text = UPSTREAM_TIMING.exec(headers['server-timing'] ?? '')?.[1];
   const value = Number(text);
   return text !== undefined && Number.isFinite(value) ? value : undefined;
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -25,7 +25,7 @@
 }
 
 /** Creates a fleet of three entries, and four workers with their agents. */
-export function createFleet(seed: number, times: SchedulerTimes = FLEET_TIMES): Fleet {
+function createFleet(seed: number, times: SchedulerTimes = FLEET_TIMES): Fleet {
   const empty: Fleet = {
     seed,
     times,
@@ -57,7 +57,7 @@
 }
 
 /** Draws a fault at random. */
-export function drawFault(fleet: Fleet): FleetFault {
+function drawFault(fleet: Fleet): FleetFault {
   const forMs = 300 + Math.floor(drawStepUniform(fleet, 11) * 9_000);
   const site = pick(SITES, drawStepUniform(fleet, 12));
   const entry = pick(ENTRIES, drawStepUniform(fleet, 13));
@@ -81,7 +81,7 @@
 }
 
 /** Schedules the jobs and faults of a run. */
-export function scheduleRun(fleet: Fleet, faults: number): Fleet {
+function scheduleRun(fleet: Fleet, faults: number): Fleet {
   const withJobs = Array.from({ length: JOBS }, (_, index) => index).reduce((current, index) => {
     const atMs = 1_000 + drawStepUniform(current, 16) * ACTIVE_PHASE_MS;
     const submitted = schedule(current, atMs, { kind: 'submit', jobId: `job${index}` });
@@ -102,7 +102,7 @@
 }
 
 /** Handles all events until a time. */
-export function runUntil(fleet: Fleet, endMs: number): Fleet {
+function runUntil(fleet: Fleet, endMs: number): Fleet {
   const current = { fleet };
   while (current.fleet.eventQueue !== undefined && current.fleet.eventQueue.first.atMs <= endMs) {
     const { first } = current.fleet.eventQueue;
--- a/packages/harness/src/checks.ts
+++ b/packages/harness/src/checks.ts
@@ -7,10 +7,10 @@
 import { expectThat } from './oracle';
 
 /** P4: no task starts in a domain later than this after the domain was taken out. */
-export const DOMAIN_BOUND_MS = 5_000;
+const DOMAIN_BOUND_MS = 5_000;
 
 /** P10: an accepted configuration is in force everywhere after this time. */
-export const CONFIGURATION_BOUND_MS = 13_000;
+const CONFIGURATION_BOUND_MS = 13_000;
 
 const UNOBSERVED_TASK: ObservedTask = { runningOn: Map(), startedEpoch: 0, isOver: false };
 
--- a/packages/harness/src/network.ts
+++ b/packages/harness/src/network.ts
@@ -91,12 +91,7 @@
 }
 
 /** Schedules another dial of the entry at a site, with exponential backoff. */
-export function scheduleRedial(
-  world: World,
-  agentId: string,
-  entrySite: string,
-  retryMs: number,
-): World {
+function scheduleRedial(world: World, agentId: string, entrySite: string, retryMs: number): World {
   const nextMs = Math.min(MAX_RETRY_MS, Math.max(INITIAL_RETRY_MS, retryMs * 2));
   return schedule(world, retryMs, { kind: 'dial', agentId, entrySite, retryMs: nextMs });
 }
--- a/packages/harness/src/oracle.ts
+++ b/packages/harness/src/oracle.ts
@@ -73,10 +73,10 @@
 };
 
 /** P8: an agent gets no new requests later than this after its planned stop began. */
-export const LEAVING_BOUND_MS = 3_000;
+const LEAVING_BOUND_MS = 3_000;
 
 /** P9: a planned stop may end work in progress only after this time. */
-export const STOP_BOUND_MS = 30_000;
+const STOP_BOUND_MS = 30_000;
 
 /** Records a violated invariant. */
 export function recordViolation(
--- a/packages/interference/src/chart.ts
+++ b/packages/interference/src/chart.ts
@@ -1,4 +1,4 @@
-import type { ActionOf, StateOf } from '@bronzeyoke/chart';
+import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
 import chartFile from '../charts/throttle.json';
 
@@ -12,9 +12,6 @@
 /** Throttling levels of the chart. */
 export type ThrottleLevel = StateOf<typeof throttleChart>;
 
-/** Actions of the chart. */
-export type ThrottleAction = ActionOf<typeof throttleChart>;
-
 /** Share of its processors that a task gets at each throttling level. */
 export const LEVEL_SHARES: Readonly<Record<ThrottleLevel, number>> = {
   full: 1,
--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -57,7 +57,7 @@
 }
 
 /** Returns the key of a pair of images, or of the serving image alone without a filling image. */
-export function pairKey(servingImage: string, fillImage = ''): string {
+function pairKey(servingImage: string, fillImage = ''): string {
   return `${servingImage}|${fillImage}`;
 }
 
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -1,5 +1,4 @@
 export * from './command';
-export * from './object';
 export * from './rows';
 export * from './runner';
 export * from './store';
--- a/packages/requests/src/intent.ts
+++ b/packages/requests/src/intent.ts
@@ -32,12 +32,12 @@
   | { readonly kind: 'unavailable' };
 
 /** Returns the key of the row of a non-idempotent request. */
-export function intentKey(idempotencyKey: string): string {
+function intentKey(idempotencyKey: string): string {
   return `request/${idempotencyKey}`;
 }
 
 /** Hashes the content of a request without the headers, which differ between repeats. */
-export function fingerprintOf(request: CallerRequest): string {
+function fingerprintOf(request: CallerRequest): string {
   const head = JSON.stringify([request.service, request.method, request.path]);
   return createHash('sha256').update(head).update('\n').update(request.body).digest('hex');
 }
--- a/packages/routing/src/state.ts
+++ b/packages/routing/src/state.ts
@@ -97,7 +97,7 @@
 }
 
 /** Recomputes the candidates of a service after one of its upstreams changed. */
-export function refreshPool(
+function refreshPool(
   before: RoutingState,
   service: string,
   memberIds: readonly string[] = poolOf(before, service).memberIds,
--- a/packages/settings/src/entry.ts
+++ b/packages/settings/src/entry.ts
@@ -73,6 +73,3 @@
 
 /** Settings of an entry, with defaults filled in. */
 export type EntrySettings = z.infer<typeof entrySettingsSchema>;
-
-/** Bearer token of the settings: a hash, a role and rate limits. */
-export type TokenSettings = EntrySettings['tokens'][number];
--- a/packages/settings/src/fields.ts
+++ b/packages/settings/src/fields.ts
@@ -11,7 +11,7 @@
   .regex(/^[A-Za-z0-9_-]+$/, 'only letters, digits, "-" and "_"');
 
 /** Schema of an IP number. Names are refused: no process may depend on name resolution. */
-export const hostSchema = z.string().refine((text) => isIP(text) !== 0, 'not an IP number');
+const hostSchema = z.string().refine((text) => isIP(text) !== 0, 'not an IP number');
 
 /** Schema of an address that a process listens on. Port 0 takes any free port. */
 export const listenAddressSchema = z.strictObject({
--- a/packages/settings/src/program.ts
+++ b/packages/settings/src/program.ts
@@ -7,7 +7,7 @@
 import { MAX_SETTINGS_BYTES, readSettings } from './read';
 
 /** Exit code for faulty settings or arguments. */
-export const EXIT_SETTINGS = 2;
+const EXIT_SETTINGS = 2;
 
 /** Reads and checks a settings file. An unreadable file is reported as a fault. */
 export async function readSettingsFile<Schema extends z.ZodType>(
@@ -42,7 +42,7 @@
   | { readonly kind: 'end'; readonly exitCode: number };
 
 /** Parses `<program> <settings file>`, `--help` and `--version`, and reads the settings file. */
-export async function loadProgramSettings<Schema extends z.ZodType>(
+async function loadProgramSettings<Schema extends z.ZodType>(
   schema: Schema,
   context: ProgramContext,
 ): Promise<ProgramStart<z.infer<Schema>>> {
--- a/packages/standins/src/rowstore.ts
+++ b/packages/standins/src/rowstore.ts
@@ -28,7 +28,7 @@
 };
 
 /** Returns the text form of a row's key. */
-export function rowId({ table, partition, key }: RowKey): string {
+function rowId({ table, partition, key }: RowKey): string {
   return `${table}\u0001${partition}\u0001${key}`;
 }
 
--- a/packages/tasks/src/call.ts
+++ b/packages/tasks/src/call.ts
@@ -2,7 +2,7 @@
 import type { WorkerCallPurpose, TasksState, TasksStep } from './types';
 
 /** Prefix of the ids of calls that this package makes. */
-export const CALL_PREFIX = 'tasks/';
+const CALL_PREFIX = 'tasks/';
 
 /** Sends a command to the worker and records its purpose. */
 export function callWorker(
--- a/packages/tasks/src/index.ts
+++ b/packages/tasks/src/index.ts
@@ -1,5 +1,4 @@
 export * from './chart';
-export { CALL_PREFIX } from './call';
 export { LEASE_MARGIN_MS, TICK_MS } from './limits';
 export { createTasks, isTasksIdle, unconfirmedTasks, stepTasks } from './step';
 export * from './types';
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -10,9 +10,6 @@
   readonly help: string;
 }
 
-/** Metric definitions by name. */
-export type MetricDefinitions = Readonly<Record<string, MetricDefinition>>;
-
 /** Value of a gauge, read when the metrics are exported. */
 export interface GaugeValue<Name extends string> {
   readonly name: Name;
--- a/packages/tickets/src/check.ts
+++ b/packages/tickets/src/check.ts
@@ -2,7 +2,7 @@
 import { assertNever, changeKey, fail, succeed } from '@bronzeyoke/types';
 
 /** Maximum changes in a ticket; with the rows of head and ticket they fit into one transaction. */
-export const MAX_CHANGES = 90;
+const MAX_CHANGES = 90;
 
 // The configuration is sent to agents in one frame of at most 1.25 MB.
 const MAX_CONFIGURATION_CHARS = 900_000;
@@ -71,7 +71,7 @@
 }
 
 /** Returns the configuration after the changes of a ticket. */
-export function applyChanges(
+function applyChanges(
   configuration: Configuration,
   number: number,
   changes: readonly ConfigChange[],
