Split the ownership of shards from their life cycle

It keeps the chart of a shard and its actions; ownership.ts reads the rows of entries and shards, renews the leases and decides which shards to take and release. The code is unchanged.

--- a/packages/batch/src/index.ts
+++ b/packages/batch/src/index.ts
@@ -2,6 +2,7 @@
 export * from './keys';
 export * from './learn';
 export * from './order';
+export * from './ownership';
 export * from './place';
 export * from './quarantine';
 export * from './quota';
--- a/packages/batch/src/step.ts
+++ b/packages/batch/src/step.ts
@@ -23,15 +23,8 @@
 import { quotaOf } from './quota';
 import { onReport } from './report';
 import { retireJobs } from './retire';
-import {
-  drainShards,
-  initialShards,
-  onRenewal,
-  onEntriesRead,
-  shardsIn,
-  onShardsRead,
-  refreshOwnership,
-} from './shard';
+import { drainShards, onRenewal, onEntriesRead, onShardsRead, refreshOwnership } from './ownership';
+import { initialShards, shardsIn } from './shard';
 import type {
   BatchEvent,
   BatchEffect,
