--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -5,10 +5,8 @@
 import { createTaskWorker } from '@bronzeyoke/standins';
 import { assertNever, without } from '@bronzeyoke/types';
 import type { Fleet } from './world';
-import { drawStepUniform, isActive, schedule, WALL_START_MS } from './world';
+import { drawStepUniform, isActive, NETWORK_MS, schedule, STORE_MS, WALL_START_MS } from './world';
 
-const NETWORK_MS = 2;
-const STORE_MS = 10;
 const CALL_MS = 1;
 const TICK_MS = 50;
 const AGENT_TICK_MS = 100;
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -87,6 +87,9 @@
   | { readonly kind: 'faultStart'; readonly fault: FleetFault }
   | { readonly kind: 'faultEnd'; readonly fault: FleetFault };
 
+/** An event of one kind. */
+export type EventOf<Kind extends FleetEvent['kind']> = Extract<FleetEvent, { kind: Kind }>;
+
 /** A fault with its duration. */
 export type FleetFault =
   | {
@@ -141,6 +144,12 @@
   readonly steps: number;
 }
 
+/** One-way delay between two processes. */
+export const NETWORK_MS = 2;
+
+/** Delay of a call to the store or of a change from it. */
+export const STORE_MS = 10;
+
 /** Start of the virtual wall clock. */
 export const WALL_START_MS = 1_800_000_000_000;
 
