--- a/packages/batch/src/load.ts
+++ b/packages/batch/src/load.ts
@@ -1,19 +1,19 @@
 import { advance } from '@bronzeyoke/chart';
 import type { ReadResult, Row } from '@bronzeyoke/ports';
 import type { Job } from '@bronzeyoke/types';
-import { taskKey, unchanged } from '@bronzeyoke/types';
+import { taskKey, unchanged, chainAll } from '@bronzeyoke/types';
 import { sendAccess } from './call';
 import { shardChart } from './chart';
 import { jobOf, keys, taskIdOf, taskRowOf } from './keys';
 import { cancelIfUnwanted, advanceTask } from './transition';
-import { createJobRecord, putTask, chainAll } from './records';
+import { createJobRecord, putTask } from './records';
 import { reservationOf } from './learn';
 import { areWatchersKnown, watchersOf } from './watcher';
 import type {
   BatchState,
   BatchStep,
   Claim,
-  Context,
+  BatchContext,
   JobRecord,
   LoadProgress,
   ShardView,
@@ -70,7 +70,7 @@
 }
 
 /** Builds a task from its row. A claimed one is unconfirmed: it may or may not have started. */
-export function taskFromRow(
+function taskFromRow(
   state: BatchState,
   job: JobRecord,
   index: number,
@@ -117,7 +117,7 @@
   state: BatchState,
   record: JobRecord,
   rows: ReadonlyMap<string, Row>,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const known = state.jobs.get(record.job.jobId);
   const { job, version } = record;
@@ -152,7 +152,7 @@
   state: BatchState,
   shard: number,
   load: LoadProgress,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view === undefined) return unchanged(state);
@@ -192,7 +192,7 @@
   shard: number,
   version: number,
   result: ReadResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view?.load === undefined || view.version !== version) return unchanged(state);
--- a/packages/batch/src/shard.ts
+++ b/packages/batch/src/shard.ts
@@ -1,28 +1,16 @@
 import { accepts, advance } from '@bronzeyoke/chart';
 import type { PartOutcome } from '@bronzeyoke/commits';
-import type { CommitResult, ReadResult, Row } from '@bronzeyoke/ports';
-import { assertNever, unchanged } from '@bronzeyoke/types';
-import { z } from 'zod';
-import { sendAccess } from './call';
+import { assertNever, unchanged, chainAll } from '@bronzeyoke/types';
 import type { ShardAction, ShardEvent } from './chart';
 import { shardChart } from './chart';
 import { SHARD_COUNT, keys } from './keys';
 import { startLoad } from './load';
 import { queuePart, advanceTask } from './transition';
-import { dropJob, chainAll } from './records';
-import type { BatchState, BatchStep, Context, ShardView, ObservedVersion } from './types';
+import { dropJob } from './records';
+import type { BatchState, BatchStep, BatchContext, ShardView } from './types';
 
-/** Shard lease plus a margin. */
-const SHARD_TAKEOVER_MS = 12_000;
-/** The row of an entry that has not renewed it for this long is deleted. */
-const ENTRY_EXPIRY_MS = 60_000;
-const ENTRY_PREFIX = 'entry/';
-const MAX_ENTRIES = 200;
-
-const ALL_SHARDS = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
-
-const entrySchema = z.object({ domain: z.string(), number: z.int() });
-const ownerSchema = z.object({ ownerEntryId: z.string(), ownerEpoch: z.int() });
+/** Numbers of all shards. */
+export const ALL_SHARDS = Array.from({ length: SHARD_COUNT }, (_, shard) => shard);
 
 /** Returns the shards before the table is read. */
 export function initialShards(): readonly ShardView[] {
@@ -45,7 +33,7 @@
   return [...state.shards.values()].filter((view) => phases.includes(view.phase));
 }
 
-function dropShard(state: BatchState, shard: number, context: Context): BatchStep {
+function dropShard(state: BatchState, shard: number, context: BatchContext): BatchStep {
   const tasks = [...state.tasks.values()].filter((task) => task.shard === shard);
   const step = chainAll(
     state,
@@ -60,7 +48,7 @@
   state: BatchState,
   view: ShardView,
   action: ShardAction,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const { shard } = view;
   switch (action) {
@@ -127,7 +115,7 @@
   shard: number,
   event: ShardEvent,
   patch: Partial<Pick<ShardView, 'version' | 'ownerEntryId' | 'ownerEpoch'>>,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view === undefined || !accepts(shardChart, view.phase, event)) return unchanged(state);
@@ -141,7 +129,7 @@
 }
 
 /** Drops a shard after a transaction showed that another entry owns it. */
-export function loseShard(state: BatchState, shard: number, context: Context): BatchStep {
+export function loseShard(state: BatchState, shard: number, context: BatchContext): BatchStep {
   return advanceShard(state, shard, 'lose', { ownerEntryId: '' }, context);
 }
 
@@ -150,7 +138,7 @@
   state: BatchState,
   shard: number,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view?.partId !== outcome.part.partId) return unchanged(state);
@@ -169,7 +157,7 @@
   state: BatchState,
   shard: number,
   outcome: PartOutcome,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const view = state.shards.get(shard);
   if (view?.partId !== outcome.part.partId) return unchanged(state);
@@ -181,193 +169,3 @@
     context,
   );
 }
-
-/** Reads the rows of entries and shards, and renews the leases of this entry. */
-export function refreshOwnership(state: BatchState, context: Context): BatchStep {
-  const owned = shardsIn(state, ['loading', 'owned']);
-  const token = `${state.entryId}-${state.idCount}`;
-  const { number } = context.inputs.configuration;
-  return chainAll(state, [
-    (from) =>
-      sendAccess(
-        from,
-        { kind: 'entries' },
-        { kind: 'scan', prefix: ENTRY_PREFIX, afterKey: '', limit: MAX_ENTRIES },
-      ),
-    (from) =>
-      sendAccess(
-        from,
-        { kind: 'shards' },
-        {
-          kind: 'read',
-          keys: ALL_SHARDS.flatMap((shard) => [keys.shard(shard), keys.shardLease(shard)]),
-        },
-      ),
-    (from) =>
-      from.isDraining
-        ? unchanged(from)
-        : sendAccess(
-            from,
-            { kind: 'renew', shards: owned.map((view) => view.shard) },
-            {
-              kind: 'commit',
-              isRenewal: true,
-              transaction: {
-                conditions: owned.map(({ shard, version }) => ({
-                  key: keys.shard(shard),
-                  version,
-                })),
-                writes: [
-                  {
-                    kind: 'put',
-                    key: keys.entry(from.entryId),
-                    value: { domain: from.domain, number, token },
-                  },
-                  ...owned.map(({ shard, ownerEpoch }) => ({
-                    kind: 'put' as const,
-                    key: keys.shardLease(shard),
-                    value: { ownerEpoch, renewalToken: token },
-                  })),
-                ],
-              },
-            },
-          ),
-  ]);
-}
-
-function observeVersion(
-  last: ObservedVersion | undefined,
-  version: number,
-  nowMs: number,
-): ObservedVersion {
-  return last !== undefined && last.version === version ? last : { version, sinceMs: nowMs };
-}
-
-/** Updates the known entries, and deletes the rows of those that stopped renewing. */
-export function onEntriesRead(state: BatchState, result: ReadResult, context: Context): BatchStep {
-  if (result.kind === 'unavailable') return unchanged(state);
-  const entryRows = state.entryRows.withMutations((draft) => {
-    const present = new Set(result.rows.map((row) => row.key));
-    state.entryRows.forEach((_, key) => {
-      if (!present.has(key)) draft.delete(key);
-    });
-    result.rows.forEach((row) => {
-      const { domain = '', number = 0 } = entrySchema.safeParse(row.value).data ?? {};
-      const observed = observeVersion(draft.get(row.key), row.version, context.nowMs);
-      draft.set(row.key, { ...observed, domain, number });
-    });
-  });
-  const expired = [...entryRows].filter(
-    ([, observed]) => context.nowMs - observed.sinceMs > ENTRY_EXPIRY_MS,
-  );
-  const cleaned = expired.reduce(
-    (from, [key, observed]) =>
-      queuePart(
-        { ...from, entryRows: from.entryRows.delete(key) },
-        { kind: 'cleanUp' },
-        {
-          conditions: [{ key, version: observed.version }],
-          writes: [{ kind: 'delete', key }],
-        },
-      ).state,
-    { ...state, entryRows, areEntriesKnown: true },
-  );
-  return unchanged(cleaned);
-}
-
-/** Returns the other entries that renewed their rows recently, with their ticket numbers. */
-export function otherEntries(
-  state: BatchState,
-  nowMs: number,
-): readonly { readonly entryId: string; readonly domain: string; readonly number: number }[] {
-  return [...state.entryRows].flatMap(([key, { sinceMs, domain, number }]) =>
-    key !== keys.entry(state.entryId) && nowMs - sinceMs <= SHARD_TAKEOVER_MS
-      ? [{ entryId: key.slice(ENTRY_PREFIX.length), domain, number }]
-      : [],
-  );
-}
-
-/** Returns the number of shards that each entry should own. */
-export function fairShare(state: BatchState, nowMs: number): number {
-  return Math.ceil(SHARD_COUNT / (otherEntries(state, nowMs).length + 1));
-}
-
-function observeShard(view: ShardView, rows: readonly Row[], nowMs: number): ShardView {
-  const row = rows.find((candidate) => candidate.key === keys.shard(view.shard));
-  const lease = rows.find((candidate) => candidate.key === keys.shardLease(view.shard));
-  const owner = ownerSchema.safeParse(row?.value).data ?? { ownerEntryId: '', ownerEpoch: 0 };
-  return {
-    ...view,
-    ...owner,
-    version: row?.version ?? 0,
-    lease: observeVersion(view.lease, lease?.version ?? 0, nowMs),
-  };
-}
-
-/** Takes shards that are free or whose lease expired, and releases those over the fair share. */
-export function onShardsRead(state: BatchState, result: ReadResult, context: Context): BatchStep {
-  if (result.kind === 'unavailable') return unchanged(state);
-  const { nowMs } = context;
-  // The view of a shard with a transaction in progress is updated by its outcome.
-  const shards = state.shards.map((view) =>
-    view.phase === 'watching' ? observeShard(view, result.rows, nowMs) : view,
-  );
-  const observed = { ...state, shards };
-  if (state.isDraining || !state.areEntriesKnown) return unchanged(observed);
-  const share = fairShare(observed, nowMs);
-  const held = shardsIn(observed, ['taking', 'loading', 'owned']);
-  const free = shardsIn(observed, ['watching']).filter(
-    (view) => view.ownerEntryId === '' || nowMs - view.lease.sinceMs >= SHARD_TAKEOVER_MS,
-  );
-  const taken = free.slice(0, Math.max(0, share - held.length));
-  const surplus = shardsIn(observed, ['owned']).slice(0, Math.max(0, held.length - share));
-  return chainAll(observed, [
-    ...taken.map(
-      ({ shard }) =>
-        (from: BatchState) =>
-          advanceShard(from, shard, 'take', {}, context),
-    ),
-    ...surplus.map(
-      ({ shard }) =>
-        (from: BatchState) =>
-          advanceShard(from, shard, 'release', {}, context),
-    ),
-  ]);
-}
-
-/** Handles the result of a renewal. A conflict shows which shards have another owner. */
-export function onRenewal(
-  state: BatchState,
-  shards: readonly number[],
-  result: CommitResult,
-  context: Context,
-): BatchStep {
-  if (result.kind !== 'conflict') return unchanged(state);
-  const versions = new Map(result.rows.map((row) => [row.key, row.version]));
-  const lost = shards.filter((shard) => {
-    const view = state.shards.get(shard);
-    return view !== undefined && (versions.get(keys.shard(shard)) ?? 0) > view.version;
-  });
-  return chainAll(
-    state,
-    lost.map((shard) => (from) => loseShard(from, shard, context)),
-  );
-}
-
-/** Releases all shards before a planned stop. */
-export function drainShards(state: BatchState, context: Context): BatchStep {
-  const key = keys.entry(state.entryId);
-  const withoutEntry = queuePart(
-    { ...state, isDraining: true },
-    { kind: 'cleanUp' },
-    { conditions: [], writes: [{ kind: 'delete', key }] },
-  ).state;
-  return chainAll(
-    withoutEntry,
-    shardsIn(withoutEntry, ['loading', 'owned']).map(
-      ({ shard }) =>
-        (from) =>
-          advanceShard(from, shard, 'release', {}, context),
-    ),
-  );
-}
--- a/packages/batch/src/step.ts
+++ b/packages/batch/src/step.ts
@@ -2,7 +2,7 @@
 import { createGroup, flushGroup, isGroupIdle, applyCommitResult } from '@bronzeyoke/commits';
 import type { CommitResult, ReadResult } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged, fitsIn } from '@bronzeyoke/types';
+import { assertNever, unchanged, fitsIn, chainAll } from '@bronzeyoke/types';
 import {
   onAgentDown,
   onAgentLeaving,
@@ -21,25 +21,18 @@
 import { expireOffers, scheduleTasks } from './offer';
 import { OFFER_EXPIRY_MS, onPartOutcome } from './outcome';
 import { quotaOf } from './quota';
-import { chainAll } from './records';
 import { onReport } from './report';
 import { retireJobs } from './retire';
-import {
-  drainShards,
-  initialShards,
-  onRenewal,
-  onEntriesRead,
-  shardsIn,
-  onShardsRead,
-  refreshOwnership,
-} from './shard';
+import { drainShards, onRenewal, onEntriesRead, onShardsRead, refreshOwnership } from './ownership';
+import { initialShards, shardsIn } from './shard';
 import type {
   BatchEvent,
+  BatchEffect,
   BatchState,
   BatchStep,
   BatchTimer,
-  CallPurpose,
-  Context,
+  BatchPurpose,
+  BatchContext,
   BatchInputs,
 } from './types';
 import { watchersOf } from './watcher';
@@ -89,12 +82,12 @@
   );
 }
 
-function flush(state: BatchState, context: Context): BatchStep {
+function flush(state: BatchState, context: BatchContext): BatchStep {
   const step = flushGroup(state.group, context.nowMs);
   return { state: { ...state, group: step.state }, effects: step.effects };
 }
 
-function onTick(state: BatchState, context: Context): BatchStep {
+function onTick(state: BatchState, context: BatchContext): BatchStep {
   return chainAll(state, [
     (from) => expireOffers(from, OFFER_EXPIRY_MS, context),
     (from) => scheduleTasks(from, context),
@@ -107,7 +100,7 @@
 }
 
 /** Requeues parked tasks that fit now, and cancelled watcher instances that are wanted again. */
-function requeueTasks(state: BatchState, context: Context): BatchStep {
+function requeueTasks(state: BatchState, context: BatchContext): BatchStep {
   const requeued = state.tasks.filter((task) => {
     const job = state.jobs.get(task.id.jobId)?.job;
     if (job === undefined) return false;
@@ -128,12 +121,12 @@
   );
 }
 
-function onConfigured(state: BatchState, context: Context): BatchStep {
+function onConfigured(state: BatchState, context: BatchContext): BatchStep {
   const owned = shardsIn(state, ['owned']);
   const records = owned.flatMap(({ shard }) =>
     watchersOf(shard, [], context, (jobId) => state.jobs.has(jobId)),
   );
-  return chainAll({ ...state, needsScheduling: true }, [
+  return chainAll<BatchState, BatchEffect>({ ...state, needsScheduling: true }, [
     ...records.map(
       (record) => (from: BatchState) => addJob(from, record, new globalThis.Map(), context),
     ),
@@ -142,7 +135,7 @@
   ]);
 }
 
-function onPoll(state: BatchState, context: Context): BatchStep {
+function onPoll(state: BatchState, context: BatchContext): BatchStep {
   const count = state.pollCount;
   const isDue = (every: number) => count % every === 0;
   const always: readonly ((from: BatchState) => BatchStep)[] = [
@@ -170,7 +163,7 @@
   ]);
 }
 
-function onTimer(state: BatchState, timer: BatchTimer, context: Context): BatchStep {
+function onTimer(state: BatchState, timer: BatchTimer, context: BatchContext): BatchStep {
   switch (timer.kind) {
     case 'tick':
       return onTick(state, context);
@@ -183,9 +176,9 @@
 
 function onReadResult(
   state: BatchState,
-  purpose: CallPurpose,
+  purpose: BatchPurpose,
   result: ReadResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   switch (purpose.kind) {
     case 'entries':
@@ -217,7 +210,7 @@
   state: BatchState,
   callId: string,
   result: CommitResult,
-  context: Context,
+  context: BatchContext,
 ): BatchStep {
   const purpose = state.calls.get(callId);
   if (purpose?.kind === 'renew') {
@@ -231,7 +224,7 @@
   );
 }
 
-function handleEvent(state: BatchState, event: BatchEvent, context: Context): BatchStep {
+function handleEvent(state: BatchState, event: BatchEvent, context: BatchContext): BatchStep {
   switch (event.kind) {
     case 'started':
       return chainAll({ ...state, wallOffsetMs: event.wallOffsetMs, startedAtMs: context.nowMs }, [
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -10,7 +10,7 @@
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 
 /** A scheduler process. Each start gets another `bootId`. */
-export interface EntryProcess {
+export interface FleetEntry {
   readonly site: string;
   readonly bootId: number;
   readonly state: SchedulerState;
@@ -20,7 +20,7 @@
 }
 
 /** An agent process beside a worker. */
-export interface AgentProcess {
+export interface FleetAgent {
   readonly site: string;
   readonly bootId: number;
   readonly state: RunnerState;
@@ -87,6 +87,9 @@
   | { readonly kind: 'faultStart'; readonly fault: FleetFault }
   | { readonly kind: 'faultEnd'; readonly fault: FleetFault };
 
+/** An event of one kind. */
+export type EventOf<Kind extends FleetEvent['kind']> = Extract<FleetEvent, { kind: Kind }>;
+
 /** A fault with its duration. */
 export type FleetFault =
   | {
@@ -112,7 +115,7 @@
  * A violated invariant at the workers: two runs of a task at a time, a run after an acknowledged
  * success, or a run after the end of the job.
  */
-export interface Violation {
+export interface FleetViolation {
   readonly kind: 'concurrentRun' | 'runAfterSuccess' | 'runAfterJobEnd';
   readonly task: string;
   readonly atMs: number;
@@ -126,8 +129,8 @@
   readonly nowMs: number;
   readonly sequence: number;
   readonly eventQueue: Heap<FleetEvent>;
-  readonly entries: Map<string, EntryProcess>;
-  readonly agents: Map<string, AgentProcess>;
+  readonly entries: Map<string, FleetEntry>;
+  readonly agents: Map<string, FleetAgent>;
   readonly workers: Map<string, FleetWorker>;
   readonly links: Map<string, FleetLink>;
   readonly bootCount: number;
@@ -136,11 +139,17 @@
   readonly frozenUntilMs: Map<string, number>;
   /** Tasks whose success was acknowledged to a worker. */
   readonly acknowledgedTasks: Set<string>;
-  readonly violations: readonly Violation[];
+  readonly violations: readonly FleetViolation[];
   readonly starts: number;
   readonly steps: number;
 }
 
+/** One-way delay between two processes. */
+export const NETWORK_MS = 2;
+
+/** Delay of a call to the store or of a change from it. */
+export const STORE_MS = 10;
+
 /** Start of the virtual wall clock. */
 export const WALL_START_MS = 1_800_000_000_000;
 
--- a/packages/tasks/src/call.ts
+++ b/packages/tasks/src/call.ts
@@ -1,13 +1,13 @@
 import type { WorkerCommand } from '@bronzeyoke/ports';
-import type { CallPurpose, TasksState, TasksStep } from './types';
+import type { WorkerCallPurpose, TasksState, TasksStep } from './types';
 
 /** Prefix of the ids of calls that this package makes. */
-export const CALL_PREFIX = 'tasks/';
+const CALL_PREFIX = 'tasks/';
 
 /** Sends a command to the worker and records its purpose. */
 export function callWorker(
   state: TasksState,
-  purpose: CallPurpose,
+  purpose: WorkerCallPurpose,
   command: WorkerCommand,
   nowMs: number,
 ): TasksStep {
@@ -24,24 +24,13 @@
 }
 
 /** Returns whether a call of a kind still awaits its reply. */
-export function isCallPending(state: TasksState, kind: CallPurpose['kind'], key?: string): boolean {
+export function isCallPending(
+  state: TasksState,
+  kind: WorkerCallPurpose['kind'],
+  key?: string,
+): boolean {
   return state.calls.some(
     ({ purpose }) =>
       purpose.kind === kind && (key === undefined || !('key' in purpose) || purpose.key === key),
   );
 }
-
-/** Applies another decision to a step's state and appends its effects. */
-export function chain(step: TasksStep, next: (state: TasksState) => TasksStep): TasksStep {
-  const after = next(step.state);
-  return { state: after.state, effects: [...step.effects, ...after.effects] };
-}
-
-/** Applies a decision for each item in turn. */
-export function chainEach<Item>(
-  step: TasksStep,
-  items: Iterable<Item>,
-  next: (state: TasksState, item: Item) => TasksStep,
-): TasksStep {
-  return [...items].reduce((current, item) => chain(current, (state) => next(state, item)), step);
-}
--- a/packages/tasks/src/lease.ts
+++ b/packages/tasks/src/lease.ts
@@ -1,8 +1,8 @@
 import { OrderedMap } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
-import { callWorker, isCallPending, chain, chainEach } from './call';
+import { assertNever, unchanged, chain, chainEach } from '@bronzeyoke/types';
+import { callWorker, isCallPending } from './call';
 import type { LeaseAction } from './chart';
 import { leaseChart } from './chart';
 import { stopAll, stopTask, taskLeaseMs } from './task';
@@ -17,7 +17,7 @@
   RENEW_RETRY_MS,
   TOKEN_REUSE_MS,
 } from './limits';
-import type { Lease, LeaseRequest, TaskRecord, TasksState, TasksStep } from './types';
+import type { Lease, LeaseRequest, AgentTaskRecord, TasksState, TasksStep } from './types';
 
 type LeaseEvent =
   | 'register'
@@ -102,7 +102,7 @@
   };
 }
 
-function mayRun({ phase }: TaskRecord): boolean {
+function mayRun({ phase }: AgentTaskRecord): boolean {
   return phase === 'starting' || phase === 'running' || phase === 'checkpointing';
 }
 
--- a/packages/tickets/src/check.ts
+++ b/packages/tickets/src/check.ts
@@ -2,7 +2,7 @@
 import { assertNever, changeKey, fail, succeed } from '@bronzeyoke/types';
 
 /** Maximum changes in a ticket; with the rows of head and ticket they fit into one transaction. */
-export const MAX_CHANGES = 90;
+const MAX_CHANGES = 90;
 
 // The configuration is sent to agents in one frame of at most 1.25 MB.
 const MAX_CONFIGURATION_CHARS = 900_000;
@@ -13,7 +13,7 @@
 const MAX_TIME_MS = 86_400_000;
 const NAME = /^[A-Za-z0-9_-]{1,64}$/;
 
-interface Problem {
+interface ChangeProblem {
   readonly field: string;
   readonly problem: string;
 }
@@ -22,23 +22,23 @@
   return Number.isFinite(value) && value >= 0 && value <= max;
 }
 
-function resourceProblems(field: string, resources: Resources): readonly Problem[] {
+function resourceProblems(field: string, resources: Resources): readonly ChangeProblem[] {
   return Object.entries(resources)
     .filter(([, value]) => !isAmount(value, MAX_RESOURCE))
     .map(([name]) => ({ field: `${field}.${name}`, problem: `not in 0..${MAX_RESOURCE}` }));
 }
 
-function nameProblems(field: string, name: string): readonly Problem[] {
+function nameProblems(field: string, name: string): readonly ChangeProblem[] {
   return NAME.test(name) ? [] : [{ field, problem: 'not 1 to 64 letters, digits, _ or -' }];
 }
 
-function timeProblems(field: string, value: number): readonly Problem[] {
+function timeProblems(field: string, value: number): readonly ChangeProblem[] {
   return isAmount(value, MAX_TIME_MS) && value > 0
     ? []
     : [{ field, problem: 'not a time of up to a day' }];
 }
 
-function changeProblems(change: ConfigChange): readonly Problem[] {
+function changeProblems(change: ConfigChange): readonly ChangeProblem[] {
   const field = changeKey(change);
   switch (change.kind) {
     case 'domain':
@@ -71,7 +71,7 @@
 }
 
 /** Returns the configuration after the changes of a ticket. */
-export function applyChanges(
+function applyChanges(
   configuration: Configuration,
   number: number,
   changes: readonly ConfigChange[],
@@ -94,7 +94,7 @@
   const after = applyChanges(configuration, number, changes);
   const chars = JSON.stringify(after).length;
   const isTooLarge = after.entries.length > MAX_ENTRIES || chars > MAX_CONFIGURATION_CHARS;
-  const problems: readonly Problem[] = [
+  const problems: readonly ChangeProblem[] = [
     ...(Number.isSafeInteger(number) && number > 0
       ? []
       : [{ field: 'number', problem: 'not a positive whole number' }]),
