Let entries on small machines claim a free lease later

An entry now leaves a free lease to others for up to 0.7 s, the longer the less its machine offers.

The new test fails without the delay.

--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -1,7 +1,7 @@
 import type { RunnerEffect, RunnerEvent } from '@bronzeyoke/runner';
 import { createRunner, stepRunner } from '@bronzeyoke/runner';
 import type { SchedulerEffect, SchedulerEvent } from '@bronzeyoke/scheduler';
-import { createScheduler, stepScheduler, deriveTimes } from '@bronzeyoke/scheduler';
+import { createScheduler, deriveTimes, FULL_CAPACITY, stepScheduler } from '@bronzeyoke/scheduler';
 import { createTaskWorker } from '@bronzeyoke/standins';
 import { assertNever, without } from '@bronzeyoke/types';
 import type { Fleet } from './world';
@@ -32,6 +32,7 @@
     entryId: `${site}-${bootId}`,
     host: site,
     port: 1,
+    capacity: FULL_CAPACITY,
     times: fleet.times,
   });
   const entry = { site, bootId, state, followsJobs: false };
--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -7,6 +7,7 @@
 import type { LeaseValue } from './rows';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
 import { unchanged, withEffects } from './state';
+import { claimDelayMs } from './times';
 import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from './types';
 
 const POLL_MS = 300;
@@ -91,10 +92,11 @@
   const seen = { ...polled, seenLease: lease };
   if (state.leaderVersion < 0) return unchanged(seen);
   const isFree = lease.value === undefined || lease.value.isReleased;
+  const { times, capacity } = state.settings;
   const pollMs = nowMs - state.pollSentAtMs;
   const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
-  const waitMs = state.settings.times.takeoverAfterMs + slowMs + random * CLAIM_SPREAD_MS;
-  if (!isFree && nowMs - lease.sinceMs < waitMs) return unchanged(seen);
+  const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs + random * CLAIM_SPREAD_MS;
+  if (nowMs - lease.sinceMs < takeoverMs + claimDelayMs(capacity)) return unchanged(seen);
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
 }
 
--- a/packages/scheduler/src/times.ts
+++ b/packages/scheduler/src/times.ts
@@ -8,6 +8,12 @@
   readonly statusMs: number;
 }
 
+/** What the machine of an entry offers to it. */
+export interface EntryCapacity {
+  readonly processors: number;
+  readonly linkMbps: number;
+}
+
 /** Times of the scheduler, in ms. */
 export interface SchedulerTimes {
   /** Interval between two writes of the leader's lease row. */
@@ -52,3 +58,22 @@
     statusMs: bounds.statusMs,
   };
 }
+
+/** Capacity with which an entry can lead without delay. */
+export const FULL_CAPACITY: EntryCapacity = { processors: 0.6, linkMbps: 100 };
+
+/** Longer than a poll interval with its random spread, so that an entry with full capacity goes first. */
+const MAX_CLAIM_DELAY_MS = 700;
+
+/**
+ * Returns how long an entry leaves a free lease to others. A leader talks to all agents and writes all
+ * progress, which is more than a small machine or a narrow link can bear.
+ */
+export function claimDelayMs({ processors, linkMbps }: EntryCapacity): number {
+  const share = Math.min(
+    1,
+    processors / FULL_CAPACITY.processors,
+    linkMbps / FULL_CAPACITY.linkMbps,
+  );
+  return Math.round(MAX_CLAIM_DELAY_MS * (1 - share));
+}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -15,7 +15,7 @@
 import chartFile from '../charts/leadership.json';
 import type { LeaseValue } from './rows';
 import type { RunTable } from './runs';
-import type { SchedulerTimes } from './times';
+import type { EntryCapacity, SchedulerTimes } from './times';
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
@@ -35,11 +35,12 @@
   readonly term: number;
 }
 
-/** Address of this entry, and the times of its scheduler. */
+/** Address and capacity of this entry, and the times of its scheduler. */
 export interface SchedulerSettings {
   readonly entryId: string;
   readonly host: string;
   readonly port: number;
+  readonly capacity: EntryCapacity;
   readonly times: SchedulerTimes;
 }
 
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -8,6 +8,7 @@
 import {
   createScheduler,
   deriveTimes,
+  FULL_CAPACITY,
   jobKey,
   LEASE_KEY,
   progressKey,
@@ -78,8 +79,8 @@
 }
 
 /** Returns a scheduler that follows, with an empty store. */
-export function createFollower(): Fixture {
-  const settings = { entryId: 'entry-1', host: 'h1', port: 1, times: TIMES };
+export function createFollower(capacity = FULL_CAPACITY): Fixture {
+  const settings = { entryId: 'entry-1', host: 'h1', port: 1, capacity, times: TIMES };
   const fixture = { state: createScheduler(settings), effects: [], nowMs: 1_000, version: 10 };
   return dispatch(fixture, { kind: 'leaderRow', row: undefined });
 }
--- a/packages/scheduler/test/leadership.test.ts
+++ b/packages/scheduler/test/leadership.test.ts
@@ -306,6 +306,16 @@
   expect(grantsOf(report(writing, 'w1'))).to.equal(granted);
 });
 
+// Guards against a leader on a small machine, which cannot follow all agents: it leaves the lease to
+// entries with full capacity, and still claims one that none of them takes.
+it('claims a free lease later on a small machine', () => {
+  const small = createFollower({ processors: 0.324, linkMbps: 10 });
+  const seen = poll(small, undefined);
+  expect(seen.state.phase).to.equal('following');
+  expect(poll(seen, undefined).state.phase).to.equal('following');
+  expect(poll(poll(seen, undefined), undefined).state.phase).to.equal('claiming');
+});
+
 /** Time for which a lasting task may be away after its last run while nothing fails. */
 const MAX_AWAY_MS = 9_000;
 
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -1,5 +1,5 @@
 import type { SchedulerEffect, SchedulerEvent, SchedulerState } from '@bronzeyoke/scheduler';
-import { createScheduler, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
+import { createScheduler, FULL_CAPACITY, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import { WALL_MS } from './fixture';
 import type { EntryNode, Link, World } from './simnodes';
@@ -29,7 +29,13 @@
     held: readonly SchedulerEvent[];
     jobFeed?: SimFollower | undefined;
   } = {
-    state: createScheduler({ entryId, host, port: PORT, times: world.times }),
+    state: createScheduler({
+      entryId,
+      host,
+      port: PORT,
+      capacity: FULL_CAPACITY,
+      times: world.times,
+    }),
     isUp: true,
     isStopping: false,
     isFrozen: false,
