Answer agents while the leader loads its state

A loading leader now answers reports with its own address, and an agent counts that as progress. Both new tests fail without the change.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -159,8 +159,13 @@
   const { worker } = state;
   const current = { ...state, progressAtMs: nowMs };
   switch (message.kind) {
-    case 'leader':
-      return onLeader(state, message.term, { host: message.host, port: message.port }, nowMs);
+    case 'leader': {
+      const { term, host, port } = message;
+      const address = { host, port };
+      // An entry that names itself is at work as the leader, or loads its state.
+      const known = isSameAddress(state.target, address) ? current : state;
+      return onLeader(known, term, address, nowMs);
+    }
     case 'start':
       return onStartOrder(current, message);
     case 'grant': {
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -177,6 +177,14 @@
   expect(silent.effects.some(({ kind }) => kind === 'connect')).to.equal(true);
 });
 
+// Guards against agents that leave a leader whose load takes long, and then try entries that are down.
+it('agent: a leader that still loads keeps the connection', () => {
+  const message = { kind: 'leader', term: 1, ...LEADER } as const;
+  const loading = dispatch(createLeased(), { kind: 'received', message }, 1_400);
+  const later = dispatch(loading, { kind: 'tick' }, 1_400);
+  expect(later.effects.some(({ kind }) => kind === 'connect')).to.equal(false);
+});
+
 // Guards against tasks that wait for a lease to expire after their worker left without a leader.
 it('agent: a worker that left is reported again on a new connection', () => {
   const alone = dispatch(createLeased(), { kind: 'linkClosed' });
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -173,6 +173,8 @@
       if (state.phase === 'loading' && message.kind === 'workerGone') {
         return unchanged(recordGoneWorker(state, { linkId, workerKey: message.workerKey }));
       }
+      // The reply keeps the agent from looking for another leader during a long load.
+      if (state.phase === 'loading') return announceLeader(state, linkId);
       if (state.phase !== 'leading') return unchanged(state);
       switch (message.kind) {
         case 'report':
--- a/packages/scheduler/test/gone.test.ts
+++ b/packages/scheduler/test/gone.test.ts
@@ -111,3 +111,12 @@
   const gone = reportGone(reportGone(busy, 'w1'), 'w1');
   expect(sentMessages(commitAll(gone), 'goneRecorded')).to.have.length(1);
 });
+
+// Guards against agents that look for another leader while this one loads its state.
+it('answers a report during the load with its own address', () => {
+  const loading = createLoading();
+  const reported = report(loading, 'w1');
+  const before = sentMessages(loading, 'leader').length;
+  // One message greets the new connection, the other one answers the report.
+  expect(sentMessages(reported, 'leader')).to.have.length(before + 2);
+});
