--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -19,6 +19,7 @@
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { chainAll, putJob, sendToWorker, unchanged, withEffects } from './state';
 import type {
+  GoneReport,
   OpenJob,
   OrphanRun,
   RunView,
@@ -181,10 +182,11 @@
 /** Adds the runs in the stored progress. Their start orders may or may not have been sent. */
 function adoptRuns(
   state: SchedulerState,
-  goneWorkerKeys: readonly string[],
+  goneReports: readonly GoneReport[],
   nowMs: number,
 ): SchedulerState {
-  const isGone = (workerKey: string): boolean => goneWorkerKeys.includes(workerKey);
+  const isGone = (workerKey: string): boolean =>
+    goneReports.some((report) => report.workerKey === workerKey);
   const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
     assignedSlots(progress).flatMap(([slot, task]): readonly (readonly [string, RunView])[] => {
       const stage = job.stages[Number(slot.split('.')[1])];
@@ -258,7 +260,7 @@
 }
 
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const { progress = Map<string, JobProgress>(), jobRows, goneWorkerKeys = [] } = state.loading;
+  const { progress = Map<string, JobProgress>(), jobRows, goneReports = [] } = state.loading;
   if (state.phase !== 'loading') return unchanged(state);
   if (jobRows === undefined || !areReadsDone(state)) return unchanged(state);
   const ended = progress.filter(({ outcome }) => outcome !== undefined);
@@ -272,7 +274,7 @@
   return chainAll(loaded, [
     (current) =>
       applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_PROGRESS, wallMs),
-    (current) => unchanged(adoptRuns(current, goneWorkerKeys, nowMs)),
+    (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
   ]);
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -34,9 +34,7 @@
 function recordGoneWorker(state: SchedulerState, report: GoneReport): SchedulerState {
   const { goneReports = [] } = state.loading;
   if (goneReports.some((other) => isSameReport(other, report))) return state;
-  const reports = [...goneReports, report];
-  const goneWorkerKeys = reports.map(({ workerKey }) => workerKey);
-  return { ...state, loading: { ...state.loading, goneReports: reports, goneWorkerKeys } };
+  return { ...state, loading: { ...state.loading, goneReports: [...goneReports, report] } };
 }
 
 /**
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -204,9 +204,7 @@
   /** Progress on the pages read so far. */
   readonly progress?: Map<string, JobProgress>;
   readonly jobRows?: readonly StoredRow[];
-  /** Workers that agents reported as gone during the reads. */
-  readonly goneWorkerKeys?: readonly string[];
-  /** The same reports with their connections, for the confirmation after the load. */
+  /** Messages during the reads that workers are gone. They are confirmed after the load. */
   readonly goneReports?: readonly GoneReport[];
 }
 
