Share a lease's length and the test set-up of one running task

The end of a lease was worked out again in report.ts beside leaseEndMs, and two test files had the same leader with one running task. Behaviour and assertions are unchanged.

--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -6,7 +6,7 @@
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { earlierInstances } from './instances';
-import { isAwaited } from './leases';
+import { isAwaited, leaseEndMs } from './leases';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
 import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
@@ -42,7 +42,7 @@
   const mustWait = isAwaited(state, workerKey);
   const mayGrant = isNewClock && !mustWait && nowMs < state.mayGrantUntilMs;
   const listed = new Set(report.running.map((run) => runKey(run)));
-  const expiresAtMs = nowMs + times.agentLeaseMs + times.marginMs;
+  const expiresAtMs = nowMs + leaseEndMs(times);
   const view: WorkerView = {
     workerKey,
     report: worker,
--- a/packages/scheduler/test/fixture.ts
+++ b/packages/scheduler/test/fixture.ts
@@ -275,3 +275,19 @@
 export function sentMessages(fixture: Fixture, kind: string): readonly SchedulerEffect[] {
   return fixture.effects.filter((effect) => effect.kind === 'send' && effect.message.kind === kind);
 }
+
+/** The only task of job1. */
+export const TASK = 'job1.0.0.0';
+
+/** Returns a leader with one worker that runs the only task of a job. */
+export function running(changes: Parameters<typeof stageOf>[1] = {}): Fixture {
+  const placed = commitAll(
+    submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1, changes)])),
+  );
+  return report(advance(placed, 100), 'w1', { running: [listedRun(TASK, 1)], lastOrder: 1 });
+}
+
+/** Returns the phase of the only task of job1. */
+export function phaseOf(fixture: Fixture): string | undefined {
+  return fixture.state.jobs.get('job1')?.progress.tasks.get('0.0.0')?.phase;
+}
--- a/packages/scheduler/test/gone.test.ts
+++ b/packages/scheduler/test/gone.test.ts
@@ -10,28 +10,16 @@
   dispatch,
   inFlight,
   jobOf,
-  listedRun,
+  phaseOf,
   report,
+  running,
   sentMessages,
   stageOf,
-  submit,
   TIMES,
   WALL_MS,
   workerKeyFor,
 } from './fixture';
 
-const TASK = 'job1.0.0.0';
-
-/** Returns a leader with one worker that runs the only task of a job. */
-function running(): Fixture {
-  const placed = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)])));
-  return report(advance(placed, 100), 'w1', { running: [listedRun(TASK, 1)], lastOrder: 1 });
-}
-
-function phaseOf(fixture: Fixture): string | undefined {
-  return fixture.state.jobs.get('job1')?.progress.tasks.get('0.0.0')?.phase;
-}
-
 /** Returns a leader to which an agent reported its worker as gone before the load was done. */
 function loadWithGoneWorker(): Fixture {
   const wallMs = WALL_MS;
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -11,29 +11,18 @@
   jobOf,
   createLeader,
   listedRun,
+  phaseOf,
   report,
+  running,
   sentMessages,
   stageOf,
   submit,
+  TASK,
   TIMES,
   WALL_MS,
   workerKeyFor,
 } from './fixture';
 
-const TASK = 'job1.0.0.0';
-
-/** Returns a leader with one worker that runs the only task of a job. */
-function running(changes: Parameters<typeof stageOf>[1] = {}): Fixture {
-  const placed = commitAll(
-    submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1, changes)])),
-  );
-  return report(advance(placed, 100), 'w1', { running: [listedRun(TASK, 1)], lastOrder: 1 });
-}
-
-function phaseOf(fixture: Fixture): string | undefined {
-  return fixture.state.jobs.get('job1')?.progress.tasks.get('0.0.0')?.phase;
-}
-
 // Guards against a start whose claim a crash would lose.
 it('sends no start before its claim is stored', () => {
   const placed = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(2)]));
