Keep places for lasting tasks that have run, and make room for them

Cause: nothing kept room for a task that needs more than falls free at once. Quick tasks took each core, a failed task lost its own place during its back-off, the slots of a stage went by number, and nothing stopped or moved what was in the way.

Change: lasting tasks that have run are placed before all others, the one that is away longest first. The members of a gang keep their places together. The life cycle of a wait is in charts/wait.json.

Measured: 8 of the 9 tests of returning.test.ts fail before (for example 'expected undefined to equal w4', 'expected [] to deeply equal [preempted]'); all pass after.

--- /dev/null
+++ b/packages/scheduler/src/pass.ts
@@ -0,0 +1,183 @@
+import type { Map } from 'immutable';
+import { classifyFills } from '@bronzeyoke/interference';
+import type { WorkerLoad } from '@bronzeyoke/placement';
+import { chooseWorker, withTask } from '@bronzeyoke/placement';
+import { without } from '@bronzeyoke/types';
+import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
+import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
+import type { StageCandidate } from './candidates';
+import { putRun } from './runs';
+import { addPostCommitAction, putJob } from './state';
+import type { OpenJob, RunView, SchedulerState } from './types';
+
+function claimTask(
+  state: SchedulerState,
+  open: OpenJob,
+  slot: string,
+  stage: Stage,
+  workerKey: string,
+  attempt: number,
+  isLastResort: boolean,
+  nowMs: number,
+): SchedulerState {
+  const { jobId } = open.job;
+  const task = taskProgress(open.progress, slot);
+  const address = state.workers.get(workerKey)?.report?.address;
+  const claimed = {
+    ...without(advanceRun(task, 'claim'), 'workerAddress'),
+    attempt,
+    workerKey,
+    ...(address === undefined ? {} : { workerAddress: address }),
+  };
+  const name = `${jobId}.${slot}`;
+  const run: RunView = {
+    jobId,
+    slot,
+    stage,
+    workerKey,
+    attempt,
+    order: 0,
+    isOrdered: false,
+    claimedAtMs: nowMs,
+    percent: 0,
+    percentAtMs: nowMs,
+    load: 0,
+    isListed: false,
+    listedAtMs: nowMs,
+    isLastResort,
+    pace: 100,
+    pacedAtMs: nowMs,
+  };
+  const next = putJob(state, jobId, {
+    ...open,
+    progress: withTasks(open.progress, [[slot, claimed]]),
+  });
+  return addPostCommitAction(
+    { ...next, runs: putRun(next.runs, name, run), backOff: next.backOff.delete(name) },
+    { kind: 'start', task: name, attempt },
+  );
+}
+
+/** Why a run is stopped in favour of another task. */
+export type StopReason = 'preempted' | 'moved';
+
+/** State of one placement pass over all candidates. */
+export interface PlacementPass {
+  readonly state: SchedulerState;
+  /** Loads that include the claims and the reservations of this pass. */
+  readonly loads: Map<string, WorkerLoad>;
+  /** Runs to stop in favour of other tasks. */
+  readonly stops: Map<string, StopReason>;
+  /** Worker on which this pass keeps room for a waiting task, by task. */
+  readonly reservations: Map<string, string>;
+}
+
+/** Returns the queue's service in the current configuration. */
+function serviceOf({ state }: PlacementPass, { job }: OpenJob): string {
+  const { service, queue } = job.policy;
+  const current = state.config?.queues.find((other) => other.queue === queue);
+  return current?.service ?? service;
+}
+
+/** Returns the workers of the service that a job's queue names. */
+export function loadsOfService(
+  pass: PlacementPass,
+  open: OpenJob,
+  loads: Map<string, WorkerLoad> = pass.loads,
+): readonly WorkerLoad[] {
+  const wanted = serviceOf(pass, open);
+  return loads
+    .valueSeq()
+    .filter(({ workerKey }) => pass.state.workers.get(workerKey)?.report?.service === wanted)
+    .toArray();
+}
+
+/** Counts the tasks of a stage and occurrence on each worker, with those that have a reservation there. */
+export function siblingCounter(
+  pass: PlacementPass,
+  open: OpenJob,
+  ready: ReadyStage,
+): (workerKey: string) => number {
+  const prefix = `${ready.occurrence}.${ready.stageIndex}.`;
+  const assigned = [...open.progress.tasks].flatMap(([slot, { workerKey }]) =>
+    workerKey !== undefined && slot.startsWith(prefix) ? [workerKey] : [],
+  );
+  const reserved = pass.reservations
+    .filter((_, task) => task.startsWith(`${open.job.jobId}.${prefix}`))
+    .valueSeq();
+  const counts = [...assigned, ...reserved].reduce(
+    (known, workerKey) => known.set(workerKey, (known.get(workerKey) ?? 0) + 1),
+    new globalThis.Map<string, number>(),
+  );
+  return (workerKey) => counts.get(workerKey) ?? 0;
+}
+
+/** Returns the best of some workers for a task. */
+export function chooseWorkerFor(
+  pass: PlacementPass,
+  open: OpenJob,
+  ready: ReadyStage,
+  slot: string,
+  loads: Map<string, WorkerLoad>,
+  isLastResort: boolean,
+): WorkerLoad | undefined {
+  const { failedOn } = taskProgress(open.progress, slot);
+  return chooseWorker(
+    ready.stage,
+    loadsOfService(pass, open, loads),
+    (serving, fills) => classifyFills(pass.state.pairs, serving, fills),
+    {
+      siblingCount: siblingCounter(pass, open, ready),
+      isLastResort,
+      ...(failedOn === undefined ? {} : { avoidWorkerKey: failedOn }),
+    },
+  );
+}
+
+/** Claims the best worker for a task; undefined if none has room. */
+export function placeTask(
+  pass: PlacementPass,
+  jobId: string,
+  ready: ReadyStage,
+  slot: string,
+  attempt: number,
+  nowMs: number,
+  isLastResort = false,
+): PlacementPass | undefined {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined) return undefined;
+  const chosen = chooseWorkerFor(pass, open, ready, slot, pass.loads, isLastResort);
+  if (chosen === undefined) return undefined;
+  return {
+    ...pass,
+    state: claimTask(
+      pass.state,
+      open,
+      slot,
+      ready.stage,
+      chosen.workerKey,
+      attempt,
+      isLastResort,
+      nowMs,
+    ),
+    loads: pass.loads.set(chosen.workerKey, withTask(chosen, ready.stage)),
+  };
+}
+
+/** Places all members of a gang, or none. They share one attempt number. */
+export function placeGang(
+  pass: PlacementPass,
+  { jobId, ready }: Pick<StageCandidate, 'jobId' | 'ready'>,
+  nowMs: number,
+): PlacementPass {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined || ready.slots.length < ready.stage.taskCount) return pass;
+  const attempt =
+    1 + Math.max(...ready.slots.map((slot) => taskProgress(open.progress, slot).attempt));
+  const placed = ready.slots.reduce<PlacementPass | undefined>(
+    (current, slot) =>
+      current === undefined ? undefined : placeTask(current, jobId, ready, slot, attempt, nowMs),
+    pass,
+  );
+  return placed ?? pass;
+}
--- a/packages/scheduler/src/preempt.ts
+++ b/packages/scheduler/src/preempt.ts
@@ -1,7 +1,11 @@
 import type { Map } from 'immutable';
 import type { WorkerLoad } from '@bronzeyoke/placement';
-import type { RunView, SchedulerState } from './types';
+import { withTask } from '@bronzeyoke/placement';
+import type { StageCandidate } from './candidates';
+import type { PlacementPass } from './pass';
+import { chooseWorkerFor } from './pass';
 import { runsOn } from './runs';
+import type { RunView, SchedulerState } from './types';
 
 /** Name and run of a filling task. */
 type Fill = readonly [task: string, run: RunView];
@@ -23,7 +27,7 @@
 }
 
 /** Returns the loads without the memory of filling tasks that belong to less urgent jobs. */
-export function loadsWithoutFills(
+function loadsWithoutFills(
   state: SchedulerState,
   loads: Map<string, WorkerLoad>,
   priority: number,
@@ -37,11 +41,11 @@
  * Returns the filling tasks to stop so that a worker's reserved memory fits its capacity again.
  * Tasks that save checkpoints come first, then the latest ones, because they lose the least work.
  */
-export function fillsToStop(
+function fillsToStop(
   state: SchedulerState,
   load: WorkerLoad,
   priority: number,
-  stopped: ReadonlySet<string>,
+  stopped: Map<string, unknown>,
 ): readonly string[] {
   const fills = fillsOn(state, load.workerKey, priority);
   const isStopping = ([task, run]: Fill): boolean =>
@@ -66,3 +70,42 @@
     { tasks: [], remainingMb: missingMb },
   ).tasks;
 }
+
+/**
+ * Reserves workers for tasks that lack only memory held by less urgent filling tasks, and adds these
+ * to the tasks to stop. A later pass places the tasks once the stopped ones have ended.
+ */
+export function preemptFills(
+  pass: PlacementPass,
+  { jobId, ready, priority }: StageCandidate,
+  slots: readonly string[],
+): PlacementPass {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined || slots.length === 0) return pass;
+  const withoutFills = loadsWithoutFills(pass.state, pass.loads, priority);
+  return slots.reduce<{
+    readonly pass: PlacementPass;
+    readonly withoutFills: PlacementPass['loads'];
+    readonly isFull: boolean;
+  }>(
+    (current, slot) => {
+      if (current.isFull) return current;
+      const chosen = chooseWorkerFor(current.pass, open, ready, slot, current.withoutFills, false);
+      const load = chosen === undefined ? undefined : current.pass.loads.get(chosen.workerKey);
+      if (chosen === undefined || load === undefined) return { ...current, isFull: true };
+      const { workerKey } = chosen;
+      const reserved = withTask(load, ready.stage);
+      const stops = fillsToStop(pass.state, reserved, priority, current.pass.stops);
+      return {
+        pass: {
+          ...current.pass,
+          loads: current.pass.loads.set(workerKey, reserved),
+          stops: current.pass.stops.merge(stops.map((task) => [task, 'preempted'])),
+        },
+        withoutFills: current.withoutFills.set(workerKey, withTask(chosen, ready.stage)),
+        isFull: false,
+      };
+    },
+    { pass, withoutFills, isFull: false },
+  ).pass;
+}
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -26,6 +26,8 @@
   runs: NO_RUNS,
   orphans: Map<string, never>(),
   backOff: Map<string, never>(),
+  waits: Map<string, never>(),
+  placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
   needsPlacement: false,
   writtenCounts: '',
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -83,7 +83,8 @@
 
 function onTick(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const hasExpired = state.backOff.some((untilMs) => untilMs <= nowMs);
-  const updated: SchedulerState = hasExpired
+  const isDue = hasExpired || nowMs >= state.placeAgainAtMs;
+  const updated: SchedulerState = isDue
     ? {
         ...state,
         backOff: state.backOff.filter((untilMs) => untilMs > nowMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -16,6 +16,7 @@
 import type { LeaseValue } from './rows';
 import type { RunTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
+import type { PlaceWait } from './waits';
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
@@ -243,6 +244,10 @@
   readonly orphans: Map<string, OrphanRun>;
   /** Time before which a task is not placed again, by task. */
   readonly backOff: Map<string, number>;
+  /** Waits of lasting tasks that have run, by task. */
+  readonly waits: Map<string, PlaceWait>;
+  /** Time of the next placement without another cause. */
+  readonly placeAgainAtMs: number;
   readonly links: Map<string, LinkView>;
   readonly linksOpened: number;
   readonly pairs: PairEstimates;
--- /dev/null
+++ b/packages/scheduler/src/waits.ts
@@ -0,0 +1,111 @@
+import type { Map } from 'immutable';
+import type { StateOf } from '@bronzeyoke/chart';
+import { advance, compileChart } from '@bronzeyoke/chart';
+import type { ReadyStage } from '@bronzeyoke/workflow';
+import { taskProgress } from '@bronzeyoke/workflow';
+import chartFile from '../charts/wait.json';
+import type { StageCandidate } from './candidates';
+import type { SchedulerState } from './types';
+
+/** Chart of the wait of a lasting task for a place. */
+export const waitChart = compileChart(chartFile, {
+  states: ['searching', 'reserved', 'clearing', 'moving', 'claimed'],
+  events: ['reserve', 'clear', 'lose', 'claim', 'end', 'release'],
+  actions: [],
+});
+
+/** State of the chart of a wait. */
+export type WaitPhase = StateOf<typeof waitChart>;
+
+/** Event of the chart of a wait. */
+export type WaitEvent = 'reserve' | 'clear' | 'lose' | 'claim' | 'end' | 'release';
+
+/** Wait of a lasting task for a place, from the end of its last run until the next one is listed. */
+export interface PlaceWait {
+  readonly phase: WaitPhase;
+  readonly sinceMs: number;
+  /** Worker whose room is kept for the task. */
+  readonly workerKey?: string;
+  /** Time of the last search for runs whose move would make room. */
+  readonly movesSoughtAtMs?: number;
+  readonly isLogged: boolean;
+}
+
+/** A lasting task that has run and waits for a place. */
+export interface WaitingTask {
+  readonly task: string;
+  readonly slot: string;
+  readonly candidate: StageCandidate;
+  readonly wait: PlaceWait;
+}
+
+/** Returns a new wait in a phase. */
+export function startWait(phase: WaitPhase, nowMs: number): PlaceWait {
+  return { phase, sinceMs: nowMs, isLogged: false };
+}
+
+/** Advances a wait to its next phase; an event that its phase does not handle changes nothing. */
+export function advanceWait(wait: PlaceWait, event: WaitEvent): PlaceWait {
+  return { ...wait, phase: advance(waitChart, wait.phase, event).state };
+}
+
+function hasRun(state: SchedulerState, jobId: string, slot: string): boolean {
+  const open = state.jobs.get(jobId);
+  return open !== undefined && taskProgress(open.progress, slot).attempt > 0;
+}
+
+/** Returns the slots of a stage whose lasting tasks have run before. */
+function returningSlots(
+  state: SchedulerState,
+  jobId: string,
+  { stage, slots }: ReadyStage,
+): readonly string[] {
+  return stage.isLasting ? slots.filter((slot) => hasRun(state, jobId, slot)) : [];
+}
+
+/** Returns whether a claimed task has not been listed yet, or a run is stopped in order to move it. */
+function isUnsettled(state: SchedulerState, task: string): boolean {
+  const run = state.runs.byTask.get(task);
+  return run !== undefined && (!run.isListed || run.stopSentAtMs !== undefined);
+}
+
+function waitOf(known: PlaceWait | undefined, nowMs: number): PlaceWait {
+  switch (known?.phase) {
+    case undefined:
+      return startWait('searching', nowMs);
+    case 'claimed':
+      return advanceWait(known, 'release');
+    case 'moving':
+      return { ...advanceWait(known, 'end'), sinceMs: nowMs };
+    case 'searching':
+    case 'reserved':
+    case 'clearing':
+      return known;
+  }
+}
+
+/** Returns the lasting tasks that have run and wait, the one that is away longest first. */
+export function waitingTasks(
+  state: SchedulerState,
+  candidates: readonly StageCandidate[],
+  nowMs: number,
+): readonly WaitingTask[] {
+  const waiting = candidates.flatMap((candidate) => {
+    const { jobId, ready } = candidate;
+    return returningSlots(state, jobId, ready).map((slot) => {
+      const task = `${jobId}.${slot}`;
+      return { task, slot, candidate, wait: waitOf(state.waits.get(task), nowMs) };
+    });
+  });
+  return waiting.toSorted((left, right) => left.wait.sinceMs - right.wait.sinceMs);
+}
+
+/** Adds the waits of waiting tasks, and drops those of tasks that run again or have ended. */
+export function updateWaits(
+  state: SchedulerState,
+  waiting: readonly WaitingTask[],
+): Map<string, PlaceWait> {
+  return state.waits
+    .filter((_, task) => isUnsettled(state, task))
+    .merge(waiting.map(({ task, wait }) => [task, wait]));
+}
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -14,6 +14,8 @@
   | 'jobCancelled'
   | 'jobSeen'
   | 'jobEnded'
+  | 'placeAwaited'
+  | 'placeFound'
   | 'taskPlaced'
   | 'taskUnplaced'
   | 'taskStarted'
