Place waiting tasks again as time passes

Cause: a placement pass ran only after an event of a job or a worker. A job that becomes overdue, the end of a quarantine and the due time of a scheduled job are none, so that on an idle fleet nothing placed the task.

Change: a pass sets the time of the next one: 0.2 s while lasting tasks wait, 0.5 s while others do, or the next due time.

--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -1,6 +1,6 @@
 import { Map } from 'immutable';
 import { fitsEmptyWorker } from '@bronzeyoke/placement';
-import { assignedSlots, taskProgress } from '@bronzeyoke/workflow';
+import { assignedSlots, taskProgress, untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import { orderedCandidates } from './candidates';
 import { workerLoads } from './loads';
@@ -15,7 +15,13 @@
 import { updateWaits, waitingTasks } from './waits';
 
 /** Time after which tasks are placed again while lasting tasks wait, whose plans depend on it. */
-const PLACE_AGAIN_MS = 200;
+const RETURNING_AGAIN_MS = 200;
+
+/**
+ * The same while other tasks wait. A quarantine ends and a job becomes overdue without an event. The
+ * limit also holds for occurrences to come, because the wall clock may step.
+ */
+const WAITING_AGAIN_MS = 500;
 
 /**
  * Places one task of an overdue job beside a task that it harms, at a low pace, if the job has no other
@@ -61,6 +67,19 @@
     : placed.pass;
 }
 
+/** Returns the time until tasks have to be placed again, even if nothing else happens. */
+function untilNextPassMs(
+  { jobs, waits }: SchedulerState,
+  candidates: readonly StageCandidate[],
+  wallMs: number,
+): number {
+  if (waits.some(({ phase }) => phase !== 'claimed')) return RETURNING_AGAIN_MS;
+  if (candidates.length > 0) return WAITING_AGAIN_MS;
+  const dueMs = jobs.valueSeq().map(({ job }) => untilNextDueMs(job, wallMs));
+  const nextMs = dueMs.min() ?? Infinity;
+  return Number.isFinite(nextMs) ? Math.min(nextMs, WAITING_AGAIN_MS) : Infinity;
+}
+
 /** Returns the candidates without the tasks that have run and wait. */
 function withoutReturning(
   candidates: readonly StageCandidate[],
@@ -94,11 +113,10 @@
     returned,
   );
   const logged = logWaits(placed, waiting, nowMs);
-  const isWaiting = logged.state.waits.some(({ phase }) => phase !== 'claimed');
   const next: SchedulerState = {
     ...logged.state,
     needsPlacement: false,
-    placeAgainAtMs: isWaiting ? nowMs + PLACE_AGAIN_MS : Infinity,
+    placeAgainAtMs: nowMs + untilNextPassMs(logged.state, candidates, wallMs),
   };
   return chainAfter(
     withEffects(next, logged.effects),
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -84,6 +84,14 @@
   return Array.from({ length: Math.max(0, Math.min(occurrences, passed)) }, (_, index) => index);
 }
 
+/** Returns the time until the next occurrence of a job is due; infinite if there is none. */
+export function untilNextDueMs(job: WorkflowJob, wallMs: number): number {
+  const { schedule } = job;
+  const dueCount = dueOccurrences(job, wallMs).length;
+  if (schedule === undefined || dueCount >= schedule.occurrences) return Infinity;
+  return schedule.firstAtMs + dueCount * schedule.periodMs - wallMs;
+}
+
 /** A stage that may start, with the slots that wait for a worker. */
 export interface ReadyStage {
   readonly occurrence: number;
