Keep a part of the log budget for lasting tasks

On a full fleet taskPlaced and taskEnded exceed 100 lines a second, and the history of a lasting task that waits for a place has gaps.

Add the events placeAwaited and placeFound. Of the 100 lines a second of an event about tasks, 50 are kept for lines with isLasting; other events keep all of theirs. The summary bronzeyoke_place_wait_seconds records placeFound. Durations are now recorded by event, because placeAwaited repeats a wait that goes on.

With the reserve switched off, the tests print 0 instead of 30 lines of lasting tasks after 500 quick ones.

--- a/packages/telemetry/src/eventlog.ts
+++ b/packages/telemetry/src/eventlog.ts
@@ -1,4 +1,5 @@
 import type { EventFields, EventName } from './events';
+import { TASK_EVENTS } from './events';
 import type { LogLevel } from './log';
 
 /** Log of events with a rate limit for each event. */
@@ -17,6 +18,9 @@
 /** Maximum lines per second for each event. Further lines are counted and dropped. */
 const MAX_LINES_PER_S = 100;
 
+/** Part of the maximum of an event about tasks that only lines about lasting tasks may use. */
+const RESERVED_LINES_PER_S = 50;
+
 /** Unread bytes after which lines are dropped, so that logging never waits for its reader. */
 const MAX_UNSENT_BYTES = 262_144;
 
@@ -39,12 +43,37 @@
   'orderLost',
 ]);
 
+const RESERVING_EVENTS: ReadonlySet<EventName> = new Set(TASK_EVENTS);
+
+/** Lines of an event in the current second. */
 interface RateWindow {
   readonly startMs: number;
   readonly lineCount: number;
+  /** Number of these lines that may not use the reserved part. */
+  readonly unreservedCount: number;
   readonly droppedCount: number;
 }
 
+/** Returns the window of a line, with the lines dropped since the last one that was written. */
+function windowAt(last: RateWindow | undefined, nowMs: number): RateWindow {
+  if (last !== undefined && nowMs - last.startMs < WINDOW_MS) return last;
+  return {
+    startMs: nowMs,
+    lineCount: 0,
+    unreservedCount: 0,
+    droppedCount: last?.droppedCount ?? 0,
+  };
+}
+
+function mayUseReserve(event: EventName, fields: EventFields): boolean {
+  return !RESERVING_EVENTS.has(event) || fields.isLasting === true;
+}
+
+function isFull(window: RateWindow, usesReserve: boolean): boolean {
+  if (window.lineCount >= MAX_LINES_PER_S) return true;
+  return !usesReserve && window.unreservedCount >= MAX_LINES_PER_S - RESERVED_LINES_PER_S;
+}
+
 /** Creates an event log in bunyan's line format. Each event has its own rate limit. */
 export function createEventLog(
   base: Readonly<Record<string, string | number>>,
@@ -56,12 +85,9 @@
   return {
     write: (event, fields) => {
       const nowMs = now();
-      const lastWindow = windows.get(event);
-      const isNewWindow = lastWindow === undefined || nowMs - lastWindow.startMs >= WINDOW_MS;
-      const window = isNewWindow
-        ? { startMs: nowMs, lineCount: 0, droppedCount: lastWindow?.droppedCount ?? 0 }
-        : lastWindow;
-      if (window.lineCount >= MAX_LINES_PER_S || sink.unsentBytes() > MAX_UNSENT_BYTES) {
+      const window = windowAt(windows.get(event), nowMs);
+      const usesReserve = mayUseReserve(event, fields);
+      if (isFull(window, usesReserve) || sink.unsentBytes() > MAX_UNSENT_BYTES) {
         dropped += 1;
         windows.set(event, { ...window, droppedCount: window.droppedCount + 1 });
         return;
@@ -69,6 +95,7 @@
       windows.set(event, {
         startMs: window.startMs,
         lineCount: window.lineCount + 1,
+        unreservedCount: window.unreservedCount + (usesReserve ? 0 : 1),
         droppedCount: 0,
       });
       const line = {
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -9,14 +9,21 @@
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
+  bronzeyoke_place_wait_seconds: { kind: 'summary', help: 'Waits of lasting tasks for a place.' },
 } as const;
 
-/** Duration fields of events, with the metric that records them. */
-const DURATIONS = {
-  storedAfterMs: 'bronzeyoke_claim_seconds',
-  startedAfterMs: 'bronzeyoke_start_seconds',
-  ageMs: 'bronzeyoke_job_seconds',
-} as const;
+/** A duration in the fields of an event, and the metric that records it. */
+interface DurationField {
+  readonly field: string;
+  readonly metric: keyof typeof DEFINITIONS;
+}
+
+const DURATIONS: Readonly<Partial<Record<EventName, DurationField>>> = {
+  taskPlaced: { field: 'storedAfterMs', metric: 'bronzeyoke_claim_seconds' },
+  taskStarted: { field: 'startedAfterMs', metric: 'bronzeyoke_start_seconds' },
+  jobEnded: { field: 'ageMs', metric: 'bronzeyoke_job_seconds' },
+  placeFound: { field: 'awaitedMs', metric: 'bronzeyoke_place_wait_seconds' },
+};
 
 /** Counters and histograms of the events of a process. */
 export interface EventMetrics {
@@ -33,10 +40,10 @@
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
       }
-      Object.entries(DURATIONS).forEach(([field, metric]) => {
-        const value = fields[field];
-        if (typeof value === 'number') metrics.observe(metric, {}, value);
-      });
+      const duration = DURATIONS[event];
+      if (duration === undefined) return;
+      const value = fields[duration.field];
+      if (typeof value === 'number') metrics.observe(duration.metric, {}, value);
     },
     text: (droppedLines) =>
       metrics.text([
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -1,5 +1,22 @@
+/** Names of logged events about one task. */
+export const TASK_EVENTS = [
+  'placeAwaited',
+  'placeFound',
+  'taskPlaced',
+  'taskUnplaced',
+  'taskStarted',
+  'taskReleased',
+  'taskEnded',
+  'taskStopped',
+  'orderRefused',
+] as const;
+
+/** Name of a logged event about one task. */
+export type TaskEventName = (typeof TASK_EVENTS)[number];
+
 /** Names of logged events: decisions and observed changes of state. */
 export type EventName =
+  | TaskEventName
   | 'start'
   | 'stop'
   | 'settling'
@@ -14,14 +31,7 @@
   | 'jobCancelled'
   | 'jobSeen'
   | 'jobEnded'
-  | 'taskPlaced'
-  | 'taskUnplaced'
-  | 'taskStarted'
-  | 'taskReleased'
-  | 'taskEnded'
-  | 'taskStopped'
   | 'taskPaced'
-  | 'orderRefused'
   | 'orderLost'
   | 'reportIgnored'
   | 'leaderClaimed'
@@ -37,7 +47,10 @@
   | 'configApplied'
   | 'domainsOut';
 
-/** Fields of a log line. All processes log job and task ids as `job` and `task`. */
+/**
+ * Fields of a log line. All processes log job and task ids as `job` and `task`. Lines about a
+ * lasting task carry `isLasting`, and are dropped after those about other tasks.
+ */
 export type EventFields = Readonly<Record<string, string | number | boolean>>;
 
 /** Effect of a core that writes a log line. */
--- /dev/null
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai';
+import type { EventFields, EventName } from '../src';
+import { createEventLog, createEventMetrics, createHistogram } from '../src';
+
+interface Entry {
+  readonly event: EventName;
+  readonly fields: EventFields;
+}
+
+/** Writes entries within one second, a last one a second later, and returns the parsed lines. */
+function writeAll(entries: readonly Entry[], last: Entry) {
+  const texts: string[] = [];
+  const clock = { nowMs: 1_000 };
+  const sink = { write: (line: string) => texts.push(line), unsentBytes: () => 0 };
+  const log = createEventLog({ name: 'n' }, sink, () => clock.nowMs);
+  entries.forEach(({ event, fields }) => log.write(event, fields));
+  clock.nowMs += 1_000;
+  log.write(last.event, last.fields);
+  const lines: readonly EventFields[] = texts.map((text) => JSON.parse(text));
+  return { lines, droppedLines: log.droppedLines() };
+}
+
+const quick: Entry = { event: 'taskPlaced', fields: { task: 'quick' } };
+const lasting: Entry = { event: 'taskPlaced', fields: { task: 'lasting', isLasting: true } };
+
+function repeat(entry: Entry, count: number): readonly Entry[] {
+  return Array.from({ length: count }, () => entry);
+}
+
+function countOf(lines: readonly EventFields[], { fields }: Entry): number {
+  return lines.filter(({ task }) => task === fields.task).length;
+}
+
+// Guards against a flood of quick tasks that hides what happens to lasting ones.
+it('eventlog: a flood of quick tasks leaves room for lasting ones', () => {
+  const { lines } = writeAll([...repeat(quick, 500), ...repeat(lasting, 30)], quick);
+  expect(countOf(lines, lasting)).to.equal(30);
+});
+
+// Guards against lines of lasting tasks that raise the number of lines a second.
+it('eventlog: lines of lasting tasks keep to the maximum of the event', () => {
+  const { lines, droppedLines } = writeAll([...repeat(quick, 500), ...repeat(lasting, 500)], quick);
+  expect(lines).to.have.length(101);
+  expect(droppedLines).to.equal(900);
+});
+
+// Guards against a burst of lasting tasks that hides all quick ones, although lines are left.
+it('eventlog: quick tasks keep their part while lasting ones use theirs', () => {
+  const { lines } = writeAll([...repeat(lasting, 50), ...repeat(quick, 500)], lasting);
+  expect(countOf(lines, quick)).to.equal(50);
+});
+
+// Guards against a reserve in events that no lasting task writes.
+it('eventlog: other events may use all their lines', () => {
+  const accepted: Entry = { event: 'jobAccepted', fields: { job: 'j' } };
+  const { lines } = writeAll(repeat(accepted, 500), accepted);
+  expect(lines).to.have.length(101);
+});
+
+// Guards against dropped lines that no later line counts.
+it('eventlog: the next written line tells how many were left out', () => {
+  const { lines } = writeAll([...repeat(quick, 60), lasting, ...repeat(quick, 7)], quick);
+  expect(lines.flatMap(({ leftOut }) => leftOut ?? [])).to.deep.equal([10, 7]);
+});
+
+// Guards against waits that are counted while they go on, and again at their end.
+it('eventmetrics: a wait for a place counts once, when the place is found', () => {
+  const metrics = createEventMetrics(createHistogram);
+  metrics.record('placeAwaited', { awaitedMs: 1_000 });
+  metrics.record('placeAwaited', { awaitedMs: 2_000 });
+  metrics.record('placeFound', { awaitedMs: 2_500 });
+  const lines = metrics.text(0).split('\n');
+  expect(lines).to.include('bronzeyoke_place_wait_seconds_count 1');
+  expect(lines).to.include('bronzeyoke_place_wait_seconds_sum 2.5');
+});
