Mark the log lines of lasting tasks

taskLog adds isLasting to the lines about a lasting task, so that they are dropped after those of other tasks. Stops and refusals of a run whose job has ended take the stage from the orphan. Nothing writes taskUnplaced, and an agent cannot mark orderLost, because a start order does not carry the stage.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -26,6 +26,7 @@
   unchanged,
   withEffects,
 } from './state';
+import { taskLog } from './tasklog';
 import type { InFlightTransaction, PostCommitAction, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
@@ -220,7 +221,7 @@
           ...(checkpoint === undefined ? {} : { checkpoint }),
         },
       },
-      logEffect('taskPlaced', {
+      taskLog(run.stage, 'taskPlaced', {
         job: jobId,
         task,
         attempt,
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -12,6 +12,7 @@
 import type { Stage } from '@bronzeyoke/workflow';
 import { putRun, runsOn } from './runs';
 import { chainAll, chainAfter, sendToWorker, unchanged, withEffects } from './state';
+import { taskLog } from './tasklog';
 import type {
   InheritedPace,
   RunView,
@@ -94,7 +95,7 @@
     },
     [
       ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
-      logEffect('taskStopped', { job: jobId, task, attempt, worker: workerKey, reason }),
+      taskLog(run.stage, 'taskStopped', { job: jobId, task, attempt, worker: workerKey, reason }),
     ],
   );
 }
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -14,6 +14,7 @@
 import { endJob } from './jobs';
 import { dropRun, dropRuns, runsOn } from './runs';
 import { chainAll, putJob, unchanged, withEffects } from './state';
+import { taskLog } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
 
 /** Delays before a task is placed again that a worker refused, and one that failed. */
@@ -53,7 +54,7 @@
     { ...open, progress: withTasks(open.progress, [[slot, released]]) },
   );
   return withEffects(next, [
-    logEffect('taskReleased', { job: jobId, task, attempt, worker: workerKey, reason }),
+    taskLog(run.stage, 'taskReleased', { job: jobId, task, attempt, worker: workerKey, reason }),
   ]);
 }
 
@@ -209,7 +210,7 @@
       progress,
     },
   );
-  const log = [logEffect('taskEnded', fields), ...effects];
+  const log = [taskLog(stage, 'taskEnded', fields), ...effects];
   const hasNoAttemptLeft =
     !stage.isLasting && ended.end === 'failed' && moved.failures >= job.policy.maxAttempts;
   if (hasNoAttemptLeft) {
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -10,6 +10,7 @@
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
 import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
+import { knownStage, taskLog } from './tasklog';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
 import { runRef } from './types';
 
@@ -159,7 +160,12 @@
     { ...state, workers: state.workers.set(workerKey, { ...view, unwantedStops }) },
     [
       ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run }),
-      logEffect('taskStopped', { task, attempt, worker: workerKey, reason: 'unwanted' }),
+      taskLog(knownStage(state, task), 'taskStopped', {
+        task,
+        attempt,
+        worker: workerKey,
+        reason: 'unwanted',
+      }),
     ],
   );
 }
@@ -198,7 +204,7 @@
   const fields = { job: jobId, task, attempt, worker: workerKey, startedAfterMs };
   return withEffects({ ...state, jobs, runs }, [
     ...stops,
-    ...(isNew ? [logEffect('taskStarted', fields)] : []),
+    ...(isNew ? [taskLog(run.stage, 'taskStarted', fields)] : []),
   ]);
 }
 
@@ -288,7 +294,7 @@
 ): SchedulerStep {
   const { task, attempt } = message.run;
   const run = state.runs.byTask.get(task);
-  const log = logEffect('orderRefused', {
+  const log = taskLog(knownStage(state, task), 'orderRefused', {
     task,
     attempt,
     worker: message.workerKey,
