Explain waits for a place and lines left out in logs explain

placeAwaited gives counts of workers that a reader had to interpret, and the line that counts left-out lines is often about another job, so that a history with gaps looked complete.

logs explain adds the cause in words, the length of the wait, and at the end the number of lines left out since the first line, by event. The JSON output is unchanged.

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { BaseCommand } from './base';
 import { CliError } from './error';
+import { describePlaceWait } from './placewait';
 
 const lineSchema = z.looseObject({
   time: z.string(),
@@ -11,10 +12,19 @@
   msg: z.string(),
   job: z.string().optional(),
   task: z.string().optional(),
+  leftOut: z.number().optional(),
 });
 
 type LogLine = z.infer<typeof lineSchema>;
 
+/** What the logs say of a job or a task. */
+interface Excerpt {
+  /** In time order. */
+  readonly lines: readonly LogLine[];
+  /** Lines about any job or task before which others of their event were left out. */
+  readonly gaps: readonly LogLine[];
+}
+
 /** Fields that every line has, or that are printed in the first columns. */
 const COMMON_FIELDS = new Set(['name', 'hostname', 'pid', 'level', 'time', 'msg', 'v']);
 
@@ -36,25 +46,49 @@
   return job === id || task === id || task.startsWith(`${id}.`);
 }
 
-/** Formats a log line: time, host, event, and its other fields. */
+/** Formats a log line: time, host, event, its other fields, and what they mean for a wait. */
 function formatLogLine(line: LogLine): string {
   const fields = Object.entries(line)
     .filter(([key]) => !COMMON_FIELDS.has(key))
     .map(([key, value]) => `${key}=${String(value)}`);
-  return [line.time, line.hostname, line.msg, ...fields].join(' ');
+  const description = describePlaceWait(line);
+  const words = description === undefined ? [] : [`(${description})`];
+  return [line.time, line.hostname, line.msg, ...fields, ...words].join(' ');
+}
+
+function isGap({ job, task, leftOut = 0 }: LogLine): boolean {
+  return leftOut > 0 && (job !== undefined || task !== undefined);
+}
+
+/** Lists how many lines were left out from the first line about an id on, by event. */
+function formatGaps({ lines, gaps }: Excerpt, id: string): readonly string[] {
+  const sinceTime = lines[0]?.time ?? '';
+  const counts = gaps
+    .filter(({ time }) => time >= sinceTime)
+    .reduce<Readonly<Record<string, number>>>(
+      (sums, { msg, leftOut = 0 }) => ({ ...sums, [msg]: (sums[msg] ?? 0) + leftOut }),
+      {},
+    );
+  const parts = Object.entries(counts).map(([event, count]) => `${event} ${count}`);
+  return parts.length === 0
+    ? []
+    : [`lines left out, perhaps some about ${id}: ${parts.toSorted().join(', ')}`];
 }
 
-async function readMatchingLines(input: Readable, id: string): Promise<readonly LogLine[]> {
+async function readExcerpt(input: Readable, id: string): Promise<Excerpt> {
   const lines: LogLine[] = [];
+  const gaps: LogLine[] = [];
   const reader = createInterface({ input, crlfDelay: Infinity });
   reader.on('line', (text) => {
     const line = parseLogLine(text);
-    if (line !== undefined && matchesId(line, id)) lines.push(line);
+    if (line === undefined) return;
+    if (matchesId(line, id)) lines.push(line);
+    if (isGap(line)) gaps.push(line);
   });
   await new Promise((resolve) => {
     reader.once('close', resolve);
   });
-  return lines.toSorted((left, right) => left.time.localeCompare(right.time));
+  return { lines: lines.toSorted((left, right) => left.time.localeCompare(right.time)), gaps };
 }
 
 /** `logs explain` */
@@ -70,10 +104,13 @@
   id = Option.String({ required: true });
 
   async run(): Promise<number> {
-    const lines = await readMatchingLines(this.context.stdin, this.id);
+    const excerpt = await readExcerpt(this.context.stdin, this.id);
+    const { lines } = excerpt;
+    const gaps = formatGaps(excerpt, this.id);
     if (lines.length === 0) {
-      throw new CliError({ kind: 'settings', problems: [`${this.id}: no log line mentions it`] });
+      const problems = [`${this.id}: no log line mentions it`, ...gaps];
+      throw new CliError({ kind: 'settings', problems });
     }
-    return this.print(lines, `${lines.map(formatLogLine).join('\n')}\n`);
+    return this.print(lines, `${[...lines.map(formatLogLine), ...gaps].join('\n')}\n`);
   }
 }
