Split the shell of an entry and of an agent by actor

The tracked store, the intake, the scheduler, the feed of jobs and the links of an entry are modules of their own, and so is an agent's connection to the leader. The type of the log function stands once in the package. Behaviour is unchanged.

--- /dev/null
+++ b/packages/hosts/src/agentlinks.ts
@@ -0,0 +1,62 @@
+import type { Socket } from 'node:net';
+import type { ActorSystemRef } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch } from '@bronzeyoke/actors';
+import type { LinkCommand } from '@bronzeyoke/link';
+import { spawnLink } from '@bronzeyoke/link';
+import type { SchedulerEvent } from '@bronzeyoke/scheduler';
+import { assertNever } from '@bronzeyoke/types';
+import type { LeaderMessage } from '@bronzeyoke/wire';
+import { decodeRunnerMessage } from '@bronzeyoke/wire';
+import type { LogEvent } from './types';
+
+/** Connections of an entry from agents and other entries. */
+export interface AgentLinks {
+  /** Starts the actor of a connection, which reports to the scheduler. */
+  readonly accept: (socket: Socket, scheduler: Ref<SchedulerEvent>) => void;
+  /** Sends a message; no effect when the connection is closed. */
+  readonly send: (linkId: string, message: LeaderMessage) => void;
+}
+
+/** Creates the table of an entry's connections. */
+export function createAgentLinks(system: ActorSystemRef, log: LogEvent): AgentLinks {
+  const links = new Map<string, Ref<LinkCommand>>();
+  let linkCount = 0;
+  return {
+    accept: (socket, scheduler) => {
+      linkCount += 1;
+      const linkId = `link-${linkCount}`;
+      const link = spawnLink(system, {
+        linkId,
+        socket,
+        decode: decodeRunnerMessage,
+        report: (event) => {
+          switch (event.kind) {
+            case 'opened':
+              dispatch(scheduler, { kind: 'linkOpened', linkId });
+              return;
+            case 'received': {
+              const { message } = event;
+              dispatch(scheduler, { kind: 'received', linkId, message, wallMs: Date.now() });
+              return;
+            }
+            case 'skipped':
+              log('malformed', { what: 'message', messageKind: event.messageKind });
+              return;
+            case 'closed':
+              links.delete(linkId);
+              dispatch(scheduler, { kind: 'linkClosed', linkId });
+              return;
+            default:
+              assertNever(event);
+          }
+        },
+      });
+      links.set(linkId, link);
+    },
+    send: (linkId, message) => {
+      const link = links.get(linkId);
+      if (link !== undefined) dispatch(link, { kind: 'send', message });
+    },
+  };
+}
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,3 +1,4 @@
 export * from './controller';
 export * from './reachability';
 export * from './runner';
+export * from './types';
--- a/packages/hosts/src/runner.ts
+++ b/packages/hosts/src/runner.ts
@@ -1,24 +1,22 @@
 import * as nact from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
-import type { DialerCommand } from '@bronzeyoke/link';
-import { spawnDialer } from '@bronzeyoke/link';
 import type { RowStorePort, StoredRow, WorkerCallPort, WorkerReport } from '@bronzeyoke/ports';
-import type { EntryAddress, RunnerEffect, RunnerEvent, RunnerSettings } from '@bronzeyoke/runner';
+import type { RunnerEffect, RunnerEvent, RunnerSettings } from '@bronzeyoke/runner';
 import { createRunner, stepRunner } from '@bronzeyoke/runner';
 import { decodeLeader } from '@bronzeyoke/scheduler';
-import type { EventFields, EventName } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
-import { decodeLeaderMessage } from '@bronzeyoke/wire';
 import { followLeader } from './leader';
+import { createLeaderLink } from './leaderlink';
+import type { LogEvent, ReportError } from './types';
 
 /** Settings of an agent and the ports that it uses. */
 export interface RunnerOptions {
   readonly settings: RunnerSettings;
   readonly store: RowStorePort;
   readonly worker: WorkerCallPort;
-  readonly log: (event: EventName, fields: EventFields) => void;
-  readonly onError: (error: unknown) => void;
+  readonly log: LogEvent;
+  readonly onError: ReportError;
 }
 
 /** Handle of a running agent. */
@@ -33,7 +31,6 @@
 }
 
 const TICK_MS = 100;
-const MAX_RETRY_MS = 400;
 
 /** Long, because many agents follow the leader's row at the same time. */
 const FEED_WAIT_MS = 10_000;
@@ -46,48 +43,15 @@
   const { settings, store, worker, log, onError } = options;
   const system = nact.start();
   const stopping: { onSettled: () => void } = { onSettled: () => undefined };
-  const connection: { dialer?: Ref<DialerCommand>; generation: number } = { generation: 0 };
-
-  const connect = (address: EntryAddress, self: Ref<RunnerEvent>): void => {
-    if (connection.dialer !== undefined) dispatch(connection.dialer, { kind: 'close' });
-    connection.generation += 1;
-    const { generation } = connection;
-    const isCurrent = (): boolean => connection.generation === generation;
-    connection.dialer = spawnDialer(system, address, {
-      linkId: `leader-${generation}`,
-      maxRetryMs: MAX_RETRY_MS,
-      decode: decodeLeaderMessage,
-      report: (event) => {
-        if (!isCurrent()) return;
-        switch (event.kind) {
-          case 'opened':
-            dispatch(self, { kind: 'linkOpened' });
-            return;
-          case 'received':
-            dispatch(self, { kind: 'received', message: event.message });
-            return;
-          case 'skipped':
-            log('malformed', { what: 'message', messageKind: event.messageKind });
-            return;
-          case 'closed':
-            dispatch(self, { kind: 'linkClosed' });
-            return;
-          default:
-            assertNever(event);
-        }
-      },
-    });
-  };
+  const leaderLink = createLeaderLink(system, log);
 
   const perform = (effect: RunnerEffect, self: Ref<RunnerEvent>): void => {
     switch (effect.kind) {
       case 'connect':
-        connect(effect.address, self);
+        leaderLink.connect(effect.address, self);
         return;
       case 'send':
-        if (connection.dialer !== undefined) {
-          dispatch(connection.dialer, { kind: 'send', message: effect.message });
-        }
+        leaderLink.send(effect.message);
         return;
       case 'call': {
         const { callId, call, timeoutMs } = effect;
--- /dev/null
+++ b/packages/hosts/src/scheduler.ts
@@ -0,0 +1,103 @@
+import type { ActorSystemRef } from 'nact';
+import type { Ref } from '@bronzeyoke/actors';
+import { dispatch, spawnCore } from '@bronzeyoke/actors';
+import type { Follower } from '@bronzeyoke/follow';
+import { spawnDialer } from '@bronzeyoke/link';
+import type { RowStorePort } from '@bronzeyoke/ports';
+import type { SchedulerEffect, SchedulerEvent, SchedulerSettings } from '@bronzeyoke/scheduler';
+import { createScheduler, stepScheduler } from '@bronzeyoke/scheduler';
+import { assertNever } from '@bronzeyoke/types';
+import { decodeLeaderMessage } from '@bronzeyoke/wire';
+import type { AgentLinks } from './agentlinks';
+import { followJobs } from './jobfeed';
+import { performStoreCall } from './store';
+import type { LogEvent, ReportError } from './types';
+
+/** Settings of a scheduler, and what its effects act on. */
+export interface SchedulerOptions {
+  readonly settings: SchedulerSettings;
+  /** Store of the feed of jobs. */
+  readonly store: RowStorePort;
+  /** Store of commits and reads. */
+  readonly trackedStore: RowStorePort;
+  readonly links: AgentLinks;
+  readonly feedWaitMs: number;
+  readonly log: LogEvent;
+  readonly onError: ReportError;
+}
+
+/** Time after which the connection that notifies a former leader is closed. */
+const NOTIFY_TIMEOUT_MS = 2_000;
+
+function notifyEntry(
+  system: ActorSystemRef,
+  effect: Extract<SchedulerEffect, { kind: 'notifyEntry' }>,
+): void {
+  const { host, port, leader } = effect;
+  const dialer = spawnDialer(
+    system,
+    { host, port },
+    {
+      linkId: `entry-${host}`,
+      decode: decodeLeaderMessage,
+      report: (event) => {
+        if (event.kind !== 'opened') return;
+        const message = { kind: 'leaderChanged', ...leader } as const;
+        setImmediate(() => dispatch(dialer, { kind: 'send', message }));
+      },
+    },
+  );
+  setTimeout(() => dispatch(dialer, { kind: 'close' }), NOTIFY_TIMEOUT_MS).unref();
+}
+
+/** Starts the actor of the scheduler. It follows the jobs while it leads. */
+export function startScheduler(
+  system: ActorSystemRef,
+  options: SchedulerOptions,
+): Ref<SchedulerEvent> {
+  const { settings, store, trackedStore, links, feedWaitMs, log, onError } = options;
+  let jobFeed: Follower | undefined;
+
+  const switchJobFeed = (isOn: boolean, self: Ref<SchedulerEvent>): void => {
+    jobFeed?.stop();
+    jobFeed = isOn
+      ? followJobs(store, {
+          waitMs: feedWaitMs,
+          onRows: (isFull, rows) =>
+            dispatch(self, { kind: 'jobRows', isFull, rows, wallMs: Date.now() }),
+          onError,
+        })
+      : undefined;
+  };
+
+  const perform = (effect: SchedulerEffect, self: Ref<SchedulerEvent>): void => {
+    switch (effect.kind) {
+      case 'commit':
+      case 'range':
+        performStoreCall(trackedStore, effect, (done) => dispatch(self, done)).catch(onError);
+        return;
+      case 'followJobs':
+        switchJobFeed(effect.isOn, self);
+        return;
+      case 'send':
+        links.send(effect.linkId, effect.message);
+        return;
+      case 'notifyEntry':
+        notifyEntry(system, effect);
+        return;
+      case 'log':
+        log(effect.event, effect.fields);
+        return;
+      default:
+        assertNever(effect);
+    }
+  };
+
+  return spawnCore<ReturnType<typeof createScheduler>, SchedulerEvent, SchedulerEffect>(system, {
+    name: 'scheduler',
+    initial: createScheduler(settings),
+    decide: stepScheduler,
+    onError,
+    perform,
+  });
+}
