Share reads, settings and sums among the commands

Seven commands spelled out the same read of an entry, two the same report of faulty settings, and three the same count by key.

--- a/packages/cli/src/base.ts
+++ b/packages/cli/src/base.ts
@@ -19,6 +19,16 @@
   return result.value;
 }
 
+/** Reads a settings file, or ends the command with the list of its faults. */
+export async function readSettings<Schema extends z.ZodType>(
+  schema: Schema,
+  fileName: string,
+): Promise<z.infer<Schema>> {
+  const read = await readSettingsFile(schema, fileName);
+  if (read.ok) return read.value;
+  throw new CliError({ kind: 'settings', problems: read.failure.map(describeFault) });
+}
+
 /** Parses a whole number of at most 12 digits from the command line. */
 export function parseWholeNumber(name: string, text: string): number {
   if (!/^\d{1,12}$/.test(text)) {
@@ -80,15 +90,17 @@
   async client(): Promise<Client> {
     const { env } = this.context;
     const fileName = this.settings ?? env.BRONZEYOKE_SETTINGS ?? DEFAULT_SETTINGS;
-    const read = await readSettingsFile(cliSettingsSchema, fileName);
-    if (!read.ok) {
-      throw new CliError({ kind: 'settings', problems: read.failure.map(describeFault) });
-    }
-    const { tokenFile } = read.value;
+    const settings = await readSettings(cliSettingsSchema, fileName);
+    const { tokenFile } = settings;
     const envToken = env.BRONZEYOKE_TOKEN;
     const token =
       envToken ?? (tokenFile === undefined ? undefined : unwrap(await readText(tokenFile)).trim());
-    return createClient(read.value, token);
+    return createClient(settings, token);
+  }
+
+  /** Reads from the first entry that answers, and checks the answer against a schema. */
+  async fetch<Schema extends z.ZodType>(schema: Schema, path: string): Promise<z.infer<Schema>> {
+    return this.request(await this.client(), schema, { method: 'GET', path });
   }
 
   /** Sends a request and checks the answer against a schema. */
--- a/packages/cli/src/check.ts
+++ b/packages/cli/src/check.ts
@@ -1,12 +1,6 @@
 import { Command, Option } from 'clipanion';
-import {
-  agentSettingsSchema,
-  cliSettingsSchema,
-  describeFault,
-  entrySettingsSchema,
-  readSettingsFile,
-} from '@bronzeyoke/settings';
-import { BaseCommand } from './base';
+import { agentSettingsSchema, cliSettingsSchema, entrySettingsSchema } from '@bronzeyoke/settings';
+import { BaseCommand, readSettings } from './base';
 import { CliError } from './error';
 
 const SCHEMAS = {
@@ -36,10 +30,7 @@
       const problems = [`${program}: the program must be entry, agent or cli`];
       throw new CliError({ kind: 'settings', problems });
     }
-    const result = await readSettingsFile(SCHEMAS[program], file);
-    if (!result.ok) {
-      throw new CliError({ kind: 'settings', problems: result.failure.map(describeFault) });
-    }
+    await readSettings(SCHEMAS[program], file);
     return this.print({ file, faults: [] }, `${file}: no faults\n`);
   }
 }
--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -5,6 +5,7 @@
 import { BaseCommand } from './base';
 import { CliError } from './error';
 import { describePlaceWait } from './placewait';
+import { sumBy } from './sum';
 
 const lineSchema = z.looseObject({
   time: z.string(),
@@ -63,12 +64,11 @@
 /** Lists how many lines were left out from the first line about an id on, by event. */
 function formatGaps({ lines, gaps }: Excerpt, id: string): readonly string[] {
   const sinceTime = lines[0]?.time ?? '';
-  const counts = gaps
-    .filter(({ time }) => time >= sinceTime)
-    .reduce<Readonly<Record<string, number>>>(
-      (sums, { msg, leftOut = 0 }) => ({ ...sums, [msg]: (sums[msg] ?? 0) + leftOut }),
-      {},
-    );
+  const counts = sumBy(
+    gaps.filter(({ time }) => time >= sinceTime),
+    ({ msg }) => msg,
+    ({ leftOut = 0 }) => leftOut,
+  );
   const parts = Object.entries(counts).map(([event, count]) => `${event} ${count}`);
   return parts.length === 0
     ? []
--- a/packages/cli/src/job.ts
+++ b/packages/cli/src/job.ts
@@ -19,10 +19,7 @@
 
   async run(): Promise<number> {
     const path = this.jobsPath(`/${encodeURIComponent(this.jobId)}`);
-    const status = await this.request(await this.client(), jobStatusSchema, {
-      method: 'GET',
-      path,
-    });
+    const status = await this.fetch(jobStatusSchema, path);
     const table = formatTable<JobAnswer['tasks'][number]>(
       [
         { title: 'TASK', cell: (task) => task.id.index },
--- a/packages/cli/src/jobs.ts
+++ b/packages/cli/src/jobs.ts
@@ -20,7 +20,7 @@
 
   async run(): Promise<number> {
     const path = this.jobsPath('', { after: this.after, limit: this.limit });
-    const answer = await this.request(await this.client(), jobsSchema, { method: 'GET', path });
+    const answer = await this.fetch(jobsSchema, path);
     const table = formatTable<JobListItem>(
       [
         { title: 'JOB', cell: (job) => job.jobId },
--- a/packages/cli/src/progress.ts
+++ b/packages/cli/src/progress.ts
@@ -1,11 +1,9 @@
 import type { JobAnswer } from './answers';
+import { sumBy } from './sum';
 
 /** Counts the tasks of a job by state. Tasks that are not listed are pending. */
 export function countTasks(status: JobAnswer): Readonly<Record<string, number>> {
-  const counts = status.tasks.reduce<Readonly<Record<string, number>>>((sums, { row }) => {
-    const { kind } = row.state;
-    return { ...sums, [kind]: (sums[kind] ?? 0) + 1 };
-  }, {});
+  const counts = sumBy(status.tasks, ({ row }) => row.state.kind);
   const unlisted = status.job.taskCount - status.tasks.length;
   return unlisted <= 0 ? counts : { ...counts, pending: (counts.pending ?? 0) + unlisted };
 }
--- a/packages/cli/src/status.ts
+++ b/packages/cli/src/status.ts
@@ -1,13 +1,10 @@
 import { Command } from 'clipanion';
 import { statusSchema } from './answers';
 import { BaseCommand } from './base';
+import { sumBy } from './sum';
 
-function countBy<Item>(items: readonly Item[], key: (item: Item) => string): string {
-  const counts = items.reduce<Readonly<Record<string, number>>>(
-    (sums, item) => ({ ...sums, [key(item)]: (sums[key(item)] ?? 0) + 1 }),
-    {},
-  );
-  const parts = Object.entries(counts).map(([name, count]) => `${count} ${name}`);
+function formatCounts<Item>(items: readonly Item[], key: (item: Item) => string): string {
+  const parts = Object.entries(sumBy(items, key)).map(([name, count]) => `${count} ${name}`);
   return parts.length === 0 ? 'none' : parts.join(', ');
 }
 
@@ -23,7 +20,7 @@
 
   async run(): Promise<number> {
     const path = '/v1/admin/status';
-    const answer = await this.request(await this.client(), statusSchema, { method: 'GET', path });
+    const answer = await this.fetch(statusSchema, path);
     const { entryId, domain, uptimeMs, configuration, upstreams, workers } = answer;
     const domainsOut = configuration.entries.filter(
       (entry) => entry.kind === 'domain' && entry.state === 'out',
@@ -32,8 +29,8 @@
       ['entry', `${entryId} in ${domain}, up ${Math.round(uptimeMs / 1_000)} s`],
       ['ticket', configuration.number],
       ['domains out', domainsOut.map((entry) => entry.name).join(', ') || 'none'],
-      ['upstreams', countBy(upstreams, (upstream) => upstream.health)],
-      ['workers', countBy(workers, (worker) => worker.health)],
+      ['upstreams', formatCounts(upstreams, (upstream) => upstream.health)],
+      ['workers', formatCounts(workers, (worker) => worker.health)],
     ];
     const text = lines.map(([name = '', value = '']) => `${String(name).padEnd(12)}${value}\n`);
     return this.print(answer, text.join(''));
--- a/packages/cli/src/ticket.ts
+++ b/packages/cli/src/ticket.ts
@@ -16,7 +16,7 @@
 
   async run(): Promise<number> {
     const path = `/v1/admin/tickets/${encodeURIComponent(this.number)}`;
-    const ticket = await this.request(await this.client(), ticketSchema, { method: 'GET', path });
+    const ticket = await this.fetch(ticketSchema, path);
     const lines = ticket.changes.map((change) => `  ${JSON.stringify(change)}\n`).join('');
     return this.print(ticket, `ticket ${ticket.number} by ${ticket.author}\n${lines}`);
   }
--- a/packages/cli/src/tickets.ts
+++ b/packages/cli/src/tickets.ts
@@ -25,7 +25,7 @@
   async run(): Promise<number> {
     const query = new URLSearchParams({ after: this.after, limit: this.limit });
     const path = `/v1/admin/tickets?${query.toString()}`;
-    const answer = await this.request(await this.client(), ticketsSchema, { method: 'GET', path });
+    const answer = await this.fetch(ticketsSchema, path);
     const table = formatTable<TicketAnswer>(
       [
         { title: 'NUMBER', cell: (ticket) => ticket.number },
--- a/packages/cli/src/upstreams.ts
+++ b/packages/cli/src/upstreams.ts
@@ -18,10 +18,7 @@
 
   async run(): Promise<number> {
     const path = '/v1/admin/upstreams';
-    const answer = await this.request(await this.client(), upstreamsSchema, {
-      method: 'GET',
-      path,
-    });
+    const answer = await this.fetch(upstreamsSchema, path);
     const table = formatTable<Upstream>(
       [
         { title: 'AGENT', cell: (upstream) => upstream.agentId },
--- a/packages/cli/src/workers.ts
+++ b/packages/cli/src/workers.ts
@@ -18,7 +18,7 @@
 
   async run(): Promise<number> {
     const path = '/v1/admin/workers';
-    const answer = await this.request(await this.client(), workersSchema, { method: 'GET', path });
+    const answer = await this.fetch(workersSchema, path);
     const share = (free: number, total: number) => `${free}/${total}`;
     const table = formatTable<Worker>(
       [
