--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -1,4 +1,3 @@
-import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, without } from '@bronzeyoke/types';
 import { fitsEmptyWorker, hasRoom } from '@bronzeyoke/placement';
 import { taskProgress } from '@bronzeyoke/workflow';
@@ -8,6 +7,7 @@
 import { makeRoomByMoves } from './relocate';
 import type { PlacedSlot } from './reserve';
 import { allowedLoads, clearVacancy, findVacancy, reserveRoom } from './reserve';
+import { taskLog } from './tasklog';
 import type { SchedulerEffect, SchedulerState } from './types';
 import type { PlaceWait, WaitEvent, WaitingTask } from './waits';
 import { advanceWait, startWait } from './waits';
@@ -225,14 +225,15 @@
   const { stage } = ready;
   const loads = target === undefined ? [] : loadsOfService(pass, target.open);
   const allowed = target === undefined ? [] : allowedLoads(pass, target);
-  return logEffect('placeAwaited', {
+  const fitting = loads.filter((load) => fitsEmptyWorker(stage, load));
+  return taskLog(stage, 'placeAwaited', {
     job: jobId,
     task,
     priority,
     ...stage.needs,
-    fitsEmpty: loads.filter((load) => fitsEmptyWorker(stage, load)).length,
-    withRoom: loads.filter((load) => fitsEmptyWorker(stage, load) && hasRoom(stage, load)).length,
-    belowLimit: allowed.length,
+    fitsEmpty: fitting.length,
+    withRoom: fitting.filter((load) => hasRoom(stage, load)).length,
+    belowLimit: allowed.filter((load) => hasRoom(stage, load)).length,
     awaitedMs: Math.round(nowMs - wait.sinceMs),
     plan: wait.phase,
     worker: wait.workerKey ?? '',
@@ -262,7 +263,7 @@
     effects: [
       ...late.map(({ task, wait }) => describeWait(pass, task, wait, nowMs)),
       ...found.map(({ task: { task, candidate }, wait }) =>
-        logEffect('placeFound', {
+        taskLog(candidate.ready.stage, 'placeFound', {
           job: candidate.jobId,
           task,
           worker: pass.state.runs.byTask.get(task)?.workerKey ?? '',
