--- a/packages/scheduler/src/relocate.ts
+++ b/packages/scheduler/src/relocate.ts
@@ -1,14 +1,21 @@
-import type { WorkerLoad } from '@bronzeyoke/placement';
-import { hasRoom } from '@bronzeyoke/placement';
+import type { Map } from 'immutable';
 import type { Resources } from '@bronzeyoke/types';
-import { fitsIn, subtractResources } from '@bronzeyoke/types';
+import { fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import { parseTaskName, stageSlots } from '@bronzeyoke/workflow';
 import type { PlacementPass } from './pass';
 import { chooseWorkerFor } from './pass';
 import type { PlacedSlot } from './reserve';
-import { allowedLoads, isEnding, lastingShortage, reserveRoom } from './reserve';
+import {
+  allowedLoads,
+  clearVacancy,
+  findVacancy,
+  isEnding,
+  lastingRoom,
+  reserveRoom,
+} from './reserve';
 import { runsOn } from './runs';
-import type { OpenJob, RunView } from './types';
+import type { RunView } from './types';
+import type { PlannedMove } from './waits';
 
 /** Workers that one search considers, those that lack the least first. */
 const MAX_WORKERS = 16;
@@ -17,9 +24,12 @@
 interface MovableRun {
   readonly task: string;
   readonly run: RunView;
-  readonly open: OpenJob;
+  readonly placed: PlacedSlot;
 }
 
+/** Room of each worker beside its lasting tasks. */
+type LastingRooms = Map<string, Resources>;
+
 function isAtWork(pass: PlacementPass, task: string): boolean {
   const run = pass.state.runs.byTask.get(task);
   return run !== undefined && run.isListed && run.percent === 100 && !isEnding(pass, task);
@@ -35,18 +45,36 @@
   return away.length < (stage.maxUnavailable ?? 0);
 }
 
-function movableRuns(pass: PlacementPass, load: WorkerLoad): readonly MovableRun[] {
+/** Returns whether another worker has room for a run, or will have once its short runs have ended. */
+function hasOtherPlace(
+  pass: PlacementPass,
+  slot: PlacedSlot,
+  fromKey: string,
+  rooms: LastingRooms,
+): boolean {
+  return allowedLoads(pass, slot).some(
+    ({ workerKey }) =>
+      workerKey !== fromKey && fitsIn(slot.ready.stage.needs, rooms.get(workerKey, NO_RESOURCES)),
+  );
+}
+
+function movableRuns(
+  pass: PlacementPass,
+  workerKey: string,
+  rooms: LastingRooms,
+): readonly MovableRun[] {
   const { runs, jobs } = pass.state;
-  return [...runsOn(runs, load.workerKey)].flatMap(([task, run]): readonly MovableRun[] => {
-    const { stage, jobId } = run;
+  return [...runsOn(runs, workerKey)].flatMap(([task, run]): readonly MovableRun[] => {
+    const { stage, jobId, slot } = run;
     const open = jobs.get(jobId);
+    const ref = parseTaskName(task);
     const isMovable =
       stage.isLasting && !stage.isGang && isAtWork(pass, task) && mayBeAway(pass, task, run);
-    if (open === undefined || !isMovable) return [];
-    const hasOther = pass.loads.some(
-      (other) => other.workerKey !== load.workerKey && hasRoom(stage, other),
-    );
-    return hasOther ? [{ task, run, open }] : [];
+    if (open === undefined || ref === undefined || !isMovable) return [];
+    const { occurrence, stageIndex } = ref;
+    const ready = { occurrence, stageIndex, stage, slots: [slot] };
+    const placed = { open, ready, slot, priority: open.job.policy.priority };
+    return hasOtherPlace(pass, placed, workerKey, rooms) ? [{ task, run, placed }] : [];
   });
 }
 
@@ -64,55 +92,113 @@
   return others === undefined ? undefined : [largest, ...others];
 }
 
-/** Stops a run and keeps room for its task on another worker; undefined if none has room. */
-function moveRun(
-  pass: PlacementPass,
-  { task, run, open }: MovableRun,
+/** A pass in which runs have a place to move to. They are stopped once all of them have room there. */
+interface MovePlan {
+  readonly pass: PlacementPass;
+  readonly moves: readonly PlannedMove[];
+  readonly isReady: boolean;
+}
+
+/** A pass that makes room by moves, with the moves that it starts or prepares. */
+type RoomByMoves = Pick<MovePlan, 'pass' | 'moves'>;
+
+/** A search for a plan: what waits, for which worker, and what an earlier pass has planned. */
+interface MoveSearch {
+  readonly task: string;
+  readonly target: PlacedSlot;
+  readonly plannedKey: string | undefined;
+  readonly planned: readonly PlannedMove[];
+  /** Whether runs that keep a moved task from its new place are stopped. */
+  readonly isOverdue: boolean;
+  readonly nowMs: number;
+}
+
+/** Keeps a place for a run on another worker; undefined if there is none. */
+function planMove(
+  plan: MovePlan,
+  { task, placed }: MovableRun,
   fromKey: string,
-): PlacementPass | undefined {
-  const ref = parseTaskName(task);
-  if (ref === undefined) return undefined;
-  const { occurrence, stageIndex } = ref;
-  const { stage, slot } = run;
-  const ready = { occurrence, stageIndex, stage, slots: [slot] };
-  const target = chooseWorkerFor(pass, open, ready, slot, pass.loads.delete(fromKey), false);
-  if (target === undefined) return undefined;
-  return reserveRoom({ ...pass, stops: pass.stops.set(task, 'moved') }, task, target, stage);
+  { planned, isOverdue, nowMs }: MoveSearch,
+): MovePlan | undefined {
+  const { open, ready, slot } = placed;
+  const { stage } = ready;
+  const others = { ...plan.pass, loads: plan.pass.loads.delete(fromKey) };
+  const free = chooseWorkerFor(others, open, ready, slot, others.loads, false);
+  if (free !== undefined) {
+    const pass = reserveRoom(plan.pass, task, free, stage);
+    return { ...plan, pass, moves: [...plan.moves, { task, workerKey: free.workerKey }] };
+  }
+  const preferredKey = planned.find((move) => move.task === task)?.workerKey;
+  const vacancy = findVacancy(others, placed, preferredKey, undefined, nowMs);
+  if (vacancy === undefined) return undefined;
+  const cleared = isOverdue
+    ? clearVacancy(plan.pass, vacancy, stage.needs, ['preemptible', 'temporary'])
+    : plan.pass;
+  const { load } = vacancy;
+  return {
+    pass: reserveRoom(cleared, task, load, stage),
+    moves: [...plan.moves, { task, workerKey: load.workerKey }],
+    isReady: false,
+  };
+}
+
+/** Adds the stops of the moved runs to the pass. */
+function withStops({ pass, moves }: MovePlan): PlacementPass {
+  const stops = moves.reduce((known, { task }) => known.set(task, 'moved'), pass.stops);
+  return { ...pass, stops };
 }
 
-function moveAll(
+/** Plans the moves of some runs; undefined if one of them may not be away, or has no other place. */
+function planMoves(
   pass: PlacementPass,
   runs: readonly MovableRun[],
   fromKey: string,
-): PlacementPass | undefined {
-  return runs.reduce<PlacementPass | undefined>((current, movable) => {
-    const isAllowed = current !== undefined && mayBeAway(current, movable.task, movable.run);
-    return isAllowed ? moveRun(current, movable, fromKey) : undefined;
-  }, pass);
+  search: MoveSearch,
+): MovePlan | undefined {
+  return runs.reduce<MovePlan | undefined>(
+    (plan, movable) => {
+      if (plan === undefined) return undefined;
+      const after = withStops(plan);
+      return mayBeAway(after, movable.task, movable.run)
+        ? planMove(plan, movable, fromKey, search)
+        : undefined;
+    },
+    { pass, moves: [], isReady: true },
+  );
 }
 
 /**
  * Makes room for a task on a worker by moving lasting tasks of other jobs to workers that have room
  * for them, as far as their stages allow tasks to be unavailable. Undefined if no move makes room.
  */
-export function makeRoomByMoves(
-  pass: PlacementPass,
-  task: string,
-  target: PlacedSlot,
-  nowMs: number,
-): PlacementPass | undefined {
+export function makeRoomByMoves(pass: PlacementPass, search: MoveSearch): RoomByMoves | undefined {
+  const { task, target, plannedKey, nowMs } = search;
   const { stage } = target.ready;
+  const rooms = pass.loads.map((load) => lastingRoom(pass, load, nowMs));
   const shortages = allowedLoads(pass, target)
-    .map((load) => ({ load, missing: lastingShortage(pass, load, target, nowMs) }))
-    .toSorted((left, right) => left.missing.processorsMilli - right.missing.processorsMilli)
+    .map((load) => {
+      const room = rooms.get(load.workerKey, NO_RESOURCES);
+      return { load, missing: subtractResources(stage.needs, room) };
+    })
+    .toSorted(
+      (left, right) =>
+        Number(right.load.workerKey === plannedKey) - Number(left.load.workerKey === plannedKey) ||
+        left.missing.processorsMilli - right.missing.processorsMilli,
+    )
     .slice(0, MAX_WORKERS);
-  return shortages.reduce<PlacementPass | undefined>((found, { load, missing }) => {
+  return shortages.reduce<RoomByMoves | undefined>((found, { load, missing }) => {
     if (found !== undefined) return found;
-    const ascending = movableRuns(pass, load).toSorted(
+    const { workerKey } = load;
+    const ascending = movableRuns(pass, workerKey, rooms).toSorted(
       (left, right) => left.run.stage.needs.processorsMilli - right.run.stage.needs.processorsMilli,
     );
     const runs = pickRuns(ascending, missing);
-    const moved = runs === undefined ? undefined : moveAll(pass, runs, load.workerKey);
-    return moved === undefined ? undefined : reserveRoom(moved, task, load, stage);
+    const plan = runs === undefined ? undefined : planMoves(pass, runs, workerKey, search);
+    return plan === undefined
+      ? undefined
+      : {
+          pass: reserveRoom(plan.isReady ? withStops(plan) : plan.pass, task, load, stage),
+          moves: plan.moves,
+        };
   }, undefined);
 }
--- a/packages/scheduler/src/reserve.ts
+++ b/packages/scheduler/src/reserve.ts
@@ -51,7 +51,7 @@
 }
 
 /** Returns what a worker lacks for a task. */
-export function shortageOf(load: WorkerLoad, needs: Resources): Resources {
+function shortageOf(load: WorkerLoad, needs: Resources): Resources {
   return positive(subtractResources(addResources(load.reserved, needs), load.capacity));
 }
 
@@ -137,16 +137,12 @@
   return isCovered(taken.missing) ? taken.tenants : undefined;
 }
 
-/** Returns what a worker lacks for a task after all of its runs have ended that do not last. */
-export function lastingShortage(
-  pass: PlacementPass,
-  load: WorkerLoad,
-  { ready, priority }: PlacedSlot,
-  nowMs: number,
-): Resources {
-  return tenantsOf(pass, load.workerKey, priority, nowMs).reduce(
-    (missing, { returned }) => reduceShortage(missing, returned),
-    shortageOf(load, ready.stage.needs),
+/** Returns the room of a worker after all of its runs have ended that do not last. */
+export function lastingRoom(pass: PlacementPass, load: WorkerLoad, nowMs: number): Resources {
+  const { workerKey, capacity, reserved } = load;
+  return tenantsOf(pass, workerKey, 0, nowMs).reduce(
+    (room, { returned }) => addResources(room, returned),
+    subtractResources(capacity, reserved),
   );
 }
 
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -58,7 +58,7 @@
   event: WaitEvent,
 ): PlacementPass {
   const workerKey = pass.reservations.get(task);
-  const settled = advanceWait(without(wait, 'workerKey'), event);
+  const settled = advanceWait(without(wait, 'workerKey', 'moves'), event);
   return putWait(pass, task, workerKey === undefined ? settled : { ...settled, workerKey });
 }
 
@@ -105,12 +105,18 @@
   nowMs: number,
 ): PlacementPass | undefined {
   const { task, wait } = waiting;
-  const { sinceMs, movesSoughtAtMs = -Infinity } = wait;
+  const { sinceMs, movesSoughtAtMs = -Infinity, moves: planned = [], workerKey } = wait;
   const target = slotOf(pass, waiting);
-  const isDue = nowMs - sinceMs >= MOVE_AFTER_MS && nowMs - movesSoughtAtMs >= MOVE_SEARCH_MS;
-  if (target === undefined || !isDue) return undefined;
-  const moved = makeRoomByMoves(pass, task, target, nowMs);
-  return moved === undefined ? undefined : settleWait(moved, waiting, 'clear');
+  const awayMs = nowMs - sinceMs;
+  const isDue = planned.length > 0 || nowMs - movesSoughtAtMs >= MOVE_SEARCH_MS;
+  if (target === undefined || awayMs < MOVE_AFTER_MS || !isDue) return undefined;
+  const isOverdue = awayMs > MOVE_AFTER_MS + MAX_DRAIN_MS;
+  const search = { task, target, plannedKey: workerKey, planned, isOverdue, nowMs };
+  const found = makeRoomByMoves(pass, search);
+  if (found === undefined) return undefined;
+  const settled = settleWait(found.pass, waiting, 'clear');
+  const cleared = settled.state.waits.get(task) ?? wait;
+  return putWait(settled, task, { ...cleared, moves: found.moves });
 }
 
 function giveUp(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -20,12 +20,20 @@
 /** Event of the chart of a wait. */
 export type WaitEvent = 'reserve' | 'clear' | 'lose' | 'claim' | 'end' | 'release';
 
+/** A run that is to move, and the worker that keeps room for it. */
+export interface PlannedMove {
+  readonly task: string;
+  readonly workerKey: string;
+}
+
 /** Wait of a lasting task for a place, from the end of its last run until the next one is listed. */
 export interface PlaceWait {
   readonly phase: WaitPhase;
   readonly sinceMs: number;
   /** Worker whose room is kept for the task. */
   readonly workerKey?: string;
+  /** Moves of other tasks that make room there. */
+  readonly moves?: readonly PlannedMove[];
   /** Time of the last search for runs whose move would make room. */
   readonly movesSoughtAtMs?: number;
   readonly isLogged: boolean;
