Grant leases by the times that the stored lease row states

What callers saw: after a change of the lease times by SIGHUP a task could run twice. Grants of the new length went out before a row that states them was stored, so a later leader did not wait for their end.

Cause: grants, and the window in which they may be sent, used the current settings instead of those behind the stored row. Rows sent after shorter times came into force also hid the longer leases granted before.

Change: the leader keeps the times of the stored row and grants by them; they replace `isGranting`. On a change of the times it notes when leases of the former times have ended at the latest, and each row, also that of a release, states at least this end.

Before the fix the tests printed "expected 4900 to be at most 2000", "expected 2000 to equal 800" and "expected 12210 to be at least 14000". After it the 106 tests of the scheduler and the 18 of the fleet pass.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -133,6 +133,7 @@
     callId,
     transaction,
     lease,
+    ...(state.phase === 'leading' ? { times: state.settings.times } : {}),
     sentAtMs: nowMs,
     firstSentAtMs: nowMs,
     postCommit,
@@ -263,18 +264,16 @@
   sentAtMs: number,
   nowMs: number,
 ): SchedulerStep {
-  const rest = without(state, 'inFlight');
-  const { lease, endedJobs } = inFlight;
+  const rest = without(state, 'inFlight', 'storedTimes');
+  const { lease, times, endedJobs } = inFlight;
   if (lease.isReleased) return advanceLeadership(rest, 'released');
-  const isGranting = (lease.grants?.lastEndMs ?? 0) > 0;
-  const grantUntilMs = isGranting ? sentAtMs + state.settings.times.grantWindowMs : 0;
   const stored: SchedulerState = {
     ...rest,
     leaseVersion: version,
     leaseNumber: lease.number,
-    isGranting,
     storedAwaited: new Set(Object.keys(lease.grants?.awaitedEndMs ?? {})),
-    mayGrantUntilMs: Math.max(state.mayGrantUntilMs, grantUntilMs),
+    ...(times === undefined ? {} : { storedTimes: times }),
+    mayGrantUntilMs: times === undefined ? 0 : sentAtMs + times.grantWindowMs,
     jobs: state.jobs.deleteAll(endedJobs),
     ended: endedJobs.reduce(
       (ended, jobId) => ended.set(jobId, state.jobs.get(jobId)?.progress.endedAtMs ?? 0),
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -37,7 +37,7 @@
 }
 
 function resetLeaderState({ state, effects }: SchedulerStep): SchedulerStep {
-  const rest = without(state, 'inFlight', 'claim', 'pollCallId');
+  const rest = without(state, 'inFlight', 'claim', 'pollCallId', 'storedTimes');
   return withEffects({ ...rest, ...EMPTY_LEADER_STATE }, [
     ...effects,
     { kind: 'followJobs', isOn: false },
--- a/packages/scheduler/src/leases.ts
+++ b/packages/scheduler/src/leases.ts
@@ -58,17 +58,20 @@
 
 /** Returns what the lease row says about the leases that workers may still hold. */
 export function describeGrants(state: SchedulerState, nowMs: number): LeaseGrants {
-  const { phase, settings, earlierLeases, isGranting } = state;
+  const { phase, settings, earlierLeases, storedTimes, formerLeasesEndAtMs } = state;
   const endMs = (endAtMs: number): number => Math.max(0, Math.ceil(endAtMs - nowMs));
+  const formerEndMs = endMs(formerLeasesEndAtMs);
   const earlier = {
     earlierEndMs: endMs(earlierLeases.endAtMs),
     awaitedEndMs: awaitedWorkers(state, nowMs).map(endMs).toObject(),
   };
   switch (phase) {
     case 'leading':
-      return { ...earlier, lastEndMs: lastLeaseEndMs(settings.times) };
-    case 'releasing':
-      return { ...earlier, lastEndMs: isGranting ? leaseEndMs(settings.times) : 0 };
+      return { ...earlier, lastEndMs: Math.max(lastLeaseEndMs(settings.times), formerEndMs) };
+    case 'releasing': {
+      const ownEndMs = storedTimes === undefined ? 0 : leaseEndMs(storedTimes);
+      return { ...earlier, lastEndMs: Math.max(ownEndMs, formerEndMs) };
+    }
     case 'following':
     case 'claiming':
     case 'withdrawing':
@@ -80,6 +83,22 @@
   }
 }
 
+/**
+ * Changes the times. Leases are granted by the former ones until a row that states the new ones is
+ * stored, and last as long as the rows sent until now allow.
+ */
+export function changeTimes(
+  state: SchedulerState,
+  times: SchedulerTimes,
+  nowMs: number,
+): SchedulerState {
+  const settings = { ...state.settings, times };
+  if (state.phase !== 'leading') return { ...state, settings };
+  const endAtMs = nowMs + lastLeaseEndMs(state.settings.times);
+  const formerLeasesEndAtMs = Math.max(state.formerLeasesEndAtMs, endAtMs);
+  return { ...state, settings, formerLeasesEndAtMs };
+}
+
 /**
  * Returns whether a worker may get no lease yet: the lease row, or the one that is being written, names
  * it as awaited, so that a later leader would not wait for a new lease.
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -36,7 +36,7 @@
   nowMs: number,
 ): SchedulerStep {
   const { workerKey, worker, clockMs } = report;
-  const { times } = state.settings;
+  const times = state.storedTimes ?? state.settings.times;
   const known = state.workers.get(workerKey);
   const isNewClock = clockMs > (known?.clockMs ?? -1);
   const mustWait = isAwaited(state, workerKey);
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -33,7 +33,7 @@
   earlierLeases: NO_EARLIER_LEASES,
   awaited: Map<string, never>(),
   storedAwaited: new Set<string>(),
-  isGranting: false,
+  formerLeasesEndAtMs: 0,
   mayGrantUntilMs: 0,
 } as const;
 
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -5,6 +5,7 @@
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
 import { onJobRows, onLoaded } from './jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
+import { changeTimes } from './leases';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
 import { placeTasks } from './place';
@@ -122,7 +123,7 @@
     case 'configChanged':
       return unchanged({ ...state, config: event.config, needsPlacement: true });
     case 'timesChanged':
-      return unchanged({ ...state, settings: { ...state.settings, times: event.times } });
+      return unchanged(changeTimes(state, event.times, nowMs));
     case 'domainsOut':
       return withEffects({ ...state, domainsOut: event.domains, needsPlacement: true }, [
         logEffect('domainsOut', { domains: [...event.domains].join(',') }),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -177,6 +177,8 @@
   readonly callId: string;
   readonly transaction: RowTransaction;
   readonly lease: LeaseValue;
+  /** Times that the lease row states; absent if it says that no lease is granted. */
+  readonly times?: SchedulerTimes;
   readonly sentAtMs: number;
   readonly firstSentAtMs: number;
   readonly postCommit: readonly PostCommitAction[];
@@ -228,8 +230,10 @@
   readonly awaited: Map<string, number>;
   /** Awaited workers in the stored lease row. Leases are granted only to others. */
   readonly storedAwaited: ReadonlySet<string>;
-  /** Whether the stored lease row says that this leader grants leases. */
-  readonly isGranting: boolean;
+  /** Times that the stored lease row states; absent while it says that no lease is granted. */
+  readonly storedTimes?: SchedulerTimes;
+  /** Time until which leases last that were granted by times that have changed since. */
+  readonly formerLeasesEndAtMs: number;
   /** Time until which agents may be granted leases. */
   readonly mayGrantUntilMs: number;
   readonly loading: LoadState;
