Store the new address of a worker that changed it after its claim

What callers saw: a worker that changed its address after a claim counted as ended for the next leader when a later instance reported at the old address, so its task could run twice.

Cause: the claim kept the address of the moment of the claim, which the next leader compares until the worker's agent has reported to it.

Change: a report with another address than before updates the address in the claims of that worker. Claims that stored none stay as they are, and a report at a known address reads no claims.

--- a/packages/scheduler/src/instances.ts
+++ b/packages/scheduler/src/instances.ts
@@ -1,6 +1,10 @@
 import type { Map } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
-import type { WorkerView } from './types';
+import type { TaskProgress } from '@bronzeyoke/workflow';
+import { taskProgress, withTasks } from '@bronzeyoke/workflow';
+import { runsOn } from './runs';
+import { putJob } from './state';
+import type { SchedulerState, WorkerView } from './types';
 
 function bornAtMsOf(workerKey: string): number {
   return Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
@@ -27,3 +31,30 @@
     .keySeq()
     .toArray();
 }
+
+function hasMoved({ workerAddress }: TaskProgress, address: string): boolean {
+  return workerAddress !== undefined && workerAddress !== address;
+}
+
+/**
+ * Updates the address in the claims of a worker that reports at another one. A later leader would take
+ * an instance at the old address as proof that the worker has ended.
+ */
+export function storeAddress(
+  state: SchedulerState,
+  workerKey: string,
+  address: string,
+): SchedulerState {
+  if (state.workers.get(workerKey)?.report?.address === address) return state;
+  return runsOn(state.runs, workerKey).reduce((current, { jobId, slot }) => {
+    const open = current.jobs.get(jobId);
+    if (open === undefined) return current;
+    const stored = taskProgress(open.progress, slot);
+    if (!hasMoved(stored, address)) return current;
+    const moved = { ...stored, workerAddress: address };
+    return putJob(current, jobId, {
+      ...open,
+      progress: withTasks(open.progress, [[slot, moved]]),
+    });
+  }, state);
+}
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -5,7 +5,7 @@
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
-import { earlierInstances } from './instances';
+import { earlierInstances, storeAddress } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
@@ -270,6 +270,7 @@
     return withEffects(state, [logEffect('reportIgnored', fields)]);
   }
   return chainAll(resetOrders(state, report, linkId), [
+    (current) => unchanged(storeAddress(current, workerKey, report.worker.address)),
     (current) => updateWorker(current, linkId, report, nowMs),
     (current) => releaseEarlierInstances(current, report, nowMs),
     (current) => applyEnds(current, report, nowMs, wallMs),
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { ListedRun } from '@bronzeyoke/ports';
 import { progressKey } from '@bronzeyoke/scheduler';
+import { without } from '@bronzeyoke/types';
 import type { Stage, TaskProgress } from '@bronzeyoke/workflow';
 import { decodeProgress } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
@@ -44,6 +45,17 @@
   return commitAll(loaded);
 }
 
+/** Returns the address in the last row of job1 that was sent to the store. */
+function storedAddress(fixture: Fixture): string | undefined {
+  const rows = fixture.effects.flatMap((effect) =>
+    effect.kind === 'commit' ? effect.transaction.writes : [],
+  );
+  const { table, key } = progressKey('job1');
+  const row = rows.filter((write) => write.table === table && write.key === key).at(-1);
+  const progress = row?.kind === 'put' ? decodeProgress(row.value) : undefined;
+  return progress?.tasks.get(SLOT)?.workerAddress;
+}
+
 function taskOf(fixture: Fixture): TaskProgress | undefined {
   return fixture.state.jobs.get('job1')?.progress.tasks.get(SLOT);
 }
@@ -80,6 +92,32 @@
   expect(taskOf(later)?.workerKey).to.equal(workerKeyFor('w1', 500));
 });
 
+// Guards against a second run of a task whose worker has changed its address since the claim: another worker
+// that starts at the old address is no proof for the next leader.
+it('stores the new address of a worker that runs a claimed task', () => {
+  const moved = report(commitAll(adopted(storedRun('w1'))), 'w1', {
+    bornAtMs: 500,
+    address: 'w1:2',
+    running: [listedRun('job1.0.0.0', 1)],
+  });
+  const address = storedAddress(commitAll(advance(moved, 500))) ?? 'w1:1';
+  expect(address).to.equal('w1:2');
+  const next = adopted(storedRun('w1', { workerAddress: address }));
+  const later = report(next, 'w2', { bornAtMs: 900, address: 'w1:1' });
+  expect(taskOf(later)?.workerKey).to.equal(workerKeyFor('w1', 500));
+});
+
+// Guards against a write of every claim when workers report again, or to a leader for the first time.
+it('writes no claim whose worker reports at its stored address or stored none', () => {
+  const claims = [storedRun('w1'), without(storedRun('w1'), 'workerAddress')];
+  const writes = claims.map((claim) => {
+    const listing = { bornAtMs: 500, running: [listedRun('job1.0.0.0', 1)] };
+    const reported = report(report(adopted(claim), 'w1', listing), 'w1', listing);
+    return reported.state.pendingWrites.jobIds.size;
+  });
+  expect(writes).to.deep.equal([0, 0]);
+});
+
 // Guards against a wait for the lease of a run whose successor at the address reported before the load ended.
 it('releases an adopted run when a later instance was known before the load ended', () => {
   const known = report(createLeader(), 'w2', { bornAtMs: 900, address: 'w1:1' });
