Pause before full reads while the store keeps too little history

What callers saw: with 300 ms of history and a longer paged read, a follower read the whole table 7 times in 3 s without pause.

Cause: a lost history led to a full read at once, also when no changes had been read since the last one.

Change: the second loss in a row and later ones wait 0.15 s, doubled each time up to 2.4 s. Following from a later page than the first was left out: rows that changed on the pages before would be missed.

Before the fix the test printed "expected [] to deeply equal [ 150, 300, 600, 1200, 2400, ...". After it the 4 tests of follow and those of the platform and hosts pass.

--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -23,6 +23,8 @@
   readonly waitMs: number;
   readonly report: (update: TableUpdate) => void;
   readonly onError: (error: unknown) => void;
+  /** Waits before a call is repeated; by a timer if absent. */
+  readonly pause?: (forMs: number) => Promise<void>;
 }
 
 /** Handle of a running follower. */
@@ -31,7 +33,10 @@
 }
 
 /** Rows read so far, or the version up to which all changes were reported. */
-type Position =
+type Position = {
+  /** Number of times in a row that the history was lost before any changes were read. */
+  readonly lossCount: number;
+} & (
   | {
       readonly kind: 'reading';
       readonly rows: readonly StoredRow[];
@@ -41,24 +46,44 @@
       /** A page has failed, perhaps because it took too long. */
       readonly hasFailed: boolean;
     }
-  | { readonly kind: 'following'; readonly version: number };
+  | { readonly kind: 'following'; readonly version: number }
+);
 
 /** Next position; none when the store did not answer. */
 type NextPosition = Position | undefined;
 
-const START: Position = { kind: 'reading', rows: [], version: Infinity, hasFailed: false };
+const START: Position = {
+  kind: 'reading',
+  lossCount: 0,
+  rows: [],
+  version: Infinity,
+  hasFailed: false,
+};
 
 const RETRY_DELAY_MS = 150;
 
+/** Snapshots replace the changes while the history stays too short, so they must not become rare. */
+const MAX_LOSS_DELAY_MS = 2_400;
+
+/** Returns the pause before a full read after repeated losses of the history. */
+function lossDelayMs(lossCount: number): number {
+  return Math.min(MAX_LOSS_DELAY_MS, RETRY_DELAY_MS * 2 ** (lossCount - 1));
+}
+
+async function pauseByTimer(forMs: number): Promise<void> {
+  await sleep(forMs, undefined, { ref: false });
+}
+
 /**
  * Follows a table: reads all of its rows page by page, then its changes. A page that failed is read again
  * without those before it. Changes are read from the version of the first page, so a row that changed
  * while the pages were read is reported again. When the store has dropped the history, all rows are
- * read again. Nothing is reported after `stop`.
+ * read again, after a growing pause if that happens before any changes were read. Nothing is reported
+ * after `stop`.
  */
 export function followTable(store: RowStorePort, options: FollowerOptions): Follower {
   const { table, partition, waitMs, report, onError } = options;
-  const { pageRows = MAX_PAGE_ROWS, smallPageRows = pageRows } = options;
+  const { pageRows = MAX_PAGE_ROWS, smallPageRows = pageRows, pause = pauseByTimer } = options;
   const state = { isStopped: false };
   const emit = (update: TableUpdate): void => {
     if (!state.isStopped) report(update);
@@ -67,7 +92,7 @@
   const readPage = async (
     position: Extract<Position, { kind: 'reading' }>,
   ): Promise<NextPosition> => {
-    const { fromKey, hasFailed } = position;
+    const { lossCount, fromKey, hasFailed } = position;
     const maxRows = hasFailed ? smallPageRows : pageRows;
     const from = fromKey === undefined ? {} : { fromKey };
     const result = await store.range({ table, partition, maxRows, ...from });
@@ -76,21 +101,26 @@
     const version = Math.min(position.version, result.version);
     if (result.nextKey !== undefined) {
       emit({ kind: 'answered' });
-      return { kind: 'reading', rows, version, fromKey: result.nextKey, hasFailed };
+      return { kind: 'reading', lossCount, rows, version, fromKey: result.nextKey, hasFailed };
     }
     emit({ kind: 'snapshot', rows });
-    return { kind: 'following', version };
+    return { kind: 'following', lossCount, version };
   };
 
-  const readChanges = async (version: number): Promise<NextPosition> => {
+  const readChanges = async ({
+    lossCount,
+    version,
+  }: Extract<Position, { kind: 'following' }>): Promise<NextPosition> => {
     const result = await store.feed(table, version, waitMs);
     switch (result.kind) {
       case 'changes':
         emit({ kind: 'answered' });
         if (result.changes.length > 0) emit({ kind: 'changes', changes: result.changes });
-        return { kind: 'following', version: Math.max(version, result.version) };
+        return { kind: 'following', lossCount: 0, version: Math.max(version, result.version) };
       case 'historyLost':
-        return START;
+        // The first loss, as after a long cut, needs no pause.
+        if (lossCount > 0) await pause(lossDelayMs(lossCount));
+        return { ...START, lossCount: lossCount + 1 };
       case 'unavailable':
         return undefined;
       default:
@@ -100,10 +130,10 @@
 
   const step = async (position: Position): Promise<Position> => {
     const next =
-      position.kind === 'reading' ? await readPage(position) : await readChanges(position.version);
+      position.kind === 'reading' ? await readPage(position) : await readChanges(position);
     if (next !== undefined) return next;
     emit({ kind: 'unanswered' });
-    await sleep(RETRY_DELAY_MS, undefined, { ref: false });
+    await pause(RETRY_DELAY_MS);
     return position.kind === 'reading' ? { ...position, hasFailed: true } : position;
   };
 
--- a/packages/follow/test/follow.test.ts
+++ b/packages/follow/test/follow.test.ts
@@ -1,8 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
-import type { TableUpdate } from '@bronzeyoke/follow';
+import type { FollowerOptions, TableUpdate } from '@bronzeyoke/follow';
 import { followTable } from '@bronzeyoke/follow';
-import type { RowRange, RowStorePort } from '@bronzeyoke/ports';
+import type { RowFeedResult, RowRange, RowStorePort } from '@bronzeyoke/ports';
 import type { RowStoreState } from '@bronzeyoke/standins';
 import { commitRow, EMPTY_ROW_STORE, readFeed, readRange } from '@bronzeyoke/standins';
 
@@ -52,6 +52,7 @@
 async function follow(
   store: RowStorePort,
   isDone: (updates: readonly TableUpdate[]) => boolean,
+  changes: Partial<FollowerOptions> = {},
 ): Promise<readonly TableUpdate[]> {
   const updates: TableUpdate[] = [];
   const follower = followTable(store, {
@@ -63,6 +64,7 @@
     onError: (error) => {
       throw error;
     },
+    ...changes,
   });
   const wait = async (checksLeft: number): Promise<void> => {
     if (checksLeft === 0 || isDone(updates)) return;
@@ -113,3 +115,38 @@
   const changed = updates.flatMap((update) => (update.kind === 'changes' ? update.changes : []));
   expect(changed.map(({ key }) => key)).to.deep.equal(['a', 'd']);
 });
+
+const MANY_READS = 9;
+
+/** Returns the pauses of a follower while the feed after each of many full reads gets a given reply. */
+async function pausesOf(replies: (read: number) => RowFeedResult): Promise<readonly number[]> {
+  const { store, ranges } = fakeStore(storeOf(['a', 'b', 'c']), (_, state) => state);
+  const fullReads = (): number => ranges().filter(({ fromKey }) => fromKey === undefined).length;
+  const feed = async (): Promise<RowFeedResult> => {
+    await sleep(CALL_MS);
+    return replies(fullReads());
+  };
+  const pauses: number[] = [];
+  const pause = async (forMs: number): Promise<void> => {
+    pauses.push(forMs);
+    await sleep(CALL_MS);
+  };
+  await follow({ ...store, feed }, () => fullReads() >= MANY_READS, { pause });
+  return pauses.slice(0, MANY_READS - 2);
+}
+
+// Guards against full reads without a pause while the store keeps less history than one read takes.
+it('pauses longer after each full read whose history was lost at once', async () => {
+  const pauses = await pausesOf(() => ({ kind: 'historyLost' }));
+  expect(pauses).to.deep.equal([150, 300, 600, 1_200, 2_400, 2_400, 2_400]);
+});
+
+// Guards against a pause before the full read that an idle follower needs after a long cut.
+it('reads again at once when the history was lost after changes', async () => {
+  const isLost = { value: true };
+  const pauses = await pausesOf(() => {
+    isLost.value = !isLost.value;
+    return isLost.value ? { kind: 'historyLost' } : { kind: 'changes', changes: [], version: 3 };
+  });
+  expect(pauses).to.deep.equal([]);
+});
