Let a leader step down that no agent has reached for long

What callers saw: a leader that reached the store but no agent renewed its lease for good, so no task ran although another entry might be in reach of the agents. Found in review.

Cause: a leader gave its lease up only for a stop or another leader.

Change: the leadership chart has the state `steppingDown`. A fleet without workers, or one whose workers were reported as gone, is no sign, so the leader keeps its lease; and a total loss of the agents causes one change of the leader, because the next one finds no tasks on workers.

Before the change the tests printed "expected 'leading' to equal 'following'". After it the 113 tests of the scheduler and the 18 of the fleet pass. It was not played with the real programs.

--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -97,7 +97,8 @@
   const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
   const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
   const waitMs = takeoverMs + claimDelayMs(capacity) + random * CLAIM_SPREAD_MS;
-  if (nowMs - lease.sinceMs < waitMs) return unchanged(seen);
+  const isPaused = nowMs < state.claimPausedUntilMs;
+  if (isPaused || nowMs - lease.sinceMs < waitMs) return unchanged(seen);
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
 }
 
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -3,7 +3,7 @@
 import { assertNever, without } from '@bronzeyoke/types';
 import type { JobProgress } from '@bronzeyoke/workflow';
 import { encodeProgress, taskProgress } from '@bronzeyoke/workflow';
-import { advanceLeadership, onLeaderRow } from './leadership';
+import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from './leases';
 import {
   cancelKey,
@@ -146,9 +146,9 @@
   ]);
 }
 
-/** Releases the lease of a leader that stops, so that another entry takes over at once. */
+/** Releases the lease of a leader that stops or steps down, so that another entry takes over at once. */
 export function releaseLease(state: SchedulerState, nowMs: number): SchedulerStep {
-  if (state.phase !== 'releasing' || state.inFlight !== undefined) return unchanged(state);
+  if (!isReleasing(state) || state.inFlight !== undefined) return unchanged(state);
   const parts = { isReleased: true, writes: [], postCommit: [], endedJobs: [] };
   return sendTransaction(state, parts, nowMs);
 }
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -15,7 +15,7 @@
 } as const;
 
 type LeadershipEvent =
-  'leaseFree' | 'claimWon' | 'claimLost' | 'loaded' | 'deposed' | 'stop' | 'released';
+  'leaseFree' | 'claimWon' | 'claimLost' | 'loaded' | 'isolated' | 'deposed' | 'stop' | 'released';
 
 function sendClaim({ state, effects }: SchedulerStep): SchedulerStep {
   const { claim } = state;
@@ -37,7 +37,7 @@
 }
 
 function resetLeaderState({ state, effects }: SchedulerStep): SchedulerStep {
-  const rest = without(state, 'inFlight', 'claim', 'pollCallId', 'storedTimes');
+  const rest = without(state, 'inFlight', 'claim', 'pollCallId', 'storedTimes', 'isolatedSinceMs');
   return withEffects({ ...rest, ...EMPTY_LEADER_STATE }, [
     ...effects,
     { kind: 'followJobs', isOn: false },
@@ -76,9 +76,14 @@
   );
 }
 
-/** Returns whether this entry holds the lease. It may still be loading its state, or be stopping. */
-export function holdsLease({ phase }: SchedulerState): boolean {
-  return phase === 'loading' || phase === 'leading' || phase === 'releasing';
+/** Returns whether this entry gives its lease up, and only waits for the store to accept that. */
+export function isReleasing({ phase }: SchedulerState): boolean {
+  return phase === 'steppingDown' || phase === 'releasing';
+}
+
+/** Returns whether this entry holds the lease. It may still be loading its state, or be releasing it. */
+export function holdsLease(state: SchedulerState): boolean {
+  return state.phase === 'loading' || state.phase === 'leading' || isReleasing(state);
 }
 
 /** Updates the leader from the store or from a message of another entry. */
--- a/packages/scheduler/src/leases.ts
+++ b/packages/scheduler/src/leases.ts
@@ -68,6 +68,7 @@
   switch (phase) {
     case 'leading':
       return { ...earlier, lastEndMs: Math.max(lastLeaseEndMs(settings.times), formerEndMs) };
+    case 'steppingDown':
     case 'releasing': {
       const ownEndMs = storedTimes === undefined ? 0 : leaseEndMs(storedTimes);
       return { ...earlier, lastEndMs: Math.max(ownEndMs, formerEndMs) };
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -49,6 +49,7 @@
     nextReadAtMs: 0,
     pollSentAtMs: 0,
     claimedAtMs: 0,
+    claimPausedUntilMs: 0,
     domainsOut: new Set(),
     links: Map(),
     linksOpened: 0,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -1,10 +1,12 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
+import type { RunnerMessage } from '@bronzeyoke/wire';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
 import { onJobRows, onLoaded } from './jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
+import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
 import { changeTimes } from './leases';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
@@ -15,16 +17,19 @@
 import { addPostCommitAction, chainAll, chainAfter, unchanged, withEffects } from './state';
 import type { GoneReport, SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
+type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
+
 function expireWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
   if (state.phase !== 'leading') return unchanged(state);
   const expired = state.workers.filter(({ expiresAtMs }) => nowMs >= expiresAtMs);
-  return chainAll(
-    state,
-    [...expired.keys()].map(
+  if (expired.isEmpty()) return unchanged(state);
+  return chainAll(state, [
+    ...[...expired.keys()].map(
       (workerKey) => (current: SchedulerState) =>
         releaseWorker(current, workerKey, 'leaseExpired', nowMs),
     ),
-  );
+    (current) => unchanged(noteIsolation(current, nowMs)),
+  ]);
 }
 
 function isSameReport(left: GoneReport, right: GoneReport): boolean {
@@ -97,6 +102,7 @@
     (current) => retryReads(current, nowMs),
     (current) => retryTransaction(current, nowMs),
     (current) => expireWorkers(current, nowMs),
+    (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
   ]);
 }
@@ -110,6 +116,35 @@
   ]);
 }
 
+/** Returns whether an agent that has seen a later leader sent a message. */
+function isOfLaterTerm({ leader }: SchedulerState, message: AgentMessage): boolean {
+  return message.kind === 'report' && message.term > (leader?.term ?? 0);
+}
+
+/** Applies a message of an agent to the state of a leader. */
+function onAgentMessage(
+  state: SchedulerState,
+  linkId: string,
+  message: AgentMessage,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  switch (message.kind) {
+    case 'report':
+      return chainAll(state, [
+        (current) => onReport(current, linkId, message, nowMs, wallMs),
+        (current) => paceWorker(current, message.workerKey, nowMs),
+        (current) => stopStalledRuns(current, message.workerKey, nowMs),
+      ]);
+    case 'refused':
+      return onOrderRefused(state, message, nowMs);
+    case 'workerGone':
+      return onWorkerGone(state, { linkId, workerKey: message.workerKey }, nowMs);
+    default:
+      return assertNever(message);
+  }
+}
+
 /** Returns the next state and the effects of an event. */
 export function stepScheduler(
   state: SchedulerState,
@@ -174,29 +209,10 @@
       }
       // The reply keeps the agent from looking for another leader during a long load.
       if (state.phase === 'loading') return announceLeader(state, linkId);
-      if (state.phase !== 'leading') return unchanged(state);
-      switch (message.kind) {
-        case 'report':
-          if (message.term > (state.leader?.term ?? 0)) return unchanged(state);
-          return chainAll(state, [
-            (current) => onReport(current, linkId, message, nowMs, wallMs),
-            (current) => paceWorker(current, message.workerKey, nowMs),
-            (current) => stopStalledRuns(current, message.workerKey, nowMs),
-            (current) => placeAndFlush(current, nowMs, wallMs),
-          ]);
-        case 'refused':
-          return chainAll(state, [
-            (current) => onOrderRefused(current, message, nowMs),
-            (current) => placeAndFlush(current, nowMs, wallMs),
-          ]);
-        case 'workerGone':
-          return chainAll(state, [
-            (current) => onWorkerGone(current, { linkId, workerKey: message.workerKey }, nowMs),
-            (current) => placeAndFlush(current, nowMs, wallMs),
-          ]);
-        default:
-          return assertNever(message);
-      }
+      if (state.phase !== 'leading' || isOfLaterTerm(state, message)) return unchanged(state);
+      return chainAfter(onAgentMessage(clearIsolation(state), linkId, message, nowMs, wallMs), [
+        (current) => placeAndFlush(current, nowMs, wallMs),
+      ]);
     }
     case 'stop':
       return chainAfter(advanceLeadership(state, 'stop'), [
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -19,8 +19,26 @@
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
-  states: ['following', 'claiming', 'withdrawing', 'loading', 'leading', 'releasing', 'stopped'],
-  events: ['leaseFree', 'claimWon', 'claimLost', 'loaded', 'deposed', 'stop', 'released'],
+  states: [
+    'following',
+    'claiming',
+    'withdrawing',
+    'loading',
+    'leading',
+    'steppingDown',
+    'releasing',
+    'stopped',
+  ],
+  events: [
+    'leaseFree',
+    'claimWon',
+    'claimLost',
+    'loaded',
+    'isolated',
+    'deposed',
+    'stop',
+    'released',
+  ],
   actions: ['claim', 'load', 'begin', 'reset', 'resign'],
 });
 
@@ -225,6 +243,10 @@
   readonly nextReadAtMs: number;
   readonly claim?: Claim;
   readonly claimedAtMs: number;
+  /** Time before which this entry leaves a free lease to others. */
+  readonly claimPausedUntilMs: number;
+  /** Time at which the lease of the last known worker ended; absent once an agent has sent a message. */
+  readonly isolatedSinceMs?: number;
   readonly earlierLeases: EarlierLeases;
   /** Workers that have not reported to this leader, with the end of their leases. */
   readonly awaited: Map<string, number>;
