--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -1,12 +1,12 @@
 import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, without } from '@bronzeyoke/types';
+import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
 import { describeGrants, earlierLeasesOf } from './leases';
 import type { LeaseValue } from './rows';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
-import { unchanged, withEffects } from './state';
+import { withEffects } from './state';
 import { claimDelayMs } from './times';
 import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from './types';
 
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -1,6 +1,6 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
-import { assertNever, without } from '@bronzeyoke/types';
+import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { JobProgress } from '@bronzeyoke/workflow';
 import { encodeProgress, taskProgress } from '@bronzeyoke/workflow';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
@@ -18,14 +18,7 @@
 } from './rows';
 import { releaseRun } from './release';
 import { putRun } from './runs';
-import {
-  chainAfter,
-  chainAll,
-  NO_PENDING_WRITES,
-  sendToWorker,
-  unchanged,
-  withEffects,
-} from './state';
+import { NO_PENDING_WRITES, sendToWorker, withEffects } from './state';
 import type { InFlightTransaction, PostCommitAction, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
--- a/packages/scheduler/src/isolation.ts
+++ b/packages/scheduler/src/isolation.ts
@@ -1,7 +1,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
-import { without } from '@bronzeyoke/types';
+import { unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership } from './leadership';
-import { unchanged, withEffects } from './state';
+import { withEffects } from './state';
 import type { SchedulerState, SchedulerStep } from './types';
 
 /**
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -1,6 +1,7 @@
 import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
+import { chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobOutcome, JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import {
   assignedSlots,
@@ -17,7 +18,7 @@
 import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
 import { dropRuns, NO_RUNS, putRun } from './runs';
-import { chainAll, putJob, sendToWorker, unchanged, withEffects } from './state';
+import { putJob, sendToWorker, withEffects } from './state';
 import type {
   GoneReport,
   OpenJob,
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -1,10 +1,10 @@
 import { advance } from '@bronzeyoke/chart';
 import type { StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, without } from '@bronzeyoke/types';
+import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { startReads } from './load';
 import { decodeLeader } from './rows';
-import { EMPTY_LEADER_STATE, unchanged, withEffects } from './state';
+import { EMPTY_LEADER_STATE, withEffects } from './state';
 import type { Leader, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
 
--- a/packages/scheduler/src/load.ts
+++ b/packages/scheduler/src/load.ts
@@ -1,8 +1,8 @@
 import type { RowRangeResult } from '@bronzeyoke/ports';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { Map } from 'immutable';
 import { PARTITION, PROGRESS_PAGE_ROWS, TABLES } from './rows';
-import { chainAll, unchanged, withEffects } from './state';
+import { withEffects } from './state';
 import type { SchedulerState, SchedulerStep, TableRead } from './types';
 
 /** Delay after which a new leader repeats a read that failed. */
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { without } from '@bronzeyoke/types';
+import { chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
@@ -9,7 +9,7 @@
 import { isAwaited, leaseEndMs } from './leases';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
-import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
+import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
 import { runRef } from './types';
 
--- a/packages/scheduler/src/stall.ts
+++ b/packages/scheduler/src/stall.ts
@@ -1,8 +1,8 @@
+import { chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { stopRun } from './pace';
 import { recordFailure } from './release';
 import { runsOn } from './runs';
-import { chainAll, unchanged } from './state';
 import type { RunView, SchedulerState, SchedulerStep } from './types';
 
 /** Time without progress after which a running task is moved to another worker. */
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -14,6 +14,8 @@
 } from './types';
 import { leadershipChart } from './types';
 
+export { chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
+
 /** Pending writes without jobs and actions. */
 export const NO_PENDING_WRITES: PendingWrites = { jobIds: new Set(), postCommit: [] };
 
@@ -61,30 +63,6 @@
   };
 }
 
-/** Returns a step without effects. */
-export function unchanged(state: SchedulerState): SchedulerStep {
-  return { state, effects: [] };
-}
-
-/** Applies decisions in order to the state of a step, and collects the effects. */
-export function chainAfter(
-  first: SchedulerStep,
-  decisions: readonly ((state: SchedulerState) => SchedulerStep)[],
-): SchedulerStep {
-  return decisions.reduce<SchedulerStep>((step, decide) => {
-    const next = decide(step.state);
-    return { state: next.state, effects: [...step.effects, ...next.effects] };
-  }, first);
-}
-
-/** Applies decisions in order to a state, and collects the effects. */
-export function chainAll(
-  state: SchedulerState,
-  decisions: readonly ((state: SchedulerState) => SchedulerStep)[],
-): SchedulerStep {
-  return chainAfter(unchanged(state), decisions);
-}
-
 /** Returns a step with effects. */
 export function withEffects(
   state: SchedulerState,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -1,6 +1,6 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
@@ -14,7 +14,7 @@
 import { releaseWorker } from './release';
 import { onOrderRefused, onReport } from './report';
 import { stopStalledRuns } from './stall';
-import { addPostCommitAction, chainAll, chainAfter, unchanged, withEffects } from './state';
+import { addPostCommitAction, withEffects } from './state';
 import type { GoneReport, SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -10,6 +10,7 @@
   WorkerReport,
 } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
+import type { Step } from '@bronzeyoke/types';
 import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
@@ -322,10 +323,7 @@
   | LogEffect;
 
 /** State and effects of a part of a step. */
-export interface SchedulerStep {
-  readonly state: SchedulerState;
-  readonly effects: readonly SchedulerEffect[];
-}
+export type SchedulerStep = Step<SchedulerState, SchedulerEffect>;
 
 /** Returns the reference to a run that messages carry. */
 export function runRef(task: string, attempt: number): RunRef {
--- a/packages/types/src/step.ts
+++ b/packages/types/src/step.ts
@@ -38,12 +38,20 @@
     : { state: next.state, effects: [...step.effects, ...next.effects] };
 }
 
+/** Applies decisions in order to the state of a step and appends their effects. */
+export function chainAfter<State, Effect>(
+  first: Step<State, Effect>,
+  decisions: readonly ((state: State) => Step<State, Effect>)[],
+): Step<State, Effect> {
+  return decisions.reduce<Step<State, Effect>>(chain, first);
+}
+
 /** Applies decisions in order to a state and collects their effects. */
 export function chainAll<State, Effect>(
   state: State,
   decisions: readonly ((state: State) => Step<State, Effect>)[],
 ): Step<State, Effect> {
-  return decisions.reduce<Step<State, Effect>>(chain, { state, effects: [] });
+  return chainAfter<State, Effect>({ state, effects: [] }, decisions);
 }
 
 /** Applies a decision for each item in turn and collects the effects. */
