Split the fixture of the scheduler's tests by job

One file held the world, commits, entries, jobs, workers and effects. They are files of a folder now, and `./fixture` is its index, so tests import the same names as before. `lastWritten` replaces three copies of the search for the last write of a row; what the tests assert is unchanged.

--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -11,8 +11,8 @@
   createLeader,
   createSuccessor,
   dispatch,
-  inFlight,
   jobOf,
+  lastWritten,
   listedRun,
   load,
   loggedFields,
@@ -47,12 +47,7 @@
 
 /** Returns the address in the last row of job1 that was sent to the store. */
 function storedAddress(fixture: Fixture): string | undefined {
-  const rows = fixture.effects.flatMap((effect) =>
-    effect.kind === 'commit' ? effect.transaction.writes : [],
-  );
-  const { table, key } = progressKey('job1');
-  const row = rows.filter((write) => write.table === table && write.key === key).at(-1);
-  const progress = row?.kind === 'put' ? decodeProgress(row.value) : undefined;
+  const progress = decodeProgress(lastWritten(fixture, progressKey('job1')));
   return progress?.tasks.get(SLOT)?.workerAddress;
 }
 
@@ -135,11 +130,7 @@
 // Guards against a claim without the address that a new leader needs.
 it('stores the address of the worker with the claim and removes it with the worker', () => {
   const claimed = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
-  const row = inFlight(claimed).transaction.writes.find(
-    ({ table, key }) => table === progressKey('job1').table && key === 'job1',
-  );
-  const value = row?.kind === 'put' ? decodeProgress(row.value) : undefined;
-  expect(value?.tasks.get(SLOT)?.workerAddress).to.equal('w1:1');
+  expect(storedAddress(claimed)).to.equal('w1:1');
   const placed = commitAll(claimed);
   const failed = report(advance(placed, 100), 'w1', {
     ended: [{ sequence: 1, task: 'job1.0.0.0', attempt: 1, end: 'failed', checkpoint: '' }],
--- a/packages/scheduler/test/fills.test.ts
+++ b/packages/scheduler/test/fills.test.ts
@@ -9,10 +9,9 @@
   sentMessages,
   stageOf,
   submit,
+  TASK,
 } from './fixture';
 
-const TASK = 'job1.0.0.0';
-
 // Guards against a serving task that filling tasks beside it harm for long.
 it('pauses filling tasks beside a harmed task', () => {
   const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
--- a/packages/scheduler/test/isolation.test.ts
+++ b/packages/scheduler/test/isolation.test.ts
@@ -1,5 +1,4 @@
 import { expect } from 'chai';
-import type { LeaseValue } from '@bronzeyoke/scheduler';
 import { LEASE_KEY } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
 import {
@@ -7,6 +6,7 @@
   commitAll,
   createLeader,
   dispatch,
+  lastWritten,
   loggedFields,
   report,
   running,
@@ -44,22 +44,13 @@
   return dispatch(polled, { kind: 'rangeDone', callId: 'poll', result, wallMs: WALL_MS });
 }
 
-/** Returns the last lease row that was sent to the store. */
-function lastLease(fixture: Fixture): LeaseValue | undefined {
-  const writes = fixture.effects.flatMap((effect) =>
-    effect.kind === 'commit' ? effect.transaction.writes : [],
-  );
-  const write = writes.filter(({ table }) => table === LEASE_KEY.table).at(-1);
-  return write?.kind === 'put' ? (write.value as LeaseValue) : undefined;
-}
-
 // Guards against a leader that reaches the store but no agent, and that nobody ever replaces.
 it('releases its lease some time after the leases of all workers ended', () => {
   const before = isolated();
   expect(before.state.phase).to.equal('leading');
   const after = advanceLeading(before, 4 * STEP_MS);
   expect(after.state.phase).to.equal('following');
-  expect(lastLease(after)?.isReleased).to.equal(true);
+  expect(lastWritten(after, LEASE_KEY)).to.include({ isReleased: true });
   const [lost, ...more] = loggedFields(after, 'leaderLost');
   expect(more).to.have.length(0);
   expect(lost).to.include({ term: 1, reason: 'noAgents' });
