--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/claim.ts
@@ -1,12 +1,12 @@
 import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, without } from '@bronzeyoke/types';
+import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
 import { describeGrants, earlierLeasesOf } from './leases';
 import type { LeaseValue } from './rows';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
-import { unchanged, withEffects } from './state';
+import { withEffects } from './state';
 import { claimDelayMs } from './times';
 import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from './types';
 
@@ -97,7 +97,8 @@
   const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
   const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
   const waitMs = takeoverMs + claimDelayMs(capacity) + random * CLAIM_SPREAD_MS;
-  if (nowMs - lease.sinceMs < waitMs) return unchanged(seen);
+  const isPaused = nowMs < state.claimPausedUntilMs;
+  if (isPaused || nowMs - lease.sinceMs < waitMs) return unchanged(seen);
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
 }
 
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -1,9 +1,9 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
-import { assertNever, without } from '@bronzeyoke/types';
+import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { JobProgress } from '@bronzeyoke/workflow';
 import { encodeProgress, taskProgress } from '@bronzeyoke/workflow';
-import { advanceLeadership, onLeaderRow } from './leadership';
+import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from './leases';
 import {
   cancelKey,
@@ -18,14 +18,7 @@
 } from './rows';
 import { releaseRun } from './release';
 import { putRun } from './runs';
-import {
-  chainAfter,
-  chainAll,
-  NO_PENDING_WRITES,
-  sendToWorker,
-  unchanged,
-  withEffects,
-} from './state';
+import { NO_PENDING_WRITES, sendToWorker, withEffects } from './state';
 import { taskLog } from './tasklog';
 import type { InFlightTransaction, PostCommitAction, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
@@ -134,6 +127,7 @@
     callId,
     transaction,
     lease,
+    ...(state.phase === 'leading' ? { times: state.settings.times } : {}),
     sentAtMs: nowMs,
     firstSentAtMs: nowMs,
     postCommit,
@@ -146,9 +140,9 @@
   ]);
 }
 
-/** Releases the lease of a leader that stops, so that another entry takes over at once. */
+/** Releases the lease of a leader that stops or steps down, so that another entry takes over at once. */
 export function releaseLease(state: SchedulerState, nowMs: number): SchedulerStep {
-  if (state.phase !== 'releasing' || state.inFlight !== undefined) return unchanged(state);
+  if (!isReleasing(state) || state.inFlight !== undefined) return unchanged(state);
   const parts = { isReleased: true, writes: [], postCommit: [], endedJobs: [] };
   return sendTransaction(state, parts, nowMs);
 }
@@ -264,18 +258,16 @@
   sentAtMs: number,
   nowMs: number,
 ): SchedulerStep {
-  const rest = without(state, 'inFlight');
-  const { lease, endedJobs } = inFlight;
+  const rest = without(state, 'inFlight', 'storedTimes');
+  const { lease, times, endedJobs } = inFlight;
   if (lease.isReleased) return advanceLeadership(rest, 'released');
-  const isGranting = (lease.grants?.lastEndMs ?? 0) > 0;
-  const grantUntilMs = isGranting ? sentAtMs + state.settings.times.grantWindowMs : 0;
   const stored: SchedulerState = {
     ...rest,
     leaseVersion: version,
     leaseNumber: lease.number,
-    isGranting,
     storedAwaited: new Set(Object.keys(lease.grants?.awaitedEndMs ?? {})),
-    mayGrantUntilMs: Math.max(state.mayGrantUntilMs, grantUntilMs),
+    ...(times === undefined ? {} : { storedTimes: times }),
+    mayGrantUntilMs: times === undefined ? 0 : sentAtMs + times.grantWindowMs,
     jobs: state.jobs.deleteAll(endedJobs),
     ended: endedJobs.reduce(
       (ended, jobId) => ended.set(jobId, state.jobs.get(jobId)?.progress.endedAtMs ?? 0),
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,15 +1,15 @@
 import { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { without } from '@bronzeyoke/types';
+import { chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
-import { earlierInstances } from './instances';
+import { earlierInstances, storeAddress } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
-import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
+import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import { knownStage, taskLog } from './tasklog';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
 import { runRef } from './types';
@@ -37,7 +37,7 @@
   nowMs: number,
 ): SchedulerStep {
   const { workerKey, worker, clockMs } = report;
-  const { times } = state.settings;
+  const times = state.storedTimes ?? state.settings.times;
   const known = state.workers.get(workerKey);
   const isNewClock = clockMs > (known?.clockMs ?? -1);
   const mustWait = isAwaited(state, workerKey);
@@ -276,6 +276,7 @@
     return withEffects(state, [logEffect('reportIgnored', fields)]);
   }
   return chainAll(resetOrders(state, report, linkId), [
+    (current) => unchanged(storeAddress(current, workerKey, report.worker.address)),
     (current) => updateWorker(current, linkId, report, nowMs),
     (current) => releaseEarlierInstances(current, report, nowMs),
     (current) => applyEnds(current, report, nowMs, wallMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -10,6 +10,7 @@
   WorkerReport,
 } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
+import type { Step } from '@bronzeyoke/types';
 import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
@@ -20,8 +21,26 @@
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
-  states: ['following', 'claiming', 'withdrawing', 'loading', 'leading', 'releasing', 'stopped'],
-  events: ['leaseFree', 'claimWon', 'claimLost', 'loaded', 'deposed', 'stop', 'released'],
+  states: [
+    'following',
+    'claiming',
+    'withdrawing',
+    'loading',
+    'leading',
+    'steppingDown',
+    'releasing',
+    'stopped',
+  ],
+  events: [
+    'leaseFree',
+    'claimWon',
+    'claimLost',
+    'loaded',
+    'isolated',
+    'deposed',
+    'stop',
+    'released',
+  ],
   actions: ['claim', 'load', 'begin', 'reset', 'resign'],
 });
 
@@ -178,6 +197,8 @@
   readonly callId: string;
   readonly transaction: RowTransaction;
   readonly lease: LeaseValue;
+  /** Times that the lease row states; absent if it says that no lease is granted. */
+  readonly times?: SchedulerTimes;
   readonly sentAtMs: number;
   readonly firstSentAtMs: number;
   readonly postCommit: readonly PostCommitAction[];
@@ -224,13 +245,19 @@
   readonly nextReadAtMs: number;
   readonly claim?: Claim;
   readonly claimedAtMs: number;
+  /** Time before which this entry leaves a free lease to others. */
+  readonly claimPausedUntilMs: number;
+  /** Time at which the lease of the last known worker ended; absent once an agent has sent a message. */
+  readonly isolatedSinceMs?: number;
   readonly earlierLeases: EarlierLeases;
   /** Workers that have not reported to this leader, with the end of their leases. */
   readonly awaited: Map<string, number>;
   /** Awaited workers in the stored lease row. Leases are granted only to others. */
   readonly storedAwaited: ReadonlySet<string>;
-  /** Whether the stored lease row says that this leader grants leases. */
-  readonly isGranting: boolean;
+  /** Times that the stored lease row states; absent while it says that no lease is granted. */
+  readonly storedTimes?: SchedulerTimes;
+  /** Time until which leases last that were granted by times that have changed since. */
+  readonly formerLeasesEndAtMs: number;
   /** Time until which agents may be granted leases. */
   readonly mayGrantUntilMs: number;
   readonly loading: LoadState;
@@ -301,10 +328,7 @@
   | LogEffect;
 
 /** State and effects of a part of a step. */
-export interface SchedulerStep {
-  readonly state: SchedulerState;
-  readonly effects: readonly SchedulerEffect[];
-}
+export type SchedulerStep = Step<SchedulerState, SchedulerEffect>;
 
 /** Returns the reference to a run that messages carry. */
 export function runRef(task: string, attempt: number): RunRef {
