--- /dev/null
+++ b/packages/runner/test/fixture.ts
@@ -0,0 +1,106 @@
+import type { ListedRun, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
+import type { RunnerEffect, RunnerEvent, RunnerState } from '@bronzeyoke/runner';
+import { createRunner, stepRunner } from '@bronzeyoke/runner';
+
+/** An agent, the effects of its last step and the time of it. */
+export interface Fixture {
+  readonly state: RunnerState;
+  readonly effects: readonly RunnerEffect[];
+  readonly nowMs: number;
+}
+
+/** Task of the only order. */
+export const TASK = 'job1.0.0.0';
+/** Key of the worker in `REPORT`. */
+export const KEY = 'i-1@5';
+/** Address of the leader. */
+export const LEADER = { host: 'h1', port: 1 };
+
+/** First heartbeat of the worker. */
+export const REPORT: WorkerReport = {
+  id: 'i-1',
+  address: 'w:1',
+  bornAtMs: 5,
+  service: 'quoter',
+  domain: 'north',
+  version: 'v1',
+  isDraining: false,
+  capacity: { processorsMilli: 4_000, memoryMb: 8_000, accelerators: 0 },
+  labels: ['a', 'r1'],
+  rack: 'r1',
+  sequence: 1,
+};
+
+/** Applies an event after some time. */
+export function dispatch(fixture: Fixture, event: RunnerEvent, afterMs = 10): Fixture {
+  const nowMs = fixture.nowMs + afterMs;
+  const step = stepRunner(fixture.state, event, { nowMs, random: 0 });
+  return { state: step.state, effects: step.effects, nowMs };
+}
+
+/** Answers the open hold. */
+export function answerHold(
+  fixture: Fixture,
+  changes: Partial<Extract<WorkerCallResult, { kind: 'done' }>> = {},
+): Fixture {
+  const callId = fixture.state.holdCallId ?? 'none';
+  const result = {
+    kind: 'done' as const,
+    clockMs: fixture.nowMs,
+    bornAtMs: 5,
+    running: [],
+    ended: [],
+    ...changes,
+  };
+  return dispatch(fixture, { kind: 'callDone', callId, result });
+}
+
+/** Creates an agent with a worker that has replied, a leader and a lease. */
+export function createLeased(): Fixture {
+  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER] };
+  const start = { state: createRunner(settings), effects: [], nowMs: 0 };
+  const reported = answerHold(dispatch(start, { kind: 'heartbeat', report: REPORT }));
+  const led = dispatch(reported, { kind: 'leader', term: 1, address: LEADER });
+  const linked = dispatch(led, { kind: 'linkOpened' });
+  const message = { kind: 'grant', workerKey: KEY, leaseUntilClockMs: 5_000 } as const;
+  return dispatch(linked, { kind: 'received', message }, 60);
+}
+
+/** Delivers a start order for the only task. */
+export function order(fixture: Fixture): Fixture {
+  const message = {
+    kind: 'start',
+    workerKey: KEY,
+    order: 1,
+    run: { task: TASK, attempt: 1 },
+    payload: 'work',
+  } as const;
+  return dispatch(fixture, { kind: 'received', message });
+}
+
+/** Returns the id of the call of a kind that the last step made. */
+export function callIdOf(fixture: Fixture, kind: string): string {
+  const call = fixture.effects.find(
+    (effect) => effect.kind === 'call' && effect.call.kind === kind,
+  );
+  return call?.kind === 'call' ? call.callId : 'none';
+}
+
+/** Returns the reports that the last step sent. */
+export function reportsOf(fixture: Fixture) {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'report' ? [effect.message] : [],
+  );
+}
+
+/** The only task as its worker lists it. */
+export const LISTED: ListedRun = { task: TASK, attempt: 1, checkpoint: '', percent: 1, load: 0 };
+
+/** Returns the keys of the workers that the last step reported as gone. */
+export function goneKeysOf(fixture: Fixture): readonly string[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'workerGone'
+      ? [effect.message.workerKey]
+      : [],
+  );
+}
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -1,90 +1,20 @@
 import { expect } from 'chai';
-import type { ListedRun, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
-import type { RunnerEffect, RunnerEvent, RunnerState } from '@bronzeyoke/runner';
-import { createRunner, stepRunner } from '@bronzeyoke/runner';
-
-interface Fixture {
-  readonly state: RunnerState;
-  readonly effects: readonly RunnerEffect[];
-  readonly nowMs: number;
-}
-
-const TASK = 'job1.0.0.0';
-const KEY = 'i-1@5';
-const LEADER = { host: 'h1', port: 1 };
-
-const REPORT: WorkerReport = {
-  id: 'i-1',
-  address: 'w:1',
-  bornAtMs: 5,
-  service: 'quoter',
-  domain: 'north',
-  version: 'v1',
-  isDraining: false,
-  capacity: { processorsMilli: 4_000, memoryMb: 8_000, accelerators: 0 },
-  labels: ['a', 'r1'],
-  rack: 'r1',
-  sequence: 1,
-};
-
-function dispatch(fixture: Fixture, event: RunnerEvent, afterMs = 10): Fixture {
-  const nowMs = fixture.nowMs + afterMs;
-  const step = stepRunner(fixture.state, event, { nowMs, random: 0 });
-  return { state: step.state, effects: step.effects, nowMs };
-}
-
-function answerHold(
-  fixture: Fixture,
-  changes: Partial<Extract<WorkerCallResult, { kind: 'done' }>> = {},
-): Fixture {
-  const callId = fixture.state.holdCallId ?? 'none';
-  const result = {
-    kind: 'done' as const,
-    clockMs: fixture.nowMs,
-    bornAtMs: 5,
-    running: [],
-    ended: [],
-    ...changes,
-  };
-  return dispatch(fixture, { kind: 'callDone', callId, result });
-}
-
-/** Creates an agent with a worker that has replied, a leader and a lease. */
-function createLeased(): Fixture {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER] };
-  const start = { state: createRunner(settings), effects: [], nowMs: 0 };
-  const reported = answerHold(dispatch(start, { kind: 'heartbeat', report: REPORT }));
-  const led = dispatch(reported, { kind: 'leader', term: 1, address: LEADER });
-  const linked = dispatch(led, { kind: 'linkOpened' });
-  const message = { kind: 'grant', workerKey: KEY, leaseUntilClockMs: 5_000 } as const;
-  return dispatch(linked, { kind: 'received', message }, 60);
-}
-
-function order(fixture: Fixture): Fixture {
-  const message = {
-    kind: 'start',
-    workerKey: KEY,
-    order: 1,
-    run: { task: TASK, attempt: 1 },
-    payload: 'work',
-  } as const;
-  return dispatch(fixture, { kind: 'received', message });
-}
-
-function callIdOf(fixture: Fixture, kind: string): string {
-  const call = fixture.effects.find(
-    (effect) => effect.kind === 'call' && effect.call.kind === kind,
-  );
-  return call?.kind === 'call' ? call.callId : 'none';
-}
-
-function reportsOf(fixture: Fixture) {
-  return fixture.effects.flatMap((effect) =>
-    effect.kind === 'send' && effect.message.kind === 'report' ? [effect.message] : [],
-  );
-}
-
-const LISTED: ListedRun = { task: TASK, attempt: 1, checkpoint: '', percent: 1, load: 0 };
+import { createRunner } from '@bronzeyoke/runner';
+import type { Fixture } from './fixture';
+import {
+  answerHold,
+  callIdOf,
+  createLeased,
+  dispatch,
+  goneKeysOf,
+  KEY,
+  LEADER,
+  LISTED,
+  order,
+  REPORT,
+  reportsOf,
+  TASK,
+} from './fixture';
 
 // Guards against a start that the worker performs without a lease.
 it('agent: a start without a lease is refused', () => {
@@ -206,14 +136,6 @@
   return dispatch(alone, { kind: 'workerLeft', id: 'i-1' });
 }
 
-function goneKeysOf(fixture: Fixture): readonly string[] {
-  return fixture.effects.flatMap((effect) =>
-    effect.kind === 'send' && effect.message.kind === 'workerGone'
-      ? [effect.message.workerKey]
-      : [],
-  );
-}
-
 function confirmGone(fixture: Fixture): Fixture {
   return dispatch(fixture, {
     kind: 'received',
