Keep a gone worker's tasks until no late start order can run

Calls name the id of a worker, so a later instance accepts those to an earlier one, and it has seen no fencing token. The agent reported the earlier instance as gone while the call was open.

The chart `gone` now describes an instance from its end until a leader has recorded it. While start orders are open or unsettled, the agent raises its token, lists the runs of the later instance, stops those that late orders started, and only then reports the new instance and the end of the earlier one. Without a later instance it waits until 3 s after the call. A report precedes messages about gone workers on a new connection.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -1,10 +1,11 @@
 import { advance } from '@bronzeyoke/chart';
-import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import type { ListedRun, WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, without } from '@bronzeyoke/types';
-import type { RunnerMessage } from '@bronzeyoke/wire';
+import { assertNever, chainEach, without } from '@bronzeyoke/types';
+import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
+import { reportEffects, sendToLeader, unchanged } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
-import { orderChart } from './types';
+import { awaitsList, orderChart, orderKey } from './types';
 
 const ORDER_TIMEOUT_MS = 700;
 
@@ -19,53 +20,12 @@
 /** Consecutive refused connections after which the worker counts as gone. */
 const MAX_REFUSED_CONNECTIONS = 2;
 
-/** Ended instances whose late heartbeats are ignored. */
-const MAX_GONE_KEYS = 8;
-
-/** Without a leader, only the first of many short-lived instances may still have tasks. */
-const MAX_UNRECORDED_KEYS = 64;
+/** Pause before the next list while the worker stops runs of late orders. */
+const LATE_STOP_PAUSE_MS = 200;
 
 /** Increment after the worker refused a token, because the token of the other agent is unknown. */
 const TOKEN_STEP = 1_000_000;
 
-/** Returns the key of a run in `pending`. */
-export function orderKey(run: { readonly task: string; readonly attempt: number }): string {
-  return `${run.task}#${run.attempt}`;
-}
-
-/** Returns a step without effects. */
-export function unchanged(state: RunnerState): RunnerStep {
-  return { state, effects: [] };
-}
-
-/** Returns the effect that sends a message to the leader, or none without a connection. */
-export function sendToLeader(state: RunnerState, message: RunnerMessage): readonly RunnerEffect[] {
-  return state.isLinked ? [{ kind: 'send', message }] : [];
-}
-
-/** Returns the report of the worker to the leader, or none before the worker's first reply. */
-export function reportEffects(state: RunnerState): readonly RunnerEffect[] {
-  const { worker, settings, phase, term, lastOrder } = state;
-  if (worker?.clockMs === undefined) return [];
-  const { workerKey, report, clockMs, running, ended, pending } = worker;
-  return sendToLeader(state, {
-    kind: 'report',
-    agentId: settings.agentId,
-    term,
-    workerKey,
-    // The leader places nothing on a worker whose agent is about to exit.
-    worker: phase === 'running' ? report : { ...report, isDraining: true },
-    clockMs,
-    running,
-    ended,
-    pending: pending
-      .valueSeq()
-      .map(({ run }) => run)
-      .toArray(),
-    lastOrder,
-  });
-}
-
 /** Calls the worker. */
 export function callWorker(state: RunnerState, worker: WorkerState, call: WorkerCall): RunnerStep {
   const callId = `${call.kind}-${state.callCount}`;
@@ -85,7 +45,7 @@
   const { worker, holdCallId, token } = state;
   if (worker === undefined || holdCallId !== undefined || nowMs < state.holdAtMs)
     return unchanged(state);
-  const isSettling = worker.pending.some(({ phase }) => phase === 'settling');
+  const isSettling = worker.pending.some(({ phase }) => awaitsList(phase));
   const waitMs = isSettling || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
   const callId = `hold-${state.callCount}`;
   const call: WorkerCall = {
@@ -110,31 +70,63 @@
   };
 }
 
-/** Removes a worker that is gone, with everything that it ran. */
-export function removeWorker(state: RunnerState, reason: string): RunnerStep {
-  const { worker } = state;
-  const rest = without(state, 'worker', 'holdCallId');
-  if (worker === undefined) return unchanged(state);
-  const { workerKey } = worker;
-  return {
-    state: {
-      ...rest,
-      goneKeys: [...state.goneKeys, workerKey].slice(-MAX_GONE_KEYS),
-      unrecordedKeys: [...state.unrecordedKeys, workerKey].slice(0, MAX_UNRECORDED_KEYS),
-    },
-    effects: [
-      ...sendToLeader(state, { kind: 'workerGone', workerKey }),
-      logEffect('workerGone', { worker: workerKey, reason }),
-    ],
-  };
-}
-
 function unsettledOrders(worker: WorkerState, holdNumber: number): WorkerState['pending'] {
   return worker.pending.filterNot(
-    ({ phase, afterHold }) => phase === 'settling' && holdNumber > afterHold,
+    ({ phase, afterHold }) => awaitsList(phase) && holdNumber > afterHold,
   );
 }
 
+/** Stops the runs that late orders to earlier instances started, and lists the runs again. */
+function stopLateRuns(
+  state: RunnerState,
+  worker: WorkerState,
+  running: readonly ListedRun[],
+  nowMs: number,
+): RunnerStep {
+  const waiting = { ...state, holdAtMs: nowMs + LATE_STOP_PAUSE_MS };
+  return chainEach<RunnerState, RunnerEffect, ListedRun>(
+    unchanged(waiting),
+    running,
+    (current, { task, attempt }) => {
+      const call = callWorker(current, worker, {
+        kind: 'stop',
+        task,
+        attempt,
+        fencingToken: current.token,
+      });
+      const log = logEffect('taskStopped', {
+        task,
+        attempt,
+        worker: worker.workerKey,
+        reason: 'lateOrder',
+      });
+      return { state: call.state, effects: [...call.effects, log] };
+    },
+  );
+}
+
+/** Applies a list of the worker's runs. */
+function onList(
+  state: RunnerState,
+  worker: WorkerState,
+  { clockMs, running = [], ended = [] }: Extract<WorkerCallResult, { kind: 'done' }>,
+  nowMs: number,
+): RunnerStep {
+  if (isListAwaited(state) && running.length > 0)
+    return stopLateRuns(state, worker, running, nowMs);
+  const next: WorkerState = {
+    ...worker,
+    clockMs: Math.max(worker.clockMs ?? 0, clockMs),
+    running,
+    ended,
+    pending: unsettledOrders(worker, state.holdCount),
+    refusedConnections: 0,
+  };
+  const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
+  const gone = onSuccessorListed(updated);
+  return { state: gone.state, effects: [...reportEffects(updated), ...gone.effects] };
+}
+
 function onHoldResult(
   state: RunnerState,
   worker: WorkerState,
@@ -147,16 +139,7 @@
       if (result.bornAtMs !== undefined && result.bornAtMs !== worker.report.bornAtMs) {
         return removeWorker(answered, 'restarted');
       }
-      const next: WorkerState = {
-        ...worker,
-        clockMs: Math.max(worker.clockMs ?? 0, result.clockMs),
-        running: result.running ?? [],
-        ended: result.ended ?? [],
-        pending: unsettledOrders(worker, state.holdCount),
-        refusedConnections: 0,
-      };
-      const updated = { ...answered, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
-      return { state: updated, effects: reportEffects(updated) };
+      return onList(answered, worker, result, nowMs);
     }
     case 'refused':
       return unchanged({
@@ -236,8 +219,10 @@
   const order = state.pendingCalls.get(callId);
   if (order === undefined) return unchanged(state);
   const rest = { ...state, pendingCalls: state.pendingCalls.delete(callId) };
-  if (worker?.workerKey !== order.workerKey) return unchanged(rest);
   const { call } = order;
+  if (worker?.workerKey !== order.workerKey) {
+    return onGoneCallDone(rest, order.workerKey, call, result);
+  }
   switch (call.kind) {
     case 'start':
       return onStartResult(rest, worker, call, result);
--- /dev/null
+++ b/packages/runner/src/gone.ts
@@ -0,0 +1,181 @@
+import { Map } from 'immutable';
+import { advance } from '@bronzeyoke/chart';
+import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import { logEffect } from '@bronzeyoke/telemetry';
+import { assertNever, without } from '@bronzeyoke/types';
+import { sendToLeader, unchanged } from './report';
+import type { GoneWorker, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
+import { goneChart, orderKey } from './types';
+
+/** Ended instances whose late heartbeats are ignored. */
+const MAX_GONE_KEYS = 8;
+
+/** Without a leader, only the first of many short-lived instances may still have tasks. */
+const MAX_GONE_WORKERS = 64;
+
+/** Interval at which a gone worker is reported again until the leader has recorded it. */
+const GONE_REPEAT_MS = 1_000;
+
+/**
+ * Time after a start call in which a later instance under the same id may carry it out. Shorter than
+ * a lease, so that the tasks of a crashed worker return before those of a silent machine.
+ */
+const LATE_CALL_MS = 3_000;
+
+/** How the agent learned that a worker is gone. */
+export type GoneReason =
+  /** Heartbeat of a later instance under the same id. */
+  | 'newerInstance'
+  /** Reply of a later instance under the same id. */
+  | 'restarted'
+  /** Heartbeat or reply of an instance under another id. */
+  | 'otherWorker'
+  | 'notListening'
+  | 'left';
+
+type GoneEvent = 'settled' | 'successor' | 'replaced' | 'listed' | 'successorGone' | 'recorded';
+
+/** Returns the start orders of a gone worker that a later instance under its id may carry out. */
+function openStartsOf({ pending }: WorkerState, reason: GoneReason): Map<string, number> {
+  const calledAtMs = pending.map((order) => order.calledAtMs);
+  switch (reason) {
+    case 'newerInstance':
+    case 'restarted':
+    case 'left':
+      return calledAtMs;
+    case 'notListening':
+      // The instance that replied to a start has ended, whichever it was.
+      return calledAtMs.filter((_, key) => pending.get(key)?.phase !== 'settling');
+    case 'otherWorker':
+      // Calls name an id, and no other instance accepts them.
+      return Map();
+    default:
+      return assertNever(reason);
+  }
+}
+
+function goneMessage(state: RunnerState, workerKey: string): readonly RunnerEffect[] {
+  return sendToLeader(state, { kind: 'workerGone', workerKey });
+}
+
+/** Applies an event to the gone workers for which `isMeant` holds. */
+function advanceGone(
+  state: RunnerState,
+  event: GoneEvent,
+  isMeant: (gone: GoneWorker) => boolean,
+): RunnerStep {
+  const changes = state.goneWorkers.map((gone) => {
+    const { state: phase, actions } = isMeant(gone)
+      ? advance(goneChart, gone.phase, event)
+      : { state: gone.phase, actions: [] };
+    const effects = actions.includes('report') ? goneMessage(state, gone.workerKey) : [];
+    return { gone: { ...gone, phase }, effects };
+  });
+  return {
+    state: { ...state, goneWorkers: changes.map(({ gone }) => gone) },
+    effects: changes.flatMap(({ effects }) => effects),
+  };
+}
+
+function settleEmpty(state: RunnerState): RunnerStep {
+  return advanceGone(state, 'settled', ({ openStarts }) => openStarts.isEmpty());
+}
+
+/** Removes a worker that is gone, with everything that it ran. */
+export function removeWorker(state: RunnerState, reason: GoneReason): RunnerStep {
+  const { worker } = state;
+  const rest = without(state, 'worker', 'holdCallId');
+  if (worker === undefined) return unchanged(state);
+  const { workerKey } = worker;
+  const gone: GoneWorker = {
+    workerKey,
+    id: worker.report.id,
+    phase: goneChart.initial,
+    openStarts: openStartsOf(worker, reason),
+  };
+  const earlier = advanceGone(rest, 'successorGone', () => true);
+  const step = settleEmpty({
+    ...earlier.state,
+    goneKeys: [...state.goneKeys, workerKey].slice(-MAX_GONE_KEYS),
+    goneWorkers: [...earlier.state.goneWorkers, gone].slice(0, MAX_GONE_WORKERS),
+  });
+  const log = logEffect('workerGone', {
+    worker: workerKey,
+    reason,
+    openStarts: gone.openStarts.size,
+  });
+  return { state: step.state, effects: [...step.effects, log] };
+}
+
+/** Handles the first heartbeat of an instance that follows gone ones. */
+export function onSuccessorSeen(state: RunnerState, id: string): RunnerStep {
+  const replaced = advanceGone(state, 'replaced', (gone) => gone.id !== id);
+  const succeeded = advanceGone(replaced.state, 'successor', (gone) => gone.id === id);
+  return { state: succeeded.state, effects: [...replaced.effects, ...succeeded.effects] };
+}
+
+/** Returns whether a gone worker waits for a list of its successor without runs. */
+export function isListAwaited(state: RunnerState): boolean {
+  return state.goneWorkers.some(({ phase }) => phase === 'awaitingList');
+}
+
+/**
+ * Handles a list without runs of an instance that follows gone ones. It was made under a higher token
+ * than all calls to these, so none of the calls starts a run any more.
+ */
+export function onSuccessorListed(state: RunnerState): RunnerStep {
+  return advanceGone(state, 'listed', () => true);
+}
+
+/** Handles the end of a call to a gone worker. */
+export function onGoneCallDone(
+  state: RunnerState,
+  workerKey: string,
+  call: WorkerCall,
+  result: WorkerCallResult,
+): RunnerStep {
+  // A start with a good reply may have been carried out by the later instance.
+  const mayRun = result.kind === 'done' || result.kind === 'lost';
+  if (call.kind !== 'start' || mayRun) return unchanged(state);
+  const goneWorkers = state.goneWorkers.map((gone) =>
+    gone.workerKey === workerKey
+      ? { ...gone, openStarts: gone.openStarts.delete(orderKey(call)) }
+      : gone,
+  );
+  return settleEmpty({ ...state, goneWorkers });
+}
+
+/** Gives up the start calls that can have no late effect any more. */
+export function settleGone(state: RunnerState, nowMs: number): RunnerStep {
+  // An instance that is up may have begun a run that its first list will show.
+  const goneWorkers = state.goneWorkers.map((gone) =>
+    gone.phase === 'uncertain'
+      ? {
+          ...gone,
+          openStarts: gone.openStarts.filter((calledAtMs) => nowMs - calledAtMs < LATE_CALL_MS),
+        }
+      : gone,
+  );
+  return settleEmpty({ ...state, goneWorkers });
+}
+
+/** Returns the messages about all gone workers that no leader has recorded. */
+export function goneEffects(state: RunnerState): readonly RunnerEffect[] {
+  return state.goneWorkers
+    .filter(({ phase }) => phase === 'ended')
+    .flatMap(({ workerKey }) => goneMessage(state, workerKey));
+}
+
+/** Reports gone workers again that no leader has recorded yet. */
+export function repeatGone(state: RunnerState, nowMs: number): RunnerStep {
+  const isWaiting = state.isLinked && state.goneWorkers.some(({ phase }) => phase === 'ended');
+  if (isWaiting && nowMs - state.goneSentAtMs < GONE_REPEAT_MS) return unchanged(state);
+  return { state: { ...state, goneSentAtMs: nowMs }, effects: goneEffects(state) };
+}
+
+/** Handles a leader's confirmation that it has stored the release of a gone worker's tasks. */
+export function onGoneRecorded(state: RunnerState, workerKey: string): RunnerStep {
+  const step = advanceGone(state, 'recorded', (gone) => gone.workerKey === workerKey);
+  const goneWorkers = step.state.goneWorkers.filter(({ phase }) => phase !== 'recorded');
+  return { state: { ...step.state, goneWorkers }, effects: step.effects };
+}
--- a/packages/runner/src/settle.ts
+++ b/packages/runner/src/settle.ts
@@ -2,33 +2,10 @@
 import { advance } from '@bronzeyoke/chart';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
-import { reportEffects, sendToLeader, unchanged } from './calls';
+import { reportEffects, unchanged } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep } from './types';
 import { agentChart } from './types';
 
-/** Interval at which a gone worker is reported again until the leader has recorded it. */
-const GONE_REPEAT_MS = 1_000;
-
-/** Returns the messages about all gone workers that no leader has recorded. */
-export function goneEffects(state: RunnerState): readonly RunnerEffect[] {
-  return state.unrecordedKeys.flatMap((workerKey) =>
-    sendToLeader(state, { kind: 'workerGone', workerKey }),
-  );
-}
-
-/** Reports gone workers again that no leader has recorded yet. */
-export function repeatGone(state: RunnerState, nowMs: number): RunnerStep {
-  const isWaiting = state.isLinked && state.unrecordedKeys.length > 0;
-  if (isWaiting && nowMs - state.goneSentAtMs < GONE_REPEAT_MS) return unchanged(state);
-  return { state: { ...state, goneSentAtMs: nowMs }, effects: goneEffects(state) };
-}
-
-/** Handles a leader's confirmation that it has stored the release of a gone worker's tasks. */
-export function onGoneRecorded(state: RunnerState, workerKey: string): RunnerStep {
-  const unrecordedKeys = state.unrecordedKeys.filter((key) => key !== workerKey);
-  return unchanged({ ...state, unrecordedKeys });
-}
-
 /** Returns whether the worker listed ends before the stop that no leader has acknowledged. */
 function hasOpenEnds({ worker, stopping }: RunnerState): boolean {
   return (
@@ -40,7 +17,7 @@
 }
 
 function isSettled(state: RunnerState): boolean {
-  return state.unrecordedKeys.length === 0 && !hasOpenEnds(state);
+  return state.goneWorkers.length === 0 && !hasOpenEnds(state);
 }
 
 function performAction(
@@ -48,7 +25,7 @@
   action: ActionOf<typeof agentChart>,
 ): readonly RunnerEffect[] {
   const fields = {
-    goneWorkers: state.unrecordedKeys.join(','),
+    goneWorkers: state.goneWorkers.map(({ workerKey }) => workerKey).join(','),
     hasOpenEnds: hasOpenEnds(state),
   };
   switch (action) {
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -5,17 +5,17 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
+import { callWorker, holdIfDue, onCallDone } from './calls';
 import {
-  callWorker,
+  goneEffects,
+  onGoneRecorded,
+  onSuccessorSeen,
   removeWorker,
-  holdIfDue,
-  onCallDone,
-  orderKey,
-  reportEffects,
-  unchanged,
-  sendToLeader,
-} from './calls';
-import { goneEffects, onGoneRecorded, onStop, repeatGone, settleIfDue } from './settle';
+  repeatGone,
+  settleGone,
+} from './gone';
+import { reportEffects, sendToLeader, unchanged } from './report';
+import { onStop, settleIfDue } from './settle';
 import type {
   EntryAddress,
   RunnerEvent,
@@ -24,7 +24,7 @@
   RunnerStep,
   WorkerState,
 } from './types';
-import { agentChart } from './types';
+import { agentChart, orderKey } from './types';
 
 /** Time without a reply from the leader after which the connection is replaced. */
 const LEADER_TIMEOUT_MS = 1_500;
@@ -38,7 +38,7 @@
     callCount: 0,
     lastBornAtMs: 0,
     goneKeys: [],
-    unrecordedKeys: [],
+    goneWorkers: [],
     goneSentAtMs: 0,
     holdCount: 0,
     holdAtMs: 0,
@@ -74,16 +74,20 @@
     const next = { ...state, worker: { ...worker, report } };
     return { state: next, effects: hasChanged ? reportEffects(next) : [] };
   }
-  const left = worker === undefined ? unchanged(state) : removeWorker(state, 'newerInstance');
   const { id, service } = report;
+  const isSameId = worker?.report.id === id;
+  const left = removeWorker(state, isSameId ? 'newerInstance' : 'otherWorker');
   const updated = {
     ...left.state,
     worker: createWorker(report),
     lastBornAtMs: report.bornAtMs,
     holdAtMs: nowMs,
+    // Makes the new instance refuse late calls to the earlier one, from its first list on.
+    token: state.token + (state.lastBornAtMs === 0 ? 0 : 1),
   };
-  const fields = { worker: workerKey, id, service };
-  return { state: updated, effects: [...left.effects, logEffect('workerSeen', fields)] };
+  const gone = onSuccessorSeen(updated, id);
+  const log = logEffect('workerSeen', { worker: workerKey, id, service });
+  return { state: gone.state, effects: [...left.effects, ...gone.effects, log] };
 }
 
 function connectTo(state: RunnerState, address: EntryAddress, nowMs: number): RunnerStep {
@@ -131,6 +135,7 @@
 function onStartOrder(
   state: RunnerState,
   message: Extract<LeaderMessage, { kind: 'start' }>,
+  nowMs: number,
 ): RunnerStep {
   const { workerKey, run, payload, checkpoint, ticket } = message;
   const { worker } = state;
@@ -142,7 +147,7 @@
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
   if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
-  const order = { run, phase: 'calling' as const, afterHold: Infinity };
+  const order = { run, phase: 'calling' as const, afterHold: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
   return callWorker({ ...seen, worker: { ...worker, pending } }, worker, {
     kind: 'start',
@@ -167,7 +172,7 @@
       return onLeader(known, term, address, nowMs);
     }
     case 'start':
-      return onStartOrder(current, message);
+      return onStartOrder(current, message, nowMs);
     case 'grant': {
       if (worker?.workerKey !== message.workerKey) return unchanged(current);
       const until = Math.max(worker.leaseUntilClockMs ?? 0, message.leaseUntilClockMs);
@@ -202,8 +207,10 @@
   switch (event.kind) {
     case 'tick': {
       const repeated = repeatGone(state, nowMs);
-      const step = reconnectIfSilent(repeated.state, nowMs);
-      return { state: step.state, effects: [...repeated.effects, ...step.effects] };
+      const settled = settleGone(repeated.state, nowMs);
+      const step = reconnectIfSilent(settled.state, nowMs);
+      const effects = [...repeated.effects, ...settled.effects, ...step.effects];
+      return { state: step.state, effects };
     }
     case 'heartbeat':
       return onHeartbeat(state, event.report, nowMs);
@@ -219,7 +226,7 @@
         progressAtMs: nowMs,
         goneSentAtMs: nowMs,
       };
-      return { state: linked, effects: [...goneEffects(linked), ...reportEffects(linked)] };
+      return { state: linked, effects: [...reportEffects(linked), ...goneEffects(linked)] };
     }
     case 'linkClosed':
       return unchanged({ ...state, isLinked: false });
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -11,11 +11,12 @@
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import agentChartFile from '../charts/agent.json';
+import goneChartFile from '../charts/gone.json';
 import orderChartFile from '../charts/order.json';
 
 /** State chart of a start order. A list that the worker makes after the start settles the order. */
 export const orderChart = compileChart(orderChartFile, {
-  states: ['calling', 'settling', 'settled'],
+  states: ['calling', 'settling', 'lost', 'settled'],
   events: ['done', 'refused', 'lost', 'listed'],
   actions: ['raiseToken'],
 });
@@ -27,6 +28,16 @@
   actions: ['logSettling', 'logUnsettled', 'report', 'exit'],
 });
 
+/**
+ * State chart of an instance that has ended, until a leader has recorded it. While a later instance
+ * under its id may carry out one of its start orders, the leader must not give its tasks away.
+ */
+export const goneChart = compileChart(goneChartFile, {
+  states: ['uncertain', 'awaitingList', 'ended', 'recorded'],
+  events: ['settled', 'successor', 'replaced', 'listed', 'successorGone', 'recorded'],
+  actions: ['report'],
+});
+
 /** What a planned stop waits for, beside gone workers that no leader has recorded. */
 export interface StopState {
   readonly deadlineAtMs: number;
@@ -41,6 +52,26 @@
   readonly phase: StateOf<typeof orderChart>;
   /** A hold with a higher number settles the order. */
   readonly afterHold: number;
+  readonly calledAtMs: number;
+}
+
+/** Returns the key of a run among orders. */
+export function orderKey(run: RunRef): string {
+  return `${run.task}#${run.attempt}`;
+}
+
+/** Returns whether an order is settled by the next list that the worker makes. */
+export function awaitsList(phase: PendingOrder['phase']): boolean {
+  return phase === 'settling' || phase === 'lost';
+}
+
+/** An instance that has ended, until a leader has stored the release of its tasks. */
+export interface GoneWorker {
+  readonly workerKey: string;
+  readonly id: string;
+  readonly phase: StateOf<typeof goneChart>;
+  /** Start orders that a later instance may carry out, with the time of their calls. */
+  readonly openStarts: Map<string, number>;
 }
 
 /** Address at which an entry accepts agents. */
@@ -85,8 +116,8 @@
   /** Start of the newest instance; heartbeats of older ones and of `goneKeys` are ignored. */
   readonly lastBornAtMs: number;
   readonly goneKeys: readonly string[];
-  /** Gone workers without a confirmation that a leader has stored the release of their tasks. */
-  readonly unrecordedKeys: readonly string[];
+  /** Gone workers that no leader has recorded. */
+  readonly goneWorkers: readonly GoneWorker[];
   readonly goneSentAtMs: number;
   readonly holdCount: number;
   readonly holdCallId?: string;
--- /dev/null
+++ b/packages/runner/test/successor.test.ts
@@ -0,0 +1,181 @@
+import { expect } from 'chai';
+import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import { createRunner } from '@bronzeyoke/runner';
+import type { Fixture } from './fixture';
+import {
+  answerHold,
+  callIdOf,
+  createLeased,
+  dispatch,
+  goneKeysOf,
+  KEY,
+  LISTED,
+  order,
+  REPORT,
+  reportsOf,
+} from './fixture';
+
+const LATER = { ...REPORT, bornAtMs: 900, sequence: 1 };
+const LATER_KEY = 'i-1@900';
+
+/** Longest time for which an agent reckons with the late effect of a start call. */
+const LATE_CALL_MS = 3_000;
+
+function restart(fixture: Fixture): Fixture {
+  return dispatch(fixture, { kind: 'heartbeat', report: LATER });
+}
+
+function answer(fixture: Fixture, callId: string, result: WorkerCallResult): Fixture {
+  return dispatch(fixture, { kind: 'callDone', callId, result });
+}
+
+/** Refuses the connection of the open hold and of the next one. */
+function refuseConnections(fixture: Fixture): Fixture {
+  const refuse = (current: Fixture): Fixture =>
+    answer(current, current.state.holdCallId ?? 'none', { kind: 'notListening' });
+  return refuse(dispatch(refuse(fixture), { kind: 'tick' }, 200));
+}
+
+function callsOf(fixture: Fixture, kind: WorkerCall['kind']): readonly WorkerCall[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'call' && effect.call.kind === kind ? [effect.call] : [],
+  );
+}
+
+/** Returns the kinds and worker keys of the messages that the last step sent. */
+function sentOf(fixture: Fixture): readonly string[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'send' && 'workerKey' in effect.message
+      ? [`${effect.message.kind} ${effect.message.workerKey}`]
+      : [],
+  );
+}
+
+// Guards against a second run of a task whose late start order a restarted worker carries out.
+it('agent: a later instance gets a higher token than all calls to the earlier one', () => {
+  const restarted = restart(order(createLeased()));
+  expect(callsOf(restarted, 'hold').map(({ fencingToken }) => fencingToken)).to.deep.equal([101]);
+});
+
+// Guards against a task that is placed elsewhere while the order for it is still on its way.
+it('agent: an earlier instance is gone once its successor lists no run', () => {
+  const restarted = restart(order(createLeased()));
+  expect(sentOf(restarted)).to.deep.equal([]);
+  const listed = answerHold(restarted, { bornAtMs: 900 });
+  expect(sentOf(listed)).to.deep.equal([`report ${LATER_KEY}`, `workerGone ${KEY}`]);
+});
+
+// Guards against a task that is placed elsewhere while a restarted worker runs it after a late order.
+it('agent: a run that a late order started is stopped before the earlier instance is gone', () => {
+  const restarted = restart(order(createLeased()));
+  const listed = answerHold(restarted, { bornAtMs: 900, running: [LISTED] });
+  expect(sentOf(listed)).to.deep.equal([]);
+  expect(callsOf(listed, 'stop')).to.deep.equal([
+    { kind: 'stop', task: LISTED.task, attempt: LISTED.attempt, fencingToken: 101 },
+  ]);
+  const again = dispatch(listed, { kind: 'tick' }, 250);
+  expect(callsOf(again, 'hold').map((call) => call.kind === 'hold' && call.waitMs)).to.deep.equal([
+    0,
+  ]);
+  const stopped = answerHold(again, { bornAtMs: 900 });
+  expect(sentOf(stopped)).to.deep.equal([`report ${LATER_KEY}`, `workerGone ${KEY}`]);
+});
+
+// Guards against an agent that stops the runs of its worker because the agent itself was restarted.
+it('agent: runs in the first list that an agent sees go on', () => {
+  const settings = { agentId: 'a1', firstToken: 100, seeds: [] };
+  const start = { state: createRunner(settings), effects: [], nowMs: 0 };
+  const linked = dispatch(dispatch(start, { kind: 'linkOpened' }), {
+    kind: 'heartbeat',
+    report: REPORT,
+  });
+  const listed = answerHold(linked, { running: [LISTED] });
+  expect(callsOf(listed, 'stop')).to.deep.equal([]);
+  expect(reportsOf(listed)[0]?.running).to.deep.equal([LISTED]);
+});
+
+// Guards against an end of the earlier instance that is reported on a tick or a new connection.
+it('agent: an earlier instance stays unreported until its successor has replied', () => {
+  const restarted = restart(order(createLeased()));
+  const ticked = dispatch(restarted, { kind: 'tick' }, LATE_CALL_MS + 1);
+  const linked = dispatch(dispatch(ticked, { kind: 'linkClosed' }), { kind: 'linkOpened' });
+  expect([...goneKeysOf(ticked), ...goneKeysOf(linked)]).to.deep.equal([]);
+  const listed = answerHold(linked, { bornAtMs: 900 });
+  expect(goneKeysOf(listed)).to.deep.equal([KEY]);
+});
+
+// Guards against a new leader that releases the runs of the earlier instance before it knows the later
+// one.
+it('agent: a new connection gets the report before the gone workers', () => {
+  const listed = answerHold(restart(order(createLeased())), { bornAtMs: 900 });
+  const linked = dispatch(dispatch(listed, { kind: 'linkClosed' }), { kind: 'linkOpened' });
+  expect(sentOf(linked)).to.deep.equal([`report ${LATER_KEY}`, `workerGone ${KEY}`]);
+});
+
+// Guards against a needless wait for a list when no order can be on its way.
+it('agent: a restarted worker without open orders has its earlier instance reported at once', () => {
+  expect(goneKeysOf(restart(createLeased()))).to.deep.equal([KEY]);
+});
+
+// Guards against a reply of the later instance that settles an order to the earlier one.
+it('agent: a worker that answers with a later birth is not reported as gone before the list', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const started = answer(ordered, callId, { kind: 'done', clockMs: 20 });
+  const answered = answerHold(started, { bornAtMs: 900, running: [LISTED] });
+  expect(goneKeysOf(answered)).to.deep.equal([]);
+  const restarted = restart(answered);
+  expect(goneKeysOf(restarted)).to.deep.equal([]);
+  expect(goneKeysOf(answerHold(restarted, { bornAtMs: 900 }))).to.deep.equal([KEY]);
+});
+
+// Guards against an order that the next instance carries out after the task was placed elsewhere, and
+// against tasks of a crashed worker that wait for an instance that never comes.
+it('agent: a worker gone during a start call is reported once the call can have no late effect', () => {
+  const gone = refuseConnections(order(createLeased()));
+  expect(gone.state.worker).to.equal(undefined);
+  expect(goneKeysOf(gone)).to.deep.equal([]);
+  const early = dispatch(gone, { kind: 'tick' }, LATE_CALL_MS - 300);
+  const linked = dispatch(early, { kind: 'linkOpened' });
+  expect([...goneKeysOf(early), ...goneKeysOf(linked)]).to.deep.equal([]);
+  const late = dispatch(linked, { kind: 'tick' }, 300);
+  expect(goneKeysOf(late)).to.deep.equal([KEY]);
+});
+
+// Guards against a start call without a reply that is taken for one without an effect.
+it('agent: a lost start call keeps a gone worker unreported, a refused one does not', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const gone = refuseConnections(ordered);
+  expect(goneKeysOf(answer(gone, callId, { kind: 'lost' }))).to.deep.equal([]);
+  expect(goneKeysOf(answer(gone, callId, { kind: 'done', clockMs: 20 }))).to.deep.equal([]);
+  const refused = answer(gone, callId, { kind: 'refused', reason: 'tooLate' });
+  expect(goneKeysOf(refused)).to.deep.equal([KEY]);
+  const unsent = answer(gone, callId, { kind: 'notListening' });
+  expect(goneKeysOf(unsent)).to.deep.equal([KEY]);
+});
+
+// Guards against a wait for a start that was answered before its worker stopped listening.
+it('agent: a crash after a start that was carried out is reported at once', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const started = answer(ordered, callId, { kind: 'done', clockMs: 20 });
+  expect(goneKeysOf(refuseConnections(started))).to.deep.equal([KEY]);
+});
+
+// Guards against a successor that crashes before its first list and leaves the wait without an end.
+it('agent: a successor that is gone before its first list does not prolong the wait', () => {
+  const restarted = restart(order(createLeased()));
+  const gone = refuseConnections(restarted);
+  expect(goneKeysOf(gone)).to.deep.equal([LATER_KEY]);
+  const late = dispatch(gone, { kind: 'tick' }, LATE_CALL_MS);
+  expect(goneKeysOf(late)).to.include(KEY);
+});
+
+// Guards against a wait for an instance that cannot carry the order out, because the call names
+// another id.
+it('agent: an instance under another id ends the wait', () => {
+  const gone = refuseConnections(order(createLeased()));
+  const other = dispatch(gone, { kind: 'heartbeat', report: { ...LATER, id: 'i-2' } });
+  expect(goneKeysOf(other)).to.deep.equal([KEY]);
+});
