Let a later instance keep the runs that it lists

Callers saw a task run twice when an agent was killed while its start order was on its way to a worker that crashed and came back under its id. The next agent knows nothing of the order and reports the new instance with the run. The leader took the report as proof that the claim's instance had ended and placed the task elsewhere, while it stopped the listed run.

A run that a worker lists under the attempt of a claim for one of its earlier instances is now assigned to it, and the row follows with the next transaction. Other attempts are stopped as before.

--- /dev/null
+++ b/packages/scheduler/src/move.ts
@@ -0,0 +1,53 @@
+import type { ListedRun, WorkerReport } from '@bronzeyoke/ports';
+import { logEffect } from '@bronzeyoke/telemetry';
+import { taskProgress, withTasks } from '@bronzeyoke/workflow';
+import { putRun } from './runs';
+import { chainAll, putJob, unchanged, withEffects } from './state';
+import type { SchedulerState, SchedulerStep } from './types';
+
+function moveRun(
+  state: SchedulerState,
+  { task, attempt }: ListedRun,
+  earlier: readonly string[],
+  workerKey: string,
+  address: string,
+): SchedulerStep {
+  const run = state.runs.byTask.get(task);
+  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
+  const isMoved = run?.attempt === attempt && earlier.includes(run.workerKey);
+  if (run === undefined || open === undefined || !isMoved) return unchanged(state);
+  const stored = taskProgress(open.progress, run.slot);
+  const moved = { ...stored, workerKey, workerAddress: address };
+  // No order was sent to the later instance, so a list without the run means that it has ended.
+  const runs = putRun(state.runs, task, { ...run, workerKey, order: 0, isOrdered: true });
+  const progress = withTasks(open.progress, [[run.slot, moved]]);
+  const fields = { job: run.jobId, task, attempt, worker: workerKey, before: run.workerKey };
+  return withEffects(putJob({ ...state, runs }, run.jobId, { ...open, progress }), [
+    logEffect('taskMoved', fields),
+  ]);
+}
+
+/**
+ * Assigns runs that a worker lists to it when they are claimed for instances that its report proves to
+ * have ended. A start order names the id of a worker only, so a later instance carries out one that
+ * was on its way to an earlier one, and the agent that sent it may have ended meanwhile.
+ */
+export function moveListedRuns(
+  state: SchedulerState,
+  earlier: readonly string[],
+  report: {
+    readonly workerKey: string;
+    readonly worker: WorkerReport;
+    readonly running: readonly ListedRun[];
+  },
+): SchedulerStep {
+  const { workerKey, worker, running } = report;
+  if (earlier.length === 0) return unchanged(state);
+  return chainAll(
+    state,
+    running.map(
+      (listed) => (current: SchedulerState) =>
+        moveRun(current, listed, earlier, workerKey, worker.address),
+    ),
+  );
+}
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -7,9 +7,17 @@
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { earlierInstances } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
+import { moveListedRuns } from './move';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
-import { addPostCommitAction, chainAll, sendToWorker, unchanged, withEffects } from './state';
+import {
+  addPostCommitAction,
+  chainAfter,
+  chainAll,
+  sendToWorker,
+  unchanged,
+  withEffects,
+} from './state';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
 import { runRef } from './types';
 
@@ -78,15 +86,19 @@
   );
 }
 
-/** Releases the earlier instances of a worker that the report proves to have ended. */
+/**
+ * Releases the earlier instances of a worker that the report proves to have ended, without the runs
+ * that the worker lists.
+ */
 function releaseEarlierInstances(
   state: SchedulerState,
   report: Report,
   nowMs: number,
 ): SchedulerStep {
-  return chainAll(
-    state,
-    earlierInstances(state.workers, report.worker).map(
+  const earlier = earlierInstances(state.workers, report.worker);
+  return chainAfter(
+    moveListedRuns(state, earlier, report),
+    earlier.map(
       (workerKey) => (current: SchedulerState) =>
         releaseWorker(current, workerKey, 'workerGone', nowMs),
     ),
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -256,3 +256,52 @@
   expect(loggedFields(loaded, 'leaderLoaded')[0]).to.include({ jobs: 0, workers: 0, waitMs: 0 });
   expect(loggedFields(loaded, 'workersAwaited')).to.have.length(0);
 });
+
+/** Returns a leader whose worker came back under its id while the start order was on its way. */
+function restarted(attempt: number): Fixture {
+  const claim = storedRun('w1', { phase: 'claimed' });
+  return report(adopted(claim), 'w1', {
+    bornAtMs: 900,
+    running: [listedRun('job1.0.0.0', attempt)],
+  });
+}
+
+// Guards against a second run of a task whose start order the next instance of its worker carried out.
+it('moves a run to the later instance that lists it', () => {
+  const moved = restarted(1);
+  expect(taskOf(moved)?.workerKey).to.equal(workerKeyFor('w1', 900));
+  expect(taskOf(moved)?.attempt).to.equal(1);
+  expect([...sentMessages(moved, 'stop'), ...sentMessages(moved, 'start')]).to.deep.equal([]);
+  const write = inFlight(moved).transaction.writes.find(({ table }) => table === 'progress');
+  const stored = write?.kind === 'put' ? decodeProgress(write.value)?.tasks.get(SLOT) : undefined;
+  expect(stored?.workerKey).to.equal(workerKeyFor('w1', 900));
+  expect(stored?.workerAddress).to.equal('w1:1');
+});
+
+// Guards against a moved run that is released with the instance that it was claimed for.
+it('keeps a moved run when the earlier instance is reported as gone', () => {
+  const gone = dispatch(commitAll(restarted(1)), {
+    kind: 'received',
+    linkId: 'link-w1',
+    message: { kind: 'workerGone', workerKey: workerKeyFor('w1', 500) },
+    wallMs: WALL_MS,
+  });
+  expect(taskOf(gone)?.workerKey).to.equal(workerKeyFor('w1', 900));
+  expect(taskOf(gone)?.phase).to.equal('running');
+});
+
+// Guards against a moved run that is never released when its worker stops listing it.
+it('releases a moved run that its worker no longer lists', () => {
+  const moved = commitAll(restarted(1));
+  const missing = report(advance(moved, 100), 'w1', { bornAtMs: 900 });
+  expect(loggedFields(missing, 'taskReleased').map(({ reason }) => reason)).to.deep.equal([
+    'neverStarted',
+  ]);
+});
+
+// Guards against an older attempt that is taken for the current one.
+it('stops another attempt that a later instance lists', () => {
+  const other = restarted(7);
+  expect(sentMessages(other, 'stop')).to.have.length(1);
+  expect(taskOf(other)?.attempt).to.equal(2);
+});
--- a/packages/scheduler/test/simagent.ts
+++ b/packages/scheduler/test/simagent.ts
@@ -15,6 +15,9 @@
 const FIRST_REDIAL_MS = 100;
 const MAX_REDIAL_MS = 400;
 
+/** Duration of a call to the worker, and of its reply. */
+const CALL_MS = 1;
+
 /** Longest duration of a planned stop. */
 const STOP_MS = 5_000;
 
@@ -124,13 +127,13 @@
           }
         };
         clock.schedule(timeoutMs, () => reply({ kind: 'lost' }));
-        clock.schedule(1, () => {
+        const delayMs = call.kind === 'hold' ? CALL_MS : clock.within(world.orderDelayMs(name));
+        // A call on its way reaches the worker that is up then, also when its agent has ended.
+        clock.schedule(delayMs, () => {
           const target = worker();
-          if (!node.isUp) return;
           if (target?.isUp() !== true) reply({ kind: 'notListening' });
-          else if (target.key !== `${effect.worker.id}@${effect.worker.bornAtMs}`) {
-            reply({ kind: 'otherWorker' });
-          } else target.call(call, (result) => clock.schedule(1, () => reply(result)));
+          else if (target.id !== effect.worker.id) reply({ kind: 'otherWorker' });
+          else target.call(call, (result) => clock.schedule(CALL_MS, () => reply(result)));
         });
         return;
       }
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -19,6 +19,8 @@
   readonly entryAt: (host: string) => EntryNode | undefined;
   readonly seeds: readonly string[];
   readonly times: SchedulerTimes;
+  /** Time after which orders, but not holds, reach the worker of a machine. */
+  readonly orderDelayMs: (machine: string) => Span;
   readonly log: (who: string, text: string) => void;
   readonly onSend: (entry: EntryNode, message: LeaderMessage) => void;
 }
--- /dev/null
+++ b/packages/scheduler/test/simtypes.ts
@@ -0,0 +1,49 @@
+import type { Span } from './simclock';
+import type { ClaimRow, Violation } from './siminvariants';
+import type { PlannedLoss, StoreConditions } from './simstore';
+
+/** Time of an order to a worker on a fast connection. */
+export const PROMPT_ORDERS: Span = [1, 1];
+
+/** Several entries, machines with an agent and a worker, and a store, in virtual time. */
+export interface Simulation {
+  readonly now: () => number;
+  readonly random: () => number;
+  readonly violations: () => readonly Violation[];
+  /** Log lines of the leadership and of the faults, with the time since the start. */
+  readonly trace: () => readonly string[];
+  readonly claims: () => readonly ClaimRow[];
+  /** Index of the entry that leads, by the phase of its newest term. */
+  readonly leader: () => number;
+  readonly isLeading: (entry: number) => boolean;
+  readonly hasTransaction: (entry: number) => boolean;
+  readonly runningOn: (machine: number) => number;
+  readonly advance: (ms: number) => void;
+  readonly advanceUntil: (holds: () => boolean, limitMs: number) => boolean;
+  /** Stores a job with lasting tasks, or with short ones. */
+  readonly submit: (kind: 'lasting' | 'short', taskCount: number) => void;
+  /** Changes the store for all callers or for one. Anything but the order of feed and reply disturbs. */
+  readonly setStore: (changes: Partial<StoreConditions>, caller?: string) => void;
+  /** Ends all store trouble. */
+  readonly calmStore: () => void;
+  readonly setOrder: (changes: Pick<StoreConditions, 'replyDelayMs' | 'feedDelayMs'>) => void;
+  readonly loseReply: (loss: PlannedLoss) => void;
+  readonly stopEntry: (entry: number, awayMs: number) => void;
+  readonly killEntry: (entry: number, awayMs: number) => void;
+  readonly freezeEntry: (entry: number, forMs: number) => void;
+  readonly cutEntry: (entry: number, forMs: number) => void;
+  readonly drainWorker: (machine: number) => void;
+  readonly leaveWorker: (machine: number) => void;
+  readonly stopAgent: (machine: number) => void;
+  /** Cuts an agent off from the entries. */
+  readonly cutAgent: (machine: number, forMs: number) => void;
+  /** Changes the time after which orders reach a worker. `PROMPT_ORDERS` ends the disturbance. */
+  readonly setOrderDelay: (machine: number, spanMs: Span) => void;
+  readonly hasOpenStart: (machine: number) => boolean;
+  /** Ends a worker with its runs and starts it again under its id. */
+  readonly restartWorker: (machine: number) => void;
+  /** Kills an agent and starts another one beside its worker. */
+  readonly restartAgent: (machine: number) => void;
+  readonly killMachine: (machine: number) => void;
+  readonly losePower: (awayMs: number) => void;
+}
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -6,6 +6,7 @@
 import { decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
 import { jobOf, stageOf, TIMES, WALL_MS } from './fixture';
 import { createAgent } from './simagent';
+import type { Span } from './simclock';
 import { createClock } from './simclock';
 import { createEntry } from './simentry';
 import type { ClaimRow, LastRun, Violation } from './siminvariants';
@@ -17,8 +18,10 @@
   termViolations,
 } from './siminvariants';
 import type { AgentNode, EntryNode, World } from './simnodes';
-import type { PlannedLoss, SimStore, StoreConditions } from './simstore';
+import type { SimStore } from './simstore';
 import { CALM_STORE, commitKindOf, createStore } from './simstore';
+import type { Simulation } from './simtypes';
+import { PROMPT_ORDERS } from './simtypes';
 import type { SimWorker } from './simworker';
 import { createWorker } from './simworker';
 
@@ -30,42 +33,6 @@
 /** Workers' clocks may be this much slow or fast. */
 const CLOCK_ERROR = 0.02;
 
-/** Several entries, machines with an agent and a worker, and a store, in virtual time. */
-export interface Simulation {
-  readonly now: () => number;
-  readonly random: () => number;
-  readonly violations: () => readonly Violation[];
-  /** Log lines of the leadership and of the faults, with the time since the start. */
-  readonly trace: () => readonly string[];
-  readonly claims: () => readonly ClaimRow[];
-  /** Index of the entry that leads, by the phase of its newest term. */
-  readonly leader: () => number;
-  readonly isLeading: (entry: number) => boolean;
-  readonly hasTransaction: (entry: number) => boolean;
-  readonly runningOn: (machine: number) => number;
-  readonly advance: (ms: number) => void;
-  readonly advanceUntil: (holds: () => boolean, limitMs: number) => boolean;
-  /** Stores a job with lasting tasks, or with short ones. */
-  readonly submit: (kind: 'lasting' | 'short', taskCount: number) => void;
-  /** Changes the store for all callers or for one. Anything but the order of feed and reply disturbs. */
-  readonly setStore: (changes: Partial<StoreConditions>, caller?: string) => void;
-  /** Ends all store trouble. */
-  readonly calmStore: () => void;
-  readonly setOrder: (changes: Pick<StoreConditions, 'replyDelayMs' | 'feedDelayMs'>) => void;
-  readonly loseReply: (loss: PlannedLoss) => void;
-  readonly stopEntry: (entry: number, awayMs: number) => void;
-  readonly killEntry: (entry: number, awayMs: number) => void;
-  readonly freezeEntry: (entry: number, forMs: number) => void;
-  readonly cutEntry: (entry: number, forMs: number) => void;
-  readonly drainWorker: (machine: number) => void;
-  readonly leaveWorker: (machine: number) => void;
-  readonly stopAgent: (machine: number) => void;
-  /** Cuts an agent off from the entries. */
-  readonly cutAgent: (machine: number, forMs: number) => void;
-  readonly killMachine: (machine: number) => void;
-  readonly losePower: (awayMs: number) => void;
-}
-
 /** Lasting tasks of one job, and tasks of all jobs, that fit on a worker. */
 const LASTING_PER_WORKER = 2;
 const TASKS_PER_WORKER = 4;
@@ -96,6 +63,7 @@
     calmSinceMs: number;
     generation: number;
   } = { claims: [], jobs: 0, calmSinceMs: 0, generation: 0 };
+  const orderDelays = new Map<string, Span>();
   const disturbances = new Set<string>();
   const entries: EntryNode[] = [];
   const machines: Machine[] = [];
@@ -184,6 +152,7 @@
     store,
     seeds: hosts,
     times,
+    orderDelayMs: (machine) => orderDelays.get(machine) ?? PROMPT_ORDERS,
     entryAt: (host) => entries[hosts.indexOf(host)],
     log,
     onSend,
@@ -194,11 +163,18 @@
     const host = hosts[index] ?? '';
     entries[index] = createEntry(world, host, `${host}-${known.generation}`);
   };
+  const startWorker = (name: string, id: string): SimWorker => {
+    const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
+    const bornAtMs = WALL_MS + clock.now();
+    return createWorker(clock, { id, address: name, bornAtMs }, rate);
+  };
+  const startAgent = (index: number, worker: SimWorker): void => {
+    const agent = createAgent(world, `m${index}`, () => machines[index]?.worker);
+    machines[index] = { worker, agent };
+  };
   const startMachine = (index: number): void => {
     const name = `m${index}`;
-    const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
-    const worker = createWorker(clock, name, WALL_MS + clock.now(), rate);
-    machines[index] = { worker, agent: createAgent(world, name, () => worker) };
+    startAgent(index, startWorker(name, `${name}-${WALL_MS + clock.now()}`));
   };
   hosts.forEach((_, index) => startEntry(index));
   Array.from({ length: machineCount }, (_, index) => startMachine(index));
@@ -356,6 +332,30 @@
         calm(what);
       });
     },
+    setOrderDelay: (index, spanMs) => {
+      const what = `late orders m${index}`;
+      orderDelays.set(`m${index}`, spanMs);
+      if (spanMs === PROMPT_ORDERS) calm(what);
+      else disturb(what);
+    },
+    hasOpenStart: (index) =>
+      machines[index]?.agent.state().worker?.pending.some(({ phase }) => phase === 'calling') ===
+      true,
+    restartWorker: (index) => {
+      const machine = machines[index];
+      if (machine?.worker.isUp() !== true) return;
+      disturbOnce(`restart worker m${index}`);
+      machine.worker.end();
+      const { agent, worker } = machine;
+      machines[index] = { agent, worker: startWorker(`m${index}`, worker.id) };
+    },
+    restartAgent: (index) => {
+      const machine = machines[index];
+      if (machine?.agent.isUp() !== true) return;
+      disturbOnce(`restart agent m${index}`);
+      machine.agent.kill();
+      startAgent(index, machine.worker);
+    },
     killMachine: (index) => {
       disturbOnce(`kill m${index}`);
       killMachine(index);
--- a/packages/scheduler/test/simworker.ts
+++ b/packages/scheduler/test/simworker.ts
@@ -10,6 +10,7 @@
 
 /** A worker process of a simulation. */
 export interface SimWorker {
+  readonly id: string;
   readonly key: string;
   readonly state: () => TaskWorkerState;
   readonly report: () => WorkerReport;
@@ -23,14 +24,12 @@
   readonly update: () => void;
 }
 
-/** Creates a worker whose clock has the given rate. */
+/** Creates an instance of a worker whose clock has the given rate. */
 export function createWorker(
   clock: Clock,
-  address: string,
-  bornAtMs: number,
+  { id, address, bornAtMs }: Pick<WorkerReport, 'id' | 'address' | 'bornAtMs'>,
   rate: number,
 ): SimWorker {
-  const id = `${address}-${bornAtMs}`;
   const startMs = clock.now();
   const clockMs = (): number => 500 + Math.floor((clock.now() - startMs) * rate);
   const known: {
@@ -67,6 +66,7 @@
   };
 
   return {
+    id,
     key,
     state: () => known.state,
     isUp: () => known.isUp,
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -17,6 +17,7 @@
   | 'taskPlaced'
   | 'taskUnplaced'
   | 'taskStarted'
+  | 'taskMoved'
   | 'taskReleased'
   | 'taskEnded'
   | 'taskStopped'
