--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,12 +1,13 @@
 import { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { chainAll, unchanged, without } from '@bronzeyoke/types';
+import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { earlierInstances, storeAddress } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
+import { moveListedRuns } from './move';
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { putRun, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
@@ -79,15 +80,19 @@
   );
 }
 
-/** Releases the earlier instances of a worker that the report proves to have ended. */
+/**
+ * Releases the earlier instances of a worker that the report proves to have ended, without the runs
+ * that the worker lists.
+ */
 function releaseEarlierInstances(
   state: SchedulerState,
   report: Report,
   nowMs: number,
 ): SchedulerStep {
-  return chainAll(
-    state,
-    earlierInstances(state.workers, report.worker).map(
+  const earlier = earlierInstances(state.workers, report.worker);
+  return chainAfter(
+    moveListedRuns(state, earlier, report),
+    earlier.map(
       (workerKey) => (current: SchedulerState) =>
         releaseWorker(current, workerKey, 'workerGone', nowMs),
     ),
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -5,6 +5,7 @@
   'taskPlaced',
   'taskUnplaced',
   'taskStarted',
+  'taskMoved',
   'taskReleased',
   'taskEnded',
   'taskStopped',
