Keep placement passes short, and count a wait from the last report

Cause: the runs of each worker were read again for each task.

Change: the runs of a worker are read once a pass; a task with a kept place only checks it; a pass searches at most 40 places. A wait counts from the last report of the lost worker. Moved tasks go to their kept place, first of all. Runs are stopped after 1 s at the earliest.

--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -8,6 +8,7 @@
 import type { StageCandidate } from './candidates';
 import { putRun } from './runs';
 import { addPostCommitAction, putJob } from './state';
+import type { Occupancy } from './tenants';
 import type { OpenJob, RunView, SchedulerState } from './types';
 
 function claimTask(
@@ -68,6 +69,8 @@
   readonly loads: Map<string, WorkerLoad>;
   /** Runs to stop in favour of other tasks. */
   readonly stops: Map<string, StopReason>;
+  /** Runs on each worker at the start of the pass. */
+  readonly occupancyOf: (workerKey: string) => Occupancy;
   /** Worker on which this pass keeps room for a waiting task, by task. */
   readonly reservations: Map<string, string>;
 }
@@ -134,6 +137,14 @@
   );
 }
 
+/** Options of a placement. */
+export interface PlacementOptions {
+  /** Workers to choose from; all by default. */
+  readonly loads?: Map<string, WorkerLoad>;
+  /** Whether a place beside a task that it harms is allowed. */
+  readonly isLastResort?: boolean;
+}
+
 /** Claims the best worker for a task; undefined if none has room. */
 export function placeTask(
   pass: PlacementPass,
@@ -142,11 +153,11 @@
   slot: string,
   attempt: number,
   nowMs: number,
-  isLastResort = false,
+  { loads = pass.loads, isLastResort = false }: PlacementOptions = {},
 ): PlacementPass | undefined {
   const open = pass.state.jobs.get(jobId);
   if (open === undefined) return undefined;
-  const chosen = chooseWorkerFor(pass, open, ready, slot, pass.loads, isLastResort);
+  const chosen = chooseWorkerFor(pass, open, ready, slot, loads, isLastResort);
   if (chosen === undefined) return undefined;
   return {
     ...pass,
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -10,6 +10,7 @@
 import { preemptFills } from './preempt';
 import { logWaits, placeReturning, reserveForMoves } from './returning';
 import { chainAfter, withEffects } from './state';
+import { createOccupancies } from './tenants';
 import type { SchedulerState, SchedulerStep } from './types';
 import type { WaitingTask } from './waits';
 import { updateWaits, waitingTasks } from './waits';
@@ -38,7 +39,7 @@
   if (open === undefined || !ready.stage.fillsIdle) return pass;
   if (assignedSlots(open.progress).length > 0) return pass;
   const attempt = 1 + taskProgress(open.progress, slot).attempt;
-  return placeTask(pass, jobId, ready, slot, attempt, nowMs, true) ?? pass;
+  return placeTask(pass, jobId, ready, slot, attempt, nowMs, { isLastResort: true }) ?? pass;
 }
 
 function placeStage(pass: PlacementPass, candidate: StageCandidate, nowMs: number): PlacementPass {
@@ -73,7 +74,7 @@
   candidates: readonly StageCandidate[],
   wallMs: number,
 ): number {
-  if (waits.some(({ phase }) => phase !== 'claimed')) return RETURNING_AGAIN_MS;
+  if (!waits.isEmpty()) return RETURNING_AGAIN_MS;
   if (candidates.length > 0) return WAITING_AGAIN_MS;
   const dueMs = jobs.valueSeq().map(({ job }) => untilNextDueMs(job, wallMs));
   const nextMs = dueMs.min() ?? Infinity;
@@ -105,6 +106,7 @@
     state: { ...state, waits: updateWaits(state, waiting) },
     loads: workerLoads(state, nowMs),
     stops: Map(),
+    occupancyOf: createOccupancies(state, nowMs),
     reservations: Map(),
   });
   const returned = placeReturning(pass, waiting, nowMs);
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -1,3 +1,4 @@
+import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { without } from '@bronzeyoke/types';
 import type { RunEnd } from '@bronzeyoke/workflow';
@@ -16,6 +17,7 @@
 import { chainAll, putJob, unchanged, withEffects } from './state';
 import { taskLog } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
+import { endClaim, startWait } from './waits';
 
 /** Delays before a task is placed again that a worker refused, and one that failed. */
 const REFUSAL_BACK_OFF_MS = 150;
@@ -67,8 +69,12 @@
 ): SchedulerStep {
   const tasks = [...runsOn(state.runs, workerKey).keys()];
   if (tasks.length === 0 && !state.workers.has(workerKey)) return unchanged(state);
+  // An adopted run may have ended long before this leader's claim, which is the latest that is known.
+  const lastSeenMs = state.workers.get(workerKey)?.reportedAtMs ?? state.claimedAtMs;
+  const lasting = tasks.filter((task) => state.runs.byTask.get(task)?.stage.isLasting);
   const removed: SchedulerState = {
     ...state,
+    waits: Map(lasting.map((task) => [task, startWait(lastSeenMs)])).merge(state.waits),
     workers: state.workers.delete(workerKey),
     awaited: state.awaited.delete(workerKey),
     orphans: state.orphans.filter((orphan) => orphan.workerKey !== workerKey),
@@ -203,7 +209,12 @@
       ? recorded.backOff.set(ended.task, nowMs + FAILURE_BACK_OFF_MS)
       : recorded.backOff;
   const next = putJob(
-    { ...recorded, runs: dropRuns(recorded.runs, endedTasks), backOff },
+    {
+      ...recorded,
+      runs: dropRuns(recorded.runs, endedTasks),
+      backOff,
+      waits: endClaim(recorded, ended.task),
+    },
     ref.jobId,
     {
       ...open,
--- a/packages/scheduler/src/relocate.ts
+++ b/packages/scheduler/src/relocate.ts
@@ -10,6 +10,7 @@
   clearVacancy,
   findVacancy,
   isEnding,
+  keptVacancy,
   lastingRoom,
   reserveRoom,
 } from './reserve';
@@ -17,9 +18,6 @@
 import type { RunView } from './types';
 import type { PlannedMove } from './waits';
 
-/** Workers that one search considers, those that lack the least first. */
-const MAX_WORKERS = 16;
-
 /** A lasting run that may be moved to another worker. */
 interface MovableRun {
   readonly task: string;
@@ -32,7 +30,9 @@
 
 function isAtWork(pass: PlacementPass, task: string): boolean {
   const run = pass.state.runs.byTask.get(task);
-  return run !== undefined && run.isListed && run.percent === 100 && !isEnding(pass, task);
+  if (run === undefined || isEnding(pass, task)) return false;
+  const isConnected = pass.state.workers.get(run.workerKey)?.linkId !== undefined;
+  return isConnected && run.isListed && run.percent === 100;
 }
 
 /** Returns whether so few other tasks of a run's stage are away that one more may be. */
@@ -110,7 +110,6 @@
   readonly planned: readonly PlannedMove[];
   /** Whether runs that keep a moved task from its new place are stopped. */
   readonly isOverdue: boolean;
-  readonly nowMs: number;
 }
 
 /** Keeps a place for a run on another worker; undefined if there is none. */
@@ -118,7 +117,7 @@
   plan: MovePlan,
   { task, placed }: MovableRun,
   fromKey: string,
-  { planned, isOverdue, nowMs }: MoveSearch,
+  { planned, isOverdue }: MoveSearch,
 ): MovePlan | undefined {
   const { open, ready, slot } = placed;
   const { stage } = ready;
@@ -129,11 +128,10 @@
     return { ...plan, pass, moves: [...plan.moves, { task, workerKey: free.workerKey }] };
   }
   const preferredKey = planned.find((move) => move.task === task)?.workerKey;
-  const vacancy = findVacancy(others, placed, preferredKey, undefined, nowMs);
+  const vacancy =
+    keptVacancy(others, placed, preferredKey) ?? findVacancy(others, placed, undefined);
   if (vacancy === undefined) return undefined;
-  const cleared = isOverdue
-    ? clearVacancy(plan.pass, vacancy, stage.needs, ['preemptible', 'temporary'])
-    : plan.pass;
+  const cleared = isOverdue ? clearVacancy(plan.pass, vacancy, stage.needs, 'all') : plan.pass;
   const { load } = vacancy;
   return {
     pass: reserveRoom(cleared, task, load, stage),
@@ -172,9 +170,9 @@
  * for them, as far as their stages allow tasks to be unavailable. Undefined if no move makes room.
  */
 export function makeRoomByMoves(pass: PlacementPass, search: MoveSearch): RoomByMoves | undefined {
-  const { task, target, plannedKey, nowMs } = search;
+  const { task, target, plannedKey } = search;
   const { stage } = target.ready;
-  const rooms = pass.loads.map((load) => lastingRoom(pass, load, nowMs));
+  const rooms = pass.loads.map((load) => lastingRoom(pass, load));
   const shortages = allowedLoads(pass, target)
     .map((load) => {
       const room = rooms.get(load.workerKey, NO_RESOURCES);
@@ -184,8 +182,7 @@
       (left, right) =>
         Number(right.load.workerKey === plannedKey) - Number(left.load.workerKey === plannedKey) ||
         left.missing.processorsMilli - right.missing.processorsMilli,
-    )
-    .slice(0, MAX_WORKERS);
+    );
   return shortages.reduce<RoomByMoves | undefined>((found, { load, missing }) => {
     if (found !== undefined) return found;
     const { workerKey } = load;
--- a/packages/scheduler/src/reserve.ts
+++ b/packages/scheduler/src/reserve.ts
@@ -5,7 +5,7 @@
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
 import type { PlacementPass } from './pass';
 import { loadsOfService, siblingCounter } from './pass';
-import { runsOn } from './runs';
+import type { Tenant } from './tenants';
 import type { OpenJob } from './types';
 
 /** Time in which a run that is being stopped ends. */
@@ -19,15 +19,20 @@
   readonly priority: number;
 }
 
-/** A run that will end, with what its worker gets back then. */
-interface Tenant {
-  readonly task: string;
-  readonly returned: Resources;
-  /** `ending`: it is being stopped. `preemptible`: a filling task of a less urgent job. */
-  readonly kind: 'ending' | 'preemptible' | 'temporary';
+/** How a run that keeps a task from a worker ends. */
+type Ending =
+  /** It is being stopped. */
+  | 'stopping'
+  /** A filling task of a less urgent job, which may be stopped at once. */
+  | 'preemptible'
+  /** It ends by itself. */
+  | 'temporary';
+
+/** A run that will end, or may be made to. */
+interface EndingRun {
+  readonly tenant: Tenant;
+  readonly ending: Ending;
   readonly remainingMs: number;
-  /** Order in which runs are stopped: the least loss first. */
-  readonly lossRank: readonly number[];
 }
 
 /** A worker that has room for a task once some of its runs have ended. */
@@ -35,11 +40,7 @@
   readonly load: WorkerLoad;
   /** Estimated time until these runs end by themselves. */
   readonly waitMs: number;
-  readonly tenants: readonly Tenant[];
-}
-
-function returnedBy({ needs, fillsIdle }: Stage): Resources {
-  return fillsIdle ? { ...needs, processorsMilli: 0 } : needs;
+  readonly runs: readonly EndingRun[];
 }
 
 function positive(amount: Resources): Resources {
@@ -73,77 +74,53 @@
   return stops.has(task) || state.runs.byTask.get(task)?.stopSentAtMs !== undefined;
 }
 
-function tenantsOf(
+function endingOf(
+  pass: PlacementPass,
+  { task, isStopping, isFill, priority }: Tenant,
+  ownPriority: number,
+): Ending {
+  if (isStopping || pass.stops.has(task)) return 'stopping';
+  return isFill && priority > ownPriority ? 'preemptible' : 'temporary';
+}
+
+function endingRuns(
   pass: PlacementPass,
   workerKey: string,
   priority: number,
-  nowMs: number,
-): readonly Tenant[] {
-  const { runs, jobs, orphans } = pass.state;
-  const running = [...runsOn(runs, workerKey)].flatMap(([task, run]): readonly Tenant[] => {
-    const { stage, claimedAtMs, jobId } = run;
-    const isStopping = isEnding(pass, task);
-    if (stage.isLasting && !isStopping) return [];
-    const ownPriority = jobs.get(jobId)?.job.policy.priority ?? priority;
-    const isPreemptible = stage.fillsIdle && ownPriority > priority;
-    const kind = isPreemptible ? 'preemptible' : 'temporary';
-    return [
-      {
-        task,
-        returned: returnedBy(stage),
-        kind: isStopping ? 'ending' : kind,
-        remainingMs:
-          isStopping || isPreemptible
-            ? STOPPING_MS
-            : Math.max(0, stage.estimateMs - (nowMs - claimedAtMs)),
-        lossRank: [
-          -ownPriority,
-          Number(stage.isGang),
-          -Number(stage.savesCheckpoints),
-          -claimedAtMs,
-        ],
-      },
-    ];
+): readonly EndingRun[] {
+  return pass.occupancyOf(workerKey).tenants.flatMap((tenant): readonly EndingRun[] => {
+    const ending = endingOf(pass, tenant, priority);
+    if (tenant.isLasting && ending !== 'stopping') return [];
+    const remainingMs = ending === 'temporary' ? tenant.remainingMs : STOPPING_MS;
+    return [{ tenant, ending, remainingMs }];
   });
-  const stopped = orphans
-    .filter((orphan) => orphan.workerKey === workerKey)
-    .valueSeq()
-    .map(({ task, stage }): Tenant => ({
-      task,
-      returned: returnedBy(stage),
-      kind: 'ending',
-      remainingMs: STOPPING_MS,
-      lossRank: [],
-    }));
-  return [...running, ...stopped];
-}
-
-/** Takes tenants in order until their ends cover what is missing; undefined if they never do. */
+}
+
+/** Takes runs in order until their ends cover what is missing; undefined if they never do. */
 function takeUntilCovered(
-  tenants: readonly Tenant[],
+  runs: readonly EndingRun[],
   shortage: Resources,
-): readonly Tenant[] | undefined {
-  const taken = tenants.reduce<{
-    readonly tenants: readonly Tenant[];
-    readonly missing: Resources;
-  }>(
-    (current, tenant) => {
-      const missing = reduceShortage(current.missing, tenant.returned);
+): readonly EndingRun[] | undefined {
+  const taken = runs.reduce<{ readonly runs: readonly EndingRun[]; readonly missing: Resources }>(
+    (current, run) => {
+      if (isCovered(current.missing)) return current;
+      const missing = reduceShortage(current.missing, run.tenant.returned);
       const isUseless = fitsIn(current.missing, missing);
-      return isUseless ? current : { tenants: [...current.tenants, tenant], missing };
+      return isUseless ? current : { runs: [...current.runs, run], missing };
     },
-    { tenants: [], missing: shortage },
+    { runs: [], missing: shortage },
   );
-  return isCovered(taken.missing) ? taken.tenants : undefined;
+  return isCovered(taken.missing) ? taken.runs : undefined;
 }
 
 /** Returns the room of a worker after all of its runs have ended that do not last. */
-export function lastingRoom(pass: PlacementPass, load: WorkerLoad, nowMs: number): Resources {
+export function lastingRoom(pass: PlacementPass, load: WorkerLoad): Resources {
   const { workerKey, capacity, reserved } = load;
-  return tenantsOf(pass, workerKey, 0, nowMs).reduce(
-    (room, { returned }) => addResources(room, returned),
-    subtractResources(capacity, reserved),
-  );
+  const { tenants, returned } = pass.occupancyOf(workerKey);
+  const room = addResources(subtractResources(capacity, reserved), returned);
+  return tenants
+    .filter(({ task, isLasting, isStopping }) => isLasting && !isStopping && pass.stops.has(task))
+    .reduce((sum, tenant) => addResources(sum, tenant.returned), room);
 }
 
 /** Returns the workers that may run a task as far as their kind and the limit a worker are concerned. */
@@ -160,42 +137,45 @@
   );
 }
 
+/** Returns when a worker has room for a task if it gets no further tasks; undefined if never. */
 function vacancyOn(
   pass: PlacementPass,
   load: WorkerLoad,
+  { ready, priority }: PlacedSlot,
+): Vacancy | undefined {
+  const { needs } = ready.stage;
+  if (!fitsIn(needs, lastingRoom(pass, load))) return undefined;
+  const runs = endingRuns(pass, load.workerKey, priority);
+  const byEnd = runs.toSorted((left, right) => left.remainingMs - right.remainingMs);
+  const taken = takeUntilCovered(byEnd, shortageOf(load, needs));
+  if (taken === undefined) return undefined;
+  return { load, waitMs: Math.max(0, ...taken.map(({ remainingMs }) => remainingMs)), runs };
+}
+
+/** Returns the vacancy on the worker that already keeps room for a task, if it is one still. */
+export function keptVacancy(
+  pass: PlacementPass,
   target: PlacedSlot,
-  nowMs: number,
-): readonly Vacancy[] {
-  const tenants = tenantsOf(pass, load.workerKey, target.priority, nowMs);
-  const byEnd = tenants.toSorted((left, right) => left.remainingMs - right.remainingMs);
-  const taken = takeUntilCovered(byEnd, shortageOf(load, target.ready.stage.needs));
-  if (taken === undefined) return [];
-  return [{ load, waitMs: Math.max(0, ...taken.map(({ remainingMs }) => remainingMs)), tenants }];
+  workerKey: string | undefined,
+): Vacancy | undefined {
+  const load = allowedLoads(pass, target).find((other) => other.workerKey === workerKey);
+  return load === undefined ? undefined : vacancyOn(pass, load, target);
 }
 
 /**
- * Returns the worker that has room for a task soonest if it gets no further tasks. The worker that
- * already keeps room for it comes first, so that the wait there is not in vain; the one on which it
- * failed comes last among equals.
+ * Returns the worker that has room for a task soonest if it gets no further tasks. The one on which
+ * the task failed comes last among equals.
  */
 export function findVacancy(
   pass: PlacementPass,
   target: PlacedSlot,
-  preferredKey: string | undefined,
   failedOn: string | undefined,
-  nowMs: number,
 ): Vacancy | undefined {
-  const vacancies = allowedLoads(pass, target)
-    .flatMap((load) => vacancyOn(pass, load, target, nowMs))
-    .map((vacancy) => {
-      const { workerKey } = vacancy.load;
-      const rank = [
-        -Number(workerKey === preferredKey),
-        vacancy.waitMs,
-        Number(workerKey === failedOn),
-      ];
-      return { vacancy, rank };
-    });
+  const vacancies = allowedLoads(pass, target).flatMap((load) => {
+    const vacancy = vacancyOn(pass, load, target);
+    if (vacancy === undefined) return [];
+    return [{ vacancy, rank: [vacancy.waitMs, Number(load.workerKey === failedOn)] }];
+  });
   return vacancies.toSorted((left, right) => compareRanks(left.rank, right.rank))[0]?.vacancy;
 }
 
@@ -213,23 +193,27 @@
   };
 }
 
+/** Which runs may be stopped for a task: only filling tasks of less urgent jobs, or all that end. */
+export type Clearing = 'preemptible' | 'all';
+
 /** Stops the runs on a worker that keep a task from starting there, those with the least loss first. */
 export function clearVacancy(
   pass: PlacementPass,
-  { load, tenants }: Vacancy,
+  { load, runs }: Vacancy,
   needs: Resources,
-  kinds: readonly Tenant['kind'][],
+  clearing: Clearing,
 ): PlacementPass {
-  const rank = ({ kind, lossRank }: Tenant): readonly number[] => [
-    Number(kind !== 'ending'),
-    Number(kind !== 'preemptible'),
-    ...lossRank,
+  const rank = ({ ending, tenant }: EndingRun): readonly number[] => [
+    Number(ending !== 'stopping'),
+    Number(ending !== 'preemptible'),
+    ...tenant.lossRank,
   ];
-  const byLoss = tenants.toSorted((left, right) => compareRanks(rank(left), rank(right)));
-  const taken = takeUntilCovered(byLoss, shortageOf(load, needs)) ?? [];
-  const stops = taken.filter(({ kind }) => kind !== 'ending' && kinds.includes(kind));
+  const byLoss = runs.toSorted((left, right) => compareRanks(rank(left), rank(right)));
+  const stops = (takeUntilCovered(byLoss, shortageOf(load, needs)) ?? []).filter(
+    ({ ending }) => ending === 'preemptible' || (clearing === 'all' && ending === 'temporary'),
+  );
   return {
     ...pass,
-    stops: pass.stops.merge(stops.map(({ task }) => [task, 'preempted'] as const)),
+    stops: stops.reduce((known, { tenant }) => known.set(tenant.task, 'preempted'), pass.stops),
   };
 }
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -5,20 +5,29 @@
 import type { PlacementPass } from './pass';
 import { loadsOfService, placeGang, placeTask } from './pass';
 import { makeRoomByMoves } from './relocate';
-import type { PlacedSlot } from './reserve';
-import { allowedLoads, clearVacancy, findVacancy, reserveRoom } from './reserve';
+import type { PlacedSlot, Vacancy } from './reserve';
+import { allowedLoads, clearVacancy, findVacancy, keptVacancy, reserveRoom } from './reserve';
 import { taskLog } from './tasklog';
 import type { SchedulerEffect, SchedulerState } from './types';
 import type { PlaceWait, WaitEvent, WaitingTask } from './waits';
-import { advanceWait, startWait } from './waits';
+import { advanceWait, startMove } from './waits';
 
 /** Time after which the runs that keep a lasting task from its reserved place are stopped. */
 const MAX_DRAIN_MS = 2_500;
 
-/** Time after which tasks of other jobs are moved, and between two searches for such moves. */
-const MOVE_AFTER_MS = 1_000;
+/** Time after which other tasks are stopped or moved, and between two searches for moves. */
+const CLEAR_AFTER_MS = 1_000;
 const MOVE_SEARCH_MS = 500;
 
+/**
+ * Searches for a place in one pass. After a loss of power hundreds of tasks wait, and a pass must stay
+ * short; the next pass goes on with those that have no place yet.
+ */
+const MAX_SEARCHES = 40;
+
+/** Waits that one pass logs. */
+const MAX_LOGGED_WAITS = 20;
+
 /** Time after which a wait is logged. */
 const LOG_AFTER_MS = 1_000;
 
@@ -27,10 +36,14 @@
   | { readonly kind: 'task'; readonly task: WaitingTask }
   | { readonly kind: 'gang'; readonly members: readonly WaitingTask[] };
 
-/** A pass, with the stages for which it has found no place. */
+/** A pass, with the stages for which it has found no room or no place, and the searches left. */
 interface Search {
   readonly pass: PlacementPass;
+  readonly full: ReadonlySet<string>;
   readonly hopeless: ReadonlySet<string>;
+  readonly searchesLeft: number;
+  /** So many tasks wait that those with a kept place look for no other one. */
+  readonly isCrowded: boolean;
 }
 
 function stageKey({ jobId, ready }: StageCandidate): string {
@@ -52,12 +65,16 @@
   return { ...pass, state: { ...pass.state, waits: pass.state.waits.set(task, wait) } };
 }
 
+/** Advances a wait, with the worker that the pass keeps for it. Moves belong to one worker. */
 function settleWait(
   pass: PlacementPass,
   { task, wait }: WaitingTask,
   event: WaitEvent,
 ): PlacementPass {
   const workerKey = pass.reservations.get(task);
+  if (workerKey !== undefined && workerKey === wait.workerKey) {
+    return putWait(pass, task, advanceWait(wait, event));
+  }
   const settled = advanceWait(without(wait, 'workerKey', 'moves'), event);
   return putWait(pass, task, workerKey === undefined ? settled : { ...settled, workerKey });
 }
@@ -75,27 +92,50 @@
   return open === undefined ? undefined : { open, ready, slot, priority };
 }
 
-/** Keeps a place for a waiting task, and makes room there in time; undefined if there is none. */
-function reservePlace(
+/** Keeps the place of a vacancy for a waiting task, and makes room there in time. */
+function keepPlace(
   pass: PlacementPass,
   waiting: WaitingTask,
+  vacancy: Vacancy,
+  mayClear: boolean,
+  nowMs: number,
+): PlacementPass {
+  const { task, wait, candidate } = waiting;
+  const { stage } = candidate.ready;
+  const awayMs = nowMs - wait.sinceMs;
+  const isOverdue = mayClear && awayMs >= CLEAR_AFTER_MS && awayMs + vacancy.waitMs > MAX_DRAIN_MS;
+  const cleared = mayClear
+    ? clearVacancy(pass, vacancy, stage.needs, isOverdue ? 'all' : 'preemptible')
+    : pass;
+  const reserved = reserveRoom(cleared, task, vacancy.load, stage);
+  return settleWait(reserved, waiting, isOverdue ? 'clear' : 'reserve');
+}
+
+/** Goes on keeping the place of a waiting task; undefined if it is lost. */
+function keepKnownPlace(
+  pass: PlacementPass,
+  waiting: WaitingTask,
+  mayClear: boolean,
+  nowMs: number,
+): PlacementPass | undefined {
+  const target = slotOf(pass, waiting);
+  if (target === undefined || waiting.wait.workerKey === undefined) return undefined;
+  const vacancy = keptVacancy(pass, target, waiting.wait.workerKey);
+  return vacancy === undefined ? undefined : keepPlace(pass, waiting, vacancy, mayClear, nowMs);
+}
+
+/** Keeps the place that is free soonest for a waiting task; undefined if there is none. */
+function keepNewPlace(
+  pass: PlacementPass,
+  waiting: WaitingTask,
+  mayClear: boolean,
   nowMs: number,
 ): PlacementPass | undefined {
-  const { task, slot, wait } = waiting;
   const target = slotOf(pass, waiting);
   if (target === undefined) return undefined;
-  const { open, ready } = target;
-  const { failedOn } = taskProgress(open.progress, slot);
-  const vacancy = findVacancy(pass, target, wait.workerKey, failedOn, nowMs);
-  if (vacancy === undefined) return undefined;
-  const { stage } = ready;
-  const isOverdue = nowMs - wait.sinceMs + vacancy.waitMs > MAX_DRAIN_MS;
-  const kinds = isOverdue ? (['preemptible', 'temporary'] as const) : (['preemptible'] as const);
-  const cleared = isBackingOff(pass, task, nowMs)
-    ? pass
-    : clearVacancy(pass, vacancy, stage.needs, kinds);
-  const reserved = reserveRoom(cleared, task, vacancy.load, stage);
-  return settleWait(reserved, waiting, isOverdue ? 'clear' : 'reserve');
+  const { failedOn } = taskProgress(target.open.progress, waiting.slot);
+  const vacancy = findVacancy(pass, target, failedOn);
+  return vacancy === undefined ? undefined : keepPlace(pass, waiting, vacancy, mayClear, nowMs);
 }
 
 /** Moves tasks of other jobs to make room for one that has waited; undefined if no move does. */
@@ -109,9 +149,9 @@
   const target = slotOf(pass, waiting);
   const awayMs = nowMs - sinceMs;
   const isDue = planned.length > 0 || nowMs - movesSoughtAtMs >= MOVE_SEARCH_MS;
-  if (target === undefined || awayMs < MOVE_AFTER_MS || !isDue) return undefined;
-  const isOverdue = awayMs > MOVE_AFTER_MS + MAX_DRAIN_MS;
-  const search = { task, target, plannedKey: workerKey, planned, isOverdue, nowMs };
+  if (target === undefined || awayMs < CLEAR_AFTER_MS || !isDue) return undefined;
+  const isOverdue = awayMs > CLEAR_AFTER_MS + MAX_DRAIN_MS;
+  const search = { task, target, plannedKey: workerKey, planned, isOverdue };
   const found = makeRoomByMoves(pass, search);
   if (found === undefined) return undefined;
   const settled = settleWait(found.pass, waiting, 'clear');
@@ -121,29 +161,66 @@
 
 function giveUp(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
   const { wait } = waiting;
-  const isSought = nowMs - wait.sinceMs >= MOVE_AFTER_MS;
+  const isSought = nowMs - wait.sinceMs >= CLEAR_AFTER_MS;
   const isFresh = nowMs - (wait.movesSoughtAtMs ?? -Infinity) < MOVE_SEARCH_MS;
   const sought = isSought && !isFresh ? { ...wait, movesSoughtAtMs: nowMs } : wait;
   return settleWait(pass, { ...waiting, wait: sought }, 'lose');
 }
 
-function placeUnitTask(search: Search, waiting: WaitingTask, nowMs: number): Search {
-  const { pass, hopeless } = search;
-  const { task, slot, candidate } = waiting;
+/** Claims a worker with room for a waiting task, or only its kept one; undefined if there is none. */
+function claimPlace(
+  pass: PlacementPass,
+  waiting: WaitingTask,
+  onlyKept: boolean,
+  nowMs: number,
+): PlacementPass | undefined {
+  const { task, slot, candidate, wait } = waiting;
   const { jobId, ready } = candidate;
   const open = pass.state.jobs.get(jobId);
-  const key = stageKey(candidate);
-  if (open === undefined || hopeless.has(key))
-    return { ...search, pass: giveUp(pass, waiting, nowMs) };
+  if (open === undefined || isBackingOff(pass, task, nowMs)) return undefined;
   const attempt = 1 + taskProgress(open.progress, slot).attempt;
-  const placed = isBackingOff(pass, task, nowMs)
-    ? undefined
-    : placeTask(pass, jobId, ready, slot, attempt, nowMs);
-  if (placed !== undefined) return { ...search, pass: settleWait(placed, waiting, 'claim') };
-  const reserved = reservePlace(pass, waiting, nowMs) ?? movePlace(pass, waiting, nowMs);
-  return reserved === undefined
-    ? { pass: giveUp(pass, waiting, nowMs), hopeless: new Set([...hopeless, key]) }
-    : { ...search, pass: reserved };
+  const kept = onlyKept ? pass.loads.get(wait.workerKey ?? '') : undefined;
+  const loads = kept === undefined ? pass.loads : pass.loads.filter((load) => load === kept);
+  const placed = placeTask(pass, jobId, ready, slot, attempt, nowMs, { loads });
+  return placed === undefined ? undefined : settleWait(placed, waiting, 'claim');
+}
+
+/** Searches a place for a waiting task that keeps none. */
+function searchPlace(search: Search, waiting: WaitingTask, nowMs: number): Search {
+  const { pass, hopeless, searchesLeft } = search;
+  const key = stageKey(waiting.candidate);
+  if (hopeless.has(key) || searchesLeft === 0) {
+    return { ...search, pass: giveUp(pass, waiting, nowMs) };
+  }
+  const left = searchesLeft - 1;
+  const mayClear = !isBackingOff(pass, waiting.task, nowMs);
+  const kept = keepNewPlace(pass, waiting, mayClear, nowMs) ?? movePlace(pass, waiting, nowMs);
+  return kept === undefined
+    ? {
+        ...search,
+        pass: giveUp(pass, waiting, nowMs),
+        hopeless: new Set([...hopeless, key]),
+        searchesLeft: left,
+      }
+    : { ...search, pass: kept, searchesLeft: left };
+}
+
+function placeUnitTask(search: Search, waiting: WaitingTask, nowMs: number): Search {
+  const { pass, full, searchesLeft, isCrowded } = search;
+  const { task, wait, candidate } = waiting;
+  const key = stageKey(candidate);
+  const isReady = !isBackingOff(pass, task, nowMs);
+  // Anywhere else a moved task would be in the way of the one that it makes room for.
+  const onlyKept = wait.workerKey !== undefined && (wait.isMoved || isCrowded);
+  const mayClaim = onlyKept || (!full.has(key) && searchesLeft > 0);
+  const claimed = mayClaim ? claimPlace(pass, waiting, onlyKept, nowMs) : undefined;
+  if (claimed !== undefined) return { ...search, pass: claimed };
+  const searched: Search =
+    mayClaim && isReady && !onlyKept
+      ? { ...search, full: new Set([...full, key]), searchesLeft: searchesLeft - 1 }
+      : search;
+  const kept = keepKnownPlace(pass, waiting, isReady, nowMs);
+  return kept === undefined ? searchPlace(searched, waiting, nowMs) : { ...searched, pass: kept };
 }
 
 /** Places all members of a gang, or keeps a place for each of them. */
@@ -159,14 +236,19 @@
   if (placed !== pass) {
     return members.reduce((current, member) => settleWait(current, member, 'claim'), placed);
   }
-  const reserved = members.reduce<PlacementPass | undefined>(
+  // Nothing is stopped for a gang while some of its members still run elsewhere.
+  const { stage } = first.candidate.ready;
+  const mayClear = !mustWait && members.length === stage.taskCount;
+  const kept = members.reduce<PlacementPass | undefined>(
     (current, member) =>
       current === undefined
         ? undefined
-        : (reservePlace(current, member, nowMs) ?? movePlace(current, member, nowMs)),
+        : (keepKnownPlace(current, member, mayClear, nowMs) ??
+          keepNewPlace(current, member, mayClear, nowMs) ??
+          movePlace(current, member, nowMs)),
     pass,
   );
-  return reserved ?? members.reduce((current, member) => giveUp(current, member, nowMs), pass);
+  return kept ?? members.reduce((current, member) => giveUp(current, member, nowMs), pass);
 }
 
 function placeUnit(search: Search, unit: PlacementUnit, nowMs: number): Search {
@@ -197,7 +279,7 @@
     .filter((reason) => reason === 'moved')
     .reduce((current, _, task) => {
       const workerKey = current.reservations.get(task);
-      const wait = startWait('moving', nowMs);
+      const wait = startMove(nowMs);
       return putWait(current, task, workerKey === undefined ? wait : { ...wait, workerKey });
     }, pass);
 }
@@ -211,7 +293,13 @@
   waiting: readonly WaitingTask[],
   nowMs: number,
 ): PlacementPass {
-  const search: Search = { pass, hopeless: new Set() };
+  const search: Search = {
+    pass,
+    full: new Set(),
+    hopeless: new Set(),
+    searchesLeft: MAX_SEARCHES,
+    isCrowded: waiting.length > MAX_SEARCHES,
+  };
   const { pass: placed } = unitsOf(waiting).reduce(
     (current, unit) => placeUnit(current, unit, nowMs),
     search,
@@ -256,10 +344,9 @@
     const wait = pass.state.waits.get(task.task);
     return wait === undefined ? [] : [{ task, wait }];
   });
-  const late = known.filter(
-    ({ wait }) =>
-      wait.phase !== 'claimed' && !wait.isLogged && nowMs - wait.sinceMs >= LOG_AFTER_MS,
-  );
+  const isLate = ({ phase, isLogged, sinceMs }: PlaceWait): boolean =>
+    phase !== 'claimed' && !isLogged && nowMs - sinceMs >= LOG_AFTER_MS;
+  const late = known.filter(({ wait }) => isLate(wait)).slice(0, MAX_LOGGED_WAITS);
   const found = known.filter(({ wait }) => wait.phase === 'claimed' && wait.isLogged);
   const waits = pass.state.waits
     .merge(late.map(({ task, wait }) => [task.task, { ...wait, isLogged: true }]))
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -36,6 +36,8 @@
   readonly moves?: readonly PlannedMove[];
   /** Time of the last search for runs whose move would make room. */
   readonly movesSoughtAtMs?: number;
+  /** Whether the task was stopped in order to move it. It comes first, so that its place is kept. */
+  readonly isMoved: boolean;
   readonly isLogged: boolean;
 }
 
@@ -47,9 +49,14 @@
   readonly wait: PlaceWait;
 }
 
-/** Returns a new wait in a phase. */
-export function startWait(phase: WaitPhase, nowMs: number): PlaceWait {
-  return { phase, sinceMs: nowMs, isLogged: false };
+/** Returns a new wait of a task that was last known to be at work at some time. */
+export function startWait(sinceMs: number): PlaceWait {
+  return { phase: waitChart.initial, sinceMs, isMoved: false, isLogged: false };
+}
+
+/** Returns the wait of a task that is stopped in order to move it. */
+export function startMove(nowMs: number): PlaceWait {
+  return { ...startWait(nowMs), phase: 'moving', isMoved: true };
 }
 
 /** Advances a wait to its next phase; an event that its phase does not handle changes nothing. */
@@ -80,11 +87,11 @@
 function waitOf(known: PlaceWait | undefined, nowMs: number): PlaceWait {
   switch (known?.phase) {
     case undefined:
-      return startWait('searching', nowMs);
+      return startWait(nowMs);
     case 'claimed':
       return advanceWait(known, 'release');
     case 'moving':
-      return { ...advanceWait(known, 'end'), sinceMs: nowMs };
+      return advanceWait(known, 'end');
     case 'searching':
     case 'reserved':
     case 'clearing':
@@ -92,6 +99,12 @@
   }
 }
 
+/** Ranks moved tasks first, then those for which others move: their places were made for them. */
+function placeRank({ isMoved, moves }: PlaceWait): number {
+  if (isMoved) return 0;
+  return moves === undefined ? 2 : 1;
+}
+
 /** Returns the lasting tasks that have run and wait, the one that is away longest first. */
 export function waitingTasks(
   state: SchedulerState,
@@ -105,7 +118,10 @@
       return { task, slot, candidate, wait: waitOf(state.waits.get(task), nowMs) };
     });
   });
-  return waiting.toSorted((left, right) => left.wait.sinceMs - right.wait.sinceMs);
+  return waiting.toSorted(
+    (left, right) =>
+      placeRank(left.wait) - placeRank(right.wait) || left.wait.sinceMs - right.wait.sinceMs,
+  );
 }
 
 /** Adds the waits of waiting tasks, and drops those of tasks that run again or have ended. */
@@ -117,3 +133,11 @@
     .filter((_, task) => isUnsettled(state, task))
     .merge(waiting.map(({ task, wait }) => [task, wait]));
 }
+
+/** Returns the waits without that of a task whose run was listed, at the end of the run. */
+export function endClaim(state: SchedulerState, task: string): Map<string, PlaceWait> {
+  const isRunning = state.runs.byTask.get(task)?.isListed === true;
+  return isRunning && state.waits.get(task)?.phase === 'claimed'
+    ? state.waits.delete(task)
+    : state.waits;
+}
--- a/packages/scheduler/test/returning.test.ts
+++ b/packages/scheduler/test/returning.test.ts
@@ -139,7 +139,8 @@
   );
   const siteOfLast = siteOf(spread, 'job1.0.0.1') ?? '';
   const siteOfFirst = siteOf(spread, 'job1.0.0.0') ?? '';
-  const away = leave(wait(leave(spread, siteOfLast), 300), siteOfFirst);
+  const later = list(wait(leave(spread, siteOfLast), 300), siteOfFirst);
+  const away = leave(later, siteOfFirst);
   const joined = join(wait(away, 300), 'w4');
   expect(siteOf(joined, 'job1.0.0.1')).to.equal('w4');
 });
