--- a/packages/admission/src/types.ts
+++ b/packages/admission/src/types.ts
@@ -1,20 +1,10 @@
 import type { Map, OrderedMap } from 'immutable';
-import type { Headers, NotRunReason, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
-import type { AgentMessage } from '@bronzeyoke/wire';
+import type { NotRunReason, UnknownReason, UpstreamAnswer } from '@bronzeyoke/types';
+import type { AgentMessage, EntryMessage } from '@bronzeyoke/wire';
 import type { AttemptState } from './chart';
 
 /** An attempt of a request as received from an entry. */
-export interface ReceivedAttempt {
-  readonly requestId: string;
-  readonly attemptId: string;
-  readonly idempotencyKey?: string | undefined;
-  readonly method: string;
-  readonly path: string;
-  readonly headers: Headers;
-  readonly body: Uint8Array;
-  readonly timeoutMs: number;
-  readonly traceparent?: string | undefined;
-}
+export type ReceivedAttempt = Omit<Extract<EntryMessage, { kind: 'request' }>, 'kind'>;
 
 /** A link to be sent the result of an attempt, with the ids of that message. */
 export interface Waiter {
--- a/packages/entry/test/path.test.ts
+++ b/packages/entry/test/path.test.ts
@@ -5,7 +5,12 @@
 import type { RunningEntry } from '@bronzeyoke/entry';
 import { startEntry } from '@bronzeyoke/entry';
 import type { StandinUpstream } from '@bronzeyoke/standins';
-import { NO_UPSTREAM_FAULTS, calculateSpring, startUpstream } from '@bronzeyoke/standins';
+import {
+  NO_UPSTREAM_FAULTS,
+  calculateSpring,
+  EXAMPLE_SPRING,
+  startUpstream,
+} from '@bronzeyoke/standins';
 
 const HOST = '127.0.0.1';
 
@@ -55,15 +60,6 @@
   await path.upstream.close();
 }
 
-const spring = {
-  springKind: 'compression',
-  wireDiameterMm: 2,
-  coilDiameterMm: 20,
-  activeTurns: 8,
-  material: 'musicWire',
-  travelMm: 10,
-} as const;
-
 async function requestPrice(
   path: Path,
   body: object,
@@ -77,7 +73,7 @@
 }
 
 async function waitUntilServed(path: Path): Promise<void> {
-  const answer = await requestPrice(path, spring);
+  const answer = await requestPrice(path, EXAMPLE_SPRING);
   if (answer.status === 200) return;
   await new Promise((resolve) => {
     setTimeout(resolve, 20);
@@ -89,11 +85,13 @@
   const path = await startPath();
   await waitUntilServed(path);
   const answers = await Promise.all(
-    Array.from({ length: 50 }, (_, index) => requestPrice(path, { ...spring, travelMm: index })),
+    Array.from({ length: 50 }, (_, index) =>
+      requestPrice(path, { ...EXAMPLE_SPRING, travelMm: index }),
+    ),
   );
   answers.forEach((answer, index) => {
     expect(answer.status).to.equal(200);
-    expect(answer.body).to.deep.equal(calculateSpring({ ...spring, travelMm: index }));
+    expect(answer.body).to.deep.equal(calculateSpring({ ...EXAMPLE_SPRING, travelMm: index }));
   });
   await stopPath(path);
 });
@@ -103,7 +101,7 @@
   const path = await startPath();
   await waitUntilServed(path);
   path.upstream.setFaults({ ...NO_UPSTREAM_FAULTS, cutsAnswers: true });
-  const answer = await requestPrice(path, spring);
+  const answer = await requestPrice(path, EXAMPLE_SPRING);
   expect(answer.status).to.equal(504);
   expect(answer.body).to.include({ type: 'urn:bronzeyoke:problem:outcome-unknown' });
   await stopPath(path);
@@ -113,11 +111,11 @@
 it('path: fields that agents refuse are refused at the entry', async () => {
   const path = await startPath();
   await waitUntilServed(path);
-  const long = await requestPrice(path, spring, { 'idempotency-key': 'k'.repeat(201) });
+  const long = await requestPrice(path, EXAMPLE_SPRING, { 'idempotency-key': 'k'.repeat(201) });
   expect(long.status).to.equal(400);
-  const name = await requestPrice(path, spring, { [`x-${'n'.repeat(300)}`]: '1' });
+  const name = await requestPrice(path, EXAMPLE_SPRING, { [`x-${'n'.repeat(300)}`]: '1' });
   expect(name.status).to.equal(400);
-  expect((await requestPrice(path, spring)).status).to.equal(200);
+  expect((await requestPrice(path, EXAMPLE_SPRING)).status).to.equal(200);
   await stopPath(path);
 });
 
@@ -125,7 +123,7 @@
   const path = await startPath();
   await waitUntilServed(path);
   path.upstream.setFaults({ ...NO_UPSTREAM_FAULTS, delayMs: 200 });
-  const pending = requestPrice(path, spring);
+  const pending = requestPrice(path, EXAMPLE_SPRING);
   await new Promise((resolve) => {
     setTimeout(resolve, 50);
   });
--- a/packages/standins/src/spring.ts
+++ b/packages/standins/src/spring.ts
@@ -17,6 +17,16 @@
   readonly travelMm: number;
 }
 
+/** A valid request for the spring calculator. */
+export const EXAMPLE_SPRING: SpringRequest = {
+  springKind: 'compression',
+  wireDiameterMm: 2,
+  coilDiameterMm: 20,
+  activeTurns: 8,
+  material: 'musicWire',
+  travelMm: 10,
+};
+
 /** Result of the spring calculator. */
 export interface SpringAnswer {
   /** N/mm for a compression spring, N mm per degree for a torsion spring. */
--- a/tools/load/main.ts
+++ b/tools/load/main.ts
@@ -7,7 +7,7 @@
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import { Pool } from 'undici';
-import { calculateSpring } from '@bronzeyoke/standins';
+import { calculateSpring, EXAMPLE_SPRING } from '@bronzeyoke/standins';
 import type { LoadRole, LoadReport } from './child';
 
 const HOST = '127.0.0.1';
@@ -25,16 +25,8 @@
 const windowMs = Number(values.seconds) * 1_000;
 const connections = Number(values.connections);
 
-const spring = {
-  springKind: 'compression',
-  wireDiameterMm: 2,
-  coilDiameterMm: 20,
-  activeTurns: 8,
-  material: 'musicWire',
-  travelMm: 10,
-} as const;
-const requestBody = JSON.stringify(spring);
-const expectedBody = JSON.stringify(calculateSpring(spring));
+const requestBody = JSON.stringify(EXAMPLE_SPRING);
+const expectedBody = JSON.stringify(calculateSpring(EXAMPLE_SPRING));
 
 interface Child {
   readonly process: ChildProcess;
--- a/tools/test/process.test.ts
+++ b/tools/test/process.test.ts
@@ -8,21 +8,12 @@
 import { expect } from 'chai';
 import { parse } from 'jsonc-parser';
 import { request } from 'undici';
-import { calculateSpring } from '@bronzeyoke/standins';
+import { calculateSpring, EXAMPLE_SPRING } from '@bronzeyoke/standins';
 import { buildPrograms } from '../bundle';
 
 const root = fileURLToPath(new URL('../..', import.meta.url));
 const HOST = '127.0.0.1';
 const TIMEOUT_MS = 60_000;
-const SPRING = {
-  springKind: 'compression',
-  wireDiameterMm: 2,
-  coilDiameterMm: 20,
-  activeTurns: 8,
-  material: 'musicWire',
-  travelMm: 10,
-} as const;
-
 type Fields = Readonly<Record<string, unknown>>;
 
 /** A process that the test started. */
@@ -81,12 +72,12 @@
   try {
     const response = await request(`http://${HOST}:${String(port)}/v1/services/quoter/check`, {
       method: 'POST',
-      body: JSON.stringify(SPRING),
+      body: JSON.stringify(EXAMPLE_SPRING),
       headers: { connection: 'close' },
     });
     const body: unknown = await response.body.json();
     if (response.statusCode !== 200) return undefined;
-    expect(body).to.deep.equal(calculateSpring(SPRING));
+    expect(body).to.deep.equal(calculateSpring(EXAMPLE_SPRING));
     return true;
   } catch (error) {
     if (error instanceof Error && error.name === 'AssertionError') throw error;
