Split the scheduler's transactions from maintenance and later actions

The rows that a leader writes from time to time are in `maintenance.ts`, and the actions after a commit in `postcommit.ts`.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -1,39 +1,26 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
 import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
-import type { JobProgress } from '@bronzeyoke/workflow';
-import { encodeProgress, taskProgress } from '@bronzeyoke/workflow';
+import { encodeProgress } from '@bronzeyoke/workflow';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from './leases';
+import { maintenanceWrites } from './maintenance';
+import { performPostCommit } from './postcommit';
 import {
   cancelKey,
-  COUNTS_KEY,
   decodeLeader,
   decodeLease,
   jobKey,
   LEADER_KEY,
   LEASE_KEY,
-  PAIRS_KEY,
   progressKey,
 } from './rows';
-import { releaseRun } from './release';
-import { putRun } from './runs';
-import { NO_PENDING_WRITES, sendToWorker, withEffects } from './state';
+import { NO_PENDING_WRITES, withEffects } from './state';
 import type { InFlightTransaction, PostCommitAction, SchedulerState, SchedulerStep } from './types';
-import { runRef } from './types';
 
 /** Jobs in one transaction; each may take three rows of the 100 that a transaction may name. */
 const MAX_JOBS = 25;
-const MAX_EXPIRED_JOBS = 20;
-
-/** Outcomes are stored for this many times the promised `statusMs`. */
-const OUTCOME_KEEP_FACTOR = 1.5;
 const RETRY_DELAY_MS = 60;
-const COUNTS_INTERVAL_MS = 500;
-
-/** Unchanged counts are written again, so that a reader sees that they are current. */
-const COUNTS_REFRESH_MS = 1_000;
-const PAIRS_INTERVAL_MS = 1_000;
 
 function jobWrites(state: SchedulerState, jobId: string): readonly RowWrite[] {
   const open = state.jobs.get(jobId);
@@ -44,56 +31,6 @@
   return [put, { kind: 'delete', ...jobKey(jobId) }, ...cancel];
 }
 
-function hasStarted({ tasks }: JobProgress): boolean {
-  return [...tasks.values()].some(
-    ({ phase, failures }) => phase === 'running' || phase === 'done' || failures > 0,
-  );
-}
-
-/** Counts the jobs of each queue without a task known to have run. Scheduled jobs are left out. */
-export function countQueuedJobs(state: SchedulerState): Readonly<Record<string, number>> {
-  const waiting = state.jobs
-    .valueSeq()
-    .filter(({ job, progress }) => job.schedule === undefined && !hasStarted(progress))
-    .countBy(({ job }) => job.policy.queue);
-  return Object.fromEntries(waiting);
-}
-
-function expiredJobs(state: SchedulerState, wallMs: number): readonly string[] {
-  const keepMs = state.settings.times.statusMs * OUTCOME_KEEP_FACTOR;
-  const expired = state.ended.filter((endedAtMs) => wallMs - endedAtMs > keepMs);
-  return expired.keySeq().take(MAX_EXPIRED_JOBS).toArray();
-}
-
-function maintenanceWrites(
-  state: SchedulerState,
-  nowMs: number,
-  wallMs: number,
-): { readonly state: SchedulerState; readonly writes: readonly RowWrite[] } {
-  if (state.phase !== 'leading') return { state, writes: [] };
-  const counts = countQueuedJobs(state);
-  const countsText = JSON.stringify(counts);
-  const sinceMs = nowMs - state.countsWrittenAtMs;
-  const isChanged = countsText !== state.writtenCounts;
-  const writesCounts = sinceMs >= (isChanged ? COUNTS_INTERVAL_MS : COUNTS_REFRESH_MS);
-  const expired = expiredJobs(state, wallMs);
-  const writesPairs = state.arePairsDirty && nowMs - state.pairsSavedAtMs >= PAIRS_INTERVAL_MS;
-  const next = {
-    ...state,
-    ended: state.ended.deleteAll(expired),
-    ...(writesCounts ? { writtenCounts: countsText, countsWrittenAtMs: nowMs } : {}),
-    ...(writesPairs ? { pairsSavedAtMs: nowMs, arePairsDirty: false } : {}),
-  };
-  const writes: readonly RowWrite[] = [
-    ...expired.map((jobId) => ({ kind: 'delete', ...progressKey(jobId) }) as const),
-    ...(writesCounts
-      ? [{ kind: 'put', ...COUNTS_KEY, value: { atMs: wallMs, queues: counts } } as const]
-      : []),
-    ...(writesPairs ? [{ kind: 'put', ...PAIRS_KEY, value: state.pairs.toObject() } as const] : []),
-  ];
-  return { state: next, writes };
-}
-
 /** Parts of a transaction beside the lease row, and what follows it. */
 interface TransactionParts {
   readonly isReleased: boolean;
@@ -175,81 +112,6 @@
   );
 }
 
-function sendStart(
-  state: SchedulerState,
-  task: string,
-  attempt: number,
-  nowMs: number,
-): SchedulerStep {
-  const run = state.runs.byTask.get(task);
-  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
-  if (run === undefined || open === undefined) return unchanged(state);
-  const { workerKey, jobId } = run;
-  const stored = taskProgress(open.progress, run.slot);
-  const worker = state.workers.get(workerKey);
-  const link = worker?.linkId === undefined ? undefined : state.links.get(worker.linkId);
-  const isCurrent = run.attempt === attempt && stored.phase === 'claimed' && !open.isCancelled;
-  if (!isCurrent) return unchanged(state);
-  if (worker?.linkId === undefined || link === undefined) {
-    return releaseRun(state, task, 'notOrdered', nowMs);
-  }
-  const order = link.lastOrder + 1;
-  const { checkpoint } = stored;
-  return withEffects(
-    {
-      ...state,
-      links: state.links.set(worker.linkId, { ...link, lastOrder: order }),
-      runs: putRun(state.runs, task, { ...run, order, isOrdered: true }),
-    },
-    [
-      {
-        kind: 'send',
-        linkId: worker.linkId,
-        message: {
-          kind: 'start',
-          workerKey,
-          order,
-          run: runRef(task, attempt),
-          payload: open.job.payload,
-          ...(checkpoint === undefined ? {} : { checkpoint }),
-        },
-      },
-      logEffect('taskPlaced', {
-        job: jobId,
-        task,
-        attempt,
-        worker: workerKey,
-        storedAfterMs: Math.round(nowMs - run.claimedAtMs),
-      }),
-    ],
-  );
-}
-
-function performPostCommit(
-  state: SchedulerState,
-  action: PostCommitAction,
-  nowMs: number,
-): SchedulerStep {
-  switch (action.kind) {
-    case 'start':
-      return sendStart(state, action.task, action.attempt, nowMs);
-    case 'acknowledge': {
-      const { workerKey, sequence } = action;
-      return withEffects(
-        state,
-        sendToWorker(state, workerKey, { kind: 'acknowledge', workerKey, sequence }),
-      );
-    }
-    case 'confirmGone': {
-      const { linkId, workerKey } = action;
-      const message = { kind: 'goneRecorded', workerKey } as const;
-      return withEffects(state, [{ kind: 'send', linkId, message }]);
-    }
-    default:
-      return assertNever(action);
-  }
-}
-
 function applyCommit(
   state: SchedulerState,
   inFlight: InFlightTransaction,
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,4 +1,4 @@
-export * from './flush';
+export * from './maintenance';
 export * from './rows';
 export * from './state';
 export * from './step';
