--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -1,7 +1,7 @@
 import { advance } from '@bronzeyoke/chart';
 import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, without } from '@bronzeyoke/types';
+import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { orderChart } from './types';
@@ -33,11 +33,6 @@
   return `${run.task}#${run.attempt}`;
 }
 
-/** Returns a step without effects. */
-export function unchanged(state: RunnerState): RunnerStep {
-  return { state, effects: [] };
-}
-
 /** Returns the effect that sends a message to the leader, or none without a connection. */
 export function sendToLeader(state: RunnerState, message: RunnerMessage): readonly RunnerEffect[] {
   return state.isLinked ? [{ kind: 'send', message }] : [];
--- a/packages/runner/src/settle.ts
+++ b/packages/runner/src/settle.ts
@@ -1,8 +1,8 @@
 import type { ActionOf } from '@bronzeyoke/chart';
 import { advance } from '@bronzeyoke/chart';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever } from '@bronzeyoke/types';
-import { reportEffects, sendToLeader, unchanged } from './calls';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { reportEffects, sendToLeader } from './calls';
 import type { RunnerEffect, RunnerState, RunnerStep } from './types';
 import { agentChart } from './types';
 
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -3,7 +3,7 @@
 import { workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import {
   callWorker,
@@ -12,7 +12,6 @@
   onCallDone,
   orderKey,
   reportEffects,
-  unchanged,
   sendToLeader,
 } from './calls';
 import { goneEffects, onGoneRecorded, onStop, repeatGone, settleIfDue } from './settle';
