--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -1,9 +1,9 @@
 import { advance } from '@bronzeyoke/chart';
 import type { ListedRun, WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, chainEach, without } from '@bronzeyoke/types';
+import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
-import { reportEffects, sendToLeader, unchanged } from './report';
+import { reportEffects, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { awaitsList, orderChart, orderKey } from './types';
 
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -2,8 +2,8 @@
 import { advance } from '@bronzeyoke/chart';
 import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, without } from '@bronzeyoke/types';
-import { sendToLeader, unchanged } from './report';
+import { assertNever, unchanged, without } from '@bronzeyoke/types';
+import { sendToLeader } from './report';
 import type { GoneWorker, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { goneChart, orderKey } from './types';
 
--- a/packages/runner/src/report.ts
+++ b/packages/runner/src/report.ts
@@ -1,10 +1,5 @@
 import type { RunnerMessage } from '@bronzeyoke/wire';
-import type { RunnerEffect, RunnerState, RunnerStep } from './types';
-
-/** Returns a step without effects. */
-export function unchanged(state: RunnerState): RunnerStep {
-  return { state, effects: [] };
-}
+import type { RunnerEffect, RunnerState } from './types';
 
 /** Returns the effect that sends a message to the leader, or none without a connection. */
 export function sendToLeader(state: RunnerState, message: RunnerMessage): readonly RunnerEffect[] {
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -3,7 +3,7 @@
 import { workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, unchanged } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
 import {
@@ -14,7 +14,7 @@
   repeatGone,
   settleGone,
 } from './gone';
-import { reportEffects, sendToLeader, unchanged } from './report';
+import { reportEffects, sendToLeader } from './report';
 import { onStop, settleIfDue } from './settle';
 import type {
   EntryAddress,
