--- a/packages/scheduler/test/fleetchecks.ts
+++ b/packages/scheduler/test/fleetchecks.ts
@@ -2,6 +2,8 @@
 import { parseTaskName } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
 
+const MIN_PLACES = 2;
+
 /** A rule that was broken. */
 export type FleetViolation =
   | { readonly kind: 'awayWithPlaces'; readonly task: string; readonly sinceMs: number }
@@ -56,6 +58,23 @@
   return rooms.filter((room) => isPlaceFor(task, stage, room)).length;
 }
 
+/** Counts the tasks of a stage that fit a worker beside its lasting tasks. */
+function countSlots(task: string, stage: Stage, room: WorkerRoom): number {
+  if (!isPlaceFor(task, stage, room)) return 0;
+  const taken = { task, stage, isMovable: false };
+  return 1 + countSlots(task, stage, { ...room, placed: [...room.placed, taken] });
+}
+
+/**
+ * Returns whether a waiting task has two places, since another task that waits may need the first one.
+ * The members of a gang need a place each at the same time, and one more.
+ */
+export function hasPlaces(task: string, stage: Stage, rooms: readonly WorkerRoom[]): boolean {
+  if (!stage.isGang) return countPlaces(task, stage, rooms) >= MIN_PLACES;
+  const slots = rooms.reduce((sum, room) => sum + countSlots(task, stage, room), 0);
+  return slots >= stage.taskCount - 1 + MIN_PLACES;
+}
+
 /** Returns whether a worker has a place for a lasting task once another one has moved. */
 export function hasPlaceByMove(task: string, stage: Stage, rooms: readonly WorkerRoom[]): boolean {
   return rooms.some((room) =>
--- a/packages/scheduler/test/fleetload.ts
+++ b/packages/scheduler/test/fleetload.ts
@@ -88,3 +88,15 @@
       fleet.submit(fillJob(`${FILL}${count}`, 2, memoryMb), 3_000 * draws.within(DURATION_FACTOR)),
   );
 }
+
+/** Time within which quick and filling tasks end after their load. */
+const END_MS = 90_000;
+const END_STEP_MS = 1_000;
+
+/** Advances until the tasks of some job kinds are done. Returns false when some do not end. */
+export function endsAll(fleet: Fleet, kinds: readonly string[]): boolean {
+  const untilMs = fleet.now() + END_MS;
+  const areOpen = (): boolean => kinds.some((kind) => fleet.countOpen(kind) > 0);
+  while (areOpen() && fleet.now() < untilMs) fleet.advance(END_STEP_MS);
+  return !areOpen();
+}
