Take a worker that was born earlier once its reply shows its birth

After the machine's clock was set back, a worker that came later under an earlier birth was ignored for good, and its machine did no work.

An agent without a worker now sends a hold to the instance of any heartbeat that it does not know as gone, and reports it only after a reply with its birth. A late heartbeat of an ended instance leads to no report, and the heartbeat of a later instance replaces it. While there is a worker, only later births replace it, as before.

Three of six new tests failed before; the first printed: a worker born earlier is taken once its reply shows its birth: expected [] to deeply equal [ 'i-1@3' ]. The tests of the agent and the model (restart, takeover) pass.

--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -107,9 +107,12 @@
   return { state: step.state, effects: [...step.effects, log] };
 }
 
-/** Handles the first heartbeat of an instance that follows gone ones. */
-export function onSuccessorSeen(state: RunnerState, id: string): RunnerStep {
-  const replaced = advanceGone(state, 'replaced', (gone) => gone.id !== id);
+/**
+ * Handles the first heartbeat of an instance that follows gone ones, or of one that was born earlier
+ * and may have ended before them.
+ */
+export function onSuccessorSeen(state: RunnerState, id: string, isLater: boolean): RunnerStep {
+  const replaced = advanceGone(state, 'replaced', (gone) => isLater && gone.id !== id);
   const succeeded = advanceGone(replaced.state, 'successor', (gone) => gone.id === id);
   return { state: succeeded.state, effects: [...replaced.effects, ...succeeded.effects] };
 }
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -66,26 +66,29 @@
 function onHeartbeat(state: RunnerState, report: WorkerReport, nowMs: number): RunnerStep {
   const { worker } = state;
   const workerKey = workerKeyOf(report);
-  if (state.goneKeys.includes(workerKey) || report.bornAtMs < state.lastBornAtMs)
-    return unchanged(state);
+  if (state.goneKeys.includes(workerKey)) return unchanged(state);
   if (worker?.workerKey === workerKey) {
     if (report.sequence <= worker.report.sequence) return unchanged(state);
     const hasChanged = report.isDraining !== worker.report.isDraining;
     const next = { ...state, worker: { ...worker, report } };
     return { state: next, effects: hasChanged ? reportEffects(next) : [] };
   }
+  // Without a worker, a first reply with this birth shows whether the heartbeat is a late one of an
+  // ended instance, or the machine's clock was set back before the present one began.
+  const isLater = report.bornAtMs >= state.lastBornAtMs;
+  if (worker !== undefined && !isLater) return unchanged(state);
   const { id, service } = report;
   const isSameId = worker?.report.id === id;
   const left = removeWorker(state, isSameId ? 'newerInstance' : 'otherWorker');
   const updated = {
     ...left.state,
     worker: createWorker(report),
-    lastBornAtMs: report.bornAtMs,
+    lastBornAtMs: Math.max(state.lastBornAtMs, report.bornAtMs),
     holdAtMs: nowMs,
     // Makes the new instance refuse late calls to the earlier one, from its first list on.
     token: state.token + (state.lastBornAtMs === 0 ? 0 : 1),
   };
-  const gone = onSuccessorSeen(updated, id);
+  const gone = onSuccessorSeen(updated, id, isLater);
   const log = logEffect('workerSeen', { worker: workerKey, id, service });
   return { state: gone.state, effects: [...left.effects, ...gone.effects, log] };
 }
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -113,7 +113,7 @@
   readonly token: number;
   readonly callCount: number;
   readonly worker?: WorkerState;
-  /** Start of the newest instance; heartbeats of older ones and of `goneKeys` are ignored. */
+  /** Latest birth of an instance. While there is a worker, only later heartbeats replace it. */
   readonly lastBornAtMs: number;
   readonly goneKeys: readonly string[];
   /** Gone workers that no leader has recorded. */
--- a/packages/runner/test/successor.test.ts
+++ b/packages/runner/test/successor.test.ts
@@ -179,3 +179,66 @@
   const other = dispatch(gone, { kind: 'heartbeat', report: { ...LATER, id: 'i-2' } });
   expect(goneKeysOf(other)).to.deep.equal([KEY]);
 });
+
+const EARLIER = { ...REPORT, bornAtMs: 3, sequence: 1 };
+
+function confirmedGone(fixture: Fixture): Fixture {
+  return dispatch(fixture, {
+    kind: 'received',
+    message: { kind: 'goneRecorded', workerKey: KEY },
+  });
+}
+
+// Guards against a worker that is ignored for good because the machine's clock was set back.
+it('agent: a worker born earlier is taken once its reply shows its birth', () => {
+  const gone = confirmedGone(refuseConnections(createLeased()));
+  const seen = dispatch(gone, { kind: 'heartbeat', report: EARLIER });
+  expect(reportsOf(seen)).to.deep.equal([]);
+  const listed = answerHold(seen, { bornAtMs: 3 });
+  expect(reportsOf(listed).map(({ workerKey }) => workerKey)).to.deep.equal(['i-1@3']);
+});
+
+// Guards against a worker that is ignored because another one answered before its heartbeat came.
+it('agent: a worker born earlier that answers at the address is taken', () => {
+  const answered = answerHold(createLeased(), { bornAtMs: 3 });
+  expect(goneKeysOf(answered)).to.deep.equal([KEY]);
+  const listed = answerHold(dispatch(answered, { kind: 'heartbeat', report: EARLIER }), {
+    bornAtMs: 3,
+  });
+  expect(reportsOf(listed).map(({ workerKey }) => workerKey)).to.deep.equal(['i-1@3']);
+});
+
+// Guards against an ended instance that a late heartbeat restores after its successor is gone.
+it('agent: a late heartbeat of an ended instance leads to no report', () => {
+  const gone = refuseConnections(createLeased());
+  const late = dispatch(gone, { kind: 'heartbeat', report: EARLIER });
+  const answered = answerHold(late, { bornAtMs: 900 });
+  expect(reportsOf(answered)).to.deep.equal([]);
+  const present = answerHold(restart(answered), { bornAtMs: 900 });
+  expect(reportsOf(present).map(({ workerKey }) => workerKey)).to.deep.equal([LATER_KEY]);
+  const again = dispatch(present, { kind: 'heartbeat', report: { ...EARLIER, sequence: 2 } });
+  expect(again.state.worker?.workerKey).to.equal(LATER_KEY);
+});
+
+// Guards against a late heartbeat that keeps the present worker out.
+it('agent: a later heartbeat replaces an instance without a reply', () => {
+  const late = dispatch(refuseConnections(createLeased()), { kind: 'heartbeat', report: EARLIER });
+  expect(restart(late).state.worker?.workerKey).to.equal(LATER_KEY);
+});
+
+// Guards against an order of the earlier instance that a worker born earlier carries out.
+it('agent: a worker born earlier gets a higher token, and its late runs are stopped', () => {
+  const gone = refuseConnections(order(createLeased()));
+  const seen = dispatch(gone, { kind: 'heartbeat', report: EARLIER });
+  expect(callsOf(seen, 'hold').map(({ fencingToken }) => fencingToken)).to.deep.equal([101]);
+  const listed = answerHold(seen, { bornAtMs: 3, running: [LISTED] });
+  expect(sentOf(listed)).to.deep.equal([]);
+  expect(callsOf(listed, 'stop')).to.have.length(1);
+});
+
+// Guards against a late heartbeat under another id that ends the wait for late orders.
+it('agent: an instance born earlier under another id does not end the wait', () => {
+  const gone = refuseConnections(order(createLeased()));
+  const other = dispatch(gone, { kind: 'heartbeat', report: { ...EARLIER, id: 'i-0' } });
+  expect(goneKeysOf(other)).to.deep.equal([]);
+});
