Release a run that was stopped before its start was ordered

The start order was then left out, because the task was stopping, and no worker ever lists the end of a run that it never had. The task stayed in the phase stopping for good.

Change: such a run is released in place of its start order.

Before the change the test printed seven tasks that stay unordered; it passes now.

--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -20,8 +20,12 @@
   const stored = taskProgress(open.progress, run.slot);
   const worker = state.workers.get(workerKey);
   const link = worker?.linkId === undefined ? undefined : state.links.get(worker.linkId);
-  const isCurrent = run.attempt === attempt && stored.phase === 'claimed' && !open.isCancelled;
-  if (!isCurrent) return unchanged(state);
+  if (run.attempt !== attempt || open.isCancelled) return unchanged(state);
+  // No worker would ever list the end of a run that was stopped before its order.
+  if (stored.phase === 'stopping' && !run.isOrdered) {
+    return releaseRun(state, task, 'notOrdered', nowMs);
+  }
+  if (stored.phase !== 'claimed') return unchanged(state);
   if (worker?.linkId === undefined || link === undefined) {
     return releaseRun(state, task, 'notOrdered', nowMs);
   }
--- a/packages/scheduler/test/fills.test.ts
+++ b/packages/scheduler/test/fills.test.ts
@@ -1,15 +1,19 @@
 import { expect } from 'chai';
+import { jobKey } from '@bronzeyoke/scheduler';
 import {
   advance,
   commitAll,
   jobOf,
   createLeader,
+  dispatch,
   listedRun,
+  loggedFields,
   report,
   sentMessages,
   stageOf,
   submit,
   TASK,
+  WALL_MS,
 } from './fixture';
 
 // Guards against a serving task that filling tasks beside it harm for long.
@@ -119,3 +123,32 @@
   const withFill = report(advance(placed, 300), 'w1', { running: both, lastOrder: 2 });
   expect(withFill.state.pairs.toJS()).to.deep.equal(withoutFill.state.pairs.toJS());
 });
+
+// Guards against a task that waits without end because it was stopped before its start was ordered.
+it('places a task again that was stopped before its start order was sent', () => {
+  const needs = { processorsMilli: 100, memoryMb: 260, accelerators: 0 };
+  const filling = stageOf(1, { needs, fillsIdle: true, image: 'f' });
+  const batch = Array.from({ length: 30 }, (_, index) => {
+    const job = jobOf(`fill${index}`, [filling]);
+    return { ...job, policy: { ...job.policy, priority: 2 } };
+  });
+  const leader = report(createLeader(), 'w1');
+  const { version, nowMs } = leader;
+  // The claims need two transactions, and the start orders follow the second one.
+  const claimed = dispatch(leader, {
+    kind: 'jobRows',
+    isFull: false,
+    rows: batch.map((job) => ({ ...jobKey(job.jobId), version, value: job })),
+    wallMs: WALL_MS + nowMs,
+  });
+  const urgent = jobOf('urgent', [stageOf(1, { needs: { ...needs, memoryMb: 2_000 } })]);
+  const stopped = commitAll(submit(claimed, urgent));
+  expect(loggedFields(stopped, 'taskStopped').length).to.be.greaterThan(0);
+  const running = [...stopped.state.runs.byTask]
+    .filter(([, { isOrdered }]) => isOrdered)
+    .map(([task, { attempt }]) => listedRun(task, attempt));
+  const lastOrder = stopped.state.links.get('link-w1')?.lastOrder ?? 0;
+  const listed = commitAll(report(advance(stopped, 100), 'w1', { running, lastOrder }));
+  const unordered = listed.state.runs.byTask.filterNot(({ isOrdered }) => isOrdered);
+  expect([...unordered.keys()]).to.deep.equal([]);
+});
