Split the log lines of waits from the placing of lasting tasks

Behaviour is unchanged: the tests of the scheduler that cover it (returning, waiting, timed, fills) pass as before.

--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -7,11 +7,11 @@
   updatePairs,
 } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { without } from '@bronzeyoke/types';
+import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
 import { putRun, runsOn } from './runs';
-import { chainAll, chainAfter, sendToWorker, unchanged, withEffects } from './state';
+import { sendToWorker, withEffects } from './state';
 import { taskLog } from './tasklog';
 import type {
   InheritedPace,
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -1,5 +1,6 @@
 import { Map } from 'immutable';
 import { fitsEmptyWorker } from '@bronzeyoke/placement';
+import { chainAfter } from '@bronzeyoke/types';
 import { assignedSlots, taskProgress, untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import { orderedCandidates } from './candidates';
@@ -8,10 +9,11 @@
 import type { PlacementPass } from './pass';
 import { placeGang, placeTask } from './pass';
 import { preemptFills } from './preempt';
-import { logWaits, placeReturning, reserveForMoves } from './returning';
-import { chainAfter, withEffects } from './state';
+import { placeReturning, reserveForMoves } from './returning';
+import { withEffects } from './state';
 import { createOccupancies } from './tenants';
 import type { SchedulerState, SchedulerStep } from './types';
+import { logWaits } from './waitlog';
 import type { WaitingTask } from './waits';
 import { updateWaits, waitingTasks } from './waits';
 
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -1,6 +1,6 @@
 import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { without } from '@bronzeyoke/types';
+import { chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { RunEnd } from '@bronzeyoke/workflow';
 import {
   acceptsEvent,
@@ -14,7 +14,7 @@
 } from '@bronzeyoke/workflow';
 import { endJob } from './jobs';
 import { dropRun, dropRuns, runsOn } from './runs';
-import { chainAll, putJob, unchanged, withEffects } from './state';
+import { putJob, withEffects } from './state';
 import { taskLog } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
 import { endClaim, startWait } from './waits';
--- a/packages/scheduler/src/reserve.ts
+++ b/packages/scheduler/src/reserve.ts
@@ -7,6 +7,7 @@
 import { loadsOfService, siblingCounter } from './pass';
 import type { Tenant } from './tenants';
 import type { OpenJob } from './types';
+import type { WaitingTask } from './waits';
 
 /** Time in which a run that is being stopped ends. */
 const STOPPING_MS = 500;
@@ -19,6 +20,16 @@
   readonly priority: number;
 }
 
+/** Returns what a waiting task asks for; undefined once its job has ended. */
+export function slotOf(
+  { state }: PlacementPass,
+  { candidate, slot }: WaitingTask,
+): PlacedSlot | undefined {
+  const { jobId, ready, priority } = candidate;
+  const open = state.jobs.get(jobId);
+  return open === undefined ? undefined : { open, ready, slot, priority };
+}
+
 /** How a run that keeps a task from a worker ends. */
 type Ending =
   /** It is being stopped. */
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -1,14 +1,11 @@
 import { assertNever, without } from '@bronzeyoke/types';
-import { fitsEmptyWorker, hasRoom } from '@bronzeyoke/placement';
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { loadsOfService, placeGang, placeTask } from './pass';
+import { placeGang, placeTask } from './pass';
 import { makeRoomByMoves } from './relocate';
-import type { PlacedSlot, Vacancy } from './reserve';
-import { allowedLoads, clearVacancy, findVacancy, keptVacancy, reserveRoom } from './reserve';
-import { taskLog } from './tasklog';
-import type { SchedulerEffect, SchedulerState } from './types';
+import type { Vacancy } from './reserve';
+import { clearVacancy, findVacancy, keptVacancy, reserveRoom, slotOf } from './reserve';
 import type { PlaceWait, WaitEvent, WaitingTask } from './waits';
 import { advanceWait, startMove } from './waits';
 
@@ -25,12 +22,6 @@
  */
 const MAX_SEARCHES = 40;
 
-/** Waits that one pass logs. */
-const MAX_LOGGED_WAITS = 20;
-
-/** Time after which a wait is logged. */
-const LOG_AFTER_MS = 1_000;
-
 /** A task, or all members of a gang, to place in one decision. */
 type PlacementUnit =
   | { readonly kind: 'task'; readonly task: WaitingTask }
@@ -83,15 +74,6 @@
   return (state.backOff.get(task) ?? 0) > nowMs;
 }
 
-function slotOf(
-  { state }: PlacementPass,
-  { candidate, slot }: WaitingTask,
-): PlacedSlot | undefined {
-  const { jobId, ready, priority } = candidate;
-  const open = state.jobs.get(jobId);
-  return open === undefined ? undefined : { open, ready, slot, priority };
-}
-
 /** Keeps the place of a vacancy for a waiting task, and makes room there in time. */
 function keepPlace(
   pass: PlacementPass,
@@ -306,63 +288,3 @@
   );
   return startMoves(placed, nowMs);
 }
-
-function describeWait(
-  pass: PlacementPass,
-  waiting: WaitingTask,
-  wait: PlaceWait,
-  nowMs: number,
-): SchedulerEffect {
-  const { task, candidate } = waiting;
-  const { jobId, ready, priority } = candidate;
-  const target = slotOf(pass, waiting);
-  const { stage } = ready;
-  const loads = target === undefined ? [] : loadsOfService(pass, target.open);
-  const allowed = target === undefined ? [] : allowedLoads(pass, target);
-  const fitting = loads.filter((load) => fitsEmptyWorker(stage, load));
-  return taskLog(stage, 'placeAwaited', {
-    job: jobId,
-    task,
-    priority,
-    ...stage.needs,
-    fitsEmpty: fitting.length,
-    withRoom: fitting.filter((load) => hasRoom(stage, load)).length,
-    belowLimit: allowed.filter((load) => hasRoom(stage, load)).length,
-    awaitedMs: Math.round(nowMs - wait.sinceMs),
-    plan: wait.phase,
-    worker: wait.workerKey ?? '',
-  });
-}
-
-/** Logs waits that have become long, and the ends of such waits. */
-export function logWaits(
-  pass: PlacementPass,
-  waiting: readonly WaitingTask[],
-  nowMs: number,
-): { readonly state: SchedulerState; readonly effects: readonly SchedulerEffect[] } {
-  const known = waiting.flatMap((task) => {
-    const wait = pass.state.waits.get(task.task);
-    return wait === undefined ? [] : [{ task, wait }];
-  });
-  const isLate = ({ phase, isLogged, sinceMs }: PlaceWait): boolean =>
-    phase !== 'claimed' && !isLogged && nowMs - sinceMs >= LOG_AFTER_MS;
-  const late = known.filter(({ wait }) => isLate(wait)).slice(0, MAX_LOGGED_WAITS);
-  const found = known.filter(({ wait }) => wait.phase === 'claimed' && wait.isLogged);
-  const waits = pass.state.waits
-    .merge(late.map(({ task, wait }) => [task.task, { ...wait, isLogged: true }]))
-    .merge(found.map(({ task, wait }) => [task.task, { ...wait, isLogged: false }]));
-  return {
-    state: { ...pass.state, waits },
-    effects: [
-      ...late.map(({ task, wait }) => describeWait(pass, task, wait, nowMs)),
-      ...found.map(({ task: { task, candidate }, wait }) =>
-        taskLog(candidate.ready.stage, 'placeFound', {
-          job: candidate.jobId,
-          task,
-          worker: pass.state.runs.byTask.get(task)?.workerKey ?? '',
-          awaitedMs: Math.round(nowMs - wait.sinceMs),
-        }),
-      ),
-    ],
-  };
-}
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -14,8 +14,6 @@
 } from './types';
 import { leadershipChart } from './types';
 
-export { chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
-
 /** Pending writes without jobs and actions. */
 export const NO_PENDING_WRITES: PendingWrites = { jobIds: new Set(), postCommit: [] };
 
