--- a/packages/scheduler/test/returning.test.ts
+++ b/packages/scheduler/test/returning.test.ts
@@ -1,97 +1,35 @@
 import { expect } from 'chai';
-import type { ListedEnd } from '@bronzeyoke/ports';
 import type { Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
-  advance,
-  commitAll,
   createLeader,
-  dispatch,
   jobOf,
-  listedRun,
+  join,
+  lasting,
+  leave,
+  list,
+  listAll,
   loggedFields,
-  report,
-  stageOf,
-  submit,
-  WALL_MS,
-  workerKeyFor,
+  place,
+  siteOf,
+  sized,
+  stopReasons,
+  wait,
 } from './fixture';
 
-function sized(processorsMilli: number, taskCount = 1, changes: Partial<Stage> = {}): Stage {
-  const needs = { processorsMilli, memoryMb: 100, accelerators: 0 };
-  return stageOf(taskCount, { needs, ...changes });
-}
-
-function lasting(
-  jobId: string,
-  processorsMilli: number,
-  taskCount = 1,
-  changes: Partial<Stage> = {},
-): WorkflowJob {
-  return jobOf(jobId, [sized(processorsMilli, taskCount, { isLasting: true, ...changes })]);
-}
-
 function quick(jobId: string, processorsMilli = 1_000): WorkflowJob {
   return jobOf(jobId, [sized(processorsMilli)]);
 }
 
-function place(fixture: Fixture, job: WorkflowJob): Fixture {
-  return commitAll(submit(fixture, job));
-}
-
-function wait(fixture: Fixture, forMs: number): Fixture {
-  return commitAll(advance(fixture, forMs));
-}
-
-/** Returns the site on which a task is claimed or runs. */
-function siteOf(fixture: Fixture, task: string): string | undefined {
-  const run = fixture.state.runs.byTask.get(task);
-  return run?.workerKey.split('@')[0];
-}
-
-/** Delivers the list of a worker. Some tasks have failed, those with a stop order have stopped. */
-function list(fixture: Fixture, site: string, failed: readonly string[] = []): Fixture {
-  const runs = fixture.state.runs.byTask.filter(
-    ({ workerKey }) => workerKey === workerKeyFor(site),
-  );
-  const ended = [...runs].flatMap(([task, { attempt, stopSentAtMs }], index): ListedEnd[] => {
-    const hasFailed = failed.includes(task);
-    if (!hasFailed && stopSentAtMs === undefined) return [];
-    const end = hasFailed ? 'failed' : 'stopped';
-    return [{ sequence: fixture.nowMs + index, task, attempt, end, checkpoint: '' }];
-  });
-  const running = [...runs]
-    .filter(([task]) => ended.every((end) => end.task !== task))
-    .map(([task, { attempt }]) => listedRun(task, attempt, { percent: 100 }));
-  const lastOrder = fixture.state.links.get(`link-${site}`)?.lastOrder ?? 0;
-  return commitAll(report(fixture, site, { running, ended, lastOrder }));
-}
-
-/** Delivers the agent's message that the worker at a site is gone. */
-function leave(fixture: Fixture, site: string): Fixture {
-  const message = { kind: 'workerGone', workerKey: workerKeyFor(site) } as const;
-  const wallMs = WALL_MS + fixture.nowMs;
-  return commitAll(
-    dispatch(fixture, { kind: 'received', linkId: `link-${site}`, message, wallMs }),
-  );
-}
-
-function join(fixture: Fixture, ...sites: readonly string[]): Fixture {
-  return sites.reduce((current, site) => commitAll(report(current, site)), fixture);
-}
-
-function listAll(fixture: Fixture, ...sites: readonly string[]): Fixture {
-  return sites.reduce((current, site) => list(current, site), fixture);
-}
-
-function stopReasons(fixture: Fixture): readonly unknown[] {
-  return loggedFields(fixture, 'taskStopped').map(({ reason }) => reason);
+/** Delivers the list of a worker on which some tasks have failed. */
+function listFailed(fixture: Fixture, site: string, failed: readonly string[]): Fixture {
+  return list(fixture, site, Object.fromEntries(failed.map((task) => [task, 'failed'])));
 }
 
 /** A worker of 4 cores whose lasting task of 3 cores has failed, beside a quick task. */
 function failedBesideQuick(): Fixture {
   const started = list(place(join(createLeader(), 'w1'), lasting('big', 3_000)), 'w1');
-  return list(list(place(started, quick('quick0')), 'w1'), 'w1', ['big.0.0.0']);
+  return listFailed(list(place(started, quick('quick0')), 'w1'), 'w1', ['big.0.0.0']);
 }
 
 /** A worker of 4 cores with a quick task, and a waiting task of 4 cores whose worker has left. */
@@ -125,7 +63,7 @@
 // Guards against a reservation that outlives the wait.
 it('returning: room is given to others once the task has its place', () => {
   const placed = list(wait(place(failedBesideQuick(), quick('quick1')), 250), 'w1');
-  const ended = list(placed, 'w1', ['quick0.0.0.0']);
+  const ended = listFailed(placed, 'w1', ['quick0.0.0.0']);
   expect(siteOf(ended, 'quick1.0.0.0')).to.equal('w1');
   expect(ended.state.waits.size).to.equal(0);
 });
@@ -159,7 +97,7 @@
 it('returning: a worker that is kept for a task gets no other one', () => {
   const crowded = place(waitingBehindQuick(), quick('quick1'));
   expect(siteOf(crowded, 'quick1.0.0.0')).to.equal(undefined);
-  const freed = list(crowded, 'w1', ['quick0.0.0.0']);
+  const freed = listFailed(crowded, 'w1', ['quick0.0.0.0']);
   expect(siteOf(freed, 'big.0.0.0')).to.equal('w1');
 });
 
@@ -187,9 +125,9 @@
   const started = listAll(place(join(createLeader(), ...sites), gang), ...sites);
   const crowded = ['quick0', 'quick1', 'quick2', 'quick3'].reduce(
     (current, jobId) => place(current, quick(jobId)),
-    list(started, 'w1', members),
+    listFailed(started, 'w1', members),
   );
-  const returned = wait(list(crowded, 'w2', members), 250);
+  const returned = wait(listFailed(crowded, 'w2', members), 250);
   expect(members.map((task) => siteOf(returned, task)).toSorted()).to.deep.equal(sites);
 });
 
@@ -209,6 +147,6 @@
     awaitedMs: 1_200,
     plan: 'reserved',
   });
-  const freed = list(late, 'w1', ['quick0.0.0.0']);
+  const freed = listFailed(late, 'w1', ['quick0.0.0.0']);
   expect(loggedFields(freed, 'placeFound')[0]).to.include({ task: 'big.0.0.0', awaitedMs: 1_200 });
 });
--- a/packages/scheduler/test/waiting.test.ts
+++ b/packages/scheduler/test/waiting.test.ts
@@ -1,88 +1,30 @@
 import { expect } from 'chai';
-import type { ListedEnd } from '@bronzeyoke/ports';
-import type { Stage, TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import type { TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
-  advance,
   commitAll,
   createLeader,
   createSuccessor,
   dispatch,
   jobOf,
+  join,
+  lasting,
+  leave,
+  list,
+  listAll,
   listedRun,
   load,
   loggedFields,
+  place,
   report,
-  stageOf,
+  siteOf,
+  sized,
+  stopReasons,
   submit,
-  WALL_MS,
+  wait,
   workerKeyFor,
 } from './fixture';
 
-function sized(processorsMilli: number, taskCount = 1, changes: Partial<Stage> = {}): Stage {
-  const needs = { processorsMilli, memoryMb: 100, accelerators: 0 };
-  return stageOf(taskCount, { needs, ...changes });
-}
-
-function lasting(
-  jobId: string,
-  processorsMilli: number,
-  taskCount = 1,
-  changes: Partial<Stage> = {},
-): WorkflowJob {
-  return jobOf(jobId, [sized(processorsMilli, taskCount, { isLasting: true, ...changes })]);
-}
-
-function place(fixture: Fixture, job: WorkflowJob): Fixture {
-  return commitAll(submit(fixture, job));
-}
-
-function wait(fixture: Fixture, forMs: number): Fixture {
-  return commitAll(advance(fixture, forMs));
-}
-
-/** Returns the site on which a task is claimed or runs. */
-function siteOf(fixture: Fixture, task: string): string | undefined {
-  return fixture.state.runs.byTask.get(task)?.workerKey.split('@')[0];
-}
-
-/** Delivers the list of a worker. The given tasks have ended, those with a stop order have stopped. */
-function list(
-  fixture: Fixture,
-  site: string,
-  ends: Readonly<Record<string, ListedEnd['end']>> = {},
-): Fixture {
-  const runs = fixture.state.runs.byTask.filter(
-    ({ workerKey }) => workerKey === workerKeyFor(site),
-  );
-  const ended = [...runs].flatMap(([task, { attempt, stopSentAtMs }], index): ListedEnd[] => {
-    const end = ends[task] ?? (stopSentAtMs === undefined ? undefined : 'stopped');
-    const sequence = fixture.nowMs * 100 + index;
-    return end === undefined ? [] : [{ sequence, task, attempt, end, checkpoint: '' }];
-  });
-  const running = [...runs]
-    .filter(([task]) => ended.every((end) => end.task !== task))
-    .map(([task, { attempt }]) => listedRun(task, attempt, { percent: 100 }));
-  const lastOrder = fixture.state.links.get(`link-${site}`)?.lastOrder ?? 0;
-  return commitAll(report(fixture, site, { running, ended, lastOrder }));
-}
-
-function listAll(fixture: Fixture, ...sites: readonly string[]): Fixture {
-  return sites.reduce((current, site) => list(current, site), fixture);
-}
-
-function leave(fixture: Fixture, site: string): Fixture {
-  const message = { kind: 'workerGone', workerKey: workerKeyFor(site) } as const;
-  const wallMs = WALL_MS + fixture.nowMs;
-  return commitAll(
-    dispatch(fixture, { kind: 'received', linkId: `link-${site}`, message, wallMs }),
-  );
-}
-
-function join(fixture: Fixture, ...sites: readonly string[]): Fixture {
-  return sites.reduce((current, site) => commitAll(report(current, site)), fixture);
-}
-
 /** Lets time pass, with the lists of some workers every 200 ms. */
 function run(fixture: Fixture, forMs: number, ...sites: readonly string[]): Fixture {
   return Array.from({ length: forMs / 200 }).reduce<Fixture>(
@@ -91,10 +33,6 @@
   );
 }
 
-function stopReasons(fixture: Fixture): readonly unknown[] {
-  return loggedFields(fixture, 'taskStopped').map(({ reason }) => reason);
-}
-
 /** A worker of 4 cores that gets a quick task of 1 core each time that one ends, for 30 s, and a job. */
 function crowdedWith(job: WorkflowJob): Fixture {
   const names = Array.from({ length: 304 }, (_, index) => `quick${index}`);
