Name the plans of a waiting task in the operating page

The page and the test of logs explain had a placeholder where the scheduler writes searching, reserved or clearing.

--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -62,7 +62,7 @@
   withRoom: 9,
   belowLimit: 0,
   awaitedMs: 1_050,
-  plan: 'wait',
+  plan: 'searching',
   isLasting: true,
 };
 
@@ -109,7 +109,7 @@
   );
   const printed = text.trim().split('\n');
   expect(printed[0]).to.match(/edge-1 taskEnded .* end=failed$/);
-  expect(printed[1]).to.match(/ edge-1 placeAwaited .* withRoom=9 belowLimit=0 .* plan=wait /);
+  expect(printed[1]).to.match(/ edge-1 placeAwaited .* withRoom=9 belowLimit=0 .* plan=searching /);
   expect(printed[2]).to.match(/ worker=w2 awaitedMs=4500 \(waited 4.5 s for a place\)$/);
 });
 
