Compare ranks and read back-offs in one place each

reserve.ts repeated compareRanks of the placement package, and place.ts and returning.ts each read the back-off of a task. Behaviour is unchanged: type check, formatter and linter are clean, and the tests of returning, waiting, timed, fills, scheduler and placement pass (52, with 3 passed over).

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -21,7 +21,8 @@
   readonly rank: readonly number[];
 }
 
-function compareRanks(left: readonly number[], right: readonly number[]): number {
+/** Compares two ranks by their first difference; the lower rank comes first. */
+export function compareRanks(left: readonly number[], right: readonly number[]): number {
   const index = left.findIndex((value, position) => value !== right[position]);
   return index === -1 ? 0 : (left[index] ?? 0) - (right[index] ?? 0);
 }
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -75,6 +75,11 @@
   readonly reservations: Map<string, string>;
 }
 
+/** Returns whether a task may not be placed yet after a refusal or a failure. */
+export function isBackingOff({ state }: PlacementPass, task: string, nowMs: number): boolean {
+  return (state.backOff.get(task) ?? 0) > nowMs;
+}
+
 /** Returns the queue's service in the current configuration. */
 function serviceOf({ state }: PlacementPass, { job }: OpenJob): string {
   const { service, queue } = job.policy;
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -7,7 +7,7 @@
 import { workerLoads } from './loads';
 import { stopRun } from './pace';
 import type { PlacementPass } from './pass';
-import { placeGang, placeTask } from './pass';
+import { isBackingOff, placeGang, placeTask } from './pass';
 import { preemptFills } from './preempt';
 import { placeReturning, reserveForMoves } from './returning';
 import { withEffects } from './state';
@@ -48,9 +48,7 @@
   const { jobId, ready } = candidate;
   if (!pass.loads.some((load) => fitsEmptyWorker(ready.stage, load))) return pass;
   if (ready.stage.isGang) return placeGang(pass, candidate, nowMs);
-  const isBackingOff = (slot: string): boolean =>
-    (pass.state.backOff.get(`${jobId}.${slot}`) ?? 0) > nowMs;
-  const slots = ready.slots.filter((slot) => !isBackingOff(slot));
+  const slots = ready.slots.filter((slot) => !isBackingOff(pass, `${jobId}.${slot}`, nowMs));
   // The tasks of a stage have equal needs: when one finds no worker, the next finds none either.
   const placed = slots.reduce<{ readonly pass: PlacementPass; readonly left: readonly string[] }>(
     (current, slot) => {
--- a/packages/scheduler/src/reserve.ts
+++ b/packages/scheduler/src/reserve.ts
@@ -1,5 +1,5 @@
 import type { WorkerLoad } from '@bronzeyoke/placement';
-import { fitsEmptyWorker, withTask } from '@bronzeyoke/placement';
+import { compareRanks, fitsEmptyWorker, withTask } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
 import { addResources, fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
@@ -75,11 +75,6 @@
   return fitsIn(missing, NO_RESOURCES);
 }
 
-function compareRanks(left: readonly number[], right: readonly number[]): number {
-  const index = left.findIndex((value, position) => value !== right[position]);
-  return index === -1 ? 0 : (left[index] ?? 0) - (right[index] ?? 0);
-}
-
 /** Returns whether a run is being stopped, or will be at the end of the pass. */
 export function isEnding({ state, stops }: PlacementPass, task: string): boolean {
   return stops.has(task) || state.runs.byTask.get(task)?.stopSentAtMs !== undefined;
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -2,7 +2,7 @@
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { placeGang, placeTask } from './pass';
+import { isBackingOff, placeGang, placeTask } from './pass';
 import { makeRoomByMoves } from './relocate';
 import type { Vacancy } from './reserve';
 import { clearVacancy, findVacancy, keptVacancy, reserveRoom, slotOf } from './reserve';
@@ -70,10 +70,6 @@
   return putWait(pass, task, workerKey === undefined ? settled : { ...settled, workerKey });
 }
 
-function isBackingOff({ state }: PlacementPass, task: string, nowMs: number): boolean {
-  return (state.backOff.get(task) ?? 0) > nowMs;
-}
-
 /** Keeps the place of a vacancy for a waiting task, and makes room there in time. */
 function keepPlace(
   pass: PlacementPass,
