Let post-commit actions wait for their own rows only

Cause: a transaction held the rows of 25 jobs, and no start order, acknowledgement or confirmation left while other rows were left over.

Acknowledgements of a worker stay in order, because one covers all earlier ends.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -1,10 +1,12 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
 import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
-import { encodeProgress } from '@bronzeyoke/workflow';
+import { encodeProgress, progressBytes } from '@bronzeyoke/workflow';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from './leases';
 import { maintenanceWrites } from './maintenance';
+import type { PostCommitAction, RowSize } from './pending';
+import { isNothingPending, takeWrites } from './pending';
 import { performPostCommit } from './postcommit';
 import {
   cancelKey,
@@ -15,11 +17,17 @@
   LEASE_KEY,
   progressKey,
 } from './rows';
-import { NO_PENDING_WRITES, withEffects } from './state';
-import type { InFlightTransaction, PostCommitAction, SchedulerState, SchedulerStep } from './types';
+import { withEffects } from './state';
+import type { InFlightTransaction, SchedulerState, SchedulerStep } from './types';
 
-/** Jobs in one transaction; each may take three rows of the 100 that a transaction may name. */
-const MAX_JOBS = 25;
+/** Rows that a transaction of the store may name, in its conditions and its writes. */
+const MAX_ENTRIES = 100;
+
+/** Rows that every transaction of the leader names: two conditions, and the write of the lease. */
+const FIXED_ENTRIES = 3;
+
+/** Bytes of the values of job rows in one transaction. */
+const MAX_VALUE_BYTES = 128 * 1_024;
 const RETRY_DELAY_MS = 60;
 
 function jobWrites(state: SchedulerState, jobId: string): readonly RowWrite[] {
@@ -31,6 +39,13 @@
   return [put, { kind: 'delete', ...jobKey(jobId) }, ...cancel];
 }
 
+/** Returns what a job adds to a transaction. */
+function rowSize(state: SchedulerState, jobId: string): RowSize {
+  const entries = jobWrites(state, jobId).length;
+  const open = state.jobs.get(jobId);
+  return { entries, bytes: open === undefined ? 0 : progressBytes(open.progress) };
+}
+
 /** Parts of a transaction beside the lease row, and what follows it. */
 interface TransactionParts {
   readonly isReleased: boolean;
@@ -88,24 +103,22 @@
   const isActive = state.phase === 'loading' || state.phase === 'leading';
   if (!isActive || state.inFlight !== undefined) return unchanged(state);
   const { pendingWrites } = state;
-  const hasRows = pendingWrites.jobIds.size > 0 || pendingWrites.postCommit.length > 0;
-  if (!hasRows && nowMs < state.renewAtMs) return unchanged(state);
-  const jobIds = [...pendingWrites.jobIds].slice(0, MAX_JOBS);
-  const rest = [...pendingWrites.jobIds].slice(MAX_JOBS);
-  // The actions may depend on rows that are left over, so they wait for the last of them.
-  const postCommit = rest.length === 0 ? pendingWrites.postCommit : [];
+  if (isNothingPending(pendingWrites) && nowMs < state.renewAtMs) return unchanged(state);
   const maintenance = maintenanceWrites(state, nowMs, wallMs);
-  const remaining =
-    rest.length === 0
-      ? NO_PENDING_WRITES
-      : { jobIds: new Set(rest), postCommit: pendingWrites.postCommit };
+  const limit = {
+    entries: MAX_ENTRIES - FIXED_ENTRIES - maintenance.writes.length,
+    bytes: MAX_VALUE_BYTES,
+  };
+  const { jobIds, actions, rest } = takeWrites(pendingWrites, limit, (jobId) =>
+    rowSize(state, jobId),
+  );
   const isEnded = (jobId: string): boolean => state.jobs.get(jobId)?.progress.outcome !== undefined;
   return sendTransaction(
-    { ...maintenance.state, pendingWrites: remaining },
+    { ...maintenance.state, pendingWrites: rest },
     {
       isReleased: false,
       writes: [...jobIds.flatMap((jobId) => jobWrites(state, jobId)), ...maintenance.writes],
-      postCommit,
+      postCommit: actions,
       endedJobs: jobIds.filter(isEnded),
     },
     nowMs,
--- a/packages/scheduler/src/isolation.ts
+++ b/packages/scheduler/src/isolation.ts
@@ -34,7 +34,7 @@
   const { phase, isolatedSinceMs, inFlight, pendingWrites, leader } = state;
   if (phase !== 'leading' || isolatedSinceMs === undefined) return unchanged(state);
   const silentMs = nowMs - isolatedSinceMs;
-  const isStored = inFlight === undefined && pendingWrites.jobIds.size === 0;
+  const isStored = inFlight === undefined && pendingWrites.jobs.isEmpty();
   if (silentMs < STEP_DOWN_AFTER_MS || !isStored) return unchanged(state);
   const claimPausedUntilMs = nowMs + CLAIM_PAUSE_MS;
   const step = advanceLeadership({ ...state, claimPausedUntilMs }, 'isolated');
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -6,11 +6,17 @@
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
+import type { WriteUrgency } from './pending';
 import { putRun } from './runs';
 import { addPostCommitAction, putJob } from './state';
 import type { Occupancy } from './tenants';
 import type { OpenJob, RunView, SchedulerState } from './types';
 
+function claimUrgency({ isLasting, fillsIdle }: Stage): WriteUrgency {
+  if (isLasting) return 'high';
+  return fillsIdle ? 'low' : 'normal';
+}
+
 function claimTask(
   state: SchedulerState,
   open: OpenJob,
@@ -49,13 +55,12 @@
     pace: 100,
     pacedAtMs: nowMs,
   };
-  const next = putJob(state, jobId, {
-    ...open,
-    progress: withTasks(open.progress, [[slot, claimed]]),
-  });
+  const progress = withTasks(open.progress, [[slot, claimed]]);
+  const next = putJob(state, jobId, { ...open, progress }, claimUrgency(stage));
   return addPostCommitAction(
     { ...next, runs: putRun(next.runs, name, run), backOff: next.backOff.delete(name) },
     { kind: 'start', task: name, attempt },
+    { kind: 'jobs', jobIds: [jobId] },
   );
 }
 
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -1,10 +1,11 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
+import type { PostCommitAction } from './pending';
 import { releaseRun } from './release';
 import { putRun } from './runs';
 import { sendToWorker, withEffects } from './state';
 import { taskLog } from './tasklog';
-import type { PostCommitAction, SchedulerState, SchedulerStep } from './types';
+import type { SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 
 function sendStart(
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -4,7 +4,13 @@
 import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
-import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
+import {
+  acceptsEvent,
+  advanceRun,
+  parseTaskName,
+  taskProgress,
+  withTasks,
+} from '@bronzeyoke/workflow';
 import { earlierInstances, storeAddress } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
 import { moveListedRuns } from './move';
@@ -124,8 +130,13 @@
     needsPlacement: true,
   };
   const { sequence } = last;
+  const jobIds = unhandled.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
   return withEffects(
-    addPostCommitAction(updated, { kind: 'acknowledge', workerKey, sequence }),
+    addPostCommitAction(
+      updated,
+      { kind: 'acknowledge', workerKey, sequence },
+      { kind: 'jobs', jobIds: [...new Set(jobIds)] },
+    ),
     step.effects,
   );
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -2,11 +2,11 @@
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { NO_EARLIER_LEASES } from './leases';
+import type { ActionScope, PostCommitAction, WriteUrgency } from './pending';
+import { addAction, addRow, NO_PENDING_WRITES } from './pending';
 import { NO_RUNS } from './runs';
 import type {
   OpenJob,
-  PendingWrites,
-  PostCommitAction,
   SchedulerEffect,
   SchedulerSettings,
   SchedulerState,
@@ -14,9 +14,6 @@
 } from './types';
 import { leadershipChart } from './types';
 
-/** Pending writes without jobs and actions. */
-export const NO_PENDING_WRITES: PendingWrites = { jobIds: new Set(), postCommit: [] };
-
 /** Initial value of the state that only a leader keeps. */
 export const EMPTY_LEADER_STATE = {
   loading: {},
@@ -72,26 +69,27 @@
 }
 
 /** Replaces a job, and adds its row to the pending writes. */
-export function putJob(state: SchedulerState, jobId: string, open: OpenJob): SchedulerState {
-  const { pendingWrites } = state;
+export function putJob(
+  state: SchedulerState,
+  jobId: string,
+  open: OpenJob,
+  urgency: WriteUrgency = 'high',
+): SchedulerState {
   return {
     ...state,
     jobs: state.jobs.set(jobId, open),
-    pendingWrites: { ...pendingWrites, jobIds: new Set([...pendingWrites.jobIds, jobId]) },
+    pendingWrites: addRow(state.pendingWrites, jobId, urgency),
     needsPlacement: true,
   };
 }
 
-/** Adds an action that follows the next transaction. */
+/** Adds an action that follows once the changes until now in its scope are stored. */
 export function addPostCommitAction(
   state: SchedulerState,
   action: PostCommitAction,
+  scope: ActionScope,
 ): SchedulerState {
-  const { pendingWrites } = state;
-  return {
-    ...state,
-    pendingWrites: { ...pendingWrites, postCommit: [...pendingWrites.postCommit, action] },
-  };
+  return { ...state, pendingWrites: addAction(state.pendingWrites, action, scope) };
 }
 
 /** Sends a message to the agent of a worker; no effect while it has no connection. */
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -10,9 +10,11 @@
 import { changeTimes } from './leases';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
+import type { ActionScope } from './pending';
 import { placeTasks } from './place';
 import { releaseWorker } from './release';
 import { onOrderRefused, onReport } from './report';
+import { runsOn } from './runs';
 import { stopStalledRuns } from './stall';
 import { addPostCommitAction, withEffects } from './state';
 import type { GoneReport, SchedulerEvent, SchedulerState, SchedulerStep } from './types';
@@ -49,17 +51,22 @@
  */
 function onWorkerGone(state: SchedulerState, report: GoneReport, nowMs: number): SchedulerStep {
   const { linkId, workerKey } = report;
+  const jobIds = new Set(
+    runsOn(state.runs, workerKey)
+      .valueSeq()
+      .map(({ jobId }) => jobId),
+  );
   const { state: released, effects } = releaseWorker(state, workerKey, 'workerGone', nowMs);
   // Agents repeat the message, and a transaction may take long.
-  const isPending = released.pendingWrites.postCommit.some(
-    (action) => action.kind === 'confirmGone' && isSameReport(action, report),
-  );
-  return withEffects(
-    isPending
-      ? released
-      : addPostCommitAction(released, { kind: 'confirmGone', linkId, workerKey }),
-    effects,
+  const isPending = released.pendingWrites.actions.some(
+    ({ action }) => action.kind === 'confirmGone' && isSameReport(action, report),
   );
+  if (isPending) return withEffects(released, effects);
+  const action = { kind: 'confirmGone', linkId, workerKey } as const;
+  // Without runs to release, the rows of an earlier release may still be pending.
+  const scope: ActionScope =
+    jobIds.size === 0 ? { kind: 'all' } : { kind: 'jobs', jobIds: [...jobIds] };
+  return withEffects(addPostCommitAction(released, action, scope), effects);
 }
 
 /** Handles the workers that were reported as gone during a load that a step has finished. */
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -14,6 +14,7 @@
 import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { PendingWrites, PostCommitAction } from './pending';
 import type { LeaseValue } from './rows';
 import type { RunTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
@@ -148,19 +149,6 @@
   readonly unwantedStops?: Map<string, number>;
 }
 
-/** An action that follows once the pending rows are stored. */
-export type PostCommitAction =
-  | { readonly kind: 'start'; readonly task: string; readonly attempt: number }
-  | { readonly kind: 'acknowledge'; readonly workerKey: string; readonly sequence: number }
-  /** Confirms to an agent that its worker is gone and that no stored row assigns it a task. */
-  | { readonly kind: 'confirmGone'; readonly linkId: string; readonly workerKey: string };
-
-/** Jobs whose rows wait for a transaction, and the actions that follow it. */
-export interface PendingWrites {
-  readonly jobIds: ReadonlySet<string>;
-  readonly postCommit: readonly PostCommitAction[];
-}
-
 /** The lease row as this entry last read it. */
 export interface SeenLease {
   readonly version: number;
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -109,7 +109,7 @@
   const writes = claims.map((claim) => {
     const listing = { bornAtMs: 500, running: [listedRun('job1.0.0.0', 1)] };
     const reported = report(report(adopted(claim), 'w1', listing), 'w1', listing);
-    return reported.state.pendingWrites.jobIds.size;
+    return reported.state.pendingWrites.jobs.size;
   });
   expect(writes).to.deep.equal([0, 0]);
 });
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -77,6 +77,15 @@
     : { tasks: {}, outcome, endedAtMs };
 }
 
+/** Bytes of a row value, and of each task in it, as the store counts them. */
+const ROW_BYTES = 100;
+const TASK_BYTES = 200;
+
+/** Estimates the size of the row value of a job's progress. */
+export function progressBytes({ outcome, tasks }: JobProgress): number {
+  return outcome === undefined ? ROW_BYTES + tasks.size * TASK_BYTES : ROW_BYTES;
+}
+
 /** Decodes stored progress; undefined when it is malformed. */
 export function decodeProgress(value: unknown): JobProgress | undefined {
   const parsed = progressSchema.safeParse(value);
