Send and store changes instead of whole lists and payloads

Cause: what a task costs on the leader's link grew with its job and its worker. Each end of a stage of 39 tasks wrote a row of all tasks, each start order carried the payload of the job, and each report every run with its name.

Change: progress rows keep ranges of done tasks and name each worker once; a connection's codec sends a payload once and a report as the change to the one before; a transaction carries at most what the link takes in 0.1 s, and a page of a read what it takes in 0.25 s. Rows of the former format are still read. The cores see whole messages as before.

--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -10,7 +10,7 @@
 import type { AgentProfile, Failure, UpstreamAnswer } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
-import { decodeEntryMessage } from '@bronzeyoke/wire';
+import { decodeEntryMessage, plainCodec } from '@bronzeyoke/wire';
 import { createAgent, stepAgent } from './core';
 import type { AgentObserver } from './monitor';
 import type { AgentEffect, AgentEvent } from './types';
@@ -152,7 +152,7 @@
     const linkId = `${address.host}:${address.port}`;
     const link = spawnDialer<EntryMessage>(system, address, {
       linkId,
-      decode: decodeEntryMessage,
+      codec: plainCodec(decodeEntryMessage),
       report: (linkEvent) => {
         const event = toEvent(linkEvent);
         if (event !== undefined) dispatch(core, event);
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -12,7 +12,7 @@
 import type { AdminCommand, AdminReply, Failure, Result } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { AgentMessage } from '@bronzeyoke/wire';
-import { decodeAgentMessage } from '@bronzeyoke/wire';
+import { decodeAgentMessage, plainCodec } from '@bronzeyoke/wire';
 import type { AdminApiOptions } from './api';
 import { spawnAdminApi } from './api';
 import { createEntry, stepEntry } from './core';
@@ -195,7 +195,12 @@
 
   agentServer.on('connection', (socket) => {
     const linkId = randomUUID();
-    const link = spawnLink(system, { linkId, socket, decode: decodeAgentMessage, report });
+    const link = spawnLink(system, {
+      linkId,
+      socket,
+      codec: plainCodec(decodeAgentMessage),
+      report,
+    });
     links.set(linkId, link);
   });
   const agentPort = await listen(agentServer, options.agentHost ?? options.host, options.agentPort);
--- a/packages/hosts/src/agentlinks.ts
+++ b/packages/hosts/src/agentlinks.ts
@@ -7,7 +7,7 @@
 import type { SchedulerEvent } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
-import { decodeRunnerMessage } from '@bronzeyoke/wire';
+import { ENTRY_CODEC } from '@bronzeyoke/wire';
 import type { LogEvent } from './types';
 
 /** Connections of an entry from agents and other entries. */
@@ -29,7 +29,7 @@
       const link = spawnLink(system, {
         linkId,
         socket,
-        decode: decodeRunnerMessage,
+        codec: ENTRY_CODEC,
         report: (event) => {
           switch (event.kind) {
             case 'opened':
--- a/packages/hosts/src/jobfeed.ts
+++ b/packages/hosts/src/jobfeed.ts
@@ -1,12 +1,14 @@
 import type { Follower } from '@bronzeyoke/follow';
 import { followTable } from '@bronzeyoke/follow';
 import type { RowStorePort, StoredRow } from '@bronzeyoke/ports';
-import { JOB_PAGE_ROWS, PARTITION, SMALL_JOB_PAGE_ROWS, TABLES } from '@bronzeyoke/scheduler';
+import type { EntryCapacity } from '@bronzeyoke/scheduler';
+import { jobPageRows, PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { ReportError } from './types';
 
-/** Callbacks and wait time of a follower of the jobs. */
+/** Capacity of the entry, callbacks and wait time of a follower of the jobs. */
 export interface JobFeedOptions {
+  readonly capacity: EntryCapacity;
   readonly waitMs: number;
   /** Called with all rows, or with those that have changed. */
   readonly onRows: (isFull: boolean, rows: readonly StoredRow[]) => void;
@@ -15,12 +17,11 @@
 
 /** Follows the rows of open and cancelled jobs. */
 export function followJobs(store: RowStorePort, options: JobFeedOptions): Follower {
-  const { waitMs, onRows, onError } = options;
+  const { capacity, waitMs, onRows, onError } = options;
   return followTable(store, {
     table: TABLES.jobs,
     partition: PARTITION,
-    pageRows: JOB_PAGE_ROWS,
-    smallPageRows: SMALL_JOB_PAGE_ROWS,
+    ...jobPageRows(capacity),
     waitMs,
     onError,
     report: (update) => {
--- a/packages/hosts/src/leaderlink.ts
+++ b/packages/hosts/src/leaderlink.ts
@@ -6,7 +6,7 @@
 import type { EntryAddress, RunnerEvent } from '@bronzeyoke/runner';
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
-import { decodeLeaderMessage } from '@bronzeyoke/wire';
+import { AGENT_CODEC } from '@bronzeyoke/wire';
 import type { LogEvent } from './types';
 
 /** Connection of an agent to the leader. */
@@ -51,7 +51,7 @@
       dialer = spawnDialer(system, address, {
         linkId: `leader-${ownGeneration}`,
         maxRetryMs: MAX_RETRY_MS,
-        decode: decodeLeaderMessage,
+        codec: AGENT_CODEC,
         // Events of an earlier connection come late.
         report: (event) => {
           if (ownGeneration === generation) report(event, runner);
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -7,7 +7,7 @@
 import type { SchedulerEffect, SchedulerEvent, SchedulerSettings } from '@bronzeyoke/scheduler';
 import { createScheduler, stepScheduler } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
-import { decodeLeaderMessage } from '@bronzeyoke/wire';
+import { AGENT_CODEC } from '@bronzeyoke/wire';
 import type { AgentLinks } from './agentlinks';
 import { followJobs } from './jobfeed';
 import { performStoreCall } from './store';
@@ -39,7 +39,7 @@
     { host, port },
     {
       linkId: `entry-${host}`,
-      decode: decodeLeaderMessage,
+      codec: AGENT_CODEC,
       report: (event) => {
         if (event.kind !== 'opened') return;
         const message = { kind: 'leaderChanged', ...leader } as const;
@@ -62,6 +62,7 @@
     jobFeed?.stop();
     jobFeed = isOn
       ? followJobs(store, {
+          capacity: settings.capacity,
           waitMs: feedWaitMs,
           onRows: (isFull, rows) =>
             dispatch(self, { kind: 'jobRows', isFull, rows, wallMs: Date.now() }),
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -2,9 +2,9 @@
 import type { ActorSystemRef } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, spawn } from '@bronzeyoke/actors';
-import type { Failure, Result } from '@bronzeyoke/types';
-import type { FrameBuffer, DecodedPayload, TaggedMessage } from '@bronzeyoke/wire';
-import { EMPTY_FRAME_BUFFER, encodeFrame, splitFrames } from '@bronzeyoke/wire';
+import type { Failure } from '@bronzeyoke/types';
+import type { FrameBuffer, LinkCodec, TaggedMessage } from '@bronzeyoke/wire';
+import { EMPTY_FRAME_BUFFER, splitFrames } from '@bronzeyoke/wire';
 
 /** Unsent bytes above which a peer that does not read is disconnected. */
 const MAX_UNSENT_BYTES = 16 * 1_048_576;
@@ -25,15 +25,16 @@
   | { readonly kind: 'bytes'; readonly chunk: Buffer }
   | { readonly kind: 'ended'; readonly failure?: Failure };
 
-/** Options of a link: its socket, the decoder of received payloads and the receiver of events. */
+/** Options of a link: its socket, the codec of a new connection and the receiver of events. */
 export interface LinkOptions<Message extends TaggedMessage> {
   readonly linkId: string;
   readonly socket: Socket;
-  readonly decode: (payload: Uint8Array) => Result<DecodedPayload<Message>>;
+  readonly codec: LinkCodec<Message>;
   readonly report: (event: LinkEvent<Message>) => void;
 }
 
-interface LinkState {
+interface LinkState<Message> {
+  readonly codec: LinkCodec<Message>;
   readonly receiveBuffer: FrameBuffer;
   readonly isOpen: boolean;
 }
@@ -43,9 +44,10 @@
   system: ActorSystemRef,
   options: LinkOptions<Message>,
 ): Ref<LinkCommand> {
-  const { linkId, socket, decode, report } = options;
+  const { linkId, socket, report } = options;
+  type State = LinkState<Message>;
 
-  const closeLink = (state: LinkState, self: Ref<LinkMessage>, failure?: Failure): LinkState => {
+  const closeLink = (state: State, self: Ref<LinkMessage>, failure?: Failure): State => {
     if (!state.isOpen) return state;
     socket.destroy();
     report({ kind: 'closed', linkId, ...(failure === undefined ? {} : { failure }) });
@@ -53,46 +55,53 @@
     return { ...state, isOpen: false };
   };
 
-  const receive = (state: LinkState, chunk: Buffer, self: Ref<LinkMessage>): LinkState => {
+  const receiveMessage = (state: State, payload: Buffer, self: Ref<LinkMessage>): State => {
+    if (!state.isOpen) return state;
+    const result = state.codec.decode(payload);
+    if (!result.ok) return closeLink(state, self, result.failure);
+    const { decoded, next } = result.value;
+    if (decoded.kind === 'skipped') {
+      report({ kind: 'skipped', linkId, messageKind: decoded.messageKind });
+    } else {
+      report({ kind: 'received', linkId, message: decoded.message });
+    }
+    return { ...state, codec: next };
+  };
+
+  const receive = (state: State, chunk: Buffer, self: Ref<LinkMessage>): State => {
     const split = splitFrames(state.receiveBuffer, chunk);
     if (!split.ok) return closeLink(state, self, split.failure);
-    const decoded = split.value.payloads.map(decode);
-    const firstInvalid = decoded.findIndex((result) => !result.ok);
-    const valid = firstInvalid === -1 ? decoded : decoded.slice(0, firstInvalid);
-    valid.forEach((result) => {
-      if (!result.ok) return;
-      if (result.value.kind === 'skipped') {
-        report({ kind: 'skipped', linkId, messageKind: result.value.messageKind });
-      } else {
-        report({ kind: 'received', linkId, message: result.value.message });
-      }
+    const { payloads, rest } = split.value;
+    return payloads.reduce((current, payload) => receiveMessage(current, payload, self), {
+      ...state,
+      receiveBuffer: rest,
     });
-    const invalid = decoded[firstInvalid];
-    if (invalid !== undefined && !invalid.ok) return closeLink(state, self, invalid.failure);
-    return { ...state, receiveBuffer: split.value.rest };
   };
 
   // Messages of one turn of the event loop are written in one system call.
-  const write = (message: TaggedMessage): void => {
+  const write = (state: State, message: TaggedMessage): State => {
     if (socket.writableCorked === 0) {
       socket.cork();
       process.nextTick(() => socket.uncork());
     }
-    socket.write(encodeFrame(message));
+    const { frame, next } = state.codec.encode(message);
+    socket.write(frame);
+    return { ...state, codec: next };
   };
 
   const handle = (
-    state: LinkState,
+    state: State,
     message: LinkMessage,
     context: { readonly self: Ref<LinkMessage> },
-  ): LinkState => {
+  ): State => {
     if (!state.isOpen) return state;
     switch (message.kind) {
-      case 'send':
-        write(message.message);
+      case 'send': {
+        const written = write(state, message.message);
         return socket.writableLength > MAX_UNSENT_BYTES
-          ? closeLink(state, context.self, { kind: 'unreachable', what: linkId })
-          : state;
+          ? closeLink(written, context.self, { kind: 'unreachable', what: linkId })
+          : written;
+      }
       case 'bytes':
         return receive(state, message.chunk, context.self);
       case 'ended':
@@ -104,7 +113,7 @@
   };
 
   const actor: Ref<LinkMessage> = spawn(system, handle, undefined, {
-    initialState: { receiveBuffer: EMPTY_FRAME_BUFFER, isOpen: true },
+    initialState: { codec: options.codec, receiveBuffer: EMPTY_FRAME_BUFFER, isOpen: true },
   });
   socket.setNoDelay(true);
   socket.on('data', (chunk: Buffer) => dispatch(actor, { kind: 'bytes', chunk }));
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -2,6 +2,7 @@
 import type { RowCommitResult, RowWrite } from '@bronzeyoke/ports';
 import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { encodeProgress, progressBytes } from '@bronzeyoke/workflow';
+import { maxTransactionBytes } from './budget';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from './leases';
 import { maintenanceWrites } from './maintenance';
@@ -25,9 +26,6 @@
 
 /** Rows that every transaction of the leader names: two conditions, and the write of the lease. */
 const FIXED_ENTRIES = 3;
-
-/** Bytes of the values of job rows in one transaction. */
-const MAX_VALUE_BYTES = 128 * 1_024;
 const RETRY_DELAY_MS = 60;
 
 function jobWrites(state: SchedulerState, jobId: string): readonly RowWrite[] {
@@ -107,7 +105,7 @@
   const maintenance = maintenanceWrites(state, nowMs, wallMs);
   const limit = {
     entries: MAX_ENTRIES - FIXED_ENTRIES - maintenance.writes.length,
-    bytes: MAX_VALUE_BYTES,
+    bytes: maxTransactionBytes(state.settings.capacity),
   };
   const { jobIds, actions, rest } = takeWrites(pendingWrites, limit, (jobId) =>
     rowSize(state, jobId),
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,3 +1,4 @@
+export * from './budget';
 export * from './maintenance';
 export * from './rows';
 export * from './state';
--- a/packages/scheduler/src/load.ts
+++ b/packages/scheduler/src/load.ts
@@ -1,7 +1,8 @@
 import type { RowRangeResult } from '@bronzeyoke/ports';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { Map } from 'immutable';
-import { PARTITION, PROGRESS_PAGE_ROWS, TABLES } from './rows';
+import { progressPageRows } from './budget';
+import { PARTITION, TABLES } from './rows';
 import { withEffects } from './state';
 import type { SchedulerState, SchedulerStep, TableRead } from './types';
 
@@ -23,7 +24,7 @@
   const range = {
     table,
     partition: PARTITION,
-    maxRows: PROGRESS_PAGE_ROWS,
+    maxRows: progressPageRows(state.settings.capacity),
     ...(fromKey === '' ? {} : { fromKey }),
   };
   return withEffects({ ...next, callCount: state.callCount + 1 }, [
--- a/packages/workflow/src/index.ts
+++ b/packages/workflow/src/index.ts
@@ -1,4 +1,5 @@
 export * from './job';
+export * from './progressrow';
 export * from './rows';
 export * from './run';
 export * from './types';
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -1,6 +1,4 @@
 import { z } from 'zod';
-import type { JobProgress } from './job';
-import type { TaskProgress } from './run';
 import type { WorkflowJob } from './types';
 
 const resourcesSchema = z.object({
@@ -47,52 +45,8 @@
   acceptedAtMs: z.number(),
 });
 
-const taskSchema = z.object({
-  phase: z.enum(['waiting', 'claimed', 'running', 'stopping', 'done']),
-  attempt: z.int(),
-  failures: z.int(),
-  workerKey: z.string().optional(),
-  workerAddress: z.string().optional(),
-  checkpoint: z.string().optional(),
-  failedOn: z.string().optional(),
-});
-
-const progressSchema = z.object({
-  tasks: z.record(z.string(), taskSchema),
-  outcome: z.enum(['complete', 'failed', 'cancelled']).optional(),
-  endedAtMs: z.number().optional(),
-});
-
 /** Decodes a stored job; undefined when the row was not written by this program. */
 export function decodeJob(value: unknown): WorkflowJob | undefined {
   const parsed = jobSchema.safeParse(value);
   return parsed.success ? (parsed.data as WorkflowJob) : undefined;
 }
-
-/** Returns the row value of a job's progress. Tasks are left out once the job has an outcome. */
-export function encodeProgress(value: JobProgress): unknown {
-  const { outcome, endedAtMs, tasks } = value;
-  return outcome === undefined
-    ? { tasks: Object.fromEntries(tasks) }
-    : { tasks: {}, outcome, endedAtMs };
-}
-
-/** Bytes of a row value, and of each task in it, as the store counts them. */
-const ROW_BYTES = 100;
-const TASK_BYTES = 200;
-
-/** Estimates the size of the row value of a job's progress. */
-export function progressBytes({ outcome, tasks }: JobProgress): number {
-  return outcome === undefined ? ROW_BYTES + tasks.size * TASK_BYTES : ROW_BYTES;
-}
-
-/** Decodes stored progress; undefined when it is malformed. */
-export function decodeProgress(value: unknown): JobProgress | undefined {
-  const parsed = progressSchema.safeParse(value);
-  if (!parsed.success) return undefined;
-  const { tasks, ...rest } = parsed.data;
-  return {
-    ...rest,
-    tasks: new Map(Object.entries(tasks) as [string, TaskProgress][]),
-  } as JobProgress;
-}
