--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -1,147 +1,71 @@
-import type { FillShare } from '@bronzeyoke/interference';
-import { mergeFills } from '@bronzeyoke/interference';
 import type { Stage } from '@bronzeyoke/workflow';
+import { compareRanks, fitsEmptyWorker, hasRoom, rankOf } from './rank';
 import type { FillClassifier, WorkerLoad } from './types';
 
-/** Maximum number of filling images with unknown effects that one worker may try at a time. */
-const MAX_TRIALS = 1;
-
-/** Minimum idle share of the processors that a filling task requests. It runs at that speed. */
-const MIN_FILL_SHARE = 0.6;
-
-/**
- * Maximum ratio between the processors that filling tasks request and their last observed use.
- * Serving tasks do not use all that they reserve, so a fully reserved worker may still be idle.
- */
-const MAX_FILL_REQUEST_RATIO = 4;
-
 /** A worker on which a task may be placed, with its rank. The lowest rank is the best. */
-interface Candidate {
+export interface Candidate {
   readonly load: WorkerLoad;
   readonly rank: readonly number[];
 }
 
-/** Compares two ranks by their first difference; the lower rank comes first. */
-export function compareRanks(left: readonly number[], right: readonly number[]): number {
-  const index = left.findIndex((value, position) => value !== right[position]);
-  return index === -1 ? 0 : (left[index] ?? 0) - (right[index] ?? 0);
-}
-
-function freeMilli(load: WorkerLoad): number {
-  return load.capacity.processorsMilli - load.reserved.processorsMilli;
-}
-
-/** Returns whether the observed use by filling tasks implies idle processors for one more. */
-function hasObservedIdle(stage: Stage, load: WorkerLoad): boolean {
-  return (
-    load.fillRequestedMilli + stage.needs.processorsMilli <=
-    load.fillUsedMilli * MAX_FILL_REQUEST_RATIO
-  );
-}
-
-/** Returns whether a task fits on a worker. The first filling task probes the idle capacity. */
-export function hasRoom(stage: Stage, load: WorkerLoad): boolean {
-  const { needs } = stage;
-  const fitsOtherResources =
-    needs.memoryMb <= load.capacity.memoryMb - load.reserved.memoryMb &&
-    needs.accelerators <= load.capacity.accelerators - load.reserved.accelerators;
-  if (!stage.fillsIdle) return fitsOtherResources && needs.processorsMilli <= freeMilli(load);
-  const leftMilli = freeMilli(load) - load.fillRequestedMilli;
-  const isLikelyIdle = needs.processorsMilli * MIN_FILL_SHARE <= leftMilli;
-  return (
-    fitsOtherResources &&
-    (isLikelyIdle || load.fillRequestedMilli === 0 || hasObservedIdle(stage, load))
-  );
-}
-
-/** Returns whether a task could run on this worker if it were empty. */
-export function fitsEmptyWorker(stage: Stage, load: WorkerLoad): boolean {
-  const { needs, requiredLabel } = stage;
-  return (
-    needs.processorsMilli <= load.capacity.processorsMilli &&
-    needs.memoryMb <= load.capacity.memoryMb &&
-    needs.accelerators <= load.capacity.accelerators &&
-    (requiredLabel === undefined || load.labels.includes(requiredLabel))
-  );
-}
-
-function dataDistance(stage: Stage, load: WorkerLoad): number {
-  return stage.dataRack === undefined || stage.dataRack === load.rack ? 0 : 1;
-}
-
-function fillsOf(stage: Stage, load: WorkerLoad): readonly FillShare[] {
-  const { image, needs } = stage;
-  const share = needs.processorsMilli / Math.max(1, load.capacity.processorsMilli);
-  return stage.fillsIdle && image !== undefined ? [{ image, share }] : [];
-}
-
-/** Lists the filling images whose effect on a serving image on the worker is unknown. */
-function trialImages(load: WorkerLoad, classify: FillClassifier): readonly string[] {
-  return load.fills
-    .filter((fill) => load.servingImages.some((serving) => classify(serving, [fill]) === 'unknown'))
-    .map(({ image }) => image);
+/** Constraints on the choice of a worker for the tasks of a stage. */
+export interface PlacementConstraints {
+  /** Number of tasks of the same stage and occurrence on a worker. */
+  readonly siblingCount: (workerKey: string) => number;
+  /** Whether a place beside a task that it harms is allowed. The task then runs at a low pace. */
+  readonly isLastResort?: boolean;
 }
 
-function fillRank(
+/** Returns the candidate that a worker is for the tasks of a stage; undefined if it cannot run one now. */
+function candidateOf(
   stage: Stage,
   load: WorkerLoad,
   classify: FillClassifier,
-  isLastResort: boolean,
-): readonly number[] | undefined {
-  const added = fillsOf(stage, load);
-  const fills = mergeFills([...load.fills, ...added]);
-  const verdicts = load.servingImages.map((serving) => classify(serving, fills));
-  const harmfulCount = verdicts.filter((verdict) => verdict === 'harmful').length;
-  if (harmfulCount > 0 && !isLastResort) return undefined;
-  const isTrial = load.servingImages.some((serving) => classify(serving, added) === 'unknown');
-  const trials = isTrial && !isLastResort ? trialImages(load, classify) : [];
-  const joinsTrial = added.some(({ image }) => trials.includes(image));
-  if (!joinsTrial && trials.length >= MAX_TRIALS) return undefined;
-  const isBesideServing = load.servingImages.length > 0 ? 1 : 0;
-  const isSlow =
-    stage.needs.processorsMilli > freeMilli(load) - load.fillRequestedMilli &&
-    !hasObservedIdle(stage, load);
-  return [
-    harmfulCount,
-    Number(isSlow),
-    Number(isTrial),
-    dataDistance(stage, load),
-    isBesideServing,
-    load.fillRequestedMilli - freeMilli(load),
-  ];
-}
-
-function servingRank(stage: Stage, load: WorkerLoad): readonly number[] {
-  const isAlone = load.servingImages.length === 0 ? 1 : 0;
-  const isNewImage = stage.image === undefined || !load.servingImages.includes(stage.image) ? 1 : 0;
-  const isBesideFills = load.fillRequestedMilli > 0 ? 1 : 0;
-  // With fewer serving images on a worker, more images can fill it.
-  return [dataDistance(stage, load), isNewImage, isAlone, isBesideFills, freeMilli(load)];
+  { siblingCount, isLastResort = false }: PlacementConstraints,
+): Candidate | undefined {
+  if (!fitsEmptyWorker(stage, load) || !hasRoom(stage, load)) return undefined;
+  if (siblingCount(load.workerKey) >= (stage.maxPerWorker ?? Infinity)) return undefined;
+  const rank = rankOf(stage, load, classify, isLastResort);
+  return rank === undefined ? undefined : { load, rank };
 }
 
-function defaultRank(stage: Stage, load: WorkerLoad): readonly number[] {
-  const isAlone = load.servingImages.length === 0 ? 1 : 0;
-  return [dataDistance(stage, load), isAlone, -freeMilli(load)];
+/** Returns the workers that can run a task of a stage now, in the order of the loads. */
+export function findCandidates(
+  stage: Stage,
+  loads: readonly WorkerLoad[],
+  classify: FillClassifier,
+  constraints: PlacementConstraints,
+): readonly Candidate[] {
+  return loads.flatMap((load) => candidateOf(stage, load, classify, constraints) ?? []);
 }
 
-function rankOf(
+/** Returns the candidates after the load of one of them has changed. The others keep their ranks. */
+export function updateCandidate(
+  candidates: readonly Candidate[],
   stage: Stage,
   load: WorkerLoad,
   classify: FillClassifier,
-  isLastResort: boolean,
-): readonly number[] | undefined {
-  if (stage.fillsIdle) return fillRank(stage, load, classify, isLastResort);
-  return stage.latencyTargetMs === undefined ? defaultRank(stage, load) : servingRank(stage, load);
-}
-
-/** Constraints on the choice of a worker for one task. */
-export interface PlacementConstraints {
-  /** Number of tasks of the same stage and occurrence on a worker. */
-  readonly siblingCount: (workerKey: string) => number;
-  /** Whether a place beside a task that it harms is allowed. The task then runs at a low pace. */
-  readonly isLastResort?: boolean;
-  /** Worker to choose only if there is no other. */
-  readonly avoidWorkerKey?: string;
+  constraints: PlacementConstraints,
+): readonly Candidate[] {
+  const index = candidates.findIndex(({ load: known }) => known.workerKey === load.workerKey);
+  const updated = candidateOf(stage, load, classify, constraints);
+  return candidates.toSpliced(index, 1, ...(updated === undefined ? [] : [updated]));
+}
+
+/** Returns the best candidate. A worker to avoid is taken only if there is no other. */
+export function bestCandidate(
+  candidates: readonly Candidate[],
+  avoidWorkerKey?: string,
+): Candidate | undefined {
+  const isAvoided = ({ load }: Candidate): boolean => load.workerKey === avoidWorkerKey;
+  const isBetter = (candidate: Candidate, best: Candidate): boolean => {
+    const avoided = Number(isAvoided(candidate)) - Number(isAvoided(best));
+    return avoided === 0 ? compareRanks(candidate.rank, best.rank) < 0 : avoided < 0;
+  };
+  return candidates.reduce<Candidate | undefined>(
+    (best, candidate) => (best === undefined || isBetter(candidate, best) ? candidate : best),
+    undefined,
+  );
 }
 
 /** Returns the best worker for a task, or undefined if none can run it now. */
@@ -150,41 +74,7 @@
   loads: readonly WorkerLoad[],
   classify: FillClassifier,
   constraints: PlacementConstraints,
+  avoidWorkerKey?: string,
 ): WorkerLoad | undefined {
-  const maxSiblings = stage.maxPerWorker ?? Infinity;
-  const candidates = loads.flatMap<Candidate>((load) => {
-    if (!fitsEmptyWorker(stage, load) || !hasRoom(stage, load)) return [];
-    if (constraints.siblingCount(load.workerKey) >= maxSiblings) return [];
-    const rank = rankOf(stage, load, classify, constraints.isLastResort ?? false);
-    if (rank === undefined) return [];
-    return [{ load, rank: [load.workerKey === constraints.avoidWorkerKey ? 1 : 0, ...rank] }];
-  });
-  return candidates.reduce<Candidate | undefined>(
-    (best, candidate) =>
-      best === undefined || compareRanks(candidate.rank, best.rank) < 0 ? candidate : best,
-    undefined,
-  )?.load;
-}
-
-/** Returns a worker's load with one more task of a stage. */
-export function withTask(load: WorkerLoad, stage: Stage): WorkerLoad {
-  const { needs, image } = stage;
-  const { reserved, servingImages } = load;
-  const base = {
-    ...load,
-    reserved: {
-      processorsMilli: reserved.processorsMilli + (stage.fillsIdle ? 0 : needs.processorsMilli),
-      memoryMb: reserved.memoryMb + needs.memoryMb,
-      accelerators: reserved.accelerators + needs.accelerators,
-    },
-  };
-  if (stage.fillsIdle) {
-    return {
-      ...base,
-      fillRequestedMilli: load.fillRequestedMilli + needs.processorsMilli,
-      fills: mergeFills([...load.fills, ...fillsOf(stage, load)]),
-    };
-  }
-  if (stage.latencyTargetMs === undefined || image === undefined) return base;
-  return { ...base, servingImages: [...new Set([...servingImages, image])] };
+  return bestCandidate(findCandidates(stage, loads, classify, constraints), avoidWorkerKey)?.load;
 }
--- a/packages/placement/src/index.ts
+++ b/packages/placement/src/index.ts
@@ -1,2 +1,3 @@
 export * from './choose';
+export * from './rank';
 export * from './types';
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -4,6 +4,7 @@
 /** Load and capacity of a worker. */
 export interface WorkerLoad {
   readonly workerKey: string;
+  readonly service: string;
   readonly domain: string;
   readonly rack: string;
   readonly labels: readonly string[];
--- a/packages/placement/test/placement.test.ts
+++ b/packages/placement/test/placement.test.ts
@@ -9,6 +9,7 @@
 function loadOf(workerKey: string, changes: Partial<WorkerLoad> = {}): WorkerLoad {
   return {
     workerKey,
+    service: 'quoter',
     domain: 'north',
     rack: 'r1',
     labels: [],
--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -3,7 +3,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
-import { reportEffects, sendToLeader } from './report';
+import { reportIfDue, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { awaitsList, orderChart, orderKey } from './types';
 
@@ -124,7 +124,8 @@
   };
   const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
   const gone = onSuccessorListed(updated);
-  return { state: gone.state, effects: [...reportEffects(updated), ...gone.effects] };
+  const report = reportIfDue(gone.state, nowMs);
+  return { state: report.state, effects: [...report.effects, ...gone.effects] };
 }
 
 function onHoldResult(
--- a/packages/runner/src/report.ts
+++ b/packages/runner/src/report.ts
@@ -1,5 +1,6 @@
+import { unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
-import type { RunnerEffect, RunnerState } from './types';
+import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 
 /** Returns the effect that sends a message to the leader, or none without a connection. */
 export function sendToLeader(state: RunnerState, message: RunnerMessage): readonly RunnerEffect[] {
@@ -28,3 +29,27 @@
     lastOrder,
   });
 }
+
+function lastSequenceOf({ ended }: WorkerState): number {
+  return ended.at(-1)?.sequence ?? 0;
+}
+
+/** Returns whether the leader has to see a list now: it names a new end, or the last report is old. */
+function isReportDue(state: RunnerState, worker: WorkerState, nowMs: number): boolean {
+  const { lastReport, reportIntervalMs, goneWorkers } = state;
+  return (
+    lastReport?.workerKey !== worker.workerKey ||
+    nowMs - lastReport.atMs >= reportIntervalMs ||
+    lastSequenceOf(worker) > lastReport.lastSequence ||
+    goneWorkers.length > 0
+  );
+}
+
+/** Reports a list to the leader, as often as the leader asks for. An end is reported at once. */
+export function reportIfDue(state: RunnerState, nowMs: number): RunnerStep {
+  const { worker } = state;
+  if (worker === undefined || !isReportDue(state, worker, nowMs)) return unchanged(state);
+  const { workerKey } = worker;
+  const lastReport = { workerKey, atMs: nowMs, lastSequence: lastSequenceOf(worker) };
+  return { state: { ...state, lastReport }, effects: reportEffects(state) };
+}
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -3,7 +3,7 @@
 import { workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
 import {
@@ -46,6 +46,7 @@
     connectCount: 0,
     isLinked: false,
     lastOrder: 0,
+    reportIntervalMs: 0,
     progressAtMs: -Infinity,
     pendingCalls: Map(),
   };
@@ -179,7 +180,9 @@
     case 'grant': {
       if (worker?.workerKey !== message.workerKey) return unchanged(current);
       const until = Math.max(worker.leaseUntilClockMs ?? 0, message.leaseUntilClockMs);
-      return unchanged({ ...current, worker: { ...worker, leaseUntilClockMs: until } });
+      const { reportIntervalMs = 0 } = message;
+      const leased = { ...worker, leaseUntilClockMs: until };
+      return unchanged({ ...current, reportIntervalMs, worker: leased });
     }
     case 'acknowledge': {
       if (worker?.workerKey !== message.workerKey) return unchanged(current);
@@ -223,7 +226,7 @@
       return onLeader(state, event.term, event.address, nowMs);
     case 'linkOpened': {
       const linked = {
-        ...state,
+        ...without(state, 'lastReport'),
         isLinked: true,
         lastOrder: 0,
         progressAtMs: nowMs,
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -104,6 +104,14 @@
   readonly refusedConnections: number;
 }
 
+/** A report that was sent. */
+export interface SentReport {
+  readonly workerKey: string;
+  readonly atMs: number;
+  /** Highest sequence of an end that it listed; 0 if there was none. */
+  readonly lastSequence: number;
+}
+
 /** State of an agent. */
 export interface RunnerState {
   readonly settings: RunnerSettings;
@@ -128,6 +136,10 @@
   readonly connectCount: number;
   readonly isLinked: boolean;
   readonly lastOrder: number;
+  /** Time between two reports without an end of a run; 0 to report every list. */
+  readonly reportIntervalMs: number;
+  /** Last report of a list on this connection. */
+  readonly lastReport?: SentReport;
   /** When the leader last replied, or a connection was last attempted. */
   readonly progressAtMs: number;
   /** Calls in progress, by id. */
--- a/packages/scheduler/src/budget.ts
+++ b/packages/scheduler/src/budget.ts
@@ -24,6 +24,38 @@
   return Math.min(maxRows, Math.max(MIN_PAGE_ROWS, rows));
 }
 
+/** Processor time of a report, and the share of the processors for reports without news. */
+const REPORT_COST_MS = 0.5;
+const REPORT_SHARE = 0.15;
+
+/** Agents report every list, one in 300 ms, unless the reports of the fleet would take more than that. */
+const LIST_INTERVAL_MS = 300;
+
+/** Less than the time after which a worker counts as silent, with a margin for a late report. */
+const MAX_REPORT_INTERVAL_MS = 600;
+
+/** Returns the time between two reports of an agent; undefined if it may report every list. */
+export function reportIntervalMs(
+  { processors }: EntryCapacity,
+  workerCount: number,
+): number | undefined {
+  const neededMs = (workerCount * REPORT_COST_MS) / (processors * REPORT_SHARE);
+  return neededMs <= LIST_INTERVAL_MS
+    ? undefined
+    : Math.round(Math.min(neededMs, MAX_REPORT_INTERVAL_MS));
+}
+
+/** Workers for which a pass is so short that the next one may follow at once. */
+const SMALL_FLEET_WORKERS = 50;
+
+/** Time between two placement passes for each further worker. */
+const PASS_INTERVAL_PER_WORKER_MS = 0.15;
+
+/** Returns the shortest time between two placement passes, which take longer on a larger fleet. */
+export function passIntervalMs(workerCount: number): number {
+  return Math.max(0, workerCount - SMALL_FLEET_WORKERS) * PASS_INTERVAL_PER_WORKER_MS;
+}
+
 /** Returns how many bytes of job rows one transaction of an entry carries. */
 export function maxTransactionBytes(capacity: EntryCapacity): number {
   return Math.min(MAX_TRANSACTION_BYTES, linkBytes(capacity, TRANSACTION_LINK_S));
--- a/packages/scheduler/src/candidates.ts
+++ b/packages/scheduler/src/candidates.ts
@@ -1,4 +1,4 @@
-import type { ReadyStage } from '@bronzeyoke/workflow';
+import type { JobProgress, ReadyStage, WorkflowJob } from '@bronzeyoke/workflow';
 import {
   criticalPathMs,
   isStageDone,
@@ -25,6 +25,38 @@
 /** A job is overdue after this many times the duration of its objective. */
 const OVERDUE_FACTOR = 2;
 
+/** What a job's progress says about the tasks to place. */
+interface Outlook {
+  readonly ready: readonly ReadyStage[];
+  /** Estimated time of the longest chain of stages that are not done. */
+  readonly leftMs: number;
+  readonly workLeft: number;
+}
+
+/** Last outlook of each job. It follows from the progress, which a placement leaves alone for most jobs. */
+const outlooks = new WeakMap<
+  WorkflowJob,
+  { readonly progress: JobProgress; readonly outlook: Outlook }
+>();
+
+function computeOutlook(job: WorkflowJob, progress: JobProgress, wallMs: number): Outlook {
+  const ready = readyStages(job, progress, wallMs);
+  if (ready.length === 0) return { ready, leftMs: 0, workLeft: 0 };
+  const leftMs = criticalPathMs(job, (stageIndex, stage) =>
+    isStageDone(job, progress, 0, stageIndex) ? 0 : stage.estimateMs,
+  );
+  return { ready, leftMs, workLeft: remainingWork(job, progress) };
+}
+
+function outlookOf(job: WorkflowJob, progress: JobProgress, wallMs: number): Outlook {
+  const known = outlooks.get(job);
+  // The stages of a scheduled job also become ready as time passes.
+  if (known?.progress === progress && job.schedule === undefined) return known.outlook;
+  const outlook = computeOutlook(job, progress, wallMs);
+  outlooks.set(job, { progress, outlook });
+  return outlook;
+}
+
 /** Returns the stages with tasks to place, the most urgent first. */
 export function orderedCandidates(
   state: SchedulerState,
@@ -35,15 +67,11 @@
     .flatMap(({ job, progress, isCancelled }): readonly StageCandidate[] => {
       if (isCancelled || job.policy.needsAdvice) return [];
       const { jobId } = job;
-      const ready = readyStages(job, progress, wallMs);
+      const { ready, leftMs, workLeft } = outlookOf(job, progress, wallMs);
       if (ready.length === 0) return [];
-      const leftMs = criticalPathMs(job, (stageIndex, stage) =>
-        isStageDone(job, progress, 0, stageIndex) ? 0 : stage.estimateMs,
-      );
       const isLate = wallMs + leftMs + START_ESTIMATE_MS > objectiveAtMs(job);
       const objectiveMs = objectiveAtMs(job) - job.acceptedAtMs;
       const isOverdue = wallMs - job.acceptedAtMs > objectiveMs * OVERDUE_FACTOR;
-      const workLeft = remainingWork(job, progress);
       return ready.map((stage) => ({
         jobId,
         ready: stage,
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -17,6 +17,7 @@
 import { advanceRead, areReadsDone, readTable } from './load';
 import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
+import type { RunTable } from './runs';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { putJob, sendToWorker, withEffects } from './state';
 import type {
@@ -70,7 +71,7 @@
         state.runs,
         assigned.map(([task]) => task),
       ),
-      orphans: orphans.reduce((all, orphan) => all.set(orphan.task, orphan), state.orphans),
+      orphans: orphans.reduce((table, orphan) => putRun(table, orphan.task, orphan), state.orphans),
     },
     jobId,
     ended,
@@ -234,7 +235,7 @@
   );
   return {
     ...state,
-    runs: runs.reduce((table, [task, run]) => putRun(table, task, run), NO_RUNS),
+    runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
     workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -1,51 +1,83 @@
 import { Map } from 'immutable';
+import type { WorkerReport } from '@bronzeyoke/ports';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import { withTask } from '@bronzeyoke/placement';
 import { NO_RESOURCES } from '@bronzeyoke/types';
-import type { SchedulerState } from './types';
+import { runsOn } from './runs';
+import type { OrphanRun, RunView, SchedulerState, WorkerView } from './types';
 
-/** Returns the load of each usable worker. */
-export function workerLoads(state: SchedulerState, nowMs: number): Map<string, WorkerLoad> {
-  const usable = state.workers.filter(
-    ({ report, linkId, quarantinedUntilMs }) =>
-      report !== undefined &&
-      linkId !== undefined &&
-      !report.isDraining &&
-      !state.domainsOut.has(report.domain) &&
-      nowMs >= quarantinedUntilMs,
-  );
-  const empty = Map(
-    usable.valueSeq().flatMap(({ workerKey, report }): readonly [string, WorkerLoad][] => {
-      if (report === undefined) return [];
-      const { domain, rack, labels, capacity } = report;
-      return [
-        [
-          workerKey,
-          {
-            workerKey,
-            domain,
-            rack,
-            labels,
-            capacity,
-            reserved: NO_RESOURCES,
-            fillRequestedMilli: 0,
-            fillUsedMilli: 0,
-            servingImages: [],
-            fills: [],
-          },
-        ],
-      ];
-    }),
-  );
-  const runs = state.runs.byTask.valueSeq();
-  return empty.withMutations((loads) => {
-    [...runs, ...state.orphans.values()].forEach((run) => {
-      const { workerKey, stage } = run;
-      const load = loads.get(workerKey);
-      if (load === undefined) return;
-      const usedMilli = stage.fillsIdle && 'load' in run ? run.load : 0;
+/** The load of a worker, with what it was computed from. */
+export interface KnownLoad {
+  readonly report: WorkerReport;
+  readonly runs: Map<string, RunView>;
+  readonly orphans: Map<string, OrphanRun>;
+  readonly load: WorkerLoad;
+  /** Number of the first placement pass with this load. */
+  readonly sincePass: number;
+}
+
+/** Loads of the usable workers by key, as of the last placement. */
+export type KnownLoads = Map<string, KnownLoad>;
+
+function emptyLoad(workerKey: string, report: WorkerReport): WorkerLoad {
+  const { service, domain, rack, labels, capacity } = report;
+  return {
+    workerKey,
+    service,
+    domain,
+    rack,
+    labels,
+    capacity,
+    reserved: NO_RESOURCES,
+    fillRequestedMilli: 0,
+    fillUsedMilli: 0,
+    servingImages: [],
+    fills: [],
+  };
+}
+
+function computeLoad(
+  workerKey: string,
+  { report, runs, orphans }: Pick<KnownLoad, 'report' | 'runs' | 'orphans'>,
+): WorkerLoad {
+  const running = runs.reduce(
+    (load, { stage, load: usedMilli }) => {
       const { fillUsedMilli, ...taken } = withTask(load, stage);
-      loads.set(workerKey, { ...taken, fillUsedMilli: fillUsedMilli + usedMilli });
-    });
+      return { ...taken, fillUsedMilli: fillUsedMilli + (stage.fillsIdle ? usedMilli : 0) };
+    },
+    emptyLoad(workerKey, report),
+  );
+  return orphans.reduce((load, { stage }) => withTask(load, stage), running);
+}
+
+/** Returns the report of a worker on which tasks may be placed. */
+function usableReport(
+  state: SchedulerState,
+  { report, linkId, quarantinedUntilMs }: WorkerView,
+  nowMs: number,
+): WorkerReport | undefined {
+  const isUsable =
+    report !== undefined &&
+    linkId !== undefined &&
+    !report.isDraining &&
+    !state.domainsOut.has(report.domain) &&
+    nowMs >= quarantinedUntilMs;
+  return isUsable ? report : undefined;
+}
+
+/** Updates the loads of the workers that have changed, and leaves out those that cannot be used. */
+export function updateLoads(state: SchedulerState, passNumber: number, nowMs: number): KnownLoads {
+  const entries = state.workers.valueSeq().flatMap((view): readonly [string, KnownLoad][] => {
+    const { workerKey } = view;
+    const report = usableReport(state, view, nowMs);
+    if (report === undefined) return [];
+    const known = state.loads.get(workerKey);
+    const runs = runsOn(state.runs, workerKey);
+    const orphans = runsOn(state.orphans, workerKey);
+    const isSame = known?.report === report && known.runs === runs && known.orphans === orphans;
+    if (isSame) return [[workerKey, known]];
+    const load = computeLoad(workerKey, { report, runs, orphans });
+    return [[workerKey, { report, runs, orphans, load, sincePass: passNumber }]];
   });
+  return Map(entries);
 }
--- a/packages/scheduler/src/maintenance.ts
+++ b/packages/scheduler/src/maintenance.ts
@@ -41,9 +41,9 @@
   wallMs: number,
 ): { readonly state: SchedulerState; readonly writes: readonly RowWrite[] } {
   if (state.phase !== 'leading') return { state, writes: [] };
-  const counts = countQueuedJobs(state);
-  const countsText = JSON.stringify(counts);
   const sinceMs = nowMs - state.countsWrittenAtMs;
+  const counts = sinceMs < COUNTS_INTERVAL_MS ? {} : countQueuedJobs(state);
+  const countsText = JSON.stringify(counts);
   const isChanged = countsText !== state.writtenCounts;
   const writesCounts = sinceMs >= (isChanged ? COUNTS_INTERVAL_MS : COUNTS_REFRESH_MS);
   const expired = expiredJobs(state, wallMs);
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -1,6 +1,6 @@
 import type { Map } from 'immutable';
 import { classifyFills } from '@bronzeyoke/interference';
-import type { WorkerLoad } from '@bronzeyoke/placement';
+import type { FillClassifier, WorkerLoad } from '@bronzeyoke/placement';
 import { chooseWorker, withTask } from '@bronzeyoke/placement';
 import { without } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
@@ -86,9 +86,9 @@
 }
 
 /** Returns the queue's service in the current configuration. */
-function serviceOf({ state }: PlacementPass, { job }: OpenJob): string {
+export function serviceOf({ config }: SchedulerState, { job }: OpenJob): string {
   const { service, queue } = job.policy;
-  const current = state.config?.queues.find((other) => other.queue === queue);
+  const current = config?.queues.find((other) => other.queue === queue);
   return current?.service ?? service;
 }
 
@@ -98,11 +98,8 @@
   open: OpenJob,
   loads: Map<string, WorkerLoad> = pass.loads,
 ): readonly WorkerLoad[] {
-  const wanted = serviceOf(pass, open);
-  return loads
-    .valueSeq()
-    .filter(({ workerKey }) => pass.state.workers.get(workerKey)?.report?.service === wanted)
-    .toArray();
+  const wanted = serviceOf(pass.state, open);
+  return [...loads.values()].filter(({ service }) => service === wanted);
 }
 
 /** Counts the tasks of a stage and occurrence on each worker, with those that have a reservation there. */
@@ -111,6 +108,8 @@
   open: OpenJob,
   ready: ReadyStage,
 ): (workerKey: string) => number {
+  // Without a limit nobody looks at the counts.
+  if (ready.stage.maxPerWorker === undefined) return () => 0;
   const prefix = `${ready.occurrence}.${ready.stageIndex}.`;
   const assigned = [...open.progress.tasks].flatMap(([slot, { workerKey }]) =>
     workerKey !== undefined && slot.startsWith(prefix) ? [workerKey] : [],
@@ -125,6 +124,11 @@
   return (workerKey) => counts.get(workerKey) ?? 0;
 }
 
+/** Returns the known effect of fills on a serving image, by the estimates of this pass. */
+export function classifierOf({ state }: PlacementPass): FillClassifier {
+  return (serving, fills) => classifyFills(state.pairs, serving, fills);
+}
+
 /** Returns the best of some workers for a task. */
 export function chooseWorkerFor(
   pass: PlacementPass,
@@ -134,19 +138,23 @@
   loads: Map<string, WorkerLoad>,
   isLastResort: boolean,
 ): WorkerLoad | undefined {
-  const { failedOn } = taskProgress(open.progress, slot);
   return chooseWorker(
     ready.stage,
     loadsOfService(pass, open, loads),
-    (serving, fills) => classifyFills(pass.state.pairs, serving, fills),
-    {
-      siblingCount: siblingCounter(pass, open, ready),
-      isLastResort,
-      ...(failedOn === undefined ? {} : { avoidWorkerKey: failedOn }),
-    },
+    classifierOf(pass),
+    { siblingCount: siblingCounter(pass, open, ready), isLastResort },
+    taskProgress(open.progress, slot).failedOn,
   );
 }
 
+/** A task that gets a worker. */
+export interface ClaimedTask {
+  readonly open: OpenJob;
+  readonly ready: ReadyStage;
+  readonly slot: string;
+  readonly attempt: number;
+}
+
 /** Options of a placement. */
 export interface PlacementOptions {
   /** Workers to choose from; all by default. */
@@ -155,6 +163,23 @@
   readonly isLastResort?: boolean;
 }
 
+/** Claims a worker for a task. */
+export function claimOn(
+  pass: PlacementPass,
+  load: WorkerLoad,
+  { open, ready, slot, attempt }: ClaimedTask,
+  isLastResort: boolean,
+  nowMs: number,
+): PlacementPass {
+  const { workerKey } = load;
+  const { stage } = ready;
+  return {
+    ...pass,
+    state: claimTask(pass.state, open, slot, stage, workerKey, attempt, isLastResort, nowMs),
+    loads: pass.loads.set(workerKey, withTask(load, stage)),
+  };
+}
+
 /** Claims the best worker for a task; undefined if none has room. */
 export function placeTask(
   pass: PlacementPass,
@@ -169,20 +194,7 @@
   if (open === undefined) return undefined;
   const chosen = chooseWorkerFor(pass, open, ready, slot, loads, isLastResort);
   if (chosen === undefined) return undefined;
-  return {
-    ...pass,
-    state: claimTask(
-      pass.state,
-      open,
-      slot,
-      ready.stage,
-      chosen.workerKey,
-      attempt,
-      isLastResort,
-      nowMs,
-    ),
-    loads: pass.loads.set(chosen.workerKey, withTask(chosen, ready.stage)),
-  };
+  return claimOn(pass, chosen, { open, ready, slot, attempt }, isLastResort, nowMs);
 }
 
 /** Places all members of a gang, or none. They share one attempt number. */
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -1,15 +1,17 @@
 import { Map } from 'immutable';
-import { fitsEmptyWorker } from '@bronzeyoke/placement';
-import { chainAfter } from '@bronzeyoke/types';
+import type { Resources } from '@bronzeyoke/types';
+import { chainAfter, fitsIn } from '@bronzeyoke/types';
 import { assignedSlots, taskProgress, untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import { orderedCandidates } from './candidates';
-import { workerLoads } from './loads';
+import { updateLoads } from './loads';
 import { stopRun } from './pace';
 import type { PlacementPass } from './pass';
-import { isBackingOff, placeGang, placeTask } from './pass';
+import { isBackingOff, placeGang, placeTask, serviceOf } from './pass';
 import { preemptFills } from './preempt';
 import { placeReturning, reserveForMoves } from './returning';
+import type { FailedSearch } from './search';
+import { placeOn, searchKey, searchScope } from './search';
 import { withEffects } from './state';
 import { createOccupancies } from './tenants';
 import type { SchedulerState, SchedulerStep } from './types';
@@ -26,6 +28,12 @@
  */
 const WAITING_AGAIN_MS = 500;
 
+/**
+ * Workers that the filling stages of one pass look at, in total. A pass must stay short, because renewals
+ * and reports wait for it; the next pass goes on with the stages that are left.
+ */
+const MAX_LOOKS = 6_000;
+
 /**
  * Places one task of an overdue job beside a task that it harms, at a low pace, if the job has no other
  * task on a worker.
@@ -44,28 +52,97 @@
   return placeTask(pass, jobId, ready, slot, attempt, nowMs, { isLastResort: true }) ?? pass;
 }
 
-function placeStage(pass: PlacementPass, candidate: StageCandidate, nowMs: number): PlacementPass {
+/** A pass over the stages, with the failed searches so far and the workers that it may still look at. */
+interface Round {
+  readonly pass: PlacementPass;
+  readonly failedSearches: Map<string, FailedSearch>;
+  readonly looksLeft: number;
+  /** A stage was left to the next pass. */
+  readonly isCut: boolean;
+  /** Demands of stages for which the pass has found no worker. */
+  readonly unmet: readonly Demand[];
+}
+
+/** What a stage without filling tasks and without a limit a worker asks for. */
+interface Demand {
+  readonly service: string;
+  readonly requiredLabel: string | undefined;
+  readonly needs: Resources;
+}
+
+/** Returns the demand of a stage; undefined if more than room decides whether a worker may run it. */
+function demandOf({ state }: PlacementPass, { jobId, ready }: StageCandidate): Demand | undefined {
+  const open = state.jobs.get(jobId);
+  const { needs, requiredLabel, fillsIdle, maxPerWorker } = ready.stage;
+  if (open === undefined || fillsIdle || maxPerWorker !== undefined) return undefined;
+  return { service: serviceOf(state, open), requiredLabel, needs };
+}
+
+/** Returns whether no worker has room for a demand because there was none for one that asks for less. */
+function isKnownUnmet({ unmet }: Round, { service, requiredLabel, needs }: Demand): boolean {
+  return unmet.some(
+    (other) =>
+      other.service === service &&
+      other.requiredLabel === requiredLabel &&
+      fitsIn(other.needs, needs),
+  );
+}
+
+/** Keeps the record of the last search of a stage that is not searched in this pass. */
+function keepSearch(round: Round, candidate: StageCandidate): Round {
+  const key = searchKey(candidate);
+  const known = round.pass.state.failedSearches.get(key);
+  if (known === undefined) return round;
+  return { ...round, failedSearches: round.failedSearches.set(key, known) };
+}
+
+/** Records that a filling stage found too few workers. */
+function recordFailure(
+  round: Round,
+  candidate: StageCandidate,
+  isFull: boolean,
+  nowMs: number,
+): Round {
+  const key = searchKey(candidate);
+  const { state } = round.pass;
+  const fullAtMs = isFull ? nowMs : (state.failedSearches.get(key)?.fullAtMs ?? nowMs);
+  const failed = { passNumber: state.passCount, fullAtMs };
+  return { ...round, failedSearches: round.failedSearches.set(key, failed) };
+}
+
+function placeTasksOf(round: Round, candidate: StageCandidate, nowMs: number): Round {
+  const { pass } = round;
   const { jobId, ready } = candidate;
-  if (!pass.loads.some((load) => fitsEmptyWorker(ready.stage, load))) return pass;
-  if (ready.stage.isGang) return placeGang(pass, candidate, nowMs);
   const slots = ready.slots.filter((slot) => !isBackingOff(pass, `${jobId}.${slot}`, nowMs));
-  // The tasks of a stage have equal needs: when one finds no worker, the next finds none either.
-  const placed = slots.reduce<{ readonly pass: PlacementPass; readonly left: readonly string[] }>(
-    (current, slot) => {
-      if (current.left.length > 0) return { ...current, left: [...current.left, slot] };
-      const open = current.pass.state.jobs.get(jobId);
-      const attempt = 1 + (open === undefined ? 0 : taskProgress(open.progress, slot).attempt);
-      const next = placeTask(current.pass, jobId, ready, slot, attempt, nowMs);
-      return next === undefined ? { ...current, left: [slot] } : { pass: next, left: [] };
-    },
-    { pass, left: [] },
-  );
-  if (!ready.stage.fillsIdle) return preemptFills(placed.pass, candidate, placed.left);
   const [first] = slots;
-  const isNonePlaced = placed.pass === pass && first !== undefined;
-  return isNonePlaced && candidate.isOverdue
-    ? placeLastResort(pass, candidate, first, nowMs)
-    : placed.pass;
+  const demand = demandOf(pass, candidate);
+  const isHopeless = demand !== undefined && isKnownUnmet(round, demand);
+  if (first === undefined || isHopeless) return round;
+  const { loads, isFull } = searchScope(pass, candidate, nowMs);
+  const placed = placeOn(pass, candidate, slots, loads, nowMs);
+  const looked = { ...round, looksLeft: round.looksLeft - loads.length };
+  if (!ready.stage.fillsIdle) {
+    const preempted = preemptFills(placed.pass, candidate, placed.left);
+    const next = { ...looked, pass: preempted.pass };
+    const isUnmet = demand !== undefined && preempted.left.length > 0;
+    return isUnmet ? { ...next, unmet: [...round.unmet, demand] } : next;
+  }
+  const isNonePlaced = placed.left.length === slots.length;
+  const last =
+    isNonePlaced && candidate.isOverdue
+      ? placeLastResort(pass, candidate, first, nowMs)
+      : placed.pass;
+  const next = { ...looked, pass: last };
+  return placed.left.length === 0 ? next : recordFailure(next, candidate, isFull, nowMs);
+}
+
+function placeStage(round: Round, candidate: StageCandidate, nowMs: number): Round {
+  const { pass, looksLeft } = round;
+  const { stage } = candidate.ready;
+  if (stage.isGang) return { ...round, pass: placeGang(pass, candidate, nowMs) };
+  // Other stages are few, and their users wait.
+  if (stage.fillsIdle && looksLeft <= 0) return { ...keepSearch(round, candidate), isCut: true };
+  return placeTasksOf(round, candidate, nowMs);
 }
 
 /** Returns the time until tasks have to be placed again, even if nothing else happens. */
@@ -102,22 +179,27 @@
 export function placeTasks(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const candidates = orderedCandidates(state, wallMs);
   const waiting = waitingTasks(state, candidates, nowMs);
+  const passCount = state.passCount + 1;
+  const known = updateLoads(state, passCount, nowMs);
   const pass: PlacementPass = reserveForMoves({
-    state: { ...state, waits: updateWaits(state, waiting) },
-    loads: workerLoads(state, nowMs),
+    state: { ...state, waits: updateWaits(state, waiting), loads: known, passCount },
+    loads: known.map(({ load }) => load),
     stops: Map(),
     occupancyOf: createOccupancies(state, nowMs),
     reservations: Map(),
   });
   const returned = placeReturning(pass, waiting, nowMs);
-  const placed = withoutReturning(candidates, waiting).reduce(
+  const round = withoutReturning(candidates, waiting).reduce<Round>(
     (current, candidate) => placeStage(current, candidate, nowMs),
-    returned,
+    { pass: returned, failedSearches: Map(), looksLeft: MAX_LOOKS, isCut: false, unmet: [] },
   );
+  const placed = round.pass;
   const logged = logWaits(placed, waiting, nowMs);
   const next: SchedulerState = {
     ...logged.state,
-    needsPlacement: false,
+    failedSearches: round.failedSearches,
+    needsPlacement: round.isCut,
+    lastPassAtMs: nowMs,
     placeAgainAtMs: nowMs + untilNextPassMs(logged.state, candidates, wallMs),
   };
   return chainAfter(
--- a/packages/scheduler/src/preempt.ts
+++ b/packages/scheduler/src/preempt.ts
@@ -1,11 +1,13 @@
 import type { Map } from 'immutable';
-import type { WorkerLoad } from '@bronzeyoke/placement';
-import { withTask } from '@bronzeyoke/placement';
+import type { Candidate, WorkerLoad } from '@bronzeyoke/placement';
+import { bestCandidate, findCandidates, updateCandidate, withTask } from '@bronzeyoke/placement';
+import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { chooseWorkerFor } from './pass';
+import { classifierOf, loadsOfService, siblingCounter } from './pass';
 import { runsOn } from './runs';
-import type { RunView, SchedulerState } from './types';
+import type { StageSearch } from './search';
+import type { OpenJob, RunView, SchedulerState } from './types';
 
 /** Name and run of a filling task. */
 type Fill = readonly [task: string, run: RunView];
@@ -26,15 +28,16 @@
   return { ...load, reserved: { ...reserved, memoryMb: reserved.memoryMb + addedMb } };
 }
 
-/** Returns the loads without the memory of filling tasks that belong to less urgent jobs. */
+/** Returns the workers with filling tasks of less urgent jobs, without the memory of these. */
 function loadsWithoutFills(
-  state: SchedulerState,
-  loads: Map<string, WorkerLoad>,
+  pass: PlacementPass,
+  open: OpenJob,
   priority: number,
-): Map<string, WorkerLoad> {
-  return loads.map((load, workerKey) =>
-    withMemory(load, -memoryOf(fillsOn(state, workerKey, priority))),
-  );
+): readonly WorkerLoad[] {
+  return loadsOfService(pass, open).flatMap((load) => {
+    const fills = fillsOn(pass.state, load.workerKey, priority);
+    return fills.length === 0 ? [] : [withMemory(load, -memoryOf(fills))];
+  });
 }
 
 /**
@@ -71,41 +74,47 @@
   ).tasks;
 }
 
+/** A pass, with the workers that have room for a task once filling tasks are stopped. */
+interface Preemption extends StageSearch {
+  readonly candidates: readonly Candidate[];
+}
+
 /**
  * Reserves workers for tasks that lack only memory held by less urgent filling tasks, and adds these
- * to the tasks to stop. A later pass places the tasks once the stopped ones have ended.
+ * to the tasks to stop. A later pass places the tasks once the stopped ones have ended. Returns the tasks
+ * for which no worker is left.
  */
 export function preemptFills(
   pass: PlacementPass,
   { jobId, ready, priority }: StageCandidate,
   slots: readonly string[],
-): PlacementPass {
+): StageSearch {
   const open = pass.state.jobs.get(jobId);
-  if (open === undefined || slots.length === 0) return pass;
-  const withoutFills = loadsWithoutFills(pass.state, pass.loads, priority);
-  return slots.reduce<{
-    readonly pass: PlacementPass;
-    readonly withoutFills: PlacementPass['loads'];
-    readonly isFull: boolean;
-  }>(
-    (current, slot) => {
-      if (current.isFull) return current;
-      const chosen = chooseWorkerFor(current.pass, open, ready, slot, current.withoutFills, false);
-      const load = chosen === undefined ? undefined : current.pass.loads.get(chosen.workerKey);
-      if (chosen === undefined || load === undefined) return { ...current, isFull: true };
-      const { workerKey } = chosen;
-      const reserved = withTask(load, ready.stage);
-      const stops = fillsToStop(pass.state, reserved, priority, current.pass.stops);
-      return {
-        pass: {
-          ...current.pass,
-          loads: current.pass.loads.set(workerKey, reserved),
-          stops: current.pass.stops.merge(stops.map((task) => [task, 'preempted'])),
-        },
-        withoutFills: current.withoutFills.set(workerKey, withTask(chosen, ready.stage)),
-        isFull: false,
-      };
-    },
-    { pass, withoutFills, isFull: false },
-  ).pass;
+  if (open === undefined || slots.length === 0) return { pass, left: [] };
+  const { stage } = ready;
+  const classify = classifierOf(pass);
+  const constraints = { siblingCount: siblingCounter(pass, open, ready) };
+  const loads = loadsWithoutFills(pass, open, priority);
+  const first = { pass, left: [], candidates: findCandidates(stage, loads, classify, constraints) };
+  return slots.reduce<Preemption>((current, slot) => {
+    const { failedOn } = taskProgress(open.progress, slot);
+    const chosen = bestCandidate(current.candidates, failedOn)?.load;
+    const load = chosen === undefined ? undefined : current.pass.loads.get(chosen.workerKey);
+    if (chosen === undefined || load === undefined) {
+      return { ...current, left: [...current.left, slot] };
+    }
+    const reserved = withTask(load, stage);
+    const stops = fillsToStop(pass.state, reserved, priority, current.pass.stops);
+    const { candidates } = current;
+    const taken = withTask(chosen, stage);
+    return {
+      left: current.left,
+      pass: {
+        ...current.pass,
+        loads: current.pass.loads.set(chosen.workerKey, reserved),
+        stops: current.pass.stops.merge(stops.map((task) => [task, 'preempted'])),
+      },
+      candidates: updateCandidate(candidates, stage, taken, classify, constraints),
+    };
+  }, first);
 }
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -77,7 +77,7 @@
     waits: Map(lasting.map((task) => [task, startWait(lastSeenMs)])).merge(state.waits),
     workers: state.workers.delete(workerKey),
     awaited: state.awaited.delete(workerKey),
-    orphans: state.orphans.filter((orphan) => orphan.workerKey !== workerKey),
+    orphans: dropRuns(state.orphans, runsOn(state.orphans, workerKey).keys()),
   };
   const step = chainAll(
     removed,
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -11,11 +11,12 @@
   taskProgress,
   withTasks,
 } from '@bronzeyoke/workflow';
+import { reportIntervalMs } from './budget';
 import { earlierInstances, storeAddress } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
 import { moveListedRuns } from './move';
 import { applyEnd, releaseRun, releaseWorker } from './release';
-import { putRun, runsOn } from './runs';
+import { dropRun, dropRuns, putRun, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import { knownStage, taskLog } from './tasklog';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
@@ -67,9 +68,10 @@
       : { unwantedStops: known.unwantedStops.filter((_, key) => listed.has(key)) }),
   };
   const leaseUntilClockMs = Math.floor(clockMs + times.agentLeaseMs * CLOCK_SHARE);
-  const grant: readonly SchedulerEffect[] = mayGrant
-    ? [{ kind: 'send', linkId, message: { kind: 'grant', workerKey, leaseUntilClockMs } }]
-    : [];
+  const intervalMs = reportIntervalMs(state.settings.capacity, state.workers.size);
+  const pacing = intervalMs === undefined ? {} : { reportIntervalMs: intervalMs };
+  const message = { kind: 'grant', workerKey, leaseUntilClockMs, ...pacing } as const;
+  const grant: readonly SchedulerEffect[] = mayGrant ? [{ kind: 'send', linkId, message }] : [];
   const { id, service, domain, isDraining } = worker;
   const isChanged = known?.report === undefined || known.report.isDraining !== isDraining;
   const fields = { worker: workerKey, id, service, domain, agent: report.agentId };
@@ -148,7 +150,7 @@
   const target = known.stage.latencyTargetMs;
   const isHarmed = target !== undefined && listed.load >= target * HARMED_RATIO;
   return {
-    ...(isHarmed ? known : without(known, 'harmedSinceMs')),
+    ...(isHarmed || known.harmedSinceMs === undefined ? known : without(known, 'harmedSinceMs')),
     ...(isHarmed ? { harmedSinceMs: known.harmedSinceMs ?? nowMs } : {}),
     isListed: true,
     listedAtMs: known.isListed ? known.listedAtMs : nowMs,
@@ -235,9 +237,8 @@
   const missing = [...runsOn(state.runs, workerKey)]
     .filter(([task, run]) => run.isOrdered && isMissing(run, task))
     .map(([task]) => task);
-  const orphans = state.orphans.filterNot(
-    (orphan) => orphan.workerKey === workerKey && isMissing(orphan, orphan.task),
-  );
+  const settled = runsOn(state.orphans, workerKey).filter(isMissing).keys();
+  const orphans = dropRuns(state.orphans, settled);
   return chainAll(
     { ...state, orphans },
     missing.map(
@@ -250,15 +251,16 @@
 function resetOrders(state: SchedulerState, report: Report, linkId: string): SchedulerState {
   const known = state.workers.get(report.workerKey);
   if (known?.linkId === linkId) return state;
-  const isOnWorker = (run: { readonly workerKey: string }): boolean =>
-    run.workerKey === report.workerKey;
   return {
     ...state,
     runs: [...runsOn(state.runs, report.workerKey)].reduce(
       (table, [task, run]) => putRun(table, task, { ...run, order: 0 }),
       state.runs,
     ),
-    orphans: state.orphans.map((orphan) => (isOnWorker(orphan) ? { ...orphan, order: 0 } : orphan)),
+    orphans: [...runsOn(state.orphans, report.workerKey)].reduce(
+      (table, [task, orphan]) => putRun(table, task, { ...orphan, order: 0 }),
+      state.orphans,
+    ),
   };
 }
 
@@ -318,9 +320,11 @@
     reason: message.reason,
   });
   if (run?.attempt !== attempt || run.workerKey !== message.workerKey) {
-    const orphan = state.orphans.get(task);
+    const orphan = state.orphans.byTask.get(task);
     const isOrphan = orphan?.attempt === attempt;
-    return withEffects(isOrphan ? { ...state, orphans: state.orphans.delete(task) } : state, [log]);
+    return withEffects(isOrphan ? { ...state, orphans: dropRun(state.orphans, task) } : state, [
+      log,
+    ]);
   }
   const step = releaseRun(state, task, 'refused', nowMs);
   return withEffects(step.state, [log, ...step.effects]);
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -1,3 +1,4 @@
+import { Map } from 'immutable';
 import { assertNever, without } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
@@ -158,7 +159,7 @@
   if (open === undefined || isBackingOff(pass, task, nowMs)) return undefined;
   const attempt = 1 + taskProgress(open.progress, slot).attempt;
   const kept = onlyKept ? pass.loads.get(wait.workerKey ?? '') : undefined;
-  const loads = kept === undefined ? pass.loads : pass.loads.filter((load) => load === kept);
+  const loads = kept === undefined ? pass.loads : Map([[kept.workerKey, kept]]);
   const placed = placeTask(pass, jobId, ready, slot, attempt, nowMs, { loads });
   return placed === undefined ? undefined : settleWait(placed, waiting, 'claim');
 }
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -1,24 +1,38 @@
 import { Map } from 'immutable';
-import type { RunView } from './types';
+import type { OrphanRun, RunView } from './types';
 
-/** Index of runs by task and by worker. */
-export interface RunTable {
-  readonly byTask: Map<string, RunView>;
-  readonly byWorker: Map<string, Map<string, RunView>>;
+/** A run that occupies a worker. */
+interface Placed {
+  readonly workerKey: string;
 }
 
+/** Runs by task, and by worker with the same runs. */
+export interface TaskTable<Run extends Placed> {
+  readonly byTask: Map<string, Run>;
+  readonly byWorker: Map<string, Map<string, Run>>;
+}
+
+/** Runs of open jobs. */
+export type RunTable = TaskTable<RunView>;
+
+/** Runs whose job has ended. */
+export type OrphanTable = TaskTable<OrphanRun>;
+
 /** A table without runs. */
-export const NO_RUNS: RunTable = { byTask: Map(), byWorker: Map() };
+export const NO_RUNS = { byTask: Map<string, never>(), byWorker: Map<string, never>() } as const;
 
-const NO_WORKER_RUNS: Map<string, RunView> = Map();
+const NO_WORKER_RUNS: Map<string, never> = Map();
 
 /** Returns the runs of a worker by task. */
-export function runsOn(table: RunTable, workerKey: string): Map<string, RunView> {
+export function runsOn<Run extends Placed>(
+  table: TaskTable<Run>,
+  workerKey: string,
+): Map<string, Run> {
   return table.byWorker.get(workerKey, NO_WORKER_RUNS);
 }
 
 /** Removes the run of a task. */
-export function dropRun(table: RunTable, task: string): RunTable {
+export function dropRun<Run extends Placed>(table: TaskTable<Run>, task: string): TaskTable<Run> {
   const run = table.byTask.get(task);
   if (run === undefined) return table;
   const remaining = runsOn(table, run.workerKey).delete(task);
@@ -32,7 +46,11 @@
 }
 
 /** Adds or replaces the run of a task. */
-export function putRun(table: RunTable, task: string, run: RunView): RunTable {
+export function putRun<Run extends Placed>(
+  table: TaskTable<Run>,
+  task: string,
+  run: Run,
+): TaskTable<Run> {
   const previous = table.byTask.get(task);
   const rest =
     previous === undefined || previous.workerKey === run.workerKey ? table : dropRun(table, task);
@@ -43,6 +61,9 @@
 }
 
 /** Removes the runs of some tasks. */
-export function dropRuns(table: RunTable, tasks: readonly string[]): RunTable {
-  return tasks.reduce(dropRun, table);
+export function dropRuns<Run extends Placed>(
+  table: TaskTable<Run>,
+  tasks: Iterable<string>,
+): TaskTable<Run> {
+  return [...tasks].reduce<TaskTable<Run>>(dropRun, table);
 }
--- /dev/null
+++ b/packages/scheduler/src/search.ts
@@ -0,0 +1,99 @@
+import type { Candidate, WorkerLoad } from '@bronzeyoke/placement';
+import { bestCandidate, findCandidates, updateCandidate } from '@bronzeyoke/placement';
+import { taskProgress } from '@bronzeyoke/workflow';
+import type { StageCandidate } from './candidates';
+import type { PlacementPass } from './pass';
+import { claimOn, classifierOf, loadsOfService, siblingCounter } from './pass';
+
+/** A search of workers for the tasks of one stage. */
+export interface StageSearch {
+  readonly pass: PlacementPass;
+  /** Tasks that have found no worker. */
+  readonly left: readonly string[];
+}
+
+interface OpenSearch extends StageSearch {
+  readonly candidates: readonly Candidate[];
+}
+
+/**
+ * Claims workers for tasks of a stage, the best ones of those given. The tasks have equal needs: each
+ * worker is ranked once, and again after it got a task; when one task finds none, the next finds none
+ * either.
+ */
+export function placeOn(
+  pass: PlacementPass,
+  { jobId, ready }: StageCandidate,
+  slots: readonly string[],
+  loads: readonly WorkerLoad[],
+  nowMs: number,
+): StageSearch {
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined) return { pass, left: slots };
+  const { stage } = ready;
+  const classify = classifierOf(pass);
+  const constraints = { siblingCount: siblingCounter(pass, open, ready) };
+  const first: OpenSearch = {
+    pass,
+    left: [],
+    candidates: findCandidates(stage, loads, classify, constraints),
+  };
+  return slots.reduce((current, slot): OpenSearch => {
+    const known = current.pass.state.jobs.get(jobId) ?? open;
+    const { attempt, failedOn } = taskProgress(known.progress, slot);
+    const best = bestCandidate(current.candidates, failedOn);
+    if (best === undefined) return { ...current, left: [...current.left, slot] };
+    const task = { open: known, ready, slot, attempt: attempt + 1 };
+    const placed = claimOn(current.pass, best.load, task, false, nowMs);
+    const after = placed.state.jobs.get(jobId) ?? known;
+    const load = placed.loads.get(best.load.workerKey) ?? best.load;
+    const siblingCount = siblingCounter(placed, after, ready);
+    return {
+      pass: placed,
+      left: [],
+      candidates: updateCandidate(current.candidates, stage, load, classify, { siblingCount }),
+    };
+  }, first);
+}
+
+/** Time after which a stage that found no worker looks at all of them again. */
+const FULL_SEARCH_MS = 500;
+
+/** The last search for a filling stage that found too few workers. */
+export interface FailedSearch {
+  readonly passNumber: number;
+  /** When all workers were looked at. */
+  readonly fullAtMs: number;
+}
+
+/** Returns the key of a stage among the failed searches. */
+export function searchKey({ jobId, ready }: StageCandidate): string {
+  return `${jobId}.${ready.occurrence}.${ready.stageIndex}`;
+}
+
+/** Workers to look at for a stage, and whether these are all of its service. */
+export interface SearchScope {
+  readonly loads: readonly WorkerLoad[];
+  readonly isFull: boolean;
+}
+
+/**
+ * Returns the workers to look at for a stage. A filling stage that found none looks only at those whose
+ * load has changed since, and at all of them from time to time: what it may harm is learned meanwhile.
+ */
+export function searchScope(
+  pass: PlacementPass,
+  candidate: StageCandidate,
+  nowMs: number,
+): SearchScope {
+  const { state } = pass;
+  const open = state.jobs.get(candidate.jobId);
+  if (open === undefined) return { loads: [], isFull: true };
+  const loads = loadsOfService(pass, open);
+  const failed = state.failedSearches.get(searchKey(candidate));
+  const isFull = failed === undefined || nowMs - failed.fullAtMs >= FULL_SEARCH_MS;
+  if (isFull || !candidate.ready.stage.fillsIdle) return { loads, isFull: true };
+  const hasChanged = ({ workerKey }: WorkerLoad): boolean =>
+    (state.loads.get(workerKey)?.sincePass ?? 0) > failed.passNumber;
+  return { loads: loads.filter(hasChanged), isFull: false };
+}
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -2,6 +2,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
+import { passIntervalMs } from './budget';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
 import { onJobRows, onLoaded } from './jobs';
@@ -86,7 +87,9 @@
 
 /** Places waiting tasks unless a transaction is in flight, and sends the pending writes. */
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const isReady = state.phase === 'leading' && state.inFlight === undefined && state.needsPlacement;
+  const { phase, inFlight, needsPlacement, lastPassAtMs, workers } = state;
+  const isDue = needsPlacement && nowMs - lastPassAtMs >= passIntervalMs(workers.size);
+  const isReady = phase === 'leading' && inFlight === undefined && isDue;
   const placed = isReady ? placeTasks(state, nowMs, wallMs) : unchanged(state);
   return chainAfter(placed, [
     (current) => flush(current, nowMs, wallMs),
--- a/packages/scheduler/src/tasklog.ts
+++ b/packages/scheduler/src/tasklog.ts
@@ -17,5 +17,7 @@
 export function knownStage(state: SchedulerState, task: string): Stage | undefined {
   const ref = parseTaskName(task);
   if (ref === undefined) return undefined;
-  return state.jobs.get(ref.jobId)?.job.stages[ref.stageIndex] ?? state.orphans.get(task)?.stage;
+  return (
+    state.jobs.get(ref.jobId)?.job.stages[ref.stageIndex] ?? state.orphans.byTask.get(task)?.stage
+  );
 }
--- a/packages/scheduler/src/tenants.ts
+++ b/packages/scheduler/src/tenants.ts
@@ -45,8 +45,7 @@
       lossRank: [-priority, Number(stage.isGang), -Number(stage.savesCheckpoints), -claimedAtMs],
     };
   });
-  const stopped = state.orphans
-    .filter((orphan) => orphan.workerKey === workerKey)
+  const stopped = runsOn(state.orphans, workerKey)
     .valueSeq()
     .map(({ task, stage }): Tenant => ({
       task,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -14,9 +14,11 @@
 import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { KnownLoads } from './loads';
 import type { PendingWrites, PostCommitAction } from './pending';
 import type { LeaseValue } from './rows';
-import type { RunTable } from './runs';
+import type { OrphanTable, RunTable } from './runs';
+import type { FailedSearch } from './search';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type { PlaceWait } from './waits';
 
@@ -256,7 +258,13 @@
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
   readonly runs: RunTable;
-  readonly orphans: Map<string, OrphanRun>;
+  readonly orphans: OrphanTable;
+  /** Loads of the usable workers, as of the last placement. */
+  readonly loads: KnownLoads;
+  readonly passCount: number;
+  readonly lastPassAtMs: number;
+  /** Filling stages that found too few workers, by `searchKey`. */
+  readonly failedSearches: Map<string, FailedSearch>;
   /** Time before which a task is not placed again, by task. */
   readonly backOff: Map<string, number>;
   /** Waits of lasting tasks that have run, by task. */
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -57,6 +57,8 @@
       readonly kind: 'grant';
       readonly workerKey: string;
       readonly leaseUntilClockMs: number;
+      /** Time between two reports without an end of a run; absent if every list is to be reported. */
+      readonly reportIntervalMs?: number;
     }
   | {
       readonly kind: 'start';
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -68,7 +68,12 @@
 /** Schema of messages to an agent. */
 export const leaderSchema = z.discriminatedUnion('kind', [
   z.object({ kind: z.literal('leader'), term: z.int(), host: z.string(), port: z.int() }),
-  z.object({ kind: z.literal('grant'), workerKey, leaseUntilClockMs: z.number() }),
+  z.object({
+    kind: z.literal('grant'),
+    workerKey,
+    leaseUntilClockMs: z.number(),
+    reportIntervalMs: z.number().optional(),
+  }),
   z.object({
     kind: z.literal('start'),
     workerKey,
