--- a/packages/actors/src/core.ts
+++ b/packages/actors/src/core.ts
@@ -11,7 +11,7 @@
   readonly decide: Decide<State, Event, Effect>;
   /** Performs one effect. It must not block. */
   readonly perform: (effect: Effect, self: Ref<Event>) => void;
-  /** Called with an error that was thrown. The state from before the event is kept. */
+  /** Called with an error of a decision, after which the state from before the event is kept, or of an effect. */
   readonly onError: (error: unknown, event: Event) => void;
 }
 
@@ -21,10 +21,18 @@
   options: CoreOptions<State, Event, Effect>,
 ): Ref<Event> {
   const { name, initial, decide, perform, onError } = options;
+  const performSafely = (effect: Effect, event: Event, self: Ref<Event>): void => {
+    try {
+      perform(effect, self);
+    } catch (error) {
+      // The other effects and the state belong to a decision that was made, so they stand.
+      onError(error, event);
+    }
+  };
   const handle = (state: State, event: Event, context: Context<Event>): State => {
     try {
       const step = decide(state, event, { nowMs: performance.now(), random: Math.random() });
-      step.effects.forEach((effect) => perform(effect, context.self));
+      step.effects.forEach((effect) => performSafely(effect, event, context.self));
       return step.state;
     } catch (error) {
       onError(error, event);
--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -34,7 +34,7 @@
 
 /** Rows read so far, or the version up to which all changes were reported. */
 type Position = {
-  /** Number of times in a row that the history was lost before any changes were read. */
+  /** Number of times in a row that all rows had to be read again before any changes were handled. */
   readonly lossCount: number;
 } & (
   | {
@@ -78,15 +78,23 @@
  * Follows a table: reads all of its rows page by page, then its changes. A page that failed is read again
  * without those before it. Changes are read from the version of the first page, so a row that changed
  * while the pages were read is reported again. When the store has dropped the history, all rows are
- * read again, after a growing pause if that happens before any changes were read. Nothing is reported
- * after `stop`.
+ * read again, after a growing pause if that happens before any changes were read. The same holds for
+ * changes that the receiver could not handle. Nothing is reported after `stop`.
  */
 export function followTable(store: RowStorePort, options: FollowerOptions): Follower {
   const { table, partition, waitMs, report, onError } = options;
   const { pageRows = MAX_PAGE_ROWS, smallPageRows = pageRows, pause = pauseByTimer } = options;
   const state = { isStopped: false };
-  const emit = (update: TableUpdate): void => {
-    if (!state.isStopped) report(update);
+  /** Reports an update; returns whether its receiver has handled it. */
+  const emit = (update: TableUpdate): boolean => {
+    if (state.isStopped) return true;
+    try {
+      report(update);
+      return true;
+    } catch (error) {
+      onError(error);
+      return false;
+    }
   };
 
   const readPage = async (
@@ -107,6 +115,12 @@
     return { kind: 'following', lossCount, version };
   };
 
+  const readAgain = async (lossCount: number): Promise<NextPosition> => {
+    // The first loss, as after a long cut, needs no pause.
+    if (lossCount > 0) await pause(lossDelayMs(lossCount));
+    return { ...START, lossCount: lossCount + 1 };
+  };
+
   const readChanges = async ({
     lossCount,
     version,
@@ -115,12 +129,13 @@
     switch (result.kind) {
       case 'changes':
         emit({ kind: 'answered' });
-        if (result.changes.length > 0) emit({ kind: 'changes', changes: result.changes });
+        if (result.changes.length > 0 && !emit({ kind: 'changes', changes: result.changes })) {
+          // The receiver may have missed the rows beside the one that it could not handle.
+          return readAgain(lossCount);
+        }
         return { kind: 'following', lossCount: 0, version: Math.max(version, result.version) };
       case 'historyLost':
-        // The first loss, as after a long cut, needs no pause.
-        if (lossCount > 0) await pause(lossDelayMs(lossCount));
-        return { ...START, lossCount: lossCount + 1 };
+        return readAgain(lossCount);
       case 'unavailable':
         return undefined;
       default:
@@ -128,9 +143,17 @@
     }
   };
 
+  const read = async (position: Position): Promise<NextPosition> => {
+    try {
+      return position.kind === 'reading' ? await readPage(position) : await readChanges(position);
+    } catch (error) {
+      onError(error);
+      return undefined;
+    }
+  };
+
   const step = async (position: Position): Promise<Position> => {
-    const next =
-      position.kind === 'reading' ? await readPage(position) : await readChanges(position);
+    const next = await read(position);
     if (next !== undefined) return next;
     emit({ kind: 'unanswered' });
     await pause(RETRY_DELAY_MS);
--- a/packages/hosts/src/leaderlink.ts
+++ b/packages/hosts/src/leaderlink.ts
@@ -3,7 +3,8 @@
 import { dispatch } from '@bronzeyoke/actors';
 import type { DialerCommand, LinkEvent } from '@bronzeyoke/link';
 import { spawnDialer } from '@bronzeyoke/link';
-import type { EntryAddress, RunnerEvent } from '@bronzeyoke/runner';
+import type { RunnerEvent } from '@bronzeyoke/runner';
+import type { Address } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 import { AGENT_CODEC } from '@bronzeyoke/wire';
@@ -12,7 +13,7 @@
 /** Connection of an agent to the leader. */
 export interface LeaderLink {
   /** Replaces the connection with one to another address. */
-  readonly connect: (address: EntryAddress, runner: Ref<RunnerEvent>) => void;
+  readonly connect: (address: Address, runner: Ref<RunnerEvent>) => void;
   /** Sends a message; no effect before the first connection. */
   readonly send: (message: RunnerMessage) => void;
 }
--- a/packages/link/src/dialer.ts
+++ b/packages/link/src/dialer.ts
@@ -5,7 +5,8 @@
 import { dispatch, spawn } from '@bronzeyoke/actors';
 import type { ActionOf, StateOf } from '@bronzeyoke/chart';
 import { advance, compileChart } from '@bronzeyoke/chart';
-import { assertNever } from '@bronzeyoke/types';
+import type { Address } from '@bronzeyoke/types';
+import { assertNever, isHost, isPort } from '@bronzeyoke/types';
 import type { TaggedMessage } from '@bronzeyoke/wire';
 import chartFile from '../charts/connection.json';
 import type { LinkCommand, LinkEvent, LinkOptions } from './socket';
@@ -21,12 +22,6 @@
   actions: ['connect', 'startLink', 'scheduleRetry', 'forward', 'closeLink', 'discardSocket'],
 });
 
-/** Address of a peer; the host is an IP address. */
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Commands to a dialer from its owner. `reconnect` closes the socket and connects again. */
 export type DialerCommand =
   | { readonly kind: 'send'; readonly message: TaggedMessage }
@@ -47,6 +42,11 @@
 }
 
 function openSocket(address: Address, self: Ref<DialerMessage>): void {
+  // `connect` throws for such an address, which would end the handling of the message.
+  if (!isHost(address.host) || !isPort(address.port)) {
+    dispatch(self, { kind: 'failed' });
+    return;
+  }
   const socket = connect({ host: address.host, port: address.port });
   const timeout = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS);
   const onClose = (): void => {
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -2,7 +2,7 @@
 import type { WorkerReport } from '@bronzeyoke/ports';
 import { workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
-import type { StepInputs } from '@bronzeyoke/types';
+import type { Address, StepInputs } from '@bronzeyoke/types';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
@@ -16,14 +16,7 @@
 } from './gone';
 import { reportEffects, sendToLeader } from './report';
 import { onStop, settleIfDue } from './settle';
-import type {
-  EntryAddress,
-  RunnerEvent,
-  RunnerSettings,
-  RunnerState,
-  RunnerStep,
-  WorkerState,
-} from './types';
+import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep, WorkerState } from './types';
 import { agentChart, orderKey } from './types';
 
 /** Time without a reply from the leader after which the connection is replaced. */
@@ -94,23 +87,18 @@
   return { state: gone.state, effects: [...left.effects, ...gone.effects, log] };
 }
 
-function connectTo(state: RunnerState, address: EntryAddress, nowMs: number): RunnerStep {
+function connectTo(state: RunnerState, address: Address, nowMs: number): RunnerStep {
   return {
     state: { ...state, target: address, isLinked: false, lastOrder: 0, progressAtMs: nowMs },
     effects: [{ kind: 'connect', address }],
   };
 }
 
-function isSameAddress(left: EntryAddress | undefined, right: EntryAddress): boolean {
+function isSameAddress(left: Address | undefined, right: Address): boolean {
   return left?.host === right.host && left.port === right.port;
 }
 
-function onLeader(
-  state: RunnerState,
-  term: number,
-  address: EntryAddress,
-  nowMs: number,
-): RunnerStep {
+function onLeader(state: RunnerState, term: number, address: Address, nowMs: number): RunnerStep {
   if (term < state.term || (term === state.term && isSameAddress(state.target, address))) {
     return unchanged(state);
   }
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -9,6 +9,7 @@
   WorkerReport,
 } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
+import type { Address } from '@bronzeyoke/types';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import agentChartFile from '../charts/agent.json';
 import goneChartFile from '../charts/gone.json';
@@ -74,19 +75,13 @@
   readonly openStarts: Map<string, number>;
 }
 
-/** Address at which an entry accepts agents. */
-export interface EntryAddress {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Settings that stay fixed while the process runs. */
 export interface RunnerSettings {
   readonly agentId: string;
   /** First fencing token; later ones are higher. */
   readonly firstToken: number;
   /** Entries to query for the leader when no other source names it. */
-  readonly seeds: readonly EntryAddress[];
+  readonly seeds: readonly Address[];
 }
 
 /** State of the worker beside the agent, from its heartbeats and its replies. */
@@ -131,8 +126,8 @@
   readonly holdCallId?: string;
   readonly holdAtMs: number;
   readonly term: number;
-  readonly leader?: EntryAddress;
-  readonly target?: EntryAddress;
+  readonly leader?: Address;
+  readonly target?: Address;
   readonly connectCount: number;
   readonly isLinked: boolean;
   readonly lastOrder: number;
@@ -151,7 +146,7 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'heartbeat'; readonly report: WorkerReport }
   | { readonly kind: 'workerLeft'; readonly id: string }
-  | { readonly kind: 'leader'; readonly term: number; readonly address: EntryAddress }
+  | { readonly kind: 'leader'; readonly term: number; readonly address: Address }
   | { readonly kind: 'linkOpened' }
   | { readonly kind: 'linkClosed' }
   | { readonly kind: 'received'; readonly message: LeaderMessage }
@@ -161,7 +156,7 @@
 
 /** Effects that the shell of an agent performs. */
 export type RunnerEffect =
-  | { readonly kind: 'connect'; readonly address: EntryAddress }
+  | { readonly kind: 'connect'; readonly address: Address }
   | { readonly kind: 'send'; readonly message: RunnerMessage }
   | {
       readonly kind: 'call';
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -34,6 +34,12 @@
   return `${task}#${attempt}`;
 }
 
+/** Returns the stops of runs that a worker still lists. */
+function stillListed(stops: Map<string, number>, { running }: Report): Map<string, number> {
+  const listed = new Set(running.map((run) => runKey(run)));
+  return stops.filter((_, key) => listed.has(key));
+}
+
 /**
  * Updates the state of a worker, and grants one lease for each new value of its clock. The expiry
  * counts from the arrival of the value, which is later than the moment at which the worker read it.
@@ -50,7 +56,6 @@
   const isNewClock = clockMs > (known?.clockMs ?? -1);
   const mustWait = isAwaited(state, workerKey);
   const mayGrant = isNewClock && !mustWait && nowMs < state.mayGrantUntilMs;
-  const listed = new Set(report.running.map((run) => runKey(run)));
   const expiresAtMs = nowMs + leaseEndMs(times);
   const view: WorkerView = {
     workerKey,
@@ -63,9 +68,10 @@
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
+    ...(known?.comparedCount === undefined ? {} : { comparedCount: known.comparedCount }),
     ...(known?.unwantedStops === undefined
       ? {}
-      : { unwantedStops: known.unwantedStops.filter((_, key) => listed.has(key)) }),
+      : { unwantedStops: stillListed(known.unwantedStops, report) }),
   };
   const leaseUntilClockMs = Math.floor(clockMs + times.agentLeaseMs * CLOCK_SHARE);
   const intervalMs = reportIntervalMs(state.settings.capacity, state.workers.size);
@@ -80,6 +86,7 @@
     {
       ...state,
       workers: state.workers.set(workerKey, view),
+      instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
       awaited: state.awaited.delete(workerKey),
       renewAtMs: mustWait ? nowMs : state.renewAtMs,
       needsPlacement: state.needsPlacement || isChanged || known.linkId === undefined,
@@ -204,15 +211,16 @@
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
-  const runs = view === run ? state.runs : putRun(state.runs, task, view);
-  const stops = isStopDue
-    ? sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) })
-    : [];
   const { slot, jobId } = run;
   const stored = taskProgress(open.progress, slot);
   const isNew = acceptsEvent(stored, 'started');
   const savesNow =
     checkpoint !== '' && checkpoint !== stored.checkpoint && run.stage.savesCheckpoints;
+  if (view === run && !isNew && !savesNow) return unchanged(state);
+  const runs = view === run ? state.runs : putRun(state.runs, task, view);
+  const stops = isStopDue
+    ? sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) })
+    : [];
   if (!isNew && !savesNow) return withEffects({ ...state, runs }, stops);
   const moved = { ...advanceRun(stored, 'started'), ...(savesNow ? { checkpoint } : {}) };
   const progress = withTasks(open.progress, [[slot, moved]]);
@@ -273,6 +281,30 @@
   return (state.links.get(linkId)?.number ?? -1) < newest;
 }
 
+/** Returns whether a later instance at a worker's address has reported. */
+function hasNewerInstance(state: SchedulerState, { workerKey, worker }: Report): boolean {
+  return state.workers.some(
+    ({ report: other, workerKey: otherKey }) =>
+      otherKey !== workerKey &&
+      other?.address === worker.address &&
+      other.bornAtMs > worker.bornAtMs,
+  );
+}
+
+/** Returns whether a worker was compared with all known instances and says the same of itself as then. */
+function wasCompared(state: SchedulerState, { workerKey, worker }: Report): boolean {
+  const known = state.workers.get(workerKey);
+  return known?.report === worker && known.comparedCount === state.instanceCount;
+}
+
+function markCompared(state: SchedulerState, workerKey: string): SchedulerState {
+  const { workers, instanceCount } = state;
+  const view = workers.get(workerKey);
+  if (view === undefined || view.comparedCount === instanceCount) return state;
+  const compared = { ...view, comparedCount: instanceCount };
+  return { ...state, workers: workers.set(workerKey, compared) };
+}
+
 /** Applies an agent's report of its worker. */
 export function onReport(
   state: SchedulerState,
@@ -282,13 +314,8 @@
   wallMs: number,
 ): SchedulerStep {
   const { workerKey } = report;
-  const hasNewer = state.workers.some(
-    ({ report: other, workerKey: otherKey }) =>
-      otherKey !== workerKey &&
-      other?.address === report.worker.address &&
-      other.bornAtMs > report.worker.bornAtMs,
-  );
-  if (hasNewer) return unchanged(state);
+  const isCompared = wasCompared(state, report);
+  if (!isCompared && hasNewerInstance(state, report)) return unchanged(state);
   if (isFromOldLink(state, workerKey, linkId)) {
     const fields = { worker: workerKey, agent: report.agentId, reason: 'overtaken' };
     return withEffects(state, [logEffect('reportIgnored', fields)]);
@@ -296,7 +323,9 @@
   return chainAll(resetOrders(state, report, linkId), [
     (current) => unchanged(storeAddress(current, workerKey, report.worker.address)),
     (current) => updateWorker(current, linkId, report, nowMs),
-    (current) => releaseEarlierInstances(current, report, nowMs),
+    (current) =>
+      isCompared ? unchanged(current) : releaseEarlierInstances(current, report, nowMs),
+    (current) => unchanged(markCompared(current, workerKey)),
     (current) => applyEnds(current, report, nowMs, wallMs),
     ...report.running.map(
       (listed) => (current: SchedulerState) => updateListed(current, workerKey, listed, nowMs),
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -1,4 +1,5 @@
 import type { RowKey, StoredRow } from '@bronzeyoke/ports';
+import { isHost, isPort } from '@bronzeyoke/types';
 import { z } from 'zod';
 import type { Leader } from './types';
 
@@ -71,9 +72,9 @@
 
 const leaderSchema = z.object({
   entryId: z.string(),
-  host: z.string(),
-  port: z.int(),
-  term: z.int(),
+  host: z.string().refine(isHost),
+  port: z.number().refine(isPort),
+  term: z.int().nonnegative(),
 });
 
 const grantsSchema = z.object({
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -20,6 +20,7 @@
   jobs: Map<string, never>(),
   ended: Map<string, never>(),
   workers: Map<string, never>(),
+  instanceCount: 0,
   runs: NO_RUNS,
   orphans: NO_RUNS,
   loads: Map<string, never>(),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -147,6 +147,8 @@
   /** Jobs that failed here since the last success. */
   readonly failedJobs: readonly string[];
   readonly quarantinedUntilMs: number;
+  /** Value of `instanceCount` when other instances at its address and under its id were looked for. */
+  readonly comparedCount?: number;
   /** Time of the last stop order of each unwanted run that the worker lists. */
   readonly unwantedStops?: Map<string, number>;
 }
@@ -257,6 +259,8 @@
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
+  /** Instances that have reported to this leader, those that have ended included. */
+  readonly instanceCount: number;
   readonly runs: RunTable;
   readonly orphans: OrphanTable;
   /** Loads of the usable workers, as of the last placement. */
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,3 +1,4 @@
+export * from './address';
 export * from './admin';
 export * from './failure';
 export * from './job';
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -1,13 +1,16 @@
+import { isHost, isPort, parseAddress } from '@bronzeyoke/types';
 import { z } from 'zod';
 
 /** Schema of the reference to a run. */
 export const runSchema = z.object({ task: z.string(), attempt: z.int() });
 const workerKey = z.string();
+const host = z.string().refine(isHost);
+const port = z.number().refine(isPort);
 
 /** Schema of a worker's state. */
 export const workerSchema = z.object({
   id: z.string(),
-  address: z.string(),
+  address: z.string().refine((text) => parseAddress(text) !== undefined),
   bornAtMs: z.number(),
   service: z.string(),
   domain: z.string(),
@@ -59,15 +62,15 @@
   z.object({
     kind: z.literal('leaderChanged'),
     entryId: z.string(),
-    host: z.string(),
-    port: z.int(),
+    host,
+    port,
     term: z.int(),
   }),
 ]);
 
 /** Schema of messages to an agent. */
 export const leaderSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('leader'), term: z.int(), host: z.string(), port: z.int() }),
+  z.object({ kind: z.literal('leader'), term: z.int(), host, port }),
   z.object({
     kind: z.literal('grant'),
     workerKey,
