--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,3 +1,4 @@
+export * from './loadmeter';
 export * from './controller';
 export * from './reachability';
 export * from './runner';
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -1,3 +1,4 @@
+import { performance } from 'node:perf_hooks';
 import type { ActorSystemRef } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, spawnCore } from '@bronzeyoke/actors';
@@ -10,6 +11,7 @@
 import { AGENT_CODEC } from '@bronzeyoke/wire';
 import type { AgentLinks } from './agentlinks';
 import { followJobs } from './jobfeed';
+import { closeWindow, openWindow, recordEvent } from './loadmeter';
 import { performStoreCall } from './store';
 import type { LogEvent, ReportError } from './types';
 
@@ -94,10 +96,35 @@
     }
   };
 
+  const meter = { window: openWindow(performance.now()) };
+
+  /** Decides on an event, and tells from time to time how long a leader's events wait and take. */
+  const decide: typeof stepScheduler = (state, event, inputs) => {
+    const startMs = performance.now();
+    const step = stepScheduler(state, event, inputs);
+    const nowMs = performance.now();
+    const { phase, passCount, pendingWrites } = step.state;
+    if (phase !== 'leading') {
+      meter.window = openWindow(nowMs);
+      return step;
+    }
+    meter.window = recordEvent(meter.window, {
+      kind: event.kind,
+      waitMs: 'wallMs' in event ? Math.max(0, Date.now() - event.wallMs - (nowMs - startMs)) : 0,
+      durationMs: nowMs - startMs,
+      hasPlaced: passCount !== state.passCount,
+    });
+    const backlog = { rows: pendingWrites.jobs.size, actions: pendingWrites.actions.size };
+    const line = closeWindow(meter.window, backlog, nowMs);
+    if (line === undefined) return step;
+    meter.window = openWindow(nowMs);
+    return { state: step.state, effects: [...step.effects, line] };
+  };
+
   return spawnCore<ReturnType<typeof createScheduler>, SchedulerEvent, SchedulerEffect>(system, {
     name: 'scheduler',
     initial: createScheduler(settings),
-    decide: stepScheduler,
+    decide,
     onError,
     perform,
   });
--- /dev/null
+++ b/packages/hosts/test/loadmeter.test.ts
@@ -0,0 +1,32 @@
+import { expect } from 'chai';
+import { closeWindow, openWindow, recordEvent } from '@bronzeyoke/hosts';
+
+const EVENT = { kind: 'received', waitMs: 1, durationMs: 2, hasPlaced: false } as const;
+const NOTHING = { rows: 0, actions: 0 };
+
+// Guards against an overloaded leader that says nothing of it in its log.
+it('loadmeter: a leader whose events wait long is overloaded within a second', () => {
+  const late = { ...EVENT, kind: 'tick', waitMs: 700, durationMs: 90, hasPlaced: true } as const;
+  const window = [EVENT, late, EVENT].reduce(recordEvent, openWindow(0));
+  expect(closeWindow(window, NOTHING, 500)).to.equal(undefined);
+  expect(closeWindow(window, { rows: 7, actions: 9 }, 1_000)?.fields).to.deep.equal({
+    isOverloaded: true,
+    overMs: 1_000,
+    events: 3,
+    passes: 1,
+    busyShare: 0.09,
+    longestWaitMs: 700,
+    longestMs: 90,
+    longestKind: 'tick',
+    longestPassMs: 90,
+    pendingRows: 7,
+    pendingActions: 9,
+  });
+});
+
+// Guards against a line a second from every leader that has little to do.
+it('loadmeter: a leader with time to spare writes a line every ten seconds', () => {
+  const window = recordEvent(openWindow(0), EVENT);
+  expect(closeWindow(window, NOTHING, 9_000)).to.equal(undefined);
+  expect(closeWindow(window, NOTHING, 10_000)?.fields.isOverloaded).to.equal(false);
+});
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -9,6 +9,11 @@
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
+  bronzeyoke_event_wait_seconds: {
+    kind: 'summary',
+    help: 'Longest wait of an event of the leader, by line.',
+  },
+  bronzeyoke_pass_seconds: { kind: 'summary', help: 'Longest placement pass, by line.' },
   bronzeyoke_place_wait_seconds: { kind: 'summary', help: 'Waits of lasting tasks for a place.' },
 } as const;
 
@@ -18,11 +23,15 @@
   readonly metric: keyof typeof DEFINITIONS;
 }
 
-const DURATIONS: Readonly<Partial<Record<EventName, DurationField>>> = {
-  taskPlaced: { field: 'storedAfterMs', metric: 'bronzeyoke_claim_seconds' },
-  taskStarted: { field: 'startedAfterMs', metric: 'bronzeyoke_start_seconds' },
-  jobEnded: { field: 'ageMs', metric: 'bronzeyoke_job_seconds' },
-  placeFound: { field: 'awaitedMs', metric: 'bronzeyoke_place_wait_seconds' },
+const DURATIONS: Readonly<Partial<Record<EventName, readonly DurationField[]>>> = {
+  taskPlaced: [{ field: 'storedAfterMs', metric: 'bronzeyoke_claim_seconds' }],
+  taskStarted: [{ field: 'startedAfterMs', metric: 'bronzeyoke_start_seconds' }],
+  jobEnded: [{ field: 'ageMs', metric: 'bronzeyoke_job_seconds' }],
+  placeFound: [{ field: 'awaitedMs', metric: 'bronzeyoke_place_wait_seconds' }],
+  leaderLoad: [
+    { field: 'longestWaitMs', metric: 'bronzeyoke_event_wait_seconds' },
+    { field: 'longestPassMs', metric: 'bronzeyoke_pass_seconds' },
+  ],
 };
 
 /** Counters and histograms of the events of a process. */
@@ -40,10 +49,10 @@
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
       }
-      const duration = DURATIONS[event];
-      if (duration === undefined) return;
-      const value = fields[duration.field];
-      if (typeof value === 'number') metrics.observe(duration.metric, {}, value);
+      (DURATIONS[event] ?? []).forEach(({ field, metric }) => {
+        const value = fields[field];
+        if (typeof value === 'number') metrics.observe(metric, {}, value);
+      });
     },
     text: (droppedLines) =>
       metrics.text([
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -39,6 +39,7 @@
   | 'leaderLoaded'
   | 'leaderSeen'
   | 'leaderLost'
+  | 'leaderLoad'
   | 'workersAwaited'
   | 'workerSeen'
   | 'workerGone'
