Keep room for tasks that smaller ones have kept from a place

Change: after 5 s without a place, room that falls free soonest is kept for such a stage, for four stages at a time; nothing that runs is stopped or moved for it. The waits of lasting tasks that have run go first as before.

The expectations are unchanged; all three fail without the change and pass with it.

--- a/packages/scheduler/src/candidates.ts
+++ b/packages/scheduler/src/candidates.ts
@@ -19,6 +19,11 @@
   readonly workLeft: number;
 }
 
+/** Returns the key of a stage among those that wait. */
+export function searchKey({ jobId, ready }: StageCandidate): string {
+  return `${jobId}.${ready.occurrence}.${ready.stageIndex}`;
+}
+
 /** Estimated time to place and start a task, for the decision whether a job is late. */
 const START_ESTIMATE_MS = 100;
 
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -3,7 +3,7 @@
 import { chainAfter, fitsIn } from '@bronzeyoke/types';
 import { assignedSlots, taskProgress, untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
-import { orderedCandidates } from './candidates';
+import { orderedCandidates, searchKey } from './candidates';
 import { updateLoads } from './loads';
 import { stopRun } from './pace';
 import type { PlacementPass } from './pass';
@@ -11,7 +11,7 @@
 import { preemptFills } from './preempt';
 import { placeReturning, reserveForMoves } from './returning';
 import type { FailedSearch } from './search';
-import { placeOn, searchKey, searchScope } from './search';
+import { placeOn, searchScope } from './search';
 import { withEffects } from './state';
 import { createOccupancies } from './tenants';
 import type { SchedulerState, SchedulerStep } from './types';
@@ -56,6 +56,7 @@
 interface Round {
   readonly pass: PlacementPass;
   readonly failedSearches: Map<string, FailedSearch>;
+  readonly unplacedSince: Map<string, number>;
   readonly looksLeft: number;
   /** A stage was left to the next pass. */
   readonly isCut: boolean;
@@ -110,6 +111,13 @@
   return { ...round, failedSearches: round.failedSearches.set(key, failed) };
 }
 
+/** Records that a stage without filling tasks waits for a worker. */
+function recordUnplaced(round: Round, candidate: StageCandidate, nowMs: number): Round {
+  const key = searchKey(candidate);
+  const sinceMs = round.pass.state.unplacedSince.get(key, nowMs);
+  return { ...round, unplacedSince: round.unplacedSince.set(key, sinceMs) };
+}
+
 function placeTasksOf(round: Round, candidate: StageCandidate, nowMs: number): Round {
   const { pass } = round;
   const { jobId, ready } = candidate;
@@ -117,13 +125,17 @@
   const [first] = slots;
   const demand = demandOf(pass, candidate);
   const isHopeless = demand !== undefined && isKnownUnmet(round, demand);
-  if (first === undefined || isHopeless) return round;
+  if (first === undefined) return round;
+  if (isHopeless) return recordUnplaced(round, candidate, nowMs);
   const { loads, isFull } = searchScope(pass, candidate, nowMs);
   const placed = placeOn(pass, candidate, slots, loads, nowMs);
   const looked = { ...round, looksLeft: round.looksLeft - loads.length };
   if (!ready.stage.fillsIdle) {
     const preempted = preemptFills(placed.pass, candidate, placed.left);
-    const next = { ...looked, pass: preempted.pass };
+    const next =
+      placed.left.length === 0
+        ? { ...looked, pass: preempted.pass }
+        : recordUnplaced({ ...looked, pass: preempted.pass }, candidate, nowMs);
     const isUnmet = demand !== undefined && preempted.left.length > 0;
     return isUnmet ? { ...next, unmet: [...round.unmet, demand] } : next;
   }
@@ -139,7 +151,10 @@
 function placeStage(round: Round, candidate: StageCandidate, nowMs: number): Round {
   const { pass, looksLeft } = round;
   const { stage } = candidate.ready;
-  if (stage.isGang) return { ...round, pass: placeGang(pass, candidate, nowMs) };
+  if (stage.isGang) {
+    const placed = placeGang(pass, candidate, nowMs);
+    return placed === pass ? recordUnplaced(round, candidate, nowMs) : { ...round, pass: placed };
+  }
   // Other stages are few, and their users wait.
   if (stage.fillsIdle && looksLeft <= 0) return { ...keepSearch(round, candidate), isCut: true };
   return placeTasksOf(round, candidate, nowMs);
@@ -158,7 +173,7 @@
   return Number.isFinite(nextMs) ? Math.min(nextMs, WAITING_AGAIN_MS) : Infinity;
 }
 
-/** Returns the candidates without the tasks that have run and wait. */
+/** Returns the candidates without the tasks for which room is kept. */
 function withoutReturning(
   candidates: readonly StageCandidate[],
   waiting: readonly WaitingTask[],
@@ -172,6 +187,17 @@
   });
 }
 
+/** Returns since when the stages have waited for which room is kept. */
+function keepUnplaced(
+  { unplacedSince }: SchedulerState,
+  waiting: readonly WaitingTask[],
+): Map<string, number> {
+  return waiting.reduce((kept, { candidate, wait }) => {
+    const key = searchKey(candidate);
+    return wait.cause === 'starved' ? kept.set(key, unplacedSince.get(key, wait.sinceMs)) : kept;
+  }, Map<string, number>());
+}
+
 /**
  * Claims workers for the waiting tasks that fit. The claims are stored before any start order.
  * Lasting tasks that have run come first, because their users count on them.
@@ -191,13 +217,21 @@
   const returned = placeReturning(pass, waiting, nowMs);
   const round = withoutReturning(candidates, waiting).reduce<Round>(
     (current, candidate) => placeStage(current, candidate, nowMs),
-    { pass: returned, failedSearches: Map(), looksLeft: MAX_LOOKS, isCut: false, unmet: [] },
+    {
+      pass: returned,
+      failedSearches: Map(),
+      unplacedSince: keepUnplaced(state, waiting),
+      looksLeft: MAX_LOOKS,
+      isCut: false,
+      unmet: [],
+    },
   );
   const placed = round.pass;
   const logged = logWaits(placed, waiting, nowMs);
   const next: SchedulerState = {
     ...logged.state,
     failedSearches: round.failedSearches,
+    unplacedSince: round.unplacedSince,
     needsPlacement: round.isCut,
     lastPassAtMs: nowMs,
     placeAgainAtMs: nowMs + untilNextPassMs(logged.state, candidates, wallMs),
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { assertNever, without } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
-import type { StageCandidate } from './candidates';
+import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
 import { isBackingOff, placeGang, placeTask } from './pass';
 import { makeRoomByMoves } from './relocate';
@@ -38,16 +38,12 @@
   readonly isCrowded: boolean;
 }
 
-function stageKey({ jobId, ready }: StageCandidate): string {
-  return `${jobId}.${ready.occurrence}.${ready.stageIndex}`;
-}
-
 function unitsOf(waiting: readonly WaitingTask[]): readonly PlacementUnit[] {
   return waiting.flatMap((task, index): readonly PlacementUnit[] => {
     const { candidate } = task;
     if (!candidate.ready.stage.isGang) return [{ kind: 'task', task }];
-    const key = stageKey(candidate);
-    const isMember = (other: WaitingTask): boolean => stageKey(other.candidate) === key;
+    const key = searchKey(candidate);
+    const isMember = (other: WaitingTask): boolean => searchKey(other.candidate) === key;
     const members = waiting.filter(isMember);
     return waiting.findIndex(isMember) === index ? [{ kind: 'gang', members }] : [];
   });
@@ -76,12 +72,13 @@
   pass: PlacementPass,
   waiting: WaitingTask,
   vacancy: Vacancy,
-  mayClear: boolean,
+  mayStop: boolean,
   nowMs: number,
 ): PlacementPass {
   const { task, wait, candidate } = waiting;
   const { stage } = candidate.ready;
   const awayMs = nowMs - wait.sinceMs;
+  const mayClear = mayStop && wait.cause === 'returning';
   const isOverdue = mayClear && awayMs >= CLEAR_AFTER_MS && awayMs + vacancy.waitMs > MAX_DRAIN_MS;
   const cleared = mayClear
     ? clearVacancy(pass, vacancy, stage.needs, isOverdue ? 'all' : 'preemptible')
@@ -124,6 +121,8 @@
   nowMs: number,
 ): PlacementPass | undefined {
   const { task, wait } = waiting;
+  // Nothing that runs makes way for a task that has not run yet.
+  if (wait.cause === 'starved') return undefined;
   const { sinceMs, movesSoughtAtMs = -Infinity, moves: planned = [], workerKey } = wait;
   const target = slotOf(pass, waiting);
   const awayMs = nowMs - sinceMs;
@@ -167,7 +166,7 @@
 /** Searches a place for a waiting task that keeps none. */
 function searchPlace(search: Search, waiting: WaitingTask, nowMs: number): Search {
   const { pass, hopeless, searchesLeft } = search;
-  const key = stageKey(waiting.candidate);
+  const key = searchKey(waiting.candidate);
   if (hopeless.has(key) || searchesLeft === 0) {
     return { ...search, pass: giveUp(pass, waiting, nowMs) };
   }
@@ -187,7 +186,7 @@
 function placeUnitTask(search: Search, waiting: WaitingTask, nowMs: number): Search {
   const { pass, full, searchesLeft, isCrowded } = search;
   const { task, wait, candidate } = waiting;
-  const key = stageKey(candidate);
+  const key = searchKey(candidate);
   const isReady = !isBackingOff(pass, task, nowMs);
   // Anywhere else a moved task would be in the way of the one that it makes room for.
   const onlyKept = wait.workerKey !== undefined && (wait.isMoved || isCrowded);
--- a/packages/scheduler/src/search.ts
+++ b/packages/scheduler/src/search.ts
@@ -2,6 +2,7 @@
 import { bestCandidate, findCandidates, updateCandidate } from '@bronzeyoke/placement';
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
+import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
 import { claimOn, classifierOf, loadsOfService, siblingCounter } from './pass';
 
@@ -66,11 +67,6 @@
   readonly fullAtMs: number;
 }
 
-/** Returns the key of a stage among the failed searches. */
-export function searchKey({ jobId, ready }: StageCandidate): string {
-  return `${jobId}.${ready.occurrence}.${ready.stageIndex}`;
-}
-
 /** Workers to look at for a stage, and whether these are all of its service. */
 export interface SearchScope {
   readonly loads: readonly WorkerLoad[];
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -29,6 +29,7 @@
   failedSearches: Map<string, never>(),
   backOff: Map<string, never>(),
   waits: Map<string, never>(),
+  unplacedSince: Map<string, never>(),
   placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
   needsPlacement: false,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -271,7 +271,9 @@
   readonly failedSearches: Map<string, FailedSearch>;
   /** Time before which a task is not placed again, by task. */
   readonly backOff: Map<string, number>;
-  /** Waits of lasting tasks that have run, by task. */
+  /** Since when a stage without filling tasks has found too few workers, by `searchKey`. */
+  readonly unplacedSince: Map<string, number>;
+  /** Waits of tasks for which room is kept, by task. */
   readonly waits: Map<string, PlaceWait>;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -5,6 +5,7 @@
 import { taskProgress } from '@bronzeyoke/workflow';
 import chartFile from '../charts/wait.json';
 import type { StageCandidate } from './candidates';
+import { searchKey } from './candidates';
 import type { SchedulerState } from './types';
 
 /** Chart of the wait of a lasting task for a place. */
@@ -26,9 +27,16 @@
   readonly workerKey: string;
 }
 
-/** Wait of a lasting task for a place, from the end of its last run until the next one is listed. */
+/**
+ * Why a task waits for a place: it lasts and has run before, so that users count on it, or tasks that
+ * need less have kept it from a place for long.
+ */
+export type WaitCause = 'returning' | 'starved';
+
+/** Wait of a task for a place, until its next run is listed. */
 export interface PlaceWait {
   readonly phase: WaitPhase;
+  readonly cause: WaitCause;
   readonly sinceMs: number;
   /** Worker whose room is kept for the task. */
   readonly workerKey?: string;
@@ -41,7 +49,7 @@
   readonly isLogged: boolean;
 }
 
-/** A lasting task that has run and waits for a place. */
+/** A task that waits for a place. */
 export interface WaitingTask {
   readonly task: string;
   readonly slot: string;
@@ -49,9 +57,9 @@
   readonly wait: PlaceWait;
 }
 
-/** Returns a new wait of a task that was last known to be at work at some time. */
-export function startWait(sinceMs: number): PlaceWait {
-  return { phase: waitChart.initial, sinceMs, isMoved: false, isLogged: false };
+/** Returns a new wait that counts from some time. */
+export function startWait(sinceMs: number, cause: WaitCause = 'returning'): PlaceWait {
+  return { phase: waitChart.initial, cause, sinceMs, isMoved: false, isLogged: false };
 }
 
 /** Returns the wait of a task that is stopped in order to move it. */
@@ -84,10 +92,10 @@
   return run !== undefined && (!run.isListed || run.stopSentAtMs !== undefined);
 }
 
-function waitOf(known: PlaceWait | undefined, nowMs: number): PlaceWait {
+function waitOf(known: PlaceWait | undefined, sinceMs: number, cause: WaitCause): PlaceWait {
   switch (known?.phase) {
     case undefined:
-      return startWait(nowMs);
+      return startWait(sinceMs, cause);
     case 'claimed':
       return advanceWait(known, 'release');
     case 'moving':
@@ -100,25 +108,61 @@
 }
 
 /** Ranks moved tasks first, then those for which others move: their places were made for them. */
-function placeRank({ isMoved, moves }: PlaceWait): number {
+function placeRank({ isMoved, moves, cause }: PlaceWait): number {
   if (isMoved) return 0;
+  if (cause === 'starved') return 3;
   return moves === undefined ? 2 : 1;
 }
 
-/** Returns the lasting tasks that have run and wait, the one that is away longest first. */
+/** Time without a place after which room is kept for a task that needs more than falls free at once. */
+const STARVED_AFTER_MS = 5_000;
+
+/** Stages for which room is kept at a time, so that most of the fleet is left to the order of urgency. */
+const MAX_STARVED_STAGES = 4;
+
+/** Returns the stages that smaller tasks have kept from a place for long, the longest wait first. */
+function starvedStages(
+  { unplacedSince }: SchedulerState,
+  candidates: readonly StageCandidate[],
+  nowMs: number,
+): readonly StageCandidate[] {
+  const sinceOf = (candidate: StageCandidate): number =>
+    unplacedSince.get(searchKey(candidate), Infinity);
+  return candidates
+    .filter((candidate) => nowMs - sinceOf(candidate) >= STARVED_AFTER_MS)
+    .toSorted((left, right) => sinceOf(left) - sinceOf(right))
+    .slice(0, MAX_STARVED_STAGES);
+}
+
+/** Returns the tasks for which room is kept, lasting ones that have run first, then by their wait. */
 export function waitingTasks(
   state: SchedulerState,
   candidates: readonly StageCandidate[],
   nowMs: number,
 ): readonly WaitingTask[] {
-  const waiting = candidates.flatMap((candidate) => {
-    const { jobId, ready } = candidate;
-    return returningSlots(state, jobId, ready).map((slot) => {
-      const task = `${jobId}.${slot}`;
-      return { task, slot, candidate, wait: waitOf(state.waits.get(task), nowMs) };
+  const waitingSlots = (
+    candidate: StageCandidate,
+    slots: readonly string[],
+    sinceMs: number,
+    cause: WaitCause,
+  ): readonly WaitingTask[] =>
+    slots.map((slot) => {
+      const task = `${candidate.jobId}.${slot}`;
+      const wait = waitOf(state.waits.get(task), sinceMs, cause);
+      return { task, slot, candidate, wait };
     });
+  const returning = candidates.flatMap((candidate) => {
+    const { jobId, ready } = candidate;
+    return waitingSlots(candidate, returningSlots(state, jobId, ready), nowMs, 'returning');
+  });
+  const starved = starvedStages(state, candidates, nowMs).flatMap((candidate) => {
+    const { jobId, ready } = candidate;
+    const returned = new Set(returningSlots(state, jobId, ready));
+    const slots = ready.slots.filter((slot) => !returned.has(slot));
+    const sinceMs = state.unplacedSince.get(searchKey(candidate), nowMs);
+    return waitingSlots(candidate, slots, sinceMs, 'starved');
   });
-  return waiting.toSorted(
+  return [...returning, ...starved].toSorted(
     (left, right) =>
       placeRank(left.wait) - placeRank(right.wait) || left.wait.sinceMs - right.wait.sinceMs,
   );
--- a/packages/scheduler/test/waiting.test.ts
+++ b/packages/scheduler/test/waiting.test.ts
@@ -33,19 +33,30 @@
   );
 }
 
+/** Delivers the list of a worker on which the oldest quick task ends, and the others progress. */
+function endOldest(fixture: Fixture, site: string): Fixture {
+  const runs = [...fixture.state.runs.byTask].filter(
+    ([, { workerKey }]) => workerKey === workerKeyFor(site),
+  );
+  const [oldest] = runs
+    .filter(([task]) => task.startsWith('quick'))
+    .toSorted(([, left], [, right]) => left.claimedAtMs - right.claimedAtMs);
+  const ends = oldest === undefined ? {} : { [oldest[0]]: 'done' as const };
+  return list(fixture, site, ends, Math.floor(fixture.nowMs / 100));
+}
+
 /** A worker of 4 cores that gets a quick task of 1 core each time that one ends, for 30 s, and a job. */
 function crowdedWith(job: WorkflowJob): Fixture {
   const names = Array.from({ length: 304 }, (_, index) => `quick${index}`);
   const submitQuick = (current: Fixture, name: string): Fixture =>
     commitAll(submit(current, jobOf(name, [sized(1_000)])));
   const full = list(names.slice(0, 4).reduce(submitQuick, join(createLeader(), 'w1')), 'w1');
-  return names.slice(4).reduce(
-    (current, name, index) => {
-      const next = submitQuick(wait(current, 100), name);
-      return list(next, 'w1', { [`quick${index}.0.0.0`]: 'done' });
-    },
-    place(full, job),
-  );
+  return names
+    .slice(4)
+    .reduce(
+      (current, name) => endOldest(submitQuick(wait(current, 100), name), 'w1'),
+      place(full, job),
+    );
 }
 
 // Guards against a search for moves that stops at workers on which no run may be moved.
