Write odd entries beside the real ones in the soak

Cause: nothing in the soak wrote entries of another writer, and a program that ends by itself was noticed only by what was lost with it.

Change: every 300 ms an odd row or heartbeat (too deep, numbers too large, ports out of range, names of prototypes); the oracle reports a program that ends although nobody has stopped it (promise ENDED).

--- /dev/null
+++ b/soak/oddwriter.ts
@@ -0,0 +1,60 @@
+import { PARTITION } from '@bronzeyoke/scheduler';
+import { request } from 'undici';
+import type { StandinPlatform } from '../platform/test/standin';
+
+const INTERVAL_MS = 300;
+const TIMEOUT_MS = 1_000;
+
+const DEEP = `${'['.repeat(20_000)}${']'.repeat(20_000)}`;
+
+/** Odd rows by table and key. The operators' own rows are left alone. */
+const ROWS: readonly (readonly [table: string, key: string, value: unknown])[] = [
+  ['op', 'config/odd', { version: 1e308 }],
+  ['op', 'evacuate/__proto__', null],
+  ['job', '__proto__/job', { jobId: 1 }],
+  ['job', 'odd/job', { jobId: 'odd', stages: [{ taskCount: 1e9 }] }],
+  ['job', 'odd/cancel', 'x'.repeat(60_000)],
+  ['progress', 'odd', { workers: [], stages: { '0.0': { done: [[0, 1e15]], tasks: [] } } }],
+  ['notes', 'odd', { mean: 'large' }],
+];
+
+/** Bodies of odd heartbeats: too deep, with numbers too large, with addresses that do not exist. */
+const HEARTBEATS: readonly string[] = [
+  DEEP,
+  '{"service":"quoter","addr":"127.0.0.1:99999","zone":"z","state":"ready","seq":1,"born":1,"capacity":{}}',
+  '{"service":"quoter","addr":"x","zone":"z","state":"ready","seq":1e308,"born":9e15,"capacity":{}}',
+  '{"service":"quoter","addr":"127.0.0.1:9","zone":"z","state":"ready","seq":1,"born":1,"capacity":{"cpu":1e308}}',
+  `{"labels":${DEEP}}`,
+  '\u0000\u0001',
+];
+
+async function sendHeartbeat(address: string, id: string, body: string): Promise<void> {
+  const response = await request(`http://${address}/bronzeyoke/instances/${id}`, {
+    method: 'PUT',
+    body,
+    signal: AbortSignal.timeout(TIMEOUT_MS),
+  });
+  await response.body.dump();
+}
+
+/** Writes odd rows and heartbeats, one of each in turn, until it is stopped. */
+export function startOddWriter(
+  store: StandinPlatform,
+  heartbeatAddresses: readonly string[],
+): { readonly stop: () => void } {
+  const state = { count: 0 };
+  const timer = setInterval(() => {
+    const { count } = state;
+    state.count += 1;
+    const [table, key, value] = ROWS[count % ROWS.length] ?? [];
+    if (table !== undefined && key !== undefined) {
+      store.put(table, key, value, table === 'op' ? '' : PARTITION);
+    }
+    const body = HEARTBEATS[count % HEARTBEATS.length] ?? '';
+    const address = heartbeatAddresses[count % heartbeatAddresses.length];
+    if (address === undefined) return;
+    // The agent may be down; the next one gets the next heartbeat.
+    sendHeartbeat(address, `odd-${count % 3}`, body).catch(() => undefined);
+  }, INTERVAL_MS);
+  return { stop: () => clearInterval(timer) };
+}
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -186,8 +186,17 @@
   });
 }
 
+/** Finds programs that ended by themselves. */
+function findOwnExits(observations: readonly SoakObservation[]): PromiseViolation[] {
+  return ofKind(observations, 'exited').map(({ atMs, program }) => ({
+    promise: 'ENDED',
+    atMs,
+    what: `${program} ended by itself`,
+  }));
+}
+
 /**
- * Checks the observations of callers and workers until `endMs`, the end of the time without faults.
+ * Checks the observations of callers, workers and programs until `endMs`, the end of the time without faults.
  */
 export function findViolations(
   observations: readonly SoakObservation[],
@@ -210,5 +219,6 @@
     ...findRefusedRuns(runs, observations),
     ...findLostJobs(observations, endMs),
     ...findEarlyCompletions(runs, completeAtMs, stagesOf),
+    ...findOwnExits(observations),
   ];
 }
--- a/soak/program.ts
+++ b/soak/program.ts
@@ -11,7 +11,15 @@
 const programChart = compileChart(chartFile, {
   states: ['down', 'running', 'paused', 'stopping'],
   events: ['start', 'pause', 'resume', 'kill', 'terminate', 'reload', 'exited'],
-  actions: ['spawn', 'sendSigstop', 'sendSigcont', 'sendSigkill', 'sendSigterm', 'sendSighup'],
+  actions: [
+    'spawn',
+    'sendSigstop',
+    'sendSigcont',
+    'sendSigkill',
+    'sendSigterm',
+    'sendSighup',
+    'reportExit',
+  ],
 });
 
 type ProgramEvent = 'start' | 'pause' | 'resume' | 'kill' | 'terminate' | 'reload' | 'exited';
@@ -26,11 +34,15 @@
   readonly state: () => ProgramState;
 }
 
-/** Prepares a program; the event `start` runs it. Its output is appended to a log in `folder`. */
+/**
+ * Prepares a program; the event `start` runs it. Its output is appended to a log in `folder`. `onOwnExit`
+ * is called when it ends although nobody has stopped it.
+ */
 export async function createProgram(
   bundle: string,
   folder: string,
   settings: Readonly<Record<string, unknown>> & { readonly name: string },
+  onOwnExit: () => void,
 ): Promise<Program> {
   const { name } = settings;
   const file = join(folder, `${name}.jsonc`);
@@ -75,6 +87,9 @@
         case 'sendSighup':
           current.child?.kill('SIGHUP');
           break;
+        case 'reportExit':
+          onOwnExit();
+          break;
         default:
           assertNever(action);
       }
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -2,6 +2,7 @@
 import { freePort } from '../platform/test/port';
 import type { StandinPlatform } from '../platform/test/standin';
 import { startPlatform } from '../platform/test/standin';
+import { startOddWriter } from './oddwriter';
 import type { Program } from './program';
 import { createProgram } from './program';
 import type { Proxy } from './proxy';
@@ -93,6 +94,8 @@
 ): Promise<SoakSite> {
   const store = await startPlatform();
   store.put('op', 'config', createConfig(1));
+  const observeExit = (program: string) => (): void =>
+    observe({ kind: 'exited', atMs: nowMs(), program });
   const common = {
     agentPort: await freePort(),
     graceS: 4,
@@ -108,21 +111,27 @@
       const storeLink = await startProxy(store.address);
       const front = `127.0.0.1:${await freePort()}`;
       const frontLink = await startProxy(front);
-      const program = await createProgram(bundle, folder, {
-        ...common,
-        name,
-        role: 'entry',
-        host,
-        domain: `zone-${index}`,
-        store: storeLink.address,
-        callers: front,
-      });
+      const program = await createProgram(
+        bundle,
+        folder,
+        {
+          ...common,
+          name,
+          role: 'entry',
+          host,
+          domain: `zone-${index}`,
+          store: storeLink.address,
+          callers: front,
+        },
+        observeExit(name),
+      );
       return { program, links: [storeLink, frontLink], front: frontLink.address };
     }),
   );
   const agents = await Promise.all(
     Array.from({ length: size.workers }, async (_, index) => {
       const id = `w-${index}`;
+      const name = `agent-${index + 1}`;
       const platform = await startPlatform(({ kind, task, attempt, end }) => {
         const run = { atMs: nowMs(), worker: id, task, attempt };
         observe(kind === 'started' ? { kind, ...run } : { kind, ...run, end });
@@ -131,25 +140,34 @@
       const storeLink = await startProxy(store.address);
       const workerLink = await startProxy(platform.address);
       const heartbeatAddress = `127.0.0.1:${await freePort()}`;
-      const program = await createProgram(bundle, folder, {
-        ...common,
-        name: `agent-${index + 1}`,
-        role: 'agent',
-        host: AGENT_HOST,
-        domain: `zone-${Math.floor(index / WORKERS_PER_DOMAIN)}`,
-        store: storeLink.address,
-        heartbeats: heartbeatAddress,
-      });
+      const program = await createProgram(
+        bundle,
+        folder,
+        {
+          ...common,
+          name,
+          role: 'agent',
+          host: AGENT_HOST,
+          domain: `zone-${Math.floor(index / WORKERS_PER_DOMAIN)}`,
+          store: storeLink.address,
+          heartbeats: heartbeatAddress,
+        },
+        observeExit(name),
+      );
       const timer = setInterval(() => {
         // A failed heartbeat is not retried: the next one follows after the interval.
         sendHeartbeat(worker, workerLink.address, heartbeatAddress).catch(() => undefined);
       }, HEARTBEAT_INTERVAL_MS);
-      return { program, worker, timer, links: [storeLink, workerLink] };
+      return { program, worker, timer, heartbeatAddress, links: [storeLink, workerLink] };
     }),
   );
   const links = [...entries, ...agents].flatMap((node) => node.links);
   const programs = [...entries, ...agents].map(({ program }) => program);
   programs.forEach((program) => program.send('start'));
+  const oddWriter = startOddWriter(
+    store,
+    agents.map(({ heartbeatAddress }) => heartbeatAddress),
+  );
   return {
     store,
     workers: agents.map(({ worker }) => worker),
@@ -157,6 +175,7 @@
     links,
     entryAddresses: entries.map(({ front }) => front),
     close: () => {
+      oddWriter.stop();
       agents.forEach(({ timer }) => clearInterval(timer));
       programs.forEach((program) => program.send('kill'));
       links.forEach((link) => link.close());
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -56,6 +56,12 @@
   expect(violatedPromises(submitted, accepted, shown('failed'))).to.deep.equal(['LOST']);
 });
 
+// Guards against an oracle that misses a program that ends again and again and is started again.
+it('soak: the oracle finds a program that ends by itself', () => {
+  const exited: SoakObservation = { kind: 'exited', atMs: 5, program: 'agent-1' };
+  expect(violatedPromises(exited)).to.deep.equal(['ENDED']);
+});
+
 // Guards against an oracle that misses two runs of one task, or one after its job was complete.
 it('soak: the oracle finds a task that runs twice', () => {
   const both = run('0.0.0', 200, 350, 'stopped', 'w-2');
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -36,8 +36,10 @@
   readonly fault: Fault;
 }
 
-/** An observation of a caller or a worker. Times are in ms of one clock. */
+/** An observation of a caller, a worker or a program. Times are in ms of one clock. */
 export type SoakObservation =
+  /** A program ended although nobody had stopped it. */
+  | { readonly kind: 'exited'; readonly atMs: number; readonly program: string }
   | {
       readonly kind: 'submitted';
       readonly atMs: number;
@@ -74,7 +76,7 @@
 
 /** A violation of a promise to callers. */
 export interface PromiseViolation {
-  readonly promise: 'LOST' | 'TWICE' | 'ORDER' | 'REFUSED' | 'MIXED' | 'UNASKED';
+  readonly promise: 'LOST' | 'TWICE' | 'ORDER' | 'REFUSED' | 'MIXED' | 'UNASKED' | 'ENDED';
   readonly atMs: number;
   readonly what: string;
 }
