Split the rounds of a placement pass from its frame

A stage that fits no worker was also kept as waiting for room, so that hopeless jobs could take all four places for starved stages.

Change: round.ts places the tasks of each stage; a stage that fits no worker waits for nothing. The scale benchmark uses the fixture of the scheduler's tests instead of its own copy.

--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -258,17 +258,22 @@
   expect(reasons).to.deep.equal(['draining']);
 });
 
-// Guards against a leader that reports of a large fleet keep from everything else.
-it('agent: lists without news are reported as often as the leader asks for', () => {
+/** Returns an agent that has reported a list, and whose leader asks for a report every 500 ms. */
+function reportingRarely(): Fixture {
   const message = {
     kind: 'grant',
     workerKey: KEY,
     leaseUntilClockMs: 9_000,
     reportIntervalMs: 500,
   } as const;
-  const asked = dispatch(createLeased(), { kind: 'received', message });
-  const first = answerHold(asked, { running: [LISTED] });
-  const early = answerHold(dispatch(first, { kind: 'tick' }, 100), { running: [LISTED] });
+  return answerHold(dispatch(createLeased(), { kind: 'received', message }), { running: [LISTED] });
+}
+
+// Guards against a leader that reports of a large fleet keep from everything else.
+it('agent: lists without news are reported as often as the leader asks for', () => {
+  const early = answerHold(dispatch(reportingRarely(), { kind: 'tick' }, 100), {
+    running: [LISTED],
+  });
   expect(reportsOf(early)).to.have.length(0);
   const late = answerHold(dispatch(early, { kind: 'tick' }, 500), { running: [LISTED] });
   expect(reportsOf(late)).to.have.length(1);
@@ -276,15 +281,7 @@
 
 // Guards against a stage that waits for a report although the tasks before it have ended.
 it('agent: an end is reported at once', () => {
-  const message = {
-    kind: 'grant',
-    workerKey: KEY,
-    leaseUntilClockMs: 9_000,
-    reportIntervalMs: 500,
-  } as const;
-  const asked = dispatch(createLeased(), { kind: 'received', message });
-  const first = answerHold(asked, { running: [LISTED] });
   const ended = { sequence: 1, task: TASK, attempt: 1, end: 'done', checkpoint: '' } as const;
-  const next = answerHold(dispatch(first, { kind: 'tick' }, 100), { ended: [ended] });
+  const next = answerHold(dispatch(reportingRarely(), { kind: 'tick' }, 100), { ended: [ended] });
   expect(reportsOf(next)).to.have.length(1);
 });
--- /dev/null
+++ b/packages/scheduler/src/round.ts
@@ -0,0 +1,197 @@
+import { Map } from 'immutable';
+import { fitsEmptyWorker } from '@bronzeyoke/placement';
+import type { Resources } from '@bronzeyoke/types';
+import { fitsIn } from '@bronzeyoke/types';
+import { assignedSlots, taskProgress } from '@bronzeyoke/workflow';
+import type { StageCandidate } from './candidates';
+import { searchKey } from './candidates';
+import type { PlacementPass } from './pass';
+import { isBackingOff, loadsOfService, placeGang, placeTask, serviceOf } from './pass';
+import { preemptFills } from './preempt';
+import type { FailedSearch } from './search';
+import { placeOn, searchScope } from './search';
+import type { SchedulerState } from './types';
+import type { WaitingTask } from './waits';
+
+/**
+ * Workers that the filling stages of one pass look at, in total. A pass must stay short, because renewals
+ * and reports wait for it; the next pass goes on with the stages that are left.
+ */
+const MAX_LOOKS = 6_000;
+
+/**
+ * Places one task of an overdue job beside a task that it harms, at a low pace, if the job has no other
+ * task on a worker.
+ */
+function placeLastResort(
+  pass: PlacementPass,
+  candidate: StageCandidate,
+  slot: string,
+  nowMs: number,
+): PlacementPass {
+  const { jobId, ready } = candidate;
+  const open = pass.state.jobs.get(jobId);
+  if (open === undefined || !ready.stage.fillsIdle) return pass;
+  if (assignedSlots(open.progress).length > 0) return pass;
+  const attempt = 1 + taskProgress(open.progress, slot).attempt;
+  return placeTask(pass, jobId, ready, slot, attempt, nowMs, { isLastResort: true }) ?? pass;
+}
+
+/** A pass over the stages, with the failed searches so far and the workers that it may still look at. */
+export interface Round {
+  readonly pass: PlacementPass;
+  readonly failedSearches: Map<string, FailedSearch>;
+  readonly unplacedSince: Map<string, number>;
+  readonly looksLeft: number;
+  /** A stage was left to the next pass. */
+  readonly isCut: boolean;
+  /** Demands of stages for which the pass has found no worker. */
+  readonly unmet: readonly Demand[];
+}
+
+/** Returns since when the stages have waited for which room is kept. */
+function keepUnplaced(
+  { unplacedSince }: SchedulerState,
+  waiting: readonly WaitingTask[],
+): Map<string, number> {
+  return waiting.reduce((kept, { candidate, wait }) => {
+    const key = searchKey(candidate);
+    return wait.cause === 'starved' ? kept.set(key, unplacedSince.get(key, wait.sinceMs)) : kept;
+  }, Map<string, number>());
+}
+
+/** Returns a round that begins with the stages for which room is kept. */
+export function openRound(pass: PlacementPass, waiting: readonly WaitingTask[]): Round {
+  return {
+    pass,
+    failedSearches: Map(),
+    unplacedSince: keepUnplaced(pass.state, waiting),
+    looksLeft: MAX_LOOKS,
+    isCut: false,
+    unmet: [],
+  };
+}
+
+/** What a stage without filling tasks and without a limit a worker asks for. */
+interface Demand {
+  readonly service: string;
+  readonly requiredLabel: string | undefined;
+  readonly needs: Resources;
+}
+
+/** Returns the demand of a stage; undefined if more than room decides whether a worker may run it. */
+function demandOf({ state }: PlacementPass, { jobId, ready }: StageCandidate): Demand | undefined {
+  const open = state.jobs.get(jobId);
+  const { needs, requiredLabel, fillsIdle, maxPerWorker } = ready.stage;
+  if (open === undefined || fillsIdle || maxPerWorker !== undefined) return undefined;
+  return { service: serviceOf(state, open), requiredLabel, needs };
+}
+
+/** Returns whether no worker has room for a demand because there was none for one that asks for less. */
+function isKnownUnmet({ unmet }: Round, { service, requiredLabel, needs }: Demand): boolean {
+  return unmet.some(
+    (other) =>
+      other.service === service &&
+      other.requiredLabel === requiredLabel &&
+      fitsIn(other.needs, needs),
+  );
+}
+
+/** Keeps the record of the last search of a stage that is not searched in this pass. */
+function keepSearch(round: Round, candidate: StageCandidate): Round {
+  const key = searchKey(candidate);
+  const known = round.pass.state.failedSearches.get(key);
+  if (known === undefined) return round;
+  return { ...round, failedSearches: round.failedSearches.set(key, known) };
+}
+
+/** Records that a filling stage found too few workers. */
+function recordFailure(
+  round: Round,
+  candidate: StageCandidate,
+  isFull: boolean,
+  nowMs: number,
+): Round {
+  const key = searchKey(candidate);
+  const { state } = round.pass;
+  const fullAtMs = isFull ? nowMs : (state.failedSearches.get(key)?.fullAtMs ?? nowMs);
+  const failed = { passNumber: state.passCount, fullAtMs };
+  return { ...round, failedSearches: round.failedSearches.set(key, failed) };
+}
+
+/** Returns whether a worker could run a task of a stage if it were empty. */
+function couldRun(pass: PlacementPass, { jobId, ready }: StageCandidate): boolean {
+  const open = pass.state.jobs.get(jobId);
+  return (
+    open !== undefined &&
+    loadsOfService(pass, open).some((load) => fitsEmptyWorker(ready.stage, load))
+  );
+}
+
+/** Records that a stage without filling tasks waits for a worker. One that fits none waits for nothing. */
+function recordUnplaced(round: Round, candidate: StageCandidate, nowMs: number): Round {
+  if (!couldRun(round.pass, candidate)) return round;
+  const key = searchKey(candidate);
+  const sinceMs = round.pass.state.unplacedSince.get(key, nowMs);
+  return { ...round, unplacedSince: round.unplacedSince.set(key, sinceMs) };
+}
+
+/** Places tasks that need room of their own, or stops filling tasks that keep them from it. */
+function placeOwnRoom(
+  round: Round,
+  candidate: StageCandidate,
+  slots: readonly string[],
+  nowMs: number,
+): Round {
+  const { pass } = round;
+  const demand = demandOf(pass, candidate);
+  if (demand !== undefined && isKnownUnmet(round, demand)) {
+    return recordUnplaced(round, candidate, nowMs);
+  }
+  const { loads } = searchScope(pass, candidate, nowMs);
+  const placed = placeOn(pass, candidate, slots, loads, nowMs);
+  if (placed.left.length === 0) return { ...round, pass: placed.pass };
+  const preempted = preemptFills(placed.pass, candidate, placed.left);
+  const next = recordUnplaced({ ...round, pass: preempted.pass }, candidate, nowMs);
+  const isUnmet = demand !== undefined && preempted.left.length > 0;
+  return isUnmet ? { ...next, unmet: [...next.unmet, demand] } : next;
+}
+
+/** Places tasks that use what others leave idle. */
+function placeFills(
+  round: Round,
+  candidate: StageCandidate,
+  slots: readonly [string, ...string[]],
+  nowMs: number,
+): Round {
+  const { pass } = round;
+  // A pass has to end, and the users of other tasks wait.
+  if (round.looksLeft <= 0) return { ...keepSearch(round, candidate), isCut: true };
+  const { loads, isFull } = searchScope(pass, candidate, nowMs);
+  const placed = placeOn(pass, candidate, slots, loads, nowMs);
+  const isNonePlaced = placed.left.length === slots.length;
+  const last =
+    isNonePlaced && candidate.isOverdue
+      ? placeLastResort(pass, candidate, slots[0], nowMs)
+      : placed.pass;
+  const next = { ...round, pass: last, looksLeft: round.looksLeft - loads.length };
+  return placed.left.length === 0 ? next : recordFailure(next, candidate, isFull, nowMs);
+}
+
+/** Places the tasks of a stage for which there is room. */
+export function placeStage(round: Round, candidate: StageCandidate, nowMs: number): Round {
+  const { pass } = round;
+  const { jobId, ready } = candidate;
+  if (ready.stage.isGang) {
+    const placed = placeGang(pass, candidate, nowMs);
+    return placed === pass ? recordUnplaced(round, candidate, nowMs) : { ...round, pass: placed };
+  }
+  const [first, ...others] = ready.slots.filter(
+    (slot) => !isBackingOff(pass, `${jobId}.${slot}`, nowMs),
+  );
+  if (first === undefined) return round;
+  const slots = [first, ...others] as const;
+  return ready.stage.fillsIdle
+    ? placeFills(round, candidate, slots, nowMs)
+    : placeOwnRoom(round, candidate, slots, nowMs);
+}
--- a/packages/scheduler/test/search.test.ts
+++ b/packages/scheduler/test/search.test.ts
@@ -83,3 +83,20 @@
   expect(reportIntervalMs(small, 10_000) ?? Infinity).to.be.at.most(600);
   expect(passIntervalMs(630)).to.be.lessThan(100);
 });
+
+// Guards against room that is kept for good for a task that no worker can ever run.
+it('search: no room is kept for a task that fits no worker', () => {
+  const poison = place(join(createLeader(), 'w1'), jobOf('poison', [sized(99_000)]));
+  const later = commitAll(advance(commitAll(advance(poison, 6_000)), 600));
+  expect(later.state.unplacedSince.size).to.equal(0);
+  expect(later.state.waits.size).to.equal(0);
+});
+
+// Guards against a pass that searches again for each of many tasks that no worker has room for.
+it('search: a task that needs less is placed although a larger one was not', () => {
+  const full = list(place(join(createLeader(), 'w1'), jobOf('big', [sized(3_000)])), 'w1');
+  const larger = place(full, jobOf('larger', [sized(2_000)]));
+  const smaller = place(larger, jobOf('smaller', [sized(900)]));
+  expect(siteOf(smaller, 'larger.0.0.0')).to.equal(undefined);
+  expect(siteOf(smaller, 'smaller.0.0.0')).to.equal('w1');
+});
--- a/tools/scale/fleet.ts
+++ b/tools/scale/fleet.ts
@@ -2,7 +2,6 @@
 import type { SchedulerEvent, SchedulerState } from '@bronzeyoke/scheduler';
 import {
   createScheduler,
-  deriveTimes,
   FULL_CAPACITY,
   jobKey,
   stepScheduler,
@@ -10,11 +9,7 @@
 } from '@bronzeyoke/scheduler';
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import type { Stage, WorkflowJob } from '@bronzeyoke/workflow';
-
-/** Start of the wall clock. */
-const WALL_MS = 1_800_000_000_000;
-
-const TIMES = deriveTimes({ maxLeaseMs: 10_000, holderLeaseMs: 3_000, statusMs: 120_000 });
+import { jobOf, stageOf, TIMES, WALL_MS } from '../../packages/scheduler/test/fixture';
 
 const WORKER_CORES = 64;
 const RACK_WORKERS = 12;
@@ -111,40 +106,16 @@
   return apply(read, { kind: 'jobRows', isFull: true, rows: rowsOf(TABLES.jobs, jobs), wallMs });
 }
 
-/** Returns a stage of a given number of tasks. */
-export function stageOf(taskCount: number, cores: number, changes: Partial<Stage>): Stage {
-  return {
-    taskCount,
-    needs: { processorsMilli: cores * 1_000, memoryMb: 1_000, accelerators: 0 },
-    estimateMs: 2_400,
-    dependsOn: [],
-    savesCheckpoints: false,
-    isGang: false,
-    prefersOneRack: false,
-    allowsCopies: false,
-    isLasting: false,
-    fillsIdle: false,
-    ...changes,
-  };
+/** Returns a stage of tasks that need some cores each. */
+export function coreStage(taskCount: number, cores: number, changes: Partial<Stage> = {}): Stage {
+  const needs = { processorsMilli: cores * 1_000, memoryMb: 1_000, accelerators: 0 };
+  return stageOf(taskCount, { needs, estimateMs: 2_400, ...changes });
 }
 
 /** Returns a job of one stage in a queue of some priority. */
-export function jobOf(jobId: string, stage: Stage, priority = 0): WorkflowJob {
-  return {
-    jobId,
-    policy: {
-      queue: `priority-${priority}`,
-      service: 'quoter',
-      priority,
-      maxAttempts: 3,
-      slackFactor: 2,
-      targetDurationMs: 1_000,
-      needsAdvice: false,
-    },
-    payload: 'work',
-    stages: [stage],
-    acceptedAtMs: WALL_MS,
-  };
+export function priorityJob(jobId: string, stage: Stage, priority = 0): WorkflowJob {
+  const job = jobOf(jobId, [stage]);
+  return { ...job, policy: { ...job.policy, queue: `priority-${priority}`, priority } };
 }
 
 /** Delivers the rows of stored jobs. */
--- a/tools/scale/main.ts
+++ b/tools/scale/main.ts
@@ -6,11 +6,11 @@
   apply,
   commitAll,
   createLoading,
-  jobOf,
+  coreStage,
   join,
   loadState,
+  priorityJob,
   reportOf,
-  stageOf,
   submit,
   tick,
 } from './fleet';
@@ -39,9 +39,9 @@
 function watchJobs(workers: number): readonly WorkflowJob[] {
   const count = Math.round((workers * WORKER_CORES * WATCHED_SHARE) / (WATCH_TASKS * WATCH_CORES));
   return Array.from({ length: count }, (_, index) =>
-    jobOf(
+    priorityJob(
       `watch${index}`,
-      stageOf(WATCH_TASKS, WATCH_CORES, {
+      coreStage(WATCH_TASKS, WATCH_CORES, {
         isLasting: true,
         image: `serving${index % 5}`,
         latencyTargetMs: 400,
@@ -52,9 +52,9 @@
 
 function batchJobs(workers: number): readonly WorkflowJob[] {
   return Array.from({ length: Math.floor(workers / WORKERS_PER_BATCH_JOB) }, (_, index) =>
-    jobOf(
+    priorityJob(
       `batch${index}`,
-      stageOf(BATCH_TASKS, BATCH_CORES + (index % 3), {
+      coreStage(BATCH_TASKS, BATCH_CORES + (index % 3), {
         fillsIdle: true,
         image: `filling${index % 7}`,
         savesCheckpoints: true,
@@ -112,7 +112,7 @@
   const filled = commitAll(submit(watched, batchJobs(workers)));
   const full = listAll(listAll(filled, workers, 120), workers, 130);
   const later = commitAll(tick(full, 100));
-  const quick = [jobOf('quick', stageOf(1, 1, {}))];
+  const quick = [priorityJob('quick', coreStage(1, 1, {}))];
   const reports = Array.from({ length: REPEATS }, (_, index) => index % workers);
   return {
     'pass, little new': timed(repeat(later), (leader) => submit(leader, quick)),
