Take the rows of a transaction without changing an array in place

Cause: takeJobs pushed to an array within a reduce, against the rule of read-only data, and a switch did not end in assertNever.

--- a/packages/scheduler/src/pending.ts
+++ b/packages/scheduler/src/pending.ts
@@ -1,3 +1,4 @@
+import { assertNever } from '@bronzeyoke/types';
 import { List, OrderedMap } from 'immutable';
 
 /** An action that follows once the rows that it depends on are stored. */
@@ -116,23 +117,18 @@
   limit: RowSize,
   sizeOf: (jobId: string) => RowSize,
 ): readonly string[] {
-  const taken = writeOrder(pending).reduce<{
-    readonly jobIds: string[];
-    readonly left: RowSize;
-    readonly isFull: boolean;
-  }>(
-    (current, jobId) => {
-      if (current.isFull) return current;
+  const ordered = writeOrder(pending);
+  const taken = ordered.reduce(
+    (sum, jobId, index) => {
+      if (sum.count < index) return sum;
       const { entries, bytes } = sizeOf(jobId);
-      const left = { entries: current.left.entries - entries, bytes: current.left.bytes - bytes };
-      const isFull = current.jobIds.length > 0 && (left.entries < 0 || left.bytes < 0);
-      if (isFull) return { ...current, isFull };
-      current.jobIds.push(jobId);
-      return { jobIds: current.jobIds, left, isFull };
+      const next = { entries: sum.entries + entries, bytes: sum.bytes + bytes };
+      const fits = next.entries <= limit.entries && next.bytes <= limit.bytes;
+      return fits || index === 0 ? { ...next, count: index + 1 } : sum;
     },
-    { jobIds: [], left: limit, isFull: false },
+    { count: 0, entries: 0, bytes: 0 },
   );
-  return taken.jobIds;
+  return ordered.slice(0, taken.count);
 }
 
 /** Returns whether a change that an action waits for is left over. */
@@ -142,6 +138,8 @@
       return (left.first()?.change ?? Infinity) <= lastChange;
     case 'jobs':
       return scope.jobIds.some((jobId) => (left.get(jobId)?.change ?? Infinity) <= lastChange);
+    default:
+      return assertNever(scope);
   }
 }
 
