Report lists without a new end less often while ends wait

While ends are not acknowledged a worker answers each hold at once, and the agent reported each of these lists: a slow leader got more reports.

Change: grants always state an interval, 0.2 s at least; ends are reported 50 ms apart at most. A pass looks at 2,000 workers for filling stages instead of 6,000. A search stops at the first task without a worker instead of copying the rest one by one. The scale benchmark lets time pass before new jobs, because passes on large fleets are apart.

--- a/packages/runner/src/report.ts
+++ b/packages/runner/src/report.ts
@@ -34,15 +34,16 @@
   return ended.at(-1)?.sequence ?? 0;
 }
 
+/** Time between two reports of ends, which come one after the other while a wide stage ends. */
+const END_INTERVAL_MS = 50;
+
 /** Returns whether the leader has to see a list now: it names a new end, or the last report is old. */
 function isReportDue(state: RunnerState, worker: WorkerState, nowMs: number): boolean {
   const { lastReport, reportIntervalMs, goneWorkers } = state;
-  return (
-    lastReport?.workerKey !== worker.workerKey ||
-    nowMs - lastReport.atMs >= reportIntervalMs ||
-    lastSequenceOf(worker) > lastReport.lastSequence ||
-    goneWorkers.length > 0
-  );
+  if (lastReport?.workerKey !== worker.workerKey || goneWorkers.length > 0) return true;
+  const hasNewEnd = lastSequenceOf(worker) > lastReport.lastSequence;
+  const intervalMs = hasNewEnd ? Math.min(END_INTERVAL_MS, reportIntervalMs) : reportIntervalMs;
+  return nowMs - lastReport.atMs >= intervalMs;
 }
 
 /** Reports a list to the leader, as often as the leader asks for. An end is reported at once. */
--- a/packages/scheduler/src/budget.ts
+++ b/packages/scheduler/src/budget.ts
@@ -28,21 +28,17 @@
 const REPORT_COST_MS = 0.5;
 const REPORT_SHARE = 0.15;
 
-/** Agents report every list, one in 300 ms, unless the reports of the fleet would take more than that. */
-const LIST_INTERVAL_MS = 300;
+/** A worker lists its runs again and again while the leader has not acknowledged an end. */
+const MIN_REPORT_INTERVAL_MS = 200;
 
 /** Less than the time after which a worker counts as silent, with a margin for a late report. */
 const MAX_REPORT_INTERVAL_MS = 600;
 
-/** Returns the time between two reports of an agent; undefined if it may report every list. */
-export function reportIntervalMs(
-  { processors }: EntryCapacity,
-  workerCount: number,
-): number | undefined {
+/** Returns the time between two reports of an agent that list no new end. */
+export function reportIntervalMs({ processors }: EntryCapacity, workerCount: number): number {
   const neededMs = (workerCount * REPORT_COST_MS) / (processors * REPORT_SHARE);
-  return neededMs <= LIST_INTERVAL_MS
-    ? undefined
-    : Math.round(Math.min(neededMs, MAX_REPORT_INTERVAL_MS));
+  const intervalMs = Math.min(MAX_REPORT_INTERVAL_MS, Math.max(MIN_REPORT_INTERVAL_MS, neededMs));
+  return Math.round(intervalMs);
 }
 
 /** Workers for which a pass is so short that the next one may follow at once. */
--- a/packages/scheduler/src/preempt.ts
+++ b/packages/scheduler/src/preempt.ts
@@ -96,12 +96,13 @@
   const constraints = { siblingCount: siblingCounter(pass, open, ready) };
   const loads = loadsWithoutFills(pass, open, priority);
   const first = { pass, left: [], candidates: findCandidates(stage, loads, classify, constraints) };
-  return slots.reduce<Preemption>((current, slot) => {
+  return slots.reduce<Preemption>((current, slot, index) => {
+    if (current.left.length > 0) return current;
     const { failedOn } = taskProgress(open.progress, slot);
     const chosen = bestCandidate(current.candidates, failedOn)?.load;
     const load = chosen === undefined ? undefined : current.pass.loads.get(chosen.workerKey);
     if (chosen === undefined || load === undefined) {
-      return { ...current, left: [...current.left, slot] };
+      return { ...current, left: slots.slice(index) };
     }
     const reserved = withTask(load, stage);
     const stops = fillsToStop(pass.state, reserved, priority, current.pass.stops);
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -75,8 +75,12 @@
   };
   const leaseUntilClockMs = Math.floor(clockMs + times.agentLeaseMs * CLOCK_SHARE);
   const intervalMs = reportIntervalMs(state.settings.capacity, state.workers.size);
-  const pacing = intervalMs === undefined ? {} : { reportIntervalMs: intervalMs };
-  const message = { kind: 'grant', workerKey, leaseUntilClockMs, ...pacing } as const;
+  const message = {
+    kind: 'grant',
+    workerKey,
+    leaseUntilClockMs,
+    reportIntervalMs: intervalMs,
+  } as const;
   const grant: readonly SchedulerEffect[] = mayGrant ? [{ kind: 'send', linkId, message }] : [];
   const { id, service, domain, isDraining } = worker;
   const isChanged = known?.report === undefined || known.report.isDraining !== isDraining;
--- a/packages/scheduler/src/round.ts
+++ b/packages/scheduler/src/round.ts
@@ -17,7 +17,7 @@
  * Workers that the filling stages of one pass look at, in total. A pass must stay short, because renewals
  * and reports wait for it; the next pass goes on with the stages that are left.
  */
-const MAX_LOOKS = 6_000;
+const MAX_LOOKS = 2_000;
 
 /**
  * Places one task of an overdue job beside a task that it harms, at a low pace, if the job has no other
--- a/packages/scheduler/src/search.ts
+++ b/packages/scheduler/src/search.ts
@@ -39,11 +39,12 @@
     left: [],
     candidates: findCandidates(stage, loads, classify, constraints),
   };
-  return slots.reduce((current, slot): OpenSearch => {
+  return slots.reduce((current, slot, index): OpenSearch => {
+    if (current.left.length > 0) return current;
     const known = current.pass.state.jobs.get(jobId) ?? open;
     const { attempt, failedOn } = taskProgress(known.progress, slot);
     const best = bestCandidate(current.candidates, failedOn);
-    if (best === undefined) return { ...current, left: [...current.left, slot] };
+    if (best === undefined) return { ...current, left: slots.slice(index) };
     const task = { open: known, ready, slot, attempt: attempt + 1 };
     const placed = claimOn(current.pass, best.load, task, false, nowMs);
     const after = placed.state.jobs.get(jobId) ?? known;
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -57,7 +57,7 @@
       readonly kind: 'grant';
       readonly workerKey: string;
       readonly leaseUntilClockMs: number;
-      /** Time between two reports without an end of a run; absent if every list is to be reported. */
+      /** Time between two reports that list no new end; absent if every list is to be reported. */
       readonly reportIntervalMs?: number;
     }
   | {
--- a/tools/scale/fleet.ts
+++ b/tools/scale/fleet.ts
@@ -118,8 +118,12 @@
   return { ...job, policy: { ...job.policy, queue: `priority-${priority}`, priority } };
 }
 
-/** Delivers the rows of stored jobs. */
-export function submit(leader: Leader, jobs: readonly WorkflowJob[]): Leader {
+/** Time before new jobs, after which no placement pass has to wait for the one before. */
+const PASS_PAUSE_MS = 100;
+
+/** Delivers the rows of stored jobs after a pause. */
+export function submit(earlier: Leader, jobs: readonly WorkflowJob[]): Leader {
+  const leader = { ...earlier, nowMs: earlier.nowMs + PASS_PAUSE_MS };
   const rows = jobs.map((job) => ({ ...jobKey(job.jobId), version: leader.version, value: job }));
   const wallMs = WALL_MS + leader.nowMs;
   return apply(leader, { kind: 'jobRows', isFull: false, rows, wallMs });
