Limit the searches for places and moves in a pass by the size of the fleet

Each of up to 40 waiting lasting tasks looked at all 160 workers, and, after a second, at the runs of these for moves.

Change: a pass makes as many searches as look at 2,800 workers together (8 at least, 40 at most) and three searches for moves; a task that got no search for moves is not marked as sought in vain.

--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -18,10 +18,22 @@
 const MOVE_SEARCH_MS = 500;
 
 /**
- * Searches for a place in one pass. After a loss of power hundreds of tasks wait, and a pass must stay
- * short; the next pass goes on with those that have no place yet.
+ * Searches for a place in one pass, and workers that they look at together. After a loss of power
+ * hundreds of tasks wait, and a pass must stay short; the next pass goes on with those that have no
+ * place yet.
  */
 const MAX_SEARCHES = 40;
+const MIN_SEARCHES = 8;
+const MAX_SEARCHED_WORKERS = 2_800;
+
+/** Searches for moves in one pass. One looks at the runs of many workers. */
+const MAX_MOVE_SEARCHES = 3;
+
+/** Returns how many searches a pass makes on a fleet. */
+function maxSearches(workerCount: number): number {
+  const searches = Math.floor(MAX_SEARCHED_WORKERS / Math.max(1, workerCount));
+  return Math.min(MAX_SEARCHES, Math.max(MIN_SEARCHES, searches));
+}
 
 /** A task, or all members of a gang, to place in one decision. */
 type PlacementUnit =
@@ -34,6 +46,7 @@
   readonly full: ReadonlySet<string>;
   readonly hopeless: ReadonlySet<string>;
   readonly searchesLeft: number;
+  readonly moveSearchesLeft: number;
   /** So many tasks wait that those with a kept place look for no other one. */
   readonly isCrowded: boolean;
 }
@@ -114,6 +127,16 @@
   return vacancy === undefined ? undefined : keepPlace(pass, waiting, vacancy, mayClear, nowMs);
 }
 
+/**
+ * Returns whether moves are sought for a task. Nothing that runs makes way for one that has not run
+ * yet.
+ */
+function isMoveDue({ wait }: WaitingTask, nowMs: number): boolean {
+  const { cause, sinceMs, movesSoughtAtMs = -Infinity, moves = [] } = wait;
+  if (cause === 'starved' || nowMs - sinceMs < CLEAR_AFTER_MS) return false;
+  return moves.length > 0 || nowMs - movesSoughtAtMs >= MOVE_SEARCH_MS;
+}
+
 /** Moves tasks of other jobs to make room for one that has waited; undefined if no move does. */
 function movePlace(
   pass: PlacementPass,
@@ -121,13 +144,10 @@
   nowMs: number,
 ): PlacementPass | undefined {
   const { task, wait } = waiting;
-  // Nothing that runs makes way for a task that has not run yet.
-  if (wait.cause === 'starved') return undefined;
-  const { sinceMs, movesSoughtAtMs = -Infinity, moves: planned = [], workerKey } = wait;
+  const { sinceMs, moves: planned = [], workerKey } = wait;
   const target = slotOf(pass, waiting);
+  if (target === undefined || !isMoveDue(waiting, nowMs)) return undefined;
   const awayMs = nowMs - sinceMs;
-  const isDue = planned.length > 0 || nowMs - movesSoughtAtMs >= MOVE_SEARCH_MS;
-  if (target === undefined || awayMs < CLEAR_AFTER_MS || !isDue) return undefined;
   const isOverdue = awayMs > CLEAR_AFTER_MS + MAX_DRAIN_MS;
   const search = { task, target, plannedKey: workerKey, planned, isOverdue };
   const found = makeRoomByMoves(pass, search);
@@ -137,12 +157,13 @@
   return putWait(settled, task, { ...cleared, moves: found.moves });
 }
 
-function giveUp(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
-  const { wait } = waiting;
-  const isSought = nowMs - wait.sinceMs >= CLEAR_AFTER_MS;
-  const isFresh = nowMs - (wait.movesSoughtAtMs ?? -Infinity) < MOVE_SEARCH_MS;
-  const sought = isSought && !isFresh ? { ...wait, movesSoughtAtMs: nowMs } : wait;
-  return settleWait(pass, { ...waiting, wait: sought }, 'lose');
+function giveUp(pass: PlacementPass, waiting: WaitingTask): PlacementPass {
+  return settleWait(pass, waiting, 'lose');
+}
+
+/** Gives up after moves were sought in vain. */
+function giveUpMoves(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
+  return giveUp(pass, { ...waiting, wait: { ...waiting.wait, movesSoughtAtMs: nowMs } });
 }
 
 /** Claims a worker with room for a waiting task, or only its kept one; undefined if there is none. */
@@ -165,22 +186,22 @@
 
 /** Searches a place for a waiting task that keeps none. */
 function searchPlace(search: Search, waiting: WaitingTask, nowMs: number): Search {
-  const { pass, hopeless, searchesLeft } = search;
+  const { pass, hopeless, searchesLeft, moveSearchesLeft } = search;
   const key = searchKey(waiting.candidate);
-  if (hopeless.has(key) || searchesLeft === 0) {
-    return { ...search, pass: giveUp(pass, waiting, nowMs) };
-  }
-  const left = searchesLeft - 1;
+  if (hopeless.has(key) || searchesLeft === 0) return { ...search, pass: giveUp(pass, waiting) };
+  const searched = { ...search, searchesLeft: searchesLeft - 1 };
   const mayClear = !isBackingOff(pass, waiting.task, nowMs);
-  const kept = keepNewPlace(pass, waiting, mayClear, nowMs) ?? movePlace(pass, waiting, nowMs);
-  return kept === undefined
-    ? {
-        ...search,
-        pass: giveUp(pass, waiting, nowMs),
-        hopeless: new Set([...hopeless, key]),
-        searchesLeft: left,
-      }
-    : { ...search, pass: kept, searchesLeft: left };
+  const kept = keepNewPlace(pass, waiting, mayClear, nowMs);
+  if (kept !== undefined) return { ...searched, pass: kept };
+  const inVain = { ...searched, hopeless: new Set([...hopeless, key]) };
+  // Without a move search left, the task is not hopeless: the next pass may find moves for it.
+  if (!isMoveDue(waiting, nowMs)) return { ...inVain, pass: giveUp(pass, waiting) };
+  if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(pass, waiting) };
+  const moved = movePlace(pass, waiting, nowMs);
+  const left = moveSearchesLeft - 1;
+  return moved === undefined
+    ? { ...inVain, moveSearchesLeft: left, pass: giveUpMoves(pass, waiting, nowMs) }
+    : { ...searched, moveSearchesLeft: left, pass: moved };
 }
 
 function placeUnitTask(search: Search, waiting: WaitingTask, nowMs: number): Search {
@@ -226,7 +247,12 @@
           movePlace(current, member, nowMs)),
     pass,
   );
-  return kept ?? members.reduce((current, member) => giveUp(current, member, nowMs), pass);
+  if (kept !== undefined) return kept;
+  return members.reduce(
+    (current, member) =>
+      isMoveDue(member, nowMs) ? giveUpMoves(current, member, nowMs) : giveUp(current, member),
+    pass,
+  );
 }
 
 function placeUnit(search: Search, unit: PlacementUnit, nowMs: number): Search {
@@ -271,12 +297,14 @@
   waiting: readonly WaitingTask[],
   nowMs: number,
 ): PlacementPass {
+  const searches = maxSearches(pass.loads.size);
   const search: Search = {
     pass,
     full: new Set(),
     hopeless: new Set(),
-    searchesLeft: MAX_SEARCHES,
-    isCrowded: waiting.length > MAX_SEARCHES,
+    searchesLeft: searches,
+    moveSearchesLeft: MAX_MOVE_SEARCHES,
+    isCrowded: waiting.length > searches,
   };
   const { pass: placed } = unitsOf(waiting).reduce(
     (current, unit) => placeUnit(current, unit, nowMs),
