Connect to a busy leader again after 0.8 s

The platform drops the first packet of a connection when the queue is full, and sends it again after seconds; a dialer waited 2 s for that.

Change: a connection that is not open after 0.8 s is tried again, and an entry asks for a queue of 2,048 connections.

--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -40,6 +40,9 @@
 
 const TICK_MS = 50;
 
+/** Connections that wait to be accepted. All agents connect to a new leader at the same time. */
+const CONNECTION_BACKLOG = 2_048;
+
 /** Longest wait of one call of a feed. Short, so that a silent connection is detected soon. */
 const FEED_WAIT_MS = 2_000;
 
@@ -62,7 +65,7 @@
   let currentConfig: FleetConfig | undefined;
 
   const server = createServer((socket) => links.accept(socket, scheduler));
-  server.listen(settings.port, settings.host);
+  server.listen({ port: settings.port, host: settings.host, backlog: CONNECTION_BACKLOG });
   await once(server, 'listening');
 
   const leaderFeed = followLeader(store, {
--- a/packages/link/src/dialer.ts
+++ b/packages/link/src/dialer.ts
@@ -14,7 +14,9 @@
 
 const INITIAL_RETRY_MS = 100;
 const MAX_RETRY_MS = 5_000;
-const CONNECT_TIMEOUT_MS = 2_000;
+
+/** A peer whose queue of new connections is full drops the first packet, which is sent again after seconds. */
+const CONNECT_TIMEOUT_MS = 800;
 
 const chart = compileChart(chartFile, {
   states: ['connecting', 'open', 'waiting', 'stopped'],
