--- a/packages/scheduler/src/instances.ts
+++ b/packages/scheduler/src/instances.ts
@@ -58,3 +58,37 @@
     });
   }, state);
 }
+
+/** A worker instance in a report. */
+interface ReportedWorker {
+  readonly workerKey: string;
+  readonly worker: WorkerReport;
+}
+
+/** Returns whether a later instance at a worker's address has reported. */
+export function hasNewerInstance(
+  state: SchedulerState,
+  { workerKey, worker }: ReportedWorker,
+): boolean {
+  return state.workers.some(
+    ({ report: other, workerKey: otherKey }) =>
+      otherKey !== workerKey &&
+      other?.address === worker.address &&
+      other.bornAtMs > worker.bornAtMs,
+  );
+}
+
+/** Returns whether a worker was compared with all known instances and says the same of itself as then. */
+export function wasCompared(state: SchedulerState, { workerKey, worker }: ReportedWorker): boolean {
+  const known = state.workers.get(workerKey);
+  return known?.report === worker && known.comparedCount === state.instanceCount;
+}
+
+/** Records that a worker was compared with all known instances. */
+export function markCompared(state: SchedulerState, workerKey: string): SchedulerState {
+  const { workers, instanceCount } = state;
+  const view = workers.get(workerKey);
+  if (view === undefined || view.comparedCount === instanceCount) return state;
+  const compared = { ...view, comparedCount: instanceCount };
+  return { ...state, workers: workers.set(workerKey, compared) };
+}
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -12,7 +12,13 @@
   withTasks,
 } from '@bronzeyoke/workflow';
 import { reportIntervalMs } from './budget';
-import { earlierInstances, storeAddress } from './instances';
+import {
+  earlierInstances,
+  hasNewerInstance,
+  markCompared,
+  storeAddress,
+  wasCompared,
+} from './instances';
 import { isAwaited, leaseEndMs } from './leases';
 import { moveListedRuns } from './move';
 import { applyEnd, releaseRun, releaseWorker } from './release';
@@ -285,30 +291,6 @@
   return (state.links.get(linkId)?.number ?? -1) < newest;
 }
 
-/** Returns whether a later instance at a worker's address has reported. */
-function hasNewerInstance(state: SchedulerState, { workerKey, worker }: Report): boolean {
-  return state.workers.some(
-    ({ report: other, workerKey: otherKey }) =>
-      otherKey !== workerKey &&
-      other?.address === worker.address &&
-      other.bornAtMs > worker.bornAtMs,
-  );
-}
-
-/** Returns whether a worker was compared with all known instances and says the same of itself as then. */
-function wasCompared(state: SchedulerState, { workerKey, worker }: Report): boolean {
-  const known = state.workers.get(workerKey);
-  return known?.report === worker && known.comparedCount === state.instanceCount;
-}
-
-function markCompared(state: SchedulerState, workerKey: string): SchedulerState {
-  const { workers, instanceCount } = state;
-  const view = workers.get(workerKey);
-  if (view === undefined || view.comparedCount === instanceCount) return state;
-  const compared = { ...view, comparedCount: instanceCount };
-  return { ...state, workers: workers.set(workerKey, compared) };
-}
-
 /** Applies an agent's report of its worker. */
 export function onReport(
   state: SchedulerState,
