Tell crashes of workers apart, and show the task that crashes them

New event and counter workerCrashed; taskReleased has claimedForMs. The handling of gone workers moves from step.ts to gone.ts. No decision changes.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -3,6 +3,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
+import { forgetStart, noteResult } from './recentstarts';
 import { reportIfDue, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { awaitsList, orderChart, orderKey } from './types';
@@ -138,7 +139,7 @@
   switch (result.kind) {
     case 'done': {
       if (result.bornAtMs !== undefined && result.bornAtMs !== worker.report.bornAtMs) {
-        return removeWorker(answered, 'restarted');
+        return removeWorker(answered, 'restarted', nowMs);
       }
       return onList(answered, worker, result, nowMs);
     }
@@ -149,11 +150,11 @@
         holdAtMs: nowMs + HOLD_RETRY_MS,
       });
     case 'otherWorker':
-      return removeWorker(answered, 'otherWorker');
+      return removeWorker(answered, 'otherWorker', nowMs);
     case 'notListening': {
       const refusedConnections = worker.refusedConnections + 1;
       if (refusedConnections >= MAX_REFUSED_CONNECTIONS)
-        return removeWorker(answered, 'notListening');
+        return removeWorker(answered, 'notListening', nowMs);
       return unchanged({
         ...answered,
         worker: { ...worker, refusedConnections },
@@ -182,7 +183,7 @@
   const token = next.actions.includes('raiseToken') ? state.token + 1 : state.token;
   if (result.kind === 'refused') {
     const { reason } = result;
-    const remaining = { ...worker, pending: worker.pending.delete(key) };
+    const remaining = forgetStart({ ...worker, pending: worker.pending.delete(key) }, run);
     return {
       state: {
         ...state,
@@ -197,8 +198,9 @@
     phase: next.state,
     afterHold: state.holdCount,
   });
+  const known = result.kind === 'notListening' ? forgetStart(worker, run) : worker;
   return {
-    state: { ...state, token, worker: { ...worker, pending } },
+    state: { ...state, token, worker: { ...known, pending } },
     effects:
       event === 'lost'
         ? [logEffect('orderLost', { ...run, worker: worker.workerKey, call: result.kind })]
@@ -213,17 +215,20 @@
   result: WorkerCallResult,
   nowMs: number,
 ): RunnerStep {
-  const { worker } = state;
   if (callId === state.holdCallId) {
-    return worker === undefined ? unchanged(state) : onHoldResult(state, worker, result, nowMs);
+    if (state.worker === undefined) return unchanged(state);
+    const worker = noteResult(state.worker, result, nowMs);
+    return onHoldResult({ ...state, worker }, worker, result, nowMs);
   }
   const order = state.pendingCalls.get(callId);
   if (order === undefined) return unchanged(state);
-  const rest = { ...state, pendingCalls: state.pendingCalls.delete(callId) };
+  const others = { ...state, pendingCalls: state.pendingCalls.delete(callId) };
   const { call } = order;
-  if (worker?.workerKey !== order.workerKey) {
-    return onGoneCallDone(rest, order.workerKey, call, result);
+  if (state.worker?.workerKey !== order.workerKey) {
+    return onGoneCallDone(others, order.workerKey, call, result);
   }
+  const worker = noteResult(state.worker, result, nowMs);
+  const rest = { ...others, worker };
   switch (call.kind) {
     case 'start':
       return onStartResult(rest, worker, call, result);
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -3,6 +3,8 @@
 import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
+import type { WorkerEndCause } from '@bronzeyoke/wire';
+import { recentStartsOf } from './recentstarts';
 import { sendToLeader } from './report';
 import type { GoneWorker, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { goneChart, orderKey } from './types';
@@ -54,8 +56,14 @@
   }
 }
 
-function goneMessage(state: RunnerState, workerKey: string): readonly RunnerEffect[] {
-  return sendToLeader(state, { kind: 'workerGone', workerKey });
+function goneMessage(state: RunnerState, gone: GoneWorker): readonly RunnerEffect[] {
+  const { workerKey, cause, recentStarts } = gone;
+  return sendToLeader(state, { kind: 'workerGone', workerKey, cause, recentStarts });
+}
+
+/** Returns whether a worker ended by itself. One that drains has announced its end. */
+function causeOf({ report }: WorkerState, reason: GoneReason): WorkerEndCause {
+  return reason === 'left' || report.isDraining ? 'left' : 'crashed';
 }
 
 /** Applies an event to the gone workers for which `isMeant` holds. */
@@ -68,7 +76,7 @@
     const { state: phase, actions } = isMeant(gone)
       ? advance(goneChart, gone.phase, event)
       : { state: gone.phase, actions: [] };
-    const effects = actions.includes('report') ? goneMessage(state, gone.workerKey) : [];
+    const effects = actions.includes('report') ? goneMessage(state, gone) : [];
     return { gone: { ...gone, phase }, effects };
   });
   return {
@@ -82,7 +90,7 @@
 }
 
 /** Removes a worker that is gone, with everything that it ran. */
-export function removeWorker(state: RunnerState, reason: GoneReason): RunnerStep {
+export function removeWorker(state: RunnerState, reason: GoneReason, nowMs: number): RunnerStep {
   const { worker } = state;
   const rest = without(state, 'worker', 'holdCallId');
   if (worker === undefined) return unchanged(state);
@@ -92,6 +100,8 @@
     id: worker.report.id,
     phase: goneChart.initial,
     openStarts: openStartsOf(worker, reason),
+    cause: causeOf(worker, reason),
+    recentStarts: recentStartsOf(worker, nowMs),
   };
   const earlier = advanceGone(rest, 'successorGone', () => true);
   const step = settleEmpty({
@@ -103,6 +113,8 @@
     worker: workerKey,
     reason,
     openStarts: gone.openStarts.size,
+    cause: gone.cause,
+    recentStarts: gone.recentStarts.length,
   });
   return { state: step.state, effects: [...step.effects, log] };
 }
@@ -166,7 +178,7 @@
 export function goneEffects(state: RunnerState): readonly RunnerEffect[] {
   return state.goneWorkers
     .filter(({ phase }) => phase === 'ended')
-    .flatMap(({ workerKey }) => goneMessage(state, workerKey));
+    .flatMap((gone) => goneMessage(state, gone));
 }
 
 /** Reports gone workers again that no leader has recorded yet. */
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -14,6 +14,7 @@
   repeatGone,
   settleGone,
 } from './gone';
+import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
 import { onStop, settleIfDue } from './settle';
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep, WorkerState } from './types';
@@ -54,6 +55,7 @@
     ended: [],
     pending: Map(),
     refusedConnections: 0,
+    startCalls: Map(),
   };
 }
 
@@ -73,7 +75,7 @@
   if (worker !== undefined && !isLater) return unchanged(state);
   const { id, service } = report;
   const isSameId = worker?.report.id === id;
-  const left = removeWorker(state, isSameId ? 'newerInstance' : 'otherWorker');
+  const left = removeWorker(state, isSameId ? 'newerInstance' : 'otherWorker', nowMs);
   const updated = {
     ...left.state,
     worker: createWorker(report),
@@ -141,7 +143,8 @@
   if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterHold: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
-  return callWorker({ ...seen, worker: { ...worker, pending } }, worker, {
+  const called = noteStart({ ...worker, pending }, run, nowMs);
+  return callWorker({ ...seen, worker: called }, worker, {
     kind: 'start',
     ...run,
     fencingToken: state.token,
@@ -209,7 +212,9 @@
     case 'heartbeat':
       return onHeartbeat(state, event.report, nowMs);
     case 'workerLeft':
-      return state.worker?.report.id === event.id ? removeWorker(state, 'left') : unchanged(state);
+      return state.worker?.report.id === event.id
+        ? removeWorker(state, 'left', nowMs)
+        : unchanged(state);
     case 'leader':
       return onLeader(state, event.term, event.address, nowMs);
     case 'linkOpened': {
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -10,7 +10,13 @@
 } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Address } from '@bronzeyoke/types';
-import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
+import type {
+  LeaderMessage,
+  RunnerMessage,
+  RunRef,
+  RecentStart,
+  WorkerEndCause,
+} from '@bronzeyoke/wire';
 import agentChartFile from '../charts/agent.json';
 import goneChartFile from '../charts/gone.json';
 import orderChartFile from '../charts/order.json';
@@ -61,6 +67,12 @@
   return `${run.task}#${run.attempt}`;
 }
 
+/** A start call to the worker. */
+export interface StartCall {
+  readonly run: RunRef;
+  readonly calledAtMs: number;
+}
+
 /** Returns whether an order is settled by the next list that the worker makes. */
 export function awaitsList(phase: PendingOrder['phase']): boolean {
   return phase === 'settling' || phase === 'lost';
@@ -73,6 +85,8 @@
   readonly phase: StateOf<typeof goneChart>;
   /** Start orders that a later instance may carry out, with the time of their calls. */
   readonly openStarts: Map<string, number>;
+  readonly cause: WorkerEndCause;
+  readonly recentStarts: readonly RecentStart[];
 }
 
 /** Settings that stay fixed while the process runs. */
@@ -97,6 +111,10 @@
   readonly pending: Map<string, PendingOrder>;
   /** Number of consecutive refused connections. */
   readonly refusedConnections: number;
+  /** Recent start calls that the worker may have carried out, by run. */
+  readonly startCalls: Map<string, StartCall>;
+  /** When the first call failed after the last reply; absent while the worker replies. */
+  readonly failingSinceMs?: number;
 }
 
 /** A report that was sent. */
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -56,7 +56,14 @@
     { ...open, progress: withTasks(open.progress, [[slot, released]]) },
   );
   return withEffects(next, [
-    taskLog(run.stage, 'taskReleased', { job: jobId, task, attempt, worker: workerKey, reason }),
+    taskLog(run.stage, 'taskReleased', {
+      job: jobId,
+      task,
+      attempt,
+      worker: workerKey,
+      reason,
+      claimedForMs: Math.round(nowMs - run.claimedAtMs),
+    }),
   ]);
 }
 
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -6,19 +6,18 @@
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
 import { onJobRows, onLoaded } from './jobs';
+import { handleGoneReports, onWorkerGone, recordGoneWorker } from './gone';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
 import { changeTimes } from './leases';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
-import type { ActionScope } from './pending';
 import { placeTasks } from './place';
 import { releaseWorker } from './release';
 import { onOrderRefused, onReport } from './report';
-import { runsOn } from './runs';
 import { stopStalledRuns } from './stall';
-import { addPostCommitAction, withEffects } from './state';
-import type { GoneReport, SchedulerEvent, SchedulerState, SchedulerStep } from './types';
+import { withEffects } from './state';
+import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
 
@@ -35,56 +34,6 @@
   ]);
 }
 
-function isSameReport(left: GoneReport, right: GoneReport): boolean {
-  return left.linkId === right.linkId && left.workerKey === right.workerKey;
-}
-
-/** Records a worker that is gone until the runs are loaded. */
-function recordGoneWorker(state: SchedulerState, report: GoneReport): SchedulerState {
-  const { goneReports = [] } = state.loading;
-  if (goneReports.some((other) => isSameReport(other, report))) return state;
-  return { ...state, loading: { ...state.loading, goneReports: [...goneReports, report] } };
-}
-
-/**
- * Releases the tasks of a worker that is gone, and confirms it after the next transaction, also when
- * there is nothing to release: only a successful transaction shows that this entry still leads.
- */
-function onWorkerGone(state: SchedulerState, report: GoneReport, nowMs: number): SchedulerStep {
-  const { linkId, workerKey } = report;
-  const jobIds = new Set(
-    runsOn(state.runs, workerKey)
-      .valueSeq()
-      .map(({ jobId }) => jobId),
-  );
-  const { state: released, effects } = releaseWorker(state, workerKey, 'workerGone', nowMs);
-  // Agents repeat the message, and a transaction may take long.
-  const isPending = released.pendingWrites.actions.some(
-    ({ action }) => action.kind === 'confirmGone' && isSameReport(action, report),
-  );
-  if (isPending) return withEffects(released, effects);
-  const action = { kind: 'confirmGone', linkId, workerKey } as const;
-  // Without runs to release, the rows of an earlier release may still be pending.
-  const scope: ActionScope =
-    jobIds.size === 0 ? { kind: 'all' } : { kind: 'jobs', jobIds: [...jobIds] };
-  return withEffects(addPostCommitAction(released, action, scope), effects);
-}
-
-/** Handles the workers that were reported as gone during a load that a step has finished. */
-function handleGoneReports(
-  before: SchedulerState,
-  step: SchedulerStep,
-  nowMs: number,
-): SchedulerStep {
-  if (before.phase !== 'loading' || step.state.phase !== 'leading') return step;
-  return chainAfter(
-    step,
-    (before.loading.goneReports ?? []).map(
-      (report) => (current: SchedulerState) => onWorkerGone(current, report, nowMs),
-    ),
-  );
-}
-
 /** Places waiting tasks unless a transaction is in flight, and sends the pending writes. */
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { phase, inFlight, needsPlacement, lastPassAtMs, workers } = state;
@@ -150,7 +99,7 @@
     case 'refused':
       return onOrderRefused(state, message, nowMs);
     case 'workerGone':
-      return onWorkerGone(state, { linkId, workerKey: message.workerKey }, nowMs);
+      return onWorkerGone(state, { ...message, linkId }, nowMs);
     default:
       return assertNever(message);
   }
@@ -216,7 +165,8 @@
       const { linkId, message, wallMs } = event;
       if (message.kind === 'leaderChanged') return onLeader(state, message);
       if (state.phase === 'loading' && message.kind === 'workerGone') {
-        return unchanged(recordGoneWorker(state, { linkId, workerKey: message.workerKey }));
+        const { kind, ...gone } = message;
+        return unchanged(recordGoneWorker(state, { ...gone, linkId }));
       }
       // The reply keeps the agent from looking for another leader during a long load.
       if (state.phase === 'loading') return announceLeader(state, linkId);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -206,10 +206,11 @@
   | { readonly kind: 'failed'; readonly retryAtMs: number; readonly fromKey: string }
   | { readonly kind: 'done' };
 
+type WorkerGone = Extract<RunnerMessage, { readonly kind: 'workerGone' }>;
+
 /** An agent's message that a worker is gone. */
-export interface GoneReport {
+export interface GoneReport extends Omit<WorkerGone, 'kind'> {
   readonly linkId: string;
-  readonly workerKey: string;
 }
 
 /** Parts of the store that a new leader has read so far. */
--- a/packages/scheduler/test/fleetoracle.ts
+++ b/packages/scheduler/test/fleetoracle.ts
@@ -17,6 +17,13 @@
 /** Interval between two counts of the places of tasks that are away. */
 const PLACES_INTERVAL_MS = 50;
 
+/**
+ * Crashes under a task, and starts after them that break the rule: the users allow two more starts once
+ * three workers have crashed.
+ */
+const MAX_CRASHES = 3;
+const MAX_LATER_STARTS = 2;
+
 /** The parts of a fleet that its oracle reads. */
 export interface OracleView {
   readonly now: () => number;
@@ -30,6 +37,8 @@
 export interface FleetOracle {
   readonly onStart: (worker: FleetWorker, run: FleetRun) => void;
   readonly onEnd: (run: FleetRun) => void;
+  /** A worker has crashed under a task. */
+  readonly onCrash: (task: string) => void;
   /** The scheduler learns what runs on a worker. */
   readonly onReport: (site: string, running: readonly ListedRun[]) => void;
   readonly onStopSent: (run: RunRef, stage: Stage) => void;
@@ -63,6 +72,8 @@
   const listedBySite = new Map<string, ReadonlyMap<string, ListedRun>>();
   const stopping = new Set<string>();
   const finished = new Set<string>();
+  const crashes = new Map<string, number>();
+  const laterStarts = new Map<string, number>();
   const known: { runsByWorker: SchedulerState['runs']['byWorker']; placesAtMs: number } = {
     runsByWorker: view.state().runs.byWorker,
     placesAtMs: 0,
@@ -134,9 +145,20 @@
     record({ kind: 'overCapacity', worker: worker.key, atMs: view.now() });
   };
 
+  const checkCrashes = (task: string): void => {
+    if ((crashes.get(task) ?? 0) < MAX_CRASHES) return;
+    const starts = (laterStarts.get(task) ?? 0) + 1;
+    laterStarts.set(task, starts);
+    if (starts > MAX_LATER_STARTS) record({ kind: 'crashedTooOften', task, starts });
+  };
+
   return {
+    onCrash: (task) => {
+      crashes.set(task, (crashes.get(task) ?? 0) + 1);
+    },
     onStart: (worker, run) => {
       const { task, stage } = run;
+      checkCrashes(task);
       const others = view.workers().filter(({ runs }) => runs().has(task));
       const workers = others.map(({ key }) => key);
       if (others.length > 1) record({ kind: 'doubleRun', task, workers });
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -42,6 +42,7 @@
   | 'leaderLoad'
   | 'workersAwaited'
   | 'workerSeen'
+  | 'workerCrashed'
   | 'workerGone'
   | 'workerDraining'
   | 'workerQuarantined'
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -6,6 +6,15 @@
   readonly attempt: number;
 }
 
+/** A run that a worker began shortly before its end. */
+export interface RecentStart extends RunRef {
+  /** Time from the start call to the end of the worker. */
+  readonly ageMs: number;
+}
+
+/** Whether a worker ended by itself, or announced its end before. */
+export type WorkerEndCause = 'crashed' | 'left';
+
 /** Messages from an agent to the leader, and from a new leader to the former one. */
 export type RunnerMessage =
   | {
@@ -31,7 +40,13 @@
       readonly reason: OrderRefusal | 'noLease' | 'draining' | 'expired';
     }
   /** The worker of an earlier report has stopped, and all its runs have ended. */
-  | { readonly kind: 'workerGone'; readonly workerKey: string }
+  | {
+      readonly kind: 'workerGone';
+      readonly workerKey: string;
+      readonly cause: WorkerEndCause;
+      /** Runs that may have caused the end. */
+      readonly recentStarts: readonly RecentStart[];
+    }
   /** Sent by a new leader to the former one. */
   | {
       readonly kind: 'leaderChanged';
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -58,7 +58,13 @@
     lastOrder: z.int(),
   }),
   z.object({ kind: z.literal('refused'), workerKey, run: runSchema, reason: z.string() }),
-  z.object({ kind: z.literal('workerGone'), workerKey }),
+  z.object({
+    kind: z.literal('workerGone'),
+    workerKey,
+    // Absent in messages of agents that do not tell the cause.
+    cause: z.enum(['crashed', 'left']).default('left'),
+    recentStarts: z.array(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
+  }),
   z.object({
     kind: z.literal('leaderChanged'),
     entryId: z.string(),
