Give up a task that crashes the workers that start it

Cause: the end of a worker counted for nothing. A released task had no record and no back-off, so it was placed again with the next pass, beside whatever else started; only listed ends counted against maxAttempts.

Change: the leader counts a crash against the tasks that the worker had just begun (within 120 ms; later ones weigh less, and not at all for lasting tasks), stores it with the progress, and tries each suspect on a worker of its own that has begun nothing lately and has the least to lose. A task that outlives its trial is cleared. Two crashes in trials, at once after the start and with nothing else that may have caused them, fail the job with failure=workersCrashed. Waits of suspects and trials at the same time are bounded. New events taskSuspected, taskCleared. Rows of earlier builds are read as before.

--- a/packages/scheduler/src/gone.ts
+++ b/packages/scheduler/src/gone.ts
@@ -1,10 +1,12 @@
 import { logEffect } from '@bronzeyoke/telemetry';
-import { chainAfter } from '@bronzeyoke/types';
+import { chainAfter, chainAll } from '@bronzeyoke/types';
+import { parseTaskName } from '@bronzeyoke/workflow';
 import { List } from 'immutable';
 import type { ActionScope } from './pending';
 import { releaseWorker } from './release';
 import { runsOn } from './runs';
 import { addPostCommitAction, withEffects } from './state';
+import { recordCrashes } from './suspects';
 import type { GoneReport, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 
 /** Identifies a message that a worker is gone. */
@@ -45,24 +47,30 @@
   state: SchedulerState,
   report: GoneReport,
   nowMs: number,
+  wallMs: number,
 ): SchedulerStep {
   const { linkId, workerKey } = report;
-  const jobIds = new Set(
-    runsOn(state.runs, workerKey)
-      .valueSeq()
-      .map(({ jobId }) => jobId),
-  );
-  const { state: released, effects } = releaseWorker(state, workerKey, 'workerGone', nowMs);
+  const accused = report.recentStarts.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
+  const released = runsOn(state.runs, workerKey)
+    .valueSeq()
+    .map(({ jobId }) => jobId);
+  const jobIds = new Set([...accused, ...released]);
+  const { report: worker, claimedAddress = '' } = state.workers.get(workerKey) ?? {};
+  const address = worker?.address ?? claimedAddress;
+  const { state: recorded, effects } = chainAll(state, [
+    (current) => recordCrashes(current, report, address, nowMs, wallMs),
+    (current) => releaseWorker(current, workerKey, 'workerGone', nowMs),
+  ]);
   // Agents repeat the message, and a transaction may take long.
-  const isPending = released.pendingWrites.actions.some(
+  const isPending = recorded.pendingWrites.actions.some(
     ({ action }) => action.kind === 'confirmGone' && isSameReport(action, report),
   );
-  if (isPending) return withEffects(released, effects);
+  if (isPending) return withEffects(recorded, effects);
   const action = { kind: 'confirmGone', linkId, workerKey } as const;
   // Without runs to release, the rows of an earlier release may still be pending.
   const scope: ActionScope =
     jobIds.size === 0 ? { kind: 'all' } : { kind: 'jobs', jobIds: [...jobIds] };
-  return withEffects(addPostCommitAction(released, action, scope), [
+  return withEffects(addPostCommitAction(recorded, action, scope), [
     ...logCrash(state, report),
     ...effects,
   ]);
@@ -73,12 +81,13 @@
   before: SchedulerState,
   step: SchedulerStep,
   nowMs: number,
+  wallMs: number,
 ): SchedulerStep {
   if (before.phase !== 'loading' || step.state.phase !== 'leading') return step;
   return chainAfter(
     step,
     (before.loading.goneReports ?? []).map(
-      (report) => (current: SchedulerState) => onWorkerGone(current, report, nowMs),
+      (report) => (current: SchedulerState) => onWorkerGone(current, report, nowMs, wallMs),
     ),
   );
 }
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -2,7 +2,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { chainAll, unchanged } from '@bronzeyoke/types';
-import type { JobOutcome, JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import type { JobFailure, JobOutcome, JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import {
   assignedSlots,
   decodeJob,
@@ -20,6 +20,7 @@
 import type { RunTable } from './runs';
 import { dropRuns, NO_RUNS, putRun } from './runs';
 import { putJob, sendToWorker, withEffects } from './state';
+import { findSuspects } from './suspects';
 import type {
   GoneReport,
   OpenJob,
@@ -48,11 +49,16 @@
     }));
 }
 
+/** How a job ended. */
+export type JobEnd =
+  | { readonly outcome: Exclude<JobOutcome, 'failed'> }
+  | { readonly outcome: 'failed'; readonly failure: JobFailure };
+
 /** Ends a job and stops its runs. They occupy their workers until these no longer list them. */
 export function endJob(
   state: SchedulerState,
   jobId: string,
-  outcome: JobOutcome,
+  end: JobEnd,
   wallMs: number,
 ): SchedulerStep {
   const open = state.jobs.get(jobId);
@@ -63,7 +69,7 @@
     return run === undefined ? [] : [[task, run] as const];
   });
   const orphans = orphansOf(assigned);
-  const ended = { ...open, progress: { ...open.progress, outcome, endedAtMs: wallMs } };
+  const ended = { ...open, progress: { ...open.progress, ...end, endedAtMs: wallMs } };
   const next = putJob(
     {
       ...state,
@@ -82,7 +88,7 @@
   const ageMs = Math.round(wallMs - open.job.acceptedAtMs);
   return withEffects(next, [
     ...stops,
-    logEffect('jobEnded', { job: jobId, outcome, queue: open.job.policy.queue, ageMs }),
+    logEffect('jobEnded', { job: jobId, ...end, queue: open.job.policy.queue, ageMs }),
   ]);
 }
 
@@ -100,7 +106,7 @@
   const open = state.jobs.get(jobId);
   if (open === undefined || open.isCancelled) return unchanged(state);
   const cancelled = { ...state, jobs: state.jobs.set(jobId, { ...open, isCancelled: true }) };
-  return endJob(cancelled, jobId, 'cancelled', wallMs);
+  return endJob(cancelled, jobId, { outcome: 'cancelled' }, wallMs);
 }
 
 function applyJobRow(
@@ -235,6 +241,7 @@
   );
   return {
     ...state,
+    suspects: findSuspects(state, nowMs),
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
     workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -12,6 +12,8 @@
   readonly runs: Map<string, RunView>;
   readonly orphans: Map<string, OrphanRun>;
   readonly load: WorkerLoad;
+  /** A suspect is tried here, so nothing else may begin. */
+  readonly hasTrial: boolean;
   /** Number of the first placement pass with this load. */
   readonly sincePass: number;
 }
@@ -77,7 +79,8 @@
     const isSame = known?.report === report && known.runs === runs && known.orphans === orphans;
     if (isSame) return [[workerKey, known]];
     const load = computeLoad(workerKey, { report, runs, orphans });
-    return [[workerKey, { report, runs, orphans, load, sincePass: passNumber }]];
+    const hasTrial = runs.some(({ trial }) => trial !== undefined);
+    return [[workerKey, { report, runs, orphans, load, hasTrial, sincePass: passNumber }]];
   });
   return Map(entries);
 }
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -9,6 +9,7 @@
 import type { WriteUrgency } from './pending';
 import { putRun } from './runs';
 import { addPostCommitAction, putJob } from './state';
+import { isSuspect, trialMs } from './suspects';
 import type { Occupancy } from './tenants';
 import type { OpenJob, RunView, SchedulerState } from './types';
 
@@ -29,6 +30,7 @@
 ): SchedulerState {
   const { jobId } = open.job;
   const task = taskProgress(open.progress, slot);
+  const { crashes } = task;
   const address = state.workers.get(workerKey)?.report?.address;
   const claimed = {
     ...without(advanceRun(task, 'claim'), 'workerAddress'),
@@ -54,6 +56,7 @@
     isLastResort,
     pace: 100,
     pacedAtMs: nowMs,
+    ...(isSuspect(crashes) ? { trial: { crashes, forMs: trialMs(crashes) } } : {}),
   };
   const progress = withTasks(open.progress, [[slot, claimed]]);
   const next = putJob(state, jobId, { ...open, progress }, claimUrgency(stage));
@@ -78,11 +81,13 @@
   readonly occupancyOf: (workerKey: string) => Occupancy;
   /** Worker on which this pass keeps room for a waiting task, by task. */
   readonly reservations: Map<string, string>;
+  /** Tasks that wait for a trial. */
+  readonly held: ReadonlySet<string>;
 }
 
-/** Returns whether a task may not be placed yet after a refusal or a failure. */
-export function isBackingOff({ state }: PlacementPass, task: string, nowMs: number): boolean {
-  return (state.backOff.get(task) ?? 0) > nowMs;
+/** Returns whether a task may not be placed yet: after a refusal or a failure, or before its trial. */
+export function isBackingOff({ state, held }: PlacementPass, task: string, nowMs: number): boolean {
+  return held.has(task) || (state.backOff.get(task) ?? 0) > nowMs;
 }
 
 /** Returns the queue's service in the current configuration. */
@@ -173,11 +178,13 @@
 ): PlacementPass {
   const { workerKey } = load;
   const { stage } = ready;
-  return {
-    ...pass,
-    state: claimTask(pass.state, open, slot, stage, workerKey, attempt, isLastResort, nowMs),
-    loads: pass.loads.set(workerKey, withTask(load, stage)),
-  };
+  const state = claimTask(pass.state, open, slot, stage, workerKey, attempt, isLastResort, nowMs);
+  // Nothing else begins beside a suspect. The members of a gang are tried together.
+  const isTried = !stage.isGang && isSuspect(taskProgress(open.progress, slot).crashes);
+  const loads = isTried
+    ? pass.loads.delete(workerKey)
+    : pass.loads.set(workerKey, withTask(load, stage));
+  return { ...pass, state, loads };
 }
 
 /** Claims the best worker for a task; undefined if none has room. */
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -11,6 +11,8 @@
 import { openRound, placeStage } from './round';
 import { withEffects } from './state';
 import { createOccupancies } from './tenants';
+import { openSuspects } from './suspects';
+import { placeTrials } from './trials';
 import type { SchedulerState, SchedulerStep } from './types';
 import { logWaits } from './waitlog';
 import type { WaitingTask } from './waits';
@@ -62,16 +64,25 @@
   const passCount = state.passCount + 1;
   const known = updateLoads(state, passCount, nowMs);
   const pass: PlacementPass = reserveForMoves({
-    state: { ...state, waits: updateWaits(state, waiting), loads: known, passCount },
-    loads: known.map(({ load }) => load),
+    state: {
+      ...state,
+      waits: updateWaits(state, waiting),
+      suspects: openSuspects(state),
+      loads: known,
+      passCount,
+    },
+    loads: known.filter(({ hasTrial }) => !hasTrial).map(({ load }) => load),
+    held: new Set(),
     stops: Map(),
     occupancyOf: createOccupancies(state, nowMs),
     reservations: Map(),
   });
   const returned = placeReturning(pass, waiting, nowMs);
-  const round = withoutReturning(candidates, waiting).reduce<Round>(
+  const others = withoutReturning(candidates, waiting);
+  const tried = placeTrials(returned, others, nowMs);
+  const round = others.reduce<Round>(
     (current, candidate) => placeStage(current, candidate, nowMs),
-    openRound(returned, waiting),
+    openRound(tried, waiting),
   );
   const placed = round.pass;
   const logged = logWaits(placed, waiting, nowMs);
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -232,10 +232,10 @@
   const hasNoAttemptLeft =
     !stage.isLasting && ended.end === 'failed' && moved.failures >= job.policy.maxAttempts;
   if (hasNoAttemptLeft) {
-    const step = endJob(next, ref.jobId, 'failed', wallMs);
+    const step = endJob(next, ref.jobId, { outcome: 'failed', failure: 'attemptsUsed' }, wallMs);
     return withEffects(step.state, [...log, ...step.effects]);
   }
   if (!isComplete(job, progress)) return withEffects(next, log);
-  const step = endJob(next, ref.jobId, 'complete', wallMs);
+  const step = endJob(next, ref.jobId, { outcome: 'complete' }, wallMs);
   return withEffects(step.state, [...log, ...step.effects]);
 }
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -24,6 +24,7 @@
 import { applyEnd, releaseRun, releaseWorker } from './release';
 import { dropRun, dropRuns, putRun, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
+import { clearProvenRuns } from './suspects';
 import { knownStage, taskLog } from './tasklog';
 import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
 import { runRef } from './types';
@@ -317,6 +318,7 @@
       (listed) => (current: SchedulerState) => updateListed(current, workerKey, listed, nowMs),
     ),
     (current) => releaseMissingRuns(current, report, nowMs),
+    (current) => clearProvenRuns(current, workerKey, nowMs),
   ]);
 }
 
--- a/packages/scheduler/src/search.ts
+++ b/packages/scheduler/src/search.ts
@@ -48,7 +48,11 @@
     const task = { open: known, ready, slot, attempt: attempt + 1 };
     const placed = claimOn(current.pass, best.load, task, false, nowMs);
     const after = placed.state.jobs.get(jobId) ?? known;
-    const load = placed.loads.get(best.load.workerKey) ?? best.load;
+    const load = placed.loads.get(best.load.workerKey);
+    if (load === undefined) {
+      const candidates = current.candidates.filter((other) => other !== best);
+      return { pass: placed, left: [], candidates };
+    }
     const siblingCount = siblingCounter(placed, after, ready);
     return {
       pass: placed,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -99,7 +99,7 @@
     case 'refused':
       return onOrderRefused(state, message, nowMs);
     case 'workerGone':
-      return onWorkerGone(state, { ...message, linkId }, nowMs);
+      return onWorkerGone(state, { ...message, linkId }, nowMs, wallMs);
     default:
       return assertNever(message);
   }
@@ -126,9 +126,10 @@
     case 'leaderRow':
       return onLeaderRow(state, event.row);
     case 'jobRows':
-      return chainAfter(handleGoneReports(state, onJobRows(state, event, nowMs), nowMs), [
-        (current) => placeAndFlush(current, nowMs, event.wallMs),
-      ]);
+      return chainAfter(
+        handleGoneReports(state, onJobRows(state, event, nowMs), nowMs, event.wallMs),
+        [(current) => placeAndFlush(current, nowMs, event.wallMs)],
+      );
     case 'commitDone':
       return chainAll(state, [
         (current) =>
@@ -144,6 +145,7 @@
             state,
             onLoaded(state, event.callId, event.result, nowMs, event.wallMs),
             nowMs,
+            event.wallMs,
           );
     case 'linkOpened':
       return announceLeader(
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -11,7 +11,13 @@
 } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Step } from '@bronzeyoke/types';
-import type { FleetConfig, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
+import type {
+  CrashRecord,
+  FleetConfig,
+  JobProgress,
+  Stage,
+  WorkflowJob,
+} from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
 import type { KnownLoads } from './loads';
@@ -83,6 +89,22 @@
   readonly ordersLeft: number;
 }
 
+/** A task that is taken to crash workers. */
+export interface Suspect {
+  readonly jobId: string;
+  readonly slot: string;
+  readonly crashes: CrashRecord;
+  /** Time of the last crash, or of the load of a new leader. */
+  readonly sinceMs: number;
+}
+
+/** A suspect's run on a worker that begins nothing else meanwhile. */
+export interface Trial {
+  readonly crashes: CrashRecord;
+  /** Time for which the worker has to list the run to clear the task. */
+  readonly forMs: number;
+}
+
 /** The leader's in-memory state of a run. */
 export interface RunView {
   readonly jobId: string;
@@ -109,6 +131,7 @@
   readonly pacedAtMs: number;
   readonly inheritedPace?: InheritedPace;
   readonly stopSentAtMs?: number;
+  readonly trial?: Trial;
 }
 
 /** A run whose job has ended. It is kept until its worker no longer lists it. */
@@ -274,6 +297,8 @@
   readonly backOff: Map<string, number>;
   /** Since when a stage without filling tasks has found too few workers, by `searchKey`. */
   readonly unplacedSince: Map<string, number>;
+  /** Tasks that are taken to crash workers, by task; those of ended jobs until the next placement. */
+  readonly suspects: Map<string, Suspect>;
   /** Waits of tasks for which room is kept, by task. */
   readonly waits: Map<string, PlaceWait>;
   /** Time of the next placement without another cause. */
--- a/packages/scheduler/test/deadly.test.ts
+++ b/packages/scheduler/test/deadly.test.ts
@@ -47,3 +47,48 @@
   expect(fleet.outcomeOf(INNOCENT)).to.equal('complete');
   expect(endsAll(fleet, [QUICK])).to.equal(true);
 });
+
+// Guards against a rule that holds for one kind of task only.
+it('deadly: lasting tasks, gangs, filling tasks and wide stages are given up in time', () => {
+  const kinds: Readonly<Record<string, Partial<Stage>>> = {
+    lasting: { isLasting: true },
+    gang: { isGang: true },
+    filling: { fillsIdle: true, image: 'fill' },
+    plain: {},
+  };
+  const { fleet, load } = createBusyFleet();
+  Object.entries(kinds).forEach(([jobId, changes]) => submitDeadly(fleet, jobId, 4, changes));
+  fleet.advance(40_000);
+  load.stop();
+  expect(fleet.violations()).to.deep.equal([]);
+  const outcomes = Object.keys(kinds).map((jobId) => fleet.outcomeOf(jobId));
+  expect(outcomes).to.deep.equal(['failed', 'failed', 'failed', 'failed']);
+  expect(endsAll(fleet, [QUICK])).to.equal(true);
+});
+
+// Guards against healthy jobs that are given up because machines crash for other reasons.
+it('deadly: crashes without a cause in a task fail no job', () => {
+  [1, 2, 3].forEach((seed) => {
+    const { fleet, load } = createBusyFleet(seed);
+    const draws = createDraws(seed);
+    Array.from({ length: 25 }).forEach(() => {
+      const sites = fleet.sites();
+      fleet.crash(sites[draws.index(sites.length)] ?? '');
+      fleet.addWorker(16);
+      fleet.advance(800);
+    });
+    load.stop();
+    expect(endsAll(fleet, [QUICK])).to.equal(true);
+    expect(fleet.failures()).to.deep.equal([]);
+  });
+});
+
+// Guards against trials that keep the other tasks of a fleet waiting.
+it('deadly: quick tasks start in time while suspects are tried', () => {
+  const { fleet, load } = createBusyFleet();
+  submitDeadly(fleet, DEADLY);
+  fleet.advance(20_000);
+  load.stop();
+  expect(endsAll(fleet, [QUICK])).to.equal(true);
+  expect(fleet.startedShare(QUICK, 1_000)).to.be.at.least(0.9);
+});
--- a/packages/scheduler/test/fullfleet.ts
+++ b/packages/scheduler/test/fullfleet.ts
@@ -51,6 +51,8 @@
   /** Makes a task crash each worker that starts it. The worker is back under another id. */
   readonly setDeadly: (task: string) => void;
   readonly outcomeOf: (jobId: string) => string | undefined;
+  /** Jobs that have failed. */
+  readonly failures: () => readonly string[];
   /** Instances that have crashed under tasks that do so. */
   readonly countCrashes: () => number;
   readonly fail: (task: string) => void;
@@ -285,6 +287,7 @@
     submit,
     setDeadly: (task) => deadly.add(task),
     outcomeOf: (jobId) => outcomes.get(jobId),
+    failures: () => [...outcomes.keys()].filter((jobId) => outcomes.get(jobId) === 'failed'),
     countCrashes: () => known.crashes,
     fail: (task) => workerOf(task)?.finish(task, 'failed'),
     crash,
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -9,6 +9,8 @@
   'taskReleased',
   'taskEnded',
   'taskStopped',
+  'taskSuspected',
+  'taskCleared',
   'orderRefused',
 ] as const;
 
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -1,4 +1,4 @@
-import type { JobOutcome, JobStatus, Stage, TaskRef, WorkflowJob } from './types';
+import type { JobFailure, JobOutcome, JobStatus, Stage, TaskRef, WorkflowJob } from './types';
 import type { TaskProgress } from './run';
 import { isAssigned, UNCLAIMED_TASK } from './run';
 
@@ -6,6 +6,8 @@
 export interface JobProgress {
   readonly tasks: ReadonlyMap<string, TaskProgress>;
   readonly outcome?: JobOutcome;
+  /** Present when the outcome is `failed`, but in rows of builds that did not store it. */
+  readonly failure?: JobFailure;
   /** Wall-clock time of the outcome. */
   readonly endedAtMs?: number;
 }
--- a/packages/workflow/src/progressrow.ts
+++ b/packages/workflow/src/progressrow.ts
@@ -28,14 +28,30 @@
   z.string(),
 );
 
+const countSchema = z.int().nonnegative();
+
+/** Index of a task, its prompt, slow and lone crashes, last attempt, longest age, last address. */
+const crashesSchema = z.tuple([
+  z.int(),
+  countSchema,
+  countSchema,
+  countSchema,
+  countSchema,
+  z.number().nonnegative(),
+  z.string(),
+]);
+
 /** Ranges of indexes of tasks that are done, and the other tasks that were claimed. */
 const stageSchema = z.object({
   done: z.array(z.tuple([z.int().nonnegative(), z.int().nonnegative()])),
   tasks: z.array(taskSchema),
+  /** Of the tasks that may have crashed workers; absent if there are none. */
+  crashes: z.array(crashesSchema).optional(),
 });
 
 const outcomeFields = {
   outcome: z.enum(['complete', 'failed', 'cancelled']).optional(),
+  failure: z.enum(['attemptsUsed', 'workersCrashed']).optional(),
   endedAtMs: z.number().optional(),
 };
 
@@ -64,6 +80,7 @@
 });
 
 type CompactTask = z.infer<typeof taskSchema>;
+type CompactCrashes = z.infer<typeof crashesSchema>;
 
 /** First and last index of tasks that are done. */
 type Range = readonly [first: number, last: number];
@@ -71,6 +88,7 @@
 interface CompactStage {
   readonly done: readonly Range[];
   readonly tasks: readonly CompactTask[];
+  readonly crashes?: readonly CompactCrashes[] | undefined;
 }
 
 type StoredWorker = readonly [workerKey: string, workerAddress?: string, ...rest: string[]];
@@ -109,6 +127,12 @@
   return [index, phaseIndex(phase), attempt, failures, worker, ...usedTexts];
 }
 
+function encodeCrashes(index: number, { crashes }: TaskProgress): readonly CompactCrashes[] {
+  if (crashes === undefined) return [];
+  const { prompt, slow, alone, attempt, longestAgeMs, address } = crashes;
+  return [[index, prompt, slow, alone, attempt, longestAgeMs, address]];
+}
+
 /** Groups the tasks of a job by stage. */
 function tasksByStage(
   tasks: JobProgress['tasks'],
@@ -144,11 +168,13 @@
   const stages = [...tasksByStage(tasks)].map(([name, entries]): [string, CompactStage] => {
     const done = entries.flatMap(([index, { phase }]) => (phase === 'done' ? [index] : []));
     const others = entries.filter(([, { phase }]) => phase !== 'done');
+    const crashes = others.flatMap(([index, task]) => encodeCrashes(index, task));
     return [
       name,
       {
         done: rangesOf(done.toSorted((left, right) => left - right)),
         tasks: others.map(([index, task]) => encodeTask(index, task, positionOf(task))),
+        ...(crashes.length === 0 ? {} : { crashes }),
       },
     ];
   });
@@ -159,10 +185,10 @@
  * Returns the row value of a job's progress. Tasks are left out once the job has an outcome, and of a
  * done task only its index is kept, so that the row of a wide stage stays small while its tasks end.
  */
-export function encodeProgress({ outcome, endedAtMs, tasks }: JobProgress): unknown {
-  return outcome === undefined
-    ? encodeTasks(tasks)
-    : { workers: [], stages: {}, outcome, endedAtMs };
+export function encodeProgress({ outcome, failure, endedAtMs, tasks }: JobProgress): unknown {
+  if (outcome === undefined) return encodeTasks(tasks);
+  const ended = { workers: [], stages: {}, outcome, endedAtMs };
+  return failure === undefined ? ended : { ...ended, failure };
 }
 
 /** Bytes of a row value, and of each task in it, in the encoding of the store. */
@@ -179,10 +205,17 @@
   );
 }
 
+function decodeCrashes(stored: CompactCrashes | undefined): Pick<TaskProgress, 'crashes'> {
+  if (stored === undefined) return {};
+  const [, prompt, slow, alone, attempt, longestAgeMs, address] = stored;
+  return { crashes: { prompt, slow, alone, attempt, longestAgeMs, address } };
+}
+
 function decodeTask(
   [index, phase, attempt, failures, worker, checkpoint = '', failedOn = '']: CompactTask,
   stage: string,
   workers: CompactRow['workers'],
+  crashes: CompactStage['crashes'] = [],
 ): readonly [string, TaskProgress] {
   const [workerKey, workerAddress] = workers[worker] ?? [];
   const progress: TaskProgress = {
@@ -193,6 +226,7 @@
     ...(workerAddress === undefined ? {} : { workerAddress }),
     ...(checkpoint === '' ? {} : { checkpoint }),
     ...(failedOn === '' ? {} : { failedOn }),
+    ...decodeCrashes(crashes.find(([task]) => task === index)),
   };
   return [`${stage}.${index}`, progress];
 }
@@ -201,7 +235,7 @@
 
 function decodeStage(
   name: string,
-  { done, tasks }: CompactStage,
+  { done, tasks, crashes }: CompactStage,
   workers: CompactRow['workers'],
 ): readonly (readonly [string, TaskProgress])[] {
   const doneTasks = done.flatMap(([first, last]) =>
@@ -210,7 +244,7 @@
       (_, offset) => [`${name}.${first + offset}`, DONE_TASK] as const,
     ),
   );
-  return [...doneTasks, ...tasks.map((task) => decodeTask(task, name, workers))];
+  return [...doneTasks, ...tasks.map((task) => decodeTask(task, name, workers, crashes))];
 }
 
 function isPlausible({ workers, stages }: CompactRow): boolean {
--- a/packages/workflow/src/run.ts
+++ b/packages/workflow/src/run.ts
@@ -14,6 +14,22 @@
 /** Events of a run's chart. */
 export type RunEvent = 'claim' | 'started' | 'done' | 'release' | 'stop';
 
+/** Crashes of workers that a task may have caused. */
+export interface CrashRecord {
+  /** Crashes at once after a start of the task. */
+  readonly prompt: number;
+  /** Crashes somewhat later. */
+  readonly slow: number;
+  /** Crashes of both kinds in trials, which no other task may have caused. */
+  readonly alone: number;
+  /** Attempt under which the last of the workers crashed. */
+  readonly attempt: number;
+  /** Longest time from a start of the task to a crash. */
+  readonly longestAgeMs: number;
+  /** Address of the last worker; empty if it was not known. */
+  readonly address: string;
+}
+
 /** Progress of one task. The attempt numbers its runs and rises with every claim. */
 export interface TaskProgress {
   readonly phase: RunPhase;
@@ -27,6 +43,8 @@
   readonly checkpoint?: string;
   /** Worker on which the last run failed; the next run avoids it. */
   readonly failedOn?: string;
+  /** Present once workers have crashed shortly after they started the task. */
+  readonly crashes?: CrashRecord;
 }
 
 /** Progress of a task that was never claimed. */
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -100,5 +100,8 @@
 /** How a job ended. */
 export type JobOutcome = 'complete' | 'failed' | 'cancelled';
 
+/** Why a job failed: a task used up its attempts, or workers crashed whenever they started it. */
+export type JobFailure = 'attemptsUsed' | 'workersCrashed';
+
 /** Status of a job for callers. */
 export type JobStatus = 'queued' | 'active' | JobOutcome;
--- a/packages/workflow/test/progressrow.test.ts
+++ b/packages/workflow/test/progressrow.test.ts
@@ -14,6 +14,17 @@
     workerAddress: optionalText,
     checkpoint: optionalText,
     failedOn: optionalText,
+    crashes: fc.option(
+      fc.record({
+        prompt: fc.nat(5),
+        slow: fc.nat(5),
+        alone: fc.nat(2),
+        attempt: fc.nat(1_000),
+        longestAgeMs: fc.nat(2_000),
+        address: fc.constantFrom('', 'w1:1'),
+      }),
+      { nil: undefined },
+    ),
   })
   .map((fields) => {
     const hasWorker = fields.workerKey !== undefined;
@@ -91,6 +102,16 @@
   expect(decodeProgress(stored)?.tasks.get('0.0.0')?.attempt).to.equal(2);
 });
 
+// Guards against a leader that no longer reads rows without crashes, which earlier builds stored.
+it('progressrow: reads a stage that names no crashes', () => {
+  const stored = { workers: [], stages: { '0.0': { done: [], tasks: [[0, 0, 1, 0, -1]] } } };
+  expect(decodeProgress(stored)?.tasks.get('0.0.0')).to.deep.equal({
+    phase: 'waiting',
+    attempt: 1,
+    failures: 0,
+  });
+});
+
 // Guards against a row of another writer that makes the reader allocate without limit.
 it('progressrow: implausible ranges and workers are refused', () => {
   const row = (stage: unknown) => ({ workers: [], stages: { '0.0': stage } });
