Release the runs of an ended worker that can no longer begin at once

Change: the agent says at once that its worker has ended and which runs may still begin (message workerEnded). The leader releases the others, and places nothing there. workerGone follows as before, and only then are the open runs released. A new leader learns the same on its connection.

--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -6,7 +6,14 @@
 import type { WorkerEndCause } from '@bronzeyoke/wire';
 import { recentStartsOf } from './recentstarts';
 import { sendToLeader } from './report';
-import type { GoneWorker, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
+import type {
+  GoneWorker,
+  RunnerEffect,
+  RunnerState,
+  RunnerStep,
+  StartCall,
+  WorkerState,
+} from './types';
 import { goneChart, orderKey } from './types';
 
 /** Ended instances whose late heartbeats are ignored. */
@@ -37,17 +44,16 @@
 
 type GoneEvent = 'settled' | 'successor' | 'replaced' | 'listed' | 'successorGone' | 'recorded';
 
-/** Returns the start orders of a gone worker that a later instance under its id may carry out. */
-function openStartsOf({ pending }: WorkerState, reason: GoneReason): Map<string, number> {
-  const calledAtMs = pending.map((order) => order.calledAtMs);
+/** Returns the start calls of a gone worker that a later instance under its id may carry out. */
+function openStartsOf({ pending }: WorkerState, reason: GoneReason): Map<string, StartCall> {
   switch (reason) {
     case 'newerInstance':
     case 'restarted':
     case 'left':
-      return calledAtMs;
+      return pending;
     case 'notListening':
       // The instance that replied to a start has ended, whichever it was.
-      return calledAtMs.filter((_, key) => pending.get(key)?.phase !== 'settling');
+      return pending.filter(({ phase }) => phase !== 'settling');
     case 'otherWorker':
       // Calls name an id, and no other instance accepts them.
       return Map();
@@ -56,9 +62,18 @@
   }
 }
 
+/** Returns the message about a worker that is gone, or of which a later instance may begin runs. */
 function goneMessage(state: RunnerState, gone: GoneWorker): readonly RunnerEffect[] {
-  const { workerKey, cause, recentStarts } = gone;
-  return sendToLeader(state, { kind: 'workerGone', workerKey, cause, recentStarts });
+  const { workerKey, cause, recentStarts, openStarts, phase } = gone;
+  const end = { workerKey, cause, recentStarts };
+  const openRuns = openStarts
+    .valueSeq()
+    .map(({ run }) => run)
+    .toArray();
+  return sendToLeader(
+    state,
+    phase === 'ended' ? { kind: 'workerGone', ...end } : { kind: 'workerEnded', openRuns, ...end },
+  );
 }
 
 /** Returns whether a worker ended by itself. One that drains has announced its end. */
@@ -76,8 +91,9 @@
     const { state: phase, actions } = isMeant(gone)
       ? advance(goneChart, gone.phase, event)
       : { state: gone.phase, actions: [] };
-    const effects = actions.includes('report') ? goneMessage(state, gone) : [];
-    return { gone: { ...gone, phase }, effects };
+    const advanced = { ...gone, phase };
+    const effects = actions.includes('report') ? goneMessage(state, advanced) : [];
+    return { gone: advanced, effects };
   });
   return {
     state: { ...state, goneWorkers: changes.map(({ gone }) => gone) },
@@ -109,6 +125,7 @@
     goneKeys: [...state.goneKeys, workerKey].slice(-MAX_GONE_KEYS),
     goneWorkers: [...earlier.state.goneWorkers, gone].slice(0, MAX_GONE_WORKERS),
   });
+  const ended = gone.openStarts.isEmpty() ? [] : goneMessage(state, gone);
   const log = logEffect('workerGone', {
     worker: workerKey,
     reason,
@@ -116,7 +133,7 @@
     cause: gone.cause,
     recentStarts: gone.recentStarts.length,
   });
-  return { state: step.state, effects: [...step.effects, log] };
+  return { state: step.state, effects: [...ended, ...step.effects, log] };
 }
 
 /**
@@ -167,7 +184,7 @@
     gone.phase === 'uncertain'
       ? {
           ...gone,
-          openStarts: gone.openStarts.filter((calledAtMs) => nowMs - calledAtMs < LATE_CALL_MS),
+          openStarts: gone.openStarts.filter(({ calledAtMs }) => nowMs - calledAtMs < LATE_CALL_MS),
         }
       : gone,
   );
@@ -176,14 +193,12 @@
 
 /** Returns the messages about all gone workers that no leader has recorded. */
 export function goneEffects(state: RunnerState): readonly RunnerEffect[] {
-  return state.goneWorkers
-    .filter(({ phase }) => phase === 'ended')
-    .flatMap((gone) => goneMessage(state, gone));
+  return state.goneWorkers.flatMap((gone) => goneMessage(state, gone));
 }
 
 /** Reports gone workers again that no leader has recorded yet. */
 export function repeatGone(state: RunnerState, nowMs: number): RunnerStep {
-  const isWaiting = state.isLinked && state.goneWorkers.some(({ phase }) => phase === 'ended');
+  const isWaiting = state.isLinked && state.goneWorkers.length > 0;
   if (isWaiting && nowMs - state.goneSentAtMs < GONE_REPEAT_MS) return unchanged(state);
   return { state: { ...state, goneSentAtMs: nowMs }, effects: goneEffects(state) };
 }
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -83,8 +83,8 @@
   readonly workerKey: string;
   readonly id: string;
   readonly phase: StateOf<typeof goneChart>;
-  /** Start orders that a later instance may carry out, with the time of their calls. */
-  readonly openStarts: Map<string, number>;
+  /** Start calls that a later instance may carry out, by run. */
+  readonly openStarts: Map<string, StartCall>;
   readonly cause: WorkerEndCause;
   readonly recentStarts: readonly RecentStart[];
 }
--- a/packages/scheduler/src/gone.ts
+++ b/packages/scheduler/src/gone.ts
@@ -1,14 +1,30 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAfter, chainAll } from '@bronzeyoke/types';
+import type { RunnerMessage } from '@bronzeyoke/wire';
 import { parseTaskName } from '@bronzeyoke/workflow';
 import { List } from 'immutable';
 import type { ActionScope } from './pending';
-import { releaseWorker } from './release';
+import { releaseEndedRuns, releaseWorker } from './release';
 import { runsOn } from './runs';
 import { addPostCommitAction, withEffects } from './state';
 import { recordCrashes } from './suspects';
 import type { GoneReport, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 
+/** An agent's message about the end of its worker. */
+type EndMessage = Extract<RunnerMessage, { readonly kind: 'workerEnded' | 'workerGone' }>;
+
+/** Returns whether a message tells of the end of a worker. */
+export function isAboutEnd(message: RunnerMessage): message is EndMessage {
+  return message.kind === 'workerEnded' || message.kind === 'workerGone';
+}
+
+/** Returns what an agent says of the end of its worker. */
+export function goneReportOf(linkId: string, message: EndMessage): GoneReport {
+  const { workerKey, cause, recentStarts } = message;
+  const openRuns = message.kind === 'workerEnded' ? message.openRuns : [];
+  return { linkId, workerKey, cause, recentStarts, openRuns };
+}
+
 /** Identifies a message that a worker is gone. */
 type GoneRef = Pick<GoneReport, 'linkId' | 'workerKey'>;
 
@@ -16,11 +32,11 @@
   return left.linkId === right.linkId && left.workerKey === right.workerKey;
 }
 
-/** Records a worker that is gone until the runs are loaded. */
+/** Records the latest message about a worker that has ended until the runs are loaded. */
 export function recordGoneWorker(state: SchedulerState, report: GoneReport): SchedulerState {
   const { goneReports = [] } = state.loading;
-  if (goneReports.some((other) => isSameReport(other, report))) return state;
-  return { ...state, loading: { ...state.loading, goneReports: [...goneReports, report] } };
+  const others = goneReports.filter((other) => !isSameReport(other, report));
+  return { ...state, loading: { ...state.loading, goneReports: [...others, report] } };
 }
 
 /** Logs a crash of a known worker, with the runs that it had just begun. */
@@ -28,7 +44,8 @@
   state: SchedulerState,
   { workerKey, cause, recentStarts }: GoneReport,
 ): readonly SchedulerEffect[] {
-  if (cause !== 'crashed' || !state.workers.has(workerKey)) return [];
+  const view = state.workers.get(workerKey);
+  if (cause !== 'crashed' || view === undefined || view.hasEnded === true) return [];
   const youngestMs = List(recentStarts)
     .map(({ ageMs }) => Math.round(ageMs))
     .min();
@@ -39,6 +56,26 @@
   ];
 }
 
+function addressOf({ workers }: SchedulerState, workerKey: string): string {
+  const { report, claimedAddress = '' } = workers.get(workerKey) ?? {};
+  return report?.address ?? claimedAddress;
+}
+
+/** Handles the end of a worker while a later instance may still begin some of its runs. */
+function onWorkerEnded(
+  state: SchedulerState,
+  report: GoneReport,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  const { workerKey, openRuns } = report;
+  const step = chainAll(state, [
+    (current) => recordCrashes(current, report, addressOf(state, workerKey), nowMs, wallMs),
+    (current) => releaseEndedRuns(current, workerKey, openRuns, nowMs),
+  ]);
+  return withEffects(step.state, [...logCrash(state, report), ...step.effects]);
+}
+
 /**
  * Releases the tasks of a worker that is gone, and confirms it after the next transaction, also when
  * there is nothing to release: only a successful transaction shows that this entry still leads.
@@ -49,16 +86,15 @@
   nowMs: number,
   wallMs: number,
 ): SchedulerStep {
-  const { linkId, workerKey } = report;
+  const { linkId, workerKey, openRuns } = report;
+  if (openRuns.length > 0) return onWorkerEnded(state, report, nowMs, wallMs);
   const accused = report.recentStarts.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
   const released = runsOn(state.runs, workerKey)
     .valueSeq()
     .map(({ jobId }) => jobId);
   const jobIds = new Set([...accused, ...released]);
-  const { report: worker, claimedAddress = '' } = state.workers.get(workerKey) ?? {};
-  const address = worker?.address ?? claimedAddress;
   const { state: recorded, effects } = chainAll(state, [
-    (current) => recordCrashes(current, report, address, nowMs, wallMs),
+    (current) => recordCrashes(current, report, addressOf(state, workerKey), nowMs, wallMs),
     (current) => releaseWorker(current, workerKey, 'workerGone', nowMs),
   ]);
   // Agents repeat the message, and a transaction may take long.
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -194,7 +194,7 @@
   nowMs: number,
 ): SchedulerState {
   const isGone = (workerKey: string): boolean =>
-    goneReports.some((report) => report.workerKey === workerKey);
+    goneReports.some((report) => report.workerKey === workerKey && report.openRuns.length === 0);
   const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
     assignedSlots(progress).flatMap(([slot, task]): readonly (readonly [string, RunView])[] => {
       const stage = job.stages[Number(slot.split('.')[1])];
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -55,12 +55,13 @@
 /** Returns the report of a worker on which tasks may be placed. */
 function usableReport(
   state: SchedulerState,
-  { report, linkId, quarantinedUntilMs }: WorkerView,
+  { report, linkId, quarantinedUntilMs, hasEnded = false }: WorkerView,
   nowMs: number,
 ): WorkerReport | undefined {
   const isUsable =
     report !== undefined &&
     linkId !== undefined &&
+    !hasEnded &&
     !report.isDraining &&
     !state.domainsOut.has(report.domain) &&
     nowMs >= quarantinedUntilMs;
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -1,6 +1,7 @@
 import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAll, unchanged, without } from '@bronzeyoke/types';
+import type { RunRef } from '@bronzeyoke/wire';
 import type { RunEnd } from '@bronzeyoke/workflow';
 import {
   acceptsEvent,
@@ -16,7 +17,7 @@
 import { dropRun, dropRuns, runsOn } from './runs';
 import { putJob, withEffects } from './state';
 import { taskLog } from './tasklog';
-import type { SchedulerState, SchedulerStep } from './types';
+import type { RunView, SchedulerState, SchedulerStep } from './types';
 import { endClaim, startWait } from './waits';
 
 /** Delays before a task is placed again that a worker refused, and one that failed. */
@@ -67,6 +68,24 @@
   ]);
 }
 
+/** Releases some tasks of a worker, and lets the lasting ones wait for a place from its last report on. */
+function releaseRuns(
+  state: SchedulerState,
+  workerKey: string,
+  tasks: readonly string[],
+  reason: 'workerGone' | 'leaseExpired',
+  nowMs: number,
+): SchedulerStep {
+  // An adopted run may have ended long before this leader's claim, which is the latest that is known.
+  const lastSeenMs = state.workers.get(workerKey)?.reportedAtMs ?? state.claimedAtMs;
+  const lasting = tasks.filter((task) => state.runs.byTask.get(task)?.stage.isLasting);
+  const waits = Map(lasting.map((task) => [task, startWait(lastSeenMs)])).merge(state.waits);
+  return chainAll(
+    { ...state, waits },
+    tasks.map((task) => (current: SchedulerState) => releaseRun(current, task, reason, nowMs)),
+  );
+}
+
 /** Releases all tasks of a worker that is gone, and removes the worker. */
 export function releaseWorker(
   state: SchedulerState,
@@ -76,26 +95,37 @@
 ): SchedulerStep {
   const tasks = [...runsOn(state.runs, workerKey).keys()];
   if (tasks.length === 0 && !state.workers.has(workerKey)) return unchanged(state);
-  // An adopted run may have ended long before this leader's claim, which is the latest that is known.
-  const lastSeenMs = state.workers.get(workerKey)?.reportedAtMs ?? state.claimedAtMs;
-  const lasting = tasks.filter((task) => state.runs.byTask.get(task)?.stage.isLasting);
+  const step = releaseRuns(state, workerKey, tasks, reason, nowMs);
   const removed: SchedulerState = {
-    ...state,
-    waits: Map(lasting.map((task) => [task, startWait(lastSeenMs)])).merge(state.waits),
-    workers: state.workers.delete(workerKey),
-    awaited: state.awaited.delete(workerKey),
-    orphans: dropRuns(state.orphans, runsOn(state.orphans, workerKey).keys()),
+    ...step.state,
+    workers: step.state.workers.delete(workerKey),
+    awaited: step.state.awaited.delete(workerKey),
+    orphans: dropRuns(step.state.orphans, runsOn(step.state.orphans, workerKey).keys()),
   };
-  const step = chainAll(
-    removed,
-    tasks.map((task) => (current: SchedulerState) => releaseRun(current, task, reason, nowMs)),
-  );
-  return withEffects(step.state, [
+  return withEffects(removed, [
     logEffect('workerGone', { worker: workerKey, reason, runs: tasks.length }),
     ...step.effects,
   ]);
 }
 
+/** Releases the tasks of a worker that has ended, but for those that may still begin. */
+export function releaseEndedRuns(
+  state: SchedulerState,
+  workerKey: string,
+  openRuns: readonly RunRef[],
+  nowMs: number,
+): SchedulerStep {
+  const view = state.workers.get(workerKey);
+  if (view === undefined) return unchanged(state);
+  const isOpen = (task: string, { attempt }: RunView): boolean =>
+    openRuns.some((open) => open.task === task && open.attempt === attempt);
+  const tasks = [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
+    isOpen(task, run) ? [] : [task],
+  );
+  const workers = state.workers.set(workerKey, { ...view, hasEnded: true });
+  return releaseRuns({ ...state, workers }, workerKey, tasks, 'workerGone', nowMs);
+}
+
 /** The end of a run, as listed by its worker. */
 export interface EndedRun {
   readonly workerKey: string;
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -6,7 +6,13 @@
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
 import { onJobRows, onLoaded } from './jobs';
-import { handleGoneReports, onWorkerGone, recordGoneWorker } from './gone';
+import {
+  goneReportOf,
+  handleGoneReports,
+  isAboutEnd,
+  onWorkerGone,
+  recordGoneWorker,
+} from './gone';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
 import { changeTimes } from './leases';
@@ -98,8 +104,9 @@
       ]);
     case 'refused':
       return onOrderRefused(state, message, nowMs);
+    case 'workerEnded':
     case 'workerGone':
-      return onWorkerGone(state, { ...message, linkId }, nowMs, wallMs);
+      return onWorkerGone(state, goneReportOf(linkId, message), nowMs, wallMs);
     default:
       return assertNever(message);
   }
@@ -166,9 +173,8 @@
     case 'received': {
       const { linkId, message, wallMs } = event;
       if (message.kind === 'leaderChanged') return onLeader(state, message);
-      if (state.phase === 'loading' && message.kind === 'workerGone') {
-        const { kind, ...gone } = message;
-        return unchanged(recordGoneWorker(state, { ...gone, linkId }));
+      if (state.phase === 'loading' && isAboutEnd(message)) {
+        return unchanged(recordGoneWorker(state, goneReportOf(linkId, message)));
       }
       // The reply keeps the agent from looking for another leader during a long load.
       if (state.phase === 'loading') return announceLeader(state, linkId);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -18,7 +18,7 @@
   Stage,
   WorkflowJob,
 } from '@bronzeyoke/workflow';
-import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
+import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
 import type { KnownLoads } from './loads';
 import type { PendingWrites, PostCommitAction } from './pending';
@@ -170,6 +170,8 @@
   /** Jobs that failed here since the last success. */
   readonly failedJobs: readonly string[];
   readonly quarantinedUntilMs: number;
+  /** Its process has ended, but some of its runs may still begin. */
+  readonly hasEnded?: boolean;
   /** Value of `instanceCount` when other instances at its address and under its id were looked for. */
   readonly comparedCount?: number;
   /** Time of the last stop order of each unwanted run that the worker lists. */
@@ -229,11 +231,11 @@
   | { readonly kind: 'failed'; readonly retryAtMs: number; readonly fromKey: string }
   | { readonly kind: 'done' };
 
-type WorkerGone = Extract<RunnerMessage, { readonly kind: 'workerGone' }>;
-
-/** An agent's message that a worker is gone. */
-export interface GoneReport extends Omit<WorkerGone, 'kind'> {
+/** An agent's message that a worker has ended. */
+export interface GoneReport extends WorkerEnd {
   readonly linkId: string;
+  /** Runs that a later instance may still begin. The worker is gone when there are none. */
+  readonly openRuns: readonly RunRef[];
 }
 
 /** Parts of the store that a new leader has read so far. */
--- a/packages/scheduler/test/gone.test.ts
+++ b/packages/scheduler/test/gone.test.ts
@@ -16,6 +16,7 @@
   running,
   sentMessages,
   stageOf,
+  submit,
   TIMES,
   WALL_MS,
   workerKeyFor,
@@ -109,3 +110,49 @@
   // One message greets the new connection, the other one answers the report.
   expect(sentMessages(reported, 'leader')).to.have.length(before + 2);
 });
+
+/** Returns a leader with two tasks on w1, whose agent says that only the second may still begin. */
+function endedWithOpenRun(): Fixture {
+  const placed = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(2)])));
+  const openRuns = [{ task: 'job1.0.0.1', attempt: 1 }];
+  const end = { workerKey: workerKeyFor('w1'), cause: 'crashed', recentStarts: [] } as const;
+  return dispatch(placed, {
+    kind: 'received',
+    linkId: 'link-w1',
+    message: { kind: 'workerEnded', openRuns, ...end },
+    wallMs: WALL_MS,
+  });
+}
+
+function workerOf(fixture: Fixture, slot: string): string | undefined {
+  return fixture.state.jobs.get('job1')?.progress.tasks.get(slot)?.workerKey;
+}
+
+// Guards against runs that wait for seconds because the order of another one is open.
+it('releases the runs of an ended worker that can no longer begin', () => {
+  const ended = report(endedWithOpenRun(), 'w2');
+  const placed = commitAll(advance(ended, 50));
+  expect(workerOf(placed, '0.0.0')).to.equal(workerKeyFor('w2'));
+  expect(workerOf(placed, '0.0.1')).to.equal(workerKeyFor('w1'));
+});
+
+// Guards against an ended worker that looks like the emptiest one and is given task after task.
+it('places nothing on a worker that has ended', () => {
+  const ended = endedWithOpenRun();
+  const placed = commitAll(advance(commitAll(ended), 500));
+  expect(workerOf(placed, '0.0.0')).to.equal(undefined);
+  expect(sentMessages(placed, 'start')).to.have.length(2);
+});
+
+// Guards against a second run of a task whose order a later instance may still carry out.
+it('keeps an open run until its worker is gone', () => {
+  const ended = commitAll(report(endedWithOpenRun(), 'w2'));
+  const gone = dispatch(ended, {
+    kind: 'received',
+    linkId: 'link-w1',
+    message: goneMessage(workerKeyFor('w1')),
+    wallMs: WALL_MS,
+  });
+  expect(workerOf(ended, '0.0.1')).to.equal(workerKeyFor('w1'));
+  expect(workerOf(commitAll(advance(commitAll(gone), 50)), '0.0.1')).to.equal(workerKeyFor('w2'));
+});
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -15,6 +15,14 @@
 /** Whether a worker ended by itself, or announced its end before. */
 export type WorkerEndCause = 'crashed' | 'left';
 
+/** The end of a worker. */
+export interface WorkerEnd {
+  readonly workerKey: string;
+  readonly cause: WorkerEndCause;
+  /** Runs that may have caused the end. */
+  readonly recentStarts: readonly RecentStart[];
+}
+
 /** Messages from an agent to the leader, and from a new leader to the former one. */
 export type RunnerMessage =
   | {
@@ -39,14 +47,10 @@
       readonly run: RunRef;
       readonly reason: OrderRefusal | 'noLease' | 'draining' | 'expired';
     }
+  /** The worker of an earlier report has stopped. A later instance may still begin some of its runs. */
+  | ({ readonly kind: 'workerEnded'; readonly openRuns: readonly RunRef[] } & WorkerEnd)
   /** The worker of an earlier report has stopped, and all its runs have ended. */
-  | {
-      readonly kind: 'workerGone';
-      readonly workerKey: string;
-      readonly cause: WorkerEndCause;
-      /** Runs that may have caused the end. */
-      readonly recentStarts: readonly RecentStart[];
-    }
+  | ({ readonly kind: 'workerGone' } & WorkerEnd)
   /** Sent by a new leader to the former one. */
   | {
       readonly kind: 'leaderChanged';
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -35,6 +35,13 @@
   checkpoint: z.string(),
 });
 
+const endFields = {
+  workerKey,
+  // Absent in messages of agents that do not tell the cause.
+  cause: z.enum(['crashed', 'left']).default('left'),
+  recentStarts: z.array(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
+};
+
 /** Schema of messages to an entry. */
 export const runnerSchema = z.discriminatedUnion('kind', [
   z.object({
@@ -58,13 +65,8 @@
     lastOrder: z.int(),
   }),
   z.object({ kind: z.literal('refused'), workerKey, run: runSchema, reason: z.string() }),
-  z.object({
-    kind: z.literal('workerGone'),
-    workerKey,
-    // Absent in messages of agents that do not tell the cause.
-    cause: z.enum(['crashed', 'left']).default('left'),
-    recentStarts: z.array(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
-  }),
+  z.object({ kind: z.literal('workerEnded'), openRuns: z.array(runSchema), ...endFields }),
+  z.object({ kind: z.literal('workerGone'), ...endFields }),
   z.object({
     kind: z.literal('leaderChanged'),
     entryId: z.string(),
