--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -3,7 +3,7 @@
 import { workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { Address, StepInputs } from '@bronzeyoke/types';
-import { assertNever, unchanged, without } from '@bronzeyoke/types';
+import { assertNever, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
 import {
@@ -65,7 +65,9 @@
   if (state.goneKeys.includes(workerKey)) return unchanged(state);
   if (worker?.workerKey === workerKey) {
     if (report.sequence <= worker.report.sequence) return unchanged(state);
-    const hasChanged = report.isDraining !== worker.report.isDraining;
+    const hasChanged =
+      report.isDraining !== worker.report.isDraining ||
+      !isSameAmount(worker.report.capacity, report.capacity);
     const next = { ...state, worker: { ...worker, report } };
     return { state: next, effects: hasChanged ? reportEffects(next) : [] };
   }
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -285,3 +285,11 @@
   const next = answerHold(dispatch(reportingRarely(), { kind: 'tick' }, 100), { ended: [ended] });
   expect(reportsOf(next)).to.have.length(1);
 });
+
+// Guards against a leader that places tasks by a room that has shrunk until the next regular report.
+it('agent: another room is reported at once', () => {
+  const capacity = { ...REPORT.capacity, processorsMilli: 1_000 };
+  const heartbeat = { kind: 'heartbeat', report: { ...REPORT, capacity, sequence: 2 } } as const;
+  const reports = reportsOf(dispatch(createLeased(), heartbeat));
+  expect(reports.map(({ worker }) => worker.capacity)).to.deep.equal([capacity]);
+});
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -2,7 +2,7 @@
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import { withTask } from '@bronzeyoke/placement';
-import { NO_RESOURCES } from '@bronzeyoke/types';
+import { fitsIn, NO_RESOURCES } from '@bronzeyoke/types';
 import { runsOn } from './runs';
 import type { OrphanRun, RunView, SchedulerState, WorkerView } from './types';
 
@@ -38,6 +38,7 @@
   };
 }
 
+/** Returns the load of a worker with its runs and those that have outlived their jobs. */
 function computeLoad(
   workerKey: string,
   { report, runs, orphans }: Pick<KnownLoad, 'report' | 'runs' | 'orphans'>,
@@ -52,6 +53,16 @@
   return orphans.reduce((load, { stage }) => withTask(load, stage), running);
 }
 
+/** Returns whether a worker has room for all runs that were claimed there. Its room may have shrunk. */
+export function hasRoomForClaims(state: SchedulerState, workerKey: string): boolean {
+  const report = state.workers.get(workerKey)?.report;
+  if (report === undefined) return false;
+  const runs = runsOn(state.runs, workerKey);
+  const orphans = runsOn(state.orphans, workerKey);
+  const { reserved, capacity } = computeLoad(workerKey, { report, runs, orphans });
+  return fitsIn(reserved, capacity);
+}
+
 /** Returns the report of a worker on which tasks may be placed. */
 function usableReport(
   state: SchedulerState,
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -1,5 +1,6 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
+import { hasRoomForClaims } from './loads';
 import type { PostCommitAction } from './pending';
 import { releaseRun } from './release';
 import { putRun } from './runs';
@@ -30,6 +31,9 @@
   if (worker?.linkId === undefined || link === undefined) {
     return releaseRun(state, task, 'notOrdered', nowMs);
   }
+  if (!hasRoomForClaims(state, workerKey)) {
+    return releaseRun(state, task, 'roomShrunk', nowMs);
+  }
   const order = link.lastOrder + 1;
   const { checkpoint } = stored;
   return withEffects(
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -31,6 +31,8 @@
   | 'neverStarted'
   /** The agent had no connection when the claim was stored. */
   | 'notOrdered'
+  /** The worker's room became smaller between the claim and the order. */
+  | 'roomShrunk'
   | 'refused';
 
 /** Returns a task to placement. Callers have proof that its worker does not run it and never will. */
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
+import { chainAfter, chainAll, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import {
@@ -91,6 +91,7 @@
   const grant: readonly SchedulerEffect[] = mayGrant ? [{ kind: 'send', linkId, message }] : [];
   const { id, service, domain, isDraining } = worker;
   const isChanged = known?.report === undefined || known.report.isDraining !== isDraining;
+  const hasOtherRoom = !isSameAmount(known?.report?.capacity, worker.capacity);
   const fields = { worker: workerKey, id, service, domain, agent: report.agentId };
   const log = isChanged ? [logEffect(isDraining ? 'workerDraining' : 'workerSeen', fields)] : [];
   return withEffects(
@@ -100,7 +101,8 @@
       instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
       awaited: state.awaited.delete(workerKey),
       renewAtMs: mustWait ? nowMs : state.renewAtMs,
-      needsPlacement: state.needsPlacement || isChanged || known.linkId === undefined,
+      needsPlacement:
+        state.needsPlacement || isChanged || hasOtherRoom || known.linkId === undefined,
     },
     [...grant, ...log],
   );
--- a/packages/types/src/resources.ts
+++ b/packages/types/src/resources.ts
@@ -44,3 +44,12 @@
     share(used.accelerators, total.accelerators),
   );
 }
+
+/** Returns whether two amounts of resources are the same. */
+export function isSameAmount(left: Resources | undefined, right: Resources): boolean {
+  return (
+    left?.processorsMilli === right.processorsMilli &&
+    left.memoryMb === right.memoryMb &&
+    left.accelerators === right.accelerators
+  );
+}
--- a/packages/wire/src/reportchange.ts
+++ b/packages/wire/src/reportchange.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import type { ListedEnd, ListedRun, WorkerReport } from '@bronzeyoke/ports';
 import type { Result } from '@bronzeyoke/types';
-import { fail, succeed } from '@bronzeyoke/types';
+import { fail, isSameAmount, succeed } from '@bronzeyoke/types';
 import type { Report, RunRef } from './runner';
 import { endSchema, runSchema, workerSchema } from './runnerschema';
 
@@ -78,9 +78,7 @@
     left.service === right.service &&
     left.domain === right.domain &&
     left.rack === right.rack &&
-    left.capacity.processorsMilli === right.capacity.processorsMilli &&
-    left.capacity.memoryMb === right.capacity.memoryMb &&
-    left.capacity.accelerators === right.capacity.accelerators &&
+    isSameAmount(left.capacity, right.capacity) &&
     left.labels.length === right.labels.length &&
     left.labels.every((label, index) => label === right.labels[index])
   );
