Tell callers and operators of given-up tasks, and untie the modules of the scheduler

Change: the status of a failed job has failure (attemptsUsed, workersCrashed), logs explain puts crashes in words, logs suspects lists them. views.ts, placewait.ts and jobend.ts take what stood in types.ts, waits.ts and jobs.ts, so that imports go one way, which tools/test/imports.test.ts checks. No decision changes.

--- a/packages/cli/src/explain.ts
+++ b/packages/cli/src/explain.ts
@@ -1,23 +1,13 @@
-import { createInterface } from 'node:readline';
 import type { Readable } from 'node:stream';
 import { Command, Option } from 'clipanion';
-import { z } from 'zod';
 import { BaseCommand } from './base';
+import { describeCrash } from './crashline';
 import { CliError } from './error';
+import type { LogLine } from './logline';
+import { readLogLines } from './logline';
 import { describePlaceWait } from './placewait';
 import { sumBy } from './sum';
 
-const lineSchema = z.looseObject({
-  time: z.string(),
-  hostname: z.string(),
-  msg: z.string(),
-  job: z.string().optional(),
-  task: z.string().optional(),
-  leftOut: z.number().optional(),
-});
-
-type LogLine = z.infer<typeof lineSchema>;
-
 /** What the logs say of a job or a task. */
 interface Excerpt {
   /** In time order. */
@@ -29,30 +19,18 @@
 /** Fields that every line has, or that are printed in the first columns. */
 const COMMON_FIELDS = new Set(['name', 'hostname', 'pid', 'level', 'time', 'msg', 'v']);
 
-/** Parses a log line. Text before its first brace is skipped. */
-function parseLogLine(text: string): LogLine | undefined {
-  const start = text.indexOf('{');
-  if (start === -1) return undefined;
-  try {
-    const parsed = lineSchema.safeParse(JSON.parse(text.slice(start)));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
 /** Returns whether a line is about a job, or about one of its tasks. */
 function matchesId(line: LogLine, id: string): boolean {
   const { job = '', task = '' } = line;
   return job === id || task === id || task.startsWith(`${id}.`);
 }
 
-/** Formats a log line: time, host, event, its other fields, and what they mean for a wait. */
+/** Formats a log line: time, host, event, its other fields, and what they mean for a wait or after a crash. */
 function formatLogLine(line: LogLine): string {
   const fields = Object.entries(line)
     .filter(([key]) => !COMMON_FIELDS.has(key))
     .map(([key, value]) => `${key}=${String(value)}`);
-  const description = describePlaceWait(line);
+  const description = describePlaceWait(line) ?? describeCrash(line);
   const words = description === undefined ? [] : [`(${description})`];
   return [line.time, line.hostname, line.msg, ...fields, ...words].join(' ');
 }
@@ -78,16 +56,10 @@
 async function readExcerpt(input: Readable, id: string): Promise<Excerpt> {
   const lines: LogLine[] = [];
   const gaps: LogLine[] = [];
-  const reader = createInterface({ input, crlfDelay: Infinity });
-  reader.on('line', (text) => {
-    const line = parseLogLine(text);
-    if (line === undefined) return;
+  await readLogLines(input, (line) => {
     if (matchesId(line, id)) lines.push(line);
     if (isGap(line)) gaps.push(line);
   });
-  await new Promise((resolve) => {
-    reader.once('close', resolve);
-  });
   return { lines: lines.toSorted((left, right) => left.time.localeCompare(right.time)), gaps };
 }
 
--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -10,6 +10,7 @@
 import { TicketWhere } from './processes';
 import { Status } from './status';
 import { JobSubmit } from './submit';
+import { LogsSuspects } from './suspects';
 import { TicketShow } from './ticket';
 import { TicketList } from './tickets';
 import { UpstreamList } from './upstreams';
@@ -24,6 +25,7 @@
   JobSubmit,
   JobWait,
   LogsExplain,
+  LogsSuspects,
   SettingsCheck,
   Status,
   TicketApply,
--- a/packages/cli/test/explain.test.ts
+++ b/packages/cli/test/explain.test.ts
@@ -17,14 +17,18 @@
   });
 }
 
-async function explain(lines: readonly string[], id: string) {
+async function runLogs(lines: readonly string[], ...argv: readonly string[]) {
   const stdout = new PassThrough();
   const stderr = new PassThrough();
   const stdin = Readable.from([lines.join('\n')]);
-  const exitCode = await runCli('0', ['logs', 'explain', id], { stdin, stdout, stderr });
+  const exitCode = await runCli('0', ['logs', ...argv], { stdin, stdout, stderr });
   return { exitCode, text: String(stdout.read() ?? '') };
 }
 
+async function explain(lines: readonly string[], id: string) {
+  return runLogs(lines, 'explain', id);
+}
+
 // Guards against output that mixes jobs or is out of order across processes.
 it('logs: the lines of a job are in time order across processes', async () => {
   const lines = [
@@ -132,3 +136,55 @@
     `lines left out, perhaps some about ${ID}: taskEnded 7, taskPlaced 42`,
   ]);
 });
+
+const CRASH = {
+  job: ID,
+  task: `${ID}.0.0.0`,
+  attempt: 1,
+  worker: 'w1@5',
+  prompt: 1,
+  slow: 0,
+  alone: 0,
+  ageMs: 13,
+  isSuspect: true,
+};
+
+const GIVEN_UP = { job: ID, outcome: 'failed', failure: 'workersCrashed' };
+
+// Guards against a failed job whose history does not tell that its task crashed workers.
+it('logs: crashes under a task are explained in words', async () => {
+  const { text } = await explain(
+    [
+      lineOf('2026-01-01T00:00:01.000Z', 'edge-1', 'taskSuspected', CRASH),
+      lineOf('2026-01-01T00:00:02.000Z', 'edge-1', 'taskCleared', { task: CRASH.task }),
+      lineOf('2026-01-01T00:00:03.000Z', 'edge-1', 'jobEnded', GIVEN_UP),
+    ],
+    ID,
+  );
+  const words = text
+    .trim()
+    .split('\n')
+    .map((line) => line.slice(line.indexOf('(')));
+  expect(words).to.deep.equal([
+    '(its worker crashed 13 ms after the start, crash 1 under the task: it is tried alone next)',
+    '(a worker has run it for long enough: it does not crash workers)',
+    '(given up: workers crashed whenever they started a task of it)',
+  ]);
+});
+
+// Guards against operators who cannot tell a suspect from a task that was cleared or given up.
+it('logs: suspects are listed with what became of them', async () => {
+  const other = { ...CRASH, job: 'b', task: 'b.0.0.1' };
+  const { text } = await runLogs(
+    [
+      lineOf('2026-01-01T00:00:01.000Z', 'edge-1', 'taskSuspected', CRASH),
+      lineOf('2026-01-01T00:00:01.000Z', 'edge-1', 'taskSuspected', other),
+      lineOf('2026-01-01T00:00:02.000Z', 'edge-1', 'taskCleared', { task: other.task }),
+      lineOf('2026-01-01T00:00:03.000Z', 'edge-1', 'jobEnded', GIVEN_UP),
+      lineOf('2026-01-01T00:00:04.000Z', 'edge-1', 'jobEnded', { job: 'c', outcome: 'complete' }),
+    ],
+    'suspects',
+  );
+  expect(text).to.match(new RegExp(`${CRASH.task} +givenUp +1 +0 +w1@5`));
+  expect(text).to.match(/b\.0\.0\.1 +cleared/);
+});
--- a/packages/intake/src/query.ts
+++ b/packages/intake/src/query.ts
@@ -137,7 +137,10 @@
 function statusReply(rows: readonly StoredRow[]): IntakeReply | undefined {
   const [row] = rows;
   const progress = row === undefined ? undefined : decodeProgress(row.value);
-  return progress === undefined ? undefined : { kind: 'status', status: statusOf(progress) };
+  if (progress === undefined) return undefined;
+  const { failure } = progress;
+  const reply = { kind: 'status', status: statusOf(progress) } as const;
+  return failure === undefined ? reply : { ...reply, failure };
 }
 
 function applyRows(
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -3,7 +3,7 @@
 import { compileChart } from '@bronzeyoke/chart';
 import type { RowStoreCall, RowStoreEvent } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
-import type { JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
+import type { JobFailure, JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
 import chartFile from '../charts/submission.json';
 
 /** Chart of a submission. One that may have been stored is never refused as not accepted. */
@@ -64,7 +64,7 @@
   | { readonly kind: 'unknown' }
   | { readonly kind: 'cancelled' }
   | { readonly kind: 'absent' }
-  | { readonly kind: 'status'; readonly status: JobStatus }
+  | { readonly kind: 'status'; readonly status: JobStatus; readonly failure?: JobFailure }
   | { readonly kind: 'pending'; readonly count: number }
   | { readonly kind: 'unavailable'; readonly retryAfterMs: number };
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -5,3 +5,4 @@
 export * from './step';
 export * from './times';
 export * from './types';
+export * from './views';
--- a/packages/scheduler/src/instances.ts
+++ b/packages/scheduler/src/instances.ts
@@ -4,7 +4,8 @@
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { runsOn } from './runs';
 import { putJob } from './state';
-import type { SchedulerState, WorkerView } from './types';
+import type { SchedulerState } from './types';
+import type { WorkerView } from './views';
 
 function bornAtMsOf(workerKey: string): number {
   return Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -2,7 +2,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { chainAll, unchanged } from '@bronzeyoke/types';
-import type { JobFailure, JobOutcome, JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import {
   assignedSlots,
   decodeJob,
@@ -18,80 +18,18 @@
 import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
 import type { RunTable } from './runs';
-import { dropRuns, NO_RUNS, putRun } from './runs';
-import { putJob, sendToWorker, withEffects } from './state';
+import { NO_RUNS, putRun } from './runs';
+import { withEffects } from './state';
 import { findSuspects } from './suspects';
-import type {
-  GoneReport,
-  OpenJob,
-  OrphanRun,
-  RunView,
-  SchedulerState,
-  SchedulerStep,
-  WorkerView,
-} from './types';
-import { runRef } from './types';
+import type { GoneReport, SchedulerState, SchedulerStep } from './types';
+import type { OpenJob, RunView, WorkerView } from './views';
+import { endJob } from './jobend';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
 
-function orphansOf(runs: readonly (readonly [string, RunView])[]): readonly OrphanRun[] {
-  return runs
-    .filter(([, run]) => run.isOrdered)
-    .map(([task, { workerKey, attempt, order, stage }]) => ({
-      task,
-      workerKey,
-      attempt,
-      order,
-      stage,
-    }));
-}
-
-/** How a job ended. */
-export type JobEnd =
-  | { readonly outcome: Exclude<JobOutcome, 'failed'> }
-  | { readonly outcome: 'failed'; readonly failure: JobFailure };
-
-/** Ends a job and stops its runs. They occupy their workers until these no longer list them. */
-export function endJob(
-  state: SchedulerState,
-  jobId: string,
-  end: JobEnd,
-  wallMs: number,
-): SchedulerStep {
-  const open = state.jobs.get(jobId);
-  if (open === undefined || open.progress.outcome !== undefined) return unchanged(state);
-  const assigned = assignedSlots(open.progress).flatMap(([slot]) => {
-    const task = `${jobId}.${slot}`;
-    const run = state.runs.byTask.get(task);
-    return run === undefined ? [] : [[task, run] as const];
-  });
-  const orphans = orphansOf(assigned);
-  const ended = { ...open, progress: { ...open.progress, ...end, endedAtMs: wallMs } };
-  const next = putJob(
-    {
-      ...state,
-      runs: dropRuns(
-        state.runs,
-        assigned.map(([task]) => task),
-      ),
-      orphans: orphans.reduce((table, orphan) => putRun(table, orphan.task, orphan), state.orphans),
-    },
-    jobId,
-    ended,
-  );
-  const stops = orphans.flatMap(({ task, workerKey, attempt }) =>
-    sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
-  );
-  const ageMs = Math.round(wallMs - open.job.acceptedAtMs);
-  return withEffects(next, [
-    ...stops,
-    logEffect('jobEnded', { job: jobId, ...end, queue: open.job.policy.queue, ageMs }),
-  ]);
-}
-
 function addJob(state: SchedulerState, job: WorkflowJob, progress: JobProgress): SchedulerStep {
   const { jobId } = job;
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership.ts
@@ -3,9 +3,10 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { startReads } from './load';
+import type { Leader } from './rows';
 import { decodeLeader } from './rows';
 import { EMPTY_LEADER_STATE, withEffects } from './state';
-import type { Leader, SchedulerState, SchedulerStep } from './types';
+import type { SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
 
 /** Ids of the store calls that poll and claim the lease. */
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -4,22 +4,8 @@
 import { withTask } from '@bronzeyoke/placement';
 import { fitsIn, NO_RESOURCES } from '@bronzeyoke/types';
 import { runsOn } from './runs';
-import type { OrphanRun, RunView, SchedulerState, WorkerView } from './types';
-
-/** The load of a worker, with what it was computed from. */
-export interface KnownLoad {
-  readonly report: WorkerReport;
-  readonly runs: Map<string, RunView>;
-  readonly orphans: Map<string, OrphanRun>;
-  readonly load: WorkerLoad;
-  /** A suspect is tried here, so nothing else may begin. */
-  readonly hasTrial: boolean;
-  /** Number of the first placement pass with this load. */
-  readonly sincePass: number;
-}
-
-/** Loads of the usable workers by key, as of the last placement. */
-export type KnownLoads = Map<string, KnownLoad>;
+import type { SchedulerState } from './types';
+import type { KnownLoad, KnownLoads, WorkerView } from './views';
 
 function emptyLoad(workerKey: string, report: WorkerReport): WorkerLoad {
   const { service, domain, rack, labels, capacity } = report;
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/pace.ts
@@ -13,14 +13,9 @@
 import { putRun, runsOn } from './runs';
 import { sendToWorker, withEffects } from './state';
 import { taskLog } from './tasklog';
-import type {
-  InheritedPace,
-  RunView,
-  SchedulerEffect,
-  SchedulerState,
-  SchedulerStep,
-} from './types';
+import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
+import type { InheritedPace, RunView } from './views';
 
 /** Pace of a task that was placed beside one that it harms. */
 const LAST_RESORT_PERCENT = 10;
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -11,7 +11,8 @@
 import { addPostCommitAction, putJob } from './state';
 import { isSuspect, trialMs } from './suspects';
 import type { Occupancy } from './tenants';
-import type { OpenJob, RunView, SchedulerState } from './types';
+import type { SchedulerState } from './types';
+import type { OpenJob, RunView } from './views';
 
 function claimUrgency({ isLasting, fillsIdle }: Stage): WriteUrgency {
   if (isLasting) return 'high';
--- a/packages/scheduler/src/preempt.ts
+++ b/packages/scheduler/src/preempt.ts
@@ -7,7 +7,8 @@
 import { classifierOf, loadsOfService, siblingCounter } from './pass';
 import { runsOn } from './runs';
 import type { StageSearch } from './search';
-import type { OpenJob, RunView, SchedulerState } from './types';
+import type { SchedulerState } from './types';
+import type { OpenJob, RunView } from './views';
 
 /** Name and run of a filling task. */
 type Fill = readonly [task: string, run: RunView];
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -13,12 +13,14 @@
   taskProgress,
   withTasks,
 } from '@bronzeyoke/workflow';
-import { endJob } from './jobs';
+import { endJob } from './jobend';
+import { startWait } from './placewait';
 import { dropRun, dropRuns, runsOn } from './runs';
 import { putJob, withEffects } from './state';
 import { taskLog } from './tasklog';
-import type { RunView, SchedulerState, SchedulerStep } from './types';
-import { endClaim, startWait } from './waits';
+import type { SchedulerState, SchedulerStep } from './types';
+import type { RunView } from './views';
+import { endClaim } from './waits';
 
 /** Delays before a task is placed again that a worker refused, and one that failed. */
 const REFUSAL_BACK_OFF_MS = 150;
--- a/packages/scheduler/src/relocate.ts
+++ b/packages/scheduler/src/relocate.ts
@@ -4,6 +4,7 @@
 import { parseTaskName, stageSlots } from '@bronzeyoke/workflow';
 import type { PlacementPass } from './pass';
 import { chooseWorkerFor } from './pass';
+import type { PlannedMove } from './placewait';
 import type { PlacedSlot } from './reserve';
 import {
   allowedLoads,
@@ -15,8 +16,7 @@
   reserveRoom,
 } from './reserve';
 import { runsOn } from './runs';
-import type { RunView } from './types';
-import type { PlannedMove } from './waits';
+import type { RunView } from './views';
 
 /** A lasting run that may be moved to another worker. */
 interface MovableRun {
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -26,8 +26,9 @@
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import { clearProvenRuns } from './suspects';
 import { knownStage, taskLog } from './tasklog';
-import type { RunView, SchedulerEffect, SchedulerState, SchedulerStep, WorkerView } from './types';
+import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
+import type { RunView, WorkerView } from './views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
 
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -4,11 +4,12 @@
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
 import { isBackingOff, placeGang, placeTask } from './pass';
+import type { PlaceWait, WaitEvent } from './placewait';
+import { advanceWait, startMove } from './placewait';
 import { makeRoomByMoves } from './relocate';
 import type { Vacancy } from './reserve';
 import { clearVacancy, findVacancy, keptVacancy, reserveRoom, slotOf } from './reserve';
-import type { PlaceWait, WaitEvent, WaitingTask } from './waits';
-import { advanceWait, startMove } from './waits';
+import type { WaitingTask } from './waits';
 
 /** Time after which the runs that keep a lasting task from its reserved place are stopped. */
 const MAX_DRAIN_MS = 2_500;
--- a/packages/scheduler/src/round.ts
+++ b/packages/scheduler/src/round.ts
@@ -8,9 +8,9 @@
 import type { PlacementPass } from './pass';
 import { isBackingOff, loadsOfService, placeGang, placeTask, serviceOf } from './pass';
 import { preemptFills } from './preempt';
-import type { FailedSearch } from './search';
 import { placeOn, searchScope } from './search';
 import type { SchedulerState } from './types';
+import type { FailedSearch } from './views';
 import type { WaitingTask } from './waits';
 
 /**
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -1,7 +1,14 @@
 import type { RowKey, StoredRow } from '@bronzeyoke/ports';
 import { isHost, isPort } from '@bronzeyoke/types';
 import { z } from 'zod';
-import type { Leader } from './types';
+
+/** The entry that places tasks, as stored in its row. The term rises with every change of leader. */
+export interface Leader {
+  readonly entryId: string;
+  readonly host: string;
+  readonly port: number;
+  readonly term: number;
+}
 
 /** All rows that change together lie in one partition, because a transaction spans only one. */
 export const PARTITION = 'main';
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -1,5 +1,5 @@
 import { Map } from 'immutable';
-import type { OrphanRun, RunView } from './types';
+import type { OrphanRun, RunView } from './views';
 
 /** A run that occupies a worker. */
 interface Placed {
--- a/packages/scheduler/src/search.ts
+++ b/packages/scheduler/src/search.ts
@@ -65,13 +65,6 @@
 /** Time after which a stage that found no worker looks at all of them again. */
 const FULL_SEARCH_MS = 500;
 
-/** The last search for a filling stage that found too few workers. */
-export interface FailedSearch {
-  readonly passNumber: number;
-  /** When all workers were looked at. */
-  readonly fullAtMs: number;
-}
-
 /** Workers to look at for a stage, and whether these are all of its service. */
 export interface SearchScope {
   readonly loads: readonly WorkerLoad[];
--- a/packages/scheduler/src/stall.ts
+++ b/packages/scheduler/src/stall.ts
@@ -3,7 +3,8 @@
 import { stopRun } from './pace';
 import { recordFailure } from './release';
 import { runsOn } from './runs';
-import type { RunView, SchedulerState, SchedulerStep } from './types';
+import type { SchedulerState, SchedulerStep } from './types';
+import type { RunView } from './views';
 
 /** Time without progress after which a running task is moved to another worker. */
 const STALL_MS = 2_500;
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -5,14 +5,9 @@
 import type { ActionScope, PostCommitAction, WriteUrgency } from './pending';
 import { addAction, addRow, NO_PENDING_WRITES } from './pending';
 import { NO_RUNS } from './runs';
-import type {
-  OpenJob,
-  SchedulerEffect,
-  SchedulerSettings,
-  SchedulerState,
-  SchedulerStep,
-} from './types';
+import type { SchedulerEffect, SchedulerSettings, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
+import type { OpenJob } from './views';
 
 /** Initial value of the state that only a leader keeps. */
 export const EMPTY_LEADER_STATE = {
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -5,7 +5,6 @@
 import { passIntervalMs } from './budget';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
-import { onJobRows, onLoaded } from './jobs';
 import {
   goneReportOf,
   handleGoneReports,
@@ -13,8 +12,9 @@
   onWorkerGone,
   recordGoneWorker,
 } from './gone';
-import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
+import { onJobRows, onLoaded } from './jobs';
+import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
 import { changeTimes } from './leases';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -2,31 +2,18 @@
 import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
 import type { PairEstimates } from '@bronzeyoke/interference';
-import type {
-  RowTransaction,
-  RowStoreCall,
-  RowStoreEvent,
-  StoredRow,
-  WorkerReport,
-} from '@bronzeyoke/ports';
+import type { RowTransaction, RowStoreCall, RowStoreEvent, StoredRow } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Step } from '@bronzeyoke/types';
-import type {
-  CrashRecord,
-  FleetConfig,
-  JobProgress,
-  Stage,
-  WorkflowJob,
-} from '@bronzeyoke/workflow';
+import type { FleetConfig, JobProgress } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
-import type { KnownLoads } from './loads';
 import type { PendingWrites, PostCommitAction } from './pending';
-import type { LeaseValue } from './rows';
+import type { PlaceWait } from './placewait';
+import type { Leader, LeaseValue } from './rows';
 import type { OrphanTable, RunTable } from './runs';
-import type { FailedSearch } from './search';
 import type { EntryCapacity, SchedulerTimes } from './times';
-import type { PlaceWait } from './waits';
+import type { FailedSearch, KnownLoads, LinkView, OpenJob, Suspect, WorkerView } from './views';
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
@@ -56,14 +43,6 @@
 /** State of the leadership chart. */
 export type LeadershipPhase = StateOf<typeof leadershipChart>;
 
-/** The entry that places tasks, as stored in its row. The term rises with every change of leader. */
-export interface Leader {
-  readonly entryId: string;
-  readonly host: string;
-  readonly port: number;
-  readonly term: number;
-}
-
 /** Address and capacity of this entry, and the times of its scheduler. */
 export interface SchedulerSettings {
   readonly entryId: string;
@@ -73,111 +52,6 @@
   readonly times: SchedulerTimes;
 }
 
-/** A job that has not ended, with its progress. */
-export interface OpenJob {
-  readonly job: WorkflowJob;
-  readonly progress: JobProgress;
-  readonly isCancelled: boolean;
-}
-
-/**
- * Pace orders that remain for a run of the leader before. That leader may have paced it, which
- * neither the rows nor the worker's list of runs shows.
- */
-export interface InheritedPace {
-  readonly dueAtMs: number;
-  readonly ordersLeft: number;
-}
-
-/** A task that is taken to crash workers. */
-export interface Suspect {
-  readonly jobId: string;
-  readonly slot: string;
-  readonly crashes: CrashRecord;
-  /** Time of the last crash, or of the load of a new leader. */
-  readonly sinceMs: number;
-}
-
-/** A suspect's run on a worker that begins nothing else meanwhile. */
-export interface Trial {
-  readonly crashes: CrashRecord;
-  /** Time for which the worker has to list the run to clear the task. */
-  readonly forMs: number;
-}
-
-/** The leader's in-memory state of a run. */
-export interface RunView {
-  readonly jobId: string;
-  /** Key of the task within its job. */
-  readonly slot: string;
-  readonly stage: Stage;
-  readonly workerKey: string;
-  readonly attempt: number;
-  /** Number of the start order on the worker's connection; 0 unless it was sent on this one. */
-  readonly order: number;
-  readonly isOrdered: boolean;
-  readonly claimedAtMs: number;
-  readonly percent: number;
-  readonly percentAtMs: number;
-  readonly load: number;
-  readonly isListed: boolean;
-  readonly listedAtMs: number;
-  /** Time since which the latency of a serving task has counted as harmed. */
-  readonly harmedSinceMs?: number;
-  /** Placed beside a task that it harms, because no other worker fits; runs at a low pace. */
-  readonly isLastResort: boolean;
-  /** Limit in percent of the processors that the task needs; 0 pauses it. */
-  readonly pace: number;
-  readonly pacedAtMs: number;
-  readonly inheritedPace?: InheritedPace;
-  readonly stopSentAtMs?: number;
-  readonly trial?: Trial;
-}
-
-/** A run whose job has ended. It is kept until its worker no longer lists it. */
-export interface OrphanRun {
-  readonly task: string;
-  readonly workerKey: string;
-  readonly attempt: number;
-  readonly order: number;
-  readonly stage: Stage;
-}
-
-/** A connection of an agent. */
-export interface LinkView {
-  /** Number of the last order that was sent. */
-  readonly lastOrder: number;
-  /** Rises with every connection that opens. */
-  readonly number: number;
-}
-
-/** The leader's state of one worker instance. */
-export interface WorkerView {
-  readonly workerKey: string;
-  /** Absent until its agent has reported to this leader. */
-  readonly report?: WorkerReport;
-  /** Address in the claims of the leader before, until the agent has reported. */
-  readonly claimedAddress?: string;
-  readonly reportedAtMs?: number;
-  readonly linkId?: string;
-  /** Number of the newest connection that its agent reported on. */
-  readonly linkNumber: number;
-  readonly clockMs: number;
-  /** Time after which no task can still run there, unless a report extends the lease. */
-  readonly expiresAtMs: number;
-  /** Highest sequence of a listed end that was applied to the jobs' progress. */
-  readonly handledSequence: number;
-  /** Jobs that failed here since the last success. */
-  readonly failedJobs: readonly string[];
-  readonly quarantinedUntilMs: number;
-  /** Its process has ended, but some of its runs may still begin. */
-  readonly hasEnded?: boolean;
-  /** Value of `instanceCount` when other instances at its address and under its id were looked for. */
-  readonly comparedCount?: number;
-  /** Time of the last stop order of each unwanted run that the worker lists. */
-  readonly unwantedStops?: Map<string, number>;
-}
-
 /** The lease row as this entry last read it. */
 export interface SeenLease {
   readonly version: number;
--- a/packages/scheduler/src/waitlog.ts
+++ b/packages/scheduler/src/waitlog.ts
@@ -1,10 +1,11 @@
 import { fitsEmptyWorker, hasRoom } from '@bronzeyoke/placement';
 import type { PlacementPass } from './pass';
 import { loadsOfService } from './pass';
+import type { PlaceWait } from './placewait';
 import { allowedLoads, slotOf } from './reserve';
 import { taskLog } from './tasklog';
 import type { SchedulerEffect, SchedulerState } from './types';
-import type { PlaceWait, WaitingTask } from './waits';
+import type { WaitingTask } from './waits';
 
 /** Time after which a wait is logged. */
 const LOG_AFTER_MS = 1_000;
