Complete a task by a late success of an earlier attempt

Only a task that waited took a late success.

Change: a success of any earlier attempt completes the task. A run that was claimed since is stopped, and occupies its worker until that no longer lists it (abandonRuns, which ends of jobs use too).

--- a/packages/scheduler/src/jobend.ts
+++ b/packages/scheduler/src/jobend.ts
@@ -20,12 +20,35 @@
     }));
 }
 
+/** Stops runs that nothing waits for any more. They occupy their workers until these no longer list them. */
+export function abandonRuns(state: SchedulerState, tasks: readonly string[]): SchedulerStep {
+  const runs = tasks.flatMap((task) => {
+    const run = state.runs.byTask.get(task);
+    return run === undefined ? [] : [[task, run] as const];
+  });
+  const orphans = orphansOf(runs);
+  const stops = orphans.flatMap(({ task, workerKey, attempt }) =>
+    sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
+  );
+  return withEffects(
+    {
+      ...state,
+      runs: dropRuns(
+        state.runs,
+        runs.map(([task]) => task),
+      ),
+      orphans: orphans.reduce((table, orphan) => putRun(table, orphan.task, orphan), state.orphans),
+    },
+    stops,
+  );
+}
+
 /** How a job ended. */
 export type JobEnd =
   | { readonly outcome: Exclude<JobOutcome, 'failed'> }
   | { readonly outcome: 'failed'; readonly failure: JobFailure };
 
-/** Ends a job and stops its runs. They occupy their workers until these no longer list them. */
+/** Ends a job and stops its runs. */
 export function endJob(
   state: SchedulerState,
   jobId: string,
@@ -34,31 +57,12 @@
 ): SchedulerStep {
   const open = state.jobs.get(jobId);
   if (open === undefined || open.progress.outcome !== undefined) return unchanged(state);
-  const assigned = assignedSlots(open.progress).flatMap(([slot]) => {
-    const task = `${jobId}.${slot}`;
-    const run = state.runs.byTask.get(task);
-    return run === undefined ? [] : [[task, run] as const];
-  });
-  const orphans = orphansOf(assigned);
+  const tasks = assignedSlots(open.progress).map(([slot]) => `${jobId}.${slot}`);
+  const { state: stopped, effects } = abandonRuns(state, tasks);
   const ended = { ...open, progress: { ...open.progress, ...end, endedAtMs: wallMs } };
-  const next = putJob(
-    {
-      ...state,
-      runs: dropRuns(
-        state.runs,
-        assigned.map(([task]) => task),
-      ),
-      orphans: orphans.reduce((table, orphan) => putRun(table, orphan.task, orphan), state.orphans),
-    },
-    jobId,
-    ended,
-  );
-  const stops = orphans.flatMap(({ task, workerKey, attempt }) =>
-    sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
-  );
   const ageMs = Math.round(wallMs - open.job.acceptedAtMs);
-  return withEffects(next, [
-    ...stops,
+  return withEffects(putJob(stopped, jobId, ended), [
+    ...effects,
     logEffect('jobEnded', { job: jobId, ...end, queue: open.job.policy.queue, ageMs }),
   ]);
 }
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -13,7 +13,7 @@
   taskProgress,
   withTasks,
 } from '@bronzeyoke/workflow';
-import { endJob } from './jobend';
+import { abandonRuns, endJob } from './jobend';
 import { startWait } from './placewait';
 import { dropRun, dropRuns, runsOn } from './runs';
 import { putJob, withEffects } from './state';
@@ -207,11 +207,11 @@
   const stage = open.job.stages[ref.stageIndex];
   const slot = slotKey(ref.occurrence, ref.stageIndex, ref.index);
   const task = taskProgress(open.progress, slot);
-  // A success also counts when the run was released meanwhile and the task is not claimed again.
-  const isLateSuccess = task.phase === 'waiting' && ended.end === 'done';
+  // A success also counts when the run was released meanwhile, and ends a run that was claimed since.
+  const isSuccess = ended.end === 'done' && ended.attempt <= task.attempt;
+  const isOwnRun = task.attempt === ended.attempt && task.workerKey === ended.workerKey;
   const isCurrent =
-    task.attempt === ended.attempt &&
-    (task.workerKey === ended.workerKey || isLateSuccess) &&
+    (isOwnRun || isSuccess) &&
     open.progress.outcome === undefined &&
     stage !== undefined &&
     acceptsEvent(task, ended.end === 'done' ? 'done' : 'release');
@@ -224,7 +224,10 @@
     worker: ended.workerKey,
     end: ended.end,
   };
-  const { state: recorded, effects } = recordEnd(state, ended, ref.jobId, nowMs);
+  const { state: recorded, effects } = chainAll(state, [
+    (current) => recordEnd(current, ended, ref.jobId, nowMs),
+    (current) => (isOwnRun ? unchanged(current) : abandonRuns(current, [ended.task])),
+  ]);
   const rest = without(task, 'workerKey', 'workerAddress');
   const keepsCheckpoint = stage.savesCheckpoints && ended.checkpoint !== '';
   const moved = {
