Let the soak submit tasks that crash workers, and bound the searches for trials

Change: 3% of the soak's jobs crash each worker that starts their first task; its oracle expects them to be given up and all others to complete. A pass searches workers for at most eight trials. Tests speak of crashing tasks.

--- a/packages/scheduler/src/trials.ts
+++ b/packages/scheduler/src/trials.ts
@@ -28,6 +28,9 @@
 const MIN_TRIALS = 2;
 const REPEATED_TRIAL_SHARE = 1 / 10;
 
+/** Searches for a trial in one pass. Each looks at all workers, and a pass must stay short. */
+const MAX_SEARCHES = 8;
+
 /** A suspect that waits for a trial. */
 interface WaitingSuspect {
   readonly task: string;
@@ -189,7 +192,7 @@
     .toSorted((left, right) => left.suspect.crashes.prompt - right.suspect.crashes.prompt)
     .reduce<Trials>((current, task) => placeTrial(current, task, nowMs), {
       pass,
-      left: limit - running.length,
+      left: Math.min(limit - running.length, MAX_SEARCHES),
       repeatedLeft: repeatedLimit - repeated.length,
       held: new Set<string>(),
     });
--- a/packages/scheduler/test/deadly.test.ts
+++ b/packages/scheduler/test/crashing.test.ts
@@ -7,12 +7,12 @@
 import { createFleet } from './fullfleet';
 
 const SEED = 20_261_205;
-const DEADLY = 'deadly';
+const CRASHING = 'crashing';
 const INNOCENT = 'innocent';
 
 /** Submits a job of small tasks, the first of which crashes each worker that starts it. */
-function submitDeadly(fleet: Fleet, jobId: string, taskCount = 6, changes: Partial<Stage> = {}) {
-  fleet.setDeadly(`${jobId}.0.0.0`);
+function submitCrashing(fleet: Fleet, jobId: string, taskCount = 6, changes: Partial<Stage> = {}) {
+  fleet.setCrashing(`${jobId}.0.0.0`);
   fleet.submit(jobOf(jobId, [stageOf(taskCount, { needs: needsOf(1), ...changes })]), 1_000);
 }
 
@@ -27,20 +27,20 @@
 }
 
 // Guards against a task that ends worker after worker because their ends count for nothing.
-it('deadly: a task that crashes each worker is given up within the budget', () => {
+it('crashing task: a task that crashes each worker is given up within the budget', () => {
   const { fleet, load } = createBusyFleet();
-  submitDeadly(fleet, DEADLY);
+  submitCrashing(fleet, CRASHING);
   fleet.advance(25_000);
   load.stop();
   expect(fleet.violations()).to.deep.equal([]);
-  expect(fleet.outcomeOf(DEADLY)).to.equal('failed');
+  expect(fleet.outcomeOf(CRASHING)).to.equal('failed');
   expect(endsAll(fleet, [QUICK])).to.equal(true);
 });
 
 // Guards against jobs that are given up because they shared a worker with a task that crashes it.
-it('deadly: tasks that share a worker with one that crashes it complete', () => {
+it('crashing task: tasks that share a worker with one that crashes it complete', () => {
   const { fleet, load } = createBusyFleet();
-  submitDeadly(fleet, DEADLY);
+  submitCrashing(fleet, CRASHING);
   fleet.submit(jobOf(INNOCENT, [stageOf(30, { needs: needsOf(1) })]), 1_000);
   fleet.advance(20_000);
   load.stop();
@@ -49,7 +49,7 @@
 });
 
 // Guards against a rule that holds for one kind of task only.
-it('deadly: lasting tasks, gangs, filling tasks and wide stages are given up in time', () => {
+it('crashing task: lasting tasks, gangs, filling tasks and wide stages are given up in time', () => {
   const kinds: Readonly<Record<string, Partial<Stage>>> = {
     lasting: { isLasting: true },
     gang: { isGang: true },
@@ -57,7 +57,7 @@
     plain: {},
   };
   const { fleet, load } = createBusyFleet();
-  Object.entries(kinds).forEach(([jobId, changes]) => submitDeadly(fleet, jobId, 4, changes));
+  Object.entries(kinds).forEach(([jobId, changes]) => submitCrashing(fleet, jobId, 4, changes));
   fleet.advance(40_000);
   load.stop();
   expect(fleet.violations()).to.deep.equal([]);
@@ -67,7 +67,7 @@
 });
 
 // Guards against healthy jobs that are given up because machines crash for other reasons.
-it('deadly: crashes without a cause in a task fail no job', () => {
+it('crashing task: crashes without a cause in a task fail no job', () => {
   [1, 2, 3].forEach((seed) => {
     const { fleet, load } = createBusyFleet(seed);
     const draws = createDraws(seed);
@@ -84,9 +84,9 @@
 });
 
 // Guards against trials that keep the other tasks of a fleet waiting.
-it('deadly: quick tasks start in time while suspects are tried', () => {
+it('crashing task: quick tasks start in time while suspects are tried', () => {
   const { fleet, load } = createBusyFleet();
-  submitDeadly(fleet, DEADLY);
+  submitCrashing(fleet, CRASHING);
   fleet.advance(20_000);
   load.stop();
   expect(endsAll(fleet, [QUICK])).to.equal(true);
--- a/packages/scheduler/test/fullfleet.ts
+++ b/packages/scheduler/test/fullfleet.ts
@@ -49,7 +49,7 @@
   /** Submits a job. The runs of its tasks end after `runMs`, unless they last. */
   readonly submit: (job: WorkflowJob, runMs?: number) => void;
   /** Makes a task crash each worker that starts it. The worker is back under another id. */
-  readonly setDeadly: (task: string) => void;
+  readonly setCrashing: (task: string) => void;
   readonly outcomeOf: (jobId: string) => string | undefined;
   /** Jobs that have failed. */
   readonly failures: () => readonly string[];
@@ -102,7 +102,7 @@
   const waitsMs = new Map<string, number>();
   const stops: Stage[] = [];
   const stoppedLasting = new Set<string>();
-  const deadly = new Set<string>();
+  const crashing = new Set<string>();
   const outcomes = new Map<string, string>();
 
   const jobOfTask = (task: string): KnownJob => {
@@ -195,7 +195,7 @@
     if (!waitsMs.has(task)) waitsMs.set(task, clock.now() - jobOfTask(task).submittedAtMs);
     oracle.onStart(worker, run);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- starts follow the creation
-    if (deadly.has(task)) clock.schedule(CRASH_MS, () => crashUnder(worker, run));
+    if (crashing.has(task)) clock.schedule(CRASH_MS, () => crashUnder(worker, run));
     if (!run.stage.isGang) return;
     clock.schedule(GANG_START_MS, () => {
       const isCurrent = worker.runs().get(task)?.attempt === run.attempt;
@@ -285,7 +285,7 @@
     schedule: clock.schedule,
     addWorker,
     submit,
-    setDeadly: (task) => deadly.add(task),
+    setCrashing: (task) => crashing.add(task),
     outcomeOf: (jobId) => outcomes.get(jobId),
     failures: () => [...outcomes.keys()].filter((jobId) => outcomes.get(jobId) === 'failed'),
     countCrashes: () => known.crashes,
--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { drawUniforms } from '@bronzeyoke/types';
 import { Agent, request } from 'undici';
+import { crashingId } from './crashing';
 import type { SoakObservation } from './types';
 
 const CALL_TIMEOUT_MS = 3_000;
@@ -9,6 +10,7 @@
 const MAX_STAGES = 3;
 const MAX_TASKS = 4;
 const CANCELLED_SHARE = 0.1;
+const CRASHING_SHARE = 0.03;
 const MAX_THINK_TIME_MS = 600;
 const ID_DIGITS = 16;
 const HEX_BASE = 16;
@@ -106,7 +108,9 @@
       Math.floor(draw * HEX_BASE ** (ID_DIGITS / 2))
         .toString(HEX_BASE)
         .padStart(ID_DIGITS / 2, '0');
-    const id = `${hex(idHigh)}${hex(idLow)}`;
+    const plainId = `${hex(idHigh)}${hex(idLow)}`;
+    // The draw that cancels low shares of the jobs is not used for the others.
+    const id = cancelDraw > 1 - CRASHING_SHARE ? crashingId(plainId) : plainId;
     const stages = taskDraws
       .slice(0, 1 + Math.floor(stageDraw * MAX_STAGES))
       .map((draw) => 1 + Math.floor(draw * MAX_TASKS));
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -1,3 +1,4 @@
+import { isCrashingJob } from './crashing';
 import type { PromiseViolation, SoakObservation } from './types';
 
 /** Time from its acknowledgement until all entries know an accepted job. */
@@ -147,7 +148,7 @@
   const accepted = new Map(ofKind(observations, 'accepted').map(({ job, atMs }) => [job, atMs]));
   const cancelled = new Set(ofKind(observations, 'cancelSent').map(({ job }) => job));
   const shown = ofKind(observations, 'shown');
-  const expected = [...accepted.keys()].filter((job) => !cancelled.has(job));
+  const expected = [...accepted.keys()].filter((job) => !cancelled.has(job) && !isCrashingJob(job));
   const byJob = groupBy(shown, ({ job }) => job);
   return expected.flatMap((job): PromiseViolation[] => {
     const answers = byJob.get(job) ?? [];
@@ -164,6 +165,26 @@
   });
 }
 
+/** Finds accepted jobs that crash workers and are not given up. */
+function findCrashingJobs(
+  observations: readonly SoakObservation[],
+  endMs: number,
+): PromiseViolation[] {
+  const cancelled = new Set(ofKind(observations, 'cancelSent').map(({ job }) => job));
+  const failed = new Set(
+    ofKind(observations, 'shown')
+      .filter(({ status }) => status === 'failed')
+      .map(({ job }) => job),
+  );
+  return ofKind(observations, 'accepted')
+    .filter(({ job }) => isCrashingJob(job) && !cancelled.has(job) && !failed.has(job))
+    .map(({ job }) => ({
+      promise: 'BUDGET',
+      atMs: endMs,
+      what: `${job} crashes workers and is not given up`,
+    }));
+}
+
 /** Finds jobs that are shown as complete before each of their tasks has succeeded. */
 function findEarlyCompletions(
   runs: readonly Run[],
@@ -218,6 +239,7 @@
     ...findUnwantedRuns(runs, observations, endMs),
     ...findRefusedRuns(runs, observations),
     ...findLostJobs(observations, endMs),
+    ...findCrashingJobs(observations, endMs),
     ...findEarlyCompletions(runs, completeAtMs, stagesOf),
     ...findOwnExits(observations),
   ];
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -2,6 +2,7 @@
 import { freePort } from '../platform/test/port';
 import type { StandinPlatform } from '../platform/test/standin';
 import { startPlatform } from '../platform/test/standin';
+import { CRASH_DELAY_MS, isCrashingTask } from './crashing';
 import { startOddWriter } from './oddwriter';
 import type { Program } from './program';
 import { createProgram } from './program';
@@ -134,6 +135,12 @@
       const name = `agent-${index + 1}`;
       const platform = await startPlatform(({ kind, task, attempt, end }) => {
         const run = { atMs: nowMs(), worker: id, task, attempt };
+        if (kind === 'started' && isCrashingTask(task)) {
+          // A stop or another crash may have ended the run before.
+          setTimeout(() => {
+            if (platform.worker().runs.has(task)) platform.crash();
+          }, CRASH_DELAY_MS);
+        }
         observe(kind === 'started' ? { kind, ...run } : { kind, ...run, end });
       }, WORK_MS);
       const worker = { id, platform };
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -3,6 +3,7 @@
 import { join } from 'node:path';
 import { expect } from 'chai';
 import { buildPrograms } from '../../tools/bundle';
+import { crashingId } from '../crashing';
 import { findViolations } from '../oracle';
 import { planFaults } from '../plan';
 import { runSoak } from '../run';
@@ -56,6 +57,18 @@
   expect(violatedPromises(submitted, accepted, shown('failed'))).to.deep.equal(['LOST']);
 });
 
+// Guards against an oracle that misses a job that crashes workers for good, or takes its end for a loss.
+it('soak: the oracle finds a job that crashes workers and is not given up', () => {
+  const job = crashingId(JOB);
+  const observed: readonly SoakObservation[] = [
+    { kind: 'submitted', atMs: 0, job, stages: [1] },
+    { kind: 'accepted', atMs: 10, job },
+  ];
+  const failed: SoakObservation = { kind: 'shown', atMs: 900, job, status: 'failed' };
+  expect(violatedPromises(...observed)).to.deep.equal(['BUDGET']);
+  expect(violatedPromises(...observed, failed)).to.deep.equal([]);
+});
+
 // Guards against an oracle that misses a program that ends again and again and is started again.
 it('soak: the oracle finds a program that ends by itself', () => {
   const exited: SoakObservation = { kind: 'exited', atMs: 5, program: 'agent-1' };
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -76,7 +76,8 @@
 
 /** A violation of a promise to callers. */
 export interface PromiseViolation {
-  readonly promise: 'LOST' | 'TWICE' | 'ORDER' | 'REFUSED' | 'MIXED' | 'UNASKED' | 'ENDED';
+  readonly promise:
+    'LOST' | 'TWICE' | 'ORDER' | 'REFUSED' | 'MIXED' | 'UNASKED' | 'ENDED' | 'BUDGET';
   readonly atMs: number;
   readonly what: string;
 }
