Confirm a gone worker only after the rows of runs that were released before

Cause, found by reading the diff: since the runs of an ended worker are released in two steps, and the recent starts count among the jobs that the confirmation waits for, goneRecorded could leave while rows of the first step were pending in a backlog. The agent would forget the worker, and a next leader would wait for its lease.

Change: the confirmation waits for all pending rows when the worker had ended before or has no runs left.

--- a/packages/scheduler/src/gone.ts
+++ b/packages/scheduler/src/gone.ts
@@ -89,10 +89,10 @@
   const { linkId, workerKey, openRuns } = report;
   if (openRuns.length > 0) return onWorkerEnded(state, report, nowMs, wallMs);
   const accused = report.recentStarts.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
-  const released = runsOn(state.runs, workerKey)
-    .valueSeq()
-    .map(({ jobId }) => jobId);
-  const jobIds = new Set([...accused, ...released]);
+  const runs = runsOn(state.runs, workerKey);
+  const released = runs.valueSeq().map(({ jobId }) => jobId);
+  // Rows of an earlier release may still be pending.
+  const wasReleased = runs.isEmpty() || state.workers.get(workerKey)?.hasEnded === true;
   const { state: recorded, effects } = chainAll(state, [
     (current) => recordCrashes(current, report, addressOf(state, workerKey), nowMs, wallMs),
     (current) => releaseWorker(current, workerKey, 'workerGone', nowMs),
@@ -103,9 +103,9 @@
   );
   if (isPending) return withEffects(recorded, effects);
   const action = { kind: 'confirmGone', linkId, workerKey } as const;
-  // Without runs to release, the rows of an earlier release may still be pending.
-  const scope: ActionScope =
-    jobIds.size === 0 ? { kind: 'all' } : { kind: 'jobs', jobIds: [...jobIds] };
+  const scope: ActionScope = wasReleased
+    ? { kind: 'all' }
+    : { kind: 'jobs', jobIds: [...new Set([...accused, ...released])] };
   return withEffects(addPostCommitAction(recorded, action, scope), [
     ...logCrash(state, report),
     ...effects,
--- a/packages/scheduler/test/gone.test.ts
+++ b/packages/scheduler/test/gone.test.ts
@@ -156,3 +156,19 @@
   expect(workerOf(ended, '0.0.1')).to.equal(workerKeyFor('w1'));
   expect(workerOf(commitAll(advance(commitAll(gone), 50)), '0.0.1')).to.equal(workerKeyFor('w2'));
 });
+
+// Guards against a confirmation, after which the agent forgets the worker, while rows of runs that were
+// released before still assign it tasks.
+it('confirms a gone worker after all rows when some of its runs were released before', () => {
+  const recentStarts = [{ task: 'job1.0.0.1', attempt: 1, ageMs: 10 }];
+  const gone = dispatch(endedWithOpenRun(), {
+    kind: 'received',
+    linkId: 'link-w1',
+    message: goneMessage(workerKeyFor('w1'), recentStarts),
+    wallMs: WALL_MS,
+  });
+  const confirmations = gone.state.pendingWrites.actions.filter(
+    ({ action }) => action.kind === 'confirmGone',
+  );
+  expect(confirmations.toArray().map(({ scope }) => scope.kind)).to.deep.equal(['all']);
+});
