Give each run of a case a loopback network of its own

With five cases side by side, one of 25 calm runs couldn't run: its entries were not ready. All runs shared the addresses of their machines, so two could pick the same port; the network now follows the process id. That this was the cause isn't shown: the logs of that run were not kept.

--- a/review/lib/main.ts
+++ b/review/lib/main.ts
@@ -18,9 +18,12 @@
   const text = broken.length > 0 ? `rule broken: ${broken.length} times` : 'rule held';
   process.stdout.write(`${unfit ?? text}\n`);
   broken.slice(0, 5).forEach((line) => process.stdout.write(`${line}\n`));
-  await record.save(process.argv[2] ?? 'record.txt');
+  const isSaved = await record.save(process.argv[2] ?? 'record.txt').then(
+    () => true,
+    () => false,
+  );
   process.exitCode = broken.length > 0 ? BROKEN : 0;
-  if (unfit !== undefined) process.exitCode = UNFIT;
+  if (unfit !== undefined || !isSaved) process.exitCode = UNFIT;
   // Ends what a broken connection or a timer might still keep alive.
   // eslint-disable-next-line n/no-process-exit -- a case has no work left here
   process.exit();
--- a/review/lib/site.ts
+++ b/review/lib/site.ts
@@ -14,7 +14,10 @@
 export const HOST = 'front.example';
 export const PREFIX = '/jobs/';
 
-const STORE_HOST = '127.0.0.1';
+/** Loopback network of this process, so that cases which run side by side share no ports. */
+const NETWORK = `127.${10 + (process.pid % 200)}.${Math.floor(process.pid / 200) % 250}`;
+const STORE_HOST = `${NETWORK}.250`;
+const FIRST_SIDE = 101;
 const ZONES = ['hobart', 'launceston', 'devonport', 'burnie'] as const;
 const BOUNDS = { graceS: 6, holdMaxMs: 10_000, leaseMs: 3_000, status_s: 120 };
 const READY_CHECK_MS = 100;
@@ -113,7 +116,7 @@
   store.put('op', 'config', createConfig(1, options));
   const programs = await createPrograms(record);
   const gangs = createGangs();
-  const edgeHosts = Array.from({ length: options.edges }, (_, index) => `127.0.1.${index + 1}`);
+  const edgeHosts = Array.from({ length: options.edges }, (_, index) => `${NETWORK}.${index + 1}`);
   const firstPort = await freePort(edgeHosts[0] ?? STORE_HOST);
   const controlPort = await freePort(edgeHosts[0] ?? STORE_HOST);
   const fieldsOf = async (name: string, host: string, zone: string) => ({
@@ -140,7 +143,7 @@
   );
   const sides = await Promise.all(
     Array.from({ length: options.sides }, async (_, index): Promise<Side> => {
-      const host = `127.0.2.${index + 1}`;
+      const host = `${NETWORK}.${FIRST_SIDE + index}`;
       const name = `side-${index + 1}`;
       const control = `${host}:${await freePort(host)}`;
       const fields = await fieldsOf(name, host, zoneOf(index));
