--- a/review/lib/record.ts
+++ b/review/lib/record.ts
@@ -12,6 +12,8 @@
 export interface CaseRecord {
   readonly nowMs: () => number;
   readonly add: (kind: string, fields?: Sight['fields']) => void;
+  /** Calls a function with each sight from now on. */
+  readonly onAdd: (listener: (sight: Sight) => void) => void;
   readonly sights: () => readonly Sight[];
   readonly save: (file: string) => Promise<void>;
 }
@@ -20,11 +22,17 @@
 export function startRecord(): CaseRecord {
   const startedMs = performance.now();
   const sights: Sight[] = [];
+  const listeners: ((sight: Sight) => void)[] = [];
   const nowMs = (): number => Math.round(performance.now() - startedMs);
   return {
     nowMs,
     add: (kind, fields = {}) => {
-      sights.push({ atMs: nowMs(), kind, fields });
+      const sight = { atMs: nowMs(), kind, fields };
+      sights.push(sight);
+      listeners.forEach((listener) => listener(sight));
+    },
+    onAdd: (listener) => {
+      listeners.push(listener);
     },
     sights: () => sights,
     save: async (file) => {
