--- a/review/lib/main.ts
+++ b/review/lib/main.ts
@@ -15,13 +15,14 @@
 async function finish(record: CaseRecord, { broken, unfit }: Verdict): Promise<void> {
   broken.forEach((text) => record.add('BROKEN', { what: text }));
   if (unfit !== undefined) record.add('UNFIT', { why: unfit });
-  const text = broken.length > 0 ? `rule broken: ${broken.length} times` : 'rule held';
-  process.stdout.write(`${unfit ?? text}\n`);
-  broken.slice(0, 5).forEach((line) => process.stdout.write(`${line}\n`));
   const isSaved = await record.save(process.argv[2] ?? 'record.txt').then(
     () => true,
     () => false,
   );
+  const text = broken.length > 0 ? `rule broken: ${broken.length} times` : 'rule held';
+  // The exit code stands also when nobody reads the output.
+  process.stdout.on('error', () => undefined);
+  process.stdout.write([unfit ?? text, ...broken.slice(0, 5), ''].join('\n'));
   process.exitCode = broken.length > 0 ? BROKEN : 0;
   if (unfit !== undefined || !isSaved) process.exitCode = UNFIT;
   // Ends what a broken connection or a timer might still keep alive.
--- a/review/lib/programs.ts
+++ b/review/lib/programs.ts
@@ -50,13 +50,17 @@
   );
 }
 
-/** Returns a port that is free on a loopback address. */
+const takenPorts = new Set<number>();
+
+/** Returns a port that is free on a loopback address and that this process has not returned before. */
 export async function freePort(host: string): Promise<number> {
   const server = createServer();
   server.listen(0, host);
   await once(server, 'listening');
   const { port } = server.address() as AddressInfo;
   server.close();
+  if (takenPorts.has(port)) return freePort(host);
+  takenPorts.add(port);
   return port;
 }
 
