Replace a worker only when the next one answers at its address

Cause: an agent took one heartbeat with a later birth as proof that the worker beside it had ended. Change: a heartbeat of another instance makes it a candidate, which the agent asks for its list. A worker that answers is kept. A message that a worker leaves counts at once only after its announcement. Runs whose start call a killed agent has sent may still begin, so the leader keeps them for 3 s, and an agent no longer raises its token by a million for late calls of its own. Tests: eight of the nine new tests of candidates.test.ts fail on the code before.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -10,13 +10,17 @@
 
 const ORDER_TIMEOUT_MS = 700;
 
-/** How long a hold waits for a run to end, and how long its reply may take beyond that. */
+/** How long a hold waits for a run to end. */
 const HOLD_WAIT_MS = 300;
-const HOLD_GRACE_MS = 700;
 
-/** Pause between two holds that do not wait, and after a failed one. */
+/** How long the reply to a hold may take beyond its wait. */
+export const HOLD_GRACE_MS = 700;
+
+/** Pause between two holds that do not wait. */
 const HOLD_PAUSE_MS = 40;
-const HOLD_RETRY_MS = 120;
+
+/** Pause after a failed hold. */
+export const HOLD_RETRY_MS = 120;
 
 /** Consecutive refused connections after which the worker counts as gone. */
 const MAX_REFUSED_CONNECTIONS = 2;
@@ -27,6 +31,14 @@
 /** Increment after the worker refused a token, because the token of the other agent is unknown. */
 const TOKEN_STEP = 1_000_000;
 
+/**
+ * Returns the next token after the worker refused one as too low. It stays when the agent has raised
+ * its token since that call: a large step would put its calls above those of the next agent.
+ */
+export function tokenAfterRefusal(token: number, refusedToken: number): number {
+  return refusedToken < token ? token : token + TOKEN_STEP;
+}
+
 /** Calls the worker. */
 export function callWorker(state: RunnerState, worker: WorkerState, call: WorkerCall): RunnerStep {
   const callId = `${call.kind}-${state.callCount}`;
@@ -47,7 +59,9 @@
   if (worker === undefined || holdCallId !== undefined || nowMs < state.holdAtMs)
     return unchanged(state);
   const isSettling = worker.pending.some(({ phase }) => awaitsList(phase));
-  const waitMs = isSettling || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
+  // After a failed call another instance may reply, which shows the end of the one before.
+  const isFailing = worker.failingSinceMs !== undefined;
+  const waitMs = isSettling || isFailing || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
   const callId = `hold-${state.callCount}`;
   const call: WorkerCall = {
     kind: 'hold',
@@ -64,6 +78,7 @@
       callCount: state.callCount + 1,
       holdCount: state.holdCount + 1,
       holdCallId: callId,
+      holdToken: token,
     },
     effects: [
       { kind: 'call', callId, worker: worker.report, call, timeoutMs: waitMs + HOLD_GRACE_MS },
@@ -107,16 +122,17 @@
 }
 
 /** Applies a list of the worker's runs. */
-function onList(
+export function onList(
   state: RunnerState,
   worker: WorkerState,
   { clockMs, running = [], ended = [] }: Extract<WorkerCallResult, { kind: 'done' }>,
   nowMs: number,
 ): RunnerStep {
   if (isListAwaited(state) && running.length > 0)
-    return stopLateRuns(state, worker, running, nowMs);
+    return stopLateRuns({ ...state, worker }, worker, running, nowMs);
+  const isStillThere = worker.leftAtHold !== undefined && state.holdCount > worker.leftAtHold;
   const next: WorkerState = {
-    ...worker,
+    ...(isStillThere ? without(worker, 'leftAtHold') : worker),
     clockMs: Math.max(worker.clockMs ?? 0, clockMs),
     running,
     ended,
@@ -146,12 +162,16 @@
     case 'refused':
       return unchanged({
         ...answered,
-        token: result.reason === 'fenced' ? state.token + TOKEN_STEP : state.token,
+        token:
+          result.reason === 'fenced'
+            ? tokenAfterRefusal(state.token, state.holdToken)
+            : state.token,
         holdAtMs: nowMs + HOLD_RETRY_MS,
       });
     case 'otherWorker':
       return removeWorker(answered, 'otherWorker', nowMs);
     case 'notListening': {
+      if (worker.leftAtHold !== undefined) return removeWorker(answered, 'left', nowMs);
       const refusedConnections = worker.refusedConnections + 1;
       if (refusedConnections >= MAX_REFUSED_CONNECTIONS)
         return removeWorker(answered, 'notListening', nowMs);
@@ -162,6 +182,7 @@
       });
     }
     case 'lost':
+      if (worker.leftAtHold !== undefined) return removeWorker(answered, 'left', nowMs);
       return unchanged({ ...answered, holdAtMs: nowMs + HOLD_RETRY_MS });
     default:
       return assertNever(result);
@@ -188,7 +209,7 @@
       state: {
         ...state,
         worker: remaining,
-        token: reason === 'fenced' ? token + TOKEN_STEP : token,
+        token: reason === 'fenced' ? tokenAfterRefusal(token, call.fencingToken) : token,
       },
       effects: sendToLeader(state, { kind: 'refused', workerKey: worker.workerKey, run, reason }),
     };
@@ -238,8 +259,8 @@
       // taking effect late.
       const isLost = result.kind === 'lost' || result.kind === 'notListening';
       const isFenced = result.kind === 'refused' && result.reason === 'fenced';
-      const raise = (isLost ? 1 : 0) + (isFenced ? TOKEN_STEP : 0);
-      return unchanged({ ...rest, token: state.token + raise });
+      const token = isFenced ? tokenAfterRefusal(state.token, call.fencingToken) : state.token;
+      return unchanged({ ...rest, token: token + (isLost ? 1 : 0) });
     }
     case 'hold':
       return unchanged(rest);
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -16,9 +16,6 @@
 } from './types';
 import { goneChart, orderKey } from './types';
 
-/** Ended instances whose late heartbeats are ignored. */
-const MAX_GONE_KEYS = 8;
-
 /** Without a leader, only the first of many short-lived instances may still have tasks. */
 const MAX_GONE_WORKERS = 64;
 
@@ -33,11 +30,9 @@
 
 /** How the agent learned that a worker is gone. */
 export type GoneReason =
-  /** Heartbeat of a later instance under the same id. */
-  | 'newerInstance'
-  /** Reply of a later instance under the same id. */
+  /** Reply of another instance under the same id. */
   | 'restarted'
-  /** Heartbeat or reply of an instance under another id. */
+  /** Reply of an instance under another id. */
   | 'otherWorker'
   | 'notListening'
   | 'left';
@@ -47,7 +42,6 @@
 /** Returns the start calls of a gone worker that a later instance under its id may carry out. */
 function openStartsOf({ pending }: WorkerState, reason: GoneReason): Map<string, StartCall> {
   switch (reason) {
-    case 'newerInstance':
     case 'restarted':
     case 'left':
       return pending;
@@ -122,7 +116,6 @@
   const earlier = advanceGone(rest, 'successorGone', () => true);
   const step = settleEmpty({
     ...earlier.state,
-    goneKeys: [...state.goneKeys, workerKey].slice(-MAX_GONE_KEYS),
     goneWorkers: [...earlier.state.goneWorkers, gone].slice(0, MAX_GONE_WORKERS),
   });
   const ended = gone.openStarts.isEmpty() ? [] : goneMessage(state, gone);
@@ -136,10 +129,7 @@
   return { state: step.state, effects: [...ended, ...step.effects, log] };
 }
 
-/**
- * Handles the first heartbeat of an instance that follows gone ones, or of one that was born earlier
- * and may have ended before them.
- */
+/** Handles the first list of an instance that follows gone ones, or of one that was born earlier. */
 export function onSuccessorSeen(state: RunnerState, id: string, isLater: boolean): RunnerStep {
   const replaced = advanceGone(state, 'replaced', (gone) => isLater && gone.id !== id);
   const succeeded = advanceGone(replaced.state, 'successor', (gone) => gone.id === id);
@@ -177,11 +167,16 @@
   return settleEmpty({ ...state, goneWorkers });
 }
 
+/** Returns whether a heartbeat names an instance that may have carried out calls to a gone one. */
+function hasCandidate({ candidates }: RunnerState, { id }: GoneWorker): boolean {
+  return candidates.some(({ report }) => report.id === id);
+}
+
 /** Gives up the start calls that can have no late effect any more. */
 export function settleGone(state: RunnerState, nowMs: number): RunnerStep {
   // An instance that is up may have begun a run that its first list will show.
   const goneWorkers = state.goneWorkers.map((gone) =>
-    gone.phase === 'uncertain'
+    gone.phase === 'uncertain' && !hasCandidate(state, gone)
       ? {
           ...gone,
           openStarts: gone.openStarts.filter(({ calledAtMs }) => nowMs - calledAtMs < LATE_CALL_MS),
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -6,18 +6,12 @@
 import { assertNever, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
-import {
-  goneEffects,
-  onGoneRecorded,
-  onSuccessorSeen,
-  removeWorker,
-  repeatGone,
-  settleGone,
-} from './gone';
+import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
+import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
 import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
 import { onStop, settleIfDue } from './settle';
-import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep, WorkerState } from './types';
+import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
 import { agentChart, orderKey } from './types';
 
 /** Time without a reply from the leader after which the connection is replaced. */
@@ -31,10 +25,11 @@
     token: settings.firstToken,
     callCount: 0,
     lastBornAtMs: 0,
-    goneKeys: [],
+    candidates: Map(),
     goneWorkers: [],
     goneSentAtMs: 0,
     holdCount: 0,
+    holdToken: 0,
     holdAtMs: 0,
     term: 0,
     connectCount: 0,
@@ -46,49 +41,36 @@
   };
 }
 
-function createWorker(report: WorkerReport): WorkerState {
-  return {
-    workerKey: workerKeyOf(report),
-    report,
-    ackSequence: 0,
-    running: [],
-    ended: [],
-    pending: Map(),
-    refusedConnections: 0,
-    startCalls: Map(),
-  };
-}
-
 function onHeartbeat(state: RunnerState, report: WorkerReport, nowMs: number): RunnerStep {
   const { worker } = state;
-  const workerKey = workerKeyOf(report);
-  if (state.goneKeys.includes(workerKey)) return unchanged(state);
-  if (worker?.workerKey === workerKey) {
-    if (report.sequence <= worker.report.sequence) return unchanged(state);
-    const hasChanged =
-      report.isDraining !== worker.report.isDraining ||
-      !isSameAmount(worker.report.capacity, report.capacity);
-    const next = { ...state, worker: { ...worker, report } };
-    return { state: next, effects: hasChanged ? reportEffects(next) : [] };
+  if (worker?.workerKey !== workerKeyOf(report)) {
+    return unchanged(noteCandidate(state, report, nowMs));
   }
-  // Without a worker, a first reply with this birth shows whether the heartbeat is a late one of an
-  // ended instance, or the machine's clock was set back before the present one began.
-  const isLater = report.bornAtMs >= state.lastBornAtMs;
-  if (worker !== undefined && !isLater) return unchanged(state);
-  const { id, service } = report;
-  const isSameId = worker?.report.id === id;
-  const left = removeWorker(state, isSameId ? 'newerInstance' : 'otherWorker', nowMs);
-  const updated = {
-    ...left.state,
-    worker: createWorker(report),
-    lastBornAtMs: Math.max(state.lastBornAtMs, report.bornAtMs),
+  const { address, service, domain, sequence } = worker.report;
+  // An instance keeps its service and its domain, so this is a heartbeat of another writer.
+  if (service !== report.service || domain !== report.domain) return unchanged(state);
+  if (address !== report.address) return unchanged(noteCandidate(state, report, nowMs));
+  if (report.sequence <= sequence) return unchanged(state);
+  const hasChanged =
+    report.isDraining !== worker.report.isDraining ||
+    !isSameAmount(worker.report.capacity, report.capacity);
+  const next = { ...state, worker: { ...worker, report } };
+  return { state: next, effects: hasChanged ? reportEffects(next) : [] };
+}
+
+/**
+ * Handles a worker's message that it leaves. A worker announces its end before; without that the
+ * message may come from another writer, and a failed call has to confirm it.
+ */
+function onWorkerLeft(state: RunnerState, id: string, nowMs: number): RunnerStep {
+  const { worker } = state;
+  if (worker?.report.id !== id) return unchanged(state);
+  if (worker.report.isDraining) return removeWorker(state, 'left', nowMs);
+  return unchanged({
+    ...state,
+    worker: { ...worker, leftAtHold: state.holdCount },
     holdAtMs: nowMs,
-    // Makes the new instance refuse late calls to the earlier one, from its first list on.
-    token: state.token + (state.lastBornAtMs === 0 ? 0 : 1),
-  };
-  const gone = onSuccessorSeen(updated, id, isLater);
-  const log = logEffect('workerSeen', { worker: workerKey, id, service });
-  return { state: gone.state, effects: [...left.effects, ...gone.effects, log] };
+  });
 }
 
 function connectTo(state: RunnerState, address: Address, nowMs: number): RunnerStep {
@@ -214,9 +196,7 @@
     case 'heartbeat':
       return onHeartbeat(state, event.report, nowMs);
     case 'workerLeft':
-      return state.worker?.report.id === event.id
-        ? removeWorker(state, 'left', nowMs)
-        : unchanged(state);
+      return onWorkerLeft(state, event.id, nowMs);
     case 'leader':
       return onLeader(state, event.term, event.address, nowMs);
     case 'linkOpened': {
@@ -233,8 +213,12 @@
       return unchanged({ ...state, isLinked: false });
     case 'received':
       return onMessage(state, event.message, nowMs);
-    case 'callDone':
-      return onCallDone(state, event.callId, event.result, nowMs);
+    case 'callDone': {
+      const { callId, result } = event;
+      return (
+        onCandidateReply(state, callId, result, nowMs) ?? onCallDone(state, callId, result, nowMs)
+      );
+    }
     case 'stop':
       return onStop(state, event.withinMs, nowMs);
     default:
@@ -242,13 +226,14 @@
   }
 }
 
-/** Applies an event to the agent, ends a stop that is settled, and sends a hold if one is due. */
+/** Applies an event to the agent, ends a stop that is settled, and sends the calls that are due. */
 export function stepRunner(
   state: RunnerState,
   event: RunnerEvent,
   { nowMs }: StepInputs,
 ): RunnerStep {
   const step = settleIfDue(handleEvent(state, event, nowMs), nowMs);
-  const hold = holdIfDue(step.state, nowMs);
-  return { state: hold.state, effects: [...step.effects, ...hold.effects] };
+  const asked = askCandidates(step.state, nowMs);
+  const hold = holdIfDue(asked.state, nowMs);
+  return { state: hold.state, effects: [...step.effects, ...asked.effects, ...hold.effects] };
 }
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -18,6 +18,7 @@
   WorkerEndCause,
 } from '@bronzeyoke/wire';
 import agentChartFile from '../charts/agent.json';
+import candidateChartFile from '../charts/candidate.json';
 import goneChartFile from '../charts/gone.json';
 import orderChartFile from '../charts/order.json';
 
@@ -45,6 +46,16 @@
   actions: ['report'],
 });
 
+/**
+ * State chart of an instance whose heartbeat came, until its reply shows that it is there, or another
+ * reply or none that it is not.
+ */
+export const candidateChart = compileChart(candidateChartFile, {
+  states: ['heard', 'asked', 'confirmed', 'dropped'],
+  events: ['asked', 'replied', 'refuted', 'fenced', 'unclear', 'expired'],
+  actions: ['raiseToken'],
+});
+
 /** What a planned stop waits for, beside gone workers that no leader has recorded. */
 export interface StopState {
   readonly deadlineAtMs: number;
@@ -89,6 +100,19 @@
   readonly recentStarts: readonly RecentStart[];
 }
 
+/** An instance that is not the present worker and whose heartbeat came. */
+export interface Candidate {
+  readonly report: WorkerReport;
+  readonly phase: StateOf<typeof candidateChart>;
+  readonly heardAtMs: number;
+  /** When it may be asked for its list. */
+  readonly askAtMs: number;
+  /** Call that asks for the list. */
+  readonly callId?: string;
+  /** Token of the last call. */
+  readonly askedToken: number;
+}
+
 /** Settings that stay fixed while the process runs. */
 export interface RunnerSettings {
   readonly agentId: string;
@@ -115,6 +139,11 @@
   readonly startCalls: Map<string, StartCall>;
   /** When the first call failed after the last reply; absent while the worker replies. */
   readonly failingSinceMs?: number;
+  /**
+   * Number of the last hold before its message that it leaves, if it had not announced its end. A
+   * failed call confirms the message, and the reply to a later hold refutes it.
+   */
+  readonly leftAtHold?: number;
 }
 
 /** A report that was sent. */
@@ -134,13 +163,16 @@
   readonly token: number;
   readonly callCount: number;
   readonly worker?: WorkerState;
-  /** Latest birth of an instance. While there is a worker, only later heartbeats replace it. */
+  /** Instances that have sent a heartbeat and no list yet, by key and address. */
+  readonly candidates: Map<string, Candidate>;
+  /** Latest birth of an instance that was the worker. */
   readonly lastBornAtMs: number;
-  readonly goneKeys: readonly string[];
   /** Gone workers that no leader has recorded. */
   readonly goneWorkers: readonly GoneWorker[];
   readonly goneSentAtMs: number;
   readonly holdCount: number;
+  /** Token of the last hold. */
+  readonly holdToken: number;
   readonly holdCallId?: string;
   readonly holdAtMs: number;
   readonly term: number;
--- /dev/null
+++ b/packages/runner/test/candidates.test.ts
@@ -0,0 +1,167 @@
+import { expect } from 'chai';
+import type { WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
+import type { Fixture } from './fixture';
+import {
+  answerHold,
+  callIdOf,
+  createLeased,
+  dispatch,
+  goneKeysOf,
+  KEY,
+  LISTED,
+  openHoldOf,
+  REPORT,
+  reportsOf,
+} from './fixture';
+
+/** Heartbeat of another writer, at an address where no worker is. */
+const ODD: WorkerReport = {
+  ...REPORT,
+  id: 'i-other',
+  address: 'x:9',
+  service: 'retired',
+  bornAtMs: 900,
+};
+
+/** The next instance on the machine, at the address of the one before it. */
+const NEXT: WorkerReport = { ...REPORT, id: 'i-2', bornAtMs: 900 };
+
+function hear(fixture: Fixture, report: WorkerReport): Fixture {
+  return dispatch(fixture, { kind: 'heartbeat', report });
+}
+
+function answer(fixture: Fixture, callId: string, result: WorkerCallResult): Fixture {
+  return dispatch(fixture, { kind: 'callDone', callId, result });
+}
+
+/** Lets some holds of the present worker be answered. */
+function goOn(fixture: Fixture, holds = 5): Fixture {
+  return Array.from({ length: holds }).reduce<Fixture>(
+    (current) => answerHold(dispatch(current, { kind: 'tick' }, 100), { running: [LISTED] }),
+    fixture,
+  );
+}
+
+function loseHold(fixture: Fixture, afterMs = 10): Fixture {
+  const result = { kind: 'lost' } as const;
+  const callId = fixture.state.holdCallId ?? 'none';
+  return dispatch(fixture, { kind: 'callDone', callId, result }, afterMs);
+}
+
+/** Refuses the connections of the present worker until it is gone. */
+function crash(fixture: Fixture): Fixture {
+  const refuse = (current: Fixture): Fixture =>
+    answer(current, openHoldOf(current), { kind: 'notListening' });
+  return refuse(dispatch(refuse(fixture), { kind: 'tick' }, 200));
+}
+
+// Guards against a second run of each task of a live worker after one heartbeat of another writer.
+it('agent: a heartbeat of another writer leaves a worker that answers', () => {
+  const heard = hear(createLeased(), ODD);
+  expect(goneKeysOf(heard)).to.deep.equal([]);
+  expect(heard.effects.filter(({ kind }) => kind === 'call')).to.deep.equal([]);
+  const later = goOn(heard);
+  expect(goneKeysOf(later)).to.deep.equal([]);
+  expect(later.state.worker?.workerKey).to.equal(KEY);
+  expect(later.state.worker?.running).to.deep.equal([LISTED]);
+});
+
+// Guards against a heartbeat under the id, at the address or in the service of the live worker.
+it('agent: heartbeats that resemble the present worker do not replace it', () => {
+  const odd = [
+    NEXT,
+    { ...REPORT, bornAtMs: 900 },
+    { ...REPORT, service: 'retired', sequence: 9 },
+    { ...REPORT, domain: 'south', isDraining: true, sequence: 9 },
+    { ...REPORT, address: 'x:9', sequence: 9 },
+  ];
+  const later = goOn(odd.reduce(hear, createLeased()));
+  expect(later.state.worker?.workerKey).to.equal(KEY);
+  expect(later.state.worker?.report).to.deep.equal(REPORT);
+  const heard = hear(later, { ...REPORT, sequence: 2, isDraining: true });
+  expect(heard.state.worker?.report.isDraining).to.equal(true);
+});
+
+// Guards against a replacement that is seen later than its first heartbeat because others came first.
+it('agent: a true successor is taken at its first heartbeat beside many odd ones', () => {
+  const odd = Array.from({ length: 20 }, (_, index) => ({ ...ODD, id: `i-odd${index}` }));
+  const gone = crash(odd.reduce(hear, createLeased()));
+  expect(goneKeysOf(gone)).to.deep.equal([KEY]);
+  const refuted = Array.from({ length: 20 }).reduce<Fixture>(
+    (current) => answer(current, openHoldOf(current), { kind: 'notListening' }),
+    gone,
+  );
+  const heard = hear(refuted, NEXT);
+  const listed = answer(heard, callIdOf(heard, 'hold'), {
+    kind: 'done',
+    clockMs: 1,
+    bornAtMs: 900,
+    running: [],
+    ended: [],
+  });
+  expect(reportsOf(listed).map(({ workerKey }) => workerKey)).to.deep.equal(['i-2@900']);
+});
+
+// Guards against a leader that learns of a worker that only a heartbeat speaks of.
+it('agent: an instance without a reply is not reported, and neither is its end', () => {
+  const heard = hear(crash(createLeased()), ODD);
+  expect(heard.state.worker).to.equal(undefined);
+  const refuted = answer(heard, callIdOf(heard, 'hold'), { kind: 'notListening' });
+  expect(refuted.state.worker).to.equal(undefined);
+  expect([...reportsOf(refuted), ...goneKeysOf(refuted)]).to.deep.equal([]);
+});
+
+// Guards against a wait for the end of a silent connection when the next instance answers at the address.
+it('agent: a successor at the address replaces a worker without a reply', () => {
+  const heard = hear(loseHold(createLeased()), NEXT);
+  const callId = callIdOf(heard, 'hold');
+  const listed = answer(heard, callId, { kind: 'done', clockMs: 1, bornAtMs: 900 });
+  expect(goneKeysOf(listed)).to.deep.equal([KEY]);
+  expect(listed.state.worker?.workerKey).to.equal('i-2@900');
+});
+
+// Guards against a live worker that is given up for another one because one of its calls got lost.
+it('agent: an instance elsewhere replaces a worker only after a second of silence', () => {
+  const elsewhere = { ...NEXT, address: 'w:2' };
+  const heard = hear(loseHold(createLeased()), elsewhere);
+  expect(callIdOf(heard, 'hold')).to.equal('none');
+  const silent = loseHold(dispatch(heard, { kind: 'tick' }, 500), 600);
+  const callId = callIdOf(silent, 'hold');
+  const listed = answer(silent, callId, { kind: 'done', clockMs: 1, bornAtMs: 900 });
+  expect(listed.state.worker?.workerKey).to.equal('i-2@900');
+  const answered = answerHold(dispatch(heard, { kind: 'tick' }, 500));
+  const late = dispatch(answered, { kind: 'tick' }, 600);
+  expect(late.state.worker?.workerKey).to.equal(KEY);
+});
+
+// Guards against the loss of a worker for good whose port was closed for a moment.
+it('agent: a worker that refused connections is taken again once it replies', () => {
+  const gone = crash(createLeased());
+  const heard = hear(gone, { ...REPORT, sequence: 2 });
+  const listed = answerHold(heard, { running: [LISTED] });
+  expect(reportsOf(listed).map(({ workerKey }) => workerKey)).to.deep.equal([KEY]);
+  expect(goneKeysOf(dispatch(listed, { kind: 'tick' }, 1_100))).to.deep.equal([]);
+});
+
+// Guards against an agent that never takes its worker because an earlier agent used a higher token.
+it('agent: a candidate that knows a higher token is asked again with one above it', () => {
+  const heard = hear(crash(createLeased()), NEXT);
+  const refused = answer(heard, callIdOf(heard, 'hold'), { kind: 'refused', reason: 'fenced' });
+  const tokens = refused.effects.flatMap((effect) =>
+    effect.kind === 'call' ? [effect.call.fencingToken] : [],
+  );
+  expect(tokens.every((token) => token > 1_000_000)).to.equal(true);
+  const callId = callIdOf(refused, 'hold');
+  const listed = answer(refused, callId, { kind: 'done', clockMs: 1, bornAtMs: 900 });
+  expect(listed.state.worker?.workerKey).to.equal('i-2@900');
+});
+
+// Guards against a live worker that is given up after a message of another writer that it leaves.
+it('agent: a worker that leaves unannounced is gone only when a call to it fails', () => {
+  const told = dispatch(createLeased(), { kind: 'workerLeft', id: REPORT.id });
+  expect(goneKeysOf(told)).to.deep.equal([]);
+  expect(goneKeysOf(loseHold(told))).to.deep.equal([KEY]);
+  const alive = loseHold(dispatch(goOn(told), { kind: 'tick' }, 100));
+  expect(goneKeysOf(alive)).to.deep.equal([]);
+  expect(alive.state.worker?.workerKey).to.equal(KEY);
+});
--- a/packages/scheduler/src/gone.ts
+++ b/packages/scheduler/src/gone.ts
@@ -3,6 +3,7 @@
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import { parseTaskName } from '@bronzeyoke/workflow';
 import { List } from 'immutable';
+import { lateStartsOn } from './latestarts';
 import type { ActionScope } from './pending';
 import { releaseEndedRuns, releaseWorker } from './release';
 import { runsOn } from './runs';
@@ -86,8 +87,10 @@
   nowMs: number,
   wallMs: number,
 ): SchedulerStep {
-  const { linkId, workerKey, openRuns } = report;
-  if (openRuns.length > 0) return onWorkerEnded(state, report, nowMs, wallMs);
+  const { linkId, workerKey } = report;
+  const agentId = state.workers.get(workerKey)?.agentId;
+  const openRuns = [...report.openRuns, ...lateStartsOn(state, workerKey, agentId, nowMs)];
+  if (openRuns.length > 0) return onWorkerEnded(state, { ...report, openRuns }, nowMs, wallMs);
   const accused = report.recentStarts.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
   const runs = runsOn(state.runs, workerKey);
   const released = runs.valueSeq().map(({ jobId }) => jobId);
--- /dev/null
+++ b/packages/scheduler/src/latestarts.ts
@@ -0,0 +1,30 @@
+import type { RunRef } from '@bronzeyoke/wire';
+import { runsOn } from './runs';
+import type { SchedulerState } from './types';
+import { runRef } from './types';
+import type { RunView } from './views';
+
+/** Time in which a start call of an agent that has ended may still reach its worker. */
+const LATE_CALL_MS = 3_000;
+
+/**
+ * Returns whether a later instance under the worker's id may still begin a run: the agent that got the
+ * order has ended, so nobody knows whether its call is on the way.
+ */
+export function mayStartLate(run: RunView, agentId: string | undefined, nowMs: number): boolean {
+  const { orderedAgentId, claimedAtMs, isListed } = run;
+  const hasEnded = orderedAgentId !== undefined && orderedAgentId !== agentId;
+  return hasEnded && !isListed && nowMs - claimedAtMs < LATE_CALL_MS;
+}
+
+/** Returns the runs of a worker that a later instance may begin, given the agent at work there now. */
+export function lateStartsOn(
+  state: SchedulerState,
+  workerKey: string,
+  agentId: string | undefined,
+  nowMs: number,
+): readonly RunRef[] {
+  return [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
+    mayStartLate(run, agentId, nowMs) ? [runRef(task, run.attempt)] : [],
+  );
+}
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -40,7 +40,12 @@
     {
       ...state,
       links: state.links.set(worker.linkId, { ...link, lastOrder: order }),
-      runs: putRun(state.runs, task, { ...run, order, isOrdered: true }),
+      runs: putRun(state.runs, task, {
+        ...run,
+        order,
+        isOrdered: true,
+        ...(worker.agentId === undefined ? {} : { orderedAgentId: worker.agentId }),
+      }),
     },
     [
       {
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -20,8 +20,9 @@
   wasCompared,
 } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
+import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
-import { applyEnd, releaseRun, releaseWorker } from './release';
+import { applyEnd, releaseEndedRuns, releaseRun, releaseWorker } from './release';
 import { dropRun, dropRuns, putRun, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import { clearProvenRuns } from './suspects';
@@ -69,6 +70,7 @@
     workerKey,
     report: worker,
     reportedAtMs: nowMs,
+    agentId: report.agentId,
     linkId,
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: mayGrant ? clockMs : (known?.clockMs ?? -1),
@@ -121,10 +123,12 @@
   const earlier = earlierInstances(state.workers, report.worker);
   return chainAfter(
     moveListedRuns(state, earlier, report),
-    earlier.map(
-      (workerKey) => (current: SchedulerState) =>
-        releaseWorker(current, workerKey, 'workerGone', nowMs),
-    ),
+    earlier.map((workerKey) => (current: SchedulerState) => {
+      const lateStarts = lateStartsOn(current, workerKey, report.agentId, nowMs);
+      return lateStarts.length > 0
+        ? releaseEndedRuns(current, workerKey, lateStarts, nowMs)
+        : releaseWorker(current, workerKey, 'workerGone', nowMs);
+    }),
   );
 }
 
@@ -257,7 +261,10 @@
   const isMissing = (run: { readonly attempt: number; readonly order: number }, task: string) =>
     run.order <= report.lastOrder && !known.has(runKey({ task, attempt: run.attempt }));
   const missing = [...runsOn(state.runs, workerKey)]
-    .filter(([task, run]) => run.isOrdered && isMissing(run, task))
+    .filter(
+      ([task, run]) =>
+        run.isOrdered && isMissing(run, task) && !mayStartLate(run, report.agentId, nowMs),
+    )
     .map(([task]) => task);
   const settled = runsOn(state.orphans, workerKey).filter(isMissing).keys();
   const orphans = dropRuns(state.orphans, settled);
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -46,6 +46,8 @@
   /** Number of the start order on the worker's connection; 0 unless it was sent on this one. */
   readonly order: number;
   readonly isOrdered: boolean;
+  /** Agent that got the start order; absent for a run of the leader before. */
+  readonly orderedAgentId?: string;
   readonly claimedAtMs: number;
   readonly percent: number;
   readonly percentAtMs: number;
@@ -89,6 +91,8 @@
   /** Address in the claims of the leader before, until the agent has reported. */
   readonly claimedAddress?: string;
   readonly reportedAtMs?: number;
+  /** Process that reported last. */
+  readonly agentId?: string;
   readonly linkId?: string;
   /** Number of the newest connection that its agent reported on. */
   readonly linkNumber: number;
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -36,6 +36,7 @@
   | 'jobEnded'
   | 'taskPaced'
   | 'orderLost'
+  | 'heartbeatRefuted'
   | 'reportIgnored'
   | 'leaderClaimed'
   | 'leaderLoaded'
