Count every run that a worker lists or is about to start

Cause: a new leader adopted the runs of jobs that had been cancelled during the takeover as runs of open jobs. Change: runs without an open job are kept by task and attempt until their worker does not list them, is gone, or its lease has ended. Listed or starting runs that no open job has claimed join them; a worker whose runs are of unknown size gets nothing until they are gone. A listed end frees its worker at once. The test on the runs of a cancelled job looks for the run by its new key.

--- a/packages/scheduler/src/jobend.ts
+++ b/packages/scheduler/src/jobend.ts
@@ -2,13 +2,15 @@
 import { unchanged } from '@bronzeyoke/types';
 import type { JobFailure, JobOutcome } from '@bronzeyoke/workflow';
 import { assignedSlots } from '@bronzeyoke/workflow';
-import { dropRuns, putRun } from './runs';
+import type { OrphanTable } from './runs';
+import { dropRuns, putRun, runKey } from './runs';
 import { putJob, sendToWorker, withEffects } from './state';
 import type { SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
 import type { OrphanRun, RunView } from './views';
 
-function orphansOf(runs: readonly (readonly [string, RunView])[]): readonly OrphanRun[] {
+/** Returns the runs among these that may be at their workers. */
+export function orphansOf(runs: readonly (readonly [string, RunView])[]): readonly OrphanRun[] {
   return runs
     .filter(([, run]) => run.isOrdered)
     .map(([task, { workerKey, attempt, order, stage }]) => ({
@@ -20,27 +22,39 @@
     }));
 }
 
-/** Stops runs that nothing waits for any more. They occupy their workers until these no longer list them. */
-export function abandonRuns(state: SchedulerState, tasks: readonly string[]): SchedulerStep {
-  const runs = tasks.flatMap((task) => {
+function runsOfTasks(
+  state: SchedulerState,
+  tasks: readonly string[],
+): readonly (readonly [string, RunView])[] {
+  return tasks.flatMap((task) => {
     const run = state.runs.byTask.get(task);
     return run === undefined ? [] : [[task, run] as const];
   });
-  const orphans = orphansOf(runs);
+}
+
+/** Adds a run that occupies its worker although no open job wants it. */
+export function addOrphan(table: OrphanTable, orphan: OrphanRun): OrphanTable {
+  return putRun(table, runKey(orphan), orphan);
+}
+
+/** Takes runs from their jobs. They occupy their workers until these no longer list them. */
+export function orphanRuns(state: SchedulerState, tasks: readonly string[]): SchedulerState {
+  const runs = runsOfTasks(state, tasks);
+  const known = runs.map(([task]) => task);
+  return {
+    ...state,
+    runs: dropRuns(state.runs, known),
+    orphans: orphansOf(runs).reduce(addOrphan, state.orphans),
+  };
+}
+
+/** Takes runs from their jobs and stops them. */
+export function abandonRuns(state: SchedulerState, tasks: readonly string[]): SchedulerStep {
+  const orphans = orphansOf(runsOfTasks(state, tasks));
   const stops = orphans.flatMap(({ task, workerKey, attempt }) =>
     sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) }),
   );
-  return withEffects(
-    {
-      ...state,
-      runs: dropRuns(
-        state.runs,
-        runs.map(([task]) => task),
-      ),
-      orphans: orphans.reduce((table, orphan) => putRun(table, orphan.task, orphan), state.orphans),
-    },
-    stops,
-  );
+  return withEffects(orphanRuns(state, tasks), stops);
 }
 
 /** How a job ended. */
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -23,7 +23,7 @@
 import { findSuspects } from './suspects';
 import type { GoneReport, SchedulerState, SchedulerStep } from './types';
 import type { OpenJob, RunView, WorkerView } from './views';
-import { endJob } from './jobend';
+import { addOrphan, endJob, orphansOf } from './jobend';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
@@ -88,6 +88,11 @@
   );
 }
 
+function isOpen({ jobs }: SchedulerState, jobId: string): boolean {
+  const open = jobs.get(jobId);
+  return open !== undefined && open.progress.outcome === undefined;
+}
+
 /** Returns the addresses that the claims of each worker name. */
 function claimedAddresses(state: SchedulerState): Map<string, ReadonlySet<string>> {
   const claims = state.jobs
@@ -125,7 +130,10 @@
   );
 }
 
-/** Adds the runs in the stored progress. Their start orders may or may not have been sent. */
+/**
+ * Adds the runs in the stored progress. Their start orders may or may not have been sent. Those of jobs
+ * that have ended since occupy their workers too, until these report without them.
+ */
 function adoptRuns(
   state: SchedulerState,
   goneReports: readonly GoneReport[],
@@ -133,7 +141,7 @@
 ): SchedulerState {
   const isGone = (workerKey: string): boolean =>
     goneReports.some((report) => report.workerKey === workerKey && report.openRuns.length === 0);
-  const runs = state.jobs.valueSeq().flatMap(({ job, progress }) =>
+  const assigned = state.jobs.valueSeq().flatMap(({ job, progress }) =>
     assignedSlots(progress).flatMap(([slot, task]): readonly (readonly [string, RunView])[] => {
       const stage = job.stages[Number(slot.split('.')[1])];
       if (stage === undefined) return [];
@@ -159,7 +167,8 @@
       return [[`${job.jobId}.${slot}`, run]];
     }),
   );
-  const keys = new Set(runs.map(([, run]) => run.workerKey));
+  const [ended, runs] = assigned.partition(([, { jobId }]) => isOpen(state, jobId));
+  const keys = new Set(assigned.map(([, run]) => run.workerKey));
   const leaseEndOf = (workerKey: string): number => leaseEndAtMs(state.earlierLeases, workerKey);
   const silent = [...keys].filter((workerKey) => !isGone(workerKey));
   const workers = [...keys].map(
@@ -181,6 +190,7 @@
     ...state,
     suspects: findSuspects(state, nowMs),
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
+    orphans: orphansOf([...ended]).reduce(addOrphan, state.orphans),
     workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -5,7 +5,7 @@
 import { fitsIn, NO_RESOURCES } from '@bronzeyoke/types';
 import { runsOn } from './runs';
 import type { SchedulerState } from './types';
-import type { KnownLoad, KnownLoads, WorkerView } from './views';
+import type { KnownLoad, KnownLoads, OrphanRun, WorkerView } from './views';
 
 function emptyLoad(workerKey: string, report: WorkerReport): WorkerLoad {
   const { service, domain, rack, labels, capacity } = report;
@@ -36,7 +36,15 @@
     },
     emptyLoad(workerKey, report),
   );
-  return orphans.reduce((load, { stage }) => withTask(load, stage), running);
+  return orphans.reduce(
+    (load, { stage }) => (stage === undefined ? load : withTask(load, stage)),
+    running,
+  );
+}
+
+/** Returns whether a worker has runs of which nothing tells how much room they take. */
+function hasUnknownNeeds(orphans: Map<string, OrphanRun>): boolean {
+  return orphans.some(({ stage }) => stage === undefined);
 }
 
 /** Returns whether a worker has room for all runs that were claimed there. Its room may have shrunk. */
@@ -45,6 +53,7 @@
   if (report === undefined) return false;
   const runs = runsOn(state.runs, workerKey);
   const orphans = runsOn(state.orphans, workerKey);
+  if (hasUnknownNeeds(orphans)) return false;
   const { reserved, capacity } = computeLoad(workerKey, { report, runs, orphans });
   return fitsIn(reserved, capacity);
 }
@@ -52,7 +61,7 @@
 /** Returns the report of a worker on which tasks may be placed. */
 function usableReport(
   state: SchedulerState,
-  { report, linkId, quarantinedUntilMs, hasEnded = false }: WorkerView,
+  { workerKey, report, linkId, quarantinedUntilMs, hasEnded = false }: WorkerView,
   nowMs: number,
 ): WorkerReport | undefined {
   const isUsable =
@@ -60,6 +69,7 @@
     linkId !== undefined &&
     !hasEnded &&
     !report.isDraining &&
+    !hasUnknownNeeds(runsOn(state.orphans, workerKey)) &&
     !state.domainsOut.has(report.domain) &&
     nowMs >= quarantinedUntilMs;
   return isUsable ? report : undefined;
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -13,7 +13,7 @@
   taskProgress,
   withTasks,
 } from '@bronzeyoke/workflow';
-import { abandonRuns, endJob } from './jobend';
+import { abandonRuns, endJob, orphanRuns } from './jobend';
 import { startWait } from './placewait';
 import { dropRun, dropRuns, runsOn } from './runs';
 import { putJob, withEffects } from './state';
@@ -46,7 +46,8 @@
 ): SchedulerStep {
   const run = state.runs.byTask.get(task);
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
-  if (run === undefined || open === undefined) return unchanged(state);
+  if (run === undefined) return unchanged(state);
+  if (open === undefined) return unchanged({ ...state, runs: dropRun(state.runs, task) });
   const { workerKey, attempt, jobId, slot } = run;
   const known = without(taskProgress(open.progress, slot), 'workerKey', 'workerAddress');
   const released = advanceRun(known, 'release');
@@ -247,15 +248,17 @@
     ),
   ];
   const progress = withTasks(open.progress, changed);
-  const endedTasks = [ended.task, ...others.map((other) => `${ref.jobId}.${other}`)];
+  const otherTasks = others.map((other) => `${ref.jobId}.${other}`);
   const backOff =
     ended.end === 'failed'
       ? recorded.backOff.set(ended.task, nowMs + FAILURE_BACK_OFF_MS)
       : recorded.backOff;
+  // The workers of the other members may list them for a while.
+  const taken = orphanRuns(recorded, otherTasks);
   const next = putJob(
     {
-      ...recorded,
-      runs: dropRuns(recorded.runs, endedTasks),
+      ...taken,
+      runs: dropRun(taken.runs, ended.task),
       backOff,
       waits: endClaim(recorded, ended.task),
     },
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -20,10 +20,11 @@
   wasCompared,
 } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
+import { addOrphan } from './jobend';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
 import { applyEnd, releaseEndedRuns, releaseRun, releaseWorker } from './release';
-import { dropRun, dropRuns, putRun, runsOn } from './runs';
+import { dropRun, dropRuns, putRun, runKey, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import { clearProvenRuns } from './suspects';
 import { knownStage, taskLog } from './tasklog';
@@ -39,10 +40,6 @@
 /** Time after which a stop order without effect is sent again. */
 const STOP_REPEAT_MS = 600;
 
-function runKey({ task, attempt }: RunRef): string {
-  return `${task}#${attempt}`;
-}
-
 /** Returns the stops of runs that a worker still lists. */
 function stillListed(stops: Map<string, number>, { running }: Report): Map<string, number> {
   const listed = new Set(running.map((run) => runKey(run)));
@@ -203,7 +200,7 @@
     { ...state, workers: state.workers.set(workerKey, { ...view, unwantedStops }) },
     [
       ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run }),
-      taskLog(knownStage(state, task), 'taskStopped', {
+      taskLog(knownStage(state, run), 'taskStopped', {
         task,
         attempt,
         worker: workerKey,
@@ -213,6 +210,28 @@
   );
 }
 
+/** Records that a run which no open job wants occupies a worker. */
+function keepUnwanted(state: SchedulerState, workerKey: string, run: RunRef): SchedulerState {
+  const { task, attempt } = run;
+  if (state.orphans.byTask.get(runKey(run))?.workerKey === workerKey) return state;
+  const stage = knownStage(state, run);
+  const orphan = { task, workerKey, attempt, order: 0, ...(stage === undefined ? {} : { stage }) };
+  return { ...state, orphans: addOrphan(state.orphans, orphan) };
+}
+
+/** Returns whether a run is the one that its open job has claimed for a worker. */
+function isWanted(state: SchedulerState, workerKey: string, { task, attempt }: RunRef): boolean {
+  const run = state.runs.byTask.get(task);
+  return run?.attempt === attempt && run.workerKey === workerKey && state.jobs.has(run.jobId);
+}
+
+/** Records the starts on their way to a worker that no open job wants. */
+function keepUnwantedStarts(state: SchedulerState, { workerKey, pending }: Report): SchedulerState {
+  return pending
+    .filter((run) => !isWanted(state, workerKey, run))
+    .reduce((current, run) => keepUnwanted(current, workerKey, run), state);
+}
+
 /** Updates a run that a worker lists as running, or stops one that is not wanted. */
 function updateListed(
   state: SchedulerState,
@@ -223,9 +242,9 @@
   const { task, attempt, checkpoint } = listed;
   const run = state.runs.byTask.get(task);
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
-  const isWanted = run?.attempt === attempt && run.workerKey === workerKey;
-  if (run === undefined || open === undefined || !isWanted) {
-    return stopUnwanted(state, workerKey, runRef(task, attempt), nowMs);
+  if (run === undefined || open === undefined || !isWanted(state, workerKey, listed)) {
+    const unwanted = runRef(task, attempt);
+    return stopUnwanted(keepUnwanted(state, workerKey, unwanted), workerKey, unwanted, nowMs);
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
@@ -266,10 +285,16 @@
         run.isOrdered && isMissing(run, task) && !mayStartLate(run, report.agentId, nowMs),
     )
     .map(([task]) => task);
-  const settled = runsOn(state.orphans, workerKey).filter(isMissing).keys();
+  const occupying = new Set([...report.running, ...report.pending].map((run) => runKey(run)));
+  const settled = [
+    ...runsOn(state.orphans, workerKey)
+      .filter((run, key) => run.order <= report.lastOrder && !occupying.has(key))
+      .keys(),
+  ];
   const orphans = dropRuns(state.orphans, settled);
+  const needsPlacement = state.needsPlacement || settled.length > 0;
   return chainAll(
-    { ...state, orphans },
+    { ...state, orphans, needsPlacement },
     missing.map(
       (task) => (current: SchedulerState) => releaseRun(current, task, 'neverStarted', nowMs),
     ),
@@ -327,6 +352,7 @@
     ...report.running.map(
       (listed) => (current: SchedulerState) => updateListed(current, workerKey, listed, nowMs),
     ),
+    (current) => unchanged(keepUnwantedStarts(current, report)),
     (current) => releaseMissingRuns(current, report, nowMs),
     (current) => clearProvenRuns(current, workerKey, nowMs),
   ]);
@@ -340,18 +366,14 @@
 ): SchedulerStep {
   const { task, attempt } = message.run;
   const run = state.runs.byTask.get(task);
-  const log = taskLog(knownStage(state, task), 'orderRefused', {
+  const log = taskLog(knownStage(state, message.run), 'orderRefused', {
     task,
     attempt,
     worker: message.workerKey,
     reason: message.reason,
   });
   if (run?.attempt !== attempt || run.workerKey !== message.workerKey) {
-    const orphan = state.orphans.byTask.get(task);
-    const isOrphan = orphan?.attempt === attempt;
-    return withEffects(isOrphan ? { ...state, orphans: dropRun(state.orphans, task) } : state, [
-      log,
-    ]);
+    return withEffects({ ...state, orphans: dropRun(state.orphans, runKey(message.run)) }, [log]);
   }
   const step = releaseRun(state, task, 'refused', nowMs);
   return withEffects(step.state, [log, ...step.effects]);
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import type { RunRef } from '@bronzeyoke/wire';
 import type { OrphanRun, RunView } from './views';
 
 /** A run that occupies a worker. */
@@ -6,18 +7,23 @@
   readonly workerKey: string;
 }
 
-/** Runs by task, and by worker with the same runs. */
+/** Runs by a key, and by worker with the same runs. */
 export interface TaskTable<Run extends Placed> {
   readonly byTask: Map<string, Run>;
   readonly byWorker: Map<string, Map<string, Run>>;
 }
 
-/** Runs of open jobs. */
+/** Runs of open jobs, by task. */
 export type RunTable = TaskTable<RunView>;
 
-/** Runs whose job has ended. */
+/** Runs that no open job wants, by task and attempt: a task may have several. */
 export type OrphanTable = TaskTable<OrphanRun>;
 
+/** Returns the key of a run among all runs of its task. */
+export function runKey({ task, attempt }: RunRef): string {
+  return `${task}#${attempt}`;
+}
+
 /** A table without runs. */
 export const NO_RUNS = { byTask: Map<string, never>(), byWorker: Map<string, never>() } as const;
 
--- a/packages/scheduler/src/tenants.ts
+++ b/packages/scheduler/src/tenants.ts
@@ -47,16 +47,22 @@
   });
   const stopped = runsOn(state.orphans, workerKey)
     .valueSeq()
-    .map(({ task, stage }): Tenant => ({
-      task,
-      returned: returnedBy(stage),
-      isLasting: stage.isLasting,
-      isFill: stage.fillsIdle,
-      isStopping: true,
-      priority: 0,
-      remainingMs: 0,
-      lossRank: [],
-    }));
+    .flatMap(({ task, stage }): readonly Tenant[] =>
+      stage === undefined
+        ? []
+        : [
+            {
+              task,
+              returned: returnedBy(stage),
+              isLasting: stage.isLasting,
+              isFill: stage.fillsIdle,
+              isStopping: true,
+              priority: 0,
+              remainingMs: 0,
+              lossRank: [],
+            },
+          ],
+    );
   const tenants = [...running, ...stopped];
   const returned = tenants
     .filter(({ isLasting, isStopping }) => !isLasting || isStopping)
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -66,13 +66,14 @@
   readonly trial?: Trial;
 }
 
-/** A run whose job has ended. It is kept until its worker no longer lists it. */
+/** A run that no open job wants. It occupies its worker until the worker no longer lists it. */
 export interface OrphanRun {
   readonly task: string;
   readonly workerKey: string;
   readonly attempt: number;
   readonly order: number;
-  readonly stage: Stage;
+  /** Absent when the job is not known any more, so that nothing tells what the run needs. */
+  readonly stage?: Stage;
 }
 
 /** A connection of an agent. */
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -226,9 +226,9 @@
     wallMs: WALL_MS,
   });
   expect(sentMessages(fixture, 'stop')).to.have.length(1);
-  expect(fixture.state.orphans.byTask.has(TASK)).to.equal(true);
+  expect(fixture.state.orphans.byTask.has(`${TASK}#1`)).to.equal(true);
   const gone = report(advance(fixture, 300), 'w1', { lastOrder: 1 });
-  expect(gone.state.orphans.byTask.has(TASK)).to.equal(false);
+  expect(gone.state.orphans.byTask.has(`${TASK}#1`)).to.equal(false);
 });
 
 // Guards against a count of queued jobs that leaves out those claimed before a power loss.
