Keep a cancelled id from being submitted before the answer that it has no job

Cause: a cancellation was answered with "no such job" after a read. Change: the answer follows a row that each submission requires to be absent. The token bucket of the administration API moves to the types package, as the intake uses it too.

--- a/packages/entry/src/api.ts
+++ b/packages/entry/src/api.ts
@@ -5,13 +5,12 @@
 import type { ActorSystemRef } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, spawn } from '@bronzeyoke/actors';
-import type { AdminCommand, AdminReply, Failure, Result } from '@bronzeyoke/types';
-import { assertNever, fail, succeed } from '@bronzeyoke/types';
+import type { AdminCommand, AdminReply, Bucket, Failure, Result } from '@bronzeyoke/types';
+import { assertNever, fail, succeed, takeToken } from '@bronzeyoke/types';
 import type { Principal, TokenEntry } from './auth';
 import { authorize, createAuthenticator } from './auth';
 import { readBody, sendProblem } from './http';
-import type { Bucket } from './limits';
-import { takeToken } from './limits';
+
 import { failureProblem } from './problem';
 import type { AdminCall, AdminResponse } from './routes';
 import { isJobDone, toAdminCall, toAdminResponse } from './routes';
--- a/packages/entry/src/auth.ts
+++ b/packages/entry/src/auth.ts
@@ -1,7 +1,6 @@
 import { createHash, timingSafeEqual } from 'node:crypto';
-import type { AdminCommand, Result } from '@bronzeyoke/types';
+import type { AdminCommand, BucketLimit, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
-import type { BucketLimit } from './limits';
 
 /** Sender of a request, identified by its bearer token. */
 export type Principal =
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -5,7 +5,6 @@
 export * from './budget';
 export * from './core';
 export * from './http';
-export * from './limits';
 export * from './monitor';
 export * from './problem';
 export * from './routes';
--- a/packages/entry/test/api.test.ts
+++ b/packages/entry/test/api.test.ts
@@ -7,8 +7,8 @@
 import { request } from 'undici';
 import { dispatch } from '@bronzeyoke/actors';
 import type { AdminCommand, AdminReply, Result } from '@bronzeyoke/types';
-import { fail, succeed } from '@bronzeyoke/types';
-import { spawnAdminApi, spawnFrontEnd, takeToken } from '../src';
+import { fail, succeed, takeToken } from '@bronzeyoke/types';
+import { spawnAdminApi, spawnFrontEnd } from '../src';
 
 const HOST = '127.0.0.1';
 
--- a/packages/intake/src/query.ts
+++ b/packages/intake/src/query.ts
@@ -1,7 +1,15 @@
 import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
-import { cancelKey, COUNTS_KEY, jobKey, PARTITION, TABLES } from '@bronzeyoke/scheduler';
+import {
+  cancelKey,
+  COUNTS_KEY,
+  jobKey,
+  PARTITION,
+  progressKey,
+  TABLES,
+  withdrawalKey,
+} from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, takeToken } from '@bronzeyoke/types';
 import { z } from 'zod';
 import { decodeJob, decodeProgress, statusOf } from '@bronzeyoke/workflow';
 import type {
@@ -20,6 +28,9 @@
 
 const countsSchema = z.object({ atMs: z.number(), queues: z.record(z.string(), z.number()) });
 const CALLER_RETRY_AFTER_MS = 1_000;
+
+/** Cancellations of ids without a job at one entry. Each costs a write and a row. */
+const WITHDRAWAL_LIMIT = { ratePerSecond: 20, burst: 60 };
 const REPLY_MARGIN_MS = 200;
 
 /** Returns the end of the range of keys that start with the job id and a slash. */
@@ -55,10 +66,7 @@
       return {
         kind: 'range',
         callId,
-        range:
-          query.stage === 'find' || query.stage === 'write'
-            ? jobRange(query.jobId)
-            : progressRange(query.jobId),
+        range: query.stage === 'outcome' ? progressRange(query.jobId) : jobRange(query.jobId),
       };
     case 'status':
       return {
@@ -143,11 +151,41 @@
   return failure === undefined ? reply : { ...reply, failure };
 }
 
+/**
+ * Stores that an id without a job was cancelled, so that a submission which is still on its way fails.
+ * Without that row, "no such job" could become untrue.
+ */
+function withdraw(
+  state: IntakeState,
+  callId: string,
+  query: Extract<Query, { kind: 'cancel' }>,
+  nowMs: number,
+): IntakeStep {
+  const { bucket, retryAfterMs } = takeToken(state.withdrawalBucket, WITHDRAWAL_LIMIT, nowMs);
+  const limited = { ...state, withdrawalBucket: bucket };
+  if (retryAfterMs !== undefined) {
+    return endQuery(limited, callId, { kind: 'unavailable', retryAfterMs });
+  }
+  const { jobId } = query;
+  const transaction = {
+    conditions: [
+      { ...jobKey(jobId), version: 0 },
+      { ...progressKey(jobId), version: 0 },
+    ],
+    writes: [{ kind: 'put', ...withdrawalKey(jobId), value: {} } as const],
+  };
+  return {
+    state: withQuery(limited, callId, { ...query, stage: 'withdraw' }),
+    effects: [{ kind: 'commit', callId, transaction }],
+  };
+}
+
 function applyRows(
   state: IntakeState,
   callId: string,
   query: Query,
   rows: readonly StoredRow[],
+  nowMs: number,
   wallMs: number,
 ): IntakeStep {
   switch (query.kind) {
@@ -183,7 +221,9 @@
     case 'cancel': {
       const { jobId } = query;
       if (query.stage === 'outcome') {
-        return endQuery(state, callId, { kind: rows.length > 0 ? 'cancelled' : 'absent' });
+        return rows.length > 0
+          ? endQuery(state, callId, { kind: 'cancelled' })
+          : withdraw(state, callId, query, nowMs);
       }
       const job = rows.find(({ key }) => key === jobKey(jobId).key);
       if (job === undefined) return readRows(state, callId, { ...query, stage: 'outcome' });
@@ -228,10 +268,10 @@
   if (query === undefined) return { state, effects: [] };
   return result.kind === 'unavailable'
     ? scheduleRetry(state, callId, query, nowMs)
-    : applyRows(state, callId, query, result.rows, wallMs);
+    : applyRows(state, callId, query, result.rows, nowMs, wallMs);
 }
 
-/** Applies the result of the transaction that cancels a job. */
+/** Applies the result of the transaction that cancels a job or withdraws an id. */
 export function onCancelOutcome(
   state: IntakeState,
   callId: string,
@@ -242,6 +282,11 @@
   if (query?.kind !== 'cancel') return { state, effects: [] };
   switch (result.kind) {
     case 'committed':
+      if (query.stage === 'withdraw') {
+        return endQuery(state, callId, { kind: 'absent' }, [
+          logEffect('jobWithdrawn', { job: query.jobId }),
+        ]);
+      }
       return endQuery(state, callId, { kind: 'cancelled' }, [
         logEffect('jobCancelled', { job: query.jobId }),
       ]);
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -1,6 +1,6 @@
 import { advance } from '@bronzeyoke/chart';
-import type { RowCommitResult } from '@bronzeyoke/ports';
-import { jobKey, progressKey } from '@bronzeyoke/scheduler';
+import type { RowCommitResult, RowKey, StoredRow } from '@bronzeyoke/ports';
+import { jobKey, progressKey, WITHDRAWAL_KEEP_MS, withdrawalKey } from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
 import type {
@@ -13,8 +13,8 @@
 } from './types';
 import { submissionChart } from './types';
 
-/** Each job takes two conditions and one write of the 100 that a transaction may name. */
-const MAX_JOBS_PER_TRANSACTION = 30;
+/** Each job takes three conditions and one write of the 100 that a transaction may name. */
+const MAX_JOBS_PER_TRANSACTION = 25;
 const MAX_TRANSACTIONS_IN_FLIGHT = 2;
 const RETRY_DELAY_MS = 80;
 
@@ -31,7 +31,8 @@
 /** After a longer silence of the store, jobs are refused without a write: at once and for certain. */
 const MAX_STORE_SILENCE_MS = 1_000;
 
-type SubmissionEvent = 'sent' | 'stored' | 'conflict' | 'unavailable' | 'unknown' | 'expired';
+type SubmissionEvent =
+  'sent' | 'stored' | 'withdrawn' | 'conflict' | 'unavailable' | 'unknown' | 'expired';
 
 function replyTo(submission: PendingSubmission, reply: IntakeReply): readonly IntakeEffect[] {
   return submission.callIds.map((callId) => ({ kind: 'reply', callId, reply }) as const);
@@ -60,6 +61,11 @@
           ...replyTo(submission, { kind: 'notAccepted', retryAfterMs: CALLER_RETRY_AFTER_MS }),
           logEffect('jobRefused', { job: jobId, reason: 'storeUnavailable' }),
         ];
+      case 'refuseWithdrawn':
+        return [
+          ...replyTo(submission, { kind: 'notAccepted', retryAfterMs: WITHDRAWAL_KEEP_MS }),
+          logEffect('jobRefused', { job: jobId, reason: 'withdrawn' }),
+        ];
       case 'replyUnknown':
         return [
           ...replyTo(submission, { kind: 'unknown' }),
@@ -109,6 +115,7 @@
     conditions: jobIds.flatMap((jobId) => [
       { ...jobKey(jobId), version: 0 },
       { ...progressKey(jobId), version: 0 },
+      { ...withdrawalKey(jobId), version: 0 },
     ]),
     writes: jobs.map(({ job }) => ({ kind: 'put', ...jobKey(job.jobId), value: job }) as const),
   };
@@ -119,6 +126,20 @@
   };
 }
 
+function rowName({ table, key }: RowKey): string {
+  return `${table}/${key}`;
+}
+
+/** Returns what the present rows of a conflict mean for each submission. */
+function conflictEvents(rows: readonly StoredRow[]): (jobId: string) => SubmissionEvent {
+  const stored = new Set(rows.filter(({ version }) => version > 0).map((row) => rowName(row)));
+  return (jobId) => {
+    const isStored = [jobKey(jobId), progressKey(jobId)].some((row) => stored.has(rowName(row)));
+    if (isStored) return 'stored';
+    return stored.has(rowName(withdrawalKey(jobId))) ? 'withdrawn' : 'conflict';
+  };
+}
+
 /** Applies the result of a transaction of submissions. A job that is stored already is accepted. */
 export function onSubmitOutcome(
   state: IntakeState,
@@ -133,19 +154,8 @@
     case 'committed':
       return advanceSubmissions(next, jobIds, () => 'stored', nowMs);
     case 'conflict': {
-      const stored = new Set(
-        result.rows.filter(({ version }) => version > 0).map(({ key }) => key),
-      );
-      const step = advanceSubmissions(
-        next,
-        jobIds,
-        (jobId) =>
-          stored.has(jobKey(jobId).key) || stored.has(progressKey(jobId).key)
-            ? 'stored'
-            : 'conflict',
-        nowMs - RETRY_DELAY_MS,
-      );
-      return step;
+      const eventOf = conflictEvents(result.rows);
+      return advanceSubmissions(next, jobIds, eventOf, nowMs - RETRY_DELAY_MS);
     }
     case 'unavailable':
       return advanceSubmissions(next, jobIds, () => 'unavailable', nowMs);
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -4,13 +4,14 @@
 import type { RowStoreCall, RowStoreEvent } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { JobFailure, JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
+import type { Bucket } from '@bronzeyoke/types';
 import chartFile from '../charts/submission.json';
 
 /** Chart of a submission. One that may have been stored is never refused as not accepted. */
 export const submissionChart = compileChart(chartFile, {
   states: ['waiting', 'sending', 'uncertain', 'resending', 'ended'],
-  events: ['sent', 'stored', 'conflict', 'unavailable', 'unknown', 'expired'],
-  actions: ['accept', 'refuse', 'replyUnknown'],
+  events: ['sent', 'stored', 'withdrawn', 'conflict', 'unavailable', 'unknown', 'expired'],
+  actions: ['accept', 'refuse', 'refuseWithdrawn', 'replyUnknown'],
 });
 
 /** A job that is being stored, with all calls that wait for the outcome. */
@@ -28,7 +29,7 @@
       readonly kind: 'cancel';
       readonly jobId: string;
       readonly expiresAtMs: number;
-      readonly stage: 'find' | 'write' | 'outcome';
+      readonly stage: 'find' | 'write' | 'outcome' | 'withdraw';
       readonly retryAtMs: number;
     }
   | {
@@ -53,6 +54,8 @@
   /** Jobs of each transaction without a result yet, by call id. */
   readonly inFlight: Map<string, readonly string[]>;
   readonly callCount: number;
+  /** Limits the cancellations of ids without a job. */
+  readonly withdrawalBucket?: Bucket;
 }
 
 /** Final reply to a call. */
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -2,7 +2,7 @@
 import type { RowCommitResult } from '@bronzeyoke/ports';
 import type { IntakeEffect, IntakeEvent, IntakeState } from '@bronzeyoke/intake';
 import { createIntake, selectQueue, stepIntake } from '@bronzeyoke/intake';
-import { jobKey } from '@bronzeyoke/scheduler';
+import { jobKey, progressKey, WITHDRAWAL_KEEP_MS, withdrawalKey } from '@bronzeyoke/scheduler';
 import type { WorkflowJob } from '@bronzeyoke/workflow';
 
 interface Fixture {
@@ -70,6 +70,107 @@
   expect(replies(fixture)).to.deep.equal(['accepted', 'accepted']);
 });
 
+const NO_ROWS = { kind: 'rows', rows: [], version: 9 } as const;
+
+function cancel(fixture: Fixture, callId: string): Fixture {
+  return dispatch(fixture, { kind: 'cancel', callId, jobId: 'job1', timeoutMs: 3_000 });
+}
+
+/** Answers the reads of a cancellation: there is neither a job nor an outcome. */
+function findNothing(fixture: Fixture, callId: string): Fixture {
+  const empty = { kind: 'rangeDone', callId, result: NO_ROWS, wallMs: 0 } as const;
+  return dispatch(dispatch(fixture, empty), empty);
+}
+
+function transactions(fixture: Fixture) {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'commit' ? [effect.transaction] : [],
+  );
+}
+
+// Guards against a job that runs because its submission is stored after a cancellation was answered.
+it('intake: "no such job" is answered once no submission on its way can be stored', () => {
+  const found = findNothing(cancel(START, 'c1'), 'c1');
+  expect(replies(found)).to.deep.equal([]);
+  expect(transactions(found)).to.deep.equal([
+    {
+      conditions: [
+        { ...jobKey('job1'), version: 0 },
+        { ...progressKey('job1'), version: 0 },
+      ],
+      writes: [{ kind: 'put', ...withdrawalKey('job1'), value: {} }],
+    },
+  ]);
+  expect(replies(finish(found, 'c1', { kind: 'committed', version: 10 }))).to.deep.equal([
+    'absent',
+  ]);
+  const [submission] = transactions(submit(START, 'c2'));
+  expect(submission?.conditions).to.deep.include({ ...withdrawalKey('job1'), version: 0 });
+});
+
+// Guards against an answer that rests on a withdrawal which may not have been stored.
+it('intake: a withdrawal without a reply is repeated before the answer', () => {
+  const lost = finish(findNothing(cancel(START, 'c1'), 'c1'), 'c1', { kind: 'unknown' });
+  expect(replies(lost)).to.deep.equal([]);
+  const again = dispatch(lost, { kind: 'tick' }, 200);
+  const stored = findNothing(again, 'c1');
+  expect(transactions(stored)).to.have.length(1);
+  const late = dispatch(lost, { kind: 'tick' }, 3_000);
+  expect(replies(late)).to.deep.equal(['unavailable']);
+});
+
+// Guards against a cancellation that misses a job which is stored between its reads and its write.
+it('intake: a job that is stored during a withdrawal is cancelled', () => {
+  const row = { ...jobKey('job1'), version: 7, value: {} };
+  const found = findNothing(cancel(START, 'c1'), 'c1');
+  const conflict = finish(found, 'c1', { kind: 'conflict', rows: [row] });
+  const seen = dispatch(conflict, {
+    kind: 'rangeDone',
+    callId: 'c1',
+    result: { kind: 'rows', rows: [row], version: 9 },
+    wallMs: 0,
+  });
+  expect(transactions(seen)[0]?.conditions).to.deep.equal([{ ...jobKey('job1'), version: 7 }]);
+  expect(replies(finish(seen, 'c1', { kind: 'committed', version: 10 }))).to.deep.equal([
+    'cancelled',
+  ]);
+});
+
+// Guards against a submission that is accepted under a withdrawn id, or repeated until its timeout.
+it('intake: a submission under a withdrawn id is refused for as long as that is kept', () => {
+  const rows = [{ ...withdrawalKey('job1'), version: 4, value: {} }];
+  const refused = finish(submit(START, 'c1'), 'submit-0', { kind: 'conflict', rows });
+  expect(refused.effects[0]).to.deep.equal({
+    kind: 'reply',
+    callId: 'c1',
+    reply: { kind: 'notAccepted', retryAfterMs: WITHDRAWAL_KEEP_MS },
+  });
+  const both = [...rows, { ...progressKey('job1'), version: 5, value: {} }];
+  const repeated = finish(submit(START, 'c1'), 'submit-0', { kind: 'conflict', rows: both });
+  expect(replies(repeated)).to.deep.equal(['accepted']);
+});
+
+// Guards against callers that fill the store with rows of ids that never were.
+it('intake: cancellations of unknown ids are limited', () => {
+  const ids = Array.from({ length: 100 }, (_, index) => `c${index}`);
+  const { count } = ids.reduce(
+    (known, callId) => {
+      const found = findNothing(cancel(known.fixture, callId), callId);
+      return { fixture: found, count: known.count + transactions(found).length };
+    },
+    { fixture: START, count: 0 },
+  );
+  expect(count).to.equal(60);
+  const last = findNothing(
+    cancel(
+      ids.reduce((known, id) => findNothing(cancel(known, id), id), START),
+      'x',
+    ),
+    'x',
+  );
+  expect(replies(last)).to.deep.equal(['unavailable']);
+});
+
 // Guards against refusing a job that may have been stored.
 it('intake: a job that may have been stored is never refused as not accepted', () => {
   const uncertain = finish(submit(START, 'c1'), 'submit-0', { kind: 'unknown' });
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -6,3 +6,4 @@
 export * from './times';
 export * from './types';
 export * from './views';
+export { WITHDRAWAL_KEEP_MS } from './withdrawals';
--- a/packages/scheduler/src/rows.ts
+++ b/packages/scheduler/src/rows.ts
@@ -24,6 +24,8 @@
   lease: 'lease',
   /** Counts of queued jobs, and learned estimates for pairs of images. */
   notes: 'notes',
+  /** Ids of jobs that callers were told do not exist when they cancelled them. */
+  withdrawals: 'withdrawn',
 } as const;
 
 /**
@@ -62,6 +64,11 @@
   return { table: TABLES.progress, partition: PARTITION, key: jobId };
 }
 
+/** Returns the key of the row that keeps a cancelled id from being submitted. */
+export function withdrawalKey(jobId: string): RowKey {
+  return { table: TABLES.withdrawals, partition: PARTITION, key: jobId };
+}
+
 /** Kind of a row of the job table. */
 export type JobRowKey =
   | { readonly kind: 'job'; readonly jobId: string }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -36,6 +36,7 @@
   storedAwaited: new Set<string>(),
   formerLeasesEndAtMs: 0,
   mayGrantUntilMs: 0,
+  withdrawals: { seen: Map<string, never>(), sentAtMs: 0 },
 } as const;
 
 /** Returns the state of a scheduler before its first read of the store. */
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -24,6 +24,7 @@
 import { stopStalledRuns } from './stall';
 import { withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
+import { onWithdrawalRows, readWithdrawals, settleRemoval, WITHDRAWAL_CALLS } from './withdrawals';
 
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
 
@@ -67,6 +68,7 @@
     (current) => retryClaim(current, nowMs),
     (current) => retryReads(current, nowMs),
     (current) => retryTransaction(current, nowMs),
+    (current) => readWithdrawals(current, nowMs),
     (current) => expireWorkers(current, nowMs),
     (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
@@ -112,6 +114,42 @@
   }
 }
 
+function onCommitDone(
+  state: SchedulerState,
+  { callId, result }: Extract<SchedulerEvent, { kind: 'commitDone' }>,
+  nowMs: number,
+): SchedulerStep {
+  switch (callId) {
+    case CALLS.claimLease:
+      return onClaimResult(state, result, nowMs);
+    case WITHDRAWAL_CALLS.remove:
+      return unchanged(settleRemoval(state));
+    default:
+      return onCommitResult(state, callId, result, nowMs);
+  }
+}
+
+function onRangeDone(
+  state: SchedulerState,
+  { callId, result, wallMs }: Extract<SchedulerEvent, { kind: 'rangeDone' }>,
+  inputs: StepInputs,
+): SchedulerStep {
+  const { nowMs } = inputs;
+  switch (callId) {
+    case CALLS.poll:
+      return onPoll(state, result, inputs);
+    case WITHDRAWAL_CALLS.read:
+      return onWithdrawalRows(state, result, nowMs);
+    default:
+      return handleGoneReports(
+        state,
+        onLoaded(state, callId, result, nowMs, wallMs),
+        nowMs,
+        wallMs,
+      );
+  }
+}
+
 /** Returns the next state and the effects of an event. */
 export function stepScheduler(
   state: SchedulerState,
@@ -139,21 +177,11 @@
       );
     case 'commitDone':
       return chainAll(state, [
-        (current) =>
-          event.callId === CALLS.claimLease
-            ? onClaimResult(current, event.result, nowMs)
-            : onCommitResult(current, event.callId, event.result, nowMs),
+        (current) => onCommitDone(current, event, nowMs),
         (current) => placeAndFlush(current, nowMs, event.wallMs),
       ]);
     case 'rangeDone':
-      return event.callId === CALLS.poll
-        ? onPoll(state, event.result, inputs)
-        : handleGoneReports(
-            state,
-            onLoaded(state, event.callId, event.result, nowMs, event.wallMs),
-            nowMs,
-            event.wallMs,
-          );
+      return onRangeDone(state, event, inputs);
     case 'linkOpened':
       return announceLeader(
         {
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -112,6 +112,21 @@
   readonly openRuns: readonly RunRef[];
 }
 
+/** A withdrawal row as this leader first read its version. */
+export interface SeenWithdrawal {
+  readonly version: number;
+  readonly seenAtMs: number;
+}
+
+/** The leader's reads and removals of withdrawal rows. */
+export interface WithdrawalState {
+  readonly seen: Map<string, SeenWithdrawal>;
+  /** When the last read was sent. */
+  readonly sentAtMs: number;
+  /** Call without a result. */
+  readonly callId?: string;
+}
+
 /** Parts of the store that a new leader has read so far. */
 export interface LoadState {
   readonly reads?: Map<string, TableRead>;
@@ -190,6 +205,7 @@
   readonly writtenCounts: string;
   readonly countsWrittenAtMs: number;
   readonly renewAtMs: number;
+  readonly withdrawals: WithdrawalState;
 }
 
 /** Inputs of the scheduler. */
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -32,6 +32,7 @@
   | 'jobRefused'
   | 'jobUnanswered'
   | 'jobCancelled'
+  | 'jobWithdrawn'
   | 'jobSeen'
   | 'jobEnded'
   | 'taskPaced'
--- a/packages/entry/src/limits.ts
+++ b/packages/types/src/bucket.ts
@@ -1,4 +1,4 @@
-/** State of a token bucket, which limits the requests with one bearer token. */
+/** State of a token bucket, which limits how often something may happen. */
 export interface Bucket {
   readonly tokens: number;
   readonly refilledAtMs: number;
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -1,5 +1,6 @@
 export * from './address';
 export * from './admin';
+export * from './bucket';
 export * from './failure';
 export * from './job';
 export * from './agent';
