Start a lasting task again that ends as done

The end of one member of a lasting gang stands for all. Rows of earlier builds that count a lasting task as done make it wait again.

--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -8,6 +8,7 @@
   decodeJob,
   decodeProgress,
   NO_PROGRESS,
+  restartLasting,
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
@@ -33,7 +34,7 @@
 function addJob(state: SchedulerState, job: WorkflowJob, progress: JobProgress): SchedulerStep {
   const { jobId } = job;
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
-  const open: OpenJob = { job, progress, isCancelled: false };
+  const open: OpenJob = { job, progress: restartLasting(job, progress), isCancelled: false };
   const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
   return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
     logEffect('jobSeen', fields),
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -2,7 +2,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { RunRef } from '@bronzeyoke/wire';
-import type { RunEnd } from '@bronzeyoke/workflow';
+import type { JobProgress, RunEnd, TaskProgress } from '@bronzeyoke/workflow';
 import {
   acceptsEvent,
   advanceRun,
@@ -15,6 +15,7 @@
 } from '@bronzeyoke/workflow';
 import { abandonRuns, endJob, orphanRuns } from './jobend';
 import { startWait } from './placewait';
+import { delayRestart } from './restarts';
 import { dropRun, dropRuns, runsOn } from './runs';
 import { putJob, withEffects } from './state';
 import { taskLog } from './tasklog';
@@ -22,9 +23,8 @@
 import type { RunView } from './views';
 import { endClaim } from './waits';
 
-/** Delays before a task is placed again that a worker refused, and one that failed. */
+/** Delay before a task is placed again that a worker refused. */
 const REFUSAL_BACK_OFF_MS = 150;
-const FAILURE_BACK_OFF_MS = 200;
 
 /** Reasons to release a run whose end its worker did not list. */
 export type ReleaseReason =
@@ -195,6 +195,23 @@
   }
 }
 
+/** Returns whether the end of a gang's member stands for another one: all but lasting ones are done. */
+function isOfSameRun(
+  progress: JobProgress,
+  slot: string,
+  { attempt }: EndedRun,
+  isSuccess: boolean,
+): boolean {
+  const member = taskProgress(progress, slot);
+  return isSuccess || (member.attempt === attempt && acceptsEvent(member, 'release'));
+}
+
+function endMember(member: TaskProgress, event: 'done' | 'release'): TaskProgress {
+  return event === 'done'
+    ? advanceRun(member, event)
+    : advanceRun(without(member, 'workerKey', 'workerAddress'), event);
+}
+
 /** Applies a listed end to the job's progress. The end of an older run is ignored. */
 export function applyEnd(
   state: SchedulerState,
@@ -208,14 +225,17 @@
   const stage = open.job.stages[ref.stageIndex];
   const slot = slotKey(ref.occurrence, ref.stageIndex, ref.index);
   const task = taskProgress(open.progress, slot);
+  // A lasting task runs until its job is cancelled, however its runs end.
+  const isSuccess = ended.end === 'done' && stage?.isLasting === false;
+  const event = isSuccess ? 'done' : 'release';
   // A success also counts when the run was released meanwhile, and ends a run that was claimed since.
-  const isSuccess = ended.end === 'done' && ended.attempt <= task.attempt;
+  const isLateSuccess = isSuccess && ended.attempt <= task.attempt;
   const isOwnRun = task.attempt === ended.attempt && task.workerKey === ended.workerKey;
   const isCurrent =
-    (isOwnRun || isSuccess) &&
+    (isOwnRun || isLateSuccess) &&
     open.progress.outcome === undefined &&
     stage !== undefined &&
-    acceptsEvent(task, ended.end === 'done' ? 'done' : 'release');
+    acceptsEvent(task, event);
   if (!isCurrent) return unchanged(state);
   const { job } = open;
   const fields = {
@@ -232,34 +252,35 @@
   const rest = without(task, 'workerKey', 'workerAddress');
   const keepsCheckpoint = stage.savesCheckpoints && ended.checkpoint !== '';
   const moved = {
-    ...advanceRun(rest, ended.end === 'done' ? 'done' : 'release'),
+    ...advanceRun(rest, event),
     ...(keepsCheckpoint ? { checkpoint: ended.checkpoint } : {}),
     ...(ended.end === 'failed' ? { failures: task.failures + 1, failedOn: ended.workerKey } : {}),
   };
-  // The success of one member completes the whole gang.
+  // The members of a gang are done together, and the end of one stands for all of them.
   const others =
     stage.isGang && ended.end === 'done'
-      ? stageSlots(stage, ref.occurrence, ref.stageIndex).filter((other) => other !== slot)
+      ? stageSlots(stage, ref.occurrence, ref.stageIndex).filter(
+          (other) => other !== slot && isOfSameRun(open.progress, other, ended, isSuccess),
+        )
       : [];
   const changed = [
     [slot, moved] as const,
     ...others.map(
-      (other) => [other, advanceRun(taskProgress(open.progress, other), 'done')] as const,
+      (other) => [other, endMember(taskProgress(open.progress, other), event)] as const,
     ),
   ];
   const progress = withTasks(open.progress, changed);
   const otherTasks = others.map((other) => `${ref.jobId}.${other}`);
-  const backOff =
-    ended.end === 'failed'
-      ? recorded.backOff.set(ended.task, nowMs + FAILURE_BACK_OFF_MS)
-      : recorded.backOff;
   // The workers of the other members may list them for a while.
-  const taken = orphanRuns(recorded, otherTasks);
+  const delayed = [ended.task, ...otherTasks].reduce(
+    (current, name) => delayRestart(current, { task: name, end: ended.end, stage }, nowMs),
+    recorded,
+  );
+  const taken = orphanRuns(delayed, otherTasks);
   const next = putJob(
     {
       ...taken,
       runs: dropRun(taken.runs, ended.task),
-      backOff,
       waits: endClaim(recorded, ended.task),
     },
     ref.jobId,
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -23,6 +23,7 @@
   lastPassAtMs: -Infinity,
   failedSearches: Map<string, never>(),
   backOff: Map<string, never>(),
+  quickEnds: Map<string, never>(),
   suspects: Map<string, never>(),
   waits: Map<string, never>(),
   unplacedSince: Map<string, never>(),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -21,6 +21,7 @@
 import { placeTasks } from './place';
 import { releaseWorker } from './release';
 import { onOrderRefused, onReport } from './report';
+import { forgetQuickEnds } from './restarts';
 import { stopStalledRuns } from './stall';
 import { withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
@@ -63,7 +64,7 @@
         needsPlacement: true,
       }
     : state;
-  return chainAll(updated, [
+  return chainAll(forgetQuickEnds(updated, nowMs), [
     (current) => pollLease(current, nowMs),
     (current) => retryClaim(current, nowMs),
     (current) => retryReads(current, nowMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -112,6 +112,12 @@
   readonly openRuns: readonly RunRef[];
 }
 
+/** Number of runs of a lasting task that ended soon after their starts, one after the other. */
+export interface QuickEnds {
+  readonly count: number;
+  readonly lastAtMs: number;
+}
+
 /** A withdrawal row as this leader first read its version. */
 export interface SeenWithdrawal {
   readonly version: number;
@@ -186,6 +192,8 @@
   readonly failedSearches: Map<string, FailedSearch>;
   /** Time before which a task is not placed again, by task. */
   readonly backOff: Map<string, number>;
+  /** Ends of lasting tasks soon after their starts, one after the other, by task. */
+  readonly quickEnds: Map<string, QuickEnds>;
   /** Since when a stage without filling tasks has found too few workers, by `searchKey`. */
   readonly unplacedSince: Map<string, number>;
   /** Tasks that are taken to crash workers, by task; those of ended jobs until the next placement. */
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -20,6 +20,10 @@
   return `${occurrence}.${stageIndex}.${index}`;
 }
 
+function stageIndexOf(slot: string): number {
+  return Number(slot.split('.')[1]);
+}
+
 /** Returns the name of a task for workers and logs. */
 export function taskName(ref: TaskRef): string {
   return `${ref.jobId}.${slotKey(ref.occurrence, ref.stageIndex, ref.index)}`;
@@ -129,6 +133,17 @@
   );
 }
 
+/** Makes lasting tasks wait again that a row of an earlier build counts as done. */
+export function restartLasting(job: WorkflowJob, progress: JobProgress): JobProgress {
+  const ended = [...progress.tasks].filter(
+    ([slot, { phase }]) => phase === 'done' && job.stages[stageIndexOf(slot)]?.isLasting === true,
+  );
+  const waiting = ended.map(
+    ([slot, { attempt }]) => [slot, { ...UNCLAIMED_TASK, attempt }] as const,
+  );
+  return waiting.length === 0 ? progress : withTasks(progress, waiting);
+}
+
 /** Returns the status of a job for callers. */
 export function statusOf(progress: JobProgress): JobStatus {
   if (progress.outcome !== undefined) return progress.outcome;
@@ -161,7 +176,7 @@
 /** Returns the declared processor time that is not done yet, in core-milliseconds. */
 export function remainingWork(job: WorkflowJob, progress: JobProgress): number {
   const doneCounts = [...progress.tasks].reduce((counts, [slot, task]) => {
-    const stageIndex = Number(slot.split('.')[1]);
+    const stageIndex = stageIndexOf(slot);
     return task.phase === 'done'
       ? counts.set(stageIndex, (counts.get(stageIndex) ?? 0) + 1)
       : counts;
