--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -8,6 +8,8 @@
   readonly job: WorkflowJob;
   readonly progress: JobProgress;
   readonly isCancelled: boolean;
+  /** How often each task was stopped for want of progress, by slot. */
+  readonly stalls?: Map<string, number>;
 }
 
 /**
