--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -20,8 +20,15 @@
   readonly runningOn: (machine: number) => number;
   readonly advance: (ms: number) => void;
   readonly advanceUntil: (holds: () => boolean, limitMs: number) => boolean;
-  /** Stores a job with lasting tasks, or with short ones. */
-  readonly submit: (kind: 'lasting' | 'short', taskCount: number) => void;
+  /** Stores a job with lasting tasks, or with short ones, and returns its id. */
+  readonly submit: (kind: 'lasting' | 'short', taskCount: number) => string;
+  /** Cancels a job unless it has ended. */
+  readonly cancel: (jobId: string) => void;
+  readonly isComplete: (jobId: string) => boolean;
+  /** Sends an agent heartbeats of another writer: of later instances that do not exist. */
+  readonly hearOddHeartbeats: (machine: number) => void;
+  /** Ends the lasting runs of a worker as done. */
+  readonly endLastingRuns: (machine: number) => void;
   /** Changes the store for all callers or for one. Anything but the order of feed and reply disturbs. */
   readonly setStore: (changes: Partial<StoreConditions>, caller?: string) => void;
   /** Ends all store trouble. */
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -1,5 +1,12 @@
 import type { RowTransaction } from '@bronzeyoke/ports';
-import { decodeLeader, decodeLease, jobKey, progressKey, TABLES } from '@bronzeyoke/scheduler';
+import {
+  cancelKey,
+  decodeLeader,
+  decodeLease,
+  jobKey,
+  progressKey,
+  TABLES,
+} from '@bronzeyoke/scheduler';
 import { rowId } from '@bronzeyoke/standins';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import type { Stage } from '@bronzeyoke/workflow';
@@ -23,7 +30,7 @@
 import type { Simulation } from './simtypes';
 import { PROMPT_ORDERS } from './simtypes';
 import type { SimWorker } from './simworker';
-import { createWorker } from './simworker';
+import { createWorker, hasRoomOn, LASTING_PER_WORKER } from './simworker';
 
 /** Time between the stop of an entry and the end of its process. */
 const GRACE_MS = 2_500;
@@ -33,16 +40,6 @@
 /** Workers' clocks may be this much slow or fast. */
 const CLOCK_ERROR = 0.02;
 
-/** Lasting tasks of one job, and tasks of all jobs, that fit on a worker. */
-const LASTING_PER_WORKER = 2;
-const TASKS_PER_WORKER = 4;
-
-function hasRoomOn(worker: SimWorker): boolean {
-  const { runs } = worker.state();
-  const lasting = runs.filter((_, task) => task.startsWith('lasting'));
-  return runs.size < TASKS_PER_WORKER && lasting.size < LASTING_PER_WORKER;
-}
-
 interface Machine {
   readonly agent: AgentNode;
   readonly worker: SimWorker;
@@ -247,10 +244,38 @@
         acceptedAtMs: WALL_MS + clock.now(),
       };
       store.put({ conditions: [], writes: [{ kind: 'put', ...jobKey(jobId), value }] });
-      if (kind === 'short') return;
+      if (kind === 'short') return jobId;
       Array.from({ length: taskCount }, (_, index) =>
         lastRuns.set(`${jobId}.0.0.${index}`, clock.now() - startMs),
       );
+      return jobId;
+    },
+    cancel: (jobId) => {
+      if (!store.state().rows.has(rowId(jobKey(jobId)))) return;
+      log('plan', `cancel ${jobId}`);
+      [...lastRuns.keys()]
+        .filter((task) => task.startsWith(`${jobId}.`))
+        .forEach((task) => lastRuns.delete(task));
+      store.put({ conditions: [], writes: [{ kind: 'put', ...cancelKey(jobId), value: {} }] });
+    },
+    isComplete: (jobId) => {
+      const row = store.state().rows.get(rowId(progressKey(jobId)));
+      return decodeProgress(row?.value)?.outcome === 'complete';
+    },
+    hearOddHeartbeats: (index) => {
+      const machine = machines[index];
+      if (machine === undefined) return;
+      log('plan', `odd heartbeats m${index}`);
+      const report = machine.worker.report();
+      const bornAtMs = report.bornAtMs + 1;
+      const odd = { ...report, id: 'odd', address: 'odd', service: 'retired', bornAtMs };
+      [odd, { ...report, bornAtMs }].forEach((other) =>
+        machine.agent.dispatch({ kind: 'heartbeat', report: other }),
+      );
+    },
+    endLastingRuns: (index) => {
+      log('plan', `end lasting runs m${index}`);
+      machines[index]?.worker.endLastingRuns();
     },
     setStore: (changes, caller) => {
       disturb(`store ${caller ?? ''}`);
--- a/packages/scheduler/test/simworker.ts
+++ b/packages/scheduler/test/simworker.ts
@@ -17,6 +17,8 @@
   readonly isUp: () => boolean;
   readonly isDraining: () => boolean;
   readonly drain: () => void;
+  /** Ends the runs of lasting tasks as done. */
+  readonly endLastingRuns: () => void;
   /** Ends the process with all of its runs. */
   readonly end: () => void;
   readonly call: (call: WorkerCall, reply: (result: WorkerCallResult) => void) => void;
@@ -24,6 +26,19 @@
   readonly update: () => void;
 }
 
+/** Lasting tasks of one job that fit on a worker. */
+export const LASTING_PER_WORKER = 2;
+
+/** Tasks of all jobs that fit on a worker. */
+const TASKS_PER_WORKER = 4;
+
+/** Returns whether a worker has room for another lasting task. */
+export function hasRoomOn(worker: SimWorker): boolean {
+  const { runs } = worker.state();
+  const lasting = runs.filter((_, task) => task.startsWith('lasting'));
+  return runs.size < TASKS_PER_WORKER && lasting.size < LASTING_PER_WORKER;
+}
+
 /** Creates an instance of a worker whose clock has the given rate. */
 export function createWorker(
   clock: Clock,
@@ -90,6 +105,13 @@
     drain: () => {
       known.isDraining = true;
     },
+    endLastingRuns: () => {
+      const endsAtMs = clockMs();
+      const runs = known.state.runs.map((lasting) =>
+        lasting.task.startsWith('lasting') ? { ...lasting, endsAtMs } : lasting,
+      );
+      known.state = { ...known.state, runs };
+    },
     end: () => {
       known.isUp = false;
       known.wake?.();
