Start gangs from one checkpoint, and wait for ends beyond a full list

A run whose end was beyond the 500 that a worker lists counted as never started, and its task ran again. Change: a claim of a gang's member stores the value that most members have saved. A report with a full list of ends releases no run as never started.

--- a/packages/ports/src/runner.ts
+++ b/packages/ports/src/runner.ts
@@ -33,6 +33,9 @@
   readonly load: number;
 }
 
+/** Most ends in one list. A worker lists more of them once these are acknowledged. */
+export const MAX_LISTED_ENDS = 500;
+
 /** A run that has ended. Its worker lists it until the end is acknowledged. */
 export interface ListedEnd {
   readonly sequence: number;
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -4,7 +4,7 @@
 import { chooseWorker, withTask } from '@bronzeyoke/placement';
 import { without } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
-import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
+import { advanceRun, gangCheckpoint, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import type { WriteUrgency } from './pending';
 import { putRun } from './runs';
@@ -19,6 +19,14 @@
   return fillsIdle ? 'low' : 'normal';
 }
 
+/** Returns the checkpoint from which a task starts. */
+function startCheckpoint({ progress }: OpenJob, slot: string, stage: Stage): string | undefined {
+  const [occurrence = 0, stageIndex = 0] = slot.split('.').map(Number);
+  return stage.isGang
+    ? gangCheckpoint(stage, progress, occurrence, stageIndex)
+    : taskProgress(progress, slot).checkpoint;
+}
+
 function claimTask(
   state: SchedulerState,
   open: OpenJob,
@@ -33,8 +41,10 @@
   const task = taskProgress(open.progress, slot);
   const { crashes } = task;
   const address = state.workers.get(workerKey)?.report?.address;
+  const checkpoint = startCheckpoint(open, slot, stage);
   const claimed = {
     ...without(advanceRun(task, 'claim'), 'workerAddress'),
+    ...(checkpoint === undefined ? {} : { checkpoint }),
     attempt,
     workerKey,
     ...(address === undefined ? {} : { workerAddress: address }),
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -3,6 +3,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAfter, chainAll, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
+import { MAX_LISTED_ENDS } from '@bronzeyoke/ports';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import {
   acceptsEvent,
@@ -279,10 +280,15 @@
   );
   const isMissing = (run: { readonly attempt: number; readonly order: number }, task: string) =>
     run.order <= report.lastOrder && !known.has(runKey({ task, attempt: run.attempt }));
+  // The end of a missing run may be among those that the worker has not listed yet.
+  const listsAllEnds = report.ended.length < MAX_LISTED_ENDS;
   const missing = [...runsOn(state.runs, workerKey)]
     .filter(
       ([task, run]) =>
-        run.isOrdered && isMissing(run, task) && !mayStartLate(run, report.agentId, nowMs),
+        listsAllEnds &&
+        run.isOrdered &&
+        isMissing(run, task) &&
+        !mayStartLate(run, report.agentId, nowMs),
     )
     .map(([task]) => task);
   const occupying = new Set([...report.running, ...report.pending].map((run) => runKey(run)));
--- a/packages/scheduler/test/late.test.ts
+++ b/packages/scheduler/test/late.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { MAX_LISTED_ENDS } from '@bronzeyoke/ports';
 import type { Fixture } from './fixture';
 import {
   advance,
@@ -45,3 +46,18 @@
   expect(siteOf(failed, TASK)).to.equal('w2');
   expect(loggedFields(failed, 'taskEnded')).to.have.length(0);
 });
+
+// Guards against a second run of a task whose end is beyond those that its worker lists at a time.
+it('late: a run is not released while its worker has more ends than a list holds', () => {
+  const placed = place(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
+  const others = Array.from({ length: MAX_LISTED_ENDS }, (_, index) => ({
+    ...{ sequence: index + 1, task: `old.0.0.${index}`, attempt: 1 },
+    ...{ end: 'done' as const, checkpoint: '' },
+  }));
+  const full = commitAll(report(advance(placed, 300), 'w1', { ended: others, lastOrder: 1 }));
+  expect(siteOf(full, TASK)).to.equal('w1');
+  const end = { sequence: 501, task: TASK, attempt: 1, end: 'done', checkpoint: '' } as const;
+  const rest = commitAll(report(advance(full, 300), 'w1', { ended: [end], lastOrder: 1 }));
+  expect(rest.state.ended.has('job1')).to.equal(true);
+  expect(sentMessages(rest, 'start')).to.have.length(1);
+});
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -62,6 +62,26 @@
   );
 }
 
+/**
+ * Returns the checkpoint from which all members of a gang start: the one that most members have saved.
+ * That of any member is valid for the gang, but all must start from the same one.
+ */
+export function gangCheckpoint(
+  stage: Stage,
+  progress: JobProgress,
+  occurrence: number,
+  stageIndex: number,
+): string | undefined {
+  const saved = stageSlots(stage, occurrence, stageIndex).flatMap(
+    (slot) => taskProgress(progress, slot).checkpoint ?? [],
+  );
+  const countOf = (value: string): number => saved.filter((other) => other === value).length;
+  return saved.reduce<string | undefined>(
+    (best, value) => (best === undefined || countOf(value) > countOf(best) ? value : best),
+    undefined,
+  );
+}
+
 /** Returns whether all tasks of a stage are done. */
 export function isStageDone(
   job: WorkflowJob,
