Remove withdrawals as fast as they age, and split the end of a run from releases

Change: a removal that leaves old rows behind is followed by the next read at once. ends.ts holds what a listed end changes, in short functions; behaviour is the same.

--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -21,10 +21,11 @@
   wasCompared,
 } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
+import { applyEnd } from './ends';
 import { addOrphan } from './jobend';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
-import { applyEnd, releaseEndedRuns, releaseRun, releaseWorker } from './release';
+import { releaseEndedRuns, releaseRun, releaseWorker } from './release';
 import { dropRun, dropRuns, putRun, runKey, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
 import { clearProvenRuns } from './suspects';
--- a/packages/scheduler/src/stall.ts
+++ b/packages/scheduler/src/stall.ts
@@ -2,7 +2,7 @@
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { stopRun } from './pace';
-import { recordFailure } from './release';
+import { recordFailure } from './ends';
 import { runsOn } from './runs';
 import type { SchedulerState, SchedulerStep } from './types';
 import type { RunView } from './views';
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -131,6 +131,8 @@
   readonly sentAtMs: number;
   /** Call without a result. */
   readonly callId?: string;
+  /** More rows are old enough than a transaction removes. */
+  readonly isBehind?: boolean;
 }
 
 /** Parts of the store that a new leader has read so far. */
--- a/packages/scheduler/src/withdrawals.ts
+++ b/packages/scheduler/src/withdrawals.ts
@@ -1,6 +1,6 @@
 import { Map } from 'immutable';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
-import { unchanged } from '@bronzeyoke/types';
+import { unchanged, without } from '@bronzeyoke/types';
 import { PARTITION, TABLES } from './rows';
 import { withEffects } from './state';
 import type { SchedulerState, SchedulerStep, SeenWithdrawal } from './types';
@@ -22,19 +22,15 @@
 
 /** Each row takes a condition and a write of the 100 that a transaction may name. */
 const MAX_REMOVED_ROWS = 50;
-const MAX_READ_ROWS = 500;
 
 /** Reads the withdrawals from time to time. */
 export function readWithdrawals(state: SchedulerState, nowMs: number): SchedulerStep {
-  const { sentAtMs, callId } = state.withdrawals;
-  const intervalMs = callId === undefined ? READ_INTERVAL_MS : CALL_TIMEOUT_MS;
+  const { seen, sentAtMs, callId, isBehind = false } = state.withdrawals;
+  const restMs = isBehind ? 0 : READ_INTERVAL_MS;
+  const intervalMs = callId === undefined ? restMs : CALL_TIMEOUT_MS;
   if (state.phase !== 'leading' || nowMs - sentAtMs < intervalMs) return unchanged(state);
-  const range = {
-    table: TABLES.withdrawals,
-    partition: PARTITION,
-    maxRows: MAX_READ_ROWS,
-  };
-  const withdrawals = { ...state.withdrawals, callId: WITHDRAWAL_CALLS.read, sentAtMs: nowMs };
+  const range = { table: TABLES.withdrawals, partition: PARTITION };
+  const withdrawals = { seen, callId: WITHDRAWAL_CALLS.read, sentAtMs: nowMs };
   return withEffects({ ...state, withdrawals }, [
     { kind: 'range', callId: WITHDRAWAL_CALLS.read, range },
   ]);
@@ -66,11 +62,8 @@
     return unchanged({ ...state, withdrawals: { sentAtMs, seen: known } });
   }
   const seen = seenRows(known, result.rows, nowMs);
-  const expired = seen
-    .filter(({ seenAtMs }) => nowMs - seenAtMs >= WITHDRAWAL_KEEP_MS)
-    .entrySeq()
-    .take(MAX_REMOVED_ROWS)
-    .toArray();
+  const old = seen.filter(({ seenAtMs }) => nowMs - seenAtMs >= WITHDRAWAL_KEEP_MS);
+  const expired = old.entrySeq().take(MAX_REMOVED_ROWS).toArray();
   if (expired.length === 0) return unchanged({ ...state, withdrawals: { sentAtMs, seen } });
   const rowOf = (key: string) => ({ table: TABLES.withdrawals, partition: PARTITION, key });
   const transaction = {
@@ -78,7 +71,8 @@
     conditions: expired.map(([key, { version }]) => ({ ...rowOf(key), version })),
     writes: expired.map(([key]) => ({ kind: 'delete', ...rowOf(key) }) as const),
   };
-  const withdrawals = { sentAtMs, seen, callId: WITHDRAWAL_CALLS.remove };
+  const isBehind = old.size > expired.length;
+  const withdrawals = { sentAtMs, seen, callId: WITHDRAWAL_CALLS.remove, isBehind };
   return withEffects({ ...state, withdrawals }, [
     { kind: 'commit', callId: WITHDRAWAL_CALLS.remove, transaction },
   ]);
@@ -86,6 +80,5 @@
 
 /** Ends a removal. The next read shows what is left, whatever the result was. */
 export function settleRemoval(state: SchedulerState): SchedulerState {
-  const { sentAtMs, seen } = state.withdrawals;
-  return { ...state, withdrawals: { sentAtMs, seen } };
+  return { ...state, withdrawals: without(state.withdrawals, 'callId') };
 }
--- a/packages/scheduler/test/withdrawals.test.ts
+++ b/packages/scheduler/test/withdrawals.test.ts
@@ -50,6 +50,19 @@
   expect(removals(kept)).to.deep.equal(removals(old));
 });
 
+// Guards against rows that pile up when more are written than one removal a read can take.
+it('withdrawals: a removal that leaves old rows is followed by the next read at once', () => {
+  const rows = Array.from({ length: 80 }, (_, index) => rowOf(`job${index}`));
+  const first = readUntilOld(rows);
+  expect(removals(first)[0]?.writes).to.have.length(50);
+  const result = { kind: 'committed', version: 40 } as const;
+  const wallMs = WALL_MS + first.nowMs;
+  const settled = dispatch(first, { kind: 'commitDone', callId: REMOVE, result, wallMs });
+  const second = read(settled, rows.slice(50), 50);
+  expect(removals(second)).to.have.length(2);
+  expect(removals(second)[1]?.writes).to.have.length(30);
+});
+
 // Guards against reads that end for good with one call without a result.
 it('withdrawals: a call without a result is followed by the next read', () => {
   const silent = advance(advance(createLeader(), 20_000), 20_000);
