--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -1,10 +1,11 @@
-import { Map } from 'immutable';
+import type { Map } from 'immutable';
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
+import type { Resources } from '@bronzeyoke/types';
 import { chainAfter, chainAll, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { ListedRun } from '@bronzeyoke/ports';
 import { MAX_LISTED_ENDS } from '@bronzeyoke/ports';
-import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
+import type { RunnerMessage } from '@bronzeyoke/wire';
 import {
   acceptsEvent,
   advanceRun,
@@ -22,7 +23,6 @@
 } from './instances';
 import { isAwaited, leaseEndMs } from './leases';
 import { applyEnd } from './ends';
-import { addOrphan } from './jobend';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
 import { releaseEndedRuns, releaseRun, releaseWorker } from './release';
@@ -32,6 +32,13 @@
 import { knownStage, taskLog } from './tasklog';
 import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
+import {
+  isWanted,
+  keepUnwanted,
+  keepUnwantedStarts,
+  STOP_REPEAT_MS,
+  stopUnwanted,
+} from './unwanted';
 import type { RunView, WorkerView } from './views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
@@ -39,15 +46,24 @@
 /** Share of a lease that is granted on the worker's clock, which may be 2% slow. */
 const CLOCK_SHARE = 0.98;
 
-/** Time after which a stop order without effect is sent again. */
-const STOP_REPEAT_MS = 600;
-
 /** Returns the stops of runs that a worker still lists. */
 function stillListed(stops: Map<string, number>, { running }: Report): Map<string, number> {
   const listed = new Set(running.map((run) => runKey(run)));
   return stops.filter((_, key) => listed.has(key));
 }
 
+/** Logs the room of a worker that has become smaller or larger. */
+function logResize(
+  workerKey: string,
+  before: Resources | undefined,
+  after: Resources,
+): readonly SchedulerEffect[] {
+  if (before === undefined || isSameAmount(before, after)) return [];
+  const { processorsMilli, memoryMb, accelerators } = after;
+  const fields = { worker: workerKey, processorsMilli, memoryMb, accelerators };
+  return [logEffect('workerResized', { ...fields, beforeMilli: before.processorsMilli })];
+}
+
 /**
  * Updates the state of a worker, and grants one lease for each new value of its clock. The expiry
  * counts from the arrival of the value, which is later than the moment at which the worker read it.
@@ -95,7 +111,10 @@
   const isChanged = known?.report === undefined || known.report.isDraining !== isDraining;
   const hasOtherRoom = !isSameAmount(known?.report?.capacity, worker.capacity);
   const fields = { worker: workerKey, id, service, domain, agent: report.agentId };
-  const log = isChanged ? [logEffect(isDraining ? 'workerDraining' : 'workerSeen', fields)] : [];
+  const log = [
+    ...(isChanged ? [logEffect(isDraining ? 'workerDraining' : 'workerSeen', fields)] : []),
+    ...logResize(workerKey, known?.report?.capacity, worker.capacity),
+  ];
   return withEffects(
     {
       ...state,
@@ -184,56 +203,6 @@
   };
 }
 
-/** Stops a run that no job wants. The order is repeated while the worker goes on listing the run. */
-function stopUnwanted(
-  state: SchedulerState,
-  workerKey: string,
-  run: RunRef,
-  nowMs: number,
-): SchedulerStep {
-  const view = state.workers.get(workerKey);
-  const key = runKey(run);
-  const sentAtMs = view?.unwantedStops?.get(key);
-  const isRecent = sentAtMs !== undefined && nowMs - sentAtMs <= STOP_REPEAT_MS;
-  if (view === undefined || isRecent) return unchanged(state);
-  const unwantedStops = (view.unwantedStops ?? Map<string, number>()).set(key, nowMs);
-  const { task, attempt } = run;
-  return withEffects(
-    { ...state, workers: state.workers.set(workerKey, { ...view, unwantedStops }) },
-    [
-      ...sendToWorker(state, workerKey, { kind: 'stop', workerKey, run }),
-      taskLog(knownStage(state, run), 'taskStopped', {
-        task,
-        attempt,
-        worker: workerKey,
-        reason: 'unwanted',
-      }),
-    ],
-  );
-}
-
-/** Records that a run which no open job wants occupies a worker. */
-function keepUnwanted(state: SchedulerState, workerKey: string, run: RunRef): SchedulerState {
-  const { task, attempt } = run;
-  if (state.orphans.byTask.get(runKey(run))?.workerKey === workerKey) return state;
-  const stage = knownStage(state, run);
-  const orphan = { task, workerKey, attempt, order: 0, ...(stage === undefined ? {} : { stage }) };
-  return { ...state, orphans: addOrphan(state.orphans, orphan) };
-}
-
-/** Returns whether a run is the one that its open job has claimed for a worker. */
-function isWanted(state: SchedulerState, workerKey: string, { task, attempt }: RunRef): boolean {
-  const run = state.runs.byTask.get(task);
-  return run?.attempt === attempt && run.workerKey === workerKey && state.jobs.has(run.jobId);
-}
-
-/** Records the starts on their way to a worker that no open job wants. */
-function keepUnwantedStarts(state: SchedulerState, { workerKey, pending }: Report): SchedulerState {
-  return pending
-    .filter((run) => !isWanted(state, workerKey, run))
-    .reduce((current, run) => keepUnwanted(current, workerKey, run), state);
-}
-
 /** Updates a run that a worker lists as running, or stops one that is not wanted. */
 function updateListed(
   state: SchedulerState,
--- a/packages/scheduler/test/capacity.test.ts
+++ b/packages/scheduler/test/capacity.test.ts
@@ -25,6 +25,15 @@
   expect(siteOf(place(shrunk, jobOf('job2', [sized(1_000)])), OTHER)).to.equal(undefined);
 });
 
+// Guards against a play whose logs do not tell whether a room has changed at all.
+it('capacity: a room that changes is logged, and one that stays the same is not', () => {
+  const joined = join(createLeader(), 'w1');
+  const shrunk = report(report(joined, 'w1'), 'w1', { processorsMilli: 2_500 });
+  const resized = loggedFields(shrunk, 'workerResized');
+  expect(resized).to.have.length(1);
+  expect(resized[0]).to.include({ processorsMilli: 2_500, beforeMilli: 4_000 });
+});
+
 // Guards against a start order that was decided for the room before and leaves when it has shrunk.
 it('capacity: a claim made for a larger room is not ordered', () => {
   const claimed = submit(join(createLeader(), 'w1'), jobOf('job1', [sized(3_000)]));
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -47,6 +47,7 @@
   | 'workersAwaited'
   | 'workerSeen'
   | 'workerCrashed'
+  | 'workerResized'
   | 'workerGone'
   | 'workerDraining'
   | 'workerQuarantined'
