--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -7,7 +7,7 @@
   readonly workerKey: string;
 }
 
-/** Runs by a key, and by worker with the same runs. */
+/** Runs by a key (`byTask`: the task, with the attempt for orphans), and by worker with the same runs. */
 export interface TaskTable<Run extends Placed> {
   readonly byTask: Map<string, Run>;
   readonly byWorker: Map<string, Map<string, Run>>;
