Log workers that report and get no lease, and why a claim was not ordered

The lines of an overloaded leader did not tell whether workers that report are granted leases, and two reasons to give a claim back had one name. leaderLoad has dueGrants, the workers whose last report has no grant, and taskReleased tells notConnected from stoppedBeforeOrder. No decision changes; loadmeter.test.ts and waits.test.ts pass.

--- a/packages/hosts/src/loadmeter.ts
+++ b/packages/hosts/src/loadmeter.ts
@@ -65,12 +65,14 @@
 export interface Backlog {
   readonly rows: number;
   readonly actions: number;
+  /** Workers whose last report has not been answered with a grant. */
+  readonly grants: number;
 }
 
 /** Returns the line about a window that has ended; undefined while it goes on. */
 export function closeWindow(
   window: LoadWindow,
-  { rows, actions }: Backlog,
+  { rows, actions, grants }: Backlog,
   nowMs: number,
 ): LogEffect | undefined {
   const isBusy = window.longestWaitMs >= OVERLOADED_WAIT_MS;
@@ -88,5 +90,6 @@
     longestPassMs: Math.round(window.longestPassMs),
     pendingRows: rows,
     pendingActions: actions,
+    dueGrants: grants,
   });
 }
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -103,7 +103,7 @@
     const startMs = performance.now();
     const step = stepScheduler(state, event, inputs);
     const nowMs = performance.now();
-    const { phase, passCount, pendingWrites } = step.state;
+    const { phase, passCount, pendingWrites, dueGrants } = step.state;
     if (phase !== 'leading') {
       meter.window = openWindow(nowMs);
       return step;
@@ -114,7 +114,11 @@
       durationMs: nowMs - startMs,
       hasPlaced: passCount !== state.passCount,
     });
-    const backlog = { rows: pendingWrites.jobs.size, actions: pendingWrites.actions.size };
+    const backlog = {
+      rows: pendingWrites.jobs.size,
+      actions: pendingWrites.actions.size,
+      grants: dueGrants.size,
+    };
     const line = closeWindow(meter.window, backlog, nowMs);
     if (line === undefined) return step;
     meter.window = openWindow(nowMs);
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -25,11 +25,11 @@
   if (run.attempt !== attempt || open.isCancelled) return unchanged(state);
   // No worker would ever list the end of a run that was stopped before its order.
   if (stored.phase === 'stopping' && !run.isOrdered) {
-    return releaseRun(state, task, 'notOrdered', nowMs);
+    return releaseRun(state, task, 'stoppedBeforeOrder', nowMs);
   }
   if (stored.phase !== 'claimed') return unchanged(state);
   if (worker?.linkId === undefined || link === undefined) {
-    return releaseRun(state, task, 'notOrdered', nowMs);
+    return releaseRun(state, task, 'notConnected', nowMs);
   }
   if (!hasRoomForClaims(state, workerKey)) {
     return releaseRun(state, task, 'roomShrunk', nowMs);
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -19,7 +19,9 @@
   | 'leaseExpired'
   | 'neverStarted'
   /** The agent had no connection when the claim was stored. */
-  | 'notOrdered'
+  | 'notConnected'
+  /** The run was stopped before the claim was stored. */
+  | 'stoppedBeforeOrder'
   /** The worker's room became smaller between the claim and the order. */
   | 'roomShrunk'
   | 'refused';
@@ -92,6 +94,7 @@
     ...step.state,
     workers: step.state.workers.delete(workerKey),
     awaited: step.state.awaited.delete(workerKey),
+    dueGrants: step.state.dueGrants.delete(workerKey),
     orphans: dropRuns(step.state.orphans, runsOn(step.state.orphans, workerKey).keys()),
   };
   return withEffects(removed, [
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -64,6 +64,15 @@
   return [logEffect('workerResized', { ...fields, beforeMilli: before.processorsMilli })];
 }
 
+/** Returns the workers without a grant for their last report, after one was granted or withheld. */
+function dueGrantsAfter(
+  { dueGrants }: SchedulerState,
+  workerKey: string,
+  isGranted: boolean,
+): SchedulerState['dueGrants'] {
+  return isGranted ? dueGrants.delete(workerKey) : dueGrants.add(workerKey);
+}
+
 /**
  * Updates the state of a worker, and grants one lease for each new value of its clock. The expiry
  * counts from the arrival of the value, which is later than the moment at which the worker read it.
@@ -120,6 +129,7 @@
       ...state,
       workers: state.workers.set(workerKey, view),
       instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
+      dueGrants: isNewClock ? dueGrantsAfter(state, workerKey, mayGrant) : state.dueGrants,
       awaited: state.awaited.delete(workerKey),
       renewAtMs: mustWait ? nowMs : state.renewAtMs,
       needsPlacement:
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,4 +1,4 @@
-import { Map } from 'immutable';
+import { Map, Set as ImmutableSet } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { NO_EARLIER_LEASES } from './leases';
@@ -33,6 +33,7 @@
   writtenCounts: '',
   countsWrittenAtMs: 0,
   earlierLeases: NO_EARLIER_LEASES,
+  dueGrants: ImmutableSet<string>(),
   awaited: Map<string, never>(),
   storedAwaited: new Set<string>(),
   formerLeasesEndAtMs: 0,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -1,4 +1,4 @@
-import type { Map } from 'immutable';
+import type { Map, Set as ImmutableSet } from 'immutable';
 import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
 import type { PairEstimates } from '@bronzeyoke/interference';
@@ -165,6 +165,8 @@
   /** Time at which the lease of the last known worker ended; absent once an agent has sent a message. */
   readonly isolatedSinceMs?: number;
   readonly earlierLeases: EarlierLeases;
+  /** Workers whose last report has not been answered with a grant. */
+  readonly dueGrants: ImmutableSet<string>;
   /** Workers that have not reported to this leader, with the end of their leases. */
   readonly awaited: Map<string, number>;
   /** Awaited workers in the stored lease row. Leases are granted only to others. */
