Grant the lease of a returned worker with the row that no longer names it

Cause: the lease row names workers whose last report is more than 0.8 s old, and a named worker gets no lease. After its report the next row omitted it, but the grant waited for one more report. Agents report every 0.6 s when the leader asks for it, so a delay of 0.2 s was enough for a row to name the worker again before that report was handled. All leases ended 5.3 s after the take-over, again and again, and the releases and claims that follow kept the leader busy, so that reports were handled late.

Change: a report without a grant is due one. The grant is sent once a row that omits the worker is stored, for the clock value of that report, and no row names the worker as silent before that. A connection that closes ends it.

Two tests of waits.test.ts counted one grant after the next report; they now expect it with the transaction, and another one with the next report, which is stricter.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -3,6 +3,7 @@
 import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { encodeProgress, progressBytes } from '@bronzeyoke/workflow';
 import { maxTransactionBytes } from './budget';
+import { grantDueLeases } from './grants';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from './leases';
 import { maintenanceWrites } from './maintenance';
@@ -146,12 +147,12 @@
       state.ended,
     ),
   };
-  return chainAll(
-    stored,
-    inFlight.postCommit.map(
+  return chainAll(stored, [
+    (current) => grantDueLeases(current, nowMs),
+    ...inFlight.postCommit.map(
       (action) => (current: SchedulerState) => performPostCommit(current, action, nowMs),
     ),
-  );
+  ]);
 }
 
 function scheduleRetry(
--- a/packages/scheduler/src/leases.ts
+++ b/packages/scheduler/src/leases.ts
@@ -48,10 +48,16 @@
   return awaited.get(workerKey, endAtMs);
 }
 
-/** Returns the workers that get no lease until the lease row no longer names them. */
+/**
+ * Returns the workers that get no lease until the lease row no longer names them. One whose report has
+ * not been answered is not silent: an overloaded leader that named it again would never grant it one.
+ */
 function awaitedWorkers(state: SchedulerState, nowMs: number): Map<string, number> {
+  const isDue = (workerKey: string): boolean =>
+    state.phase === 'leading' && state.dueGrants.has(workerKey);
   const silent = state.workers.filter(
-    ({ reportedAtMs }) => reportedAtMs !== undefined && nowMs - reportedAtMs > SILENT_AFTER_MS,
+    ({ reportedAtMs }, workerKey) =>
+      reportedAtMs !== undefined && nowMs - reportedAtMs > SILENT_AFTER_MS && !isDue(workerKey),
   );
   return silent.map(({ expiresAtMs }) => expiresAtMs).merge(state.awaited);
 }
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -13,7 +13,6 @@
   taskProgress,
   withTasks,
 } from '@bronzeyoke/workflow';
-import { reportIntervalMs } from './budget';
 import {
   earlierInstances,
   hasNewerInstance,
@@ -21,6 +20,7 @@
   storeAddress,
   wasCompared,
 } from './instances';
+import { grantIfAllowed } from './grants';
 import { isAwaited, leaseEndMs } from './leases';
 import { applyEnd } from './ends';
 import { lateStartsOn, mayStartLate } from './latestarts';
@@ -43,9 +43,6 @@
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
 
-/** Share of a lease that is granted on the worker's clock, which may be 2% slow. */
-const CLOCK_SHARE = 0.98;
-
 /** Returns the stops of runs that a worker still lists. */
 function stillListed(stops: Map<string, number>, { running }: Report): Map<string, number> {
   const listed = new Set(running.map((run) => runKey(run)));
@@ -64,19 +61,7 @@
   return [logEffect('workerResized', { ...fields, beforeMilli: before.processorsMilli })];
 }
 
-/** Returns the workers without a grant for their last report, after one was granted or withheld. */
-function dueGrantsAfter(
-  { dueGrants }: SchedulerState,
-  workerKey: string,
-  isGranted: boolean,
-): SchedulerState['dueGrants'] {
-  return isGranted ? dueGrants.delete(workerKey) : dueGrants.add(workerKey);
-}
-
-/**
- * Updates the state of a worker, and grants one lease for each new value of its clock. The expiry
- * counts from the arrival of the value, which is later than the moment at which the worker read it.
- */
+/** Updates the state of a worker, and grants one lease for each new value of its clock. */
 function updateWorker(
   state: SchedulerState,
   linkId: string,
@@ -87,9 +72,6 @@
   const times = state.storedTimes ?? state.settings.times;
   const known = state.workers.get(workerKey);
   const isNewClock = clockMs > (known?.clockMs ?? -1);
-  const mustWait = isAwaited(state, workerKey);
-  const mayGrant = isNewClock && !mustWait && nowMs < state.mayGrantUntilMs;
-  const expiresAtMs = nowMs + leaseEndMs(times);
   const view: WorkerView = {
     workerKey,
     report: worker,
@@ -97,8 +79,8 @@
     agentId: report.agentId,
     linkId,
     linkNumber: state.links.get(linkId)?.number ?? -1,
-    clockMs: mayGrant ? clockMs : (known?.clockMs ?? -1),
-    expiresAtMs: mayGrant || known === undefined ? expiresAtMs : known.expiresAtMs,
+    clockMs: isNewClock ? clockMs : (known?.clockMs ?? -1),
+    expiresAtMs: known?.expiresAtMs ?? nowMs + leaseEndMs(times),
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
@@ -107,15 +89,6 @@
       ? {}
       : { unwantedStops: stillListed(known.unwantedStops, report) }),
   };
-  const leaseUntilClockMs = Math.floor(clockMs + times.agentLeaseMs * CLOCK_SHARE);
-  const intervalMs = reportIntervalMs(state.settings.capacity, state.workers.size);
-  const message = {
-    kind: 'grant',
-    workerKey,
-    leaseUntilClockMs,
-    reportIntervalMs: intervalMs,
-  } as const;
-  const grant: readonly SchedulerEffect[] = mayGrant ? [{ kind: 'send', linkId, message }] : [];
   const { id, service, domain, isDraining } = worker;
   const isChanged = known?.report === undefined || known.report.isDraining !== isDraining;
   const hasOtherRoom = !isSameAmount(known?.report?.capacity, worker.capacity);
@@ -124,19 +97,18 @@
     ...(isChanged ? [logEffect(isDraining ? 'workerDraining' : 'workerSeen', fields)] : []),
     ...logResize(workerKey, known?.report?.capacity, worker.capacity),
   ];
-  return withEffects(
-    {
-      ...state,
-      workers: state.workers.set(workerKey, view),
-      instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
-      dueGrants: isNewClock ? dueGrantsAfter(state, workerKey, mayGrant) : state.dueGrants,
-      awaited: state.awaited.delete(workerKey),
-      renewAtMs: mustWait ? nowMs : state.renewAtMs,
-      needsPlacement:
-        state.needsPlacement || isChanged || hasOtherRoom || known.linkId === undefined,
-    },
-    [...grant, ...log],
-  );
+  const updated: SchedulerState = {
+    ...state,
+    workers: state.workers.set(workerKey, view),
+    instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
+    dueGrants: isNewClock ? state.dueGrants.add(workerKey) : state.dueGrants,
+    awaited: state.awaited.delete(workerKey),
+    // The row has to be written before a worker that it names as awaited gets a lease.
+    renewAtMs: isAwaited(state, workerKey) ? nowMs : state.renewAtMs,
+    needsPlacement: state.needsPlacement || isChanged || hasOtherRoom || known.linkId === undefined,
+  };
+  const granted = grantIfAllowed(updated, workerKey, nowMs);
+  return withEffects(granted.state, [...granted.effects, ...log]);
 }
 
 /**
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -12,6 +12,7 @@
   onWorkerGone,
   recordGoneWorker,
 } from './gone';
+import { forgetDueGrants } from './grants';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
 import { onJobRows, onLoaded } from './jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
@@ -197,7 +198,8 @@
         const { linkId, ...rest } = worker;
         return linkId === event.linkId ? rest : worker;
       });
-      return unchanged({ ...state, workers, links: state.links.delete(event.linkId) });
+      const links = state.links.delete(event.linkId);
+      return unchanged({ ...forgetDueGrants(state, event.linkId), workers, links });
     }
     case 'received': {
       const { linkId, message, wallMs } = event;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -99,6 +99,7 @@
   readonly linkId?: string;
   /** Number of the newest connection that its agent reported on. */
   readonly linkNumber: number;
+  /** Highest value of the worker's clock that its agent has reported. */
   readonly clockMs: number;
   /** Time after which no task can still run there, unless a report extends the lease. */
   readonly expiresAtMs: number;
--- a/packages/scheduler/test/starvation.test.ts
+++ b/packages/scheduler/test/starvation.test.ts
@@ -1,6 +1,16 @@
 import { expect } from 'chai';
 import type { Fixture } from './fixture';
-import { advance, commitAll, createLeader, loggedFields, report } from './fixture';
+import {
+  advance,
+  commitAll,
+  createLeader,
+  dispatch,
+  loggedFields,
+  report,
+  sentMessages,
+  TIMES,
+  workerKeyFor,
+} from './fixture';
 
 const TICK_MS = 50;
 
@@ -25,3 +35,25 @@
   const late = reportEvery(createLeader(), 1_300, 20_000);
   expect(loggedFields(late, 'workerGone')).to.deep.equal([]);
 });
+
+// Guards against a late grant that outlasts what the leader counts: the worker reads its clock when it
+// reports, so the lease ends that much earlier than one that is granted at once.
+it('starvation: a grant that waited for the store counts from the report', () => {
+  const silent = commitAll(advance(report(createLeader(), 'w1'), 2_000));
+  const reported = report(silent, 'w1', { clockMs: 7_000 });
+  const stored = commitAll(advance(reported, 400));
+  const last = sentMessages(stored, 'grant').at(-1);
+  const message = last?.kind === 'send' ? last.message : undefined;
+  expect(message).to.include({ leaseUntilClockMs: 7_000 + TIMES.agentLeaseMs * 0.98 });
+  const endMs = reported.nowMs + TIMES.agentLeaseMs + TIMES.marginMs;
+  expect(stored.state.workers.get(workerKeyFor('w1'))?.expiresAtMs).to.equal(endMs);
+});
+
+// Guards against a lease that is granted on a connection that is gone, and counted by the leader.
+it('starvation: no grant is due on a connection that has closed', () => {
+  const silent = commitAll(advance(report(createLeader(), 'w1'), 2_000));
+  const reported = report(silent, 'w1');
+  const closed = dispatch(reported, { kind: 'linkClosed', linkId: 'link-w1' });
+  const stored = commitAll(advance(closed, 400));
+  expect(sentMessages(stored, 'grant')).to.have.length(sentMessages(silent, 'grant').length);
+});
--- a/packages/scheduler/test/waits.test.ts
+++ b/packages/scheduler/test/waits.test.ts
@@ -141,7 +141,8 @@
   const reported = report(advance(begun, 50), 'w1');
   expect(grantsOf(reported)).to.equal(0);
   const struck = commitAll(advance(reported, 50));
-  expect(grantsOf(report(advance(struck, 300), 'w1'))).to.equal(1);
+  expect(grantsOf(struck)).to.equal(1);
+  expect(grantsOf(report(advance(struck, 300), 'w1'))).to.equal(2);
 });
 
 // Guards against a successor that waits anew although the leader that releases knows better.
@@ -164,7 +165,8 @@
   const reported = report(silent, 'w1', { clockMs: silent.nowMs });
   expect(grantsOf(reported)).to.equal(granted);
   const struck = commitAll(advance(reported, 50));
-  expect(grantsOf(report(advance(struck, 300), 'w1'))).to.equal(granted + 1);
+  expect(grantsOf(struck)).to.equal(granted + 1);
+  expect(grantsOf(report(advance(struck, 300), 'w1'))).to.equal(granted + 2);
 });
 
 // Guards against a lease that is granted while the row that calls the worker silent is being written.
