--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -7,7 +7,7 @@
 import type { RowStorePort } from '@bronzeyoke/ports';
 import type { SchedulerEffect, SchedulerEvent, SchedulerSettings } from '@bronzeyoke/scheduler';
 import { createScheduler, stepScheduler } from '@bronzeyoke/scheduler';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, chainAfter } from '@bronzeyoke/types';
 import { AGENT_CODEC } from '@bronzeyoke/wire';
 import type { AgentLinks } from './agentlinks';
 import { followJobs } from './jobfeed';
@@ -98,12 +98,23 @@
 
   const meter = { window: openWindow(performance.now()) };
 
-  /** Decides on an event, and tells from time to time how long a leader's events wait and take. */
+  /**
+   * Decides on an event, and tells from time to time how long a leader's events wait and take. The
+   * scheduler learns how long its placement passes take, because that depends on the machine.
+   */
   const decide: typeof stepScheduler = (state, event, inputs) => {
     const startMs = performance.now();
-    const step = stepScheduler(state, event, inputs);
+    const decided = stepScheduler(state, event, inputs);
     const nowMs = performance.now();
-    const { phase, passCount, pendingWrites, dueGrants } = step.state;
+    const hasPlaced = decided.state.passCount !== state.passCount;
+    const durationMs = nowMs - startMs;
+    const step = hasPlaced
+      ? chainAfter(decided, [
+          (current) =>
+            stepScheduler(current, { kind: 'passTook', durationMs }, { ...inputs, nowMs }),
+        ])
+      : decided;
+    const { phase, pendingWrites, dueGrants } = step.state;
     if (phase !== 'leading') {
       meter.window = openWindow(nowMs);
       return step;
@@ -111,8 +122,8 @@
     meter.window = recordEvent(meter.window, {
       kind: event.kind,
       waitMs: 'wallMs' in event ? Math.max(0, Date.now() - event.wallMs - (nowMs - startMs)) : 0,
-      durationMs: nowMs - startMs,
-      hasPlaced: passCount !== state.passCount,
+      durationMs,
+      hasPlaced,
     });
     const backlog = {
       rows: pendingWrites.jobs.size,
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -21,6 +21,7 @@
   loads: Map<string, never>(),
   passCount: 0,
   lastPassAtMs: -Infinity,
+  passPausedUntilMs: -Infinity,
   failedSearches: Map<string, never>(),
   backOff: Map<string, never>(),
   quickEnds: Map<string, never>(),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -28,6 +28,13 @@
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 import { onWithdrawalRows, readWithdrawals, settleRemoval, WITHDRAWAL_CALLS } from './withdrawals';
 
+/**
+ * Pause after a placement pass, as a multiple of its duration. A new connection of an agent takes several
+ * turns of the event loop until its first report is answered, and a pass in each of them delays that
+ * beyond the time after which agents replace the connection.
+ */
+const PASS_PAUSE = 1;
+
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
 
 function expireWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
@@ -45,8 +52,9 @@
 
 /** Places waiting tasks unless a transaction is in flight, and sends the pending writes. */
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const { phase, inFlight, needsPlacement, lastPassAtMs, workers } = state;
-  const isDue = needsPlacement && nowMs - lastPassAtMs >= passIntervalMs(workers.size);
+  const { phase, inFlight, needsPlacement, lastPassAtMs, passPausedUntilMs, workers } = state;
+  const isPaused = nowMs < passPausedUntilMs || nowMs - lastPassAtMs < passIntervalMs(workers.size);
+  const isDue = needsPlacement && !isPaused;
   const isReady = phase === 'leading' && inFlight === undefined && isDue;
   const placed = isReady ? placeTasks(state, nowMs, wallMs) : unchanged(state);
   return chainAfter(placed, [
@@ -162,6 +170,8 @@
   switch (event.kind) {
     case 'tick':
       return onTick(state, nowMs, event.wallMs);
+    case 'passTook':
+      return unchanged({ ...state, passPausedUntilMs: nowMs + event.durationMs * PASS_PAUSE });
     case 'configChanged':
       return unchanged({ ...state, config: event.config, needsPlacement: true });
     case 'timesChanged':
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -192,6 +192,8 @@
   readonly loads: KnownLoads;
   readonly passCount: number;
   readonly lastPassAtMs: number;
+  /** Time before which no pass begins, so that other events are handled after a long one. */
+  readonly passPausedUntilMs: number;
   /** Filling stages that found too few workers, by `searchKey`. */
   readonly failedSearches: Map<string, FailedSearch>;
   /** Time before which a task is not placed again, by task. */
@@ -223,6 +225,8 @@
 /** Inputs of the scheduler. */
 export type SchedulerEvent =
   | { readonly kind: 'tick'; readonly wallMs: number }
+  /** Tells how long the last placement pass took. */
+  | { readonly kind: 'passTook'; readonly durationMs: number }
   | { readonly kind: 'configChanged'; readonly config: FleetConfig }
   | { readonly kind: 'timesChanged'; readonly times: SchedulerTimes }
   | { readonly kind: 'domainsOut'; readonly domains: ReadonlySet<string> }
--- a/packages/scheduler/test/starvation.test.ts
+++ b/packages/scheduler/test/starvation.test.ts
@@ -5,9 +5,15 @@
   commitAll,
   createLeader,
   dispatch,
+  jobOf,
+  join,
   loggedFields,
+  place,
   report,
   sentMessages,
+  siteOf,
+  sized,
+  submit,
   TIMES,
   workerKeyFor,
 } from './fixture';
@@ -57,3 +63,13 @@
   const stored = commitAll(advance(closed, 400));
   expect(sentMessages(stored, 'grant')).to.have.length(sentMessages(silent, 'grant').length);
 });
+
+// Guards against passes that follow one another without a break on a slow machine: agents that connect
+// anew then get no answer in time, and connect anew again.
+it('starvation: a long pass is followed by a pause as long', () => {
+  const placed = place(join(createLeader(), 'w1'), jobOf('job1', [sized(1_000)]));
+  const paused = dispatch(placed, { kind: 'passTook', durationMs: 200 });
+  const waiting = submit(tickFor(paused, 150), jobOf('job2', [sized(1_000)]));
+  expect(siteOf(waiting, 'job2.0.0.0')).to.equal(undefined);
+  expect(siteOf(tickFor(waiting, 50), 'job2.0.0.0')).to.equal('w1');
+});
