Answer each report of an agent while the leader may grant

Cause: an agent leaves a leader that has not replied for 1.5 s, and a leader replied to a report only with a grant. Workers that the lease row names get none until another row is stored.

Change: a report without a grant or an order is answered with the leader's address, which agents count as a sign of life. A leader whose last transaction is older than its grant window does not answer, so that agents look for its successor.

Evidence: "a report without a grant is answered while the leader may grant" failed before and passes; two tests hold the limits of the answer.

--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -86,6 +86,18 @@
   ]);
 }
 
+/**
+ * Answers a report that got no grant or order, so that the agent does not look for another leader. A
+ * leader whose last transaction is too old says nothing: another entry may have taken over.
+ */
+function answerReport(step: SchedulerStep, linkId: string, nowMs: number): SchedulerStep {
+  const isAnswered = step.effects.some(
+    (effect) => effect.kind === 'send' && effect.linkId === linkId,
+  );
+  if (isAnswered || nowMs >= step.state.mayGrantUntilMs) return step;
+  return chainAfter(step, [(current) => announceLeader(current, linkId)]);
+}
+
 /** Returns whether an agent that has seen a later leader sent a message. */
 function isOfLaterTerm({ leader }: SchedulerState, message: AgentMessage): boolean {
   return message.kind === 'report' && message.term > (leader?.term ?? 0);
@@ -100,12 +112,14 @@
   wallMs: number,
 ): SchedulerStep {
   switch (message.kind) {
-    case 'report':
-      return chainAll(state, [
+    case 'report': {
+      const step = chainAll(state, [
         (current) => onReport(current, linkId, message, nowMs, wallMs),
         (current) => paceWorker(current, message.workerKey, nowMs),
         (current) => stopStalledRuns(current, message.workerKey, nowMs),
       ]);
+      return answerReport(step, linkId, nowMs);
+    }
     case 'refused':
       return onOrderRefused(state, message, nowMs);
     case 'workerEnded':
--- a/packages/scheduler/test/starvation.test.ts
+++ b/packages/scheduler/test/starvation.test.ts
@@ -57,3 +57,27 @@
   const stored = commitAll(advance(closed, 400));
   expect(sentMessages(stored, 'grant')).to.have.length(sentMessages(silent, 'grant').length);
 });
+
+// Guards against agents that leave a leader which is at work and may not grant them a lease yet.
+it('starvation: a report without a grant is answered while the leader may grant', () => {
+  const silent = commitAll(advance(report(createLeader(), 'w1'), 2_000));
+  const reported = report(silent, 'w1');
+  expect(sentMessages(reported, 'grant')).to.have.length(sentMessages(silent, 'grant').length);
+  const answers = sentMessages(reported, 'leader').length - sentMessages(silent, 'leader').length;
+  expect(answers).to.equal(1);
+});
+
+// Guards against agents that stay with a leader which the store does not answer, so that another entry
+// may have taken over.
+it('starvation: a leader without the store answers no report', () => {
+  const alone = advance(report(createLeader(), 'w1'), TIMES.grantWindowMs + 1);
+  const reported = report(alone, 'w1');
+  expect(sentMessages(reported, 'leader')).to.deep.equal(sentMessages(alone, 'leader'));
+});
+
+// Guards against one answer to each report beside its grant, which carries the same news.
+it('starvation: a report with a grant has no other answer', () => {
+  const leader = report(createLeader(), 'w1');
+  const reported = report(commitAll(advance(leader, 300)), 'w1');
+  expect(sentMessages(reported, 'leader')).to.deep.equal(sentMessages(leader, 'leader'));
+});
