Keep a stored claim for the next connection of its agent

Cause: a claim whose agent had no connection at the moment at which it was stored was given back at once. An agent that replaces its connection is away for a moment only, and each claim that is given back costs two more row writes and a placement pass, which keeps an overloaded leader overloaded.

Change: such a claim waits up to 1 s for the next report of its worker and is ordered then, under the same checks as before. After that it is given back. A claim that has changed hands meanwhile is left alone.

--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -1,4 +1,4 @@
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
 import { hasRoomForClaims } from './loads';
 import type { PostCommitAction } from './pending';
@@ -8,6 +8,30 @@
 import { taskLog } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
 import { runRef } from './types';
+import type { HeldStart, RunView } from './views';
+
+/**
+ * Time for which a stored claim waits for the next connection of its agent. An agent that replaces its
+ * connection or starts anew is back within it; giving the claim back costs two more rows and a pass.
+ */
+const HOLD_START_MS = 1_000;
+
+/** Keeps a stored claim until its agent reports on its next connection. */
+function holdStart(
+  state: SchedulerState,
+  task: string,
+  { workerKey, attempt }: RunView,
+  nowMs: number,
+): SchedulerState {
+  const held = { workerKey, attempt, untilMs: nowMs + HOLD_START_MS };
+  return { ...state, heldStarts: state.heldStarts.set(task, held) };
+}
+
+/** Returns whether a held claim is still that of its task. */
+function isClaimedOn(state: SchedulerState, task: string, held: HeldStart): boolean {
+  const run = state.runs.byTask.get(task);
+  return run?.attempt === held.attempt && run.workerKey === held.workerKey && !run.isOrdered;
+}
 
 function sendStart(
   state: SchedulerState,
@@ -29,7 +53,7 @@
   }
   if (stored.phase !== 'claimed') return unchanged(state);
   if (worker?.linkId === undefined || link === undefined) {
-    return releaseRun(state, task, 'notConnected', nowMs);
+    return unchanged(holdStart(state, task, run, nowMs));
   }
   if (!hasRoomForClaims(state, workerKey)) {
     return releaseRun(state, task, 'roomShrunk', nowMs);
@@ -71,6 +95,42 @@
   );
 }
 
+/** Orders the claims that have waited for a connection of a worker's agent. */
+export function orderHeldStarts(
+  state: SchedulerState,
+  workerKey: string,
+  nowMs: number,
+): SchedulerStep {
+  const due = state.heldStarts.filter((held) => held.workerKey === workerKey);
+  if (due.isEmpty()) return unchanged(state);
+  return chainAll(
+    { ...state, heldStarts: state.heldStarts.deleteAll(due.keys()) },
+    [...due].map(
+      ([task, held]) =>
+        (current: SchedulerState) =>
+          isClaimedOn(current, task, held)
+            ? sendStart(current, task, held.attempt, nowMs)
+            : unchanged(current),
+    ),
+  );
+}
+
+/** Gives back the claims whose agents have stayed away. */
+export function releaseHeldStarts(state: SchedulerState, nowMs: number): SchedulerStep {
+  const late = state.heldStarts.filter(({ untilMs }) => untilMs <= nowMs);
+  if (late.isEmpty()) return unchanged(state);
+  return chainAll(
+    { ...state, heldStarts: state.heldStarts.deleteAll(late.keys()) },
+    [...late].map(
+      ([task, held]) =>
+        (current: SchedulerState) =>
+          isClaimedOn(current, task, held)
+            ? releaseRun(current, task, 'notConnected', nowMs)
+            : unchanged(current),
+    ),
+  );
+}
+
 /** Performs an action once the rows that it depends on are stored. */
 export function performPostCommit(
   state: SchedulerState,
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -18,7 +18,7 @@
   | 'workerGone'
   | 'leaseExpired'
   | 'neverStarted'
-  /** The agent had no connection when the claim was stored. */
+  /** The agent had no connection when the claim was stored, and did not come back in time. */
   | 'notConnected'
   /** The run was stopped before the claim was stored. */
   | 'stoppedBeforeOrder'
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -25,6 +25,7 @@
 import { applyEnd } from './ends';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
+import { orderHeldStarts } from './postcommit';
 import { releaseEndedRuns, releaseRun, releaseWorker } from './release';
 import { dropRun, dropRuns, putRun, runKey, runsOn } from './runs';
 import { addPostCommitAction, sendToWorker, withEffects } from './state';
@@ -313,6 +314,7 @@
     (current) => unchanged(keepUnwantedStarts(current, report)),
     (current) => releaseMissingRuns(current, report, nowMs),
     (current) => clearProvenRuns(current, workerKey, nowMs),
+    (current) => orderHeldStarts(current, workerKey, nowMs),
   ]);
 }
 
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -26,6 +26,7 @@
   quickEnds: Map<string, never>(),
   suspects: Map<string, never>(),
   waits: Map<string, never>(),
+  heldStarts: Map<string, never>(),
   unplacedSince: Map<string, never>(),
   placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -20,6 +20,7 @@
 import { retryReads } from './load';
 import { paceWorker } from './pace';
 import { placeTasks } from './place';
+import { releaseHeldStarts } from './postcommit';
 import { releaseWorker } from './release';
 import { onOrderRefused, onReport } from './report';
 import { forgetQuickEnds } from './restarts';
@@ -72,6 +73,7 @@
     (current) => retryTransaction(current, nowMs),
     (current) => readWithdrawals(current, nowMs),
     (current) => expireWorkers(current, nowMs),
+    (current) => releaseHeldStarts(current, nowMs),
     (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
   ]);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -13,7 +13,15 @@
 import type { Leader, LeaseValue } from './rows';
 import type { OrphanTable, RunTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
-import type { FailedSearch, KnownLoads, LinkView, OpenJob, Suspect, WorkerView } from './views';
+import type {
+  FailedSearch,
+  HeldStart,
+  KnownLoads,
+  LinkView,
+  OpenJob,
+  Suspect,
+  WorkerView,
+} from './views';
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
@@ -206,6 +214,8 @@
   readonly waits: Map<string, PlaceWait>;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
+  /** Stored claims whose agents had no connection, by task. */
+  readonly heldStarts: Map<string, HeldStart>;
   readonly links: Map<string, LinkView>;
   readonly linksOpened: number;
   readonly pairs: PairEstimates;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -131,6 +131,14 @@
 /** Loads of the usable workers by key, as of the last placement. */
 export type KnownLoads = Map<string, KnownLoad>;
 
+/** A stored claim that waits for the next connection of its agent. */
+export interface HeldStart {
+  readonly workerKey: string;
+  readonly attempt: number;
+  /** Time at which the claim is given back. */
+  readonly untilMs: number;
+}
+
 /** The last search for a filling stage that found too few workers. */
 export interface FailedSearch {
   readonly passNumber: number;
--- /dev/null
+++ b/packages/scheduler/test/heldstarts.test.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai';
+import type { Fixture } from './fixture';
+import {
+  advance,
+  commitAll,
+  createLeader,
+  dispatch,
+  jobOf,
+  loggedFields,
+  report,
+  sentMessages,
+  stageOf,
+  submit,
+} from './fixture';
+
+/** Returns a leader that has stored a claim whose agent lost its connection before. */
+function disconnected(): Fixture {
+  const claimed = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
+  return commitAll(dispatch(claimed, { kind: 'linkClosed', linkId: 'link-w1' }));
+}
+
+/** Returns the reasons of the logged releases. */
+function releaseReasons(fixture: Fixture): readonly unknown[] {
+  return loggedFields(fixture, 'taskReleased').map(({ reason }) => reason);
+}
+
+// Guards against a connection that is replaced and undoes all claims that wait for the store, each of
+// which then costs two more rows and a placement.
+it('held start: a claim waits for the next connection of its agent', () => {
+  const before = disconnected();
+  expect(sentMessages(before, 'start')).to.have.length(0);
+  const back = report(advance(before, 500), 'w1', { link: 'link-new' });
+  expect(releaseReasons(back)).to.deep.equal([]);
+  expect(sentMessages(back, 'start')).to.have.length(1);
+  const again = report(advance(commitAll(back), 300), 'w1', { link: 'link-new', lastOrder: 0 });
+  expect(sentMessages(again, 'start')).to.have.length(1);
+});
+
+// Guards against a task that waits for an agent that does not come back.
+it('held start: a claim is given back when its agent stays away', () => {
+  const before = disconnected();
+  expect(releaseReasons(advance(before, 900))).to.deep.equal([]);
+  const late = advance(before, 1_100);
+  expect(releaseReasons(late)).to.deep.equal(['notConnected']);
+  const back = report(advance(commitAll(late), 100), 'w1', { link: 'link-new' });
+  expect(sentMessages(commitAll(back), 'start')).to.have.length(1);
+});
+
+// Guards against an order for a run that another instance has replaced meanwhile.
+it('held start: a claim for an earlier instance is not ordered', () => {
+  const back = report(advance(disconnected(), 500), 'w1', { link: 'link-new', bornAtMs: 9 });
+  expect(releaseReasons(back)).to.deep.equal(['workerGone']);
+  const later = advance(commitAll(back), 1_100);
+  expect(releaseReasons(later)).to.deep.equal(['workerGone']);
+  expect(sentMessages(later, 'start')).to.have.length(1);
+});
