Give a silent leader more time after each new connection

Cause: an agent left its leader after 1.5 s without a reply, always, and all agents did so together. Node.js 20.19 accepts one connection for each turn of the event loop (200 waiting connections took 200 turns in a trial), and nact handles one message of an actor in a turn. So connections wait to be accepted behind the scheduler's events and passes, those that their agents have left included, and a fleet that dials every 1.5 s stays unanswered.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -1,22 +1,19 @@
 import { Map } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import { workerKeyOf } from '@bronzeyoke/ports';
-import { logEffect } from '@bronzeyoke/telemetry';
-import type { Address, StepInputs } from '@bronzeyoke/types';
+import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
+import { isSameAddress, onLeader, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
 import { onStop, settleIfDue } from './settle';
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
 import { agentChart, orderKey } from './types';
 
-/** Time without a reply from the leader after which the connection is replaced. */
-const LEADER_TIMEOUT_MS = 1_500;
-
 /** Creates the state of an agent without a worker and a leader. */
 export function createRunner(settings: RunnerSettings): RunnerState {
   return {
@@ -33,6 +30,8 @@
     holdAtMs: 0,
     term: 0,
     connectCount: 0,
+    silentCount: 0,
+    patience: 0,
     isLinked: false,
     lastOrder: 0,
     reportIntervalMs: 0,
@@ -73,43 +72,6 @@
   });
 }
 
-function connectTo(state: RunnerState, address: Address, nowMs: number): RunnerStep {
-  return {
-    state: { ...state, target: address, isLinked: false, lastOrder: 0, progressAtMs: nowMs },
-    effects: [{ kind: 'connect', address }],
-  };
-}
-
-function isSameAddress(left: Address | undefined, right: Address): boolean {
-  return left?.host === right.host && left.port === right.port;
-}
-
-function onLeader(state: RunnerState, term: number, address: Address, nowMs: number): RunnerStep {
-  if (term < state.term || (term === state.term && isSameAddress(state.target, address))) {
-    return unchanged(state);
-  }
-  const updated = { ...state, term, leader: address };
-  const step = isSameAddress(state.target, address)
-    ? unchanged(updated)
-    : connectTo(updated, address, nowMs);
-  const fields = { term, leader: `${address.host}:${address.port}` };
-  return { state: step.state, effects: [...step.effects, logEffect('leaderSeen', fields)] };
-}
-
-/** Connects to the leader and the seeds in turn until one of them replies. */
-function reconnectIfSilent(state: RunnerState, nowMs: number): RunnerStep {
-  if (nowMs - state.progressAtMs < LEADER_TIMEOUT_MS) return unchanged(state);
-  const addresses = [
-    ...(state.leader === undefined ? [] : [state.leader]),
-    ...state.settings.seeds,
-  ];
-  const address = addresses[state.connectCount % Math.max(1, addresses.length)];
-  if (address === undefined) return unchanged(state);
-  const step = connectTo({ ...state, connectCount: state.connectCount + 1 }, address, nowMs);
-  const fields = { what: 'leader', address: `${address.host}:${address.port}` };
-  return { state: step.state, effects: [...step.effects, logEffect('dependencyLost', fields)] };
-}
-
 function onStartOrder(
   state: RunnerState,
   message: Extract<LeaderMessage, { kind: 'start' }>,
@@ -139,16 +101,19 @@
   });
 }
 
-function onMessage(state: RunnerState, message: LeaderMessage, nowMs: number): RunnerStep {
+function onMessage(state: RunnerState, message: LeaderMessage, inputs: StepInputs): RunnerStep {
   const { worker } = state;
-  const current = { ...state, progressAtMs: nowMs };
+  const { nowMs } = inputs;
+  // Any entry sends the address of the leader, so that is no sign of how much the leader has to do.
+  const silentCount = message.kind === 'leader' ? state.silentCount : 0;
+  const current = { ...state, progressAtMs: nowMs, silentCount };
   switch (message.kind) {
     case 'leader': {
       const { term, host, port } = message;
       const address = { host, port };
       // An entry that names itself is at work as the leader, or loads its state.
       const known = isSameAddress(state.target, address) ? current : state;
-      return onLeader(known, term, address, nowMs);
+      return onLeader(known, term, address, inputs);
     }
     case 'start':
       return onStartOrder(current, message, nowMs);
@@ -184,12 +149,13 @@
   }
 }
 
-function handleEvent(state: RunnerState, event: RunnerEvent, nowMs: number): RunnerStep {
+function handleEvent(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
+  const { nowMs } = inputs;
   switch (event.kind) {
     case 'tick': {
       const repeated = repeatGone(state, nowMs);
       const settled = settleGone(repeated.state, nowMs);
-      const step = reconnectIfSilent(settled.state, nowMs);
+      const step = reconnectIfSilent(settled.state, inputs);
       const effects = [...repeated.effects, ...settled.effects, ...step.effects];
       return { state: step.state, effects };
     }
@@ -198,7 +164,7 @@
     case 'workerLeft':
       return onWorkerLeft(state, event.id, nowMs);
     case 'leader':
-      return onLeader(state, event.term, event.address, nowMs);
+      return onLeader(state, event.term, event.address, inputs);
     case 'linkOpened': {
       const linked = {
         ...without(state, 'lastReport'),
@@ -212,7 +178,7 @@
     case 'linkClosed':
       return unchanged({ ...state, isLinked: false });
     case 'received':
-      return onMessage(state, event.message, nowMs);
+      return onMessage(state, event.message, inputs);
     case 'callDone': {
       const { callId, result } = event;
       return (
@@ -227,12 +193,9 @@
 }
 
 /** Applies an event to the agent, ends a stop that is settled, and sends the calls that are due. */
-export function stepRunner(
-  state: RunnerState,
-  event: RunnerEvent,
-  { nowMs }: StepInputs,
-): RunnerStep {
-  const step = settleIfDue(handleEvent(state, event, nowMs), nowMs);
+export function stepRunner(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
+  const { nowMs } = inputs;
+  const step = settleIfDue(handleEvent(state, event, inputs), nowMs);
   const asked = askCandidates(step.state, nowMs);
   const hold = holdIfDue(asked.state, nowMs);
   return { state: hold.state, effects: [...step.effects, ...asked.effects, ...hold.effects] };
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -179,6 +179,10 @@
   readonly leader?: Address;
   readonly target?: Address;
   readonly connectCount: number;
+  /** Connections to the leader, one after the other, on which it has not replied in time. */
+  readonly silentCount: number;
+  /** Random share from 0 to 1 of the time that the peer has for a reply on this connection. */
+  readonly patience: number;
   readonly isLinked: boolean;
   readonly lastOrder: number;
   /** Time between two reports without an end of a run; 0 to report every list. */
