Look at the fleet once for each stage in a search for moves

Cause: a search for moves looked at all workers for each lasting run of each worker, and each task with a kept place looked at all workers to find that one.

Change: the runs of a stage share what was found for it, workers without enough lasting runs are passed over, and a kept place is looked up by its worker.

--- a/packages/scheduler/src/relocate.ts
+++ b/packages/scheduler/src/relocate.ts
@@ -1,14 +1,14 @@
-import type { Map } from 'immutable';
+import type { WorkerLoad } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
-import { fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
+import { addResources, fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import { parseTaskName, stageSlots } from '@bronzeyoke/workflow';
 import type { PlacementPass } from './pass';
 import { chooseWorkerFor } from './pass';
 import type { PlannedMove } from './placewait';
 import type { PlacedSlot } from './reserve';
 import {
-  allowedLoads,
   clearVacancy,
+  createAllowance,
   findVacancy,
   isEnding,
   keptVacancy,
@@ -25,9 +25,6 @@
   readonly placed: PlacedSlot;
 }
 
-/** Room of each worker beside its lasting tasks. */
-type LastingRooms = Map<string, Resources>;
-
 function isAtWork(pass: PlacementPass, task: string): boolean {
   const run = pass.state.runs.byTask.get(task);
   if (run === undefined || isEnding(pass, task)) return false;
@@ -35,46 +32,105 @@
   return isConnected && run.isListed && run.percent === 100;
 }
 
-/** Returns whether so few other tasks of a run's stage are away that one more may be. */
-function mayBeAway(pass: PlacementPass, task: string, { stage, jobId }: RunView): boolean {
+/** Returns how many tasks of a run's stage are not at work, the run itself left out. */
+function countAway(pass: PlacementPass, task: string, { stage, jobId }: RunView): number {
   const ref = parseTaskName(task);
-  if (ref === undefined) return false;
-  const away = stageSlots(stage, ref.occurrence, ref.stageIndex)
+  if (ref === undefined) return Infinity;
+  return stageSlots(stage, ref.occurrence, ref.stageIndex)
     .map((slot) => `${jobId}.${slot}`)
-    .filter((other) => other !== task && !isAtWork(pass, other));
-  return away.length < (stage.maxUnavailable ?? 0);
+    .filter((other) => other !== task && !isAtWork(pass, other)).length;
+}
+
+/** Returns whether so few other tasks of a run's stage are away that one more may be. */
+function mayBeAway(pass: PlacementPass, task: string, run: RunView): boolean {
+  return countAway(pass, task, run) < (run.stage.maxUnavailable ?? 0);
+}
+
+/** A worker with its room beside its lasting tasks. */
+interface RoomyLoad {
+  readonly load: WorkerLoad;
+  readonly room: Resources;
 }
 
-/** Returns whether another worker has room for a run, or will have once its short runs have ended. */
-function hasOtherPlace(
+/** Returns the workers that have room for a run, or will have it once their short runs have ended. */
+function placesFor(
   pass: PlacementPass,
   slot: PlacedSlot,
-  fromKey: string,
-  rooms: LastingRooms,
-): boolean {
-  return allowedLoads(pass, slot).some(
-    ({ workerKey }) =>
-      workerKey !== fromKey && fitsIn(slot.ready.stage.needs, rooms.get(workerKey, NO_RESOURCES)),
+  byRoom: readonly RoomyLoad[],
+): readonly string[] {
+  const { needs } = slot.ready.stage;
+  const end = byRoom.findIndex(({ room }) => room.processorsMilli < needs.processorsMilli);
+  const isAllowed = createAllowance(pass, slot);
+  return (end === -1 ? byRoom : byRoom.slice(0, end)).flatMap(({ load, room }) =>
+    fitsIn(needs, room) && isAllowed(load) ? [load.workerKey] : [],
+  );
+}
+
+/** What a search for moves knows about the runs of one stage. */
+interface StageOutlook {
+  /** Whether one of its tasks that are at work may be away. */
+  readonly mayBeAway: boolean;
+  /** Workers with a place. */
+  readonly places: readonly string[];
+}
+
+type StageOutlooks = (movable: MovableRun) => StageOutlook;
+
+/**
+ * Returns the outlooks of stages in one search for moves. The runs of a stage have the same one, and
+ * each stage looks at the whole fleet once, not for each of its runs.
+ */
+function createOutlooks(pass: PlacementPass, rooms: readonly RoomyLoad[]): StageOutlooks {
+  const byRoom = rooms.toSorted(
+    (left, right) => right.room.processorsMilli - left.room.processorsMilli,
+  );
+  const known = new Map<string, StageOutlook>();
+  return ({ task, run, placed }) => {
+    const { occurrence, stageIndex } = placed.ready;
+    const key = `${run.jobId}.${occurrence}.${stageIndex}`;
+    const found = known.get(key);
+    if (found !== undefined) return found;
+    const isAllowed = mayBeAway(pass, task, run);
+    const outlook = {
+      mayBeAway: isAllowed,
+      places: isAllowed ? placesFor(pass, placed, byRoom) : [],
+    };
+    known.set(key, outlook);
+    return outlook;
+  };
+}
+
+/** Returns whether a run is one that a move may stop, as far as its stage and its state tell. */
+function isMovableKind(pass: PlacementPass, task: string, { stage }: RunView): boolean {
+  return (
+    stage.isLasting && !stage.isGang && (stage.maxUnavailable ?? 0) > 0 && isAtWork(pass, task)
   );
 }
 
 function movableRuns(
   pass: PlacementPass,
   workerKey: string,
-  rooms: LastingRooms,
+  missing: Resources,
+  outlookOf: StageOutlooks,
 ): readonly MovableRun[] {
   const { runs, jobs } = pass.state;
-  return [...runsOn(runs, workerKey)].flatMap(([task, run]): readonly MovableRun[] => {
+  const movable = [...runsOn(runs, workerKey)].filter(([task, run]) =>
+    isMovableKind(pass, task, run),
+  );
+  const needed = movable.reduce((sum, [, run]) => addResources(sum, run.stage.needs), NO_RESOURCES);
+  if (!fitsIn(missing, needed)) return [];
+  return movable.flatMap(([task, run]): readonly MovableRun[] => {
     const { stage, jobId, slot } = run;
     const open = jobs.get(jobId);
     const ref = parseTaskName(task);
-    const isMovable =
-      stage.isLasting && !stage.isGang && isAtWork(pass, task) && mayBeAway(pass, task, run);
-    if (open === undefined || ref === undefined || !isMovable) return [];
+    if (open === undefined || ref === undefined) return [];
     const { occurrence, stageIndex } = ref;
     const ready = { occurrence, stageIndex, stage, slots: [slot] };
     const placed = { open, ready, slot, priority: open.job.policy.priority };
-    return hasOtherPlace(pass, placed, workerKey, rooms) ? [{ task, run, placed }] : [];
+    const found = { task, run, placed };
+    const outlook = outlookOf(found);
+    const hasOtherPlace = outlook.places.some((other) => other !== workerKey);
+    return outlook.mayBeAway && hasOtherPlace ? [found] : [];
   });
 }
 
@@ -172,12 +228,12 @@
 export function makeRoomByMoves(pass: PlacementPass, search: MoveSearch): RoomByMoves | undefined {
   const { task, target, plannedKey } = search;
   const { stage } = target.ready;
-  const rooms = pass.loads.map((load) => lastingRoom(pass, load));
-  const shortages = allowedLoads(pass, target)
-    .map((load) => {
-      const room = rooms.get(load.workerKey, NO_RESOURCES);
-      return { load, missing: subtractResources(stage.needs, room) };
-    })
+  const rooms = [...pass.loads.values()].map((load) => ({ load, room: lastingRoom(pass, load) }));
+  const outlookOf = createOutlooks(pass, rooms);
+  const isAllowed = createAllowance(pass, target);
+  const shortages = rooms
+    .filter(({ load }) => isAllowed(load))
+    .map(({ load, room }) => ({ load, missing: subtractResources(stage.needs, room) }))
     .toSorted(
       (left, right) =>
         Number(right.load.workerKey === plannedKey) - Number(left.load.workerKey === plannedKey) ||
@@ -186,7 +242,7 @@
   return shortages.reduce<RoomByMoves | undefined>((found, { load, missing }) => {
     if (found !== undefined) return found;
     const { workerKey } = load;
-    const ascending = movableRuns(pass, workerKey, rooms).toSorted(
+    const ascending = movableRuns(pass, workerKey, missing, outlookOf).toSorted(
       (left, right) => left.run.stage.needs.processorsMilli - right.run.stage.needs.processorsMilli,
     );
     const runs = pickRuns(ascending, missing);
--- a/packages/scheduler/src/reserve.ts
+++ b/packages/scheduler/src/reserve.ts
@@ -4,7 +4,7 @@
 import { addResources, fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
 import type { PlacementPass } from './pass';
-import { loadsOfService, siblingCounter } from './pass';
+import { serviceOf, siblingCounter } from './pass';
 import type { Tenant } from './tenants';
 import type { OpenJob } from './views';
 import type { WaitingTask } from './waits';
@@ -129,18 +129,26 @@
     .reduce((sum, tenant) => addResources(sum, tenant.returned), room);
 }
 
-/** Returns the workers that may run a task as far as their kind and the limit a worker are concerned. */
-export function allowedLoads(
+/** Returns whether a worker may run a task, as far as its kind and the limit a worker are concerned. */
+export function createAllowance(
   pass: PlacementPass,
   { open, ready }: Pick<PlacedSlot, 'open' | 'ready'>,
-): readonly WorkerLoad[] {
+): (load: WorkerLoad) => boolean {
   const { stage } = ready;
+  const service = serviceOf(pass.state, open);
   const siblingCount = siblingCounter(pass, open, ready);
-  return loadsOfService(pass, open).filter(
-    (load) =>
-      fitsEmptyWorker(stage, load) &&
-      siblingCount(load.workerKey) < (stage.maxPerWorker ?? Infinity),
-  );
+  return (load) =>
+    load.service === service &&
+    fitsEmptyWorker(stage, load) &&
+    siblingCount(load.workerKey) < (stage.maxPerWorker ?? Infinity);
+}
+
+/** Returns the workers that may run a task as far as their kind and the limit a worker are concerned. */
+export function allowedLoads(
+  pass: PlacementPass,
+  target: Pick<PlacedSlot, 'open' | 'ready'>,
+): readonly WorkerLoad[] {
+  return [...pass.loads.values()].filter(createAllowance(pass, target));
 }
 
 /** Returns when a worker has room for a task if it gets no further tasks; undefined if never. */
@@ -164,8 +172,9 @@
   target: PlacedSlot,
   workerKey: string | undefined,
 ): Vacancy | undefined {
-  const load = allowedLoads(pass, target).find((other) => other.workerKey === workerKey);
-  return load === undefined ? undefined : vacancyOn(pass, load, target);
+  const load = pass.loads.get(workerKey ?? '');
+  if (load === undefined || !createAllowance(pass, target)(load)) return undefined;
+  return vacancyOn(pass, load, target);
 }
 
 /**
