--- a/packages/runner/src/leader.ts
+++ b/packages/runner/src/leader.ts
@@ -11,7 +11,7 @@
  */
 const REPLY_TIMEOUTS_MS = [1_800, 2_200, 4_400] as const;
 
-/** Share of a time that is random, so that the agents of a fleet do not lose patience together. */
+/** Share of a time that is random, so that the agents of a fleet do not reconnect together. */
 const RANDOM_SHARE = 0.2;
 
 /** Returns whether two addresses are the same. */
@@ -20,21 +20,28 @@
 }
 
 /** Returns the time without a reply after which the agent connects elsewhere. */
-function replyTimeoutMs({ isLinked, silentCount, patience }: RunnerState): number {
+function replyTimeoutMs({ isLinked, silentCount, timeoutJitter }: RunnerState): number {
   // Without a connection there is no load to spare.
   const count = isLinked ? Math.min(silentCount, REPLY_TIMEOUTS_MS.length - 1) : 0;
   const longestMs = REPLY_TIMEOUTS_MS[count] ?? 0;
-  return longestMs * (1 - RANDOM_SHARE + RANDOM_SHARE * patience);
+  return longestMs * (1 - RANDOM_SHARE + RANDOM_SHARE * timeoutJitter);
 }
 
 function connectTo(
   state: RunnerState,
   address: Address,
-  { nowMs, random: patience }: StepInputs,
+  { nowMs, random: timeoutJitter }: StepInputs,
 ): RunnerStep {
   const progressAtMs = nowMs;
   return {
-    state: { ...state, target: address, isLinked: false, lastOrder: 0, progressAtMs, patience },
+    state: {
+      ...state,
+      target: address,
+      isLinked: false,
+      lastOrder: 0,
+      progressAtMs,
+      timeoutJitter,
+    },
     effects: [{ kind: 'connect', address }],
   };
 }
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -31,7 +31,7 @@
     term: 0,
     connectCount: 0,
     silentCount: 0,
-    patience: 0,
+    timeoutJitter: 0,
     isLinked: false,
     lastOrder: 0,
     reportIntervalMs: 0,
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -182,7 +182,7 @@
   /** Connections to the leader, one after the other, on which it has not replied in time. */
   readonly silentCount: number;
   /** Random share from 0 to 1 of the time that the peer has for a reply on this connection. */
-  readonly patience: number;
+  readonly timeoutJitter: number;
   readonly isLinked: boolean;
   readonly lastOrder: number;
   /** Time between two reports without an end of a run; 0 to report every list. */
