--- a/packages/runner/test/silence.test.ts
+++ b/packages/runner/test/silence.test.ts
@@ -68,8 +68,8 @@
   expect(dialed(dispatch(greeted, { kind: 'tick' }, 1_700))).to.deep.equal([]);
 });
 
-// Guards against hundreds of agents that lose patience with a leader at the same moment.
-it('silence: agents lose patience at different times', () => {
+// Guards against hundreds of agents that leave a silent leader at the same moment.
+it('silence: agents leave a silent leader at different times', () => {
   const patient = createGranted(0.99);
   expect(dialed(dispatch(patient, { kind: 'tick' }, 1_700))).to.deep.equal([]);
   expect(dialed(dispatch(patient, { kind: 'tick' }, 1_800))).to.deep.equal(['s1']);
