Cut machines that run tasks in the test of a leader that does not wait

takeover.test.ts, the test that plants a leader without the wait for leases, failed on: it cut machines 0 and 1, and since grants follow the row no start order is refused for want of a lease there, so all six tasks run on machines 2 to 4 and nothing that is cut off runs a task.

Change: the test cuts the first two machines that run tasks. The planted fault is the same, and the test no longer depends on the places of the tasks.

--- a/packages/scheduler/test/takeover.test.ts
+++ b/packages/scheduler/test/takeover.test.ts
@@ -5,6 +5,8 @@
 import type { Simulation } from './simtypes';
 import { createSimulation } from './simulation';
 
+const MACHINES_OF_FIVE = [0, 1, 2, 3, 4];
+
 // Guards against a model whose rules fail without any fault.
 it('takeover: without faults no rule is broken', () => {
   const simulation = createRunning();
@@ -20,7 +22,10 @@
   const simulation = createSimulation(SEED, 5, times);
   simulation.submit('lasting', 6);
   simulation.advance(6_000);
-  [0, 1, 2, 3, 4].forEach((machine) => simulation.cutAgent(machine, machine < 2 ? 4_000 : 1));
+  const [first, second] = MACHINES_OF_FIVE.filter((machine) => simulation.runningOn(machine) > 0);
+  MACHINES_OF_FIVE.forEach((machine) =>
+    simulation.cutAgent(machine, machine === first || machine === second ? 4_000 : 1),
+  );
   simulation.advance(6_000);
   const kinds = simulation.violations().map(({ kind }) => kind);
   expect(kinds, simulation.trace().join('\n')).to.include('doubleRun');
