Search for places in turn when more tasks wait than a pass can look at

Callers saw lasting tasks that wait for good although there is room.

Cause: a pass has 40 searches for lasting tasks, 8 on fleets of 350 workers and more. They went to the tasks that are away longest. Those that find no place took the same searches in each pass, so that the ones behind them were never looked at: from 20 stages without a place on, and from 4 on a large fleet.

Change: a wait records the last search that found none. When the searches of a pass may not suffice, tasks of equal rank come in the order of that time; those that were never searched for come first. A kept place is not affected, and a pass with searches for all keeps the order by the time away.

That this is what the users' record shows is not proven: no log of that play exists.

--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import { compareRanks } from '@bronzeyoke/placement';
 import { assertNever, without } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
 import { searchKey } from './candidates';
@@ -10,6 +11,7 @@
 import type { Vacancy } from './reserve';
 import { clearVacancy, findVacancy, keptVacancy, reserveRoom, slotOf } from './reserve';
 import type { WaitingTask } from './waits';
+import { placeRank } from './waits';
 
 /** Time after which the runs that keep a lasting task from its reserved place are stopped. */
 const MAX_DRAIN_MS = 2_500;
@@ -27,6 +29,9 @@
 const MIN_SEARCHES = 8;
 const MAX_SEARCHED_WORKERS = 2_800;
 
+/** Searches that a task without a place takes: for a worker with room, and for one to keep a place on. */
+const SEARCHES_PER_TASK = 2;
+
 /** Searches for moves in one pass. One looks at the runs of many workers. */
 const MAX_MOVE_SEARCHES = 3;
 
@@ -162,9 +167,15 @@
   return settleWait(pass, waiting, 'lose');
 }
 
+/** Gives up after the stage was searched in vain. */
+function giveUpSearch(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
+  return giveUp(pass, { ...waiting, wait: { ...waiting.wait, soughtAtMs: nowMs } });
+}
+
 /** Gives up after moves were sought in vain. */
 function giveUpMoves(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
-  return giveUp(pass, { ...waiting, wait: { ...waiting.wait, movesSoughtAtMs: nowMs } });
+  const wait = { ...waiting.wait, movesSoughtAtMs: nowMs };
+  return giveUpSearch(pass, { ...waiting, wait }, nowMs);
 }
 
 /** Claims a worker with room for a waiting task, or only its kept one; undefined if there is none. */
@@ -189,15 +200,16 @@
 function searchPlace(search: Search, waiting: WaitingTask, nowMs: number): Search {
   const { pass, hopeless, searchesLeft, moveSearchesLeft } = search;
   const key = searchKey(waiting.candidate);
-  if (hopeless.has(key) || searchesLeft === 0) return { ...search, pass: giveUp(pass, waiting) };
+  if (hopeless.has(key)) return { ...search, pass: giveUpSearch(pass, waiting, nowMs) };
+  if (searchesLeft === 0) return { ...search, pass: giveUp(pass, waiting) };
   const searched = { ...search, searchesLeft: searchesLeft - 1 };
   const mayClear = !isBackingOff(pass, waiting.task, nowMs);
   const kept = keepNewPlace(pass, waiting, mayClear, nowMs);
   if (kept !== undefined) return { ...searched, pass: kept };
   const inVain = { ...searched, hopeless: new Set([...hopeless, key]) };
   // Without a move search left, the task is not hopeless: the next pass may find moves for it.
-  if (!isMoveDue(waiting, nowMs)) return { ...inVain, pass: giveUp(pass, waiting) };
-  if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(pass, waiting) };
+  if (!isMoveDue(waiting, nowMs)) return { ...inVain, pass: giveUpSearch(pass, waiting, nowMs) };
+  if (moveSearchesLeft === 0) return { ...searched, pass: giveUpSearch(pass, waiting, nowMs) };
   const moved = movePlace(pass, waiting, nowMs);
   const left = moveSearchesLeft - 1;
   return moved === undefined
@@ -289,9 +301,25 @@
     }, pass);
 }
 
+/**
+ * Orders tasks of equal rank by the last search that found them no place. In the order of their waits,
+ * the same ones would use up the searches of each pass, and those behind them would wait without end.
+ */
+function inTurn(waiting: readonly WaitingTask[]): readonly WaitingTask[] {
+  const soughtAtMs = ({ wait }: WaitingTask): number =>
+    wait.phase === 'searching' ? (wait.soughtAtMs ?? -Infinity) : -Infinity;
+  return waiting.toSorted((left, right) =>
+    compareRanks(
+      [placeRank(left.wait), soughtAtMs(left)],
+      [placeRank(right.wait), soughtAtMs(right)],
+    ),
+  );
+}
+
 /**
  * Places the lasting tasks that have run and wait, the one that is away longest first. Those that find
- * no room keep a place that becomes free or is made free.
+ * no room keep a place that becomes free or is made free. When more wait than a pass can search for,
+ * they take turns.
  */
 export function placeReturning(
   pass: PlacementPass,
@@ -299,6 +327,7 @@
   nowMs: number,
 ): PlacementPass {
   const searches = maxSearches(pass.loads.size);
+  const mayRunOut = waiting.length * SEARCHES_PER_TASK > searches;
   const search: Search = {
     pass,
     full: new Set(),
@@ -307,7 +336,7 @@
     moveSearchesLeft: MAX_MOVE_SEARCHES,
     isCrowded: waiting.length > searches,
   };
-  const { pass: placed } = unitsOf(waiting).reduce(
+  const { pass: placed } = unitsOf(mayRunOut ? inTurn(waiting) : waiting).reduce(
     (current, unit) => placeUnit(current, unit, nowMs),
     search,
   );
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -51,7 +51,7 @@
 }
 
 /** Ranks moved tasks first, then those for which others move: their places were made for them. */
-function placeRank({ isMoved, moves, cause }: PlaceWait): number {
+export function placeRank({ isMoved, moves, cause }: PlaceWait): number {
   if (isMoved) return 0;
   if (cause === 'starved') return 3;
   return moves === undefined ? 2 : 1;
