Search a place for each waiting task, also behind tasks that fit nowhere

A pass searches for 8 to 40 places, in the order of the waits. Tasks that fit no worker stayed in front and used up the searches of every pass, so a lasting task behind them was never looked at, although a worker had room for it: seven such stages are enough on a fleet of 195 workers. While passes run out of searches, tasks that were searched in vain now come after those that a pass did not get to; otherwise the longest wait comes first as before. searchorder.test.ts failed before (the task waits without end beside 3 free cores) and passes now, as do the tests of returning tasks, starvation and full fleets.

--- a/packages/scheduler/src/placewait.ts
+++ b/packages/scheduler/src/placewait.ts
@@ -38,6 +38,8 @@
   readonly moves?: readonly PlannedMove[];
   /** Time of the last search for runs whose move would make room. */
   readonly movesSoughtAtMs?: number;
+  /** Time of the last search that found no place, while passes cannot search for all waiting tasks. */
+  readonly searchedAtMs?: number;
   /** Whether the task was stopped in order to move it. It comes first, so that its place is kept. */
   readonly isMoved: boolean;
   readonly isLogged: boolean;
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -70,9 +70,10 @@
 /** Advances a wait, with the worker that the pass keeps for it. Moves belong to one worker. */
 function settleWait(
   pass: PlacementPass,
-  { task, wait }: WaitingTask,
+  { task, wait: known }: WaitingTask,
   event: WaitEvent,
 ): PlacementPass {
+  const wait = event === 'lose' ? known : without(known, 'searchedAtMs');
   const workerKey = pass.reservations.get(task);
   if (workerKey !== undefined && workerKey === wait.workerKey) {
     return putWait(pass, task, advanceWait(wait, event));
@@ -189,19 +190,21 @@
 function searchPlace(search: Search, waiting: WaitingTask, nowMs: number): Search {
   const { pass, hopeless, searchesLeft, moveSearchesLeft } = search;
   const key = searchKey(waiting.candidate);
-  if (hopeless.has(key) || searchesLeft === 0) return { ...search, pass: giveUp(pass, waiting) };
+  const inVain = { ...waiting, wait: { ...waiting.wait, searchedAtMs: nowMs } };
+  if (hopeless.has(key)) return { ...search, pass: giveUp(pass, inVain) };
+  if (searchesLeft === 0) return { ...search, pass: giveUp(pass, waiting) };
   const searched = { ...search, searchesLeft: searchesLeft - 1 };
   const mayClear = !isBackingOff(pass, waiting.task, nowMs);
   const kept = keepNewPlace(pass, waiting, mayClear, nowMs);
   if (kept !== undefined) return { ...searched, pass: kept };
-  const inVain = { ...searched, hopeless: new Set([...hopeless, key]) };
+  const withoutPlace = { ...searched, hopeless: new Set([...hopeless, key]) };
   // Without a move search left, the task is not hopeless: the next pass may find moves for it.
-  if (!isMoveDue(waiting, nowMs)) return { ...inVain, pass: giveUp(pass, waiting) };
-  if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(pass, waiting) };
+  if (!isMoveDue(waiting, nowMs)) return { ...withoutPlace, pass: giveUp(pass, inVain) };
+  if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(pass, inVain) };
   const moved = movePlace(pass, waiting, nowMs);
   const left = moveSearchesLeft - 1;
   return moved === undefined
-    ? { ...inVain, moveSearchesLeft: left, pass: giveUpMoves(pass, waiting, nowMs) }
+    ? { ...withoutPlace, moveSearchesLeft: left, pass: giveUpMoves(pass, inVain, nowMs) }
     : { ...searched, moveSearchesLeft: left, pass: moved };
 }
 
@@ -289,6 +292,14 @@
     }, pass);
 }
 
+/** Forgets the searches in vain after a pass that has searched for all: the longest wait comes first again. */
+function forgetSearches(pass: PlacementPass): PlacementPass {
+  const { waits } = pass.state;
+  if (!waits.some(({ searchedAtMs }) => searchedAtMs !== undefined)) return pass;
+  const forgotten = waits.map((wait) => without(wait, 'searchedAtMs'));
+  return { ...pass, state: { ...pass.state, waits: forgotten } };
+}
+
 /**
  * Places the lasting tasks that have run and wait, the one that is away longest first. Those that find
  * no room keep a place that becomes free or is made free.
@@ -307,9 +318,9 @@
     moveSearchesLeft: MAX_MOVE_SEARCHES,
     isCrowded: waiting.length > searches,
   };
-  const { pass: placed } = unitsOf(waiting).reduce(
+  const { pass: placed, searchesLeft } = unitsOf(waiting).reduce(
     (current, unit) => placeUnit(current, unit, nowMs),
     search,
   );
-  return startMoves(placed, nowMs);
+  return startMoves(searchesLeft > 0 ? forgetSearches(placed) : placed, nowMs);
 }
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -57,6 +57,18 @@
   return moves === undefined ? 2 : 1;
 }
 
+/**
+ * Compares two waits by the order of their searches. Those that a pass has searched in vain come after
+ * those that it did not get to: otherwise tasks that fit nowhere use up the searches of every pass.
+ */
+function compareWaits(left: PlaceWait, right: PlaceWait): number {
+  return (
+    (left.searchedAtMs ?? 0) - (right.searchedAtMs ?? 0) ||
+    placeRank(left) - placeRank(right) ||
+    left.sinceMs - right.sinceMs
+  );
+}
+
 /** Time without a place after which room is kept for a task that needs more than falls free at once. */
 const STARVED_AFTER_MS = 5_000;
 
@@ -105,10 +117,7 @@
     const sinceMs = state.unplacedSince.get(searchKey(candidate), nowMs);
     return waitingSlots(candidate, slots, sinceMs, 'starved');
   });
-  return [...returning, ...starved].toSorted(
-    (left, right) =>
-      placeRank(left.wait) - placeRank(right.wait) || left.wait.sinceMs - right.wait.sinceMs,
-  );
+  return [...returning, ...starved].toSorted((left, right) => compareWaits(left.wait, right.wait));
 }
 
 /** Adds the waits of waiting tasks, and drops those of tasks that run again or have ended. */
