Answer reports before the first row after a load is stored

Cause: a leader that loads answers every report, and one that may grant does, but between the load and the first stored row that says so it did not.

Change: until that row is stored a leader answers for the time of its grant window from the moment at which the transaction in flight was first sent.

Evidence: "a leader answers reports before its first row is stored" failed before and passes; it also holds that the answers end with the window.

--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -88,15 +88,25 @@
   ]);
 }
 
+/**
+ * Returns whether the store has answered a leader lately. The first row after a load is still on its way
+ * when the first reports come; it counts from the moment at which it was sent.
+ */
+function isConfirmed(state: SchedulerState, nowMs: number): boolean {
+  const { mayGrantUntilMs, storedTimes, inFlight, settings } = state;
+  if (storedTimes !== undefined) return nowMs < mayGrantUntilMs;
+  return nowMs - (inFlight?.firstSentAtMs ?? nowMs) < settings.times.grantWindowMs;
+}
+
 /**
  * Answers a report that got no grant or order, so that the agent does not look for another leader. A
- * leader whose last transaction is too old says nothing: another entry may have taken over.
+ * leader that the store has not answered lately says nothing: another entry may have taken over.
  */
 function answerReport(step: SchedulerStep, linkId: string, nowMs: number): SchedulerStep {
   const isAnswered = step.effects.some(
     (effect) => effect.kind === 'send' && effect.linkId === linkId,
   );
-  if (isAnswered || nowMs >= step.state.mayGrantUntilMs) return step;
+  if (isAnswered || !isConfirmed(step.state, nowMs)) return step;
   return chainAfter(step, [(current) => announceLeader(current, linkId)]);
 }
 
--- a/packages/scheduler/test/starvation.test.ts
+++ b/packages/scheduler/test/starvation.test.ts
@@ -2,13 +2,16 @@
 import type { Fixture } from './fixture';
 import {
   advance,
+  answerReads,
   commitAll,
   createLeader,
+  createLoading,
   dispatch,
   loggedFields,
   report,
   sentMessages,
   TIMES,
+  WALL_MS,
   workerKeyFor,
 } from './fixture';
 
@@ -75,6 +78,25 @@
   expect(sentMessages(reported, 'leader')).to.deep.equal(sentMessages(alone, 'leader'));
 });
 
+/** Returns a leader that has loaded and whose first row is not stored yet. */
+function createUnstored(): Fixture {
+  const wallMs = WALL_MS + 1_000;
+  const read = answerReads(createLoading(), [], wallMs);
+  return dispatch(read, { kind: 'jobRows', isFull: true, rows: [], wallMs });
+}
+
+// Guards against agents that leave a leader between its load and the first row that it stores then.
+it('starvation: a leader answers reports before its first row is stored', () => {
+  const unstored = createUnstored();
+  expect(unstored.state.storedTimes).to.equal(undefined);
+  const opened = dispatch(unstored, { kind: 'linkOpened', linkId: 'link-w1' });
+  const reported = report(opened, 'w1');
+  expect(sentMessages(reported, 'grant')).to.deep.equal([]);
+  expect(sentMessages(reported, 'leader')).to.have.length(2);
+  const late = report(advance(reported, TIMES.grantWindowMs + 1), 'w1');
+  expect(sentMessages(late, 'leader')).to.have.length(2);
+});
+
 // Guards against one answer to each report beside its grant, which carries the same news.
 it('starvation: a report with a grant has no other answer', () => {
   const leader = report(createLeader(), 'w1');
