End an actor's turn of the event loop after 10 ms

Node.js 20 accepts one connection in a turn of the event loop. An actor handled up to 512 messages in one turn, so the turns of an overloaded leader were as long as the reports of the whole fleet together, and agents that connected at the same moment waited for seconds until they were accepted, gave up, and queued again behind their own abandoned connections.

--- a/packages/actors/src/actor.ts
+++ b/packages/actors/src/actor.ts
@@ -1,8 +1,13 @@
+import { performance } from 'node:perf_hooks';
 import * as nact from 'nact';
 import type { ActorSystemRef } from 'nact';
 
-/** Largest number of messages per turn of the event loop, so that sockets are served in between. */
-const MAX_BATCH_MESSAGES = 512;
+/**
+ * Time in one turn of the event loop after which an actor leaves its other messages to the next one.
+ * Node.js 20 accepts one connection in a turn, so a leader with long turns keeps a fleet waiting that
+ * connects at the same moment.
+ */
+const MAX_BATCH_MS = 10;
 
 /** Reference to an actor, through which messages are sent to it. */
 export interface Ref<Message> {
@@ -22,8 +27,14 @@
   context: Context<Message>,
 ) => State;
 
+/** State of an actor after some messages of a batch. */
+interface Batch<State> {
+  readonly state: State;
+  readonly count: number;
+}
+
 /**
- * Starts a nact actor that handles all waiting messages in one batch. nact itself handles one message
+ * Starts a nact actor that handles the waiting messages in batches. nact itself handles one message
  * in each turn of the event loop, which limited an entry to a third of a request per turn.
  */
 export function spawn<State, Message>(
@@ -64,12 +75,21 @@
     _message: 'work',
     context: { readonly self: nact.Ref<'work'> },
   ): State => {
-    const batch = mailbox.slice(0, MAX_BATCH_MESSAGES);
-    mailbox = mailbox.slice(MAX_BATCH_MESSAGES);
+    const batch = mailbox;
+    mailbox = [];
     isScheduled = false;
-    if (mailbox.length > 0) schedule(context.self);
     const self = refOf(context.self);
-    return batch.reduce((current, message) => handleMessage(current, message, self), state);
+    const endMs = performance.now() + MAX_BATCH_MS;
+    const handled = batch.reduce<Batch<State>>(
+      (current, message) =>
+        current.count > 0 && performance.now() >= endMs
+          ? current
+          : { state: handleMessage(current.state, message, self), count: current.count + 1 },
+      { state, count: 0 },
+    );
+    mailbox = [...batch.slice(handled.count), ...mailbox];
+    if (mailbox.length > 0) schedule(context.self);
+    return handled.state;
   };
 
   return refOf(nact.spawn(system, handleBatch, name, options));
