Log where a lasting task is that stays away, and count them by reason

A wait was logged once, and only for tasks that placement knew as candidates, so that a claim that is not stored or not listed, a silent worker and a back-off left no line. The pure function whereaboutsOf names the state of each lasting task and what ends it.

--- a/packages/hosts/src/loadmeter.ts
+++ b/packages/hosts/src/loadmeter.ts
@@ -61,18 +61,20 @@
   };
 }
 
-/** What waits for the store when a window ends. */
+/** What waits when a window ends. */
 export interface Backlog {
   readonly rows: number;
   readonly actions: number;
   /** Workers whose last report has not been answered with a grant. */
   readonly grants: number;
+  /** Lasting tasks that do not work. */
+  readonly away: number;
 }
 
 /** Returns the line about a window that has ended; undefined while it goes on. */
 export function closeWindow(
   window: LoadWindow,
-  { rows, actions, grants }: Backlog,
+  { rows, actions, grants, away }: Backlog,
   nowMs: number,
 ): LogEffect | undefined {
   const isBusy = window.longestWaitMs >= OVERLOADED_WAIT_MS;
@@ -91,5 +93,6 @@
     pendingRows: rows,
     pendingActions: actions,
     dueGrants: grants,
+    lastingAway: away,
   });
 }
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -103,7 +103,7 @@
     const startMs = performance.now();
     const step = stepScheduler(state, event, inputs);
     const nowMs = performance.now();
-    const { phase, passCount, pendingWrites, dueGrants } = step.state;
+    const { phase, passCount, pendingWrites, dueGrants, absences } = step.state;
     if (phase !== 'leading') {
       meter.window = openWindow(nowMs);
       return step;
@@ -118,6 +118,7 @@
       rows: pendingWrites.jobs.size,
       actions: pendingWrites.actions.size,
       grants: dueGrants.size,
+      away: absences.size,
     };
     const line = closeWindow(meter.window, backlog, nowMs);
     if (line === undefined) return step;
--- a/packages/hosts/test/loadmeter.test.ts
+++ b/packages/hosts/test/loadmeter.test.ts
@@ -2,14 +2,16 @@
 import { closeWindow, openWindow, recordEvent } from '@bronzeyoke/hosts';
 
 const EVENT = { kind: 'received', waitMs: 1, durationMs: 2, hasPlaced: false } as const;
-const NOTHING = { rows: 0, actions: 0, grants: 0 };
+const NOTHING = { rows: 0, actions: 0, grants: 0, away: 0 };
 
 // Guards against an overloaded leader that says nothing of it in its log.
 it('loadmeter: a leader whose events wait long is overloaded within a second', () => {
   const late = { ...EVENT, kind: 'tick', waitMs: 700, durationMs: 90, hasPlaced: true } as const;
   const window = [EVENT, late, EVENT].reduce(recordEvent, openWindow(0));
   expect(closeWindow(window, NOTHING, 500)).to.equal(undefined);
-  expect(closeWindow(window, { rows: 7, actions: 9, grants: 3 }, 1_000)?.fields).to.deep.equal({
+  expect(
+    closeWindow(window, { rows: 7, actions: 9, grants: 3, away: 2 }, 1_000)?.fields,
+  ).to.deep.equal({
     isOverloaded: true,
     overMs: 1_000,
     events: 3,
@@ -22,6 +24,7 @@
     pendingRows: 7,
     pendingActions: 9,
     dueGrants: 3,
+    lastingAway: 2,
   });
 });
 
--- /dev/null
+++ b/packages/scheduler/src/absences.ts
@@ -0,0 +1,165 @@
+import { fitsEmptyWorker, hasRoom } from '@bronzeyoke/placement';
+import type { AwayReason, EventFields } from '@bronzeyoke/telemetry';
+import { AWAY_REASONS, logEffect } from '@bronzeyoke/telemetry';
+import { assertNever, unchanged } from '@bronzeyoke/types';
+import { Map } from 'immutable';
+import { serviceOf } from './pass';
+import { withEffects } from './state';
+import { taskLog } from './tasklog';
+import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import type { Absence } from './views';
+import type { LastingTask, Whereabouts } from './whereabouts';
+import { lastingTasks, whereaboutsOf } from './whereabouts';
+
+/** Time between two looks at the lasting tasks. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/** Time after which an absence is logged, and logged again while it goes on. */
+const LOG_AFTER_MS = 3_000;
+const LOG_AGAIN_MS = 5_000;
+
+/** Lines of one look. Each counts the workers with room, and a pass must not wait for long. */
+const MAX_LINES = 20;
+
+/** A lasting task that does not work, and why. */
+interface AwayTask {
+  readonly lasting: LastingTask;
+  readonly reason: AwayReason;
+  readonly whereabouts: Whereabouts;
+  readonly absence: Absence;
+}
+
+/** Returns why a task is away; undefined for one that works or cannot start yet. */
+function reasonOf(whereabouts: Whereabouts): AwayReason | undefined {
+  switch (whereabouts.kind) {
+    case 'working':
+    case 'notReady':
+      return undefined;
+    case 'storing':
+    case 'starting':
+    case 'stopping':
+    case 'silent':
+    case 'backingOff':
+    case 'searching':
+    case 'reserved':
+    case 'clearing':
+    case 'queued':
+    case 'contradictory':
+      return whereabouts.kind;
+    default:
+      return assertNever(whereabouts);
+  }
+}
+
+/** Returns since when a task has been away, as far as the leader knows. */
+function awaySinceMs(state: SchedulerState, task: string, nowMs: number): number {
+  const waitSinceMs = state.waits.get(task)?.sinceMs ?? nowMs;
+  const claimedAtMs = state.runs.byTask.get(task)?.claimedAtMs ?? nowMs;
+  return Math.min(waitSinceMs, claimedAtMs, nowMs);
+}
+
+function findAway(state: SchedulerState, nowMs: number, wallMs: number): readonly AwayTask[] {
+  return lastingTasks(state, wallMs).flatMap((lasting): readonly AwayTask[] => {
+    const whereabouts = whereaboutsOf(state, lasting, nowMs);
+    const reason = reasonOf(whereabouts);
+    if (reason === undefined) return [];
+    const known = state.absences.get(lasting.task);
+    // A run that is silent or being stopped worked until then.
+    const startMs =
+      reason === 'silent' || reason === 'stopping'
+        ? nowMs
+        : awaySinceMs(state, lasting.task, nowMs);
+    return [{ lasting, reason, whereabouts, absence: known ?? { sinceMs: startMs } }];
+  });
+}
+
+/** Returns what decides the next step of a task that is away. */
+function detailsOf(
+  state: SchedulerState,
+  { lasting, whereabouts }: AwayTask,
+  nowMs: number,
+): EventFields {
+  switch (whereabouts.kind) {
+    case 'storing':
+    case 'starting':
+    case 'stopping': {
+      const { workerKey, sinceMs } = whereabouts;
+      return { worker: workerKey, stateMs: Math.round(nowMs - sinceMs) };
+    }
+    case 'silent': {
+      const { workerKey, untilMs } = whereabouts;
+      return { worker: workerKey, endsInMs: Math.round(untilMs - nowMs) };
+    }
+    case 'backingOff':
+      return { endsInMs: Math.round(whereabouts.untilMs - nowMs) };
+    case 'reserved':
+    case 'clearing':
+      return { worker: whereabouts.workerKey };
+    case 'searching':
+    case 'queued': {
+      const { stage, open } = lasting;
+      const service = serviceOf(state, open);
+      const fitting = [...state.loads.values()]
+        .map(({ load }) => load)
+        .filter((load) => load.service === service && fitsEmptyWorker(stage, load));
+      const withRoom = fitting.filter((load) => hasRoom(stage, load));
+      return { ...stage.needs, fitsEmpty: fitting.length, withRoom: withRoom.length };
+    }
+    case 'contradictory':
+      return { problem: whereabouts.problem };
+    case 'working':
+    case 'notReady':
+      return {};
+    default:
+      return assertNever(whereabouts);
+  }
+}
+
+function describe(state: SchedulerState, away: AwayTask, nowMs: number): SchedulerEffect {
+  const { lasting, reason, absence } = away;
+  const { task, stage, open } = lasting;
+  return taskLog(stage, 'taskAway', {
+    job: open.job.jobId,
+    task,
+    reason,
+    awayMs: Math.round(nowMs - absence.sinceMs),
+    ...detailsOf(state, away, nowMs),
+  });
+}
+
+/** Returns the counts by reason; those of a leader without absences are logged once. */
+function describeCounts(
+  state: SchedulerState,
+  away: readonly AwayTask[],
+): readonly SchedulerEffect[] {
+  if (away.length === 0 && state.absences.isEmpty()) return [];
+  const counts = AWAY_REASONS.map(
+    (reason) => [reason, away.filter((other) => other.reason === reason).length] as const,
+  );
+  return [logEffect('awayCounts', { total: away.length, ...Object.fromEntries(counts) })];
+}
+
+/**
+ * Logs the lasting tasks that have been away for long, each again while it stays away, and counts those
+ * that are away by reason. Looks once a second at the lasting tasks of the open jobs.
+ */
+export function logAbsences(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  const isDue = nowMs - state.absencesAtMs >= CHECK_INTERVAL_MS;
+  if (state.phase !== 'leading' || !isDue) return unchanged(state);
+  const away = findAway(state, nowMs, wallMs);
+  const isLate = ({ absence: { sinceMs, loggedAtMs = -Infinity } }: AwayTask): boolean =>
+    nowMs - sinceMs >= LOG_AFTER_MS && nowMs - loggedAtMs >= LOG_AGAIN_MS;
+  const late = away
+    .filter(isLate)
+    .toSorted((left, right) => left.absence.sinceMs - right.absence.sinceMs)
+    .slice(0, MAX_LINES);
+  const logged = new Set(late.map(({ lasting }) => lasting.task));
+  const absences = away.map(({ lasting: { task }, absence }): readonly [string, Absence] => [
+    task,
+    logged.has(task) ? { ...absence, loggedAtMs: nowMs } : absence,
+  ]);
+  return withEffects({ ...state, absences: Map(absences), absencesAtMs: nowMs }, [
+    ...late.map((task) => describe(state, task, nowMs)),
+    ...describeCounts(state, away),
+  ]);
+}
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -6,4 +6,5 @@
 export * from './times';
 export * from './types';
 export * from './views';
+export * from './whereabouts';
 export { WITHDRAWAL_KEEP_MS } from './withdrawals';
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -27,6 +27,8 @@
   suspects: Map<string, never>(),
   waits: Map<string, never>(),
   unplacedSince: Map<string, never>(),
+  absences: Map<string, never>(),
+  absencesAtMs: -Infinity,
   placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
   needsPlacement: false,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -2,6 +2,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
+import { logAbsences } from './absences';
 import { passIntervalMs } from './budget';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
@@ -74,6 +75,7 @@
     (current) => expireWorkers(current, nowMs),
     (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
+    (current) => logAbsences(current, nowMs, wallMs),
   ]);
 }
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -13,7 +13,15 @@
 import type { Leader, LeaseValue } from './rows';
 import type { OrphanTable, RunTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
-import type { FailedSearch, KnownLoads, LinkView, OpenJob, Suspect, WorkerView } from './views';
+import type {
+  Absence,
+  FailedSearch,
+  KnownLoads,
+  LinkView,
+  OpenJob,
+  Suspect,
+  WorkerView,
+} from './views';
 
 /** Chart of an entry's leadership. */
 export const leadershipChart = compileChart(chartFile, {
@@ -204,6 +212,9 @@
   readonly suspects: Map<string, Suspect>;
   /** Waits of tasks for which room is kept, by task. */
   readonly waits: Map<string, PlaceWait>;
+  /** Lasting tasks that do not work, as of the last look at them. */
+  readonly absences: Map<string, Absence>;
+  readonly absencesAtMs: number;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
   readonly links: Map<string, LinkView>;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -131,6 +131,12 @@
 /** Loads of the usable workers by key, as of the last placement. */
 export type KnownLoads = Map<string, KnownLoad>;
 
+/** A lasting task that does not work. */
+export interface Absence {
+  readonly sinceMs: number;
+  readonly loggedAtMs?: number;
+}
+
 /** The last search for a filling stage that found too few workers. */
 export interface FailedSearch {
   readonly passNumber: number;
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -1,11 +1,14 @@
 import type { Histogram } from 'hdr-histogram-js';
 import type { EventFields, EventName } from './events';
+import { AWAY_REASONS } from './events';
+import type { GaugeValue } from './metrics';
 import { createMetrics } from './metrics';
 
 const DEFINITIONS = {
   bronzeyoke_events_total: { kind: 'counter', help: 'Decisions and changes of belief, by event.' },
   bronzeyoke_refusals_total: { kind: 'counter', help: 'Jobs refused, by reason.' },
   bronzeyoke_log_lines_dropped_total: { kind: 'gauge', help: 'Log lines left out.' },
+  bronzeyoke_lasting_away: { kind: 'gauge', help: 'Lasting tasks that do not work, by reason.' },
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
@@ -17,6 +20,27 @@
   bronzeyoke_place_wait_seconds: { kind: 'summary', help: 'Waits of lasting tasks for a place.' },
 } as const;
 
+type MetricName = keyof typeof DEFINITIONS;
+
+/** Events of an entry that begins or ceases to lead, and so knows of no absence. */
+const LEADER_CHANGES: ReadonlySet<EventName> = new Set([
+  'leaderClaimed',
+  'leaderSeen',
+  'leaderLost',
+]);
+
+/** Returns the gauges of the tasks that are away, by the last event that counts them. */
+function awayGauges(counts: EventFields): readonly GaugeValue<MetricName>[] {
+  return AWAY_REASONS.map((reason) => {
+    const value = counts[reason];
+    return {
+      name: 'bronzeyoke_lasting_away',
+      labels: { reason },
+      value: typeof value === 'number' ? value : 0,
+    };
+  });
+}
+
 /** A duration in the fields of an event, and the metric that records it. */
 interface DurationField {
   readonly field: string;
@@ -43,9 +67,12 @@
 /** Creates the metrics of a process, which are recorded from its events. */
 export function createEventMetrics(createHistogram?: () => Histogram): EventMetrics {
   const metrics = createMetrics(DEFINITIONS, createHistogram);
+  const known: { away: EventFields } = { away: {} };
   return {
     record: (event, fields) => {
       metrics.count('bronzeyoke_events_total', { event });
+      if (event === 'awayCounts') known.away = fields;
+      if (LEADER_CHANGES.has(event)) known.away = {};
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
       }
@@ -57,6 +84,7 @@
     text: (droppedLines) =>
       metrics.text([
         { name: 'bronzeyoke_log_lines_dropped_total', labels: {}, value: droppedLines },
+        ...awayGauges(known.away),
       ]),
   };
 }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -11,9 +11,27 @@
   'taskStopped',
   'taskSuspected',
   'taskCleared',
+  'taskAway',
   'orderRefused',
 ] as const;
 
+/** Why a lasting task does not work. Each is a series of a gauge. */
+export const AWAY_REASONS = [
+  'storing',
+  'starting',
+  'stopping',
+  'silent',
+  'backingOff',
+  'searching',
+  'reserved',
+  'clearing',
+  'queued',
+  'contradictory',
+] as const;
+
+/** Reason for which a lasting task does not work. */
+export type AwayReason = (typeof AWAY_REASONS)[number];
+
 /** Name of a logged event about one task. */
 export type TaskEventName = (typeof TASK_EVENTS)[number];
 
@@ -36,6 +54,7 @@
   | 'jobSeen'
   | 'jobEnded'
   | 'taskPaced'
+  | 'awayCounts'
   | 'orderLost'
   | 'heartbeatRefuted'
   | 'reportIgnored'
--- a/packages/telemetry/test/eventlog.test.ts
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import type { EventFields, EventName } from '../src';
-import { createEventLog, createEventMetrics, createHistogram } from '../src';
+import { AWAY_REASONS, createEventLog, createEventMetrics, createHistogram } from '../src';
 
 interface Entry {
   readonly event: EventName;
@@ -63,6 +63,21 @@
   expect(lines.flatMap(({ leftOut }) => leftOut ?? [])).to.deep.equal([10, 7]);
 });
 
+// Guards against a gauge that a former leader goes on exporting.
+it('eventmetrics: the tasks that are away are exported by reason until another entry leads', () => {
+  const metrics = createEventMetrics();
+  const seriesOf = (): readonly string[] =>
+    metrics
+      .text(0)
+      .split('\n')
+      .filter((line) => line.startsWith('bronzeyoke_lasting_away{'));
+  metrics.record('awayCounts', { total: 3, searching: 2, silent: 1 });
+  expect(seriesOf()).to.include('bronzeyoke_lasting_away{reason="searching"} 2');
+  expect(seriesOf()).to.have.length(AWAY_REASONS.length);
+  metrics.record('leaderSeen', {});
+  expect(seriesOf()).to.include('bronzeyoke_lasting_away{reason="searching"} 0');
+});
+
 // Guards against waits that are counted while they go on, and again at their end.
 it('eventmetrics: a wait for a place counts once, when the place is found', () => {
   const metrics = createEventMetrics(createHistogram);
