--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -53,6 +53,7 @@
     const inputs = { nowMs: clock.now(), random: clock.random() };
     const step = stepScheduler(node.state, event, inputs);
     node.state = step.state;
+    world.onStep(step.state, event);
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
     step.effects.forEach(perform);
   };
--- a/packages/scheduler/test/siminvariants.ts
+++ b/packages/scheduler/test/siminvariants.ts
@@ -1,4 +1,6 @@
-import type { SchedulerState } from '@bronzeyoke/scheduler';
+import type { LastingTask, SchedulerEvent, SchedulerState } from '@bronzeyoke/scheduler';
+import { lastingTasks, whereaboutsOf } from '@bronzeyoke/scheduler';
+import { WALL_MS } from './fixture';
 import type { SimWorker } from './simworker';
 
 /** The users' promise for a lasting task that does not run. */
@@ -19,7 +21,21 @@
   | { readonly kind: 'lastingTaskAway'; readonly task: string; readonly sinceMs: number }
   | { readonly kind: 'foreignCommit'; readonly entry: string; readonly owner: string }
   | { readonly kind: 'unclaimedStart'; readonly entry: string; readonly run: string }
-  | { readonly kind: 'unstoredEnd'; readonly entry: string; readonly run: string };
+  | { readonly kind: 'unstoredEnd'; readonly entry: string; readonly run: string }
+  | { readonly kind: 'unboundedState'; readonly task: string; readonly what: UnboundedState };
+
+/** A state of a lasting task that nothing ends in time. */
+type UnboundedState =
+  /** The leader's view contradicts itself. */
+  | 'contradictory'
+  /** No transaction that is pending or in flight leads to the start order of a claim. */
+  | 'unorderedClaim'
+  /** A worker that reports has neither listed nor lacked an ordered run for long. */
+  | 'unlistedStart'
+  /** The lease of a silent worker has ended, and its run was not released. */
+  | 'expiredWorker'
+  /** A task waits for a place, and no pass is due. */
+  | 'noPass';
 
 /** A row that a claim wrote. */
 export interface ClaimRow {
@@ -96,3 +112,60 @@
     nowMs - atMs > AWAY_MS ? [{ kind: 'lastingTaskAway', task, sinceMs: atMs }] : [],
   );
 }
+
+/**
+ * Longest time from a claim to a list with the run, or a proof that it never starts, while the worker
+ * reports: a late order (0.4 s), a lost list and the end of the worker's earlier lease (5.3 s).
+ */
+const MAX_START_MS = 7_000;
+
+function hasStartAction({ pendingWrites, inFlight }: SchedulerState, task: string): boolean {
+  const pending = pendingWrites.actions.toArray().map(({ action }) => action);
+  return [...pending, ...(inFlight?.postCommit ?? [])].some(
+    (action) => action.kind === 'start' && action.task === task,
+  );
+}
+
+/** Returns why nothing ends the state of a lasting task in time; undefined if something does. */
+function unboundedState(
+  state: SchedulerState,
+  lasting: LastingTask,
+  nowMs: number,
+  isTick: boolean,
+): UnboundedState | undefined {
+  const whereabouts = whereaboutsOf(state, lasting, nowMs);
+  switch (whereabouts.kind) {
+    case 'contradictory':
+      return 'contradictory';
+    case 'storing':
+      return hasStartAction(state, lasting.task) ? undefined : 'unorderedClaim';
+    case 'starting':
+      return nowMs - whereabouts.sinceMs > MAX_START_MS ? 'unlistedStart' : undefined;
+    case 'silent':
+      // A tick releases what has expired; other events do not.
+      return isTick && nowMs >= whereabouts.untilMs ? 'expiredWorker' : undefined;
+    case 'searching':
+    case 'reserved':
+    case 'clearing':
+    case 'queued':
+      return state.needsPlacement || Number.isFinite(state.placeAgainAtMs) ? undefined : 'noPass';
+    case 'working':
+    case 'stopping':
+    case 'backingOff':
+    case 'notReady':
+      return undefined;
+  }
+}
+
+/** Each lasting task of an open job is in a state of the leader's view that something ends in time. */
+export function viewViolations(
+  state: SchedulerState,
+  nowMs: number,
+  event: SchedulerEvent['kind'],
+): readonly Violation[] {
+  if (state.phase !== 'leading') return [];
+  return lastingTasks(state, WALL_MS + nowMs).flatMap((lasting): readonly Violation[] => {
+    const what = unboundedState(state, lasting, nowMs, event === 'tick');
+    return what === undefined ? [] : [{ kind: 'unboundedState', task: lasting.task, what }];
+  });
+}
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -23,6 +23,8 @@
   readonly orderDelayMs: (machine: string) => Span;
   readonly log: (who: string, text: string) => void;
   readonly onSend: (entry: EntryNode, message: LeaderMessage) => void;
+  /** An entry has handled an event. */
+  readonly onStep: (state: SchedulerState, event: SchedulerEvent) => void;
 }
 
 /** A connection between an agent and an entry. Messages arrive in order. */
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -23,6 +23,7 @@
   rowViolations,
   runViolations,
   termViolations,
+  viewViolations,
 } from './siminvariants';
 import type { AgentNode, EntryNode, World } from './simnodes';
 import type { SimStore } from './simstore';
@@ -106,9 +107,8 @@
     if (write?.kind === 'put') {
       const leader = decodeLeader({ ...write, version });
       if (leader === undefined) return;
-      const { entryId, term } = leader;
-      known.claims = [...known.claims, { version, entryId, term }];
-      log('store', `claim of ${entryId} term ${term}`);
+      known.claims = [...known.claims, { version, entryId: leader.entryId, term: leader.term }];
+      log('store', `claim of ${leader.entryId} term ${leader.term}`);
       rowViolations(known.claims).forEach(record);
       return;
     }
@@ -153,6 +153,7 @@
     entryAt: (host) => entries[hosts.indexOf(host)],
     log,
     onSend,
+    onStep: (state, event) => viewViolations(state, clock.now(), event.kind).forEach(record),
   };
 
   const startEntry = (index: number): void => {
