--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -114,7 +114,7 @@
             stepScheduler(current, { kind: 'passTook', durationMs }, { ...inputs, nowMs }),
         ])
       : decided;
-    const { phase, pendingWrites, dueGrants } = step.state;
+    const { phase, pendingWrites, dueGrants, absences } = step.state;
     if (phase !== 'leading') {
       meter.window = openWindow(nowMs);
       return step;
@@ -129,6 +129,7 @@
       rows: pendingWrites.jobs.size,
       actions: pendingWrites.actions.size,
       grants: dueGrants.size,
+      away: absences.size,
     };
     const line = closeWindow(meter.window, backlog, nowMs);
     if (line === undefined) return step;
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -29,6 +29,8 @@
   waits: Map<string, never>(),
   heldStarts: Map<string, never>(),
   unplacedSince: Map<string, never>(),
+  absences: Map<string, never>(),
+  absencesAtMs: -Infinity,
   placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
   needsPlacement: false,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -14,6 +14,7 @@
 import type { OrphanTable, RunTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
+  Absence,
   FailedSearch,
   HeldStart,
   KnownLoads,
@@ -214,6 +215,9 @@
   readonly suspects: Map<string, Suspect>;
   /** Waits of tasks for which room is kept, by task. */
   readonly waits: Map<string, PlaceWait>;
+  /** Lasting tasks that do not work, as of the last look at them. */
+  readonly absences: Map<string, Absence>;
+  readonly absencesAtMs: number;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
   /** Stored claims whose agents had no connection, by task. */
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -139,6 +139,12 @@
   readonly untilMs: number;
 }
 
+/** A lasting task that does not work. */
+export interface Absence {
+  readonly sinceMs: number;
+  readonly loggedAtMs?: number;
+}
+
 /** The last search for a filling stage that found too few workers. */
 export interface FailedSearch {
   readonly passNumber: number;
