--- a/packages/actors/src/actor.ts
+++ b/packages/actors/src/actor.ts
@@ -7,7 +7,7 @@
  * Node.js 20 accepts one connection in a turn, so a leader with long turns keeps a fleet waiting that
  * connects at the same moment.
  */
-const MAX_BATCH_MS = 10;
+const MAX_BATCH_MS = 50;
 
 /** Reference to an actor, through which messages are sent to it. */
 export interface Ref<Message> {
