Give the entries of the scheduler's model processor time

The model handled every event at once, so it could not show a leader that stays overloaded after a fault has ended.

Change: an entry handles one event at a time (simcpu.ts); the others wait, closed connections included. A step's time is when it is handled, its effects follow when its cost has passed. The log of claims (simclaims.ts) and the watch over runs (simwatch.ts) are files of their own; the watch and the ends of runs are computed when runs change, not at each instant.

--- /dev/null
+++ b/packages/scheduler/test/simcpu.ts
@@ -0,0 +1,170 @@
+import type { SchedulerEvent, SchedulerState, SchedulerStep } from '@bronzeyoke/scheduler';
+import { assertNever } from '@bronzeyoke/types';
+import type { Clock } from './simclock';
+
+/** Processor time of an entry's work, in ms of a whole core. */
+export interface CpuCosts {
+  /** Every event, with the call or message that brought it. */
+  readonly eventMs: number;
+  readonly reportMs: number;
+  /** Each run or end that a report lists. */
+  readonly listedRunMs: number;
+  /** Each row that is read or written. */
+  readonly rowMs: number;
+  /** Each start order. */
+  readonly orderMs: number;
+  /** A placement pass, for each worker. */
+  readonly passWorkerMs: number;
+  /** A placement pass, for each worker and each task that it claims or finds no place for. */
+  readonly placeMs: number;
+}
+
+/** Work takes no time. */
+export const NO_COSTS: CpuCosts = {
+  eventMs: 0,
+  reportMs: 0,
+  listedRunMs: 0,
+  rowMs: 0,
+  orderMs: 0,
+  passWorkerMs: 0,
+  placeMs: 0,
+};
+
+/**
+ * Costs that were measured. Reports: `REPORT_COST_MS` of the scheduler's budget. Passes and listed runs:
+ * docs/CAPACITY.md, from 6.5 ms for 70 workers, 27 ms with 2,000 places looked at, and 0.37 ms for ten
+ * runs. Rows and orders: its 0.94 cores for 440 starts a second, without the above.
+ */
+export const MEASURED_COSTS: CpuCosts = {
+  eventMs: 0.05,
+  reportMs: 0.5,
+  listedRunMs: 0.03,
+  rowMs: 0.3,
+  orderMs: 0.3,
+  passWorkerMs: 0.09,
+  placeMs: 0.01,
+};
+
+/** Returns the processor time of what an event itself carries. */
+function eventMs(costs: CpuCosts, event: SchedulerEvent): number {
+  switch (event.kind) {
+    case 'received': {
+      const { message } = event;
+      if (message.kind !== 'report') return costs.eventMs;
+      return costs.reportMs + (message.running.length + message.ended.length) * costs.listedRunMs;
+    }
+    case 'jobRows':
+      return costs.eventMs + event.rows.length * costs.rowMs;
+    case 'rangeDone': {
+      const rows = event.result.kind === 'rows' ? event.result.rows.length : 0;
+      return costs.eventMs + rows * costs.rowMs;
+    }
+    case 'tick':
+    case 'configChanged':
+    case 'timesChanged':
+    case 'domainsOut':
+    case 'leaderRow':
+    case 'commitDone':
+    case 'linkOpened':
+    case 'linkClosed':
+    case 'stop':
+      return costs.eventMs;
+    default:
+      return assertNever(event);
+  }
+}
+
+/** Returns the processor time of the placement pass of a step; 0 if it made none. */
+function passMs(
+  { passWorkerMs, placeMs }: CpuCosts,
+  before: SchedulerState,
+  { passCount, runs, waits, unplacedSince, workers }: SchedulerState,
+  nowMs: number,
+): number {
+  if (passCount === before.passCount) return 0;
+  const claimed = runs.byTask.count(
+    ({ claimedAtMs, isOrdered }) => claimedAtMs === nowMs && !isOrdered,
+  );
+  const places = claimed + waits.size + unplacedSince.size;
+  return workers.size * (passWorkerMs + places * placeMs);
+}
+
+/** Returns the processor time of a step, in ms of a whole core. */
+export function stepMs(
+  costs: CpuCosts,
+  before: SchedulerState,
+  event: SchedulerEvent,
+  { state, effects }: SchedulerStep,
+  nowMs: number,
+): number {
+  const effectMs = effects.map((effect) => {
+    if (effect.kind === 'commit') return effect.transaction.writes.length * costs.rowMs;
+    return effect.kind === 'send' && effect.message.kind === 'start' ? costs.orderMs : 0;
+  });
+  const sumMs = effectMs.reduce((sum, ms) => sum + ms, 0);
+  return eventMs(costs, event) + passMs(costs, before, state, nowMs) + sumMs;
+}
+
+/** What an event leads to, once the time that it takes has passed. */
+export interface Work {
+  readonly durationMs: number;
+  readonly finish: () => void;
+}
+
+/** Handles one event at a time; the others wait in order. */
+export interface Processor<Event> {
+  readonly submit: (event: Event) => void;
+  /** Stops and continues the process between two events. */
+  readonly setPaused: (isPaused: boolean) => void;
+}
+
+/** Creates a processor. `begin` decides on an event when its turn has come. */
+export function createProcessor<Event>(
+  clock: Clock,
+  begin: (event: Event) => Work,
+): Processor<Event> {
+  const known: {
+    waiting: Event[];
+    isBusy: boolean;
+    isPaused: boolean;
+    /** Part of a ms that the clock does not show. */
+    owedMs: number;
+  } = { waiting: [], isBusy: false, isPaused: false, owedMs: 0 };
+
+  const handle = (event: Event): void => {
+    const { durationMs, finish } = begin(event);
+    const owedMs = known.owedMs + durationMs;
+    const wholeMs = Math.floor(owedMs);
+    known.owedMs = owedMs - wholeMs;
+    if (wholeMs === 0) {
+      finish();
+      return;
+    }
+    known.isBusy = true;
+    clock.schedule(wholeMs, () => {
+      known.isBusy = false;
+      finish();
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- the next event follows
+      run();
+    });
+  };
+
+  function run(): void {
+    while (!known.isBusy && !known.isPaused) {
+      const event = known.waiting.shift();
+      if (event === undefined) return;
+      handle(event);
+    }
+  }
+
+  return {
+    submit: (event) => {
+      known.waiting.push(event);
+      run();
+    },
+    setPaused: (isPaused) => {
+      known.isPaused = isPaused;
+      run();
+    },
+  };
+}
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -2,6 +2,8 @@
 import { createScheduler, FULL_CAPACITY, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import { WALL_MS } from './fixture';
+import type { Work } from './simcpu';
+import { createProcessor, stepMs } from './simcpu';
 import type { EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
 import type { SimFollower } from './simstore';
@@ -19,42 +21,51 @@
 ];
 
 /** Starts an entry. */
-export function createEntry(world: World, host: string, entryId: string): EntryNode {
+export function createEntry(
+  world: World,
+  host: string,
+  entryId: string,
+  processors = FULL_CAPACITY.processors,
+): EntryNode {
   const { clock, store } = world;
+  const capacity = { ...FULL_CAPACITY, processors };
   const node: {
     state: SchedulerState;
     isUp: boolean;
     isStopping: boolean;
     isFrozen: boolean;
-    held: readonly SchedulerEvent[];
     jobFeed?: SimFollower | undefined;
   } = {
     state: createScheduler({
       entryId,
       host,
       port: PORT,
-      capacity: FULL_CAPACITY,
+      capacity,
       times: world.times,
     }),
     isUp: true,
     isStopping: false,
     isFrozen: false,
-    held: [],
   };
   const links = new Map<string, Link>();
   const wallMs = (): number => WALL_MS + clock.now();
 
+  const begin = (event: SchedulerEvent): Work => {
+    const nowMs = clock.now();
+    if (!node.isUp) return { durationMs: 0, finish: () => {} };
+    const step = stepScheduler(node.state, event, { nowMs, random: clock.random() });
+    const coreMs = stepMs(world.costs, node.state, event, step, nowMs);
+    const finish = (): void => {
+      if (!node.isUp) return;
+      node.state = step.state;
+      // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
+      step.effects.forEach(perform);
+    };
+    return { durationMs: coreMs / capacity.processors, finish };
+  };
+  const processor = createProcessor(clock, begin);
   const dispatch = (event: SchedulerEvent): void => {
-    if (!node.isUp) return;
-    if (node.isFrozen) {
-      node.held = [...node.held, event];
-      return;
-    }
-    const inputs = { nowMs: clock.now(), random: clock.random() };
-    const step = stepScheduler(node.state, event, inputs);
-    node.state = step.state;
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
-    step.effects.forEach(perform);
+    if (node.isUp) processor.submit(event);
   };
 
   function followJobs(isOn: boolean): void {
@@ -109,6 +120,7 @@
         return;
       }
       case 'log':
+        world.onLog(effect);
         if (LOGGED.includes(effect.event))
           world.log(entryId, `${effect.event} ${JSON.stringify(effect.fields)}`);
         return;
@@ -157,10 +169,7 @@
     },
     setFrozen: (isFrozen) => {
       node.isFrozen = isFrozen;
-      if (isFrozen) return;
-      const { held } = node;
-      node.held = [];
-      held.forEach(dispatch);
+      processor.setPaused(isFrozen);
     },
   };
   return entry;
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -2,8 +2,10 @@
 import type { RunnerEvent, RunnerState } from '@bronzeyoke/runner';
 import type { SchedulerEvent, SchedulerState, SchedulerTimes } from '@bronzeyoke/scheduler';
 import { LEADER_KEY } from '@bronzeyoke/scheduler';
+import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 import type { Clock, Span } from './simclock';
+import type { CpuCosts } from './simcpu';
 import type { SimStore } from './simstore';
 
 /** Duration of a message between two processes. */
@@ -19,9 +21,11 @@
   readonly entryAt: (host: string) => EntryNode | undefined;
   readonly seeds: readonly string[];
   readonly times: SchedulerTimes;
+  readonly costs: CpuCosts;
   /** Time after which orders, but not holds, reach the worker of a machine. */
   readonly orderDelayMs: (machine: string) => Span;
   readonly log: (who: string, text: string) => void;
+  readonly onLog: (line: LogEffect) => void;
   readonly onSend: (entry: EntryNode, message: LeaderMessage) => void;
 }
 
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -1,10 +1,23 @@
+import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Span } from './simclock';
+import type { CpuCosts } from './simcpu';
 import type { ClaimRow, Violation } from './siminvariants';
 import type { PlannedLoss, StoreConditions } from './simstore';
 
 /** Time of an order to a worker on a fast connection. */
 export const PROMPT_ORDERS: Span = [1, 1];
 
+/** What the work of the entries costs, and the processors of each; nothing and many by default. */
+export interface CpuOptions {
+  readonly costs?: CpuCosts;
+  readonly processors?: readonly number[];
+}
+
+/** A line that an entry has logged, with the time since the start. */
+export interface LoggedLine extends Pick<LogEffect, 'event' | 'fields'> {
+  readonly atMs: number;
+}
+
 /** Several entries, machines with an agent and a worker, and a store, in virtual time. */
 export interface Simulation {
   readonly now: () => number;
@@ -12,6 +25,8 @@
   readonly violations: () => readonly Violation[];
   /** Log lines of the leadership and of the faults, with the time since the start. */
   readonly trace: () => readonly string[];
+  /** All lines that entries have logged. */
+  readonly logged: () => readonly LoggedLine[];
   readonly claims: () => readonly ClaimRow[];
   /** Index of the entry that leads, by the phase of its newest term. */
   readonly leader: () => number;
@@ -24,6 +39,8 @@
   readonly submit: (kind: 'lasting' | 'short', taskCount: number) => string;
   /** Cancels a job unless it has ended. */
   readonly cancel: (jobId: string) => void;
+  /** Lasting tasks that run on no worker now. */
+  readonly lastingAway: () => readonly string[];
   readonly isComplete: (jobId: string) => boolean;
   /** Sends an agent heartbeats of another writer: of later instances that do not exist. */
   readonly hearOddHeartbeats: (machine: number) => void;
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -1,34 +1,23 @@
-import type { RowTransaction } from '@bronzeyoke/ports';
-import {
-  cancelKey,
-  decodeLeader,
-  decodeLease,
-  jobKey,
-  progressKey,
-  TABLES,
-} from '@bronzeyoke/scheduler';
+import { cancelKey, jobKey, progressKey } from '@bronzeyoke/scheduler';
 import { rowId } from '@bronzeyoke/standins';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import type { Stage } from '@bronzeyoke/workflow';
-import { decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
+import { decodeProgress } from '@bronzeyoke/workflow';
 import { jobOf, stageOf, TIMES, WALL_MS } from './fixture';
 import { createAgent } from './simagent';
+import { createClaimLog, isStillStored, runName } from './simclaims';
 import type { Span } from './simclock';
 import { createClock } from './simclock';
+import { NO_COSTS } from './simcpu';
 import { createEntry } from './simentry';
-import type { ClaimRow, LastRun, Violation } from './siminvariants';
-import {
-  isHolder,
-  lastingViolations,
-  rowViolations,
-  runViolations,
-  termViolations,
-} from './siminvariants';
+import type { Violation } from './siminvariants';
+import { isHolder, lastingViolations, termViolations } from './siminvariants';
 import type { AgentNode, EntryNode, World } from './simnodes';
 import type { SimStore } from './simstore';
-import { CALM_STORE, commitKindOf, createStore } from './simstore';
-import type { Simulation } from './simtypes';
+import { CALM_STORE, createStore } from './simstore';
+import type { CpuOptions, LoggedLine, Simulation } from './simtypes';
 import { PROMPT_ORDERS } from './simtypes';
+import { createRunWatch } from './simwatch';
 import type { SimWorker } from './simworker';
 import { createWorker, hasRoomOn, LASTING_PER_WORKER } from './simworker';
 
@@ -46,20 +35,20 @@
 }
 
 /** Creates a simulation with its entries and machines running. */
-export function createSimulation(seed: number, machineCount = 5, times = TIMES): Simulation {
+export function createSimulation(
+  seed: number,
+  machineCount = 5,
+  times = TIMES,
+  { costs = NO_COSTS, processors = [] }: CpuOptions = {},
+): Simulation {
   const clock = createClock(seed);
   const startMs = clock.now();
   const hosts = Array.from({ length: ENTRIES }, (_, index) => `h${index}`);
   const found = new Map<string, Violation>();
   const trace: string[] = [];
-  const lastRuns = new Map<string, number>();
-  const storedClaims = new Set<string>();
-  const known: {
-    claims: readonly ClaimRow[];
-    jobs: number;
-    calmSinceMs: number;
-    generation: number;
-  } = { claims: [], jobs: 0, calmSinceMs: 0, generation: 0 };
+  const logged: LoggedLine[] = [];
+  const watch = createRunWatch();
+  const known = { jobs: 0, calmSinceMs: 0, generation: 0 };
   const orderDelays = new Map<string, Span>();
   const disturbances = new Set<string>();
   const entries: EntryNode[] = [];
@@ -88,59 +77,21 @@
     calm(what);
   };
 
-  const recordProgress = ({ writes }: RowTransaction): void =>
-    writes.forEach((write) => {
-      if (write.kind !== 'put' || write.table !== TABLES.progress) return;
-      decodeProgress(write.value)?.tasks.forEach(({ workerKey, attempt }, slot) => {
-        if (workerKey !== undefined) {
-          storedClaims.add(`${write.key}.${slot}#${attempt}@${workerKey}`);
-        }
-      });
-    });
-
-  const onApplied = (caller: string, transaction: RowTransaction, version: number): void => {
-    const kind = commitKindOf(transaction);
-    recordProgress(transaction);
-    if (kind === 'other') return;
-    const write = transaction.writes.find(({ table }) => table === TABLES.leader);
-    if (write?.kind === 'put') {
-      const leader = decodeLeader({ ...write, version });
-      if (leader === undefined) return;
-      const { entryId, term } = leader;
-      known.claims = [...known.claims, { version, entryId, term }];
-      log('store', `claim of ${entryId} term ${term}`);
-      rowViolations(known.claims).forEach(record);
-      return;
-    }
-    const put = transaction.writes.find(({ table }) => table === TABLES.lease);
-    const writer = put?.kind === 'put' ? decodeLease({ ...put, version })?.entryId : undefined;
-    const owner = known.claims.at(-1)?.entryId ?? '';
-    if (kind === 'release') log('store', `release of ${caller}`);
-    if (writer !== owner) record({ kind: 'foreignCommit', entry: writer ?? caller, owner });
-  };
-
-  const store: SimStore = createStore(clock, onApplied);
-
-  const isStillStored = (task: string, attempt: number, workerKey: string): boolean => {
-    const ref = parseTaskName(task);
-    const row = store.state().rows.get(rowId(progressKey(ref?.jobId ?? '')));
-    const slot = task.slice((ref?.jobId ?? '').length + 1);
-    const stored = decodeProgress(row?.value)?.tasks.get(slot);
-    return stored?.workerKey === workerKey && stored.attempt === attempt;
-  };
+  const claims = createClaimLog(record, log);
+  const store: SimStore = createStore(clock, claims.onApplied);
 
   const onSend = ({ name }: EntryNode, message: LeaderMessage): void => {
     if (message.kind === 'start') {
       const { task, attempt } = message.run;
-      const run = `${task}#${attempt}@${message.workerKey}`;
-      if (!storedClaims.has(run)) record({ kind: 'unclaimedStart', entry: name, run });
+      const run = runName(task, attempt, message.workerKey);
+      if (!claims.hasClaimed(run)) record({ kind: 'unclaimedStart', entry: name, run });
     }
     if (message.kind !== 'acknowledge') return;
     const { workerKey, sequence } = message;
     const worker = machines.find((machine) => machine.worker.key === workerKey)?.worker;
     worker?.state().ends.forEach(({ task, attempt, sequence: number }) => {
-      if (number > sequence || !isStillStored(task, attempt, workerKey)) return;
-      record({ kind: 'unstoredEnd', entry: name, run: `${task}#${attempt}@${workerKey}` });
+      if (number > sequence || !isStillStored(store, task, attempt, workerKey)) return;
+      record({ kind: 'unstoredEnd', entry: name, run: runName(task, attempt, workerKey) });
     });
   };
 
@@ -149,16 +100,18 @@
     store,
     seeds: hosts,
     times,
+    costs,
     orderDelayMs: (machine) => orderDelays.get(machine) ?? PROMPT_ORDERS,
     entryAt: (host) => entries[hosts.indexOf(host)],
     log,
+    onLog: ({ event, fields }) => logged.push({ atMs: clock.now() - startMs, event, fields }),
     onSend,
   };
 
   const startEntry = (index: number): void => {
     known.generation += 1;
     const host = hosts[index] ?? '';
-    entries[index] = createEntry(world, host, `${host}-${known.generation}`);
+    entries[index] = createEntry(world, host, `${host}-${known.generation}`, processors[index]);
   };
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
@@ -182,22 +135,16 @@
     const nowMs = clock.now() - startMs;
     machines.forEach(({ worker }) => worker.update());
     const workers = machines.map(({ worker }) => worker);
-    const live = workers.filter((worker) => worker.isUp());
-    live.forEach((worker) =>
-      worker.state().runs.forEach((_, task) => {
-        if (lastRuns.has(task)) lastRuns.set(task, clock.now() - startMs);
-      }),
-    );
-    const runs: readonly LastRun[] = [...lastRuns].map(([task, atMs]) => ({ task, atMs }));
-    const hasRoom = machines.some(
-      ({ agent, worker }) =>
-        agent.isUp() && worker.isUp() && !worker.isDraining() && hasRoomOn(worker),
-    );
+    const broken = watch.observe(workers, nowMs);
+    const away = watch.away();
+    const isUsable = ({ agent, worker }: Machine): boolean =>
+      agent.isUp() && worker.isUp() && !worker.isDraining() && hasRoomOn(worker);
+    const hasRoom = away.length > 0 && machines.some(isUsable);
     const calmSinceMs = disturbances.size > 0 ? nowMs : known.calmSinceMs;
     [
-      ...termViolations(holderStates(), known.claims),
-      ...runViolations(workers),
-      ...lastingViolations(runs, nowMs, calmSinceMs, hasRoom),
+      ...termViolations(holderStates(), claims.leaders()),
+      ...broken,
+      ...lastingViolations(away, nowMs, calmSinceMs, hasRoom),
     ].forEach(record);
   };
 
@@ -222,9 +169,10 @@
     random: clock.random,
     violations: () => [...found.values()],
     trace: () => trace,
-    claims: () => known.claims,
+    logged: () => logged,
+    claims: claims.leaders,
     leader: () => {
-      const owner = known.claims.at(-1)?.entryId;
+      const owner = claims.leaders().at(-1)?.entryId;
       return entries.findIndex(
         (entry) => entry.name === owner && entry.isUp() && isHolder(entry.state()),
       );
@@ -246,18 +194,17 @@
       store.put({ conditions: [], writes: [{ kind: 'put', ...jobKey(jobId), value }] });
       if (kind === 'short') return jobId;
       Array.from({ length: taskCount }, (_, index) =>
-        lastRuns.set(`${jobId}.0.0.${index}`, clock.now() - startMs),
+        watch.follow(`${jobId}.0.0.${index}`, clock.now() - startMs),
       );
       return jobId;
     },
     cancel: (jobId) => {
       if (!store.state().rows.has(rowId(jobKey(jobId)))) return;
       log('plan', `cancel ${jobId}`);
-      [...lastRuns.keys()]
-        .filter((task) => task.startsWith(`${jobId}.`))
-        .forEach((task) => lastRuns.delete(task));
+      watch.forget(jobId);
       store.put({ conditions: [], writes: [{ kind: 'put', ...cancelKey(jobId), value: {} }] });
     },
+    lastingAway: () => watch.away().map(({ task }) => task),
     isComplete: (jobId) => {
       const row = store.state().rows.get(rowId(progressKey(jobId)));
       return decodeProgress(row?.value)?.outcome === 'complete';
--- a/packages/scheduler/test/simworker.ts
+++ b/packages/scheduler/test/simworker.ts
@@ -56,6 +56,20 @@
   } = { state: createTaskWorker(bornAtMs), sequence: 0, isUp: true, isDraining: false };
   const key = workerKeyOf({ id, bornAtMs });
 
+  const due: { state: TaskWorkerState; atMs: number } = { state: known.state, atMs: Infinity };
+  /** Returns whether the work of a run is done or the lease is over; looks at the runs once a state. */
+  const isEndDue = (): boolean => {
+    const { state } = known;
+    if (due.state !== state) {
+      due.state = state;
+      due.atMs = state.runs.reduce(
+        (atMs, { endsAtMs }) => Math.min(atMs, endsAtMs),
+        state.leaseUntilMs,
+      );
+    }
+    return state.runs.size > 0 && clockMs() >= due.atMs;
+  };
+
   const run = (call: WorkerCall): WorkerCallResult => {
     const workMs = 'task' in call && call.task.startsWith('lasting') ? LASTING_MS : SHORT_MS;
     const step = callTaskWorker(known.state, call, clockMs(), workMs);
@@ -118,7 +132,7 @@
     },
     call,
     update: () => {
-      if (!known.isUp) return;
+      if (!known.isUp || !isEndDue()) return;
       const before = known.state.lastEndSequence;
       known.state = advanceTaskWorker(known.state, clockMs());
       if (known.state.lastEndSequence !== before) known.wake?.();
