Judge absences in the fleet model by what the workers run

The oracle only looked at the end of a run for lasting tasks that had not started for 12.2 s. It now looks every 0.5 s at the runs and the room of the workers: a task of an open job that runs nowhere for 9 s (12 s if it does not last), after 7 s without a fault and while two workers have room, is a violation.

--- a/packages/fleet/src/index.ts
+++ b/packages/fleet/src/index.ts
@@ -1,3 +1,4 @@
+export * from './absences';
 export { FLEET_TIMES } from './process';
 export * from './run';
 export * from './world';
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -4,6 +4,7 @@
 import type { SchedulerTimes } from '@bronzeyoke/scheduler';
 import { PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { decodeJob, decodeProgress, stageSlots } from '@bronzeyoke/workflow';
+import { observeAbsences } from './absences';
 import { handleFleetEvent } from './events';
 import { bootAgent, bootEntry, bootWorker, FLEET_TIMES } from './process';
 import type { Fleet, FleetFault } from './world';
@@ -51,6 +52,10 @@
     frozenUntilMs: Map(),
     acknowledgedTasks: Set(),
     startedAtMs: Map(),
+    absences: { observedAtMs: 0, calmSinceMs: 0, seenAtMs: Map() },
+    cancelledJobs: Set(),
+    siteCount: SITES.length,
+    entryCount: ENTRIES.length,
     violations: [],
     starts: 0,
     steps: 0,
@@ -151,7 +156,7 @@
       nowMs: first.atMs,
       eventQueue: pop(current.fleet.eventQueue),
     };
-    current.fleet = handleFleetEvent(advanced, first.item);
+    current.fleet = observeAbsences(handleFleetEvent(advanced, first.item));
   }
   return current.fleet;
 }
--- a/packages/fleet/src/store.ts
+++ b/packages/fleet/src/store.ts
@@ -86,5 +86,7 @@
           writes: [{ kind: 'put', ...jobKey(jobId), value: makeJob(fleet, jobId) } as const],
         }
       : cancellation(fleet, jobId);
-  return { ...fleet, store: commitRow(fleet.store, transaction).state };
+  const cancelledJobs =
+    item.kind === 'cancel' ? fleet.cancelledJobs.add(jobId) : fleet.cancelledJobs;
+  return { ...fleet, cancelledJobs, store: commitRow(fleet.store, transaction).state };
 }
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -115,14 +115,24 @@
 
 /**
  * A violated invariant at the workers: two runs of a task at a time, a run after an acknowledged
- * success, or a run after the end of the job.
+ * success, a run after the end of the job, or a task that runs nowhere for too long although workers
+ * have room for it.
  */
 export interface FleetViolation {
-  readonly kind: 'concurrentRun' | 'runAfterSuccess' | 'runAfterJobEnd';
+  readonly kind: 'concurrentRun' | 'runAfterSuccess' | 'runAfterJobEnd' | 'taskAway';
   readonly task: string;
   readonly atMs: number;
 }
 
+/** What the workers have shown of the tasks that could run. */
+export interface FleetAbsences {
+  readonly observedAtMs: number;
+  /** End of the last fault. */
+  readonly calmSinceMs: number;
+  /** When each task last ran, or could first run. */
+  readonly seenAtMs: Map<string, number>;
+}
+
 /** State of a fleet in virtual time. */
 export interface Fleet {
   readonly seed: number;
@@ -143,6 +153,12 @@
   readonly acknowledgedTasks: Set<string>;
   /** Time of the last start of each task. */
   readonly startedAtMs: Map<string, number>;
+  readonly absences: FleetAbsences;
+  /** Jobs whose cancellation was stored. */
+  readonly cancelledJobs: Set<string>;
+  /** Workers and entries while no fault has ended one. */
+  readonly siteCount: number;
+  readonly entryCount: number;
   readonly violations: readonly FleetViolation[];
   readonly starts: number;
   readonly steps: number;
--- a/packages/fleet/test/fleet.test.ts
+++ b/packages/fleet/test/fleet.test.ts
@@ -1,10 +1,19 @@
 import { expect } from 'chai';
-import { FLEET_TIMES, jobOutcomes, runFleet } from '@bronzeyoke/fleet';
+import { FLEET_TIMES, jobOutcomes, observeAbsences, runFleet } from '@bronzeyoke/fleet';
 
 const FAULT_FREE_SEEDS = [1, 2];
 const FAULT_SEEDS = Array.from({ length: 16 }, (_, index) => 100 + index);
 const FAULTS = 7;
 
+/** Returns the lasting tasks that run at the end of a run without faults. */
+function lastingRuns(seed: number): readonly string[] {
+  const { fleet } = runFleet(seed, 0);
+  return fleet.workers
+    .valueSeq()
+    .flatMap(({ state }) => [...state.runs.keys()])
+    .toArray();
+}
+
 // Guards against jobs that do not end although there are no faults.
 it('completes every job without faults', () => {
   FAULT_FREE_SEEDS.forEach((seed) => {
@@ -37,3 +46,16 @@
   );
   expect(kinds).to.include('concurrentRun');
 });
+
+// Guards against an oracle that does not see a task which runs nowhere beside workers with room.
+it('detects a lasting task that runs on no worker', () => {
+  const seed = FAULT_SEEDS.find((other) => lastingRuns(other).length > 0) ?? 0;
+  const { fleet } = runFleet(seed, 0);
+  const idle = fleet.workers.map((worker) => {
+    const { state } = worker;
+    return { ...worker, state: { ...state, runs: state.runs.clear(), ends: state.ends.clear() } };
+  });
+  const [task = ''] = lastingRuns(seed);
+  const later = observeAbsences({ ...fleet, workers: idle, nowMs: fleet.nowMs + 13_000 });
+  expect(later.violations.map((violation) => violation.task)).to.include(task);
+});
