Report seldom on a new connection until the leader asks for more

Agents kept the report interval of the leader before, 0.2 s from a large machine, because only a grant changes it. The reports of 20 workers then took 0.94 s of each second of a small successor (scheduler model, 0.05 cores), its replies went to connections that were closed, and the interval never reached the agents.

Change: on a new connection an agent reports every 0.6 s until a grant says otherwise. The model tells the scheduler how long its passes take, and the conflicts of the last merge of the model are resolved.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -14,6 +14,12 @@
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
 import { agentChart, orderKey } from './types';
 
+/**
+ * Time between reports on a new connection until the leader asks for another one. The interval that a
+ * leader on a large machine has asked for would take all the time of a successor on a small one.
+ */
+const FIRST_REPORT_INTERVAL_MS = 600;
+
 /** Creates the state of an agent without a worker and a leader. */
 export function createRunner(settings: RunnerSettings): RunnerState {
   return {
@@ -168,6 +174,7 @@
     case 'linkOpened': {
       const linked = {
         ...without(state, 'lastReport'),
+        reportIntervalMs: FIRST_REPORT_INTERVAL_MS,
         isLinked: true,
         lastOrder: 0,
         progressAtMs: nowMs,
--- a/packages/scheduler/test/simcpu.ts
+++ b/packages/scheduler/test/simcpu.ts
@@ -60,6 +60,7 @@
       return costs.eventMs + rows * costs.rowMs;
     }
     case 'tick':
+    case 'passTook':
     case 'configChanged':
     case 'timesChanged':
     case 'domainsOut':
@@ -75,7 +76,7 @@
 }
 
 /** Returns the processor time of the placement pass of a step; 0 if it made none. */
-function passMs(
+export function passMs(
   { passWorkerMs, placeMs }: CpuCosts,
   before: SchedulerState,
   { passCount, runs, waits, unplacedSince, workers }: SchedulerState,
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -3,7 +3,7 @@
 import { assertNever } from '@bronzeyoke/types';
 import { WALL_MS } from './fixture';
 import type { Work } from './simcpu';
-import { createProcessor, stepMs } from './simcpu';
+import { createProcessor, passMs, stepMs } from './simcpu';
 import type { EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
 import type { SimFollower } from './simstore';
@@ -50,14 +50,23 @@
   const links = new Map<string, Link>();
   const wallMs = (): number => WALL_MS + clock.now();
 
+  /** Tells the scheduler how long its placement pass has taken, as the shell of an entry does. */
+  const tellPass = (durationMs: number): void => {
+    const inputs = { nowMs: clock.now(), random: 0 };
+    node.state = stepScheduler(node.state, { kind: 'passTook', durationMs }, inputs).state;
+  };
+
   const begin = (event: SchedulerEvent): Work => {
     const nowMs = clock.now();
     if (!node.isUp) return { durationMs: 0, finish: () => {} };
     const step = stepScheduler(node.state, event, { nowMs, random: clock.random() });
     const coreMs = stepMs(world.costs, node.state, event, step, nowMs);
+    const passDurationMs = passMs(world.costs, node.state, step.state, nowMs) / capacity.processors;
     const finish = (): void => {
       if (!node.isUp) return;
       node.state = step.state;
+      world.onStep(step.state, event);
+      if (passDurationMs > 0) tellPass(passDurationMs);
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
       step.effects.forEach(perform);
     };
@@ -65,21 +74,7 @@
   };
   const processor = createProcessor(clock, begin);
   const dispatch = (event: SchedulerEvent): void => {
-<<<<<<< HEAD
-    if (!node.isUp) return;
-    if (node.isFrozen) {
-      node.held = [...node.held, event];
-      return;
-    }
-    const inputs = { nowMs: clock.now(), random: clock.random() };
-    const step = stepScheduler(node.state, event, inputs);
-    node.state = step.state;
-    world.onStep(step.state, event);
-    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
-    step.effects.forEach(perform);
-=======
     if (node.isUp) processor.submit(event);
->>>>>>> h2
   };
 
   function followJobs(isOn: boolean): void {
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -10,20 +10,8 @@
 import { createClock } from './simclock';
 import { NO_COSTS } from './simcpu';
 import { createEntry } from './simentry';
-<<<<<<< HEAD
-import type { ClaimRow, LastRun, Violation } from './siminvariants';
-import {
-  isHolder,
-  lastingViolations,
-  rowViolations,
-  runViolations,
-  termViolations,
-  viewViolations,
-} from './siminvariants';
-=======
 import type { Violation } from './siminvariants';
-import { isHolder, lastingViolations, termViolations } from './siminvariants';
->>>>>>> h2
+import { isHolder, lastingViolations, termViolations, viewViolations } from './siminvariants';
 import type { AgentNode, EntryNode, World } from './simnodes';
 import type { SimStore } from './simstore';
 import { CALM_STORE, createStore } from './simstore';
@@ -89,50 +77,8 @@
     calm(what);
   };
 
-<<<<<<< HEAD
-  const recordProgress = ({ writes }: RowTransaction): void =>
-    writes.forEach((write) => {
-      if (write.kind !== 'put' || write.table !== TABLES.progress) return;
-      decodeProgress(write.value)?.tasks.forEach(({ workerKey, attempt }, slot) => {
-        if (workerKey !== undefined) {
-          storedClaims.add(`${write.key}.${slot}#${attempt}@${workerKey}`);
-        }
-      });
-    });
-
-  const onApplied = (caller: string, transaction: RowTransaction, version: number): void => {
-    const kind = commitKindOf(transaction);
-    recordProgress(transaction);
-    if (kind === 'other') return;
-    const write = transaction.writes.find(({ table }) => table === TABLES.leader);
-    if (write?.kind === 'put') {
-      const leader = decodeLeader({ ...write, version });
-      if (leader === undefined) return;
-      known.claims = [...known.claims, { version, entryId: leader.entryId, term: leader.term }];
-      log('store', `claim of ${leader.entryId} term ${leader.term}`);
-      rowViolations(known.claims).forEach(record);
-      return;
-    }
-    const put = transaction.writes.find(({ table }) => table === TABLES.lease);
-    const writer = put?.kind === 'put' ? decodeLease({ ...put, version })?.entryId : undefined;
-    const owner = known.claims.at(-1)?.entryId ?? '';
-    if (kind === 'release') log('store', `release of ${caller}`);
-    if (writer !== owner) record({ kind: 'foreignCommit', entry: writer ?? caller, owner });
-  };
-
-  const store: SimStore = createStore(clock, onApplied);
-
-  const isStillStored = (task: string, attempt: number, workerKey: string): boolean => {
-    const ref = parseTaskName(task);
-    const row = store.state().rows.get(rowId(progressKey(ref?.jobId ?? '')));
-    const slot = task.slice((ref?.jobId ?? '').length + 1);
-    const stored = decodeProgress(row?.value)?.tasks.get(slot);
-    return stored?.workerKey === workerKey && stored.attempt === attempt;
-  };
-=======
   const claims = createClaimLog(record, log);
   const store: SimStore = createStore(clock, claims.onApplied);
->>>>>>> h2
 
   const onSend = ({ name }: EntryNode, message: LeaderMessage): void => {
     if (message.kind === 'start') {
