Let starved stages that can have no room take turns

Callers saw large tasks that wait for good while smaller ones take each core that falls free.

Cause: the turns for kept room went to the four stages that had waited longest, also when lasting tasks take what they need on every worker.

Change: a turn in which no worker could keep room is remembered for each stage. Stages without one come first, then those whose turn is longest ago. A stage for which room is kept has no such entry and keeps its turn.

--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -29,6 +29,7 @@
   waits: Map<string, never>(),
   heldStarts: Map<string, never>(),
   unplacedSince: Map<string, never>(),
+  missedTurns: Map<string, never>(),
   absences: Map<string, never>(),
   absencesAtMs: -Infinity,
   placeAgainAtMs: Infinity,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -211,6 +211,8 @@
   readonly quickEnds: Map<string, QuickEnds>;
   /** Since when a stage without filling tasks has found too few workers, by `searchKey`. */
   readonly unplacedSince: Map<string, number>;
+  /** Last pass in which no worker could keep room for such a stage in its turn, by `searchKey`. */
+  readonly missedTurns: Map<string, number>;
   /** Tasks that are taken to crash workers, by task; those of ended jobs until the next placement. */
   readonly suspects: Map<string, Suspect>;
   /** Waits of tasks for which room is kept, by task. */
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -75,17 +75,25 @@
 /** Stages for which room is kept at a time, so that most of the fleet is left to the order of urgency. */
 const MAX_STARVED_STAGES = 4;
 
-/** Returns the stages that smaller tasks have kept from a place for long, the longest wait first. */
+/**
+ * Returns the stages that smaller tasks have kept from a place for long, the longest wait first. Those for
+ * which no worker could keep room come last, the latest turn at the end: otherwise a few of them would
+ * take all turns.
+ */
 function starvedStages(
-  { unplacedSince }: SchedulerState,
+  { unplacedSince, missedTurns }: SchedulerState,
   candidates: readonly StageCandidate[],
   nowMs: number,
 ): readonly StageCandidate[] {
   const sinceOf = (candidate: StageCandidate): number =>
     unplacedSince.get(searchKey(candidate), Infinity);
+  const missedAtMs = (candidate: StageCandidate): number =>
+    missedTurns.get(searchKey(candidate), 0);
   return candidates
     .filter((candidate) => nowMs - sinceOf(candidate) >= STARVED_AFTER_MS)
-    .toSorted((left, right) => sinceOf(left) - sinceOf(right))
+    .toSorted(
+      (left, right) => missedAtMs(left) - missedAtMs(right) || sinceOf(left) - sinceOf(right),
+    )
     .slice(0, MAX_STARVED_STAGES);
 }
 
@@ -120,6 +128,22 @@
   return [...returning, ...starved].toSorted((left, right) => compareWaits(left.wait, right.wait));
 }
 
+/** Returns the missed turns after a pass, of the stages that still wait and for which no room is kept. */
+export function updateMissedTurns(
+  { missedTurns, unplacedSince, waits }: SchedulerState,
+  waiting: readonly WaitingTask[],
+  nowMs: number,
+): Map<string, number> {
+  const turns = waiting.filter(({ wait }) => wait.cause === 'starved');
+  const keyOf = ({ candidate }: WaitingTask): string => searchKey(candidate);
+  const kept = new Set(
+    turns.filter(({ task }) => waits.get(task)?.phase !== 'searching').map(keyOf),
+  );
+  return missedTurns
+    .merge(turns.map((turn) => [keyOf(turn), nowMs]))
+    .filter((_, key) => unplacedSince.has(key) && !kept.has(key));
+}
+
 /** Adds the waits of waiting tasks, and drops those of tasks that run again or have ended. */
 export function updateWaits(
   state: SchedulerState,
