Let starved stages that can have no room take turns

Callers saw large tasks that wait for good while smaller ones take each core that falls free.

Cause: room is kept for the four stages that have waited longest, also while no worker can keep any for them, because lasting tasks take what they need. Four such stages kept the fifth from its turn without end.

Change: the last search for room that found none is remembered for each stage. Stages without one come first, then those whose search is longest ago, so that each is searched again within a bounded number of passes. A stage for which room is kept has no such entry and keeps its turn.

--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -16,7 +16,7 @@
 import type { SchedulerState, SchedulerStep } from './types';
 import { logWaits } from './waitlog';
 import type { WaitingTask } from './waits';
-import { updateWaits, waitingTasks } from './waits';
+import { updateVainSearches, updateWaits, waitingTasks } from './waits';
 
 /** Time after which tasks are placed again while lasting tasks wait, whose plans depend on it. */
 const RETURNING_AGAIN_MS = 200;
@@ -86,10 +86,12 @@
   );
   const placed = round.pass;
   const logged = logWaits(placed, waiting, nowMs);
+  const { unplacedSince, failedSearches } = round;
   const next: SchedulerState = {
     ...logged.state,
-    failedSearches: round.failedSearches,
-    unplacedSince: round.unplacedSince,
+    failedSearches,
+    unplacedSince,
+    vainSearches: updateVainSearches({ ...logged.state, unplacedSince }, waiting, nowMs),
     needsPlacement: round.isCut,
     lastPassAtMs: nowMs,
     placeAgainAtMs: nowMs + untilNextPassMs(logged.state, candidates, wallMs),
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -263,7 +263,9 @@
   if (kept !== undefined) return kept;
   return members.reduce(
     (current, member) =>
-      isMoveDue(member, nowMs) ? giveUpMoves(current, member, nowMs) : giveUp(current, member),
+      isMoveDue(member, nowMs)
+        ? giveUpMoves(current, member, nowMs)
+        : giveUpSearch(current, member, nowMs),
     pass,
   );
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -27,6 +27,7 @@
   suspects: Map<string, never>(),
   waits: Map<string, never>(),
   unplacedSince: Map<string, never>(),
+  vainSearches: Map<string, never>(),
   placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
   needsPlacement: false,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -200,6 +200,8 @@
   readonly quickEnds: Map<string, QuickEnds>;
   /** Since when a stage without filling tasks has found too few workers, by `searchKey`. */
   readonly unplacedSince: Map<string, number>;
+  /** Last search for room to keep for such a stage that found none, by `searchKey`. */
+  readonly vainSearches: Map<string, number>;
   /** Tasks that are taken to crash workers, by task; those of ended jobs until the next placement. */
   readonly suspects: Map<string, Suspect>;
   /** Waits of tasks for which room is kept, by task. */
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -63,17 +63,22 @@
 /** Stages for which room is kept at a time, so that most of the fleet is left to the order of urgency. */
 const MAX_STARVED_STAGES = 4;
 
-/** Returns the stages that smaller tasks have kept from a place for long, the longest wait first. */
+/**
+ * Returns the stages that smaller tasks have kept from a place for long, the longest wait first. Those for
+ * which no worker could keep room come last, the latest search at the end: else a few of them would take
+ * all turns.
+ */
 function starvedStages(
-  { unplacedSince }: SchedulerState,
+  { unplacedSince, vainSearches }: SchedulerState,
   candidates: readonly StageCandidate[],
   nowMs: number,
 ): readonly StageCandidate[] {
   const sinceOf = (candidate: StageCandidate): number =>
     unplacedSince.get(searchKey(candidate), Infinity);
+  const vainAtMs = (candidate: StageCandidate): number => vainSearches.get(searchKey(candidate), 0);
   return candidates
     .filter((candidate) => nowMs - sinceOf(candidate) >= STARVED_AFTER_MS)
-    .toSorted((left, right) => sinceOf(left) - sinceOf(right))
+    .toSorted((left, right) => vainAtMs(left) - vainAtMs(right) || sinceOf(left) - sinceOf(right))
     .slice(0, MAX_STARVED_STAGES);
 }
 
@@ -111,6 +116,26 @@
   );
 }
 
+/** Returns the last searches in vain after a pass, of the stages that still wait and keep no room. */
+export function updateVainSearches(
+  { vainSearches, unplacedSince, waits }: SchedulerState,
+  waiting: readonly WaitingTask[],
+  nowMs: number,
+): Map<string, number> {
+  const starved = waiting.filter(({ wait }) => wait.cause === 'starved');
+  const keysOf = (matches: (wait: PlaceWait | undefined) => boolean): ReadonlySet<string> =>
+    new Set(
+      starved
+        .filter(({ task }) => matches(waits.get(task)))
+        .map(({ candidate }) => searchKey(candidate)),
+    );
+  const kept = keysOf((wait) => wait?.phase !== 'searching');
+  const sought = [...keysOf((wait) => wait?.soughtAtMs === nowMs)];
+  return vainSearches
+    .merge(sought.map((key) => [key, nowMs]))
+    .filter((_, key) => unplacedSince.has(key) && !kept.has(key));
+}
+
 /** Adds the waits of waiting tasks, and drops those of tasks that run again or have ended. */
 export function updateWaits(
   state: SchedulerState,
