--- a/packages/actors/test/actor.test.ts
+++ b/packages/actors/test/actor.test.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
 import * as nact from 'nact';
+import type { Context } from '@bronzeyoke/actors';
 import { dispatch, spawn } from '@bronzeyoke/actors';
 
 /** Longer than an actor may use of one turn of the event loop. */
@@ -30,14 +31,14 @@
 // Guards against messages that change their order when a batch ends before the mailbox is empty.
 it('actor: messages keep their order over several turns', async () => {
   const seen: number[] = [];
-  const handle = (state: number, message: number): number => {
+  const handle = (state: number, message: number, context: Context<number>): number => {
     seen.push(message);
-    if (message < 3) dispatch(self, message + 10);
+    if (message < 3) dispatch(context.self, message + 10);
     block(LONG_MS);
     return state;
   };
-  const self = spawn<number, number>(nact.start(), handle, undefined, { initialState: 0 });
-  [1, 2, 3, 4].forEach((message) => dispatch(self, message));
+  const actor = spawn<number, number>(nact.start(), handle, undefined, { initialState: 0 });
+  [1, 2, 3, 4].forEach((message) => dispatch(actor, message));
   await sleep(20 * LONG_MS);
   expect(seen).to.deep.equal([1, 2, 3, 4, 11, 12]);
 });
--- a/packages/runner/src/leader.ts
+++ b/packages/runner/src/leader.ts
@@ -4,10 +4,10 @@
 import type { RunnerState, RunnerStep } from './types';
 
 /**
- * Times without a reply after which an agent leaves its leader: at first, and after one and more
+ * Times without a reply after which an agent leaves its leader, or a seed: at first, and after one and more
  * connections to the same leader that stayed silent. The first two together are less than what is left
  * of a lease of 5 s at the leader's last reply, so that an agent asks a second entry for a successor
- * before it ends. The last one is long, because an overloaded leader accepts some 5 connections a second,
+ * before it ends. The last one is long, because an overloaded leader accepts few connections a second,
  * also those that their agents have left, so a fleet that dials again and again is never answered.
  */
 const REPLY_TIMEOUTS_MS = [2_000, 2_000, 17_600] as const;
@@ -20,10 +20,16 @@
   return left?.host === right.host && left.port === right.port;
 }
 
+/** Returns whether the agent has a connection to the entry that it takes for the leader. */
+function isAtLeader({ isLinked, leader, target }: RunnerState): boolean {
+  return isLinked && leader !== undefined && isSameAddress(target, leader);
+}
+
 /** Returns the time without a reply after which the agent connects elsewhere. */
-function replyTimeoutMs({ isLinked, silentCount, timeoutJitter }: RunnerState): number {
-  // Without a connection there is no load to spare.
-  const count = isLinked ? Math.min(silentCount, REPLY_TIMEOUTS_MS.length - 1) : 0;
+function replyTimeoutMs(state: RunnerState): number {
+  const { silentCount, timeoutJitter } = state;
+  // Without a connection, or at a seed, there is no load of a leader to spare.
+  const count = isAtLeader(state) ? Math.min(silentCount, REPLY_TIMEOUTS_MS.length - 1) : 0;
   const longestMs = REPLY_TIMEOUTS_MS[count] ?? 0;
   return longestMs * (1 - RANDOM_SHARE + RANDOM_SHARE * timeoutJitter);
 }
@@ -69,11 +75,10 @@
 
 /** Connects to the seeds and the leader in turn until one of them replies. */
 export function reconnectIfSilent(state: RunnerState, inputs: StepInputs): RunnerStep {
-  const { target, leader, settings, isLinked, connectCount } = state;
+  const { target, leader, settings, connectCount } = state;
   if (inputs.nowMs - state.progressAtMs < replyTimeoutMs(state)) return unchanged(state);
   // Without a list of a worker nothing was sent that a leader could answer.
-  const hasAsked = isLinked && state.worker?.clockMs !== undefined;
-  const isLeaderSilent = hasAsked && leader !== undefined && isSameAddress(target, leader);
+  const isLeaderSilent = isAtLeader(state) && state.worker?.clockMs !== undefined;
   const known = [...settings.seeds, ...(leader === undefined ? [] : [leader])];
   const positions = known.map((_, offset) => (connectCount + offset) % known.length);
   const position =
--- a/packages/runner/test/silence.test.ts
+++ b/packages/runner/test/silence.test.ts
@@ -136,3 +136,11 @@
   const once = ['s1', 's2', 's3', LEADER.host];
   expect(tried.hosts).to.deep.equal([...once, ...once]);
 });
+
+// Guards against an agent that cannot read the store and waits for a frozen seed as long as for its
+// overloaded leader, while the lease of its worker ends.
+it('silence: a seed that stays silent gets the first time', () => {
+  const second = returnToLeader(dispatch(createGranted(), { kind: 'tick' }, 1_800));
+  const seed = dispatch(dispatch(second, { kind: 'tick' }, 2_000), { kind: 'linkOpened' });
+  expect(dialed(dispatch(seed, { kind: 'tick' }, 2_000))).to.have.length(1);
+});
--- a/packages/scheduler/src/absences.ts
+++ b/packages/scheduler/src/absences.ts
@@ -36,6 +36,7 @@
     case 'notReady':
       return undefined;
     case 'storing':
+    case 'awaitingAgent':
     case 'starting':
     case 'stopping':
     case 'silent':
@@ -90,6 +91,10 @@
       const { workerKey, untilMs } = whereabouts;
       return { worker: workerKey, endsInMs: Math.round(untilMs - nowMs) };
     }
+    case 'awaitingAgent': {
+      const { workerKey, untilMs } = whereabouts;
+      return { worker: workerKey, endsInMs: Math.round(untilMs - nowMs) };
+    }
     case 'backingOff':
       return { endsInMs: Math.round(whereabouts.untilMs - nowMs) };
     case 'reserved':
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -9,7 +9,7 @@
 import { maintenanceWrites } from './maintenance';
 import type { PostCommitAction, RowSize } from './pending';
 import { isNothingPending, takeWrites } from './pending';
-import { performPostCommit } from './postcommit';
+import { orderGrantedStarts, performPostCommit } from './postcommit';
 import {
   cancelKey,
   decodeLeader,
@@ -149,6 +149,7 @@
   };
   return chainAll(stored, [
     (current) => grantDueLeases(current, nowMs),
+    (current) => orderGrantedStarts(current, nowMs),
     ...inFlight.postCommit.map(
       (action) => (current: SchedulerState) => performPostCommit(current, action, nowMs),
     ),
--- a/packages/scheduler/src/grants.ts
+++ b/packages/scheduler/src/grants.ts
@@ -53,11 +53,3 @@
     ),
   );
 }
-
-/** Forgets the grants that are due on a connection that has closed. */
-export function forgetDueGrants(state: SchedulerState, linkId: string): SchedulerState {
-  const dueGrants = state.dueGrants.filter(
-    (workerKey) => state.workers.get(workerKey)?.linkId !== linkId,
-  );
-  return { ...state, dueGrants };
-}
--- a/packages/scheduler/src/leases.ts
+++ b/packages/scheduler/src/leases.ts
@@ -3,6 +3,7 @@
 import type { LeaseGrants } from './rows';
 import type { SchedulerTimes } from './times';
 import type { EarlierLeases, SchedulerState, SeenLease } from './types';
+import type { WorkerView } from './views';
 
 /** Grant window of builds whose lease row does not describe the leases that its holder grants. */
 const UNDESCRIBED_GRANT_WINDOW_MS = 6_000;
@@ -53,11 +54,13 @@
  * not been answered is not silent: an overloaded leader that named it again would never grant it one.
  */
 function awaitedWorkers(state: SchedulerState, nowMs: number): Map<string, number> {
-  const isDue = (workerKey: string): boolean =>
-    state.phase === 'leading' && state.dueGrants.has(workerKey);
+  const isDue = ({ linkId, workerKey }: WorkerView): boolean =>
+    state.phase === 'leading' && linkId !== undefined && state.dueGrants.has(workerKey);
   const silent = state.workers.filter(
-    ({ reportedAtMs }, workerKey) =>
-      reportedAtMs !== undefined && nowMs - reportedAtMs > SILENT_AFTER_MS && !isDue(workerKey),
+    (view) =>
+      view.reportedAtMs !== undefined &&
+      nowMs - view.reportedAtMs > SILENT_AFTER_MS &&
+      !isDue(view),
   );
   return silent.map(({ expiresAtMs }) => expiresAtMs).merge(state.awaited);
 }
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -102,7 +102,8 @@
   nowMs: number,
 ): SchedulerStep {
   const due = state.heldStarts.filter((held) => held.workerKey === workerKey);
-  if (due.isEmpty()) return unchanged(state);
+  // An agent that has no lease yet would refuse the order.
+  if (due.isEmpty() || state.dueGrants.has(workerKey)) return unchanged(state);
   return chainAll(
     { ...state, heldStarts: state.heldStarts.deleteAll(due.keys()) },
     [...due].map(
@@ -115,6 +116,17 @@
   );
 }
 
+/** Orders the held claims of workers whose agents are connected and have got their leases. */
+export function orderGrantedStarts(state: SchedulerState, nowMs: number): SchedulerStep {
+  const workerKeys = new Set(state.heldStarts.valueSeq().map(({ workerKey }) => workerKey));
+  return chainAll(
+    state,
+    [...workerKeys]
+      .filter((workerKey) => state.workers.get(workerKey)?.linkId !== undefined)
+      .map((workerKey) => (current: SchedulerState) => orderHeldStarts(current, workerKey, nowMs)),
+  );
+}
+
 /** Gives back the claims whose agents have stayed away. */
 export function releaseHeldStarts(state: SchedulerState, nowMs: number): SchedulerStep {
   const late = state.heldStarts.filter(({ untilMs }) => untilMs <= nowMs);
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -13,7 +13,6 @@
   onWorkerGone,
   recordGoneWorker,
 } from './gone';
-import { forgetDueGrants } from './grants';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
 import { onJobRows, onLoaded } from './jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
@@ -31,11 +30,12 @@
 import { onWithdrawalRows, readWithdrawals, settleRemoval, WITHDRAWAL_CALLS } from './withdrawals';
 
 /**
- * Pause after a placement pass, as a multiple of its duration. A new connection of an agent takes several
- * turns of the event loop until its first report is answered, and a pass in each of them delays that
- * beyond the time after which agents replace the connection.
+ * Longest pause after a placement pass, which is otherwise as long as the pass. A new connection of an
+ * agent takes several turns of the event loop until its first report is answered, and a pass in each of
+ * them delays that beyond the time after which agents replace the connection. A process that was
+ * suspended during a pass reports a long one.
  */
-const PASS_PAUSE = 1;
+const MAX_PASS_PAUSE_MS = 1_000;
 
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
 
@@ -199,7 +199,10 @@
     case 'tick':
       return onTick(state, nowMs, event.wallMs);
     case 'passTook':
-      return unchanged({ ...state, passPausedUntilMs: nowMs + event.durationMs * PASS_PAUSE });
+      return unchanged({
+        ...state,
+        passPausedUntilMs: nowMs + Math.min(MAX_PASS_PAUSE_MS, event.durationMs),
+      });
     case 'configChanged':
       return unchanged({ ...state, config: event.config, needsPlacement: true });
     case 'timesChanged':
@@ -237,7 +240,7 @@
         return linkId === event.linkId ? rest : worker;
       });
       const links = state.links.delete(event.linkId);
-      return unchanged({ ...forgetDueGrants(state, event.linkId), workers, links });
+      return unchanged({ ...state, workers, links });
     }
     case 'received': {
       const { linkId, message, wallMs } = event;
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -57,12 +57,20 @@
   return moves === undefined ? 2 : 1;
 }
 
+/** Ranks tasks whose place was made for them first, and those that have not run last. */
+function searchClass({ isMoved, cause }: PlaceWait): number {
+  if (isMoved) return 0;
+  return cause === 'starved' ? 2 : 1;
+}
+
 /**
- * Compares two waits by the order of their searches. Those that a pass has searched in vain come after
- * those that it did not get to: otherwise tasks that fit nowhere use up the searches of every pass.
+ * Compares two waits by the order of their searches. Within a class, those that a pass has searched in
+ * vain come after those that it did not get to: otherwise tasks that fit nowhere use up the searches of
+ * every pass.
  */
 function compareWaits(left: PlaceWait, right: PlaceWait): number {
   return (
+    searchClass(left) - searchClass(right) ||
     (left.searchedAtMs ?? 0) - (right.searchedAtMs ?? 0) ||
     placeRank(left) - placeRank(right) ||
     left.sinceMs - right.sinceMs
--- a/packages/scheduler/src/whereabouts.ts
+++ b/packages/scheduler/src/whereabouts.ts
@@ -29,6 +29,8 @@
   | { readonly kind: 'working'; readonly workerKey: string; readonly sinceMs: number }
   /** Its claim is not stored. Ends with the transaction, or with the leadership. */
   | { readonly kind: 'storing'; readonly workerKey: string; readonly sinceMs: number }
+  /** Its stored claim waits for the next connection of the agent, until `untilMs` at the latest. */
+  | { readonly kind: 'awaitingAgent'; readonly workerKey: string; readonly untilMs: number }
   /** Its start is ordered. Ends when a report lists the run, refuses it, or lacks it. */
   | { readonly kind: 'starting'; readonly workerKey: string; readonly sinceMs: number }
   /** Its run is being stopped. The stop is repeated until a report lists the end. */
@@ -86,10 +88,17 @@
 }
 
 /** Returns where a claimed task is, by its run and its worker. */
-function claimedWhereabouts(state: SchedulerState, run: RunView, nowMs: number): Whereabouts {
+function claimedWhereabouts(
+  state: SchedulerState,
+  task: string,
+  run: RunView,
+  nowMs: number,
+): Whereabouts {
   const { workerKey, claimedAtMs, isOrdered, isListed, listedAtMs, stopSentAtMs } = run;
   const worker = state.workers.get(workerKey);
   if (worker === undefined) return { kind: 'contradictory', problem: 'noWorker' };
+  const held = state.heldStarts.get(task);
+  if (held !== undefined) return { kind: 'awaitingAgent', workerKey, untilMs: held.untilMs };
   if (!isOrdered) return { kind: 'storing', workerKey, sinceMs: claimedAtMs };
   const { reportedAtMs = -Infinity, linkId, expiresAtMs, hasEnded = false } = worker;
   const isSilent = nowMs - reportedAtMs > SILENT_AFTER_MS;
@@ -132,7 +141,7 @@
     const isSame =
       isAssigned(stored) && run.attempt === stored.attempt && run.workerKey === stored.workerKey;
     return isSame
-      ? claimedWhereabouts(state, run, nowMs)
+      ? claimedWhereabouts(state, task, run, nowMs)
       : { kind: 'contradictory', problem: 'otherRun' };
   }
   if (isAssigned(stored)) return { kind: 'contradictory', problem: 'noRun' };
--- a/packages/scheduler/test/heldstarts.test.ts
+++ b/packages/scheduler/test/heldstarts.test.ts
@@ -54,3 +54,15 @@
   expect(releaseReasons(later)).to.deep.equal(['workerGone']);
   expect(sentMessages(later, 'start')).to.have.length(1);
 });
+
+// Guards against an order to an agent that was started anew and has no lease yet, which refuses it.
+it('held start: a claim is ordered once the worker has its lease', () => {
+  const claimed = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
+  const closed = dispatch(claimed, { kind: 'linkClosed', linkId: 'link-w1' });
+  const named = commitAll(advance(commitAll(closed), 900));
+  const back = report(named, 'w1', { link: 'link-new' });
+  expect(sentMessages(back, 'start')).to.have.length(0);
+  const granted = commitAll(back);
+  expect(sentMessages(granted, 'start')).to.have.length(1);
+  expect(releaseReasons(granted)).to.deep.equal([]);
+});
--- a/packages/scheduler/test/searchorder.test.ts
+++ b/packages/scheduler/test/searchorder.test.ts
@@ -4,6 +4,7 @@
 import {
   commitAll,
   createLeader,
+  jobOf,
   join,
   lasting,
   leave,
@@ -11,7 +12,10 @@
   place,
   report,
   siteOf,
+  sized,
+  submit,
   wait,
+  workerKeyFor,
 } from './fixture';
 
 /** Lasting tasks of 4 cores that wait while the only worker has 2 free ones. */
@@ -69,3 +73,19 @@
   );
   expect(siteOf(later, 'small.0.0.0')).to.equal('w1');
 });
+
+// Guards against a task that has not run and takes the room of lasting tasks that were searched before it
+// in vain: it would be stopped again for the first of them.
+it('searchorder: lasting tasks that have run come before a starved one', () => {
+  const away = waitingInVain(45);
+  const starved = submit(away, lessUrgent(jobOf('quick', [sized(4_000)])));
+  const later = Array.from({ length: 30 }).reduce<Fixture>(
+    (current) => wait(list(current, 'w0'), 200),
+    starved,
+  );
+  const joined = wait(list(join(later, 'w1'), 'w0'), 100);
+  expect(siteOf(joined, 'quick.0.0.0')).to.equal(undefined);
+  expect(
+    joined.state.runs.byTask.some(({ workerKey }) => workerKey === workerKeyFor('w1')),
+  ).to.equal(true);
+});
--- a/packages/scheduler/test/siminvariants.ts
+++ b/packages/scheduler/test/siminvariants.ts
@@ -139,6 +139,8 @@
       return 'contradictory';
     case 'storing':
       return hasStartAction(state, lasting.task) ? undefined : 'unorderedClaim';
+    case 'awaitingAgent':
+      return isTick && nowMs >= whereabouts.untilMs ? 'unorderedClaim' : undefined;
     case 'starting':
       return nowMs - whereabouts.sinceMs > MAX_START_MS ? 'unlistedStart' : undefined;
     case 'silent':
--- a/packages/scheduler/test/starvation.test.ts
+++ b/packages/scheduler/test/starvation.test.ts
@@ -119,3 +119,22 @@
   const reported = report(commitAll(advance(leader, 300)), 'w1');
   expect(sentMessages(reported, 'leader')).to.deep.equal(sentMessages(leader, 'leader'));
 });
+
+// Guards against a worker without a lease whose agent connects anew before the worker tells a later clock
+// value.
+it('starvation: a grant that is due follows on the next connection', () => {
+  const silent = commitAll(advance(report(createLeader(), 'w1'), 2_000));
+  const reported = report(silent, 'w1', { clockMs: 7_000 });
+  const closed = dispatch(reported, { kind: 'linkClosed', linkId: 'link-w1' });
+  const back = report(commitAll(advance(closed, 400)), 'w1', { clockMs: 7_000, link: 'link-new' });
+  const stored = commitAll(advance(back, 400));
+  expect(sentMessages(stored, 'grant')).to.have.length(sentMessages(silent, 'grant').length + 1);
+});
+
+// Guards against a process that was suspended during a pass and places nothing for as long again.
+it('starvation: the pause after a pass has a bound', () => {
+  const placed = place(join(createLeader(), 'w1'), jobOf('job1', [sized(1_000)]));
+  const paused = dispatch(placed, { kind: 'passTook', durationMs: 20_000 });
+  const waiting = submit(tickFor(paused, 950), jobOf('job2', [sized(1_000)]));
+  expect(siteOf(tickFor(waiting, 50), 'job2.0.0.0')).to.equal('w1');
+});
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -18,6 +18,7 @@
 /** Why a lasting task does not work. Each is a series of a gauge. */
 export const AWAY_REASONS = [
   'storing',
+  'awaitingAgent',
   'starting',
   'stopping',
   'silent',
