--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -256,10 +256,10 @@
 
 /** Finds programs that ended by themselves. */
 function findOwnExits(observations: readonly SoakObservation[]): PromiseViolation[] {
-  return ofKind(observations, 'exited').map(({ atMs, program }) => ({
+  return ofKind(observations, 'exited').map(({ atMs, program, output }) => ({
     promise: 'ENDED',
     atMs,
-    what: `${program} ended by itself`,
+    what: `${program} ended by itself: ${output}`,
   }));
 }
 
--- a/soak/program.ts
+++ b/soak/program.ts
@@ -34,30 +34,40 @@
   readonly state: () => ProgramState;
 }
 
+/** End of the output that is reported of a program that ends by itself; its last lines tell why. */
+const REPORTED_OUTPUT_CHARS = 500;
+
 /**
  * Prepares a program; the event `start` runs it. Its output is appended to a log in `folder`. `onOwnExit`
- * is called when it ends although nobody has stopped it.
+ * is called with the end of the output when it ends although nobody has stopped it.
  */
 export async function createProgram(
   bundle: string,
   folder: string,
   settings: Readonly<Record<string, unknown>> & { readonly name: string },
-  onOwnExit: () => void,
+  onOwnExit: (output: string) => void,
 ): Promise<Program> {
   const { name } = settings;
   const file = join(folder, `${name}.jsonc`);
   await writeFile(file, JSON.stringify(settings));
   const output = createWriteStream(join(folder, `${name}.log`), { flags: 'a' });
-  const current: { state: ProgramState; child?: ChildProcess } = {
+  const current: { state: ProgramState; child?: ChildProcess; output: string } = {
     state: programChart.initial,
+    output: '',
   };
 
   const startChild = (): ChildProcess => {
     const child = spawn(process.execPath, [bundle, file], { stdio: ['ignore', 'pipe', 'pipe'] });
-    child.stdout.pipe(output, { end: false });
-    child.stderr.pipe(output, { end: false });
-    // The exit of a replaced child must not change the state of the current one.
-    child.once('exit', () => {
+    current.output = '';
+    [child.stdout, child.stderr].forEach((stream) => {
+      stream.pipe(output, { end: false });
+      stream.on('data', (chunk: Buffer) => {
+        current.output = `${current.output}${chunk.toString()}`.slice(-REPORTED_OUTPUT_CHARS);
+      });
+    });
+    // Unlike `exit`, `close` follows the whole output. That of a replaced child must not change the state
+    // of the current one.
+    child.once('close', () => {
       // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and actions call each other
       if (current.child === child) send('exited');
     });
@@ -88,7 +98,7 @@
           current.child?.kill('SIGHUP');
           break;
         case 'reportExit':
-          onOwnExit();
+          onOwnExit(current.output);
           break;
         default:
           assertNever(action);
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -94,8 +94,10 @@
 ): Promise<SoakSite> {
   const store = await startPlatform();
   store.put('op', 'config', createConfig(1));
-  const observeExit = (program: string) => (): void =>
-    observe({ kind: 'exited', atMs: nowMs(), program });
+  const observeExit =
+    (program: string) =>
+    (output: string): void =>
+      observe({ kind: 'exited', atMs: nowMs(), program, output });
   const common = {
     agentPort: await freePort(),
     graceS: 4,
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -1,4 +1,4 @@
-import { mkdtemp } from 'node:fs/promises';
+import { mkdtemp, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { expect } from 'chai';
@@ -6,6 +6,7 @@
 import { crashingId, lastingId } from '../jobs';
 import { findViolations } from '../oracle';
 import { planFaults } from '../plan';
+import { createProgram } from '../program';
 import { runSoak } from '../run';
 import type { SoakObservation } from '../types';
 
@@ -103,10 +104,24 @@
 
 // Guards against an oracle that misses a program that ends again and again and is started again.
 it('soak: the oracle finds a program that ends by itself', () => {
-  const exited: SoakObservation = { kind: 'exited', atMs: 5, program: 'agent-1' };
+  const exited: SoakObservation = { kind: 'exited', atMs: 5, program: 'agent-1', output: '' };
   expect(violatedPromises(exited)).to.deep.equal(['ENDED']);
 });
 
+// Guards against a report that does not tell why a program ended.
+it('soak: the output of a program that ends by itself is reported', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'bronzeyoke-soak-'));
+  const bundle = join(folder, 'program.mjs');
+  await writeFile(bundle, "throw new Error('port in use')");
+  const output = await new Promise<string>((resolve, reject) => {
+    createProgram(bundle, folder, { name: 'agent-1' }, resolve).then(
+      (program) => program.send('start'),
+      reject,
+    );
+  });
+  expect(output).to.include('port in use');
+});
+
 // Guards against an oracle that misses two runs of one task, or one after its job was complete.
 it('soak: the oracle finds a task that runs twice', () => {
   const both = run('0.0.0', 200, 350, 'stopped', 'w-2');
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -39,8 +39,13 @@
 
 /** An observation of a caller, a worker or a program. Times are in ms of one clock. */
 export type SoakObservation =
-  /** A program ended although nobody had stopped it. */
-  | { readonly kind: 'exited'; readonly atMs: number; readonly program: string }
+  /** A program ended although nobody had stopped it. `output` is the end of what it printed. */
+  | {
+      readonly kind: 'exited';
+      readonly atMs: number;
+      readonly program: string;
+      readonly output: string;
+    }
   | {
       readonly kind: 'submitted';
       readonly atMs: number;
