Move the adoption of stored runs into a module of its own

jobs.ts held both the rows of the job table and what a new leader takes over from stored progress, in one function of 50 lines that derived the runs of all jobs twice, once for the runs and once for their workers, and looked through all notes of ended workers for each worker. adopt.ts derives the runs once and looks ended workers up in a set. Behaviour is the same: the tests of adoption, load, take-over and orphans pass.

--- /dev/null
+++ b/packages/scheduler/src/adopt.ts
@@ -0,0 +1,136 @@
+import { Map } from 'immutable';
+import type { TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import { assignedSlots } from '@bronzeyoke/workflow';
+import { earlierInstances } from './instances';
+import { addOrphan, orphansOf } from './jobend';
+import { leaseEndAtMs } from './leases';
+import { inheritedPaceOf } from './pace';
+import type { RunTable } from './runs';
+import { NO_RUNS, putRun } from './runs';
+import { findSuspects } from './suspects';
+import type { GoneReport, SchedulerState } from './types';
+import type { RunView, WorkerView } from './views';
+
+function isOpen({ jobs }: SchedulerState, jobId: string): boolean {
+  const open = jobs.get(jobId);
+  return open !== undefined && open.progress.outcome === undefined;
+}
+
+/** Returns the addresses that the claims of each worker name. */
+function claimedAddresses(state: SchedulerState): Map<string, ReadonlySet<string>> {
+  const claims = state.jobs
+    .valueSeq()
+    .flatMap(({ progress }) => assignedSlots(progress).map(([, task]) => task));
+  return claims.reduce(
+    (known, { workerKey = '', workerAddress: address }) =>
+      address === undefined
+        ? known
+        : known.set(workerKey, new Set([...known.get(workerKey, []), address])),
+    Map<string, ReadonlySet<string>>(),
+  );
+}
+
+/** Adds the addresses in the claims, and expires the workers that a known report proves to have ended. */
+function withClaimedAddresses(
+  workers: Map<string, WorkerView>,
+  state: SchedulerState,
+  nowMs: number,
+): Map<string, WorkerView> {
+  const addresses = claimedAddresses(state);
+  const located = workers.map((view): WorkerView => {
+    const [address, other] = addresses.get(view.workerKey, []);
+    // Claims that name different addresses do not show which one the worker has left.
+    return address === undefined || other !== undefined
+      ? view
+      : { ...view, claimedAddress: address };
+  });
+  const ended = state.workers
+    .valueSeq()
+    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(located, report)));
+  return ended.reduce(
+    (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
+    located,
+  );
+}
+
+/** Returns the run that the stored progress of a task tells of, if its job has such a stage. */
+function adoptedRun(
+  { jobId, stages }: WorkflowJob,
+  slot: string,
+  task: TaskProgress,
+  nowMs: number,
+): RunView | undefined {
+  const stage = stages[Number(slot.split('.')[1])];
+  if (stage === undefined) return undefined;
+  return {
+    jobId,
+    slot,
+    stage,
+    workerKey: task.workerKey ?? '',
+    attempt: task.attempt,
+    order: 0,
+    isOrdered: true,
+    claimedAtMs: nowMs,
+    percent: 0,
+    percentAtMs: nowMs,
+    load: 0,
+    isListed: false,
+    listedAtMs: nowMs,
+    isLastResort: false,
+    pace: 100,
+    pacedAtMs: nowMs,
+    ...inheritedPaceOf(stage, nowMs),
+  };
+}
+
+/** Returns a worker that has not reported yet, and may run tasks until `expiresAtMs`. */
+function unheardWorker(workerKey: string, expiresAtMs: number): WorkerView {
+  return {
+    workerKey,
+    clockMs: -1,
+    linkNumber: -1,
+    expiresAtMs,
+    handledSequence: 0,
+    failedJobs: [],
+    quarantinedUntilMs: 0,
+  };
+}
+
+/**
+ * Adds the runs in the stored progress. Their start orders may or may not have been sent. Those of jobs
+ * that have ended since occupy their workers too, until these report without them.
+ */
+export function adoptRuns(
+  state: SchedulerState,
+  goneReports: readonly GoneReport[],
+  nowMs: number,
+): SchedulerState {
+  const assigned = state.jobs
+    .valueSeq()
+    .flatMap(({ job, progress }) =>
+      assignedSlots(progress).flatMap(([slot, task]) => {
+        const run = adoptedRun(job, slot, task, nowMs);
+        return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
+      }),
+    )
+    .toArray();
+  const runs = assigned.filter(([, { jobId }]) => isOpen(state, jobId));
+  const ended = assigned.filter(([, { jobId }]) => !isOpen(state, jobId));
+  const withoutRuns = goneReports.filter(({ openRuns }) => openRuns.length === 0);
+  const gone = new Set(withoutRuns.map(({ workerKey }) => workerKey));
+  const keys = [...new Set(assigned.map(([, { workerKey }]) => workerKey))];
+  const leaseEndOf = (workerKey: string): number => leaseEndAtMs(state.earlierLeases, workerKey);
+  const silent = keys.filter((workerKey) => !gone.has(workerKey));
+  const workers = keys.map((workerKey) => {
+    const expiresAtMs = gone.has(workerKey) ? nowMs : leaseEndOf(workerKey);
+    return [workerKey, unheardWorker(workerKey, expiresAtMs)] as const;
+  });
+  return {
+    ...state,
+    suspects: findSuspects(state, nowMs),
+    runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
+    orphans: orphansOf(ended).reduce(addOrphan, state.orphans),
+    workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
+    awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
+  };
+}
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -4,7 +4,6 @@
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import {
-  assignedSlots,
   decodeJob,
   decodeProgress,
   NO_PROGRESS,
@@ -12,19 +11,14 @@
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
-import { earlierInstances } from './instances';
+import { adoptRuns } from './adopt';
 import { advanceLeadership } from './leadership';
-import { leaseEndAtMs } from './leases';
 import { advanceRead, areReadsDone, readTable } from './load';
-import { inheritedPaceOf } from './pace';
 import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
-import type { RunTable } from './runs';
-import { NO_RUNS, putRun } from './runs';
 import { withEffects } from './state';
-import { findSuspects } from './suspects';
-import type { GoneReport, SchedulerState, SchedulerStep } from './types';
-import type { OpenJob, RunView, WorkerView } from './views';
-import { addOrphan, endJob, orphansOf } from './jobend';
+import type { SchedulerState, SchedulerStep } from './types';
+import type { OpenJob } from './views';
+import { endJob } from './jobend';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
@@ -89,114 +83,6 @@
   );
 }
 
-function isOpen({ jobs }: SchedulerState, jobId: string): boolean {
-  const open = jobs.get(jobId);
-  return open !== undefined && open.progress.outcome === undefined;
-}
-
-/** Returns the addresses that the claims of each worker name. */
-function claimedAddresses(state: SchedulerState): Map<string, ReadonlySet<string>> {
-  const claims = state.jobs
-    .valueSeq()
-    .flatMap(({ progress }) => assignedSlots(progress).map(([, task]) => task));
-  return claims.reduce(
-    (known, { workerKey = '', workerAddress: address }) =>
-      address === undefined
-        ? known
-        : known.set(workerKey, new Set([...known.get(workerKey, []), address])),
-    Map<string, ReadonlySet<string>>(),
-  );
-}
-
-/** Adds the addresses in the claims, and expires the workers that a known report proves to have ended. */
-function withClaimedAddresses(
-  workers: Map<string, WorkerView>,
-  state: SchedulerState,
-  nowMs: number,
-): Map<string, WorkerView> {
-  const addresses = claimedAddresses(state);
-  const located = workers.map((view): WorkerView => {
-    const [address, other] = addresses.get(view.workerKey, []);
-    // Claims that name different addresses do not show which one the worker has left.
-    return address === undefined || other !== undefined
-      ? view
-      : { ...view, claimedAddress: address };
-  });
-  const ended = state.workers
-    .valueSeq()
-    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(located, report)));
-  return ended.reduce(
-    (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
-    located,
-  );
-}
-
-/**
- * Adds the runs in the stored progress. Their start orders may or may not have been sent. Those of jobs
- * that have ended since occupy their workers too, until these report without them.
- */
-function adoptRuns(
-  state: SchedulerState,
-  goneReports: readonly GoneReport[],
-  nowMs: number,
-): SchedulerState {
-  const isGone = (workerKey: string): boolean =>
-    goneReports.some((report) => report.workerKey === workerKey && report.openRuns.length === 0);
-  const assigned = state.jobs.valueSeq().flatMap(({ job, progress }) =>
-    assignedSlots(progress).flatMap(([slot, task]): readonly (readonly [string, RunView])[] => {
-      const stage = job.stages[Number(slot.split('.')[1])];
-      if (stage === undefined) return [];
-      const run: RunView = {
-        jobId: job.jobId,
-        slot,
-        stage,
-        workerKey: task.workerKey ?? '',
-        attempt: task.attempt,
-        order: 0,
-        isOrdered: true,
-        claimedAtMs: nowMs,
-        percent: 0,
-        percentAtMs: nowMs,
-        load: 0,
-        isListed: false,
-        listedAtMs: nowMs,
-        isLastResort: false,
-        pace: 100,
-        pacedAtMs: nowMs,
-        ...inheritedPaceOf(stage, nowMs),
-      };
-      return [[`${job.jobId}.${slot}`, run]];
-    }),
-  );
-  const [ended, runs] = assigned.partition(([, { jobId }]) => isOpen(state, jobId));
-  const keys = new Set(assigned.map(([, run]) => run.workerKey));
-  const leaseEndOf = (workerKey: string): number => leaseEndAtMs(state.earlierLeases, workerKey);
-  const silent = [...keys].filter((workerKey) => !isGone(workerKey));
-  const workers = [...keys].map(
-    (workerKey) =>
-      [
-        workerKey,
-        {
-          workerKey,
-          clockMs: -1,
-          linkNumber: -1,
-          expiresAtMs: isGone(workerKey) ? nowMs : leaseEndOf(workerKey),
-          handledSequence: 0,
-          failedJobs: [],
-          quarantinedUntilMs: 0,
-        },
-      ] as const,
-  );
-  return {
-    ...state,
-    suspects: findSuspects(state, nowMs),
-    runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
-    orphans: orphansOf([...ended]).reduce(addOrphan, state.orphans),
-    workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
-    awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
-  };
-}
-
 /** Logs what a new leader has loaded, and until when it waits for which workers. */
 function logLoaded(state: SchedulerState, nowMs: number): SchedulerStep {
   const awaited = state.workers.filter(
