Check the room of a worker once for all starts of an event

A commit that stores many claims computed the whole load of a worker again for each start order there, so that a worker with 40 claims had its load computed 40 times. The room is now checked once for each worker before the orders of an event. A worker that has room keeps it while claims are only ordered or released; one without room is checked again at each of its starts, as before.

Both tests fail on the code before: 40 looks at the room of one worker.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -150,9 +150,7 @@
   return chainAll(stored, [
     (current) => grantDueLeases(current, nowMs),
     (current) => orderGrantedStarts(current, nowMs),
-    ...inFlight.postCommit.map(
-      (action) => (current: SchedulerState) => performPostCommit(current, action, nowMs),
-    ),
+    (current) => performPostCommit(current, inFlight.postCommit, nowMs),
   ]);
 }
 
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -33,10 +33,21 @@
   return run?.attempt === held.attempt && run.workerKey === held.workerKey && !run.isOrdered;
 }
 
+/**
+ * Returns the workers of some claimed tasks that have room for all runs that were claimed there. They
+ * keep it while claims are only ordered or released, so one check serves all orders of an event.
+ */
+function workersWithRoom(state: SchedulerState, tasks: readonly string[]): ReadonlySet<string> {
+  const claimedOn = tasks.flatMap((task) => state.runs.byTask.get(task)?.workerKey ?? []);
+  return new Set([...new Set(claimedOn)].filter((workerKey) => hasRoomForClaims(state, workerKey)));
+}
+
+/** Orders a stored claim. The room of a worker that is not in `withRoom` is checked once more. */
 function sendStart(
   state: SchedulerState,
   task: string,
   attempt: number,
+  withRoom: ReadonlySet<string>,
   nowMs: number,
 ): SchedulerStep {
   const run = state.runs.byTask.get(task);
@@ -55,7 +66,7 @@
   if (worker?.linkId === undefined || link === undefined) {
     return unchanged(holdStart(state, task, run, nowMs));
   }
-  if (!hasRoomForClaims(state, workerKey)) {
+  if (!withRoom.has(workerKey) && !hasRoomForClaims(state, workerKey)) {
     return releaseRun(state, task, 'roomShrunk', nowMs);
   }
   const order = link.lastOrder + 1;
@@ -104,13 +115,14 @@
   const due = state.heldStarts.filter((held) => held.workerKey === workerKey);
   // An agent that has no lease yet would refuse the order.
   if (due.isEmpty() || state.dueGrants.has(workerKey)) return unchanged(state);
+  const withRoom = workersWithRoom(state, [...due.keys()]);
   return chainAll(
     { ...state, heldStarts: state.heldStarts.deleteAll(due.keys()) },
     [...due].map(
       ([task, held]) =>
         (current: SchedulerState) =>
           isClaimedOn(current, task, held)
-            ? sendStart(current, task, held.attempt, nowMs)
+            ? sendStart(current, task, held.attempt, withRoom, nowMs)
             : unchanged(current),
     ),
   );
@@ -143,15 +155,15 @@
   );
 }
 
-/** Performs an action once the rows that it depends on are stored. */
-export function performPostCommit(
+function performAction(
   state: SchedulerState,
   action: PostCommitAction,
+  withRoom: ReadonlySet<string>,
   nowMs: number,
 ): SchedulerStep {
   switch (action.kind) {
     case 'start':
-      return sendStart(state, action.task, action.attempt, nowMs);
+      return sendStart(state, action.task, action.attempt, withRoom, nowMs);
     case 'acknowledge': {
       const { workerKey, sequence } = action;
       return withEffects(
@@ -168,3 +180,19 @@
       return assertNever(action);
   }
 }
+
+/** Performs the actions whose rows a transaction has stored. */
+export function performPostCommit(
+  state: SchedulerState,
+  actions: readonly PostCommitAction[],
+  nowMs: number,
+): SchedulerStep {
+  const started = actions.flatMap((action) => (action.kind === 'start' ? [action.task] : []));
+  const withRoom = workersWithRoom(state, started);
+  return chainAll(
+    state,
+    actions.map(
+      (action) => (current: SchedulerState) => performAction(current, action, withRoom, nowMs),
+    ),
+  );
+}
--- /dev/null
+++ b/packages/scheduler/test/eventcost.test.ts
@@ -0,0 +1,42 @@
+import { expect } from 'chai';
+import type { Fixture } from './fixture';
+import {
+  advance,
+  commit,
+  commitAll,
+  countRoomLooks,
+  createLeader,
+  dispatch,
+  jobOf,
+  report,
+  sentMessages,
+  stageOf,
+  submit,
+} from './fixture';
+
+/** Postpones the next placement pass, so that only the event itself is counted. */
+function withoutPass(fixture: Fixture): Fixture {
+  return { ...fixture, state: { ...fixture.state, passPausedUntilMs: Infinity } };
+}
+
+/** Returns a leader that has claimed some tasks for one worker, and has not stored it yet. */
+function claimedOnOne(taskCount: number): Fixture {
+  const joined = report(createLeader(), 'w1', { processorsMilli: 1_000 * taskCount });
+  return withoutPass(submit(joined, jobOf('job1', [stageOf(taskCount)])));
+}
+
+// Guards against a commit that adds up the runs of a worker again for each task that it starts there.
+it('event cost: a commit checks the room of a worker once for all starts', () => {
+  const claimed = claimedOnOne(40);
+  expect(sentMessages(commit(claimed), 'start')).to.have.length(40);
+  expect(countRoomLooks(claimed, commit)).to.be.within(1, 4);
+});
+
+// Guards against the same when the starts have waited for the next connection of the agent.
+it('event cost: held starts check the room of their worker once', () => {
+  const closed = dispatch(claimedOnOne(40), { kind: 'linkClosed', linkId: 'link-w1' });
+  const named = commitAll(advance(commitAll(closed), 900));
+  const back = report(named, 'w1', { processorsMilli: 40_000, link: 'link-new' });
+  expect(sentMessages(commit(back), 'start')).to.have.length(40);
+  expect(countRoomLooks(back, commit)).to.be.within(1, 4);
+});
