Check the room for claims without building a load

The check before a start order built the load of the worker, with a copy of all its fields for each run, and used only the reserved room of it. The reserved room is now added up alone, by the function that withTask uses, so that both stay equal.

No test counts this one; those of the room that has shrunk cover what the check decides.

--- a/packages/placement/src/rank.ts
+++ b/packages/placement/src/rank.ts
@@ -1,5 +1,6 @@
 import type { FillShare } from '@bronzeyoke/interference';
 import { mergeFills } from '@bronzeyoke/interference';
+import type { Resources } from '@bronzeyoke/types';
 import type { Stage } from '@bronzeyoke/workflow';
 import type { FillClassifier, WorkerLoad } from './types';
 
@@ -129,18 +130,20 @@
   return stage.latencyTargetMs === undefined ? defaultRank(stage, load) : servingRank(stage, load);
 }
 
+/** Returns the reserved room of a worker with one more task of a stage. */
+export function withReservation(reserved: Resources, { needs, fillsIdle }: Stage): Resources {
+  return {
+    processorsMilli: reserved.processorsMilli + (fillsIdle ? 0 : needs.processorsMilli),
+    memoryMb: reserved.memoryMb + needs.memoryMb,
+    accelerators: reserved.accelerators + needs.accelerators,
+  };
+}
+
 /** Returns a worker's load with one more task of a stage. */
 export function withTask(load: WorkerLoad, stage: Stage): WorkerLoad {
   const { needs, image } = stage;
-  const { reserved, servingImages } = load;
-  const base = {
-    ...load,
-    reserved: {
-      processorsMilli: reserved.processorsMilli + (stage.fillsIdle ? 0 : needs.processorsMilli),
-      memoryMb: reserved.memoryMb + needs.memoryMb,
-      accelerators: reserved.accelerators + needs.accelerators,
-    },
-  };
+  const { servingImages } = load;
+  const base = { ...load, reserved: withReservation(load.reserved, stage) };
   if (stage.fillsIdle) {
     return {
       ...base,
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -1,7 +1,8 @@
 import { Map } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { WorkerLoad } from '@bronzeyoke/placement';
-import { withTask } from '@bronzeyoke/placement';
+import { withReservation, withTask } from '@bronzeyoke/placement';
+import type { Resources } from '@bronzeyoke/types';
 import { fitsIn, NO_RESOURCES } from '@bronzeyoke/types';
 import { runsOn } from './runs';
 import type { SchedulerState } from './types';
@@ -42,6 +43,15 @@
   );
 }
 
+/** Returns the reserved part of a worker's load, without the rest of it. */
+function reservedBy({ runs, orphans }: Pick<KnownLoad, 'runs' | 'orphans'>): Resources {
+  const running = runs.reduce((sum, { stage }) => withReservation(sum, stage), NO_RESOURCES);
+  return orphans.reduce(
+    (sum, { stage }) => (stage === undefined ? sum : withReservation(sum, stage)),
+    running,
+  );
+}
+
 /** Returns whether a worker has runs of which nothing tells how much room they take. */
 function hasUnknownNeeds(orphans: Map<string, OrphanRun>): boolean {
   return orphans.some(({ stage }) => stage === undefined);
@@ -54,8 +64,7 @@
   const runs = runsOn(state.runs, workerKey);
   const orphans = runsOn(state.orphans, workerKey);
   if (hasUnknownNeeds(orphans)) return false;
-  const { reserved, capacity } = computeLoad(workerKey, { report, runs, orphans });
-  return fitsIn(reserved, capacity);
+  return fitsIn(reservedBy({ runs, orphans }), report.capacity);
 }
 
 /** Returns the report of a worker on which tasks may be placed. */
