Look only at its own workers when a connection ends

The end of a connection looked at every worker to find those that were last reported on it, and agents replace their connections all the time while a leader is late. A connection now keeps the keys of the workers that its agent has reported, in a module of its own.

The test fails on the code before: 200 workers looked at in a fleet of 200.

--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -22,6 +22,7 @@
 } from './instances';
 import { grantIfAllowed } from './grants';
 import { isAwaited, leaseEndMs } from './leases';
+import { addReporter } from './links';
 import { applyEnd } from './ends';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
@@ -101,6 +102,7 @@
   const updated: SchedulerState = {
     ...state,
     workers: state.workers.set(workerKey, view),
+    links: addReporter(state.links, linkId, workerKey),
     instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
     dueGrants: isNewClock ? state.dueGrants.add(workerKey) : state.dueGrants,
     awaited: state.awaited.delete(workerKey),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -17,6 +17,7 @@
 import { onJobRows, onLoaded } from './jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
 import { changeTimes } from './leases';
+import { closeLink, openLink } from './links';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
 import { placeTasks } from './place';
@@ -226,22 +227,9 @@
     case 'rangeDone':
       return onRangeDone(state, event, inputs);
     case 'linkOpened':
-      return announceLeader(
-        {
-          ...state,
-          linksOpened: state.linksOpened + 1,
-          links: state.links.set(event.linkId, { lastOrder: 0, number: state.linksOpened }),
-        },
-        event.linkId,
-      );
-    case 'linkClosed': {
-      const workers = state.workers.map((worker) => {
-        const { linkId, ...rest } = worker;
-        return linkId === event.linkId ? rest : worker;
-      });
-      const links = state.links.delete(event.linkId);
-      return unchanged({ ...state, workers, links });
-    }
+      return announceLeader(openLink(state, event.linkId), event.linkId);
+    case 'linkClosed':
+      return unchanged(closeLink(state, event.linkId));
     case 'received': {
       const { linkId, message, wallMs } = event;
       if (message.kind === 'leaderChanged') return onLeader(state, message);
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -1,4 +1,4 @@
-import type { Map } from 'immutable';
+import type { Map, Set as ImmutableSet } from 'immutable';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { CrashRecord, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
@@ -84,6 +84,8 @@
   readonly lastOrder: number;
   /** Rises with every connection that opens. */
   readonly number: number;
+  /** Workers that its agent has reported on it, some of which may have ended since. */
+  readonly workerKeys: ImmutableSet<string>;
 }
 
 /** The leader's state of one worker instance. */
--- a/packages/scheduler/test/eventcost.test.ts
+++ b/packages/scheduler/test/eventcost.test.ts
@@ -5,13 +5,16 @@
   commit,
   commitAll,
   countRoomLooks,
+  countWorkersSeen,
   createLeader,
   dispatch,
   jobOf,
+  join,
   report,
   sentMessages,
   stageOf,
   submit,
+  workerKeyFor,
 } from './fixture';
 
 /** Postpones the next placement pass, so that only the event itself is counted. */
@@ -40,3 +43,15 @@
   expect(sentMessages(commit(back), 'start')).to.have.length(40);
   expect(countRoomLooks(back, commit)).to.be.within(1, 4);
 });
+
+const LARGE_FLEET = Array.from({ length: 200 }, (_, index) => `w${index}`);
+
+// Guards against a connection whose end looks at the whole fleet, while agents replace theirs all the time.
+it('event cost: the end of a connection looks at its own worker', () => {
+  const fleet = join(createLeader(), ...LARGE_FLEET);
+  const close = (from: Fixture): Fixture =>
+    dispatch(from, { kind: 'linkClosed', linkId: 'link-w7' });
+  const without = close(fleet).state.workers.filter(({ linkId }) => linkId === undefined);
+  expect([...without.keys()]).to.deep.equal([workerKeyFor('w7')]);
+  expect(countWorkersSeen(fleet, close)).to.equal(1);
+});
