Count a worker's call without a result as lost

An agent names a start order as pending until its call has a result and a later list settles it, and the leader places the task nowhere else meanwhile. Nothing bounded a call whose result never comes, so the task neither ran nor waited. The agent now counts such a call as lost 1 s after its timeout: the token rises, and the next list settles the order, as for a call without an answer. The leader gets no bound of its own, because without the agent's answer only the end of the lease proves that the start has no effect (docs/design.md 8.4).

The two new tests of runner.test.ts failed before (the token stayed at 100, the order in its first phase) and pass now, as do the others of the agent.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -10,6 +10,9 @@
 
 const ORDER_TIMEOUT_MS = 700;
 
+/** Time after its timeout at which a call without a result counts as lost. */
+const RESULT_GRACE_MS = 1_000;
+
 /** How long a hold waits for a run to end. */
 const HOLD_WAIT_MS = 300;
 
@@ -40,14 +43,19 @@
 }
 
 /** Calls the worker. */
-export function callWorker(state: RunnerState, worker: WorkerState, call: WorkerCall): RunnerStep {
+export function callWorker(
+  state: RunnerState,
+  worker: WorkerState,
+  call: WorkerCall,
+  nowMs: number,
+): RunnerStep {
   const callId = `${call.kind}-${state.callCount}`;
   const { workerKey, report } = worker;
   return {
     state: {
       ...state,
       callCount: state.callCount + 1,
-      pendingCalls: state.pendingCalls.set(callId, { workerKey, call }),
+      pendingCalls: state.pendingCalls.set(callId, { workerKey, call, sentAtMs: nowMs }),
     },
     effects: [{ kind: 'call', callId, worker: report, call, timeoutMs: ORDER_TIMEOUT_MS }],
   };
@@ -104,12 +112,8 @@
     unchanged(waiting),
     running,
     (current, { task, attempt }) => {
-      const call = callWorker(current, worker, {
-        kind: 'stop',
-        task,
-        attempt,
-        fencingToken: current.token,
-      });
+      const order = { task, attempt, fencingToken: current.token };
+      const call = callWorker(current, worker, { kind: 'stop', ...order }, nowMs);
       const log = logEffect('taskStopped', {
         task,
         attempt,
@@ -268,3 +272,18 @@
       return assertNever(call);
   }
 }
+
+/**
+ * Counts the calls as lost whose results are overdue. The leader places the task of a start order nowhere
+ * else while the order is pending, so each order has to be settled in bounded time.
+ */
+export function expireCalls(state: RunnerState, nowMs: number): RunnerStep {
+  const overdue = state.pendingCalls.filter(
+    ({ sentAtMs }) => nowMs - sentAtMs >= ORDER_TIMEOUT_MS + RESULT_GRACE_MS,
+  );
+  return chainEach<RunnerState, RunnerEffect, string>(
+    unchanged(state),
+    [...overdue.keys()],
+    (current, callId) => onCallDone(current, callId, { kind: 'lost' }, nowMs),
+  );
+}
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -4,7 +4,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
-import { callWorker, holdIfDue, onCallDone } from './calls';
+import { callWorker, expireCalls, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
 import { isSameAddress, onLeader, reconnectIfSilent } from './leader';
@@ -96,7 +96,7 @@
   const order = { run, phase: 'calling' as const, afterHold: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
   const called = noteStart({ ...worker, pending }, run, nowMs);
-  return callWorker({ ...seen, worker: called }, worker, {
+  const call = {
     kind: 'start',
     ...run,
     fencingToken: state.token,
@@ -104,7 +104,8 @@
     leaseUntilClockMs: worker.leaseUntilClockMs,
     ...(checkpoint === undefined ? {} : { checkpoint }),
     ...(ticket === undefined ? {} : { ticket }),
-  });
+  } as const;
+  return callWorker({ ...seen, worker: called }, worker, call, nowMs);
 }
 
 function onMessage(state: RunnerState, message: LeaderMessage, inputs: StepInputs): RunnerStep {
@@ -148,6 +149,7 @@
         message.kind === 'stop'
           ? { kind: 'stop', ...order }
           : { kind: 'pace', ...order, percent: message.percent },
+        nowMs,
       );
     }
     default:
@@ -159,10 +161,11 @@
   const { nowMs } = inputs;
   switch (event.kind) {
     case 'tick': {
-      const repeated = repeatGone(state, nowMs);
+      const expired = expireCalls(state, nowMs);
+      const repeated = repeatGone(expired.state, nowMs);
       const settled = settleGone(repeated.state, nowMs);
       const step = reconnectIfSilent(settled.state, inputs);
-      const effects = [...repeated.effects, ...settled.effects, ...step.effects];
+      const effects = [expired, repeated, settled, step].flatMap((part) => part.effects);
       return { state: step.state, effects };
     }
     case 'heartbeat':
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -89,6 +89,13 @@
   return phase === 'settling' || phase === 'lost';
 }
 
+/** A call to the worker without a result. */
+export interface PendingCall {
+  readonly workerKey: string;
+  readonly call: WorkerCall;
+  readonly sentAtMs: number;
+}
+
 /** An instance that has ended, until a leader has stored the release of its tasks. */
 export interface GoneWorker {
   readonly workerKey: string;
@@ -192,7 +199,7 @@
   /** When the leader last replied, or a connection was last attempted. */
   readonly progressAtMs: number;
   /** Calls in progress, by id. */
-  readonly pendingCalls: Map<string, { readonly workerKey: string; readonly call: WorkerCall }>;
+  readonly pendingCalls: Map<string, PendingCall>;
 }
 
 /** Events that an agent handles. */
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -49,6 +49,30 @@
   expect(reportsOf(answerHold(next))[0]?.pending).to.have.length(0);
 });
 
+// Guards against an order that stays pending for good, so that the leader never places its task again.
+it('agent: a start call without a result is settled by a list under a higher token', () => {
+  const message = { kind: 'leader', term: 1, ...LEADER } as const;
+  const listed = answerHold(order(createLeased()));
+  const waiting = answerHold(dispatch(listed, { kind: 'received', message }, 1_600));
+  expect(reportsOf(waiting)[0]?.pending).to.have.length(1);
+  const overdue = dispatch(waiting, { kind: 'tick' }, 100);
+  expect(overdue.state.token).to.equal(101);
+  const stale = answerHold(overdue);
+  const next = dispatch(stale, { kind: 'tick' }, 60);
+  expect(reportsOf(answerHold(next))[0]?.pending).to.have.length(0);
+});
+
+// Guards against a result that comes after its call counted as lost and is taken for that of another.
+it('agent: a late result of a lost start changes nothing', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const lost = dispatch(ordered, { kind: 'tick' }, 1_700);
+  const result = { kind: 'done', clockMs: 50 } as const;
+  const late = dispatch(lost, { kind: 'callDone', callId, result });
+  expect(late.state.worker?.pending).to.equal(lost.state.worker?.pending);
+  expect(late.state.token).to.equal(lost.state.token);
+});
+
 // Guards against a run that is reported missing because the list predates its start.
 it('agent: a started run is pending until a later list', () => {
   const ordered = order(createLeased());
