Show the workers that a run of unknown size keeps from tasks

A worker that lists a run of a job that the leader does not know gets no tasks, and when the run ignores its stop orders that lasts for good; only repeated taskStopped lines told of it. After 3 s of stop orders the leader logs workerBlocked and counts such workers (blockedCounts, and the gauge bronzeyoke_workers_blocked, which ends with the leadership).

--- /dev/null
+++ b/packages/scheduler/src/blocked.ts
@@ -0,0 +1,81 @@
+import { logEffect } from '@bronzeyoke/telemetry';
+import { unchanged } from '@bronzeyoke/types';
+import { Map } from 'immutable';
+import { runsOn } from './runs';
+import { withEffects } from './state';
+import type { SchedulerState, SchedulerStep } from './types';
+import type { OrphanRun } from './views';
+
+/** Time after its first stop order from which a run that its worker still lists ignores the stop. */
+const IGNORED_AFTER_MS = 3_000;
+
+/** Time between two looks at the workers, and between two lines about one of them. */
+const CHECK_INTERVAL_MS = 1_000;
+const LOG_AGAIN_MS = 5_000;
+
+/** Lines of one look. */
+const MAX_LINES = 20;
+
+/** Stop orders that a run ignores of which nothing tells what it needs. */
+interface IgnoredStop {
+  readonly orphan: OrphanRun;
+  readonly stoppedForMs: number;
+}
+
+/** Returns the ignored stops of a worker's runs of unknown size. No task is placed beside these. */
+function ignoredStops(
+  state: SchedulerState,
+  workerKey: string,
+  nowMs: number,
+): readonly IgnoredStop[] {
+  const stops = state.workers.get(workerKey)?.unwantedStops;
+  if (stops === undefined) return [];
+  return [...runsOn(state.orphans, workerKey)]
+    .map(([key, orphan]) => ({ orphan, stoppedForMs: nowMs - (stops.get(key)?.sinceMs ?? nowMs) }))
+    .filter(
+      ({ orphan, stoppedForMs }) => orphan.stage === undefined && stoppedForMs >= IGNORED_AFTER_MS,
+    );
+}
+
+/** A worker without room for tasks, because a run there ignores its stop orders. */
+interface BlockedWorker {
+  readonly workerKey: string;
+  readonly stop: IgnoredStop;
+}
+
+function blockedWorkers(state: SchedulerState, nowMs: number): readonly BlockedWorker[] {
+  return [...state.orphans.byWorker.keys()].flatMap((workerKey) => {
+    const [stop] = ignoredStops(state, workerKey, nowMs);
+    return stop === undefined ? [] : [{ workerKey, stop }];
+  });
+}
+
+/**
+ * Logs the workers that get no tasks because a run of unknown size ignores its stop orders, each again
+ * while it lasts, and counts them. Looks once a second.
+ */
+export function logBlockedWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
+  const { loggedAtMs, checkedAtMs } = state.blocked;
+  const isDue = nowMs - checkedAtMs >= CHECK_INTERVAL_MS;
+  if (state.phase !== 'leading' || !isDue) return unchanged(state);
+  const blocked = blockedWorkers(state, nowMs);
+  if (blocked.length === 0 && loggedAtMs.isEmpty()) {
+    return unchanged({ ...state, blocked: { loggedAtMs, checkedAtMs: nowMs } });
+  }
+  const late = blocked
+    .filter(({ workerKey }) => nowMs - loggedAtMs.get(workerKey, -Infinity) >= LOG_AGAIN_MS)
+    .slice(0, MAX_LINES);
+  const known = blocked.map(({ workerKey }): readonly [string, number] => [
+    workerKey,
+    loggedAtMs.get(workerKey, -Infinity),
+  ]);
+  const logged = Map(known).merge(late.map(({ workerKey }) => [workerKey, nowMs]));
+  return withEffects({ ...state, blocked: { loggedAtMs: logged, checkedAtMs: nowMs } }, [
+    ...late.map(({ workerKey, stop: { orphan, stoppedForMs } }) => {
+      const { task, attempt } = orphan;
+      const fields = { task, attempt, stoppedForMs: Math.round(stoppedForMs) };
+      return logEffect('workerBlocked', { worker: workerKey, ...fields });
+    }),
+    logEffect('blockedCounts', { total: blocked.length }),
+  ]);
+}
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -40,12 +40,15 @@
   STOP_REPEAT_MS,
   stopUnwanted,
 } from './unwanted';
-import type { RunView, WorkerView } from './views';
+import type { RunView, UnwantedStop, WorkerView } from './views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
 
 /** Returns the stops of runs that a worker still lists. */
-function stillListed(stops: Map<string, number>, { running }: Report): Map<string, number> {
+function stillListed(
+  stops: Map<string, UnwantedStop>,
+  { running }: Report,
+): Map<string, UnwantedStop> {
   const listed = new Set(running.map((run) => runKey(run)));
   return stops.filter((_, key) => listed.has(key));
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -32,6 +32,7 @@
   missedTurns: Map<string, never>(),
   absences: Map<string, never>(),
   absencesAtMs: -Infinity,
+  blocked: { loggedAtMs: Map<string, never>(), checkedAtMs: -Infinity },
   placeAgainAtMs: Infinity,
   pendingWrites: NO_PENDING_WRITES,
   needsPlacement: false,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -3,6 +3,7 @@
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
 import { logAbsences } from './absences';
+import { logBlockedWorkers } from './blocked';
 import { passIntervalMs } from './budget';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
@@ -86,6 +87,7 @@
     (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
     (current) => logAbsences(current, nowMs, wallMs),
+    (current) => logBlockedWorkers(current, nowMs),
   ]);
 }
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -15,6 +15,7 @@
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
   Absence,
+  BlockedWorkers,
   FailedSearch,
   HeldStart,
   KnownLoads,
@@ -220,6 +221,7 @@
   /** Lasting tasks that do not work, as of the last look at them. */
   readonly absences: Map<string, Absence>;
   readonly absencesAtMs: number;
+  readonly blocked: BlockedWorkers;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
   /** Stored claims whose agents had no connection, by task. */
--- a/packages/scheduler/src/unwanted.ts
+++ b/packages/scheduler/src/unwanted.ts
@@ -6,6 +6,7 @@
 import { sendToWorker, withEffects } from './state';
 import { knownStage, taskLog } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
+import type { UnwantedStop } from './views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
 
@@ -21,10 +22,11 @@
 ): SchedulerStep {
   const view = state.workers.get(workerKey);
   const key = runKey(run);
-  const sentAtMs = view?.unwantedStops?.get(key);
-  const isRecent = sentAtMs !== undefined && nowMs - sentAtMs <= STOP_REPEAT_MS;
+  const known = view?.unwantedStops?.get(key);
+  const isRecent = known !== undefined && nowMs - known.sentAtMs <= STOP_REPEAT_MS;
   if (view === undefined || isRecent) return unchanged(state);
-  const unwantedStops = (view.unwantedStops ?? Map<string, number>()).set(key, nowMs);
+  const stop = { sinceMs: known?.sinceMs ?? nowMs, sentAtMs: nowMs };
+  const unwantedStops = (view.unwantedStops ?? Map<string, UnwantedStop>()).set(key, stop);
   const { task, attempt } = run;
   return withEffects(
     { ...state, workers: state.workers.set(workerKey, { ...view, unwantedStops }) },
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -86,6 +86,14 @@
   readonly number: number;
 }
 
+/** Stop orders of a run that no open job wants. */
+export interface UnwantedStop {
+  /** Time of the first one. */
+  readonly sinceMs: number;
+  /** Time of the last one. */
+  readonly sentAtMs: number;
+}
+
 /** The leader's state of one worker instance. */
 export interface WorkerView {
   readonly workerKey: string;
@@ -112,8 +120,8 @@
   readonly hasEnded?: boolean;
   /** Value of `instanceCount` when other instances at its address and under its id were looked for. */
   readonly comparedCount?: number;
-  /** Time of the last stop order of each unwanted run that the worker lists. */
-  readonly unwantedStops?: Map<string, number>;
+  /** Stop orders of the unwanted runs that the worker lists, by run. */
+  readonly unwantedStops?: Map<string, UnwantedStop>;
 }
 
 /** The load of a worker, with what it was computed from. */
@@ -145,6 +153,13 @@
   readonly loggedAtMs?: number;
 }
 
+/** Workers that get no tasks because a run there ignores its stop orders. */
+export interface BlockedWorkers {
+  /** Time of the last line about each, by worker. */
+  readonly loggedAtMs: Map<string, number>;
+  readonly checkedAtMs: number;
+}
+
 /** The last search for a filling stage that found too few workers. */
 export interface FailedSearch {
   readonly passNumber: number;
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -9,6 +9,10 @@
   bronzeyoke_refusals_total: { kind: 'counter', help: 'Jobs refused, by reason.' },
   bronzeyoke_log_lines_dropped_total: { kind: 'gauge', help: 'Log lines left out.' },
   bronzeyoke_lasting_away: { kind: 'gauge', help: 'Lasting tasks that do not work, by reason.' },
+  bronzeyoke_workers_blocked: {
+    kind: 'gauge',
+    help: 'Workers without tasks because a run there ignores its stop orders.',
+  },
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
@@ -22,7 +26,7 @@
 
 type MetricName = keyof typeof DEFINITIONS;
 
-/** Events of an entry that begins or ceases to lead, and so knows of no absence. */
+/** Events of an entry that begins or ceases to lead, and so counts nothing. */
 const LEADER_CHANGES: ReadonlySet<EventName> = new Set([
   'leaderClaimed',
   'leaderSeen',
@@ -41,6 +45,19 @@
   });
 }
 
+function blockedGauge({ total }: EventFields): GaugeValue<MetricName> {
+  const value = typeof total === 'number' ? total : 0;
+  return { name: 'bronzeyoke_workers_blocked', labels: {}, value };
+}
+
+/** The last counts that a leader has logged. */
+interface LeaderCounts {
+  readonly away: EventFields;
+  readonly blocked: EventFields;
+}
+
+const NO_COUNTS: LeaderCounts = { away: {}, blocked: {} };
+
 /** A duration in the fields of an event, and the metric that records it. */
 interface DurationField {
   readonly field: string;
@@ -67,12 +84,13 @@
 /** Creates the metrics of a process, which are recorded from its events. */
 export function createEventMetrics(createHistogram?: () => Histogram): EventMetrics {
   const metrics = createMetrics(DEFINITIONS, createHistogram);
-  const known: { away: EventFields } = { away: {} };
+  const known = { counts: NO_COUNTS };
   return {
     record: (event, fields) => {
       metrics.count('bronzeyoke_events_total', { event });
-      if (event === 'awayCounts') known.away = fields;
-      if (LEADER_CHANGES.has(event)) known.away = {};
+      if (event === 'awayCounts') known.counts = { ...known.counts, away: fields };
+      if (event === 'blockedCounts') known.counts = { ...known.counts, blocked: fields };
+      if (LEADER_CHANGES.has(event)) known.counts = NO_COUNTS;
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
       }
@@ -84,7 +102,8 @@
     text: (droppedLines) =>
       metrics.text([
         { name: 'bronzeyoke_log_lines_dropped_total', labels: {}, value: droppedLines },
-        ...awayGauges(known.away),
+        ...awayGauges(known.counts.away),
+        blockedGauge(known.counts.blocked),
       ]),
   };
 }
--- a/packages/telemetry/test/eventlog.test.ts
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -78,6 +78,15 @@
   expect(seriesOf()).to.include('bronzeyoke_lasting_away{reason="searching"} 0');
 });
 
+// Guards against a gauge of blocked workers that an entry goes on showing when another one leads.
+it('eventmetrics: blocked workers are a gauge that ends with the leadership', () => {
+  const metrics = createEventMetrics(createHistogram);
+  metrics.record('blockedCounts', { total: 2 });
+  expect(metrics.text(0).split('\n')).to.include('bronzeyoke_workers_blocked 2');
+  metrics.record('leaderLost', {});
+  expect(metrics.text(0).split('\n')).to.include('bronzeyoke_workers_blocked 0');
+});
+
 // Guards against waits that are counted while they go on, and again at their end.
 it('eventmetrics: a wait for a place counts once, when the place is found', () => {
   const metrics = createEventMetrics(createHistogram);
