Withhold the lease of a worker whose only run ignores its stop

A run of a job that the leader does not know has no known size, so its worker gets no tasks while it is listed, and nothing ended one that ignores its stop orders.

The test 'an idle worker that ignores a stop gets no lease until the run has ended' failed before (one grant in place of none) and passes now.

--- a/packages/scheduler/src/blocked.ts
+++ b/packages/scheduler/src/blocked.ts
@@ -37,6 +37,16 @@
     );
 }
 
+/**
+ * Returns whether a worker gets no lease, so that it has to end a run that ignores its stop orders. Only a
+ * worker that runs nothing for an open job gets none.
+ */
+export function isLeaseWithheld(state: SchedulerState, workerKey: string, nowMs: number): boolean {
+  return (
+    runsOn(state.runs, workerKey).isEmpty() && ignoredStops(state, workerKey, nowMs).length > 0
+  );
+}
+
 /** A worker without room for tasks, because a run there ignores its stop orders. */
 interface BlockedWorker {
   readonly workerKey: string;
--- a/packages/scheduler/src/grants.ts
+++ b/packages/scheduler/src/grants.ts
@@ -1,4 +1,5 @@
 import { chainAll, unchanged } from '@bronzeyoke/types';
+import { isLeaseWithheld } from './blocked';
 import { reportIntervalMs } from './budget';
 import { isAwaited, leaseEndMs } from './leases';
 import { withEffects } from './state';
@@ -19,7 +20,11 @@
 ): SchedulerStep {
   const view = state.workers.get(workerKey);
   const isDue = state.dueGrants.has(workerKey);
-  const mayGrant = isDue && nowMs < state.mayGrantUntilMs && !isAwaited(state, workerKey);
+  const mayGrant =
+    isDue &&
+    nowMs < state.mayGrantUntilMs &&
+    !isAwaited(state, workerKey) &&
+    !isLeaseWithheld(state, workerKey, nowMs);
   if (view?.reportedAtMs === undefined || view.linkId === undefined || !mayGrant) {
     return unchanged(state);
   }
