--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/loads.ts
@@ -18,6 +18,7 @@
     labels,
     capacity,
     reserved: NO_RESOURCES,
+    isOvercommitted: false,
     fillRequestedMilli: 0,
     fillUsedMilli: 0,
     servingImages: [],
@@ -37,10 +38,11 @@
     },
     emptyLoad(workerKey, report),
   );
-  return orphans.reduce(
-    (load, { stage }) => (stage === undefined ? load : withTask(load, stage)),
+  const load = orphans.reduce(
+    (sum, { stage }) => (stage === undefined ? sum : withTask(sum, stage)),
     running,
   );
+  return { ...load, isOvercommitted: !fitsIn(load.reserved, load.capacity) };
 }
 
 /** Returns the reserved part of a worker's load, without the rest of it. */
