Keep the connection to a silent leader while a seed is asked

An agent closed its connection to a leader that had not replied for 2 s before it asked a seed who leads, and came back when the seed named the same one. So an overloaded leader, which accepts few connections a second, got a new one with a whole first report at each silence: two from each agent within 4 s.

The agent now asks on a second connection, on which it sends nothing. It moves when the answer names another leader or a later term, or when the connection itself fails; a late reply on the kept connection ends the lookup. The connection to the seed stays open until the leader replies, because an entry names its successor there at once. A connection that was cut without a notice is replaced at the second silence, 3.2 to 4.0 s after the last reply and so before the lease ends, and every 17.6 s after that. An agent without a worker asks the seeds in turn and no longer leaves its leader every 2 s; one that has a gone worker to report counts silences as well.

Tests: those of silence.test.ts that expected the agent to come back through a seed are replaced, since that is the behaviour that changes; the times, the turn of the seeds and the later term are asserted as before. 14 of its 16 tests fail on the code before, the other two guard what stays. leaderlink.test.ts holds the same for the sockets. The models of the scheduler and the fleet carry both connections.

--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -1,7 +1,7 @@
 import { LEADER_KEY, TABLES, decodeLeader } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import { endFault, startFault } from './fault';
-import { deliverMessage, dial } from './network';
+import { askSeed, deliverMessage, dial } from './network';
 import { INTERVALS, bootAgent, bootEntry, stepAgentProcess, stepEntryProcess } from './process';
 import { callStore, commitJobChange, isStoreUnreachable, readTable } from './store';
 import { callWorker, sendHeartbeat, sendOddHeartbeat } from './worker';
@@ -95,6 +95,8 @@
       return deliverMessage(fleet, item);
     case 'dial':
       return dial(fleet, item);
+    case 'askSeed':
+      return askSeed(fleet, item);
     case 'heartbeat':
       return sendHeartbeat(fleet, item.site);
     case 'oddHeartbeat':
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -4,6 +4,7 @@
 import { createScheduler, deriveTimes, FULL_CAPACITY, stepScheduler } from '@bronzeyoke/scheduler';
 import { createTaskWorker } from '@bronzeyoke/standins';
 import { assertNever, without } from '@bronzeyoke/types';
+import { endLookup } from './network';
 import type { Fleet } from './world';
 import { drawStepUniform, isActive, NETWORK_MS, schedule, STORE_MS, WALL_START_MS } from './world';
 
@@ -147,6 +148,15 @@
   switch (effect.kind) {
     case 'connect':
       return schedule(fleet, NETWORK_MS, { kind: 'dial', site, bootId, host: effect.address.host });
+    case 'askSeed':
+      return schedule(fleet, NETWORK_MS, {
+        kind: 'askSeed',
+        site,
+        bootId,
+        host: effect.address.host,
+      });
+    case 'endLookup':
+      return endLookup(fleet, site);
     case 'send': {
       const linkId = fleet.agents.get(site)?.linkId;
       return linkId === undefined
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -25,7 +25,10 @@
   readonly bootId: number;
   readonly state: RunnerState;
   readonly leaderVersion?: number;
+  /** Connection on which the agent reports. */
   readonly linkId?: string;
+  /** Connection to a seed that it asks who leads. */
+  readonly seedLinkId?: string;
 }
 
 /** A connection between an agent and an entry. */
@@ -79,6 +82,12 @@
   | { readonly kind: 'toEntry'; readonly linkId: string; readonly message: RunnerMessage }
   | { readonly kind: 'toAgent'; readonly linkId: string; readonly message: LeaderMessage }
   | { readonly kind: 'dial'; readonly site: string; readonly bootId: number; readonly host: string }
+  | {
+      readonly kind: 'askSeed';
+      readonly site: string;
+      readonly bootId: number;
+      readonly host: string;
+    }
   | { readonly kind: 'heartbeat'; readonly site: string }
   /** A heartbeat of another writer for a later instance that does not exist. */
   | { readonly kind: 'oddHeartbeat'; readonly site: string }
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,4 +1,5 @@
 export * from './controller';
+export * from './leaderlink';
 export * from './loadmeter';
 export * from './reachability';
 export * from './runner';
--- a/packages/hosts/src/runner.ts
+++ b/packages/hosts/src/runner.ts
@@ -50,6 +50,12 @@
       case 'connect':
         leaderLink.connect(effect.address, self);
         return;
+      case 'askSeed':
+        leaderLink.askSeed(effect.address, self);
+        return;
+      case 'endLookup':
+        leaderLink.endLookup();
+        return;
       case 'send':
         leaderLink.send(effect.message);
         return;
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -2,17 +2,19 @@
 import type { WorkerReport } from '@bronzeyoke/ports';
 import { workerKeyOf } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
-import { assertNever, isSameAmount, unchanged, without } from '@bronzeyoke/types';
+import { assertNever, chain, isSameAmount, unchanged, without } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
-import { isSameAddress, onLeader, reconnectIfSilent } from './leader';
+import { isSameAddress } from './connect';
+import { advanceLookup } from './lookup';
+import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
 import { onStop, settleIfDue } from './settle';
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
-import { agentChart, orderKey } from './types';
+import { agentChart, lookupChart, orderKey } from './types';
 
 /**
  * Time between reports on a new connection until the leader asks for another one. The interval that a
@@ -36,6 +38,7 @@
     holdAtMs: 0,
     term: 0,
     connectCount: 0,
+    lookup: { phase: lookupChart.initial },
     silentCount: 0,
     timeoutJitter: 0,
     isLinked: false,
@@ -155,6 +158,15 @@
   }
 }
 
+/** Ends the lookup when the leader replies. Any entry sends an address, so that ends nothing. */
+function endLookupByReply(
+  state: RunnerState,
+  message: LeaderMessage,
+  inputs: StepInputs,
+): RunnerStep {
+  return message.kind === 'leader' ? unchanged(state) : advanceLookup(state, 'replied', inputs);
+}
+
 function handleEvent(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
   const { nowMs } = inputs;
   switch (event.kind) {
@@ -171,6 +183,8 @@
       return onWorkerLeft(state, event.id, nowMs);
     case 'leader':
       return onLeader(state, event.term, event.address, inputs);
+    case 'leaderNamed':
+      return onLeaderNamed(state, event.term, event.address, inputs);
     case 'linkOpened': {
       const linked = {
         ...without(state, 'lastReport'),
@@ -185,7 +199,9 @@
     case 'linkClosed':
       return unchanged({ ...state, isLinked: false });
     case 'received':
-      return onMessage(state, event.message, inputs);
+      return chain(endLookupByReply(state, event.message, inputs), (current) =>
+        onMessage(current, event.message, inputs),
+      );
     case 'callDone': {
       const { callId, result } = event;
       return (
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -20,6 +20,7 @@
 import agentChartFile from '../charts/agent.json';
 import candidateChartFile from '../charts/candidate.json';
 import goneChartFile from '../charts/gone.json';
+import lookupChartFile from '../charts/lookup.json';
 import orderChartFile from '../charts/order.json';
 
 /** State chart of a start order. A list that the worker makes after the start settles the order. */
@@ -56,6 +57,23 @@
   actions: ['raiseToken'],
 });
 
+/**
+ * State chart of the lookup of the leader, for which an agent asks a seed while its leader is silent.
+ * The connection to the seed stays open until the leader replies: an entry names a later leader on it.
+ */
+export const lookupChart = compileChart(lookupChartFile, {
+  states: ['none', 'asked', 'answered'],
+  events: ['silent', 'silentAgain', 'unanswered', 'confirmed', 'replied', 'left'],
+  actions: ['askSeed', 'reconnect', 'endLookup'],
+});
+
+/** A lookup of the leader; without an address while no seed is asked. */
+export interface Lookup {
+  readonly phase: StateOf<typeof lookupChart>;
+  readonly address?: Address;
+  readonly askedAtMs?: number;
+}
+
 /** What a planned stop waits for, beside gone workers that no leader has recorded. */
 export interface StopState {
   readonly deadlineAtMs: number;
@@ -179,7 +197,8 @@
   readonly leader?: Address;
   readonly target?: Address;
   readonly connectCount: number;
-  /** Connections to the leader, one after the other, on which it has not replied in time. */
+  readonly lookup: Lookup;
+  /** Times, one after the other, in which the leader has not replied. */
   readonly silentCount: number;
   /** Random share from 0 to 1 of the time that the peer has for a reply on this connection. */
   readonly timeoutJitter: number;
@@ -189,7 +208,7 @@
   readonly reportIntervalMs: number;
   /** Last report of a list on this connection. */
   readonly lastReport?: SentReport;
-  /** When the leader last replied, or a connection was last attempted. */
+  /** When the leader last replied, its silence was last noticed, or a connection was last attempted. */
   readonly progressAtMs: number;
   /** Calls in progress, by id. */
   readonly pendingCalls: Map<string, { readonly workerKey: string; readonly call: WorkerCall }>;
@@ -201,6 +220,8 @@
   | { readonly kind: 'heartbeat'; readonly report: WorkerReport }
   | { readonly kind: 'workerLeft'; readonly id: string }
   | { readonly kind: 'leader'; readonly term: number; readonly address: Address }
+  /** The seed that was asked names the leader. */
+  | { readonly kind: 'leaderNamed'; readonly term: number; readonly address: Address }
   | { readonly kind: 'linkOpened' }
   | { readonly kind: 'linkClosed' }
   | { readonly kind: 'received'; readonly message: LeaderMessage }
@@ -210,7 +231,11 @@
 
 /** Effects that the shell of an agent performs. */
 export type RunnerEffect =
+  /** Replaces the connection on which the agent reports. */
   | { readonly kind: 'connect'; readonly address: Address }
+  /** Opens another connection, on which the agent only learns who leads; replaces one of its kind. */
+  | { readonly kind: 'askSeed'; readonly address: Address }
+  | { readonly kind: 'endLookup' }
   | { readonly kind: 'send'; readonly message: RunnerMessage }
   | {
       readonly kind: 'call';
--- a/packages/scheduler/test/simagent.ts
+++ b/packages/scheduler/test/simagent.ts
@@ -3,6 +3,7 @@
 import { createRunner, stepRunner } from '@bronzeyoke/runner';
 import { decodeLeader, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
+import type { LeaderMessage } from '@bronzeyoke/wire';
 import { WALL_MS } from './fixture';
 import type { AgentNode, EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
@@ -21,6 +22,23 @@
 /** Longest duration of a planned stop. */
 const STOP_MS = 5_000;
 
+/** What a connection is for: reports, or a lookup of the leader at a seed. */
+type SlotKind = 'leader' | 'seed';
+
+/** A connection that the next one of its kind replaces. */
+interface Slot {
+  generation: number;
+  link?: Link | undefined;
+}
+
+/** Returns the event of a message to the agent, if the agent takes it on such a connection. */
+function eventOf(kind: SlotKind, message: LeaderMessage): RunnerEvent | undefined {
+  if (kind === 'leader') return { kind: 'received', message };
+  if (message.kind !== 'leader') return undefined;
+  const { term, host, port } = message;
+  return { kind: 'leaderNamed', term, address: { host, port } };
+}
+
 /** Starts an agent beside a worker. */
 export function createAgent(
   world: World,
@@ -30,17 +48,14 @@
   const { clock, store } = world;
   const seeds = world.seeds.map((host) => ({ host, port: PORT }));
   const agentId = `${name}-${clock.now()}`;
-  const node: {
-    state: RunnerState;
-    isUp: boolean;
-    isCut: boolean;
-    generation: number;
-    link?: Link | undefined;
-  } = {
+  const node: { state: RunnerState; isUp: boolean; isCut: boolean } = {
     state: createRunner({ agentId, firstToken: WALL_MS + clock.now(), seeds }),
     isUp: true,
     isCut: false,
-    generation: 0,
+  };
+  const slots: Readonly<Record<SlotKind, Slot>> = {
+    leader: { generation: 0 },
+    seed: { generation: 0 },
   };
 
   const dispatch = (event: RunnerEvent): void => {
@@ -52,18 +67,21 @@
     step.effects.forEach(perform);
   };
 
-  function openLink(entry: EntryNode, generation: number, host: string): void {
-    const linkId = `${agentId}-${generation}-${clock.now()}`;
+  function openLink(entry: EntryNode, kind: SlotKind, generation: number, host: string): void {
+    const slot = slots[kind];
+    const linkId = `${agentId}-${kind}-${generation}-${clock.now()}`;
     const channel = { isOpen: true, agentFreeAtMs: 0, entryFreeAtMs: 0 };
-    const isCurrent = (): boolean => node.isUp && node.generation === generation;
+    const isCurrent = (): boolean => node.isUp && slot.generation === generation;
     const nextMs = (freeAtMs: number): number =>
       Math.max(freeAtMs, clock.now() + Math.round(clock.within(HOP_MS)));
     const link: Link = {
       linkId,
       toAgent: (message) => {
         channel.agentFreeAtMs = nextMs(channel.agentFreeAtMs);
+        const event = eventOf(kind, message);
+        if (event === undefined) return;
         clock.schedule(channel.agentFreeAtMs - clock.now(), () => {
-          if (channel.isOpen && isCurrent() && !node.isCut) dispatch({ kind: 'received', message });
+          if (channel.isOpen && isCurrent() && !node.isCut) dispatch(event);
         });
       },
       toEntry: (message) => {
@@ -79,41 +97,56 @@
         clock.schedule(1, () => {
           entry.dispatch({ kind: 'linkClosed', linkId });
           if (!isCurrent()) return;
-          node.link = undefined;
-          dispatch({ kind: 'linkClosed' });
+          slot.link = undefined;
+          if (kind === 'leader') dispatch({ kind: 'linkClosed' });
           // eslint-disable-next-line @typescript-eslint/no-use-before-define -- a closed link is dialed again
-          dial(host, generation, FIRST_REDIAL_MS);
+          dial(host, kind, generation, FIRST_REDIAL_MS);
         });
       },
     };
-    node.link = link;
+    slot.link = link;
     entry.addLink(link);
-    dispatch({ kind: 'linkOpened' });
+    if (kind === 'leader') dispatch({ kind: 'linkOpened' });
   }
 
-  function dial(host: string, generation: number, redialMs: number): void {
+  function dial(host: string, kind: SlotKind, generation: number, redialMs: number): void {
     clock.schedule(clock.within(HOP_MS), () => {
-      if (!node.isUp || node.generation !== generation) return;
+      if (!node.isUp || slots[kind].generation !== generation) return;
       const entry = world.entryAt(host);
       if (entry?.accepts() === true && !node.isCut) {
-        openLink(entry, generation, host);
+        openLink(entry, kind, generation, host);
         return;
       }
       const nextMs = Math.min(2 * redialMs, MAX_REDIAL_MS);
-      clock.schedule(redialMs, () => dial(host, generation, nextMs));
+      clock.schedule(redialMs, () => dial(host, kind, generation, nextMs));
     });
   }
 
+  function closeSlot(kind: SlotKind): Slot {
+    const slot = slots[kind];
+    slot.generation += 1;
+    slot.link?.close();
+    slot.link = undefined;
+    return slot;
+  }
+
+  function openSlot(kind: SlotKind, host: string): void {
+    dial(host, kind, closeSlot(kind).generation, FIRST_REDIAL_MS);
+  }
+
   function perform(effect: RunnerEffect): void {
     switch (effect.kind) {
       case 'connect':
-        node.generation += 1;
-        node.link?.close();
-        node.link = undefined;
-        dial(effect.address.host, node.generation, FIRST_REDIAL_MS);
+        openSlot('leader', effect.address.host);
+        return;
+      case 'askSeed':
+        openSlot('seed', effect.address.host);
+        return;
+      case 'endLookup':
+        closeSlot('seed');
         return;
       case 'send':
-        node.link?.toEntry(effect.message);
+        slots.leader.link?.toEntry(effect.message);
         return;
       case 'call': {
         const { callId, call, timeoutMs } = effect;
@@ -166,7 +199,7 @@
   function end(): void {
     node.isUp = false;
     feed.stop();
-    node.link?.close();
+    Object.values(slots).forEach(({ link }) => link?.close());
   }
 
   const heartbeat = (): void => {
@@ -193,7 +226,7 @@
     setCut: (isCut) => {
       node.isCut = isCut;
       // Messages were lost, so the connection does not go on.
-      if (!isCut) node.link?.close();
+      if (!isCut) Object.values(slots).forEach(({ link }) => link?.close());
     },
   };
 }
