Find the other instances of a worker by id and address

A report whose worker was not compared yet looked at all known workers twice: for a later instance at its address, and for earlier ones. While workers join a new leader every report is of that kind, because each new instance makes all others be compared again. The keys of instances are now kept by id and by address, in a module of its own. A key is split at its last "@", where the search compared its start; ids without "@" match as before.

The test in eventcost.test.ts fails on the code before: 200 workers looked at in a fleet of 200.

--- a/packages/scheduler/src/instances.ts
+++ b/packages/scheduler/src/instances.ts
@@ -1,36 +1,28 @@
-import type { Map } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { TaskProgress } from '@bronzeyoke/workflow';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
+import type { InstanceIndex } from './identities';
+import { instancesAt, instancesWith } from './identities';
 import { runsOn } from './runs';
 import { putJob } from './state';
 import type { SchedulerState } from './types';
-import type { WorkerView } from './views';
 
 function bornAtMsOf(workerKey: string): number {
   return Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
 }
 
-function isSameWorker(view: WorkerView, { id, address }: WorkerReport): boolean {
-  const { workerKey, report, claimedAddress } = view;
-  return report === undefined
-    ? workerKey.startsWith(`${id}@`) || claimedAddress === address
-    : report.id === id || report.address === address;
-}
-
 /**
  * Returns the keys of the instances that a report proves to have ended: those that were born earlier
  * under its id or at its address. An instance that was not born later proves nothing, because its
  * report may have been delayed until after its own end.
  */
 export function earlierInstances(
-  workers: Map<string, WorkerView>,
+  instances: InstanceIndex,
   worker: WorkerReport,
 ): readonly string[] {
-  return workers
-    .filter((view) => bornAtMsOf(view.workerKey) < worker.bornAtMs && isSameWorker(view, worker))
-    .keySeq()
-    .toArray();
+  return instancesWith(instances, worker).filter(
+    (workerKey) => bornAtMsOf(workerKey) < worker.bornAtMs,
+  );
 }
 
 function hasMoved({ workerAddress }: TaskProgress, address: string): boolean {
@@ -71,12 +63,10 @@
   state: SchedulerState,
   { workerKey, worker }: ReportedWorker,
 ): boolean {
-  return state.workers.some(
-    ({ report: other, workerKey: otherKey }) =>
-      otherKey !== workerKey &&
-      other?.address === worker.address &&
-      other.bornAtMs > worker.bornAtMs,
-  );
+  return instancesAt(state.instances, worker.address).some((otherKey) => {
+    const other = state.workers.get(otherKey)?.report;
+    return otherKey !== workerKey && other !== undefined && other.bornAtMs > worker.bornAtMs;
+  });
 }
 
 /** Returns whether a worker was compared with all known instances and says the same of itself as then. */
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs.ts
@@ -12,6 +12,7 @@
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
+import { indexInstances } from './identities';
 import { earlierInstances } from './instances';
 import { advanceLeadership } from './leadership';
 import { leaseEndAtMs } from './leases';
@@ -122,9 +123,10 @@
       ? view
       : { ...view, claimedAddress: address };
   });
+  const instances = indexInstances(located);
   const ended = state.workers
     .valueSeq()
-    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(located, report)));
+    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(instances, report)));
   return ended.reduce(
     (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
     located,
@@ -187,12 +189,14 @@
         },
       ] as const,
   );
+  const known = withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers);
   return {
     ...state,
     suspects: findSuspects(state, nowMs),
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
     orphans: orphansOf([...ended]).reduce(addOrphan, state.orphans),
-    workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
+    workers: known,
+    instances: indexInstances(known),
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
 }
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/release.ts
@@ -3,6 +3,7 @@
 import { chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { RunRef } from '@bronzeyoke/wire';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
+import { dropInstance } from './identities';
 import { startWait } from './placewait';
 import { dropRun, dropRuns, runsOn } from './runs';
 import { putJob, withEffects } from './state';
@@ -93,6 +94,7 @@
   const removed: SchedulerState = {
     ...step.state,
     workers: step.state.workers.delete(workerKey),
+    instances: dropInstance(step.state.instances, step.state.workers.get(workerKey)),
     awaited: step.state.awaited.delete(workerKey),
     dueGrants: step.state.dueGrants.delete(workerKey),
     orphans: dropRuns(step.state.orphans, runsOn(step.state.orphans, workerKey).keys()),
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/report.ts
@@ -20,6 +20,7 @@
   storeAddress,
   wasCompared,
 } from './instances';
+import { putInstance } from './identities';
 import { grantIfAllowed } from './grants';
 import { isAwaited, leaseEndMs } from './leases';
 import { addReporter } from './links';
@@ -102,6 +103,7 @@
   const updated: SchedulerState = {
     ...state,
     workers: state.workers.set(workerKey, view),
+    instances: putInstance(state.instances, known, view),
     links: addReporter(state.links, linkId, workerKey),
     instanceCount: state.instanceCount + (known?.report === undefined ? 1 : 0),
     dueGrants: isNewClock ? state.dueGrants.add(workerKey) : state.dueGrants,
@@ -123,7 +125,7 @@
   report: Report,
   nowMs: number,
 ): SchedulerStep {
-  const earlier = earlierInstances(state.workers, report.worker);
+  const earlier = earlierInstances(state.instances, report.worker);
   return chainAfter(
     moveListedRuns(state, earlier, report),
     earlier.map((workerKey) => (current: SchedulerState) => {
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,6 +1,7 @@
 import { Map, Set as ImmutableSet } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
+import { NO_INSTANCES } from './identities';
 import { NO_EARLIER_LEASES } from './leases';
 import type { ActionScope, PostCommitAction, WriteUrgency } from './pending';
 import { addAction, addRow, NO_PENDING_WRITES } from './pending';
@@ -15,6 +16,7 @@
   jobs: Map<string, never>(),
   ended: Map<string, never>(),
   workers: Map<string, never>(),
+  instances: NO_INSTANCES,
   instanceCount: 0,
   runs: NO_RUNS,
   orphans: NO_RUNS,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -8,6 +8,7 @@
 import type { FleetConfig, JobProgress } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { InstanceIndex } from './identities';
 import type { PendingWrites, PostCommitAction } from './pending';
 import type { PlaceWait } from './placewait';
 import type { Leader, LeaseValue } from './rows';
@@ -193,6 +194,8 @@
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
+  /** The same instances by id and address. */
+  readonly instances: InstanceIndex;
   /** Instances that have reported to this leader, those that have ended included. */
   readonly instanceCount: number;
   readonly runs: RunTable;
--- a/packages/scheduler/test/eventcost.test.ts
+++ b/packages/scheduler/test/eventcost.test.ts
@@ -55,3 +55,9 @@
   expect([...without.keys()]).to.deep.equal([workerKeyFor('w7')]);
   expect(countWorkersSeen(fleet, close)).to.equal(1);
 });
+
+// Guards against reports that look at the whole fleet for other instances, as all do when many join.
+it('event cost: a report looks at its own worker', () => {
+  const fleet = withoutPass(join(createLeader(), ...LARGE_FLEET));
+  expect(countWorkersSeen(fleet, (from) => report(from, 'w7'))).to.equal(1);
+});
