Encode the row of a job once for a transaction

To count the entries of a job, the choice of rows for a transaction encoded the whole row and threw it away, and the transaction encoded it again. The entries are now counted from the state of the job.

The test fails on the code before: a task of the row is read twice.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -38,11 +38,13 @@
   return [put, { kind: 'delete', ...jobKey(jobId) }, ...cancel];
 }
 
-/** Returns what a job adds to a transaction. */
+/** Returns what the writes of a job add to a transaction. */
 function rowSize(state: SchedulerState, jobId: string): RowSize {
-  const entries = jobWrites(state, jobId).length;
   const open = state.jobs.get(jobId);
-  return { entries, bytes: open === undefined ? 0 : progressBytes(open.progress) };
+  if (open === undefined) return { entries: 0, bytes: 0 };
+  const { progress, isCancelled } = open;
+  const deleted = progress.outcome === undefined ? 0 : 1 + Number(isCancelled);
+  return { entries: 1 + deleted, bytes: progressBytes(progress) };
 }
 
 /** Parts of a transaction beside the lease row, and what follows it. */
--- a/packages/scheduler/test/eventcost.test.ts
+++ b/packages/scheduler/test/eventcost.test.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai';
+import type { TaskProgress } from '@bronzeyoke/workflow';
+import { withTasks } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
   advance,
@@ -10,6 +12,7 @@
   dispatch,
   jobOf,
   join,
+  list,
   report,
   sentMessages,
   stageOf,
@@ -61,3 +64,26 @@
   const fleet = withoutPass(join(createLeader(), ...LARGE_FLEET));
   expect(countWorkersSeen(fleet, (from) => report(from, 'w7'))).to.equal(1);
 });
+
+// Guards against a transaction that encodes the whole row of a job to count its entries, and again to
+// write it.
+it('event cost: a transaction encodes the row of a job once', () => {
+  const seen = { reads: 0 };
+  const other: TaskProgress = {
+    phase: 'waiting',
+    get attempt(): number {
+      seen.reads += 1;
+      return 0;
+    },
+    failures: 0,
+  };
+  const placed = join(createLeader(), 'w1');
+  const submitted = commitAll(submit(placed, jobOf('job1', [stageOf(1)])));
+  const jobs = submitted.state.jobs.map((open) => ({
+    ...open,
+    progress: withTasks(open.progress, [['0.0.9', other]]),
+  }));
+  const before = withoutPass({ ...submitted, state: { ...submitted.state, jobs } });
+  list(before, 'w1', { 'job1.0.0.0': 'failed' });
+  expect(seen.reads).to.equal(1);
+});
