Settle held claims in one function

Ordering the held claims of a worker and giving back the late ones both took the claims out of the state and checked that each was still that of its task. Both now call settleHeldStarts. Behaviour is the same; the tests of held starts pass.

--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -106,28 +106,39 @@
   );
 }
 
-/** Orders the claims that have waited for a connection of a worker's agent. */
-export function orderHeldStarts(
+/** Takes some held claims out, and settles those that are still the claims of their tasks. */
+function settleHeldStarts(
   state: SchedulerState,
-  workerKey: string,
-  nowMs: number,
+  due: SchedulerState['heldStarts'],
+  settle: (current: SchedulerState, task: string, attempt: number) => SchedulerStep,
 ): SchedulerStep {
-  const due = state.heldStarts.filter((held) => held.workerKey === workerKey);
-  // An agent that has no lease yet would refuse the order.
-  if (due.isEmpty() || state.dueGrants.has(workerKey)) return unchanged(state);
-  const withRoom = workersWithRoom(state, [...due.keys()]);
   return chainAll(
     { ...state, heldStarts: state.heldStarts.deleteAll(due.keys()) },
     [...due].map(
       ([task, held]) =>
         (current: SchedulerState) =>
           isClaimedOn(current, task, held)
-            ? sendStart(current, task, held.attempt, withRoom, nowMs)
+            ? settle(current, task, held.attempt)
             : unchanged(current),
     ),
   );
 }
 
+/** Orders the claims that have waited for a connection of a worker's agent. */
+export function orderHeldStarts(
+  state: SchedulerState,
+  workerKey: string,
+  nowMs: number,
+): SchedulerStep {
+  const due = state.heldStarts.filter((held) => held.workerKey === workerKey);
+  // An agent that has no lease yet would refuse the order.
+  if (due.isEmpty() || state.dueGrants.has(workerKey)) return unchanged(state);
+  const withRoom = workersWithRoom(state, [...due.keys()]);
+  return settleHeldStarts(state, due, (current, task, attempt) =>
+    sendStart(current, task, attempt, withRoom, nowMs),
+  );
+}
+
 /** Orders the held claims of workers whose agents are connected and have got their leases. */
 export function orderGrantedStarts(state: SchedulerState, nowMs: number): SchedulerStep {
   const workerKeys = new Set(state.heldStarts.valueSeq().map(({ workerKey }) => workerKey));
@@ -143,15 +154,8 @@
 export function releaseHeldStarts(state: SchedulerState, nowMs: number): SchedulerStep {
   const late = state.heldStarts.filter(({ untilMs }) => untilMs <= nowMs);
   if (late.isEmpty()) return unchanged(state);
-  return chainAll(
-    { ...state, heldStarts: state.heldStarts.deleteAll(late.keys()) },
-    [...late].map(
-      ([task, held]) =>
-        (current: SchedulerState) =>
-          isClaimedOn(current, task, held)
-            ? releaseRun(current, task, 'notConnected', nowMs)
-            : unchanged(current),
-    ),
+  return settleHeldStarts(state, late, (current, task) =>
+    releaseRun(current, task, 'notConnected', nowMs),
   );
 }
 
