Keep held claims by worker

Each report and, for each worker with a held claim, each commit looked at all claims that wait for the connection of an agent. After a loss of many connections that is the product of the claims and their workers. Held claims are now in a table by task and by worker, as runs are.

With the same count on the table before, the test sees 50 held claims at a report in place of 1.

--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -1,9 +1,10 @@
+import type { Map } from 'immutable';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
 import { hasRoomForClaims } from './loads';
 import type { PostCommitAction } from './pending';
 import { releaseRun } from './release';
-import { putRun } from './runs';
+import { dropRuns, putRun, runsOn } from './runs';
 import { sendToWorker, withEffects } from './state';
 import { taskLog } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
@@ -24,7 +25,7 @@
   nowMs: number,
 ): SchedulerState {
   const held = { workerKey, attempt, untilMs: nowMs + HOLD_START_MS };
-  return { ...state, heldStarts: state.heldStarts.set(task, held) };
+  return { ...state, heldStarts: putRun(state.heldStarts, task, held) };
 }
 
 /** Returns whether a held claim is still that of its task. */
@@ -109,11 +110,11 @@
 /** Takes some held claims out, and settles those that are still the claims of their tasks. */
 function settleHeldStarts(
   state: SchedulerState,
-  due: SchedulerState['heldStarts'],
+  due: Map<string, HeldStart>,
   settle: (current: SchedulerState, task: string, attempt: number) => SchedulerStep,
 ): SchedulerStep {
   return chainAll(
-    { ...state, heldStarts: state.heldStarts.deleteAll(due.keys()) },
+    { ...state, heldStarts: dropRuns(state.heldStarts, due.keys()) },
     [...due].map(
       ([task, held]) =>
         (current: SchedulerState) =>
@@ -130,7 +131,7 @@
   workerKey: string,
   nowMs: number,
 ): SchedulerStep {
-  const due = state.heldStarts.filter((held) => held.workerKey === workerKey);
+  const due = runsOn(state.heldStarts, workerKey);
   // An agent that has no lease yet would refuse the order.
   if (due.isEmpty() || state.dueGrants.has(workerKey)) return unchanged(state);
   const withRoom = workersWithRoom(state, [...due.keys()]);
@@ -141,10 +142,9 @@
 
 /** Orders the held claims of workers whose agents are connected and have got their leases. */
 export function orderGrantedStarts(state: SchedulerState, nowMs: number): SchedulerStep {
-  const workerKeys = new Set(state.heldStarts.valueSeq().map(({ workerKey }) => workerKey));
   return chainAll(
     state,
-    [...workerKeys]
+    [...state.heldStarts.byWorker.keys()]
       .filter((workerKey) => state.workers.get(workerKey)?.linkId !== undefined)
       .map((workerKey) => (current: SchedulerState) => orderHeldStarts(current, workerKey, nowMs)),
   );
@@ -152,7 +152,7 @@
 
 /** Gives back the claims whose agents have stayed away. */
 export function releaseHeldStarts(state: SchedulerState, nowMs: number): SchedulerStep {
-  const late = state.heldStarts.filter(({ untilMs }) => untilMs <= nowMs);
+  const late = state.heldStarts.byTask.filter(({ untilMs }) => untilMs <= nowMs);
   if (late.isEmpty()) return unchanged(state);
   return settleHeldStarts(state, late, (current, task) =>
     releaseRun(current, task, 'notConnected', nowMs),
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -29,7 +29,7 @@
   quickEnds: Map<string, never>(),
   suspects: Map<string, never>(),
   waits: Map<string, never>(),
-  heldStarts: Map<string, never>(),
+  heldStarts: NO_RUNS,
   unplacedSince: Map<string, never>(),
   missedTurns: Map<string, never>(),
   absences: Map<string, never>(),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -12,7 +12,7 @@
 import type { PendingWrites, PostCommitAction } from './pending';
 import type { PlaceWait } from './placewait';
 import type { Leader, LeaseValue } from './rows';
-import type { OrphanTable, RunTable } from './runs';
+import type { OrphanTable, RunTable, TaskTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
   Absence,
@@ -225,8 +225,8 @@
   readonly absencesAtMs: number;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
-  /** Stored claims whose agents had no connection, by task. */
-  readonly heldStarts: Map<string, HeldStart>;
+  /** Stored claims whose agents had no connection. */
+  readonly heldStarts: TaskTable<HeldStart>;
   readonly links: Map<string, LinkView>;
   readonly linksOpened: number;
   readonly pairs: PairEstimates;
--- a/packages/scheduler/src/whereabouts.ts
+++ b/packages/scheduler/src/whereabouts.ts
@@ -97,7 +97,7 @@
   const { workerKey, claimedAtMs, isOrdered, isListed, listedAtMs, stopSentAtMs } = run;
   const worker = state.workers.get(workerKey);
   if (worker === undefined) return { kind: 'contradictory', problem: 'noWorker' };
-  const held = state.heldStarts.get(task);
+  const held = state.heldStarts.byTask.get(task);
   if (held !== undefined) return { kind: 'awaitingAgent', workerKey, untilMs: held.untilMs };
   if (!isOrdered) return { kind: 'storing', workerKey, sinceMs: claimedAtMs };
   const { reportedAtMs = -Infinity, linkId, expiresAtMs, hasEnded = false } = worker;
--- a/packages/scheduler/test/eventcost.test.ts
+++ b/packages/scheduler/test/eventcost.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { TaskProgress } from '@bronzeyoke/workflow';
 import { withTasks } from '@bronzeyoke/workflow';
+import { NO_RUNS, putRun } from '../src/runs';
 import type { Fixture } from './fixture';
 import {
   advance,
@@ -15,6 +16,8 @@
   list,
   report,
   sentMessages,
+  siteOf,
+  sized,
   stageOf,
   submit,
   workerKeyFor,
@@ -87,3 +90,41 @@
   list(before, 'w1', { 'job1.0.0.0': 'failed' });
   expect(seen.reads).to.equal(1);
 });
+
+/** Counts the held claims that are looked at while something happens. */
+function countHeldSeen(fixture: Fixture, act: (counted: Fixture) => Fixture): number {
+  const seen = new Set<string>();
+  const heldStarts = [...fixture.state.heldStarts.byTask].reduce<Fixture['state']['heldStarts']>(
+    (table, [task, held]) => {
+      const { workerKey } = held;
+      const counted = {
+        ...held,
+        get workerKey(): string {
+          seen.add(task);
+          return workerKey;
+        },
+      };
+      return putRun(table, task, counted);
+    },
+    NO_RUNS,
+  );
+  seen.clear();
+  act({ ...fixture, state: { ...fixture.state, heldStarts } });
+  return seen.size;
+}
+
+// Guards against reports and commits that look at all claims held for agents without a connection.
+it('event cost: a report looks at the held starts of its own worker', () => {
+  const joined = join(createLeader(), ...LARGE_FLEET);
+  const fleet = { ...joined, nowMs: joined.nowMs + 100 };
+  const claimed = withoutPass(submit(fleet, jobOf('job1', [sized(4_000, 50)])));
+  const closed = LARGE_FLEET.reduce(
+    (current, site) => dispatch(current, { kind: 'linkClosed', linkId: `link-${site}` }),
+    claimed,
+  );
+  const held = commit(closed);
+  const back = (from: Fixture): Fixture =>
+    report(from, siteOf(held, 'job1.0.0.0') ?? '', { link: 'link-new' });
+  expect(sentMessages(back(held), 'start')).to.have.length(1);
+  expect(countHeldSeen(held, back)).to.equal(1);
+});
