--- a/packages/scheduler/src/adopt.ts
+++ b/packages/scheduler/src/adopt.ts
@@ -1,6 +1,7 @@
 import { Map } from 'immutable';
 import type { TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import { assignedSlots } from '@bronzeyoke/workflow';
+import { indexInstances } from './identities';
 import { earlierInstances } from './instances';
 import { addOrphan, orphansOf } from './jobend';
 import { leaseEndAtMs } from './leases';
@@ -44,9 +45,10 @@
       ? view
       : { ...view, claimedAddress: address };
   });
+  const instances = indexInstances(located);
   const ended = state.workers
     .valueSeq()
-    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(located, report)));
+    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(instances, report)));
   return ended.reduce(
     (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
     located,
@@ -125,12 +127,14 @@
     const expiresAtMs = gone.has(workerKey) ? nowMs : leaseEndOf(workerKey);
     return [workerKey, unheardWorker(workerKey, expiresAtMs)] as const;
   });
+  const known = withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers);
   return {
     ...state,
     suspects: findSuspects(state, nowMs),
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), NO_RUNS),
     orphans: orphansOf(ended).reduce(addOrphan, state.orphans),
-    workers: withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers),
+    workers: known,
+    instances: indexInstances(known),
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
 }
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -8,10 +8,11 @@
 import type { FleetConfig, JobProgress } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { InstanceIndex } from './identities';
 import type { PendingWrites, PostCommitAction } from './pending';
 import type { PlaceWait } from './placewait';
 import type { Leader, LeaseValue } from './rows';
-import type { OrphanTable, RunTable } from './runs';
+import type { OrphanTable, RunTable, TaskTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
   Absence,
@@ -194,6 +195,8 @@
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
+  /** The same instances by id and address. */
+  readonly instances: InstanceIndex;
   /** Instances that have reported to this leader, those that have ended included. */
   readonly instanceCount: number;
   readonly runs: RunTable;
@@ -224,8 +227,8 @@
   readonly blocked: BlockedWorkers;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
-  /** Stored claims whose agents had no connection, by task. */
-  readonly heldStarts: Map<string, HeldStart>;
+  /** Stored claims whose agents had no connection. */
+  readonly heldStarts: TaskTable<HeldStart>;
   readonly links: Map<string, LinkView>;
   readonly linksOpened: number;
   readonly pairs: PairEstimates;
