Bound a placement pass by a budget of work

Cause: a pass placed everything that waited, however long that took. On an entry with 0.324 cores a pass over hundreds of tasks took up to 0.94 s, in which no report, renewal or connection was handled.

Change: a pass counts its work (looks at workers, claims, searches for moves) and ends near 100 ms by a pace that is learned from the event passTook, at first by the processors of the entry. Left-out tasks and stages come first in the next pass, the longest left out before the rest. Lasting tasks that have run leave a quarter of the budget to others, and hold these back for 1 s at most while they still find room themselves.

The model of processor time charges neither tasks that a pass leaves out nor, twice, lasting tasks that it has claimed.

--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -6,6 +6,8 @@
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
 import { advanceRun, gangCheckpoint, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
+import type { PassBudget, PassPart } from './passbudget';
+import { CLAIM_WORK } from './passbudget';
 import type { WriteUrgency } from './pending';
 import { putRun } from './runs';
 import { addPostCommitAction, putJob } from './state';
@@ -94,6 +96,19 @@
   readonly reservations: Map<string, string>;
   /** Tasks that wait for a trial. */
   readonly held: ReadonlySet<string>;
+  /** Work done so far, and the work after which each part of the pass ends. */
+  readonly work: number;
+  readonly budget: PassBudget;
+}
+
+/** Adds to the work of a pass. */
+export function spend(pass: PlacementPass, work: number): PlacementPass {
+  return { ...pass, work: pass.work + work };
+}
+
+/** Returns whether the rest of a part is left to the next pass. */
+export function isSpent({ work, budget }: PlacementPass, part: PassPart): boolean {
+  return work >= budget[part];
 }
 
 /** Returns whether a task may not be placed yet: after a refusal or a failure, or before its trial. */
@@ -195,7 +210,7 @@
   const loads = isTried
     ? pass.loads.delete(workerKey)
     : pass.loads.set(workerKey, withTask(load, stage));
-  return { ...pass, state, loads };
+  return { ...pass, state, loads, work: pass.work + CLAIM_WORK };
 }
 
 /** Claims the best worker for a task; undefined if none has room. */
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -2,10 +2,11 @@
 import { chainAfter } from '@bronzeyoke/types';
 import { untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
-import { orderedCandidates } from './candidates';
+import { orderedCandidates, searchKey } from './candidates';
 import { updateLoads } from './loads';
 import { stopRun } from './pace';
 import type { PlacementPass } from './pass';
+import { listedWork, passBudget, passWork } from './passbudget';
 import { placeReturning, reserveForMoves } from './returning';
 import type { Round } from './round';
 import { openRound, placeStage } from './round';
@@ -27,6 +28,9 @@
  */
 const WAITING_AGAIN_MS = 500;
 
+/** Time for which all others wait while passes cannot reach all lasting tasks that have run. */
+const MAX_HELD_MS = 1_000;
+
 /** Returns the time until tasks have to be placed again, even if nothing else happens. */
 function untilNextPassMs(
   { jobs, waits }: SchedulerState,
@@ -54,6 +58,33 @@
   });
 }
 
+/** Returns the candidates that earlier passes have left out first, those left out longest before others. */
+function leftOutFirst(
+  { leftOut }: SchedulerState,
+  candidates: readonly StageCandidate[],
+): readonly StageCandidate[] {
+  if (leftOut.isEmpty()) return candidates;
+  const passOf = (candidate: StageCandidate): number => leftOut.get(searchKey(candidate), Infinity);
+  return candidates.toSorted((left, right) => {
+    const [leftPass, rightPass] = [passOf(left), passOf(right)];
+    return leftPass === rightPass ? 0 : leftPass - rightPass;
+  });
+}
+
+/** Returns the work of a pass before it places anything, and the limits of its parts. */
+function openBudget(
+  { workers, passPace, settings }: SchedulerState,
+  listedCount: number,
+): Pick<PlacementPass, 'work' | 'budget'> {
+  const work = listedWork(workers.size, listedCount);
+  return { work, budget: passBudget(passWork(passPace, settings.capacity), work) };
+}
+
+/** Returns a pass in which all others are left to a later one. */
+function withoutOthers(pass: PlacementPass): PlacementPass {
+  return { ...pass, budget: { ...pass.budget, others: 0 } };
+}
+
 /**
  * Claims workers for the waiting tasks that fit. The claims are stored before any start order.
  * Lasting tasks that have run come first, because their users count on them.
@@ -76,23 +107,29 @@
     stops: Map(),
     occupancyOf: createOccupancies(state, nowMs),
     reservations: Map(),
+    ...openBudget(state, candidates.length + waiting.length),
   });
-  const returned = placeReturning(pass, waiting, nowMs);
-  const others = withoutReturning(candidates, waiting);
-  const tried = placeTrials(returned, others, nowMs);
+  const heldSinceMs = Math.min(state.othersHeldSinceMs, nowMs);
+  const mayHold = nowMs - heldSinceMs < MAX_HELD_MS;
+  const { pass: returned, isCut, isHeld } = placeReturning(pass, waiting, mayHold, nowMs);
+  const others = leftOutFirst(state, withoutReturning(candidates, waiting));
+  const tried = placeTrials(isHeld ? withoutOthers(returned) : returned, others, nowMs);
   const round = others.reduce<Round>(
     (current, candidate) => placeStage(current, candidate, nowMs),
     openRound(tried, waiting),
   );
   const placed = round.pass;
   const logged = logWaits(placed, waiting, nowMs);
-  const { failedSearches, unplacedSince } = round;
+  const { failedSearches, unplacedSince, leftOut } = round;
   const next: SchedulerState = {
     ...logged.state,
     failedSearches,
     unplacedSince,
+    leftOut,
     missedTurns: updateMissedTurns({ ...logged.state, unplacedSince }, waiting, nowMs),
-    needsPlacement: round.isCut,
+    needsPlacement: isCut || round.isCut,
+    othersHeldSinceMs: isHeld ? heldSinceMs : Infinity,
+    passWork: placed.work,
     lastPassAtMs: nowMs,
     placeAgainAtMs: nowMs + untilNextPassMs(logged.state, candidates, wallMs),
   };
--- a/packages/scheduler/src/placewait.ts
+++ b/packages/scheduler/src/placewait.ts
@@ -40,6 +40,8 @@
   readonly movesSoughtAtMs?: number;
   /** Time of the last search that found no place, while passes cannot search for all waiting tasks. */
   readonly searchedAtMs?: number;
+  /** Time of the first of the passes that have left the task to a later one. */
+  readonly leftOutSinceMs?: number;
   /** Whether the task was stopped in order to move it. It comes first, so that its place is kept. */
   readonly isMoved: boolean;
   readonly isLogged: boolean;
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -3,12 +3,15 @@
 import { taskProgress } from '@bronzeyoke/workflow';
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
-import { isBackingOff, placeGang, placeTask } from './pass';
+import { isBackingOff, isSpent, placeGang, placeTask, spend } from './pass';
+import { MOVES_WORK, VACANCY_WORK } from './passbudget';
 import type { PlaceWait, WaitEvent } from './placewait';
 import { advanceWait, startMove } from './placewait';
 import { makeRoomByMoves } from './relocate';
 import type { Vacancy } from './reserve';
 import { clearVacancy, findVacancy, keptVacancy, reserveRoom, slotOf } from './reserve';
+import type { PlacementUnit } from './units';
+import { unitsOf } from './units';
 import type { WaitingTask } from './waits';
 
 /** Time after which the runs that keep a lasting task from its reserved place are stopped. */
@@ -36,11 +39,6 @@
   return Math.min(MAX_SEARCHES, Math.max(MIN_SEARCHES, searches));
 }
 
-/** A task, or all members of a gang, to place in one decision. */
-type PlacementUnit =
-  | { readonly kind: 'task'; readonly task: WaitingTask }
-  | { readonly kind: 'gang'; readonly members: readonly WaitingTask[] };
-
 /** A pass, with the stages for which it has found no room or no place, and the searches left. */
 interface Search {
   readonly pass: PlacementPass;
@@ -50,17 +48,12 @@
   readonly moveSearchesLeft: number;
   /** So many tasks wait that those with a kept place look for no other one. */
   readonly isCrowded: boolean;
-}
-
-function unitsOf(waiting: readonly WaitingTask[]): readonly PlacementUnit[] {
-  return waiting.flatMap((task, index): readonly PlacementUnit[] => {
-    const { candidate } = task;
-    if (!candidate.ready.stage.isGang) return [{ kind: 'task', task }];
-    const key = searchKey(candidate);
-    const isMember = (other: WaitingTask): boolean => searchKey(other.candidate) === key;
-    const members = waiting.filter(isMember);
-    return waiting.findIndex(isMember) === index ? [{ kind: 'gang', members }] : [];
-  });
+  /** A task was left to a later pass. */
+  readonly isCut: boolean;
+  /** Whether others may be left to a later pass until all lasting tasks had their turn. */
+  readonly mayHold: boolean;
+  /** Runs before the pass. */
+  readonly runsBefore: number;
 }
 
 function putWait(pass: PlacementPass, task: string, wait: PlaceWait): PlacementPass {
@@ -73,7 +66,7 @@
   { task, wait: known }: WaitingTask,
   event: WaitEvent,
 ): PlacementPass {
-  const wait = event === 'lose' ? known : without(known, 'searchedAtMs');
+  const wait = event === 'lose' ? known : without(known, 'searchedAtMs', 'leftOutSinceMs');
   const workerKey = pass.reservations.get(task);
   if (workerKey !== undefined && workerKey === wait.workerKey) {
     return putWait(pass, task, advanceWait(wait, event));
@@ -159,6 +152,11 @@
   return putWait(settled, task, { ...cleared, moves: found.moves });
 }
 
+/** Returns a task whose turn has come. */
+function reachedTask(waiting: WaitingTask): WaitingTask {
+  return { ...waiting, wait: without(waiting.wait, 'leftOutSinceMs') };
+}
+
 function giveUp(pass: PlacementPass, waiting: WaitingTask): PlacementPass {
   return settleWait(pass, waiting, 'lose');
 }
@@ -195,33 +193,36 @@
   if (searchesLeft === 0) return { ...search, pass: giveUp(pass, waiting) };
   const searched = { ...search, searchesLeft: searchesLeft - 1 };
   const mayClear = !isBackingOff(pass, waiting.task, nowMs);
-  const kept = keepNewPlace(pass, waiting, mayClear, nowMs);
+  const looked = spend(pass, pass.loads.size * VACANCY_WORK);
+  const kept = keepNewPlace(looked, waiting, mayClear, nowMs);
   if (kept !== undefined) return { ...searched, pass: kept };
   const withoutPlace = { ...searched, hopeless: new Set([...hopeless, key]) };
   // Without a move search left, the task is not hopeless: the next pass may find moves for it.
-  if (!isMoveDue(waiting, nowMs)) return { ...withoutPlace, pass: giveUp(pass, inVain) };
-  if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(pass, inVain) };
-  const moved = movePlace(pass, waiting, nowMs);
+  if (!isMoveDue(waiting, nowMs)) return { ...withoutPlace, pass: giveUp(looked, inVain) };
+  if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(looked, inVain) };
+  const sought = spend(looked, looked.loads.size * MOVES_WORK);
+  const moved = movePlace(sought, waiting, nowMs);
   const left = moveSearchesLeft - 1;
   return moved === undefined
-    ? { ...withoutPlace, moveSearchesLeft: left, pass: giveUpMoves(pass, inVain, nowMs) }
+    ? { ...withoutPlace, moveSearchesLeft: left, pass: giveUpMoves(sought, inVain, nowMs) }
     : { ...searched, moveSearchesLeft: left, pass: moved };
 }
 
 function placeUnitTask(search: Search, waiting: WaitingTask, nowMs: number): Search {
-  const { pass, full, searchesLeft, isCrowded } = search;
+  const { full, searchesLeft, isCrowded } = search;
   const { task, wait, candidate } = waiting;
   const key = searchKey(candidate);
-  const isReady = !isBackingOff(pass, task, nowMs);
+  const isReady = !isBackingOff(search.pass, task, nowMs);
   // Anywhere else a moved task would be in the way of the one that it makes room for.
   const onlyKept = wait.workerKey !== undefined && (wait.isMoved || isCrowded);
   const mayClaim = onlyKept || (!full.has(key) && searchesLeft > 0);
+  const pass = spend(search.pass, mayClaim && !onlyKept ? search.pass.loads.size : VACANCY_WORK);
   const claimed = mayClaim ? claimPlace(pass, waiting, onlyKept, nowMs) : undefined;
   if (claimed !== undefined) return { ...search, pass: claimed };
   const searched: Search =
     mayClaim && isReady && !onlyKept
-      ? { ...search, full: new Set([...full, key]), searchesLeft: searchesLeft - 1 }
-      : search;
+      ? { ...search, pass, full: new Set([...full, key]), searchesLeft: searchesLeft - 1 }
+      : { ...search, pass };
   const kept = keepKnownPlace(pass, waiting, isReady, nowMs);
   return kept === undefined ? searchPlace(searched, waiting, nowMs) : { ...searched, pass: kept };
 }
@@ -259,12 +260,53 @@
   );
 }
 
+/** Leaves a task to a later pass, and goes on keeping its place without a look at it. */
+function leaveOut(pass: PlacementPass, waiting: WaitingTask, nowMs: number): PlacementPass {
+  const { task, wait, candidate } = waiting;
+  const left = { ...wait, leftOutSinceMs: wait.leftOutSinceMs ?? nowMs };
+  const load = pass.loads.get(wait.workerKey ?? '');
+  return load === undefined
+    ? giveUp(pass, { ...waiting, wait: left })
+    : putWait(reserveRoom(pass, task, load, candidate.ready.stage), task, left);
+}
+
+/** Returns whether left-out lasting tasks may still find room: the pass has ended while others did. */
+function isHolding({ pass, isCut, runsBefore }: Search): boolean {
+  return isCut && pass.state.runs.byTask.size > runsBefore;
+}
+
+function leaveOutUnit(search: Search, members: readonly WaitingTask[], nowMs: number): Search {
+  return {
+    ...search,
+    pass: members.reduce((current, member) => leaveOut(current, member, nowMs), search.pass),
+    isCut: true,
+  };
+}
+
+/** Returns whether a task is left to a later pass. Starved ones also make way for lasting ones. */
+function isLeftOut(search: Search, { wait }: WaitingTask): boolean {
+  return wait.cause === 'starved'
+    ? isSpent(search.pass, 'starved') || (search.mayHold && isHolding(search))
+    : isSpent(search.pass, 'returning');
+}
+
 function placeUnit(search: Search, unit: PlacementUnit, nowMs: number): Search {
   switch (unit.kind) {
-    case 'task':
-      return placeUnitTask(search, unit.task, nowMs);
-    case 'gang':
-      return { ...search, pass: placeUnitGang(search.pass, unit.members, nowMs) };
+    case 'task': {
+      const { task } = unit;
+      return isLeftOut(search, task)
+        ? leaveOutUnit(search, [task], nowMs)
+        : placeUnitTask(search, reachedTask(task), nowMs);
+    }
+    case 'gang': {
+      const { pass } = search;
+      const { members } = unit;
+      if (members.some((member) => isLeftOut(search, member))) {
+        return leaveOutUnit(search, members, nowMs);
+      }
+      const looked = spend(pass, members.length * pass.loads.size * VACANCY_WORK);
+      return { ...search, pass: placeUnitGang(looked, members.map(reachedTask), nowMs) };
+    }
     default:
       return assertNever(unit);
   }
@@ -300,15 +342,26 @@
   return { ...pass, state: { ...pass.state, waits: forgotten } };
 }
 
+/** A pass that has placed the waiting tasks. */
+interface ReturningPass {
+  readonly pass: PlacementPass;
+  /** A task was left to a later pass. */
+  readonly isCut: boolean;
+  /** Whether others are left to a later pass too, until all lasting tasks had their turn. */
+  readonly isHeld: boolean;
+}
+
 /**
  * Places the lasting tasks that have run and wait, the one that is away longest first. Those that find
- * no room keep a place that becomes free or is made free.
+ * no room keep a place that becomes free or is made free. `mayHold` tells whether all others may be left
+ * to later passes for lasting tasks.
  */
 export function placeReturning(
   pass: PlacementPass,
   waiting: readonly WaitingTask[],
+  mayHold: boolean,
   nowMs: number,
-): PlacementPass {
+): ReturningPass {
   const searches = maxSearches(pass.loads.size);
   const search: Search = {
     pass,
@@ -317,10 +370,20 @@
     searchesLeft: searches,
     moveSearchesLeft: MAX_MOVE_SEARCHES,
     isCrowded: waiting.length > searches,
+    isCut: false,
+    mayHold,
+    runsBefore: pass.state.runs.byTask.size,
   };
-  const { pass: placed, searchesLeft } = unitsOf(waiting).reduce(
+  const placed = unitsOf(waiting).reduce(
     (current, unit) => placeUnit(current, unit, nowMs),
     search,
   );
-  return startMoves(searchesLeft > 0 ? forgetSearches(placed) : placed, nowMs);
+  const { searchesLeft, isCut } = placed;
+  const hasReachedAll = searchesLeft > 0 && !isCut;
+  const forgotten = hasReachedAll ? forgetSearches(placed.pass) : placed.pass;
+  return {
+    pass: startMoves(forgotten, nowMs),
+    isCut,
+    isHeld: mayHold && isHolding(placed),
+  };
 }
--- a/packages/scheduler/src/round.ts
+++ b/packages/scheduler/src/round.ts
@@ -6,7 +6,15 @@
 import type { StageCandidate } from './candidates';
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
-import { isBackingOff, loadsOfService, placeGang, placeTask, serviceOf } from './pass';
+import {
+  isBackingOff,
+  isSpent,
+  loadsOfService,
+  placeGang,
+  placeTask,
+  serviceOf,
+  spend,
+} from './pass';
 import { preemptFills } from './preempt';
 import { placeOn, searchScope } from './search';
 import type { SchedulerState } from './types';
@@ -45,6 +53,8 @@
   readonly looksLeft: number;
   /** A stage was left to the next pass. */
   readonly isCut: boolean;
+  /** Pass that first left a stage out for want of work, by `searchKey`. */
+  readonly leftOut: Map<string, number>;
   /** Demands of stages for which the pass has found no worker. */
   readonly unmet: readonly Demand[];
 }
@@ -68,6 +78,7 @@
     unplacedSince: keepUnplaced(pass.state, waiting),
     looksLeft: MAX_LOOKS,
     isCut: false,
+    leftOut: Map(),
     unmet: [],
   };
 }
@@ -130,10 +141,35 @@
 
 /** Records that a stage without filling tasks waits for a worker. One that fits none waits for nothing. */
 function recordUnplaced(round: Round, candidate: StageCandidate, nowMs: number): Round {
-  if (!couldRun(round.pass, candidate)) return round;
+  const pass = spend(round.pass, round.pass.loads.size);
+  if (!couldRun(pass, candidate)) return { ...round, pass };
   const key = searchKey(candidate);
-  const sinceMs = round.pass.state.unplacedSince.get(key, nowMs);
-  return { ...round, unplacedSince: round.unplacedSince.set(key, sinceMs) };
+  const sinceMs = pass.state.unplacedSince.get(key, nowMs);
+  return { ...round, pass, unplacedSince: round.unplacedSince.set(key, sinceMs) };
+}
+
+/** Leaves a stage, or the rest of its tasks, to the next pass, with what is known of its wait. */
+function leaveTo(round: Round, candidate: StageCandidate, sincePass: number): Round {
+  const key = searchKey(candidate);
+  const sinceMs = round.pass.state.unplacedSince.get(key);
+  return {
+    ...keepSearch(round, candidate),
+    unplacedSince:
+      sinceMs === undefined ? round.unplacedSince : round.unplacedSince.set(key, sinceMs),
+    leftOut: round.leftOut.set(key, sincePass),
+    isCut: true,
+  };
+}
+
+/** Leaves out a stage whose turn has not come. It keeps its place among those left out. */
+function leaveOut(round: Round, candidate: StageCandidate): Round {
+  const { leftOut, passCount } = round.pass.state;
+  return leaveTo(round, candidate, leftOut.get(searchKey(candidate), passCount));
+}
+
+/** Leaves out the rest of a stage. Stages that had no turn yet come before it. */
+function leaveRest(round: Round, candidate: StageCandidate): Round {
+  return leaveTo(round, candidate, round.pass.state.passCount);
 }
 
 /** Places tasks that need room of their own, or stops filling tasks that keep them from it. */
@@ -150,6 +186,7 @@
   }
   const { loads } = searchScope(pass, candidate, nowMs);
   const placed = placeOn(pass, candidate, slots, loads, nowMs);
+  if (placed.isCut) return leaveRest({ ...round, pass: placed.pass }, candidate);
   if (placed.left.length === 0) return { ...round, pass: placed.pass };
   const preempted = preemptFills(placed.pass, candidate, placed.left);
   const next = recordUnplaced({ ...round, pass: preempted.pass }, candidate, nowMs);
@@ -175,6 +212,7 @@
       ? placeLastResort(pass, candidate, slots[0], nowMs)
       : placed.pass;
   const next = { ...round, pass: last, looksLeft: round.looksLeft - loads.length };
+  if (placed.isCut) return leaveRest(next, candidate);
   return placed.left.length === 0 ? next : recordFailure(next, candidate, isFull, nowMs);
 }
 
@@ -183,13 +221,17 @@
   const { pass } = round;
   const { jobId, ready } = candidate;
   if (ready.stage.isGang) {
+    if (isSpent(pass, 'others')) return leaveOut(round, candidate);
     const placed = placeGang(pass, candidate, nowMs);
-    return placed === pass ? recordUnplaced(round, candidate, nowMs) : { ...round, pass: placed };
+    const searched = spend(placed, ready.slots.length * pass.loads.size);
+    const next = { ...round, pass: searched };
+    return placed === pass ? recordUnplaced(next, candidate, nowMs) : next;
   }
   const [first, ...others] = ready.slots.filter(
     (slot) => !isBackingOff(pass, `${jobId}.${slot}`, nowMs),
   );
   if (first === undefined) return round;
+  if (isSpent(pass, 'others')) return leaveOut(round, candidate);
   const slots = [first, ...others] as const;
   return ready.stage.fillsIdle
     ? placeFills(round, candidate, slots, nowMs)
--- a/packages/scheduler/src/search.ts
+++ b/packages/scheduler/src/search.ts
@@ -4,7 +4,8 @@
 import type { StageCandidate } from './candidates';
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
-import { claimOn, classifierOf, loadsOfService, siblingCounter } from './pass';
+import { claimOn, classifierOf, isSpent, loadsOfService, siblingCounter, spend } from './pass';
+import { FILL_WORK } from './passbudget';
 
 /** A search of workers for the tasks of one stage. */
 export interface StageSearch {
@@ -13,7 +14,12 @@
   readonly left: readonly string[];
 }
 
-interface OpenSearch extends StageSearch {
+/** A search that may have ended before all tasks had their turn, because the work of the pass was done. */
+interface CutSearch extends StageSearch {
+  readonly isCut: boolean;
+}
+
+interface OpenSearch extends CutSearch {
   readonly candidates: readonly Candidate[];
 }
 
@@ -28,19 +34,21 @@
   slots: readonly string[],
   loads: readonly WorkerLoad[],
   nowMs: number,
-): StageSearch {
+): CutSearch {
   const open = pass.state.jobs.get(jobId);
-  if (open === undefined) return { pass, left: slots };
+  if (open === undefined) return { pass, left: slots, isCut: false };
   const { stage } = ready;
   const classify = classifierOf(pass);
   const constraints = { siblingCount: siblingCounter(pass, open, ready) };
   const first: OpenSearch = {
-    pass,
+    pass: spend(pass, loads.length * (stage.fillsIdle ? FILL_WORK : 1)),
     left: [],
+    isCut: false,
     candidates: findCandidates(stage, loads, classify, constraints),
   };
   return slots.reduce((current, slot, index): OpenSearch => {
-    if (current.left.length > 0) return current;
+    if (current.left.length > 0 || current.isCut) return current;
+    if (index > 0 && isSpent(current.pass, 'others')) return { ...current, isCut: true };
     const known = current.pass.state.jobs.get(jobId) ?? open;
     const { attempt, failedOn } = taskProgress(known.progress, slot);
     const best = bestCandidate(current.candidates, failedOn);
@@ -51,12 +59,12 @@
     const load = placed.loads.get(best.load.workerKey);
     if (load === undefined) {
       const candidates = current.candidates.filter((other) => other !== best);
-      return { pass: placed, left: [], candidates };
+      return { ...current, pass: placed, candidates };
     }
     const siblingCount = siblingCounter(placed, after, ready);
     return {
+      ...current,
       pass: placed,
-      left: [],
       candidates: updateCandidate(current.candidates, stage, load, classify, { siblingCount }),
     };
   }, first);
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -2,6 +2,7 @@
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { NO_EARLIER_LEASES } from './leases';
+import { NO_PACE } from './passbudget';
 import type { ActionScope, PostCommitAction, WriteUrgency } from './pending';
 import { addAction, addRow, NO_PENDING_WRITES } from './pending';
 import { NO_RUNS } from './runs';
@@ -22,6 +23,10 @@
   passCount: 0,
   lastPassAtMs: -Infinity,
   passPausedUntilMs: -Infinity,
+  passWork: 0,
+  passPace: NO_PACE,
+  othersHeldSinceMs: Infinity,
+  leftOut: Map<string, never>(),
   failedSearches: Map<string, never>(),
   backOff: Map<string, never>(),
   quickEnds: Map<string, never>(),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -19,6 +19,7 @@
 import { changeTimes } from './leases';
 import { retryReads } from './load';
 import { paceWorker } from './pace';
+import { recordPass } from './passbudget';
 import { placeTasks } from './place';
 import { releaseHeldStarts } from './postcommit';
 import { releaseWorker } from './release';
@@ -198,11 +199,14 @@
   switch (event.kind) {
     case 'tick':
       return onTick(state, nowMs, event.wallMs);
-    case 'passTook':
+    case 'passTook': {
+      const tookMs = Math.min(MAX_PASS_PAUSE_MS, event.durationMs);
       return unchanged({
         ...state,
-        passPausedUntilMs: nowMs + Math.min(MAX_PASS_PAUSE_MS, event.durationMs),
+        passPausedUntilMs: nowMs + tookMs,
+        passPace: recordPass(state.passPace, state.passWork, tookMs),
       });
+    }
     case 'configChanged':
       return unchanged({ ...state, config: event.config, needsPlacement: true });
     case 'timesChanged':
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -8,6 +8,7 @@
 import type { FleetConfig, JobProgress } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { PassPace } from './passbudget';
 import type { PendingWrites, PostCommitAction } from './pending';
 import type { PlaceWait } from './placewait';
 import type { Leader, LeaseValue } from './rows';
@@ -203,6 +204,13 @@
   readonly lastPassAtMs: number;
   /** Time before which no pass begins, so that other events are handled after a long one. */
   readonly passPausedUntilMs: number;
+  /** Work of the last pass, and the pace of the passes so far. */
+  readonly passWork: number;
+  readonly passPace: PassPace;
+  /** Since when passes have left all others to later ones for lasting tasks; infinite if they do not. */
+  readonly othersHeldSinceMs: number;
+  /** Pass that first left a stage to a later one, by `searchKey`. */
+  readonly leftOut: Map<string, number>;
   /** Filling stages that found too few workers, by `searchKey`. */
   readonly failedSearches: Map<string, FailedSearch>;
   /** Time before which a task is not placed again, by task. */
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -63,14 +63,26 @@
   return cause === 'starved' ? 2 : 1;
 }
 
+/** Compares two waits by the time since which passes have left them out; others come last. */
+function compareLeftOut(
+  { leftOutSinceMs: left }: PlaceWait,
+  { leftOutSinceMs: right }: PlaceWait,
+): number {
+  if (left === undefined || right === undefined) {
+    return Number(left === undefined) - Number(right === undefined);
+  }
+  return left - right;
+}
+
 /**
- * Compares two waits by the order of their searches. Within a class, those that a pass has searched in
- * vain come after those that it did not get to: otherwise tasks that fit nowhere use up the searches of
- * every pass.
+ * Compares two waits by the order of their searches. Within a class, those that earlier passes had no
+ * work left for come first. Those that a pass has searched in vain come after those that it did not get
+ * to: otherwise tasks that fit nowhere use up the searches of every pass.
  */
 function compareWaits(left: PlaceWait, right: PlaceWait): number {
   return (
     searchClass(left) - searchClass(right) ||
+    compareLeftOut(left, right) ||
     (left.searchedAtMs ?? 0) - (right.searchedAtMs ?? 0) ||
     placeRank(left) - placeRank(right) ||
     left.sinceMs - right.sinceMs
--- a/packages/scheduler/test/simcpu.ts
+++ b/packages/scheduler/test/simcpu.ts
@@ -79,14 +79,18 @@
 export function passMs(
   { passWorkerMs, placeMs }: CpuCosts,
   before: SchedulerState,
-  { passCount, runs, waits, unplacedSince, workers }: SchedulerState,
+  { passCount, runs, waits, unplacedSince, leftOut, workers }: SchedulerState,
   nowMs: number,
 ): number {
   if (passCount === before.passCount) return 0;
   const claimed = runs.byTask.count(
     ({ claimedAtMs, isOrdered }) => claimedAtMs === nowMs && !isOrdered,
   );
-  const places = claimed + waits.size + unplacedSince.size;
+  const searched = waits.count(
+    ({ phase, leftOutSinceMs }) => phase !== 'claimed' && leftOutSinceMs === undefined,
+  );
+  const unplaced = unplacedSince.count((_, key) => !leftOut.has(key));
+  const places = claimed + searched + unplaced;
   return workers.size * (passWorkerMs + places * placeMs);
 }
 
