Compare a held claim with the task's run in its whereabouts

A held claim stays until its time is over, also when the task was released and claimed again meanwhile; whereaboutsOf looked at the task only and said that it waits for the agent, although the start was ordered. It now compares attempt and worker as the order does.

The new test of heldstarts.test.ts failed before ('awaitingAgent' in place of 'starting') and passes now.

--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/postcommit.ts
@@ -28,7 +28,7 @@
 }
 
 /** Returns whether a held claim is still that of its task. */
-function isClaimedOn(state: SchedulerState, task: string, held: HeldStart): boolean {
+export function isClaimedOn(state: SchedulerState, task: string, held: HeldStart): boolean {
   const run = state.runs.byTask.get(task);
   return run?.attempt === held.attempt && run.workerKey === held.workerKey && !run.isOrdered;
 }
--- a/packages/scheduler/src/whereabouts.ts
+++ b/packages/scheduler/src/whereabouts.ts
@@ -7,6 +7,7 @@
   taskProgress,
 } from '@bronzeyoke/workflow';
 import type { PlaceWait } from './placewait';
+import { isClaimedOn } from './postcommit';
 import type { SchedulerState } from './types';
 import type { OpenJob, RunView } from './views';
 
@@ -98,7 +99,8 @@
   const worker = state.workers.get(workerKey);
   if (worker === undefined) return { kind: 'contradictory', problem: 'noWorker' };
   const held = state.heldStarts.get(task);
-  if (held !== undefined) return { kind: 'awaitingAgent', workerKey, untilMs: held.untilMs };
+  if (held !== undefined && isClaimedOn(state, task, held))
+    return { kind: 'awaitingAgent', workerKey, untilMs: held.untilMs };
   if (!isOrdered) return { kind: 'storing', workerKey, sinceMs: claimedAtMs };
   const { reportedAtMs = -Infinity, linkId, expiresAtMs, hasEnded = false } = worker;
   const isSilent = nowMs - reportedAtMs > OVERDUE_REPORT_MS;
--- a/packages/scheduler/test/heldstarts.test.ts
+++ b/packages/scheduler/test/heldstarts.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { lastingTasks, whereaboutsOf } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
 import {
   advance,
@@ -11,11 +12,12 @@
   sentMessages,
   stageOf,
   submit,
+  WALL_MS,
 } from './fixture';
 
 /** Returns a leader that has stored a claim whose agent lost its connection before. */
-function disconnected(): Fixture {
-  const claimed = submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)]));
+function disconnected(stage = stageOf(1)): Fixture {
+  const claimed = submit(report(createLeader(), 'w1'), jobOf('job1', [stage]));
   return commitAll(dispatch(claimed, { kind: 'linkClosed', linkId: 'link-w1' }));
 }
 
@@ -66,3 +68,13 @@
   expect(sentMessages(granted, 'start')).to.have.length(1);
   expect(releaseReasons(granted)).to.deep.equal([]);
 });
+
+// Guards against a line that says a task waits for an agent although another claim has followed.
+it('held start: an earlier claim does not tell where a task is', () => {
+  const held = disconnected(stageOf(1, { isLasting: true }));
+  const kindsOf = ({ state, nowMs }: Fixture): readonly string[] =>
+    lastingTasks(state, WALL_MS + nowMs).map((task) => whereaboutsOf(state, task, nowMs).kind);
+  expect(kindsOf(held)).to.deep.equal(['awaitingAgent']);
+  const back = report(advance(held, 500), 'w1', { link: 'link-new', bornAtMs: 9 });
+  expect(kindsOf(commitAll(back))).to.deep.equal(['starting']);
+});
