Count the workers with room once for each stage in taskAway lines

Up to 20 lines of one look each looked at the whole fleet, also those of one stage, which ask for the same. They now share a count. The cases silent and awaitingAgent, which are the same, are one, and the time after which a worker shows as silent says why it differs from that of the lease row.

--- a/packages/scheduler/src/absences.ts
+++ b/packages/scheduler/src/absences.ts
@@ -2,6 +2,7 @@
 import type { AwayReason, EventFields } from '@bronzeyoke/telemetry';
 import { AWAY_REASONS, logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged } from '@bronzeyoke/types';
+import type { Stage } from '@bronzeyoke/workflow';
 import { Map } from 'immutable';
 import { serviceOf } from './pass';
 import { withEffects } from './state';
@@ -18,7 +19,7 @@
 const LOG_AFTER_MS = 3_000;
 const LOG_AGAIN_MS = 5_000;
 
-/** Lines of one look. Each counts the workers with room, and a pass must not wait for long. */
+/** Lines of one look. Each stage in them counts the workers with room, and a pass must not wait for long. */
 const MAX_LINES = 20;
 
 /** A lasting task that does not work, and why. */
@@ -74,10 +75,32 @@
   });
 }
 
+/** What a stage needs and which workers could run a task of it, for a log line. */
+type RoomCounter = (lasting: LastingTask) => EventFields;
+
+function countRoom(state: SchedulerState, { stage, open }: LastingTask): EventFields {
+  const service = serviceOf(state, open);
+  const fitting = [...state.loads.values()]
+    .map(({ load }) => load)
+    .filter((load) => load.service === service && fitsEmptyWorker(stage, load));
+  const withRoom = fitting.filter((load) => hasRoom(stage, load));
+  return { ...stage.needs, fitsEmpty: fitting.length, withRoom: withRoom.length };
+}
+
+/** Returns a counter for one look. The tasks of a stage share a look at the fleet. */
+function createRoomCounter(state: SchedulerState): RoomCounter {
+  const known = new globalThis.Map<Stage, EventFields>();
+  return (lasting) => {
+    const found = known.get(lasting.stage) ?? countRoom(state, lasting);
+    known.set(lasting.stage, found);
+    return found;
+  };
+}
+
 /** Returns what decides the next step of a task that is away. */
 function detailsOf(
-  state: SchedulerState,
   { lasting, whereabouts }: AwayTask,
+  roomOf: RoomCounter,
   nowMs: number,
 ): EventFields {
   switch (whereabouts.kind) {
@@ -87,10 +110,7 @@
       const { workerKey, sinceMs } = whereabouts;
       return { worker: workerKey, stateMs: Math.round(nowMs - sinceMs) };
     }
-    case 'silent': {
-      const { workerKey, untilMs } = whereabouts;
-      return { worker: workerKey, endsInMs: Math.round(untilMs - nowMs) };
-    }
+    case 'silent':
     case 'awaitingAgent': {
       const { workerKey, untilMs } = whereabouts;
       return { worker: workerKey, endsInMs: Math.round(untilMs - nowMs) };
@@ -101,15 +121,8 @@
     case 'clearing':
       return { worker: whereabouts.workerKey };
     case 'searching':
-    case 'queued': {
-      const { stage, open } = lasting;
-      const service = serviceOf(state, open);
-      const fitting = [...state.loads.values()]
-        .map(({ load }) => load)
-        .filter((load) => load.service === service && fitsEmptyWorker(stage, load));
-      const withRoom = fitting.filter((load) => hasRoom(stage, load));
-      return { ...stage.needs, fitsEmpty: fitting.length, withRoom: withRoom.length };
-    }
+    case 'queued':
+      return roomOf(lasting);
     case 'contradictory':
       return { problem: whereabouts.problem };
     case 'working':
@@ -120,7 +133,7 @@
   }
 }
 
-function describe(state: SchedulerState, away: AwayTask, nowMs: number): SchedulerEffect {
+function describe(away: AwayTask, roomOf: RoomCounter, nowMs: number): SchedulerEffect {
   const { lasting, reason, absence } = away;
   const { task, stage, open } = lasting;
   return taskLog(stage, 'taskAway', {
@@ -128,7 +141,7 @@
     task,
     reason,
     awayMs: Math.round(nowMs - absence.sinceMs),
-    ...detailsOf(state, away, nowMs),
+    ...detailsOf(away, roomOf, nowMs),
   });
 }
 
@@ -158,13 +171,14 @@
     .filter(isLate)
     .toSorted((left, right) => left.absence.sinceMs - right.absence.sinceMs)
     .slice(0, MAX_LINES);
+  const roomOf = createRoomCounter(state);
   const logged = new Set(late.map(({ lasting }) => lasting.task));
   const absences = away.map(({ lasting: { task }, absence }): readonly [string, Absence] => [
     task,
     logged.has(task) ? { ...absence, loggedAtMs: nowMs } : absence,
   ]);
   return withEffects({ ...state, absences: Map(absences), absencesAtMs: nowMs }, [
-    ...late.map((task) => describe(state, task, nowMs)),
+    ...late.map((task) => describe(task, roomOf, nowMs)),
     ...describeCounts(state, away),
   ]);
 }
--- a/packages/scheduler/src/whereabouts.ts
+++ b/packages/scheduler/src/whereabouts.ts
@@ -11,7 +11,11 @@
 import type { SchedulerState } from './types';
 import type { OpenJob, RunView } from './views';
 
-/** A worker whose last report is older than this may have ended with its runs. */
+/**
+ * A worker whose last report is older than this may have ended with its runs. The lease row names a silent
+ * worker earlier (`leases.ts`), so that the next leader waits less; operators should not see each late
+ * report.
+ */
 const OVERDUE_REPORT_MS = 1_500;
 
 /** Why the leader's view of a task contradicts itself. Nothing would ever end such a state. */
