--- a/packages/scheduler/src/whereabouts.ts
+++ b/packages/scheduler/src/whereabouts.ts
@@ -7,10 +7,15 @@
   taskProgress,
 } from '@bronzeyoke/workflow';
 import type { PlaceWait } from './placewait';
+import { isClaimedOn } from './postcommit';
 import type { SchedulerState } from './types';
 import type { OpenJob, RunView } from './views';
 
-/** A worker whose last report is older than this may have ended with its runs. */
+/**
+ * A worker whose last report is older than this may have ended with its runs. The lease row names a silent
+ * worker earlier (`leases.ts`), so that the next leader waits less; operators should not see each late
+ * report.
+ */
 const OVERDUE_REPORT_MS = 1_500;
 
 /** Why the leader's view of a task contradicts itself. Nothing would ever end such a state. */
@@ -98,7 +103,8 @@
   const worker = state.workers.get(workerKey);
   if (worker === undefined) return { kind: 'contradictory', problem: 'noWorker' };
   const held = state.heldStarts.byTask.get(task);
-  if (held !== undefined) return { kind: 'awaitingAgent', workerKey, untilMs: held.untilMs };
+  if (held !== undefined && isClaimedOn(state, task, held))
+    return { kind: 'awaitingAgent', workerKey, untilMs: held.untilMs };
   if (!isOrdered) return { kind: 'storing', workerKey, sinceMs: claimedAtMs };
   const { reportedAtMs = -Infinity, linkId, expiresAtMs, hasEnded = false } = worker;
   const isSilent = nowMs - reportedAtMs > OVERDUE_REPORT_MS;
