Leave a turn of the event loop early while agents connect

Node.js 20 accepts one connection in a turn of the event loop. A turn of a busy leader holds the reading of all connections and a batch of the scheduler of up to 50 ms, with the pass that an event of it may lead to, so a leader with 0.3 cores has 4 to 12 turns a second, and agents wait for theirs that long.

The scheduler now handles events for 2 ms in a turn in which a connection was accepted, because others may wait, and for 50 ms in all others. Short batches in every turn would cost about a quarter of what a saturated scheduler handles.

--- a/packages/actors/src/actor.ts
+++ b/packages/actors/src/actor.ts
@@ -27,6 +27,13 @@
   context: Context<Message>,
 ) => State;
 
+/** Options of an actor. */
+export interface ActorOptions<State> {
+  readonly initialState: State;
+  /** Returns the longest time for the batch that begins; undefined for the usual one. */
+  readonly maxBatchMs?: (() => number | undefined) | undefined;
+}
+
 /** State of an actor after some messages of a batch. */
 interface Batch<State> {
   readonly state: State;
@@ -41,7 +48,7 @@
   system: ActorSystemRef,
   handle: MessageHandler<State, Message>,
   name: string | undefined,
-  options: { readonly initialState: State },
+  options: ActorOptions<State>,
 ): Ref<Message> {
   let mailbox: Message[] = [];
   let isScheduled = false;
@@ -79,7 +86,7 @@
     mailbox = [];
     isScheduled = false;
     const self = refOf(context.self);
-    const endMs = performance.now() + MAX_BATCH_MS;
+    const endMs = performance.now() + (options.maxBatchMs?.() ?? MAX_BATCH_MS);
     const handled = batch.reduce<Batch<State>>(
       (current, message) =>
         current.count > 0 && performance.now() >= endMs
--- a/packages/actors/src/core.ts
+++ b/packages/actors/src/core.ts
@@ -1,7 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import type { ActorSystemRef } from 'nact';
 import type { Decide } from '@bronzeyoke/types';
-import type { Context, Ref } from './actor';
+import type { ActorOptions, Context, Ref } from './actor';
 import { dispatch, spawn } from './actor';
 
 /** Decision function of a core, with the callbacks that perform its effects. */
@@ -13,6 +13,7 @@
   readonly perform: (effect: Effect, self: Ref<Event>) => void;
   /** Called with an error of a decision, after which the state from before the event is kept, or of an effect. */
   readonly onError: (error: unknown, event: Event) => void;
+  readonly maxBatchMs?: ActorOptions<State>['maxBatchMs'];
 }
 
 /** Starts the actor that owns the state of a core and applies events one at a time. */
@@ -20,7 +21,7 @@
   system: ActorSystemRef,
   options: CoreOptions<State, Event, Effect>,
 ): Ref<Event> {
-  const { name, initial, decide, perform, onError } = options;
+  const { name, initial, decide, perform, onError, maxBatchMs } = options;
   const performSafely = (effect: Effect, event: Event, self: Ref<Event>): void => {
     try {
       perform(effect, self);
@@ -39,7 +40,7 @@
       return state;
     }
   };
-  return spawn(system, handle, name, { initialState: initial });
+  return spawn(system, handle, name, { initialState: initial, maxBatchMs });
 }
 
 /** Sends an event to an actor after a delay. Pending events do not keep the process alive. */
--- a/packages/hosts/src/agentlinks.ts
+++ b/packages/hosts/src/agentlinks.ts
@@ -16,12 +16,21 @@
   readonly accept: (socket: Socket, scheduler: Ref<SchedulerEvent>) => void;
   /** Sends a message; no effect when the connection is closed. */
   readonly send: (linkId: string, message: LeaderMessage) => void;
+  /** Returns the longest time for the next batch of the scheduler; undefined for the usual one. */
+  readonly maxBatchMs: () => number | undefined;
 }
 
+/**
+ * Longest batch of a scheduler after a turn of the event loop in which a connection was accepted. Node.js
+ * 20 accepts one in a turn, so others may wait, and agents without a connection lose their leases.
+ */
+const ACCEPTING_BATCH_MS = 2;
+
 /** Creates the table of an entry's connections. */
 export function createAgentLinks(system: ActorSystemRef, log: LogEvent): AgentLinks {
   const links = new Map<string, Ref<LinkCommand>>();
   let linkCount = 0;
+  let linkCountAtBatch = 0;
   return {
     accept: (socket, scheduler) => {
       linkCount += 1;
@@ -58,5 +67,10 @@
       const link = links.get(linkId);
       if (link !== undefined) dispatch(link, { kind: 'send', message });
     },
+    maxBatchMs: () => {
+      const hasAccepted = linkCount > linkCountAtBatch;
+      linkCountAtBatch = linkCount;
+      return hasAccepted ? ACCEPTING_BATCH_MS : undefined;
+    },
   };
 }
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,3 +1,4 @@
+export * from './agentlinks';
 export * from './controller';
 export * from './leaderlink';
 export * from './loadmeter';
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -143,5 +143,6 @@
     decide,
     onError,
     perform,
+    maxBatchMs: links.maxBatchMs,
   });
 }
