Model the connections that wait to be accepted

The model of the scheduler opened each connection at once, so that its recovery tests passed with agents that replace a silent connection again and again, which kept the service down in the incident.

An entry of the model now accepts one connection in each turn of its event loop (50 ms of events, 2 ms in a turn that has accepted one). What an agent sends before that, and on a connection that it has left meanwhile, is handled in its turn.

--- a/packages/scheduler/test/simcpu.ts
+++ b/packages/scheduler/test/simcpu.ts
@@ -112,9 +112,15 @@
   readonly finish: () => void;
 }
 
-/** Handles one event at a time; the others wait in order. */
+/** Time in which events are handled in a turn of the event loop, also of one that has accepted a connection. */
+const TURN_MS = 50;
+const ACCEPTING_TURN_MS = 2;
+
+/** Handles one event at a time; the others wait in order. A turn of events begins with one connection. */
 export interface Processor<Event> {
   readonly submit: (event: Event) => void;
+  /** Adds a connection that waits for its turn, which returns the events that it has brought until then. */
+  readonly connect: (accept: () => readonly Event[]) => void;
   /** Stops and continues the process between two events. */
   readonly setPaused: (isPaused: boolean) => void;
 }
@@ -126,14 +132,24 @@
 ): Processor<Event> {
   const known: {
     waiting: Event[];
+    connections: (() => readonly Event[])[];
+    /** What is left of the turn. */
+    turnMs: number;
     isBusy: boolean;
     isPaused: boolean;
     /** Part of a ms that the clock does not show. */
     owedMs: number;
-  } = { waiting: [], isBusy: false, isPaused: false, owedMs: 0 };
+  } = { waiting: [], connections: [], turnMs: 0, isBusy: false, isPaused: false, owedMs: 0 };
+
+  const beginTurn = (): void => {
+    const accept = known.connections.shift();
+    known.turnMs = accept === undefined ? TURN_MS : ACCEPTING_TURN_MS;
+    known.waiting.push(...(accept?.() ?? []));
+  };
 
   const handle = (event: Event): void => {
     const { durationMs, finish } = begin(event);
+    known.turnMs -= durationMs;
     const owedMs = known.owedMs + durationMs;
     const wholeMs = Math.floor(owedMs);
     known.owedMs = owedMs - wholeMs;
@@ -152,6 +168,7 @@
 
   function run(): void {
     while (!known.isBusy && !known.isPaused) {
+      if (known.turnMs <= 0 || known.waiting.length === 0) beginTurn();
       const event = known.waiting.shift();
       if (event === undefined) return;
       handle(event);
@@ -163,6 +180,10 @@
       known.waiting.push(event);
       run();
     },
+    connect: (accept) => {
+      known.connections.push(accept);
+      run();
+    },
     setPaused: (isPaused) => {
       known.isPaused = isPaused;
       run();
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -73,8 +73,13 @@
     return { durationMs: coreMs / capacity.processors, finish };
   };
   const processor = createProcessor(clock, begin);
+  /** Events on connections that wait to be accepted, also on those that their agents have left. */
+  const unaccepted = new Map<string, SchedulerEvent[]>();
   const dispatch = (event: SchedulerEvent): void => {
-    if (node.isUp) processor.submit(event);
+    if (!node.isUp) return;
+    const held = 'linkId' in event ? unaccepted.get(event.linkId) : undefined;
+    if (held === undefined) processor.submit(event);
+    else held.push(event);
   };
 
   function followJobs(isOn: boolean): void {
@@ -162,8 +167,14 @@
     accepts: () => node.isUp && !node.isStopping,
     dispatch,
     addLink: (link) => {
-      links.set(link.linkId, link);
-      dispatch({ kind: 'linkOpened', linkId: link.linkId });
+      const { linkId } = link;
+      links.set(linkId, link);
+      const held: SchedulerEvent[] = [{ kind: 'linkOpened', linkId }];
+      unaccepted.set(linkId, held);
+      processor.connect(() => {
+        unaccepted.delete(linkId);
+        return held;
+      });
     },
     stop: () => {
       dispatch({ kind: 'stop' });
