Count a worker's hold without a result as lost

Only the result of a hold lets the agent send the next one, so an agent whose hold never had a result listed no runs and prolonged no lease any more, while it and the worker were up. The hold now counts as lost 1 s after its time, as start, stop and pace calls do, and another one follows. Found by reading, beside the start calls.

The new test of runner.test.ts failed before (no further hold) and passes now, as do the others of the agent.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -87,6 +87,7 @@
       holdCount: state.holdCount + 1,
       holdCallId: callId,
       holdToken: token,
+      holdSentAtMs: nowMs,
     },
     effects: [
       { kind: 'call', callId, worker: worker.report, call, timeoutMs: waitMs + HOLD_GRACE_MS },
@@ -273,9 +274,16 @@
   }
 }
 
+/** Returns the hold if its result is overdue. */
+function overdueHold({ holdCallId, holdSentAtMs }: RunnerState, nowMs: number): readonly string[] {
+  const isOverdue = nowMs - holdSentAtMs >= HOLD_WAIT_MS + HOLD_GRACE_MS + RESULT_GRACE_MS;
+  return holdCallId !== undefined && isOverdue ? [holdCallId] : [];
+}
+
 /**
  * Counts the calls as lost whose results are overdue. The leader places the task of a start order nowhere
- * else while the order is pending, so each order has to be settled in bounded time.
+ * else while the order is pending, so each order has to be settled in bounded time; and without another
+ * hold the worker gets no further lease.
  */
 export function expireCalls(state: RunnerState, nowMs: number): RunnerStep {
   const overdue = state.pendingCalls.filter(
@@ -283,7 +291,7 @@
   );
   return chainEach<RunnerState, RunnerEffect, string>(
     unchanged(state),
-    [...overdue.keys()],
+    [...overdue.keys(), ...overdueHold(state, nowMs)],
     (current, callId) => onCallDone(current, callId, { kind: 'lost' }, nowMs),
   );
 }
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -33,6 +33,7 @@
     goneSentAtMs: 0,
     holdCount: 0,
     holdToken: 0,
+    holdSentAtMs: 0,
     holdAtMs: 0,
     term: 0,
     connectCount: 0,
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -181,6 +181,7 @@
   /** Token of the last hold. */
   readonly holdToken: number;
   readonly holdCallId?: string;
+  readonly holdSentAtMs: number;
   readonly holdAtMs: number;
   readonly term: number;
   readonly leader?: Address;
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -62,6 +62,15 @@
   expect(reportsOf(answerHold(next))[0]?.pending).to.have.length(0);
 });
 
+// Guards against an agent that lists no runs for good, so that its worker gets no lease any more.
+it('agent: a hold without a result is followed by another one', () => {
+  const open = dispatch(answerHold(createLeased()), { kind: 'tick' }, 60);
+  const waiting = dispatch(open, { kind: 'tick' }, 1_990);
+  expect(callIdOf(waiting, 'hold')).to.equal('none');
+  const lost = dispatch(waiting, { kind: 'tick' }, 10);
+  expect(callIdOf(dispatch(lost, { kind: 'tick' }, 120), 'hold')).not.to.equal('none');
+});
+
 // Guards against a result that comes after its call counted as lost and is taken for that of another.
 it('agent: a late result of a lost start changes nothing', () => {
   const ordered = order(createLeased());
