Search for starved stages after lasting tasks have used up the searches

A stage that smaller tasks keep from a place looked at its kept worker only while more lasting tasks waited than a pass searches for, and starved when the run there outlasted its estimate.

--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -213,15 +213,24 @@
   const { task, wait, candidate } = waiting;
   const key = searchKey(candidate);
   const isReady = !isBackingOff(search.pass, task, nowMs);
+  // Lasting tasks that find no place may use up the searches of each pass. The few starved stages that have
+  // their turn are searched for in any case, once each.
+  const isStarved = wait.cause === 'starved';
+  const maySearch = !full.has(key) && (isStarved || searchesLeft > 0);
   // Anywhere else a moved task would be in the way of the one that it makes room for.
-  const onlyKept = wait.workerKey !== undefined && (wait.isMoved || isCrowded);
-  const mayClaim = onlyKept || (!full.has(key) && searchesLeft > 0);
+  const onlyKept = wait.workerKey !== undefined && (wait.isMoved || (isCrowded && !isStarved));
+  const mayClaim = onlyKept || maySearch;
   const pass = spend(search.pass, mayClaim && !onlyKept ? search.pass.loads.size : VACANCY_WORK);
   const claimed = mayClaim ? claimPlace(pass, waiting, onlyKept, nowMs) : undefined;
   if (claimed !== undefined) return { ...search, pass: claimed };
   const searched: Search =
     mayClaim && isReady && !onlyKept
-      ? { ...search, pass, full: new Set([...full, key]), searchesLeft: searchesLeft - 1 }
+      ? {
+          ...search,
+          pass,
+          full: new Set([...full, key]),
+          searchesLeft: Math.max(0, searchesLeft - 1),
+        }
       : { ...search, pass };
   const kept = keepKnownPlace(pass, waiting, isReady, nowMs);
   return kept === undefined ? searchPlace(searched, waiting, nowMs) : { ...searched, pass: kept };
