Leave a turn to all others after lasting tasks that fit nowhere

Found in review: on a large fleet a lasting task's search in vain for a place and for moves may cost more than a pass has left, so that starved stages and all others were left out in every pass: with 350 workers, 12 such tasks and 0.324 cores none of 10 short tasks was claimed in 17 s. While each pass left something out, a job of high priority waited behind the whole backlog of others (not claimed in 31 passes). The workers of a pass counted less than their measured cost, so that a slow leader of a large fleet had almost no work left for placing.

Others may do some work in any case, and so may one starved stage; only a stage that had its turn has missed one. While passes are cut, the most urgent stage and the one left out longest have turns alternately. The budget is that of the placing alone.

--- a/packages/scheduler/src/passbudget.ts
+++ b/packages/scheduler/src/passbudget.ts
@@ -1,21 +1,24 @@
 import type { EntryCapacity } from './times';
 
 /**
- * Length that a placement pass should not exceed by much. No report, renewal or connection is handled
- * meanwhile.
+ * Time that a pass should spend on placing, beside what it needs to go through workers and tasks. No
+ * report, renewal or connection is handled meanwhile.
  */
-const TARGET_PASS_MS = 100;
+const TARGET_PLACING_MS = 100;
 
 /** Processor time of one unit of work, which is a look at one worker for one task. */
 const WORK_MS = 0.004;
 
-/** Work that a pass may do in any case, so that a slow entry still places something in each. */
+/** Work of placing that a pass may do in any case, also after one that took very long. */
 const MIN_BUDGET = 1_500;
 
+/** Work that others may do in any case, as the search in vain of a lasting task may exceed its part. */
+const MIN_OTHERS_WORK = 500;
+
 /** Units of work of a claim, of a task or stage that a pass goes through, and of a worker in it. */
 export const CLAIM_WORK = 50;
 const LISTED_WORK = 1;
-const WORKER_WORK = 10;
+const WORKER_WORK = 22;
 
 /** Units of work for each worker in a search for a filling task, for room to keep, and for moves. */
 export const FILL_WORK = 3;
@@ -40,11 +43,11 @@
   return { work: pace.work * KEPT_SHARE + work, tookMs: pace.tookMs * KEPT_SHARE + tookMs };
 }
 
-/** Returns the work that a pass should do, by the pace of earlier ones and the entry's processors. */
+/** Returns the work of placing that a pass should do, by the pace of earlier ones and the entry's processors. */
 export function passWork({ work, tookMs }: PassPace, { processors }: EntryCapacity): number {
   const estimatedMs = (ESTIMATED_WORK * WORK_MS) / Math.min(1, processors);
   const workMs = (estimatedMs + tookMs) / (ESTIMATED_WORK + work);
-  return TARGET_PASS_MS / workMs;
+  return TARGET_PLACING_MS / workMs;
 }
 
 /** Parts of a pass, in their order: lasting tasks that have run, starved stages, and all others. */
@@ -53,12 +56,12 @@
 /** Work after which a pass leaves the rest of a part to the next one. */
 export type PassBudget = Readonly<Record<PassPart, number>>;
 
-/** Share of the work after which a part ends. None of them takes what the next ones need. */
+/** Share of the work after which no further task or stage of a part gets its turn. */
 const PART_SHARES: PassBudget = { returning: 0.75, starved: 0.85, others: 1 };
 
 /** Returns the budget of a pass that has to go through some workers, tasks and stages in any case. */
 export function passBudget(work: number, baseWork: number): PassBudget {
-  const placingWork = Math.max(MIN_BUDGET, work - baseWork);
+  const placingWork = Math.max(MIN_BUDGET, work);
   return {
     returning: baseWork + placingWork * PART_SHARES.returning,
     starved: baseWork + placingWork * PART_SHARES.starved,
@@ -66,6 +69,11 @@
   };
 }
 
+/** Returns a budget that leaves something to others after the work of the parts before. */
+export function withOthersShare(budget: PassBudget, work: number): PassBudget {
+  return { ...budget, others: Math.max(budget.others, work + MIN_OTHERS_WORK) };
+}
+
 /** Returns the work of a pass apart from the placing. */
 export function listedWork(workerCount: number, listedCount: number): number {
   return workerCount * WORKER_WORK + listedCount * LISTED_WORK;
--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -6,7 +6,7 @@
 import { updateLoads } from './loads';
 import { stopRun } from './pace';
 import type { PlacementPass } from './pass';
-import { listedWork, passBudget, passWork } from './passbudget';
+import { listedWork, passBudget, passWork, withOthersShare } from './passbudget';
 import { placeReturning, reserveForMoves } from './returning';
 import type { Round } from './round';
 import { openRound, placeStage } from './round';
@@ -58,17 +58,30 @@
   });
 }
 
-/** Returns the candidates that earlier passes have left out first, those left out longest before others. */
-function leftOutFirst(
+/**
+ * Returns the candidates in the order of their turns while passes leave some out: in turn the most urgent
+ * one, and the one that has been left out longest. The first ones must not wait for a backlog of others,
+ * and the last ones not for urgent stages that find no room.
+ */
+function orderedTurns(
   { leftOut }: SchedulerState,
   candidates: readonly StageCandidate[],
 ): readonly StageCandidate[] {
   if (leftOut.isEmpty()) return candidates;
   const passOf = (candidate: StageCandidate): number => leftOut.get(searchKey(candidate), Infinity);
-  return candidates.toSorted((left, right) => {
+  const byAge = candidates.toSorted((left, right) => {
     const [leftPass, rightPass] = [passOf(left), passOf(right)];
     return leftPass === rightPass ? 0 : leftPass - rightPass;
   });
+  const byUrgency = byAge.toSorted((left, right) => left.priority - right.priority);
+  return [
+    ...new Set(
+      byUrgency.flatMap((urgent, index) => {
+        const oldest = byAge[index];
+        return oldest === undefined ? [urgent] : [urgent, oldest];
+      }),
+    ),
+  ];
 }
 
 /** Returns the work of a pass before it places anything, and the limits of its parts. */
@@ -80,9 +93,10 @@
   return { work, budget: passBudget(passWork(passPace, settings.capacity), work) };
 }
 
-/** Returns a pass in which all others are left to a later one. */
-function withoutOthers(pass: PlacementPass): PlacementPass {
-  return { ...pass, budget: { ...pass.budget, others: 0 } };
+/** Returns the pass for all others; held ones are left to a later pass. */
+function passForOthers(pass: PlacementPass, isHeld: boolean): PlacementPass {
+  const budget = isHeld ? { ...pass.budget, others: 0 } : withOthersShare(pass.budget, pass.work);
+  return { ...pass, budget };
 }
 
 /**
@@ -112,8 +126,8 @@
   const heldSinceMs = Math.min(state.othersHeldSinceMs, nowMs);
   const mayHold = nowMs - heldSinceMs < MAX_HELD_MS;
   const { pass: returned, isCut, isHeld } = placeReturning(pass, waiting, mayHold, nowMs);
-  const others = leftOutFirst(state, withoutReturning(candidates, waiting));
-  const tried = placeTrials(isHeld ? withoutOthers(returned) : returned, others, nowMs);
+  const others = orderedTurns(state, withoutReturning(candidates, waiting));
+  const tried = placeTrials(passForOthers(returned, isHeld), others, nowMs);
   const round = others.reduce<Round>(
     (current, candidate) => placeStage(current, candidate, nowMs),
     openRound(tried, waiting),
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -13,6 +13,7 @@
 import type { PlacementUnit } from './units';
 import { unitsOf } from './units';
 import type { WaitingTask } from './waits';
+import { forgetSearches, reachedTask } from './waits';
 
 /** Time after which the runs that keep a lasting task from its reserved place are stopped. */
 const MAX_DRAIN_MS = 2_500;
@@ -52,6 +53,8 @@
   readonly isCut: boolean;
   /** Whether others may be left to a later pass until all lasting tasks had their turn. */
   readonly mayHold: boolean;
+  /** A starved task has had its turn. */
+  readonly hasReachedStarved: boolean;
   /** Runs before the pass. */
   readonly runsBefore: number;
 }
@@ -152,11 +155,6 @@
   return putWait(settled, task, { ...cleared, moves: found.moves });
 }
 
-/** Returns a task whose turn has come. */
-function reachedTask(waiting: WaitingTask): WaitingTask {
-  return { ...waiting, wait: without(waiting.wait, 'leftOutSinceMs') };
-}
-
 function giveUp(pass: PlacementPass, waiting: WaitingTask): PlacementPass {
   return settleWait(pass, waiting, 'lose');
 }
@@ -294,9 +292,10 @@
 
 /** Returns whether a task is left to a later pass. Starved ones also make way for lasting ones. */
 function isLeftOut(search: Search, { wait }: WaitingTask): boolean {
-  return wait.cause === 'starved'
-    ? isSpent(search.pass, 'starved') || (search.mayHold && isHolding(search))
-    : isSpent(search.pass, 'returning');
+  if (wait.cause !== 'starved') return isSpent(search.pass, 'returning');
+  const isHeld = search.mayHold && isHolding(search);
+  // Lasting tasks that fit nowhere may exceed their part in each pass.
+  return isHeld || (search.hasReachedStarved && isSpent(search.pass, 'starved'));
 }
 
 function placeUnit(search: Search, unit: PlacementUnit, nowMs: number): Search {
@@ -305,7 +304,13 @@
       const { task } = unit;
       return isLeftOut(search, task)
         ? leaveOutUnit(search, [task], nowMs)
-        : placeUnitTask(search, reachedTask(task), nowMs);
+        : placeUnitTask(
+            search.hasReachedStarved
+              ? search
+              : { ...search, hasReachedStarved: task.wait.cause === 'starved' },
+            reachedTask(task),
+            nowMs,
+          );
     }
     case 'gang': {
       const { pass } = search;
@@ -343,14 +348,6 @@
     }, pass);
 }
 
-/** Forgets the searches in vain after a pass that has searched for all: the longest wait comes first again. */
-function forgetSearches(pass: PlacementPass): PlacementPass {
-  const { waits } = pass.state;
-  if (!waits.some(({ searchedAtMs }) => searchedAtMs !== undefined)) return pass;
-  const forgotten = waits.map((wait) => without(wait, 'searchedAtMs'));
-  return { ...pass, state: { ...pass.state, waits: forgotten } };
-}
-
 /** A pass that has placed the waiting tasks. */
 interface ReturningPass {
   readonly pass: PlacementPass;
@@ -380,6 +377,7 @@
     moveSearchesLeft: MAX_MOVE_SEARCHES,
     isCrowded: waiting.length > searches,
     isCut: false,
+    hasReachedStarved: false,
     mayHold,
     runsBefore: pass.state.runs.byTask.size,
   };
@@ -389,9 +387,9 @@
   );
   const { searchesLeft, isCut } = placed;
   const hasReachedAll = searchesLeft > 0 && !isCut;
-  const forgotten = hasReachedAll ? forgetSearches(placed.pass) : placed.pass;
+  const forgotten = hasReachedAll ? forgetSearches(placed.pass.state) : placed.pass.state;
   return {
-    pass: startMoves(forgotten, nowMs),
+    pass: startMoves({ ...placed.pass, state: forgotten }, nowMs),
     isCut,
     isHeld: mayHold && isHolding(placed),
   };
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -1,4 +1,5 @@
 import type { Map } from 'immutable';
+import { without } from '@bronzeyoke/types';
 import type { ReadyStage } from '@bronzeyoke/workflow';
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
@@ -154,7 +155,9 @@
   waiting: readonly WaitingTask[],
   nowMs: number,
 ): Map<string, number> {
-  const turns = waiting.filter(({ wait }) => wait.cause === 'starved');
+  const turns = waiting.filter(
+    ({ task, wait }) => wait.cause === 'starved' && waits.get(task)?.leftOutSinceMs === undefined,
+  );
   const keyOf = ({ candidate }: WaitingTask): string => searchKey(candidate);
   const kept = new Set(
     turns.filter(({ task }) => waits.get(task)?.phase !== 'searching').map(keyOf),
@@ -164,6 +167,18 @@
     .filter((_, key) => unplacedSince.has(key) && !kept.has(key));
 }
 
+/** Returns a task whose turn has come. */
+export function reachedTask(waiting: WaitingTask): WaitingTask {
+  return { ...waiting, wait: without(waiting.wait, 'leftOutSinceMs') };
+}
+
+/** Forgets the searches in vain after a pass that has searched for all: the longest wait comes first again. */
+export function forgetSearches(state: SchedulerState): SchedulerState {
+  const { waits } = state;
+  if (!waits.some(({ searchedAtMs }) => searchedAtMs !== undefined)) return state;
+  return { ...state, waits: waits.map((wait) => without(wait, 'searchedAtMs')) };
+}
+
 /** Adds the waits of waiting tasks, and drops those of tasks that run again or have ended. */
 export function updateWaits(
   state: SchedulerState,
--- a/packages/scheduler/test/passbudget.test.ts
+++ b/packages/scheduler/test/passbudget.test.ts
@@ -24,7 +24,11 @@
 /** Twice the length that a pass aims at: the pace of an entry shows only in its passes. */
 const MAX_PASS_MS = 200;
 
-const SITES = Array.from({ length: 40 }, (_, index) => `w${index}`);
+const WORKERS = 40;
+
+/** Workers of the largest fleet to design for that one entry of this size may lead. */
+const MANY_WORKERS = 350;
+
 const CORES_MILLI = 8_000;
 
 const TURN_MS = 50;
@@ -32,18 +36,20 @@
 
 /** A leader whose placement passes take time, with the length of each. */
 interface Played {
+  readonly workers: number;
   readonly fixture: Fixture;
   readonly passesMs: readonly number[];
 }
 
 /** Applies an event to the leader, and lets the time of its placement pass go by. */
-function play({ fixture, passesMs }: Played, next: (fixture: Fixture) => Fixture): Played {
+function play({ workers, fixture, passesMs }: Played, next: (fixture: Fixture) => Fixture): Played {
   const after = next(fixture);
   const coreMs = passMs(MEASURED_COSTS, fixture.state, after.state, after.nowMs);
-  if (coreMs === 0) return { fixture: after, passesMs };
+  if (coreMs === 0) return { workers, fixture: after, passesMs };
   const durationMs = coreMs / PROCESSORS;
   const later = { ...after, nowMs: after.nowMs + durationMs };
   return {
+    workers,
     fixture: dispatch(later, { kind: 'passTook', durationMs }),
     passesMs: [...passesMs, durationMs],
   };
@@ -63,7 +69,8 @@
 }
 
 function reportAll(played: Played): Played {
-  return SITES.reduce(
+  const sites = Array.from({ length: played.workers }, (_, index) => `w${index}`);
+  return sites.reduce(
     (current, site) => play(current, (fixture) => listRuns(fixture, site)),
     played,
   );
@@ -81,7 +88,7 @@
 const WAITING: TaskProgress = { phase: 'waiting', attempt: 1, failures: 0 };
 
 /** Returns a slow leader that has just loaded jobs, of which the lasting ones have run before. */
-function takeOver(jobs: readonly WorkflowJob[]): Played {
+function takeOver(jobs: readonly WorkflowJob[], workers = WORKERS): Played {
   const tasks = jobs
     .filter(({ stages }) => stages[0]?.isLasting === true)
     .map(({ jobId, stages }) => {
@@ -92,7 +99,7 @@
   const { settings } = loading.state;
   const capacity = { ...settings.capacity, processors: PROCESSORS };
   const slow = { ...loading, state: { ...loading.state, settings: { ...settings, capacity } } };
-  return { fixture: load(slow, jobs, Object.fromEntries(tasks)), passesMs: [] };
+  return { workers, fixture: load(slow, jobs, Object.fromEntries(tasks)), passesMs: [] };
 }
 
 function claimedOf({ fixture }: Played, prefix: string): number {
@@ -141,7 +148,7 @@
 
 // Guards against stages without a place that take the work of every pass before less urgent ones.
 it('passbudget: a less urgent stage gets a place behind many that have none', () => {
-  const base = jobsOf(1, () => lasting('base', 4_500, SITES.length));
+  const base = jobsOf(1, () => lasting('base', 4_500, WORKERS));
   const small = jobOf('small', [sized(1_000)]);
   const last = { ...small, policy: { ...small.policy, priority: 1 } };
   const busy = playTurns(takeOver([...base, ...LARGE_JOBS]), 20);
@@ -152,3 +159,32 @@
   expect(Math.max(...after.passesMs)).to.be.lessThan(MAX_PASS_MS);
   expect(claimedOf(after, 'small')).to.equal(1);
 });
+
+/** Submits a job, and lets time pass. */
+function submitAndPlay(played: Played, job: WorkflowJob, turns: number): Played {
+  return playTurns(
+    play(played, (fixture) => submit(fixture, job)),
+    turns,
+  );
+}
+
+// Guards against searches in vain for lasting tasks that exceed the work of a pass on a large fleet, so
+// that no pass gets to any other task.
+it('passbudget: other tasks get a place on a large fleet where lasting ones fit nowhere', () => {
+  const hopeless = jobsOf(12, (index) => lasting(`hopeless${index}`, 9_000 + index));
+  const busy = playTurns(takeOver(hopeless, MANY_WORKERS), 40);
+  const after = submitAndPlay(busy, jobOf('short', [sized(500, 10)]), 50);
+  expect(claimedOf(after, 'short')).to.equal(10);
+});
+
+// Guards against an urgent job that waits until a backlog of less urgent ones has had its turn.
+it('passbudget: an urgent job gets a place before a backlog of less urgent ones', () => {
+  const backlog = jobsOf(300, (index) => {
+    const job = jobOf(`low${index}`, [sized(25, 4)]);
+    return { ...job, policy: { ...job.policy, priority: 1_000 } };
+  });
+  const busy = playTurns(takeOver(backlog), 3);
+  const after = submitAndPlay(busy, jobOf('urgent', [sized(100)]), 10);
+  expect(claimedOf(after, 'urgent')).to.equal(1);
+  expect(claimedOf(after, 'low')).to.be.lessThan(1_200);
+});
