Connect anew to a silent leader that the feed names under a later term

Found in review: an agent that learned from the feed, before a seed had answered, that its silent leader leads again under a later term kept its connection, which leads nowhere after a loss of power, and connected anew only 5.0 to 6 s after the last reply; its lease has 4.3 s left then. Now any news of the later term replaces the connection while the leader is silent, unless it came over that connection.

The extended test of silence.test.ts failed before and passes now.

--- a/packages/runner/src/leader.ts
+++ b/packages/runner/src/leader.ts
@@ -39,43 +39,39 @@
   return jittered(REPLY_TIMEOUTS_MS[count] ?? 0, state);
 }
 
-/** Connects to the leader that a row or an entry names, unless it is an earlier or the present one. */
+/**
+ * Connects to the leader that a row or an entry names, unless it is an earlier or the present one. A silent
+ * leader that is named under a later term may have been started again on a machine that lost power, so that
+ * the open connection leads nowhere.
+ */
 export function onLeader(
   state: RunnerState,
   term: number,
   address: Address,
   inputs: StepInputs,
 ): RunnerStep {
-  if (term < state.term || (term === state.term && isSameAddress(state.target, address))) {
-    return unchanged(state);
-  }
+  const isTarget = isSameAddress(state.target, address);
+  if (term < state.term || (term === state.term && isTarget)) return unchanged(state);
   const isNew = term > state.term || !isSameAddress(state.leader, address);
   const silentCount = isNew ? 0 : state.silentCount;
   const updated = { ...state, term, leader: address, silentCount };
-  const step = isSameAddress(state.target, address)
-    ? unchanged(updated)
-    : connectTo(updated, address, inputs);
+  const isSilent = state.lookup.phase !== 'none';
+  const step = isTarget && !isSilent ? unchanged(updated) : connectTo(updated, address, inputs);
   const left = chain(step, (current) => advanceLookup(current, 'left', inputs));
   const fields = { term, leader: `${address.host}:${address.port}` };
   return { state: left.state, effects: [...left.effects, logEffect('leaderSeen', fields)] };
 }
 
-/**
- * Handles the answer of a seed that was asked who leads. The same entry under a later term may have
- * been started again on a machine that lost power, so that the open connection leads nowhere.
- */
+/** Handles the answer of a seed that was asked who leads. */
 export function onLeaderNamed(
   state: RunnerState,
   term: number,
   address: Address,
   inputs: StepInputs,
 ): RunnerStep {
-  const isTarget = isSameAddress(state.target, address);
-  if (isTarget && term === state.term) return advanceLookup(state, 'confirmed', inputs);
-  const isReconnecting = isTarget && term > state.term && state.lookup.phase !== 'none';
-  return chain(onLeader(state, term, address, inputs), (current) =>
-    isReconnecting ? connectTo(current, address, inputs) : unchanged(current),
-  );
+  return term === state.term && isSameAddress(state.target, address)
+    ? advanceLookup(state, 'confirmed', inputs)
+    : onLeader(state, term, address, inputs);
 }
 
 function withLostLog({ state, effects }: RunnerStep, { host, port }: Address): RunnerStep {
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -123,8 +123,13 @@
       const { term, host, port } = message;
       const address = { host, port };
       // An entry that names itself is at work as the leader, or loads its state.
-      const known = isSameAddress(state.target, address) ? current : state;
-      return onLeader(known, term, address, inputs);
+      // Its connection works, so a later term does not need another one.
+      return isSameAddress(state.target, address)
+        ? chain(
+            term > state.term ? advanceLookup(current, 'replied', inputs) : unchanged(current),
+            (known) => onLeader(known, term, address, inputs),
+          )
+        : onLeader(state, term, address, inputs);
     }
     case 'start':
       return onStartOrder(current, message, nowMs);
--- a/packages/runner/test/silence.test.ts
+++ b/packages/runner/test/silence.test.ts
@@ -101,6 +101,15 @@
 it('silence: the same entry under a later term is connected anew', () => {
   const first = dispatch(createGranted(), { kind: 'tick' }, 1_800);
   expect(dialed(answer(first, 2))).to.deep.equal([LEADER.host]);
+  const fed = dispatch(first, { kind: 'leader', term: 2, address: LEADER });
+  expect(dialed(fed)).to.deep.equal([LEADER.host]);
+});
+
+// Guards against a fleet that connects anew to an overloaded leader whose connections work.
+it('silence: a later term that the open connection brings keeps that connection', () => {
+  const first = dispatch(createGranted(), { kind: 'tick' }, 1_800);
+  const message = { ...ANNOUNCED, term: 2 };
+  expect(dialed(dispatch(first, { kind: 'received', message }))).to.deep.equal([]);
 });
 
 // Guards against an address of a deposed leader that keeps the agent from the answer of a seed.
