End the batch of an actor at the message after which its time is up

A cut batch still went through all waiting messages and read the clock for each of them, in every turn; an overloaded scheduler has long mailboxes and turns of 2 ms. A search that stops there does the same. The function that tells the length of a batch also begins one, and is named so.

The tests of actors and hosts pass unchanged but for that name.

--- a/packages/actors/src/actor.ts
+++ b/packages/actors/src/actor.ts
@@ -34,12 +34,6 @@
   readonly maxBatchMs?: (() => number | undefined) | undefined;
 }
 
-/** State of an actor after some messages of a batch. */
-interface Batch<State> {
-  readonly state: State;
-  readonly count: number;
-}
-
 /**
  * Starts a nact actor that handles the waiting messages in batches. nact itself handles one message
  * in each turn of the event loop, which limited an entry to a third of a request per turn.
@@ -87,16 +81,15 @@
     isScheduled = false;
     const self = refOf(context.self);
     const endMs = performance.now() + (options.maxBatchMs?.() ?? MAX_BATCH_MS);
-    const handled = batch.reduce<Batch<State>>(
-      (current, message) =>
-        current.count > 0 && performance.now() >= endMs
-          ? current
-          : { state: handleMessage(current.state, message, self), count: current.count + 1 },
-      { state, count: 0 },
-    );
-    mailbox = [...batch.slice(handled.count), ...mailbox];
+    let current = state;
+    // Ends with the first message after which the time is up; what is left is not looked at.
+    const last = batch.findIndex((message) => {
+      current = handleMessage(current, message, self);
+      return performance.now() >= endMs;
+    });
+    if (last !== -1) mailbox = [...batch.slice(last + 1), ...mailbox];
     if (mailbox.length > 0) schedule(context.self);
-    return handled.state;
+    return current;
   };
 
   return refOf(nact.spawn(system, handleBatch, name, options));
--- a/packages/hosts/src/agentlinks.ts
+++ b/packages/hosts/src/agentlinks.ts
@@ -16,8 +16,11 @@
   readonly accept: (socket: Socket, scheduler: Ref<SchedulerEvent>) => void;
   /** Sends a message; no effect when the connection is closed. */
   readonly send: (linkId: string, message: LeaderMessage) => void;
-  /** Returns the longest time for the next batch of the scheduler; undefined for the usual one. */
-  readonly maxBatchMs: () => number | undefined;
+  /**
+   * Called when a batch of the scheduler begins. Returns its longest time, undefined for the usual one, by
+   * whether a connection was accepted since the batch before.
+   */
+  readonly beginBatch: () => number | undefined;
 }
 
 /**
@@ -67,7 +70,7 @@
       const link = links.get(linkId);
       if (link !== undefined) dispatch(link, { kind: 'send', message });
     },
-    maxBatchMs: () => {
+    beginBatch: () => {
       const hasAccepted = linkCount > linkCountAtBatch;
       linkCountAtBatch = linkCount;
       return hasAccepted ? ACCEPTING_BATCH_MS : undefined;
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -143,6 +143,6 @@
     decide,
     onError,
     perform,
-    maxBatchMs: links.maxBatchMs,
+    maxBatchMs: links.beginBatch,
   });
 }
--- a/packages/hosts/test/agentlinks.test.ts
+++ b/packages/hosts/test/agentlinks.test.ts
@@ -32,7 +32,7 @@
     },
     perform: () => undefined,
     onError: () => undefined,
-    maxBatchMs: links.maxBatchMs,
+    maxBatchMs: links.beginBatch,
   });
   const handledAtAccept: number[] = [];
   const server = createServer((socket) => {
