Decide in one place whether a message ends the lookup of the leader

A message of the leader ended the lookup in handleEvent, and one in which an entry names itself under a later term did so in onMessage. Both are now decided by endLookupByReply, and onMessage follows the address as before.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -123,13 +123,8 @@
       const { term, host, port } = message;
       const address = { host, port };
       // An entry that names itself is at work as the leader, or loads its state.
-      // Its connection works, so a later term does not need another one.
-      return isSameAddress(state.target, address)
-        ? chain(
-            term > state.term ? advanceLookup(current, 'replied', inputs) : unchanged(current),
-            (known) => onLeader(known, term, address, inputs),
-          )
-        : onLeader(state, term, address, inputs);
+      const known = isSameAddress(state.target, address) ? current : state;
+      return onLeader(known, term, address, inputs);
     }
     case 'start':
       return onStartOrder(current, message, nowMs);
@@ -166,13 +161,19 @@
   }
 }
 
-/** Ends the lookup when the leader replies. Any entry sends an address, so that ends nothing. */
+/**
+ * Ends the lookup when the leader replies. Any entry sends an address, so that ends nothing, unless the
+ * entry names itself under a later term: then its connection works.
+ */
 function endLookupByReply(
   state: RunnerState,
   message: LeaderMessage,
   inputs: StepInputs,
 ): RunnerStep {
-  return message.kind === 'leader' ? unchanged(state) : advanceLookup(state, 'replied', inputs);
+  const isReply =
+    message.kind !== 'leader' ||
+    (message.term > state.term && isSameAddress(state.target, message));
+  return isReply ? advanceLookup(state, 'replied', inputs) : unchanged(state);
 }
 
 function handleEvent(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
