Use formatAddress for addresses in log lines and names of links

The agents' search for a leader wrote host and port as text on its own, and so did the agent's links and two modules of the command line, although formatAddress of types does it.

--- a/packages/agent/src/start.ts
+++ b/packages/agent/src/start.ts
@@ -8,7 +8,7 @@
 import { spawnDialer } from '@bronzeyoke/link';
 import type { UpstreamPort, WorkerPort } from '@bronzeyoke/ports';
 import type { Address, AgentProfile, Failure, UpstreamAnswer } from '@bronzeyoke/types';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, formatAddress } from '@bronzeyoke/types';
 import type { EntryMessage } from '@bronzeyoke/wire';
 import { decodeEntryMessage, plainCodec } from '@bronzeyoke/wire';
 import { createAgent, stepAgent } from './core';
@@ -149,7 +149,7 @@
     onError: options.onError,
   });
   options.entries.forEach((address) => {
-    const linkId = `${address.host}:${address.port}`;
+    const linkId = formatAddress(address);
     const link = spawnDialer<EntryMessage>(system, address, {
       linkId,
       codec: plainCodec(decodeEntryMessage),
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -1,7 +1,7 @@
 import { request } from 'undici';
 import type { CliSettings } from '@bronzeyoke/settings';
 import type { Result } from '@bronzeyoke/types';
-import { fail, succeed } from '@bronzeyoke/types';
+import { fail, formatAddress, succeed } from '@bronzeyoke/types';
 import { z } from 'zod';
 import type { CliFault } from './fault';
 
@@ -42,10 +42,6 @@
   ) => Promise<Result<unknown, CliFault>>;
 }
 
-function formatAddress(entry: EntryEndpoint): string {
-  return `${entry.host}:${entry.port}`;
-}
-
 function errorCode(error: unknown): string {
   return error instanceof Error && 'code' in error ? String(error.code) : 'unknown error';
 }
--- a/packages/cli/src/rollout.ts
+++ b/packages/cli/src/rollout.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { formatAddress } from '@bronzeyoke/types';
 import type { WhereAnswer } from './answers';
 import { whereSchema } from './answers';
 import type { Client } from './client';
@@ -22,7 +23,7 @@
       const path = `/v1/admin/tickets/${number}/where`;
       const result = await client.callEntry(entry, { method: 'GET', path });
       const parsed = result.ok ? whereSchema.safeParse(result.value) : undefined;
-      return { name: `${entry.host}:${entry.port}`, processes: parsed?.data?.processes };
+      return { name: formatAddress(entry), processes: parsed?.data?.processes };
     }),
   );
   const reports = answers.flatMap((answer) => answer.processes ?? []);
--- a/packages/runner/src/leader.ts
+++ b/packages/runner/src/leader.ts
@@ -1,6 +1,6 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { Address, StepInputs } from '@bronzeyoke/types';
-import { chain, unchanged } from '@bronzeyoke/types';
+import { chain, formatAddress, unchanged } from '@bronzeyoke/types';
 import { connectTo, isSameAddress, nextAddress } from './connect';
 import { advanceLookup } from './lookup';
 import type { RunnerState, RunnerStep } from './types';
@@ -58,7 +58,7 @@
   const isSilent = state.lookup.phase !== 'none';
   const step = isTarget && !isSilent ? unchanged(updated) : connectTo(updated, address, inputs);
   const left = chain(step, (current) => advanceLookup(current, 'left', inputs));
-  const fields = { term, leader: `${address.host}:${address.port}` };
+  const fields = { term, leader: formatAddress(address) };
   return { state: left.state, effects: [...left.effects, logEffect('leaderSeen', fields)] };
 }
 
@@ -74,8 +74,8 @@
     : onLeader(state, term, address, inputs);
 }
 
-function withLostLog({ state, effects }: RunnerStep, { host, port }: Address): RunnerStep {
-  const fields = { what: 'leader', address: `${host}:${port}` };
+function withLostLog({ state, effects }: RunnerStep, address: Address): RunnerStep {
+  const fields = { what: 'leader', address: formatAddress(address) };
   return { state, effects: [...effects, logEffect('dependencyLost', fields)] };
 }
 
