Look at the room of workers only when a task of the model is late

The oracle of the fleet model decoded the job row of each run twice a second of virtual time to learn the room of all workers, which counts only while a task is away for too long. The check is the same, and the tests of the model pass unchanged.

--- a/packages/fleet/src/absences.ts
+++ b/packages/fleet/src/absences.ts
@@ -108,16 +108,22 @@
       return [task, Math.max(seenMs, fleet.startedAtMs.get(task, 0))];
     }),
   );
-  const rooms = workers
-    .filter(({ isDraining }) => !isDraining)
-    .map((worker) => freeMilli(worker, needsOfTask(fleet)));
   const isCalm = nowMs - calmSinceMs >= CALM_MS;
-  const away = tasks.filter(({ task, processorsMilli, isLasting }) => {
+  const late = tasks.filter(({ task, isLasting }) => {
     const awayMs = nowMs - (seenAtMs.get(task) ?? nowMs);
-    const withRoom = rooms.filter((room) => room >= processorsMilli).length;
-    const maxMs = isLasting ? MAX_LASTING_AWAY_MS : MAX_AWAY_MS;
-    return isCalm && awayMs > maxMs && withRoom >= MIN_WORKERS_WITH_ROOM;
+    return isCalm && awayMs > (isLasting ? MAX_LASTING_AWAY_MS : MAX_AWAY_MS);
   });
+  // Rows are decoded for each run, so room is looked at only when a task is late.
+  const rooms =
+    late.length === 0
+      ? []
+      : workers
+          .filter(({ isDraining }) => !isDraining)
+          .map((worker) => freeMilli(worker, needsOfTask(fleet)));
+  const away = late.filter(
+    ({ processorsMilli }) =>
+      rooms.filter((room) => room >= processorsMilli).length >= MIN_WORKERS_WITH_ROOM,
+  );
   const known = new Set(
     fleet.violations.flatMap(({ kind, task }) => (kind === 'taskAway' ? [task] : [])),
   );
