Count the rows that end a job by the list that deletes them

Both now use the list of the rows that go with the end of a job; the encoding stays out of the size. The tests of backlog, event costs and withdrawals pass unchanged with the whole suite.

--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/flush.ts
@@ -21,6 +21,7 @@
 } from './rows';
 import { withEffects } from './state';
 import type { InFlightTransaction, SchedulerState, SchedulerStep } from './types';
+import type { OpenJob } from './views';
 
 /** Rows that a transaction of the store may name, in its conditions and its writes. */
 const MAX_ENTRIES = 100;
@@ -29,22 +30,26 @@
 const FIXED_ENTRIES = 3;
 const RETRY_DELAY_MS = 60;
 
+/** Returns the rows that go with the end of a job. */
+function endDeletes({ job, progress, isCancelled }: OpenJob): readonly RowWrite[] {
+  if (progress.outcome === undefined) return [];
+  const keys = [jobKey(job.jobId), ...(isCancelled ? [cancelKey(job.jobId)] : [])];
+  return keys.map((key) => ({ kind: 'delete', ...key }));
+}
+
 function jobWrites(state: SchedulerState, jobId: string): readonly RowWrite[] {
   const open = state.jobs.get(jobId);
   if (open === undefined) return [];
-  const put = { kind: 'put', ...progressKey(jobId), value: encodeProgress(open.progress) } as const;
-  if (open.progress.outcome === undefined) return [put];
-  const cancel = open.isCancelled ? [{ kind: 'delete', ...cancelKey(jobId) } as const] : [];
-  return [put, { kind: 'delete', ...jobKey(jobId) }, ...cancel];
+  const value = encodeProgress(open.progress);
+  return [{ kind: 'put', ...progressKey(jobId), value }, ...endDeletes(open)];
 }
 
 /** Returns what the writes of a job add to a transaction. */
 function rowSize(state: SchedulerState, jobId: string): RowSize {
   const open = state.jobs.get(jobId);
-  if (open === undefined) return { entries: 0, bytes: 0 };
-  const { progress, isCancelled } = open;
-  const deleted = progress.outcome === undefined ? 0 : 1 + Number(isCancelled);
-  return { entries: 1 + deleted, bytes: progressBytes(progress) };
+  return open === undefined
+    ? { entries: 0, bytes: 0 }
+    : { entries: 1 + endDeletes(open).length, bytes: progressBytes(open.progress) };
 }
 
 /** Parts of a transaction beside the lease row, and what follows it. */
