Create the runs of claims and of stored progress in one function

The state of a run that no report has told of stood in the claim of a task and in the adoption of stored runs, field by field. createRun of runs.ts serves both. Behaviour is the same; all tests pass.

--- a/packages/scheduler/src/adopt.ts
+++ b/packages/scheduler/src/adopt.ts
@@ -7,7 +7,7 @@
 import { leaseEndAtMs } from './leases';
 import { inheritedPaceOf } from './pace';
 import type { RunTable } from './runs';
-import { NO_RUNS, putRun } from './runs';
+import { createRun, NO_RUNS, putRun } from './runs';
 import { findSuspects } from './suspects';
 import type { GoneReport, SchedulerState } from './types';
 import type { RunView, WorkerView } from './views';
@@ -64,25 +64,9 @@
 ): RunView | undefined {
   const stage = stages[Number(slot.split('.')[1])];
   if (stage === undefined) return undefined;
-  return {
-    jobId,
-    slot,
-    stage,
-    workerKey: task.workerKey ?? '',
-    attempt: task.attempt,
-    order: 0,
-    isOrdered: true,
-    claimedAtMs: nowMs,
-    percent: 0,
-    percentAtMs: nowMs,
-    load: 0,
-    isListed: false,
-    listedAtMs: nowMs,
-    isLastResort: false,
-    pace: 100,
-    pacedAtMs: nowMs,
-    ...inheritedPaceOf(stage, nowMs),
-  };
+  const { workerKey = '', attempt } = task;
+  const claim = { jobId, slot, stage, workerKey, attempt, isOrdered: true, isLastResort: false };
+  return { ...createRun(claim, nowMs), ...inheritedPaceOf(stage, nowMs) };
 }
 
 /** Returns a worker that has not reported yet, and may run tasks until `expiresAtMs`. */
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/pass.ts
@@ -9,7 +9,7 @@
 import type { PassBudget, PassPart } from './passbudget';
 import { CLAIM_WORK } from './passbudget';
 import type { WriteUrgency } from './pending';
-import { putRun } from './runs';
+import { createRun, putRun } from './runs';
 import { addPostCommitAction, putJob } from './state';
 import { isSuspect, trialMs } from './suspects';
 import type { Occupancy } from './tenants';
@@ -52,23 +52,9 @@
     ...(address === undefined ? {} : { workerAddress: address }),
   };
   const name = `${jobId}.${slot}`;
+  const claim = { jobId, slot, stage, workerKey, attempt, isOrdered: false, isLastResort };
   const run: RunView = {
-    jobId,
-    slot,
-    stage,
-    workerKey,
-    attempt,
-    order: 0,
-    isOrdered: false,
-    claimedAtMs: nowMs,
-    percent: 0,
-    percentAtMs: nowMs,
-    load: 0,
-    isListed: false,
-    listedAtMs: nowMs,
-    isLastResort,
-    pace: 100,
-    pacedAtMs: nowMs,
+    ...createRun(claim, nowMs),
     ...(isSuspect(crashes) ? { trial: { crashes, forMs: trialMs(crashes) } } : {}),
   };
   const progress = withTasks(open.progress, [[slot, claimed]]);
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -19,6 +19,28 @@
 /** Runs that no open job wants, by task and attempt: a task may have several. */
 export type OrphanTable = TaskTable<OrphanRun>;
 
+/** What is known of a run before any report tells of it. */
+type Claim = Pick<
+  RunView,
+  'jobId' | 'slot' | 'stage' | 'workerKey' | 'attempt' | 'isOrdered' | 'isLastResort'
+>;
+
+/** Returns a run that no report has told of. */
+export function createRun(claim: Claim, nowMs: number): RunView {
+  return {
+    ...claim,
+    order: 0,
+    claimedAtMs: nowMs,
+    percent: 0,
+    percentAtMs: nowMs,
+    load: 0,
+    isListed: false,
+    listedAtMs: nowMs,
+    pace: 100,
+    pacedAtMs: nowMs,
+  };
+}
+
 /** Returns the key of a run among all runs of its task. */
 export function runKey({ task, attempt }: RunRef): string {
   return `${task}#${attempt}`;
