--- a/packages/scheduler/src/relocate.ts
+++ b/packages/scheduler/src/relocate.ts
@@ -1,6 +1,6 @@
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
-import { addResources, fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
+import { addResources, fitsIn, memoize, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import { parseTaskName, stageSlots } from '@bronzeyoke/workflow';
 import type { PlacementPass } from './pass';
 import { chooseWorkerFor } from './pass';
@@ -84,20 +84,13 @@
   const byRoom = rooms.toSorted(
     (left, right) => right.room.processorsMilli - left.room.processorsMilli,
   );
-  const known = new Map<string, StageOutlook>();
-  return ({ task, run, placed }) => {
-    const { occurrence, stageIndex } = placed.ready;
-    const key = `${run.jobId}.${occurrence}.${stageIndex}`;
-    const found = known.get(key);
-    if (found !== undefined) return found;
-    const isAllowed = mayBeAway(pass, task, run);
-    const outlook = {
-      mayBeAway: isAllowed,
-      places: isAllowed ? placesFor(pass, placed, byRoom) : [],
-    };
-    known.set(key, outlook);
-    return outlook;
-  };
+  return memoize(
+    ({ run, placed }) => `${run.jobId}.${placed.ready.occurrence}.${placed.ready.stageIndex}`,
+    ({ task, run, placed }) => {
+      const isAllowed = mayBeAway(pass, task, run);
+      return { mayBeAway: isAllowed, places: isAllowed ? placesFor(pass, placed, byRoom) : [] };
+    },
+  );
 }
 
 /** Returns whether a run is one that a move may stop, as far as its stage and its state tell. */
--- a/packages/scheduler/src/tenants.ts
+++ b/packages/scheduler/src/tenants.ts
@@ -1,5 +1,5 @@
 import type { Resources } from '@bronzeyoke/types';
-import { addResources, NO_RESOURCES } from '@bronzeyoke/types';
+import { addResources, memoize, NO_RESOURCES } from '@bronzeyoke/types';
 import type { Stage } from '@bronzeyoke/workflow';
 import { runsOn } from './runs';
 import type { SchedulerState } from './types';
@@ -75,10 +75,8 @@
   state: SchedulerState,
   nowMs: number,
 ): (workerKey: string) => Occupancy {
-  const known = new Map<string, Occupancy>();
-  return (workerKey) => {
-    const found = known.get(workerKey) ?? occupancyOf(state, workerKey, nowMs);
-    known.set(workerKey, found);
-    return found;
-  };
+  return memoize(
+    (workerKey) => workerKey,
+    (workerKey) => occupancyOf(state, workerKey, nowMs),
+  );
 }
