Simplify the order of turns and of waits in a placement pass

Two comparisons of times that may be missing are one function; alternating turns use interleave of Immutable; the rank of a wait no longer repeats what its class has decided, as starved waits have no moves. Whether a starved task had its turn is recorded where its search begins, and the time since which a task is left out is dropped in one place, when it is reached.

The order of turns and of waits is the same; all tests pass unchanged.

--- a/packages/scheduler/src/place.ts
+++ b/packages/scheduler/src/place.ts
@@ -1,4 +1,4 @@
-import { Map } from 'immutable';
+import { List, Map } from 'immutable';
 import { chainAfter } from '@bronzeyoke/types';
 import { untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
@@ -17,7 +17,7 @@
 import type { SchedulerState, SchedulerStep } from './types';
 import { logWaits } from './waitlog';
 import type { WaitingTask } from './waits';
-import { updateMissedTurns, updateWaits, waitingTasks } from './waits';
+import { compareSince, updateMissedTurns, updateWaits, waitingTasks } from './waits';
 
 /** Time after which tasks are placed again while lasting tasks wait, whose plans depend on it. */
 const RETURNING_AGAIN_MS = 200;
@@ -68,20 +68,11 @@
   candidates: readonly StageCandidate[],
 ): readonly StageCandidate[] {
   if (leftOut.isEmpty()) return candidates;
-  const passOf = (candidate: StageCandidate): number => leftOut.get(searchKey(candidate), Infinity);
-  const byAge = candidates.toSorted((left, right) => {
-    const [leftPass, rightPass] = [passOf(left), passOf(right)];
-    return leftPass === rightPass ? 0 : leftPass - rightPass;
-  });
+  const passOf = (candidate: StageCandidate): number | undefined =>
+    leftOut.get(searchKey(candidate));
+  const byAge = candidates.toSorted((left, right) => compareSince(passOf(left), passOf(right)));
   const byUrgency = byAge.toSorted((left, right) => left.priority - right.priority);
-  return [
-    ...new Set(
-      byUrgency.flatMap((urgent, index) => {
-        const oldest = byAge[index];
-        return oldest === undefined ? [urgent] : [urgent, oldest];
-      }),
-    ),
-  ];
+  return [...new Set(List(byUrgency).interleave(List(byAge)))];
 }
 
 /** Returns the work of a pass before it places anything, and the limits of its parts. */
--- a/packages/scheduler/src/returning.ts
+++ b/packages/scheduler/src/returning.ts
@@ -69,7 +69,7 @@
   { task, wait: known }: WaitingTask,
   event: WaitEvent,
 ): PlacementPass {
-  const wait = event === 'lose' ? known : without(known, 'searchedAtMs', 'leftOutSinceMs');
+  const wait = event === 'lose' ? known : without(known, 'searchedAtMs');
   const workerKey = pass.reservations.get(task);
   if (workerKey !== undefined && workerKey === wait.workerKey) {
     return putWait(pass, task, advanceWait(wait, event));
@@ -206,14 +206,15 @@
     : { ...searched, moveSearchesLeft: left, pass: moved };
 }
 
-function placeUnitTask(search: Search, waiting: WaitingTask, nowMs: number): Search {
-  const { full, searchesLeft, isCrowded } = search;
+function placeUnitTask(before: Search, waiting: WaitingTask, nowMs: number): Search {
+  const { full, searchesLeft, isCrowded } = before;
   const { task, wait, candidate } = waiting;
   const key = searchKey(candidate);
-  const isReady = !isBackingOff(search.pass, task, nowMs);
+  const isReady = !isBackingOff(before.pass, task, nowMs);
   // Lasting tasks that find no place may use up the searches of each pass. The few starved stages that have
   // their turn are searched for in any case, once each.
   const isStarved = wait.cause === 'starved';
+  const search = { ...before, hasReachedStarved: before.hasReachedStarved || isStarved };
   const maySearch = !full.has(key) && (isStarved || searchesLeft > 0);
   // Anywhere else a moved task would be in the way of the one that it makes room for.
   const onlyKept = wait.workerKey !== undefined && (wait.isMoved || (isCrowded && !isStarved));
@@ -304,13 +305,7 @@
       const { task } = unit;
       return isLeftOut(search, task)
         ? leaveOutUnit(search, [task], nowMs)
-        : placeUnitTask(
-            search.hasReachedStarved
-              ? search
-              : { ...search, hasReachedStarved: task.wait.cause === 'starved' },
-            reachedTask(task),
-            nowMs,
-          );
+        : placeUnitTask(search, reachedTask(task), nowMs);
     }
     case 'gang': {
       const { pass } = search;
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/waits.ts
@@ -51,11 +51,9 @@
   }
 }
 
-/** Ranks moved tasks first, then those for which others move: their places were made for them. */
-function placeRank({ isMoved, moves, cause }: PlaceWait): number {
-  if (isMoved) return 0;
-  if (cause === 'starved') return 3;
-  return moves === undefined ? 2 : 1;
+/** Ranks those first for which others move, unless they were moved themselves. */
+function movesRank({ isMoved, moves }: PlaceWait): number {
+  return Number(!isMoved && moves === undefined);
 }
 
 /** Ranks tasks whose place was made for them first, and those that have not run last. */
@@ -64,15 +62,9 @@
   return cause === 'starved' ? 2 : 1;
 }
 
-/** Compares two waits by the time since which passes have left them out; others come last. */
-function compareLeftOut(
-  { leftOutSinceMs: left }: PlaceWait,
-  { leftOutSinceMs: right }: PlaceWait,
-): number {
-  if (left === undefined || right === undefined) {
-    return Number(left === undefined) - Number(right === undefined);
-  }
-  return left - right;
+/** Compares two times, or passes, since which something was left out; what was not comes last. */
+export function compareSince(left = Infinity, right = Infinity): number {
+  return left === right ? 0 : left - right;
 }
 
 /**
@@ -83,9 +75,9 @@
 function compareWaits(left: PlaceWait, right: PlaceWait): number {
   return (
     searchClass(left) - searchClass(right) ||
-    compareLeftOut(left, right) ||
+    compareSince(left.leftOutSinceMs, right.leftOutSinceMs) ||
     (left.searchedAtMs ?? 0) - (right.searchedAtMs ?? 0) ||
-    placeRank(left) - placeRank(right) ||
+    movesRank(left) - movesRank(right) ||
     left.sinceMs - right.sinceMs
   );
 }
