Look at absences and at blocked workers at one time

Both looks kept a time and a constant of their own for the same second, and repeated the limits of their lines. One check in the tick starts both, and the limits and the count of workers with room stand in tasklog.ts, which the log of waits uses too.

--- a/packages/scheduler/src/absences.ts
+++ b/packages/scheduler/src/absences.ts
@@ -1,26 +1,17 @@
-import { fitsEmptyWorker, hasRoom } from '@bronzeyoke/placement';
 import type { AwayReason, EventFields } from '@bronzeyoke/telemetry';
 import { AWAY_REASONS, logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, unchanged } from '@bronzeyoke/types';
-import type { Stage } from '@bronzeyoke/workflow';
+import { assertNever, memoize } from '@bronzeyoke/types';
 import { Map } from 'immutable';
 import { serviceOf } from './pass';
 import { withEffects } from './state';
-import { taskLog } from './tasklog';
+import { LOG_AGAIN_MS, MAX_LINES, roomFields, taskLog } from './tasklog';
 import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
 import type { Absence } from './views';
 import type { LastingTask, Whereabouts } from './whereabouts';
 import { lastingTasks, whereaboutsOf } from './whereabouts';
 
-/** Time between two looks at the lasting tasks. */
-const CHECK_INTERVAL_MS = 1_000;
-
-/** Time after which an absence is logged, and logged again while it goes on. */
+/** Time after which an absence is logged. */
 const LOG_AFTER_MS = 3_000;
-const LOG_AGAIN_MS = 5_000;
-
-/** Lines of one look. Each stage in them counts the workers with room, and a pass must not wait for long. */
-const MAX_LINES = 20;
 
 /** A lasting task that does not work, and why. */
 interface AwayTask {
@@ -78,23 +69,19 @@
 /** What a stage needs and which workers could run a task of it, for a log line. */
 type RoomCounter = (lasting: LastingTask) => EventFields;
 
-function countRoom(state: SchedulerState, { stage, open }: LastingTask): EventFields {
-  const service = serviceOf(state, open);
-  const fitting = [...state.loads.values()]
-    .map(({ load }) => load)
-    .filter((load) => load.service === service && fitsEmptyWorker(stage, load));
-  const withRoom = fitting.filter((load) => hasRoom(stage, load));
-  return { ...stage.needs, fitsEmpty: fitting.length, withRoom: withRoom.length };
-}
-
 /** Returns a counter for one look. The tasks of a stage share a look at the fleet. */
 function createRoomCounter(state: SchedulerState): RoomCounter {
-  const known = new globalThis.Map<Stage, EventFields>();
-  return (lasting) => {
-    const found = known.get(lasting.stage) ?? countRoom(state, lasting);
-    known.set(lasting.stage, found);
-    return found;
-  };
+  return memoize(
+    ({ stage }) => stage,
+    ({ stage, open }) => {
+      const service = serviceOf(state, open);
+      const loads = [...state.loads.values()].map(({ load }) => load);
+      return roomFields(
+        stage,
+        loads.filter((load) => load.service === service),
+      );
+    },
+  );
 }
 
 /** Returns what decides the next step of a task that is away. */
@@ -159,11 +146,9 @@
 
 /**
  * Logs the lasting tasks that have been away for long, each again while it stays away, and counts those
- * that are away by reason. Looks once a second at the lasting tasks of the open jobs.
+ * that are away by reason.
  */
 export function logAbsences(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const isDue = nowMs - state.absencesAtMs >= CHECK_INTERVAL_MS;
-  if (state.phase !== 'leading' || !isDue) return unchanged(state);
   const away = findAway(state, nowMs, wallMs);
   const isLate = ({ absence: { sinceMs, loggedAtMs = -Infinity } }: AwayTask): boolean =>
     nowMs - sinceMs >= LOG_AFTER_MS && nowMs - loggedAtMs >= LOG_AGAIN_MS;
@@ -177,7 +162,7 @@
     task,
     logged.has(task) ? { ...absence, loggedAtMs: nowMs } : absence,
   ]);
-  return withEffects({ ...state, absences: Map(absences), absencesAtMs: nowMs }, [
+  return withEffects({ ...state, absences: Map(absences) }, [
     ...late.map((task) => describe(task, roomOf, nowMs)),
     ...describeCounts(state, away),
   ]);
--- a/packages/scheduler/src/blocked.ts
+++ b/packages/scheduler/src/blocked.ts
@@ -3,19 +3,13 @@
 import { Map } from 'immutable';
 import { runsOn } from './runs';
 import { withEffects } from './state';
+import { LOG_AGAIN_MS, MAX_LINES } from './tasklog';
 import type { SchedulerState, SchedulerStep } from './types';
 import type { OrphanRun } from './views';
 
 /** Time after its first stop order from which a run that its worker still lists ignores the stop. */
 const IGNORED_AFTER_MS = 3_000;
 
-/** Time between two looks at the workers, and between two lines about one of them. */
-const CHECK_INTERVAL_MS = 1_000;
-const LOG_AGAIN_MS = 5_000;
-
-/** Lines of one look. */
-const MAX_LINES = 20;
-
 /** Stop orders that a run ignores of which nothing tells what it needs. */
 interface IgnoredStop {
   readonly orphan: OrphanRun;
@@ -62,16 +56,12 @@
 
 /**
  * Logs the workers that get no tasks because a run of unknown size ignores its stop orders, each again
- * while it lasts, and counts them. Looks once a second.
+ * while it lasts, and counts them.
  */
 export function logBlockedWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
-  const { loggedAtMs, checkedAtMs } = state.blocked;
-  const isDue = nowMs - checkedAtMs >= CHECK_INTERVAL_MS;
-  if (state.phase !== 'leading' || !isDue) return unchanged(state);
+  const { blockedLoggedAtMs: loggedAtMs } = state;
   const blocked = blockedWorkers(state, nowMs);
-  if (blocked.length === 0 && loggedAtMs.isEmpty()) {
-    return unchanged({ ...state, blocked: { loggedAtMs, checkedAtMs: nowMs } });
-  }
+  if (blocked.length === 0 && loggedAtMs.isEmpty()) return unchanged(state);
   const late = blocked
     .filter(({ workerKey }) => nowMs - loggedAtMs.get(workerKey, -Infinity) >= LOG_AGAIN_MS)
     .slice(0, MAX_LINES);
@@ -80,7 +70,7 @@
     loggedAtMs.get(workerKey, -Infinity),
   ]);
   const logged = Map(known).merge(late.map(({ workerKey }) => [workerKey, nowMs]));
-  return withEffects({ ...state, blocked: { loggedAtMs: logged, checkedAtMs: nowMs } }, [
+  return withEffects({ ...state, blockedLoggedAtMs: logged }, [
     ...late.map(({ workerKey, stop: { orphan, stoppedForMs } }) => {
       const { task, attempt } = orphan;
       const fields = { task, attempt, stoppedForMs: Math.round(stoppedForMs) };
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -40,6 +40,9 @@
  */
 const MAX_PASS_PAUSE_MS = 1_000;
 
+/** Time between two looks at absences and blocked workers, which go through all lasting tasks. */
+const LOOK_INTERVAL_MS = 1_000;
+
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
 
 function expireWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
@@ -68,6 +71,16 @@
   ]);
 }
 
+/** Logs what does not go on, at a leader. */
+function logDelays(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  const isDue = nowMs - state.lookedAtMs >= LOOK_INTERVAL_MS;
+  if (state.phase !== 'leading' || !isDue) return unchanged(state);
+  return chainAll({ ...state, lookedAtMs: nowMs }, [
+    (current) => logAbsences(current, nowMs, wallMs),
+    (current) => logBlockedWorkers(current, nowMs),
+  ]);
+}
+
 function onTick(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const hasExpired = state.backOff.some((untilMs) => untilMs <= nowMs);
   const isDue = hasExpired || nowMs >= state.placeAgainAtMs;
@@ -88,8 +101,7 @@
     (current) => releaseHeldStarts(current, nowMs),
     (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
-    (current) => logAbsences(current, nowMs, wallMs),
-    (current) => logBlockedWorkers(current, nowMs),
+    (current) => logDelays(current, nowMs, wallMs),
   ]);
 }
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -17,7 +17,6 @@
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
   Absence,
-  BlockedWorkers,
   FailedSearch,
   HeldStart,
   KnownLoads,
@@ -231,8 +230,10 @@
   readonly waits: Map<string, PlaceWait>;
   /** Lasting tasks that do not work, as of the last look at them. */
   readonly absences: Map<string, Absence>;
-  readonly absencesAtMs: number;
-  readonly blocked: BlockedWorkers;
+  /** Time of the last line about each worker that gets no tasks because a run ignores its stop orders. */
+  readonly blockedLoggedAtMs: Map<string, number>;
+  /** Time of the last look at absences and blocked workers. */
+  readonly lookedAtMs: number;
   /** Time of the next placement without another cause. */
   readonly placeAgainAtMs: number;
   /** Stored claims whose agents had no connection. */
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -155,13 +155,6 @@
   readonly loggedAtMs?: number;
 }
 
-/** Workers that get no tasks because a run there ignores its stop orders. */
-export interface BlockedWorkers {
-  /** Time of the last line about each, by worker. */
-  readonly loggedAtMs: Map<string, number>;
-  readonly checkedAtMs: number;
-}
-
 /** The last search for a filling stage that found too few workers. */
 export interface FailedSearch {
   readonly passNumber: number;
--- a/packages/scheduler/src/waitlog.ts
+++ b/packages/scheduler/src/waitlog.ts
@@ -1,18 +1,15 @@
-import { fitsEmptyWorker, hasRoom } from '@bronzeyoke/placement';
+import { hasRoom } from '@bronzeyoke/placement';
 import type { PlacementPass } from './pass';
 import { loadsOfService } from './pass';
 import type { PlaceWait } from './placewait';
 import { allowedLoads, slotOf } from './reserve';
-import { taskLog } from './tasklog';
+import { MAX_LINES, roomFields, taskLog } from './tasklog';
 import type { SchedulerEffect, SchedulerState } from './types';
 import type { WaitingTask } from './waits';
 
 /** Time after which a wait is logged. */
 const LOG_AFTER_MS = 1_000;
 
-/** Waits that one pass logs. */
-const MAX_LOGGED_WAITS = 20;
-
 function describeWait(
   pass: PlacementPass,
   waiting: WaitingTask,
@@ -25,14 +22,11 @@
   const { stage } = ready;
   const loads = target === undefined ? [] : loadsOfService(pass, target.open);
   const allowed = target === undefined ? [] : allowedLoads(pass, target);
-  const fitting = loads.filter((load) => fitsEmptyWorker(stage, load));
   return taskLog(stage, 'placeAwaited', {
     job: jobId,
     task,
     priority,
-    ...stage.needs,
-    fitsEmpty: fitting.length,
-    withRoom: fitting.filter((load) => hasRoom(stage, load)).length,
+    ...roomFields(stage, loads),
     belowLimit: allowed.filter((load) => hasRoom(stage, load)).length,
     awaitedMs: Math.round(nowMs - wait.sinceMs),
     plan: wait.phase,
@@ -52,7 +46,7 @@
   });
   const isLate = ({ phase, isLogged, sinceMs }: PlaceWait): boolean =>
     phase !== 'claimed' && !isLogged && nowMs - sinceMs >= LOG_AFTER_MS;
-  const late = known.filter(({ wait }) => isLate(wait)).slice(0, MAX_LOGGED_WAITS);
+  const late = known.filter(({ wait }) => isLate(wait)).slice(0, MAX_LINES);
   const found = known.filter(({ wait }) => wait.phase === 'claimed' && wait.isLogged);
   const waits = pass.state.waits
     .merge(late.map(({ task, wait }) => [task.task, { ...wait, isLogged: true }]))
