Move the modules of the scheduler into folders by what they own

The package had 58 files on one level, so a newcomer could not tell which modules belong together. leadership holds the lease, rows, loads and commits; fleet what is known of workers, leases and runs there; placement the passes; jobs the jobs and their ends. Only paths of imports change, and the test of one-way imports now follows paths. Type check, linter and that test pass.

--- a/packages/scheduler/src/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -3,14 +3,14 @@
 import { assignedSlots } from '@bronzeyoke/workflow';
 import { indexInstances } from './identities';
 import { earlierInstances } from './instances';
-import { addOrphan, orphansOf } from './jobend';
+import { addOrphan, orphansOf } from '../jobs/jobend';
 import { leaseEndAtMs } from './leases';
-import { inheritedPaceOf } from './pace';
-import type { RunTable } from './runs';
-import { createRun, NO_RUNS, putRun } from './runs';
-import { findSuspects } from './suspects';
-import type { GoneReport, SchedulerState } from './types';
-import type { RunView, WorkerView } from './views';
+import { inheritedPaceOf } from '../placement/pace';
+import type { RunTable } from '../runs';
+import { createRun, NO_RUNS, putRun } from '../runs';
+import { findSuspects } from '../jobs/suspects';
+import type { GoneReport, SchedulerState } from '../types';
+import type { RunView, WorkerView } from '../views';
 
 function isOpen({ jobs }: SchedulerState, jobId: string): boolean {
   const open = jobs.get(jobId);
--- a/packages/scheduler/src/blocked.ts
+++ b/packages/scheduler/src/fleet/blocked.ts
@@ -1,11 +1,11 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { unchanged } from '@bronzeyoke/types';
 import { Map } from 'immutable';
-import { runsOn } from './runs';
-import { withEffects } from './state';
-import { LOG_AGAIN_MS, MAX_LINES } from './tasklog';
-import type { SchedulerState, SchedulerStep } from './types';
-import type { OrphanRun } from './views';
+import { runsOn } from '../runs';
+import { withEffects } from '../state';
+import { LOG_AGAIN_MS, MAX_LINES } from '../tasklog';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { OrphanRun } from '../views';
 
 /** Time after its first stop order from which a run that its worker still lists ignores the stop. */
 const IGNORED_AFTER_MS = 3_000;
--- a/packages/scheduler/src/gone.ts
+++ b/packages/scheduler/src/fleet/gone.ts
@@ -4,12 +4,12 @@
 import { parseTaskName } from '@bronzeyoke/workflow';
 import { List } from 'immutable';
 import { lateStartsOn } from './latestarts';
-import type { ActionScope } from './pending';
+import type { ActionScope } from '../leadership/pending';
 import { releaseEndedRuns, releaseWorker } from './release';
-import { runsOn } from './runs';
-import { addPostCommitAction, withEffects } from './state';
-import { recordCrashes } from './suspects';
-import type { GoneReport, SchedulerEffect, SchedulerState, SchedulerStep } from './types';
+import { runsOn } from '../runs';
+import { addPostCommitAction, withEffects } from '../state';
+import { recordCrashes } from '../jobs/suspects';
+import type { GoneReport, SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
 
 /** An agent's message about the end of its worker. */
 type EndMessage = Extract<RunnerMessage, { readonly kind: 'workerEnded' | 'workerGone' }>;
--- a/packages/scheduler/src/grants.ts
+++ b/packages/scheduler/src/fleet/grants.ts
@@ -1,9 +1,9 @@
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import { isLeaseWithheld } from './blocked';
-import { reportIntervalMs } from './budget';
+import { reportIntervalMs } from '../leadership/budget';
 import { isAwaited, leaseEndMs } from './leases';
-import { withEffects } from './state';
-import type { SchedulerState, SchedulerStep } from './types';
+import { withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
 
 /** Share of a lease that is granted on the worker's clock, which may be 2% slow. */
 const CLOCK_SHARE = 0.98;
--- a/packages/scheduler/src/identities.ts
+++ b/packages/scheduler/src/fleet/identities.ts
@@ -1,5 +1,5 @@
 import { Map, Set as ImmutableSet } from 'immutable';
-import type { WorkerView } from './views';
+import type { WorkerView } from '../views';
 
 /** Keys of worker instances by id and by address. Agents' reports and, until then, claims tell them. */
 export interface InstanceIndex {
--- a/packages/scheduler/src/instances.ts
+++ b/packages/scheduler/src/fleet/instances.ts
@@ -3,9 +3,9 @@
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { InstanceIndex } from './identities';
 import { instancesAt, instancesWith } from './identities';
-import { runsOn } from './runs';
-import { putJob } from './state';
-import type { SchedulerState } from './types';
+import { runsOn } from '../runs';
+import { putJob } from '../state';
+import type { SchedulerState } from '../types';
 
 function bornAtMsOf(workerKey: string): number {
   return Number(workerKey.slice(workerKey.lastIndexOf('@') + 1));
--- a/packages/scheduler/src/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -1,8 +1,8 @@
 import type { RunRef } from '@bronzeyoke/wire';
-import { runsOn } from './runs';
-import type { SchedulerState } from './types';
-import { runRef } from './types';
-import type { RunView } from './views';
+import { runsOn } from '../runs';
+import type { SchedulerState } from '../types';
+import { runRef } from '../types';
+import type { RunView } from '../views';
 
 /** Time in which a start call of an agent that has ended may still reach its worker. */
 const LATE_CALL_MS = 3_000;
--- a/packages/scheduler/src/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -1,9 +1,9 @@
 import { Map } from 'immutable';
 import { assertNever } from '@bronzeyoke/types';
-import type { LeaseGrants } from './rows';
-import type { SchedulerTimes } from './times';
-import type { EarlierLeases, SchedulerState, SeenLease } from './types';
-import type { WorkerView } from './views';
+import type { LeaseGrants } from '../leadership/rows';
+import type { SchedulerTimes } from '../times';
+import type { EarlierLeases, SchedulerState, SeenLease } from '../types';
+import type { WorkerView } from '../views';
 
 /** Grant window of builds whose lease row does not describe the leases that its holder grants. */
 const UNDESCRIBED_GRANT_WINDOW_MS = 6_000;
--- a/packages/scheduler/src/links.ts
+++ b/packages/scheduler/src/fleet/links.ts
@@ -1,8 +1,8 @@
 import type { Map } from 'immutable';
 import { Set as ImmutableSet } from 'immutable';
 import { without } from '@bronzeyoke/types';
-import type { SchedulerState } from './types';
-import type { LinkView } from './views';
+import type { SchedulerState } from '../types';
+import type { LinkView } from '../views';
 
 /** Adds a connection of an agent. */
 export function openLink(state: SchedulerState, linkId: string): SchedulerState {
--- a/packages/scheduler/src/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -4,9 +4,9 @@
 import { withReservation, withTask } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
 import { fitsIn, NO_RESOURCES } from '@bronzeyoke/types';
-import { runsOn } from './runs';
-import type { SchedulerState } from './types';
-import type { KnownLoad, KnownLoads, OrphanRun, WorkerView } from './views';
+import { runsOn } from '../runs';
+import type { SchedulerState } from '../types';
+import type { KnownLoad, KnownLoads, OrphanRun, WorkerView } from '../views';
 
 function emptyLoad(workerKey: string, report: WorkerReport): WorkerLoad {
   const { service, domain, rack, labels, capacity } = report;
--- a/packages/scheduler/src/move.ts
+++ b/packages/scheduler/src/fleet/move.ts
@@ -2,9 +2,9 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
-import { putRun } from './runs';
-import { putJob, withEffects } from './state';
-import type { SchedulerState, SchedulerStep } from './types';
+import { putRun } from '../runs';
+import { putJob, withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
 
 function moveRun(
   state: SchedulerState,
--- a/packages/scheduler/src/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -4,12 +4,12 @@
 import type { RunRef } from '@bronzeyoke/wire';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { dropInstance } from './identities';
-import { startWait } from './placewait';
-import { dropRun, dropRuns, runsOn } from './runs';
-import { putJob, withEffects } from './state';
-import { taskLog } from './tasklog';
-import type { SchedulerState, SchedulerStep } from './types';
-import type { RunView } from './views';
+import { startWait } from '../placement/placewait';
+import { dropRun, dropRuns, runsOn } from '../runs';
+import { putJob, withEffects } from '../state';
+import { taskLog } from '../tasklog';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { RunView } from '../views';
 
 /** Delay before a task is placed again that a worker refused. */
 const REFUSAL_BACK_OFF_MS = 150;
--- a/packages/scheduler/src/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -24,17 +24,17 @@
 import { grantIfAllowed } from './grants';
 import { isAwaited, leaseEndMs } from './leases';
 import { addReporter } from './links';
-import { applyEnd } from './ends';
+import { applyEnd } from '../jobs/ends';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
-import { orderHeldStarts } from './postcommit';
+import { orderHeldStarts } from '../leadership/postcommit';
 import { releaseEndedRuns, releaseRun, releaseWorker } from './release';
-import { dropRun, dropRuns, putRun, runKey, runsOn } from './runs';
-import { addPostCommitAction, sendToWorker, withEffects } from './state';
-import { clearProvenRuns } from './suspects';
-import { knownStage, taskLog } from './tasklog';
-import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
-import { runRef } from './types';
+import { dropRun, dropRuns, putRun, runKey, runsOn } from '../runs';
+import { addPostCommitAction, sendToWorker, withEffects } from '../state';
+import { clearProvenRuns } from '../jobs/suspects';
+import { knownStage, taskLog } from '../tasklog';
+import type { SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
+import { runRef } from '../types';
 import {
   isWanted,
   keepUnwanted,
@@ -42,7 +42,7 @@
   STOP_REPEAT_MS,
   stopUnwanted,
 } from './unwanted';
-import type { RunView, UnwantedStop, WorkerView } from './views';
+import type { RunView, UnwantedStop, WorkerView } from '../views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
 
--- a/packages/scheduler/src/unwanted.ts
+++ b/packages/scheduler/src/fleet/unwanted.ts
@@ -1,12 +1,12 @@
 import { Map } from 'immutable';
 import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
 import { unchanged } from '@bronzeyoke/types';
-import { addOrphan } from './jobend';
-import { runKey } from './runs';
-import { sendToWorker, withEffects } from './state';
-import { knownStage, taskLog } from './tasklog';
-import type { SchedulerState, SchedulerStep } from './types';
-import type { UnwantedStop } from './views';
+import { addOrphan } from '../jobs/jobend';
+import { runKey } from '../runs';
+import { sendToWorker, withEffects } from '../state';
+import { knownStage, taskLog } from '../tasklog';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { UnwantedStop } from '../views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,10 +1,10 @@
-export * from './budget';
-export * from './maintenance';
-export * from './rows';
+export * from './leadership/budget';
+export * from './leadership/maintenance';
+export * from './leadership/rows';
 export * from './state';
 export * from './step';
 export * from './times';
 export * from './types';
 export * from './views';
-export * from './whereabouts';
-export { WITHDRAWAL_KEEP_MS } from './withdrawals';
+export * from './jobs/whereabouts';
+export { WITHDRAWAL_KEEP_MS } from './jobs/withdrawals';
--- a/packages/scheduler/src/absences.ts
+++ b/packages/scheduler/src/jobs/absences.ts
@@ -2,11 +2,11 @@
 import { AWAY_REASONS, logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, memoize } from '@bronzeyoke/types';
 import { Map } from 'immutable';
-import { serviceOf } from './pass';
-import { withEffects } from './state';
-import { LOG_AGAIN_MS, MAX_LINES, roomFields, taskLog } from './tasklog';
-import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
-import type { Absence } from './views';
+import { serviceOf } from '../placement/pass';
+import { withEffects } from '../state';
+import { LOG_AGAIN_MS, MAX_LINES, roomFields, taskLog } from '../tasklog';
+import type { SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
+import type { Absence } from '../views';
 import type { LastingTask, Whereabouts } from './whereabouts';
 import { lastingTasks, whereaboutsOf } from './whereabouts';
 
--- a/packages/scheduler/src/ends.ts
+++ b/packages/scheduler/src/jobs/ends.ts
@@ -14,12 +14,12 @@
 import type { JobEnd } from './jobend';
 import { abandonRuns, endJob, orphanRuns } from './jobend';
 import { delayRestart } from './restarts';
-import { dropRun } from './runs';
-import { putJob, withEffects } from './state';
-import { taskLog } from './tasklog';
-import type { SchedulerState, SchedulerStep } from './types';
-import type { OpenJob } from './views';
-import { endClaim } from './waits';
+import { dropRun } from '../runs';
+import { putJob, withEffects } from '../state';
+import { taskLog } from '../tasklog';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { OpenJob } from '../views';
+import { endClaim } from '../placement/waits';
 
 /** The end of a run, as listed by its worker. */
 export interface EndedRun {
--- a/packages/scheduler/src/jobend.ts
+++ b/packages/scheduler/src/jobs/jobend.ts
@@ -2,12 +2,12 @@
 import { unchanged } from '@bronzeyoke/types';
 import type { JobFailure, JobOutcome } from '@bronzeyoke/workflow';
 import { assignedSlots } from '@bronzeyoke/workflow';
-import type { OrphanTable } from './runs';
-import { dropRuns, putRun, runKey } from './runs';
-import { putJob, sendToWorker, withEffects } from './state';
-import type { SchedulerState, SchedulerStep } from './types';
-import { runRef } from './types';
-import type { OrphanRun, RunView } from './views';
+import type { OrphanTable } from '../runs';
+import { dropRuns, putRun, runKey } from '../runs';
+import { putJob, sendToWorker, withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
+import { runRef } from '../types';
+import type { OrphanRun, RunView } from '../views';
 
 /** Returns the runs among these that may be at their workers. */
 export function orphansOf(runs: readonly (readonly [string, RunView])[]): readonly OrphanRun[] {
--- a/packages/scheduler/src/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -11,13 +11,13 @@
   statusOf,
 } from '@bronzeyoke/workflow';
 import { z } from 'zod';
-import { adoptRuns } from './adopt';
-import { advanceLeadership } from './leadership';
-import { advanceRead, areReadsDone, readTable } from './load';
-import { PAIRS_KEY, parseJobKey, TABLES } from './rows';
-import { withEffects } from './state';
-import type { SchedulerState, SchedulerStep } from './types';
-import type { OpenJob } from './views';
+import { adoptRuns } from '../fleet/adopt';
+import { advanceLeadership } from '../leadership/leadership';
+import { advanceRead, areReadsDone, readTable } from '../leadership/load';
+import { PAIRS_KEY, parseJobKey, TABLES } from '../leadership/rows';
+import { withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { OpenJob } from '../views';
 import { endJob } from './jobend';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
--- a/packages/scheduler/src/restarts.ts
+++ b/packages/scheduler/src/jobs/restarts.ts
@@ -1,6 +1,6 @@
 import type { RunEnd, Stage } from '@bronzeyoke/workflow';
-import type { SchedulerState } from './types';
-import type { RunView } from './views';
+import type { SchedulerState } from '../types';
+import type { RunView } from '../views';
 
 /** Delay before a task is placed again whose run ended by itself. */
 const RESTART_BACK_OFF_MS = 200;
--- a/packages/scheduler/src/stall.ts
+++ b/packages/scheduler/src/jobs/stall.ts
@@ -1,11 +1,11 @@
 import { Map } from 'immutable';
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
-import { stopRun } from './pace';
+import { stopRun } from '../placement/pace';
 import { recordFailure } from './ends';
-import { runsOn } from './runs';
-import type { SchedulerState, SchedulerStep } from './types';
-import type { RunView } from './views';
+import { runsOn } from '../runs';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { RunView } from '../views';
 
 /** Shortest time without progress after which a running task is moved to another worker. */
 const MIN_STALL_MS = 2_500;
--- a/packages/scheduler/src/suspects.ts
+++ b/packages/scheduler/src/jobs/suspects.ts
@@ -4,11 +4,11 @@
 import { parseTaskName, slotKey, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { Map } from 'immutable';
 import { endJob } from './jobend';
-import { putRun, runsOn } from './runs';
-import { putJob, withEffects } from './state';
-import { taskLog } from './tasklog';
-import type { GoneReport, SchedulerState, SchedulerStep } from './types';
-import type { RunView, Suspect, Trial } from './views';
+import { putRun, runsOn } from '../runs';
+import { putJob, withEffects } from '../state';
+import { taskLog } from '../tasklog';
+import type { GoneReport, SchedulerState, SchedulerStep } from '../types';
+import type { RunView, Suspect, Trial } from '../views';
 
 /** A worker that crashes this soon after a start most likely crashed because of it. */
 const PROMPT_MS = 120;
--- a/packages/scheduler/src/whereabouts.ts
+++ b/packages/scheduler/src/jobs/whereabouts.ts
@@ -6,10 +6,10 @@
   stageSlots,
   taskProgress,
 } from '@bronzeyoke/workflow';
-import type { PlaceWait } from './placewait';
-import { isClaimedOn } from './postcommit';
-import type { SchedulerState } from './types';
-import type { OpenJob, RunView } from './views';
+import type { PlaceWait } from '../placement/placewait';
+import { isClaimedOn } from '../leadership/postcommit';
+import type { SchedulerState } from '../types';
+import type { OpenJob, RunView } from '../views';
 
 /**
  * A worker whose last report is older than this may have ended with its runs. The lease row names a silent
--- a/packages/scheduler/src/withdrawals.ts
+++ b/packages/scheduler/src/jobs/withdrawals.ts
@@ -1,9 +1,9 @@
 import { Map } from 'immutable';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { unchanged, without } from '@bronzeyoke/types';
-import { PARTITION, TABLES } from './rows';
-import { withEffects } from './state';
-import type { SchedulerState, SchedulerStep, SeenWithdrawal } from './types';
+import { PARTITION, TABLES } from '../leadership/rows';
+import { withEffects } from '../state';
+import type { SchedulerState, SchedulerStep, SeenWithdrawal } from '../types';
 
 /** Ids of the calls that read and remove withdrawals. */
 export const WITHDRAWAL_CALLS = { read: 'withdrawals', remove: 'withdrawals-remove' } as const;
--- a/packages/scheduler/src/budget.ts
+++ b/packages/scheduler/src/leadership/budget.ts
@@ -1,5 +1,5 @@
 import { JOB_PAGE_ROWS, PROGRESS_PAGE_ROWS, SMALL_JOB_PAGE_ROWS } from './rows';
-import type { EntryCapacity } from './times';
+import type { EntryCapacity } from '../times';
 
 const BYTES_PER_MBIT = 125_000;
 
--- a/packages/scheduler/src/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -3,12 +3,12 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
-import { describeGrants, earlierLeasesOf } from './leases';
+import { describeGrants, earlierLeasesOf } from '../fleet/leases';
 import type { LeaseValue } from './rows';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
-import { withEffects } from './state';
-import { claimDelayMs } from './times';
-import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from './types';
+import { withEffects } from '../state';
+import { claimDelayMs } from '../times';
+import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from '../types';
 
 const POLL_MS = 300;
 
--- a/packages/scheduler/src/flush.ts
+++ b/packages/scheduler/src/leadership/flush.ts
@@ -3,9 +3,9 @@
 import { assertNever, chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { encodeProgress, progressBytes } from '@bronzeyoke/workflow';
 import { maxTransactionBytes } from './budget';
-import { grantDueLeases } from './grants';
+import { grantDueLeases } from '../fleet/grants';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
-import { describeGrants } from './leases';
+import { describeGrants } from '../fleet/leases';
 import { maintenanceWrites } from './maintenance';
 import type { PostCommitAction, RowSize } from './pending';
 import { isNothingPending, takeWrites } from './pending';
@@ -19,9 +19,9 @@
   LEASE_KEY,
   progressKey,
 } from './rows';
-import { withEffects } from './state';
-import type { InFlightTransaction, SchedulerState, SchedulerStep } from './types';
-import type { OpenJob } from './views';
+import { withEffects } from '../state';
+import type { InFlightTransaction, SchedulerState, SchedulerStep } from '../types';
+import type { OpenJob } from '../views';
 
 /** Rows that a transaction of the store may name, in its conditions and its writes. */
 const MAX_ENTRIES = 100;
--- a/packages/scheduler/src/isolation.ts
+++ b/packages/scheduler/src/leadership/isolation.ts
@@ -1,8 +1,8 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership } from './leadership';
-import { withEffects } from './state';
-import type { SchedulerState, SchedulerStep } from './types';
+import { withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
 
 /**
  * Time without a message of an agent, after the leases of all workers have ended, after which a leader
--- a/packages/scheduler/src/leadership.ts
+++ b/packages/scheduler/src/leadership/leadership.ts
@@ -5,9 +5,9 @@
 import { startReads } from './load';
 import type { Leader } from './rows';
 import { decodeLeader } from './rows';
-import { EMPTY_LEADER_STATE, withEffects } from './state';
-import type { SchedulerState, SchedulerStep } from './types';
-import { leadershipChart } from './types';
+import { EMPTY_LEADER_STATE, withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
+import { leadershipChart } from '../types';
 
 /** Ids of the store calls that poll and claim the lease. */
 export const CALLS = {
--- a/packages/scheduler/src/load.ts
+++ b/packages/scheduler/src/leadership/load.ts
@@ -3,8 +3,8 @@
 import { Map } from 'immutable';
 import { progressPageRows } from './budget';
 import { PARTITION, TABLES } from './rows';
-import { withEffects } from './state';
-import type { SchedulerState, SchedulerStep, TableRead } from './types';
+import { withEffects } from '../state';
+import type { SchedulerState, SchedulerStep, TableRead } from '../types';
 
 /** Delay after which a new leader repeats a read that failed. */
 const RELOAD_MS = 300;
--- a/packages/scheduler/src/maintenance.ts
+++ b/packages/scheduler/src/leadership/maintenance.ts
@@ -1,7 +1,7 @@
 import type { RowWrite } from '@bronzeyoke/ports';
 import type { JobProgress } from '@bronzeyoke/workflow';
 import { COUNTS_KEY, PAIRS_KEY, progressKey } from './rows';
-import type { SchedulerState } from './types';
+import type { SchedulerState } from '../types';
 
 const MAX_EXPIRED_JOBS = 20;
 
--- a/packages/scheduler/src/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -1,15 +1,15 @@
 import type { Map } from 'immutable';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
-import { hasRoomForClaims } from './loads';
+import { hasRoomForClaims } from '../fleet/loads';
 import type { PostCommitAction } from './pending';
-import { releaseRun } from './release';
-import { dropRuns, putRun, runsOn } from './runs';
-import { sendToWorker, withEffects } from './state';
-import { taskLog } from './tasklog';
-import type { SchedulerState, SchedulerStep } from './types';
-import { runRef } from './types';
-import type { HeldStart, RunView } from './views';
+import { releaseRun } from '../fleet/release';
+import { dropRuns, putRun, runsOn } from '../runs';
+import { sendToWorker, withEffects } from '../state';
+import { taskLog } from '../tasklog';
+import type { SchedulerState, SchedulerStep } from '../types';
+import { runRef } from '../types';
+import type { HeldStart, RunView } from '../views';
 
 /**
  * Time for which a stored claim waits for the next connection of its agent. An agent that replaces its
--- a/packages/scheduler/src/candidates.ts
+++ b/packages/scheduler/src/placement/candidates.ts
@@ -6,7 +6,7 @@
   readyStages,
   remainingWork,
 } from '@bronzeyoke/workflow';
-import type { SchedulerState } from './types';
+import type { SchedulerState } from '../types';
 
 /** A stage with tasks to place, and the criteria for its place in the order. */
 export interface StageCandidate {
--- a/packages/scheduler/src/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -10,12 +10,12 @@
 import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
-import { putRun, runsOn } from './runs';
-import { sendToWorker, withEffects } from './state';
-import { taskLog } from './tasklog';
-import type { SchedulerEffect, SchedulerState, SchedulerStep } from './types';
-import { runRef } from './types';
-import type { InheritedPace, RunView } from './views';
+import { putRun, runsOn } from '../runs';
+import { sendToWorker, withEffects } from '../state';
+import { taskLog } from '../tasklog';
+import type { SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
+import { runRef } from '../types';
+import type { InheritedPace, RunView } from '../views';
 
 /** Pace of a task that was placed beside one that it harms. */
 const LAST_RESORT_PERCENT = 10;
--- a/packages/scheduler/src/pass.ts
+++ b/packages/scheduler/src/placement/pass.ts
@@ -8,13 +8,13 @@
 import type { StageCandidate } from './candidates';
 import type { PassBudget, PassPart } from './passbudget';
 import { CLAIM_WORK } from './passbudget';
-import type { WriteUrgency } from './pending';
-import { createRun, putRun } from './runs';
-import { addPostCommitAction, putJob } from './state';
-import { isSuspect, trialMs } from './suspects';
+import type { WriteUrgency } from '../leadership/pending';
+import { createRun, putRun } from '../runs';
+import { addPostCommitAction, putJob } from '../state';
+import { isSuspect, trialMs } from '../jobs/suspects';
 import type { Occupancy } from './tenants';
-import type { SchedulerState } from './types';
-import type { OpenJob, RunView } from './views';
+import type { SchedulerState } from '../types';
+import type { OpenJob, RunView } from '../views';
 
 function claimUrgency({ isLasting, fillsIdle }: Stage): WriteUrgency {
   if (isLasting) return 'high';
--- a/packages/scheduler/src/passbudget.ts
+++ b/packages/scheduler/src/placement/passbudget.ts
@@ -1,4 +1,4 @@
-import type { EntryCapacity } from './times';
+import type { EntryCapacity } from '../times';
 
 /**
  * Time that a pass should spend on placing, beside what it needs to go through workers and tasks. No
--- a/packages/scheduler/src/placewait.ts
+++ b/packages/scheduler/src/placement/placewait.ts
@@ -1,6 +1,6 @@
 import type { StateOf } from '@bronzeyoke/chart';
 import { advance, compileChart } from '@bronzeyoke/chart';
-import chartFile from '../charts/wait.json';
+import chartFile from '../../charts/wait.json';
 
 /** Chart of the wait of a lasting task for a place. */
 export const waitChart = compileChart(chartFile, {
--- a/packages/scheduler/src/preempt.ts
+++ b/packages/scheduler/src/placement/preempt.ts
@@ -5,10 +5,10 @@
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
 import { classifierOf, loadsOfService, siblingCounter } from './pass';
-import { runsOn } from './runs';
+import { runsOn } from '../runs';
 import type { StageSearch } from './search';
-import type { SchedulerState } from './types';
-import type { OpenJob, RunView } from './views';
+import type { SchedulerState } from '../types';
+import type { OpenJob, RunView } from '../views';
 
 /** Name and run of a filling task. */
 type Fill = readonly [task: string, run: RunView];
--- a/packages/scheduler/src/relocate.ts
+++ b/packages/scheduler/src/placement/relocate.ts
@@ -15,8 +15,8 @@
   lastingRoom,
   reserveRoom,
 } from './reserve';
-import { runsOn } from './runs';
-import type { RunView } from './views';
+import { runsOn } from '../runs';
+import type { RunView } from '../views';
 
 /** A lasting run that may be moved to another worker. */
 interface MovableRun {
--- a/packages/scheduler/src/reserve.ts
+++ b/packages/scheduler/src/placement/reserve.ts
@@ -6,7 +6,7 @@
 import type { PlacementPass } from './pass';
 import { serviceOf, siblingCounter } from './pass';
 import type { Tenant } from './tenants';
-import type { OpenJob } from './views';
+import type { OpenJob } from '../views';
 import type { WaitingTask } from './waits';
 
 /** Time in which a run that is being stopped ends. */
--- a/packages/scheduler/src/round.ts
+++ b/packages/scheduler/src/placement/round.ts
@@ -17,8 +17,8 @@
 } from './pass';
 import { preemptFills } from './preempt';
 import { placeOn, searchScope } from './search';
-import type { SchedulerState } from './types';
-import type { FailedSearch } from './views';
+import type { SchedulerState } from '../types';
+import type { FailedSearch } from '../views';
 import type { WaitingTask } from './waits';
 
 /**
--- a/packages/scheduler/src/tenants.ts
+++ b/packages/scheduler/src/placement/tenants.ts
@@ -1,8 +1,8 @@
 import type { Resources } from '@bronzeyoke/types';
 import { addResources, memoize, NO_RESOURCES } from '@bronzeyoke/types';
 import type { Stage } from '@bronzeyoke/workflow';
-import { runsOn } from './runs';
-import type { SchedulerState } from './types';
+import { runsOn } from '../runs';
+import type { SchedulerState } from '../types';
 
 /** A run on a worker, with what the worker gets back when it ends. */
 export interface Tenant {
--- a/packages/scheduler/src/trials.ts
+++ b/packages/scheduler/src/placement/trials.ts
@@ -7,8 +7,8 @@
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
 import { chooseWorkerFor, claimOn, isBackingOff, loadsOfService } from './pass';
-import { runsOn } from './runs';
-import type { OpenJob, Suspect } from './views';
+import { runsOn } from '../runs';
+import type { OpenJob, Suspect } from '../views';
 
 /** Time after the last start on a worker from which a crash is not held against that start. */
 const QUIET_MS = 250;
--- a/packages/scheduler/src/waitlog.ts
+++ b/packages/scheduler/src/placement/waitlog.ts
@@ -3,8 +3,8 @@
 import { loadsOfService } from './pass';
 import type { PlaceWait } from './placewait';
 import { allowedLoads, slotOf } from './reserve';
-import { MAX_LINES, roomFields, taskLog } from './tasklog';
-import type { SchedulerEffect, SchedulerState } from './types';
+import { MAX_LINES, roomFields, taskLog } from '../tasklog';
+import type { SchedulerEffect, SchedulerState } from '../types';
 import type { WaitingTask } from './waits';
 
 /** Time after which a wait is logged. */
--- a/packages/scheduler/src/waits.ts
+++ b/packages/scheduler/src/placement/waits.ts
@@ -4,7 +4,7 @@
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import { searchKey } from './candidates';
-import type { SchedulerState } from './types';
+import type { SchedulerState } from '../types';
 import type { PlaceWait, WaitCause } from './placewait';
 import { advanceWait, startWait } from './placewait';
 
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,11 +1,11 @@
 import { Map, Set as ImmutableSet } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
-import { NO_INSTANCES } from './identities';
-import { NO_EARLIER_LEASES } from './leases';
-import { NO_PACE } from './passbudget';
-import type { ActionScope, PostCommitAction, WriteUrgency } from './pending';
-import { addAction, addRow, NO_PENDING_WRITES } from './pending';
+import { NO_INSTANCES } from './fleet/identities';
+import { NO_EARLIER_LEASES } from './fleet/leases';
+import { NO_PACE } from './placement/passbudget';
+import type { ActionScope, PostCommitAction, WriteUrgency } from './leadership/pending';
+import { addAction, addRow, NO_PENDING_WRITES } from './leadership/pending';
 import { NO_RUNS } from './runs';
 import type { SchedulerEffect, SchedulerSettings, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -2,35 +2,40 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
-import { logAbsences } from './absences';
-import { logBlockedWorkers } from './blocked';
-import { passIntervalMs } from './budget';
-import { onClaimResult, onPoll, pollLease, retryClaim } from './claim';
-import { flush, onCommitResult, releaseLease, retryTransaction } from './flush';
+import { logAbsences } from './jobs/absences';
+import { logBlockedWorkers } from './fleet/blocked';
+import { passIntervalMs } from './leadership/budget';
+import { onClaimResult, onPoll, pollLease, retryClaim } from './leadership/claim';
+import { flush, onCommitResult, releaseLease, retryTransaction } from './leadership/flush';
 import {
   goneReportOf,
   handleGoneReports,
   isAboutEnd,
   onWorkerGone,
   recordGoneWorker,
-} from './gone';
-import { clearIsolation, noteIsolation, stepDownIfIsolated } from './isolation';
-import { onJobRows, onLoaded } from './jobs';
-import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership';
-import { changeTimes } from './leases';
-import { closeLink, openLink } from './links';
-import { retryReads } from './load';
-import { paceWorker } from './pace';
-import { recordPass } from './passbudget';
-import { placeTasks } from './place';
-import { releaseHeldStarts } from './postcommit';
-import { releaseWorker } from './release';
-import { onOrderRefused, onReport } from './report';
-import { forgetQuickEnds } from './restarts';
-import { stopStalledRuns } from './stall';
+} from './fleet/gone';
+import { clearIsolation, noteIsolation, stepDownIfIsolated } from './leadership/isolation';
+import { onJobRows, onLoaded } from './jobs/jobs';
+import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership/leadership';
+import { changeTimes } from './fleet/leases';
+import { closeLink, openLink } from './fleet/links';
+import { retryReads } from './leadership/load';
+import { paceWorker } from './placement/pace';
+import { recordPass } from './placement/passbudget';
+import { placeTasks } from './placement/place';
+import { releaseHeldStarts } from './leadership/postcommit';
+import { releaseWorker } from './fleet/release';
+import { onOrderRefused, onReport } from './fleet/report';
+import { forgetQuickEnds } from './jobs/restarts';
+import { stopStalledRuns } from './jobs/stall';
 import { withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
-import { onWithdrawalRows, readWithdrawals, settleRemoval, WITHDRAWAL_CALLS } from './withdrawals';
+import {
+  onWithdrawalRows,
+  readWithdrawals,
+  settleRemoval,
+  WITHDRAWAL_CALLS,
+} from './jobs/withdrawals';
 
 /**
  * Longest pause after a placement pass, which is otherwise as long as the pass. A new connection of an
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -8,11 +8,11 @@
 import type { FleetConfig, JobProgress } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
-import type { InstanceIndex } from './identities';
-import type { PassPace } from './passbudget';
-import type { PendingWrites, PostCommitAction } from './pending';
-import type { PlaceWait } from './placewait';
-import type { Leader, LeaseValue } from './rows';
+import type { InstanceIndex } from './fleet/identities';
+import type { PassPace } from './placement/passbudget';
+import type { PendingWrites, PostCommitAction } from './leadership/pending';
+import type { PlaceWait } from './placement/placewait';
+import type { Leader, LeaseValue } from './leadership/rows';
 import type { OrphanTable, RunTable, TaskTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
--- a/packages/scheduler/test/identities.test.ts
+++ b/packages/scheduler/test/identities.test.ts
@@ -2,7 +2,7 @@
 import * as fc from 'fast-check';
 import { is } from 'immutable';
 import { assertNever } from '@bronzeyoke/types';
-import { indexInstances } from '../src/identities';
+import { indexInstances } from '../src/fleet/identities';
 import type { Fixture } from './fixture';
 import { createLeader, dispatch, goneMessage, report, WALL_MS, workerKeyFor } from './fixture';
 
--- a/packages/scheduler/test/loads.test.ts
+++ b/packages/scheduler/test/loads.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
 import { Map } from 'immutable';
-import { updateLoads } from '../src/loads';
+import { updateLoads } from '../src/fleet/loads';
 import type { Fixture } from './fixture';
 import {
   advance,
--- a/tools/test/imports.test.ts
+++ b/tools/test/imports.test.ts
@@ -1,17 +1,19 @@
 import { readdir, readFile } from 'node:fs/promises';
-import { join } from 'node:path';
+import { dirname, join } from 'node:path';
 import { expect } from 'chai';
 
 type Graph = ReadonlyMap<string, readonly string[]>;
 
-/** Returns the modules of a package that each of its modules imports. */
+/** Returns the modules of a package, by path, that each of its modules imports. */
 async function readGraph(folder: string): Promise<Graph> {
-  const files = (await readdir(folder)).filter((name) => name.endsWith('.ts'));
+  const files = (await readdir(folder, { recursive: true })).filter((name) => name.endsWith('.ts'));
   const entries = files
     .filter((name) => name !== 'index.ts')
     .map(async (name): Promise<readonly [string, readonly string[]]> => {
       const text = await readFile(join(folder, name), 'utf8');
-      const imports = [...text.matchAll(/ from '\.\/(\w+)'/g)].flatMap(([, target = '']) => target);
+      const imports = [...text.matchAll(/ from '(\.[./\w]*)'/g)].flatMap(([, target = '']) =>
+        join(dirname(name), target),
+      );
       return [name.slice(0, -'.ts'.length), imports];
     });
   return new Map(await Promise.all(entries));
