--- a/packages/entry/src/api.ts
+++ b/packages/entry/src/api.ts
@@ -9,8 +9,7 @@
 import { assertNever, fail, succeed, takeToken } from '@bronzeyoke/types';
 import type { Principal, TokenEntry } from './auth';
 import { authorize, createAuthenticator } from './auth';
-import { readBody, sendProblem } from './http';
-
+import { readBody, sendProblem } from './exchange';
 import { failureProblem } from './problem';
 import type { AdminCall, AdminResponse } from './routes';
 import { isJobDone, toAdminCall, toAdminResponse } from './routes';
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -6,9 +6,8 @@
 import { dispatch, spawn } from '@bronzeyoke/actors';
 import type { CallerRequest, Failure, Headers, Outcome, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
-import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
 import type { AdminApi } from './api';
-import type { Problem } from './problem';
+import { readBody, sendProblem } from './exchange';
 import { failureProblem, outcomeProblem } from './problem';
 import { isAdminPath } from './routes';
 
@@ -77,28 +76,6 @@
   );
 }
 
-/** Reads a body up to the size limit. A longer body is read to its end and refused. */
-export function readBody(request: IncomingMessage): Promise<Result<Uint8Array>> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let lengthBytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      lengthBytes += chunk.length;
-      if (lengthBytes <= MAX_BODY_BYTES) chunks.push(chunk);
-    });
-    request.on('close', () => {
-      if (lengthBytes > MAX_BODY_BYTES) {
-        resolve(fail({ kind: 'tooLarge', limitBytes: MAX_BODY_BYTES }));
-      } else if (!request.complete) {
-        resolve(fail({ kind: 'invalid', field: 'body', problem: 'cut short' }));
-      } else {
-        resolve(succeed(Buffer.concat(chunks)));
-      }
-    });
-    request.on('error', () => request.destroy());
-  });
-}
-
 function timeoutOf(header: string | undefined): Result<number> {
   if (header === undefined) return succeed(DEFAULT_TIMEOUT_MS);
   const value = Number(header);
@@ -157,12 +134,6 @@
   });
 }
 
-/** Sends a problem document as the response. */
-export function sendProblem(response: ServerResponse, problem: Problem): void {
-  response.writeHead(problem.status, { 'content-type': 'application/problem+json' });
-  response.end(JSON.stringify(problem));
-}
-
 function sendOutcome(response: ServerResponse, requestId: string, outcome: Outcome): void {
   response.setHeader('bronzeyoke-request-id', requestId);
   switch (outcome.kind) {
--- a/packages/entry/src/index.ts
+++ b/packages/entry/src/index.ts
@@ -4,6 +4,7 @@
 export * from './body';
 export * from './budget';
 export * from './core';
+export * from './exchange';
 export * from './http';
 export * from './monitor';
 export * from './problem';
--- a/packages/harness/src/bugs.ts
+++ b/packages/harness/src/bugs.ts
@@ -5,7 +5,7 @@
 import type { StoreEffect } from '@bronzeyoke/ports';
 import { EMPTY_CONFIGURATION, assertNever } from '@bronzeyoke/types';
 import { expectedAnswer, requestBody } from './body';
-import type { InvariantId } from './oracle';
+import type { InvariantId } from './oraclestate';
 import type { WorldOptions } from './simulate';
 import { NO_STANDIN_BUGS } from './simulate';
 import type { Decisions } from './world';
--- a/packages/harness/src/checks.ts
+++ b/packages/harness/src/checks.ts
@@ -3,8 +3,8 @@
 import { NO_RESOURCES, addResources, fitsIn, taskKey } from '@bronzeyoke/types';
 import { z } from 'zod';
 import type { Observation } from './observation';
-import type { OracleState, ObservedTask } from './oracle';
-import { expectThat } from './oracle';
+import type { OracleState, ObservedTask } from './oraclestate';
+import { expectThat } from './oraclestate';
 
 /** P4: no task starts in a domain later than this after the domain was taken out. */
 const DOMAIN_BOUND_MS = 5_000;
--- a/packages/harness/src/fuzz.ts
+++ b/packages/harness/src/fuzz.ts
@@ -4,7 +4,7 @@
 import { InvariantError, checkInvariants } from './invariant';
 import type { Command } from './command';
 import { applyCommand } from './command';
-import type { Violation } from './oracle';
+import type { Violation } from './oraclestate';
 import type { Simulation, WorldOptions } from './simulate';
 import { NO_STANDIN_BUGS, PRODUCT_DECISIONS, simulate } from './simulate';
 import { derwent } from './site';
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -10,6 +10,7 @@
 export * from './observation';
 export * from './operator';
 export * from './oracle';
+export * from './oraclestate';
 export * from './process';
 export * from './simulate';
 export * from './site';
--- a/packages/harness/src/invariant.ts
+++ b/packages/harness/src/invariant.ts
@@ -1,4 +1,4 @@
-import type { Violation } from './oracle';
+import type { Violation } from './oraclestate';
 import type { World } from './world';
 
 /** A violated invariant, which ends the run of a trace. */
--- a/packages/harness/src/simulate.ts
+++ b/packages/harness/src/simulate.ts
@@ -9,7 +9,7 @@
 import { pop } from './heap';
 import { deliverRequest, endRequest } from './caller';
 import { deliverPayload, dial } from './network';
-import { EMPTY_ORACLE, recordViolation } from './oracle';
+import { EMPTY_ORACLE, recordViolation } from './oraclestate';
 import { bootAgent, bootEntry, handleEvent } from './process';
 import type { Deployment } from './site';
 import { callStore, applyBudgetEvent } from './store';
--- a/packages/harness/src/world.ts
+++ b/packages/harness/src/world.ts
@@ -15,8 +15,8 @@
 import type { Heap } from './heap';
 import { push } from './heap';
 import type { CallerEnd, Observation } from './observation';
-import type { OracleState } from './oracle';
 import { checkObservation } from './oracle';
+import type { OracleState } from './oraclestate';
 import type { Deployment, EntrySite, WorkerSite } from './site';
 
 interface ProcessBase {
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -6,4 +6,5 @@
 export * from './log';
 export * from './metrics';
 export * from './server';
+export * from './span';
 export * from './tracer';
--- a/packages/telemetry/src/otlp.ts
+++ b/packages/telemetry/src/otlp.ts
@@ -3,7 +3,7 @@
 import { OTLPTraceExporter } from '@opentelemetry/exporter-trace-otlp-http';
 import { BasicTracerProvider, BatchSpanProcessor } from '@opentelemetry/sdk-trace-base';
 import type { Labels } from './metrics';
-import type { SpanRecord, Tracer, TracingOptions } from './tracer';
+import type { SpanRecord, Tracer, TracingOptions } from './span';
 
 type Resource = NonNullable<
   NonNullable<ConstructorParameters<typeof BasicTracerProvider>[0]>['resource']
