Bound the estimates of pairs of images by the row that stores them

What callers would see: none of their jobs ends or starts any more. The row notes/pairs had no limit, and it is written in the transaction that renews the leader's lease. A row of the store takes 65,536 bytes in Base64; a larger one is refused with 400, which the leader repeats until its lease ends, and each next leader learns the same pairs again.

Change: the estimates that were observed longest ago are dropped beyond 32 KB.

Measured: with 1,000 images of 200 characters the row had 1,286,403 bytes; the new test requires less than 49,152, failed before and passes now.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -1,4 +1,4 @@
-import { Map } from 'immutable';
+import { Map, OrderedMap } from 'immutable';
 
 /** Estimate of the load that an image puts on a serving task, per share of the worker. */
 export interface InfluenceEstimate {
@@ -6,7 +6,7 @@
   readonly variance: number;
 }
 
-/** Estimates by pair of a serving and a filling image, see `pairKey`. */
+/** Estimates by pair of a serving and a filling image, see `pairKey`, the latest observed ones last. */
 export type PairEstimates = Map<string, InfluenceEstimate>;
 
 /** Estimates before the first observation. */
@@ -47,6 +47,12 @@
 const MIN_VARIANCE = 0.01;
 const MIN_BASE_VARIANCE = 0.0001;
 
+/** Bytes of the stored estimates. They share a row of the store, which takes 48 KB before Base64. */
+const MAX_STORED_BYTES = 32 * 1_024;
+
+/** Bytes of a stored estimate beside its key: two numbers of 20 digits and the names of the fields. */
+const ESTIMATE_BYTES = 70;
+
 /** Tail latency of a serving task and the fills that ran beside it at the time. */
 export interface PairObservation {
   readonly servingImage: string;
@@ -61,6 +67,11 @@
   return `${servingImage}|${fillImage}`;
 }
 
+/** Returns the most bytes that an estimate takes in a row. */
+function storedBytes(key: string): number {
+  return Buffer.byteLength(JSON.stringify(key)) + ESTIMATE_BYTES;
+}
+
 function baseOf(estimates: PairEstimates, servingImage: string): InfluenceEstimate {
   return estimates.get(pairKey(servingImage), PRIOR_BASE);
 }
@@ -142,6 +153,31 @@
     .map(({ image }) => image);
 }
 
+/** Estimates that were just observed come last. */
+function putLatest(
+  estimates: OrderedMap<string, InfluenceEstimate>,
+  key: string,
+  estimate: InfluenceEstimate,
+): OrderedMap<string, InfluenceEstimate> {
+  return estimates.delete(key).set(key, estimate);
+}
+
+/** Drops the estimates whose last observation is the oldest, so that the others fit a row. */
+function dropOldest(
+  estimates: OrderedMap<string, InfluenceEstimate>,
+): OrderedMap<string, InfluenceEstimate> {
+  const sizes = estimates.keySeq().map((key) => [key, storedBytes(key)] as const);
+  const excessBytes = sizes.reduce((sum, [, bytes]) => sum + bytes, -MAX_STORED_BYTES);
+  const dropped = sizes.reduce<{ readonly keys: readonly string[]; readonly leftBytes: number }>(
+    (oldest, [key, bytes]) =>
+      oldest.leftBytes <= 0
+        ? oldest
+        : { keys: [...oldest.keys, key], leftBytes: oldest.leftBytes - bytes },
+    { keys: [], leftBytes: excessBytes },
+  );
+  return estimates.deleteAll(dropped.keys);
+}
+
 /** Updates the estimates from one observation, by a Kalman filter with variances but no covariances. */
 export function updatePairs(estimates: PairEstimates, observation: PairObservation): PairEstimates {
   const { servingImage, ratio } = observation;
@@ -169,12 +205,14 @@
       variance: Math.max(minVariance, before * (1 - gain * weight)),
     };
   };
-  return fills.reduce(
-    (updated, { image, share }) =>
-      updated.set(
-        pairKey(servingImage, image),
-        update(influenceOf(estimates, servingImage, image), share, MIN_VARIANCE),
-      ),
-    estimates.set(pairKey(servingImage), update(base, 1, MIN_BASE_VARIANCE)),
+  const first = putLatest(
+    OrderedMap(estimates),
+    pairKey(servingImage),
+    update(base, 1, MIN_BASE_VARIANCE),
   );
+  const updated = fills.reduce((current, { image, share }) => {
+    const influence = influenceOf(estimates, servingImage, image);
+    return putLatest(current, pairKey(servingImage, image), update(influence, share, MIN_VARIANCE));
+  }, first);
+  return updated.size === estimates.size ? updated : dropOldest(updated);
 }
--- a/packages/interference/test/pairs.test.ts
+++ b/packages/interference/test/pairs.test.ts
@@ -64,3 +64,28 @@
     ),
   ).to.equal('harmless');
 });
+
+/** Bytes of a value before Base64 makes it a row of the store of at most 65,536 bytes. */
+const ROW_BYTES = 49_152;
+
+function observe(estimates: PairEstimates, servingImage: string, image: string): PairEstimates {
+  const fills = [{ image, share: 0.1 }];
+  return updatePairs(estimates, { servingImage, ratio: 0.4, fills });
+}
+
+// Guards against estimates of all pairs that were ever seen, which outgrow the row that they are stored
+// in: the store refuses it, and with it the renewal of the leader's lease.
+it('pairs: the estimates of many images fit a row, and those in use stay', () => {
+  const images = Array.from({ length: 1_000 }, (_, index) => `"größe" ${index}`.padEnd(200, 'é'));
+  const known = images.reduce(
+    (estimates, image) => observe(observe(estimates, `serving ${image}`, image), 's', 'good'),
+    EMPTY_PAIRS,
+  );
+  expect(Buffer.byteLength(JSON.stringify(known.toObject()))).to.be.lessThan(ROW_BYTES);
+  expect(known.size).to.be.greaterThan(30);
+  expect([
+    known.has('s|good'),
+    known.has('s|'),
+    known.has(`serving ${images.at(-1)}|`),
+  ]).to.deep.equal([true, true, true]);
+});
