--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -50,3 +50,8 @@
   const parsed = jobSchema.safeParse(value);
   return parsed.success ? (parsed.data as WorkflowJob) : undefined;
 }
+
+/** Returns the bytes of a job as it is stored, before the encoding of the store. */
+export function jobBytes(job: WorkflowJob): number {
+  return Buffer.byteLength(JSON.stringify(job));
+}
