Bound the bytes of a transaction of submissions

Cause: up to 25 jobs went into one transaction whatever their size; the store takes 1 MB and refuses more with 400, which counts as a lost answer.

Change: a transaction takes jobs of up to 512 KB.

--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -3,6 +3,8 @@
 import { jobKey, progressKey, WITHDRAWAL_KEEP_MS, withdrawalKey } from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever } from '@bronzeyoke/types';
+import { jobBytes } from '@bronzeyoke/workflow';
+import type { WorkflowJob } from '@bronzeyoke/workflow';
 import type {
   IntakeEffect,
   IntakeEvent,
@@ -15,6 +17,9 @@
 
 /** Each job takes three conditions and one write of the 100 that a transaction may name. */
 const MAX_JOBS_PER_TRANSACTION = 25;
+
+/** Bytes of the jobs in one transaction, which the store takes up to 1 MB in Base64, keys included. */
+const MAX_TRANSACTION_BYTES = 512 * 1_024;
 const MAX_TRANSACTIONS_IN_FLIGHT = 2;
 const RETRY_DELAY_MS = 80;
 
@@ -101,15 +106,33 @@
   return phase === 'waiting' || phase === 'uncertain';
 }
 
+/** Returns as many jobs as a transaction holds, and one at least. */
+function takeJobs(submissions: IntakeState['submissions']): readonly WorkflowJob[] {
+  const jobs = submissions
+    .valueSeq()
+    .take(MAX_JOBS_PER_TRANSACTION)
+    .map(({ job }) => job)
+    .toArray();
+  const taken = jobs.reduce(
+    ({ count, bytes }, job, index) => {
+      const next = bytes + jobBytes(job);
+      const fits = count === index && next <= MAX_TRANSACTION_BYTES;
+      return fits || index === 0 ? { count: index + 1, bytes: next } : { count, bytes };
+    },
+    { count: 0, bytes: 0 },
+  );
+  return jobs.slice(0, taken.count);
+}
+
 /** Sends submissions that are ready, many in one transaction that requires each job to be new. */
 export function sendSubmissions(state: IntakeState, nowMs: number): IntakeStep {
   if (state.inFlight.size >= MAX_TRANSACTIONS_IN_FLIGHT) return { state, effects: [] };
   const due = state.submissions.filter(
     (submission) => isReadyToSend(submission) && submission.retryAtMs <= nowMs,
   );
-  const jobs = due.valueSeq().take(MAX_JOBS_PER_TRANSACTION).toArray();
+  const jobs = takeJobs(due);
   if (jobs.length === 0) return { state, effects: [] };
-  const jobIds = jobs.map(({ job }) => job.jobId);
+  const jobIds = jobs.map(({ jobId }) => jobId);
   const callId = `submit-${state.callCount}`;
   const transaction = {
     conditions: jobIds.flatMap((jobId) => [
@@ -117,7 +140,7 @@
       { ...progressKey(jobId), version: 0 },
       { ...withdrawalKey(jobId), version: 0 },
     ]),
-    writes: jobs.map(({ job }) => ({ kind: 'put', ...jobKey(job.jobId), value: job }) as const),
+    writes: jobs.map((job) => ({ kind: 'put', ...jobKey(job.jobId), value: job }) as const),
   };
   const sent = advanceSubmissions(state, jobIds, () => 'sent', nowMs).state;
   return {
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -88,6 +88,26 @@
   );
 }
 
+/** Bytes of a transaction that the store takes. */
+const TRANSACTION_BYTES = 1_000_000;
+
+// Guards against a transaction of many large jobs that the store refuses for its size.
+it('intake: large jobs that wait together are stored in several transactions', () => {
+  const payload = 'x'.repeat(48_000);
+  const jobs = Array.from({ length: 30 }, (_, index) => ({ ...jobOf(`large${index}`), payload }));
+  const waiting = jobs.reduce(
+    (fixture, job) => {
+      const { jobId: callId } = job;
+      return dispatch(fixture, { kind: 'submit', callId, job, timeoutMs: 3_000, silentMs: 0 });
+    },
+    submit(START, 'first'),
+  );
+  const sent = transactions(finish(waiting, 'submit-0', { kind: 'committed', version: 1 }));
+  const sizes = sent.map(({ writes }) => (JSON.stringify(writes).length * 4) / 3);
+  expect(sizes).to.have.length(1);
+  expect(sizes[0]).to.be.within(TRANSACTION_BYTES / 2, TRANSACTION_BYTES);
+});
+
 // Guards against a job that runs because its submission is stored after a cancellation was answered.
 it('intake: "no such job" is answered once no submission on its way can be stored', () => {
   const found = findNothing(cancel(START, 'c1'), 'c1');
