--- a/packages/scheduler/test/passbudget.test.ts
+++ b/packages/scheduler/test/passbudget.test.ts
@@ -1,115 +1,26 @@
 import { expect } from 'chai';
-import type { TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import type { Fixture } from './fixture';
+import type { Played } from './fixture';
 import {
-  advance,
-  commit,
-  createLoading,
-  dispatch,
+  claimedOf,
   jobOf,
+  jobsOf,
   lasting,
-  listedRun,
-  load,
-  report,
+  play,
+  playTurns,
   sized,
+  SLOW_LEADER_WORKERS,
   submit,
-  workerKeyFor,
+  submitAndPlay,
+  takeOver,
 } from './fixture';
-import { MEASURED_COSTS, passMs } from './simcpu';
 import { AWAY_MS } from './siminvariants';
 
-/** The smallest entries of the users' grown site. */
-const PROCESSORS = 0.324;
-
 /** Twice the length that a pass aims at: the pace of an entry shows only in its passes. */
 const MAX_PASS_MS = 200;
 
-const WORKERS = 40;
-
 /** Workers of the largest fleet to design for that one entry of this size may lead. */
 const MANY_WORKERS = 350;
 
-const CORES_MILLI = 8_000;
-
-const TURN_MS = 50;
-const TURNS_PER_REPORT = 10;
-
-/** A leader whose placement passes take time, with the length of each. */
-interface Played {
-  readonly workers: number;
-  readonly fixture: Fixture;
-  readonly passesMs: readonly number[];
-}
-
-/** Applies an event to the leader, and lets the time of its placement pass go by. */
-function play({ workers, fixture, passesMs }: Played, next: (fixture: Fixture) => Fixture): Played {
-  const after = next(fixture);
-  const coreMs = passMs(MEASURED_COSTS, fixture.state, after.state, after.nowMs);
-  if (coreMs === 0) return { workers, fixture: after, passesMs };
-  const durationMs = coreMs / PROCESSORS;
-  const later = { ...after, nowMs: after.nowMs + durationMs };
-  return {
-    workers,
-    fixture: dispatch(later, { kind: 'passTook', durationMs }),
-    passesMs: [...passesMs, durationMs],
-  };
-}
-
-/** Delivers the list of a worker of 8 cores with the runs that have been ordered. */
-function listRuns(fixture: Fixture, site: string): Fixture {
-  const { runs, links } = fixture.state;
-  const ordered = runs.byTask.filter(
-    ({ workerKey, isOrdered }) => isOrdered && workerKey === workerKeyFor(site),
-  );
-  const running = [...ordered].map(([task, { attempt }]) =>
-    listedRun(task, attempt, { percent: 100 }),
-  );
-  const lastOrder = links.get(`link-${site}`)?.lastOrder ?? 0;
-  return report(fixture, site, { processorsMilli: CORES_MILLI, running, lastOrder });
-}
-
-function reportAll(played: Played): Played {
-  const sites = Array.from({ length: played.workers }, (_, index) => `w${index}`);
-  return sites.reduce(
-    (current, site) => play(current, (fixture) => listRuns(fixture, site)),
-    played,
-  );
-}
-
-/** Lets time pass, in which a transaction is stored and the workers report now and then. */
-function playTurns(played: Played, turns: number): Played {
-  return Array.from({ length: turns }, (_, turn) => turn).reduce((current, turn) => {
-    const ticked = play(current, (fixture) => advance(fixture, TURN_MS));
-    const stored = ticked.fixture.state.inFlight === undefined ? ticked : play(ticked, commit);
-    return turn % TURNS_PER_REPORT === 0 ? reportAll(stored) : stored;
-  }, played);
-}
-
-const WAITING: TaskProgress = { phase: 'waiting', attempt: 1, failures: 0 };
-
-/** Returns a slow leader that has just loaded jobs, of which the lasting ones have run before. */
-function takeOver(jobs: readonly WorkflowJob[], workers = WORKERS): Played {
-  const tasks = jobs
-    .filter(({ stages }) => stages[0]?.isLasting === true)
-    .map(({ jobId, stages }) => {
-      const slots = Array.from({ length: stages[0]?.taskCount ?? 0 }, (_, index) => index);
-      return [jobId, Object.fromEntries(slots.map((index) => [`0.0.${index}`, WAITING]))] as const;
-    });
-  const loading = createLoading();
-  const { settings } = loading.state;
-  const capacity = { ...settings.capacity, processors: PROCESSORS };
-  const slow = { ...loading, state: { ...loading.state, settings: { ...settings, capacity } } };
-  return { workers, fixture: load(slow, jobs, Object.fromEntries(tasks)), passesMs: [] };
-}
-
-function claimedOf({ fixture }: Played, prefix: string): number {
-  return fixture.state.runs.byTask.count(({ jobId }) => jobId.startsWith(prefix));
-}
-
-function jobsOf(count: number, create: (index: number) => WorkflowJob): readonly WorkflowJob[] {
-  return Array.from({ length: count }, (_, index) => create(index));
-}
-
 const LASTING_JOBS = jobsOf(10, (index) => lasting(`lasting${index}`, 500, 30));
 const SHORT_JOBS = jobsOf(10, (index) => jobOf(`short${index}`, [sized(500, 10)]));
 
@@ -148,7 +59,7 @@
 
 // Guards against stages without a place that take the work of every pass before less urgent ones.
 it('passbudget: a less urgent stage gets a place behind many that have none', () => {
-  const base = jobsOf(1, () => lasting('base', 4_500, WORKERS));
+  const base = jobsOf(1, () => lasting('base', 4_500, SLOW_LEADER_WORKERS));
   const small = jobOf('small', [sized(1_000)]);
   const last = { ...small, policy: { ...small.policy, priority: 1 } };
   const busy = playTurns(takeOver([...base, ...LARGE_JOBS]), 20);
@@ -160,14 +71,6 @@
   expect(claimedOf(after, 'small')).to.equal(1);
 });
 
-/** Submits a job, and lets time pass. */
-function submitAndPlay(played: Played, job: WorkflowJob, turns: number): Played {
-  return playTurns(
-    play(played, (fixture) => submit(fixture, job)),
-    turns,
-  );
-}
-
 // Guards against searches in vain for lasting tasks that exceed the work of a pass on a large fleet, so
 // that no pass gets to any other task.
 it('passbudget: other tasks get a place on a large fleet where lasting ones fit nowhere', () => {
