Tell all of both runs in the soak's finding of a double run

Cause: the finding named a task and two workers, so that neither the orders nor the ends of the two runs could be compared with a record from elsewhere.

Change: the stand-in of the worker reports how late an order was carried out, each order to stop a run, and the acknowledgement of each end. A finding tells of both runs the number, the worker, order, start, stop, end and when that end was noted. Runs are paired with the end that follows their start, because a crashed worker may start the same attempt once more.

--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -1,4 +1,6 @@
 import { isCrashingJob, isLasting } from './jobs';
+import { describeRun, groupBy, ofKind, runsOf } from './runs';
+import type { Run } from './runs';
 import type { PromiseViolation, SoakObservation } from './types';
 
 /** Time from its acknowledgement until all entries know an accepted job. */
@@ -10,37 +12,6 @@
 /** Time after a cancellation in which a paused leader and a late order may still start a task. */
 const LATE_START_MS = 9_000;
 
-type ObservationOf<Kind extends SoakObservation['kind']> = Extract<SoakObservation, { kind: Kind }>;
-
-interface Run {
-  readonly task: string;
-  readonly attempt: number;
-  readonly worker: string;
-  readonly fromMs: number;
-  readonly untilMs: number;
-  readonly end: string;
-}
-
-function ofKind<Kind extends SoakObservation['kind']>(
-  observations: readonly SoakObservation[],
-  kind: Kind,
-): ObservationOf<Kind>[] {
-  return observations.filter(
-    (observation): observation is ObservationOf<Kind> => observation.kind === kind,
-  );
-}
-
-/** Groups values by a key, keeping their order. */
-function groupBy<Value>(
-  values: readonly Value[],
-  toKey: (value: Value) => string,
-): ReadonlyMap<string, readonly Value[]> {
-  return values.reduce((groups, value) => {
-    groups.set(toKey(value), [...(groups.get(toKey(value)) ?? []), value]);
-    return groups;
-  }, new Map<string, readonly Value[]>());
-}
-
 function jobOf(task: string): string {
   return task.slice(0, task.indexOf('.'));
 }
@@ -49,20 +20,6 @@
   return Number(task.split('.')[2]);
 }
 
-function runKey(observation: ObservationOf<'started'> | ObservationOf<'ended'>): string {
-  return `${observation.worker} ${observation.task}#${observation.attempt}`;
-}
-
-function runsOf(observations: readonly SoakObservation[]): readonly Run[] {
-  const ends = new Map(ofKind(observations, 'ended').map((ended) => [runKey(ended), ended]));
-  return ofKind(observations, 'started').map((started) => {
-    const ended = ends.get(runKey(started));
-    const { task, attempt, worker, atMs } = started;
-    const untilMs = ended?.atMs ?? Infinity;
-    return { task, attempt, worker, fromMs: atMs, untilMs, end: ended?.end ?? 'running' };
-  });
-}
-
 /** Finds overlapping runs of a task, and runs that start after their job was shown as complete. */
 function findDuplicateRuns(
   runs: readonly Run[],
@@ -73,7 +30,7 @@
     return ordered.flatMap((run, index): PromiseViolation[] => {
       const previous = ordered[index - 1];
       if (previous === undefined || previous.untilMs <= run.fromMs) return [];
-      const what = `${run.task} runs on ${previous.worker} and on ${run.worker}`;
+      const what = `${run.task}: ${describeRun(previous)}; ${describeRun(run)}`;
       return [{ promise: 'TWICE', atMs: run.fromMs, what }];
     });
   });
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -134,15 +134,15 @@
     Array.from({ length: size.workers }, async (_, index) => {
       const id = `w-${index}`;
       const name = `agent-${index + 1}`;
-      const platform = await startPlatform(({ kind, task, attempt, end }) => {
-        const run = { atMs: nowMs(), worker: id, task, attempt };
+      const platform = await startPlatform((event) => {
+        const { kind, task } = event;
         if (kind === 'started' && isCrashingTask(task)) {
           // A stop or another crash may have ended the run before.
           setTimeout(() => {
             if (platform.worker().runs.has(task)) platform.crash();
           }, CRASH_DELAY_MS);
         }
-        observe(kind === 'started' ? { kind, ...run } : { kind, ...run, end });
+        observe({ ...event, atMs: nowMs(), worker: id });
       }, workMsOf);
       const worker = { id, platform };
       const storeLink = await startProxy(store.address);
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -25,7 +25,7 @@
 ): SoakObservation[] {
   const ref = { worker, task: `${JOB}.${task}`, attempt: 1 };
   return [
-    { kind: 'started', atMs: fromMs, ...ref },
+    { kind: 'started', atMs: fromMs, orderDelayMs: 0, ...ref },
     { kind: 'ended', atMs: untilMs, ...ref, end },
   ];
 }
@@ -77,10 +77,15 @@
     { kind: 'submitted', atMs: 0, job, stages: [1] },
     { kind: 'accepted', atMs: 10, job },
   ];
-  const started = { kind: 'started', worker: 'w-1', task: `${job}.0.0.0` } as const;
+  const started = {
+    kind: 'started',
+    worker: 'w-1',
+    task: `${job}.0.0.0`,
+    orderDelayMs: 0,
+  } as const;
   const first: readonly SoakObservation[] = [
     { ...started, atMs: 100, attempt: 1 },
-    { ...started, kind: 'ended', atMs: 2_600, attempt: 1, end: 'done' },
+    { ...started, kind: 'ended', atMs: 2_600, attempt: 1, end: 'done' } as const,
   ];
   expect(violatedPromises(...observed, ...first)).to.deep.equal(['LOST']);
   expect(
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -66,21 +66,25 @@
       /** State in the answer; `gone` when the entry does not know the job. */
       readonly status: string;
     }
+  | RunObservation;
+
+/** An observation of one run on a worker. */
+export type RunObservation = {
+  readonly atMs: number;
+  readonly worker: string;
+  readonly task: string;
+  readonly attempt: number;
+} & (
   | {
       readonly kind: 'started';
-      readonly atMs: number;
-      readonly worker: string;
-      readonly task: string;
-      readonly attempt: number;
+      /** Time from the arrival of the order to the start; 0 unless the order was carried out late. */
+      readonly orderDelayMs: number;
     }
-  | {
-      readonly kind: 'ended';
-      readonly atMs: number;
-      readonly worker: string;
-      readonly task: string;
-      readonly attempt: number;
-      readonly end: string;
-    };
+  | { readonly kind: 'stopOrdered' }
+  | { readonly kind: 'ended'; readonly end: string }
+  /** The agent has acknowledged the end. */
+  | { readonly kind: 'endNoted' }
+);
 
 /** A violation of a promise to callers. */
 export interface PromiseViolation {
