Count a start that may come late from its order, not from its claim

A claim may take seconds to be stored, or wait for a connection of its agent, before it is ordered. If the agent is killed after the order, its call may still reach a later instance or the same one after the list of the next agent. mayStartLate counted 3 s from the claim, so such a run was released at once and its task could run twice.

RunView tells when its order was last sent, and the 3 s count from then.

Both tests of latestarts.test.ts failed before: a claim that took 3.5 s to be stored was released 0.1 s after its order, as workerGone and as neverStarted. gone, heldstarts and restart tests pass.

--- a/packages/scheduler/src/fleet/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -4,7 +4,7 @@
 import { runRef } from '../types';
 import type { RunView } from '../views';
 
-/** Time in which a start call of an agent that has ended may still reach its worker. */
+/** Time after an order in which the start call of an agent that has ended may still reach its worker. */
 const LATE_CALL_MS = 3_000;
 
 /**
@@ -12,9 +12,9 @@
  * order has ended, so nobody knows whether its call is on the way.
  */
 export function mayStartLate(run: RunView, agentId: string | undefined, nowMs: number): boolean {
-  const { orderedAgentId, claimedAtMs, isListed } = run;
+  const { orderedAgentId, orderedAtMs = -Infinity, isListed } = run;
   const hasEnded = orderedAgentId !== undefined && orderedAgentId !== agentId;
-  return hasEnded && !isListed && nowMs - claimedAtMs < LATE_CALL_MS;
+  return hasEnded && !isListed && nowMs - orderedAtMs < LATE_CALL_MS;
 }
 
 /** Returns the runs of a worker that a later instance may begin, given the agent at work there now. */
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -80,6 +80,7 @@
         ...run,
         order,
         isOrdered: true,
+        orderedAtMs: nowMs,
         ...(worker.agentId === undefined ? {} : { orderedAgentId: worker.agentId }),
       }),
     },
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -50,6 +50,8 @@
   readonly isOrdered: boolean;
   /** Agent that got the start order; absent for a run of the leader before. */
   readonly orderedAgentId?: string;
+  /** When the start order was last sent; absent like `orderedAgentId`. */
+  readonly orderedAtMs?: number;
   readonly claimedAtMs: number;
   readonly percent: number;
   readonly percentAtMs: number;
