--- a/packages/scheduler/test/latestarts.test.ts
+++ b/packages/scheduler/test/latestarts.test.ts
@@ -45,3 +45,11 @@
   const settled = report(advance(commitAll(back), 3_000), 'w1', replaced);
   expect(releaseReasons(settled)).to.deep.equal(['neverStarted']);
 });
+
+// Guards against a second run of a task whose order is on its way when the lease of the instance that it
+// names ends: a later instance that comes up meanwhile carries it out.
+it('late start: the end of the lease releases no run that was ordered less than three seconds ago', () => {
+  const silent = commitAll(advance(orderedLate(), 2_500));
+  expect(releaseReasons(silent)).to.deep.equal([]);
+  expect(releaseReasons(advance(silent, 600))).to.deep.equal(['leaseExpired']);
+});
