Model failing calls and other writers in the scheduler simulation

Cause: the simulation knows a worker that is up and reachable, cut off without a sign, or dead. None refuses connections and goes on with its runs, so a sign of unreachability that counts as an end was not found.

Change: the way between an agent and its worker may refuse calls, lose them or lose their replies, beside heartbeats that go on or stop. Other writers send leave messages, draining heartbeats, and those of a live worker at another address. Workers go on for a time after their leave message. Jobs of tasks that work for a minute stand beside lasting and short ones. A double run names order, start, stop, end and acknowledgement of each run of the task.

--- a/packages/scheduler/test/simagent.ts
+++ b/packages/scheduler/test/simagent.ts
@@ -5,6 +5,7 @@
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { WALL_MS } from './fixture';
+import { callOverHop } from './simhop';
 import type { AgentNode, EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
 import type { SimWorker } from './simworker';
@@ -16,9 +17,6 @@
 const FIRST_REDIAL_MS = 100;
 const MAX_REDIAL_MS = 400;
 
-/** Duration of a call to the worker, and of its reply. */
-const CALL_MS = 1;
-
 /** Longest duration of a planned stop. */
 const STOP_MS = 5_000;
 
@@ -149,24 +147,12 @@
         slots.leader.link?.toEntry(effect.message);
         return;
       case 'call': {
-        const { callId, call, timeoutMs } = effect;
-        const state = { isDone: false };
-        const reply = (result: Extract<RunnerEvent, { kind: 'callDone' }>['result']): void => {
-          if (state.isDone) return;
-          state.isDone = true;
+        const { callId, call } = effect;
+        callOverHop(world, name, effect, (result) => {
           dispatch({ kind: 'callDone', callId, result });
           if (call.kind === 'hold') {
             clock.schedule(HOLD_TICK_DELAY_MS, () => dispatch({ kind: 'tick' }));
           }
-        };
-        clock.schedule(timeoutMs, () => reply({ kind: 'lost' }));
-        const delayMs = call.kind === 'hold' ? CALL_MS : clock.within(world.orderDelayMs(name));
-        // A call on its way reaches the worker that is up then, also when its agent has ended.
-        clock.schedule(delayMs, () => {
-          const target = worker();
-          if (target?.isUp() !== true) reply({ kind: 'notListening' });
-          else if (target.id !== effect.worker.id) reply({ kind: 'otherWorker' });
-          else target.call(call, (result) => clock.schedule(CALL_MS, () => reply(result)));
         });
         return;
       }
@@ -204,6 +190,7 @@
 
   const heartbeat = (): void => {
     const target = worker();
+    if (!world.hopOf(name, name).hasHeartbeats) return;
     if (target?.isUp() === true) dispatch({ kind: 'heartbeat', report: target.report() });
   };
   const repeat = (everyMs: number, callback: () => void): void => {
--- a/packages/scheduler/test/siminvariants.ts
+++ b/packages/scheduler/test/siminvariants.ts
@@ -17,7 +17,13 @@
       readonly rowTerm: number | undefined;
     }
   | { readonly kind: 'termNotRaised'; readonly term: number; readonly before: number }
-  | { readonly kind: 'doubleRun'; readonly task: string; readonly workers: readonly string[] }
+  | {
+      readonly kind: 'doubleRun';
+      readonly task: string;
+      readonly workers: readonly string[];
+      /** A line for each run of the task. */
+      readonly runs?: readonly string[];
+    }
   | { readonly kind: 'lastingTaskAway'; readonly task: string; readonly sinceMs: number }
   | { readonly kind: 'foreignCommit'; readonly entry: string; readonly owner: string }
   | { readonly kind: 'unclaimedStart'; readonly entry: string; readonly run: string }
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -6,7 +6,10 @@
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 import type { Clock, Span } from './simclock';
 import type { CpuCosts } from './simcpu';
+import type { RunHistory } from './simhistory';
+import type { Hop } from './simhop';
 import type { SimStore } from './simstore';
+import type { SimWorker } from './simworker';
 
 /** Duration of a message between two processes. */
 export const HOP_MS: Span = [1, 3];
@@ -24,6 +27,11 @@
   readonly costs: CpuCosts;
   /** Time after which orders, but not holds, reach the worker of a machine. */
   readonly orderDelayMs: (machine: string) => Span;
+  /** State of the way from the agent of a machine to an address. */
+  readonly hopOf: (machine: string, address: string) => Hop;
+  /** Returns the worker that calls of the agent of a machine to an address reach. */
+  readonly workerAt: (machine: string, address: string) => SimWorker | undefined;
+  readonly history: RunHistory;
   readonly log: (who: string, text: string) => void;
   readonly onLog: (line: LogEffect) => void;
   readonly onSend: (entry: EntryNode, message: LeaderMessage) => void;
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -1,12 +1,16 @@
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Span } from './simclock';
 import type { CpuCosts } from './simcpu';
+import type { Hop } from './simhop';
 import type { ClaimRow, Violation } from './siminvariants';
 import type { PlannedLoss, StoreConditions } from './simstore';
 
 /** Time of an order to a worker on a fast connection. */
 export const PROMPT_ORDERS: Span = [1, 1];
 
+/** Kind of a job: its tasks last, or work for a minute, or for less than a second. */
+export type JobKind = 'lasting' | 'long' | 'short';
+
 /** What the work of the entries costs, and the processors of each; nothing and many by default. */
 export interface CpuOptions {
   readonly costs?: CpuCosts;
@@ -18,11 +22,41 @@
   readonly atMs: number;
 }
 
+/** How a worker leaves: the time that it goes on after its message, and the times of repeated ones. */
+export interface Leave {
+  readonly goesOnMs: number;
+  readonly repeatsAtMs: readonly number[];
+}
+
+/** Faults between an agent and its worker, and of other writers. The worker goes on with its runs. */
+export interface WorkerFaults {
+  /** Changes the way between an agent and its worker for a time. */
+  readonly disturbHop: (machine: number, hop: Hop, forMs: number) => void;
+  /** Sends an agent a message of another writer that its worker leaves. */
+  readonly hearLeave: (machine: number) => void;
+  /** Sends an agent a heartbeat of another writer that its worker drains. */
+  readonly hearDraining: (machine: number) => void;
+  /** Sends an agent the heartbeats of the worker of another machine, which answers its calls. */
+  readonly mixUp: (machine: number, other: number, forMs: number) => void;
+  /** Sends the message that a worker leaves, and ends the worker some time later. */
+  readonly leaveSlowly: (machine: number, leave: Leave) => void;
+  /** Ends a worker with its runs. */
+  readonly crashWorker: (machine: number) => void;
+  /** Starts a worker beside an agent whose worker has ended, under its id or another one. */
+  readonly startWorker: (machine: number, hasSameId: boolean) => void;
+  /** Ends an agent, or requests a planned stop, and starts another one later. */
+  readonly replaceAgent: (machine: number, how: 'kill' | 'stop', afterMs: number) => void;
+  /** Tasks that run on a worker. */
+  readonly tasksOn: (machine: number) => readonly string[];
+}
+
 /** Several entries, machines with an agent and a worker, and a store, in virtual time. */
-export interface Simulation {
+export interface Simulation extends WorkerFaults {
   readonly now: () => number;
   readonly random: () => number;
   readonly violations: () => readonly Violation[];
+  /** Returns a line for each run of a task: its order, start, stop, end and acknowledgement. */
+  readonly runsOf: (task: string) => readonly string[];
   /** Log lines of the leadership and of the faults, with the time since the start. */
   readonly trace: () => readonly string[];
   /** All lines that entries have logged. */
@@ -35,8 +69,8 @@
   readonly runningOn: (machine: number) => number;
   readonly advance: (ms: number) => void;
   readonly advanceUntil: (holds: () => boolean, limitMs: number) => boolean;
-  /** Stores a job with lasting tasks, or with short ones, and returns its id. */
-  readonly submit: (kind: 'lasting' | 'short', taskCount: number) => string;
+  /** Stores a job of a kind, and returns its id. */
+  readonly submit: (kind: JobKind, taskCount: number) => string;
   /** Cancels a job unless it has ended. */
   readonly cancel: (jobId: string) => void;
   /** Lasting tasks that run on no worker now. */
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -9,10 +9,13 @@
 import type { Span } from './simclock';
 import { createClock } from './simclock';
 import { NO_COSTS } from './simcpu';
+import { createRunHistory } from './simhistory';
 import { createEntry } from './simentry';
 import type { Violation } from './siminvariants';
 import { isHolder, lastingViolations, termViolations, viewViolations } from './siminvariants';
-import type { AgentNode, EntryNode, World } from './simnodes';
+import type { Machine, MachinePark } from './simmachines';
+import { createHops, createWorkerFaults } from './simmachines';
+import type { EntryNode, World } from './simnodes';
 import type { SimStore } from './simstore';
 import { CALM_STORE, createStore } from './simstore';
 import type { CpuOptions, LoggedLine, Simulation } from './simtypes';
@@ -29,11 +32,6 @@
 /** Workers' clocks may be this much slow or fast. */
 const CLOCK_ERROR = 0.02;
 
-interface Machine {
-  readonly agent: AgentNode;
-  readonly worker: SimWorker;
-}
-
 /** Creates a simulation with its entries and machines running. */
 export function createSimulation(
   seed: number,
@@ -77,6 +75,7 @@
     calm(what);
   };
 
+  const history = createRunHistory(() => clock.now() - startMs);
   const claims = createClaimLog(record, log);
   const store: SimStore = createStore(clock, claims.onApplied);
 
@@ -95,6 +94,7 @@
     });
   };
 
+  const hops = createHops((name) => machines[Number(name.slice(1))]?.worker);
   const world: World = {
     clock,
     store,
@@ -103,6 +103,8 @@
     costs,
     orderDelayMs: (machine) => orderDelays.get(machine) ?? PROMPT_ORDERS,
     entryAt: (host) => entries[hosts.indexOf(host)],
+    ...hops.view,
+    history,
     log,
     onLog: ({ event, fields }) => logged.push({ atMs: clock.now() - startMs, event, fields }),
     onSend,
@@ -117,7 +119,7 @@
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
     const bornAtMs = WALL_MS + clock.now();
-    return createWorker(clock, { id, address: name, bornAtMs }, rate);
+    return createWorker(clock, { id, address: name, bornAtMs }, rate, history.onStep);
   };
   const startAgent = (index: number, worker: SimWorker): void => {
     const agent = createAgent(world, `m${index}`, () => machines[index]?.worker);
@@ -165,10 +167,34 @@
     machines[index]?.agent.kill();
   };
 
+  const park: MachinePark = {
+    clock,
+    machines,
+    startWorker: (index, id) => {
+      const machine = machines[index];
+      if (machine === undefined) return;
+      machines[index] = { agent: machine.agent, worker: startWorker(`m${index}`, id) };
+    },
+    startAgent: (index) => {
+      const machine = machines[index];
+      if (machine !== undefined) startAgent(index, machine.worker);
+    },
+    log,
+    disturb,
+    calm,
+  };
+
   return {
+    ...createWorkerFaults(park, hops),
     now: () => clock.now() - startMs,
     random: clock.random,
-    violations: () => [...found.values()],
+    violations: () =>
+      [...found.values()].map((violation) =>
+        violation.kind === 'doubleRun'
+          ? { ...violation, runs: history.describe(violation.task) }
+          : violation,
+      ),
+    runsOf: history.describe,
     trace: () => trace,
     logged: () => logged,
     claims: claims.leaders,
--- a/packages/scheduler/test/simworker.ts
+++ b/packages/scheduler/test/simworker.ts
@@ -3,11 +3,19 @@
 import type { TaskWorkerState } from '@bronzeyoke/standins';
 import { advanceTaskWorker, callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
 import type { Clock } from './simclock';
+import type { RunObserver } from './simhistory';
 
 /** Duration of a run of a task that lasts. */
 const LASTING_MS = 1e9;
+const LONG_MS = 60_000;
 const SHORT_MS = 700;
 
+/** Returns how long a task works, by the kind of its job. */
+function workMsOf(task: string): number {
+  if (task.startsWith('lasting')) return LASTING_MS;
+  return task.startsWith('long') ? LONG_MS : SHORT_MS;
+}
+
 /** A worker process of a simulation. */
 export interface SimWorker {
   readonly id: string;
@@ -44,6 +52,7 @@
   clock: Clock,
   { id, address, bornAtMs }: Pick<WorkerReport, 'id' | 'address' | 'bornAtMs'>,
   rate: number,
+  onStep: RunObserver = () => {},
 ): SimWorker {
   const startMs = clock.now();
   const clockMs = (): number => 500 + Math.floor((clock.now() - startMs) * rate);
@@ -70,10 +79,28 @@
     return state.runs.size > 0 && clockMs() >= due.atMs;
   };
 
+  /** Records the ends that a state lists and the one before did not, and those that it forgets. */
+  const recordEnds = (before: TaskWorkerState): void => {
+    const { ends } = known.state;
+    ends
+      .filter(({ sequence }) => sequence > before.lastEndSequence)
+      .forEach((ended) => onStep(key, ended, { kind: 'ended', end: ended.end }));
+    const firstSequence = ends.first()?.sequence ?? Infinity;
+    before.ends
+      .filter(({ sequence }) => sequence < firstSequence)
+      .forEach((ended) => onStep(key, ended, { kind: 'acknowledged' }));
+  };
+
   const run = (call: WorkerCall): WorkerCallResult => {
-    const workMs = 'task' in call && call.task.startsWith('lasting') ? LASTING_MS : SHORT_MS;
-    const step = callTaskWorker(known.state, call, clockMs(), workMs);
+    const before = known.state;
+    const workMs = 'task' in call ? workMsOf(call.task) : 0;
+    const step = callTaskWorker(before, call, clockMs(), workMs);
     known.state = step.state;
+    if (step.started !== undefined) onStep(key, step.started, { kind: 'started' });
+    if (call.kind === 'stop' && step.result.kind === 'done') {
+      onStep(key, call, { kind: 'stopOrdered' });
+    }
+    recordEnds(before);
     return step.result;
   };
 
@@ -127,15 +154,19 @@
       known.state = { ...known.state, runs };
     },
     end: () => {
+      if (known.isUp) {
+        known.state.runs.forEach((lost) => onStep(key, lost, { kind: 'ended', end: 'lost' }));
+      }
       known.isUp = false;
       known.wake?.();
     },
     call,
     update: () => {
       if (!known.isUp || !isEndDue()) return;
-      const before = known.state.lastEndSequence;
-      known.state = advanceTaskWorker(known.state, clockMs());
-      if (known.state.lastEndSequence !== before) known.wake?.();
+      const before = known.state;
+      known.state = advanceTaskWorker(before, clockMs());
+      recordEnds(before);
+      if (known.state.lastEndSequence !== before.lastEndSequence) known.wake?.();
     },
   };
 }
