Log what the end of a worker rests on, at its agent and at the leader

A task that ran twice can't be traced to the sign that released its first run: the agent logs a reason without what it rests on, and the leader logs 'workerGone' for all of them.

The agent's line now has the ages of the last reply and the last heartbeat, the failed calls by result and the rest of the longest lease that the worker may hold. workerGone and workerEnded carry the reason, and the leader's line names it, also when a report of a later instance is the proof.

--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -19,9 +19,12 @@
 /** Share of writes and orders that a fault delays. */
 const DELAYED_SHARE = 0.3;
 
+/** Longest lease that a worker accepts. */
+const MAX_LEASE_MS = 10_000;
+
 /** Times of the fleet's deployment. */
 export const FLEET_TIMES = deriveTimes({
-  maxLeaseMs: 10_000,
+  maxLeaseMs: MAX_LEASE_MS,
   holderLeaseMs: 3_000,
   statusMs: 120_000,
 });
@@ -51,6 +54,7 @@
     agentId: `${site}-${bootId}`,
     firstToken: WALL_START_MS + fleet.nowMs,
     seeds: [...fleet.entries.keys()].map((host) => ({ host, port: 1 })),
+    maxLeaseMs: MAX_LEASE_MS,
   });
   const agent = { site, bootId, state };
   return schedule({ ...fleet, bootCount: bootId, agents: fleet.agents.set(site, agent) }, 0, {
--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -2,8 +2,10 @@
 import type { ListedRun, WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
+import { noteResult } from './failures';
 import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
-import { forgetStart, noteResult } from './recentstarts';
+import { noteClock, noteLeaseEnd } from './heldlease';
+import { forgetStart } from './recentstarts';
 import { reportIfDue, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { awaitsList, orderChart, orderKey } from './types';
@@ -68,7 +70,7 @@
     return unchanged(state);
   const isSettling = worker.pending.some(({ phase }) => awaitsList(phase));
   // After a failed call another instance may reply, which shows the end of the one before.
-  const isFailing = worker.failingSinceMs !== undefined;
+  const isFailing = worker.failures !== undefined;
   const waitMs = isSettling || isFailing || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
   const callId = `hold-${state.callCount}`;
   const call: WorkerCall = {
@@ -83,6 +85,7 @@
   return {
     state: {
       ...state,
+      worker: noteLeaseEnd(worker, worker.leaseUntilClockMs),
       callCount: state.callCount + 1,
       holdCount: state.holdCount + 1,
       holdCallId: callId,
@@ -129,10 +132,11 @@
 /** Applies a list of the worker's runs. */
 export function onList(
   state: RunnerState,
-  worker: WorkerState,
+  listed: WorkerState,
   { clockMs, running = [], ended = [] }: Extract<WorkerCallResult, { kind: 'done' }>,
   nowMs: number,
 ): RunnerStep {
+  const worker = noteClock(listed, clockMs, nowMs);
   if (isListAwaited(state) && running.length > 0)
     return stopLateRuns({ ...state, worker }, worker, running, nowMs);
   const isStillThere = worker.leftAtHold !== undefined && state.holdCount > worker.leftAtHold;
--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -6,6 +6,7 @@
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import { HOLD_GRACE_MS, HOLD_RETRY_MS, onList, tokenAfterRefusal } from './calls';
 import { onSuccessorSeen, removeWorker } from './gone';
+import { firstHeldLease } from './heldlease';
 import type { Candidate, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { candidateChart } from './types';
 
@@ -72,11 +73,11 @@
  */
 function mayReplace(worker: WorkerState | undefined, report: WorkerReport, nowMs: number): boolean {
   if (worker === undefined) return true;
-  const { failingSinceMs } = worker;
-  if (failingSinceMs === undefined) return false;
+  const { failures } = worker;
+  if (failures === undefined) return false;
   const isAtAddress = worker.report.address === report.address;
   const isSameInstance = worker.workerKey === workerKeyOf(report);
-  return isAtAddress || isSameInstance || nowMs - failingSinceMs >= SILENCE_MS;
+  return isAtAddress || isSameInstance || nowMs - failures.sinceMs >= SILENCE_MS;
 }
 
 function ask(state: RunnerState, key: string, candidate: Candidate): RunnerStep {
@@ -119,10 +120,17 @@
   );
 }
 
-function createWorker(report: WorkerReport): WorkerState {
+function createWorker(
+  { settings }: RunnerState,
+  report: WorkerReport,
+  { clockMs }: HoldReply,
+  nowMs: number,
+): WorkerState {
   return {
     workerKey: workerKeyOf(report),
     report,
+    heldLease: firstHeldLease(clockMs, settings.maxLeaseMs, nowMs),
+    heartbeatAtMs: nowMs,
     ackSequence: 0,
     running: [],
     ended: [],
@@ -143,7 +151,7 @@
   const { id, service } = report;
   const workerKey = workerKeyOf(report);
   if (worker?.workerKey === workerKey) {
-    return onList(state, without({ ...worker, report }, 'failingSinceMs'), reply, nowMs);
+    return onList(state, without({ ...worker, report }, 'failures'), reply, nowMs);
   }
   const isLater = report.bornAtMs >= state.lastBornAtMs;
   const left = removeWorker(state, worker?.report.id === id ? 'restarted' : 'otherWorker', nowMs);
@@ -154,7 +162,7 @@
     goneWorkers: left.state.goneWorkers.filter((gone) => gone.workerKey !== workerKey),
   };
   const gone = onSuccessorSeen(adopted, id, isLater);
-  const list = onList(gone.state, createWorker(report), reply, nowMs);
+  const list = onList(gone.state, createWorker(state, report, reply, nowMs), reply, nowMs);
   const log = logEffect('workerSeen', { worker: workerKey, id, service });
   return { state: list.state, effects: [...left.effects, ...gone.effects, log, ...list.effects] };
 }
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -3,7 +3,8 @@
 import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
-import type { WorkerEndCause } from '@bronzeyoke/wire';
+import type { WorkerEndCause, WorkerEndReason } from '@bronzeyoke/wire';
+import { endEvidence } from './failures';
 import { recentStartsOf } from './recentstarts';
 import { sendToLeader } from './report';
 import type {
@@ -29,13 +30,7 @@
 const LATE_CALL_MS = 3_000;
 
 /** How the agent learned that a worker is gone. */
-export type GoneReason =
-  /** Reply of another instance under the same id. */
-  | 'restarted'
-  /** Reply of an instance under another id. */
-  | 'otherWorker'
-  | 'notListening'
-  | 'left';
+export type GoneReason = Exclude<WorkerEndReason, 'unknown'>;
 
 type GoneEvent = 'settled' | 'successor' | 'replaced' | 'listed' | 'successorGone' | 'recorded';
 
@@ -58,8 +53,8 @@
 
 /** Returns the message about a worker that is gone, or of which a later instance may begin runs. */
 function goneMessage(state: RunnerState, gone: GoneWorker): readonly RunnerEffect[] {
-  const { workerKey, cause, recentStarts, openStarts, phase } = gone;
-  const end = { workerKey, cause, recentStarts };
+  const { workerKey, cause, reason, recentStarts, openStarts, phase } = gone;
+  const end = { workerKey, cause, reason, recentStarts };
   const openRuns = openStarts
     .valueSeq()
     .map(({ run }) => run)
@@ -108,6 +103,7 @@
   const gone: GoneWorker = {
     workerKey,
     id: worker.report.id,
+    reason,
     phase: goneChart.initial,
     openStarts: openStartsOf(worker, reason),
     cause: causeOf(worker, reason),
@@ -125,6 +121,7 @@
     openStarts: gone.openStarts.size,
     cause: gone.cause,
     recentStarts: gone.recentStarts.length,
+    ...endEvidence(worker, nowMs),
   });
   return { state: step.state, effects: [...ended, ...step.effects, log] };
 }
--- a/packages/runner/src/recentstarts.ts
+++ b/packages/runner/src/recentstarts.ts
@@ -1,6 +1,4 @@
-import type { WorkerCallResult } from '@bronzeyoke/ports';
 import type { RecentStart, RunRef } from '@bronzeyoke/wire';
-import { assertNever, without } from '@bronzeyoke/types';
 import type { WorkerState } from './types';
 import { orderKey } from './types';
 
@@ -18,37 +16,9 @@
   return { ...worker, startCalls: worker.startCalls.delete(orderKey(run)) };
 }
 
-/** Returns whether a later instance at the worker's address replied. */
-function isOfOther({ report }: WorkerState, result: WorkerCallResult): boolean {
-  if (result.kind === 'otherWorker') return true;
-  return (
-    result.kind === 'done' && result.bornAtMs !== undefined && result.bornAtMs !== report.bornAtMs
-  );
-}
-
-/** Records since when calls to the worker have failed. The first one fails when the worker ends. */
-export function noteResult(
-  worker: WorkerState,
-  result: WorkerCallResult,
-  nowMs: number,
-): WorkerState {
-  if (isOfOther(worker, result)) return worker;
-  switch (result.kind) {
-    case 'lost':
-    case 'notListening':
-      return worker.failingSinceMs === undefined ? { ...worker, failingSinceMs: nowMs } : worker;
-    case 'done':
-    case 'refused':
-    case 'otherWorker':
-      return worker.failingSinceMs === undefined ? worker : without(worker, 'failingSinceMs');
-    default:
-      return assertNever(result);
-  }
-}
-
 /** Returns the runs that a worker began shortly before its end and whose end it has not listed. */
 export function recentStartsOf(worker: WorkerState, nowMs: number): readonly RecentStart[] {
-  const endedAtMs = worker.failingSinceMs ?? nowMs;
+  const endedAtMs = worker.failures?.sinceMs ?? nowMs;
   const ended = new Set(worker.ended.map((run) => orderKey(run)));
   return worker.startCalls
     .filter((_, key) => !ended.has(key))
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -8,6 +8,7 @@
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
 import { isSameAddress } from './connect';
+import { noteLeaseEnd } from './heldlease';
 import { advanceLookup } from './lookup';
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
@@ -63,7 +64,7 @@
   const hasChanged =
     report.isDraining !== worker.report.isDraining ||
     !isSameAmount(worker.report.capacity, report.capacity);
-  const next = { ...state, worker: { ...worker, report } };
+  const next = { ...state, worker: { ...worker, report, heartbeatAtMs: nowMs } };
   return { state: next, effects: hasChanged ? reportEffects(next) : [] };
 }
 
@@ -99,7 +100,8 @@
   if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterHold: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
-  const called = noteStart({ ...worker, pending }, run, nowMs);
+  const noted = noteStart({ ...worker, pending }, run, nowMs);
+  const called = noteLeaseEnd(noted, worker.leaseUntilClockMs);
   const call = {
     kind: 'start',
     ...run,
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -16,6 +16,7 @@
   RunRef,
   RecentStart,
   WorkerEndCause,
+  WorkerEndReason,
 } from '@bronzeyoke/wire';
 import agentChartFile from '../charts/agent.json';
 import candidateChartFile from '../charts/candidate.json';
@@ -118,6 +119,7 @@
 export interface GoneWorker {
   readonly workerKey: string;
   readonly id: string;
+  readonly reason: WorkerEndReason;
   readonly phase: StateOf<typeof goneChart>;
   /** Start calls that a later instance may carry out, by run. */
   readonly openStarts: Map<string, StartCall>;
@@ -145,15 +147,39 @@
   readonly firstToken: number;
   /** Entries to query for the leader when no other source names it. */
   readonly seeds: readonly Address[];
+  /** Longest lease that a worker accepts. */
+  readonly maxLeaseMs: number;
+}
+
+/** What an agent knows of the lease that its worker holds, on the worker's clock. */
+export interface HeldLease {
+  /** Highest clock value in a reply. */
+  readonly clockMs: number;
+  /** When that reply came, on the agent's clock. */
+  readonly repliedAtMs: number;
+  /** Latest end of a lease that a call may have set. */
+  readonly latestEndClockMs: number;
+}
+
+/** Calls to the worker that have failed since its last reply. */
+export interface CallFailures {
+  /** When the first one failed. */
+  readonly sinceMs: number;
+  readonly refused: number;
+  readonly lost: number;
 }
 
 /** State of the worker beside the agent, from its heartbeats and its replies. */
 export interface WorkerState {
   readonly workerKey: string;
   readonly report: WorkerReport;
-  /** Highest clock value in a reply of the worker. */
+  /** Highest clock value in a list that may be reported. */
   readonly clockMs?: number;
+  /** End of the lease that the leader has granted. */
   readonly leaseUntilClockMs?: number;
+  readonly heldLease: HeldLease;
+  /** When its last heartbeat came. */
+  readonly heartbeatAtMs: number;
   readonly ackSequence: number;
   readonly running: readonly ListedRun[];
   readonly ended: readonly ListedEnd[];
@@ -162,8 +188,8 @@
   readonly refusedConnections: number;
   /** Recent start calls that the worker may have carried out, by run. */
   readonly startCalls: Map<string, StartCall>;
-  /** When the first call failed after the last reply; absent while the worker replies. */
-  readonly failingSinceMs?: number;
+  /** Absent while the worker replies. */
+  readonly failures?: CallFailures;
   /**
    * Number of the last hold before its message that it leaves, if it had not announced its end. A
    * failed call confirms the message, and the reply to a later hold refutes it.
--- a/packages/runner/test/fixture.ts
+++ b/packages/runner/test/fixture.ts
@@ -16,6 +16,9 @@
 /** Address of the leader. */
 export const LEADER = { host: 'h1', port: 1 };
 
+/** Longest lease that the worker accepts. */
+export const MAX_LEASE_MS = 10_000;
+
 /** First heartbeat of the worker. */
 export const REPORT: WorkerReport = {
   id: 'i-1',
@@ -63,7 +66,7 @@
 
 /** Creates an agent with a worker that has replied, a leader and a lease. */
 export function createLeased(): Fixture {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER] };
+  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER], maxLeaseMs: MAX_LEASE_MS };
   const start = { state: createRunner(settings), effects: [], nowMs: 0 };
   const reported = answerHold(dispatch(start, { kind: 'heartbeat', report: REPORT }));
   const led = dispatch(reported, { kind: 'leader', term: 1, address: LEADER });
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -10,6 +10,7 @@
   KEY,
   LEADER,
   LISTED,
+  MAX_LEASE_MS,
   order,
   REPORT,
   reportsOf,
@@ -18,7 +19,7 @@
 
 // Guards against a start that the worker performs without a lease.
 it('agent: a start without a lease is refused', () => {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [] };
+  const settings = { agentId: 'a1', firstToken: 100, seeds: [], maxLeaseMs: MAX_LEASE_MS };
   const start = { state: createRunner(settings), effects: [], nowMs: 0 };
   const linked = dispatch(answerHold(dispatch(start, { kind: 'heartbeat', report: REPORT })), {
     kind: 'linkOpened',
--- a/packages/runner/test/silence.test.ts
+++ b/packages/runner/test/silence.test.ts
@@ -2,7 +2,7 @@
 import type { RunnerEffect, RunnerEvent } from '@bronzeyoke/runner';
 import { createRunner, stepRunner } from '@bronzeyoke/runner';
 import type { Fixture } from './fixture';
-import { answerHold, dispatch, KEY, LEADER, REPORT } from './fixture';
+import { answerHold, dispatch, KEY, LEADER, MAX_LEASE_MS, REPORT } from './fixture';
 
 const SEEDS = ['s1', 's2', 's3'].map((host) => ({ host, port: 1 }));
 const ANNOUNCED = { kind: 'leader', term: 1, ...LEADER } as const;
@@ -24,7 +24,7 @@
 
 /** Returns an agent with seeds that the leader has granted a lease. */
 function createGranted(random = 0): Fixture {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: SEEDS };
+  const settings = { agentId: 'a1', firstToken: 100, seeds: SEEDS, maxLeaseMs: MAX_LEASE_MS };
   const start = { state: createRunner(settings), effects: [], nowMs: 0 };
   const reported = answerHold(dispatch(start, { kind: 'heartbeat', report: REPORT }));
   const led = step(reported, { kind: 'leader', term: 1, address: LEADER }, 10, random);
@@ -137,7 +137,7 @@
 // Guards against an agent whose worker comes up, and that has lost patience before it sent anything, and
 // against connections to the leader of agents that have nothing to tell it.
 it('silence: an agent without a worker counts no silence', () => {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: SEEDS };
+  const settings = { agentId: 'a1', firstToken: 100, seeds: SEEDS, maxLeaseMs: MAX_LEASE_MS };
   const start = { state: createRunner(settings), effects: [], nowMs: 0 };
   const led = dispatch(start, { kind: 'leader', term: 1, address: LEADER });
   const linked = dispatch(led, { kind: 'linkOpened' });
--- a/packages/runner/test/successor.test.ts
+++ b/packages/runner/test/successor.test.ts
@@ -11,6 +11,7 @@
   goneKeysOf,
   KEY,
   LISTED,
+  MAX_LEASE_MS,
   openHoldOf,
   order,
   REPORT,
@@ -87,6 +88,7 @@
       kind: 'workerGone',
       workerKey: KEY,
       cause: 'crashed',
+      reason: 'notListening',
       recentStarts: [{ task: LISTED.task, attempt: LISTED.attempt, ageMs: 20 }],
     },
   ]);
@@ -101,6 +103,18 @@
   expect(told).to.deep.equal([[]]);
 });
 
+// Guards against a task that ran twice and whose release can't be traced to the sign behind it.
+it('agent: the log line of an end tells what it rests on', () => {
+  const lost = answer(createLeased(), 'hold-1', { kind: 'lost' });
+  const gone = refuseConnections(dispatch(lost, { kind: 'tick' }, 200));
+  const lines = gone.effects.flatMap((effect) =>
+    effect.kind === 'log' && effect.event === 'workerGone' ? [effect.fields] : [],
+  );
+  expect(lines).to.have.length(1);
+  expect(lines[0]).to.include({ replyAgeMs: 510, heartbeatAgeMs: 510 });
+  expect(lines[0]).to.include({ refusedCalls: 2, lostCalls: 1, leaseLeftMs: 9_490 });
+});
+
 // Guards against a second run of a task whose late start order a restarted worker carries out.
 it('agent: a later instance gets a higher token than all calls to the earlier one', () => {
   const restarted = restart(order(createLeased()));
@@ -134,7 +148,7 @@
 
 // Guards against an agent that stops the runs of its worker because the agent itself was restarted.
 it('agent: runs in the first list that an agent sees go on', () => {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [] };
+  const settings = { agentId: 'a1', firstToken: 100, seeds: [], maxLeaseMs: MAX_LEASE_MS };
   const start = { state: createRunner(settings), effects: [], nowMs: 0 };
   const linked = dispatch(dispatch(start, { kind: 'linkOpened' }), {
     kind: 'heartbeat',
--- a/packages/scheduler/src/fleet/gone.ts
+++ b/packages/scheduler/src/fleet/gone.ts
@@ -1,3 +1,4 @@
+import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAfter, chainAll } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
@@ -21,9 +22,9 @@
 
 /** Returns what an agent says of the end of its worker. */
 export function goneReportOf(linkId: string, message: EndMessage): GoneReport {
-  const { workerKey, cause, recentStarts } = message;
+  const { workerKey, cause, reason, recentStarts } = message;
   const openRuns = message.kind === 'workerEnded' ? message.openRuns : [];
-  return { linkId, workerKey, cause, recentStarts, openRuns };
+  return { linkId, workerKey, cause, reason, recentStarts, openRuns };
 }
 
 /** Identifies a message that a worker is gone. */
@@ -57,6 +58,11 @@
   ];
 }
 
+/** Returns the fields of a log line that name what the agent takes as the proof. */
+function proofFields({ cause, reason }: GoneReport): EventFields {
+  return { endReason: reason, cause };
+}
+
 function addressOf({ workers }: SchedulerState, workerKey: string): string {
   const { report, claimedAddress = '' } = workers.get(workerKey) ?? {};
   return report?.address ?? claimedAddress;
@@ -72,7 +78,7 @@
   const { workerKey, openRuns } = report;
   const step = chainAll(state, [
     (current) => recordCrashes(current, report, addressOf(state, workerKey), nowMs, wallMs),
-    (current) => releaseEndedRuns(current, workerKey, openRuns, nowMs),
+    (current) => releaseEndedRuns(current, workerKey, openRuns, nowMs, proofFields(report)),
   ]);
   return withEffects(step.state, [...logCrash(state, report), ...step.effects]);
 }
@@ -98,7 +104,7 @@
   const wasReleased = runs.isEmpty() || state.workers.get(workerKey)?.hasEnded === true;
   const { state: recorded, effects } = chainAll(state, [
     (current) => recordCrashes(current, report, addressOf(state, workerKey), nowMs, wallMs),
-    (current) => releaseWorker(current, workerKey, 'workerGone', nowMs),
+    (current) => releaseWorker(current, workerKey, 'workerGone', nowMs, proofFields(report)),
   ]);
   // Agents repeat the message, and a transaction may take long.
   const isPending = recorded.pendingWrites.actions.some(
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { RunRef } from '@bronzeyoke/wire';
@@ -81,12 +82,13 @@
   );
 }
 
-/** Releases all tasks of a worker that is gone, and removes the worker. */
+/** Releases all tasks of a worker that is gone, and removes the worker. `proof` is logged. */
 export function releaseWorker(
   state: SchedulerState,
   workerKey: string,
   reason: 'workerGone' | 'leaseExpired',
   nowMs: number,
+  proof: EventFields = {},
 ): SchedulerStep {
   const tasks = [...runsOn(state.runs, workerKey).keys()];
   if (tasks.length === 0 && !state.workers.has(workerKey)) return unchanged(state);
@@ -100,17 +102,18 @@
     orphans: dropRuns(step.state.orphans, runsOn(step.state.orphans, workerKey).keys()),
   };
   return withEffects(removed, [
-    logEffect('workerGone', { worker: workerKey, reason, runs: tasks.length }),
+    logEffect('workerGone', { worker: workerKey, reason, runs: tasks.length, ...proof }),
     ...step.effects,
   ]);
 }
 
-/** Releases the tasks of a worker that has ended, but for those that may still begin. */
+/** Releases the tasks of a worker that has ended, but for those that may still begin. `proof` is logged. */
 export function releaseEndedRuns(
   state: SchedulerState,
   workerKey: string,
   openRuns: readonly RunRef[],
   nowMs: number,
+  proof: EventFields = {},
 ): SchedulerStep {
   const view = state.workers.get(workerKey);
   if (view === undefined) return unchanged(state);
@@ -120,5 +123,10 @@
     isOpen(task, run) ? [] : [task],
   );
   const workers = state.workers.set(workerKey, { ...view, hasEnded: true });
-  return releaseRuns({ ...state, workers }, workerKey, tasks, 'workerGone', nowMs);
+  const step = releaseRuns({ ...state, workers }, workerKey, tasks, 'workerGone', nowMs);
+  // Agents repeat the message.
+  if (view.hasEnded === true && tasks.length === 0) return step;
+  const fields = { worker: workerKey, reason: 'workerEnded', runs: tasks.length, ...proof };
+  const log = logEffect('workerGone', { ...fields, openRuns: openRuns.length });
+  return withEffects(step.state, [log, ...step.effects]);
 }
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -133,9 +133,10 @@
     moveListedRuns(state, earlier, report),
     earlier.map((workerKey) => (current: SchedulerState) => {
       const lateStarts = lateStartsOn(current, workerKey, report.agentId, nowMs);
+      const proof = { endReason: 'laterReport', by: report.workerKey };
       return lateStarts.length > 0
-        ? releaseEndedRuns(current, workerKey, lateStarts, nowMs)
-        : releaseWorker(current, workerKey, 'workerGone', nowMs);
+        ? releaseEndedRuns(current, workerKey, lateStarts, nowMs, proof)
+        : releaseWorker(current, workerKey, 'workerGone', nowMs, proof);
     }),
   );
 }
--- a/packages/scheduler/test/gone.test.ts
+++ b/packages/scheduler/test/gone.test.ts
@@ -11,6 +11,7 @@
   goneMessage,
   inFlight,
   jobOf,
+  loggedFields,
   phaseOf,
   report,
   running,
@@ -115,7 +116,12 @@
 function endedWithOpenRun(): Fixture {
   const placed = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(2)])));
   const openRuns = [{ task: 'job1.0.0.1', attempt: 1 }];
-  const end = { workerKey: workerKeyFor('w1'), cause: 'crashed', recentStarts: [] } as const;
+  const end = {
+    workerKey: workerKeyFor('w1'),
+    cause: 'crashed',
+    reason: 'restarted',
+    recentStarts: [],
+  } as const;
   return dispatch(placed, {
     kind: 'received',
     linkId: 'link-w1',
@@ -136,6 +142,15 @@
   expect(workerOf(placed, '0.0.1')).to.equal(workerKeyFor('w1'));
 });
 
+// Guards against a task that ran twice and whose release can't be traced to the sign behind it.
+it('logs what the agent takes as the proof of an end', () => {
+  const [ended] = loggedFields(endedWithOpenRun(), 'workerGone');
+  expect(ended).to.include({ reason: 'workerEnded', endReason: 'restarted', openRuns: 1 });
+  const gone = reportGone(running(), 'w1');
+  const [fields] = loggedFields(gone, 'workerGone');
+  expect(fields).to.include({ reason: 'workerGone', endReason: 'otherWorker', cause: 'crashed' });
+});
+
 // Guards against an ended worker that looks like the emptiest one and is given task after task.
 it('places nothing on a worker that has ended', () => {
   const ended = endedWithOpenRun();
--- a/packages/scheduler/test/simagent.ts
+++ b/packages/scheduler/test/simagent.ts
@@ -4,7 +4,7 @@
 import { decodeLeader, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
-import { WALL_MS } from './fixture';
+import { MAX_LEASE_MS, WALL_MS } from './fixture';
 import type { AgentNode, EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
 import type { SimWorker } from './simworker';
@@ -49,7 +49,12 @@
   const seeds = world.seeds.map((host) => ({ host, port: PORT }));
   const agentId = `${name}-${clock.now()}`;
   const node: { state: RunnerState; isUp: boolean; isCut: boolean } = {
-    state: createRunner({ agentId, firstToken: WALL_MS + clock.now(), seeds }),
+    state: createRunner({
+      agentId,
+      firstToken: WALL_MS + clock.now(),
+      seeds,
+      maxLeaseMs: MAX_LEASE_MS,
+    }),
     isUp: true,
     isCut: false,
   };
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -15,10 +15,22 @@
 /** Whether a worker ended by itself, or announced its end before. */
 export type WorkerEndCause = 'crashed' | 'left';
 
+/** How an agent learned that a worker has ended. */
+export type WorkerEndReason =
+  /** Reply of another instance under the same id. */
+  | 'restarted'
+  /** Reply of an instance under another id. */
+  | 'otherWorker'
+  | 'notListening'
+  | 'left'
+  /** The agent did not tell. */
+  | 'unknown';
+
 /** The end of a worker. */
 export interface WorkerEnd {
   readonly workerKey: string;
   readonly cause: WorkerEndCause;
+  readonly reason: WorkerEndReason;
   /** Runs that may have caused the end. */
   readonly recentStarts: readonly RecentStart[];
 }
