--- a/packages/runner/test/fixture.ts
+++ b/packages/runner/test/fixture.ts
@@ -64,6 +64,29 @@
   return dispatch(fixture, { kind: 'callDone', callId, result });
 }
 
+/** Gives the open hold a result. */
+export function endHold(fixture: Fixture, result: WorkerCallResult, afterMs = 10): Fixture {
+  const callId = openHoldOf(fixture);
+  return dispatch(fixture, { kind: 'callDone', callId, result }, afterMs);
+}
+
+/** Interval between two holds that `repeatHolds` answers. */
+const HOLD_STEP_MS = 100;
+
+/** Gives every hold of some time the same kind of result. Returns the fixture after each step. */
+export function repeatHolds(
+  fixture: Fixture,
+  forMs: number,
+  endOf: (current: Fixture) => Fixture,
+): readonly Fixture[] {
+  return Array.from({ length: forMs / HOLD_STEP_MS }).reduce<readonly Fixture[]>((steps) => {
+    const last = steps.at(-1) ?? fixture;
+    const ticked = dispatch(last, { kind: 'tick' }, HOLD_STEP_MS - 10);
+    const isOpen = ticked.state.holdCallId !== undefined;
+    return [...steps, ticked, ...(isOpen ? [endOf(ticked)] : [])];
+  }, []);
+}
+
 /** Creates an agent with a worker that has replied, a leader and a lease. */
 export function createLeased(): Fixture {
   const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER], maxLeaseMs: MAX_LEASE_MS };
--- /dev/null
+++ b/packages/runner/test/proofs.test.ts
@@ -0,0 +1,106 @@
+import { expect } from 'chai';
+import type { WorkerReport } from '@bronzeyoke/ports';
+import type { Fixture } from './fixture';
+import {
+  answerHold,
+  callIdOf,
+  createLeased,
+  dispatch,
+  endHold,
+  goneKeysOf,
+  KEY,
+  LISTED,
+  order,
+  repeatHolds,
+  REPORT,
+  reportsOf,
+} from './fixture';
+
+/** Time in which a worker that does not answer may still hold a lease. */
+const LEASE_HELD_MS = 2_800;
+
+const DRAINING: WorkerReport = { ...REPORT, isDraining: true, sequence: 2 };
+
+function refuse(fixture: Fixture): Fixture {
+  return endHold(fixture, { kind: 'notListening' });
+}
+
+function lose(fixture: Fixture): Fixture {
+  return endHold(fixture, { kind: 'lost' });
+}
+
+function hear(fixture: Fixture, report: WorkerReport): Fixture {
+  return dispatch(fixture, { kind: 'heartbeat', report });
+}
+
+function leave(fixture: Fixture): Fixture {
+  return dispatch(fixture, { kind: 'workerLeft', id: REPORT.id });
+}
+
+/** Returns the workers that were reported as gone or ended in some steps. */
+function endsIn(steps: readonly Fixture[]): readonly string[] {
+  return steps.flatMap(({ effects }) =>
+    effects.flatMap((effect) => {
+      if (effect.kind !== 'send') return [];
+      const { message } = effect;
+      return message.kind === 'workerGone' || message.kind === 'workerEnded'
+        ? [message.workerKey]
+        : [];
+    }),
+  );
+}
+
+// Guards against a second run of each task of a worker that closes its port for a moment.
+it('proofs: refused connections do not end a worker whose lease holds', () => {
+  const steps = repeatHolds(createLeased(), LEASE_HELD_MS, refuse);
+  expect(endsIn(steps)).to.deep.equal([]);
+  const last = steps.at(-1) ?? createLeased();
+  const listed = answerHold(dispatch(last, { kind: 'tick' }, 100), { running: [LISTED] });
+  expect(listed.state.worker?.workerKey).to.equal(KEY);
+  expect(reportsOf(listed).map(({ running }) => running)).to.deep.equal([[LISTED]]);
+});
+
+// Guards against a second run of each task of a draining worker that goes on after it said that it
+// leaves, and of one whose draining and leave another writer has sent.
+it('proofs: an announced leave does not end a worker whose lease holds', () => {
+  const left = leave(hear(createLeased(), DRAINING));
+  const steps = repeatHolds(left, LEASE_HELD_MS, lose);
+  expect(endsIn([left, ...steps])).to.deep.equal([]);
+});
+
+// Guards against a second run of each task of a live worker after a message of another writer and one
+// call that timed out.
+it('proofs: an unannounced leave does not end a worker whose lease holds', () => {
+  const left = leave(createLeased());
+  const steps = repeatHolds(left, LEASE_HELD_MS, lose);
+  expect(endsIn([left, ...steps])).to.deep.equal([]);
+});
+
+// Guards against a second run of each task of a worker that is silent while another one on the machine
+// answers.
+it('proofs: an answer under another id elsewhere does not end a worker whose lease holds', () => {
+  const elsewhere = { ...REPORT, id: 'i-2', bornAtMs: 900, address: 'w:2' };
+  const steps = repeatHolds(hear(lose(createLeased()), elsewhere), 1_500, lose);
+  const last = steps.at(-1) ?? createLeased();
+  const asked = last.state.candidates.find(({ callId }) => callId !== undefined);
+  const result = { kind: 'done', clockMs: 1, bornAtMs: 900 } as const;
+  const listed = dispatch(last, { kind: 'callDone', callId: asked?.callId ?? 'none', result });
+  expect(endsIn([...steps, listed])).to.deep.equal([]);
+  expect(listed.state.worker?.workerKey).to.equal(KEY);
+});
+
+// Guards against a run that is released as never started because of a list that is older than it.
+it('proofs: a list that was asked for before a start does not settle it', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const moved = hear(lose(ordered), { ...REPORT, address: 'w:2', sequence: 2 });
+  const asked = callIdOf(moved, 'hold');
+  const result = { kind: 'done', clockMs: 200 } as const;
+  const started = dispatch(moved, { kind: 'callDone', callId, result });
+  const failing = lose(dispatch(started, { kind: 'tick' }, 200));
+  expect(failing.state.worker?.pending.size).to.equal(1);
+  const list = { kind: 'done', clockMs: 150, bornAtMs: 5, running: [], ended: [] } as const;
+  const listed = dispatch(failing, { kind: 'callDone', callId: asked, result: list });
+  expect(reportsOf(listed).map(({ pending }) => pending.length)).to.deep.equal([1]);
+  expect(goneKeysOf(listed)).to.deep.equal([]);
+});
