Settle start orders by the number of the request that a list answers

Callers see a task run twice: a list that is older than a start settles the order, the agent reports the run neither as running nor as pending, and the leader releases it as neverStarted.

Cause: a request to a candidate for its list was not counted, and its list settled orders by the number of the latest hold. A list could also arrive after a newer one and replace it.

Each request for a list has a number of its own; a list settles the orders that were answered before its request, and one that a newer list has overtaken is dropped.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -87,7 +87,8 @@
       ...state,
       worker: noteLeaseEnd(worker, worker.leaseUntilClockMs),
       callCount: state.callCount + 1,
-      holdCount: state.holdCount + 1,
+      listCount: state.listCount + 1,
+      holdNumber: state.listCount + 1,
       holdCallId: callId,
       holdToken: token,
       holdSentAtMs: nowMs,
@@ -98,9 +99,9 @@
   };
 }
 
-function unsettledOrders(worker: WorkerState, holdNumber: number): WorkerState['pending'] {
+function unsettledOrders(worker: WorkerState, listNumber: number): WorkerState['pending'] {
   return worker.pending.filterNot(
-    ({ phase, afterHold }) => awaitsList(phase) && holdNumber > afterHold,
+    ({ phase, afterList }) => awaitsList(phase) && listNumber > afterList,
   );
 }
 
@@ -129,23 +130,27 @@
   );
 }
 
-/** Applies a list of the worker's runs. */
+/** Applies the list of the worker's runs that the request with a number asked for. */
 export function onList(
   state: RunnerState,
   listed: WorkerState,
   { clockMs, running = [], ended = [] }: Extract<WorkerCallResult, { kind: 'done' }>,
+  listNumber: number,
   nowMs: number,
 ): RunnerStep {
   const worker = noteClock(listed, clockMs, nowMs);
+  // Replies may overtake each other, and an older list lacks runs that have begun since.
+  if (listNumber <= worker.listNumber) return unchanged({ ...state, worker });
   if (isListAwaited(state) && running.length > 0)
     return stopLateRuns({ ...state, worker }, worker, running, nowMs);
-  const isStillThere = worker.leftAtHold !== undefined && state.holdCount > worker.leftAtHold;
+  const isStillThere = worker.leftAtList !== undefined && listNumber > worker.leftAtList;
   const next: WorkerState = {
-    ...(isStillThere ? without(worker, 'leftAtHold') : worker),
+    ...(isStillThere ? without(worker, 'leftAtList') : worker),
     clockMs: Math.max(worker.clockMs ?? 0, clockMs),
+    listNumber,
     running,
     ended,
-    pending: unsettledOrders(worker, state.holdCount),
+    pending: unsettledOrders(worker, listNumber),
     refusedConnections: 0,
   };
   const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
@@ -166,7 +171,7 @@
       if (result.bornAtMs !== undefined && result.bornAtMs !== worker.report.bornAtMs) {
         return removeWorker(answered, 'restarted', nowMs);
       }
-      return onList(answered, worker, result, nowMs);
+      return onList(answered, worker, result, state.holdNumber, nowMs);
     }
     case 'refused':
       return unchanged({
@@ -180,7 +185,7 @@
     case 'otherWorker':
       return removeWorker(answered, 'otherWorker', nowMs);
     case 'notListening': {
-      if (worker.leftAtHold !== undefined) return removeWorker(answered, 'left', nowMs);
+      if (worker.leftAtList !== undefined) return removeWorker(answered, 'left', nowMs);
       const refusedConnections = worker.refusedConnections + 1;
       if (refusedConnections >= MAX_REFUSED_CONNECTIONS)
         return removeWorker(answered, 'notListening', nowMs);
@@ -191,7 +196,7 @@
       });
     }
     case 'lost':
-      if (worker.leftAtHold !== undefined) return removeWorker(answered, 'left', nowMs);
+      if (worker.leftAtList !== undefined) return removeWorker(answered, 'left', nowMs);
       return unchanged({ ...answered, holdAtMs: nowMs + HOLD_RETRY_MS });
     default:
       return assertNever(result);
@@ -226,7 +231,7 @@
   const pending = worker.pending.set(key, {
     ...order,
     phase: next.state,
-    afterHold: state.holdCount,
+    afterList: state.listCount,
   });
   const known = result.kind === 'notListening' ? forgetStart(worker, run) : worker;
   return {
--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -62,6 +62,7 @@
     phase: candidateChart.initial,
     heardAtMs: nowMs,
     askAtMs: nowMs,
+    listNumber: 0,
     askedToken: 0,
   };
   return { ...state, candidates: candidates.set(key, candidate) };
@@ -86,13 +87,16 @@
   const token = state.token + (state.lastBornAtMs === 0 ? 0 : 1);
   const { state: phase } = advance(candidateChart, candidate.phase, 'asked');
   const { report } = candidate;
+  const listNumber = state.listCount + 1;
+  const asked = { ...candidate, phase, callId, listNumber, askedToken: token };
   const call = { kind: 'hold', fencingToken: token, ackSequence: 0, waitMs: 0 } as const;
   return {
     state: {
       ...state,
       token,
       callCount: state.callCount + 1,
-      candidates: state.candidates.set(key, { ...candidate, phase, callId, askedToken: token }),
+      listCount: listNumber,
+      candidates: state.candidates.set(key, asked),
     },
     effects: [{ kind: 'call', callId, worker: report, call, timeoutMs: HOLD_GRACE_MS }],
   };
@@ -132,6 +136,7 @@
     heldLease: firstHeldLease(clockMs, settings.maxLeaseMs, nowMs),
     heartbeatAtMs: nowMs,
     ackSequence: 0,
+    listNumber: 0,
     running: [],
     ended: [],
     pending: Map(),
@@ -143,7 +148,7 @@
 /** Makes a candidate that has sent its list the present worker. */
 function adopt(
   state: RunnerState,
-  report: WorkerReport,
+  { report, listNumber }: Candidate,
   reply: HoldReply,
   nowMs: number,
 ): RunnerStep {
@@ -151,7 +156,8 @@
   const { id, service } = report;
   const workerKey = workerKeyOf(report);
   if (worker?.workerKey === workerKey) {
-    return onList(state, without({ ...worker, report }, 'failures'), reply, nowMs);
+    const replying = without({ ...worker, report }, 'failures');
+    return onList(state, replying, reply, listNumber, nowMs);
   }
   const isLater = report.bornAtMs >= state.lastBornAtMs;
   const left = removeWorker(state, worker?.report.id === id ? 'restarted' : 'otherWorker', nowMs);
@@ -162,7 +168,8 @@
     goneWorkers: left.state.goneWorkers.filter((gone) => gone.workerKey !== workerKey),
   };
   const gone = onSuccessorSeen(adopted, id, isLater);
-  const list = onList(gone.state, createWorker(state, report, reply, nowMs), reply, nowMs);
+  const created = createWorker(state, report, reply, nowMs);
+  const list = onList(gone.state, created, reply, listNumber, nowMs);
   const log = logEffect('workerSeen', { worker: workerKey, id, service });
   return { state: list.state, effects: [...left.effects, ...gone.effects, log, ...list.effects] };
 }
@@ -202,7 +209,7 @@
   switch (next.state) {
     case 'confirmed':
       return result.kind === 'done' && mayReplace(state.worker, report, nowMs)
-        ? adopt(others, report, result, nowMs)
+        ? adopt(others, candidate, result, nowMs)
         : unchanged(others);
     case 'dropped': {
       const { service, address } = report;
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -34,7 +34,8 @@
     candidates: Map(),
     goneWorkers: [],
     goneSentAtMs: 0,
-    holdCount: 0,
+    listCount: 0,
+    holdNumber: 0,
     holdToken: 0,
     holdSentAtMs: 0,
     holdAtMs: 0,
@@ -78,7 +79,7 @@
   if (worker.report.isDraining) return removeWorker(state, 'left', nowMs);
   return unchanged({
     ...state,
-    worker: { ...worker, leftAtHold: state.holdCount },
+    worker: { ...worker, leftAtList: state.listCount },
     holdAtMs: nowMs,
   });
 }
@@ -98,7 +99,7 @@
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
   if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
-  const order = { run, phase: 'calling' as const, afterHold: Infinity, calledAtMs: nowMs };
+  const order = { run, phase: 'calling' as const, afterList: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
   const noted = noteStart({ ...worker, pending }, run, nowMs);
   const called = noteLeaseEnd(noted, worker.leaseUntilClockMs);
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -87,8 +87,8 @@
 export interface PendingOrder {
   readonly run: RunRef;
   readonly phase: StateOf<typeof orderChart>;
-  /** A hold with a higher number settles the order. */
-  readonly afterHold: number;
+  /** The list that a request with a higher number asks for settles the order. */
+  readonly afterList: number;
   readonly calledAtMs: number;
 }
 
@@ -136,6 +136,8 @@
   readonly askAtMs: number;
   /** Call that asks for the list. */
   readonly callId?: string;
+  /** Number of the last request for a list. */
+  readonly listNumber: number;
   /** Token of the last call. */
   readonly askedToken: number;
 }
@@ -181,6 +183,8 @@
   /** When its last heartbeat came. */
   readonly heartbeatAtMs: number;
   readonly ackSequence: number;
+  /** Number of the request that the last list answered. */
+  readonly listNumber: number;
   readonly running: readonly ListedRun[];
   readonly ended: readonly ListedEnd[];
   readonly pending: Map<string, PendingOrder>;
@@ -191,10 +195,10 @@
   /** Absent while the worker replies. */
   readonly failures?: CallFailures;
   /**
-   * Number of the last hold before its message that it leaves, if it had not announced its end. A
-   * failed call confirms the message, and the reply to a later hold refutes it.
+   * Number of the last request for a list before its message that it leaves, if it had not announced its
+   * end. A failed call confirms the message, and the reply to a later request refutes it.
    */
-  readonly leftAtHold?: number;
+  readonly leftAtList?: number;
 }
 
 /** A report that was sent. */
@@ -221,7 +225,10 @@
   /** Gone workers that no leader has recorded. */
   readonly goneWorkers: readonly GoneWorker[];
   readonly goneSentAtMs: number;
-  readonly holdCount: number;
+  /** Number of requests for a list until now. */
+  readonly listCount: number;
+  /** Number of the last hold among the requests for a list. */
+  readonly holdNumber: number;
   /** Token of the last hold. */
   readonly holdToken: number;
   readonly holdCallId?: string;
--- a/packages/runner/test/proofs.test.ts
+++ b/packages/runner/test/proofs.test.ts
@@ -104,3 +104,15 @@
   expect(reportsOf(listed).map(({ pending }) => pending.length)).to.deep.equal([1]);
   expect(goneKeysOf(listed)).to.deep.equal([]);
 });
+
+// Guards against a run that is released as missing because an older list came after the one that named it.
+it('proofs: a list that a newer one has overtaken is not reported', () => {
+  const lost = hear(lose(createLeased()), { ...REPORT, address: 'w:2', sequence: 2 });
+  const asked = callIdOf(lost, 'hold');
+  const listed = answerHold(dispatch(lost, { kind: 'tick' }, 200), { running: [LISTED] });
+  const failing = lose(dispatch(listed, { kind: 'tick' }, 100));
+  const list = { kind: 'done', clockMs: 150, bornAtMs: 5, running: [], ended: [] } as const;
+  const late = dispatch(failing, { kind: 'callDone', callId: asked, result: list });
+  expect(reportsOf(late)).to.deep.equal([]);
+  expect(late.state.worker?.running).to.deep.equal([LISTED]);
+});
