--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -6,6 +6,7 @@
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import { HOLD_GRACE_MS, HOLD_RETRY_MS, onList, tokenAfterRefusal } from './calls';
 import { onSuccessorSeen, removeWorker } from './gone';
+import { firstHeldLease } from './heldlease';
 import type { Candidate, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { candidateChart } from './types';
 
@@ -61,6 +62,7 @@
     phase: candidateChart.initial,
     heardAtMs: nowMs,
     askAtMs: nowMs,
+    listNumber: 0,
     askedToken: 0,
   };
   return { ...state, candidates: candidates.set(key, candidate) };
@@ -72,11 +74,11 @@
  */
 function mayReplace(worker: WorkerState | undefined, report: WorkerReport, nowMs: number): boolean {
   if (worker === undefined) return true;
-  const { failingSinceMs } = worker;
-  if (failingSinceMs === undefined) return false;
+  const { failures } = worker;
+  if (failures === undefined) return false;
   const isAtAddress = worker.report.address === report.address;
   const isSameInstance = worker.workerKey === workerKeyOf(report);
-  return isAtAddress || isSameInstance || nowMs - failingSinceMs >= SILENCE_MS;
+  return isAtAddress || isSameInstance || nowMs - failures.sinceMs >= SILENCE_MS;
 }
 
 function ask(state: RunnerState, key: string, candidate: Candidate): RunnerStep {
@@ -85,13 +87,16 @@
   const token = state.token + (state.lastBornAtMs === 0 ? 0 : 1);
   const { state: phase } = advance(candidateChart, candidate.phase, 'asked');
   const { report } = candidate;
+  const listNumber = state.listCount + 1;
+  const asked = { ...candidate, phase, callId, listNumber, askedToken: token };
   const call = { kind: 'hold', fencingToken: token, ackSequence: 0, waitMs: 0 } as const;
   return {
     state: {
       ...state,
       token,
       callCount: state.callCount + 1,
-      candidates: state.candidates.set(key, { ...candidate, phase, callId, askedToken: token }),
+      listCount: listNumber,
+      candidates: state.candidates.set(key, asked),
     },
     effects: [{ kind: 'call', callId, worker: report, call, timeoutMs: HOLD_GRACE_MS }],
   };
@@ -119,11 +124,19 @@
   );
 }
 
-function createWorker(report: WorkerReport): WorkerState {
+function createWorker(
+  { settings }: RunnerState,
+  report: WorkerReport,
+  { clockMs }: HoldReply,
+  nowMs: number,
+): WorkerState {
   return {
     workerKey: workerKeyOf(report),
     report,
+    heldLease: firstHeldLease(clockMs, settings.maxLeaseMs, nowMs),
+    heartbeatAtMs: nowMs,
     ackSequence: 0,
+    listNumber: 0,
     running: [],
     ended: [],
     pending: Map(),
@@ -135,7 +148,7 @@
 /** Makes a candidate that has sent its list the present worker. */
 function adopt(
   state: RunnerState,
-  report: WorkerReport,
+  { report, listNumber }: Candidate,
   reply: HoldReply,
   nowMs: number,
 ): RunnerStep {
@@ -143,7 +156,8 @@
   const { id, service } = report;
   const workerKey = workerKeyOf(report);
   if (worker?.workerKey === workerKey) {
-    return onList(state, without({ ...worker, report }, 'failingSinceMs'), reply, nowMs);
+    const replying = without({ ...worker, report }, 'failures');
+    return onList(state, replying, reply, listNumber, nowMs);
   }
   const isLater = report.bornAtMs >= state.lastBornAtMs;
   const left = removeWorker(state, worker?.report.id === id ? 'restarted' : 'otherWorker', nowMs);
@@ -154,7 +168,8 @@
     goneWorkers: left.state.goneWorkers.filter((gone) => gone.workerKey !== workerKey),
   };
   const gone = onSuccessorSeen(adopted, id, isLater);
-  const list = onList(gone.state, createWorker(report), reply, nowMs);
+  const created = createWorker(state, report, reply, nowMs);
+  const list = onList(gone.state, created, reply, listNumber, nowMs);
   const log = logEffect('workerSeen', { worker: workerKey, id, service });
   return { state: list.state, effects: [...left.effects, ...gone.effects, log, ...list.effects] };
 }
@@ -194,7 +209,7 @@
   switch (next.state) {
     case 'confirmed':
       return result.kind === 'done' && mayReplace(state.worker, report, nowMs)
-        ? adopt(others, report, result, nowMs)
+        ? adopt(others, candidate, result, nowMs)
         : unchanged(others);
     case 'dropped': {
       const { service, address } = report;
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -8,6 +8,7 @@
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
 import { isSameAddress } from './connect';
+import { noteLeaseEnd } from './heldlease';
 import { advanceLookup } from './lookup';
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
@@ -33,7 +34,8 @@
     candidates: Map(),
     goneWorkers: [],
     goneSentAtMs: 0,
-    holdCount: 0,
+    listCount: 0,
+    holdNumber: 0,
     holdToken: 0,
     holdSentAtMs: 0,
     holdAtMs: 0,
@@ -63,7 +65,7 @@
   const hasChanged =
     report.isDraining !== worker.report.isDraining ||
     !isSameAmount(worker.report.capacity, report.capacity);
-  const next = { ...state, worker: { ...worker, report } };
+  const next = { ...state, worker: { ...worker, report, heartbeatAtMs: nowMs } };
   return { state: next, effects: hasChanged ? reportEffects(next) : [] };
 }
 
@@ -77,7 +79,7 @@
   if (worker.report.isDraining) return removeWorker(state, 'left', nowMs);
   return unchanged({
     ...state,
-    worker: { ...worker, leftAtHold: state.holdCount },
+    worker: { ...worker, leftAtList: state.listCount },
     holdAtMs: nowMs,
   });
 }
@@ -97,9 +99,10 @@
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
   if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
-  const order = { run, phase: 'calling' as const, afterHold: Infinity, calledAtMs: nowMs };
+  const order = { run, phase: 'calling' as const, afterList: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
-  const called = noteStart({ ...worker, pending }, run, nowMs);
+  const noted = noteStart({ ...worker, pending }, run, nowMs);
+  const called = noteLeaseEnd(noted, worker.leaseUntilClockMs);
   const call = {
     kind: 'start',
     ...run,
--- a/packages/runner/test/property.test.ts
+++ b/packages/runner/test/property.test.ts
@@ -12,6 +12,7 @@
 
 /** Lease that the leader grants from the worker's clock of each report. */
 const GRANT_MS = 5_000;
+const MAX_LEASE_MS = 10_000;
 const WORK_MS = 4_000;
 const TICK_MS = 100;
 
@@ -356,7 +357,7 @@
 
 /** Creates an agent with a leader and a worker that has a lease, beside a worker at another address. */
 function createWorld(): World {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER] };
+  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER], maxLeaseMs: MAX_LEASE_MS };
   const empty: World = {
     nowMs: 1_000,
     agent: createRunner(settings),
