Claim a task that gets a trial once in a pass

What operators saw: a suspected task is placed twice at once; its attempt rises by two, and the trial runs on a worker that was not chosen for it: on the machine that crashed, or where most is to lose. So an innocent machine or its tasks pay for the trial.

Cause: the pass that has claimed a worker for the trial still lists the slot of the task among those of its stage, and claims it again.

Change: a task that begins a trial is held like one that waits for it.

Measured: the new test has attempt 3 before, 2 after; suspects, crashing, scheduler and tasklog tests pass.

--- a/packages/scheduler/src/placement/pass.ts
+++ b/packages/scheduler/src/placement/pass.ts
@@ -80,7 +80,7 @@
   readonly occupancyOf: (workerKey: string) => Occupancy;
   /** Worker on which this pass keeps room for a waiting task, by task. */
   readonly reservations: Map<string, string>;
-  /** Tasks that wait for a trial. */
+  /** Tasks that wait for a trial or begin one. */
   readonly held: ReadonlySet<string>;
   /** Work done so far, and the work after which each part of the pass ends. */
   readonly work: number;
--- a/packages/scheduler/src/placement/trials.ts
+++ b/packages/scheduler/src/placement/trials.ts
@@ -43,7 +43,7 @@
   readonly pass: PlacementPass;
   readonly left: number;
   readonly repeatedLeft: number;
-  /** Tasks that wait for their trials and that the pass must not place otherwise. */
+  /** Tasks that wait for their trials or begin them, and that the pass must not place otherwise. */
   readonly held: ReadonlySet<string>;
 }
 
@@ -159,15 +159,15 @@
   return load === undefined
     ? { ...held, ...taken, pass: reserveWorker(pass, open, waiting) }
     : {
-        ...trials,
+        ...held,
         ...taken,
         pass: claimOn(pass, load, { open, ready, slot, attempt }, false, nowMs),
       };
 }
 
 /**
- * Places the suspects that wait, each on a worker of its own. Returns the pass with the tasks that go on
- * waiting for a trial.
+ * Places the suspects that wait, each on a worker of its own. Returns the pass with the tasks that it must
+ * not place otherwise.
  */
 export function placeTrials(
   pass: PlacementPass,
--- a/packages/scheduler/test/suspects.test.ts
+++ b/packages/scheduler/test/suspects.test.ts
@@ -65,6 +65,13 @@
   return loggedFields(fixture, 'jobEnded').map(({ outcome, failure }) => [outcome, failure]);
 }
 
+// Guards against a second claim of a task in the pass that has claimed a worker for its trial: the task ran
+// on a worker that was not chosen for a trial.
+it('suspects: a task that gets a trial is claimed once in a pass', () => {
+  const tried = crashedOnce('w1', 'w2', 'w3', 'w4');
+  expect(tried.state.runs.byTask.get(TASK)?.attempt).to.equal(2);
+});
+
 // Guards against a task that is started without a bound because the end of its worker counts for nothing.
 it('suspects: a task that crashes two more workers in trials fails its job, once', () => {
   const first = crashedOnce('w1', 'w2', 'w3', 'w4');
