Charge all searches of a placement pass to its budget

Cause: the search for filling tasks to stop, the one for a trial, and the one for moves of a gang look at all workers and were not counted, so that a pass of a slow leader could last longer than its budget allows.

Change: they are counted as the other searches are. A gang without a place counts one search for moves, because its first member without a place ends it.

--- a/packages/scheduler/src/placement/passbudget.ts
+++ b/packages/scheduler/src/placement/passbudget.ts
@@ -20,8 +20,13 @@
 const LISTED_WORK = 1;
 const WORKER_WORK = 22;
 
-/** Units of work for each worker in a search for a filling task, for room to keep, and for moves. */
+/**
+ * Units of work for each worker in a search for a filling task, for filling tasks to stop, for a trial, for
+ * room to keep, and for moves.
+ */
 export const FILL_WORK = 3;
+export const PREEMPTION_WORK = 2;
+export const TRIAL_WORK = 3;
 export const VACANCY_WORK = 3;
 export const MOVES_WORK = 16;
 
--- a/packages/scheduler/src/placement/preempt.ts
+++ b/packages/scheduler/src/placement/preempt.ts
@@ -4,7 +4,8 @@
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { classifierOf, loadsOfService, siblingCounter } from './pass';
+import { classifierOf, loadsOfService, siblingCounter, spend } from './pass';
+import { PREEMPTION_WORK } from './passbudget';
 import { runsOn } from '../runs';
 import type { StageSearch } from './search';
 import type { SchedulerState } from '../types';
@@ -96,7 +97,11 @@
   const classify = classifierOf(pass);
   const constraints = { siblingCount: siblingCounter(pass, open, ready) };
   const loads = loadsWithoutFills(pass, open, priority);
-  const first = { pass, left: [], candidates: findCandidates(stage, loads, classify, constraints) };
+  const first = {
+    pass: spend(pass, pass.loads.size * PREEMPTION_WORK),
+    left: [],
+    candidates: findCandidates(stage, loads, classify, constraints),
+  };
   return slots.reduce<Preemption>((current, slot, index) => {
     if (current.left.length > 0) return current;
     const { failedOn } = taskProgress(open.progress, slot);
--- a/packages/scheduler/src/placement/returning.ts
+++ b/packages/scheduler/src/placement/returning.ts
@@ -135,6 +135,11 @@
   return moves.length > 0 || nowMs - movesSoughtAtMs >= MOVE_SEARCH_MS;
 }
 
+/** Adds the work of a search for moves. */
+function spendOnMoves(pass: PlacementPass): PlacementPass {
+  return spend(pass, pass.loads.size * MOVES_WORK);
+}
+
 /** Moves tasks of other jobs to make room for one that has waited; undefined if no move does. */
 function movePlace(
   pass: PlacementPass,
@@ -148,7 +153,7 @@
   const awayMs = nowMs - sinceMs;
   const isOverdue = awayMs > CLEAR_AFTER_MS + MAX_DRAIN_MS;
   const search = { task, target, plannedKey: workerKey, planned, isOverdue };
-  const found = makeRoomByMoves(pass, search);
+  const found = makeRoomByMoves(spendOnMoves(pass), search);
   if (found === undefined) return undefined;
   const settled = settleWait(found.pass, waiting, 'clear');
   const cleared = settled.state.waits.get(task) ?? wait;
@@ -198,8 +203,8 @@
   // Without a move search left, the task is not hopeless: the next pass may find moves for it.
   if (!isMoveDue(waiting, nowMs)) return { ...withoutPlace, pass: giveUp(looked, inVain) };
   if (moveSearchesLeft === 0) return { ...searched, pass: giveUp(looked, inVain) };
-  const sought = spend(looked, looked.loads.size * MOVES_WORK);
-  const moved = movePlace(sought, waiting, nowMs);
+  const moved = movePlace(looked, waiting, nowMs);
+  const sought = spendOnMoves(looked);
   const left = moveSearchesLeft - 1;
   return moved === undefined
     ? { ...withoutPlace, moveSearchesLeft: left, pass: giveUpMoves(sought, inVain, nowMs) }
@@ -261,10 +266,12 @@
     pass,
   );
   if (kept !== undefined) return kept;
+  // The first member without a place ends the search.
+  const sought = members.some((member) => isMoveDue(member, nowMs)) ? spendOnMoves(pass) : pass;
   return members.reduce(
     (current, member) =>
       isMoveDue(member, nowMs) ? giveUpMoves(current, member, nowMs) : giveUp(current, member),
-    pass,
+    sought,
   );
 }
 
--- a/packages/scheduler/src/placement/trials.ts
+++ b/packages/scheduler/src/placement/trials.ts
@@ -6,7 +6,8 @@
 import { Map } from 'immutable';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { chooseWorkerFor, claimOn, isBackingOff, loadsOfService } from './pass';
+import { chooseWorkerFor, claimOn, isBackingOff, loadsOfService, spend } from './pass';
+import { TRIAL_WORK } from './passbudget';
 import { runsOn } from '../runs';
 import type { OpenJob, Suspect } from '../views';
 
@@ -156,12 +157,13 @@
     left: left - 1,
     repeatedLeft: repeatedLeft - (isRepeated(suspect) ? 1 : 0),
   };
+  const searched = spend(pass, pass.loads.size * TRIAL_WORK);
   return load === undefined
-    ? { ...held, ...taken, pass: reserveWorker(pass, open, waiting) }
+    ? { ...held, ...taken, pass: reserveWorker(searched, open, waiting) }
     : {
         ...held,
         ...taken,
-        pass: claimOn(pass, load, { open, ready, slot, attempt }, false, nowMs),
+        pass: claimOn(searched, load, { open, ready, slot, attempt }, false, nowMs),
       };
 }
 
