--- a/packages/runner/test/silence.test.ts
+++ b/packages/runner/test/silence.test.ts
@@ -134,6 +134,18 @@
   expect(later.effects.filter(isMove)).to.deep.equal([]);
 });
 
+// Guards against the agents of a fleet that ask seed after seed while a leader that may not grant yet answers
+// each report with its address.
+it('silence: answers with an address alone keep the agent from asking again', () => {
+  const answered = [createFirst(), createSecond()].map((silent) =>
+    Array.from({ length: 20 }).reduce<readonly Fixture[]>((steps) => {
+      const greeted = dispatch(steps.at(-1) ?? silent, { kind: 'received', message: ANNOUNCED });
+      return [...steps, dispatch(greeted, { kind: 'tick' }, 600)];
+    }, []),
+  );
+  expect(answered.flat().flatMap(({ effects }) => effects.filter(isMove))).to.deep.equal([]);
+});
+
 // Guards against an agent whose worker comes up, and that has lost patience before it sent anything, and
 // against connections to the leader of agents that have nothing to tell it.
 it('silence: an agent without a worker counts no silence', () => {
