--- a/packages/scheduler/src/placement/trials.ts
+++ b/packages/scheduler/src/placement/trials.ts
@@ -6,7 +6,8 @@
 import { Map } from 'immutable';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { chooseWorkerFor, claimOn, isBackingOff, loadsOfService } from './pass';
+import { chooseWorkerFor, claimOn, isBackingOff, loadsOfService, spend } from './pass';
+import { TRIAL_WORK } from './passbudget';
 import { runsOn } from '../runs';
 import type { OpenJob, Suspect } from '../views';
 
@@ -43,7 +44,7 @@
   readonly pass: PlacementPass;
   readonly left: number;
   readonly repeatedLeft: number;
-  /** Tasks that wait for their trials and that the pass must not place otherwise. */
+  /** Tasks that wait for their trials or begin them, and that the pass must not place otherwise. */
   readonly held: ReadonlySet<string>;
 }
 
@@ -156,18 +157,19 @@
     left: left - 1,
     repeatedLeft: repeatedLeft - (isRepeated(suspect) ? 1 : 0),
   };
+  const searched = spend(pass, pass.loads.size * TRIAL_WORK);
   return load === undefined
-    ? { ...held, ...taken, pass: reserveWorker(pass, open, waiting) }
+    ? { ...held, ...taken, pass: reserveWorker(searched, open, waiting) }
     : {
-        ...trials,
+        ...held,
         ...taken,
-        pass: claimOn(pass, load, { open, ready, slot, attempt }, false, nowMs),
+        pass: claimOn(searched, load, { open, ready, slot, attempt }, false, nowMs),
       };
 }
 
 /**
- * Places the suspects that wait, each on a worker of its own. Returns the pass with the tasks that go on
- * waiting for a trial.
+ * Places the suspects that wait, each on a worker of its own. Returns the pass with the tasks that it must
+ * not place otherwise.
  */
 export function placeTrials(
   pass: PlacementPass,
