Refuse connections in the soak, and choose its faults by name

Cause: the soak's proxies reset connections but always listened, so agents never saw a refused connection, which they take for the end of a worker. Free ports were chosen before programs listened, so that parallel soaks could get the same one (an entry ended with EADDRINUSE when four ran side by side).

Change: the link mode refuse ends a proxy's connections and closes its listening socket, and opens it again at the same address. Each soak claims a range of loopback addresses of its own while it runs.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -3,6 +3,7 @@
 import { parseArgs } from 'node:util';
 import { buildPrograms } from '../tools/bundle';
 import { runSoak } from './run';
+import { FAULT_NAMES, selectFaults } from './selection';
 
 const { values } = parseArgs({
   options: {
@@ -11,10 +12,15 @@
     entries: { type: 'string', default: '3' },
     workers: { type: 'string', default: '4' },
     callers: { type: 'string', default: '6' },
+    faults: { type: 'string' },
     out: { type: 'string', default: '.cache/soak' },
   },
 });
 
+const selected = values.faults === undefined ? undefined : selectFaults(values.faults);
+if (selected?.kind === 'unknownName') {
+  throw new RangeError(`${selected.name} is no fault; there are ${FAULT_NAMES.join(', ')}`);
+}
 const seed = Number(values.seed);
 const out = resolve(values.out);
 const folder = join(out, `seed-${seed}`);
@@ -26,6 +32,7 @@
   seed,
   forMs: Number(values.seconds) * 1_000,
   size: { entries: Number(values.entries), workers: Number(values.workers) },
+  ...(selected === undefined ? {} : { selection: selected.selection }),
   callers: Number(values.callers),
   bundle: join(programs, 'bronzeyoke-node.mjs'),
   folder,
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -1,5 +1,7 @@
-import { drawUniforms } from '@bronzeyoke/types';
-import type { Fault, LinkMode, PlannedFault } from './types';
+import { assertNever, drawUniforms } from '@bronzeyoke/types';
+import type { FaultSelection, LinkKind } from './selection';
+import { ALL_FAULTS } from './selection';
+import type { Fault, LinkMode, PlannedFault, Scope } from './types';
 
 const MIN_INTERVAL_MS = 100;
 const MAX_INTERVAL_MS = 1_800;
@@ -18,48 +20,73 @@
   return Math.round(min + random * (max - min));
 }
 
-function pick<Value>(random: number, values: readonly [Value, ...Value[]]): Value {
-  return values[Math.floor(random * values.length)] ?? values[0];
+function pick<Value>(random: number, values: readonly Value[]): Value {
+  const value = values[Math.floor(random * values.length)];
+  if (value === undefined) throw new RangeError('there is nothing to choose from');
+  return value;
 }
 
-function createLinkMode(modeDraw: number, delayDraw: number): LinkMode {
-  return pick<LinkMode>(modeDraw, [
-    { kind: 'delay', byMs: interpolate(delayDraw, 1, MAX_DELAY_MS) },
-    { kind: 'silent' },
-    { kind: 'oneWay' },
-    { kind: 'reset' },
-  ]);
+function createMode({ mode }: LinkKind, byMs: number, isEven: boolean): LinkMode {
+  switch (mode) {
+    case 'delay':
+      return { kind: mode, byMs };
+    case 'oneWay':
+      return { kind: mode, lost: isEven ? 'answers' : 'requests' };
+    case 'silent':
+    case 'reset':
+    case 'refuse':
+      return { kind: mode };
+    default:
+      return assertNever(mode);
+  }
 }
 
-function createFault([
-  kindDraw = 0,
-  targetDraw = 0,
-  modeDraw = 0,
-  delayDraw = 0,
-  durationDraw = 0,
-]: readonly number[]): Fault {
+function createScope(kind: Scope['kind'], index: number): Scope {
+  return kind === 'all' ? { kind } : { kind, index };
+}
+
+function createFault(
+  { kinds, links }: FaultSelection,
+  [kindDraw = 0, targetDraw = 0, modeDraw = 0, delayDraw = 0, durationDraw = 0]: readonly number[],
+): Fault {
   const index = Math.floor(targetDraw * SEED_RANGE);
   const forMs = interpolate(durationDraw, MIN_DURATION_MS, MAX_DURATION_MS);
-  return pick<Fault>(kindDraw, [
-    { kind: 'kill', program: index, forMs },
-    { kind: 'kill', program: index, forMs: 0 },
-    { kind: 'killAll', forMs },
-    { kind: 'terminate', program: index, forMs },
-    { kind: 'pause', program: index, forMs },
-    { kind: 'pause', program: index, forMs },
-    { kind: 'reload', program: index },
-    { kind: 'link', link: index, mode: createLinkMode(modeDraw, delayDraw), forMs },
-    { kind: 'link', link: index, mode: createLinkMode(modeDraw, delayDraw), forMs },
-    { kind: 'link', link: index, mode: createLinkMode(modeDraw, delayDraw), forMs },
-    { kind: 'storeDown', forMs },
-    { kind: 'storeSlow', byMs: interpolate(delayDraw, 1, MAX_DELAY_MS), forMs },
-    { kind: 'storeLosesAnswers', forMs },
-    { kind: 'storeWritesLate', byMs: interpolate(delayDraw, 1_000, MAX_LATE_WRITE_MS), forMs },
-    { kind: 'storeForgets' },
-    { kind: 'workerCrash', worker: index },
-    { kind: 'ordersLate', worker: index, forMs },
-    { kind: 'configure' },
-  ]);
+  const byMs = interpolate(delayDraw, 1, MAX_DELAY_MS);
+  const kind = pick(kindDraw, kinds);
+  switch (kind) {
+    case 'kill':
+      return { kind, program: index, forMs };
+    case 'killBriefly':
+      return { kind: 'kill', program: index, forMs: 0 };
+    case 'killAll':
+      return { kind, forMs };
+    case 'terminate':
+    case 'pause':
+      return { kind, program: index, forMs };
+    case 'reload':
+      return { kind, program: index };
+    case 'link': {
+      const link = pick(modeDraw, links);
+      const mode = createMode(link, byMs, index % 2 === 0);
+      return { kind, hop: link.hop, scope: createScope(link.scope, index), mode, forMs };
+    }
+    case 'storeDown':
+    case 'storeLosesAnswers':
+      return { kind, forMs };
+    case 'storeSlow':
+      return { kind, byMs, forMs };
+    case 'storeWritesLate':
+      return { kind, byMs: interpolate(delayDraw, 1_000, MAX_LATE_WRITE_MS), forMs };
+    case 'storeForgets':
+    case 'configure':
+      return { kind };
+    case 'workerCrash':
+      return { kind, worker: index };
+    case 'ordersLate':
+      return { kind, worker: index, forMs };
+    default:
+      return assertNever(kind);
+  }
 }
 
 /** Maps a seed to a number in [0, 1). */
@@ -68,7 +95,11 @@
 }
 
 /** Plans the faults of a run, in order of time. They follow each other closely and may overlap. */
-export function planFaults(seed: number, forMs: number): readonly PlannedFault[] {
+export function planFaults(
+  seed: number,
+  forMs: number,
+  selection: FaultSelection = ALL_FAULTS,
+): readonly PlannedFault[] {
   const maxFaults = Math.ceil(forMs / MIN_INTERVAL_MS);
   const uniforms = drawUniforms(seedToUniform(seed), maxFaults * DRAWS_PER_FAULT);
   const drawsOfFaults = Array.from({ length: maxFaults }, (_, index) =>
@@ -79,7 +110,7 @@
       const lastMs = planned.at(-1)?.atMs ?? 0;
       const atMs =
         lastMs + interpolate(draws[DRAWS_PER_FAULT - 1] ?? 0, MIN_INTERVAL_MS, MAX_INTERVAL_MS);
-      return [...planned, { atMs, fault: createFault(draws) }];
+      return [...planned, { atMs, fault: createFault(selection, draws) }];
     }, [])
     .filter(({ atMs }) => atMs < forMs);
 }
--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -1,9 +1,19 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
-import type { AddressInfo, Socket } from 'node:net';
-import { assertNever } from '@bronzeyoke/types';
+import type { Server, Socket } from 'node:net';
+import { advance, compileChart } from '@bronzeyoke/chart';
+import type { StateOf } from '@bronzeyoke/chart';
+import { assertNever, parseAddress } from '@bronzeyoke/types';
+import type { Address } from '@bronzeyoke/types';
+import chartFile from './charts/listener.json';
 import type { LinkMode } from './types';
 
+const listenerChart = compileChart(chartFile, {
+  states: ['listening', 'refusing'],
+  events: ['refuse', 'accept'],
+  actions: ['close', 'open'],
+});
+
 /** A loopback proxy in front of one address. */
 export interface Proxy {
   readonly address: string;
@@ -11,9 +21,19 @@
   readonly close: () => void;
 }
 
-/** Starts a proxy on a free port. Bytes that a mode holds back are forwarded when the mode ends. */
-export async function startProxy(target: string): Promise<Proxy> {
-  const [host = '', port = ''] = target.split(':');
+function parse(text: string): Address {
+  const address = parseAddress(text);
+  if (address === undefined) throw new RangeError(`${text} is not an address`);
+  return address;
+}
+
+/**
+ * Starts a proxy in front of `target` that listens on `address`. Bytes that a mode holds back are
+ * forwarded when the mode ends.
+ */
+export async function startProxy(target: string, address: string): Promise<Proxy> {
+  const { host: targetHost, port: targetPort } = parse(target);
+  const { host, port } = parse(address);
   const connections = new Set<readonly [Socket, Socket]>();
   const link: { mode: LinkMode; heldWrites: (() => void)[] } = {
     mode: { kind: 'pass' },
@@ -36,10 +56,11 @@
         link.heldWrites.push(write);
         break;
       case 'oneWay':
-        if (isAnswer) link.heldWrites.push(write);
+        if (isAnswer === (mode.lost === 'answers')) link.heldWrites.push(write);
         else write();
         break;
       case 'reset':
+      case 'refuse':
         to.resetAndDestroy();
         break;
       default:
@@ -47,12 +68,12 @@
     }
   };
 
-  const server = createServer((inbound) => {
+  const accept = (inbound: Socket): void => {
     if (link.mode.kind === 'reset') {
       inbound.resetAndDestroy();
       return;
     }
-    const outbound = connect(Number(port), host);
+    const outbound = connect(targetPort, targetHost);
     const pair = [inbound, outbound] as const;
     connections.add(pair);
     const end = (): void => {
@@ -66,27 +87,48 @@
       socket.on('error', end);
       socket.on('close', end);
     });
-  });
-  server.listen(0, '127.0.0.1');
-  await once(server, 'listening');
-  const { port: ownPort } = server.address() as AddressInfo;
-  const resetConnections = (): void =>
+  };
+  const open = (): Server => createServer(accept).listen(port, host);
+  const listener: { state: StateOf<typeof listenerChart>; server: Server } = {
+    state: listenerChart.initial,
+    server: open(),
+  };
+  await once(listener.server, 'listening');
+
+  const sendListener = (event: 'refuse' | 'accept'): void => {
+    const next = advance(listenerChart, listener.state, event);
+    listener.state = next.state;
+    next.actions.forEach((action) => {
+      switch (action) {
+        case 'close':
+          listener.server.close();
+          break;
+        case 'open':
+          listener.server = open();
+          break;
+        default:
+          assertNever(action);
+      }
+    });
+  };
+  const endConnections = (): void =>
     [...connections].flat().forEach((socket) => {
       socket.resetAndDestroy();
     });
   return {
-    address: `127.0.0.1:${ownPort}`,
+    address,
     setMode: (mode) => {
       link.mode = mode;
-      if (mode.kind === 'reset') resetConnections();
+      sendListener(mode.kind === 'refuse' ? 'refuse' : 'accept');
+      if (mode.kind === 'reset' || mode.kind === 'refuse') endConnections();
       if (mode.kind !== 'pass') return;
       const { heldWrites } = link;
       link.heldWrites = [];
       heldWrites.forEach((write) => write());
     },
     close: () => {
-      server.close();
-      resetConnections();
+      sendListener('refuse');
+      endConnections();
     },
   };
 }
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -1,19 +1,19 @@
+import { parseAddress } from '@bronzeyoke/types';
 import { request } from 'undici';
-import { freePort } from '../platform/test/port';
 import type { StandinPlatform } from '../platform/test/standin';
 import { startPlatform } from '../platform/test/standin';
 import { CRASH_DELAY_MS, isCrashingTask, workMsOf } from './jobs';
+import { claimLoopbackRange } from './loopback';
 import { startOddWriter } from './oddwriter';
 import type { Program } from './program';
 import { createProgram } from './program';
 import type { Proxy } from './proxy';
 import { startProxy } from './proxy';
-import type { SoakObservation } from './types';
+import type { Hop, SoakObservation } from './types';
 
 const HEARTBEAT_INTERVAL_MS = 400;
 const HEARTBEAT_TIMEOUT_MS = 1_000;
 const WORKERS_PER_DOMAIN = 2;
-const AGENT_HOST = '127.0.0.1';
 
 /** A worker's stand-in and the id in its heartbeats. */
 export interface SoakWorker {
@@ -21,12 +21,19 @@
   readonly platform: StandinPlatform;
 }
 
+/** A proxy on a hop. The failure domain is that of the program that connects, or accepts callers. */
+export interface SoakLink {
+  readonly hop: Hop;
+  readonly domain: number;
+  readonly proxy: Proxy;
+}
+
 /** Programs, stand-ins and links of a soak run. */
 export interface SoakSite {
   readonly store: StandinPlatform;
   readonly workers: readonly SoakWorker[];
   readonly programs: readonly Program[];
-  readonly links: readonly Proxy[];
+  readonly links: readonly SoakLink[];
   /** Addresses of the proxies through which callers reach the entries. */
   readonly entryAddresses: readonly string[];
   readonly close: () => void;
@@ -92,27 +99,38 @@
   observe: (observation: SoakObservation) => void,
   nowMs: () => number,
 ): Promise<SoakSite> {
+  const range = await claimLoopbackRange();
+  const { nextAddress } = range;
+  const startLink = async (hop: Hop, domain: number, target: string): Promise<SoakLink> => ({
+    hop,
+    domain,
+    proxy: await startProxy(target, nextAddress()),
+  });
   const store = await startPlatform();
   store.put('op', 'config', createConfig(1));
   const observeExit =
     (program: string) =>
     (output: string): void =>
       observe({ kind: 'exited', atMs: nowMs(), program, output });
+  // Entries share a port number, so each has a loopback address of its own.
+  const hosts = Array.from(
+    { length: size.entries },
+    () => parseAddress(nextAddress()) ?? { host: '', port: 0 },
+  );
+  const agentPort = hosts[0]?.port ?? 0;
   const common = {
-    agentPort: await freePort(),
+    agentPort,
     graceS: 4,
     maxLeaseMs: 10_000,
     holderLeaseMs: 3_000,
     statusS: 120,
   };
   const entries = await Promise.all(
-    Array.from({ length: size.entries }, async (_, index) => {
-      // Entries share a port number, so each has a loopback address of its own.
-      const host = `127.0.0.${index + 2}`;
+    hosts.map(async ({ host }, index) => {
       const name = `entry-${index + 1}`;
-      const storeLink = await startProxy(store.address);
-      const front = `127.0.0.1:${await freePort()}`;
-      const frontLink = await startProxy(front);
+      const front = nextAddress();
+      const storeLink = await startLink('entryStore', index, store.address);
+      const frontLink = await startLink('callerEntry', index, front);
       const program = await createProgram(
         bundle,
         folder,
@@ -122,12 +140,12 @@
           role: 'entry',
           host,
           domain: `zone-${index}`,
-          store: storeLink.address,
+          store: storeLink.proxy.address,
           callers: front,
         },
         observeExit(name),
       );
-      return { program, links: [storeLink, frontLink], front: frontLink.address };
+      return { program, links: [storeLink, frontLink], front: frontLink.proxy.address };
     }),
   );
   const agents = await Promise.all(
@@ -145,9 +163,11 @@
         observe({ ...event, atMs: nowMs(), worker: id });
       }, workMsOf);
       const worker = { id, platform };
-      const storeLink = await startProxy(store.address);
-      const workerLink = await startProxy(platform.address);
-      const heartbeatAddress = `127.0.0.1:${await freePort()}`;
+      const domain = Math.floor(index / WORKERS_PER_DOMAIN);
+      const storeLink = await startLink('agentStore', domain, store.address);
+      const workerLink = await startLink('agentWorker', domain, platform.address);
+      const heartbeatAddress = nextAddress();
+      const { host = '' } = parseAddress(heartbeatAddress) ?? {};
       const program = await createProgram(
         bundle,
         folder,
@@ -155,16 +175,16 @@
           ...common,
           name,
           role: 'agent',
-          host: AGENT_HOST,
-          domain: `zone-${Math.floor(index / WORKERS_PER_DOMAIN)}`,
-          store: storeLink.address,
+          host,
+          domain: `zone-${domain}`,
+          store: storeLink.proxy.address,
           heartbeats: heartbeatAddress,
         },
         observeExit(name),
       );
       const timer = setInterval(() => {
         // A failed heartbeat is not retried: the next one follows after the interval.
-        sendHeartbeat(worker, workerLink.address, heartbeatAddress).catch(() => undefined);
+        sendHeartbeat(worker, workerLink.proxy.address, heartbeatAddress).catch(() => undefined);
       }, HEARTBEAT_INTERVAL_MS);
       return { program, worker, timer, heartbeatAddress, links: [storeLink, workerLink] };
     }),
@@ -187,7 +207,8 @@
       oddWriter.stop();
       agents.forEach(({ timer }) => clearInterval(timer));
       programs.forEach((program) => program.send('kill'));
-      links.forEach((link) => link.close());
+      links.forEach(({ proxy }) => proxy.close());
+      range.release();
       agents.forEach(({ worker }) => worker.platform.close());
       store.close();
     },
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -4,12 +4,26 @@
   | { readonly kind: 'delay'; readonly byMs: number }
   /** Bytes arrive in neither direction, and connections are not reset. */
   | { readonly kind: 'silent' }
-  /** Requests arrive, answers do not. */
-  | { readonly kind: 'oneWay' }
+  /** Bytes arrive in one direction only. */
+  | { readonly kind: 'oneWay'; readonly lost: 'requests' | 'answers' }
   /** Connections are reset, new ones too. */
-  | { readonly kind: 'reset' };
+  | { readonly kind: 'reset' }
+  /** Connections are reset, and nothing listens, so that new ones are refused. */
+  | { readonly kind: 'refuse' };
 
-/** A fault that the soak injects. Programs, links and workers are chosen by index, modulo their number. */
+/** Hops between programs, callers, workers and the store, named by who connects to whom. */
+export const HOPS = ['callerEntry', 'agentWorker', 'entryStore', 'agentStore'] as const;
+
+/** A hop on which a proxy sits. */
+export type Hop = (typeof HOPS)[number];
+
+/** What a fault strikes: one part by index, modulo their number; those of a failure domain, by index; all. */
+export type Scope =
+  | { readonly kind: 'one'; readonly index: number }
+  | { readonly kind: 'domain'; readonly index: number }
+  | { readonly kind: 'all' };
+
+/** A fault that the soak injects. Programs and workers are chosen by index, modulo their number. */
 export type Fault =
   | { readonly kind: 'kill'; readonly program: number; readonly forMs: number }
   | { readonly kind: 'killAll'; readonly forMs: number }
@@ -18,7 +32,8 @@
   | { readonly kind: 'reload'; readonly program: number }
   | {
       readonly kind: 'link';
-      readonly link: number;
+      readonly hop: Hop;
+      readonly scope: Scope;
       readonly mode: LinkMode;
       readonly forMs: number;
     }
