Keep only unlisted runs beyond the end of a lease

When a lease ends, the leader keeps the unlisted runs that were ordered less than 3 s before, and releases the others. The lease row tells the next leader of that time for silent workers.

--- a/packages/scheduler/src/fleet/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -2,7 +2,7 @@
 import { runsOn } from '../runs';
 import type { SchedulerState } from '../types';
 import { runRef } from '../types';
-import type { RunView, WorkerView } from '../views';
+import type { RunView } from '../views';
 
 /** Time after an order in which the start call of an agent that has ended may still reach its worker. */
 const LATE_CALL_MS = 3_000;
@@ -17,15 +17,6 @@
   return hasEnded && !isListed && nowMs - orderedAtMs < LATE_CALL_MS;
 }
 
-/**
- * Returns a worker that was sent a start order. Its tasks stay there for as long as the order may take,
- * because a later instance may carry it out when the lease of this one has ended.
- */
-export function withOrder(worker: WorkerView, nowMs: number): WorkerView {
-  const settledAtMs = nowMs + LATE_CALL_MS;
-  return worker.expiresAtMs >= settledAtMs ? worker : { ...worker, expiresAtMs: settledAtMs };
-}
-
 /** Returns the runs of a worker that a later instance may begin, given the agent at work there now. */
 export function lateStartsOn(
   state: SchedulerState,
@@ -37,3 +28,12 @@
     mayStartLate(run, agentId, nowMs) ? [runRef(task, run.attempt)] : [],
   );
 }
+
+/** Returns the time until which a start that was ordered of a worker may still come late. */
+export function lateStartsEndMs(state: SchedulerState, workerKey: string): number {
+  return [...runsOn(state.runs, workerKey).values()].reduce(
+    (endMs, { isListed, orderedAtMs = -Infinity }) =>
+      isListed ? endMs : Math.max(endMs, orderedAtMs + LATE_CALL_MS),
+    -Infinity,
+  );
+}
--- a/packages/scheduler/src/fleet/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -1,5 +1,6 @@
 import { Map } from 'immutable';
 import { assertNever } from '@bronzeyoke/types';
+import { lateStartsEndMs } from './latestarts';
 import type { LeaseGrants } from '../leadership/rows';
 import type { SchedulerTimes } from '../times';
 import type { EarlierLeases, SchedulerState, SeenLease } from '../types';
@@ -62,7 +63,9 @@
       nowMs - view.reportedAtMs > SILENT_AFTER_MS &&
       !isDue(view),
   );
-  return silent.map(({ expiresAtMs }) => expiresAtMs).merge(state.awaited);
+  return silent
+    .map(({ workerKey, expiresAtMs }) => Math.max(expiresAtMs, lateStartsEndMs(state, workerKey)))
+    .merge(state.awaited);
 }
 
 /** Returns what the lease row says about the leases that workers may still hold. */
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -4,6 +4,7 @@
 import type { RunRef } from '@bronzeyoke/wire';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { dropInstance } from './identities';
+import { lateStartsEndMs } from './latestarts';
 import { startWait } from '../placement/placewait';
 import { dropRun, dropRuns, runsOn } from '../runs';
 import { putJob, withEffects } from '../state';
@@ -111,6 +112,7 @@
   workerKey: string,
   openRuns: readonly RunRef[],
   nowMs: number,
+  reason: 'workerGone' | 'leaseExpired' = 'workerGone',
 ): SchedulerStep {
   const view = state.workers.get(workerKey);
   if (view === undefined) return unchanged(state);
@@ -119,6 +121,7 @@
   const tasks = [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
     isOpen(task, run) ? [] : [task],
   );
-  const workers = state.workers.set(workerKey, { ...view, hasEnded: true });
-  return releaseRuns({ ...state, workers }, workerKey, tasks, 'workerGone', nowMs);
+  const expiresAtMs = Math.max(view.expiresAtMs, lateStartsEndMs(state, workerKey));
+  const workers = state.workers.set(workerKey, { ...view, hasEnded: true, expiresAtMs });
+  return releaseRuns({ ...state, workers }, workerKey, tasks, reason, nowMs);
 }
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -1,7 +1,6 @@
 import type { Map } from 'immutable';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
-import { withOrder } from '../fleet/latestarts';
 import { hasRoomForClaims } from '../fleet/loads';
 import type { PostCommitAction } from './pending';
 import { releaseRun } from '../fleet/release';
@@ -77,7 +76,6 @@
     {
       ...state,
       links: state.links.set(worker.linkId, { ...link, lastOrder: order }),
-      workers: state.workers.set(workerKey, withOrder(worker, nowMs)),
       runs: putRun(state.runs, task, {
         ...run,
         order,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -17,6 +17,7 @@
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './leadership/isolation';
 import { onJobRows, onLoaded } from './jobs/jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership/leadership';
+import { lateStartsOn } from './fleet/latestarts';
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
 import { retryReads } from './leadership/load';
@@ -24,7 +25,7 @@
 import { recordPass } from './placement/passbudget';
 import { placeTasks } from './placement/place';
 import { releaseHeldStarts } from './leadership/postcommit';
-import { releaseWorker } from './fleet/release';
+import { releaseEndedRuns, releaseWorker } from './fleet/release';
 import { onOrderRefused, onReport } from './fleet/report';
 import { forgetQuickEnds } from './jobs/restarts';
 import { stopStalledRuns } from './jobs/stall';
@@ -50,14 +51,24 @@
 
 type AgentMessage = Exclude<RunnerMessage, { kind: 'leaderChanged' }>;
 
+/**
+ * Releases the tasks of a worker whose lease has ended, but for those that a later instance, which that
+ * lease does not bind, may still begin from a late order.
+ */
+function expireWorker(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
+  const openRuns = lateStartsOn(state, workerKey, undefined, nowMs);
+  return openRuns.length > 0
+    ? releaseEndedRuns(state, workerKey, openRuns, nowMs, 'leaseExpired')
+    : releaseWorker(state, workerKey, 'leaseExpired', nowMs);
+}
+
 function expireWorkers(state: SchedulerState, nowMs: number): SchedulerStep {
   if (state.phase !== 'leading') return unchanged(state);
   const expired = state.workers.filter(({ expiresAtMs }) => nowMs >= expiresAtMs);
   if (expired.isEmpty()) return unchanged(state);
   return chainAll(state, [
     ...[...expired.keys()].map(
-      (workerKey) => (current: SchedulerState) =>
-        releaseWorker(current, workerKey, 'leaseExpired', nowMs),
+      (workerKey) => (current: SchedulerState) => expireWorker(current, workerKey, nowMs),
     ),
     (current) => unchanged(noteIsolation(current, nowMs)),
   ]);
