Count the longest lease for a worker that has just been seen

A hold or a start to an earlier instance that reaches a later one under its id carries a lease by the earlier clock, which the worker cuts to its longest one (maxLeaseMs, 10 s). The leader counted 5.3 s from the first report. A machine that went silent within the next 5 s could run its tasks while they were placed elsewhere.

An instance that reports for the first time counts as holding the longest lease with the margin for clocks (10.45 s). The lease row names the workers whose lease may end later than its lastEndMs (longEndMs, absent in rows without such workers and ignored by earlier builds), and the next leader counts that. Tasks of a machine that goes silent 'a' s after its first report come back after 10.5 - a s; docs/design.md 8.1.

--- a/packages/scheduler/src/fleet/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -15,11 +15,24 @@
 /** No earlier leader has granted a lease. */
 export const NO_EARLIER_LEASES: EarlierLeases = { endAtMs: 0, awaited: Map() };
 
+function msUntil(atMs: number, nowMs: number): number {
+  return Math.max(0, Math.ceil(atMs - nowMs));
+}
+
 /** Returns the longest time from a grant to the end of the lease on the worker. */
 export function leaseEndMs({ agentLeaseMs, marginMs }: SchedulerTimes): number {
   return agentLeaseMs + marginMs;
 }
 
+/**
+ * Returns when the lease of a worker that reports for the first time has ended at the latest. A call to the
+ * instance before it carries a lease by that one's clock, which the worker cuts to the longest one; the
+ * tokens of the calls that led to the report refuse later calls of that kind.
+ */
+export function firstLeaseEndAtMs({ maxLeaseEndMs }: SchedulerTimes, nowMs: number): number {
+  return nowMs + maxLeaseEndMs;
+}
+
 function lastLeaseEndMs(times: SchedulerTimes): number {
   return times.grantWindowMs + leaseEndMs(times);
 }
@@ -41,7 +54,9 @@
   }
   return {
     endAtMs: firstSeenAtMs + Math.max(grants.earlierEndMs, grants.lastEndMs),
-    awaited: Map(grants.awaitedEndMs).map((endMs) => firstSeenAtMs + endMs),
+    awaited: Map(grants.awaitedEndMs)
+      .merge(grants.longEndMs ?? {})
+      .map((endMs) => firstSeenAtMs + endMs),
   };
 }
 
@@ -68,34 +83,45 @@
     .merge(state.awaited);
 }
 
-/** Returns what the lease row says about the leases that workers may still hold. */
-export function describeGrants(state: SchedulerState, nowMs: number): LeaseGrants {
-  const { phase, settings, earlierLeases, storedTimes, formerLeasesEndAtMs } = state;
-  const endMs = (endAtMs: number): number => Math.max(0, Math.ceil(endAtMs - nowMs));
-  const formerEndMs = endMs(formerLeasesEndAtMs);
-  const earlier = {
-    earlierEndMs: endMs(earlierLeases.endAtMs),
-    awaitedEndMs: awaitedWorkers(state, nowMs).map(endMs).toObject(),
-  };
+/** Returns the longest time to the end of a lease that the holder of the row has granted. */
+function ownLeaseEndMs(state: SchedulerState, nowMs: number): number {
+  const { phase, settings, storedTimes, formerLeasesEndAtMs } = state;
+  const formerEndMs = msUntil(formerLeasesEndAtMs, nowMs);
   switch (phase) {
     case 'leading':
-      return { ...earlier, lastEndMs: Math.max(lastLeaseEndMs(settings.times), formerEndMs) };
+      return Math.max(lastLeaseEndMs(settings.times), formerEndMs);
     case 'steppingDown':
-    case 'releasing': {
-      const ownEndMs = storedTimes === undefined ? 0 : leaseEndMs(storedTimes);
-      return { ...earlier, lastEndMs: Math.max(ownEndMs, formerEndMs) };
-    }
+    case 'releasing':
+      return Math.max(storedTimes === undefined ? 0 : leaseEndMs(storedTimes), formerEndMs);
     case 'following':
     case 'claiming':
     case 'withdrawing':
     case 'loading':
     case 'stopped':
-      return { ...earlier, lastEndMs: 0 };
+      return 0;
     default:
       return assertNever(phase);
   }
 }
 
+/** Returns what the lease row says about the leases that workers may still hold. */
+export function describeGrants(state: SchedulerState, nowMs: number): LeaseGrants {
+  const lastEndMs = ownLeaseEndMs(state, nowMs);
+  const long = state.workers.filter(
+    ({ reportedAtMs, expiresAtMs }) =>
+      reportedAtMs !== undefined && msUntil(expiresAtMs, nowMs) > lastEndMs,
+  );
+  const longEndMs = long.map(({ expiresAtMs }) => msUntil(expiresAtMs, nowMs)).toObject();
+  return {
+    lastEndMs,
+    earlierEndMs: msUntil(state.earlierLeases.endAtMs, nowMs),
+    awaitedEndMs: awaitedWorkers(state, nowMs)
+      .map((endAtMs) => msUntil(endAtMs, nowMs))
+      .toObject(),
+    ...(long.isEmpty() ? {} : { longEndMs }),
+  };
+}
+
 /**
  * Changes the times. Leases are granted by the former ones until a row that states the new ones is
  * stored, and last as long as the rows sent until now allow.
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -22,7 +22,7 @@
 } from './instances';
 import { putInstance } from './identities';
 import { grantIfAllowed } from './grants';
-import { isAwaited, leaseEndMs } from './leases';
+import { firstLeaseEndAtMs, isAwaited } from './leases';
 import { addReporter } from './links';
 import { applyEnd } from '../jobs/ends';
 import { lateStartsOn, mayStartLate } from './latestarts';
@@ -86,7 +86,7 @@
     linkId,
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: isNewClock ? clockMs : (known?.clockMs ?? -1),
-    expiresAtMs: known?.expiresAtMs ?? nowMs + leaseEndMs(times),
+    expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, nowMs),
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
--- a/packages/scheduler/src/leadership/rows.ts
+++ b/packages/scheduler/src/leadership/rows.ts
@@ -98,6 +98,8 @@
   earlierEndMs: z.number(),
   /** The same for each worker that has not reported to the holder lately, and gets no lease of it. */
   awaitedEndMs: z.record(z.string(), z.number()),
+  /** The same for each worker whose lease may end later than `lastEndMs` says. */
+  longEndMs: z.record(z.string(), z.number()).optional(),
 });
 
 const leaseSchema = z.object({
--- a/packages/scheduler/src/times.ts
+++ b/packages/scheduler/src/times.ts
@@ -26,6 +26,8 @@
   readonly agentLeaseMs: number;
   /** Margin for clocks that run at different rates. */
   readonly marginMs: number;
+  /** Longest time from a call to the end of a lease that it sets on a worker. */
+  readonly maxLeaseEndMs: number;
   readonly statusMs: number;
 }
 
@@ -55,6 +57,7 @@
     grantWindowMs: Math.min(MAX_GRANT_WINDOW_MS, bounds.maxLeaseMs * GRANT_WINDOW_SHARE),
     agentLeaseMs,
     marginMs: agentLeaseMs * MARGIN_SHARE + MARGIN_MS,
+    maxLeaseEndMs: bounds.maxLeaseMs * (1 + MARGIN_SHARE) + MARGIN_MS,
     statusMs: bounds.statusMs,
   };
 }
