Hold a job whose progress cannot be read

A progress row that a new leader could not decode counted as no progress at all: every task of that job was placed anew, beside its runs and also when it was done, and the row was overwritten. One such row strikes all tasks of a job, on all their workers.

Such a job is held: nothing is placed or written, its listed runs go on and occupy their workers, their ends are not acknowledged. Each version of the row is logged and counted (jobHeld). The row is read again every 5 s; once it can be read the job is opened and its runs are adopted. A held job can be cancelled. Status queries answer 'active' instead of 'queued', and 'unavailable' instead of 'no such job' when the definition is gone.

--- a/packages/intake/src/query.ts
+++ b/packages/intake/src/query.ts
@@ -208,14 +208,20 @@
       const { jobId } = query;
       if (query.stage === 'job') {
         // If the job ended between the two reads, its outcome is stored by now.
+        // The first claim of a task writes the row, so a job with one that cannot be read has begun.
+        const status = query.hasUnreadableProgress === true ? 'active' : 'queued';
         return rows.some(({ key }) => key === jobKey(jobId).key)
-          ? endQuery(state, callId, { kind: 'status', status: 'queued' })
+          ? endQuery(state, callId, { kind: 'status', status })
           : readRows(state, callId, { ...query, stage: 'outcome' });
       }
       const reply = statusReply(rows);
       if (reply !== undefined) return endQuery(state, callId, reply);
-      return query.stage === 'progress'
-        ? readRows(state, callId, { ...query, stage: 'job' })
+      if (query.stage === 'progress') {
+        const hasUnreadableProgress = rows.length > 0;
+        return readRows(state, callId, { ...query, stage: 'job', hasUnreadableProgress });
+      }
+      return rows.length > 0
+        ? endQuery(state, callId, { kind: 'unavailable', retryAfterMs: CALLER_RETRY_AFTER_MS })
         : endQuery(state, callId, { kind: 'absent' });
     }
     case 'cancel': {
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -37,6 +37,8 @@
       readonly jobId: string;
       readonly expiresAtMs: number;
       readonly stage: 'progress' | 'job' | 'outcome';
+      /** A row of the job's progress was found, and could not be decoded. */
+      readonly hasUnreadableProgress?: boolean;
       readonly retryAtMs: number;
     }
   | {
--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import type { RowCommitResult } from '@bronzeyoke/ports';
+import type { RowCommitResult, StoredRow } from '@bronzeyoke/ports';
 import type { IntakeEffect, IntakeEvent, IntakeState } from '@bronzeyoke/intake';
 import { createIntake, selectQueue, stepIntake } from '@bronzeyoke/intake';
 import { jobKey, progressKey, WITHDRAWAL_KEEP_MS, withdrawalKey } from '@bronzeyoke/scheduler';
@@ -229,6 +229,40 @@
   });
 });
 
+/** Returns the reply to a status query whose reads find these rows, one after the other. */
+function statusAfter(...reads: readonly (readonly StoredRow[])[]): unknown {
+  const queried = dispatch(START, {
+    kind: 'status',
+    callId: 'c1',
+    jobId: 'job1',
+    timeoutMs: 3_000,
+  });
+  const answered = reads.reduce<Fixture>(
+    (fixture, rows) =>
+      dispatch(fixture, {
+        kind: 'rangeDone',
+        callId: 'c1',
+        result: { kind: 'rows', rows, version: 9 },
+        wallMs: 0,
+      }),
+    queried,
+  );
+  const [reply] = answered.effects;
+  return reply?.kind === 'reply' ? reply.reply : undefined;
+}
+
+// Guards against a job that is shown as queued although its tasks have run, or as unknown although it has
+// ended, because its progress cannot be read.
+it('intake: progress that cannot be read is no sign that a job has not begun or does not exist', () => {
+  const unreadable = { ...progressKey('job1'), version: 9, value: { stages: 'later' } };
+  const definition = { ...jobKey('job1'), version: 8, value: jobOf('job1') };
+  expect(statusAfter([unreadable], [definition])).to.deep.equal({
+    kind: 'status',
+    status: 'active',
+  });
+  expect(statusAfter([unreadable], [], [unreadable])).to.include({ kind: 'unavailable' });
+});
+
 // Guards against using counts that a former leader has stored.
 it('intake: outdated counts are ignored and the open jobs are counted', () => {
   const queried = dispatch(START, {
--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -7,10 +7,10 @@
 import { leaseEndAtMs } from './leases';
 import { inheritedPaceOf } from '../placement/pace';
 import type { RunTable } from '../runs';
-import { createRun, NO_RUNS, putRun } from '../runs';
+import { createRun, dropRuns, NO_RUNS, putRun, runKey } from '../runs';
 import { findSuspects } from '../jobs/suspects';
 import type { GoneReport, SchedulerState } from '../types';
-import type { RunView, WorkerView } from '../views';
+import type { OpenJob, RunView, WorkerView } from '../views';
 
 function isOpen({ jobs }: SchedulerState, jobId: string): boolean {
   const open = jobs.get(jobId);
@@ -122,3 +122,34 @@
     awaited: Map(silent.map((workerKey) => [workerKey, leaseEndOf(workerKey)])),
   };
 }
+
+/**
+ * Adds the runs in the progress of a job that is opened while this entry leads. Their workers list again
+ * the ends that were not acknowledged, and runs that were moved to later instances.
+ */
+export function adoptJobRuns(
+  state: SchedulerState,
+  { job, progress }: OpenJob,
+  nowMs: number,
+): SchedulerState {
+  const runs = assignedSlots(progress).flatMap(([slot, task]) => {
+    const run = adoptedRun(job, slot, task, nowMs);
+    return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
+  });
+  const unheard = runs
+    .map(([, { workerKey }]) => workerKey)
+    .filter((workerKey) => !state.workers.has(workerKey))
+    .map((workerKey) => unheardWorker(workerKey, leaseEndAtMs(state.earlierLeases, workerKey)));
+  const workers = state.workers.merge(unheard.map((view) => [view.workerKey, view]));
+  const keys = runs.map(([task, { attempt }]) => runKey({ task, attempt }));
+  const jobs = Map([[job.jobId, { job, progress, isCancelled: false }]]);
+  return {
+    ...state,
+    runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), state.runs),
+    orphans: dropRuns(state.orphans, keys),
+    suspects: state.suspects.merge(findSuspects({ ...state, jobs }, nowMs)),
+    workers: workers.map((view) => ({ ...view, handledSequence: 0 })),
+    instances: indexInstances(workers),
+    instanceCount: state.instanceCount + 1,
+  };
+}
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -25,6 +25,7 @@
 import { firstLeaseEndAtMs, isAwaited } from './leases';
 import { addReporter } from './links';
 import { applyEnd } from '../jobs/ends';
+import { isHeldTask } from '../jobs/held';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
 import { orderHeldStarts } from '../leadership/postcommit';
@@ -140,6 +141,19 @@
   );
 }
 
+/**
+ * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
+ * acknowledgement covers all ends before it.
+ */
+function lastAcknowledged(
+  state: SchedulerState,
+  { ended }: Report,
+  handledSequence: number,
+): number {
+  const held = ended.find(({ task }) => isHeldTask(state, task));
+  return held === undefined ? handledSequence : Math.min(handledSequence, held.sequence - 1);
+}
+
 function applyEnds(
   state: SchedulerState,
   report: Report,
@@ -164,7 +178,8 @@
     workers: step.state.workers.set(workerKey, { ...handled, handledSequence: last.sequence }),
     needsPlacement: true,
   };
-  const { sequence } = last;
+  const sequence = lastAcknowledged(state, report, last.sequence);
+  if (sequence < (report.ended[0]?.sequence ?? 0)) return withEffects(updated, step.effects);
   const jobIds = unhandled.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
   return withEffects(
     addPostCommitAction(
@@ -205,7 +220,9 @@
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
   if (run === undefined || open === undefined || !isWanted(state, workerKey, listed)) {
     const unwanted = runRef(task, attempt);
-    return stopUnwanted(keepUnwanted(state, workerKey, unwanted), workerKey, unwanted, nowMs);
+    const kept = keepUnwanted(state, workerKey, unwanted);
+    if (isHeldTask(state, task)) return unchanged(kept);
+    return stopUnwanted(kept, workerKey, unwanted, nowMs);
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
--- /dev/null
+++ b/packages/scheduler/src/jobs/held.ts
@@ -0,0 +1,107 @@
+import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
+import { logEffect } from '@bronzeyoke/telemetry';
+import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
+import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import { decodeProgress, parseTaskName, restartLasting, statusOf } from '@bronzeyoke/workflow';
+import { adoptJobRuns } from '../fleet/adopt';
+import { progressPageRows } from '../leadership/budget';
+import { PARTITION, TABLES } from '../leadership/rows';
+import { withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
+import type { OpenJob, StoredProgress } from '../views';
+
+/** Id of the call that reads the progress of held jobs. */
+export const HELD_CALL = 'held-jobs';
+
+/** Interval of the reads, and time after which a read without a result is given up. */
+const READ_INTERVAL_MS = 5_000;
+
+/** Returns what a row of the progress table tells. */
+export function readProgress({ value, version }: StoredRow): StoredProgress {
+  const progress = decodeProgress(value);
+  return progress === undefined ? { kind: 'unreadable', version } : { kind: 'readable', progress };
+}
+
+/**
+ * Holds a job whose progress cannot be read: its tasks may be done, or run on workers that are silent. It
+ * is not opened, so nothing of it is placed or written.
+ */
+export function holdJob(state: SchedulerState, job: WorkflowJob, version: number): SchedulerStep {
+  const { jobId } = job;
+  const isKnown = state.held.jobs.get(jobId)?.version === version;
+  const held = { ...state.held, jobs: state.held.jobs.set(jobId, { job, version }) };
+  return withEffects(
+    { ...state, held },
+    isKnown ? [] : [logEffect('jobHeld', { job: jobId, version, queue: job.policy.queue })],
+  );
+}
+
+/** Ends the hold of a job. */
+export function dropHeld(state: SchedulerState, jobId: string): SchedulerState {
+  return { ...state, held: { ...state.held, jobs: state.held.jobs.delete(jobId) } };
+}
+
+/** Returns whether a task belongs to a held job. */
+export function isHeldTask({ held }: SchedulerState, task: string): boolean {
+  return held.jobs.size > 0 && held.jobs.has(parseTaskName(task)?.jobId ?? '');
+}
+
+/** Reads the progress of the held jobs from time to time, one page after the other. */
+export function readHeldJobs(state: SchedulerState, nowMs: number): SchedulerStep {
+  const { jobs, fromKey, sentAtMs } = state.held;
+  const isDue = nowMs - sentAtMs >= READ_INTERVAL_MS;
+  if (state.phase !== 'leading' || jobs.isEmpty() || !isDue) return unchanged(state);
+  const ids = jobs.keySeq().sort();
+  const nextId = ids.find((jobId) => jobId >= fromKey) ?? ids.first('');
+  const maxRows = progressPageRows(state.settings.capacity);
+  const range = { table: TABLES.progress, partition: PARTITION, maxRows, fromKey: nextId };
+  const held = { ...state.held, sentAtMs: nowMs, isReading: true };
+  return withEffects({ ...state, held }, [{ kind: 'range', callId: HELD_CALL, range }]);
+}
+
+/** Opens a held job whose progress has become readable. */
+function openHeld(
+  state: SchedulerState,
+  job: WorkflowJob,
+  progress: JobProgress,
+  nowMs: number,
+): SchedulerStep {
+  const { jobId } = job;
+  const rest = dropHeld(state, jobId);
+  const { outcome, endedAtMs = 0 } = progress;
+  if (outcome !== undefined) {
+    return unchanged({ ...rest, ended: rest.ended.set(jobId, endedAtMs) });
+  }
+  const open: OpenJob = { job, progress: restartLasting(job, progress), isCancelled: false };
+  const opened = { ...rest, jobs: rest.jobs.set(jobId, open), needsPlacement: true };
+  const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
+  return withEffects(adoptJobRuns(opened, open, nowMs), [logEffect('jobSeen', fields)]);
+}
+
+/** Opens the held jobs whose progress has become readable. One whose row is missing stays held. */
+export function onHeldRows(
+  state: SchedulerState,
+  result: RowRangeResult,
+  nowMs: number,
+): SchedulerStep {
+  if (state.phase !== 'leading' || !state.held.isReading) return unchanged(state);
+  const rows = result.kind === 'rows' ? result.rows : [];
+  const nextKey = result.kind === 'rows' ? (result.nextKey ?? '') : state.held.fromKey;
+  const read = { ...state, held: { ...state.held, isReading: false, fromKey: nextKey } };
+  return chainAll(
+    read,
+    rows.map((row) => (current: SchedulerState) => {
+      const known = current.held.jobs.get(row.key);
+      if (known === undefined) return unchanged(current);
+      const stored = readProgress(row);
+      switch (stored.kind) {
+        case 'readable':
+          return openHeld(current, known.job, stored.progress, nowMs);
+        case 'unreadable':
+          return holdJob(current, known.job, stored.version);
+        default:
+          return assertNever(stored);
+      }
+    }),
+  );
+}
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -1,15 +1,9 @@
 import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
-import { chainAll, unchanged } from '@bronzeyoke/types';
+import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import {
-  decodeJob,
-  decodeProgress,
-  NO_PROGRESS,
-  restartLasting,
-  statusOf,
-} from '@bronzeyoke/workflow';
+import { decodeJob, NO_PROGRESS, restartLasting, statusOf } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
 import { advanceLeadership } from '../leadership/leadership';
@@ -17,11 +11,15 @@
 import { PAIRS_KEY, parseJobKey, TABLES } from '../leadership/rows';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
-import type { OpenJob } from '../views';
+import type { OpenJob, StoredProgress } from '../views';
+import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
+/** What is known of a job without a row: none of its tasks was ever claimed. */
+const NO_ROW: StoredProgress = { kind: 'readable', progress: NO_PROGRESS };
+
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
 
@@ -35,17 +33,43 @@
   ]);
 }
 
+/** Returns a job that can be cancelled. The row of one that has an outcome tells of no tasks. */
+function cancellableJob({ jobs, held }: SchedulerState, jobId: string): OpenJob | undefined {
+  const heldJob = held.jobs.get(jobId);
+  return heldJob === undefined
+    ? jobs.get(jobId)
+    : { job: heldJob.job, progress: NO_PROGRESS, isCancelled: false };
+}
+
 function cancelJob(state: SchedulerState, jobId: string, wallMs: number): SchedulerStep {
-  const open = state.jobs.get(jobId);
+  const open = cancellableJob(state, jobId);
   if (open === undefined || open.isCancelled) return unchanged(state);
-  const cancelled = { ...state, jobs: state.jobs.set(jobId, { ...open, isCancelled: true }) };
+  const jobs = state.jobs.set(jobId, { ...open, isCancelled: true });
+  const cancelled = { ...dropHeld(state, jobId), jobs };
   return endJob(cancelled, jobId, { outcome: 'cancelled' }, wallMs);
 }
 
+/** Opens a job that is not known, or holds it if its progress cannot be read. */
+function addStoredJob(
+  state: SchedulerState,
+  job: WorkflowJob,
+  stored: StoredProgress,
+): SchedulerStep {
+  if (state.held.jobs.has(job.jobId)) return unchanged(state);
+  switch (stored.kind) {
+    case 'readable':
+      return addJob(state, job, stored.progress);
+    case 'unreadable':
+      return holdJob(state, job, stored.version);
+    default:
+      return assertNever(stored);
+  }
+}
+
 function applyJobRow(
   state: SchedulerState,
   row: StoredRow,
-  progressOf: (jobId: string) => JobProgress,
+  progressOf: (jobId: string) => StoredProgress,
   wallMs: number,
 ): SchedulerStep {
   const parsed = parseJobKey(row.key);
@@ -55,7 +79,7 @@
       if (job === undefined) {
         return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
       }
-      return addJob(state, job, progressOf(parsed.jobId));
+      return addStoredJob(state, job, progressOf(parsed.jobId));
     }
     case 'cancel':
       return cancelJob(state, parsed.jobId, wallMs);
@@ -67,7 +91,7 @@
 function applyJobRows(
   state: SchedulerState,
   rows: readonly StoredRow[],
-  progressOf: (jobId: string) => JobProgress,
+  progressOf: (jobId: string) => StoredProgress,
   wallMs: number,
 ): SchedulerStep {
   // In key order a cancellation precedes the definition of its job.
@@ -104,20 +128,22 @@
 }
 
 function beginIfLoaded(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
-  const { progress = Map<string, JobProgress>(), jobRows, goneReports = [] } = state.loading;
+  const { progress = Map<string, StoredProgress>(), jobRows, goneReports = [] } = state.loading;
   if (state.phase !== 'loading') return unchanged(state);
   if (jobRows === undefined || !areReadsDone(state)) return unchanged(state);
-  const ended = progress.filter(({ outcome }) => outcome !== undefined);
+  const ended = progress.flatMap((stored, jobId): Iterable<[string, number]> => {
+    if (stored.kind !== 'readable' || stored.progress.outcome === undefined) return [];
+    return [[jobId, stored.progress.endedAtMs ?? wallMs]];
+  });
   const loaded: SchedulerState = {
     ...state,
     loading: {},
-    ended: ended.map(({ endedAtMs }) => endedAtMs ?? wallMs),
+    ended,
     // Workers may be granted leases once the lease row says so.
     renewAtMs: nowMs,
   };
   return chainAll(loaded, [
-    (current) =>
-      applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_PROGRESS, wallMs),
+    (current) => applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, wallMs),
     (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
@@ -131,7 +157,7 @@
   nowMs: number,
 ): SchedulerStep {
   const { rows, isFull, wallMs } = event;
-  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_PROGRESS, wallMs);
+  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_ROW, wallMs);
   if (state.phase !== 'loading') return unchanged(state);
   const known = state.loading.jobRows;
   if (known === undefined && !isFull) return unchanged(state);
@@ -140,12 +166,9 @@
 }
 
 function applyProgress(state: SchedulerState, rows: readonly StoredRow[]): SchedulerStep {
-  const decoded = rows.map((row) => [row.key, decodeProgress(row.value)] as const);
-  const decodable = decoded.flatMap(([key, value]) =>
-    value === undefined ? [] : [[key, value] as const],
-  );
-  const malformed = decoded.filter(([, value]) => value === undefined);
-  const progress = (state.loading.progress ?? Map<string, JobProgress>()).merge(Map(decodable));
+  const stored = rows.map((row) => [row.key, readProgress(row)] as const);
+  const malformed = stored.filter(([, { kind }]) => kind === 'unreadable');
+  const progress = (state.loading.progress ?? Map<string, StoredProgress>()).merge(Map(stored));
   return withEffects(
     { ...state, loading: { ...state.loading, progress } },
     malformed.map(([key]) => logEffect('malformed', { what: 'progress', key })),
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -15,6 +15,7 @@
 export const EMPTY_LEADER_STATE = {
   loading: {},
   jobs: Map<string, never>(),
+  held: { jobs: Map<string, never>(), fromKey: '', isReading: false, sentAtMs: 0 },
   ended: Map<string, never>(),
   workers: Map<string, never>(),
   instances: NO_INSTANCES,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -15,6 +15,7 @@
   recordGoneWorker,
 } from './fleet/gone';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './leadership/isolation';
+import { HELD_CALL, onHeldRows, readHeldJobs } from './jobs/held';
 import { onJobRows, onLoaded } from './jobs/jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership/leadership';
 import { lateStartsOn } from './fleet/latestarts';
@@ -113,6 +114,7 @@
     (current) => retryReads(current, nowMs),
     (current) => retryTransaction(current, nowMs),
     (current) => readWithdrawals(current, nowMs),
+    (current) => readHeldJobs(current, nowMs),
     (current) => expireWorkers(current, nowMs),
     (current) => releaseHeldStarts(current, nowMs),
     (current) => stepDownIfIsolated(current, nowMs),
@@ -210,6 +212,8 @@
       return onPoll(state, result, inputs);
     case WITHDRAWAL_CALLS.read:
       return onWithdrawalRows(state, result, nowMs);
+    case HELD_CALL:
+      return onHeldRows(state, result, nowMs);
     default:
       return handleGoneReports(
         state,
--- a/packages/scheduler/src/tasklog.ts
+++ b/packages/scheduler/src/tasklog.ts
@@ -36,6 +36,7 @@
   if (ref === undefined) return undefined;
   return (
     state.jobs.get(ref.jobId)?.job.stages[ref.stageIndex] ??
+    state.held.jobs.get(ref.jobId)?.job.stages[ref.stageIndex] ??
     state.orphans.byTask.get(runKey(run))?.stage
   );
 }
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -5,7 +5,7 @@
 import type { RowTransaction, RowStoreCall, RowStoreEvent, StoredRow } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Step } from '@bronzeyoke/types';
-import type { FleetConfig, JobProgress } from '@bronzeyoke/workflow';
+import type { FleetConfig } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
 import type { InstanceIndex } from './fleet/identities';
@@ -18,10 +18,12 @@
 import type {
   Absence,
   FailedSearch,
+  HeldJob,
   HeldStart,
   KnownLoads,
   LinkView,
   OpenJob,
+  StoredProgress,
   Suspect,
   WorkerView,
 } from './views';
@@ -146,11 +148,21 @@
   readonly isBehind?: boolean;
 }
 
+/** Held jobs, and the leader's reads of their progress. */
+export interface HeldState {
+  readonly jobs: Map<string, HeldJob>;
+  /** First job of the next read. */
+  readonly fromKey: string;
+  readonly isReading: boolean;
+  /** When the last read was sent. */
+  readonly sentAtMs: number;
+}
+
 /** Parts of the store that a new leader has read so far. */
 export interface LoadState {
   readonly reads?: Map<string, TableRead>;
   /** Progress on the pages read so far. */
-  readonly progress?: Map<string, JobProgress>;
+  readonly progress?: Map<string, StoredProgress>;
   readonly jobRows?: readonly StoredRow[];
   /** Messages during the reads that workers are gone. They are confirmed after the load. */
   readonly goneReports?: readonly GoneReport[];
@@ -192,6 +204,7 @@
   readonly config?: FleetConfig;
   readonly domainsOut: ReadonlySet<string>;
   readonly jobs: Map<string, OpenJob>;
+  readonly held: HeldState;
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -12,6 +12,19 @@
   readonly stalls?: Map<string, number>;
 }
 
+/** What a new leader has read of a job's progress. */
+export type StoredProgress =
+  | { readonly kind: 'readable'; readonly progress: JobProgress }
+  /** The row of this version could not be decoded. */
+  | { readonly kind: 'unreadable'; readonly version: number };
+
+/** A job of which nothing is placed, because its progress cannot be read. */
+export interface HeldJob {
+  readonly job: WorkflowJob;
+  /** Version of the row that could not be decoded. */
+  readonly version: number;
+}
+
 /**
  * Pace orders that remain for a run of the leader before. That leader may have paced it, which
  * neither the rows nor the worker's list of runs shows.
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -53,6 +53,7 @@
   | 'jobCancelled'
   | 'jobWithdrawn'
   | 'jobSeen'
+  | 'jobHeld'
   | 'jobEnded'
   | 'taskPaced'
   | 'awayCounts'
