--- a/packages/scheduler/src/fleet/gone.ts
+++ b/packages/scheduler/src/fleet/gone.ts
@@ -78,7 +78,8 @@
   const { workerKey, openRuns } = report;
   const step = chainAll(state, [
     (current) => recordCrashes(current, report, addressOf(state, workerKey), nowMs, wallMs),
-    (current) => releaseEndedRuns(current, workerKey, openRuns, nowMs, proofFields(report)),
+    (current) =>
+      releaseEndedRuns(current, workerKey, openRuns, nowMs, 'workerGone', proofFields(report)),
   ]);
   return withEffects(step.state, [...logCrash(state, report), ...step.effects]);
 }
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -5,6 +5,7 @@
 import type { RunRef } from '@bronzeyoke/wire';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { dropInstance } from './identities';
+import { lateStartsEndMs } from './latestarts';
 import { startWait } from '../placement/placewait';
 import { dropRun, dropRuns, runsOn } from '../runs';
 import { putJob, withEffects } from '../state';
@@ -113,6 +114,7 @@
   workerKey: string,
   openRuns: readonly RunRef[],
   nowMs: number,
+  reason: 'workerGone' | 'leaseExpired',
   proof: EventFields = {},
 ): SchedulerStep {
   const view = state.workers.get(workerKey);
@@ -122,11 +124,13 @@
   const tasks = [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
     isOpen(task, run) ? [] : [task],
   );
-  const workers = state.workers.set(workerKey, { ...view, hasEnded: true });
-  const step = releaseRuns({ ...state, workers }, workerKey, tasks, 'workerGone', nowMs);
+  const expiresAtMs = Math.max(view.expiresAtMs, lateStartsEndMs(state, workerKey));
+  const workers = state.workers.set(workerKey, { ...view, hasEnded: true, expiresAtMs });
+  const step = releaseRuns({ ...state, workers }, workerKey, tasks, reason, nowMs);
   // Agents repeat the message.
   if (view.hasEnded === true && tasks.length === 0) return step;
-  const fields = { worker: workerKey, reason: 'workerEnded', runs: tasks.length, ...proof };
+  const sign = reason === 'workerGone' ? 'workerEnded' : reason;
+  const fields = { worker: workerKey, reason: sign, runs: tasks.length, ...proof };
   const log = logEffect('workerGone', { ...fields, openRuns: openRuns.length });
   return withEffects(step.state, [log, ...step.effects]);
 }
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -22,9 +22,10 @@
 } from './instances';
 import { putInstance } from './identities';
 import { grantIfAllowed } from './grants';
-import { isAwaited, leaseEndMs } from './leases';
+import { firstLeaseEndAtMs, isAwaited } from './leases';
 import { addReporter } from './links';
 import { applyEnd } from '../jobs/ends';
+import { isHeldTask } from '../jobs/held';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
 import { orderHeldStarts } from '../leadership/postcommit';
@@ -86,7 +87,7 @@
     linkId,
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: isNewClock ? clockMs : (known?.clockMs ?? -1),
-    expiresAtMs: known?.expiresAtMs ?? nowMs + leaseEndMs(times),
+    expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, nowMs),
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
@@ -135,12 +136,25 @@
       const lateStarts = lateStartsOn(current, workerKey, report.agentId, nowMs);
       const proof = { endReason: 'laterReport', by: report.workerKey };
       return lateStarts.length > 0
-        ? releaseEndedRuns(current, workerKey, lateStarts, nowMs, proof)
+        ? releaseEndedRuns(current, workerKey, lateStarts, nowMs, 'workerGone', proof)
         : releaseWorker(current, workerKey, 'workerGone', nowMs, proof);
     }),
   );
 }
 
+/**
+ * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
+ * acknowledgement covers all ends before it.
+ */
+function lastAcknowledged(
+  state: SchedulerState,
+  { ended }: Report,
+  handledSequence: number,
+): number {
+  const held = ended.find(({ task }) => isHeldTask(state, task));
+  return held === undefined ? handledSequence : Math.min(handledSequence, held.sequence - 1);
+}
+
 function applyEnds(
   state: SchedulerState,
   report: Report,
@@ -165,7 +179,8 @@
     workers: step.state.workers.set(workerKey, { ...handled, handledSequence: last.sequence }),
     needsPlacement: true,
   };
-  const { sequence } = last;
+  const sequence = lastAcknowledged(state, report, last.sequence);
+  if (sequence < (report.ended[0]?.sequence ?? 0)) return withEffects(updated, step.effects);
   const jobIds = unhandled.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
   return withEffects(
     addPostCommitAction(
@@ -206,7 +221,9 @@
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
   if (run === undefined || open === undefined || !isWanted(state, workerKey, listed)) {
     const unwanted = runRef(task, attempt);
-    return stopUnwanted(keepUnwanted(state, workerKey, unwanted), workerKey, unwanted, nowMs);
+    const kept = keepUnwanted(state, workerKey, unwanted);
+    if (isHeldTask(state, task)) return unchanged(kept);
+    return stopUnwanted(kept, workerKey, unwanted, nowMs);
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
