Report a worker as gone once its lease has ended, not after refused connections

Only the reply of another instance, or the end of the lease that the worker holds, ends a worker now. The agent passes on at most 3 s (1 s while the worker drains) of the lease that the leader grants, renewed by each hold, and keeps the latest end that any call may have set; from the first reply on it reckons with the longest lease that a worker accepts. After the last reply it waits for that end by the slowest clock of a worker (2%) and 150 ms more, and for one more failed call. Calls go on meanwhile, and a reply changes nothing.

The cause of such an end is 'crashed' only if every call that was sent after the first failure was refused and no heartbeat of the instance came meanwhile; otherwise 'unreachable', which accuses no task.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -4,7 +4,7 @@
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import { noteResult } from './failures';
 import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
-import { noteClock, noteLeaseEnd } from './heldlease';
+import { leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
 import { forgetStart } from './recentstarts';
 import { reportIfDue, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
@@ -27,9 +27,6 @@
 /** Pause after a failed hold. */
 export const HOLD_RETRY_MS = 120;
 
-/** Consecutive refused connections after which the worker counts as gone. */
-const MAX_REFUSED_CONNECTIONS = 2;
-
 /** Pause before the next list while the worker stops runs of late orders. */
 const LATE_STOP_PAUSE_MS = 200;
 
@@ -73,19 +70,18 @@
   const isFailing = worker.failures !== undefined;
   const waitMs = isSettling || isFailing || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
   const callId = `hold-${state.callCount}`;
+  const leaseUntilClockMs = leaseToPass(worker);
   const call: WorkerCall = {
     kind: 'hold',
     fencingToken: token,
     ackSequence: worker.ackSequence,
-    ...(worker.leaseUntilClockMs === undefined
-      ? {}
-      : { leaseUntilClockMs: worker.leaseUntilClockMs }),
+    ...(leaseUntilClockMs === undefined ? {} : { leaseUntilClockMs }),
     waitMs,
   };
   return {
     state: {
       ...state,
-      worker: noteLeaseEnd(worker, worker.leaseUntilClockMs),
+      worker: noteLeaseEnd(worker, leaseUntilClockMs),
       callCount: state.callCount + 1,
       listCount: state.listCount + 1,
       holdNumber: state.listCount + 1,
@@ -151,7 +147,6 @@
     running,
     ended,
     pending: unsettledOrders(worker, listNumber),
-    refusedConnections: 0,
   };
   const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
   const gone = onSuccessorListed(updated);
@@ -184,17 +179,7 @@
       });
     case 'otherWorker':
       return removeWorker(answered, 'otherWorker', nowMs);
-    case 'notListening': {
-      if (worker.leftAtList !== undefined) return removeWorker(answered, 'left', nowMs);
-      const refusedConnections = worker.refusedConnections + 1;
-      if (refusedConnections >= MAX_REFUSED_CONNECTIONS)
-        return removeWorker(answered, 'notListening', nowMs);
-      return unchanged({
-        ...answered,
-        worker: { ...worker, refusedConnections },
-        holdAtMs: nowMs + HOLD_RETRY_MS,
-      });
-    }
+    case 'notListening':
     case 'lost':
       if (worker.leftAtList !== undefined) return removeWorker(answered, 'left', nowMs);
       return unchanged({ ...answered, holdAtMs: nowMs + HOLD_RETRY_MS });
@@ -252,7 +237,7 @@
 ): RunnerStep {
   if (callId === state.holdCallId) {
     if (state.worker === undefined) return unchanged(state);
-    const worker = noteResult(state.worker, result, nowMs);
+    const worker = noteResult(state.worker, result, state.holdSentAtMs, nowMs);
     return onHoldResult({ ...state, worker }, worker, result, nowMs);
   }
   const order = state.pendingCalls.get(callId);
@@ -262,7 +247,7 @@
   if (state.worker?.workerKey !== order.workerKey) {
     return onGoneCallDone(others, order.workerKey, call, result);
   }
-  const worker = noteResult(state.worker, result, nowMs);
+  const worker = noteResult(state.worker, result, order.sentAtMs, nowMs);
   const rest = { ...others, worker };
   switch (call.kind) {
     case 'start':
--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -140,7 +140,6 @@
     running: [],
     ended: [],
     pending: Map(),
-    refusedConnections: 0,
     startCalls: Map(),
   };
 }
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -4,7 +4,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { WorkerEndCause, WorkerEndReason } from '@bronzeyoke/wire';
-import { endEvidence } from './failures';
+import { endEvidence, isLeaseOver, looksCrashed } from './failures';
 import { recentStartsOf } from './recentstarts';
 import { sendToLeader } from './report';
 import type {
@@ -34,15 +34,24 @@
 
 type GoneEvent = 'settled' | 'successor' | 'replaced' | 'listed' | 'successorGone' | 'recorded';
 
+/** Returns whether a later instance under the id may still carry out a start call. */
+function mayTakeEffect({ calledAtMs }: StartCall, nowMs: number): boolean {
+  return nowMs - calledAtMs < LATE_CALL_MS;
+}
+
 /** Returns the start calls of a gone worker that a later instance under its id may carry out. */
-function openStartsOf({ pending }: WorkerState, reason: GoneReason): Map<string, StartCall> {
+function openStartsOf(
+  { pending }: WorkerState,
+  reason: GoneReason,
+  nowMs: number,
+): Map<string, StartCall> {
   switch (reason) {
     case 'restarted':
     case 'left':
       return pending;
-    case 'notListening':
-      // The instance that replied to a start has ended, whichever it was.
-      return pending.filter(({ phase }) => phase !== 'settling');
+    case 'leaseEnded':
+      // Also those with a reply: a later instance may have given it.
+      return pending.filter((call) => mayTakeEffect(call, nowMs));
     case 'otherWorker':
       // Calls name an id, and no other instance accepts them.
       return Map();
@@ -65,9 +74,20 @@
   );
 }
 
-/** Returns whether a worker ended by itself. One that drains has announced its end. */
-function causeOf({ report }: WorkerState, reason: GoneReason): WorkerEndCause {
-  return reason === 'left' || report.isDraining ? 'left' : 'crashed';
+/** Returns why a worker ended. One that drains has announced its end. */
+function causeOf(worker: WorkerState, reason: GoneReason): WorkerEndCause {
+  if (worker.report.isDraining) return 'left';
+  switch (reason) {
+    case 'left':
+      return 'left';
+    case 'restarted':
+    case 'otherWorker':
+      return 'crashed';
+    case 'leaseEnded':
+      return looksCrashed(worker) ? 'crashed' : 'unreachable';
+    default:
+      return assertNever(reason);
+  }
 }
 
 /** Applies an event to the gone workers for which `isMeant` holds. */
@@ -105,7 +125,7 @@
     id: worker.report.id,
     reason,
     phase: goneChart.initial,
-    openStarts: openStartsOf(worker, reason),
+    openStarts: openStartsOf(worker, reason, nowMs),
     cause: causeOf(worker, reason),
     recentStarts: recentStartsOf(worker, nowMs),
   };
@@ -126,6 +146,14 @@
   return { state: step.state, effects: [...ended, ...step.effects, log] };
 }
 
+/** Removes a worker that has not answered until its lease ended. */
+export function endUnansweredWorker(state: RunnerState, nowMs: number): RunnerStep {
+  const { worker } = state;
+  return worker !== undefined && isLeaseOver(worker, nowMs)
+    ? removeWorker(state, 'leaseEnded', nowMs)
+    : unchanged(state);
+}
+
 /** Handles the first list of an instance that follows gone ones, or of one that was born earlier. */
 export function onSuccessorSeen(state: RunnerState, id: string, isLater: boolean): RunnerStep {
   const replaced = advanceGone(state, 'replaced', (gone) => isLater && gone.id !== id);
@@ -176,7 +204,7 @@
     gone.phase === 'uncertain' && !hasCandidate(state, gone)
       ? {
           ...gone,
-          openStarts: gone.openStarts.filter(({ calledAtMs }) => nowMs - calledAtMs < LATE_CALL_MS),
+          openStarts: gone.openStarts.filter((call) => mayTakeEffect(call, nowMs)),
         }
       : gone,
   );
--- a/packages/runner/src/heldlease.ts
+++ b/packages/runner/src/heldlease.ts
@@ -1,5 +1,20 @@
 import type { HeldLease, WorkerState } from './types';
 
+/**
+ * Longest lease that an agent passes on to its worker. Each hold renews it. The tasks of a worker that
+ * does not answer are placed elsewhere once it has ended, so it is shorter than what the leader grants.
+ */
+const WORKER_LEASE_MS = 3_000;
+
+/** The same for a worker that has announced its end, which takes its runs along soon in any case. */
+const DRAINING_LEASE_MS = 1_000;
+
+/** Rate of the slowest clock of a worker. */
+const SLOWEST_CLOCK_RATE = 0.98;
+
+/** Margin for timers, and for the time that a worker takes to end its runs. */
+const MARGIN_MS = 150;
+
 /**
  * Returns what is known of the lease of an instance from its first reply. An earlier agent may have set
  * one, or a late call to an earlier instance under its id.
@@ -22,8 +37,20 @@
   return { ...worker, heldLease: { ...heldLease, latestEndClockMs } };
 }
 
-/** Returns how much is left of the longest lease that the worker may hold; 0 once it has ended. */
+/** Returns the end of the lease that the next call passes on; undefined without a grant. */
+export function leaseToPass(worker: WorkerState): number | undefined {
+  const { leaseUntilClockMs, heldLease, report } = worker;
+  if (leaseUntilClockMs === undefined) return undefined;
+  const longestMs = report.isDraining ? DRAINING_LEASE_MS : WORKER_LEASE_MS;
+  return Math.min(leaseUntilClockMs, heldLease.clockMs + longestMs);
+}
+
+/**
+ * Returns the time in which the worker may still hold a lease; 0 once it has surely ended, and with it
+ * everything that the worker ran.
+ */
 export function leaseLeftMs({ heldLease }: WorkerState, nowMs: number): number {
   const { clockMs, repliedAtMs, latestEndClockMs } = heldLease;
-  return Math.max(0, latestEndClockMs - clockMs - (nowMs - repliedAtMs));
+  const longestMs = (latestEndClockMs - clockMs) / SLOWEST_CLOCK_RATE + MARGIN_MS;
+  return Math.max(0, longestMs - (nowMs - repliedAtMs));
 }
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -6,9 +6,16 @@
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, expireCalls, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
-import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
+import {
+  endUnansweredWorker,
+  goneEffects,
+  onGoneRecorded,
+  removeWorker,
+  repeatGone,
+  settleGone,
+} from './gone';
 import { isSameAddress } from './connect';
-import { noteLeaseEnd } from './heldlease';
+import { leaseToPass, noteLeaseEnd } from './heldlease';
 import { advanceLookup } from './lookup';
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
@@ -98,17 +105,18 @@
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
-  if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
+  const leaseUntilClockMs = leaseToPass(worker);
+  if (leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterList: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
   const noted = noteStart({ ...worker, pending }, run, nowMs);
-  const called = noteLeaseEnd(noted, worker.leaseUntilClockMs);
+  const called = noteLeaseEnd(noted, leaseUntilClockMs);
   const call = {
     kind: 'start',
     ...run,
     fencingToken: state.token,
     payload,
-    leaseUntilClockMs: worker.leaseUntilClockMs,
+    leaseUntilClockMs,
     ...(checkpoint === undefined ? {} : { checkpoint }),
     ...(ticket === undefined ? {} : { ticket }),
   } as const;
@@ -185,9 +193,10 @@
     case 'tick': {
       const expired = expireCalls(state, nowMs);
       const repeated = repeatGone(expired.state, nowMs);
-      const settled = settleGone(repeated.state, nowMs);
+      const ended = endUnansweredWorker(repeated.state, nowMs);
+      const settled = settleGone(ended.state, nowMs);
       const step = reconnectIfSilent(settled.state, inputs);
-      const effects = [expired, repeated, settled, step].flatMap((part) => part.effects);
+      const effects = [expired, repeated, ended, settled, step].flatMap((part) => part.effects);
       return { state: step.state, effects };
     }
     case 'heartbeat':
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -163,12 +163,19 @@
   readonly latestEndClockMs: number;
 }
 
+/** Numbers of failed calls by result. */
+export interface FailureCounts {
+  readonly refused: number;
+  readonly lost: number;
+}
+
 /** Calls to the worker that have failed since its last reply. */
 export interface CallFailures {
   /** When the first one failed. */
   readonly sinceMs: number;
-  readonly refused: number;
-  readonly lost: number;
+  readonly all: FailureCounts;
+  /** Those that were sent after the first one had failed. */
+  readonly retries: FailureCounts;
 }
 
 /** State of the worker beside the agent, from its heartbeats and its replies. */
@@ -188,8 +195,6 @@
   readonly running: readonly ListedRun[];
   readonly ended: readonly ListedEnd[];
   readonly pending: Map<string, PendingOrder>;
-  /** Number of consecutive refused connections. */
-  readonly refusedConnections: number;
   /** Recent start calls that the worker may have carried out, by run. */
   readonly startCalls: Map<string, StartCall>;
   /** Absent while the worker replies. */
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -12,8 +12,14 @@
   readonly ageMs: number;
 }
 
-/** Whether a worker ended by itself, or announced its end before. */
-export type WorkerEndCause = 'crashed' | 'left';
+/** Why a worker ended. */
+export type WorkerEndCause =
+  /** It ended by itself, without an announcement. */
+  | 'crashed'
+  /** It announced its end. */
+  | 'left'
+  /** It did not answer until its lease ended, and may be up. This accuses no task. */
+  | 'unreachable';
 
 /** How an agent learned that a worker has ended. */
 export type WorkerEndReason =
@@ -21,7 +27,8 @@
   | 'restarted'
   /** Reply of an instance under another id. */
   | 'otherWorker'
-  | 'notListening'
+  /** The lease that the worker held has ended by its clock, so that all its runs have. */
+  | 'leaseEnded'
   | 'left'
   /** The agent did not tell. */
   | 'unknown';
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -38,8 +38,8 @@
 const endFields = {
   workerKey,
   // Absent in messages of agents that do not tell the cause.
-  cause: z.enum(['crashed', 'left']).default('left'),
-  reason: z.enum(['restarted', 'otherWorker', 'notListening', 'left', 'unknown']).catch('unknown'),
+  cause: z.enum(['crashed', 'left', 'unreachable']).default('left'),
+  reason: z.enum(['restarted', 'otherWorker', 'leaseEnded', 'left', 'unknown']).catch('unknown'),
   recentStarts: z.array(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
 };
 
