Take a worker's message that it leaves as a sign, not as its end

Callers see a task run twice: a message that a worker leaves ended it at once when it had announced draining, otherwise with one call that was lost or refused. The message, like the draining, may come from another writer, and a worker goes on for a while after it.

The message now decides the cause of an end only ('left'); the reply to a later request refutes it.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -181,7 +181,6 @@
       return removeWorker(answered, 'otherWorker', nowMs);
     case 'notListening':
     case 'lost':
-      if (worker.leftAtList !== undefined) return removeWorker(answered, 'left', nowMs);
       return unchanged({ ...answered, holdAtMs: nowMs + HOLD_RETRY_MS });
     default:
       return assertNever(result);
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -47,7 +47,6 @@
 ): Map<string, StartCall> {
   switch (reason) {
     case 'restarted':
-    case 'left':
       return pending;
     case 'leaseEnded':
       // Also those with a reply: a later instance may have given it.
@@ -74,12 +73,10 @@
   );
 }
 
-/** Returns why a worker ended. One that drains has announced its end. */
+/** Returns why a worker ended. It may have announced its end by draining, or by its last message. */
 function causeOf(worker: WorkerState, reason: GoneReason): WorkerEndCause {
-  if (worker.report.isDraining) return 'left';
+  if (worker.report.isDraining || worker.leftAtList !== undefined) return 'left';
   switch (reason) {
-    case 'left':
-      return 'left';
     case 'restarted':
     case 'otherWorker':
       return 'crashed';
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -6,14 +6,7 @@
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, expireCalls, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
-import {
-  endUnansweredWorker,
-  goneEffects,
-  onGoneRecorded,
-  removeWorker,
-  repeatGone,
-  settleGone,
-} from './gone';
+import { endUnansweredWorker, goneEffects, onGoneRecorded, repeatGone, settleGone } from './gone';
 import { isSameAddress } from './connect';
 import { leaseToPass, noteLeaseEnd } from './heldlease';
 import { advanceLookup } from './lookup';
@@ -77,13 +70,12 @@
 }
 
 /**
- * Handles a worker's message that it leaves. A worker announces its end before; without that the
- * message may come from another writer, and a failed call has to confirm it.
+ * Handles a worker's message that it leaves. It is no proof that the worker has ended: it may come from
+ * another writer, or the worker may go on for a while.
  */
 function onWorkerLeft(state: RunnerState, id: string, nowMs: number): RunnerStep {
   const { worker } = state;
   if (worker?.report.id !== id) return unchanged(state);
-  if (worker.report.isDraining) return removeWorker(state, 'left', nowMs);
   return unchanged({
     ...state,
     worker: { ...worker, leftAtList: state.listCount },
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -200,8 +200,8 @@
   /** Absent while the worker replies. */
   readonly failures?: CallFailures;
   /**
-   * Number of the last request for a list before its message that it leaves, if it had not announced its
-   * end. A failed call confirms the message, and the reply to a later request refutes it.
+   * Number of the last request for a list before its message that it leaves. The reply to a later
+   * request refutes the message, which may come from another writer.
    */
   readonly leftAtList?: number;
 }
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -29,7 +29,6 @@
   | 'otherWorker'
   /** The lease that the worker held has ended by its clock, so that all its runs have. */
   | 'leaseEnded'
-  | 'left'
   /** The agent did not tell. */
   | 'unknown';
 
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -39,7 +39,7 @@
   workerKey,
   // Absent in messages of agents that do not tell the cause.
   cause: z.enum(['crashed', 'left', 'unreachable']).default('left'),
-  reason: z.enum(['restarted', 'otherWorker', 'leaseEnded', 'left', 'unknown']).catch('unknown'),
+  reason: z.enum(['restarted', 'otherWorker', 'leaseEnded', 'unknown']).catch('unknown'),
   recentStarts: z.array(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
 };
 
