Take an answer as the end of a worker only from its address or under its id

Callers see a task run twice: after 1 s of failed calls an answer under another id at another address ended a worker whose lease still held, and its open start calls counted as settled.

A candidate under another id at another address shows nothing of the worker, so it is asked only when there is none. A later birth under the id is a proof at any address and need not wait for a second of silence. An instance under another id settles the start calls to an ended one only at the address that they reach. The open hold to a former address is dropped when a worker has moved: what answers there may be another instance.

--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -18,12 +18,6 @@
 /** Time without a heartbeat after which a candidate is forgotten; longer than two intervals. */
 const CANDIDATE_EXPIRY_MS = 3_000;
 
-/**
- * Silence of the present worker after which a reply at another address replaces it. One call may also
- * get lost while it is up.
- */
-const SILENCE_MS = 1_000;
-
 function candidateKey(report: WorkerReport): string {
   return `${workerKeyOf(report)} ${report.address}`;
 }
@@ -69,16 +63,18 @@
 }
 
 /**
- * Returns whether a reply of a candidate would show that the present worker has ended. One that
- * answers goes on, whatever the heartbeats say.
+ * Returns whether a reply of a candidate would show that the present worker has ended, or that it is at
+ * another address. One that answers goes on, whatever the heartbeats say. An instance under another id
+ * at another address shows nothing of it.
  */
-function mayReplace(worker: WorkerState | undefined, report: WorkerReport, nowMs: number): boolean {
+function mayReplace(
+  worker: WorkerState | undefined,
+  { id, address, bornAtMs }: WorkerReport,
+): boolean {
   if (worker === undefined) return true;
-  const { failures } = worker;
-  if (failures === undefined) return false;
-  const isAtAddress = worker.report.address === report.address;
-  const isSameInstance = worker.workerKey === workerKeyOf(report);
-  return isAtAddress || isSameInstance || nowMs - failures.sinceMs >= SILENCE_MS;
+  if (worker.failures === undefined) return false;
+  const { report } = worker;
+  return report.address === address || (report.id === id && bornAtMs >= report.bornAtMs);
 }
 
 function ask(state: RunnerState, key: string, candidate: Candidate): RunnerStep {
@@ -115,7 +111,7 @@
     .filter(({ phase }) => phase !== 'dropped');
   const due = [...candidates].filter(
     ([, { phase, askAtMs, report }]) =>
-      phase === 'heard' && nowMs >= askAtMs && mayReplace(state.worker, report, nowMs),
+      phase === 'heard' && nowMs >= askAtMs && mayReplace(state.worker, report),
   );
   return chainEach<RunnerState, RunnerEffect, readonly [string, Candidate]>(
     unchanged({ ...state, candidates }),
@@ -156,7 +152,8 @@
   const workerKey = workerKeyOf(report);
   if (worker?.workerKey === workerKey) {
     const replying = without({ ...worker, report }, 'failures');
-    return onList(state, replying, reply, listNumber, nowMs);
+    // What answers the open hold may be another instance at the former address.
+    return onList(without(state, 'holdCallId'), replying, reply, listNumber, nowMs);
   }
   const isLater = report.bornAtMs >= state.lastBornAtMs;
   const left = removeWorker(state, worker?.report.id === id ? 'restarted' : 'otherWorker', nowMs);
@@ -166,7 +163,7 @@
     // An instance that refused connections for a while was taken for gone.
     goneWorkers: left.state.goneWorkers.filter((gone) => gone.workerKey !== workerKey),
   };
-  const gone = onSuccessorSeen(adopted, id, isLater);
+  const gone = onSuccessorSeen(adopted, report, isLater);
   const created = createWorker(state, report, reply, nowMs);
   const list = onList(gone.state, created, reply, listNumber, nowMs);
   const log = logEffect('workerSeen', { worker: workerKey, id, service });
@@ -207,7 +204,7 @@
   const others = { ...state, candidates: state.candidates.delete(key) };
   switch (next.state) {
     case 'confirmed':
-      return result.kind === 'done' && mayReplace(state.worker, report, nowMs)
+      return result.kind === 'done' && mayReplace(state.worker, report)
         ? adopt(others, candidate, result, nowMs)
         : unchanged(others);
     case 'dropped': {
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -1,6 +1,6 @@
 import { Map } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
-import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import type { WorkerCall, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { WorkerEndCause, WorkerEndReason } from '@bronzeyoke/wire';
@@ -120,6 +120,7 @@
   const gone: GoneWorker = {
     workerKey,
     id: worker.report.id,
+    address: worker.report.address,
     reason,
     phase: goneChart.initial,
     openStarts: openStartsOf(worker, reason, nowMs),
@@ -152,8 +153,14 @@
 }
 
 /** Handles the first list of an instance that follows gone ones, or of one that was born earlier. */
-export function onSuccessorSeen(state: RunnerState, id: string, isLater: boolean): RunnerStep {
-  const replaced = advanceGone(state, 'replaced', (gone) => isLater && gone.id !== id);
+export function onSuccessorSeen(
+  state: RunnerState,
+  { id, address }: WorkerReport,
+  isLater: boolean,
+): RunnerStep {
+  // Calls to a gone worker reach its address, where they are refused under another id.
+  const isReplaced = (gone: GoneWorker): boolean => gone.id !== id && gone.address === address;
+  const replaced = advanceGone(state, 'replaced', (gone) => isLater && isReplaced(gone));
   const succeeded = advanceGone(replaced.state, 'successor', (gone) => gone.id === id);
   return { state: succeeded.state, effects: [...replaced.effects, ...succeeded.effects] };
 }
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -119,6 +119,7 @@
 export interface GoneWorker {
   readonly workerKey: string;
   readonly id: string;
+  readonly address: string;
   readonly reason: WorkerEndReason;
   readonly phase: StateOf<typeof goneChart>;
   /** Start calls that a later instance may carry out, by run. */
--- a/packages/runner/test/candidates.test.ts
+++ b/packages/runner/test/candidates.test.ts
@@ -119,18 +119,44 @@
   expect(listed.state.worker?.workerKey).to.equal('i-2@900');
 });
 
-// Guards against a live worker that is given up for another one because one of its calls got lost.
-it('agent: an instance elsewhere replaces a worker only after a second of silence', () => {
+// Guards against a live worker that is given up for another one because some of its calls got lost, and
+// against an instance that is never taken.
+it('agent: an instance elsewhere under another id is taken once the lease has ended', () => {
   const elsewhere = { ...NEXT, address: 'w:2' };
-  const heard = hear(loseHold(createLeased()), elsewhere);
-  expect(callIdOf(heard, 'hold')).to.equal('none');
-  const silent = loseHold(dispatch(heard, { kind: 'tick' }, 500), 600);
-  const callId = callIdOf(silent, 'hold');
-  const listed = answer(silent, callId, { kind: 'done', clockMs: 1, bornAtMs: 900 });
+  const lose = (current: Fixture): Fixture => loseHold(current);
+  const steps = repeatHolds(loseHold(createLeased()), 11_000, (current) =>
+    hear(lose(current), { ...elsewhere, sequence: current.nowMs }),
+  );
+  const isAsked = ({ state }: Fixture): boolean =>
+    state.candidates.some(({ phase }) => phase === 'asked');
+  const asked = steps.find(isAsked) ?? createLeased();
+  expect(asked.state.worker).to.equal(undefined);
+  const listed = answer(asked, openHoldOf(asked), { kind: 'done', clockMs: 1, bornAtMs: 900 });
   expect(listed.state.worker?.workerKey).to.equal('i-2@900');
-  const answered = answerHold(dispatch(heard, { kind: 'tick' }, 500));
-  const late = dispatch(answered, { kind: 'tick' }, 600);
+});
+
+// Guards against a wait for the end of the lease of an instance that has a successor elsewhere.
+it('agent: a later birth under the id replaces a worker without a reply at any address', () => {
+  const later = { ...REPORT, bornAtMs: 900, address: 'w:2' };
+  const heard = hear(loseHold(createLeased()), later);
+  const callId = callIdOf(heard, 'hold');
+  const listed = answer(heard, callId, { kind: 'done', clockMs: 1, bornAtMs: 900 });
+  expect(goneKeysOf(listed)).to.deep.equal([KEY]);
+  expect(listed.state.worker?.workerKey).to.equal('i-1@900');
+  const earlier = hear(loseHold(createLeased()), { ...later, bornAtMs: 3 });
+  expect(callIdOf(earlier, 'hold')).to.equal('none');
+});
+
+// Guards against the end of a worker that has moved, by what answers at its former address.
+it('agent: an answer at a former address says nothing of the worker', () => {
+  const failing = dispatch(loseHold(createLeased()), { kind: 'tick' }, 200);
+  const former = failing.state.holdCallId ?? 'none';
+  const heard = hear(failing, { ...REPORT, address: 'w:2', sequence: 2 });
+  const moved = answer(heard, callIdOf(heard, 'hold'), { kind: 'done', clockMs: 90, bornAtMs: 5 });
+  expect(moved.state.worker?.report.address).to.equal('w:2');
+  const late = answer(moved, former, { kind: 'otherWorker' });
   expect(late.state.worker?.workerKey).to.equal(KEY);
+  expect(goneKeysOf(late)).to.deep.equal([]);
 });
 
 // Guards against the loss of a worker for good whose port was closed for a moment.
