--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -6,9 +6,9 @@
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, expireCalls, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
-import { goneEffects, onGoneRecorded, removeWorker, repeatGone, settleGone } from './gone';
+import { endUnansweredWorker, goneEffects, onGoneRecorded, repeatGone, settleGone } from './gone';
 import { isSameAddress } from './connect';
-import { noteLeaseEnd } from './heldlease';
+import { leaseToPass, noteLeaseEnd } from './heldlease';
 import { advanceLookup } from './lookup';
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
@@ -70,13 +70,12 @@
 }
 
 /**
- * Handles a worker's message that it leaves. A worker announces its end before; without that the
- * message may come from another writer, and a failed call has to confirm it.
+ * Handles a worker's message that it leaves. It is no proof that the worker has ended: it may come from
+ * another writer, or the worker may go on for a while.
  */
 function onWorkerLeft(state: RunnerState, id: string, nowMs: number): RunnerStep {
   const { worker } = state;
   if (worker?.report.id !== id) return unchanged(state);
-  if (worker.report.isDraining) return removeWorker(state, 'left', nowMs);
   return unchanged({
     ...state,
     worker: { ...worker, leftAtList: state.listCount },
@@ -98,17 +97,18 @@
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
-  if (worker.leaseUntilClockMs === undefined) return refuse('noLease');
+  const leaseUntilClockMs = leaseToPass(worker);
+  if (leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterList: Infinity, calledAtMs: nowMs };
   const pending = worker.pending.set(orderKey(run), order);
   const noted = noteStart({ ...worker, pending }, run, nowMs);
-  const called = noteLeaseEnd(noted, worker.leaseUntilClockMs);
+  const called = noteLeaseEnd(noted, leaseUntilClockMs);
   const call = {
     kind: 'start',
     ...run,
     fencingToken: state.token,
     payload,
-    leaseUntilClockMs: worker.leaseUntilClockMs,
+    leaseUntilClockMs,
     ...(checkpoint === undefined ? {} : { checkpoint }),
     ...(ticket === undefined ? {} : { ticket }),
   } as const;
@@ -185,9 +185,10 @@
     case 'tick': {
       const expired = expireCalls(state, nowMs);
       const repeated = repeatGone(expired.state, nowMs);
-      const settled = settleGone(repeated.state, nowMs);
+      const ended = endUnansweredWorker(repeated.state, nowMs);
+      const settled = settleGone(ended.state, nowMs);
       const step = reconnectIfSilent(settled.state, inputs);
-      const effects = [expired, repeated, settled, step].flatMap((part) => part.effects);
+      const effects = [expired, repeated, ended, settled, step].flatMap((part) => part.effects);
       return { state: step.state, effects };
     }
     case 'heartbeat':
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -119,6 +119,7 @@
 export interface GoneWorker {
   readonly workerKey: string;
   readonly id: string;
+  readonly address: string;
   readonly reason: WorkerEndReason;
   readonly phase: StateOf<typeof goneChart>;
   /** Start calls that a later instance may carry out, by run. */
@@ -163,12 +164,19 @@
   readonly latestEndClockMs: number;
 }
 
+/** Numbers of failed calls by result. */
+export interface FailureCounts {
+  readonly refused: number;
+  readonly lost: number;
+}
+
 /** Calls to the worker that have failed since its last reply. */
 export interface CallFailures {
   /** When the first one failed. */
   readonly sinceMs: number;
-  readonly refused: number;
-  readonly lost: number;
+  readonly all: FailureCounts;
+  /** Those that were sent after the first one had failed. */
+  readonly retries: FailureCounts;
 }
 
 /** State of the worker beside the agent, from its heartbeats and its replies. */
@@ -188,15 +196,13 @@
   readonly running: readonly ListedRun[];
   readonly ended: readonly ListedEnd[];
   readonly pending: Map<string, PendingOrder>;
-  /** Number of consecutive refused connections. */
-  readonly refusedConnections: number;
   /** Recent start calls that the worker may have carried out, by run. */
   readonly startCalls: Map<string, StartCall>;
   /** Absent while the worker replies. */
   readonly failures?: CallFailures;
   /**
-   * Number of the last request for a list before its message that it leaves, if it had not announced its
-   * end. A failed call confirms the message, and the reply to a later request refutes it.
+   * Number of the last request for a list before its message that it leaves. The reply to a later
+   * request refutes the message, which may come from another writer.
    */
   readonly leftAtList?: number;
 }
