Ignore a report whose list is older than one that was handled

Two agents may call one worker for a while, for example when heartbeats name the address of another machine's worker. The leader took the older list of the second agent for proof that a run which began meanwhile had never started, and placed its task again.

A list carries the worker's clock, which only rises.

--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -311,6 +311,14 @@
   return (state.links.get(linkId)?.number ?? -1) < newest;
 }
 
+/**
+ * Returns whether the worker made the list of a report before one that was handled. Two agents may call
+ * one worker for a while, and the older list lacks the runs that began since.
+ */
+function isOlderList({ workers }: SchedulerState, { workerKey, clockMs }: Report): boolean {
+  return clockMs < (workers.get(workerKey)?.clockMs ?? -1);
+}
+
 /** Applies an agent's report of its worker. */
 export function onReport(
   state: SchedulerState,
@@ -326,6 +334,10 @@
     const fields = { worker: workerKey, agent: report.agentId, reason: 'overtaken' };
     return withEffects(state, [logEffect('reportIgnored', fields)]);
   }
+  if (isOlderList(state, report)) {
+    const fields = { worker: workerKey, agent: report.agentId, reason: 'olderList' };
+    return withEffects(state, [logEffect('reportIgnored', fields)]);
+  }
   return chainAll(resetOrders(state, report, linkId), [
     (current) => unchanged(storeAddress(current, workerKey, report.worker.address)),
     (current) => updateWorker(current, linkId, report, nowMs),
