End a leader's right to grant when its clocks have run apart

A steady clock stands still while its machine is suspended. A leader that slept for longer than its window went on granting leases within what was left of it by that clock, while its successor had placed the tasks elsewhere.

The shell compares the time of day with the steady clock between two events. A step of the time of day costs one renewal. Ends of leases wait longer than needed after a sleep, and a held start waits for the next grant.

Not shown by a real suspension.

--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,4 +1,5 @@
 export * from './agentlinks';
+export * from './clockgap';
 export * from './controller';
 export * from './leaderlink';
 export * from './loadmeter';
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -10,6 +10,8 @@
 import { assertNever, chainAfter } from '@bronzeyoke/types';
 import { AGENT_CODEC } from '@bronzeyoke/wire';
 import type { AgentLinks } from './agentlinks';
+import type { ClockReading } from './clockgap';
+import { findClockGap } from './clockgap';
 import { followJobs } from './jobfeed';
 import { closeWindow, openWindow, recordEvent } from './loadmeter';
 import { performStoreCall } from './store';
@@ -96,6 +98,19 @@
     }
   };
 
+  const clocks: { last: ClockReading | undefined } = { last: undefined };
+
+  /** Tells the scheduler first if the clocks have run apart since the event before. */
+  const stepWithClocks: typeof stepScheduler = (state, event, inputs) => {
+    const reading = { steadyMs: performance.now(), wallMs: Date.now() };
+    const gapMs = findClockGap(clocks.last, reading);
+    clocks.last = reading;
+    if (gapMs === undefined) return stepScheduler(state, event, inputs);
+    return chainAfter(stepScheduler(state, { kind: 'clockGap', gapMs }, inputs), [
+      (current) => stepScheduler(current, event, inputs),
+    ]);
+  };
+
   const meter = { window: openWindow(performance.now()) };
 
   /**
@@ -104,7 +119,7 @@
    */
   const decide: typeof stepScheduler = (state, event, inputs) => {
     const startMs = performance.now();
-    const decided = stepScheduler(state, event, inputs);
+    const decided = stepWithClocks(state, event, inputs);
     const nowMs = performance.now();
     const hasPlaced = decided.state.passCount !== state.passCount;
     const durationMs = nowMs - startMs;
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -6,6 +6,7 @@
 import { logBlockedWorkers } from './fleet/blocked';
 import { passIntervalMs } from './leadership/budget';
 import { onClaimResult, onPoll, pollLease, retryClaim } from './leadership/claim';
+import { onClockGap } from './leadership/clockgap';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './leadership/flush';
 import {
   goneReportOf,
@@ -242,6 +243,8 @@
         passPace: recordPass(state.passPace, state.passWork, tookMs),
       });
     }
+    case 'clockGap':
+      return onClockGap(state, event.gapMs, nowMs);
     case 'configChanged':
       return unchanged({ ...state, config: event.config, needsPlacement: true });
     case 'timesChanged':
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -270,6 +270,8 @@
   | { readonly kind: 'tick'; readonly wallMs: number }
   /** Tells how long the last placement pass took. */
   | { readonly kind: 'passTook'; readonly durationMs: number }
+  /** The time of day and the steady clock have advanced by different amounts since the last event. */
+  | { readonly kind: 'clockGap'; readonly gapMs: number }
   | { readonly kind: 'configChanged'; readonly config: FleetConfig }
   | { readonly kind: 'timesChanged'; readonly times: SchedulerTimes }
   | { readonly kind: 'domainsOut'; readonly domains: ReadonlySet<string> }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -66,6 +66,7 @@
   | 'leaderSeen'
   | 'leaderLost'
   | 'leaderLoad'
+  | 'clockGap'
   | 'workersAwaited'
   | 'workerSeen'
   | 'workerCrashed'
