Remove the comparison of claims with workers of an earlier term

An entry that leads again compared the claims with the instances that it knew from its earlier term, and released the runs of the earlier ones at the end of the load. Every way back to 'following' resets the state of a leader, and reports are not applied during a load, so no such instance is ever known there: the code was reached only by a test that put one into the state by hand.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -2,7 +2,6 @@
 import type { TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import { assignedSlots } from '@bronzeyoke/workflow';
 import { indexInstances } from './identities';
-import { earlierInstances } from './instances';
 import { addOrphan, orphansOf } from '../jobs/jobend';
 import { leaseEndAtMs } from './leases';
 import { inheritedPaceOf } from '../placement/pace';
@@ -31,28 +30,19 @@
   );
 }
 
-/** Adds the addresses in the claims, and expires the workers that a known report proves to have ended. */
+/** Adds the addresses in the claims. */
 function withClaimedAddresses(
   workers: Map<string, WorkerView>,
   state: SchedulerState,
-  nowMs: number,
 ): Map<string, WorkerView> {
   const addresses = claimedAddresses(state);
-  const located = workers.map((view): WorkerView => {
+  return workers.map((view): WorkerView => {
     const [address, other] = addresses.get(view.workerKey, []);
     // Claims that name different addresses do not show which one the worker has left.
     return address === undefined || other !== undefined
       ? view
       : { ...view, claimedAddress: address };
   });
-  const instances = indexInstances(located);
-  const ended = state.workers
-    .valueSeq()
-    .flatMap(({ report }) => (report === undefined ? [] : earlierInstances(instances, report)));
-  return ended.reduce(
-    (all, workerKey) => all.update(workerKey, (view) => view && { ...view, expiresAtMs: nowMs }),
-    located,
-  );
 }
 
 /** Returns the run that the stored progress of a task tells of, if its job has such a stage. */
@@ -111,7 +101,7 @@
     const expiresAtMs = gone.has(workerKey) ? nowMs : leaseEndOf(workerKey);
     return [workerKey, unheardWorker(workerKey, expiresAtMs)] as const;
   });
-  const known = withClaimedAddresses(Map(workers), state, nowMs).merge(state.workers);
+  const known = withClaimedAddresses(Map(workers), state);
   return {
     ...state,
     suspects: findSuspects(state, nowMs),
--- a/packages/scheduler/test/adopt.test.ts
+++ b/packages/scheduler/test/adopt.test.ts
@@ -9,12 +9,15 @@
   advance,
   commitAll,
   createLeader,
+  createLoading,
   createSuccessor,
   dispatch,
   goneMessage,
   inFlight,
   jobOf,
   lastWritten,
+  leaderRow,
+  leaseRow,
   listedRun,
   load,
   loggedFields,
@@ -117,18 +120,33 @@
   expect(writes).to.deep.equal([0, 0]);
 });
 
-// Guards against a wait for the lease of a run whose successor at the address reported before the load ended.
-it('releases an adopted run when a later instance was known before the load ended', () => {
-  const known = report(createLeader(), 'w2', { bornAtMs: 900, address: 'w1:1' });
-  const loading = createSuccessor();
-  const { workers, links } = known.state;
-  const state = { ...loading.state, workers, links };
-  const loaded = load({ ...loading, state }, [jobOf('job1', [stageOf(1)])], {
+/** Returns an entry that knew a later instance at w1:1 while it led, and leads again after another one. */
+function leadingAgain(): Fixture {
+  const known = commitAll(report(createLeader(), 'w2', { bornAtMs: 900, address: 'w1:1' }));
+  const other = { entryId: 'entry-2', host: 'h2', port: 2, term: 2 };
+  const deposed = dispatch(known, { kind: 'leaderRow', row: leaderRow(other, 20) });
+  expect(deposed.state.phase).to.equal('following');
+  const grants = { lastEndMs: 5_300, earlierEndMs: 0, awaitedEndMs: {} };
+  const released = { entryId: 'entry-2', number: 3, isReleased: true, grants };
+  const loading = createLoading({ ...deposed, effects: [] }, [leaseRow(released, 21)]);
+  const loaded = load(loading, [jobOf('job1', [stageOf(1)])], {
     job1: { [SLOT]: storedRun('w1') },
   });
-  expect(taskOf(commitAll(advance(commitAll(loaded), 50)))?.workerKey).to.equal(
-    workerKeyFor('w2', 900),
-  );
+  return commitAll(advance(commitAll(loaded), 50));
+}
+
+// Guards against a second run of a task by what an entry remembers of an earlier term: a later instance may
+// list the run meanwhile, so only its next report tells.
+it('keeps an adopted run until a later instance known from an earlier term reports', () => {
+  const begun = leadingAgain();
+  expect(begun.state.phase).to.equal('leading');
+  expect(taskOf(begun)?.workerKey).to.equal(workerKeyFor('w1', 500));
+  const instance = { bornAtMs: 900, address: 'w1:1' };
+  const listed = report(begun, 'w2', { ...instance, running: [listedRun('job1.0.0.0', 1)] });
+  expect(taskOf(listed)?.attempt).to.equal(1);
+  expect(taskOf(listed)?.workerKey).to.equal(workerKeyFor('w2', 900));
+  const empty = report(begun, 'w2', instance);
+  expect(taskOf(empty)?.attempt).to.equal(2);
 });
 
 // Guards against a claim without the address that a new leader needs.
