Count the longest lease only for instances that were born lately

A new leader sees all workers for the first time, so each take-over made the leases of all of them count for 10.45 s, and the tasks of a machine that went silent in the next 5 s stayed away that long; the lease row named every worker. A call to the instance before can only have reached an instance that was born shortly before, so others count as holding what leaders grant.

--- a/packages/scheduler/src/fleet/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -24,13 +24,26 @@
   return agentLeaseMs + marginMs;
 }
 
+/**
+ * Age of an instance up to which a call to the one before it may have reached it, with room for times of day
+ * that differ: such calls are up to 12 s late.
+ */
+const YOUNG_INSTANCE_MS = 15_000;
+
 /**
  * Returns when the lease of a worker that reports for the first time has ended at the latest. A call to the
  * instance before it carries a lease by that one's clock, which the worker cuts to the longest one; the
- * tokens of the calls that led to the report refuse later calls of that kind.
+ * tokens of the calls that led to the report refuse later calls of that kind. An instance of some age, as a
+ * new leader sees it, has none left of these.
  */
-export function firstLeaseEndAtMs({ maxLeaseEndMs }: SchedulerTimes, nowMs: number): number {
-  return nowMs + maxLeaseEndMs;
+export function firstLeaseEndAtMs(
+  times: SchedulerTimes,
+  bornAtMs: number,
+  nowMs: number,
+  wallMs: number,
+): number {
+  const isYoung = wallMs - bornAtMs < YOUNG_INSTANCE_MS + times.maxLeaseEndMs;
+  return nowMs + (isYoung ? times.maxLeaseEndMs : leaseEndMs(times));
 }
 
 function lastLeaseEndMs(times: SchedulerTimes): number {
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -74,6 +74,7 @@
   linkId: string,
   report: Report,
   nowMs: number,
+  wallMs: number,
 ): SchedulerStep {
   const { workerKey, worker, clockMs } = report;
   const times = state.storedTimes ?? state.settings.times;
@@ -87,7 +88,7 @@
     linkId,
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: isNewClock ? clockMs : (known?.clockMs ?? -1),
-    expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, nowMs),
+    expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, worker.bornAtMs, nowMs, wallMs),
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
@@ -340,7 +341,7 @@
   }
   return chainAll(resetOrders(state, report, linkId), [
     (current) => unchanged(storeAddress(current, workerKey, report.worker.address)),
-    (current) => updateWorker(current, linkId, report, nowMs),
+    (current) => updateWorker(current, linkId, report, nowMs, wallMs),
     (current) =>
       isCompared ? unchanged(current) : releaseEarlierInstances(current, report, nowMs),
     (current) => unchanged(markCompared(current, workerKey)),
