--- a/packages/scheduler/test/passbudget.test.ts
+++ b/packages/scheduler/test/passbudget.test.ts
@@ -80,6 +80,18 @@
   expect(claimedOf(after, 'short')).to.equal(10);
 });
 
+// Guards against lasting tasks that stay away for longer than promised after a take-over, because each of
+// them looks at the whole fleet.
+it('passbudget: 600 lasting tasks get a place in time on a large fleet', () => {
+  const before = takeOver(
+    jobsOf(20, (index) => lasting(`lasting${index}`, 500, 30)),
+    MANY_WORKERS,
+  );
+  const after = playTurns(before, 80);
+  expect(after.fixture.nowMs - before.fixture.nowMs).to.be.lessThan(AWAY_MS);
+  expect(claimedOf(after, 'lasting')).to.equal(600);
+});
+
 // Guards against an urgent job that waits until a backlog of less urgent ones has had its turn.
 it('passbudget: an urgent job gets a place before a backlog of less urgent ones', () => {
   const backlog = jobsOf(300, (index) => {
