Let another writer of the soak report that live workers leave or drain

Cause: the soak's odd writer sent heartbeats only, so that the message that a worker leaves, which another writer may send too, was never in a run.

Change: the faults oddDraining, oddLeave and oddAnnouncedLeave repeat such messages of a live worker to its agent for some time. Heartbeats name the same failure domain as the agent beside the worker. A run can have a shorter time without faults (calmMs), for regression cases that look for double runs only.

--- a/soak/inject.ts
+++ b/soak/inject.ts
@@ -1,13 +1,17 @@
+import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { assertNever } from '@bronzeyoke/types';
 import type { PlatformFaults } from '../platform/test/standin';
+import type { SoakWorker } from './heartbeat';
+import { sendOddMessages } from './oddwriter';
 import type { Program } from './program';
 import type { SoakLink, SoakSite } from './site';
 import { createConfig } from './site';
-import type { Fault, Hop, Scope } from './types';
+import type { Fault, Hop, OddMessages, Scope } from './types';
 
 const ORDER_DELAY_MS = 2_000;
 const RESTART_CHECK_MS = 50;
+const ODD_INTERVAL_MS = 300;
 const NO_FAULTS: PlatformFaults = { isStoreDown: false, losesAnswers: false };
 
 function elementAt<Value>(values: readonly Value[], index: number): Value {
@@ -54,6 +58,18 @@
   program.send('start');
 }
 
+/** Sends odd messages of a worker until a time. */
+async function repeatOddMessages(
+  worker: SoakWorker,
+  messages: OddMessages,
+  untilMs: number,
+): Promise<void> {
+  // The agent may be down; the next messages follow after the interval.
+  await sendOddMessages(worker, messages).catch(() => undefined);
+  await sleep(ODD_INTERVAL_MS);
+  if (performance.now() < untilMs) await repeatOddMessages(worker, messages, untilMs);
+}
+
 /** Injects a fault and resolves when it is over. */
 export async function inject(site: SoakSite, fault: Fault): Promise<void> {
   const { programs, store } = site;
@@ -109,6 +125,12 @@
       await sleep(fault.forMs);
       return platform.setFaults(NO_FAULTS);
     }
+    case 'oddMessages':
+      return repeatOddMessages(
+        elementAt(site.workers, fault.worker),
+        fault.messages,
+        performance.now() + fault.forMs,
+      );
     case 'configure':
       return store.put('op', 'config', createConfig(Date.now()));
     default:
--- a/soak/oddwriter.ts
+++ b/soak/oddwriter.ts
@@ -1,9 +1,11 @@
 import { PARTITION } from '@bronzeyoke/scheduler';
-import { request } from 'undici';
+import { assertNever } from '@bronzeyoke/types';
 import type { StandinPlatform } from '../platform/test/standin';
+import type { SoakWorker } from './heartbeat';
+import { createHeartbeat, sendHeartbeat, sendLeave } from './heartbeat';
+import type { OddMessages } from './types';
 
 const INTERVAL_MS = 300;
-const TIMEOUT_MS = 1_000;
 
 const DEEP = `${'['.repeat(20_000)}${']'.repeat(20_000)}`;
 
@@ -43,15 +45,6 @@
   '\u0000\u0001',
 ];
 
-async function sendHeartbeat(address: string, id: string, body: string): Promise<void> {
-  const response = await request(`http://${address}/bronzeyoke/instances/${id}`, {
-    method: 'PUT',
-    body,
-    signal: AbortSignal.timeout(TIMEOUT_MS),
-  });
-  await response.body.dump();
-}
-
 /** Writes odd rows and heartbeats, one of each in turn, until it is stopped. */
 export function startOddWriter(
   store: StandinPlatform,
@@ -76,3 +69,21 @@
   }, INTERVAL_MS);
   return { stop: () => clearInterval(timer) };
 }
+
+/** Sends an agent messages that another writer makes of its live worker. */
+export async function sendOddMessages(worker: SoakWorker, messages: OddMessages): Promise<void> {
+  const { agentAddress, id } = worker;
+  const drain = (): Promise<void> =>
+    sendHeartbeat(agentAddress, id, JSON.stringify(createHeartbeat(worker, 'draining')));
+  switch (messages) {
+    case 'draining':
+      return drain();
+    case 'leave':
+      return sendLeave(agentAddress, id);
+    case 'announcedLeave':
+      await drain();
+      return sendLeave(agentAddress, id);
+    default:
+      return assertNever(messages);
+  }
+}
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -84,6 +84,12 @@
       return { kind, worker: index };
     case 'ordersLate':
       return { kind, worker: index, forMs };
+    case 'oddDraining':
+      return { kind: 'oddMessages', worker: index, messages: 'draining', forMs };
+    case 'oddLeave':
+      return { kind: 'oddMessages', worker: index, messages: 'leave', forMs };
+    case 'oddAnnouncedLeave':
+      return { kind: 'oddMessages', worker: index, messages: 'announcedLeave', forMs };
     default:
       return assertNever(kind);
   }
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -26,6 +26,8 @@
   readonly callers: number;
   /** Faults to choose from; all unless given. */
   readonly selection?: FaultSelection;
+  /** Time without faults at the end; long enough for every accepted job to end unless given. */
+  readonly calmMs?: number;
   /** Path of the bundled program. */
   readonly bundle: string;
   /** Folder for the programs' settings and logs, and for the timeline. */
@@ -71,7 +73,7 @@
     }),
   );
   phase.isCalm = true;
-  await sleep(CALM_PERIOD_MS);
+  await sleep(options.calmMs ?? CALM_PERIOD_MS);
   phase.isOver = true;
   await Promise.all(callers);
   const violations = findViolations(observations, nowMs());
--- a/soak/selection.ts
+++ b/soak/selection.ts
@@ -22,6 +22,9 @@
   'storeForgets',
   'workerCrash',
   'ordersLate',
+  'oddDraining',
+  'oddLeave',
+  'oddAnnouncedLeave',
   'configure',
 ] as const;
 
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -1,7 +1,8 @@
 import { parseAddress } from '@bronzeyoke/types';
-import { request } from 'undici';
 import type { StandinPlatform } from '../platform/test/standin';
 import { startPlatform } from '../platform/test/standin';
+import type { SoakWorker } from './heartbeat';
+import { createHeartbeat, sendHeartbeat } from './heartbeat';
 import { CRASH_DELAY_MS, isCrashingTask, workMsOf } from './jobs';
 import { claimLoopbackRange } from './loopback';
 import { startOddWriter } from './oddwriter';
@@ -12,15 +13,8 @@
 import type { Hop, SoakObservation } from './types';
 
 const HEARTBEAT_INTERVAL_MS = 400;
-const HEARTBEAT_TIMEOUT_MS = 1_000;
 const WORKERS_PER_DOMAIN = 2;
 
-/** A worker's stand-in and the id in its heartbeats. */
-export interface SoakWorker {
-  readonly id: string;
-  readonly platform: StandinPlatform;
-}
-
 /** A proxy on a hop. The failure domain is that of the program that connects, or accepts callers. */
 export interface SoakLink {
   readonly hop: Hop;
@@ -59,32 +53,6 @@
   };
 }
 
-async function sendHeartbeat(
-  worker: SoakWorker,
-  address: string,
-  heartbeatAddress: string,
-): Promise<void> {
-  const body = {
-    service: 'quoter',
-    addr: address,
-    zone: `zone-${worker.id.slice(-1)}`,
-    version: 'v1',
-    slots: 8,
-    state: 'ready',
-    coldLeftMs: 0,
-    capacity: { cpu: 4_000, memMb: 8_000, gpu: 0 },
-    labels: ['a', 'r1'],
-    seq: Date.now(),
-    born: worker.platform.bornAtMs(),
-  };
-  const response = await request(`http://${heartbeatAddress}/bronzeyoke/instances/${worker.id}`, {
-    method: 'PUT',
-    body: JSON.stringify(body),
-    signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS),
-  });
-  await response.body.dump();
-}
-
 /** Numbers of entries and workers of a site. */
 export interface SiteSize {
   readonly entries: number;
@@ -162,11 +130,17 @@
         }
         observe({ ...event, atMs: nowMs(), worker: id });
       }, workMsOf);
-      const worker = { id, platform };
       const domain = Math.floor(index / WORKERS_PER_DOMAIN);
       const storeLink = await startLink('agentStore', domain, store.address);
       const workerLink = await startLink('agentWorker', domain, platform.address);
       const heartbeatAddress = nextAddress();
+      const worker = {
+        id,
+        platform,
+        address: workerLink.proxy.address,
+        domain,
+        agentAddress: heartbeatAddress,
+      };
       const { host = '' } = parseAddress(heartbeatAddress) ?? {};
       const program = await createProgram(
         bundle,
@@ -184,7 +158,9 @@
       );
       const timer = setInterval(() => {
         // A failed heartbeat is not retried: the next one follows after the interval.
-        sendHeartbeat(worker, workerLink.proxy.address, heartbeatAddress).catch(() => undefined);
+        sendHeartbeat(heartbeatAddress, id, JSON.stringify(createHeartbeat(worker, 'ready'))).catch(
+          () => undefined,
+        );
       }, HEARTBEAT_INTERVAL_MS);
       return { program, worker, timer, heartbeatAddress, links: [storeLink, workerLink] };
     }),
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -23,6 +23,9 @@
   | { readonly kind: 'domain'; readonly index: number }
   | { readonly kind: 'all' };
 
+/** What another writer says of a live worker. */
+export type OddMessages = 'draining' | 'leave' | 'announcedLeave';
+
 /** A fault that the soak injects. Programs and workers are chosen by index, modulo their number. */
 export type Fault =
   | { readonly kind: 'kill'; readonly program: number; readonly forMs: number }
@@ -44,6 +47,12 @@
   | { readonly kind: 'storeForgets' }
   | { readonly kind: 'workerCrash'; readonly worker: number }
   | { readonly kind: 'ordersLate'; readonly worker: number; readonly forMs: number }
+  | {
+      readonly kind: 'oddMessages';
+      readonly worker: number;
+      readonly messages: OddMessages;
+      readonly forMs: number;
+    }
   | { readonly kind: 'configure' };
 
 /** A fault and its time, counted from the start of the faults. */
