Keep the runs of an instance that its own agent has just reported

A report of a later instance at an address ended the earlier one that was last known there. If the earlier one had moved to another address, its tasks were placed a second time before its agent told of that.

An instance that another agent has reported within the last 0.8 s on an open connection is not released; the later one is compared again with its next report. By then the earlier one is known at its new address, or silent and released.

--- a/packages/scheduler/src/fleet/instances.ts
+++ b/packages/scheduler/src/fleet/instances.ts
@@ -25,6 +25,24 @@
   );
 }
 
+/** Age of its last report from which a worker no longer counts as reported by its own agent. */
+const RECENT_REPORT_MS = 800;
+
+/**
+ * Returns whether another agent than that of a report has just reported an instance, and is connected. The
+ * instance may have moved to another address, which that agent tells with its next report.
+ */
+export function isReportedElsewhere(
+  { workers }: SchedulerState,
+  workerKey: string,
+  { agentId }: { readonly agentId: string },
+  nowMs: number,
+): boolean {
+  const view = workers.get(workerKey);
+  if (view?.linkId === undefined || view.agentId === agentId) return false;
+  return nowMs - (view.reportedAtMs ?? -Infinity) < RECENT_REPORT_MS;
+}
+
 function hasMoved({ workerAddress }: TaskProgress, address: string): boolean {
   return workerAddress !== undefined && workerAddress !== address;
 }
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -16,6 +16,7 @@
 import {
   earlierInstances,
   hasNewerInstance,
+  isReportedElsewhere,
   markCompared,
   storeAddress,
   wasCompared,
@@ -130,15 +131,18 @@
   nowMs: number,
 ): SchedulerStep {
   const earlier = earlierInstances(state.instances, report.worker);
-  return chainAfter(
-    moveListedRuns(state, earlier, report),
-    earlier.map((workerKey) => (current: SchedulerState) => {
+  const ended = earlier.filter((key) => !isReportedElsewhere(state, key, report, nowMs));
+  const released = chainAfter(
+    moveListedRuns(state, ended, report),
+    ended.map((workerKey) => (current: SchedulerState) => {
       const lateStarts = lateStartsOn(current, workerKey, report.agentId, nowMs);
       return lateStarts.length > 0
         ? releaseEndedRuns(current, workerKey, lateStarts, nowMs)
         : releaseWorker(current, workerKey, 'workerGone', nowMs);
     }),
   );
+  if (ended.length < earlier.length) return released;
+  return chainAfter(released, [(current) => unchanged(markCompared(current, report.workerKey))]);
 }
 
 /**
@@ -330,7 +334,6 @@
     (current) => updateWorker(current, linkId, report, nowMs),
     (current) =>
       isCompared ? unchanged(current) : releaseEarlierInstances(current, report, nowMs),
-    (current) => unchanged(markCompared(current, workerKey)),
     (current) => applyEnds(current, report, nowMs, wallMs),
     ...report.running.map(
       (listed) => (current: SchedulerState) => updateListed(current, workerKey, listed, nowMs),
