Refuse start orders while calls to the worker fail

Callers see a task wait for seconds: a start order to a worker that can't be reached stayed open, its effect unknown, until the worker's end was proven and 3 s after the call.

While calls fail the agent refuses start orders with 'unreachable' and makes no call, and it refuses an order whose connection was refused: nothing left the process, so the run did not begin. The leader places nothing on that worker until its next report, which the agent sends with the first list after the failure, at whatever interval the leader asked for.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -2,6 +2,7 @@
 import type { ListedRun, WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
+import type { RunRef } from '@bronzeyoke/wire';
 import { noteResult } from './failures';
 import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
 import { leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
@@ -187,6 +188,17 @@
   }
 }
 
+/** Refuses a start order whose call was not sent, because its connection was refused. */
+function refuseUnsent(state: RunnerState, worker: WorkerState, run: RunRef): RunnerStep {
+  const { workerKey } = worker;
+  const pending = worker.pending.delete(orderKey(run));
+  return {
+    // The leader uses the worker again after its next report.
+    state: without({ ...state, worker: forgetStart({ ...worker, pending }, run) }, 'lastReport'),
+    effects: sendToLeader(state, { kind: 'refused', workerKey, run, reason: 'unreachable' }),
+  };
+}
+
 function onStartResult(
   state: RunnerState,
   worker: WorkerState,
@@ -197,6 +209,7 @@
   const key = orderKey(run);
   const order = worker.pending.get(key);
   if (order === undefined) return unchanged(state);
+  if (result.kind === 'notListening') return refuseUnsent(state, worker, run);
   const event = result.kind === 'done' || result.kind === 'refused' ? result.kind : 'lost';
   const next = advance(orderChart, order.phase, event);
   const token = next.actions.includes('raiseToken') ? state.token + 1 : state.token;
@@ -217,9 +230,8 @@
     phase: next.state,
     afterList: state.listCount,
   });
-  const known = result.kind === 'notListening' ? forgetStart(worker, run) : worker;
   return {
-    state: { ...state, token, worker: { ...known, pending } },
+    state: { ...state, token, worker: { ...worker, pending } },
     effects:
       event === 'lost'
         ? [logEffect('orderLost', { ...run, worker: worker.workerKey, call: result.kind })]
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -3,7 +3,7 @@
 import { workerKeyOf } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chain, isSameAmount, unchanged, without } from '@bronzeyoke/types';
-import type { LeaderMessage } from '@bronzeyoke/wire';
+import type { AgentRefusal, LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, expireCalls, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { endUnansweredWorker, goneEffects, onGoneRecorded, repeatGone, settleGone } from './gone';
@@ -91,12 +91,17 @@
   const { workerKey, run, payload, checkpoint, ticket } = message;
   const { worker } = state;
   const seen = { ...state, lastOrder: Math.max(state.lastOrder, message.order) };
-  const refuse = (reason: 'expired' | 'draining' | 'noLease'): RunnerStep => ({
+  const refuse = (reason: AgentRefusal): RunnerStep => ({
     state: seen,
     effects: sendToLeader(state, { kind: 'refused', workerKey, run, reason }),
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
+  if (worker.failures !== undefined) {
+    const refused = refuse('unreachable');
+    // The leader uses the worker again after its next report.
+    return { ...refused, state: without(refused.state, 'lastReport') };
+  }
   const leaseUntilClockMs = leaseToPass(worker);
   if (leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterList: Infinity, calledAtMs: nowMs };
--- a/packages/runner/test/proofs.test.ts
+++ b/packages/runner/test/proofs.test.ts
@@ -116,3 +116,37 @@
   expect(reportsOf(late)).to.deep.equal([]);
   expect(late.state.worker?.running).to.deep.equal([LISTED]);
 });
+
+/** Returns the reasons for which the last step refused start orders. */
+function refusalsOf({ effects }: Fixture): readonly string[] {
+  return effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'refused' ? [effect.message.reason] : [],
+  );
+}
+
+// Guards against starts whose effect nobody knows, and against tasks that wait until a lease has ended.
+it('proofs: a start order is refused while calls to the worker fail', () => {
+  const refused = order(lose(createLeased()));
+  expect(refusalsOf(refused)).to.deep.equal(['unreachable']);
+  expect(callIdOf(refused, 'start')).to.equal('none');
+  expect(refused.state.worker?.pending.size).to.equal(0);
+  const granted = dispatch(refused, {
+    kind: 'received',
+    message: { kind: 'grant', workerKey: KEY, leaseUntilClockMs: 9_000, reportIntervalMs: 5_000 },
+  });
+  const listed = answerHold(dispatch(granted, { kind: 'tick' }, 150));
+  expect(reportsOf(listed)).to.have.length(1);
+  expect(callIdOf(order(listed), 'start')).not.to.equal('none');
+});
+
+// Guards against a task that waits for a late effect of a call that never left the agent.
+it('proofs: a start whose connection was refused did not begin', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const unsent = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'notListening' } });
+  expect(refusalsOf(unsent)).to.deep.equal(['unreachable']);
+  expect(unsent.state.worker?.pending.size).to.equal(0);
+  const lost = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'lost' } });
+  expect(refusalsOf(lost)).to.deep.equal([]);
+  expect(lost.state.worker?.pending.size).to.equal(1);
+});
--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -72,13 +72,21 @@
 /** Returns the report of a worker on which tasks may be placed. */
 function usableReport(
   state: SchedulerState,
-  { workerKey, report, linkId, quarantinedUntilMs, hasEnded = false }: WorkerView,
+  {
+    workerKey,
+    report,
+    linkId,
+    quarantinedUntilMs,
+    hasEnded = false,
+    isUnreachable = false,
+  }: WorkerView,
   nowMs: number,
 ): WorkerReport | undefined {
   const isUsable =
     report !== undefined &&
     linkId !== undefined &&
     !hasEnded &&
+    !isUnreachable &&
     !report.isDraining &&
     !hasUnknownNeeds(runsOn(state.orphans, workerKey)) &&
     !state.domainsOut.has(report.domain) &&
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -45,6 +45,7 @@
 import type { RunView, UnwantedStop, WorkerView } from '../views';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
+type Refusal = Extract<RunnerMessage, { kind: 'refused' }>;
 
 /** Returns the stops of runs that a worker still lists. */
 function stillListed(
@@ -113,7 +114,12 @@
     awaited: state.awaited.delete(workerKey),
     // The row has to be written before a worker that it names as awaited gets a lease.
     renewAtMs: isAwaited(state, workerKey) ? nowMs : state.renewAtMs,
-    needsPlacement: state.needsPlacement || isChanged || hasOtherRoom || known.linkId === undefined,
+    needsPlacement:
+      state.needsPlacement ||
+      isChanged ||
+      hasOtherRoom ||
+      known.linkId === undefined ||
+      known.isUnreachable === true,
   };
   const granted = grantIfAllowed(updated, workerKey, nowMs);
   return withEffects(granted.state, [...granted.effects, ...log]);
@@ -326,12 +332,21 @@
   ]);
 }
 
+/** Records that an agent cannot reach its worker, until its next report. */
+function noteUnreachable(state: SchedulerState, { workerKey, reason }: Refusal): SchedulerState {
+  const view = state.workers.get(workerKey);
+  if (view === undefined || reason !== 'unreachable') return state;
+  const workers = state.workers.set(workerKey, { ...view, isUnreachable: true });
+  return { ...state, workers };
+}
+
 /** Releases a run whose order was refused; the run did not start and never will. */
 export function onOrderRefused(
-  state: SchedulerState,
-  message: Extract<RunnerMessage, { kind: 'refused' }>,
+  known: SchedulerState,
+  message: Refusal,
   nowMs: number,
 ): SchedulerStep {
+  const state = noteUnreachable(known, message);
   const { task, attempt } = message.run;
   const run = state.runs.byTask.get(task);
   const log = taskLog(knownStage(state, message.run), 'orderRefused', {
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -118,6 +118,8 @@
   /** Jobs that failed here since the last success. */
   readonly failedJobs: readonly string[];
   readonly quarantinedUntilMs: number;
+  /** Its agent has refused an order since its last report, because calls to it fail. */
+  readonly isUnreachable?: boolean;
   /** Its process has ended, but some of its runs may still begin. */
   readonly hasEnded?: boolean;
   /** Value of `instanceCount` when other instances at its address and under its id were looked for. */
--- a/packages/scheduler/test/gone.test.ts
+++ b/packages/scheduler/test/gone.test.ts
@@ -159,6 +159,22 @@
   expect(sentMessages(placed, 'start')).to.have.length(2);
 });
 
+// Guards against a task that is ordered on one worker again and again that its agent can't reach.
+it('places nothing on a worker that its agent cannot reach until the next report', () => {
+  const placed = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [stageOf(1)])));
+  const run = { task: 'job1.0.0.0', attempt: 1 };
+  const refused = dispatch(placed, {
+    kind: 'received',
+    linkId: 'link-w1',
+    message: { kind: 'refused', workerKey: workerKeyFor('w1'), run, reason: 'unreachable' },
+    wallMs: WALL_MS,
+  });
+  const later = commitAll(advance(commitAll(refused), 500));
+  expect(workerOf(later, '0.0.0')).to.equal(undefined);
+  const reported = commitAll(advance(report(later, 'w1'), 50));
+  expect(workerOf(reported, '0.0.0')).to.equal(workerKeyFor('w1'));
+});
+
 // Guards against a second run of a task whose order a later instance may still carry out.
 it('keeps an open run until its worker is gone', () => {
   const ended = commitAll(report(endedWithOpenRun(), 'w2'));
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -41,6 +41,14 @@
   readonly recentStarts: readonly RecentStart[];
 }
 
+/** Reason for which an agent does not carry out a start order. Nothing of the order reached a worker. */
+export type AgentRefusal =
+  | 'noLease'
+  | 'draining'
+  | 'expired'
+  /** Calls to the worker fail. */
+  | 'unreachable';
+
 /** Messages from an agent to the leader, and from a new leader to the former one. */
 export type RunnerMessage =
   | {
@@ -63,7 +71,7 @@
       readonly kind: 'refused';
       readonly workerKey: string;
       readonly run: RunRef;
-      readonly reason: OrderRefusal | 'noLease' | 'draining' | 'expired';
+      readonly reason: OrderRefusal | AgentRefusal;
     }
   /** The worker of an earlier report has stopped. A later instance may still begin some of its runs. */
   | ({ readonly kind: 'workerEnded'; readonly openRuns: readonly RunRef[] } & WorkerEnd)
