Pass the whole granted lease on before an agent's planned stop

A restarted agent ended the runs of its worker if it was away for longer than the 3 s that it passes on, although the leader had granted 4.9 s.

The chart of the agent has a state 'handingOver' before its end: one more hold carries the lease of the leader; its answer or its loss (0.7 s, 1 s of the time of a stop is kept for it) ends the process. An agent without a worker or a grant exits at once as before.

Tests: 'a stop with nothing to settle ends at once' now uses an agent without a worker; with one, the new test checks the lease that is passed on and that the result ends the stop.

--- a/packages/runner/src/settle.ts
+++ b/packages/runner/src/settle.ts
@@ -1,11 +1,16 @@
 import type { ActionOf } from '@bronzeyoke/chart';
 import { advance } from '@bronzeyoke/chart';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever, unchanged } from '@bronzeyoke/types';
+import { assertNever, chain, unchanged } from '@bronzeyoke/types';
+import { callWorker } from './calls';
+import { noteLeaseEnd } from './heldlease';
 import { reportEffects } from './report';
-import type { RunnerEffect, RunnerState, RunnerStep } from './types';
+import type { RunnerState, RunnerStep } from './types';
 import { agentChart } from './types';
 
+/** Time that is kept for passing the lease on; longer than the timeout of the call. */
+const HAND_OVER_MS = 1_000;
+
 /** Returns whether the worker listed ends before the stop that no leader has acknowledged. */
 function hasOpenEnds({ worker, stopping }: RunnerState): boolean {
   return (
@@ -20,23 +25,42 @@
   return state.goneWorkers.length === 0 && !hasOpenEnds(state);
 }
 
+/** Passes the whole lease that the leader granted on to the worker. */
+function passLease(state: RunnerState, nowMs: number): RunnerStep {
+  const { worker, stopping, token: fencingToken } = state;
+  const leaseUntilClockMs = worker?.leaseUntilClockMs;
+  if (worker === undefined || stopping === undefined || leaseUntilClockMs === undefined) {
+    return unchanged(state);
+  }
+  const { ackSequence } = worker;
+  const hold = { kind: 'hold', fencingToken, ackSequence, leaseUntilClockMs, waitMs: 0 } as const;
+  const noted = { ...state, worker: noteLeaseEnd(worker, leaseUntilClockMs) };
+  const call = callWorker(noted, worker, hold, nowMs);
+  const handOverCallId = call.state.pendingCalls.findKey(({ call: sent }) => sent === hold);
+  if (handOverCallId === undefined) return call;
+  return { ...call, state: { ...call.state, stopping: { ...stopping, handOverCallId } } };
+}
+
 function performAction(
   state: RunnerState,
   action: ActionOf<typeof agentChart>,
-): readonly RunnerEffect[] {
+  nowMs: number,
+): RunnerStep {
   const fields = {
     goneWorkers: state.goneWorkers.map(({ workerKey }) => workerKey).join(','),
     hasOpenEnds: hasOpenEnds(state),
   };
   switch (action) {
     case 'logSettling':
-      return [logEffect('settling', fields)];
+      return { state, effects: [logEffect('settling', fields)] };
     case 'logUnsettled':
-      return [logEffect('unsettled', fields)];
+      return { state, effects: [logEffect('unsettled', fields)] };
     case 'report':
-      return reportEffects(state);
+      return { state, effects: reportEffects(state) };
+    case 'passLease':
+      return passLease(state, nowMs);
     case 'exit':
-      return [{ kind: 'settled' }];
+      return { state, effects: [{ kind: 'settled' }] };
     default:
       return assertNever(action);
   }
@@ -44,11 +68,14 @@
 
 function advanceAgent(
   state: RunnerState,
-  event: 'stop' | 'stopIdle' | 'settled' | 'deadline',
+  event: 'stop' | 'stopIdle' | 'settled' | 'passed' | 'deadline',
+  nowMs: number,
 ): RunnerStep {
   const { state: phase, actions } = advance(agentChart, state.phase, event);
-  const next = { ...state, phase };
-  return { state: next, effects: actions.flatMap((action) => performAction(next, action)) };
+  return actions.reduce<RunnerStep>(
+    (step, action) => chain(step, (current) => performAction(current, action, nowMs)),
+    unchanged({ ...state, phase }),
+  );
 }
 
 /** Starts a planned stop. It waits for what the agent knows now, not for later ends of runs. */
@@ -62,15 +89,41 @@
     endSequence: Math.max(0, ...sequences),
   };
   const updated = { ...state, stopping };
-  return advanceAgent(updated, isSettled(updated) ? 'stopIdle' : 'stop');
+  return advanceAgent(updated, isSettled(updated) ? 'stopIdle' : 'stop', nowMs);
+}
+
+/** Returns how much of the time of a stop is left. */
+function timeLeftMs({ stopping }: RunnerState, nowMs: number): number {
+  return (stopping?.deadlineAtMs ?? 0) - nowMs;
+}
+
+function settle(state: RunnerState, nowMs: number): RunnerStep {
+  if (isSettled(state)) return advanceAgent(state, 'settled', nowMs);
+  const keptMs = state.worker?.leaseUntilClockMs === undefined ? 0 : HAND_OVER_MS;
+  return timeLeftMs(state, nowMs) > keptMs
+    ? unchanged(state)
+    : advanceAgent(state, 'deadline', nowMs);
 }
 
-/** Ends a planned stop when everything is settled or its time is over. */
-export function settleIfDue(step: RunnerStep, nowMs: number): RunnerStep {
-  const { state, effects } = step;
-  if (state.phase !== 'settling') return step;
-  const isLate = nowMs >= (state.stopping?.deadlineAtMs ?? 0);
-  if (!isSettled(state) && !isLate) return step;
-  const end = advanceAgent(state, isSettled(state) ? 'settled' : 'deadline');
-  return { state: end.state, effects: [...effects, ...end.effects] };
+function handOver(state: RunnerState, nowMs: number): RunnerStep {
+  const { handOverCallId = '' } = state.stopping ?? {};
+  if (!state.pendingCalls.has(handOverCallId)) return advanceAgent(state, 'passed', nowMs);
+  return timeLeftMs(state, nowMs) > 0 ? unchanged(state) : advanceAgent(state, 'deadline', nowMs);
+}
+
+/** Goes on with a planned stop: hands over when all is settled or the time is over, and then exits. */
+export function continueStop(state: RunnerState, nowMs: number): RunnerStep {
+  switch (state.phase) {
+    case 'running':
+    case 'settled':
+      return unchanged(state);
+    case 'settling':
+      return chain(settle(state, nowMs), (current) =>
+        current.phase === 'handingOver' ? handOver(current, nowMs) : unchanged(current),
+      );
+    case 'handingOver':
+      return handOver(state, nowMs);
+    default:
+      return assertNever(state.phase);
+  }
 }
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -13,7 +13,7 @@
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
-import { onStop, settleIfDue } from './settle';
+import { continueStop, onStop } from './settle';
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
 import { agentChart, lookupChart, orderKey } from './types';
 
@@ -237,7 +237,7 @@
 /** Applies an event to the agent, ends a stop that is settled, and sends the calls that are due. */
 export function stepRunner(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
   const { nowMs } = inputs;
-  const step = settleIfDue(handleEvent(state, event, inputs), nowMs);
+  const step = chain(handleEvent(state, event, inputs), (current) => continueStop(current, nowMs));
   const asked = askCandidates(step.state, nowMs);
   const hold = holdIfDue(asked.state, nowMs);
   return { state: hold.state, effects: [...step.effects, ...asked.effects, ...hold.effects] };
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -31,11 +31,14 @@
   actions: ['raiseToken'],
 });
 
-/** State chart of an agent's process, from its start to the end of a planned stop. */
+/**
+ * State chart of an agent's process, from its start to the end of a planned stop. Before it exits, it
+ * passes the whole lease that the leader granted on to its worker, so that a restart ends no runs.
+ */
 export const agentChart = compileChart(agentChartFile, {
-  states: ['running', 'settling', 'settled'],
-  events: ['stop', 'stopIdle', 'settled', 'deadline'],
-  actions: ['logSettling', 'logUnsettled', 'report', 'exit'],
+  states: ['running', 'settling', 'handingOver', 'settled'],
+  events: ['stop', 'stopIdle', 'settled', 'passed', 'deadline'],
+  actions: ['logSettling', 'logUnsettled', 'report', 'passLease', 'exit'],
 });
 
 /**
@@ -78,6 +81,8 @@
 /** What a planned stop waits for, beside gone workers that no leader has recorded. */
 export interface StopState {
   readonly deadlineAtMs: number;
+  /** Call that passes the whole lease on. */
+  readonly handOverCallId?: string;
   readonly workerKey: string | undefined;
   /** Highest sequence of an end that the worker listed before the stop. */
   readonly endSequence: number;
