Reckon with no earlier lease on an instance that nobody has called

For the first 7 s of every instance the agent waited up to 10.4 s for the end of the longest lease that its worker accepts, so that a crash shortly after the start was released by the leader after 5.3 s, without the agent's evidence against the task that had crashed the worker.

An earlier lease can come only from an earlier agent or from a call to an earlier instance under the id. An instance begins without one if its id is new to the agent and its clock shows that it began 15 s after the agent or later.

--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -121,7 +121,7 @@
 }
 
 function createWorker(
-  { settings }: RunnerState,
+  state: RunnerState,
   report: WorkerReport,
   { clockMs }: HoldReply,
   nowMs: number,
@@ -129,7 +129,7 @@
   return {
     workerKey: workerKeyOf(report),
     report,
-    heldLease: firstHeldLease(clockMs, settings.maxLeaseMs, nowMs),
+    heldLease: firstHeldLease(state, report.id, clockMs, nowMs),
     heartbeatAtMs: nowMs,
     ackSequence: 0,
     listNumber: 0,
@@ -159,6 +159,7 @@
   const left = removeWorker(state, worker?.report.id === id ? 'restarted' : 'otherWorker', nowMs);
   const adopted = {
     ...left.state,
+    workerIds: state.workerIds.add(id),
     lastBornAtMs: Math.max(state.lastBornAtMs, report.bornAtMs),
     // An instance that refused connections for a while was taken for gone.
     goneWorkers: left.state.goneWorkers.filter((gone) => gone.workerKey !== workerKey),
--- a/packages/runner/src/heldlease.ts
+++ b/packages/runner/src/heldlease.ts
@@ -1,4 +1,4 @@
-import type { HeldLease, WorkerState } from './types';
+import type { HeldLease, RunnerState, WorkerState } from './types';
 
 /**
  * Longest lease that an agent passes on to its worker. Each hold renews it. The tasks of a worker that
@@ -15,12 +15,32 @@
 /** Margin for timers, and for the time that a worker takes to end its runs. */
 const MARGIN_MS = 150;
 
+/** Time after the start of an agent in which calls of the agent before it may still take effect. */
+const EARLIER_CALLS_MS = 15_000;
+
 /**
- * Returns what is known of the lease of an instance from its first reply. An earlier agent may have set
- * one, or a late call to an earlier instance under its id.
+ * Returns whether no call that sets a lease was made to an instance before its first reply, neither by an
+ * earlier agent nor to an earlier instance under its id. Its clock begins at its start.
  */
-export function firstHeldLease(clockMs: number, maxLeaseMs: number, nowMs: number): HeldLease {
-  return { clockMs, repliedAtMs: nowMs, latestEndClockMs: clockMs + maxLeaseMs };
+function isUntouched(
+  { startedAtMs = Infinity, workerIds }: RunnerState,
+  id: string,
+  clockMs: number,
+  nowMs: number,
+): boolean {
+  const longestAgeMs = clockMs / SLOWEST_CLOCK_RATE;
+  return !workerIds.has(id) && nowMs - longestAgeMs >= startedAtMs + EARLIER_CALLS_MS;
+}
+
+/** Returns what is known of the lease that an instance holds at its first reply. */
+export function firstHeldLease(
+  state: RunnerState,
+  id: string,
+  clockMs: number,
+  nowMs: number,
+): HeldLease {
+  const longestMs = isUntouched(state, id, clockMs, nowMs) ? 0 : state.settings.maxLeaseMs;
+  return { clockMs, repliedAtMs: nowMs, latestEndClockMs: clockMs + longestMs };
 }
 
 /** Records the clock value in a reply. Replies may overtake each other. */
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -1,4 +1,4 @@
-import { Map } from 'immutable';
+import { Map, Set as ImmutableSet } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import { workerKeyOf } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
@@ -30,6 +30,7 @@
     phase: agentChart.initial,
     token: settings.firstToken,
     callCount: 0,
+    workerIds: ImmutableSet(),
     lastBornAtMs: 0,
     candidates: Map(),
     goneWorkers: [],
@@ -237,7 +238,10 @@
 /** Applies an event to the agent, ends a stop that is settled, and sends the calls that are due. */
 export function stepRunner(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
   const { nowMs } = inputs;
-  const step = chain(handleEvent(state, event, inputs), (current) => continueStop(current, nowMs));
+  const started = { ...state, startedAtMs: state.startedAtMs ?? nowMs };
+  const step = chain(handleEvent(started, event, inputs), (current) =>
+    continueStop(current, nowMs),
+  );
   const asked = askCandidates(step.state, nowMs);
   const hold = holdIfDue(asked.state, nowMs);
   return { state: hold.state, effects: [...step.effects, ...asked.effects, ...hold.effects] };
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -1,4 +1,4 @@
-import type { Map } from 'immutable';
+import type { Map, Set as ImmutableSet } from 'immutable';
 import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
 import type {
@@ -231,6 +231,10 @@
   readonly worker?: WorkerState;
   /** Instances that have sent a heartbeat and no list yet, by key and address. */
   readonly candidates: Map<string, Candidate>;
+  /** When the agent began. */
+  readonly startedAtMs?: number;
+  /** Ids of the instances that were the worker. */
+  readonly workerIds: ImmutableSet<string>;
   /** Latest birth of an instance that was the worker. */
   readonly lastBornAtMs: number;
   /** Gone workers that no leader has recorded. */
--- a/packages/runner/test/proofs.test.ts
+++ b/packages/runner/test/proofs.test.ts
@@ -4,6 +4,7 @@
 import {
   answerHold,
   callIdOf,
+  crash,
   createLeased,
   dispatch,
   endHold,
@@ -150,3 +151,25 @@
   expect(refusalsOf(lost)).to.deep.equal([]);
   expect(lost.state.worker?.pending.size).to.equal(1);
 });
+
+/** Returns how long after its first reply an instance that refuses all connections is gone. */
+function goneAfterMs(agent: Fixture, report: WorkerReport, clockMs: number): number {
+  const listed = answerHold(hear(agent, report), { clockMs, bornAtMs: report.bornAtMs });
+  const steps = repeatHolds(listed, 11_000, (current) =>
+    endHold(current, { kind: 'notListening' }),
+  );
+  const gone = steps.find(({ state }) => state.worker === undefined);
+  return (gone?.nowMs ?? Infinity) - listed.nowMs;
+}
+
+// Guards against tasks that wait for the longest lease after the crash of a worker that had just begun,
+// and against the lease that a call to an earlier instance or of an earlier agent has set.
+it('proofs: only an instance that nobody has called before begins without a lease', () => {
+  const agent = crash(createLeased());
+  const later = dispatch(agent, { kind: 'tick' }, 20_000);
+  const next = { ...REPORT, id: 'i-2', bornAtMs: 900 };
+  expect(goneAfterMs(later, next, 500)).to.be.lessThan(500);
+  expect(goneAfterMs(agent, next, 500)).to.be.greaterThan(10_000);
+  expect(goneAfterMs(later, next, 25_000)).to.be.greaterThan(10_000);
+  expect(goneAfterMs(later, { ...REPORT, bornAtMs: 900 }, 500)).to.be.greaterThan(10_000);
+});
