--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -1,9 +1,9 @@
-import { Map } from 'immutable';
+import { Map, Set as ImmutableSet } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import { workerKeyOf } from '@bronzeyoke/ports';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chain, isSameAmount, unchanged, without } from '@bronzeyoke/types';
-import type { LeaderMessage } from '@bronzeyoke/wire';
+import type { AgentRefusal, LeaderMessage } from '@bronzeyoke/wire';
 import { callWorker, expireCalls, holdIfDue, onCallDone } from './calls';
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { endUnansweredWorker, goneEffects, onGoneRecorded, repeatGone, settleGone } from './gone';
@@ -13,7 +13,7 @@
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
-import { onStop, settleIfDue } from './settle';
+import { continueStop, onStop } from './settle';
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
 import { agentChart, lookupChart, orderKey } from './types';
 
@@ -30,6 +30,7 @@
     phase: agentChart.initial,
     token: settings.firstToken,
     callCount: 0,
+    workerIds: ImmutableSet(),
     lastBornAtMs: 0,
     candidates: Map(),
     goneWorkers: [],
@@ -91,12 +92,17 @@
   const { workerKey, run, payload, checkpoint, ticket } = message;
   const { worker } = state;
   const seen = { ...state, lastOrder: Math.max(state.lastOrder, message.order) };
-  const refuse = (reason: 'expired' | 'draining' | 'noLease'): RunnerStep => ({
+  const refuse = (reason: AgentRefusal): RunnerStep => ({
     state: seen,
     effects: sendToLeader(state, { kind: 'refused', workerKey, run, reason }),
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
+  if (worker.failures !== undefined) {
+    const refused = refuse('unreachable');
+    // The leader uses the worker again after its next report.
+    return { ...refused, state: without(refused.state, 'lastReport') };
+  }
   const leaseUntilClockMs = leaseToPass(worker);
   if (leaseUntilClockMs === undefined) return refuse('noLease');
   const order = { run, phase: 'calling' as const, afterList: Infinity, calledAtMs: nowMs };
@@ -232,7 +238,10 @@
 /** Applies an event to the agent, ends a stop that is settled, and sends the calls that are due. */
 export function stepRunner(state: RunnerState, event: RunnerEvent, inputs: StepInputs): RunnerStep {
   const { nowMs } = inputs;
-  const step = settleIfDue(handleEvent(state, event, inputs), nowMs);
+  const started = { ...state, startedAtMs: state.startedAtMs ?? nowMs };
+  const step = chain(handleEvent(started, event, inputs), (current) =>
+    continueStop(current, nowMs),
+  );
   const asked = askCandidates(step.state, nowMs);
   const hold = holdIfDue(asked.state, nowMs);
   return { state: hold.state, effects: [...step.effects, ...asked.effects, ...hold.effects] };
--- a/packages/runner/test/proofs.test.ts
+++ b/packages/runner/test/proofs.test.ts
@@ -4,6 +4,7 @@
 import {
   answerHold,
   callIdOf,
+  crash,
   createLeased,
   dispatch,
   endHold,
@@ -116,3 +117,59 @@
   expect(reportsOf(late)).to.deep.equal([]);
   expect(late.state.worker?.running).to.deep.equal([LISTED]);
 });
+
+/** Returns the reasons for which the last step refused start orders. */
+function refusalsOf({ effects }: Fixture): readonly string[] {
+  return effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'refused' ? [effect.message.reason] : [],
+  );
+}
+
+// Guards against starts whose effect nobody knows, and against tasks that wait until a lease has ended.
+it('proofs: a start order is refused while calls to the worker fail', () => {
+  const refused = order(lose(createLeased()));
+  expect(refusalsOf(refused)).to.deep.equal(['unreachable']);
+  expect(callIdOf(refused, 'start')).to.equal('none');
+  expect(refused.state.worker?.pending.size).to.equal(0);
+  const granted = dispatch(refused, {
+    kind: 'received',
+    message: { kind: 'grant', workerKey: KEY, leaseUntilClockMs: 9_000, reportIntervalMs: 5_000 },
+  });
+  const listed = answerHold(dispatch(granted, { kind: 'tick' }, 150));
+  expect(reportsOf(listed)).to.have.length(1);
+  expect(callIdOf(order(listed), 'start')).not.to.equal('none');
+});
+
+// Guards against a task that waits for a late effect of a call that never left the agent.
+it('proofs: a start whose connection was refused did not begin', () => {
+  const ordered = order(createLeased());
+  const callId = callIdOf(ordered, 'start');
+  const unsent = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'notListening' } });
+  expect(refusalsOf(unsent)).to.deep.equal(['unreachable']);
+  expect(unsent.state.worker?.pending.size).to.equal(0);
+  const lost = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'lost' } });
+  expect(refusalsOf(lost)).to.deep.equal([]);
+  expect(lost.state.worker?.pending.size).to.equal(1);
+});
+
+/** Returns how long after its first reply an instance that refuses all connections is gone. */
+function goneAfterMs(agent: Fixture, report: WorkerReport, clockMs: number): number {
+  const listed = answerHold(hear(agent, report), { clockMs, bornAtMs: report.bornAtMs });
+  const steps = repeatHolds(listed, 11_000, (current) =>
+    endHold(current, { kind: 'notListening' }),
+  );
+  const gone = steps.find(({ state }) => state.worker === undefined);
+  return (gone?.nowMs ?? Infinity) - listed.nowMs;
+}
+
+// Guards against tasks that wait for the longest lease after the crash of a worker that had just begun,
+// and against the lease that a call to an earlier instance or of an earlier agent has set.
+it('proofs: only an instance that nobody has called before begins without a lease', () => {
+  const agent = crash(createLeased());
+  const later = dispatch(agent, { kind: 'tick' }, 20_000);
+  const next = { ...REPORT, id: 'i-2', bornAtMs: 900 };
+  expect(goneAfterMs(later, next, 500)).to.be.lessThan(500);
+  expect(goneAfterMs(agent, next, 500)).to.be.greaterThan(10_000);
+  expect(goneAfterMs(later, next, 25_000)).to.be.greaterThan(10_000);
+  expect(goneAfterMs(later, { ...REPORT, bornAtMs: 900 }, 500)).to.be.greaterThan(10_000);
+});
