--- a/packages/scheduler/test/simmachines.ts
+++ b/packages/scheduler/test/simmachines.ts
@@ -143,6 +143,9 @@
         park.startAgent(index);
       });
     },
-    tasksOn: (index) => [...(machines[index]?.worker.state().runs.keys() ?? [])],
+    tasksOn: (index) => {
+      const worker = machines[index]?.worker;
+      return worker?.isUp() === true ? [...worker.state().runs.keys()] : [];
+    },
   };
 }
