Shorten leases of the modelled worker to the longest one

Cause: the worker of both models took any lease. The protocol shortens a longer one, so a lease from an earlier instance's clock that reaches a later one held longer in the models than at the users.

Change: a lease extends to the worker's clock plus the longest lease.

Result: a test that fails without the change.

--- a/packages/standins/src/taskworker.ts
+++ b/packages/standins/src/taskworker.ts
@@ -11,6 +11,9 @@
   readonly endsAtMs: number;
 }
 
+/** Longest lease of a worker by default. */
+const MAX_LEASE_MS = 10_000;
+
 /** State of the stand-in of the platform's worker, between two restarts. */
 export interface TaskWorkerState {
   readonly bornAtMs: number;
@@ -18,19 +21,22 @@
   readonly runs: Map<string, WorkerRun>;
   readonly ends: List<ListedEnd>;
   readonly lastEndSequence: number;
+  /** Longest time on the worker's clock for which a call extends the lease. */
+  readonly maxLeaseMs: number;
   readonly leaseUntilMs: number;
   /** Highest attempt of each task that was stopped or has ended here. */
   readonly closedAttempts: Map<string, number>;
 }
 
 /** Creates the state of a worker that has just started. */
-export function createTaskWorker(bornAtMs: number): TaskWorkerState {
+export function createTaskWorker(bornAtMs: number, maxLeaseMs = MAX_LEASE_MS): TaskWorkerState {
   return {
     bornAtMs,
     fencingToken: 0,
     runs: Map(),
     ends: List(),
     lastEndSequence: 0,
+    maxLeaseMs,
     leaseUntilMs: 0,
     closedAttempts: Map(),
   };
@@ -62,6 +68,12 @@
   return completed.runs.reduce((current, run) => endRun(current, run, 'expired'), completed);
 }
 
+/** Extends the lease up to its maximum. A call never shortens it. */
+function extendLease(state: TaskWorkerState, untilMs: number, clockMs: number): TaskWorkerState {
+  const longestMs = Math.min(untilMs, clockMs + state.maxLeaseMs);
+  return { ...state, leaseUntilMs: Math.max(state.leaseUntilMs, longestMs) };
+}
+
 /** Result of a call to a worker. `started` is the run that the call began. */
 export interface WorkerCallStep {
   readonly state: TaskWorkerState;
@@ -91,7 +103,7 @@
   switch (call.kind) {
     case 'start': {
       const { task, attempt, leaseUntilClockMs } = call;
-      const leased = { ...fenced, leaseUntilMs: Math.max(fenced.leaseUntilMs, leaseUntilClockMs) };
+      const leased = extendLease(fenced, leaseUntilClockMs, clockMs);
       if (clockMs >= leased.leaseUntilMs) return refuse(leased, 'tooLate');
       const existing = leased.runs.get(task);
       if (existing?.attempt === attempt) return { state: leased, result: done };
@@ -120,8 +132,7 @@
     case 'hold': {
       const { ackSequence, leaseUntilClockMs = 0 } = call;
       const next = {
-        ...fenced,
-        leaseUntilMs: Math.max(fenced.leaseUntilMs, leaseUntilClockMs),
+        ...extendLease(fenced, leaseUntilClockMs, clockMs),
         ends: fenced.ends.filter(({ sequence }) => sequence > ackSequence),
       };
       const running = next.runs
--- a/packages/standins/test/taskworker.test.ts
+++ b/packages/standins/test/taskworker.test.ts
@@ -54,3 +54,12 @@
   expect(refused.result).to.include({ kind: 'refused', reason: 'fenced' });
   expect(refused.state).to.include({ fencingToken: 5, leaseUntilMs: 2_000 });
 });
+
+// Guards against models in which a lease from an earlier instance's clock outlasts the longest one.
+it('task worker: a longer lease is shortened to the longest one', () => {
+  const started = send(createTaskWorker(0, 3_000), start(1, 1, 60_000), 500);
+  expect(started.state.leaseUntilMs).to.equal(3_500);
+  const lease = { leaseUntilClockMs: 60_000, ackSequence: 0, waitMs: 0 };
+  const held = send(started.state, { kind: 'hold', fencingToken: 1, ...lease }, 1_000);
+  expect(held.state.leaseUntilMs).to.equal(4_000);
+});
