Model workers that can't be reached in the fleet

Change: connections that are refused, calls and replies that get lost, beside heartbeats or without; orders that a worker carries out 2 to 12 s late, also its later instance under the same id; leave messages and draining heartbeats of another writer; workers that go on after their leave message. A worker's clock starts anew with each instance and is up to 2% slow, and a call names an id, as the protocol says. A run log names order, start, stop, end and acknowledgement of the runs of a task.

--- a/packages/fleet/src/absences.ts
+++ b/packages/fleet/src/absences.ts
@@ -4,7 +4,7 @@
 import { decodeJob, decodeProgress, stageSlots } from '@bronzeyoke/workflow';
 import { List, Map } from 'immutable';
 import type { Fleet, FleetViolation, FleetWorker } from './world';
-import { workerReport } from './world';
+import { workerClockMs, workerReport } from './world';
 
 /** Time without a fault before the promise counts: a takeover and the leases of silent workers. */
 const CALM_MS = 7_000;
@@ -86,7 +86,10 @@
   const calmSinceMs = isDisturbed ? nowMs : absences.calmSinceMs;
   const workers = fleet.workers
     .valueSeq()
-    .map((worker) => ({ ...worker, state: advanceTaskWorker(worker.state, nowMs) }))
+    .map((worker) => ({
+      ...worker,
+      state: advanceTaskWorker(worker.state, workerClockMs(worker, nowMs)),
+    }))
     .toArray();
   const running = new Set(workers.flatMap(({ state }) => [...state.runs.keys()]));
   // A worker lists a success before any leader has recorded it.
--- a/packages/fleet/src/events.ts
+++ b/packages/fleet/src/events.ts
@@ -4,7 +4,8 @@
 import { askSeed, deliverMessage, dial } from './network';
 import { INTERVALS, bootAgent, bootEntry, stepAgentProcess, stepEntryProcess } from './process';
 import { callStore, commitJobChange, isStoreUnreachable, readTable } from './store';
-import { callWorker, sendHeartbeat, sendOddHeartbeat } from './worker';
+import { callWorker } from './worker';
+import { sendHeartbeat, sendLeave, sendOddDraining, sendOddHeartbeat } from './heartbeat';
 import type { EventOf, Fleet, FleetEvent } from './world';
 import { STORE_MS, WALL_START_MS, schedule } from './world';
 
@@ -101,6 +102,12 @@
       return sendHeartbeat(fleet, item.site);
     case 'oddHeartbeat':
       return sendOddHeartbeat(fleet, item.site);
+    case 'oddLeave':
+      return sendLeave(fleet, item.site, fleet.workers.get(item.site)?.id ?? '');
+    case 'oddDraining':
+      return sendOddDraining(fleet, item.site);
+    case 'leave':
+      return sendLeave(fleet, item.site, item.id);
     case 'bootEntry':
       return bootEntry(fleet, item.site);
     case 'bootAgent':
--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -5,6 +5,7 @@
 import { createTaskWorker } from '@bronzeyoke/standins';
 import { assertNever, without } from '@bronzeyoke/types';
 import { endLookup } from './network';
+import { logOrder } from './runlog';
 import type { Fleet } from './world';
 import { drawStepUniform, isActive, NETWORK_MS, schedule, STORE_MS, WALL_START_MS } from './world';
 
@@ -16,6 +17,13 @@
 /** Longest delay of a write or an order during a fault. */
 const MAX_DELAY_MS = 6_000;
 
+/** Time after which a worker carries out a late order. */
+const MIN_LATE_CALL_MS = 2_000;
+const MAX_LATE_CALL_MS = 12_000;
+
+/** A worker's clock may be this much slow. */
+const MAX_CLOCK_ERROR = 0.02;
+
 /** Share of writes and orders that a fault delays. */
 const DELAYED_SHARE = 0.3;
 
@@ -60,15 +68,24 @@
   });
 }
 
-/** Starts a worker. Each start gets a new id. */
-export function bootWorker(fleet: Fleet, site: string): Fleet {
+/** Starts a worker. Each start gets a new id, unless it is given. */
+export function bootWorker(fleet: Fleet, site: string, givenId?: string): Fleet {
   const bootId = fleet.bootCount + 1;
-  const state = createTaskWorker(WALL_START_MS + fleet.nowMs);
-  const worker = { site, bootId, state, isDraining: false };
-  return schedule({ ...fleet, bootCount: bootId, workers: fleet.workers.set(site, worker) }, 1, {
-    kind: 'heartbeat',
+  const worker = {
     site,
-  });
+    id: givenId ?? `${site}-${bootId}`,
+    startedAtMs: fleet.nowMs,
+    clockRate: 1 - MAX_CLOCK_ERROR * drawStepUniform(fleet, 6),
+    state: createTaskWorker(WALL_START_MS + fleet.nowMs),
+    isDraining: false,
+  };
+  const started = {
+    ...fleet,
+    bootCount: bootId,
+    workers: fleet.workers.set(site, worker),
+    lastWorkerIds: fleet.lastWorkerIds.set(site, worker.id),
+  };
+  return schedule(started, 1, { kind: 'heartbeat', site });
 }
 
 function isDelayed(fleet: Fleet, kind: 'storeWritesLate' | 'ordersLate'): boolean {
@@ -77,6 +94,17 @@
   );
 }
 
+/** Returns the time after which an order is carried out, or undefined if it is not late. */
+function lateOrderMs(fleet: Fleet, site: string): number | undefined {
+  if (isDelayed(fleet, 'ordersLate')) return 500 + drawStepUniform(fleet, 4) * MAX_DELAY_MS;
+  const isLate =
+    isActive(fleet, (fault) => fault.kind === 'callsLate' && fault.site === site) &&
+    drawStepUniform(fleet, 1) < DELAYED_SHARE;
+  return isLate
+    ? MIN_LATE_CALL_MS + drawStepUniform(fleet, 4) * (MAX_LATE_CALL_MS - MIN_LATE_CALL_MS)
+    : undefined;
+}
+
 function performEntry(fleet: Fleet, site: string, bootId: number, effect: SchedulerEffect): Fleet {
   switch (effect.kind) {
     case 'commit':
@@ -165,14 +193,14 @@
     }
     case 'call': {
       const { callId, call, worker } = effect;
-      const isLate = call.kind !== 'hold' && isDelayed(fleet, 'ordersLate');
-      const delayMs = isLate ? 500 + drawStepUniform(fleet, 4) * MAX_DELAY_MS : CALL_MS;
-      const workerKey = `${worker.id}@${worker.bornAtMs}`;
-      const scheduled = schedule(fleet, delayMs, {
+      const lateMs = call.kind === 'hold' ? undefined : lateOrderMs(fleet, site);
+      const isLate = lateMs !== undefined;
+      const delayMs = lateMs ?? CALL_MS;
+      const scheduled = schedule(logOrder(fleet, worker, call), delayMs, {
         kind: 'workerCall',
         site,
         agentBootId: bootId,
-        workerKey,
+        workerId: worker.id,
         callId,
         call,
         isLate,
--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -8,6 +8,8 @@
 import { handleFleetEvent } from './events';
 import { bootAgent, bootEntry, bootWorker, FLEET_TIMES } from './process';
 import type { Fleet, FleetFault } from './world';
+import type { WorkerFaultPlan } from './workerfaults';
+import { scheduleWorkerFaults } from './workerfaults';
 import { drawStepUniform, schedule } from './world';
 
 const ENTRIES = ['entry-1', 'entry-2', 'entry-3'] as const;
@@ -16,9 +18,12 @@
 /** Jobs and faults start in the first phase; the fleet recovers from them in the second. */
 const ACTIVE_PHASE_MS = 30_000;
 const RECOVERY_PHASE_MS = 32_000;
+const WARM_UP_MS = 2_000;
 const JOBS = 30;
 const ODD_HEARTBEATS = 12;
 
+const NO_WORKER_FAULTS: WorkerFaultPlan = { count: 0, kinds: [] };
+
 /** Longest time from the end of a leader to the load of the next one. */
 const TAKEOVER_MS = 4_000;
 
@@ -46,6 +51,7 @@
     agents: Map(),
     workers: Map(),
     links: Map(),
+    lastWorkerIds: Map(),
     bootCount: 0,
     store: EMPTY_ROW_STORE,
     activeFaults: Set(),
@@ -57,12 +63,13 @@
     siteCount: SITES.length,
     entryCount: ENTRIES.length,
     violations: [],
+    runLog: Map(),
     starts: 0,
     steps: 0,
   };
   const entries = ENTRIES.reduce(bootEntry, empty);
   const agents = SITES.reduce(bootAgent, entries);
-  return SITES.reduce(bootWorker, agents);
+  return SITES.reduce((current, site) => bootWorker(current, site), agents);
 }
 
 function pick<Item>(items: readonly Item[], random: number): Item {
@@ -103,7 +110,7 @@
 }
 
 /** Schedules the jobs and faults of a run. */
-function scheduleRun(fleet: Fleet, faults: number): Fleet {
+function scheduleRun(fleet: Fleet, faults: number, workerFaults: WorkerFaultPlan): Fleet {
   const withJobs = Array.from({ length: JOBS }, (_, index) => index).reduce((current, index) => {
     const atMs = 1_000 + drawStepUniform(current, 16) * ACTIVE_PHASE_MS;
     const submitted = schedule(current, atMs, { kind: 'submit', jobId: `job${index}` });
@@ -122,12 +129,14 @@
       }),
     withJobs,
   );
-  return Array.from({ length: faults }).reduce<Fleet>((current) => {
+  const withFaults = Array.from({ length: faults }).reduce<Fleet>((current) => {
     const fault = drawFault(current);
     const atMs = 2_000 + drawStepUniform(current, 18) * ACTIVE_PHASE_MS;
     const scheduled = schedule(current, atMs, { kind: 'faultStart', fault });
     return fault.kind === 'killEntry' ? cancelDuringTakeover(scheduled, atMs) : scheduled;
   }, withOddHeartbeats);
+  const span = [WARM_UP_MS, WARM_UP_MS + ACTIVE_PHASE_MS] as const;
+  return scheduleWorkerFaults(withFaults, SITES, workerFaults, span);
 }
 
 /** Returns the tasks of open lasting jobs that have not started for longer than a run and a wait. */
@@ -166,9 +175,10 @@
   seed: number,
   faults: number,
   times: SchedulerTimes = FLEET_TIMES,
+  workerFaults: WorkerFaultPlan = NO_WORKER_FAULTS,
 ): FleetResult {
   const fleet = runUntil(
-    scheduleRun(createFleet(seed, times), faults),
+    scheduleRun(createFleet(seed, times), faults, workerFaults),
     2_000 + ACTIVE_PHASE_MS + RECOVERY_PHASE_MS,
   );
   const jobs = List(fleet.store.rows.values()).filter(
--- a/packages/fleet/src/worker.ts
+++ b/packages/fleet/src/worker.ts
@@ -1,16 +1,20 @@
-import { workerKeyOf } from '@bronzeyoke/ports';
 import type { WorkerCallResult } from '@bronzeyoke/ports';
 import { jobKey, progressKey } from '@bronzeyoke/scheduler';
 import { advanceTaskWorker, callTaskWorker, rowId } from '@bronzeyoke/standins';
 import { decodeJob, decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
-import { INTERVALS } from './process';
+import { logCall } from './runlog';
 import type { EventOf, Fleet, FleetViolation } from './world';
-import { drawStepUniform, schedule, workerReport } from './world';
+import { drawStepUniform, isActive, schedule, workerClockMs } from './world';
+
+/** Time after which an agent gives up a call whose reply is lost. */
+const CALL_TIMEOUT_MS = 700;
 
 function isRunningElsewhere(fleet: Fleet, task: string, site: string): boolean {
-  const clockMs = fleet.nowMs;
+  const { nowMs } = fleet;
   return fleet.workers.some(
-    (worker) => worker.site !== site && advanceTaskWorker(worker.state, clockMs).runs.has(task),
+    (worker) =>
+      worker.site !== site &&
+      advanceTaskWorker(worker.state, workerClockMs(worker, nowMs)).runs.has(task),
   );
 }
 
@@ -41,29 +45,36 @@
 
 /** Performs an agent's call at its worker. */
 export function callWorker(fleet: Fleet, item: EventOf<'workerCall'>): Fleet {
-  const { site, agentBootId, workerKey, callId, call, isLate } = item;
-  const reply = (current: Fleet, result: WorkerCallResult): Fleet =>
-    isLate
-      ? current
-      : schedule(current, 1, {
-          kind: 'agentEvent',
-          site,
-          bootId: agentBootId,
-          event: { kind: 'callDone', callId, result },
-        });
+  const { site, agentBootId, workerId, callId, call, isLate } = item;
+  const isFaulty = (kind: 'refuseCalls' | 'loseCalls' | 'loseReplies'): boolean =>
+    isActive(fleet, (fault) => fault.kind === kind && fault.site === site);
+  const replyAfter = (current: Fleet, delayMs: number, result: WorkerCallResult): Fleet =>
+    schedule(current, delayMs, {
+      kind: 'agentEvent',
+      site,
+      bootId: agentBootId,
+      event: { kind: 'callDone', callId, result },
+    });
+  const timeOut = (current: Fleet): Fleet => replyAfter(current, CALL_TIMEOUT_MS, { kind: 'lost' });
+  const reply = (current: Fleet, result: WorkerCallResult): Fleet => {
+    if (isLate) return current;
+    return isFaulty('loseReplies') ? timeOut(current) : replyAfter(current, 1, result);
+  };
   const worker = fleet.workers.get(site);
-  if (worker === undefined) return reply(fleet, { kind: 'notListening' });
-  const report = workerReport(worker, 0);
-  if (workerKeyOf(report) !== workerKey) return reply(fleet, { kind: 'otherWorker' });
+  if (isFaulty('loseCalls')) return timeOut(fleet);
+  if (worker === undefined || isFaulty('refuseCalls'))
+    return reply(fleet, { kind: 'notListening' });
+  if (worker.id !== workerId) return reply(fleet, { kind: 'otherWorker' });
   const workMs = 200 + Math.floor(drawStepUniform(fleet, 7) * 3_000);
   const listed = worker.state.ends;
-  const step = callTaskWorker(worker.state, call, fleet.nowMs, workMs);
+  const step = callTaskWorker(worker.state, call, workerClockMs(worker, fleet.nowMs), workMs);
   const acknowledged =
     call.kind === 'hold'
       ? listed.filter(({ sequence, end }) => end === 'done' && sequence <= call.ackSequence)
       : listed.clear();
+  const logged = logCall(fleet, worker, call, step);
   const updated: Fleet = {
-    ...fleet,
+    ...logged,
     workers: fleet.workers.set(site, { ...worker, state: step.state }),
     acknowledgedTasks: fleet.acknowledgedTasks.union(
       acknowledged.map(({ task }) => task).filterNot((task) => isLastingTask(fleet, task)),
@@ -81,35 +92,3 @@
         };
   return reply(checked, step.result);
 }
-
-/** Reports a worker to its agent, and schedules the next report. */
-export function sendHeartbeat(fleet: Fleet, site: string): Fleet {
-  const worker = fleet.workers.get(site);
-  const agent = fleet.agents.get(site);
-  if (worker === undefined) return fleet;
-  const rescheduled = schedule(fleet, INTERVALS.heartbeatMs, { kind: 'heartbeat', site });
-  if (agent === undefined) return rescheduled;
-  const report = workerReport(worker, fleet.sequence);
-  return schedule(rescheduled, 1, {
-    kind: 'agentEvent',
-    site,
-    bootId: agent.bootId,
-    event: { kind: 'heartbeat', report },
-  });
-}
-
-/** Sends an agent a heartbeat of another writer, with a later birth than its worker's. */
-export function sendOddHeartbeat(fleet: Fleet, site: string): Fleet {
-  const worker = fleet.workers.get(site);
-  const agent = fleet.agents.get(site);
-  if (worker === undefined || agent === undefined) return fleet;
-  const report = {
-    ...workerReport(worker, fleet.sequence),
-    id: 'odd',
-    address: 'odd:1',
-    service: 'retired',
-    bornAtMs: worker.state.bornAtMs + 1,
-  };
-  const event = { kind: 'heartbeat', report } as const;
-  return schedule(fleet, 1, { kind: 'agentEvent', site, bootId: agent.bootId, event });
-}
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -42,7 +42,11 @@
 /** A worker since its latest start. */
 export interface FleetWorker {
   readonly site: string;
-  readonly bootId: number;
+  /** Stays the same when the worker restarts under its id. */
+  readonly id: string;
+  readonly startedAtMs: number;
+  /** Rate of the worker's clock, which may be slow. */
+  readonly clockRate: number;
   readonly state: TaskWorkerState;
   readonly isDraining: boolean;
 }
@@ -74,7 +78,7 @@
       readonly kind: 'workerCall';
       readonly site: string;
       readonly agentBootId: number;
-      readonly workerKey: string;
+      readonly workerId: string;
       readonly callId: string;
       readonly call: WorkerCall;
       readonly isLate: boolean;
@@ -91,6 +95,10 @@
   | { readonly kind: 'heartbeat'; readonly site: string }
   /** A heartbeat of another writer for a later instance that does not exist. */
   | { readonly kind: 'oddHeartbeat'; readonly site: string }
+  /** A message of another writer that a live worker leaves, or a heartbeat that it drains. */
+  | { readonly kind: 'oddLeave' | 'oddDraining'; readonly site: string }
+  /** The message of a worker that it leaves. */
+  | { readonly kind: 'leave'; readonly site: string; readonly id: string }
   | { readonly kind: 'bootEntry'; readonly site: string }
   | { readonly kind: 'bootAgent'; readonly site: string }
   | { readonly kind: 'submit'; readonly jobId: string }
@@ -109,6 +117,22 @@
       readonly forMs: number;
     }
   | { readonly kind: 'freeze'; readonly site: string; readonly forMs: number }
+  /**
+   * A worker ends and starts again under its id; says that it leaves, goes on for a time, and ends; or
+   * carries some orders out late.
+   */
+  | {
+      readonly kind: 'restartWorker' | 'leaveWorker' | 'callsLate';
+      readonly site: string;
+      readonly forMs: number;
+    }
+  /** A worker goes on while its connections are refused, or calls or their replies get lost. */
+  | {
+      readonly kind: 'refuseCalls' | 'loseCalls' | 'loseReplies';
+      readonly site: string;
+      readonly hasHeartbeats: boolean;
+      readonly forMs: number;
+    }
   /** A process does not reach the store. */
   | { readonly kind: 'cutStore'; readonly site: string; readonly forMs: number }
   /** An agent and an entry do not reach each other. */
@@ -154,6 +178,8 @@
   readonly agents: Map<string, FleetAgent>;
   readonly workers: Map<string, FleetWorker>;
   readonly links: Map<string, FleetLink>;
+  /** Id of the last worker that started at each site. */
+  readonly lastWorkerIds: Map<string, string>;
   readonly bootCount: number;
   readonly store: RowStoreState;
   readonly activeFaults: Set<FleetFault>;
@@ -169,6 +195,8 @@
   readonly siteCount: number;
   readonly entryCount: number;
   readonly violations: readonly FleetViolation[];
+  /** Orders, starts, stops, ends and acknowledgements of the runs of each task. */
+  readonly runLog: Map<string, readonly string[]>;
   readonly starts: number;
   readonly steps: number;
 }
@@ -182,6 +210,9 @@
 /** Start of the virtual wall clock. */
 export const WALL_START_MS = 1_800_000_000_000;
 
+/** Time of a worker's clock at its start. */
+const CLOCK_START_MS = 500;
+
 /** Outputs to skip, because generators with similar seeds start with similar outputs. */
 const SKIPPED_OUTPUTS = 24;
 const SALT_STEP = 104_729;
@@ -209,11 +240,16 @@
   return fleet.activeFaults.some(test);
 }
 
+/** Returns the time of a worker's clock, which starts anew with each instance. */
+export function workerClockMs({ startedAtMs, clockRate }: FleetWorker, nowMs: number): number {
+  return CLOCK_START_MS + Math.floor((nowMs - startedAtMs) * clockRate);
+}
+
 /** Creates the report in the heartbeat of a worker. */
 export function workerReport(worker: FleetWorker, sequence: number): WorkerReport {
-  const { site, bootId, state, isDraining } = worker;
+  const { site, id, state, isDraining } = worker;
   return {
-    id: `${site}-${bootId}`,
+    id,
     address: `${site}:1`,
     bornAtMs: state.bornAtMs,
     service: 'quoter',
