--- a/packages/runner/test/proofs.test.ts
+++ b/packages/runner/test/releasedruns.test.ts
@@ -8,7 +8,7 @@
 import { advanceTaskWorker, callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
 import { assertNever, without } from '@bronzeyoke/types';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
-import { LEADER, REPORT } from './fixture';
+import { createLeased, LEADER, REPORT } from './fixture';
 
 /** Lease that the leader grants from the worker's clock of each report. */
 const GRANT_MS = 5_000;
@@ -356,10 +356,9 @@
 
 /** Creates an agent with a leader and a worker that has a lease, beside a worker at another address. */
 function createWorld(): World {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER] };
   const empty: World = {
     nowMs: 1_000,
-    agent: createRunner(settings),
+    agent: createRunner(createLeased().state.settings),
     workers: {},
     births: 0,
     calls: [],
@@ -375,7 +374,7 @@
   return pass(onCall(heard, 'answer', 0), TICK_MS);
 }
 
-function expectProofs(steps: readonly Command[]): void {
+function expectNoneRuns(steps: readonly Command[]): void {
   const world = steps.reduce(apply, createWorld());
   expect(world.problems, world.trace.join('\n')).to.deep.equal([]);
 }
@@ -384,16 +383,19 @@
 const MAX_STEPS = 60;
 
 // Guards against signs that a worker can't be reached as proofs that its runs have ended.
-it('proofs: no run of a worker that goes on is released while it runs', () => {
+it('released runs: no run of a worker that goes on is released while it runs', () => {
   fc.assert(
-    fc.property(fc.array(command, { maxLength: MAX_STEPS, size: 'max' }), expectProofs),
+    fc.property(fc.array(command, { maxLength: MAX_STEPS, size: 'max' }), expectNoneRuns),
     RUNS,
   );
 });
 
 // Guards against a run that is released before the end of its worker, or that a later instance begins
 // after that.
-it('proofs: no run of a worker that ends is released while it runs or may begin', () => {
+it('released runs: no run of a worker that ends is released while it runs or may begin', () => {
   const step = fc.oneof({ weight: 12, arbitrary: command }, { weight: 1, arbitrary: end });
-  fc.assert(fc.property(fc.array(step, { maxLength: MAX_STEPS, size: 'max' }), expectProofs), RUNS);
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: MAX_STEPS, size: 'max' }), expectNoneRuns),
+    RUNS,
+  );
 });
--- a/packages/scheduler/test/simagent.ts
+++ b/packages/scheduler/test/simagent.ts
@@ -5,9 +5,9 @@
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { WALL_MS } from './fixture';
-import { callOverHop } from './simhop';
 import type { AgentNode, EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
+import { callOverHop } from './simhop';
 import type { SimWorker } from './simworker';
 
 const TICK_MS = 100;
