--- a/packages/runner/test/releasedruns.test.ts
+++ b/packages/runner/test/releasedruns.test.ts
@@ -17,7 +17,6 @@
 
 /** A late call is carried out within this time. */
 const MAX_LATE_MS = 12_000;
-
 /** A worker's clock starts here with each instance, and is this much slow. */
 const CLOCK_START_MS = 500;
 const CLOCK_RATE = 0.98;
