--- a/packages/runner/test/property.test.ts
+++ b/packages/runner/test/releasedruns.test.ts
@@ -8,17 +8,15 @@
 import { advanceTaskWorker, callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
 import { assertNever, without } from '@bronzeyoke/types';
 import type { LeaderMessage, RunnerMessage, RunRef } from '@bronzeyoke/wire';
-import { LEADER, REPORT } from './fixture';
+import { createLeased, LEADER, REPORT } from './fixture';
 
 /** Lease that the leader grants from the worker's clock of each report. */
 const GRANT_MS = 5_000;
-const MAX_LEASE_MS = 10_000;
 const WORK_MS = 4_000;
 const TICK_MS = 100;
 
 /** A late call is carried out within this time. */
 const MAX_LATE_MS = 12_000;
-
 /** A worker's clock starts here with each instance, and is this much slow. */
 const CLOCK_START_MS = 500;
 const CLOCK_RATE = 0.98;
@@ -357,10 +355,9 @@
 
 /** Creates an agent with a leader and a worker that has a lease, beside a worker at another address. */
 function createWorld(): World {
-  const settings = { agentId: 'a1', firstToken: 100, seeds: [LEADER], maxLeaseMs: MAX_LEASE_MS };
   const empty: World = {
     nowMs: 1_000,
-    agent: createRunner(settings),
+    agent: createRunner(createLeased().state.settings),
     workers: {},
     births: 0,
     calls: [],
@@ -376,7 +373,7 @@
   return pass(onCall(heard, 'answer', 0), TICK_MS);
 }
 
-function expectProofs(steps: readonly Command[]): void {
+function expectNoneRuns(steps: readonly Command[]): void {
   const world = steps.reduce(apply, createWorld());
   expect(world.problems, world.trace.join('\n')).to.deep.equal([]);
 }
@@ -385,16 +382,19 @@
 const MAX_STEPS = 60;
 
 // Guards against signs that a worker can't be reached as proofs that its runs have ended.
-it('proofs: no run of a worker that goes on is released while it runs', () => {
+it('released runs: no run of a worker that goes on is released while it runs', () => {
   fc.assert(
-    fc.property(fc.array(command, { maxLength: MAX_STEPS, size: 'max' }), expectProofs),
+    fc.property(fc.array(command, { maxLength: MAX_STEPS, size: 'max' }), expectNoneRuns),
     RUNS,
   );
 });
 
 // Guards against a run that is released before the end of its worker, or that a later instance begins
 // after that.
-it('proofs: no run of a worker that ends is released while it runs or may begin', () => {
+it('released runs: no run of a worker that ends is released while it runs or may begin', () => {
   const step = fc.oneof({ weight: 12, arbitrary: command }, { weight: 1, arbitrary: end });
-  fc.assert(fc.property(fc.array(step, { maxLength: MAX_STEPS, size: 'max' }), expectProofs), RUNS);
+  fc.assert(
+    fc.property(fc.array(step, { maxLength: MAX_STEPS, size: 'max' }), expectNoneRuns),
+    RUNS,
+  );
 });
