Claim no more tasks of a job than the row with its progress holds

What callers would see: no job starts or ends any more. The progress of a job is one row, written in the transaction that renews the lease of the leader. A row of the store takes 65,536 bytes in Base64; with a larger one the store refuses the transaction with 400, which this leader and each next one repeat.

Change: a pass offers as many tasks of a job as its row has room for. The size is estimated while it is small, computed beyond half of the row, and always estimated for tasks that save checkpoints, whose row grows while they run. 8 KB are left to what claimed tasks add later.

--- a/packages/scheduler/src/placement/candidates.ts
+++ b/packages/scheduler/src/placement/candidates.ts
@@ -1,8 +1,10 @@
-import type { JobProgress, ReadyStage, WorkflowJob } from '@bronzeyoke/workflow';
+import type { JobProgress, ReadyStage, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import {
   criticalPathMs,
+  encodeProgress,
   isStageDone,
   objectiveAtMs,
+  progressBytes,
   readyStages,
   remainingWork,
 } from '@bronzeyoke/workflow';
@@ -30,6 +32,39 @@
 /** A job is overdue after this many times the duration of its objective. */
 const OVERDUE_FACTOR = 2;
 
+/**
+ * Bytes of the progress of a job up to which tasks are claimed. A row of the store takes 48 KB before Base64;
+ * the rest is left to what claimed tasks add later, such as where they failed.
+ */
+const MAX_PROGRESS_BYTES = 40 * 1_024;
+
+/** Bytes that a claimed task adds at most to the progress of its job. */
+const CLAIM_BYTES = 85;
+
+/** Share of the row from which the size is computed rather than estimated. */
+const ESTIMATED_SHARE = 1 / 2;
+
+/**
+ * Returns how many further tasks the row with a job's progress holds. The store refuses a larger row, and
+ * with it the lease of the leader. Checkpoints that running tasks save later are counted from the start.
+ */
+function claimsLeft(progress: JobProgress, { savesCheckpoints }: Stage): number {
+  const estimatedBytes = (progressBytes(progress) * 3) / 4;
+  const isEstimated = savesCheckpoints || estimatedBytes < MAX_PROGRESS_BYTES * ESTIMATED_SHARE;
+  const bytes = isEstimated
+    ? estimatedBytes
+    : Buffer.byteLength(JSON.stringify(encodeProgress(progress)));
+  return Math.max(0, Math.floor((MAX_PROGRESS_BYTES - bytes) / CLAIM_BYTES));
+}
+
+/** Returns a stage with as many of its tasks as the row with the job's progress holds. */
+function claimableStage(ready: ReadyStage, progress: JobProgress): readonly ReadyStage[] {
+  // The members of a gang are claimed together.
+  if (ready.stage.isGang) return [ready];
+  const slots = ready.slots.slice(0, claimsLeft(progress, ready.stage));
+  return slots.length === 0 ? [] : [{ ...ready, slots }];
+}
+
 /** What a job's progress says about the tasks to place. */
 interface Outlook {
   readonly ready: readonly ReadyStage[];
@@ -45,7 +80,9 @@
 >();
 
 function computeOutlook(job: WorkflowJob, progress: JobProgress, wallMs: number): Outlook {
-  const ready = readyStages(job, progress, wallMs);
+  const ready = readyStages(job, progress, wallMs).flatMap((stage) =>
+    claimableStage(stage, progress),
+  );
   if (ready.length === 0) return { ready, leftMs: 0, workLeft: 0 };
   const leftMs = criticalPathMs(job, (stageIndex, stage) =>
     isStageDone(job, progress, 0, stageIndex) ? 0 : stage.estimateMs,
