--- a/soak/main.ts
+++ b/soak/main.ts
@@ -1,53 +1,62 @@
 import { mkdir, rm } from 'node:fs/promises';
 import { join, resolve } from 'node:path';
-import { parseArgs } from 'node:util';
+import { assertNever } from '@bronzeyoke/types';
 import { buildPrograms } from '../tools/bundle';
+import type { CommandOptions } from './options';
+import { formatUsage, parseCommandLine } from './options';
 import { runSoak } from './run';
-import { FAULT_NAMES, selectFaults } from './selection';
+import type { SoakProgress } from './run';
 
-const { values } = parseArgs({
-  options: {
-    seed: { type: 'string', default: '1' },
-    seconds: { type: 'string', default: '20' },
-    entries: { type: 'string', default: '3' },
-    workers: { type: 'string', default: '4' },
-    callers: { type: 'string', default: '6' },
-    faults: { type: 'string' },
-    out: { type: 'string', default: '.cache/soak' },
-  },
-});
+const MS_PER_S = 1_000;
+const INVALID_STATUS = 2;
 
-const selected = values.faults === undefined ? undefined : selectFaults(values.faults);
-if (selected?.kind === 'unknownName') {
-  throw new RangeError(`${selected.name} is no fault; there are ${FAULT_NAMES.join(', ')}`);
+function formatProgress({ atMs, faults, accepted, runs, doubleRuns }: SoakProgress): string {
+  const seconds = Math.round(atMs / MS_PER_S);
+  return `${seconds} s: ${faults} faults, ${accepted} jobs accepted, ${runs} runs, ${doubleRuns} double runs`;
 }
-const seed = Number(values.seed);
-const out = resolve(values.out);
-const folder = join(out, `seed-${seed}`);
-const programs = join(out, `programs-${process.pid}`);
-await rm(folder, { recursive: true, force: true });
-await mkdir(folder, { recursive: true });
-await buildPrograms(programs);
-const { violations, faults, observations } = await runSoak({
-  seed,
-  forMs: Number(values.seconds) * 1_000,
-  size: { entries: Number(values.entries), workers: Number(values.workers) },
-  ...(selected === undefined ? {} : { selection: selected.selection }),
-  callers: Number(values.callers),
-  bundle: join(programs, 'bronzeyoke-node.mjs'),
-  folder,
-});
-await rm(programs, { recursive: true, force: true });
-const accepted = observations.filter(({ kind }) => kind === 'accepted').length;
-const runs = observations.filter(({ kind }) => kind === 'started').length;
-process.stdout.write(
-  `seed ${seed}: ${faults.length} faults, ${accepted} jobs accepted, ${runs} runs, ` +
-    `${violations.length} broken promises\n`,
-);
-if (violations.length > 0) {
-  violations.forEach(({ promise, atMs, what }) => {
-    process.stdout.write(`${promise} at ${atMs} ms: ${what}\n`);
+
+/** Runs the soak and prints what it finds. Returns whether all promises were kept. */
+async function run({ seed, seconds, out, ...options }: CommandOptions): Promise<boolean> {
+  const { entries, workers, callers, selection } = options;
+  const folder = join(resolve(out), `seed-${seed}`);
+  const programs = join(resolve(out), `programs-${process.pid}`);
+  const print = (line: string): boolean => process.stdout.write(`${line}\n`);
+  await rm(folder, { recursive: true, force: true });
+  await mkdir(folder, { recursive: true });
+  await buildPrograms(programs);
+  const { violations, progress } = await runSoak({
+    seed,
+    forMs: seconds * MS_PER_S,
+    size: { entries, workers },
+    callers,
+    selection,
+    bundle: join(programs, 'bronzeyoke-node.mjs'),
+    folder,
+    onProgress: (current) => print(formatProgress(current)),
   });
-  process.stdout.write(`timeline and logs are in ${folder}\n`);
-  process.exitCode = 1;
+  await rm(programs, { recursive: true, force: true });
+  const { faults, accepted, runs } = progress;
+  print(
+    `seed ${seed}: ${faults} faults, ${accepted} jobs accepted, ${runs} runs, ` +
+      `${violations.length} broken promises`,
+  );
+  violations.forEach(({ promise, atMs, what }) => print(`${promise} at ${atMs} ms: ${what}`));
+  if (violations.length > 0) print(`timeline and logs are in ${folder}`);
+  return violations.length === 0;
+}
+
+const commandLine = parseCommandLine(process.argv.slice(2));
+switch (commandLine.kind) {
+  case 'help':
+    process.stdout.write(formatUsage());
+    break;
+  case 'invalid':
+    process.stderr.write(`${commandLine.message}\n`);
+    process.exitCode = INVALID_STATUS;
+    break;
+  case 'run':
+    if (!(await run(commandLine.options))) process.exitCode = 1;
+    break;
+  default:
+    assertNever(commandLine);
 }
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -20,12 +20,9 @@
   return Number(task.split('.')[2]);
 }
 
-/** Finds overlapping runs of a task, and runs that start after their job was shown as complete. */
-function findDuplicateRuns(
-  runs: readonly Run[],
-  completeAtMs: ReadonlyMap<string, number>,
-): PromiseViolation[] {
-  const overlaps = [...groupBy(runs, ({ task }) => task).values()].flatMap((runsOfTask) => {
+/** Finds runs of a task that overlap. */
+export function findOverlaps(runs: readonly Run[]): readonly PromiseViolation[] {
+  return [...groupBy(runs, ({ task }) => task).values()].flatMap((runsOfTask) => {
     const ordered = [...runsOfTask].sort((left, right) => left.fromMs - right.fromMs);
     return ordered.flatMap((run, index): PromiseViolation[] => {
       const previous = ordered[index - 1];
@@ -34,6 +31,13 @@
       return [{ promise: 'TWICE', atMs: run.fromMs, what }];
     });
   });
+}
+
+/** Finds overlapping runs of a task, and runs that start after their job was shown as complete. */
+function findDuplicateRuns(
+  runs: readonly Run[],
+  completeAtMs: ReadonlyMap<string, number>,
+): PromiseViolation[] {
   const afterCompletion = runs
     .filter(({ task, fromMs }) => fromMs > (completeAtMs.get(jobOf(task)) ?? Infinity))
     .map(({ task, fromMs }): PromiseViolation => ({
@@ -41,7 +45,7 @@
       atMs: fromMs,
       what: `${task} starts after its job was complete`,
     }));
-  return [...overlaps, ...afterCompletion];
+  return [...findOverlaps(runs), ...afterCompletion];
 }
 
 /** Finds tasks that start before all tasks of the previous stage have succeeded. */
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -5,13 +5,16 @@
 import { drawUniforms } from '@bronzeyoke/types';
 import { runCaller } from './caller';
 import { inject } from './inject';
-import { findViolations } from './oracle';
+import { findOverlaps, findViolations } from './oracle';
 import { planFaults, seedToUniform } from './plan';
+import { ofKind, runsOf } from './runs';
 import type { FaultSelection } from './selection';
 import type { SiteSize } from './site';
 import { startSite } from './site';
 import type { PromiseViolation, PlannedFault, SoakObservation } from './types';
 
+const PROGRESS_INTERVAL_MS = 5_000;
+
 /** Time for the programs to start before callers and faults begin. */
 const STARTUP_MS = 3_000;
 
@@ -26,6 +29,8 @@
   readonly callers: number;
   /** Faults to choose from; all unless given. */
   readonly selection?: FaultSelection;
+  /** Gets the counts of the run every few seconds. */
+  readonly onProgress?: (progress: SoakProgress) => void;
   /** Time without faults at the end; long enough for every accepted job to end unless given. */
   readonly calmMs?: number;
   /** Path of the bundled program. */
@@ -34,8 +39,18 @@
   readonly folder: string;
 }
 
+/** Counts of a run up to a time. */
+export interface SoakProgress {
+  readonly atMs: number;
+  readonly faults: number;
+  readonly accepted: number;
+  readonly runs: number;
+  readonly doubleRuns: number;
+}
+
 /** Result of a soak run. */
 export interface SoakReport {
+  readonly progress: SoakProgress;
   readonly violations: readonly PromiseViolation[];
   readonly faults: readonly PlannedFault[];
   readonly observations: readonly SoakObservation[];
@@ -46,7 +61,7 @@
  * workers.
  */
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
-  const { seed, forMs, size, folder } = options;
+  const { seed, forMs, size, folder, onProgress = () => undefined } = options;
   const startedMs = performance.now();
   const nowMs = (): number => Math.round(performance.now() - startedMs);
   const observations: SoakObservation[] = [];
@@ -55,7 +70,15 @@
   };
   const site = await startSite(options.bundle, folder, size, observe, nowMs);
   const faults = planFaults(seed, forMs, options.selection);
-  const phase = { isCalm: false, isOver: false };
+  const phase = { isCalm: false, isOver: false, injected: 0 };
+  const measure = (): SoakProgress => ({
+    atMs: nowMs(),
+    faults: phase.injected,
+    accepted: ofKind(observations, 'accepted').length,
+    runs: ofKind(observations, 'started').length,
+    doubleRuns: findOverlaps(runsOf(observations)).length,
+  });
+  const progressTimer = setInterval(() => onProgress(measure()), PROGRESS_INTERVAL_MS);
   await sleep(STARTUP_MS);
   const callers = drawUniforms(seedToUniform(seed), options.callers).map((random) =>
     runCaller(random, {
@@ -69,6 +92,7 @@
   await Promise.all(
     faults.map(async ({ atMs, fault }) => {
       await sleep(atMs);
+      phase.injected += 1;
       await inject(site, fault);
     }),
   );
@@ -76,6 +100,7 @@
   await sleep(options.calmMs ?? CALM_PERIOD_MS);
   phase.isOver = true;
   await Promise.all(callers);
+  clearInterval(progressTimer);
   const violations = findViolations(observations, nowMs());
   site.close();
   const timeline = [
@@ -84,5 +109,5 @@
     ...violations.map((violation) => JSON.stringify(violation)),
   ];
   await writeFile(join(folder, 'timeline.jsonl'), `${timeline.join('\n')}\n`);
-  return { violations, faults, observations };
+  return { violations, faults, observations, progress: measure() };
 }
