Tell on what a release rests, and when its run goes on

A doubled run left no trace at the leader: taskReleased named a reason only, and a worker that listed the released run was told to stop it like any other unwanted one, or listed its end and was acknowledged.

taskReleased tells whether a list has named the run, the age of the worker's last report, the orders (neverStarted) and for how long the lease had ended (leaseExpired). bronzeyoke_releases_total{reason} counts releases.

--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -1,10 +1,12 @@
 import { Map } from 'immutable';
+import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { chainAll, unchanged, without } from '@bronzeyoke/types';
+import { assertNever, chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { RunRef } from '@bronzeyoke/wire';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { dropInstance } from './identities';
 import { lateStartsEndMs } from './latestarts';
+import { rememberReleased } from './releasedruns';
 import { startWait } from '../placement/placewait';
 import { dropRun, dropRuns, runsOn } from '../runs';
 import { putJob, withEffects } from '../state';
@@ -28,12 +30,45 @@
   | 'roomShrunk'
   | 'refused';
 
+/** Returns what a release rests on, for its log line. */
+function evidenceOf(
+  { workers }: SchedulerState,
+  { workerKey, isListed, order }: RunView,
+  reason: ReleaseReason,
+  nowMs: number,
+): EventFields {
+  const view = workers.get(workerKey);
+  const fields = {
+    wasListed: isListed,
+    ...(view?.reportedAtMs === undefined
+      ? {}
+      : { reportAgeMs: Math.round(nowMs - view.reportedAtMs) }),
+  };
+  switch (reason) {
+    case 'neverStarted':
+      return { ...fields, order };
+    case 'leaseExpired':
+      return view === undefined
+        ? fields
+        : { ...fields, leaseEndedAgoMs: Math.round(nowMs - view.expiresAtMs) };
+    case 'workerGone':
+    case 'notConnected':
+    case 'stoppedBeforeOrder':
+    case 'roomShrunk':
+    case 'refused':
+      return fields;
+    default:
+      return assertNever(reason);
+  }
+}
+
 /** Returns a task to placement. Callers have proof that its worker does not run it and never will. */
 export function releaseRun(
   state: SchedulerState,
   task: string,
   reason: ReleaseReason,
   nowMs: number,
+  evidence: EventFields = {},
 ): SchedulerStep {
   const run = state.runs.byTask.get(task);
   const open = run === undefined ? undefined : state.jobs.get(run.jobId);
@@ -44,7 +79,7 @@
   const released = advanceRun(known, 'release');
   const next = putJob(
     {
-      ...state,
+      ...rememberReleased(state, task, run, reason, nowMs),
       runs: dropRun(state.runs, task),
       backOff:
         reason === 'refused' ? state.backOff.set(task, nowMs + REFUSAL_BACK_OFF_MS) : state.backOff,
@@ -60,6 +95,8 @@
       worker: workerKey,
       reason,
       claimedForMs: Math.round(nowMs - run.claimedAtMs),
+      ...evidenceOf(state, run, reason, nowMs),
+      ...evidence,
     }),
   ]);
 }
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -31,6 +31,7 @@
 import { moveListedRuns } from './move';
 import { orderHeldStarts } from '../leadership/postcommit';
 import { releaseEndedRuns, releaseRun, releaseWorker } from './release';
+import { logListedAfterRelease } from './releasedruns';
 import { dropRun, dropRuns, putRun, runKey, runsOn } from '../runs';
 import { addPostCommitAction, sendToWorker, withEffects } from '../state';
 import { clearProvenRuns } from '../jobs/suspects';
@@ -145,6 +146,9 @@
   return chainAfter(released, [(current) => unchanged(markCompared(current, report.workerKey))]);
 }
 
+/** Ends that follow from a release or go before it, and so are no sign of a run that went on after it. */
+const EXPECTED_ENDS: ReadonlySet<string> = new Set(['expired', 'stopped']);
+
 /**
  * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
  * acknowledgement covers all ends before it.
@@ -171,10 +175,13 @@
   if (view === undefined || last === undefined) return unchanged(state);
   const step = chainAll(
     state,
-    unhandled.map(
-      (ended) => (current: SchedulerState) =>
-        applyEnd(current, { ...ended, workerKey }, nowMs, wallMs),
-    ),
+    unhandled.flatMap((ended) => [
+      (current: SchedulerState) =>
+        EXPECTED_ENDS.has(ended.end)
+          ? unchanged(current)
+          : logListedAfterRelease(current, workerKey, ended, ended.end, nowMs),
+      (current: SchedulerState) => applyEnd(current, { ...ended, workerKey }, nowMs, wallMs),
+    ]),
   );
   const handled = step.state.workers.get(workerKey) ?? view;
   const updated: SchedulerState = {
@@ -226,7 +233,10 @@
     const unwanted = runRef(task, attempt);
     const kept = keepUnwanted(state, workerKey, unwanted);
     if (isHeldTask(state, task)) return unchanged(kept);
-    return stopUnwanted(kept, workerKey, unwanted, nowMs);
+    return chainAll(kept, [
+      (next) => logListedAfterRelease(next, workerKey, unwanted, 'running', nowMs),
+      (next) => stopUnwanted(next, workerKey, unwanted, nowMs),
+    ]);
   }
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
@@ -283,7 +293,8 @@
   return chainAll(
     { ...state, orphans, needsPlacement },
     missing.map(
-      (task) => (current: SchedulerState) => releaseRun(current, task, 'neverStarted', nowMs),
+      (task) => (current: SchedulerState) =>
+        releaseRun(current, task, 'neverStarted', nowMs, { lastOrder: report.lastOrder }),
     ),
   );
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -22,6 +22,7 @@
   instanceCount: 0,
   runs: NO_RUNS,
   orphans: NO_RUNS,
+  released: Map<string, never>(),
   loads: Map<string, never>(),
   passCount: 0,
   lastPassAtMs: -Infinity,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -28,6 +28,7 @@
 import { placeTasks } from './placement/place';
 import { releaseHeldStarts } from './leadership/postcommit';
 import { releaseEndedRuns, releaseWorker } from './fleet/release';
+import { forgetReleased } from './fleet/releasedruns';
 import { onOrderRefused, onReport } from './fleet/report';
 import { forgetQuickEnds } from './jobs/restarts';
 import { stopStalledRuns } from './jobs/stall';
@@ -109,7 +110,7 @@
         needsPlacement: true,
       }
     : state;
-  return chainAll(forgetQuickEnds(updated, nowMs), [
+  return chainAll(forgetReleased(forgetQuickEnds(updated, nowMs), nowMs), [
     (current) => pollLease(current, nowMs),
     (current) => retryClaim(current, nowMs),
     (current) => retryReads(current, nowMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -23,6 +23,7 @@
   KnownLoads,
   LinkView,
   OpenJob,
+  ReleasedRun,
   StoredProgress,
   Suspect,
   WorkerView,
@@ -214,6 +215,8 @@
   readonly instanceCount: number;
   readonly runs: RunTable;
   readonly orphans: OrphanTable;
+  /** Runs that were released lately, by task and attempt, until a worker lists them. */
+  readonly released: Map<string, ReleasedRun>;
   /** Loads of the usable workers, as of the last placement. */
   readonly loads: KnownLoads;
   readonly passCount: number;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -83,6 +83,13 @@
   readonly trial?: Trial;
 }
 
+/** A run that was released without a listed end. */
+export interface ReleasedRun {
+  readonly workerKey: string;
+  readonly reason: string;
+  readonly releasedAtMs: number;
+}
+
 /** A run that no open job wants. It occupies its worker until the worker no longer lists it. */
 export interface OrphanRun {
   readonly task: string;
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -7,6 +7,10 @@
 const DEFINITIONS = {
   bronzeyoke_events_total: { kind: 'counter', help: 'Decisions and changes of belief, by event.' },
   bronzeyoke_refusals_total: { kind: 'counter', help: 'Jobs refused, by reason.' },
+  bronzeyoke_releases_total: {
+    kind: 'counter',
+    help: 'Runs given up without a listed end, by reason.',
+  },
   bronzeyoke_log_lines_dropped_total: { kind: 'gauge', help: 'Log lines left out.' },
   bronzeyoke_lasting_away: { kind: 'gauge', help: 'Lasting tasks that do not work, by reason.' },
   bronzeyoke_workers_blocked: {
@@ -94,6 +98,9 @@
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
       }
+      if (event === 'taskReleased') {
+        metrics.count('bronzeyoke_releases_total', { reason: String(fields.reason) });
+      }
       (DURATIONS[event] ?? []).forEach(({ field, metric }) => {
         const value = fields[field];
         if (typeof value === 'number') metrics.observe(metric, {}, value);
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -7,6 +7,7 @@
   'taskStarted',
   'taskMoved',
   'taskReleased',
+  'taskListedAfterRelease',
   'taskEnded',
   'taskStopped',
   'taskSuspected',
--- a/packages/telemetry/test/eventlog.test.ts
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -97,3 +97,13 @@
   expect(lines).to.include('bronzeyoke_place_wait_seconds_count 1');
   expect(lines).to.include('bronzeyoke_place_wait_seconds_sum 2.5');
 });
+
+// Guards against releases that cannot be counted by the sign that they rest on.
+it('eventmetrics: releases are counted by reason', () => {
+  const metrics = createEventMetrics(createHistogram);
+  ['workerGone', 'leaseExpired', 'workerGone'].forEach((reason) =>
+    metrics.record('taskReleased', { reason }),
+  );
+  expect(metrics.text(0)).to.include('bronzeyoke_releases_total{reason="workerGone"} 2');
+  expect(metrics.text(0)).to.include('bronzeyoke_releases_total{reason="leaseExpired"} 1');
+});
