--- a/packages/scheduler/src/fleet/instances.ts
+++ b/packages/scheduler/src/fleet/instances.ts
@@ -3,6 +3,7 @@
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { InstanceIndex } from './identities';
 import { instancesAt, instancesWith } from './identities';
+import { SILENT_AFTER_MS } from './leases';
 import { runsOn } from '../runs';
 import { putJob } from '../state';
 import type { SchedulerState } from '../types';
@@ -25,9 +26,6 @@
   );
 }
 
-/** Age of its last report from which a worker no longer counts as reported by its own agent. */
-const RECENT_REPORT_MS = 800;
-
 /**
  * Returns whether another agent than that of a report has just reported an instance, and is connected. The
  * instance may have moved to another address, which that agent tells with its next report.
@@ -40,7 +38,7 @@
 ): boolean {
   const view = workers.get(workerKey);
   if (view?.linkId === undefined || view.agentId === agentId) return false;
-  return nowMs - (view.reportedAtMs ?? -Infinity) < RECENT_REPORT_MS;
+  return nowMs - (view.reportedAtMs ?? -Infinity) < SILENT_AFTER_MS;
 }
 
 function hasMoved({ workerAddress }: TaskProgress, address: string): boolean {
--- a/packages/scheduler/src/fleet/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -10,7 +10,7 @@
 const UNDESCRIBED_GRANT_WINDOW_MS = 6_000;
 
 /** A worker whose last report is older than this counts as silent. */
-const SILENT_AFTER_MS = 800;
+export const SILENT_AFTER_MS = 800;
 
 /** No earlier leader has granted a lease. */
 export const NO_EARLIER_LEASES: EarlierLeases = { endAtMs: 0, awaited: Map() };
