Handle the ends of a held job again when it is cancelled

The ends of a held job are not acknowledged. When the job was cancelled nothing made the leader handle them again, so the worker kept them, and all later ones, until its connection was replaced or it listed a new end.

Any end of a hold makes the leader handle all listed ends again, as the opening of the job did; each is applied once.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -113,10 +113,7 @@
   };
 }
 
-/**
- * Adds the runs in the progress of a job that is opened while this entry leads. Their workers list again
- * the ends that were not acknowledged, and runs that were moved to later instances.
- */
+/** Adds the runs in the progress of a job that is opened while this entry leads. */
 export function adoptJobRuns(
   state: SchedulerState,
   { job, progress }: OpenJob,
@@ -138,8 +135,9 @@
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), state.runs),
     orphans: dropRuns(state.orphans, keys),
     suspects: state.suspects.merge(findSuspects({ ...state, jobs }, nowMs)),
-    workers: workers.map((view) => ({ ...view, handledSequence: 0 })),
+    workers,
     instances: indexInstances(workers),
+    // Workers are compared with all instances again, for runs that were moved to later ones.
     instanceCount: state.instanceCount + 1,
   };
 }
--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -36,9 +36,14 @@
   );
 }
 
-/** Ends the hold of a job. */
+/** Ends the hold of a job. The ends that were not acknowledged are handled with the next lists. */
 export function dropHeld(state: SchedulerState, jobId: string): SchedulerState {
-  return { ...state, held: { ...state.held, jobs: state.held.jobs.delete(jobId) } };
+  if (!state.held.jobs.has(jobId)) return state;
+  return {
+    ...state,
+    held: { ...state.held, jobs: state.held.jobs.delete(jobId) },
+    workers: state.workers.map((view) => ({ ...view, handledSequence: 0 })),
+  };
 }
 
 /** Returns whether a task belongs to a held job. */
--- a/packages/scheduler/test/held.test.ts
+++ b/packages/scheduler/test/held.test.ts
@@ -158,6 +158,15 @@
   expect(again.state.jobs.has('job1')).to.equal(false);
 });
 
+// Guards against ends that a worker keeps for good after their job was cancelled, and all later ones with them.
+it('held: the ends of a held job are acknowledged once it is cancelled', () => {
+  const ended = [endOf(TASK, 1), endOf('job9.0.0.0', 2)];
+  const listed = commitAll(report(loadedWith(UNREADABLE), 'w1', { ended }));
+  expect(acknowledged(listed)).to.deep.equal([]);
+  const cancelled = commitAll(report(advance(cancel(listed), 100), 'w1', { ended }));
+  expect(acknowledged(cancelled)).to.deep.equal([2]);
+});
+
 // Guards against jobs that are held although nothing is wrong with their rows.
 it('held: a job without a row, or with one of an earlier build, is not held', () => {
   const fresh = commitAll(submit(report(createLeader(), 'w1'), JOB));
