--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -4,7 +4,13 @@
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import type { RunRef } from '@bronzeyoke/wire';
 import { noteResult } from './failures';
-import { isListAwaited, onGoneCallDone, onSuccessorListed, removeWorker } from './gone';
+import {
+  hasOpenGoneCalls,
+  isListAwaited,
+  onGoneCallDone,
+  onSuccessorListed,
+  removeWorker,
+} from './gone';
 import { leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
 import { forgetStart } from './recentstarts';
 import { reportIfDue, sendToLeader } from './report';
@@ -28,7 +34,7 @@
 /** Pause after a failed hold. */
 export const HOLD_RETRY_MS = 120;
 
-/** Pause before the next list while the worker stops runs of late orders. */
+/** Pause before the next list while runs of late orders are stopped, or calls to earlier instances open. */
 const LATE_STOP_PAUSE_MS = 200;
 
 /** Increment after the worker refused a token, because the token of the other agent is unknown. */
@@ -109,9 +115,8 @@
   running: readonly ListedRun[],
   nowMs: number,
 ): RunnerStep {
-  const waiting = { ...state, holdAtMs: nowMs + LATE_STOP_PAUSE_MS };
   return chainEach<RunnerState, RunnerEffect, ListedRun>(
-    unchanged(waiting),
+    unchanged(state),
     running,
     (current, { task, attempt }) => {
       const order = { task, attempt, fencingToken: current.token };
@@ -138,8 +143,11 @@
   const worker = noteClock(listed, clockMs, nowMs);
   // Replies may overtake each other, and an older list lacks runs that have begun since.
   if (listNumber <= worker.listNumber) return unchanged({ ...state, worker });
-  if (isListAwaited(state) && running.length > 0)
-    return stopLateRuns({ ...state, worker }, worker, running, nowMs);
+  if (isListAwaited(state)) {
+    const listing = { ...state, worker, holdAtMs: nowMs + LATE_STOP_PAUSE_MS };
+    if (running.length > 0) return stopLateRuns(listing, worker, running, nowMs);
+    if (hasOpenGoneCalls(state)) return unchanged(listing);
+  }
   const isStillThere = worker.leftAtList !== undefined && listNumber > worker.leftAtList;
   const next: WorkerState = {
     ...(isStillThere ? without(worker, 'leftAtList') : worker),
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -170,6 +170,18 @@
   return state.goneWorkers.some(({ phase }) => phase === 'awaitingList');
 }
 
+/**
+ * Returns whether a start call to a gone worker has no result yet. Its successor refuses the call, but may
+ * end before that, and the instance after it would carry the call out.
+ */
+export function hasOpenGoneCalls({ pendingCalls, goneWorkers }: RunnerState): boolean {
+  return pendingCalls.some(
+    ({ workerKey, call }) =>
+      call.kind === 'start' &&
+      goneWorkers.some((gone) => gone.workerKey === workerKey && gone.phase === 'awaitingList'),
+  );
+}
+
 /**
  * Handles a list without runs of an instance that follows gone ones. It was made under a higher token
  * than all calls to these, so none of the calls starts a run any more.
