Let a stopping agent wait for the proof that its worker has ended

platform.test.ts 'a stopping agent tells the next leader that its worker left' failed: an agent that was stopped right after its worker's message had nothing to tell any more, because the message is no proof, and the worker's tasks waited for the longest lease.

A planned stop waits until the end of a worker that has said that it leaves, or whose calls fail, is proven or refuted, within the time of the stop.

--- a/packages/runner/src/settle.ts
+++ b/packages/runner/src/settle.ts
@@ -21,8 +21,13 @@
   );
 }
 
+/** Returns whether a sign that the worker has ended has neither been proven nor refuted. */
+function mayHaveEnded({ worker }: RunnerState): boolean {
+  return worker?.leftAtList !== undefined || worker?.failures !== undefined;
+}
+
 function isSettled(state: RunnerState): boolean {
-  return state.goneWorkers.length === 0 && !hasOpenEnds(state);
+  return state.goneWorkers.length === 0 && !hasOpenEnds(state) && !mayHaveEnded(state);
 }
 
 /** Passes the whole lease that the leader granted on to the worker. */
@@ -49,6 +54,7 @@
   const fields = {
     goneWorkers: state.goneWorkers.map(({ workerKey }) => workerKey).join(','),
     hasOpenEnds: hasOpenEnds(state),
+    mayHaveEnded: mayHaveEnded(state),
   };
   switch (action) {
     case 'logSettling':
