--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -61,8 +61,11 @@
   const { address, service, domain, sequence } = worker.report;
   // An instance keeps its service and its domain, so this is a heartbeat of another writer.
   if (service !== report.service || domain !== report.domain) return unchanged(state);
-  if (address !== report.address) return unchanged(noteCandidate(state, report, nowMs));
   if (report.sequence <= sequence) return unchanged(state);
+  if (address !== report.address) {
+    const heard = { ...state, worker: { ...worker, heartbeatAtMs: nowMs } };
+    return unchanged(noteCandidate(heard, report, nowMs));
+  }
   const hasChanged =
     report.isDraining !== worker.report.isDraining ||
     !isSameAmount(worker.report.capacity, report.capacity);
