Test that a settled late order starts no run on a later instance

Cause: a list of the worker settles a start order whose reply was lost, and the leader places the task elsewhere. A later instance under the same id has not seen the raised token: it carries the order out if that comes before its first hold.

Change: a play of orders that are carried out after 2.5 s, shortly after a restart of their worker.

--- a/packages/scheduler/test/unreachable.test.ts
+++ b/packages/scheduler/test/unreachable.test.ts
@@ -84,3 +84,17 @@
 it('unreachable: late orders to an earlier instance under another id run once', () => {
   expectOneRun(restartWithLateOrders(false));
 });
+
+// Guards against a lost order that a list settles and that a later instance still carries out, because it
+// has not seen the raised token.
+it('unreachable: a late order that a list has settled starts no second run', () => {
+  const lateMs = 2_500;
+  expectOneRun((simulation, machine, draw) => {
+    simulation.setOrderDelay(machine, [lateMs, lateMs]);
+    simulation.submit('long', 5);
+    simulation.advance(lateMs - draw.between(1, 100));
+    simulation.crashWorker(machine);
+    simulation.setOrderDelay(machine, PROMPT_MS);
+    simulation.startWorker(machine, true);
+  });
+});
