Put the soak's proxies on every hop, slow programs, and shape its site

Cause: nothing sat between agents and entries, between entries, or before an agent's heartbeats; programs were paused or at full speed; a site had one failure domain for each entry and two workers in a domain, with even shares of callers.

Change: the hops agentEntry, entryEntry and workerAgent. Programs find entries through rows and messages, so each program preloads a module (routes.cjs) that connects to the proxy of the pair in place of the entry; the product is unchanged.

--- a/soak/caller.ts
+++ b/soak/caller.ts
@@ -42,6 +42,18 @@
   return lasts ? lastingId(id) : id;
 }
 
+/** Chooses the entry of a caller's first call. The shares of the entries fall from the first one on. */
+export function chooseEntry(random: number, entryCount: number): number {
+  const shares = Array.from({ length: entryCount }, (_, index) => 1 / (index + 1));
+  const sumUpTo = (end: number): number =>
+    shares.slice(0, end).reduce((sum, share) => sum + share, 0);
+  const threshold = random * sumUpTo(entryCount);
+  return Math.max(
+    0,
+    shares.findIndex((_, index) => sumUpTo(index + 1) > threshold),
+  );
+}
+
 type Answer =
   | { readonly kind: 'answered'; readonly status: number; readonly body: string }
   | { readonly kind: 'silent' };
@@ -53,7 +65,7 @@
 export async function runCaller(seed: number, options: CallerOptions): Promise<void> {
   const { entryAddresses, observe, nowMs, isOver, isCalm } = options;
   const agent = new Agent({ keepAliveTimeout: 60_000, headersTimeout: CALL_TIMEOUT_MS });
-  const target = { entryIndex: Math.floor(seed * entryAddresses.length) };
+  const target = { entryIndex: chooseEntry(seed, entryAddresses.length) };
   const background: Promise<void>[] = [];
   const lasting = { isOpen: false };
 
--- a/soak/inject.ts
+++ b/soak/inject.ts
@@ -12,6 +12,7 @@
 const ORDER_DELAY_MS = 2_000;
 const RESTART_CHECK_MS = 50;
 const ODD_INTERVAL_MS = 300;
+const STALL_PERIOD_MS = 100;
 const NO_FAULTS: PlatformFaults = { isStoreDown: false, losesAnswers: false };
 
 function elementAt<Value>(values: readonly Value[], index: number): Value {
@@ -58,6 +59,20 @@
   program.send('start');
 }
 
+/** Stops and continues programs by turns until a time, so that they run for a share of it. */
+async function stallByTurns(
+  programs: readonly Program[],
+  percent: number,
+  untilMs: number,
+): Promise<void> {
+  const runMs = (STALL_PERIOD_MS * percent) / 100;
+  programs.forEach((program) => program.send('stall'));
+  await sleep(STALL_PERIOD_MS - runMs);
+  programs.forEach((program) => program.send('proceed'));
+  await sleep(runMs);
+  if (performance.now() < untilMs) await stallByTurns(programs, percent, untilMs);
+}
+
 /** Sends odd messages of a worker until a time. */
 async function repeatOddMessages(
   worker: SoakWorker,
@@ -72,7 +87,8 @@
 
 /** Injects a fault and resolves when it is over. */
 export async function inject(site: SoakSite, fault: Fault): Promise<void> {
-  const { programs, store } = site;
+  const { store } = site;
+  const programs = site.nodes.map(({ program }) => program);
   const withStoreFaults = async (faults: Partial<PlatformFaults>, forMs: number): Promise<void> => {
     store.setFaults({ ...NO_FAULTS, ...faults });
     await sleep(forMs);
@@ -101,6 +117,10 @@
     }
     case 'reload':
       return elementAt(programs, fault.program).send('reload');
+    case 'slowProcessor': {
+      const slowed = inScope(site.nodes, fault.scope).map(({ program }) => program);
+      return stallByTurns(slowed, fault.percent, performance.now() + fault.forMs);
+    }
     case 'link': {
       const links = inScope(linksOf(site, fault.hop), fault.scope);
       links.forEach(({ proxy }) => proxy.setMode(fault.mode));
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -17,7 +17,7 @@
 
 /** Runs the soak and prints what it finds. Returns whether all promises were kept. */
 async function run({ seed, seconds, out, ...options }: CommandOptions): Promise<boolean> {
-  const { entries, workers, callers, selection } = options;
+  const { entries, workers, domains, callers, selection } = options;
   const folder = join(resolve(out), `seed-${seed}`);
   const programs = join(resolve(out), `programs-${process.pid}`);
   const print = (line: string): boolean => process.stdout.write(`${line}\n`);
@@ -27,7 +27,7 @@
   const { violations, progress } = await runSoak({
     seed,
     forMs: seconds * MS_PER_S,
-    size: { entries, workers },
+    size: { entries, workers, domains },
     callers,
     selection,
     bundle: join(programs, 'bronzeyoke-node.mjs'),
--- a/soak/options.ts
+++ b/soak/options.ts
@@ -8,6 +8,7 @@
 const MAX_SECONDS = 86_400;
 const MAX_ENTRIES = 32;
 const MAX_WORKERS = 160;
+const MAX_DOMAINS = 16;
 const MAX_CALLERS = 500;
 
 type OptionKind =
@@ -39,6 +40,7 @@
   countOption('seconds', 20, [1, MAX_SECONDS], 'time with faults'),
   countOption('entries', 3, [1, MAX_ENTRIES], 'entries, each a process'),
   countOption('workers', 4, [1, MAX_WORKERS], 'workers, each with an agent that is a process'),
+  countOption('domains', 4, [1, MAX_DOMAINS], 'failure domains of entries and workers'),
   countOption('callers', 6, [1, MAX_CALLERS], 'simulated callers'),
   {
     name: 'faults',
@@ -62,6 +64,7 @@
   readonly seconds: number;
   readonly entries: number;
   readonly workers: number;
+  readonly domains: number;
   readonly callers: number;
   readonly selection: FaultSelection;
   readonly out: string;
@@ -151,6 +154,7 @@
       seconds: Number(valueOf('seconds')),
       entries: Number(valueOf('entries')),
       workers: Number(valueOf('workers')),
+      domains: Number(valueOf('domains')),
       callers: Number(valueOf('callers')),
       selection: selected.kind === 'selected' ? selected.selection : ALL_FAULTS,
       out: valueOf('out'),
--- a/soak/plan.ts
+++ b/soak/plan.ts
@@ -9,6 +9,8 @@
 const MAX_DURATION_MS = 4_000;
 const MAX_DELAY_MS = 400;
 const MAX_LATE_WRITE_MS = 6_000;
+const MIN_PROCESSOR_PERCENT = 5;
+const MAX_PROCESSOR_PERCENT = 50;
 
 /** Random numbers that each fault takes. */
 const DRAWS_PER_FAULT = 6;
@@ -52,6 +54,7 @@
   const index = Math.floor(targetDraw * SEED_RANGE);
   const forMs = interpolate(durationDraw, MIN_DURATION_MS, MAX_DURATION_MS);
   const byMs = interpolate(delayDraw, 1, MAX_DELAY_MS);
+  const percent = interpolate(delayDraw, MIN_PROCESSOR_PERCENT, MAX_PROCESSOR_PERCENT);
   const kind = pick(kindDraw, kinds);
   switch (kind) {
     case 'kill':
@@ -65,6 +68,12 @@
       return { kind, program: index, forMs };
     case 'reload':
       return { kind, program: index };
+    case 'slowOne':
+      return { kind: 'slowProcessor', scope: createScope('one', index), percent, forMs };
+    case 'slowDomain':
+      return { kind: 'slowProcessor', scope: createScope('domain', index), percent, forMs };
+    case 'slowAll':
+      return { kind: 'slowProcessor', scope: createScope('all', index), percent, forMs };
     case 'link': {
       const link = pick(modeDraw, links);
       const mode = createMode(link, byMs, index % 2 === 0);
--- a/soak/program.ts
+++ b/soak/program.ts
@@ -3,14 +3,15 @@
 import { createWriteStream } from 'node:fs';
 import { writeFile } from 'node:fs/promises';
 import { join } from 'node:path';
+import { fileURLToPath } from 'node:url';
 import { advance, compileChart } from '@bronzeyoke/chart';
 import type { StateOf } from '@bronzeyoke/chart';
 import { assertNever } from '@bronzeyoke/types';
 import chartFile from './charts/program.json';
 
 const programChart = compileChart(chartFile, {
-  states: ['down', 'running', 'paused', 'stopping'],
-  events: ['start', 'pause', 'resume', 'kill', 'terminate', 'reload', 'exited'],
+  states: ['down', 'running', 'stalled', 'paused', 'stopping'],
+  events: ['start', 'stall', 'proceed', 'pause', 'resume', 'kill', 'terminate', 'reload', 'exited'],
   actions: [
     'spawn',
     'sendSigstop',
@@ -22,7 +23,9 @@
   ],
 });
 
-type ProgramEvent = 'start' | 'pause' | 'resume' | 'kill' | 'terminate' | 'reload' | 'exited';
+/** Event of a program. `stall` and `proceed` are the short stops of one with a share of a processor. */
+type ProgramEvent =
+  'start' | 'stall' | 'proceed' | 'pause' | 'resume' | 'kill' | 'terminate' | 'reload' | 'exited';
 
 /** State of a program in the chart. */
 export type ProgramState = StateOf<typeof programChart>;
@@ -34,6 +37,11 @@
   readonly state: () => ProgramState;
 }
 
+/** Addresses of the proxies to which a program's connections go, by the address that it connects to. */
+export type Routes = Readonly<Record<string, string>>;
+
+const ROUTES_FILE = fileURLToPath(new URL('routes.cjs', import.meta.url));
+
 /** End of the output that is reported of a program that ends by itself; its last lines tell why. */
 const REPORTED_OUTPUT_CHARS = 500;
 
@@ -46,6 +54,7 @@
   folder: string,
   settings: Readonly<Record<string, unknown>> & { readonly name: string },
   onOwnExit: (output: string) => void,
+  routes: Routes = {},
 ): Promise<Program> {
   const { name } = settings;
   const file = join(folder, `${name}.jsonc`);
@@ -57,7 +66,10 @@
   };
 
   const startChild = (): ChildProcess => {
-    const child = spawn(process.execPath, [bundle, file], { stdio: ['ignore', 'pipe', 'pipe'] });
+    const child = spawn(process.execPath, ['--require', ROUTES_FILE, bundle, file], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, SOAK_ROUTES: JSON.stringify(routes) },
+    });
     current.output = '';
     [child.stdout, child.stderr].forEach((stream) => {
       stream.pipe(output, { end: false });
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -1,4 +1,5 @@
-import { parseAddress } from '@bronzeyoke/types';
+import type { Address } from '@bronzeyoke/types';
+import { formatAddress, parseAddress } from '@bronzeyoke/types';
 import type { StandinPlatform } from '../platform/test/standin';
 import { startPlatform } from '../platform/test/standin';
 import type { SoakWorker } from './heartbeat';
@@ -6,14 +7,13 @@
 import { CRASH_DELAY_MS, isCrashingTask, workMsOf } from './jobs';
 import { claimLoopbackRange } from './loopback';
 import { startOddWriter } from './oddwriter';
-import type { Program } from './program';
+import type { Program, Routes } from './program';
 import { createProgram } from './program';
 import type { Proxy } from './proxy';
 import { startProxy } from './proxy';
 import type { Hop, SoakObservation } from './types';
 
 const HEARTBEAT_INTERVAL_MS = 400;
-const WORKERS_PER_DOMAIN = 2;
 
 /** A proxy on a hop. The failure domain is that of the program that connects, or accepts callers. */
 export interface SoakLink {
@@ -22,11 +22,17 @@
   readonly proxy: Proxy;
 }
 
+/** A program with its failure domain. */
+export interface SoakNode {
+  readonly program: Program;
+  readonly domain: number;
+}
+
 /** Programs, stand-ins and links of a soak run. */
 export interface SoakSite {
   readonly store: StandinPlatform;
   readonly workers: readonly SoakWorker[];
-  readonly programs: readonly Program[];
+  readonly nodes: readonly SoakNode[];
   readonly links: readonly SoakLink[];
   /** Addresses of the proxies through which callers reach the entries. */
   readonly entryAddresses: readonly string[];
@@ -57,6 +63,8 @@
 export interface SiteSize {
   readonly entries: number;
   readonly workers: number;
+  /** Failure domains, over which entries and workers are spread. */
+  readonly domains: number;
 }
 
 /** Starts stand-ins and programs. Each program has its own proxies to the services that it calls. */
@@ -88,17 +96,32 @@
   const agentPort = hosts[0]?.port ?? 0;
   const common = {
     agentPort,
+    seeds: hosts.map(formatAddress),
     graceS: 4,
     maxLeaseMs: 10_000,
     holderLeaseMs: 3_000,
     statusS: 120,
   };
+  /** Starts the proxies of a program's connections to entries. */
+  const startRoutes = async (hop: Hop, domain: number, others: readonly Address[]) => {
+    const links = await Promise.all(
+      others.map((other) => startLink(hop, domain, formatAddress(other))),
+    );
+    const pairs = links.map(({ proxy }, index) => [
+      formatAddress(others[index] ?? { host: '', port: 0 }),
+      proxy.address,
+    ]);
+    return { links, routes: Object.fromEntries(pairs) as Routes };
+  };
   const entries = await Promise.all(
     hosts.map(async ({ host }, index) => {
+      const domain = index % size.domains;
       const name = `entry-${index + 1}`;
       const front = nextAddress();
-      const storeLink = await startLink('entryStore', index, store.address);
-      const frontLink = await startLink('callerEntry', index, front);
+      const storeLink = await startLink('entryStore', domain, store.address);
+      const frontLink = await startLink('callerEntry', domain, front);
+      const others = hosts.filter((other) => other.host !== host);
+      const { links: entryLinks, routes } = await startRoutes('entryEntry', domain, others);
       const program = await createProgram(
         bundle,
         folder,
@@ -107,13 +130,19 @@
           name,
           role: 'entry',
           host,
-          domain: `zone-${index}`,
+          domain: `zone-${domain}`,
           store: storeLink.proxy.address,
           callers: front,
         },
         observeExit(name),
+        routes,
       );
-      return { program, links: [storeLink, frontLink], front: frontLink.proxy.address };
+      return {
+        program,
+        domain,
+        links: [storeLink, frontLink, ...entryLinks],
+        front: frontLink.proxy.address,
+      };
     }),
   );
   const agents = await Promise.all(
@@ -130,10 +159,12 @@
         }
         observe({ ...event, atMs: nowMs(), worker: id });
       }, workMsOf);
-      const domain = Math.floor(index / WORKERS_PER_DOMAIN);
+      const domain = index % size.domains;
       const storeLink = await startLink('agentStore', domain, store.address);
       const workerLink = await startLink('agentWorker', domain, platform.address);
       const heartbeatAddress = nextAddress();
+      const heartbeatLink = await startLink('workerAgent', domain, heartbeatAddress);
+      const { links: entryLinks, routes } = await startRoutes('agentEntry', domain, hosts);
       const worker = {
         id,
         platform,
@@ -155,19 +186,20 @@
           heartbeats: heartbeatAddress,
         },
         observeExit(name),
+        routes,
       );
       const timer = setInterval(() => {
         // A failed heartbeat is not retried: the next one follows after the interval.
-        sendHeartbeat(heartbeatAddress, id, JSON.stringify(createHeartbeat(worker, 'ready'))).catch(
-          () => undefined,
-        );
+        const body = JSON.stringify(createHeartbeat(worker, 'ready'));
+        sendHeartbeat(heartbeatLink.proxy.address, id, body).catch(() => undefined);
       }, HEARTBEAT_INTERVAL_MS);
-      return { program, worker, timer, heartbeatAddress, links: [storeLink, workerLink] };
+      const links = [storeLink, workerLink, heartbeatLink, ...entryLinks];
+      return { program, domain, worker, timer, heartbeatAddress, links };
     }),
   );
   const links = [...entries, ...agents].flatMap((node) => node.links);
-  const programs = [...entries, ...agents].map(({ program }) => program);
-  programs.forEach((program) => program.send('start'));
+  const nodes = [...entries, ...agents];
+  nodes.forEach(({ program }) => program.send('start'));
   const oddWriter = startOddWriter(
     store,
     agents.map(({ heartbeatAddress }) => heartbeatAddress),
@@ -176,13 +208,13 @@
   return {
     store,
     workers: agents.map(({ worker }) => worker),
-    programs,
+    nodes,
     links,
     entryAddresses: entries.map(({ front }) => front),
     close: () => {
       oddWriter.stop();
       agents.forEach(({ timer }) => clearInterval(timer));
-      programs.forEach((program) => program.send('kill'));
+      nodes.forEach(({ program }) => program.send('kill'));
       links.forEach(({ proxy }) => proxy.close());
       range.release();
       agents.forEach(({ worker }) => worker.platform.close());
--- a/soak/test/regressions.test.ts
+++ b/soak/test/regressions.test.ts
@@ -22,7 +22,7 @@
   const { violations } = await runSoak({
     seed,
     forMs,
-    size: { entries: 2, workers: 6 },
+    size: { entries: 2, workers: 6, domains: 3 },
     callers: 8,
     calmMs: CALM_MS,
     bundle: join(folder, 'programs', 'bronzeyoke-node.mjs'),
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -181,7 +181,7 @@
   const { violations, observations } = await runSoak({
     seed: SEED,
     forMs: FAULTS_MS,
-    size: { entries: 2, workers: 2 },
+    size: { entries: 2, workers: 2, domains: 2 },
     callers: 3,
     bundle: join(folder, 'programs', 'bronzeyoke-node.mjs'),
     folder,
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -12,7 +12,15 @@
   | { readonly kind: 'refuse' };
 
 /** Hops between programs, callers, workers and the store, named by who connects to whom. */
-export const HOPS = ['callerEntry', 'agentWorker', 'entryStore', 'agentStore'] as const;
+export const HOPS = [
+  'callerEntry',
+  'entryEntry',
+  'agentEntry',
+  'agentWorker',
+  'workerAgent',
+  'entryStore',
+  'agentStore',
+] as const;
 
 /** A hop on which a proxy sits. */
 export type Hop = (typeof HOPS)[number];
@@ -33,6 +41,13 @@
   | { readonly kind: 'terminate'; readonly program: number; readonly forMs: number }
   | { readonly kind: 'pause'; readonly program: number; readonly forMs: number }
   | { readonly kind: 'reload'; readonly program: number }
+  /** Programs get a share of a processor: they are stopped and continued by turns. */
+  | {
+      readonly kind: 'slowProcessor';
+      readonly scope: Scope;
+      readonly percent: number;
+      readonly forMs: number;
+    }
   | {
       readonly kind: 'link';
       readonly hop: Hop;
