Test that the stages of one job share the row with its progress

Several ready stages are each offered what is left of the row. The test passes on the code as it is, and guards against a larger budget.

--- a/packages/scheduler/test/widejobs.test.ts
+++ b/packages/scheduler/test/widejobs.test.ts
@@ -21,14 +21,22 @@
 const CHECKPOINT = 'c'.repeat(20);
 
 /** Returns a leader whose fleet has room for all tasks of a job. */
-function placeWide(taskCount: number, savesCheckpoints: boolean): Fixture {
+function placeWide(taskCount: number, savesCheckpoints: boolean, stageCount = 1): Fixture {
   const sites = Array.from({ length: WORKERS }, (_, index) => `worker-of-a-long-name-${index}`);
   const fleet = sites.reduce<Fixture>(
     (current, site) => report(current, site, { processorsMilli: 64_000 }),
     createLeader(),
   );
   const stage = sized(100, taskCount, { savesCheckpoints, needs: SMALL });
-  const placed = commitAll(submit(commitAll(fleet), jobOf('wide', [stage])));
+  const placed = commitAll(
+    submit(
+      commitAll(fleet),
+      jobOf(
+        'wide',
+        Array.from({ length: stageCount }, () => stage),
+      ),
+    ),
+  );
   return Array.from({ length: PASSES }).reduce<Fixture>((current) => wait(current, 250), placed);
 }
 
@@ -52,3 +60,10 @@
   expect(placed.state.runs.byTask.size).to.be.greaterThan(300);
   expect(rowBytes(placed, CHECKPOINT)).to.be.lessThan(ROW_BYTES);
 });
+
+// Guards against stages of one job that are ready together and outgrow its row between two passes.
+it('widejobs: the stages of a job share its row', () => {
+  const placed = placeWide(450, true, 4);
+  expect(placed.state.runs.byTask.size).to.be.greaterThan(300);
+  expect(rowBytes(placed, CHECKPOINT)).to.be.lessThan(ROW_BYTES);
+});
