--- a/packages/batch/src/lease.ts
+++ b/packages/batch/src/lease.ts
@@ -3,17 +3,9 @@
 import { unchanged, chainAll } from '@bronzeyoke/types';
 import { leaseKey, workerKey, workerRowOf, workerValue } from '@bronzeyoke/workers';
 import { sendAccess } from './call';
-import { countTaskFailure } from './failures';
 import { queuePart, advanceTask } from './transition';
 import { isOnWorker } from './records';
-import type {
-  BatchContext,
-  BatchState,
-  BatchStep,
-  ObservedVersion,
-  PartPurpose,
-  TaskRecord,
-} from './types';
+import type { BatchState, BatchStep, BatchContext, PartPurpose, ObservedVersion } from './types';
 
 /** Worker lease plus a margin: without a renewal for this long the worker runs no tasks. */
 const WORKER_TAKEOVER_MS = 32_000;
@@ -47,26 +39,6 @@
   );
 }
 
-/**
- * Releases a task of a lost worker. The loss counts as a failure, because a task that ends its worker and
- * the agent beside it reports none. Watchers are tried for good.
- */
-function releaseLost(
-  state: BatchState,
-  task: TaskRecord,
-  worker: string,
-  context: BatchContext,
-): BatchStep {
-  if (state.jobs.get(task.id.jobId)?.job.role !== 'batch') {
-    return advanceTask(state, task.key, 'release', {}, context);
-  }
-  const { failures, failedOn, failsEverywhere } = countTaskFailure(state, task, worker);
-  const counted = { failures, failedOn };
-  if (!failsEverywhere) return advanceTask(state, task.key, 'release', counted, context);
-  const parkReason = { kind: 'failsEverywhere', failures } as const;
-  return advanceTask(state, task.key, 'park', { ...counted, parkReason }, context);
-}
-
 /** Releases the tasks of a worker whose claims can no longer run. */
 function releaseTasks(
   state: BatchState,
@@ -89,7 +61,7 @@
       if (task === undefined) return unchanged(from);
       const { reportedBy, ...rest } = task;
       const unreported = { ...from, tasks: from.tasks.set(key, rest) };
-      return releaseLost(unreported, rest, worker, context);
+      return advanceTask(unreported, key, 'release', {}, context);
     }),
   );
 }
--- a/packages/batch/src/report.ts
+++ b/packages/batch/src/report.ts
@@ -5,11 +5,13 @@
 import { hasSucceeded, learnPeak, learnRun } from './learn';
 import type { TaskPatch } from './transition';
 import { advanceTask } from './transition';
-import { countTaskFailure, MAX_FAILED_WORKERS } from './failures';
 import { HEALTHY, countFailure, endProbe } from './quarantine';
 import { isEnded, isOnWorker } from './records';
 import type { BatchState, BatchStep, BatchContext, JobRecord, TaskRecord } from './types';
 
+const MAX_FAILED_WORKERS = 3;
+/** Bound for fleets with fewer than three workers. */
+const MAX_FAILURES = 6;
 const FIRST_RESTART_DELAY_MS = 1_000;
 const MAX_RESTART_DELAY_MS = 60_000;
 const GROWTH_FACTOR = 1.25;
@@ -93,10 +95,13 @@
     context.nowMs,
   );
   const updated = { ...state, health: state.health.set(worker, health) };
-  const counted = countTaskFailure(updated, task, worker);
-  const { failures, failedOn } = counted;
+  const failures = task.failures + 1;
+  const failedOn = [...new Set([...task.failedOn, worker])];
+  // Quarantined workers fail any task, so their failures do not count against this one.
+  const counted = failedOn.filter((name) => updated.health.get(name)?.quarantine === undefined);
+  const failsEverywhere = counted.length >= MAX_FAILED_WORKERS || failures >= MAX_FAILURES;
   const next = { ...patch, failures, failedOn };
-  if (role === 'batch' && counted.failsEverywhere) {
+  if (role === 'batch' && failsEverywhere) {
     const parkReason = { kind: 'failsEverywhere', failures } as const;
     return advanceTask(updated, task.key, 'park', { ...next, parkReason }, context);
   }
