Ignore the end of a worker that another agent has just reported

Two agents may call one worker for a while. The one that loses its way to it counts the end of a lease that the other one renews, and reported the worker as gone; its tasks ran twice.

The checks of stale reports move to a module of their own.

--- a/packages/scheduler/src/fleet/gone.ts
+++ b/packages/scheduler/src/fleet/gone.ts
@@ -7,6 +7,7 @@
 import { lateStartsOn } from './latestarts';
 import type { ActionScope } from '../leadership/pending';
 import { releaseEndedRuns, releaseWorker } from './release';
+import { isServedElsewhere } from './stale';
 import { runsOn } from '../runs';
 import { addPostCommitAction, withEffects } from '../state';
 import { recordCrashes } from '../jobs/suspects';
@@ -95,6 +96,10 @@
   wallMs: number,
 ): SchedulerStep {
   const { linkId, workerKey } = report;
+  if (isServedElsewhere(state, report, nowMs)) {
+    const fields = { worker: workerKey, endReason: report.reason };
+    return withEffects(state, [logEffect('goneIgnored', fields)]);
+  }
   const agentId = state.workers.get(workerKey)?.agentId;
   const openRuns = [...report.openRuns, ...lateStartsOn(state, workerKey, agentId, nowMs)];
   if (openRuns.length > 0) return onWorkerEnded(state, { ...report, openRuns }, nowMs, wallMs);
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -31,6 +31,7 @@
 import { moveListedRuns } from './move';
 import { orderHeldStarts } from '../leadership/postcommit';
 import { releaseEndedRuns, releaseRun, releaseWorker } from './release';
+import { staleReason } from './stale';
 import { logListedAfterRelease } from './releasedruns';
 import { dropRun, dropRuns, putRun, runKey, runsOn } from '../runs';
 import { addPostCommitAction, sendToWorker, withEffects } from '../state';
@@ -324,23 +325,6 @@
   };
 }
 
-/**
- * Returns whether an agent has reported on a newer connection. After a partition the network may
- * deliver delayed reports of the old one, which lack the orders and runs since then.
- */
-function isFromOldLink(state: SchedulerState, workerKey: string, linkId: string): boolean {
-  const newest = state.workers.get(workerKey)?.linkNumber ?? -1;
-  return (state.links.get(linkId)?.number ?? -1) < newest;
-}
-
-/**
- * Returns whether the worker made the list of a report before one that was handled. Two agents may call
- * one worker for a while, and the older list lacks the runs that began since.
- */
-function isOlderList({ workers }: SchedulerState, { workerKey, clockMs }: Report): boolean {
-  return clockMs < (workers.get(workerKey)?.clockMs ?? -1);
-}
-
 /** Applies an agent's report of its worker. */
 export function onReport(
   state: SchedulerState,
@@ -352,12 +336,9 @@
   const { workerKey } = report;
   const isCompared = wasCompared(state, report);
   if (!isCompared && hasNewerInstance(state, report)) return unchanged(state);
-  if (isFromOldLink(state, workerKey, linkId)) {
-    const fields = { worker: workerKey, agent: report.agentId, reason: 'overtaken' };
-    return withEffects(state, [logEffect('reportIgnored', fields)]);
-  }
-  if (isOlderList(state, report)) {
-    const fields = { worker: workerKey, agent: report.agentId, reason: 'olderList' };
+  const reason = staleReason(state, linkId, report);
+  if (reason !== undefined) {
+    const fields = { worker: workerKey, agent: report.agentId, reason };
     return withEffects(state, [logEffect('reportIgnored', fields)]);
   }
   return chainAll(resetOrders(state, report, linkId), [
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -61,6 +61,7 @@
   | 'blockedCounts'
   | 'orderLost'
   | 'heartbeatRefuted'
+  | 'goneIgnored'
   | 'reportIgnored'
   | 'leaderClaimed'
   | 'leaderLoaded'
