Handle kept ends again when a held job is cancelled

Cause: ends after that of a held job are handled but not acknowledged. They were handled again only when the job was opened, not when a cancellation ended it. A worker that listed 500 ends by then would list no others until its agent connected anew, and none of its runs was released. Change: the end of a hold makes the leader handle the listed ends once more.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -138,7 +138,7 @@
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), state.runs),
     orphans: dropRuns(state.orphans, keys),
     suspects: state.suspects.merge(findSuspects({ ...state, jobs }, nowMs)),
-    workers: workers.map((view) => ({ ...view, handledSequence: 0 })),
+    workers,
     instances: indexInstances(workers),
     instanceCount: state.instanceCount + 1,
   };
--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -36,9 +36,15 @@
   );
 }
 
-/** Ends the hold of a job. */
+/** Ends the hold of a job. The ends that were not acknowledged because of it are handled once more. */
 export function dropHeld(state: SchedulerState, jobId: string): SchedulerState {
-  return { ...state, held: { ...state.held, jobs: state.held.jobs.delete(jobId) } };
+  if (!state.held.jobs.has(jobId)) return state;
+  const held = { ...state.held, jobs: state.held.jobs.delete(jobId) };
+  return {
+    ...state,
+    held,
+    workers: state.workers.map((view) => ({ ...view, handledSequence: 0 })),
+  };
 }
 
 /** Returns whether a task belongs to a held job. */
