Take a gone worker back only once the leader has recorded its end

Callers could see a task run twice: an agent reports that the lease of its worker has ended, and the worker answers again before that report is handled. A grant and a start order that the leader had sent before then started a run that it was giving away. The clock value of the grant is still valid, because the leader's lease is longer than the one that the agent passes on. Change: an instance whose end the leader has not recorded is not asked for its list. goneRecorded comes on the same connection after all earlier orders. The instance itself no longer prolongs the wait for lost start calls: it refuses them, because their lease has ended.

--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -67,12 +67,13 @@
  * another address. One that answers goes on, whatever the heartbeats say. An instance under another id
  * at another address shows nothing of it.
  */
-function mayReplace(
-  worker: WorkerState | undefined,
-  { id, address, bornAtMs }: WorkerReport,
-): boolean {
+function mayReplace({ worker, goneWorkers }: RunnerState, candidate: WorkerReport): boolean {
+  const candidateWorkerKey = workerKeyOf(candidate);
+  // Orders that the leader sent before it recorded the end are for runs that it gives away.
+  if (goneWorkers.some(({ workerKey }) => workerKey === candidateWorkerKey)) return false;
   if (worker === undefined) return true;
   if (worker.failures === undefined) return false;
+  const { id, address, bornAtMs } = candidate;
   const { report } = worker;
   return report.address === address || (report.id === id && bornAtMs >= report.bornAtMs);
 }
@@ -111,7 +112,7 @@
     .filter(({ phase }) => phase !== 'dropped');
   const due = [...candidates].filter(
     ([, { phase, askAtMs, report }]) =>
-      phase === 'heard' && nowMs >= askAtMs && mayReplace(state.worker, report),
+      phase === 'heard' && nowMs >= askAtMs && mayReplace(state, report),
   );
   return chainEach<RunnerState, RunnerEffect, readonly [string, Candidate]>(
     unchanged({ ...state, candidates }),
@@ -161,8 +162,6 @@
     ...left.state,
     workerIds: state.workerIds.add(id),
     lastBornAtMs: Math.max(state.lastBornAtMs, report.bornAtMs),
-    // An instance that refused connections for a while was taken for gone.
-    goneWorkers: left.state.goneWorkers.filter((gone) => gone.workerKey !== workerKey),
   };
   const gone = onSuccessorSeen(adopted, report, isLater);
   const created = createWorker(state, report, reply, nowMs);
@@ -205,7 +204,7 @@
   const others = { ...state, candidates: state.candidates.delete(key) };
   switch (next.state) {
     case 'confirmed':
-      return result.kind === 'done' && mayReplace(state.worker, report)
+      return result.kind === 'done' && mayReplace(state, report)
         ? adopt(others, candidate, result, nowMs)
         : unchanged(others);
     case 'dropped': {
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -1,6 +1,7 @@
 import { Map } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
 import type { WorkerCall, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
+import { workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { WorkerEndCause, WorkerEndReason } from '@bronzeyoke/wire';
@@ -196,9 +197,12 @@
   return settleEmpty({ ...state, goneWorkers });
 }
 
-/** Returns whether a heartbeat names an instance that may have carried out calls to a gone one. */
-function hasCandidate({ candidates }: RunnerState, { id }: GoneWorker): boolean {
-  return candidates.some(({ report }) => report.id === id);
+/**
+ * Returns whether a heartbeat names a later instance that may have carried out calls to a gone one. The gone
+ * one itself refuses them, because their lease has ended.
+ */
+function hasCandidate({ candidates }: RunnerState, { id, workerKey }: GoneWorker): boolean {
+  return candidates.some(({ report }) => report.id === id && workerKeyOf(report) !== workerKey);
 }
 
 /** Gives up the start calls that can have no late effect any more. */
