Wait for reports of later instances when a held job is opened

Callers could see a task run twice: a later instance under the worker's id carried out an order while the job was held. The stored claim names the earlier instance, whose lease had ended long before, so the next tick released the run before a report could move it to the instance that runs it. Change: workers of a job that is opened late count as ended one lease after the opening at the earliest. The report of the later instance moves the run first.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -3,7 +3,7 @@
 import { assignedSlots } from '@bronzeyoke/workflow';
 import { indexInstances } from './identities';
 import { addOrphan, orphansOf } from '../jobs/jobend';
-import { leaseEndAtMs } from './leases';
+import { leaseEndAtMs, leaseEndMs } from './leases';
 import { inheritedPaceOf } from '../placement/pace';
 import type { RunTable } from '../runs';
 import { createRun, dropRuns, NO_RUNS, putRun, runKey } from '../runs';
@@ -126,10 +126,17 @@
     const run = adoptedRun(job, slot, task, nowMs);
     return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
   });
+  // Until then a later instance may report a run whose order it carried out.
+  const earliestEndAtMs = nowMs + leaseEndMs(state.settings.times);
   const unheard = runs
     .map(([, { workerKey }]) => workerKey)
     .filter((workerKey) => !state.workers.has(workerKey))
-    .map((workerKey) => unheardWorker(workerKey, leaseEndAtMs(state.earlierLeases, workerKey)));
+    .map((workerKey) =>
+      unheardWorker(
+        workerKey,
+        Math.max(earliestEndAtMs, leaseEndAtMs(state.earlierLeases, workerKey)),
+      ),
+    );
   const workers = state.workers.merge(unheard.map((view) => [view.workerKey, view]));
   const keys = runs.map(([task, { attempt }]) => runKey({ task, attempt }));
   const jobs = Map([[job.jobId, { job, progress, isCancelled: false }]]);
