--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -36,12 +36,13 @@
   );
 }
 
-/** Ends the hold of a job. The ends that were not acknowledged are handled with the next lists. */
+/** Ends the hold of a job. The ends that were not acknowledged because of it are handled once more. */
 export function dropHeld(state: SchedulerState, jobId: string): SchedulerState {
   if (!state.held.jobs.has(jobId)) return state;
+  const held = { ...state.held, jobs: state.held.jobs.delete(jobId) };
   return {
     ...state,
-    held: { ...state.held, jobs: state.held.jobs.delete(jobId) },
+    held,
     workers: state.workers.map((view) => ({ ...view, handledSequence: 0 })),
   };
 }
