Take the heartbeats of a worker up again after a high sequence of another writer

One heartbeat of another writer with a high sequence hid all later ones of the worker. If it said draining, the worker got no starts and a short lease for good.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -13,6 +13,7 @@
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
 import { reportEffects, sendToLeader } from './report';
+import { noteSequence } from './sequences';
 import { continueStop, onStop } from './settle';
 import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
 import { agentChart, lookupChart, orderKey } from './types';
@@ -54,14 +55,14 @@
 }
 
 function onHeartbeat(state: RunnerState, report: WorkerReport, nowMs: number): RunnerStep {
-  const { worker } = state;
-  if (worker?.workerKey !== workerKeyOf(report)) {
+  if (state.worker?.workerKey !== workerKeyOf(report)) {
     return unchanged(noteCandidate(state, report, nowMs));
   }
-  const { address, service, domain, sequence } = worker.report;
+  const { address, service, domain } = state.worker.report;
   // An instance keeps its service and its domain, so this is a heartbeat of another writer.
   if (service !== report.service || domain !== report.domain) return unchanged(state);
-  if (report.sequence <= sequence) return unchanged(state);
+  const { worker, isLatest } = noteSequence(state.worker, report.sequence);
+  if (!isLatest) return unchanged({ ...state, worker });
   if (address !== report.address) {
     const heard = { ...state, worker: { ...worker, heartbeatAtMs: nowMs } };
     return unchanged(noteCandidate(heard, report, nowMs));
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -184,10 +184,19 @@
   readonly retries: FailureCounts;
 }
 
+/** Heartbeats of the worker whose sequences are lower than one that was heard. */
+export interface LowerSequences {
+  /** Number of heartbeats, each with a higher sequence than the one before. */
+  readonly count: number;
+  readonly last: number;
+}
+
 /** State of the worker beside the agent, from its heartbeats and its replies. */
 export interface WorkerState {
   readonly workerKey: string;
   readonly report: WorkerReport;
+  /** Absent while the heartbeats of the worker follow each other. */
+  readonly lowerSequences?: LowerSequences;
   /** Highest clock value in a list that may be reported. */
   readonly clockMs?: number;
   /** End of the lease that the leader has granted. */
