Decide in one place whether a worker is being reported

Two checks, of reports and of messages about ends, compared the age of the last report on an open connection. They share isHeard now; behaviour is the same (moved, gone and firstlease tests pass).

--- a/packages/scheduler/src/fleet/instances.ts
+++ b/packages/scheduler/src/fleet/instances.ts
@@ -3,7 +3,7 @@
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { InstanceIndex } from './identities';
 import { instancesAt, instancesWith } from './identities';
-import { SILENT_AFTER_MS } from './leases';
+import { isHeard } from './leases';
 import { runsOn } from '../runs';
 import { putJob } from '../state';
 import type { SchedulerState } from '../types';
@@ -37,8 +37,7 @@
   nowMs: number,
 ): boolean {
   const view = workers.get(workerKey);
-  if (view?.linkId === undefined || view.agentId === agentId) return false;
-  return nowMs - (view.reportedAtMs ?? -Infinity) < SILENT_AFTER_MS;
+  return view?.agentId !== agentId && isHeard(view, nowMs);
 }
 
 function hasMoved({ workerAddress }: TaskProgress, address: string): boolean {
--- a/packages/scheduler/src/fleet/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -12,6 +12,12 @@
 /** A worker whose last report is older than this counts as silent. */
 export const SILENT_AFTER_MS = 800;
 
+/** Returns whether a worker has just been reported on a connection that is open. */
+export function isHeard(view: WorkerView | undefined, nowMs: number): boolean {
+  if (view?.linkId === undefined || view.reportedAtMs === undefined) return false;
+  return nowMs - view.reportedAtMs < SILENT_AFTER_MS;
+}
+
 /** No earlier leader has granted a lease. */
 export const NO_EARLIER_LEASES: EarlierLeases = { endAtMs: 0, awaited: Map() };
 
--- a/packages/scheduler/src/fleet/stale.ts
+++ b/packages/scheduler/src/fleet/stale.ts
@@ -1,5 +1,5 @@
 import type { RunnerMessage } from '@bronzeyoke/wire';
-import { SILENT_AFTER_MS } from './leases';
+import { isHeard } from './leases';
 import type { SchedulerState } from '../types';
 
 type Report = Extract<RunnerMessage, { kind: 'report' }>;
@@ -49,6 +49,5 @@
   nowMs: number,
 ): boolean {
   const view = workers.get(workerKey);
-  if (view?.linkId === undefined || view.linkId === linkId) return false;
-  return nowMs - (view.reportedAtMs ?? -Infinity) < SILENT_AFTER_MS;
+  return view?.linkId !== linkId && isHeard(view, nowMs);
 }
