Create the runs of stored progress in one function

adoptRuns and adoptJobRuns, which opens a held job, turned the assigned slots of a job into runs with the same lines. Both call adoptedRuns now; behaviour is the same.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -1,5 +1,5 @@
 import { Map } from 'immutable';
-import type { TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import type { JobProgress, TaskProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import { assignedSlots } from '@bronzeyoke/workflow';
 import { indexInstances } from './identities';
 import { addOrphan, orphansOf } from '../jobs/jobend';
@@ -59,6 +59,18 @@
   return { ...createRun(claim, nowMs), ...inheritedPaceOf(stage, nowMs) };
 }
 
+/** Returns the runs that the stored progress of a job tells of, by task. */
+function adoptedRuns(
+  job: WorkflowJob,
+  progress: JobProgress,
+  nowMs: number,
+): readonly (readonly [string, RunView])[] {
+  return assignedSlots(progress).flatMap(([slot, task]) => {
+    const run = adoptedRun(job, slot, task, nowMs);
+    return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
+  });
+}
+
 /** Returns a worker that has not reported yet, and may run tasks until `expiresAtMs`. */
 function unheardWorker(workerKey: string, expiresAtMs: number): WorkerView {
   return {
@@ -83,12 +95,7 @@
 ): SchedulerState {
   const assigned = state.jobs
     .valueSeq()
-    .flatMap(({ job, progress }) =>
-      assignedSlots(progress).flatMap(([slot, task]) => {
-        const run = adoptedRun(job, slot, task, nowMs);
-        return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
-      }),
-    )
+    .flatMap(({ job, progress }) => adoptedRuns(job, progress, nowMs))
     .toArray();
   const runs = assigned.filter(([, { jobId }]) => isOpen(state, jobId));
   const ended = assigned.filter(([, { jobId }]) => !isOpen(state, jobId));
@@ -119,10 +126,7 @@
   { job, progress }: OpenJob,
   nowMs: number,
 ): SchedulerState {
-  const runs = assignedSlots(progress).flatMap(([slot, task]) => {
-    const run = adoptedRun(job, slot, task, nowMs);
-    return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
-  });
+  const runs = adoptedRuns(job, progress, nowMs);
   // Until then a later instance may report a run whose order it carried out.
   const earliestEndAtMs = nowMs + leaseEndMs(state.settings.times);
   const unheard = runs
