Account for the time of each job by cause

Callers saw load-curve jobs late by nine seconds, and nothing in the logs told where these seconds went. Each open job now records what its tasks spend their time on (chart latency/task.json); the line jobEnded tells the time by cause along the tasks that decided when each stage was done, so that the causes add up to the job's time. It is limited to 1,000 lines a second rather than 100. bronzeyoke_job_time_seconds counts the times by cause, and the command bronzeyoke logs latency prints them for a job or the middle jobs of a queue. taskPaced tells which serving image was harmed, and what was expected.

No decision of the scheduler changes.

--- a/packages/cli/src/run.ts
+++ b/packages/cli/src/run.ts
@@ -9,6 +9,7 @@
 import { JobList } from './jobs';
 import { TicketWhere } from './processes';
 import { Status } from './status';
+import { LogsLatency } from './latency';
 import { JobSubmit } from './submit';
 import { LogsSuspects } from './suspects';
 import { TicketShow } from './ticket';
@@ -25,6 +26,7 @@
   JobSubmit,
   JobWait,
   LogsExplain,
+  LogsLatency,
   LogsSuspects,
   SettingsCheck,
   Status,
--- /dev/null
+++ b/packages/latency/src/index.ts
@@ -0,0 +1,3 @@
+export * from './criticalpath';
+export * from './durations';
+export * from './task';
--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -121,11 +121,8 @@
 }
 
 /** Adds the runs in the progress of a job that is opened while this entry leads. */
-export function adoptJobRuns(
-  state: SchedulerState,
-  { job, progress }: OpenJob,
-  nowMs: number,
-): SchedulerState {
+export function adoptJobRuns(state: SchedulerState, open: OpenJob, nowMs: number): SchedulerState {
+  const { job, progress } = open;
   const runs = adoptedRuns(job, progress, nowMs);
   // Until then a later instance may report a run whose order it carried out.
   const earliestEndAtMs = nowMs + leaseEndMs(state.settings.times);
@@ -140,7 +137,7 @@
     );
   const workers = state.workers.merge(unheard.map((view) => [view.workerKey, view]));
   const keys = runs.map(([task, { attempt }]) => runKey({ task, attempt }));
-  const jobs = Map([[job.jobId, { job, progress, isCancelled: false }]]);
+  const jobs = Map([[job.jobId, open]]);
   return {
     ...state,
     runs: runs.reduce<RunTable>((table, [task, run]) => putRun(table, task, run), state.runs),
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import type { WastedCause } from '@bronzeyoke/latency';
 import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainAll, unchanged, without } from '@bronzeyoke/types';
@@ -7,6 +8,7 @@
 import { dropInstance } from './identities';
 import { lateStartsEndMs } from './latestarts';
 import { rememberReleased } from './releasedruns';
+import { taskTime } from '../jobs/openjob';
 import { startWait } from '../placement/placewait';
 import { dropRun, dropRuns, runsOn } from '../runs';
 import { putJob, withEffects } from '../state';
@@ -30,6 +32,23 @@
   | 'roomShrunk'
   | 'refused';
 
+/** Returns what became of the time of a released run. */
+function wastedCause(reason: ReleaseReason): WastedCause {
+  switch (reason) {
+    case 'workerGone':
+    case 'leaseExpired':
+      return 'lost';
+    case 'neverStarted':
+    case 'notConnected':
+    case 'stoppedBeforeOrder':
+    case 'roomShrunk':
+    case 'refused':
+      return 'notStarted';
+    default:
+      return assertNever(reason);
+  }
+}
+
 /** Returns what a release rests on, for its log line. */
 function evidenceOf(
   { workers }: SchedulerState,
@@ -77,6 +96,7 @@
   const { workerKey, attempt, jobId, slot } = run;
   const known = without(taskProgress(open.progress, slot), 'workerKey', 'workerAddress');
   const released = advanceRun(known, 'release');
+  const time = taskTime(open, slot, { kind: 'released', cause: wastedCause(reason) }, nowMs);
   const next = putJob(
     {
       ...rememberReleased(state, task, run, reason, nowMs),
@@ -85,7 +105,7 @@
         reason === 'refused' ? state.backOff.set(task, nowMs + REFUSAL_BACK_OFF_MS) : state.backOff,
     },
     jobId,
-    { ...open, progress: withTasks(open.progress, [[slot, released]]) },
+    { ...open, progress: withTasks(open.progress, [[slot, released]]), ...time },
   );
   return withEffects(next, [
     taskLog(run.stage, 'taskReleased', {
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -27,6 +27,7 @@
 import { addReporter } from './links';
 import { applyEnd } from '../jobs/ends';
 import { isHeldTask } from '../jobs/held';
+import { taskTime } from '../jobs/openjob';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
 import { orderHeldStarts } from '../leadership/postcommit';
@@ -263,7 +264,8 @@
   const moved = { ...advanceRun(stored, 'started'), ...(savesNow ? { checkpoint } : {}) };
   const progress = withTasks(open.progress, [[slot, moved]]);
   // The change stays in memory; the row is written with the next change that has to be durable.
-  const jobs = state.jobs.set(jobId, { ...open, progress });
+  const time = isNew ? taskTime(open, slot, { kind: 'started' }, nowMs) : {};
+  const jobs = state.jobs.set(jobId, { ...open, progress, ...time });
   const startedAfterMs = Math.round(nowMs - run.claimedAtMs);
   const fields = { job: jobId, task, attempt, worker: workerKey, startedAfterMs };
   return withEffects({ ...state, jobs, runs }, [
--- a/packages/scheduler/src/jobs/ends.ts
+++ b/packages/scheduler/src/jobs/ends.ts
@@ -1,5 +1,6 @@
+import type { TaskChange } from '@bronzeyoke/latency';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { chainAll, unchanged, without } from '@bronzeyoke/types';
+import { assertNever, chainAll, unchanged, without } from '@bronzeyoke/types';
 import type { JobProgress, RunEnd, Stage, TaskProgress, TaskRef } from '@bronzeyoke/workflow';
 import {
   acceptsEvent,
@@ -13,6 +14,7 @@
 } from '@bronzeyoke/workflow';
 import type { JobEnd } from './jobend';
 import { abandonRuns, endJob, orphanRuns } from './jobend';
+import { taskTime } from './openjob';
 import { delayRestart } from './restarts';
 import { dropRun } from '../runs';
 import { putJob, withEffects } from '../state';
@@ -156,6 +158,34 @@
   return withTasks(open.progress, [[slot, moved], ...members]);
 }
 
+/** Returns what an end of a task means for the record of its time. */
+function timeChange({ ended, event }: CurrentEnd): TaskChange {
+  if (event === 'done') return { kind: 'done' };
+  switch (ended.end) {
+    case 'stopped':
+      return { kind: 'released', cause: 'stopped' };
+    case 'expired':
+      return { kind: 'released', cause: 'lost' };
+    case 'done':
+    case 'failed':
+    case 'gangBroken':
+    case 'gangIncomplete':
+      return { kind: 'released', cause: 'failed' };
+    default:
+      return assertNever(ended.end);
+  }
+}
+
+/** Returns a job after an end of a task and of some other members of its gang. */
+function jobAfter(current: CurrentEnd, others: readonly string[], nowMs: number): OpenJob {
+  const change = timeChange(current);
+  const ended = { ...current.open, progress: progressAfter(current, others) };
+  return [current.slot, ...others].reduce<OpenJob>(
+    (open, slot) => ({ ...open, ...taskTime(open, slot, change, nowMs) }),
+    ended,
+  );
+}
+
 /** Returns how a job ends with an end of a task, if it does. */
 function jobEndOf(
   { ended, open, stage, slot }: CurrentEnd,
@@ -193,15 +223,15 @@
   );
   // The workers of the other members may list them for a while.
   const taken = orphanRuns(delayed, otherTasks);
-  const progress = progressAfter(current, others);
+  const changed = jobAfter(current, others, nowMs);
   const next = putJob(
     { ...taken, runs: dropRun(taken.runs, task), waits: endClaim(recorded, task) },
     jobId,
-    { ...open, progress },
+    changed,
   );
   const log = [taskLog(stage, 'taskEnded', { job: jobId, task, attempt, worker, end }), ...effects];
-  const jobEnd = jobEndOf(current, progress);
+  const jobEnd = jobEndOf(current, changed.progress);
   if (jobEnd === undefined) return withEffects(next, log);
-  const step = endJob(next, jobId, jobEnd, wallMs);
+  const step = endJob(next, jobId, jobEnd, wallMs, { slot: current.slot, nowMs });
   return withEffects(step.state, [...log, ...step.effects]);
 }
--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -1,14 +1,16 @@
+import type { Moment } from '@bronzeyoke/latency';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { decodeProgress, parseTaskName, restartLasting, statusOf } from '@bronzeyoke/workflow';
+import { decodeProgress, parseTaskName, statusOf } from '@bronzeyoke/workflow';
 import { adoptJobRuns } from '../fleet/adopt';
 import { progressPageRows } from '../leadership/budget';
 import { PARTITION, TABLES } from '../leadership/rows';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
-import type { OpenJob, StoredProgress } from '../views';
+import type { StoredProgress } from '../views';
+import { createOpenJob } from './openjob';
 
 /** Id of the call that reads the progress of held jobs. */
 export const HELD_CALL = 'held-jobs';
@@ -70,7 +72,7 @@
   state: SchedulerState,
   job: WorkflowJob,
   progress: JobProgress,
-  nowMs: number,
+  moment: Moment,
 ): SchedulerStep {
   const { jobId } = job;
   const rest = dropHeld(state, jobId);
@@ -78,17 +80,17 @@
   if (outcome !== undefined) {
     return unchanged({ ...rest, ended: rest.ended.set(jobId, endedAtMs) });
   }
-  const open: OpenJob = { job, progress: restartLasting(job, progress), isCancelled: false };
+  const open = createOpenJob(job, progress, moment);
   const opened = { ...rest, jobs: rest.jobs.set(jobId, open), needsPlacement: true };
   const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
-  return withEffects(adoptJobRuns(opened, open, nowMs), [logEffect('jobSeen', fields)]);
+  return withEffects(adoptJobRuns(opened, open, moment.nowMs), [logEffect('jobSeen', fields)]);
 }
 
 /** Opens the held jobs whose progress has become readable. One whose row is missing stays held. */
 export function onHeldRows(
   state: SchedulerState,
   result: RowRangeResult,
-  nowMs: number,
+  moment: Moment,
 ): SchedulerStep {
   if (state.phase !== 'leading' || !state.held.isReading) return unchanged(state);
   const rows = result.kind === 'rows' ? result.rows : [];
@@ -102,7 +104,7 @@
       const stored = readProgress(row);
       switch (stored.kind) {
         case 'readable':
-          return openHeld(current, known.job, stored.progress, nowMs);
+          return openHeld(current, known.job, stored.progress, moment);
         case 'unreadable':
           return holdJob(current, known.job, stored.version);
         default:
--- a/packages/scheduler/src/jobs/jobend.ts
+++ b/packages/scheduler/src/jobs/jobend.ts
@@ -4,6 +4,8 @@
 import { assignedSlots } from '@bronzeyoke/workflow';
 import type { OrphanTable } from '../runs';
 import { dropRuns, putRun, runKey } from '../runs';
+import type { DecisiveEnd } from './openjob';
+import { latencyFields } from './openjob';
 import { putJob, sendToWorker, withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 import { runRef } from '../types';
@@ -62,12 +64,13 @@
   | { readonly outcome: Exclude<JobOutcome, 'failed'> }
   | { readonly outcome: 'failed'; readonly failure: JobFailure };
 
-/** Ends a job and stops its runs. */
+/** Ends a job and stops its runs. The log line tells where its time went if a task's end led to it. */
 export function endJob(
   state: SchedulerState,
   jobId: string,
   end: JobEnd,
   wallMs: number,
+  decisive?: DecisiveEnd,
 ): SchedulerStep {
   const open = state.jobs.get(jobId);
   if (open === undefined || open.progress.outcome !== undefined) return unchanged(state);
@@ -77,6 +80,12 @@
   const ageMs = Math.round(wallMs - open.job.acceptedAtMs);
   return withEffects(putJob(stopped, jobId, ended), [
     ...effects,
-    logEffect('jobEnded', { job: jobId, ...end, queue: open.job.policy.queue, ageMs }),
+    logEffect('jobEnded', {
+      job: jobId,
+      ...end,
+      queue: open.job.policy.queue,
+      ageMs,
+      ...(decisive === undefined ? {} : latencyFields(open, decisive)),
+    }),
   ]);
 }
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -2,8 +2,9 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
+import type { Moment } from '@bronzeyoke/latency';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { decodeJob, NO_PROGRESS, restartLasting, statusOf } from '@bronzeyoke/workflow';
+import { decodeJob, NO_PROGRESS, statusOf } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
 import { advanceLeadership } from '../leadership/leadership';
@@ -14,6 +15,7 @@
 import type { OpenJob, StoredProgress } from '../views';
 import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
+import { createOpenJob } from './openjob';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
@@ -23,10 +25,15 @@
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
 
-function addJob(state: SchedulerState, job: WorkflowJob, progress: JobProgress): SchedulerStep {
+function addJob(
+  state: SchedulerState,
+  job: WorkflowJob,
+  progress: JobProgress,
+  moment: Moment,
+): SchedulerStep {
   const { jobId } = job;
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
-  const open: OpenJob = { job, progress: restartLasting(job, progress), isCancelled: false };
+  const open = createOpenJob(job, progress, moment);
   const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
   return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
     logEffect('jobSeen', fields),
@@ -34,19 +41,21 @@
 }
 
 /** Returns a job that can be cancelled. The row of one that has an outcome tells of no tasks. */
-function cancellableJob({ jobs, held }: SchedulerState, jobId: string): OpenJob | undefined {
+function cancellableJob(
+  { jobs, held }: SchedulerState,
+  jobId: string,
+  moment: Moment,
+): OpenJob | undefined {
   const heldJob = held.jobs.get(jobId);
-  return heldJob === undefined
-    ? jobs.get(jobId)
-    : { job: heldJob.job, progress: NO_PROGRESS, isCancelled: false };
+  return heldJob === undefined ? jobs.get(jobId) : createOpenJob(heldJob.job, NO_PROGRESS, moment);
 }
 
-function cancelJob(state: SchedulerState, jobId: string, wallMs: number): SchedulerStep {
-  const open = cancellableJob(state, jobId);
+function cancelJob(state: SchedulerState, jobId: string, moment: Moment): SchedulerStep {
+  const open = cancellableJob(state, jobId, moment);
   if (open === undefined || open.isCancelled) return unchanged(state);
   const jobs = state.jobs.set(jobId, { ...open, isCancelled: true });
   const cancelled = { ...dropHeld(state, jobId), jobs };
-  return endJob(cancelled, jobId, { outcome: 'cancelled' }, wallMs);
+  return endJob(cancelled, jobId, { outcome: 'cancelled' }, moment.wallMs);
 }
 
 /** Opens a job that is not known, or holds it if its progress cannot be read. */
@@ -54,11 +63,12 @@
   state: SchedulerState,
   job: WorkflowJob,
   stored: StoredProgress,
+  moment: Moment,
 ): SchedulerStep {
   if (state.held.jobs.has(job.jobId)) return unchanged(state);
   switch (stored.kind) {
     case 'readable':
-      return addJob(state, job, stored.progress);
+      return addJob(state, job, stored.progress, moment);
     case 'unreadable':
       return holdJob(state, job, stored.version);
     default:
@@ -70,7 +80,7 @@
   state: SchedulerState,
   row: StoredRow,
   progressOf: (jobId: string) => StoredProgress,
-  wallMs: number,
+  moment: Moment,
 ): SchedulerStep {
   const parsed = parseJobKey(row.key);
   switch (parsed.kind) {
@@ -79,10 +89,10 @@
       if (job === undefined) {
         return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
       }
-      return addStoredJob(state, job, progressOf(parsed.jobId));
+      return addStoredJob(state, job, progressOf(parsed.jobId), moment);
     }
     case 'cancel':
-      return cancelJob(state, parsed.jobId, wallMs);
+      return cancelJob(state, parsed.jobId, moment);
     case 'other':
       return unchanged(state);
   }
@@ -92,7 +102,7 @@
   state: SchedulerState,
   rows: readonly StoredRow[],
   progressOf: (jobId: string) => StoredProgress,
-  wallMs: number,
+  moment: Moment,
 ): SchedulerStep {
   // In key order a cancellation precedes the definition of its job.
   const [cancels, others] = [
@@ -102,7 +112,7 @@
   return chainAll(
     state,
     [...others, ...cancels].map(
-      (row) => (current: SchedulerState) => applyJobRow(current, row, progressOf, wallMs),
+      (row) => (current: SchedulerState) => applyJobRow(current, row, progressOf, moment),
     ),
   );
 }
@@ -143,7 +153,8 @@
     renewAtMs: nowMs,
   };
   return chainAll(loaded, [
-    (current) => applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, wallMs),
+    (current) =>
+      applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, { nowMs, wallMs }),
     (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
@@ -157,7 +168,7 @@
   nowMs: number,
 ): SchedulerStep {
   const { rows, isFull, wallMs } = event;
-  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_ROW, wallMs);
+  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_ROW, { nowMs, wallMs });
   if (state.phase !== 'loading') return unchanged(state);
   const known = state.loading.jobRows;
   if (known === undefined && !isFull) return unchanged(state);
--- a/packages/scheduler/src/jobs/suspects.ts
+++ b/packages/scheduler/src/jobs/suspects.ts
@@ -136,7 +136,7 @@
   );
   if (!isGivenUp(crashes)) return withEffects(recorded, [log]);
   const end = { outcome: 'failed', failure: 'workersCrashed' } as const;
-  const step = endJob(recorded, jobId, end, wallMs);
+  const step = endJob(recorded, jobId, end, wallMs, { slot, nowMs });
   return withEffects(step.state, [log, ...step.effects]);
 }
 
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -4,6 +4,7 @@
 import { hasRoomForClaims } from '../fleet/loads';
 import type { PostCommitAction } from './pending';
 import { releaseRun } from '../fleet/release';
+import { recordTaskTime } from '../jobs/openjob';
 import { dropRuns, putRun, runsOn } from '../runs';
 import { sendToWorker, withEffects } from '../state';
 import { taskLog } from '../tasklog';
@@ -21,11 +22,13 @@
 function holdStart(
   state: SchedulerState,
   task: string,
-  { workerKey, attempt }: RunView,
+  run: RunView,
   nowMs: number,
 ): SchedulerState {
+  const { workerKey, attempt } = run;
   const held = { workerKey, attempt, untilMs: nowMs + HOLD_START_MS };
-  return { ...state, heldStarts: putRun(state.heldStarts, task, held) };
+  const recorded = recordTaskTime(state, run, { kind: 'held' }, nowMs);
+  return { ...recorded, heldStarts: putRun(state.heldStarts, task, held) };
 }
 
 /** Returns whether a held claim is still that of its task. */
@@ -74,7 +77,7 @@
   const { checkpoint } = stored;
   return withEffects(
     {
-      ...state,
+      ...recordTaskTime(state, run, { kind: 'ordered' }, nowMs),
       links: state.links.set(worker.linkId, { ...link, lastOrder: order }),
       runs: putRun(state.runs, task, {
         ...run,
--- a/packages/scheduler/src/placement/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -6,10 +6,12 @@
   mergeFills,
   updatePairs,
 } from '@bronzeyoke/interference';
+import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
+import { recordTaskTime } from '../jobs/openjob';
 import { putRun, runsOn } from '../runs';
 import { sendToWorker, withEffects } from '../state';
 import { taskLog } from '../tasklog';
@@ -50,11 +52,13 @@
   percent: number,
   reason: string,
   nowMs: number,
+  evidence: EventFields = {},
 ): SchedulerStep {
   const { workerKey, attempt } = run;
   const ref = runRef(task, attempt);
   const paced = { ...without(run, 'inheritedPace'), pace: percent, pacedAtMs: nowMs };
-  return withEffects({ ...state, runs: putRun(state.runs, task, paced) }, [
+  const recorded = recordTaskTime(state, run, { kind: 'paced', percent }, nowMs);
+  return withEffects({ ...recorded, runs: putRun(state.runs, task, paced) }, [
     ...sendToWorker(state, workerKey, { kind: 'pace', workerKey, run: ref, percent }),
     logEffect('taskPaced', {
       task,
@@ -63,6 +67,7 @@
       image: run.stage.image ?? '',
       percent,
       reason,
+      ...evidence,
     }),
   ]);
 }
@@ -146,6 +151,8 @@
   readonly fills: readonly ListedTask[];
   readonly capacityMilli: number;
   readonly pairs: PairEstimates;
+  /** Estimates before the report, on which the placement of the fills rests. */
+  readonly pairsBefore: PairEstimates;
   readonly nowMs: number;
 }
 
@@ -157,6 +164,25 @@
   return !task.run.isLastResort && isHarmful(context, fillShares(task, context.capacityMilli, 100));
 }
 
+/** Returns what a pause rests on: the serving image that is harmed most, and what was expected beside it. */
+function harmEvidence(
+  { fills, capacityMilli, pairsBefore }: PacingContext,
+  harmed: readonly PairObservation[],
+  task: ListedTask,
+): EventFields {
+  const [worst] = harmed.toSorted((left, right) => right.ratio - left.ratio);
+  if (worst === undefined) return {};
+  const { servingImage, ratio } = worst;
+  const expect = (shares: readonly FillShare[]): string =>
+    classifyFills(pairsBefore, servingImage, mergeFills(shares));
+  return {
+    serving: servingImage,
+    ratio: Math.round(ratio * 100) / 100,
+    expectedAlone: expect(fillShares(task, capacityMilli, 100)),
+    expectedAll: expect(fills.flatMap((fill) => fillShares(fill, capacityMilli))),
+  };
+}
+
 /** Pauses the likely causes of harm, and moves those that are harmful on their own. */
 function pauseSuspects(
   step: SchedulerStep,
@@ -184,7 +210,7 @@
     paced.map(
       (task) => (current: SchedulerState) =>
         chainAll(current, [
-          (before) => setPace(before, task, 0, 'harm', nowMs),
+          (before) => setPace(before, task, 0, 'harm', nowMs, harmEvidence(context, harmed, task)),
           (before) =>
             isHarmfulAlone(context, task)
               ? stopRun(before, task.task, 'harm', nowMs)
@@ -314,7 +340,7 @@
     verdictLogs(state.pairs, pairs, observations),
   );
   const fills = filling.filter(({ run }) => run.stopSentAtMs === undefined);
-  const context = { serving, fills, capacityMilli, pairs, nowMs };
+  const context = { serving, fills, capacityMilli, pairs, pairsBefore: state.pairs, nowMs };
   const harmed = observations.filter(({ ratio }) => ratio >= HARMED_RATIO);
   return harmed.length > 0
     ? pauseSuspects(updated, context, harmed)
--- a/packages/scheduler/src/placement/pass.ts
+++ b/packages/scheduler/src/placement/pass.ts
@@ -11,6 +11,7 @@
 import type { WriteUrgency } from '../leadership/pending';
 import { createRun, putRun } from '../runs';
 import { addPostCommitAction, putJob } from '../state';
+import { taskTime } from '../jobs/openjob';
 import { isSuspect, trialMs } from '../jobs/suspects';
 import type { Occupancy } from './tenants';
 import type { SchedulerState } from '../types';
@@ -29,6 +30,15 @@
     : taskProgress(progress, slot).checkpoint;
 }
 
+/** Returns since when searches for the stage of a task have found no worker; undefined if they have. */
+function noRoomSince(
+  { failedSearches, unplacedSince }: SchedulerState,
+  task: string,
+): number | undefined {
+  const stageKey = task.slice(0, task.lastIndexOf('.'));
+  return failedSearches.get(stageKey)?.sinceMs ?? unplacedSince.get(stageKey);
+}
+
 function claimTask(
   state: SchedulerState,
   open: OpenJob,
@@ -58,7 +68,13 @@
     ...(isSuspect(crashes) ? { trial: { crashes, forMs: trialMs(crashes) } } : {}),
   };
   const progress = withTasks(open.progress, [[slot, claimed]]);
-  const next = putJob(state, jobId, { ...open, progress }, claimUrgency(stage));
+  const noRoomSinceMs = noRoomSince(state, name);
+  const change = {
+    kind: 'claimed',
+    ...(noRoomSinceMs === undefined ? {} : { noRoomSinceMs }),
+  } as const;
+  const changed = { ...open, progress, ...taskTime(open, slot, change, nowMs) };
+  const next = putJob(state, jobId, changed, claimUrgency(stage));
   return addPostCommitAction(
     { ...next, runs: putRun(next.runs, name, run), backOff: next.backOff.delete(name) },
     { kind: 'start', task: name, attempt },
--- a/packages/scheduler/src/placement/round.ts
+++ b/packages/scheduler/src/placement/round.ts
@@ -125,8 +125,10 @@
 ): Round {
   const key = searchKey(candidate);
   const { state } = round.pass;
-  const fullAtMs = isFull ? nowMs : (state.failedSearches.get(key)?.fullAtMs ?? nowMs);
-  const failed = { passNumber: state.passCount, fullAtMs };
+  const known = state.failedSearches.get(key);
+  const fullAtMs = isFull ? nowMs : (known?.fullAtMs ?? nowMs);
+  const sinceMs = known?.sinceMs ?? nowMs;
+  const failed = { passNumber: state.passCount, sinceMs, fullAtMs };
   return { ...round, failedSearches: round.failedSearches.set(key, failed) };
 }
 
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -215,7 +215,7 @@
     case WITHDRAWAL_CALLS.read:
       return onWithdrawalRows(state, result, nowMs);
     case HELD_CALL:
-      return onHeldRows(state, result, nowMs);
+      return onHeldRows(state, result, { nowMs, wallMs });
     default:
       return handleGoneReports(
         state,
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -1,4 +1,5 @@
 import type { Map, Set as ImmutableSet } from 'immutable';
+import type { JobLatency } from '@bronzeyoke/latency';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { CrashRecord, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
@@ -10,6 +11,8 @@
   readonly isCancelled: boolean;
   /** How often each task was stopped for want of progress, by slot. */
   readonly stalls?: Map<string, number>;
+  /** What its tasks have spent their time on. */
+  readonly latency: JobLatency;
 }
 
 /** What a new leader has read of a job's progress. */
@@ -182,6 +185,8 @@
 /** The last search for a filling stage that found too few workers. */
 export interface FailedSearch {
   readonly passNumber: number;
+  /** When the first of the searches failed since which none has found enough. */
+  readonly sinceMs: number;
   /** When all workers were looked at. */
   readonly fullAtMs: number;
 }
--- a/packages/telemetry/src/eventlog.ts
+++ b/packages/telemetry/src/eventlog.ts
@@ -18,6 +18,9 @@
 /** Maximum lines per second for each event. Further lines are counted and dropped. */
 const MAX_LINES_PER_S = 100;
 
+/** The same for ends of jobs: each has one line, which alone tells where the time of the job went. */
+const MAX_JOB_END_LINES_PER_S = 1_000;
+
 /** Part of the maximum of an event about tasks that only lines about lasting tasks may use. */
 const RESERVED_LINES_PER_S = 50;
 
@@ -69,8 +72,12 @@
   return !RESERVING_EVENTS.has(event) || fields.isLasting === true;
 }
 
-function isFull(window: RateWindow, usesReserve: boolean): boolean {
-  if (window.lineCount >= MAX_LINES_PER_S) return true;
+function maxLinesPerS(event: EventName): number {
+  return event === 'jobEnded' ? MAX_JOB_END_LINES_PER_S : MAX_LINES_PER_S;
+}
+
+function isFull(window: RateWindow, maxLines: number, usesReserve: boolean): boolean {
+  if (window.lineCount >= maxLines) return true;
   return !usesReserve && window.unreservedCount >= MAX_LINES_PER_S - RESERVED_LINES_PER_S;
 }
 
@@ -87,7 +94,8 @@
       const nowMs = now();
       const window = windowAt(windows.get(event), nowMs);
       const usesReserve = mayUseReserve(event, fields);
-      if (isFull(window, usesReserve) || sink.unsentBytes() > MAX_UNSENT_BYTES) {
+      const hasNoRoom = isFull(window, maxLinesPerS(event), usesReserve);
+      if (hasNoRoom || sink.unsentBytes() > MAX_UNSENT_BYTES) {
         dropped += 1;
         windows.set(event, { ...window, droppedCount: window.droppedCount + 1 });
         return;
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -1,4 +1,5 @@
 import type { Histogram } from 'hdr-histogram-js';
+import { LATENCY_CAUSES } from '@bronzeyoke/latency';
 import type { EventFields, EventName } from './events';
 import { AWAY_REASONS } from './events';
 import type { GaugeValue } from './metrics';
@@ -20,6 +21,10 @@
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
+  bronzeyoke_job_time_seconds: {
+    kind: 'summary',
+    help: 'Time of ended jobs along their critical paths, by cause.',
+  },
   bronzeyoke_event_wait_seconds: {
     kind: 'summary',
     help: 'Longest wait of an event of the leader, by line.',
@@ -79,6 +84,14 @@
   ],
 };
 
+/** Returns the times of an ended job by cause. */
+function jobTimes(fields: EventFields): readonly (readonly [cause: string, ms: number])[] {
+  return LATENCY_CAUSES.flatMap((cause) => {
+    const ms = fields[`${cause}Ms`];
+    return typeof ms === 'number' ? [[cause, ms] as const] : [];
+  });
+}
+
 /** Counters and histograms of the events of a process. */
 export interface EventMetrics {
   readonly record: (event: EventName, fields: EventFields) => void;
@@ -101,6 +114,11 @@
       if (event === 'taskReleased') {
         metrics.count('bronzeyoke_releases_total', { reason: String(fields.reason) });
       }
+      if (event === 'jobEnded') {
+        jobTimes(fields).forEach(([cause, ms]) =>
+          metrics.observe('bronzeyoke_job_time_seconds', { cause }, ms),
+        );
+      }
       (DURATIONS[event] ?? []).forEach(({ field, metric }) => {
         const value = fields[field];
         if (typeof value === 'number') metrics.observe(metric, {}, value);
