Tell saved work of stopped runs from work that is thrown away

The time from the stop order to the listed end is a cause of its own now, and the rest of a run that saved its work counts as usual.

--- a/packages/latency/src/durations.ts
+++ b/packages/latency/src/durations.ts
@@ -19,9 +19,11 @@
   'running',
   /** Part of the run time that the pace of the run withholds. */
   'paced',
+  /** From a stop order until the end of the run is listed. */
+  'stopping',
   /** Runs that ended as failed, from their claims. */
   'failed',
-  /** Runs that the scheduler stopped. */
+  /** Runs that the scheduler stopped and that saved nothing; the times of others count as usual. */
   'stopped',
   /** Runs that ended with their worker or its lease. */
   'lost',
--- a/packages/latency/src/task.ts
+++ b/packages/latency/src/task.ts
@@ -7,8 +7,8 @@
 
 /** Chart of what a task spends its time on. */
 export const taskChart = compileChart(chartFile, {
-  states: ['waiting', 'storing', 'noAgent', 'starting', 'running', 'done'],
-  events: ['claimed', 'held', 'ordered', 'started', 'released', 'done'],
+  states: ['waiting', 'storing', 'noAgent', 'starting', 'running', 'stopping', 'done'],
+  events: ['claimed', 'held', 'ordered', 'started', 'stopped', 'released', 'done'],
   actions: [],
 });
 
@@ -26,7 +26,10 @@
   | { readonly kind: 'ordered' }
   | { readonly kind: 'started' }
   | { readonly kind: 'paced'; readonly percent: number }
-  | { readonly kind: 'released'; readonly cause: WastedCause }
+  /** A stop order was sent. */
+  | { readonly kind: 'stopped' }
+  /** `keepsWork`: the next run goes on from what this one has saved. */
+  | { readonly kind: 'released'; readonly cause: WastedCause; readonly keepsWork?: boolean }
   | { readonly kind: 'done' };
 
 /** The time of one task since its first claim. */
@@ -82,6 +85,7 @@
     case 'storing':
     case 'noAgent':
     case 'starting':
+    case 'stopping':
       return addDuration(run, phase, elapsedMs);
     case 'running': {
       const workingMs = (elapsedMs * pacePercent) / FULL_PACE_PERCENT;
@@ -114,11 +118,15 @@
     case 'held':
     case 'ordered':
     case 'started':
+    case 'stopped':
       return { ...task, run };
     case 'paced':
       return { ...task, run, pacePercent: change.percent };
     case 'released': {
-      const past = addDuration(task.past, change.cause, totalMs(run));
+      const past =
+        change.keepsWork === true
+          ? addDurations(task.past, run)
+          : addDuration(task.past, change.cause, totalMs(run));
       return { ...task, past, run: NO_DURATIONS };
     }
     case 'done':
--- a/packages/latency/test/latency.test.ts
+++ b/packages/latency/test/latency.test.ts
@@ -97,6 +97,22 @@
   expect(runCount).to.equal(2);
 });
 
+// Guards against work that a stopped run has saved, but that counts as wasted.
+it('latency: a stopped run that saved its work counts as work and a stop', () => {
+  const job = jobOf([stageOf(1, [])]);
+  const latency = applyAll(job, [
+    ['0.0.0', 0, { kind: 'claimed' }],
+    ['0.0.0', 100, { kind: 'started' }],
+    ['0.0.0', 900, { kind: 'stopped' }],
+    ['0.0.0', 1_300, { kind: 'released', cause: 'stopped', keepsWork: true }],
+    ...runOf('0.0.0', 1_300, 300),
+  ]);
+  const { durations } = explainLatency(job, latency, '0.0.0', 1_700);
+  expect(durations.running).to.equal(800 + 300);
+  expect(durations.stopping).to.equal(400);
+  expect(durations.stopped).to.equal(undefined);
+});
+
 // Guards against pauses that look like slow work.
 it('latency: the part of a run that its pace withholds is told apart', () => {
   const job = jobOf([stageOf(1, [])]);
@@ -137,6 +153,8 @@
   { kind: 'paced', percent: 100 },
   { kind: 'released', cause: 'failed' },
   { kind: 'released', cause: 'lost' },
+  { kind: 'stopped' },
+  { kind: 'released', cause: 'stopped', keepsWork: true },
 ];
 
 // Guards against seconds that no cause accounts for, or that two count, whatever happens to the tasks.
--- a/packages/scheduler/src/jobs/ends.ts
+++ b/packages/scheduler/src/jobs/ends.ts
@@ -159,11 +159,15 @@
 }
 
 /** Returns what an end of a task means for the record of its time. */
-function timeChange({ ended, event }: CurrentEnd): TaskChange {
+function timeChange({ ended, event, stage }: CurrentEnd): TaskChange {
   if (event === 'done') return { kind: 'done' };
   switch (ended.end) {
     case 'stopped':
-      return { kind: 'released', cause: 'stopped' };
+      return {
+        kind: 'released',
+        cause: 'stopped',
+        keepsWork: stage.savesCheckpoints && ended.checkpoint !== '',
+      };
     case 'expired':
       return { kind: 'released', cause: 'lost' };
     case 'done':
--- a/packages/scheduler/src/placement/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -11,7 +11,7 @@
 import { chainAfter, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import type { Stage } from '@bronzeyoke/workflow';
-import { recordTaskTime } from '../jobs/openjob';
+import { recordTaskTime, taskTime } from '../jobs/openjob';
 import { putRun, runsOn } from '../runs';
 import { sendToWorker, withEffects } from '../state';
 import { taskLog } from '../tasklog';
@@ -87,10 +87,11 @@
   const stopping = advanceRun(taskProgress(open.progress, slot), 'stop');
   const progress = withTasks(open.progress, [[slot, stopping]]);
   const { workerKey, attempt } = run;
+  const time = taskTime(open, slot, { kind: 'stopped' }, nowMs);
   return withEffects(
     {
       ...state,
-      jobs: state.jobs.set(jobId, { ...open, progress }),
+      jobs: state.jobs.set(jobId, { ...open, progress, ...time }),
       runs: putRun(state.runs, task, { ...run, stopSentAtMs: nowMs }),
     },
     [
