--- /dev/null
+++ b/packages/scheduler/test/colocated.ts
@@ -0,0 +1,137 @@
+import type { SchedulerEffect, SchedulerEvent } from '@bronzeyoke/scheduler';
+import { jobKey } from '@bronzeyoke/scheduler';
+import { assertNever } from '@bronzeyoke/types';
+import type { Stage, WorkflowJob } from '@bronzeyoke/workflow';
+import { parseTaskName } from '@bronzeyoke/workflow';
+import type { ColocatedWorker, Influence } from './colocatedworker';
+import { createColocatedWorker, STEP_MS } from './colocatedworker';
+import type { Fixture } from './fixture';
+import { createLeader, dispatch, report, WALL_MS } from './fixture';
+import { createClock } from './simclock';
+
+const HOP_MS = 4;
+const COMMIT_MS = 20;
+
+/** A leader and workers on which filling tasks slow serving tasks down, in virtual time. */
+export interface Colocated {
+  readonly advance: (ms: number) => void;
+  /** Submits a job whose tasks take some time at full pace. */
+  readonly submit: (job: WorkflowJob, taskMs: number) => void;
+  /** Time from the acceptance of each complete job to its end. */
+  readonly tookMs: () => ReadonlyMap<string, number>;
+  /** Time that serving tasks spent over their targets, of all tasks together. */
+  readonly harmedMs: () => number;
+  /** Time of all serving tasks together. */
+  readonly servedMs: () => number;
+  readonly countStops: () => number;
+}
+
+interface KnownJob {
+  readonly job: WorkflowJob;
+  readonly taskMs: number;
+}
+
+/** Creates a leader and workers whose tasks disturb each other. */
+export function createColocated(
+  seed: number,
+  workerCount: number,
+  influence: Influence,
+): Colocated {
+  const clock = createClock(seed);
+  const leader = createLeader();
+  clock.advance(leader.nowMs - clock.now(), () => {});
+  const known: { fixture: Fixture; harmedMs: number; servedMs: number; stops: number } = {
+    fixture: leader,
+    harmedMs: 0,
+    servedMs: 0,
+    stops: 0,
+  };
+  const jobs = new Map<string, KnownJob>();
+  const tookMs = new Map<string, number>();
+  const workers = new Map<string, ColocatedWorker>();
+  const wallMs = (): number => WALL_MS + clock.now();
+
+  const jobOfTask = (task: string): KnownJob => {
+    const found = jobs.get(parseTaskName(task)?.jobId ?? '');
+    if (found === undefined) throw new Error(`unknown task ${task}`);
+    return found;
+  };
+  const stageOf = (task: string): Stage => {
+    const stage = jobOfTask(task).job.stages[parseTaskName(task)?.stageIndex ?? 0];
+    if (stage === undefined) throw new Error(`unknown stage of ${task}`);
+    return stage;
+  };
+
+  const apply = (change: (fixture: Fixture) => Fixture): void => {
+    const before = { ...known.fixture, effects: [], nowMs: clock.now() };
+    const { effects, ...after } = change(before);
+    known.fixture = { ...after, effects: [] };
+    // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
+    effects.forEach(perform);
+  };
+  const send = (event: SchedulerEvent): void => apply((fixture) => dispatch(fixture, event));
+
+  function perform(effect: SchedulerEffect): void {
+    switch (effect.kind) {
+      case 'commit':
+        clock.schedule(COMMIT_MS, () => {
+          const version = known.fixture.version + 1;
+          known.fixture = { ...known.fixture, version };
+          const result = { kind: 'committed', version } as const;
+          send({ kind: 'commitDone', callId: effect.callId, result, wallMs: wallMs() });
+        });
+        return;
+      case 'send':
+        if (effect.message.kind === 'stop') known.stops += 1;
+        clock.schedule(HOP_MS, () => workers.get(effect.linkId)?.receive(effect.message));
+        return;
+      case 'log':
+        if (effect.event === 'jobEnded' && effect.fields.outcome === 'complete') {
+          tookMs.set(String(effect.fields.job), Number(effect.fields.ageMs));
+        }
+        return;
+      case 'range':
+      case 'followJobs':
+      case 'notifyEntry':
+        return;
+      default:
+        assertNever(effect);
+    }
+  }
+
+  const onServed = (isHarmed: boolean): void => {
+    known.servedMs += STEP_MS;
+    if (isHarmed) known.harmedMs += STEP_MS;
+  };
+  Array.from({ length: workerCount }, (_, index) => `w${index}`).forEach((site) => {
+    const worker = createColocatedWorker(clock, {
+      stageOf,
+      durationMs: (task) => jobOfTask(task).taskMs,
+      influence,
+      report: (fields) => apply((fixture) => report(fixture, site, fields)),
+      onServed,
+    });
+    workers.set(`link-${site}`, worker);
+  });
+
+  const step = (): void => {
+    workers.forEach((worker) => worker.work());
+    send({ kind: 'tick', wallMs: wallMs() });
+    clock.schedule(STEP_MS, step);
+  };
+  clock.schedule(STEP_MS, step);
+
+  return {
+    advance: (ms) => clock.advance(ms, () => {}),
+    submit: (job, taskMs) => {
+      const accepted = { ...job, acceptedAtMs: wallMs() };
+      jobs.set(job.jobId, { job: accepted, taskMs });
+      const row = { ...jobKey(job.jobId), version: known.fixture.version, value: accepted };
+      send({ kind: 'jobRows', isFull: false, rows: [row], wallMs: wallMs() });
+    },
+    tookMs: () => tookMs,
+    harmedMs: () => known.harmedMs,
+    servedMs: () => known.servedMs,
+    countStops: () => known.stops,
+  };
+}
