Judge unproven pairs by known ones, and try them alone

About 30% of the pairs are harmful, each on its own.

A pair that was never observed is now expected to be like those that are known; a task whose effect is unknown is tried alone on its worker; filling tasks go where the serving tasks stay least loaded; and each serving task's own load is tracked, so that a swing of its own is not taken for harm by what runs beside it.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -36,12 +36,27 @@
 /** Standard deviation of the predicted load above which the effect of fills is unknown. */
 const UNKNOWN_DEVIATION = 0.15;
 
-/** Prior estimates of a pair and of a serving image alone. */
-const PRIOR_PAIR: InfluenceEstimate = { mean: 0, variance: 9 };
+/** Estimates of a pair before any is known, and the number of pairs that they count for beside others. */
+const FIRST_PRIOR: InfluenceEstimate = { mean: 1, variance: 4 };
+const FIRST_PRIOR_PAIRS = 5;
+
+/** Largest variance of an estimate that counts as known when others are judged by it. */
+const MAX_KNOWN_VARIANCE = 0.5;
+
+/** Estimate of a serving image alone before its first observation. */
 const PRIOR_BASE: InfluenceEstimate = { mean: 0.3, variance: 0.02 };
 
-/** Variance of an observed load, mostly from fluctuations of the serving task's own load. */
-const NOISE_VARIANCE = 0.06;
+/** Variance of an observed load around the true one. */
+const NOISE_VARIANCE = 0.01;
+
+/** Variance of a serving task's own load around the mean of its image. */
+const SWING_VARIANCE = 0.05;
+
+/** Growth of the variance of a serving task's own load from one observation to the next. */
+const DRIFT_VARIANCE = 0.005;
+
+/** Share of its distance from the mean of its image that a serving task's own load loses meanwhile. */
+const RETURN_SHARE = 0.1;
 
 /** Lower limits of variances: behaviour drifts, so no estimate becomes certain. */
 const MIN_VARIANCE = 0.01;
@@ -60,6 +75,8 @@
   readonly ratio: number;
   /** One entry for each image. */
   readonly fills: readonly FillShare[];
+  /** Estimate of the serving task's own load after its last observation. */
+  readonly own?: InfluenceEstimate;
 }
 
 /** Returns the key of a pair of images, or of the serving image alone without a filling image. */
@@ -76,12 +93,36 @@
   return estimates.get(pairKey(servingImage), PRIOR_BASE);
 }
 
+/** Priors of pairs by the estimates that they follow from; each report changes the estimates once. */
+const priors = new WeakMap<PairEstimates, InfluenceEstimate>();
+
+/** Returns the estimate of a pair that was never observed: pairs are much like the others that are known. */
+function computePrior(estimates: PairEstimates): InfluenceEstimate {
+  const known = estimates.filter(
+    ({ variance }, key) => !key.endsWith('|') && variance <= MAX_KNOWN_VARIANCE,
+  );
+  const count = known.size + FIRST_PRIOR_PAIRS;
+  const first = FIRST_PRIOR;
+  const sum = known.reduce((total, { mean }) => total + mean, 0);
+  const mean = (sum + first.mean * FIRST_PRIOR_PAIRS) / count;
+  const squares = known.reduce((total, estimate) => total + (estimate.mean - mean) ** 2, 0);
+  return { mean, variance: (squares + first.variance * FIRST_PRIOR_PAIRS) / count };
+}
+
+function priorOf(estimates: PairEstimates): InfluenceEstimate {
+  const known = priors.get(estimates);
+  if (known !== undefined) return known;
+  const prior = computePrior(estimates);
+  priors.set(estimates, prior);
+  return prior;
+}
+
 function influenceOf(
   estimates: PairEstimates,
   servingImage: string,
   fillImage: string,
 ): InfluenceEstimate {
-  return estimates.get(pairKey(servingImage, fillImage), PRIOR_PAIR);
+  return estimates.get(pairKey(servingImage, fillImage)) ?? priorOf(estimates);
 }
 
 /** Merges fills of the same image by adding up their shares. */
@@ -105,14 +146,49 @@
   );
 }
 
-/** Classifies the effect of fills, one entry for each image, on a serving image. */
+/** Returns the predicted load of each fill on a serving image. */
+export function fillLoads(
+  estimates: PairEstimates,
+  servingImage: string,
+  fills: readonly FillShare[],
+): readonly (readonly [image: string, load: number])[] {
+  return fills.map(
+    ({ image, share }) =>
+      [image, influenceOf(estimates, servingImage, image).mean * share] as const,
+  );
+}
+
+/** Returns the load that fills may put on a serving image beside its own mean load. */
+export function fillRoom(estimates: PairEstimates, servingImage: string): number {
+  return Math.max(0, MAX_LOAD - baseOf(estimates, servingImage).mean);
+}
+
+/** Returns the load of a serving task by its tail latency over target. */
+export function observedLoad(ratio: number): number {
+  return ratio <= 0 ? 0 : Math.max(0, 1 - IDLE_RATIO / ratio);
+}
+
+/** Predicts the mean load of a serving image beside fills. */
+export function predictLoad(
+  estimates: PairEstimates,
+  servingImage: string,
+  fills: readonly FillShare[],
+): number {
+  return baseOf(estimates, servingImage).mean + fillLoad(estimates, servingImage, fills);
+}
+
+/**
+ * Classifies the effect of fills, one entry for each image, on a serving image. A pair that was never
+ * observed is not known to be harmful, whatever others are like.
+ */
 export function classifyFills(
   estimates: PairEstimates,
   servingImage: string,
   fills: readonly FillShare[],
 ): Verdict {
-  const load = baseOf(estimates, servingImage).mean + fillLoad(estimates, servingImage, fills);
-  if (load > MAX_LOAD) return 'harmful';
+  const observed = fills.filter(({ image }) => estimates.has(pairKey(servingImage, image)));
+  if (predictLoad(estimates, servingImage, observed) > MAX_LOAD) return 'harmful';
+  if (predictLoad(estimates, servingImage, fills) > MAX_LOAD) return 'unknown';
   const variance = fills.reduce(
     (sum, { image, share }) =>
       sum + influenceOf(estimates, servingImage, image).variance * share ** 2,
@@ -178,41 +254,74 @@
   return estimates.deleteAll(dropped.keys);
 }
 
-/** Updates the estimates from one observation, by a Kalman filter with variances but no covariances. */
-export function updatePairs(estimates: PairEstimates, observation: PairObservation): PairEstimates {
+/** What an observation teaches: of pairs and serving images, and of the serving task itself. */
+export interface Lesson {
+  readonly estimates: PairEstimates;
+  /** Load of the serving task of its own. */
+  readonly own: InfluenceEstimate;
+}
+
+/** Returns what is expected of a serving task's own load, by its last estimate or by its image. */
+function expectOwn(
+  estimates: PairEstimates,
+  { servingImage, own }: PairObservation,
+): InfluenceEstimate {
+  const base = baseOf(estimates, servingImage);
+  if (own === undefined) return { mean: base.mean, variance: base.variance + SWING_VARIANCE };
+  return {
+    mean: own.mean + (base.mean - own.mean) * RETURN_SHARE,
+    variance: Math.min(SWING_VARIANCE, own.variance + DRIFT_VARIANCE),
+  };
+}
+
+/**
+ * Learns from one observation, by a Kalman filter with variances but no covariances. A serving task's own
+ * load changes slowly, so a sudden change of its latency is mostly due to the fills beside it.
+ */
+export function learnFrom(estimates: PairEstimates, observation: PairObservation): Lesson {
   const { servingImage, ratio } = observation;
-  if (ratio <= 0) return estimates;
+  const own = expectOwn(estimates, observation);
+  if (ratio <= 0) return { estimates, own };
   const fills = observation.fills.filter(({ share }) => share > 0);
-  const base = baseOf(estimates, servingImage);
-  const observed = Math.max(0, 1 - IDLE_RATIO / ratio);
-  const error = observed - base.mean - fillLoad(estimates, servingImage, fills);
+  const observed = observedLoad(ratio);
+  const error = observed - own.mean - fillLoad(estimates, servingImage, fills);
   // A tail far above the target shows that the load is high, but not how high.
   const isSaturated = observed > 1 - IDLE_RATIO / 3;
-  if (isSaturated && error < 0) return estimates;
+  if (isSaturated && error < 0) return { estimates, own };
   const variance = fills.reduce(
     (sum, { image, share }) =>
       sum + influenceOf(estimates, servingImage, image).variance * share ** 2,
-    base.variance + NOISE_VARIANCE,
+    own.variance + NOISE_VARIANCE,
   );
   const update = (
     { mean, variance: before }: InfluenceEstimate,
     weight: number,
     minVariance: number,
-  ) => {
+  ): InfluenceEstimate => {
     const gain = (before * weight) / variance;
     return {
       mean: Math.max(0, mean + gain * error),
       variance: Math.max(minVariance, before * (1 - gain * weight)),
     };
   };
-  const first = putLatest(
-    OrderedMap(estimates),
-    pairKey(servingImage),
-    update(base, 1, MIN_BASE_VARIANCE),
-  );
+  const learned = update(own, 1, 0);
+  const base = baseOf(estimates, servingImage);
+  const baseGain = base.variance / (base.variance + SWING_VARIANCE);
+  const first = putLatest(OrderedMap(estimates), pairKey(servingImage), {
+    mean: base.mean + baseGain * (learned.mean - base.mean),
+    variance: Math.max(MIN_BASE_VARIANCE, base.variance * (1 - baseGain)),
+  });
   const updated = fills.reduce((current, { image, share }) => {
     const influence = influenceOf(estimates, servingImage, image);
     return putLatest(current, pairKey(servingImage, image), update(influence, share, MIN_VARIANCE));
   }, first);
-  return updated.size === estimates.size ? updated : dropOldest(updated);
+  return {
+    estimates: updated.size === estimates.size ? updated : dropOldest(updated),
+    own: learned,
+  };
+}
+
+/** Updates the estimates from one observation. */
+export function updatePairs(estimates: PairEstimates, observation: PairObservation): PairEstimates {
+  return learnFrom(estimates, observation).estimates;
 }
--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -1,6 +1,6 @@
 import type { Stage } from '@bronzeyoke/workflow';
 import { compareRanks, fitsEmptyWorker, hasRoom, rankOf } from './rank';
-import type { FillClassifier, WorkerLoad } from './types';
+import type { FillEffects, WorkerLoad } from './types';
 
 /** A worker on which a task may be placed, with its rank. The lowest rank is the best. */
 export interface Candidate {
@@ -20,12 +20,12 @@
 function candidateOf(
   stage: Stage,
   load: WorkerLoad,
-  classify: FillClassifier,
+  effects: FillEffects,
   { siblingCount, isLastResort = false }: PlacementConstraints,
 ): Candidate | undefined {
   if (!fitsEmptyWorker(stage, load) || !hasRoom(stage, load)) return undefined;
   if (siblingCount(load.workerKey) >= (stage.maxPerWorker ?? Infinity)) return undefined;
-  const rank = rankOf(stage, load, classify, isLastResort);
+  const rank = rankOf(stage, load, effects, isLastResort);
   return rank === undefined ? undefined : { load, rank };
 }
 
@@ -33,10 +33,10 @@
 export function findCandidates(
   stage: Stage,
   loads: readonly WorkerLoad[],
-  classify: FillClassifier,
+  effects: FillEffects,
   constraints: PlacementConstraints,
 ): readonly Candidate[] {
-  return loads.flatMap((load) => candidateOf(stage, load, classify, constraints) ?? []);
+  return loads.flatMap((load) => candidateOf(stage, load, effects, constraints) ?? []);
 }
 
 /** Returns the candidates after the load of one of them has changed. The others keep their ranks. */
@@ -44,11 +44,11 @@
   candidates: readonly Candidate[],
   stage: Stage,
   load: WorkerLoad,
-  classify: FillClassifier,
+  effects: FillEffects,
   constraints: PlacementConstraints,
 ): readonly Candidate[] {
   const index = candidates.findIndex(({ load: known }) => known.workerKey === load.workerKey);
-  const updated = candidateOf(stage, load, classify, constraints);
+  const updated = candidateOf(stage, load, effects, constraints);
   return candidates.toSpliced(index, 1, ...(updated === undefined ? [] : [updated]));
 }
 
@@ -72,9 +72,9 @@
 export function chooseWorker(
   stage: Stage,
   loads: readonly WorkerLoad[],
-  classify: FillClassifier,
+  effects: FillEffects,
   constraints: PlacementConstraints,
   avoidWorkerKey?: string,
 ): WorkerLoad | undefined {
-  return bestCandidate(findCandidates(stage, loads, classify, constraints), avoidWorkerKey)?.load;
+  return bestCandidate(findCandidates(stage, loads, effects, constraints), avoidWorkerKey)?.load;
 }
--- a/packages/placement/src/rank.ts
+++ b/packages/placement/src/rank.ts
@@ -2,10 +2,7 @@
 import { mergeFills } from '@bronzeyoke/interference';
 import type { Resources } from '@bronzeyoke/types';
 import type { Stage } from '@bronzeyoke/workflow';
-import type { FillClassifier, WorkerLoad } from './types';
-
-/** Maximum number of filling images with unknown effects that one worker may try at a time. */
-const MAX_TRIALS = 1;
+import type { FillEffects, WorkerLoad } from './types';
 
 /** Minimum idle share of the processors that a filling task requests. It runs at that speed. */
 const MIN_FILL_SHARE = 0.6;
@@ -16,6 +13,9 @@
  */
 const MAX_FILL_REQUEST_RATIO = 4;
 
+/** Smallest difference of predicted loads that decides between workers. Estimates are rough. */
+const LOAD_STEP = 0.05;
+
 /** Compares two ranks by their first difference; the lower rank comes first. */
 export function compareRanks(left: readonly number[], right: readonly number[]): number {
   const index = left.findIndex((value, position) => value !== right[position]);
@@ -71,28 +71,26 @@
   return stage.fillsIdle && image !== undefined ? [{ image, share }] : [];
 }
 
-/** Lists the filling images whose effect on a serving image on the worker is unknown. */
-function trialImages(load: WorkerLoad, classify: FillClassifier): readonly string[] {
-  return load.fills
-    .filter((fill) => load.servingImages.some((serving) => classify(serving, [fill]) === 'unknown'))
-    .map(({ image }) => image);
+/** Returns the highest predicted load of the serving images on a worker, in steps. */
+function loadStep(load: WorkerLoad, effects: FillEffects, fills: readonly FillShare[]): number {
+  const loads = load.servingImages.map((serving) => effects.predictLoad(serving, fills));
+  return Math.floor(Math.max(0, ...loads) / LOAD_STEP);
 }
 
 function fillRank(
   stage: Stage,
   load: WorkerLoad,
-  classify: FillClassifier,
+  effects: FillEffects,
   isLastResort: boolean,
 ): readonly number[] | undefined {
   const added = fillsOf(stage, load);
   const fills = mergeFills([...load.fills, ...added]);
-  const verdicts = load.servingImages.map((serving) => classify(serving, fills));
+  const verdicts = load.servingImages.map((serving) => effects.classify(serving, fills));
   const harmfulCount = verdicts.filter((verdict) => verdict === 'harmful').length;
   if (harmfulCount > 0 && !isLastResort) return undefined;
-  const isTrial = load.servingImages.some((serving) => classify(serving, added) === 'unknown');
-  const trials = isTrial && !isLastResort ? trialImages(load, classify) : [];
-  const joinsTrial = added.some(({ image }) => trials.includes(image));
-  if (!joinsTrial && trials.length >= MAX_TRIALS) return undefined;
+  const isTrial = verdicts.includes('unknown');
+  // Beside another filling task the cause of harm would not be clear, and a second one adds to it.
+  if (isTrial && load.fills.length > 0 && !isLastResort) return undefined;
   const isBesideServing = load.servingImages.length > 0 ? 1 : 0;
   const isSlow =
     stage.needs.processorsMilli > freeMilli(load) - load.fillRequestedMilli &&
@@ -103,6 +101,7 @@
     Number(isTrial),
     dataDistance(stage, load),
     isBesideServing,
+    loadStep(load, effects, fills),
     load.fillRequestedMilli - freeMilli(load),
   ];
 }
@@ -124,10 +123,10 @@
 export function rankOf(
   stage: Stage,
   load: WorkerLoad,
-  classify: FillClassifier,
+  effects: FillEffects,
   isLastResort: boolean,
 ): readonly number[] | undefined {
-  if (stage.fillsIdle) return fillRank(stage, load, classify, isLastResort);
+  if (stage.fillsIdle) return fillRank(stage, load, effects, isLastResort);
   return stage.latencyTargetMs === undefined ? defaultRank(stage, load) : servingRank(stage, load);
 }
 
--- a/packages/placement/src/types.ts
+++ b/packages/placement/src/types.ts
@@ -23,5 +23,9 @@
   readonly fills: readonly FillShare[];
 }
 
-/** Returns the known effect of fills on a serving image. */
-export type FillClassifier = (servingImage: string, fills: readonly FillShare[]) => Verdict;
+/** What is known of the effects of fills on serving images. */
+export interface FillEffects {
+  readonly classify: (servingImage: string, fills: readonly FillShare[]) => Verdict;
+  /** Predicted mean load of a serving image beside fills, from 0 to 1. */
+  readonly predictLoad: (servingImage: string, fills: readonly FillShare[]) => number;
+}
--- a/packages/scheduler/src/placement/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -3,8 +3,8 @@
   classifyFills,
   findSuspects,
   HARMED_RATIO,
+  learnFrom,
   mergeFills,
-  updatePairs,
 } from '@bronzeyoke/interference';
 import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
@@ -119,6 +119,7 @@
 ): PairObservation {
   return {
     servingImage: stage.image ?? '',
+    ...(run.ownLoad === undefined ? {} : { own: run.ownLoad }),
     ratio: run.load / Math.max(1, stage.latencyTargetMs ?? 1),
     fills: mergeFills(
       fills.flatMap((fill) =>
@@ -130,6 +131,24 @@
   };
 }
 
+/** Learns from the observations of a worker's serving tasks, of pairs of images and of each task. */
+function learnPairs(
+  state: SchedulerState,
+  serving: readonly ListedTask[],
+  observations: readonly PairObservation[],
+): Pick<SchedulerState, 'pairs' | 'runs'> {
+  return observations.reduce<Pick<SchedulerState, 'pairs' | 'runs'>>(
+    ({ pairs, runs }, observation, index) => {
+      const listed = serving[index];
+      const { estimates, own } = learnFrom(pairs, observation);
+      if (listed === undefined) return { pairs: estimates, runs };
+      const { task, run } = listed;
+      return { pairs: estimates, runs: putRun(runs, task, { ...run, ownLoad: own }) };
+    },
+    { pairs: state.pairs, runs: state.runs },
+  );
+}
+
 /** Returns log effects for the pairs whose verdict changed. */
 function verdictLogs(
   before: PairEstimates,
@@ -335,9 +354,9 @@
   const capacityMilli = Math.max(1, capacity.processorsMilli);
   const filling = listed.filter(({ stage }) => stage.fillsIdle);
   const observations = serving.map((task) => observeTask(task, filling, capacityMilli));
-  const pairs = observations.reduce(updatePairs, state.pairs);
+  const { pairs, runs } = learnPairs(state, serving, observations);
   const updated = withEffects(
-    { ...state, pairs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs },
+    { ...state, pairs, runs, arePairsDirty: state.arePairsDirty || pairs !== state.pairs },
     verdictLogs(state.pairs, pairs, observations),
   );
   const fills = filling.filter(({ run }) => run.stopSentAtMs === undefined);
--- a/packages/scheduler/src/placement/pass.ts
+++ b/packages/scheduler/src/placement/pass.ts
@@ -1,6 +1,6 @@
 import type { Map } from 'immutable';
-import { classifyFills } from '@bronzeyoke/interference';
-import type { FillClassifier, WorkerLoad } from '@bronzeyoke/placement';
+import { classifyFills, predictLoad } from '@bronzeyoke/interference';
+import type { FillEffects, WorkerLoad } from '@bronzeyoke/placement';
 import { chooseWorker, withTask } from '@bronzeyoke/placement';
 import { without } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
@@ -157,9 +157,12 @@
   return (workerKey) => counts.get(workerKey) ?? 0;
 }
 
-/** Returns the known effect of fills on a serving image, by the estimates of this pass. */
-export function classifierOf({ state }: PlacementPass): FillClassifier {
-  return (serving, fills) => classifyFills(state.pairs, serving, fills);
+/** Returns the known effects of fills on serving images, by the estimates of this pass. */
+export function effectsOf({ state: { pairs } }: PlacementPass): FillEffects {
+  return {
+    classify: (serving, fills) => classifyFills(pairs, serving, fills),
+    predictLoad: (serving, fills) => predictLoad(pairs, serving, fills),
+  };
 }
 
 /** Returns the best of some workers for a task. */
@@ -174,7 +177,7 @@
   return chooseWorker(
     ready.stage,
     loadsOfService(pass, open, loads),
-    classifierOf(pass),
+    effectsOf(pass),
     { siblingCount: siblingCounter(pass, open, ready), isLastResort },
     taskProgress(open.progress, slot).failedOn,
   );
--- a/packages/scheduler/src/placement/preempt.ts
+++ b/packages/scheduler/src/placement/preempt.ts
@@ -4,7 +4,7 @@
 import { taskProgress } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
-import { classifierOf, loadsOfService, siblingCounter, spend } from './pass';
+import { effectsOf, loadsOfService, siblingCounter, spend } from './pass';
 import { PREEMPTION_WORK } from './passbudget';
 import { runsOn } from '../runs';
 import type { StageSearch } from './search';
@@ -94,13 +94,13 @@
   const open = pass.state.jobs.get(jobId);
   if (open === undefined || slots.length === 0) return { pass, left: [] };
   const { stage } = ready;
-  const classify = classifierOf(pass);
+  const effects = effectsOf(pass);
   const constraints = { siblingCount: siblingCounter(pass, open, ready) };
   const loads = loadsWithoutFills(pass, open, priority);
   const first = {
     pass: spend(pass, pass.loads.size * PREEMPTION_WORK),
     left: [],
-    candidates: findCandidates(stage, loads, classify, constraints),
+    candidates: findCandidates(stage, loads, effects, constraints),
   };
   return slots.reduce<Preemption>((current, slot, index) => {
     if (current.left.length > 0) return current;
@@ -121,7 +121,7 @@
         loads: current.pass.loads.set(chosen.workerKey, reserved),
         stops: current.pass.stops.merge(stops.map((task) => [task, 'preempted'])),
       },
-      candidates: updateCandidate(candidates, stage, taken, classify, constraints),
+      candidates: updateCandidate(candidates, stage, taken, effects, constraints),
     };
   }, first);
 }
--- a/packages/scheduler/src/placement/search.ts
+++ b/packages/scheduler/src/placement/search.ts
@@ -4,7 +4,7 @@
 import type { StageCandidate } from './candidates';
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
-import { claimOn, classifierOf, isSpent, loadsOfService, siblingCounter, spend } from './pass';
+import { claimOn, effectsOf, isSpent, loadsOfService, siblingCounter, spend } from './pass';
 import { FILL_WORK } from './passbudget';
 
 /** A search of workers for the tasks of one stage. */
@@ -38,13 +38,13 @@
   const open = pass.state.jobs.get(jobId);
   if (open === undefined) return { pass, left: slots, isCut: false };
   const { stage } = ready;
-  const classify = classifierOf(pass);
+  const effects = effectsOf(pass);
   const constraints = { siblingCount: siblingCounter(pass, open, ready) };
   const first: OpenSearch = {
     pass: spend(pass, loads.length * (stage.fillsIdle ? FILL_WORK : 1)),
     left: [],
     isCut: false,
-    candidates: findCandidates(stage, loads, classify, constraints),
+    candidates: findCandidates(stage, loads, effects, constraints),
   };
   return slots.reduce((current, slot, index): OpenSearch => {
     if (current.left.length > 0 || current.isCut) return current;
@@ -65,7 +65,7 @@
     return {
       ...current,
       pass: placed,
-      candidates: updateCandidate(current.candidates, stage, load, classify, { siblingCount }),
+      candidates: updateCandidate(current.candidates, stage, load, effects, { siblingCount }),
     };
   }, first);
 }
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -1,4 +1,5 @@
 import type { Map, Set as ImmutableSet } from 'immutable';
+import type { InfluenceEstimate } from '@bronzeyoke/interference';
 import type { JobLatency } from '@bronzeyoke/latency';
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import type { WorkerReport } from '@bronzeyoke/ports';
@@ -76,6 +77,8 @@
   readonly listedAtMs: number;
   /** Time since which the latency of a serving task has counted as harmed. */
   readonly harmedSinceMs?: number;
+  /** Estimate of a serving task's own load, without that of the filling tasks beside it. */
+  readonly ownLoad?: InfluenceEstimate;
   /** Placed beside a task that it harms, because no other worker fits; runs at a low pace. */
   readonly isLastResort: boolean;
   /** Limit in percent of the processors that the task needs; 0 pauses it. */
