--- a/packages/interference/src/index.ts
+++ b/packages/interference/src/index.ts
@@ -3,3 +3,4 @@
 export * from './step';
 export * from './types';
 export * from './pairs';
+export * from './paces';
--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -28,7 +28,7 @@
 const IDLE_RATIO = 0.28;
 
 /** Maximum load of a serving task with fills, from 0 to 1. Peaks of its own load come on top. */
-const MAX_LOAD = 0.5;
+const MAX_LOAD = 0.48;
 
 /** Minimum load by fills that is attributed to images when a serving task is harmed. */
 const MIN_SUSPECT_LOAD = 0.08;
--- a/packages/interference/test/pairs.test.ts
+++ b/packages/interference/test/pairs.test.ts
@@ -1,6 +1,12 @@
 import { expect } from 'chai';
 import type { FillShare, PairEstimates } from '@bronzeyoke/interference';
-import { EMPTY_PAIRS, classifyFills, updatePairs, findSuspects } from '@bronzeyoke/interference';
+import {
+  EMPTY_PAIRS,
+  classifyFills,
+  findSuspects,
+  learnFrom,
+  updatePairs,
+} from '@bronzeyoke/interference';
 
 const SAMPLES = 200;
 
@@ -39,6 +45,30 @@
   expect(classifyFills(estimates, 's', [good])).to.equal('harmless');
 });
 
+// Guards against an image that counts as harmful because it began beside a serving task at its own peak.
+it('pairs: a task that begins at the peak of a serving task is not blamed for it', () => {
+  const known = EMPTY_PAIRS.set('s|', { mean: 0.3, variance: 0.0001 });
+  const ownPeak = { mean: 0.5, variance: 0.01 };
+  const observation = { servingImage: 's', ratio: 0.28 / (1 - 0.52), fills: [good] };
+  const blamed = updatePairs(known, observation);
+  const tracked = learnFrom(known, { ...observation, own: ownPeak }).estimates;
+  expect(tracked.get('s|good')?.mean).to.be.lessThan(blamed.get('s|good')?.mean ?? 0);
+  expect(classifyFills(tracked, 's', [good])).to.equal('harmless');
+});
+
+// Guards against a burst of tasks of a new image where most pairs are known to be heavy.
+it('pairs: a pair that was never observed is expected to be like the others', () => {
+  const many = Array.from({ length: 40 }, (_, index) => `s|known${index}`);
+  const heavy = many.reduce(
+    (pairs, key) => pairs.set(key, { mean: 3, variance: 0.05 }),
+    EMPTY_PAIRS.set('s|', { mean: 0.3, variance: 0.0001 }),
+  );
+  const added = { image: 'new', share: 0.12 };
+  expect(classifyFills(heavy, 's', [added])).to.equal('unknown');
+  const light = heavy.map((estimate) => ({ ...estimate, mean: 0.2 }));
+  expect(classifyFills(light, 's', [added])).to.equal('harmless');
+});
+
 // Guards against counting a serving task as unharmed because it has not served yet.
 it('pairs: a serving task without a measured latency proves nothing', () => {
   const estimates = updatePairs(EMPTY_PAIRS, { servingImage: 's', ratio: 0, fills: [bad] });
--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -4,7 +4,7 @@
 import { indexInstances } from './identities';
 import { addOrphan, orphansOf } from '../jobs/jobend';
 import { leaseEndAtMs, leaseEndMs } from './leases';
-import { inheritedPaceOf } from '../placement/pace';
+import { inheritedPaceOf } from '../placement/inheritedpace';
 import type { RunTable } from '../runs';
 import { createRun, dropRuns, NO_RUNS, putRun, runKey } from '../runs';
 import { findSuspects } from '../jobs/suspects';
--- a/packages/scheduler/src/jobs/stall.ts
+++ b/packages/scheduler/src/jobs/stall.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
-import { stopRun } from '../placement/pace';
+import { stopRun } from '../placement/runorders';
 import { recordFailure } from './ends';
 import { runsOn } from '../runs';
 import type { SchedulerState, SchedulerStep } from '../types';
--- a/packages/scheduler/src/placement/place.ts
+++ b/packages/scheduler/src/placement/place.ts
@@ -4,7 +4,7 @@
 import type { StageCandidate } from './candidates';
 import { orderedCandidates, searchKey } from './candidates';
 import { updateLoads } from '../fleet/loads';
-import { stopRun } from './pace';
+import { stopRun } from './runorders';
 import type { PlacementPass } from './pass';
 import { listedWork, passBudget, passWork, withOthersShare } from './passbudget';
 import { placeReturning, reserveForMoves } from './returning';
--- a/packages/scheduler/test/tasklog.test.ts
+++ b/packages/scheduler/test/tasklog.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { cancelKey } from '@bronzeyoke/scheduler';
-import { stopRun } from '../src/placement/pace';
+import { stopRun } from '../src/placement/runorders';
 import type { Fixture } from './fixture';
 import {
   advance,
