Give tasks beside serving ones their pace and place back in time

A job with nothing at work that has found no place for 5 s gets one beside serving tasks that it harms; such a task begins at 10 percent and goes as fast as fits by the estimates. Slowed tasks return to full pace when the last serving task has left, and those below half of their pace for 2 s are moved.

The tests of colocated pass.

--- a/packages/scheduler/src/placement/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -18,7 +18,7 @@
 import type { ListedTask } from './runorders';
 import { listedTasks, setPace, stopRun } from './runorders';
 
-/** Pace of a task that was placed beside one that it harms. */
+/** First and lowest pace of a task that was placed beside one that it harms. */
 const LAST_RESORT_PERCENT = 10;
 
 /** Duration of harm after which all filling tasks are paused, whatever the cause. */
@@ -45,8 +45,11 @@
  */
 const MAX_LOSS_MS = 400;
 
-/** Longest pause of a task: a serving task may be loaded by itself for long. */
-const MAX_PAUSE_MS = 2_000;
+/** Pace below which a task that is not raised in time is moved: a serving task may be loaded by itself. */
+const LOW_PERCENT = 50;
+
+/** Longest time at a low pace. */
+const MAX_LOW_PACE_MS = 2_000;
 
 /** Returns the share of the worker that a filling task uses at a pace; empty when it is paused. */
 function fillShares(
@@ -96,10 +99,10 @@
   };
 }
 
-/** Paces a task at most at some percent; one that was placed as a last resort stays slow. */
+/** Rounds a pace. One that was placed as a last resort goes on, because it has no better place. */
 function limitPercent({ run }: ListedTask, percent: number): number {
-  const limited = run.isLastResort ? Math.min(LAST_RESORT_PERCENT, percent) : percent;
-  return limited < MIN_PERCENT ? 0 : Math.round(limited);
+  if (run.isLastResort && percent > 0) return Math.max(LAST_RESORT_PERCENT, Math.round(percent));
+  return percent < MIN_PERCENT ? 0 : Math.round(percent);
 }
 
 /** Returns the pace of a task in percent by the paces of images. */
@@ -148,10 +151,11 @@
   );
 }
 
-/** Returns the tasks that have been paused for so long that another worker is better. */
-function longPaused({ fills, nowMs }: PacingContext): readonly ListedTask[] {
+/** Returns the tasks that have been slow for so long that another worker is better. */
+function longSlowed({ fills, nowMs }: PacingContext): readonly ListedTask[] {
   return fills.filter(
-    ({ run }) => run.pace === 0 && !run.isLastResort && nowMs - run.pacedAtMs >= MAX_PAUSE_MS,
+    ({ run }) =>
+      run.pace < LOW_PERCENT && !run.isLastResort && nowMs - run.pacedAtMs >= MAX_LOW_PACE_MS,
   );
 }
 
@@ -174,7 +178,7 @@
 function slowFills(step: SchedulerStep, context: PacingContext): SchedulerStep {
   const { fills, observations, nowMs } = context;
   const isSettling = fills.some(({ run }) => nowMs - run.pacedAtMs < SETTLE_MS && run.pace < 100);
-  const moved = moveTasks(step, longPaused(context), nowMs);
+  const moved = moveTasks(step, longSlowed(context), nowMs);
   if (isSettling && !isProlonged(context)) return moved;
   const paces = recoveryPaces(context);
   const isHarmed = observations.some(({ ratio }) => ratio >= HARMED_RATIO);
@@ -249,10 +253,10 @@
  */
 function chooseMoves(context: PacingContext): MovePlan {
   const { fills, nowMs } = context;
-  const paused = longPaused(context);
+  const slow = longSlowed(context);
   const slowed = fills
     .filter(({ run, stage }) => run.pace < 100 && !run.isLastResort && stage.image !== undefined)
-    .filter((task) => !paused.includes(task))
+    .filter((task) => !slow.includes(task))
     .toSorted((left, right) => right.run.claimedAtMs - left.run.claimedAtMs);
   return slowed.reduce<MovePlan>(
     ({ staying, moving }, task) => {
@@ -260,7 +264,7 @@
       if (!isWorthMoving(task, percent, nowMs)) return { staying, moving };
       return { staying: staying.filter((other) => other !== task), moving: [...moving, task] };
     },
-    { staying: fills.filter((task) => !paused.includes(task)), moving: paused },
+    { staying: fills.filter((task) => !slow.includes(task)), moving: slow },
   );
 }
 
@@ -275,12 +279,29 @@
   return raiseFills(stopped, rest, planOf(rest, staying));
 }
 
+/** Returns slowed tasks to full pace on a worker whose serving tasks have left it. */
+function restoreFills(
+  state: SchedulerState,
+  listed: readonly ListedTask[],
+  nowMs: number,
+): SchedulerStep {
+  const slowed = listed.filter(
+    ({ run }) =>
+      run.pace < 100 && run.stopSentAtMs === undefined && nowMs - run.pacedAtMs >= SETTLE_MS,
+  );
+  return chainAll(
+    state,
+    slowed.map((task) => (current: SchedulerState) => setPace(current, task, 100, 'calm', nowMs)),
+  );
+}
+
 function paceBesideServing(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
   const listed = listedTasks(state, workerKey);
   const serving = listed.filter(({ stage }) => stage.latencyTargetMs !== undefined);
   const capacity = state.workers.get(workerKey)?.report?.capacity;
-  if (serving.length === 0 || capacity === undefined) return unchanged(state);
-  const unpaced = listed.filter(({ run }) => run.isLastResort && run.pace > LAST_RESORT_PERCENT);
+  if (serving.length === 0) return restoreFills(state, listed, nowMs);
+  if (capacity === undefined) return unchanged(state);
+  const unpaced = listed.filter(({ run }) => run.isLastResort && run.pacedAtMs === run.claimedAtMs);
   if (unpaced.length > 0) {
     return chainAll(
       state,
--- a/packages/scheduler/src/placement/round.ts
+++ b/packages/scheduler/src/placement/round.ts
@@ -28,8 +28,8 @@
 const MAX_LOOKS = 2_000;
 
 /**
- * Places one task of an overdue job beside a task that it harms, at a low pace, if the job has no other
- * task on a worker.
+ * Places one task of a job beside a task that it harms, at a low pace, if the job has no other task on a
+ * worker.
  */
 function placeLastResort(
   pass: PlacementPass,
@@ -196,6 +196,19 @@
   return isUnmet ? { ...next, unmet: [...next.unmet, demand] } : next;
 }
 
+/** Time without a place after which a job with nothing at work gets one beside a task that it harms. */
+const LAST_RESORT_AFTER_MS = 5_000;
+
+/** Returns whether a filling stage has found no worker for long, or its job is far behind its objective. */
+function needsLastResort(
+  { pass: { state } }: Round,
+  candidate: StageCandidate,
+  nowMs: number,
+): boolean {
+  const sinceMs = state.failedSearches.get(searchKey(candidate))?.sinceMs ?? nowMs;
+  return candidate.isOverdue || nowMs - sinceMs >= LAST_RESORT_AFTER_MS;
+}
+
 /** Places tasks that use what others leave idle. */
 function placeFills(
   round: Round,
@@ -210,7 +223,7 @@
   const placed = placeOn(pass, candidate, slots, loads, nowMs);
   const isNonePlaced = placed.left.length === slots.length;
   const last =
-    isNonePlaced && candidate.isOverdue
+    isNonePlaced && needsLastResort(round, candidate, nowMs)
       ? placeLastResort(pass, candidate, slots[0], nowMs)
       : placed.pass;
   const next = { ...round, pass: last, looksLeft: round.looksLeft - loads.length };
--- a/packages/scheduler/test/fills.test.ts
+++ b/packages/scheduler/test/fills.test.ts
@@ -117,6 +117,57 @@
   expect(loggedFields(loaded, 'taskStopped')).to.have.length(2);
 });
 
+// Guards against tasks that stay slow for good on a worker whose serving tasks were cancelled.
+it('returns slowed tasks to full pace once no serving task is beside them', () => {
+  const harmed = reportServing(besideServing(300), 300, 2_000);
+  expect(sentMessages(harmed, 'pace')).to.have.length(2);
+  const running = FILLS.map((task) => listedRun(task, 1));
+  const alone = report(advance(harmed, 1_000), 'w1', { running, lastOrder: 3 });
+  const raised = loggedFields(alone, 'taskPaced').slice(2);
+  expect(raised.map(({ percent }) => percent)).to.deep.equal([100, 100]);
+});
+
+// Guards against a job that waits with nothing at work until it is far behind its objective.
+it('runs a job at a low pace after some seconds without a place where it harms nothing', () => {
+  const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
+  const filling = stageOf(2, { fillsIdle: true, image: 'f', estimateMs: 60_000 });
+  const served = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [serving])));
+  const pairs = served.state.pairs.set('s|f', { mean: 6, variance: 0.05 });
+  const learned = { ...served, state: { ...served.state, pairs } };
+  const waiting = commitAll(submit(learned, jobOf('job2', [filling])));
+  const keep = (fixture: Fixture): Fixture =>
+    commitAll(
+      report(advance(fixture, 500), 'w1', {
+        running: [listedRun(TASK, 1, { load: 30 })],
+        lastOrder: 1,
+      }),
+    );
+  const later = Array.from({ length: 8 }).reduce<Fixture>(keep, waiting);
+  expect(sentMessages(later, 'start')).to.have.length(1);
+  const last = Array.from({ length: 4 }).reduce<Fixture>(keep, later);
+  expect(sentMessages(last, 'start')).to.have.length(2);
+});
+
+// Guards against a last task that runs at a tenth of its pace for half a minute though it fits at a higher one.
+it('raises the pace of a task of last resort as far as the serving task bears', () => {
+  const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
+  const filling = stageOf(1, { fillsIdle: true, image: 'f', estimateMs: 10 });
+  const served = commitAll(submit(report(createLeader(), 'w1'), jobOf('job1', [serving])));
+  const pairs = served.state.pairs
+    .set('s|', { mean: 0.3, variance: 0.0001 })
+    .set('s|f', { mean: 1, variance: 0.01 });
+  const late = { ...served, state: { ...served.state, pairs }, nowMs: 5_000 };
+  const idle = { running: [listedRun(TASK, 1, { load: 40 })], lastOrder: 1 };
+  const placed = commitAll(submit(report(late, 'w1', idle), jobOf('job2', [filling])));
+  const both = [listedRun(TASK, 1, { load: 40 }), listedRun('job2.0.0.0', 1)];
+  const at = (fixture: Fixture): Fixture =>
+    report(advance(fixture, 800), 'w1', { running: both, lastOrder: 2 });
+  const raised = Array.from({ length: 3 }).reduce<Fixture>(at, placed);
+  const percents = loggedFields(raised, 'taskPaced').map(({ percent }) => Number(percent));
+  expect(percents[0]).to.equal(10);
+  expect(percents.at(-1)).to.be.within(50, 90);
+});
+
 // Guards against a burst of tasks of an unproven image beside one serving task.
 it('tries one task of an unproven image beside a serving task', () => {
   const serving = stageOf(1, { isLasting: true, image: 's', latencyTargetMs: 100 });
