--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -254,8 +254,8 @@
   return estimates.deleteAll(dropped.keys);
 }
 
-/** What an observation teaches: of pairs and serving images, and of the serving task itself. */
-export interface Lesson {
+/** Estimates after an observation: of pairs and serving images, and of the serving task itself. */
+export interface LearnedEstimates {
   readonly estimates: PairEstimates;
   /** Load of the serving task of its own. */
   readonly own: InfluenceEstimate;
@@ -278,7 +278,10 @@
  * Learns from one observation, by a Kalman filter with variances but no covariances. A serving task's own
  * load changes slowly, so a sudden change of its latency is mostly due to the fills beside it.
  */
-export function learnFrom(estimates: PairEstimates, observation: PairObservation): Lesson {
+export function learnFrom(
+  estimates: PairEstimates,
+  observation: PairObservation,
+): LearnedEstimates {
   const { servingImage, ratio } = observation;
   const own = expectOwn(estimates, observation);
   if (ratio <= 0) return { estimates, own };
