Predict the load of a harmed serving image in one place

findSuspects added up the base and the fills that predictLoad adds up. No behaviour changes; type check, linter and the tests of interference and of filling tasks (33) passed.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -212,10 +212,7 @@
       load: influenceOf(estimates, servingImage, image).mean * share,
     }))
     .sort((left, right) => right.load - left.load);
-  const excess = Math.max(
-    MIN_SUSPECT_LOAD,
-    baseOf(estimates, servingImage).mean + fillLoad(estimates, servingImage, fills) - MAX_LOAD,
-  );
+  const excess = Math.max(MIN_SUSPECT_LOAD, predictLoad(estimates, servingImage, fills) - MAX_LOAD);
   const chosen = loads.reduce<{ readonly images: readonly string[]; readonly left: number }>(
     (picked, { image, load }) =>
       picked.left <= 0 || load <= 0
