Tell when the lease of the stand-in's worker has ended

Cause: the stand-in of the platform's worker ended the runs when a lease was over, but did not say so, and said nothing at all with nothing running. An end whose acknowledgement comes after the lease does not count, so a check of starts after a success needs the time.

Change: the model keeps the end of the latest lease that has lapsed, and a call grants no lease that is over already.

--- a/packages/standins/src/taskworker.ts
+++ b/packages/standins/src/taskworker.ts
@@ -24,6 +24,8 @@
   /** Longest time on the worker's clock for which a call extends the lease. */
   readonly maxLeaseMs: number;
   readonly leaseUntilMs: number;
+  /** End of the latest lease that has lapsed; 0 while none has. */
+  readonly lastLapseMs: number;
   /** Highest attempt of each task that was stopped or has ended here. */
   readonly closedAttempts: Map<string, number>;
 }
@@ -38,6 +40,7 @@
     lastEndSequence: 0,
     maxLeaseMs,
     leaseUntilMs: 0,
+    lastLapseMs: 0,
     closedAttempts: Map(),
   };
 }
@@ -57,6 +60,11 @@
   };
 }
 
+function noteLapse(state: TaskWorkerState): TaskWorkerState {
+  const { leaseUntilMs, lastLapseMs } = state;
+  return lastLapseMs === leaseUntilMs ? state : { ...state, lastLapseMs: leaseUntilMs };
+}
+
 /** Advances time: runs end when their work is done, and all of them when the lease has expired. */
 export function advanceTaskWorker(state: TaskWorkerState, clockMs: number): TaskWorkerState {
   const untilMs = Math.min(clockMs, state.leaseUntilMs);
@@ -65,13 +73,17 @@
     .sortBy(({ endsAtMs }) => endsAtMs);
   const completed = done.reduce((current, run) => endRun(current, run, 'done'), state);
   if (clockMs < state.leaseUntilMs) return completed;
-  return completed.runs.reduce((current, run) => endRun(current, run, 'expired'), completed);
+  return completed.runs.reduce(
+    (current, run) => endRun(current, run, 'expired'),
+    noteLapse(completed),
+  );
 }
 
-/** Extends the lease up to its maximum. A call never shortens it. */
+/** Extends the lease up to its maximum. A call never shortens it, and grants none that is over already. */
 function extendLease(state: TaskWorkerState, untilMs: number, clockMs: number): TaskWorkerState {
   const longestMs = Math.min(untilMs, clockMs + state.maxLeaseMs);
-  return { ...state, leaseUntilMs: Math.max(state.leaseUntilMs, longestMs) };
+  if (longestMs <= Math.max(clockMs, state.leaseUntilMs)) return state;
+  return { ...state, leaseUntilMs: longestMs };
 }
 
 /** Result of a call to a worker. `started` is the run that the call began. */
--- a/packages/standins/test/taskworker.test.ts
+++ b/packages/standins/test/taskworker.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { WorkerCall } from '@bronzeyoke/ports';
 import type { TaskWorkerState } from '@bronzeyoke/standins';
-import { callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
+import { advanceTaskWorker, callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
 
 const WORK_MS = 10_000;
 
@@ -13,7 +13,7 @@
   return { kind: 'start', task: 't', attempt, fencingToken, payload: '', leaseUntilClockMs };
 }
 
-function hold(fencingToken: number): WorkerCall {
+function hold(fencingToken: number): Extract<WorkerCall, { readonly kind: 'hold' }> {
   return { kind: 'hold', fencingToken, ackSequence: 0, waitMs: 0 };
 }
 
@@ -63,3 +63,26 @@
   const held = send(started.state, { kind: 'hold', fencingToken: 1, ...lease }, 1_000);
   expect(held.state.leaseUntilMs).to.equal(4_000);
 });
+
+// Guards against a lease whose end is not told because nothing ran under it, or is told again and again.
+it('task worker: a lease lapses once, with nothing running', () => {
+  const { state } = send(createTaskWorker(0), { ...hold(1), leaseUntilClockMs: 2_000 }, 0);
+  expect(advanceTaskWorker(state, 1_999).lastLapseMs).to.equal(0);
+  const lapsed = advanceTaskWorker(state, 2_020);
+  expect(lapsed.lastLapseMs).to.equal(2_000);
+  expect(advanceTaskWorker(lapsed, 2_040)).to.equal(lapsed);
+});
+
+// Guards against a lapse that goes unseen because the call that extends the lease comes first.
+it('task worker: a call does not prolong a lease that is over', () => {
+  const { state } = send(createTaskWorker(0), { ...hold(1), leaseUntilClockMs: 2_000 }, 0);
+  const renewed = send(state, { ...hold(1), leaseUntilClockMs: 5_000 }, 2_010).state;
+  expect(renewed).to.include({ lastLapseMs: 2_000, leaseUntilMs: 5_000 });
+});
+
+// Guards against a lapse that is told of a worker that no call has given a lease.
+it('task worker: a lease that was never granted does not lapse', () => {
+  const idle = advanceTaskWorker(createTaskWorker(0), 9_000);
+  const refused = send(idle, start(1, 1, 8_000), 9_000).state;
+  expect(advanceTaskWorker(refused, 9_020).lastLapseMs).to.equal(0);
+});
--- a/soak/runs.ts
+++ b/soak/runs.ts
@@ -47,7 +47,7 @@
 }
 
 function isRunObservation(observation: SoakObservation): observation is RunObservation {
-  return 'worker' in observation;
+  return 'task' in observation;
 }
 
 function createRun(started: ObservationOf<'started'>, following: readonly RunObservation[]): Run {
--- a/soak/site.ts
+++ b/soak/site.ts
@@ -150,8 +150,8 @@
       const id = `w-${index}`;
       const name = `agent-${index + 1}`;
       const platform = await startPlatform((event) => {
-        const { kind, task } = event;
-        if (kind === 'started' && isCrashingTask(task)) {
+        if (event.kind === 'started' && isCrashingTask(event.task)) {
+          const { task } = event;
           // A stop or another crash may have ended the run before.
           setTimeout(() => {
             if (platform.worker().runs.has(task)) platform.crash();
--- a/soak/types.ts
+++ b/soak/types.ts
@@ -105,6 +105,8 @@
       /** State in the answer; `gone` when the entry does not know the job. */
       readonly status: string;
     }
+  /** The lease of a worker has ended, with everything that ran there. */
+  | { readonly kind: 'leaseLapsed'; readonly atMs: number; readonly worker: string }
   | RunObservation;
 
 /** An observation of one run on a worker. */
