Keep the callers' type of run in the starts after a success

Cause: the soak's record of a run holds more than the rule needs (orders, stops), and its findings describe both runs with all of it.

Change: findRepeatedTasks and RepeatedTask take the type of the runs as a parameter, RecordedRun by default.

--- a/packages/runhistory/src/repeats.ts
+++ b/packages/runhistory/src/repeats.ts
@@ -17,28 +17,34 @@
   return notedAtMs < later.fromMs && isOnItsWay ? 'justNoted' : 'counted';
 }
 
-function startsByTask(runs: readonly RecordedRun[]): ReadonlyMap<string, readonly RecordedRun[]> {
+function startsByTask<Run extends RecordedRun>(
+  runs: readonly Run[],
+): ReadonlyMap<string, readonly Run[]> {
   return runs.reduce((groups, run) => {
     const group = groups.get(run.task);
     if (group === undefined) groups.set(run.task, [run]);
     else group.push(run);
     return groups;
-  }, new Map<string, RecordedRun[]>());
+  }, new Map<string, Run[]>());
 }
 
 /**
  * Returns the starts of tasks after a run of them that has succeeded. Callers leave out the runs of tasks that
  * may succeed more than once: lasting ones, and those of which several copies may run.
  */
-export function findRepeatedTasks(
-  runs: readonly RecordedRun[],
+export function findRepeatedTasks<Run extends RecordedRun>(
+  runs: readonly Run[],
   lapses: readonly LeaseLapse[],
-): readonly RepeatedTask[] {
+): readonly RepeatedTask<Run>[] {
   const byTask = startsByTask(runs);
   const successes = runs.filter(({ end }) => end === 'done');
   return successes.flatMap((earlier) =>
     (byTask.get(earlier.task) ?? [])
       .filter((run) => run !== earlier && run.fromMs >= earlier.untilMs)
-      .map((later): RepeatedTask => ({ kind: repeatKind(earlier, later, lapses), earlier, later })),
+      .map((later): RepeatedTask<Run> => ({
+        kind: repeatKind(earlier, later, lapses),
+        earlier,
+        later,
+      })),
   );
 }
--- a/packages/runhistory/src/types.ts
+++ b/packages/runhistory/src/types.ts
@@ -32,8 +32,8 @@
   | 'justNoted';
 
 /** A start of a task after a run of it that has succeeded. */
-export interface RepeatedTask {
+export interface RepeatedTask<Run extends RecordedRun = RecordedRun> {
   readonly kind: RepeatKind;
-  readonly earlier: RecordedRun;
-  readonly later: RecordedRun;
+  readonly earlier: Run;
+  readonly later: Run;
 }
