Find starts after a success in the soak, and count them by kind

Cause: the soak's oracle knew overlapping runs and starts after a job was shown as complete.

Starts that count are TWICE, with both runs in the line; the summary counts all by kind, with the time of the runs that they began, and the timeline holds them.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,6 +4,7 @@
 import { buildPrograms } from '../tools/bundle';
 import type { CommandOptions } from './options';
 import { formatUsage, parseCommandLine } from './options';
+import type { RepeatCount } from './repeats';
 import { runSoak } from './run';
 import type { SoakProgress } from './run';
 
@@ -15,6 +16,12 @@
   return `${seconds} s: ${faults} faults, ${accepted} jobs accepted, ${runs} runs, ${doubleRuns} double runs`;
 }
 
+function formatRepeats(counts: readonly RepeatCount[]): string {
+  const kinds = counts.map(({ kind, starts }) => `${starts} ${kind}`).join(', ');
+  const workMs = counts.reduce((sum, count) => sum + count.workMs, 0);
+  return `starts after a success: ${kinds}; ${workMs} ms of work done twice`;
+}
+
 /** Runs the soak and prints what it finds. Returns whether all promises were kept. */
 async function run({ seed, seconds, out, ...options }: CommandOptions): Promise<boolean> {
   const { entries, workers, domains, callers, selection } = options;
@@ -24,7 +31,7 @@
   await rm(folder, { recursive: true, force: true });
   await mkdir(folder, { recursive: true });
   await buildPrograms(programs);
-  const { violations, progress } = await runSoak({
+  const { violations, repeatCounts, progress } = await runSoak({
     seed,
     forMs: seconds * MS_PER_S,
     size: { entries, workers, domains },
@@ -40,6 +47,7 @@
     `seed ${seed}: ${faults} faults, ${accepted} jobs accepted, ${runs} runs, ` +
       `${violations.length} broken promises`,
   );
+  print(formatRepeats(repeatCounts));
   violations.forEach(({ promise, atMs, what }) => print(`${promise} at ${atMs} ms: ${what}`));
   if (violations.length > 0) print(`timeline and logs are in ${folder}`);
   return violations.length === 0;
--- a/soak/oracle.ts
+++ b/soak/oracle.ts
@@ -1,4 +1,5 @@
 import { isCrashingJob, isLasting } from './jobs';
+import { findRepeats } from './repeats';
 import { describeRun, groupBy, ofKind, runsOf } from './runs';
 import type { Run } from './runs';
 import type { PromiseViolation, SoakObservation } from './types';
@@ -33,6 +34,17 @@
   });
 }
 
+/** Finds starts of tasks after a success that counts. */
+function findCountedRepeats(observations: readonly SoakObservation[]): readonly PromiseViolation[] {
+  return findRepeats(observations)
+    .filter(({ kind }) => kind === 'counted')
+    .map(({ earlier, later }) => ({
+      promise: 'TWICE',
+      atMs: later.fromMs,
+      what: `${later.task} starts after a success: ${describeRun(earlier)}; ${describeRun(later)}`,
+    }));
+}
+
 /** Finds overlapping runs of a task, and runs that start after their job was shown as complete. */
 function findDuplicateRuns(
   runs: readonly Run[],
@@ -243,6 +255,7 @@
   );
   return [
     ...findDuplicateRuns(runs, completeAtMs),
+    ...findCountedRepeats(observations),
     ...findEarlyStarts(runs, stagesOf),
     ...findUnwantedRuns(runs, observations, endMs),
     ...findWithdrawnJobs(runs, observations),
--- a/soak/run.ts
+++ b/soak/run.ts
@@ -7,6 +7,8 @@
 import { inject } from './inject';
 import { findOverlaps, findViolations } from './oracle';
 import { planFaults, seedToUniform } from './plan';
+import type { RepeatCount } from './repeats';
+import { countRepeats, findRepeats } from './repeats';
 import { ofKind, runsOf } from './runs';
 import type { FaultSelection } from './selection';
 import type { SiteSize } from './site';
@@ -52,6 +54,8 @@
 export interface SoakReport {
   readonly progress: SoakProgress;
   readonly violations: readonly PromiseViolation[];
+  /** Starts of tasks after a success, by kind. */
+  readonly repeatCounts: readonly RepeatCount[];
   readonly faults: readonly PlannedFault[];
   readonly observations: readonly SoakObservation[];
 }
@@ -101,13 +105,17 @@
   phase.isOver = true;
   await Promise.all(callers);
   clearInterval(progressTimer);
-  const violations = findViolations(observations, nowMs());
+  const endMs = nowMs();
+  const violations = findViolations(observations, endMs);
+  const repeats = findRepeats(observations);
   site.close();
   const timeline = [
     ...faults.map((planned) => JSON.stringify(planned)),
     ...observations.map((observation) => JSON.stringify(observation)),
+    ...repeats.map((repeat) => JSON.stringify(repeat)),
     ...violations.map((violation) => JSON.stringify(violation)),
   ];
   await writeFile(join(folder, 'timeline.jsonl'), `${timeline.join('\n')}\n`);
-  return { violations, faults, observations, progress: measure() };
+  const repeatCounts = countRepeats(repeats, endMs);
+  return { violations, repeatCounts, faults, observations, progress: measure() };
 }
--- a/soak/test/soak.test.ts
+++ b/soak/test/soak.test.ts
@@ -136,6 +136,18 @@
   expect(violatedPromises(...served, ...after)).to.deep.equal(['TWICE']);
 });
 
+// Guards against an oracle that misses a task that starts again after its success while its job goes on.
+it('soak: the oracle finds a task that starts again after its success', () => {
+  const ref = { worker: 'w-1', task: `${JOB}.0.0.0`, attempt: 1 };
+  const noted: SoakObservation = { kind: 'endNoted', atMs: 450, ...ref };
+  const first = [...run('0.0.0', 100, 400), noted];
+  const again = run('0.0.0', 5_000, 5_250, 'done', 'w-2');
+  const next = [...run('0.1.0', 5_400, 5_600), shown('complete', 5_900)];
+  expect(violatedPromises(submitted, accepted, ...first, ...again, ...next)).to.deep.equal([
+    'TWICE',
+  ]);
+});
+
 // Guards against an oracle that misses a task that starts before the stage that it needs.
 it('soak: the oracle finds a task that starts too early', () => {
   const early = [...run('0.0.0', 100, 300), ...run('0.1.0', 200, 400)];
