Check starts after a success in the model of the scheduler

The model knew two runs at once only. A start after a success whose end had been acknowledged, or was later, went unseen.

Its history keeps the times of starts, ends and acknowledgements, orders that their senders had given up on, and the lapses of leases, by the worker's own clock. `findRepeatedTasks` judges them: a counted repeat is a violation, the others can be read with `repeats`. A job kind with runs of 0.2 s is new.

--- a/packages/scheduler/test/simhop.ts
+++ b/packages/scheduler/test/simhop.ts
@@ -50,7 +50,7 @@
     const target = world.workerAt(machine, worker.address);
     if (target?.isUp() !== true) settle({ kind: 'notListening' });
     else if (target.id !== worker.id) settle({ kind: 'otherWorker' });
-    else target.call(call, answer);
+    else target.call(call, answer, pending.isDone);
   };
   const arrive = (): void => {
     const calls = callsNow();
@@ -71,7 +71,7 @@
   if (call.kind === 'start') {
     const { task, attempt } = call;
     const workerKey = `${worker.id}@${worker.bornAtMs}`;
-    history.onStep(workerKey, { task, attempt }, { kind: 'ordered' });
+    history.onStep(workerKey, { task, attempt }, { kind: 'ordered' }, clock.now());
   }
   clock.schedule(timeoutMs, () => settle({ kind: 'lost' }));
   const delayMs = call.kind === 'hold' ? CALL_MS : clock.within(world.orderDelayMs(machine));
--- a/packages/scheduler/test/siminvariants.ts
+++ b/packages/scheduler/test/siminvariants.ts
@@ -24,6 +24,8 @@
       /** A line for each run of the task. */
       readonly runs?: readonly string[];
     }
+  /** A task that does not last started again although a success of it counts. */
+  | { readonly kind: 'repeatedTask'; readonly task: string; readonly runs: readonly string[] }
   | { readonly kind: 'lastingTaskAway'; readonly task: string; readonly sinceMs: number }
   | { readonly kind: 'foreignCommit'; readonly entry: string; readonly owner: string }
   | { readonly kind: 'unclaimedStart'; readonly entry: string; readonly run: string }
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -1,3 +1,4 @@
+import type { RepeatedTask } from '@bronzeyoke/runhistory';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Span } from './simclock';
 import type { CpuCosts } from './simcpu';
@@ -8,8 +9,8 @@
 /** Time of an order to a worker on a fast connection. */
 export const PROMPT_ORDERS: Span = [1, 1];
 
-/** Kind of a job: its tasks last, or work for a minute, or for less than a second. */
-export type JobKind = 'lasting' | 'long' | 'short';
+/** Kind of a job: its tasks last, or work for a minute, for less than a second, or for 0.2 s. */
+export type JobKind = 'lasting' | 'long' | 'short' | 'brief';
 
 /** What the work of the entries costs, and the processors of each; nothing and many by default. */
 export interface CpuOptions {
@@ -55,6 +56,8 @@
   readonly now: () => number;
   readonly random: () => number;
   readonly violations: () => readonly Violation[];
+  /** Returns the starts of tasks after a success of them, also those that break no rule. */
+  readonly repeats: () => readonly RepeatedTask[];
   /** Returns a line for each run of a task: its order, start, stop, end and acknowledgement. */
   readonly runsOf: (task: string) => readonly string[];
   /** Log lines of the leadership and of the faults, with the time since the start. */
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -9,6 +9,7 @@
 import type { Span } from './simclock';
 import { createClock } from './simclock';
 import { NO_COSTS } from './simcpu';
+import type { RunHistory } from './simhistory';
 import { createRunHistory } from './simhistory';
 import { createEntry } from './simentry';
 import type { Violation } from './siminvariants';
@@ -32,6 +33,13 @@
 /** Workers' clocks may be this much slow or fast. */
 const CLOCK_ERROR = 0.02;
 
+/** A task does not start again after a success of it that counts. */
+function repeatViolations({ repeats, describe }: RunHistory): readonly Violation[] {
+  const counted = repeats().filter(({ kind }) => kind === 'counted');
+  const tasks = new Set(counted.map(({ later }) => later.task));
+  return [...tasks].map((task) => ({ kind: 'repeatedTask', task, runs: describe(task) }));
+}
+
 /** Creates a simulation with its entries and machines running. */
 export function createSimulation(
   seed: number,
@@ -75,7 +83,7 @@
     calm(what);
   };
 
-  const history = createRunHistory(() => clock.now() - startMs);
+  const history = createRunHistory(startMs);
   const claims = createClaimLog(record, log);
   const store: SimStore = createStore(clock, claims.onApplied);
 
@@ -119,7 +127,7 @@
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
     const bornAtMs = WALL_MS + clock.now();
-    return createWorker(clock, { id, address: name, bornAtMs }, rate, history.onStep);
+    return createWorker(clock, { id, address: name, bornAtMs }, rate, history);
   };
   const startAgent = (index: number, worker: SimWorker): void => {
     const agent = createAgent(world, `m${index}`, () => machines[index]?.worker);
@@ -188,12 +196,15 @@
     ...createWorkerFaults(park, hops),
     now: () => clock.now() - startMs,
     random: clock.random,
-    violations: () =>
-      [...found.values()].map((violation) =>
+    violations: () => [
+      ...[...found.values()].map((violation) =>
         violation.kind === 'doubleRun'
           ? { ...violation, runs: history.describe(violation.task) }
           : violation,
       ),
+      ...repeatViolations(history),
+    ],
+    repeats: history.repeats,
     runsOf: history.describe,
     trace: () => trace,
     logged: () => logged,
@@ -219,7 +230,7 @@
         acceptedAtMs: WALL_MS + clock.now(),
       };
       store.put({ conditions: [], writes: [{ kind: 'put', ...jobKey(jobId), value }] });
-      if (kind === 'short') return jobId;
+      if (kind === 'short' || kind === 'brief') return jobId;
       Array.from({ length: taskCount }, (_, index) =>
         watch.follow(`${jobId}.0.0.${index}`, clock.now() - startMs),
       );
--- a/packages/scheduler/test/simunreachable.ts
+++ b/packages/scheduler/test/simunreachable.ts
@@ -58,7 +58,8 @@
 
 /** Describes a violation on one line, and each run of a task that ran twice on another one. */
 function describe(seed: number, violation: Violation): readonly string[] {
-  if (violation.kind !== 'doubleRun') return [`seed ${seed}: ${JSON.stringify(violation)}`];
+  if (violation.kind !== 'doubleRun' && violation.kind !== 'repeatedTask')
+    return [`seed ${seed}: ${JSON.stringify(violation)}`];
   const { kind, task, runs = [] } = violation;
   return [`seed ${seed}: ${kind} ${task}`, ...runs];
 }
--- a/packages/scheduler/test/simworker.ts
+++ b/packages/scheduler/test/simworker.ts
@@ -3,17 +3,19 @@
 import type { TaskWorkerState } from '@bronzeyoke/standins';
 import { advanceTaskWorker, callTaskWorker, createTaskWorker } from '@bronzeyoke/standins';
 import type { Clock } from './simclock';
-import type { RunObserver } from './simhistory';
+import type { RunHistory } from './simhistory';
 
 /** Duration of a run of a task that lasts. */
 const LASTING_MS = 1e9;
 const LONG_MS = 60_000;
 const SHORT_MS = 700;
+const BRIEF_MS = 200;
 
 /** Returns how long a task works, by the kind of its job. */
 function workMsOf(task: string): number {
   if (task.startsWith('lasting')) return LASTING_MS;
-  return task.startsWith('long') ? LONG_MS : SHORT_MS;
+  if (task.startsWith('long')) return LONG_MS;
+  return task.startsWith('brief') ? BRIEF_MS : SHORT_MS;
 }
 
 /** A worker process of a simulation. */
@@ -29,7 +31,12 @@
   readonly endLastingRuns: () => void;
   /** Ends the process with all of its runs. */
   readonly end: () => void;
-  readonly call: (call: WorkerCall, reply: (result: WorkerCallResult) => void) => void;
+  /** Carries a call out. `isLate` says that its sender has given up on it. */
+  readonly call: (
+    call: WorkerCall,
+    reply: (result: WorkerCallResult) => void,
+    isLate?: boolean,
+  ) => void;
   /** Ends runs that are due, and replies to the hold that waits for them. */
   readonly update: () => void;
 }
@@ -47,15 +54,25 @@
   return runs.size < TASKS_PER_WORKER && lasting.size < LASTING_PER_WORKER;
 }
 
+/** Time of a worker's clock at its start. */
+const CLOCK_START_MS = 500;
+
+/** Learns of the runs and leases of a worker. */
+export type WorkerObserver = Pick<RunHistory, 'onStep' | 'onLapse'>;
+
+const NO_OBSERVER: WorkerObserver = { onStep: () => {}, onLapse: () => {} };
+
 /** Creates an instance of a worker whose clock has the given rate. */
 export function createWorker(
   clock: Clock,
   { id, address, bornAtMs }: Pick<WorkerReport, 'id' | 'address' | 'bornAtMs'>,
   rate: number,
-  onStep: RunObserver = () => {},
+  { onStep, onLapse }: WorkerObserver = NO_OBSERVER,
 ): SimWorker {
   const startMs = clock.now();
-  const clockMs = (): number => 500 + Math.floor((clock.now() - startMs) * rate);
+  const clockMs = (): number => CLOCK_START_MS + Math.floor((clock.now() - startMs) * rate);
+  /** Returns the time at which the worker's clock shows a value. */
+  const timeOf = (valueMs: number): number => startMs + (valueMs - CLOCK_START_MS) / rate;
   const known: {
     state: TaskWorkerState;
     sequence: number;
@@ -79,33 +96,50 @@
     return state.runs.size > 0 && clockMs() >= due.atMs;
   };
 
+  const lapsed = { leaseUntilMs: 0 };
+  /** Records that the lease has ended, once for each end. */
+  const recordLapse = (): void => {
+    const { leaseUntilMs } = known.state;
+    if (!known.isUp || leaseUntilMs === lapsed.leaseUntilMs || clockMs() < leaseUntilMs) return;
+    lapsed.leaseUntilMs = leaseUntilMs;
+    onLapse({ worker: key, atMs: timeOf(leaseUntilMs) });
+  };
+
   /** Records the ends that a state lists and the one before did not, and those that it forgets. */
   const recordEnds = (before: TaskWorkerState): void => {
     const { ends } = known.state;
+    const nowMs = clock.now();
     ends
       .filter(({ sequence }) => sequence > before.lastEndSequence)
-      .forEach((ended) => onStep(key, ended, { kind: 'ended', end: ended.end }));
+      .forEach((ended) => {
+        const workEndsAtMs = timeOf(before.runs.get(ended.task)?.endsAtMs ?? Infinity);
+        const atMs = ended.end === 'done' ? Math.min(nowMs, workEndsAtMs) : nowMs;
+        onStep(key, ended, { kind: 'ended', end: ended.end }, atMs);
+      });
     const firstSequence = ends.first()?.sequence ?? Infinity;
     before.ends
       .filter(({ sequence }) => sequence < firstSequence)
-      .forEach((ended) => onStep(key, ended, { kind: 'acknowledged' }));
+      .forEach((ended) => onStep(key, ended, { kind: 'acknowledged' }, nowMs));
   };
 
-  const run = (call: WorkerCall): WorkerCallResult => {
+  const run = (call: WorkerCall, isOrderLate = false): WorkerCallResult => {
+    recordLapse();
     const before = known.state;
+    const nowMs = clock.now();
     const workMs = 'task' in call ? workMsOf(call.task) : 0;
     const step = callTaskWorker(before, call, clockMs(), workMs);
     known.state = step.state;
-    if (step.started !== undefined) onStep(key, step.started, { kind: 'started' });
+    if (step.started !== undefined)
+      onStep(key, step.started, { kind: 'started', isOrderLate }, nowMs);
     if (call.kind === 'stop' && step.result.kind === 'done') {
-      onStep(key, call, { kind: 'stopOrdered' });
+      onStep(key, call, { kind: 'stopOrdered' }, nowMs);
     }
     recordEnds(before);
     return step.result;
   };
 
-  const call: SimWorker['call'] = (order, reply) => {
-    const result = run(order);
+  const call: SimWorker['call'] = (order, reply, isLate) => {
+    const result = run(order, isLate);
     const hasEnds = result.kind === 'done' && (result.ended?.length ?? 0) > 0;
     if (order.kind !== 'hold' || result.kind !== 'done' || hasEnds || order.waitMs === 0) {
       reply(result);
@@ -154,14 +188,19 @@
       known.state = { ...known.state, runs };
     },
     end: () => {
+      recordLapse();
       if (known.isUp) {
-        known.state.runs.forEach((lost) => onStep(key, lost, { kind: 'ended', end: 'lost' }));
+        const nowMs = clock.now();
+        known.state.runs.forEach((lost) =>
+          onStep(key, lost, { kind: 'ended', end: 'lost' }, nowMs),
+        );
       }
       known.isUp = false;
       known.wake?.();
     },
     call,
     update: () => {
+      recordLapse();
       if (!known.isUp || !isEndDue()) return;
       const before = known.state;
       known.state = advanceTaskWorker(before, clockMs());
