Show a start after a success under the lease of a later instance

A start order that is on its way when its worker is replaced under its id is carried out by the later instance, with a lease by the clock of the earlier one: the worker cuts it to 10 s. The run of 0.2 s ends as done. While the agent is cut off or has ended, a leader counts 5.3 s, or what the lease row says (7.3 s after the last row), releases the run as one of the earlier instance, and starts the task again. The agent reports the end within the 10 s, and it is acknowledged.

--- /dev/null
+++ b/packages/scheduler/test/repeats.test.ts
@@ -0,0 +1,64 @@
+import { createRunning, expectRules } from './simrules';
+import type { Simulation } from './simtypes';
+import { PROMPT_ORDERS } from './simtypes';
+
+const MACHINES = [0, 1, 2, 3, 4];
+const SEEDS = [1, 2, 3];
+const ORDER_MS = 40;
+
+/** Age at which a worker's clock is further ahead of that of a new instance than the longest lease. */
+const WORKER_AGE_MS = 12_000;
+
+/** Times of the machine's silence that end after the release of its runs and within the longest lease. */
+const SILENT_MS = [8_000, 9_000, 9_500];
+
+/** Lets a start order reach a later instance under the id of the worker that it was sent to. */
+function restartBeforeOrder(seed: number): {
+  readonly simulation: Simulation;
+  readonly machine: number;
+} {
+  const simulation = createRunning(seed);
+  simulation.advance(WORKER_AGE_MS - simulation.now());
+  MACHINES.forEach((machine) => simulation.setOrderDelay(machine, [ORDER_MS, ORDER_MS]));
+  simulation.submit('brief', 3);
+  const findOrdered = (): number => MACHINES.findIndex(simulation.hasOpenStart);
+  simulation.advanceUntil(() => findOrdered() >= 0, 2_000);
+  const machine = findOrdered();
+  simulation.advance(ORDER_MS - 1);
+  simulation.restartWorker(machine);
+  MACHINES.forEach((other) => simulation.setOrderDelay(other, PROMPT_ORDERS));
+  return { simulation, machine };
+}
+
+/** Plays a silence of a machine whose later instance carries an order out under the longest lease. */
+function expectOneSuccess(
+  silence: (simulation: Simulation, machine: number, forMs: number) => void,
+): void {
+  SEEDS.forEach((seed) =>
+    SILENT_MS.forEach((forMs) => {
+      const { simulation, machine } = restartBeforeOrder(seed);
+      silence(simulation, machine, forMs);
+      simulation.advance(20_000);
+      expectRules(simulation);
+    }),
+  );
+}
+
+// Guards against a new leader that waits for the lease of the instance that was ordered, and not for the
+// longer one of the later instance that has carried the order out.
+it('repeats: a success of a later instance that a new leader does not know counts once', () => {
+  expectOneSuccess((simulation, machine, forMs) => {
+    simulation.cutAgent(machine, forMs);
+    simulation.killEntry(simulation.leader(), 3_000);
+  });
+});
+
+// Guards against a leader that counts the lease from the last report of the instance that was ordered.
+it('repeats: a success of a later instance on a machine that is cut off counts once', () => {
+  expectOneSuccess((simulation, machine, forMs) => simulation.cutAgent(machine, forMs));
+});
+
+// Guards against the same wait when the agent has ended and the next one reports the later instance.
+it('repeats: a success of a later instance whose agent was killed counts once', () => {
+  expectOneSuccess((simulation, machine, forMs) => simulation.replaceAgent(machine, 'kill', forMs));
+});
