Split the application of a report by job

The type of a report is the one of packages/wire, with one for refusals beside it.

No change in behaviour.

--- /dev/null
+++ b/packages/scheduler/src/fleet/listedends.ts
@@ -0,0 +1,65 @@
+import { chainAll, unchanged } from '@bronzeyoke/types';
+import type { Report } from '@bronzeyoke/wire';
+import { parseTaskName } from '@bronzeyoke/workflow';
+import { logListedAfterRelease } from './releasedruns';
+import { applyEnd } from '../jobs/ends';
+import { isHeldTask } from '../jobs/held';
+import { addPostCommitAction, withEffects } from '../state';
+import type { SchedulerState, SchedulerStep } from '../types';
+
+/** Ends that follow from a release or go before it, and so are no sign of a run that went on after it. */
+const EXPECTED_ENDS: ReadonlySet<string> = new Set(['expired', 'stopped']);
+
+/**
+ * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
+ * acknowledgement covers all ends before it.
+ */
+function lastAcknowledged(
+  state: SchedulerState,
+  { ended }: Report,
+  handledSequence: number,
+): number {
+  const held = ended.find(({ task }) => isHeldTask(state, task));
+  return held === undefined ? handledSequence : Math.min(handledSequence, held.sequence - 1);
+}
+
+/** Applies the ends that a worker lists and that were not handled yet. */
+export function applyEnds(
+  state: SchedulerState,
+  report: Report,
+  nowMs: number,
+  wallMs: number,
+): SchedulerStep {
+  const { workerKey } = report;
+  const view = state.workers.get(workerKey);
+  const unhandled = report.ended.filter(({ sequence }) => sequence > (view?.handledSequence ?? 0));
+  const last = unhandled.at(-1);
+  if (view === undefined || last === undefined) return unchanged(state);
+  const step = chainAll(
+    state,
+    unhandled.flatMap((ended) => [
+      (current: SchedulerState) =>
+        EXPECTED_ENDS.has(ended.end)
+          ? unchanged(current)
+          : logListedAfterRelease(current, workerKey, ended, ended.end, nowMs),
+      (current: SchedulerState) => applyEnd(current, { ...ended, workerKey }, nowMs, wallMs),
+    ]),
+  );
+  const handled = step.state.workers.get(workerKey) ?? view;
+  const updated: SchedulerState = {
+    ...step.state,
+    workers: step.state.workers.set(workerKey, { ...handled, handledSequence: last.sequence }),
+    needsPlacement: true,
+  };
+  const sequence = lastAcknowledged(state, report, last.sequence);
+  if (sequence < (report.ended[0]?.sequence ?? 0)) return withEffects(updated, step.effects);
+  const jobIds = unhandled.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
+  return withEffects(
+    addPostCommitAction(
+      updated,
+      { kind: 'acknowledge', workerKey, sequence },
+      { kind: 'jobs', jobIds: [...new Set(jobIds)] },
+    ),
+    step.effects,
+  );
+}
--- a/packages/scheduler/src/fleet/stale.ts
+++ b/packages/scheduler/src/fleet/stale.ts
@@ -1,9 +1,7 @@
-import type { RunnerMessage } from '@bronzeyoke/wire';
+import type { Report } from '@bronzeyoke/wire';
 import { isHeard } from './leases';
 import type { SchedulerState } from '../types';
 
-type Report = Extract<RunnerMessage, { kind: 'report' }>;
-
 /** Why a report tells nothing. */
 export type StaleReason =
   /** Its agent has reported on a newer connection. */
--- a/packages/scheduler/src/fleet/unwanted.ts
+++ b/packages/scheduler/src/fleet/unwanted.ts
@@ -1,5 +1,5 @@
 import { Map } from 'immutable';
-import type { RunnerMessage, RunRef } from '@bronzeyoke/wire';
+import type { Report, RunRef } from '@bronzeyoke/wire';
 import { unchanged } from '@bronzeyoke/types';
 import { addOrphan } from '../jobs/jobend';
 import { runKey } from '../runs';
@@ -8,8 +8,6 @@
 import type { SchedulerState, SchedulerStep } from '../types';
 import type { UnwantedStop } from '../views';
 
-type Report = Extract<RunnerMessage, { kind: 'report' }>;
-
 /** Time after which a stop order without effect is sent again. */
 export const STOP_REPEAT_MS = 600;
 
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -89,6 +89,9 @@
 /** An agent's report of its worker. */
 export type Report = Extract<RunnerMessage, { readonly kind: 'report' }>;
 
+/** An agent's answer to an order that it does not carry out. */
+export type Refusal = Extract<RunnerMessage, { readonly kind: 'refused' }>;
+
 /** Messages from an entry to an agent. */
 export type LeaderMessage =
   /** Address of the leader that the entry last observed. Any entry sends it. */
