Keep unlisted runs of a silent worker for the longest lease after a late order

Callers saw tasks of jobs run again after they had ended as done. A start order reaches a later instance under the worker's id, whose lease is by the clock of the one before it and so is cut to the longest one, 10 s. While no agent reported that instance the leader waited 3 s after the order, or for the lease of the instance before, and placed the task again; the success was acknowledged when the agent was back, before the lease had lapsed.

A run that no list has named is now kept until 3 s and the longest lease after its order, when its worker is silent. Listed runs beside it, and ends that an agent proves, are released as before.

--- a/packages/scheduler/src/fleet/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -1,5 +1,6 @@
 import type { RunRef } from '@bronzeyoke/wire';
 import { runsOn } from '../runs';
+import type { SchedulerTimes } from '../times';
 import type { SchedulerState } from '../types';
 import { runRef } from '../types';
 import type { RunView } from '../views';
@@ -37,3 +38,35 @@
     -Infinity,
   );
 }
+
+/**
+ * Returns the time until which a run may go on that no agent reports. A later instance that began it from a
+ * late order holds a lease by the clock of the one before it, which the worker cuts to the longest one.
+ */
+function lateRunEndMs(
+  { isListed, orderedAtMs = -Infinity }: RunView,
+  { maxLeaseEndMs }: SchedulerTimes,
+): number {
+  return isListed ? -Infinity : orderedAtMs + LATE_CALL_MS + maxLeaseEndMs;
+}
+
+/** Returns the runs of a silent worker that a later instance may have begun from late orders. */
+export function lateRunsOn(
+  state: SchedulerState,
+  workerKey: string,
+  nowMs: number,
+): readonly RunRef[] {
+  const { times } = state.settings;
+  return [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
+    nowMs < lateRunEndMs(run, times) ? [runRef(task, run.attempt)] : [],
+  );
+}
+
+/** Returns the time until which runs may go on that a later instance began from late orders. */
+export function lateRunsEndMs(state: SchedulerState, workerKey: string): number {
+  const { times } = state.settings;
+  return [...runsOn(state.runs, workerKey).values()].reduce(
+    (endMs, run) => Math.max(endMs, lateRunEndMs(run, times)),
+    -Infinity,
+  );
+}
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -6,7 +6,7 @@
 import type { RunRef } from '@bronzeyoke/wire';
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { dropInstance } from './identities';
-import { lateStartsEndMs } from './latestarts';
+import { lateRunsEndMs, lateStartsEndMs } from './latestarts';
 import { rememberReleased } from './releasedruns';
 import { taskTime } from '../jobs/openjob';
 import { startWait } from '../placement/placewait';
@@ -164,6 +164,23 @@
   ]);
 }
 
+/** Returns the time until which runs of an ended worker may go on that a later instance may begin. */
+function openRunsEndMs(
+  state: SchedulerState,
+  workerKey: string,
+  reason: 'workerGone' | 'leaseExpired',
+): number {
+  switch (reason) {
+    case 'workerGone':
+      // The agent that tells of the end goes on, and reports what a later instance begins.
+      return lateStartsEndMs(state, workerKey);
+    case 'leaseExpired':
+      return lateRunsEndMs(state, workerKey);
+    default:
+      return assertNever(reason);
+  }
+}
+
 /** Releases the tasks of a worker that has ended, but for those that may still begin. `proof` is logged. */
 export function releaseEndedRuns(
   state: SchedulerState,
@@ -180,7 +197,7 @@
   const tasks = [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
     isOpen(task, run) ? [] : [task],
   );
-  const expiresAtMs = Math.max(view.expiresAtMs, lateStartsEndMs(state, workerKey));
+  const expiresAtMs = Math.max(view.expiresAtMs, openRunsEndMs(state, workerKey, reason));
   const workers = state.workers.set(workerKey, { ...view, hasEnded: true, expiresAtMs });
   const step = releaseRuns({ ...state, workers }, workerKey, tasks, reason, nowMs);
   // Agents repeat the message.
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -19,7 +19,7 @@
 import { HELD_CALL, onHeldRows, readHeldJobs } from './jobs/held';
 import { onJobRows, onLoaded } from './jobs/jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership/leadership';
-import { lateStartsOn } from './fleet/latestarts';
+import { lateRunsOn } from './fleet/latestarts';
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
 import { retryReads } from './leadership/load';
@@ -57,10 +57,10 @@
 
 /**
  * Releases the tasks of a worker whose lease has ended, but for those that a later instance, which that
- * lease does not bind, may still begin from a late order.
+ * lease does not bind, may run from a late order.
  */
 function expireWorker(state: SchedulerState, workerKey: string, nowMs: number): SchedulerStep {
-  const openRuns = lateStartsOn(state, workerKey, undefined, nowMs);
+  const openRuns = lateRunsOn(state, workerKey, nowMs);
   return openRuns.length > 0
     ? releaseEndedRuns(state, workerKey, openRuns, nowMs, 'leaseExpired')
     : releaseWorker(state, workerKey, 'leaseExpired', nowMs);
