Keep adopted runs that may be late for the longest lease after a take-over

Callers saw tasks of several jobs run again after a change of the leader, though their first runs had ended as done and were acknowledged seconds later. The new leader adopted the runs from the rows, as ones of the instance that was ordered, and released them at the end of that one's lease, while a later instance held the longest lease from a late order.

A follower now remembers when it saw the versions of the lease row, which every transaction of a leader raises. So the version of a progress row bounds the time of its orders: a claim that may be late is kept until 3 s and the longest lease after that, one in an older row or stored as running is released as before. No row and no call is added.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -45,28 +45,38 @@
   });
 }
 
-/** Returns the run that the stored progress of a task tells of, if its job has such a stage. */
+/**
+ * Returns the run that the stored progress of a task tells of, if its job has such a stage. `orderedAtMs`
+ * is the latest time of its order.
+ */
 function adoptedRun(
   { jobId, stages }: WorkflowJob,
   slot: string,
   task: TaskProgress,
+  orderedAtMs: number,
   nowMs: number,
 ): RunView | undefined {
   const stage = stages[Number(slot.split('.')[1])];
   if (stage === undefined) return undefined;
   const { workerKey = '', attempt } = task;
   const claim = { jobId, slot, stage, workerKey, attempt, isOrdered: true, isLastResort: false };
-  return { ...createRun(claim, nowMs), ...inheritedPaceOf(stage, nowMs) };
+  return {
+    ...createRun(claim, nowMs),
+    ...inheritedPaceOf(stage, nowMs),
+    // The worker has listed a run that is stored as running, so its order was carried out there.
+    ...(task.phase === 'running' || stage.isLasting ? {} : { orderedAtMs }),
+  };
 }
 
 /** Returns the runs that the stored progress of a job tells of, by task. */
 function adoptedRuns(
   job: WorkflowJob,
   progress: JobProgress,
+  orderedAtMs: number,
   nowMs: number,
 ): readonly (readonly [string, RunView])[] {
   return assignedSlots(progress).flatMap(([slot, task]) => {
-    const run = adoptedRun(job, slot, task, nowMs);
+    const run = adoptedRun(job, slot, task, orderedAtMs, nowMs);
     return run === undefined ? [] : [[`${job.jobId}.${slot}`, run] as const];
   });
 }
@@ -84,18 +94,28 @@
   };
 }
 
+/** What a new leader knows beside the stored progress. */
+export interface LoadedEvidence {
+  /** Messages during the load that workers are gone. */
+  readonly goneReports: readonly GoneReport[];
+  /** Latest times of the orders in the rows of jobs, by job. */
+  readonly orderedAtMs: Map<string, number>;
+}
+
 /**
  * Adds the runs in the stored progress. Their start orders may or may not have been sent. Those of jobs
  * that have ended since occupy their workers too, until these report without them.
  */
 export function adoptRuns(
   state: SchedulerState,
-  goneReports: readonly GoneReport[],
+  { goneReports, orderedAtMs }: LoadedEvidence,
   nowMs: number,
 ): SchedulerState {
   const assigned = state.jobs
     .valueSeq()
-    .flatMap(({ job, progress }) => adoptedRuns(job, progress, nowMs))
+    .flatMap(({ job, progress }) =>
+      adoptedRuns(job, progress, orderedAtMs.get(job.jobId, nowMs), nowMs),
+    )
     .toArray();
   const runs = assigned.filter(([, { jobId }]) => isOpen(state, jobId));
   const ended = assigned.filter(([, { jobId }]) => !isOpen(state, jobId));
@@ -123,7 +143,7 @@
 /** Adds the runs in the progress of a job that is opened while this entry leads. */
 export function adoptJobRuns(state: SchedulerState, open: OpenJob, nowMs: number): SchedulerState {
   const { job, progress } = open;
-  const runs = adoptedRuns(job, progress, nowMs);
+  const runs = adoptedRuns(job, progress, nowMs, nowMs);
   // Until then a later instance may report a run whose order it carried out.
   const earliestEndAtMs = nowMs + leaseEndMs(state.settings.times);
   const unheard = runs
--- a/packages/scheduler/src/fleet/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -41,13 +41,15 @@
 
 /**
  * Returns the time until which a run may go on that no agent reports. A later instance that began it from a
- * late order holds a lease by the clock of the one before it, which the worker cuts to the longest one.
+ * late order holds a lease by the clock of the one before it, which the worker cuts to the longest one. A
+ * lasting task has to be back sooner, and no success of it counts.
  */
 function lateRunEndMs(
-  { isListed, orderedAtMs = -Infinity }: RunView,
+  { isListed, orderedAtMs = -Infinity, stage }: RunView,
   { maxLeaseEndMs }: SchedulerTimes,
 ): number {
-  return isListed ? -Infinity : orderedAtMs + LATE_CALL_MS + maxLeaseEndMs;
+  if (isListed) return -Infinity;
+  return orderedAtMs + LATE_CALL_MS + (stage.isLasting ? 0 : maxLeaseEndMs);
 }
 
 /** Returns the runs of a silent worker that a later instance may have begun from late orders. */
--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -21,7 +21,9 @@
 /** Returns what a row of the progress table tells. */
 export function readProgress({ value, version }: StoredRow): StoredProgress {
   const progress = decodeProgress(value);
-  return progress === undefined ? { kind: 'unreadable', version } : { kind: 'readable', progress };
+  return progress === undefined
+    ? { kind: 'unreadable', version }
+    : { kind: 'readable', progress, version };
 }
 
 /**
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -9,6 +9,7 @@
 import { adoptRuns } from '../fleet/adopt';
 import { advanceLeadership } from '../leadership/leadership';
 import { advanceRead, areReadsDone, readTable } from '../leadership/load';
+import { ordersEndAtMs } from '../leadership/rowages';
 import { PAIRS_KEY, parseJobKey, TABLES } from '../leadership/rows';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
@@ -20,7 +21,7 @@
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
 /** What is known of a job without a row: none of its tasks was ever claimed. */
-const NO_ROW: StoredProgress = { kind: 'readable', progress: NO_PROGRESS };
+const NO_ROW: StoredProgress = { kind: 'readable', progress: NO_PROGRESS, version: 0 };
 
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
@@ -145,6 +146,9 @@
     if (stored.kind !== 'readable' || stored.progress.outcome === undefined) return [];
     return [[jobId, stored.progress.endedAtMs ?? wallMs]];
   });
+  const orderedAtMs = progress.map(({ version }) =>
+    ordersEndAtMs(state.seenVersions, version, nowMs),
+  );
   const loaded: SchedulerState = {
     ...state,
     loading: {},
@@ -155,7 +159,7 @@
   return chainAll(loaded, [
     (current) =>
       applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, { nowMs, wallMs }),
-    (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
+    (current) => unchanged(adoptRuns(current, { goneReports, orderedAtMs }, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
   ]);
--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -5,6 +5,7 @@
 import { advanceLeadership, CALLS } from './leadership';
 import { describeGrants, earlierLeasesOf } from '../fleet/leases';
 import type { LeaseValue } from './rows';
+import { noteVersion } from './rowages';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
 import { withEffects } from '../state';
 import { claimDelayMs } from '../times';
@@ -89,7 +90,8 @@
   if (state.phase !== 'following' || result.kind === 'unavailable') return unchanged(polled);
   const row = result.rows.find(({ key }) => key === LEASE_KEY.key);
   const lease = seeLease(state, row, nowMs);
-  const seen = { ...polled, seenLease: lease };
+  const seenVersions = noteVersion(state.seenVersions, lease.version, nowMs);
+  const seen = { ...polled, seenLease: lease, seenVersions };
   if (state.leaderVersion < 0) return unchanged(seen);
   const isFree = lease.value === undefined || lease.value.isReleased;
   const { times, capacity } = state.settings;
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -16,7 +16,7 @@
  * Time for which a stored claim waits for the next connection of its agent. An agent that replaces its
  * connection or starts anew is back within it; giving the claim back costs two more rows and a pass.
  */
-const HOLD_START_MS = 1_000;
+export const HOLD_START_MS = 1_000;
 
 /** Keeps a stored claim until its agent reports on its next connection. */
 function holdStart(
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -66,6 +66,7 @@
     leaseVersion: -1,
     leaseNumber: 0,
     nextReadAtMs: 0,
+    seenVersions: [],
     pollSentAtMs: 0,
     claimedAtMs: 0,
     claimPausedUntilMs: 0,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -11,6 +11,7 @@
 import type { InstanceIndex } from './fleet/identities';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
+import type { SeenVersion } from './leadership/rowages';
 import type { PlaceWait } from './placement/placewait';
 import type { Leader, LeaseValue } from './leadership/rows';
 import type { OrphanTable, RunTable, TaskTable } from './runs';
@@ -179,6 +180,8 @@
   readonly leaseVersion: number;
   readonly leaseNumber: number;
   readonly seenLease?: SeenLease;
+  /** Versions of the lease row that polls have found, the earliest first. */
+  readonly seenVersions: readonly SeenVersion[];
   readonly pollCallId?: string;
   readonly pollSentAtMs: number;
   readonly nextReadAtMs: number;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -18,7 +18,7 @@
 
 /** What a new leader has read of a job's progress. */
 export type StoredProgress =
-  | { readonly kind: 'readable'; readonly progress: JobProgress }
+  | { readonly kind: 'readable'; readonly progress: JobProgress; readonly version: number }
   /** The row of this version could not be decoded. */
   | { readonly kind: 'unreadable'; readonly version: number };
 
