Judge starts after a success in the fleet model by one rule

The model reported a start after an acknowledgement, but not one between a success and its acknowledgement. It now records runs, acknowledgements, late orders and lapses of leases by the worker's clock, and findRepeatedTasks judges them at the end: a counted repeat is a violation. A start after an acknowledgement stays one also where the lease had lapsed or the start came just after it, as the check at each start had it; that check is gone. All repeats stand in the result.

--- a/packages/fleet/src/run.ts
+++ b/packages/fleet/src/run.ts
@@ -1,13 +1,16 @@
 import { List, Map, Set } from 'immutable';
 import { pop } from '@bronzeyoke/harness';
 import { EMPTY_ROW_STORE } from '@bronzeyoke/standins';
+import type { RepeatedTask } from '@bronzeyoke/runhistory';
 import type { SchedulerTimes } from '@bronzeyoke/scheduler';
 import { PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { decodeJob, decodeProgress, stageSlots } from '@bronzeyoke/workflow';
 import { observeAbsences } from './absences';
 import { handleFleetEvent } from './events';
 import { bootAgent, bootEntry, bootWorker, FLEET_TIMES } from './process';
-import type { Fleet, FleetFault } from './world';
+import type { Fleet, FleetFault, FleetViolation } from './world';
+import { forbiddenRepeats, repeatsOf } from './repeats';
+import { NO_RECORDS } from './runrecords';
 import type { WorkerFaultPlan } from './workerfaults';
 import { scheduleWorkerFaults } from './workerfaults';
 import { drawStepUniform, schedule } from './world';
@@ -37,6 +40,8 @@
   readonly unfinished: readonly string[];
   /** Tasks of open lasting jobs that have not started for long. */
   readonly away: readonly string[];
+  /** Starts of tasks after a success of them, also those that break no rule. */
+  readonly repeats: readonly RepeatedTask[];
 }
 
 /** Creates a fleet of three entries, and four workers with their agents. */
@@ -64,6 +69,7 @@
     entryCount: ENTRIES.length,
     violations: [],
     runLog: Map(),
+    runRecords: NO_RECORDS,
     starts: 0,
     steps: 0,
   };
@@ -170,6 +176,16 @@
   return current.fleet;
 }
 
+/** Reports the starts after a success. A success counts by an acknowledgement that may come later. */
+function reportRepeats(fleet: Fleet): Fleet {
+  const found = forbiddenRepeats(fleet.runRecords).map(({ later }): FleetViolation => ({
+    kind: 'runAfterSuccess',
+    task: later.task,
+    atMs: later.fromMs,
+  }));
+  return { ...fleet, violations: [...fleet.violations, ...found] };
+}
+
 /** Runs a fleet through both phases with jobs and faults that depend on the seed. */
 export function runFleet(
   seed: number,
@@ -177,9 +193,11 @@
   times: SchedulerTimes = FLEET_TIMES,
   workerFaults: WorkerFaultPlan = NO_WORKER_FAULTS,
 ): FleetResult {
-  const fleet = runUntil(
-    scheduleRun(createFleet(seed, times), faults, workerFaults),
-    2_000 + ACTIVE_PHASE_MS + RECOVERY_PHASE_MS,
+  const fleet = reportRepeats(
+    runUntil(
+      scheduleRun(createFleet(seed, times), faults, workerFaults),
+      2_000 + ACTIVE_PHASE_MS + RECOVERY_PHASE_MS,
+    ),
   );
   const jobs = List(fleet.store.rows.values()).filter(
     ({ table, key }) => table === TABLES.jobs && key.endsWith('/job'),
@@ -188,7 +206,8 @@
     .filterNot(({ value }) => JSON.stringify(value).includes('"isLasting":true'))
     .map(({ key }) => key)
     .toArray();
-  return { fleet, unfinished, away: lastingTasksAway(fleet) };
+  const repeats = repeatsOf(fleet.runRecords);
+  return { fleet, unfinished, away: lastingTasksAway(fleet), repeats };
 }
 
 /** Returns the outcomes of the jobs in the store. */
--- a/packages/fleet/src/worker.ts
+++ b/packages/fleet/src/worker.ts
@@ -2,6 +2,7 @@
 import { jobKey, progressKey } from '@bronzeyoke/scheduler';
 import { advanceTaskWorker, callTaskWorker, rowId } from '@bronzeyoke/standins';
 import { decodeJob, decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
+import { recordCall } from './repeats';
 import { logCall } from './runlog';
 import type { EventOf, Fleet, FleetViolation } from './world';
 import { drawStepUniform, isActive, schedule, workerClockMs } from './world';
@@ -28,9 +29,6 @@
     ...(isRunningElsewhere(fleet, task, site)
       ? [{ kind: 'concurrentRun', task, atMs } as const]
       : []),
-    ...(fleet.acknowledgedTasks.has(task)
-      ? [{ kind: 'runAfterSuccess', task, atMs } as const]
-      : []),
     ...(isOver ? [{ kind: 'runAfterJobEnd', task, atMs } as const] : []),
   ];
 }
@@ -73,8 +71,11 @@
       ? listed.filter(({ sequence, end }) => end === 'done' && sequence <= call.ackSequence)
       : listed.clear();
   const logged = logCall(fleet, worker, call, step);
+  const isLasting = step.started !== undefined && isLastingTask(fleet, step.started.task);
+  const recorded = { worker, step, isLate, isLasting };
   const updated: Fleet = {
     ...logged,
+    runRecords: recordCall(fleet.runRecords, recorded, fleet.nowMs),
     workers: fleet.workers.set(site, { ...worker, state: step.state }),
     acknowledgedTasks: fleet.acknowledgedTasks.union(
       acknowledged.map(({ task }) => task).filterNot((task) => isLastingTask(fleet, task)),
--- a/packages/fleet/src/world.ts
+++ b/packages/fleet/src/world.ts
@@ -8,6 +8,7 @@
 import type { SchedulerEvent, SchedulerState, SchedulerTimes } from '@bronzeyoke/scheduler';
 import type { RowStoreState, TaskWorkerState } from '@bronzeyoke/standins';
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
+import type { RunRecords } from './runrecords';
 
 /** A scheduler process. Each start gets another `bootId`. */
 export interface FleetEntry {
@@ -147,8 +148,8 @@
   | { readonly kind: 'ordersLate'; readonly forMs: number };
 
 /**
- * A violated invariant at the workers: two runs of a task at a time, a run after an acknowledged
- * success, a run after the end of the job, or a task that runs nowhere for too long although workers
+ * A violated invariant at the workers: two runs of a task at a time, a run after a success that counts
+ * or has been acknowledged, a run after the end of the job, or a task that runs nowhere for too long although workers
  * have room for it.
  */
 export interface FleetViolation {
@@ -197,6 +198,7 @@
   readonly violations: readonly FleetViolation[];
   /** Orders, starts, stops, ends and acknowledgements of the runs of each task. */
   readonly runLog: Map<string, readonly string[]>;
+  readonly runRecords: RunRecords;
   readonly starts: number;
   readonly steps: number;
 }
@@ -245,6 +247,11 @@
   return CLOCK_START_MS + Math.floor((nowMs - startedAtMs) * clockRate);
 }
 
+/** Returns the time at which a worker's clock shows a value. */
+export function workerTimeMs({ startedAtMs, clockRate }: FleetWorker, clockMs: number): number {
+  return startedAtMs + (clockMs - CLOCK_START_MS) / clockRate;
+}
+
 /** Creates the report in the heartbeat of a worker. */
 export function workerReport(worker: FleetWorker, sequence: number): WorkerReport {
   const { site, id, state, isDraining } = worker;
