Judge starts after a success in the full-fleet oracle by one rule

The oracle reported a start after an acknowledgement, but not one between a success and its acknowledgement. findRepeatedTasks judges both now; the copy of the rule in the oracle is gone. A start just after an acknowledgement stays a violation, since no order is late in this model.

--- a/packages/scheduler/test/fleetoracle.test.ts
+++ b/packages/scheduler/test/fleetoracle.test.ts
@@ -36,10 +36,10 @@
   };
 }
 
-function oracleOf(workers: readonly FleetWorker[]): FleetOracle {
+function oracleOf(workers: readonly FleetWorker[], now: () => number = () => 1): FleetOracle {
   const { state } = createLeader();
   return createOracle({
-    now: () => 1,
+    now,
     state: () => state,
     workers: () => workers,
     countsMoves: true,
@@ -93,14 +93,42 @@
   expect(kindsOf(oracle)).to.deep.equal(['stoppedBeyondLimit']);
 });
 
+/** Plays a success at 2 s, and a second start at 9 s; the acknowledgement comes at a time, if ever. */
+function playRepeat(stage: Stage, notedAtMs?: number): FleetOracle {
+  const clock = { nowMs: 1_000 };
+  const run = runOf(TASK, stage);
+  const [first, second] = [workerWith('w1', 4, []), workerWith('w2', 4, [])];
+  const oracle = oracleOf([first, second], () => clock.nowMs);
+  const acknowledge = (): void => {
+    clock.nowMs = notedAtMs ?? 0;
+    oracle.onAcknowledged({ sequence: 1, task: TASK, attempt: 1, end: 'done', checkpoint: '' });
+  };
+  const isBefore = notedAtMs !== undefined && notedAtMs < 9_000;
+  oracle.onStart(first, run);
+  clock.nowMs = 2_000;
+  oracle.onEnd(run, 'done');
+  if (isBefore) acknowledge();
+  clock.nowMs = 9_000;
+  oracle.onStart(second, { ...run, attempt: 2 });
+  if (notedAtMs !== undefined && !isBefore) acknowledge();
+  return oracle;
+}
+
 // Guards against an oracle that overlooks a second run of a task that is done.
 it('reports a task that runs after its end was acknowledged', () => {
-  const run = runOf(TASK, stageOf(1));
-  const worker = workerWith('w1', 4, [run]);
-  const oracle = oracleOf([worker]);
-  oracle.onAcknowledged({ sequence: 1, task: TASK, attempt: 1, end: 'done', checkpoint: '' });
-  oracle.onStart(worker, run);
-  expect(kindsOf(oracle)).to.deep.equal(['ranAfterEnd']);
+  expect(kindsOf(playRepeat(stageOf(1), 3_000))).to.deep.equal(['ranAfterEnd']);
+  expect(kindsOf(playRepeat(stageOf(1), 8_900))).to.deep.equal(['ranAfterEnd']);
+});
+
+// Guards against an oracle that overlooks a second run whose task turns out to be done.
+it('reports a task that runs after an end that is acknowledged later', () => {
+  expect(kindsOf(playRepeat(stageOf(1), 9_500))).to.deep.equal(['ranAfterEnd']);
+});
+
+// Guards against an oracle that reports a task whose end nobody has acknowledged, or one that lasts.
+it('reports no second run after an end without acknowledgement, or of a lasting task', () => {
+  expect(kindsOf(playRepeat(stageOf(1)))).to.deep.equal([]);
+  expect(kindsOf(playRepeat(lastingStage(1), 3_000))).to.deep.equal([]);
 });
 
 // Guards against places that the limit a worker, lasting tasks or the second place exclude.
--- a/packages/scheduler/test/fleetoracle.ts
+++ b/packages/scheduler/test/fleetoracle.ts
@@ -1,4 +1,6 @@
 import type { ListedEnd, ListedRun } from '@bronzeyoke/ports';
+import type { RecordedRun } from '@bronzeyoke/runhistory';
+import { findRepeatedTasks } from '@bronzeyoke/runhistory';
 import type { SchedulerState } from '@bronzeyoke/scheduler';
 import type { RunRef } from '@bronzeyoke/wire';
 import type { Stage } from '@bronzeyoke/workflow';
@@ -12,7 +14,7 @@
   mayStop,
   stageNameOf,
 } from './fleetchecks';
-import type { FleetRun, FleetWorker } from './fleetworker';
+import type { FleetRun, FleetRunEnd, FleetWorker } from './fleetworker';
 import { AWAY_MS } from './siminvariants';
 
 /** Interval between two counts of the places of tasks that are away. */
@@ -37,7 +39,7 @@
 /** Checks the rules of a fleet on what its workers and messages show. */
 export interface FleetOracle {
   readonly onStart: (worker: FleetWorker, run: FleetRun) => void;
-  readonly onEnd: (run: FleetRun) => void;
+  readonly onEnd: (run: FleetRun, end: FleetRunEnd) => void;
   /** A worker has crashed under a task. */
   readonly onCrash: (task: string) => void;
   /** The scheduler learns what runs on a worker. */
@@ -72,7 +74,8 @@
   const longestMs = new Map<string, number>();
   const listedBySite = new Map<string, ReadonlyMap<string, ListedRun>>();
   const stopping = new Set<string>();
-  const finished = new Set<string>();
+  /** Runs of tasks that do not last. */
+  const records = new Map<string, RecordedRun>();
   const crashes = new Map<string, number>();
   const laterStarts = new Map<string, number>();
   const known: { runsByWorker: SchedulerState['runs']['byWorker']; placesAtMs: number } = {
@@ -91,6 +94,29 @@
   };
   const runKey = ({ task, attempt }: RunRef): string => `${task}#${attempt}`;
 
+  const changeRecord = (ref: RunRef, changes: Partial<RecordedRun>): void => {
+    const before = records.get(runKey(ref));
+    if (before !== undefined) records.set(runKey(ref), { ...before, ...changes });
+  };
+
+  const recordStart = ({ key }: FleetWorker, { task, attempt, stage }: FleetRun): void => {
+    if (stage.isLasting) return;
+    const fromMs = view.now();
+    const order = { task, attempt, worker: key, isOrderLate: false };
+    records.set(runKey(order), { ...order, fromMs, untilMs: Infinity, end: '' });
+  };
+
+  /**
+   * Returns the starts after a success that is acknowledged then or later. No order is late here and no
+   * lease lapses, so a start just after the acknowledgement is one of them.
+   */
+  const repeatViolations = (): readonly FleetViolation[] => {
+    const repeats = findRepeatedTasks([...records.values()], []);
+    const forbidden = repeats.filter(({ kind }) => kind === 'counted' || kind === 'justNoted');
+    const tasks = new Set(forbidden.map(({ later }) => later.task));
+    return [...tasks].map((task) => ({ kind: 'ranAfterEnd', task }));
+  };
+
   /** Counts the tasks of a stage, but for one, that are not known to be working or are being stopped. */
   const countOthersAway = (task: string, stage: Stage): number => {
     const name = stageNameOf(task);
@@ -169,7 +195,7 @@
       const others = view.workers().filter(({ runs }) => runs().has(task));
       const workers = others.map(({ key }) => key);
       if (others.length > 1) record({ kind: 'doubleRun', task, workers });
-      if (finished.has(task)) record({ kind: 'ranAfterEnd', task });
+      recordStart(worker, run);
       checkCapacity(
         worker,
         [...worker.runs().values()].map((other) => other.stage),
@@ -180,7 +206,8 @@
       longestMs.set(task, Math.max(awayMs, longestMs.get(task) ?? 0));
       away.delete(task);
     },
-    onEnd: ({ task, stage }) => {
+    onEnd: ({ task, attempt, stage }, end) => {
+      changeRecord({ task, attempt }, { untilMs: view.now(), end });
       if (stage.isLasting) away.set(task, { stage, sinceMs: view.now() });
     },
     onReport: (site, running) => {
@@ -194,9 +221,8 @@
       const othersAway = countOthersAway(task, stage);
       if (!mayStop(stage, othersAway)) record({ kind: 'stoppedBeyondLimit', task, othersAway });
     },
-    onAcknowledged: ({ task, end }) => {
-      if (end === 'done') finished.add(task);
-    },
+    onAcknowledged: ({ task, attempt }) =>
+      changeRecord({ task, attempt }, { notedAtMs: view.now() }),
     onStep: () => {
       const { byWorker } = view.state().runs;
       if (byWorker === known.runsByWorker) return;
@@ -229,6 +255,6 @@
       const currentMs = absence === undefined ? 0 : view.now() - absence.sinceMs;
       return Math.max(currentMs, longestMs.get(task) ?? 0);
     },
-    violations: () => [...found.values()],
+    violations: () => [...found.values(), ...repeatViolations()],
   };
 }
--- a/packages/scheduler/test/fullfleet.ts
+++ b/packages/scheduler/test/fullfleet.ts
@@ -199,7 +199,7 @@
 
   const onEnd = (run: FleetRun, end: FleetRunEnd): void => {
     if (end === 'done') openTasks.delete(run.task);
-    oracle.onEnd(run);
+    oracle.onEnd(run, end);
     const breaksGang = end === 'failed' || end === 'stopped' || end === 'lost';
     if (!run.stage.isGang || !breaksGang) return;
     clock.schedule(GANG_BREAK_MS, () => finishOthers(run, 'gangBroken'));
