Show an acknowledgement for an earlier instance that drops a later one's end

A hold names the id of a worker, and the sequence of the last end that a leader has acknowledged. A later instance under the id counts its ends from 1. When it has carried out an order that was on its way, such a hold acknowledges the end of that run before any agent has listed it; the run is released as one that never started, and its task starts again.

Whether a hold that waits acknowledges ends that come meanwhile on the users' workers is not known; the lost replies do not depend on it.

--- a/packages/scheduler/test/repeats.test.ts
+++ b/packages/scheduler/test/repeats.test.ts
@@ -62,3 +62,52 @@
 it('repeats: a success of a later instance whose agent was killed counts once', () => {
   expectOneSuccess((simulation, machine, forMs) => simulation.replaceAgent(machine, 'kill', forMs));
 });
+
+/** Returns a machine with a start order on its way, whose worker has ended brief tasks before. */
+function createOrderedAfterEnds(
+  seed: number,
+  delayMs: number,
+): { readonly simulation: Simulation; readonly machine: number } {
+  const simulation = createRunning(seed);
+  simulation.submit('brief', 10);
+  simulation.advance(3_000);
+  MACHINES.forEach((machine) => simulation.setOrderDelay(machine, [delayMs, delayMs]));
+  simulation.submit('brief', 3);
+  const findOrdered = (): number => MACHINES.findIndex(simulation.hasOpenStart);
+  simulation.advanceUntil(() => findOrdered() >= 0, 2_000);
+  const machine = findOrdered();
+  return { simulation, machine };
+}
+
+/** Numbers of ms between the restart of a worker and the arrival of an order at the later instance. */
+const RESTARTED_BEFORE_MS = [5, 20, 50, 100, 150];
+
+/** Restarts a worker some time before an order arrives, while its agent is cut off for 3 s. */
+function expectNoLostEnd(disturb: (simulation: Simulation, machine: number) => void): void {
+  const delayMs = 200;
+  SEEDS.forEach((seed) =>
+    RESTARTED_BEFORE_MS.forEach((beforeMs) => {
+      const { simulation, machine } = createOrderedAfterEnds(seed, delayMs);
+      simulation.advance(delayMs - beforeMs);
+      simulation.restartWorker(machine);
+      simulation.cutAgent(machine, 3_000);
+      MACHINES.forEach((other) => simulation.setOrderDelay(other, PROMPT_ORDERS));
+      disturb(simulation, machine);
+      simulation.advance(20_000);
+      expectRules(simulation);
+    }),
+  );
+}
+
+// Guards against a hold for an earlier instance that waits at a later one, and acknowledges its ends by the
+// sequence of the earlier one's.
+it('repeats: a hold for an earlier instance acknowledges no end of a later one', () => {
+  expectNoLostEnd(() => {});
+});
+
+// Guards against holds for an earlier instance that go on because the replies of the later one get lost.
+it('repeats: holds whose replies get lost acknowledge no end of a later instance', () => {
+  expectNoLostEnd((simulation, machine) =>
+    simulation.disturbHop(machine, { calls: 'unanswered', hasHeartbeats: false }, 1_500),
+  );
+});
