Acknowledge only ends that the worker's last list names

Callers saw tasks run again whose first runs had ended as done, with the first ends of young worker instances. Each hold carried the highest sequence that a leader had ever acknowledged on the worker. Sequences begin anew with each instance, so a later one under the id took such a hold, sent before the agent had seen a reply of it, as the acknowledgement of its own first ends and dropped them. No leader learned of the success, and the task started again; no lease has to last for that.

The agent now acknowledges what the last list still names, nothing while calls fail, and in a call that does not wait at the worker.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -3,6 +3,7 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainEach, unchanged, without } from '@bronzeyoke/types';
 import type { RunRef } from '@bronzeyoke/wire';
+import { sequenceToAcknowledge } from './acks';
 import { noteResult } from './failures';
 import {
   hasOpenGoneCalls,
@@ -75,13 +76,16 @@
   const isSettling = worker.pending.some(({ phase }) => awaitsList(phase));
   // After a failed call another instance may reply, which shows the end of the one before.
   const isFailing = worker.failures !== undefined;
-  const waitMs = isSettling || isFailing || worker.clockMs === undefined ? 0 : HOLD_WAIT_MS;
+  const ackSequence = sequenceToAcknowledge(worker);
+  // An acknowledgement that waits at the worker could reach the instance after it.
+  const isDue = isSettling || isFailing || ackSequence > 0 || worker.clockMs === undefined;
+  const waitMs = isDue ? 0 : HOLD_WAIT_MS;
   const callId = `hold-${state.callCount}`;
   const leaseUntilClockMs = leaseToPass(worker);
   const call: WorkerCall = {
     kind: 'hold',
     fencingToken: token,
-    ackSequence: worker.ackSequence,
+    ackSequence,
     ...(leaseUntilClockMs === undefined ? {} : { leaseUntilClockMs }),
     waitMs,
   };
--- a/packages/runner/src/settle.ts
+++ b/packages/runner/src/settle.ts
@@ -2,6 +2,7 @@
 import { advance } from '@bronzeyoke/chart';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chain, unchanged } from '@bronzeyoke/types';
+import { sequenceToAcknowledge } from './acks';
 import { callWorker } from './calls';
 import { noteLeaseEnd } from './heldlease';
 import { reportEffects } from './report';
@@ -37,7 +38,7 @@
   if (worker === undefined || stopping === undefined || leaseUntilClockMs === undefined) {
     return unchanged(state);
   }
-  const { ackSequence } = worker;
+  const ackSequence = sequenceToAcknowledge(worker);
   const hold = { kind: 'hold', fencingToken, ackSequence, leaseUntilClockMs, waitMs: 0 } as const;
   const noted = { ...state, worker: noteLeaseEnd(worker, leaseUntilClockMs) };
   const call = callWorker(noted, worker, hold, nowMs);
