Leave runs out of slowing that the same report stops

Cause: when a serving task was harmed again, slowFills stopped the runs that had been slow for 2 s and could pace them in the same report. The pace order writes the run as it was before the stop, so the time of the stop was lost, and a later report stopped the run and logged it a second time.

Change: slowing leaves out the runs that were just stopped. chooseMoves keeps its plan of the paces until a task leaves, in place of one for each slowed task. The variance that fills add to a load is computed in one function for classifyFills and learnFrom, and fillLoad adds up fillLoads.

Measured: the new test of fills.test.ts failed before the mend, with 4 pace orders and 4 logged stops in place of 2 and 2, and passes with it. Tests of scheduler, interference and runner, and of imports: 573 passed, 0 failed, 4 skipped.

--- a/packages/interference/src/paces.ts
+++ b/packages/interference/src/paces.ts
@@ -1,6 +1,6 @@
 import { Map } from 'immutable';
 import type { FillShare, PairEstimates } from './pairs';
-import { fillLoads, fillRoom, observedLoad } from './pairs';
+import { fillLoad, fillLoads, fillRoom, observedLoad } from './pairs';
 
 /** Ratio of tail latency to target from which fills beside a serving task are slowed down. */
 export const SLOWING_RATIO = 0.85;
@@ -74,9 +74,6 @@
 ): Paces {
   if (ratio < SLOWING_RATIO) return FULL_PACES;
   const excess = observedLoad(ratio) - observedLoad(RELIEVED_RATIO);
-  const presentLoad = fillLoads(estimates, servingImage, presentFills).reduce(
-    (sum, [, load]) => sum + load,
-    0,
-  );
+  const presentLoad = fillLoad(estimates, servingImage, presentFills);
   return pacesWithin(fillLoads(estimates, servingImage, fullFills), presentLoad - excess);
 }
--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -134,18 +134,6 @@
   return [...shares].map(([image, share]) => ({ image, share }));
 }
 
-/** Predicts the load that fills put on a serving image. */
-function fillLoad(
-  estimates: PairEstimates,
-  servingImage: string,
-  fills: readonly FillShare[],
-): number {
-  return fills.reduce(
-    (sum, { image, share }) => sum + influenceOf(estimates, servingImage, image).mean * share,
-    0,
-  );
-}
-
 /** Returns the predicted load of each fill on a serving image. */
 export function fillLoads(
   estimates: PairEstimates,
@@ -158,6 +146,15 @@
   );
 }
 
+/** Predicts the load that fills put on a serving image. */
+export function fillLoad(
+  estimates: PairEstimates,
+  servingImage: string,
+  fills: readonly FillShare[],
+): number {
+  return fillLoads(estimates, servingImage, fills).reduce((sum, [, load]) => sum + load, 0);
+}
+
 /** Returns the load that fills may put on a serving image beside its own mean load. */
 export function fillRoom(estimates: PairEstimates, servingImage: string): number {
   return Math.max(0, MAX_LOAD - baseOf(estimates, servingImage).mean);
@@ -168,6 +165,20 @@
   return ratio <= 0 ? 0 : Math.max(0, 1 - IDLE_RATIO / ratio);
 }
 
+/** Adds the variance of the load that fills put on a serving image to that of other loads. */
+function fillVariance(
+  estimates: PairEstimates,
+  servingImage: string,
+  fills: readonly FillShare[],
+  otherVariance = 0,
+): number {
+  return fills.reduce(
+    (sum, { image, share }) =>
+      sum + influenceOf(estimates, servingImage, image).variance * share ** 2,
+    otherVariance,
+  );
+}
+
 /** Predicts the mean load of a serving image beside fills. */
 export function predictLoad(
   estimates: PairEstimates,
@@ -189,11 +200,7 @@
   const observed = fills.filter(({ image }) => estimates.has(pairKey(servingImage, image)));
   if (predictLoad(estimates, servingImage, observed) > MAX_LOAD) return 'harmful';
   if (predictLoad(estimates, servingImage, fills) > MAX_LOAD) return 'unknown';
-  const variance = fills.reduce(
-    (sum, { image, share }) =>
-      sum + influenceOf(estimates, servingImage, image).variance * share ** 2,
-    0,
-  );
+  const variance = fillVariance(estimates, servingImage, fills);
   return variance > UNKNOWN_DEVIATION ** 2 ? 'unknown' : 'harmless';
 }
 
@@ -288,11 +295,7 @@
   // A tail far above the target shows that the load is high, but not how high.
   const isSaturated = observed > 1 - IDLE_RATIO / 3;
   if (isSaturated && error < 0) return { estimates, own };
-  const variance = fills.reduce(
-    (sum, { image, share }) =>
-      sum + influenceOf(estimates, servingImage, image).variance * share ** 2,
-    own.variance + NOISE_VARIANCE,
-  );
+  const variance = fillVariance(estimates, servingImage, fills, own.variance + NOISE_VARIANCE);
   const update = (
     { mean, variance: before }: InfluenceEstimate,
     weight: number,
--- a/packages/scheduler/src/placement/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -178,11 +178,14 @@
 function slowFills(step: SchedulerStep, context: PacingContext): SchedulerStep {
   const { fills, observations, nowMs } = context;
   const isSettling = fills.some(({ run }) => nowMs - run.pacedAtMs < SETTLE_MS && run.pace < 100);
-  const moved = moveTasks(step, longSlowed(context), nowMs);
+  const moving = longSlowed(context);
+  const moved = moveTasks(step, moving, nowMs);
   if (isSettling && !isProlonged(context)) return moved;
   const paces = recoveryPaces(context);
   const isHarmed = observations.some(({ ratio }) => ratio >= HARMED_RATIO);
+  // A pace order writes the run as it was before the stop.
   const slower = fills
+    .filter((task) => !moving.includes(task))
     .map((task) => {
       // Nothing is known of a task without an image.
       const percent = task.stage.image === undefined && isHarmed ? 0 : percentOf(task, paces);
@@ -245,6 +248,8 @@
 interface MovePlan {
   readonly staying: readonly ListedTask[];
   readonly moving: readonly ListedTask[];
+  /** Paces that those that stay may have. */
+  readonly paces: Paces;
 }
 
 /**
@@ -258,25 +263,27 @@
     .filter(({ run, stage }) => run.pace < 100 && !run.isLastResort && stage.image !== undefined)
     .filter((task) => !slow.includes(task))
     .toSorted((left, right) => right.run.claimedAtMs - left.run.claimedAtMs);
+  const planWithout = (leaving: readonly ListedTask[]): MovePlan => {
+    const staying = fills.filter((task) => !leaving.includes(task));
+    return { staying, moving: leaving, paces: planOf(context, staying) };
+  };
   return slowed.reduce<MovePlan>(
-    ({ staying, moving }, task) => {
-      const percent = percentOf(task, planOf(context, staying));
-      if (!isWorthMoving(task, percent, nowMs)) return { staying, moving };
-      return { staying: staying.filter((other) => other !== task), moving: [...moving, task] };
-    },
-    { staying: fills.filter((task) => !slow.includes(task)), moving: slow },
+    (plan, task) =>
+      isWorthMoving(task, percentOf(task, plan.paces), nowMs)
+        ? planWithout([...plan.moving, task])
+        : plan,
+    planWithout(slow),
   );
 }
 
 /** Moves tasks that are done sooner elsewhere, and lets the others go as fast as they may. */
 function relieveFills(step: SchedulerStep, context: PacingContext): SchedulerStep {
   const { observations, nowMs } = context;
-  const { staying, moving } = chooseMoves(context);
+  const { staying, moving, paces } = chooseMoves(context);
   const stopped = moveTasks(step, moving, nowMs);
   const isCalm = observations.every(({ ratio }) => ratio < CALM_RATIO);
   if (!isCalm) return stopped;
-  const rest = { ...context, fills: staying };
-  return raiseFills(stopped, rest, planOf(rest, staying));
+  return raiseFills(stopped, { ...context, fills: staying }, paces);
 }
 
 /** Returns slowed tasks to full pace on a worker whose serving tasks have left it. */
--- a/packages/scheduler/test/fills.test.ts
+++ b/packages/scheduler/test/fills.test.ts
@@ -117,6 +117,16 @@
   expect(loggedFields(loaded, 'taskStopped')).to.have.length(2);
 });
 
+// Guards against a pace order that overwrites the stop of the same report, so that the stop is ordered again.
+it('stops long-slowed fills once', () => {
+  const slowed = reportServing(besideServing(300), 300, 200);
+  const moved = reportServing(slowed, 2_100, 2_000);
+  expect(loggedFields(moved, 'taskStopped')).to.have.length(2);
+  expect(loggedFields(moved, 'taskPaced')).to.have.length(2);
+  const later = reportServing(moved, 2_100, 2_000);
+  expect(loggedFields(later, 'taskStopped')).to.have.length(2);
+});
+
 // Guards against tasks that stay slow for good on a worker whose serving tasks were cancelled.
 it('returns slowed tasks to full pace once no serving task is beside them', () => {
   const harmed = reportServing(besideServing(300), 300, 2_000);
