Define the time of late start calls once

The agent and the leader each had a constant of 3 s for the time in which a later instance may carry out a start call to an earlier one. Both rules rest on the same call, so packages/ports has the constant now. The test of the agent keeps its own figure.

isReportedElsewhere and isServedElsewhere stay two checks, because their meaning differs: one compares agents, the other connections. A message that was delayed on an earlier connection of an agent must not count against its report on the newer one, while an agent that has reconnected still tells which of its own instances has ended. Their doc comments say so.

No change in behaviour.

--- a/packages/ports/src/runner.ts
+++ b/packages/ports/src/runner.ts
@@ -33,6 +33,13 @@
   readonly load: number;
 }
 
+/**
+ * Time after a start order in which the call of its agent may still have an effect: a later instance under
+ * the worker's id may carry it out. Shorter than a lease, so that the tasks of a crashed worker return
+ * before those of a silent machine.
+ */
+export const LATE_CALL_MS = 3_000;
+
 /** Most ends in one list. A worker lists more of them once these are acknowledged. */
 export const MAX_LISTED_ENDS = 500;
 
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
 import type { WorkerCall, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
-import { workerKeyOf } from '@bronzeyoke/ports';
+import { LATE_CALL_MS, workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import type { WorkerEndCause, WorkerEndReason } from '@bronzeyoke/wire';
@@ -24,12 +24,6 @@
 /** Interval at which a gone worker is reported again until the leader has recorded it. */
 const GONE_REPEAT_MS = 1_000;
 
-/**
- * Time after a start call in which a later instance under the same id may carry it out. Shorter than
- * a lease, so that the tasks of a crashed worker return before those of a silent machine.
- */
-const LATE_CALL_MS = 3_000;
-
 /** How the agent learned that a worker is gone. */
 export type GoneReason = Exclude<WorkerEndReason, 'unknown'>;
 
--- a/packages/scheduler/src/fleet/instances.ts
+++ b/packages/scheduler/src/fleet/instances.ts
@@ -28,7 +28,8 @@
 
 /**
  * Returns whether another agent than that of a report has just reported an instance, and is connected. The
- * instance may have moved to another address, which that agent tells with its next report.
+ * instance may have moved to another address, which that agent tells with its next report. An agent that has
+ * reconnected is still the same one, and knows which of its instances has ended.
  */
 export function isReportedElsewhere(
   { workers }: SchedulerState,
--- a/packages/scheduler/src/fleet/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -1,12 +1,10 @@
+import { LATE_CALL_MS } from '@bronzeyoke/ports';
 import type { RunRef } from '@bronzeyoke/wire';
 import { runsOn } from '../runs';
 import type { SchedulerState } from '../types';
 import { runRef } from '../types';
 import type { RunView } from '../views';
 
-/** Time after an order in which the start call of an agent that has ended may still reach its worker. */
-const LATE_CALL_MS = 3_000;
-
 /**
  * Returns whether a later instance under the worker's id may still begin a run: the agent that got the
  * order has ended, so nobody knows whether its call is on the way.
--- a/packages/scheduler/src/fleet/stale.ts
+++ b/packages/scheduler/src/fleet/stale.ts
@@ -39,7 +39,8 @@
 /**
  * Returns whether a worker has just been reported on another open connection than a message about its end.
  * An agent that has lost its way to a worker which another one serves counts the end of a lease that the
- * other one goes on renewing.
+ * other one goes on renewing. A message on an earlier connection of the same agent may be older than the
+ * report on its newer one.
  */
 export function isServedElsewhere(
   { workers }: SchedulerState,
