Merge logic that stood twice in the sources

Left as they are: table accesses of batch and tickets, whose states differ; headers of one hop in the agent and the entry, whose lists differ; the two exhaustive switches over the same faults; state charts, type shapes and constants that only look alike.

No change in behaviour.

--- a/packages/batch/src/agents.ts
+++ b/packages/batch/src/agents.ts
@@ -223,6 +223,25 @@
   return state.candidates.get(agentId)?.profile.domain ?? task.claim?.domain ?? '';
 }
 
+/** Applies an event to the tasks assigned to workers for which `isDue` holds. */
+function advanceAssigned(
+  state: BatchState,
+  event: 'evict' | 'sync',
+  isDue: (task: TaskRecord) => boolean,
+  context: BatchContext,
+): BatchStep {
+  const due = [...state.byWorker.values()]
+    .flatMap((tasks) => [...tasks])
+    .filter((key) => {
+      const task = state.tasks.get(key);
+      return task !== undefined && isDue(task);
+    });
+  return chainAll(
+    state,
+    due.map((key) => (from) => advanceTask(from, key, event, {}, context)),
+  );
+}
+
 /** Evicts tasks that run in domains that are out. */
 export function evictFromOutDomains(state: BatchState, context: BatchContext): BatchStep {
   const { configuration } = context.inputs;
@@ -230,36 +249,22 @@
     (entry) => entry.kind === 'domain' && entry.state === 'out',
   );
   if (out.length === 0) return unchanged(state);
-  const due = [...state.byWorker.values()]
-    .flatMap((tasks) => [...tasks])
-    .filter((key) => {
-      const task = state.tasks.get(key);
-      return (
-        task !== undefined &&
-        accepts(taskChart, task.phase, 'evict') &&
-        !isDomainIn(configuration, currentDomain(state, task))
-      );
-    });
-  return chainAll(
+  return advanceAssigned(
     state,
-    due.map((key) => (from) => advanceTask(from, key, 'evict', {}, context)),
+    'evict',
+    (task) =>
+      accepts(taskChart, task.phase, 'evict') &&
+      !isDomainIn(configuration, currentDomain(state, task)),
+    context,
   );
 }
 
 /** Repeats messages about tasks that had no visible effect, for example after a lost connection. */
 export function repeatMessages(state: BatchState, context: BatchContext): BatchStep {
-  const due = [...state.byWorker.values()]
-    .flatMap((tasks) => [...tasks])
-    .filter((key) => {
-      const task = state.tasks.get(key);
-      return (
-        task !== undefined &&
-        task.phase !== 'running' &&
-        context.nowMs - task.phaseSinceMs >= REPEAT_MS
-      );
-    });
-  return chainAll(
+  return advanceAssigned(
     state,
-    due.map((key) => (from) => advanceTask(from, key, 'sync', {}, context)),
+    'sync',
+    ({ phase, phaseSinceMs }) => phase !== 'running' && context.nowMs - phaseSinceMs >= REPEAT_MS,
+    context,
   );
 }
--- a/packages/batch/src/records.ts
+++ b/packages/batch/src/records.ts
@@ -4,15 +4,6 @@
 import type { TaskPhase } from './chart';
 import type { BatchState, JobRecord, TaskRecord } from './types';
 
-const RESERVING_PHASES: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
-  'offered',
-  'claiming',
-  'claimed',
-  'unconfirmed',
-  'running',
-  'evicting',
-  'stopping',
-]);
 const ON_WORKER_PHASES: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
   'claimed',
   'unconfirmed',
@@ -20,6 +11,11 @@
   'evicting',
   'stopping',
 ]);
+const RESERVING_PHASES: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
+  'offered',
+  'claiming',
+  ...ON_WORKER_PHASES,
+]);
 const ENDED_PHASES: ReadonlySet<TaskPhase> = new globalThis.Set<TaskPhase>([
   'finished',
   'cancelled',
--- a/packages/harness/src/upstream.ts
+++ b/packages/harness/src/upstream.ts
@@ -61,6 +61,8 @@
     upstreams: observed.upstreams.set(worker, { ...upstream, calls }),
   };
   const lost = { kind: 'upstreamLost', attemptId } as const;
+  const expire = (): World =>
+    endLater(started, worker, attemptId, { ...lost, reason: 'deadlineExpired' }, timeoutMs);
   const neededMs = serviceMs(world, requestId) * (upstream.mode === 'slow' ? SLOW_FACTOR : 1);
   switch (upstream.mode) {
     case 'failing':
@@ -72,23 +74,11 @@
         FAILING_AFTER_MS,
       );
     case 'silent':
-      return endLater(
-        started,
-        worker,
-        attemptId,
-        { ...lost, reason: 'deadlineExpired' },
-        timeoutMs,
-      );
+      return expire();
     case 'healthy':
     case 'slow': {
       if (neededMs > timeoutMs) {
-        return endLater(
-          started,
-          worker,
-          attemptId,
-          { ...lost, reason: 'deadlineExpired' },
-          timeoutMs,
-        );
+        return expire();
       }
       const body = world.standinBugs.swapsAnswers ? requestBody('another request') : attempt.body;
       const answer = expectedAnswer(body);
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -4,7 +4,7 @@
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { Moment } from '@bronzeyoke/latency';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { decodeJob, NO_PROGRESS, statusOf } from '@bronzeyoke/workflow';
+import { decodeJob, NO_PROGRESS } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
 import { advanceLeadership } from '../leadership/leadership';
@@ -15,7 +15,7 @@
 import type { OpenJob, StoredProgress } from '../views';
 import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
-import { createOpenJob } from './openjob';
+import { createOpenJob, logSeen } from './openjob';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
@@ -34,10 +34,8 @@
   const { jobId } = job;
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
   const open = createOpenJob(job, progress, moment);
-  const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
-  return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
-    logEffect('jobSeen', fields),
-  ]);
+  const jobs = state.jobs.set(jobId, open);
+  return withEffects({ ...state, jobs, needsPlacement: true }, logSeen(job, progress));
 }
 
 /** Returns a job that can be cancelled. The row of one that has an outcome tells of no tasks. */
--- a/packages/scheduler/src/jobs/openjob.ts
+++ b/packages/scheduler/src/jobs/openjob.ts
@@ -1,9 +1,10 @@
 import type { JobLatency, LatencyBreakdown, Moment, TaskChange } from '@bronzeyoke/latency';
 import { changeJobTask, explainLatency, LATENCY_CAUSES, openJobLatency } from '@bronzeyoke/latency';
 import type { EventFields } from '@bronzeyoke/telemetry';
+import { logEffect } from '@bronzeyoke/telemetry';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { restartLasting } from '@bronzeyoke/workflow';
-import type { SchedulerState } from '../types';
+import { restartLasting, statusOf } from '@bronzeyoke/workflow';
+import type { SchedulerEffect, SchedulerState } from '../types';
 import type { OpenJob } from '../views';
 
 /** Returns a job as this leader opens it. */
@@ -12,6 +13,15 @@
   return { job, progress, isCancelled: false, latency: openJobLatency(job, progress, moment) };
 }
 
+/** Logs a job that this leader opens. */
+export function logSeen(
+  { jobId, policy }: WorkflowJob,
+  progress: JobProgress,
+): readonly SchedulerEffect[] {
+  const fields = { job: jobId, queue: policy.queue, status: statusOf(progress) };
+  return [logEffect('jobSeen', fields)];
+}
+
 /** Returns the record of a job's time after a change of one of its tasks. */
 export function taskTime(
   { latency }: OpenJob,
--- a/packages/standins/src/host.ts
+++ b/packages/standins/src/host.ts
@@ -1,12 +1,10 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import type { WorkerCommand } from '@bronzeyoke/ports';
 import { z } from 'zod';
 import { readJson } from './body';
 import type { WorkerFaults } from './machine';
+import { listen, refuseRequest } from './server';
 import type { WorkerInput, WorkerOutput, WorkerModel } from './worker';
 import { nextWorkerAtMs, stepWorker } from './worker';
 
@@ -91,24 +89,16 @@
     step({ kind: 'command', callId, incarnation, command });
   };
 
-  const server = createServer((request, response) => {
-    handleRequest(request, response).catch(() => {
-      response.writeHead(400);
-      response.end();
-    });
-  });
-  server.listen(port, host);
-  await once(server, 'listening');
+  const handler = { respond: handleRequest, onFailure: refuseRequest };
+  const server = await listen(handler, host, port);
   return {
-    port: (server.address() as AddressInfo).port,
+    port: server.port,
     setFaults: (faults) => step({ kind: 'faults', faults }),
     state: () => state,
     outputs: () => outputs,
     close: async () => {
       clearTimeout(timer);
-      server.close();
-      server.closeAllConnections();
-      await once(server, 'close');
+      await server.close();
     },
   };
 }
--- a/packages/standins/src/table.ts
+++ b/packages/standins/src/table.ts
@@ -1,11 +1,9 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { z } from 'zod';
 import { readJson } from './body';
 import type { TableState } from './rows';
 import { EMPTY_TABLE, commitRows, readRows, scanRows } from './rows';
+import { listen, refuseRequest } from './server';
 
 const key = z.string().min(1).max(1_000);
 const commitSchema = z.strictObject({
@@ -107,22 +105,14 @@
     response.end(JSON.stringify(result));
   };
 
-  const server = createServer((request, response) => {
-    respond(request, response).catch(() => response.writeHead(400).end());
-  });
-  server.listen(port, host);
-  await once(server, 'listening');
+  const server = await listen({ respond, onFailure: refuseRequest }, host, port);
   return {
-    port: (server.address() as AddressInfo).port,
+    port: server.port,
     setFaults: (next) => {
       faults = next;
     },
     state: () => state,
     counts: () => counts,
-    close: async () => {
-      server.close();
-      server.closeAllConnections();
-      await once(server, 'close');
-    },
+    close: server.close,
   };
 }
--- a/packages/standins/src/upstream.ts
+++ b/packages/standins/src/upstream.ts
@@ -1,8 +1,6 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
 import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { AddressInfo } from 'node:net';
 import { z } from 'zod';
+import { listen } from './server';
 import { SHEAR_MODULUS_MPA, calculateSpring } from './spring';
 
 const materials = Object.keys(SHEAR_MODULUS_MPA) as (keyof typeof SHEAR_MODULUS_MPA)[];
@@ -84,21 +82,16 @@
     else send();
   };
 
-  const server = createServer((request, response) => {
-    respond(request, response).catch(() => response.destroy());
-  });
-  server.listen(port, host);
-  await once(server, 'listening');
+  const onFailure = (response: ServerResponse): void => {
+    response.destroy();
+  };
+  const server = await listen({ respond, onFailure }, host, port);
   return {
-    port: (server.address() as AddressInfo).port,
+    port: server.port,
     setFaults: (next) => {
       faults = next;
     },
     runsByKey: () => runs,
-    close: async () => {
-      server.close();
-      server.closeAllConnections();
-      await once(server, 'close');
-    },
+    close: server.close,
   };
 }
--- a/packages/wire/src/message.ts
+++ b/packages/wire/src/message.ts
@@ -1,3 +1,4 @@
+import type { TaskEnd } from '@bronzeyoke/ports';
 import type {
   AgentProfile,
   Configuration,
@@ -27,13 +28,8 @@
 export type TaskReport =
   | { readonly kind: 'started' }
   | { readonly kind: 'checkpointed'; readonly checkpointRef: string }
-  | {
-      readonly kind: 'finished';
-      readonly resultRef: string;
-      readonly runMs: number;
-      readonly peak: Resources;
-    }
-  | { readonly kind: 'failed'; readonly checkpointRef?: string; readonly peak: Resources }
+  /** The task has ended by itself. */
+  | Exclude<TaskEnd, { readonly kind: 'leaseExpired' }>
   | { readonly kind: 'evicted'; readonly checkpointRef?: string }
   | { readonly kind: 'notStarted' }
   | { readonly kind: 'stopped' };
