Share the fixtures that tests and tools repeated

They are in the fixtures now, word for word or with the same arguments, and no assertion has changed. The load and capacity tools start their child processes by one function (tools/child.ts). The import lists of the runner's tests stay: they differ in what each test uses.

--- a/packages/intake/test/intake.test.ts
+++ b/packages/intake/test/intake.test.ts
@@ -3,7 +3,7 @@
 import type { IntakeEffect, IntakeEvent, IntakeState } from '@bronzeyoke/intake';
 import { createIntake, selectQueue, stepIntake } from '@bronzeyoke/intake';
 import { jobKey, progressKey, WITHDRAWAL_KEEP_MS, withdrawalKey } from '@bronzeyoke/scheduler';
-import type { WorkflowJob } from '@bronzeyoke/workflow';
+import { JOB } from './fixture';
 
 interface Fixture {
   readonly state: IntakeState;
@@ -13,20 +13,6 @@
 
 const START: Fixture = { state: createIntake(), effects: [], nowMs: 0 };
 
-const POLICY = {
-  queue: 'quick',
-  service: 'quoter',
-  priority: 0,
-  maxAttempts: 2,
-  slackFactor: 2,
-  targetDurationMs: 1_000,
-  needsAdvice: false,
-};
-
-function jobOf(jobId: string): WorkflowJob {
-  return { jobId, policy: POLICY, payload: 'work', stages: [], acceptedAtMs: 0 };
-}
-
 function dispatch(fixture: Fixture, event: IntakeEvent, afterMs = 0): Fixture {
   const nowMs = fixture.nowMs + afterMs;
   const step = stepIntake(fixture.state, event, { nowMs, random: 0 });
@@ -34,8 +20,7 @@
 }
 
 function submit(fixture: Fixture, callId: string, silentMs = 0): Fixture {
-  const job = jobOf('job1');
-  return dispatch(fixture, { kind: 'submit', callId, job, timeoutMs: 3_000, silentMs });
+  return dispatch(fixture, { kind: 'submit', callId, job: JOB, timeoutMs: 3_000, silentMs });
 }
 
 function finish(fixture: Fixture, callId: string, result: RowCommitResult): Fixture {
@@ -94,7 +79,11 @@
 // Guards against a transaction of many large jobs that the store refuses for its size.
 it('intake: large jobs that wait together are stored in several transactions', () => {
   const payload = 'x'.repeat(48_000);
-  const jobs = Array.from({ length: 30 }, (_, index) => ({ ...jobOf(`large${index}`), payload }));
+  const jobs = Array.from({ length: 30 }, (_, index) => ({
+    ...JOB,
+    jobId: `large${index}`,
+    payload,
+  }));
   const waiting = jobs.reduce(
     (fixture, job) => {
       const { jobId: callId } = job;
@@ -275,7 +264,7 @@
 // ended, because its progress cannot be read.
 it('intake: progress that cannot be read is no sign that a job has not begun or does not exist', () => {
   const unreadable = { ...progressKey('job1'), version: 9, value: { stages: 'later' } };
-  const definition = { ...jobKey('job1'), version: 8, value: jobOf('job1') };
+  const definition = { ...jobKey('job1'), version: 8, value: JOB };
   expect(statusAfter([unreadable], [definition])).to.deep.equal({
     kind: 'status',
     status: 'active',
@@ -305,7 +294,7 @@
 
 // Guards against selecting the queue of a shorter prefix.
 it('intake: the longest prefix selects the queue', () => {
-  const queue = { ...POLICY, host: 'a', pathPrefix: '/x/' };
+  const queue = { ...JOB.policy, host: 'a', pathPrefix: '/x/' };
   const longer = { ...queue, queue: 'deep', pathPrefix: '/x/y/' };
   const config = { version: 1, queues: [queue, longer], services: [], maxBodyBytes: 1 };
   expect(selectQueue(config, 'a', '/x/y/1')?.queue).to.equal('deep');
--- a/packages/intake/test/withdrawal.test.ts
+++ b/packages/intake/test/withdrawal.test.ts
@@ -6,24 +6,8 @@
 import { jobKey } from '@bronzeyoke/scheduler';
 import type { RowStoreState } from '@bronzeyoke/standins';
 import { commitRow, EMPTY_ROW_STORE, readRange, rowId } from '@bronzeyoke/standins';
-import type { WorkflowJob } from '@bronzeyoke/workflow';
+import { JOB } from './fixture';
 
-const POLICY = {
-  queue: 'quick',
-  service: 'quoter',
-  priority: 0,
-  maxAttempts: 2,
-  slackFactor: 2,
-  targetDurationMs: 1_000,
-  needsAdvice: false,
-};
-const JOB: WorkflowJob = {
-  jobId: 'job1',
-  policy: POLICY,
-  payload: 'work',
-  stages: [],
-  acceptedAtMs: 0,
-};
 const ENTRIES = 2;
 const STEP_MS = 50;
 
--- a/packages/runner/test/candidates.test.ts
+++ b/packages/runner/test/candidates.test.ts
@@ -1,17 +1,21 @@
 import { expect } from 'chai';
-import type { WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
+import type { WorkerReport } from '@bronzeyoke/ports';
 import type { Fixture } from './fixture';
 import {
+  answer,
   answerHold,
   callIdOf,
   crash,
   createLeased,
   dispatch,
-  endHold,
+  goneCausesOf,
   goneKeysOf,
+  hear,
   KEY,
   LISTED,
+  loseHold,
   openHoldOf,
+  refuseHold,
   repeatHolds,
   REPORT,
   reportsOf,
@@ -29,14 +33,6 @@
 /** The next instance on the machine, at the address of the one before it. */
 const NEXT: WorkerReport = { ...REPORT, id: 'i-2', bornAtMs: 900 };
 
-function hear(fixture: Fixture, report: WorkerReport): Fixture {
-  return dispatch(fixture, { kind: 'heartbeat', report });
-}
-
-function answer(fixture: Fixture, callId: string, result: WorkerCallResult): Fixture {
-  return dispatch(fixture, { kind: 'callDone', callId, result });
-}
-
 /** Lets some holds of the present worker be answered. */
 function goOn(fixture: Fixture, holds = 5): Fixture {
   return Array.from({ length: holds }).reduce<Fixture>(
@@ -45,12 +41,6 @@
   );
 }
 
-function loseHold(fixture: Fixture, afterMs = 10): Fixture {
-  const result = { kind: 'lost' } as const;
-  const callId = fixture.state.holdCallId ?? 'none';
-  return dispatch(fixture, { kind: 'callDone', callId, result }, afterMs);
-}
-
 // Guards against a second run of each task of a live worker after one heartbeat of another writer.
 it('agent: a heartbeat of another writer leaves a worker that answers', () => {
   const heard = hear(createLeased(), ODD);
@@ -81,8 +71,7 @@
 // Guards against a replacement that is seen later than its first heartbeat because others came first.
 it('agent: a true successor is taken at its first heartbeat beside many odd ones', () => {
   const odd = Array.from({ length: 20 }, (_, index) => ({ ...ODD, id: `i-odd${index}` }));
-  const refuse = (current: Fixture): Fixture => endHold(current, { kind: 'notListening' });
-  const failing = repeatHolds(createLeased(1_000), 1_000, refuse).at(-1) ?? createLeased();
+  const failing = repeatHolds(createLeased(1_000), 1_000, refuseHold).at(-1) ?? createLeased();
   const gone = crash(odd.reduce(hear, failing));
   expect(gone.state.candidates.size).to.be.greaterThan(0);
   expect(goneKeysOf(gone)).to.deep.equal([KEY]);
@@ -123,9 +112,8 @@
 // against an instance that is never taken.
 it('agent: an instance elsewhere under another id is taken once the lease has ended', () => {
   const elsewhere = { ...NEXT, address: 'w:2' };
-  const lose = (current: Fixture): Fixture => loseHold(current);
   const steps = repeatHolds(loseHold(createLeased()), 11_000, (current) =>
-    hear(lose(current), { ...elsewhere, sequence: current.nowMs }),
+    hear(loseHold(current), { ...elsewhere, sequence: current.nowMs }),
   );
   const isAsked = ({ state }: Fixture): boolean =>
     state.candidates.some(({ phase }) => phase === 'asked');
@@ -186,14 +174,10 @@
 // Guards against tasks that are blamed for the end of a worker that said that it leaves, and against a
 // message of another writer that hides a crash.
 it('agent: a message that a worker leaves decides the cause of its end until a later reply', () => {
-  const causesOf = ({ effects }: Fixture): readonly string[] =>
-    effects.flatMap((effect) =>
-      effect.kind === 'send' && effect.message.kind === 'workerGone' ? [effect.message.cause] : [],
-    );
   const told = dispatch(createLeased(), { kind: 'workerLeft', id: REPORT.id });
   expect(goneKeysOf(told)).to.deep.equal([]);
-  expect(causesOf(crash(told))).to.deep.equal(['left']);
+  expect(goneCausesOf(crash(told))).to.deep.equal(['left']);
   const alive = goOn(told);
   expect(alive.state.worker?.workerKey).to.equal(KEY);
-  expect(causesOf(crash(alive))).to.deep.equal(['crashed']);
+  expect(goneCausesOf(crash(alive))).to.deep.equal(['crashed']);
 });
--- a/packages/runner/test/fixture.ts
+++ b/packages/runner/test/fixture.ts
@@ -70,6 +70,26 @@
   return dispatch(fixture, { kind: 'callDone', callId, result }, afterMs);
 }
 
+/** Refuses the connection of the open hold. */
+export function refuseHold(fixture: Fixture): Fixture {
+  return endHold(fixture, { kind: 'notListening' });
+}
+
+/** Loses the open hold or its reply. */
+export function loseHold(fixture: Fixture): Fixture {
+  return endHold(fixture, { kind: 'lost' });
+}
+
+/** Gives a call a result. */
+export function answer(fixture: Fixture, callId: string, result: WorkerCallResult): Fixture {
+  return dispatch(fixture, { kind: 'callDone', callId, result });
+}
+
+/** Delivers a heartbeat. */
+export function hear(fixture: Fixture, report: WorkerReport): Fixture {
+  return dispatch(fixture, { kind: 'heartbeat', report });
+}
+
 /** Interval between two holds that `repeatHolds` answers. */
 const HOLD_STEP_MS = 100;
 
@@ -93,9 +113,8 @@
 
 /** Refuses the connections of the present worker until its lease has ended. */
 export function crash(fixture: Fixture): Fixture {
-  const refuse = (current: Fixture): Fixture => endHold(current, { kind: 'notListening' });
-  const first = fixture.state.holdCallId === undefined ? fixture : refuse(fixture);
-  const steps = repeatHolds(first, LONGEST_LEASE_MS, refuse);
+  const first = fixture.state.holdCallId === undefined ? fixture : refuseHold(fixture);
+  const steps = repeatHolds(first, LONGEST_LEASE_MS, refuseHold);
   return steps.find(({ state }) => state.worker === undefined) ?? first;
 }
 
@@ -148,3 +167,10 @@
       : [],
   );
 }
+
+/** Returns the causes of the ends of workers that the last step reported. */
+export function goneCausesOf(fixture: Fixture): readonly string[] {
+  return fixture.effects.flatMap((effect) =>
+    effect.kind === 'send' && effect.message.kind === 'workerGone' ? [effect.message.cause] : [],
+  );
+}
--- a/packages/runner/test/heldlease.test.ts
+++ b/packages/runner/test/heldlease.test.ts
@@ -6,9 +6,11 @@
   crash,
   createLeased,
   dispatch,
-  endHold,
+  goneCausesOf,
   KEY,
+  loseHold,
   order,
+  refuseHold,
   repeatHolds,
   REPORT,
 } from './fixture';
@@ -36,17 +38,6 @@
   );
 }
 
-/** Returns the causes of the ends that the last step told the leader. */
-function causesOf({ effects }: Fixture): readonly string[] {
-  return effects.flatMap((effect) =>
-    effect.kind === 'send' && effect.message.kind === 'workerGone' ? [effect.message.cause] : [],
-  );
-}
-
-function refuse(fixture: Fixture): Fixture {
-  return endHold(fixture, { kind: 'notListening' });
-}
-
 // Guards against a long wait for the lease of a worker that does not answer any more.
 it('heldlease: holds and starts pass at most 3 s of the granted lease on', () => {
   const answered = answerHold(createGranted(), { clockMs: 100 });
@@ -72,17 +63,17 @@
   const asked = dispatch(resumed, { kind: 'tick' }, 120);
   expect(asked.state.worker?.workerKey).to.equal(KEY);
   expect(answerHold(asked).state.worker?.workerKey).to.equal(KEY);
-  const failed = dispatch(endHold(asked, { kind: 'lost' }), { kind: 'tick' }, 100);
+  const failed = dispatch(loseHold(asked), { kind: 'tick' }, 100);
   expect(failed.state.worker).to.equal(undefined);
 });
 
 // Guards against tasks that are accused of a crash because their worker was cut off from its agent.
 it('heldlease: only a worker that listens nowhere and sends nothing has crashed', () => {
   const crashed = crash(createLeased());
-  expect(causesOf(crashed)).to.deep.equal(['crashed']);
-  const failing = repeatHolds(refuse(createLeased()), 500, refuse).at(-1) ?? createLeased();
+  expect(goneCausesOf(crashed)).to.deep.equal(['crashed']);
+  const failing = repeatHolds(refuseHold(createLeased()), 500, refuseHold).at(-1) ?? createLeased();
   const heard = dispatch(failing, { kind: 'heartbeat', report: { ...REPORT, sequence: 2 } });
-  expect(causesOf(crash(heard))).to.deep.equal(['unreachable']);
-  const silent = repeatHolds(failing, 300, (current) => endHold(current, { kind: 'lost' })).at(-1);
-  expect(causesOf(crash(silent ?? failing))).to.deep.equal(['unreachable']);
+  expect(goneCausesOf(crash(heard))).to.deep.equal(['unreachable']);
+  const silent = repeatHolds(failing, 300, loseHold).at(-1);
+  expect(goneCausesOf(crash(silent ?? failing))).to.deep.equal(['unreachable']);
 });
--- a/packages/runner/test/inflight.test.ts
+++ b/packages/runner/test/inflight.test.ts
@@ -5,10 +5,10 @@
   callIdOf,
   createLeased,
   dispatch,
-  endHold,
   KEY,
   MAX_LEASE_MS,
   order,
+  refuseHold,
   repeatHolds,
   REPORT,
 } from './fixture';
@@ -28,9 +28,7 @@
   const held = repeatHolds(createLeased(), MAX_LEASE_MS, answerHold).at(-1) ?? createLeased();
   const grant = { kind: 'grant', workerKey: KEY, leaseUntilClockMs: 14_000 } as const;
   const granted = dispatch(held, { kind: 'received', message: grant });
-  const steps = repeatHolds(granted, SILENCE_MS, (current) =>
-    endHold(current, { kind: 'notListening' }),
-  );
+  const steps = repeatHolds(granted, SILENCE_MS, refuseHold);
   const gone = steps.find(({ state }) => state.worker === undefined) ?? granted;
   return { agent: hearAgain(gone), lastClockMs: held.state.worker?.clockMs ?? 0 };
 }
@@ -57,9 +55,7 @@
   const ordered = order(createLeased());
   const callId = callIdOf(ordered, 'start');
   const lost = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'lost' } });
-  const steps = repeatHolds(lost, 2 * MAX_LEASE_MS, (current) =>
-    endHold(current, { kind: 'notListening' }),
-  );
+  const steps = repeatHolds(lost, 2 * MAX_LEASE_MS, refuseHold);
   const gone = steps.find(({ state }) => state.worker === undefined) ?? lost;
   const waiting = {
     ...gone,
--- a/packages/runner/test/proofs.test.ts
+++ b/packages/runner/test/proofs.test.ts
@@ -2,16 +2,19 @@
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { Fixture } from './fixture';
 import {
+  answer,
   answerHold,
   callIdOf,
   crash,
   createLeased,
   dispatch,
-  endHold,
   goneKeysOf,
+  hear,
   KEY,
   LISTED,
+  loseHold,
   order,
+  refuseHold,
   repeatHolds,
   REPORT,
   reportsOf,
@@ -22,18 +25,6 @@
 
 const DRAINING: WorkerReport = { ...REPORT, isDraining: true, sequence: 2 };
 
-function refuse(fixture: Fixture): Fixture {
-  return endHold(fixture, { kind: 'notListening' });
-}
-
-function lose(fixture: Fixture): Fixture {
-  return endHold(fixture, { kind: 'lost' });
-}
-
-function hear(fixture: Fixture, report: WorkerReport): Fixture {
-  return dispatch(fixture, { kind: 'heartbeat', report });
-}
-
 function leave(fixture: Fixture): Fixture {
   return dispatch(fixture, { kind: 'workerLeft', id: REPORT.id });
 }
@@ -53,7 +44,7 @@
 
 // Guards against a second run of each task of a worker that closes its port for a moment.
 it('proofs: refused connections do not end a worker whose lease holds', () => {
-  const steps = repeatHolds(createLeased(), LEASE_HELD_MS, refuse);
+  const steps = repeatHolds(createLeased(), LEASE_HELD_MS, refuseHold);
   expect(endsIn(steps)).to.deep.equal([]);
   const last = steps.at(-1) ?? createLeased();
   const listed = answerHold(dispatch(last, { kind: 'tick' }, 100), { running: [LISTED] });
@@ -65,7 +56,7 @@
 // leaves, and of one whose draining and leave another writer has sent.
 it('proofs: an announced leave does not end a worker whose lease holds', () => {
   const left = leave(hear(createLeased(), DRAINING));
-  const steps = repeatHolds(left, LEASE_HELD_MS, lose);
+  const steps = repeatHolds(left, LEASE_HELD_MS, loseHold);
   expect(endsIn([left, ...steps])).to.deep.equal([]);
 });
 
@@ -73,7 +64,7 @@
 // call that timed out.
 it('proofs: an unannounced leave does not end a worker whose lease holds', () => {
   const left = leave(createLeased());
-  const steps = repeatHolds(left, LEASE_HELD_MS, lose);
+  const steps = repeatHolds(left, LEASE_HELD_MS, loseHold);
   expect(endsIn([left, ...steps])).to.deep.equal([]);
 });
 
@@ -81,11 +72,11 @@
 // answers.
 it('proofs: an answer under another id elsewhere does not end a worker whose lease holds', () => {
   const elsewhere = { ...REPORT, id: 'i-2', bornAtMs: 900, address: 'w:2' };
-  const steps = repeatHolds(hear(lose(createLeased()), elsewhere), 1_500, lose);
+  const steps = repeatHolds(hear(loseHold(createLeased()), elsewhere), 1_500, loseHold);
   const last = steps.at(-1) ?? createLeased();
   const asked = last.state.candidates.find(({ callId }) => callId !== undefined);
   const result = { kind: 'done', clockMs: 1, bornAtMs: 900 } as const;
-  const listed = dispatch(last, { kind: 'callDone', callId: asked?.callId ?? 'none', result });
+  const listed = answer(last, asked?.callId ?? 'none', result);
   expect(endsIn([...steps, listed])).to.deep.equal([]);
   expect(listed.state.worker?.workerKey).to.equal(KEY);
 });
@@ -94,26 +85,26 @@
 it('proofs: a list that was asked for before a start does not settle it', () => {
   const ordered = order(createLeased());
   const callId = callIdOf(ordered, 'start');
-  const moved = hear(lose(ordered), { ...REPORT, address: 'w:2', sequence: 2 });
+  const moved = hear(loseHold(ordered), { ...REPORT, address: 'w:2', sequence: 2 });
   const asked = callIdOf(moved, 'hold');
   const result = { kind: 'done', clockMs: 200 } as const;
-  const started = dispatch(moved, { kind: 'callDone', callId, result });
-  const failing = lose(dispatch(started, { kind: 'tick' }, 200));
+  const started = answer(moved, callId, result);
+  const failing = loseHold(dispatch(started, { kind: 'tick' }, 200));
   expect(failing.state.worker?.pending.size).to.equal(1);
   const list = { kind: 'done', clockMs: 150, bornAtMs: 5, running: [], ended: [] } as const;
-  const listed = dispatch(failing, { kind: 'callDone', callId: asked, result: list });
+  const listed = answer(failing, asked, list);
   expect(reportsOf(listed).map(({ pending }) => pending.length)).to.deep.equal([1]);
   expect(goneKeysOf(listed)).to.deep.equal([]);
 });
 
 // Guards against a run that is released as missing because an older list came after the one that named it.
 it('proofs: a list that a newer one has overtaken is not reported', () => {
-  const lost = hear(lose(createLeased()), { ...REPORT, address: 'w:2', sequence: 2 });
+  const lost = hear(loseHold(createLeased()), { ...REPORT, address: 'w:2', sequence: 2 });
   const asked = callIdOf(lost, 'hold');
   const listed = answerHold(dispatch(lost, { kind: 'tick' }, 200), { running: [LISTED] });
-  const failing = lose(dispatch(listed, { kind: 'tick' }, 100));
+  const failing = loseHold(dispatch(listed, { kind: 'tick' }, 100));
   const list = { kind: 'done', clockMs: 150, bornAtMs: 5, running: [], ended: [] } as const;
-  const late = dispatch(failing, { kind: 'callDone', callId: asked, result: list });
+  const late = answer(failing, asked, list);
   expect(reportsOf(late)).to.deep.equal([]);
   expect(late.state.worker?.running).to.deep.equal([LISTED]);
 });
@@ -127,7 +118,7 @@
 
 // Guards against starts whose effect nobody knows, and against tasks that wait until a lease has ended.
 it('proofs: a start order is refused while calls to the worker fail', () => {
-  const refused = order(lose(createLeased()));
+  const refused = order(loseHold(createLeased()));
   expect(refusalsOf(refused)).to.deep.equal(['unreachable']);
   expect(callIdOf(refused, 'start')).to.equal('none');
   expect(refused.state.worker?.pending.size).to.equal(0);
@@ -144,10 +135,10 @@
 it('proofs: a start whose connection was refused did not begin', () => {
   const ordered = order(createLeased());
   const callId = callIdOf(ordered, 'start');
-  const unsent = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'notListening' } });
+  const unsent = answer(ordered, callId, { kind: 'notListening' });
   expect(refusalsOf(unsent)).to.deep.equal(['unreachable']);
   expect(unsent.state.worker?.pending.size).to.equal(0);
-  const lost = dispatch(ordered, { kind: 'callDone', callId, result: { kind: 'lost' } });
+  const lost = answer(ordered, callId, { kind: 'lost' });
   expect(refusalsOf(lost)).to.deep.equal([]);
   expect(lost.state.worker?.pending.size).to.equal(1);
 });
@@ -155,9 +146,7 @@
 /** Returns how long after its first reply an instance that refuses all connections is gone. */
 function goneAfterMs(agent: Fixture, report: WorkerReport, clockMs: number): number {
   const listed = answerHold(hear(agent, report), { clockMs, bornAtMs: report.bornAtMs });
-  const steps = repeatHolds(listed, 11_000, (current) =>
-    endHold(current, { kind: 'notListening' }),
-  );
+  const steps = repeatHolds(listed, 11_000, refuseHold);
   const gone = steps.find(({ state }) => state.worker === undefined);
   return (gone?.nowMs ?? Infinity) - listed.nowMs;
 }
--- a/packages/runner/test/runner.test.ts
+++ b/packages/runner/test/runner.test.ts
@@ -6,13 +6,13 @@
   callIdOf,
   createLeased,
   dispatch,
-  endHold,
   goneKeysOf,
   KEY,
   LEADER,
   LISTED,
   MAX_LEASE_MS,
   order,
+  refuseHold,
   repeatHolds,
   REPORT,
   reportsOf,
@@ -101,7 +101,6 @@
 // Guards against a worker that counts as gone while its lease holds, and against one that is never
 // removed.
 it('agent: a worker that refuses connections is gone once its lease has ended', () => {
-  const refuse = (current: Fixture): Fixture => endHold(current, { kind: 'notListening' });
   const replied = repeatHolds(createLeased(), 8_000, (current) => answerHold(current)).at(-1);
   const fixture = replied ?? createLeased();
   const granted = dispatch(fixture, {
@@ -109,7 +108,7 @@
     message: { kind: 'grant', workerKey: KEY, leaseUntilClockMs: fixture.nowMs + 4_900 },
   });
   const answered = answerHold(dispatch(granted, { kind: 'tick' }, 60));
-  const steps = repeatHolds(answered, 4_000, refuse);
+  const steps = repeatHolds(answered, 4_000, refuseHold);
   const isGone = ({ state }: Fixture): boolean => state.worker === undefined;
   const goneAfterMs = (steps.find(isGone)?.nowMs ?? Infinity) - answered.nowMs;
   expect(goneAfterMs).to.be.within(3_000 / 0.98, 3_400);
--- a/packages/runner/test/successor.test.ts
+++ b/packages/runner/test/successor.test.ts
@@ -1,9 +1,10 @@
 import { expect } from 'chai';
-import type { WorkerCall, WorkerCallResult } from '@bronzeyoke/ports';
+import type { WorkerCall } from '@bronzeyoke/ports';
 import type { RunRef } from '@bronzeyoke/wire';
 import { createRunner } from '@bronzeyoke/runner';
 import type { Fixture } from './fixture';
 import {
+  answer,
   answerHold,
   callIdOf,
   crash,
@@ -35,10 +36,6 @@
   return answerHold(hearLater(fixture), { bornAtMs: 900 });
 }
 
-function answer(fixture: Fixture, callId: string, result: WorkerCallResult): Fixture {
-  return dispatch(fixture, { kind: 'callDone', callId, result });
-}
-
 function tickAt(fixture: Fixture, atMs: number): Fixture {
   return dispatch(fixture, { kind: 'tick' }, atMs - fixture.nowMs);
 }
--- a/packages/scheduler/test/backlog.test.ts
+++ b/packages/scheduler/test/backlog.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import type { Fixture } from './fixture';
 import {
+  acknowledgedEnds,
   advance,
   commit,
   createLeader,
@@ -91,12 +92,7 @@
   const placed = overload(two, 3);
   const ended = end(end(placed, 'w0', 'job1.0.0.0', 1), 'w0', 'job2.0.0.0', 2);
   const stored = overload(ended, 4);
-  const sequences = stored.effects.flatMap((effect) =>
-    effect.kind === 'send' && effect.message.kind === 'acknowledge'
-      ? [effect.message.sequence]
-      : [],
-  );
-  expect(sequences).to.deep.equal([1, 2]);
+  expect(acknowledgedEnds(stored)).to.deep.equal([1, 2]);
 });
 
 // Guards against an agent that waits for the confirmation of a gone worker during an overload.
--- a/packages/scheduler/test/held.test.ts
+++ b/packages/scheduler/test/held.test.ts
@@ -1,19 +1,20 @@
 import { expect } from 'chai';
-import type { ListedEnd } from '@bronzeyoke/ports';
 import { jobKey, progressKey } from '@bronzeyoke/scheduler';
 import type { TaskProgress } from '@bronzeyoke/workflow';
 import { encodeProgress } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
+  acknowledgedEnds,
   advance,
-  answerReads,
+  cancelHeld,
   commitAll,
   createLeader,
-  createSuccessor,
   dispatch,
+  doneEnd,
   jobOf,
   lastWritten,
   listedRun,
+  loadWithProgress,
   loggedFields,
   phaseOf,
   report,
@@ -22,6 +23,7 @@
   stageOf,
   submit,
   TASK,
+  UNREADABLE,
   WALL_MS,
   workerKeyFor,
 } from './fixture';
@@ -29,19 +31,12 @@
 const JOB = jobOf('job1', [stageOf(2)]);
 const OTHER = 'job1.0.0.1';
 
-/** A row of a later build, which stores tasks in a phase that this one does not know. */
-const UNREADABLE = { workers: [], stages: { '0.0': { done: [], tasks: [[0, 9, 1, 0, -1]] } } };
-
 /** Time after which the progress of held jobs is read again. */
 const READ_INTERVAL_MS = 5_000;
 
 /** Returns a new leader that has read a row of job1's progress, with w1 and w2 in reach. */
 function loadedWith(value: unknown): Fixture {
-  const wallMs = WALL_MS;
-  const row = { ...progressKey('job1'), version: 9, value };
-  const read = answerReads(createSuccessor(), [row], wallMs);
-  const rows = [{ ...jobKey('job1'), version: 8, value: JOB }];
-  const loaded = commitAll(dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs }));
+  const loaded = loadWithProgress(JOB, value);
   return commitAll(report(commitAll(report(loaded, 'w2')), 'w1'));
 }
 
@@ -62,24 +57,6 @@
   return commitAll(dispatch(due, event));
 }
 
-function cancel(fixture: Fixture): Fixture {
-  const key = { table: 'job', partition: 'main', key: 'job1/cancel' };
-  const rows = [{ ...key, version: 13, value: {} }];
-  return commitAll(dispatch(fixture, { kind: 'jobRows', isFull: false, rows, wallMs: WALL_MS }));
-}
-
-function endOf(task: string, sequence: number, attempt = 3): ListedEnd {
-  return { sequence, task, attempt, end: 'done', checkpoint: '' };
-}
-
-function acknowledged(fixture: Fixture): readonly number[] {
-  return fixture.effects.flatMap((effect) =>
-    effect.kind === 'send' && effect.message.kind === 'acknowledge'
-      ? [effect.message.sequence]
-      : [],
-  );
-}
-
 // Guards against second runs of all tasks of a job whose progress this build cannot read, also of those
 // that are done.
 it('held: a job whose progress cannot be read is neither placed nor written', () => {
@@ -107,13 +84,13 @@
 
 // Guards against an end that a worker forgets although no row tells of it: its task would run again.
 it('held: the end of a run of a held job is not acknowledged', () => {
-  const ended = [endOf('job9.0.0.0', 1), endOf(TASK, 2), endOf('job9.0.0.1', 3)];
+  const ended = [doneEnd('job9.0.0.0', 1), doneEnd(TASK, 2), doneEnd('job9.0.0.1', 3)];
   const listed = commitAll(report(loadedWith(UNREADABLE), 'w1', { ended }));
-  expect(acknowledged(listed)).to.deep.equal([1]);
+  expect(acknowledgedEnds(listed)).to.deep.equal([1]);
   const progress = progressValue({ '0.0.0': runningOn('w1'), '0.0.1': runningOn('w1') });
   const opened = commitAll(report(reread(listed, progress), 'w1', { ended: ended.slice(1) }));
   expect(opened.state.jobs.get('job1')?.progress.tasks.get('0.0.0')?.phase).to.equal('done');
-  expect(acknowledged(opened)).to.deep.equal([1, 3]);
+  expect(acknowledgedEnds(opened)).to.deep.equal([1, 3]);
 });
 
 // Guards against a job that stays held when its row can be read again, and against second runs then.
@@ -150,7 +127,7 @@
 it('held: a held job can be cancelled, and its runs are stopped', () => {
   const listing = { running: [listedRun(TASK, 3)] };
   const listed = commitAll(report(loadedWith(UNREADABLE), 'w1', listing));
-  const cancelled = commitAll(report(advance(cancel(listed), 100), 'w1', listing));
+  const cancelled = commitAll(report(advance(cancelHeld(listed), 100), 'w1', listing));
   expect(lastWritten(cancelled, progressKey('job1'))).to.include({ outcome: 'cancelled' });
   expect(sentMessages(cancelled, 'stop')).to.have.length(1);
   expect(cancelled.state.ended.has('job1')).to.equal(true);
@@ -160,11 +137,11 @@
 
 // Guards against ends that a worker keeps for good after their job was cancelled, and all later ones with them.
 it('held: the ends of a held job are acknowledged once it is cancelled', () => {
-  const ended = [endOf(TASK, 1), endOf('job9.0.0.0', 2)];
+  const ended = [doneEnd(TASK, 1), doneEnd('job9.0.0.0', 2)];
   const listed = commitAll(report(loadedWith(UNREADABLE), 'w1', { ended }));
-  expect(acknowledged(listed)).to.deep.equal([]);
-  const cancelled = commitAll(report(advance(cancel(listed), 100), 'w1', { ended }));
-  expect(acknowledged(cancelled)).to.deep.equal([2]);
+  expect(acknowledgedEnds(listed)).to.deep.equal([]);
+  const cancelled = commitAll(report(advance(cancelHeld(listed), 100), 'w1', { ended }));
+  expect(acknowledgedEnds(cancelled)).to.deep.equal([2]);
 });
 
 // Guards against jobs that are held although nothing is wrong with their rows.
--- a/packages/scheduler/test/heldmoved.test.ts
+++ b/packages/scheduler/test/heldmoved.test.ts
@@ -1,31 +1,28 @@
 import { expect } from 'chai';
-import { jobKey, progressKey } from '@bronzeyoke/scheduler';
+import { progressKey } from '@bronzeyoke/scheduler';
 import type { TaskProgress } from '@bronzeyoke/workflow';
 import { encodeProgress } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
   advance,
-  answerReads,
   commitAll,
-  createSuccessor,
   dispatch,
   jobOf,
   listedRun,
+  loadWithProgress,
   loggedFields,
   report,
   sentMessages,
   siteOf,
   stageOf,
   TASK,
+  UNREADABLE,
   WALL_MS,
   workerKeyFor,
 } from './fixture';
 
 const JOB = jobOf('job1', [stageOf(1)]);
 
-/** A row of a later build, which stores tasks in a phase that this one does not know. */
-const UNREADABLE = { workers: [], stages: { '0.0': { done: [], tasks: [[0, 9, 1, 0, -1]] } } };
-
 /** Time after which the leases of earlier leaders have ended. */
 const HELD_MS = 10_000;
 
@@ -39,13 +36,9 @@
 }
 
 function createHolding(): Fixture {
-  const row = { ...progressKey('job1'), version: 9, value: UNREADABLE };
-  const read = answerReads(createSuccessor(), [row], WALL_MS);
-  const rows = [{ ...jobKey('job1'), version: 8, value: JOB }];
-  const held = dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs: WALL_MS });
   return Array.from({ length: HELD_MS / REPORT_MS }).reduce<Fixture>(
     (current) => reportAll(advance(current, REPORT_MS)),
-    reportAll(commitAll(held)),
+    reportAll(loadWithProgress(JOB, UNREADABLE)),
   );
 }
 
--- a/tools/capacity/main.ts
+++ b/tools/capacity/main.ts
@@ -1,10 +1,9 @@
 import type { ChildProcess } from 'node:child_process';
-import { fork } from 'node:child_process';
 import { once } from 'node:events';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
 import type { CapacityRole, CapacityReport, Usage } from './child';
+import { startChild } from '../child';
 
 const AGENTS_PER_PROCESS = 50;
 const SETTLE_MS = 8_000;
@@ -31,13 +30,10 @@
   readonly table: Usage;
 }
 
-async function startChild(role: CapacityRole): Promise<Child> {
-  const child = fork(fileURLToPath(new URL('./child.ts', import.meta.url)), {
-    execArgv: ['--import', 'tsx'],
-  });
-  child.send(role);
-  const [report] = (await once(child, 'message')) as [CapacityReport];
-  return { process: child, port: report.kind === 'ready' ? report.port : 0 };
+async function startRole(role: CapacityRole): Promise<Child> {
+  const script = new URL('./child.ts', import.meta.url);
+  const { child, message } = await startChild<CapacityRole, CapacityReport>(script, role);
+  return { process: child, port: message.kind === 'ready' ? message.port : 0 };
 }
 
 async function readUsage(child: Child): Promise<Usage> {
@@ -63,18 +59,18 @@
 }
 
 async function measure(size: number): Promise<Sample> {
-  const table = await startChild({ kind: 'table' });
-  const entry = await startChild({ kind: 'entry', tablePort: table.port });
+  const table = await startRole({ kind: 'table' });
+  const entry = await startRole({ kind: 'entry', tablePort: table.port });
   // The first process holds one agent alone, for the figures of an agent.
   const firsts = Array.from(
     { length: Math.ceil((size - 1) / AGENTS_PER_PROCESS) },
     (_, index) => 1 + index * AGENTS_PER_PROCESS,
   );
   const agentPort = entry.port;
-  const agent = await startChild({ kind: 'agents', agentPort, first: 0, count: 1 });
+  const agent = await startRole({ kind: 'agents', agentPort, first: 0, count: 1 });
   const others = await Promise.all(
     firsts.map((first) =>
-      startChild({
+      startRole({
         kind: 'agents',
         agentPort,
         first,
--- a/tools/load/main.ts
+++ b/tools/load/main.ts
@@ -1,14 +1,13 @@
 import type { ChildProcess } from 'node:child_process';
-import { fork } from 'node:child_process';
 import { once } from 'node:events';
 import { performance } from 'node:perf_hooks';
-import { fileURLToPath } from 'node:url';
 import { parseArgs } from 'node:util';
 import { build } from 'hdr-histogram-js';
 import type { Histogram } from 'hdr-histogram-js';
 import { Pool } from 'undici';
 import { calculateSpring, EXAMPLE_SPRING } from '@bronzeyoke/standins';
 import type { LoadRole, LoadReport } from './child';
+import { startChild } from '../child';
 
 const HOST = '127.0.0.1';
 const MICROS_PER_MS = 1_000;
@@ -49,12 +48,9 @@
   readonly processorMicrosPerRequest: number;
 }
 
-async function startChild(role: LoadRole): Promise<Child> {
-  const child = fork(fileURLToPath(new URL('./child.ts', import.meta.url)), {
-    execArgv: ['--import', 'tsx'],
-  });
-  child.send(role);
-  const [message] = (await once(child, 'message')) as [LoadReport];
+async function startRole(role: LoadRole): Promise<Child> {
+  const script = new URL('./child.ts', import.meta.url);
+  const { child, message } = await startChild<LoadRole, LoadReport>(script, role);
   if (message.kind !== 'ready')
     throw new TypeError('unexpected message of a child process: expected its ports');
   return { process: child, port: message.port, agentPort: message.agentPort };
@@ -168,10 +164,10 @@
 }
 
 async function main(): Promise<void> {
-  const upstream = await startChild({ kind: 'upstream' });
-  const passthrough = await startChild({ kind: 'passthrough', targetPort: upstream.port });
-  const entry = await startChild({ kind: 'entry' });
-  const agent = await startChild({
+  const upstream = await startRole({ kind: 'upstream' });
+  const passthrough = await startRole({ kind: 'passthrough', targetPort: upstream.port });
+  const entry = await startRole({ kind: 'entry' });
+  const agent = await startRole({
     kind: 'agent',
     agentPort: entry.agentPort,
     upstreamPort: upstream.port,
