Tell in the line of a release what the lease end rests on

A release by lease end told how long ago the lease had ended, but not whether it was a grant, a row of the leader before, the longest lease of a young instance or an adopted run. The state of a worker now carries the basis as a union, and taskReleased names it (leaseFrom, leaseBaseAgoMs). Reason and worker come first, because users keep 200 characters of a line. A release that keeps the worker for late starts no longer shows a negative leaseEndedAgoMs.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -3,13 +3,14 @@
 import { assignedSlots } from '@bronzeyoke/workflow';
 import { indexInstances } from './identities';
 import { addOrphan, orphansOf } from '../jobs/jobend';
+import { rowLeaseBasis } from './leasebasis';
 import { leaseEndAtMs, leaseEndMs } from './leases';
 import { inheritedPaceOf } from '../placement/inheritedpace';
 import type { RunTable } from '../runs';
 import { createRun, dropRuns, NO_RUNS, putRun, runKey } from '../runs';
 import { findSuspects } from '../jobs/suspects';
 import type { GoneReport, SchedulerState } from '../types';
-import type { OpenJob, RunView, WorkerView } from '../views';
+import type { LeaseBasis, OpenJob, RunView, WorkerView } from '../views';
 
 function isOpen({ jobs }: SchedulerState, jobId: string): boolean {
   const open = jobs.get(jobId);
@@ -72,12 +73,13 @@
 }
 
 /** Returns a worker that has not reported yet, and may run tasks until `expiresAtMs`. */
-function unheardWorker(workerKey: string, expiresAtMs: number): WorkerView {
+function unheardWorker(workerKey: string, expiresAtMs: number, leaseFrom: LeaseBasis): WorkerView {
   return {
     workerKey,
     clockMs: -1,
     linkNumber: -1,
     expiresAtMs,
+    leaseFrom,
     handledSequence: 0,
     failedJobs: [],
     quarantinedUntilMs: 0,
@@ -105,8 +107,14 @@
   const leaseEndOf = (workerKey: string): number => leaseEndAtMs(state.earlierLeases, workerKey);
   const silent = keys.filter((workerKey) => !gone.has(workerKey));
   const workers = keys.map((workerKey) => {
-    const expiresAtMs = gone.has(workerKey) ? nowMs : leaseEndOf(workerKey);
-    return [workerKey, unheardWorker(workerKey, expiresAtMs)] as const;
+    const view = gone.has(workerKey)
+      ? unheardWorker(workerKey, nowMs, { kind: 'reportedGone', baseAtMs: nowMs })
+      : unheardWorker(
+          workerKey,
+          leaseEndOf(workerKey),
+          rowLeaseBasis(state.earlierLeases, workerKey),
+        );
+    return [workerKey, view] as const;
   });
   const known = withClaimedAddresses(Map(workers), state);
   return {
@@ -129,12 +137,12 @@
   const unheard = runs
     .map(([, { workerKey }]) => workerKey)
     .filter((workerKey) => !state.workers.has(workerKey))
-    .map((workerKey) =>
-      unheardWorker(
-        workerKey,
-        Math.max(earliestEndAtMs, leaseEndAtMs(state.earlierLeases, workerKey)),
-      ),
-    );
+    .map((workerKey) => {
+      const rowEndAtMs = leaseEndAtMs(state.earlierLeases, workerKey);
+      return rowEndAtMs > earliestEndAtMs
+        ? unheardWorker(workerKey, rowEndAtMs, rowLeaseBasis(state.earlierLeases, workerKey))
+        : unheardWorker(workerKey, earliestEndAtMs, { kind: 'adopted', baseAtMs: nowMs });
+    });
   const workers = state.workers.merge(unheard.map((view) => [view.workerKey, view]));
   const keys = runs.map(([task, { attempt }]) => runKey({ task, attempt }));
   const jobs = Map([[job.jobId, open]]);
--- a/packages/scheduler/src/fleet/grants.ts
+++ b/packages/scheduler/src/fleet/grants.ts
@@ -4,6 +4,7 @@
 import { isAwaited, leaseEndMs } from './leases';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
+import type { WorkerView } from '../views';
 
 /** Share of a lease that is granted on the worker's clock, which may be 2% slow. */
 const CLOCK_SHARE = 0.98;
@@ -29,10 +30,12 @@
     return unchanged(state);
   }
   const times = state.storedTimes ?? state.settings.times;
-  const granted = {
-    ...view,
-    expiresAtMs: Math.max(view.expiresAtMs, view.reportedAtMs + leaseEndMs(times)),
-  };
+  const grantEndAtMs = view.reportedAtMs + leaseEndMs(times);
+  const grant = {
+    expiresAtMs: grantEndAtMs,
+    leaseFrom: { kind: 'grant', baseAtMs: view.reportedAtMs },
+  } as const;
+  const granted: WorkerView = { ...view, ...(grantEndAtMs > view.expiresAtMs ? grant : {}) };
   const message = {
     kind: 'grant',
     workerKey,
--- a/packages/scheduler/src/fleet/leases.ts
+++ b/packages/scheduler/src/fleet/leases.ts
@@ -19,7 +19,7 @@
 }
 
 /** No earlier leader has granted a lease. */
-export const NO_EARLIER_LEASES: EarlierLeases = { endAtMs: 0, awaited: Map() };
+export const NO_EARLIER_LEASES: EarlierLeases = { rowSeenAtMs: 0, endAtMs: 0, awaited: Map() };
 
 function msUntil(atMs: number, nowMs: number): number {
   return Math.max(0, Math.ceil(atMs - nowMs));
@@ -36,6 +36,11 @@
  */
 const YOUNG_INSTANCE_MS = 15_000;
 
+/** Returns whether a call to the instance before a worker may have given it the longest lease. */
+export function isYoungInstance(times: SchedulerTimes, bornAtMs: number, wallMs: number): boolean {
+  return wallMs - bornAtMs < YOUNG_INSTANCE_MS + times.maxLeaseEndMs;
+}
+
 /**
  * Returns when the lease of a worker that reports for the first time has ended at the latest. A call to the
  * instance before it carries a lease by that one's clock, which the worker cuts to the longest one; the
@@ -48,7 +53,7 @@
   nowMs: number,
   wallMs: number,
 ): number {
-  const isYoung = wallMs - bornAtMs < YOUNG_INSTANCE_MS + times.maxLeaseEndMs;
+  const isYoung = isYoungInstance(times, bornAtMs, wallMs);
   return nowMs + (isYoung ? times.maxLeaseEndMs : leaseEndMs(times));
 }
 
@@ -69,9 +74,11 @@
   if (grants === undefined) {
     // Also when the row was released: it does not tell of the leader before its holder.
     const endMs = UNDESCRIBED_GRANT_WINDOW_MS + leaseEndMs(times);
-    return { endAtMs: firstSeenAtMs + endMs, awaited: Map() };
+    return { rowSeenAtMs: firstSeenAtMs, endAtMs: firstSeenAtMs + endMs, awaited: Map() };
   }
   return {
+    rowSeenAtMs: firstSeenAtMs,
+    grants,
     endAtMs: firstSeenAtMs + Math.max(grants.earlierEndMs, grants.lastEndMs),
     awaited: Map(grants.awaitedEndMs)
       .merge(grants.longEndMs ?? {})
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -7,6 +7,7 @@
 import { advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { dropInstance } from './identities';
 import { lateStartsEndMs } from './latestarts';
+import { leaseBasisFields } from './leasebasis';
 import { rememberReleased } from './releasedruns';
 import { taskTime } from '../jobs/openjob';
 import { startWait } from '../placement/placewait';
@@ -14,7 +15,7 @@
 import { putJob, withEffects } from '../state';
 import { taskLog } from '../tasklog';
 import type { SchedulerState, SchedulerStep } from '../types';
-import type { RunView } from '../views';
+import type { RunView, WorkerView } from '../views';
 
 /** Delay before a task is placed again that a worker refused. */
 const REFUSAL_BACK_OFF_MS = 150;
@@ -69,7 +70,11 @@
     case 'leaseExpired':
       return view === undefined
         ? fields
-        : { ...fields, leaseEndedAgoMs: Math.round(nowMs - view.expiresAtMs) };
+        : {
+            leaseEndedAgoMs: Math.round(nowMs - view.expiresAtMs),
+            ...leaseBasisFields(view.leaseFrom, nowMs),
+            ...fields,
+          };
     case 'workerGone':
     case 'notConnected':
     case 'stoppedBeforeOrder':
@@ -108,15 +113,16 @@
     { ...open, progress: withTasks(open.progress, [[slot, released]]), ...time },
   );
   return withEffects(next, [
+    // Users keep the first 200 characters of a line.
     taskLog(run.stage, 'taskReleased', {
-      job: jobId,
+      reason,
+      worker: workerKey,
       task,
       attempt,
-      worker: workerKey,
-      reason,
-      claimedForMs: Math.round(nowMs - run.claimedAtMs),
       ...evidenceOf(state, run, reason, nowMs),
       ...evidence,
+      claimedForMs: Math.round(nowMs - run.claimedAtMs),
+      job: jobId,
     }),
   ]);
 }
@@ -180,9 +186,20 @@
   const tasks = [...runsOn(state.runs, workerKey)].flatMap(([task, run]) =>
     isOpen(task, run) ? [] : [task],
   );
-  const expiresAtMs = Math.max(view.expiresAtMs, lateStartsEndMs(state, workerKey));
-  const workers = state.workers.set(workerKey, { ...view, hasEnded: true, expiresAtMs });
-  const step = releaseRuns({ ...state, workers }, workerKey, tasks, reason, nowMs);
+  const lateEndAtMs = lateStartsEndMs(state, workerKey);
+  const kept = {
+    expiresAtMs: lateEndAtMs,
+    leaseFrom: { kind: 'lateStart', baseAtMs: nowMs },
+  } as const;
+  const ended: WorkerView = {
+    ...view,
+    hasEnded: true,
+    ...(lateEndAtMs > view.expiresAtMs ? kept : {}),
+  };
+  // The lines of the releases tell of the lease that has ended.
+  const released = releaseRuns(state, workerKey, tasks, reason, nowMs);
+  const workers = released.state.workers.set(workerKey, ended);
+  const step = withEffects({ ...released.state, workers }, released.effects);
   // Agents repeat the message.
   if (view.hasEnded === true && tasks.length === 0) return step;
   const sign = reason === 'workerGone' ? 'workerEnded' : reason;
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -23,6 +23,7 @@
 } from './instances';
 import { putInstance } from './identities';
 import { grantIfAllowed } from './grants';
+import { firstLeaseBasis } from './leasebasis';
 import { firstLeaseEndAtMs, isAwaited } from './leases';
 import { addReporter } from './links';
 import { applyEnd } from '../jobs/ends';
@@ -94,6 +95,7 @@
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: isNewClock ? clockMs : (known?.clockMs ?? -1),
     expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, worker.bornAtMs, nowMs, wallMs),
+    leaseFrom: known?.leaseFrom ?? firstLeaseBasis(times, worker.bornAtMs, nowMs, wallMs),
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -12,7 +12,7 @@
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { PlaceWait } from './placement/placewait';
-import type { Leader, LeaseValue } from './leadership/rows';
+import type { Leader, LeaseGrants, LeaseValue } from './leadership/rows';
 import type { OrphanTable, RunTable, TaskTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
@@ -79,6 +79,10 @@
 
 /** Ends of the leases that earlier leaders may have granted. */
 export interface EarlierLeases {
+  /** When this entry first read the lease row that tells of them; they count from then. */
+  readonly rowSeenAtMs: number;
+  /** What that row says; absent without a row, or when it describes no leases. */
+  readonly grants?: LeaseGrants;
   /** End for every worker that is not in `awaited`. */
   readonly endAtMs: number;
   readonly awaited: Map<string, number>;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -124,6 +124,27 @@
   readonly sentAtMs: number;
 }
 
+/** What the leader derives the end of a worker's lease from, with the time that the lease counts from. */
+export type LeaseBasis =
+  /** A lease that this leader has granted, from the report that it answers. */
+  | { readonly kind: 'grant'; readonly baseAtMs: number }
+  /** The first report of an instance of some age, which has no lease but those of its leader. */
+  | { readonly kind: 'report'; readonly baseAtMs: number }
+  /** The first report of an instance that may have got the longest lease from a late call. */
+  | { readonly kind: 'youngInstance'; readonly baseAtMs: number }
+  /** The lease row of the leader before names the worker as awaited. */
+  | { readonly kind: 'rowAwaited'; readonly baseAtMs: number }
+  /** That row gives the worker a longer lease than the others. */
+  | { readonly kind: 'rowLong'; readonly baseAtMs: number }
+  /** That row does not name the worker, so that its general end counts. */
+  | { readonly kind: 'rowGeneral'; readonly baseAtMs: number }
+  /** An agent told a loading leader that the worker is gone. */
+  | { readonly kind: 'reportedGone'; readonly baseAtMs: number }
+  /** A run of the worker in a job that was opened while this entry leads. */
+  | { readonly kind: 'adopted'; readonly baseAtMs: number }
+  /** The lease is over; the worker is kept for start orders that may come late. */
+  | { readonly kind: 'lateStart'; readonly baseAtMs: number };
+
 /** The leader's state of one worker instance. */
 export interface WorkerView {
   readonly workerKey: string;
@@ -141,6 +162,8 @@
   readonly clockMs: number;
   /** Time after which no task can still run there, unless a report extends the lease. */
   readonly expiresAtMs: number;
+  /** What `expiresAtMs` was derived from. */
+  readonly leaseFrom: LeaseBasis;
   /** Highest sequence of a listed end that was applied to the jobs' progress. */
   readonly handledSequence: number;
   /** Jobs that failed here since the last success. */
