Log ends of released runs with the release and the cost

An end that came after the release of its run was acknowledged without a line unless no list had named the run before, and a new leader never told of one that its predecessor had released. The event endAfterRelease names the release, the leader that made it and the run that the task is claimed for, once for each run; two counters give the number of such ends by state of the task and the time of the second runs. It also covers ends of attempts that the stored progress does not know, and of unknown jobs, which are acknowledged without effect. Released runs are kept after a list has named them, so that the end that follows finds the release.

--- a/packages/scheduler/src/fleet/releasedruns.ts
+++ b/packages/scheduler/src/fleet/releasedruns.ts
@@ -7,7 +7,7 @@
 import type { ReleasedRun, RunView } from '../views';
 
 /** Time for which a released run is remembered. Longer than any lease that a worker accepts. */
-const REMEMBER_MS = 30_000;
+export const REMEMBER_RELEASED_MS = 30_000;
 
 /** Remembers a run that was released without a listed end. One that was never ordered can't be listed. */
 export function rememberReleased(
@@ -18,7 +18,13 @@
   nowMs: number,
 ): SchedulerState {
   if (!isOrdered) return state;
-  const released = { workerKey, reason, releasedAtMs: nowMs };
+  const leaseFrom = state.workers.get(workerKey)?.leaseFrom.kind;
+  const released: ReleasedRun = {
+    workerKey,
+    reason,
+    releasedAtMs: nowMs,
+    ...(leaseFrom === undefined ? {} : { leaseFrom }),
+  };
   return {
     ...state,
     released: state.released.set(runKey({ task, attempt }), released),
@@ -28,7 +34,8 @@
 /** Forgets the runs that were released long ago. */
 export function forgetReleased(state: SchedulerState, nowMs: number): SchedulerState {
   if (state.released.isEmpty()) return state;
-  const isRecent = ({ releasedAtMs }: ReleasedRun): boolean => nowMs - releasedAtMs < REMEMBER_MS;
+  const isRecent = ({ releasedAtMs }: ReleasedRun): boolean =>
+    nowMs - releasedAtMs < REMEMBER_RELEASED_MS;
   if (state.released.every(isRecent)) return state;
   return { ...state, released: state.released.filter(isRecent) };
 }
@@ -47,7 +54,7 @@
   const { task, attempt } = run;
   const key = runKey(run);
   const known = state.released.get(key);
-  if (known === undefined) return unchanged(state);
+  if (known === undefined || known.isListed === true) return unchanged(state);
   const claimedOn = state.runs.byTask.get(task)?.workerKey;
   const { reason, releasedAtMs, workerKey: releasedFrom } = known;
   const fields = {
@@ -60,7 +67,8 @@
     listedAs,
     ...(claimedOn === undefined ? {} : { claimedOn }),
   };
-  return withEffects({ ...state, released: state.released.delete(key) }, [
+  const listed = { ...known, isListed: true };
+  return withEffects({ ...state, released: state.released.set(key, listed) }, [
     taskLog(knownStage(state, run), 'taskListedAfterRelease', fields),
   ]);
 }
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -29,6 +29,7 @@
 import { applyEnd } from '../jobs/ends';
 import { isHeldTask } from '../jobs/held';
 import { taskTime } from '../jobs/openjob';
+import { logEndAfterRelease, showsLateRun } from './lateends';
 import { lateStartsOn, mayStartLate } from './latestarts';
 import { moveListedRuns } from './move';
 import { orderHeldStarts } from '../leadership/postcommit';
@@ -158,9 +159,6 @@
   return chainAfter(released, [(current) => unchanged(markCompared(current, report.workerKey))]);
 }
 
-/** Ends that follow from a release or go before it, and so are no sign of a run that went on after it. */
-const EXPECTED_ENDS: ReadonlySet<string> = new Set(['expired', 'stopped']);
-
 /**
  * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
  * acknowledgement covers all ends before it.
@@ -188,10 +186,11 @@
   const step = chainAll(
     state,
     unhandled.flatMap((ended) => [
+      (current: SchedulerState) => logEndAfterRelease(current, { ...ended, workerKey }, nowMs),
       (current: SchedulerState) =>
-        EXPECTED_ENDS.has(ended.end)
-          ? unchanged(current)
-          : logListedAfterRelease(current, workerKey, ended, ended.end, nowMs),
+        showsLateRun(ended.end)
+          ? logListedAfterRelease(current, workerKey, ended, ended.end, nowMs)
+          : unchanged(current),
       (current: SchedulerState) => applyEnd(current, { ...ended, workerKey }, nowMs, wallMs),
     ]),
   );
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -23,6 +23,7 @@
   runs: NO_RUNS,
   orphans: NO_RUNS,
   released: Map<string, never>(),
+  lateEnds: Map<string, never>(),
   loads: Map<string, never>(),
   passCount: 0,
   lastPassAtMs: -Infinity,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -19,6 +19,7 @@
 import { HELD_CALL, onHeldRows, readHeldJobs } from './jobs/held';
 import { onJobRows, onLoaded } from './jobs/jobs';
 import { advanceLeadership, CALLS, onLeader, onLeaderRow } from './leadership/leadership';
+import { forgetLateEnds } from './fleet/lateends';
 import { lateStartsOn } from './fleet/latestarts';
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
@@ -110,7 +111,8 @@
         needsPlacement: true,
       }
     : state;
-  return chainAll(forgetReleased(forgetQuickEnds(updated, nowMs), nowMs), [
+  const remembered = forgetLateEnds(forgetQuickEnds(updated, nowMs), nowMs);
+  return chainAll(forgetReleased(remembered, nowMs), [
     (current) => pollLease(current, nowMs),
     (current) => retryClaim(current, nowMs),
     (current) => retryReads(current, nowMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -219,8 +219,10 @@
   readonly instanceCount: number;
   readonly runs: RunTable;
   readonly orphans: OrphanTable;
-  /** Runs that were released lately, by task and attempt, until a worker lists them. */
+  /** Runs that were released lately, by task and attempt. */
   readonly released: Map<string, ReleasedRun>;
+  /** When the late ends of runs were logged, by task and attempt. */
+  readonly lateEnds: Map<string, number>;
   /** Loads of the usable workers, as of the last placement. */
   readonly loads: KnownLoads;
   readonly passCount: number;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -94,6 +94,10 @@
   readonly workerKey: string;
   readonly reason: string;
   readonly releasedAtMs: number;
+  /** What the end of its worker's lease was derived from; absent if the worker was not known. */
+  readonly leaseFrom?: LeaseBasis['kind'];
+  /** A worker has listed it since. */
+  readonly isListed?: boolean;
 }
 
 /** A run that no open job wants. It occupies its worker until the worker no longer lists it. */
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -12,6 +12,14 @@
     kind: 'counter',
     help: 'Runs given up without a listed end, by reason.',
   },
+  bronzeyoke_ends_after_release_total: {
+    kind: 'counter',
+    help: 'Ends of runs that their tasks were no longer claimed for, by state of the task.',
+  },
+  bronzeyoke_repeated_work_seconds_total: {
+    kind: 'counter',
+    help: 'Time for which tasks that were done already were ordered again, until their ends were known.',
+  },
   bronzeyoke_log_lines_dropped_total: { kind: 'gauge', help: 'Log lines left out.' },
   bronzeyoke_lasting_away: { kind: 'gauge', help: 'Lasting tasks that do not work, by reason.' },
   bronzeyoke_workers_blocked: {
@@ -33,6 +41,8 @@
   bronzeyoke_place_wait_seconds: { kind: 'summary', help: 'Waits of lasting tasks for a place.' },
 } as const;
 
+const MS_PER_SECOND = 1_000;
+
 type MetricName = keyof typeof DEFINITIONS;
 
 /** Events of an entry that begins or ceases to lead, and so counts nothing. */
@@ -92,6 +102,11 @@
   });
 }
 
+/** Returns the time of a second run of a task until the late end of the first one. */
+function repeatedSeconds({ repeatedMs }: EventFields): number {
+  return typeof repeatedMs === 'number' ? repeatedMs / MS_PER_SECOND : 0;
+}
+
 /** Counters and histograms of the events of a process. */
 export interface EventMetrics {
   readonly record: (event: EventName, fields: EventFields) => void;
@@ -114,6 +129,10 @@
       if (event === 'taskReleased') {
         metrics.count('bronzeyoke_releases_total', { reason: String(fields.reason) });
       }
+      if (event === 'endAfterRelease') {
+        metrics.count('bronzeyoke_ends_after_release_total', { state: String(fields.state) });
+        metrics.count('bronzeyoke_repeated_work_seconds_total', {}, repeatedSeconds(fields));
+      }
       if (event === 'jobEnded') {
         jobTimes(fields).forEach(([cause, ms]) =>
           metrics.observe('bronzeyoke_job_time_seconds', { cause }, ms),
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -8,6 +8,7 @@
   'taskMoved',
   'taskReleased',
   'taskListedAfterRelease',
+  'endAfterRelease',
   'taskEnded',
   'taskStopped',
   'taskSuspected',
@@ -34,6 +35,20 @@
 /** Reason for which a lasting task does not work. */
 export type AwayReason = (typeof AWAY_REASONS)[number];
 
+/** What a task is at when the end of a released run of it comes. Each is a series of a counter. */
+export type EndAfterReleaseState =
+  /** It waits for a place. */
+  | 'unclaimed'
+  /** Another run is claimed and not ordered. */
+  | 'claimed'
+  /** Another run is ordered. */
+  | 'ordered'
+  /** Another run has done it. */
+  | 'done'
+  | 'jobOver'
+  /** The leader knows neither that the job is open nor that it has ended. */
+  | 'unknownJob';
+
 /** Name of a logged event about one task. */
 export type TaskEventName = (typeof TASK_EVENTS)[number];
 
--- a/packages/telemetry/test/eventlog.test.ts
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -107,3 +107,15 @@
   expect(metrics.text(0)).to.include('bronzeyoke_releases_total{reason="workerGone"} 2');
   expect(metrics.text(0)).to.include('bronzeyoke_releases_total{reason="leaseExpired"} 1');
 });
+
+// Guards against late ends that cannot be counted by what they cost.
+it('eventmetrics: late ends are counted by state, and their repeated work in seconds', () => {
+  const metrics = createEventMetrics(createHistogram);
+  metrics.record('endAfterRelease', { state: 'unclaimed' });
+  metrics.record('endAfterRelease', { state: 'ordered', repeatedMs: 1_500 });
+  metrics.record('endAfterRelease', { state: 'ordered', repeatedMs: 250 });
+  const lines = metrics.text(0).split('\n');
+  expect(lines).to.include('bronzeyoke_ends_after_release_total{state="unclaimed"} 1');
+  expect(lines).to.include('bronzeyoke_ends_after_release_total{state="ordered"} 2');
+  expect(lines).to.include('bronzeyoke_repeated_work_seconds_total 1.75');
+});
