Tell where a leader has a job from, and whether it has progress

A job that a leading entry opens for the first time is opened without progress. Nothing told such a job that had just been accepted from one that a feed had lost and that may have tasks that are done. jobSeen now carries the source (load, fullRead, change, held), hasProgress and the age since the acceptance.

--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -3,14 +3,14 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { decodeProgress, parseTaskName, statusOf } from '@bronzeyoke/workflow';
+import { decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
 import { adoptJobRuns } from '../fleet/adopt';
 import { progressPageRows } from '../leadership/budget';
 import { PARTITION, TABLES } from '../leadership/rows';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 import type { StoredProgress } from '../views';
-import { createOpenJob } from './openjob';
+import { createOpenJob, jobSeenLog } from './openjob';
 
 /** Id of the call that reads the progress of held jobs. */
 export const HELD_CALL = 'held-jobs';
@@ -82,8 +82,9 @@
   }
   const open = createOpenJob(job, progress, moment);
   const opened = { ...rest, jobs: rest.jobs.set(jobId, open), needsPlacement: true };
-  const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
-  return withEffects(adoptJobRuns(opened, open, moment.nowMs), [logEffect('jobSeen', fields)]);
+  return withEffects(adoptJobRuns(opened, open, moment.nowMs), [
+    jobSeenLog(job, progress, 'held', moment.wallMs),
+  ]);
 }
 
 /** Opens the held jobs whose progress has become readable. One whose row is missing stays held. */
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -4,7 +4,7 @@
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { Moment } from '@bronzeyoke/latency';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { decodeJob, NO_PROGRESS, statusOf } from '@bronzeyoke/workflow';
+import { decodeJob, NO_PROGRESS } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
 import { advanceLeadership } from '../leadership/leadership';
@@ -15,7 +15,8 @@
 import type { OpenJob, StoredProgress } from '../views';
 import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
-import { createOpenJob } from './openjob';
+import type { JobSource } from './openjob';
+import { createOpenJob, jobSeenLog } from './openjob';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
@@ -29,14 +30,14 @@
   state: SchedulerState,
   job: WorkflowJob,
   progress: JobProgress,
+  source: JobSource,
   moment: Moment,
 ): SchedulerStep {
   const { jobId } = job;
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
   const open = createOpenJob(job, progress, moment);
-  const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
   return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
-    logEffect('jobSeen', fields),
+    jobSeenLog(job, progress, source, moment.wallMs),
   ]);
 }
 
@@ -63,12 +64,13 @@
   state: SchedulerState,
   job: WorkflowJob,
   stored: StoredProgress,
+  source: JobSource,
   moment: Moment,
 ): SchedulerStep {
   if (state.held.jobs.has(job.jobId)) return unchanged(state);
   switch (stored.kind) {
     case 'readable':
-      return addJob(state, job, stored.progress, moment);
+      return addJob(state, job, stored.progress, source, moment);
     case 'unreadable':
       return holdJob(state, job, stored.version);
     default:
@@ -76,10 +78,16 @@
   }
 }
 
+/** Where rows of the job table come from, and what is known of the progress of their jobs. */
+interface JobContext {
+  readonly source: JobSource;
+  readonly progressOf: (jobId: string) => StoredProgress;
+}
+
 function applyJobRow(
   state: SchedulerState,
   row: StoredRow,
-  progressOf: (jobId: string) => StoredProgress,
+  { progressOf, source }: JobContext,
   moment: Moment,
 ): SchedulerStep {
   const parsed = parseJobKey(row.key);
@@ -89,7 +97,7 @@
       if (job === undefined) {
         return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
       }
-      return addStoredJob(state, job, progressOf(parsed.jobId), moment);
+      return addStoredJob(state, job, progressOf(parsed.jobId), source, moment);
     }
     case 'cancel':
       return cancelJob(state, parsed.jobId, moment);
@@ -101,7 +109,7 @@
 function applyJobRows(
   state: SchedulerState,
   rows: readonly StoredRow[],
-  progressOf: (jobId: string) => StoredProgress,
+  context: JobContext,
   moment: Moment,
 ): SchedulerStep {
   // In key order a cancellation precedes the definition of its job.
@@ -112,7 +120,7 @@
   return chainAll(
     state,
     [...others, ...cancels].map(
-      (row) => (current: SchedulerState) => applyJobRow(current, row, progressOf, moment),
+      (row) => (current: SchedulerState) => applyJobRow(current, row, context, moment),
     ),
   );
 }
@@ -152,9 +160,12 @@
     // Workers may be granted leases once the lease row says so.
     renewAtMs: nowMs,
   };
+  const context: JobContext = {
+    source: 'load',
+    progressOf: (jobId) => progress.get(jobId) ?? NO_ROW,
+  };
   return chainAll(loaded, [
-    (current) =>
-      applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, { nowMs, wallMs }),
+    (current) => applyJobRows(current, jobRows, context, { nowMs, wallMs }),
     (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
@@ -168,7 +179,10 @@
   nowMs: number,
 ): SchedulerStep {
   const { rows, isFull, wallMs } = event;
-  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_ROW, { nowMs, wallMs });
+  if (state.phase === 'leading') {
+    const source = isFull ? 'fullRead' : 'change';
+    return applyJobRows(state, rows, { source, progressOf: () => NO_ROW }, { nowMs, wallMs });
+  }
   if (state.phase !== 'loading') return unchanged(state);
   const known = state.loading.jobRows;
   if (known === undefined && !isFull) return unchanged(state);
--- a/packages/scheduler/src/jobs/openjob.ts
+++ b/packages/scheduler/src/jobs/openjob.ts
@@ -1,8 +1,9 @@
 import type { JobLatency, LatencyBreakdown, Moment, TaskChange } from '@bronzeyoke/latency';
 import { changeJobTask, explainLatency, LATENCY_CAUSES, openJobLatency } from '@bronzeyoke/latency';
-import type { EventFields } from '@bronzeyoke/telemetry';
+import type { EventFields, LogEffect } from '@bronzeyoke/telemetry';
+import { logEffect } from '@bronzeyoke/telemetry';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { restartLasting } from '@bronzeyoke/workflow';
+import { restartLasting, statusOf } from '@bronzeyoke/workflow';
 import type { SchedulerState } from '../types';
 import type { OpenJob } from '../views';
 
@@ -12,6 +13,37 @@
   return { job, progress, isCancelled: false, latency: openJobLatency(job, progress, moment) };
 }
 
+/** How a leader came to know of a job. */
+export type JobSource =
+  /** The reads of a new leader, with the progress table. */
+  | 'load'
+  /** A full read of the job table while this entry leads. */
+  | 'fullRead'
+  /** A change of the job table. */
+  | 'change'
+  /** The job was held, and its progress has become readable. */
+  | 'held';
+
+/**
+ * Creates the log effect of a job that a leader opens. One that comes without progress long after its
+ * acceptance may have tasks that are done, and would run them again.
+ */
+export function jobSeenLog(
+  { jobId, policy, acceptedAtMs }: WorkflowJob,
+  progress: JobProgress,
+  source: JobSource,
+  wallMs: number,
+): LogEffect {
+  return logEffect('jobSeen', {
+    job: jobId,
+    queue: policy.queue,
+    status: statusOf(progress),
+    source,
+    hasProgress: progress.tasks.size > 0,
+    ageMs: Math.round(wallMs - acceptedAtMs),
+  });
+}
+
 /** Returns the record of a job's time after a change of one of its tasks. */
 export function taskTime(
   { latency }: OpenJob,
