Tell what the lease row of the leader before says of leases

After a take-over nobody could tell until when workers might hold leases of leaders before. leaderClaimed now names the age of the row and what it describes, workersAwaited the number of workers by what the row says of them and when the general end is.

--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -7,6 +7,7 @@
 import { decodeJob, NO_PROGRESS } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
+import { awaitedFields } from '../fleet/leaserowlog';
 import { advanceLeadership } from '../leadership/leadership';
 import { advanceRead, areReadsDone, readTable } from '../leadership/load';
 import { PAIRS_KEY, parseJobKey, TABLES } from '../leadership/rows';
@@ -141,7 +142,12 @@
     waitMs,
     sinceClaimMs: Math.round(nowMs - state.claimedAtMs),
   });
-  const workers = logEffect('workersAwaited', { count: awaited.size, waitMs, workers: keys });
+  const workers = logEffect('workersAwaited', {
+    count: awaited.size,
+    waitMs,
+    ...awaitedFields(state.earlierLeases, awaited, nowMs),
+    workers: keys,
+  });
   return withEffects(state, awaited.size === 0 ? [loaded] : [loaded, workers]);
 }
 
--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -3,6 +3,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
+import { claimFields } from '../fleet/leaserowlog';
 import { describeGrants, earlierLeasesOf } from '../fleet/leases';
 import type { LeaseValue } from './rows';
 import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
@@ -106,6 +107,7 @@
   state: SchedulerState,
   claim: Claim,
   versions: { readonly leader: number; readonly lease: number },
+  nowMs: number,
 ): SchedulerStep {
   const { leader, previous, earlierLeases, sentAtMs } = claim;
   const { awaited } = earlierLeases;
@@ -128,7 +130,8 @@
     previous === undefined || previous.entryId === leader.entryId
       ? []
       : [{ kind: 'notifyEntry', host: previous.host, port: previous.port, leader }];
-  const fields = { term: leader.term, before: previous?.entryId ?? '' };
+  const before = previous?.entryId ?? '';
+  const fields = { term: leader.term, before, ...claimFields(claim, nowMs) };
   return withEffects(step.state, [...step.effects, ...notify, logEffect('leaderClaimed', fields)]);
 }
 
@@ -156,7 +159,7 @@
   if (isSuperseded(state, claim)) return advanceLeadership(state, 'claimLost');
   switch (result.kind) {
     case 'committed':
-      return onClaimWon(state, claim, { leader: result.version, lease: result.version });
+      return onClaimWon(state, claim, { leader: result.version, lease: result.version }, nowMs);
     case 'unknown':
       return retryLater(state, claim, nowMs);
     case 'unavailable':
@@ -172,7 +175,12 @@
         return advanceLeadership(state, 'claimLost');
       }
       // An earlier attempt at the same claim took effect.
-      return onClaimWon(state, claim, { leader: leaderRow.version, lease: leaseRow.version });
+      return onClaimWon(
+        state,
+        claim,
+        { leader: leaderRow.version, lease: leaseRow.version },
+        nowMs,
+      );
     }
     default:
       return assertNever(result);
