Log ends of runs that late orders started, and the lease of a new instance

A run that a restarted worker began by an order to its earlier instance left a line only if a list showed it at work. lateOrderEnded names its end, and the instance and age of the order, as taskStopped with lateOrder does now. workerSeen of an agent tells how long a lease the instance may hold.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -12,6 +12,7 @@
   removeWorker,
 } from './gone';
 import { leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
+import { earlierOrderFields, lateOrderEnds } from './lateorders';
 import { forgetStart } from './recentstarts';
 import { reportIfDue, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
@@ -126,6 +127,7 @@
         attempt,
         worker: worker.workerKey,
         reason: 'lateOrder',
+        ...earlierOrderFields(current, { task, attempt }, nowMs),
       });
       return { state: call.state, effects: [...call.effects, log] };
     },
@@ -158,9 +160,10 @@
     pending: unsettledOrders(worker, listNumber),
   };
   const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
+  const late = lateOrderEnds(updated, listed, ended, nowMs);
   const gone = onSuccessorListed(updated);
   const report = reportIfDue(gone.state, nowMs);
-  return { state: report.state, effects: [...report.effects, ...gone.effects] };
+  return { state: report.state, effects: [...late, ...report.effects, ...gone.effects] };
 }
 
 function onHoldResult(
--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -166,7 +166,12 @@
   const gone = onSuccessorSeen(adopted, report, isLater);
   const created = createWorker(state, report, reply, nowMs);
   const list = onList(gone.state, created, reply, listNumber, nowMs);
-  const log = logEffect('workerSeen', { worker: workerKey, id, service });
+  const log = logEffect('workerSeen', {
+    worker: workerKey,
+    id,
+    service,
+    heldLeaseMs: created.heldLease.latestEndClockMs - created.heldLease.clockMs,
+  });
   return { state: list.state, effects: [...left.effects, ...gone.effects, log, ...list.effects] };
 }
 
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -14,6 +14,7 @@
   'taskSuspected',
   'taskCleared',
   'taskAway',
+  'lateOrderEnded',
   'orderRefused',
 ] as const;
 
