--- a/packages/scheduler/src/fleet/listedends.ts
+++ b/packages/scheduler/src/fleet/listedends.ts
@@ -1,15 +1,13 @@
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import type { Report } from '@bronzeyoke/wire';
 import { parseTaskName } from '@bronzeyoke/workflow';
+import { logEndAfterRelease, showsLateRun } from './lateends';
 import { logListedAfterRelease } from './releasedruns';
 import { applyEnd } from '../jobs/ends';
 import { isHeldTask } from '../jobs/held';
 import { addPostCommitAction, withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 
-/** Ends that follow from a release or go before it, and so are no sign of a run that went on after it. */
-const EXPECTED_ENDS: ReadonlySet<string> = new Set(['expired', 'stopped']);
-
 /**
  * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
  * acknowledgement covers all ends before it.
@@ -38,10 +36,11 @@
   const step = chainAll(
     state,
     unhandled.flatMap((ended) => [
+      (current: SchedulerState) => logEndAfterRelease(current, { ...ended, workerKey }, nowMs),
       (current: SchedulerState) =>
-        EXPECTED_ENDS.has(ended.end)
-          ? unchanged(current)
-          : logListedAfterRelease(current, workerKey, ended, ended.end, nowMs),
+        showsLateRun(ended.end)
+          ? logListedAfterRelease(current, workerKey, ended, ended.end, nowMs)
+          : unchanged(current),
       (current: SchedulerState) => applyEnd(current, { ...ended, workerKey }, nowMs, wallMs),
     ]),
   );
--- a/packages/scheduler/src/fleet/workerreport.ts
+++ b/packages/scheduler/src/fleet/workerreport.ts
@@ -5,6 +5,7 @@
 import type { Report } from '@bronzeyoke/wire';
 import { grantIfAllowed } from './grants';
 import { putInstance } from './identities';
+import { firstLeaseBasis } from './leasebasis';
 import { firstLeaseEndAtMs, isAwaited } from './leases';
 import { addReporter } from './links';
 import { runKey } from '../runs';
@@ -53,6 +54,7 @@
     linkNumber: state.links.get(linkId)?.number ?? -1,
     clockMs: Math.max(clockMs, known?.clockMs ?? -1),
     expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, worker.bornAtMs, nowMs, wallMs),
+    leaseFrom: known?.leaseFrom ?? firstLeaseBasis(times, worker.bornAtMs, nowMs, wallMs),
     handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -10,7 +10,7 @@
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 import type { StoredProgress } from '../views';
-import { createOpenJob, logSeen } from './openjob';
+import { createOpenJob, jobSeenLog } from './openjob';
 
 /** Id of the call that reads the progress of held jobs. */
 export const HELD_CALL = 'held-jobs';
@@ -84,7 +84,9 @@
   }
   const open = createOpenJob(job, progress, moment);
   const opened = { ...rest, jobs: rest.jobs.set(jobId, open), needsPlacement: true };
-  return withEffects(adoptJobRuns(opened, open, moment.nowMs), logSeen(job, progress));
+  return withEffects(adoptJobRuns(opened, open, moment.nowMs), [
+    jobSeenLog(job, progress, 'held', moment.wallMs),
+  ]);
 }
 
 /** Opens the held jobs whose progress has become readable. One whose row is missing stays held. */
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -7,6 +7,7 @@
 import { decodeJob, NO_PROGRESS } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
+import { awaitedFields } from '../fleet/leaserowlog';
 import { advanceLeadership } from '../leadership/leadership';
 import { advanceRead, areReadsDone, readTable } from '../leadership/load';
 import { ordersEndAtMs } from '../leadership/rowages';
@@ -16,7 +17,8 @@
 import type { OpenJob, StoredProgress } from '../views';
 import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
-import { createOpenJob, logSeen } from './openjob';
+import type { JobSource } from './openjob';
+import { createOpenJob, jobSeenLog } from './openjob';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
@@ -30,13 +32,15 @@
   state: SchedulerState,
   job: WorkflowJob,
   progress: JobProgress,
+  source: JobSource,
   moment: Moment,
 ): SchedulerStep {
   const { jobId } = job;
   if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
   const open = createOpenJob(job, progress, moment);
-  const jobs = state.jobs.set(jobId, open);
-  return withEffects({ ...state, jobs, needsPlacement: true }, logSeen(job, progress));
+  return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
+    jobSeenLog(job, progress, source, moment.wallMs),
+  ]);
 }
 
 /** Returns a job that can be cancelled. The row of one that has an outcome tells of no tasks. */
@@ -62,12 +66,13 @@
   state: SchedulerState,
   job: WorkflowJob,
   stored: StoredProgress,
+  source: JobSource,
   moment: Moment,
 ): SchedulerStep {
   if (state.held.jobs.has(job.jobId)) return unchanged(state);
   switch (stored.kind) {
     case 'readable':
-      return addJob(state, job, stored.progress, moment);
+      return addJob(state, job, stored.progress, source, moment);
     case 'unreadable':
       return holdJob(state, job, stored.version);
     default:
@@ -75,10 +80,16 @@
   }
 }
 
+/** Where rows of the job table come from, and what is known of the progress of their jobs. */
+interface JobContext {
+  readonly source: JobSource;
+  readonly progressOf: (jobId: string) => StoredProgress;
+}
+
 function applyJobRow(
   state: SchedulerState,
   row: StoredRow,
-  progressOf: (jobId: string) => StoredProgress,
+  { progressOf, source }: JobContext,
   moment: Moment,
 ): SchedulerStep {
   const parsed = parseJobKey(row.key);
@@ -88,7 +99,7 @@
       if (job === undefined) {
         return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
       }
-      return addStoredJob(state, job, progressOf(parsed.jobId), moment);
+      return addStoredJob(state, job, progressOf(parsed.jobId), source, moment);
     }
     case 'cancel':
       return cancelJob(state, parsed.jobId, moment);
@@ -100,7 +111,7 @@
 function applyJobRows(
   state: SchedulerState,
   rows: readonly StoredRow[],
-  progressOf: (jobId: string) => StoredProgress,
+  context: JobContext,
   moment: Moment,
 ): SchedulerStep {
   // In key order a cancellation precedes the definition of its job.
@@ -111,7 +122,7 @@
   return chainAll(
     state,
     [...others, ...cancels].map(
-      (row) => (current: SchedulerState) => applyJobRow(current, row, progressOf, moment),
+      (row) => (current: SchedulerState) => applyJobRow(current, row, context, moment),
     ),
   );
 }
@@ -132,7 +143,12 @@
     waitMs,
     sinceClaimMs: Math.round(nowMs - state.claimedAtMs),
   });
-  const workers = logEffect('workersAwaited', { count: awaited.size, waitMs, workers: keys });
+  const workers = logEffect('workersAwaited', {
+    count: awaited.size,
+    waitMs,
+    ...awaitedFields(state.earlierLeases, awaited, nowMs),
+    workers: keys,
+  });
   return withEffects(state, awaited.size === 0 ? [loaded] : [loaded, workers]);
 }
 
@@ -154,9 +170,12 @@
     // Workers may be granted leases once the lease row says so.
     renewAtMs: nowMs,
   };
+  const context: JobContext = {
+    source: 'load',
+    progressOf: (jobId) => progress.get(jobId) ?? NO_ROW,
+  };
   return chainAll(loaded, [
-    (current) =>
-      applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, { nowMs, wallMs }),
+    (current) => applyJobRows(current, jobRows, context, { nowMs, wallMs }),
     (current) => unchanged(adoptRuns(current, { goneReports, orderedAtMs }, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
@@ -170,7 +189,10 @@
   nowMs: number,
 ): SchedulerStep {
   const { rows, isFull, wallMs } = event;
-  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_ROW, { nowMs, wallMs });
+  if (state.phase === 'leading') {
+    const source = isFull ? 'fullRead' : 'change';
+    return applyJobRows(state, rows, { source, progressOf: () => NO_ROW }, { nowMs, wallMs });
+  }
   if (state.phase !== 'loading') return unchanged(state);
   const known = state.loading.jobRows;
   if (known === undefined && !isFull) return unchanged(state);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -13,7 +13,7 @@
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { SeenVersion } from './leadership/rowages';
 import type { PlaceWait } from './placement/placewait';
-import type { Leader, LeaseValue } from './leadership/rows';
+import type { Leader, LeaseGrants, LeaseValue } from './leadership/rows';
 import type { OrphanTable, RunTable, TaskTable } from './runs';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
@@ -80,6 +80,10 @@
 
 /** Ends of the leases that earlier leaders may have granted. */
 export interface EarlierLeases {
+  /** When this entry first read the lease row that tells of them; they count from then. */
+  readonly rowSeenAtMs: number;
+  /** What that row says; absent without a row, or when it describes no leases. */
+  readonly grants?: LeaseGrants;
   /** End for every worker that is not in `awaited`. */
   readonly endAtMs: number;
   readonly awaited: Map<string, number>;
@@ -218,8 +222,10 @@
   readonly instanceCount: number;
   readonly runs: RunTable;
   readonly orphans: OrphanTable;
-  /** Runs that were released lately, by task and attempt, until a worker lists them. */
+  /** Runs that were released lately, by task and attempt. */
   readonly released: Map<string, ReleasedRun>;
+  /** When the late ends of runs were logged, by task and attempt. */
+  readonly lateEnds: Map<string, number>;
   /** Loads of the usable workers, as of the last placement. */
   readonly loads: KnownLoads;
   readonly passCount: number;
