Hold jobs whose definition cannot be decoded

Cause: a new leader left such a job out. Its runs were stopped and their ends acknowledged without being stored. When its definition could be decoded, or came after the load, the job was opened without the progress that the leader had read, so all its tasks ran again, also done ones. Change: such a job is held like one whose progress cannot be read, until its definition can be decoded, it is cancelled, or a full read lacks it. A leader keeps the progress of jobs that it could not open; since nobody else writes progress, a job that is new to a leading entry gets it without another read.

--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -3,14 +3,15 @@
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
-import { decodeProgress, parseTaskName, statusOf } from '@bronzeyoke/workflow';
-import { adoptJobRuns } from '../fleet/adopt';
+import { decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
 import { progressPageRows } from '../leadership/budget';
 import { PARTITION, TABLES } from '../leadership/rows';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 import type { StoredProgress } from '../views';
-import { createOpenJob } from './openjob';
+import { handleKeptEnds } from './keptends';
+import { openWithRuns } from './openjobruns';
+import { isUndecodedTask } from './undecoded';
 
 /** Id of the call that reads the progress of held jobs. */
 export const HELD_CALL = 'held-jobs';
@@ -42,16 +43,14 @@
 export function dropHeld(state: SchedulerState, jobId: string): SchedulerState {
   if (!state.held.jobs.has(jobId)) return state;
   const held = { ...state.held, jobs: state.held.jobs.delete(jobId) };
-  return {
-    ...state,
-    held,
-    workers: state.workers.map((view) => ({ ...view, handledSequence: 0 })),
-  };
+  return handleKeptEnds({ ...state, held });
 }
 
 /** Returns whether a task belongs to a held job. */
-export function isHeldTask({ held }: SchedulerState, task: string): boolean {
-  return held.jobs.size > 0 && held.jobs.has(parseTaskName(task)?.jobId ?? '');
+export function isHeldTask(state: SchedulerState, task: string): boolean {
+  const { jobs } = state.held;
+  if (isUndecodedTask(state, task)) return true;
+  return jobs.size > 0 && jobs.has(parseTaskName(task)?.jobId ?? '');
 }
 
 /** Reads the progress of the held jobs from time to time, one page after the other. */
@@ -77,13 +76,9 @@
   const { jobId } = job;
   const rest = dropHeld(state, jobId);
   const { outcome, endedAtMs = 0 } = progress;
-  if (outcome !== undefined) {
-    return unchanged({ ...rest, ended: rest.ended.set(jobId, endedAtMs) });
-  }
-  const open = createOpenJob(job, progress, moment);
-  const opened = { ...rest, jobs: rest.jobs.set(jobId, open), needsPlacement: true };
-  const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
-  return withEffects(adoptJobRuns(opened, open, moment.nowMs), [logEffect('jobSeen', fields)]);
+  return outcome === undefined
+    ? openWithRuns(rest, job, progress, moment)
+    : unchanged({ ...rest, ended: rest.ended.set(jobId, endedAtMs) });
 }
 
 /** Opens the held jobs whose progress has become readable. One whose row is missing stays held. */
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -1,7 +1,7 @@
 import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
-import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
+import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { Moment } from '@bronzeyoke/latency';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import { decodeJob, NO_PROGRESS, statusOf } from '@bronzeyoke/workflow';
@@ -16,12 +16,11 @@
 import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
 import { createOpenJob } from './openjob';
+import { openWithRuns } from './openjobruns';
+import { cancelUndecoded, dropRemoved, dropUndecoded, holdUndecoded } from './undecoded';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
-/** What is known of a job without a row: none of its tasks was ever claimed. */
-const NO_ROW: StoredProgress = { kind: 'readable', progress: NO_PROGRESS };
-
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
 
@@ -32,7 +31,6 @@
   moment: Moment,
 ): SchedulerStep {
   const { jobId } = job;
-  if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
   const open = createOpenJob(job, progress, moment);
   const fields = { job: jobId, queue: job.policy.queue, status: statusOf(progress) };
   return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
@@ -52,44 +50,53 @@
 
 function cancelJob(state: SchedulerState, jobId: string, moment: Moment): SchedulerStep {
   const open = cancellableJob(state, jobId, moment);
-  if (open === undefined || open.isCancelled) return unchanged(state);
+  if (open === undefined) return unchanged(cancelUndecoded(state, jobId));
+  if (open.isCancelled) return unchanged(state);
   const jobs = state.jobs.set(jobId, { ...open, isCancelled: true });
   const cancelled = { ...dropHeld(state, jobId), jobs };
   return endJob(cancelled, jobId, { outcome: 'cancelled' }, moment.wallMs);
 }
 
 /** Opens a job that is not known, or holds it if its progress cannot be read. */
-function addStoredJob(
-  state: SchedulerState,
-  job: WorkflowJob,
-  stored: StoredProgress,
-  moment: Moment,
-): SchedulerStep {
-  if (state.held.jobs.has(job.jobId)) return unchanged(state);
+function addStoredJob(state: SchedulerState, job: WorkflowJob, moment: Moment): SchedulerStep {
+  const { jobId } = job;
+  const isKnown = [state.jobs, state.ended, state.held.jobs].some((known) => known.has(jobId));
+  if (isKnown) return unchanged(state);
+  const stored = state.unopened.get(jobId);
+  const rest = { ...state, unopened: state.unopened.delete(jobId) };
+  if (stored === undefined) return addJob(rest, job, NO_PROGRESS, moment);
   switch (stored.kind) {
-    case 'readable':
-      return addJob(state, job, stored.progress, moment);
+    case 'readable': {
+      const { progress } = stored;
+      // The runs of all jobs that are opened by a load are adopted at its end.
+      return state.phase === 'leading'
+        ? openWithRuns(rest, job, progress, moment)
+        : addJob(rest, job, progress, moment);
+    }
     case 'unreadable':
-      return holdJob(state, job, stored.version);
+      return holdJob(rest, job, stored.version);
     default:
       return assertNever(stored);
   }
 }
 
-function applyJobRow(
-  state: SchedulerState,
-  row: StoredRow,
-  progressOf: (jobId: string) => StoredProgress,
-  moment: Moment,
-): SchedulerStep {
+/** Adds a job by its definition. One that was cancelled before this could be decoded ends at once. */
+function addDefinedJob(state: SchedulerState, job: WorkflowJob, moment: Moment): SchedulerStep {
+  const { jobId } = job;
+  const isCancelled = state.undecoded.get(jobId)?.isCancelled === true;
+  const added = addStoredJob(dropUndecoded(state, jobId), job, moment);
+  if (!isCancelled) return added;
+  return chainAfter(added, [(current) => cancelJob(current, jobId, moment)]);
+}
+
+function applyJobRow(state: SchedulerState, row: StoredRow, moment: Moment): SchedulerStep {
   const parsed = parseJobKey(row.key);
   switch (parsed.kind) {
     case 'job': {
       const job = decodeJob(row.value);
-      if (job === undefined) {
-        return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
-      }
-      return addStoredJob(state, job, progressOf(parsed.jobId), moment);
+      return job === undefined
+        ? holdUndecoded(state, row, parsed.jobId)
+        : addDefinedJob(state, job, moment);
     }
     case 'cancel':
       return cancelJob(state, parsed.jobId, moment);
@@ -101,7 +108,6 @@
 function applyJobRows(
   state: SchedulerState,
   rows: readonly StoredRow[],
-  progressOf: (jobId: string) => StoredProgress,
   moment: Moment,
 ): SchedulerStep {
   // In key order a cancellation precedes the definition of its job.
@@ -112,7 +118,7 @@
   return chainAll(
     state,
     [...others, ...cancels].map(
-      (row) => (current: SchedulerState) => applyJobRow(current, row, progressOf, moment),
+      (row) => (current: SchedulerState) => applyJobRow(current, row, moment),
     ),
   );
 }
@@ -149,12 +155,12 @@
     ...state,
     loading: {},
     ended,
+    unopened: progress.deleteAll(ended.keys()),
     // Workers may be granted leases once the lease row says so.
     renewAtMs: nowMs,
   };
   return chainAll(loaded, [
-    (current) =>
-      applyJobRows(current, jobRows, (jobId) => progress.get(jobId) ?? NO_ROW, { nowMs, wallMs }),
+    (current) => applyJobRows(current, jobRows, { nowMs, wallMs }),
     (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
@@ -168,7 +174,9 @@
   nowMs: number,
 ): SchedulerStep {
   const { rows, isFull, wallMs } = event;
-  if (state.phase === 'leading') return applyJobRows(state, rows, () => NO_ROW, { nowMs, wallMs });
+  if (state.phase === 'leading') {
+    return applyJobRows(isFull ? dropRemoved(state, rows) : state, rows, { nowMs, wallMs });
+  }
   if (state.phase !== 'loading') return unchanged(state);
   const known = state.loading.jobRows;
   if (known === undefined && !isFull) return unchanged(state);
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -16,6 +16,8 @@
   loading: {},
   jobs: Map<string, never>(),
   held: { jobs: Map<string, never>(), fromKey: '', isReading: false, sentAtMs: 0 },
+  undecoded: Map<string, never>(),
+  unopened: Map<string, never>(),
   ended: Map<string, never>(),
   workers: Map<string, never>(),
   instances: NO_INSTANCES,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -26,6 +26,7 @@
   ReleasedRun,
   StoredProgress,
   Suspect,
+  UndecodedJob,
   WorkerView,
 } from './views';
 
@@ -206,6 +207,10 @@
   readonly domainsOut: ReadonlySet<string>;
   readonly jobs: Map<string, OpenJob>;
   readonly held: HeldState;
+  /** Jobs whose definitions cannot be decoded. */
+  readonly undecoded: Map<string, UndecodedJob>;
+  /** Progress that this leader has read of jobs that it has not opened. Nobody else writes any. */
+  readonly unopened: Map<string, StoredProgress>;
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -29,6 +29,11 @@
   readonly version: number;
 }
 
+/** A job whose definition cannot be decoded. */
+export interface UndecodedJob {
+  readonly isCancelled: boolean;
+}
+
 /**
  * Pace orders that remain for a run of the leader before. That leader may have paced it, which
  * neither the rows nor the worker's list of runs shows.
