Record that a held job hides long leases from the next leader

Cause: a new leader keeps the ends of long leases only for workers with runs that it can read. The runs of a held job are not among these.

--- a/packages/scheduler/test/leasecover.test.ts
+++ b/packages/scheduler/test/leasecover.test.ts
@@ -1,15 +1,17 @@
 import { expect } from 'chai';
 import type { RowCommitResult } from '@bronzeyoke/ports';
-import { LEASE_KEY } from '@bronzeyoke/scheduler';
+import { jobKey, LEASE_KEY, progressKey } from '@bronzeyoke/scheduler';
 import type { LeaseValue } from '@bronzeyoke/scheduler';
 import type { TaskProgress } from '@bronzeyoke/workflow';
 import type { Fixture } from './fixture';
 import {
   advance,
+  answerReads,
   commit,
   commitAll,
   createFollower,
   createLeader,
+  createLoading,
   dispatch,
   inFlight,
   jobOf,
@@ -194,3 +196,25 @@
   const keptMs = keptForMs(winLate(claiming, 0), claiming.nowMs);
   expect(keptMs).to.be.at.least(6_000 + LEASE_END_MS);
 });
+
+// Guards against a leader that forgets the long lease of a worker whose runs it cannot read, because their job
+// is held: the leader after it, which can, would count a shorter one.
+it('lease cover: a held job leaves no long lease uncounted', () => {
+  const workerKey = workerKeyFor('w1');
+  const grants = {
+    lastEndMs: LEASE_END_MS,
+    earlierEndMs: 0,
+    awaitedEndMs: {},
+    longEndMs: { [workerKey]: TIMES.maxLeaseEndMs },
+  };
+  const value = { entryId: 'entry-0', number: 3, isReleased: true, grants };
+  const loading = createLoading(createFollower(), [leaseRow(value, 10)]);
+  const readAtMs = loading.nowMs;
+  const row = { ...progressKey('job1'), version: 9, value: 'unreadable' };
+  const read = answerReads(loading, [row], WALL_MS);
+  const rows = [{ ...jobKey('job1'), version: 8, value: JOB }];
+  const loaded = dispatch(read, { kind: 'jobRows', isFull: true, rows, wallMs: WALL_MS });
+  const later = commitAll(advance(commitAll(loaded), 1_000));
+  const { awaited, endAtMs } = waitsAfter(lastWritten(later, LEASE_KEY), later.nowMs);
+  expect(awaited.get(workerKey, endAtMs)).to.be.at.least(readAtMs + TIMES.maxLeaseEndMs);
+});
