Count the long leases of workers whose runs cannot be read

Cause: a new leader took the long leases of the row before only for workers with runs in open jobs. Where a job is held, its runs may be on others. Change: while a job is held, or progress without a job is known, the row tells of the longest of these ends for all workers that it does not name.

--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -7,6 +7,7 @@
 import { decodeJob, NO_PROGRESS, statusOf } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
+import { countUnreadRuns } from '../fleet/unreadruns';
 import { advanceLeadership } from '../leadership/leadership';
 import { advanceRead, areReadsDone, readTable } from '../leadership/load';
 import { PAIRS_KEY, parseJobKey, TABLES } from '../leadership/rows';
@@ -161,7 +162,7 @@
   };
   return chainAll(loaded, [
     (current) => applyJobRows(current, jobRows, { nowMs, wallMs }),
-    (current) => unchanged(adoptRuns(current, goneReports, nowMs)),
+    (current) => unchanged(countUnreadRuns(adoptRuns(current, goneReports, nowMs))),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
   ]);
