--- a/packages/scheduler/src/jobs/held.ts
+++ b/packages/scheduler/src/jobs/held.ts
@@ -4,13 +4,14 @@
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import { decodeProgress, parseTaskName } from '@bronzeyoke/workflow';
-import { adoptJobRuns } from '../fleet/adopt';
 import { progressPageRows } from '../leadership/budget';
 import { PARTITION, TABLES } from '../leadership/rows';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 import type { StoredProgress } from '../views';
-import { createOpenJob, jobSeenLog } from './openjob';
+import { handleKeptEnds } from './keptends';
+import { openWithRuns } from './openjobruns';
+import { isUndecodedTask } from './undecoded';
 
 /** Id of the call that reads the progress of held jobs. */
 export const HELD_CALL = 'held-jobs';
@@ -44,16 +45,14 @@
 export function dropHeld(state: SchedulerState, jobId: string): SchedulerState {
   if (!state.held.jobs.has(jobId)) return state;
   const held = { ...state.held, jobs: state.held.jobs.delete(jobId) };
-  return {
-    ...state,
-    held,
-    workers: state.workers.map((view) => ({ ...view, handledSequence: 0 })),
-  };
+  return handleKeptEnds({ ...state, held });
 }
 
 /** Returns whether a task belongs to a held job. */
-export function isHeldTask({ held }: SchedulerState, task: string): boolean {
-  return held.jobs.size > 0 && held.jobs.has(parseTaskName(task)?.jobId ?? '');
+export function isHeldTask(state: SchedulerState, task: string): boolean {
+  const { jobs } = state.held;
+  if (isUndecodedTask(state, task)) return true;
+  return jobs.size > 0 && jobs.has(parseTaskName(task)?.jobId ?? '');
 }
 
 /** Reads the progress of the held jobs from time to time, one page after the other. */
@@ -79,14 +78,9 @@
   const { jobId } = job;
   const rest = dropHeld(state, jobId);
   const { outcome, endedAtMs = 0 } = progress;
-  if (outcome !== undefined) {
-    return unchanged({ ...rest, ended: rest.ended.set(jobId, endedAtMs) });
-  }
-  const open = createOpenJob(job, progress, moment);
-  const opened = { ...rest, jobs: rest.jobs.set(jobId, open), needsPlacement: true };
-  return withEffects(adoptJobRuns(opened, open, moment.nowMs), [
-    jobSeenLog(job, progress, 'held', moment.wallMs),
-  ]);
+  return outcome === undefined
+    ? openWithRuns(rest, job, progress, { ...moment, source: 'held' })
+    : unchanged({ ...rest, ended: rest.ended.set(jobId, endedAtMs) });
 }
 
 /** Opens the held jobs whose progress has become readable. One whose row is missing stays held. */
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -1,13 +1,14 @@
 import { Map } from 'immutable';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
-import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
+import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { Moment } from '@bronzeyoke/latency';
 import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
 import { decodeJob, NO_PROGRESS } from '@bronzeyoke/workflow';
 import { z } from 'zod';
 import { adoptRuns } from '../fleet/adopt';
 import { awaitedFields } from '../fleet/leaserowlog';
+import { countUnreadRuns } from '../fleet/unreadruns';
 import { advanceLeadership } from '../leadership/leadership';
 import { advanceRead, areReadsDone, readTable } from '../leadership/load';
 import { ordersEndAtMs } from '../leadership/rowages';
@@ -17,14 +18,13 @@
 import type { OpenJob, StoredProgress } from '../views';
 import { dropHeld, holdJob, readProgress } from './held';
 import { endJob } from './jobend';
-import type { JobSource } from './openjob';
+import type { JobSighting } from './openjob';
 import { createOpenJob, jobSeenLog } from './openjob';
+import { openWithRuns } from './openjobruns';
+import { cancelUndecoded, dropRemoved, dropUndecoded, holdUndecoded } from './undecoded';
 
 const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
 
-/** What is known of a job without a row: none of its tasks was ever claimed. */
-const NO_ROW: StoredProgress = { kind: 'readable', progress: NO_PROGRESS, version: 0 };
-
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
 
@@ -32,14 +32,12 @@
   state: SchedulerState,
   job: WorkflowJob,
   progress: JobProgress,
-  source: JobSource,
-  moment: Moment,
+  sighting: JobSighting,
 ): SchedulerStep {
   const { jobId } = job;
-  if (state.jobs.has(jobId) || state.ended.has(jobId)) return unchanged(state);
-  const open = createOpenJob(job, progress, moment);
+  const open = createOpenJob(job, progress, sighting);
   return withEffects({ ...state, jobs: state.jobs.set(jobId, open), needsPlacement: true }, [
-    jobSeenLog(job, progress, source, moment.wallMs),
+    jobSeenLog(job, progress, sighting),
   ]);
 }
 
@@ -55,7 +53,8 @@
 
 function cancelJob(state: SchedulerState, jobId: string, moment: Moment): SchedulerStep {
   const open = cancellableJob(state, jobId, moment);
-  if (open === undefined || open.isCancelled) return unchanged(state);
+  if (open === undefined) return unchanged(cancelUndecoded(state, jobId));
+  if (open.isCancelled) return unchanged(state);
   const jobs = state.jobs.set(jobId, { ...open, isCancelled: true });
   const cancelled = { ...dropHeld(state, jobId), jobs };
   return endJob(cancelled, jobId, { outcome: 'cancelled' }, moment.wallMs);
@@ -65,44 +64,53 @@
 function addStoredJob(
   state: SchedulerState,
   job: WorkflowJob,
-  stored: StoredProgress,
-  source: JobSource,
-  moment: Moment,
+  sighting: JobSighting,
 ): SchedulerStep {
-  if (state.held.jobs.has(job.jobId)) return unchanged(state);
+  const { jobId } = job;
+  const isKnown = [state.jobs, state.ended, state.held.jobs].some((known) => known.has(jobId));
+  if (isKnown) return unchanged(state);
+  const stored = state.unopened.get(jobId);
+  const rest = { ...state, unopened: state.unopened.delete(jobId) };
+  if (stored === undefined) return addJob(rest, job, NO_PROGRESS, sighting);
   switch (stored.kind) {
-    case 'readable':
-      return addJob(state, job, stored.progress, source, moment);
+    case 'readable': {
+      const { progress } = stored;
+      // The runs of all jobs that are opened by a load are adopted at its end.
+      return state.phase === 'leading'
+        ? openWithRuns(rest, job, progress, sighting)
+        : addJob(rest, job, progress, sighting);
+    }
     case 'unreadable':
-      return holdJob(state, job, stored.version);
+      return holdJob(rest, job, stored.version);
     default:
       return assertNever(stored);
   }
 }
 
-/** Where rows of the job table come from, and what is known of the progress of their jobs. */
-interface JobContext {
-  readonly source: JobSource;
-  readonly progressOf: (jobId: string) => StoredProgress;
-}
-
-function applyJobRow(
+/** Adds a job by its definition. One that was cancelled before this could be decoded ends at once. */
+function addDefinedJob(
   state: SchedulerState,
-  row: StoredRow,
-  { progressOf, source }: JobContext,
-  moment: Moment,
+  job: WorkflowJob,
+  sighting: JobSighting,
 ): SchedulerStep {
+  const { jobId } = job;
+  const isCancelled = state.undecoded.get(jobId)?.isCancelled === true;
+  const added = addStoredJob(dropUndecoded(state, jobId), job, sighting);
+  if (!isCancelled) return added;
+  return chainAfter(added, [(current) => cancelJob(current, jobId, sighting)]);
+}
+
+function applyJobRow(state: SchedulerState, row: StoredRow, sighting: JobSighting): SchedulerStep {
   const parsed = parseJobKey(row.key);
   switch (parsed.kind) {
     case 'job': {
       const job = decodeJob(row.value);
-      if (job === undefined) {
-        return withEffects(state, [logEffect('malformed', { what: 'job', key: row.key })]);
-      }
-      return addStoredJob(state, job, progressOf(parsed.jobId), source, moment);
+      return job === undefined
+        ? holdUndecoded(state, row, parsed.jobId)
+        : addDefinedJob(state, job, sighting);
     }
     case 'cancel':
-      return cancelJob(state, parsed.jobId, moment);
+      return cancelJob(state, parsed.jobId, sighting);
     case 'other':
       return unchanged(state);
   }
@@ -111,8 +119,7 @@
 function applyJobRows(
   state: SchedulerState,
   rows: readonly StoredRow[],
-  context: JobContext,
-  moment: Moment,
+  sighting: JobSighting,
 ): SchedulerStep {
   // In key order a cancellation precedes the definition of its job.
   const [cancels, others] = [
@@ -122,7 +129,7 @@
   return chainAll(
     state,
     [...others, ...cancels].map(
-      (row) => (current: SchedulerState) => applyJobRow(current, row, context, moment),
+      (row) => (current: SchedulerState) => applyJobRow(current, row, sighting),
     ),
   );
 }
@@ -167,16 +174,14 @@
     ...state,
     loading: {},
     ended,
+    unopened: progress.deleteAll(ended.keys()),
     // Workers may be granted leases once the lease row says so.
     renewAtMs: nowMs,
   };
-  const context: JobContext = {
-    source: 'load',
-    progressOf: (jobId) => progress.get(jobId) ?? NO_ROW,
-  };
   return chainAll(loaded, [
-    (current) => applyJobRows(current, jobRows, context, { nowMs, wallMs }),
-    (current) => unchanged(adoptRuns(current, { goneReports, orderedAtMs }, nowMs)),
+    (current) => applyJobRows(current, jobRows, { source: 'load', nowMs, wallMs }),
+    (current) =>
+      unchanged(countUnreadRuns(adoptRuns(current, { goneReports, orderedAtMs }, nowMs))),
     (current) => advanceLeadership(current, 'loaded'),
     (current) => logLoaded(current, nowMs),
   ]);
@@ -190,8 +195,8 @@
 ): SchedulerStep {
   const { rows, isFull, wallMs } = event;
   if (state.phase === 'leading') {
-    const source = isFull ? 'fullRead' : 'change';
-    return applyJobRows(state, rows, { source, progressOf: () => NO_ROW }, { nowMs, wallMs });
+    const sighting = { source: isFull ? 'fullRead' : 'change', nowMs, wallMs } as const;
+    return applyJobRows(isFull ? dropRemoved(state, rows) : state, rows, sighting);
   }
   if (state.phase !== 'loading') return unchanged(state);
   const known = state.loading.jobRows;
--- a/packages/scheduler/src/jobs/openjob.ts
+++ b/packages/scheduler/src/jobs/openjob.ts
@@ -24,6 +24,11 @@
   /** The job was held, and its progress has become readable. */
   | 'held';
 
+/** When and how a leader came to know of a job. */
+export interface JobSighting extends Moment {
+  readonly source: JobSource;
+}
+
 /**
  * Creates the log effect of a job that a leader opens. One that comes without progress long after its
  * acceptance may have tasks that are done, and would run them again.
@@ -31,8 +36,7 @@
 export function jobSeenLog(
   { jobId, policy, acceptedAtMs }: WorkflowJob,
   progress: JobProgress,
-  source: JobSource,
-  wallMs: number,
+  { source, wallMs }: JobSighting,
 ): LogEffect {
   return logEffect('jobSeen', {
     job: jobId,
