Show a run that a new leader releases although a later instance has ended it

The agent sees the success of a late order in the list of the later instance. It first tells a new leader that the ordered instance has ended, without naming the run as open, and reports the later instance after that. The new leader has adopted the run, releases it at once, and places the task again; then the success is reported and acknowledged.

No lease needs to be long for it, only a take-over.

--- a/packages/scheduler/test/repeats.test.ts
+++ b/packages/scheduler/test/repeats.test.ts
@@ -12,31 +12,42 @@
 /** Times of the machine's silence that end after the release of its runs and within the longest lease. */
 const SILENT_MS = [8_000, 9_000, 9_500];
 
-/** Lets a start order reach a later instance under the id of the worker that it was sent to. */
-function restartBeforeOrder(seed: number): {
+/** A simulation, and a machine whose later instance will carry a start order out. */
+interface Restarted {
   readonly simulation: Simulation;
   readonly machine: number;
-} {
-  const simulation = createRunning(seed);
-  simulation.advance(WORKER_AGE_MS - simulation.now());
-  MACHINES.forEach((machine) => simulation.setOrderDelay(machine, [ORDER_MS, ORDER_MS]));
+}
+
+/**
+ * Sends start orders that arrive after `delayMs`, and restarts the worker of one of them `beforeMs`
+ * before that.
+ */
+function restartBeforeOrder(simulation: Simulation, delayMs: number, beforeMs: number): Restarted {
+  MACHINES.forEach((machine) => simulation.setOrderDelay(machine, [delayMs, delayMs]));
   simulation.submit('brief', 3);
   const findOrdered = (): number => MACHINES.findIndex(simulation.hasOpenStart);
   simulation.advanceUntil(() => findOrdered() >= 0, 2_000);
   const machine = findOrdered();
-  simulation.advance(ORDER_MS - 1);
+  simulation.advance(delayMs - beforeMs);
   simulation.restartWorker(machine);
   MACHINES.forEach((other) => simulation.setOrderDelay(other, PROMPT_ORDERS));
   return { simulation, machine };
 }
 
+/** Restarts a worker whose clock is far ahead just before an order arrives. */
+function restartOldWorker(seed: number): Restarted {
+  const simulation = createRunning(seed);
+  simulation.advance(WORKER_AGE_MS - simulation.now());
+  return restartBeforeOrder(simulation, ORDER_MS, 1);
+}
+
 /** Plays a silence of a machine whose later instance carries an order out under the longest lease. */
 function expectOneSuccess(
   silence: (simulation: Simulation, machine: number, forMs: number) => void,
 ): void {
   SEEDS.forEach((seed) =>
     SILENT_MS.forEach((forMs) => {
-      const { simulation, machine } = restartBeforeOrder(seed);
+      const { simulation, machine } = restartOldWorker(seed);
       silence(simulation, machine, forMs);
       simulation.advance(20_000);
       expectRules(simulation);
@@ -63,35 +74,20 @@
   expectOneSuccess((simulation, machine, forMs) => simulation.replaceAgent(machine, 'kill', forMs));
 });
 
-/** Returns a machine with a start order on its way, whose worker has ended brief tasks before. */
-function createOrderedAfterEnds(
-  seed: number,
-  delayMs: number,
-): { readonly simulation: Simulation; readonly machine: number } {
-  const simulation = createRunning(seed);
-  simulation.submit('brief', 10);
-  simulation.advance(3_000);
-  MACHINES.forEach((machine) => simulation.setOrderDelay(machine, [delayMs, delayMs]));
-  simulation.submit('brief', 3);
-  const findOrdered = (): number => MACHINES.findIndex(simulation.hasOpenStart);
-  simulation.advanceUntil(() => findOrdered() >= 0, 2_000);
-  const machine = findOrdered();
-  return { simulation, machine };
-}
+const LATE_ORDER_MS = 200;
 
 /** Numbers of ms between the restart of a worker and the arrival of an order at the later instance. */
 const RESTARTED_BEFORE_MS = [5, 20, 50, 100, 150];
 
-/** Restarts a worker some time before an order arrives, while its agent is cut off for 3 s. */
+/** Lets a worker end brief tasks, and restarts it some time before an order arrives, while its agent is cut off for 3 s. */
 function expectNoLostEnd(disturb: (simulation: Simulation, machine: number) => void): void {
-  const delayMs = 200;
   SEEDS.forEach((seed) =>
     RESTARTED_BEFORE_MS.forEach((beforeMs) => {
-      const { simulation, machine } = createOrderedAfterEnds(seed, delayMs);
-      simulation.advance(delayMs - beforeMs);
-      simulation.restartWorker(machine);
+      const simulation = createRunning(seed);
+      simulation.submit('brief', 10);
+      simulation.advance(3_000);
+      const { machine } = restartBeforeOrder(simulation, LATE_ORDER_MS, beforeMs);
       simulation.cutAgent(machine, 3_000);
-      MACHINES.forEach((other) => simulation.setOrderDelay(other, PROMPT_ORDERS));
       disturb(simulation, machine);
       simulation.advance(20_000);
       expectRules(simulation);
@@ -111,3 +107,16 @@
     simulation.disturbHop(machine, { calls: 'unanswered', hasHeartbeats: false }, 1_500),
   );
 });
+
+// Guards against the end of the ordered instance that a new leader learns of before the later instance's
+// list, which names the success: the run is released at once, and its success is acknowledged.
+it('repeats: the end of a worker whose later instance has succeeded releases no run', () => {
+  [4, 5, 6].forEach((seed) =>
+    RESTARTED_BEFORE_MS.forEach((beforeMs) => {
+      const { simulation } = restartBeforeOrder(createRunning(seed), 150, beforeMs);
+      simulation.killEntry(simulation.leader(), 3_000);
+      simulation.advance(20_000);
+      expectRules(simulation);
+    }),
+  );
+});
