Judge starts after a success in the fuzzer's oracle by one rule

P3 covered a start after the row of a finished task, not one between the success and its row. The oracle now keeps the runs of each task with their ends and passes them to findRepeatedTasks when a row records a success: a counted repeat violates P3. Leases are per task there and end the run, so none lapses after a success. The check at each start stays, since it allows no start just after the row either.

--- a/packages/harness/src/checks.ts
+++ b/packages/harness/src/checks.ts
@@ -1,5 +1,7 @@
-import { Map } from 'immutable';
+import { List, Map } from 'immutable';
 import type { Row } from '@bronzeyoke/ports';
+import type { RecordedRun } from '@bronzeyoke/runhistory';
+import { findRepeatedTasks } from '@bronzeyoke/runhistory';
 import { NO_RESOURCES, addResources, fitsIn, taskKey } from '@bronzeyoke/types';
 import { z } from 'zod';
 import type { Observation } from './observation';
@@ -12,11 +14,28 @@
 /** P10: an accepted configuration is in force everywhere after this time. */
 const CONFIGURATION_BOUND_MS = 13_000;
 
-const UNOBSERVED_TASK: ObservedTask = { runningOn: Map(), startedEpoch: 0, isOver: false };
+const UNOBSERVED_TASK: ObservedTask = {
+  runningOn: Map(),
+  startedEpoch: 0,
+  isOver: false,
+  runs: List(),
+};
+
+/** Ends of runs that are a success, as the rule about repeated tasks names them. */
+const SUCCESS = 'done';
 
 type Started = Extract<Observation, { readonly kind: 'taskStarted' }>;
 type Ended = Extract<Observation, { readonly kind: 'taskEnded' }>;
 
+function changeRun(
+  task: ObservedTask,
+  matches: (run: RecordedRun) => boolean,
+  changes: Partial<RecordedRun>,
+): ObservedTask {
+  const runs = task.runs.map((run) => (matches(run) ? { ...run, ...changes } : run));
+  return { ...task, runs };
+}
+
 /** Checks P1, P2, P3 and P4 when a worker has started a task. */
 export function checkTaskStart(
   state: OracleState,
@@ -38,6 +57,15 @@
       ...task,
       startedEpoch: Math.max(task.startedEpoch, epoch),
       runningOn: task.runningOn.set(worker, epoch),
+      runs: task.runs.push({
+        task: name,
+        attempt: epoch,
+        worker,
+        isOrderLate: false,
+        fromMs: atMs,
+        untilMs: Infinity,
+        end: '',
+      }),
     }),
   };
   const checks = [
@@ -56,17 +84,26 @@
 }
 
 /** Records that a task no longer runs on a worker, for any reason. */
-export function recordTaskEnd(state: OracleState, observation: Ended): OracleState {
-  const name = taskKey(observation.id);
-  const task = state.tasks.get(name, UNOBSERVED_TASK);
-  const host = state.workers.get(observation.worker);
+export function recordTaskEnd(
+  state: OracleState,
+  { id, epoch, worker, end }: Ended,
+  atMs: number,
+): OracleState {
+  const name = taskKey(id);
+  const before = state.tasks.get(name, UNOBSERVED_TASK);
+  const task = changeRun(
+    { ...before, runningOn: before.runningOn.delete(worker) },
+    (run) => run.worker === worker && run.attempt === epoch,
+    { untilMs: atMs, end: end === 'finished' ? SUCCESS : end },
+  );
+  const host = state.workers.get(worker);
   return {
     ...state,
-    tasks: state.tasks.set(name, { ...task, runningOn: task.runningOn.delete(observation.worker) }),
+    tasks: state.tasks.set(name, task),
     workers:
       host === undefined
         ? state.workers
-        : state.workers.set(observation.worker, { ...host, reserved: host.reserved.delete(name) }),
+        : state.workers.set(worker, { ...host, reserved: host.reserved.delete(name) }),
   };
 }
 
@@ -112,8 +149,21 @@
   const task = state.tasks.get(name, UNOBSERVED_TASK);
   const isOver = row.state.kind === 'finished' || row.state.kind === 'cancelled';
   const rowRef = row.state.checkpointRef;
-  const next = { ...state, tasks: state.tasks.set(name, { ...task, isOver, rowRef }) };
-  return expectThat(next, !task.isOver, 'P3', atMs, () => `${name} changed after its end`);
+  const isNoted = ({ attempt, end }: RecordedRun): boolean =>
+    row.state.kind === 'finished' && attempt === row.epoch && end === SUCCESS;
+  const noted = changeRun(task, isNoted, { notedAtMs: atMs });
+  const next = { ...state, tasks: state.tasks.set(name, { ...noted, isOver, rowRef }) };
+  // The lease of a task ends its run, so none lapses after a success. A start after the row is checked then.
+  const repeats = findRepeatedTasks(noted.runs.toArray(), []);
+  const isRepeated = !task.isOver && repeats.some(({ kind }) => kind === 'counted');
+  const checks = [
+    [!task.isOver, `${name} changed after its end`],
+    [!isRepeated, `${name} had started again when its success was recorded`],
+  ] as const;
+  return checks.reduce(
+    (current, [holds, detail]) => expectThat(current, holds, 'P3', atMs, () => detail),
+    next,
+  );
 }
 
 /** Checks P3 and P10 when the table has committed a row. */
--- a/packages/harness/src/observation.ts
+++ b/packages/harness/src/observation.ts
@@ -44,6 +44,8 @@
       readonly worker: string;
       readonly id: TaskId;
       readonly epoch: number;
+      /** How the run ended; `finished` is a success. */
+      readonly end: string;
     }
   /** The table committed these rows. */
   | { readonly kind: 'committed'; readonly rows: readonly Row[] }
--- a/packages/harness/src/oracle.ts
+++ b/packages/harness/src/oracle.ts
@@ -155,7 +155,7 @@
     case 'taskStarted':
       return checkTaskStart(state, observation, atMs);
     case 'taskEnded':
-      return recordTaskEnd(state, observation);
+      return recordTaskEnd(state, observation, atMs);
     case 'committed':
       return observation.rows.reduce((current, row) => checkRow(current, row, atMs), state);
     case 'configurationShown':
--- a/packages/harness/src/oraclestate.ts
+++ b/packages/harness/src/oraclestate.ts
@@ -1,4 +1,5 @@
 import { List, Map } from 'immutable';
+import type { RecordedRun } from '@bronzeyoke/runhistory';
 import type { Resources } from '@bronzeyoke/types';
 import type { CallerEnd } from './observation';
 
@@ -27,6 +28,8 @@
   /** Checkpoint of the latest row. */
   readonly rowRef?: string | undefined;
   readonly isOver: boolean;
+  /** Runs, each with its epoch as its attempt. */
+  readonly runs: List<RecordedRun>;
 }
 
 /** A worker with its total and reserved resources. */
--- a/packages/harness/src/worker.ts
+++ b/packages/harness/src/worker.ts
@@ -44,8 +44,8 @@
       return observe(world, { kind, worker, id, epoch, reserved, checkpointRef });
     }
     case 'taskEnded': {
-      const { id, epoch } = output;
-      return observe(world, { kind: 'taskEnded', worker, id, epoch });
+      const { id, epoch, end } = output;
+      return observe(world, { kind: 'taskEnded', worker, id, epoch, end: end.kind });
     }
     default:
       return assertNever(output);
