Keep a run of an ended worker open until the end that a later instance lists is stored

Callers saw tasks run again right after a change of the leader, though they had ended as done. A later instance under a worker's id had carried a start order out and ended it; its first list without runs settled the order, and the agent told the new leader that the earlier instance had ended, with no open run. That message counts from the load on and comes before the list, so the run was released and started again, and its success acknowledged 0.6 s later.

The agent now names such a run as open until the end is no longer listed, which is when the leader has stored it (state awaitingAck of gone.json).

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -165,7 +165,7 @@
   };
   const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
   const late = lateOrderEnds(updated, listed, ended, nowMs);
-  const gone = onSuccessorListed(updated);
+  const gone = onSuccessorListed(updated, ended);
   const report = reportIfDue(gone.state, nowMs);
   return { state: report.state, effects: [...late, ...report.effects, ...gone.effects] };
 }
--- a/packages/runner/src/gone.ts
+++ b/packages/runner/src/gone.ts
@@ -1,6 +1,6 @@
 import { Map } from 'immutable';
 import { advance } from '@bronzeyoke/chart';
-import type { WorkerCall, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
+import type { ListedEnd, WorkerCall, WorkerCallResult, WorkerReport } from '@bronzeyoke/ports';
 import { LATE_CALL_MS, workerKeyOf } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
@@ -27,7 +27,8 @@
 /** How the agent learned that a worker is gone. */
 export type GoneReason = Exclude<WorkerEndReason, 'unknown'>;
 
-type GoneEvent = 'settled' | 'successor' | 'replaced' | 'listed' | 'successorGone' | 'recorded';
+type GoneEvent =
+  'settled' | 'successor' | 'replaced' | 'listed' | 'endsListed' | 'successorGone' | 'recorded';
 
 /** Returns whether a later instance under the id may still carry out a start call. */
 function mayTakeEffect({ calledAtMs }: StartCall, nowMs: number): boolean {
@@ -179,10 +180,17 @@
 
 /**
  * Handles a list without runs of an instance that follows gone ones. It was made under a higher token
- * than all calls to these, so none of the calls starts a run any more.
+ * than all calls to these, so none of the calls starts a run any more. The ends of runs that the instance
+ * has begun from these calls have to be acknowledged first: a leader that learns of the end of the earlier
+ * instance before it has seen the list would give their tasks away.
  */
-export function onSuccessorListed(state: RunnerState): RunnerStep {
-  return advanceGone(state, 'listed', () => true);
+export function onSuccessorListed(state: RunnerState, ended: readonly ListedEnd[]): RunnerStep {
+  const endedRuns = new Set(ended.map(orderKey));
+  const hasOpenEnd = ({ openStarts }: GoneWorker): boolean =>
+    openStarts.some((_, key) => endedRuns.has(key));
+  const waiting = advanceGone(state, 'endsListed', hasOpenEnd);
+  const listed = advanceGone(waiting.state, 'listed', (gone) => !hasOpenEnd(gone));
+  return { state: listed.state, effects: [...waiting.effects, ...listed.effects] };
 }
 
 /** Handles the end of a call to a gone worker. */
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -43,11 +43,12 @@
 
 /**
  * State chart of an instance that has ended, until a leader has recorded it. While a later instance
- * under its id may carry out one of its start orders, the leader must not give its tasks away.
+ * under its id may carry out one of its start orders, the leader must not give its tasks away. Nor may it
+ * before it has recorded the ends of the runs that the later instance began from them.
  */
 export const goneChart = compileChart(goneChartFile, {
-  states: ['uncertain', 'awaitingList', 'ended', 'recorded'],
-  events: ['settled', 'successor', 'replaced', 'listed', 'successorGone', 'recorded'],
+  states: ['uncertain', 'awaitingList', 'awaitingAck', 'ended', 'recorded'],
+  events: ['settled', 'successor', 'replaced', 'listed', 'endsListed', 'successorGone', 'recorded'],
   actions: ['report'],
 });
 
--- a/packages/runner/test/successor.test.ts
+++ b/packages/runner/test/successor.test.ts
@@ -342,3 +342,38 @@
   expect(goneKeysOf(other)).to.deep.equal([]);
   expect(goneKeysOf(answerHold(other, { bornAtMs: 3 }))).to.deep.equal([]);
 });
+
+/** The success of the only order, as the later instance lists it. */
+const SUCCESS = {
+  sequence: 1,
+  task: LISTED.task,
+  attempt: 1,
+  end: 'done',
+  checkpoint: '',
+} as const;
+
+/** Returns an agent whose later instance lists the success of an order to the earlier one. */
+function createSucceeded(): Fixture {
+  const ordered = order(createLeased());
+  const started = answer(ordered, callIdOf(ordered, 'start'), { kind: 'done', clockMs: 70 });
+  const asked = dispatch(restart(started), { kind: 'tick' });
+  return answerHold(asked, { bornAtMs: 900, clockMs: 300, ended: [SUCCESS] });
+}
+
+// Guards against a leader that learns of the end of the ordered instance before it has seen the later one's
+// list, and starts a task again that has succeeded.
+it('agent: a run whose end a later instance lists stays open until the end is acknowledged', () => {
+  const succeeded = createSucceeded();
+  expect(goneKeysOf(succeeded)).to.deep.equal([]);
+  const next = dispatch(dispatch(succeeded, { kind: 'linkClosed' }), { kind: 'linkOpened' });
+  expect(goneKeysOf(next)).to.deep.equal([]);
+  expect(openRunsOf(next)).to.deep.equal([{ task: LISTED.task, attempt: LISTED.attempt }]);
+  const message = { kind: 'acknowledge', workerKey: LATER_KEY, sequence: 1 } as const;
+  const acknowledged = dispatch(
+    dispatch(next, { kind: 'received', message }),
+    { kind: 'tick' },
+    300,
+  );
+  const dropped = answerHold(acknowledged, { bornAtMs: 900, clockMs: 700 });
+  expect(goneKeysOf(dropped)).to.deep.equal([KEY]);
+});
