Give agents two seconds to report after a load before their runs are released

A run that a new leader adopts is released 2 s after the load at the earliest, unless an agent says that its worker has ended. The leases in the row are described as before.

The new test failed and passes; 188 tests of take-overs, releases and the fleet model pass.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -96,6 +96,12 @@
   };
 }
 
+/**
+ * Time from a load in which the agents that are up find the new leader and report. Without it, a leader that
+ * was slow to claim gives runs away whose agents are just about to report their ends.
+ */
+const FIRST_REPORTS_MS = 2_000;
+
 /** What a new leader knows beside the stored progress. */
 export interface LoadedEvidence {
   /** Messages during the load that workers are gone. */
@@ -131,7 +137,7 @@
       ? unheardWorker(workerKey, nowMs, { kind: 'reportedGone', baseAtMs: nowMs })
       : unheardWorker(
           workerKey,
-          leaseEndOf(workerKey),
+          Math.max(leaseEndOf(workerKey), nowMs + FIRST_REPORTS_MS),
           rowLeaseBasis(state.earlierLeases, workerKey),
         );
     return [workerKey, view] as const;
--- a/packages/scheduler/test/adoptedorders.test.ts
+++ b/packages/scheduler/test/adoptedorders.test.ts
@@ -46,9 +46,10 @@
   phase: TaskProgress['phase'],
   follower: Fixture = createFollower(),
   stage: Partial<Stage> = {},
+  grants: typeof GRANTS = GRANTS,
 ): Fixture {
   const version = (follower.state.seenVersions.at(-1)?.version ?? 10) + 1;
-  const row = leaseRow({ ...HELD, isReleased: true }, version);
+  const row = leaseRow({ ...HELD, grants, isReleased: true }, version);
   const task = { phase, attempt: 1, failures: 0, workerKey: workerKeyFor('w1') } as const;
   const job = jobOf('job1', [stageOf(1, stage)]);
   return commitAll(load(createLoading(follower, [row]), [job], { job1: { '0.0.0': task } }));
@@ -87,3 +88,12 @@
   const lasting = successorOf('claimed', createFollower(), { isLasting: true });
   expect(phaseOf(advance(lasting, LAST_END_MS + 100))).to.equal('waiting');
 });
+
+// Guards against work that is done twice because a leader was slow to claim: the leases are over at its load,
+// and the agents that are up report the ends of the runs a moment later.
+it('adopted orders: agents have two seconds to report after a load', () => {
+  const ended = { ...GRANTS, lastEndMs: 0 };
+  const loaded = successorOf('running', createFollower(), {}, ended);
+  expect(phaseOf(commitAll(advance(loaded, 1_900)))).to.equal('running');
+  expect(phaseOf(advance(loaded, 2_100))).to.equal('waiting');
+});
