--- a/packages/scheduler/test/simagent.ts
+++ b/packages/scheduler/test/simagent.ts
@@ -4,7 +4,7 @@
 import { decodeLeader, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
-import { MAX_LEASE_MS, WALL_MS } from './fixture';
+import { MAX_LEASE_MS } from './fixture';
 import type { AgentNode, EntryNode, Link, World } from './simnodes';
 import { HOP_MS, leaderRowOf, PORT } from './simnodes';
 import { callOverHop } from './simhop';
@@ -49,7 +49,7 @@
   const node: { state: RunnerState; isUp: boolean; isCut: boolean } = {
     state: createRunner({
       agentId,
-      firstToken: WALL_MS + clock.now(),
+      firstToken: world.wallMsOf(name),
       seeds,
       maxLeaseMs: MAX_LEASE_MS,
     }),
@@ -91,7 +91,7 @@
         channel.entryFreeAtMs = nextMs(channel.entryFreeAtMs);
         clock.schedule(channel.entryFreeAtMs - clock.now(), () => {
           if (!channel.isOpen || node.isCut) return;
-          entry.dispatch({ kind: 'received', linkId, message, wallMs: WALL_MS + clock.now() });
+          entry.dispatch({ kind: 'received', linkId, message, wallMs: world.wallMsOf(entry.host) });
         });
       },
       close: () => {
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -1,7 +1,6 @@
 import type { SchedulerEffect, SchedulerEvent, SchedulerState } from '@bronzeyoke/scheduler';
 import { createScheduler, FULL_CAPACITY, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
-import { WALL_MS } from './fixture';
 import type { Work } from './simcpu';
 import { createProcessor, passMs, stepMs } from './simcpu';
 import type { EntryNode, Link, World } from './simnodes';
@@ -48,7 +47,7 @@
     isFrozen: false,
   };
   const links = new Map<string, Link>();
-  const wallMs = (): number => WALL_MS + clock.now();
+  const wallMs = (): number => world.wallMsOf(host);
 
   /** Tells the scheduler how long its placement pass has taken, as the shell of an entry does. */
   const tellPass = (durationMs: number): void => {
@@ -128,7 +127,12 @@
           const other = world.entryAt(effect.host);
           if (other?.accepts() !== true) return;
           other.dispatch({ kind: 'linkOpened', linkId });
-          other.dispatch({ kind: 'received', linkId, message, wallMs: wallMs() });
+          other.dispatch({
+            kind: 'received',
+            linkId,
+            message,
+            wallMs: world.wallMsOf(other.host),
+          });
           other.dispatch({ kind: 'linkClosed', linkId });
         });
         return;
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -22,6 +22,8 @@
   readonly clock: Clock;
   readonly store: SimStore;
   readonly entryAt: (host: string) => EntryNode | undefined;
+  /** Time of day that a host or machine shows. */
+  readonly wallMsOf: (name: string) => number;
   readonly seeds: readonly string[];
   readonly times: SchedulerTimes;
   readonly costs: CpuCosts;
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -18,6 +18,12 @@
   readonly processors?: readonly number[];
 }
 
+/** Options of a simulation. */
+export interface SimOptions extends CpuOptions {
+  /** Returns how far the clock of a host (`h0`) or machine (`m0`) is ahead. All are right by default. */
+  readonly wallOffsetMs?: (name: string) => number;
+}
+
 /** A line that an entry has logged, with the time since the start. */
 export interface LoggedLine extends Pick<LogEffect, 'event' | 'fields'> {
   readonly atMs: number;
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -19,7 +19,7 @@
 import type { EntryNode, World } from './simnodes';
 import type { SimStore } from './simstore';
 import { CALM_STORE, createStore } from './simstore';
-import type { CpuOptions, LoggedLine, Simulation } from './simtypes';
+import type { LoggedLine, SimOptions, Simulation } from './simtypes';
 import { PROMPT_ORDERS } from './simtypes';
 import { createRunWatch } from './simwatch';
 import type { SimWorker } from './simworker';
@@ -45,7 +45,7 @@
   seed: number,
   machineCount = 5,
   times = TIMES,
-  { costs = NO_COSTS, processors = [] }: CpuOptions = {},
+  { costs = NO_COSTS, processors = [], wallOffsetMs = () => 0 }: SimOptions = {},
 ): Simulation {
   const clock = createClock(seed);
   const startMs = clock.now();
@@ -60,6 +60,7 @@
   const entries: EntryNode[] = [];
   const machines: Machine[] = [];
 
+  const wallMsOf = (name: string): number => WALL_MS + clock.now() + wallOffsetMs(name);
   const log = (who: string, text: string): void => {
     trace.push(`${((clock.now() - startMs) / 1_000).toFixed(3)} ${who} ${text}`);
   };
@@ -106,6 +107,7 @@
   const world: World = {
     clock,
     store,
+    wallMsOf,
     seeds: hosts,
     times,
     costs,
@@ -126,7 +128,7 @@
   };
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
-    const bornAtMs = WALL_MS + clock.now();
+    const bornAtMs = wallMsOf(name);
     return createWorker(clock, { id, address: name, bornAtMs }, rate, history);
   };
   const startAgent = (index: number, worker: SimWorker): void => {
