Keep the order of bytes in the soak's proxies when a mode changes

Cause: a chunk that a proxy delayed was overtaken by later ones of the same connection when the delay ended, which TCP never does.

Change: each direction of a connection forwards its chunks one after another. Delays, and what a mode holds back, are as before.

--- a/soak/proxy.ts
+++ b/soak/proxy.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { connect, createServer } from 'node:net';
 import type { Server, Socket } from 'node:net';
+import { setTimeout as sleep } from 'node:timers/promises';
 import { advance, compileChart } from '@bronzeyoke/chart';
 import type { StateOf } from '@bronzeyoke/chart';
 import { assertNever, parseAddress } from '@bronzeyoke/types';
@@ -40,33 +41,47 @@
     heldWrites: [],
   };
 
-  const forward = (to: Socket, chunk: Buffer, isAnswer: boolean): void => {
-    const write = (): void => {
-      if (to.writable) to.write(chunk);
-    };
+  const isHeldBack = (isAnswer: boolean): boolean => {
     const { mode } = link;
     switch (mode.kind) {
       case 'pass':
-        write();
-        break;
       case 'delay':
-        setTimeout(write, mode.byMs);
-        break;
-      case 'silent':
-        link.heldWrites.push(write);
-        break;
-      case 'oneWay':
-        if (isAnswer === (mode.lost === 'answers')) link.heldWrites.push(write);
-        else write();
-        break;
       case 'reset':
       case 'refuse':
-        to.resetAndDestroy();
-        break;
+        return false;
+      case 'silent':
+        return true;
+      case 'oneWay':
+        return isAnswer === (mode.lost === 'answers');
       default:
-        assertNever(mode);
+        return assertNever(mode);
     }
   };
+  const waitUntilReleased = async (isAnswer: boolean): Promise<void> => {
+    if (!isHeldBack(isAnswer)) return;
+    await new Promise<void>((resolve) => {
+      link.heldWrites.push(resolve);
+    });
+  };
+
+  /** Forwards one direction of a connection. Bytes keep their order also when the mode changes. */
+  const forward = (from: Socket, to: Socket, isAnswer: boolean): void => {
+    const direction = { lastWrite: Promise.resolve() };
+    from.on('data', (chunk: Buffer) => {
+      const { mode } = link;
+      if (mode.kind === 'reset' || mode.kind === 'refuse') {
+        to.resetAndDestroy();
+        return;
+      }
+      const delay = mode.kind === 'delay' ? sleep(mode.byMs) : undefined;
+      direction.lastWrite = direction.lastWrite
+        .then(() => delay)
+        .then(() => waitUntilReleased(isAnswer))
+        .then(() => {
+          if (to.writable) to.write(chunk);
+        });
+    });
+  };
 
   const accept = (inbound: Socket): void => {
     if (link.mode.kind === 'reset') {
@@ -80,8 +95,8 @@
       connections.delete(pair);
       pair.forEach((socket) => socket.destroy());
     };
-    inbound.on('data', (chunk: Buffer) => forward(outbound, chunk, false));
-    outbound.on('data', (chunk: Buffer) => forward(inbound, chunk, true));
+    forward(inbound, outbound, false);
+    forward(outbound, inbound, true);
     pair.forEach((socket) => {
       socket.setNoDelay(true);
       socket.on('error', end);
--- a/soak/test/proxy.test.ts
+++ b/soak/test/proxy.test.ts
@@ -6,6 +6,7 @@
 import { claimLoopbackRange } from '../loopback';
 import type { Proxy } from '../proxy';
 import { startProxy } from '../proxy';
+import type { LinkMode } from '../types';
 
 const WAIT_MS = 60;
 
@@ -42,7 +43,7 @@
 /** Connects to an address; fails with the code of the error. */
 async function open(address: string): Promise<Socket> {
   const [host = '', port = ''] = address.split(':');
-  const socket = connect(Number(port), host);
+  const socket = connect(Number(port), host).setNoDelay(true);
   socket.on('error', () => undefined);
   await once(socket, 'connect');
   return socket;
@@ -114,3 +115,23 @@
   socket.destroy();
   close();
 });
+
+// Guards against a proxy that swaps the bytes of a connection, so that a message overtakes the one before.
+it('soak proxy: bytes keep their order when the mode changes', async () => {
+  const { proxy, arrived, close } = await startEcho();
+  const socket = await open(proxy.address);
+  const sendIn = async (mode: LinkMode, text: string): Promise<void> => {
+    proxy.setMode(mode);
+    socket.write(text);
+    await sleep(WAIT_MS / 4);
+  };
+  await sendIn({ kind: 'delay', byMs: WAIT_MS }, 'a');
+  await sendIn({ kind: 'pass' }, 'b');
+  await sendIn({ kind: 'silent' }, 'c');
+  await sendIn({ kind: 'delay', byMs: 0 }, 'd');
+  proxy.setMode({ kind: 'pass' });
+  await sleep(2 * WAIT_MS);
+  expect(arrived.join('')).to.equal('abcd');
+  socket.destroy();
+  close();
+});
