--- a/packages/scheduler/test/leasebasis.test.ts
+++ b/packages/scheduler/test/leasebasis.test.ts
@@ -29,6 +29,9 @@
 /** Time from the read of a lease row until the leases that it tells of have ended. */
 const ROW_END_MS = 2_000;
 
+/** Time until a claim is stored, after which its order may still come late when the lease ends. */
+const SLOW_COMMIT_MS = 3_500;
+
 /** Characters of a log line that users keep. */
 const KEPT_CHARACTERS = 200;
 
@@ -80,6 +83,20 @@
   expect(state.workers.get(workerKeyFor('w1'))?.leaseFrom.kind).to.equal('report');
 });
 
+// Guards against a release by lease end whose line tells of the start order that its worker is kept for,
+// with an end in the future.
+it('lease basis: a worker kept for a late start is told from one whose lease has ended', () => {
+  const claimed = submit(runningLong(), jobOf('job2', [stageOf(1)]));
+  const silent = commitAll(advance(commitAll(advance(claimed, SLOW_COMMIT_MS)), 2_500));
+  const lines = loggedFields(advance(silent, 600), 'taskReleased');
+  const bases = lines.map(({ task, leaseFrom }) => ({ task, leaseFrom }));
+  expect(bases).to.deep.equal([
+    { task: TASK, leaseFrom: 'grant' },
+    { task: 'job2.0.0.0', leaseFrom: 'lateStart' },
+  ]);
+  lines.forEach(({ leaseEndedAgoMs }) => expect(leaseEndedAgoMs).to.be.at.least(0));
+});
+
 // Guards against the lines of users, who keep 200 characters, without the reason and the worker.
 it('lease basis: the line of a release begins with the reason and the worker', () => {
   const lines: string[] = [];
