Ask the new address of a worker before an answer at its former one counts

Cause: an answer of another instance at the address that the agent calls ended the worker at once, also when a heartbeat of the worker had just come from another address. The tasks of a worker that had moved ran twice. Change: such an answer counts as none while the worker is heard elsewhere. The other address is asked at once; its reply moves the worker, and without one the next answer ends it. A later instance under the id ends it as before.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -12,6 +12,7 @@
   removeWorker,
 } from './gone';
 import { leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
+import { resultForWorker } from './moved';
 import { forgetStart } from './recentstarts';
 import { reportIfDue, sendToLeader } from './report';
 import type { RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
@@ -256,8 +257,9 @@
 ): RunnerStep {
   if (callId === state.holdCallId) {
     if (state.worker === undefined) return unchanged(state);
-    const worker = noteResult(state.worker, result, state.holdSentAtMs, nowMs);
-    return onHoldResult({ ...state, worker }, worker, result, nowMs);
+    const counted = resultForWorker(state, result);
+    const worker = noteResult(state.worker, counted, state.holdSentAtMs, nowMs);
+    return onHoldResult({ ...state, worker }, worker, counted, nowMs);
   }
   const order = state.pendingCalls.get(callId);
   if (order === undefined) return unchanged(state);
--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -7,6 +7,7 @@
 import { HOLD_GRACE_MS, HOLD_RETRY_MS, onList, tokenAfterRefusal } from './calls';
 import { onSuccessorSeen, removeWorker } from './gone';
 import { firstHeldLease } from './heldlease';
+import { mayHaveMoved } from './moved';
 import type { Candidate, RunnerEffect, RunnerState, RunnerStep, WorkerState } from './types';
 import { candidateChart } from './types';
 
@@ -67,7 +68,8 @@
  * another address. One that answers goes on, whatever the heartbeats say. An instance under another id
  * at another address shows nothing of it.
  */
-function mayReplace({ worker, goneWorkers }: RunnerState, candidate: WorkerReport): boolean {
+function mayReplace(state: RunnerState, candidate: WorkerReport): boolean {
+  const { worker, goneWorkers } = state;
   const candidateWorkerKey = workerKeyOf(candidate);
   // Orders that the leader sent before it recorded the end are for runs that it gives away.
   if (goneWorkers.some(({ workerKey }) => workerKey === candidateWorkerKey)) return false;
@@ -75,7 +77,8 @@
   if (worker.failures === undefined) return false;
   const { id, address, bornAtMs } = candidate;
   const { report } = worker;
-  return report.address === address || (report.id === id && bornAtMs >= report.bornAtMs);
+  if (report.id === id && bornAtMs >= report.bornAtMs) return true;
+  return report.address === address && !mayHaveMoved(state);
 }
 
 function ask(state: RunnerState, key: string, candidate: Candidate): RunnerStep {
