Keep the outcomes of ended jobs by the steady clock as well

Cause: a leader whose time of day stepped forward by three minutes removed the outcomes of jobs that had just ended, and forgot them. A full read of the job table that began before such a job ended would have opened it from nothing. Change: a job that ended under this leader is also kept as long by the steady clock.

--- a/packages/scheduler/src/leadership/flush.ts
+++ b/packages/scheduler/src/leadership/flush.ts
@@ -153,6 +153,7 @@
       (ended, jobId) => ended.set(jobId, state.jobs.get(jobId)?.progress.endedAtMs ?? 0),
       state.ended,
     ),
+    endStoredAtMs: state.endStoredAtMs.merge(endedJobs.map((jobId) => [jobId, nowMs])),
   };
   return chainAll(stored, [
     (current) => grantDueLeases(current, nowMs),
--- a/packages/scheduler/src/leadership/maintenance.ts
+++ b/packages/scheduler/src/leadership/maintenance.ts
@@ -28,9 +28,18 @@
   return Object.fromEntries(waiting);
 }
 
-function expiredJobs(state: SchedulerState, wallMs: number): readonly string[] {
+/**
+ * Returns ended jobs whose outcome has been stored for long enough. The time of day may step, and a full read
+ * of the job table may still deliver the row of a job that ended under this leader, so the steady clock
+ * counts too.
+ */
+function expiredJobs(state: SchedulerState, nowMs: number, wallMs: number): readonly string[] {
+  const { ended, endStoredAtMs } = state;
   const keepMs = state.settings.times.statusMs * OUTCOME_KEEP_FACTOR;
-  const expired = state.ended.filter((endedAtMs) => wallMs - endedAtMs > keepMs);
+  const expired = ended.filter(
+    (endedAtMs, jobId) =>
+      wallMs - endedAtMs > keepMs && nowMs - endStoredAtMs.get(jobId, -Infinity) > keepMs,
+  );
   return expired.keySeq().take(MAX_EXPIRED_JOBS).toArray();
 }
 
@@ -46,11 +55,12 @@
   const countsText = JSON.stringify(counts);
   const isChanged = countsText !== state.writtenCounts;
   const writesCounts = sinceMs >= (isChanged ? COUNTS_INTERVAL_MS : COUNTS_REFRESH_MS);
-  const expired = expiredJobs(state, wallMs);
+  const expired = expiredJobs(state, nowMs, wallMs);
   const writesPairs = state.arePairsDirty && nowMs - state.pairsSavedAtMs >= PAIRS_INTERVAL_MS;
   const next = {
     ...state,
     ended: state.ended.deleteAll(expired),
+    endStoredAtMs: state.endStoredAtMs.deleteAll(expired),
     ...(writesCounts ? { writtenCounts: countsText, countsWrittenAtMs: nowMs } : {}),
     ...(writesPairs ? { pairsSavedAtMs: nowMs, arePairsDirty: false } : {}),
   };
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -19,6 +19,7 @@
   undecoded: Map<string, never>(),
   unopened: Map<string, never>(),
   ended: Map<string, never>(),
+  endStoredAtMs: Map<string, never>(),
   workers: Map<string, never>(),
   instances: NO_INSTANCES,
   instanceCount: 0,
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -213,6 +213,8 @@
   readonly unopened: Map<string, StoredProgress>;
   /** Ended jobs whose outcome is still stored, with the wall-clock time of their end. */
   readonly ended: Map<string, number>;
+  /** When this leader stored the ends of those jobs that ended under it, on its steady clock. */
+  readonly endStoredAtMs: Map<string, number>;
   readonly workers: Map<string, WorkerView>;
   /** The same instances by id and address. */
   readonly instances: InstanceIndex;
