Acknowledge a success of a task that was started again only after the lease

Work that callers asked for once could still count twice by causes that are not known, or that cannot be ruled out: each release by time rests on how long the leader thinks that a lease lasts, and a success that came after it was acknowledged at once.

A success whose task was ordered again is now acknowledged only once the lease of its worker has ended since: the worker lists a run that expired after it, or the agent's report says so (lapsedSequence). Until then the worker gets no lease and no task (lapseAwaited). The job is complete with the success as before. Nothing changes for a task that waits or is only claimed, for lasting tasks and for those with copies.

--- a/packages/runner/src/calls.ts
+++ b/packages/runner/src/calls.ts
@@ -12,7 +12,7 @@
   onSuccessorListed,
   removeWorker,
 } from './gone';
-import { leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
+import { isWithoutLease, leaseToPass, noteClock, noteLeaseEnd } from './heldlease';
 import { earlierOrderFields, lateOrderEnds } from './lateorders';
 import { resultForWorker } from './moved';
 import { forgetStart } from './recentstarts';
@@ -162,6 +162,9 @@
     listNumber,
     running,
     ended,
+    lapsedSequence: isWithoutLease(worker, clockMs)
+      ? (ended.at(-1)?.sequence ?? worker.lapsedSequence)
+      : worker.lapsedSequence,
     pending: unsettledOrders(worker, listNumber),
   };
   const updated = { ...state, worker: next, holdAtMs: nowMs + HOLD_PAUSE_MS };
--- a/packages/runner/src/candidates.ts
+++ b/packages/runner/src/candidates.ts
@@ -139,6 +139,7 @@
     listNumber: 0,
     running: [],
     ended: [],
+    lapsedSequence: 0,
     pending: Map(),
     startCalls: Map(),
   };
--- a/packages/runner/src/heldlease.ts
+++ b/packages/runner/src/heldlease.ts
@@ -60,6 +60,11 @@
   return { ...worker, heldLease: { ...heldLease, latestEndClockMs } };
 }
 
+/** Returns whether the worker held no lease when it made a list, by its own clock. */
+export function isWithoutLease({ heldLease }: WorkerState, clockMs: number): boolean {
+  return clockMs >= heldLease.latestEndClockMs;
+}
+
 /** Returns the end of the lease that the next call passes on; undefined without a grant. */
 export function leaseToPass(worker: WorkerState): number | undefined {
   const { leaseUntilClockMs, heldLease, report } = worker;
--- a/packages/runner/src/report.ts
+++ b/packages/runner/src/report.ts
@@ -11,7 +11,8 @@
 export function reportEffects(state: RunnerState): readonly RunnerEffect[] {
   const { worker, settings, phase, term, lastOrder } = state;
   if (worker?.clockMs === undefined) return [];
-  const { workerKey, report, clockMs, running, ended, pending } = worker;
+  const { workerKey, report, clockMs, running, ended, lapsedSequence, pending } = worker;
+  const hasLapsed = lapsedSequence >= (ended[0]?.sequence ?? Infinity);
   return sendToLeader(state, {
     kind: 'report',
     agentId: settings.agentId,
@@ -22,6 +23,7 @@
     clockMs,
     running,
     ended,
+    ...(hasLapsed ? { lapsedSequence } : {}),
     pending: pending
       .valueSeq()
       .map(({ run }) => run)
--- a/packages/runner/src/types.ts
+++ b/packages/runner/src/types.ts
@@ -210,6 +210,8 @@
   readonly listNumber: number;
   readonly running: readonly ListedRun[];
   readonly ended: readonly ListedEnd[];
+  /** Highest sequence of an end after which the lease of the worker has ended; 0 if there is none. */
+  readonly lapsedSequence: number;
   readonly pending: Map<string, PendingOrder>;
   /** Recent start calls that the worker may have carried out, by run. */
   readonly startCalls: Map<string, StartCall>;
--- a/packages/scheduler/src/fleet/blocked.ts
+++ b/packages/scheduler/src/fleet/blocked.ts
@@ -32,10 +32,11 @@
 }
 
 /**
- * Returns whether a worker gets no lease, so that it has to end a run that ignores its stop orders. Only a
- * worker that runs nothing for an open job gets none.
+ * Returns whether a worker gets no lease: its present one has to end for a success that must not count, or a
+ * run there ignores its stop orders and it runs nothing for an open job.
  */
 export function isLeaseWithheld(state: SchedulerState, workerKey: string, nowMs: number): boolean {
+  if (state.workers.get(workerKey)?.awaitsLapse === true) return true;
   return (
     runsOn(state.runs, workerKey).isEmpty() && ignoredStops(state, workerKey, nowMs).length > 0
   );
--- a/packages/scheduler/src/fleet/listedends.ts
+++ b/packages/scheduler/src/fleet/listedends.ts
@@ -1,24 +1,28 @@
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import type { Report } from '@bronzeyoke/wire';
 import { parseTaskName } from '@bronzeyoke/workflow';
+import type { ListedEnd } from '@bronzeyoke/ports';
 import { logEndAfterRelease, showsLateRun } from './lateends';
 import { logListedAfterRelease } from './releasedruns';
+import { firstUnsettledEnd } from './unsettledends';
 import { applyEnd } from '../jobs/ends';
 import { isHeldTask } from '../jobs/held';
 import { addPostCommitAction, withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 
 /**
- * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and an
- * acknowledgement covers all ends before it.
+ * Returns the last end that is acknowledged. The worker has to keep those of held jobs, and successes that
+ * must not count; an acknowledgement covers all ends before it.
  */
 function lastAcknowledged(
   state: SchedulerState,
-  { ended }: Report,
+  report: Report,
+  unsettled: ListedEnd | undefined,
   handledSequence: number,
 ): number {
-  const held = ended.find(({ task }) => isHeldTask(state, task));
-  return held === undefined ? handledSequence : Math.min(handledSequence, held.sequence - 1);
+  const held = report.ended.find(({ task }) => isHeldTask(state, task));
+  const kept = [held, unsettled].flatMap((end) => (end === undefined ? [] : end.sequence - 1));
+  return Math.min(handledSequence, ...kept);
 }
 
 /** Applies the ends that a worker lists and that were not handled yet. */
@@ -29,6 +33,7 @@
   wallMs: number,
 ): SchedulerStep {
   const { workerKey } = report;
+  const unsettled = firstUnsettledEnd(state, report);
   const view = state.workers.get(workerKey);
   const unhandled = report.ended.filter(({ sequence }) => sequence > (view?.handledSequence ?? 0));
   const last = unhandled.at(-1);
@@ -50,7 +55,7 @@
     workers: step.state.workers.set(workerKey, { ...handled, handledSequence: last.sequence }),
     needsPlacement: true,
   };
-  const sequence = lastAcknowledged(state, report, last.sequence);
+  const sequence = lastAcknowledged(state, report, unsettled, last.sequence);
   if (sequence < (report.ended[0]?.sequence ?? 0)) return withEffects(updated, step.effects);
   const jobIds = unhandled.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
   return withEffects(
--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -78,6 +78,7 @@
     linkId,
     quarantinedUntilMs,
     hasEnded = false,
+    awaitsLapse = false,
     isUnreachable = false,
   }: WorkerView,
   nowMs: number,
@@ -86,6 +87,7 @@
     report !== undefined &&
     linkId !== undefined &&
     !hasEnded &&
+    !awaitsLapse &&
     !isUnreachable &&
     !report.isDraining &&
     !hasUnknownNeeds(runsOn(state.orphans, workerKey)) &&
--- a/packages/scheduler/src/fleet/workerreport.ts
+++ b/packages/scheduler/src/fleet/workerreport.ts
@@ -8,6 +8,7 @@
 import { firstLeaseBasis } from './leasebasis';
 import { firstLeaseEndAtMs, isAwaited } from './leases';
 import { addReporter } from './links';
+import { firstUnsettledEnd } from './unsettledends';
 import { runKey } from '../runs';
 import { withEffects } from '../state';
 import type { SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
@@ -45,6 +46,9 @@
   const { workerKey, worker, agentId, clockMs } = report;
   const times = state.storedTimes ?? state.settings.times;
   const known = state.workers.get(workerKey);
+  const awaitsLapse = firstUnsettledEnd(state, report) !== undefined;
+  // The ends that were held back until the lease has ended are handled once more, and acknowledged.
+  const isSettled = known?.awaitsLapse !== true || awaitsLapse;
   return {
     workerKey,
     report: worker,
@@ -55,9 +59,10 @@
     clockMs: Math.max(clockMs, known?.clockMs ?? -1),
     expiresAtMs: known?.expiresAtMs ?? firstLeaseEndAtMs(times, worker.bornAtMs, nowMs, wallMs),
     leaseFrom: known?.leaseFrom ?? firstLeaseBasis(times, worker.bornAtMs, nowMs, wallMs),
-    handledSequence: known?.linkId === linkId ? known.handledSequence : 0,
+    handledSequence: known?.linkId === linkId && isSettled ? known.handledSequence : 0,
     failedJobs: known?.failedJobs ?? [],
     quarantinedUntilMs: known?.quarantinedUntilMs ?? 0,
+    ...(awaitsLapse ? { awaitsLapse } : {}),
     ...(known?.comparedCount === undefined ? {} : { comparedCount: known.comparedCount }),
     ...(known?.unwantedStops === undefined
       ? {}
@@ -80,6 +85,18 @@
   );
 }
 
+/** Logs a worker that gets no lease because of a success that must not count. */
+function logAwaitedLapse(
+  state: SchedulerState,
+  known: WorkerView | undefined,
+  report: Report,
+): readonly SchedulerEffect[] {
+  const unsettled = firstUnsettledEnd(state, report);
+  if (unsettled === undefined || known?.awaitsLapse === true) return [];
+  const { task, attempt, sequence } = unsettled;
+  return [logEffect('lapseAwaited', { worker: report.workerKey, task, attempt, sequence })];
+}
+
 function logWorker(known: WorkerView | undefined, report: Report): readonly SchedulerEffect[] {
   const { workerKey, agentId, worker } = report;
   const { id, service, domain, isDraining, capacity } = worker;
@@ -114,5 +131,9 @@
     needsPlacement: state.needsPlacement || changesRoom(known, report),
   };
   const granted = grantIfAllowed(updated, workerKey, nowMs);
-  return withEffects(granted.state, [...granted.effects, ...logWorker(known, report)]);
+  return withEffects(granted.state, [
+    ...granted.effects,
+    ...logWorker(known, report),
+    ...logAwaitedLapse(state, known, report),
+  ]);
 }
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -180,6 +180,10 @@
   readonly quarantinedUntilMs: number;
   /** Its agent has refused an order since its last report, because calls to it fail. */
   readonly isUnreachable?: boolean;
+  /**
+   * It lists a success of a task that was started again, and gets no lease until its present one has ended.
+   */
+  readonly awaitsLapse?: boolean;
   /** Its process has ended, but some of its runs may still begin. */
   readonly hasEnded?: boolean;
   /** Value of `instanceCount` when other instances at its address and under its id were looked for. */
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -75,6 +75,7 @@
   | 'taskPaced'
   | 'awayCounts'
   | 'blockedCounts'
+  | 'lapseAwaited'
   | 'orderLost'
   | 'heartbeatRefuted'
   | 'goneIgnored'
--- a/packages/wire/src/reportchange.ts
+++ b/packages/wire/src/reportchange.ts
@@ -1,7 +1,7 @@
 import { z } from 'zod';
 import type { ListedEnd, ListedRun, WorkerReport } from '@bronzeyoke/ports';
 import type { Result } from '@bronzeyoke/types';
-import { fail, isSameAmount, succeed } from '@bronzeyoke/types';
+import { fail, isSameAmount, succeed, without } from '@bronzeyoke/types';
 import type { Report, RunRef } from './runner';
 import { endSchema, runSchema, workerSchema } from './runnerschema';
 
@@ -31,6 +31,7 @@
   readonly worker?: WorkerReport;
   /** Absent if there are none. */
   readonly ended?: readonly ListedEnd[];
+  readonly lapsedSequence?: number;
   readonly pending?: readonly RunRef[];
 }
 
@@ -51,6 +52,7 @@
   ),
   worker: workerSchema.optional(),
   ended: z.array(endSchema).optional(),
+  lapsedSequence: z.int().optional(),
   pending: z.array(runSchema).optional(),
 });
 
@@ -89,7 +91,7 @@
   const isSameSource =
     previous.workerKey === report.workerKey && previous.agentId === report.agentId;
   if (!isSameSource) return undefined;
-  const { term, clockMs, lastOrder, running, worker, ended, pending } = report;
+  const { term, clockMs, lastOrder, running, worker, ended, lapsedSequence, pending } = report;
   const positions = new Map(
     previous.running.map(({ task, attempt }, index) => [`${task}#${attempt}`, index]),
   );
@@ -105,6 +107,7 @@
     running: changes,
     ...(isSameWorker(previous.worker, worker) ? {} : { worker }),
     ...(ended.length === 0 ? {} : { ended }),
+    ...(lapsedSequence === undefined ? {} : { lapsedSequence }),
     ...(pending.length === 0 ? {} : { pending }),
   };
 }
@@ -132,19 +135,20 @@
   if (previous === undefined) {
     return fail({ kind: 'malformedFrame', problem: 'reportChange: no report before' });
   }
-  const { term, clockMs, lastOrder, worker, ended = [], pending = [] } = change;
+  const { term, clockMs, lastOrder, worker, ended = [], lapsedSequence, pending = [] } = change;
   const running = change.running.flatMap((run) => decodeRun(run, previous.running) ?? []);
   if (running.length !== change.running.length) {
     return fail({ kind: 'malformedFrame', problem: 'reportChange: unknown run' });
   }
   return succeed({
-    ...previous,
+    ...without(previous, 'lapsedSequence'),
     term,
     clockMs,
     lastOrder,
     running,
     ended,
     pending,
+    ...(lapsedSequence === undefined ? {} : { lapsedSequence }),
     ...(worker === undefined ? {} : { worker }),
   });
 }
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -62,6 +62,8 @@
       readonly clockMs: number;
       readonly running: readonly ListedRun[];
       readonly ended: readonly ListedEnd[];
+      /** Highest sequence of an end after which the lease of the worker has ended; absent if none is known. */
+      readonly lapsedSequence?: number;
       /** Runs with orders whose effect is not known yet. */
       readonly pending: readonly RunRef[];
       /** Highest order number received on this connection. */
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -62,6 +62,7 @@
       }),
     ),
     ended: z.array(endSchema),
+    lapsedSequence: z.int().optional(),
     pending: z.array(runSchema),
     lastOrder: z.int(),
   }),
