Show a run that is released by its agent though a later instance has ended it

An agent ends the lease of the instance that it ordered 3 s after the last reply, and says so to the leader. A later instance under the id, which it can't hear, may have carried the order out under the longest lease. The run is released and started again, and its success is acknowledged within that lease.

--- a/packages/scheduler/test/repeats.test.ts
+++ b/packages/scheduler/test/repeats.test.ts
@@ -74,6 +74,22 @@
   expectOneSuccess((simulation, machine, forMs) => simulation.replaceAgent(machine, 'kill', forMs));
 });
 
+// Guards against an agent that ends the lease of the instance that was ordered, while it can't hear a later one
+// that has carried the order out under a longer lease.
+it('repeats: a success of a later instance that its agent cannot hear counts once', () => {
+  expectOneSuccess((simulation, machine, forMs) =>
+    simulation.disturbHop(machine, { calls: 'unanswered', hasHeartbeats: false }, forMs),
+  );
+});
+
+// Guards against the same when the connections of the agent are refused, so that the worker looks crashed.
+it('repeats: a success of a later instance that refuses its agent counts once', () => {
+  expectOneSuccess((simulation, machine, forMs) => {
+    simulation.advance(1);
+    simulation.disturbHop(machine, { calls: 'refused', hasHeartbeats: false }, forMs);
+  });
+});
+
 const LATE_ORDER_MS = 200;
 
 /** Numbers of ms between the restart of a worker and the arrival of an order at the later instance. */
