Give only tasks that do not last two seconds for the first reports

They wait for the end of the lease as before; the two seconds are kept with the runs of other tasks.

--- a/packages/scheduler/src/fleet/adopt.ts
+++ b/packages/scheduler/src/fleet/adopt.ts
@@ -46,6 +46,13 @@
   });
 }
 
+/**
+ * Time from a load in which the agents that are up find the new leader and report. Without it, a leader that
+ * was slow to claim gives runs away whose agents are just about to report their ends. Lasting tasks do not
+ * wait for them: they have to be back soon, and their work is not lost by a second run.
+ */
+const FIRST_REPORTS_MS = 2_000;
+
 /**
  * Returns the run that the stored progress of a task tells of, if its job has such a stage. `orderedAtMs`
  * is the latest time of its order.
@@ -66,6 +73,7 @@
     ...inheritedPaceOf(stage, nowMs),
     // The worker has listed a run that is stored as running, so its order was carried out there.
     ...(task.phase === 'running' || stage.isLasting ? {} : { orderedAtMs }),
+    ...(stage.isLasting ? {} : { keptUntilMs: nowMs + FIRST_REPORTS_MS }),
   };
 }
 
@@ -96,12 +104,6 @@
   };
 }
 
-/**
- * Time from a load in which the agents that are up find the new leader and report. Without it, a leader that
- * was slow to claim gives runs away whose agents are just about to report their ends.
- */
-const FIRST_REPORTS_MS = 2_000;
-
 /** What a new leader knows beside the stored progress. */
 export interface LoadedEvidence {
   /** Messages during the load that workers are gone. */
@@ -137,7 +139,7 @@
       ? unheardWorker(workerKey, nowMs, { kind: 'reportedGone', baseAtMs: nowMs })
       : unheardWorker(
           workerKey,
-          Math.max(leaseEndOf(workerKey), nowMs + FIRST_REPORTS_MS),
+          leaseEndOf(workerKey),
           rowLeaseBasis(state.earlierLeases, workerKey),
         );
     return [workerKey, view] as const;
--- a/packages/scheduler/src/fleet/latestarts.ts
+++ b/packages/scheduler/src/fleet/latestarts.ts
@@ -43,11 +43,12 @@
  * lasting task has to be back sooner, and no success of it counts.
  */
 function lateRunEndMs(
-  { isListed, orderedAtMs = -Infinity, stage }: RunView,
+  { isListed, orderedAtMs = -Infinity, keptUntilMs = -Infinity, stage }: RunView,
   { maxLeaseEndMs }: SchedulerTimes,
 ): number {
   if (isListed) return -Infinity;
-  return orderedAtMs + LATE_CALL_MS + (stage.isLasting ? 0 : maxLeaseEndMs);
+  const lateEndMs = orderedAtMs + LATE_CALL_MS + (stage.isLasting ? 0 : maxLeaseEndMs);
+  return Math.max(lateEndMs, keptUntilMs);
 }
 
 /** Returns the runs of a silent worker that a later instance may have begun from late orders. */
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -75,6 +75,8 @@
   /** When the start order was last sent; absent like `orderedAgentId`. */
   readonly orderedAtMs?: number;
   readonly claimedAtMs: number;
+  /** Time before which it is not released for want of reports; absent for a run that this leader claimed. */
+  readonly keptUntilMs?: number;
   readonly percent: number;
   readonly percentAtMs: number;
   readonly load: number;
