Refuse start orders that an agent reads long after its worker's last reply

Cause: an agent that was suspended reads an order that has waited in its connection, and calls its worker with a lease by the clock of its last reply. A later instance under the id takes that lease as the longest one, after the leader has released the run. Change: an order more than 2 s after the last reply is refused as unreachable. Result: the test of the agent failed before and passes; all other tests of the agent and unreachable.test.ts pass as before.

--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -15,7 +15,7 @@
 import { reportEffects, sendToLeader } from './report';
 import { noteSequence } from './sequences';
 import { continueStop, onStop } from './settle';
-import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep } from './types';
+import type { RunnerEvent, RunnerSettings, RunnerState, RunnerStep, WorkerState } from './types';
 import { agentChart, lookupChart, orderKey } from './types';
 
 /**
@@ -88,6 +88,18 @@
   });
 }
 
+/**
+ * Longest time since the last reply of a worker that gets a start call. A worker that answers is heard every
+ * 0.4 s, and a call without a reply fails after 1 s, so the agent was suspended. The leader may have sent the
+ * order long ago, and a later instance would take the lease by the clock of the earlier one.
+ */
+const MAX_REPLY_AGE_MS = 2_000;
+
+/** Returns whether it is not known that the worker still answers. */
+function isUncertain({ failures, heldLease }: WorkerState, nowMs: number): boolean {
+  return failures !== undefined || nowMs - heldLease.repliedAtMs > MAX_REPLY_AGE_MS;
+}
+
 function onStartOrder(
   state: RunnerState,
   message: Extract<LeaderMessage, { kind: 'start' }>,
@@ -102,7 +114,7 @@
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
-  if (worker.failures !== undefined) {
+  if (isUncertain(worker, nowMs)) {
     const refused = refuse('unreachable');
     // The leader uses the worker again after its next report.
     return { ...refused, state: without(refused.state, 'lastReport') };
