--- a/packages/runner/src/heldlease.ts
+++ b/packages/runner/src/heldlease.ts
@@ -1,4 +1,3 @@
-import { LATE_CALL_MS } from '@bronzeyoke/ports';
 import type { HeldLease, RunnerState, WorkerState } from './types';
 
 /**
@@ -61,14 +60,6 @@
   return { ...worker, heldLease: { ...heldLease, latestEndClockMs } };
 }
 
-/**
- * Returns whether the last reply of a worker is older than failed calls explain: the agent was suspended. A
- * start call would come after the leader has stopped to reckon with it.
- */
-export function isReplyOld({ heldLease }: WorkerState, nowMs: number): boolean {
-  return nowMs - heldLease.repliedAtMs > LATE_CALL_MS;
-}
-
 /** Returns whether the worker held no lease when it made a list, by its own clock. */
 export function isWithoutLease({ heldLease }: WorkerState, clockMs: number): boolean {
   return clockMs >= heldLease.latestEndClockMs;
--- a/packages/runner/src/step.ts
+++ b/packages/runner/src/step.ts
@@ -8,7 +8,7 @@
 import { askCandidates, noteCandidate, onCandidateReply } from './candidates';
 import { endUnansweredWorker, goneEffects, onGoneRecorded, repeatGone, settleGone } from './gone';
 import { isSameAddress } from './connect';
-import { isReplyOld, leaseToPass, noteLeaseEnd } from './heldlease';
+import { leaseToPass, noteLeaseEnd } from './heldlease';
 import { advanceLookup } from './lookup';
 import { onLeader, onLeaderNamed, reconnectIfSilent } from './leader';
 import { noteStart } from './recentstarts';
@@ -114,11 +114,7 @@
   });
   if (worker?.workerKey !== workerKey) return refuse('expired');
   if (worker.report.isDraining || state.phase !== 'running') return refuse('draining');
-<<<<<<< HEAD
-  if (worker.failures !== undefined || isReplyOld(worker, nowMs)) {
-=======
   if (isUncertain(worker, nowMs)) {
->>>>>>> review47
     const refused = refuse('unreachable');
     // The leader uses the worker again after its next report.
     return { ...refused, state: without(refused.state, 'lastReport') };
