Count the end of a run that a later instance carried out

Cause: a run that a later instance lists as ended stayed claimed for the earlier one, so it was released and its failure acknowledged without being counted. The task could start more often than its job allows. Change: ended runs are moved to the instance that lists them, like running ones.

--- a/packages/scheduler/src/fleet/earlierinstances.ts
+++ b/packages/scheduler/src/fleet/earlierinstances.ts
@@ -18,7 +18,7 @@
   const earlier = earlierInstances(state.instances, report.worker);
   const ended = earlier.filter((key) => !isReportedElsewhere(state, key, report, nowMs));
   const released = chainAfter(
-    moveListedRuns(state, ended, report),
+    moveListedRuns(state, ended, report, [...report.running, ...report.ended]),
     ended.map((workerKey) => (current: SchedulerState) => {
       const lateStarts = lateStartsOn(current, workerKey, report.agentId, nowMs);
       const proof = { endReason: 'laterReport', by: report.workerKey };
--- a/packages/scheduler/src/fleet/move.ts
+++ b/packages/scheduler/src/fleet/move.ts
@@ -1,6 +1,7 @@
-import type { ListedRun, WorkerReport } from '@bronzeyoke/ports';
+import type { WorkerReport } from '@bronzeyoke/ports';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAll, unchanged } from '@bronzeyoke/types';
+import type { RunRef } from '@bronzeyoke/wire';
 import { taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { putRun } from '../runs';
 import { putJob, withEffects } from '../state';
@@ -8,7 +9,7 @@
 
 function moveRun(
   state: SchedulerState,
-  { task, attempt }: ListedRun,
+  { task, attempt }: RunRef,
   earlier: readonly string[],
   workerKey: string,
   address: string,
@@ -29,9 +30,9 @@
 }
 
 /**
- * Assigns runs that a worker lists to it when they are claimed for instances that its report proves to
- * have ended. A start order names the id of a worker only, so a later instance carries out one that
- * was on its way to an earlier one, and the agent that sent it may have ended meanwhile.
+ * Assigns runs that a worker lists to it, as running or ended, when they are claimed for instances that its
+ * report proves to have ended. A start order names the id of a worker only, so a later instance carries out
+ * one that was on its way to an earlier one, and the agent that sent it may have ended meanwhile.
  */
 export function moveListedRuns(
   state: SchedulerState,
@@ -39,16 +40,16 @@
   report: {
     readonly workerKey: string;
     readonly worker: WorkerReport;
-    readonly running: readonly ListedRun[];
   },
+  listed: readonly RunRef[],
 ): SchedulerStep {
-  const { workerKey, worker, running } = report;
+  const { workerKey, worker } = report;
   if (earlier.length === 0) return unchanged(state);
   return chainAll(
     state,
-    running.map(
-      (listed) => (current: SchedulerState) =>
-        moveRun(current, listed, earlier, workerKey, worker.address),
+    listed.map(
+      (run) => (current: SchedulerState) =>
+        moveRun(current, run, earlier, workerKey, worker.address),
     ),
   );
 }
