--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -2,6 +2,7 @@
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
 import { hasRoomForClaims } from '../fleet/loads';
+import { HOLD_START_MS } from './holdstart';
 import type { PostCommitAction } from './pending';
 import { releaseRun } from '../fleet/release';
 import { recordTaskTime } from '../jobs/openjob';
@@ -12,12 +13,6 @@
 import { runRef } from '../types';
 import type { HeldStart, RunView } from '../views';
 
-/**
- * Time for which a stored claim waits for the next connection of its agent. An agent that replaces its
- * connection or starts anew is back within it; giving the claim back costs two more rows and a pass.
- */
-export const HOLD_START_MS = 1_000;
-
 /** Keeps a stored claim until its agent reports on its next connection. */
 function holdStart(
   state: SchedulerState,
--- a/packages/scheduler/src/leadership/rowages.ts
+++ b/packages/scheduler/src/leadership/rowages.ts
@@ -1,4 +1,4 @@
-import { HOLD_START_MS } from './postcommit';
+import { HOLD_START_MS } from './holdstart';
 
 /** A version of the lease row, and when this entry first saw it or a later one. */
 export interface SeenVersion {
