Reuse what the log of late ends and the agent's failures know

The check of successes that must not count looked the task up as lateends does, and the one of moved workers told other instances as failures does; both call these now. A report without such a success is looked through once for it, and the ends of one that lists nothing new are not looked through again.

Behaviour is unchanged.

--- a/packages/runner/src/failures.ts
+++ b/packages/runner/src/failures.ts
@@ -3,8 +3,8 @@
 import { leaseLeftMs } from './heldlease';
 import type { FailureCounts, WorkerState } from './types';
 
-/** Returns whether a later instance at the worker's address replied. */
-function isOfOther({ report }: WorkerState, result: WorkerCallResult): boolean {
+/** Returns whether another instance at the worker's address replied. */
+export function isOfOther({ report }: WorkerState, result: WorkerCallResult): boolean {
   if (result.kind === 'otherWorker') return true;
   return (
     result.kind === 'done' && result.bornAtMs !== undefined && result.bornAtMs !== report.bornAtMs
--- a/packages/runner/src/moved.ts
+++ b/packages/runner/src/moved.ts
@@ -1,5 +1,6 @@
 import type { WorkerCallResult } from '@bronzeyoke/ports';
 import { workerKeyOf } from '@bronzeyoke/ports';
+import { isOfOther } from './failures';
 import type { RunnerState } from './types';
 
 /** Returns whether the present worker has been heard at another address, which has not been refuted. */
@@ -21,10 +22,8 @@
  * address that the worker may have left counts as none, until the worker's new address is settled.
  */
 export function resultForWorker(state: RunnerState, result: WorkerCallResult): WorkerCallResult {
-  const bornAtMs = state.worker?.report.bornAtMs;
-  const isOfOther =
-    result.kind === 'otherWorker' ||
-    (result.kind === 'done' && (result.bornAtMs ?? bornAtMs) !== bornAtMs);
-  if (!isOfOther || isOfLater(state, result) || !mayHaveMoved(state)) return result;
+  const { worker } = state;
+  if (worker === undefined || !isOfOther(worker, result)) return result;
+  if (isOfLater(state, result) || !mayHaveMoved(state)) return result;
   return { kind: 'lost' };
 }
--- a/packages/scheduler/src/fleet/lateends.ts
+++ b/packages/scheduler/src/fleet/lateends.ts
@@ -27,7 +27,7 @@
 }
 
 /** Returns what is known of the task of an end; undefined if its job is over, unknown or held. */
-function knownTask({ jobs }: SchedulerState, task: string): TaskProgress | undefined {
+export function knownTask({ jobs }: SchedulerState, task: string): TaskProgress | undefined {
   const ref = parseTaskName(task);
   const progress: JobProgress | undefined = ref && jobs.get(ref.jobId)?.progress;
   if (ref === undefined || progress === undefined || progress.outcome !== undefined) {
--- a/packages/scheduler/src/fleet/listedends.ts
+++ b/packages/scheduler/src/fleet/listedends.ts
@@ -33,7 +33,6 @@
   wallMs: number,
 ): SchedulerStep {
   const { workerKey } = report;
-  const unsettled = firstUnsettledEnd(state, report);
   const view = state.workers.get(workerKey);
   const unhandled = report.ended.filter(({ sequence }) => sequence > (view?.handledSequence ?? 0));
   const last = unhandled.at(-1);
@@ -55,6 +54,7 @@
     workers: step.state.workers.set(workerKey, { ...handled, handledSequence: last.sequence }),
     needsPlacement: true,
   };
+  const unsettled = firstUnsettledEnd(state, report);
   const sequence = lastAcknowledged(state, report, unsettled, last.sequence);
   if (sequence < (report.ended[0]?.sequence ?? 0)) return withEffects(updated, step.effects);
   const jobIds = unhandled.flatMap(({ task }) => parseTaskName(task)?.jobId ?? []);
--- a/packages/scheduler/src/fleet/unsettledends.ts
+++ b/packages/scheduler/src/fleet/unsettledends.ts
@@ -1,7 +1,8 @@
 import type { ListedEnd } from '@bronzeyoke/ports';
 import type { Report } from '@bronzeyoke/wire';
-import { parseTaskName, slotKey, taskProgress } from '@bronzeyoke/workflow';
+import { knownTask } from './lateends';
 import { runKey } from '../runs';
+import { knownStage } from '../tasklog';
 import type { SchedulerState } from '../types';
 
 /**
@@ -10,14 +11,10 @@
  */
 function isStartedAgain(state: SchedulerState, ended: ListedEnd): boolean {
   const { task, attempt } = ended;
-  const ref = parseTaskName(task);
-  const open = ref === undefined ? undefined : state.jobs.get(ref.jobId);
-  if (ref === undefined || open === undefined || open.progress.outcome !== undefined) {
-    return state.released.has(runKey(ended));
-  }
-  const stage = open.job.stages[ref.stageIndex];
+  const stored = knownTask(state, task);
+  if (stored === undefined) return state.released.has(runKey(ended));
+  const stage = knownStage(state, ended);
   if (stage === undefined || stage.isLasting || stage.allowsCopies) return false;
-  const stored = taskProgress(open.progress, slotKey(ref.occurrence, ref.stageIndex, ref.index));
   const run = state.runs.byTask.get(task);
   const isOnlyClaimed = run?.attempt === attempt + 1 && !run.isOrdered;
   return stored.attempt > attempt && !isOnlyClaimed;
--- a/packages/scheduler/src/fleet/workerreport.ts
+++ b/packages/scheduler/src/fleet/workerreport.ts
@@ -89,10 +89,12 @@
 function logAwaitedLapse(
   state: SchedulerState,
   known: WorkerView | undefined,
+  view: WorkerView,
   report: Report,
 ): readonly SchedulerEffect[] {
+  if (view.awaitsLapse !== true || known?.awaitsLapse === true) return [];
   const unsettled = firstUnsettledEnd(state, report);
-  if (unsettled === undefined || known?.awaitsLapse === true) return [];
+  if (unsettled === undefined) return [];
   const { task, attempt, sequence } = unsettled;
   return [logEffect('lapseAwaited', { worker: report.workerKey, task, attempt, sequence })];
 }
@@ -134,6 +136,6 @@
   return withEffects(granted.state, [
     ...granted.effects,
     ...logWorker(known, report),
-    ...logAwaitedLapse(state, known, report),
+    ...logAwaitedLapse(state, known, view, report),
   ]);
 }
