--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,6 +1,7 @@
 export * from './leadership/budget';
 export * from './leadership/maintenance';
 export * from './leadership/rows';
+export * from './policy';
 export * from './state';
 export * from './step';
 export * from './times';
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -15,6 +15,7 @@
 import type { PlaceWait } from './placement/placewait';
 import type { Leader, LeaseGrants, LeaseValue } from './leadership/rows';
 import type { OrphanTable, RunTable, TaskTable } from './runs';
+import type { SchedulingPolicy } from './policy';
 import type { EntryCapacity, SchedulerTimes } from './times';
 import type {
   Absence,
@@ -59,13 +60,15 @@
 /** State of the leadership chart. */
 export type LeadershipPhase = StateOf<typeof leadershipChart>;
 
-/** Address and capacity of this entry, and the times of its scheduler. */
+/** Address and capacity of this entry, and the times and policy of its scheduler. */
 export interface SchedulerSettings {
   readonly entryId: string;
   readonly host: string;
   readonly port: number;
   readonly capacity: EntryCapacity;
   readonly times: SchedulerTimes;
+  /** `DEFAULT_POLICY` if absent. */
+  readonly policy?: SchedulingPolicy;
 }
 
 /** The lease row as this entry last read it. */
