Refuse submissions by the leader's verdicts, with a row that makes the refusal final

Cause: an entry can't refuse a job for want of room: an attempt under the same id through another entry may still be stored after it. Change: the intake hears the verdicts as an event, judges each new submission, and stores a row in the table of withdrawals before it tells the caller; attempts that are on their way require that there is no such row. A later attempt replaces the row, in the version that is there, when the row is older than the call. A stored job is accepted whatever the verdict. No verdict is published yet, so nothing changes.

--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -1,10 +1,13 @@
 import { advance } from '@bronzeyoke/chart';
-import type { RowCommitResult, RowKey, StoredRow } from '@bronzeyoke/ports';
+import type { Judgement } from '@bronzeyoke/jobadmission';
+import { jobAsk, judgeJob } from '@bronzeyoke/jobadmission';
+import type { RowCommitResult, RowCondition, RowKey, StoredRow } from '@bronzeyoke/ports';
 import { jobKey, progressKey, WITHDRAWAL_KEEP_MS, withdrawalKey } from '@bronzeyoke/scheduler';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, without } from '@bronzeyoke/types';
 import { jobBytes } from '@bronzeyoke/workflow';
 import type { WorkflowJob } from '@bronzeyoke/workflow';
+import { z } from 'zod';
 import type {
   IntakeEffect,
   IntakeEvent,
@@ -16,12 +19,16 @@
 import { submissionChart } from './types';
 
 /** Each job takes three conditions and one write of the 100 that a transaction may name. */
-const MAX_JOBS_PER_TRANSACTION = 25;
+export const MAX_JOBS_PER_TRANSACTION = 25;
+
+/** A job whose earlier attempt was refused takes a write more. */
+const MAX_REPEATED_JOBS_PER_TRANSACTION = 20;
 
 /** Bytes of the jobs in one transaction, which the store takes up to 1 MB in Base64, keys included. */
 const MAX_TRANSACTION_BYTES = 512 * 1_024;
 const MAX_TRANSACTIONS_IN_FLIGHT = 2;
-const RETRY_DELAY_MS = 80;
+/** Time before a transaction that had no effect is sent again. */
+export const RETRY_DELAY_MS = 80;
 
 /** Submissions beyond this number are refused at once. */
 const MAX_SUBMISSIONS = 500;
@@ -37,13 +44,23 @@
 const MAX_STORE_SILENCE_MS = 1_000;
 
 type SubmissionEvent =
-  'sent' | 'stored' | 'withdrawn' | 'conflict' | 'unavailable' | 'unknown' | 'expired';
+  | 'sent'
+  | 'stored'
+  | 'withdrawn'
+  | 'overtaken'
+  | 'conflict'
+  | 'unavailable'
+  | 'unknown'
+  | 'declined'
+  | 'fenced'
+  | 'expired';
 
 function replyTo(submission: PendingSubmission, reply: IntakeReply): readonly IntakeEffect[] {
   return submission.callIds.map((callId) => ({ kind: 'reply', callId, reply }) as const);
 }
 
-function advanceSubmission(
+/** Applies an event to a submission. */
+export function advanceSubmission(
   state: IntakeState,
   jobId: string,
   event: SubmissionEvent,
@@ -71,6 +88,19 @@
           ...replyTo(submission, { kind: 'notAccepted', retryAfterMs: WITHDRAWAL_KEEP_MS }),
           logEffect('jobRefused', { job: jobId, reason: 'withdrawn' }),
         ];
+      case 'refuseOvertaken':
+        return [
+          ...replyTo(submission, { kind: 'notAccepted', retryAfterMs: CALLER_RETRY_AFTER_MS }),
+          logEffect('jobRefused', { job: jobId, reason: 'refusedElsewhere' }),
+        ];
+      case 'decline': {
+        const { retryAfterMs = CALLER_RETRY_AFTER_MS } = submission;
+        const { queue } = job.policy;
+        return [
+          ...replyTo(submission, { kind: 'notAccepted', retryAfterMs }),
+          logEffect('jobRefused', { job: jobId, reason: 'noRoom', queue, retryAfterMs }),
+        ];
+      }
       case 'replyUnknown':
         return [
           ...replyTo(submission, { kind: 'unknown' }),
@@ -87,7 +117,8 @@
   return { state: { ...state, submissions }, effects };
 }
 
-function advanceSubmissions(
+/** Applies an event to each of some submissions. */
+export function advanceSubmissions(
   state: IntakeState,
   jobIds: readonly string[],
   eventOf: (jobId: string) => SubmissionEvent,
@@ -106,11 +137,17 @@
   return phase === 'waiting' || phase === 'uncertain';
 }
 
+function isExpired(submission: PendingSubmission, nowMs: number): boolean {
+  const isInFlight = !isReadyToSend(submission) && submission.phase !== 'declining';
+  return !isInFlight && nowMs >= submission.expiresAtMs;
+}
+
 /** Returns as many jobs as a transaction holds, and one at least. */
 function takeJobs(submissions: IntakeState['submissions']): readonly WorkflowJob[] {
+  const isRepeat = submissions.some(({ fenceVersion }) => fenceVersion !== undefined);
   const jobs = submissions
     .valueSeq()
-    .take(MAX_JOBS_PER_TRANSACTION)
+    .take(isRepeat ? MAX_REPEATED_JOBS_PER_TRANSACTION : MAX_JOBS_PER_TRANSACTION)
     .map(({ job }) => job)
     .toArray();
   const taken = jobs.reduce(
@@ -124,6 +161,15 @@
   return jobs.slice(0, taken.count);
 }
 
+/** Returns the conditions under which no attempt under an id has been stored or refused since. */
+export function newJobConditions(jobId: string, fenceVersion = 0): readonly RowCondition[] {
+  return [
+    { ...jobKey(jobId), version: 0 },
+    { ...progressKey(jobId), version: 0 },
+    { ...withdrawalKey(jobId), version: fenceVersion },
+  ];
+}
+
 /** Sends submissions that are ready, many in one transaction that requires each job to be new. */
 export function sendSubmissions(state: IntakeState, nowMs: number): IntakeStep {
   if (state.inFlight.size >= MAX_TRANSACTIONS_IN_FLIGHT) return { state, effects: [] };
@@ -134,13 +180,13 @@
   if (jobs.length === 0) return { state, effects: [] };
   const jobIds = jobs.map(({ jobId }) => jobId);
   const callId = `submit-${state.callCount}`;
+  const fenced = jobIds.filter((jobId) => due.get(jobId)?.fenceVersion !== undefined);
   const transaction = {
-    conditions: jobIds.flatMap((jobId) => [
-      { ...jobKey(jobId), version: 0 },
-      { ...progressKey(jobId), version: 0 },
-      { ...withdrawalKey(jobId), version: 0 },
-    ]),
-    writes: jobs.map((job) => ({ kind: 'put', ...jobKey(job.jobId), value: job }) as const),
+    conditions: jobIds.flatMap((jobId) => newJobConditions(jobId, due.get(jobId)?.fenceVersion)),
+    writes: [
+      ...jobs.map((job) => ({ kind: 'put', ...jobKey(job.jobId), value: job }) as const),
+      ...fenced.map((jobId) => ({ kind: 'delete', ...withdrawalKey(jobId) }) as const),
+    ],
   };
   const sent = advanceSubmissions(state, jobIds, () => 'sent', nowMs).state;
   return {
@@ -153,16 +199,65 @@
   return `${table}/${key}`;
 }
 
+const fenceSchema = z.object({ reason: z.literal('noRoom') });
+
+/** What a conflict shows of a submission. */
+export type ConflictFinding =
+  | { readonly kind: 'stored' | 'withdrawn' | 'conflict' }
+  /** An attempt under the id was refused for want of room. */
+  | { readonly kind: 'fenced'; readonly version: number };
+
 /** Returns what the present rows of a conflict mean for each submission. */
-function conflictEvents(rows: readonly StoredRow[]): (jobId: string) => SubmissionEvent {
-  const stored = new Set(rows.filter(({ version }) => version > 0).map((row) => rowName(row)));
+export function readConflict(rows: readonly StoredRow[]): (jobId: string) => ConflictFinding {
+  const stored = new Map(
+    rows.filter(({ version }) => version > 0).map((row) => [rowName(row), row] as const),
+  );
   return (jobId) => {
     const isStored = [jobKey(jobId), progressKey(jobId)].some((row) => stored.has(rowName(row)));
-    if (isStored) return 'stored';
-    return stored.has(rowName(withdrawalKey(jobId))) ? 'withdrawn' : 'conflict';
+    if (isStored) return { kind: 'stored' };
+    const withdrawal = stored.get(rowName(withdrawalKey(jobId)));
+    if (withdrawal === undefined) return { kind: 'conflict' };
+    return fenceSchema.safeParse(withdrawal.value).success
+      ? { kind: 'fenced', version: withdrawal.version }
+      : { kind: 'withdrawn' };
   };
 }
 
+/**
+ * Returns what a conflict means for a submission. A refusal that this entry knew to be stored when the call
+ * came was of an earlier attempt, and its row is replaced. A later one stands, as its caller was told so.
+ */
+function conflictEvent(finding: ConflictFinding, seenVersion: number): SubmissionEvent {
+  switch (finding.kind) {
+    case 'stored':
+    case 'withdrawn':
+    case 'conflict':
+      return finding.kind;
+    case 'fenced':
+      return finding.version <= seenVersion ? 'conflict' : 'overtaken';
+    default:
+      return assertNever(finding);
+  }
+}
+
+/** Returns the submissions with the version of the row that refuses each; 0 where none does any more. */
+export function noteFences(
+  submissions: IntakeState['submissions'],
+  jobIds: readonly string[],
+  findingOf: (jobId: string) => ConflictFinding,
+): IntakeState['submissions'] {
+  return jobIds.reduce((known, jobId) => {
+    const submission = known.get(jobId);
+    if (submission === undefined) return known;
+    const finding = findingOf(jobId);
+    const rest = without(submission, 'fenceVersion');
+    return known.set(
+      jobId,
+      finding.kind === 'fenced' ? { ...rest, fenceVersion: finding.version } : rest,
+    );
+  }, submissions);
+}
+
 /** Applies the result of a transaction of submissions. A job that is stored already is accepted. */
 export function onSubmitOutcome(
   state: IntakeState,
@@ -177,8 +272,14 @@
     case 'committed':
       return advanceSubmissions(next, jobIds, () => 'stored', nowMs);
     case 'conflict': {
-      const eventOf = conflictEvents(result.rows);
-      return advanceSubmissions(next, jobIds, eventOf, nowMs - RETRY_DELAY_MS);
+      const findingOf = readConflict(result.rows);
+      const seenOf = (jobId: string) => state.submissions.get(jobId)?.seenVersion ?? 0;
+      return advanceSubmissions(
+        { ...next, submissions: noteFences(next.submissions, jobIds, findingOf) },
+        jobIds,
+        (jobId) => conflictEvent(findingOf(jobId), seenOf(jobId)),
+        nowMs - RETRY_DELAY_MS,
+      );
     }
     case 'unavailable':
       return advanceSubmissions(next, jobIds, () => 'unavailable', nowMs);
@@ -192,7 +293,7 @@
 /** Ends submissions that have expired, unless their transaction is in flight. */
 export function expireSubmissions(state: IntakeState, nowMs: number): IntakeStep {
   const expired = state.submissions
-    .filter((submission) => isReadyToSend(submission) && nowMs >= submission.expiresAtMs)
+    .filter((submission) => isExpired(submission, nowMs))
     .keySeq()
     .toArray();
   return advanceSubmissions(state, expired, () => 'expired', nowMs);
@@ -229,15 +330,39 @@
     };
   }
   const retryMs = Math.max(0, Math.min(SUBMIT_TIMEOUT_MS, timeoutMs - REPLY_MARGIN_MS));
+  const ask = jobAsk(job);
+  const judgement: Judgement =
+    ask === undefined ? { kind: 'accept' } : judgeJob(state.heard, ask, nowMs);
   const submission: PendingSubmission = {
     job,
     phase: submissionChart.initial,
     callIds: [callId],
     expiresAtMs: nowMs + retryMs,
     retryAtMs: nowMs,
+    seenVersion: state.seenVersion,
   };
-  return {
-    state: { ...state, submissions: state.submissions.set(job.jobId, submission) },
-    effects: [],
-  };
+  const added = (changes: Partial<PendingSubmission>): IntakeState => ({
+    ...state,
+    submissions: state.submissions.set(job.jobId, { ...submission, ...changes }),
+  });
+  switch (judgement.kind) {
+    case 'accept': {
+      const { heard = state.heard } = judgement;
+      return {
+        state: heard === undefined ? added({}) : { ...added({}), heard },
+        effects: [],
+      };
+    }
+    case 'refuse': {
+      const { retryAfterMs } = judgement;
+      return advanceSubmission(
+        added({ retryAfterMs }),
+        job.jobId,
+        'declined',
+        nowMs - RETRY_DELAY_MS,
+      );
+    }
+    default:
+      return assertNever(judgement);
+  }
 }
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -1,7 +1,8 @@
 import type { Map } from 'immutable';
 import type { StateOf } from '@bronzeyoke/chart';
 import { compileChart } from '@bronzeyoke/chart';
-import type { RowStoreCall, RowStoreEvent } from '@bronzeyoke/ports';
+import type { HeardVerdicts } from '@bronzeyoke/jobadmission';
+import type { RowStoreCall, RowStoreEvent, StoredRow } from '@bronzeyoke/ports';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { JobFailure, JobStatus, WorkflowJob } from '@bronzeyoke/workflow';
 import type { Bucket } from '@bronzeyoke/types';
@@ -9,9 +10,20 @@
 
 /** Chart of a submission. One that may have been stored is never refused as not accepted. */
 export const submissionChart = compileChart(chartFile, {
-  states: ['waiting', 'sending', 'uncertain', 'resending', 'ended'],
-  events: ['sent', 'stored', 'withdrawn', 'conflict', 'unavailable', 'unknown', 'expired'],
-  actions: ['accept', 'refuse', 'refuseWithdrawn', 'replyUnknown'],
+  states: ['waiting', 'sending', 'uncertain', 'resending', 'declining', 'fencing', 'ended'],
+  events: [
+    'sent',
+    'stored',
+    'withdrawn',
+    'overtaken',
+    'conflict',
+    'unavailable',
+    'unknown',
+    'declined',
+    'fenced',
+    'expired',
+  ],
+  actions: ['accept', 'refuse', 'refuseWithdrawn', 'refuseOvertaken', 'decline', 'replyUnknown'],
 });
 
 /** A job that is being stored, with all calls that wait for the outcome. */
@@ -21,6 +33,12 @@
   readonly callIds: readonly string[];
   readonly expiresAtMs: number;
   readonly retryAtMs: number;
+  /** Newest version of the store that this entry knew when the first call came. */
+  readonly seenVersion: number;
+  /** Version of the row by which an earlier attempt under the id was refused; absent if there is none. */
+  readonly fenceVersion?: number;
+  /** Time to come back for a caller that is refused for want of room. */
+  readonly retryAfterMs?: number;
 }
 
 /** A cancellation or a query of a caller, with its current stage. */
@@ -55,6 +73,12 @@
   readonly queries: Map<string, Query>;
   /** Jobs of each transaction without a result yet, by call id. */
   readonly inFlight: Map<string, readonly string[]>;
+  /** The same for transactions that refuse ids for want of room. */
+  readonly fencesInFlight: Map<string, readonly string[]>;
+  /** Newest version of the store that this entry knows of. */
+  readonly seenVersion: number;
+  /** Verdicts of the leader; absent before the first. */
+  readonly heard?: HeardVerdicts;
   readonly callCount: number;
   /** Limits the cancellations of ids without a job. */
   readonly withdrawalBucket?: Bucket;
@@ -96,6 +120,8 @@
       readonly timeoutMs: number;
     }
   | RowStoreEvent
+  /** The leader has written its verdicts on the queues. */
+  | { readonly kind: 'admission'; readonly row: StoredRow }
   | { readonly kind: 'tick' };
 
 /** Effects that the shell of the intake carries out. */
--- a/packages/scheduler/src/leadership/rows.ts
+++ b/packages/scheduler/src/leadership/rows.ts
@@ -42,6 +42,12 @@
 
 /** Keys of single rows. */
 export const LEADER_KEY: RowKey = { table: TABLES.leader, partition: PARTITION, key: 'leader' };
+/** Row of the verdicts on queues, in the table that every entry follows. */
+export const ADMISSION_KEY: RowKey = {
+  table: TABLES.leader,
+  partition: PARTITION,
+  key: 'admission',
+};
 export const LEASE_KEY: RowKey = { table: TABLES.lease, partition: PARTITION, key: 'lease' };
 export const PAIRS_KEY: RowKey = { table: TABLES.notes, partition: PARTITION, key: 'pairs' };
 export const COUNTS_KEY: RowKey = { table: TABLES.notes, partition: PARTITION, key: 'counts' };
