Publish verdicts on queues while room is scarce

Cause: entries have verdicts to go by, and nobody gives any. Change: with the switch limitsAdmission, the leader looks at room, reservations, backlog and done work twice a second (scheduler/admission), decides on each queue, and writes what is not open to the row admission of the leader's table, in a transaction that it sends anyway: on a change four times a second at most, and each second while a queue is limited. Entries take changes of that row only, as one that a full read finds may be old. Jobs carry the entry that accepted them, so that the leader knows among how many entries an allowance is shared.

Off by default; then no row is written and no job carries an entry.

--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -52,7 +52,13 @@
   const system = nact.start();
   const tracked = trackStore(store, log);
   const links = createAgentLinks(system, log);
-  const intake = startIntake(system, tracked.store, log, onError);
+  const intake = startIntake(
+    system,
+    tracked.store,
+    log,
+    onError,
+    settings.policy?.limitsAdmission === true ? settings.entryId : undefined,
+  );
   const scheduler = startScheduler(system, {
     settings,
     store,
@@ -71,6 +77,7 @@
   const leaderFeed = followLeader(store, {
     waitMs: FEED_WAIT_MS,
     onRow: (row) => dispatch(scheduler, { kind: 'leaderRow', row }),
+    onVerdicts: intake.hear,
     onAnswer: tracked.recordResult,
     onError,
   });
--- a/packages/hosts/src/intake.ts
+++ b/packages/hosts/src/intake.ts
@@ -3,7 +3,7 @@
 import { dispatch, spawnCore } from '@bronzeyoke/actors';
 import type { IntakeEffect, IntakeEvent, IntakeReply } from '@bronzeyoke/intake';
 import { createIntake, stepIntake } from '@bronzeyoke/intake';
-import type { RowStorePort } from '@bronzeyoke/ports';
+import type { RowStorePort, StoredRow } from '@bronzeyoke/ports';
 import { assertNever } from '@bronzeyoke/types';
 import { performStoreCall } from './store';
 import type { LogEvent, ReportError } from './types';
@@ -13,6 +13,8 @@
   /** Sends a call under a new id, and resolves with its reply. */
   readonly call: (eventOf: (callId: string) => IntakeEvent) => Promise<IntakeReply>;
   readonly tick: () => void;
+  /** Passes on the row of the leader's verdicts. */
+  readonly hear: (row: StoredRow) => void;
 }
 
 /** Starts the actor that takes in jobs and answers questions about them. */
@@ -21,6 +23,7 @@
   store: RowStorePort,
   log: LogEvent,
   onError: ReportError,
+  acceptedBy?: string,
 ): Intake {
   const pendingReplies = new Map<string, (reply: IntakeReply) => void>();
   let callCount = 0;
@@ -45,7 +48,7 @@
 
   const core = spawnCore<ReturnType<typeof createIntake>, IntakeEvent, IntakeEffect>(system, {
     name: 'intake',
-    initial: createIntake(),
+    initial: createIntake(acceptedBy),
     decide: stepIntake,
     onError,
     perform,
@@ -61,5 +64,6 @@
       });
     },
     tick: () => dispatch(core, { kind: 'tick' }),
+    hear: (row) => dispatch(core, { kind: 'admission', row }),
   };
 }
--- a/packages/hosts/src/leader.ts
+++ b/packages/hosts/src/leader.ts
@@ -1,13 +1,15 @@
 import type { Follower } from '@bronzeyoke/follow';
 import { followTable } from '@bronzeyoke/follow';
 import type { RowStorePort, StoredRow } from '@bronzeyoke/ports';
-import { LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
+import { ADMISSION_KEY, LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 
 /** Callbacks and wait time of a follower of the leader's row. */
 export interface LeaderFeedOptions {
   readonly waitMs: number;
   readonly onRow: (row: StoredRow | undefined) => void;
+  /** Called with each change of the row of verdicts. One that a full read finds may be old. */
+  readonly onVerdicts?: (row: StoredRow) => void;
   /** Called after each access with whether the store answered. */
   readonly onAnswer?: (isAnswered: boolean) => void;
   readonly onError: (error: unknown) => void;
@@ -15,7 +17,7 @@
 
 /** Follows the row that names the leader. */
 export function followLeader(store: RowStorePort, options: LeaderFeedOptions): Follower {
-  const { waitMs, onRow, onAnswer = () => undefined, onError } = options;
+  const { waitMs, onRow, onVerdicts, onAnswer = () => undefined, onError } = options;
   return followTable(store, {
     table: TABLES.leader,
     partition: PARTITION,
@@ -29,7 +31,9 @@
           return;
         case 'changes':
           update.changes.forEach((change) => {
-            if (change.kind === 'put') onRow(change);
+            if (change.kind !== 'put') return;
+            if (change.key === LEADER_KEY.key) onRow(change);
+            if (change.key === ADMISSION_KEY.key) onVerdicts?.(change);
           });
           return;
         case 'answered':
--- a/packages/intake/src/step.ts
+++ b/packages/intake/src/step.ts
@@ -8,9 +8,10 @@
 import { expireSubmissions, onSubmitOutcome, sendSubmissions, submit } from './submit';
 import type { IntakeEvent, IntakeState, IntakeStep } from './types';
 
-/** Creates an intake without calls in progress. */
-export function createIntake(): IntakeState {
+/** Creates an intake without calls in progress. The jobs that it accepts name the entry, if it is given. */
+export function createIntake(acceptedBy?: string): IntakeState {
   return {
+    ...(acceptedBy === undefined ? {} : { acceptedBy }),
     submissions: Map(),
     queries: Map(),
     inFlight: Map(),
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -38,6 +38,9 @@
 
 /** Part of the timeout of a call that is reserved for sending the reply. */
 const REPLY_MARGIN_MS = 150;
+
+/** Bytes of a job up to which there is room in its row for the name of an entry. */
+const MAX_NAMED_JOB_BYTES = 47 * 1_024;
 const CALLER_RETRY_AFTER_MS = 1_000;
 
 /** After a longer silence of the store, jobs are refused without a write: at once and for certain. */
@@ -299,6 +302,12 @@
   return advanceSubmissions(state, expired, () => 'expired', nowMs);
 }
 
+/** Returns a job with the entry that accepts it. A row of the store holds no more than 48 KB. */
+function namedJob({ acceptedBy }: IntakeState, job: WorkflowJob): WorkflowJob {
+  const isNamed = acceptedBy !== undefined && jobBytes(job) < MAX_NAMED_JOB_BYTES;
+  return isNamed ? { ...job, acceptedBy } : job;
+}
+
 /** Adds a submission. A repeat of a job that is being submitted waits for the same outcome. */
 export function submit(
   state: IntakeState,
@@ -334,7 +343,7 @@
   const judgement: Judgement =
     ask === undefined ? { kind: 'accept' } : judgeJob(state.heard, ask, nowMs);
   const submission: PendingSubmission = {
-    job,
+    job: namedJob(state, job),
     phase: submissionChart.initial,
     callIds: [callId],
     expiresAtMs: nowMs + retryMs,
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -80,6 +80,8 @@
   /** Verdicts of the leader; absent before the first. */
   readonly heard?: HeardVerdicts;
   readonly callCount: number;
+  /** Name of this entry in the jobs that it accepts; absent if they carry none. */
+  readonly acceptedBy?: string;
   /** Limits the cancellations of ids without a job. */
   readonly withdrawalBucket?: Bucket;
 }
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,3 +1,4 @@
+export * from './admission/view';
 export * from './leadership/budget';
 export * from './leadership/maintenance';
 export * from './leadership/rows';
--- a/packages/scheduler/src/leadership/maintenance.ts
+++ b/packages/scheduler/src/leadership/maintenance.ts
@@ -1,6 +1,7 @@
 import type { RowWrite } from '@bronzeyoke/ports';
 import type { JobProgress } from '@bronzeyoke/workflow';
-import { COUNTS_KEY, PAIRS_KEY, progressKey } from './rows';
+import { areVerdictsDue, markWritten } from '../admission/view';
+import { ADMISSION_KEY, COUNTS_KEY, PAIRS_KEY, progressKey } from './rows';
 import type { SchedulerState } from '../types';
 
 const MAX_EXPIRED_JOBS = 20;
@@ -57,12 +58,14 @@
   const writesCounts = sinceMs >= (isChanged ? COUNTS_INTERVAL_MS : COUNTS_REFRESH_MS);
   const expired = expiredJobs(state, nowMs, wallMs);
   const writesPairs = state.arePairsDirty && nowMs - state.pairsSavedAtMs >= PAIRS_INTERVAL_MS;
+  const writesVerdicts = areVerdictsDue(state.admission, nowMs);
   const next = {
     ...state,
     ended: state.ended.deleteAll(expired),
     endStoredAtMs: state.endStoredAtMs.deleteAll(expired),
     ...(writesCounts ? { writtenCounts: countsText, countsWrittenAtMs: nowMs } : {}),
     ...(writesPairs ? { pairsSavedAtMs: nowMs, arePairsDirty: false } : {}),
+    ...(writesVerdicts ? { admission: markWritten(state.admission, nowMs) } : {}),
   };
   const writes: readonly RowWrite[] = [
     ...expired.map((jobId) => ({ kind: 'delete', ...progressKey(jobId) }) as const),
@@ -70,6 +73,9 @@
       ? [{ kind: 'put', ...COUNTS_KEY, value: { atMs: wallMs, queues: counts } } as const]
       : []),
     ...(writesPairs ? [{ kind: 'put', ...PAIRS_KEY, value: state.pairs.toObject() } as const] : []),
+    ...(writesVerdicts
+      ? [{ kind: 'put', ...ADMISSION_KEY, value: state.admission.notice } as const]
+      : []),
   ];
   return { state: next, writes };
 }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,6 +1,7 @@
 import { Map, Set as ImmutableSet } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
 import type { LeaderMessage } from '@bronzeyoke/wire';
+import { NO_ADMISSION_VIEW } from './admission/view';
 import { NO_INSTANCES } from './fleet/identities';
 import { NO_EARLIER_LEASES } from './fleet/leases';
 import { NO_PACE } from './placement/passbudget';
@@ -58,6 +59,7 @@
   formerLeasesEndAtMs: 0,
   mayGrantUntilMs: 0,
   withdrawals: { seen: Map<string, never>(), sentAtMs: 0 },
+  admission: NO_ADMISSION_VIEW,
 } as const;
 
 /** Returns the state of a scheduler before its first read of the store. */
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -2,6 +2,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
+import { lookAtRoom } from './admission/look';
 import { logAbsences } from './jobs/absences';
 import { logBlockedWorkers } from './fleet/blocked';
 import { passIntervalMs } from './leadership/budget';
@@ -125,6 +126,7 @@
     (current) => stepDownIfIsolated(current, nowMs),
     (current) => placeAndFlush(current, nowMs, wallMs),
     (current) => logDelays(current, nowMs, wallMs),
+    (current) => lookAtRoom(current, nowMs, wallMs),
   ]);
 }
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -8,6 +8,7 @@
 import type { FleetConfig } from '@bronzeyoke/workflow';
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
+import type { AdmissionView } from './admission/view';
 import type { InstanceIndex } from './fleet/identities';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
@@ -285,6 +286,8 @@
   readonly countsWrittenAtMs: number;
   readonly renewAtMs: number;
   readonly withdrawals: WithdrawalState;
+  /** What the leader has seen of the room and decided on queues. */
+  readonly admission: AdmissionView;
 }
 
 /** Inputs of the scheduler. */
--- /dev/null
+++ b/packages/scheduler/test/admission.test.ts
@@ -0,0 +1,152 @@
+import { expect } from 'chai';
+import type { AdmissionNotice } from '@bronzeyoke/jobadmission';
+import { ADMISSION_KEY, DEFAULT_POLICY } from '@bronzeyoke/scheduler';
+import type { Stage, WorkflowJob } from '@bronzeyoke/workflow';
+import type { Fixture } from './fixture';
+import {
+  commitAll,
+  createLeader,
+  dispatch,
+  jobOf,
+  lastWritten,
+  loggedFields,
+  report,
+  stageOf,
+  submit,
+  wait,
+  WALL_MS,
+} from './fixture';
+
+const FILLS = { fillsIdle: true, image: 'render' };
+const LASTING = { isLasting: true, image: 'feed' };
+
+function renew(fixture: Fixture, sites: readonly string[]): Fixture {
+  return sites.reduce(
+    (current, site) => commitAll(report(current, site, { domain: site.slice(0, 1) })),
+    fixture,
+  );
+}
+
+/** Returns a leader that limits admission, with workers of 4 cores in two domains. */
+function limitingLeader(sites: readonly string[]): Fixture {
+  const leader = createLeader();
+  const policy = { ...DEFAULT_POLICY, limitsAdmission: true };
+  const settings = { ...leader.state.settings, policy };
+  return renew({ ...leader, state: { ...leader.state, settings } }, sites);
+}
+
+/** Lets time pass in steps in which the given workers report. */
+function live(fixture: Fixture, forMs: number, sites: readonly string[]): Fixture {
+  return Array.from({ length: forMs / 250 }).reduce<Fixture>(
+    (current) => commitAll(renew(wait(current, 250), sites)),
+    fixture,
+  );
+}
+
+function queued(jobId: string, queue: string, stages: readonly Stage[]): WorkflowJob {
+  const job = jobOf(jobId, stages);
+  return {
+    ...job,
+    policy: { ...job.policy, queue },
+    acceptedBy: 'entry-7',
+  };
+}
+
+function submitAll(fixture: Fixture, jobs: readonly WorkflowJob[]): Fixture {
+  return jobs.reduce((current, job) => commitAll(submit(current, job)), fixture);
+}
+
+function noticeOf(fixture: Fixture): AdmissionNotice | undefined {
+  return lastWritten(fixture, ADMISSION_KEY) as AdmissionNotice | undefined;
+}
+
+function kindsOf(fixture: Fixture): Readonly<Record<string, string>> {
+  const verdicts = noticeOf(fixture)?.verdicts ?? [];
+  return Object.fromEntries(
+    verdicts.map(({ queue, jobKind, verdict }) => [`${queue} ${jobKind}`, verdict.kind]),
+  );
+}
+
+const SITES = ['a1', 'a2', 'b1', 'b2'];
+
+function lastingJob(jobId: string, taskCount: number): WorkflowJob {
+  return queued(jobId, 'feeds', [stageOf(taskCount, LASTING)]);
+}
+
+// Guards against refusals, and against rows, while there is room for all.
+it('admission: nothing is published while room is ample', () => {
+  const calm = live(submitAll(limitingLeader(SITES), [lastingJob('j1', 6)]), 8_000, SITES);
+  expect(noticeOf(calm)).to.equal(undefined);
+});
+
+// Guards against work that an operator has not switched on.
+it('admission: nothing is looked at without the switch', () => {
+  const leader = renew(createLeader(), SITES);
+  const full = live(submitAll(leader, [lastingJob('j1', 16)]), 8_000, SITES);
+  expect(noticeOf(full)).to.equal(undefined);
+  expect(full.state.admission.sinceMs).to.equal(undefined);
+});
+
+// Guards against lasting jobs that are taken in without a place, and against drops of accepted ones.
+it('admission: lasting jobs are refused while their room is used up', () => {
+  const full = live(submitAll(limitingLeader(SITES), [lastingJob('j1', 16)]), 8_000, SITES);
+  expect(kindsOf(full)).to.deep.equal({ 'feeds lasting': 'refuse' });
+  expect(full.state.jobs.has('j1')).to.equal(true);
+  expect(loggedFields(full, 'admissionChanged')).to.have.length(1);
+});
+
+// Guards against refusals by the room that a crash takes away for some seconds, and against none when the
+// room does not come back while lasting jobs wait.
+it('admission: a failure domain that leaves closes the queue of lasting jobs after 4 s', () => {
+  const used = live(submitAll(limitingLeader(SITES), [lastingJob('j1', 10)]), 8_000, SITES);
+  const lost = dispatch(used, { kind: 'domainsOut', domains: new Set(['b']) });
+  const staying = live(lost, 3_000, SITES);
+  expect(kindsOf(staying)).to.deep.equal({});
+  const away = live(staying, 3_000, SITES);
+  expect(kindsOf(away)).to.deep.equal({ 'feeds lasting': 'refuse' });
+  expect(away.state.jobs.has('j1')).to.equal(true);
+  const back = live(dispatch(away, { kind: 'domainsOut', domains: new Set() }), 1_000, SITES);
+  expect(kindsOf(back)).to.deep.equal({});
+});
+
+function burst(queue: string, count: number): readonly WorkflowJob[] {
+  return Array.from({ length: count }, (_, index) => {
+    const stage = stageOf(40, { ...FILLS, estimateMs: 2_000 });
+    const job = queued(`${queue}${index}`, queue, [stage]);
+    return { ...job, acceptedAtMs: WALL_MS + 1_000 };
+  });
+}
+
+// Guards against a burst of filling jobs that is taken in although it is worth nothing when it is done, and
+// against a queue that gets nothing in because another one has pressed first.
+it('admission: a queue with more than its share of the backlog is refused alone', () => {
+  const jobs = [...burst('many', 12), ...burst('few', 1)];
+  const pressed = live(submitAll(limitingLeader(SITES), jobs), 9_000, SITES);
+  expect(kindsOf(pressed)).to.deep.include({ 'many filling': 'refuse' });
+  expect(kindsOf(pressed)['few filling']).to.not.equal('refuse');
+  expect(noticeOf(pressed)?.entryCount).to.equal(1);
+});
+
+// Guards against a burst that is refused before anything is known of the rate of work.
+it('admission: a burst is accepted for 5 s', () => {
+  const pressed = live(submitAll(limitingLeader(SITES), burst('many', 12)), 4_500, SITES);
+  expect(noticeOf(pressed)).to.equal(undefined);
+});
+
+// Guards against verdicts that entries forget, and against more writes than that takes.
+it('admission: verdicts are repeated each second', () => {
+  const full = live(submitAll(limitingLeader(SITES), [lastingJob('j1', 16)]), 8_000, SITES);
+  const later = live({ ...full, effects: [] }, 5_000, SITES);
+  const writes = later.effects.filter(
+    (effect) =>
+      effect.kind === 'commit' &&
+      effect.transaction.writes.some(({ key }) => key === ADMISSION_KEY.key),
+  );
+  expect(writes.length).to.be.within(3, 6);
+});
+
+// Guards against verdicts of an earlier leader that a new one repeats without knowing the room.
+it('admission: a new leader limits nothing for 5 s', () => {
+  const full = submitAll(limitingLeader(SITES), [lastingJob('j1', 16)]);
+  expect(noticeOf(live(full, 4_500, SITES))).to.equal(undefined);
+});
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -26,6 +26,10 @@
     kind: 'gauge',
     help: 'Workers without tasks because a run there ignores its stop orders.',
   },
+  bronzeyoke_queues_limited: {
+    kind: 'gauge',
+    help: 'Queues of which the leader refuses some or all jobs of a kind, by verdict.',
+  },
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
@@ -69,13 +73,25 @@
   return { name: 'bronzeyoke_workers_blocked', labels: {}, value };
 }
 
+function limitedGauges(counts: EventFields): readonly GaugeValue<MetricName>[] {
+  return ['limit', 'refuse'].map((verdict) => {
+    const value = counts[verdict];
+    return {
+      name: 'bronzeyoke_queues_limited',
+      labels: { verdict },
+      value: typeof value === 'number' ? value : 0,
+    };
+  });
+}
+
 /** The last counts that a leader has logged. */
 interface LeaderCounts {
   readonly away: EventFields;
   readonly blocked: EventFields;
+  readonly limited: EventFields;
 }
 
-const NO_COUNTS: LeaderCounts = { away: {}, blocked: {} };
+const NO_COUNTS: LeaderCounts = { away: {}, blocked: {}, limited: {} };
 
 /** A duration in the fields of an event, and the metric that records it. */
 interface DurationField {
@@ -122,6 +138,7 @@
       metrics.count('bronzeyoke_events_total', { event });
       if (event === 'awayCounts') known.counts = { ...known.counts, away: fields };
       if (event === 'blockedCounts') known.counts = { ...known.counts, blocked: fields };
+      if (event === 'admissionCounts') known.counts = { ...known.counts, limited: fields };
       if (LEADER_CHANGES.has(event)) known.counts = NO_COUNTS;
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
@@ -148,6 +165,7 @@
         { name: 'bronzeyoke_log_lines_dropped_total', labels: {}, value: droppedLines },
         ...awayGauges(known.counts.away),
         blockedGauge(known.counts.blocked),
+        ...limitedGauges(known.counts.limited),
       ]),
   };
 }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -95,6 +95,8 @@
   | 'workerDraining'
   | 'workerQuarantined'
   | 'pairLearned'
+  | 'admissionChanged'
+  | 'admissionCounts'
   | 'configApplied'
   | 'domainsOut';
 
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -20,7 +20,8 @@
   return `${occurrence}.${stageIndex}.${index}`;
 }
 
-function stageIndexOf(slot: string): number {
+/** Returns the index of the stage of a slot. */
+export function slotStageIndex(slot: string): number {
   return Number(slot.split('.')[1]);
 }
 
@@ -156,7 +157,7 @@
 /** Makes lasting tasks wait again that a row of an earlier build counts as done. */
 export function restartLasting(job: WorkflowJob, progress: JobProgress): JobProgress {
   const ended = [...progress.tasks].filter(
-    ([slot, { phase }]) => phase === 'done' && job.stages[stageIndexOf(slot)]?.isLasting === true,
+    ([slot, { phase }]) => phase === 'done' && job.stages[slotStageIndex(slot)]?.isLasting === true,
   );
   const waiting = ended.map(
     ([slot, { attempt }]) => [slot, { ...UNCLAIMED_TASK, attempt }] as const,
@@ -196,7 +197,7 @@
 /** Returns the declared processor time that is not done yet, in core-milliseconds. */
 export function remainingWork(job: WorkflowJob, progress: JobProgress): number {
   const doneCounts = [...progress.tasks].reduce((counts, [slot, task]) => {
-    const stageIndex = stageIndexOf(slot);
+    const stageIndex = slotStageIndex(slot);
     return task.phase === 'done'
       ? counts.set(stageIndex, (counts.get(stageIndex) ?? 0) + 1)
       : counts;
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -43,6 +43,7 @@
     .object({ firstAtMs: z.number(), periodMs: z.number(), occurrences: z.number() })
     .optional(),
   acceptedAtMs: z.number(),
+  acceptedBy: z.string().optional(),
 });
 
 /** Decodes a stored job; undefined when the row was not written by this program. */
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -84,6 +84,8 @@
   readonly schedule?: Schedule;
   /** Wall-clock time of the acceptance. */
   readonly acceptedAtMs: number;
+  /** Entry that accepted it; absent unless the leader limits what entries accept. */
+  readonly acceptedBy?: string;
 }
 
 /** Reference to one task: occurrence of the job, stage, index within the stage. */
