--- a/packages/scheduler/src/admission/demand.ts
+++ b/packages/scheduler/src/admission/demand.ts
@@ -1,12 +1,11 @@
+import { Map } from 'immutable';
 import type { JobAsk, JobKind } from '@bronzeyoke/jobadmission';
 import { jobAsk } from '@bronzeyoke/jobadmission';
-import type { JobProgress, WorkflowJob } from '@bronzeyoke/workflow';
+import type { JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 import {
-  assignedSlots,
   declaredCriticalPathMs,
+  isAssigned,
   objectiveAtMs,
-  readyStages,
-  remainingWork,
   slotStageIndex,
 } from '@bronzeyoke/workflow';
 import type { SchedulerState } from '../types';
@@ -37,6 +36,50 @@
   { readonly progress: JobProgress; readonly demand: OpenDemand | undefined }
 >();
 
+/** Numbers of a stage's tasks that are done, and that have a place. */
+interface StageCounts {
+  readonly done: number;
+  readonly assigned: number;
+}
+
+const NO_COUNTS: StageCounts = { done: 0, assigned: 0 };
+
+/** Counts in one pass over the claimed tasks, as most open jobs change from one look to the next. */
+function countTasks({ tasks }: JobProgress): Map<number, StageCounts> {
+  return Map<number, StageCounts>().withMutations((counts) => {
+    tasks.forEach((task, slot) => {
+      const stageIndex = slotStageIndex(slot);
+      const known = counts.get(stageIndex, NO_COUNTS);
+      const done = known.done + (task.phase === 'done' ? 1 : 0);
+      counts.set(stageIndex, { done, assigned: known.assigned + (isAssigned(task) ? 1 : 0) });
+    });
+  });
+}
+
+/** Returns the work left of a job that runs once, and the processors of its tasks. */
+function stageAmounts(
+  stages: readonly Stage[],
+  progress: JobProgress,
+): Pick<OpenDemand, 'leftCoreMs' | 'waitingMilli' | 'runningMilli'> {
+  const counts = countTasks(progress);
+  const isDone = (stageIndex: number): boolean =>
+    counts.get(stageIndex, NO_COUNTS).done >= (stages[stageIndex]?.taskCount ?? 0);
+  return stages.reduce(
+    (sum, { taskCount, needs, estimateMs, dependsOn }, stageIndex) => {
+      const { done, assigned } = counts.get(stageIndex, NO_COUNTS);
+      const left = taskCount - done;
+      const waiting = dependsOn.every(isDone) ? left - assigned : 0;
+      const { processorsMilli } = needs;
+      return {
+        leftCoreMs: sum.leftCoreMs + (left * processorsMilli * estimateMs) / 1_000,
+        waitingMilli: sum.waitingMilli + waiting * processorsMilli,
+        runningMilli: sum.runningMilli + assigned * processorsMilli,
+      };
+    },
+    { leftCoreMs: 0, waitingMilli: 0, runningMilli: 0 },
+  );
+}
+
 function computeDemand(job: WorkflowJob, progress: JobProgress): OpenDemand | undefined {
   const ask = jobAsk(job);
   if (ask === undefined) return undefined;
@@ -55,19 +98,7 @@
   if (ask.jobKind === 'lasting') {
     return { ...base, leftCoreMs: 0, waitingMilli: 0, runningMilli: 0 };
   }
-  return {
-    ...base,
-    leftCoreMs: remainingWork(job, progress),
-    // Jobs with a schedule ask for nothing, so the time of day does not matter.
-    waitingMilli: readyStages(job, progress, acceptedAtMs).reduce(
-      (sum, { stage, slots }) => sum + stage.needs.processorsMilli * slots.length,
-      0,
-    ),
-    runningMilli: assignedSlots(progress).reduce(
-      (sum, [slot]) => sum + (job.stages[slotStageIndex(slot)]?.needs.processorsMilli ?? 0),
-      0,
-    ),
-  };
+  return { ...base, ...stageAmounts(job.stages, progress) };
 }
 
 function demandOf(job: WorkflowJob, progress: JobProgress): OpenDemand | undefined {
--- a/packages/scheduler/src/admission/look.ts
+++ b/packages/scheduler/src/admission/look.ts
@@ -8,8 +8,8 @@
 import type { OpenDemand } from './demand';
 import { buildOutlook } from './outlook';
 
-/** Time between two looks at the room. */
-const LOOK_INTERVAL_MS = 500;
+/** Time between two looks at the room, each of which goes through all open jobs and workers. */
+const LOOK_INTERVAL_MS = 1_000;
 
 /** Time for which a new leader limits nothing: agents and their workers report meanwhile. */
 const SETTLE_MS = 5_000;
