--- a/packages/telemetry/test/eventlog.test.ts
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -87,6 +87,16 @@
   expect(metrics.text(0).split('\n')).to.include('bronzeyoke_workers_blocked 0');
 });
 
+// Guards against a gauge of limited queues that an entry goes on showing when another one leads.
+it('eventmetrics: limited queues are a gauge that ends with the leadership', () => {
+  const metrics = createEventMetrics(createHistogram);
+  const seen = () => metrics.text(0).split('\n');
+  metrics.record('admissionCounts', { limit: 1, refuse: 2 });
+  expect(seen()).to.include('bronzeyoke_queues_limited{verdict="refuse"} 2');
+  metrics.record('leaderLost', {});
+  expect(seen()).to.include('bronzeyoke_queues_limited{verdict="refuse"} 0');
+});
+
 // Guards against waits that are counted while they go on, and again at their end.
 it('eventmetrics: a wait for a place counts once, when the place is found', () => {
   const metrics = createEventMetrics(createHistogram);
