--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -30,6 +30,10 @@
     kind: 'gauge',
     help: 'Longest wait of an event in the last line of the entry that leads about its load.',
   },
+  bronzeyoke_queues_limited: {
+    kind: 'gauge',
+    help: 'Queues of which the leader refuses some or all jobs of a kind, by verdict.',
+  },
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
@@ -78,14 +82,26 @@
   return { name: 'bronzeyoke_leader_event_wait_seconds', labels: {}, value };
 }
 
+function limitedGauges(counts: EventFields): readonly GaugeValue<MetricName>[] {
+  return ['limit', 'refuse'].map((verdict) => {
+    const value = counts[verdict];
+    return {
+      name: 'bronzeyoke_queues_limited',
+      labels: { verdict },
+      value: typeof value === 'number' ? value : 0,
+    };
+  });
+}
+
 /** The last counts that a leader has logged. */
 interface LeaderCounts {
   readonly away: EventFields;
   readonly blocked: EventFields;
   readonly load: EventFields;
+  readonly limited: EventFields;
 }
 
-const NO_COUNTS: LeaderCounts = { away: {}, blocked: {}, load: {} };
+const NO_COUNTS: LeaderCounts = { away: {}, blocked: {}, load: {}, limited: {} };
 
 /** A duration in the fields of an event, and the metric that records it. */
 interface DurationField {
@@ -133,6 +149,7 @@
       if (event === 'awayCounts') known.counts = { ...known.counts, away: fields };
       if (event === 'leaderLoad') known.counts = { ...known.counts, load: fields };
       if (event === 'blockedCounts') known.counts = { ...known.counts, blocked: fields };
+      if (event === 'admissionCounts') known.counts = { ...known.counts, limited: fields };
       if (LEADER_CHANGES.has(event)) known.counts = NO_COUNTS;
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
@@ -160,6 +177,7 @@
         ...awayGauges(known.counts.away),
         blockedGauge(known.counts.blocked),
         waitGauge(known.counts.load),
+        ...limitedGauges(known.counts.limited),
       ]),
   };
 }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -96,6 +96,8 @@
   | 'workerDraining'
   | 'workerQuarantined'
   | 'pairLearned'
+  | 'admissionChanged'
+  | 'admissionCounts'
   | 'configApplied'
   | 'domainsOut';
 
