Let an entry claim early that listens at the address of the lease's holder

After a loss of power every entry waited until it had seen the lease row unchanged for 1.8 s, and small machines for up to 0.7 s more. An entry that listens at the host and port that the leader row names, under another entry id, has replaced the holder's process. With the switch detectsEndedHolder it claims at its first poll, as long as it has seen one version of the lease row only: two entries with one address would else depose each other at each poll. The row of the leader triggers a poll, as the lease may have been polled before it was known.

--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -3,6 +3,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
+import { holderSign } from './endedholder';
 import { claimFields } from '../fleet/leaserowlog';
 import { describeGrants, earlierLeasesOf } from '../fleet/leases';
 import type { LeaseValue } from './rows';
@@ -81,7 +82,31 @@
   };
 }
 
-/** Claims the lease when it was released, or was not renewed for long enough. */
+/** Returns for how long this entry has to see the row of a lease unchanged before it claims it. */
+function claimWaitMs(
+  state: SchedulerState,
+  lease: SeenLease,
+  random: number,
+  nowMs: number,
+): number {
+  const sign = holderSign(state);
+  switch (sign.kind) {
+    case 'replaced':
+      return 0;
+    case 'unknown': {
+      const { times, capacity } = state.settings;
+      const isFree = lease.value === undefined || lease.value.isReleased;
+      const pollMs = nowMs - state.pollSentAtMs;
+      const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
+      const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
+      return takeoverMs + claimDelayMs(capacity) + random * CLAIM_SPREAD_MS;
+    }
+    default:
+      return assertNever(sign);
+  }
+}
+
+/** Claims the lease when it was released, was not renewed for long enough, or its holder has ended. */
 export function onPoll(
   state: SchedulerState,
   result: RowRangeResult,
@@ -94,12 +119,7 @@
   const seenVersions = noteVersion(state.seenVersions, lease.version, nowMs);
   const seen = { ...polled, seenLease: lease, seenVersions };
   if (state.leaderVersion < 0) return unchanged(seen);
-  const isFree = lease.value === undefined || lease.value.isReleased;
-  const { times, capacity } = state.settings;
-  const pollMs = nowMs - state.pollSentAtMs;
-  const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
-  const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
-  const waitMs = takeoverMs + claimDelayMs(capacity) + random * CLAIM_SPREAD_MS;
+  const waitMs = claimWaitMs(seen, lease, random, nowMs);
   const isPaused = nowMs < state.claimPausedUntilMs;
   if (isPaused || nowMs - lease.sinceMs < waitMs) return unchanged(seen);
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
--- a/packages/scheduler/src/leadership/leadership.ts
+++ b/packages/scheduler/src/leadership/leadership.ts
@@ -5,6 +5,7 @@
 import { startReads } from './load';
 import type { Leader } from './rows';
 import { decodeLeader } from './rows';
+import { policyOf } from '../policy';
 import { EMPTY_LEADER_STATE, withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 import { leadershipChart } from '../types';
@@ -111,8 +112,8 @@
   const leader = decodeLeader(row);
   const version = row?.version ?? 0;
   if (version < state.leaderVersion) return unchanged(state);
-  return onLeader(
-    { ...state, leaderVersion: holdsLease(state) ? state.leaderVersion : version },
-    leader,
-  );
+  const seen = { ...state, leaderVersion: holdsLease(state) ? state.leaderVersion : version };
+  // The lease may be claimed once both rows are known, if its holder has ended.
+  const isFirst = state.leaderVersion < 0 && policyOf(state.settings).detectsEndedHolder;
+  return onLeader(isFirst ? { ...seen, nextReadAtMs: 0 } : seen, leader);
 }
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -23,3 +23,8 @@
   learnsRunTimes: false,
   looksAhead: false,
 };
+
+/** Returns the policy of a scheduler. */
+export function policyOf(settings: { readonly policy?: SchedulingPolicy }): SchedulingPolicy {
+  return settings.policy ?? DEFAULT_POLICY;
+}
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -1,4 +1,9 @@
-import type { SchedulerEffect, SchedulerEvent, SchedulerState } from '@bronzeyoke/scheduler';
+import type {
+  SchedulerEffect,
+  SchedulerEvent,
+  SchedulerState,
+  SchedulingPolicy,
+} from '@bronzeyoke/scheduler';
 import { createScheduler, FULL_CAPACITY, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { Work } from './simcpu';
@@ -21,7 +26,7 @@
 
 /** Starts an entry. */
 export function createEntry(
-  world: World,
+  world: World & { readonly policy: SchedulingPolicy },
   host: string,
   entryId: string,
   processors = FULL_CAPACITY.processors,
@@ -41,6 +46,7 @@
       port: PORT,
       capacity,
       times: world.times,
+      policy: world.policy,
     }),
     isUp: true,
     isStopping: false,
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -1,4 +1,5 @@
 import type { RepeatedTask } from '@bronzeyoke/runhistory';
+import type { SchedulingPolicy } from '@bronzeyoke/scheduler';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Span } from './simclock';
 import type { CpuCosts } from './simcpu';
@@ -20,6 +21,8 @@
 
 /** Options of a simulation. */
 export interface SimOptions extends CpuOptions {
+  /** Policy of the entries; `DEFAULT_POLICY` if absent. */
+  readonly policy?: SchedulingPolicy;
   /** Returns how far the clock of a host (`h0`) or machine (`m0`) is ahead. All are right by default. */
   readonly wallOffsetMs?: (name: string) => number;
 }
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -1,4 +1,4 @@
-import { cancelKey, jobKey, progressKey } from '@bronzeyoke/scheduler';
+import { cancelKey, DEFAULT_POLICY, jobKey, progressKey } from '@bronzeyoke/scheduler';
 import { rowId } from '@bronzeyoke/standins';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import type { Stage } from '@bronzeyoke/workflow';
@@ -45,7 +45,12 @@
   seed: number,
   machineCount = 5,
   times = TIMES,
-  { costs = NO_COSTS, processors = [], wallOffsetMs = () => 0 }: SimOptions = {},
+  {
+    costs = NO_COSTS,
+    processors = [],
+    wallOffsetMs = () => 0,
+    policy = DEFAULT_POLICY,
+  }: SimOptions = {},
 ): Simulation {
   const clock = createClock(seed);
   const startMs = clock.now();
@@ -124,7 +129,8 @@
   const startEntry = (index: number): void => {
     known.generation += 1;
     const host = hosts[index] ?? '';
-    entries[index] = createEntry(world, host, `${host}-${known.generation}`, processors[index]);
+    const entryId = `${host}-${known.generation}`;
+    entries[index] = createEntry({ ...world, policy }, host, entryId, processors[index]);
   };
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
