Log the steps of an entry's start and of a new leader's way to service

Each one gives a line startupStep or recoveryStep with its duration, which the summary bronzeyoke_recovery_step_seconds records.

--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { createServer } from 'node:net';
+import { performance } from 'node:perf_hooks';
 import * as nact from 'nact';
 import { dispatch } from '@bronzeyoke/actors';
 import type { IntakeReply } from '@bronzeyoke/intake';
@@ -10,6 +11,8 @@
 import { startIntake } from './intake';
 import { followLeader } from './leader';
 import { startScheduler } from './scheduler';
+import type { StartupEvent } from './startup';
+import { advanceStartup, NOT_STARTED } from './startup';
 import { trackStore } from './trackedstore';
 import type { LogEvent, ReportError } from './types';
 
@@ -50,7 +53,13 @@
 export async function startController(options: ControllerOptions): Promise<Controller> {
   const { settings, store, log, onError } = options;
   const system = nact.start();
-  const tracked = trackStore(store, log);
+  const startup = { state: NOT_STARTED };
+  const noteStartup = (event: StartupEvent): void => {
+    const { state, logs } = advanceStartup(startup.state, event, performance.now());
+    startup.state = state;
+    logs.forEach((line) => log(line.event, line.fields));
+  };
+  const tracked = trackStore(store, log, () => noteStartup('storeAnswered'));
   const links = createAgentLinks(system, log);
   const intake = startIntake(system, tracked.store, log, onError);
   const scheduler = startScheduler(system, {
@@ -95,6 +104,7 @@
       if (config.version <= (currentConfig?.version ?? -Infinity)) return;
       currentConfig = config;
       log('configApplied', { version: config.version, queues: config.queues.length });
+      noteStartup('configured');
       dispatch(scheduler, { kind: 'configChanged', config });
     },
     config: () => currentConfig,
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -5,4 +5,5 @@
 export * from './loadmeter';
 export * from './reachability';
 export * from './runner';
+export * from './startup';
 export * from './types';
--- a/packages/hosts/src/trackedstore.ts
+++ b/packages/hosts/src/trackedstore.ts
@@ -13,12 +13,21 @@
 }
 
 /** Records for each access whether the store answers, and logs when it is lost and regained. */
-export function trackStore(store: RowStorePort, log: LogEvent): TrackedStore {
+export function trackStore(
+  store: RowStorePort,
+  log: LogEvent,
+  onFirstAnswer: () => void = () => undefined,
+): TrackedStore {
+  let hasAnswered = false;
   let answeredAtMs = performance.now();
   let reachability = REACHABLE;
   const recordResult = (isAnswered: boolean): void => {
     const nowMs = performance.now();
     if (isAnswered) answeredAtMs = nowMs;
+    if (isAnswered && !hasAnswered) {
+      hasAnswered = true;
+      onFirstAnswer();
+    }
     const next = updateReachability(reachability, 'store', isAnswered, nowMs);
     reachability = next.state;
     next.logs.forEach(({ event, fields }) => log(event, fields));
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -6,6 +6,7 @@
 import { NO_PACE } from './placement/passbudget';
 import type { ActionScope, PostCommitAction, WriteUrgency } from './leadership/pending';
 import { addAction, addRow, NO_PENDING_WRITES } from './leadership/pending';
+import { NO_RECOVERY } from './leadership/recoverychart';
 import { NO_RUNS } from './runs';
 import type { SchedulerEffect, SchedulerSettings, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
@@ -29,6 +30,7 @@
   lateEnds: Map<string, never>(),
   loads: Map<string, never>(),
   passCount: 0,
+  restoredCount: 0,
   lastPassAtMs: -Infinity,
   passPausedUntilMs: -Infinity,
   passWork: 0,
@@ -81,6 +83,7 @@
     pairsSavedAtMs: 0,
     arePairsDirty: false,
     renewAtMs: 0,
+    recovery: NO_RECOVERY,
     ...EMPTY_LEADER_STATE,
   };
 }
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -28,6 +28,7 @@
 import { recordPass } from './placement/passbudget';
 import { placeTasks } from './placement/place';
 import { releaseHeldStarts } from './leadership/postcommit';
+import { traceRecovery } from './leadership/recovery';
 import { releaseEndedRuns, releaseWorker } from './fleet/release';
 import { forgetReleased } from './fleet/releasedruns';
 import { onOrderRefused } from './fleet/refusal';
@@ -229,8 +230,7 @@
   }
 }
 
-/** Returns the next state and the effects of an event. */
-export function stepScheduler(
+function handleEvent(
   state: SchedulerState,
   event: SchedulerEvent,
   inputs: StepInputs,
@@ -296,3 +296,12 @@
       return assertNever(event);
   }
 }
+
+/** Returns the next state and the effects of an event. */
+export function stepScheduler(
+  state: SchedulerState,
+  event: SchedulerEvent,
+  inputs: StepInputs,
+): SchedulerStep {
+  return traceRecovery(handleEvent(state, event, inputs), inputs.nowMs);
+}
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -11,6 +11,7 @@
 import type { InstanceIndex } from './fleet/identities';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
+import type { Recovery } from './leadership/recoverychart';
 import type { SeenVersion } from './leadership/rowages';
 import type { PlaceWait } from './placement/placewait';
 import type { Leader, LeaseGrants, LeaseValue } from './leadership/rows';
@@ -239,6 +240,8 @@
   /** Loads of the usable workers, as of the last placement. */
   readonly loads: KnownLoads;
   readonly passCount: number;
+  /** Claims of lasting tasks at their former addresses. */
+  readonly restoredCount: number;
   readonly lastPassAtMs: number;
   /** Time before which no pass begins, so that other events are handled after a long one. */
   readonly passPausedUntilMs: number;
@@ -281,6 +284,8 @@
   readonly pendingWrites: PendingWrites;
   readonly inFlight?: InFlightTransaction;
   readonly needsPlacement: boolean;
+  /** How far a new leader has come on its way to normal service. */
+  readonly recovery: Recovery;
   readonly writtenCounts: string;
   readonly countsWrittenAtMs: number;
   readonly renewAtMs: number;
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -38,6 +38,10 @@
     help: 'Longest wait of an event of the leader, by line.',
   },
   bronzeyoke_pass_seconds: { kind: 'summary', help: 'Longest placement pass, by line.' },
+  bronzeyoke_recovery_step_seconds: {
+    kind: 'summary',
+    help: 'Steps from the start of an entry, or from a claim, to normal service, by step.',
+  },
   bronzeyoke_place_wait_seconds: { kind: 'summary', help: 'Waits of lasting tasks for a place.' },
 } as const;
 
@@ -107,6 +111,11 @@
   return typeof repeatedMs === 'number' ? repeatedMs / MS_PER_SECOND : 0;
 }
 
+/** Returns whether an event tells of a step of the way back to normal service. */
+function isStep(event: EventName): boolean {
+  return event === 'startupStep' || event === 'recoveryStep';
+}
+
 /** Counters and histograms of the events of a process. */
 export interface EventMetrics {
   readonly record: (event: EventName, fields: EventFields) => void;
@@ -138,6 +147,10 @@
           metrics.observe('bronzeyoke_job_time_seconds', { cause }, ms),
         );
       }
+      if (isStep(event) && typeof fields.tookMs === 'number') {
+        const labels = { step: String(fields.step) };
+        metrics.observe('bronzeyoke_recovery_step_seconds', labels, fields.tookMs);
+      }
       (DURATIONS[event] ?? []).forEach(({ field, metric }) => {
         const value = fields[field];
         if (typeof value === 'number') metrics.observe(metric, {}, value);
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -57,6 +57,7 @@
 export type EventName =
   | TaskEventName
   | 'start'
+  | 'startupStep'
   | 'stop'
   | 'settling'
   | 'unsettled'
@@ -82,6 +83,7 @@
   | 'reportIgnored'
   | 'leaderClaimed'
   | 'leaderLoaded'
+  | 'recoveryStep'
   | 'leaderSeen'
   | 'leaderLost'
   | 'leaderLoad'
