--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -8,6 +8,7 @@
 import { NO_PACE } from './placement/passbudget';
 import type { ActionScope, PostCommitAction, WriteUrgency } from './leadership/pending';
 import { addAction, addRow, NO_PENDING_WRITES } from './leadership/pending';
+import { NO_RECOVERY } from './leadership/recoverychart';
 import { NO_RUNS } from './runs';
 import type { SchedulerEffect, SchedulerSettings, SchedulerState, SchedulerStep } from './types';
 import { leadershipChart } from './types';
@@ -31,6 +32,7 @@
   lateEnds: Map<string, never>(),
   loads: Map<string, never>(),
   passCount: 0,
+  restoredCount: 0,
   lastPassAtMs: -Infinity,
   passPausedUntilMs: -Infinity,
   passWork: 0,
@@ -86,6 +88,7 @@
     pairsSavedAtMs: 0,
     arePairsDirty: false,
     renewAtMs: 0,
+    recovery: NO_RECOVERY,
     ...EMPTY_LEADER_STATE,
   };
 }
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -30,6 +30,7 @@
 import { recordPass } from './placement/passbudget';
 import { placeTasks } from './placement/place';
 import { releaseHeldStarts } from './leadership/postcommit';
+import { traceRecovery } from './leadership/recovery';
 import { releaseEndedRuns, releaseWorker } from './fleet/release';
 import { forgetReleased } from './fleet/releasedruns';
 import { onOrderRefused } from './fleet/refusal';
@@ -237,8 +238,7 @@
   }
 }
 
-/** Returns the next state and the effects of an event. */
-export function stepScheduler(
+function handleEvent(
   state: SchedulerState,
   event: SchedulerEvent,
   inputs: StepInputs,
@@ -306,3 +306,12 @@
       return assertNever(event);
   }
 }
+
+/** Returns the next state and the effects of an event. */
+export function stepScheduler(
+  state: SchedulerState,
+  event: SchedulerEvent,
+  inputs: StepInputs,
+): SchedulerStep {
+  return traceRecovery(handleEvent(state, event, inputs), inputs.nowMs);
+}
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -1,4 +1,9 @@
-import type { SchedulerEffect, SchedulerEvent, SchedulerState } from '@bronzeyoke/scheduler';
+import type {
+  SchedulerEffect,
+  SchedulerEvent,
+  SchedulerState,
+  SchedulingPolicy,
+} from '@bronzeyoke/scheduler';
 import { createScheduler, FULL_CAPACITY, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { Work } from './simcpu';
@@ -22,7 +27,7 @@
 
 /** Starts an entry. */
 export function createEntry(
-  world: World,
+  world: World & { readonly policy: SchedulingPolicy },
   host: string,
   entryId: string,
   processors = FULL_CAPACITY.processors,
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -21,7 +21,7 @@
 
 /** Options of a simulation. */
 export interface SimOptions extends CpuOptions {
-  /** Policy of all entries; the default one if absent. */
+  /** Policy of the entries; `DEFAULT_POLICY` if absent. */
   readonly policy?: SchedulingPolicy;
   /** Returns how far the clock of a host (`h0`) or machine (`m0`) is ahead. All are right by default. */
   readonly wallOffsetMs?: (name: string) => number;
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -45,7 +45,12 @@
   seed: number,
   machineCount = 5,
   times = TIMES,
-  { costs = NO_COSTS, processors = [], wallOffsetMs = () => 0, policy }: SimOptions = {},
+  {
+    costs = NO_COSTS,
+    processors = [],
+    wallOffsetMs = () => 0,
+    policy = DEFAULT_POLICY,
+  }: SimOptions = {},
 ): Simulation {
   const clock = createClock(seed);
   const startMs = clock.now();
@@ -111,7 +116,7 @@
     seeds: hosts,
     times,
     costs,
-    policy: policy ?? DEFAULT_POLICY,
+    policy,
     orderDelayMs: (machine) => orderDelays.get(machine) ?? PROMPT_ORDERS,
     entryAt: (host) => entries[hosts.indexOf(host)],
     ...hops.view,
@@ -125,7 +130,8 @@
   const startEntry = (index: number): void => {
     known.generation += 1;
     const host = hosts[index] ?? '';
-    entries[index] = createEntry(world, host, `${host}-${known.generation}`, processors[index]);
+    const entryId = `${host}-${known.generation}`;
+    entries[index] = createEntry(world, host, entryId, processors[index]);
   };
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
