Plan by learned run times where the policy says so

Waits for a place, lateness and the least work left rested on declared estimates. With the switch learnsRunTimes the leader records the time of each run that was done in one go at full pace, and takes quantiles of these in their place. Without it nothing is recorded, so that each call returns what the estimate gives.

--- a/packages/runtimes/src/runtimes.ts
+++ b/packages/runtimes/src/runtimes.ts
@@ -10,7 +10,11 @@
 
 /** What is known of the run times of one key. */
 interface KnownRunTimes {
-  readonly histogram: RunTimeHistogram;
+  readonly absolute: RunTimeHistogram;
+  /** Run times in parts of the estimates, for an estimate of `RELATIVE_BASE_MS`. */
+  readonly relative: RunTimeHistogram;
+  /** The run times differ less from the estimates than from one another. */
+  readonly followsEstimate: boolean;
   /** Value of `recordCount` at the last observation. */
   readonly recordedAt: number;
 }
@@ -27,6 +31,13 @@
 /** Keys that are kept; the one that has not been observed for longest makes way for a new one. */
 const MAX_KEYS = 256;
 
+/** Estimate to which the relative run times are scaled. */
+const RELATIVE_BASE_MS = 1_000;
+
+/** Quantiles whose ratio tells how much run times differ. */
+const LOW_QUANTILE = 0.1;
+const HIGH_QUANTILE = 0.9;
+
 /** Observations that replace the estimate. With fewer, the estimate counts for the missing ones. */
 const PRIOR_WEIGHT = 8;
 
@@ -52,19 +63,54 @@
   return oldest === undefined ? byKey : byKey.delete(oldest[0]);
 }
 
-/** Returns the run times after a run of a task that was neither slowed down nor resumed. */
-export function recordRunTime(state: RunTimes, key: RunTimeKey, durationMs: number): RunTimes {
+/** Returns by which factor most run times differ. */
+function spreadOf(histogram: RunTimeHistogram): number {
+  const low = quantileMs(histogram, LOW_QUANTILE);
+  const high = quantileMs(histogram, HIGH_QUANTILE);
+  return low === undefined || high === undefined ? Infinity : high / low;
+}
+
+const UNKNOWN: KnownRunTimes = {
+  absolute: EMPTY_HISTOGRAM,
+  relative: EMPTY_HISTOGRAM,
+  followsEstimate: false,
+  recordedAt: 0,
+};
+
+/**
+ * Returns the run times after a run of a task that was neither slowed down nor resumed. With the estimate
+ * of the task it is also learned whether estimates tell more than the other run times of the key.
+ */
+export function recordRunTime(
+  state: RunTimes,
+  key: RunTimeKey,
+  durationMs: number,
+  estimateMs = 0,
+): RunTimes {
   const name = nameOf(key);
-  const known = state.byKey.get(name);
-  const isFull = known === undefined && state.byKey.size >= MAX_KEYS;
-  const byKey = isFull ? withoutOldest(state.byKey) : state.byKey;
+  const isNew = !state.byKey.has(name);
+  const { absolute, relative } = state.byKey.get(name, UNKNOWN);
+  const byKey = isNew && state.byKey.size >= MAX_KEYS ? withoutOldest(state.byKey) : state.byKey;
   const recordCount = state.recordCount + 1;
-  const histogram = addObservation(known?.histogram ?? EMPTY_HISTOGRAM, durationMs);
-  return { byKey: byKey.set(name, { histogram, recordedAt: recordCount }), recordCount };
+  const nextAbsolute = addObservation(absolute, durationMs);
+  const nextRelative =
+    estimateMs > 0
+      ? addObservation(relative, (durationMs / estimateMs) * RELATIVE_BASE_MS)
+      : relative;
+  const known = {
+    absolute: nextAbsolute,
+    relative: nextRelative,
+    followsEstimate:
+      nextRelative.total >= PRIOR_WEIGHT / 2 && spreadOf(nextRelative) < spreadOf(nextAbsolute),
+    recordedAt: recordCount,
+  };
+  return { byKey: byKey.set(name, known), recordCount };
 }
 
-function histogramOf({ byKey }: RunTimes, key: RunTimeKey): RunTimeHistogram {
-  return byKey.get(nameOf(key))?.histogram ?? EMPTY_HISTOGRAM;
+/** What is known of the run times of tasks with one estimate: those of the histogram, times a factor. */
+interface Distribution {
+  readonly histogram: RunTimeHistogram;
+  readonly scale: number;
 }
 
 /** Returns the learned run times, with the estimate for the observations that are missing. */
@@ -73,9 +119,25 @@
   return missing <= 0 ? histogram : addWeight(histogram, estimateMs, missing);
 }
 
+/** Returns what is known of the run times of a key; undefined without observations. */
+function distributionOf(
+  { byKey }: RunTimes,
+  key: RunTimeKey,
+  estimateMs: number,
+): Distribution | undefined {
+  const known = byKey.get(nameOf(key));
+  if (known === undefined) return undefined;
+  return known.followsEstimate && estimateMs > 0
+    ? {
+        histogram: withPrior(known.relative, RELATIVE_BASE_MS),
+        scale: estimateMs / RELATIVE_BASE_MS,
+      }
+    : { histogram: withPrior(known.absolute, estimateMs), scale: 1 };
+}
+
 /** Returns how many recent observations there are of a key, at most 100. */
-export function observationCount(state: RunTimes, key: RunTimeKey): number {
-  return histogramOf(state, key).total;
+export function observationCount({ byKey }: RunTimes, key: RunTimeKey): number {
+  return byKey.get(nameOf(key))?.absolute.total ?? 0;
 }
 
 /** Returns the run time that a share of the runs does not exceed; the estimate without observations. */
@@ -85,9 +147,9 @@
   quantile: number,
   estimateMs: number,
 ): number {
-  const histogram = histogramOf(state, key);
-  if (histogram.total === 0) return estimateMs;
-  return quantileMs(withPrior(histogram, estimateMs), quantile) ?? estimateMs;
+  const known = distributionOf(state, key, estimateMs);
+  const foundMs = known === undefined ? undefined : quantileMs(known.histogram, quantile);
+  return known === undefined || foundMs === undefined ? estimateMs : foundMs * known.scale;
 }
 
 /**
@@ -101,8 +163,11 @@
   quantile: number,
   estimateMs: number,
 ): number {
-  const histogram = histogramOf(state, key);
-  if (histogram.total === 0) return Math.max(0, estimateMs - elapsedMs);
-  const left = quantileMs(beyond(withPrior(histogram, estimateMs), elapsedMs), quantile);
-  return left === undefined ? elapsedMs * OUTLIVED_SHARE : Math.max(0, left - elapsedMs);
+  const known = distributionOf(state, key, estimateMs);
+  if (known === undefined) return Math.max(0, estimateMs - elapsedMs);
+  const { histogram, scale } = known;
+  const foundMs = quantileMs(beyond(histogram, elapsedMs / scale), quantile);
+  return foundMs === undefined
+    ? elapsedMs * OUTLIVED_SHARE
+    : Math.max(0, foundMs * scale - elapsedMs);
 }
--- a/packages/runtimes/test/runtimes.test.ts
+++ b/packages/runtimes/test/runtimes.test.ts
@@ -40,6 +40,16 @@
   expect(runTimeMs(learned, KEY, 0.5, 10_000)).to.be.within(1_000, 1_000 * BUCKET_RATIO);
 });
 
+// Guards against a median of the queue that hides what a good estimate tells of one task.
+it('runtimes: estimates count when run times follow them', () => {
+  const sizes = Array.from({ length: 60 }, (_, index) => 200 * 2 ** (index % 6));
+  const good = sizes.reduce((s, ms) => recordRunTime(s, KEY, ms * 1.5, ms), NO_RUN_TIMES);
+  expect(runTimeMs(good, KEY, 0.5, 400)).to.be.within(600, 600 * BUCKET_RATIO);
+  expect(runTimeMs(good, KEY, 0.5, 6_400)).to.be.within(9_600, 9_600 * BUCKET_RATIO);
+  const bad = sizes.reduce((s, ms) => recordRunTime(s, KEY, 1_000, ms), NO_RUN_TIMES);
+  expect(runTimeMs(bad, KEY, 0.5, 6_400)).to.be.within(1_000, 1_000 * BUCKET_RATIO);
+});
+
 // Guards against a run past the usual time that counts as about to end: it is one of the long ones.
 it('runtimes: a run that outlives the usual time is expected to take the long one', () => {
   const learned = recordAll(TAILED);
--- a/packages/scheduler/src/jobs/ends.ts
+++ b/packages/scheduler/src/jobs/ends.ts
@@ -16,6 +16,7 @@
 import { abandonRuns, endJob, orphanRuns } from './jobend';
 import { taskTime } from './openjob';
 import { delayRestart } from './restarts';
+import { learnRunTime } from './runtimes';
 import { dropRun } from '../runs';
 import { putJob, withEffects } from '../state';
 import { taskLog } from '../tasklog';
@@ -203,6 +204,17 @@
   return isComplete(job, progress) ? { outcome: 'complete' } : undefined;
 }
 
+/** Learns from the time of a run that is done. */
+function learnFrom(
+  state: SchedulerState,
+  { ended, open, event, isOwnRun }: CurrentEnd,
+  nowMs: number,
+): SchedulerState {
+  const run = state.runs.byTask.get(ended.task);
+  if (event !== 'done' || !isOwnRun || run === undefined) return state;
+  return learnRunTime(state, open, run, nowMs);
+}
+
 /** Applies a listed end to the job's progress. The end of an older run is ignored. */
 export function applyEnd(
   state: SchedulerState,
@@ -215,7 +227,7 @@
   const { open, stage, isOwnRun } = current;
   const { jobId } = open.job;
   const { task, attempt, workerKey: worker, end } = ended;
-  const { state: recorded, effects } = chainAll(state, [
+  const { state: recorded, effects } = chainAll(learnFrom(state, current, nowMs), [
     (next) => recordEnd(next, ended, jobId, nowMs),
     (next) => (isOwnRun ? unchanged(next) : abandonRuns(next, [task])),
   ]);
--- a/packages/scheduler/src/placement/candidates.ts
+++ b/packages/scheduler/src/placement/candidates.ts
@@ -8,6 +8,7 @@
   readyStages,
   remainingWork,
 } from '@bronzeyoke/workflow';
+import { expectedRunMs } from '../jobs/runtimes';
 import type { SchedulerState } from '../types';
 
 /** A stage with tasks to place, and the criteria for its place in the order. */
@@ -66,7 +67,7 @@
 }
 
 /** What a job's progress says about the tasks to place. */
-interface Outlook {
+interface JobOutlook {
   readonly ready: readonly ReadyStage[];
   /** Estimated time of the longest chain of stages that are not done. */
   readonly leftMs: number;
@@ -76,26 +77,56 @@
 /** Last outlook of each job. It follows from the progress, which a placement leaves alone for most jobs. */
 const outlooks = new WeakMap<
   WorkflowJob,
-  { readonly progress: JobProgress; readonly outlook: Outlook }
+  { readonly progress: JobProgress; readonly learnedCount: number; readonly outlook: JobOutlook }
 >();
 
-function computeOutlook(job: WorkflowJob, progress: JobProgress, wallMs: number): Outlook {
+/** Observed run times after which known outlooks are computed anew. */
+const RELEARNED_AFTER = 50;
+
+/** Quantile of the run time that counts for the work left. */
+const MEDIAN = 0.5;
+
+/** Highest quantile of the run time that counts for a stage: above it lies the rare long task. */
+const MAX_STAGE_QUANTILE = 0.9;
+
+/** Returns the run time of the slowest of a stage's tasks, as its median is expected to be. */
+function stageMs(state: SchedulerState, { policy }: WorkflowJob, stage: Stage): number {
+  const quantile = Math.min(MAX_STAGE_QUANTILE, 0.5 ** (1 / Math.max(1, stage.taskCount)));
+  return expectedRunMs(state, policy.queue, stage, quantile);
+}
+
+function computeOutlook(
+  state: SchedulerState,
+  job: WorkflowJob,
+  progress: JobProgress,
+  wallMs: number,
+): JobOutlook {
   const ready = readyStages(job, progress, wallMs).flatMap((stage) =>
     claimableStage(stage, progress),
   );
   if (ready.length === 0) return { ready, leftMs: 0, workLeft: 0 };
   const leftMs = criticalPathMs(job, (stageIndex, stage) =>
-    isStageDone(job, progress, 0, stageIndex) ? 0 : stage.estimateMs,
+    isStageDone(job, progress, 0, stageIndex) ? 0 : stageMs(state, job, stage),
+  );
+  const workLeft = remainingWork(job, progress, (stage) =>
+    expectedRunMs(state, job.policy.queue, stage, MEDIAN),
   );
-  return { ready, leftMs, workLeft: remainingWork(job, progress) };
+  return { ready, leftMs, workLeft };
 }
 
-function outlookOf(job: WorkflowJob, progress: JobProgress, wallMs: number): Outlook {
+function outlookOf(
+  state: SchedulerState,
+  job: WorkflowJob,
+  progress: JobProgress,
+  wallMs: number,
+): JobOutlook {
   const known = outlooks.get(job);
+  const learnedCount = Math.floor(state.runTimes.recordCount / RELEARNED_AFTER);
   // The stages of a scheduled job also become ready as time passes.
-  if (known?.progress === progress && job.schedule === undefined) return known.outlook;
-  const outlook = computeOutlook(job, progress, wallMs);
-  outlooks.set(job, { progress, outlook });
+  const isSame = known?.progress === progress && known.learnedCount === learnedCount;
+  if (isSame && job.schedule === undefined) return known.outlook;
+  const outlook = computeOutlook(state, job, progress, wallMs);
+  outlooks.set(job, { progress, learnedCount, outlook });
   return outlook;
 }
 
@@ -109,7 +140,7 @@
     .flatMap(({ job, progress, isCancelled }): readonly StageCandidate[] => {
       if (isCancelled || job.policy.needsAdvice) return [];
       const { jobId } = job;
-      const { ready, leftMs, workLeft } = outlookOf(job, progress, wallMs);
+      const { ready, leftMs, workLeft } = outlookOf(state, job, progress, wallMs);
       if (ready.length === 0) return [];
       const isLate = wallMs + leftMs + START_ESTIMATE_MS > objectiveAtMs(job);
       const objectiveMs = objectiveAtMs(job) - job.acceptedAtMs;
--- a/packages/scheduler/src/placement/tenants.ts
+++ b/packages/scheduler/src/placement/tenants.ts
@@ -1,6 +1,7 @@
 import type { Resources } from '@bronzeyoke/types';
 import { addResources, memoize, NO_RESOURCES } from '@bronzeyoke/types';
 import type { Stage } from '@bronzeyoke/workflow';
+import { expectedRestMs } from '../jobs/runtimes';
 import { runsOn } from '../runs';
 import type { SchedulerState } from '../types';
 
@@ -13,8 +14,10 @@
   readonly isFill: boolean;
   readonly isStopping: boolean;
   readonly priority: number;
-  /** Estimated time until it ends by itself. */
+  /** Estimated time until it ends by itself; infinite for a lasting run. */
   readonly remainingMs: number;
+  /** Time before which it hardly ends by itself. */
+  readonly earliestEndMs: number;
   /** Order in which runs are stopped: the least loss first. */
   readonly lossRank: readonly number[];
 }
@@ -26,6 +29,10 @@
   readonly returned: Resources;
 }
 
+/** Quantiles of the time until a run ends: the usual one, and one that few runs stay below. */
+const MEDIAN = 0.5;
+const EARLIEST = 0.05;
+
 function returnedBy({ needs, fillsIdle }: Stage): Resources {
   return fillsIdle ? { ...needs, processorsMilli: 0 } : needs;
 }
@@ -33,7 +40,10 @@
 function occupancyOf(state: SchedulerState, workerKey: string, nowMs: number): Occupancy {
   const running = [...runsOn(state.runs, workerKey)].map(([task, run]): Tenant => {
     const { stage, claimedAtMs, jobId, stopSentAtMs } = run;
-    const priority = state.jobs.get(jobId)?.job.policy.priority ?? 0;
+    const { priority = 0, queue = '' } = state.jobs.get(jobId)?.job.policy ?? {};
+    const elapsedMs = nowMs - claimedAtMs;
+    const leftMs = (quantile: number): number =>
+      stage.isLasting ? Infinity : expectedRestMs(state, queue, stage, elapsedMs, quantile);
     return {
       task,
       returned: returnedBy(stage),
@@ -41,7 +51,8 @@
       isFill: stage.fillsIdle,
       isStopping: stopSentAtMs !== undefined,
       priority,
-      remainingMs: Math.max(0, stage.estimateMs - (nowMs - claimedAtMs)),
+      remainingMs: leftMs(MEDIAN),
+      earliestEndMs: leftMs(EARLIEST),
       lossRank: [-priority, Number(stage.isGang), -Number(stage.savesCheckpoints), -claimedAtMs],
     };
   });
@@ -59,6 +70,7 @@
               isStopping: true,
               priority: 0,
               remainingMs: 0,
+              earliestEndMs: 0,
               lossRank: [],
             },
           ],
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -1,5 +1,6 @@
 import { Map, Set as ImmutableSet } from 'immutable';
 import { EMPTY_PAIRS } from '@bronzeyoke/interference';
+import { NO_RUN_TIMES } from '@bronzeyoke/runtimes';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { NO_INSTANCES } from './fleet/identities';
 import { NO_EARLIER_LEASES } from './fleet/leases';
@@ -24,6 +25,7 @@
   instances: NO_INSTANCES,
   instanceCount: 0,
   runs: NO_RUNS,
+  runTimes: NO_RUN_TIMES,
   orphans: NO_RUNS,
   released: Map<string, never>(),
   lateEnds: Map<string, never>(),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -3,6 +3,7 @@
 import { compileChart } from '@bronzeyoke/chart';
 import type { PairEstimates } from '@bronzeyoke/interference';
 import type { RowTransaction, RowStoreCall, RowStoreEvent, StoredRow } from '@bronzeyoke/ports';
+import type { RunTimes } from '@bronzeyoke/runtimes';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Step } from '@bronzeyoke/types';
 import type { FleetConfig } from '@bronzeyoke/workflow';
@@ -231,6 +232,8 @@
   /** Instances that have reported to this leader, those that have ended included. */
   readonly instanceCount: number;
   readonly runs: RunTable;
+  /** Learned by this leader, if its policy says so. */
+  readonly runTimes: RunTimes;
   readonly orphans: OrphanTable;
   /** Runs that were released lately, by task and attempt. */
   readonly released: Map<string, ReleasedRun>;
--- a/packages/workflow/src/job.ts
+++ b/packages/workflow/src/job.ts
@@ -193,8 +193,12 @@
   return job.acceptedAtMs + slackFactor * declaredCriticalPathMs(job) + targetDurationMs;
 }
 
-/** Returns the declared processor time that is not done yet, in core-milliseconds. */
-export function remainingWork(job: WorkflowJob, progress: JobProgress): number {
+/** Returns the processor time that is not done yet, in core-milliseconds; by default the declared one. */
+export function remainingWork(
+  job: WorkflowJob,
+  progress: JobProgress,
+  runMsOf: (stage: Stage) => number = ({ estimateMs }) => estimateMs,
+): number {
   const doneCounts = [...progress.tasks].reduce((counts, [slot, task]) => {
     const stageIndex = stageIndexOf(slot);
     return task.phase === 'done'
@@ -203,7 +207,7 @@
   }, new Map<number, number>());
   return job.stages.reduce((sum, stage, stageIndex) => {
     const remaining = stage.taskCount * occurrenceCount(job) - (doneCounts.get(stageIndex) ?? 0);
-    return sum + (remaining * stage.needs.processorsMilli * stage.estimateMs) / 1_000;
+    return sum + (remaining * stage.needs.processorsMilli * runMsOf(stage)) / 1_000;
   }, 0);
 }
 
