Place small tasks by what waits and by what ends soon

Each small task went to the emptiest worker, so that a burst took a piece of every place that a large task needs. With the switch looksAhead a pass knows the large sizes that wait, or that run and are short of free places, and when runs end on each worker. Small tasks and the memory of filling ones then take gaps that no large task can use; without such sizes they spread as before. Room that is kept for a task is lent to tasks whose learned 95th percentile ends before it is needed.

--- a/packages/placement/src/choose.ts
+++ b/packages/placement/src/choose.ts
@@ -1,4 +1,5 @@
 import type { Stage } from '@bronzeyoke/workflow';
+import type { Foresight } from './rank';
 import { compareRanks, fitsEmptyWorker, hasRoom, rankOf } from './rank';
 import type { FillEffects, WorkerLoad } from './types';
 
@@ -14,6 +15,8 @@
   readonly siblingCount: (workerKey: string) => number;
   /** Whether a place beside a task that it harms is allowed. The task then runs at a low pace. */
   readonly isLastResort?: boolean;
+  /** What waits and ends soon; absent if placement does not look ahead. */
+  readonly foresight?: Foresight | undefined;
 }
 
 /** Returns the candidate that a worker is for the tasks of a stage; undefined if it cannot run one now. */
@@ -21,11 +24,11 @@
   stage: Stage,
   load: WorkerLoad,
   effects: FillEffects,
-  { siblingCount, isLastResort = false }: PlacementConstraints,
+  { siblingCount, isLastResort = false, foresight }: PlacementConstraints,
 ): Candidate | undefined {
   if (!fitsEmptyWorker(stage, load) || !hasRoom(stage, load)) return undefined;
   if (siblingCount(load.workerKey) >= (stage.maxPerWorker ?? Infinity)) return undefined;
-  const rank = rankOf(stage, load, effects, isLastResort);
+  const rank = rankOf(stage, load, effects, isLastResort, foresight);
   return rank === undefined ? undefined : { load, rank };
 }
 
--- a/packages/placement/src/rank.ts
+++ b/packages/placement/src/rank.ts
@@ -2,6 +2,8 @@
 import { mergeFills } from '@bronzeyoke/interference';
 import type { Resources } from '@bronzeyoke/types';
 import type { Stage } from '@bronzeyoke/workflow';
+import { gapCost } from './gaps';
+import type { Outlook } from './outlook';
 import type { FillEffects, WorkerLoad } from './types';
 
 /** Minimum idle share of the processors that a filling task requests. It runs at that speed. */
@@ -77,11 +79,23 @@
   return Math.floor(Math.max(0, ...loads) / LOAD_STEP);
 }
 
+/** What a placement looks ahead by. */
+export interface Foresight {
+  readonly outlook: Outlook;
+  /** Time that nearly all tasks of the stage take at most. */
+  readonly runMs: number;
+}
+
+function costOf(stage: Stage, load: WorkerLoad, foresight: Foresight | undefined): number {
+  return foresight === undefined ? 0 : gapCost(stage, load, foresight.outlook, foresight.runMs);
+}
+
 function fillRank(
   stage: Stage,
   load: WorkerLoad,
   effects: FillEffects,
   isLastResort: boolean,
+  foresight: Foresight | undefined,
 ): readonly number[] | undefined {
   const added = fillsOf(stage, load);
   const fills = mergeFills([...load.fills, ...added]);
@@ -102,6 +116,7 @@
     dataDistance(stage, load),
     isBesideServing,
     loadStep(load, effects, fills),
+    costOf(stage, load, foresight),
     load.fillRequestedMilli - freeMilli(load),
   ];
 }
@@ -114,9 +129,17 @@
   return [dataDistance(stage, load), isNewImage, isAlone, isBesideFills, freeMilli(load)];
 }
 
-function defaultRank(stage: Stage, load: WorkerLoad): readonly number[] {
+/** Spreads tasks while there is ample room; otherwise they take gaps that larger ones cannot use. */
+function defaultRank(
+  stage: Stage,
+  load: WorkerLoad,
+  foresight: Foresight | undefined,
+): readonly number[] {
   const isAlone = load.servingImages.length === 0 ? 1 : 0;
-  return [dataDistance(stage, load), isAlone, -freeMilli(load)];
+  if (foresight === undefined || foresight.outlook.demands.length === 0) {
+    return [dataDistance(stage, load), isAlone, -freeMilli(load)];
+  }
+  return [dataDistance(stage, load), costOf(stage, load, foresight), isAlone, freeMilli(load)];
 }
 
 /** Returns the rank of a worker with room for a task; the lowest is the best. Undefined if it is unfit. */
@@ -125,9 +148,12 @@
   load: WorkerLoad,
   effects: FillEffects,
   isLastResort: boolean,
+  foresight?: Foresight,
 ): readonly number[] | undefined {
-  if (stage.fillsIdle) return fillRank(stage, load, effects, isLastResort);
-  return stage.latencyTargetMs === undefined ? defaultRank(stage, load) : servingRank(stage, load);
+  if (stage.fillsIdle) return fillRank(stage, load, effects, isLastResort, foresight);
+  return stage.latencyTargetMs === undefined
+    ? defaultRank(stage, load, foresight)
+    : servingRank(stage, load);
 }
 
 /** Returns the reserved room of a worker with one more task of a stage. */
--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -3,7 +3,7 @@
 import type { WorkerLoad } from '@bronzeyoke/placement';
 import { withReservation, withTask } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
-import { fitsIn, NO_RESOURCES } from '@bronzeyoke/types';
+import { fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import { runsOn } from '../runs';
 import type { SchedulerState } from '../types';
 import type { KnownLoad, KnownLoads, OrphanRun, WorkerView } from '../views';
@@ -69,6 +69,20 @@
   return fitsIn(reservedBy({ runs, orphans }), report.capacity);
 }
 
+/** Returns the room of a worker beside all runs that were claimed there; undefined if it is not known. */
+export function roomBesideClaims(
+  state: Pick<SchedulerState, 'workers' | 'runs' | 'orphans'>,
+  workerKey: string,
+): Resources | undefined {
+  const report = state.workers.get(workerKey)?.report;
+  const orphans = runsOn(state.orphans, workerKey);
+  if (report === undefined || hasUnknownNeeds(orphans)) return undefined;
+  return subtractResources(
+    report.capacity,
+    reservedBy({ runs: runsOn(state.runs, workerKey), orphans }),
+  );
+}
+
 /** Returns the report of a worker on which tasks may be placed. */
 function usableReport(
   state: SchedulerState,
--- a/packages/scheduler/src/placement/pass.ts
+++ b/packages/scheduler/src/placement/pass.ts
@@ -1,6 +1,6 @@
 import type { Map } from 'immutable';
 import { classifyFills, predictLoad } from '@bronzeyoke/interference';
-import type { FillEffects, WorkerLoad } from '@bronzeyoke/placement';
+import type { FillEffects, Foresight, Outlook, WorkerLoad } from '@bronzeyoke/placement';
 import { chooseWorker, withTask } from '@bronzeyoke/placement';
 import { without } from '@bronzeyoke/types';
 import type { ReadyStage, Stage } from '@bronzeyoke/workflow';
@@ -12,6 +12,7 @@
 import { createRun, putRun } from '../runs';
 import { addPostCommitAction, putJob } from '../state';
 import { taskTime } from '../jobs/openjob';
+import { expectedRunMs } from '../jobs/runtimes';
 import { isSuspect, trialMs } from '../jobs/suspects';
 import type { Occupancy } from './tenants';
 import type { SchedulerState } from '../types';
@@ -96,6 +97,10 @@
   readonly occupancyOf: (workerKey: string) => Occupancy;
   /** Worker on which this pass keeps room for a waiting task, by task. */
   readonly reservations: Map<string, string>;
+  /** What waits and ends soon, for the choice of workers. */
+  readonly outlook: Outlook;
+  /** Tasks that use room that is kept for others meanwhile. */
+  readonly backfilled: readonly string[];
   /** Tasks that wait for a trial or begin one. */
   readonly held: ReadonlySet<string>;
   /** Work done so far, and the work after which each part of the pass ends. */
@@ -165,6 +170,19 @@
   };
 }
 
+/** Quantile of the run time at which a task counts as ended. */
+export const TAIL = 0.95;
+
+/** Returns what the tasks of a stage look ahead by; undefined while nothing large waits or is short of room. */
+export function foresightOf(
+  { state, outlook }: PlacementPass,
+  open: OpenJob,
+  stage: Stage,
+): Foresight | undefined {
+  if (outlook.demands.length === 0) return undefined;
+  return { outlook, runMs: expectedRunMs(state, open.job.policy.queue, stage, TAIL) };
+}
+
 /** Returns the best of some workers for a task. */
 export function chooseWorkerFor(
   pass: PlacementPass,
@@ -178,7 +196,11 @@
     ready.stage,
     loadsOfService(pass, open, loads),
     effectsOf(pass),
-    { siblingCount: siblingCounter(pass, open, ready), isLastResort },
+    {
+      siblingCount: siblingCounter(pass, open, ready),
+      isLastResort,
+      foresight: foresightOf(pass, open, ready.stage),
+    },
     taskProgress(open.progress, slot).failedOn,
   );
 }
--- a/packages/scheduler/src/placement/place.ts
+++ b/packages/scheduler/src/placement/place.ts
@@ -1,9 +1,11 @@
 import { List, Map } from 'immutable';
+import { logEffect } from '@bronzeyoke/telemetry';
 import { chainAfter } from '@bronzeyoke/types';
 import { untilNextDueMs } from '@bronzeyoke/workflow';
 import type { StageCandidate } from './candidates';
 import { orderedCandidates, searchKey } from './candidates';
 import { updateLoads } from '../fleet/loads';
+import { openOutlook, withSizes } from './foresight';
 import { stopRun } from './runorders';
 import type { PlacementPass } from './pass';
 import { listedWork, passBudget, passWork, withOthersShare } from './passbudget';
@@ -80,8 +82,9 @@
 function openBudget(
   { workers, passPace, settings }: SchedulerState,
   listedCount: number,
+  demandCount: number,
 ): Pick<PlacementPass, 'work' | 'budget'> {
-  const work = listedWork(workers.size, listedCount);
+  const work = listedWork(workers.size, listedCount) + workers.size * demandCount;
   return { work, budget: passBudget(passWork(passPace, settings.capacity), work) };
 }
 
@@ -100,20 +103,26 @@
   const waiting = waitingTasks(state, candidates, nowMs);
   const passCount = state.passCount + 1;
   const known = updateLoads(state, passCount, nowMs);
+  const loads = known.filter(({ hasTrial }) => !hasTrial).map(({ load }) => load);
+  const occupancyOf = createOccupancies(state, nowMs);
+  const sized = withSizes(state, nowMs);
+  const outlook = openOutlook(sized, candidates, { loads, occupancyOf });
   const pass: PlacementPass = reserveForMoves({
     state: {
-      ...state,
+      ...sized,
       waits: updateWaits(state, waiting),
       suspects: openSuspects(state),
       loads: known,
       passCount,
     },
-    loads: known.filter(({ hasTrial }) => !hasTrial).map(({ load }) => load),
+    loads,
+    outlook,
+    backfilled: [],
     held: new Set(),
     stops: Map(),
-    occupancyOf: createOccupancies(state, nowMs),
+    occupancyOf,
     reservations: Map(),
-    ...openBudget(state, candidates.length + waiting.length),
+    ...openBudget(state, candidates.length + waiting.length, outlook.demands.length),
   });
   const heldSinceMs = Math.min(state.othersHeldSinceMs, nowMs);
   const mayHold = nowMs - heldSinceMs < MAX_HELD_MS;
@@ -140,7 +149,10 @@
     placeAgainAtMs: nowMs + untilNextPassMs(logged.state, candidates, wallMs),
   };
   return chainAfter(
-    withEffects(next, logged.effects),
+    withEffects(next, [
+      ...logged.effects,
+      ...placed.backfilled.map((task) => logEffect('taskBackfilled', { task })),
+    ]),
     [...placed.stops].map(
       ([task, reason]) =>
         (current: SchedulerState) =>
--- a/packages/scheduler/src/placement/round.ts
+++ b/packages/scheduler/src/placement/round.ts
@@ -3,6 +3,7 @@
 import type { Resources } from '@bronzeyoke/types';
 import { fitsIn } from '@bronzeyoke/types';
 import { assignedSlots, taskProgress } from '@bronzeyoke/workflow';
+import { backfill } from './backfill';
 import type { StageCandidate } from './candidates';
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
@@ -184,13 +185,17 @@
   const { pass } = round;
   const demand = demandOf(pass, candidate);
   if (demand !== undefined && isKnownUnmet(round, demand)) {
-    return recordUnplaced(round, candidate, nowMs);
+    const filled = backfill(pass, candidate, slots, nowMs);
+    const next = { ...round, pass: filled.pass };
+    return filled.left.length === 0 ? next : recordUnplaced(next, candidate, nowMs);
   }
   const { loads } = searchScope(pass, candidate, nowMs);
   const placed = placeOn(pass, candidate, slots, loads, nowMs);
   if (placed.isCut) return leaveRest({ ...round, pass: placed.pass }, candidate);
   if (placed.left.length === 0) return { ...round, pass: placed.pass };
-  const preempted = preemptFills(placed.pass, candidate, placed.left);
+  const filled = backfill(placed.pass, candidate, placed.left, nowMs);
+  if (filled.left.length === 0) return { ...round, pass: filled.pass };
+  const preempted = preemptFills(filled.pass, candidate, filled.left);
   const next = recordUnplaced({ ...round, pass: preempted.pass }, candidate, nowMs);
   const isUnmet = demand !== undefined && preempted.left.length > 0;
   return isUnmet ? { ...next, unmet: [...next.unmet, demand] } : next;
--- a/packages/scheduler/src/placement/search.ts
+++ b/packages/scheduler/src/placement/search.ts
@@ -4,7 +4,15 @@
 import type { StageCandidate } from './candidates';
 import { searchKey } from './candidates';
 import type { PlacementPass } from './pass';
-import { claimOn, effectsOf, isSpent, loadsOfService, siblingCounter, spend } from './pass';
+import {
+  claimOn,
+  effectsOf,
+  foresightOf,
+  isSpent,
+  loadsOfService,
+  siblingCounter,
+  spend,
+} from './pass';
 import { FILL_WORK } from './passbudget';
 
 /** A search of workers for the tasks of one stage. */
@@ -39,7 +47,8 @@
   if (open === undefined) return { pass, left: slots, isCut: false };
   const { stage } = ready;
   const effects = effectsOf(pass);
-  const constraints = { siblingCount: siblingCounter(pass, open, ready) };
+  const foresight = foresightOf(pass, open, stage);
+  const constraints = { siblingCount: siblingCounter(pass, open, ready), foresight };
   const first: OpenSearch = {
     pass: spend(pass, loads.length * (stage.fillsIdle ? FILL_WORK : 1)),
     left: [],
@@ -65,7 +74,10 @@
     return {
       ...current,
       pass: placed,
-      candidates: updateCandidate(current.candidates, stage, load, effects, { siblingCount }),
+      candidates: updateCandidate(current.candidates, stage, load, effects, {
+        siblingCount,
+        foresight,
+      }),
     };
   }, first);
 }
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -27,6 +27,7 @@
   LinkView,
   OpenJob,
   ReleasedRun,
+  RunningSizes,
   StoredProgress,
   Suspect,
   UndecodedJob,
@@ -241,6 +242,8 @@
   readonly lateEnds: Map<string, number>;
   /** Loads of the usable workers, as of the last placement. */
   readonly loads: KnownLoads;
+  /** Sizes of the running tasks, if the policy looks ahead. */
+  readonly runningSizes?: RunningSizes;
   readonly passCount: number;
   readonly lastPassAtMs: number;
   /** Time before which no pass begins, so that other events are handled after a long one. */
--- a/packages/scheduler/src/views.ts
+++ b/packages/scheduler/src/views.ts
@@ -1,7 +1,7 @@
 import type { Map, Set as ImmutableSet } from 'immutable';
 import type { InfluenceEstimate } from '@bronzeyoke/interference';
 import type { JobLatency } from '@bronzeyoke/latency';
-import type { WorkerLoad } from '@bronzeyoke/placement';
+import type { TaskGroup, WorkerLoad } from '@bronzeyoke/placement';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { CrashRecord, JobProgress, Stage, WorkflowJob } from '@bronzeyoke/workflow';
 
@@ -194,6 +194,12 @@
   readonly unwantedStops?: Map<string, UnwantedStop>;
 }
 
+/** Sizes of the running tasks, as of some time. */
+export interface RunningSizes {
+  readonly groups: readonly TaskGroup[];
+  readonly atMs: number;
+}
+
 /** The load of a worker, with what it was computed from. */
 export interface KnownLoad {
   readonly report: WorkerReport;
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -73,6 +73,8 @@
   | 'jobHeld'
   | 'jobEnded'
   | 'taskPaced'
+  | 'taskBackfilled'
+  | 'gapCounts'
   | 'awayCounts'
   | 'blockedCounts'
   | 'lapseAwaited'
