Show gaps, backfilled tasks and waits for room, and note what was weighed

An operator could not see whether large tasks wait because free room lies in pieces. With looksAhead the leader logs the largest free gap and the largest waiting task each second (gapCounts, two gauges) and each task in kept room (taskBackfilled, a counter), and start lines carry the wait for room by size.

--- a/packages/runtimes/src/runtimes.ts
+++ b/packages/runtimes/src/runtimes.ts
@@ -54,6 +54,11 @@
   return Math.min(MAX_SIZE_CLASS, Math.max(0, Math.ceil(doublings)));
 }
 
+/** Returns the processors of the largest tasks of a size class, in thousandths. */
+export function largestMilli(sizeClass: number): number {
+  return FIRST_CLASS_MILLI * 2 ** sizeClass;
+}
+
 function nameOf({ queue, sizeClass }: RunTimeKey): string {
   return `${sizeClass} ${queue}`;
 }
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -1,4 +1,6 @@
 import type { Map } from 'immutable';
+import { largestMilli, sizeClassOf } from '@bronzeyoke/runtimes';
+import type { EventFields } from '@bronzeyoke/telemetry';
 import { assertNever, chainAll, unchanged } from '@bronzeyoke/types';
 import { taskProgress } from '@bronzeyoke/workflow';
 import { hasRoomForClaims } from '../fleet/loads';
@@ -11,7 +13,7 @@
 import { taskLog } from '../tasklog';
 import type { SchedulerState, SchedulerStep } from '../types';
 import { runRef } from '../types';
-import type { HeldStart, RunView } from '../views';
+import type { HeldStart, OpenJob, RunView } from '../views';
 
 /** Keeps a stored claim until its agent reports on its next connection. */
 function holdStart(
@@ -41,6 +43,20 @@
   return new Set([...new Set(claimedOn)].filter((workerKey) => hasRoomForClaims(state, workerKey)));
 }
 
+/** Returns how long the first claim of a task has waited for room, and its size; not without look-ahead. */
+function noRoomFields(
+  { settings }: SchedulerState,
+  { latency }: OpenJob,
+  run: RunView,
+): EventFields {
+  const times = latency.tasks.get(run.slot);
+  if (settings.policy?.looksAhead !== true || times?.runCount !== 1) return {};
+  return {
+    noRoomMs: Math.round(times.firstClaimAtMs - times.firstNoRoomSinceMs),
+    upToMilli: largestMilli(sizeClassOf(run.stage.needs.processorsMilli)),
+  };
+}
+
 /** Orders a stored claim. The room of a worker that is not in `withRoom` is checked once more. */
 function sendStart(
   state: SchedulerState,
@@ -101,6 +117,7 @@
         attempt,
         worker: workerKey,
         storedAfterMs: Math.round(nowMs - run.claimedAtMs),
+        ...noRoomFields(state, open, run),
       }),
     ],
   );
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -24,6 +24,7 @@
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
 import { retryReads } from './leadership/load';
+import { logGaps } from './placement/gapcounts';
 import { paceWorker } from './placement/pace';
 import { recordPass } from './placement/passbudget';
 import { placeTasks } from './placement/place';
@@ -99,6 +100,7 @@
   return chainAll({ ...state, lookedAtMs: nowMs }, [
     (current) => logAbsences(current, nowMs, wallMs),
     (current) => logBlockedWorkers(current, nowMs),
+    (current) => logGaps(current),
   ]);
 }
 
--- a/packages/scheduler/test/lookahead.test.ts
+++ b/packages/scheduler/test/lookahead.test.ts
@@ -86,6 +86,10 @@
   const small = place(fixture, jobOf('quick', [sized(1_000, 1, { estimateMs: 9_000 })]));
   expect(siteOf(small, 'quick.0.0.0')).to.equal('w1');
   expect(loggedFields(small, 'taskBackfilled')).to.have.length(1);
+  const placed = loggedFields(small, 'taskPlaced').at(-1);
+  expect(placed).to.include({ task: 'quick.0.0.0', noRoomMs: 0, upToMilli: 1_000 });
+  const gaps = loggedFields(small, 'gapCounts').at(-1);
+  expect(gaps).to.include({ largestFreeMilli: 1_500, largestWaitingMilli: 4_000 });
 });
 
 // Guards against backfill by estimates, which are off by too much to tell when a task ends.
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -26,6 +26,22 @@
     kind: 'gauge',
     help: 'Workers without tasks because a run there ignores its stop orders.',
   },
+  bronzeyoke_tasks_backfilled_total: {
+    kind: 'counter',
+    help: 'Tasks placed into room that is kept for others.',
+  },
+  bronzeyoke_largest_gap_milli: {
+    kind: 'gauge',
+    help: 'Largest free room of a worker, in thousandths of a processor.',
+  },
+  bronzeyoke_largest_waiting_milli: {
+    kind: 'gauge',
+    help: 'Largest task that waits for room, in thousandths of a processor.',
+  },
+  bronzeyoke_no_room_seconds: {
+    kind: 'summary',
+    help: 'Waits of tasks for room until their first claims, by size.',
+  },
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
@@ -69,13 +85,28 @@
   return { name: 'bronzeyoke_workers_blocked', labels: {}, value };
 }
 
+/** Returns the gauges of free and wanted room. */
+function gapGauges(gaps: EventFields): readonly GaugeValue<MetricName>[] {
+  const valueOf = (value: EventFields[string] | undefined) =>
+    typeof value === 'number' ? value : 0;
+  return [
+    { name: 'bronzeyoke_largest_gap_milli', labels: {}, value: valueOf(gaps.largestFreeMilli) },
+    {
+      name: 'bronzeyoke_largest_waiting_milli',
+      labels: {},
+      value: valueOf(gaps.largestWaitingMilli),
+    },
+  ];
+}
+
 /** The last counts that a leader has logged. */
 interface LeaderCounts {
   readonly away: EventFields;
   readonly blocked: EventFields;
+  readonly gaps: EventFields;
 }
 
-const NO_COUNTS: LeaderCounts = { away: {}, blocked: {} };
+const NO_COUNTS: LeaderCounts = { away: {}, blocked: {}, gaps: {} };
 
 /** A duration in the fields of an event, and the metric that records it. */
 interface DurationField {
@@ -122,6 +153,12 @@
       metrics.count('bronzeyoke_events_total', { event });
       if (event === 'awayCounts') known.counts = { ...known.counts, away: fields };
       if (event === 'blockedCounts') known.counts = { ...known.counts, blocked: fields };
+      if (event === 'gapCounts') known.counts = { ...known.counts, gaps: fields };
+      if (event === 'taskBackfilled') metrics.count('bronzeyoke_tasks_backfilled_total');
+      if (event === 'taskPlaced' && typeof fields.noRoomMs === 'number') {
+        const labels = { upToMilli: String(fields.upToMilli) };
+        metrics.observe('bronzeyoke_no_room_seconds', labels, fields.noRoomMs);
+      }
       if (LEADER_CHANGES.has(event)) known.counts = NO_COUNTS;
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
@@ -148,6 +185,7 @@
         { name: 'bronzeyoke_log_lines_dropped_total', labels: {}, value: droppedLines },
         ...awayGauges(known.counts.away),
         blockedGauge(known.counts.blocked),
+        ...gapGauges(known.counts.gaps),
       ]),
   };
 }
--- a/packages/telemetry/test/eventlog.test.ts
+++ b/packages/telemetry/test/eventlog.test.ts
@@ -119,3 +119,16 @@
   expect(lines).to.include('bronzeyoke_ends_after_release_total{state="ordered"} 2');
   expect(lines).to.include('bronzeyoke_repeated_work_seconds_total 1.75');
 });
+
+// Guards against operators who cannot see whether large tasks wait for gaps that are too small.
+it('eventlog: gaps, backfilled tasks and waits for room are exported', () => {
+  const metrics = createEventMetrics(createHistogram);
+  metrics.record('gapCounts', { largestFreeMilli: 5_000, largestWaitingMilli: 6_400 });
+  metrics.record('taskBackfilled', { task: 't' });
+  metrics.record('taskPlaced', { task: 't', noRoomMs: 2_000, upToMilli: 1_000 });
+  const text = metrics.text(0);
+  expect(text).to.include('bronzeyoke_largest_gap_milli 5000');
+  expect(text).to.include('bronzeyoke_largest_waiting_milli 6400');
+  expect(text).to.include('bronzeyoke_tasks_backfilled_total 1');
+  expect(text).to.include('bronzeyoke_no_room_seconds_count{upToMilli="1000"} 1');
+});
