--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -3,6 +3,7 @@
 import { compileChart } from '@bronzeyoke/chart';
 import type { PairEstimates } from '@bronzeyoke/interference';
 import type { RowTransaction, RowStoreCall, RowStoreEvent, StoredRow } from '@bronzeyoke/ports';
+import type { RunTimes } from '@bronzeyoke/runtimes';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import type { Step } from '@bronzeyoke/types';
 import type { FleetConfig } from '@bronzeyoke/workflow';
@@ -29,6 +30,7 @@
   LinkView,
   OpenJob,
   ReleasedRun,
+  RunningSizes,
   StoredProgress,
   Suspect,
   UndecodedJob,
@@ -239,6 +241,8 @@
   /** Instances that have reported to this leader, those that have ended included. */
   readonly instanceCount: number;
   readonly runs: RunTable;
+  /** Learned by this leader, if its policy says so. */
+  readonly runTimes: RunTimes;
   readonly orphans: OrphanTable;
   /** Runs that were released lately, by task and attempt. */
   readonly released: Map<string, ReleasedRun>;
@@ -246,6 +250,8 @@
   readonly lateEnds: Map<string, number>;
   /** Loads of the usable workers, as of the last placement. */
   readonly loads: KnownLoads;
+  /** Sizes of the running tasks, if the policy looks ahead. */
+  readonly runningSizes?: RunningSizes;
   readonly passCount: number;
   /** Claims of lasting tasks at their former addresses. */
   readonly restoredCount: number;
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -34,6 +34,22 @@
     kind: 'gauge',
     help: 'Queues of which the leader refuses some or all jobs of a kind, by verdict.',
   },
+  bronzeyoke_tasks_backfilled_total: {
+    kind: 'counter',
+    help: 'Tasks placed into room that is kept for others.',
+  },
+  bronzeyoke_largest_gap_milli: {
+    kind: 'gauge',
+    help: 'Largest free room of a worker, in thousandths of a processor.',
+  },
+  bronzeyoke_largest_waiting_milli: {
+    kind: 'gauge',
+    help: 'Largest task that waits for room, in thousandths of a processor.',
+  },
+  bronzeyoke_no_room_seconds: {
+    kind: 'summary',
+    help: 'Waits of tasks for room until their first claims, by size.',
+  },
   bronzeyoke_claim_seconds: { kind: 'summary', help: 'From a claim to its stored row.' },
   bronzeyoke_start_seconds: { kind: 'summary', help: 'From a claim to the listed run.' },
   bronzeyoke_job_seconds: { kind: 'summary', help: 'From acceptance to the end of a job.' },
@@ -97,15 +113,30 @@
   });
 }
 
+/** Returns the gauges of free and wanted room. */
+function gapGauges(gaps: EventFields): readonly GaugeValue<MetricName>[] {
+  const valueOf = (value: EventFields[string] | undefined) =>
+    typeof value === 'number' ? value : 0;
+  return [
+    { name: 'bronzeyoke_largest_gap_milli', labels: {}, value: valueOf(gaps.largestFreeMilli) },
+    {
+      name: 'bronzeyoke_largest_waiting_milli',
+      labels: {},
+      value: valueOf(gaps.largestWaitingMilli),
+    },
+  ];
+}
+
 /** The last counts that a leader has logged. */
 interface LeaderCounts {
   readonly away: EventFields;
   readonly blocked: EventFields;
   readonly load: EventFields;
   readonly limited: EventFields;
+  readonly gaps: EventFields;
 }
 
-const NO_COUNTS: LeaderCounts = { away: {}, blocked: {}, load: {}, limited: {} };
+const NO_COUNTS: LeaderCounts = { away: {}, blocked: {}, load: {}, limited: {}, gaps: {} };
 
 /** A duration in the fields of an event, and the metric that records it. */
 interface DurationField {
@@ -159,6 +190,12 @@
       if (event === 'leaderLoad') known.counts = { ...known.counts, load: fields };
       if (event === 'blockedCounts') known.counts = { ...known.counts, blocked: fields };
       if (event === 'admissionCounts') known.counts = { ...known.counts, limited: fields };
+      if (event === 'gapCounts') known.counts = { ...known.counts, gaps: fields };
+      if (event === 'taskBackfilled') metrics.count('bronzeyoke_tasks_backfilled_total');
+      if (event === 'taskPlaced' && typeof fields.noRoomMs === 'number') {
+        const labels = { upToMilli: String(fields.upToMilli) };
+        metrics.observe('bronzeyoke_no_room_seconds', labels, fields.noRoomMs);
+      }
       if (LEADER_CHANGES.has(event)) known.counts = NO_COUNTS;
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
@@ -191,6 +228,7 @@
         blockedGauge(known.counts.blocked),
         waitGauge(known.counts.load),
         ...limitedGauges(known.counts.limited),
+        ...gapGauges(known.counts.gaps),
       ]),
   };
 }
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -74,6 +74,8 @@
   | 'jobHeld'
   | 'jobEnded'
   | 'taskPaced'
+  | 'taskBackfilled'
+  | 'gapCounts'
   | 'awayCounts'
   | 'blockedCounts'
   | 'lapseAwaited'
