Bound what HTTP clients of the platform's processes send and hold open

Bodies, connections, incomplete heads and unread answers of all clients together had no bound, and a body was kept as a list of its chunks. One owner of all HTTP connections of a process now decides from their events against shared limits: a body is refused by its announced length, is read into one buffer that grows, and the oldest incomplete body or idle connection gives way when the room is used up. A refused request never runs. Answers that a process reads are bounded too. The limits follow from the memory and descriptors of the machine, and the body of a submission from the configuration.

--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -3,6 +3,7 @@
 export * from './entry';
 export * from './fault';
 export * from './fields';
+export * from './limits';
 export * from './page';
 export * from './program';
 export * from './read';
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -8,6 +8,10 @@
 const DEFINITIONS = {
   bronzeyoke_events_total: { kind: 'counter', help: 'Decisions and changes of belief, by event.' },
   bronzeyoke_refusals_total: { kind: 'counter', help: 'Jobs refused, by reason.' },
+  bronzeyoke_client_refusals_total: {
+    kind: 'counter',
+    help: 'Requests and connections refused, and connections closed, for a limit, by reason.',
+  },
   bronzeyoke_releases_total: {
     kind: 'counter',
     help: 'Runs given up without a listed end, by reason.',
@@ -110,6 +114,8 @@
 /** Counters and histograms of the events of a process. */
 export interface EventMetrics {
   readonly record: (event: EventName, fields: EventFields) => void;
+  /** Counts a client that was refused for a limit. */
+  readonly countRefusal: (reason: string) => void;
   readonly text: (droppedLines: number) => string;
 }
 
@@ -143,6 +149,7 @@
         if (typeof value === 'number') metrics.observe(metric, {}, value);
       });
     },
+    countRefusal: (reason) => metrics.count('bronzeyoke_client_refusals_total', { reason }),
     text: (droppedLines) =>
       metrics.text([
         { name: 'bronzeyoke_log_lines_dropped_total', labels: {}, value: droppedLines },
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -64,6 +64,8 @@
   | 'dependencyLost'
   | 'dependencyRegained'
   | 'malformed'
+  | 'clientsRefused'
+  | 'clientsServed'
   | 'jobAccepted'
   | 'jobRefused'
   | 'jobUnanswered'
