Bound connections of agents that have sent no valid message

Incomplete frames of strangers and idle connections to the agents' port had no bound. A quota now keeps the memory of incomplete first messages and the number of connections: the oldest connection without a valid message gives way, a proven one is never closed for room.

--- a/packages/hosts/src/agentlinks.ts
+++ b/packages/hosts/src/agentlinks.ts
@@ -2,7 +2,7 @@
 import type { ActorSystemRef } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch } from '@bronzeyoke/actors';
-import type { LinkCommand } from '@bronzeyoke/link';
+import type { LinkCommand, LinkGuard } from '@bronzeyoke/link';
 import { spawnLink } from '@bronzeyoke/link';
 import type { SchedulerEvent } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
@@ -30,7 +30,11 @@
 const ACCEPTING_BATCH_MS = 2;
 
 /** Creates the table of an entry's connections. */
-export function createAgentLinks(system: ActorSystemRef, log: LogEvent): AgentLinks {
+export function createAgentLinks(
+  system: ActorSystemRef,
+  log: LogEvent,
+  guard?: LinkGuard,
+): AgentLinks {
   const links = new Map<string, Ref<LinkCommand>>();
   let linkCount = 0;
   let linkCountAtBatch = 0;
@@ -42,6 +46,7 @@
         linkId,
         socket,
         codec: ENTRY_CODEC,
+        ...(guard === undefined ? {} : { guard }),
         report: (event) => {
           switch (event.kind) {
             case 'opened':
--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 import * as nact from 'nact';
 import { dispatch } from '@bronzeyoke/actors';
+import type { LinkGuard } from '@bronzeyoke/link';
 import type { IntakeReply } from '@bronzeyoke/intake';
 import type { RowStorePort } from '@bronzeyoke/ports';
 import type { SchedulerSettings, SchedulerTimes } from '@bronzeyoke/scheduler';
@@ -19,6 +20,8 @@
   readonly store: RowStorePort;
   readonly log: LogEvent;
   readonly onError: ReportError;
+  /** Limits the connections of agents; without it there are no limits. */
+  readonly linkGuard?: LinkGuard;
 }
 
 /** Handle of a running entry. */
@@ -51,7 +54,7 @@
   const { settings, store, log, onError } = options;
   const system = nact.start();
   const tracked = trackStore(store, log);
-  const links = createAgentLinks(system, log);
+  const links = createAgentLinks(system, log, options.linkGuard);
   const intake = startIntake(system, tracked.store, log, onError);
   const scheduler = startScheduler(system, {
     settings,
--- a/packages/httpserver/src/limits.ts
+++ b/packages/httpserver/src/limits.ts
@@ -1,3 +1,6 @@
+import type { MachineLimits } from '@bronzeyoke/types';
+import { BYTES_PER_MB, USUAL_MACHINE } from '@bronzeyoke/types';
+
 /** Limits on what the clients of a process may send and hold open, over all of its HTTP servers. */
 export interface HttpLimits {
   /** Largest body of a request; a server may have a lower limit. */
@@ -20,17 +23,6 @@
   readonly maxUnsentBytes: number;
 }
 
-/** What the machine gives to a process. */
-export interface MachineLimits {
-  readonly memoryMb: number;
-  readonly maxFds: number;
-}
-
-const BYTES_PER_MB = 1_048_576;
-
-/** Assumed where the settings name no machine. */
-const USUAL_MACHINE: MachineLimits = { memoryMb: 512, maxFds: 4_096 };
-
 /** Workers' heartbeats of up to 4 MiB have to be acknowledged. */
 const MAX_BODY_BYTES = 4 * BYTES_PER_MB;
 
@@ -45,8 +37,8 @@
 /** Long, because a suspended machine or a cut network delays a message by seconds. */
 const TIMEOUT_MS = 60_000;
 
-/** Half of the descriptors is left to files and to connections with other programs. */
-const CONNECTIONS_SHARE = 1 / 2;
+/** Share of the descriptors. The others are for connections of agents (`link`), calls and files. */
+const CONNECTIONS_SHARE = 3 / 8;
 
 /**
  * Memory of a connection: its socket, parser and an incomplete head of 16 KB. Connections may take an
--- a/packages/httpserver/src/watch.ts
+++ b/packages/httpserver/src/watch.ts
@@ -4,7 +4,7 @@
 import type { HttpReport } from './server';
 
 /** Reasons for which clients are refused or lose their connections. */
-export type RefusalReason = Refusal | Extract<CloseCause, 'displaced' | 'unread'>;
+export type RefusalReason = Refusal | Extract<CloseCause, 'displaced' | 'unread'> | 'agentLinks';
 
 /** Refusals since the last change of state. */
 export interface RefusalWatch {
@@ -55,20 +55,18 @@
   return { watch: NO_REFUSALS, change: { kind: 'ended', refused } };
 }
 
-/** Returns a receiver of reports that counts every refusal and tells changes of state. */
+/** Returns a receiver of refusals that counts each one and tells changes of state. */
 export function createRefusalMonitor(
   count: (reason: RefusalReason) => void,
   onChange: (change: RefusalChange) => void,
-): (report: HttpReport) => void {
+): (reason: RefusalReason) => void {
   const current = { watch: NO_REFUSALS };
   const apply = (next: ReturnType<typeof noteQuiet>): void => {
     current.watch = next.watch;
     if (next.change !== undefined) onChange(next.change);
   };
   setInterval(() => apply(noteQuiet(current.watch, performance.now())), QUIET_MS).unref();
-  return (report) => {
-    const reason = reasonOf(report);
-    if (reason === undefined) return;
+  return (reason) => {
     count(reason);
     apply(noteRefusal(current.watch, reason, performance.now()));
   };
--- a/packages/link/src/index.ts
+++ b/packages/link/src/index.ts
@@ -1,2 +1,4 @@
 export * from './dialer';
+export * from './guard';
+export * from './quota';
 export * from './socket';
--- a/packages/link/src/socket.ts
+++ b/packages/link/src/socket.ts
@@ -5,6 +5,7 @@
 import type { Failure } from '@bronzeyoke/types';
 import type { FrameBuffer, LinkCodec, TaggedMessage } from '@bronzeyoke/wire';
 import { EMPTY_FRAME_BUFFER, splitFrames } from '@bronzeyoke/wire';
+import type { LinkGuard } from './guard';
 
 /** Unsent bytes above which a peer that does not read is disconnected. */
 const MAX_UNSENT_BYTES = 16 * 1_048_576;
@@ -31,12 +32,16 @@
   readonly socket: Socket;
   readonly codec: LinkCodec<Message>;
   readonly report: (event: LinkEvent<Message>) => void;
+  /** Limits accepted connections; a dialled one, whose peer is chosen, has none. */
+  readonly guard?: LinkGuard;
 }
 
 interface LinkState<Message> {
   readonly codec: LinkCodec<Message>;
   readonly receiveBuffer: FrameBuffer;
   readonly isOpen: boolean;
+  /** Whether the peer has sent a valid message. */
+  readonly isProven: boolean;
 }
 
 /** Starts an actor that owns a socket, encodes outgoing messages and validates incoming ones. */
@@ -44,12 +49,13 @@
   system: ActorSystemRef,
   options: LinkOptions<Message>,
 ): Ref<LinkCommand> {
-  const { linkId, socket, report } = options;
+  const { linkId, socket, report, guard } = options;
   type State = LinkState<Message>;
 
   const closeLink = (state: State, self: Ref<LinkMessage>, failure?: Failure): State => {
     if (!state.isOpen) return state;
     socket.destroy();
+    guard?.closed(linkId);
     report({ kind: 'closed', linkId, ...(failure === undefined ? {} : { failure }) });
     self.stop();
     return { ...state, isOpen: false };
@@ -65,17 +71,20 @@
     } else {
       report({ kind: 'received', linkId, message: decoded.message });
     }
-    return { ...state, codec: next };
+    if (!state.isProven) guard?.proven(linkId);
+    return { ...state, codec: next, isProven: true };
   };
 
   const receive = (state: State, chunk: Buffer, self: Ref<LinkMessage>): State => {
     const split = splitFrames(state.receiveBuffer, chunk);
     if (!split.ok) return closeLink(state, self, split.failure);
     const { payloads, rest } = split.value;
-    return payloads.reduce((current, payload) => receiveMessage(current, payload, self), {
+    const received = payloads.reduce((current, payload) => receiveMessage(current, payload, self), {
       ...state,
       receiveBuffer: rest,
     });
+    if (!received.isProven) guard?.buffered(linkId, rest.lengthBytes, rest.chunks.size);
+    return received;
   };
 
   // Messages of one turn of the event loop are written in one system call.
@@ -113,7 +122,12 @@
   };
 
   const actor: Ref<LinkMessage> = spawn(system, handle, undefined, {
-    initialState: { codec: options.codec, receiveBuffer: EMPTY_FRAME_BUFFER, isOpen: true },
+    initialState: {
+      codec: options.codec,
+      receiveBuffer: EMPTY_FRAME_BUFFER,
+      isOpen: true,
+      isProven: false,
+    },
   });
   socket.setNoDelay(true);
   socket.on('data', (chunk: Buffer) => dispatch(actor, { kind: 'bytes', chunk }));
@@ -121,6 +135,7 @@
     dispatch(actor, { kind: 'ended', failure: { kind: 'unreachable', what: linkId } }),
   );
   socket.on('close', () => dispatch(actor, { kind: 'ended' }));
+  guard?.opened(linkId, () => socket.destroy());
   report({ kind: 'opened', linkId });
   return actor;
 }
--- a/packages/types/src/index.ts
+++ b/packages/types/src/index.ts
@@ -3,6 +3,7 @@
 export * from './bucket';
 export * from './failure';
 export * from './job';
+export * from './machine';
 export * from './memoize';
 export * from './agent';
 export * from './request';
