Hand the HTTP parser small pieces, and queue pipelined requests

Node.js parses all requests of one read before a handler can close their connection, so 40 clients that pipeline requests ended a process with a heap of 64 MB. The parser now gets pieces of 2 KB, and none after a refusal. Pipelined requests that one turn brings were overwritten before the end of the first was told; they now wait in a bounded queue.

Measured with `npx mocha platform/test/limits.test.ts -g pipelined`: 68 and 60 MB private, the process lives and answers (bound 150).

--- a/packages/httpserver/src/server.ts
+++ b/packages/httpserver/src/server.ts
@@ -1,12 +1,15 @@
 import { once } from 'node:events';
-import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo, Socket } from 'node:net';
+import type { AddressInfo, Server, Socket } from 'node:net';
+import { createServer as createSocketServer } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { assertNever } from '@bronzeyoke/types';
 import type { BodyBuffer } from './body';
 import { EMPTY_BODY, appendChunk, bytesOf, neededBytes } from './body';
 import type { HttpLimits } from './limits';
+import type { PieceStream } from './pieces';
+import { inPieces } from './pieces';
 import type { RefusalBody } from './refusal';
 import { describeRefusal, encodeRefusal, refusalOfError } from './refusal';
 import { NO_CONNECTIONS, stepHttp } from './step';
@@ -56,7 +59,7 @@
 
 interface Peer {
   readonly id: number;
-  readonly socket: Socket;
+  readonly pieces: PieceStream;
   readonly options: ServerOptions;
 }
 
@@ -84,8 +87,10 @@
 ): HttpServers {
   const current = { state: NO_CONNECTIONS, lastId: 0 };
   const peers = new Map<number, Peer>();
-  const idsBySocket = new WeakMap<Socket, number>();
+  const idsBySocket = new WeakMap<PieceStream['stream'], number>();
   const messages = new Map<number, Message>();
+  /** Pipelined requests that follow the one being read. */
+  const waiting = new Map<number, readonly Message[]>();
   let send: (event: HttpEvent) => void = () => undefined;
 
   const reply = (id: number, { response }: Message, sent: HttpReply): void => {
@@ -119,6 +124,20 @@
     messages.set(id, { ...message, body: appendChunk(message.body, chunk, sizeBytes) });
   };
 
+  const begin = (id: number, message: Message): void => {
+    const maxBodyBytes = peers.get(id)?.options.maxBodyBytes() ?? 0;
+    const { rawHeaders, headers } = message.incoming;
+    messages.set(id, message);
+    const fields = rawHeaders.length / 2;
+    send({ kind: 'head', id, fields, framing: framingOf(headers), maxBodyBytes });
+  };
+
+  const beginNext = (id: number): void => {
+    const [next, ...others] = waiting.get(id) ?? [];
+    waiting.set(id, others);
+    if (next !== undefined) begin(id, next);
+  };
+
   const perform = (effect: HttpEffect): void => {
     const { id } = effect;
     const peer = peers.get(id);
@@ -139,21 +158,24 @@
         const { method = 'GET', url = '/', headers } = message.incoming;
         const request = { method, url, headers, body: bytesOf(message.body) };
         peer.options.onRequest(request, (sent) => reply(id, message, sent));
+        beginNext(id);
         return;
       }
       case 'refuse': {
         const describe = peer.options.describe ?? describeRefusal;
         messages.delete(id);
+        waiting.delete(id);
         report({ kind: 'refused', refusal: effect.refusal });
         // What still arrives is discarded, so that the answer is not lost in a reset.
         message?.incoming.resume();
-        peer.socket.end(encodeRefusal(effect.refusal, describe(effect.refusal)));
+        peer.pieces.mute();
+        peer.pieces.stream.end(encodeRefusal(effect.refusal, describe(effect.refusal)));
         return;
       }
       case 'close':
         messages.delete(id);
         report({ kind: 'closed', cause: effect.cause });
-        peer.socket.destroy();
+        peer.pieces.stream.destroy();
         return;
       default:
         assertNever(effect);
@@ -166,33 +188,39 @@
     step.effects.forEach(perform);
   };
 
-  const accept = (socket: Socket, options: ServerOptions): void => {
+  const accept = (pieces: PieceStream, address: string, options: ServerOptions): void => {
     current.lastId += 1;
     const id = current.lastId;
-    peers.set(id, { id, socket, options });
-    idsBySocket.set(socket, id);
-    socket.once('close', () => {
+    peers.set(id, { id, pieces, options });
+    idsBySocket.set(pieces.stream, id);
+    pieces.stream.once('close', () => {
       send({ kind: 'closed', id });
       peers.delete(id);
       messages.delete(id);
+      waiting.delete(id);
     });
-    send({ kind: 'opened', id, address: socket.remoteAddress ?? '' });
+    send({ kind: 'opened', id, address });
   };
 
   const take = (incoming: IncomingMessage, response: ServerResponse): void => {
     const id = idsBySocket.get(incoming.socket);
-    const peer = id === undefined ? undefined : peers.get(id);
-    if (id === undefined || peer === undefined) return;
+    const phase = id === undefined ? undefined : current.state.connections.get(id)?.phase;
+    if (id === undefined || phase === undefined || phase === 'refused' || phase === 'closed')
+      return;
     incoming.on('error', () => undefined);
     response.on('error', () => undefined);
-    messages.set(id, { incoming, response, body: EMPTY_BODY });
-    send({
-      kind: 'head',
-      id,
-      fields: incoming.rawHeaders.length / 2,
-      framing: framingOf(incoming.headers),
-      maxBodyBytes: peer.options.maxBodyBytes(),
-    });
+    const message = { incoming, response, body: EMPTY_BODY };
+    if (!messages.has(id)) {
+      begin(id, message);
+      return;
+    }
+    // The parser hands on several requests in one turn, before the end of the first is told.
+    const others = waiting.get(id) ?? [];
+    if (others.length >= limits.maxUnanswered) {
+      send({ kind: 'failed', id, refusal: 'tooManyUnanswered' });
+      return;
+    }
+    waiting.set(id, [...others, message]);
   };
 
   setInterval(() => send({ kind: 'tick' }), TICK_MS).unref();
@@ -208,11 +236,10 @@
       });
       // Node.js leaves out further fields without an error, so one more is taken, and then refused.
       server.maxHeadersCount = maxHeadFields + 1;
-      server.on('connection', (socket: Socket) => accept(socket, options));
       server.on('request', take);
       server.on('checkContinue', take);
       server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-        const id = idsBySocket.get(socket as Socket);
+        const id = idsBySocket.get(socket);
         const refusal = refusalOfError(error.code);
         if (id === undefined || refusal === undefined || !socket.writable) {
           socket.destroy();
@@ -220,7 +247,11 @@
         }
         send({ kind: 'failed', id, refusal });
       });
-      return server;
+      return createSocketServer({ allowHalfOpen: true, noDelay: true }, (socket: Socket) => {
+        const pieces = inPieces(socket);
+        server.emit('connection', pieces.stream);
+        accept(pieces, socket.remoteAddress ?? '', options);
+      });
     },
   };
 }
