--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -3,6 +3,7 @@
 import { performance } from 'node:perf_hooks';
 import * as nact from 'nact';
 import { dispatch } from '@bronzeyoke/actors';
+import type { LinkGuard } from '@bronzeyoke/link';
 import type { IntakeReply } from '@bronzeyoke/intake';
 import type { RowStorePort } from '@bronzeyoke/ports';
 import type { SchedulerSettings, SchedulerTimes } from '@bronzeyoke/scheduler';
@@ -22,6 +23,8 @@
   readonly store: RowStorePort;
   readonly log: LogEvent;
   readonly onError: ReportError;
+  /** Limits the connections of agents; without it there are no limits. */
+  readonly linkGuard?: LinkGuard;
 }
 
 /** Handle of a running entry. */
@@ -60,7 +63,7 @@
     logs.forEach((line) => log(line.event, line.fields));
   };
   const tracked = trackStore(store, log, () => noteStartup('storeAnswered'));
-  const links = createAgentLinks(system, log);
+  const links = createAgentLinks(system, log, options.linkGuard);
   const intake = startIntake(
     system,
     tracked.store,
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -65,6 +65,8 @@
   | 'dependencyLost'
   | 'dependencyRegained'
   | 'malformed'
+  | 'clientsRefused'
+  | 'clientsServed'
   | 'jobAccepted'
   | 'jobRefused'
   | 'jobUnanswered'
