Check a configuration before it is sent

Cause: an operator learns of a queue that no request selects, or of limits that contradict each other, only from callers.

--- /dev/null
+++ b/packages/fleetconfig/src/index.ts
@@ -0,0 +1,3 @@
+export * from './changes';
+export * from './check';
+export * from './findings';
--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -165,3 +165,15 @@
     located.toSorted((left, right) => left.offset - right.offset).map((item) => item.fault),
   );
 }
+
+/** Returns a fault at the value of a path, or at its closest ancestor, in a file that can be parsed. */
+export function locateFault(
+  fileName: string,
+  text: string,
+  path: JSONPath,
+  problem: string,
+): SettingsFault {
+  const root = parseTree(text, [], { allowTrailingComma: true });
+  const offset = root === undefined ? 0 : closestNode(root, path).offset;
+  return createFaultFactory(fileName, text)(offset, path, problem);
+}
