Ask the address of a holder that does not renew its lease

A follower waited 1.8 s for renewals although the holder's process had been killed. After two missed renewals it now connects to the holder's address, once for each version of the lease row. Two refusals, or an answer of another entry, shorten the wait to those two renewals, if the row is then read again and unchanged; silence does not. An entry names itself in the message that it sends on a connection (optional field). Only with detectsEndedHolder.

--- a/packages/fleet/src/process.ts
+++ b/packages/fleet/src/process.ts
@@ -145,6 +145,8 @@
         },
       });
     }
+    // Entries of this model run without the policy that asks.
+    case 'askHolder':
     case 'log':
       return fleet;
     default:
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -1,6 +1,7 @@
 export * from './agentlinks';
 export * from './clockgap';
 export * from './controller';
+export * from './holderprobe';
 export * from './leaderlink';
 export * from './loadmeter';
 export * from './reachability';
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -18,6 +18,7 @@
 import type { AgentLinks } from './agentlinks';
 import type { ClockReading } from './clockgap';
 import { findClockGap } from './clockgap';
+import { spawnHolderProbe } from './holderprobe';
 import { followJobs } from './jobfeed';
 import {
   areWaitsDue,
@@ -106,6 +107,13 @@
       case 'notifyEntry':
         notifyEntry(system, effect);
         return;
+      case 'askHolder': {
+        const { host, port, version } = effect;
+        spawnHolderProbe(system, { host, port }, (answer) =>
+          dispatch(self, { kind: 'holderAnswered', version, answer }),
+        );
+        return;
+      }
       case 'log':
         log(effect.event, effect.fields);
         return;
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,5 +1,6 @@
 export * from './admission/view';
 export * from './leadership/budget';
+export * from './leadership/holderanswer';
 export * from './leadership/maintenance';
 export * from './leadership/rows';
 export * from './policy';
--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -3,7 +3,7 @@
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, unchanged, without } from '@bronzeyoke/types';
 import { advanceLeadership, CALLS } from './leadership';
-import { holderSign } from './endedholder';
+import { goneAfterMs, holderSign } from './endedholder';
 import { claimFields } from '../fleet/leaserowlog';
 import { describeGrants, earlierLeasesOf } from '../fleet/leases';
 import { takesOffer } from './handover';
@@ -96,13 +96,15 @@
   switch (sign.kind) {
     case 'replaced':
       return 0;
+    case 'gone':
     case 'unknown': {
       const { times, capacity } = state.settings;
       const isFree =
         lease.value === undefined || lease.value.isReleased || takesOffer(state, lease);
       const pollMs = nowMs - state.pollSentAtMs;
       const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
-      const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
+      const heldMs = sign.kind === 'gone' ? goneAfterMs(state) : times.takeoverAfterMs;
+      const takeoverMs = isFree ? 0 : heldMs + slowMs;
       return takeoverMs + claimDelayMs(capacity) + state.eventWaitMs + random * CLAIM_SPREAD_MS;
     }
     default:
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -16,6 +16,7 @@
   onWorkerGone,
   recordGoneWorker,
 } from './fleet/gone';
+import { askHolder, onHolderAnswer } from './leadership/endedholder';
 import { endOffer, isBusy, isOfferOpen, onLoadMeasured, passSlowdown } from './leadership/handover';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './leadership/isolation';
 import { HELD_CALL, onHeldRows, readHeldJobs } from './jobs/held';
@@ -37,6 +38,7 @@
 import { onReport } from './fleet/report';
 import { forgetQuickEnds } from './jobs/restarts';
 import { stopStalledRuns } from './jobs/stall';
+import { policyOf } from './policy';
 import { withEffects } from './state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from './types';
 import {
@@ -122,6 +124,7 @@
   const remembered = forgetLateEnds(forgetQuickEnds(updated, nowMs), nowMs);
   return chainAll(forgetReleased(remembered, nowMs), [
     (current) => pollLease(current, nowMs),
+    (current) => askHolder(current, nowMs),
     (current) => retryClaim(current, nowMs),
     (current) => retryReads(current, nowMs),
     (current) => retryTransaction(current, nowMs),
@@ -138,11 +141,12 @@
 }
 
 function announceLeader(state: SchedulerState, linkId: string): SchedulerStep {
-  const { leader } = state;
+  const { leader, settings } = state;
   if (leader === undefined) return unchanged(state);
   const { term, host, port } = leader;
+  const sender = policyOf(settings).detectsEndedHolder ? { entryId: settings.entryId } : {};
   return withEffects(state, [
-    { kind: 'send', linkId, message: { kind: 'leader', term, host, port } },
+    { kind: 'send', linkId, message: { kind: 'leader', term, host, port, ...sender } },
   ]);
 }
 
@@ -269,6 +273,8 @@
       ]);
     case 'leaderRow':
       return onLeaderRow(state, event.row);
+    case 'holderAnswered':
+      return onHolderAnswer(state, event.version, event.answer, nowMs);
     case 'jobRows':
       return chainAfter(
         handleGoneReports(state, onJobRows(state, event, nowMs), nowMs, event.wallMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -11,6 +11,7 @@
 import type { AdmissionView } from './admission/view';
 import type { InstanceIndex } from './fleet/identities';
 import type { Handover } from './leadership/handoverstate';
+import type { HolderAnswer, HolderProbe } from './leadership/holderanswer';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { Recovery } from './leadership/recoverychart';
@@ -193,6 +194,8 @@
   readonly leaseVersion: number;
   readonly leaseNumber: number;
   readonly seenLease?: SeenLease;
+  /** The last question to the address of the holder. */
+  readonly holderProbe?: HolderProbe;
   /** Versions of the lease row that polls have found, the earliest first. */
   readonly seenVersions: readonly SeenVersion[];
   readonly pollCallId?: string;
@@ -314,6 +317,11 @@
   | { readonly kind: 'timesChanged'; readonly times: SchedulerTimes }
   | { readonly kind: 'domainsOut'; readonly domains: ReadonlySet<string> }
   | { readonly kind: 'leaderRow'; readonly row: StoredRow | undefined }
+  | {
+      readonly kind: 'holderAnswered';
+      readonly version: number;
+      readonly answer: HolderAnswer;
+    }
   | {
       readonly kind: 'jobRows';
       readonly isFull: boolean;
@@ -337,6 +345,13 @@
   /** Starts or ends the feed of jobs. */
   | { readonly kind: 'followJobs'; readonly isOn: boolean }
   | { readonly kind: 'send'; readonly linkId: string; readonly message: LeaderMessage }
+  /** Connects to the address of the holder of a version of the lease row, to learn whether it listens. */
+  | {
+      readonly kind: 'askHolder';
+      readonly host: string;
+      readonly port: number;
+      readonly version: number;
+    }
   /** Notifies the previous leader that another entry leads. */
   | {
       readonly kind: 'notifyEntry';
--- a/packages/scheduler/test/colocated.ts
+++ b/packages/scheduler/test/colocated.ts
@@ -94,6 +94,7 @@
       case 'range':
       case 'followJobs':
       case 'notifyEntry':
+      case 'askHolder':
         return;
       default:
         assertNever(effect);
--- a/packages/scheduler/test/endedholder.test.ts
+++ b/packages/scheduler/test/endedholder.test.ts
@@ -1,7 +1,17 @@
 import { expect } from 'chai';
+import type { HolderAnswer } from '@bronzeyoke/scheduler';
 import { DEFAULT_POLICY, FULL_CAPACITY } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
-import { commitsOf, createFollower, dispatch, leaderRow, leaseRow, poll, TIMES } from './fixture';
+import {
+  advance,
+  commitsOf,
+  createFollower,
+  dispatch,
+  leaderRow,
+  leaseRow,
+  poll,
+  TIMES,
+} from './fixture';
 import { expectRules, SEED } from './simrules';
 import type { Simulation } from './simtypes';
 import { createSimulation } from './simulation';
@@ -143,3 +153,66 @@
   expectRules(simulation);
   expect(simulation.lastingAway()).to.deep.equal([]);
 });
+
+/** Polls an unchanged row until its holder is asked, answers, and returns whether a poll then claims. */
+function claimsAfter(answer: HolderAnswer, policy = POLICY, laterVersion = 9): boolean {
+  const row = leaderRow(ELSEWHERE, 9);
+  const first = dispatch(createFollower(FULL_CAPACITY, policy), { kind: 'leaderRow', row });
+  const polled = [0, 300, 300, 300].reduce(
+    (fixture, forMs) => pollHeld(advance(fixture, forMs), 9),
+    first,
+  );
+  const asked = advance(polled, 50);
+  const questions = asked.effects.filter(({ kind }) => kind === 'askHolder');
+  expect(questions).to.have.length(policy.detectsEndedHolder ? 1 : 0);
+  const answered = dispatch(asked, { kind: 'holderAnswered', version: 9, answer });
+  return hasClaimed(pollHeld(advance(answered, 300), laterVersion));
+}
+
+// Guards against a follower that waits although nobody listens at the holder's address.
+it('ended holder: a refusal or another entry at its address shortens the wait', () => {
+  expect(claimsAfter({ kind: 'refused' })).to.equal(true);
+  expect(claimsAfter({ kind: 'named', entryId: 'entry-9' })).to.equal(true);
+});
+
+// Guards against a needless change of leaders: behind a cut, or while the holder answers or renews.
+it('ended holder: a silent holder, or one that answers or renews, keeps its lease', () => {
+  expect(claimsAfter({ kind: 'silent' })).to.equal(false);
+  expect(claimsAfter({ kind: 'named', entryId: ELSEWHERE.entryId })).to.equal(false);
+  expect(claimsAfter({ kind: 'refused' }, POLICY, 12)).to.equal(false);
+  expect(claimsAfter({ kind: 'refused' }, DEFAULT_POLICY)).to.equal(false);
+});
+
+/** Returns the time from the end of a leader, which stays away, to the next claim. */
+function claimedAfterKillMs(policy: typeof POLICY, seed: number): number {
+  const simulation = createRunning(policy, seed);
+  const claims = simulation.claims().length;
+  simulation.killEntry(simulation.leader(), 30_000);
+  const sinceMs = simulation.now();
+  simulation.advanceUntil(() => simulation.claims().length > claims, 10_000);
+  const afterMs = simulation.now() - sinceMs;
+  simulation.advance(12_000);
+  expectRules(simulation);
+  expect(simulation.claims()).to.have.length(claims + 1);
+  return afterMs;
+}
+
+// Guards against a fleet without a leader for the whole time of renewals after its process was killed.
+[1, 2, 3].forEach((seed) => {
+  it(`ended holder: a killed leader that stays away is replaced early, seed ${seed}`, () => {
+    const lateMs = claimedAfterKillMs(DEFAULT_POLICY, seed);
+    const earlyMs = claimedAfterKillMs(POLICY, seed);
+    expect(earlyMs, `${earlyMs} and ${lateMs} ms`).to.be.lessThan(1_800);
+    expect(earlyMs).to.be.lessThan(lateMs);
+  });
+});
+
+// Guards against a change of leaders because a live leader is slow to renew, or is frozen for a moment.
+it('ended holder: a leader that is frozen for less than the time of renewals goes on', () => {
+  const simulation = createRunning(POLICY);
+  const claims = simulation.claims().length;
+  simulation.freezeEntry(simulation.leader(), 1_200);
+  simulation.advance(10_000);
+  expectRules(simulation);
+  expect(simulation.claims()).to.have.length(claims);
+});
--- a/packages/scheduler/test/fullfleet.ts
+++ b/packages/scheduler/test/fullfleet.ts
@@ -157,6 +157,7 @@
       case 'range':
       case 'followJobs':
       case 'notifyEntry':
+      case 'askHolder':
         return;
       case 'log':
         if (effect.event === 'jobEnded') {
--- a/packages/scheduler/test/simcpu.ts
+++ b/packages/scheduler/test/simcpu.ts
@@ -72,6 +72,7 @@
     case 'timesChanged':
     case 'domainsOut':
     case 'leaderRow':
+    case 'holderAnswered':
     case 'commitDone':
     case 'linkOpened':
     case 'linkClosed':
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -9,13 +9,16 @@
 import type { Work } from './simcpu';
 import { createProcessor, passMs, stepMs } from './simcpu';
 import type { EntryNode, Link, World } from './simnodes';
-import { HOP_MS, leaderRowOf, PORT } from './simnodes';
+import { answerOf, HOP_MS, leaderRowOf, PORT } from './simnodes';
 import type { SimFollower } from './simstore';
 
 const TICK_MS = 50;
 const FEED_WAIT_MS = 2_000;
 const WAIT_WINDOW_MS = 100;
 
+/** Time in which an address is asked twice. */
+const PROBE_MS = [100, 110] as const;
+
 const LOGGED: readonly string[] = [
   'leaderClaimed',
   'leaderLost',
@@ -170,6 +173,17 @@
         });
         return;
       }
+      case 'askHolder': {
+        const { version } = effect;
+        clock.schedule(clock.within(PROBE_MS), () =>
+          dispatch({
+            kind: 'holderAnswered',
+            version,
+            answer: answerOf(world.entryAt(effect.host)),
+          }),
+        );
+        return;
+      }
       case 'log':
         world.onLog(effect);
         if (LOGGED.includes(effect.event))
@@ -201,6 +215,7 @@
     host,
     state: () => node.state,
     isUp: () => node.isUp,
+    isFrozen: () => node.isFrozen,
     accepts: () => node.isUp && !node.isStopping,
     dispatch,
     addLink: (link) => {
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -1,6 +1,7 @@
 import type { StoredRow } from '@bronzeyoke/ports';
 import type { RunnerEvent, RunnerState } from '@bronzeyoke/runner';
 import type {
+  HolderAnswer,
   SchedulerEvent,
   SchedulerState,
   SchedulerTimes,
@@ -64,6 +65,7 @@
   readonly host: string;
   readonly state: () => SchedulerState;
   readonly isUp: () => boolean;
+  readonly isFrozen: () => boolean;
   readonly accepts: () => boolean;
   readonly dispatch: (event: SchedulerEvent) => void;
   readonly addLink: (link: Link) => void;
@@ -87,6 +89,12 @@
   readonly setCut: (isCut: boolean) => void;
 }
 
+/** Returns what another entry learns that connects to an entry. A frozen one accepts, and says nothing. */
+export function answerOf(entry: EntryNode | undefined): HolderAnswer {
+  if (entry?.accepts() !== true) return { kind: 'refused' };
+  return entry.isFrozen() ? { kind: 'silent' } : { kind: 'named', entryId: entry.name };
+}
+
 /** Returns the leader's row of a full read. */
 export function leaderRowOf(rows: readonly StoredRow[]): StoredRow | undefined {
   return rows.find(({ key }) => key === LEADER_KEY.key);
--- a/packages/wire/src/runner.ts
+++ b/packages/wire/src/runner.ts
@@ -102,6 +102,8 @@
       readonly term: number;
       readonly host: string;
       readonly port: number;
+      /** Entry that sends the message. Older builds neither send nor read it. */
+      readonly entryId?: string;
     }
   | {
       readonly kind: 'grant';
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -80,7 +80,13 @@
 
 /** Schema of messages to an agent. */
 export const leaderSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('leader'), term: z.int(), host, port }),
+  z.object({
+    kind: z.literal('leader'),
+    term: z.int(),
+    host,
+    port,
+    entryId: z.string().optional(),
+  }),
   z.object({
     kind: z.literal('grant'),
     workerKey,
