--- a/packages/scheduler/src/fleet/leaserowlog.ts
+++ b/packages/scheduler/src/fleet/leaserowlog.ts
@@ -27,10 +27,11 @@
  * says. The times in the row count from `rowAgeMs` before the claim was sent.
  */
 export function claimFields(claim: Claim, nowMs: number): EventFields {
-  const { earlierLeases, sentAtMs, wasUnknown } = claim;
+  const { earlierLeases, sentAtMs, sign, wasUnknown } = claim;
   return {
     settledAfterMs: Math.round(nowMs - sentAtMs),
     wasUnknown,
+    ...(sign === 'unknown' ? {} : { sign }),
     // No earlier leader has granted a lease when there is no row.
     ...(earlierLeases.rowSeenAtMs === 0
       ? {}
--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -79,6 +79,7 @@
       ],
     },
     earlierLeases,
+    sign: holderSign(state).kind,
     sentAtMs: nowMs,
     ...(lease.value?.offer === undefined ? {} : { offeredWaitMs: lease.value.offer.waitMs }),
     wasUnknown: false,
--- a/packages/scheduler/src/leadership/endedholder.ts
+++ b/packages/scheduler/src/leadership/endedholder.ts
@@ -1,18 +1,9 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { policyOf } from '../policy';
 import { withEffects } from '../state';
-import type { HolderAnswer } from './holderanswer';
+import type { HolderAnswer, HolderSign } from './holderanswer';
 import type { SchedulerState, SchedulerStep } from '../types';
 
-/** What an entry knows of the holder of the lease. */
-export type HolderSign =
-  /** Nothing tells that it has ended: its lease row counts. */
-  | { readonly kind: 'unknown' }
-  /** This process listens at its address, so its process has ended. */
-  | { readonly kind: 'replaced' }
-  /** Nobody listens at its address, or another entry does, and its row was read unchanged after that. */
-  | { readonly kind: 'gone' };
-
 const UNKNOWN: HolderSign = { kind: 'unknown' };
 
 /** Renewals that are missing when the holder is asked. A single one is late beside a slow store. */
--- a/packages/scheduler/src/leadership/holderanswer.ts
+++ b/packages/scheduler/src/leadership/holderanswer.ts
@@ -13,3 +13,12 @@
   /** Time of an answer that shows that the holder has ended. */
   readonly endedAtMs?: number;
 }
+
+/** What an entry knows of the holder of the lease. */
+export type HolderSign =
+  /** Nothing tells that it has ended: its lease row counts. */
+  | { readonly kind: 'unknown' }
+  /** This process listens at its address, so its process has ended. */
+  | { readonly kind: 'replaced' }
+  /** Nobody listens at its address, or another entry does, and its row was read unchanged after that. */
+  | { readonly kind: 'gone' };
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -11,7 +11,7 @@
 import type { AdmissionView } from './admission/view';
 import type { InstanceIndex } from './fleet/identities';
 import type { Handover } from './leadership/handoverstate';
-import type { HolderAnswer, HolderProbe } from './leadership/holderanswer';
+import type { HolderAnswer, HolderProbe, HolderSign } from './leadership/holderanswer';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { Recovery } from './leadership/recoverychart';
@@ -104,6 +104,8 @@
   readonly previous?: Leader;
   readonly transaction: RowTransaction;
   readonly earlierLeases: EarlierLeases;
+  /** What told that the holder had ended. */
+  readonly sign: HolderSign['kind'];
   readonly sentAtMs: number;
   /** How long events of an overloaded holder waited that offered the lease. */
   readonly offeredWaitMs?: number;
