Bound an offer by the grants it rests on, and let its entry lead again

An offer counted from the reply to its row. With a late reply the grants that rest on the row ended, and others took over an unchanged row, while it stood. It now counts from the sending, for 1 s.

An entry claimed nothing for 10 s after its offer, twice as long as a lease, also when its successor had ended and no other entry was left. It now goes 1 s after the others. The delay by an entry's own waits had no bound, and has one of 1 s.

Entries whose waits exceeded a quarter of a lease passed the lease to and fro, because a follower has no work and so no waits.

The test of a deposed entry named a field that is gone; it now asserts that the entry does not claim a free lease at once.

--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -5,7 +5,7 @@
 import { advanceLeadership, CALLS } from './leadership';
 import { claimFields } from '../fleet/leaserowlog';
 import { describeGrants, earlierLeasesOf } from '../fleet/leases';
-import { takesOffer } from './handover';
+import { ownDelayMs, takesOffer } from './handover';
 import { handoverAfterClaim } from './handoverstate';
 import type { LeaseValue } from './rows';
 import { noteVersion } from './rowages';
@@ -97,17 +97,18 @@
   const seenVersions = noteVersion(state.seenVersions, lease.version, nowMs);
   const seen = { ...polled, seenLease: lease, seenVersions };
   if (state.leaderVersion < 0) return unchanged(seen);
-  const isFree = lease.value === undefined || lease.value.isReleased || takesOffer(state, lease);
+  const isOffered = takesOffer(state, lease, nowMs);
+  const isFree = lease.value === undefined || lease.value.isReleased || isOffered;
   const { times, capacity } = state.settings;
   const pollMs = nowMs - state.pollSentAtMs;
   const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
   const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
-  const delayMs = claimDelayMs(capacity) + state.eventWaitMs + random * CLAIM_SPREAD_MS;
+  const delayMs = claimDelayMs(capacity) + ownDelayMs(state, nowMs) + random * CLAIM_SPREAD_MS;
   const waitMs = takeoverMs + delayMs;
   const isPaused = nowMs < state.claimPausedUntilMs;
   if (isPaused || nowMs - lease.sinceMs < waitMs) {
     // An offer stands for a second only, so it is polled again when the delay is over.
-    const dueAtMs = takesOffer(state, lease) ? lease.sinceMs + waitMs : Infinity;
+    const dueAtMs = isOffered ? lease.sinceMs + waitMs : Infinity;
     return unchanged({ ...seen, nextReadAtMs: Math.min(seen.nextReadAtMs, dueAtMs) });
   }
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
--- a/packages/scheduler/src/leadership/flush.ts
+++ b/packages/scheduler/src/leadership/flush.ts
@@ -158,7 +158,7 @@
     ),
     endStoredAtMs: state.endStoredAtMs.merge(endedJobs.map((jobId) => [jobId, nowMs])),
   };
-  const noted = lease.offer === undefined ? stored : noteStoredOffer(stored, nowMs);
+  const noted = lease.offer === undefined ? stored : noteStoredOffer(stored, sentAtMs);
   return chainAll(noted, [
     (current) => grantDueLeases(current, nowMs),
     (current) => orderGrantedStarts(current, nowMs),
--- a/packages/scheduler/src/leadership/handover.ts
+++ b/packages/scheduler/src/leadership/handover.ts
@@ -29,13 +29,29 @@
 const REST_MS = 5_000;
 
 /**
- * Time for which a stored offer stands. Covers a poll of the other entries, the claim delay of a small
- * machine and the random spread, and ends before they take over an unchanged row.
+ * Time for which an offer stands. Covers a poll of the other entries and the claim delay of a small
+ * machine. It counts from the sending of the row, as the grants that rest on the row do, so that the next
+ * row can be stored before they end and before others take over an unchanged row.
  */
-const OFFER_MS = 1_200;
+const OFFER_MS = 1_000;
 
-/** Time from an offer in which its entry leaves the lease to others. */
-const CLAIM_PAUSE_MS = 10_000;
+/** Time from an offer in which its entry lets the others go first. */
+const YIELD_MS = 10_000;
+
+/**
+ * Time that it lets them have. Longer than the claim delay of a small machine with its random spread, and
+ * short enough for a fleet in which no other entry is left.
+ */
+const YIELD_DELAY_MS = 1_000;
+
+/**
+ * Time for which an entry remembers its own offer. It takes that of another one in this time only if the
+ * other one is clearly worse off, so that the lease does not pass to and fro between slow entries.
+ */
+const REMEMBERED_MS = 60_000;
+
+/** Longest delay of a claim by an entry's own waits. The fleet has no leader meanwhile. */
+const MAX_OWN_DELAY_MS = 1_000;
 
 /** Time for which a leader compares its waits with those of the overloaded leader before it. */
 const COMPARED_MS = 30_000;
@@ -90,8 +106,8 @@
 
 function makeOffer(state: SchedulerState, nowMs: number): SchedulerStep {
   const handover = advanceHandover(state.handover, 'offer', nowMs);
-  const claimPausedUntilMs = nowMs + CLAIM_PAUSE_MS;
-  return logHandover({ ...state, handover, claimPausedUntilMs }, 'offered');
+  const lastOffer = { atMs: nowMs, waitMs: state.eventWaitMs };
+  return logHandover({ ...state, handover, lastOffer }, 'offered');
 }
 
 /** Decides from the wait of its events whether a leader offers its lease. */
@@ -142,32 +158,44 @@
 
 /** Returns whether the stored row offers the lease, so that a claim should find it unchanged. */
 export function isOfferOpen({ phase, handover }: SchedulerState): boolean {
-  return phase === 'leading' && handover.phase === 'offering' && handover.storedAtMs !== undefined;
+  return (
+    phase === 'leading' && handover.phase === 'offering' && handover.storedSentAtMs !== undefined
+  );
 }
 
-/** Notes that a row with an offer was stored. */
-export function noteStoredOffer(state: SchedulerState, nowMs: number): SchedulerState {
+/** Notes that a row with an offer was stored, and when it was sent. */
+export function noteStoredOffer(state: SchedulerState, sentAtMs: number): SchedulerState {
   const { handover } = state;
   if (handover.phase !== 'offering') return state;
-  return { ...state, handover: { ...handover, storedAtMs: nowMs } };
+  return { ...state, handover: { ...handover, storedSentAtMs: sentAtMs } };
 }
 
 /** Ends an offer that nobody has taken. The next row of the leader renews its lease as usual. */
 export function endOffer(state: SchedulerState, nowMs: number): SchedulerStep {
-  const { storedAtMs = Infinity } = state.handover;
-  if (!isOfferOpen(state) || nowMs - storedAtMs < OFFER_MS) return unchanged(state);
+  const { storedSentAtMs = Infinity } = state.handover;
+  if (!isOfferOpen(state) || nowMs - storedSentAtMs < OFFER_MS) return unchanged(state);
   const handover = advanceHandover(state.handover, 'decline', nowMs);
-  return logHandover({ ...state, handover, claimPausedUntilMs: 0, renewAtMs: nowMs }, 'declined');
+  return logHandover({ ...state, handover, renewAtMs: nowMs }, 'declined');
 }
 
 /** Returns whether this entry has clearly more room than a leader that offers its lease. */
 export function takesOffer(
-  { settings, eventWaitMs }: SchedulerState,
+  { settings, eventWaitMs, lastOffer }: SchedulerState,
   { value }: SeenLease,
+  nowMs: number,
 ): boolean {
   const { policy = DEFAULT_POLICY } = settings;
   if (!policy.handsOver || value?.offer === undefined) return false;
-  return eventWaitMs <= value.offer.waitMs * BETTER_SHARE;
+  const { waitMs } = value.offer;
+  const isRemembered = lastOffer !== undefined && nowMs - lastOffer.atMs < REMEMBERED_MS;
+  const isWorse = !isRemembered || waitMs >= lastOffer.waitMs * WORSE_FACTOR;
+  return isWorse && eventWaitMs <= waitMs * BETTER_SHARE;
+}
+
+/** Returns how long an entry leaves a free lease to others, beside the delay by its capacity. */
+export function ownDelayMs({ eventWaitMs, lastOffer }: SchedulerState, nowMs: number): number {
+  const yields = lastOffer !== undefined && nowMs - lastOffer.atMs < YIELD_MS;
+  return Math.min(MAX_OWN_DELAY_MS, eventWaitMs) + (yields ? YIELD_DELAY_MS : 0);
 }
 
 /** Returns the factor by which a leader should slow its passes down, so that waiting events come first. */
--- a/packages/scheduler/src/leadership/handoverstate.ts
+++ b/packages/scheduler/src/leadership/handoverstate.ts
@@ -15,12 +15,18 @@
 export interface Handover {
   readonly phase: StateOf<typeof handoverChart>;
   readonly sinceMs: number;
-  /** When the row with the offer was stored. */
-  readonly storedAtMs?: number;
+  /** When the row with the offer was sent; absent until it is stored. */
+  readonly storedSentAtMs?: number;
   /** How long events of the overloaded leader before waited, if this one took its offer. */
   readonly beforeWaitMs?: number;
 }
 
+/** When this entry last offered its lease, and how long its events waited. */
+export interface LastOffer {
+  readonly atMs: number;
+  readonly waitMs: number;
+}
+
 /** Handover of an entry that does not lead. */
 export const NO_HANDOVER: Handover = { phase: handoverChart.initial, sinceMs: 0 };
 
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -9,7 +9,7 @@
 import type { LeaderMessage, RunnerMessage, RunRef, WorkerEnd } from '@bronzeyoke/wire';
 import chartFile from '../charts/leadership.json';
 import type { InstanceIndex } from './fleet/identities';
-import type { Handover } from './leadership/handoverstate';
+import type { Handover, LastOffer } from './leadership/handoverstate';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { SeenVersion } from './leadership/rowages';
@@ -205,6 +205,8 @@
   /** Longest wait of events lately, from their arrival until they were handled; 0 without the policy. */
   readonly eventWaitMs: number;
   readonly handover: Handover;
+  /** Absent before the first offer. Outlasts the lead. */
+  readonly lastOffer?: LastOffer;
   readonly earlierLeases: EarlierLeases;
   /** Workers whose last report has not been answered with a grant. */
   readonly dueGrants: ImmutableSet<string>;
--- a/packages/scheduler/test/handover.test.ts
+++ b/packages/scheduler/test/handover.test.ts
@@ -21,7 +21,8 @@
 
 const WINDOW_MS = 100;
 const REST_MS = 5_000;
-const OFFER_MS = 1_200;
+const OFFER_MS = 1_000;
+const LEASE_MS = 5_000;
 const OTHER = { entryId: 'entry-2', host: 'h2', port: 1, term: 2 };
 
 function withPolicy(fixture: Fixture, handsOver = true): Fixture {
@@ -49,6 +50,11 @@
   return advance(dispatch(advance(lagging, WINDOW_MS), { kind: 'loadMeasured', waitMs: 300 }), 1);
 }
 
+/** Returns an entry whose offer was taken by another one. */
+function deposed(): Fixture {
+  return dispatch(commitAll(sendingOffer()), { kind: 'leaderRow', row: leaderRow(OTHER, 50) });
+}
+
 /** Returns a follower that has polled an offer twice. */
 function polled(ownWaitMs: number, offeredWaitMs: number): Fixture {
   const measured = dispatch(withPolicy(createFollower()), {
@@ -130,7 +136,46 @@
   });
   expect(after.state.phase).to.equal('following');
   expect(after.state.leader).to.deep.equal(OTHER);
-  expect(after.state.claimPausedUntilMs).to.be.greaterThan(after.nowMs);
+  const freed = leaseRow({ ...lease, number: 2, isReleased: true }, 51);
+  expect(poll(poll(after, freed), freed).state.phase).to.equal('following');
+});
+
+// Guards against grants that end, and a takeover by any entry, while an offer stands whose reply was late.
+it('handover: an offer counts from the sending of its row', () => {
+  const late = commitAll(advance(sendingOffer(), OFFER_MS - 100));
+  const { state } = advance(late, 101);
+  expect(state.inFlight?.lease).to.include({ isReleased: false }).and.not.to.have.property('offer');
+});
+
+// Guards against a fleet that has no leader for longer than its leases, when the successor ends and
+// no other entry is left.
+it('handover: an entry that gave its lease away takes over from a silent successor', () => {
+  const lease = leaseRow({ entryId: 'entry-2', number: 7, isReleased: false }, 51);
+  const polls = Array.from({ length: LEASE_MS / 400 });
+  const { state } = polls.reduce<Fixture>((current) => poll(current, lease), deposed());
+  expect(state.phase).to.equal('claiming');
+});
+
+// Guards against slow entries that pass the lease to and fro, each idle and so without waits in its turn.
+it('handover: an entry takes the lease back only from one that is clearly worse off', () => {
+  const phases = [400, 800].map((waitMs) => {
+    const idle = lag(deposed(), 10, 100 + 1);
+    const row = leaseRow(
+      { entryId: 'entry-2', number: 7, isReleased: false, offer: { waitMs } },
+      51,
+    );
+    return poll(poll(idle, row), row).state.phase;
+  });
+  expect(phases).to.deep.equal(['following', 'claiming']);
+});
+
+// Guards against a fleet without a leader while the entries that are left are slow themselves.
+it('handover: the own waits of an entry delay its claim by a second at most', () => {
+  const slow = dispatch(withPolicy(createFollower()), { kind: 'loadMeasured', waitMs: 30_000 });
+  const row = leaseRow({ entryId: 'entry-2', number: 3, isReleased: true }, 10);
+  const polls = Array.from({ length: 4 });
+  const { state } = polls.reduce<Fixture>((current) => poll(current, row), slow);
+  expect(state.phase).to.equal('claiming');
 });
 
 // Guards against an offer that no follower takes.
