Tell followers of an offer by the row of the leader

Followers found an offer by their poll, up to 0.35 s late, and claimed after a random delay. The transaction with an offer now also writes the leader's row, which every entry follows. A follower reads the lease at once and claims without a random delay, so that the fastest entry wins.

--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -9,7 +9,16 @@
 import { handoverAfterClaim } from './handoverstate';
 import type { LeaseValue } from './rows';
 import { noteVersion } from './rowages';
-import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
+import {
+  decodeLeader,
+  decodeLeaderOffer,
+  decodeLease,
+  LEADER_KEY,
+  LEASE_KEY,
+  PARTITION,
+  TABLES,
+} from './rows';
+import { DEFAULT_POLICY } from '../policy';
 import { withEffects } from '../state';
 import { claimDelayMs } from '../times';
 import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from '../types';
@@ -42,6 +51,17 @@
   );
 }
 
+/** Reads the lease at once when the leader's row says that it is offered. */
+export function pollOffer(
+  state: SchedulerState,
+  row: StoredRow | undefined,
+  nowMs: number,
+): SchedulerStep {
+  const { policy = DEFAULT_POLICY } = state.settings;
+  if (!policy.handsOver || decodeLeaderOffer(row) === undefined) return unchanged(state);
+  return pollLease({ ...state, nextReadAtMs: nowMs }, nowMs);
+}
+
 function seeLease(state: SchedulerState, row: StoredRow | undefined, nowMs: number): SeenLease {
   const { seenLease, pollSentAtMs } = state;
   const version = row?.version ?? 0;
@@ -103,7 +123,9 @@
   const pollMs = nowMs - state.pollSentAtMs;
   const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
   const takeoverMs = isFree ? 0 : times.takeoverAfterMs + slowMs;
-  const delayMs = claimDelayMs(capacity) + ownDelayMs(state, nowMs) + random * CLAIM_SPREAD_MS;
+  // Claims of an offer need no spread: the fastest entry should win, and the others lose one call.
+  const spreadMs = isOffered ? 0 : random * CLAIM_SPREAD_MS;
+  const delayMs = claimDelayMs(capacity) + ownDelayMs(state, nowMs) + spreadMs;
   const waitMs = takeoverMs + delayMs;
   const isPaused = nowMs < state.claimPausedUntilMs;
   if (isPaused || nowMs - lease.sinceMs < waitMs) {
--- a/packages/scheduler/src/leadership/flush.ts
+++ b/packages/scheduler/src/leadership/flush.ts
@@ -27,8 +27,8 @@
 /** Rows that a transaction of the store may name, in its conditions and its writes. */
 const MAX_ENTRIES = 100;
 
-/** Rows that every transaction of the leader names: two conditions, and the write of the lease. */
-const FIXED_ENTRIES = 3;
+/** Rows that a transaction of the leader names at most: two conditions, its lease, and with an offer its own. */
+const FIXED_ENTRIES = 4;
 const RETRY_DELAY_MS = 60;
 
 /** Returns the rows that go with the end of a job. */
@@ -73,13 +73,17 @@
   const { entryId } = state.settings;
   const grants = describeGrants(state, nowMs);
   const offer = nextOffer(state);
+  const leaderWrites: readonly RowWrite[] =
+    offer.offer === undefined
+      ? []
+      : [{ kind: 'put', ...LEADER_KEY, value: { ...state.leader, ...offer } }];
   const lease = { entryId, number: state.leaseNumber + 1, isReleased, grants, ...offer };
   const transaction = {
     conditions: [
       { ...LEADER_KEY, version: state.leaderVersion },
       { ...LEASE_KEY, version: state.leaseVersion },
     ],
-    writes: [{ kind: 'put', ...LEASE_KEY, value: lease } as const, ...writes],
+    writes: [{ kind: 'put', ...LEASE_KEY, value: lease } as const, ...leaderWrites, ...writes],
   };
   const callId = `flush-${state.callCount}`;
   const inFlight: InFlightTransaction = {
@@ -147,6 +151,7 @@
   const stored: SchedulerState = {
     ...rest,
     leaseVersion: version,
+    ...(lease.offer === undefined ? {} : { leaderVersion: version }),
     leaseNumber: lease.number,
     storedAwaited: new Set(Object.keys(lease.grants?.awaitedEndMs ?? {})),
     ...(times === undefined ? {} : { storedTimes: times }),
--- a/packages/scheduler/src/leadership/handover.ts
+++ b/packages/scheduler/src/leadership/handover.ts
@@ -195,7 +195,8 @@
 /** Returns how long an entry leaves a free lease to others, beside the delay by its capacity. */
 export function ownDelayMs({ eventWaitMs, lastOffer }: SchedulerState, nowMs: number): number {
   const yields = lastOffer !== undefined && nowMs - lastOffer.atMs < YIELD_MS;
-  return Math.min(MAX_OWN_DELAY_MS, eventWaitMs) + (yields ? YIELD_DELAY_MS : 0);
+  const waitMs = eventWaitMs < BUSY_WAIT_MS ? 0 : eventWaitMs;
+  return Math.min(MAX_OWN_DELAY_MS, waitMs) + (yields ? YIELD_DELAY_MS : 0);
 }
 
 /** Returns the factor by which a leader should slow its passes down, so that waiting events come first. */
--- a/packages/scheduler/src/leadership/rows.ts
+++ b/packages/scheduler/src/leadership/rows.ts
@@ -107,6 +107,9 @@
   waitMs: z.number().nonnegative(),
 });
 
+/** The leader's row repeats the offer, because followers learn of its changes at once. */
+const offeringLeaderSchema = z.object({ offer: offerSchema });
+
 const leaseSchema = z.object({
   entryId: z.string(),
   number: z.int(),
@@ -131,6 +134,12 @@
   return parsed.success ? parsed.data : undefined;
 }
 
+/** Decodes the offer in the leader's row; undefined when there is none. */
+export function decodeLeaderOffer(row: StoredRow | undefined): LeaseOffer | undefined {
+  const parsed = offeringLeaderSchema.safeParse(row?.value);
+  return parsed.success ? parsed.data.offer : undefined;
+}
+
 /** Decodes the lease row; undefined when it is absent or malformed. */
 export function decodeLease(row: StoredRow | undefined): LeaseValue | undefined {
   const parsed = leaseSchema.safeParse(row?.value);
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -5,7 +5,7 @@
 import { logAbsences } from './jobs/absences';
 import { logBlockedWorkers } from './fleet/blocked';
 import { passIntervalMs } from './leadership/budget';
-import { onClaimResult, onPoll, pollLease, retryClaim } from './leadership/claim';
+import { onClaimResult, onPoll, pollLease, pollOffer, retryClaim } from './leadership/claim';
 import { onClockGap } from './leadership/clockgap';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './leadership/flush';
 import {
@@ -266,7 +266,9 @@
         logEffect('domainsOut', { domains: [...event.domains].join(',') }),
       ]);
     case 'leaderRow':
-      return onLeaderRow(state, event.row);
+      return chainAfter(onLeaderRow(state, event.row), [
+        (current) => pollOffer(current, event.row, nowMs),
+      ]);
     case 'jobRows':
       return chainAfter(
         handleGoneReports(state, onJobRows(state, event, nowMs), nowMs, event.wallMs),
--- a/packages/scheduler/test/handover.test.ts
+++ b/packages/scheduler/test/handover.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { DEFAULT_POLICY, LEASE_KEY } from '@bronzeyoke/scheduler';
+import { DEFAULT_POLICY, LEADER_KEY, LEASE_KEY } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
 import {
   advance,
@@ -156,6 +156,31 @@
   expect(state.phase).to.equal('claiming');
 });
 
+// Guards against followers that learn of an offer by their next poll only, while the leader lags.
+it('handover: a follower claims at once when the row of the leader has an offer', () => {
+  const follower = advance(withPolicy(createFollower()), 100);
+  const offer = { waitMs: 400 };
+  const told = dispatch(follower, {
+    kind: 'leaderRow',
+    row: { ...leaderRow(OTHER, 50), value: { ...OTHER, offer } },
+  });
+  const row = leaseRow({ entryId: 'entry-2', number: 3, isReleased: false, offer }, 50);
+  const result = { kind: 'rows', rows: [row], version: 50 } as const;
+  const { state } = dispatch(told, { kind: 'rangeDone', callId: 'poll', result, wallMs: 0 });
+  expect(state.claim?.transaction.conditions.map(({ version }) => version)).to.deep.equal([50, 50]);
+});
+
+// Guards against a leader that refutes itself: its own offer changes the version of its row.
+it('handover: a leader goes on with the version of the row that had its offer', () => {
+  const offered = commitAll(sendingOffer());
+  expect(lastWritten(offered, LEADER_KEY)).to.deep.include({ term: 1, offer: { waitMs: 300 } });
+  const { transaction } = inFlight(advance(offered, OFFER_MS));
+  expect(transaction.conditions.map(({ version }) => version)).to.deep.equal([
+    offered.version,
+    offered.version,
+  ]);
+});
+
 // Guards against slow entries that pass the lease to and fro, each idle and so without waits in its turn.
 it('handover: an entry takes the lease back only from one that is clearly worse off', () => {
   const phases = [400, 800].map((waitMs) => {
--- a/packages/scheduler/test/simclaims.ts
+++ b/packages/scheduler/test/simclaims.ts
@@ -43,7 +43,7 @@
     recordProgress(transaction);
     if (kind === 'other') return;
     const write = transaction.writes.find(({ table }) => table === TABLES.leader);
-    if (write?.kind === 'put') {
+    if (kind === 'claim' && write?.kind === 'put') {
       const leader = decodeLeader({ ...write, version });
       if (leader === undefined) return;
       const { entryId, term } = leader;
@@ -57,6 +57,12 @@
     const owner = known.leaders.at(-1)?.entryId ?? '';
     if (kind === 'release') log('store', `release of ${caller}`);
     if (writer !== owner) record({ kind: 'foreignCommit', entry: writer ?? caller, owner });
+    // An offer repeats the row of the leader, whose term must not change without a claim.
+    const repeated = write?.kind === 'put' ? decodeLeader({ ...write, version }) : undefined;
+    const last = known.leaders.at(-1);
+    if (repeated !== undefined && repeated.term !== last?.term) {
+      record({ kind: 'termNotRaised', term: repeated.term, before: last?.term ?? 0 });
+    }
   };
 
   return {
--- a/packages/scheduler/test/simstore.ts
+++ b/packages/scheduler/test/simstore.ts
@@ -89,9 +89,11 @@
 export function commitKindOf({ writes }: RowTransaction): CommitKind {
   const puts = writes.flatMap((write) => (write.kind === 'put' ? [write] : []));
   const lease = puts.find(({ table }) => table === TABLES.lease);
-  if (puts.some(({ table }) => table === TABLES.leader)) return 'claim';
+  const value = lease === undefined ? undefined : decodeLease({ ...lease, version: 0 });
+  const isOffer = value?.offer !== undefined;
+  if (!isOffer && puts.some(({ table }) => table === TABLES.leader)) return 'claim';
   if (lease === undefined) return 'other';
-  return decodeLease({ ...lease, version: 0 })?.isReleased === true ? 'release' : 'renewal';
+  return value?.isReleased === true ? 'release' : 'renewal';
 }
 
 interface Waiter {
