Offer the lease sooner when passes and waits show a slow machine

A leader offered its lease 1.2 s after its machine had become 4 times slower: it took 0.4 s until events waited 200 ms, and they had to do so for 0.4 s. Two passes in a row that take 2.5 times as long as usual for their work, and two windows with waits of 100 ms, are now enough. A pause of the process falls into one pass.

The test of the slow leader asserted measured figures.

--- a/packages/scheduler/src/leadership/handover.ts
+++ b/packages/scheduler/src/leadership/handover.ts
@@ -2,16 +2,19 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { advanceHandover } from './handoverstate';
 import type { LeaseOffer } from './rows';
+import { isSlowed } from './slowpasses';
 import { DEFAULT_POLICY } from '../policy';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep, SeenLease } from '../types';
 
 /**
  * Shares of the lease of an agent. Events that wait the first one for some time show that the leader
- * falls behind, and sooner if they wait the second one. The third one endangers leases, because a
- * handover takes about a second, whatever the leader before has measured.
+ * falls behind, the second one if its passes have become slow too, and sooner if they wait the third one.
+ * The last one endangers leases, because a handover takes up to a second, whatever the leader before has
+ * measured.
  */
 const LONG_WAIT_SHARE = 0.04;
+const SLOWED_WAIT_SHARE = 0.02;
 const SEVERE_WAIT_SHARE = 0.08;
 const DANGEROUS_WAIT_SHARE = 0.25;
 
@@ -25,6 +28,9 @@
 const SUSTAINED_MS = 400;
 const SEVERE_SUSTAINED_MS = 200;
 
+/** The same for a leader whose passes have become slow, which a single block does not show. */
+const SLOWED_SUSTAINED_MS = 100;
+
 /** Time after a claim, or after an offer that nobody took, in which a leader makes no offer. */
 const REST_MS = 5_000;
 
@@ -71,13 +77,22 @@
 /** Largest factor by which a leader whose events wait slows its passes down. */
 const MAX_SLOWDOWN = 2;
 
+/**
+ * Returns the wait from which on an entry is clearly worse off than one that has offered its lease. An
+ * early offer tells of short waits, and does not show how long they would have become.
+ */
+function worseWaitMs(agentLeaseMs: number, offeredWaitMs: number): number {
+  return Math.max(offeredWaitMs, agentLeaseMs * SEVERE_WAIT_SHARE) * WORSE_FACTOR;
+}
+
 /** Returns the wait of events from which on a leader should offer its lease. */
 function offerWaitMs(state: SchedulerState, nowMs: number): number {
   const { agentLeaseMs } = state.settings.times;
-  const { beforeWaitMs = 0 } = state.handover;
-  const isCompared = nowMs - state.claimedAtMs < COMPARED_MS;
-  const worseMs = isCompared ? beforeWaitMs * WORSE_FACTOR : 0;
-  const longMs = Math.max(agentLeaseMs * LONG_WAIT_SHARE, worseMs);
+  const { beforeWaitMs } = state.handover;
+  const isCompared = beforeWaitMs !== undefined && nowMs - state.claimedAtMs < COMPARED_MS;
+  const worseMs = isCompared ? worseWaitMs(agentLeaseMs, beforeWaitMs) : 0;
+  const share = isSlowed(state.slowPasses) ? SLOWED_WAIT_SHARE : LONG_WAIT_SHARE;
+  const longMs = Math.max(agentLeaseMs * share, worseMs);
   return Math.min(agentLeaseMs * DANGEROUS_WAIT_SHARE, longMs);
 }
 
@@ -98,10 +113,12 @@
  * so that it makes no offer after a single long wait.
  */
 function isOfferDue(state: SchedulerState, waitMs: number, nowMs: number): boolean {
-  const { handover, settings } = state;
+  const { handover, settings, slowPasses } = state;
   if (waitMs < offerWaitMs(state, nowMs) * CAUGHT_UP_SHARE) return false;
+  const lagMs = nowMs - handover.sinceMs;
+  if (isSlowed(slowPasses)) return lagMs >= SLOWED_SUSTAINED_MS;
   const isSevere = waitMs >= settings.times.agentLeaseMs * SEVERE_WAIT_SHARE;
-  return nowMs - handover.sinceMs >= (isSevere ? SEVERE_SUSTAINED_MS : SUSTAINED_MS);
+  return lagMs >= (isSevere ? SEVERE_SUSTAINED_MS : SUSTAINED_MS);
 }
 
 function makeOffer(state: SchedulerState, nowMs: number): SchedulerStep {
@@ -188,7 +205,8 @@
   if (!policy.handsOver || value?.offer === undefined) return false;
   const { waitMs } = value.offer;
   const isRemembered = lastOffer !== undefined && nowMs - lastOffer.atMs < REMEMBERED_MS;
-  const isWorse = !isRemembered || waitMs >= lastOffer.waitMs * WORSE_FACTOR;
+  const isWorse =
+    !isRemembered || waitMs >= worseWaitMs(settings.times.agentLeaseMs, lastOffer.waitMs);
   return isWorse && eventWaitMs <= waitMs * BETTER_SHARE;
 }
 
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -4,6 +4,7 @@
 import { NO_INSTANCES } from './fleet/identities';
 import { NO_EARLIER_LEASES } from './fleet/leases';
 import { NO_HANDOVER } from './leadership/handoverstate';
+import { NO_SLOW_PASSES } from './leadership/slowpasses';
 import { NO_PACE } from './placement/passbudget';
 import type { ActionScope, PostCommitAction, WriteUrgency } from './leadership/pending';
 import { addAction, addRow, NO_PENDING_WRITES } from './leadership/pending';
@@ -53,6 +54,7 @@
   writtenCounts: '',
   countsWrittenAtMs: 0,
   handover: NO_HANDOVER,
+  slowPasses: NO_SLOW_PASSES,
   earlierLeases: NO_EARLIER_LEASES,
   dueGrants: ImmutableSet<string>(),
   awaited: Map<string, never>(),
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -25,6 +25,7 @@
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
 import { retryReads } from './leadership/load';
+import { comparePass } from './leadership/slowpasses';
 import { paceWorker } from './placement/pace';
 import { recordPass } from './placement/passbudget';
 import { placeTasks } from './placement/place';
@@ -251,6 +252,7 @@
         ...state,
         passPausedUntilMs: nowMs + Math.min(MAX_PASS_PAUSE_MS, tookMs * passSlowdown(state)),
         passPace: recordPass(state.passPace, state.passWork, tookMs),
+        slowPasses: comparePass(state.slowPasses, state.passWork, tookMs),
       });
     }
     case 'loadMeasured':
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -10,6 +10,7 @@
 import chartFile from '../charts/leadership.json';
 import type { InstanceIndex } from './fleet/identities';
 import type { Handover, LastOffer } from './leadership/handoverstate';
+import type { SlowPasses } from './leadership/slowpasses';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { SeenVersion } from './leadership/rowages';
@@ -205,6 +206,7 @@
   /** Longest wait of events lately, from their arrival until they were handled; 0 without the policy. */
   readonly eventWaitMs: number;
   readonly handover: Handover;
+  readonly slowPasses: SlowPasses;
   /** Absent before the first offer. Outlasts the lead. */
   readonly lastOffer?: LastOffer;
   readonly earlierLeases: EarlierLeases;
--- a/packages/scheduler/test/handover.test.ts
+++ b/packages/scheduler/test/handover.test.ts
@@ -17,6 +17,7 @@
   report,
   sentMessages,
 } from './fixture';
+import type { SlowPlay } from './simslow';
 import { playSlow, quantile } from './simslow';
 
 const WINDOW_MS = 100;
@@ -25,6 +26,11 @@
 const LEASE_MS = 5_000;
 const OTHER = { entryId: 'entry-2', host: 'h2', port: 1, term: 2 };
 
+/** Stated target for the times from handing in a job to its first start. */
+const TARGET = { halfMs: 50, mostMs: 500 };
+
+const SLOW_LEADER: SlowPlay = { handsOver: true, slow: (leader) => [leader] };
+
 function withPolicy(fixture: Fixture, handsOver = true): Fixture {
   const { state } = fixture;
   const settings = { ...state.settings, policy: { ...DEFAULT_POLICY, handsOver } };
@@ -85,6 +91,34 @@
   expect(steps).to.deep.equal([[], []]);
 });
 
+/** Returns a leader that may offer its lease, after usual passes and some that took 4 times as long. */
+function passed(slowPasses: number): Fixture {
+  const start = rested();
+  const known = { ...start, state: { ...start.state, passWork: 2_000 } };
+  const took = [...Array<number>(30).fill(20), ...Array<number>(slowPasses).fill(80)];
+  return took.reduce<Fixture>(
+    (current, durationMs) => dispatch(current, { kind: 'passTook', durationMs }),
+    known,
+  );
+}
+
+// Guards against a second of long waits until a leader whose machine has become slow makes an offer.
+it('handover: a leader whose passes have become slow offers its lease after two short windows', () => {
+  const { state } = lag(passed(2), 120, 2);
+  expect(state.handover.phase).to.equal('offering');
+});
+
+// Guards against a change of the leader for a pause of the process, which makes one pass seem slow.
+it('handover: a leader keeps its lease after a single slow pass', () => {
+  const steps = loggedFields(lag(lag(passed(1), 150, 4), 10, 20), 'leaderHandover');
+  expect(steps).to.have.length(0);
+});
+
+// Guards against a leader that passes its lease on although its work gets done in time.
+it('handover: a leader with slow passes and without waits keeps its lease', () => {
+  expect(loggedFields(lag(passed(10), 80, 20), 'leaderHandover')).to.have.length(0);
+});
+
 // Guards against a change of what a deployment does that has not switched the policy on.
 it('handover: a leader without the policy makes no offer', () => {
   expect(loggedFields(lag(rested(false), 3_000, 50), 'leaderHandover')).to.have.length(0);
@@ -229,16 +263,26 @@
 
 // Guards against jobs that find no place while the machine of the leader is slow under a burst: without
 // the policy two thirds of these jobs do not begin. No lease lapses in this play either way.
-it('handover: jobs begin soon after the leader becomes slow under a burst', () => {
-  const { startsMs, lapses, claimed, broken } = playSlow(1, {
-    handsOver: true,
-    slow: (leader) => [leader],
-  });
+it('handover: another entry leads when the machine of the leader becomes slow under a burst', () => {
+  const { startsMs, lapses, claimed, broken } = playSlow(1, SLOW_LEADER);
   expect(broken).to.deep.equal([]);
   expect(lapses).to.equal(0);
   expect(claimed).to.have.length(1);
-  expect(quantile(startsMs, 0.5)).to.be.at.most(70);
-  expect(quantile(startsMs, 0.95)).to.be.at.most(1_500);
+  expect(startsMs.at(-1)).to.be.lessThan(Infinity);
+}).timeout(120_000);
+
+// Guards against starts that a change of the leader delays beyond the target for the slow machine: no lapse,
+// 95 of 100 within 500 ms.
+it('handover: 95 of 100 jobs begin in time while the machine of the leader becomes slow', () => {
+  const { startsMs, lapses } = playSlow(1, SLOW_LEADER);
+  expect(lapses).to.equal(0);
+  expect(quantile(startsMs, 0.95)).to.be.at.most(TARGET.mostMs);
+}).timeout(120_000);
+
+// Guards against starts that a change of the leader delays beyond the target: half within 50 ms.
+it('handover: half of the jobs begin in time while the machine of the leader becomes slow', () => {
+  const { startsMs } = playSlow(1, SLOW_LEADER);
+  expect(quantile(startsMs, 0.5)).to.be.at.most(TARGET.halfMs);
 }).timeout(120_000);
 
 // Guards against changes of the leader one after the other when no entry is better.
