Make no pass before an offer, and shorter ones on a slow machine

A pass of a quarter of a second ran between the decision to offer the lease and the offer, when the transaction in flight was answered. An offer comes first now. A leader whose passes have become slow makes the short passes of one whose events wait, and offers its lease at waits of 50 ms, the interval of the ticks. What the policy learns of passes is kept with handsOver only. A follower whose own events wait 50 ms at most takes any offer, because early offers tell of short waits.

--- a/packages/scheduler/src/leadership/handover.ts
+++ b/packages/scheduler/src/leadership/handover.ts
@@ -2,7 +2,7 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { advanceHandover } from './handoverstate';
 import type { LeaseOffer } from './rows';
-import { isSlowed } from './slowpasses';
+import { comparePass, isSlowed } from './slowpasses';
 import { DEFAULT_POLICY } from '../policy';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep, SeenLease } from '../types';
@@ -14,7 +14,7 @@
  * measured.
  */
 const LONG_WAIT_SHARE = 0.04;
-const SLOWED_WAIT_SHARE = 0.02;
+const SLOWED_WAIT_SHARE = 0.01;
 const SEVERE_WAIT_SHARE = 0.08;
 const DANGEROUS_WAIT_SHARE = 0.25;
 
@@ -165,12 +165,21 @@
   return state.phase === 'leading' ? considerOffer(measured, waitMs, nowMs) : unchanged(measured);
 }
 
+/** Notes how long a pass of a leader has taken. No effect without the policy. */
+export function notePass(state: SchedulerState, tookMs: number): SchedulerState {
+  const { policy = DEFAULT_POLICY } = state.settings;
+  if (!policy.handsOver) return state;
+  return { ...state, slowPasses: comparePass(state.slowPasses, state.passWork, tookMs) };
+}
+
+/** Returns whether a leader makes an offer, whose row a pass would delay. */
+export function isOffering({ phase, handover }: SchedulerState): boolean {
+  return phase === 'leading' && handover.phase === 'offering';
+}
+
 /** Returns the offer that the next lease row of a leader carries. */
-export function nextOffer({ phase, handover, eventWaitMs }: SchedulerState): {
-  readonly offer?: LeaseOffer;
-} {
-  const isOffering = phase === 'leading' && handover.phase === 'offering';
-  return isOffering ? { offer: { waitMs: Math.round(eventWaitMs) } } : {};
+export function nextOffer(state: SchedulerState): { readonly offer?: LeaseOffer } {
+  return isOffering(state) ? { offer: { waitMs: Math.round(state.eventWaitMs) } } : {};
 }
 
 /** Returns whether the stored row offers the lease, so that a claim should find it unchanged. */
@@ -207,7 +216,8 @@
   const isRemembered = lastOffer !== undefined && nowMs - lastOffer.atMs < REMEMBERED_MS;
   const isWorse =
     !isRemembered || waitMs >= worseWaitMs(settings.times.agentLeaseMs, lastOffer.waitMs);
-  return isWorse && eventWaitMs <= waitMs * BETTER_SHARE;
+  const shortMs = settings.times.agentLeaseMs * SLOWED_WAIT_SHARE;
+  return isWorse && eventWaitMs <= Math.max(shortMs, waitMs * BETTER_SHARE);
 }
 
 /** Returns how long an entry leaves a free lease to others, beside the delay by its capacity. */
@@ -218,7 +228,8 @@
 }
 
 /** Returns the factor by which a leader should slow its passes down, so that waiting events come first. */
-export function passSlowdown({ eventWaitMs }: SchedulerState): number {
+export function passSlowdown({ eventWaitMs, slowPasses }: SchedulerState): number {
+  if (isSlowed(slowPasses)) return MAX_SLOWDOWN;
   return Math.min(MAX_SLOWDOWN, Math.max(1, eventWaitMs / BUSY_WAIT_MS));
 }
 
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -15,7 +15,14 @@
   onWorkerGone,
   recordGoneWorker,
 } from './fleet/gone';
-import { endOffer, isBusy, isOfferOpen, onLoadMeasured, passSlowdown } from './leadership/handover';
+import {
+  endOffer,
+  isBusy,
+  isOffering,
+  notePass,
+  onLoadMeasured,
+  passSlowdown,
+} from './leadership/handover';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './leadership/isolation';
 import { HELD_CALL, onHeldRows, readHeldJobs } from './jobs/held';
 import { onJobRows, onLoaded } from './jobs/jobs';
@@ -25,7 +32,6 @@
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
 import { retryReads } from './leadership/load';
-import { comparePass } from './leadership/slowpasses';
 import { paceWorker } from './placement/pace';
 import { recordPass } from './placement/passbudget';
 import { placeTasks } from './placement/place';
@@ -88,7 +94,7 @@
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { phase, inFlight, needsPlacement, lastPassAtMs, passPausedUntilMs, workers } = state;
   const isPaused = nowMs < passPausedUntilMs || nowMs - lastPassAtMs < passIntervalMs(workers.size);
-  const isDue = needsPlacement && !isPaused && !isOfferOpen(state);
+  const isDue = needsPlacement && !isPaused && !isOffering(state);
   const isReady = phase === 'leading' && inFlight === undefined && isDue;
   const placed = isReady ? placeTasks(state, nowMs, wallMs) : unchanged(state);
   return chainAfter(placed, [
@@ -249,10 +255,9 @@
     case 'passTook': {
       const tookMs = Math.min(MAX_PASS_PAUSE_MS, event.durationMs);
       return unchanged({
-        ...state,
+        ...notePass(state, tookMs),
         passPausedUntilMs: nowMs + Math.min(MAX_PASS_PAUSE_MS, tookMs * passSlowdown(state)),
         passPace: recordPass(state.passPace, state.passWork, tookMs),
-        slowPasses: comparePass(state.slowPasses, state.passWork, tookMs),
       });
     }
     case 'loadMeasured':
