--- a/packages/scheduler/src/leadership/flush.ts
+++ b/packages/scheduler/src/leadership/flush.ts
@@ -4,7 +4,7 @@
 import { encodeProgress, progressBytes } from '@bronzeyoke/workflow';
 import { maxTransactionBytes } from './budget';
 import { grantDueLeases } from '../fleet/grants';
-import { isOfferOpen, nextOffer, noteStoredOffer } from './handover';
+import { isOffering, isOfferOpen, nextOffer, noteStoredOffer } from './handover';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from '../fleet/leases';
 import { maintenanceWrites } from './maintenance';
@@ -27,8 +27,8 @@
 /** Rows that a transaction of the store may name, in its conditions and its writes. */
 const MAX_ENTRIES = 100;
 
-/** Rows that a transaction of the leader names at most: two conditions, its lease, and with an offer its own. */
-const FIXED_ENTRIES = 4;
+/** Rows that every transaction of the leader names: two conditions, and the write of the lease. */
+const FIXED_ENTRIES = 3;
 const RETRY_DELAY_MS = 60;
 
 /** Returns the rows that go with the end of a job. */
@@ -115,11 +115,12 @@
   const isActive = state.phase === 'loading' || state.phase === 'leading';
   if (!isActive || state.inFlight !== undefined || isOfferOpen(state)) return unchanged(state);
   const { pendingWrites } = state;
-  const isDue = nowMs >= state.renewAtMs || nextOffer(state).offer !== undefined;
+  const isDue = nowMs >= state.renewAtMs || isOffering(state);
   if (isNothingPending(pendingWrites) && !isDue) return unchanged(state);
   const maintenance = maintenanceWrites(state, nowMs, wallMs);
   const limit = {
-    entries: MAX_ENTRIES - FIXED_ENTRIES - maintenance.writes.length,
+    // An offer also writes the row of the leader.
+    entries: MAX_ENTRIES - FIXED_ENTRIES - maintenance.writes.length - Number(isOffering(state)),
     bytes: maxTransactionBytes(state.settings.capacity),
   };
   const { jobIds, actions, rest } = takeWrites(pendingWrites, limit, (jobId) =>
