--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -6,11 +6,20 @@
 import { goneAfterMs, holderSign } from './endedholder';
 import { claimFields } from '../fleet/leaserowlog';
 import { describeGrants, earlierLeasesOf } from '../fleet/leases';
-import { takesOffer } from './handover';
+import { ownDelayMs, takesOffer } from './handover';
 import { handoverAfterClaim } from './handoverstate';
 import type { LeaseValue } from './rows';
 import { noteVersion } from './rowages';
-import { decodeLeader, decodeLease, LEADER_KEY, LEASE_KEY, PARTITION, TABLES } from './rows';
+import {
+  decodeLeader,
+  decodeLeaderOffer,
+  decodeLease,
+  LEADER_KEY,
+  LEASE_KEY,
+  PARTITION,
+  TABLES,
+} from './rows';
+import { DEFAULT_POLICY } from '../policy';
 import { withEffects } from '../state';
 import { claimDelayMs } from '../times';
 import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from '../types';
@@ -43,6 +52,17 @@
   );
 }
 
+/** Reads the lease at once when the leader's row says that it is offered. */
+export function pollOffer(
+  state: SchedulerState,
+  row: StoredRow | undefined,
+  nowMs: number,
+): SchedulerStep {
+  const { policy = DEFAULT_POLICY } = state.settings;
+  if (!policy.handsOver || decodeLeaderOffer(row) === undefined) return unchanged(state);
+  return pollLease({ ...state, nextReadAtMs: nowMs }, nowMs);
+}
+
 function seeLease(state: SchedulerState, row: StoredRow | undefined, nowMs: number): SeenLease {
   const { seenLease, pollSentAtMs } = state;
   const version = row?.version ?? 0;
@@ -100,13 +120,15 @@
     case 'gone':
     case 'unknown': {
       const { times, capacity } = state.settings;
-      const isFree =
-        lease.value === undefined || lease.value.isReleased || takesOffer(state, lease);
+      const isOffered = takesOffer(state, lease, nowMs);
+      const isFree = lease.value === undefined || lease.value.isReleased || isOffered;
       const pollMs = nowMs - state.pollSentAtMs;
       const slowMs = Math.min(MAX_SLOW_RENEWAL_MS, pollMs * SLOW_RENEWAL_FACTOR);
       const heldMs = sign.kind === 'gone' ? goneAfterMs(state) : times.takeoverAfterMs;
       const takeoverMs = isFree ? 0 : heldMs + slowMs;
-      return takeoverMs + claimDelayMs(capacity) + state.eventWaitMs + random * CLAIM_SPREAD_MS;
+      // Claims of an offer need no spread: the fastest entry should win, and the others lose one call.
+      const spreadMs = isOffered ? 0 : random * CLAIM_SPREAD_MS;
+      return takeoverMs + claimDelayMs(capacity) + ownDelayMs(state, nowMs) + spreadMs;
     }
     default:
       return assertNever(sign);
@@ -130,7 +152,7 @@
   const isPaused = nowMs < state.claimPausedUntilMs;
   if (isPaused || nowMs - lease.sinceMs < waitMs) {
     // An offer stands for a second only, so it is polled again when the delay is over.
-    const dueAtMs = takesOffer(state, lease) ? lease.sinceMs + waitMs : Infinity;
+    const dueAtMs = takesOffer(seen, lease, nowMs) ? lease.sinceMs + waitMs : Infinity;
     return unchanged({ ...seen, nextReadAtMs: Math.min(seen.nextReadAtMs, dueAtMs) });
   }
   return advanceLeadership({ ...seen, claim: createClaim(seen, lease, nowMs) }, 'leaseFree');
--- a/packages/scheduler/src/leadership/flush.ts
+++ b/packages/scheduler/src/leadership/flush.ts
@@ -4,7 +4,7 @@
 import { encodeProgress, progressBytes } from '@bronzeyoke/workflow';
 import { maxTransactionBytes } from './budget';
 import { grantDueLeases } from '../fleet/grants';
-import { isOfferOpen, nextOffer, noteStoredOffer } from './handover';
+import { isOffering, isOfferOpen, nextOffer, noteStoredOffer } from './handover';
 import { advanceLeadership, isReleasing, onLeaderRow } from './leadership';
 import { describeGrants } from '../fleet/leases';
 import { maintenanceWrites } from './maintenance';
@@ -73,13 +73,17 @@
   const { entryId } = state.settings;
   const grants = describeGrants(state, nowMs);
   const offer = nextOffer(state);
+  const leaderWrites: readonly RowWrite[] =
+    offer.offer === undefined
+      ? []
+      : [{ kind: 'put', ...LEADER_KEY, value: { ...state.leader, ...offer } }];
   const lease = { entryId, number: state.leaseNumber + 1, isReleased, grants, ...offer };
   const transaction = {
     conditions: [
       { ...LEADER_KEY, version: state.leaderVersion },
       { ...LEASE_KEY, version: state.leaseVersion },
     ],
-    writes: [{ kind: 'put', ...LEASE_KEY, value: lease } as const, ...writes],
+    writes: [{ kind: 'put', ...LEASE_KEY, value: lease } as const, ...leaderWrites, ...writes],
   };
   const callId = `flush-${state.callCount}`;
   const inFlight: InFlightTransaction = {
@@ -111,11 +115,12 @@
   const isActive = state.phase === 'loading' || state.phase === 'leading';
   if (!isActive || state.inFlight !== undefined || isOfferOpen(state)) return unchanged(state);
   const { pendingWrites } = state;
-  const isDue = nowMs >= state.renewAtMs || nextOffer(state).offer !== undefined;
+  const isDue = nowMs >= state.renewAtMs || isOffering(state);
   if (isNothingPending(pendingWrites) && !isDue) return unchanged(state);
   const maintenance = maintenanceWrites(state, nowMs, wallMs);
   const limit = {
-    entries: MAX_ENTRIES - FIXED_ENTRIES - maintenance.writes.length,
+    // An offer also writes the row of the leader.
+    entries: MAX_ENTRIES - FIXED_ENTRIES - maintenance.writes.length - Number(isOffering(state)),
     bytes: maxTransactionBytes(state.settings.capacity),
   };
   const { jobIds, actions, rest } = takeWrites(pendingWrites, limit, (jobId) =>
@@ -147,6 +152,7 @@
   const stored: SchedulerState = {
     ...rest,
     leaseVersion: version,
+    ...(lease.offer === undefined ? {} : { leaderVersion: version }),
     leaseNumber: lease.number,
     storedAwaited: new Set(Object.keys(lease.grants?.awaitedEndMs ?? {})),
     ...(times === undefined ? {} : { storedTimes: times }),
@@ -158,7 +164,7 @@
     ),
     endStoredAtMs: state.endStoredAtMs.merge(endedJobs.map((jobId) => [jobId, nowMs])),
   };
-  const noted = lease.offer === undefined ? stored : noteStoredOffer(stored, nowMs);
+  const noted = lease.offer === undefined ? stored : noteStoredOffer(stored, sentAtMs);
   return chainAll(noted, [
     (current) => grantDueLeases(current, nowMs),
     (current) => orderGrantedStarts(current, nowMs),
--- a/packages/scheduler/src/leadership/handover.ts
+++ b/packages/scheduler/src/leadership/handover.ts
@@ -2,16 +2,19 @@
 import { assertNever, unchanged } from '@bronzeyoke/types';
 import { advanceHandover } from './handoverstate';
 import type { LeaseOffer } from './rows';
+import { comparePass, isSlowed } from './slowpasses';
 import { DEFAULT_POLICY } from '../policy';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep, SeenLease } from '../types';
 
 /**
  * Shares of the lease of an agent. Events that wait the first one for some time show that the leader
- * falls behind, and sooner if they wait the second one. The third one endangers leases, because a
- * handover takes about a second, whatever the leader before has measured.
+ * falls behind, the second one if its passes have become slow too, and sooner if they wait the third one.
+ * The last one endangers leases, because a handover takes up to a second, whatever the leader before has
+ * measured.
  */
 const LONG_WAIT_SHARE = 0.04;
+const SLOWED_WAIT_SHARE = 0.01;
 const SEVERE_WAIT_SHARE = 0.08;
 const DANGEROUS_WAIT_SHARE = 0.25;
 
@@ -25,17 +28,36 @@
 const SUSTAINED_MS = 400;
 const SEVERE_SUSTAINED_MS = 200;
 
+/** The same for a leader whose passes have become slow, which a single block does not show. */
+const SLOWED_SUSTAINED_MS = 100;
+
 /** Time after a claim, or after an offer that nobody took, in which a leader makes no offer. */
 const REST_MS = 5_000;
 
 /**
- * Time for which a stored offer stands. Covers a poll of the other entries, the claim delay of a small
- * machine and the random spread, and ends before they take over an unchanged row.
+ * Time for which an offer stands. Covers a poll of the other entries and the claim delay of a small
+ * machine. It counts from the sending of the row, as the grants that rest on the row do, so that the next
+ * row can be stored before they end and before others take over an unchanged row.
+ */
+const OFFER_MS = 1_000;
+
+/** Time from an offer in which its entry lets the others go first. */
+const YIELD_MS = 10_000;
+
+/**
+ * Time that it lets them have. Longer than the claim delay of a small machine with its random spread, and
+ * short enough for a fleet in which no other entry is left.
  */
-const OFFER_MS = 1_200;
+const YIELD_DELAY_MS = 1_000;
 
-/** Time from an offer in which its entry leaves the lease to others. */
-const CLAIM_PAUSE_MS = 10_000;
+/**
+ * Time for which an entry remembers its own offer. It takes that of another one in this time only if the
+ * other one is clearly worse off, so that the lease does not pass to and fro between slow entries.
+ */
+const REMEMBERED_MS = 60_000;
+
+/** Longest delay of a claim by an entry's own waits. The fleet has no leader meanwhile. */
+const MAX_OWN_DELAY_MS = 1_000;
 
 /** Time for which a leader compares its waits with those of the overloaded leader before it. */
 const COMPARED_MS = 30_000;
@@ -55,13 +77,22 @@
 /** Largest factor by which a leader whose events wait slows its passes down. */
 const MAX_SLOWDOWN = 2;
 
+/**
+ * Returns the wait from which on an entry is clearly worse off than one that has offered its lease. An
+ * early offer tells of short waits, and does not show how long they would have become.
+ */
+function worseWaitMs(agentLeaseMs: number, offeredWaitMs: number): number {
+  return Math.max(offeredWaitMs, agentLeaseMs * SEVERE_WAIT_SHARE) * WORSE_FACTOR;
+}
+
 /** Returns the wait of events from which on a leader should offer its lease. */
 function offerWaitMs(state: SchedulerState, nowMs: number): number {
   const { agentLeaseMs } = state.settings.times;
-  const { beforeWaitMs = 0 } = state.handover;
-  const isCompared = nowMs - state.claimedAtMs < COMPARED_MS;
-  const worseMs = isCompared ? beforeWaitMs * WORSE_FACTOR : 0;
-  const longMs = Math.max(agentLeaseMs * LONG_WAIT_SHARE, worseMs);
+  const { beforeWaitMs } = state.handover;
+  const isCompared = beforeWaitMs !== undefined && nowMs - state.claimedAtMs < COMPARED_MS;
+  const worseMs = isCompared ? worseWaitMs(agentLeaseMs, beforeWaitMs) : 0;
+  const share = isSlowed(state.slowPasses) ? SLOWED_WAIT_SHARE : LONG_WAIT_SHARE;
+  const longMs = Math.max(agentLeaseMs * share, worseMs);
   return Math.min(agentLeaseMs * DANGEROUS_WAIT_SHARE, longMs);
 }
 
@@ -82,16 +113,18 @@
  * so that it makes no offer after a single long wait.
  */
 function isOfferDue(state: SchedulerState, waitMs: number, nowMs: number): boolean {
-  const { handover, settings } = state;
+  const { handover, settings, slowPasses } = state;
   if (waitMs < offerWaitMs(state, nowMs) * CAUGHT_UP_SHARE) return false;
+  const lagMs = nowMs - handover.sinceMs;
+  if (isSlowed(slowPasses)) return lagMs >= SLOWED_SUSTAINED_MS;
   const isSevere = waitMs >= settings.times.agentLeaseMs * SEVERE_WAIT_SHARE;
-  return nowMs - handover.sinceMs >= (isSevere ? SEVERE_SUSTAINED_MS : SUSTAINED_MS);
+  return lagMs >= (isSevere ? SEVERE_SUSTAINED_MS : SUSTAINED_MS);
 }
 
 function makeOffer(state: SchedulerState, nowMs: number): SchedulerStep {
   const handover = advanceHandover(state.handover, 'offer', nowMs);
-  const claimPausedUntilMs = nowMs + CLAIM_PAUSE_MS;
-  return logHandover({ ...state, handover, claimPausedUntilMs }, 'offered');
+  const lastOffer = { atMs: nowMs, waitMs: state.eventWaitMs };
+  return logHandover({ ...state, handover, lastOffer }, 'offered');
 }
 
 /** Decides from the wait of its events whether a leader offers its lease. */
@@ -132,46 +165,71 @@
   return state.phase === 'leading' ? considerOffer(measured, waitMs, nowMs) : unchanged(measured);
 }
 
+/** Notes how long a pass of a leader has taken. No effect without the policy. */
+export function notePass(state: SchedulerState, tookMs: number): SchedulerState {
+  const { policy = DEFAULT_POLICY } = state.settings;
+  if (!policy.handsOver) return state;
+  return { ...state, slowPasses: comparePass(state.slowPasses, state.passWork, tookMs) };
+}
+
+/** Returns whether a leader makes an offer, whose row a pass would delay. */
+export function isOffering({ phase, handover }: SchedulerState): boolean {
+  return phase === 'leading' && handover.phase === 'offering';
+}
+
 /** Returns the offer that the next lease row of a leader carries. */
-export function nextOffer({ phase, handover, eventWaitMs }: SchedulerState): {
-  readonly offer?: LeaseOffer;
-} {
-  const isOffering = phase === 'leading' && handover.phase === 'offering';
-  return isOffering ? { offer: { waitMs: Math.round(eventWaitMs) } } : {};
+export function nextOffer(state: SchedulerState): { readonly offer?: LeaseOffer } {
+  return isOffering(state) ? { offer: { waitMs: Math.round(state.eventWaitMs) } } : {};
 }
 
 /** Returns whether the stored row offers the lease, so that a claim should find it unchanged. */
 export function isOfferOpen({ phase, handover }: SchedulerState): boolean {
-  return phase === 'leading' && handover.phase === 'offering' && handover.storedAtMs !== undefined;
+  return (
+    phase === 'leading' && handover.phase === 'offering' && handover.storedSentAtMs !== undefined
+  );
 }
 
-/** Notes that a row with an offer was stored. */
-export function noteStoredOffer(state: SchedulerState, nowMs: number): SchedulerState {
+/** Notes that a row with an offer was stored, and when it was sent. */
+export function noteStoredOffer(state: SchedulerState, sentAtMs: number): SchedulerState {
   const { handover } = state;
   if (handover.phase !== 'offering') return state;
-  return { ...state, handover: { ...handover, storedAtMs: nowMs } };
+  return { ...state, handover: { ...handover, storedSentAtMs: sentAtMs } };
 }
 
 /** Ends an offer that nobody has taken. The next row of the leader renews its lease as usual. */
 export function endOffer(state: SchedulerState, nowMs: number): SchedulerStep {
-  const { storedAtMs = Infinity } = state.handover;
-  if (!isOfferOpen(state) || nowMs - storedAtMs < OFFER_MS) return unchanged(state);
+  const { storedSentAtMs = Infinity } = state.handover;
+  if (!isOfferOpen(state) || nowMs - storedSentAtMs < OFFER_MS) return unchanged(state);
   const handover = advanceHandover(state.handover, 'decline', nowMs);
-  return logHandover({ ...state, handover, claimPausedUntilMs: 0, renewAtMs: nowMs }, 'declined');
+  return logHandover({ ...state, handover, renewAtMs: nowMs }, 'declined');
 }
 
 /** Returns whether this entry has clearly more room than a leader that offers its lease. */
 export function takesOffer(
-  { settings, eventWaitMs }: SchedulerState,
+  { settings, eventWaitMs, lastOffer }: SchedulerState,
   { value }: SeenLease,
+  nowMs: number,
 ): boolean {
   const { policy = DEFAULT_POLICY } = settings;
   if (!policy.handsOver || value?.offer === undefined) return false;
-  return eventWaitMs <= value.offer.waitMs * BETTER_SHARE;
+  const { waitMs } = value.offer;
+  const isRemembered = lastOffer !== undefined && nowMs - lastOffer.atMs < REMEMBERED_MS;
+  const isWorse =
+    !isRemembered || waitMs >= worseWaitMs(settings.times.agentLeaseMs, lastOffer.waitMs);
+  const shortMs = settings.times.agentLeaseMs * SLOWED_WAIT_SHARE;
+  return isWorse && eventWaitMs <= Math.max(shortMs, waitMs * BETTER_SHARE);
+}
+
+/** Returns how long an entry leaves a free lease to others, beside the delay by its capacity. */
+export function ownDelayMs({ eventWaitMs, lastOffer }: SchedulerState, nowMs: number): number {
+  const yields = lastOffer !== undefined && nowMs - lastOffer.atMs < YIELD_MS;
+  const waitMs = eventWaitMs < BUSY_WAIT_MS ? 0 : eventWaitMs;
+  return Math.min(MAX_OWN_DELAY_MS, waitMs) + (yields ? YIELD_DELAY_MS : 0);
 }
 
 /** Returns the factor by which a leader should slow its passes down, so that waiting events come first. */
-export function passSlowdown({ eventWaitMs }: SchedulerState): number {
+export function passSlowdown({ eventWaitMs, slowPasses }: SchedulerState): number {
+  if (isSlowed(slowPasses)) return MAX_SLOWDOWN;
   return Math.min(MAX_SLOWDOWN, Math.max(1, eventWaitMs / BUSY_WAIT_MS));
 }
 
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -6,7 +6,7 @@
 import { logAbsences } from './jobs/absences';
 import { logBlockedWorkers } from './fleet/blocked';
 import { passIntervalMs } from './leadership/budget';
-import { onClaimResult, onPoll, pollLease, retryClaim } from './leadership/claim';
+import { onClaimResult, onPoll, pollLease, pollOffer, retryClaim } from './leadership/claim';
 import { onClockGap } from './leadership/clockgap';
 import { flush, onCommitResult, releaseLease, retryTransaction } from './leadership/flush';
 import {
@@ -17,7 +17,14 @@
   recordGoneWorker,
 } from './fleet/gone';
 import { askHolder, onHolderAnswer } from './leadership/endedholder';
-import { endOffer, isBusy, isOfferOpen, onLoadMeasured, passSlowdown } from './leadership/handover';
+import {
+  endOffer,
+  isBusy,
+  isOffering,
+  notePass,
+  onLoadMeasured,
+  passSlowdown,
+} from './leadership/handover';
 import { clearIsolation, noteIsolation, stepDownIfIsolated } from './leadership/isolation';
 import { HELD_CALL, onHeldRows, readHeldJobs } from './jobs/held';
 import { onJobRows, onLoaded } from './jobs/jobs';
@@ -92,7 +99,7 @@
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { phase, inFlight, needsPlacement, lastPassAtMs, passPausedUntilMs, workers } = state;
   const isPaused = nowMs < passPausedUntilMs || nowMs - lastPassAtMs < passIntervalMs(workers.size);
-  const isDue = needsPlacement && !isPaused && !isOfferOpen(state);
+  const isDue = needsPlacement && !isPaused && !isOffering(state);
   const isReady = phase === 'leading' && inFlight === undefined && isDue;
   const placed = isReady ? placeTasks(state, nowMs, wallMs) : unchanged(state);
   return chainAfter(placed, [
@@ -256,7 +263,7 @@
     case 'passTook': {
       const tookMs = Math.min(MAX_PASS_PAUSE_MS, event.durationMs);
       return unchanged({
-        ...state,
+        ...notePass(state, tookMs),
         passPausedUntilMs: nowMs + Math.min(MAX_PASS_PAUSE_MS, tookMs * passSlowdown(state)),
         passPace: recordPass(state.passPace, state.passWork, tookMs),
       });
@@ -274,7 +281,9 @@
         logEffect('domainsOut', { domains: [...event.domains].join(',') }),
       ]);
     case 'leaderRow':
-      return onLeaderRow(state, event.row);
+      return chainAfter(onLeaderRow(state, event.row), [
+        (current) => pollOffer(current, event.row, nowMs),
+      ]);
     case 'holderAnswered':
       return onHolderAnswer(state, event.version, event.answer, nowMs);
     case 'jobRows':
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -11,8 +11,9 @@
 import chartFile from '../charts/leadership.json';
 import type { AdmissionView } from './admission/view';
 import type { InstanceIndex } from './fleet/identities';
-import type { Handover } from './leadership/handoverstate';
+import type { Handover, LastOffer } from './leadership/handoverstate';
 import type { HolderAnswer, HolderProbe, HolderSign } from './leadership/holderanswer';
+import type { SlowPasses } from './leadership/slowpasses';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { Recovery } from './leadership/recoverychart';
@@ -214,6 +215,9 @@
   /** Longest wait of events lately, from their arrival until they were handled; 0 without the policy. */
   readonly eventWaitMs: number;
   readonly handover: Handover;
+  readonly slowPasses: SlowPasses;
+  /** Absent before the first offer. Outlasts the lead. */
+  readonly lastOffer?: LastOffer;
   readonly earlierLeases: EarlierLeases;
   /** Workers whose last report has not been answered with a grant. */
   readonly dueGrants: ImmutableSet<string>;
--- a/packages/scheduler/test/handover.test.ts
+++ b/packages/scheduler/test/handover.test.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai';
-import { DEFAULT_POLICY, LEASE_KEY } from '@bronzeyoke/scheduler';
+import { DEFAULT_POLICY, LEADER_KEY, LEASE_KEY } from '@bronzeyoke/scheduler';
 import type { Fixture } from './fixture';
 import {
   advance,
+  commit,
   commitAll,
   commitsOf,
   createFollower,
@@ -16,14 +17,22 @@
   poll,
   report,
   sentMessages,
+  TIMES,
 } from './fixture';
+import type { SlowPlay } from './simslow';
 import { playSlow, quantile } from './simslow';
 
 const WINDOW_MS = 100;
 const REST_MS = 5_000;
-const OFFER_MS = 1_200;
+const OFFER_MS = 1_000;
+const LEASE_MS = 5_000;
 const OTHER = { entryId: 'entry-2', host: 'h2', port: 1, term: 2 };
 
+/** Stated target for the times from handing in a job to its first start. */
+const TARGET = { halfMs: 50, mostMs: 500 };
+
+const SLOW_LEADER: SlowPlay = { handsOver: true, slow: (leader) => [leader] };
+
 function withPolicy(fixture: Fixture, handsOver = true): Fixture {
   const { state } = fixture;
   const settings = { ...state.settings, policy: { ...DEFAULT_POLICY, handsOver } };
@@ -49,6 +58,11 @@
   return advance(dispatch(advance(lagging, WINDOW_MS), { kind: 'loadMeasured', waitMs: 300 }), 1);
 }
 
+/** Returns an entry whose offer was taken by another one. */
+function deposed(): Fixture {
+  return dispatch(commitAll(sendingOffer()), { kind: 'leaderRow', row: leaderRow(OTHER, 50) });
+}
+
 /** Returns a follower that has polled an offer twice. */
 function polled(ownWaitMs: number, offeredWaitMs: number): Fixture {
   const measured = dispatch(withPolicy(createFollower()), {
@@ -79,6 +93,44 @@
   expect(steps).to.deep.equal([[], []]);
 });
 
+/** Returns a leader that may offer its lease, after usual passes and some that took 4 times as long. */
+function passed(slowPasses: number): Fixture {
+  const start = rested();
+  const known = { ...start, state: { ...start.state, passWork: 2_000 } };
+  const took = [...Array<number>(30).fill(20), ...Array<number>(slowPasses).fill(80)];
+  return took.reduce<Fixture>(
+    (current, durationMs) => dispatch(current, { kind: 'passTook', durationMs }),
+    known,
+  );
+}
+
+// Guards against a second of long waits until a leader whose machine has become slow makes an offer.
+it('handover: a leader whose passes have become slow offers its lease after two short windows', () => {
+  const { state } = lag(passed(2), 60, 2);
+  expect(state.handover.phase).to.equal('offering');
+});
+
+// Guards against a pass of a quarter of a second between the decision to offer the lease and the offer.
+it('handover: a leader makes no pass before its offer is sent', () => {
+  const renewing = advance(lag(rested(), 300, 4), TIMES.renewMs + 1);
+  const decided = dispatch(renewing, { kind: 'loadMeasured', waitMs: 300 });
+  expect(decided.state.inFlight?.lease).to.be.an('object').and.not.to.have.property('offer');
+  const { state } = commit({ ...decided, state: { ...decided.state, needsPlacement: true } });
+  expect(state.inFlight?.lease).to.have.property('offer');
+  expect(state.passCount).to.equal(decided.state.passCount);
+});
+
+// Guards against a change of the leader for a pause of the process, which makes one pass seem slow.
+it('handover: a leader keeps its lease after a single slow pass', () => {
+  const steps = loggedFields(lag(lag(passed(1), 150, 4), 10, 20), 'leaderHandover');
+  expect(steps).to.have.length(0);
+});
+
+// Guards against a leader that passes its lease on although its work gets done in time.
+it('handover: a leader with slow passes and without waits keeps its lease', () => {
+  expect(loggedFields(lag(passed(10), 40, 20), 'leaderHandover')).to.have.length(0);
+});
+
 // Guards against a change of what a deployment does that has not switched the policy on.
 it('handover: a leader without the policy makes no offer', () => {
   expect(loggedFields(lag(rested(false), 3_000, 50), 'leaderHandover')).to.have.length(0);
@@ -130,7 +182,71 @@
   });
   expect(after.state.phase).to.equal('following');
   expect(after.state.leader).to.deep.equal(OTHER);
-  expect(after.state.claimPausedUntilMs).to.be.greaterThan(after.nowMs);
+  const freed = leaseRow({ ...lease, number: 2, isReleased: true }, 51);
+  expect(poll(poll(after, freed), freed).state.phase).to.equal('following');
+});
+
+// Guards against grants that end, and a takeover by any entry, while an offer stands whose reply was late.
+it('handover: an offer counts from the sending of its row', () => {
+  const late = commitAll(advance(sendingOffer(), OFFER_MS - 100));
+  const { state } = advance(late, 101);
+  expect(state.inFlight?.lease).to.include({ isReleased: false }).and.not.to.have.property('offer');
+});
+
+// Guards against a fleet that has no leader for longer than its leases, when the successor ends and
+// no other entry is left.
+it('handover: an entry that gave its lease away takes over from a silent successor', () => {
+  const lease = leaseRow({ entryId: 'entry-2', number: 7, isReleased: false }, 51);
+  const polls = Array.from({ length: LEASE_MS / 400 });
+  const { state } = polls.reduce<Fixture>((current) => poll(current, lease), deposed());
+  expect(state.phase).to.equal('claiming');
+});
+
+// Guards against followers that learn of an offer by their next poll only, while the leader lags.
+it('handover: a follower claims at once when the row of the leader has an offer', () => {
+  const follower = advance(withPolicy(createFollower()), 100);
+  const offer = { waitMs: 400 };
+  const told = dispatch(follower, {
+    kind: 'leaderRow',
+    row: { ...leaderRow(OTHER, 50), value: { ...OTHER, offer } },
+  });
+  const row = leaseRow({ entryId: 'entry-2', number: 3, isReleased: false, offer }, 50);
+  const result = { kind: 'rows', rows: [row], version: 50 } as const;
+  const { state } = dispatch(told, { kind: 'rangeDone', callId: 'poll', result, wallMs: 0 });
+  expect(state.claim?.transaction.conditions.map(({ version }) => version)).to.deep.equal([50, 50]);
+});
+
+// Guards against a leader that refutes itself: its own offer changes the version of its row.
+it('handover: a leader goes on with the version of the row that had its offer', () => {
+  const offered = commitAll(sendingOffer());
+  expect(lastWritten(offered, LEADER_KEY)).to.deep.include({ term: 1, offer: { waitMs: 300 } });
+  const { transaction } = inFlight(advance(offered, OFFER_MS));
+  expect(transaction.conditions.map(({ version }) => version)).to.deep.equal([
+    offered.version,
+    offered.version,
+  ]);
+});
+
+// Guards against slow entries that pass the lease to and fro, each idle and so without waits in its turn.
+it('handover: an entry takes the lease back only from one that is clearly worse off', () => {
+  const phases = [400, 800].map((waitMs) => {
+    const idle = lag(deposed(), 10, 100 + 1);
+    const row = leaseRow(
+      { entryId: 'entry-2', number: 7, isReleased: false, offer: { waitMs } },
+      51,
+    );
+    return poll(poll(idle, row), row).state.phase;
+  });
+  expect(phases).to.deep.equal(['following', 'claiming']);
+});
+
+// Guards against a fleet without a leader while the entries that are left are slow themselves.
+it('handover: the own waits of an entry delay its claim by a second at most', () => {
+  const slow = dispatch(withPolicy(createFollower()), { kind: 'loadMeasured', waitMs: 30_000 });
+  const row = leaseRow({ entryId: 'entry-2', number: 3, isReleased: true }, 10);
+  const polls = Array.from({ length: 4 });
+  const { state } = polls.reduce<Fixture>((current) => poll(current, row), slow);
+  expect(state.phase).to.equal('claiming');
 });
 
 // Guards against an offer that no follower takes.
@@ -159,16 +275,29 @@
 
 // Guards against jobs that find no place while the machine of the leader is slow under a burst: without
 // the policy two thirds of these jobs do not begin. No lease lapses in this play either way.
-it('handover: jobs begin soon after the leader becomes slow under a burst', () => {
-  const { startsMs, lapses, claimed, broken } = playSlow(1, {
-    handsOver: true,
-    slow: (leader) => [leader],
-  });
+it('handover: another entry leads when the machine of the leader becomes slow under a burst', () => {
+  const { startsMs, lapses, claimed, broken } = playSlow(1, SLOW_LEADER);
   expect(broken).to.deep.equal([]);
   expect(lapses).to.equal(0);
   expect(claimed).to.have.length(1);
-  expect(quantile(startsMs, 0.5)).to.be.at.most(70);
-  expect(quantile(startsMs, 0.95)).to.be.at.most(1_500);
+  expect(startsMs.at(-1)).to.be.lessThan(Infinity);
+}).timeout(120_000);
+
+// Guards against starts that a change of the leader delays beyond the target: no lapse, and 95 of 100 within
+// 500 ms.
+it('handover: 95 of 100 jobs begin in time while the machine of the leader becomes slow', () => {
+  // Seeds 5 and 6 have missed the target longest.
+  [1, 5, 6].forEach((seed) => {
+    const { startsMs, lapses } = playSlow(seed, SLOW_LEADER);
+    expect(lapses).to.equal(0);
+    expect(quantile(startsMs, 0.95)).to.be.at.most(TARGET.mostMs);
+  });
+}).timeout(120_000);
+
+// Guards against starts that a change of the leader delays beyond the target: half within 50 ms.
+it('handover: half of the jobs begin in time while the machine of the leader becomes slow', () => {
+  const { startsMs } = playSlow(1, SLOW_LEADER);
+  expect(quantile(startsMs, 0.5)).to.be.at.most(TARGET.halfMs);
 }).timeout(120_000);
 
 // Guards against changes of the leader one after the other when no entry is better.
