Bound the transactions of refusals, and let entries learn the store's version

A flood of submissions to a closed queue took one transaction each while they came one by one (1,000 for 1,000 submissions in a second), of the 200 that the partition takes, and up to all 500 places among an entry's submissions, so that other queues were refused as overloaded. The entries now share 25 such transactions a second, with 4 at least for each, and 25 refusals at most wait for one; further ones are answered without a row.

An entry that has not used the store since a refusal refused the repeat once more, since it could not tell the order of the two. It learns the version of the store by an event now.

--- a/packages/intake/src/decline.ts
+++ b/packages/intake/src/decline.ts
@@ -1,6 +1,6 @@
 import type { RowCommitResult } from '@bronzeyoke/ports';
 import { withdrawalKey } from '@bronzeyoke/scheduler';
-import { assertNever } from '@bronzeyoke/types';
+import { assertNever, takeToken } from '@bronzeyoke/types';
 import type { ConflictFinding } from './submit';
 import {
   advanceSubmissions,
@@ -14,6 +14,16 @@
 
 const MAX_FENCES_IN_FLIGHT = 2;
 
+/**
+ * Transactions a second by which all entries together refuse ids while many are refused: an eighth of
+ * what the store's partition takes, which the leader needs most while room is scarce.
+ */
+const FENCES_PER_SECOND = 25;
+
+/** Least rate of one entry. Its refusals wait for 250 ms at most, less than their timeout. */
+const MIN_FENCES_PER_SECOND = 4;
+const FENCE_BURST = 4;
+
 /** Value of the row that refuses an id for want of room. A withdrawal by its caller has no reason. */
 const FENCE = { reason: 'noRoom' } as const;
 
@@ -27,6 +37,11 @@
     .filter(({ phase, retryAtMs }) => phase === 'declining' && retryAtMs <= nowMs)
     .take(MAX_JOBS_PER_TRANSACTION);
   if (due.isEmpty()) return { state, effects: [] };
+  const entryCount = state.heard?.notice.entryCount ?? 1;
+  const ratePerSecond = Math.max(MIN_FENCES_PER_SECOND, FENCES_PER_SECOND / entryCount);
+  const limit = { ratePerSecond, burst: FENCE_BURST };
+  const { bucket: fenceBucket, retryAfterMs } = takeToken(state.fenceBucket, limit, nowMs);
+  if (retryAfterMs !== undefined) return { state: { ...state, fenceBucket }, effects: [] };
   const jobIds = [...due.keys()];
   const callId = `refuse-${state.callCount}`;
   const transaction = {
@@ -39,6 +54,7 @@
   return {
     state: {
       ...sent,
+      fenceBucket,
       callCount: state.callCount + 1,
       fencesInFlight: sent.fencesInFlight.set(callId, jobIds),
     },
--- a/packages/intake/src/step.ts
+++ b/packages/intake/src/step.ts
@@ -46,6 +46,8 @@
       }
       return { state: { ...state, heard: hearNotice(notice, nowMs) }, effects: [] };
     }
+    case 'storeVersion':
+      return { state, effects: [] };
     case 'tick':
       return retryQueries(state, nowMs);
     default:
@@ -65,6 +67,8 @@
       return event.result.kind === 'rows' ? event.result.version : 0;
     case 'admission':
       return event.row.version;
+    case 'storeVersion':
+      return event.version;
     case 'submit':
     case 'cancel':
     case 'status':
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -33,6 +33,13 @@
 /** Submissions beyond this number are refused at once. */
 const MAX_SUBMISSIONS = 500;
 
+/**
+ * Refusals for want of room that wait for their rows: as many as one transaction holds, so that none expires
+ * at the least rate of transactions. Further ones are answered without a row, so a flood to one closed queue
+ * leaves the others their place among the submissions.
+ */
+const MAX_REFUSALS = MAX_JOBS_PER_TRANSACTION;
+
 /** Longest time for which a submission is retried before the caller is asked to retry later. */
 const SUBMIT_TIMEOUT_MS = 400;
 
@@ -308,6 +315,26 @@
   return isNamed ? { ...job, acceptedBy } : job;
 }
 
+function isRefused({ phase }: PendingSubmission): boolean {
+  return phase === 'declining' || phase === 'fencing';
+}
+
+/** Refuses a submission without a write. */
+function refuseAtOnce(
+  state: IntakeState,
+  { callId, job, silentMs }: Extract<IntakeEvent, { kind: 'submit' }>,
+  reason: 'storeSilent' | 'overloaded',
+  retryAfterMs: number,
+): IntakeStep {
+  return {
+    state,
+    effects: [
+      { kind: 'reply', callId, reply: { kind: 'notAccepted', retryAfterMs } },
+      logEffect('jobRefused', { job: job.jobId, reason, silentMs: Math.round(silentMs) }),
+    ],
+  };
+}
+
 /** Adds a submission. A repeat of a job that is being submitted waits for the same outcome. */
 export function submit(
   state: IntakeState,
@@ -325,18 +352,8 @@
   }
   const isStoreSilent = silentMs > MAX_STORE_SILENCE_MS;
   if (isStoreSilent || state.submissions.size >= MAX_SUBMISSIONS) {
-    const reply = { kind: 'notAccepted', retryAfterMs: CALLER_RETRY_AFTER_MS } as const;
-    return {
-      state,
-      effects: [
-        { kind: 'reply', callId, reply },
-        logEffect('jobRefused', {
-          job: job.jobId,
-          reason: isStoreSilent ? 'storeSilent' : 'overloaded',
-          silentMs: Math.round(silentMs),
-        }),
-      ],
-    };
+    const reason = isStoreSilent ? 'storeSilent' : 'overloaded';
+    return refuseAtOnce(state, event, reason, CALLER_RETRY_AFTER_MS);
   }
   const retryMs = Math.max(0, Math.min(SUBMIT_TIMEOUT_MS, timeoutMs - REPLY_MARGIN_MS));
   const ask = jobAsk(job);
@@ -364,6 +381,9 @@
     }
     case 'refuse': {
       const { retryAfterMs } = judgement;
+      if (state.submissions.count(isRefused) >= MAX_REFUSALS) {
+        return refuseAtOnce(state, event, 'overloaded', retryAfterMs);
+      }
       return advanceSubmission(
         added({ retryAfterMs }),
         job.jobId,
--- a/packages/intake/src/types.ts
+++ b/packages/intake/src/types.ts
@@ -75,6 +75,8 @@
   readonly inFlight: Map<string, readonly string[]>;
   /** The same for transactions that refuse ids for want of room. */
   readonly fencesInFlight: Map<string, readonly string[]>;
+  /** Limits the transactions that refuse ids. */
+  readonly fenceBucket?: Bucket;
   /** Newest version of the store that this entry knows of. */
   readonly seenVersion: number;
   /** Verdicts of the leader; absent before the first. */
@@ -124,6 +126,8 @@
   | RowStoreEvent
   /** The leader has written its verdicts on the queues. */
   | { readonly kind: 'admission'; readonly row: StoredRow }
+  /** The store has reached a version. */
+  | { readonly kind: 'storeVersion'; readonly version: number }
   | { readonly kind: 'tick' };
 
 /** Effects that the shell of the intake carries out. */
--- a/packages/intake/test/admission.test.ts
+++ b/packages/intake/test/admission.test.ts
@@ -109,6 +109,42 @@
   expect(kinds(submit(early, 0, 'c4')).at(-1)).to.equal('accepted');
 });
 
+// Guards against a repeat that each entry refuses once more, because it has not used the store since.
+it('admission: another entry stores a repeat once it has heard of a later version', () => {
+  const refused = submit(hear(startWorld(), 0, true), 0, 'c1');
+  const { version } = refused.store;
+  const informed = step(refused, 1, { kind: 'storeVersion', version }, 'perform');
+  expect(kinds(submit(informed, 1, 'c2'))).to.deep.equal(['notAccepted', 'accepted']);
+});
+
+// Guards against refusals that take the store's rate from the leader, and against a flood to a closed
+// queue that leaves the other queues no place among the submissions.
+it('admission: a flood of refusals is bounded and keeps no other queue out', () => {
+  const flood = Array.from({ length: 1_000 }).reduce<World>(
+    (world, _, index) => {
+      const job = { ...QUICK, jobId: `f${index}` };
+      const event = {
+        kind: 'submit',
+        callId: job.jobId,
+        job,
+        timeoutMs: 3_000,
+        silentMs: 0,
+      } as const;
+      return step({ ...world, nowMs: index }, 0, event, 'perform');
+    },
+    hear(startWorld(), 0, true),
+  );
+  expect(flood.store.version).to.be.at.most(29);
+  const policy = { ...QUICK.policy, queue: 'other' };
+  const job = { ...QUICK, policy };
+  const event = { kind: 'submit', callId: 'o', job, timeoutMs: 3_000, silentMs: 0 } as const;
+  const other = step(flood, 0, event, 'perform');
+  expect(kinds(other).at(-1)).to.equal('accepted');
+  expect(
+    kinds([50, 50, 50].reduce(later, other)).filter((kind) => kind !== 'notAccepted'),
+  ).to.deep.equal(['accepted']);
+});
+
 // Guards against "refused" while nothing tells whether another attempt was stored.
 it('admission: a refusal without an answer of the store is unknown', () => {
   const lost = submit(hear(startWorld(), 0, true), 0, 'c1', 'loseReply');
