Give the verdicts on queues a table of their own

Agents follow the leader's table too, so each change of a verdict woke the whole fleet. Only entries with limitsAdmission follow the new table, with calls that wait for up to 10 s. The feed of the leader's table tells these entries which version the store has reached, at no further call.

--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -7,8 +7,8 @@
 export type TableUpdate =
   | { readonly kind: 'snapshot'; readonly rows: readonly StoredRow[] }
   | { readonly kind: 'changes'; readonly changes: readonly RowChange[] }
-  /** Result of a call: the store answered, or it was unavailable. */
-  | { readonly kind: 'answered' }
+  /** Result of a call: the store answered with its newest version, or it was unavailable. */
+  | { readonly kind: 'answered'; readonly version: number }
   | { readonly kind: 'unanswered' };
 
 /** Table to follow, with the callbacks for its updates. */
@@ -108,7 +108,7 @@
     const rows = [...position.rows, ...result.rows];
     const version = Math.min(position.version, result.version);
     if (result.nextKey !== undefined) {
-      emit({ kind: 'answered' });
+      emit({ kind: 'answered', version: result.version });
       return { kind: 'reading', lossCount, rows, version, fromKey: result.nextKey, hasFailed };
     }
     emit({ kind: 'snapshot', rows });
@@ -128,7 +128,7 @@
     const result = await store.feed(table, version, waitMs);
     switch (result.kind) {
       case 'changes':
-        emit({ kind: 'answered' });
+        emit({ kind: 'answered', version: result.version });
         if (result.changes.length > 0 && !emit({ kind: 'changes', changes: result.changes })) {
           // The receiver may have missed the rows beside the one that it could not handle.
           return readAgain(lossCount);
--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -15,6 +15,7 @@
 import { advanceStartup, NOT_STARTED } from './startup';
 import { trackStore } from './trackedstore';
 import type { LogEvent, ReportError } from './types';
+import { followVerdicts } from './verdicts';
 
 /** Settings of an entry and the ports that it uses. */
 export interface ControllerOptions {
@@ -49,6 +50,12 @@
 /** Longest wait of one call of a feed. Short, so that a silent connection is detected soon. */
 const FEED_WAIT_MS = 2_000;
 
+/**
+ * The same for the feed of verdicts. Longer, because an entry that misses verdicts accepts all jobs, and each
+ * call is priced while nothing is limited, too.
+ */
+const VERDICT_WAIT_MS = 10_000;
+
 /** Starts the actors of an entry: the scheduler, the intake, the feeds and the links to agents. */
 export async function startController(options: ControllerOptions): Promise<Controller> {
   const { settings, store, log, onError } = options;
@@ -61,12 +68,13 @@
   };
   const tracked = trackStore(store, log, () => noteStartup('storeAnswered'));
   const links = createAgentLinks(system, log);
+  const limitsAdmission = settings.policy?.limitsAdmission === true;
   const intake = startIntake(
     system,
     tracked.store,
     log,
     onError,
-    settings.policy?.limitsAdmission === true ? settings.entryId : undefined,
+    limitsAdmission ? settings.entryId : undefined,
   );
   const scheduler = startScheduler(system, {
     settings,
@@ -87,10 +95,13 @@
   const leaderFeed = followLeader(store, {
     waitMs: FEED_WAIT_MS,
     onRow: (row) => dispatch(scheduler, { kind: 'leaderRow', row }),
-    onVerdicts: intake.hear,
+    ...(limitsAdmission ? { onVersion: intake.noteVersion } : {}),
     onAnswer: tracked.recordResult,
     onError,
   });
+  const verdictFeed = limitsAdmission
+    ? followVerdicts(store, { waitMs: VERDICT_WAIT_MS, onVerdicts: intake.hear, onError })
+    : undefined;
 
   setInterval(() => {
     dispatch(scheduler, { kind: 'tick', wallMs: Date.now() });
@@ -123,6 +134,7 @@
     stop: () => {
       dispatch(scheduler, { kind: 'stop' });
       leaderFeed.stop();
+      verdictFeed?.stop();
       server.close();
     },
   };
--- a/packages/hosts/src/intake.ts
+++ b/packages/hosts/src/intake.ts
@@ -15,6 +15,8 @@
   readonly tick: () => void;
   /** Passes on the row of the leader's verdicts. */
   readonly hear: (row: StoredRow) => void;
+  /** Passes on a version that the store has reached. */
+  readonly noteVersion: (version: number) => void;
 }
 
 /** Starts the actor that takes in jobs and answers questions about them. */
@@ -65,5 +67,6 @@
     },
     tick: () => dispatch(core, { kind: 'tick' }),
     hear: (row) => dispatch(core, { kind: 'admission', row }),
+    noteVersion: (version) => dispatch(core, { kind: 'storeVersion', version }),
   };
 }
--- a/packages/hosts/src/leader.ts
+++ b/packages/hosts/src/leader.ts
@@ -1,15 +1,15 @@
 import type { Follower } from '@bronzeyoke/follow';
 import { followTable } from '@bronzeyoke/follow';
 import type { RowStorePort, StoredRow } from '@bronzeyoke/ports';
-import { ADMISSION_KEY, LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
+import { LEADER_KEY, PARTITION, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 
 /** Callbacks and wait time of a follower of the leader's row. */
 export interface LeaderFeedOptions {
   readonly waitMs: number;
   readonly onRow: (row: StoredRow | undefined) => void;
-  /** Called with each change of the row of verdicts. One that a full read finds may be old. */
-  readonly onVerdicts?: (row: StoredRow) => void;
+  /** Called with the newest version of the store after each wait for changes. */
+  readonly onVersion?: (version: number) => void;
   /** Called after each access with whether the store answered. */
   readonly onAnswer?: (isAnswered: boolean) => void;
   readonly onError: (error: unknown) => void;
@@ -17,7 +17,7 @@
 
 /** Follows the row that names the leader. */
 export function followLeader(store: RowStorePort, options: LeaderFeedOptions): Follower {
-  const { waitMs, onRow, onVerdicts, onAnswer = () => undefined, onError } = options;
+  const { waitMs, onRow, onVersion, onAnswer = () => undefined, onError } = options;
   return followTable(store, {
     table: TABLES.leader,
     partition: PARTITION,
@@ -31,14 +31,15 @@
           return;
         case 'changes':
           update.changes.forEach((change) => {
-            if (change.kind !== 'put') return;
-            if (change.key === LEADER_KEY.key) onRow(change);
-            if (change.key === ADMISSION_KEY.key) onVerdicts?.(change);
+            if (change.kind === 'put' && change.key === LEADER_KEY.key) onRow(change);
           });
           return;
         case 'answered':
+          onAnswer(true);
+          onVersion?.(update.version);
+          return;
         case 'unanswered':
-          onAnswer(update.kind === 'answered');
+          onAnswer(false);
           return;
         default:
           assertNever(update);
--- a/packages/scheduler/src/leadership/rows.ts
+++ b/packages/scheduler/src/leadership/rows.ts
@@ -20,6 +20,8 @@
   /** Progress and outcome of jobs. */
   progress: 'progress',
   leader: 'leader',
+  /** Verdicts on queues. Agents follow the leader's table, so these lie in one of their own. */
+  verdicts: 'verdicts',
   /** Lease of the leader; every transaction of the leader writes it. */
   lease: 'lease',
   /** Counts of queued jobs, and learned estimates for pairs of images. */
@@ -42,9 +44,9 @@
 
 /** Keys of single rows. */
 export const LEADER_KEY: RowKey = { table: TABLES.leader, partition: PARTITION, key: 'leader' };
-/** Row of the verdicts on queues, in the table that every entry follows. */
+/** Row of the verdicts on queues. */
 export const ADMISSION_KEY: RowKey = {
-  table: TABLES.leader,
+  table: TABLES.verdicts,
   partition: PARTITION,
   key: 'admission',
 };
--- a/packages/scheduler/test/simstore.ts
+++ b/packages/scheduler/test/simstore.ts
@@ -274,7 +274,7 @@
       feed(caller, table, version, waitMs, (result) => {
         switch (result.kind) {
           case 'changes':
-            emit({ kind: 'answered' });
+            emit({ kind: 'answered', version: result.version });
             if (result.changes.length > 0) emit({ kind: 'changes', changes: result.changes });
             run(Math.max(version, result.version));
             return;
