Judge lasting jobs by the room of the whole fleet during an evacuation

The queue of lasting jobs closed 4 s after an evacuation whenever they had reserved more than the other domains hold. Such a job needs only wait until the domain is back, while a refused one is lost.

--- a/packages/scheduler/src/admission/outlook.ts
+++ b/packages/scheduler/src/admission/outlook.ts
@@ -5,7 +5,7 @@
 import type { SchedulerState } from '../types';
 import type { OpenDemand } from './demand';
 import { openDemands, poolKey } from './demand';
-import { largestRoom, noteRooms } from './rooms';
+import { largestLastingRoom, noteRooms, usableRoom } from './rooms';
 import type { AdmissionView, KnownWork } from './view';
 
 /** Time over which arrivals are averaged. */
@@ -137,9 +137,8 @@
   );
   const done = doneWork(admission, state, work);
   const rooms = noteRooms(admission.rooms, state, nowMs);
-  const roomOf = (service: string) => largestRoom(rooms.get(service, []));
   const roomCoresOf = (service: string) =>
-    (roomOf(service)?.room.processorsMilli ?? 0) / MILLI_PER_CORE;
+    usableRoom(rooms.get(service, []), nowMs).processorsMilli / MILLI_PER_CORE;
   const pools = poolsOf(demands);
   const rates = Map(
     pools.map(({ jobKind, service, demands: members }) => {
@@ -174,12 +173,10 @@
     const roomCores = roomCoresOf(service);
     switch (jobKind) {
       case 'lasting': {
-        const known = roomOf(service);
         return {
           kind: jobKind,
           service,
-          room: known?.room ?? NO_RESOURCES,
-          ...(known?.roomAfterLoss === undefined ? {} : { roomAfterLoss: known.roomAfterLoss }),
+          ...largestLastingRoom(rooms.get(service, [])),
           queues: byQueue(pool.demands).map(({ queue, members, priority }) => ({
             queue,
             priority,
--- a/packages/scheduler/src/admission/view.ts
+++ b/packages/scheduler/src/admission/view.ts
@@ -3,14 +3,22 @@
 import { isSameNotice, NO_ADMISSION } from '@bronzeyoke/jobadmission';
 import type { Resources } from '@bronzeyoke/types';
 
-/** Room of the workers of a service that can be used, at one look. */
-export interface ServiceRoom {
-  readonly atMs: number;
+/** Room of a service for lasting tasks. */
+export interface LastingRoom {
   readonly room: Resources;
   /** Without the failure domain that holds most; absent with a single domain. */
   readonly roomAfterLoss?: Resources;
 }
 
+/** Room of the workers of a service at one look. */
+export interface ServiceRoom {
+  readonly atMs: number;
+  /** Without the failure domains that are out. */
+  readonly usable: Resources;
+  /** With them, as they come back. */
+  readonly lasting: LastingRoom;
+}
+
 /** What a leader has seen of a job that ends by itself. */
 export interface KnownWork {
   readonly poolKey: string;
