Remove the rows of refused ids beyond the first page, too

The leader read one page of withdrawn ids and never the next one, so more than 500 rows at a time aged only as the first ones went, 500 a minute, while refusals may write several hundred a second.

--- a/packages/scheduler/src/jobs/withdrawals.ts
+++ b/packages/scheduler/src/jobs/withdrawals.ts
@@ -25,12 +25,13 @@
 
 /** Reads the withdrawals from time to time. */
 export function readWithdrawals(state: SchedulerState, nowMs: number): SchedulerStep {
-  const { seen, sentAtMs, callId, isBehind = false } = state.withdrawals;
+  const { seen, sentAtMs, callId, isBehind = false, fromKey } = state.withdrawals;
+  const start = fromKey === undefined ? {} : { fromKey };
   const restMs = isBehind ? 0 : READ_INTERVAL_MS;
   const intervalMs = callId === undefined ? restMs : CALL_TIMEOUT_MS;
   if (state.phase !== 'leading' || nowMs - sentAtMs < intervalMs) return unchanged(state);
-  const range = { table: TABLES.withdrawals, partition: PARTITION };
-  const withdrawals = { seen, callId: WITHDRAWAL_CALLS.read, sentAtMs: nowMs };
+  const range = { table: TABLES.withdrawals, partition: PARTITION, ...start };
+  const withdrawals = { seen, ...start, callId: WITHDRAWAL_CALLS.read, sentAtMs: nowMs };
   return withEffects({ ...state, withdrawals }, [
     { kind: 'range', callId: WITHDRAWAL_CALLS.read, range },
   ]);
@@ -56,23 +57,36 @@
   result: RowRangeResult,
   nowMs: number,
 ): SchedulerStep {
-  const { sentAtMs, callId, seen: known } = state.withdrawals;
+  const { sentAtMs, callId, seen: known, fromKey } = state.withdrawals;
+  const start = fromKey === undefined ? {} : { fromKey };
   if (state.phase !== 'leading' || callId !== WITHDRAWAL_CALLS.read) return unchanged(state);
   if (result.kind === 'unavailable') {
-    return unchanged({ ...state, withdrawals: { sentAtMs, seen: known } });
+    return unchanged({ ...state, withdrawals: { sentAtMs, seen: known, ...start } });
   }
-  const seen = seenRows(known, result.rows, nowMs);
-  const old = seen.filter(({ seenAtMs }) => nowMs - seenAtMs >= WITHDRAWAL_KEEP_MS);
+  const { nextKey } = result;
+  const page = seenRows(known, result.rows, nowMs);
+  const others = known.filter(
+    (_, key) => key < (fromKey ?? '') || (nextKey !== undefined && key >= nextKey),
+  );
+  const seen = others.merge(page);
+  const old = page.filter(({ seenAtMs }) => nowMs - seenAtMs >= WITHDRAWAL_KEEP_MS);
   const expired = old.entrySeq().take(MAX_REMOVED_ROWS).toArray();
-  if (expired.length === 0) return unchanged({ ...state, withdrawals: { sentAtMs, seen } });
+  const isRest = old.size > expired.length;
+  const nextStart = isRest ? fromKey : nextKey;
+  const next = {
+    sentAtMs,
+    seen,
+    ...(isRest || nextKey !== undefined ? { isBehind: true } : {}),
+    ...(nextStart === undefined ? {} : { fromKey: nextStart }),
+  };
+  if (expired.length === 0) return unchanged({ ...state, withdrawals: next });
   const rowOf = (key: string) => ({ table: TABLES.withdrawals, partition: PARTITION, key });
   const transaction = {
     // A removal that the store performs late leaves a row alone that was written again.
     conditions: expired.map(([key, { version }]) => ({ ...rowOf(key), version })),
     writes: expired.map(([key]) => ({ kind: 'delete', ...rowOf(key) }) as const),
   };
-  const isBehind = old.size > expired.length;
-  const withdrawals = { sentAtMs, seen, callId: WITHDRAWAL_CALLS.remove, isBehind };
+  const withdrawals = { ...next, callId: WITHDRAWAL_CALLS.remove };
   return withEffects({ ...state, withdrawals }, [
     { kind: 'commit', callId: WITHDRAWAL_CALLS.remove, transaction },
   ]);
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -159,8 +159,10 @@
   readonly sentAtMs: number;
   /** Call without a result. */
   readonly callId?: string;
-  /** More rows are old enough than a transaction removes. */
+  /** More rows are old enough than a transaction removes, or pages are left to read. */
   readonly isBehind?: boolean;
+  /** First key of the next page; absent at the beginning of the table. */
+  readonly fromKey?: string;
 }
 
 /** Held jobs, and the leader's reads of their progress. */
--- a/packages/scheduler/test/withdrawals.test.ts
+++ b/packages/scheduler/test/withdrawals.test.ts
@@ -71,3 +71,27 @@
   );
   expect(reads).to.have.length.greaterThan(0);
 });
+
+// Guards against a flood of refusals after which only the rows of the first page are ever removed.
+it('withdrawals: rows beyond the first page age and are removed as well', () => {
+  const pages = { '': ['a'], m: ['n'] } as const;
+  const readNext = (fixture: Fixture, forMs: number): Fixture => {
+    const ticked = advance(fixture, forMs);
+    const { fromKey } = ticked.state.withdrawals;
+    const isFirst = fromKey === undefined;
+    const rows = pages[isFirst ? '' : 'm'].map((jobId) => rowOf(jobId));
+    const rest = isFirst ? { nextKey: 'm' } : {};
+    const result = { kind: 'rows', rows, version: 30, ...rest } as const;
+    const wallMs = WALL_MS + ticked.nowMs;
+    const done = dispatch(ticked, { kind: 'rangeDone', callId: READ, result, wallMs });
+    const removed = { kind: 'committed', version: 40 } as const;
+    return dispatch(done, { kind: 'commitDone', callId: REMOVE, result: removed, wallMs });
+  };
+  const old = Array.from({ length: 7 }).reduce<Fixture>(
+    (current) => readNext(readNext(current, 10_000), 50),
+    createLeader(),
+  );
+  const keys = removals(old).flatMap(({ writes }) => writes.map(({ key }) => key));
+  expect(keys).to.deep.equal(['a', 'n']);
+  expect([...old.state.withdrawals.seen.keys()]).to.have.members(['a', 'n']);
+});
