Measure the room of filling jobs by the processors that they use

Filling tasks may request four times what is idle, so nearly all of them have places. The rate of their pool was taken as no less than what they request, and counted only while more of them waited than ran: a queue whose jobs all ran at a small pace was never limited. What a run uses, as its worker lists it, counts now, and what it lacks counts as waiting.

--- a/packages/scheduler/src/admission/demand.ts
+++ b/packages/scheduler/src/admission/demand.ts
@@ -118,6 +118,21 @@
   });
 }
 
+/**
+ * Returns the processors that the filling runs of each job use. Several times what is idle may be requested at
+ * once, so what they request says nothing about the room. A run that is not listed yet counts in full.
+ */
+export function fillUseMilli({ runs }: SchedulerState): Map<string, number> {
+  return Map<string, number>().withMutations((used) => {
+    runs.byTask.forEach(({ jobId, stage, isListed, load }) => {
+      if (!stage.fillsIdle) return;
+      const { processorsMilli } = stage.needs;
+      const useMilli = isListed ? Math.min(load, processorsMilli) : processorsMilli;
+      used.set(jobId, used.get(jobId, 0) + useMilli);
+    });
+  });
+}
+
 /** Returns the key of the jobs of one kind in one service. */
 export function poolKey(jobKind: JobKind, service: string): string {
   return `${jobKind} ${service}`;
--- a/packages/scheduler/src/admission/outlook.ts
+++ b/packages/scheduler/src/admission/outlook.ts
@@ -4,7 +4,7 @@
 import { addResources, assertNever, NO_RESOURCES } from '@bronzeyoke/types';
 import type { SchedulerState } from '../types';
 import type { OpenDemand } from './demand';
-import { openDemands, poolKey } from './demand';
+import { fillUseMilli, openDemands, poolKey } from './demand';
 import { largestLastingRoom, noteRooms, usableRoom } from './rooms';
 import type { AdmissionView, KnownWork } from './view';
 
@@ -90,15 +90,41 @@
   });
 }
 
+/** Processors that the tasks of a pool use, and that they lack. */
+interface PoolUse {
+  readonly usedMilli: number;
+  readonly lackedMilli: number;
+}
+
+function poolUse({ jobKind, demands }: PoolDemands, fillUse: Map<string, number>): PoolUse {
+  const waiting = sum(demands, ({ waitingMilli }) => waitingMilli);
+  const running = sum(demands, ({ runningMilli }) => runningMilli);
+  switch (jobKind) {
+    case 'lasting':
+    case 'reserving':
+      return { usedMilli: running, lackedMilli: waiting };
+    case 'filling': {
+      const usedMilli = Math.min(
+        running,
+        sum(demands, ({ jobId }) => fillUse.get(jobId, 0)),
+      );
+      return { usedMilli, lackedMilli: waiting + running - usedMilli };
+    }
+    default:
+      return assertNever(jobKind);
+  }
+}
+
 function workOutlook(
   kind: WorkKind,
   { service, demands }: PoolDemands,
   view: AdmissionView,
+  { usedMilli }: PoolUse,
   freeCores: number,
   roomCores: number,
   nowMs: number,
 ): PoolOutlook {
-  const runningCores = sum(demands, ({ runningMilli }) => runningMilli) / MILLI_PER_CORE;
+  const runningCores = usedMilli / MILLI_PER_CORE;
   const atLeastCores = Math.max(runningCores, kind === 'reserving' ? freeCores : 0);
   const rate = view.rates.get(poolKey(kind, service), NO_RATE);
   const rateCores = workRateCores(rate, nowMs, roomCores, atLeastCores);
@@ -140,16 +166,17 @@
   const roomCoresOf = (service: string) =>
     usableRoom(rooms.get(service, []), nowMs).processorsMilli / MILLI_PER_CORE;
   const pools = poolsOf(demands);
+  const fillUse = fillUseMilli(state);
   const rates = Map(
-    pools.map(({ jobKind, service, demands: members }) => {
+    pools.map((pool) => {
+      const { jobKind, service } = pool;
       const key = poolKey(jobKind, service);
+      const { usedMilli, lackedMilli } = poolUse(pool, fillUse);
       const rate = recordWork(admission.rates.get(key, NO_RATE), {
         nowMs,
         forMs,
         doneCoreMs: done.get(key, 0),
-        isContended:
-          sum(members, ({ waitingMilli }) => waitingMilli) >
-          sum(members, ({ runningMilli }) => runningMilli),
+        isContended: lackedMilli > usedMilli,
         roomCores: roomCoresOf(service),
       });
       return [key, rate] as const;
@@ -191,7 +218,8 @@
       case 'reserving':
       case 'filling': {
         const freeCores = roomCores - reservedIn(service).processorsMilli / MILLI_PER_CORE;
-        return workOutlook(jobKind, pool, view, freeCores, roomCores, nowMs);
+        const use = poolUse(pool, fillUse);
+        return workOutlook(jobKind, pool, view, use, freeCores, roomCores, nowMs);
       }
       default:
         return assertNever(jobKind);
--- a/packages/scheduler/test/admission.test.ts
+++ b/packages/scheduler/test/admission.test.ts
@@ -9,12 +9,14 @@
   dispatch,
   jobOf,
   lastWritten,
+  listedRun,
   loggedFields,
   report,
   stageOf,
   submit,
   wait,
   WALL_MS,
+  workerKeyFor,
 } from './fixture';
 
 const FILLS = { fillsIdle: true, image: 'render' };
@@ -140,6 +142,36 @@
   expect(noticeOf(pressed)?.entryCount).to.equal(1);
 });
 
+/** Lets time pass while each run is listed with the processors that it uses. */
+function work(fixture: Fixture, forMs: number, usedMilli: number): Fixture {
+  return Array.from({ length: forMs / 250 }).reduce<Fixture>(
+    (current) =>
+      SITES.reduce(
+        (known, site) => {
+          const runs = known.state.runs.byWorker.get(workerKeyFor(site));
+          const running = [...(runs?.values() ?? [])].map(({ jobId, slot, attempt }) =>
+            listedRun(`${jobId}.${slot}`, attempt, { load: usedMilli }),
+          );
+          const fields = { domain: site.slice(0, 1), running, lastOrder: running.length };
+          return commitAll(report(known, site, fields));
+        },
+        wait(current, 250),
+      ),
+    fixture,
+  );
+}
+
+// Guards against large filling jobs that are all taken in, because all have places, and all end late, because
+// each gets a small part of what it requests.
+it('admission: filling jobs that have places and lack processors close their queue', () => {
+  const stage = stageOf(16, { ...FILLS, estimateMs: 60_000 });
+  const job = { ...queued('large', 'many', [stage]), acceptedAtMs: WALL_MS + 1_000 };
+  const placed = submitAll(limitingLeader(SITES), [job]);
+  expect(placed.state.runs.byTask.size).to.equal(16);
+  expect(kindsOf(work(placed, 12_000, 1_000))).to.deep.equal({});
+  expect(kindsOf(work(placed, 12_000, 150))).to.deep.equal({ 'many filling': 'refuse' });
+});
+
 // Guards against a burst that is refused before anything is known of the rate of work.
 it('admission: a burst is accepted for 5 s', () => {
   const pressed = live(submitAll(limitingLeader(SITES), burst('many', 12)), 4_500, SITES);
