Feed the HTTP parser from the native socket, and answer earlier requests before a refusal

Each connection was wrapped in a stream in JavaScript, which cost processor time on every write and took connections out of Node's time-outs and server.close(). Now only the read path is split into pieces. A request that is refused behind others on its connection no longer cuts those that may have run: the refusal waits for their answers.

--- a/packages/httpserver/src/pieces.ts
+++ b/packages/httpserver/src/pieces.ts
@@ -1,5 +1,5 @@
+import { EventEmitter } from 'node:events';
 import type { Socket } from 'node:net';
-import { Duplex } from 'node:stream';
 
 /**
  * Longest piece that the parser gets at once. Node.js parses all requests of a piece before a handler can
@@ -7,51 +7,40 @@
  */
 const PIECE_BYTES = 2_048;
 
+type OnData = (chunk: Buffer) => void;
+
 function piecesOf(chunk: Buffer): readonly Buffer[] {
+  if (chunk.length <= PIECE_BYTES) return [chunk];
   return Array.from({ length: Math.ceil(chunk.length / PIECE_BYTES) }, (_, index) =>
     chunk.subarray(index * PIECE_BYTES, (index + 1) * PIECE_BYTES),
   );
 }
 
-/** A stream of a socket's bytes in pieces. Once it is muted, what arrives is discarded. */
-export interface PieceStream {
-  readonly stream: Duplex;
+/** The bytes of a socket on their way to the parser. Once it is muted, what arrives is discarded. */
+export interface PieceFeed {
   readonly mute: () => void;
 }
 
-/** Returns a stream that hands on a socket's bytes in pieces, and none once it is destroyed. */
-export function inPieces(socket: Socket): PieceStream {
+/**
+ * Hands the bytes of a socket to its listeners in pieces. What is left when a listener pauses the socket
+ * waits in the socket. Writes, times and closes stay with Node.js.
+ */
+export function feedInPieces(socket: Socket): PieceFeed {
   const state = { isMuted: false };
-  const stream = new Duplex({
-    allowHalfOpen: true,
-    read: () => {
-      socket.resume();
-    },
-    write: (chunk: Buffer, _encoding, done) => {
-      socket.write(chunk, done);
-    },
-    final: (done) => {
-      socket.end(done);
-    },
-    destroy: (error, done) => {
-      socket.destroy();
-      done(error);
-    },
+  const feed = new EventEmitter();
+  socket.listeners('data').forEach((listener) => {
+    socket.removeListener('data', listener as OnData);
+    feed.on('data', listener as OnData);
   });
   socket.on('data', (chunk: Buffer) => {
-    const canTakeMore = piecesOf(chunk).reduce(
-      (_, piece) => state.isMuted || (!stream.destroyed && stream.push(piece)),
-      true,
-    );
-    if (!canTakeMore) socket.pause();
-  });
-  socket.on('end', () => {
-    if (!stream.destroyed) stream.push(null);
+    const takenBytes = piecesOf(chunk).reduce((sum, piece) => {
+      if (!state.isMuted && (socket.isPaused() || socket.destroyed)) return sum;
+      if (!state.isMuted) feed.emit('data', piece);
+      return sum + piece.length;
+    }, 0);
+    if (takenBytes < chunk.length && !socket.destroyed) socket.unshift(chunk.subarray(takenBytes));
   });
-  socket.on('error', () => stream.destroy());
-  socket.on('close', () => stream.destroy());
   return {
-    stream,
     mute: () => {
       state.isMuted = true;
       socket.resume();
--- a/packages/httpserver/src/server.ts
+++ b/packages/httpserver/src/server.ts
@@ -2,14 +2,14 @@
 import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo, Server, Socket } from 'node:net';
-import { createServer as createSocketServer } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { assertNever } from '@bronzeyoke/types';
 import type { BodyBuffer } from './body';
 import { EMPTY_BODY, appendChunk, bytesOf, neededBytes } from './body';
+import type { ExchangeState } from './chart';
 import type { HttpLimits } from './limits';
-import type { PieceStream } from './pieces';
-import { inPieces } from './pieces';
+import type { PieceFeed } from './pieces';
+import { feedInPieces } from './pieces';
 import type { RefusalBody } from './refusal';
 import { describeRefusal, encodeRefusal, refusalOfError } from './refusal';
 import { NO_CONNECTIONS, stepHttp } from './step';
@@ -17,6 +17,9 @@
 
 const TICK_MS = 250;
 
+/** Phases in which a connection may send another request. */
+const TAKING_PHASES: ReadonlySet<ExchangeState> = new Set(['head', 'body', 'ended']);
+
 /** A request that is complete. */
 export interface ReceivedRequest {
   readonly method: string;
@@ -59,7 +62,8 @@
 
 interface Peer {
   readonly id: number;
-  readonly pieces: PieceStream;
+  readonly socket: Socket;
+  readonly feed: PieceFeed;
   readonly options: ServerOptions;
 }
 
@@ -87,7 +91,7 @@
 ): HttpServers {
   const current = { state: NO_CONNECTIONS, lastId: 0 };
   const peers = new Map<number, Peer>();
-  const idsBySocket = new WeakMap<PieceStream['stream'], number>();
+  const idsBySocket = new WeakMap<object, number>();
   const messages = new Map<number, Message>();
   /** Pipelined requests that follow the one being read. */
   const waiting = new Map<number, readonly Message[]>();
@@ -138,6 +142,14 @@
     if (next !== undefined) begin(id, next);
   };
 
+  /** Reads on without parsing, so that the answer is not lost in a reset. */
+  const discard = ({ id, feed }: Peer): void => {
+    messages.get(id)?.incoming.resume();
+    messages.delete(id);
+    waiting.delete(id);
+    feed.mute();
+  };
+
   const perform = (effect: HttpEffect): void => {
     const { id } = effect;
     const peer = peers.get(id);
@@ -161,21 +173,20 @@
         beginNext(id);
         return;
       }
+      case 'discard':
+        discard(peer);
+        return;
       case 'refuse': {
         const describe = peer.options.describe ?? describeRefusal;
-        messages.delete(id);
-        waiting.delete(id);
+        discard(peer);
         report({ kind: 'refused', refusal: effect.refusal });
-        // What still arrives is discarded, so that the answer is not lost in a reset.
-        message?.incoming.resume();
-        peer.pieces.mute();
-        peer.pieces.stream.end(encodeRefusal(effect.refusal, describe(effect.refusal)));
+        peer.socket.end(encodeRefusal(effect.refusal, describe(effect.refusal)));
         return;
       }
       case 'close':
         messages.delete(id);
         report({ kind: 'closed', cause: effect.cause });
-        peer.pieces.stream.destroy();
+        peer.socket.destroy();
         return;
       default:
         assertNever(effect);
@@ -188,25 +199,24 @@
     step.effects.forEach(perform);
   };
 
-  const accept = (pieces: PieceStream, address: string, options: ServerOptions): void => {
+  const accept = (socket: Socket, options: ServerOptions): void => {
     current.lastId += 1;
     const id = current.lastId;
-    peers.set(id, { id, pieces, options });
-    idsBySocket.set(pieces.stream, id);
-    pieces.stream.once('close', () => {
+    peers.set(id, { id, socket, feed: feedInPieces(socket), options });
+    idsBySocket.set(socket, id);
+    socket.once('close', () => {
       send({ kind: 'closed', id });
       peers.delete(id);
       messages.delete(id);
       waiting.delete(id);
     });
-    send({ kind: 'opened', id, address });
+    send({ kind: 'opened', id, address: socket.remoteAddress ?? '' });
   };
 
   const take = (incoming: IncomingMessage, response: ServerResponse): void => {
     const id = idsBySocket.get(incoming.socket);
     const phase = id === undefined ? undefined : current.state.connections.get(id)?.phase;
-    if (id === undefined || phase === undefined || phase === 'refused' || phase === 'closed')
-      return;
+    if (id === undefined || phase === undefined || !TAKING_PHASES.has(phase)) return;
     incoming.on('error', () => undefined);
     response.on('error', () => undefined);
     const message = { incoming, response, body: EMPTY_BODY };
@@ -247,11 +257,8 @@
         }
         send({ kind: 'failed', id, refusal });
       });
-      return createSocketServer({ allowHalfOpen: true, noDelay: true }, (socket: Socket) => {
-        const pieces = inPieces(socket);
-        server.emit('connection', pieces.stream);
-        accept(pieces, socket.remoteAddress ?? '', options);
-      });
+      server.on('connection', (socket) => accept(socket, options));
+      return server;
     },
   };
 }
--- a/packages/httpserver/src/step.ts
+++ b/packages/httpserver/src/step.ts
@@ -37,6 +37,7 @@
   | { readonly kind: 'begin' }
   | { readonly kind: 'end' }
   | { readonly kind: 'refuse'; readonly refusal: Refusal }
+  | { readonly kind: 'defer'; readonly refusal: Refusal }
   | { readonly kind: 'drop'; readonly cause: CloseCause }
   | { readonly kind: 'lost' };
 
@@ -84,6 +85,11 @@
     }
     case 'handOn':
       return withEffect({ kind: 'handOn', id });
+    case 'discard':
+      return {
+        state: move.kind === 'defer' ? update(state, id, { deferred: move.refusal }) : state,
+        effects: [...effects, { kind: 'discard', id }],
+      };
     case 'sendRefusal':
       return move.kind === 'refuse'
         ? withEffect({ kind: 'refuse', id, refusal: move.refusal })
@@ -111,12 +117,11 @@
   );
 }
 
-/** Refuses what a connection sends. A refusal must not overtake the answers to earlier requests. */
+/** Refuses what a connection sends. Requests that may have run are answered before. */
 function refuse(step: HttpStep, id: number, refusal: Refusal, nowMs: number): HttpStep {
   const unanswered = step.state.connections.get(id)?.unanswered ?? 0;
-  return unanswered === 0
-    ? moveConnection(step, id, { kind: 'refuse', refusal }, nowMs)
-    : moveConnection(step, id, { kind: 'drop', cause: 'unread' }, nowMs);
+  const kind = unanswered === 0 ? 'refuse' : 'defer';
+  return moveConnection(step, id, { kind, refusal }, nowMs);
 }
 
 /** Returns the matching connection whose phase is the longest unchanged. */
@@ -238,20 +243,25 @@
     : moveConnection(step, slowest, { kind: 'drop', cause: 'unread' }, nowMs);
 }
 
-function answered(state: HttpState, id: number, bytes: number, nowMs: number): HttpState {
+function answered(state: HttpState, id: number, bytes: number, nowMs: number): HttpStep {
   const connection = state.connections.get(id);
-  if (connection === undefined) return state;
+  if (connection === undefined) return { state, effects: [] };
   const unanswered = connection.unanswered - 1;
   const freedBytes = unanswered === 0 ? connection.heldBytes : 0;
   const heldBytes = connection.heldBytes - freedBytes;
   const unsentBytes = connection.unsentBytes - bytes;
   // The time of a body runs on while an earlier request is answered.
   const sinceMs = connection.phase === 'body' ? connection.sinceMs : nowMs;
-  return {
+  const next: HttpState = {
     ...update(state, id, { unanswered, heldBytes, unsentBytes, sinceMs }),
     bodiesBytes: state.bodiesBytes - freedBytes,
     unsentBytes: state.unsentBytes - bytes,
   };
+  const step: HttpStep = { state: next, effects: [] };
+  const { deferred } = connection;
+  return deferred === undefined || unanswered > 0
+    ? step
+    : moveConnection(step, id, { kind: 'refuse', refusal: deferred }, nowMs);
 }
 
 function isOverdue(connection: Connection, { limits, nowMs }: HttpInputs): boolean {
@@ -266,6 +276,8 @@
       return (
         ageMs >= limits.idleTimeoutMs && (connection.unanswered === 0 || connection.unsentBytes > 0)
       );
+    case 'deferred':
+      return ageMs >= limits.idleTimeoutMs && connection.unsentBytes > 0;
     case 'refused':
       return ageMs >= LINGER_MS;
     case 'closed':
@@ -281,6 +293,7 @@
     case 'body':
       return refuse(step, id, 'tooSlow', nowMs);
     case 'ended':
+    case 'deferred':
       return moveConnection(step, id, { kind: 'drop', cause: 'idle' }, nowMs);
     case 'refused':
       return moveConnection(step, id, { kind: 'drop', cause: 'lingered' }, nowMs);
@@ -309,7 +322,7 @@
     case 'answering':
       return answering(state, event.id, event.bytes, inputs);
     case 'answered':
-      return { state: answered(state, event.id, event.bytes, nowMs), effects: [] };
+      return answered(state, event.id, event.bytes, nowMs);
     case 'closed':
       return moveConnection(unchanged, event.id, { kind: 'lost' }, nowMs);
     case 'tick':
--- a/packages/httpserver/src/types.ts
+++ b/packages/httpserver/src/types.ts
@@ -54,6 +54,8 @@
 export type HttpEffect =
   | { readonly kind: 'read'; readonly id: number }
   | { readonly kind: 'handOn'; readonly id: number }
+  /** What the connection still sends is read and not parsed. */
+  | { readonly kind: 'discard'; readonly id: number }
   | { readonly kind: 'refuse'; readonly id: number; readonly refusal: Refusal }
   | { readonly kind: 'close'; readonly id: number; readonly cause: CloseCause };
 
@@ -70,6 +72,8 @@
   readonly heldBytes: number;
   readonly unanswered: number;
   readonly unsentBytes: number;
+  /** Refusal that waits for the answers to earlier requests. */
+  readonly deferred?: Refusal;
 }
 
 /** Connections of a process and their totals. */
