Serve callers, administration and metrics of the product within the limits

The product's own entry and agent had HTTP servers and a body reader of their own, without bounds on bodies, connections, pipelined requests and unread answers, and no guard on connections of agents. They now use packages/httpserver and the link guard; the body reader is removed. Problem documents stay; the settings have `http` and `links`, and refusals are counted.

--- a/packages/agent/src/main.ts
+++ b/packages/agent/src/main.ts
@@ -1,4 +1,5 @@
 import { createHttpWorker } from '@bronzeyoke/adapters';
+import { createHttpServers, defaultLimits, overrideLimits, reasonOf } from '@bronzeyoke/httpserver';
 import type { AgentSettings } from '@bronzeyoke/settings';
 import { agentSettingsSchema, runProgram } from '@bronzeyoke/settings';
 import { createLog, startMetricsServer } from '@bronzeyoke/telemetry';
@@ -17,10 +18,16 @@
   const monitor = createAgentMonitor(log);
   // Timers of the core do not keep the process alive, and without a connected entry no socket does.
   const keepAlive = setInterval(() => undefined, KEEP_ALIVE_MS);
+  const limits = overrideLimits(defaultLimits(), settings.http);
+  const servers = createHttpServers(limits, (report) => {
+    const reason = reasonOf(report);
+    if (reason !== undefined)
+      monitor.metrics.count('bronzeyoke_agent_client_refusals_total', { reason });
+  });
   const metrics =
     settings.metrics === undefined
       ? undefined
-      : await startMetricsServer(settings.metrics, monitor);
+      : await startMetricsServer(servers, settings.metrics, monitor);
   const agent = startAgent({
     profile: { worker, domain, region, rack, service, slots, connections, total },
     entries,
--- a/packages/agent/src/monitor.ts
+++ b/packages/agent/src/monitor.ts
@@ -6,6 +6,10 @@
 /** Metrics of an agent. */
 const AGENT_METRICS = {
   bronzeyoke_agent_attempts_total: { kind: 'counter', help: 'Attempts by result.' },
+  bronzeyoke_agent_client_refusals_total: {
+    kind: 'counter',
+    help: 'Clients refused or closed for a limit, by reason.',
+  },
   bronzeyoke_agent_errors_total: { kind: 'counter', help: 'Faults of the program itself.' },
   bronzeyoke_agent_messages_received_total: { kind: 'counter', help: 'Messages by kind.' },
   bronzeyoke_agent_messages_sent_total: { kind: 'counter', help: 'Messages by kind.' },
--- a/packages/entry/src/api.ts
+++ b/packages/entry/src/api.ts
@@ -1,15 +1,15 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { Map } from 'immutable';
 import type { ActorSystemRef } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, spawn } from '@bronzeyoke/actors';
+import type { HttpReply, ReceivedRequest, SendReply } from '@bronzeyoke/httpserver';
 import type { AdminCommand, AdminReply, Bucket, Failure, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed, takeToken } from '@bronzeyoke/types';
 import type { Principal, TokenEntry } from './auth';
 import { authorize, createAuthenticator } from './auth';
-import { readBody, sendProblem } from './exchange';
+import { problemReply } from './exchange';
 import { failureProblem } from './problem';
 import type { AdminCall, AdminResponse } from './routes';
 import { isJobDone, toAdminCall, toAdminResponse } from './routes';
@@ -33,7 +33,7 @@
 
 /** Administration API as the front end uses it. */
 export interface AdminApi {
-  readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
+  readonly handle: (request: ReceivedRequest, reply: SendReply) => void;
   /** Whether service calls need a token, which is then not forwarded to the upstream. */
   readonly needsCallerToken: boolean;
   /** Returns the failure if a service call is refused. */
@@ -43,12 +43,12 @@
 type AdminMessage =
   | {
       readonly kind: 'incoming';
-      readonly request: IncomingMessage;
-      readonly response: ServerResponse;
+      readonly request: ReceivedRequest;
+      readonly reply: SendReply;
     }
   | {
       readonly kind: 'finished';
-      readonly response: ServerResponse;
+      readonly reply: SendReply;
       readonly commandKind: string;
       readonly result: Result<AdminResponse>;
     };
@@ -62,21 +62,22 @@
   return call.kind === 'command' ? call.command.kind : call.kind;
 }
 
-function sendFailure(response: ServerResponse, failure: Failure): void {
-  if (failure.kind === 'unauthorized') response.setHeader('www-authenticate', 'Bearer');
-  if (failure.kind === 'rateLimited') {
-    response.setHeader('retry-after', String(Math.ceil(failure.retryAfterMs / 1_000)));
-  }
-  sendProblem(response, failureProblem(failure));
+function failureReply(failure: Failure): HttpReply {
+  const isRateLimited = failure.kind === 'rateLimited';
+  return problemReply(failureProblem(failure), {
+    ...(failure.kind === 'unauthorized' ? { 'www-authenticate': 'Bearer' } : {}),
+    ...(isRateLimited ? { 'retry-after': String(Math.ceil(failure.retryAfterMs / 1_000)) } : {}),
+  });
 }
 
-function sendResult(response: ServerResponse, result: Result<AdminResponse>): void {
-  if (!result.ok) {
-    sendFailure(response, result.failure);
-    return;
-  }
-  response.writeHead(result.value.status, { 'content-type': 'application/json' });
-  response.end(`${JSON.stringify(result.value.body)}\n`);
+function resultReply(result: Result<AdminResponse>): HttpReply {
+  if (!result.ok) return failureReply(result.failure);
+  return {
+    kind: 'answer',
+    status: result.value.status,
+    headers: { 'content-type': 'application/json' },
+    body: `${JSON.stringify(result.value.body)}\n`,
+  };
 }
 
 /** Starts the actor that owns the rate limits and the number of requests in progress. */
@@ -144,20 +145,14 @@
 
   const handleRequest = async (
     principal: Principal,
-    request: IncomingMessage,
-    response: ServerResponse,
+    request: ReceivedRequest,
+    reply: SendReply,
     self: Ref<AdminMessage>,
   ): Promise<void> => {
     const finish = (commandKind: string, result: Result<AdminResponse>): void =>
-      dispatch(self, { kind: 'finished', response, commandKind, result });
-    const body = await readBody(request);
-    if (!body.ok) return finish('none', body);
+      dispatch(self, { kind: 'finished', reply, commandKind, result });
     const call = toAdminCall(
-      {
-        method: request.method ?? '',
-        url: request.url ?? '',
-        body: Buffer.from(body.value).toString('utf8'),
-      },
+      { method: request.method, url: request.url, body: request.body.toString('utf8') },
       principal,
     );
     if (!call.ok) return finish('none', call);
@@ -168,7 +163,7 @@
 
   const admit = (
     state: AdminState,
-    request: IncomingMessage,
+    request: ReceivedRequest,
   ): { readonly state: AdminState; readonly result: Result<Principal> } => {
     const principal = authenticate(request.headers.authorization);
     if (!principal.ok) return { state, result: principal };
@@ -190,25 +185,24 @@
   ): AdminState => {
     switch (message.kind) {
       case 'incoming': {
-        const { request, response } = message;
+        const { request, reply } = message;
         const admitted = admit(state, request);
         if (!admitted.result.ok) {
-          request.resume();
           count('none', admitted.result.failure.kind);
-          sendFailure(response, admitted.result.failure);
+          reply(failureReply(admitted.result.failure));
           return admitted.state;
         }
-        handleRequest(admitted.result.value, request, response, context.self).catch(() => {
+        handleRequest(admitted.result.value, request, reply, context.self).catch(() => {
           const failure = { kind: 'outcomeUnknown', reason: 'connectionLost' } as const;
           const result = fail(failure);
-          dispatch(context.self, { kind: 'finished', response, commandKind: 'none', result });
+          dispatch(context.self, { kind: 'finished', reply, commandKind: 'none', result });
         });
         return admitted.state;
       }
       case 'finished': {
-        const { result, response, commandKind } = message;
+        const { result, reply, commandKind } = message;
         count(commandKind, result.ok ? 'accepted' : result.failure.kind);
-        sendResult(response, result);
+        reply(resultReply(result));
         return { ...state, inProgress: state.inProgress - 1 };
       }
       default:
@@ -221,7 +215,7 @@
   });
   return {
     needsCallerToken: options.needsCallerToken,
-    handle: (request, response) => dispatch(actor, { kind: 'incoming', request, response }),
+    handle: (request, reply) => dispatch(actor, { kind: 'incoming', request, reply }),
     refuseCaller: (authorization) => {
       if (!options.needsCallerToken) return undefined;
       const principal = authenticate(authorization);
--- a/packages/entry/src/exchange.ts
+++ b/packages/entry/src/exchange.ts
@@ -1,33 +1,51 @@
-import type { IncomingMessage, ServerResponse } from 'node:http';
-import type { Result } from '@bronzeyoke/types';
-import { fail, succeed } from '@bronzeyoke/types';
+import type { HttpReply, Refusal, RefusalBody } from '@bronzeyoke/httpserver';
+import { refusalStatus } from '@bronzeyoke/httpserver';
+import type { Failure } from '@bronzeyoke/types';
+import { assertNever } from '@bronzeyoke/types';
 import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
 import type { Problem } from './problem';
+import { failureProblem } from './problem';
 
-/** Reads a body up to the size limit. A longer body is read to its end and refused. */
-export function readBody(request: IncomingMessage): Promise<Result<Uint8Array>> {
-  return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let lengthBytes = 0;
-    request.on('data', (chunk: Buffer) => {
-      lengthBytes += chunk.length;
-      if (lengthBytes <= MAX_BODY_BYTES) chunks.push(chunk);
-    });
-    request.on('close', () => {
-      if (lengthBytes > MAX_BODY_BYTES) {
-        resolve(fail({ kind: 'tooLarge', limitBytes: MAX_BODY_BYTES }));
-      } else if (!request.complete) {
-        resolve(fail({ kind: 'invalid', field: 'body', problem: 'cut short' }));
-      } else {
-        resolve(succeed(Buffer.concat(chunks)));
-      }
-    });
-    request.on('error', () => request.destroy());
-  });
+const PROBLEM_TYPE = 'application/problem+json';
+
+/** Returns a reply with a problem document. */
+export function problemReply(
+  problem: Problem,
+  headers: Readonly<Record<string, string>> = {},
+): HttpReply {
+  return {
+    kind: 'answer',
+    status: problem.status,
+    headers: { 'content-type': PROBLEM_TYPE, ...headers },
+    body: JSON.stringify(problem),
+  };
+}
+
+/** Returns the failure that stands for a refusal, which no handler has seen. */
+export function refusalFailure(refusal: Refusal, maxHeadBytes: number): Failure {
+  switch (refusal) {
+    case 'malformed':
+      return { kind: 'invalid', field: 'head', problem: 'malformed' };
+    case 'trailer':
+      return { kind: 'invalid', field: 'trailer', problem: 'not accepted' };
+    case 'tooSlow':
+      return { kind: 'invalid', field: 'request', problem: 'not complete in time' };
+    case 'bodyTooLong':
+      return { kind: 'tooLarge', limitBytes: MAX_BODY_BYTES };
+    case 'headTooLong':
+      return { kind: 'tooLarge', limitBytes: maxHeadBytes };
+    case 'bodiesFull':
+    case 'connectionsFull':
+    case 'tooManyUnanswered':
+      return { kind: 'notRun', reason: 'overloaded' };
+    default:
+      return assertNever(refusal);
+  }
 }
 
-/** Sends a problem document as the response. */
-export function sendProblem(response: ServerResponse, problem: Problem): void {
-  response.writeHead(problem.status, { 'content-type': 'application/problem+json' });
-  response.end(JSON.stringify(problem));
+/** Encodes the problem document of a refused request. */
+export function describeProblem(refusal: Refusal, maxHeadBytes: number): RefusalBody {
+  const problem = failureProblem(refusalFailure(refusal, maxHeadBytes));
+  const text = JSON.stringify({ ...problem, status: refusalStatus(refusal) });
+  return { contentType: PROBLEM_TYPE, text };
 }
--- a/packages/entry/src/http.ts
+++ b/packages/entry/src/http.ts
@@ -1,13 +1,21 @@
 import { randomUUID } from 'node:crypto';
-import { createServer } from 'node:http';
-import type { IncomingMessage, Server, ServerResponse } from 'node:http';
+import type { Server } from 'node:http';
 import type { ActorSystemRef } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, spawn } from '@bronzeyoke/actors';
+import type {
+  HttpLimits,
+  HttpReply,
+  HttpServers,
+  ReceivedRequest,
+  SendReply,
+} from '@bronzeyoke/httpserver';
+import { createHttpServers, defaultLimits } from '@bronzeyoke/httpserver';
 import type { CallerRequest, Failure, Headers, Outcome, Result } from '@bronzeyoke/types';
 import { assertNever, fail, succeed } from '@bronzeyoke/types';
+import { MAX_BODY_BYTES } from '@bronzeyoke/wire';
 import type { AdminApi } from './api';
-import { readBody, sendProblem } from './exchange';
+import { describeProblem, problemReply, refusalFailure } from './exchange';
 import { failureProblem, outcomeProblem } from './problem';
 import { isAdminPath } from './routes';
 
@@ -21,8 +29,6 @@
 const MAX_HEADERS = 128;
 const MAX_HEADER_NAME_CHARS = 256;
 const MAX_TRACEPARENT_CHARS = 100;
-const HEADERS_TIMEOUT_MS = 10_000;
-const MAX_HEADER_BYTES = 16_384;
 
 /** Headers that apply to one hop and are not forwarded. */
 const HOP_BY_HOP_HEADERS: ReadonlySet<string> = new Set([
@@ -52,22 +58,17 @@
   | FrontEndCommand
   | {
       readonly kind: 'incoming';
-      readonly request: IncomingMessage;
-      readonly response: ServerResponse;
-    }
-  | {
-      readonly kind: 'parsed';
-      readonly response: ServerResponse;
-      readonly result: Result<CallerRequest>;
+      readonly request: ReceivedRequest;
+      readonly reply: SendReply;
     };
 
 interface FrontEndState {
-  readonly pendingResponses: ReadonlyMap<string, ServerResponse>;
+  readonly pendingReplies: ReadonlyMap<string, SendReply>;
   readonly onRequest: (request: CallerRequest) => void;
   readonly admin?: AdminApi;
 }
 
-function headersOf(request: IncomingMessage): Headers {
+function headersOf(request: ReceivedRequest): Headers {
   return Object.fromEntries(
     Object.entries(request.headers).flatMap(([name, value]) => {
       if (value === undefined || HOP_BY_HOP_HEADERS.has(name)) return [];
@@ -103,16 +104,11 @@
     : fail({ kind: 'invalid', field: invalid[0], problem: 'empty or too long' });
 }
 
-async function parseRequest(
-  request: IncomingMessage,
-  dropsToken: boolean,
-): Promise<Result<CallerRequest>> {
-  const body = await readBody(request);
-  if (!body.ok) return body;
-  const match = SERVICE_PATH.exec(request.url ?? '');
+function parseRequest(request: ReceivedRequest, dropsToken: boolean): Result<CallerRequest> {
+  const match = SERVICE_PATH.exec(request.url);
   const [, service, path] = match ?? [];
   if (service === undefined || path === undefined) {
-    return fail({ kind: 'notFound', what: request.url ?? '' });
+    return fail({ kind: 'notFound', what: request.url });
   }
   const { authorization, ...others } = headersOf(request);
   const headers: Headers =
@@ -124,33 +120,29 @@
   return checkLimits({
     requestId: randomUUID(),
     service,
-    method: request.method ?? 'GET',
+    method: request.method,
     path,
     headers,
-    body: body.value,
+    body: request.body,
     timeoutMs: timeoutMs.value,
     ...(idempotencyKey === undefined ? {} : { idempotencyKey }),
     ...(traceparent === undefined ? {} : { traceparent }),
   });
 }
 
-function sendOutcome(response: ServerResponse, requestId: string, outcome: Outcome): void {
-  response.setHeader('bronzeyoke-request-id', requestId);
+function outcomeReply(requestId: string, outcome: Outcome): HttpReply {
+  const named = { 'bronzeyoke-request-id': requestId };
   switch (outcome.kind) {
-    case 'answered':
-      response.writeHead(outcome.answer.status, {
-        ...outcome.answer.headers,
-        'content-length': String(outcome.answer.body.length),
-      });
-      response.end(outcome.answer.body);
-      return;
+    case 'answered': {
+      const { status, headers, body } = outcome.answer;
+      return { kind: 'answer', status, headers: { ...named, ...headers }, body };
+    }
     case 'notRun':
     case 'unknown':
     case 'keyReused':
-      sendProblem(response, outcomeProblem(outcome));
-      return;
+      return problemReply(outcomeProblem(outcome), named);
     default:
-      assertNever(outcome);
+      return assertNever(outcome);
   }
 }
 
@@ -160,22 +152,33 @@
   readonly server: Server;
 }
 
-/** Starts the actor that owns the HTTP server and the pending responses. */
+/** Servers of a process, and the limits that they share. */
+export interface LimitedServers {
+  readonly servers: HttpServers;
+  readonly limits: HttpLimits;
+}
+
+/** Returns servers with the default limits. */
+export function defaultServers(): LimitedServers {
+  const limits = defaultLimits();
+  return { servers: createHttpServers(limits, () => undefined), limits };
+}
+
+/** Starts the actor that owns the HTTP server and the pending replies. */
 export function spawnFrontEnd(
   system: ActorSystemRef,
   countFailure: (failure: Failure) => void,
+  { servers, limits: { maxHeadBytes } }: LimitedServers = defaultServers(),
 ): FrontEnd {
-  const server = createServer({
-    maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: 60_000,
+  const late: { send: (message: FrontEndMessage) => void } = { send: () => undefined };
+  const server = servers.create({
+    maxBodyBytes: () => MAX_BODY_BYTES,
+    onRequest: (request, reply) => late.send({ kind: 'incoming', request, reply }),
+    describe: (refusal) => describeProblem(refusal, maxHeadBytes),
+    onRefused: (refusal) => countFailure(refusalFailure(refusal, maxHeadBytes)),
   });
 
-  const handle = (
-    state: FrontEndState,
-    message: FrontEndMessage,
-    context: { readonly self: Ref<FrontEndMessage> },
-  ): FrontEndState => {
+  const handle = (state: FrontEndState, message: FrontEndMessage): FrontEndState => {
     switch (message.kind) {
       case 'attach':
         return {
@@ -184,43 +187,34 @@
           ...(message.admin === undefined ? {} : { admin: message.admin }),
         };
       case 'incoming': {
-        const { request, response } = message;
+        const { request, reply } = message;
         if (state.admin !== undefined && isAdminPath(request.url)) {
-          state.admin.handle(request, response);
+          state.admin.handle(request, reply);
           return state;
         }
         const refusal = state.admin?.refuseCaller(request.headers.authorization);
-        if (refusal !== undefined) {
-          countFailure(refusal);
-          request.resume();
-          sendProblem(response, failureProblem(refusal));
-          return state;
-        }
-        parseRequest(request, state.admin?.needsCallerToken === true)
-          .then((result) => dispatch(context.self, { kind: 'parsed', response, result }))
-          .catch(() => response.destroy());
-        return state;
-      }
-      case 'parsed': {
-        const { response, result } = message;
+        const result =
+          refusal === undefined
+            ? parseRequest(request, state.admin?.needsCallerToken === true)
+            : fail(refusal);
         if (!result.ok) {
           countFailure(result.failure);
-          sendProblem(response, failureProblem(result.failure));
+          reply(problemReply(failureProblem(result.failure)));
           return state;
         }
         state.onRequest(result.value);
         return {
           ...state,
-          pendingResponses: new Map(state.pendingResponses).set(result.value.requestId, response),
+          pendingReplies: new Map(state.pendingReplies).set(result.value.requestId, reply),
         };
       }
       case 'reply': {
-        const response = state.pendingResponses.get(message.requestId);
-        if (response === undefined) return state;
-        sendOutcome(response, message.requestId, message.outcome);
-        const pendingResponses = new Map(state.pendingResponses);
-        pendingResponses.delete(message.requestId);
-        return { ...state, pendingResponses };
+        const reply = state.pendingReplies.get(message.requestId);
+        if (reply === undefined) return state;
+        reply(outcomeReply(message.requestId, message.outcome));
+        const pendingReplies = new Map(state.pendingReplies);
+        pendingReplies.delete(message.requestId);
+        return { ...state, pendingReplies };
       }
       case 'close':
         server.close();
@@ -232,27 +226,8 @@
   };
 
   const actor: Ref<FrontEndMessage> = spawn(system, handle, 'front', {
-    initialState: { pendingResponses: new Map(), onRequest: () => undefined },
+    initialState: { pendingReplies: new Map(), onRequest: () => undefined },
   });
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    const isTooLarge = error.code === 'HPE_HEADER_OVERFLOW';
-    const failure: Failure = isTooLarge
-      ? { kind: 'tooLarge', limitBytes: MAX_HEADER_BYTES }
-      : { kind: 'invalid', field: 'head', problem: error.code ?? 'malformed' };
-    countFailure(failure);
-    if (error.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy();
-      return;
-    }
-    const text = JSON.stringify(failureProblem(failure));
-    const statusLine = isTooLarge ? '431 Request Header Fields Too Large' : '400 Bad Request';
-    socket.end(
-      `HTTP/1.1 ${statusLine}\r\nconnection: close\r\ncontent-type: application/problem+json\r\n` +
-        `content-length: ${Buffer.byteLength(text)}\r\n\r\n${text}`,
-    );
-  });
-  server.on('request', (request, response) =>
-    dispatch(actor, { kind: 'incoming', request, response }),
-  );
+  late.send = (message) => dispatch(actor, message);
   return { actor, server };
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -1,4 +1,6 @@
 import { createHttpTable } from '@bronzeyoke/adapters';
+import { createHttpServers, defaultLimits, overrideLimits, reasonOf } from '@bronzeyoke/httpserver';
+import { createLinkGuard, defaultLinkLimits } from '@bronzeyoke/link';
 import type { EntrySettings } from '@bronzeyoke/settings';
 import { entrySettingsSchema, runProgram } from '@bronzeyoke/settings';
 import { createLog, createTracer, startMetricsServer } from '@bronzeyoke/telemetry';
@@ -22,6 +24,14 @@
     settings.table === undefined
       ? undefined
       : createHttpTable({ ...settings.table, connections: settings.tableConnections });
+  const countRefusal = (reason: string): void =>
+    monitor.metrics.count('bronzeyoke_client_refusals_total', { reason });
+  const limits = overrideLimits(defaultLimits(), settings.http);
+  const servers = createHttpServers(limits, (report) => {
+    const reason = reasonOf(report);
+    if (reason !== undefined) countRefusal(reason);
+  });
+  const linkLimits = overrideLimits(defaultLinkLimits(), settings.links);
   const entry = await startEntry({
     domain,
     host: callers.host,
@@ -32,6 +42,8 @@
     onError: monitor.onError,
     onFailure: monitor.onFailure,
     observe: monitor.observe,
+    limited: { servers, limits },
+    linkGuard: createLinkGuard(linkLimits, () => countRefusal('agentLinks')),
     admin: {
       tokens,
       needsCallerToken,
@@ -44,7 +56,7 @@
   const metrics =
     settings.metrics === undefined
       ? undefined
-      : await startMetricsServer(settings.metrics, monitor);
+      : await startMetricsServer(servers, settings.metrics, monitor);
   process.once('SIGTERM', entry.stop);
   process.once('SIGINT', entry.stop);
   const { entryId, callerPort, agentPort } = entry;
--- a/packages/entry/src/monitor.ts
+++ b/packages/entry/src/monitor.ts
@@ -10,6 +10,10 @@
   bronzeyoke_requests_total: { kind: 'counter', help: 'Ended requests by service and outcome.' },
   bronzeyoke_request_seconds: { kind: 'summary', help: 'Time from arrival to the end.' },
   bronzeyoke_failures_total: { kind: 'counter', help: 'Refused input and lost links by kind.' },
+  bronzeyoke_client_refusals_total: {
+    kind: 'counter',
+    help: 'Clients and agents refused or closed for a limit, by reason.',
+  },
   bronzeyoke_errors_total: { kind: 'counter', help: 'Faults of the program itself.' },
   bronzeyoke_messages_received_total: { kind: 'counter', help: 'Messages from agents by kind.' },
   bronzeyoke_messages_sent_total: { kind: 'counter', help: 'Messages to agents by kind.' },
--- a/packages/entry/src/start.ts
+++ b/packages/entry/src/start.ts
@@ -6,7 +6,7 @@
 import { start, stop } from 'nact';
 import type { Ref } from '@bronzeyoke/actors';
 import { dispatch, dispatchAfter, spawnCore } from '@bronzeyoke/actors';
-import type { LinkCommand, LinkEvent } from '@bronzeyoke/link';
+import type { LinkCommand, LinkEvent, LinkGuard } from '@bronzeyoke/link';
 import { spawnLink } from '@bronzeyoke/link';
 import type { TablePort } from '@bronzeyoke/ports';
 import type { AdminCommand, AdminReply, Failure, Result } from '@bronzeyoke/types';
@@ -16,6 +16,7 @@
 import type { AdminApiOptions } from './api';
 import { spawnAdminApi } from './api';
 import { createEntry, stepEntry } from './core';
+import type { LimitedServers } from './http';
 import { spawnFrontEnd } from './http';
 import type { EntryObserver } from './monitor';
 import { NO_TABLE, spawnStore } from './store';
@@ -37,6 +38,10 @@
   /** Called after each step of the core. */
   readonly observe?: EntryObserver;
   readonly tracing?: EntryTracing;
+  /** Without them the limits on callers are the defaults. */
+  readonly limited?: LimitedServers;
+  /** Without it connections of agents are not limited. */
+  readonly linkGuard?: LinkGuard;
   /** Without it the entry has no administration API over HTTP. */
   readonly admin?: Pick<AdminApiOptions, 'tokens' | 'needsCallerToken' | 'count'>;
 }
@@ -76,7 +81,7 @@
 
   const replies = new Map<string, (result: Result<AdminReply>) => void>();
 
-  const frontEnd = spawnFrontEnd(system, options.onFailure);
+  const frontEnd = spawnFrontEnd(system, options.onFailure, options.limited);
 
   const exit = (): void => {
     dispatch(frontEnd.actor, { kind: 'close' });
@@ -200,6 +205,7 @@
       socket,
       codec: plainCodec(decodeAgentMessage),
       report,
+      ...(options.linkGuard === undefined ? {} : { guard: options.linkGuard }),
     });
     links.set(linkId, link);
   });
--- a/packages/httpserver/src/server.ts
+++ b/packages/httpserver/src/server.ts
@@ -1,7 +1,7 @@
 import { once } from 'node:events';
-import type { IncomingHttpHeaders, IncomingMessage, ServerResponse } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage, Server, ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
-import type { AddressInfo, Server, Socket } from 'node:net';
+import type { AddressInfo, Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
 import { assertNever } from '@bronzeyoke/types';
 import type { BodyBuffer } from './body';
@@ -47,6 +47,8 @@
   readonly maxBodyBytes: () => number;
   readonly onRequest: (request: ReceivedRequest, reply: SendReply) => void;
   readonly describe?: (refusal: Refusal) => RefusalBody;
+  /** Called for each refused request of this server. */
+  readonly onRefused?: (refusal: Refusal) => void;
 }
 
 /** What the servers report. Every refusal is reported, and closes for want of room. */
@@ -180,6 +182,7 @@
         const describe = peer.options.describe ?? describeRefusal;
         discard(peer);
         report({ kind: 'refused', refusal: effect.refusal });
+        peer.options.onRefused?.(effect.refusal);
         peer.socket.end(encodeRefusal(effect.refusal, describe(effect.refusal)));
         return;
       }
--- a/packages/settings/src/agent.ts
+++ b/packages/settings/src/agent.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod';
 import { logLevelSchema, metricsAddressSchema, nameSchema, peerAddressSchema } from './fields';
+import { httpLimitsSchema } from './limits';
 
 /** Schema of the settings file of `bronzeyoke-agent`. */
 export const agentSettingsSchema = z.strictObject({
@@ -31,6 +32,9 @@
     .optional()
     .describe('address of the worker; without it no batch tasks'),
   metrics: metricsAddressSchema,
+  http: httpLimitsSchema
+    .prefault({})
+    .describe('limits on clients; those left out have the defaults of docs/platform.md'),
   logLevel: logLevelSchema,
 });
 
--- a/packages/settings/src/entry.ts
+++ b/packages/settings/src/entry.ts
@@ -6,6 +6,7 @@
   nameSchema,
   peerAddressSchema,
 } from './fields';
+import { httpLimitsSchema, linkLimitsSchema } from './limits';
 
 const tokenSchema = z
   .strictObject({
@@ -68,6 +69,12 @@
     })
     .prefault({})
     .describe('distributed tracing'),
+  http: httpLimitsSchema
+    .prefault({})
+    .describe('limits on clients; those left out have the defaults of docs/platform.md'),
+  links: linkLimitsSchema
+    .prefault({})
+    .describe('limits on agents; those left out have the defaults of docs/platform.md'),
   logLevel: logLevelSchema,
 });
 
--- a/packages/telemetry/src/server.ts
+++ b/packages/telemetry/src/server.ts
@@ -1,6 +1,5 @@
-import { once } from 'node:events';
-import { createServer } from 'node:http';
-import type { AddressInfo } from 'node:net';
+import type { HttpReply, HttpServers } from '@bronzeyoke/httpserver';
+import { listen } from '@bronzeyoke/httpserver';
 
 /** Metrics and readiness of a process, as the metrics server exposes them. */
 export interface MetricsSource {
@@ -15,31 +14,37 @@
   readonly close: () => void;
 }
 
-const HEADERS_TIMEOUT_MS = 10_000;
+/** Largest body of a request, none of which is used. */
+const MAX_BODY_BYTES = 65_536;
 
-/** Serves `/metrics` and `/healthz`. */
+function answer(status: number, contentType: string, body: string): HttpReply {
+  return { kind: 'answer', status, headers: { 'content-type': contentType }, body };
+}
+
+function replyTo(method: string, path: string | undefined, source: MetricsSource): HttpReply {
+  if (method === 'GET' && path === '/metrics') {
+    return answer(200, 'text/plain; version=0.0.4; charset=utf-8', source.text());
+  }
+  if (method === 'GET' && path === '/healthz') {
+    const problem = source.notReady();
+    return answer(problem === undefined ? 200 : 503, 'text/plain', `${problem ?? 'ok'}\n`);
+  }
+  return answer(404, 'text/plain', '');
+}
+
+/** Serves `/metrics` and `/healthz` within the limits of the process. */
 export async function startMetricsServer(
+  servers: HttpServers,
   address: { readonly host: string; readonly port: number },
   source: MetricsSource,
 ): Promise<MetricsServer> {
-  const server = createServer({ headersTimeout: HEADERS_TIMEOUT_MS }, (request, response) => {
-    const path = (request.url ?? '').split('?')[0];
-    request.resume();
-    if (request.method !== 'GET' || (path !== '/metrics' && path !== '/healthz')) {
-      response.writeHead(404).end();
-    } else if (path === '/metrics') {
-      response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4; charset=utf-8' });
-      response.end(source.text());
-    } else {
-      const problem = source.notReady();
-      response.writeHead(problem === undefined ? 200 : 503, { 'content-type': 'text/plain' });
-      response.end(`${problem ?? 'ok'}\n`);
-    }
+  const server = servers.create({
+    maxBodyBytes: () => MAX_BODY_BYTES,
+    onRequest: ({ method, url }, reply) => reply(replyTo(method, url.split('?')[0], source)),
   });
-  server.listen(address.port, address.host);
-  await once(server, 'listening');
+  const port = await listen(server, address.host, address.port);
   return {
-    port: (server.address() as AddressInfo).port,
+    port,
     close: () => {
       server.close();
       server.closeAllConnections();
