--- a/packages/scheduler/test/lookaheadmix.test.ts
+++ b/packages/scheduler/test/lookaheadmix.test.ts
@@ -74,3 +74,9 @@
     expect(endsAll(after, ['small', 'large', 'gang'])).to.equal(true);
   });
 });
+
+// Guards against decisions that depend on more than the state, such as the order in which jobs were read.
+it('look-ahead: the same mix gives the same starts', () => {
+  const [first, second] = [playMix(1, true), playMix(1, true)];
+  expect(first.waitsMs('')).to.deep.equal(second.waitsMs(''));
+});
