--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -7,6 +7,7 @@
 import type { IntakeReply } from '@bronzeyoke/intake';
 import type { RowStorePort } from '@bronzeyoke/ports';
 import type { SchedulerSettings, SchedulerTimes } from '@bronzeyoke/scheduler';
+import { policyOf } from '@bronzeyoke/scheduler';
 import type { FleetConfig, WorkflowJob } from '@bronzeyoke/workflow';
 import { createAgentLinks } from './agentlinks';
 import { startIntake } from './intake';
@@ -71,7 +72,7 @@
   };
   const tracked = trackStore(store, log, () => noteStartup('storeAnswered'));
   const links = createAgentLinks(system, log, options.linkGuard);
-  const limitsAdmission = settings.policy?.limitsAdmission === true;
+  const { limitsAdmission } = policyOf(settings);
   const intake = startIntake(
     system,
     tracked.store,
--- a/packages/scheduler/src/admission/look.ts
+++ b/packages/scheduler/src/admission/look.ts
@@ -3,6 +3,7 @@
 import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { assertNever, unchanged } from '@bronzeyoke/types';
+import { policyOf } from '../policy';
 import { withEffects } from '../state';
 import type { SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
 import type { OpenDemand } from './demand';
@@ -74,7 +75,7 @@
 /** Looks at the room from time to time, and decides what each queue may submit. */
 export function lookAtRoom(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { admission, settings, phase } = state;
-  const isOn = settings.policy?.limitsAdmission === true && phase === 'leading';
+  const isOn = policyOf(settings).limitsAdmission && phase === 'leading';
   if (!isOn || nowMs - admission.lookedAtMs < LOOK_INTERVAL_MS) return unchanged(state);
   const { view, outlook, demands } = buildOutlook(state, nowMs);
   const isSettled = nowMs - (view.sinceMs ?? nowMs) >= SETTLE_MS;
--- a/packages/scheduler/src/jobs/runtimes.ts
+++ b/packages/scheduler/src/jobs/runtimes.ts
@@ -8,6 +8,7 @@
   sizeClassOf,
 } from '@bronzeyoke/runtimes';
 import type { Stage } from '@bronzeyoke/workflow';
+import { policyOf } from '../policy';
 import type { SchedulerState } from '../types';
 import type { OpenJob, RunView } from '../views';
 
@@ -48,7 +49,7 @@
   run: RunView,
   nowMs: number,
 ): SchedulerState {
-  if (state.settings.policy?.learnsRunTimes !== true || !isWholeRun(open, run)) return state;
+  if (!policyOf(state.settings).learnsRunTimes || !isWholeRun(open, run)) return state;
   const key = keyOf(open.job.policy.queue, run.stage);
   const durationMs = nowMs - run.claimedAtMs;
   const runTimes = recordRunTime(state.runTimes, key, durationMs, run.stage.estimateMs);
--- a/packages/scheduler/src/leadership/claim.ts
+++ b/packages/scheduler/src/leadership/claim.ts
@@ -19,7 +19,7 @@
   PARTITION,
   TABLES,
 } from './rows';
-import { DEFAULT_POLICY } from '../policy';
+import { policyOf } from '../policy';
 import { withEffects } from '../state';
 import { claimDelayMs } from '../times';
 import type { Claim, SchedulerEffect, SchedulerState, SchedulerStep, SeenLease } from '../types';
@@ -58,8 +58,8 @@
   row: StoredRow | undefined,
   nowMs: number,
 ): SchedulerStep {
-  const { policy = DEFAULT_POLICY } = state.settings;
-  if (!policy.handsOver || decodeLeaderOffer(row) === undefined) return unchanged(state);
+  if (!policyOf(state.settings).handsOver || decodeLeaderOffer(row) === undefined)
+    return unchanged(state);
   return pollLease({ ...state, nextReadAtMs: nowMs }, nowMs);
 }
 
--- a/packages/scheduler/src/leadership/handover.ts
+++ b/packages/scheduler/src/leadership/handover.ts
@@ -3,7 +3,7 @@
 import { advanceHandover } from './handoverstate';
 import type { LeaseOffer } from './rows';
 import { comparePass, isSlowed } from './slowpasses';
-import { DEFAULT_POLICY } from '../policy';
+import { policyOf } from '../policy';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep, SeenLease } from '../types';
 
@@ -158,8 +158,7 @@
   waitMs: number,
   nowMs: number,
 ): SchedulerStep {
-  const { policy = DEFAULT_POLICY } = state.settings;
-  if (!policy.handsOver) return unchanged(state);
+  if (!policyOf(state.settings).handsOver) return unchanged(state);
   const eventWaitMs = Math.max(waitMs, state.eventWaitMs * KEPT_WAIT_SHARE);
   const measured = { ...state, eventWaitMs };
   return state.phase === 'leading' ? considerOffer(measured, waitMs, nowMs) : unchanged(measured);
@@ -167,8 +166,7 @@
 
 /** Notes how long a pass of a leader has taken. No effect without the policy. */
 export function notePass(state: SchedulerState, tookMs: number): SchedulerState {
-  const { policy = DEFAULT_POLICY } = state.settings;
-  if (!policy.handsOver) return state;
+  if (!policyOf(state.settings).handsOver) return state;
   return { ...state, slowPasses: comparePass(state.slowPasses, state.passWork, tookMs) };
 }
 
@@ -210,8 +208,7 @@
   { value }: SeenLease,
   nowMs: number,
 ): boolean {
-  const { policy = DEFAULT_POLICY } = settings;
-  if (!policy.handsOver || value?.offer === undefined) return false;
+  if (!policyOf(settings).handsOver || value?.offer === undefined) return false;
   const { waitMs } = value.offer;
   const isRemembered = lastOffer !== undefined && nowMs - lastOffer.atMs < REMEMBERED_MS;
   const isWorse =
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -8,6 +8,7 @@
 import type { PostCommitAction } from './pending';
 import { releaseRun } from '../fleet/release';
 import { recordTaskTime } from '../jobs/openjob';
+import { policyOf } from '../policy';
 import { dropRuns, putRun, runsOn } from '../runs';
 import { sendToWorker, withEffects } from '../state';
 import { taskLog } from '../tasklog';
@@ -50,7 +51,7 @@
   run: RunView,
 ): EventFields {
   const times = latency.tasks.get(run.slot);
-  if (settings.policy?.looksAhead !== true || times?.runCount !== 1) return {};
+  if (!policyOf(settings).looksAhead || times?.runCount !== 1) return {};
   return {
     noRoomMs: Math.round(times.firstClaimAtMs - times.firstNoRoomSinceMs),
     upToMilli: largestMilli(sizeClassOf(run.stage.needs.processorsMilli)),
--- a/packages/scheduler/src/placement/backfill.ts
+++ b/packages/scheduler/src/placement/backfill.ts
@@ -10,6 +10,7 @@
 import { VACANCY_WORK } from './passbudget';
 import { roomBesideClaims } from '../fleet/loads';
 import { earliestRestMs, latestRunMs } from '../jobs/runtimes';
+import { policyOf } from '../policy';
 import type { StageSearch } from './search';
 import type { OpenJob } from '../views';
 
@@ -96,7 +97,7 @@
   const { jobId, ready } = candidate;
   const { stage } = ready;
   const open = state.jobs.get(jobId);
-  const isOff = state.settings.policy?.looksAhead !== true || reservations.isEmpty();
+  const isOff = !policyOf(state.settings).looksAhead || reservations.isEmpty();
   if (isOff || open === undefined || stage.isLasting || stage.isGang) return { pass, left: slots };
   const latestMs = latestRunMs(state, open.job.policy.queue, stage);
   if (latestMs === undefined) return { pass, left: slots };
--- a/packages/scheduler/src/placement/foresight.ts
+++ b/packages/scheduler/src/placement/foresight.ts
@@ -7,6 +7,7 @@
 import type { StageCandidate } from './candidates';
 import type { PlacementPass } from './pass';
 import { serviceOf } from './pass';
+import { policyOf } from '../policy';
 import type { SchedulerState } from '../types';
 import type { OpenJob } from '../views';
 
@@ -59,7 +60,7 @@
 /** Returns the state with the sizes of the tasks that run, if the policy looks ahead. */
 export function withSizes(state: SchedulerState, nowMs: number): SchedulerState {
   const { runningSizes: known, settings } = state;
-  if (settings.policy?.looksAhead !== true) return state;
+  if (!policyOf(settings).looksAhead) return state;
   if (known !== undefined && nowMs - known.atMs < SIZES_KEPT_MS) return state;
   const tasks = [...state.runs.byTask.values()].flatMap(({ jobId, stage }): SizedTasks[] => {
     const open = state.jobs.get(jobId);
@@ -91,8 +92,7 @@
   candidates: readonly StageCandidate[],
   { loads, occupancyOf }: Pick<PlacementPass, 'loads' | 'occupancyOf'>,
 ): Outlook {
-  const { policy } = state.settings;
-  if (policy?.looksAhead !== true || candidates.length === 0) return NO_OUTLOOK;
+  if (!policyOf(state.settings).looksAhead || candidates.length === 0) return NO_OUTLOOK;
   const groups = [...waitingSizes(state, candidates), ...(state.runningSizes?.groups ?? [])];
   const demands = largeDemands(groups, [...loads.values()]);
   if (demands.length === 0) return NO_OUTLOOK;
--- a/packages/scheduler/src/placement/gapcounts.ts
+++ b/packages/scheduler/src/placement/gapcounts.ts
@@ -1,6 +1,7 @@
 import { freeRoom } from '@bronzeyoke/placement';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { unchanged } from '@bronzeyoke/types';
+import { policyOf } from '../policy';
 import { withEffects } from '../state';
 import type { SchedulerState, SchedulerStep } from '../types';
 
@@ -13,7 +14,7 @@
 
 /** Logs the largest free gap against the largest task that waits for one, where the policy looks ahead. */
 export function logGaps(state: SchedulerState): SchedulerStep {
-  if (state.settings.policy?.looksAhead !== true) return unchanged(state);
+  if (!policyOf(state.settings).looksAhead) return unchanged(state);
   const free = [...state.loads.values()].map(({ load }) => freeRoom(load).processorsMilli);
   const waiting = [...state.unplacedSince.keys()].map((key) => neededMilli(state, key));
   return withEffects(state, [
