--- a/review/6/run.ts
+++ b/review/6/run.ts
@@ -83,4 +83,5 @@
   return 2;
 });
 bed.close();
+// eslint-disable-next-line n/no-process-exit -- the exit code is the result of the case
 process.exit(code);
--- a/review/lib-2/proxy.ts
+++ b/review/lib-2/proxy.ts
@@ -25,7 +25,7 @@
 
 /** A proxy in front of one address. */
 export class Proxy {
-  private readonly flows: { readonly up: Flow[]; readonly down: Flow[] } = { up: [], down: [] };
+  private readonly flows: { up: Flow[]; down: Flow[] } = { up: [], down: [] };
 
   private readonly sockets = new Set<Socket>();
 
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -1,5 +1,6 @@
 /** Entries, agents with their workers, the store and the operator of a small deployment. */
-import type { Bed, Program, Settings } from './bed';
+import type { Bed } from './bed';
+import type { Program, Settings } from './program';
 import { Proxy } from './proxy';
 import { Store } from './store';
 import type { WorkerEvent, TaskBehaviour } from './worker';
--- a/review/lib-2/store.ts
+++ b/review/lib-2/store.ts
@@ -1,4 +1,6 @@
 /** Stand-in of the platform's metadata store: rows, ranges and feeds, as the users' PROTOCOL.md says. */
+
+/* eslint-disable class-methods-use-this -- fields that hold functions */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
@@ -131,9 +133,7 @@
       this.onEvent({ kind: 'refused', reason });
       return [400, { error: reason }];
     }
-    const isMet = expectedRev.every(
-      (row) => (this.rows.get(Store.id(row))?.ver ?? 0) === row.ver,
-    );
+    const isMet = expectedRev.every((row) => (this.rows.get(Store.id(row))?.ver ?? 0) === row.ver);
     if (!isMet) {
       const rows = expectedRev.flatMap((row) => this.rows.get(Store.id(row)) ?? []);
       return [412, { rows, ver: this.ver, nowMs: Math.round(performance.now()) }];
--- a/review/lib-2/worker.ts
+++ b/review/lib-2/worker.ts
@@ -1,4 +1,6 @@
 /** Stand-in of a worker: runs, leases, fencing tokens and heartbeats, as the users' PROTOCOL.md says. */
+
+/* eslint-disable class-methods-use-this -- fields that hold functions */
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
