--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -1,4 +1,5 @@
 /** Entries, agents with their workers, the store and the operator of a small deployment. */
+import { setTimeout as sleep } from 'node:timers/promises';
 import type { Bed } from './bed';
 import type { Program, Settings } from './program';
 import { Proxy } from './proxy';
@@ -154,6 +155,16 @@
     bed.onClose(() => this.sides.forEach(({ worker }) => worker.stop()));
   }
 
+  /** Lets a worker crash with all that it runs, and start again after a time under its id. */
+  async crash(id: string, downMs: number): Promise<void> {
+    const side = this.sides.find(({ worker }) => worker.options.id === id);
+    if (side === undefined) return;
+    side.worker.crash();
+    await sleep(downMs);
+    side.worker = new Worker(side.worker.options);
+    await side.worker.start();
+  }
+
   /** Returns the entry that writes most often to the store under a condition. */
   leader(): Entry | undefined {
     const host = this.store.busiestWriter();
--- a/review/lib-2/worker.ts
+++ b/review/lib-2/worker.ts
@@ -101,6 +101,15 @@
     this.close();
   }
 
+  /** Ends the worker with all that runs on it. */
+  crash(): void {
+    [...this.runs.values()].forEach(({ task, attempt }) =>
+      this.emit('ended', task, attempt, 'crashed'),
+    );
+    this.runs.clear();
+    this.stop();
+  }
+
   /** Returns the tasks that are at work. */
   running(): readonly string[] {
     return [...this.runs.keys()];
