--- a/review/8/run.ts
+++ b/review/8/run.ts
@@ -10,8 +10,9 @@
 /** Link of the entries: the sheet of dcm-sched-grown gives 7 to 140 Mbit/s. */
 const LINK_MBPS = 7;
 
-/** Routes that `big_config` adds, at its largest dose. */
+/** Routes that one `big_config` adds, at its largest dose, and how often it comes. */
 const MANY_ROUTES = 1_940;
+const GROWTHS = 2;
 
 /** `evacuateMs` of the sheets. */
 const EVACUATE_MS = 5_000;
@@ -61,9 +62,12 @@
   });
   load.start(JOB_INTERVAL_MS);
   await sleep(2_000);
-  site.store.put('op', 'config', config(2, MANY_ROUTES));
-  bed.note(`the operator sends version 2 with ${MANY_ROUTES} more routes`);
-  await sleep(3_000);
+  for (let growth = 1; growth <= GROWTHS; growth += 1) {
+    site.store.put('op', 'config', config(1 + growth, growth * MANY_ROUTES));
+    bed.note(`version ${1 + growth} is acknowledged, with ${growth * MANY_ROUTES} more routes`);
+    // eslint-disable-next-line no-await-in-loop -- one change after the other
+    await sleep(3_000);
+  }
   const before = seen.startsInZone;
   site.store.put('op', `evacuate/${ZONE}`, {});
   seen.evacuatedAtMs = bed.nowMs();
