--- a/review/lib-2/bed.ts
+++ b/review/lib-2/bed.ts
@@ -9,6 +9,8 @@
 import type { Settings } from './program';
 import { Program } from './program';
 
+/** Exit code of a case that could not run. */
+const COULD_NOT_RUN = 2;
 const MAX_LOOPBACK_OCTET = 250;
 const FIRST_PORT = 20_000;
 const PORT_SPAN = 8_000;
@@ -45,6 +47,13 @@
   constructor(recordFile: string) {
     this.recordFile = recordFile;
     writeFileSync(recordFile, '');
+    // A fault of a stand-in is no broken rule.
+    process.once('uncaughtException', (error) => {
+      this.note(`the case could not run: ${String(error)}`);
+      this.close();
+      // eslint-disable-next-line n/no-process-exit -- the exit code is the result of the case
+      process.exit(COULD_NOT_RUN);
+    });
   }
 
   /** Returns the time since the start of the run in ms. */
