--- a/review/lib-2/load.ts
+++ b/review/lib-2/load.ts
@@ -20,6 +20,8 @@
   /** Numbers of answers by status; 0 stands for none. */
   readonly answers = new Map<number, number>();
 
+  private readonly results: { readonly atMs: number; readonly status: number }[] = [];
+
   private readonly site: Site;
 
   private readonly body: JobBody;
@@ -46,6 +48,12 @@
     await this.run;
   }
 
+  /** Returns the numbers of requests and of accepted ones among those sent from a time on. */
+  since(fromMs: number): { readonly sent: number; readonly served: number } {
+    const later = this.results.filter(({ atMs }) => atMs >= fromMs);
+    return { sent: later.length, served: later.filter(({ status }) => status === 200).length };
+  }
+
   /** Returns the number of jobs that were accepted. */
   accepted(): number {
     return this.answers.get(200) ?? 0;
@@ -62,8 +70,12 @@
       this.sent += 1;
       const entry = site.entries[this.sent % site.entries.length];
       if (entry !== undefined) {
+        const atMs = site.bed.nowMs();
         site.request(entry, 'POST', jobId(this.sent), this.body).then(
-          ({ status }) => this.answers.set(status, (this.answers.get(status) ?? 0) + 1),
+          ({ status }) => {
+            this.answers.set(status, (this.answers.get(status) ?? 0) + 1);
+            this.results.push({ atMs, status });
+          },
           () => undefined,
         );
       }
--- a/review/lib-2/site.ts
+++ b/review/lib-2/site.ts
@@ -44,24 +44,26 @@
 /** Names of the one queue of a site. */
 export const QUEUE = { name: 'r-1', host: 'front.example', prefix: '/jobs/', service: 'quoter' };
 
-/** Returns a route of the operator's configuration. */
+/** Returns a route of the operator's configuration, with the fields that `fleetbench wire` shows. */
 export function route(name: string, prefix: string): object {
   return {
     name,
     host: QUEUE.host,
     prefix,
-    service: QUEUE.service,
+    kind: 'mutating',
+    timeoutMs: 3_005,
+    targetDurationMs: 2_504,
     priority: 0,
+    service: QUEUE.service,
     maxAttempts: 4,
-    slackFactor: 1.5,
-    targetDurationMs: 500,
+    slackFactor: 2.2,
   };
 }
 
 /** Returns a configuration with the queue and some further routes that nobody uses. */
 export function config(version: number, idleRoutes = 0): object {
   const idle = Array.from({ length: idleRoutes }, (_, index) =>
-    route(`idle-${index}`, `/idle${String(index).padStart(5, '0')}/`),
+    route(`r-i${String(index).padStart(6, '0')}`, `/i${String(index).padStart(6, '0')}/`),
   );
   return {
     version,
--- a/review/lib-2/store.ts
+++ b/review/lib-2/store.ts
@@ -35,6 +35,12 @@
   readonly reason: string;
 }
 
+/** What happens to a transaction: done without an answer, done later without one, or refused. */
+export type StoreFault =
+  | { readonly kind: 'lost' }
+  | { readonly kind: 'late'; readonly afterMs: number }
+  | { readonly kind: 'busy' };
+
 /** Store of one run. */
 export class Store {
   private readonly rows = new Map<string, WireRow>();
@@ -48,6 +54,9 @@
   /** Times of conditional transactions that were performed, by the address of the caller. */
   private readonly conditional: { readonly host: string; readonly atMs: number }[] = [];
 
+  /** Picks the fault of a transaction, if it has one. */
+  faultOf: () => StoreFault | undefined = () => undefined;
+
   readonly onEvent: (event: StoreEvent) => void;
 
   constructor(onEvent: (event: StoreEvent) => void = () => undefined) {
@@ -178,6 +187,17 @@
       case '/bronzeyoke/rows-tx': {
         await sleep(TRANSACTION_MS);
         const transaction = body as TransactionBody;
+        const fault = this.faultOf();
+        if (fault?.kind === 'busy') {
+          sendJson(response, 503, {});
+          return;
+        }
+        if (fault !== undefined) {
+          response.destroy();
+          if (fault.kind === 'late') await sleep(fault.afterMs);
+          this.transact(transaction);
+          return;
+        }
         const [status, answer] = this.transact(transaction);
         const host = request.socket.remoteAddress ?? '';
         if (status === 200 && (transaction.expectedRev ?? []).length > 0) {
