--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -4,7 +4,8 @@
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ask, FINISH_MS, submit, watchLost, writeRecord } from './judge.mjs';
-import { newId, startSite, untilReady } from './site.mjs';
+import { findTwice } from './twice.mjs';
+import { clientCall, newId, startSite, untilReady } from './site.mjs';
 import { call } from './worker.mjs';
 
 const BUNDLE = fileURLToPath(new URL('../../target/bronzeyoke-node.mjs', import.meta.url));
@@ -49,12 +50,8 @@
   return submit(site, 'quick', '/quick/', newId(), { spec: 'quick', phases }, { entry });
 }
 
-/**
- * Runs a case on the rule LOST. `play` submits the traffic, with the disruption if there is to be one, and
- * returns the jobs; `plan` tells of the runs of its own jobs. Jobs are watched for `watchMs` from
- * `FINISH_MS` after that.
- */
-export async function runLostCase({ title, folder, workers, plan, play, watchMs }) {
+/** Starts a site, plays the case, and ends with the status that its findings ask for. */
+async function runCase({ title, folder, workers, plan, play, judge }) {
   const isBuilt = await access(BUNDLE).then(
     () => true,
     () => false,
@@ -78,29 +75,98 @@
     process.stderr.write('the entries are not ready\n');
     await end(2);
   }
-  const endWatch = watchEntries(site);
   const jobs = await play(site, notes);
   const accepted = jobs.filter(({ isAccepted }) => isAccepted);
-  const endedAtMs = site.nowMs();
-  await sleep(FINISH_MS);
-  const findings = await watchLost(site, notes, accepted, watchMs);
-  const readiness = endWatch();
+  const { findings, facts } = await judge(site, notes, accepted);
   const shown = await ask(site, accepted, { tries: 3 });
   const exits = site.programs.flatMap(({ name, exits: list }) =>
     list.map(({ code, signal }) => `${name} ended by itself: ${code} ${signal}`),
   );
-  const refusals = site.store.refused;
-  const facts = [
+  const allFacts = [
     `TROUBLE=${hasTrouble ? 1 : 0}`,
-    `the traffic ended at ${endedAtMs} ms; jobs were watched from ${endedAtMs + FINISH_MS} ms on for ${watchMs} ms`,
     `${accepted.length} of ${jobs.length} jobs were accepted`,
-    `transactions that the store refused as too large: ${refusals.length}${refusals.length === 0 ? '' : `, the first ${JSON.stringify(refusals[0])}`}`,
+    ...facts,
     ...exits,
-    ...readiness,
     'jobs, asked for at the end:',
     ...shown,
   ];
-  await writeRecord(`${folder}/record.txt`, { title, notes, findings, facts });
-  process.stdout.write(`${[title, ...facts, ...findings].join('\n')}\n`);
+  await writeRecord(`${folder}/record.txt`, { title, notes, findings, facts: allFacts });
+  process.stdout.write(`${[title, ...allFacts, ...findings].join('\n')}\n`);
   await end(findings.length > 0 ? 1 : 0);
 }
+
+/**
+ * Runs a case on the rule LOST. `play` submits the traffic, with the disruption if there is to be one, and
+ * returns the jobs; `plan` tells of the runs of its own jobs. Jobs are watched for `watchMs` from
+ * `FINISH_MS` after that.
+ */
+export function runLostCase({ play, watchMs, ...options }) {
+  const watch = { end: () => [] };
+  return runCase({
+    ...options,
+    play: (site, notes) => {
+      watch.end = watchEntries(site);
+      return play(site, notes);
+    },
+    judge: async (site, notes, accepted) => {
+      const endedAtMs = site.nowMs();
+      await sleep(FINISH_MS);
+      const findings = await watchLost(site, notes, accepted, watchMs);
+      const { refused } = site.store;
+      const first = refused.length === 0 ? '' : `, the first ${JSON.stringify(refused[0])}`;
+      const facts = [
+        `the traffic ended at ${endedAtMs} ms; jobs were watched from ${endedAtMs + FINISH_MS} ms on for ${watchMs} ms`,
+        `transactions that the store refused as too large: ${refused.length}${first}`,
+        ...watch.end(),
+      ];
+      return { findings, facts };
+    },
+  });
+}
+
+/** Runs a case on the rule TWICE. */
+export function runTwiceCase(options) {
+  return runCase({
+    ...options,
+    judge: async (_, notes) => ({ findings: findTwice(notes), facts: [] }),
+  });
+}
+
+/** Asks for each job, on other entries after no answer, and returns a line for each that gets none. */
+async function findUnanswered(site, jobs) {
+  const answers = await Promise.all(
+    jobs.map(async (job, index) => {
+      const fromMs = site.nowMs();
+      const { name, id, path } = job;
+      const answer = await clientCall(site, 'GET', `${path}${id}`, undefined, { entry: index });
+      const text = `LOST ${name} ${id}: asked for at ${fromMs} ms, no answer to any of 4 tries until ${site.nowMs()} ms`;
+      return answer === undefined ? [text] : [];
+    }),
+  );
+  return answers.flat();
+}
+
+/**
+ * Runs a case on the rule LOST that asks for the jobs `FINISH_MS` after the end of the traffic. A job is lost
+ * if a client gets no answer, although it tries four times at different entries and waits 3 s each time.
+ */
+export function runAnswerCase({ play, ...options }) {
+  const watch = { end: () => [] };
+  return runCase({
+    ...options,
+    play: (site, notes) => {
+      watch.end = watchEntries(site);
+      return play(site, notes);
+    },
+    judge: async (site, _, accepted) => {
+      const endedAtMs = site.nowMs();
+      await sleep(FINISH_MS);
+      const findings = await findUnanswered(site, accepted);
+      const facts = [
+        `the traffic ended at ${endedAtMs} ms; jobs were asked for from ${endedAtMs + FINISH_MS} ms on`,
+        ...watch.end(),
+      ];
+      return { findings, facts };
+    },
+  });
+}
