--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -170,3 +170,35 @@
     },
   });
 }
+
+/** Ends of a process by itself after which its machine counts, and the least number of such machines. */
+const MAX_OWN_ENDS = 3;
+const MIN_MACHINES = 2;
+const MACHINES_SHARE = 0.1;
+
+/** Runs a case on processes that end by themselves, which are started again after a short delay. */
+export function runEndsCase({ play, ...options }) {
+  return runCase({
+    ...options,
+    play: async (site, notes) => {
+      site.restartOwnEnds();
+      return play(site, notes);
+    },
+    judge: async (site) => {
+      const counts = site.programs.filter(({ ownEnds }) => ownEnds.length > 0);
+      const struck = counts.filter(({ ownEnds }) => ownEnds.length >= MAX_OWN_ENDS);
+      const needed = Math.max(MIN_MACHINES, site.programs.length * MACHINES_SHARE);
+      const findings =
+        struck.length < needed
+          ? []
+          : struck.map(
+              ({ name, ownEnds }) =>
+                `FAULT ${name}: the process ended by itself ${ownEnds.length} times, at ${ownEnds.map(({ atMs }) => atMs).join(', ')} ms`,
+            );
+      const facts = counts.map(
+        ({ name, ownEnds }) => `${name} ended by itself: ${JSON.stringify(ownEnds)}`,
+      );
+      return { findings, facts };
+    },
+  });
+}
--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -13,6 +13,7 @@
 const ROOT = resolve(fileURLToPath(new URL('.', import.meta.url)), '../..');
 const ZONES = ['hobart', 'launceston', 'devonport', 'burnie'];
 const TAKEN_BY_OTHERS = 100;
+const RESTART_MS = 500;
 
 /** Returns the command of a role in the deploy file. */
 async function commandOf(role) {
@@ -42,7 +43,14 @@
   await writeFile(file, JSON.stringify(settings, undefined, 2));
   const [command, ...args] = await commandOf(role);
   const log = createWriteStream(join(folder, `${settings.name}.log`), { flags: 'a' });
-  const program = { name: settings.name, settings, child: undefined, exits: [] };
+  const program = {
+    name: settings.name,
+    settings,
+    child: undefined,
+    exits: [],
+    ownEnds: [],
+    isSignalled: false,
+  };
   const start = () => {
     const child = spawn(command === 'node' ? process.execPath : command, args, {
       cwd: ROOT,
@@ -62,6 +70,7 @@
     start,
     isRunning,
     signal: (name) => {
+      program.isSignalled = true;
       if (isRunning()) program.child.kill(name);
     },
   });
@@ -205,6 +214,28 @@
     readyOf: (index) => `${entryHosts[index % entryHosts.length]}:${ready}`,
     nowMs: () => Math.round(performance.now() - startedMs),
     cpuOf: (task) => plan(task).cpu,
+    /** Starts processes again that end by themselves, after a short delay, and notes their ends. */
+    restartOwnEnds: () => {
+      programs.forEach((program) => {
+        const watch = () => {
+          program.child.once('exit', (code, signal) => {
+            if (program.isSignalled) return;
+            program.ownEnds.push({
+              atMs: Math.round(performance.now() - startedMs),
+              code,
+              signal,
+            });
+            record({ what: 'own end', program: program.name, code, signal });
+            setTimeout(() => {
+              if (program.isSignalled) return;
+              program.start();
+              watch();
+            }, RESTART_MS);
+          });
+        };
+        watch();
+      });
+    },
     /** Ends all that was started. */
     close: async () => {
       workerList.forEach((worker) => worker.close());
