--- a/review/lib-3/case.mjs
+++ b/review/lib-3/case.mjs
@@ -4,8 +4,7 @@
 import { fileURLToPath } from 'node:url';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { ask, FINISH_MS, submit, watchLost, writeRecord } from './judge.mjs';
-import { findTwice } from './twice.mjs';
-import { clientCall, newId, startSite, untilReady } from './site.mjs';
+import { newId, startSite, untilReady } from './site.mjs';
 import { call } from './worker.mjs';
 
 const BUNDLE = fileURLToPath(new URL('../../target/bronzeyoke-node.mjs', import.meta.url));
@@ -124,53 +123,6 @@
   });
 }
 
-/** Runs a case on the rule TWICE. */
-export function runTwiceCase(options) {
-  return runCase({
-    ...options,
-    judge: async (_, notes) => ({ findings: findTwice(notes), facts: [] }),
-  });
-}
-
-/** Asks for each job, on other entries after no answer, and returns a line for each that gets none. */
-async function findUnanswered(site, jobs) {
-  const answers = await Promise.all(
-    jobs.map(async (job, index) => {
-      const fromMs = site.nowMs();
-      const { name, id, path } = job;
-      const answer = await clientCall(site, 'GET', `${path}${id}`, undefined, { entry: index });
-      const text = `LOST ${name} ${id}: asked for at ${fromMs} ms, no answer to any of 4 tries until ${site.nowMs()} ms`;
-      return answer === undefined ? [text] : [];
-    }),
-  );
-  return answers.flat();
-}
-
-/**
- * Runs a case on the rule LOST that asks for the jobs `FINISH_MS` after the end of the traffic. A job is lost
- * if a client gets no answer, although it tries four times at different entries and waits 3 s each time.
- */
-export function runAnswerCase({ play, ...options }) {
-  const watch = { end: () => [] };
-  return runCase({
-    ...options,
-    play: (site, notes) => {
-      watch.end = watchEntries(site);
-      return play(site, notes);
-    },
-    judge: async (site, _, accepted) => {
-      const endedAtMs = site.nowMs();
-      await sleep(FINISH_MS);
-      const findings = await findUnanswered(site, accepted);
-      const facts = [
-        `the traffic ended at ${endedAtMs} ms; jobs were asked for from ${endedAtMs + FINISH_MS} ms on`,
-        ...watch.end(),
-      ];
-      return { findings, facts };
-    },
-  });
-}
-
 /** Ends of a process by itself after which its machine counts, and the least number of such machines. */
 const MAX_OWN_ENDS = 3;
 const MIN_MACHINES = 2;
