--- a/review/lib-3/site.mjs
+++ b/review/lib-3/site.mjs
@@ -22,10 +22,10 @@
   return /run = "([^"]+)"/.exec(section)?.[1].split(' ') ?? [];
 }
 
-/** Returns ports that are free on all loopback addresses for now. */
+/** Returns ports that are free on 127.0.0.1 for now; the programs use them on loopback addresses of their own. */
 async function freePorts(count) {
   const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(servers.map((server) => listenOn(server, '0.0.0.0', 0)));
+  const ports = await Promise.all(servers.map((server) => listenOn(server, '127.0.0.1', 0)));
   await Promise.all(
     servers.map(
       (server) =>
