Start tasks only where the evacuated domains are known

Cause: the set of evacuated domains began empty, which nothing told from "no domain is out". The rows share a read and a feed with a configuration that takes over a second on a narrow link, while a restarted entry takes its own lease back and leads after some 0.2 s.

Change: the scheduler knows whether the evacuations were read and when the store last confirmed them. The same cause on related paths: a leader whose feed is silent placed by evacuations of any age, and a claim was ordered although its domain had gone out since.

--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -1,12 +1,22 @@
+import { performance } from 'node:perf_hooks';
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { RowChange, RowStorePort, StoredRow } from '@bronzeyoke/ports';
+import type { RowChange, RowFeedResult, RowStorePort, StoredRow } from '@bronzeyoke/ports';
 import { MAX_PAGE_ROWS } from '@bronzeyoke/ports';
 import { assertNever } from '@bronzeyoke/types';
 
 /** Update that a follower of a table reports. */
 export type TableUpdate =
-  | { readonly kind: 'snapshot'; readonly rows: readonly StoredRow[] }
+  | {
+      readonly kind: 'snapshot';
+      readonly rows: readonly StoredRow[];
+      /** Changes after this version may be missing. */
+      readonly version: number;
+      /** When the read of the first page was sent. */
+      readonly asOfMs: number;
+    }
   | { readonly kind: 'changes'; readonly changes: readonly RowChange[] }
+  /** All changes up to `version` were reported, and at `asOfMs` there were no others. */
+  | { readonly kind: 'current'; readonly version: number; readonly asOfMs: number }
   /** Result of a call: the store answered with its newest version, or it was unavailable. */
   | { readonly kind: 'answered'; readonly version: number }
   | { readonly kind: 'unanswered' };
@@ -42,6 +52,8 @@
       readonly rows: readonly StoredRow[];
       /** Lowest version of the pages read; infinite before the first one. */
       readonly version: number;
+      /** When the read of the first page was sent; infinite before it. */
+      readonly asOfMs: number;
       readonly fromKey?: string;
       /** A page has failed, perhaps because it took too long. */
       readonly hasFailed: boolean;
@@ -57,6 +69,7 @@
   lossCount: 0,
   rows: [],
   version: Infinity,
+  asOfMs: Infinity,
   hasFailed: false,
 };
 
@@ -70,6 +83,16 @@
   return Math.min(MAX_LOSS_DELAY_MS, RETRY_DELAY_MS * 2 ** (lossCount - 1));
 }
 
+/** Returns the latest time at which the store is known to have had no changes beside those that it sent. */
+function asOfMsOf(
+  { changes }: Extract<RowFeedResult, { kind: 'changes' }>,
+  sentAtMs: number,
+  waitMs: number,
+): number {
+  const hasWaited = changes.length === 0 && performance.now() - sentAtMs >= waitMs;
+  return hasWaited ? sentAtMs + waitMs : sentAtMs;
+}
+
 async function pauseByTimer(forMs: number): Promise<void> {
   await sleep(forMs, undefined, { ref: false });
 }
@@ -103,15 +126,25 @@
     const { lossCount, fromKey, hasFailed } = position;
     const maxRows = hasFailed ? smallPageRows : pageRows;
     const from = fromKey === undefined ? {} : { fromKey };
+    const asOfMs = Math.min(position.asOfMs, performance.now());
     const result = await store.range({ table, partition, maxRows, ...from });
     if (result.kind === 'unavailable') return undefined;
     const rows = [...position.rows, ...result.rows];
     const version = Math.min(position.version, result.version);
     if (result.nextKey !== undefined) {
       emit({ kind: 'answered', version: result.version });
-      return { kind: 'reading', lossCount, rows, version, fromKey: result.nextKey, hasFailed };
+      return {
+        kind: 'reading',
+        lossCount,
+        rows,
+        version,
+        asOfMs,
+        fromKey: result.nextKey,
+        hasFailed,
+      };
     }
-    emit({ kind: 'snapshot', rows });
+    emit({ kind: 'snapshot', rows, version, asOfMs });
+    emit({ kind: 'current', version, asOfMs });
     return { kind: 'following', lossCount, version };
   };
 
@@ -125,6 +158,7 @@
     lossCount,
     version,
   }: Extract<Position, { kind: 'following' }>): Promise<NextPosition> => {
+    const sentAtMs = performance.now();
     const result = await store.feed(table, version, waitMs);
     switch (result.kind) {
       case 'changes':
@@ -133,6 +167,11 @@
           // The receiver may have missed the rows beside the one that it could not handle.
           return readAgain(lossCount);
         }
+        emit({
+          kind: 'current',
+          version: result.version,
+          asOfMs: asOfMsOf(result, sentAtMs, waitMs),
+        });
         return { kind: 'following', lossCount: 0, version: Math.max(version, result.version) };
       case 'historyLost':
         return readAgain(lossCount);
--- a/packages/hosts/src/controller.ts
+++ b/packages/hosts/src/controller.ts
@@ -40,7 +40,8 @@
   readonly config: () => FleetConfig | undefined;
   /** Applies times that were derived from changed settings. */
   readonly setTimes: (times: SchedulerTimes) => void;
-  readonly setDomainsOut: (domains: ReadonlySet<string>) => void;
+  /** Applies the failure domains that operators evacuate, as the store held them `ageMs` ago. */
+  readonly setDomainsOut: (domains: ReadonlySet<string>, ageMs: number) => void;
   /** Returns the time since the store last answered. */
   readonly storeSilentMs: () => number;
   readonly stop: () => void;
@@ -132,7 +133,7 @@
     },
     config: () => currentConfig,
     setTimes: (times) => dispatch(scheduler, { kind: 'timesChanged', times }),
-    setDomainsOut: (domains) => dispatch(scheduler, { kind: 'domainsOut', domains }),
+    setDomainsOut: (domains, ageMs) => dispatch(scheduler, { kind: 'domainsOut', domains, ageMs }),
     storeSilentMs: tracked.silentMs,
     // Ticks go on, because the release of the lease may have to be sent again.
     stop: () => {
--- a/packages/hosts/src/jobfeed.ts
+++ b/packages/hosts/src/jobfeed.ts
@@ -35,6 +35,7 @@
             update.changes.flatMap((change) => (change.kind === 'put' ? [change] : [])),
           );
           return;
+        case 'current':
         case 'answered':
         case 'unanswered':
           return;
--- a/packages/hosts/src/leader.ts
+++ b/packages/hosts/src/leader.ts
@@ -41,6 +41,8 @@
         case 'unanswered':
           onAnswer(false);
           return;
+        case 'current':
+          return;
         default:
           assertNever(update);
       }
--- a/packages/hosts/src/verdicts.ts
+++ b/packages/hosts/src/verdicts.ts
@@ -30,6 +30,7 @@
           });
           return;
         case 'snapshot':
+        case 'current':
         case 'answered':
         case 'unanswered':
           return;
--- a/packages/scheduler/src/admission/rooms.ts
+++ b/packages/scheduler/src/admission/rooms.ts
@@ -2,6 +2,7 @@
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { Resources } from '@bronzeyoke/types';
 import { addResources, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
+import { isEvacuated } from '../placement/evacuations';
 import type { SchedulerState } from '../types';
 import type { LastingRoom, ServiceRoom } from './view';
 
@@ -39,10 +40,10 @@
 
 function roomOf(
   reports: readonly WorkerReport[],
-  domainsOut: SchedulerState['domainsOut'],
+  evacuations: SchedulerState['evacuations'],
   nowMs: number,
 ): ServiceRoom {
-  const usable = capacityOf(reports.filter(({ domain }) => !domainsOut.has(domain)));
+  const usable = capacityOf(reports.filter(({ domain }) => !isEvacuated(evacuations, domain)));
   return { atMs: nowMs, usable, lasting: lastingRoom(reports) };
 }
 
@@ -60,7 +61,7 @@
   const byService = Map(
     [...List(stayingReports(state)).groupBy(({ service }) => service)].map(
       ([service, reports]) =>
-        [service, roomOf(reports.toArray(), state.domainsOut, nowMs)] as const,
+        [service, roomOf(reports.toArray(), state.evacuations, nowMs)] as const,
     ),
   );
   const services = [...new Set([...known.keys(), ...byService.keys()])];
--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -4,6 +4,7 @@
 import { withReservation, withTask } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
 import { fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
+import { isEvacuated } from '../placement/evacuations';
 import { runsOn } from '../runs';
 import type { SchedulerState } from '../types';
 import type { KnownLoad, KnownLoads, OrphanRun, WorkerView } from '../views';
@@ -105,7 +106,7 @@
     !isUnreachable &&
     !report.isDraining &&
     !hasUnknownNeeds(runsOn(state.orphans, workerKey)) &&
-    !state.domainsOut.has(report.domain) &&
+    !isEvacuated(state.evacuations, report.domain) &&
     nowMs >= quarantinedUntilMs;
   return isUsable ? report : undefined;
 }
--- a/packages/scheduler/src/fleet/release.ts
+++ b/packages/scheduler/src/fleet/release.ts
@@ -33,6 +33,8 @@
   | 'stoppedBeforeOrder'
   /** The worker's room became smaller between the claim and the order. */
   | 'roomShrunk'
+  /** The worker's domain was evacuated between the claim and the order, or may have been. */
+  | 'domainOut'
   | 'refused';
 
 /** Returns what became of the time of a released run. */
@@ -45,6 +47,7 @@
     case 'notConnected':
     case 'stoppedBeforeOrder':
     case 'roomShrunk':
+    case 'domainOut':
     case 'refused':
       return 'notStarted';
     default:
@@ -81,6 +84,7 @@
     case 'notConnected':
     case 'stoppedBeforeOrder':
     case 'roomShrunk':
+    case 'domainOut':
     case 'refused':
       return fields;
     default:
--- a/packages/scheduler/src/leadership/leadership.ts
+++ b/packages/scheduler/src/leadership/leadership.ts
@@ -40,7 +40,15 @@
 }
 
 function resetLeaderState({ state, effects }: SchedulerStep): SchedulerStep {
-  const rest = without(state, 'inFlight', 'claim', 'pollCallId', 'storedTimes', 'isolatedSinceMs');
+  const rest = without(
+    state,
+    'inFlight',
+    'claim',
+    'pollCallId',
+    'storedTimes',
+    'isolatedSinceMs',
+    'placementHeldSinceMs',
+  );
   return withEffects({ ...rest, ...EMPTY_LEADER_STATE }, [
     ...effects,
     { kind: 'followJobs', isOn: false },
--- a/packages/scheduler/src/leadership/postcommit.ts
+++ b/packages/scheduler/src/leadership/postcommit.ts
@@ -8,6 +8,7 @@
 import type { PostCommitAction } from './pending';
 import { releaseRun } from '../fleet/release';
 import { recordTaskTime } from '../jobs/openjob';
+import { mayStartIn } from '../placement/evacuations';
 import { policyOf } from '../policy';
 import { dropRuns, putRun, runsOn } from '../runs';
 import { sendToWorker, withEffects } from '../state';
@@ -82,6 +83,10 @@
   if (worker?.linkId === undefined || link === undefined) {
     return unchanged(holdStart(state, task, run, nowMs));
   }
+  // The evacuation may have come, or its confirmation may have become too old, since the claim.
+  if (worker.report !== undefined && !mayStartIn(state, worker.report.domain, nowMs)) {
+    return releaseRun(state, task, 'domainOut', nowMs);
+  }
   if (!withRoom.has(workerKey) && !hasRoomForClaims(state, workerKey)) {
     return releaseRun(state, task, 'roomShrunk', nowMs);
   }
--- a/packages/scheduler/src/state.ts
+++ b/packages/scheduler/src/state.ts
@@ -85,7 +85,7 @@
     claimedAtMs: 0,
     claimPausedUntilMs: 0,
     eventWaitMs: 0,
-    domainsOut: new Set(),
+    evacuations: { kind: 'unread' },
     links: Map(),
     linksOpened: 0,
     pairs: EMPTY_PAIRS,
--- a/packages/scheduler/src/step.ts
+++ b/packages/scheduler/src/step.ts
@@ -1,4 +1,3 @@
-import { logEffect } from '@bronzeyoke/telemetry';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { RunnerMessage } from '@bronzeyoke/wire';
@@ -34,6 +33,12 @@
 import { changeTimes } from './fleet/leases';
 import { closeLink, openLink } from './fleet/links';
 import { retryReads } from './leadership/load';
+import {
+  areEvacuationsCurrent,
+  holdPlacement,
+  onDomainsOut,
+  resumePlacement,
+} from './placement/evacuations';
 import { logGaps } from './placement/gapcounts';
 import { paceWorker } from './placement/pace';
 import { recordPass } from './placement/passbudget';
@@ -95,13 +100,21 @@
   ]);
 }
 
+/** Places waiting tasks once the evacuated domains are known. */
+function placeInKnownDomains(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
+  if (!areEvacuationsCurrent(state, nowMs)) return holdPlacement(state, nowMs);
+  return chainAfter(resumePlacement(state, nowMs), [
+    (current) => placeTasks(current, nowMs, wallMs),
+  ]);
+}
+
 /** Places waiting tasks unless a transaction is in flight, and sends the pending writes. */
 function placeAndFlush(state: SchedulerState, nowMs: number, wallMs: number): SchedulerStep {
   const { phase, inFlight, needsPlacement, lastPassAtMs, passPausedUntilMs, workers } = state;
   const isPaused = nowMs < passPausedUntilMs || nowMs - lastPassAtMs < passIntervalMs(workers.size);
   const isDue = needsPlacement && !isPaused && !isOffering(state);
   const isReady = phase === 'leading' && inFlight === undefined && isDue;
-  const placed = isReady ? placeTasks(state, nowMs, wallMs) : unchanged(state);
+  const placed = isReady ? placeInKnownDomains(state, nowMs, wallMs) : unchanged(state);
   return chainAfter(placed, [
     (current) => flush(current, nowMs, wallMs),
     (current) => releaseLease(current, nowMs),
@@ -277,9 +290,7 @@
     case 'timesChanged':
       return unchanged(changeTimes(state, event.times, nowMs));
     case 'domainsOut':
-      return withEffects({ ...state, domainsOut: event.domains, needsPlacement: true }, [
-        logEffect('domainsOut', { domains: [...event.domains].join(',') }),
-      ]);
+      return onDomainsOut(state, event, nowMs);
     case 'leaderRow':
       return chainAfter(onLeaderRow(state, event.row), [
         (current) => pollOffer(current, event.row, nowMs),
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -14,6 +14,7 @@
 import type { Handover, LastOffer } from './leadership/handoverstate';
 import type { HolderAnswer, HolderProbe, HolderSign } from './leadership/holderanswer';
 import type { SlowPasses } from './leadership/slowpasses';
+import type { Evacuations } from './placement/evacuations';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { Recovery } from './leadership/recoverychart';
@@ -76,6 +77,11 @@
   readonly times: SchedulerTimes;
   /** `DEFAULT_POLICY` if absent. */
   readonly policy?: SchedulingPolicy;
+  /**
+   * Longest time since the evacuated domains were last confirmed at which tasks still start. If absent, tasks
+   * start whether or not they were ever read.
+   */
+  readonly maxEvacuationAgeMs?: number;
 }
 
 /** The lease row as this entry last read it. */
@@ -235,7 +241,9 @@
   readonly mayGrantUntilMs: number;
   readonly loading: LoadState;
   readonly config?: FleetConfig;
-  readonly domainsOut: ReadonlySet<string>;
+  readonly evacuations: Evacuations;
+  /** Since when placement has waited for the evacuated domains; absent while it does not. */
+  readonly placementHeldSinceMs?: number;
   readonly jobs: Map<string, OpenJob>;
   readonly held: HeldState;
   /** Jobs whose definitions cannot be decoded. */
@@ -329,7 +337,12 @@
   | { readonly kind: 'clockGap'; readonly gapMs: number }
   | { readonly kind: 'configChanged'; readonly config: FleetConfig }
   | { readonly kind: 'timesChanged'; readonly times: SchedulerTimes }
-  | { readonly kind: 'domainsOut'; readonly domains: ReadonlySet<string> }
+  /** The failure domains that operators evacuate, as the store held them `ageMs` ago. */
+  | {
+      readonly kind: 'domainsOut';
+      readonly domains: ReadonlySet<string>;
+      readonly ageMs: number;
+    }
   | { readonly kind: 'leaderRow'; readonly row: StoredRow | undefined }
   | {
       readonly kind: 'holderAnswered';
--- a/packages/scheduler/test/formerplace.test.ts
+++ b/packages/scheduler/test/formerplace.test.ts
@@ -70,7 +70,7 @@
 // Guards against a start in a failure domain that is evacuated.
 it('former place: a task does not return to a domain that is out', () => {
   const domains = new Set(['south']);
-  const out = dispatch(join(busy(), 'w3'), { kind: 'domainsOut', domains });
+  const out = dispatch(join(busy(), 'w3'), { kind: 'domainsOut', domains, ageMs: 0 });
   const restarted = wait(restart(out, { domain: 'south' }), 300);
   expect(siteOf(restarted, 'small.0.0.0')).to.be.oneOf(['w2', 'w3']);
 });
--- a/packages/scheduler/test/scheduler.test.ts
+++ b/packages/scheduler/test/scheduler.test.ts
@@ -178,6 +178,7 @@
   const out = dispatch(report(createLeader(), 'w1'), {
     kind: 'domainsOut',
     domains: new Set(['north']),
+    ageMs: 0,
   });
   const fixture = commitAll(submit(out, jobOf('job1', [stageOf(1)])));
   expect(sentMessages(fixture, 'start')).to.have.length(0);
--- a/packages/scheduler/test/simstore.ts
+++ b/packages/scheduler/test/simstore.ts
@@ -259,7 +259,7 @@
           readAll(rows, version, done, result.nextKey);
           return;
         }
-        emit({ kind: 'snapshot', rows });
+        emit({ kind: 'snapshot', rows, version, asOfMs: 0 });
         done(version);
       });
     };
--- a/packages/telemetry/src/events.ts
+++ b/packages/telemetry/src/events.ts
@@ -105,7 +105,9 @@
   | 'admissionChanged'
   | 'admissionCounts'
   | 'configApplied'
-  | 'domainsOut';
+  | 'domainsOut'
+  | 'placementHeld'
+  | 'placementResumed';
 
 /**
  * Fields of a log line. All processes log job and task ids as `job` and `task`. Lines about a
