--- a/packages/scheduler/src/admission/rooms.ts
+++ b/packages/scheduler/src/admission/rooms.ts
@@ -2,7 +2,7 @@
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { Resources } from '@bronzeyoke/types';
 import { addResources, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
-import { isEvacuated } from '../placement/evacuations';
+import { isEvacuated } from '../placement/domains';
 import type { SchedulerState } from '../types';
 import type { LastingRoom, ServiceRoom } from './view';
 
--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -4,7 +4,7 @@
 import { withReservation, withTask } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
 import { fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
-import { isEvacuated } from '../placement/evacuations';
+import { isEvacuated } from '../placement/domains';
 import { runsOn } from '../runs';
 import type { SchedulerState } from '../types';
 import type { KnownLoad, KnownLoads, OrphanRun, WorkerView } from '../views';
--- a/packages/scheduler/src/placement/evacuations.ts
+++ b/packages/scheduler/src/placement/evacuations.ts
@@ -1,26 +1,11 @@
-/** What an entry knows of the failure domains that operators evacuate, and which starts that allows. */
 import { is, Set as ImmutableSet } from 'immutable';
 import type { EventFields } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
 import { unchanged, without } from '@bronzeyoke/types';
+import { isEvacuated } from './domains';
 import { withEffects } from '../state';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from '../types';
 
-/** Failure domains that operators evacuate, as far as an entry knows them. */
-export type Evacuations =
-  | { readonly kind: 'unread' }
-  | {
-      readonly kind: 'read';
-      readonly domains: ReadonlySet<string>;
-      /** Latest time at which the store is known to have held just these. */
-      readonly confirmedAtMs: number;
-    };
-
-/** Returns whether a domain is known to be evacuated. */
-export function isEvacuated(evacuations: Evacuations, domain: string): boolean {
-  return evacuations.kind === 'read' && evacuations.domains.has(domain);
-}
-
 /**
  * Returns whether the evacuations are known well enough to start tasks. An entry that has not read them, or
  * that no longer hears of changes, may miss one that was acknowledged long ago.
--- a/packages/scheduler/src/types.ts
+++ b/packages/scheduler/src/types.ts
@@ -14,7 +14,7 @@
 import type { Handover, LastOffer } from './leadership/handoverstate';
 import type { HolderAnswer, HolderProbe, HolderSign } from './leadership/holderanswer';
 import type { SlowPasses } from './leadership/slowpasses';
-import type { Evacuations } from './placement/evacuations';
+import type { Evacuations } from './placement/domains';
 import type { PassPace } from './placement/passbudget';
 import type { PendingWrites, PostCommitAction } from './leadership/pending';
 import type { Recovery } from './leadership/recoverychart';
--- a/packages/scheduler/test/admission.test.ts
+++ b/packages/scheduler/test/admission.test.ts
@@ -101,7 +101,11 @@
 // out for a time. 16 cores hold 10 reserved ones well, those of one domain do not.
 it('admission: a failure domain that is out closes no queue of lasting jobs', () => {
   const used = live(submitAll(limitingLeader(SITES), [lastingJob('j1', 10)]), 8_000, SITES);
-  const away = live(dispatch(used, { kind: 'domainsOut', domains: new Set(['b']), ageMs: 0 }), 40_000, SITES);
+  const away = live(
+    dispatch(used, { kind: 'domainsOut', domains: new Set(['b']), ageMs: 0 }),
+    40_000,
+    SITES,
+  );
   expect(kindsOf(away)).to.deep.equal({});
   const full = live(submitAll(away, [lastingJob('j2', 5)]), 2_000, SITES);
   expect(kindsOf(full)).to.deep.equal({ 'feeds lasting': 'refuse' });
