--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -79,6 +79,8 @@
   const callEntry: Client['callEntry'] = async (entry, cliRequest) => {
     const { method, path, body } = cliRequest;
     const host = entry.host.includes(':') ? `[${entry.host}]` : entry.host;
+    const untilAnswer = new AbortController();
+    const timeout = setTimeout(() => untilAnswer.abort(), timeoutMs);
     try {
       const response = await request(`http://${host}:${entry.port}${path}`, {
         method,
@@ -86,9 +88,12 @@
           ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
           ...(body === undefined ? {} : { 'content-type': 'application/json' }),
         },
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: untilAnswer.signal,
+        bodyTimeout: timeoutMs,
         ...(body === undefined ? {} : { body: JSON.stringify(body) }),
       });
+      // A long answer may take its time on a narrow link; from here on only pauses in it are limited.
+      clearTimeout(timeout);
       const text = await response.body.text();
       return response.statusCode < 300
         ? succeed(parseJson(text))
@@ -102,6 +107,8 @@
             kind: 'unknownOutcome',
             problem: `the connection to ${formatAddress(entry)} failed with ${code}`,
           });
+    } finally {
+      clearTimeout(timeout);
     }
   };
 
