Run a job by the later of the leader's and its own configuration

A job that it accepted by the new version was placed by the queue's service of the leader's older one, which is what CONFIG forbids.

Change: a job row names the version by which it was accepted, and placement uses the job's own service where the leader's version is older. Rows without a version are handled as before. `config versions: a job accepted by a later version runs by that one` fails on the change before.

--- a/packages/scheduler/src/placement/pass.ts
+++ b/packages/scheduler/src/placement/pass.ts
@@ -123,10 +123,15 @@
   return held.has(task) || (state.backOff.get(task) ?? 0) > nowMs;
 }
 
-/** Returns the queue's service in the current configuration. */
+/**
+ * Returns the queue's service in the latest configuration that is known: that of this entry, or that by which
+ * the job was accepted. An entry on a wide link has a long configuration seconds earlier.
+ */
 export function serviceOf({ config }: SchedulerState, { job }: OpenJob): string {
-  const { service, queue } = job.policy;
-  const current = config?.queues.find((other) => other.queue === queue);
+  const { policy, configVersion = -Infinity } = job;
+  const { service, queue } = policy;
+  if (config === undefined || config.version < configVersion) return service;
+  const current = config.queues.find((other) => other.queue === queue);
   return current?.service ?? service;
 }
 
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -43,6 +43,7 @@
     .object({ firstAtMs: z.number(), periodMs: z.number(), occurrences: z.number() })
     .optional(),
   acceptedAtMs: z.number(),
+  configVersion: z.number().optional(),
   acceptedBy: z.string().optional(),
 });
 
--- a/packages/workflow/src/types.ts
+++ b/packages/workflow/src/types.ts
@@ -84,6 +84,8 @@
   readonly schedule?: Schedule;
   /** Wall-clock time of the acceptance. */
   readonly acceptedAtMs: number;
+  /** Version of the configuration by which it was accepted. */
+  readonly configVersion?: number;
   /** Entry that accepted it; absent unless the leader limits what entries accept. */
   readonly acceptedBy?: string;
 }
