--- a/packages/settings/src/cli.ts
+++ b/packages/settings/src/cli.ts
@@ -14,7 +14,9 @@
     .max(4_096)
     .optional()
     .describe('file with the bearer token; `BRONZEYOKE_TOKEN` takes precedence'),
-  timeoutMs: durationMsSchema(600_000).default(10_000).describe('time until the answer to a request begins, and longest pause in it'),
+  timeoutMs: durationMsSchema(600_000)
+    .default(10_000)
+    .describe('time until the answer to a request begins, and longest pause in it'),
 });
 
 /** Settings of the command line, with defaults filled in. */
