--- a/packages/follow/src/follow.ts
+++ b/packages/follow/src/follow.ts
@@ -15,7 +15,7 @@
       readonly asOfMs: number;
     }
   | { readonly kind: 'changes'; readonly changes: readonly RowChange[] }
-  /** All changes up to `version` were reported, and at `asOfMs` there were no others. */
+  /** Follows a feed: all changes up to `version` were reported, and at `asOfMs` there were no others. */
   | { readonly kind: 'current'; readonly version: number; readonly asOfMs: number }
   /** Result of a call: the store answered with its newest version, or it was unavailable. */
   | { readonly kind: 'answered'; readonly version: number }
@@ -144,7 +144,6 @@
       };
     }
     emit({ kind: 'snapshot', rows, version, asOfMs });
-    emit({ kind: 'current', version, asOfMs });
     return { kind: 'following', lossCount, version };
   };
 
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -3,7 +3,6 @@
 export * from './leadership/holderanswer';
 export * from './leadership/maintenance';
 export * from './leadership/rows';
-export type { Evacuations } from './placement/domains';
 export * from './policy';
 export * from './state';
 export * from './step';
