--- a/packages/httpserver/src/body.ts
+++ b/packages/decoding/src/buffer.ts
@@ -1,3 +1,7 @@
+import type { Readable } from 'node:stream';
+import type { Result } from '@bronzeyoke/types';
+import { fail, succeed } from '@bronzeyoke/types';
+
 /** Size of the first buffer of a body whose length is not announced. */
 const FIRST_BYTES = 1_024;
 
@@ -32,3 +36,36 @@
 export function bytesOf({ buffer, lengthBytes }: BodyBuffer): Buffer {
   return buffer.subarray(0, lengthBytes);
 }
+
+/** Reason for which a stream was not collected. */
+export type CollectFault =
+  | { readonly kind: 'tooLong'; readonly limitBytes: number }
+  | { readonly kind: 'brokeOff'; readonly cause?: unknown };
+
+/** Collects the bytes of a stream. One that exceeds the limit is destroyed. */
+export function collectBytes(
+  stream: Readable,
+  limitBytes: number,
+  done: (result: Result<Buffer, CollectFault>) => void,
+): void {
+  const current: { body: BodyBuffer; isDone: boolean } = { body: EMPTY_BODY, isDone: false };
+  const finish = (result: Result<Buffer, CollectFault>): void => {
+    if (current.isDone) return;
+    current.isDone = true;
+    done(result);
+  };
+  stream.on('data', (chunk: Buffer) => {
+    if (current.isDone) return;
+    const sizeBytes = neededBytes(current.body, chunk.length, limitBytes);
+    if (sizeBytes <= limitBytes) {
+      current.body = appendChunk(current.body, chunk, sizeBytes);
+      return;
+    }
+    current.body = EMPTY_BODY;
+    finish(fail({ kind: 'tooLong', limitBytes }));
+    stream.destroy();
+  });
+  stream.on('end', () => finish(succeed(bytesOf(current.body))));
+  stream.on('error', (cause) => finish(fail({ kind: 'brokeOff', cause })));
+  stream.on('close', () => finish(fail({ kind: 'brokeOff' })));
+}
--- a/packages/harness/src/index.ts
+++ b/packages/harness/src/index.ts
@@ -18,3 +18,4 @@
 export * from './upstream';
 export * from './worker';
 export * from './world';
+export * from './shapes';
--- a/packages/httpserver/src/index.ts
+++ b/packages/httpserver/src/index.ts
@@ -1,4 +1,3 @@
-export * from './body';
 export * from './chart';
 export * from './limits';
 export * from './refusal';
--- a/packages/httpserver/src/server.ts
+++ b/packages/httpserver/src/server.ts
@@ -3,9 +3,9 @@
 import { createServer } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { performance } from 'node:perf_hooks';
+import type { BodyBuffer } from '@bronzeyoke/decoding';
+import { EMPTY_BODY, appendChunk, bytesOf, neededBytes } from '@bronzeyoke/decoding';
 import { assertNever } from '@bronzeyoke/types';
-import type { BodyBuffer } from './body';
-import { EMPTY_BODY, appendChunk, bytesOf, neededBytes } from './body';
 import type { ExchangeState } from './chart';
 import type { HttpLimits } from './limits';
 import type { PieceFeed } from './pieces';
--- a/packages/httpserver/test/httpserver.test.ts
+++ b/packages/httpserver/test/httpserver.test.ts
@@ -1,13 +1,10 @@
 import { expect } from 'chai';
+import { EMPTY_BODY, appendChunk, bytesOf, neededBytes } from '@bronzeyoke/decoding';
 import type { HttpEvent, HttpLimits, HttpStep } from '../src';
 import {
-  EMPTY_BODY,
   NO_CONNECTIONS,
   NO_REFUSALS,
-  appendChunk,
-  bytesOf,
   defaultLimits,
-  neededBytes,
   noteQuiet,
   noteRefusal,
   stepHttp,
--- a/packages/telemetry/src/eventmetrics.ts
+++ b/packages/telemetry/src/eventmetrics.ts
@@ -12,6 +12,10 @@
     kind: 'counter',
     help: 'Requests and connections refused, and connections closed, for a limit, by reason.',
   },
+  bronzeyoke_malformed_total: {
+    kind: 'counter',
+    help: 'Documents, rows and messages that were not used because they cannot be decoded, by source.',
+  },
   bronzeyoke_releases_total: {
     kind: 'counter',
     help: 'Runs given up without a listed end, by reason.',
@@ -206,6 +210,9 @@
       if (event === 'jobRefused') {
         metrics.count('bronzeyoke_refusals_total', { reason: String(fields.reason) });
       }
+      if (event === 'malformed') {
+        metrics.count('bronzeyoke_malformed_total', { source: String(fields.what) });
+      }
       if (event === 'taskReleased') {
         metrics.count('bronzeyoke_releases_total', { reason: String(fields.reason) });
       }
