Decode messages between processes only within the bound on memory

What was seen: in trials with the decoder alone, a message of 1.25 MB with members named by numbers took 2.3 GB and 2.8 s, and a big number of 100 KB took 0.9 s, growing with the square of its length. A peer that can reach the agents' port could end or stall an entry with one message.

Cause: frames were bounded in bytes alone. cbor-x sets members one by one, and V8 reserves 12 KB of elements for one that is named 1023. The decoder also took tags, indefinite lengths and records that our encoder never writes.

Change: `decodeCbor` walks the heads of a message first, counts the same cost as for JSON, and refuses what the encoder does not write. Lists and records in the schemas of messages end their check at the first fault of any kind. A connection that is closed for a message that cannot be decoded is counted and logged with the reason, and the name of an unknown kind is shortened before it is logged.

--- a/packages/hosts/src/agentlinks.ts
+++ b/packages/hosts/src/agentlinks.ts
@@ -8,6 +8,7 @@
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage } from '@bronzeyoke/wire';
 import { ENTRY_CODEC } from '@bronzeyoke/wire';
+import { logMalformed } from './malformed';
 import type { LogEvent } from './types';
 
 /** Connections of an entry from agents and other entries. */
@@ -61,6 +62,7 @@
               log('malformed', { what: 'message', messageKind: event.messageKind });
               return;
             case 'closed':
+              logMalformed(event, log);
               links.delete(linkId);
               dispatch(scheduler, { kind: 'linkClosed', linkId });
               return;
--- a/packages/hosts/src/leaderlink.ts
+++ b/packages/hosts/src/leaderlink.ts
@@ -8,6 +8,7 @@
 import { assertNever } from '@bronzeyoke/types';
 import type { LeaderMessage, RunnerMessage } from '@bronzeyoke/wire';
 import { AGENT_CODEC } from '@bronzeyoke/wire';
+import { logMalformed } from './malformed';
 import type { LogEvent } from './types';
 
 /** Connections of an agent: the one on which it reports, and one to a seed that it asks who leads. */
@@ -78,6 +79,7 @@
         log('malformed', { what: 'message', messageKind: event.messageKind });
         return;
       case 'closed':
+        logMalformed(event, log);
         dispatch(runner, { kind: 'linkClosed' });
         return;
       default:
--- a/packages/wire/src/frame.ts
+++ b/packages/wire/src/frame.ts
@@ -1,5 +1,6 @@
 import { Encoder } from 'cbor-x';
 import { List } from 'immutable';
+import { checkValue, decodeCbor, describeDecodeFault } from '@bronzeyoke/decoding';
 import type { Result } from '@bronzeyoke/types';
 import { fail, succeed } from '@bronzeyoke/types';
 import type { z } from 'zod';
@@ -14,8 +15,11 @@
 
 const LENGTH_BYTES = 4;
 
+/** Longest name of an unknown kind that is reported. */
+const MAX_KIND_CHARS = 64;
+
 // With records or shared structures, decoding a frame would depend on earlier frames of its connection.
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true, variableMapSize: true });
+const encoder = new Encoder({ useRecords: false, variableMapSize: true });
 
 /** Message of any protocol between processes, tagged with its kind. */
 export interface TaggedMessage {
@@ -24,7 +28,7 @@
 
 /** Encodes a message as a frame: the length of the payload, followed by the payload. */
 export function encodeFrame<Message extends TaggedMessage>(message: Message): Buffer {
-  const payload = codec.encode(message);
+  const payload = encoder.encode(message);
   const frame = Buffer.allocUnsafe(LENGTH_BYTES + payload.length);
   frame.writeUInt32BE(payload.length, 0);
   payload.copy(frame, LENGTH_BYTES);
@@ -42,28 +46,23 @@
   schema: z.ZodType,
   kinds: ReadonlySet<string>,
 ): Result<DecodedPayload<Message>> {
-  let raw: unknown;
-  try {
-    raw = codec.decode(payload);
-  } catch (error) {
-    return fail({
-      kind: 'malformedFrame',
-      problem: error instanceof Error ? error.message : 'undecodable',
-    });
+  const decoded = decodeCbor(payload);
+  if (!decoded.ok) {
+    return fail({ kind: 'malformedFrame', problem: describeDecodeFault(decoded.failure) });
   }
+  const raw = decoded.value;
   const messageKind =
     typeof raw === 'object' && raw !== null && 'kind' in raw ? raw.kind : undefined;
   if (typeof messageKind !== 'string') return fail({ kind: 'malformedFrame', problem: 'no kind' });
-  if (!kinds.has(messageKind)) return succeed({ kind: 'skipped', messageKind });
-  const parsed = schema.safeParse(raw);
-  if (!parsed.success) {
-    const [issue] = parsed.error.issues;
-    return fail({
-      kind: 'malformedFrame',
-      problem: `${messageKind}: ${issue?.path.join('.') ?? ''}`,
-    });
+  if (!kinds.has(messageKind)) {
+    return succeed({ kind: 'skipped', messageKind: messageKind.slice(0, MAX_KIND_CHARS) });
+  }
+  const checked = checkValue(schema, raw);
+  if (!checked.ok) {
+    const problem = `${messageKind}: ${describeDecodeFault(checked.failure)}`;
+    return fail({ kind: 'malformedFrame', problem });
   }
-  return succeed({ kind: 'message', message: parsed.data as Message });
+  return succeed({ kind: 'message', message: checked.value as Message });
 }
 
 const agentKinds = new Set(agentMessageSchema.options.map((option) => option.shape.kind.value));
--- a/packages/wire/src/reportchange.ts
+++ b/packages/wire/src/reportchange.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { listOf } from '@bronzeyoke/decoding';
 import type { ListedEnd, ListedRun, WorkerReport } from '@bronzeyoke/ports';
 import type { Result } from '@bronzeyoke/types';
 import { fail, isSameAmount, succeed, without } from '@bronzeyoke/types';
@@ -43,7 +44,7 @@
   term: z.int(),
   clockMs: z.number(),
   lastOrder: z.int(),
-  running: z.array(
+  running: listOf(
     z.union([
       position,
       z.tuple([position, z.string(), z.number(), z.number()]),
@@ -51,9 +52,9 @@
     ]),
   ),
   worker: workerSchema.optional(),
-  ended: z.array(endSchema).optional(),
+  ended: listOf(endSchema).optional(),
   lapsedSequence: z.int().optional(),
-  pending: z.array(runSchema).optional(),
+  pending: listOf(runSchema).optional(),
 });
 
 function isSameRun(left: ListedRun, right: ListedRun): boolean {
--- a/packages/wire/src/runnerschema.ts
+++ b/packages/wire/src/runnerschema.ts
@@ -1,3 +1,4 @@
+import { listOf } from '@bronzeyoke/decoding';
 import { isHost, isPort, parseAddress } from '@bronzeyoke/types';
 import { z } from 'zod';
 
@@ -21,7 +22,7 @@
     memoryMb: z.number(),
     accelerators: z.number(),
   }),
-  labels: z.array(z.string()),
+  labels: listOf(z.string()),
   rack: z.string(),
   sequence: z.number(),
 });
@@ -40,7 +41,7 @@
   // Absent in messages of agents that do not tell the cause.
   cause: z.enum(['crashed', 'left', 'unreachable']).default('left'),
   reason: z.enum(['restarted', 'otherWorker', 'leaseEnded', 'unknown']).catch('unknown'),
-  recentStarts: z.array(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
+  recentStarts: listOf(runSchema.extend({ ageMs: z.number().nonnegative() })).default([]),
 };
 
 /** Schema of messages to an entry. */
@@ -52,7 +53,7 @@
     workerKey,
     worker: workerSchema,
     clockMs: z.number(),
-    running: z.array(
+    running: listOf(
       z.object({
         task: z.string(),
         attempt: z.int(),
@@ -61,13 +62,13 @@
         load: z.number(),
       }),
     ),
-    ended: z.array(endSchema),
+    ended: listOf(endSchema),
     lapsedSequence: z.int().optional(),
-    pending: z.array(runSchema),
+    pending: listOf(runSchema),
     lastOrder: z.int(),
   }),
   z.object({ kind: z.literal('refused'), workerKey, run: runSchema, reason: z.string() }),
-  z.object({ kind: z.literal('workerEnded'), openRuns: z.array(runSchema), ...endFields }),
+  z.object({ kind: z.literal('workerEnded'), openRuns: listOf(runSchema), ...endFields }),
   z.object({ kind: z.literal('workerGone'), ...endFields }),
   z.object({
     kind: z.literal('leaderChanged'),
