Bound the answers that the command line and the table client read

The worker adapter added up all chunks again for each new one, so that the time for an answer in small chunks grew with the square of their number.

An answer over a limit counts as lost for the table and the worker; the command line names the limit, and the outcome is unknown. Log lines that `bronzeyoke logs` reads are decoded the same way.

--- a/packages/adapters/src/table.ts
+++ b/packages/adapters/src/table.ts
@@ -1,10 +1,16 @@
+import type { Readable } from 'node:stream';
 import { Pool } from 'undici';
 import { z } from 'zod';
+import { acceptValue, collectBytes, decodeJson, listOf } from '@bronzeyoke/decoding';
+import { BYTES_PER_MB } from '@bronzeyoke/types';
 import type { ReadResult, TablePort } from '@bronzeyoke/ports';
 
 const REQUEST_TIMEOUT_MS = 2_000;
 
-const rows = z.array(z.object({ key: z.string(), version: z.int().min(1), value: z.unknown() }));
+/** Longest answer that is read; a longer one counts as lost. */
+const MAX_ANSWER_BYTES = 16 * BYTES_PER_MB;
+
+const rows = listOf(z.object({ key: z.string(), version: z.int().min(1), value: z.unknown() }));
 const readSchema = z.object({ kind: z.literal('rows'), rows });
 const commitSchema = z.object({ kind: z.enum(['committed', 'conflict']), rows });
 
@@ -33,6 +39,16 @@
   | { readonly kind: 'refused' }
   | { readonly kind: 'lost' };
 
+/** Reads the body of an answer; one that is too long or cannot be decoded is lost. */
+function readReply(stream: Readable): Promise<Reply> {
+  return new Promise((resolve) => {
+    collectBytes(stream, MAX_ANSWER_BYTES, (bytes) => {
+      const body = bytes.ok ? decodeJson(bytes.value) : bytes;
+      resolve(body.ok ? { kind: 'body', body: body.value } : { kind: 'lost' });
+    });
+  });
+}
+
 function errorCode(error: unknown): string {
   if (typeof error !== 'object' || error === null || !('code' in error)) return '';
   return typeof error.code === 'string' ? error.code : '';
@@ -59,7 +75,7 @@
         await response.body.dump();
         return { kind: response.statusCode === 503 ? 'refused' : 'lost' };
       }
-      return { kind: 'body', body: await response.body.json() };
+      return await readReply(response.body);
     } catch (error) {
       return { kind: NOT_SENT.has(errorCode(error)) ? 'refused' : 'lost' };
     }
@@ -67,8 +83,8 @@
 
   const read = async (path: string, body: unknown): Promise<ReadResult> => {
     const reply = await call(path, body);
-    const parsed = readSchema.safeParse(reply.kind === 'body' ? reply.body : undefined);
-    return parsed.success ? parsed.data : { kind: 'unavailable' };
+    const rowsRead = reply.kind === 'body' ? acceptValue(readSchema, reply.body) : undefined;
+    return rowsRead ?? { kind: 'unavailable' };
   };
 
   return {
@@ -77,8 +93,8 @@
     commit: async (transaction) => {
       const reply = await call('/commit', transaction);
       if (reply.kind === 'refused') return { kind: 'unavailable' };
-      const parsed = commitSchema.safeParse(reply.kind === 'body' ? reply.body : undefined);
-      return parsed.success ? parsed.data : { kind: 'unknown' };
+      const result = reply.kind === 'body' ? acceptValue(commitSchema, reply.body) : undefined;
+      return result ?? { kind: 'unknown' };
     },
     close: () => pool.close(),
   };
--- a/packages/adapters/src/worker.ts
+++ b/packages/adapters/src/worker.ts
@@ -1,4 +1,5 @@
 import { Agent, request as httpRequest } from 'node:http';
+import { acceptValue, collectBytes, decodeJson, listOf } from '@bronzeyoke/decoding';
 import type {
   RunningTask,
   UsageSample,
@@ -36,8 +37,8 @@
   payload: z.string().max(65_536),
   checkpointRef: ref.exactOptional(),
 });
-const running = z.array(z.object({ id, epoch: z.int().min(0), task }));
-const usage = z.array(
+const running = listOf(z.object({ id, epoch: z.int().min(0), task }));
+const usage = listOf(
   z.object({ id, workKind: name, used: resources, lagMs: z.number().min(0).max(1e9) }),
 );
 const end = z.discriminatedUnion('kind', [
@@ -45,7 +46,7 @@
   z.object({ kind: z.literal('failed'), checkpointRef: ref.exactOptional(), peak: resources }),
   z.object({ kind: z.literal('leaseExpired'), checkpointRef: ref.exactOptional() }),
 ]);
-const notices = z.array(z.object({ kind: z.literal('ended'), id, epoch: z.int().min(0), end }));
+const notices = listOf(z.object({ kind: z.literal('ended'), id, epoch: z.int().min(0), end }));
 const noValue = z.undefined();
 
 function resultSchema<Value>(value: z.ZodType<Value>) {
@@ -65,7 +66,7 @@
   const { host, port, timeoutMs = DEFAULT_TIMEOUT_MS } = address;
   const pool = new Agent({ keepAlive: true, maxSockets: CONNECTIONS });
 
-  const post = (path: string, text: string): Promise<string | undefined> =>
+  const post = (path: string, text: string): Promise<Buffer | undefined> =>
     new Promise((resolve) => {
       const headers = {
         'content-type': 'application/json',
@@ -73,23 +74,15 @@
       };
       const outgoing = httpRequest({ host, port, path, method: 'POST', headers, agent: pool });
       const deadline = setTimeout(() => outgoing.destroy(), timeoutMs);
-      const finish = (reply?: string): void => {
+      const finish = (reply?: Buffer): void => {
         clearTimeout(deadline);
         resolve(reply);
       };
       outgoing.on('error', () => finish());
       outgoing.on('response', (message) => {
-        const chunks: Buffer[] = [];
-        message.on('data', (chunk: Buffer) => {
-          chunks.push(chunk);
-          const lengthBytes = chunks.reduce((sum, part) => sum + part.length, 0);
-          if (lengthBytes > MAX_REPLY_BYTES) message.destroy();
-        });
-        message.on('error', () => finish());
-        message.on('close', () => {
-          const isComplete = message.complete && message.statusCode === 200;
-          finish(isComplete ? Buffer.concat(chunks).toString('utf8') : undefined);
-        });
+        collectBytes(message, MAX_REPLY_BYTES, (bytes) =>
+          finish(bytes.ok && message.statusCode === 200 ? bytes.value : undefined),
+        );
       });
       outgoing.end(text);
     });
@@ -100,14 +93,11 @@
     incarnation: number,
     fields: object = {},
   ): Promise<WorkerResult<Value>> => {
-    const text = await post(`/v1/${kind}`, JSON.stringify({ incarnation, ...fields }));
-    if (text === undefined) return { kind: 'unavailable' };
-    try {
-      const parsed = resultSchema(value).safeParse(JSON.parse(text));
-      return parsed.success ? parsed.data : { kind: 'unavailable' };
-    } catch {
-      return { kind: 'unavailable' };
-    }
+    const bytes = await post(`/v1/${kind}`, JSON.stringify({ incarnation, ...fields }));
+    if (bytes === undefined) return { kind: 'unavailable' };
+    const reply = decodeJson(bytes);
+    if (!reply.ok) return { kind: 'unavailable' };
+    return acceptValue(resultSchema(value), reply.value) ?? { kind: 'unavailable' };
   };
 
   return {
--- a/packages/cli/src/answers.ts
+++ b/packages/cli/src/answers.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { listOf } from '@bronzeyoke/decoding';
 
 /** Schemas of the answers of the API. Unknown fields are ignored, so that entries may be newer. */
 
@@ -7,15 +8,15 @@
 export const ticketSchema = z.looseObject({
   number: z.number(),
   author: z.string(),
-  changes: z.array(change),
+  changes: listOf(change),
 });
 
-export const ticketsSchema = z.looseObject({ tickets: z.array(ticketSchema) });
+export const ticketsSchema = z.looseObject({ tickets: listOf(ticketSchema) });
 
-export const configurationSchema = z.looseObject({ number: z.number(), entries: z.array(change) });
+export const configurationSchema = z.looseObject({ number: z.number(), entries: listOf(change) });
 
 export const whereSchema = z.looseObject({
-  processes: z.array(
+  processes: listOf(
     z.looseObject({
       process: z.string(),
       id: z.string(),
@@ -26,7 +27,7 @@
 });
 
 export const upstreamsSchema = z.looseObject({
-  upstreams: z.array(
+  upstreams: listOf(
     z.looseObject({
       agentId: z.string(),
       service: z.string(),
@@ -46,7 +47,7 @@
 });
 
 export const workersSchema = z.looseObject({
-  workers: z.array(
+  workers: listOf(
     z.looseObject({
       profile: z.looseObject({
         worker: z.string(),
@@ -82,11 +83,11 @@
   deadlineAtMs: z.number().optional(),
 });
 
-export const jobsSchema = z.looseObject({ jobs: z.array(job) });
+export const jobsSchema = z.looseObject({ jobs: listOf(job) });
 
 export const jobStatusSchema = z.looseObject({
   job,
-  tasks: z.array(
+  tasks: listOf(
     z.looseObject({
       id: z.looseObject({ index: z.number() }),
       row: z.looseObject({ epoch: z.number(), state: z.looseObject({ kind: z.string() }) }),
--- a/packages/cli/src/base.ts
+++ b/packages/cli/src/base.ts
@@ -1,6 +1,7 @@
 import { readFile } from 'node:fs/promises';
 import { Command, Option } from 'clipanion';
 import { parse } from 'jsonc-parser';
+import { acceptValue } from '@bronzeyoke/decoding';
 import { cliSettingsSchema, describeFault, readSettingsFile } from '@bronzeyoke/settings';
 import type { Result } from '@bronzeyoke/types';
 import { fail, succeed } from '@bronzeyoke/types';
@@ -109,8 +110,8 @@
     schema: Schema,
     cliRequest: CliRequest,
   ): Promise<z.infer<Schema>> {
-    const parsed = schema.safeParse(unwrap(await client.call(cliRequest)));
-    if (parsed.success) return parsed.data;
+    const answer = acceptValue(schema, unwrap(await client.call(cliRequest)));
+    if (answer !== undefined) return answer;
     const problem = `unexpected answer to ${cliRequest.path}: the entry may run another version`;
     this.progress(problem);
     throw new CliError({ kind: 'unknownOutcome', problem });
--- a/packages/cli/src/change.ts
+++ b/packages/cli/src/change.ts
@@ -1,5 +1,6 @@
 import { isDeepStrictEqual } from 'node:util';
 import { Option } from 'clipanion';
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { TicketAnswer } from './answers';
 import { configurationSchema, ticketSchema } from './answers';
 import { BaseCommand, parseWholeNumber } from './base';
@@ -30,9 +31,9 @@
       const isUnknown = error instanceof CliError && error.fault.kind === 'unknownOutcome';
       if (!isUnknown) throw error;
       const readBack = await client.call({ method: 'GET', path: `/v1/admin/tickets/${number}` });
-      const ticket = readBack.ok ? ticketSchema.safeParse(readBack.value) : undefined;
-      if (ticket?.success === true && isDeepStrictEqual(ticket.data.changes, changes)) {
-        return ticket.data;
+      const ticket = readBack.ok ? acceptValue(ticketSchema, readBack.value) : undefined;
+      if (ticket !== undefined && isDeepStrictEqual(ticket.changes, changes)) {
+        return ticket;
       }
       throw error;
     }
--- a/packages/cli/src/client.ts
+++ b/packages/cli/src/client.ts
@@ -1,7 +1,16 @@
+import type { Readable } from 'node:stream';
 import { request } from 'undici';
+import type { CollectFault } from '@bronzeyoke/decoding';
+import {
+  acceptValue,
+  collectBytes,
+  decodeJson,
+  describeDecodeFault,
+  heapCostLimit,
+} from '@bronzeyoke/decoding';
 import type { CliSettings } from '@bronzeyoke/settings';
 import type { Result } from '@bronzeyoke/types';
-import { fail, formatAddress, succeed } from '@bronzeyoke/types';
+import { BYTES_PER_MB, fail, formatAddress, succeed } from '@bronzeyoke/types';
 import { z } from 'zod';
 import type { CliFault } from './fault';
 
@@ -13,6 +22,12 @@
   'UND_ERR_CONNECT_TIMEOUT',
 ]);
 
+/** Longest answer that is read, and the most memory that decoding it may take. */
+const MAX_ANSWER_BYTES = 64 * BYTES_PER_MB;
+const MAX_ANSWER_COST_BYTES = 512 * BYTES_PER_MB;
+
+type TooLong = Extract<CollectFault, { readonly kind: 'tooLong' }>;
+
 const problemSchema = z.object({
   type: z.string(),
   title: z.string(),
@@ -46,18 +61,26 @@
   return error instanceof Error && 'code' in error ? String(error.code) : 'unknown error';
 }
 
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
+/** Reads the body of an answer. Rejects with the cause when it breaks off. */
+function readAnswer(stream: Readable): Promise<Result<Buffer, TooLong>> {
+  return new Promise((resolve, reject) => {
+    collectBytes(stream, MAX_ANSWER_BYTES, (bytes) => {
+      if (bytes.ok) {
+        resolve(bytes);
+        return;
+      }
+      const { failure } = bytes;
+      if (failure.kind === 'tooLong') resolve(fail(failure));
+      else reject(failure.cause);
+    });
+  });
 }
 
-function decodeFault(status: number, text: string): CliFault {
-  const parsed = problemSchema.safeParse(parseJson(text));
-  if (!parsed.success) return { kind: 'refused', status, problem: `status ${status}` };
-  const { type, title, detail, currentNumber } = parsed.data;
+function decodeFault(status: number, bytes: Buffer): CliFault {
+  const decoded = decodeJson(bytes);
+  const answer = decoded.ok ? acceptValue(problemSchema, decoded.value) : undefined;
+  if (answer === undefined) return { kind: 'refused', status, problem: `status ${status}` };
+  const { type, title, detail, currentNumber } = answer;
   const problem = `${title} (${detail})`;
   if (type.endsWith(':conflict') && currentNumber !== undefined) {
     return { kind: 'conflict', problem, currentNumber };
@@ -67,6 +90,15 @@
     : { kind: 'refused', status, problem };
 }
 
+/** Decodes an answer. One that is not JSON is undefined, which no schema accepts. */
+function decodeAnswer(bytes: Buffer): Result<unknown, CliFault> {
+  const decoded = decodeJson(bytes, heapCostLimit(MAX_ANSWER_COST_BYTES));
+  if (decoded.ok) return succeed(decoded.value);
+  if (decoded.failure.kind === 'unreadable') return succeed(undefined);
+  const problem = `the answer ${describeDecodeFault(decoded.failure)}`;
+  return fail({ kind: 'unknownOutcome', problem });
+}
+
 /** Returns whether to call the next entry: this one was not reached, or did nothing. */
 function shouldTryNext(fault: CliFault): boolean {
   return fault.kind === 'unreachable' || (fault.kind === 'refused' && fault.status === 503);
@@ -94,10 +126,14 @@
       });
       // A long answer may take its time on a narrow link; from here on only pauses in it are limited.
       clearTimeout(timeout);
-      const text = await response.body.text();
+      const bytes = await readAnswer(response.body);
+      if (!bytes.ok) {
+        const problem = `the answer is longer than ${bytes.failure.limitBytes} bytes`;
+        return fail({ kind: 'unknownOutcome', problem });
+      }
       return response.statusCode < 300
-        ? succeed(parseJson(text))
-        : fail(decodeFault(response.statusCode, text));
+        ? decodeAnswer(bytes.value)
+        : fail(decodeFault(response.statusCode, bytes.value));
     } catch (error) {
       const code = errorCode(error);
       // A request that was sent may have taken effect; only reads are safe to send again.
--- a/packages/cli/src/crashline.ts
+++ b/packages/cli/src/crashline.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 
 const lineSchema = z.discriminatedUnion('msg', [
   z.object({
@@ -14,9 +15,8 @@
 
 /** Describes a log line about crashes of workers in words; other lines have no description. */
 export function describeCrash(line: unknown): string | undefined {
-  const parsed = lineSchema.safeParse(line);
-  if (!parsed.success) return undefined;
-  const { data } = parsed;
+  const data = acceptValue(lineSchema, line);
+  if (data === undefined) return undefined;
   switch (data.msg) {
     case 'taskSuspected': {
       const crashes = data.prompt + data.slow;
--- a/packages/cli/src/latency.ts
+++ b/packages/cli/src/latency.ts
@@ -1,4 +1,5 @@
 import { Command, Option } from 'clipanion';
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { LatencyCause } from '@bronzeyoke/latency';
 import { LATENCY_CAUSES } from '@bronzeyoke/latency';
 import { z } from 'zod';
@@ -106,8 +107,8 @@
   async run(): Promise<number> {
     const lines: EndLine[] = [];
     await readLogLines(this.context.stdin, (line) => {
-      const parsed = lineSchema.safeParse(line);
-      if (parsed.success) lines.push(parsed.data);
+      const endLine = acceptValue(lineSchema, line);
+      if (endLine !== undefined) lines.push(endLine);
     });
     const { id } = this;
     if (id === undefined) {
--- a/packages/cli/src/logline.ts
+++ b/packages/cli/src/logline.ts
@@ -1,6 +1,7 @@
 import { createInterface } from 'node:readline';
 import type { Readable } from 'node:stream';
 import { z } from 'zod';
+import { acceptValue, decodeJson } from '@bronzeyoke/decoding';
 
 const lineSchema = z.looseObject({
   time: z.string(),
@@ -18,12 +19,8 @@
 function parseLogLine(text: string): LogLine | undefined {
   const start = text.indexOf('{');
   if (start === -1) return undefined;
-  try {
-    const parsed = lineSchema.safeParse(JSON.parse(text.slice(start)));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
-  }
+  const line = decodeJson(Buffer.from(text.slice(start)));
+  return line.ok ? acceptValue(lineSchema, line.value) : undefined;
 }
 
 /** Calls back with each log line of an input; other text is skipped. */
--- a/packages/cli/src/placewait.ts
+++ b/packages/cli/src/placewait.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 
 const lineSchema = z.discriminatedUnion('msg', [
   z.object({
@@ -28,9 +29,8 @@
 
 /** Describes a log line about a wait for a place in words; other lines have no description. */
 export function describePlaceWait(line: unknown): string | undefined {
-  const parsed = lineSchema.safeParse(line);
-  if (!parsed.success) return undefined;
-  const { data } = parsed;
+  const data = acceptValue(lineSchema, line);
+  if (data === undefined) return undefined;
   switch (data.msg) {
     case 'placeAwaited':
       return describeCause(data);
--- a/packages/cli/src/rollout.ts
+++ b/packages/cli/src/rollout.ts
@@ -1,4 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises';
+import { acceptValue } from '@bronzeyoke/decoding';
 import { formatAddress } from '@bronzeyoke/types';
 import type { WhereAnswer } from './answers';
 import { whereSchema } from './answers';
@@ -22,8 +23,8 @@
     client.entries.map(async (entry) => {
       const path = `/v1/admin/tickets/${number}/where`;
       const result = await client.callEntry(entry, { method: 'GET', path });
-      const parsed = result.ok ? whereSchema.safeParse(result.value) : undefined;
-      return { name: formatAddress(entry), processes: parsed?.data?.processes };
+      const where = result.ok ? acceptValue(whereSchema, result.value) : undefined;
+      return { name: formatAddress(entry), processes: where?.processes };
     }),
   );
   const reports = answers.flatMap((answer) => answer.processes ?? []);
--- a/packages/cli/src/suspects.ts
+++ b/packages/cli/src/suspects.ts
@@ -1,5 +1,6 @@
 import { Command } from 'clipanion';
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 import { BaseCommand } from './base';
 import type { LogLine } from './logline';
 import { readLogLines } from './logline';
@@ -33,9 +34,8 @@
 }
 
 function applyLine(rows: ReadonlyMap<string, SuspectRow>, line: unknown): typeof rows {
-  const parsed = lineSchema.safeParse(line);
-  if (!parsed.success) return rows;
-  const { data } = parsed;
+  const data = acceptValue(lineSchema, line);
+  if (data === undefined) return rows;
   switch (data.msg) {
     case 'taskSuspected': {
       const state = data.isSuspect ? 'suspected' : 'notSuspected';
@@ -68,7 +68,7 @@
   async run(): Promise<number> {
     const lines: LogLine[] = [];
     await readLogLines(this.context.stdin, (line) => {
-      if (lineSchema.safeParse(line).success) lines.push(line);
+      if (acceptValue(lineSchema, line) !== undefined) lines.push(line);
     });
     const rows = lines
       .toSorted((left, right) => left.time.localeCompare(right.time))
