Bound what reading a settings file takes

Cause: a file was bounded by bytes and depth. Its syntax tree and faults were not: each fault was located by reading the file up to it, duplicate fields were found by comparing all pairs, and all faults were listed, so that a file of 1 MiB that changes under a running agent could take seconds and most of its heap.

Change: the tokens of a file are counted before it is parsed, and one whose syntax tree could take more than a third of the heap is refused. Duplicate fields are found in one pass. The first 50 faults are listed, and only the first one of the schema where all could take too much memory.

--- a/packages/settings/src/read.ts
+++ b/packages/settings/src/read.ts
@@ -7,8 +7,9 @@
   printParseErrorCode,
 } from 'jsonc-parser';
 import type { JSONPath, Node, ParseError } from 'jsonc-parser';
+import { checkAll, heapCostLimit } from '@bronzeyoke/decoding';
 import type { Result } from '@bronzeyoke/types';
-import { fail, succeed } from '@bronzeyoke/types';
+import { fail } from '@bronzeyoke/types';
 import type { z } from 'zod';
 import type { SettingsFault } from './fault';
 import { describeIssue } from './issue';
@@ -19,11 +20,17 @@
 /** Maximum nesting. The parser is recursive, so deeper nesting could exhaust the stack. */
 const MAX_DEPTH = 32;
 
-type FaultFactory = (offset: number, path: JSONPath, problem: string) => SettingsFault;
+/** Memory of a token of a file: nodes of the syntax tree, the values made of them, and syntax faults. */
+const TOKEN_COST_BYTES = 160;
 
-interface LocatedFault {
+/** Most faults that are listed. Each is located by reading the file up to it. */
+const MAX_FAULTS = 50;
+
+/** Fault at an offset of the file. */
+interface Finding {
   readonly offset: number;
-  readonly fault: SettingsFault;
+  readonly path: JSONPath;
+  readonly problem: string;
 }
 
 function fieldName(path: JSONPath): string {
@@ -33,13 +40,15 @@
   }, '');
 }
 
-function createFaultFactory(fileName: string, text: string): FaultFactory {
-  return (offset, path, problem) => {
-    const before = text.slice(0, offset);
-    const line = before.split('\n').length;
-    const column = offset - (before.lastIndexOf('\n') + 1) + 1;
-    return { fileName, line, column, field: fieldName(path), problem };
-  };
+function toFault(
+  fileName: string,
+  text: string,
+  { offset, path, problem }: Finding,
+): SettingsFault {
+  const before = text.slice(0, offset);
+  const line = before.split('\n').length;
+  const column = offset - (before.lastIndexOf('\n') + 1) + 1;
+  return { fileName, line, column, field: fieldName(path), problem };
 }
 
 // The scanner's token kinds are a const enum, which isolated modules cannot import.
@@ -47,25 +56,38 @@
 const CLOSE_TOKENS: readonly number[] = [2, 4];
 const END_TOKEN = 17;
 
-function findExcessiveNesting(text: string): number | undefined {
+/** What parsing a file takes, counted from its tokens. */
+type FileSize =
+  | { readonly kind: 'fits'; readonly tokenCount: number }
+  | { readonly kind: 'exceeds'; readonly finding: Finding };
+
+function measureFile(text: string): FileSize {
+  const maxTokens = Math.floor(heapCostLimit() / TOKEN_COST_BYTES);
   const scanner = createScanner(text, true);
   let depth = 0;
+  let tokenCount = 0;
+  const exceeds = (problem: string): FileSize => ({
+    kind: 'exceeds',
+    finding: { offset: scanner.getTokenOffset(), path: [], problem },
+  });
   for (let token: number = scanner.scan(); token !== END_TOKEN; token = scanner.scan()) {
     if (OPEN_TOKENS.includes(token)) depth += 1;
     if (CLOSE_TOKENS.includes(token)) depth -= 1;
-    if (depth > MAX_DEPTH) return scanner.getTokenOffset();
+    if (depth > MAX_DEPTH) return exceeds(`nested deeper than ${MAX_DEPTH}`);
+    tokenCount += 1;
+    if (tokenCount > maxTokens) return exceeds(`more than ${maxTokens} tokens`);
   }
-  return undefined;
+  return { kind: 'fits', tokenCount };
 }
 
 function camelCaseToWords(code: string): string {
   return code.replaceAll(/(?!^)[A-Z]/g, (letter) => ` ${letter.toLowerCase()}`).toLowerCase();
 }
 
-function syntaxFault(text: string, error: ParseError, faultAt: FaultFactory): LocatedFault {
-  const { path } = getLocation(text, error.offset);
-  const problem = `not valid JSON: ${camelCaseToWords(printParseErrorCode(error.error))}`;
-  return { offset: error.offset, fault: faultAt(error.offset, path, problem) };
+function syntaxFinding(text: string, { offset, error }: ParseError): Finding {
+  const { path } = getLocation(text, offset);
+  const problem = `not valid JSON: ${camelCaseToWords(printParseErrorCode(error))}`;
+  return { offset, path, problem };
 }
 
 function propertiesOf(node: Node): readonly Node[] {
@@ -76,24 +98,21 @@
   return String(property.children?.[0]?.value);
 }
 
-function findDuplicates(
-  node: Node,
-  path: JSONPath,
-  faultAt: FaultFactory,
-): readonly LocatedFault[] {
-  const ownFaults = propertiesOf(node).flatMap((property, index, all) => {
-    const key = keyOf(property);
-    const isFirst = all.findIndex((other) => keyOf(other) === key) === index;
-    if (isFirst) return [];
-    const fault = faultAt(property.offset, [...path, key], 'given more than once');
-    return [{ offset: property.offset, fault }];
+function findDuplicates(node: Node, path: JSONPath): readonly Finding[] {
+  const keys = propertiesOf(node).map(keyOf);
+  // Of entries with the same key, the last one stays, which is the first property.
+  const firstIndex = new Map(keys.map((key, index) => [key, index] as const).toReversed());
+  const ownFindings = propertiesOf(node).flatMap(({ offset }, index) => {
+    const key = keys[index] ?? '';
+    if (firstIndex.get(key) === index) return [];
+    return [{ offset, path: [...path, key], problem: 'given more than once' }];
   });
-  const innerFaults = (node.children ?? []).flatMap((child, index) => {
-    if (child.type !== 'property') return findDuplicates(child, [...path, index], faultAt);
+  const innerFindings = (node.children ?? []).flatMap((child, index) => {
+    if (child.type !== 'property') return findDuplicates(child, [...path, index]);
     const value = child.children?.[1];
-    return value === undefined ? [] : findDuplicates(value, [...path, keyOf(child)], faultAt);
+    return value === undefined ? [] : findDuplicates(value, [...path, keyOf(child)]);
   });
-  return [...ownFaults, ...innerFaults];
+  return [...ownFindings, ...innerFindings];
 }
 
 /** Returns the node at a path, or its closest ancestor when the path is absent. */
@@ -111,17 +130,13 @@
     : propertiesOf(parent).find((property) => keyOf(property) === key);
 }
 
-function schemaFaults(
-  root: Node,
-  issue: z.core.$ZodIssue,
-  faultAt: FaultFactory,
-): readonly LocatedFault[] {
+function schemaFindings(root: Node, issue: z.core.$ZodIssue): readonly Finding[] {
   const path = issue.path.map((part) => (typeof part === 'number' ? part : String(part)));
   if (issue.code === 'unrecognized_keys') {
-    const keyPaths = issue.keys.map((key) => [...path, key]);
+    const keyPaths = issue.keys.slice(0, MAX_FAULTS).map((key) => [...path, key]);
     return keyPaths.map((keyPath) => {
       const offset = propertyAt(root, keyPath)?.offset ?? closestNode(root, path).offset;
-      return { offset, fault: faultAt(offset, keyPath, 'unknown field') };
+      return { offset, path: keyPath, problem: 'unknown field' };
     });
   }
   // An unparsed value already has a syntax fault.
@@ -131,39 +146,45 @@
   const node = findNodeAtLocation(root, path);
   const { offset } = node ?? closestNode(root, path);
   const value: unknown = node === undefined ? undefined : getNodeValue(node);
-  return [{ offset, fault: faultAt(offset, path, describeIssue(issue, value)) }];
+  return [{ offset, path, problem: describeIssue(issue, value) }];
 }
 
-/** Parses settings as JSON with comments and checks them against a schema. Returns all faults. */
+/**
+ * Parses settings as JSON with comments and checks them against a schema. Returns the first faults of the
+ * file, or only the first one of the schema where all of them could take too much memory.
+ */
 export function readSettings<Schema extends z.ZodType>(
   schema: Schema,
   fileName: string,
   text: string,
 ): Result<z.infer<Schema>, readonly SettingsFault[]> {
-  const faultAt = createFaultFactory(fileName, text);
+  const failAt = (findings: readonly Finding[]) =>
+    fail(
+      findings
+        .toSorted((left, right) => left.offset - right.offset)
+        .slice(0, MAX_FAULTS)
+        .map((finding) => toFault(fileName, text, finding)),
+    );
+  const failAtStart = (problem: string) => failAt([{ offset: 0, path: [], problem }]);
   if (Buffer.byteLength(text) > MAX_SETTINGS_BYTES) {
-    return fail([faultAt(0, [], `larger than ${MAX_SETTINGS_BYTES} bytes`)]);
+    return failAtStart(`larger than ${MAX_SETTINGS_BYTES} bytes`);
   }
-  const offset = findExcessiveNesting(text);
-  if (offset !== undefined) return fail([faultAt(offset, [], `nested deeper than ${MAX_DEPTH}`)]);
+  const size = measureFile(text);
+  if (size.kind === 'exceeds') return failAt([size.finding]);
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, { allowTrailingComma: true });
-  const syntaxFaults = errors.map((error) => syntaxFault(text, error, faultAt));
+  const syntaxFindings = errors.slice(0, MAX_FAULTS).map((error) => syntaxFinding(text, error));
   if (root === undefined) {
-    const faults = syntaxFaults.map((item) => item.fault);
-    return fail(faults.length > 0 ? faults : [faultAt(0, [], 'empty file')]);
+    return syntaxFindings.length > 0 ? failAt(syntaxFindings) : failAtStart('empty file');
   }
-  const parsed = schema.safeParse(getNodeValue(root));
-  const issues = parsed.success ? [] : parsed.error.issues;
-  const located = [
-    ...syntaxFaults,
-    ...findDuplicates(root, [], faultAt),
-    ...issues.flatMap((issue) => schemaFaults(root, issue, faultAt)),
+  const checked = checkAll(schema, getNodeValue(root), size.tokenCount);
+  const issues = checked.ok ? [] : checked.failure.slice(0, MAX_FAULTS);
+  const findings = [
+    ...syntaxFindings,
+    ...findDuplicates(root, []),
+    ...issues.flatMap((issue) => schemaFindings(root, issue)),
   ];
-  if (parsed.success && located.length === 0) return succeed(parsed.data);
-  return fail(
-    located.toSorted((left, right) => left.offset - right.offset).map((item) => item.fault),
-  );
+  return checked.ok && findings.length === 0 ? checked : failAt(findings);
 }
 
 /** Returns a fault at the value of a path, or at its closest ancestor, in a file that can be parsed. */
@@ -175,5 +196,5 @@
 ): SettingsFault {
   const root = parseTree(text, [], { allowTrailingComma: true });
   const offset = root === undefined ? 0 : closestNode(root, path).offset;
-  return createFaultFactory(fileName, text)(offset, path, problem);
+  return toFault(fileName, text, { offset, path, problem });
 }
