Check stored rows through the owner of decoding

Change: rows, notes and queries use `acceptValue`, whose check ends at the first fault, so that an odd row with many values costs no more than its value.

--- a/packages/batch/src/command.ts
+++ b/packages/batch/src/command.ts
@@ -1,3 +1,4 @@
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { PartOutcome } from '@bronzeyoke/commits';
 import type { ReadResult, Row } from '@bronzeyoke/ports';
 import type { AdminReply, Failure, Job, JobDetails, Submission, TaskRow } from '@bronzeyoke/types';
@@ -149,12 +150,12 @@
       }
       const jobKey = keys.jobKey(job.team, job.key);
       const row = outcome.rows.find((candidate) => candidate.key === jobKey);
-      const parsed = jobKeySchema.safeParse(row?.value);
-      return parsed.success
+      const parsed = acceptValue(jobKeySchema, row?.value);
+      return parsed !== undefined
         ? sendAccess(
             state,
             { kind: 'existingJob', callId, team: job.team },
-            { kind: 'read', keys: [keys.job(shard, parsed.data.jobId)] },
+            { kind: 'read', keys: [keys.job(shard, parsed.jobId)] },
           )
         : refuse(state, callId, UNAVAILABLE);
     }
--- a/packages/batch/src/keys.ts
+++ b/packages/batch/src/keys.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { Row } from '@bronzeyoke/ports';
 import type { Job, TaskId, TaskRow } from '@bronzeyoke/types';
 
@@ -83,14 +84,12 @@
 
 /** Parses the job in a row. */
 export function jobOf(row: Row | undefined): Job | undefined {
-  const parsed = jobSchema.safeParse(row?.value);
-  return parsed.success ? (parsed.data as Job) : undefined;
+  return acceptValue(jobSchema, row?.value) as Job | undefined;
 }
 
 /** Parses the state of a task in a row. */
 export function taskRowOf(row: Row | undefined): TaskRow | undefined {
-  const parsed = taskSchema.safeParse(row?.value);
-  return parsed.success ? (parsed.data as TaskRow) : undefined;
+  return acceptValue(taskSchema, row?.value) as TaskRow | undefined;
 }
 
 /** Parses the task id in the key of a row. */
--- a/packages/batch/src/ownership.ts
+++ b/packages/batch/src/ownership.ts
@@ -1,3 +1,4 @@
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { CommitResult, ReadResult, Row } from '@bronzeyoke/ports';
 import { chainAll, unchanged } from '@bronzeyoke/types';
 import { z } from 'zod';
@@ -91,7 +92,7 @@
       if (!present.has(key)) draft.delete(key);
     });
     result.rows.forEach((row) => {
-      const { domain = '', number = 0 } = entrySchema.safeParse(row.value).data ?? {};
+      const { domain = '', number = 0 } = acceptValue(entrySchema, row.value) ?? {};
       const observed = observeVersion(draft.get(row.key), row.version, context.nowMs);
       draft.set(row.key, { ...observed, domain, number });
     });
@@ -134,7 +135,7 @@
 function observeShard(view: ShardView, rows: readonly Row[], nowMs: number): ShardView {
   const row = rows.find((candidate) => candidate.key === keys.shard(view.shard));
   const lease = rows.find((candidate) => candidate.key === keys.shardLease(view.shard));
-  const owner = ownerSchema.safeParse(row?.value).data ?? { ownerEntryId: '', ownerEpoch: 0 };
+  const owner = acceptValue(ownerSchema, row?.value) ?? { ownerEntryId: '', ownerEpoch: 0 };
   return {
     ...view,
     ...owner,
--- a/packages/entry/src/body.ts
+++ b/packages/entry/src/body.ts
@@ -1,6 +1,8 @@
+import type { DecodeFault } from '@bronzeyoke/decoding';
+import { checkValue, decodeJson, describeDecodeFault } from '@bronzeyoke/decoding';
 import { nameSchema } from '@bronzeyoke/settings';
-import type { ConfigChange, Result, Submission } from '@bronzeyoke/types';
-import { fail, succeed } from '@bronzeyoke/types';
+import type { ConfigChange, Failure, Result, Submission } from '@bronzeyoke/types';
+import { assertNever, fail, succeed } from '@bronzeyoke/types';
 import { z } from 'zod';
 
 const MAX_CHANGES = 1_000;
@@ -69,34 +71,30 @@
     message: 'required for batch, and not allowed for a watcher',
   });
 
-function fieldOf(issue: z.core.$ZodIssue): string {
-  const keys = issue.code === 'unrecognized_keys' ? issue.keys.slice(0, 1) : [];
-  const path = [...issue.path, ...keys].map(String).join('.');
-  return path === '' ? 'body' : path;
+function refusalOf(fault: DecodeFault): Failure {
+  const field = 'body';
+  switch (fault.kind) {
+    case 'unreadable':
+      return { kind: 'invalid', field, problem: 'not JSON' };
+    case 'notAccepted':
+      return { kind: 'invalid', field: fault.field, problem: fault.problem };
+    case 'tooDeep':
+    case 'tooCostly':
+    case 'unsupported':
+      return { kind: 'invalid', field, problem: describeDecodeFault(fault) };
+    default:
+      return assertNever(fault);
+  }
 }
 
 function parseBody<Schema extends z.ZodType>(
   schema: Schema,
   text: string,
 ): Result<z.infer<Schema>> {
-  const json = ((): Result<unknown> => {
-    try {
-      return succeed(JSON.parse(text));
-    } catch {
-      return fail({ kind: 'invalid', field: 'body', problem: 'not JSON' });
-    }
-  })();
-  if (!json.ok) return json;
-  const parsed = schema.safeParse(json.value);
-  if (parsed.success) return succeed(parsed.data);
-  const [issue] = parsed.error.issues;
-  return issue === undefined
-    ? fail({ kind: 'invalid', field: 'body', problem: 'not accepted' })
-    : fail({
-        kind: 'invalid',
-        field: fieldOf(issue).slice(0, 256),
-        problem: issue.message.slice(0, 256),
-      });
+  const json = decodeJson(Buffer.from(text));
+  if (!json.ok) return fail(refusalOf(json.failure));
+  const checked = checkValue(schema, json.value);
+  return checked.ok ? checked : fail(refusalOf(checked.failure));
 }
 
 /** Parses and validates the body of a ticket. */
--- a/packages/intake/src/query.ts
+++ b/packages/intake/src/query.ts
@@ -1,3 +1,4 @@
+import { acceptValue, recordOf } from '@bronzeyoke/decoding';
 import type { RowCommitResult, RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import {
   cancelKey,
@@ -26,7 +27,7 @@
 /** Age from which stored counts are ignored and the open jobs are counted instead. */
 const MAX_COUNTS_AGE_MS = 2_000;
 
-const countsSchema = z.object({ atMs: z.number(), queues: z.record(z.string(), z.number()) });
+const countsSchema = z.object({ atMs: z.number(), queues: recordOf(z.number()) });
 const CALLER_RETRY_AFTER_MS = 1_000;
 
 /** Cancellations of ids without a job at one entry. Each costs a write and a row. */
@@ -195,12 +196,11 @@
         return endQuery(state, callId, { kind: 'pending', count });
       }
       const row = rows.find(({ key }) => key === COUNTS_KEY.key);
-      const counts = countsSchema.safeParse(row?.value);
-      const isFresh = counts.success && Math.abs(wallMs - counts.data.atMs) <= MAX_COUNTS_AGE_MS;
-      return isFresh
+      const counts = acceptValue(countsSchema, row?.value);
+      return counts !== undefined && Math.abs(wallMs - counts.atMs) <= MAX_COUNTS_AGE_MS
         ? endQuery(state, callId, {
             kind: 'pending',
-            count: counts.data.queues[query.queue] ?? 0,
+            count: counts.queues[query.queue] ?? 0,
           })
         : readRows(state, callId, { ...query, stage: 'scan' });
     }
--- a/packages/intake/src/submit.ts
+++ b/packages/intake/src/submit.ts
@@ -1,3 +1,4 @@
+import { acceptValue } from '@bronzeyoke/decoding';
 import { advance } from '@bronzeyoke/chart';
 import type { Judgement } from '@bronzeyoke/jobadmission';
 import { jobAsk, judgeJob } from '@bronzeyoke/jobadmission';
@@ -227,7 +228,7 @@
     if (isStored) return { kind: 'stored' };
     const withdrawal = stored.get(rowName(withdrawalKey(jobId)));
     if (withdrawal === undefined) return { kind: 'conflict' };
-    return fenceSchema.safeParse(withdrawal.value).success
+    return acceptValue(fenceSchema, withdrawal.value) !== undefined
       ? { kind: 'fenced', version: withdrawal.version }
       : { kind: 'withdrawn' };
   };
--- a/packages/jobadmission/src/notice.ts
+++ b/packages/jobadmission/src/notice.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { Resources } from '@bronzeyoke/types';
 import type { QueueVerdict } from './types';
 
@@ -44,8 +45,7 @@
 
 /** Decodes the row of the verdicts; undefined when it is malformed. */
 export function decodeNotice(value: unknown): AdmissionNotice | undefined {
-  const parsed = noticeSchema.safeParse(value);
-  return parsed.success ? parsed.data : undefined;
+  return acceptValue(noticeSchema, value);
 }
 
 /** Part of an allowance by which it has to change to be written again before it is refreshed. */
--- a/packages/requests/src/intent.ts
+++ b/packages/requests/src/intent.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto';
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { CommitResult, ReadResult, Row, Transaction } from '@bronzeyoke/ports';
 import type { CallerRequest } from '@bronzeyoke/types';
 import { assertNever } from '@bronzeyoke/types';
@@ -70,11 +71,11 @@
   if (row === undefined || isUnchanged) {
     return intent.commitCount < MAX_COMMITS ? { kind: 'recommit' } : { kind: 'unavailable' };
   }
-  const parsed = rowSchema.safeParse(row.value);
-  if (!parsed.success) return { kind: 'unreadable' };
-  if (parsed.data.attemptId === planned.attemptId) return { kind: 'own', version: row.version };
-  if (parsed.data.fingerprint !== intent.fingerprint) return { kind: 'reused' };
-  return { kind: 'other', row: parsed.data, version: row.version };
+  const stored = acceptValue(rowSchema, row.value);
+  if (stored === undefined) return { kind: 'unreadable' };
+  if (stored.attemptId === planned.attemptId) return { kind: 'own', version: row.version };
+  if (stored.fingerprint !== intent.fingerprint) return { kind: 'reused' };
+  return { kind: 'other', row: stored, version: row.version };
 }
 
 /** Interprets the result of the commit of an intent. */
--- a/packages/scheduler/src/jobs/jobs.ts
+++ b/packages/scheduler/src/jobs/jobs.ts
@@ -1,4 +1,5 @@
 import { Map } from 'immutable';
+import { acceptValue, recordOf } from '@bronzeyoke/decoding';
 import { logEffect } from '@bronzeyoke/telemetry';
 import type { RowRangeResult, StoredRow } from '@bronzeyoke/ports';
 import { assertNever, chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
@@ -23,7 +24,7 @@
 import { openWithRuns } from './openjobruns';
 import { cancelUndecoded, dropRemoved, dropUndecoded, holdUndecoded } from './undecoded';
 
-const pairsSchema = z.record(z.string(), z.object({ mean: z.number(), variance: z.number() }));
+const pairsSchema = recordOf(z.object({ mean: z.number(), variance: z.number() }));
 
 /** Worker keys in one log line. */
 const MAX_LOGGED_WORKERS = 10;
@@ -217,8 +218,8 @@
 
 function applyNotes(state: SchedulerState, rows: readonly StoredRow[]): SchedulerStep {
   const row = rows.find(({ key }) => key === PAIRS_KEY.key);
-  const parsed = pairsSchema.safeParse(row?.value);
-  return unchanged(parsed.success ? { ...state, pairs: Map(parsed.data) } : state);
+  const pairs = acceptValue(pairsSchema, row?.value);
+  return unchanged(pairs === undefined ? state : { ...state, pairs: Map(pairs) });
 }
 
 /** Applies a page that a new leader has read. */
--- a/packages/scheduler/src/leadership/rows.ts
+++ b/packages/scheduler/src/leadership/rows.ts
@@ -1,3 +1,4 @@
+import { acceptValue, recordOf } from '@bronzeyoke/decoding';
 import type { RowKey, StoredRow } from '@bronzeyoke/ports';
 import { isHost, isPort } from '@bronzeyoke/types';
 import { z } from 'zod';
@@ -105,9 +106,9 @@
   /** The same for the leases of earlier holders. */
   earlierEndMs: z.number(),
   /** The same for each worker that has not reported to the holder lately, and gets no lease of it. */
-  awaitedEndMs: z.record(z.string(), z.number()),
+  awaitedEndMs: recordOf(z.number()),
   /** The same for each worker whose lease may end later than `lastEndMs` says. */
-  longEndMs: z.record(z.string(), z.number()).optional(),
+  longEndMs: recordOf(z.number()).optional(),
 });
 
 const offerSchema = z.object({
@@ -138,18 +139,15 @@
 
 /** Decodes the leader's row; undefined when it is absent or malformed. */
 export function decodeLeader(row: StoredRow | undefined): Leader | undefined {
-  const parsed = leaderSchema.safeParse(row?.value);
-  return parsed.success ? parsed.data : undefined;
+  return acceptValue(leaderSchema, row?.value);
 }
 
 /** Decodes the offer in the leader's row; undefined when there is none. */
 export function decodeLeaderOffer(row: StoredRow | undefined): LeaseOffer | undefined {
-  const parsed = offeringLeaderSchema.safeParse(row?.value);
-  return parsed.success ? parsed.data.offer : undefined;
+  return acceptValue(offeringLeaderSchema, row?.value)?.offer;
 }
 
 /** Decodes the lease row; undefined when it is absent or malformed. */
 export function decodeLease(row: StoredRow | undefined): LeaseValue | undefined {
-  const parsed = leaseSchema.safeParse(row?.value);
-  return parsed.success ? parsed.data : undefined;
+  return acceptValue(leaseSchema, row?.value);
 }
--- a/packages/tickets/src/rows.ts
+++ b/packages/tickets/src/rows.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue, listOf } from '@bronzeyoke/decoding';
 import type { Row, Transaction } from '@bronzeyoke/ports';
 import type { ConfigChange, Ticket } from '@bronzeyoke/types';
 import { changeKey } from '@bronzeyoke/types';
@@ -47,7 +48,7 @@
 const ticketSchema = z.object({
   number: z.int(),
   author: z.string(),
-  changes: z.array(z.looseObject({ kind: z.string() })),
+  changes: listOf(z.looseObject({ kind: z.string() })),
 });
 
 /** Parses the row of the head. The number is 0 without a row, before the first accepted ticket. */
@@ -56,22 +57,21 @@
   readonly version: number;
 } {
   const row = rows.find((candidate) => candidate.key === HEAD_KEY);
-  const parsed = headSchema.safeParse(row?.value);
-  return row !== undefined && parsed.success
-    ? { number: parsed.data.number, version: row.version }
+  const head = acceptValue(headSchema, row?.value);
+  return row !== undefined && head !== undefined
+    ? { number: head.number, version: row.version }
     : { number: 0, version: row?.version ?? 0 };
 }
 
 /** Parses the state in a configuration row. Only checked changes are ever written. */
 export function stateOf(row: Row): ConfigChange | undefined {
-  const parsed = stateSchema.safeParse(row.value);
-  return parsed.success ? (parsed.data.state as unknown as ConfigChange) : undefined;
+  return acceptValue(stateSchema, row.value)?.state as unknown as ConfigChange | undefined;
 }
 
 /** Parses the row of a ticket. */
 export function ticketOf(row: Row): Ticket | undefined {
-  const parsed = ticketSchema.safeParse(row.value);
-  if (!parsed.success) return undefined;
-  const { number, author, changes } = parsed.data;
+  const stored = acceptValue(ticketSchema, row.value);
+  if (stored === undefined) return undefined;
+  const { number, author, changes } = stored;
   return { number, author, changes: changes as unknown as readonly ConfigChange[] };
 }
--- a/packages/workers/src/rows.ts
+++ b/packages/workers/src/rows.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue } from '@bronzeyoke/decoding';
 import type { Row } from '@bronzeyoke/ports';
 import type { WorkerRow } from './types';
 
@@ -34,13 +35,13 @@
 
 /** Parses the row of a worker. An absent or invalid row yields a fenced worker of incarnation 0. */
 export function workerRowOf(row: Row | undefined, seenAtMs: number): WorkerRow {
-  const parsed = schema.safeParse(row?.value);
+  const stored = acceptValue(schema, row?.value);
   return {
     version: row?.version ?? 0,
-    incarnation: parsed.data?.incarnation ?? 0,
-    agentId: parsed.data?.agentId ?? '',
-    isFenced: parsed.data?.fenced ?? true,
-    token: parsed.data?.token ?? '',
+    incarnation: stored?.incarnation ?? 0,
+    agentId: stored?.agentId ?? '',
+    isFenced: stored?.fenced ?? true,
+    token: stored?.token ?? '',
     seenAtMs,
   };
 }
--- a/packages/workflow/src/progressrow.ts
+++ b/packages/workflow/src/progressrow.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue, listOf, recordOf } from '@bronzeyoke/decoding';
 import type { JobProgress } from './job';
 import type { RunPhase, TaskProgress } from './run';
 
@@ -43,10 +44,10 @@
 
 /** Ranges of indexes of tasks that are done, and the other tasks that were claimed. */
 const stageSchema = z.object({
-  done: z.array(z.tuple([z.int().nonnegative(), z.int().nonnegative()])),
-  tasks: z.array(taskSchema),
+  done: listOf(z.tuple([z.int().nonnegative(), z.int().nonnegative()])),
+  tasks: listOf(taskSchema),
   /** Of the tasks that may have crashed workers; absent if there are none. */
-  crashes: z.array(crashesSchema).optional(),
+  crashes: listOf(crashesSchema).optional(),
 });
 
 const outcomeFields = {
@@ -56,16 +57,15 @@
 };
 
 const compactSchema = z.object({
-  workers: z.array(workerSchema),
+  workers: listOf(workerSchema),
   /** Stages by occurrence and index, as in the slots of their tasks. */
-  stages: z.record(z.string(), stageSchema),
+  stages: recordOf(stageSchema),
   ...outcomeFields,
 });
 
 /** Rows of builds that stored each task under its slot. */
 const plainSchema = z.object({
-  tasks: z.record(
-    z.string(),
+  tasks: recordOf(
     z.object({
       phase: z.enum(PHASES),
       attempt: z.int(),
@@ -258,18 +258,18 @@
 
 /** Decodes stored progress; undefined when it is malformed. */
 export function decodeProgress(value: unknown): JobProgress | undefined {
-  const compact = compactSchema.safeParse(value);
-  if (compact.success) {
-    const { workers, stages, ...rest } = compact.data;
-    if (!isPlausible(compact.data)) return undefined;
+  const compact = acceptValue(compactSchema, value);
+  if (compact !== undefined) {
+    const { workers, stages, ...rest } = compact;
+    if (!isPlausible(compact)) return undefined;
     const tasks = Object.entries(stages).flatMap(([name, stage]) =>
       decodeStage(name, stage, workers),
     );
     return { ...rest, tasks: new Map(tasks) } as JobProgress;
   }
-  const plain = plainSchema.safeParse(value);
-  if (!plain.success) return undefined;
-  const { tasks, ...rest } = plain.data;
+  const plain = acceptValue(plainSchema, value);
+  if (plain === undefined) return undefined;
+  const { tasks, ...rest } = plain;
   return {
     ...rest,
     tasks: new Map(Object.entries(tasks) as [string, TaskProgress][]),
--- a/packages/workflow/src/rows.ts
+++ b/packages/workflow/src/rows.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod';
+import { acceptValue, listOf } from '@bronzeyoke/decoding';
 import type { WorkflowJob } from './types';
 
 const resourcesSchema = z.object({
@@ -11,7 +12,7 @@
   taskCount: z.int().positive(),
   needs: resourcesSchema,
   estimateMs: z.number(),
-  dependsOn: z.array(z.int()),
+  dependsOn: listOf(z.int()),
   savesCheckpoints: z.boolean(),
   isGang: z.boolean(),
   prefersOneRack: z.boolean(),
@@ -38,7 +39,7 @@
     needsAdvice: z.boolean(),
   }),
   payload: z.string(),
-  stages: z.array(stageSchema).min(1),
+  stages: listOf(stageSchema).min(1),
   schedule: z
     .object({ firstAtMs: z.number(), periodMs: z.number(), occurrences: z.number() })
     .optional(),
@@ -49,8 +50,7 @@
 
 /** Decodes a stored job; undefined when the row was not written by this program. */
 export function decodeJob(value: unknown): WorkflowJob | undefined {
-  const parsed = jobSchema.safeParse(value);
-  return parsed.success ? (parsed.data as WorkflowJob) : undefined;
+  return acceptValue(jobSchema, value) as WorkflowJob | undefined;
 }
 
 /** Returns the bytes of a job as it is stored, before the encoding of the store. */
