Test the bounds of settings, answers and of new paths

Adds tests that a settings file of many values is refused before it is parsed, that the first faults of many are listed, and that answers which are too long or too costly are reported by the command line and lost for the table client.

--- a/packages/adapters/test/table.test.ts
+++ b/packages/adapters/test/table.test.ts
@@ -1,9 +1,14 @@
+import { once } from 'node:events';
+import { createServer } from 'node:http';
+import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
+import { DENSE_SHAPES } from '@bronzeyoke/harness';
 import { createHttpTable } from '@bronzeyoke/adapters';
 import { resolveCommit } from '@bronzeyoke/commits';
 import { NO_TABLE_FAULTS, startTable } from '@bronzeyoke/standins';
 
 const HOST = '127.0.0.1';
+const MB = 1_048_576;
 const transaction = {
   conditions: [{ key: 'a/1', version: 0 }],
   writes: [{ kind: 'put', key: 'a/1', value: { token: 't1' } }],
@@ -54,3 +59,24 @@
   await table.close();
   await standin.close();
 });
+
+// Guards against an answer of the table, or of what answers in its place, that exhausts the heap of an entry.
+it('table: an answer that is too long or too costly is lost', async () => {
+  const bodies = ['x'.repeat(17 * MB), (DENSE_SHAPES['empty objects'] ?? String)(8 * MB)];
+  const state = { answered: 0 };
+  const server = createServer((incoming, response) => {
+    incoming.resume();
+    response.end(bodies[state.answered % bodies.length]);
+    state.answered += 1;
+  });
+  server.listen(0, HOST);
+  await once(server, 'listening');
+  const { port } = server.address() as AddressInfo;
+  const table = createHttpTable({ host: HOST, port, connections: 1 });
+  expect(await table.read(['a/1'])).to.deep.equal({ kind: 'unavailable' });
+  expect(await table.read(['a/1'])).to.deep.equal({ kind: 'unavailable' });
+  expect(await table.commit(transaction)).to.deep.equal({ kind: 'unknown' });
+  expect(state.answered).to.equal(3);
+  await table.close();
+  server.close();
+});
--- a/packages/cli/test/client.test.ts
+++ b/packages/cli/test/client.test.ts
@@ -2,12 +2,15 @@
 import type { ServerResponse } from 'node:http';
 import { createServer } from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { Readable } from 'node:stream';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { expect } from 'chai';
+import { DENSE_SHAPES } from '@bronzeyoke/harness';
 import { createClient } from '../src/client';
 
 const HOST = '127.0.0.1';
 const TIMEOUT_MS = 1_000;
+const MB = 1_048_576;
 const PIECES = 6;
 const PIECE_INTERVAL_MS = 300;
 
@@ -51,3 +54,22 @@
   const result = await read(() => Promise.resolve());
   expect(result.ok).to.equal(false);
 });
+
+/** Sends an answer of equal pieces as fast as they are read. */
+async function sendAll(response: ServerResponse, piece: Buffer, pieces: number): Promise<void> {
+  Readable.from(Array<Buffer>(pieces).fill(piece)).pipe(response);
+}
+
+// Guards against an answer that exhausts the memory of the command line.
+it('client: an answer that is too long or too costly is reported', async () => {
+  const long = await read((response) => sendAll(response, Buffer.alloc(MB, ' '), 80));
+  expect(long.ok ? undefined : long.failure).to.deep.equal({
+    kind: 'unknownOutcome',
+    problem: 'the answer is longer than 67108864 bytes',
+  });
+  const dense = Buffer.from((DENSE_SHAPES['empty objects'] ?? String)(16 * MB));
+  const costly = await read((response) => sendAll(response, dense, 1));
+  expect(costly.ok ? undefined : costly.failure)
+    .to.have.property('problem')
+    .that.matches(/^the answer would take more than \d+ bytes of memory$/);
+});
--- a/packages/decoding/test/schema.test.ts
+++ b/packages/decoding/test/schema.test.ts
@@ -45,8 +45,8 @@
 
 // Guards against a limit on all faults that is taken from an option which the library does not document.
 it('schema: the option that ends a check at the first fault is there', () => {
-  const list = z.array(z.string());
-  expect(list.safeParse([1, 2], { abortEarly: true } as object).error?.issues).to.have.length(1);
+  const texts = z.array(z.string());
+  expect(texts.safeParse([1, 2], { abortEarly: true } as object).error?.issues).to.have.length(1);
 });
 
 it('schema: the first fault names its field', () => {
--- a/packages/settings/test/settings.test.ts
+++ b/packages/settings/test/settings.test.ts
@@ -68,6 +68,27 @@
   expect(faultsOf('['.repeat(100_000))).to.deep.equal(['entry.jsonc:1:33: nested deeper than 32']);
 });
 
+// Guards against a file whose syntax tree exhausts the heap of a running process that reloads it.
+it('settings: a file of many values is refused before it is parsed', () => {
+  const [fault = ''] = faultsOf(`{"domain":[${'[],'.repeat(349_000)}0]}`);
+  expect(fault).to.match(/^entry\.jsonc:1:\d+: more than \d+ tokens$/);
+});
+
+function unknownFields(count: number): string {
+  return `{${Array.from({ length: count }, (_, index) => `"a${index}":0,`).join('')}}`;
+}
+
+// Guards against faults that are located one by one in a long file, which kept a process busy for minutes.
+it('settings: the first faults of many are listed', () => {
+  const duplicates = faultsOf(`{${'"domain":0,'.repeat(90_000)}}`);
+  const unknown = faultsOf(unknownFields(20_000));
+  const broken = faultsOf(`[${'0 '.repeat(300_000)}]`);
+  const wrong = faultsOf(`{"tokens":[${'0,'.repeat(990)}]}`);
+  [duplicates, unknown, broken, wrong].forEach((faults) => expect(faults).to.have.length(50));
+  expect(faultsOf(unknownFields(60_000))).to.have.length(1);
+  expect(duplicates.at(2)).to.match(/^entry\.jsonc:1:\d+: domain: given more than once$/);
+});
+
 it('settings: __proto__ is an unknown field', () => {
   const result = readSettings(agentSettingsSchema, 'a', '{"__proto__": {"worker": "w"}}');
   const fields = result.ok ? [] : result.failure.map((fault) => fault.field);
