--- a/packages/decoding/src/cost.ts
+++ b/packages/decoding/src/cost.ts
@@ -4,9 +4,9 @@
 import type { DecodeFault } from './fault';
 
 /**
- * Cost of a document: an upper bound of the memory that decoding it takes, counted from its bytes before
- * anything is built. The figures are for 64-bit V8, in which a value that takes two bytes of text becomes an
- * object of up to a hundred times its size.
+ * Cost of a document: the most memory that decoding it takes, estimated from its bytes before anything is
+ * built. The figures are for 64-bit V8, in which a value that takes two bytes of text becomes an object of
+ * some fifty times its size.
  */
 
 /**
--- a/packages/settings/src/page.ts
+++ b/packages/settings/src/page.ts
@@ -80,7 +80,7 @@
     'This page is generated from the schemas by `npm run settings-page`; a test compares them.',
     '',
     'A settings file is JSON with comments, at most 1 MiB. Hosts are IP numbers. An unknown field,',
-    'a wrong type, a missing address or a number outside its limits is a fault. All faults of a file',
+    'a wrong type, a missing address or a number outside its limits is a fault. The first 50 faults of a file',
     'are listed with file, line, column and field, and the program ends with exit code 2.',
     '`bronzeyoke settings check` lists them without starting anything.',
     '',
--- a/soak/oddwriter.ts
+++ b/soak/oddwriter.ts
@@ -1,3 +1,4 @@
+import { DENSE_SHAPES } from '@bronzeyoke/harness';
 import { PARTITION } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { StandinPlatform } from '../platform/test/standin';
@@ -45,6 +46,18 @@
   '\u0000\u0001',
 ];
 
+/** Longest heartbeat that has to be acknowledged, less the fields beside the list. */
+const DENSE_BYTES = 4 * 1_048_576 - 256;
+
+/** Heartbeats within the limit of bytes whose values would take many times as much memory. */
+function denseHeartbeats(): readonly string[] {
+  return Object.values(DENSE_SHAPES).map(
+    (shape) =>
+      `{"service":"quoter","addr":"127.0.0.1:9","zone":"z","state":"ready","seq":1,"born":1,` +
+      `"capacity":{},"labels":${shape(DENSE_BYTES)}}`,
+  );
+}
+
 /** Writes odd rows and heartbeats, one of each in turn, until it is stopped. */
 export function startOddWriter(
   store: StandinPlatform,
@@ -52,6 +65,7 @@
   workerIds: readonly string[],
 ): { readonly stop: () => void } {
   const state = { count: 0 };
+  const dense = denseHeartbeats();
   const timer = setInterval(() => {
     const { count } = state;
     state.count += 1;
@@ -59,7 +73,7 @@
     if (table !== undefined && key !== undefined) {
       store.put(table, key, value, table === 'op' ? '' : PARTITION);
     }
-    const bodies = [...HEARTBEATS, ...laterHeartbeats()];
+    const bodies = [...HEARTBEATS, ...dense, ...laterHeartbeats()];
     const body = bodies[count % bodies.length] ?? '';
     const address = heartbeatAddresses[count % heartbeatAddresses.length];
     if (address === undefined) return;
--- a/soak/program.ts
+++ b/soak/program.ts
@@ -42,6 +42,10 @@
 
 const ROUTES_FILE = fileURLToPath(new URL('routes.cjs', import.meta.url));
 
+/** Heaps of the roles in `deploy/system.toml`, in which documents of any shape have to find room. */
+const HEAP_MB: Readonly<Record<string, number>> = { agent: 120, entry: 200 };
+const DEFAULT_HEAP_MB = 200;
+
 /** End of the output that is reported of a program that ends by itself; its last lines tell why. */
 const REPORTED_OUTPUT_CHARS = 500;
 
@@ -66,7 +70,9 @@
   };
 
   const startChild = (): ChildProcess => {
-    const child = spawn(process.execPath, ['--require', ROUTES_FILE, bundle, file], {
+    const heapMb = HEAP_MB[String(settings.role)] ?? DEFAULT_HEAP_MB;
+    const heap = `--max-old-space-size=${heapMb}`;
+    const child = spawn(process.execPath, [heap, '--require', ROUTES_FILE, bundle, file], {
       stdio: ['ignore', 'pipe', 'pipe'],
       env: { ...process.env, SOAK_ROUTES: JSON.stringify(routes) },
     });
