--- a/packages/decoding/src/cbor.ts
+++ b/packages/decoding/src/cbor.ts
@@ -43,6 +43,10 @@
   return fail({ kind: 'unsupported', what });
 }
 
+function majorOf(head = 0): number {
+  return Math.floor(head / HEADS_OF_MAJOR);
+}
+
 /** Returns the bytes of the argument after a head. */
 function argumentBytes(info: number): number {
   return info < ONE_BYTE ? 0 : 2 ** (info - ONE_BYTE);
@@ -90,7 +94,7 @@
       return UNREADABLE;
     } else {
       const info = head % HEADS_OF_MAJOR;
-      const major = (head - info) / HEADS_OF_MAJOR;
+      const major = majorOf(head);
       const isName = left % 2 === 0 && areMaps[level] === true;
       const argument = argumentOf(bytes, offset, info);
       if (info > EIGHT_BYTES) return unsupported('an item without a length');
@@ -119,15 +123,13 @@
           areMaps[level] = isMap;
           break;
         }
-        case MAJOR.tag: {
-          const content = bytes[offset] ?? 0;
-          const isByteString =
-            content - (content % HEADS_OF_MAJOR) === MAJOR.bytes * HEADS_OF_MAJOR;
-          if (argument !== BYTE_ARRAY_TAG || !isByteString) return unsupported('a tag');
+        case MAJOR.tag:
+          if (argument !== BYTE_ARRAY_TAG || majorOf(bytes[offset]) !== MAJOR.bytes) {
+            return unsupported('a tag');
+          }
           // The content is the item that the tag stands for.
           itemsLeft[level] = left;
           break;
-        }
         case MAJOR.simple:
           if (info < FIRST_SIMPLE || info === ONE_BYTE) return unsupported('a simple value');
           break;
