Tell in leaderLoad what a leader's time goes to

The log could not tell whether a leader that is out of processor time spends it on passes or on reports, how much a task costs it, nor whether answers of the store wait behind reports.

Tested in loadmeter.test.ts; the expected line of the first test names the new fields too.

--- a/packages/hosts/src/loadmeter.ts
+++ b/packages/hosts/src/loadmeter.ts
@@ -1,6 +1,7 @@
-import type { SchedulerEvent } from '@bronzeyoke/scheduler';
+import type { SchedulerEvent, SchedulerState, SchedulerStep } from '@bronzeyoke/scheduler';
 import type { LogEffect } from '@bronzeyoke/telemetry';
 import { logEffect } from '@bronzeyoke/telemetry';
+import { assertNever } from '@bronzeyoke/types';
 
 /** How one event was handled. */
 export interface HandledEvent {
@@ -10,6 +11,9 @@
   readonly durationMs: number;
   /** The event led to a placement pass. */
   readonly hasPlaced: boolean;
+  /** Start orders that were sent, and ends of runs that were handled for the first time. */
+  readonly starts: number;
+  readonly ends: number;
 }
 
 /** What a scheduler has handled since its last line about it. */
@@ -22,6 +26,60 @@
   readonly longestMs: number;
   readonly longestPassMs: number;
   readonly longestKind: string;
+  readonly starts: number;
+  readonly ends: number;
+  /** Longest wait of an answer of the store: placement and start orders wait as long. */
+  readonly longestStoreWaitMs: number;
+  readonly msByGroup: Readonly<Record<EventGroup, number>>;
+}
+
+/** What the processor time of a scheduler goes to: events with a placement pass, and others by their source. */
+type EventGroup = 'pass' | 'agents' | 'store' | 'other';
+
+const NO_TIME: LoadWindow['msByGroup'] = { pass: 0, agents: 0, store: 0, other: 0 };
+
+function groupOf({ kind, hasPlaced }: HandledEvent): EventGroup {
+  if (hasPlaced) return 'pass';
+  switch (kind) {
+    case 'linkOpened':
+    case 'received':
+    case 'linkClosed':
+      return 'agents';
+    case 'commitDone':
+    case 'rangeDone':
+    case 'jobRows':
+    case 'leaderRow':
+      return 'store';
+    case 'tick':
+    case 'passTook':
+    case 'loadMeasured':
+    case 'clockGap':
+    case 'configChanged':
+    case 'timesChanged':
+    case 'domainsOut':
+    case 'holderAnswered':
+    case 'stop':
+      return 'other';
+    default:
+      return assertNever(kind);
+  }
+}
+
+/** Returns what an event has started and ended. */
+export function countTasks(
+  before: SchedulerState,
+  event: SchedulerEvent,
+  { state, effects }: SchedulerStep,
+): Pick<HandledEvent, 'starts' | 'ends'> {
+  const starts = effects.filter(
+    (effect) => effect.kind === 'send' && effect.message.kind === 'start',
+  ).length;
+  if (event.kind !== 'received' || event.message.kind !== 'report') return { starts, ends: 0 };
+  const { workerKey, ended } = event.message;
+  const handled = state.workers.get(workerKey)?.handledSequence ?? 0;
+  const known = before.workers.get(workerKey)?.handledSequence ?? 0;
+  const ends = ended.filter(({ sequence }) => sequence > known && sequence <= handled).length;
+  return { starts, ends };
 }
 
 /** Time between two lines of a leader, and of one whose events have waited long. */
@@ -42,13 +100,20 @@
     longestMs: 0,
     longestPassMs: 0,
     longestKind: '',
+    starts: 0,
+    ends: 0,
+    longestStoreWaitMs: 0,
+    msByGroup: NO_TIME,
   };
 }
 
 /** Adds an event to a window. */
 export function recordEvent(window: LoadWindow, event: HandledEvent): LoadWindow {
-  const { kind, waitMs, durationMs, hasPlaced } = event;
+  const { kind, waitMs, durationMs, hasPlaced, starts, ends } = event;
+  const { msByGroup, longestStoreWaitMs } = window;
   const isLongest = durationMs > window.longestMs;
+  const group = groupOf(event);
+  const isAnswer = kind === 'commitDone' || kind === 'rangeDone';
   return {
     ...window,
     events: window.events + 1,
@@ -58,6 +123,10 @@
     longestMs: isLongest ? durationMs : window.longestMs,
     longestPassMs: hasPlaced ? Math.max(window.longestPassMs, durationMs) : window.longestPassMs,
     longestKind: isLongest ? kind : window.longestKind,
+    starts: window.starts + starts,
+    ends: window.ends + ends,
+    longestStoreWaitMs: isAnswer ? Math.max(longestStoreWaitMs, waitMs) : longestStoreWaitMs,
+    msByGroup: { ...msByGroup, [group]: msByGroup[group] + durationMs },
   };
 }
 
@@ -135,6 +204,13 @@
     longestMs: Math.round(window.longestMs),
     longestKind: window.longestKind,
     longestPassMs: Math.round(window.longestPassMs),
+    longestStoreWaitMs: Math.round(window.longestStoreWaitMs),
+    starts: window.starts,
+    ends: window.ends,
+    passMs: Math.round(window.msByGroup.pass),
+    agentsMs: Math.round(window.msByGroup.agents),
+    storeMs: Math.round(window.msByGroup.store),
+    otherMs: Math.round(window.msByGroup.other),
     pendingRows: rows,
     pendingActions: actions,
     dueGrants: grants,
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -23,6 +23,7 @@
 import {
   areWaitsDue,
   closeWindow,
+  countTasks,
   nextWaits,
   openWaits,
   openWindow,
@@ -181,6 +182,7 @@
       waitMs,
       durationMs,
       hasPlaced,
+      ...countTasks(state, event, decided),
     });
     const backlog = {
       rows: pendingWrites.jobs.size,
--- a/packages/hosts/test/loadmeter.test.ts
+++ b/packages/hosts/test/loadmeter.test.ts
@@ -9,12 +9,26 @@
   recordWait,
 } from '@bronzeyoke/hosts';
 
-const EVENT = { kind: 'received', waitMs: 1, durationMs: 2, hasPlaced: false } as const;
+const EVENT = {
+  kind: 'received',
+  waitMs: 1,
+  durationMs: 2,
+  hasPlaced: false,
+  starts: 0,
+  ends: 1,
+} as const;
 const NOTHING = { rows: 0, actions: 0, grants: 0, away: 0 };
 
 // Guards against an overloaded leader that says nothing of it in its log.
 it('loadmeter: a leader whose events wait long is overloaded within a second', () => {
-  const late = { ...EVENT, kind: 'tick', waitMs: 700, durationMs: 90, hasPlaced: true } as const;
+  const late = {
+    ...EVENT,
+    kind: 'tick',
+    waitMs: 700,
+    durationMs: 90,
+    hasPlaced: true,
+    ends: 0,
+  } as const;
   const window = [EVENT, late, EVENT].reduce(recordEvent, openWindow(0));
   expect(closeWindow(window, NOTHING, 500)).to.equal(undefined);
   expect(
@@ -29,6 +43,13 @@
     longestMs: 90,
     longestKind: 'tick',
     longestPassMs: 90,
+    longestStoreWaitMs: 0,
+    starts: 0,
+    ends: 2,
+    passMs: 90,
+    agentsMs: 4,
+    storeMs: 0,
+    otherMs: 0,
     pendingRows: 7,
     pendingActions: 9,
     dueGrants: 3,
@@ -36,6 +57,20 @@
   });
 });
 
+// Guards against a line that doesn't tell whether placement waits for the store or behind agents' reports.
+it('loadmeter: a line tells how long answers of the store wait and what the time went to', () => {
+  const answer = { ...EVENT, kind: 'commitDone', waitMs: 300, starts: 4, ends: 0 } as const;
+  const window = [EVENT, answer, EVENT].reduce(recordEvent, openWindow(0));
+  expect(closeWindow(window, NOTHING, 1_000)?.fields).to.include({
+    longestWaitMs: 300,
+    longestStoreWaitMs: 300,
+    starts: 4,
+    ends: 2,
+    agentsMs: 4,
+    storeMs: 2,
+  });
+});
+
 // Guards against a line a second from every leader that has little to do.
 it('loadmeter: a leader with time to spare writes a line every ten seconds', () => {
   const window = recordEvent(openWindow(0), EVENT);
