Measure what a task costs the leader's core under a stream of jobs

`npm run scale` shows a tick and a pass by themselves, and passes are put off to later events now, so neither row tells what a task costs.

Encoding and sockets are not part of it.

--- a/packages/scheduler/test/colocated.ts
+++ b/packages/scheduler/test/colocated.ts
@@ -32,11 +32,26 @@
   readonly taskMs: number;
 }
 
+/** Applies an event of a kind to the leader. */
+export type Handle = (
+  kind: SchedulerEvent['kind'],
+  before: Fixture,
+  change: (fixture: Fixture) => Fixture,
+) => Fixture;
+
+/** How a leader and its workers differ from the usual ones. */
+export interface ColocatedOptions {
+  /** Share of the runs of filling tasks that fail halfway. */
+  readonly failedShare?: number;
+  readonly handle?: Handle;
+}
+
 /** Creates a leader and workers whose tasks disturb each other. */
 export function createColocated(
   seed: number,
   workerCount: number,
   influence: Influence,
+  { failedShare = 0, handle = (_, before, change) => change(before) }: ColocatedOptions = {},
 ): Colocated {
   const clock = createClock(seed);
   const leader = createLeader();
@@ -63,14 +78,15 @@
     return stage;
   };
 
-  const apply = (change: (fixture: Fixture) => Fixture): void => {
+  const apply = (kind: SchedulerEvent['kind'], change: (fixture: Fixture) => Fixture): void => {
     const before = { ...known.fixture, effects: [], nowMs: clock.now() };
-    const { effects, ...after } = change(before);
+    const { effects, ...after } = handle(kind, before, change);
     known.fixture = { ...after, effects: [] };
     // eslint-disable-next-line @typescript-eslint/no-use-before-define -- events and effects call each other
     effects.forEach(perform);
   };
-  const send = (event: SchedulerEvent): void => apply((fixture) => dispatch(fixture, event));
+  const send = (event: SchedulerEvent): void =>
+    apply(event.kind, (fixture) => dispatch(fixture, event));
 
   function perform(effect: SchedulerEffect): void {
     switch (effect.kind) {
@@ -110,7 +126,8 @@
       stageOf,
       durationMs: (task) => jobOfTask(task).taskMs,
       influence,
-      report: (fields) => apply((fixture) => report(fixture, site, fields)),
+      failedShare,
+      report: (fields) => apply('received', (fixture) => report(fixture, site, fields)),
       onServed,
     });
     workers.set(`link-${site}`, worker);
--- a/packages/scheduler/test/colocatedworker.ts
+++ b/packages/scheduler/test/colocatedworker.ts
@@ -46,6 +46,8 @@
   readonly pacePercent: number;
   readonly load: number;
   readonly isStopping: boolean;
+  /** Work after which the run fails; infinite if it does not. */
+  readonly failsAtMs: number;
 }
 
 /** What a worker calls in its fleet. */
@@ -53,6 +55,7 @@
   readonly stageOf: (task: string) => Stage;
   readonly durationMs: (task: string) => number;
   readonly influence: Influence;
+  readonly failedShare: number;
   readonly report: (fields: ReportFields) => void;
   /** A serving task has worked for a step, over its target or not. */
   readonly onServed: (isHarmed: boolean) => void;
@@ -119,6 +122,11 @@
     report();
   };
 
+  const failsAtMs = (task: string): number => {
+    if (hooks.failedShare === 0 || clock.random() >= hooks.failedShare) return Infinity;
+    return hooks.durationMs(task) / 2;
+  };
+
   const start = ({ run, order, checkpoint }: Extract<LeaderMessage, { kind: 'start' }>): void => {
     const { task, attempt } = run;
     known.lastOrder = order;
@@ -132,6 +140,7 @@
       pacePercent: 100,
       load: 0,
       isStopping: false,
+      failsAtMs: failsAtMs(run.task),
     });
   };
 
@@ -188,7 +197,9 @@
     const doneMs = run.doneMs + STEP_MS * speed;
     const load = average(run.load, run.stage.needs.processorsMilli * speed);
     runs.set(run.task, { ...run, doneMs, load });
-    if (doneMs >= run.durationMs && !run.isStopping) finish(run, 'done');
+    if (run.isStopping) return;
+    if (doneMs >= run.failsAtMs) finish(run, 'failed');
+    else if (doneMs >= run.durationMs) finish(run, 'done');
   };
 
   const work = (): void => {
--- a/tools/scale/main.ts
+++ b/tools/scale/main.ts
@@ -1,6 +1,7 @@
 import { performance } from 'node:perf_hooks';
 import type { WorkflowJob } from '@bronzeyoke/workflow';
 import { taskBytes } from './bytes';
+import { measureStream } from './stream';
 import type { Leader, StoredState } from './fleet';
 import {
   apply,
@@ -17,11 +18,16 @@
 
 // Prints what one event costs the leader's core at several fleet sizes, in ms and as a ratio to the
 // size before. The core runs in virtual time; encoding and sockets are not part of it. With `--bytes`,
-// prints what one task of a job costs on the leader's link instead.
+// prints what one task of a job costs on the leader's link instead. With `--stream`, prints what a task
+// costs the core from claim to end under a steady stream of jobs; `tick` and the passes above leave out
+// what is put off to later events.
 
 const FLEET_SIZES = [11, 70, 160, 630];
 const REPEATS = 15;
 
+/** Fleets that get a stream of jobs. */
+const STREAM_SIZES = [70, 160, 630];
+
 /** Tasks of a job whose bytes are counted. */
 const JOB_SIZES = [1, 39, 200];
 
@@ -156,5 +162,19 @@
   });
 }
 
+function printStream(): void {
+  const costs = STREAM_SIZES.map((workers) => ({ workers, ...measureStream(workers) }));
+  costs.forEach(({ workers, starts, passes, ms, msByKind }) => {
+    const byKind = [...msByKind]
+      .toSorted(([, left], [, right]) => right - left)
+      .map(([kind, spentMs]) => `${kind} ${(spentMs / starts).toFixed(2)}`);
+    process.stdout.write(
+      `${workers} workers: ${(ms / starts).toFixed(2)} ms a task, ${starts} starts, ${passes} passes; ` +
+        `${byKind.join(', ')}\n`,
+    );
+  });
+}
+
 if (process.argv.includes('--bytes')) printBytes();
+else if (process.argv.includes('--stream')) printStream();
 else printCosts();
