Spend less of the leader's processor on reports and loads

Every class waits for them.

- the runs that a report only measures go to the table of runs together, and so do the estimates of serving tasks;
- a load is summed up over the stages of its runs at once, and known loads are updated in place of being listed anew;
- fills are merged once for all serving tasks of a worker.

--- a/packages/interference/src/pairs.ts
+++ b/packages/interference/src/pairs.ts
@@ -127,10 +127,9 @@
 
 /** Merges fills of the same image by adding up their shares. */
 export function mergeFills(fills: readonly FillShare[]): readonly FillShare[] {
-  const shares = fills.reduce(
-    (sums, { image, share }) => sums.update(image, 0, (sum) => sum + share),
-    Map<string, number>(),
-  );
+  if (fills.length < 2) return fills;
+  const shares = new globalThis.Map<string, number>();
+  fills.forEach(({ image, share }) => shares.set(image, (shares.get(image) ?? 0) + share));
   return [...shares].map(([image, share]) => ({ image, share }));
 }
 
@@ -233,13 +232,14 @@
     .map(({ image }) => image);
 }
 
-/** Estimates that were just observed come last. */
+/** Adds estimates that were just observed. They come last. */
 function putLatest(
   estimates: OrderedMap<string, InfluenceEstimate>,
-  key: string,
-  estimate: InfluenceEstimate,
+  observed: readonly (readonly [key: string, estimate: InfluenceEstimate])[],
 ): OrderedMap<string, InfluenceEstimate> {
-  return estimates.delete(key).set(key, estimate);
+  return estimates.withMutations((open) =>
+    observed.forEach(([key, estimate]) => open.delete(key).set(key, estimate)),
+  );
 }
 
 /** Drops the estimates whose last observation is the oldest, so that the others fit a row. */
@@ -310,14 +310,18 @@
   const learned = update(own, 1, 0);
   const base = baseOf(estimates, servingImage);
   const baseGain = base.variance / (base.variance + SWING_VARIANCE);
-  const first = putLatest(OrderedMap(estimates), pairKey(servingImage), {
+  const learnedBase = {
     mean: base.mean + baseGain * (learned.mean - base.mean),
     variance: Math.max(MIN_BASE_VARIANCE, base.variance * (1 - baseGain)),
-  });
-  const updated = fills.reduce((current, { image, share }) => {
+  };
+  const learnedFills = fills.map(({ image, share }) => {
     const influence = influenceOf(estimates, servingImage, image);
-    return putLatest(current, pairKey(servingImage, image), update(influence, share, MIN_VARIANCE));
-  }, first);
+    return [pairKey(servingImage, image), update(influence, share, MIN_VARIANCE)] as const;
+  });
+  const updated = putLatest(OrderedMap(estimates), [
+    [pairKey(servingImage), learnedBase],
+    ...learnedFills,
+  ]);
   return {
     estimates: updated.size === estimates.size ? updated : dropOldest(updated),
     own: learned,
--- a/packages/placement/src/rank.ts
+++ b/packages/placement/src/rank.ts
@@ -165,18 +165,37 @@
   };
 }
 
+/** Sums up what tasks of some stages need of one resource. */
+function sumOf(stages: readonly Stage[], resource: keyof Resources): number {
+  return stages.reduce((sum, { needs }) => sum + needs[resource], 0);
+}
+
+/** Returns a worker's load with one more task of each of some stages. */
+export function withTasksOf(load: WorkerLoad, stages: readonly Stage[]): WorkerLoad {
+  const { reserved, fillRequestedMilli, servingImages, fills } = load;
+  const filling = stages.filter(({ fillsIdle }) => fillsIdle);
+  const reserving = stages.filter(({ fillsIdle }) => !fillsIdle);
+  const images = reserving.flatMap(({ latencyTargetMs, image }) =>
+    latencyTargetMs === undefined || image === undefined ? [] : [image],
+  );
+  return {
+    ...load,
+    reserved: {
+      processorsMilli: reserved.processorsMilli + sumOf(reserving, 'processorsMilli'),
+      memoryMb: reserved.memoryMb + sumOf(stages, 'memoryMb'),
+      accelerators: reserved.accelerators + sumOf(stages, 'accelerators'),
+    },
+    fillRequestedMilli: fillRequestedMilli + sumOf(filling, 'processorsMilli'),
+    fills:
+      filling.length === 0
+        ? fills
+        : mergeFills([...fills, ...filling.flatMap((stage) => fillsOf(stage, load))]),
+    servingImages:
+      images.length === 0 ? servingImages : [...new Set([...servingImages, ...images])],
+  };
+}
+
 /** Returns a worker's load with one more task of a stage. */
 export function withTask(load: WorkerLoad, stage: Stage): WorkerLoad {
-  const { needs, image } = stage;
-  const { servingImages } = load;
-  const base = { ...load, reserved: withReservation(load.reserved, stage) };
-  if (stage.fillsIdle) {
-    return {
-      ...base,
-      fillRequestedMilli: load.fillRequestedMilli + needs.processorsMilli,
-      fills: mergeFills([...load.fills, ...fillsOf(stage, load)]),
-    };
-  }
-  if (stage.latencyTargetMs === undefined || image === undefined) return base;
-  return { ...base, servingImages: [...new Set([...servingImages, image])] };
+  return withTasksOf(load, [stage]);
 }
--- a/packages/scheduler/src/fleet/listedruns.ts
+++ b/packages/scheduler/src/fleet/listedruns.ts
@@ -1,12 +1,12 @@
 import { HARMED_RATIO } from '@bronzeyoke/interference';
 import type { ListedRun } from '@bronzeyoke/ports';
-import { chainAll, unchanged, without } from '@bronzeyoke/types';
+import { assertNever, chainAll, unchanged, without } from '@bronzeyoke/types';
 import { acceptsEvent, advanceRun, taskProgress, withTasks } from '@bronzeyoke/workflow';
 import { logListedAfterRelease } from './releasedruns';
-import { isWanted, keepUnwanted, STOP_REPEAT_MS, stopUnwanted } from './unwanted';
+import { keepUnwanted, STOP_REPEAT_MS, stopUnwanted } from './unwanted';
 import { isHeldTask } from '../jobs/held';
 import { taskTime } from '../jobs/openjob';
-import { putRun } from '../runs';
+import { putRun, runsOn, updateRuns } from '../runs';
 import { sendToWorker, withEffects } from '../state';
 import { taskLog } from '../tasklog';
 import type { SchedulerState, SchedulerStep } from '../types';
@@ -47,41 +47,107 @@
   ]);
 }
 
-/** Updates a run that a worker lists as running, or stops one that is not wanted. */
-export function updateListed(
+/** What a listed run leads to. */
+type Listing =
+  | { readonly kind: 'unwanted'; readonly listed: ListedRun }
+  /** It tells nothing new. */
+  | { readonly kind: 'same' }
+  /** It tells only how far the run is, and its load. */
+  | { readonly kind: 'measured'; readonly task: string; readonly view: RunView }
+  | Progressed;
+
+/** A run that has started, that saves a checkpoint, or that ignores its stop order. */
+interface Progressed {
+  readonly kind: 'progressed';
+  readonly listed: ListedRun;
+  readonly view: RunView;
+  readonly isNew: boolean;
+  readonly savesNow: boolean;
+  readonly isStopDue: boolean;
+}
+
+/** Compares a listed run with what is known of it. */
+function compareListed(
   state: SchedulerState,
   workerKey: string,
   listed: ListedRun,
   nowMs: number,
-): SchedulerStep {
+): Listing {
   const { task, attempt, checkpoint } = listed;
-  const run = state.runs.byTask.get(task);
-  const open = run === undefined ? undefined : state.jobs.get(run.jobId);
-  if (run === undefined || open === undefined || !isWanted(state, workerKey, listed)) {
-    return handleUnwanted(state, workerKey, listed, nowMs);
-  }
+  const run = runsOn(state.runs, workerKey).get(task);
+  const open = run?.attempt === attempt ? state.jobs.get(run.jobId) : undefined;
+  if (run === undefined || open === undefined) return { kind: 'unwanted', listed };
   const isStopDue = run.stopSentAtMs !== undefined && nowMs - run.stopSentAtMs > STOP_REPEAT_MS;
   const view = applyListing(isStopDue ? { ...run, stopSentAtMs: nowMs } : run, listed, nowMs);
-  const { slot, jobId } = run;
-  const stored = taskProgress(open.progress, slot);
+  const stored = taskProgress(open.progress, run.slot);
   const isNew = acceptsEvent(stored, 'started');
   const savesNow =
     checkpoint !== '' && checkpoint !== stored.checkpoint && run.stage.savesCheckpoints;
-  if (view === run && !isNew && !savesNow) return unchanged(state);
-  const runs = view === run ? state.runs : putRun(state.runs, task, view);
+  if (isNew || savesNow || isStopDue) {
+    return { kind: 'progressed', listed, view, isNew, savesNow, isStopDue };
+  }
+  return view === run ? { kind: 'same' } : { kind: 'measured', task, view };
+}
+
+/** Records the start or the checkpoint of a listed run, and repeats its stop order if that is due. */
+function recordProgress(
+  state: SchedulerState,
+  { listed, view, isNew, savesNow, isStopDue }: Progressed,
+  nowMs: number,
+): SchedulerStep {
+  const { task, attempt, checkpoint } = listed;
+  const { jobId, slot, workerKey, stage, claimedAtMs } = view;
+  const runs = putRun(state.runs, task, view);
   const stops = isStopDue
     ? sendToWorker(state, workerKey, { kind: 'stop', workerKey, run: runRef(task, attempt) })
     : [];
-  if (!isNew && !savesNow) return withEffects({ ...state, runs }, stops);
+  const open = state.jobs.get(jobId);
+  if (open === undefined || (!isNew && !savesNow)) return withEffects({ ...state, runs }, stops);
+  const stored = taskProgress(open.progress, slot);
   const moved = { ...advanceRun(stored, 'started'), ...(savesNow ? { checkpoint } : {}) };
   const progress = withTasks(open.progress, [[slot, moved]]);
   // The change stays in memory; the row is written with the next change that has to be durable.
   const time = isNew ? taskTime(open, slot, { kind: 'started' }, nowMs) : {};
   const jobs = state.jobs.set(jobId, { ...open, progress, ...time });
-  const startedAfterMs = Math.round(nowMs - run.claimedAtMs);
+  const startedAfterMs = Math.round(nowMs - claimedAtMs);
   const fields = { job: jobId, task, attempt, worker: workerKey, startedAfterMs };
   return withEffects({ ...state, jobs, runs }, [
     ...stops,
-    ...(isNew ? [taskLog(run.stage, 'taskStarted', fields)] : []),
+    ...(isNew ? [taskLog(stage, 'taskStarted', fields)] : []),
   ]);
 }
+
+/**
+ * Updates the runs that a worker lists as running, and stops those that are not wanted. Most listed runs
+ * tell only their loads, so these are written to the table of runs together.
+ */
+export function updateListed(
+  state: SchedulerState,
+  workerKey: string,
+  running: readonly ListedRun[],
+  nowMs: number,
+): SchedulerStep {
+  const listings = running.map((listed) => compareListed(state, workerKey, listed, nowMs));
+  const measured = listings.flatMap((listing): readonly (readonly [string, RunView])[] =>
+    listing.kind === 'measured' ? [[listing.task, listing.view]] : [],
+  );
+  const updated = { ...state, runs: updateRuns(state.runs, workerKey, measured) };
+  return chainAll(
+    updated,
+    listings.flatMap((listing) => {
+      switch (listing.kind) {
+        case 'same':
+        case 'measured':
+          return [];
+        case 'unwanted':
+          return [
+            (current: SchedulerState) => handleUnwanted(current, workerKey, listing.listed, nowMs),
+          ];
+        case 'progressed':
+          return [(current: SchedulerState) => recordProgress(current, listing, nowMs)];
+        default:
+          return assertNever(listing);
+      }
+    }),
+  );
+}
--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -1,7 +1,7 @@
-import { Map } from 'immutable';
+import type { Map } from 'immutable';
 import type { WorkerReport } from '@bronzeyoke/ports';
 import type { WorkerLoad } from '@bronzeyoke/placement';
-import { withReservation, withTask } from '@bronzeyoke/placement';
+import { withReservation, withTasksOf } from '@bronzeyoke/placement';
 import type { Resources } from '@bronzeyoke/types';
 import { fitsIn, NO_RESOURCES, subtractResources } from '@bronzeyoke/types';
 import { isEvacuated } from '../placement/domains';
@@ -32,18 +32,17 @@
   workerKey: string,
   { report, runs, orphans }: Pick<KnownLoad, 'report' | 'runs' | 'orphans'>,
 ): WorkerLoad {
-  const running = runs.reduce(
-    (load, { stage, load: usedMilli }) => {
-      const { fillUsedMilli, ...taken } = withTask(load, stage);
-      return { ...taken, fillUsedMilli: fillUsedMilli + (stage.fillsIdle ? usedMilli : 0) };
-    },
-    emptyLoad(workerKey, report),
+  const running = [...runs.values()];
+  const stages = [
+    ...running.map(({ stage }) => stage),
+    ...[...orphans.values()].flatMap(({ stage }) => stage ?? []),
+  ];
+  const load = withTasksOf(emptyLoad(workerKey, report), stages);
+  const fillUsedMilli = running.reduce(
+    (sum, { stage, load: usedMilli }) => sum + (stage.fillsIdle ? usedMilli : 0),
+    0,
   );
-  const load = orphans.reduce(
-    (sum, { stage }) => (stage === undefined ? sum : withTask(sum, stage)),
-    running,
-  );
-  return { ...load, isOvercommitted: !fitsIn(load.reserved, load.capacity) };
+  return { ...load, fillUsedMilli, isOvercommitted: !fitsIn(load.reserved, load.capacity) };
 }
 
 /** Returns the reserved part of a worker's load, without the rest of it. */
@@ -111,20 +110,37 @@
   return isUsable ? report : undefined;
 }
 
+/** Returns the known load of a worker as it is now; undefined if it cannot be used. */
+function currentLoad(
+  state: SchedulerState,
+  view: WorkerView,
+  passNumber: number,
+  nowMs: number,
+): KnownLoad | undefined {
+  const { workerKey } = view;
+  const report = usableReport(state, view, nowMs);
+  if (report === undefined) return undefined;
+  const known = state.loads.get(workerKey);
+  const runs = runsOn(state.runs, workerKey);
+  const orphans = runsOn(state.orphans, workerKey);
+  const isSame = known?.report === report && known.runs === runs && known.orphans === orphans;
+  if (isSame) return known;
+  const load = computeLoad(workerKey, { report, runs, orphans });
+  const hasTrial = runs.some(({ trial }) => trial !== undefined);
+  return { report, runs, orphans, load, hasTrial, sincePass: passNumber };
+}
+
 /** Updates the loads of the workers that have changed, and leaves out those that cannot be used. */
 export function updateLoads(state: SchedulerState, passNumber: number, nowMs: number): KnownLoads {
-  const entries = state.workers.valueSeq().flatMap((view): readonly [string, KnownLoad][] => {
-    const { workerKey } = view;
-    const report = usableReport(state, view, nowMs);
-    if (report === undefined) return [];
-    const known = state.loads.get(workerKey);
-    const runs = runsOn(state.runs, workerKey);
-    const orphans = runsOn(state.orphans, workerKey);
-    const isSame = known?.report === report && known.runs === runs && known.orphans === orphans;
-    if (isSame) return [[workerKey, known]];
-    const load = computeLoad(workerKey, { report, runs, orphans });
-    const hasTrial = runs.some(({ trial }) => trial !== undefined);
-    return [[workerKey, { report, runs, orphans, load, hasTrial, sincePass: passNumber }]];
+  return state.loads.withMutations((loads) => {
+    state.workers.forEach((view, workerKey) => {
+      const load = currentLoad(state, view, passNumber, nowMs);
+      if (load === undefined) loads.delete(workerKey);
+      else loads.set(workerKey, load);
+    });
+    if (loads.size <= state.workers.size) return;
+    [...loads.keys()]
+      .filter((workerKey) => !state.workers.has(workerKey))
+      .forEach((workerKey) => loads.delete(workerKey));
   });
-  return Map(entries);
 }
--- a/packages/scheduler/src/fleet/report.ts
+++ b/packages/scheduler/src/fleet/report.ts
@@ -54,9 +54,7 @@
     (current) =>
       isCompared ? unchanged(current) : releaseEarlierInstances(current, report, nowMs),
     (current) => applyEnds(current, report, nowMs, wallMs),
-    ...report.running.map(
-      (listed) => (current: SchedulerState) => updateListed(current, workerKey, listed, nowMs),
-    ),
+    (current) => updateListed(current, workerKey, report.running, nowMs),
     (current) => unchanged(keepUnwantedStarts(current, report)),
     (current) => releaseMissingRuns(current, report, nowMs),
     (current) => clearProvenRuns(current, workerKey, nowMs),
--- a/packages/scheduler/src/placement/pace.ts
+++ b/packages/scheduler/src/placement/pace.ts
@@ -14,7 +14,7 @@
 import { chainAfter, chainAll, unchanged } from '@bronzeyoke/types';
 import type { SchedulerState, SchedulerStep } from '../types';
 import { resetInheritedPaces } from './inheritedpace';
-import { learnPairs, observeTask } from './pairlearning';
+import { learnPairs, observeTasks } from './pairlearning';
 import type { ListedTask } from './runorders';
 import { listedTasks, setPace, stopRun } from './runorders';
 
@@ -320,7 +320,7 @@
   }
   const capacityMilli = Math.max(1, capacity.processorsMilli);
   const filling = listed.filter(({ stage }) => stage.fillsIdle);
-  const observations = serving.map((task) => observeTask(task, filling, capacityMilli));
+  const observations = observeTasks(serving, filling, capacityMilli);
   const learned = learnPairs(state, serving, observations);
   const fills = filling.filter(({ run }) => run.stopSentAtMs === undefined);
   const context: PacingContext = {
--- a/packages/scheduler/src/placement/pairlearning.ts
+++ b/packages/scheduler/src/placement/pairlearning.ts
@@ -1,47 +1,57 @@
 import type { PairEstimates, PairObservation } from '@bronzeyoke/interference';
 import { classifyFills, learnFrom, mergeFills } from '@bronzeyoke/interference';
 import { logEffect } from '@bronzeyoke/telemetry';
-import { putRun } from '../runs';
+import { updateRuns } from '../runs';
 import { withEffects } from '../state';
 import type { SchedulerEffect, SchedulerState, SchedulerStep } from '../types';
+import type { RunView } from '../views';
 import type { ListedTask } from './runorders';
 
-/** Returns a serving task's tail latency and the fills beside it, both over the last half second. */
-export function observeTask(
-  { stage, run }: ListedTask,
-  fills: readonly ListedTask[],
+/** Returns the tail latency of each serving task and the fills beside it, both over the last half second. */
+export function observeTasks(
+  serving: readonly ListedTask[],
+  filling: readonly ListedTask[],
   capacityMilli: number,
-): PairObservation {
-  return {
+): readonly PairObservation[] {
+  const fills = mergeFills(
+    filling.flatMap(({ stage: { image }, run }) =>
+      image === undefined ? [] : [{ image, share: run.load / capacityMilli }],
+    ),
+  );
+  return serving.map(({ stage, run }) => ({
     servingImage: stage.image ?? '',
     ...(run.ownLoad === undefined ? {} : { own: run.ownLoad }),
     ratio: run.load / Math.max(1, stage.latencyTargetMs ?? 1),
-    fills: mergeFills(
-      fills.flatMap((fill) =>
-        fill.stage.image === undefined
-          ? []
-          : [{ image: fill.stage.image, share: fill.run.load / capacityMilli }],
-      ),
-    ),
-  };
+    fills,
+  }));
+}
+
+/** Estimates after the observations of a worker's serving tasks, with that of each task's own load. */
+interface Learned {
+  readonly pairs: PairEstimates;
+  readonly ownLoads: readonly (readonly [task: string, run: RunView])[];
 }
 
 /** Learns from the observations of a worker's serving tasks, of pairs of images and of each task. */
 function learnEach(
-  state: SchedulerState,
+  { pairs, runs }: SchedulerState,
   serving: readonly ListedTask[],
   observations: readonly PairObservation[],
 ): Pick<SchedulerState, 'pairs' | 'runs'> {
-  return observations.reduce<Pick<SchedulerState, 'pairs' | 'runs'>>(
-    ({ pairs, runs }, observation, index) => {
-      const listed = serving[index];
-      const { estimates, own } = learnFrom(pairs, observation);
-      if (listed === undefined) return { pairs: estimates, runs };
-      const { task, run } = listed;
-      return { pairs: estimates, runs: putRun(runs, task, { ...run, ownLoad: own }) };
+  const learned = serving.reduce<Learned>(
+    (known, { task, run }, index) => {
+      const observation = observations[index];
+      if (observation === undefined) return known;
+      const { estimates, own } = learnFrom(known.pairs, observation);
+      return {
+        pairs: estimates,
+        ownLoads: [...known.ownLoads, [task, { ...run, ownLoad: own }]],
+      };
     },
-    { pairs: state.pairs, runs: state.runs },
+    { pairs, ownLoads: [] },
   );
+  const workerKey = serving[0]?.run.workerKey ?? '';
+  return { pairs: learned.pairs, runs: updateRuns(runs, workerKey, learned.ownLoads) };
 }
 
 /** Returns log effects for the pairs whose verdict changed. */
--- a/packages/scheduler/src/placement/place.ts
+++ b/packages/scheduler/src/placement/place.ts
@@ -19,6 +19,7 @@
 import { createOccupancies } from './tenants';
 import { placeTrials } from './trials';
 import type { SchedulerState, SchedulerStep } from '../types';
+import type { KnownLoads } from '../views';
 import { logWaits } from './waitlog';
 import type { WaitingTask } from './waits';
 import { compareSince, updateMissedTurns, updateWaits, waitingTasks } from './waits';
@@ -91,6 +92,13 @@
   return { work, budget: passBudget(placingWork, work) };
 }
 
+/** Returns the loads of the workers on which tasks may begin. */
+function loadsWithoutTrials(known: KnownLoads): PlacementPass['loads'] {
+  const hasTrials = known.some(({ hasTrial }) => hasTrial);
+  const usable = hasTrials ? known.filter(({ hasTrial }) => !hasTrial) : known;
+  return usable.map(({ load }) => load);
+}
+
 /** Returns the pass for all others; held ones are left to a later pass. */
 function passForOthers(pass: PlacementPass, isHeld: boolean): PlacementPass {
   const budget = isHeld ? { ...pass.budget, others: 0 } : withOthersShare(pass.budget, pass.work);
@@ -106,7 +114,7 @@
   const waiting = waitingTasks(state, candidates, nowMs);
   const passCount = state.passCount + 1;
   const known = updateLoads(state, passCount, nowMs);
-  const loads = known.filter(({ hasTrial }) => !hasTrial).map(({ load }) => load);
+  const loads = loadsWithoutTrials(known);
   const occupancyOf = createOccupancies(state, nowMs);
   const sized = withSizes(state, nowMs);
   const outlook = openOutlook(sized, candidates, { loads, occupancyOf });
--- a/packages/scheduler/src/runs.ts
+++ b/packages/scheduler/src/runs.ts
@@ -88,6 +88,21 @@
   };
 }
 
+/** Replaces some runs of one worker, of which the table has earlier versions. */
+export function updateRuns<Run extends Placed>(
+  table: TaskTable<Run>,
+  workerKey: string,
+  changed: readonly (readonly [task: string, run: Run])[],
+): TaskTable<Run> {
+  if (changed.length === 0) return table;
+  const replace = (runs: Map<string, Run>): Map<string, Run> =>
+    runs.withMutations((open) => changed.forEach(([task, run]) => open.set(task, run)));
+  return {
+    byTask: replace(table.byTask),
+    byWorker: table.byWorker.set(workerKey, replace(runsOn(table, workerKey))),
+  };
+}
+
 /** Removes the runs of some tasks. */
 export function dropRuns<Run extends Placed>(
   table: TaskTable<Run>,
