Handle answers of the store before reports that wait

An entry handled its events in the order of their arrival.

With `scheduling.ordersEvents` answers of the store, ticks and new jobs come first, and a report takes the place of one of the same worker that is the last of its connection to wait: both tell all that runs there and the same ends until they are acknowledged. The events of a connection keep their order.

--- a/packages/actors/src/actor.ts
+++ b/packages/actors/src/actor.ts
@@ -27,9 +27,40 @@
   context: Context<Message>,
 ) => State;
 
+/** Messages that wait for an actor. */
+export interface Mailbox<Message> {
+  readonly push: (message: Message) => void;
+  /** Removes and returns the message that is handled next; undefined if none waits. */
+  readonly take: () => Message | undefined;
+  readonly size: () => number;
+}
+
+/** Creates a mailbox that keeps the order of its messages. */
+export function createMailbox<Message>(): Mailbox<Message> {
+  const known: { waiting: Message[]; taken: number } = { waiting: [], taken: 0 };
+  return {
+    push: (message) => {
+      known.waiting.push(message);
+    },
+    take: () => {
+      const message = known.waiting[known.taken];
+      known.taken += 1;
+      // Taken messages are dropped together, because each removal at the front moves all others.
+      if (known.taken >= known.waiting.length) {
+        known.waiting = [];
+        known.taken = 0;
+      }
+      return message;
+    },
+    size: () => known.waiting.length - known.taken,
+  };
+}
+
 /** Options of an actor. */
-export interface ActorOptions<State> {
+export interface ActorOptions<State, Message> {
   readonly initialState: State;
+  /** Mailbox of the actor; one that keeps the order of messages if absent. */
+  readonly mailbox?: Mailbox<Message> | undefined;
   /** Returns the longest time for the batch that begins; undefined for the usual one. */
   readonly maxBatchMs?: (() => number | undefined) | undefined;
 }
@@ -42,9 +73,9 @@
   system: ActorSystemRef,
   handle: MessageHandler<State, Message>,
   name: string | undefined,
-  options: ActorOptions<State>,
+  options: ActorOptions<State, Message>,
 ): Ref<Message> {
-  let mailbox: Message[] = [];
+  const mailbox = options.mailbox ?? createMailbox<Message>();
   let isScheduled = false;
 
   const schedule = (actor: nact.Ref<'work'>): void => {
@@ -76,19 +107,19 @@
     _message: 'work',
     context: { readonly self: nact.Ref<'work'> },
   ): State => {
-    const batch = mailbox;
-    mailbox = [];
+    // Messages that come during the batch wait for the next turn, so that the event loop goes on.
+    const waiting = mailbox.size();
     isScheduled = false;
     const self = refOf(context.self);
     const endMs = performance.now() + (options.maxBatchMs?.() ?? MAX_BATCH_MS);
     let current = state;
-    // Ends with the first message after which the time is up; what is left is not looked at.
-    const last = batch.findIndex((message) => {
-      current = handleMessage(current, message, self);
+    // Ends with the first message after which the time is up.
+    Array.from({ length: waiting }).some(() => {
+      const message = mailbox.take();
+      if (message !== undefined) current = handleMessage(current, message, self);
       return performance.now() >= endMs;
     });
-    if (last !== -1) mailbox = [...batch.slice(last + 1), ...mailbox];
-    if (mailbox.length > 0) schedule(context.self);
+    if (mailbox.size() > 0) schedule(context.self);
     return current;
   };
 
--- a/packages/actors/src/core.ts
+++ b/packages/actors/src/core.ts
@@ -13,7 +13,8 @@
   readonly perform: (effect: Effect, self: Ref<Event>) => void;
   /** Called with an error of a decision, after which the state from before the event is kept, or of an effect. */
   readonly onError: (error: unknown, event: Event) => void;
-  readonly maxBatchMs?: ActorOptions<State>['maxBatchMs'];
+  readonly maxBatchMs?: ActorOptions<State, Event>['maxBatchMs'];
+  readonly mailbox?: ActorOptions<State, Event>['mailbox'];
 }
 
 /** Starts the actor that owns the state of a core and applies events one at a time. */
@@ -21,7 +22,7 @@
   system: ActorSystemRef,
   options: CoreOptions<State, Event, Effect>,
 ): Ref<Event> {
-  const { name, initial, decide, perform, onError, maxBatchMs } = options;
+  const { name, initial, decide, perform, onError, maxBatchMs, mailbox } = options;
   const performSafely = (effect: Effect, event: Event, self: Ref<Event>): void => {
     try {
       perform(effect, self);
@@ -40,7 +41,7 @@
       return state;
     }
   };
-  return spawn(system, handle, name, { initialState: initial, maxBatchMs });
+  return spawn(system, handle, name, { initialState: initial, maxBatchMs, mailbox });
 }
 
 /** Sends an event to an actor after a delay. Pending events do not keep the process alive. */
--- a/packages/hosts/src/index.ts
+++ b/packages/hosts/src/index.ts
@@ -3,6 +3,7 @@
 export * from './controller';
 export * from './holderprobe';
 export * from './leaderlink';
+export * from './eventmailbox';
 export * from './loadmeter';
 export * from './reachability';
 export * from './runner';
--- a/packages/hosts/src/scheduler.ts
+++ b/packages/hosts/src/scheduler.ts
@@ -11,13 +11,14 @@
   SchedulerSettings,
   SchedulerStep,
 } from '@bronzeyoke/scheduler';
-import { createScheduler, stepScheduler } from '@bronzeyoke/scheduler';
+import { createScheduler, policyOf, stepScheduler } from '@bronzeyoke/scheduler';
 import type { StepInputs } from '@bronzeyoke/types';
 import { assertNever, chainAfter } from '@bronzeyoke/types';
 import { AGENT_CODEC } from '@bronzeyoke/wire';
 import type { AgentLinks } from './agentlinks';
 import type { ClockReading } from './clockgap';
 import { findClockGap } from './clockgap';
+import { createEventMailbox } from './eventmailbox';
 import { spawnHolderProbe } from './holderprobe';
 import { followJobs } from './jobfeed';
 import {
@@ -203,5 +204,6 @@
     onError,
     perform,
     maxBatchMs: links.beginBatch,
+    mailbox: policyOf(settings).ordersEvents ? createEventMailbox() : undefined,
   });
 }
--- /dev/null
+++ b/packages/scheduler/src/inbox/index.ts
@@ -0,0 +1,1 @@
+export * from './eventqueue';
--- a/packages/scheduler/src/index.ts
+++ b/packages/scheduler/src/index.ts
@@ -1,4 +1,5 @@
 export * from './admission/view';
+export * from './inbox';
 export * from './leadership/budget';
 export * from './leadership/holderanswer';
 export * from './leadership/maintenance';
--- a/packages/scheduler/src/policy.ts
+++ b/packages/scheduler/src/policy.ts
@@ -6,6 +6,8 @@
   readonly restoresPlaces: boolean;
   /** An overloaded leader hands the lease over. */
   readonly handsOver: boolean;
+  /** Waiting answers of the store and new jobs are handled before agents' reports, of which the newest counts. */
+  readonly ordersEvents: boolean;
   /** Jobs that cannot get room in time are refused. */
   readonly limitsAdmission: boolean;
   /** Run times are learned for each queue. */
@@ -19,6 +21,7 @@
   detectsEndedHolder: false,
   restoresPlaces: false,
   handsOver: false,
+  ordersEvents: false,
   limitsAdmission: false,
   learnsRunTimes: false,
   looksAhead: false,
--- a/packages/scheduler/test/simcpu.ts
+++ b/packages/scheduler/test/simcpu.ts
@@ -1,3 +1,5 @@
+import type { Mailbox } from '@bronzeyoke/actors';
+import { createMailbox } from '@bronzeyoke/actors';
 import type { SchedulerEvent, SchedulerState, SchedulerStep } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { Clock } from './simclock';
@@ -142,9 +144,9 @@
 export function createProcessor<Event>(
   clock: Clock,
   begin: (event: Event) => Work,
+  waiting: Mailbox<Event> = createMailbox<Event>(),
 ): Processor<Event> {
   const known: {
-    waiting: Event[];
     connections: (() => readonly Event[])[];
     /** What is left of the turn. */
     turnMs: number;
@@ -152,12 +154,12 @@
     isPaused: boolean;
     /** Part of a ms that the clock does not show. */
     owedMs: number;
-  } = { waiting: [], connections: [], turnMs: 0, isBusy: false, isPaused: false, owedMs: 0 };
+  } = { connections: [], turnMs: 0, isBusy: false, isPaused: false, owedMs: 0 };
 
   const beginTurn = (): void => {
     const accept = known.connections.shift();
     known.turnMs = accept === undefined ? TURN_MS : ACCEPTING_TURN_MS;
-    known.waiting.push(...(accept?.() ?? []));
+    accept?.().forEach(waiting.push);
   };
 
   const handle = (event: Event): void => {
@@ -181,8 +183,8 @@
 
   function run(): void {
     while (!known.isBusy && !known.isPaused) {
-      if (known.turnMs <= 0 || known.waiting.length === 0) beginTurn();
-      const event = known.waiting.shift();
+      if (known.turnMs <= 0 || waiting.size() === 0) beginTurn();
+      const event = waiting.take();
       if (event === undefined) return;
       handle(event);
     }
@@ -190,7 +192,7 @@
 
   return {
     submit: (event) => {
-      known.waiting.push(event);
+      waiting.push(event);
       run();
     },
     connect: (accept) => {
--- a/packages/scheduler/test/simentry.ts
+++ b/packages/scheduler/test/simentry.ts
@@ -4,6 +4,7 @@
   SchedulerState,
   SchedulingPolicy,
 } from '@bronzeyoke/scheduler';
+import { createEventMailbox } from '@bronzeyoke/hosts';
 import { createScheduler, FULL_CAPACITY, stepScheduler, TABLES } from '@bronzeyoke/scheduler';
 import { assertNever } from '@bronzeyoke/types';
 import type { Work } from './simcpu';
@@ -89,6 +90,7 @@
     const nowMs = clock.now();
     if (!node.isUp) return { durationMs: 0, finish: () => {} };
     if ('wallMs' in event) node.waitMs = Math.max(node.waitMs, wallMs() - event.wallMs);
+    if (event.kind === 'commitDone') world.onCommitWait(wallMs() - event.wallMs);
     const step = stepScheduler(node.state, event, { nowMs, random: clock.random() });
     const coreMs = stepMs(world.costs, node.state, event, step, nowMs);
     const speed = capacity.processors / node.slowness;
@@ -104,7 +106,8 @@
     };
     return { durationMs: coreMs / speed, finish };
   };
-  const processor = createProcessor(clock, begin);
+  const mailbox = world.policy.ordersEvents ? createEventMailbox() : undefined;
+  const processor = createProcessor(clock, begin, mailbox);
   /** Events on connections that wait to be accepted, also on those that their agents have left. */
   const unaccepted = new Map<string, SchedulerEvent[]>();
   const dispatch = (event: SchedulerEvent): void => {
--- a/packages/scheduler/test/simnodes.ts
+++ b/packages/scheduler/test/simnodes.ts
@@ -48,6 +48,8 @@
   readonly onReport: (workerKey: string) => void;
   /** An entry has handled an event. */
   readonly onStep: (state: SchedulerState, event: SchedulerEvent) => void;
+  /** An answer to a transaction has waited for the processor of its entry. */
+  readonly onCommitWait: (waitMs: number) => void;
 }
 
 /** A connection between an agent and an entry. Messages arrive in order. */
--- a/packages/scheduler/test/simslow.ts
+++ b/packages/scheduler/test/simslow.ts
@@ -44,14 +44,21 @@
   return values[Math.ceil(values.length * share) - 1] ?? Infinity;
 }
 
-/** Returns when a job began on a worker; infinite if it has not. */
-function startOf(simulation: Simulation, jobId: string): number {
-  const starts = Array.from({ length: TASKS_PER_JOB }, (_, index) => index)
-    .flatMap((index) => simulation.runsOf(`${jobId}.0.0.${index}`))
+/** Returns when a task of a job first began on a worker; infinite if it has not. */
+export function startOf(simulation: Simulation, jobId: string, index: number): number {
+  const starts = simulation
+    .runsOf(`${jobId}.0.0.${index}`)
     .map((line) => Number(/started (?<atS>[\d.]+)/u.exec(line)?.groups?.atS ?? Infinity) * 1_000);
   return Math.min(Infinity, ...starts);
 }
 
+/** Returns when a job began on a worker; infinite if it has not. */
+function firstStartOf(simulation: Simulation, jobId: string): number {
+  return Math.min(
+    ...Array.from({ length: TASKS_PER_JOB }, (_, index) => startOf(simulation, jobId, index)),
+  );
+}
+
 /** Plays a burst of short jobs that begins when some entries become slow. */
 export function playSlow(
   seed: number,
@@ -77,7 +84,7 @@
   slow(simulation.leader()).forEach((entry) => simulation.slowEntry(entry % ENTRIES, SLOWNESS));
   const jobs = submitFor(forMs, USUAL_JOBS_PER_S * BURST_FACTOR);
   simulation.advance(3_000);
-  const startsMs = jobs.map(([jobId, atMs]) => startOf(simulation, jobId) - atMs);
+  const startsMs = jobs.map(([jobId, atMs]) => firstStartOf(simulation, jobId) - atMs);
   const lapses = simulation
     .logged()
     .filter(
--- a/packages/scheduler/test/simtypes.ts
+++ b/packages/scheduler/test/simtypes.ts
@@ -84,6 +84,8 @@
   readonly logged: () => readonly LoggedLine[];
   /** Orders to start tasks that entries have sent. */
   readonly orders: () => readonly SentOrder[];
+  /** How long each answer to a transaction has waited for the processor of its entry. */
+  readonly commitWaitsMs: () => readonly number[];
   /** Time at which the first report of each worker reached an entry, also if it waits there. */
   readonly reportedAtMs: () => ReadonlyMap<string, number>;
   readonly claims: () => readonly ClaimRow[];
--- a/packages/scheduler/test/simulation.ts
+++ b/packages/scheduler/test/simulation.ts
@@ -54,6 +54,7 @@
   const orders: SentOrder[] = [];
   const reportedAtMs = new Map<string, number>();
   const watch = createRunWatch();
+  const commitWaitsMs: number[] = [];
   const known = { jobs: 0, calmSinceMs: 0, generation: 0 };
   const orderDelays = new Map<string, Span>();
   const disturbances = new Set<string>();
@@ -121,6 +122,7 @@
     onLog: ({ event, fields }) => logged.push({ atMs: clock.now() - startMs, event, fields }),
     onSend,
     onReport: (key) => reportedAtMs.set(key, reportedAtMs.get(key) ?? clock.now() - startMs),
+    onCommitWait: (waitMs) => commitWaitsMs.push(waitMs),
     onStep: (state, event) => viewViolations(state, clock.now(), event.kind).forEach(record),
   };
 
@@ -132,16 +134,14 @@
   };
   const startWorker = (name: string, id: string): SimWorker => {
     const rate = 1 + CLOCK_ERROR * (2 * clock.random() - 1);
-    const bornAtMs = wallMsOf(name);
-    return createWorker(clock, { id, address: name, bornAtMs }, rate, history);
+    return createWorker(clock, { id, address: name, bornAtMs: wallMsOf(name) }, rate, history);
   };
   const startAgent = (index: number, worker: SimWorker): void => {
     const agent = createAgent(world, `m${index}`, () => machines[index]?.worker);
     machines[index] = { worker, agent };
   };
   const startMachine = (index: number): void => {
-    const name = `m${index}`;
-    startAgent(index, startWorker(name, `${name}-${WALL_MS + clock.now()}`));
+    startAgent(index, startWorker(`m${index}`, `m${index}-${WALL_MS + clock.now()}`));
   };
   hosts.forEach((_, index) => startEntry(index));
   Array.from({ length: machineCount }, (_, index) => startMachine(index));
@@ -215,6 +215,7 @@
     trace: () => trace,
     logged: () => logged,
     orders: () => orders,
+    commitWaitsMs: () => commitWaitsMs,
     reportedAtMs: () => reportedAtMs,
     claims: claims.leaders,
     leader: () => {
