Forget the load of a worker that is gone beside one that cannot be used

A worker in a claim that has not reported counts as one without a load, so a worker that was gone kept its load, and its tasks were claimed there again and again.

--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -138,8 +138,8 @@
       if (load === undefined) loads.delete(workerKey);
       else loads.set(workerKey, load);
     });
-    if (loads.size <= state.workers.size) return;
-    [...loads.keys()]
+    // A worker that is gone may be outnumbered by known ones that cannot be used.
+    [...state.loads.keys()]
       .filter((workerKey) => !state.workers.has(workerKey))
       .forEach((workerKey) => loads.delete(workerKey));
   });
