--- a/packages/scheduler/test/loads.test.ts
+++ b/packages/scheduler/test/loads.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import * as fc from 'fast-check';
 import { Map } from 'immutable';
+import { without } from '@bronzeyoke/types';
 import { updateLoads } from '../src/fleet/loads';
 import type { Fixture } from './fixture';
 import {
@@ -95,3 +96,18 @@
     { seed: 3, numRuns: 60 },
   );
 });
+
+// Guards against claims on a worker that is gone while another one has not reported yet.
+it('loads: a worker that is gone has no load beside one that has not reported', () => {
+  const { state, nowMs } = ['w1', 'w2'].reduce(
+    (fixture, at) => report(fixture, at),
+    createLeader(),
+  );
+  const loads = updateLoads(state, 1, nowMs);
+  const view = state.workers.get('w1@5');
+  if (view === undefined) throw new Error('w1 has not reported');
+  const unreported = { ...without(view, 'report'), workerKey: 'w3@5' };
+  const workers = state.workers.delete('w1@5').set('w3@5', unreported);
+  const later = updateLoads({ ...state, loads, workers }, 2, nowMs);
+  expect([...later.keys()]).to.deep.equal(['w2@5']);
+});
