Drop an unread count, and forget loads of gone workers in one loop

The event queue counted replaced reports and nobody read the count. The loads of workers that are gone are dropped by one look at each known load, without a list of keys and a comment on an earlier fault. Behaviour is the same.

--- a/packages/scheduler/src/fleet/loads.ts
+++ b/packages/scheduler/src/fleet/loads.ts
@@ -133,14 +133,13 @@
 /** Updates the loads of the workers that have changed, and leaves out those that cannot be used. */
 export function updateLoads(state: SchedulerState, passNumber: number, nowMs: number): KnownLoads {
   return state.loads.withMutations((loads) => {
+    state.loads.forEach((_, workerKey) => {
+      if (!state.workers.has(workerKey)) loads.delete(workerKey);
+    });
     state.workers.forEach((view, workerKey) => {
       const load = currentLoad(state, view, passNumber, nowMs);
       if (load === undefined) loads.delete(workerKey);
       else loads.set(workerKey, load);
     });
-    // A worker that is gone may be outnumbered by known ones that cannot be used.
-    [...state.loads.keys()]
-      .filter((workerKey) => !state.workers.has(workerKey))
-      .forEach((workerKey) => loads.delete(workerKey));
   });
 }
--- a/packages/scheduler/src/inbox/eventqueue.ts
+++ b/packages/scheduler/src/inbox/eventqueue.ts
@@ -16,8 +16,6 @@
   readonly taken: number;
   /** Position of the last event of each connection that waits. */
   readonly lastOfLink: Map<string, number>;
-  /** Reports that were dropped because a later one of the same worker came while they waited. */
-  readonly replacedCount: number;
 }
 
 /** A queue without events. */
@@ -26,7 +24,6 @@
   links: List(),
   taken: 0,
   lastOfLink: Map(),
-  replacedCount: 0,
 };
 
 /** Returns how many events wait. */
@@ -58,8 +55,7 @@
   const last = lastOfLink.get(event.linkId);
   const waiting = last === undefined ? undefined : links.get(last - taken);
   if (last !== undefined && waiting !== undefined && replaces(waiting, event)) {
-    const replacedCount = queue.replacedCount + 1;
-    return { ...queue, links: links.set(last - taken, event), replacedCount };
+    return { ...queue, links: links.set(last - taken, event) };
   }
   return {
     ...queue,
